--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Skeleton.
--- /dev/null
+++ b/crates/flamingowheel/src/main.rs
@@ -0,0 +1,3 @@
+//! Skeleton.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/kv.rs
@@ -0,0 +1,214 @@
+//! The key-value service: compare-and-swap transactions, leases and watches.
+//!
+//! The shape is that of the etcd v3 API. Every call counts against the service's rate, a waiting
+//! watch included, so callers batch and share.
+
+use crate::BoxFuture;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// The largest value the service stores.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// A point in the history of the whole store; every write that takes effect raises it by one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+/// A lease the service granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeaseId(pub i64);
+
+/// One stored key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyValueEntry {
+    /// The key.
+    pub key: String,
+    /// The value as stored.
+    pub value: Bytes,
+    /// The revision of the write that created the key.
+    pub create_revision: Revision,
+    /// The revision of the last write to the key. Strictly rising, so it serves as fencing number.
+    pub mod_revision: Revision,
+    /// The lease the key is bound to.
+    pub lease: Option<LeaseId>,
+}
+
+/// The answer to a range read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The store's revision at the read.
+    pub revision: Revision,
+    /// The entries, sorted by key.
+    pub entries: Vec<KeyValueEntry>,
+}
+
+/// What a transaction compares before it writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Compare {
+    /// The key does not exist.
+    Absent {
+        /// The key compared.
+        key: String,
+    },
+    /// The key's last write has exactly this revision.
+    ModRevision {
+        /// The key compared.
+        key: String,
+        /// The revision expected.
+        revision: Revision,
+    },
+}
+
+/// One step of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Write a value.
+    Put {
+        /// The key written.
+        key: String,
+        /// The value, at most [`MAX_VALUE_BYTES`].
+        value: Bytes,
+        /// The lease with which the key expires.
+        lease: Option<LeaseId>,
+    },
+    /// Read one key.
+    Get {
+        /// The key read.
+        key: String,
+    },
+    /// Delete one key.
+    Delete {
+        /// The key deleted.
+        key: String,
+    },
+}
+
+/// A transaction: if all comparisons hold, `on_success` runs atomically, else `on_failure` does.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// All of these must hold.
+    pub compares: Vec<Compare>,
+    /// Run when they hold.
+    pub on_success: Vec<Operation>,
+    /// Run when one does not hold.
+    pub on_failure: Vec<Operation>,
+}
+
+/// The answer to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TransactionAnswer {
+    /// Whether `on_success` ran.
+    pub succeeded: bool,
+    /// The store's revision after the transaction.
+    pub revision: Revision,
+    /// One element for each `Get` of the branch that ran, in order.
+    pub reads: Vec<Option<KeyValueEntry>>,
+}
+
+/// A change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchEvent {
+    /// A key was written.
+    Put(KeyValueEntry),
+    /// A key was deleted or its lease expired.
+    Delete {
+        /// The key.
+        key: String,
+        /// The revision of the deletion.
+        revision: Revision,
+    },
+    /// The service says that it is still there and has sent everything up to this revision.
+    Progress {
+        /// All events up to this revision have been sent.
+        revision: Revision,
+    },
+    /// The start revision was compacted away; the watcher must read everything again.
+    Compacted {
+        /// The oldest revision a new watch may start from.
+        oldest: Revision,
+    },
+}
+
+/// A running watch; it ends when the receiver yields `None`. A watch can go silent for good, so
+/// its holder reads the prefix again from time to time.
+pub type Watch = mpsc::Receiver<WatchEvent>;
+
+/// Why a call did not yield an answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyValueError {
+    /// The connection was refused: the call can't have taken effect.
+    #[error("key-value service unreachable")]
+    Unreachable,
+    /// The request was sent and no answer came within the limit: it may have taken effect.
+    #[error(
+        "no answer from the key-value service within {limit_ms} ms; the call may have taken effect"
+    )]
+    NoAnswer {
+        /// How long the caller waited, in milliseconds.
+        limit_ms: u64,
+    },
+    /// The service refused the call before running it, because a rate is used up.
+    #[error("key-value service refused the call: rate exceeded")]
+    RateExceeded,
+    /// A value is larger than the service stores.
+    #[error("value of {bytes} bytes exceeds the limit of {MAX_VALUE_BYTES}")]
+    ValueTooLarge {
+        /// The value's size in bytes.
+        bytes: usize,
+    },
+    /// The lease expired or never existed.
+    #[error("lease not found")]
+    LeaseNotFound,
+    /// The answer could not be read as the protocol says.
+    #[error("malformed answer from the key-value service: {what}")]
+    Malformed {
+        /// The part that could not be read.
+        what: &'static str,
+    },
+}
+
+impl KeyValueError {
+    /// Whether the failed call may nevertheless have taken effect, so that a writer must read
+    /// back before it judges.
+    ///
+    /// ```
+    /// use flamingowheel_platform::kv::KeyValueError;
+    /// assert!(KeyValueError::NoAnswer { limit_ms: 500 }.may_have_taken_effect());
+    /// assert!(!KeyValueError::Unreachable.may_have_taken_effect());
+    /// ```
+    pub fn may_have_taken_effect(&self) -> bool {
+        matches!(self, Self::NoAnswer { .. } | Self::Malformed { .. })
+    }
+}
+
+/// The platform's key-value service.
+pub trait KeyValue: Send + Sync + 'static {
+    /// Reads all keys that start with `prefix`.
+    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Snapshot, KeyValueError>>;
+
+    /// Runs a transaction. Each counts as one call, however many operations it holds (at most 128).
+    fn transact(
+        &self,
+        transaction: Transaction,
+    ) -> BoxFuture<'_, Result<TransactionAnswer, KeyValueError>>;
+
+    /// Grants a lease that expires unless kept alive.
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, KeyValueError>>;
+
+    /// Renews a lease for its full time to live.
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>>;
+
+    /// Ends a lease at once; keys bound to it are deleted.
+    fn revoke_lease(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>>;
+
+    /// Watches all keys that start with `prefix`, from the write after `after` on.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+    ) -> BoxFuture<'a, Result<Watch, KeyValueError>>;
+}
