--- /dev/null
+++ b/crates/policy/src/key.rs
@@ -0,0 +1,80 @@
+//! Compact keys of the things that decisions are about.
+//!
+//! Decisions compare and hash keys far more often than they show them, so names are hashed once to
+//! 64 bits. Among 10,000 names a collision has a chance of about 3 in 10^12.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+macro_rules! key {
+    ($name:ident, $what:literal) => {
+        #[doc = concat!("Key of ", $what, ".")]
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            #[doc = concat!("Hashes the name of ", $what, " to its key.")]
+            ///
+            /// ```
+            #[doc = concat!("use flamingowheel_policy::key::", stringify!($name), ";")]
+            #[doc = concat!("assert_ne!(", stringify!($name), "::from_name(\"a\"), ")]
+            #[doc = concat!(stringify!($name), "::from_name(\"b\"));")]
+            /// ```
+            #[must_use]
+            pub fn from_name(name: &str) -> Self {
+                Self(xxh3_64(name.as_bytes()))
+            }
+        }
+    };
+}
+
+key!(ServerKey, "a backend server");
+key!(EntryKey, "an entry");
+key!(WorkspaceKey, "a workspace");
+key!(DataCentreKey, "a data centre");
+key!(ScopeKey, "a pool of backend servers: one model within one region");
+
+/// Hash of what a request asks for. A resend under a new request id has the same fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Hashes workspace, route and body.
+    ///
+    /// The seed is secret to the fleet: without it a caller could craft a body that collides with
+    /// another one and have that one refused as a suspect.
+    ///
+    /// ```
+    /// use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
+    /// let workspace = WorkspaceKey::from_name("crews");
+    /// let first = Fingerprint::of(7, workspace, "/v1/chat/completions", b"{}");
+    /// assert_eq!(first, Fingerprint::of(7, workspace, "/v1/chat/completions", b"{}"));
+    /// assert_ne!(first, Fingerprint::of(7, workspace, "/v1/completions", b"{}"));
+    /// ```
+    #[must_use]
+    pub fn of(seed: u64, workspace: WorkspaceKey, route: &str, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::with_seed(seed);
+        hasher.update(&workspace.0.to_le_bytes());
+        hasher.update(&(route.len() as u64).to_le_bytes());
+        hasher.update(route.as_bytes());
+        hasher.update(body);
+        Self(hasher.digest128())
+    }
+
+    /// The low half, for draws that need a seed.
+    pub(crate) fn seed(self) -> u64 {
+        self.0 as u64
+    }
+}
+
+/// Mixes two words to one that depends on every bit of both.
+pub(crate) fn mix(left: u64, right: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&left.to_le_bytes());
+    bytes[8..].copy_from_slice(&right.to_le_bytes());
+    xxh3_64(&bytes)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,12 @@
-//! Skeleton.
+//! Pure decisions: routing, limits, retries, subsets and suspicion.
+//!
+//! Nothing here does I/O or reads a clock. Time is passed in as a [`std::time::Duration`] since an
+//! origin of the process's own choice, so that the same code runs in the daemon, under a paused
+//! clock and in the benches.
+
+pub mod admission;
+pub mod key;
+pub mod load;
+pub mod retry;
+pub mod routing;
+pub mod subset;
--- /dev/null
+++ b/crates/policy/src/subset.rs
@@ -0,0 +1,320 @@
+//! Which entries stand before which backend servers, and which entries a workspace uses.
+//!
+//! The backend servers of a scope are cut into cells of about 64, each behind about 8 entries. The
+//! cut is a binary trie over hashed keys: a cell that grows past its bound splits in two, so a join
+//! or leave moves nothing but itself, save when a bound is crossed. Entries are given to cells by
+//! weighted rendezvous hashing with a bound on cells per entry. Everything is a pure function of
+//! the membership, so processes agree without talking; views that differ for a while cost only
+//! efficiency, for every entry serves every workspace.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey, mix};
+
+/// An entry as the subset choice sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EntryInfo {
+    /// The entry.
+    pub key: EntryKey,
+    /// Its data centre.
+    pub data_centre: DataCentreKey,
+    /// Share of work relative to other entries; not above zero means none.
+    pub weight: f64,
+    /// It is leaving and must not appear in any answer.
+    pub leaving: bool,
+}
+
+impl EntryInfo {
+    fn is_usable(&self) -> bool {
+        !self.leaving && self.weight > 0.0
+    }
+}
+
+/// Bounds of a cell and of a workspace's subset.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SubsetConfig {
+    /// A cell with more servers is split.
+    pub max_servers: usize,
+    /// Backend servers per entry that a cell aims at.
+    pub servers_per_entry: usize,
+    /// Fewest entries before a cell, as far as there are that many.
+    pub min_entries: usize,
+    /// Most entries before a cell.
+    pub max_entries: usize,
+    /// Requests a second that one more entry in a workspace's subset is worth.
+    pub rate_per_entry_per_s: f64,
+    /// Fewest entries of a workspace's subset.
+    pub min_subset: usize,
+}
+
+impl Default for SubsetConfig {
+    fn default() -> Self {
+        Self {
+            max_servers: 96,
+            servers_per_entry: 8,
+            min_entries: 8,
+            max_entries: 12,
+            rate_per_entry_per_s: 10.0,
+            min_subset: 2,
+        }
+    }
+}
+
+/// Backend servers and the entries before them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cell {
+    /// Hash of the scope and the cell's place in the trie.
+    pub id: u64,
+    /// Its backend servers, sorted.
+    pub servers: Vec<ServerKey>,
+    /// Its entries, the highest-ranked first.
+    pub entries: Vec<EntryKey>,
+}
+
+/// The cells of all scopes.
+///
+/// ```
+/// use flamingowheel_policy::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey};
+/// use flamingowheel_policy::subset::{Cells, EntryInfo, SubsetConfig};
+/// let own = DataCentreKey::from_name("ga-1");
+/// let entries: Vec<EntryInfo> = (0..6)
+///     .map(|n| EntryInfo { key: EntryKey(n), data_centre: own, weight: 1.0, leaving: n == 0 })
+///     .collect();
+/// let scope = ScopeKey::from_name("notes-model/ga-central");
+/// let servers = [(scope, vec![ServerKey(1), ServerKey(2)])];
+/// let cells = Cells::build(SubsetConfig::default(), &servers, &entries);
+/// let answer = cells.entries_for(WorkspaceKey::from_name("crews"), &[scope], 1.0, own);
+/// assert_eq!(answer.len(), 2);
+/// assert!(!answer.contains(&EntryKey(0)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Cells {
+    config: SubsetConfig,
+    entries: BTreeMap<EntryKey, EntryInfo>,
+    scopes: BTreeMap<ScopeKey, Vec<Cell>>,
+}
+
+impl Cells {
+    /// Cuts every scope's backend servers into cells and gives each its entries.
+    #[must_use]
+    pub fn build(
+        config: SubsetConfig,
+        scopes: &[(ScopeKey, Vec<ServerKey>)],
+        entries: &[EntryInfo],
+    ) -> Self {
+        let usable = entries.iter().filter(|entry| entry.is_usable());
+        let entries: BTreeMap<EntryKey, EntryInfo> =
+            usable.map(|entry| (entry.key, *entry)).collect();
+        let mut cut: BTreeMap<ScopeKey, Vec<Cell>> = BTreeMap::new();
+        for (scope, servers) in scopes {
+            cut.insert(*scope, cut_scope(&config, *scope, servers));
+        }
+        let mut cells = Self { config, entries, scopes: cut };
+        cells.assign_entries();
+        cells
+    }
+
+    /// All cells, in the order of their scopes.
+    pub fn iter(&self) -> impl Iterator<Item = &Cell> {
+        self.scopes.values().flatten()
+    }
+
+    /// The cells that an entry stands before; empty for one that is leaving.
+    pub fn cells_of(&self, entry: EntryKey) -> impl Iterator<Item = &Cell> {
+        self.iter().filter(move |cell| cell.entries.contains(&entry))
+    }
+
+    /// The cell of a backend server within a scope.
+    #[must_use]
+    pub fn cell_of(&self, scope: ScopeKey, server: ServerKey) -> Option<&Cell> {
+        self.scopes.get(&scope)?.iter().find(|cell| cell.servers.binary_search(&server).is_ok())
+    }
+
+    /// The cells a workspace's requests to a scope are routed over, the preferred one first.
+    #[must_use]
+    pub fn cells_for(
+        &self,
+        workspace: WorkspaceKey,
+        scope: ScopeKey,
+        rate_per_s: f64,
+    ) -> Vec<&Cell> {
+        let Some(cells) = self.scopes.get(&scope) else { return Vec::new() };
+        let mut ranked: Vec<&Cell> = cells.iter().collect();
+        ranked.sort_by_key(|cell| std::cmp::Reverse(mix(workspace.0, cell.id)));
+        ranked.truncate(self.subset_size(rate_per_s).div_ceil(self.config.min_entries.max(1)));
+        ranked
+    }
+
+    /// The entries that make up a workspace's subset, whatever the caller's data centre.
+    #[must_use]
+    pub fn subset(
+        &self,
+        workspace: WorkspaceKey,
+        scopes: &[ScopeKey],
+        rate_per_s: f64,
+    ) -> Vec<EntryKey> {
+        let size = self.subset_size(rate_per_s);
+        let mut subset = Vec::new();
+        for scope in scopes {
+            let cells = self.cells_for(workspace, *scope, rate_per_s);
+            let members = cells.iter().flat_map(|cell| &cell.entries);
+            let mut ranked: Vec<EntryKey> = members.copied().collect();
+            ranked.sort_unstable();
+            ranked.dedup();
+            self.rank(workspace.0, &mut ranked);
+            for entry in ranked.into_iter().take(size) {
+                if !subset.contains(&entry) {
+                    subset.push(entry);
+                }
+            }
+        }
+        if subset.is_empty() {
+            subset = self.entries.keys().copied().collect();
+            self.rank(workspace.0, &mut subset);
+            subset.truncate(size);
+        }
+        subset
+    }
+
+    /// The answer to the address question: the subset, own data centre first, and last an address
+    /// in another data centre for the case that the own one is gone.
+    #[must_use]
+    pub fn entries_for(
+        &self,
+        workspace: WorkspaceKey,
+        scopes: &[ScopeKey],
+        rate_per_s: f64,
+        own: DataCentreKey,
+    ) -> Vec<EntryKey> {
+        let mut answer = self.subset(workspace, scopes, rate_per_s);
+        answer.sort_by_key(|entry| self.entries[entry].data_centre != own);
+        let is_elsewhere = |entry: &EntryKey| self.entries[entry].data_centre != own;
+        if answer.iter().any(is_elsewhere) {
+            return answer;
+        }
+        let mut elsewhere: Vec<EntryKey> =
+            self.entries.keys().copied().filter(is_elsewhere).collect();
+        self.rank(workspace.0, &mut elsewhere);
+        answer.extend(elsewhere.first());
+        answer
+    }
+
+    fn subset_size(&self, rate_per_s: f64) -> usize {
+        let wanted = (rate_per_s / self.config.rate_per_entry_per_s).ceil();
+        (wanted as usize).max(self.config.min_subset)
+    }
+
+    /// Sorts entries by weighted rendezvous hashing, the highest score first.
+    fn rank(&self, seed: u64, entries: &mut [EntryKey]) {
+        entries.sort_by(|a, b| {
+            let (a, b) = (self.score(seed, *a), self.score(seed, *b));
+            b.total_cmp(&a)
+        });
+    }
+
+    fn score(&self, seed: u64, entry: EntryKey) -> f64 {
+        let weight = self.entries[&entry].weight;
+        -weight / unit(mix(seed, entry.0)).ln()
+    }
+
+    fn assign_entries(&mut self) {
+        let mut scopes = std::mem::take(&mut self.scopes);
+        let wanted: usize = scopes.values().flatten().map(|cell| self.wanted_entries(cell)).sum();
+        let mean = wanted.div_ceil(self.entries.len().max(1));
+        let mut room: HashMap<EntryKey, usize> =
+            self.entries.keys().map(|entry| (*entry, mean + CELLS_ABOVE_MEAN)).collect();
+        for cell in scopes.values_mut().flatten() {
+            cell.entries = self.choose_entries(cell, &mut room);
+        }
+        self.scopes = scopes;
+    }
+
+    fn wanted_entries(&self, cell: &Cell) -> usize {
+        let by_size = cell.servers.len().div_ceil(self.config.servers_per_entry.max(1));
+        by_size.clamp(self.config.min_entries, self.config.max_entries).min(self.entries.len())
+    }
+
+    /// Takes the highest-ranked entries, evenly over data centres, none beyond its room.
+    fn choose_entries(&self, cell: &Cell, room: &mut HashMap<EntryKey, usize>) -> Vec<EntryKey> {
+        let wanted = self.wanted_entries(cell);
+        let mut ranked: Vec<EntryKey> = self.entries.keys().copied().collect();
+        self.rank(cell.id, &mut ranked);
+        let mut quota = self.data_centre_quota(wanted);
+        let mut chosen: Vec<EntryKey> = Vec::with_capacity(wanted);
+        for entry in &ranked {
+            let left = quota.entry(self.entries[entry].data_centre).or_default();
+            if chosen.len() == wanted || *left == 0 || room[entry] == 0 {
+                continue;
+            }
+            *left -= 1;
+            chosen.push(*entry);
+        }
+        // A small data centre can't fill its share: others do, and room yields before redundancy.
+        for entry in &ranked {
+            if chosen.len() < wanted && !chosen.contains(entry) {
+                chosen.push(*entry);
+            }
+        }
+        for entry in &chosen {
+            room.entry(*entry).and_modify(|left| *left = left.saturating_sub(1));
+        }
+        chosen
+    }
+
+    fn data_centre_quota(&self, wanted: usize) -> HashMap<DataCentreKey, usize> {
+        let mut quota: HashMap<DataCentreKey, usize> = HashMap::new();
+        for entry in self.entries.values() {
+            quota.insert(entry.data_centre, 0);
+        }
+        let share = wanted.div_ceil(quota.len().max(1));
+        quota.values_mut().for_each(|left| *left = share);
+        quota
+    }
+}
+
+/// How many cells above the mean an entry may stand before.
+const CELLS_ABOVE_MEAN: usize = 2;
+
+/// Maps a hash to the open interval from 0 to 1.
+fn unit(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+fn cut_scope(config: &SubsetConfig, scope: ScopeKey, servers: &[ServerKey]) -> Vec<Cell> {
+    let mut hashed: Vec<(u64, ServerKey)> =
+        servers.iter().map(|server| (mix(scope.0, server.0), *server)).collect();
+    hashed.sort_unstable();
+    hashed.dedup();
+    let mut cells = Vec::new();
+    split(config.max_servers.max(1), scope, &hashed, 0, 1, &mut cells);
+    cells
+}
+
+/// Cuts the sorted hashes that share their first `depth` bits; `path` is those bits behind a one.
+fn split(
+    max_servers: usize,
+    scope: ScopeKey,
+    hashed: &[(u64, ServerKey)],
+    depth: u32,
+    path: u64,
+    cells: &mut Vec<Cell>,
+) {
+    if hashed.is_empty() {
+        return;
+    }
+    if hashed.len() <= max_servers || depth == u64::BITS - 1 {
+        let mut servers: Vec<ServerKey> = hashed.iter().map(|(_, server)| *server).collect();
+        servers.sort_unstable();
+        cells.push(Cell { id: cell_id(scope, path), servers, entries: Vec::new() });
+        return;
+    }
+    let bit = 1u64 << (u64::BITS - 1 - depth);
+    let middle = hashed.partition_point(|(hash, _)| hash & bit == 0);
+    split(max_servers, scope, &hashed[..middle], depth + 1, path << 1, cells);
+    split(max_servers, scope, &hashed[middle..], depth + 1, path << 1 | 1, cells);
+}
+
+/// The lower half of a split keeps the id of the whole, so that only the upper half moves.
+fn cell_id(scope: ScopeKey, path: u64) -> u64 {
+    mix(scope.0, path >> path.trailing_zeros())
+}
