Add the inner protocol and the agent's core

Cause: entries and agents need one protocol in which "not run" can be proved, and an agent that remembers what it ran. Change: protocol: identities, numbered attempts, incarnations, CBOR batches of bounded size, tickets and handshake under the fleet key, links that close when silent or stuck. Agent: one control task for admission, records in windows of its own uptime (no clock of another machine is trusted), tombstones, shared execution of a ticket, numbered replay, orphan stop, crash suspicion, leave. Conclusion: refusal always files a tombstone first, because a late copy of a dispatch could otherwise run after the caller was told that it did not.

--- /dev/null
+++ b/crates/agent/src/control.rs
@@ -0,0 +1,651 @@
+//! The control task: sole owner of admission, records and the view of the backend server.
+//!
+//! It takes commands one at a time and never waits for the network, so every decision sees a
+//! consistent state.
+
+use crate::config::AgentConfig;
+use crate::execution::{Ending, Execution, Subject};
+use crate::load::LoadCell;
+use crate::records::{Record, Records};
+use crate::runner::{self, RunEnd};
+use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
+use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
+use flamingowheel_protocol::message::{
+    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal, Suspicion,
+};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// Commands that may wait for the control task.
+const COMMAND_QUEUE: usize = 1024;
+
+/// Requests of this priority or above may start beyond the usual places.
+const URGENT_PRIORITY: u8 = 8;
+
+/// How often the control task looks after deadlines, records and the backend server's health.
+const TICK: Duration = Duration::from_millis(500);
+
+/// What the control task is told.
+#[derive(Debug)]
+pub enum Command {
+    /// A connection from an entry opened.
+    Linked {
+        /// Identifies the connection.
+        link: u64,
+        /// Messages to that entry.
+        sender: mpsc::Sender<AgentMessage>,
+    },
+    /// A connection ended.
+    Unlinked {
+        /// Identifies the connection.
+        link: u64,
+    },
+    /// A message arrived from an entry.
+    Received {
+        /// Where answers go.
+        sender: mpsc::Sender<AgentMessage>,
+        /// The message.
+        message: EntryMessage,
+    },
+    /// An execution ended.
+    Ended {
+        /// Which.
+        key: ExecutionKey,
+        /// How.
+        end: RunEnd,
+    },
+    /// The backend server answered a health check, or did not.
+    Health(Result<LoadReport, BackendError>),
+    /// Take no new work from now on.
+    Leave,
+}
+
+/// What others may see of the agent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AgentStatus {
+    /// No new work is taken.
+    pub leaving: bool,
+    /// Leaving, nothing runs or waits, and every answer has been read.
+    pub drained: bool,
+    /// Records kept.
+    pub record_count: usize,
+    /// Times the backend server died.
+    pub crash_count: u32,
+    /// Whether the last health check was answered.
+    pub backend_up: bool,
+}
+
+/// Handle to a running control task.
+#[derive(Clone, Debug)]
+pub struct AgentHandle {
+    commands: mpsc::Sender<Command>,
+    status: watch::Receiver<AgentStatus>,
+}
+
+impl AgentHandle {
+    /// Where commands go.
+    pub fn commands(&self) -> &mpsc::Sender<Command> {
+        &self.commands
+    }
+
+    /// The agent's status as of its last change.
+    pub fn status(&self) -> AgentStatus {
+        self.status.borrow().clone()
+    }
+
+    /// Stops taking new work, and waits until the rest is done and read.
+    pub async fn drain(&mut self) {
+        if self.commands.send(Command::Leave).await.is_err() {
+            return;
+        }
+        let _ = self.status.wait_for(|status| status.drained).await;
+    }
+}
+
+/// Work that was admitted but has not begun.
+struct Pending {
+    dispatch: Box<Dispatch>,
+    execution: Arc<Execution>,
+}
+
+struct Running {
+    fingerprint: Fingerprint,
+    since: Instant,
+}
+
+/// The control task's state.
+pub struct Control {
+    config: AgentConfig,
+    backend: Arc<dyn BackendServer>,
+    started: Instant,
+    records: Records,
+    admission: Admission<ExecutionKey>,
+    pending: HashMap<ExecutionKey, Pending>,
+    running: HashMap<ExecutionKey, Running>,
+    exclusive: Option<ExecutionKey>,
+    load: LoadCell,
+    links: HashMap<u64, mpsc::Sender<AgentMessage>>,
+    leaving: bool,
+    backend_process: Option<u64>,
+    backend_up: bool,
+    checking_health: bool,
+    suspects: Vec<Fingerprint>,
+    crash_count: u32,
+    commands: mpsc::Sender<Command>,
+    status: watch::Sender<AgentStatus>,
+}
+
+impl Control {
+    /// Prepares a control task; run it with [`Control::run`].
+    pub fn new(
+        config: AgentConfig,
+        backend: Arc<dyn BackendServer>,
+    ) -> (Self, AgentHandle, mpsc::Receiver<Command>) {
+        let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
+        let (status, status_receiver) = watch::channel(AgentStatus::default());
+        let admission = Admission::new(AdmissionConfig {
+            places: u16::try_from(config.profile.places).unwrap_or(u16::MAX),
+            max_queue: config.queue_places,
+            urgent: Priority(URGENT_PRIORITY),
+            ..AdmissionConfig::default()
+        });
+        let control = Self {
+            records: Records::new(&config),
+            admission,
+            started: Instant::now(),
+            pending: HashMap::new(),
+            running: HashMap::new(),
+            exclusive: None,
+            load: LoadCell::default(),
+            links: HashMap::new(),
+            leaving: false,
+            backend_process: None,
+            backend_up: true,
+            checking_health: false,
+            suspects: Vec::new(),
+            crash_count: 0,
+            commands: commands.clone(),
+            status,
+            config,
+            backend,
+        };
+        (control, AgentHandle { commands, status: status_receiver }, receiver)
+    }
+
+    /// Runs until every handle is gone.
+    pub async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+                _ = tick.tick() => self.on_tick(),
+            }
+            self.publish();
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Linked { link, sender } => {
+                reply(&sender, self.heartbeat());
+                self.links.insert(link, sender);
+            }
+            Command::Unlinked { link } => {
+                self.links.remove(&link);
+            }
+            Command::Received { sender, message } => self.receive(&sender, message),
+            Command::Ended { key, end } => self.on_ended(key, end),
+            Command::Health(report) => self.on_health(report),
+            Command::Leave => {
+                self.leaving = true;
+                self.broadcast(&self.heartbeat());
+            }
+        }
+    }
+
+    fn receive(&mut self, sender: &mpsc::Sender<AgentMessage>, message: EntryMessage) {
+        match message {
+            EntryMessage::Dispatch(dispatch) => self.on_dispatch(sender, dispatch),
+            EntryMessage::Attach { attempt, key, incarnation, window, from_chunk } => {
+                let question = Question { attempt, key, incarnation, window };
+                self.on_attach(sender, question, from_chunk);
+            }
+            EntryMessage::Cancel { attempt, key, incarnation, window, void_ticket } => {
+                let question = Question { attempt, key, incarnation, window };
+                self.on_cancel(sender, question, void_ticket);
+            }
+            EntryMessage::Acknowledge { attempt, key, next_chunk } => {
+                if let Some(Record::Execution(execution)) = self.records.get(key) {
+                    execution.acknowledge(attempt, next_chunk);
+                }
+            }
+            EntryMessage::Release { attempt, key } => {
+                if let Some(Record::Execution(execution)) = self.records.get(key) {
+                    execution.detach(attempt);
+                }
+            }
+            EntryMessage::Suspicions(_) => {}
+        }
+    }
+
+    fn on_dispatch(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
+        let (attempt, key) = (dispatch.attempt, dispatch.key);
+        if dispatch.incarnation != self.config.incarnation {
+            // No record is needed: this process never runs what names another.
+            return self.refuse_unrecorded(sender, attempt, Refusal::WrongIncarnation);
+        }
+        if self.records.is_buried(attempt) {
+            return self.refuse_unrecorded(sender, attempt, Refusal::Cancelled);
+        }
+        match self.records.get(key) {
+            Some(Record::Tombstone) => return self.refuse(sender, attempt, Refusal::Cancelled),
+            Some(Record::Execution(execution)) => {
+                let execution = Arc::clone(execution);
+                return self.on_known(sender, &dispatch, &execution);
+            }
+            None => {}
+        }
+        if self.records.is_forgotten(ExecutionKey::Attempt(attempt), dispatch.window)
+            || self.records.is_forgotten(key, dispatch.window)
+        {
+            return self.refuse_unrecorded(sender, attempt, Refusal::Expired);
+        }
+        if let Some(refusal) = self.objection(&dispatch) {
+            return self.refuse(sender, attempt, refusal);
+        }
+        self.admit(sender, dispatch);
+    }
+
+    /// A resend of a ticket joins the one execution; a copy of the same dispatch changes nothing.
+    fn on_known(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        dispatch: &Dispatch,
+        execution: &Arc<Execution>,
+    ) {
+        if execution.has_listener(dispatch.attempt) {
+            return;
+        }
+        if execution.subject().fingerprint != dispatch.fingerprint {
+            return self.refuse(sender, dispatch.attempt, Refusal::TicketMismatch);
+        }
+        if matches!(dispatch.key, ExecutionKey::Attempt(_)) {
+            // A late copy of a dispatch whose answer was already read.
+            return;
+        }
+        self.accept(sender, dispatch.attempt);
+        execution.attach(dispatch.attempt, sender.clone(), 0, self.load.clone());
+    }
+
+    fn objection(&self, dispatch: &Dispatch) -> Option<Refusal> {
+        if self.leaving {
+            return Some(Refusal::Leaving);
+        }
+        if dispatch.remaining_ms == 0 {
+            return Some(Refusal::DeadlinePassed);
+        }
+        if self.exclusive.is_some() {
+            return Some(Refusal::Full);
+        }
+        None
+    }
+
+    fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
+        let (attempt, key) = (dispatch.attempt, dispatch.key);
+        let execution = Arc::new(Execution::new(Subject {
+            fingerprint: dispatch.fingerprint,
+            idempotent: dispatch.idempotent,
+            max_replay_bytes: self.config.max_replay_bytes,
+            first_chunk: dispatch.resume_after_chunks,
+        }));
+        if self.records.insert(key, Arc::clone(&execution)).is_err() {
+            return self.refuse(sender, attempt, Refusal::RecordsFull);
+        }
+        let offer = Offer {
+            id: key,
+            priority: Priority(dispatch.priority),
+            last_try: dispatch.last_try,
+            deadline: self.started.elapsed() + Duration::from_millis(dispatch.remaining_ms),
+        };
+        let alone = dispatch.alone;
+        let from_chunk = dispatch.resume_after_chunks;
+        self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
+        let admitted = match alone {
+            true => self.offer_alone(offer),
+            false => self.admission.offer(offer),
+        };
+        match admitted {
+            Admitted::Full(_) => {
+                self.pending.remove(&key);
+                self.records.remove_ticket(key);
+                return self.refuse(sender, attempt, Refusal::Full);
+            }
+            Admitted::Start => {
+                self.accept(sender, attempt);
+                self.start(key);
+            }
+            Admitted::Queued { shed } => {
+                self.accept(sender, attempt);
+                if let Some(shed) = shed {
+                    self.give_up(shed, Refusal::Full);
+                }
+            }
+        }
+        execution.attach(attempt, sender.clone(), from_chunk, self.load.clone());
+    }
+
+    /// A request that may kill the backend server runs with nothing beside it, so that it can't
+    /// take others down and so that a crash convicts it alone.
+    fn offer_alone(&mut self, offer: Offer<ExecutionKey>) -> Admitted<ExecutionKey> {
+        if !self.running.is_empty() {
+            return Admitted::Full(self.admission.load());
+        }
+        let admitted = self.admission.offer(offer);
+        if matches!(admitted, Admitted::Start) {
+            self.exclusive = Some(offer.id);
+        }
+        admitted
+    }
+
+    fn start(&mut self, key: ExecutionKey) {
+        let Some(Pending { dispatch, execution }) = self.pending.remove(&key) else { return };
+        let running = Running { fingerprint: dispatch.fingerprint, since: Instant::now() };
+        self.running.insert(key, running);
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        tokio::spawn(runner::run(backend, dispatch, execution, commands));
+    }
+
+    fn on_ended(&mut self, key: ExecutionKey, end: RunEnd) {
+        if matches!(end, RunEnd::Failed(Failure::BackendLost)) {
+            self.note_suspects();
+        }
+        if matches!(end, RunEnd::NotStarted) {
+            // Before the callers hear "not run", no late copy may be able to run.
+            self.bury_all(key);
+            self.finish(key, Ending::NotRun(Refusal::BackendDown));
+            self.records.remove_ticket(key);
+        }
+        let Some(running) = self.running.remove(&key) else { return };
+        if self.exclusive == Some(key) {
+            self.exclusive = None;
+        }
+        let mut next = self.admission.finish(running.since.elapsed());
+        while let Some(key) = next {
+            self.start(key);
+            next = self.admission.start_next();
+        }
+    }
+
+    /// Ends work that has not begun.
+    fn give_up(&mut self, key: ExecutionKey, refusal: Refusal) {
+        self.bury_all(key);
+        self.pending.remove(&key);
+        self.finish(key, Ending::NotRun(refusal));
+        self.records.remove_ticket(key);
+    }
+
+    fn bury_all(&mut self, key: ExecutionKey) {
+        let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        for attempt in Arc::clone(execution).attempts() {
+            // An attempt of idempotent work has its execution as record already.
+            if ExecutionKey::Attempt(attempt) != key {
+                self.records.bury_attempt(attempt);
+            }
+        }
+    }
+
+    fn finish(&self, key: ExecutionKey, ending: Ending) {
+        if let Some(Record::Execution(execution)) = self.records.get(key) {
+            execution.finish(ending);
+        }
+    }
+
+    fn on_attach(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        from_chunk: u64,
+    ) {
+        let attempt = question.attempt;
+        if question.incarnation != self.config.incarnation {
+            return self.fail(sender, attempt, Failure::RecordGone);
+        }
+        if self.records.is_buried(attempt) {
+            return self.refuse_unrecorded(sender, attempt, Refusal::Cancelled);
+        }
+        match self.records.get(question.key) {
+            Some(Record::Execution(execution)) => {
+                let execution = Arc::clone(execution);
+                execution.attach(attempt, sender.clone(), from_chunk, self.load.clone());
+            }
+            Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
+            None if self.is_forgotten(&question) => {
+                self.fail(sender, attempt, Failure::RecordGone);
+            }
+            None => self.refuse(sender, attempt, Refusal::NeverArrived),
+        }
+    }
+
+    fn on_cancel(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        void_ticket: bool,
+    ) {
+        let (attempt, key) = (question.attempt, question.key);
+        if question.incarnation != self.config.incarnation {
+            return self.fail(sender, attempt, Failure::RecordGone);
+        }
+        match self.records.get(key) {
+            Some(Record::Execution(execution)) => {
+                let execution = Arc::clone(execution);
+                self.cancel_execution(sender, question, &execution);
+            }
+            Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
+            None if self.is_forgotten(&question) => {
+                self.fail(sender, attempt, Failure::RecordGone);
+            }
+            None => {
+                // The dispatch may still be on its way. Without the tombstone it would run after
+                // the caller was told that it did not.
+                if void_ticket && self.records.bury(key).is_err() {
+                    return self.fail(sender, attempt, Failure::Cancelled);
+                }
+                self.refuse(sender, attempt, Refusal::Cancelled);
+            }
+        }
+    }
+
+    fn cancel_execution(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        execution: &Arc<Execution>,
+    ) {
+        let (attempt, key) = (question.attempt, question.key);
+        if let Some(Ending::NotRun(_)) = execution.ending() {
+            return self.refuse(sender, attempt, Refusal::Cancelled);
+        }
+        let others = execution.detach(attempt);
+        let waiting = self.pending.contains_key(&key);
+        if waiting && !others {
+            self.admission.cancel(key);
+            self.give_up(key, Refusal::Cancelled);
+            return self.refuse(sender, attempt, Refusal::Cancelled);
+        }
+        if execution.subject().idempotent && !others {
+            execution.stop_token().cancel();
+        }
+        self.fail(sender, attempt, Failure::Cancelled);
+    }
+
+    fn is_forgotten(&self, question: &Question) -> bool {
+        self.records.is_forgotten(ExecutionKey::Attempt(question.attempt), question.window)
+            || self.records.is_forgotten(question.key, question.window)
+    }
+
+    /// When the backend server dies, whatever ran is what may have killed it.
+    fn note_suspects(&mut self) {
+        if self.suspects.is_empty() {
+            self.suspects = self.running.values().map(|running| running.fingerprint).collect();
+        }
+        self.check_health();
+    }
+
+    fn check_health(&mut self) {
+        if std::mem::replace(&mut self.checking_health, true) {
+            return;
+        }
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        tokio::spawn(async move {
+            let report = backend.load().await;
+            let _ = commands.send(Command::Health(report)).await;
+        });
+    }
+
+    /// A lost connection alone is no crash: the backend server must be gone or be a new process.
+    fn on_health(&mut self, report: Result<LoadReport, BackendError>) {
+        self.checking_health = false;
+        self.backend_up = report.is_ok();
+        let process = report.ok().map(|report| report.process_id);
+        let suspects = std::mem::take(&mut self.suspects);
+        let died = process.is_none() || process != self.backend_process;
+        if process.is_some() {
+            self.backend_process = process;
+        }
+        if suspects.is_empty() || !died {
+            return;
+        }
+        self.crash_count += 1;
+        let crash = (self.config.incarnation, self.crash_count);
+        let running_count = u16::try_from(suspects.len()).unwrap_or(u16::MAX);
+        let suspicions: Vec<_> = suspects
+            .into_iter()
+            .map(|fingerprint| Suspicion { fingerprint, crash, running_count })
+            .collect();
+        tracing::warn!(running_count, crash_count = self.crash_count, "backend server died");
+        self.broadcast(&AgentMessage::Suspicions(suspicions));
+    }
+
+    fn on_tick(&mut self) {
+        self.records.expire();
+        for key in self.admission.expire(self.started.elapsed()) {
+            self.give_up(key, Refusal::DeadlinePassed);
+        }
+        self.stop_orphans();
+        self.check_health();
+        self.broadcast(&self.heartbeat());
+    }
+
+    /// An entry that died can't cancel what it sent; without this the work would go on for nobody.
+    fn stop_orphans(&self) {
+        for key in self.running.keys() {
+            let Some(Record::Execution(execution)) = self.records.get(*key) else { continue };
+            let unattended = execution.unattended_since().map(|since| since.elapsed());
+            let orphaned = unattended.is_some_and(|time| time >= self.config.orphan_limit);
+            if orphaned && execution.subject().idempotent {
+                execution.stop_token().cancel();
+            }
+        }
+    }
+
+    fn accept(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId) {
+        reply(sender, AgentMessage::Accepted { attempt, load: self.load() });
+    }
+
+    /// Says "not run", after making sure that a late copy of the dispatch can't run either.
+    fn refuse(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        attempt: AttemptId,
+        refusal: Refusal,
+    ) {
+        self.records.bury_attempt(attempt);
+        self.refuse_unrecorded(sender, attempt, refusal);
+    }
+
+    fn refuse_unrecorded(
+        &self,
+        sender: &mpsc::Sender<AgentMessage>,
+        attempt: AttemptId,
+        refusal: Refusal,
+    ) {
+        tracing::debug!(request = %attempt.request.0, %refusal, "refused");
+        reply(sender, AgentMessage::Refused { attempt, refusal, load: self.load() });
+    }
+
+    fn fail(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId, failure: Failure) {
+        let occupied = self.load().occupied();
+        reply(sender, AgentMessage::Failed { attempt, failure, occupied });
+    }
+
+    fn heartbeat(&self) -> AgentMessage {
+        AgentMessage::Heartbeat {
+            load: self.load(),
+            window: self.records.window(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn load(&self) -> Load {
+        let load = self.admission.load();
+        Load {
+            running: load.running,
+            waiting: load.waiting,
+            places: load.places,
+            service_ms: load.service_ms,
+        }
+    }
+
+    fn broadcast(&self, message: &AgentMessage) {
+        for sender in self.links.values() {
+            // A full queue means the connection is stuck; the next heartbeat says the same.
+            let _ = sender.try_send(message.clone());
+        }
+    }
+
+    fn publish(&mut self) {
+        self.load.set(self.load());
+        let idle = self.running.is_empty() && self.pending.is_empty();
+        let drained = self.leaving
+            && idle
+            && !self.records.executions().any(|(_, execution)| execution.is_being_read());
+        let status = AgentStatus {
+            leaving: self.leaving,
+            drained,
+            record_count: self.records.len(),
+            crash_count: self.crash_count,
+            backend_up: self.backend_up,
+        };
+        self.status.send_if_modified(|old| {
+            let changed = *old != status;
+            *old = status;
+            changed
+        });
+    }
+}
+
+/// Which attempt an entry asks about.
+#[derive(Clone, Copy)]
+struct Question {
+    attempt: AttemptId,
+    key: ExecutionKey,
+    incarnation: Incarnation,
+    window: Window,
+}
+
+/// Sends without waiting; the control task must not wait for one slow connection.
+fn reply(sender: &mpsc::Sender<AgentMessage>, message: AgentMessage) {
+    if let Err(mpsc::error::TrySendError::Full(message)) = sender.try_send(message) {
+        let sender = sender.clone();
+        tokio::spawn(async move { sender.send(message).await });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/execution.rs
@@ -0,0 +1,371 @@
+//! One execution: its answer so far, and the attempts that listen to it.
+//!
+//! The task that reads the backend server appends; one task per attached attempt sends. Chunks
+//! are numbered, and a bounded part of them is kept, so that an attempt can move to another
+//! connection and go on from the first chunk it lacks.
+
+use crate::load::LoadCell;
+use bytes::Bytes;
+use flamingowheel_protocol::id::{AttemptId, Fingerprint};
+use flamingowheel_protocol::message::{AgentMessage, Failure, Refusal};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Chunks sent beyond the last acknowledged one at the most.
+const SEND_WINDOW_CHUNKS: u64 = 1024;
+
+/// Chunks put into one turn of sending.
+const TURN_CHUNKS: usize = 64;
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The whole answer is there.
+    Whole,
+    /// It may have run; there is no whole answer.
+    Failed(Failure),
+    /// It did not run and won't.
+    NotRun(Refusal),
+}
+
+/// What an execution is, fixed from its start.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// Hash of workspace, route and body.
+    pub fingerprint: Fingerprint,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// Bytes of the answer kept for replay.
+    pub max_replay_bytes: usize,
+    /// Number of the first chunk that this execution yields; an earlier agent process yielded
+    /// those before it.
+    pub first_chunk: u64,
+}
+
+#[derive(Debug)]
+struct Listener {
+    attempt: AttemptId,
+    generation: u64,
+    next_unacknowledged: u64,
+}
+
+#[derive(Debug, Default)]
+struct Answer {
+    head: Option<(u16, String)>,
+    chunks: VecDeque<Bytes>,
+    first: u64,
+    kept_bytes: usize,
+    ending: Option<Ending>,
+    listeners: Vec<Listener>,
+    generations: u64,
+    unattended_since: Option<Instant>,
+}
+
+impl Answer {
+    fn next(&self) -> u64 {
+        self.first + self.chunks.len() as u64
+    }
+
+    fn drop_front(&mut self) {
+        if let Some(chunk) = self.chunks.pop_front() {
+            self.kept_bytes -= chunk.len();
+            self.first += 1;
+        }
+    }
+
+    /// The first chunk that some listener may still need sent again.
+    fn needed_from(&self) -> Option<u64> {
+        self.listeners.iter().map(|listener| listener.next_unacknowledged).min()
+    }
+}
+
+/// One execution, shared between the control task, the reading task and the sending tasks.
+#[derive(Debug)]
+pub struct Execution {
+    subject: Subject,
+    answer: Mutex<Answer>,
+    changed: Notify,
+    room: Notify,
+    stop: CancellationToken,
+}
+
+impl Execution {
+    /// An execution that has not begun.
+    pub fn new(subject: Subject) -> Self {
+        let answer = Answer {
+            unattended_since: Some(Instant::now()),
+            first: subject.first_chunk,
+            ..Answer::default()
+        };
+        Self {
+            subject,
+            answer: Mutex::new(answer),
+            changed: Notify::new(),
+            room: Notify::new(),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// What it is.
+    pub fn subject(&self) -> &Subject {
+        &self.subject
+    }
+
+    /// Fires when the execution should be stopped.
+    pub fn stop_token(&self) -> &CancellationToken {
+        &self.stop
+    }
+
+    /// Whether it ended.
+    pub fn is_over(&self) -> bool {
+        self.lock().ending.is_some()
+    }
+
+    /// The attempts attached now.
+    pub fn attempts(&self) -> Vec<AttemptId> {
+        self.lock().listeners.iter().map(|listener| listener.attempt).collect()
+    }
+
+    /// Whether this attempt is attached.
+    pub fn has_listener(&self, attempt: AttemptId) -> bool {
+        self.lock().listeners.iter().any(|listener| listener.attempt == attempt)
+    }
+
+    /// Since when nobody listens, if nobody does.
+    pub fn unattended_since(&self) -> Option<Instant> {
+        self.lock().unattended_since
+    }
+
+    /// Whether somebody is still being sent the answer.
+    pub fn is_being_read(&self) -> bool {
+        !self.lock().listeners.is_empty()
+    }
+
+    /// Sends the answer to `attempt` over `sender`, from the given chunk on.
+    pub fn attach(
+        self: &Arc<Self>,
+        attempt: AttemptId,
+        sender: mpsc::Sender<AgentMessage>,
+        from_chunk: u64,
+        load: LoadCell,
+    ) {
+        let generation = self.add_listener(attempt, from_chunk);
+        let feeder = Feeder {
+            execution: Arc::clone(self),
+            attempt,
+            generation,
+            next: from_chunk,
+            head_sent: false,
+            ended: false,
+            sender,
+            load,
+        };
+        tokio::spawn(feeder.run());
+    }
+
+    fn add_listener(&self, attempt: AttemptId, from_chunk: u64) -> u64 {
+        let mut answer = self.lock();
+        answer.generations += 1;
+        let generation = answer.generations;
+        answer.listeners.retain(|listener| listener.attempt != attempt);
+        answer.listeners.push(Listener { attempt, generation, next_unacknowledged: from_chunk });
+        answer.unattended_since = None;
+        generation
+    }
+
+    /// Takes an attempt off; tells whether others remain.
+    pub fn detach(&self, attempt: AttemptId) -> bool {
+        let mut answer = self.lock();
+        answer.listeners.retain(|listener| listener.attempt != attempt);
+        let others = !answer.listeners.is_empty();
+        if !others && answer.unattended_since.is_none() {
+            answer.unattended_since = Some(Instant::now());
+        }
+        drop(answer);
+        self.changed.notify_waiters();
+        self.room.notify_one();
+        others
+    }
+
+    /// Takes off the listener whose connection ended, unless the attempt has moved on already.
+    fn detach_generation(&self, attempt: AttemptId, generation: u64) {
+        let current = self
+            .lock()
+            .listeners
+            .iter()
+            .any(|listener| listener.attempt == attempt && listener.generation == generation);
+        if current {
+            self.detach(attempt);
+        }
+    }
+
+    /// Notes that all chunks below `next_chunk` arrived.
+    pub fn acknowledge(&self, attempt: AttemptId, next_chunk: u64) {
+        let mut answer = self.lock();
+        for listener in answer.listeners.iter_mut().filter(|l| l.attempt == attempt) {
+            listener.next_unacknowledged = listener.next_unacknowledged.max(next_chunk);
+        }
+        drop(answer);
+        self.changed.notify_waiters();
+        self.room.notify_one();
+    }
+
+    /// Notes status and media type.
+    pub fn begin(&self, status: u16, content_type: String) {
+        self.lock().head = Some((status, content_type));
+        self.changed.notify_waiters();
+    }
+
+    /// Appends a chunk. Waits while the bound on kept bytes is reached and the listeners still
+    /// need what is kept; answers to non-idempotent work never wait for listeners.
+    pub async fn push(&self, data: Bytes) -> Result<(), Failure> {
+        let mut data = Some(data);
+        loop {
+            if self.try_push(&mut data)? {
+                self.changed.notify_waiters();
+                return Ok(());
+            }
+            tokio::select! {
+                () = self.room.notified() => {}
+                () = self.stop.cancelled() => return Err(Failure::Cancelled),
+            }
+        }
+    }
+
+    fn try_push(&self, data: &mut Option<Bytes>) -> Result<bool, Failure> {
+        let mut answer = self.lock();
+        while answer.kept_bytes >= self.subject.max_replay_bytes && !answer.chunks.is_empty() {
+            if !self.subject.idempotent {
+                return Err(Failure::ReplayGone);
+            }
+            if answer.needed_from().is_none_or(|needed| needed <= answer.first) {
+                return Ok(false);
+            }
+            answer.drop_front();
+        }
+        if let Some(data) = data.take() {
+            answer.kept_bytes += data.len();
+            answer.chunks.push_back(data);
+        }
+        Ok(true)
+    }
+
+    /// Ends the execution; only the first ending counts.
+    pub fn finish(&self, ending: Ending) {
+        self.lock().ending.get_or_insert(ending);
+        self.changed.notify_waiters();
+    }
+
+    /// How it ended.
+    pub fn ending(&self) -> Option<Ending> {
+        self.lock().ending
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Answer> {
+        // The data stays consistent: no code panics between two related writes.
+        self.answer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends one attempt what it lacks.
+struct Feeder {
+    execution: Arc<Execution>,
+    attempt: AttemptId,
+    generation: u64,
+    next: u64,
+    head_sent: bool,
+    ended: bool,
+    sender: mpsc::Sender<AgentMessage>,
+    load: LoadCell,
+}
+
+/// What a feeder does after a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    /// Nothing to send now. Also after the end, so that a lost connection is noticed and the
+    /// answer does not count as being read for ever.
+    Wait,
+    /// There is more.
+    Again,
+    /// The attempt was detached or moved to another connection.
+    Gone,
+}
+
+impl Feeder {
+    async fn run(mut self) {
+        let execution = Arc::clone(&self.execution);
+        let mut messages = Vec::with_capacity(TURN_CHUNKS + 2);
+        loop {
+            let changed = execution.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let turn = self.collect(&mut messages);
+            for message in messages.drain(..) {
+                if self.sender.send(message).await.is_err() {
+                    execution.detach_generation(self.attempt, self.generation);
+                    return;
+                }
+            }
+            match turn {
+                Turn::Again => {}
+                Turn::Gone => return,
+                Turn::Wait => tokio::select! {
+                    () = changed => {}
+                    () = self.sender.closed() => {
+                        execution.detach_generation(self.attempt, self.generation);
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    /// Takes what can be sent now.
+    fn collect(&mut self, messages: &mut Vec<AgentMessage>) -> Turn {
+        let answer = self.execution.lock();
+        let listener = answer
+            .listeners
+            .iter()
+            .find(|l| l.attempt == self.attempt && l.generation == self.generation);
+        let Some(listener) = listener else { return Turn::Gone };
+        if self.ended {
+            return Turn::Wait;
+        }
+        let (attempt, occupied) = (self.attempt, self.load.get().occupied());
+        if self.next < answer.first {
+            messages.push(AgentMessage::Failed { attempt, failure: Failure::ReplayGone, occupied });
+            self.ended = true;
+            return Turn::Wait;
+        }
+        if let (Some((status, content_type)), false) = (&answer.head, self.head_sent) {
+            let (status, content_type) = (*status, content_type.clone());
+            messages.push(AgentMessage::Head { attempt, status, content_type, occupied });
+            self.head_sent = true;
+        }
+        let limit = answer.next().min(listener.next_unacknowledged + SEND_WINDOW_CHUNKS);
+        while self.next < limit {
+            if messages.len() >= TURN_CHUNKS {
+                return Turn::Again;
+            }
+            let data = answer.chunks[(self.next - answer.first) as usize].clone();
+            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupied });
+            self.next += 1;
+        }
+        let Some(ending) = answer.ending else { return Turn::Wait };
+        if matches!(ending, Ending::Whole) && self.next < answer.next() {
+            return Turn::Wait;
+        }
+        messages.push(match ending {
+            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupied },
+            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupied },
+            Ending::NotRun(refusal) => {
+                AgentMessage::Refused { attempt, refusal, load: self.load.get() }
+            }
+        });
+        self.ended = true;
+        Turn::Wait
+    }
+}
--- /dev/null
+++ b/crates/agent/src/serve.rs
@@ -0,0 +1,73 @@
+//! Takes connections from entries and hands their messages to the control task.
+
+use crate::config::AgentConfig;
+use crate::control::{AgentHandle, Command};
+use flamingowheel_protocol::auth::FleetKey;
+use flamingowheel_protocol::link::{Link, Timing};
+use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Hello, Role};
+use flamingowheel_protocol::websocket::{Identity, accept};
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Numbers connections within the process.
+static LINKS: AtomicU64 = AtomicU64::new(1);
+
+/// How the agent introduces itself.
+pub fn identity(config: &AgentConfig, key: FleetKey) -> Identity {
+    let hello = Hello {
+        name: config.name.clone(),
+        incarnation: config.incarnation,
+        data_centre: config.data_centre.clone(),
+        role: Role::Agent(config.profile.clone()),
+    };
+    Identity { hello, key, timing: Timing::default() }
+}
+
+/// Accepts connections until `stop` fires.
+pub async fn serve(
+    listener: TcpListener,
+    identity: Identity,
+    agent: AgentHandle,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let (stream, remote) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // Out of descriptors, most likely; trying again at once would only spin.
+                tracing::warn!(%error, "can't accept");
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let (identity, agent) = (identity.clone(), agent.clone());
+        tokio::spawn(async move {
+            match accept(stream, &identity).await {
+                Ok(link) => attend(link, agent).await,
+                Err(error) => tracing::warn!(%remote, %error, "connection refused"),
+            }
+        });
+    }
+}
+
+/// Hands the messages of one connection to the control task until it ends.
+pub async fn attend(mut link: Link<AgentMessage, EntryMessage>, agent: AgentHandle) {
+    let number = LINKS.fetch_add(1, Ordering::Relaxed);
+    let commands = agent.commands();
+    let linked = Command::Linked { link: number, sender: link.sender.clone() };
+    if commands.send(linked).await.is_err() {
+        return;
+    }
+    while let Some(message) = link.receiver.recv().await {
+        let received = Command::Received { sender: link.sender.clone(), message };
+        if commands.send(received).await.is_err() {
+            return;
+        }
+    }
+    let _ = commands.send(Command::Unlinked { link: number }).await;
+}
--- /dev/null
+++ b/crates/protocol/src/codec.rs
@@ -0,0 +1,71 @@
+//! CBOR encoding of message batches.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The largest encoded batch either side accepts.
+pub const MAX_BATCH_BYTES: usize = 16 * 1024 * 1024;
+
+/// How deep values may nest; hostile nesting would otherwise exhaust the stack.
+const MAX_DEPTH: usize = 16;
+
+/// Why a batch could not be read or written.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CodecError {
+    /// The batch exceeds [`MAX_BATCH_BYTES`].
+    #[error("batch of {bytes} bytes exceeds {MAX_BATCH_BYTES}")]
+    TooLarge {
+        /// The size found.
+        bytes: usize,
+    },
+    /// Not a batch of these messages.
+    #[error("malformed batch")]
+    Malformed,
+    /// Bytes follow the batch.
+    #[error("{bytes} bytes follow the batch")]
+    Trailing {
+        /// How many.
+        bytes: usize,
+    },
+}
+
+/// Encodes a batch.
+///
+/// ```
+/// use flamingowheel_protocol::codec::{decode, encode};
+/// let bytes = encode(&["a", "b"]).unwrap();
+/// assert_eq!(decode::<String>(&bytes).unwrap(), ["a", "b"]);
+/// ```
+pub fn encode<M>(batch: &[M]) -> Result<Vec<u8>, CodecError>
+where
+    M: Serialize,
+{
+    let mut buffer = Vec::with_capacity(256);
+    ciborium::into_writer(batch, &mut buffer).map_err(|_| CodecError::Malformed)?;
+    if buffer.len() > MAX_BATCH_BYTES {
+        return Err(CodecError::TooLarge { bytes: buffer.len() });
+    }
+    Ok(buffer)
+}
+
+/// Decodes a batch. Rejects what is too large, malformed or followed by other bytes.
+///
+/// ```
+/// use flamingowheel_protocol::codec::{CodecError, decode};
+/// assert_eq!(decode::<u8>(&[0xff]), Err(CodecError::Malformed));
+/// ```
+pub fn decode<M>(bytes: &[u8]) -> Result<Vec<M>, CodecError>
+where
+    M: DeserializeOwned,
+{
+    if bytes.len() > MAX_BATCH_BYTES {
+        return Err(CodecError::TooLarge { bytes: bytes.len() });
+    }
+    let mut rest = bytes;
+    let batch = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)
+        .map_err(|_| CodecError::Malformed)?;
+    if !rest.is_empty() {
+        return Err(CodecError::Trailing { bytes: rest.len() });
+    }
+    Ok(batch)
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,10 @@
-//! Skeleton.
+//! The protocol between flamingowheel's own processes: identities, messages, codec, tickets and
+//! authenticated connections.
+
+pub mod auth;
+pub mod codec;
+pub mod id;
+pub mod link;
+pub mod message;
+pub mod ticket;
+pub mod websocket;
--- /dev/null
+++ b/crates/protocol/src/ticket.rs
@@ -0,0 +1,105 @@
+//! Tickets for non-idempotent work.
+//!
+//! A ticket names one agent process and a number. Only that process runs the work, at most once,
+//! from memory. Minting needs no agreement, so it works while the key-value service is down.
+
+use crate::auth::FleetKey;
+use crate::id::{Incarnation, Window};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+const PURPOSE: &[u8] = b"flamingowheel ticket 1";
+const MAX_TEXT_BYTES: usize = 1024;
+
+/// The right to run one piece of non-idempotent work at most once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The agent that holds the execution's record.
+    pub agent: String,
+    /// The agent process; no other will ever run the work.
+    pub incarnation: Incarnation,
+    /// The agent's record window at minting; bounds how long the agent must remember.
+    pub window: Window,
+    /// Unique number.
+    pub number: Uuid,
+    /// The workspace it was minted for.
+    pub workspace: String,
+    /// The service it was minted for.
+    pub service: String,
+}
+
+/// Why a ticket's text was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum TicketError {
+    /// Not the text of a ticket.
+    #[error("malformed ticket")]
+    Malformed,
+    /// Not minted by this fleet, or altered.
+    #[error("ticket not authentic")]
+    NotAuthentic,
+}
+
+impl Ticket {
+    /// Writes the ticket as text for an HTTP header, authenticated by the fleet key.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::{auth::FleetKey, id::{Incarnation, Window}, ticket::Ticket};
+    /// let key = FleetKey::new([7; 32]);
+    /// let ticket = Ticket {
+    ///     agent: "desk-1".into(), incarnation: Incarnation(5), window: Window(0),
+    ///     number: uuid::Uuid::nil(), workspace: "attica".into(), service: "payouts".into(),
+    /// };
+    /// let text = ticket.to_text(&key);
+    /// assert_eq!(Ticket::from_text(&text, &key), Ok(ticket));
+    /// assert!(Ticket::from_text(&text, &FleetKey::new([8; 32])).is_err());
+    /// ```
+    pub fn to_text(&self, key: &FleetKey) -> String {
+        let mut bytes = Vec::with_capacity(128);
+        // Writing plain values into memory can't fail.
+        let _ = ciborium::into_writer(self, &mut bytes);
+        let tag = key.tag(PURPOSE, &[&bytes]);
+        bytes.extend_from_slice(&tag);
+        to_hex(&bytes)
+    }
+
+    /// Reads a ticket back and checks that this fleet minted it.
+    pub fn from_text(text: &str, key: &FleetKey) -> Result<Self, TicketError> {
+        if text.len() > MAX_TEXT_BYTES {
+            return Err(TicketError::Malformed);
+        }
+        let bytes = from_hex(text).ok_or(TicketError::Malformed)?;
+        let Some(split) = bytes.len().checked_sub(FleetKey::TAG_BYTES) else {
+            return Err(TicketError::Malformed);
+        };
+        let (body, tag) = bytes.split_at(split);
+        if !key.verify(PURPOSE, &[body], tag) {
+            return Err(TicketError::NotAuthentic);
+        }
+        ciborium::from_reader(body).map_err(|_| TicketError::Malformed)
+    }
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        text.push(char::from(DIGITS[usize::from(byte >> 4)]));
+        text.push(char::from(DIGITS[usize::from(byte & 15)]));
+    }
+    text
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) {
+        return None;
+    }
+    digits
+        .chunks_exact(2)
+        .map(|pair| Some(hex_digit(pair[0])? << 4 | hex_digit(pair[1])?))
+        .collect()
+}
+
+fn hex_digit(digit: u8) -> Option<u8> {
+    char::from(digit).to_digit(16).map(|value| value as u8)
+}
--- /dev/null
+++ b/crates/protocol/src/websocket.rs
@@ -0,0 +1,194 @@
+//! Opens and accepts authenticated connections over WebSocket.
+
+use crate::auth::{FleetKey, Opening, Proof, Reply, Side, Transcript, VERSION};
+use crate::codec::{MAX_BATCH_BYTES, decode, encode};
+use crate::link::{Link, Timing};
+use crate::message::Hello;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt, future};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+/// A handshake that takes longer is given up.
+const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Handshake messages are small; a stranger can't make this side hold more.
+const MAX_HANDSHAKE_BYTES: usize = 16 * 1024;
+
+/// Why a connection could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum HandshakeError {
+    /// The TCP connection failed.
+    #[error("can't connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The other side does not speak the protocol.
+    #[error("handshake failed: {0}")]
+    Protocol(#[from] Box<tokio_tungstenite::tungstenite::Error>),
+    /// The other side closed or sent something else.
+    #[error("malformed handshake")]
+    Malformed,
+    /// The other side took too long.
+    #[error("handshake took longer than {} ms", HANDSHAKE_LIMIT.as_millis())]
+    TimedOut,
+    /// Another protocol version.
+    #[error("peer speaks protocol version {theirs}, this side {VERSION}")]
+    Version {
+        /// The peer's version.
+        theirs: u16,
+    },
+    /// The other side does not know the fleet key.
+    #[error("peer does not know the fleet key")]
+    NotAuthentic,
+}
+
+/// What this side needs to introduce itself.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Who this side is.
+    pub hello: Hello,
+    /// The fleet's key.
+    pub key: FleetKey,
+    /// Heartbeat and silence limit.
+    pub timing: Timing,
+}
+
+/// Opens a connection.
+pub async fn connect<Out, In>(
+    address: SocketAddr,
+    identity: &Identity,
+) -> Result<Link<Out, In>, HandshakeError>
+where
+    Out: Serialize + Send + Sync + 'static,
+    In: DeserializeOwned + Send + 'static,
+{
+    let opening = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let uri = format!("ws://{address}/");
+        let (mut socket, _) =
+            tokio_tungstenite::client_async_with_config(uri, stream, Some(config()))
+                .await
+                .map_err(Box::new)?;
+        let peer = prove(&mut socket, identity).await?;
+        Ok(start(peer, socket, identity.timing))
+    };
+    timeout(HANDSHAKE_LIMIT, opening).await.map_err(|_| HandshakeError::TimedOut)?
+}
+
+/// Accepts a connection.
+pub async fn accept<Out, In>(
+    stream: TcpStream,
+    identity: &Identity,
+) -> Result<Link<Out, In>, HandshakeError>
+where
+    Out: Serialize + Send + Sync + 'static,
+    In: DeserializeOwned + Send + 'static,
+{
+    let accepting = async {
+        stream.set_nodelay(true)?;
+        let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config()))
+            .await
+            .map_err(Box::new)?;
+        let peer = check(&mut socket, identity).await?;
+        Ok(start(peer, socket, identity.timing))
+    };
+    timeout(HANDSHAKE_LIMIT, accepting).await.map_err(|_| HandshakeError::TimedOut)?
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_BATCH_BYTES))
+        .max_frame_size(Some(MAX_BATCH_BYTES))
+}
+
+async fn prove(
+    socket: &mut WebSocketStream<TcpStream>,
+    identity: &Identity,
+) -> Result<Hello, HandshakeError> {
+    let challenge = rand::random();
+    let opening = Opening { version: VERSION, hello: identity.hello.clone(), challenge };
+    send(socket, &opening).await?;
+    let reply: Reply = receive(socket).await?;
+    let transcript =
+        Transcript { opening: &opening, acceptor: &reply.hello, challenge: &reply.challenge };
+    if !transcript.verify(&identity.key, Side::Acceptor, &reply.tag) {
+        return Err(HandshakeError::NotAuthentic);
+    }
+    let tag = transcript.tag(&identity.key, Side::Opener);
+    send(socket, &Proof { tag }).await?;
+    Ok(reply.hello)
+}
+
+async fn check(
+    socket: &mut WebSocketStream<TcpStream>,
+    identity: &Identity,
+) -> Result<Hello, HandshakeError> {
+    let opening: Opening = receive(socket).await?;
+    if opening.version != VERSION {
+        return Err(HandshakeError::Version { theirs: opening.version });
+    }
+    let challenge = rand::random();
+    let transcript =
+        Transcript { opening: &opening, acceptor: &identity.hello, challenge: &challenge };
+    let tag = transcript.tag(&identity.key, Side::Acceptor);
+    send(socket, &Reply { hello: identity.hello.clone(), challenge, tag }).await?;
+    let proof: Proof = receive(socket).await?;
+    if !transcript.verify(&identity.key, Side::Opener, &proof.tag) {
+        return Err(HandshakeError::NotAuthentic);
+    }
+    Ok(opening.hello)
+}
+
+async fn send<M>(socket: &mut WebSocketStream<TcpStream>, message: &M) -> Result<(), HandshakeError>
+where
+    M: Serialize,
+{
+    let bytes = encode(std::slice::from_ref(message)).map_err(|_| HandshakeError::Malformed)?;
+    socket.send(Message::Binary(bytes.into())).await.map_err(|error| Box::new(error).into())
+}
+
+async fn receive<M>(socket: &mut WebSocketStream<TcpStream>) -> Result<M, HandshakeError>
+where
+    M: DeserializeOwned,
+{
+    let Some(Ok(Message::Binary(bytes))) = socket.next().await else {
+        return Err(HandshakeError::Malformed);
+    };
+    if bytes.len() > MAX_HANDSHAKE_BYTES {
+        return Err(HandshakeError::Malformed);
+    }
+    let mut batch: Vec<M> = decode(&bytes).map_err(|_| HandshakeError::Malformed)?;
+    match (batch.pop(), batch.is_empty()) {
+        (Some(message), true) => Ok(message),
+        _ => Err(HandshakeError::Malformed),
+    }
+}
+
+fn start<Out, In>(peer: Hello, socket: WebSocketStream<TcpStream>, timing: Timing) -> Link<Out, In>
+where
+    Out: Serialize + Send + Sync + 'static,
+    In: DeserializeOwned + Send + 'static,
+{
+    let (sink, stream) = socket.split();
+    let sink = sink.with(|bytes: Bytes| {
+        future::ready(Ok::<_, tokio_tungstenite::tungstenite::Error>(Message::Binary(bytes)))
+    });
+    let stream = stream
+        .take_while(|item| future::ready(item.is_ok()))
+        .filter_map(|item| future::ready(item.ok().and_then(batch_bytes)));
+    Link::start(peer, sink, stream, timing)
+}
+
+fn batch_bytes(message: Message) -> Option<Bytes> {
+    match message {
+        Message::Binary(bytes) => Some(bytes),
+        _ => None,
+    }
+}
