--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,221 @@
+//! The YAML that operators write: one or more documents in a file.
+//!
+//! ```yaml
+//! kind: template
+//! name: callbox
+//! parameters:
+//!   models: { callbox-7b: { adapters: [repair-notes] } }
+//! ---
+//! kind: workspace
+//! name: bibb-county
+//! template: callbox
+//! token_sha256: [ <64 hexadecimal digits> ]
+//! ---
+//! kind: remove
+//! workspace: closed-county
+//! ```
+
+use crate::template::{Parameters, Rebalancing, Template};
+use crate::token::TokenHash;
+use crate::workspace::{Overrides, Workspace};
+use serde::{Deserialize, Serialize};
+
+/// The largest file of documents that is read, in bytes.
+pub const MAX_FILE_BYTES: usize = 256 * 1024;
+
+/// One step of a change: what a document asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Edit {
+    /// Create or replace a template.
+    PutTemplate(Template),
+    /// Create or replace a workspace.
+    PutWorkspace(Workspace),
+    /// Remove a template that no workspace uses.
+    RemoveTemplate(String),
+    /// Remove a workspace.
+    RemoveWorkspace(String),
+}
+
+/// What a document is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A template.
+    Template,
+    /// A workspace.
+    Workspace,
+}
+
+impl Edit {
+    /// What the edit is about.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::PutTemplate(_) | Self::RemoveTemplate(_) => Kind::Template,
+            Self::PutWorkspace(_) | Self::RemoveWorkspace(_) => Kind::Workspace,
+        }
+    }
+
+    /// Name of the template or workspace.
+    ///
+    /// ```
+    /// use flamingowheel_config::document::Edit;
+    /// assert_eq!(Edit::RemoveTemplate("old".to_owned()).name(), "old");
+    /// ```
+    pub fn name(&self) -> &str {
+        match self {
+            Self::PutTemplate(template) => &template.name,
+            Self::PutWorkspace(workspace) => &workspace.name,
+            Self::RemoveTemplate(name) | Self::RemoveWorkspace(name) => name,
+        }
+    }
+}
+
+/// Why a file of documents can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(tag = "code", rename_all = "snake_case")]
+pub enum DocumentError {
+    /// Not YAML, or a field is unknown, missing or of the wrong type.
+    #[error("document {document}, line {line}, column {column}: {message}")]
+    Syntax {
+        /// Which document of the file, from 1.
+        document: usize,
+        /// Line in the file, from 1; 0 where the parser names none.
+        line: usize,
+        /// Column, from 1.
+        column: usize,
+        /// What the parser said.
+        message: String,
+    },
+    /// The file is too large.
+    #[error("{bytes} bytes are more than the {MAX_FILE_BYTES} that one change may have")]
+    TooLarge {
+        /// Its size.
+        bytes: usize,
+    },
+    /// The file holds no document.
+    #[error("no document in the file")]
+    Empty,
+}
+
+/// Reads all documents of a file, or every syntax error that can be found in one pass.
+///
+/// ```
+/// use flamingowheel_config::document::{Edit, parse};
+/// let edits = parse("kind: remove\nworkspace: closed-county\n").unwrap();
+/// assert_eq!(edits, [Edit::RemoveWorkspace("closed-county".to_owned())]);
+/// ```
+pub fn parse(text: &str) -> Result<Vec<Edit>, Vec<DocumentError>> {
+    if text.len() > MAX_FILE_BYTES {
+        return Err(vec![DocumentError::TooLarge { bytes: text.len() }]);
+    }
+    let (mut edits, mut errors) = (Vec::new(), Vec::new());
+    let kinds = serde_yaml_ng::Deserializer::from_str(text);
+    let bodies = serde_yaml_ng::Deserializer::from_str(text);
+    for (index, (kind, body)) in kinds.zip(bodies).enumerate() {
+        match read_one(kind, body) {
+            Ok(Some(edit)) => edits.push(edit),
+            Ok(None) => {}
+            Err(error) => errors.push(syntax(index + 1, &error)),
+        }
+    }
+    if !errors.is_empty() {
+        return Err(errors);
+    }
+    if edits.is_empty() {
+        return Err(vec![DocumentError::Empty]);
+    }
+    Ok(edits)
+}
+
+/// Reads the kind first and the body by it, since an enum tagged inside would lose the lines of
+/// its errors.
+fn read_one(
+    kind: serde_yaml_ng::Deserializer<'_>,
+    body: serde_yaml_ng::Deserializer<'_>,
+) -> Result<Option<Edit>, serde_yaml_ng::Error> {
+    let Some(header) = Option::<Header>::deserialize(kind)? else { return Ok(None) };
+    let edit = match header.kind {
+        DocumentKind::Template => Edit::PutTemplate(TemplateDocument::deserialize(body)?.into()),
+        DocumentKind::Workspace => Edit::PutWorkspace(WorkspaceDocument::deserialize(body)?.into()),
+        DocumentKind::Remove => Removal::deserialize(body)?.into_edit()?,
+    };
+    Ok(Some(edit))
+}
+
+fn syntax(document: usize, error: &serde_yaml_ng::Error) -> DocumentError {
+    let (line, column) = error.location().map_or((0, 0), |at| (at.line(), at.column()));
+    DocumentError::Syntax { document, line, column, message: error.to_string() }
+}
+
+#[derive(Deserialize)]
+struct Header {
+    kind: DocumentKind,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum DocumentKind {
+    Template,
+    Workspace,
+    Remove,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TemplateDocument {
+    #[serde(rename = "kind")]
+    _kind: String,
+    name: String,
+    #[serde(default)]
+    description: String,
+    #[serde(default)]
+    parameters: Parameters,
+    #[serde(default)]
+    rebalancing: Rebalancing,
+}
+
+impl From<TemplateDocument> for Template {
+    fn from(document: TemplateDocument) -> Self {
+        let TemplateDocument { name, description, parameters, rebalancing, .. } = document;
+        Self { name, description, parameters, rebalancing }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WorkspaceDocument {
+    #[serde(rename = "kind")]
+    _kind: String,
+    name: String,
+    template: String,
+    token_sha256: Vec<TokenHash>,
+    #[serde(default)]
+    overrides: Overrides,
+}
+
+impl From<WorkspaceDocument> for Workspace {
+    fn from(document: WorkspaceDocument) -> Self {
+        let WorkspaceDocument { name, template, token_sha256, overrides, .. } = document;
+        Self { name, template, token_sha256, overrides }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Removal {
+    #[serde(rename = "kind")]
+    _kind: String,
+    template: Option<String>,
+    workspace: Option<String>,
+}
+
+impl Removal {
+    fn into_edit(self) -> Result<Edit, serde_yaml_ng::Error> {
+        match (self.template, self.workspace) {
+            (Some(name), None) => Ok(Edit::RemoveTemplate(name)),
+            (None, Some(name)) => Ok(Edit::RemoveWorkspace(name)),
+            _ => Err(serde::de::Error::custom("remove needs either `template` or `workspace`")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/validate.rs
@@ -0,0 +1,257 @@
+//! Checks of a change before it is accepted: every error in one answer.
+
+use crate::document::{Edit, Kind};
+use crate::effective::Documents;
+use crate::problem::{Collector, Reason};
+use crate::template::{
+    Limits, MAX_PRIORITY, Model, Parameters, Rebalancing, Retry, Service, ServiceRoute, Template,
+};
+use crate::token::TokenHash;
+use crate::workspace::{Overrides, Workspace};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+const MAX_RATE_PER_S: f64 = 1e9;
+const MAX_MODELS: f64 = 64.0;
+const MAX_TOKENS: f64 = 8.0;
+const MAX_DEADLINE_MS: f64 = 86_400_000.0;
+
+/// One refused field of one document.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, thiserror::Error)]
+#[error("document {document} ({kind:?} `{name}`): {field} {reason}")]
+pub struct Problem {
+    /// Which document of the file, from 1.
+    pub document: usize,
+    /// What it is about.
+    pub kind: Kind,
+    /// Name of the template or workspace.
+    pub name: String,
+    /// Path of the field, such as `parameters.limits.in_flight`.
+    pub field: String,
+    /// What is wrong with it.
+    pub reason: Reason,
+}
+
+#[derive(Debug)]
+struct FieldProblem {
+    field: String,
+    reason: Reason,
+}
+
+type Fields = Collector<FieldProblem>;
+
+/// Checks the edits of a change against the documents that are in force.
+///
+/// ```
+/// use flamingowheel_config::{document, effective::Documents, validate::validate};
+/// let edits = document::parse("kind: remove\nworkspace: nobody\n").unwrap();
+/// assert_eq!(validate(&Documents::default(), &edits).unwrap_err().len(), 1);
+/// ```
+pub fn validate(base: &Documents, edits: &[Edit]) -> Result<(), Vec<Problem>> {
+    let mut after = base.clone();
+    after.apply(base.revision.next(), edits);
+    let context = Context::new(base, &after, edits);
+    let mut problems = Vec::new();
+    let mut seen = HashSet::new();
+    for (index, edit) in edits.iter().enumerate() {
+        let mut fields = Fields::new(|field, reason| FieldProblem { field, reason });
+        if !seen.insert((edit.kind(), edit.name())) {
+            fields.push("name", Reason::Duplicate { value: edit.name().to_owned() });
+        }
+        context.check(edit, &mut fields);
+        problems.extend(fields.found.into_iter().map(|found| Problem {
+            document: index + 1,
+            kind: edit.kind(),
+            name: edit.name().to_owned(),
+            field: found.field,
+            reason: found.reason,
+        }));
+    }
+    if problems.is_empty() { Ok(()) } else { Err(problems) }
+}
+
+/// The documents before and after, and who holds each token afterwards.
+struct Context<'a> {
+    base: &'a Documents,
+    after: &'a Documents,
+    tokens: HashMap<TokenHash, Vec<&'a str>>,
+}
+
+impl<'a> Context<'a> {
+    /// Only the tokens of edited workspaces can clash, so only those are gathered.
+    fn new(base: &'a Documents, after: &'a Documents, edits: &[Edit]) -> Self {
+        let mut tokens: HashMap<TokenHash, Vec<&'a str>> = edits
+            .iter()
+            .filter_map(|edit| match edit {
+                Edit::PutWorkspace(workspace) => Some(workspace),
+                _ => None,
+            })
+            .flat_map(|workspace| workspace.token_sha256.iter().map(|hash| (*hash, Vec::new())))
+            .collect();
+        for (name, stored) in &after.workspaces {
+            for hash in &stored.document.token_sha256 {
+                if let Some(holders) = tokens.get_mut(hash) {
+                    holders.push(name);
+                }
+            }
+        }
+        Self { base, after, tokens }
+    }
+
+    fn check(&self, edit: &Edit, fields: &mut Fields) {
+        match edit {
+            Edit::PutTemplate(template) => check_template(template, fields),
+            Edit::PutWorkspace(workspace) => self.check_workspace(workspace, fields),
+            Edit::RemoveTemplate(name) => self.check_template_removal(name, fields),
+            Edit::RemoveWorkspace(name) => {
+                if !self.base.workspaces.contains_key(name) {
+                    fields.push("workspace", Reason::NotFound { value: name.clone() });
+                }
+            }
+        }
+    }
+
+    fn check_template_removal(&self, name: &str, fields: &mut Fields) {
+        if !self.base.templates.contains_key(name) {
+            fields.push("template", Reason::NotFound { value: name.to_owned() });
+            return;
+        }
+        let mut users =
+            self.after.workspaces.values().filter(|stored| stored.document.template == name);
+        if let Some(first) = users.next() {
+            let (example, count) = (first.document.name.clone(), 1 + users.count());
+            fields.push("template", Reason::InUse { count, example });
+        }
+    }
+
+    fn check_workspace(&self, workspace: &Workspace, fields: &mut Fields) {
+        fields.name("name", &workspace.name);
+        if !self.after.templates.contains_key(&workspace.template) {
+            fields.push("template", Reason::NotFound { value: workspace.template.clone() });
+        }
+        self.check_tokens(workspace, fields);
+        check_overrides(&workspace.overrides, fields);
+    }
+
+    fn check_tokens(&self, workspace: &Workspace, fields: &mut Fields) {
+        let count = workspace.token_sha256.len() as f64;
+        fields.range("token_sha256 (length)", count, 1.0, MAX_TOKENS);
+        let mut own = HashSet::new();
+        for (index, hash) in workspace.token_sha256.iter().enumerate() {
+            let field = format!("token_sha256[{index}]");
+            if !own.insert(hash) {
+                fields.push(&field, Reason::Duplicate { value: hash.to_string() });
+            }
+            let holders = self.tokens.get(hash).into_iter().flatten();
+            if let Some(other) = holders.copied().find(|holder| *holder != workspace.name) {
+                fields.push(field, Reason::TokenTaken { workspace: other.to_owned() });
+            }
+        }
+    }
+}
+
+fn check_template(template: &Template, fields: &mut Fields) {
+    let Parameters { models, services, priority, limits, retry, deadline_ms } =
+        &template.parameters;
+    fields.name("name", &template.name);
+    fields.range("description (length)", template.description.len() as f64, 0.0, 1_000.0);
+    check_models("parameters.models", models, fields);
+    check_services("parameters.services", services, fields);
+    check_priority("parameters.priority", *priority, fields);
+    check_limits("parameters.limits", limits, fields);
+    check_retry("parameters.retry", retry, fields);
+    check_deadline("parameters.deadline_ms", *deadline_ms, fields);
+    check_rebalancing(&template.rebalancing, fields);
+}
+
+fn check_overrides(overrides: &Overrides, fields: &mut Fields) {
+    let Overrides { models, services, priority, limits, retry, deadline_ms } = overrides;
+    if let Some(models) = models {
+        check_models("overrides.models", models, fields);
+    }
+    if let Some(services) = services {
+        check_services("overrides.services", services, fields);
+    }
+    if let Some(priority) = priority {
+        check_priority("overrides.priority", *priority, fields);
+    }
+    if let Some(limits) = limits {
+        check_limits("overrides.limits", limits, fields);
+    }
+    if let Some(retry) = retry {
+        check_retry("overrides.retry", retry, fields);
+    }
+    if let Some(deadline_ms) = deadline_ms {
+        check_deadline("overrides.deadline_ms", *deadline_ms, fields);
+    }
+}
+
+fn check_models(path: &str, models: &BTreeMap<String, Model>, fields: &mut Fields) {
+    fields.range(format!("{path} (length)"), models.len() as f64, 0.0, MAX_MODELS);
+    for (name, model) in models {
+        fields.name(format!("{path}.{name}"), name);
+        if let Some(version) = &model.version {
+            fields.name(format!("{path}.{name}.version"), version);
+        }
+        let mut seen = HashSet::new();
+        for (index, adapter) in model.adapters.iter().enumerate() {
+            let field = format!("{path}.{name}.adapters[{index}]");
+            fields.name(&field, adapter);
+            if !seen.insert(adapter) {
+                fields.push(field, Reason::Duplicate { value: adapter.clone() });
+            }
+        }
+    }
+}
+
+fn check_services(path: &str, services: &BTreeMap<String, Service>, fields: &mut Fields) {
+    for (name, service) in services {
+        fields.name(format!("{path}.{name}"), name);
+        if service.routes.is_empty() {
+            fields.push(format!("{path}.{name}.routes"), Reason::Empty);
+        }
+        for (index, route) in service.routes.iter().enumerate() {
+            check_route(&format!("{path}.{name}.routes[{index}]"), route, fields);
+        }
+    }
+}
+
+fn check_route(path: &str, route: &ServiceRoute, fields: &mut Fields) {
+    if !route.path_prefix.starts_with('/') {
+        let value = route.path_prefix.clone();
+        fields.push(format!("{path}.path_prefix"), Reason::NotAPath { value });
+    }
+    if let Some(method) = &route.method
+        && (method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()))
+    {
+        fields.push(format!("{path}.method"), Reason::NotAMethod { value: method.clone() });
+    }
+}
+
+fn check_priority(path: &str, priority: u8, fields: &mut Fields) {
+    fields.range(path, f64::from(priority), 0.0, f64::from(MAX_PRIORITY));
+}
+
+fn check_limits(path: &str, limits: &Limits, fields: &mut Fields) {
+    if let Some(rate) = limits.requests_per_s {
+        fields.range(format!("{path}.requests_per_s"), rate, 0.0, MAX_RATE_PER_S);
+    }
+    if let Some(rate) = limits.tokens_per_s {
+        fields.range(format!("{path}.tokens_per_s"), rate, 0.0, MAX_RATE_PER_S);
+    }
+}
+
+fn check_retry(path: &str, retry: &Retry, fields: &mut Fields) {
+    fields.range(format!("{path}.per_100_requests"), retry.per_100_requests, 0.0, 100.0);
+    fields.range(format!("{path}.burst"), f64::from(retry.burst), 0.0, 10_000.0);
+    fields.range(format!("{path}.max_tries"), f64::from(retry.max_tries), 1.0, 10.0);
+}
+
+fn check_deadline(path: &str, deadline_ms: u64, fields: &mut Fields) {
+    fields.range(path, deadline_ms as f64, 1.0, MAX_DEADLINE_MS);
+}
+
+fn check_rebalancing(rebalancing: &Rebalancing, fields: &mut Fields) {
+    fields.range("rebalancing.skew_weight", rebalancing.skew_weight, 0.0, 1e6);
+    fields.range("rebalancing.move_weight", rebalancing.move_weight, 0.0, 1e6);
+}
--- /dev/null
+++ b/crates/config/tests/documents.rs
@@ -0,0 +1,152 @@
+//! Operators' documents: reading, resolving and checking them.
+
+use flamingowheel_config::document::{DocumentError, Edit, parse};
+use flamingowheel_config::effective::{ConfigRevision, Documents, Effective};
+use flamingowheel_config::problem::Reason;
+use flamingowheel_config::token::TokenHash;
+use flamingowheel_config::validate::{Problem, validate};
+use std::sync::Arc;
+
+const TEMPLATE: &str = "\
+kind: template
+name: callbox
+parameters:
+  models: { callbox-7b: { adapters: [repair-notes] } }
+  services:
+    work-orders:
+      routes:
+        - { method: GET, path_prefix: /orders, idempotent: true }
+        - { path_prefix: /orders, idempotent: false }
+  limits: { requests_per_s: 50, in_flight: 32 }
+rebalancing: { skew_weight: 4, move_weight: 1 }
+";
+
+fn workspace(name: &str, token: &str, rest: &str) -> String {
+    let hash = TokenHash::of(token.as_bytes());
+    format!("---\nkind: workspace\nname: {name}\ntemplate: callbox\ntoken_sha256: [{hash}]\n{rest}")
+}
+
+fn documents(text: &str) -> Documents {
+    let mut documents = Documents::default();
+    documents.apply(ConfigRevision(1), &parse(text).unwrap());
+    documents
+}
+
+fn fields(problems: &[Problem]) -> Vec<(usize, &str)> {
+    problems.iter().map(|problem| (problem.document, problem.field.as_str())).collect()
+}
+
+#[test]
+fn effective_overrides_only_what_is_given() {
+    let overridden = workspace("bibb", "b", "overrides: { limits: { in_flight: 4 }, priority: 9 }");
+    let plain = workspace("jones", "j", "");
+    let effective = Effective::new(&documents(&format!("{TEMPLATE}{overridden}\n{plain}")));
+    let bibb = effective.workspace("bibb").unwrap();
+    assert_eq!(bibb.parameters.limits.in_flight, Some(4));
+    assert_eq!(bibb.parameters.limits.requests_per_s, Some(50.0));
+    assert_eq!(bibb.parameters.priority, 9);
+    let jones = effective.workspace("jones").unwrap();
+    assert_eq!(jones.parameters.limits.in_flight, Some(32));
+    assert!(Arc::ptr_eq(&jones.rebalancing, &bibb.rebalancing));
+}
+
+#[test]
+fn effective_finds_workspace_by_token() {
+    let effective =
+        Effective::new(&documents(&format!("{TEMPLATE}{}", workspace("bibb", "b", ""))));
+    assert_eq!(&*effective.workspace_by_token(b"b").unwrap().name, "bibb");
+    assert!(effective.workspace_by_token(b"c").is_none());
+}
+
+#[test]
+fn effective_workspace_outlives_removal() {
+    // A workspace is removed while one of its streams still runs. The stream must end whole, with
+    // the limits it began with; new requests are refused.
+    let mut documents = documents(&format!("{TEMPLATE}{}", workspace("bibb", "b", "")));
+    let held = Arc::clone(Effective::new(&documents).workspace("bibb").unwrap());
+    documents.apply(ConfigRevision(2), &[Edit::RemoveWorkspace("bibb".to_owned())]);
+    assert!(Effective::new(&documents).workspace("bibb").is_none());
+    assert_eq!(held.parameters.limits.in_flight, Some(32));
+}
+
+#[test]
+fn parse_unknown_field_names_line_of_file() {
+    let text = format!("{TEMPLATE}---\nkind: workspace\nname: bibb\ntemplat: callbox\n");
+    let errors = parse(&text).unwrap_err();
+    assert!(
+        matches!(errors[..], [DocumentError::Syntax { document: 2, line: 15, column: 1, .. }]),
+        "{errors:?}"
+    );
+}
+
+#[test]
+fn parse_reports_syntax_of_every_document() {
+    let errors = parse("kind: template\n---\nkind: nothing\n---\nkind: remove\n").unwrap_err();
+    assert_eq!(errors.len(), 3, "{errors:?}");
+}
+
+#[test]
+fn parse_empty_and_oversized() {
+    assert_eq!(parse("---\n"), Err(vec![DocumentError::Empty]));
+    let text = "#".repeat(300_000);
+    assert_eq!(parse(&text), Err(vec![DocumentError::TooLarge { bytes: 300_000 }]));
+}
+
+#[test]
+fn parse_alias_bomb_is_refused() {
+    let mut text = String::from("kind: template\nname: &a [x, x, x, x, x, x, x, x, x, x]\n");
+    for level in 0..12 {
+        let (from, to) = (char::from(b'a' + level), char::from(b'b' + level));
+        text += &format!("{to}: &{to} [{}]\n", vec![format!("*{from}"); 10].join(", "));
+    }
+    assert!(parse(&text).is_err());
+}
+
+#[test]
+fn validate_reports_every_error_in_one_answer() {
+    let bad_template = "\
+kind: template
+name: Call Box
+parameters:
+  priority: 12
+  limits: { requests_per_s: .nan, tokens_per_s: -1 }
+  services: { orders: { routes: [{ method: get, path_prefix: orders, idempotent: false }] } }
+";
+    let first = workspace("bibb", "same", "overrides: { retry: { max_tries: 0 } }\n");
+    let second = workspace("jones", "same", "");
+    let edits = parse(&format!("{bad_template}{first}{second}")).unwrap();
+    let problems = validate(&Documents::default(), &edits).unwrap_err();
+    assert_eq!(
+        fields(&problems),
+        [
+            (1, "name"),
+            (1, "parameters.services.orders.routes[0].path_prefix"),
+            (1, "parameters.services.orders.routes[0].method"),
+            (1, "parameters.priority"),
+            (1, "parameters.limits.requests_per_s"),
+            (1, "parameters.limits.tokens_per_s"),
+            (2, "template"),
+            (2, "token_sha256[0]"),
+            (2, "overrides.retry.max_tries"),
+            (3, "template"),
+            (3, "token_sha256[0]"),
+        ]
+    );
+}
+
+#[test]
+fn validate_template_in_use_stays() {
+    let base = documents(&format!("{TEMPLATE}{}", workspace("bibb", "b", "")));
+    let removal = parse("kind: remove\ntemplate: callbox\n").unwrap();
+    let problems = validate(&base, &removal).unwrap_err();
+    assert_eq!(problems[0].reason, Reason::InUse { count: 1, example: "bibb".to_owned() });
+    let both = parse("kind: remove\ntemplate: callbox\n---\nkind: remove\nworkspace: bibb\n");
+    assert_eq!(validate(&base, &both.unwrap()), Ok(()));
+}
+
+#[test]
+fn validate_same_document_twice() {
+    let text = format!("{TEMPLATE}{0}{0}", workspace("bibb", "b", ""));
+    let problems = validate(&Documents::default(), &parse(&text).unwrap()).unwrap_err();
+    assert_eq!(fields(&problems), [(3, "name")]);
+}
