platform: add in-memory fakes with faults set by hand

Cause: every package above the platform needs something to run against that fails on demand and keeps to the paused clock. Change: fakes of the key-value service, VM list, engine, plain service, weight store and a lock-step rank group that records steps run with two maps. Conclusion: the fakes can carry the failure tests.

--- /dev/null
+++ b/crates/platform/src/fake/engine/cache.rs
@@ -0,0 +1,72 @@
+//! The engine's prefix cache and the numbered events that tell of it.
+
+use crate::backend::CacheEvent;
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Events kept for readers that come late.
+const MAX_EVENTS: usize = 4096;
+
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    capacity: usize,
+    blocks: VecDeque<u64>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    last_number: u64,
+    lose_events: usize,
+}
+
+impl PrefixCache {
+    pub(super) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            blocks: VecDeque::new(),
+            events: VecDeque::new(),
+            last_number: 0,
+            lose_events: 0,
+        }
+    }
+
+    /// The next `count` events are numbered but never shown.
+    pub(super) fn lose_events(&mut self, count: usize) {
+        self.lose_events = count;
+    }
+
+    pub(super) fn store(&mut self, hashes: &[u64]) {
+        for hash in hashes {
+            if self.blocks.contains(hash) {
+                continue;
+            }
+            if self.blocks.len() == self.capacity
+                && let Some(evicted) = self.blocks.pop_front()
+            {
+                self.publish(evicted, false);
+            }
+            self.blocks.push_back(*hash);
+            self.publish(*hash, true);
+        }
+    }
+
+    fn publish(&mut self, block_hash: u64, stored: bool) {
+        self.last_number += 1;
+        if self.lose_events > 0 {
+            self.lose_events -= 1;
+            return;
+        }
+        if self.events.len() == MAX_EVENTS {
+            self.events.pop_front();
+        }
+        let event = CacheEvent { number: self.last_number, block_hash, stored };
+        self.events.push_back((Instant::now(), event));
+    }
+
+    pub(super) fn events(&self, after: u64, lag: Duration) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        self.events
+            .iter()
+            .filter(|(at, event)| *at + lag <= now && event.number > after)
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fake/engine/mod.rs
@@ -0,0 +1,284 @@
+//! A model engine in memory: batches up to a number of places, streams a text that follows from
+//! the request, takes orders, reports load and cache events with a lag, and crashes on demand.
+
+mod cache;
+mod control;
+mod orders;
+
+mod run;
+
+pub use orders::map_digest;
+
+use super::lock;
+use crate::backend::{
+    BackendAnswer, BackendCall, BackendError, BackendServer, CacheEvent, LoadReport, Priority,
+};
+use crate::orders::{EngineOrders, EngineState, Order, OrderError};
+use crate::{BoxFuture, orders::ExpertMap};
+use bytes::Bytes;
+use cache::PrefixCache;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// What the engine does with an order that carries an old fencing number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FencePolicy {
+    /// Refuses it.
+    Refuses,
+    /// Does not look at the number.
+    Ignores,
+}
+
+/// Where the next order is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LostOrder {
+    /// Carried out; the answer is lost.
+    AfterEffect,
+    /// Never carried out.
+    BeforeEffect,
+    /// Carried out this much later, long after its sender gave up.
+    Delayed(Duration),
+}
+
+/// How an engine behaves; fixed for its life.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Time between two tokens.
+    pub token_delay: Duration,
+    /// Tokens generated for a body that names no `max_tokens`.
+    pub default_tokens: u64,
+    /// Requests that run at the same time; more wait by priority.
+    pub places: usize,
+    /// Whether a stream can start after a number of events.
+    pub can_resume: bool,
+    /// What becomes of orders with an old number.
+    pub fence_policy: FencePolicy,
+    /// Time the load report lags behind.
+    pub load_lag: Duration,
+    /// Time a cache event takes to show.
+    pub cache_lag: Duration,
+    /// Blocks the prefix cache holds.
+    pub cache_blocks: usize,
+    /// Time to load a model or to stage a map.
+    pub load_time: Duration,
+    /// How long a caller of the fake waits for a sign of life.
+    pub silence_limit: Duration,
+    /// Time after a crash until the process is back; `None` waits for a restart by hand.
+    pub restart_after: Option<Duration>,
+    /// Tokens sent before a crash that a body brings about.
+    pub crash_after_tokens: u64,
+    /// Whether a new process holds before its first step, as a rank that rejoins its group must.
+    pub starts_held: bool,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            token_delay: Duration::from_millis(10),
+            default_tokens: 8,
+            places: 32,
+            can_resume: true,
+            fence_policy: FencePolicy::Refuses,
+            load_lag: Duration::ZERO,
+            cache_lag: Duration::ZERO,
+            cache_blocks: 1024,
+            load_time: Duration::ZERO,
+            silence_limit: Duration::from_secs(3),
+            restart_after: None,
+            crash_after_tokens: 0,
+            starts_held: false,
+        }
+    }
+}
+
+/// How often something ran, as an oracle counts it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunCount {
+    /// Times it was started.
+    pub started: u32,
+    /// Times it ran to its end.
+    pub finished: u32,
+    /// Times it was cancelled or its caller went away.
+    pub cancelled: u32,
+    /// Times it was lost in a crash.
+    pub lost: u32,
+}
+
+/// One life of the engine's process.
+#[derive(Clone, Debug)]
+struct Process {
+    id: u64,
+    started_at: Instant,
+    /// Cancelled when the process dies.
+    ended: CancellationToken,
+}
+
+/// A request that waits for a place; the lowest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ticket {
+    priority: Priority,
+    number: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    process: Option<Process>,
+    lives: u64,
+    crashes: u64,
+    running: usize,
+    waiting: Vec<Ticket>,
+    next_ticket: u64,
+    calls: HashMap<String, CancellationToken>,
+    crash_on: Vec<Bytes>,
+    by_call: HashMap<String, RunCount>,
+    by_body: HashMap<Bytes, RunCount>,
+    reports: VecDeque<(Instant, LoadReport)>,
+    cache: PrefixCache,
+    reported: EngineState,
+    map: ExpertMap,
+    lost_orders: VecDeque<LostOrder>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: EngineSettings,
+    seed: u64,
+    state: Mutex<State>,
+    place_freed: Notify,
+    frozen: watch::Sender<bool>,
+    up: watch::Sender<bool>,
+}
+
+/// The fake; clones share one engine.
+///
+/// ```
+/// use flamingowheel_platform::backend::BackendServer;
+/// use flamingowheel_platform::fake::{EngineSettings, FakeEngine};
+/// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
+/// let engine = FakeEngine::new(1, EngineSettings::default());
+/// assert_eq!(engine.load().await.unwrap().running, 0);
+/// engine.crash();
+/// assert!(engine.load().await.is_err());
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct FakeEngine {
+    shared: Arc<Shared>,
+}
+
+impl FakeEngine {
+    /// A running engine; `seed` makes its process ids differ from those of other engines.
+    pub fn new(seed: u64, settings: EngineSettings) -> Self {
+        let state = State {
+            process: None,
+            lives: 0,
+            crashes: 0,
+            running: 0,
+            waiting: Vec::new(),
+            next_ticket: 0,
+            calls: HashMap::new(),
+            crash_on: Vec::new(),
+            by_call: HashMap::new(),
+            by_body: HashMap::new(),
+            reports: VecDeque::new(),
+            cache: PrefixCache::new(settings.cache_blocks),
+            reported: EngineState::default(),
+            map: ExpertMap::default(),
+            lost_orders: VecDeque::new(),
+        };
+        let shared = Shared {
+            settings,
+            seed,
+            state: Mutex::new(state),
+            place_freed: Notify::new(),
+            frozen: watch::Sender::new(false),
+            up: watch::Sender::new(false),
+        };
+        let this = Self { shared: Arc::new(shared) };
+        this.restart();
+        this
+    }
+
+    /// How the engine behaves.
+    pub fn settings(&self) -> &EngineSettings {
+        &self.shared.settings
+    }
+
+    /// Waits until the engine is not frozen; a caller gives up after the silence limit.
+    async fn responsive(&self) -> Result<(), BackendError> {
+        self.process()?;
+        let limit = self.shared.settings.silence_limit;
+        let mut frozen = self.shared.frozen.subscribe();
+        let thawed = tokio::time::timeout(limit, frozen.wait_for(|frozen| !frozen)).await;
+        match thawed {
+            Ok(Ok(_)) => self.process().map(drop),
+            Ok(Err(_)) | Err(_) => Err(silent(limit)),
+        }
+    }
+
+    fn process(&self) -> Result<Process, BackendError> {
+        lock(&self.shared.state).process.clone().ok_or(BackendError::Refused)
+    }
+}
+
+fn silent(limit: Duration) -> BackendError {
+    BackendError::Silent { limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX) }
+}
+
+impl BackendServer for FakeEngine {
+    fn call(&self, call: BackendCall) -> BoxFuture<'_, Result<BackendAnswer, BackendError>> {
+        Box::pin(async move {
+            // A frozen engine's kernel still takes the request, which then runs after the thaw.
+            let process = self.process()?;
+            let limit = self.shared.settings.silence_limit;
+            let head = run::start(self, process, call);
+            match tokio::time::timeout(limit, head).await {
+                Ok(Ok(answer)) => Ok(answer),
+                Ok(Err(_)) => Err(BackendError::Lost),
+                Err(_) => Err(silent(limit)),
+            }
+        })
+    }
+
+    fn cancel<'a>(&'a self, id: &'a str) -> BoxFuture<'a, Result<(), BackendError>> {
+        Box::pin(async move {
+            self.responsive().await?;
+            if let Some(call) = lock(&self.shared.state).calls.get(id) {
+                call.cancel();
+            }
+            Ok(())
+        })
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<LoadReport, BackendError>> {
+        Box::pin(async move {
+            self.responsive().await?;
+            Ok(self.lagging_report())
+        })
+    }
+
+    fn cache_events(&self, after: u64) -> BoxFuture<'_, Result<Vec<CacheEvent>, BackendError>> {
+        Box::pin(async move {
+            self.responsive().await?;
+            let lag = self.shared.settings.cache_lag;
+            Ok(lock(&self.shared.state).cache.events(after, lag))
+        })
+    }
+}
+
+impl EngineOrders for FakeEngine {
+    fn order<'a>(&'a self, order: &'a Order) -> BoxFuture<'a, Result<(), OrderError>> {
+        Box::pin(orders::take(self, order))
+    }
+
+    fn state(&self) -> BoxFuture<'_, Result<EngineState, BackendError>> {
+        Box::pin(async move {
+            self.responsive().await?;
+            Ok(lock(&self.shared.state).reported.clone())
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fake/engine/orders.rs
@@ -0,0 +1,108 @@
+//! How the engine takes orders.
+
+use super::{FakeEngine, FencePolicy, LostOrder, State, silent};
+use crate::backend::BackendError;
+use crate::fake::lock;
+use crate::orders::{ExpertMap, Fence, Order, OrderError, OrderTarget};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Digest of a map as the engine reports it of a staged one.
+pub fn map_digest(map: &ExpertMap) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    map.hash(&mut hasher);
+    hasher.finish()
+}
+
+pub(super) async fn take(engine: &FakeEngine, order: &Order) -> Result<(), OrderError> {
+    engine.responsive().await?;
+    let lost = lock(&engine.shared.state).lost_orders.pop_front();
+    match lost {
+        None => carry_out(engine, order).await,
+        Some(LostOrder::BeforeEffect) => Err(BackendError::Lost.into()),
+        Some(LostOrder::AfterEffect) => {
+            let _ = carry_out(engine, order).await;
+            Err(BackendError::Lost.into())
+        }
+        Some(LostOrder::Delayed(delay)) => {
+            let (engine, order) = (engine.clone(), order.clone());
+            let limit = engine.settings().silence_limit;
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                let _ = carry_out(&engine, &order).await;
+            });
+            tokio::time::sleep(limit).await;
+            Err(silent(limit).into())
+        }
+    }
+}
+
+async fn carry_out(engine: &FakeEngine, order: &Order) -> Result<(), OrderError> {
+    let policy = engine.settings().fence_policy;
+    check_fence(&mut lock(&engine.shared.state), policy, order.fence)?;
+    if needs_weights(&order.target) {
+        let process = engine.process()?;
+        tokio::select! {
+            biased;
+            () = process.ended.cancelled() => return Err(BackendError::Lost.into()),
+            () = tokio::time::sleep(engine.settings().load_time) => {}
+        }
+    }
+    let mut state = lock(&engine.shared.state);
+    // Loading takes time, in which a newer order may have come.
+    check_fence(&mut state, policy, order.fence)?;
+    apply(&mut state, &order.target)
+}
+
+fn needs_weights(target: &OrderTarget) -> bool {
+    matches!(target, OrderTarget::Serve { .. } | OrderTarget::StageMap { .. })
+}
+
+fn check_fence(state: &mut State, policy: FencePolicy, given: Fence) -> Result<(), OrderError> {
+    if policy == FencePolicy::Ignores {
+        return Ok(());
+    }
+    match state.reported.highest_fence {
+        Some(highest) if given < highest => Err(OrderError::Stale { given, highest }),
+        _ => {
+            state.reported.highest_fence = Some(given);
+            Ok(())
+        }
+    }
+}
+
+fn apply(state: &mut State, target: &OrderTarget) -> Result<(), OrderError> {
+    let reported = &mut state.reported;
+    *reported.counters.entry("orders".to_owned()).or_default() += 1;
+    match target {
+        OrderTarget::Serve { model, version, adapters, role } => {
+            reported.model = model.clone();
+            reported.version = version.clone();
+            reported.adapters = adapters.clone();
+            reported.role = role.clone();
+        }
+        OrderTarget::StageMap { map } => reported.staged_map_digest = Some(map_digest(map)),
+        OrderTarget::Hold { after_step } => {
+            if *after_step < reported.step {
+                return Err(not_possible("step already run"));
+            }
+            reported.held_after_step = Some(*after_step);
+        }
+        OrderTarget::SwitchMap { map_version, map } => {
+            if reported.held_after_step.is_none_or(|step| step > reported.step) {
+                return Err(not_possible("not held"));
+            }
+            let same = reported.map_version == *map_version && state.map == *map;
+            if !same && reported.staged_map_digest != Some(map_digest(map)) {
+                return Err(not_possible("map not staged"));
+            }
+            reported.map_version = *map_version;
+            state.map = map.clone();
+        }
+        OrderTarget::Resume => reported.held_after_step = None,
+    }
+    Ok(())
+}
+
+fn not_possible(reason: &str) -> OrderError {
+    OrderError::NotPossible { reason: reason.to_owned() }
+}
--- /dev/null
+++ b/crates/platform/src/fake/group.rs
@@ -0,0 +1,100 @@
+//! Ranks that step together, and the check that no step is run with two maps.
+
+use super::engine::FakeEngine;
+use super::{engine::map_digest, lock};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// A step in which two ranks used different maps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SplitStep {
+    /// The step's number.
+    pub step: u64,
+    /// For each rank the version it used and the digest of the map's contents.
+    pub maps: Vec<(u64, u64)>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    step: u64,
+    splits: Vec<SplitStep>,
+    stalled: u64,
+}
+
+/// A group of engines in lock-step: a step is run by all ranks or by none.
+///
+/// ```
+/// use flamingowheel_platform::fake::{EngineSettings, FakeEngine, RankGroup};
+/// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
+/// let ranks = vec![FakeEngine::new(1, EngineSettings::default())];
+/// let group = RankGroup::new(ranks);
+/// assert!(group.try_step());
+/// assert_eq!(group.step(), 1);
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct RankGroup {
+    ranks: Vec<FakeEngine>,
+    state: Arc<Mutex<State>>,
+}
+
+impl RankGroup {
+    /// A group of these ranks that has run no step.
+    pub fn new(ranks: Vec<FakeEngine>) -> Self {
+        Self { ranks, state: Arc::default() }
+    }
+
+    /// The group's ranks.
+    pub fn ranks(&self) -> &[FakeEngine] {
+        &self.ranks
+    }
+
+    /// Runs one step if every rank is up, awake and not held; tells whether it did.
+    pub fn try_step(&self) -> bool {
+        let mut state = lock(&self.state);
+        let next = state.step + 1;
+        let ready =
+            self.ranks.iter().all(|rank| rank.step_limit().is_some_and(|last| next <= last));
+        if !ready {
+            state.stalled += 1;
+            return false;
+        }
+        let maps: Vec<_> = self
+            .ranks
+            .iter()
+            .map(|rank| (rank.peek_state().map_version, map_digest(&rank.peek_map())))
+            .collect();
+        if maps.windows(2).any(|pair| pair[0] != pair[1]) {
+            state.splits.push(SplitStep { step: next, maps });
+        }
+        self.ranks.iter().for_each(|rank| rank.set_step(next));
+        state.step = next;
+        true
+    }
+
+    /// Steps at this interval until `stop`.
+    pub async fn run(&self, interval: Duration, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(interval) => self.try_step(),
+            };
+        }
+    }
+
+    /// The last step that was run.
+    pub fn step(&self) -> u64 {
+        lock(&self.state).step
+    }
+
+    /// Steps that could not be run because a rank was not ready.
+    pub fn stalled(&self) -> u64 {
+        lock(&self.state).stalled
+    }
+
+    /// All steps that were run with two maps; a sound switch leaves none.
+    pub fn splits(&self) -> Vec<SplitStep> {
+        lock(&self.state).splits.clone()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fake/kv.rs
@@ -0,0 +1,410 @@
+//! A key-value service in memory whose faults a test sets by hand.
+
+use super::lock;
+use super::store::{Store, concerns};
+use crate::BoxFuture;
+use crate::kv::{
+    KeyValue, KeyValueError, LeaseId, Revision, Snapshot, Transaction, TransactionAnswer, Watch,
+    WatchEvent,
+};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// Events a watch may lag behind before the service ends it.
+const WATCH_CAPACITY: usize = 4096;
+/// How long a client of the fake waits for an answer.
+const DEFAULT_ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// How often a watch hears that the service is still there.
+const DEFAULT_PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Where an answer is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LostAnswer {
+    /// The call took effect and its answer is lost.
+    AfterEffect,
+    /// The call is lost on its way and has no effect.
+    BeforeEffect,
+}
+
+/// Calls served, by kind; what counts against the service's rates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeyValueCalls {
+    /// Range reads.
+    pub range: u64,
+    /// Transactions.
+    pub transact: u64,
+    /// Leases asked for.
+    pub grant_lease: u64,
+    /// Lease renewals.
+    pub keep_alive: u64,
+    /// Leases ended.
+    pub revoke_lease: u64,
+    /// Watches opened.
+    pub watch: u64,
+}
+
+impl KeyValueCalls {
+    /// All calls together.
+    pub fn total(&self) -> u64 {
+        self.range
+            + self.transact
+            + self.grant_lease
+            + self.keep_alive
+            + self.revoke_lease
+            + self.watch
+    }
+}
+
+#[derive(Debug)]
+struct Watcher {
+    prefix: String,
+    sender: mpsc::Sender<WatchEvent>,
+    silent: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    store: Store,
+    watchers: Vec<Watcher>,
+    calls: KeyValueCalls,
+    delay: Duration,
+    answer_limit: Duration,
+    progress_interval: Duration,
+    lost_answers: Vec<LostAnswer>,
+    swallow_events: usize,
+    rate_exceeded: bool,
+}
+
+impl State {
+    fn publish(&mut self, events: &[WatchEvent]) {
+        for event in events {
+            if self.swallow_events > 0 {
+                self.swallow_events -= 1;
+                continue;
+            }
+            self.watchers.retain(|watcher| {
+                if watcher.silent || !concerns(event, &watcher.prefix) {
+                    return !watcher.sender.is_closed();
+                }
+                watcher.sender.try_send(event.clone()).is_ok()
+            });
+        }
+    }
+
+    fn expire(&mut self) {
+        let events = self.store.expire(Instant::now());
+        self.publish(&events);
+    }
+}
+
+/// The fake; clones share one store.
+///
+/// ```
+/// use flamingowheel_platform::fake::FakeKeyValue;
+/// use flamingowheel_platform::kv::{KeyValue, KeyValueError};
+/// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
+/// let kv = FakeKeyValue::new();
+/// assert!(kv.range("config/").await.unwrap().entries.is_empty());
+/// kv.set_down(true);
+/// assert_eq!(kv.range("config/").await, Err(KeyValueError::Unreachable));
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct FakeKeyValue {
+    state: Arc<Mutex<State>>,
+    up: watch::Sender<bool>,
+}
+
+impl Default for FakeKeyValue {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl FakeKeyValue {
+    /// An empty store without faults.
+    pub fn new() -> Self {
+        let state = State {
+            store: Store::default(),
+            watchers: Vec::new(),
+            calls: KeyValueCalls::default(),
+            delay: Duration::ZERO,
+            answer_limit: DEFAULT_ANSWER_LIMIT,
+            progress_interval: DEFAULT_PROGRESS_INTERVAL,
+            lost_answers: Vec::new(),
+            swallow_events: 0,
+            rate_exceeded: false,
+        };
+        Self { state: Arc::new(Mutex::new(state)), up: watch::Sender::new(true) }
+    }
+
+    /// Takes the service away or brings it back. Running watches end; leases go on expiring.
+    pub fn set_down(&self, down: bool) {
+        if down {
+            lock(&self.state).watchers.clear();
+        }
+        self.up.send_replace(!down);
+    }
+
+    /// Tells whether the service is up, now and later.
+    pub fn up(&self) -> watch::Receiver<bool> {
+        self.up.subscribe()
+    }
+
+    /// Makes every call take this long; its effect comes half-way, even if the caller gave up.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.state).delay = delay;
+    }
+
+    /// Sets how long a caller waits before it is told [`KeyValueError::NoAnswer`].
+    pub fn set_answer_limit(&self, limit: Duration) {
+        lock(&self.state).answer_limit = limit;
+    }
+
+    /// Sets how often watches hear [`WatchEvent::Progress`].
+    pub fn set_progress_interval(&self, interval: Duration) {
+        lock(&self.state).progress_interval = interval;
+    }
+
+    /// Loses the answers of the next `count` calls other than watches.
+    pub fn lose_answers(&self, count: usize, lost: LostAnswer) {
+        let mut state = lock(&self.state);
+        state.lost_answers.splice(0..0, std::iter::repeat_n(lost, count));
+    }
+
+    /// Brings no watch the next `count` events.
+    pub fn swallow_events(&self, count: usize) {
+        lock(&self.state).swallow_events = count;
+    }
+
+    /// Makes all open watches silent for good; new ones work.
+    pub fn silence_watches(&self) {
+        lock(&self.state).watchers.iter_mut().for_each(|watcher| watcher.silent = true);
+    }
+
+    /// Refuses every call as beyond the rate.
+    pub fn set_rate_exceeded(&self, exceeded: bool) {
+        lock(&self.state).rate_exceeded = exceeded;
+    }
+
+    /// Lets a lease lapse now, as after a long pause of its holder.
+    pub fn expire_lease(&self, lease: LeaseId) {
+        let mut state = lock(&self.state);
+        let events = state.store.revoke_lease(lease).unwrap_or_default();
+        state.publish(&events);
+    }
+
+    /// Forgets the history up to `revision`, so that older watches must read again.
+    pub fn compact(&self, revision: Revision) {
+        lock(&self.state).store.compact(revision);
+    }
+
+    /// Calls served so far.
+    pub fn calls(&self) -> KeyValueCalls {
+        lock(&self.state).calls
+    }
+
+    /// Number of open watches.
+    pub fn open_watches(&self) -> usize {
+        let state = lock(&self.state);
+        state.watchers.iter().filter(|watcher| !watcher.sender.is_closed()).count()
+    }
+
+    /// Reads as an observer: no fault strikes and no call is counted.
+    pub fn peek(&self, prefix: &str) -> Snapshot {
+        let mut state = lock(&self.state);
+        state.expire();
+        state.store.range(prefix)
+    }
+
+    /// Runs a call with the faults that are set; `effect` runs once or not at all.
+    async fn serve<T, F>(
+        &self,
+        count: fn(&mut KeyValueCalls),
+        effect: F,
+    ) -> Result<T, KeyValueError>
+    where
+        T: Send + 'static,
+        F: FnOnce(&mut State) -> Result<T, KeyValueError> + Send + 'static,
+    {
+        let (delay, limit, lost) = self.admit(count)?;
+        if lost == Some(LostAnswer::BeforeEffect) {
+            return self.no_answer(limit).await;
+        }
+        if delay.is_zero() {
+            let result = self.apply(effect)?;
+            return match lost {
+                Some(_) => self.no_answer(limit).await,
+                None => Ok(result),
+            };
+        }
+        let this = self.clone();
+        // A task of its own, for a slow service carries out what its caller no longer awaits.
+        let task = tokio::spawn(async move {
+            tokio::time::sleep(delay / 2).await;
+            let result = this.apply(effect);
+            tokio::time::sleep(delay - delay / 2).await;
+            result
+        });
+        match tokio::time::timeout(limit, task).await {
+            Ok(Ok(_)) if lost.is_some() => self.no_answer(limit).await,
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(no_answer(limit)),
+        }
+    }
+
+    fn admit(
+        &self,
+        count: fn(&mut KeyValueCalls),
+    ) -> Result<(Duration, Duration, Option<LostAnswer>), KeyValueError> {
+        if !*self.up.borrow() {
+            return Err(KeyValueError::Unreachable);
+        }
+        let mut state = lock(&self.state);
+        count(&mut state.calls);
+        if state.rate_exceeded {
+            return Err(KeyValueError::RateExceeded);
+        }
+        Ok((state.delay, state.answer_limit, state.lost_answers.pop()))
+    }
+
+    fn apply<T, F>(&self, effect: F) -> Result<T, KeyValueError>
+    where
+        F: FnOnce(&mut State) -> Result<T, KeyValueError>,
+    {
+        let mut state = lock(&self.state);
+        state.expire();
+        effect(&mut state)
+    }
+
+    async fn no_answer<T>(&self, limit: Duration) -> Result<T, KeyValueError> {
+        tokio::time::sleep(limit).await;
+        Err(no_answer(limit))
+    }
+
+    fn open_watch(&self, prefix: &str, after: Revision) -> Watch {
+        let (sender, receiver) = mpsc::channel(WATCH_CAPACITY);
+        let mut state = lock(&self.state);
+        state.expire();
+        match state.store.since(prefix, after) {
+            Ok(events) => {
+                for event in events {
+                    // A history beyond the capacity ends the watch, as a slow reader's would.
+                    if sender.try_send(event).is_err() {
+                        return receiver;
+                    }
+                }
+            }
+            Err(oldest) => {
+                let _ = sender.try_send(WatchEvent::Compacted { oldest });
+                return receiver;
+            }
+        }
+        let watcher = Watcher { prefix: prefix.to_owned(), sender: sender.clone(), silent: false };
+        state.watchers.push(watcher);
+        tokio::spawn(send_progress(Arc::downgrade(&self.state), sender.downgrade()));
+        receiver
+    }
+}
+
+fn no_answer(limit: Duration) -> KeyValueError {
+    KeyValueError::NoAnswer { limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX) }
+}
+
+async fn send_progress(state: Weak<Mutex<State>>, sender: mpsc::WeakSender<WatchEvent>) {
+    loop {
+        let Some(interval) = state.upgrade().map(|state| lock(&state).progress_interval) else {
+            return;
+        };
+        tokio::time::sleep(interval).await;
+        let (Some(state), Some(sender)) = (state.upgrade(), sender.upgrade()) else { return };
+        let state = lock(&state);
+        let own = state.watchers.iter().find(|watcher| watcher.sender.same_channel(&sender));
+        let Some(own) = own else { return };
+        if sender.is_closed() {
+            return;
+        }
+        if !own.silent {
+            let _ = sender.try_send(WatchEvent::Progress { revision: state.store.revision() });
+        }
+    }
+}
+
+/// Ends the lease on time, so that watches hear of it without any other call.
+async fn expire_on_time(state: Weak<Mutex<State>>, lease: LeaseId) {
+    loop {
+        let deadline = state.upgrade().and_then(|state| lock(&state).store.lease_deadline(lease));
+        let Some(deadline) = deadline else { return };
+        tokio::time::sleep_until(deadline).await;
+        if let Some(state) = state.upgrade() {
+            lock(&state).expire();
+        }
+    }
+}
+
+impl KeyValue for FakeKeyValue {
+    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Snapshot, KeyValueError>> {
+        let prefix = prefix.to_owned();
+        Box::pin(self.serve(|calls| calls.range += 1, move |state| Ok(state.store.range(&prefix))))
+    }
+
+    fn transact(
+        &self,
+        transaction: Transaction,
+    ) -> BoxFuture<'_, Result<TransactionAnswer, KeyValueError>> {
+        let effect = move |state: &mut State| {
+            let (answer, events) = state.store.transact(&transaction)?;
+            state.publish(&events);
+            Ok(answer)
+        };
+        Box::pin(self.serve(|calls| calls.transact += 1, effect))
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, KeyValueError>> {
+        let weak = Arc::downgrade(&self.state);
+        let effect = move |state: &mut State| {
+            let (lease, _) = state.store.grant_lease(ttl);
+            tokio::spawn(expire_on_time(weak, lease));
+            Ok(lease)
+        };
+        Box::pin(self.serve(|calls| calls.grant_lease += 1, effect))
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>> {
+        let effect = move |state: &mut State| state.store.keep_alive(lease);
+        Box::pin(self.serve(|calls| calls.keep_alive += 1, effect))
+    }
+
+    fn revoke_lease(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>> {
+        let effect = move |state: &mut State| {
+            let events = state.store.revoke_lease(lease)?;
+            state.publish(&events);
+            Ok(())
+        };
+        Box::pin(self.serve(|calls| calls.revoke_lease += 1, effect))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+    ) -> BoxFuture<'a, Result<Watch, KeyValueError>> {
+        Box::pin(async move {
+            let (delay, _, _) = self.admit_watch()?;
+            tokio::time::sleep(delay).await;
+            Ok(self.open_watch(prefix, after))
+        })
+    }
+}
+
+impl FakeKeyValue {
+    /// A watch uses up no lost answer: what is lost of a watch is its events.
+    fn admit_watch(&self) -> Result<(Duration, Duration, Option<LostAnswer>), KeyValueError> {
+        let kept = std::mem::take(&mut lock(&self.state).lost_answers);
+        let admitted = self.admit(|calls| calls.watch += 1);
+        lock(&self.state).lost_answers = kept;
+        admitted
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fake/text.rs
@@ -0,0 +1,89 @@
+//! What fake engines answer: a text that follows from the request's body alone, so that a test can
+//! tell whether a caller got the whole answer to its own request.
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The event that ends a whole event stream.
+pub const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+/// Bytes of the body that make one block of the prefix cache.
+pub const CACHE_BLOCK_BYTES: usize = 256;
+
+const WORDS: [&str; 16] = [
+    "lamp", "relay", "cable", "panel", "road", "mile", "box", "call", "photo", "page", "desk",
+    "note", "crew", "fuse", "wire", "sign",
+];
+
+/// What a request's body asks of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Generation {
+    /// Number of tokens to generate.
+    pub tokens: u64,
+    /// Whether the answer is an event stream.
+    pub stream: bool,
+}
+
+impl Generation {
+    /// Reads `max_tokens` and `stream` of a JSON body; any other body is streamed.
+    ///
+    /// ```
+    /// use flamingowheel_platform::fake::text::Generation;
+    /// let body = br#"{"max_tokens": 7, "stream": true}"#;
+    /// assert_eq!(Generation::of(body, 3), Generation { tokens: 7, stream: true });
+    /// assert_eq!(Generation::of(b"plain", 3), Generation { tokens: 3, stream: true });
+    /// ```
+    pub fn of(body: &[u8], default_tokens: u64) -> Self {
+        let Ok(Value::Object(fields)) = serde_json::from_slice(body) else {
+            return Self { tokens: default_tokens, stream: true };
+        };
+        let tokens = fields.get("max_tokens").and_then(Value::as_u64).unwrap_or(default_tokens);
+        let stream = fields.get("stream").and_then(Value::as_bool).unwrap_or(false);
+        Self { tokens, stream }
+    }
+}
+
+/// The token with this index of the answer to `body`.
+pub fn token(body: &[u8], index: u64) -> String {
+    let hash = xxh3_64_with_seed(body, index);
+    format!("{}{:04x} ", WORDS[(hash % 16) as usize], (hash >> 16) & 0xffff)
+}
+
+/// The event that carries the token with this index.
+pub fn token_event(body: &[u8], index: u64) -> Bytes {
+    let chunk = json!({
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": token(body, index)}}],
+    });
+    Bytes::from(format!("data: {chunk}\n\n"))
+}
+
+/// All events of a whole streamed answer, the end marker included.
+pub fn whole_stream(body: &[u8], default_tokens: u64) -> Vec<Bytes> {
+    let tokens = Generation::of(body, default_tokens).tokens;
+    let mut events: Vec<Bytes> = (0..tokens).map(|index| token_event(body, index)).collect();
+    events.push(Bytes::from_static(DONE_EVENT));
+    events
+}
+
+/// A whole answer that is not streamed.
+pub fn whole_json(body: &[u8], tokens: u64) -> Bytes {
+    let content: String = (0..tokens).map(|index| token(body, index)).collect();
+    let answer = json!({
+        "object": "chat.completion",
+        "choices": [{"index": 0, "message": {"role": "assistant", "content": content}}],
+    });
+    Bytes::from(answer.to_string())
+}
+
+/// Hashes of the body's whole prefix blocks; each covers all bytes before it.
+pub fn block_hashes(body: &[u8]) -> Vec<u64> {
+    let mut previous = 0;
+    let blocks = body.chunks_exact(CACHE_BLOCK_BYTES);
+    blocks
+        .map(|block| {
+            previous = xxh3_64_with_seed(block, previous);
+            previous
+        })
+        .collect()
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! implement the trait.
 
 pub mod backend;
+pub mod fake;
 pub mod kv;
 pub mod orders;
 pub mod vm;
