--- /dev/null
+++ b/crates/entry/src/agents.rs
@@ -0,0 +1,287 @@
+//! The agents this entry knows, and its one connection to each.
+//!
+//! A connection is replaced whenever it ends or goes silent. Attempts outlive connections: each
+//! is told that its connection was lost and asks about itself over the next one.
+
+use crate::connector::{AgentLink, Connector};
+use crate::router::Router;
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
+use flamingowheel_protocol::message::{
+    AgentMessage, BackendProfile, EntryMessage, Hello, Role, Serves,
+};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Shortest and longest wait between two tries to connect.
+const RECONNECT_WAIT: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(1_000));
+
+/// An open connection to an agent.
+#[derive(Clone, Debug)]
+pub struct Connected {
+    /// Counts the connections to this address.
+    pub epoch: u64,
+    /// What the agent said of itself.
+    pub hello: Arc<Hello>,
+    /// What its backend server serves.
+    pub profile: Arc<BackendProfile>,
+    /// Messages to it.
+    pub sender: mpsc::Sender<EntryMessage>,
+}
+
+/// What an attempt hears.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamEvent {
+    /// A message about it.
+    Message(AgentMessage),
+    /// The connection of this epoch ended.
+    Lost {
+        /// Which connection.
+        epoch: u64,
+    },
+}
+
+/// One agent.
+#[derive(Debug)]
+pub struct Agent {
+    address: SocketAddr,
+    connected: watch::Sender<Option<Connected>>,
+    window: AtomicU32,
+    streams: Mutex<HashMap<AttemptId, mpsc::UnboundedSender<StreamEvent>>>,
+}
+
+impl Agent {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connected: watch::Sender::new(None),
+            window: AtomicU32::new(0),
+            streams: Mutex::default(),
+        }
+    }
+
+    /// Where its VM is reached.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The present connection.
+    pub fn connected(&self) -> Option<Connected> {
+        self.connected.borrow().clone()
+    }
+
+    /// Waits for a connection newer than `epoch`.
+    pub async fn connected_after(&self, epoch: u64) -> Option<Connected> {
+        let mut watch = self.connected.subscribe();
+        let newer = |connected: &Option<Connected>| {
+            connected.as_ref().is_some_and(|connected| connected.epoch > epoch)
+        };
+        let found = watch.wait_for(newer).await.ok()?;
+        found.clone()
+    }
+
+    /// The agent's record window as last heard.
+    pub fn window(&self) -> Window {
+        Window(self.window.load(Ordering::Relaxed))
+    }
+
+    /// Registers an attempt for messages about it.
+    pub fn listen(self: &Arc<Self>, attempt: AttemptId) -> StreamListener {
+        let (sender, events) = mpsc::unbounded_channel();
+        self.streams().insert(attempt, sender);
+        StreamListener { agent: Arc::clone(self), attempt, events }
+    }
+
+    fn streams(&self) -> MutexGuard<'_, HashMap<AttemptId, mpsc::UnboundedSender<StreamEvent>>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands a message to its attempt. One whose attempt is over or unknown is dropped here, so
+    /// that a late answer can't reach another caller.
+    fn route(&self, attempt: AttemptId, message: AgentMessage) {
+        if let Some(stream) = self.streams().get(&attempt) {
+            let _ = stream.send(StreamEvent::Message(message));
+        }
+    }
+
+    fn tell_lost(&self, epoch: u64) {
+        for stream in self.streams().values() {
+            let _ = stream.send(StreamEvent::Lost { epoch });
+        }
+    }
+}
+
+/// Receives the messages about one attempt until dropped.
+#[derive(Debug)]
+pub struct StreamListener {
+    agent: Arc<Agent>,
+    attempt: AttemptId,
+    events: mpsc::UnboundedReceiver<StreamEvent>,
+}
+
+impl StreamListener {
+    /// The agent that was sent the attempt.
+    pub fn agent(&self) -> &Arc<Agent> {
+        &self.agent
+    }
+
+    /// The next event. The channel can't close while the listener exists.
+    pub async fn next(&mut self) -> Option<StreamEvent> {
+        self.events.recv().await
+    }
+}
+
+impl Drop for StreamListener {
+    fn drop(&mut self) {
+        self.agent.streams().remove(&self.attempt);
+    }
+}
+
+/// All agents that this entry connects to.
+pub struct Agents {
+    connector: Arc<dyn Connector>,
+    router: Arc<Router>,
+    known: Mutex<HashMap<SocketAddr, (Arc<Agent>, CancellationToken)>>,
+}
+
+impl Agents {
+    /// No agents yet.
+    pub fn new(connector: Arc<dyn Connector>, router: Arc<Router>) -> Self {
+        Self { connector, router, known: Mutex::default() }
+    }
+
+    /// Connects to exactly these addresses from now on. Attempts in progress on agents that are
+    /// no longer named keep their connection until it ends.
+    pub fn set_addresses(&self, addresses: &[SocketAddr]) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.retain(|address, (_, stop)| {
+            let keep = addresses.contains(address);
+            if !keep {
+                stop.cancel();
+            }
+            keep
+        });
+        for address in addresses {
+            known.entry(*address).or_insert_with(|| self.start(*address));
+        }
+    }
+
+    /// All agents that are connected.
+    pub fn connected(&self) -> Vec<(Arc<Agent>, Connected)> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let agents = known.values().map(|(agent, _)| agent);
+        agents.filter_map(|agent| Some((Arc::clone(agent), agent.connected()?))).collect()
+    }
+
+    fn start(&self, address: SocketAddr) -> (Arc<Agent>, CancellationToken) {
+        let (agent, stop) = (Arc::new(Agent::new(address)), CancellationToken::new());
+        let supervisor = Supervisor {
+            agent: Arc::clone(&agent),
+            connector: Arc::clone(&self.connector),
+            router: Arc::clone(&self.router),
+            stop: stop.clone(),
+        };
+        tokio::spawn(supervisor.run());
+        (agent, stop)
+    }
+}
+
+/// Keeps one agent connected.
+struct Supervisor {
+    agent: Arc<Agent>,
+    connector: Arc<dyn Connector>,
+    router: Arc<Router>,
+    stop: CancellationToken,
+}
+
+impl Supervisor {
+    async fn run(self) {
+        let mut wait = RECONNECT_WAIT.0;
+        let mut epoch = 0;
+        while !self.stop.is_cancelled() {
+            match self.connector.connect(self.agent.address).await {
+                Ok(link) => {
+                    wait = RECONNECT_WAIT.0;
+                    epoch += 1;
+                    self.attend(link, epoch).await;
+                }
+                Err(error) => {
+                    tracing::debug!(address = %self.agent.address, %error, "can't connect");
+                    wait = (wait * 2).min(RECONNECT_WAIT.1);
+                }
+            }
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = self.stop.cancelled() => {}
+            }
+        }
+    }
+
+    async fn attend(&self, mut link: AgentLink, epoch: u64) {
+        let Role::Agent(profile) = &link.peer.role else { return };
+        let server = ServerKey::from_name(&link.peer.name);
+        let connected = Connected {
+            epoch,
+            hello: Arc::new(link.peer.clone()),
+            profile: Arc::new(profile.clone()),
+            sender: link.sender.clone(),
+        };
+        // The window of another incarnation means nothing to this one.
+        self.agent.window.store(0, Ordering::Relaxed);
+        let mut announced = false;
+        while let Some(message) = link.receiver.recv().await {
+            self.take(server, &message);
+            // The first heartbeat tells the window; a dispatch before it would be refused.
+            if !announced && matches!(message, AgentMessage::Heartbeat { .. }) {
+                announced = true;
+                self.router.add(server, &connected.profile.serves, Arc::clone(&self.agent));
+                self.agent.connected.send_replace(Some(connected.clone()));
+            }
+            if let Some(attempt) = message.attempt() {
+                self.agent.route(attempt, message);
+            }
+        }
+        self.router.remove(server, &self.agent);
+        self.agent.connected.send_replace(None);
+        self.agent.tell_lost(epoch);
+    }
+
+    fn take(&self, server: ServerKey, message: &AgentMessage) {
+        if let AgentMessage::Heartbeat { window, leaving, .. } = message {
+            self.agent.window.store(window.0, Ordering::Relaxed);
+            self.router.set_leaving(server, *leaving);
+        }
+        if let Some(hint) = message.load_hint() {
+            self.router.learn(server, hint);
+        }
+    }
+}
+
+/// Whether an agent process is the one that is named.
+pub fn is_incarnation(connected: &Connected, incarnation: Incarnation) -> bool {
+    connected.hello.incarnation == incarnation
+}
+
+/// What a backend server serves, without its place in a group.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Target {
+    /// A model by name.
+    Model(String),
+    /// A plain service by name.
+    Service(String),
+}
+
+impl From<&Serves> for Target {
+    fn from(serves: &Serves) -> Self {
+        match serves {
+            Serves::Model { model, .. } => Self::Model(model.clone()),
+            Serves::Service { service } => Self::Service(service.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/connector.rs
@@ -0,0 +1,29 @@
+//! How an entry opens connections to agents; a trait, so that tests connect in memory.
+
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_protocol::link::Link;
+use flamingowheel_protocol::message::{AgentMessage, EntryMessage};
+use flamingowheel_protocol::websocket::{HandshakeError, Identity, connect};
+use std::net::SocketAddr;
+
+/// A connection to an agent.
+pub type AgentLink = Link<EntryMessage, AgentMessage>;
+
+/// Opens connections to agents.
+pub trait Connector: Send + Sync + 'static {
+    /// Opens one.
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<AgentLink, HandshakeError>>;
+}
+
+/// Connects over WebSocket.
+#[derive(Clone, Debug)]
+pub struct WebSocketConnector {
+    /// Who this entry is.
+    pub identity: Identity,
+}
+
+impl Connector for WebSocketConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<AgentLink, HandshakeError>> {
+        Box::pin(connect(address, &self.identity))
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,15 @@
-//! Skeleton.
+//! The process that callers talk to: answers the address question, takes requests, chooses an
+//! agent, and tells each caller one of three outcomes.
+
+pub mod addresses;
+pub mod agents;
+pub mod attempt;
+pub mod claims;
+pub mod config;
+pub mod connector;
+pub mod dispatch;
+pub mod http;
+pub mod outcome;
+pub mod request;
+pub mod router;
+pub mod state;
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,41 @@
+//! A caller's request, checked and resolved against its workspace.
+
+use crate::agents::Target;
+use bytes::Bytes;
+use flamingowheel_config::effective::EffectiveWorkspace;
+use flamingowheel_policy::key::Fingerprint;
+use flamingowheel_protocol::id::RequestId;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// A request that may be sent.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its identity.
+    pub id: RequestId,
+    /// The workspace as it was when the request came.
+    pub workspace: Arc<EffectiveWorkspace>,
+    /// What must serve it.
+    pub target: Target,
+    /// The HTTP method at the backend server.
+    pub method: String,
+    /// Path and query at the backend server.
+    pub path: String,
+    /// Media type of the body.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// When the caller gives up waiting for the answer to begin.
+    pub deadline: Instant,
+    /// Hash of workspace, route and body.
+    pub fingerprint: Fingerprint,
+}
+
+impl Request {
+    /// Milliseconds until the caller gives up.
+    pub fn remaining_ms(&self) -> u64 {
+        self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
+    }
+}
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -2,7 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
-use xxhash_rust::xxh3::Xxh3;
 
 /// Identifies one request of a caller; minted by the entry that received it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -68,25 +67,7 @@
 /// Hash of workspace, route and body. A resend by the caller has a new request identity but the
 /// same fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Fingerprint(pub u64);
-
-impl Fingerprint {
-    /// Computes the fingerprint.
-    ///
-    /// ```
-    /// use flamingowheel_protocol::id::Fingerprint;
-    /// let a = Fingerprint::of("peachline", "/v1/chat/completions", b"{}");
-    /// assert_ne!(a, Fingerprint::of("attica", "/v1/chat/completions", b"{}"));
-    /// ```
-    pub fn of(workspace: &str, route: &str, body: &[u8]) -> Self {
-        let mut hash = Xxh3::new();
-        for part in [workspace.as_bytes(), route.as_bytes(), body] {
-            hash.update(&(part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
-        Self(hash.digest())
-    }
-}
+pub struct Fingerprint(pub u128);
 
 /// A number of an agent's record window: the agent's own uptime divided by the window's length.
 ///
