Observe: hybrid logical clock, typed events, ring, logs, metrics and routes

Nothing told what a process decided. Events are now typed, stamped with a hybrid logical clock, counted in metrics, kept in a bounded ring and logged as one JSON line; /metrics and /v1/events give them out.

Found on the way: threads that took their stamp before they raced to the ring left it out of order (record_many_threads_keeps_ring_in_order failed); stamp, number and push are now one step under the ring's lock.

--- /dev/null
+++ b/crates/observe/src/api.rs
@@ -0,0 +1,87 @@
+//! Types of `GET /v1/events`, served by every process on its operators' port.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::clock::Stamp;
+use crate::event::{Name, Stamped};
+
+/// Path of the events of a process.
+pub const EVENTS_PATH: &str = "/v1/events";
+
+/// Path of the metrics of a process.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Which events to give; parts left out match everything.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EventQuery {
+    /// Events of this request only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<Uuid>,
+    /// Events of this group only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub group: Option<Name>,
+    /// Events of this workspace only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Name>,
+    /// Events from this wall-clock time on, in milliseconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub since_ms: Option<u64>,
+}
+
+impl EventQuery {
+    /// Whether an event is asked for.
+    ///
+    /// ```
+    /// use flamingowheel_observe::api::EventQuery;
+    /// use flamingowheel_observe::clock::Stamp;
+    /// use flamingowheel_observe::event::{Event, Stamped, Subject};
+    ///
+    /// let event = Stamped {
+    ///     stamp: Stamp::new(1_000, 0),
+    ///     sequence: 1,
+    ///     process: "entry-1".into(),
+    ///     subject: Subject::default().group("runners-a"),
+    ///     event: Event::LeaseLost { lease: "runners-a".into() },
+    /// };
+    /// let query = EventQuery { group: Some("runners-a".into()), ..EventQuery::default() };
+    /// assert!(query.matches(&event));
+    /// ```
+    pub fn matches(&self, event: &Stamped) -> bool {
+        let subject = &event.subject;
+        self.since_ms.is_none_or(|since_ms| event.stamp.wall_ms() >= since_ms)
+            && (self.request.is_none() || self.request == subject.request)
+            && (self.group.is_none() || self.group == subject.group)
+            && (self.workspace.is_none() || self.workspace == subject.workspace)
+    }
+}
+
+/// Who a process is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessInfo {
+    /// Name, unique in the fleet.
+    pub name: Name,
+    /// The VM it runs on.
+    pub vm: Name,
+    /// The data centre of that VM.
+    pub data_centre: Name,
+}
+
+/// Answer of `GET /v1/events`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EventsAnswer {
+    /// The process that answers.
+    pub process: ProcessInfo,
+    /// Its hybrid logical clock when it answered.
+    pub now: Stamp,
+    /// The oldest event it still keeps, of any subject.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub oldest: Option<Stamp>,
+    /// Events that were overwritten since it started.
+    pub overwritten: u64,
+    /// The events asked for, oldest first.
+    pub events: Vec<Arc<Stamped>>,
+}
--- /dev/null
+++ b/crates/observe/src/event.rs
@@ -0,0 +1,220 @@
+//! What a process decided or noticed, as typed events.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::clock::Stamp;
+use crate::reason::{
+    CancelCause, Class, ConfigSource, LeaveCause, Limit, MemberState, NotRunReason, OrderKind,
+    RefusalReason, RetryDenial, RetryReason, RouteReason, SwitchStep, UnknownReason,
+};
+
+/// A shared name, as of a workspace, a group, a process or a backend server.
+pub type Name = Arc<str>;
+
+/// What an event is about; all parts are optional.
+///
+/// ```
+/// use flamingowheel_observe::event::Subject;
+///
+/// let subject = Subject::default().workspace("roadside").group("runners-a");
+/// assert_eq!(subject.workspace.as_deref(), Some("roadside"));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subject {
+    /// The caller's request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<Uuid>,
+    /// The workspace it belongs to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Name>,
+    /// The rank group concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub group: Option<Name>,
+}
+
+impl Subject {
+    /// A subject that names a request.
+    pub fn request(id: Uuid) -> Self {
+        Self { request: Some(id), ..Self::default() }
+    }
+
+    /// Adds the workspace.
+    pub fn workspace<N>(mut self, name: N) -> Self
+    where
+        N: Into<Name>,
+    {
+        self.workspace = Some(name.into());
+        self
+    }
+
+    /// Adds the group.
+    pub fn group<N>(mut self, name: N) -> Self
+    where
+        N: Into<Name>,
+    {
+        self.group = Some(name.into());
+        self
+    }
+}
+
+/// An event with its stamp, its process and its subject.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stamped {
+    /// Hybrid logical time of the event.
+    pub stamp: Stamp,
+    /// Number of the event within its process, from 1.
+    pub sequence: u64,
+    /// The process that recorded it.
+    pub process: Name,
+    /// What it is about.
+    #[serde(flatten)]
+    pub subject: Subject,
+    /// What happened.
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+impl Stamped {
+    /// Key of the total order over all processes; the process breaks ties of the stamp.
+    pub fn order_key(&self) -> (Stamp, &str, u64) {
+        (self.stamp, &self.process, self.sequence)
+    }
+}
+
+/// Everything a process can report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[allow(missing_docs, reason = "the fields carry their unit and their meaning in the name")]
+pub enum Event {
+    /// The process started.
+    ProcessStarted { version: Name, incarnation: Uuid },
+
+    /// An entry took a caller's request.
+    RequestAccepted { class: Class, idempotent: bool, deadline_ms: u64 },
+    /// An entry outside the workspace's subset passed a request on.
+    Forwarded { entry: Name },
+    /// A limit of the workspace was exceeded.
+    LimitExceeded { limit: Limit, retry_after_ms: u64 },
+    /// A backend server was chosen for an attempt.
+    Routed {
+        backend_server: Name,
+        attempt: u32,
+        reason: RouteReason,
+        candidates: u32,
+        predicted_wait_ms: u64,
+    },
+    /// An attempt was sent to a backend server's agent.
+    Dispatched { backend_server: Name, attempt: u32, incarnation: Uuid, remaining_ms: u64 },
+    /// An agent took an attempt into its queue.
+    Admitted { attempt: u32, queued: u32 },
+    /// The engine began an attempt.
+    Started { attempt: u32, running: u32 },
+    /// The engine finished an attempt; its answer is kept for resends.
+    Finished { attempt: u32, chunks: u64, duration_ms: u64 },
+    /// An agent refused an attempt.
+    Refused { backend_server: Name, attempt: u32, reason: RefusalReason },
+    /// A further attempt follows.
+    Retried { attempt: u32, reason: RetryReason },
+    /// No further attempt may follow.
+    RetryDenied { attempt: u32, reason: RetryDenial },
+    /// An attempt was cancelled.
+    Cancelled { attempt: u32, cause: CancelCause },
+    /// An agent bound itself to refuse late copies of an attempt.
+    TombstoneWritten { attempt: u32 },
+    /// A stream goes on from a chunk over a new connection.
+    Resumed { backend_server: Name, attempt: u32, from_chunk: u64 },
+    /// The whole answer was delivered.
+    Completed { class: Class, attempts: u32, chunks: u64, duration_ms: u64 },
+    /// The request provably did not run.
+    NotRun { class: Class, attempts: u32, reason: NotRunReason },
+    /// Nobody can know whether the request ran.
+    OutcomeUnknown { class: Class, attempts: u32, reason: UnknownReason },
+
+    /// A ticket for one run was given out.
+    TicketIssued { ticket: Name, backend_server: Name },
+    /// A caller's own idempotency key was bound to a ticket.
+    TicketBound { ticket: Name },
+    /// A ticket's one run began.
+    TicketRun { ticket: Name },
+    /// A resend got the stored answer.
+    TicketReplayed { ticket: Name },
+    /// A ticket was made void; it will never run.
+    TicketVoided { ticket: Name },
+
+    /// A fingerprint was running when a backend server crashed.
+    SuspectMarked { fingerprint: Name, crashes: u32 },
+    /// A suspect finished a run and is cleared.
+    SuspectCleared { fingerprint: Name },
+    /// A backend server's engine crashed.
+    EngineCrashed { backend_server: Name, running: u32 },
+    /// A backend server's engine answers again.
+    EngineReady { backend_server: Name },
+
+    /// A connection was opened.
+    ConnectionOpened { peer: Name },
+    /// A connection went silent without closing.
+    ConnectionSilent { peer: Name, silent_ms: u64 },
+    /// A fresh connection took a silent one's place.
+    ConnectionReplaced { peer: Name, requests: u32 },
+    /// A connection closed.
+    ConnectionClosed { peer: Name },
+
+    /// An expert-map switch reached a step.
+    Switch { step: SwitchStep, map_revision: u64 },
+    /// A rank could not be read back and is out of service.
+    RankUnverified { backend_server: Name, map_revision: u64 },
+    /// An order to an engine took effect.
+    OrderApplied { order: OrderKind, fencing_number: u64 },
+    /// An order carried an old fencing number.
+    OrderRefused { order: OrderKind, fencing_number: u64, lowest_accepted: u64 },
+    /// A lease was won.
+    LeaseWon { lease: Name, fencing_number: u64 },
+    /// A lease was lost or lapsed.
+    LeaseLost { lease: Name },
+
+    /// A configuration change is known to be stored.
+    ChangeAccepted { change: Uuid, revision: u64 },
+    /// A configuration change met a newer one.
+    ChangeConflict { change: Uuid, revision: u64 },
+    /// It is not known whether a configuration change is stored.
+    ChangeUnknown { change: Uuid },
+    /// A configuration revision is in force in this process.
+    ConfigurationInForce { revision: u64, source: ConfigSource },
+    /// An older revision was offered and not taken.
+    OlderConfigurationRefused { revision: u64, in_force: u64 },
+
+    /// Another process is seen in a new state.
+    MemberChanged { member: Name, state: MemberState },
+    /// This process stops taking new work.
+    LeaveBegan { cause: LeaveCause, requests: u32 },
+    /// This process has let all its work finish.
+    LeaveFinished { waited_ms: u64, cut_off: u32 },
+
+    /// The key-value service doesn't answer.
+    KeyValueDown { error: Name },
+    /// The key-value service answers again.
+    KeyValueUp { down_ms: u64 },
+    /// A peer's clock is too far ahead to be followed.
+    ClockDriftIgnored { peer: Name, ahead_ms: u64 },
+}
+
+impl Event {
+    /// Whether an operator should look at it even when nobody asks.
+    pub fn is_warning(&self) -> bool {
+        matches!(
+            self,
+            Self::OutcomeUnknown { .. }
+                | Self::SuspectMarked { .. }
+                | Self::EngineCrashed { .. }
+                | Self::ConnectionSilent { .. }
+                | Self::RankUnverified { .. }
+                | Self::ChangeUnknown { .. }
+                | Self::OlderConfigurationRefused { .. }
+                | Self::KeyValueDown { .. }
+                | Self::ClockDriftIgnored { .. }
+        )
+    }
+}
--- /dev/null
+++ b/crates/observe/src/http.rs
@@ -0,0 +1,35 @@
+//! The routes `/metrics` and `/v1/events` of a process's operators' port.
+
+use axum::extract::{Query, State};
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+
+use crate::api::{EVENTS_PATH, EventQuery, EventsAnswer, METRICS_PATH};
+use crate::recorder::Recorder;
+
+const TEXT_FORMAT: &str = "text/plain; version=0.0.4";
+
+/// Serves a process's metrics and events; whoever mounts it checks the operator's token.
+pub fn router(recorder: Recorder) -> Router {
+    Router::new()
+        .route(METRICS_PATH, get(give_metrics))
+        .route(EVENTS_PATH, get(give_events))
+        .with_state(recorder)
+}
+
+async fn give_metrics(State(recorder): State<Recorder>) -> Response {
+    recorder.metrics().set_events_overwritten(recorder.overwritten());
+    match recorder.metrics().encode() {
+        Ok(text) => ([(header::CONTENT_TYPE, TEXT_FORMAT)], text).into_response(),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+    }
+}
+
+async fn give_events(
+    State(recorder): State<Recorder>,
+    Query(query): Query<EventQuery>,
+) -> Json<EventsAnswer> {
+    Json(recorder.answer(&query))
+}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,1 +1,11 @@
-//! Skeleton.
+//! What a process did and how it fares: events with hybrid logical time, logs and metrics.
+
+pub mod api;
+pub mod clock;
+pub mod event;
+pub mod http;
+pub mod logs;
+pub mod metrics;
+pub mod reason;
+pub mod recorder;
+pub mod ring;
--- /dev/null
+++ b/crates/observe/src/metrics.rs
@@ -0,0 +1,296 @@
+//! Typed metrics of a process.
+//!
+//! Labels come from closed enums only. A label per workspace, request or peer would grow with the
+//! fleet: 27,000 workspaces on 380 entries would outgrow the processes' memory budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::event::Event;
+use crate::reason::{Class, Outcome, named_enum};
+
+/// Buckets of the time to the first token; its target is 900 ms for 95 in 100.
+const FIRST_TOKEN_BUCKETS_MS: [f64; 12] =
+    [25.0, 50.0, 100.0, 200.0, 300.0, 450.0, 600.0, 900.0, 1_350.0, 2_000.0, 5_000.0, 15_000.0];
+
+/// Buckets of the time between tokens; its target is 52 ms for 95 in 100.
+const BETWEEN_TOKENS_BUCKETS_MS: [f64; 10] =
+    [5.0, 10.0, 20.0, 30.0, 40.0, 52.0, 75.0, 100.0, 250.0, 1_000.0];
+
+/// Metrics could not be registered or written.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics: {0}")]
+pub struct MetricsError(#[from] prometheus::Error);
+
+named_enum! {
+    /// Operation on the key-value service.
+    KvCall {
+        /// A read.
+        Read = "read",
+        /// A write or compare-and-swap.
+        Write = "write",
+        /// A watch, counted when it is opened and when it waits again.
+        Watch = "watch",
+        /// A lease granted, renewed or revoked.
+        Lease = "lease",
+    }
+}
+
+named_enum! {
+    /// A place where work waits or is kept.
+    Occupancy {
+        /// Requests in flight in this process.
+        InFlight = "in_flight",
+        /// Attempts queued at the agent.
+        Queue = "queue",
+        /// Execution records in use at the agent.
+        Records = "records",
+        /// Open connections between this system's processes.
+        Links = "links",
+    }
+}
+
+/// The metrics of one process; clones share them.
+///
+/// ```
+/// use flamingowheel_observe::event::Event;
+/// use flamingowheel_observe::metrics::Metrics;
+///
+/// let metrics = Metrics::new()?;
+/// metrics.count(&Event::EngineCrashed { backend_server: "runner-3".into(), running: 2 });
+/// assert!(metrics.encode()?.contains("flamingowheel_engine_crashes_total 1"));
+/// # Ok::<(), flamingowheel_observe::metrics::MetricsError>(())
+/// ```
+#[derive(Clone)]
+pub struct Metrics {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    registry: Registry,
+    requests: IntCounterVec,
+    attempts: IntCounter,
+    retries: IntCounterVec,
+    retries_denied: IntCounterVec,
+    refusals: IntCounterVec,
+    limited: IntCounterVec,
+    first_token: Histogram,
+    between_tokens: Histogram,
+    chunks: IntCounter,
+    resumes: IntCounter,
+    silent_connections: IntCounter,
+    engine_crashes: IntCounter,
+    stale_orders: IntCounter,
+    ranks_unverified: IntCounter,
+    cut_off: IntCounter,
+    suspects: IntGauge,
+    occupancy: IntGaugeVec,
+    config_revision: IntGauge,
+    kv_calls: IntCounterVec,
+    kv_errors: IntCounter,
+    kv_up: IntGauge,
+    events_overwritten: IntGauge,
+    clock_drift_ignored: IntCounter,
+}
+
+impl Metrics {
+    /// Metrics in a registry of their own.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new_custom(Some("flamingowheel".into()), None)?;
+        let new = Builder { registry: &registry };
+        let shared = Shared {
+            requests: new.counters(
+                "requests_total",
+                "Requests ended, by workspace class and outcome",
+                &["class", "outcome"],
+            )?,
+            attempts: new.counter("attempts_total", "Attempts dispatched to backend servers")?,
+            retries: new.counters("retries_total", "Further attempts, by reason", &["reason"])?,
+            retries_denied: new.counters(
+                "retries_denied_total",
+                "Requests that could not be tried again, by reason",
+                &["reason"],
+            )?,
+            refusals: new.counters("refusals_total", "Attempts refused, by reason", &["reason"])?,
+            limited: new.counters(
+                "limited_total",
+                "Requests over a limit of their workspace",
+                &["limit"],
+            )?,
+            first_token: new.histogram(
+                "first_token_ms",
+                "Time from the request to its first token",
+                &FIRST_TOKEN_BUCKETS_MS,
+            )?,
+            between_tokens: new.histogram(
+                "between_tokens_ms",
+                "Time between two chunks of a stream",
+                &BETWEEN_TOKENS_BUCKETS_MS,
+            )?,
+            chunks: new.counter("chunks_total", "Chunks of streams passed on")?,
+            resumes: new.counter("resumes_total", "Streams resumed over another connection")?,
+            silent_connections: new
+                .counter("silent_connections_total", "Connections given up as silent")?,
+            engine_crashes: new.counter("engine_crashes_total", "Engine crashes seen")?,
+            stale_orders: new
+                .counter("stale_orders_total", "Orders refused for an old fencing number")?,
+            ranks_unverified: new
+                .counter("ranks_unverified_total", "Ranks taken out of service as unverified")?,
+            cut_off: new.counter("cut_off_total", "Requests cut off at the end of a leave")?,
+            suspects: new.gauge("suspects", "Fingerprints under suspicion of causing crashes")?,
+            occupancy: new.gauges("occupancy", "Places in use, by kind", &["kind"])?,
+            config_revision: new.gauge("config_revision", "Configuration revision in force")?,
+            kv_calls: new.counters(
+                "kv_calls_total",
+                "Calls on the key-value service",
+                &["call"],
+            )?,
+            kv_errors: new.counter("kv_errors_total", "Failed calls on the key-value service")?,
+            kv_up: new.gauge("kv_up", "1 while the key-value service answers")?,
+            events_overwritten: new
+                .gauge("events_overwritten", "Events lost from the ring since the start")?,
+            clock_drift_ignored: new
+                .counter("clock_drift_ignored_total", "Stamps too far ahead to be followed")?,
+            registry: registry.clone(),
+        };
+        Ok(Self { shared: Arc::new(shared) })
+    }
+
+    /// Counts what a recorded event stands for; the recorder calls this for each event.
+    pub fn count(&self, event: &Event) {
+        let shared = &self.shared;
+        match event {
+            Event::Completed { class, .. } => self.request_ended(*class, Outcome::Complete),
+            Event::NotRun { class, .. } => self.request_ended(*class, Outcome::NotRun),
+            Event::OutcomeUnknown { class, .. } => self.request_ended(*class, Outcome::Unknown),
+            Event::Dispatched { .. } => shared.attempts.inc(),
+            Event::Retried { reason, .. } => count_by(&shared.retries, reason.as_str()),
+            Event::RetryDenied { reason, .. } => count_by(&shared.retries_denied, reason.as_str()),
+            Event::Refused { reason, .. } => count_by(&shared.refusals, reason.as_str()),
+            Event::LimitExceeded { limit, .. } => count_by(&shared.limited, limit.as_str()),
+            Event::Resumed { .. } => shared.resumes.inc(),
+            Event::ConnectionSilent { .. } => shared.silent_connections.inc(),
+            Event::EngineCrashed { .. } => shared.engine_crashes.inc(),
+            Event::OrderRefused { .. } => shared.stale_orders.inc(),
+            Event::RankUnverified { .. } => shared.ranks_unverified.inc(),
+            Event::ConfigurationInForce { revision, .. } => {
+                shared.config_revision.set(gauge_value(*revision));
+            }
+            Event::KeyValueDown { .. } => shared.kv_up.set(0),
+            Event::KeyValueUp { .. } => shared.kv_up.set(1),
+            Event::LeaveFinished { cut_off, .. } => shared.cut_off.inc_by(u64::from(*cut_off)),
+            Event::ClockDriftIgnored { .. } => shared.clock_drift_ignored.inc(),
+            _ => {}
+        }
+    }
+
+    fn request_ended(&self, class: Class, outcome: Outcome) {
+        self.shared.requests.with_label_values(&[class.as_str(), outcome.as_str()]).inc();
+    }
+
+    /// The first token of a request was passed on.
+    pub fn first_token(&self, since_request: Duration) {
+        self.shared.first_token.observe(milliseconds(since_request));
+    }
+
+    /// A chunk was passed on `since_last` after the one before.
+    pub fn chunk(&self, since_last: Duration) {
+        self.shared.chunks.inc();
+        self.shared.between_tokens.observe(milliseconds(since_last));
+    }
+
+    /// How many fingerprints are under suspicion now.
+    pub fn set_suspects(&self, suspects: usize) {
+        self.shared.suspects.set(gauge_value(suspects as u64));
+    }
+
+    /// How many places of a kind are in use now.
+    pub fn set_occupancy(&self, kind: Occupancy, used: usize) {
+        let gauge = self.shared.occupancy.with_label_values(&[kind.as_str()]);
+        gauge.set(gauge_value(used as u64));
+    }
+
+    /// A call on the key-value service was made.
+    pub fn kv_call(&self, call: KvCall) {
+        self.shared.kv_calls.with_label_values(&[call.as_str()]).inc();
+    }
+
+    /// A call on the key-value service failed.
+    pub fn kv_error(&self) {
+        self.shared.kv_errors.inc();
+    }
+
+    /// Events that the ring has overwritten.
+    pub fn set_events_overwritten(&self, overwritten: u64) {
+        self.shared.events_overwritten.set(gauge_value(overwritten));
+    }
+
+    /// All metrics in Prometheus's text format.
+    pub fn encode(&self) -> Result<String, MetricsError> {
+        Ok(TextEncoder::new().encode_to_string(&self.shared.registry.gather())?)
+    }
+}
+
+fn count_by(counters: &IntCounterVec, label: &str) {
+    counters.with_label_values(&[label]).inc();
+}
+
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn gauge_value(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+struct Builder<'a> {
+    registry: &'a Registry,
+}
+
+impl Builder<'_> {
+    fn counter(&self, name: &str, help: &str) -> Result<IntCounter, MetricsError> {
+        let counter = IntCounter::new(name, help)?;
+        self.registry.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntCounterVec, MetricsError> {
+        let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(counters.clone()))?;
+        Ok(counters)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, MetricsError> {
+        let gauge = IntGauge::new(name, help)?;
+        self.registry.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, MetricsError> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
+    fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        buckets: &[f64],
+    ) -> Result<Histogram, MetricsError> {
+        let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        let histogram = Histogram::with_opts(options)?;
+        self.registry.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+}
--- /dev/null
+++ b/crates/observe/src/recorder.rs
@@ -0,0 +1,169 @@
+//! Handle by which all code of a process records events.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::api::{EventQuery, EventsAnswer, ProcessInfo};
+use crate::clock::{HybridClock, Stamp, SystemClock};
+use crate::event::{Event, Name, Stamped, Subject};
+use crate::metrics::Metrics;
+use crate::ring::{DEFAULT_CAPACITY, Ring};
+
+/// Target of the log lines that repeat recorded events.
+pub const LOG_TARGET: &str = "flamingowheel::event";
+
+/// Records events: counts, stamps, keeps and logs them. Clones share all of it.
+///
+/// ```
+/// use flamingowheel_observe::api::EventQuery;
+/// use flamingowheel_observe::event::{Event, Subject};
+/// use flamingowheel_observe::recorder::Recorder;
+///
+/// let recorder = Recorder::for_tests("entry-1");
+/// let request = recorder.about(Subject::default().workspace("roadside"));
+/// request.record(Event::Forwarded { entry: "entry-2".into() });
+/// assert_eq!(recorder.answer(&EventQuery::default()).events.len(), 1);
+/// ```
+#[derive(Clone)]
+pub struct Recorder {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    process: ProcessInfo,
+    clock: HybridClock,
+    ring: Ring,
+    metrics: Metrics,
+}
+
+impl Recorder {
+    /// A recorder for `process` over `clock` that keeps `capacity` events and counts in `metrics`.
+    pub fn new(
+        process: ProcessInfo,
+        clock: HybridClock,
+        capacity: usize,
+        metrics: Metrics,
+    ) -> Self {
+        let ring = Ring::new(capacity);
+        Self { shared: Arc::new(Shared { process, clock, ring, metrics }) }
+    }
+
+    /// A recorder on the system's clock with the default capacity.
+    pub fn on_system_clock(process: ProcessInfo, metrics: Metrics) -> Self {
+        Self::new(process, HybridClock::new(SystemClock), DEFAULT_CAPACITY, metrics)
+    }
+
+    /// A recorder for tests that don't look at times.
+    pub fn for_tests(name: &str) -> Self {
+        let process =
+            ProcessInfo { name: name.into(), vm: "vm-test".into(), data_centre: "dc-test".into() };
+        let metrics = Metrics::new().expect("fixed names register in a fresh registry");
+        Self::on_system_clock(process, metrics)
+    }
+
+    /// Records an event that concerns no single request, workspace or group.
+    pub fn record(&self, event: Event) {
+        self.record_about(&Subject::default(), event);
+    }
+
+    /// Records an event about `subject`.
+    pub fn record_about(&self, subject: &Subject, event: Event) {
+        let shared = &self.shared;
+        shared.metrics.count(&event);
+        let stamped = shared.ring.push_with(|sequence| Stamped {
+            stamp: shared.clock.now(),
+            sequence,
+            process: shared.process.name.clone(),
+            subject: subject.clone(),
+            event,
+        });
+        log(&stamped);
+    }
+
+    /// A handle whose events are all about `subject`.
+    pub fn about(&self, subject: Subject) -> SubjectRecorder {
+        SubjectRecorder { recorder: self.clone(), subject: Arc::new(subject) }
+    }
+
+    /// Stamp to send with a message.
+    pub fn stamp(&self) -> Stamp {
+        self.shared.clock.now()
+    }
+
+    /// Takes in the stamp of a message from `peer`, so that what follows sorts after it.
+    pub fn observe(&self, peer: &str, remote: Stamp) {
+        if let Err(drift) = self.shared.clock.observe(remote) {
+            let event =
+                Event::ClockDriftIgnored { peer: Name::from(peer), ahead_ms: drift.ahead_ms };
+            self.record(event);
+        }
+    }
+
+    /// Who this process is.
+    pub fn process(&self) -> &ProcessInfo {
+        &self.shared.process
+    }
+
+    /// The metrics in which events are counted.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// How many events the ring has overwritten.
+    pub fn overwritten(&self) -> u64 {
+        self.shared.ring.overwritten()
+    }
+
+    /// The answer to a query for this process's events.
+    pub fn answer(&self, query: &EventQuery) -> EventsAnswer {
+        let shared = &self.shared;
+        EventsAnswer {
+            process: shared.process.clone(),
+            now: shared.clock.now(),
+            oldest: shared.ring.oldest(),
+            overwritten: shared.ring.overwritten(),
+            events: shared.ring.select(query),
+        }
+    }
+}
+
+impl fmt::Debug for Recorder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Recorder").field("process", &self.shared.process.name).finish()
+    }
+}
+
+/// A recorder bound to one subject.
+#[derive(Clone, Debug)]
+pub struct SubjectRecorder {
+    recorder: Recorder,
+    subject: Arc<Subject>,
+}
+
+impl SubjectRecorder {
+    /// Records an event about the subject.
+    pub fn record(&self, event: Event) {
+        self.recorder.record_about(&self.subject, event);
+    }
+
+    /// What the events are about.
+    pub fn subject(&self) -> &Subject {
+        &self.subject
+    }
+}
+
+fn log(stamped: &Stamped) {
+    // Serialising costs more than recording, so it waits until somebody listens.
+    if stamped.event.is_warning() {
+        if tracing::enabled!(target: LOG_TARGET, tracing::Level::WARN) {
+            tracing::warn!(target: LOG_TARGET, record = json(stamped));
+        }
+    } else if tracing::enabled!(target: LOG_TARGET, tracing::Level::INFO) {
+        tracing::info!(target: LOG_TARGET, record = json(stamped));
+    }
+}
+
+fn json(stamped: &Stamped) -> String {
+    // Serialising these types to memory has no failing case; an empty line beats a panic.
+    serde_json::to_string(stamped).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/observe/tests/recorder.rs
@@ -0,0 +1,144 @@
+//! Recording from many threads, the ring's bound and the HTTP routes.
+
+use axum::body::Body;
+use axum::http::{Request, StatusCode};
+use flamingowheel_observe::api::{EventQuery, EventsAnswer, ProcessInfo};
+use flamingowheel_observe::clock::{HybridClock, ManualClock, Stamp};
+use flamingowheel_observe::event::{Event, Subject};
+use flamingowheel_observe::http;
+use flamingowheel_observe::metrics::Metrics;
+use flamingowheel_observe::reason::{Class, NotRunReason};
+use flamingowheel_observe::recorder::Recorder;
+use http_body_util::BodyExt;
+use tower::ServiceExt;
+use uuid::Uuid;
+
+fn process() -> ProcessInfo {
+    ProcessInfo { name: "entry-1".into(), vm: "vm-7".into(), data_centre: "dc-a".into() }
+}
+
+fn recorder(capacity: usize) -> (Recorder, ManualClock) {
+    let wall = ManualClock::default();
+    wall.set_ms(1_000);
+    let metrics = Metrics::new().expect("metrics register");
+    (Recorder::new(process(), HybridClock::new(wall.clone()), capacity, metrics), wall)
+}
+
+fn lease_lost() -> Event {
+    Event::LeaseLost { lease: "runners-a".into() }
+}
+
+// A busy process records more events than its ring holds. An operator who asks late must see
+// that the story is incomplete, not a shorter story.
+#[test]
+fn ring_overflow_counts_what_is_gone() {
+    let (recorder, wall) = recorder(3);
+    for at_ms in [1_000, 2_000, 3_000, 4_000, 5_000] {
+        wall.set_ms(at_ms);
+        recorder.record(lease_lost());
+    }
+    let answer = recorder.answer(&EventQuery::default());
+    assert_eq!(answer.overwritten, 2);
+    assert_eq!(answer.oldest, Some(Stamp::new(3_000, 0)));
+    assert_eq!(answer.events.iter().map(|event| event.sequence).collect::<Vec<_>>(), [3, 4, 5]);
+}
+
+#[test]
+fn record_many_threads_loses_and_repeats_nothing() {
+    let (recorder, _wall) = recorder(4_000);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| (0..1_000).for_each(|_| recorder.record(lease_lost())));
+        }
+    });
+    let events = recorder.answer(&EventQuery::default()).events;
+    let mut stamps: Vec<_> = events.iter().map(|event| event.stamp).collect();
+    stamps.sort();
+    stamps.dedup();
+    assert_eq!(stamps.len(), 4_000);
+}
+
+// Rings are read while others write. A process's events must stay in the order of their numbers,
+// or a time line would show an effect before its cause.
+#[test]
+fn record_many_threads_keeps_ring_in_order() {
+    let (recorder, _wall) = recorder(4_000);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| (0..1_000).for_each(|_| recorder.record(lease_lost())));
+        }
+    });
+    let events = recorder.answer(&EventQuery::default()).events;
+    let keys: Vec<_> = events.iter().map(|event| (event.sequence, event.stamp)).collect();
+    assert!(keys.is_sorted());
+}
+
+#[test]
+fn answer_query_gives_matching_events_only() {
+    let (recorder, wall) = recorder(16);
+    let request = Uuid::from_u128(7);
+    let about = recorder.about(Subject::request(request).workspace("roadside"));
+    about.record(Event::Forwarded { entry: "entry-2".into() });
+    wall.set_ms(9_000);
+    recorder.record_about(&Subject::default().group("runners-a"), lease_lost());
+
+    let by_request = EventQuery { request: Some(request), ..EventQuery::default() };
+    assert_eq!(recorder.answer(&by_request).events.len(), 1);
+    let by_group = EventQuery { group: Some("runners-a".into()), ..EventQuery::default() };
+    assert_eq!(recorder.answer(&by_group).events[0].event, lease_lost());
+    let by_workspace = EventQuery { workspace: Some("desk".into()), ..EventQuery::default() };
+    assert!(recorder.answer(&by_workspace).events.is_empty());
+    let recent = EventQuery { since_ms: Some(9_000), ..EventQuery::default() };
+    assert_eq!(recorder.answer(&recent).events.len(), 1);
+}
+
+// One process's wall clock is an hour fast. Its messages must not move everybody's time line; the
+// operator sees an event that names it.
+#[test]
+fn observe_wrong_clock_is_named_and_not_followed() {
+    let (recorder, _wall) = recorder(16);
+    recorder.observe("agent-9", Stamp::new(3_601_000, 0));
+    let answer = recorder.answer(&EventQuery::default());
+    let ignored = Event::ClockDriftIgnored { peer: "agent-9".into(), ahead_ms: 3_600_000 };
+    assert_eq!(answer.events[0].event, ignored);
+    assert_eq!(answer.now.wall_ms(), 1_000);
+}
+
+async fn get(path: &str) -> (StatusCode, String) {
+    let (recorder, _wall) = recorder(1);
+    let not_run =
+        Event::NotRun { class: Class::High, attempts: 0, reason: NotRunReason::LimitExceeded };
+    recorder.record(not_run);
+    recorder.record(lease_lost());
+    let request = Request::get(path).body(Body::empty()).expect("a request");
+    let response = http::router(recorder).oneshot(request).await.expect("infallible");
+    let status = response.status();
+    let body = response.into_body().collect().await.expect("a body").to_bytes();
+    (status, String::from_utf8(body.to_vec()).expect("UTF-8"))
+}
+
+#[tokio::test]
+async fn router_events_answers_query() {
+    let (status, body) = get("/v1/events?since_ms=1000").await;
+    assert_eq!(status, StatusCode::OK);
+    let answer: EventsAnswer = serde_json::from_str(&body).expect("an answer");
+    assert_eq!(answer.process, process());
+    assert_eq!(answer.events.len(), 1);
+}
+
+#[tokio::test]
+async fn router_events_unknown_filter_refused() {
+    let (status, _) = get("/v1/events?requests=7").await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
+
+#[tokio::test]
+async fn router_metrics_are_text() {
+    let (status, body) = get("/metrics").await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(
+        body.contains("flamingowheel_requests_total{class=\"high\",outcome=\"not_run\"} 1"),
+        "{body}"
+    );
+    assert!(body.contains("flamingowheel_events_overwritten 1"), "{body}");
+}
