--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -514,7 +514,10 @@
     /// A lost connection alone is no crash: the backend server must be gone or be a new process.
     fn on_health(&mut self, report: Result<LoadReport, BackendError>) {
         self.checking_health = false;
-        self.backend_up = report.is_ok();
+        let was_up = std::mem::replace(&mut self.backend_up, report.is_ok());
+        if was_up != self.backend_up {
+            self.broadcast(&self.heartbeat());
+        }
         let process = report.ok().map(|report| report.process_id);
         let suspects = std::mem::take(&mut self.suspects);
         let died = process.is_none() || process != self.backend_process;
@@ -592,6 +595,7 @@
             load: self.load(),
             window: self.records.window(),
             leaving: self.leaving,
+            backend_up: self.backend_up,
         }
     }
 
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::config::AgentConfig;
 use crate::control::{AgentHandle, Command};
 use flamingowheel_protocol::auth::FleetKey;
-use flamingowheel_protocol::link::{Link, Timing};
+use flamingowheel_protocol::link::{Keeping, Link};
 use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Hello, Role};
 use flamingowheel_protocol::websocket::{Identity, accept};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,14 +14,14 @@
 static LINKS: AtomicU64 = AtomicU64::new(1);
 
 /// How the agent introduces itself.
-pub fn identity(config: &AgentConfig, key: FleetKey) -> Identity {
+pub fn identity(config: &AgentConfig, key: FleetKey, keeping: Keeping) -> Identity {
     let hello = Hello {
         name: config.name.clone(),
         incarnation: config.incarnation,
         data_centre: config.data_centre.clone(),
         role: Role::Agent(config.profile.clone()),
     };
-    Identity { hello, key, timing: Timing::default() }
+    Identity { hello, key, keeping }
 }
 
 /// Accepts connections until `stop` fires.
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -5,7 +5,7 @@
 
 use crate::connector::{AgentLink, Connector};
 use crate::router::Router;
-use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::key::{ScopeKey, ServerKey};
 use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
 use flamingowheel_protocol::message::{
     AgentMessage, BackendProfile, EntryMessage, Hello, Role, Serves,
@@ -253,9 +253,9 @@
     }
 
     fn take(&self, server: ServerKey, message: &AgentMessage) {
-        if let AgentMessage::Heartbeat { window, leaving, .. } = message {
+        if let AgentMessage::Heartbeat { window, leaving, backend_up, .. } = message {
             self.agent.window.store(window.0, Ordering::Relaxed);
-            self.router.set_leaving(server, *leaving);
+            self.router.set_accepting(server, *leaving, *backend_up);
         }
         if let Some(hint) = message.load_hint() {
             self.router.learn(server, hint);
@@ -285,3 +285,13 @@
         }
     }
 }
+
+impl Target {
+    /// The target's key in the choice of subsets.
+    pub fn scope(&self) -> ScopeKey {
+        match self {
+            Self::Model(name) => ScopeKey::from_name(&format!("model/{name}")),
+            Self::Service(name) => ScopeKey::from_name(&format!("service/{name}")),
+        }
+    }
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -14,6 +14,9 @@
 /// Chunks that may be unacknowledged before an acknowledgement is sent.
 const ACKNOWLEDGE_EVERY: u64 = 64;
 
+/// An attempt that hears nothing for this long asks its agent about itself.
+const PROBE_AFTER: Duration = Duration::from_secs(3);
+
 /// Not sent yet.
 #[derive(Debug)]
 pub struct Prepared {
@@ -32,6 +35,7 @@
     line: Line,
     next_chunk: u64,
     acknowledged: u64,
+    asked_for: Option<u64>,
 }
 
 /// An attempt in stage `S`.
@@ -90,6 +94,9 @@
 /// The connection that an attempt uses at present.
 #[derive(Debug)]
 struct Line {
+    identity: Identity,
+    /// The agent said how the attempt ended.
+    over: bool,
     listener: StreamListener,
     connected: Connected,
     reconnect_limit: Duration,
@@ -114,12 +121,15 @@
         connected: Connected,
         reconnect_limit: Duration,
     ) -> Result<Attempt<Sent>, Refusal> {
-        let listener = agent.listen(self.identity.attempt);
+        let identity = self.identity;
+        let listener = agent.listen(identity.attempt);
         let message = EntryMessage::Dispatch(self.stage.dispatch);
-        if connected.sender.send(message).await.is_err() {
+        let sender = connected.sender.clone();
+        let mut line = Line { identity, over: false, listener, connected, reconnect_limit };
+        if sender.send(message).await.is_err() {
+            line.over = true;
             return Err(Refusal::NeverArrived);
         }
-        let line = Line { listener, connected, reconnect_limit };
         Ok(Attempt { identity: self.identity, stage: Sent { line } })
     }
 }
@@ -133,7 +143,8 @@
         reconnect_limit: Duration,
     ) -> Self {
         let listener = agent.listen(identity.attempt);
-        Self { identity, stage: Sent { line: Line { listener, connected, reconnect_limit } } }
+        let line = Line { identity, over: false, listener, connected, reconnect_limit };
+        Self { identity, stage: Sent { line } }
     }
 
     /// Asks the agent to answer over this connection from the given chunk on.
@@ -147,6 +158,11 @@
         self.identity
     }
 
+    /// Name of the backend server's agent.
+    pub fn backend_server(&self) -> &str {
+        &self.stage.line.connected.hello.name
+    }
+
     /// Waits for the answer to begin. On `DeadlinePassed` the attempt is handed back, so that it
     /// can be cancelled.
     pub async fn begin(
@@ -156,7 +172,7 @@
     ) -> Result<(Head, Attempt<Streaming>), (AttemptEnd, Self)> {
         loop {
             let line = &mut self.stage.line;
-            let event = line.next(&self.identity, deadline, from_chunk).await;
+            let event = line.next(deadline, from_chunk).await;
             match event {
                 Err(end) => return Err((end, self)),
                 Ok(AgentMessage::Refused { refusal, .. }) => {
@@ -170,6 +186,7 @@
                         line: self.stage.line,
                         next_chunk: from_chunk,
                         acknowledged: from_chunk,
+                        asked_for: None,
                     };
                     let head = Head { status, content_type };
                     return Ok((head, Attempt { identity: self.identity, stage }));
@@ -182,15 +199,30 @@
 
     /// Cancels and waits for the agent's word. `Ok` is proof that it did not run.
     pub async fn cancel(self, limit: Duration) -> Result<Refusal, AttemptEnd> {
+        self.stop(limit, false).await
+    }
+
+    /// Gives up the attempt's whole ticket. `Ok` is proof that its work did not run and won't.
+    pub async fn void(self, limit: Duration) -> Result<Refusal, AttemptEnd> {
+        self.stop(limit, true).await
+    }
+
+    async fn stop(self, limit: Duration, void_ticket: bool) -> Result<Refusal, AttemptEnd> {
         let mut line = self.stage.line;
         let deadline = Instant::now() + limit;
         loop {
-            send_cancel(&line.connected, &self.identity);
+            send_cancel(&line.connected, &self.identity, void_ticket);
             match line.answer_to_cancel(deadline).await {
-                CancelAnswer::Refused(refusal) => return Ok(refusal),
-                CancelAnswer::Failed(failure) => return Err(AttemptEnd::Failed(failure)),
+                CancelAnswer::Refused(refusal) => {
+                    line.over = true;
+                    return Ok(refusal);
+                }
+                CancelAnswer::Failed(failure) => {
+                    line.over = true;
+                    return Err(AttemptEnd::Failed(failure));
+                }
                 CancelAnswer::Late => return Err(AttemptEnd::DeadlinePassed),
-                CancelAnswer::Lost => line.reconnect(&self.identity, deadline).await?,
+                CancelAnswer::Lost => line.reconnect(deadline).await?,
             }
         }
     }
@@ -218,7 +250,7 @@
         loop {
             let far = Instant::now() + FAR;
             let wanted = self.stage.next_chunk;
-            let message = self.stage.line.next(&self.identity, far, wanted).await?;
+            let message = self.stage.line.next(far, wanted).await?;
             match message {
                 AgentMessage::Chunk { number, data, .. } if number == wanted => {
                     self.stage.next_chunk += 1;
@@ -229,7 +261,7 @@
                 AgentMessage::Chunk { number, .. } if number < wanted => {}
                 AgentMessage::Chunk { .. } => self.ask_again().await,
                 AgentMessage::End { chunk_count, .. } if chunk_count == wanted => {
-                    self.release();
+                    self.stage.line.over = true;
                     return Ok(Piece::End);
                 }
                 // The end overtook chunks, or chunks were lost: a short answer must not pass for
@@ -244,7 +276,11 @@
         }
     }
 
+    /// Asks once for the chunk that is missing; the probe covers a lost answer.
     async fn ask_again(&mut self) {
+        if self.stage.asked_for.replace(self.stage.next_chunk) == Some(self.stage.next_chunk) {
+            return;
+        }
         let message = attach(&self.identity, self.stage.next_chunk);
         let _ = self.stage.line.connected.sender.send(message).await;
     }
@@ -260,17 +296,6 @@
         let message = EntryMessage::Acknowledge { attempt, key, next_chunk };
         let _ = self.stage.line.connected.sender.try_send(message);
     }
-
-    fn release(&self) {
-        let Identity { attempt, key, .. } = self.identity;
-        let message = EntryMessage::Release { attempt, key };
-        let _ = self.stage.line.connected.sender.try_send(message);
-    }
-
-    /// Tells the agent that nobody reads any more.
-    pub fn abandon(self) {
-        send_cancel(&self.stage.line.connected, &self.identity);
-    }
 }
 
 /// Longer than any stream; a wait that is ended by other means.
@@ -285,38 +310,41 @@
 
 impl Line {
     /// The next message, moving to another connection when the present one is lost.
-    async fn next(
-        &mut self,
-        identity: &Identity,
-        deadline: Instant,
-        wanted: u64,
-    ) -> Result<AgentMessage, AttemptEnd> {
+    async fn next(&mut self, deadline: Instant, wanted: u64) -> Result<AgentMessage, AttemptEnd> {
         loop {
-            let event = timeout_at(deadline, self.listener.next()).await;
+            let probe_at = Instant::now() + PROBE_AFTER;
+            let event = timeout_at(deadline.min(probe_at), self.listener.next()).await;
             match event {
-                Err(_) => return Err(AttemptEnd::DeadlinePassed),
+                Err(_) if Instant::now() >= deadline => return Err(AttemptEnd::DeadlinePassed),
+                // The connection lives, but nothing is heard of this attempt. If a message about
+                // it went missing, nobody would send it again; asking costs one message.
+                Err(_) => {
+                    let _ = self.connected.sender.send(attach(&self.identity, wanted)).await;
+                }
                 Ok(None) => return Err(AttemptEnd::Unreachable),
-                Ok(Some(StreamEvent::Message(message))) => return Ok(message),
+                Ok(Some(StreamEvent::Message(message))) => {
+                    self.over |= matches!(
+                        message,
+                        AgentMessage::Refused { .. } | AgentMessage::Failed { .. }
+                    );
+                    return Ok(message);
+                }
                 Ok(Some(StreamEvent::Lost { epoch })) if epoch < self.connected.epoch => {}
                 Ok(Some(StreamEvent::Lost { .. })) => {
-                    self.reconnect(identity, deadline).await?;
-                    let _ = self.connected.sender.send(attach(identity, wanted)).await;
+                    self.reconnect(deadline).await?;
+                    let _ = self.connected.sender.send(attach(&self.identity, wanted)).await;
                 }
             }
         }
     }
 
     /// Waits for the next connection to the same agent process.
-    async fn reconnect(
-        &mut self,
-        identity: &Identity,
-        deadline: Instant,
-    ) -> Result<(), AttemptEnd> {
+    async fn reconnect(&mut self, deadline: Instant) -> Result<(), AttemptEnd> {
         let limit = deadline.min(Instant::now() + self.reconnect_limit);
         let agent = Arc::clone(self.listener.agent());
         let connected = timeout_at(limit, agent.connected_after(self.connected.epoch)).await;
         let Ok(Some(connected)) = connected else { return Err(AttemptEnd::Unreachable) };
-        if !is_incarnation(&connected, identity.incarnation) {
+        if !is_incarnation(&connected, self.identity.incarnation) {
             return Err(AttemptEnd::Replaced(connected.hello.incarnation));
         }
         self.connected = connected;
@@ -342,6 +370,20 @@
     }
 }
 
+impl Drop for Line {
+    /// Lets the agent forget the answer, or stop making it: a caller that hung up would otherwise
+    /// leave work running for nobody.
+    fn drop(&mut self) {
+        let Identity { attempt, key, .. } = self.identity;
+        match self.over {
+            true => {
+                let _ = self.connected.sender.try_send(EntryMessage::Release { attempt, key });
+            }
+            false => send_cancel(&self.connected, &self.identity, false),
+        }
+    }
+}
+
 fn attach(identity: &Identity, from_chunk: u64) -> EntryMessage {
     EntryMessage::Attach {
         attempt: identity.attempt,
@@ -352,13 +394,13 @@
     }
 }
 
-fn send_cancel(connected: &Connected, identity: &Identity) {
+fn send_cancel(connected: &Connected, identity: &Identity, void_ticket: bool) {
     let message = EntryMessage::Cancel {
         attempt: identity.attempt,
         key: identity.key,
         incarnation: identity.incarnation,
         window: identity.window,
-        void_ticket: false,
+        void_ticket,
     };
     let _ = connected.sender.try_send(message);
 }
--- /dev/null
+++ b/crates/entry/src/claims.rs
@@ -0,0 +1,220 @@
+//! Binds callers' own idempotency keys to tickets, in the key-value service.
+//!
+//! Two resends of one key may reach two entries at the same moment. Whoever creates the key's
+//! record first decides which ticket it stands for; the ticket's agent then runs the work at most
+//! once. Records that wait are written together, so the calls a second don't grow with requests.
+
+use crate::config::EntryConfig;
+use flamingowheel_platform::kv::{
+    Compare, KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Transaction,
+};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// Prefix of all keys written here.
+pub const PREFIX: &str = "flamingowheel/idempotency-keys/";
+
+/// Keys written in one transaction; each takes a comparison and an operation of the 128 allowed.
+const MAX_BATCH: usize = 60;
+
+/// Claims that may wait; beyond it callers are told at once.
+const QUEUE: usize = 1024;
+
+/// A caller's key and what it should stand for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The ticket's text.
+    pub ticket: String,
+    /// Hash of the request, as hexadecimal text; a key must not be used for another request.
+    pub fingerprint: String,
+}
+
+/// Why a key could not be bound. In each case nothing was sent under it by this entry.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ClaimError {
+    /// The key-value service did not answer.
+    #[error(transparent)]
+    KeyValue(#[from] KeyValueError),
+    /// What is stored can't be read.
+    #[error("stored record of the idempotency key can't be read")]
+    Malformed,
+    /// Too many claims wait.
+    #[error("too many idempotency keys wait to be bound")]
+    Busy,
+}
+
+/// A claim on its way.
+struct Waiting {
+    key: String,
+    claim: Claim,
+    bound: oneshot::Sender<Result<Claim, ClaimError>>,
+}
+
+/// Binds keys.
+#[derive(Clone)]
+pub struct Claims {
+    queue: mpsc::Sender<Waiting>,
+}
+
+impl Claims {
+    /// Starts the task that writes claims.
+    pub fn start(kv: Arc<dyn KeyValue>, config: &EntryConfig) -> Self {
+        let (queue, receiver) = mpsc::channel(QUEUE);
+        let writer = Writer { kv, record_time: config.key_record_time, lease: None };
+        tokio::spawn(writer.run(receiver));
+        Self { queue }
+    }
+
+    /// Binds `key` to `claim`, or returns what it is bound to already.
+    pub async fn bind(
+        &self,
+        workspace: &str,
+        key: &str,
+        claim: Claim,
+    ) -> Result<Claim, ClaimError> {
+        let (bound, answer) = oneshot::channel();
+        let waiting = Waiting { key: record_key(workspace, key), claim, bound };
+        self.queue.try_send(waiting).map_err(|_| ClaimError::Busy)?;
+        answer.await.map_err(|_| ClaimError::Busy)?
+    }
+}
+
+fn record_key(workspace: &str, key: &str) -> String {
+    let hash = Sha256::digest(key.as_bytes());
+    let hex: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("{PREFIX}{workspace}/{hex}")
+}
+
+struct Writer {
+    kv: Arc<dyn KeyValue>,
+    record_time: Duration,
+    lease: Option<(LeaseId, Instant)>,
+}
+
+impl Writer {
+    async fn run(mut self, mut queue: mpsc::Receiver<Waiting>) {
+        let mut batch = Vec::with_capacity(MAX_BATCH);
+        // While one transaction is on its way the next batch gathers, so there is never more than
+        // one call at a time, however many requests come.
+        while queue.recv_many(&mut batch, MAX_BATCH).await > 0 {
+            self.bind_all(&mut batch).await;
+        }
+    }
+
+    /// Binds the whole batch in at most three transactions: one that hopes that all are new, one
+    /// for those that are, and one to read back.
+    async fn bind_all(&mut self, batch: &mut Vec<Waiting>) {
+        keep_one_per_key(batch);
+        for _ in 0..2 {
+            if batch.is_empty() {
+                return;
+            }
+            match self.create(batch).await {
+                Ok(Created::All) => return settle_all(batch),
+                Ok(Created::None { stored }) => settle_stored(batch, stored),
+                Err(error) if error.may_have_taken_effect() => {
+                    return self.read_back(batch, error).await;
+                }
+                Err(error) => return fail_all(batch, &error.into()),
+            }
+        }
+        fail_all(batch, &ClaimError::Busy);
+    }
+
+    async fn create(&mut self, batch: &[Waiting]) -> Result<Created, KeyValueError> {
+        let lease = self.lease().await?;
+        let answer = self
+            .kv
+            .transact(Transaction {
+                compares: batch.iter().map(|w| Compare::Absent { key: w.key.clone() }).collect(),
+                on_success: batch.iter().map(|w| put(w, lease)).collect(),
+                on_failure: batch.iter().map(get).collect(),
+            })
+            .await?;
+        Ok(match answer.succeeded {
+            true => Created::All,
+            false => Created::None { stored: answer.reads },
+        })
+    }
+
+    /// The write may or may not have taken effect. What is stored now decides; an own claim that
+    /// is not there may still arrive, so those callers are told that nothing was sent.
+    async fn read_back(&self, batch: &mut Vec<Waiting>, error: KeyValueError) {
+        let on_success = batch.iter().map(get).collect();
+        let read = Transaction { on_success, ..Transaction::default() };
+        match self.kv.transact(read).await {
+            Ok(answer) => settle_stored(batch, answer.reads),
+            Err(_) => tracing::warn!("idempotency keys could not be read back"),
+        }
+        fail_all(batch, &error.into());
+    }
+
+    /// A lease that outlives the record time of every key written under it. One lease serves
+    /// many keys, so expiry costs no call per key.
+    async fn lease(&mut self) -> Result<LeaseId, KeyValueError> {
+        if let Some((lease, granted)) = self.lease
+            && granted.elapsed() < self.record_time
+        {
+            return Ok(lease);
+        }
+        let lease = self.kv.grant_lease(self.record_time * 2).await?;
+        self.lease = Some((lease, Instant::now()));
+        Ok(lease)
+    }
+}
+
+enum Created {
+    All,
+    None { stored: Vec<Option<KeyValueEntry>> },
+}
+
+fn put(waiting: &Waiting, lease: LeaseId) -> Operation {
+    // Writing plain values to memory can't fail.
+    let value = serde_json::to_vec(&waiting.claim).unwrap_or_default();
+    Operation::Put { key: waiting.key.clone(), value: value.into(), lease: Some(lease) }
+}
+
+fn get(waiting: &Waiting) -> Operation {
+    Operation::Get { key: waiting.key.clone() }
+}
+
+/// A transaction may name a key once; the second of two claims is told to come again.
+fn keep_one_per_key(batch: &mut Vec<Waiting>) {
+    let mut seen = std::collections::HashSet::new();
+    let (first, second): (Vec<_>, Vec<_>) =
+        batch.drain(..).partition(|waiting| seen.insert(waiting.key.clone()));
+    *batch = first;
+    for waiting in second {
+        let _ = waiting.bound.send(Err(ClaimError::Busy));
+    }
+}
+
+fn settle_all(batch: &mut Vec<Waiting>) {
+    for waiting in batch.drain(..) {
+        let _ = waiting.bound.send(Ok(waiting.claim));
+    }
+}
+
+/// Answers those whose key is stored, and keeps the others.
+fn settle_stored(batch: &mut Vec<Waiting>, stored: Vec<Option<KeyValueEntry>>) {
+    let waiting = std::mem::take(batch);
+    for (waiting, stored) in waiting.into_iter().zip(stored) {
+        match stored {
+            Some(entry) => {
+                let claim = serde_json::from_slice(&entry.value).map_err(|_| ClaimError::Malformed);
+                let _ = waiting.bound.send(claim);
+            }
+            None => batch.push(waiting),
+        }
+    }
+}
+
+fn fail_all(batch: &mut Vec<Waiting>, error: &ClaimError) {
+    for waiting in batch.drain(..) {
+        let _ = waiting.bound.send(Err(error.clone()));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,449 @@
+//! Sends requests to agents until one of the three outcomes is known.
+
+use crate::agents::{Agent, Connected, is_incarnation};
+use crate::attempt::{Attempt, AttemptEnd, Head, Identity, Prepared, Sent};
+use crate::config::EntryConfig;
+use crate::events;
+use crate::outcome::{NotRun, Unknown, Verdict};
+use crate::request::Request;
+use crate::router::Router;
+use crate::stream::{Answer, Origin};
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::reason::{CancelCause, RouteReason};
+use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
+use flamingowheel_policy::routing::Choice;
+use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
+use flamingowheel_protocol::message::{Dispatch, Refusal};
+use flamingowheel_protocol::ticket::Ticket;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::timeout_at;
+use uuid::Uuid;
+
+/// Retry budgets kept at most; beyond it those of idle workspaces start anew.
+const MAX_BUDGETS: usize = 4096;
+
+/// Sends requests.
+pub struct Dispatcher {
+    config: Arc<EntryConfig>,
+    router: Arc<Router>,
+    recorder: Recorder,
+    budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+}
+
+/// One request's attempts so far.
+struct Journey<'a> {
+    request: &'a Request,
+    log: SubjectRecorder,
+    tried: Vec<ServerKey>,
+    attempts: u32,
+    last: Option<AttemptEnd>,
+    /// The end of an attempt that may have run. A later refusal proves nothing about that one, so
+    /// with this set the request as a whole can't be called "not run".
+    uncertain: Option<AttemptEnd>,
+}
+
+impl Journey<'_> {
+    fn note(&mut self, end: AttemptEnd) {
+        self.last = Some(end);
+        if !matches!(end, AttemptEnd::Refused(_)) {
+            self.uncertain = Some(end);
+        }
+    }
+
+    /// What the caller is told when no other attempt follows.
+    fn verdict(&self, otherwise: NotRun) -> Verdict {
+        match self.uncertain {
+            Some(end) => verdict(end),
+            None => otherwise.into(),
+        }
+    }
+
+    /// What the caller is told when no backend server is left.
+    fn no_choice(&self) -> Verdict {
+        match self.last {
+            Some(AttemptEnd::Refused(refusal)) => self.verdict(NotRun::Refused(refusal)),
+            _ => self.verdict(NotRun::NoneAvailable),
+        }
+    }
+}
+
+/// A backend server that was chosen for the next attempt.
+struct Chosen {
+    server: ServerKey,
+    agent: Arc<Agent>,
+    connected: Connected,
+    last_try: bool,
+}
+
+impl Dispatcher {
+    /// A dispatcher over the agents that `router` knows.
+    pub fn new(config: Arc<EntryConfig>, router: Arc<Router>, recorder: Recorder) -> Self {
+        Self { config, router, recorder, budgets: Mutex::default() }
+    }
+
+    /// The agents and what is known of their load.
+    pub fn router(&self) -> &Arc<Router> {
+        &self.router
+    }
+
+    /// Runs a request to the beginning of its answer. Non-idempotent requests get a ticket of
+    /// their own for each attempt; it comes with the answer, or with the verdict if the last
+    /// attempt may have run.
+    pub async fn run(&self, request: Request) -> (Result<Answer, Verdict>, Option<Ticket>) {
+        let mut journey = self.journey(&request);
+        let mut ticket = None;
+        let result = self.attempts(&mut journey, &mut ticket).await;
+        self.conclude(&journey, &result);
+        (result, ticket)
+    }
+
+    /// Runs a request under a ticket: at the one agent process that the ticket names, or nowhere.
+    pub async fn run_ticket(&self, request: Request, ticket: &Ticket) -> Result<Answer, Verdict> {
+        let mut journey = self.journey(&request);
+        let result = self.ticket_attempt(&mut journey, ticket).await;
+        self.conclude(&journey, &result);
+        result
+    }
+
+    /// Gives a ticket up. The verdict is proof that it did not run and won't, or it is unknown.
+    pub async fn void(&self, request: Request, ticket: &Ticket) -> Verdict {
+        let log = self.recorder.about(events::subject(&request));
+        let server = ServerKey::from_name(&ticket.agent);
+        let home = match self.ticket_home(&request, ticket, server).await {
+            Ok(home) => home,
+            Err(verdict) => return verdict,
+        };
+        let identity = Identity {
+            attempt: AttemptId { request: request.id, number: 1 },
+            key: ticket_key(ticket),
+            incarnation: ticket.incarnation,
+            window: home.agent.window(),
+        };
+        let sent = Attempt::<Sent>::adopt(
+            identity,
+            &home.agent,
+            home.connected,
+            self.config.reconnect_limit,
+        );
+        match sent.void(self.config.cancel_limit).await {
+            Ok(refusal) => {
+                let ticket = ticket.number.to_string().into();
+                log.record(Event::TicketVoided { ticket });
+                NotRun::Refused(refusal).into()
+            }
+            Err(AttemptEnd::DeadlinePassed) => Unknown::DeadlinePassed.into(),
+            Err(end) => verdict(end),
+        }
+    }
+
+    /// Mints a ticket for a backend server that is likely to have room.
+    pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
+        let (choice, agent) = self
+            .router
+            .route(&request.target, request.fingerprint, &[])
+            .map_err(|_| NotRun::NoneAvailable)?;
+        self.router.ended(choice.server);
+        let connected = agent.connected().ok_or(NotRun::NoneAvailable)?;
+        Ok(self.mint_for(request, &agent, &connected))
+    }
+
+    fn mint_for(&self, request: &Request, agent: &Agent, connected: &Connected) -> Ticket {
+        let ticket = Ticket {
+            agent: connected.hello.name.clone(),
+            incarnation: connected.hello.incarnation,
+            window: agent.window(),
+            number: Uuid::now_v7(),
+            workspace: request.workspace.name.to_string(),
+            service: request.service_name().to_owned(),
+        };
+        let event = Event::TicketIssued {
+            ticket: ticket.number.to_string().into(),
+            backend_server: ticket.agent.as_str().into(),
+        };
+        self.recorder.record_about(&events::subject(request), event);
+        ticket
+    }
+
+    fn journey<'a>(&self, request: &'a Request) -> Journey<'a> {
+        let log = self.recorder.about(events::subject(request));
+        log.record(Event::RequestAccepted {
+            class: events::class(request),
+            idempotent: request.idempotent,
+            deadline_ms: request.remaining_ms(),
+        });
+        Journey { request, log, tried: Vec::new(), attempts: 0, last: None, uncertain: None }
+    }
+
+    fn conclude(&self, journey: &Journey<'_>, result: &Result<Answer, Verdict>) {
+        if let Err(verdict) = result {
+            let class = events::class(journey.request);
+            journey.log.record(events::verdict(verdict, class, journey.attempts));
+        }
+    }
+
+    async fn attempts(
+        &self,
+        journey: &mut Journey<'_>,
+        ticket: &mut Option<Ticket>,
+    ) -> Result<Answer, Verdict> {
+        let request = journey.request;
+        loop {
+            let chosen = self.choose(journey)?;
+            journey.tried.push(chosen.server);
+            let key = match request.idempotent {
+                true => None,
+                false => {
+                    let minted = self.mint_for(request, &chosen.agent, &chosen.connected);
+                    let key = ticket_key(&minted);
+                    *ticket = Some(minted);
+                    Some(key)
+                }
+            };
+            let end = match self.attempt(journey, &chosen, key).await {
+                Ok(answer) => return Ok(answer),
+                Err(end) => end,
+            };
+            self.router.ended(chosen.server);
+            journey.note(end);
+            self.permit_retry(journey, end)?;
+        }
+    }
+
+    fn choose(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
+        let request = journey.request;
+        let routed = self.router.route(&request.target, request.fingerprint, &journey.tried);
+        let (choice, agent) = routed.map_err(|_| journey.no_choice())?;
+        let connected = agent.connected().ok_or_else(|| {
+            self.router.ended(choice.server);
+            journey.no_choice()
+        })?;
+        log_route(journey, &choice, &connected);
+        Ok(Chosen { server: choice.server, agent, connected, last_try: choice.last_try })
+    }
+
+    /// Decides whether another attempt may follow one that ended like this.
+    fn permit_retry(&self, journey: &Journey<'_>, end: AttemptEnd) -> Result<(), Verdict> {
+        let request = journey.request;
+        match end {
+            // Proof that it did not run: a try elsewhere is safe for every kind of request. The
+            // router bounds how many there are.
+            AttemptEnd::Refused(_) if request.remaining_ms() > 0 => {}
+            AttemptEnd::Refused(_) => return Err(journey.verdict(NotRun::DeadlinePassed)),
+            _ => {
+                let question = RetryRequest {
+                    idempotent: request.idempotent,
+                    last_try: LastTry::Unknown,
+                    answer_started: false,
+                    remaining: Duration::from_millis(request.remaining_ms()),
+                };
+                if let Err(refusal) = self.take_retry(request, &question) {
+                    let reason = events::retry_denial(refusal);
+                    journey.log.record(Event::RetryDenied { attempt: journey.attempts, reason });
+                    return Err(verdict(end));
+                }
+            }
+        }
+        let reason = events::retry_reason(end);
+        journey.log.record(Event::Retried { attempt: journey.attempts + 1, reason });
+        Ok(())
+    }
+
+    fn take_retry(
+        &self,
+        request: &Request,
+        question: &RetryRequest,
+    ) -> Result<(), flamingowheel_policy::retry::RetryRefusal> {
+        self.with_budget(request, |budget| budget.try_retry(question))
+    }
+
+    fn with_budget<F, R>(&self, request: &Request, change: F) -> R
+    where
+        F: FnOnce(&mut RetryBudget) -> R,
+    {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        if budgets.len() >= MAX_BUDGETS {
+            budgets.clear();
+        }
+        let name = Arc::clone(&request.workspace.name);
+        let budget = budgets.entry(name).or_insert_with(|| {
+            let retry = &request.workspace.parameters.retry;
+            RetryBudget::new(RetryConfig {
+                paid_per_success: retry.per_100_requests / 100.0,
+                max_saved: f64::from(retry.burst),
+                ..RetryConfig::default()
+            })
+        });
+        change(budget)
+    }
+
+    /// One attempt, up to the beginning of the answer.
+    async fn attempt(
+        &self,
+        journey: &mut Journey<'_>,
+        chosen: &Chosen,
+        key: Option<ExecutionKey>,
+    ) -> Result<Answer, AttemptEnd> {
+        let request = journey.request;
+        journey.attempts += 1;
+        let attempt = AttemptId { request: request.id, number: journey.attempts };
+        let dispatch = Dispatch {
+            attempt,
+            key: key.unwrap_or(ExecutionKey::Attempt(attempt)),
+            incarnation: chosen.connected.hello.incarnation,
+            window: chosen.agent.window(),
+            workspace: request.workspace.name.to_string(),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            content_type: request.content_type.clone(),
+            body: request.body.clone(),
+            idempotent: request.idempotent,
+            priority: request.workspace.parameters.priority,
+            remaining_ms: request.remaining_ms(),
+            fingerprint: request.fingerprint,
+            alone: false,
+            last_try: chosen.last_try,
+            resume_after_chunks: 0,
+        };
+        journey.log.record(Event::Dispatched {
+            backend_server: chosen.connected.hello.name.as_str().into(),
+            attempt: attempt.number,
+            incarnation: events::incarnation(dispatch.incarnation),
+            remaining_ms: dispatch.remaining_ms,
+        });
+        let sent = Attempt::<Prepared>::new(Box::new(dispatch))
+            .send(&chosen.agent, chosen.connected.clone(), self.config.reconnect_limit)
+            .await
+            .map_err(AttemptEnd::Refused)?;
+        let (head, attempt) = match sent.begin(request.deadline, 0).await {
+            Ok(begun) => begun,
+            Err((end, sent)) => return Err(self.settle(journey, end, sent).await),
+        };
+        self.with_budget(request, RetryBudget::on_success);
+        let origin = Origin {
+            server: chosen.server,
+            attempts: journey.attempts,
+            can_resume: chosen.connected.profile.can_resume,
+        };
+        Ok(self.answer(journey, head, attempt, origin))
+    }
+
+    fn answer(
+        &self,
+        journey: &Journey<'_>,
+        head: Head,
+        attempt: Attempt<crate::attempt::Streaming>,
+        origin: Origin,
+    ) -> Answer {
+        Answer::new(
+            journey.request.clone(),
+            head,
+            attempt,
+            origin,
+            Arc::clone(&self.router),
+            journey.log.clone(),
+            self.config.reconnect_limit,
+        )
+    }
+
+    /// When the deadline passed, asks the agent not to run it; its word may turn "unknown" into
+    /// proof.
+    async fn settle(
+        &self,
+        journey: &Journey<'_>,
+        end: AttemptEnd,
+        sent: Attempt<Sent>,
+    ) -> AttemptEnd {
+        let attempt = journey.attempts;
+        match end {
+            AttemptEnd::DeadlinePassed => {
+                let cause = CancelCause::DeadlinePassed;
+                journey.log.record(Event::Cancelled { attempt, cause });
+                match sent.cancel(self.config.cancel_limit).await {
+                    Ok(refusal) => AttemptEnd::Refused(refusal),
+                    Err(_) => AttemptEnd::DeadlinePassed,
+                }
+            }
+            AttemptEnd::Refused(refusal) => {
+                let backend_server = sent.backend_server().into();
+                let reason = events::refusal(refusal);
+                journey.log.record(Event::Refused { backend_server, attempt, reason });
+                end
+            }
+            _ => end,
+        }
+    }
+
+    async fn ticket_attempt(
+        &self,
+        journey: &mut Journey<'_>,
+        ticket: &Ticket,
+    ) -> Result<Answer, Verdict> {
+        let server = ServerKey::from_name(&ticket.agent);
+        let chosen = self.ticket_home(journey.request, ticket, server).await?;
+        journey.tried.push(server);
+        let end = match self.attempt(journey, &chosen, Some(ticket_key(ticket))).await {
+            Ok(answer) => return Ok(answer),
+            Err(end) => end,
+        };
+        Err(match end {
+            // These say that this attempt does not run, but nothing of earlier ones.
+            AttemptEnd::Refused(refusal @ (Refusal::Expired | Refusal::WrongIncarnation)) => {
+                Unknown::TicketHome(refusal).into()
+            }
+            end => verdict(end),
+        })
+    }
+
+    async fn ticket_home(
+        &self,
+        request: &Request,
+        ticket: &Ticket,
+        server: ServerKey,
+    ) -> Result<Chosen, Verdict> {
+        let agent = self.router.agent(server).ok_or(Unknown::AgentUnreachable)?;
+        let limit = request.deadline.min(tokio::time::Instant::now() + self.config.reconnect_limit);
+        let connected = timeout_at(limit, agent.connected_after(0)).await;
+        let connected = connected.ok().flatten().ok_or(Unknown::AgentUnreachable)?;
+        if !is_incarnation(&connected, ticket.incarnation) {
+            // Its records are gone: the work may have run there, and must run nowhere else.
+            return Err(Unknown::TicketHome(Refusal::WrongIncarnation).into());
+        }
+        Ok(Chosen { server, agent, connected, last_try: true })
+    }
+}
+
+/// What the agent files a ticket's work under.
+pub fn ticket_key(ticket: &Ticket) -> ExecutionKey {
+    ExecutionKey::Ticket { number: ticket.number, window: ticket.window }
+}
+
+fn log_route(journey: &Journey<'_>, choice: &Choice, connected: &Connected) {
+    journey.log.record(Event::Routed {
+        backend_server: connected.hello.name.as_str().into(),
+        attempt: journey.attempts + 1,
+        reason: match choice.candidates {
+            1 => RouteReason::OnlyCandidate,
+            _ => RouteReason::LeastWait,
+        },
+        candidates: u32::try_from(choice.candidates).unwrap_or(u32::MAX),
+        predicted_wait_ms: choice.cost.as_millis() as u64,
+    });
+}
+
+/// What the caller is told when an attempt was the last.
+pub fn verdict(end: AttemptEnd) -> Verdict {
+    match end {
+        AttemptEnd::Refused(Refusal::Cancelled | Refusal::DeadlinePassed) => {
+            NotRun::DeadlinePassed.into()
+        }
+        AttemptEnd::Refused(refusal) => NotRun::Refused(refusal).into(),
+        AttemptEnd::Failed(failure) => Unknown::Failed(failure).into(),
+        AttemptEnd::Unreachable => Unknown::AgentUnreachable.into(),
+        AttemptEnd::Replaced(_) => Unknown::AgentReplaced.into(),
+        AttemptEnd::DeadlinePassed => Unknown::DeadlinePassed.into(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/events.rs
@@ -0,0 +1,112 @@
+//! Names outcomes and refusals in the terms of the event log.
+
+use crate::attempt::AttemptEnd;
+use crate::outcome::{NotRun, Unknown, Verdict};
+use crate::request::Request;
+use flamingowheel_observe::event::{Event, Subject};
+use flamingowheel_observe::reason::{
+    Class, NotRunReason, RefusalReason, RetryDenial, RetryReason, UnknownReason,
+};
+use flamingowheel_policy::retry::RetryRefusal;
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::message::Refusal;
+use uuid::Uuid;
+
+/// Priorities from here on count as high, and those below [`NORMAL_PRIORITY`] as low.
+const HIGH_PRIORITY: u8 = 8;
+const NORMAL_PRIORITY: u8 = 3;
+
+/// The class under which a request is counted.
+pub fn class(request: &Request) -> Class {
+    match request.workspace.parameters.priority {
+        HIGH_PRIORITY.. => Class::High,
+        NORMAL_PRIORITY.. => Class::Normal,
+        _ => Class::Low,
+    }
+}
+
+/// What a request's events are about.
+pub fn subject(request: &Request) -> Subject {
+    Subject::request(request.id.0).workspace(&*request.workspace.name)
+}
+
+/// An incarnation as the log writes it.
+pub fn incarnation(incarnation: Incarnation) -> Uuid {
+    Uuid::from_u64_pair(0, incarnation.0)
+}
+
+/// The event that closes a request without a whole answer.
+pub fn verdict(verdict: &Verdict, class: Class, attempts: u32) -> Event {
+    match verdict {
+        Verdict::NotRun(why) => Event::NotRun { class, attempts, reason: not_run(why) },
+        Verdict::Unknown(why) => Event::OutcomeUnknown { class, attempts, reason: unknown(*why) },
+    }
+}
+
+fn not_run(why: &NotRun) -> NotRunReason {
+    match why {
+        NotRun::Unauthorised => NotRunReason::Unauthorised,
+        NotRun::UnknownModel | NotRun::UnknownService => NotRunReason::NoneServes,
+        NotRun::TooLarge { .. } | NotRun::Malformed(_) | NotRun::KeyMismatch => {
+            NotRunReason::Invalid
+        }
+        NotRun::LimitReached { .. } => NotRunReason::LimitExceeded,
+        NotRun::NoneAvailable => NotRunReason::NoneServes,
+        NotRun::Refused(Refusal::Cancelled) => NotRunReason::CancelledBeforeStart,
+        NotRun::Refused(Refusal::Suspect) => NotRunReason::Suspect,
+        NotRun::Refused(_) => NotRunReason::RefusedByAll,
+        NotRun::DeadlinePassed => NotRunReason::DeadlinePassed,
+        NotRun::KeyNotChecked => NotRunReason::KeyValueDown,
+        NotRun::Ticket(_) => NotRunReason::TicketVoid,
+    }
+}
+
+fn unknown(why: Unknown) -> UnknownReason {
+    use flamingowheel_protocol::message::Failure;
+    match why {
+        Unknown::Failed(Failure::ReplayGone) => UnknownReason::AnswerTruncated,
+        Unknown::Failed(_) => UnknownReason::EngineFailed,
+        Unknown::AgentUnreachable => UnknownReason::AgentSilent,
+        Unknown::AgentReplaced => UnknownReason::AgentLost,
+        Unknown::DeadlinePassed => UnknownReason::DeadlinePassed,
+        Unknown::TicketHome(_) => UnknownReason::TicketHomeGone,
+    }
+}
+
+/// A refusal as the log writes it.
+pub fn refusal(refusal: Refusal) -> RefusalReason {
+    match refusal {
+        Refusal::WrongIncarnation => RefusalReason::WrongIncarnation,
+        Refusal::Full => RefusalReason::Full,
+        Refusal::Leaving => RefusalReason::Leaving,
+        Refusal::Cancelled | Refusal::NeverArrived | Refusal::Expired => RefusalReason::Tombstone,
+        Refusal::RecordsFull => RefusalReason::RecordsFull,
+        Refusal::DeadlinePassed => RefusalReason::DeadlinePassed,
+        Refusal::BackendDown => RefusalReason::EngineDown,
+        Refusal::Suspect => RefusalReason::Suspect,
+        Refusal::TicketMismatch => RefusalReason::InvalidTicket,
+    }
+}
+
+/// Why another attempt follows one that ended like this.
+pub fn retry_reason(end: AttemptEnd) -> RetryReason {
+    match end {
+        AttemptEnd::Refused(Refusal::NeverArrived) => RetryReason::NeverSent,
+        AttemptEnd::Refused(Refusal::Cancelled) => RetryReason::CancelledBeforeStart,
+        AttemptEnd::Refused(_) => RetryReason::Refused,
+        AttemptEnd::Failed(_) => RetryReason::EngineFailed,
+        AttemptEnd::Unreachable | AttemptEnd::Replaced(_) | AttemptEnd::DeadlinePassed => {
+            RetryReason::Lost
+        }
+    }
+}
+
+/// Why no other attempt follows.
+pub fn retry_denial(refusal: RetryRefusal) -> RetryDenial {
+    match refusal {
+        RetryRefusal::NotIdempotent => RetryDenial::NotIdempotent,
+        RetryRefusal::AnswerStarted => RetryDenial::AnswerBegun,
+        RetryRefusal::TooLate => RetryDenial::DeadlinePassed,
+        RetryRefusal::BudgetSpent => RetryDenial::BudgetEmpty,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http/answer.rs
@@ -0,0 +1,263 @@
+//! Tells callers the outcome of their requests.
+
+use crate::attempt::Piece;
+use crate::http::{ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_HEADER, TICKET_HEADER};
+use crate::outcome::{NotRun, Unknown, Verdict};
+use crate::state::{EntryState, InProgressGuard};
+use crate::stream::Answer;
+use axum::Json;
+use axum::body::Body;
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use bytes::{Bytes, BytesMut};
+use flamingowheel_protocol::id::RequestId;
+use flamingowheel_protocol::message::Refusal;
+use http_body::Frame;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// A comment line; shows the caller that the connection lives.
+const COMMENT: &[u8] = b":\n\n";
+
+/// Pieces that wait for a slow caller; then the agent is not acknowledged and pauses.
+const BODY_QUEUE: usize = 64;
+
+/// When to come back if nothing better is known.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
+/// What the caller is told beside the answer.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The request's identity.
+    pub request: RequestId,
+    /// The ticket under which it ran.
+    pub ticket: Option<String>,
+}
+
+/// Body of an answer without a result, in the style of OpenAI's errors.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+/// What is told of an error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorDetail {
+    /// For people.
+    pub message: String,
+    /// For programs; one per kind of failure.
+    pub code: String,
+    /// `not-run` or `unknown`.
+    pub outcome: String,
+}
+
+/// Tells a caller that its request did not run, before it got an identity.
+pub fn refuse(not_run: NotRun) -> Response {
+    give_verdict(&not_run.into(), None, None)
+}
+
+/// Answers a request with what became of it.
+pub async fn respond(
+    result: Result<Answer, Verdict>,
+    told: Told,
+    state: &EntryState,
+    guard: InProgressGuard,
+) -> Response {
+    let answer = match result {
+        Ok(answer) => answer,
+        Err(verdict) => {
+            return give_verdict(&verdict, Some(told.request), told.ticket.as_deref());
+        }
+    };
+    if answer.head().content_type.starts_with(EVENT_STREAM) {
+        return stream(answer, &told, state.config.stream_heartbeat, guard);
+    }
+    whole(answer, &told).await
+}
+
+/// Gives a whole body. It is gathered first, so that the status can tell whether it is whole.
+async fn whole(mut answer: Answer, told: &Told) -> Response {
+    let mut body = BytesMut::new();
+    loop {
+        match answer.next().await {
+            Ok(Piece::Chunk(_, data)) => body.extend_from_slice(&data),
+            Ok(Piece::End) => break,
+            Err(verdict) => {
+                return give_verdict(&verdict, Some(told.request), told.ticket.as_deref());
+            }
+        }
+    }
+    let mut response = Response::new(Body::from(body.freeze()));
+    set_head(&mut response, &answer, told, "complete");
+    response
+}
+
+/// Gives an event stream as it comes. Its head can't know the outcome yet: a stream that breaks
+/// off is cut without the end of the chunked body, which clients report as an error.
+fn stream(answer: Answer, told: &Told, heartbeat: Duration, guard: InProgressGuard) -> Response {
+    let (sender, receiver) = mpsc::channel(BODY_QUEUE);
+    let mut response = Response::new(Body::new(ChannelBody { receiver }));
+    set_head(&mut response, &answer, told, "streaming");
+    tokio::spawn(pour(answer, sender, heartbeat, guard));
+    response
+}
+
+async fn pour(
+    mut answer: Answer,
+    sender: mpsc::Sender<Result<Bytes, Verdict>>,
+    heartbeat: Duration,
+    _guard: InProgressGuard,
+) {
+    loop {
+        let item = match next_piece(&mut answer, &sender, heartbeat).await {
+            None | Some(Ok(Piece::End)) => return,
+            Some(Ok(Piece::Chunk(_, data))) => Ok(data),
+            Some(Err(verdict)) => Err(verdict),
+        };
+        let ended = item.is_err();
+        if sender.send(item).await.is_err() || ended {
+            return;
+        }
+    }
+}
+
+/// Waits for the next piece and meanwhile shows the caller that the connection lives. `None` when
+/// the caller is gone.
+async fn next_piece(
+    answer: &mut Answer,
+    sender: &mpsc::Sender<Result<Bytes, Verdict>>,
+    heartbeat: Duration,
+) -> Option<Result<Piece, Verdict>> {
+    // One future for the whole wait: dropping it half way would forget a lost connection.
+    let next = answer.next();
+    tokio::pin!(next);
+    loop {
+        tokio::select! {
+            piece = &mut next => return Some(piece),
+            () = sender.closed() => return None,
+            () = tokio::time::sleep(heartbeat) => {
+                let _ = sender.try_send(Ok(Bytes::from_static(COMMENT)));
+            }
+        }
+    }
+}
+
+/// A body fed by a channel; an error in it aborts the connection.
+struct ChannelBody {
+    receiver: mpsc::Receiver<Result<Bytes, Verdict>>,
+}
+
+impl http_body::Body for ChannelBody {
+    type Data = Bytes;
+    type Error = Verdict;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Verdict>>> {
+        self.receiver.poll_recv(context).map(|item| item.map(|item| item.map(Frame::data)))
+    }
+}
+
+fn set_head(response: &mut Response, answer: &Answer, told: &Told, outcome: &'static str) {
+    let head = answer.head();
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    insert(headers, header::CONTENT_TYPE, &head.content_type);
+    insert(headers, HeaderName::from_static(OUTCOME_HEADER), outcome);
+    insert(headers, HeaderName::from_static(ATTEMPTS_HEADER), &answer.attempts().to_string());
+    tell(headers, Some(told.request), told.ticket.as_deref());
+}
+
+fn tell(headers: &mut HeaderMap, request: Option<RequestId>, ticket: Option<&str>) {
+    if let Some(request) = request {
+        insert(headers, HeaderName::from_static(REQUEST_HEADER), &request.0.to_string());
+    }
+    if let Some(ticket) = ticket {
+        insert(headers, HeaderName::from_static(TICKET_HEADER), ticket);
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Tells a caller that its request has no whole answer, and why.
+pub fn give_verdict(
+    verdict: &Verdict,
+    request: Option<RequestId>,
+    ticket: Option<&str>,
+) -> Response {
+    let (status, code, outcome) = match verdict {
+        Verdict::NotRun(why) => {
+            let (status, code) = describe_not_run(why);
+            (status, code, "not-run")
+        }
+        Verdict::Unknown(why) => {
+            let (status, code) = describe_unknown(*why);
+            (status, code, "unknown")
+        }
+    };
+    let detail = ErrorDetail {
+        message: verdict.to_string(),
+        code: code.to_owned(),
+        outcome: outcome.to_owned(),
+    };
+    let mut response = (status, Json(ErrorBody { error: detail })).into_response();
+    let headers = response.headers_mut();
+    insert(headers, HeaderName::from_static(OUTCOME_HEADER), outcome);
+    tell(headers, request, ticket);
+    if let Some(retry_after_ms) = retry_after_ms(verdict) {
+        // The header counts whole seconds.
+        insert(headers, header::RETRY_AFTER, &retry_after_ms.div_ceil(1_000).to_string());
+    }
+    response
+}
+
+fn describe_not_run(why: &NotRun) -> (StatusCode, &'static str) {
+    match why {
+        NotRun::Unauthorised => (StatusCode::UNAUTHORIZED, "unauthorised"),
+        NotRun::UnknownModel => (StatusCode::NOT_FOUND, "unknown_model"),
+        NotRun::UnknownService => (StatusCode::NOT_FOUND, "unknown_service"),
+        NotRun::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
+        NotRun::Malformed(_) => (StatusCode::BAD_REQUEST, "malformed"),
+        NotRun::LimitReached { .. } => (StatusCode::TOO_MANY_REQUESTS, "limit_reached"),
+        NotRun::NoneAvailable => (StatusCode::SERVICE_UNAVAILABLE, "none_available"),
+        NotRun::Refused(Refusal::TicketMismatch) => {
+            (StatusCode::UNPROCESSABLE_ENTITY, "ticket_mismatch")
+        }
+        NotRun::Refused(Refusal::Suspect) => (StatusCode::UNPROCESSABLE_ENTITY, "suspect"),
+        NotRun::Refused(_) => (StatusCode::SERVICE_UNAVAILABLE, "refused"),
+        NotRun::DeadlinePassed => (StatusCode::SERVICE_UNAVAILABLE, "deadline_passed"),
+        NotRun::KeyNotChecked => (StatusCode::SERVICE_UNAVAILABLE, "key_not_checked"),
+        NotRun::Ticket(_) => (StatusCode::BAD_REQUEST, "ticket"),
+        NotRun::KeyMismatch => (StatusCode::UNPROCESSABLE_ENTITY, "key_mismatch"),
+    }
+}
+
+fn describe_unknown(why: Unknown) -> (StatusCode, &'static str) {
+    match why {
+        Unknown::Failed(_) => (StatusCode::BAD_GATEWAY, "failed"),
+        Unknown::AgentUnreachable => (StatusCode::BAD_GATEWAY, "agent_unreachable"),
+        Unknown::AgentReplaced => (StatusCode::BAD_GATEWAY, "agent_replaced"),
+        Unknown::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "deadline_passed"),
+        Unknown::TicketHome(_) => (StatusCode::BAD_GATEWAY, "ticket_home_gone"),
+    }
+}
+
+fn retry_after_ms(verdict: &Verdict) -> Option<u64> {
+    match verdict {
+        Verdict::NotRun(NotRun::LimitReached { retry_after_ms }) => Some(*retry_after_ms),
+        Verdict::NotRun(NotRun::NoneAvailable | NotRun::Refused(_) | NotRun::KeyNotChecked) => {
+            Some(DEFAULT_RETRY_AFTER_MS)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http/chat.rs
@@ -0,0 +1,61 @@
+//! OpenAI-style chat completions.
+
+use crate::agents::Target;
+use crate::http::answer::{Told, refuse, respond};
+use crate::http::{CHAT_PATH, intake};
+use crate::outcome::{MalformedRequest, NotRun};
+use crate::request::Request;
+use crate::state::EntryState;
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::response::Response;
+use flamingowheel_protocol::id::RequestId;
+use serde::Deserialize;
+use std::sync::Arc;
+
+/// The part of a request that routing needs; the engine reads the rest.
+#[derive(Deserialize)]
+struct Completion {
+    model: String,
+}
+
+/// Takes a completion request.
+pub async fn complete(
+    State(state): State<Arc<EntryState>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let guard = state.in_progress.enter();
+    let request = match read(&state, &headers, body).await {
+        Ok(request) => request,
+        Err(not_run) => return refuse(not_run),
+    };
+    let told = Told { request: request.id, ticket: None };
+    let (result, _) = state.dispatcher.run(request).await;
+    respond(result, told, &state, guard).await
+}
+
+async fn read(state: &EntryState, headers: &HeaderMap, body: Body) -> Result<Request, NotRun> {
+    let workspace = intake::workspace(&state.effective.load(), headers)?;
+    let deadline = intake::deadline(headers, &workspace)?;
+    let body = intake::body(state, body).await?;
+    let completion: Completion =
+        serde_json::from_slice(&body).map_err(|_| MalformedRequest::Body)?;
+    if !workspace.parameters.models.contains_key(&completion.model) {
+        return Err(NotRun::UnknownModel);
+    }
+    let fingerprint = intake::fingerprint(state, &workspace, CHAT_PATH, &body);
+    Ok(Request {
+        id: RequestId::fresh(),
+        workspace,
+        target: Target::Model(completion.model),
+        method: "POST".to_owned(),
+        path: CHAT_PATH.to_owned(),
+        content_type: Some("application/json".to_owned()),
+        body,
+        idempotent: true,
+        deadline,
+        fingerprint,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/http/services.rs
@@ -0,0 +1,166 @@
+//! Calls to plain services, idempotent or not as the workspace's template says.
+
+use crate::agents::Target;
+use crate::claims::{Claim, ClaimError};
+use crate::http::answer::{Told, refuse, respond};
+use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
+use crate::outcome::{MalformedRequest, NotRun, TicketRefusal};
+use crate::request::Request;
+use crate::state::{EntryState, InProgressGuard};
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, Method, Uri, header};
+use axum::response::Response;
+use flamingowheel_protocol::id::RequestId;
+use flamingowheel_protocol::ticket::Ticket;
+use std::sync::Arc;
+
+/// Takes a service call.
+pub async fn call(
+    State(state): State<Arc<EntryState>>,
+    Path((service, path)): Path<(String, String)>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let guard = state.in_progress.enter();
+    let called = Called { service, path: format!("/{path}"), method, uri };
+    let request = match read(&state, &headers, called, body).await {
+        Ok(request) => request,
+        Err(not_run) => return refuse(not_run),
+    };
+    match ticket(&state, &headers, &request).await {
+        Ok(Some(ticket)) => run_ticket(&state, request, ticket, guard).await,
+        Ok(None) => run(&state, request, guard).await,
+        Err(not_run) => refuse(not_run),
+    }
+}
+
+struct Called {
+    service: String,
+    path: String,
+    method: Method,
+    uri: Uri,
+}
+
+async fn run(state: &Arc<EntryState>, request: Request, guard: InProgressGuard) -> Response {
+    let id = request.id;
+    let (result, ticket) = state.dispatcher.run(request).await;
+    let ticket = ticket.map(|ticket| ticket.to_text(&state.config.fleet_key));
+    respond(result, Told { request: id, ticket }, state, guard).await
+}
+
+async fn run_ticket(
+    state: &Arc<EntryState>,
+    request: Request,
+    ticket: Ticket,
+    guard: InProgressGuard,
+) -> Response {
+    let told = Told { request: request.id, ticket: Some(ticket.to_text(&state.config.fleet_key)) };
+    let result = state.dispatcher.run_ticket(request, &ticket).await;
+    respond(result, told, state, guard).await
+}
+
+async fn read(
+    state: &EntryState,
+    headers: &HeaderMap,
+    called: Called,
+    body: Body,
+) -> Result<Request, NotRun> {
+    let workspace = intake::workspace(&state.effective.load(), headers)?;
+    check_path(called.uri.path())?;
+    let service =
+        workspace.parameters.services.get(&called.service).ok_or(NotRun::UnknownService)?;
+    let route =
+        service.route(called.method.as_str(), &called.path).ok_or(NotRun::UnknownService)?;
+    let idempotent = route.idempotent;
+    let deadline = intake::deadline(headers, &workspace)?;
+    let body = intake::body(state, body).await?;
+    let content_type = intake::text_header(headers, header::CONTENT_TYPE.as_str())?;
+    let path = match called.uri.query() {
+        Some(query) => format!("{}?{query}", called.path),
+        None => called.path,
+    };
+    let route = format!("{} {} {path}", called.service, called.method);
+    let fingerprint = intake::fingerprint(state, &workspace, &route, &body);
+    Ok(Request {
+        id: RequestId::fresh(),
+        workspace,
+        target: Target::Service(called.service),
+        method: called.method.to_string(),
+        path,
+        content_type: content_type.map(str::to_owned),
+        body,
+        idempotent,
+        deadline,
+        fingerprint,
+    })
+}
+
+/// The route decides whether a call may be repeated, by the path's prefix. A service that
+/// resolves dot segments or encoded separators would see another path than the one that was
+/// checked, so a payout could pass for a status check; such paths are refused.
+fn check_path(path: &str) -> Result<(), NotRun> {
+    let plain = path.bytes().all(|byte| byte != b'%' && byte != b'\\');
+    let dots = path.split('/').any(|segment| matches!(segment, "." | ".."));
+    if plain && !dots && !path.contains("//") {
+        return Ok(());
+    }
+    Err(MalformedRequest::Path.into())
+}
+
+/// The ticket under which a non-idempotent call runs, if the caller brought one or a key. With
+/// neither, each attempt gets a ticket of its own.
+async fn ticket(
+    state: &EntryState,
+    headers: &HeaderMap,
+    request: &Request,
+) -> Result<Option<Ticket>, NotRun> {
+    let text = intake::text_header(headers, TICKET_HEADER)?;
+    if request.idempotent {
+        return match text {
+            Some(_) => Err(TicketRefusal::NotNeeded.into()),
+            None => Ok(None),
+        };
+    }
+    if let Some(text) = text {
+        return own_ticket(state, request, text).map(Some);
+    }
+    match intake::text_header(headers, IDEMPOTENCY_KEY_HEADER)? {
+        Some(key) => bound_ticket(state, request, key).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+fn own_ticket(state: &EntryState, request: &Request, text: &str) -> Result<Ticket, NotRun> {
+    let ticket =
+        Ticket::from_text(text, &state.config.fleet_key).map_err(TicketRefusal::Invalid)?;
+    let same =
+        ticket.workspace == *request.workspace.name && ticket.service == request.service_name();
+    if !same {
+        return Err(TicketRefusal::OtherSubject.into());
+    }
+    Ok(ticket)
+}
+
+/// The ticket that the caller's own key stands for; a new one if the key is new.
+async fn bound_ticket(state: &EntryState, request: &Request, key: &str) -> Result<Ticket, NotRun> {
+    let minted = state.dispatcher.mint(request)?;
+    let claim = Claim {
+        ticket: minted.to_text(&state.config.fleet_key),
+        fingerprint: format!("{:032x}", request.fingerprint.0),
+    };
+    let wanted = claim.fingerprint.clone();
+    let bound = state.claims.bind(&request.workspace.name, key, claim).await.map_err(
+        |error: ClaimError| {
+            tracing::warn!(%error, "idempotency key not bound");
+            NotRun::KeyNotChecked
+        },
+    )?;
+    if bound.fingerprint != wanted {
+        return Err(NotRun::KeyMismatch);
+    }
+    Ticket::from_text(&bound.ticket, &state.config.fleet_key)
+        .map_err(|error| TicketRefusal::Invalid(error).into())
+}
--- /dev/null
+++ b/crates/entry/src/http/tickets.rs
@@ -0,0 +1,88 @@
+//! Takes and gives up tickets.
+
+use crate::agents::Target;
+use crate::http::answer::{give_verdict, refuse};
+use crate::http::intake;
+use crate::outcome::{NotRun, TicketRefusal};
+use crate::request::Request;
+use crate::state::EntryState;
+use axum::Json;
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use flamingowheel_protocol::id::{Fingerprint, RequestId};
+use flamingowheel_protocol::ticket::Ticket;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// What a ticket is wanted for.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Wanted {
+    /// The service.
+    service: String,
+}
+
+/// A ticket given out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Issued {
+    /// Its text, for the ticket header.
+    pub ticket: String,
+}
+
+/// Gives a ticket. Needs no other process, so it works while the key-value service is down.
+pub async fn issue(
+    State(state): State<Arc<EntryState>>,
+    headers: HeaderMap,
+    Query(wanted): Query<Wanted>,
+) -> Response {
+    match subject(&state, &headers, &wanted.service)
+        .and_then(|request| state.dispatcher.mint(&request))
+    {
+        Ok(ticket) => {
+            let ticket = ticket.to_text(&state.config.fleet_key);
+            (StatusCode::CREATED, Json(Issued { ticket })).into_response()
+        }
+        Err(not_run) => refuse(not_run),
+    }
+}
+
+/// Gives a ticket up: if its work has not begun, it never will, and the caller is told so.
+pub async fn void(
+    State(state): State<Arc<EntryState>>,
+    headers: HeaderMap,
+    Path(text): Path<String>,
+) -> Response {
+    let read = Ticket::from_text(&text, &state.config.fleet_key);
+    let ticket = match read.map_err(TicketRefusal::Invalid) {
+        Ok(ticket) => ticket,
+        Err(refusal) => return refuse(refusal.into()),
+    };
+    let request = match subject(&state, &headers, &ticket.service) {
+        Ok(request) if *request.workspace.name == *ticket.workspace => request,
+        Ok(_) => return refuse(TicketRefusal::OtherSubject.into()),
+        Err(not_run) => return refuse(not_run),
+    };
+    let id = request.id;
+    give_verdict(&state.dispatcher.void(request, &ticket).await, Some(id), None)
+}
+
+fn subject(state: &EntryState, headers: &HeaderMap, service: &str) -> Result<Request, NotRun> {
+    let workspace = intake::workspace(&state.effective.load(), headers)?;
+    if !workspace.parameters.services.contains_key(service) {
+        return Err(NotRun::UnknownService);
+    }
+    let deadline = intake::deadline(headers, &workspace)?;
+    Ok(Request {
+        id: RequestId::fresh(),
+        workspace,
+        target: Target::Service(service.to_owned()),
+        method: String::new(),
+        path: String::new(),
+        content_type: None,
+        body: Bytes::new(),
+        idempotent: false,
+        deadline,
+        fingerprint: Fingerprint(0),
+    })
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -34,6 +34,13 @@
 }
 
 impl Request {
+    /// The name of the service or model that must serve it.
+    pub fn service_name(&self) -> &str {
+        match &self.target {
+            Target::Model(name) | Target::Service(name) => name,
+        }
+    }
+
     /// Milliseconds until the caller gives up.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,7 +1,7 @@
 //! Applies the routing policy to the agents that are connected.
 
 use crate::agents::{Agent, Target};
-use flamingowheel_policy::key::{Fingerprint, ServerKey};
+use flamingowheel_policy::key::{Fingerprint, ScopeKey, ServerKey};
 use flamingowheel_policy::load::{Availability, Load, LoadBook};
 use flamingowheel_policy::routing::{Choice, RouteError, RouteRequest, RoutingConfig, choose};
 use flamingowheel_protocol::message::{LoadHint, Serves};
@@ -67,8 +67,12 @@
     }
 
     /// Notes whether a backend server takes new work.
-    pub fn set_leaving(&self, server: ServerKey, leaving: bool) {
-        let availability = if leaving { Availability::Leaving } else { Availability::Available };
+    pub fn set_accepting(&self, server: ServerKey, leaving: bool, backend_up: bool) {
+        let availability = match (leaving, backend_up) {
+            (true, _) => Availability::Leaving,
+            (false, false) => Availability::Suspect,
+            (false, true) => Availability::Available,
+        };
         self.lock().book.set_availability(server, availability);
     }
 
@@ -108,6 +112,12 @@
         Ok((choice, agent))
     }
 
+    /// Backend servers by what they serve, for the choice of subsets.
+    pub fn scopes(&self) -> Vec<(ScopeKey, Vec<ServerKey>)> {
+        let state = self.lock();
+        state.by_target.iter().map(|(target, servers)| (target.scope(), servers.clone())).collect()
+    }
+
     /// Counts the end of a request that was sent.
     pub fn ended(&self, server: ServerKey) {
         let now = self.started.elapsed();
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,175 @@
+//! An answer on its way to the caller.
+
+use crate::attempt::{Attempt, AttemptEnd, Head, Piece, Prepared, Streaming};
+use crate::dispatch::verdict;
+use crate::events;
+use crate::outcome::Verdict;
+use crate::request::Request;
+use crate::router::Router;
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::reason::CancelCause;
+use flamingowheel_observe::recorder::SubjectRecorder;
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
+use flamingowheel_protocol::message::Dispatch;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Where an answer comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    /// The backend server.
+    pub server: ServerKey,
+    /// Attempts made until the answer began.
+    pub attempts: u32,
+    /// The backend server can go on with a stream under a new agent process.
+    pub can_resume: bool,
+}
+
+/// An answer that has begun. Dropping it before its end tells the agent that nobody reads any
+/// more.
+pub struct Answer {
+    request: Request,
+    head: Head,
+    attempt: Option<Attempt<Streaming>>,
+    origin: Origin,
+    router: Arc<Router>,
+    log: SubjectRecorder,
+    reconnect_limit: Duration,
+    begun: Instant,
+}
+
+impl Answer {
+    /// Wraps an attempt whose answer has begun.
+    #[allow(clippy::too_many_arguments, reason = "one caller, and each names a field")]
+    pub fn new(
+        request: Request,
+        head: Head,
+        attempt: Attempt<Streaming>,
+        origin: Origin,
+        router: Arc<Router>,
+        log: SubjectRecorder,
+        reconnect_limit: Duration,
+    ) -> Self {
+        let begun = Instant::now();
+        let attempt = Some(attempt);
+        Self { request, head, attempt, origin, router, log, reconnect_limit, begun }
+    }
+
+    /// Status and media type.
+    pub fn head(&self) -> &Head {
+        &self.head
+    }
+
+    /// Attempts made until the answer began.
+    pub fn attempts(&self) -> u32 {
+        self.origin.attempts
+    }
+
+    /// Identity of the attempt that answers.
+    pub fn attempt(&self) -> Option<&Attempt<Streaming>> {
+        self.attempt.as_ref()
+    }
+
+    /// The next piece. After an error or the end there is none.
+    pub async fn next(&mut self) -> Result<Piece, Verdict> {
+        loop {
+            let Some(attempt) = self.attempt.as_mut() else { return Ok(Piece::End) };
+            match attempt.next().await {
+                Ok(Piece::End) => {
+                    self.finish();
+                    return Ok(Piece::End);
+                }
+                Ok(piece) => return Ok(piece),
+                Err(end) => self.resume_or_fail(end).await?,
+            }
+        }
+    }
+
+    /// Goes on under a new agent process if the backend server itself still has the stream.
+    async fn resume_or_fail(&mut self, end: AttemptEnd) -> Result<(), Verdict> {
+        let resumable = matches!(end, AttemptEnd::Replaced(_));
+        let resumed = match self.attempt.take() {
+            Some(attempt) if resumable && self.may_resume() => self.resume(attempt).await,
+            _ => Err(end),
+        };
+        match resumed {
+            Ok(attempt) => {
+                self.attempt = Some(attempt);
+                Ok(())
+            }
+            Err(end) => {
+                self.router.ended(self.origin.server);
+                let verdict = verdict(end);
+                let class = events::class(&self.request);
+                self.log.record(events::verdict(&verdict, class, self.origin.attempts));
+                Err(verdict)
+            }
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        self.origin.can_resume && self.request.idempotent
+    }
+
+    async fn resume(&mut self, old: Attempt<Streaming>) -> Result<Attempt<Streaming>, AttemptEnd> {
+        let agent = Arc::clone(old.agent());
+        let connected = agent.connected().ok_or(AttemptEnd::Unreachable)?;
+        let next_chunk = old.next_chunk();
+        self.origin.attempts += 1;
+        let attempt = AttemptId { request: self.request.id, number: self.origin.attempts };
+        self.log.record(Event::Resumed {
+            backend_server: connected.hello.name.as_str().into(),
+            attempt: attempt.number,
+            from_chunk: next_chunk,
+        });
+        let dispatch = Dispatch {
+            attempt,
+            key: ExecutionKey::Attempt(attempt),
+            incarnation: connected.hello.incarnation,
+            window: agent.window(),
+            workspace: self.request.workspace.name.to_string(),
+            method: self.request.method.clone(),
+            path: self.request.path.clone(),
+            content_type: self.request.content_type.clone(),
+            body: self.request.body.clone(),
+            idempotent: true,
+            priority: self.request.workspace.parameters.priority,
+            remaining_ms: self.reconnect_limit.as_millis() as u64,
+            fingerprint: self.request.fingerprint,
+            alone: false,
+            last_try: true,
+            resume_after_chunks: next_chunk,
+        };
+        let deadline = Instant::now() + self.reconnect_limit;
+        let sent = Attempt::<Prepared>::new(Box::new(dispatch))
+            .send(&agent, connected, self.reconnect_limit)
+            .await
+            .map_err(AttemptEnd::Refused)?;
+        let (_, attempt) = sent.begin(deadline, next_chunk).await.map_err(|(end, _)| end)?;
+        Ok(attempt)
+    }
+
+    fn finish(&mut self) {
+        let Some(attempt) = self.attempt.take() else { return };
+        self.router.ended(self.origin.server);
+        self.log.record(Event::Completed {
+            class: events::class(&self.request),
+            attempts: self.origin.attempts,
+            chunks: attempt.next_chunk(),
+            duration_ms: self.begun.elapsed().as_millis() as u64,
+        });
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if self.attempt.take().is_none() {
+            return;
+        }
+        self.router.ended(self.origin.server);
+        let cause = CancelCause::CallerGone;
+        self.log.record(Event::Cancelled { attempt: self.origin.attempts, cause });
+    }
+}
--- a/crates/observe/src/clock.rs
+++ b/crates/observe/src/clock.rs
@@ -39,6 +39,22 @@
         Self((wall_ms << LOGICAL_BITS) | u64::from(logical))
     }
 
+    /// The stamp as one integer, for messages between processes.
+    pub fn packed(self) -> u64 {
+        self.0
+    }
+
+    /// Reads [`Stamp::packed`] back.
+    ///
+    /// ```
+    /// use flamingowheel_observe::clock::Stamp;
+    /// let stamp = Stamp::new(7, 1);
+    /// assert_eq!(Stamp::from_packed(stamp.packed()), stamp);
+    /// ```
+    pub fn from_packed(packed: u64) -> Self {
+        Self(packed)
+    }
+
     /// Milliseconds since the Unix epoch.
     pub fn wall_ms(self) -> u64 {
         self.0 >> LOGICAL_BITS
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use flamingowheel_protocol::link::Stamps;
+
 use crate::api::{EventQuery, EventsAnswer, ProcessInfo};
 use crate::clock::{HybridClock, Stamp, SystemClock};
 use crate::event::{Event, Name, Stamped, Subject};
@@ -127,6 +129,16 @@
     }
 }
 
+impl Stamps for Recorder {
+    fn stamp(&self) -> u64 {
+        Recorder::stamp(self).packed()
+    }
+
+    fn observe(&self, peer: &str, stamp: u64) {
+        Recorder::observe(self, peer, Stamp::from_packed(stamp));
+    }
+}
+
 impl fmt::Debug for Recorder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Recorder").field("process", &self.shared.process.name).finish()
--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -29,19 +29,19 @@
     },
 }
 
-/// Encodes a batch.
+/// Encodes a batch and the logical time of its sending.
 ///
 /// ```
 /// use flamingowheel_protocol::codec::{decode, encode};
-/// let bytes = encode(&["a", "b"]).unwrap();
-/// assert_eq!(decode::<String>(&bytes).unwrap(), ["a", "b"]);
+/// let bytes = encode(7, &["a", "b"]).unwrap();
+/// assert_eq!(decode::<String>(&bytes).unwrap(), (7, vec!["a".to_owned(), "b".to_owned()]));
 /// ```
-pub fn encode<M>(batch: &[M]) -> Result<Vec<u8>, CodecError>
+pub fn encode<M>(stamp: u64, batch: &[M]) -> Result<Vec<u8>, CodecError>
 where
     M: Serialize,
 {
     let mut buffer = Vec::with_capacity(256);
-    ciborium::into_writer(batch, &mut buffer).map_err(|_| CodecError::Malformed)?;
+    ciborium::into_writer(&(stamp, batch), &mut buffer).map_err(|_| CodecError::Malformed)?;
     if buffer.len() > MAX_BATCH_BYTES {
         return Err(CodecError::TooLarge { bytes: buffer.len() });
     }
@@ -54,7 +54,7 @@
 /// use flamingowheel_protocol::codec::{CodecError, decode};
 /// assert_eq!(decode::<u8>(&[0xff]), Err(CodecError::Malformed));
 /// ```
-pub fn decode<M>(bytes: &[u8]) -> Result<Vec<M>, CodecError>
+pub fn decode<M>(bytes: &[u8]) -> Result<(u64, Vec<M>), CodecError>
 where
     M: DeserializeOwned,
 {
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -1,5 +1,6 @@
 //! Identities of requests, attempts, processes and stored executions.
 
+pub use flamingowheel_policy::key::Fingerprint;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
@@ -64,11 +65,6 @@
     },
 }
 
-/// Hash of workspace, route and body. A resend by the caller has a new request identity but the
-/// same fingerprint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Fingerprint(pub u128);
-
 /// A number of an agent's record window: the agent's own uptime divided by the window's length.
 ///
 /// Windows are counted on the clock of one agent only, so no two clocks are ever compared.
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -9,6 +9,7 @@
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -34,6 +35,48 @@
     }
 }
 
+/// Stamps batches with a logical time, so that what a message causes sorts after its sending.
+pub trait Stamps: Send + Sync + 'static {
+    /// The time to send with a batch.
+    fn stamp(&self) -> u64;
+
+    /// Takes in the time that came with a batch from `peer`.
+    fn observe(&self, peer: &str, stamp: u64);
+}
+
+/// Keeps no time; for tests that don't look at the order of events.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoStamps;
+
+impl Stamps for NoStamps {
+    fn stamp(&self) -> u64 {
+        0
+    }
+
+    fn observe(&self, _peer: &str, _stamp: u64) {}
+}
+
+/// How a connection is kept.
+#[derive(Clone)]
+pub struct Keeping {
+    /// Heartbeat and silence limit.
+    pub timing: Timing,
+    /// Logical time of batches.
+    pub stamps: Arc<dyn Stamps>,
+}
+
+impl Default for Keeping {
+    fn default() -> Self {
+        Self { timing: Timing::default(), stamps: Arc::new(NoStamps) }
+    }
+}
+
+impl std::fmt::Debug for Keeping {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Keeping").field("timing", &self.timing).finish_non_exhaustive()
+    }
+}
+
 /// Why a connection ended.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum LinkError {
@@ -74,7 +117,7 @@
     In: DeserializeOwned + Send + 'static,
 {
     /// Starts the tasks that carry messages over a transport. Both end when either does.
-    pub fn start<W, R>(peer: Hello, sink: W, stream: R, timing: Timing) -> Self
+    pub fn start<W, R>(peer: Hello, sink: W, stream: R, keeping: Keeping) -> Self
     where
         W: Sink<Bytes> + Send + Unpin + 'static,
         R: Stream<Item = Bytes> + Send + Unpin + 'static,
@@ -84,8 +127,8 @@
         let name = peer.name.clone();
         tokio::spawn(async move {
             let end = tokio::select! {
-                end = write(outgoing, sink, timing) => end,
-                end = read(incoming, stream, timing) => end,
+                end = write(outgoing, sink, &keeping) => end,
+                end = read(incoming, stream, &keeping, &name) => end,
             };
             match end {
                 Err(LinkError::Closed) | Ok(()) => {
@@ -102,12 +145,13 @@
 async fn write<M, W>(
     mut outgoing: mpsc::Receiver<M>,
     mut sink: W,
-    timing: Timing,
+    keeping: &Keeping,
 ) -> Result<(), LinkError>
 where
     M: Serialize,
     W: Sink<Bytes> + Unpin,
 {
+    let timing = keeping.timing;
     let mut batch = Vec::with_capacity(MAX_BATCH_MESSAGES);
     loop {
         batch.clear();
@@ -115,7 +159,7 @@
         if let Ok(0) = timeout(timing.heartbeat, received).await {
             return Ok(());
         }
-        let bytes = Bytes::from(encode(&batch)?);
+        let bytes = Bytes::from(encode(keeping.stamps.stamp(), &batch)?);
         // A peer that vanished leaves the socket's buffer full for as long as TCP retries, which
         // is minutes. Requests behind it would wait that long; the limit frees them to move on.
         match timeout(timing.silence_limit, sink.send(bytes)).await {
@@ -130,12 +174,14 @@
 async fn read<M, R>(
     incoming: mpsc::Sender<M>,
     mut stream: R,
-    timing: Timing,
+    keeping: &Keeping,
+    peer: &str,
 ) -> Result<(), LinkError>
 where
     M: DeserializeOwned,
     R: Stream<Item = Bytes> + Unpin,
 {
+    let timing = keeping.timing;
     loop {
         // Something between the two ends may have lost track of the connection: it stays open
         // and delivers nothing. The peer sends heartbeats, so silence tells.
@@ -144,7 +190,9 @@
             Ok(None) => return Err(LinkError::Closed),
             Err(_) => return Err(LinkError::Silent { limit_ms: millis(timing.silence_limit) }),
         };
-        for message in decode(&bytes)? {
+        let (stamp, batch) = decode(&bytes)?;
+        keeping.stamps.observe(peer, stamp);
+        for message in batch {
             if incoming.send(message).await.is_err() {
                 return Ok(());
             }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -331,7 +331,7 @@
         #[serde(rename = "l")]
         occupied: u16,
     },
-    /// Sent at least every [`crate::link::Timing::heartbeat`].
+    /// Sent several times a second, and at once when something in it changed.
     #[serde(rename = "b")]
     Heartbeat {
         /// Fresh load.
@@ -343,6 +343,9 @@
         /// No new work is taken.
         #[serde(rename = "x")]
         leaving: bool,
+        /// The backend server answered its last health check.
+        #[serde(rename = "u")]
+        backend_up: bool,
     },
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -2,7 +2,7 @@
 
 use crate::auth::{FleetKey, Opening, Proof, Reply, Side, Transcript, VERSION};
 use crate::codec::{MAX_BATCH_BYTES, decode, encode};
-use crate::link::{Link, Timing};
+use crate::link::{Keeping, Link};
 use crate::message::Hello;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt, future};
@@ -55,8 +55,8 @@
     pub hello: Hello,
     /// The fleet's key.
     pub key: FleetKey,
-    /// Heartbeat and silence limit.
-    pub timing: Timing,
+    /// How connections are kept.
+    pub keeping: Keeping,
 }
 
 /// Opens a connection.
@@ -77,7 +77,7 @@
                 .await
                 .map_err(Box::new)?;
         let peer = prove(&mut socket, identity).await?;
-        Ok(start(peer, socket, identity.timing))
+        Ok(start(peer, socket, identity.keeping.clone()))
     };
     timeout(HANDSHAKE_LIMIT, opening).await.map_err(|_| HandshakeError::TimedOut)?
 }
@@ -97,7 +97,7 @@
             .await
             .map_err(Box::new)?;
         let peer = check(&mut socket, identity).await?;
-        Ok(start(peer, socket, identity.timing))
+        Ok(start(peer, socket, identity.keeping.clone()))
     };
     timeout(HANDSHAKE_LIMIT, accepting).await.map_err(|_| HandshakeError::TimedOut)?
 }
@@ -150,7 +150,7 @@
 where
     M: Serialize,
 {
-    let bytes = encode(std::slice::from_ref(message)).map_err(|_| HandshakeError::Malformed)?;
+    let bytes = encode(0, std::slice::from_ref(message)).map_err(|_| HandshakeError::Malformed)?;
     socket.send(Message::Binary(bytes.into())).await.map_err(|error| Box::new(error).into())
 }
 
@@ -164,14 +164,18 @@
     if bytes.len() > MAX_HANDSHAKE_BYTES {
         return Err(HandshakeError::Malformed);
     }
-    let mut batch: Vec<M> = decode(&bytes).map_err(|_| HandshakeError::Malformed)?;
+    let (_, mut batch): (u64, Vec<M>) = decode(&bytes).map_err(|_| HandshakeError::Malformed)?;
     match (batch.pop(), batch.is_empty()) {
         (Some(message), true) => Ok(message),
         _ => Err(HandshakeError::Malformed),
     }
 }
 
-fn start<Out, In>(peer: Hello, socket: WebSocketStream<TcpStream>, timing: Timing) -> Link<Out, In>
+fn start<Out, In>(
+    peer: Hello,
+    socket: WebSocketStream<TcpStream>,
+    keeping: Keeping,
+) -> Link<Out, In>
 where
     Out: Serialize + Send + Sync + 'static,
     In: DeserializeOwned + Send + 'static,
@@ -183,7 +187,7 @@
     let stream = stream
         .take_while(|item| future::ready(item.is_ok()))
         .filter_map(|item| future::ready(item.ok().and_then(batch_bytes)));
-    Link::start(peer, sink, stream, timing)
+    Link::start(peer, sink, stream, keeping)
 }
 
 fn batch_bytes(message: Message) -> Option<Bytes> {
