platform, standin: HTTP clients, stand-in servers and one contract for both

Cause: outside systems are reached over their published protocols, and a failure to connect must be told from a lost answer, or 'not run' can't be said. Change: one hyper-util client that never resends, follows no redirect and bounds every wait and size; clients of the etcd v3 gateway, VM list, backend server, engine orders and weight store; stand-ins over the fakes whose connections can go silent, break or be refused.

--- /dev/null
+++ b/crates/platform/src/client/backend.rs
@@ -0,0 +1,205 @@
+//! Client of a backend server: a model engine with event streams, or a plain service.
+
+use super::http::{HttpClient, HttpError, HttpLimits, Reuse, has_proven_end};
+use super::segment;
+use super::split::{Splitter, is_done};
+use crate::BoxFuture;
+use crate::backend::{
+    BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, CacheEvent, LoadReport,
+};
+use bytes::Bytes;
+use http::uri::Authority;
+use http::{HeaderValue, Method, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
+
+/// Carries the call's id, by which it can be cancelled.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Carries the call's priority; lower goes first.
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Carries the number of events that the caller has already.
+pub const RESUME_HEADER: &str = "x-resume-after-events";
+
+/// Pieces that may wait for a slow reader before the connection is no longer read.
+const BODY_CAPACITY: usize = 64;
+/// Largest event of a stream.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// What kind of backend server it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendKind {
+    /// A model engine: its event streams are whole only with their end marker.
+    Engine,
+    /// A plain service: its bodies are whole by their length.
+    Service,
+}
+
+/// The client.
+#[derive(Clone, Debug)]
+pub struct HttpBackend {
+    http: HttpClient,
+    kind: BackendKind,
+}
+
+impl HttpBackend {
+    /// A client of the backend server at `authority`.
+    ///
+    /// ```
+    /// use flamingowheel_platform::client::{BackendKind, HttpBackend, HttpLimits};
+    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+    /// let authority = "127.0.0.1:8000".parse().unwrap();
+    /// let _engine = HttpBackend::new(authority, BackendKind::Engine, HttpLimits::default());
+    /// # });
+    /// ```
+    pub fn new(authority: Authority, kind: BackendKind, limits: HttpLimits) -> Self {
+        Self { http: HttpClient::new(authority, limits), kind }
+    }
+
+    async fn start(&self, call: BackendCall) -> Result<BackendAnswer, BackendError> {
+        let request = self.call_request(call)?;
+        let response = self.http.send(request, Reuse::Never).await.map_err(backend_error)?;
+        let status = response.status().as_u16();
+        let content_type = content_type(&response).to_owned();
+        let (sender, receiver) = mpsc::channel(BODY_CAPACITY);
+        let events =
+            self.kind == BackendKind::Engine && content_type.starts_with("text/event-stream");
+        let pump = Pump { http: self.http.clone(), sender };
+        tokio::spawn(pump.run(response, events));
+        Ok(BackendAnswer { status, content_type, body: receiver })
+    }
+
+    fn call_request(&self, call: BackendCall) -> Result<Request<Full<Bytes>>, BackendError> {
+        let mut request = self.http.request(call.method, &call.path);
+        if let Some(content_type) = &call.content_type {
+            request = request.header(http::header::CONTENT_TYPE, content_type);
+        }
+        request = request.header(REQUEST_ID_HEADER, &call.id);
+        if self.kind == BackendKind::Engine {
+            request = request
+                .header(PRIORITY_HEADER, HeaderValue::from(u16::from(call.priority.0)))
+                .header(RESUME_HEADER, HeaderValue::from(call.resume_after_events));
+        }
+        // What can't be put into a request was never sent.
+        request.body(Full::new(call.body)).map_err(|_| BackendError::Refused)
+    }
+
+    async fn get<A>(&self, path: &str) -> Result<A, BackendError>
+    where
+        A: DeserializeOwned,
+    {
+        let request = self
+            .http
+            .request(Method::GET, path)
+            .body(Full::default())
+            .map_err(|_| BackendError::Refused)?;
+        let answer = self.http.fetch(request, Reuse::Allowed).await.map_err(backend_error)?;
+        if !answer.status.is_success() {
+            return Err(BackendError::Malformed);
+        }
+        serde_json::from_slice(&answer.body).map_err(|_| BackendError::Malformed)
+    }
+}
+
+fn content_type(response: &Response<Incoming>) -> &str {
+    let value = response.headers().get(http::header::CONTENT_TYPE);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("application/octet-stream")
+}
+
+pub(super) fn backend_error(error: HttpError) -> BackendError {
+    match error {
+        HttpError::Refused => BackendError::Refused,
+        HttpError::Lost => BackendError::Lost,
+        HttpError::Silent { limit_ms } => BackendError::Silent { limit_ms },
+        HttpError::Malformed | HttpError::TooLarge { .. } => BackendError::Malformed,
+    }
+}
+
+/// Carries a body from its connection to the reader. When the reader goes away the connection is
+/// closed, which tells the engine to stop.
+struct Pump {
+    http: HttpClient,
+    sender: mpsc::Sender<Result<BodyPiece, BackendError>>,
+}
+
+impl Pump {
+    async fn run(self, response: Response<Incoming>, events: bool) {
+        let ending = if events {
+            self.relay_events(response.into_body()).await
+        } else if has_proven_end(&response) {
+            self.relay_bytes(response.into_body()).await
+        } else {
+            Err(BackendError::Malformed)
+        };
+        let last = ending.map(|()| BodyPiece::End);
+        let _ = self.sender.send(last).await;
+    }
+
+    async fn relay_bytes(&self, mut body: Incoming) -> Result<(), BackendError> {
+        while let Some(chunk) = self.next_chunk(&mut body).await? {
+            self.deliver(chunk).await?;
+        }
+        Ok(())
+    }
+
+    async fn relay_events(&self, mut body: Incoming) -> Result<(), BackendError> {
+        let mut splitter = Splitter::events(MAX_EVENT_BYTES);
+        while let Some(chunk) = self.next_chunk(&mut body).await? {
+            splitter.push(chunk);
+            while let Some(event) = splitter.next_item().map_err(|_| BackendError::Malformed)? {
+                let done = is_done(&event);
+                self.deliver(event).await?;
+                if done {
+                    return Ok(());
+                }
+            }
+        }
+        // The connection ended well, but the engine never said that this is all.
+        Err(BackendError::Lost)
+    }
+
+    async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, BackendError> {
+        tokio::select! {
+            biased;
+            chunk = self.http.next_chunk(body) => chunk.map_err(backend_error),
+            () = self.sender.closed() => Err(BackendError::Lost),
+        }
+    }
+
+    async fn deliver(&self, data: Bytes) -> Result<(), BackendError> {
+        self.sender.send(Ok(BodyPiece::Data(data))).await.map_err(|_| BackendError::Lost)
+    }
+}
+
+impl BackendServer for HttpBackend {
+    fn call(&self, call: BackendCall) -> BoxFuture<'_, Result<BackendAnswer, BackendError>> {
+        Box::pin(self.start(call))
+    }
+
+    fn cancel<'a>(&'a self, id: &'a str) -> BoxFuture<'a, Result<(), BackendError>> {
+        Box::pin(async move {
+            let path = format!("/v1/cancel/{}", segment(id));
+            let request = self
+                .http
+                .request(Method::POST, &path)
+                .body(Full::default())
+                .map_err(|_| BackendError::Refused)?;
+            let answer = self.http.fetch(request, Reuse::Allowed).await.map_err(backend_error)?;
+            if answer.status.is_success() { Ok(()) } else { Err(BackendError::Malformed) }
+        })
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<LoadReport, BackendError>> {
+        Box::pin(self.get("/v1/load"))
+    }
+
+    fn cache_events(&self, after: u64) -> BoxFuture<'_, Result<Vec<CacheEvent>, BackendError>> {
+        Box::pin(async move {
+            if self.kind == BackendKind::Service {
+                return Ok(Vec::new());
+            }
+            self.get(&format!("/v1/cache-events?after={after}")).await
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client/http.rs
@@ -0,0 +1,248 @@
+//! One small HTTP/1.1 client for all calls to the outside.
+//!
+//! It never sends a request twice and never follows a redirect, and it tells a request that never
+//! left from one that may have been carried out.
+
+use bytes::{Bytes, BytesMut};
+use http::uri::{Authority, Scheme};
+use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::error::Error;
+use std::time::Duration;
+
+/// Bounds on what a peer may make the client wait for or hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpLimits {
+    /// Longest time to open a connection, in milliseconds.
+    pub connect_ms: u64,
+    /// Longest time from sending a request to the head of its answer, in milliseconds.
+    pub head_ms: u64,
+    /// Longest time without a byte within a body, in milliseconds.
+    pub silence_ms: u64,
+    /// Most headers in an answer.
+    pub max_headers: usize,
+    /// Largest head, and largest piece read at once, in bytes.
+    pub max_head_bytes: usize,
+    /// Largest body that is read whole, in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            connect_ms: 1_000,
+            head_ms: 10_000,
+            silence_ms: 10_000,
+            max_headers: 64,
+            max_head_bytes: 64 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+        }
+    }
+}
+
+/// Why an exchange failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HttpError {
+    /// No connection could be opened: the request was never sent.
+    #[error("connection refused")]
+    Refused,
+    /// The connection broke: the request may have been carried out.
+    #[error("connection lost")]
+    Lost,
+    /// No byte came in time; the request may have been carried out.
+    #[error("no byte for {limit_ms} ms")]
+    Silent {
+        /// How long was waited, in milliseconds.
+        limit_ms: u64,
+    },
+    /// The answer is not valid HTTP.
+    #[error("malformed answer")]
+    Malformed,
+    /// The answer is larger than allowed.
+    #[error("answer larger than {limit_bytes} bytes")]
+    TooLarge {
+        /// The limit, in bytes.
+        limit_bytes: usize,
+    },
+}
+
+/// Whether a request may go out on a connection that was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Reads and other calls that may be asked again.
+    Allowed,
+    /// A reused connection may have been closed meanwhile; whether the request ran would then be
+    /// unknown for no good reason. On a new connection a failure to connect is proof.
+    Never,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+type RawClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A client of one server.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    authority: Authority,
+    pooled: RawClient,
+    fresh: RawClient,
+    limits: HttpLimits,
+}
+
+impl HttpClient {
+    /// A client of the server at `authority`, for example `10.0.0.7:8000`.
+    ///
+    /// ```
+    /// use flamingowheel_platform::client::{HttpClient, HttpLimits};
+    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+    /// let client = HttpClient::new("127.0.0.1:8000".parse().unwrap(), HttpLimits::default());
+    /// assert_eq!(client.limits().max_headers, 64);
+    /// # });
+    /// ```
+    pub fn new(authority: Authority, limits: HttpLimits) -> Self {
+        let pooled = build(&limits, true);
+        let fresh = build(&limits, false);
+        Self { authority, pooled, fresh, limits }
+    }
+
+    /// The bounds in force.
+    pub fn limits(&self) -> &HttpLimits {
+        &self.limits
+    }
+
+    /// Starts a request to this server; `path` may hold a query.
+    pub fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
+        let uri = Uri::builder()
+            .scheme(Scheme::HTTP)
+            .authority(self.authority.clone())
+            .path_and_query(path)
+            .build();
+        let request = Request::builder().method(method);
+        match uri {
+            Ok(uri) => request.uri(uri),
+            // Keeps the failure in the builder, which yields it when the body is set.
+            Err(_) => request.uri(path),
+        }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<Response<Incoming>, HttpError> {
+        let client = match reuse {
+            Reuse::Allowed => &self.pooled,
+            Reuse::Never => &self.fresh,
+        };
+        let limit_ms = self.limits.head_ms;
+        // Giving up drops the exchange, which closes its connection: a silent one is not reused.
+        let answer = tokio::time::timeout(Duration::from_millis(limit_ms), client.request(request));
+        match answer.await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(HttpError::Refused),
+            Ok(Err(error)) => Err(classify(&error)),
+            Err(_) => Err(HttpError::Silent { limit_ms }),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn fetch(
+        &self,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<WholeAnswer, HttpError> {
+        let (parts, mut body) = self.send(request, reuse).await?.into_parts();
+        let limit_bytes = self.limits.max_body_bytes;
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.next_chunk(&mut body).await? {
+            if whole.len() + chunk.len() > limit_bytes {
+                return Err(HttpError::TooLarge { limit_bytes });
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(WholeAnswer { status: parts.status, headers: parts.headers, body: whole.freeze() })
+    }
+
+    /// Reads the next bytes of a body; `None` is its end.
+    pub async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, HttpError> {
+        let limit_ms = self.limits.silence_ms;
+        let next = read_chunk(body);
+        match tokio::time::timeout(Duration::from_millis(limit_ms), next).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::Silent { limit_ms }),
+        }
+    }
+}
+
+/// Reads the next bytes of a body, however long that takes; `None` is its end.
+pub async fn read_chunk(body: &mut Incoming) -> Result<Option<Bytes>, HttpError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| classify(&error))?;
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+/// Whether the end of this body can be told from a broken connection.
+///
+/// A body without a length that is not chunked ends when the connection closes, so that a server
+/// which dies in the middle looks like one that finished.
+pub fn has_proven_end(response: &Response<Incoming>) -> bool {
+    if response.body().size_hint().exact().is_some() {
+        return true;
+    }
+    let encoding = response.headers().get(http::header::TRANSFER_ENCODING);
+    encoding
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.to_ascii_lowercase().trim_end().ends_with("chunked"))
+}
+
+fn build(limits: &HttpLimits, pool: bool) -> RawClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(Duration::from_millis(limits.connect_ms)));
+    connector.set_nodelay(true);
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder
+        .retry_canceled_requests(false)
+        .http1_max_headers(limits.max_headers)
+        .http1_max_buf_size(limits.max_head_bytes)
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_millis(limits.silence_ms));
+    if !pool {
+        builder.pool_max_idle_per_host(0);
+    }
+    builder.build(connector)
+}
+
+fn classify<E>(error: &E) -> HttpError
+where
+    E: Error + 'static,
+{
+    let mut cause: Option<&(dyn Error + 'static)> = Some(error);
+    while let Some(current) = cause {
+        if let Some(hyper) = current.downcast_ref::<hyper::Error>()
+            && (hyper.is_parse() || hyper.is_parse_too_large())
+        {
+            return HttpError::Malformed;
+        }
+        cause = current.source();
+    }
+    HttpError::Lost
+}
--- /dev/null
+++ b/crates/platform/src/client/mod.rs
@@ -0,0 +1,26 @@
+//! HTTP clients for the platform's services and the backend server.
+
+pub mod backend;
+pub mod etcd;
+pub mod http;
+pub mod orders;
+pub mod split;
+pub mod vm;
+pub mod weights;
+pub mod wire;
+
+pub use backend::{BackendKind, HttpBackend};
+pub use etcd::EtcdClient;
+pub use http::{HttpClient, HttpError, HttpLimits};
+pub use orders::HttpOrders;
+pub use vm::HttpVmList;
+pub use weights::HttpWeightStore;
+
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+
+/// Characters that stand for themselves in one segment of a path.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+fn segment(text: &str) -> String {
+    utf8_percent_encode(text, SEGMENT).to_string()
+}
--- /dev/null
+++ b/crates/platform/src/client/split.rs
@@ -0,0 +1,187 @@
+//! Cuts a byte stream into whole events or lines without copying what lies within one chunk.
+
+use bytes::{Bytes, BytesMut};
+
+/// Finds the end of the first whole item in `bytes`, looking at boundaries that end after `from`.
+type FindEnd = fn(bytes: &[u8], from: usize) -> Option<usize>;
+
+/// An item grew beyond the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("item larger than {limit_bytes} bytes")]
+pub struct ItemTooLarge {
+    /// The limit, in bytes.
+    pub limit_bytes: usize,
+}
+
+/// Cuts chunks into items. Items that lie within a chunk are slices of it; only one that spans
+/// chunks is copied, and each byte is looked at a bounded number of times.
+#[derive(Debug)]
+pub struct Splitter {
+    find_end: FindEnd,
+    chunk: Bytes,
+    /// The beginning of an item whose end has not come yet, all of it searched.
+    carry: BytesMut,
+    limit_bytes: usize,
+}
+
+impl Splitter {
+    /// Cuts an event stream after each blank line.
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use flamingowheel_platform::client::split::Splitter;
+    /// let mut events = Splitter::events(1024);
+    /// events.push(Bytes::from_static(b"data: a\n\ndata: b\n"));
+    /// assert_eq!(events.next_item().unwrap().unwrap(), "data: a\n\n");
+    /// assert_eq!(events.next_item().unwrap(), None);
+    /// events.push(Bytes::from_static(b"\n"));
+    /// assert_eq!(events.next_item().unwrap().unwrap(), "data: b\n\n");
+    /// ```
+    pub fn events(limit_bytes: usize) -> Self {
+        Self::new(event_end, limit_bytes)
+    }
+
+    /// Cuts after each line feed.
+    pub fn lines(limit_bytes: usize) -> Self {
+        Self::new(line_end, limit_bytes)
+    }
+
+    fn new(find_end: FindEnd, limit_bytes: usize) -> Self {
+        Self { find_end, chunk: Bytes::new(), carry: BytesMut::new(), limit_bytes }
+    }
+
+    /// Adds a chunk; the items of the one before must have been taken.
+    pub fn push(&mut self, chunk: Bytes) {
+        debug_assert!(self.chunk.is_empty(), "items of the last chunk were not taken");
+        self.chunk = chunk;
+    }
+
+    /// The next whole item; `None` until more chunks come.
+    pub fn next_item(&mut self) -> Result<Option<Bytes>, ItemTooLarge> {
+        if self.chunk.is_empty() {
+            return Ok(None);
+        }
+        if self.carry.is_empty() {
+            return self.next_slice();
+        }
+        let searched = self.carry.len();
+        let room = (self.limit_bytes + 1).saturating_sub(searched).min(self.chunk.len());
+        self.carry.extend_from_slice(&self.chunk[..room]);
+        match (self.find_end)(&self.carry, searched) {
+            Some(end) => {
+                let _ = self.chunk.split_to(end - searched);
+                let item = self.carry.split_to(end).freeze();
+                self.carry.clear();
+                Ok(Some(item))
+            }
+            None if self.carry.len() > self.limit_bytes => Err(self.too_large()),
+            None => {
+                self.chunk.clear();
+                Ok(None)
+            }
+        }
+    }
+
+    fn next_slice(&mut self) -> Result<Option<Bytes>, ItemTooLarge> {
+        if let Some(end) = (self.find_end)(&self.chunk, 0) {
+            return Ok(Some(self.chunk.split_to(end)));
+        }
+        if self.chunk.len() > self.limit_bytes {
+            return Err(self.too_large());
+        }
+        self.carry.extend_from_slice(&self.chunk);
+        self.chunk.clear();
+        Ok(None)
+    }
+
+    /// Whether an item has begun that is not whole.
+    pub fn has_partial_item(&self) -> bool {
+        !self.carry.is_empty()
+    }
+
+    fn too_large(&self) -> ItemTooLarge {
+        ItemTooLarge { limit_bytes: self.limit_bytes }
+    }
+}
+
+/// Events end with a blank line; lines end with LF or CR LF.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut at = from;
+    while let Some(feed) = memchr::memchr(b'\n', &bytes[at..]).map(|found| at + found) {
+        let line = &bytes[..feed];
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() || line.ends_with(b"\n") {
+            return Some(feed + 1);
+        }
+        at = feed + 1;
+    }
+    None
+}
+
+fn line_end(bytes: &[u8], from: usize) -> Option<usize> {
+    memchr::memchr(b'\n', &bytes[from..]).map(|found| from + found + 1)
+}
+
+/// Whether an event is the end marker of an OpenAI-style stream.
+///
+/// ```
+/// use flamingowheel_platform::client::split::is_done;
+/// assert!(is_done(b"data: [DONE]\n\n"));
+/// assert!(!is_done(b"data: {\"content\": \"[DONE]\"}\n\n"));
+/// ```
+pub fn is_done(event: &[u8]) -> bool {
+    let Some(data) = event.strip_prefix(b"data:") else { return false };
+    data.trim_ascii() == b"[DONE]"
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn split(chunks: &[&[u8]]) -> Vec<Bytes> {
+        let mut splitter = Splitter::events(1024);
+        let mut items = Vec::new();
+        for chunk in chunks {
+            splitter.push(Bytes::copy_from_slice(chunk));
+            while let Some(item) = splitter.next_item().unwrap() {
+                items.push(item);
+            }
+        }
+        items
+    }
+
+    #[test]
+    fn next_item_crlf_across_chunks() {
+        let items = split(&[b"data: a\r", b"\n\r", b"\ndata: b\n\nda", b"ta: c\n", b"\n"]);
+        assert_eq!(items, ["data: a\r\n\r\n", "data: b\n\n", "data: c\n\n"]);
+    }
+
+    #[test]
+    fn next_item_too_large() {
+        let mut splitter = Splitter::events(8);
+        splitter.push(Bytes::from_static(b"1234567"));
+        assert_eq!(splitter.next_item(), Ok(None));
+        splitter.push(Bytes::from_static(b"89"));
+        assert_eq!(splitter.next_item(), Err(ItemTooLarge { limit_bytes: 8 }));
+    }
+
+    proptest! {
+        // However the network cuts the bytes, the events are the same.
+        #[test]
+        fn next_item_any_cut(cuts in proptest::collection::vec(1usize..9, 1..40)) {
+            let text = b"data: a\n\ndata: bb\r\n\r\ndata: ccc\nid: 1\n\ndata: [DONE]\n\n";
+            let mut chunks = Vec::new();
+            let mut rest = &text[..];
+            for cut in cuts.into_iter().cycle() {
+                let (head, tail) = rest.split_at(cut.min(rest.len()));
+                chunks.push(head);
+                rest = tail;
+                if rest.is_empty() {
+                    break;
+                }
+            }
+            prop_assert_eq!(split(&chunks), split(&[&text[..]]));
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client/vm.rs
@@ -0,0 +1,49 @@
+//! Client of the VM list.
+
+use super::http::{HttpClient, HttpLimits, Reuse};
+use crate::BoxFuture;
+use crate::vm::{Vm, VmList, VmListError};
+use http::Method;
+use http::uri::Authority;
+use http_body_util::Full;
+
+/// The client.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    http: HttpClient,
+}
+
+impl HttpVmList {
+    /// A client of the list at `authority`.
+    ///
+    /// ```
+    /// use flamingowheel_platform::client::{HttpLimits, HttpVmList};
+    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+    /// let _list = HttpVmList::new("127.0.0.1:8000".parse().unwrap(), HttpLimits::default());
+    /// # });
+    /// ```
+    pub fn new(authority: Authority, limits: HttpLimits) -> Self {
+        Self { http: HttpClient::new(authority, limits) }
+    }
+}
+
+impl VmList for HttpVmList {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<Vm>, VmListError>> {
+        Box::pin(async move {
+            let request = self
+                .http
+                .request(Method::GET, "/v1/vms")
+                .body(Full::default())
+                .map_err(|_| VmListError::Unreachable)?;
+            let answer = self
+                .http
+                .fetch(request, Reuse::Allowed)
+                .await
+                .map_err(|_| VmListError::Unreachable)?;
+            if !answer.status.is_success() {
+                return Err(VmListError::Unreachable);
+            }
+            serde_json::from_slice(&answer.body).map_err(|_| VmListError::Malformed)
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client/wire.rs
@@ -0,0 +1,399 @@
+//! Messages of the etcd v3 HTTP/JSON gateway, as far as they are used: keys and values in base64,
+//! 64-bit numbers as strings, fields with their default value left out.
+
+use crate::kv::{KeyValueEntry, KeyValueError, LeaseId, Revision};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// Bytes written as base64.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Base64(pub Bytes);
+
+impl Serialize for Base64 {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Base64 {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let text = std::borrow::Cow::<'de, str>::deserialize(deserializer)?;
+        STANDARD.decode(text.as_ref()).map(|bytes| Self(bytes.into())).map_err(D::Error::custom)
+    }
+}
+
+impl From<&str> for Base64 {
+    fn from(text: &str) -> Self {
+        Self(Bytes::copy_from_slice(text.as_bytes()))
+    }
+}
+
+/// A 64-bit number written as a string; plain numbers are read too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Int64(pub i64);
+
+impl Int64 {
+    fn is_zero(&self) -> bool {
+        self.0 == 0
+    }
+
+    /// The number as a revision; negative ones don't exist.
+    pub fn revision(self) -> Revision {
+        Revision(u64::try_from(self.0).unwrap_or(0))
+    }
+}
+
+impl From<Revision> for Int64 {
+    fn from(revision: Revision) -> Self {
+        Self(i64::try_from(revision.0).unwrap_or(i64::MAX))
+    }
+}
+
+impl Serialize for Int64 {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Int64 {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Form {
+            Number(i64),
+            Text(String),
+        }
+        match Form::deserialize(deserializer)? {
+            Form::Number(number) => Ok(Self(number)),
+            Form::Text(text) => text.parse().map(Self).map_err(D::Error::custom),
+        }
+    }
+}
+
+/// Sent with every answer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Header {
+    /// The store's revision.
+    #[serde(default)]
+    pub revision: Int64,
+}
+
+/// One stored key.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WireEntry {
+    /// The key.
+    pub key: Base64,
+    /// Revision of the key's creation.
+    pub create_revision: Int64,
+    /// Revision of the last write.
+    pub mod_revision: Int64,
+    /// The value.
+    pub value: Base64,
+    /// The lease, zero for none.
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub lease: Int64,
+}
+
+impl From<KeyValueEntry> for WireEntry {
+    fn from(entry: KeyValueEntry) -> Self {
+        Self {
+            key: entry.key.as_str().into(),
+            create_revision: entry.create_revision.into(),
+            mod_revision: entry.mod_revision.into(),
+            value: Base64(entry.value),
+            lease: Int64(entry.lease.map_or(0, |lease| lease.0)),
+        }
+    }
+}
+
+impl TryFrom<WireEntry> for KeyValueEntry {
+    type Error = KeyValueError;
+
+    fn try_from(wire: WireEntry) -> Result<Self, Self::Error> {
+        Ok(Self {
+            key: key_text(&wire.key)?,
+            value: wire.value.0,
+            create_revision: wire.create_revision.revision(),
+            mod_revision: wire.mod_revision.revision(),
+            lease: (!wire.lease.is_zero()).then_some(LeaseId(wire.lease.0)),
+        })
+    }
+}
+
+/// Reads a key as text.
+pub fn key_text(key: &Base64) -> Result<String, KeyValueError> {
+    std::str::from_utf8(&key.0)
+        .map(str::to_owned)
+        .map_err(|_| KeyValueError::Malformed { what: "key" })
+}
+
+/// `POST /v3/kv/range`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RangeRequest {
+    /// The first key.
+    pub key: Base64,
+    /// The key after the last; empty for `key` alone.
+    #[serde(alias = "rangeEnd", skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<Base64>,
+}
+
+impl RangeRequest {
+    /// All keys that start with `prefix`.
+    ///
+    /// ```
+    /// use flamingowheel_platform::client::wire::RangeRequest;
+    /// assert_eq!(&RangeRequest::prefix("a/").range_end.unwrap().0[..], b"a0");
+    /// ```
+    pub fn prefix(prefix: &str) -> Self {
+        // The protocol's way to say "all keys" is the zero byte in both fields.
+        let Some((last, head)) = prefix.as_bytes().split_last() else {
+            return Self { key: "\0".into(), range_end: Some("\0".into()) };
+        };
+        // No byte of UTF-8 is 255, so the sum fits.
+        let end = [head, &[last + 1]].concat();
+        Self { key: prefix.into(), range_end: Some(Base64(end.into())) }
+    }
+}
+
+/// Answer to a range read.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RangeResponse {
+    /// The header.
+    pub header: Header,
+    /// The entries, sorted by key.
+    pub kvs: Vec<WireEntry>,
+}
+
+/// A write within a transaction.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PutRequest {
+    /// The key.
+    pub key: Base64,
+    /// The value.
+    pub value: Base64,
+    /// The lease, zero for none.
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub lease: Int64,
+}
+
+/// One step of a transaction; exactly one field is set.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RequestOp {
+    /// Write.
+    #[serde(rename = "requestPut", alias = "request_put", skip_serializing_if = "Option::is_none")]
+    pub put: Option<PutRequest>,
+    /// Read.
+    #[serde(
+        rename = "requestRange",
+        alias = "request_range",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub range: Option<RangeRequest>,
+    /// Delete.
+    #[serde(
+        rename = "requestDeleteRange",
+        alias = "request_delete_range",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub delete: Option<RangeRequest>,
+}
+
+/// What is compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum CompareTarget {
+    /// The revision of the key's creation; zero if it does not exist.
+    #[default]
+    Create,
+    /// The revision of the last write.
+    Mod,
+}
+
+/// How it is compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum CompareResult {
+    /// Both sides are the same.
+    #[default]
+    Equal,
+}
+
+/// One comparison of a transaction.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WireCompare {
+    /// How.
+    pub result: CompareResult,
+    /// What.
+    pub target: CompareTarget,
+    /// The key.
+    pub key: Base64,
+    /// Expected with [`CompareTarget::Create`].
+    #[serde(
+        rename = "createRevision",
+        alias = "create_revision",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub create_revision: Option<Int64>,
+    /// Expected with [`CompareTarget::Mod`].
+    #[serde(
+        rename = "modRevision",
+        alias = "mod_revision",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub mod_revision: Option<Int64>,
+}
+
+/// `POST /v3/kv/txn`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TxnRequest {
+    /// All must hold.
+    pub compare: Vec<WireCompare>,
+    /// Run if they hold.
+    pub success: Vec<RequestOp>,
+    /// Run if one does not.
+    pub failure: Vec<RequestOp>,
+}
+
+/// Answer to one step; only reads carry anything of use.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ResponseOp {
+    /// Answer to a read.
+    #[serde(alias = "responseRange", skip_serializing_if = "Option::is_none")]
+    pub response_range: Option<RangeResponse>,
+}
+
+/// Answer to a transaction.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TxnResponse {
+    /// The header.
+    pub header: Header,
+    /// Whether all comparisons held.
+    pub succeeded: bool,
+    /// One element for each step that ran.
+    pub responses: Vec<ResponseOp>,
+}
+
+/// `POST /v3/lease/grant`, `/v3/lease/keepalive` and `/v3/lease/revoke`, and their answers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LeaseMessage {
+    /// The lease; zero in a grant lets the service choose.
+    #[serde(rename = "ID")]
+    pub id: Int64,
+    /// Time to live, in seconds as the protocol has it; zero says that the lease is gone.
+    #[serde(rename = "TTL")]
+    pub ttl_s: Int64,
+}
+
+/// An element of a streamed answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Streamed<T> {
+    /// The element.
+    pub result: T,
+}
+
+/// `POST /v3/watch`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// The watch to create.
+    #[serde(alias = "createRequest")]
+    pub create_request: WatchCreate,
+}
+
+/// What to watch.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WatchCreate {
+    /// The first key.
+    pub key: Base64,
+    /// The key after the last.
+    #[serde(alias = "rangeEnd", skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<Base64>,
+    /// The first revision of interest.
+    #[serde(alias = "startRevision")]
+    pub start_revision: Int64,
+    /// Whether to send empty answers when nothing changes.
+    #[serde(alias = "progressNotify")]
+    pub progress_notify: bool,
+}
+
+/// The kind of a change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum ChangeKind {
+    /// Written; left out on the wire.
+    #[default]
+    Put,
+    /// Deleted.
+    Delete,
+}
+
+/// A change.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WireChange {
+    /// Written or deleted.
+    #[serde(rename = "type")]
+    pub kind: ChangeKind,
+    /// The key with its new value; of a deleted one the key and revision.
+    pub kv: WireEntry,
+}
+
+/// An answer on a watch. Without changes it says that the watch is alive.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WatchResponse {
+    /// The header.
+    pub header: Header,
+    /// The first answer confirms the watch.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub created: bool,
+    /// The service ends the watch.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub canceled: bool,
+    /// With `canceled`: the oldest revision that is still there.
+    #[serde(alias = "compactRevision", skip_serializing_if = "Int64::is_zero")]
+    pub compact_revision: Int64,
+    /// The changes.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub events: Vec<WireChange>,
+}
+
+/// Body of an answer that reports an error.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ErrorBody {
+    /// The gRPC status code.
+    pub code: i32,
+    /// Words for people.
+    pub message: String,
+}
+
+/// gRPC status code for something that does not exist.
+pub const CODE_NOT_FOUND: i32 = 5;
+/// gRPC status code for a rate that is used up.
+pub const CODE_RESOURCE_EXHAUSTED: i32 = 8;
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,66 @@
+//! A model engine: calls, cancel, load, cache events, orders and its state.
+
+use crate::host::{self, Connections};
+use crate::service::{failure, routes};
+use axum::extract::{Query, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use flamingowheel_platform::backend::BackendServer;
+use flamingowheel_platform::client::orders::OrderRefusal;
+use flamingowheel_platform::fake::FakeEngine;
+use flamingowheel_platform::orders::{EngineOrders, Order, OrderError};
+use http::StatusCode;
+use serde::Deserialize;
+use std::io;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+#[derive(Deserialize)]
+struct EventsQuery {
+    after: u64,
+}
+
+/// Serves the fake until `shutdown`; any path but the control ones is a call.
+pub async fn serve(
+    listener: TcpListener,
+    fake: FakeEngine,
+    connections: Connections,
+    shutdown: CancellationToken,
+) -> io::Result<()> {
+    tokio::spawn(connections.clone().follow(fake.up()));
+    let router: Router<FakeEngine> = routes();
+    let router = router
+        .route("/v1/cache-events", get(cache_events))
+        .route("/v1/orders", post(order))
+        .route("/v1/state", get(state))
+        .with_state(fake);
+    host::serve(listener, router, connections, shutdown).await
+}
+
+async fn cache_events(
+    State(fake): State<FakeEngine>,
+    Query(query): Query<EventsQuery>,
+) -> Response {
+    match fake.cache_events(query.after).await {
+        Ok(events) => Json(events).into_response(),
+        Err(error) => failure(error).await,
+    }
+}
+
+async fn order(State(fake): State<FakeEngine>, Json(order): Json<Order>) -> Response {
+    let refusal = match fake.order(&order).await {
+        Ok(()) => return StatusCode::NO_CONTENT.into_response(),
+        Err(OrderError::Backend(error)) => return failure(error).await,
+        Err(OrderError::Stale { given, highest }) => OrderRefusal::Stale { given, highest },
+        Err(OrderError::NotPossible { reason }) => OrderRefusal::NotPossible { reason },
+    };
+    (StatusCode::CONFLICT, Json(refusal)).into_response()
+}
+
+async fn state(State(fake): State<FakeEngine>) -> Response {
+    match fake.state().await {
+        Ok(state) => Json(state).into_response(),
+        Err(error) => failure(error).await,
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Skeleton.
+//! Small HTTP servers over the in-memory fakes, so that tests and the demo run against real
+//! connections. Each serves on a listener until it is told to stop; faults of the service are set
+//! on its fake, faults of its connections on [`Connections`].
+
+pub mod engine;
+pub mod fast;
+pub mod host;
+pub mod kv;
+pub mod service;
+pub mod vms;
+pub mod weights;
+
+pub use host::Connections;
