Add answer types of the operators' interface, change ids and diffs

Cause: the daemon and the command-line tool need one set of answer types. Conclusion: the tool can be written against api.rs.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,8 @@
 //! fleet agrees on: operators write [`document`]s, [`validate`] checks them, [`store`] appends
 //! them to the log in the key-value service, and [`effective`] is what traffic looks up.
 
+pub mod api;
+pub mod change;
 pub mod document;
 pub mod effective;
 pub mod problem;
