Store the configuration as a log of changes folded into buckets

Cause: accepted changes had no place to last, and a lost answer, a paused writer or a racing operator could revert or hide one. Change: one transaction accepts a change by writing its log slot and the head it compares; buckets are folded from the log under the same comparison; a lost answer is resolved by sending the same transaction again, else it is called unknown with an id that carries the revision it asks for; a question about a change whose revision is free takes that revision by an empty change. Conclusion: what was accepted stays in every load; spreading it comes next.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -88,6 +88,9 @@
     pub origin: Origin,
     /// What it does.
     pub edits: Vec<Edit>,
+    /// The change whose revision this empty one took, so that it can never be accepted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub voids: Option<ChangeId>,
 }
 
 impl Change {
--- a/crates/config/src/effective.rs
+++ b/crates/config/src/effective.rs
@@ -1,6 +1,6 @@
 //! What traffic looks up: every workspace with its template's parameters resolved.
 
-use crate::document::Edit;
+use crate::document::{Edit, Kind};
 use crate::template::{Parameters, Rebalancing, Template};
 use crate::token::TokenHash;
 use crate::workspace::Workspace;
@@ -31,15 +31,15 @@
     pub document: T,
 }
 
-/// All documents as of one revision.
+/// All documents as of one revision. Clones share their tables until one of them is edited.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Documents {
     /// The revision.
     pub revision: ConfigRevision,
     /// Templates by name.
-    pub templates: BTreeMap<String, Stored<Arc<Template>>>,
+    pub templates: Arc<BTreeMap<String, Stored<Arc<Template>>>>,
     /// Workspaces by name.
-    pub workspaces: BTreeMap<String, Stored<Arc<Workspace>>>,
+    pub workspaces: Arc<BTreeMap<String, Stored<Arc<Workspace>>>>,
 }
 
 impl Documents {
@@ -55,20 +55,38 @@
         match edit {
             Edit::PutTemplate(template) => {
                 let document = Arc::new(template.clone());
-                self.templates.insert(template.name.clone(), Stored { revision, document });
+                self.put_template(Stored { revision, document });
             }
             Edit::PutWorkspace(workspace) => {
                 let document = Arc::new(workspace.clone());
-                self.workspaces.insert(workspace.name.clone(), Stored { revision, document });
+                self.put_workspace(Stored { revision, document });
             }
             Edit::RemoveTemplate(name) => {
-                self.templates.remove(name);
+                Arc::make_mut(&mut self.templates).remove(name);
             }
             Edit::RemoveWorkspace(name) => {
-                self.workspaces.remove(name);
+                Arc::make_mut(&mut self.workspaces).remove(name);
             }
         }
     }
+
+    /// Takes a stored template as it is.
+    pub fn put_template(&mut self, stored: Stored<Arc<Template>>) {
+        Arc::make_mut(&mut self.templates).insert(stored.document.name.clone(), stored);
+    }
+
+    /// Takes a stored workspace as it is.
+    pub fn put_workspace(&mut self, stored: Stored<Arc<Workspace>>) {
+        Arc::make_mut(&mut self.workspaces).insert(stored.document.name.clone(), stored);
+    }
+
+    /// The change that last wrote the document of this kind and name, if it exists.
+    pub fn revision_of(&self, kind: Kind, name: &str) -> Option<ConfigRevision> {
+        match kind {
+            Kind::Template => self.templates.get(name).map(|stored| stored.revision),
+            Kind::Workspace => self.workspaces.get(name).map(|stored| stored.revision),
+        }
+    }
 }
 
 /// A workspace as requests see it. A request keeps the one it began with, so that removing or
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,12 +6,17 @@
 //! them to the log in the key-value service, and [`effective`] is what traffic looks up.
 
 pub mod api;
+pub mod apply;
+pub mod bucket;
 pub mod change;
 pub mod document;
 pub mod effective;
+pub mod fold;
 pub mod problem;
+pub mod replica;
 pub mod secret;
 pub mod settings;
+pub mod store;
 pub mod template;
 pub mod token;
 pub mod validate;
--- a/crates/config/src/validate.rs
+++ b/crates/config/src/validate.rs
@@ -88,7 +88,7 @@
             })
             .flat_map(|workspace| workspace.token_sha256.iter().map(|hash| (*hash, Vec::new())))
             .collect();
-        for (name, stored) in &after.workspaces {
+        for (name, stored) in after.workspaces.iter() {
             for hash in &stored.document.token_sha256 {
                 if let Some(holders) = tokens.get_mut(hash) {
                     holders.push(name);
--- /dev/null
+++ b/crates/config/tests/store.rs
@@ -0,0 +1,398 @@
+//! Changes through the key-value service, with its faults.
+
+use flamingowheel_config::api::ChangeState;
+use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
+use flamingowheel_config::bucket::{FOLD_AT, HEAD_KEY, LOG_SLOTS, PREFIX};
+use flamingowheel_config::change::{Change, Origin};
+use flamingowheel_config::document::parse;
+use flamingowheel_config::effective::{ConfigRevision, Effective};
+use flamingowheel_config::replica::Replica;
+use flamingowheel_config::store::{Store, StoreError};
+use flamingowheel_config::token::TokenHash;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_platform::kv::{
+    KeyValue, KeyValueError, LeaseId, MAX_VALUE_BYTES, Operation, Revision, Snapshot, Transaction,
+    TransactionAnswer, Watch,
+};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use uuid::Uuid;
+
+const TEMPLATE: &str = "kind: template\nname: callbox\n";
+
+type Fault = fn(&FakeKeyValue);
+
+/// A key-value service whose next write is struck by a fault.
+struct StruckWrite {
+    kv: FakeKeyValue,
+    fault: Mutex<Option<Fault>>,
+}
+
+impl KeyValue for StruckWrite {
+    fn transact(
+        &self,
+        transaction: Transaction,
+    ) -> BoxFuture<'_, Result<TransactionAnswer, KeyValueError>> {
+        let writes = |operation: &Operation| matches!(operation, Operation::Put { .. });
+        if transaction.on_success.iter().any(writes)
+            && let Some(strike) = self.fault.lock().unwrap().take()
+        {
+            strike(&self.kv);
+        }
+        self.kv.transact(transaction)
+    }
+
+    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Snapshot, KeyValueError>> {
+        self.kv.range(prefix)
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, KeyValueError>> {
+        self.kv.grant_lease(ttl)
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>> {
+        self.kv.keep_alive(lease)
+    }
+
+    fn revoke_lease(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>> {
+        self.kv.revoke_lease(lease)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+    ) -> BoxFuture<'a, Result<Watch, KeyValueError>> {
+        self.kv.watch(prefix, after)
+    }
+}
+
+struct Operator {
+    store: Store,
+    replica: Replica,
+}
+
+impl Operator {
+    fn new(kv: &FakeKeyValue) -> Self {
+        Self { store: Store::new(Arc::new(kv.clone())), replica: Replica::default() }
+    }
+
+    /// An operator whose first write meets a fault.
+    fn struck(&self, kv: &FakeKeyValue, fault: Fault) -> Self {
+        let kv = StruckWrite { kv: kv.clone(), fault: Mutex::new(Some(fault)) };
+        Self { store: Store::new(Arc::new(kv)), replica: self.replica.clone() }
+    }
+
+    async fn apply(&mut self, text: &str) -> Result<Applied, ApplyError> {
+        let seen = self.replica.revision();
+        self.apply_seen(text, seen, Uuid::new_v4()).await
+    }
+
+    async fn apply_seen(
+        &mut self,
+        text: &str,
+        seen: ConfigRevision,
+        uuid: Uuid,
+    ) -> Result<Applied, ApplyError> {
+        let origin = Origin { operator: "ana".to_owned(), at_unix_ms: 1, comment: String::new() };
+        let edits = parse(text).unwrap();
+        let request = ApplyRequest { uuid, origin, edits, seen };
+        self.store.apply(&mut self.replica, &request).await
+    }
+
+    async fn accepted(&mut self, text: &str) -> Arc<Change> {
+        match self.apply(text).await.unwrap() {
+            Applied::Accepted(change) => change,
+            Applied::Unchanged => panic!("unchanged"),
+        }
+    }
+}
+
+fn lose_and_go_down(kv: &FakeKeyValue, lost: LostAnswer) {
+    kv.lose_answers(1, lost);
+    let kv = kv.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        kv.set_down(true);
+    });
+}
+
+fn workspace(name: &str, priority: u8) -> String {
+    let hash = TokenHash::of(name.as_bytes());
+    format!(
+        "kind: workspace\nname: {name}\ntemplate: callbox\ntoken_sha256: [{hash}]\n\
+         overrides: {{ priority: {priority} }}\n"
+    )
+}
+
+fn priority(replica: &Replica, name: &str) -> Option<u8> {
+    let effective = Effective::new(replica.documents());
+    effective.workspace(name).map(|workspace| workspace.parameters.priority)
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_accepted_is_read_by_a_fresh_process() {
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    operator.accepted(&workspace("bibb", 3)).await;
+    let fresh = operator.store.load().await.unwrap();
+    assert_eq!(fresh.documents(), operator.replica.documents());
+    assert_eq!(fresh.history().count(), 2);
+    assert_eq!(operator.apply(TEMPLATE).await, Ok(Applied::Unchanged));
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_answer_lost_after_effect() {
+    // The write takes effect and its answer gets lost. Whoever takes that for a failure tells
+    // the operator "not accepted" while the fleet already runs the change.
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    let mut struck = operator.struck(&kv, |kv| kv.lose_answers(2, LostAnswer::AfterEffect));
+    let change = struck.accepted(&workspace("bibb", 3)).await;
+    assert_eq!(change.revision(), ConfigRevision(2));
+    assert_eq!(operator.store.head().await.unwrap().head.change, Some(change.id));
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_write_arrives_after_the_answer_was_awaited() {
+    // The service is slower than the writer waits: the write takes effect when the writer has
+    // given up on it already. The operator must hear "accepted" or "unknown", never "not".
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    let mut struck = operator.struck(&kv, |kv| kv.set_delay(Duration::from_millis(1_200)));
+    let outcome = struck.apply(&workspace("bibb", 3)).await;
+    kv.set_delay(Duration::ZERO);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let head = operator.store.head().await.unwrap().head;
+    match outcome {
+        Ok(Applied::Accepted(change)) => assert_eq!(head.change, Some(change.id)),
+        Err(ApplyError::Unknown { id, .. }) => {
+            let state = operator.store.change_state(id).await.unwrap();
+            assert_eq!(state, ChangeState::Accepted { revision: id.revision });
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_outage_in_the_middle_is_unknown_until_asked() {
+    // The service goes away right after the write was sent, and stays away. The operator gets an
+    // id and asks again later; by then the answer is certain, and it stays so.
+    let faults: [(LostAnswer, Fault); 2] = [
+        (LostAnswer::AfterEffect, |kv| lose_and_go_down(kv, LostAnswer::AfterEffect)),
+        (LostAnswer::BeforeEffect, |kv| lose_and_go_down(kv, LostAnswer::BeforeEffect)),
+    ];
+    for (lost, fault) in faults {
+        let kv = FakeKeyValue::new();
+        let mut operator = Operator::new(&kv);
+        operator.accepted(TEMPLATE).await;
+        let outcome = operator.struck(&kv, fault).apply(&workspace("bibb", 3)).await;
+        let Err(ApplyError::Unknown { id, .. }) = outcome else { panic!("{lost:?} {outcome:?}") };
+        kv.set_down(false);
+        let expected = match lost {
+            LostAnswer::AfterEffect => ChangeState::Accepted { revision: id.revision },
+            LostAnswer::BeforeEffect => ChangeState::NotAccepted,
+        };
+        for _ in 0..2 {
+            assert_eq!(operator.store.change_state(id).await, Ok(expected));
+        }
+        let fresh = operator.store.load().await.unwrap();
+        let found = priority(&fresh, "bibb").is_some();
+        assert_eq!(found, lost == LostAnswer::AfterEffect);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn change_state_voids_a_write_still_on_its_way() {
+    // A copy of the write is held up on the network. The operator asks, hears "not accepted" and
+    // goes home; then the copy arrives. It must have no effect.
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    let mut late = operator.struck(&kv, |kv| kv.set_delay(Duration::from_secs(60)));
+    let outcome = late.apply(&workspace("bibb", 3)).await;
+    let Err(ApplyError::Unknown { id, .. }) = outcome else { panic!("{outcome:?}") };
+    kv.set_delay(Duration::ZERO);
+    assert_eq!(late.store.change_state(id).await, Ok(ChangeState::NotAccepted));
+    tokio::time::sleep(Duration::from_secs(120)).await;
+    assert_eq!(late.store.change_state(id).await, Ok(ChangeState::NotAccepted));
+    assert_eq!(priority(&late.store.load().await.unwrap(), "bibb"), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_racing_operators() {
+    // Two operators look at the same revision and change the same workspace through different
+    // entries. The later one would undo the earlier one's change without either noticing.
+    let kv = FakeKeyValue::new();
+    let mut ana = Operator::new(&kv);
+    ana.accepted(&format!("{TEMPLATE}---\n{}", workspace("bibb", 3))).await;
+    let mut ben = Operator::new(&kv);
+    ben.replica = ana.store.load().await.unwrap();
+    let first = ana.accepted(&workspace("bibb", 4)).await;
+    let Err(ApplyError::Conflict(conflicts)) = ben.apply(&workspace("bibb", 5)).await else {
+        panic!("no conflict")
+    };
+    assert_eq!((conflicts[0].name.as_str(), conflicts[0].change), ("bibb", Some(first.id)));
+    let differs = conflicts[0].differs.clone().unwrap().fields;
+    assert_eq!(differs[0].field, "overrides.priority");
+    assert_eq!((&differs[0].before, &differs[0].after), (&Some(4.into()), &Some(5.into())));
+    // Having seen it, he may decide; and what others do elsewhere is no conflict.
+    ana.accepted(&workspace("jones", 1)).await;
+    assert!(matches!(ben.apply(&workspace("bibb", 5)).await, Ok(Applied::Accepted(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_racing_removal_of_the_template() {
+    // One operator removes a template just when another creates its first workspace.
+    let kv = FakeKeyValue::new();
+    let mut ana = Operator::new(&kv);
+    ana.accepted(TEMPLATE).await;
+    let mut ben = Operator::new(&kv);
+    ben.replica = ana.store.load().await.unwrap();
+    ana.accepted("kind: remove\ntemplate: callbox\n").await;
+    let refused = ben.apply(&workspace("bibb", 5)).await;
+    assert!(matches!(refused, Err(ApplyError::Invalid(_))), "{refused:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_many_at_once_all_accepted() {
+    let kv = FakeKeyValue::new();
+    Operator::new(&kv).accepted(TEMPLATE).await;
+    kv.set_delay(Duration::from_millis(3));
+    let tasks: Vec<_> = (0..8)
+        .map(|number| {
+            let kv = kv.clone();
+            tokio::spawn(async move {
+                Operator::new(&kv).accepted(&workspace(&format!("w{number}"), 1)).await.revision()
+            })
+        })
+        .collect();
+    let mut revisions = Vec::new();
+    for task in tasks {
+        revisions.push(task.await.unwrap().0);
+    }
+    revisions.sort_unstable();
+    assert_eq!(revisions, (2..=9).collect::<Vec<_>>());
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_sent_again_is_accepted_once() {
+    // The operator's connection breaks before the answer; the tool sends the same change through
+    // another entry. Between the two somebody else has changed the workspace again.
+    let kv = FakeKeyValue::new();
+    let mut ana = Operator::new(&kv);
+    ana.accepted(TEMPLATE).await;
+    let (seen, uuid) = (ana.replica.revision(), Uuid::new_v4());
+    let first = ana.apply_seen(&workspace("bibb", 3), seen, uuid).await.unwrap();
+    ana.accepted(&workspace("bibb", 4)).await;
+    let mut other = Operator::new(&kv);
+    assert_eq!(other.apply_seen(&workspace("bibb", 3), seen, uuid).await, Ok(first));
+    assert_eq!(priority(&other.replica, "bibb"), Some(4));
+}
+
+#[tokio::test(start_paused = true)]
+async fn fold_keeps_everything_over_several_rings() {
+    // The log is a ring. A slot that is used again before its change is in the buckets would
+    // lose an accepted change for every process that starts later.
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    for number in 0..(2 * LOG_SLOTS + 100) {
+        let name = format!("w{}", number % 90);
+        if number % 7 == 3 && operator.replica.documents().workspaces.contains_key(&name) {
+            operator.accepted(&format!("kind: remove\nworkspace: {name}\n")).await;
+        } else if priority(&operator.replica, &name) != Some((number / 90 % 10) as u8) {
+            operator.accepted(&workspace(&name, (number / 90 % 10) as u8)).await;
+        }
+        if number % 50 == 0 {
+            let fresh = operator.store.load().await.unwrap();
+            assert_eq!(fresh.documents(), operator.replica.documents());
+        }
+        operator.store.fold_if_due(&mut operator.replica).await.unwrap();
+    }
+    let entry = operator.store.head().await.unwrap();
+    assert!(
+        entry.head.revision.0 > 2 * LOG_SLOTS
+            && entry.head.revision.0 - entry.head.folded.0 <= FOLD_AT
+    );
+    let largest = kv.peek(PREFIX).entries.iter().map(|entry| entry.value.len()).max();
+    assert!(largest.unwrap() <= MAX_VALUE_BYTES);
+    assert_eq!(operator.store.load().await.unwrap().documents(), operator.replica.documents());
+}
+
+#[tokio::test(start_paused = true)]
+async fn fold_left_undone_blocks_no_change() {
+    // Whoever should have folded died each time. The change that finds the ring full folds first.
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    for number in 0..LOG_SLOTS + 3 {
+        operator.accepted(&workspace("bibb", (number % 2) as u8)).await;
+    }
+    assert_eq!(operator.store.load().await.unwrap().documents(), operator.replica.documents());
+}
+
+#[tokio::test(start_paused = true)]
+async fn fold_paused_writer_reverts_nothing() {
+    // A process stops in the middle of folding and wakes after others folded further. Its bucket
+    // is older than the one stored; if it were written, accepted changes would be gone.
+    let kv = FakeKeyValue::new();
+    let mut paused = Operator::new(&kv);
+    paused.accepted(TEMPLATE).await;
+    paused.store.fold(&mut paused.replica).await.unwrap();
+    paused.accepted(&workspace("bibb", 1)).await;
+    let mut struck = paused.struck(&kv, |kv| kv.set_delay(Duration::from_secs(60)));
+    assert!(struck.store.fold(&mut struck.replica).await.is_err());
+    kv.set_delay(Duration::ZERO);
+    let mut other = Operator::new(&kv);
+    other.replica = other.store.load().await.unwrap();
+    other.accepted(&workspace("bibb", 7)).await;
+    // Others fill the ring, so that only the bucket still knows.
+    for number in 0..LOG_SLOTS {
+        other.accepted(&workspace("jones", (number % 2) as u8)).await;
+        other.store.fold_if_due(&mut other.replica).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(120)).await;
+    assert_eq!(priority(&other.store.load().await.unwrap(), "bibb"), Some(7));
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_oversized_change() {
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    let adapters = (0..2_500).map(|number| format!("adapter-with-a-long-name-{number:036}"));
+    let adapters = adapters.collect::<Vec<_>>().join(", ");
+    // Each template fits a change, but all of them share one bucket.
+    for number in 0..8 {
+        let text = format!(
+            "kind: template\nname: t{number}\nparameters: {{ models: {{ m: {{ adapters: [{adapters}] }} }} }}\n"
+        );
+        match operator.apply(&text).await {
+            Ok(Applied::Accepted(_)) => {}
+            Err(ApplyError::TooLarge(_)) if number > 2 => return,
+            other => panic!("{number}: {other:?}"),
+        }
+    }
+    panic!("a bucket beyond the service's limit was accepted");
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_service_restored_from_an_old_copy() {
+    // The service loses accepted changes. A process that follows it would revert them; one that
+    // writes on top would make two histories.
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    operator.accepted(&workspace("bibb", 3)).await;
+    let gone = Operation::Delete { key: HEAD_KEY.to_owned() };
+    let transaction = Transaction { on_success: vec![gone], ..Transaction::default() };
+    kv.transact(transaction).await.unwrap();
+    let refused = operator.apply(&workspace("bibb", 4)).await;
+    assert!(matches!(refused, Err(ApplyError::Store(StoreError::Behind { .. }))), "{refused:?}");
+    assert_eq!(priority(&operator.replica, "bibb"), Some(3));
+}
