Observe: merge processes' events into one time line, as text and JSON

One request's story lies in the rings of several processes whose clocks differ. The merge sorts by hybrid logical time, names processes that were not reached, have overwritten events of the span, or have a clock far from the median.

The property test found a process name with control characters going through unchanged; to_text_control_characters_in_name_replaced holds that now.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod clock;
+mod describe;
 pub mod event;
 pub mod http;
 pub mod logs;
@@ -9,3 +10,4 @@
 pub mod reason;
 pub mod recorder;
 pub mod ring;
+pub mod timeline;
--- /dev/null
+++ b/crates/observe/src/timeline.rs
@@ -0,0 +1,335 @@
+//! Merges the events of many processes into one time line.
+
+use std::fmt::Write;
+use std::time::{Duration, UNIX_EPOCH};
+
+use serde::Serialize;
+
+use crate::api::{EventQuery, EventsAnswer, ProcessInfo};
+use crate::clock::{DEFAULT_MAX_DRIFT_MS, Stamp};
+use crate::describe::{counted, short};
+use crate::event::{Name, Stamped, Subject};
+
+/// Widest line of the text form.
+pub const COLUMNS: usize = 100;
+
+const TIME_COLUMNS: usize = 10;
+const MAX_PROCESS_COLUMNS: usize = 24;
+/// The last millisecond of the year 9999.
+const LAST_UTC_MS: u64 = 253_402_300_799_999;
+const GAP: &str = "  ";
+
+/// A process whose events are missing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Unreachable {
+    /// Its name, or its address where the name isn't known.
+    pub process: Name,
+    /// Why it could not be asked.
+    pub reason: Name,
+}
+
+/// A process that no longer keeps all events of the span asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Incomplete {
+    /// Its name.
+    pub process: Name,
+    /// Stamp of its oldest event.
+    pub oldest: Option<Stamp>,
+    /// Events it has overwritten since its start.
+    pub overwritten: u64,
+}
+
+/// A process whose clock differs from the others'.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ClockOff {
+    /// Its name.
+    pub process: Name,
+    /// How far it is ahead of the middle of all processes; negative if behind.
+    pub ahead_ms: i64,
+}
+
+/// Events of many processes in causal order, and what is missing from them.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Timeline {
+    /// What was asked.
+    pub query: EventQuery,
+    /// Processes that answered.
+    pub processes: Vec<ProcessInfo>,
+    /// Processes that could not be reached.
+    pub unreachable: Vec<Unreachable>,
+    /// Processes that have overwritten events of the span.
+    pub incomplete: Vec<Incomplete>,
+    /// Processes whose events may stand in the wrong place.
+    pub clocks_off: Vec<ClockOff>,
+    /// The events, causes before effects.
+    pub events: Vec<Stamped>,
+}
+
+/// Merges processes' answers to `query`.
+///
+/// ```
+/// use flamingowheel_observe::api::EventQuery;
+/// use flamingowheel_observe::event::Event;
+/// use flamingowheel_observe::recorder::Recorder;
+/// use flamingowheel_observe::timeline::merge;
+///
+/// let recorder = Recorder::for_tests("entry-1");
+/// recorder.record(Event::LeaseLost { lease: "runners-a".into() });
+/// let query = EventQuery::default();
+/// let timeline = merge(query.clone(), vec![recorder.answer(&query)], vec![]);
+/// assert!(timeline.to_text().contains("lease runners-a lost"));
+/// ```
+pub fn merge(
+    query: EventQuery,
+    mut answers: Vec<EventsAnswer>,
+    mut unreachable: Vec<Unreachable>,
+) -> Timeline {
+    answers.sort_by(|a, b| a.process.name.cmp(&b.process.name));
+    unreachable.sort_by(|a, b| a.process.cmp(&b.process));
+    let incomplete = answers.iter().filter_map(|answer| incomplete(&query, answer)).collect();
+    let clocks_off = clocks_off(&answers);
+    let events = merge_events(&answers);
+    let processes = answers.into_iter().map(|answer| answer.process).collect();
+    Timeline { query, processes, unreachable, incomplete, clocks_off, events }
+}
+
+fn merge_events(answers: &[EventsAnswer]) -> Vec<Stamped> {
+    let mut events: Vec<Stamped> = answers
+        .iter()
+        .flat_map(|answer| &answer.events)
+        .map(|event| Stamped::clone(event))
+        .collect();
+    events.sort_by(|a, b| a.order_key().cmp(&b.order_key()));
+    // A process with two addresses may have been asked twice.
+    events.dedup_by(|a, b| a.order_key() == b.order_key());
+    events
+}
+
+fn incomplete(query: &EventQuery, answer: &EventsAnswer) -> Option<Incomplete> {
+    if answer.overwritten == 0 {
+        return None;
+    }
+    let covers = |since_ms| answer.oldest.is_some_and(|oldest| oldest.wall_ms() < since_ms);
+    if query.since_ms.is_some_and(covers) {
+        return None;
+    }
+    Some(Incomplete {
+        process: answer.process.name.clone(),
+        oldest: answer.oldest,
+        overwritten: answer.overwritten,
+    })
+}
+
+/// Compares the clocks that came with the answers. The median is the reference: the reader's own
+/// clock may be the wrong one.
+fn clocks_off(answers: &[EventsAnswer]) -> Vec<ClockOff> {
+    let mut readings_ms: Vec<u64> = answers.iter().map(|answer| answer.now.wall_ms()).collect();
+    readings_ms.sort_unstable();
+    let Some(median_ms) = readings_ms.get(readings_ms.len() / 2).copied() else {
+        return Vec::new();
+    };
+    answers
+        .iter()
+        .map(|answer| ClockOff {
+            process: answer.process.name.clone(),
+            ahead_ms: answer.now.wall_ms().cast_signed() - median_ms.cast_signed(),
+        })
+        .filter(|clock| clock.ahead_ms.unsigned_abs() > DEFAULT_MAX_DRIFT_MS)
+        .collect()
+}
+
+impl Timeline {
+    /// The time line as text, at most [`COLUMNS`] wide.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for line in self.header() {
+            push_wrapped(&mut text, "", "    ", &line);
+        }
+        let width = self.process_width();
+        if !self.events.is_empty() {
+            let head = format!("{:>TIME_COLUMNS$}{GAP}{:width$}{GAP}", "seconds", "process");
+            push_wrapped(&mut text, &format!("\n{head}"), "", "event");
+        }
+        let shared = self.shared_subject();
+        let start_ms = self.start().map_or(0, Stamp::wall_ms);
+        for event in &self.events {
+            let time = format!("+{}", seconds(event.stamp.wall_ms() - start_ms));
+            let process = shorten(&event.process, width);
+            let first = format!("{time:>TIME_COLUMNS$}{GAP}{process:width$}{GAP}");
+            let indent = " ".repeat(first.chars().count() + 2);
+            push_wrapped(&mut text, &first, &indent, &sentence(event, &shared));
+        }
+        text
+    }
+
+    fn start(&self) -> Option<Stamp> {
+        self.events.first().map(|event| event.stamp)
+    }
+
+    fn header(&self) -> Vec<String> {
+        let mut lines = vec![self.title()];
+        lines.extend(self.start().map(|start| format!("begins {}", utc(start))));
+        for process in &self.unreachable {
+            lines.push(format!("NOT REACHED {}: {}", process.process, process.reason));
+        }
+        for process in &self.incomplete {
+            let oldest = process.oldest.map_or_else(|| "none".into(), utc);
+            lines.push(format!(
+                "INCOMPLETE {}: keeps events from {oldest} on, {} older ones are overwritten",
+                process.process, process.overwritten
+            ));
+        }
+        for clock in &self.clocks_off {
+            lines.push(format!(
+                "CLOCK OFF {}: {} ms {} the others, its events may stand in the wrong place",
+                clock.process,
+                clock.ahead_ms.unsigned_abs(),
+                if clock.ahead_ms > 0 { "ahead of" } else { "behind" },
+            ));
+        }
+        lines
+    }
+
+    fn title(&self) -> String {
+        let mut title = format!(
+            "{} from {}",
+            counted(self.events.len() as u64, "event"),
+            counted(self.processes.len() as u64, "process")
+        );
+        let shared = self.shared_subject();
+        if let Some(request) = &shared.request {
+            let _ = write!(title, ", request {request}");
+        }
+        if let Some(workspace) = &shared.workspace {
+            let _ = write!(title, ", workspace {workspace}");
+        }
+        if let Some(group) = &shared.group {
+            let _ = write!(title, ", group {group}");
+        }
+        if let Some(since_ms) = self.query.since_ms {
+            let _ = write!(title, ", since {}", utc(Stamp::new(since_ms, 0)));
+        }
+        title
+    }
+
+    /// What was asked about, and what all events turn out to have in common.
+    fn shared_subject(&self) -> Subject {
+        let query = &self.query;
+        Subject {
+            request: query.request.or_else(|| self.common(|subject| subject.request)),
+            workspace: query
+                .workspace
+                .clone()
+                .or_else(|| self.common(|subject| subject.workspace.clone())),
+            group: query.group.clone().or_else(|| self.common(|subject| subject.group.clone())),
+        }
+    }
+
+    fn common<P, F>(&self, part: F) -> Option<P>
+    where
+        P: PartialEq,
+        F: Fn(&Subject) -> Option<P>,
+    {
+        let mut parts = self.events.iter().map(|event| part(&event.subject));
+        let first = parts.next()??;
+        parts.all(|other| other.as_ref() == Some(&first)).then_some(first)
+    }
+
+    fn process_width(&self) -> usize {
+        let names = self.events.iter().map(|event| event.process.chars().count());
+        names.max().unwrap_or(0).clamp("process".len(), MAX_PROCESS_COLUMNS)
+    }
+}
+
+fn sentence(event: &Stamped, shared: &Subject) -> String {
+    let mut sentence = event.event.to_string();
+    let parts = differing_parts(&event.subject, shared);
+    if !parts.is_empty() {
+        let _ = write!(sentence, " [{}]", parts.join(", "));
+    }
+    sentence
+}
+
+/// The parts of a subject that the title doesn't tell.
+fn differing_parts(subject: &Subject, shared: &Subject) -> Vec<String> {
+    let mut parts = Vec::new();
+    if let (Some(request), None) = (&subject.request, &shared.request) {
+        parts.push(format!("request ..{}", short(request)));
+    }
+    if let (Some(workspace), None) = (&subject.workspace, &shared.workspace) {
+        parts.push(format!("workspace {workspace}"));
+    }
+    if let (Some(group), None) = (&subject.group, &shared.group) {
+        parts.push(format!("group {group}"));
+    }
+    parts
+}
+
+/// Appends `first` and the sentence, wrapped; further lines begin with `indent`.
+fn push_wrapped(text: &mut String, first: &str, indent: &str, sentence: &str) {
+    let mut line = first.to_owned();
+    let mut used = first.trim_start_matches('\n').chars().count();
+    let mut begun = false;
+    for word in words(sentence, COLUMNS - used.max(indent.len())) {
+        let width = word.chars().count();
+        if begun && used + 1 + width > COLUMNS {
+            text.push_str(line.trim_end());
+            text.push('\n');
+            line = indent.to_owned();
+            used = indent.len();
+        } else if begun {
+            line.push(' ');
+            used += 1;
+        }
+        line.push_str(&word);
+        used += width;
+        begun = true;
+    }
+    text.push_str(line.trim_end());
+    text.push('\n');
+}
+
+/// Splits a sentence into words of at most `width` characters.
+fn words(sentence: &str, width: usize) -> Vec<String> {
+    let characters: Vec<char> = printable(sentence).chars().collect();
+    characters
+        .split(|&c| c == ' ')
+        .flat_map(|word| word.chunks(width))
+        .map(|part| part.iter().collect())
+        .collect()
+}
+
+/// Replaces control characters.
+///
+/// Names and error texts come from other processes. A control character in them would move the
+/// reader's cursor and could hide lines of the time line, so none gets through.
+fn printable(text: &str) -> String {
+    text.chars().map(|c| if c.is_control() { '?' } else { c }).collect()
+}
+
+/// Shortens a name in its middle; names of a fleet tend to differ at either end.
+fn shorten(name: &str, width: usize) -> String {
+    let name = printable(name);
+    let length = name.chars().count();
+    if length <= width {
+        return name;
+    }
+    let head = (width - 2) / 2;
+    let tail = width - 2 - head;
+    let first: String = name.chars().take(head).collect();
+    let last: String = name.chars().skip(length - tail).collect();
+    format!("{first}..{last}")
+}
+
+fn seconds(elapsed_ms: u64) -> String {
+    format!("{}.{:03}", elapsed_ms / 1_000, elapsed_ms % 1_000)
+}
+
+fn utc(stamp: Stamp) -> String {
+    // A clock beyond the year 9999 is wrong and has no text form; writing it anyway would panic.
+    if stamp.wall_ms() > LAST_UTC_MS {
+        return format!("{} ms after 1970", stamp.wall_ms());
+    }
+    let time = UNIX_EPOCH + Duration::from_millis(stamp.wall_ms());
+    humantime::format_rfc3339_millis(time).to_string()
+}
--- /dev/null
+++ b/crates/observe/tests/timeline.rs
@@ -0,0 +1,219 @@
+//! Merging several processes' events, and the time line's text and JSON.
+
+use flamingowheel_observe::api::{EventQuery, EventsAnswer, ProcessInfo};
+use flamingowheel_observe::clock::{HybridClock, ManualClock, Stamp};
+use flamingowheel_observe::event::{Event, Stamped, Subject};
+use flamingowheel_observe::metrics::Metrics;
+use flamingowheel_observe::reason::{
+    Class, RefusalReason, RetryDenial, RouteReason, SwitchStep, UnknownReason,
+};
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_observe::timeline::{COLUMNS, Unreachable, merge};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use uuid::Uuid;
+
+const START_MS: u64 = 1_796_256_000_000;
+
+struct Process {
+    recorder: Recorder,
+    wall: ManualClock,
+}
+
+fn process(name: &str, now_ms: u64) -> Process {
+    let wall = ManualClock::default();
+    wall.set_ms(now_ms);
+    let info = ProcessInfo { name: name.into(), vm: "vm".into(), data_centre: "dc-a".into() };
+    let metrics = Metrics::new().expect("metrics register");
+    let recorder = Recorder::new(info, HybridClock::new(wall.clone()), 64, metrics);
+    Process { recorder, wall }
+}
+
+impl Process {
+    fn tells(&self, other: &Self) {
+        other.recorder.observe(&self.recorder.process().name, self.recorder.stamp());
+    }
+
+    fn answer(&self, query: &EventQuery) -> EventsAnswer {
+        self.recorder.answer(query)
+    }
+}
+
+fn request_id() -> Uuid {
+    Uuid::from_u128(0x0193_a000_0000_7000_8000_0000_1234_5678)
+}
+
+fn by_request() -> EventQuery {
+    EventQuery { request: Some(request_id()), ..EventQuery::default() }
+}
+
+fn routed(backend_server: &str, attempt: u32) -> Event {
+    Event::Routed {
+        backend_server: backend_server.into(),
+        attempt,
+        reason: RouteReason::LeastWait,
+        candidates: 4,
+        predicted_wait_ms: 12,
+    }
+}
+
+fn dispatched(backend_server: &str, attempt: u32) -> Event {
+    Event::Dispatched {
+        backend_server: backend_server.into(),
+        attempt,
+        incarnation: Uuid::from_u128(0xabcd),
+        remaining_ms: 29_990,
+    }
+}
+
+// An agent is killed while it runs a work order, which may not run twice. The caller is told that
+// nobody can know; the operator finds from the time line alone which backend server had it, that
+// the agent's own events are missing and why no second attempt followed.
+#[test]
+fn to_text_agent_killed_tells_the_story() {
+    let entry = process("entry-1", START_MS);
+    let runner = process("agent-runner-2", START_MS - 700);
+    let subject = Subject::request(request_id()).workspace("roadside").group("runners-a");
+    let at_entry = entry.recorder.about(subject.clone());
+    at_entry.record(Event::RequestAccepted {
+        class: Class::High,
+        idempotent: false,
+        deadline_ms: 30_000,
+    });
+    at_entry.record(routed("runner-2", 1));
+    at_entry.record(dispatched("runner-2", 1));
+    entry.tells(&runner);
+    runner.recorder.record_about(
+        &subject,
+        Event::Refused {
+            backend_server: "runner-2".into(),
+            attempt: 1,
+            reason: RefusalReason::Full,
+        },
+    );
+    runner.tells(&entry);
+    entry.wall.set_ms(START_MS + 2);
+    at_entry.record(routed("runner-7", 2));
+    at_entry.record(dispatched("runner-7", 2));
+    entry.wall.set_ms(START_MS + 3_104);
+    at_entry.record(Event::RetryDenied { attempt: 2, reason: RetryDenial::NotIdempotent });
+    at_entry.record(Event::OutcomeUnknown {
+        class: Class::High,
+        attempts: 2,
+        reason: UnknownReason::AgentLost,
+    });
+
+    runner.wall.set_ms(START_MS + 2_404);
+
+    let query = by_request();
+    let answers = vec![runner.answer(&query), entry.answer(&query)];
+    let lost =
+        Unreachable { process: "agent-runner-7".into(), reason: "connection refused".into() };
+    let timeline = merge(query, answers, vec![lost]);
+    insta::assert_snapshot!(timeline.to_text());
+    insta::assert_json_snapshot!(timeline);
+}
+
+// The runner's wall clock is behind the entry's by less than the bound. Sorted by wall time its
+// refusal would stand before the dispatch that it answers.
+#[test]
+fn merge_clock_behind_keeps_cause_before_effect() {
+    let entry = process("entry-1", START_MS);
+    let runner = process("agent-2", START_MS - 900);
+    entry.recorder.record(dispatched("runner-2", 1));
+    entry.tells(&runner);
+    runner.recorder.record(Event::Admitted { attempt: 1, queued: 0 });
+    let query = EventQuery::default();
+    let timeline =
+        merge(query.clone(), vec![runner.answer(&query), entry.answer(&query)], Vec::new());
+    let order: Vec<&str> = timeline.events.iter().map(|event| &*event.process).collect();
+    assert_eq!(order, ["entry-1", "agent-2"]);
+}
+
+#[test]
+fn merge_process_asked_twice_shows_events_once() {
+    let entry = process("entry-1", START_MS);
+    entry.recorder.record(routed("runner-2", 1));
+    let query = EventQuery::default();
+    let timeline =
+        merge(query.clone(), vec![entry.answer(&query), entry.answer(&query)], Vec::new());
+    assert_eq!(timeline.events.len(), 1);
+}
+
+// A switch went through three agents; one has since overwritten its part and one has a clock that
+// is an hour fast. A reader who isn't told would take the gap and the order for the truth.
+#[test]
+fn to_text_names_gaps_and_wrong_clocks() {
+    let fast = process("agent-1", START_MS + 3_600_000);
+    let busy = process("agent-2", START_MS + 40);
+    let calm = process("agent-3", START_MS + 50);
+    let group = Subject::default().group("runners-a");
+    for _ in 0..70 {
+        let step = Event::Switch { step: SwitchStep::Staged, map_revision: 41 };
+        busy.recorder.record_about(&group, step);
+    }
+    for process in [&fast, &calm] {
+        let step = Event::Switch { step: SwitchStep::Resumed, map_revision: 42 };
+        process.recorder.record_about(&group, step);
+    }
+    let query = EventQuery { group: Some("runners-a".into()), ..EventQuery::default() };
+    let answers = [&fast, &busy, &calm].map(|process| process.answer(&query));
+    let mut timeline = merge(query, answers.into(), Vec::new());
+    timeline.events.retain(|event| event.process.as_ref() != "agent-2");
+    insta::assert_snapshot!(timeline.to_text());
+}
+
+// A clock that reads the year 10,500 has no text form in most formats.
+#[test]
+fn to_text_absurd_clock_still_prints() {
+    let absurd = process("agent-1", 1 << 47);
+    absurd.recorder.record(routed("runner-1", 1));
+    let wild = process("agent-2", (1 << 48) - 1);
+    wild.recorder.record(routed("runner-1", 1));
+    let query = EventQuery { since_ms: Some(1), ..EventQuery::default() };
+    let answers = vec![absurd.answer(&query), wild.answer(&query)];
+    let text = merge(query, answers, Vec::new()).to_text();
+    assert!(text.contains("routed to runner-1"), "{text}");
+}
+
+// Found by the property below: a process's name went through as it was.
+#[test]
+fn to_text_control_characters_in_name_replaced() {
+    let forged = process("agent\x1b[2A", START_MS);
+    forged.recorder.record(routed("runner\n+0.000", 1));
+    let query = EventQuery::default();
+    let text = merge(query.clone(), vec![forged.answer(&query)], Vec::new()).to_text();
+    assert!(text.contains("agent?[2A") && text.contains("runner?+0.000"), "{text}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Names and reasons come from other processes and may hold anything.
+    #[test]
+    fn to_text_any_names_fit_the_columns(names in prop::collection::vec("\\PC{0,120}|[\\x00-\\x1f\\x7f ]{0,9}", 1..4)) {
+        let events = names.iter().enumerate().map(|(index, name)| {
+            Stamped {
+                stamp: Stamp::new(START_MS, index as u16),
+                sequence: 1,
+                process: name.as_str().into(),
+                subject: Subject::default().workspace(name.as_str()),
+                event: Event::KeyValueDown { error: name.as_str().into() },
+            }.into()
+        }).collect();
+        let name = names[0].as_str();
+        let process = ProcessInfo { name: name.into(), vm: name.into(), data_centre: name.into() };
+        let now = Stamp::new(START_MS, 0);
+        let answer = EventsAnswer { process, now, oldest: None, overwritten: 3, events };
+        let lost = Unreachable { process: name.into(), reason: name.into() };
+        let text = merge(EventQuery::default(), vec![answer], vec![lost]).to_text();
+        for line in text.lines() {
+            prop_assert!(line.chars().count() <= COLUMNS, "{line}");
+            prop_assert!(!line.chars().any(char::is_control), "{line:?}");
+        }
+    }
+}
