Observe: a request's events bring the connection and engine events that explain them

A lost connection is recorded once, not for each request it concerned, so a request's time line showed a retry without its cause. The ring now adds events of the backend servers that the request met, within its span and 1 s around it.

--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -217,4 +217,43 @@
                 | Self::ClockDriftIgnored { .. }
         )
     }
+    /// The other party of the event: a backend server, or a process by its name.
+    pub fn peer(&self) -> Option<&str> {
+        match self {
+            Self::Routed { backend_server, .. }
+            | Self::Dispatched { backend_server, .. }
+            | Self::Refused { backend_server, .. }
+            | Self::Resumed { backend_server, .. }
+            | Self::TicketIssued { backend_server, .. }
+            | Self::EngineCrashed { backend_server, .. }
+            | Self::EngineReady { backend_server }
+            | Self::RankUnverified { backend_server, .. } => Some(backend_server),
+            Self::ConnectionOpened { peer }
+            | Self::ConnectionSilent { peer, .. }
+            | Self::ConnectionReplaced { peer, .. }
+            | Self::ConnectionClosed { peer } => Some(peer),
+            Self::Forwarded { entry } => Some(entry),
+            Self::MemberChanged { member, .. } => Some(member),
+            _ => None,
+        }
+    }
+
+    /// Whether it can explain what befell a request although it names none.
+    pub(crate) fn is_context(&self) -> bool {
+        matches!(
+            self,
+            Self::EngineCrashed { .. }
+                | Self::EngineReady { .. }
+                | Self::RankUnverified { .. }
+                | Self::ConnectionOpened { .. }
+                | Self::ConnectionSilent { .. }
+                | Self::ConnectionReplaced { .. }
+                | Self::ConnectionClosed { .. }
+                | Self::MemberChanged { .. }
+                | Self::LeaveBegan { .. }
+                | Self::LeaveFinished { .. }
+                | Self::KeyValueDown { .. }
+                | Self::KeyValueUp { .. }
+        )
+    }
 }
--- a/crates/observe/src/ring.rs
+++ b/crates/observe/src/ring.rs
@@ -1,6 +1,6 @@
 //! Bounded ring of a process's last events.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::api::EventQuery;
@@ -10,6 +10,9 @@
 /// Events kept by default; at about 300 bytes each this is near 5 MB.
 pub const DEFAULT_CAPACITY: usize = 16_384;
 
+/// How long before and after a request's own events others may explain it.
+const CONTEXT_SLACK_MS: u64 = 1_000;
+
 /// The last events of a process; the oldest are overwritten and counted.
 #[derive(Debug)]
 pub struct Ring {
@@ -47,9 +50,17 @@
         event
     }
 
-    /// The events that match, oldest first.
+    /// The events that match, oldest first; for a request also the context that explains it.
     pub fn select(&self, query: &EventQuery) -> Vec<Arc<Stamped>> {
-        self.lock().events.iter().filter(|event| query.matches(event)).cloned().collect()
+        let state = self.lock();
+        let matching: Vec<&Arc<Stamped>> =
+            state.events.iter().filter(|event| query.matches(event)).collect();
+        let context = query.request.and_then(|_| Context::of(&matching));
+        let Some(context) = context else {
+            return matching.into_iter().cloned().collect();
+        };
+        let wanted = |event: &&Arc<Stamped>| query.matches(event) || context.explains(event);
+        state.events.iter().filter(wanted).cloned().collect()
     }
 
     /// How many events were overwritten so far.
@@ -68,3 +79,38 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Where and when a request was handled, by which events about no request can explain it.
+///
+/// A lost connection or a crashed engine is recorded once, not once for each of the hundreds of
+/// requests it concerned; without it a request's time line would show a retry without its cause.
+struct Context<'a> {
+    from_ms: u64,
+    to_ms: u64,
+    peers: HashSet<&'a str>,
+}
+
+impl<'a> Context<'a> {
+    fn of(events: &[&'a Arc<Stamped>]) -> Option<Self> {
+        let first = events.first()?.stamp;
+        let last = events.last()?.stamp;
+        Some(Self {
+            from_ms: first.wall_ms().saturating_sub(CONTEXT_SLACK_MS),
+            to_ms: last.wall_ms() + CONTEXT_SLACK_MS,
+            peers: events.iter().filter_map(|event| event.event.peer()).collect(),
+        })
+    }
+
+    /// An agent's own events name no other party: there, all that happened then is of interest.
+    fn concerns(&self, peer: &str) -> bool {
+        self.peers.is_empty() || self.peers.contains(peer)
+    }
+
+    fn explains(&self, event: &Stamped) -> bool {
+        let at_ms = event.stamp.wall_ms();
+        event.subject.request.is_none()
+            && event.event.is_context()
+            && (self.from_ms..=self.to_ms).contains(&at_ms)
+            && event.event.peer().is_none_or(|peer| self.concerns(peer))
+    }
+}
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -7,7 +7,7 @@
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::http;
 use flamingowheel_observe::metrics::Metrics;
-use flamingowheel_observe::reason::{Class, NotRunReason};
+use flamingowheel_observe::reason::{Class, NotRunReason, RefusalReason};
 use flamingowheel_observe::recorder::Recorder;
 use http_body_util::BodyExt;
 use tower::ServiceExt;
@@ -92,6 +92,42 @@
     assert_eq!(recorder.answer(&recent).events.len(), 1);
 }
 
+// A connection that many requests used goes silent; it is recorded once and names no request. The
+// time line of one of them must show it, but not what befell other backend servers or long ago.
+#[test]
+fn answer_request_brings_context_that_explains_it() {
+    let (recorder, wall) = recorder(16);
+    let closed = |peer: &str| Event::ConnectionClosed { peer: peer.into() };
+    recorder.record(closed("runner-7"));
+    wall.set_ms(60_000);
+    let request = Uuid::from_u128(7);
+    let refused = Event::Refused {
+        backend_server: "runner-7".into(),
+        attempt: 1,
+        reason: RefusalReason::Full,
+    };
+    recorder.record_about(&Subject::request(request), refused);
+    recorder.record(closed("runner-7"));
+    recorder.record(closed("runner-8"));
+    recorder.record(lease_lost());
+    let query = EventQuery { request: Some(request), ..EventQuery::default() };
+    let sequences: Vec<u64> =
+        recorder.answer(&query).events.iter().map(|event| event.sequence).collect();
+    assert_eq!(sequences, [2, 3]);
+}
+
+// An agent's engine crashes under a request. The agent records the crash for itself.
+#[test]
+fn answer_request_at_agent_brings_engine_crash() {
+    let (recorder, _wall) = recorder(16);
+    let request = Uuid::from_u128(7);
+    let started = Event::Started { attempt: 1, running: 1 };
+    recorder.record_about(&Subject::request(request), started);
+    recorder.record(Event::EngineCrashed { backend_server: "runner-7".into(), running: 1 });
+    let query = EventQuery { request: Some(request), ..EventQuery::default() };
+    assert_eq!(recorder.answer(&query).events.len(), 2);
+}
+
 // One process's wall clock is an hour fast. Its messages must not move everybody's time line; the
 // operator sees an event that names it.
 #[test]
