platform: let answers that are not streamed come in pieces

Cause: the fake engine gave such a body in one piece, so it could not break off in the middle. Change: pieces of 128 bytes, one token's delay apart. Measured: the platform's and stand-in's tests pass as before. Conclusion: faults half-way through a plain body can be brought about.

--- a/crates/platform/src/fake/engine/run.rs
+++ b/crates/platform/src/fake/engine/run.rs
@@ -12,6 +12,9 @@
 /// Pieces the caller may lag behind before generation waits for it.
 const BODY_CAPACITY: usize = 64;
 
+/// Size of the pieces in which an answer that is not streamed comes.
+const JSON_PIECE_BYTES: usize = 128;
+
 type Piece = Result<BodyPiece, BackendError>;
 
 /// How a run ended.
@@ -141,8 +144,18 @@
         if !self.send_head("application/json") {
             return Ending::GaveUp;
         }
-        let answer = whole_json(&self.call.body, self.generation.tokens);
-        let _ = self.pieces.send(Ok(BodyPiece::Data(answer))).await;
+        let mut answer = whole_json(&self.call.body, self.generation.tokens);
+        while !answer.is_empty() {
+            let piece = answer.split_to(answer.len().min(JSON_PIECE_BYTES));
+            if self.pieces.send(Ok(BodyPiece::Data(piece))).await.is_err() {
+                return Ending::GaveUp;
+            }
+            // A large body does not come in one piece, so it can break off in the middle.
+            if let Err(ending) = self.step(self.generation.tokens).await {
+                return ending;
+            }
+            tokio::time::sleep(self.engine.settings().token_delay).await;
+        }
         self.end().await
     }
 
