--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -4,7 +4,7 @@
 use crate::http::{ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_HEADER, TICKET_HEADER};
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::state::{EntryState, InProgressGuard};
-use crate::stream::Answer;
+use crate::stream::{Answer, EVENT_STREAM};
 use axum::Json;
 use axum::body::Body;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
@@ -17,9 +17,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Media type of event streams.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// A comment line; shows the caller that the connection lives.
 const COMMENT: &[u8] = b":\n\n";
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -16,6 +16,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Media type of event streams.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
 /// Where an answer comes from.
 #[derive(Clone, Copy, Debug)]
 pub struct Origin {
@@ -91,7 +94,11 @@
     async fn resume_or_fail(&mut self, end: AttemptEnd) -> Result<(), Verdict> {
         let resumable = matches!(end, AttemptEnd::Replaced(_));
         let resumed = match self.attempt.take() {
-            Some(attempt) if resumable && self.may_resume() => self.resume(attempt).await,
+            // What the new process says of the second attempt proves nothing of the first, which
+            // ran: its refusal must not become "not run".
+            Some(attempt) if resumable && self.may_resume() => {
+                self.resume(attempt).await.map_err(|_| end)
+            }
             _ => Err(end),
         };
         match resumed {
@@ -109,8 +116,11 @@
         }
     }
 
+    /// Engines resume event streams only. Any other body would come once more from its beginning,
+    /// and the caller would take part of one answer and the whole of another for its own.
     fn may_resume(&self) -> bool {
-        self.origin.can_resume && self.request.idempotent
+        let events = self.head.content_type.starts_with(EVENT_STREAM);
+        events && self.origin.can_resume && self.request.idempotent
     }
 
     async fn resume(&mut self, old: Attempt<Streaming>) -> Result<Attempt<Streaming>, AttemptEnd> {
--- /dev/null
+++ b/crates/proof/src/backend.rs
@@ -0,0 +1,133 @@
+//! A backend server as seen by an agent process that can be killed or paused.
+
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::backend::{
+    BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, CacheEvent, LoadReport,
+};
+use std::future::Future;
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Pieces that wait in the process's socket.
+const BODY_CAPACITY: usize = 8;
+
+/// What befalls a process as a whole. All its connections share one.
+#[derive(Clone, Debug)]
+pub struct Fate {
+    killed: CancellationToken,
+    paused: watch::Sender<bool>,
+}
+
+impl Default for Fate {
+    fn default() -> Self {
+        Self { killed: CancellationToken::new(), paused: watch::Sender::new(false) }
+    }
+}
+
+impl Fate {
+    /// Kills the process: its connections close and nothing more comes from it.
+    pub fn kill(&self) {
+        self.killed.cancel();
+    }
+
+    /// Whether it was killed.
+    pub fn is_killed(&self) -> bool {
+        self.killed.is_cancelled()
+    }
+
+    /// Waits for the kill.
+    pub async fn killed(&self) {
+        self.killed.cancelled().await;
+    }
+
+    /// Stops the process without closing anything, or lets it go on.
+    pub fn set_paused(&self, paused: bool) {
+        self.paused.send_replace(paused);
+    }
+
+    /// Whether the process is paused.
+    pub fn is_paused(&self) -> bool {
+        *self.paused.borrow()
+    }
+
+    /// Waits while the process is paused.
+    pub async fn awake(&self) {
+        let mut paused = self.paused.subscribe();
+        let _ = paused.wait_for(|paused| !paused).await;
+    }
+
+    /// Runs a call of the process to the outside. Killed, it never returns to its caller; the
+    /// call is dropped, as the kernel closes a dead process's sockets.
+    pub async fn outside<F>(&self, call: F) -> F::Output
+    where
+        F: Future,
+    {
+        self.awake().await;
+        let result = tokio::select! {
+            biased;
+            () = self.killed() => std::future::pending().await,
+            result = call => result,
+        };
+        self.awake().await;
+        result
+    }
+}
+
+/// The backend server of an agent process.
+pub struct ProcessBackend {
+    backend: Arc<dyn BackendServer>,
+    fate: Fate,
+}
+
+impl ProcessBackend {
+    /// The view of one process.
+    pub fn new(backend: Arc<dyn BackendServer>, fate: Fate) -> Self {
+        Self { backend, fate }
+    }
+}
+
+type Piece = Result<BodyPiece, BackendError>;
+
+async fn carry(mut from: mpsc::Receiver<Piece>, to: mpsc::Sender<Piece>, fate: Fate) {
+    loop {
+        fate.awake().await;
+        let piece = tokio::select! {
+            biased;
+            () = fate.killed() => break,
+            () = to.closed() => return,
+            piece = from.recv() => piece,
+        };
+        fate.awake().await;
+        let Some(piece) = piece else { return };
+        if to.send(piece).await.is_err() {
+            return;
+        }
+    }
+    drop(from);
+    // A dead process sees no end either.
+    std::future::pending::<()>().await;
+}
+
+impl BackendServer for ProcessBackend {
+    fn call(&self, call: BackendCall) -> BoxFuture<'_, Result<BackendAnswer, BackendError>> {
+        Box::pin(async move {
+            let answer = self.fate.outside(self.backend.call(call)).await?;
+            let (sender, body) = mpsc::channel(BODY_CAPACITY);
+            tokio::spawn(carry(answer.body, sender, self.fate.clone()));
+            Ok(BackendAnswer { body, ..answer })
+        })
+    }
+
+    fn cancel<'a>(&'a self, id: &'a str) -> BoxFuture<'a, Result<(), BackendError>> {
+        Box::pin(self.fate.outside(self.backend.cancel(id)))
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<LoadReport, BackendError>> {
+        Box::pin(self.fate.outside(self.backend.load()))
+    }
+
+    fn cache_events(&self, after: u64) -> BoxFuture<'_, Result<Vec<CacheEvent>, BackendError>> {
+        Box::pin(self.fate.outside(self.backend.cache_events(after)))
+    }
+}
--- /dev/null
+++ b/crates/proof/src/caller.rs
@@ -0,0 +1,130 @@
+//! Callers as they see the fleet: over HTTP, with nothing but status, headers and body.
+
+use crate::backend::Fate;
+use crate::entry::{SERVICE, TOKEN};
+use axum::Router;
+use axum::body::Body;
+use axum::response::Response;
+use bytes::Bytes;
+use flamingowheel_entry::http::tickets::Issued;
+use flamingowheel_entry::http::{
+    CHAT_PATH, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, TICKET_HEADER, TICKETS_PATH, TIMEOUT_HEADER,
+};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::BodyExt;
+use tower::ServiceExt;
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Nothing yet.
+    Pending,
+    /// A whole answer.
+    Complete(Bytes),
+    /// It did not run and won't.
+    NotRun(String),
+    /// Nobody can know.
+    Unknown(String),
+    /// The connection broke, which tells as little.
+    Broken,
+}
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// A chat completion.
+    Chat,
+    /// An idempotent service call.
+    Status,
+    /// A non-idempotent one.
+    Order,
+    /// A non-idempotent one under a ticket.
+    Ticket(String),
+    /// A non-idempotent one under a key of the caller's own.
+    Key(String),
+    /// Give a ticket up.
+    Void(String),
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What is asked.
+    pub ask: Ask,
+    /// The body.
+    pub body: Bytes,
+    /// How long the caller waits for the answer to begin.
+    pub timeout_ms: u64,
+}
+
+impl Call {
+    fn request(&self) -> Request<Body> {
+        let (method, path) = match &self.ask {
+            Ask::Chat => (Method::POST, CHAT_PATH.to_owned()),
+            Ask::Status => (Method::POST, format!("/v1/services/{SERVICE}/status")),
+            Ask::Order | Ask::Ticket(_) | Ask::Key(_) => {
+                (Method::POST, format!("/v1/services/{SERVICE}/orders"))
+            }
+            Ask::Void(ticket) => (Method::DELETE, format!("{TICKETS_PATH}/{ticket}")),
+        };
+        let mut request = base(method, &path).header(TIMEOUT_HEADER, self.timeout_ms);
+        request = match &self.ask {
+            Ask::Ticket(ticket) => request.header(TICKET_HEADER, ticket),
+            Ask::Key(key) => request.header(IDEMPOTENCY_KEY_HEADER, key),
+            _ => request,
+        };
+        request.body(Body::from(self.body.clone())).expect("fixed parts")
+    }
+}
+
+fn base(method: Method, path: &str) -> http::request::Builder {
+    let token = format!("Bearer {TOKEN}");
+    Request::builder().method(method).uri(path).header(header::AUTHORIZATION, token)
+}
+
+/// Sends a call to an entry process and reads all of the answer.
+pub async fn send(router: Router, fate: Fate, call: Call) -> Told {
+    let exchange = async {
+        let Ok(response) = router.oneshot(call.request()).await;
+        read(response).await
+    };
+    tokio::select! {
+        biased;
+        () = fate.killed() => Told::Broken,
+        told = fate.outside(exchange) => told,
+    }
+}
+
+/// Takes a ticket for a service call.
+pub async fn take_ticket(router: Router, fate: Fate) -> Option<String> {
+    let path = format!("{TICKETS_PATH}?service={SERVICE}");
+    let request = base(Method::POST, &path).body(Body::empty()).expect("fixed parts");
+    let exchange = async {
+        let Ok(response) = router.oneshot(request).await;
+        if response.status() != StatusCode::CREATED {
+            return None;
+        }
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice::<Issued>(&body).ok().map(|issued| issued.ticket)
+    };
+    tokio::select! {
+        biased;
+        () = fate.killed() => None,
+        ticket = exchange => ticket,
+    }
+}
+
+async fn read(response: Response) -> Told {
+    let outcome = response.headers().get(OUTCOME_HEADER).cloned();
+    let outcome = outcome.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("none");
+    // An HTTP client reports a body that ends without its end as an error; any other is whole.
+    let Ok(body) = response.into_body().collect().await.map(|body| body.to_bytes()) else {
+        return Told::Broken;
+    };
+    let text = || String::from_utf8_lossy(&body).into_owned();
+    match outcome {
+        "complete" | "streaming" => Told::Complete(body),
+        "not-run" => Told::NotRun(text()),
+        _ => Told::Unknown(text()),
+    }
+}
--- /dev/null
+++ b/crates/proof/src/entry.rs
@@ -0,0 +1,114 @@
+//! An entry process: its real router and dispatcher over the in-memory network.
+
+use crate::backend::Fate;
+use crate::network::{Network, NetworkConnector};
+use arc_swap::ArcSwap;
+use axum::Router;
+use flamingowheel_config::effective::{ConfigRevision, Documents, Effective, Stored};
+use flamingowheel_config::template::{Model, Parameters, Service, ServiceRoute, Template};
+use flamingowheel_config::token::TokenHash;
+use flamingowheel_config::workspace::{Overrides, Workspace};
+use flamingowheel_entry::addresses::AddressBook;
+use flamingowheel_entry::agents::Agents;
+use flamingowheel_entry::claims::Claims;
+use flamingowheel_entry::config::EntryConfig;
+use flamingowheel_entry::dispatch::Dispatcher;
+use flamingowheel_entry::router::Router as Routes;
+use flamingowheel_entry::state::EntryState;
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_protocol::auth::FleetKey;
+use flamingowheel_protocol::message::{Hello, Role};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The one workspace of the world.
+pub const WORKSPACE: &str = "bibb-county";
+/// Its callers' token.
+pub const TOKEN: &str = "token-of-bibb-county";
+/// The model that engines serve.
+pub const MODEL: &str = "callbox-7b";
+/// The plain service.
+pub const SERVICE: &str = "desk";
+/// Longest time a request may wait for its answer to begin.
+pub const DEADLINE_MS: u64 = 10_000;
+
+/// One entry process.
+pub struct Entry {
+    /// Whether it lives.
+    pub fate: Fate,
+    /// Its interface towards callers.
+    pub router: Router,
+    /// Its connections to agents.
+    pub agents: Agents,
+}
+
+impl Entry {
+    /// Starts a process that connects to these agents.
+    pub fn start(
+        name: &str,
+        network: &Network,
+        kv: &FakeKeyValue,
+        addresses: &[SocketAddr],
+    ) -> Self {
+        let key = FleetKey::new([7; 32]);
+        let caller_address = SocketAddr::from(([127, 0, 0, 1], 8080));
+        let config = Arc::new(EntryConfig::new(name, "a", caller_address, key));
+        let hello = Hello {
+            name: name.to_owned(),
+            incarnation: config.incarnation,
+            data_centre: "a".to_owned(),
+            role: Role::Entry,
+        };
+        let fate = Fate::default();
+        let connector = NetworkConnector::new(network.clone(), hello, fate.clone());
+        let routes = Arc::new(Routes::default());
+        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes));
+        agents.set_addresses(addresses);
+        let recorder = Recorder::for_tests(name);
+        let state = EntryState {
+            effective: ArcSwap::from_pointee(effective()),
+            addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
+            dispatcher: Dispatcher::new(Arc::clone(&config), routes, recorder.clone()),
+            claims: Claims::start(Arc::new(kv.clone()), &config),
+            recorder,
+            in_progress: Arc::default(),
+            config,
+        };
+        let router = flamingowheel_entry::http::router(Arc::new(state));
+        Self { fate, router, agents }
+    }
+}
+
+fn effective() -> Effective {
+    let route = |path_prefix: &str, idempotent| ServiceRoute {
+        method: Some("POST".to_owned()),
+        path_prefix: path_prefix.to_owned(),
+        idempotent,
+    };
+    let routes = vec![route("/status", true), route("/orders", false)];
+    let parameters = Parameters {
+        models: BTreeMap::from([(MODEL.to_owned(), Model::default())]),
+        services: BTreeMap::from([(SERVICE.to_owned(), Service { routes })]),
+        deadline_ms: DEADLINE_MS,
+        ..Parameters::default()
+    };
+    let template = Template {
+        name: "callbox".to_owned(),
+        description: String::new(),
+        parameters,
+        rebalancing: Default::default(),
+    };
+    let workspace = Workspace {
+        name: WORKSPACE.to_owned(),
+        template: template.name.clone(),
+        token_sha256: vec![TokenHash::of(TOKEN.as_bytes())],
+        overrides: Overrides::default(),
+    };
+    let revision = ConfigRevision(1);
+    let mut documents = Documents { revision, ..Documents::default() };
+    documents.put_template(Stored { revision, document: Arc::new(template) });
+    documents.put_workspace(Stored { revision, document: Arc::new(workspace) });
+    Effective::new(&documents)
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -1,1 +1,16 @@
-//! Skeleton.
+//! Runs the real code of entries and agents against fakes, under a paused clock, with faults at
+//! every step, and compares what callers were told with what ran.
+//!
+//! [`world`] holds a small fleet in one thread: real entries and agents, an in-memory network
+//! between them, fakes behind them. [`oracle`] knows only what callers asked, what they were told
+//! and what the backend servers carried out. [`machine`] drives the world at random.
+
+pub mod backend;
+pub mod caller;
+pub mod entry;
+pub mod machine;
+pub mod network;
+pub mod oracle;
+pub mod plant;
+pub mod relay;
+pub mod world;
--- /dev/null
+++ b/crates/proof/src/machine.rs
@@ -0,0 +1,373 @@
+//! Drives the world at random with proptest's state machine.
+
+use crate::entry::MODEL;
+use crate::network::{Direction, MessageFault};
+use crate::oracle::{Kind, Violation};
+use crate::plant::Plant;
+use crate::world::{ENGINES, ENTRIES, SERVERS, SERVICES, World};
+use bytes::Bytes;
+use flamingowheel_platform::fake::LostAnswer;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+/// Cases of one run, unless the environment says otherwise.
+pub const CASES_VARIABLE: &str = "FLAMINGOWHEEL_FUZZ_CASES";
+/// Seed of a run, unless the environment says otherwise.
+pub const SEED_VARIABLE: &str = "FLAMINGOWHEEL_FUZZ_SEED";
+
+/// Longest sequence of steps in a case.
+pub const MAX_STEPS: usize = 60;
+
+/// Time that passes with every step.
+const STEP_TIME: Duration = Duration::from_millis(1);
+/// Delay of a slow key-value service; beyond its callers' patience.
+const KEY_VALUE_DELAY: Duration = Duration::from_secs(2);
+
+/// One step. Indices are taken modulo what there is.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// New work.
+    Ask {
+        /// The entry asked.
+        entry: usize,
+        /// What is asked.
+        kind: Asked,
+        /// How long the caller waits.
+        timeout_ms: u64,
+    },
+    /// Work that was asked for is sent again.
+    Resend {
+        /// The entry asked.
+        entry: usize,
+        /// The work.
+        work: usize,
+        /// How long the caller waits.
+        timeout_ms: u64,
+    },
+    /// A ticket is given up.
+    Void {
+        /// The entry asked.
+        entry: usize,
+        /// The work.
+        work: usize,
+    },
+    /// Time passes.
+    Pass {
+        /// How much.
+        ms: u64,
+    },
+    /// The next message that way meets a fault.
+    Message(Direction, MessageFault),
+    /// Something happens to a process or service.
+    Event(Happening),
+}
+
+/// What is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// A streamed completion of so many tokens.
+    Stream(u64),
+    /// A completion that is not streamed.
+    Json(u64),
+    /// An idempotent service call.
+    Status,
+    /// A non-idempotent call.
+    Order,
+    /// The same under a ticket.
+    OrderWithTicket,
+    /// The same under a key of the caller's own.
+    OrderWithKey,
+}
+
+/// What happens to processes and services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Happening {
+    /// An agent process dies.
+    KillAgent(usize),
+    /// An agent process dies and another takes its place at once, as when its VM is replaced.
+    ReplaceAgent(usize),
+    /// An agent process starts, if none runs.
+    StartAgent(usize),
+    /// An agent process stops without closing anything.
+    PauseAgent(usize),
+    /// It goes on.
+    ResumeAgent(usize),
+    /// An agent is told to leave.
+    Leave(usize),
+    /// An entry process dies and another takes its place.
+    ReplaceEntry(usize),
+    /// Every connection breaks.
+    CutConnections,
+    /// Every connection goes silent for good.
+    SilenceConnections,
+    /// A service process dies after it carried out its next call.
+    CrashService(usize),
+    /// A service refuses connections, or takes them again.
+    ServiceDown(usize, bool),
+    /// A service takes this long for a call.
+    ServiceSlow(usize, u64),
+    /// An engine's process dies; it comes back by itself.
+    CrashEngine(usize),
+    /// An engine goes silent, or wakes.
+    FreezeEngine(usize, bool),
+    /// The key-value service goes, or comes back.
+    KeyValueDown(bool),
+    /// The key-value service gets slow, or quick again.
+    KeyValueSlow(bool),
+    /// The next answer of the key-value service is lost.
+    KeyValueAnswerLost(bool),
+}
+
+/// The reference machine. What is possible does not depend on what happened, so it keeps no state.
+#[derive(Clone, Debug)]
+pub struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+        let timeout_ms = prop_oneof![Just(500), Just(2_000), Just(8_000)];
+        prop_oneof![
+            8 => (0..ENTRIES, asked(), timeout_ms.clone())
+                .prop_map(|(entry, kind, timeout_ms)| Step::Ask { entry, kind, timeout_ms }),
+            4 => (0..ENTRIES, 0..64usize, timeout_ms)
+                .prop_map(|(entry, work, timeout_ms)| Step::Resend { entry, work, timeout_ms }),
+            1 => (0..ENTRIES, 0..64usize).prop_map(|(entry, work)| Step::Void { entry, work }),
+            6 => prop_oneof![1..60u64, 100..900u64, 1_000..6_000u64]
+                .prop_map(|ms| Step::Pass { ms }),
+            4 => (direction(), message_fault())
+                .prop_map(|(direction, fault)| Step::Message(direction, fault)),
+            5 => happening().prop_map(Step::Event),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _step: &Step) {}
+}
+
+fn asked() -> impl Strategy<Value = Asked> {
+    prop_oneof![
+        2 => (1..80u64).prop_map(Asked::Stream),
+        1 => (1..30u64).prop_map(Asked::Json),
+        2 => Just(Asked::Status),
+        2 => Just(Asked::Order),
+        2 => Just(Asked::OrderWithTicket),
+        2 => Just(Asked::OrderWithKey),
+    ]
+}
+
+fn direction() -> impl Strategy<Value = Direction> {
+    prop_oneof![3 => Just(Direction::ToAgent), 1 => Just(Direction::ToEntry)]
+}
+
+fn message_fault() -> impl Strategy<Value = MessageFault> {
+    let delay = prop_oneof![5..200u64, 1_000..12_000u64].prop_map(Duration::from_millis);
+    prop_oneof![
+        1 => Just(MessageFault::Lost),
+        2 => delay.clone().prop_map(MessageFault::Copied),
+        2 => delay.prop_map(MessageFault::Late),
+        1 => Just(MessageFault::Overtaken),
+    ]
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    use Happening::*;
+    prop_oneof![
+        2 => (0..SERVERS).prop_map(KillAgent),
+        2 => (0..SERVERS).prop_map(ReplaceAgent),
+        4 => (0..SERVERS).prop_map(StartAgent),
+        1 => (0..SERVERS).prop_map(PauseAgent),
+        2 => (0..SERVERS).prop_map(ResumeAgent),
+        1 => (0..SERVERS).prop_map(Leave),
+        1 => (0..ENTRIES).prop_map(ReplaceEntry),
+        1 => Just(CutConnections),
+        1 => Just(SilenceConnections),
+        2 => (0..SERVICES).prop_map(CrashService),
+        1 => (0..SERVICES, any::<bool>()).prop_map(|(i, down)| ServiceDown(i, down)),
+        1 => (0..SERVICES, prop_oneof![Just(0u64), Just(100), Just(4_000)])
+            .prop_map(|(i, ms)| ServiceSlow(i, ms)),
+        2 => (0..ENGINES).prop_map(CrashEngine),
+        1 => (0..ENGINES, any::<bool>()).prop_map(|(i, frozen)| FreezeEngine(i, frozen)),
+        1 => any::<bool>().prop_map(KeyValueDown),
+        1 => any::<bool>().prop_map(KeyValueSlow),
+        1 => any::<bool>().prop_map(KeyValueAnswerLost),
+    ]
+}
+
+/// The world under test and the runtime whose clock it lives by.
+pub struct Driver {
+    runtime: Runtime,
+    world: World,
+    asked: usize,
+}
+
+impl Driver {
+    /// Starts a world.
+    pub fn new(plant: Option<Plant>) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime without I/O");
+        let world = runtime.block_on(World::start(plant));
+        Self { runtime, world, asked: 0 }
+    }
+
+    /// Does one step and checks every promise.
+    pub fn step(&mut self, step: &Step) -> Result<(), Violation> {
+        let Self { runtime, world, asked } = self;
+        runtime.block_on(async {
+            take(world, asked, step).await;
+            tokio::time::sleep(STEP_TIME).await;
+        });
+        self.world.check()
+    }
+
+    /// Mends everything and checks that every request came to an end.
+    pub fn settle(&mut self) -> Result<(), Violation> {
+        self.runtime.block_on(self.world.settle())
+    }
+}
+
+async fn take(world: &mut World, asked: &mut usize, step: &Step) {
+    match step {
+        Step::Ask { entry, kind, timeout_ms } => {
+            *asked += 1;
+            ask(world, *entry, *kind, *asked, *timeout_ms).await;
+        }
+        Step::Resend { entry, work, timeout_ms } if !world.ledger.is_empty() => {
+            world.resend(*entry, work % world.ledger.len(), *timeout_ms);
+        }
+        Step::Void { entry, work } if !world.ledger.is_empty() => {
+            world.void(*entry, work % world.ledger.len(), 2_000);
+        }
+        Step::Resend { .. } | Step::Void { .. } => {}
+        Step::Pass { ms } => tokio::time::sleep(Duration::from_millis(*ms)).await,
+        Step::Message(direction, fault) => world.network.fault(*direction, *fault),
+        Step::Event(happening) => happen(world, *happening).await,
+    }
+}
+
+/// Asks for work with a body that no other work has.
+async fn ask(world: &mut World, entry: usize, kind: Asked, number: usize, timeout_ms: u64) {
+    let plain = || Bytes::from(format!("work {number}"));
+    match kind {
+        Asked::Stream(tokens) => {
+            world.ask(entry, Kind::Chat, chat(number, tokens, true), timeout_ms);
+        }
+        Asked::Json(tokens) => {
+            world.ask(entry, Kind::Chat, chat(number, tokens, false), timeout_ms);
+        }
+        Asked::Status => {
+            world.ask(entry, Kind::Status, plain(), timeout_ms);
+        }
+        Asked::Order => {
+            world.ask(entry, Kind::Order, plain(), timeout_ms);
+        }
+        Asked::OrderWithKey => {
+            world.ask_with_key(entry, plain(), timeout_ms);
+        }
+        Asked::OrderWithTicket => {
+            world.ask_with_ticket(entry, plain(), timeout_ms).await;
+        }
+    }
+}
+
+fn chat(number: usize, tokens: u64, stream: bool) -> Bytes {
+    let body = serde_json::json!({
+        "model": MODEL, "max_tokens": tokens, "stream": stream, "prompt": format!("work {number}"),
+    });
+    Bytes::from(body.to_string())
+}
+
+async fn happen(world: &mut World, happening: Happening) {
+    match happening {
+        Happening::KillAgent(server) => world.kill_agent(server),
+        Happening::ReplaceAgent(server) => {
+            world.kill_agent(server);
+            world.start_agent(server);
+        }
+        Happening::StartAgent(server) => world.start_agent(server),
+        Happening::PauseAgent(server) => world.pause_agent(server, true),
+        Happening::ResumeAgent(server) => world.pause_agent(server, false),
+        Happening::Leave(server) => world.leave(server).await,
+        Happening::ReplaceEntry(entry) => world.replace_entry(entry),
+        Happening::CutConnections => world.network.cut_all(),
+        Happening::SilenceConnections => world.network.silence_all(),
+        Happening::CrashService(service) => world.servers.services[service].crash_after_effect(1),
+        Happening::ServiceDown(service, down) => world.servers.services[service].set_down(down),
+        Happening::ServiceSlow(service, ms) => {
+            world.servers.services[service].set_delay(Duration::from_millis(ms));
+        }
+        Happening::CrashEngine(engine) => world.servers.engines[engine].crash(),
+        Happening::FreezeEngine(engine, frozen) => world.servers.engines[engine].set_frozen(frozen),
+        Happening::KeyValueDown(down) => world.kv.set_down(down),
+        Happening::KeyValueSlow(true) => world.kv.set_delay(KEY_VALUE_DELAY),
+        Happening::KeyValueSlow(false) => world.kv.set_delay(Duration::ZERO),
+        Happening::KeyValueAnswerLost(true) => world.kv.lose_answers(1, LostAnswer::AfterEffect),
+        Happening::KeyValueAnswerLost(false) => world.kv.lose_answers(1, LostAnswer::BeforeEffect),
+    }
+}
+
+/// The real code under the reference machine.
+pub struct RequestPath;
+
+impl StateMachineTest for RequestPath {
+    type SystemUnderTest = Driver;
+    type Reference = Steps;
+
+    fn init_test(_state: &()) -> Driver {
+        Driver::new(None)
+    }
+
+    fn apply(mut driver: Driver, _state: &(), step: Step) -> Driver {
+        if let Err(violation) = driver.step(&step) {
+            panic!("after {step:?}: {violation}");
+        }
+        driver
+    }
+
+    fn teardown(mut driver: Driver, _state: ()) {
+        if let Err(violation) = driver.settle() {
+            panic!("after everything was mended: {violation}");
+        }
+    }
+}
+
+/// Cases and seed of a run, from the environment or as given.
+pub fn config(cases: u32, seed: u64) -> Config {
+    let from = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    let cases = from(CASES_VARIABLE).and_then(|cases| u32::try_from(cases).ok()).unwrap_or(cases);
+    let rng_seed = RngSeed::Fixed(from(SEED_VARIABLE).unwrap_or(seed));
+    Config { cases, rng_seed, failure_persistence: None, ..Config::default() }
+}
+
+/// Steps until a planted fault is found; `None` if it was not within `max_steps`.
+pub fn steps_until_found(plant: Plant, max_steps: usize, seed: u64) -> Option<(usize, Violation)> {
+    let mut runner = TestRunner::new(config(1, seed));
+    let mut done = 0;
+    while done < max_steps {
+        let strategy = Steps::sequential_strategy(1..MAX_STEPS);
+        let (_, steps, _) = strategy.new_tree(&mut runner).ok()?.current();
+        let mut driver = Driver::new(Some(plant));
+        for step in &steps {
+            done += 1;
+            if let Err(violation) = driver.step(step) {
+                return Some((done, violation));
+            }
+        }
+        if let Err(violation) = driver.settle() {
+            return Some((done, violation));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/proof/src/network.rs
@@ -0,0 +1,235 @@
+//! The network between entries and agents: in memory, with faults set by hand.
+
+use crate::backend::Fate;
+use crate::plant::Plant;
+use crate::relay::{Relay, ToAgent, ToEntry};
+use bytes::Bytes;
+use flamingowheel_agent::control::AgentHandle;
+use flamingowheel_agent::serve::attend;
+use flamingowheel_entry::connector::{AgentLink, Connector};
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_protocol::id::ExecutionKey;
+use flamingowheel_protocol::link::{Keeping, Link};
+use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Hello};
+use flamingowheel_protocol::websocket::HandshakeError;
+use futures_util::{Sink, Stream, sink, stream};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Which way a message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From an entry to an agent.
+    ToAgent,
+    /// From an agent to an entry.
+    ToEntry,
+}
+
+/// What befalls one message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageFault {
+    /// It never arrives.
+    Lost,
+    /// It arrives twice, the second time this much later.
+    Copied(Duration),
+    /// It arrives this much later, even if its connection and the process it was sent to are gone.
+    Late(Duration),
+    /// It arrives after the next one of its connection.
+    Overtaken,
+}
+
+/// An agent process as the network reaches it.
+#[derive(Clone)]
+pub struct Endpoint {
+    /// How it introduces itself.
+    pub hello: Hello,
+    /// Its control task.
+    pub handle: AgentHandle,
+    /// Whether it lives.
+    pub fate: Fate,
+    /// What was dispatched to it; for planted faults.
+    pub seen: Arc<Mutex<HashSet<ExecutionKey>>>,
+}
+
+#[derive(Default)]
+struct State {
+    endpoints: HashMap<SocketAddr, Endpoint>,
+    links: Vec<LinkTokens>,
+    faults: VecDeque<(Direction, MessageFault)>,
+    plant: Option<Plant>,
+}
+
+/// Faults of one open connection.
+#[derive(Clone)]
+pub struct LinkTokens {
+    /// Ends the connection on both sides.
+    pub cut: CancellationToken,
+    /// Nothing arrives any more on either side.
+    pub silent: CancellationToken,
+}
+
+/// The network; clones share it.
+#[derive(Clone, Default)]
+pub struct Network {
+    state: Arc<Mutex<State>>,
+}
+
+impl Network {
+    /// A network on which processes lack the given safeguard.
+    pub fn new(plant: Option<Plant>) -> Self {
+        let this = Self::default();
+        this.lock().plant = plant;
+        this
+    }
+
+    /// Lets an agent process be reached, in place of the one that was there before.
+    pub fn attach(&self, address: SocketAddr, endpoint: Endpoint) {
+        self.lock().endpoints.insert(address, endpoint);
+    }
+
+    /// Lets nothing be reached at this address any more.
+    pub fn detach(&self, address: SocketAddr) {
+        self.lock().endpoints.remove(&address);
+    }
+
+    /// The process at this address.
+    pub fn endpoint(&self, address: SocketAddr) -> Option<Endpoint> {
+        self.lock().endpoints.get(&address).cloned()
+    }
+
+    /// The next message that way meets with this fault; faults queue up.
+    pub fn fault(&self, direction: Direction, fault: MessageFault) {
+        self.lock().faults.push_back((direction, fault));
+    }
+
+    /// Forgets faults that have not struck yet.
+    pub fn clear_faults(&self) {
+        self.lock().faults.clear();
+    }
+
+    /// Breaks all open connections.
+    pub fn cut_all(&self) {
+        self.lock().links.drain(..).for_each(|link| link.cut.cancel());
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence_all(&self) {
+        self.lock().links.iter().for_each(|link| link.silent.cancel());
+    }
+
+    /// The safeguard that is left out.
+    pub fn plant(&self) -> Option<Plant> {
+        self.lock().plant
+    }
+
+    /// The fault that strikes the next message.
+    pub fn next_fault(&self, direction: Direction) -> Option<MessageFault> {
+        let mut state = self.lock();
+        let position = state.faults.iter().position(|(way, _)| *way == direction)?;
+        state.faults.remove(position).map(|(_, fault)| fault)
+    }
+
+    fn open_link(&self) -> LinkTokens {
+        let tokens = LinkTokens { cut: CancellationToken::new(), silent: CancellationToken::new() };
+        let mut state = self.lock();
+        state.links.retain(|link| !link.cut.is_cancelled());
+        state.links.push(tokens.clone());
+        tokens
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How one entry process connects.
+pub struct NetworkConnector {
+    network: Network,
+    hello: Hello,
+    fate: Fate,
+}
+
+impl NetworkConnector {
+    /// The connector of an entry process.
+    pub fn new(network: Network, hello: Hello, fate: Fate) -> Self {
+        Self { network, hello, fate }
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<AgentLink, HandshakeError> {
+        let Some(endpoint) = self.network.endpoint(address) else {
+            return Err(io::Error::from(io::ErrorKind::ConnectionRefused).into());
+        };
+        endpoint.fate.awake().await;
+        let tokens = self.network.open_link();
+        let (entry_out, to_agent) = pipe();
+        let (agent_in, agent_source) = pipe();
+        let (agent_out, to_entry) = pipe();
+        let (entry_in, entry_source) = pipe();
+        let agent_side: Link<AgentMessage, EntryMessage> = Link::start(
+            self.hello.clone(),
+            into_sink(agent_out),
+            into_stream(agent_source),
+            Keeping::default(),
+        );
+        let entry_side = Link::start(
+            endpoint.hello.clone(),
+            into_sink(entry_out),
+            into_stream(entry_source),
+            Keeping::default(),
+        );
+        let relay = Relay {
+            network: self.network.clone(),
+            address,
+            tokens,
+            entry: self.fate.clone(),
+            agent: endpoint.fate.clone(),
+            seen: endpoint.seen.clone(),
+        };
+        let agent_sender = agent_side.sender.downgrade();
+        let inward = ToAgent { agent_sender, answers: entry_in.downgrade() };
+        let outward = ToEntry::new(entry_in.downgrade());
+        tokio::spawn(relay.clone().run(to_agent, agent_in, inward));
+        tokio::spawn(relay.run(to_entry, entry_in, outward));
+        tokio::spawn(attend(agent_side, endpoint.handle));
+        Ok(entry_side)
+    }
+}
+
+impl Connector for NetworkConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<AgentLink, HandshakeError>> {
+        Box::pin(async move {
+            if self.fate.is_killed() {
+                return std::future::pending().await;
+            }
+            self.open(address).await
+        })
+    }
+}
+
+type Pipe = (mpsc::UnboundedSender<Bytes>, mpsc::UnboundedReceiver<Bytes>);
+
+fn pipe() -> Pipe {
+    mpsc::unbounded_channel()
+}
+
+type BatchSink = Pin<Box<dyn Sink<Bytes, Error = io::Error> + Send>>;
+type BatchStream = Pin<Box<dyn Stream<Item = Bytes> + Send>>;
+
+fn into_sink(sender: mpsc::UnboundedSender<Bytes>) -> BatchSink {
+    Box::pin(sink::unfold(sender, |sender, batch| async move {
+        sender.send(batch).map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        Ok(sender)
+    }))
+}
+
+fn into_stream(receiver: mpsc::UnboundedReceiver<Bytes>) -> BatchStream {
+    Box::pin(stream::unfold(receiver, |mut receiver| async move {
+        receiver.recv().await.map(|batch| (batch, receiver))
+    }))
+}
--- /dev/null
+++ b/crates/proof/src/world.rs
@@ -0,0 +1,352 @@
+//! A small fleet in one thread: two entries, three plain services and two engines, each with its
+//! agent, and a key-value service.
+
+use crate::backend::{Fate, ProcessBackend};
+use crate::caller::{Ask, Call, Told, send, take_ticket};
+use crate::entry::{Entry, MODEL, SERVICE};
+use crate::network::{Endpoint, Network};
+use crate::oracle::{Kind, Ledger, Runs, Violation, Work};
+use crate::plant::Plant;
+use bytes::Bytes;
+use flamingowheel_agent::config::AgentConfig;
+use flamingowheel_agent::control::{Command, Control};
+use flamingowheel_platform::backend::BackendServer;
+use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeKeyValue, FakeService};
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::message::{BackendProfile, Hello, Role, Serves};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep};
+
+/// Entries in the world.
+pub const ENTRIES: usize = 2;
+/// Plain services in the world.
+pub const SERVICES: usize = 3;
+/// Engines in the world.
+pub const ENGINES: usize = 2;
+/// Backend servers in the world, services first.
+pub const SERVERS: usize = SERVICES + ENGINES;
+
+/// Requests that run at once on a backend server.
+const PLACES: u32 = 4;
+/// After this time a leaving backend server gets no new work.
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+/// Time for connections to open at the start.
+const START_TIME: Duration = Duration::from_secs(1);
+/// Longer than any deadline, reconnect and cancel together.
+const SETTLE_TIME: Duration = Duration::from_secs(60);
+
+/// A running agent process.
+struct Agent {
+    fate: Fate,
+    control: AbortHandle,
+    leaving_since: Option<Instant>,
+}
+
+/// The backend servers, which outlive their agents.
+#[derive(Clone)]
+pub struct Servers {
+    /// Plain services.
+    pub services: Vec<FakeService>,
+    /// Engines.
+    pub engines: Vec<FakeEngine>,
+}
+
+impl Servers {
+    fn backend(&self, server: usize) -> Arc<dyn BackendServer> {
+        match self.services.get(server) {
+            Some(service) => Arc::new(service.clone()),
+            None => Arc::new(self.engines[server - SERVICES].clone()),
+        }
+    }
+
+    fn started_on(&self, server: usize, body: &[u8]) -> u32 {
+        match self.services.get(server) {
+            Some(service) => service.executions(body),
+            None => self.engines[server - SERVICES].runs_of_body(body).started,
+        }
+    }
+}
+
+impl Runs for Servers {
+    fn started(&self, body: &[u8]) -> u32 {
+        (0..SERVERS).map(|server| self.started_on(server, body)).sum()
+    }
+}
+
+/// Work that was first asked for while a backend server had been leaving for long enough.
+struct LateWork {
+    server: usize,
+    after: Duration,
+    body: Bytes,
+}
+
+/// The world.
+pub struct World {
+    /// The network.
+    pub network: Network,
+    /// The key-value service.
+    pub kv: FakeKeyValue,
+    /// The backend servers.
+    pub servers: Servers,
+    /// What was asked and told.
+    pub ledger: Ledger,
+    entries: Vec<Entry>,
+    agents: Vec<Option<Agent>>,
+    late_work: Vec<LateWork>,
+    plant: Option<Plant>,
+    started: usize,
+}
+
+impl World {
+    /// A world whose processes lack the given safeguard, with all connections open.
+    pub async fn start(plant: Option<Plant>) -> Self {
+        let services = (0..SERVICES as u64).map(FakeService::new).collect();
+        let settings = EngineSettings {
+            token_delay: Duration::from_millis(50),
+            restart_after: Some(Duration::from_secs(3)),
+            places: PLACES as usize,
+            ..EngineSettings::default()
+        };
+        let engines =
+            (0..ENGINES as u64).map(|seed| FakeEngine::new(100 + seed, settings.clone())).collect();
+        let mut world = Self {
+            network: Network::new(plant),
+            kv: FakeKeyValue::new(),
+            servers: Servers { services, engines },
+            ledger: Ledger::default(),
+            entries: Vec::new(),
+            agents: (0..SERVERS).map(|_| None).collect(),
+            late_work: Vec::new(),
+            plant,
+            started: 0,
+        };
+        (0..SERVERS).for_each(|server| world.start_agent(server));
+        for entry in 0..ENTRIES {
+            let started = world.new_entry(entry);
+            world.entries.push(started);
+        }
+        sleep(START_TIME).await;
+        world
+    }
+
+    fn new_entry(&self, entry: usize) -> Entry {
+        let addresses: Vec<_> = (0..SERVERS).map(address).collect();
+        Entry::start(&format!("entry-{entry}"), &self.network, &self.kv, &addresses)
+    }
+
+    /// Starts an agent process, if none runs.
+    pub fn start_agent(&mut self, server: usize) {
+        if self.agents[server].is_some() {
+            return;
+        }
+        let fate = Fate::default();
+        let mut config = AgentConfig::new(&format!("runner-{server}"), "a", profile(server));
+        if self.plant == Some(Plant::IncarnationIgnored) {
+            config.incarnation = Incarnation(1 + server as u64);
+        }
+        let hello = Hello {
+            name: config.name.clone(),
+            incarnation: config.incarnation,
+            data_centre: config.data_centre.clone(),
+            role: Role::Agent(config.profile.clone()),
+        };
+        let backend = ProcessBackend::new(self.servers.backend(server), fate.clone());
+        let (control, handle, commands) = Control::new(config, Arc::new(backend));
+        let control = tokio::spawn(control.run(commands)).abort_handle();
+        let endpoint = Endpoint { hello, handle, fate: fate.clone(), seen: Arc::default() };
+        self.network.attach(address(server), endpoint);
+        self.agents[server] = Some(Agent { fate, control, leaving_since: None });
+    }
+
+    /// Kills an agent process.
+    pub fn kill_agent(&mut self, server: usize) {
+        let Some(agent) = self.agents[server].take() else { return };
+        self.network.detach(address(server));
+        agent.fate.kill();
+        agent.control.abort();
+        // The next process at this place was not told to leave.
+        self.late_work.retain(|late| late.server != server);
+    }
+
+    /// Pauses an agent process, or lets it go on.
+    pub fn pause_agent(&self, server: usize, paused: bool) {
+        if let Some(agent) = &self.agents[server] {
+            agent.fate.set_paused(paused);
+        }
+    }
+
+    /// Tells an agent to leave.
+    pub async fn leave(&mut self, server: usize) {
+        let Some(agent) = &mut self.agents[server] else { return };
+        let Some(endpoint) = self.network.endpoint(address(server)) else { return };
+        if agent.leaving_since.is_none() && !agent.fate.is_paused() {
+            let _ = endpoint.handle.commands().send(Command::Leave).await;
+            agent.leaving_since = Some(Instant::now());
+        }
+    }
+
+    /// Whether a leaving agent has nothing left to do.
+    pub fn is_drained(&self, server: usize) -> bool {
+        let endpoint = self.network.endpoint(address(server));
+        endpoint.is_some_and(|endpoint| endpoint.handle.status().drained)
+    }
+
+    /// Replaces an entry process by a new one; the old one is killed.
+    pub fn replace_entry(&mut self, entry: usize) {
+        self.entries[entry].fate.kill();
+        self.entries[entry].agents.set_addresses(&[]);
+        self.entries[entry] = self.new_entry(entry);
+    }
+
+    /// Pauses an entry process, or lets it go on.
+    pub fn pause_entry(&self, entry: usize, paused: bool) {
+        self.entries[entry].fate.set_paused(paused);
+    }
+
+    /// Asks for a new piece of work at an entry; gives its index in the ledger.
+    pub fn ask(&mut self, entry: usize, kind: Kind, body: Bytes, timeout_ms: u64) -> usize {
+        let work = Work { kind, body, ticket: None, key: None, submissions: Vec::new() };
+        self.enter(entry, work, timeout_ms)
+    }
+
+    /// Asks for non-idempotent work under a key of the caller's own.
+    pub fn ask_with_key(&mut self, entry: usize, body: Bytes, timeout_ms: u64) -> usize {
+        let key = Some(format!("key-{}", self.started));
+        let submissions = Vec::new();
+        let work = Work { kind: Kind::Order, body, ticket: None, key, submissions };
+        self.enter(entry, work, timeout_ms)
+    }
+
+    /// Takes a ticket and asks for non-idempotent work under it, if a ticket can be had.
+    pub async fn ask_with_ticket(
+        &mut self,
+        entry: usize,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Option<usize> {
+        let at = &self.entries[entry];
+        let taking = take_ticket(at.router.clone(), at.fate.clone());
+        let ticket = tokio::time::timeout(START_TIME, taking).await.ok().flatten()?;
+        let submissions = Vec::new();
+        let work = Work { kind: Kind::Order, body, ticket: Some(ticket), key: None, submissions };
+        Some(self.enter(entry, work, timeout_ms))
+    }
+
+    fn enter(&mut self, entry: usize, work: Work, timeout_ms: u64) -> usize {
+        self.started += 1;
+        self.note_late_work(&work.body);
+        let index = self.ledger.add(work);
+        self.submit(entry, index, false, timeout_ms);
+        index
+    }
+
+    fn note_late_work(&mut self, body: &Bytes) {
+        for (server, agent) in self.agents.iter().enumerate() {
+            let since = agent.as_ref().and_then(|agent| agent.leaving_since);
+            let Some(after) = since.map(|since| since.elapsed()) else { continue };
+            if after > LEAVE_LIMIT {
+                self.late_work.push(LateWork { server, after, body: body.clone() });
+            }
+        }
+    }
+
+    /// Sends a piece of work again, under its ticket or key if it has one.
+    pub fn resend(&self, entry: usize, index: usize, timeout_ms: u64) {
+        let Some(work) = self.ledger.get(index) else { return };
+        if work.kind == Kind::Order && work.ticket.is_none() && work.key.is_none() {
+            // A caller without ticket or key can't send an order again safely.
+            return;
+        }
+        self.submit(entry, index, false, timeout_ms);
+    }
+
+    /// Gives up a piece of work's ticket.
+    pub fn void(&self, entry: usize, index: usize, timeout_ms: u64) {
+        if self.ledger.get(index).is_some_and(|work| work.ticket.is_some()) {
+            self.submit(entry, index, true, timeout_ms);
+        }
+    }
+
+    fn submit(&self, entry: usize, index: usize, void: bool, timeout_ms: u64) {
+        let Some(work) = self.ledger.get(index) else { return };
+        let ask = match (&work.ticket, &work.key, work.kind) {
+            (Some(ticket), _, _) if void => Ask::Void(ticket.clone()),
+            (Some(ticket), _, _) => Ask::Ticket(ticket.clone()),
+            (None, Some(key), _) => Ask::Key(key.clone()),
+            (None, None, Kind::Chat) => Ask::Chat,
+            (None, None, Kind::Status) => Ask::Status,
+            (None, None, Kind::Order) => Ask::Order,
+        };
+        let repeats = ask == Ask::Order && self.plant == Some(Plant::NonIdempotentRetried);
+        let call = Call { ask, body: work.body, timeout_ms };
+        let at = &self.entries[entry];
+        let (router, fate) = (at.router.clone(), at.fate.clone());
+        let (ledger, submission) = (self.ledger.clone(), self.ledger.submit(index, void));
+        tokio::spawn(async move {
+            let mut told = send(router.clone(), fate.clone(), call.clone()).await;
+            if repeats && matches!(told, Told::Unknown(_)) {
+                told = send(router, fate, call).await;
+            }
+            ledger.tell(submission, told);
+        });
+    }
+
+    /// Mends everything: no fault remains, every process runs.
+    pub fn mend(&mut self) {
+        self.network.clear_faults();
+        self.kv.set_down(false);
+        self.kv.set_delay(Duration::ZERO);
+        for service in &self.servers.services {
+            service.set_down(false);
+            service.set_frozen(false);
+            service.set_delay(Duration::ZERO);
+        }
+        for engine in &self.servers.engines {
+            engine.set_frozen(false);
+        }
+        (0..ENTRIES).for_each(|entry| self.pause_entry(entry, false));
+        for server in 0..SERVERS {
+            self.pause_agent(server, false);
+            self.start_agent(server);
+        }
+    }
+
+    /// Checks every promise as of now.
+    pub fn check(&self) -> Result<(), Violation> {
+        self.ledger.check(&self.servers)?;
+        for late in &self.late_work {
+            if self.servers.started_on(late.server, &late.body) > 0 {
+                let after_ms = late.after.as_millis() as u64;
+                return Err(Violation::NewWorkWhileLeaving { server: late.server, after_ms });
+            }
+        }
+        Ok(())
+    }
+
+    /// Mends everything, lets all requests end and checks every promise.
+    pub async fn settle(&mut self) -> Result<(), Violation> {
+        self.mend();
+        sleep(SETTLE_TIME).await;
+        self.check()?;
+        self.ledger.check_settled()
+    }
+}
+
+fn address(server: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1 + server as u8], 7000))
+}
+
+fn profile(server: usize) -> BackendProfile {
+    let serves = match server < SERVICES {
+        true => Serves::Service { service: SERVICE.to_owned() },
+        false => Serves::Model {
+            model: MODEL.to_owned(),
+            group: "group-a".to_owned(),
+            rank: (server - SERVICES) as u16,
+        },
+    };
+    BackendProfile { serves, places: PLACES, can_resume: server >= SERVICES }
+}
--- /dev/null
+++ b/crates/proof/tests/fuzz_requests.rs
@@ -0,0 +1,56 @@
+//! Requests under random faults, and the same with safeguards left out.
+
+#![allow(clippy::print_stdout, reason = "figures of the run")]
+
+use flamingowheel_proof::machine::{MAX_STEPS, RequestPath, Steps, config, steps_until_found};
+use flamingowheel_proof::plant::Plant;
+use proptest::test_runner::TestRunner;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+const CASES: u32 = 100;
+const SEED: u64 = 20261202;
+const MAX_STEPS_TO_FIND: usize = 10_000;
+
+#[test]
+fn fuzz_requests_hold_promises() {
+    let config = config(CASES, SEED);
+    let strategy = Steps::sequential_strategy(1..MAX_STEPS);
+    let result = TestRunner::new(config.clone()).run(&strategy, |(state, steps, seen)| {
+        RequestPath::test_sequential(config.clone(), state, steps, seen);
+        Ok(())
+    });
+    if let Err(failure) = result {
+        panic!("{failure}");
+    }
+}
+
+fn assert_found(plant: Plant) {
+    let (steps, violation) =
+        steps_until_found(plant, MAX_STEPS_TO_FIND, SEED).expect("planted fault not found");
+    println!("{plant:?}: found after {steps} steps: {violation}");
+}
+
+// An agent says "not run" of a dispatch that is still on its way, and runs it when it arrives.
+#[test]
+fn fuzz_finds_tombstone_skipped() {
+    assert_found(Plant::TombstoneSkipped);
+}
+
+// A ticket's work, or a late copy of a dispatch, reaches the next process at the same place, which
+// has no record of it and runs it once more.
+#[test]
+fn fuzz_finds_incarnation_ignored() {
+    assert_found(Plant::IncarnationIgnored);
+}
+
+// A work order whose answer was lost is sent again.
+#[test]
+fn fuzz_finds_non_idempotent_retried() {
+    assert_found(Plant::NonIdempotentRetried);
+}
+
+// A stream breaks off and the caller takes what came for the whole answer.
+#[test]
+fn fuzz_finds_truncated_stream_accepted() {
+    assert_found(Plant::TruncatedStreamAccepted);
+}
--- /dev/null
+++ b/crates/proof/tests/resume.rs
@@ -0,0 +1,53 @@
+//! Answers whose agent process is replaced half-way.
+
+use bytes::Bytes;
+use flamingowheel_proof::caller::Told;
+use flamingowheel_proof::entry::MODEL;
+use flamingowheel_proof::oracle::Kind;
+use flamingowheel_proof::world::{ENGINES, SERVICES, World};
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn chat(tokens: u64, stream: bool) -> Bytes {
+    let body = serde_json::json!({ "model": MODEL, "max_tokens": tokens, "stream": stream });
+    Bytes::from(body.to_string())
+}
+
+/// The agent in front of the engine that runs this body.
+fn agent_of(world: &World, body: &[u8]) -> usize {
+    let runs = |engine: usize| world.servers.engines[engine].runs_of_body(body).started;
+    SERVICES + (0..ENGINES).find(|engine| runs(*engine) > 0).expect("nothing runs")
+}
+
+// The agent process is replaced while an answer that is not streamed comes in. An engine counts
+// events, not pieces of a body, so asking it to go on would bring the whole answer once more, and
+// the caller would get one and a half answers that look like a whole one.
+#[tokio::test(start_paused = true)]
+async fn ask_json_agent_replaced_in_body() {
+    let mut world = World::start(None).await;
+    let body = chat(40, false);
+    world.ask(0, Kind::Chat, body.clone(), 10_000);
+    // 40 tokens of 50 ms, then the pieces of the body, 50 ms apart.
+    sleep(Duration::from_millis(2_075)).await;
+    let server = agent_of(&world, &body);
+    world.kill_agent(server);
+    world.start_agent(server);
+    world.settle().await.unwrap();
+    let told = world.ledger.get(0).unwrap().submissions.remove(0).told;
+    assert!(matches!(told, Told::Unknown(_)), "{told:?}");
+}
+
+// The same with a stream: the engine goes on from the event that the caller lacks.
+#[tokio::test(start_paused = true)]
+async fn ask_stream_agent_replaced() {
+    let mut world = World::start(None).await;
+    let body = chat(100, true);
+    world.ask(0, Kind::Chat, body.clone(), 10_000);
+    sleep(Duration::from_millis(2_000)).await;
+    let server = agent_of(&world, &body);
+    world.kill_agent(server);
+    world.start_agent(server);
+    world.settle().await.unwrap();
+    let told = world.ledger.get(0).unwrap().submissions.remove(0).told;
+    assert!(matches!(told, Told::Complete(_)), "{told:?}");
+}
