proof: fuzz the decoders; config: end on text that is no YAML

Cause: nothing showed that hostile bytes can't stop a process. Fuzzing found two faults in reading operators' documents: the parser repeats a syntax error as one document after another without end, so parse never returned and its list of errors grew without bound; and the parser panics on an alias without an anchor in a list, in documents and in settings. Change: random, changed and hostile inputs for inner frames, tickets, settings and documents, and a bound on memory in a process of its own. Reading ends at a repeated error, and a panic of the parser becomes a syntax error.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -18,6 +18,7 @@
 use crate::template::{Parameters, Rebalancing, Template};
 use crate::token::TokenHash;
 use crate::workspace::{Overrides, Workspace};
+use crate::yaml;
 use serde::{Deserialize, Serialize};
 
 /// The largest file of documents that is read, in bytes.
@@ -98,6 +99,19 @@
     Empty,
 }
 
+impl DocumentError {
+    /// Whether it is the same error at the same place, whatever document it is counted to.
+    fn is_repeat_of(&self, other: &Self) -> bool {
+        match (self, other) {
+            (
+                Self::Syntax { line, column, message, .. },
+                Self::Syntax { line: l, column: c, message: m, .. },
+            ) => (line, column, message) == (l, c, m),
+            _ => false,
+        }
+    }
+}
+
 /// Reads all documents of a file, or every syntax error that can be found in one pass.
 ///
 /// ```
@@ -113,10 +127,18 @@
     let kinds = serde_yaml_ng::Deserializer::from_str(text);
     let bodies = serde_yaml_ng::Deserializer::from_str(text);
     for (index, (kind, body)) in kinds.zip(bodies).enumerate() {
-        match read_one(kind, body) {
+        match yaml::guard(|| read_one(kind, body)) {
             Ok(Some(edit)) => edits.push(edit),
             Ok(None) => {}
-            Err(error) => errors.push(syntax(index + 1, &error)),
+            Err(error) => {
+                let error = syntax(index + 1, &error);
+                // After text that is no YAML at all the parser gives the same error as the next
+                // document, and the next, without end; taking them all would eat the memory.
+                if errors.last().is_some_and(|last| error.is_repeat_of(last)) {
+                    break;
+                }
+                errors.push(error);
+            }
         }
     }
     if !errors.is_empty() {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod token;
 pub mod validate;
 pub mod workspace;
+mod yaml;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::problem::{Collector, Reason};
 use crate::secret::Secret;
+use crate::yaml;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -262,7 +263,7 @@
     /// ```
     pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
         let raw: file::File =
-            serde_yaml_ng::from_str(text).map_err(|source| syntax(file, source))?;
+            yaml::guard(|| serde_yaml_ng::from_str(text)).map_err(|source| syntax(file, source))?;
         let mut problems = Collector::new(|field, reason| SettingsProblem { field, reason });
         let settings = raw.resolve(&mut problems);
         match settings {
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -150,3 +150,20 @@
     let problems = validate(&Documents::default(), &parse(&text).unwrap()).unwrap_err();
     assert_eq!(fields(&problems), [(3, "name")]);
 }
+
+// An operator pastes text that is no YAML. The parser repeats its error without end; the entry that
+// takes the change would loop and eat its memory.
+#[test]
+fn parse_not_yaml_ends() {
+    for text in ["[", "{", "@", "kind: remove\nworkspace: a\n---\n@"] {
+        let errors = parse(text).unwrap_err();
+        assert!((1..=2).contains(&errors.len()), "{errors:?}");
+    }
+}
+
+// An alias that stands for nothing made the parser panic, and the operator's call broke off.
+#[test]
+fn parse_alias_without_anchor() {
+    assert!(parse("kind: remove\nworkspace: [*a]\n").is_err());
+    assert!(parse("a: [*a]\n").is_err());
+}
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -107,3 +107,10 @@
     let shown = format!("{:?}", parse(&[COMMON, ENTRY]).unwrap());
     assert!(!shown.contains("0123456789abcdef") && !shown.contains("fedcba9876543210"), "{shown}");
 }
+
+// An alias that stands for nothing makes the parser panic; the daemon must say what is wrong.
+#[test]
+fn parse_alias_without_anchor() {
+    let broken = COMMON.replace("['127.0.0.1:2379']", "[*a]");
+    assert!(matches!(parse(&[&broken, ENTRY]), Err(SettingsError::Syntax { .. })));
+}
--- /dev/null
+++ b/crates/proof/tests/fuzz_decode.rs
@@ -0,0 +1,100 @@
+//! Hostile bytes against the decoders: never a panic, never a loop without end.
+
+mod decoders;
+
+use decoders::{decode_all, samples};
+use flamingowheel_config::document;
+use flamingowheel_config::settings::Settings;
+use flamingowheel_proof::machine::config;
+use flamingowheel_protocol::auth::FleetKey;
+use flamingowheel_protocol::ticket::Ticket;
+use proptest::prelude::*;
+use std::path::Path;
+
+const CASES: u32 = 2_000;
+const SEED: u64 = 20261202;
+/// Changes to a valid batch.
+#[derive(Clone, Debug)]
+enum Change {
+    Set(usize, u8),
+    Cut(usize),
+    Insert(usize, Vec<u8>),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        4 => (any::<usize>(), any::<u8>()).prop_map(|(at, byte)| Change::Set(at, byte)),
+        1 => any::<usize>().prop_map(Change::Cut),
+        1 => (any::<usize>(), proptest::collection::vec(any::<u8>(), 1..9))
+            .prop_map(|(at, bytes)| Change::Insert(at, bytes)),
+    ]
+}
+
+fn apply(bytes: &mut Vec<u8>, change: &Change) {
+    let length = bytes.len().max(1);
+    match change {
+        Change::Set(at, byte) => {
+            if let Some(place) = bytes.get_mut(at % length) {
+                *place = *byte;
+            }
+        }
+        Change::Cut(at) => bytes.truncate(at % length),
+        Change::Insert(at, new) => {
+            let at = at % length;
+            bytes.splice(at..at, new.iter().copied());
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(CASES, SEED))]
+
+    #[test]
+    fn fuzz_decode_random_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn fuzz_decode_changed_batches(
+        sample in 0..2usize, changes in proptest::collection::vec(change(), 1..6),
+    ) {
+        let mut bytes = samples().swap_remove(sample);
+        changes.iter().for_each(|change| apply(&mut bytes, change));
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn fuzz_ticket_text(text in "[0-9a-fA-F]{0,300}|.{0,64}") {
+        prop_assert!(Ticket::from_text(&text, &FleetKey::new([1; 32])).is_err());
+    }
+
+    #[test]
+    fn fuzz_settings_text(text in "([a-z_]{1,12}: ?[\\[\\]{}&*!|>'\"a-z0-9.:, -]{0,24}\n){0,12}") {
+        let _ = Settings::parse(&text, Path::new("daemon.yaml"));
+        let _ = document::parse(&text);
+    }
+
+    #[test]
+    fn fuzz_settings_any_text(text in any::<String>()) {
+        let _ = Settings::parse(&text, Path::new("daemon.yaml"));
+        let _ = document::parse(&text);
+    }
+}
+
+// Nesting without end would exhaust the stack, which kills the process without a word.
+#[test]
+fn fuzz_decode_nesting_bounded() {
+    for byte in [0x81, 0x9f, 0xa1, 0xbf, 0xc1, 0xd8] {
+        decode_all(&vec![byte; 1_000_000]);
+    }
+}
+
+// Brackets without end would exhaust the parser's stack.
+#[test]
+fn fuzz_settings_nesting_bounded() {
+    for open in ["[", "{a: ", "- ", "? "] {
+        let text = open.repeat(5_000);
+        assert!(Settings::parse(&text, Path::new("daemon.yaml")).is_err());
+        assert!(document::parse(&text).is_err());
+    }
+}
--- /dev/null
+++ b/crates/proof/tests/fuzz_memory.rs
@@ -0,0 +1,58 @@
+//! Memory that hostile bytes can make a decoder take. One test in a process of its own, since the
+//! kernel counts a process's memory as a whole.
+
+mod decoders;
+
+use decoders::{decode_all, samples};
+use flamingowheel_config::document;
+use flamingowheel_config::settings::Settings;
+use std::path::Path;
+
+/// Decoding may hold this much beyond what the process held before.
+const MAX_GROWTH_KB: u64 = 64 * 1024;
+
+/// Most memory the process ever held, as the kernel counts it.
+fn peak_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+// A stranger sends a few bytes that announce terabytes; the process must not set them aside.
+fn announced_lengths() {
+    // Byte strings, texts, arrays and maps that claim every power of two of elements.
+    for major in [0x5b, 0x7b, 0x9b, 0xbb] {
+        for power in 0..64 {
+            let mut head = vec![major];
+            head.extend_from_slice(&(1u64 << power).to_be_bytes());
+            // Alone, as the batch, and in the place of a body within one.
+            decode_all(&head);
+            decode_all(&[&[0x82, 0x01][..], &head[..]].concat());
+            for sample in samples() {
+                for at in 0..sample.len() {
+                    decode_all(&[&sample[..at], &head[..], &sample[at..]].concat());
+                }
+            }
+        }
+    }
+}
+
+// A few lines of YAML whose aliases stand for billions of values.
+fn aliases() {
+    let mut text = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n".to_owned();
+    for level in 1..12 {
+        let alias = format!("*a{}, ", level - 1).repeat(10);
+        text.push_str(&format!("a{level}: &a{level} [{}]\n", alias.trim_end_matches(", ")));
+    }
+    assert!(Settings::parse(&text, Path::new("daemon.yaml")).is_err());
+    assert!(document::parse(&text).is_err());
+}
+
+#[test]
+fn fuzz_memory_bounded() {
+    let before_kb = peak_kb();
+    announced_lengths();
+    aliases();
+    let growth_kb = peak_kb().saturating_sub(before_kb);
+    assert!(growth_kb < MAX_GROWTH_KB, "decoding took {growth_kb} KB");
+}
