Assemble the daemon and run the whole path on loopback

Cause: the parts existed, but no request had gone from a caller to a backend server and back through separate roles. Conclusion: the thin path stands; entries do not yet know each other, so an address answer names only the entry that was asked.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -4,10 +4,13 @@
 //! consistent state.
 
 use crate::config::AgentConfig;
-use crate::execution::{Ending, Execution, Subject};
+use crate::execution::{Ending, Execution, Work};
 use crate::load::LoadCell;
 use crate::records::{Record, Records};
 use crate::runner::{self, RunEnd};
+use flamingowheel_observe::event::{Event, Name, Subject};
+use flamingowheel_observe::reason::LeaveCause;
+use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
@@ -17,6 +20,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -114,6 +118,8 @@
 
 struct Running {
     fingerprint: Fingerprint,
+    subject: Subject,
+    attempt: u32,
     since: Instant,
 }
 
@@ -137,13 +143,17 @@
     crash_count: u32,
     commands: mpsc::Sender<Command>,
     status: watch::Sender<AgentStatus>,
+    traffic: Handle,
+    recorder: Recorder,
 }
 
 impl Control {
-    /// Prepares a control task; run it with [`Control::run`].
+    /// Prepares a control task; run it with [`Control::run`], on a thread of its own if there is
+    /// one. Tasks that move bytes are spawned on the runtime that this is called on.
     pub fn new(
         config: AgentConfig,
         backend: Arc<dyn BackendServer>,
+        recorder: Recorder,
     ) -> (Self, AgentHandle, mpsc::Receiver<Command>) {
         let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
         let (status, status_receiver) = watch::channel(AgentStatus::default());
@@ -170,6 +180,8 @@
             crash_count: 0,
             commands: commands.clone(),
             status,
+            traffic: Handle::current(),
+            recorder,
             config,
             backend,
         };
@@ -204,11 +216,18 @@
             Command::Received { sender, message } => self.receive(&sender, message),
             Command::Ended { key, end } => self.on_ended(key, end),
             Command::Health(report) => self.on_health(report),
-            Command::Leave => {
-                self.leaving = true;
-                self.broadcast(&self.heartbeat());
-            }
+            Command::Leave => self.leave(LeaveCause::Signal),
+        }
+    }
+
+    /// Takes no new work from now on, and tells every entry at once.
+    fn leave(&mut self, cause: LeaveCause) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
         }
+        let requests = u32::try_from(self.running.len() + self.pending.len()).unwrap_or(u32::MAX);
+        self.recorder.record(Event::LeaveBegan { cause, requests });
+        self.broadcast(&self.heartbeat());
     }
 
     fn receive(&mut self, sender: &mpsc::Sender<AgentMessage>, message: EntryMessage) {
@@ -233,6 +252,7 @@
                 }
             }
             EntryMessage::Suspicions(_) => {}
+            EntryMessage::VmLeaving => self.leave(LeaveCause::VmList),
         }
     }
 
@@ -274,7 +294,7 @@
         if execution.has_listener(dispatch.attempt) {
             return;
         }
-        if execution.subject().fingerprint != dispatch.fingerprint {
+        if execution.work().fingerprint != dispatch.fingerprint {
             return self.refuse(sender, dispatch.attempt, Refusal::TicketMismatch);
         }
         if matches!(dispatch.key, ExecutionKey::Attempt(_)) {
@@ -282,7 +302,8 @@
             return;
         }
         self.accept(sender, dispatch.attempt);
-        execution.attach(dispatch.attempt, sender.clone(), 0, self.load.clone());
+        self.record_ticket(dispatch, Event::TicketReplayed { ticket: ticket_name(dispatch.key) });
+        self.attach(execution, dispatch.attempt, sender, 0);
     }
 
     fn objection(&self, dispatch: &Dispatch) -> Option<Refusal> {
@@ -300,7 +321,7 @@
 
     fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
         let (attempt, key) = (dispatch.attempt, dispatch.key);
-        let execution = Arc::new(Execution::new(Subject {
+        let execution = Arc::new(Execution::new(Work {
             fingerprint: dispatch.fingerprint,
             idempotent: dispatch.idempotent,
             max_replay_bytes: self.config.max_replay_bytes,
@@ -339,7 +360,18 @@
                 }
             }
         }
-        execution.attach(attempt, sender.clone(), from_chunk, self.load.clone());
+        self.attach(&execution, attempt, sender, from_chunk);
+    }
+
+    fn attach(
+        &self,
+        execution: &Arc<Execution>,
+        attempt: AttemptId,
+        sender: &mpsc::Sender<AgentMessage>,
+        from_chunk: u64,
+    ) {
+        let load = self.load.clone();
+        self.traffic.spawn(execution.attach(attempt, sender.clone(), from_chunk, load));
     }
 
     /// A request that may kill the backend server runs with nothing beside it, so that it can't
@@ -357,10 +389,16 @@
 
     fn start(&mut self, key: ExecutionKey) {
         let Some(Pending { dispatch, execution }) = self.pending.remove(&key) else { return };
-        let running = Running { fingerprint: dispatch.fingerprint, since: Instant::now() };
+        let running = Running {
+            fingerprint: dispatch.fingerprint,
+            subject: subject(&dispatch),
+            attempt: dispatch.attempt.number,
+            since: Instant::now(),
+        };
         self.running.insert(key, running);
+        self.record_start(&dispatch);
         let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
-        tokio::spawn(runner::run(backend, dispatch, execution, commands));
+        self.traffic.spawn(runner::run(backend, dispatch, execution, commands));
     }
 
     fn on_ended(&mut self, key: ExecutionKey, end: RunEnd) {
@@ -374,6 +412,7 @@
             self.records.remove_ticket(key);
         }
         let Some(running) = self.running.remove(&key) else { return };
+        self.record_end(key, &running);
         if self.exclusive == Some(key) {
             self.exclusive = None;
         }
@@ -424,7 +463,7 @@
         match self.records.get(question.key) {
             Some(Record::Execution(execution)) => {
                 let execution = Arc::clone(execution);
-                execution.attach(attempt, sender.clone(), from_chunk, self.load.clone());
+                self.attach(&execution, attempt, sender, from_chunk);
             }
             Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
             None if self.is_forgotten(&question) => {
@@ -481,7 +520,7 @@
             self.give_up(key, Refusal::Cancelled);
             return self.refuse(sender, attempt, Refusal::Cancelled);
         }
-        if execution.subject().idempotent && !others {
+        if execution.work().idempotent && !others {
             execution.stop_token().cancel();
         }
         self.fail(sender, attempt, Failure::Cancelled);
@@ -505,7 +544,7 @@
             return;
         }
         let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
-        tokio::spawn(async move {
+        self.traffic.spawn(async move {
             let report = backend.load().await;
             let _ = commands.send(Command::Health(report)).await;
         });
@@ -534,7 +573,10 @@
             .into_iter()
             .map(|fingerprint| Suspicion { fingerprint, crash, running_count })
             .collect();
-        tracing::warn!(running_count, crash_count = self.crash_count, "backend server died");
+        self.recorder.record(Event::EngineCrashed {
+            backend_server: self.config.name.as_str().into(),
+            running: u32::from(running_count),
+        });
         self.broadcast(&AgentMessage::Suspicions(suspicions));
     }
 
@@ -554,12 +596,36 @@
             let Some(Record::Execution(execution)) = self.records.get(*key) else { continue };
             let unattended = execution.unattended_since().map(|since| since.elapsed());
             let orphaned = unattended.is_some_and(|time| time >= self.config.orphan_limit);
-            if orphaned && execution.subject().idempotent {
+            if orphaned && execution.work().idempotent {
                 execution.stop_token().cancel();
             }
         }
     }
 
+    fn record_start(&self, dispatch: &Dispatch) {
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let attempt = dispatch.attempt.number;
+        self.recorder.record_about(&subject(dispatch), Event::Started { attempt, running });
+        if let ExecutionKey::Ticket { .. } = dispatch.key {
+            let ticket = ticket_name(dispatch.key);
+            self.record_ticket(dispatch, Event::TicketRun { ticket });
+        }
+    }
+
+    fn record_ticket(&self, dispatch: &Dispatch, event: Event) {
+        self.recorder.record_about(&subject(dispatch), event);
+    }
+
+    fn record_end(&self, key: ExecutionKey, running: &Running) {
+        let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        let event = Event::Finished {
+            attempt: running.attempt,
+            chunks: execution.chunk_count(),
+            duration_ms: running.since.elapsed().as_millis() as u64,
+        };
+        self.recorder.record_about(&running.subject, event);
+    }
+
     fn accept(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId) {
         reply(sender, AgentMessage::Accepted { attempt, load: self.load() });
     }
@@ -581,7 +647,6 @@
         attempt: AttemptId,
         refusal: Refusal,
     ) {
-        tracing::debug!(request = %attempt.request.0, %refusal, "refused");
         reply(sender, AgentMessage::Refused { attempt, refusal, load: self.load() });
     }
 
@@ -637,6 +702,18 @@
     }
 }
 
+/// What a dispatch's events are about.
+fn subject(dispatch: &Dispatch) -> Subject {
+    Subject::request(dispatch.attempt.request.0).workspace(dispatch.workspace.as_str())
+}
+
+fn ticket_name(key: ExecutionKey) -> Name {
+    match key {
+        ExecutionKey::Ticket { number, .. } => number.to_string().into(),
+        ExecutionKey::Attempt(attempt) => attempt.request.0.to_string().into(),
+    }
+}
+
 /// Which attempt an entry asks about.
 #[derive(Clone, Copy)]
 struct Question {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -33,7 +33,7 @@
 
 /// What an execution is, fixed from its start.
 #[derive(Clone, Debug)]
-pub struct Subject {
+pub struct Work {
     /// Hash of workspace, route and body.
     pub fingerprint: Fingerprint,
     /// Whether running it twice is harmless.
@@ -85,7 +85,7 @@
 /// One execution, shared between the control task, the reading task and the sending tasks.
 #[derive(Debug)]
 pub struct Execution {
-    subject: Subject,
+    work: Work,
     answer: Mutex<Answer>,
     changed: Notify,
     room: Notify,
@@ -94,14 +94,14 @@
 
 impl Execution {
     /// An execution that has not begun.
-    pub fn new(subject: Subject) -> Self {
+    pub fn new(work: Work) -> Self {
         let answer = Answer {
             unattended_since: Some(Instant::now()),
-            first: subject.first_chunk,
+            first: work.first_chunk,
             ..Answer::default()
         };
         Self {
-            subject,
+            work,
             answer: Mutex::new(answer),
             changed: Notify::new(),
             room: Notify::new(),
@@ -110,8 +110,8 @@
     }
 
     /// What it is.
-    pub fn subject(&self) -> &Subject {
-        &self.subject
+    pub fn work(&self) -> &Work {
+        &self.work
     }
 
     /// Fires when the execution should be stopped.
@@ -144,14 +144,15 @@
         !self.lock().listeners.is_empty()
     }
 
-    /// Sends the answer to `attempt` over `sender`, from the given chunk on.
+    /// Attaches `attempt`; the returned task sends it the answer over `sender`, from the given
+    /// chunk on.
     pub fn attach(
         self: &Arc<Self>,
         attempt: AttemptId,
         sender: mpsc::Sender<AgentMessage>,
         from_chunk: u64,
         load: LoadCell,
-    ) {
+    ) -> impl Future<Output = ()> + Send + use<> {
         let generation = self.add_listener(attempt, from_chunk);
         let feeder = Feeder {
             execution: Arc::clone(self),
@@ -163,7 +164,7 @@
             sender,
             load,
         };
-        tokio::spawn(feeder.run());
+        feeder.run()
     }
 
     fn add_listener(&self, attempt: AttemptId, from_chunk: u64) -> u64 {
@@ -237,8 +238,8 @@
 
     fn try_push(&self, data: &mut Option<Bytes>) -> Result<bool, Failure> {
         let mut answer = self.lock();
-        while answer.kept_bytes >= self.subject.max_replay_bytes && !answer.chunks.is_empty() {
-            if !self.subject.idempotent {
+        while answer.kept_bytes >= self.work.max_replay_bytes && !answer.chunks.is_empty() {
+            if !self.work.idempotent {
                 return Err(Failure::ReplayGone);
             }
             if answer.needed_from().is_none_or(|needed| needed <= answer.first) {
@@ -259,6 +260,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Number of chunks so far, those of an earlier agent process included.
+    pub fn chunk_count(&self) -> u64 {
+        self.lock().next()
+    }
+
     /// How it ended.
     pub fn ending(&self) -> Option<Ending> {
         self.lock().ending
--- a/crates/config/src/settings/file.rs
+++ b/crates/config/src/settings/file.rs
@@ -132,17 +132,22 @@
         problems.range("key_value.timeout_ms", self.key_value.timeout_ms as f64, 10.0, 60_000.0);
         problems.range("vm_list.interval_ms", self.vm_list.interval_ms as f64, 100.0, 60_000.0);
         let listen = &self.listen;
-        if listen.inner == listen.operators {
+        if is_same(listen.inner, listen.operators) {
             problems.push("listen.operators", duplicate(listen.operators));
         }
         if let Some(callers) = listen.callers
-            && (callers == listen.inner || callers == listen.operators)
+            && (is_same(callers, listen.inner) || is_same(callers, listen.operators))
         {
             problems.push("listen.callers", duplicate(callers));
         }
     }
 }
 
+/// Port 0 stands for any free one, so two of them don't clash.
+fn is_same(one: SocketAddr, other: SocketAddr) -> bool {
+    one == other && one.port() != 0
+}
+
 fn duplicate(address: SocketAddr) -> Reason {
     Reason::Duplicate { value: address.to_string() }
 }
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -15,6 +15,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +23,9 @@
 const RECONNECT_WAIT: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(1_000));
 
+/// How long an address that turned out to be no agent is left alone.
+const NOT_AN_AGENT_WAIT: Duration = Duration::from_secs(30);
+
 /// An open connection to an agent.
 #[derive(Clone, Debug)]
 pub struct Connected {
@@ -76,6 +80,13 @@
         self.connected.borrow().clone()
     }
 
+    /// Sends a message that may get lost, if there is a connection.
+    fn send(&self, message: EntryMessage) {
+        if let Some(connected) = self.connected() {
+            let _ = connected.sender.try_send(message);
+        }
+    }
+
     /// Waits for a connection newer than `epoch`.
     pub async fn connected_after(&self, epoch: u64) -> Option<Connected> {
         let mut watch = self.connected.subscribe();
@@ -145,30 +156,35 @@
 
 /// All agents that this entry connects to.
 pub struct Agents {
+    traffic: Handle,
     connector: Arc<dyn Connector>,
     router: Arc<Router>,
     known: Mutex<HashMap<SocketAddr, (Arc<Agent>, CancellationToken)>>,
 }
 
 impl Agents {
-    /// No agents yet.
+    /// No agents yet. Connections are served on the runtime that this is called on.
     pub fn new(connector: Arc<dyn Connector>, router: Arc<Router>) -> Self {
-        Self { connector, router, known: Mutex::default() }
+        Self { traffic: Handle::current(), connector, router, known: Mutex::default() }
     }
 
-    /// Connects to exactly these addresses from now on. Attempts in progress on agents that are
-    /// no longer named keep their connection until it ends.
-    pub fn set_addresses(&self, addresses: &[SocketAddr]) {
+    /// Connects to exactly the agents of these VMs from now on. Attempts in progress on agents
+    /// that are no longer named keep their connection until it ends.
+    pub fn set_vms(&self, vms: &[AgentVm]) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.retain(|address, (_, stop)| {
-            let keep = addresses.contains(address);
+            let keep = vms.iter().any(|vm| vm.address == *address);
             if !keep {
                 stop.cancel();
             }
             keep
         });
-        for address in addresses {
-            known.entry(*address).or_insert_with(|| self.start(*address));
+        for vm in vms {
+            let (agent, _) = known.entry(vm.address).or_insert_with(|| self.start(vm.address));
+            if vm.leaving {
+                // The list lags differently at each entry; the agent tells all of them at once.
+                agent.send(EntryMessage::VmLeaving);
+            }
         }
     }
 
@@ -187,11 +203,20 @@
             router: Arc::clone(&self.router),
             stop: stop.clone(),
         };
-        tokio::spawn(supervisor.run());
+        self.traffic.spawn(supervisor.run());
         (agent, stop)
     }
 }
 
+/// A VM that may run an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgentVm {
+    /// Where its agent would be reached.
+    pub address: SocketAddr,
+    /// The VM list says that it is leaving.
+    pub leaving: bool,
+}
+
 /// Keeps one agent connected.
 struct Supervisor {
     agent: Arc<Agent>,
@@ -224,7 +249,15 @@
     }
 
     async fn attend(&self, mut link: AgentLink, epoch: u64) {
-        let Role::Agent(profile) = &link.peer.role else { return };
+        let Role::Agent(profile) = &link.peer.role else {
+            // Another entry. It stays one until its VM is replaced.
+            let retry = tokio::time::sleep(NOT_AN_AGENT_WAIT);
+            tokio::select! {
+                () = retry => {}
+                () = self.stop.cancelled() => {}
+            }
+            return;
+        };
         let server = ServerKey::from_name(&link.peer.name);
         let connected = Connected {
             epoch,
--- /dev/null
+++ b/crates/flamingowheeld/src/cli.rs
@@ -0,0 +1,106 @@
+//! What was typed.
+
+use pico_args::Arguments;
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+/// The text of `--help`.
+pub const HELP: &str = "\
+flamingowheeld: load balancer for expert-parallel model groups
+
+Usage:
+  flamingowheeld --settings FILE   run the role that the settings name
+  flamingowheeld --check FILE      check the settings and end
+  flamingowheeld --demo            run a small fleet with stand-ins on loopback
+  flamingowheeld --demo --once     the same, try its promises once, and end
+
+Options:
+  -h, --help       show this
+  -V, --version    show the version
+
+Signals:
+  SIGTERM, SIGINT  leave: take no new work, let everything in progress end
+  a second one     stop accepting callers at once; work in progress still ends
+  a third one      end at once, cutting off what is in progress
+
+Exit codes:
+  0 ended as asked    1 failure          2 usage
+  3 settings refused  4 address in use   5 the demo failed
+";
+
+/// What the daemon is asked to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Show the help.
+    Help,
+    /// Show the version.
+    Version,
+    /// Run the role of a settings file.
+    Run(PathBuf),
+    /// Check a settings file.
+    Check(PathBuf),
+    /// Run the demo.
+    Demo {
+        /// Try the promises once and end.
+        once: bool,
+    },
+}
+
+/// Why the command line is not understood.
+#[derive(Debug, thiserror::Error)]
+pub enum UsageError {
+    /// An option lacks its value or has one that can't be read.
+    #[error("{0}")]
+    Option(#[from] pico_args::Error),
+    /// Something that is not an option of the daemon.
+    #[error("unknown argument {0:?}")]
+    Unknown(OsString),
+    /// Nothing to do was named, or too much.
+    #[error("name exactly one of --settings, --check and --demo")]
+    NotOne,
+}
+
+/// Reads the arguments.
+pub fn parse(mut arguments: Arguments) -> Result<Command, UsageError> {
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Ok(Command::Version);
+    }
+    let run: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
+    let check: Option<PathBuf> = arguments.opt_value_from_str("--check")?;
+    let demo = arguments.contains("--demo");
+    let once = arguments.contains("--once");
+    if let Some(unknown) = arguments.finish().into_iter().next() {
+        return Err(UsageError::Unknown(unknown));
+    }
+    match (run, check, demo) {
+        (Some(file), None, false) if !once => Ok(Command::Run(file)),
+        (None, Some(file), false) if !once => Ok(Command::Check(file)),
+        (None, None, true) => Ok(Command::Demo { once }),
+        _ => Err(UsageError::NotOne),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn typed(arguments: &[&str]) -> Result<Command, UsageError> {
+        parse(Arguments::from_vec(arguments.iter().map(OsString::from).collect()))
+    }
+
+    #[test]
+    fn parse_known_commands() {
+        assert_eq!(typed(&["--demo", "--once"]).unwrap(), Command::Demo { once: true });
+        assert_eq!(typed(&["--settings", "a"]).unwrap(), Command::Run("a".into()));
+    }
+
+    #[test]
+    fn parse_contradictions_refused() {
+        assert!(matches!(typed(&[]), Err(UsageError::NotOne)));
+        assert!(matches!(typed(&["--demo", "--check", "a"]), Err(UsageError::NotOne)));
+        assert!(matches!(typed(&["--dmeo"]), Err(UsageError::Unknown(_))));
+    }
+}
--- /dev/null
+++ b/crates/flamingowheeld/src/entry.rs
@@ -0,0 +1,217 @@
+//! An entry process, assembled from its settings.
+
+use crate::agent::authority;
+use crate::configuration;
+use crate::discovery::Discovery;
+use crate::listen::{ListenLimits, StartError, bind, serve};
+use crate::operators;
+use crate::threads::spawn_control;
+use arc_swap::ArcSwap;
+use flamingowheel_config::effective::Effective;
+use flamingowheel_config::settings::{EntrySettings, Role, Settings};
+use flamingowheel_config::store::Store;
+use flamingowheel_entry::addresses::{AddressBook, EntryMember};
+use flamingowheel_entry::agents::Agents;
+use flamingowheel_entry::claims::Claims;
+use flamingowheel_entry::config::EntryConfig;
+use flamingowheel_entry::connector::WebSocketConnector;
+use flamingowheel_entry::dispatch::Dispatcher;
+use flamingowheel_entry::router::Router;
+use flamingowheel_entry::state::EntryState;
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::reason::LeaveCause;
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::client::{EtcdClient, HttpLimits, HttpVmList};
+use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_protocol::auth::FleetKey;
+use flamingowheel_protocol::link::{Keeping, Timing};
+use flamingowheel_protocol::message::{Hello, Role as PeerRole};
+use flamingowheel_protocol::websocket::Identity;
+use sha2::{Digest, Sha256};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// How much longer than callers keep addresses a leaving entry goes on accepting.
+const ADDRESS_MARGIN: Duration = Duration::from_secs(3);
+
+/// How often a leaving entry looks whether its last request ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// A running entry.
+pub struct EntryProcess {
+    state: Arc<EntryState>,
+    agents: Arc<Agents>,
+    stop_accepting: CancellationToken,
+    callers_task: JoinHandle<()>,
+    stop: CancellationToken,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+}
+
+impl EntryProcess {
+    /// Starts an entry.
+    pub async fn start(settings: &Settings, recorder: Recorder) -> Result<Self, StartError> {
+        let Role::Entry(own) = &settings.role else { return Err(StartError::OtherRole) };
+        let callers = settings.listen.callers.ok_or(StartError::NoCallersAddress)?;
+        let callers = bind(callers, "callers").await?;
+        let operators = bind(settings.listen.operators, "operators").await?;
+        let (callers_address, operators_address) = (callers.local_addr()?, operators.local_addr()?);
+        let config = Arc::new(config(settings, own, callers_address));
+        recorder.record(Event::ProcessStarted {
+            version: env!("CARGO_PKG_VERSION").into(),
+            incarnation: uuid::Uuid::from_u64_pair(0, config.incarnation.0),
+        });
+        let kv: Arc<dyn KeyValue> = Arc::new(key_value(settings));
+        let (state, agents) = assemble(&config, &kv, &recorder);
+        let discovery = discovery(settings, Arc::clone(&agents));
+        let follower = Arc::clone(&state);
+        spawn_control("control", move || async move {
+            let store = Store::new(kv);
+            tokio::join!(configuration::follow(store, follower), discovery.run());
+        })?;
+        let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
+        let routes = flamingowheel_entry::http::router(Arc::clone(&state));
+        let limits = limits(own);
+        let callers_task = tokio::spawn(serve(callers, routes, limits, stop_accepting.clone()));
+        let routes = flamingowheel_observe::http::router(recorder);
+        let routes = operators::guard(routes, &settings.operators_token);
+        tokio::spawn(serve(operators, routes, ListenLimits::default(), stop.clone()));
+        Ok(Self {
+            state,
+            agents,
+            stop_accepting,
+            callers_task,
+            stop,
+            callers: callers_address,
+            operators: operators_address,
+        })
+    }
+
+    /// What its handlers share.
+    pub fn state(&self) -> &Arc<EntryState> {
+        &self.state
+    }
+
+    /// The agents it is connected to.
+    pub fn agents(&self) -> &Arc<Agents> {
+        &self.agents
+    }
+
+    /// Disappears from address answers, goes on accepting for longer than callers keep them,
+    /// then lets every request and stream end, however long it takes. `hurry` skips the wait for
+    /// callers' answers to run out.
+    pub async fn leave(self, hurry: CancellationToken, deadline: Option<Duration>) {
+        let began = Instant::now();
+        let requests = u32::try_from(self.state.in_progress.get()).unwrap_or(u32::MAX);
+        let cause = LeaveCause::Signal;
+        self.state.recorder.record(Event::LeaveBegan { cause, requests });
+        self.state.set_leaving();
+        tokio::select! {
+            () = tokio::time::sleep(self.state.config.address_ttl + ADDRESS_MARGIN) => {}
+            () = hurry.cancelled() => {}
+        }
+        self.stop_accepting.cancel();
+        let state = Arc::clone(&self.state);
+        let drained = async move {
+            let _ = self.callers_task.await;
+            while state.in_progress.get() > 0 {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        };
+        match deadline {
+            Some(deadline) => {
+                let _ = tokio::time::timeout(deadline, drained).await;
+            }
+            None => drained.await,
+        }
+        self.state.recorder.record(Event::LeaveFinished {
+            waited_ms: began.elapsed().as_millis() as u64,
+            cut_off: u32::try_from(self.state.in_progress.get()).unwrap_or(u32::MAX),
+        });
+        self.stop.cancel();
+    }
+}
+
+fn assemble(
+    config: &Arc<EntryConfig>,
+    kv: &Arc<dyn KeyValue>,
+    recorder: &Recorder,
+) -> (Arc<EntryState>, Arc<Agents>) {
+    let router = Arc::new(Router::default());
+    let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
+    let hello = Hello {
+        name: config.name.clone(),
+        incarnation: config.incarnation,
+        data_centre: config.data_centre.clone(),
+        role: PeerRole::Entry,
+    };
+    let identity = Identity { hello, key: config.fleet_key.clone(), keeping };
+    let connector = Arc::new(WebSocketConnector { identity });
+    let agents = Arc::new(Agents::new(connector, Arc::clone(&router)));
+    let own = EntryMember {
+        name: config.name.clone(),
+        address: config.caller_address,
+        data_centre: config.data_centre.clone(),
+        leaving: false,
+    };
+    let state = Arc::new(EntryState {
+        config: Arc::clone(config),
+        effective: ArcSwap::from_pointee(Effective::default()),
+        addresses: ArcSwap::from_pointee(AddressBook::new(&[], vec![own])),
+        dispatcher: Dispatcher::new(Arc::clone(config), router, recorder.clone()),
+        claims: Claims::start(Arc::clone(kv), config),
+        recorder: recorder.clone(),
+        in_progress: Arc::default(),
+        leaving: std::sync::atomic::AtomicBool::new(false),
+    });
+    (state, agents)
+}
+
+fn config(settings: &Settings, own: &EntrySettings, callers: SocketAddr) -> EntryConfig {
+    let key = fleet_key(settings);
+    let mut config = EntryConfig::new(&settings.name, &settings.data_centre, callers, key);
+    config.address_ttl = Duration::from_secs(own.address_ttl_s);
+    config.max_body_bytes = own.max_body_bytes as usize;
+    config.body_timeout = Duration::from_millis(own.body_timeout_ms);
+    config
+}
+
+/// The fleet's key, drawn out to its length by a hash.
+pub fn fleet_key(settings: &Settings) -> FleetKey {
+    FleetKey::new(Sha256::digest(settings.fleet_key.expose()).into())
+}
+
+fn key_value(settings: &Settings) -> EtcdClient {
+    // Settings without an address don't pass their check.
+    let address = settings.key_value.addresses[0];
+    let limits = HttpLimits {
+        head_ms: settings.key_value.timeout_ms,
+        ..flamingowheel_platform::client::etcd::default_limits()
+    };
+    EtcdClient::new(authority(address), limits)
+}
+
+fn discovery(settings: &Settings, agents: Arc<Agents>) -> Discovery {
+    let list = HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default());
+    Discovery {
+        list: Arc::new(list),
+        agents,
+        inner_port: settings.listen.inner.port(),
+        own: settings.listen.inner.ip(),
+        interval: Duration::from_millis(settings.vm_list.interval_ms),
+    }
+}
+
+fn limits(own: &EntrySettings) -> ListenLimits {
+    ListenLimits {
+        max_connections: own.max_connections as usize,
+        max_headers: own.max_header_count as usize,
+        max_head_bytes: own.max_header_bytes as usize,
+        head_timeout: Duration::from_millis(own.header_timeout_ms),
+    }
+}
--- /dev/null
+++ b/crates/flamingowheeld/src/lib.rs
@@ -0,0 +1,10 @@
+//! The daemon's parts: each role assembled from its settings, and a demo of the whole on loopback.
+
+pub mod agent;
+pub mod configuration;
+pub mod demo;
+pub mod discovery;
+pub mod entry;
+pub mod listen;
+pub mod operators;
+pub mod threads;
--- a/crates/flamingowheeld/src/main.rs
+++ b/crates/flamingowheeld/src/main.rs
@@ -1,3 +1,41 @@
-//! Skeleton.
+//! The daemon.
 
-fn main() {}
+#![allow(clippy::print_stdout, clippy::print_stderr, reason = "a command-line program")]
+
+mod cli;
+mod exit;
+mod run;
+
+use crate::cli::{Command, HELP};
+use crate::exit::Exit;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = match cli::parse(pico_args::Arguments::from_env()) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("flamingowheeld: {error}\nTry --help.");
+            return Exit::Usage.into();
+        }
+    };
+    let result = match command {
+        Command::Help => {
+            print!("{HELP}");
+            return Exit::Success.into();
+        }
+        Command::Version => {
+            println!("flamingowheeld {}", env!("CARGO_PKG_VERSION"));
+            return Exit::Success.into();
+        }
+        Command::Run(file) => run::role(&file),
+        Command::Check(file) => run::check(&file),
+        Command::Demo { once } => run::demo(once),
+    };
+    match result {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("flamingowheeld: {error:#}");
+            run::exit_for(&error).into()
+        }
+    }
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -173,6 +173,8 @@
     },
     /// Suspicions the sender knows of.
     Suspicions(Vec<Suspicion>),
+    /// The VM list says that the agent's VM is leaving.
+    VmLeaving,
 }
 
 /// Evidence that a request may kill the backend server that runs it.
