Fit routing and admission by a model that drives the shipping code

Cause: the number of candidates and the agent's early refusal were guesses. Change: all candidates with fresh knowledge and three stale ones are compared; the first good one in the fingerprint's order is taken; a request may queue once fresh knowledge shows queues everywhere; entries shed what would wait longer than its class allows; urgent requests get one extra place. Offer and Choice now carry may_wait, on_hint takes running and waiting, a request carries urgent and max_wait, a load with zero places means the engine is down.

--- /dev/null
+++ b/crates/policy/benches/model/mod.rs
@@ -0,0 +1,513 @@
+//! A small discrete-event model of entries before backend servers. It drives the shipping policy
+//! code: [`choose`], [`LoadBook`], [`Admission`] and [`RetryBudget`] are the ones of the daemon.
+
+// Each bench uses its own part of the model.
+#![allow(dead_code)]
+
+pub mod args;
+pub mod baseline;
+pub mod server;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use flamingowheel_policy::admission::{AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_policy::key::{Fingerprint, ServerKey};
+use flamingowheel_policy::load::LoadBook;
+use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
+use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use baseline::{Baseline, BaselineBook};
+use server::{Server, Started};
+
+/// One way between an entry and an agent.
+const NETWORK: Duration = Duration::from_micros(500);
+/// Time between the tokens of a stream.
+const CHUNK_EVERY: Duration = Duration::from_millis(52);
+
+/// Who chooses the backend server.
+#[derive(Clone, Copy, Debug)]
+pub enum Chooser {
+    Baseline(Baseline),
+    Shipping(RoutingConfig),
+}
+
+/// A class of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Class {
+    pub share: f64,
+    pub priority: Priority,
+    pub max_wait: Duration,
+}
+
+/// A share of the backend servers that are down for a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    pub from: Duration,
+    pub until: Duration,
+    pub share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct ModelConfig {
+    pub seed: u64,
+    pub entries: usize,
+    pub servers: usize,
+    pub load: f64,
+    pub service: Duration,
+    /// Work before the first token, a part of the service.
+    pub prefill: Duration,
+    pub lag: Duration,
+    pub report_every: Duration,
+    pub warm_up: Duration,
+    pub duration: Duration,
+    pub chooser: Chooser,
+    pub admission: AdmissionConfig,
+    pub classes: Vec<Class>,
+    pub outage: Option<Outage>,
+    /// Share of requests that all have one body.
+    pub same_body_share: f64,
+    /// Draw candidates by the body's fingerprint rather than anew for every request.
+    pub seeded: bool,
+}
+
+/// What one class met.
+pub struct ClassFigures {
+    pub wait_us: Histogram<u64>,
+    pub first_token_us: Histogram<u64>,
+    pub arrived: u64,
+    pub finished: u64,
+    pub refused: u64,
+}
+
+impl ClassFigures {
+    fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are valid");
+        Self {
+            wait_us: histogram(),
+            first_token_us: histogram(),
+            arrived: 0,
+            finished: 0,
+            refused: 0,
+        }
+    }
+}
+
+pub struct Figures {
+    pub classes: Vec<ClassFigures>,
+    pub tries: u64,
+    /// Work finished in the measured time, in seconds of a place.
+    pub work_done_s: f64,
+    /// How often the one same body ran on each backend server.
+    pub same_body_runs: Vec<u64>,
+}
+
+impl Figures {
+    pub fn arrived(&self) -> u64 {
+        self.classes.iter().map(|class| class.arrived).sum()
+    }
+
+    pub fn tries_per_request(&self) -> f64 {
+        self.tries as f64 / self.arrived() as f64
+    }
+
+    pub fn refused_share(&self) -> f64 {
+        let refused: u64 = self.classes.iter().map(|class| class.refused).sum();
+        refused as f64 / self.arrived() as f64
+    }
+
+    /// Share of the same body's runs that the eight servers with the most of them had.
+    pub fn same_body_share_of_top_8(&self) -> f64 {
+        let mut runs = self.same_body_runs.clone();
+        runs.sort_unstable_by_key(|runs| Reverse(*runs));
+        let all: u64 = runs.iter().sum();
+        runs.iter().take(8).sum::<u64>() as f64 / all.max(1) as f64
+    }
+
+    pub fn wait_s(&self, quantile: f64) -> f64 {
+        let mut all = self.classes[0].wait_us.clone();
+        for class in &self.classes[1..] {
+            all.add(&class.wait_us).expect("histograms share their bounds");
+        }
+        all.value_at_quantile(quantile) as f64 / 1e6
+    }
+}
+
+type RequestId = usize;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Offer { request: RequestId, server: usize, may_wait: bool },
+    Finish { server: usize, generation: u64 },
+    Chunk { request: RequestId },
+    TakeReport { server: usize },
+    OutageStarts,
+    OutageEnds,
+}
+
+struct Request {
+    arrived: Duration,
+    entry: usize,
+    class: usize,
+    fingerprint: Fingerprint,
+    work: Duration,
+    tried: Vec<ServerKey>,
+    server: Option<usize>,
+    started: Duration,
+    counted: bool,
+    same_body: bool,
+}
+
+struct Entry {
+    book: LoadBook,
+    baseline: BaselineBook,
+    budget: RetryBudget,
+}
+
+pub struct Model {
+    config: ModelConfig,
+    rng: ChaCha8Rng,
+    now: Duration,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    requests: Vec<Request>,
+    entries: Vec<Entry>,
+    servers: Vec<Server>,
+    keys: Vec<ServerKey>,
+    figures: Figures,
+}
+
+impl Model {
+    pub fn new(config: ModelConfig) -> Self {
+        let keys: Vec<ServerKey> =
+            (0..config.servers).map(|n| ServerKey::from_name(&format!("server-{n}"))).collect();
+        let mut book = LoadBook::default();
+        for key in &keys {
+            book.insert(*key);
+        }
+        let entry = || Entry {
+            book: book.clone(),
+            baseline: BaselineBook::new(config.servers),
+            budget: RetryBudget::new(RetryConfig::default()),
+        };
+        let figures = Figures {
+            classes: config.classes.iter().map(|_| ClassFigures::new()).collect(),
+            tries: 0,
+            work_done_s: 0.0,
+            same_body_runs: vec![0; config.servers],
+        };
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(config.seed),
+            now: Duration::ZERO,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            requests: Vec::new(),
+            entries: (0..config.entries).map(|_| entry()).collect(),
+            servers: (0..config.servers).map(|_| Server::new(config.admission)).collect(),
+            keys,
+            figures,
+            config,
+        }
+    }
+
+    pub fn run(mut self) -> Figures {
+        self.at(Duration::ZERO, Event::Arrival);
+        for server in 0..self.config.servers {
+            let offset = self.config.report_every.mul_f64(self.rng.random());
+            self.at(offset, Event::TakeReport { server });
+        }
+        if let Some(outage) = self.config.outage {
+            self.at(outage.from, Event::OutageStarts);
+            self.at(outage.until, Event::OutageEnds);
+        }
+        let end = self.config.warm_up + self.config.duration;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.figures
+    }
+
+    fn at(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn exponential(&mut self, mean: Duration) -> Duration {
+        let unit: f64 = self.rng.random();
+        mean.mul_f64(-(1.0 - unit).ln())
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrive(),
+            Event::Offer { request, server, may_wait } => self.offer(request, server, may_wait),
+            Event::Finish { server, generation } => self.finish(server, generation),
+            Event::Chunk { request } => self.chunk(request),
+            Event::TakeReport { server } => self.report(server),
+            Event::OutageStarts => self.start_outage(),
+            Event::OutageEnds => self.servers.iter_mut().for_each(|server| server.down = false),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let places = self.config.servers as f64 * f64::from(self.config.admission.places);
+        let mean = self.config.service.div_f64(places * self.config.load);
+        let next = self.exponential(mean);
+        self.after(next, Event::Arrival);
+        let work = self.exponential(self.config.service - self.config.prefill);
+        let same_body = self.rng.random::<f64>() < self.config.same_body_share;
+        let fingerprint = if same_body && self.config.seeded { 1 } else { self.rng.random() };
+        let class = self.draw_class();
+        let counted = self.now >= self.config.warm_up;
+        self.figures.classes[class].arrived += u64::from(counted);
+        self.requests.push(Request {
+            arrived: self.now,
+            entry: self.rng.random_range(0..self.config.entries),
+            class,
+            fingerprint: Fingerprint(fingerprint),
+            work: work + self.config.prefill,
+            tried: Vec::new(),
+            server: None,
+            started: Duration::ZERO,
+            counted,
+            same_body,
+        });
+        self.route(self.requests.len() - 1);
+    }
+
+    fn draw_class(&mut self) -> usize {
+        let mut left: f64 = self.rng.random();
+        for (index, class) in self.config.classes.iter().enumerate() {
+            left -= class.share;
+            if left < 0.0 {
+                return index;
+            }
+        }
+        self.config.classes.len() - 1
+    }
+
+    fn route(&mut self, id: RequestId) {
+        let Some((server, may_wait)) = self.choose(id) else {
+            self.refuse(id);
+            return;
+        };
+        let request = &self.requests[id];
+        self.figures.tries += u64::from(request.counted);
+        let entry = &mut self.entries[request.entry];
+        entry.book.on_sent(self.keys[server], self.now);
+        entry.baseline.on_sent(server);
+        self.after(NETWORK, Event::Offer { request: id, server, may_wait });
+    }
+
+    fn choose(&mut self, id: RequestId) -> Option<(usize, bool)> {
+        let request = &self.requests[id];
+        let entry = &self.entries[request.entry];
+        let routing = match &self.config.chooser {
+            Chooser::Baseline(baseline) => {
+                let may_try = request.tried.len() < baseline.max_tries;
+                let tried: Vec<usize> =
+                    request.tried.iter().filter_map(|key| self.index_of(*key)).collect();
+                let rng = &mut self.rng;
+                let may_wait = baseline.early_queue.is_none();
+                return may_try.then(|| (entry.baseline.choose(baseline, &tried, rng), may_wait));
+            }
+            Chooser::Shipping(routing) => routing,
+        };
+        let class = &self.config.classes[request.class];
+        let route = RouteRequest {
+            fingerprint: request.fingerprint,
+            tried: &request.tried,
+            urgent: class.priority >= self.config.admission.urgent,
+            max_wait: class.max_wait,
+        };
+        let no_cost = |_| Some(Duration::ZERO);
+        let choice = choose(routing, &route, &self.keys, &entry.book, self.now, no_cost);
+        let choice = choice.ok()?;
+        Some((self.index_of(choice.server)?, choice.may_wait))
+    }
+
+    fn index_of(&self, server: ServerKey) -> Option<usize> {
+        self.keys.iter().position(|key| *key == server)
+    }
+
+    fn refuse(&mut self, id: RequestId) {
+        let request = &self.requests[id];
+        self.figures.classes[request.class].refused += u64::from(request.counted);
+    }
+
+    fn offer(&mut self, id: RequestId, server: usize, may_wait: bool) {
+        if self.servers[server].down {
+            self.fail(id, server, LastTry::NotRun);
+            return;
+        }
+        let request = &self.requests[id];
+        let class = self.config.classes[request.class];
+        let offer =
+            Offer { id, priority: class.priority, may_wait, deadline: self.now + class.max_wait };
+        self.servers[server].advance(self.now);
+        match self.servers[server].admission.offer(offer) {
+            Admitted::Start => self.start(id, server),
+            Admitted::Queued { shed } => {
+                self.carry_load(id, server);
+                if let Some(shed) = shed {
+                    self.refuse(shed);
+                }
+            }
+            Admitted::Full(_) => self.full(id, server),
+        }
+    }
+
+    fn full(&mut self, id: RequestId, server: usize) {
+        self.carry_load(id, server);
+        self.requests[id].tried.push(self.keys[server]);
+        // The way back and the next try's way out: the second is added by the next offer.
+        self.now += NETWORK;
+        self.route(id);
+        self.now -= NETWORK;
+    }
+
+    /// A frame from the agent to the request's entry carries the load as of now.
+    fn carry_load(&mut self, id: RequestId, server: usize) {
+        if matches!(self.config.chooser, Chooser::Baseline(_)) {
+            return;
+        }
+        let load = self.servers[server].load();
+        let entry = &mut self.entries[self.requests[id].entry];
+        entry.book.on_fresh(self.keys[server], load, self.now);
+    }
+
+    fn start(&mut self, id: RequestId, server: usize) {
+        let request = &mut self.requests[id];
+        request.server = Some(server);
+        request.started = self.now;
+        let wait = self.now - request.arrived;
+        if request.counted {
+            let class = &mut self.figures.classes[request.class];
+            class.wait_us.record(wait.as_micros() as u64).expect("the histogram resizes");
+        }
+        if request.same_body {
+            self.figures.same_body_runs[server] += 1;
+        }
+        let work = request.work;
+        self.servers[server].start(Started { id, left: work, to_first_token: self.config.prefill });
+        self.carry_load(id, server);
+        self.schedule(server);
+        if matches!(self.config.chooser, Chooser::Shipping(_)) {
+            self.after(CHUNK_EVERY, Event::Chunk { request: id });
+        }
+    }
+
+    fn schedule(&mut self, server: usize) {
+        if let Some((after, generation)) = self.servers[server].next_event() {
+            self.after(after, Event::Finish { server, generation });
+        }
+    }
+
+    fn finish(&mut self, server: usize, generation: u64) {
+        if self.servers[server].generation != generation {
+            return;
+        }
+        self.servers[server].advance(self.now);
+        for id in self.servers[server].take_first_tokens() {
+            let request = &self.requests[id];
+            if request.counted {
+                let waited = (self.now - request.arrived).as_micros() as u64;
+                let class = &mut self.figures.classes[request.class];
+                class.first_token_us.record(waited).expect("the histogram resizes");
+            }
+        }
+        for id in self.servers[server].take_finished() {
+            self.end(id, server);
+        }
+        while let Some(next) = self.servers[server].admission.start_next() {
+            self.start(next, server);
+        }
+        self.schedule(server);
+    }
+
+    fn end(&mut self, id: RequestId, server: usize) {
+        let request = &mut self.requests[id];
+        request.server = None;
+        if self.now >= self.config.warm_up {
+            self.figures.work_done_s += request.work.as_secs_f64();
+        }
+        self.figures.classes[request.class].finished += u64::from(request.counted);
+        let held = self.now - request.started;
+        let entry = &mut self.entries[request.entry];
+        entry.budget.on_success();
+        entry.book.on_ended(self.keys[server], self.now);
+        entry.baseline.on_ended(server);
+        if let Some(next) = self.servers[server].admission.finish(held) {
+            self.start(next, server);
+        }
+        self.carry_load(id, server);
+    }
+
+    fn chunk(&mut self, id: RequestId) {
+        let Some(server) = self.requests[id].server else { return };
+        let load = self.servers[server].load();
+        let entry = &mut self.entries[self.requests[id].entry];
+        entry.book.on_hint(self.keys[server], load.running, load.waiting, self.now);
+        self.after(CHUNK_EVERY, Event::Chunk { request: id });
+    }
+
+    /// The report reaches every entry one lag after it was true.
+    fn report(&mut self, server: usize) {
+        let late = self.servers[server].delayed_report(self.config.lag, self.now);
+        if let Some((load, as_of)) = late {
+            for entry in &mut self.entries {
+                entry.book.on_report(self.keys[server], load, as_of);
+                entry.baseline.on_report(server, load.occupied());
+            }
+        }
+        self.servers[server].expire(self.now).into_iter().for_each(|id| self.refuse(id));
+        self.after(self.config.report_every, Event::TakeReport { server });
+    }
+
+    fn start_outage(&mut self) {
+        let Some(outage) = self.config.outage else { return };
+        let down = (self.config.servers as f64 * outage.share).round() as usize;
+        for server in 0..down {
+            self.servers[server].advance(self.now);
+            let (running, waiting) = self.servers[server].crash();
+            for id in running {
+                self.requests[id].server = None;
+                self.fail(id, server, LastTry::Unknown);
+            }
+            for id in waiting {
+                self.fail(id, server, LastTry::NotRun);
+            }
+        }
+    }
+
+    /// Every request of the model is idempotent; half of the failed ones had delivered a part.
+    fn fail(&mut self, id: RequestId, server: usize, last_try: LastTry) {
+        let answer_started = last_try == LastTry::Unknown && self.rng.random::<f64>() < 0.5;
+        self.carry_load(id, server);
+        let request = &mut self.requests[id];
+        request.tried.push(self.keys[server]);
+        if last_try == LastTry::NotRun {
+            self.route(id);
+            return;
+        }
+        let remaining = Duration::from_secs(30);
+        let retry = RetryRequest { idempotent: true, last_try, answer_started, remaining };
+        match self.entries[request.entry].budget.try_retry(&retry) {
+            Ok(()) => self.route(id),
+            Err(_) => self.refuse(id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/overload.rs
@@ -0,0 +1,119 @@
+//! Overload and outage, by the model of the routing bench, and the limits' overshoot.
+#![allow(clippy::print_stdout, clippy::print_stderr, missing_docs)]
+
+mod model;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use flamingowheel_policy::admission::{AdmissionConfig, Priority};
+use flamingowheel_policy::routing::RoutingConfig;
+
+use model::baseline::{Baseline, Rule};
+use model::{Chooser, Class, Figures, Model, ModelConfig, Outage};
+
+const SERVERS: usize = 64;
+const ENTRIES: usize = 8;
+const WARM_UP: Duration = Duration::from_secs(60);
+const DURATION: Duration = Duration::from_secs(200);
+
+fn main() -> ExitCode {
+    let seed = match model::args::seed() {
+        Ok(seed) => seed,
+        Err(code) => return code,
+    };
+    twice_capacity(seed);
+    outage(seed);
+    ExitCode::SUCCESS
+}
+
+fn twice_capacity(seed: u64) {
+    let unloaded = Model::new(config(seed, 0.1)).run();
+    let unloaded_p95 = first_token_p95_s(&unloaded, 0);
+    println!("unloaded_top_first_token_p95_s={unloaded_p95:.4}");
+    for load in [1.0, 1.5, 2.0, 3.0] {
+        let figures = Model::new(config(seed, load)).run();
+        let name = format!("load_{load:.1}");
+        print_overload(&name, &figures, unloaded_p95);
+    }
+    let mut fifo = config(seed, 2.0);
+    let rule = Rule::BestOf { candidates: 2, own_sends: false };
+    fifo.chooser = Chooser::Baseline(Baseline { rule, early_queue: None, max_tries: 1 });
+    fifo.admission.max_queue = 1_000_000;
+    fifo.admission.urgent = Priority(u8::MAX);
+    for class in &mut fifo.classes {
+        class.priority = Priority(0);
+    }
+    print_overload(
+        "baseline_best_of_2_no_shedding_load_2.0",
+        &Model::new(fifo).run(),
+        unloaded_p95,
+    );
+}
+
+fn print_overload(name: &str, figures: &Figures, unloaded_p95: f64) {
+    println!("{name}_goodput_vs_capacity={:.4}", goodput(figures));
+    let top = first_token_p95_s(figures, 0);
+    println!("{name}_top_first_token_p95_vs_unloaded={:.4}", top / unloaded_p95);
+    println!("{name}_tries_per_request={:.4}", figures.tries_per_request());
+    for (class, name_of_class) in figures.classes.iter().zip(["top", "middle", "low"]) {
+        let refused = class.refused as f64 / class.arrived as f64;
+        println!("{name}_{name_of_class}_refused_share={refused:.4}");
+    }
+}
+
+/// Work that finished for callers, relative to what all places can do.
+fn goodput(figures: &Figures) -> f64 {
+    let places = SERVERS as f64 * f64::from(AdmissionConfig::default().places);
+    figures.work_done_s / (places * DURATION.as_secs_f64())
+}
+
+fn first_token_p95_s(figures: &Figures, class: usize) -> f64 {
+    figures.classes[class].first_token_us.value_at_quantile(0.95) as f64 / 1e6
+}
+
+/// A third of the backend servers goes down for a minute, at a load that the rest can carry and
+/// at one that it can't.
+fn outage(seed: u64) {
+    for load in [0.6, 0.9] {
+        let mut config = config(seed, load);
+        config.outage = Some(Outage {
+            from: WARM_UP + Duration::from_secs(20),
+            until: WARM_UP + Duration::from_secs(80),
+            share: 1.0 / 3.0,
+        });
+        config.duration = Duration::from_secs(90);
+        let figures = Model::new(config).run();
+        println!("outage_load_{load:.1}_tries_per_request={:.4}", figures.tries_per_request());
+        println!("outage_load_{load:.1}_refused_share={:.4}", figures.refused_share());
+        let top = &figures.classes[0];
+        let top_refused = top.refused as f64 / top.arrived as f64;
+        println!("outage_load_{load:.1}_top_refused_share={top_refused:.4}");
+    }
+}
+
+fn config(seed: u64, load: f64) -> ModelConfig {
+    let class = |share, priority, max_wait_s| Class {
+        share,
+        priority: Priority(priority),
+        max_wait: Duration::from_secs_f64(max_wait_s),
+    };
+    ModelConfig {
+        seed,
+        entries: ENTRIES,
+        servers: SERVERS,
+        load,
+        service: Duration::from_secs(2),
+        prefill: Duration::from_millis(250),
+        lag: Duration::from_secs(1),
+        report_every: Duration::from_secs(1),
+        warm_up: WARM_UP,
+        duration: DURATION,
+        chooser: Chooser::Shipping(RoutingConfig::default()),
+        admission: AdmissionConfig::default(),
+        classes: vec![class(0.1, 200, 8.0), class(0.4, 100, 4.0), class(0.5, 50, 1.0)],
+        outage: None,
+        same_body_share: 0.0,
+        seeded: true,
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/routing.rs
@@ -0,0 +1,121 @@
+//! Routing under lagging load reports: baselines and the shipping policy, by the same model.
+#![allow(clippy::print_stdout, clippy::print_stderr, missing_docs)]
+
+mod model;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use flamingowheel_policy::admission::{AdmissionConfig, Priority};
+use flamingowheel_policy::routing::RoutingConfig;
+
+use model::baseline::{Baseline, Rule};
+use model::{Chooser, Class, Figures, Model, ModelConfig};
+
+const SERVERS: usize = 64;
+const ENTRIES: usize = 8;
+const LOAD: f64 = 0.9;
+const UNBOUNDED: usize = 1_000_000;
+
+fn main() -> ExitCode {
+    let seed = match model::args::seed() {
+        Ok(seed) => seed,
+        Err(code) => return code,
+    };
+    let best_of_2 = baselines(seed);
+    let shipping = run(config(seed, ENTRIES, shipping()));
+    println!("wait_p99_vs_best_of_2={:.4}", shipping.wait_s(0.99) / best_of_2);
+    println!("tries_per_request={:.4}", shipping.tries_per_request());
+    println!("refused_share={:.6}", shipping.refused_share());
+    print("shipping", &shipping);
+    for entries in [32, 128] {
+        let figures = run(config(seed, entries, crate::shipping()));
+        print(&format!("shipping_{entries}_entries"), &figures);
+        let ratio = figures.wait_s(0.99) / best_of_2;
+        println!("shipping_{entries}_entries_wait_p99_vs_best_of_2_with_8={ratio:.4}");
+    }
+    same_body(seed);
+    ExitCode::SUCCESS
+}
+
+fn baselines(seed: u64) -> f64 {
+    let queue = |rule| Baseline { rule, early_queue: None, max_tries: 1 };
+    let best_of = |candidates, own_sends| Rule::BestOf { candidates, own_sends };
+    let refusing = Baseline { rule: best_of(4, true), early_queue: Some(1), max_tries: 4 };
+    let policies = [
+        ("random", queue(Rule::Random)),
+        ("least_by_report", queue(Rule::LeastByReport)),
+        ("best_of_2_by_report", queue(best_of(2, false))),
+        ("best_of_2_report_and_own_sends", queue(best_of(2, true))),
+        ("best_of_4_with_refusal", refusing),
+    ];
+    let mut best_of_2 = 0.0;
+    for (name, baseline) in policies {
+        let figures = run(config(seed, ENTRIES, Chooser::Baseline(baseline)));
+        print(name, &figures);
+        if name == "best_of_2_by_report" {
+            best_of_2 = figures.wait_s(0.99);
+        }
+    }
+    best_of_2
+}
+
+/// What drawing candidates by the body's fingerprint costs and saves, 5 in 100 bodies being one.
+fn same_body(seed: u64) {
+    for (name, seeded) in [("same_body_seeded", true), ("same_body_drawn_anew", false)] {
+        let same =
+            ModelConfig { same_body_share: 0.05, seeded, ..config(seed, ENTRIES, shipping()) };
+        let figures = run(same);
+        print(name, &figures);
+        println!("{name}_share_of_top_8={:.4}", figures.same_body_share_of_top_8());
+    }
+}
+
+fn shipping() -> Chooser {
+    Chooser::Shipping(RoutingConfig::default())
+}
+
+fn config(seed: u64, entries: usize, chooser: Chooser) -> ModelConfig {
+    let admission = match chooser {
+        Chooser::Baseline(baseline) => AdmissionConfig {
+            early_queue: baseline.early_queue.unwrap_or(UNBOUNDED),
+            max_queue: UNBOUNDED,
+            ..AdmissionConfig::default()
+        },
+        Chooser::Shipping(_) => AdmissionConfig::default(),
+    };
+    ModelConfig {
+        seed,
+        entries,
+        servers: SERVERS,
+        load: LOAD,
+        service: Duration::from_secs(2),
+        prefill: Duration::ZERO,
+        lag: Duration::from_secs(1),
+        report_every: Duration::from_secs(1),
+        warm_up: Duration::from_secs(60),
+        duration: Duration::from_secs(400),
+        chooser,
+        admission,
+        classes: vec![Class {
+            share: 1.0,
+            priority: Priority(100),
+            max_wait: Duration::from_secs(600),
+        }],
+        outage: None,
+        same_body_share: 0.0,
+        seeded: true,
+    }
+}
+
+fn run(config: ModelConfig) -> Figures {
+    Model::new(config).run()
+}
+
+fn print(name: &str, figures: &Figures) {
+    println!("{name}_wait_p50_s={:.4}", figures.wait_s(0.50));
+    println!("{name}_wait_p95_s={:.4}", figures.wait_s(0.95));
+    println!("{name}_wait_p99_s={:.4}", figures.wait_s(0.99));
+    println!("{name}_tries_per_request={:.4}", figures.tries_per_request());
+    println!("{name}_refused_share={:.6}", figures.refused_share());
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,8 +1,8 @@
 //! The agent's decision about each request: start, queue or refuse at once.
 //!
 //! An early refusal is proof that the request did not run and carries the load as of now, so one
-//! more try elsewhere is safe for every kind of request and better informed. Only a last try may
-//! wait for longer. When the queue is full the lowest priority goes first.
+//! more try elsewhere is safe for every kind of request and better informed. Only a try that
+//! the entry marked so may wait for longer. When the queue is full the lowest priority goes first.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 pub struct AdmissionConfig {
     /// Requests that the engine runs at once.
     pub places: u16,
-    /// Requests of the same or a higher priority that a try which is not the last may wait behind.
+    /// Requests of the same or a higher priority that a try that may not wait can still queue behind.
     pub early_queue: usize,
     /// Requests that may wait in all.
     pub max_queue: usize,
@@ -36,7 +36,7 @@
 
 impl Default for AdmissionConfig {
     fn default() -> Self {
-        Self { places: 8, early_queue: 1, max_queue: 16, urgent: Priority(200), urgent_places: 2 }
+        Self { places: 8, early_queue: 0, max_queue: 16, urgent: Priority(200), urgent_places: 1 }
     }
 }
 
@@ -47,8 +47,8 @@
     pub id: Id,
     /// Its priority.
     pub priority: Priority,
-    /// The entry has no other try left, so it may wait.
-    pub last_try: bool,
+    /// The entry asks to queue it rather than to refuse it early.
+    pub may_wait: bool,
     /// When the caller stops waiting.
     pub deadline: Duration,
 }
@@ -84,7 +84,7 @@
 /// let config = AdmissionConfig { places: 1, early_queue: 0, ..AdmissionConfig::default() };
 /// let mut admission = Admission::new(config);
 /// let deadline = Duration::from_secs(9);
-/// let offer = |id| Offer { id, priority: Priority(5), last_try: false, deadline };
+/// let offer = |id| Offer { id, priority: Priority(5), may_wait: false, deadline };
 /// assert_eq!(admission.offer(offer(1)), Admitted::Start);
 /// assert!(matches!(admission.offer(offer(2)), Admitted::Full(load) if load.running == 1));
 /// ```
@@ -124,7 +124,7 @@
             self.running += 1;
             return Admitted::Start;
         }
-        let limit = if offer.last_try { self.config.max_queue } else { self.config.early_queue };
+        let limit = if offer.may_wait { self.config.max_queue } else { self.config.early_queue };
         if self.ahead_of(offer.priority) >= limit {
             return Admitted::Full(self.load());
         }
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -28,7 +28,7 @@
     pub running: u16,
     /// Requests that wait in the agent's queue.
     pub waiting: u16,
-    /// Requests that the engine can run at once.
+    /// Requests that the engine can run at once; zero while it is down.
     pub places: u16,
     /// Mean time a request holds a place; zero where the agent has not measured one.
     pub service_ms: u32,
@@ -65,6 +65,8 @@
 pub struct Estimate {
     /// Expected requests running or waiting.
     pub occupied: f64,
+    /// Expected requests waiting, a part of `occupied`.
+    pub waiting: f64,
     /// Standard deviation of `occupied`.
     pub deviation: f64,
     /// Age of the newest knowledge it rests on.
@@ -86,6 +88,7 @@
     /// use std::time::Duration;
     /// let mut estimate = Estimate {
     ///     occupied: 2.0,
+    ///     waiting: 0.0,
     ///     deviation: 0.1,
     ///     age: Duration::ZERO,
     ///     places: 8,
@@ -97,8 +100,18 @@
     /// ```
     #[must_use]
     pub fn wait(&self) -> Duration {
+        self.wait_behind(self.occupied)
+    }
+
+    /// Expected wait of one more request that overtakes all waiting ones.
+    #[must_use]
+    pub fn urgent_wait(&self) -> Duration {
+        self.wait_behind(self.occupied - self.waiting)
+    }
+
+    fn wait_behind(&self, occupied: f64) -> Duration {
         let places = f64::from(self.places.max(1));
-        let excess = self.occupied - (places - 1.0);
+        let excess = occupied - (places - 1.0);
         let width = (self.deviation * SOFTPLUS_WIDTH).max(MIN_WIDTH);
         let ahead = softplus(excess / width) * width;
         Duration::from_secs_f64(ahead * self.service.as_secs_f64() / places)
@@ -240,6 +253,15 @@
         self.servers.get(&server).map(|known| known.availability)
     }
 
+    /// Whether a backend server may get new work and, as far as is known, its engine is up.
+    #[must_use]
+    pub fn is_usable(&self, server: ServerKey) -> bool {
+        self.servers.get(&server).is_some_and(|known| {
+            let is_down = known.as_of.is_some() && known.load.places == 0;
+            known.availability == Availability::Available && !is_down
+        })
+    }
+
     /// Takes in a periodic report that was true at `as_of`. One older than what is known is dropped.
     pub fn on_report(&mut self, server: ServerKey, load: Load, as_of: Duration) {
         let Some(known) = self.servers.get_mut(&server) else { return };
@@ -255,12 +277,10 @@
         self.on_report(server, load, now);
     }
 
-    /// Takes in the short form carried by a chunk: only how many requests run or wait.
-    pub fn on_hint(&mut self, server: ServerKey, occupied: u16, now: Duration) {
+    /// Takes in the short form carried by a chunk: two small counts.
+    pub fn on_hint(&mut self, server: ServerKey, running: u16, waiting: u16, now: Duration) {
         let Some(known) = self.servers.get(&server) else { return };
-        let places = known.places();
-        let running = occupied.min(places);
-        let load = Load { running, waiting: occupied - running, ..known.load };
+        let load = Load { running, waiting, ..known.load };
         self.on_fresh(server, load, now);
     }
 
@@ -295,7 +315,8 @@
         // Occupancy relaxes like an Ornstein-Uhlenbeck process whose variance at rest is about
         // that of a busy engine.
         let variance = f64::from(places) * REST_VARIANCE_PER_PLACE * (1.0 - kept * kept);
-        Some(Estimate { occupied, deviation: variance.sqrt(), age, places, service })
+        let waiting = f64::from(known.load.waiting) * kept;
+        Some(Estimate { occupied, waiting, deviation: variance.sqrt(), age, places, service })
     }
 }
 
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -11,17 +11,20 @@
 use thiserror::Error;
 
 use crate::key::{Fingerprint, ServerKey, mix};
-use crate::load::{Availability, Estimate, LoadBook};
+use crate::load::{Estimate, LoadBook};
 
 /// How many candidates are looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoutingConfig {
-    /// Candidates whatever their knowledge's age.
-    pub min_candidates: usize,
-    /// Candidates when all knowledge is fresh.
-    pub max_candidates: usize,
-    /// Knowledge younger than this counts as fresh.
+    /// Candidates with older knowledge than `fresh`; all with fresh knowledge are looked at.
+    pub stale_candidates: usize,
+    /// Knowledge no older than this counts as fresh.
     pub fresh: Duration,
+    /// The first candidate that costs no more than this is taken without looking further.
+    pub good_enough: Duration,
+    /// From this expected wait at the best candidate on, a request may wait in the agent's queue
+    /// whatever its try, if the knowledge is fresh. Otherwise every request would use up all its tries under overload.
+    pub queue_anyway: Duration,
     /// Tries a request has in all; the last one may wait in the agent's queue.
     pub max_tries: u32,
 }
@@ -29,9 +32,10 @@
 impl Default for RoutingConfig {
     fn default() -> Self {
         Self {
-            min_candidates: 4,
-            max_candidates: 16,
-            fresh: Duration::from_millis(250),
+            stale_candidates: 3,
+            fresh: Duration::from_millis(500),
+            good_enough: Duration::from_millis(2),
+            queue_anyway: Duration::from_millis(100),
             max_tries: 3,
         }
     }
@@ -44,6 +48,10 @@
     pub fingerprint: Fingerprint,
     /// Backend servers that refused or failed it already.
     pub tried: &'a [ServerKey],
+    /// Its priority lets it overtake all that wait.
+    pub urgent: bool,
+    /// A longer expected wait than this is refused at the entry rather than tried.
+    pub max_wait: Duration,
 }
 
 /// The backend server that was chosen, and why.
@@ -57,8 +65,9 @@
     pub candidates: usize,
     /// What was expected of the server.
     pub estimate: Estimate,
-    /// This is the last try: ask the agent to queue it rather than to refuse early.
-    pub last_try: bool,
+    /// Ask the agent to queue it rather than to refuse early: it is the last try, or all
+    /// candidates have queues and another try would find no better.
+    pub may_wait: bool,
 }
 
 /// Why no backend server was chosen.
@@ -70,6 +79,12 @@
     /// The request has used up its tries.
     #[error("no tries are left")]
     NoTriesLeft,
+    /// Even the best candidate would keep the request waiting for too long.
+    #[error("expected wait of {} ms is too long", .wait.as_millis())]
+    Overloaded {
+        /// The best candidate's expected wait: try again after it.
+        wait: Duration,
+    },
 }
 
 /// Chooses among `servers`, those of the request's cell.
@@ -93,7 +108,9 @@
 ///     let load = Load { running, waiting: 0, places: 8, service_ms: 2_000 };
 ///     book.on_fresh(*server, load, Duration::ZERO);
 /// }
-/// let request = RouteRequest { fingerprint: Fingerprint(1), tried: &[] };
+/// let max_wait = Duration::from_secs(5);
+/// let request =
+///     RouteRequest { fingerprint: Fingerprint(1), tried: &[], urgent: false, max_wait };
 /// let no_cost = |_| Some(Duration::ZERO);
 /// let choice =
 ///     choose(&RoutingConfig::default(), &request, &servers, &book, Duration::ZERO, no_cost);
@@ -117,35 +134,43 @@
     let last_try = tries + 1 == config.max_tries;
     let mut best: Option<Choice> = None;
     let mut looked_at = 0;
-    let mut fresh = 0;
+    let mut stale = 0;
     for server in ranking(request, servers, book) {
-        let Some(extra) = extra_cost(server) else { continue };
         let Some(estimate) = book.estimate(server, now) else { continue };
+        let is_stale = estimate.age > config.fresh;
+        if is_stale && stale >= config.stale_candidates {
+            continue;
+        }
+        let Some(extra) = extra_cost(server) else { continue };
         looked_at += 1;
-        fresh += usize::from(estimate.age <= config.fresh);
-        let cost = estimate.wait() + extra;
+        stale += usize::from(is_stale);
+        let cost = expected_wait(request, &estimate) + extra;
         if best.is_none_or(|choice| cost < choice.cost) {
-            best = Some(Choice { server, cost, candidates: 0, estimate, last_try });
+            best = Some(Choice { server, cost, candidates: 0, estimate, may_wait: last_try });
         }
-        if looked_at >= candidate_count(config, fresh, looked_at) {
+        if cost <= config.good_enough {
             break;
         }
     }
     let best = best.ok_or(RouteError::NoneAvailable)?;
-    Ok(Choice { candidates: looked_at, ..best })
+    let wait = expected_wait(request, &best.estimate);
+    if wait > request.max_wait {
+        return Err(RouteError::Overloaded { wait });
+    }
+    let is_fresh = best.estimate.age <= config.fresh;
+    let may_wait = last_try || (is_fresh && wait >= config.queue_anyway);
+    Ok(Choice { candidates: looked_at, may_wait, ..best })
 }
 
-/// Grows from the least to the most with the share of candidates whose knowledge is fresh.
-fn candidate_count(config: &RoutingConfig, fresh: usize, looked_at: usize) -> usize {
-    let span = config.max_candidates.saturating_sub(config.min_candidates);
-    config.min_candidates + span * fresh / looked_at.max(1)
+fn expected_wait(request: &RouteRequest<'_>, estimate: &Estimate) -> Duration {
+    if request.urgent { estimate.urgent_wait() } else { estimate.wait() }
 }
 
 fn ranking(request: &RouteRequest<'_>, servers: &[ServerKey], book: &LoadBook) -> Vec<ServerKey> {
     let seed = request.fingerprint.seed();
     let mut ranked: Vec<(u64, ServerKey)> = servers
         .iter()
-        .filter(|server| book.availability(**server) == Some(Availability::Available))
+        .filter(|server| book.is_usable(**server))
         .filter(|server| !request.tried.contains(server))
         .map(|server| (mix(seed, server.0), *server))
         .collect();
