Tool: apply, get, diff, history, change, status, timeline, entries

Operators had no way to drive the fleet. The tool asks the entries it is given in turn; a change keeps its id when it is sent to the next one, and an answer lost on the way is reported as unknown (exit 6), never as a failure.

timeline asks the processes of /v1/status that have an operators_address; the shared status type has no such field yet, so it names the others as not reached and asks the entries given by the operator. The query of /v1/config/apply (change, seen, operator, comment, dry_run, wait_ms) waits for the server's side.

--- /dev/null
+++ b/crates/flamingowheel/src/commands/change.rs
@@ -0,0 +1,28 @@
+//! `change`: asks what became of a change.
+
+use flamingowheel_config::api::{ChangeAnswer, ChangeState};
+use flamingowheel_config::change::ChangeId;
+
+use super::render;
+use crate::client::Client;
+use crate::error::Error;
+use crate::exit::ExitCode;
+use crate::{Output, routes};
+
+/// Asks for one change.
+pub async fn run(client: &Client, id: ChangeId, json: bool) -> Result<Output, Error> {
+    let answer: ChangeAnswer = client.get(&format!("{}/{id}", routes::CHANGES)).await?;
+    let exit = match answer.state {
+        ChangeState::Unknown => ExitCode::UnknownOutcome,
+        ChangeState::Accepted { .. } | ChangeState::NotAccepted => ExitCode::Success,
+    };
+    Ok(Output { text: render(&answer, json, text)?, exit })
+}
+
+fn text(answer: &ChangeAnswer) -> String {
+    match answer.state {
+        ChangeState::Accepted { revision } => format!("accepted as revision {}\n", revision.0),
+        ChangeState::NotAccepted => "not accepted, and never will be\n".to_owned(),
+        ChangeState::Unknown => "not yet known; ask again\n".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/flamingowheel/src/commands/status.rs
@@ -0,0 +1,79 @@
+//! `status`: shows the fleet's processes.
+
+use std::fmt::Write;
+
+use flamingowheel_config::api::{
+    ConfigSource, ProcessRole, ProcessState, ProcessStatus, StatusAnswer,
+};
+
+use super::{render, row, table};
+use crate::client::Client;
+use crate::error::Error;
+use crate::{Output, routes};
+
+/// Shows the fleet as the first entry that answers sees it.
+pub async fn run(client: &Client, json: bool) -> Result<Output, Error> {
+    let answer: StatusAnswer = client.get(routes::STATUS).await?;
+    Ok(Output::success(render(&answer, json, text)?))
+}
+
+fn text(answer: &StatusAnswer) -> String {
+    let mut text = format!("as {} sees it\n", answer.process);
+    let source = match answer.source {
+        ConfigSource::None => "none yet; it refuses requests",
+        ConfigSource::KeyValue => "from the key-value service",
+        ConfigSource::PeersOnly => {
+            "FROM PEERS ONLY: the key-value service has not answered since its start"
+        }
+    };
+    let _ = writeln!(text, "configuration: revision {}, {source}", answer.revision.0);
+    let _ = match answer.key_value_answered_ms_ago {
+        Some(ms) => writeln!(text, "key-value service: answered {ms} ms ago"),
+        None => writeln!(text, "key-value service: HAS NOT ANSWERED"),
+    };
+    text.push_str(&counts(&answer.processes));
+    text.push('\n');
+    text.push_str(&processes(&answer.processes));
+    text
+}
+
+fn counts(processes: &[ProcessStatus]) -> String {
+    let count = |state| processes.iter().filter(|process| process.state == state).count();
+    format!(
+        "processes: {} live, {} leaving, {} silent\n",
+        count(ProcessState::Live),
+        count(ProcessState::Leaving),
+        count(ProcessState::Silent)
+    )
+}
+
+fn processes(processes: &[ProcessStatus]) -> String {
+    let mut rows = vec![row(["NAME", "ROLE", "STATE", "REVISION", "HEARD", "DATA CENTRE", "VM"])];
+    rows.extend(processes.iter().map(|process| {
+        row([
+            &process.name,
+            role(process.role),
+            state(process.state),
+            &process.revision.0.to_string(),
+            &format!("{} ms ago", process.heard_ms_ago),
+            &process.data_centre,
+            &process.vm,
+        ])
+    }));
+    table(&rows)
+}
+
+fn role(role: ProcessRole) -> &'static str {
+    match role {
+        ProcessRole::Entry => "entry",
+        ProcessRole::Agent => "agent",
+    }
+}
+
+fn state(state: ProcessState) -> &'static str {
+    match state {
+        ProcessState::Live => "live",
+        ProcessState::Leaving => "leaving",
+        ProcessState::Silent => "SILENT",
+    }
+}
--- /dev/null
+++ b/crates/flamingowheel/tests/tool/commands.rs
@@ -0,0 +1,254 @@
+//! Commands against entries played by the test, as sessions at a terminal.
+
+use crate::session::{Closed, Entry, Reply, typing};
+use serde_json::{Value, json};
+
+const APPLY: &str = "apply -f tests/documents/change.yaml";
+const CHANGE: &str = "8-67e55044-10b1-426f-9247-bb680e5fe0c8";
+const AGAIN: &str = "67e55044-10b1-426f-9247-bb680e5fe0c8";
+
+fn status() -> Value {
+    let process = |name: &str, role: &str, state: &str, heard_ms_ago: u64| {
+        json!({
+            "name": name, "role": role, "vm": format!("vm-{name}"), "data_centre": "ga-a",
+            "state": state, "revision": 7, "heard_ms_ago": heard_ms_ago,
+        })
+    };
+    json!({
+        "process": "entry-1", "revision": 7, "source": "key_value",
+        "key_value_answered_ms_ago": 120,
+        "processes": [
+            process("entry-1", "entry", "live", 0),
+            process("agent-1", "agent", "leaving", 310),
+            process("agent-2", "agent", "silent", 60_250),
+        ],
+    })
+}
+
+fn applied(everywhere: bool) -> Value {
+    let behind = json!([{ "process": "agent-2", "revision": 7 }]);
+    json!({
+        "outcome": "accepted", "change": CHANGE, "revision": 8,
+        "diff": [{
+            "kind": "workspace", "name": "bibb-county", "action": "changed",
+            "fields": [{ "field": "template", "before": "desk", "after": "callbox" }],
+        }],
+        "in_force": {
+            "everywhere": everywhere, "waited_ms": 900, "processes": ["entry-1", "agent-1"],
+            "behind": if everywhere { json!([]) } else { behind }, "silent": ["agent-3"],
+        },
+    })
+}
+
+#[tokio::test]
+async fn status_shows_who_is_silent() {
+    let entry = Entry::default().answers("/v1/status", status());
+    insta::assert_snapshot!(typing("status", &[entry.listen().await]).await);
+}
+
+#[tokio::test]
+async fn apply_accepted_shows_diff_and_processes() {
+    let path = "/v1/config/apply";
+    let entry = Entry::default().answers("/v1/status", status()).answers(path, applied(true));
+    let line = format!("{APPLY} --wait 11s --again {AGAIN} --comment new-template");
+    insta::assert_snapshot!(typing(&line, &[entry.listen().await]).await);
+    insta::assert_snapshot!(entry.requests().join("\n"));
+}
+
+// A process has not taken the change in the time that the operator waited. A script must be able
+// to tell that from a change that is in force.
+#[tokio::test]
+async fn apply_not_in_force_in_time_has_its_own_exit() {
+    let entry = Entry::default().answers("/v1/config/apply", applied(false));
+    let line = format!("{APPLY} --wait 2 --seen 7");
+    insta::assert_snapshot!(typing(&line, &[entry.listen().await]).await);
+}
+
+// Two operators change the same workspace; the second is told what the first did.
+#[tokio::test]
+async fn apply_conflict_shows_what_differs() {
+    let conflict = json!({
+        "code": "conflict", "message": "others changed the same documents",
+        "conflicts": [{
+            "kind": "workspace", "name": "bibb-county", "seen": 6, "change": CHANGE,
+            "origin": { "operator": "nikos", "at_unix_ms": 1_796_256_000_000u64 },
+            "differs": {
+                "kind": "workspace", "name": "bibb-county", "action": "changed",
+                "fields": [{ "field": "template", "before": "desk", "after": "callbox" }],
+            },
+        }],
+    });
+    let entry = Entry::default().replies("/v1/config/apply", Reply::Json(409, conflict));
+    insta::assert_snapshot!(typing(&format!("{APPLY} --seen 6"), &[entry.listen().await]).await);
+}
+
+#[tokio::test]
+async fn apply_invalid_documents_lists_every_problem() {
+    let problem = |field: &str, reason: Value| {
+        json!({
+            "document": 1, "kind": "workspace", "name": "bibb-county", "field": field,
+            "reason": reason,
+        })
+    };
+    let refusal = json!({
+        "code": "invalid_documents", "message": "2 problems in the documents",
+        "problems": [
+            problem("template", json!({ "reason": "not_found", "value": "callbox" })),
+            problem("token_sha256", json!({ "reason": "empty" })),
+        ],
+    });
+    let entry = Entry::default().replies("/v1/config/apply", Reply::Json(422, refusal));
+    insta::assert_snapshot!(typing(&format!("{APPLY} --seen 6"), &[entry.listen().await]).await);
+}
+
+// The entry takes the change and its connection breaks before the answer. No other entry can be
+// reached, so nobody knows whether it was accepted; the operator must not be told that it failed.
+#[tokio::test]
+async fn apply_answer_lost_is_unknown() {
+    let entry = Entry::default().replies("/v1/config/apply", Reply::Cut);
+    let closed = Closed::new();
+    let entries = [entry.listen().await, closed.address()];
+    let shown = typing(&format!("{APPLY} --seen 7 --again {AGAIN}"), &entries).await;
+    assert!(shown.ends_with("[exit 6 UnknownOutcome]"), "{shown}");
+    assert!(shown.contains(&format!("--again {AGAIN} --seen 7")), "{shown}");
+}
+
+// The first entry falls silent in the middle of a change. The second gets the same change under
+// the same id, so that it is accepted at most once.
+#[tokio::test]
+async fn apply_answer_lost_next_entry_gets_same_change() {
+    let cut = Entry::default().replies("/v1/config/apply", Reply::Cut);
+    let whole = Entry::default().answers("/v1/config/apply", applied(true));
+    let entries = [cut.listen().await, whole.listen().await];
+    let shown = typing(&format!("{APPLY} --seen 7"), &entries).await;
+    assert!(shown.ends_with("[exit 0 Success]"), "{shown}");
+    assert_eq!(cut.requests(), whole.requests());
+}
+
+#[tokio::test]
+async fn apply_answer_lost_in_dry_run_is_no_unknown_outcome() {
+    let entry = Entry::default().replies("/v1/config/apply", Reply::Cut);
+    let line = format!("{APPLY} --seen 7 --dry-run");
+    let shown = typing(&line, &[entry.listen().await]).await;
+    assert!(shown.ends_with("[exit 3 Unreachable]"), "{shown}");
+}
+
+#[tokio::test]
+async fn status_first_entry_gone_asks_the_next() {
+    let entry = Entry::default().answers("/v1/status", status());
+    let closed = Closed::new();
+    let entries = [closed.address(), entry.listen().await];
+    let shown = typing("status", &entries).await;
+    assert!(shown.ends_with("[exit 0 Success]"), "{shown}");
+}
+
+#[tokio::test]
+async fn status_no_entry_reached_is_unreachable() {
+    let closed = Closed::new();
+    insta::assert_snapshot!(typing("status", &[closed.address()]).await);
+}
+
+#[tokio::test]
+async fn change_unknown_can_be_told_by_exit() {
+    let answer = json!({ "change": CHANGE, "state": { "state": "unknown" } });
+    let entry = Entry::default().answers(&format!("/v1/config/changes/{CHANGE}"), answer);
+    let line = format!("change {CHANGE}");
+    insta::assert_snapshot!(typing(&line, &[entry.listen().await]).await);
+}
+
+#[tokio::test]
+async fn get_workspaces_reads_all_pages() {
+    let workspace = |name: &str| {
+        json!({
+            "revision": 3,
+            "document": { "name": name, "template": "callbox", "token_sha256": [] },
+        })
+    };
+    let path = "/v1/config/workspaces";
+    let first = json!({ "revision": 7, "workspaces": [workspace("bibb")], "next": "bibb" });
+    let second = json!({ "revision": 7, "workspaces": [workspace("jones")] });
+    let entry = Entry::default()
+        .answers(path, first)
+        .answers(&format!("{path}?limit=1000&after=bibb"), second);
+    insta::assert_snapshot!(typing("get workspaces", &[entry.listen().await]).await);
+}
+
+#[tokio::test]
+async fn get_workspace_prints_a_document_to_apply() {
+    let answer = json!({
+        "revision": 7,
+        "workspace": {
+            "revision": 3,
+            "document": {
+                "name": "bibb", "template": "callbox", "token_sha256": [],
+                "overrides": { "priority": 9 },
+            },
+        },
+        "effective": { "priority": 9 },
+    });
+    let entry = Entry::default().answers("/v1/config/workspaces/bibb", answer);
+    let shown = typing("get workspaces bibb", &[entry.listen().await]).await;
+    insta::assert_snapshot!(shown);
+    let printed: String = shown
+        .lines()
+        .skip(1)
+        .take_while(|line| !line.starts_with('['))
+        .fold(String::new(), |text, line| text + line + "\n");
+    assert_eq!(flamingowheel_config::document::parse(&printed).map(|edits| edits.len()), Ok(1));
+}
+
+#[tokio::test]
+async fn history_shows_who_and_why() {
+    let change = json!({
+        "id": CHANGE,
+        "origin": { "operator": "maria", "at_unix_ms": 1_796_256_000_000u64, "comment": "night" },
+        "edits": ["workspace bibb-county"],
+    });
+    let entry = Entry::default().answers("/v1/config/history", json!({ "changes": [change] }));
+    insta::assert_snapshot!(typing("history", &[entry.listen().await]).await);
+}
+
+#[tokio::test]
+async fn entries_lists_addresses_in_order() {
+    let answer = json!({
+        "addresses": [
+            { "address": "10.0.0.7:80", "data_centre": "ga-a" },
+            { "address": "10.0.9.1:80", "data_centre": "ga-c" },
+        ],
+        "keep_s": 20,
+    });
+    let entry = Entry::default().answers("/v1/entries", answer);
+    let entries = [entry.listen().await];
+    insta::assert_snapshot!(typing("entries --workspace bibb-county", &entries).await);
+}
+
+// One agent is gone and one has no known address. The time line shows what the others recorded
+// and says which parts are missing.
+#[tokio::test]
+async fn timeline_names_processes_not_reached() {
+    let closed = Closed::new();
+    let gone = closed.address();
+    let mut status = status();
+    status["processes"][1]["operators_address"] = json!(gone);
+    let events = json!({
+        "process": { "name": "entry-1", "vm": "vm-1", "data_centre": "ga-a" },
+        "now": "1796256000100.0", "overwritten": 0,
+        "events": [{
+            "stamp": "1796256000000.0", "sequence": 1, "process": "entry-1",
+            "workspace": "bibb", "event": "connection_closed", "peer": "agent-1",
+        }],
+    });
+    let entry = Entry::default().answers("/v1/status", status).answers("/v1/events", events);
+    let entries = [entry.listen().await, gone];
+    insta::assert_snapshot!(typing("timeline --workspace bibb", &entries).await);
+}
+
+#[tokio::test]
+async fn token_wrong_is_refused() {
+    let entry = Entry::default();
+    let address = entry.listen().await;
+    let line = "status --token-file tests/documents/change.yaml";
+    let shown = typing(line, &[address]).await;
+    assert!(shown.contains("operators' token is empty, too long or"), "{shown}");
+    assert!(entry.requests().is_empty());
+}
