--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::event::Event;
-use crate::reason::{Class, Outcome, named_enum};
+use crate::reason::{Class, Limit, Outcome, RefusalReason, RetryDenial, RetryReason, named_enum};
 
 /// Buckets of the time to the first token; its target is 900 ms for 95 in 100.
 const FIRST_TOKEN_BUCKETS_MS: [f64; 12] =
@@ -151,13 +151,17 @@
                 &["call"],
             )?,
             kv_errors: new.counter("kv_errors_total", "Failed calls on the key-value service")?,
-            kv_up: new.gauge("kv_up", "1 while the key-value service answers")?,
+            kv_up: new.gauge(
+                "kv_up",
+                "0 from the event that the key-value service is down until it is up",
+            )?,
             events_overwritten: new
                 .gauge("events_overwritten", "Events lost from the ring since the start")?,
             clock_drift_ignored: new
                 .counter("clock_drift_ignored_total", "Stamps too far ahead to be followed")?,
             registry: registry.clone(),
         };
+        shared.begin();
         Ok(Self { shared: Arc::new(shared) })
     }
 
@@ -236,6 +240,39 @@
     }
 }
 
+impl Shared {
+    /// Brings out every label value from the start, and counts as up what was not seen down.
+    ///
+    /// A counter that first appears with its first event shows no increase to a rate query, so the
+    /// first crash or unknown outcome after a start would raise no alarm.
+    fn begin(&self) {
+        for class in Class::ALL {
+            let outcomes = Outcome::ALL.iter().map(|outcome| outcome.as_str());
+            outcomes.for_each(|outcome| {
+                self.requests.with_label_values(&[class.as_str(), outcome]);
+            });
+        }
+        zero(&self.retries, RetryReason::ALL.iter().map(|reason| reason.as_str()));
+        zero(&self.retries_denied, RetryDenial::ALL.iter().map(|reason| reason.as_str()));
+        zero(&self.refusals, RefusalReason::ALL.iter().map(|reason| reason.as_str()));
+        zero(&self.limited, Limit::ALL.iter().map(|limit| limit.as_str()));
+        zero(&self.kv_calls, KvCall::ALL.iter().map(|call| call.as_str()));
+        for kind in Occupancy::ALL {
+            self.occupancy.with_label_values(&[kind.as_str()]);
+        }
+        self.kv_up.set(1);
+    }
+}
+
+fn zero<I>(counters: &IntCounterVec, labels: I)
+where
+    I: Iterator<Item = &'static str>,
+{
+    labels.for_each(|label| {
+        counters.with_label_values(&[label]);
+    });
+}
+
 fn count_by(counters: &IntCounterVec, label: &str) {
     counters.with_label_values(&[label]).inc();
 }
--- a/crates/observe/src/ring.rs
+++ b/crates/observe/src/ring.rs
@@ -7,7 +7,7 @@
 use crate::clock::Stamp;
 use crate::event::Stamped;
 
-/// Events kept by default; at about 300 bytes each this is near 5 MB.
+/// Events kept by default; at 264 bytes each, as the bench `record` measured, 4.3 MB.
 pub const DEFAULT_CAPACITY: usize = 16_384;
 
 /// How long before and after a request's own events others may explain it.
