Tool: a time line without the list of processes, and a word for a wrong token

With no entry able to list the processes, which may be just when a time line is needed, the command failed. It asks the processes that the operator names, and tells the missing list like a process that was not reached.

--- a/crates/flamingowheel/src/client.rs
+++ b/crates/flamingowheel/src/client.rs
@@ -49,6 +49,12 @@
     /// The fleet refused.
     #[error("{0}")]
     Refused(Box<Refusal>),
+    /// The operators' token was not accepted.
+    #[error("{address} refused the operators' token")]
+    WrongToken {
+        /// The address asked.
+        address: SocketAddr,
+    },
     /// An error without the operators' interface's own form.
     #[error("{address} answered {status}")]
     Status {
@@ -230,6 +236,7 @@
     }
     match serde_json::from_slice::<ApiError>(&body) {
         Ok(error) => Err(ClientError::Refused(Box::new(Refusal(error)))),
+        Err(_) if status == StatusCode::UNAUTHORIZED => Err(ClientError::WrongToken { address }),
         Err(_) => Err(ClientError::Status { address, status }),
     }
 }
--- a/crates/flamingowheel/tests/tool/commands.rs
+++ b/crates/flamingowheel/tests/tool/commands.rs
@@ -243,12 +243,41 @@
     insta::assert_snapshot!(typing("timeline --workspace bibb", &entries).await);
 }
 
+// No entry can tell which processes there are, which may be just when something goes wrong.
+#[tokio::test]
+async fn timeline_without_list_asks_those_named() {
+    let events = json!({
+        "process": { "name": "entry-1", "vm": "vm-1", "data_centre": "ga-a" },
+        "now": "1796256000100.0", "overwritten": 0, "events": [],
+    });
+    let entry = Entry::default().answers("/v1/events", events);
+    let shown = typing("timeline --since 5m", &[entry.listen().await]).await;
+    assert!(shown.contains("0 events from 1 process"), "{shown}");
+    assert!(shown.contains("NOT REACHED the list of processes: [entry 1] answered 404"), "{shown}");
+    assert!(shown.ends_with("[exit 0 Success]"), "{shown}");
+}
+
+#[tokio::test]
+async fn timeline_nobody_reached_is_unreachable() {
+    let closed = Closed::new();
+    let shown = typing("timeline --since 5m", &[closed.address()]).await;
+    assert!(shown.ends_with("[exit 3 Unreachable]"), "{shown}");
+}
+
 #[tokio::test]
 async fn token_wrong_is_refused() {
     let entry = Entry::default();
-    let address = entry.listen().await;
+    let entries = [entry.listen().await];
+    let shown = typing("status --token-file tests/documents/wrong-token", &entries).await;
+    assert!(shown.contains("refused the operators' token"), "{shown}");
+    assert!(shown.ends_with("[exit 4 Refused]"), "{shown}");
+}
+
+#[tokio::test]
+async fn token_malformed_is_not_sent() {
+    let entry = Entry::default();
     let line = "status --token-file tests/documents/change.yaml";
-    let shown = typing(line, &[address]).await;
+    let shown = typing(line, &[entry.listen().await]).await;
     assert!(shown.contains("operators' token is empty, too long or"), "{shown}");
     assert!(entry.requests().is_empty());
 }
