Observe: report a peer's clock drift once a minute

Every message carries a stamp since the links do, so a slow clock would have recorded an event for each heartbeat of each peer and pushed all else out of the ring.

--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -231,7 +231,8 @@
             Self::ConnectionOpened { peer }
             | Self::ConnectionSilent { peer, .. }
             | Self::ConnectionReplaced { peer, .. }
-            | Self::ConnectionClosed { peer } => Some(peer),
+            | Self::ConnectionClosed { peer }
+            | Self::ClockDriftIgnored { peer, .. } => Some(peer),
             Self::Forwarded { entry } => Some(entry),
             Self::MemberChanged { member, .. } => Some(member),
             _ => None,
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -1,7 +1,8 @@
 //! Handle by which all code of a process records events.
 
+use std::collections::HashMap;
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use flamingowheel_protocol::link::Stamps;
 
@@ -14,6 +15,12 @@
 /// Target of the log lines that repeat recorded events.
 pub const LOG_TARGET: &str = "flamingowheel::event";
 
+/// How often a peer's drift is reported at the most.
+const DRIFT_REPORT_INTERVAL_MS: u64 = 60_000;
+
+/// Peers whose last report is remembered.
+const MAX_DRIFT_PEERS: usize = 1_024;
+
 /// Records events: counts, stamps, keeps and logs them. Clones share all of it.
 ///
 /// ```
@@ -36,6 +43,31 @@
     clock: HybridClock,
     ring: Ring,
     metrics: Metrics,
+    drifts: DriftReports,
+}
+
+/// Which peers' drift was reported when.
+///
+/// Every message carries a stamp, heartbeats too. A process whose own clock is slow finds all its
+/// peers ahead, and an event for each message would push everything else out of its ring within
+/// seconds.
+#[derive(Debug, Default)]
+struct DriftReports(Mutex<HashMap<Name, u64>>);
+
+impl DriftReports {
+    fn is_due(&self, peer: &str, now_ms: u64) -> bool {
+        let mut reported = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let last_ms = reported.get(peer).copied();
+        // A wall clock set back must not silence the reports.
+        if last_ms.is_some_and(|last_ms| now_ms.abs_diff(last_ms) < DRIFT_REPORT_INTERVAL_MS) {
+            return false;
+        }
+        if reported.len() >= MAX_DRIFT_PEERS {
+            reported.clear();
+        }
+        reported.insert(Name::from(peer), now_ms);
+        true
+    }
 }
 
 impl Recorder {
@@ -47,7 +79,15 @@
         metrics: Metrics,
     ) -> Self {
         let ring = Ring::new(capacity);
-        Self { shared: Arc::new(Shared { process, clock, ring, metrics }) }
+        Self {
+            shared: Arc::new(Shared {
+                process,
+                clock,
+                ring,
+                metrics,
+                drifts: DriftReports::default(),
+            }),
+        }
     }
 
     /// A recorder on the system's clock with the default capacity.
@@ -94,7 +134,9 @@
 
     /// Takes in the stamp of a message from `peer`, so that what follows sorts after it.
     pub fn observe(&self, peer: &str, remote: Stamp) {
-        if let Err(drift) = self.shared.clock.observe(remote) {
+        if let Err(drift) = self.shared.clock.observe(remote)
+            && self.shared.drifts.is_due(peer, self.shared.clock.wall_ms())
+        {
             let event =
                 Event::ClockDriftIgnored { peer: Name::from(peer), ahead_ms: drift.ahead_ms };
             self.record(event);
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -140,6 +140,20 @@
     assert_eq!(answer.now.wall_ms(), 1_000);
 }
 
+// Stamps come with every heartbeat. A wrong clock must not fill the ring with its own reports.
+#[test]
+fn observe_wrong_clock_is_reported_once_a_minute() {
+    let (recorder, wall) = recorder(16);
+    for at_ms in [1_000, 1_500, 60_999, 61_000, 500] {
+        wall.set_ms(at_ms);
+        recorder.observe("agent-9", Stamp::new(3_601_000, 0));
+    }
+    recorder.observe("agent-8", Stamp::new(3_601_000, 0));
+    let events = recorder.answer(&EventQuery::default()).events;
+    let peers: Vec<_> = events.iter().filter_map(|event| event.event.peer()).collect();
+    assert_eq!(peers, ["agent-9", "agent-9", "agent-9", "agent-8"]);
+}
+
 async fn get(path: &str) -> (StatusCode, String) {
     let (recorder, _wall) = recorder(1);
     let not_run =
