Time line: whole request ids to ask for, singular for one

Tried on the demo as a new user: a workspace's time line showed only the short form of request ids, which can't be asked for alone, and '1 chunks'.

Seen there and not mended here: agents record no events yet (admitted, started, finished, refused, tombstone, engine crash, suspects, leave); entries none for ticket_bound, ticket_run, ticket_replayed, connections and the key-value service; /v1/status is not served, so status fails and timeline asks only the processes it is told.

--- a/crates/observe/src/describe.rs
+++ b/crates/observe/src/describe.rs
@@ -50,7 +50,8 @@
                 write!(f, "attempt {attempt} started, {running} running")
             }
             Self::Finished { attempt, chunks, duration_ms } => {
-                write!(f, "attempt {attempt} finished: {chunks} chunks in {duration_ms} ms")
+                let chunks = counted(*chunks, "chunk");
+                write!(f, "attempt {attempt} finished: {chunks} in {duration_ms} ms")
             }
             Self::Refused { backend_server, attempt, reason } => {
                 write!(f, "attempt {attempt} refused by {backend_server}: {reason}")
@@ -70,7 +71,8 @@
             }
             Self::Completed { attempts, chunks, duration_ms, .. } => write!(
                 f,
-                "COMPLETE: {chunks} chunks in {duration_ms} ms, {}",
+                "COMPLETE: {} in {duration_ms} ms, {}",
+                counted(*chunks, "chunk"),
                 counted(*attempts, "attempt")
             ),
             Self::NotRun { attempts, reason, .. } => {
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -8,7 +8,7 @@
 use crate::api::{EventQuery, EventsAnswer, ProcessInfo};
 use crate::clock::{DEFAULT_MAX_DRIFT_MS, Stamp};
 use crate::describe::{counted, short};
-use crate::event::{Name, Stamped, Subject};
+use crate::event::{Event, Name, Stamped, Subject};
 
 /// Widest line of the text form.
 pub const COLUMNS: usize = 100;
@@ -243,7 +243,7 @@
 
 fn sentence(event: &Stamped, shared: &Subject) -> String {
     let mut sentence = event.event.to_string();
-    let parts = differing_parts(&event.subject, shared);
+    let parts = differing_parts(event, shared);
     if !parts.is_empty() {
         let _ = write!(sentence, " [{}]", parts.join(", "));
     }
@@ -251,10 +251,15 @@
 }
 
 /// The parts of a subject that the title doesn't tell.
-fn differing_parts(subject: &Subject, shared: &Subject) -> Vec<String> {
+fn differing_parts(event: &Stamped, shared: &Subject) -> Vec<String> {
+    let subject = &event.subject;
     let mut parts = Vec::new();
     if let (Some(request), None) = (&subject.request, &shared.request) {
-        parts.push(format!("request ..{}", short(request)));
+        // Whole once, so that it can be asked for alone; short where it repeats.
+        parts.push(match event.event {
+            Event::RequestAccepted { .. } => format!("request {request}"),
+            _ => format!("request ..{}", short(request)),
+        });
     }
     if let (Some(workspace), None) = (&subject.workspace, &shared.workspace) {
         parts.push(format!("workspace {workspace}"));
--- a/crates/observe/tests/timeline.rs
+++ b/crates/observe/tests/timeline.rs
@@ -114,6 +114,31 @@
     insta::assert_json_snapshot!(timeline);
 }
 
+// An operator who looks at a workspace finds a request to look at alone. Only its short form was
+// shown once, which can't be asked for.
+#[test]
+fn to_text_workspace_tells_whole_request_ids() {
+    let entry = process("entry-1", START_MS);
+    let request = entry.recorder.about(Subject::request(request_id()).workspace("roadside"));
+    request.record(Event::RequestAccepted {
+        class: Class::Normal,
+        idempotent: true,
+        deadline_ms: 120_000,
+    });
+    request.record(Event::Completed {
+        class: Class::Normal,
+        attempts: 1,
+        chunks: 1,
+        duration_ms: 40,
+    });
+    let other = Subject::request(Uuid::from_u128(9)).workspace("roadside");
+    entry.recorder.record_about(&other, routed("runner-2", 1));
+    let query = EventQuery { workspace: Some("roadside".into()), ..EventQuery::default() };
+    let text = merge(query.clone(), vec![entry.answer(&query)], Vec::new()).to_text();
+    assert!(text.contains(&format!("{}]", request_id())), "{text}");
+    assert!(text.contains("COMPLETE: 1 chunk in 40 ms, 1 attempt"), "{text}");
+}
+
 // The runner's wall clock is behind the entry's by less than the bound. Sorted by wall time its
 // refusal would stand before the dispatch that it answers.
 #[test]
