Route suspects alone, share suspicions, tell overload with a time to come back

Cause: the policy for requests that crash backend servers and for overload had landed, but neither entry nor agent applied it. Change: agents convict by what ran when the backend server died, clear by a finished run, and tell their entries; entries pass news on to their other agents. A suspect goes alone to the one server that all entries agree on. An expected wait beyond the deadline is refused at once with Retry-After.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -13,9 +13,11 @@
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::suspicion::{CrashId, SuspicionBook, SuspicionConfig, Verdict};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use flamingowheel_protocol::message::{
-    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal, Suspicion,
+    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -132,7 +134,7 @@
     admission: Admission<ExecutionKey>,
     pending: HashMap<ExecutionKey, Pending>,
     running: HashMap<ExecutionKey, Running>,
-    exclusive: Option<ExecutionKey>,
+    suspicion: SuspicionBook,
     load: LoadCell,
     links: HashMap<u64, mpsc::Sender<AgentMessage>>,
     leaving: bool,
@@ -169,7 +171,7 @@
             started: Instant::now(),
             pending: HashMap::new(),
             running: HashMap::new(),
-            exclusive: None,
+            suspicion: SuspicionBook::new(SuspicionConfig::default()),
             load: LoadCell::default(),
             links: HashMap::new(),
             leaving: false,
@@ -208,6 +210,10 @@
         match command {
             Command::Linked { link, sender } => {
                 reply(&sender, self.heartbeat());
+                let known = self.suspicion.records(self.started.elapsed());
+                if !known.is_empty() {
+                    reply(&sender, AgentMessage::Suspicions(known));
+                }
                 self.links.insert(link, sender);
             }
             Command::Unlinked { link } => {
@@ -251,7 +257,10 @@
                     execution.detach(attempt);
                 }
             }
-            EntryMessage::Suspicions(_) => {}
+            EntryMessage::Suspicions(records) => {
+                self.suspicion.merge(&records, self.started.elapsed());
+                self.tell_suspicions();
+            }
             EntryMessage::VmLeaving => self.leave(LeaveCause::VmList),
         }
     }
@@ -306,17 +315,24 @@
         self.attach(execution, dispatch.attempt, sender, 0);
     }
 
-    fn objection(&self, dispatch: &Dispatch) -> Option<Refusal> {
+    fn objection(&mut self, dispatch: &Dispatch) -> Option<Refusal> {
         if self.leaving {
             return Some(Refusal::Leaving);
         }
         if dispatch.remaining_ms == 0 {
             return Some(Refusal::DeadlinePassed);
         }
-        if self.exclusive.is_some() {
-            return Some(Refusal::Full);
+        match self.suspicion.verdict(dispatch.fingerprint, self.started.elapsed()) {
+            Verdict::Refused { .. } => Some(Refusal::Suspect),
+            Verdict::Alone { crashed } if crashed.contains(&self.server()) => {
+                Some(Refusal::Suspect)
+            }
+            Verdict::Alone { .. } | Verdict::Clear => None,
         }
-        None
+    }
+
+    fn server(&self) -> ServerKey {
+        ServerKey::from_name(&self.config.name)
     }
 
     fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
@@ -333,17 +349,13 @@
         let offer = Offer {
             id: key,
             priority: Priority(dispatch.priority),
-            last_try: dispatch.last_try,
+            may_wait: dispatch.may_wait,
+            alone: dispatch.alone || self.must_run_alone(dispatch.fingerprint),
             deadline: self.started.elapsed() + Duration::from_millis(dispatch.remaining_ms),
         };
-        let alone = dispatch.alone;
         let from_chunk = dispatch.resume_after_chunks;
         self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
-        let admitted = match alone {
-            true => self.offer_alone(offer),
-            false => self.admission.offer(offer),
-        };
-        match admitted {
+        match self.admission.offer(offer) {
             Admitted::Full(_) => {
                 self.pending.remove(&key);
                 self.records.remove_ticket(key);
@@ -376,15 +388,9 @@
 
     /// A request that may kill the backend server runs with nothing beside it, so that it can't
     /// take others down and so that a crash convicts it alone.
-    fn offer_alone(&mut self, offer: Offer<ExecutionKey>) -> Admitted<ExecutionKey> {
-        if !self.running.is_empty() {
-            return Admitted::Full(self.admission.load());
-        }
-        let admitted = self.admission.offer(offer);
-        if matches!(admitted, Admitted::Start) {
-            self.exclusive = Some(offer.id);
-        }
-        admitted
+    fn must_run_alone(&mut self, fingerprint: Fingerprint) -> bool {
+        let verdict = self.suspicion.verdict(fingerprint, self.started.elapsed());
+        matches!(verdict, Verdict::Alone { .. })
     }
 
     fn start(&mut self, key: ExecutionKey) {
@@ -413,8 +419,8 @@
         }
         let Some(running) = self.running.remove(&key) else { return };
         self.record_end(key, &running);
-        if self.exclusive == Some(key) {
-            self.exclusive = None;
+        if end == RunEnd::Whole {
+            self.suspicion.on_finished(running.fingerprint, self.started.elapsed());
         }
         let mut next = self.admission.finish(running.since.elapsed());
         while let Some(key) = next {
@@ -567,17 +573,21 @@
             return;
         }
         self.crash_count += 1;
-        let crash = (self.config.incarnation, self.crash_count);
-        let running_count = u16::try_from(suspects.len()).unwrap_or(u16::MAX);
-        let suspicions: Vec<_> = suspects
-            .into_iter()
-            .map(|fingerprint| Suspicion { fingerprint, crash, running_count })
-            .collect();
+        let crash = CrashId { server: self.server(), number: rand::random() };
+        self.suspicion.on_crash(crash, &suspects, self.started.elapsed());
         self.recorder.record(Event::EngineCrashed {
             backend_server: self.config.name.as_str().into(),
-            running: u32::from(running_count),
+            running: u32::try_from(suspects.len()).unwrap_or(u32::MAX),
         });
-        self.broadcast(&AgentMessage::Suspicions(suspicions));
+        self.tell_suspicions();
+    }
+
+    /// Passes on what changed. Only news counts as a change, so this comes to an end.
+    fn tell_suspicions(&mut self) {
+        let changes = self.suspicion.take_changes(self.started.elapsed());
+        if !changes.is_empty() {
+            self.broadcast(&AgentMessage::Suspicions(changes));
+        }
     }
 
     fn on_tick(&mut self) {
@@ -587,6 +597,7 @@
         }
         self.stop_orphans();
         self.check_health();
+        self.tell_suspicions();
         self.broadcast(&self.heartbeat());
     }
 
@@ -651,8 +662,8 @@
     }
 
     fn fail(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId, failure: Failure) {
-        let occupied = self.load().occupied();
-        reply(sender, AgentMessage::Failed { attempt, failure, occupied });
+        let occupancy = self.load().occupancy();
+        reply(sender, AgentMessage::Failed { attempt, failure, occupancy });
     }
 
     fn heartbeat(&self) -> AgentMessage {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -340,15 +340,19 @@
         if self.ended {
             return Turn::Wait;
         }
-        let (attempt, occupied) = (self.attempt, self.load.get().occupied());
+        let (attempt, occupancy) = (self.attempt, self.load.get().occupancy());
         if self.next < answer.first {
-            messages.push(AgentMessage::Failed { attempt, failure: Failure::ReplayGone, occupied });
+            messages.push(AgentMessage::Failed {
+                attempt,
+                failure: Failure::ReplayGone,
+                occupancy,
+            });
             self.ended = true;
             return Turn::Wait;
         }
         if let (Some((status, content_type)), false) = (&answer.head, self.head_sent) {
             let (status, content_type) = (*status, content_type.clone());
-            messages.push(AgentMessage::Head { attempt, status, content_type, occupied });
+            messages.push(AgentMessage::Head { attempt, status, content_type, occupancy });
             self.head_sent = true;
         }
         let limit = answer.next().min(listener.next_unacknowledged + SEND_WINDOW_CHUNKS);
@@ -357,7 +361,7 @@
                 return Turn::Again;
             }
             let data = answer.chunks[(self.next - answer.first) as usize].clone();
-            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupied });
+            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupancy });
             self.next += 1;
         }
         let Some(ending) = answer.ending else { return Turn::Wait };
@@ -365,8 +369,8 @@
             return Turn::Wait;
         }
         messages.push(match ending {
-            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupied },
-            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupied },
+            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupancy },
+            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupancy },
             Ending::NotRun(refusal) => {
                 AgentMessage::Refused { attempt, refusal, load: self.load.get() }
             }
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -6,6 +6,7 @@
 use crate::connector::{AgentLink, Connector};
 use crate::router::Router;
 use flamingowheel_policy::key::{ScopeKey, ServerKey};
+use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
 use flamingowheel_protocol::message::{
     AgentMessage, BackendProfile, EntryMessage, Hello, Role, Serves,
@@ -81,7 +82,7 @@
     }
 
     /// Sends a message that may get lost, if there is a connection.
-    fn send(&self, message: EntryMessage) {
+    pub fn send(&self, message: EntryMessage) {
         if let Some(connected) = self.connected() {
             let _ = connected.sender.try_send(message);
         }
@@ -275,6 +276,10 @@
                 announced = true;
                 self.router.add(server, &connected.profile.serves, Arc::clone(&self.agent));
                 self.agent.connected.send_replace(Some(connected.clone()));
+                let known = self.router.suspicions();
+                if !known.is_empty() {
+                    self.agent.send(EntryMessage::Suspicions(known));
+                }
             }
             if let Some(attempt) = message.attempt() {
                 self.agent.route(attempt, message);
@@ -293,6 +298,20 @@
         if let Some(hint) = message.load_hint() {
             self.router.learn(server, hint);
         }
+        if let AgentMessage::Suspicions(records) = message {
+            self.pass_on(records);
+        }
+    }
+
+    /// Entries carry suspicions from agent to agent. Only news is passed on, so it ends.
+    fn pass_on(&self, records: &[SuspectRecord]) {
+        let news = self.router.suspect(records);
+        if news.is_empty() {
+            return;
+        }
+        for agent in self.router.agents() {
+            agent.send(EntryMessage::Suspicions(news.clone()));
+        }
     }
 }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -13,7 +13,8 @@
 use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
-use flamingowheel_policy::routing::Choice;
+use flamingowheel_policy::routing::{Choice, RouteError, RouteRequest};
+use flamingowheel_policy::suspicion::Verdict as Suspicion;
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
 use flamingowheel_protocol::message::{Dispatch, Refusal};
 use flamingowheel_protocol::ticket::Ticket;
@@ -63,9 +64,13 @@
     }
 
     /// What the caller is told when no backend server is left.
-    fn no_choice(&self) -> Verdict {
-        match self.last {
-            Some(AttemptEnd::Refused(refusal)) => self.verdict(NotRun::Refused(refusal)),
+    fn no_choice(&self, error: RouteError) -> Verdict {
+        match (error, self.last) {
+            (RouteError::Overloaded { wait }, _) => {
+                let retry_after_ms = wait.as_millis() as u64;
+                self.verdict(NotRun::Overloaded { retry_after_ms })
+            }
+            (_, Some(AttemptEnd::Refused(refusal))) => self.verdict(NotRun::Refused(refusal)),
             _ => self.verdict(NotRun::NoneAvailable),
         }
     }
@@ -76,7 +81,8 @@
     server: ServerKey,
     agent: Arc<Agent>,
     connected: Connected,
-    last_try: bool,
+    may_wait: bool,
+    alone: bool,
 }
 
 impl Dispatcher {
@@ -144,7 +150,7 @@
     pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
         let (choice, agent) = self
             .router
-            .route(&request.target, request.fingerprint, &[])
+            .route(&request.target, &route_request(request, &[]))
             .map_err(|_| NotRun::NoneAvailable)?;
         self.router.ended(choice.server);
         let connected = agent.connected().ok_or(NotRun::NoneAvailable)?;
@@ -215,14 +221,59 @@
 
     fn choose(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
         let request = journey.request;
-        let routed = self.router.route(&request.target, request.fingerprint, &journey.tried);
-        let (choice, agent) = routed.map_err(|_| journey.no_choice())?;
-        let connected = agent.connected().ok_or_else(|| {
-            self.router.ended(choice.server);
-            journey.no_choice()
-        })?;
+        match self.router.verdict(request.fingerprint) {
+            Suspicion::Clear => self.choose_best(journey),
+            Suspicion::Alone { crashed } => self.choose_alone(journey, crashed),
+            Suspicion::Refused { retry_after } => {
+                let retry_after_ms = retry_after.as_millis() as u64;
+                Err(journey.verdict(NotRun::Suspect { retry_after_ms }))
+            }
+        }
+    }
+
+    fn choose_best(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
+        let request = journey.request;
+        let question = route_request(request, &journey.tried);
+        let routed = self.router.route(&request.target, &question);
+        let (choice, agent) = routed.map_err(|error| journey.no_choice(error))?;
+        let connected = self.connected(journey, choice.server, &agent)?;
         log_route(journey, &choice, &connected);
-        Ok(Chosen { server: choice.server, agent, connected, last_try: choice.last_try })
+        let may_wait = choice.may_wait;
+        Ok(Chosen { server: choice.server, agent, connected, may_wait, alone: false })
+    }
+
+    /// A request that may have crashed a backend server goes to one that all entries agree on,
+    /// so that copies of it that come through many entries can't crash many.
+    fn choose_alone(
+        &self,
+        journey: &Journey<'_>,
+        mut crashed: Vec<ServerKey>,
+    ) -> Result<Chosen, Verdict> {
+        let request = journey.request;
+        crashed.extend(&journey.tried);
+        let routed = self.router.route_alone(&request.target, request.fingerprint, &crashed);
+        let (server, agent) = routed.map_err(|error| journey.no_choice(error))?;
+        let connected = self.connected(journey, server, &agent)?;
+        journey.log.record(Event::Routed {
+            backend_server: connected.hello.name.as_str().into(),
+            attempt: journey.attempts + 1,
+            reason: RouteReason::Quarantine,
+            candidates: 1,
+            predicted_wait_ms: 0,
+        });
+        Ok(Chosen { server, agent, connected, may_wait: true, alone: true })
+    }
+
+    fn connected(
+        &self,
+        journey: &Journey<'_>,
+        server: ServerKey,
+        agent: &Agent,
+    ) -> Result<Connected, Verdict> {
+        agent.connected().ok_or_else(|| {
+            self.router.ended(server);
+            journey.no_choice(RouteError::NoneAvailable)
+        })
     }
 
     /// Decides whether another attempt may follow one that ended like this.
@@ -304,8 +355,8 @@
             priority: request.workspace.parameters.priority,
             remaining_ms: request.remaining_ms(),
             fingerprint: request.fingerprint,
-            alone: false,
-            last_try: chosen.last_try,
+            alone: chosen.alone,
+            may_wait: chosen.may_wait,
             resume_after_chunks: 0,
         };
         journey.log.record(Event::Dispatched {
@@ -412,7 +463,7 @@
             // Its records are gone: the work may have run there, and must run nowhere else.
             return Err(Unknown::TicketHome(Refusal::WrongIncarnation).into());
         }
-        Ok(Chosen { server, agent, connected, last_try: true })
+        Ok(Chosen { server, agent, connected, may_wait: true, alone: false })
     }
 }
 
@@ -421,6 +472,15 @@
     ExecutionKey::Ticket { number: ticket.number, window: ticket.window }
 }
 
+fn route_request<'a>(request: &Request, tried: &'a [ServerKey]) -> RouteRequest<'a> {
+    RouteRequest {
+        fingerprint: request.fingerprint,
+        tried,
+        urgent: events::is_urgent(request),
+        max_wait: Duration::from_millis(request.remaining_ms()),
+    }
+}
+
 fn log_route(journey: &Journey<'_>, choice: &Choice, connected: &Connected) {
     journey.log.record(Event::Routed {
         backend_server: connected.hello.name.as_str().into(),
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -16,6 +16,11 @@
 const HIGH_PRIORITY: u8 = 8;
 const NORMAL_PRIORITY: u8 = 3;
 
+/// Whether a request may overtake those that wait.
+pub fn is_urgent(request: &Request) -> bool {
+    request.workspace.parameters.priority >= HIGH_PRIORITY
+}
+
 /// The class under which a request is counted.
 pub fn class(request: &Request) -> Class {
     match request.workspace.parameters.priority {
@@ -51,6 +56,8 @@
             NotRunReason::Invalid
         }
         NotRun::LimitReached { .. } => NotRunReason::LimitExceeded,
+        NotRun::Overloaded { .. } => NotRunReason::Shed,
+        NotRun::Suspect { .. } => NotRunReason::Suspect,
         NotRun::NoneAvailable => NotRunReason::NoneServes,
         NotRun::Refused(Refusal::Cancelled) => NotRunReason::CancelledBeforeStart,
         NotRun::Refused(Refusal::Suspect) => NotRunReason::Suspect,
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -229,6 +229,8 @@
         NotRun::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
         NotRun::Malformed(_) => (StatusCode::BAD_REQUEST, "malformed"),
         NotRun::LimitReached { .. } => (StatusCode::TOO_MANY_REQUESTS, "limit_reached"),
+        NotRun::Overloaded { .. } => (StatusCode::SERVICE_UNAVAILABLE, "overloaded"),
+        NotRun::Suspect { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "suspect"),
         NotRun::NoneAvailable => (StatusCode::SERVICE_UNAVAILABLE, "none_available"),
         NotRun::Refused(Refusal::TicketMismatch) => {
             (StatusCode::UNPROCESSABLE_ENTITY, "ticket_mismatch")
@@ -254,7 +256,11 @@
 
 fn retry_after_ms(verdict: &Verdict) -> Option<u64> {
     match verdict {
-        Verdict::NotRun(NotRun::LimitReached { retry_after_ms }) => Some(*retry_after_ms),
+        Verdict::NotRun(
+            NotRun::LimitReached { retry_after_ms }
+            | NotRun::Overloaded { retry_after_ms }
+            | NotRun::Suspect { retry_after_ms },
+        ) => Some(*retry_after_ms),
         Verdict::NotRun(NotRun::NoneAvailable | NotRun::Refused(_) | NotRun::KeyNotChecked) => {
             Some(DEFAULT_RETRY_AFTER_MS)
         }
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -31,6 +31,18 @@
         /// When to come back, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Every backend server has more waiting than the caller has time for.
+    #[error("backend servers overloaded")]
+    Overloaded {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// It crashed backend servers.
+    #[error("refused because backend servers crashed while running this request")]
+    Suspect {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No agent that serves it is reachable.
     #[error("no backend server is available")]
     NoneAvailable,
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -3,8 +3,11 @@
 use crate::agents::{Agent, Target};
 use flamingowheel_policy::key::{Fingerprint, ScopeKey, ServerKey};
 use flamingowheel_policy::load::{Availability, Load, LoadBook};
-use flamingowheel_policy::routing::{Choice, RouteError, RouteRequest, RoutingConfig, choose};
-use flamingowheel_protocol::message::{LoadHint, Serves};
+use flamingowheel_policy::routing::{
+    Choice, RouteError, RouteRequest, RoutingConfig, choose, choose_alone,
+};
+use flamingowheel_policy::suspicion::{SuspectRecord, SuspicionBook, SuspicionConfig, Verdict};
+use flamingowheel_protocol::message::{LoadHint, Occupancy, Serves};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,6 +18,7 @@
     config: RoutingConfig,
     started: Instant,
     state: Mutex<State>,
+    suspicion: Mutex<SuspicionBook>,
 }
 
 #[derive(Default)]
@@ -33,7 +37,8 @@
 impl Router {
     /// Knows no backend server yet.
     pub fn new(config: RoutingConfig) -> Self {
-        Self { config, started: Instant::now(), state: Mutex::default() }
+        let suspicion = Mutex::new(SuspicionBook::new(SuspicionConfig::default()));
+        Self { config, started: Instant::now(), state: Mutex::default(), suspicion }
     }
 
     /// Adds a backend server whose agent is connected.
@@ -76,6 +81,30 @@
         self.lock().book.set_availability(server, availability);
     }
 
+    /// What may be done with a request, by what is known of crashes.
+    pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
+        let now = self.started.elapsed();
+        self.suspicion().verdict(fingerprint, now)
+    }
+
+    /// Takes in suspicions and returns what was news, for all other agents.
+    pub fn suspect(&self, records: &[SuspectRecord]) -> Vec<SuspectRecord> {
+        let now = self.started.elapsed();
+        let mut suspicion = self.suspicion();
+        suspicion.merge(records, now);
+        suspicion.take_changes(now)
+    }
+
+    /// All suspicions, for an agent that has just been connected.
+    pub fn suspicions(&self) -> Vec<SuspectRecord> {
+        self.suspicion().records(self.started.elapsed())
+    }
+
+    /// All agents that are connected.
+    pub fn agents(&self) -> Vec<Arc<Agent>> {
+        self.lock().agents.values().cloned().collect()
+    }
+
     /// Takes in the load that a message carried.
     pub fn learn(&self, server: ServerKey, hint: LoadHint) {
         let now = self.started.elapsed();
@@ -90,7 +119,9 @@
                 };
                 book.on_fresh(server, load, now);
             }
-            LoadHint::Occupied(occupied) => book.on_hint(server, occupied, now),
+            LoadHint::Occupancy(Occupancy(running, waiting)) => {
+                book.on_hint(server, running, waiting, now);
+            }
         }
     }
 
@@ -98,20 +129,34 @@
     pub fn route(
         &self,
         target: &Target,
-        fingerprint: Fingerprint,
-        tried: &[ServerKey],
+        request: &RouteRequest<'_>,
     ) -> Result<(Choice, Arc<Agent>), RouteError> {
         let now = self.started.elapsed();
         let mut state = self.lock();
         let servers = state.by_target.get(target).ok_or(RouteError::NoneAvailable)?;
-        let request = RouteRequest { fingerprint, tried };
         let no_cost = |_| Some(Duration::ZERO);
-        let choice = choose(&self.config, &request, servers, &state.book, now, no_cost)?;
+        let choice = choose(&self.config, request, servers, &state.book, now, no_cost)?;
         let agent = state.agents.get(&choice.server).cloned().ok_or(RouteError::NoneAvailable)?;
         state.book.on_sent(choice.server, now);
         Ok((choice, agent))
     }
 
+    /// Chooses the one backend server for a request that may have crashed others.
+    pub fn route_alone(
+        &self,
+        target: &Target,
+        fingerprint: Fingerprint,
+        crashed: &[ServerKey],
+    ) -> Result<(ServerKey, Arc<Agent>), RouteError> {
+        let now = self.started.elapsed();
+        let mut state = self.lock();
+        let servers = state.by_target.get(target).ok_or(RouteError::NoneAvailable)?;
+        let server = choose_alone(fingerprint, crashed, servers, &state.book)?;
+        let agent = state.agents.get(&server).cloned().ok_or(RouteError::NoneAvailable)?;
+        state.book.on_sent(server, now);
+        Ok((server, agent))
+    }
+
     /// Backend servers by what they serve, for the choice of subsets.
     pub fn scopes(&self) -> Vec<(ScopeKey, Vec<ServerKey>)> {
         let state = self.lock();
@@ -124,6 +169,10 @@
         self.lock().book.on_ended(server, now);
     }
 
+    fn suspicion(&self) -> MutexGuard<'_, SuspicionBook> {
+        self.suspicion.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -139,7 +139,7 @@
             remaining_ms: self.reconnect_limit.as_millis() as u64,
             fingerprint: self.request.fingerprint,
             alone: false,
-            last_try: true,
+            may_wait: true,
             resume_after_chunks: next_chunk,
         };
         let deadline = Instant::now() + self.reconnect_limit;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use bytes::Bytes;
+use flamingowheel_policy::suspicion::SuspectRecord;
 use serde::{Deserialize, Serialize};
 
 /// What each side says of itself when a connection opens.
@@ -74,17 +75,22 @@
 }
 
 impl Load {
-    /// Requests running or waiting.
+    /// The short form that goes with every chunk.
     ///
     /// ```
-    /// use flamingowheel_protocol::message::Load;
-    /// assert_eq!(Load { running: 2, waiting: 1, ..Load::default() }.occupied(), 3);
+    /// use flamingowheel_protocol::message::{Load, Occupancy};
+    /// let load = Load { running: 2, waiting: 1, ..Load::default() };
+    /// assert_eq!(load.occupancy(), Occupancy(2, 1));
     /// ```
-    pub fn occupied(&self) -> u16 {
-        self.running.saturating_add(self.waiting)
+    pub fn occupancy(&self) -> Occupancy {
+        Occupancy(self.running, self.waiting)
     }
 }
 
+/// Requests running, then requests waiting: the part of the load that goes with every chunk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Occupancy(pub u16, pub u16);
+
 /// A request sent to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
@@ -117,8 +123,8 @@
     pub fingerprint: Fingerprint,
     /// Nothing else may run beside it.
     pub alone: bool,
-    /// No other try is left, so the agent may queue it rather than refuse early.
-    pub last_try: bool,
+    /// The agent may queue it rather than refuse early.
+    pub may_wait: bool,
     /// Events that the caller already has; only to backend servers that can resume.
     pub resume_after_chunks: u64,
 }
@@ -172,22 +178,11 @@
         key: ExecutionKey,
     },
     /// Suspicions the sender knows of.
-    Suspicions(Vec<Suspicion>),
+    Suspicions(Vec<SuspectRecord>),
     /// The VM list says that the agent's VM is leaving.
     VmLeaving,
 }
 
-/// Evidence that a request may kill the backend server that runs it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspicion {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
-    /// Identifies the crash: the agent's incarnation and its count of crashes.
-    pub crash: (Incarnation, u32),
-    /// Requests that ran when the backend server died.
-    pub running_count: u16,
-}
-
 /// Why an agent did not run an attempt. Each of these is proof that it did not and will not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Refusal {
@@ -287,9 +282,9 @@
         /// Media type of the body.
         #[serde(rename = "t")]
         content_type: String,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running and waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// A piece of the body.
     #[serde(rename = "c")]
@@ -303,9 +298,9 @@
         /// The bytes.
         #[serde(rename = "d", with = "serde_body")]
         data: Bytes,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running and waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// The answer is whole.
     #[serde(rename = "e")]
@@ -316,9 +311,9 @@
         /// Number of chunks in the whole answer.
         #[serde(rename = "n")]
         chunk_count: u64,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running and waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// The attempt may have run, but there is no whole answer.
     #[serde(rename = "f")]
@@ -329,9 +324,9 @@
         /// Why.
         #[serde(rename = "w")]
         failure: Failure,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running and waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// Sent several times a second, and at once when something in it changed.
     #[serde(rename = "b")]
@@ -351,7 +346,7 @@
     },
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
-    Suspicions(Vec<Suspicion>),
+    Suspicions(Vec<SuspectRecord>),
 }
 
 impl AgentMessage {
@@ -384,10 +379,10 @@
             Self::Accepted { load, .. }
             | Self::Refused { load, .. }
             | Self::Heartbeat { load, .. } => Some(LoadHint::Whole(*load)),
-            Self::Head { occupied, .. }
-            | Self::Chunk { occupied, .. }
-            | Self::End { occupied, .. }
-            | Self::Failed { occupied, .. } => Some(LoadHint::Occupied(*occupied)),
+            Self::Head { occupancy, .. }
+            | Self::Chunk { occupancy, .. }
+            | Self::End { occupancy, .. }
+            | Self::Failed { occupancy, .. } => Some(LoadHint::Occupancy(*occupancy)),
             Self::Suspicions(_) => None,
         }
     }
@@ -398,8 +393,8 @@
 pub enum LoadHint {
     /// All of it.
     Whole(Load),
-    /// Requests running or waiting.
-    Occupied(u16),
+    /// Requests running and waiting.
+    Occupancy(Occupancy),
 }
 
 /// Bodies as CBOR byte strings; without it, serde would write an array of numbers.
