Measure the limits' overshoot and use; back off when no peer lends

Cause: members of a workspace at its limit asked each other 160 times a second. Change: requests for loans back off while none comes; an entry keeps a tenth of its share rather than a quarter; the overload bench drives the limits over a lossy network. Conclusion: bounded; early return of loans would raise the use.

--- a/crates/policy/benches/model/mod.rs
+++ b/crates/policy/benches/model/mod.rs
@@ -6,22 +6,25 @@
 
 pub mod args;
 pub mod baseline;
+pub mod config;
+pub mod limits;
 pub mod server;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use flamingowheel_policy::admission::{AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_policy::admission::{Admitted, Offer};
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use flamingowheel_policy::load::LoadBook;
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
-use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
-use hdrhistogram::Histogram;
+use flamingowheel_policy::routing::{RouteRequest, choose};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use baseline::{Baseline, BaselineBook};
+use baseline::BaselineBook;
+use config::ClassFigures;
+pub use config::{Chooser, Class, Figures, ModelConfig};
 use server::{Server, Started};
 
 /// One way between an entry and an agent.
@@ -29,114 +32,6 @@
 /// Time between the tokens of a stream.
 const CHUNK_EVERY: Duration = Duration::from_millis(52);
 
-/// Who chooses the backend server.
-#[derive(Clone, Copy, Debug)]
-pub enum Chooser {
-    Baseline(Baseline),
-    Shipping(RoutingConfig),
-}
-
-/// A class of requests.
-#[derive(Clone, Copy, Debug)]
-pub struct Class {
-    pub share: f64,
-    pub priority: Priority,
-    pub max_wait: Duration,
-}
-
-/// A share of the backend servers that are down for a time.
-#[derive(Clone, Copy, Debug)]
-pub struct Outage {
-    pub from: Duration,
-    pub until: Duration,
-    pub share: f64,
-}
-
-#[derive(Clone, Debug)]
-pub struct ModelConfig {
-    pub seed: u64,
-    pub entries: usize,
-    pub servers: usize,
-    pub load: f64,
-    pub service: Duration,
-    /// Work before the first token, a part of the service.
-    pub prefill: Duration,
-    pub lag: Duration,
-    pub report_every: Duration,
-    pub warm_up: Duration,
-    pub duration: Duration,
-    pub chooser: Chooser,
-    pub admission: AdmissionConfig,
-    pub classes: Vec<Class>,
-    pub outage: Option<Outage>,
-    /// Share of requests that all have one body.
-    pub same_body_share: f64,
-    /// Draw candidates by the body's fingerprint rather than anew for every request.
-    pub seeded: bool,
-}
-
-/// What one class met.
-pub struct ClassFigures {
-    pub wait_us: Histogram<u64>,
-    pub first_token_us: Histogram<u64>,
-    pub arrived: u64,
-    pub finished: u64,
-    pub refused: u64,
-}
-
-impl ClassFigures {
-    fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are valid");
-        Self {
-            wait_us: histogram(),
-            first_token_us: histogram(),
-            arrived: 0,
-            finished: 0,
-            refused: 0,
-        }
-    }
-}
-
-pub struct Figures {
-    pub classes: Vec<ClassFigures>,
-    pub tries: u64,
-    /// Work finished in the measured time, in seconds of a place.
-    pub work_done_s: f64,
-    /// How often the one same body ran on each backend server.
-    pub same_body_runs: Vec<u64>,
-}
-
-impl Figures {
-    pub fn arrived(&self) -> u64 {
-        self.classes.iter().map(|class| class.arrived).sum()
-    }
-
-    pub fn tries_per_request(&self) -> f64 {
-        self.tries as f64 / self.arrived() as f64
-    }
-
-    pub fn refused_share(&self) -> f64 {
-        let refused: u64 = self.classes.iter().map(|class| class.refused).sum();
-        refused as f64 / self.arrived() as f64
-    }
-
-    /// Share of the same body's runs that the eight servers with the most of them had.
-    pub fn same_body_share_of_top_8(&self) -> f64 {
-        let mut runs = self.same_body_runs.clone();
-        runs.sort_unstable_by_key(|runs| Reverse(*runs));
-        let all: u64 = runs.iter().sum();
-        runs.iter().take(8).sum::<u64>() as f64 / all.max(1) as f64
-    }
-
-    pub fn wait_s(&self, quantile: f64) -> f64 {
-        let mut all = self.classes[0].wait_us.clone();
-        for class in &self.classes[1..] {
-            all.add(&class.wait_us).expect("histograms share their bounds");
-        }
-        all.value_at_quantile(quantile) as f64 / 1e6
-    }
-}
-
 type RequestId = usize;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/policy/benches/overload.rs
+++ b/crates/policy/benches/overload.rs
@@ -10,7 +10,9 @@
 use flamingowheel_policy::routing::RoutingConfig;
 
 use model::baseline::{Baseline, Rule};
-use model::{Chooser, Class, Figures, Model, ModelConfig, Outage};
+use model::config::Outage;
+use model::limits::LimitsConfig;
+use model::{Chooser, Class, Figures, Model, ModelConfig};
 
 const SERVERS: usize = 64;
 const ENTRIES: usize = 8;
@@ -24,6 +26,7 @@
     };
     twice_capacity(seed);
     outage(seed);
+    limits(seed);
     ExitCode::SUCCESS
 }
 
@@ -92,6 +95,26 @@
     }
 }
 
+/// A limit over eight entries, as demand moves between them.
+fn limits(seed: u64) {
+    let ms = Duration::from_millis;
+    let cases = [
+        ("even_twice", 2.0, 8, 0.0, ms(2)),
+        ("even_half", 0.5, 8, 0.0, ms(2)),
+        ("one_entry_full", 1.0, 1, 0.0, ms(2)),
+        ("two_entries_half", 0.5, 2, 0.0, ms(2)),
+        ("two_entries_twice", 2.0, 2, 0.0, ms(2)),
+        ("two_entries_twice_lossy_late", 2.0, 2, 0.2, ms(3_000)),
+    ];
+    for (name, load, busy, loss, delay) in cases {
+        let config = LimitsConfig { seed, members: 8, load, busy, loss, delay };
+        let figures = model::limits::run(&config);
+        println!("limits_{name}_used={:.4}", figures.used);
+        println!("limits_{name}_overshoot_s={:.4}", figures.overshoot_s);
+        println!("limits_{name}_messages_per_s={:.2}", figures.messages_per_s);
+    }
+}
+
 fn config(seed: u64, load: f64) -> ModelConfig {
     let class = |share, priority, max_wait_s| Class {
         share,
--- a/crates/policy/benches/routing.rs
+++ b/crates/policy/benches/routing.rs
@@ -4,10 +4,12 @@
 mod model;
 
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flamingowheel_policy::admission::{AdmissionConfig, Priority};
-use flamingowheel_policy::routing::RoutingConfig;
+use flamingowheel_policy::key::{Fingerprint, ServerKey};
+use flamingowheel_policy::load::{Load, LoadBook};
+use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
 
 use model::baseline::{Baseline, Rule};
 use model::{Chooser, Class, Figures, Model, ModelConfig};
@@ -35,6 +37,7 @@
         println!("shipping_{entries}_entries_wait_p99_vs_best_of_2_with_8={ratio:.4}");
     }
     same_body(seed);
+    println!("shipping_choose_ns={:.0}", choose_ns());
     ExitCode::SUCCESS
 }
 
@@ -71,6 +74,30 @@
     }
 }
 
+/// Time of one decision over a cell of 64 backend servers with fresh knowledge of a half.
+fn choose_ns() -> f64 {
+    const ROUNDS: u32 = 200_000;
+    let keys: Vec<ServerKey> = (0..SERVERS as u64).map(ServerKey).collect();
+    let now = Duration::from_secs(10);
+    let mut book = LoadBook::default();
+    for (index, key) in keys.iter().enumerate() {
+        book.insert(*key);
+        let load = Load { running: 7, waiting: 0, places: 8, service_ms: 2_000 };
+        let as_of = if index % 2 == 0 { now } else { now - Duration::from_secs(2) };
+        book.on_report(*key, load, as_of);
+    }
+    let config = RoutingConfig::default();
+    let max_wait = Duration::from_secs(5);
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let fingerprint = Fingerprint(u128::from(round));
+        let request = RouteRequest { fingerprint, tried: &[], urgent: false, max_wait };
+        let choice = choose(&config, &request, &keys, &book, now, |_| Some(Duration::ZERO));
+        std::hint::black_box(choice.is_ok());
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
+
 fn shipping() -> Chooser {
     Chooser::Shipping(RoutingConfig::default())
 }
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -42,6 +42,9 @@
     pub loan: Duration,
     /// Shortest time between two requests for a loan.
     pub ask_every: Duration,
+    /// The time doubles, up to this, each time that no peer had anything to lend. Otherwise the
+    /// members of a workspace at its limit would keep asking each other.
+    pub ask_every_at_most: Duration,
     /// Time over which demand is averaged.
     pub demand_window: Duration,
 }
@@ -52,6 +55,7 @@
             burst: Duration::from_secs(1),
             loan: Duration::from_secs(5),
             ask_every: Duration::from_millis(100),
+            ask_every_at_most: Duration::from_millis(1_600),
             demand_window: Duration::from_secs(1),
         }
     }
@@ -146,7 +150,7 @@
 const HEADROOM: f64 = 1.2;
 /// Part of its base share that an entry never lends, so that its first callers after a quiet time
 /// are not refused until a loan ends.
-const KEPT: f64 = 0.25;
+const KEPT: f64 = 0.1;
 /// A small limit's bucket still holds one request, else it would admit none.
 const ONE_REQUEST: f64 = 1.0;
 /// Smallest part of a limit worth a message.
@@ -182,6 +186,8 @@
     number: u64,
     asked: HashMap<EntryKey, Asked>,
     last_asked: Option<Duration>,
+    ask_after: Duration,
+    asked_in_vain: usize,
     held: Vec<Held>,
     lent: HashMap<(EntryKey, u64), Lent>,
     requests: Bucket,
@@ -207,6 +213,8 @@
             number: 0,
             asked: HashMap::new(),
             last_asked: None,
+            ask_after: config.ask_every,
+            asked_in_vain: 0,
             held: Vec::new(),
             lent: HashMap::new(),
             requests: Bucket::default(),
@@ -282,7 +290,7 @@
     /// Whom to ask for a loan now, if one is needed.
     pub fn next_request(&mut self, now: Duration) -> Option<(EntryKey, LoanRequest)> {
         self.update(now);
-        let is_early = self.last_asked.is_some_and(|last| now < last + self.config.ask_every);
+        let is_early = self.last_asked.is_some_and(|last| now < last + self.ask_after);
         if is_early || self.peers.is_empty() {
             return None;
         }
@@ -294,6 +302,7 @@
         let missing = missing.max(MIN_ASKED);
         let lender = renewed.map_or_else(|| self.take_peer(), |held| held.lender);
         self.number += 1;
+        self.back_off();
         self.last_asked = Some(now);
         self.asked.insert(lender, Asked { number: self.number, at: now });
         let returns = renewed.map(|held| held.number);
@@ -337,6 +346,8 @@
         if loan.share <= 0.0 || until <= now {
             return;
         }
+        self.asked_in_vain = 0;
+        self.ask_after = self.config.ask_every;
         self.held.push(Held { lender, number: loan.number, share: loan.share, until });
     }
 
@@ -374,6 +385,15 @@
         Some(held)
     }
 
+    /// Counts a request as in vain until a loan comes.
+    fn back_off(&mut self) {
+        self.asked_in_vain += 1;
+        if self.asked_in_vain > self.peers.len() {
+            self.asked_in_vain = 0;
+            self.ask_after = (self.ask_after * 2).min(self.config.ask_every_at_most);
+        }
+    }
+
     fn take_peer(&mut self) -> EntryKey {
         let peer = self.peers[self.next_peer % self.peers.len()];
         self.next_peer += 1;
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -132,8 +132,8 @@
     let _warm_up: u32 = (0..1_000).map(|_| subset.step(&rates)).sum();
     let admitted: u32 = (0..2_000).map(|_| subset.step(&rates)).sum();
     let used = f64::from(admitted) / (LIMITS.requests_per_s * 20.0);
-    // Seven peers keep a quarter of their share each.
-    assert!(used >= 0.75, "{used}");
+    // Seven peers keep a tenth of their share each.
+    assert!(used >= 0.88, "{used}");
 }
 
 #[test]
--- a/crates/policy/tests/suspicion.rs
+++ b/crates/policy/tests/suspicion.rs
@@ -134,10 +134,13 @@
     crashes: u64,
     lost: HashSet<ServerKey>,
     now: Duration,
+    /// Longest time a notice takes to another entry.
+    notice: Duration,
+    notices: Vec<(Duration, usize, Vec<SuspectRecord>)>,
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, notice: Duration) -> Self {
         let keys: Vec<ServerKey> = (0..SERVERS as u64).map(ServerKey).collect();
         let mut load = LoadBook::default();
         keys.iter().for_each(|key| assert!(load.insert(*key)));
@@ -150,10 +153,22 @@
             crashes: 0,
             lost: HashSet::new(),
             now: Duration::ZERO,
+            notice,
+            notices: Vec::new(),
         }
     }
 
-    /// The agent tells every entry of its cell; each record is told twice and in any order.
+    fn advance(&mut self, elapsed: Duration) {
+        self.now += elapsed;
+        for (at, entry, records) in std::mem::take(&mut self.notices) {
+            match at <= self.now {
+                true => self.entries[entry].merge(&records, self.now),
+                false => self.notices.push((at, entry, records)),
+            }
+        }
+    }
+
+    /// The agent's notice reaches every entry of its cell, each at its own time and twice.
     fn crash(&mut self, server: ServerKey, running: &[Fingerprint]) {
         self.crashes += 1;
         self.lost.insert(server);
@@ -166,9 +181,9 @@
 
     fn spread(&mut self, from: usize) {
         let records = self.entries[from].take_changes(self.now);
-        for entry in &mut self.entries {
-            entry.merge(&records, self.now);
-            entry.merge(&records, self.now);
+        for entry in (0..ENTRIES).chain(0..ENTRIES) {
+            let at = self.now + self.notice.mul_f64(self.rng.random());
+            self.notices.push((at, entry, records.clone()));
         }
     }
 
@@ -218,14 +233,16 @@
 
 /// A batch with one killer crashes; then every request is sent again, the killer 200 times, often
 /// through several entries at once.
-fn run_batch(seed: u64) -> Outcome {
-    let mut fleet = Fleet::new(seed);
+fn run_batch(seed: u64, notice: Duration) -> Outcome {
+    let mut fleet = Fleet::new(seed, notice);
     let batch: Vec<Fingerprint> = (0..BATCH as u128).map(Fingerprint).collect();
     let killer = batch[0];
     fleet.crash(ServerKey(seed % SERVERS as u64), &batch);
     let (mut refused, mut finished) = (0, 0);
     for round in 0..200 {
-        fleet.now += Duration::from_millis(fleet.rng.random_range(1..60_000));
+        let longest_ms = if round % 2 == 0 { 3 } else { 60_000 };
+        let pause_ms = fleet.rng.random_range(2..=longest_ms);
+        fleet.advance(Duration::from_millis(pause_ms));
         let copies = fleet.rng.random_range(1..=ENTRIES);
         let entries: Vec<usize> = (0..copies).map(|_| fleet.rng.random_range(0..ENTRIES)).collect();
         fleet.send_at_once(killer, true, &entries);
@@ -241,13 +258,14 @@
 }
 
 // One request crashes every backend server that runs it and its caller sends it again and again,
-// through all entries, also at the same moment. Without suspicion each copy costs a backend server
+// through all entries, also at the same moment, from 2 ms after the answer broke off. The agent's
+// notice takes up to 2 ms to each entry. Without suspicion each copy costs a backend server
 // and everything that runs beside it; a user sees answers break off all over the fleet.
 #[test]
 fn suspicion_killer_sent_again_two_servers_lost() {
     let (mut refused, mut innocents) = (0, 0);
     for seed in 0..50 {
-        let outcome = run_batch(seed);
+        let outcome = run_batch(seed, Duration::from_millis(2));
         assert!(outcome.servers_lost <= 2, "seed {seed}: {} lost", outcome.servers_lost);
         refused += outcome.innocents_refused;
         innocents += outcome.innocents_refused + outcome.innocents_finished;
