--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -9,7 +9,7 @@
 use crate::effective::{ConfigRevision, Documents};
 use crate::replica::Replica;
 use flamingowheel_platform::kv::{
-    Compare, KeyValue, KeyValueEntry, KeyValueError, Operation, Revision, Transaction,
+    Compare, KeyValue, KeyValueEntry, KeyValueError, Operation, Revision, Transaction, Watch,
 };
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, HashMap};
@@ -134,6 +134,11 @@
         changes.map(|change| change.map(|c| (c.revision(), Arc::new(c)))).collect()
     }
 
+    /// Opens a watch that brings every change written after a revision of the service.
+    pub async fn watch_log(&self, after: Revision) -> Result<Watch, StoreError> {
+        Ok(self.kv.watch(LOG_PREFIX, after).await?)
+    }
+
     /// Brings a replica up to the head: one call if it is there already, two if it lags by a
     /// few changes.
     pub async fn catch_up(&self, replica: &mut Replica) -> Result<HeadEntry, StoreError> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,19 @@
-//! Skeleton.
+//! Control: which entries there are, how the configuration reaches all of them, and the
+//! operators' interface.
+//!
+//! * [`membership`]: what one process believes of the others, as a pure table.
+//! * [`topology`]: who watches whom, computed from the table.
+//! * [`pause`]: noticing that this process itself stood still.
+//! * [`node`]: the state of one process, and its answers to peers.
+//! * [`spread`]: the loops that keep it up to date.
+//! * [`transport`] and [`websocket`]: how peers are reached.
+
+mod fetch;
+pub mod membership;
+pub mod node;
+pub mod pause;
+mod service;
+pub mod spread;
+pub mod topology;
+pub mod transport;
+pub mod websocket;
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,458 @@
+//! The control state of one entry, and its answers to peers.
+
+mod answers;
+
+use crate::membership::{Observation, Table};
+use crate::topology::{Place, Topology};
+use flamingowheel_config::api::ConfigSource;
+use flamingowheel_config::change::Change;
+use flamingowheel_config::effective::{ConfigRevision, Effective};
+use flamingowheel_config::replica::{AdvanceError, Replica};
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::peer::{Heartbeat, HeartbeatAnswer, MemberRecord, MemberState};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// After a pause, how long requests are refused while nobody confirms the configuration. Beyond
+/// it the process serves with what it has: it is cut off, and its callers may have nobody else.
+pub const CONFIRM_LIMIT: Duration = Duration::from_secs(3);
+
+/// The control state of one entry; clones share it.
+#[derive(Clone)]
+pub struct Node {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    effective: watch::Sender<Arc<Effective>>,
+    progress: watch::Sender<Progress>,
+    recorder: Recorder,
+}
+
+struct State {
+    table: Table,
+    replica: Replica,
+    source: ConfigSource,
+    /// Set while nobody has confirmed the configuration since a pause.
+    unconfirmed_since: Option<Instant>,
+    confirmed_at: Option<Instant>,
+    key_value_answered_at: Option<Instant>,
+    cursors: HashMap<String, Cursor>,
+    random: StdRng,
+}
+
+/// How far two processes have told each other their news.
+#[derive(Clone, Copy)]
+struct Cursor {
+    incarnation: Incarnation,
+    theirs: u64,
+    ours: u64,
+}
+
+/// What heartbeats are held for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// The configuration in force.
+    pub revision: ConfigRevision,
+    /// Version of the table of members.
+    pub version: u64,
+}
+
+/// What is shown of one process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// What it says of itself.
+    pub record: MemberRecord,
+    /// The state that counts.
+    pub state: MemberState,
+    /// How long ago it was heard, or anything was heard of it.
+    pub heard_ago: Duration,
+}
+
+/// What an answer to a heartbeat leaves to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Followup {
+    /// The peer has nothing newer.
+    None,
+    /// The peer has this newer revision.
+    Fetch(ConfigRevision),
+}
+
+impl Node {
+    /// The state of an entry that has just started.
+    pub fn new(own: MemberRecord, recorder: Recorder) -> Self {
+        let random = StdRng::seed_from_u64(own.incarnation.0);
+        let state = State {
+            random,
+            table: Table::new(own, Instant::now()),
+            replica: Replica::default(),
+            source: ConfigSource::None,
+            unconfirmed_since: None,
+            confirmed_at: None,
+            key_value_answered_at: None,
+            cursors: HashMap::new(),
+        };
+        let shared = Shared {
+            state: Mutex::new(state),
+            effective: watch::Sender::new(Arc::default()),
+            progress: watch::Sender::default(),
+            recorder,
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// The configuration in force, now and later.
+    pub fn effective(&self) -> watch::Receiver<Arc<Effective>> {
+        self.shared.effective.subscribe()
+    }
+
+    /// Revision and table version, now and later.
+    pub fn progress(&self) -> watch::Receiver<Progress> {
+        self.shared.progress.subscribe()
+    }
+
+    /// Where events are recorded.
+    pub fn recorder(&self) -> &Recorder {
+        &self.shared.recorder
+    }
+
+    /// The documents and newest changes.
+    pub fn replica(&self) -> Replica {
+        self.state().replica.clone()
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> ConfigRevision {
+        self.state().replica.revision()
+    }
+
+    /// Where the configuration came from.
+    pub fn source(&self) -> ConfigSource {
+        self.state().source
+    }
+
+    /// What this process says of itself.
+    pub fn own(&self) -> MemberRecord {
+        self.state().table.own().clone()
+    }
+
+    /// How long ago the key-value service answered this process.
+    pub fn key_value_answered_ago(&self) -> Option<Duration> {
+        self.state().key_value_answered_at.map(|at| at.elapsed())
+    }
+
+    /// Whether new requests may be taken: there is a configuration, and after a pause somebody
+    /// confirmed that it is the newest, or nobody could be asked for [`CONFIRM_LIMIT`].
+    pub fn may_serve(&self) -> bool {
+        let state = self.state();
+        let confirmed = state.unconfirmed_since.is_none_or(|since| since.elapsed() > CONFIRM_LIMIT);
+        state.source != ConfigSource::None && confirmed
+    }
+
+    /// Every entry known, this one included.
+    pub fn members(&self) -> Vec<MemberView> {
+        let state = self.state();
+        let view = |member: &crate::membership::Member| MemberView {
+            record: member.record.clone(),
+            state: state.table.state(member),
+            heard_ago: member.heard_at.elapsed(),
+        };
+        state.table.members().map(view).collect()
+    }
+
+    /// Says to everybody that this entry takes no new requests.
+    pub fn leave(&self) {
+        self.change(|state| {
+            state.table.leave();
+            Vec::new()
+        });
+    }
+
+    /// Takes a newer replica; an older one changes nothing. Tells whether it was newer.
+    pub fn adopt(&self, replica: Replica, origin: Origin) -> bool {
+        let offered = replica.revision();
+        let (taken, own) = self.configure(origin, |own| own.adopt(replica));
+        if !taken && offered < own {
+            let event = Event::OlderConfigurationRefused { revision: offered.0, in_force: own.0 };
+            self.shared.recorder.record(event);
+        }
+        taken
+    }
+
+    /// Takes the changes that follow; those it has are passed over.
+    pub fn advance(&self, changes: Vec<Arc<Change>>, origin: Origin) -> Result<(), AdvanceError> {
+        let mut gap = Ok(());
+        self.configure(origin, |own| {
+            let before = own.revision();
+            for change in changes {
+                match own.advance(change) {
+                    Ok(()) | Err(AdvanceError::Old { .. }) => {}
+                    Err(error) => {
+                        gap = Err(error);
+                        break;
+                    }
+                }
+            }
+            own.revision() > before
+        });
+        gap
+    }
+
+    /// Changes the replica and, if it moved, puts its configuration in force.
+    fn configure<F>(&self, origin: Origin, change: F) -> (bool, ConfigRevision)
+    where
+        F: FnOnce(&mut Replica) -> bool,
+    {
+        let mut state = self.state();
+        let moved = change(&mut state.replica);
+        let revision = state.replica.revision();
+        if moved {
+            // Published under the lock, so that an older one can't come after a newer one.
+            let effective = Arc::new(Effective::new(state.replica.documents()));
+            self.shared.effective.send_replace(effective);
+            self.publish(&state);
+            let event = Event::ConfigurationInForce { revision: revision.0, source: origin };
+            self.shared.recorder.record(event);
+        }
+        (moved, revision)
+    }
+
+    /// The key-value service answered, and the replica is as new as it said.
+    pub fn confirm_by_service(&self) {
+        let mut state = self.state();
+        state.key_value_answered_at = Some(Instant::now());
+        state.source = ConfigSource::KeyValue;
+        state.confirm();
+    }
+
+    /// Peers were asked, and none has anything newer.
+    pub fn confirm_by_peers(&self, from_service: bool) {
+        let mut state = self.state();
+        state.source = match state.source {
+            ConfigSource::KeyValue => ConfigSource::KeyValue,
+            _ if from_service => ConfigSource::KeyValue,
+            _ => ConfigSource::PeersOnly,
+        };
+        state.confirm();
+    }
+
+    /// How long nobody has confirmed the configuration.
+    pub fn unconfirmed_for(&self) -> Option<Duration> {
+        self.state().confirmed_at.map(|at| at.elapsed())
+    }
+
+    /// This process stood still: it trusts nothing that it believed.
+    pub fn distrust(&self) {
+        let now = Instant::now();
+        self.change(|state| {
+            state.table.forget_times(now);
+            state.unconfirmed_since = Some(now);
+            Vec::new()
+        });
+    }
+
+    /// Spreads what many processes do at the same interval.
+    pub(crate) fn jitter(&self, interval: Duration) -> Duration {
+        interval.mul_f64(self.state().random.random_range(0.9..1.1))
+    }
+
+    /// Any one of these.
+    pub(crate) fn choose<'a, T>(&self, from: &'a [T]) -> Option<&'a T> {
+        from.choose(&mut self.state().random)
+    }
+
+    /// What to tell a peer: everything it has not had.
+    pub fn heartbeat(&self, peer: Option<&str>, hold: Duration) -> Heartbeat {
+        let state = self.state();
+        let cursor = peer.and_then(|peer| state.cursors.get(peer));
+        Heartbeat {
+            from: state.table.own().clone(),
+            revision: state.replica.revision().0,
+            after: cursor.map_or(0, |cursor| cursor.theirs),
+            hold_ms: hold.as_millis() as u32,
+            news: state.table.news_after(cursor.map_or(0, |cursor| cursor.ours)),
+        }
+    }
+
+    /// Takes a peer's answer; `told` is the own table version that the heartbeat was made at.
+    pub fn take_answer(&self, answer: HeartbeatAnswer, told: u64) -> Followup {
+        let offered = ConfigRevision(answer.revision);
+        let (name, incarnation) = (answer.from.name.clone(), answer.from.incarnation);
+        let from_service = answer.from_service;
+        self.change(|state| {
+            let known = state.cursors.get(&name);
+            let restarted = known.is_some_and(|cursor| cursor.incarnation != incarnation);
+            // A peer that restarted lost what it was told and counts versions anew.
+            let cursor = match restarted {
+                true => Cursor { incarnation, theirs: 0, ours: 0 },
+                false => Cursor { incarnation, theirs: answer.version, ours: told },
+            };
+            state.cursors.insert(name, cursor);
+            state.take(answer.from, answer.news)
+        });
+        if offered > self.revision() {
+            return Followup::Fetch(offered);
+        }
+        if offered == self.revision() {
+            self.confirm_by_peers(from_service);
+        }
+        Followup::None
+    }
+
+    /// Table version, to be noted before a heartbeat is made.
+    pub fn table_version(&self) -> u64 {
+        self.state().table.version()
+    }
+
+    /// Digest of the table of members.
+    pub fn digest(&self) -> u64 {
+        self.state().table.digest()
+    }
+
+    /// Calls those of `watched` silent that were not heard for `limit`.
+    ///
+    /// A process that hears hardly anybody is more likely cut off itself. Its accusations would
+    /// all go round once it is back, and for a while take everybody out of address answers. So
+    /// it accuses only if it heard most of the others for `longer` than the accused, a time that
+    /// must exceed the one between two words of a healthy peer, or if the key-value service
+    /// answers it.
+    pub fn accuse_unheard(&self, watched: &[String], limit: Duration, longer: Duration) {
+        self.change(|state| {
+            let heard = |name: &String| state.table.member(name).map(|member| member.heard_at);
+            let times: Vec<(&String, Instant)> =
+                watched.iter().filter_map(|name| Some((name, heard(name)?))).collect();
+            let in_touch = state.key_value_answered_at.is_some_and(|at| at.elapsed() < 2 * limit);
+            let most_heard_since = |at: Instant| {
+                2 * times.iter().filter(|(_, other)| *other >= at + longer).count() >= times.len()
+            };
+            let unheard = times
+                .iter()
+                .filter(|(_, at)| at.elapsed() >= limit && (in_touch || most_heard_since(*at)))
+                .map(|(name, _)| *name);
+            unheard.filter_map(|name| state.table.accuse(name)).collect()
+        });
+    }
+
+    /// Changes the table of members, and tells waiting peers and the event log what came of it.
+    pub(crate) fn change_table<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Table) -> Vec<Observation>,
+    {
+        self.change(|state| change(&mut state.table));
+    }
+
+    fn change<F>(&self, change: F)
+    where
+        F: FnOnce(&mut State) -> Vec<Observation>,
+    {
+        let mut state = self.state();
+        let observations = change(&mut state);
+        self.publish(&state);
+        drop(state);
+        observations.into_iter().for_each(|observation| self.report(observation));
+    }
+
+    fn report(&self, observation: Observation) {
+        match observation {
+            Observation::Changed { name, state } => {
+                let event = Event::MemberChanged { member: name.into(), state: seen(state) };
+                self.shared.recorder.record(event);
+            }
+            Observation::NameClaimed => {
+                tracing::warn!("another start of a process with this name is known; overriding it");
+            }
+        }
+    }
+
+    fn publish(&self, state: &State) {
+        let progress =
+            Progress { revision: state.replica.revision(), version: state.table.version() };
+        self.shared.progress.send_if_modified(|own| std::mem::replace(own, progress) != progress);
+    }
+
+    /// The names this process polls, and those that should poll it.
+    pub fn neighbours(&self) -> (Vec<String>, Vec<String>) {
+        self.with_topology(|topology, own| {
+            let (centre, name) = (own.data_centre.as_str(), own.name.as_str());
+            (owned(topology.polled_by(centre, name)), owned(topology.polling(centre, name)))
+        })
+    }
+
+    /// Whether this process watches the key-value service for its data centre.
+    pub fn is_watcher(&self) -> bool {
+        self.with_topology(|topology, own| topology.is_watcher(&own.data_centre, &own.name))
+    }
+
+    /// Whether this process reads the VM list for the fleet.
+    pub fn reads_vm_list(&self) -> bool {
+        self.with_topology(|topology, own| topology.reads_vm_list(&own.data_centre, &own.name))
+    }
+
+    fn with_topology<T, F>(&self, use_it: F) -> T
+    where
+        F: FnOnce(&Topology<'_>, &MemberRecord) -> T,
+    {
+        let state = self.state();
+        let own = state.table.own();
+        let counts =
+            |record: &MemberRecord| record.name == own.name || record.state < MemberState::Silent;
+        let members = state.table.members().map(|member| &member.record);
+        let topology = Topology::new(members.filter(|record| counts(record)).map(place));
+        use_it(&topology, own)
+    }
+
+    /// Inner address of a member.
+    pub fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
+        self.state().table.member(name).map(|member| member.record.inner)
+    }
+
+    /// A panic while the lock is held leaves whole values, since each change is one assignment.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn confirm(&mut self) {
+        self.unconfirmed_since = None;
+        self.confirmed_at = Some(Instant::now());
+    }
+
+    fn take(
+        &mut self,
+        from: MemberRecord,
+        news: flamingowheel_protocol::peer::News,
+    ) -> Vec<Observation> {
+        let now = Instant::now();
+        let mut observations = self.table.merge(news, now);
+        observations.extend(self.table.heard(from, now));
+        observations
+    }
+}
+
+fn place(record: &MemberRecord) -> Place<'_> {
+    Place { data_centre: &record.data_centre, name: &record.name }
+}
+
+fn owned(names: Vec<&str>) -> Vec<String> {
+    names.into_iter().map(str::to_owned).collect()
+}
+
+fn seen(state: MemberState) -> Seen {
+    match state {
+        MemberState::Live => Seen::Live,
+        MemberState::Leaving => Seen::Leaving,
+        MemberState::Silent => Seen::Suspected,
+        MemberState::Gone => Seen::Gone,
+    }
+}
--- /dev/null
+++ b/crates/control/src/node/answers.rs
@@ -0,0 +1,73 @@
+//! Answers to peers.
+
+use super::{Node, Progress};
+use flamingowheel_config::api::ConfigSource;
+use flamingowheel_config::bucket::{Bucket, BucketId, WORKSPACE_BUCKETS, encode};
+use flamingowheel_config::effective::ConfigRevision;
+use flamingowheel_protocol::peer::{
+    Heartbeat, HeartbeatAnswer, PeerAnswer, PeerRequest, StoredValue,
+};
+use std::time::Duration;
+
+/// Longest time an answer to a heartbeat is held.
+const MAX_HOLD: Duration = Duration::from_secs(10);
+
+impl Node {
+    /// Answers a peer. A heartbeat is held until there is news, so that a change travels down in
+    /// round trips and not in polling intervals.
+    pub async fn answer(&self, request: PeerRequest) -> PeerAnswer {
+        match request {
+            PeerRequest::Heartbeat(heartbeat) => self.answer_heartbeat(*heartbeat).await,
+            PeerRequest::Changes { after } => self.answer_changes(ConfigRevision(after)),
+            PeerRequest::Bucket { number } => self.answer_bucket(number),
+            PeerRequest::Status => self.answer_status(),
+        }
+    }
+
+    async fn answer_heartbeat(&self, heartbeat: Heartbeat) -> PeerAnswer {
+        let Heartbeat { from, revision, after, hold_ms, news } = heartbeat;
+        self.change(|state| state.take(from, news));
+        let hold = Duration::from_millis(u64::from(hold_ms)).min(MAX_HOLD);
+        let mut progress = self.progress();
+        let news = |own: &Progress| own.revision.0 > revision || own.version > after;
+        // Running out of time only means that there is no news.
+        let _ = tokio::time::timeout(hold, progress.wait_for(news)).await;
+        let state = self.state();
+        PeerAnswer::Heartbeat(Box::new(HeartbeatAnswer {
+            from: state.table.own().clone(),
+            revision: state.replica.revision().0,
+            from_service: state.source == ConfigSource::KeyValue,
+            version: state.table.version(),
+            news: state.table.news_after(after),
+        }))
+    }
+
+    fn answer_changes(&self, after: ConfigRevision) -> PeerAnswer {
+        match self.state().replica.changes_after(after) {
+            Some(changes) => {
+                let stored = changes.iter().map(|change| StoredValue(encode(&**change)));
+                PeerAnswer::Changes(stored.collect())
+            }
+            None => PeerAnswer::NotKept,
+        }
+    }
+
+    fn answer_bucket(&self, number: u8) -> PeerAnswer {
+        let documents = self.state().replica.documents().clone();
+        let id = match number.checked_sub(1) {
+            None => BucketId::Templates,
+            Some(number) => BucketId::Workspaces(number % WORKSPACE_BUCKETS),
+        };
+        let value = StoredValue(encode(&Bucket::of(id, &documents)));
+        PeerAnswer::Bucket { revision: documents.revision.0, value }
+    }
+
+    fn answer_status(&self) -> PeerAnswer {
+        let state = self.state();
+        PeerAnswer::Status {
+            record: Box::new(state.table.own().clone()),
+            revision: state.replica.revision().0,
+            digest: state.table.digest(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/spread.rs
@@ -0,0 +1,308 @@
+//! The loops that bring configuration and members up to date.
+//!
+//! Every process polls its parents, so news travels down from the watchers; the watchers get it
+//! from the key-value service. Besides, each process now and then probes one random member, the
+//! silent ones too: that finds out what the order of the parents might miss, and joins two halves
+//! of a fleet again after they lost each other.
+
+use crate::fetch::Fetcher;
+use crate::node::{Followup, Node};
+use crate::pause::{PauseDetector, TICK};
+use crate::transport::{PeerError, PeerTransport};
+use flamingowheel_config::store::Store;
+use flamingowheel_platform::vm::VmList;
+use flamingowheel_protocol::peer::{MemberState, PeerAnswer, PeerRequest};
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Times that the loops go by.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// How long a parent holds its answer while it has no news.
+    pub hold: Duration,
+    /// The same between watchers of different data centres.
+    pub remote_hold: Duration,
+    /// How long an answer may take beyond the hold.
+    pub answer_limit: Duration,
+    /// After how long without a word a watched process is called silent.
+    pub silence_limit: Duration,
+    /// How often a watcher reads the head, since a watch may have gone deaf.
+    pub periodic_read: Duration,
+    /// How often a random member is probed.
+    pub probe: Duration,
+    /// How often the VM list is read by those that do.
+    pub vm_list: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_secs(1),
+            remote_hold: Duration::from_secs(3),
+            answer_limit: Duration::from_secs(1),
+            silence_limit: Duration::from_secs(5),
+            periodic_read: Duration::from_secs(5),
+            probe: Duration::from_secs(5),
+            vm_list: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Pause after a poll that failed.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the wanted polls are compared with the running ones.
+const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the loops work with.
+#[derive(Clone)]
+pub struct Spread {
+    /// This process.
+    pub node: Node,
+    /// The configuration in the key-value service.
+    pub store: Store,
+    /// The other entries.
+    pub peers: Arc<dyn PeerTransport>,
+    /// The VM list.
+    pub vms: Arc<dyn VmList>,
+    /// Inner addresses to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Times.
+    pub timing: Timing,
+}
+
+impl Spread {
+    /// Starts, then runs until `stop` fires.
+    pub async fn run(self, stop: CancellationToken) {
+        let loops = async {
+            self.start().await;
+            tokio::join!(
+                self.tick(),
+                self.poll_neighbours(),
+                self.probe_members(),
+                self.read_vm_list(),
+                crate::service::follow(&self),
+            );
+        };
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = loops => {}
+        }
+    }
+
+    pub(crate) fn fetcher(&self) -> Fetcher<'_> {
+        Fetcher { node: &self.node, peers: &*self.peers, answer_limit: self.timing.answer_limit }
+    }
+
+    /// Gets a first configuration, from peers or the key-value service, whichever has the newest.
+    ///
+    /// While the service is down the highest revision among the peers is taken; an older peer
+    /// asked later changes nothing.
+    async fn start(&self) {
+        loop {
+            let from_peers = self.ask_seeds().await;
+            let from_service = crate::service::catch_up_once(self).await;
+            if from_service {
+                return;
+            }
+            if from_peers {
+                tracing::warn!(
+                    revision = self.node.revision().0,
+                    "key-value service unreachable; started with the highest revision of the peers"
+                );
+                return;
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    /// Asks all seeds at once and fetches from the highest; tells whether that left a
+    /// configuration.
+    async fn ask_seeds(&self) -> bool {
+        let asked = self.seeds.iter().map(|seed| async {
+            match self.poll(*seed, None, Duration::ZERO).await {
+                Ok(Followup::Fetch(revision)) => Some((revision, *seed)),
+                _ => None,
+            }
+        });
+        let mut offers: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+        offers.sort_unstable();
+        for (revision, seed) in offers.into_iter().rev() {
+            // A lower offer is tried only if the higher one's giver failed meanwhile.
+            if self.fetcher().fetch(seed, revision).await.is_ok() {
+                self.node.confirm_by_peers(false);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// One heartbeat; tells what it leaves to do.
+    async fn poll(
+        &self,
+        peer: SocketAddr,
+        name: Option<&str>,
+        hold: Duration,
+    ) -> Result<Followup, PeerError> {
+        let told = self.node.table_version();
+        let asked_at = Instant::now();
+        let request = PeerRequest::Heartbeat(Box::new(self.node.heartbeat(name, hold)));
+        let limit = hold + self.timing.answer_limit;
+        let answer = timeout(limit, self.peers.ask(peer, request)).await;
+        let answer = answer.map_err(|_| PeerError::Silent)??;
+        // After a pause of this process an answer from before lies ready, and a timeout lets a
+        // ready answer pass. It would confirm a configuration that was replaced since.
+        if asked_at.elapsed() > limit {
+            return Err(PeerError::Silent);
+        }
+        match answer {
+            PeerAnswer::Heartbeat(answer) => Ok(self.node.take_answer(*answer, told)),
+            _ => Err(PeerError::Unexpected),
+        }
+    }
+
+    async fn poll_and_fetch(
+        &self,
+        peer: SocketAddr,
+        name: &str,
+        hold: Duration,
+    ) -> Result<(), PeerError> {
+        match self.poll(peer, Some(name), hold).await? {
+            Followup::None => Ok(()),
+            Followup::Fetch(revision) => self.fetcher().fetch(peer, revision).await,
+        }
+    }
+
+    /// Keeps one poll running for each wanted neighbour.
+    async fn poll_neighbours(&self) {
+        let mut polls = FuturesUnordered::new();
+        let mut running: HashMap<String, CancellationToken> = HashMap::new();
+        loop {
+            let (wanted, _) = self.node.neighbours();
+            running.retain(|name, stop| {
+                let kept = wanted.contains(name);
+                if !kept {
+                    stop.cancel();
+                }
+                kept
+            });
+            for name in wanted {
+                if !running.contains_key(&name) {
+                    let stop = CancellationToken::new();
+                    running.insert(name.clone(), stop.clone());
+                    polls.push(stop.run_until_cancelled_owned(self.poll_one(name)));
+                }
+            }
+            tokio::select! {
+                _ = polls.next(), if !polls.is_empty() => {}
+                () = sleep(NEIGHBOUR_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Polls for as long as it is let.
+    async fn poll_one(&self, name: String) {
+        loop {
+            let hold = self.hold_for(&name);
+            let polled = match self.node.address(&name) {
+                Some(peer) => self.poll_and_fetch(peer, &name, hold).await,
+                None => Err(PeerError::Unreachable),
+            };
+            if polled.is_err() {
+                sleep(RETRY_INTERVAL).await;
+            }
+        }
+    }
+
+    fn hold_for(&self, name: &str) -> Duration {
+        let own = self.node.own();
+        let members = self.node.members();
+        let peer = members.iter().find(|member| member.record.name == name);
+        match peer {
+            Some(peer) if peer.record.data_centre != own.data_centre => self.timing.remote_hold,
+            _ => self.timing.hold,
+        }
+    }
+
+    /// Looks at the clock and at those that this process watches.
+    async fn tick(&self) {
+        let mut detector = PauseDetector::new(Instant::now());
+        loop {
+            sleep(TICK).await;
+            if let Some(gap) = detector.tick(Instant::now()) {
+                tracing::warn!(gap_ms = gap.as_millis() as u64, "this process stood still");
+                self.node.distrust();
+                continue;
+            }
+            let (polled, polling) = self.node.neighbours();
+            let watched = [polled, polling].concat();
+            let longer = self.timing.remote_hold + self.timing.answer_limit / 2;
+            self.node.accuse_unheard(&watched, self.watched_limit(), longer);
+            self.node.change_table(|table| {
+                table.expire(Instant::now());
+                Vec::new()
+            });
+        }
+    }
+
+    /// Neighbours of other data centres are heard less often; one limit serves both.
+    fn watched_limit(&self) -> Duration {
+        self.timing.silence_limit.max(self.timing.remote_hold + self.timing.answer_limit)
+    }
+
+    async fn probe_members(&self) {
+        loop {
+            sleep(self.node.jitter(self.timing.probe)).await;
+            let own = self.node.own().name;
+            let others: Vec<_> = self
+                .node
+                .members()
+                .into_iter()
+                .filter(|member| member.record.name != own && member.state != MemberState::Gone)
+                .collect();
+            let Some(chosen) = self.node.choose(&others) else {
+                self.ask_seeds().await;
+                continue;
+            };
+            let (name, peer) = (&chosen.record.name, chosen.record.inner);
+            // It may be gone; those that watch it find out.
+            let _ = self.probe(name, peer).await;
+        }
+    }
+
+    /// Compares tables by their digest first: whole tables between random pairs would cost more
+    /// than everything else together.
+    async fn probe(&self, name: &str, peer: SocketAddr) -> Result<(), PeerError> {
+        let asked = timeout(self.timing.answer_limit, self.peers.ask(peer, PeerRequest::Status));
+        let PeerAnswer::Status { revision, digest, .. } =
+            asked.await.map_err(|_| PeerError::Silent)??
+        else {
+            return Err(PeerError::Unexpected);
+        };
+        if digest == self.node.digest() && revision <= self.node.revision().0 {
+            return Ok(());
+        }
+        self.poll_and_fetch(peer, name, Duration::ZERO).await
+    }
+
+    async fn read_vm_list(&self) {
+        loop {
+            sleep(self.node.jitter(self.timing.vm_list)).await;
+            if !self.node.reads_vm_list() {
+                continue;
+            }
+            let Ok(vms) = self.vms.list().await else { continue };
+            let listed = vms.iter().map(|vm| vm.name.as_str()).collect();
+            let leaving =
+                vms.iter().filter(|vm| vm.state == flamingowheel_platform::vm::VmState::Leaving);
+            let leaving = leaving.map(|vm| vm.name.as_str()).collect();
+            self.node.change_table(|table| table.merge_vm_list(&listed, &leaving));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/topology.rs
@@ -0,0 +1,162 @@
+//! Who watches whom, computed by every process alone from its table.
+//!
+//! The entries of a data centre stand in an order by the hash of their names. The first
+//! [`WATCHERS`] watch the key-value service. Everyone else polls two parents further up, so that
+//! one of them may fail. The watchers of a data centre poll those of every other, for news of
+//! members. Where two processes' tables differ, a few links are missing or too many for a while;
+//! nothing else depends on the order.
+
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Entries of a data centre that watch the key-value service.
+pub const WATCHERS: usize = 2;
+/// Children of one parent, for each of its two ranks as parent.
+pub const FANOUT: usize = 4;
+
+/// One entry as the topology sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place<'a> {
+    /// Its data centre.
+    pub data_centre: &'a str,
+    /// Its name.
+    pub name: &'a str,
+}
+
+/// The order of all entries, by data centre.
+#[derive(Clone, Debug, Default)]
+pub struct Topology<'a> {
+    orders: BTreeMap<&'a str, Vec<&'a str>>,
+}
+
+impl<'a> Topology<'a> {
+    /// Orders the entries.
+    ///
+    /// ```
+    /// use flamingowheel_control::topology::{Place, Topology};
+    /// let names: Vec<String> = (0..9).map(|number| format!("e{number}")).collect();
+    /// let places = names.iter().map(|name| Place { data_centre: "macon-1", name });
+    /// let topology = Topology::new(places);
+    /// assert_eq!(names.iter().filter(|name| topology.is_watcher("macon-1", name)).count(), 2);
+    /// ```
+    pub fn new<I>(places: I) -> Self
+    where
+        I: IntoIterator<Item = Place<'a>>,
+    {
+        let mut orders: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for place in places {
+            orders.entry(place.data_centre).or_default().push(place.name);
+        }
+        for order in orders.values_mut() {
+            order.sort_by_key(|name| (xxh3_64(name.as_bytes()), *name));
+            order.dedup();
+        }
+        Self { orders }
+    }
+
+    /// Whether this entry watches the key-value service for its data centre.
+    pub fn is_watcher(&self, data_centre: &str, name: &str) -> bool {
+        self.watchers(data_centre).contains(&name)
+    }
+
+    /// Whether this entry reads the VM list: the watchers of one data centre do so for the fleet.
+    pub fn reads_vm_list(&self, data_centre: &str, name: &str) -> bool {
+        let first = self.orders.keys().min_by_key(|own| (xxh3_64(own.as_bytes()), **own));
+        first == Some(&data_centre) && self.is_watcher(data_centre, name)
+    }
+
+    /// The entries that this one polls.
+    pub fn polled_by(&self, data_centre: &str, name: &str) -> Vec<&'a str> {
+        let order = self.order(data_centre);
+        let Some(rank) = order.iter().position(|other| *other == name) else {
+            return self.watchers(data_centre).to_vec();
+        };
+        let mut polled: Vec<&str> =
+            parents(rank, order.len()).filter_map(|parent| order.get(parent).copied()).collect();
+        if rank < WATCHERS {
+            polled.extend(self.remote_watchers(data_centre, rank));
+        }
+        polled
+    }
+
+    /// The watcher of the same rank in every other data centre, or its only one.
+    fn remote_watchers(&self, data_centre: &str, rank: usize) -> impl Iterator<Item = &'a str> {
+        let others = self.orders.iter().filter(move |(other, _)| **other != data_centre);
+        others.filter_map(move |(_, order)| order.get(rank).or(order.first()).copied())
+    }
+
+    /// The entries that poll this one, all of which it watches in turn.
+    pub fn polling(&self, data_centre: &str, name: &str) -> Vec<&'a str> {
+        let order = self.order(data_centre);
+        let Some(rank) = order.iter().position(|other| *other == name) else { return Vec::new() };
+        let children = order.iter().enumerate();
+        let own = children.filter(|(child, _)| parents(*child, order.len()).any(|p| p == rank));
+        let mut polling: Vec<&str> = own.map(|(_, child)| *child).collect();
+        if rank < WATCHERS {
+            polling.extend(self.remote_watchers(data_centre, rank));
+        }
+        polling
+    }
+
+    fn order(&self, data_centre: &str) -> &[&'a str] {
+        self.orders.get(data_centre).map_or(&[], Vec::as_slice)
+    }
+
+    fn watchers(&self, data_centre: &str) -> &[&'a str] {
+        let order = self.order(data_centre);
+        &order[..order.len().min(WATCHERS)]
+    }
+}
+
+/// Ranks of the parents of a rank. The watchers are each other's parent.
+fn parents(rank: usize, count: usize) -> impl Iterator<Item = usize> {
+    let (first, second) = match rank {
+        0 => (1, None),
+        1 => (0, None),
+        _ => {
+            let first = (rank - WATCHERS) / FANOUT;
+            (first, Some(first + 1))
+        }
+    };
+    std::iter::once(first).chain(second).filter(move |parent| *parent != rank && *parent < count)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn polled_by_is_bounded_and_connected() {
+        let names: Vec<String> = (0..380).map(|number| format!("entry-{number}")).collect();
+        let centres: Vec<String> = (0..5).map(|number| format!("dc-{number}")).collect();
+        let place = |at: usize| Place { data_centre: &centres[at % 5], name: &names[at] };
+        let topology = Topology::new((0..380).map(place));
+        for at in 0..380 {
+            let Place { data_centre, name } = place(at);
+            let links = topology.polled_by(data_centre, name).len()
+                + topology.polling(data_centre, name).len();
+            assert!(links <= 2 + 2 * FANOUT + 2 * 4, "{links}");
+            assert!(!topology.polled_by(data_centre, name).contains(&name));
+        }
+    }
+
+    #[test]
+    fn parents_lead_up_to_the_watchers() {
+        for rank in WATCHERS..100 {
+            assert!(parents(rank, 100).all(|parent| parent < rank), "{rank}");
+            assert_eq!(parents(rank, 100).count(), 2, "{rank}");
+        }
+    }
+
+    #[test]
+    fn watchers_change_little() {
+        let names: Vec<String> = (0..20).map(|number| format!("e{number}")).collect();
+        let place = |name| Place { data_centre: "a", name };
+        let all = Topology::new(names.iter().map(|name| place(name)));
+        for gone in &names {
+            let rest = Topology::new(names.iter().filter(|n| *n != gone).map(|name| place(name)));
+            let kept = names.iter().filter(|n| *n != gone && all.is_watcher("a", n));
+            assert!(kept.clone().all(|n| rest.is_watcher("a", n)), "{gone}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,299 @@
+//! A fleet of entries over channels, with faults set by hand.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
+use flamingowheel_config::change::Origin;
+use flamingowheel_config::document::parse;
+use flamingowheel_config::effective::ConfigRevision;
+use flamingowheel_config::store::Store;
+use flamingowheel_config::token::TokenHash;
+use flamingowheel_control::node::Node;
+use flamingowheel_control::spread::{Spread, Timing};
+use flamingowheel_control::transport::{PeerError, PeerTransport};
+use flamingowheel_observe::reason::ConfigSource;
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::{FakeKeyValue, FakeVmList};
+use flamingowheel_platform::vm::{Vm, VmState};
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::peer::{MemberRecord, MemberState, PeerAnswer, PeerRequest};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::{Arc, Mutex};
+use std::task::Poll;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+pub const TEMPLATE: &str = "kind: template\nname: callbox\n";
+
+/// A template whose priority tells its version.
+pub fn template(priority: u8) -> String {
+    format!("kind: template\nname: callbox\nparameters: {{ priority: {priority} }}\n")
+}
+
+pub fn workspace(name: &str) -> String {
+    let hash = TokenHash::of(name.as_bytes());
+    format!("---\nkind: workspace\nname: {name}\ntemplate: callbox\ntoken_sha256: [{hash}]\n")
+}
+
+/// Messages between entries, by inner address.
+#[derive(Clone)]
+pub struct Network {
+    state: Arc<Mutex<NetworkState>>,
+    paused: watch::Sender<HashSet<SocketAddr>>,
+}
+
+struct NetworkState {
+    nodes: HashMap<SocketAddr, Node>,
+    cut: HashSet<SocketAddr>,
+    delay: Duration,
+    asked: u64,
+}
+
+impl Network {
+    pub fn new(delay: Duration) -> Self {
+        let state = NetworkState { nodes: HashMap::new(), cut: HashSet::new(), delay, asked: 0 };
+        Self { state: Arc::new(Mutex::new(state)), paused: watch::Sender::default() }
+    }
+
+    /// Messages to and from this entry vanish.
+    pub fn cut(&self, address: SocketAddr) {
+        self.state.lock().unwrap().cut.insert(address);
+    }
+
+    pub fn mend(&self, address: SocketAddr) {
+        self.state.lock().unwrap().cut.remove(&address);
+    }
+
+    /// The entry stands still: it neither asks nor answers, and finds all as it left it.
+    pub fn pause(&self, address: SocketAddr, paused: bool) {
+        self.paused.send_modify(|all| {
+            if paused {
+                all.insert(address)
+            } else {
+                all.remove(&address)
+            };
+        });
+    }
+
+    pub fn asked(&self) -> u64 {
+        self.state.lock().unwrap().asked
+    }
+
+    async fn running(&self, address: SocketAddr) {
+        let mut paused = self.paused.subscribe();
+        let _ = paused.wait_for(|all| !all.contains(&address)).await;
+    }
+
+    async fn carry(&self, from: SocketAddr, to: SocketAddr) -> Result<Node, PeerError> {
+        let delay = self.state.lock().unwrap().delay;
+        tokio::time::sleep(delay).await;
+        let found = {
+            let state = self.state.lock().unwrap();
+            let cut = state.cut.contains(&from) || state.cut.contains(&to);
+            (!cut).then(|| state.nodes.get(&to).cloned())
+        };
+        match found {
+            Some(node) => node.ok_or(PeerError::Unreachable),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// The network as one entry sees it.
+struct Port {
+    network: Network,
+    own: SocketAddr,
+}
+
+impl PeerTransport for Port {
+    fn ask(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+    ) -> BoxFuture<'_, Result<PeerAnswer, PeerError>> {
+        Box::pin(async move {
+            self.network.running(self.own).await;
+            self.network.state.lock().unwrap().asked += 1;
+            let (network, own) = (self.network.clone(), self.own);
+            // A task of its own: the peer goes on while the one that asks stands still.
+            let asked = tokio::spawn(async move {
+                let node = network.carry(own, peer).await?;
+                network.running(peer).await;
+                let answer = node.answer(request).await;
+                network.running(peer).await;
+                network.carry(peer, own).await.map(|_| answer)
+            });
+            asked.await.unwrap_or(Err(PeerError::Unreachable))
+        })
+    }
+}
+
+fn request(text: &str, seen: ConfigRevision) -> ApplyRequest {
+    let origin = Origin { operator: "ana".to_owned(), at_unix_ms: 0, comment: String::new() };
+    ApplyRequest { uuid: Uuid::new_v4(), origin, edits: parse(text).unwrap(), seen }
+}
+
+/// One entry of the fleet.
+pub struct Entry {
+    pub node: Node,
+    pub store: Store,
+    pub address: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl Entry {
+    pub async fn apply(&self, text: &str) -> Result<Applied, ApplyError> {
+        let request = request(text, self.node.revision());
+        let mut replica = self.node.replica();
+        let applied = self.store.apply(&mut replica, &request).await;
+        self.node.adopt(replica, ConfigSource::Accepted);
+        applied
+    }
+
+    pub fn kill(&self) {
+        self.stop.cancel();
+    }
+
+    pub fn state_of(&self, name: &str) -> Option<MemberState> {
+        let members = self.node.members();
+        members.iter().find(|member| member.record.name == name).map(|member| member.state)
+    }
+}
+
+/// A fleet with its platform.
+pub struct Fleet {
+    pub kv: FakeKeyValue,
+    pub vms: FakeVmList,
+    pub network: Network,
+    pub entries: BTreeMap<String, Entry>,
+}
+
+impl Fleet {
+    /// Starts `count` entries in `centres` data centres and waits until all know of all.
+    pub async fn start(count: usize, centres: usize) -> Self {
+        let mut fleet = Self {
+            kv: FakeKeyValue::new(),
+            vms: FakeVmList::new(Vec::new()),
+            network: Network::new(Duration::from_millis(1)),
+            entries: BTreeMap::new(),
+        };
+        for number in 0..count {
+            fleet.add(number, centres);
+        }
+        fleet.until(Duration::from_secs(30), |entry| entry.node.members().len() == count).await;
+        fleet
+    }
+
+    pub fn add(&mut self, number: usize, centres: usize) -> &Entry {
+        let seeds = self.entries.values().take(3).map(|entry| entry.address).collect();
+        let record = record(number, centres);
+        let (name, address) = (record.name.clone(), record.inner);
+        self.vms.add(Vm {
+            name: record.vm.clone(),
+            ip: address.ip(),
+            data_centre: record.data_centre.clone(),
+            state: VmState::Live,
+        });
+        let node = Node::new(record, Recorder::for_tests(&name));
+        let store = Store::new(Arc::new(self.kv.clone()));
+        let port = Port { network: self.network.clone(), own: address };
+        let spread = Spread {
+            node: node.clone(),
+            store: store.clone(),
+            peers: Arc::new(port),
+            vms: Arc::new(self.vms.clone()),
+            seeds,
+            timing: Timing::default(),
+        };
+        let stop = CancellationToken::new();
+        self.network.state.lock().unwrap().nodes.insert(address, node.clone());
+        tokio::spawn(pausable(self.network.clone(), address, spread.run(stop.clone())));
+        self.entries.entry(name).or_insert(Entry { node, store, address, stop })
+    }
+
+    pub fn entry(&self, number: usize) -> &Entry {
+        &self.entries[&format!("entry-{number}")]
+    }
+
+    /// Stops a process; its address answers nobody.
+    pub fn kill(&mut self, number: usize) {
+        let entry = self.entries.remove(&format!("entry-{number}")).unwrap();
+        entry.kill();
+        self.network.state.lock().unwrap().nodes.remove(&entry.address);
+    }
+
+    /// Waits until all entries are as asked; returns how long it took.
+    pub async fn until<F>(&self, limit: Duration, reached: F) -> Duration
+    where
+        F: Fn(&Entry) -> bool,
+    {
+        let start = tokio::time::Instant::now();
+        while !self.entries.values().all(&reached) {
+            if start.elapsed() > limit {
+                let missing = self.entries.iter().filter(|(_, entry)| !reached(entry));
+                let names: Vec<_> = missing.map(|(name, _)| name.as_str()).collect();
+                panic!("not within {limit:?}: {names:?}");
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        start.elapsed()
+    }
+
+    /// A change by an entry that dies right after, so that nobody has it but the service.
+    pub async fn apply_and_die(&self, text: &str) {
+        let store = Store::new(Arc::new(self.kv.clone()));
+        let mut replica = store.load().await.unwrap();
+        let request = request(text, replica.revision());
+        assert!(matches!(store.apply(&mut replica, &request).await, Ok(Applied::Accepted(_))));
+    }
+
+    pub async fn until_revision(&self, revision: u64, limit: Duration) -> Duration {
+        self.until(limit, |entry| entry.node.revision() >= ConfigRevision(revision)).await
+    }
+}
+
+/// Drives a future only while the entry is not paused.
+async fn pausable<F>(network: Network, address: SocketAddr, future: F)
+where
+    F: Future<Output = ()>,
+{
+    let mut future = pin!(future);
+    loop {
+        network.running(address).await;
+        let mut paused = network.paused.subscribe();
+        let pause = paused.wait_for(|all| all.contains(&address));
+        let mut pause = pin!(pause);
+        let ended = std::future::poll_fn(|context| {
+            if pause.as_mut().poll(context).is_ready() {
+                return Poll::Ready(false);
+            }
+            future.as_mut().poll(context).map(|()| true)
+        });
+        if ended.await {
+            return;
+        }
+    }
+}
+
+pub fn record(number: usize, centres: usize) -> MemberRecord {
+    let address =
+        |port| SocketAddr::from(([127, 0, (number / 250) as u8, (number % 250) as u8], port));
+    MemberRecord {
+        name: format!("entry-{number}"),
+        vm: format!("vm-{number}"),
+        data_centre: format!("dc-{}", number % centres),
+        region: "region".to_owned(),
+        inner: address(1),
+        callers: address(2),
+        operators: address(3),
+        incarnation: Incarnation(1 + number as u64),
+        version: 1,
+        state: MemberState::Live,
+    }
+}
--- /dev/null
+++ b/crates/control/tests/membership.rs
@@ -0,0 +1,146 @@
+//! Who is believed to be there, with processes that die, pause or are cut off.
+
+mod common;
+
+use common::{Fleet, record};
+use flamingowheel_control::membership::Table;
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::peer::{MemberState, News};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[tokio::test(start_paused = true)]
+async fn death_is_seen_by_all() {
+    // A VM vanishes without a word. Its address must not be given to callers for long.
+    let mut fleet = Fleet::start(24, 3).await;
+    fleet.kill(5);
+    let silent = |entry: &common::Entry| entry.state_of("entry-5") == Some(MemberState::Silent);
+    let took = fleet.until(Duration::from_secs(12), silent).await;
+    assert!(took >= Duration::from_secs(4), "{took:?}");
+    // Silent is not gone: it may be cut off. Only the VM list says that it is gone.
+    fleet.vms.remove("vm-5");
+    let gone = |entry: &common::Entry| entry.state_of("entry-5") == Some(MemberState::Gone);
+    fleet.until(Duration::from_secs(12), gone).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn leave_notice_is_quick() {
+    let fleet = Fleet::start(24, 3).await;
+    fleet.entry(4).node.leave();
+    let leaving = |entry: &common::Entry| entry.state_of("entry-4") == Some(MemberState::Leaving);
+    let took = fleet.until(Duration::from_secs(5), leaving).await;
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn vm_list_marks_leaving() {
+    // The platform will take a VM away and tells only its list.
+    let fleet = Fleet::start(12, 3).await;
+    fleet.vms.set_leaving("vm-4");
+    let leaving = |entry: &common::Entry| entry.state_of("entry-4") == Some(MemberState::Leaving);
+    fleet.until(Duration::from_secs(8), leaving).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn cut_off_process_accuses_nobody_and_comes_back() {
+    // One process loses the network for a minute, and the key-value service with it being down
+    // for all. It hears nobody; were it to call everybody silent, its word would go round once it
+    // is back and empty the address answers.
+    let fleet = Fleet::start(18, 2).await;
+    fleet.kv.set_down(true);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let cut = fleet.entry(3);
+    fleet.network.cut(cut.address);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let others = |entry: &common::Entry| entry.address != cut.address;
+    for entry in fleet.entries.values().filter(|entry| others(entry)) {
+        assert_eq!(entry.state_of("entry-3"), Some(MemberState::Silent));
+    }
+    assert!(cut.node.members().iter().all(|member| member.state == MemberState::Live));
+    fleet.network.mend(cut.address);
+    let all_live = |entry: &common::Entry| {
+        entry.node.members().iter().all(|member| member.state == MemberState::Live)
+    };
+    for _ in 0..40 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for entry in fleet.entries.values() {
+            let states = entry.node.members();
+            let suspected = states.iter().filter(|member| member.state != MemberState::Live);
+            assert!(suspected.count() <= 1);
+        }
+    }
+    fleet.until(Duration::from_secs(1), all_live).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_halves_find_each_other_again() {
+    // A whole data centre is cut off for ten minutes and comes back.
+    let fleet = Fleet::start(16, 2).await;
+    let half: Vec<_> = (0..16).filter(|number| number % 2 == 1).collect();
+    half.iter().for_each(|number| fleet.network.cut(fleet.entry(*number).address));
+    tokio::time::sleep(Duration::from_secs(600)).await;
+    half.iter().for_each(|number| fleet.network.mend(fleet.entry(*number).address));
+    let all_live = |entry: &common::Entry| {
+        entry.node.members().iter().all(|member| member.state == MemberState::Live)
+    };
+    fleet.until(Duration::from_secs(60), all_live).await;
+}
+
+#[test]
+fn merge_restarted_process_overrides_its_older_record() {
+    // A process restarts on the same VM. The record of its last start still goes round with a
+    // higher version; as long as that counts, the new one is not seen.
+    let now = Instant::now();
+    let mut peer = Table::new(record(1, 1), now);
+    let mut old = record(0, 1);
+    old.version = 9;
+    old.state = MemberState::Silent;
+    peer.merge(News { records: vec![old], ..News::default() }, now);
+    let mut own = record(0, 1);
+    own.incarnation = Incarnation(77);
+    let mut fresh = Table::new(own, now);
+    fresh.merge(peer.news_after(0), now);
+    peer.merge(fresh.news_after(0), now);
+    let record = &peer.member("entry-0").unwrap().record;
+    assert_eq!((record.incarnation, record.state), (Incarnation(77), MemberState::Live));
+}
+
+#[test]
+fn merge_is_the_same_in_any_order() {
+    let now = Instant::now();
+    let mut records = Vec::new();
+    for (version, state) in [
+        (1, MemberState::Live),
+        (1, MemberState::Silent),
+        (2, MemberState::Live),
+        (2, MemberState::Gone),
+        (3, MemberState::Leaving),
+    ] {
+        let mut next = record(0, 1);
+        (next.version, next.state) = (version, state);
+        records.push(next);
+    }
+    for turn in 0..records.len() {
+        records.rotate_left(turn);
+        let mut table = Table::new(record(1, 1), now);
+        for record in records.iter().chain(records.iter().rev()) {
+            table.merge(News { records: vec![record.clone()], ..News::default() }, now);
+        }
+        assert_eq!(table.member("entry-0").unwrap().record.state, MemberState::Leaving);
+    }
+}
+
+#[test]
+fn vm_list_that_lags_takes_nobody_away() {
+    // A new VM is not yet listed, though its process is heard; and an empty list is an error.
+    let now = Instant::now();
+    let mut table = Table::new(record(1, 1), now);
+    table.heard(record(0, 1), now);
+    let listed = BTreeSet::from(["vm-1"]);
+    assert!(table.merge_vm_list(&listed, &BTreeSet::new()).is_empty());
+    assert_eq!(table.member("entry-0").unwrap().record.state, MemberState::Live);
+    table.accuse("entry-0");
+    assert!(table.merge_vm_list(&BTreeSet::new(), &BTreeSet::new()).is_empty());
+    assert_eq!(table.merge_vm_list(&listed, &BTreeSet::new()).len(), 1);
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod id;
 pub mod link;
 pub mod message;
+pub mod peer;
 pub mod ticket;
 pub mod websocket;
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,171 @@
+//! Messages between entries: heartbeats with what each knows of the others, and configuration.
+//!
+//! Documents and changes travel in the form in which the key-value service stores them; this
+//! package does not look into them.
+
+use crate::id::Incarnation;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What an entry, or another on its behalf, says of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Its name, unique in the fleet.
+    pub name: String,
+    /// Its VM.
+    pub vm: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// The region of the data centre.
+    pub region: String,
+    /// Where other entries reach it.
+    pub inner: SocketAddr,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// The process start that this is about.
+    pub incarnation: Incarnation,
+    /// Raised by the process itself with everything it says of itself; the highest counts.
+    pub version: u64,
+    /// Its state.
+    pub state: MemberState,
+}
+
+/// State of an entry. At equal versions the later in this list counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum MemberState {
+    /// It takes requests; said by itself.
+    Live,
+    /// It takes no new requests and finishes those it has; said by itself.
+    Leaving,
+    /// It was not heard for a while; said by another. It may only be cut off.
+    Silent,
+    /// It was silent and its VM is no longer listed; said by another.
+    Gone,
+}
+
+/// Asks a peer for what is new, and says what is new here.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: MemberRecord,
+    /// The configuration revision the sender has in force.
+    pub revision: u64,
+    /// The peer's table version up to which the sender has its news.
+    pub after: u64,
+    /// The peer may hold its answer this long, until it has news.
+    pub hold_ms: u32,
+    /// What the sender learnt since the peer last answered.
+    pub news: News,
+}
+
+/// Answer to a [`Heartbeat`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAnswer {
+    /// The one that answers.
+    pub from: MemberRecord,
+    /// The configuration revision it has in force.
+    pub revision: u64,
+    /// Whether that came from the key-value service since its start, directly or through peers.
+    pub from_service: bool,
+    /// Its table version.
+    pub version: u64,
+    /// What it learnt since the version asked for.
+    pub news: News,
+}
+
+/// Changes of the table of members.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Records.
+    pub records: Vec<MemberRecord>,
+    /// VMs that the VM list calls leaving.
+    pub leaving_vms: Vec<String>,
+}
+
+/// What one entry asks another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// What is new?
+    Heartbeat(Box<Heartbeat>),
+    /// The changes of the configuration after this revision.
+    Changes {
+        /// The revision the sender has.
+        after: u64,
+    },
+    /// One bucket of documents.
+    Bucket {
+        /// 0 for the templates, then the buckets of workspaces from 1.
+        number: u8,
+    },
+    /// Who are you, and what revision have you in force?
+    Status,
+}
+
+/// The answer to a [`PeerRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// To a heartbeat.
+    Heartbeat(Box<HeartbeatAnswer>),
+    /// Changes in order, each as stored.
+    Changes(Vec<StoredValue>),
+    /// Some of the changes asked for are no longer kept.
+    NotKept,
+    /// A bucket as stored.
+    Bucket {
+        /// The revision it belongs to.
+        revision: u64,
+        /// The bucket.
+        value: StoredValue,
+    },
+    /// To a question about status.
+    Status {
+        /// What the process says of itself.
+        record: Box<MemberRecord>,
+        /// The revision it has in force.
+        revision: u64,
+        /// Digest of its table of members; equal tables have equal digests.
+        digest: u64,
+    },
+}
+
+/// A value in its stored form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StoredValue(#[serde(with = "serde_bytes")] pub Vec<u8>);
+
+/// What travels on a connection between two entries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerFrame {
+    /// A request under a number chosen by its sender.
+    Request {
+        /// The number.
+        number: u64,
+        /// The request.
+        request: PeerRequest,
+    },
+    /// The answer to the request of that number.
+    Answer {
+        /// The number.
+        number: u64,
+        /// The answer.
+        answer: PeerAnswer,
+    },
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::codec::{decode, encode};
+
+    #[test]
+    fn frame_round_trip() {
+        let answer = PeerAnswer::Bucket { revision: 7, value: StoredValue(vec![0, 255]) };
+        let frame = PeerFrame::Answer { number: 1, answer };
+        assert_eq!(
+            decode::<PeerFrame>(&encode(std::slice::from_ref(&frame)).unwrap()),
+            Ok(vec![frame])
+        );
+    }
+}
