--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -173,6 +173,8 @@
     },
     /// Suspicions the sender knows of.
     Suspicions(Vec<Suspicion>),
+    /// The VM list says that the agent's VM is leaving.
+    VmLeaving,
 }
 
 /// Evidence that a request may kill the backend server that runs it.
@@ -331,7 +333,7 @@
         #[serde(rename = "l")]
         occupied: u16,
     },
-    /// Sent at least every [`crate::link::Timing::heartbeat`].
+    /// Sent several times a second, and at once when something in it changed.
     #[serde(rename = "b")]
     Heartbeat {
         /// Fresh load.
@@ -343,6 +345,9 @@
         /// No new work is taken.
         #[serde(rename = "x")]
         leaving: bool,
+        /// The backend server answered its last health check.
+        #[serde(rename = "u")]
+        backend_up: bool,
     },
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
