Policy: rebalancer of experts with its benchmark

Cause: load drifts with the hour and one overfull rank slows its whole group. Change: a pure planner that forecasts loads by two decayed means, searches chains of swaps and replica changes from the slowest rank, and prices every weight moved; a full greedy repack as first placement and baseline; the benchmark drives both.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,3 @@
 //! Skeleton.
+
+pub mod rebalance;
--- /dev/null
+++ b/crates/policy/src/rebalance/mod.rs
@@ -0,0 +1,20 @@
+//! Rebalancing of experts over the ranks of a group.
+//!
+//! [`plan()`] is a pure function from decayed loads, rank speeds and the placement in use to a list
+//! of moves. It weighs the step-time skew that it expects to save against the expert weights that
+//! have to be loaded, so that it moves few experts and none for noise.
+
+mod baseline;
+mod load;
+mod params;
+mod placement;
+mod plan;
+mod score;
+mod search;
+
+pub use baseline::repack;
+pub use load::DecayedLoads;
+pub use params::Params;
+pub use placement::{Expert, Move, Placement, PlacementError, Rank, moves_between};
+pub use plan::{LayerPlan, Plan, Request, RequestError, plan};
+pub use score::skew;
--- /dev/null
+++ b/crates/policy/src/rebalance/params.rs
@@ -0,0 +1,49 @@
+//! What a template's operator can weigh.
+
+use serde::{Deserialize, Serialize};
+
+/// Weights and bounds of the rebalancer. The two presets are starting points for templates.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Params {
+    /// Cost of one step that takes twice the time of a balanced one.
+    pub skew_weight: f64,
+    /// Cost of loading the weights of one expert on one rank.
+    pub move_weight: f64,
+    /// Steps over which a better placement is expected to pay back. Loads are forecast for now and
+    /// for the horizon's end, and a placement must be good for both.
+    pub horizon_steps: f64,
+    /// Nothing moves unless the whole plan saves at least this much predicted skew. Set above
+    /// what noise in the loads makes appear.
+    pub min_gain: f64,
+    /// Most expert weights loaded by one plan over all layers.
+    pub max_moves: usize,
+}
+
+impl Params {
+    /// For services where a slow step hurts more than loading experts does.
+    ///
+    /// ```
+    /// use flamingowheel_policy::rebalance::Params;
+    /// assert!(Params::skew_weighted().price() < Params::move_weighted().price());
+    /// ```
+    pub fn skew_weighted() -> Self {
+        Self {
+            skew_weight: 1.0,
+            move_weight: 0.18,
+            horizon_steps: 22.0,
+            min_gain: 0.12,
+            max_moves: 128,
+        }
+    }
+
+    /// For services whose long batches suffer from each expert that is loaded.
+    pub fn move_weighted() -> Self {
+        Self { move_weight: 0.7, horizon_steps: 24.0, min_gain: 0.22, ..Self::skew_weighted() }
+    }
+
+    /// Predicted skew that one move must save at least.
+    pub fn price(&self) -> f64 {
+        self.move_weight / (self.skew_weight * self.horizon_steps)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rebalance/score.rs
@@ -0,0 +1,328 @@
+//! Step times of the ranks under a placement, kept up to date while the search tries changes.
+
+use super::placement::{Expert, Placement};
+
+/// Squarings in [`powers`]: the norm's exponent is two to this number.
+const EXPONENT_LOG2: u32 = 5;
+
+/// The slowest rank's step time over that of a perfectly even split, which a group with ranks of
+/// different speed reaches when each rank's load is in proportion to its speed.
+///
+/// ```
+/// use flamingowheel_policy::rebalance::{Placement, skew};
+/// let placement = Placement { ranks: vec![vec![0], vec![1]] };
+/// assert_eq!(skew(&placement, &[3.0, 1.0], &[1.0, 1.0]), 1.5);
+/// ```
+pub fn skew(placement: &Placement, loads: &[f64], speeds: &[f64]) -> f64 {
+    Score::new(placement, [loads; FORECASTS], speeds).max_time()
+}
+
+/// A slot, numbered over all ranks.
+pub(super) type Slot = u32;
+
+/// An expert written into a slot.
+pub(super) type Write = (Slot, Expert);
+
+/// Points in time for which loads are forecast.
+pub(super) const FORECASTS: usize = 2;
+
+/// One value for each forecast.
+type Values = [f64; FORECASTS];
+
+fn each<F>(value: F) -> Values
+where
+    F: FnMut(usize) -> f64,
+{
+    std::array::from_fn(value)
+}
+
+/// Raises step times to the norm's exponent.
+fn powers(times: &Values) -> Values {
+    let mut powers = *times;
+    for _ in 0..EXPONENT_LOG2 {
+        powers = powers.map(|power| power * power);
+    }
+    powers
+}
+
+/// A change of one slot or an exchange between two ranks.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Change {
+    /// A replica gives way to a replica of another expert that its rank does not hold.
+    Replace(Write),
+    /// Two experts change places; neither stands on the other's rank yet.
+    Swap(Write, Write),
+}
+
+/// A placement with the step time of each rank, in units of the evenly split step time.
+#[derive(Clone, Debug)]
+pub(super) struct Score {
+    slots: Vec<Expert>,
+    first_slot: Vec<Slot>,
+    rank_of: Vec<u16>,
+    hosts: Vec<Vec<u16>>,
+    /// Replicas by rank and expert.
+    held: Vec<u8>,
+    loads: Vec<Values>,
+    inverse_speeds: Vec<f64>,
+    times: Vec<Values>,
+    powers: Vec<Values>,
+    total: Values,
+}
+
+impl Score {
+    pub(super) fn new(placement: &Placement, loads: [&[f64]; FORECASTS], speeds: &[f64]) -> Self {
+        let experts = loads[0].len();
+        let total_speed: f64 = speeds.iter().sum();
+        let scale = each(|index| {
+            let total: f64 = loads[index].iter().sum();
+            if total > 0.0 { total_speed / total } else { 0.0 }
+        });
+        let load = |expert: usize| each(|index| loads[index][expert] * scale[index]);
+        let mut score = Self {
+            slots: placement.ranks.iter().flatten().copied().collect(),
+            first_slot: Vec::with_capacity(placement.ranks.len() + 1),
+            rank_of: Vec::new(),
+            hosts: vec![Vec::new(); experts],
+            held: vec![0; experts * speeds.len()],
+            loads: (0..experts).map(load).collect(),
+            inverse_speeds: speeds.iter().map(|speed| 1.0 / speed).collect(),
+            times: vec![[0.0; FORECASTS]; speeds.len()],
+            powers: vec![[0.0; FORECASTS]; speeds.len()],
+            total: [0.0; FORECASTS],
+        };
+        score.index(placement);
+        score.refresh();
+        score
+    }
+
+    fn index(&mut self, placement: &Placement) {
+        let mut next = 0;
+        for (rank, experts) in placement.ranks.iter().enumerate() {
+            self.first_slot.push(next);
+            next += experts.len() as Slot;
+            for &expert in experts {
+                self.rank_of.push(rank as u16);
+                self.add_host(expert, rank as u16);
+            }
+        }
+        self.first_slot.push(next);
+    }
+
+    /// Computes all times anew.
+    fn refresh(&mut self) {
+        self.times.fill([0.0; FORECASTS]);
+        for expert in 0..self.hosts.len() {
+            let share = self.share(expert as Expert);
+            for &rank in &self.hosts[expert] {
+                let rank = usize::from(rank);
+                let inverse_speed = self.inverse_speeds[rank];
+                for (time, share) in self.times[rank].iter_mut().zip(share) {
+                    *time += share * inverse_speed;
+                }
+            }
+        }
+        for (target, times) in self.powers.iter_mut().zip(&self.times) {
+            *target = powers(times);
+        }
+        self.total = each(|index| self.powers.iter().map(|powers| powers[index]).sum());
+    }
+
+    /// The placement as it now stands.
+    pub(super) fn placement(&self) -> Placement {
+        let bounds = self.first_slot.windows(2);
+        let ranks = bounds.map(|pair| self.slots[pair[0] as usize..pair[1] as usize].to_vec());
+        Placement { ranks: ranks.collect() }
+    }
+
+    /// Predicted step time, see [`step_time`].
+    pub(super) fn predicted(&self) -> f64 {
+        step_time(&self.total)
+    }
+
+    /// Predicted step time of a perfectly even split, which no placement can beat.
+    pub(super) fn floor(&self) -> f64 {
+        let even = self.rank_count() as f64;
+        step_time(&self.total.map(|total| if total > 0.0 { even } else { 0.0 }))
+    }
+
+    /// The slowest rank's time, by the first forecast.
+    pub(super) fn max_time(&self) -> f64 {
+        self.times.iter().map(|times| times[0]).fold(0.0, f64::max)
+    }
+
+    /// The `count` ranks that add most to the predicted step time.
+    pub(super) fn slowest(&self, count: usize) -> Vec<u16> {
+        let weight = |rank: u16| -> f64 {
+            let powers = &self.powers[usize::from(rank)];
+            powers.iter().zip(&self.total).map(|(power, total)| power / total).sum()
+        };
+        let mut order: Vec<u16> = (0..self.rank_count()).collect();
+        order.sort_by(|&a, &b| weight(b).total_cmp(&weight(a)).then(a.cmp(&b)));
+        order.truncate(count);
+        order
+    }
+
+    pub(super) fn rank_count(&self) -> u16 {
+        self.times.len() as u16
+    }
+
+    pub(super) fn expert_count(&self) -> Expert {
+        self.hosts.len() as Expert
+    }
+
+    pub(super) fn slots_of(&self, rank: u16) -> std::ops::Range<Slot> {
+        let rank = usize::from(rank);
+        self.first_slot[rank]..self.first_slot[rank + 1]
+    }
+
+    pub(super) fn slot_count(&self) -> Slot {
+        self.slots.len() as Slot
+    }
+
+    pub(super) fn expert_in(&self, slot: Slot) -> Expert {
+        self.slots[slot as usize]
+    }
+
+    pub(super) fn rank_of(&self, slot: Slot) -> u16 {
+        self.rank_of[slot as usize]
+    }
+
+    pub(super) fn replicas(&self, expert: Expert) -> usize {
+        self.hosts[usize::from(expert)].len()
+    }
+
+    pub(super) fn stands_on(&self, expert: Expert, rank: u16) -> bool {
+        self.held[usize::from(rank) * self.hosts.len() + usize::from(expert)] > 0
+    }
+
+    /// Load of each replica of the expert.
+    fn share(&self, expert: Expert) -> Values {
+        self.share_among(expert, self.replicas(expert))
+    }
+
+    fn share_among(&self, expert: Expert, replicas: usize) -> Values {
+        let part = 1.0 / replicas as f64;
+        self.loads[usize::from(expert)].map(|load| load * part)
+    }
+
+    /// Whether the slot's rank has less load, by any forecast, with `expert` there and that many
+    /// replicas more of it.
+    pub(super) fn relieves(&self, slot: Slot, expert: Expert, more_replicas: usize) -> bool {
+        let before = self.share(self.expert_in(slot));
+        let after = self.share_among(expert, self.replicas(expert) + more_replicas);
+        after.iter().zip(&before).any(|(after, before)| after < before)
+    }
+
+    /// Whether the slot's rank, with `expert` there and that many replicas more of it, stays below
+    /// the time that `hot` takes now, by any forecast.
+    pub(super) fn fits(&self, slot: Slot, expert: Expert, more_replicas: usize, hot: u16) -> bool {
+        let rank = usize::from(self.rank_of(slot));
+        let before = self.share(self.expert_in(slot));
+        let after = self.share_among(expert, self.replicas(expert) + more_replicas);
+        let time = |index: usize| {
+            self.times[rank][index] + (after[index] - before[index]) * self.inverse_speeds[rank]
+        };
+        (0..FORECASTS).any(|index| time(index) < self.times[usize::from(hot)][index])
+    }
+
+    /// Carries out a change.
+    pub(super) fn apply(&mut self, change: &Change) {
+        match *change {
+            Change::Replace(write) => self.write(write),
+            Change::Swap(first, second) => {
+                self.write(first);
+                self.write(second);
+            }
+        }
+        self.refresh();
+    }
+
+    fn write(&mut self, (slot, expert): Write) {
+        let rank = self.rank_of(slot);
+        let old = std::mem::replace(&mut self.slots[slot as usize], expert);
+        self.remove_host(old, rank);
+        self.add_host(expert, rank);
+    }
+
+    fn remove_host(&mut self, expert: Expert, rank: u16) {
+        let hosts = &mut self.hosts[usize::from(expert)];
+        if let Some(index) = hosts.iter().position(|&host| host == rank) {
+            hosts.swap_remove(index);
+        }
+        let experts = self.hosts.len();
+        self.held[usize::from(rank) * experts + usize::from(expert)] -= 1;
+    }
+
+    fn add_host(&mut self, expert: Expert, rank: u16) {
+        self.hosts[usize::from(expert)].push(rank);
+        let experts = self.hosts.len();
+        self.held[usize::from(rank) * experts + usize::from(expert)] += 1;
+    }
+
+    /// Predicted step time if `change` were carried out.
+    pub(super) fn predicted_after(&self, change: &Change) -> f64 {
+        let mut total = self.total;
+        match *change {
+            Change::Replace(write) => self.try_replace(write, &mut total),
+            Change::Swap(first, second) => self.try_swap(first, second, &mut total),
+        }
+        step_time(&total)
+    }
+
+    fn try_swap(&self, first: Write, second: Write, total: &mut Values) {
+        let (to_first, to_second) = (self.share(first.1), self.share(second.1));
+        let gain = each(|index| to_first[index] - to_second[index]);
+        self.shift(self.rank_of(first.0), &gain, total);
+        self.shift(self.rank_of(second.0), &gain.map(|load| -load), total);
+    }
+
+    fn try_replace(&self, (slot, expert): Write, total: &mut Values) {
+        let rank = self.rank_of(slot);
+        let dropped = self.expert_in(slot);
+        let (dropped_share, share) = (self.share(dropped), self.share(expert));
+        let dropped_after = self.share_among(dropped, self.replicas(dropped) - 1);
+        let after = self.share_among(expert, self.replicas(expert) + 1);
+        let more = each(|index| dropped_after[index] - dropped_share[index]);
+        let less = each(|index| after[index] - share[index]);
+        let own = each(|index| after[index] - dropped_share[index]);
+        self.shift(rank, &own, total);
+        for &host in &self.hosts[usize::from(dropped)] {
+            if host == rank {
+                continue;
+            }
+            if self.stands_on(expert, host) {
+                self.shift(host, &each(|index| more[index] + less[index]), total);
+            } else {
+                self.shift(host, &more, total);
+            }
+        }
+        for &host in &self.hosts[usize::from(expert)] {
+            if !self.stands_on(dropped, host) {
+                self.shift(host, &less, total);
+            }
+        }
+    }
+
+    /// Changes the total as if `rank` had so much more load.
+    fn shift(&self, rank: u16, load: &Values, total: &mut Values) {
+        let rank = usize::from(rank);
+        let inverse_speed = self.inverse_speeds[rank];
+        let times = each(|index| self.times[rank][index] + load[index] * inverse_speed);
+        let after = powers(&times);
+        for (index, total) in total.iter_mut().enumerate() {
+            *total += after[index] - self.powers[rank][index];
+        }
+    }
+}
+
+/// Predicted step time: for each forecast a norm that lies a little above the slowest rank, the
+/// more so the more ranks are nearly as slow, as the expected maximum under noise does.
+fn step_time(total: &Values) -> f64 {
+    // Rounding may leave a total just below zero if all loads are zero.
+    let mut roots = total.map(|total| total.max(0.0));
+    for _ in 0..EXPONENT_LOG2 {
+        roots = roots.map(f64::sqrt);
+    }
+    roots.iter().sum::<f64>() / FORECASTS as f64
+}
