Entries know each other; configuration spreads through few watchers

Cause: an address answer named only the entry that was asked, and each entry read the configuration by itself.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -55,6 +55,7 @@
         NotRun::TooLarge { .. } | NotRun::Malformed(_) | NotRun::KeyMismatch => {
             NotRunReason::Invalid
         }
+        NotRun::NotReady => NotRunReason::Leaving,
         NotRun::LimitReached { .. } => NotRunReason::LimitExceeded,
         NotRun::Overloaded { .. } => NotRunReason::Shed,
         NotRun::Suspect { .. } => NotRunReason::Suspect,
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -223,6 +223,7 @@
 
 fn describe_not_run(why: &NotRun) -> (StatusCode, &'static str) {
     match why {
+        NotRun::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not_ready"),
         NotRun::Unauthorised => (StatusCode::UNAUTHORIZED, "unauthorised"),
         NotRun::UnknownModel => (StatusCode::NOT_FOUND, "unknown_model"),
         NotRun::UnknownService => (StatusCode::NOT_FOUND, "unknown_service"),
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -37,7 +37,7 @@
 }
 
 async fn read(state: &EntryState, headers: &HeaderMap, body: Body) -> Result<Request, NotRun> {
-    let workspace = intake::workspace(&state.effective.load(), headers)?;
+    let workspace = intake::workspace(state, headers)?;
     let deadline = intake::deadline(headers, &workspace)?;
     let body = intake::body(state, body).await?;
     let completion: Completion =
--- a/crates/entry/src/http/intake.rs
+++ b/crates/entry/src/http/intake.rs
@@ -15,10 +15,16 @@
 
 /// The workspace whose token the request carries.
 pub fn workspace(
-    effective: &Effective,
+    state: &EntryState,
     headers: &HeaderMap,
 ) -> Result<Arc<EffectiveWorkspace>, NotRun> {
+    // A process that has just started, or stood still for a while, may know an old configuration
+    // only: a workspace's limits or routes could since have changed.
+    if !state.node.may_serve() {
+        return Err(NotRun::NotReady);
+    }
     let token = bearer(headers).ok_or(NotRun::Unauthorised)?;
+    let effective = state.effective.load();
     effective.workspace_by_token(token).cloned().ok_or(NotRun::Unauthorised)
 }
 
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -68,7 +68,7 @@
     called: Called,
     body: Body,
 ) -> Result<Request, NotRun> {
-    let workspace = intake::workspace(&state.effective.load(), headers)?;
+    let workspace = intake::workspace(state, headers)?;
     check_path(called.uri.path())?;
     let service =
         workspace.parameters.services.get(&called.service).ok_or(NotRun::UnknownService)?;
--- a/crates/entry/src/http/tickets.rs
+++ b/crates/entry/src/http/tickets.rs
@@ -68,7 +68,7 @@
 }
 
 fn subject(state: &EntryState, headers: &HeaderMap, service: &str) -> Result<Request, NotRun> {
-    let workspace = intake::workspace(&state.effective.load(), headers)?;
+    let workspace = intake::workspace(state, headers)?;
     if !workspace.parameters.services.contains_key(service) {
         return Err(NotRun::UnknownService);
     }
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -7,6 +7,9 @@
 /// Proof that a request did not run and won't.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NotRun {
+    /// This entry does not yet know, or no longer trusts, the configuration that it has.
+    #[error("this entry has no confirmed configuration yet")]
+    NotReady,
     /// No workspace is known for the token.
     #[error("unknown workspace or token")]
     Unauthorised,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,9 +6,10 @@
 use crate::dispatch::Dispatcher;
 use arc_swap::ArcSwap;
 use flamingowheel_config::effective::Effective;
+use flamingowheel_control::node::Node;
 use flamingowheel_observe::recorder::Recorder;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Shared by all handlers. The control thread replaces the snapshots; traffic reads them without
 /// a lock.
@@ -27,15 +28,8 @@
     pub recorder: Recorder,
     /// Requests and streams in progress.
     pub in_progress: Arc<InProgress>,
-    /// This entry is leaving and must not appear in address answers.
-    pub leaving: AtomicBool,
-}
-
-impl EntryState {
-    /// Takes this entry out of address answers.
-    pub fn set_leaving(&self) {
-        self.leaving.store(true, Ordering::Release);
-    }
+    /// This entry among the others.
+    pub node: Node,
 }
 
 /// Counts requests and streams in progress, so that a leaving entry knows when it may end.
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -172,17 +172,24 @@
         };
         let text = format!(
             "name: {name}\nvm: vm-{name}\ndata_centre: ga-central-a\nregion: ga-central\n\
-             listen:\n{callers}  inner: \"{ip}:{port}\"\n  operators: \"{ip}:0\"\n\
+             peers: [{peers}]\nlisten:\n{callers}  inner: \"{ip}:{port}\"\n  operators: \"{ip}:0\"\n\
              key_value: {{addresses: [\"{kv}\"]}}\nvm_list: {{address: \"{vms}\"}}\n\
              fleet_key: {{inline: demo-fleet-key-of-32-characters!}}\n\
              operators_token: {{inline: {OPERATORS_TOKEN}}}\n{role}",
             port = self.inner_port,
+            peers = self.peers(),
             kv = self.standins.key_value_address,
             vms = self.standins.vms_address,
         );
         Settings::parse(&text, Path::new("demo.yaml"))
     }
 
+    /// The entries' inner addresses, as a YAML list's items.
+    fn peers(&self) -> String {
+        let peers = (0..ENTRIES).map(|n| format!("\"{}:{}\"", entry_ip(n), self.inner_port));
+        peers.collect::<Vec<_>>().join(", ")
+    }
+
     async fn apply(&self) -> Result<(), DemoError> {
         let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
         let text = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
@@ -205,8 +212,10 @@
         let agents = usize::from(RANKS + SERVERS);
         let ready = || {
             self.entries.iter().all(|entry| {
-                entry.state().effective.load().workspace(WORKSPACE).is_some()
+                let state = entry.state();
+                state.effective.load().workspace(WORKSPACE).is_some()
                     && entry.agents().connected().len() == agents
+                    && state.node.members().len() == self.entries.len()
             })
         };
         let waiting = async {
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -1,16 +1,19 @@
 //! An entry process, assembled from its settings.
 
 use crate::agent::authority;
-use crate::configuration;
 use crate::discovery::Discovery;
 use crate::listen::{ListenLimits, StartError, bind, serve};
+use crate::membership::{publish_addresses, publish_configuration};
 use crate::operators;
 use crate::threads::spawn_control;
 use arc_swap::ArcSwap;
 use flamingowheel_config::effective::Effective;
 use flamingowheel_config::settings::{EntrySettings, Role, Settings};
 use flamingowheel_config::store::Store;
-use flamingowheel_entry::addresses::{AddressBook, EntryMember};
+use flamingowheel_control::node::Node;
+use flamingowheel_control::spread::{Spread, Timing as SpreadTiming};
+use flamingowheel_control::websocket::{WebSocketPeers, serve as serve_peers};
+use flamingowheel_entry::addresses::AddressBook;
 use flamingowheel_entry::agents::Agents;
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
@@ -23,9 +26,11 @@
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::client::{EtcdClient, HttpLimits, HttpVmList};
 use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_platform::vm::VmList;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::link::{Keeping, Timing};
 use flamingowheel_protocol::message::{Hello, Role as PeerRole};
+use flamingowheel_protocol::peer::{MemberRecord, MemberState};
 use flamingowheel_protocol::websocket::Identity;
 use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
@@ -60,6 +65,8 @@
         let callers = settings.listen.callers.ok_or(StartError::NoCallersAddress)?;
         let callers = bind(callers, "callers").await?;
         let operators = bind(settings.listen.operators, "operators").await?;
+        let inner = bind(settings.listen.inner, "the fleet's own processes").await?;
+        let inner_address = inner.local_addr()?;
         let (callers_address, operators_address) = (callers.local_addr()?, operators.local_addr()?);
         let config = Arc::new(config(settings, own, callers_address));
         recorder.record(Event::ProcessStarted {
@@ -67,14 +74,30 @@
             incarnation: uuid::Uuid::from_u64_pair(0, config.incarnation.0),
         });
         let kv: Arc<dyn KeyValue> = Arc::new(key_value(settings));
-        let (state, agents) = assemble(&config, &kv, &recorder);
+        let identity = identity(&config, &recorder);
+        let record = member_record(settings, &config, inner_address, operators_address);
+        let node = Node::new(record, recorder.clone());
+        let (state, agents) = assemble(&config, &kv, &identity, &node);
+        let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
+        let spread = Spread {
+            node: node.clone(),
+            store: Store::new(kv),
+            peers: Arc::new(WebSocketPeers::new(identity.clone())),
+            vms: vm_list(settings),
+            seeds: settings.peers.clone(),
+            timing: SpreadTiming::default(),
+        };
         let discovery = discovery(settings, Arc::clone(&agents));
-        let follower = Arc::clone(&state);
+        let (publisher, stopped, served) = (Arc::clone(&state), stop.clone(), node.clone());
         spawn_control("control", move || async move {
-            let store = Store::new(kv);
-            tokio::join!(configuration::follow(store, follower), discovery.run());
+            tokio::join!(
+                spread.run(stopped.clone()),
+                serve_peers(inner, identity, served.clone(), stopped),
+                publish_configuration(served.clone(), Arc::clone(&publisher)),
+                publish_addresses(served, publisher),
+                discovery.run(),
+            );
         })?;
-        let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
         let routes = flamingowheel_entry::http::router(Arc::clone(&state));
         let limits = limits(own);
         let callers_task = tokio::spawn(serve(callers, routes, limits, stop_accepting.clone()));
@@ -110,7 +133,7 @@
         let requests = u32::try_from(self.state.in_progress.get()).unwrap_or(u32::MAX);
         let cause = LeaveCause::Signal;
         self.state.recorder.record(Event::LeaveBegan { cause, requests });
-        self.state.set_leaving();
+        self.state.node.leave();
         tokio::select! {
             () = tokio::time::sleep(self.state.config.address_ttl + ADDRESS_MARGIN) => {}
             () = hurry.cancelled() => {}
@@ -137,12 +160,7 @@
     }
 }
 
-fn assemble(
-    config: &Arc<EntryConfig>,
-    kv: &Arc<dyn KeyValue>,
-    recorder: &Recorder,
-) -> (Arc<EntryState>, Arc<Agents>) {
-    let router = Arc::new(Router::default());
+fn identity(config: &EntryConfig, recorder: &Recorder) -> Identity {
     let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
     let hello = Hello {
         name: config.name.clone(),
@@ -150,24 +168,48 @@
         data_centre: config.data_centre.clone(),
         role: PeerRole::Entry,
     };
-    let identity = Identity { hello, key: config.fleet_key.clone(), keeping };
-    let connector = Arc::new(WebSocketConnector { identity });
-    let agents = Arc::new(Agents::new(connector, Arc::clone(&router)));
-    let own = EntryMember {
+    Identity { hello, key: config.fleet_key.clone(), keeping }
+}
+
+fn member_record(
+    settings: &Settings,
+    config: &EntryConfig,
+    inner: SocketAddr,
+    operators: SocketAddr,
+) -> MemberRecord {
+    MemberRecord {
         name: config.name.clone(),
-        address: config.caller_address,
+        vm: settings.vm.clone(),
         data_centre: config.data_centre.clone(),
-        leaving: false,
-    };
+        region: settings.region.clone(),
+        inner,
+        callers: config.caller_address,
+        operators,
+        incarnation: config.incarnation,
+        version: 1,
+        state: MemberState::Live,
+    }
+}
+
+fn assemble(
+    config: &Arc<EntryConfig>,
+    kv: &Arc<dyn KeyValue>,
+    identity: &Identity,
+    node: &Node,
+) -> (Arc<EntryState>, Arc<Agents>) {
+    let router = Arc::new(Router::default());
+    let connector = Arc::new(WebSocketConnector { identity: identity.clone() });
+    let agents = Arc::new(Agents::new(connector, Arc::clone(&router)));
+    let recorder = node.recorder().clone();
     let state = Arc::new(EntryState {
         config: Arc::clone(config),
         effective: ArcSwap::from_pointee(Effective::default()),
-        addresses: ArcSwap::from_pointee(AddressBook::new(&[], vec![own])),
+        addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
         dispatcher: Dispatcher::new(Arc::clone(config), router, recorder.clone()),
         claims: Claims::start(Arc::clone(kv), config),
-        recorder: recorder.clone(),
+        recorder,
         in_progress: Arc::default(),
-        leaving: std::sync::atomic::AtomicBool::new(false),
+        node: node.clone(),
     });
     (state, agents)
 }
@@ -196,10 +238,13 @@
     EtcdClient::new(authority(address), limits)
 }
 
+fn vm_list(settings: &Settings) -> Arc<dyn VmList> {
+    Arc::new(HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default()))
+}
+
 fn discovery(settings: &Settings, agents: Arc<Agents>) -> Discovery {
-    let list = HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default());
     Discovery {
-        list: Arc::new(list),
+        list: vm_list(settings),
         agents,
         inner_port: settings.listen.inner.port(),
         own: settings.listen.inner.ip(),
--- a/crates/flamingowheeld/src/lib.rs
+++ b/crates/flamingowheeld/src/lib.rs
@@ -1,10 +1,11 @@
 //! The daemon's parts: each role assembled from its settings, and a demo of the whole on loopback.
 
 pub mod agent;
-pub mod configuration;
+
 pub mod demo;
 pub mod discovery;
 pub mod entry;
 pub mod listen;
+pub mod membership;
 pub mod operators;
 pub mod threads;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -164,8 +164,8 @@
         let answer = PeerAnswer::Bucket { revision: 7, value: StoredValue(vec![0, 255]) };
         let frame = PeerFrame::Answer { number: 1, answer };
         assert_eq!(
-            decode::<PeerFrame>(&encode(std::slice::from_ref(&frame)).unwrap()),
-            Ok(vec![frame])
+            decode::<PeerFrame>(&encode(7, std::slice::from_ref(&frame)).unwrap()),
+            Ok((7, vec![frame]))
         );
     }
 }
