Serve the operators' interface, and ask every process what it has in force

Cause: operators had no way to change or see the configuration, and the transport between entries had no test.

--- a/crates/config/src/api.rs
+++ b/crates/config/src/api.rs
@@ -7,6 +7,7 @@
 use crate::validate::Problem;
 use crate::workspace::Workspace;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Answer to `POST /v1/config/apply`.
@@ -200,8 +201,11 @@
     pub data_centre: String,
     /// Whether it takes work.
     pub state: ProcessState,
-    /// The revision it last reported.
+    /// The revision it last reported to the process that answers; 0 if it never did.
     pub revision: ConfigRevision,
+    /// Where operators reach it, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators_address: Option<SocketAddr>,
     /// How long ago it was heard, in milliseconds.
     pub heard_ms_ago: u64,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,12 +6,15 @@
 //! * [`pause`]: noticing that this process itself stood still.
 //! * [`node`]: the state of one process, and its answers to peers.
 //! * [`spread`]: the loops that keep it up to date.
+//! * [`operators`]: the operators' HTTP interface.
 //! * [`transport`] and [`websocket`]: how peers are reached.
 
 mod fetch;
 pub mod membership;
 pub mod node;
+pub mod operators;
 pub mod pause;
+mod roll;
 mod service;
 pub mod spread;
 pub mod topology;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -48,6 +48,8 @@
     confirmed_at: Option<Instant>,
     key_value_answered_at: Option<Instant>,
     cursors: HashMap<String, Cursor>,
+    /// The revision that each process last reported here.
+    reported: HashMap<String, ConfigRevision>,
     random: StdRng,
 }
 
@@ -77,6 +79,8 @@
     pub state: MemberState,
     /// How long ago it was heard, or anything was heard of it.
     pub heard_ago: Duration,
+    /// The revision it last reported to this process.
+    pub revision: ConfigRevision,
 }
 
 /// What an answer to a heartbeat leaves to do.
@@ -101,6 +105,7 @@
             confirmed_at: None,
             key_value_answered_at: None,
             cursors: HashMap::new(),
+            reported: HashMap::new(),
         };
         let shared = Shared {
             state: Mutex::new(state),
@@ -166,6 +171,7 @@
             record: member.record.clone(),
             state: state.table.state(member),
             heard_ago: member.heard_at.elapsed(),
+            revision: state.reported(&member.record.name),
         };
         state.table.members().map(view).collect()
     }
@@ -297,6 +303,7 @@
                 true => Cursor { incarnation, theirs: 0, ours: 0 },
                 false => Cursor { incarnation, theirs: answer.version, ours: told },
             };
+            state.reported.insert(name.clone(), offered);
             state.cursors.insert(name, cursor);
             state.take(answer.from, answer.news)
         });
@@ -309,6 +316,14 @@
         Followup::None
     }
 
+    /// A process said what it has in force.
+    pub(crate) fn take_status(&self, record: MemberRecord, revision: ConfigRevision) {
+        self.change(|state| {
+            state.reported.insert(record.name.clone(), revision);
+            state.table.heard(record, Instant::now()).into_iter().collect()
+        });
+    }
+
     /// Table version, to be noted before a heartbeat is made.
     pub fn table_version(&self) -> u64 {
         self.state().table.version()
@@ -423,6 +438,13 @@
 }
 
 impl State {
+    fn reported(&self, name: &str) -> ConfigRevision {
+        match name == self.table.own().name {
+            true => self.replica.revision(),
+            false => self.reported.get(name).copied().unwrap_or_default(),
+        }
+    }
+
     fn confirm(&mut self) {
         self.unconfirmed_since = None;
         self.confirmed_at = Some(Instant::now());
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -26,7 +26,10 @@
 
     async fn answer_heartbeat(&self, heartbeat: Heartbeat) -> PeerAnswer {
         let Heartbeat { from, revision, after, hold_ms, news } = heartbeat;
-        self.change(|state| state.take(from, news));
+        self.change(|state| {
+            state.reported.insert(from.name.clone(), ConfigRevision(revision));
+            state.take(from, news)
+        });
         let hold = Duration::from_millis(u64::from(hold_ms)).min(MAX_HOLD);
         let mut progress = self.progress();
         let news = |own: &Progress| own.revision.0 > revision || own.version > after;
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -9,6 +9,7 @@
 use crate::node::{Followup, Node};
 use crate::pause::{PauseDetector, TICK};
 use crate::transport::{PeerError, PeerTransport};
+use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::store::Store;
 use flamingowheel_platform::vm::VmList;
 use flamingowheel_protocol::peer::{MemberState, PeerAnswer, PeerRequest};
@@ -280,11 +281,12 @@
     /// than everything else together.
     async fn probe(&self, name: &str, peer: SocketAddr) -> Result<(), PeerError> {
         let asked = timeout(self.timing.answer_limit, self.peers.ask(peer, PeerRequest::Status));
-        let PeerAnswer::Status { revision, digest, .. } =
+        let PeerAnswer::Status { record, revision, digest } =
             asked.await.map_err(|_| PeerError::Silent)??
         else {
             return Err(PeerError::Unexpected);
         };
+        self.node.take_status(*record, ConfigRevision(revision));
         if digest == self.node.digest() && revision <= self.node.revision().0 {
             return Ok(());
         }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -144,6 +144,7 @@
     pub node: Node,
     pub store: Store,
     pub address: SocketAddr,
+    pub peers: Arc<dyn PeerTransport>,
     stop: CancellationToken,
 }
 
@@ -202,11 +203,12 @@
         });
         let node = Node::new(record, Recorder::for_tests(&name));
         let store = Store::new(Arc::new(self.kv.clone()));
-        let port = Port { network: self.network.clone(), own: address };
+        let peers: Arc<dyn PeerTransport> =
+            Arc::new(Port { network: self.network.clone(), own: address });
         let spread = Spread {
             node: node.clone(),
             store: store.clone(),
-            peers: Arc::new(port),
+            peers: Arc::clone(&peers),
             vms: Arc::new(self.vms.clone()),
             seeds,
             timing: Timing::default(),
@@ -214,7 +216,7 @@
         let stop = CancellationToken::new();
         self.network.state.lock().unwrap().nodes.insert(address, node.clone());
         tokio::spawn(pausable(self.network.clone(), address, spread.run(stop.clone())));
-        self.entries.entry(name).or_insert(Entry { node, store, address, stop })
+        self.entries.entry(name).or_insert(Entry { node, store, address, peers, stop })
     }
 
     pub fn entry(&self, number: usize) -> &Entry {
--- /dev/null
+++ b/crates/control/tests/websocket.rs
@@ -0,0 +1,66 @@
+//! Entries over real connections on the loopback interface.
+
+mod common;
+
+use common::record;
+use flamingowheel_control::node::Node;
+use flamingowheel_control::transport::{PeerError, PeerTransport};
+use flamingowheel_control::websocket::{WebSocketPeers, serve};
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_protocol::auth::FleetKey;
+use flamingowheel_protocol::link::Keeping;
+use flamingowheel_protocol::message::{Hello, Role};
+use flamingowheel_protocol::peer::{PeerAnswer, PeerRequest};
+use flamingowheel_protocol::websocket::Identity;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+fn identity(number: usize, key: u8) -> Identity {
+    let record = record(number, 1);
+    let hello = Hello {
+        name: record.name,
+        incarnation: record.incarnation,
+        data_centre: record.data_centre,
+        role: Role::Entry,
+    };
+    Identity { hello, key: FleetKey::new([key; 32]), keeping: Keeping::default() }
+}
+
+async fn start(number: usize) -> (SocketAddr, CancellationToken) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let node = Node::new(record(number, 1), Recorder::for_tests("entry"));
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, identity(number, 1), node, stop.clone()));
+    (address, stop)
+}
+
+#[tokio::test]
+async fn ask_is_answered_and_survives_a_restart() {
+    let (address, stop) = start(1).await;
+    let peers = WebSocketPeers::new(identity(0, 1));
+    for _ in 0..3 {
+        let answer = peers.ask(address, PeerRequest::Status).await.unwrap();
+        assert!(matches!(answer, PeerAnswer::Status { record, .. } if record.name == "entry-1"));
+    }
+    // The peer's process ends while a question is held; whoever waits hears of it.
+    let heartbeat = Node::new(record(0, 1), Recorder::for_tests("entry"))
+        .heartbeat(None, Duration::from_secs(10));
+    let heartbeat = flamingowheel_protocol::peer::Heartbeat { after: u64::MAX, ..heartbeat };
+    let held = peers.ask(address, PeerRequest::Heartbeat(Box::new(heartbeat)));
+    let (held, ()) = tokio::join!(held, async {
+        tokio::task::yield_now().await;
+        stop.cancel();
+    });
+    assert!(held.is_err(), "{held:?}");
+    assert_eq!(peers.ask(address, PeerRequest::Status).await, Err(PeerError::Unreachable));
+}
+
+#[tokio::test]
+async fn ask_without_the_fleet_key() {
+    let (address, _stop) = start(1).await;
+    let stranger = WebSocketPeers::new(identity(0, 2));
+    assert_eq!(stranger.ask(address, PeerRequest::Status).await, Err(PeerError::Unreachable));
+}
