Keep the policy's first names where the data path uses them

Cause: entry and agent were wired to the first skeleton; renamed fields would break them. The model carries only the occupied count on chunks, as the protocol does.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -277,10 +277,11 @@
         self.on_report(server, load, now);
     }
 
-    /// Takes in the short form carried by a chunk: two small counts.
-    pub fn on_hint(&mut self, server: ServerKey, running: u16, waiting: u16, now: Duration) {
+    /// Takes in the short form carried by a chunk: only how many requests run or wait.
+    pub fn on_hint(&mut self, server: ServerKey, occupied: u16, now: Duration) {
         let Some(known) = self.servers.get(&server) else { return };
-        let load = Load { running, waiting, ..known.load };
+        let running = occupied.min(known.places());
+        let load = Load { running, waiting: occupied - running, ..known.load };
         self.on_fresh(server, load, now);
     }
 
