Mount the operators' interface on entries

Cause: the operators' routes and tool existed, but no process served them. Change: entries serve configuration, status, events, metrics and the address question on the operators' port; agents tell their VM and operators' address when they connect, so that status and time line reach them. Conclusion: the operators' way is whole; the demo's guide now names the tool.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -2,6 +2,7 @@
 
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::message::BackendProfile;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Limits and identity of an agent.
@@ -9,8 +10,12 @@
 pub struct AgentConfig {
     /// Unique in the fleet.
     pub name: String,
+    /// The VM it runs on.
+    pub vm: String,
     /// The data centre it runs in.
     pub data_centre: String,
+    /// Where operators reach it.
+    pub operators: Option<SocketAddr>,
     /// Drawn at process start.
     pub incarnation: Incarnation,
     /// What the backend server serves.
@@ -47,6 +52,8 @@
     pub fn new(name: &str, data_centre: &str, profile: BackendProfile) -> Self {
         Self {
             name: name.to_owned(),
+            vm: String::new(),
+            operators: None,
             data_centre: data_centre.to_owned(),
             incarnation: Incarnation::fresh(),
             queue_places: profile.places as usize,
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -349,13 +349,18 @@
         let offer = Offer {
             id: key,
             priority: Priority(dispatch.priority),
-            may_wait: dispatch.may_wait,
-            alone: dispatch.alone || self.must_run_alone(dispatch.fingerprint),
+            last_try: dispatch.last_try,
             deadline: self.started.elapsed() + Duration::from_millis(dispatch.remaining_ms),
         };
         let from_chunk = dispatch.resume_after_chunks;
+        let (fingerprint, dispatch_alone) = (dispatch.fingerprint, dispatch.alone);
         self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
-        match self.admission.offer(offer) {
+        let alone = dispatch_alone || self.must_run_alone(fingerprint);
+        let admitted = match alone {
+            true => self.admission.offer_alone(offer),
+            false => self.admission.offer(offer),
+        };
+        match admitted {
             Admitted::Full(_) => {
                 self.pending.remove(&key);
                 self.records.remove_ticket(key);
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -18,7 +18,9 @@
     let hello = Hello {
         name: config.name.clone(),
         incarnation: config.incarnation,
+        vm: config.vm.clone(),
         data_centre: config.data_centre.clone(),
+        operators: config.operators,
         role: Role::Agent(config.profile.clone()),
     };
     Identity { hello, key, keeping }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -167,6 +167,7 @@
     /// Every entry known, this one included.
     pub fn members(&self) -> Vec<MemberView> {
         let state = self.state();
+        let own = &state.table.own().name;
         let view = |member: &crate::membership::Member| MemberView {
             record: member.record.clone(),
             state: state.table.state(member),
--- a/crates/control/tests/websocket.rs
+++ b/crates/control/tests/websocket.rs
@@ -22,6 +22,8 @@
     let hello = Hello {
         name: record.name,
         incarnation: record.incarnation,
+        vm: "vm".to_owned(),
+        operators: None,
         data_centre: record.data_centre,
         role: Role::Entry,
     };
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -13,11 +13,12 @@
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Shortest and longest wait between two tries to connect.
@@ -58,6 +59,8 @@
     address: SocketAddr,
     connected: watch::Sender<Option<Connected>>,
     window: AtomicU32,
+    leaving: AtomicBool,
+    heard: Mutex<Instant>,
     streams: Mutex<HashMap<AttemptId, mpsc::UnboundedSender<StreamEvent>>>,
 }
 
@@ -67,6 +70,8 @@
             address,
             connected: watch::Sender::new(None),
             window: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            heard: Mutex::new(Instant::now()),
             streams: Mutex::default(),
         }
     }
@@ -103,6 +108,22 @@
         Window(self.window.load(Ordering::Relaxed))
     }
 
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// How long ago its last heartbeat came.
+    pub fn heard_ago(&self) -> Duration {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
+    }
+
+    fn on_heartbeat(&self, window: Window, leaving: bool) {
+        self.window.store(window.0, Ordering::Relaxed);
+        self.leaving.store(leaving, Ordering::Relaxed);
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
     /// Registers an attempt for messages about it.
     pub fn listen(self: &Arc<Self>, attempt: AttemptId) -> StreamListener {
         let (sender, events) = mpsc::unbounded_channel();
@@ -292,7 +313,7 @@
 
     fn take(&self, server: ServerKey, message: &AgentMessage) {
         if let AgentMessage::Heartbeat { window, leaving, backend_up, .. } = message {
-            self.agent.window.store(window.0, Ordering::Relaxed);
+            self.agent.on_heartbeat(*window, *leaving);
             self.router.set_accepting(server, *leaving, *backend_up);
         }
         if let Some(hint) = message.load_hint() {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::events;
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::request::Request;
-use crate::router::Router;
+use crate::router::{RouteClass, Router};
 use crate::stream::{Answer, Origin};
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{CancelCause, RouteReason};
@@ -81,7 +81,7 @@
     server: ServerKey,
     agent: Arc<Agent>,
     connected: Connected,
-    may_wait: bool,
+    last_try: bool,
     alone: bool,
 }
 
@@ -148,9 +148,10 @@
 
     /// Mints a ticket for a backend server that is likely to have room.
     pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
+        let question = RouteRequest { fingerprint: request.fingerprint, tried: &[] };
         let (choice, agent) = self
             .router
-            .route(&request.target, &route_request(request, &[]))
+            .route(&request.target, &question, &route_class(request))
             .map_err(|_| NotRun::NoneAvailable)?;
         self.router.ended(choice.server);
         let connected = agent.connected().ok_or(NotRun::NoneAvailable)?;
@@ -233,13 +234,13 @@
 
     fn choose_best(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
         let request = journey.request;
-        let question = route_request(request, &journey.tried);
-        let routed = self.router.route(&request.target, &question);
+        let question = RouteRequest { fingerprint: request.fingerprint, tried: &journey.tried };
+        let routed = self.router.route(&request.target, &question, &route_class(request));
         let (choice, agent) = routed.map_err(|error| journey.no_choice(error))?;
         let connected = self.connected(journey, choice.server, &agent)?;
         log_route(journey, &choice, &connected);
-        let may_wait = choice.may_wait;
-        Ok(Chosen { server: choice.server, agent, connected, may_wait, alone: false })
+        let last_try = choice.last_try;
+        Ok(Chosen { server: choice.server, agent, connected, last_try, alone: false })
     }
 
     /// A request that may have crashed a backend server goes to one that all entries agree on,
@@ -261,7 +262,7 @@
             candidates: 1,
             predicted_wait_ms: 0,
         });
-        Ok(Chosen { server, agent, connected, may_wait: true, alone: true })
+        Ok(Chosen { server, agent, connected, last_try: true, alone: true })
     }
 
     fn connected(
@@ -356,7 +357,7 @@
             remaining_ms: request.remaining_ms(),
             fingerprint: request.fingerprint,
             alone: chosen.alone,
-            may_wait: chosen.may_wait,
+            last_try: chosen.last_try,
             resume_after_chunks: 0,
         };
         journey.log.record(Event::Dispatched {
@@ -463,7 +464,7 @@
             // Its records are gone: the work may have run there, and must run nowhere else.
             return Err(Unknown::TicketHome(Refusal::WrongIncarnation).into());
         }
-        Ok(Chosen { server, agent, connected, may_wait: true, alone: false })
+        Ok(Chosen { server, agent, connected, last_try: true, alone: false })
     }
 }
 
@@ -472,10 +473,8 @@
     ExecutionKey::Ticket { number: ticket.number, window: ticket.window }
 }
 
-fn route_request<'a>(request: &Request, tried: &'a [ServerKey]) -> RouteRequest<'a> {
-    RouteRequest {
-        fingerprint: request.fingerprint,
-        tried,
+fn route_class(request: &Request) -> RouteClass {
+    RouteClass {
         urgent: events::is_urgent(request),
         max_wait: Duration::from_millis(request.remaining_ms()),
     }
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -37,6 +37,11 @@
 /// Header of the IETF draft of the same name.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// The address question alone, for the operators' port.
+pub fn entries_router(state: Arc<EntryState>) -> Router {
+    Router::new().route(ENTRIES_PATH, get(entries::give)).with_state(state)
+}
+
 /// All routes towards callers.
 pub fn router(state: Arc<EntryState>) -> Router {
     Router::new()
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -13,6 +13,15 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// How a request is treated among others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteClass {
+    /// It overtakes all that wait.
+    pub urgent: bool,
+    /// A longer expected wait is refused at once.
+    pub max_wait: Duration,
+}
+
 /// Knowledge of the backend servers and the choice among them.
 pub struct Router {
     config: RoutingConfig,
@@ -119,9 +128,7 @@
                 };
                 book.on_fresh(server, load, now);
             }
-            LoadHint::Occupancy(Occupancy(running, waiting)) => {
-                book.on_hint(server, running, waiting, now);
-            }
+            LoadHint::Occupancy(Occupancy(occupied)) => book.on_hint(server, occupied, now),
         }
     }
 
@@ -130,12 +137,15 @@
         &self,
         target: &Target,
         request: &RouteRequest<'_>,
+        class: &RouteClass,
     ) -> Result<(Choice, Arc<Agent>), RouteError> {
         let now = self.started.elapsed();
         let mut state = self.lock();
         let servers = state.by_target.get(target).ok_or(RouteError::NoneAvailable)?;
         let no_cost = |_| Some(Duration::ZERO);
-        let choice = choose(&self.config, request, servers, &state.book, now, no_cost)?;
+        let RouteClass { urgent, max_wait } = *class;
+        let config = RoutingConfig { urgent, max_wait, ..self.config };
+        let choice = choose(&config, request, servers, &state.book, now, no_cost)?;
         let agent = state.agents.get(&choice.server).cloned().ok_or(RouteError::NoneAvailable)?;
         state.book.on_sent(choice.server, now);
         Ok((choice, agent))
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -139,7 +139,7 @@
             remaining_ms: self.reconnect_limit.as_millis() as u64,
             fingerprint: self.request.fingerprint,
             alone: false,
-            may_wait: true,
+            last_try: true,
             resume_after_chunks: next_chunk,
         };
         let deadline = Instant::now() + self.reconnect_limit;
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -44,7 +44,7 @@
         let inner = bind(settings.listen.inner, "the fleet's own processes").await?;
         let operators = bind(settings.listen.operators, "operators").await?;
         let operators_address = operators.local_addr()?;
-        let config = config(settings, own);
+        let config = config(settings, own, operators_address);
         let backend = Arc::new(backend(own));
         recorder.record(Event::ProcessStarted {
             version: env!("CARGO_PKG_VERSION").into(),
@@ -98,7 +98,7 @@
     Ok(Recorder::on_system_clock(process, Metrics::new()?))
 }
 
-fn config(settings: &Settings, own: &AgentSettings) -> AgentConfig {
+fn config(settings: &Settings, own: &AgentSettings, operators: SocketAddr) -> AgentConfig {
     let serves = match &own.kind {
         BackendServerKind::Engine { model, group, rank, .. } => Serves::Model {
             model: model.clone(),
@@ -113,6 +113,8 @@
         places: u32::try_from(own.places).unwrap_or(u32::MAX),
     };
     let mut config = AgentConfig::new(&settings.name, &settings.data_centre, profile);
+    config.vm = settings.vm.clone();
+    config.operators = Some(operators);
     config.queue_places = own.queue_length as usize;
     config.max_ticket_records = own.record_capacity as usize;
     config.max_replay_bytes = own.replay_window_bytes as usize;
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -199,7 +199,11 @@
         let store = Store::new(Arc::new(kv));
         let request = ApplyRequest {
             uuid: uuid::Uuid::now_v7(),
-            origin: Origin { operator: "demo".to_owned(), at_unix_ms: 0, comment: String::new() },
+            origin: Origin {
+                operator: "demo".to_owned(),
+                at_unix_ms: unix_ms(),
+                comment: String::new(),
+            },
             edits,
             seen: Default::default(),
         };
@@ -248,8 +252,10 @@
              File a work order; sent again with the same key it runs once:\n  \
              curl -i {auth} -H 'idempotency-key: box-17' -d 'repair box 17' \
              http://{first}/v1/services/{SERVICE}/orders\n\
-             What happened to a request:\n  \
-             curl -H 'authorization: Bearer {OPERATORS_TOKEN}' 'http://{operators}/v1/events'\n\n",
+             What happened to a request (its id is in the header flamingowheel-request):\n  \
+             export FLAMINGOWHEEL_ENTRIES={operators} FLAMINGOWHEEL_TOKEN={OPERATORS_TOKEN}\n  \
+             cargo run --release --bin flamingowheel -- timeline --request ID\n  \
+             cargo run --release --bin flamingowheel -- status\n\n",
             operators = self.entries[0].operators,
         );
         text
@@ -340,6 +346,11 @@
     Ipv4Addr::new(127, 0, 2, number + 1).into()
 }
 
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// A port that is free now. All processes of a fleet listen on the same one, each on its own IP.
 async fn free_port() -> io::Result<u16> {
     Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?.local_addr()?.port())
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -7,14 +7,17 @@
 use crate::operators;
 use crate::threads::spawn_control;
 use arc_swap::ArcSwap;
-use flamingowheel_config::effective::Effective;
+use flamingowheel_config::api::{ProcessRole, ProcessState, ProcessStatus};
+use flamingowheel_config::effective::{ConfigRevision, Effective};
 use flamingowheel_config::settings::{EntrySettings, Role, Settings};
 use flamingowheel_config::store::Store;
 use flamingowheel_control::node::Node;
+use flamingowheel_control::operators::{Operators, OtherProcesses, router as operators_router};
 use flamingowheel_control::spread::{Spread, Timing as SpreadTiming};
+use flamingowheel_control::transport::PeerTransport;
 use flamingowheel_control::websocket::{WebSocketPeers, serve as serve_peers};
 use flamingowheel_entry::addresses::AddressBook;
-use flamingowheel_entry::agents::Agents;
+use flamingowheel_entry::agents::{Agent, Agents, Connected};
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::connector::WebSocketConnector;
@@ -74,15 +77,17 @@
             incarnation: uuid::Uuid::from_u64_pair(0, config.incarnation.0),
         });
         let kv: Arc<dyn KeyValue> = Arc::new(key_value(settings));
-        let identity = identity(&config, &recorder);
+        let identity = identity(settings, &config, &recorder, operators_address);
         let record = member_record(settings, &config, inner_address, operators_address);
         let node = Node::new(record, recorder.clone());
         let (state, agents) = assemble(&config, &kv, &identity, &node);
         let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
+        let store = Store::new(kv);
+        let peers: Arc<dyn PeerTransport> = Arc::new(WebSocketPeers::new(identity.clone()));
         let spread = Spread {
             node: node.clone(),
-            store: Store::new(kv),
-            peers: Arc::new(WebSocketPeers::new(identity.clone())),
+            store: store.clone(),
+            peers: Arc::clone(&peers),
             vms: vm_list(settings),
             seeds: settings.peers.clone(),
             timing: SpreadTiming::default(),
@@ -101,7 +106,10 @@
         let routes = flamingowheel_entry::http::router(Arc::clone(&state));
         let limits = limits(own);
         let callers_task = tokio::spawn(serve(callers, routes, limits, stop_accepting.clone()));
-        let routes = flamingowheel_observe::http::router(recorder);
+        let others = Arc::new(AgentList(Arc::clone(&agents)));
+        let routes = operators_router(Operators { node, store, peers, agents: others })
+            .merge(flamingowheel_entry::http::entries_router(Arc::clone(&state)))
+            .merge(flamingowheel_observe::http::router(recorder));
         let routes = operators::guard(routes, &settings.operators_token);
         tokio::spawn(serve(operators, routes, ListenLimits::default(), stop.clone()));
         Ok(Self {
@@ -160,12 +168,46 @@
     }
 }
 
-fn identity(config: &EntryConfig, recorder: &Recorder) -> Identity {
+/// The agents that this entry is connected to, for the operators' status.
+struct AgentList(Arc<Agents>);
+
+impl OtherProcesses for AgentList {
+    fn list(&self) -> Vec<ProcessStatus> {
+        let connected = self.0.connected();
+        connected.into_iter().map(|(agent, connected)| agent_status(&agent, &connected)).collect()
+    }
+}
+
+fn agent_status(agent: &Agent, connected: &Connected) -> ProcessStatus {
+    ProcessStatus {
+        name: connected.hello.name.clone(),
+        role: ProcessRole::Agent,
+        vm: connected.hello.vm.clone(),
+        data_centre: connected.hello.data_centre.clone(),
+        state: match agent.is_leaving() {
+            true => ProcessState::Leaving,
+            false => ProcessState::Live,
+        },
+        // Agents hold no configuration.
+        revision: ConfigRevision::default(),
+        operators_address: connected.hello.operators,
+        heard_ms_ago: agent.heard_ago().as_millis() as u64,
+    }
+}
+
+fn identity(
+    settings: &Settings,
+    config: &EntryConfig,
+    recorder: &Recorder,
+    operators: SocketAddr,
+) -> Identity {
     let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
     let hello = Hello {
         name: config.name.clone(),
         incarnation: config.incarnation,
+        vm: settings.vm.clone(),
         data_centre: config.data_centre.clone(),
+        operators: Some(operators),
         role: PeerRole::Entry,
     };
     Identity { hello, key: config.fleet_key.clone(), keeping }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What each side says of itself when a connection opens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,8 +13,12 @@
     pub name: String,
     /// The process's incarnation.
     pub incarnation: Incarnation,
+    /// The VM it runs on.
+    pub vm: String,
     /// The data centre it runs in.
     pub data_centre: String,
+    /// Where operators reach it.
+    pub operators: Option<SocketAddr>,
     /// What it does.
     pub role: Role,
 }
@@ -80,16 +85,17 @@
     /// ```
     /// use flamingowheel_protocol::message::{Load, Occupancy};
     /// let load = Load { running: 2, waiting: 1, ..Load::default() };
-    /// assert_eq!(load.occupancy(), Occupancy(2, 1));
+    /// assert_eq!(load.occupancy(), Occupancy(3));
     /// ```
     pub fn occupancy(&self) -> Occupancy {
-        Occupancy(self.running, self.waiting)
+        Occupancy(self.running.saturating_add(self.waiting))
     }
 }
 
-/// Requests running, then requests waiting: the part of the load that goes with every chunk.
+/// Requests running or waiting: the part of the load that goes with every chunk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Occupancy(pub u16, pub u16);
+#[serde(transparent)]
+pub struct Occupancy(pub u16);
 
 /// A request sent to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,7 +130,7 @@
     /// Nothing else may run beside it.
     pub alone: bool,
     /// The agent may queue it rather than refuse early.
-    pub may_wait: bool,
+    pub last_try: bool,
     /// Events that the caller already has; only to backend servers that can resume.
     pub resume_after_chunks: u64,
 }
@@ -282,7 +288,7 @@
         /// Media type of the body.
         #[serde(rename = "t")]
         content_type: String,
-        /// Requests running and waiting, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
         occupancy: Occupancy,
     },
@@ -298,7 +304,7 @@
         /// The bytes.
         #[serde(rename = "d", with = "serde_body")]
         data: Bytes,
-        /// Requests running and waiting, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
         occupancy: Occupancy,
     },
@@ -311,7 +317,7 @@
         /// Number of chunks in the whole answer.
         #[serde(rename = "n")]
         chunk_count: u64,
-        /// Requests running and waiting, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
         occupancy: Occupancy,
     },
@@ -324,7 +330,7 @@
         /// Why.
         #[serde(rename = "w")]
         failure: Failure,
-        /// Requests running and waiting, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
         occupancy: Occupancy,
     },
@@ -393,7 +399,7 @@
 pub enum LoadHint {
     /// All of it.
     Whole(Load),
-    /// Requests running and waiting.
+    /// Requests running or waiting.
     Occupancy(Occupancy),
 }
 
