Let a stopped entry drop its peers' connections at once

Cause: a held answer to a peer kept the connection of a stopped process open for as long as the hold, up to 10 s. Change: a held answer is given up when the process stops; the test no longer races its own peer. Conclusion: peers see a planned stop at once.

--- a/crates/control/src/websocket.rs
+++ b/crates/control/src/websocket.rs
@@ -141,15 +141,17 @@
         let (identity, node, stop) = (identity.clone(), node.clone(), stop.clone());
         tokio::spawn(async move {
             let _permit = permit;
-            tokio::select! {
-                () = attend(stream, &identity, node) => {}
-                () = stop.cancelled() => {}
-            }
+            stop.run_until_cancelled(attend(stream, &identity, node, stop.clone())).await;
         });
     }
 }
 
-async fn attend(stream: tokio::net::TcpStream, identity: &Identity, node: Node) {
+async fn attend(
+    stream: tokio::net::TcpStream,
+    identity: &Identity,
+    node: Node,
+    stop: CancellationToken,
+) {
     let mut link: PeerLink = match accept(stream, identity).await {
         Ok(link) => link,
         Err(error) => return tracing::warn!(%error, "connection refused"),
@@ -158,9 +160,11 @@
     while let Some(frame) = link.receiver.recv().await {
         let PeerFrame::Request { number, request } = frame else { continue };
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
-        let (node, sender) = (node.clone(), link.sender.clone());
+        let (node, sender, stop) = (node.clone(), link.sender.clone(), stop.clone());
         tokio::spawn(async move {
-            let answer = node.answer(request).await;
+            // A held answer keeps the connection open; the peer would take a process that
+            // stopped for one that is there, for as long as the hold.
+            let Some(answer) = stop.run_until_cancelled(node.answer(request)).await else { return };
             // A connection that ended has nobody waiting.
             let _ = sender.send(PeerFrame::Answer { number, answer }).await;
             drop(permit);
--- a/crates/control/tests/websocket.rs
+++ b/crates/control/tests/websocket.rs
@@ -28,18 +28,18 @@
     Identity { hello, key: FleetKey::new([key; 32]), keeping: Keeping::default() }
 }
 
-async fn start(number: usize) -> (SocketAddr, CancellationToken) {
+async fn start(number: usize) -> (SocketAddr, Node, CancellationToken) {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     let node = Node::new(record(number, 1), Recorder::for_tests("entry"));
     let stop = CancellationToken::new();
-    tokio::spawn(serve(listener, identity(number, 1), node, stop.clone()));
-    (address, stop)
+    tokio::spawn(serve(listener, identity(number, 1), node.clone(), stop.clone()));
+    (address, node, stop)
 }
 
 #[tokio::test]
 async fn ask_is_answered_and_survives_a_restart() {
-    let (address, stop) = start(1).await;
+    let (address, node, stop) = start(1).await;
     let peers = WebSocketPeers::new(identity(0, 1));
     for _ in 0..3 {
         let answer = peers.ask(address, PeerRequest::Status).await.unwrap();
@@ -51,7 +51,10 @@
     let heartbeat = flamingowheel_protocol::peer::Heartbeat { after: u64::MAX, ..heartbeat };
     let held = peers.ask(address, PeerRequest::Heartbeat(Box::new(heartbeat)));
     let (held, ()) = tokio::join!(held, async {
-        tokio::task::yield_now().await;
+        // The peer holds the question as soon as it knows who asks.
+        while node.members().len() < 2 {
+            tokio::task::yield_now().await;
+        }
         stop.cancel();
     });
     assert!(held.is_err(), "{held:?}");
@@ -60,7 +63,7 @@
 
 #[tokio::test]
 async fn ask_without_the_fleet_key() {
-    let (address, _stop) = start(1).await;
+    let (address, _node, _stop) = start(1).await;
     let stranger = WebSocketPeers::new(identity(0, 2));
     assert_eq!(stranger.ask(address, PeerRequest::Status).await, Err(PeerError::Unreachable));
 }
