--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -7,6 +7,9 @@
 /// Proof that a request did not run and won't.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NotRun {
+    /// This entry does not yet know, or no longer trusts, the configuration that it has.
+    #[error("this entry has no confirmed configuration yet")]
+    NotReady,
     /// No workspace is known for the token.
     #[error("unknown workspace or token")]
     Unauthorised,
@@ -31,6 +34,18 @@
         /// When to come back, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Every backend server has more waiting than the caller has time for.
+    #[error("backend servers overloaded")]
+    Overloaded {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// It crashed backend servers.
+    #[error("refused because backend servers crashed while running this request")]
+    Suspect {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No agent that serves it is reachable.
     #[error("no backend server is available")]
     NoneAvailable,
--- a/crates/policy/benches/model/mod.rs
+++ b/crates/policy/benches/model/mod.rs
@@ -6,22 +6,25 @@
 
 pub mod args;
 pub mod baseline;
+pub mod config;
+pub mod limits;
 pub mod server;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use flamingowheel_policy::admission::{AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_policy::admission::{Admitted, Offer};
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use flamingowheel_policy::load::LoadBook;
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
 use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
-use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use baseline::{Baseline, BaselineBook};
+use baseline::BaselineBook;
+use config::ClassFigures;
+pub use config::{Chooser, Class, Figures, ModelConfig};
 use server::{Server, Started};
 
 /// One way between an entry and an agent.
@@ -29,120 +32,12 @@
 /// Time between the tokens of a stream.
 const CHUNK_EVERY: Duration = Duration::from_millis(52);
 
-/// Who chooses the backend server.
-#[derive(Clone, Copy, Debug)]
-pub enum Chooser {
-    Baseline(Baseline),
-    Shipping(RoutingConfig),
-}
-
-/// A class of requests.
-#[derive(Clone, Copy, Debug)]
-pub struct Class {
-    pub share: f64,
-    pub priority: Priority,
-    pub max_wait: Duration,
-}
-
-/// A share of the backend servers that are down for a time.
-#[derive(Clone, Copy, Debug)]
-pub struct Outage {
-    pub from: Duration,
-    pub until: Duration,
-    pub share: f64,
-}
-
-#[derive(Clone, Debug)]
-pub struct ModelConfig {
-    pub seed: u64,
-    pub entries: usize,
-    pub servers: usize,
-    pub load: f64,
-    pub service: Duration,
-    /// Work before the first token, a part of the service.
-    pub prefill: Duration,
-    pub lag: Duration,
-    pub report_every: Duration,
-    pub warm_up: Duration,
-    pub duration: Duration,
-    pub chooser: Chooser,
-    pub admission: AdmissionConfig,
-    pub classes: Vec<Class>,
-    pub outage: Option<Outage>,
-    /// Share of requests that all have one body.
-    pub same_body_share: f64,
-    /// Draw candidates by the body's fingerprint rather than anew for every request.
-    pub seeded: bool,
-}
-
-/// What one class met.
-pub struct ClassFigures {
-    pub wait_us: Histogram<u64>,
-    pub first_token_us: Histogram<u64>,
-    pub arrived: u64,
-    pub finished: u64,
-    pub refused: u64,
-}
-
-impl ClassFigures {
-    fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are valid");
-        Self {
-            wait_us: histogram(),
-            first_token_us: histogram(),
-            arrived: 0,
-            finished: 0,
-            refused: 0,
-        }
-    }
-}
-
-pub struct Figures {
-    pub classes: Vec<ClassFigures>,
-    pub tries: u64,
-    /// Work finished in the measured time, in seconds of a place.
-    pub work_done_s: f64,
-    /// How often the one same body ran on each backend server.
-    pub same_body_runs: Vec<u64>,
-}
-
-impl Figures {
-    pub fn arrived(&self) -> u64 {
-        self.classes.iter().map(|class| class.arrived).sum()
-    }
-
-    pub fn tries_per_request(&self) -> f64 {
-        self.tries as f64 / self.arrived() as f64
-    }
-
-    pub fn refused_share(&self) -> f64 {
-        let refused: u64 = self.classes.iter().map(|class| class.refused).sum();
-        refused as f64 / self.arrived() as f64
-    }
-
-    /// Share of the same body's runs that the eight servers with the most of them had.
-    pub fn same_body_share_of_top_8(&self) -> f64 {
-        let mut runs = self.same_body_runs.clone();
-        runs.sort_unstable_by_key(|runs| Reverse(*runs));
-        let all: u64 = runs.iter().sum();
-        runs.iter().take(8).sum::<u64>() as f64 / all.max(1) as f64
-    }
-
-    pub fn wait_s(&self, quantile: f64) -> f64 {
-        let mut all = self.classes[0].wait_us.clone();
-        for class in &self.classes[1..] {
-            all.add(&class.wait_us).expect("histograms share their bounds");
-        }
-        all.value_at_quantile(quantile) as f64 / 1e6
-    }
-}
-
 type RequestId = usize;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    Offer { request: RequestId, server: usize, may_wait: bool },
+    Offer { request: RequestId, server: usize, last_try: bool },
     Finish { server: usize, generation: u64 },
     Chunk { request: RequestId },
     TakeReport { server: usize },
@@ -253,7 +148,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
-            Event::Offer { request, server, may_wait } => self.offer(request, server, may_wait),
+            Event::Offer { request, server, last_try } => self.offer(request, server, last_try),
             Event::Finish { server, generation } => self.finish(server, generation),
             Event::Chunk { request } => self.chunk(request),
             Event::TakeReport { server } => self.report(server),
@@ -300,7 +195,7 @@
     }
 
     fn route(&mut self, id: RequestId) {
-        let Some((server, may_wait)) = self.choose(id) else {
+        let Some((server, last_try)) = self.choose(id) else {
             self.refuse(id);
             return;
         };
@@ -309,7 +204,7 @@
         let entry = &mut self.entries[request.entry];
         entry.book.on_sent(self.keys[server], self.now);
         entry.baseline.on_sent(server);
-        self.after(NETWORK, Event::Offer { request: id, server, may_wait });
+        self.after(NETWORK, Event::Offer { request: id, server, last_try });
     }
 
     fn choose(&mut self, id: RequestId) -> Option<(usize, bool)> {
@@ -321,22 +216,22 @@
                 let tried: Vec<usize> =
                     request.tried.iter().filter_map(|key| self.index_of(*key)).collect();
                 let rng = &mut self.rng;
-                let may_wait = baseline.early_queue.is_none();
-                return may_try.then(|| (entry.baseline.choose(baseline, &tried, rng), may_wait));
+                let last_try = baseline.early_queue.is_none();
+                return may_try.then(|| (entry.baseline.choose(baseline, &tried, rng), last_try));
             }
-            Chooser::Shipping(routing) => routing,
+            Chooser::Shipping(routing) => *routing,
         };
         let class = &self.config.classes[request.class];
-        let route = RouteRequest {
-            fingerprint: request.fingerprint,
-            tried: &request.tried,
+        let routing = RoutingConfig {
             urgent: class.priority >= self.config.admission.urgent,
             max_wait: class.max_wait,
+            ..routing
         };
+        let route = RouteRequest { fingerprint: request.fingerprint, tried: &request.tried };
         let no_cost = |_| Some(Duration::ZERO);
-        let choice = choose(routing, &route, &self.keys, &entry.book, self.now, no_cost);
+        let choice = choose(&routing, &route, &self.keys, &entry.book, self.now, no_cost);
         let choice = choice.ok()?;
-        Some((self.index_of(choice.server)?, choice.may_wait))
+        Some((self.index_of(choice.server)?, choice.last_try))
     }
 
     fn index_of(&self, server: ServerKey) -> Option<usize> {
@@ -348,7 +243,7 @@
         self.figures.classes[request.class].refused += u64::from(request.counted);
     }
 
-    fn offer(&mut self, id: RequestId, server: usize, may_wait: bool) {
+    fn offer(&mut self, id: RequestId, server: usize, last_try: bool) {
         if self.servers[server].down {
             self.fail(id, server, LastTry::NotRun);
             return;
@@ -356,7 +251,7 @@
         let request = &self.requests[id];
         let class = self.config.classes[request.class];
         let deadline = self.now + class.max_wait;
-        let offer = Offer { id, priority: class.priority, may_wait, alone: false, deadline };
+        let offer = Offer { id, priority: class.priority, last_try, deadline };
         self.servers[server].advance(self.now);
         match self.servers[server].admission.offer(offer) {
             Admitted::Start => self.start(id, server),
@@ -460,7 +355,7 @@
         let Some(server) = self.requests[id].server else { return };
         let load = self.servers[server].load();
         let entry = &mut self.entries[self.requests[id].entry];
-        entry.book.on_hint(self.keys[server], load.running, load.waiting, self.now);
+        entry.book.on_hint(self.keys[server], load.occupied(), self.now);
         self.after(CHUNK_EVERY, Event::Chunk { request: id });
     }
 
