--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! * [`membership`]: what one process believes of the others, as a pure table.
 //! * [`topology`]: who watches whom, computed from the table.
+//! * [`duties`]: what that means for this process.
 //! * [`pause`]: noticing that this process itself stood still.
 //! * [`node`]: the state of one process, and its answers to peers.
 //! * [`spread`]: the loops that keep it up to date.
 //! * [`operators`]: the operators' HTTP interface.
 //! * [`transport`] and [`websocket`]: how peers are reached.
 
+pub mod duties;
 mod fetch;
 pub mod membership;
 pub mod node;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,8 +2,8 @@
 
 mod answers;
 
+use crate::duties::Duties;
 use crate::membership::{Observation, Table};
-use crate::topology::{Place, Topology};
 use flamingowheel_config::api::ConfigSource;
 use flamingowheel_config::change::Change;
 use flamingowheel_config::effective::{ConfigRevision, Effective};
@@ -51,6 +51,8 @@
     /// The revision that each process last reported here.
     reported: HashMap<String, ConfigRevision>,
     random: StdRng,
+    /// Duties as of a version of the table.
+    duties: (u64, Arc<Duties>),
 }
 
 /// How far two processes have told each other their news.
@@ -98,6 +100,7 @@
         let random = StdRng::seed_from_u64(own.incarnation.0);
         let state = State {
             random,
+            duties: (0, Arc::default()),
             table: Table::new(own, Instant::now()),
             replica: Replica::default(),
             source: ConfigSource::None,
@@ -395,35 +398,21 @@
         self.shared.progress.send_if_modified(|own| std::mem::replace(own, progress) != progress);
     }
 
-    /// The names this process polls, and those that should poll it.
-    pub fn neighbours(&self) -> (Vec<String>, Vec<String>) {
-        self.with_topology(|topology, own| {
-            let (centre, name) = (own.data_centre.as_str(), own.name.as_str());
-            (owned(topology.polled_by(centre, name)), owned(topology.polling(centre, name)))
-        })
-    }
-
-    /// Whether this process watches the key-value service for its data centre.
-    pub fn is_watcher(&self) -> bool {
-        self.with_topology(|topology, own| topology.is_watcher(&own.data_centre, &own.name))
-    }
-
-    /// Whether this process reads the VM list for the fleet.
-    pub fn reads_vm_list(&self) -> bool {
-        self.with_topology(|topology, own| topology.reads_vm_list(&own.data_centre, &own.name))
+    /// What this process has to do for others, as of now.
+    pub fn duties(&self) -> Arc<Duties> {
+        let mut state = self.state();
+        let version = state.table.version();
+        if state.duties.0 != version {
+            state.duties = (version, Arc::new(Duties::new(&state.table)));
+        }
+        Arc::clone(&state.duties.1)
     }
 
-    fn with_topology<T, F>(&self, use_it: F) -> T
-    where
-        F: FnOnce(&Topology<'_>, &MemberRecord) -> T,
-    {
+    /// Whether a member stands in this process's data centre.
+    pub fn is_near(&self, name: &str) -> bool {
         let state = self.state();
-        let own = state.table.own();
-        let counts =
-            |record: &MemberRecord| record.name == own.name || record.state < MemberState::Silent;
-        let members = state.table.members().map(|member| &member.record);
-        let topology = Topology::new(members.filter(|record| counts(record)).map(place));
-        use_it(&topology, own)
+        let own = &state.table.own().data_centre;
+        state.table.member(name).is_some_and(|member| member.record.data_centre == *own)
     }
 
     /// Inner address of a member.
@@ -462,14 +451,6 @@
     }
 }
 
-fn place(record: &MemberRecord) -> Place<'_> {
-    Place { data_centre: &record.data_centre, name: &record.name }
-}
-
-fn owned(names: Vec<&str>) -> Vec<String> {
-    names.into_iter().map(str::to_owned).collect()
-}
-
 fn seen(state: MemberState) -> Seen {
     match state {
         MemberState::Live => Seen::Live,
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -21,7 +21,7 @@
 /// Follows the service for as long as this process is a watcher.
 pub(crate) async fn follow(spread: &Spread) {
     loop {
-        if spread.node.is_watcher() {
+        if spread.node.duties().is_watcher {
             watch_until_end(spread).await;
         } else {
             read_if_isolated(spread).await;
@@ -75,7 +75,7 @@
     let Ok(mut watch) = spread.store.watch_log(after).await else {
         return sleep(spread.node.jitter(RETRY_INTERVAL)).await;
     };
-    while spread.node.is_watcher() && take_events(spread, &mut watch).await.is_ok() {}
+    while spread.node.duties().is_watcher && take_events(spread, &mut watch).await.is_ok() {}
 }
 
 /// The watch has to be opened again.
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -185,7 +185,8 @@
         let mut polls = FuturesUnordered::new();
         let mut running: HashMap<String, CancellationToken> = HashMap::new();
         loop {
-            let (wanted, _) = self.node.neighbours();
+            let duties = self.node.duties();
+            let wanted = &duties.polls;
             running.retain(|name, stop| {
                 let kept = wanted.contains(name);
                 if !kept {
@@ -194,10 +195,10 @@
                 kept
             });
             for name in wanted {
-                if !running.contains_key(&name) {
+                if !running.contains_key(name) {
                     let stop = CancellationToken::new();
                     running.insert(name.clone(), stop.clone());
-                    polls.push(stop.run_until_cancelled_owned(self.poll_one(name)));
+                    polls.push(stop.run_until_cancelled_owned(self.poll_one(name.clone())));
                 }
             }
             tokio::select! {
@@ -222,13 +223,7 @@
     }
 
     fn hold_for(&self, name: &str) -> Duration {
-        let own = self.node.own();
-        let members = self.node.members();
-        let peer = members.iter().find(|member| member.record.name == name);
-        match peer {
-            Some(peer) if peer.record.data_centre != own.data_centre => self.timing.remote_hold,
-            _ => self.timing.hold,
-        }
+        if self.node.is_near(name) { self.timing.hold } else { self.timing.remote_hold }
     }
 
     /// Looks at the clock and at those that this process watches.
@@ -241,8 +236,11 @@
                 self.node.distrust();
                 continue;
             }
-            let (polled, polling) = self.node.neighbours();
-            let watched = [polled, polling].concat();
+            let duties = self.node.duties();
+            let mut watched = [duties.polls.as_slice(), &duties.polled_by].concat();
+            // Two watchers of different data centres poll each other.
+            watched.sort_unstable();
+            watched.dedup();
             let longer = self.timing.remote_hold + self.timing.answer_limit / 2;
             self.node.accuse_unheard(&watched, self.watched_limit(), longer);
             self.node.change_table(|table| {
@@ -296,7 +294,7 @@
     async fn read_vm_list(&self) {
         loop {
             sleep(self.node.jitter(self.timing.vm_list)).await;
-            if !self.node.reads_vm_list() {
+            if !self.node.duties().reads_vm_list {
                 continue;
             }
             let Ok(vms) = self.vms.list().await else { continue };
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
+use flamingowheel_config::bucket::{HEAD_KEY, Head};
 use flamingowheel_config::change::Origin;
 use flamingowheel_config::document::parse;
 use flamingowheel_config::effective::ConfigRevision;
@@ -16,8 +17,9 @@
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::{FakeKeyValue, FakeVmList};
 use flamingowheel_platform::vm::{Vm, VmState};
+use flamingowheel_protocol::codec::encode;
 use flamingowheel_protocol::id::Incarnation;
-use flamingowheel_protocol::peer::{MemberRecord, MemberState, PeerAnswer, PeerRequest};
+use flamingowheel_protocol::peer::{MemberRecord, MemberState, PeerAnswer, PeerFrame, PeerRequest};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -52,12 +54,19 @@
     nodes: HashMap<SocketAddr, Node>,
     cut: HashSet<SocketAddr>,
     delay: Duration,
-    asked: u64,
+    far_delay: Duration,
+    measured: Option<HashMap<SocketAddr, u64>>,
 }
 
 impl Network {
     pub fn new(delay: Duration) -> Self {
-        let state = NetworkState { nodes: HashMap::new(), cut: HashSet::new(), delay, asked: 0 };
+        let state = NetworkState {
+            nodes: HashMap::new(),
+            cut: HashSet::new(),
+            delay,
+            far_delay: delay,
+            measured: None,
+        };
         Self { state: Arc::new(Mutex::new(state)), paused: watch::Sender::default() }
     }
 
@@ -81,8 +90,33 @@
         });
     }
 
-    pub fn asked(&self) -> u64 {
-        self.state.lock().unwrap().asked
+    /// Sets how long a message takes between data centres of different parity, which stand for
+    /// two regions.
+    pub fn set_far_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().far_delay = delay;
+    }
+
+    /// Sets how long a message takes otherwise.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().delay = delay;
+    }
+
+    /// Begins to count the bytes that each entry sends, as encoded.
+    pub fn measure(&self) {
+        self.state.lock().unwrap().measured = Some(HashMap::new());
+    }
+
+    /// Bytes sent since, by entry.
+    pub fn measured(&self) -> HashMap<SocketAddr, u64> {
+        self.state.lock().unwrap().measured.clone().unwrap_or_default()
+    }
+
+    /// Counts a message, unless nobody asked for it.
+    fn count(&self, from: SocketAddr, frame: PeerFrame) {
+        if let Some(measured) = &mut self.state.lock().unwrap().measured {
+            let bytes = encode(0, std::slice::from_ref(&frame)).unwrap().len();
+            *measured.entry(from).or_default() += bytes as u64;
+        }
     }
 
     async fn running(&self, address: SocketAddr) {
@@ -90,8 +124,17 @@
         let _ = paused.wait_for(|all| !all.contains(&address)).await;
     }
 
+    fn delay(&self, from: SocketAddr, to: SocketAddr) -> Duration {
+        let state = self.state.lock().unwrap();
+        let region = |address| {
+            let node = state.nodes.get(&address)?;
+            node.own().data_centre.bytes().last().map(|digit| digit % 2)
+        };
+        if region(from) == region(to) { state.delay } else { state.far_delay }
+    }
+
     async fn carry(&self, from: SocketAddr, to: SocketAddr) -> Result<Node, PeerError> {
-        let delay = self.state.lock().unwrap().delay;
+        let delay = self.delay(from, to);
         tokio::time::sleep(delay).await;
         let found = {
             let state = self.state.lock().unwrap();
@@ -119,7 +162,8 @@
     ) -> BoxFuture<'_, Result<PeerAnswer, PeerError>> {
         Box::pin(async move {
             self.network.running(self.own).await;
-            self.network.state.lock().unwrap().asked += 1;
+            let frame = PeerFrame::Request { number: 1, request: request.clone() };
+            self.network.count(self.own, frame);
             let (network, own) = (self.network.clone(), self.own);
             // A task of its own: the peer goes on while the one that asks stands still.
             let asked = tokio::spawn(async move {
@@ -127,6 +171,7 @@
                 network.running(peer).await;
                 let answer = node.answer(request).await;
                 network.running(peer).await;
+                network.count(peer, PeerFrame::Answer { number: 1, answer: answer.clone() });
                 network.carry(peer, own).await.map(|_| answer)
             });
             asked.await.unwrap_or(Err(PeerError::Unreachable))
@@ -247,6 +292,13 @@
         start.elapsed()
     }
 
+    /// The newest revision in the service, as an observer sees it.
+    pub fn kv_revision(&self) -> u64 {
+        let found = self.kv.peek(HEAD_KEY).entries;
+        let head = found.first().map(|entry| serde_json::from_slice::<Head>(&entry.value).unwrap());
+        head.map_or(0, |head| head.revision.0)
+    }
+
     /// A change by an entry that dies right after, so that nobody has it but the service.
     pub async fn apply_and_die(&self, text: &str) {
         let store = Store::new(Arc::new(self.kv.clone()));
