--- a/crates/flamingowheel/tests/tool/main.rs
+++ b/crates/flamingowheel/tests/tool/main.rs
@@ -1,5 +1,6 @@
 //! The tool as an operator sees it.
 
 mod commands;
+mod handbook;
 mod session;
 mod usage;
