--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,4 @@
-//! Pure decisions: routing, limits, retries, subsets and suspicion.
+//! Pure decisions: routing, limits, retries, subsets, suspicion and the rebalancing of experts.
 //!
 //! Nothing here does I/O or reads a clock. Time is passed in as a [`std::time::Duration`] since an
 //! origin of the process's own choice, so that the same code runs in the daemon, under a paused
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod load;
 pub mod prefix;
+pub mod rebalance;
 pub mod retry;
 pub mod routing;
 pub mod subset;
