--- a/crates/flamingowheel/tests/tool/main.rs
+++ b/crates/flamingowheel/tests/tool/main.rs
@@ -2,5 +2,6 @@
 
 mod commands;
 mod handbook;
+mod reference;
 mod session;
 mod usage;
--- /dev/null
+++ b/crates/flamingowheel/tests/tool/reference.rs
@@ -0,0 +1,83 @@
+//! The HTTP reference against the routes, headers and error codes of the code.
+
+use std::collections::BTreeSet;
+
+use flamingowheel_entry::http as callers;
+use flamingowheel_observe::api::{EVENTS_PATH, METRICS_PATH};
+
+const PAGE: &str = include_str!("../../../../docs/operations/http.md");
+const ANSWERS: &str = include_str!("../../../entry/src/http/answer.rs");
+
+/// The section between two headings.
+fn section(from: &str, to: &str) -> &'static str {
+    let (_, rest) = PAGE.split_once(from).expect("the heading");
+    rest.split_once(to).map_or(rest, |(section, _)| section)
+}
+
+/// Cells of the tables' rows, without back quotes.
+fn rows(section: &str) -> impl Iterator<Item = Vec<&str>> {
+    let lines = section.lines().filter_map(|line| line.strip_prefix("| "));
+    lines.map(|line| line.split(" | ").map(|cell| cell.trim_matches(['`', ' ', '|'])).collect())
+}
+
+fn paths(section: &str) -> BTreeSet<&str> {
+    rows(section)
+        .filter_map(|row| row.get(1).copied())
+        .filter(|cell| cell.starts_with('/'))
+        .collect()
+}
+
+#[test]
+fn reference_lists_callers_routes() {
+    let routes = [
+        callers::ENTRIES_PATH,
+        callers::CHAT_PATH,
+        callers::SERVICES_PATH,
+        callers::TICKETS_PATH,
+        callers::TICKET_PATH,
+    ];
+    assert_eq!(paths(section("## For callers", "### ")), BTreeSet::from(routes));
+}
+
+#[test]
+fn reference_lists_operators_routes() {
+    let routes = [METRICS_PATH, EVENTS_PATH];
+    assert_eq!(paths(section("## For operators", "\n## ")), BTreeSet::from(routes));
+}
+
+#[test]
+fn reference_lists_headers() {
+    let named = |section| -> BTreeSet<&str> {
+        rows(section)
+            .map(|row| row[0])
+            .filter(|cell| cell.contains('-') && !cell.contains("--"))
+            .collect()
+    };
+    let answered = [
+        callers::OUTCOME_HEADER,
+        callers::REQUEST_HEADER,
+        callers::ATTEMPTS_HEADER,
+        callers::TICKET_HEADER,
+    ];
+    let asked = [callers::TIMEOUT_HEADER, callers::TICKET_HEADER, callers::IDEMPOTENCY_KEY_HEADER];
+    let became = section("### What became of a request", "An answer without");
+    assert_eq!(named(became), BTreeSet::from(answered));
+    assert_eq!(named(section("### What a request may say", "### ")), BTreeSet::from(asked));
+}
+
+/// Error codes stand in the code as `"code")` at the end of a pair with the status.
+fn codes_in_code() -> BTreeSet<&'static str> {
+    let (_, described) = ANSWERS.split_once("fn describe_not_run").expect("the table of codes");
+    let (described, _) = described.split_once("fn retry_after_ms").expect("its end");
+    described.split('"').skip(1).step_by(2).collect()
+}
+
+#[test]
+fn reference_lists_error_codes() {
+    let codes = codes_in_code();
+    assert!(codes.len() > 10, "{codes:?}");
+    let table = section("| status | code |", "### ");
+    let numbered = rows(table).filter(|row| row[0].parse::<u16>().is_ok());
+    let listed: BTreeSet<&str> = numbered.map(|row| row[1]).collect();
+    assert_eq!(listed, codes);
+}
