Time line: any exchange of messages keeps causes before effects

The merge was tried on chosen stories only. A property test lets processes with jumping wall clocks tell each other of events and holds the merged order against vector clocks.

--- a/crates/observe/tests/timeline.rs
+++ b/crates/observe/tests/timeline.rs
@@ -211,6 +211,29 @@
     assert!(text.contains("agent?[2A") && text.contains("runner?+0.000"), "{text}");
 }
 
+const PROCESSES: usize = 4;
+
+/// What each process had seen of the others when it recorded an event: the exact order of causes,
+/// against which the stamps are held.
+type Seen = [u64; PROCESSES];
+
+fn is_before(one: &Seen, other: &Seen) -> bool {
+    one != other && one.iter().zip(other).all(|(one, other)| one <= other)
+}
+
+#[derive(Clone, Debug)]
+struct Step {
+    process: usize,
+    told: usize,
+    clock_moves_ms: i64,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = (0..PROCESSES, 0..PROCESSES, -300..300_i64)
+        .prop_map(|(process, told, clock_moves_ms)| Step { process, told, clock_moves_ms });
+    prop::collection::vec(step, 1..60)
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(20_261_202),
@@ -241,4 +264,38 @@
             prop_assert!(!line.chars().any(char::is_control), "{line:?}");
         }
     }
+    // Processes record events and tell each other of them, while every wall clock jumps forwards
+    // and backwards within the drift bound.
+    #[test]
+    fn merge_any_messages_keep_causes_before_effects(steps in steps()) {
+        let processes: Vec<Process> =
+            (0..PROCESSES).map(|number| process(&format!("p{number}"), START_MS)).collect();
+        let mut seen = [[0; PROCESSES]; PROCESSES];
+        let mut causes = Vec::new();
+        for step in &steps {
+            let (own, told) = (&processes[step.process], &processes[step.told]);
+            own.wall.set_ms(START_MS.checked_add_signed(step.clock_moves_ms).expect("in range"));
+            seen[step.process][step.process] += 1;
+            own.recorder.record(Event::LeaseLost { lease: causes.len().to_string().into() });
+            causes.push(seen[step.process]);
+            own.tells(told);
+            let news = seen[step.process];
+            let known = seen[step.told];
+            seen[step.told] = std::array::from_fn(|number| known[number].max(news[number]));
+        }
+        let query = EventQuery::default();
+        let answers = processes.iter().map(|process| process.answer(&query)).collect();
+        let order: Vec<Seen> = merge(query, answers, Vec::new())
+            .events
+            .iter()
+            .filter_map(|event| match &event.event {
+                Event::LeaseLost { lease } => Some(causes[lease.parse::<usize>().ok()?]),
+                _ => None,
+            })
+            .collect();
+        prop_assert_eq!(order.len(), steps.len());
+        for (index, effect) in order.iter().enumerate() {
+            prop_assert!(!order[index..].iter().any(|later| is_before(later, effect)));
+        }
+    }
 }
