--- a/crates/observe/src/describe.rs
+++ b/crates/observe/src/describe.rs
@@ -6,188 +6,181 @@
 
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.describe_request(f)
-            .or_else(|Other| self.describe_ticket_or_suspect(f))
-            .or_else(|Other| self.describe_group(f))
-            .or_else(|Other| self.describe_process(f))
-            .unwrap_or(Err(fmt::Error))
+        let sentence = self
+            .describe_request()
+            .or_else(|| self.describe_ticket_or_suspect())
+            .or_else(|| self.describe_group())
+            .or_else(|| self.describe_process());
+        f.write_str(&sentence.unwrap_or_default())
     }
 }
 
-/// The event belongs to another of the functions below.
-struct Other;
-
-type Described = Result<fmt::Result, Other>;
-
+/// Each function describes one kind of events and leaves the others to the next.
 impl Event {
-    fn describe_request(&self, f: &mut fmt::Formatter<'_>) -> Described {
-        Ok(match self {
+    fn describe_request(&self) -> Option<String> {
+        Some(match self {
             Self::RequestAccepted { class, idempotent, deadline_ms } => {
                 let repeat = if *idempotent { "idempotent" } else { "not idempotent" };
-                write!(f, "request accepted: {class} class, {repeat}, {deadline_ms} ms to go")
+                format!("request accepted: {class} class, {repeat}, {deadline_ms} ms to go")
             }
-            Self::Forwarded { entry } => write!(f, "forwarded to {entry}"),
+            Self::Forwarded { entry } => format!("forwarded to {entry}"),
             Self::LimitExceeded { limit, retry_after_ms } => {
-                write!(f, "limit exceeded: {limit}; may return in {retry_after_ms} ms")
+                format!("limit exceeded: {limit}; may return in {retry_after_ms} ms")
             }
             Self::Routed { backend_server, attempt, reason, candidates, predicted_wait_ms } => {
-                write!(
-                    f,
-                    "attempt {attempt} routed to {backend_server}: {reason} of {candidates} \
-                     candidates, predicted wait {predicted_wait_ms} ms"
+                let of = match candidates {
+                    0 | 1 => String::new(),
+                    _ => format!(" of {candidates} candidates"),
+                };
+                format!(
+                    "attempt {attempt} routed to {backend_server}: {reason}{of}, predicted wait \
+                     {predicted_wait_ms} ms"
                 )
             }
-            Self::Dispatched { backend_server, attempt, incarnation, remaining_ms } => write!(
-                f,
+            Self::Dispatched { backend_server, attempt, incarnation, remaining_ms } => format!(
                 "attempt {attempt} dispatched to {backend_server}, incarnation {}, \
                  {remaining_ms} ms to go",
                 short(incarnation)
             ),
             Self::Admitted { attempt, queued } => {
-                write!(f, "attempt {attempt} admitted, {queued} in the queue")
+                format!("attempt {attempt} admitted, {queued} in the queue")
             }
             Self::Started { attempt, running } => {
-                write!(f, "attempt {attempt} started, {running} running")
+                format!("attempt {attempt} started, {running} running")
             }
             Self::Finished { attempt, chunks, duration_ms } => {
                 let chunks = counted(*chunks, "chunk");
-                write!(f, "attempt {attempt} finished: {chunks} in {duration_ms} ms")
+                format!("attempt {attempt} finished: {chunks} in {duration_ms} ms")
             }
             Self::Refused { backend_server, attempt, reason } => {
-                write!(f, "attempt {attempt} refused by {backend_server}: {reason}")
+                format!("attempt {attempt} refused by {backend_server}: {reason}")
             }
             Self::Retried { attempt, reason } => {
-                write!(f, "attempt {attempt} follows: {reason}")
+                format!("attempt {attempt} follows: {reason}")
             }
             Self::RetryDenied { attempt, reason } => {
-                write!(f, "no attempt after {attempt}: {reason}")
+                format!("no attempt after {attempt}: {reason}")
             }
-            Self::Cancelled { attempt, cause } => write!(f, "attempt {attempt} cancelled: {cause}"),
+            Self::Cancelled { attempt, cause } => format!("attempt {attempt} cancelled: {cause}"),
             Self::TombstoneWritten { attempt } => {
-                write!(f, "tombstone written: late copies of attempt {attempt} will be refused")
+                format!("tombstone written: late copies of attempt {attempt} will be refused")
             }
             Self::Resumed { backend_server, attempt, from_chunk } => {
-                write!(f, "attempt {attempt} resumed at {backend_server} from chunk {from_chunk}")
+                format!("attempt {attempt} resumed at {backend_server} from chunk {from_chunk}")
             }
-            Self::Completed { attempts, chunks, duration_ms, .. } => write!(
-                f,
+            Self::Completed { attempts, chunks, duration_ms, .. } => format!(
                 "COMPLETE: {} in {duration_ms} ms, {}",
                 counted(*chunks, "chunk"),
                 counted(*attempts, "attempt")
             ),
             Self::NotRun { attempts, reason, .. } => {
-                write!(f, "NOT RUN: {reason}, {}", counted(*attempts, "attempt"))
+                format!("NOT RUN: {reason}, {}", counted(*attempts, "attempt"))
             }
             Self::OutcomeUnknown { attempts, reason, .. } => {
-                write!(f, "UNKNOWN: {reason}, {}", counted(*attempts, "attempt"))
+                format!("UNKNOWN: {reason}, {}", counted(*attempts, "attempt"))
             }
-            _ => return Err(Other),
+            _ => return None,
         })
     }
 
-    fn describe_ticket_or_suspect(&self, f: &mut fmt::Formatter<'_>) -> Described {
-        Ok(match self {
+    fn describe_ticket_or_suspect(&self) -> Option<String> {
+        Some(match self {
             Self::TicketIssued { ticket, backend_server } => {
-                write!(f, "ticket {ticket} issued for {backend_server}")
+                format!("ticket {ticket} issued for {backend_server}")
             }
             Self::TicketBound { ticket } => {
-                write!(f, "caller's idempotency key bound to ticket {ticket}")
+                format!("caller's idempotency key bound to ticket {ticket}")
             }
-            Self::TicketRun { ticket } => write!(f, "ticket {ticket} run"),
+            Self::TicketRun { ticket } => format!("ticket {ticket} run"),
             Self::TicketReplayed { ticket } => {
-                write!(f, "ticket {ticket} sent again: stored answer given")
+                format!("ticket {ticket} sent again: stored answer given")
             }
-            Self::TicketVoided { ticket } => write!(f, "ticket {ticket} voided, it will never run"),
-            Self::SuspectMarked { fingerprint, crashes } => write!(
-                f,
+            Self::TicketVoided { ticket } => format!("ticket {ticket} voided, it will never run"),
+            Self::SuspectMarked { fingerprint, crashes } => format!(
                 "suspect {fingerprint}: was running in {}",
                 counted(*crashes, "engine crash")
             ),
             Self::SuspectCleared { fingerprint } => {
-                write!(f, "suspect {fingerprint} cleared by a finished run")
+                format!("suspect {fingerprint} cleared by a finished run")
             }
             Self::EngineCrashed { backend_server, running } => {
-                write!(f, "engine of {backend_server} crashed with {running} running")
+                format!("engine of {backend_server} crashed with {running} running")
             }
             Self::EngineReady { backend_server } => {
-                write!(f, "engine of {backend_server} answers")
+                format!("engine of {backend_server} answers")
             }
-            _ => return Err(Other),
+            _ => return None,
         })
     }
 
-    fn describe_group(&self, f: &mut fmt::Formatter<'_>) -> Described {
-        Ok(match self {
+    fn describe_group(&self) -> Option<String> {
+        Some(match self {
             Self::Switch { step, map_revision } => {
-                write!(f, "switch to expert map {map_revision}: {step}")
+                format!("switch to expert map {map_revision}: {step}")
             }
-            Self::RankUnverified { backend_server, map_revision } => write!(
-                f,
+            Self::RankUnverified { backend_server, map_revision } => format!(
                 "{backend_server} could not be read back on expert map {map_revision}: \
                  out of service"
             ),
             Self::OrderApplied { order, fencing_number } => {
-                write!(f, "order {order} applied, fencing number {fencing_number}")
+                format!("order {order} applied, fencing number {fencing_number}")
             }
-            Self::OrderRefused { order, fencing_number, lowest_accepted } => write!(
-                f,
+            Self::OrderRefused { order, fencing_number, lowest_accepted } => format!(
                 "order {order} refused: fencing number {fencing_number} is below {lowest_accepted}"
             ),
             Self::LeaseWon { lease, fencing_number } => {
-                write!(f, "lease {lease} won, fencing number {fencing_number}")
+                format!("lease {lease} won, fencing number {fencing_number}")
             }
-            Self::LeaseLost { lease } => write!(f, "lease {lease} lost"),
-            _ => return Err(Other),
+            Self::LeaseLost { lease } => format!("lease {lease} lost"),
+            _ => return None,
         })
     }
 
-    fn describe_process(&self, f: &mut fmt::Formatter<'_>) -> Described {
-        Ok(match self {
+    fn describe_process(&self) -> Option<String> {
+        Some(match self {
             Self::ProcessStarted { version, incarnation } => {
-                write!(f, "process started: version {version}, incarnation {}", short(incarnation))
+                format!("process started: version {version}, incarnation {}", short(incarnation))
             }
-            Self::ConnectionOpened { peer } => write!(f, "connection to {peer} opened"),
+            Self::ConnectionOpened { peer } => format!("connection to {peer} opened"),
             Self::ConnectionSilent { peer, silent_ms } => {
-                write!(f, "connection to {peer} silent for {silent_ms} ms, given up")
+                format!("connection to {peer} silent for {silent_ms} ms, given up")
             }
-            Self::ConnectionReplaced { peer, requests } => write!(
-                f,
+            Self::ConnectionReplaced { peer, requests } => format!(
                 "connection to {peer} replaced, {} moved over",
                 counted(*requests, "request")
             ),
-            Self::ConnectionClosed { peer } => write!(f, "connection to {peer} closed"),
+            Self::ConnectionClosed { peer } => format!("connection to {peer} closed"),
             Self::ChangeAccepted { change, revision } => {
-                write!(f, "change {change} accepted as revision {revision}")
+                format!("change {change} accepted as revision {revision}")
             }
             Self::ChangeConflict { change, revision } => {
-                write!(f, "change {change} refused: revision {revision} came first")
+                format!("change {change} refused: revision {revision} came first")
             }
             Self::ChangeUnknown { change } => {
-                write!(f, "change {change}: not known whether it is stored")
+                format!("change {change}: not known whether it is stored")
             }
             Self::ConfigurationInForce { revision, source } => {
-                write!(f, "configuration {revision} in force, from {source}")
+                format!("configuration {revision} in force, from {source}")
             }
             Self::OlderConfigurationRefused { revision, in_force } => {
-                write!(f, "older configuration {revision} not taken, {in_force} is in force")
+                format!("older configuration {revision} not taken, {in_force} is in force")
             }
-            Self::MemberChanged { member, state } => write!(f, "{member} seen {state}"),
+            Self::MemberChanged { member, state } => format!("{member} seen {state}"),
             Self::LeaveBegan { cause, requests } => {
-                write!(f, "leave began by {cause}, {} running", counted(*requests, "request"))
+                format!("leave began by {cause}, {} running", counted(*requests, "request"))
             }
-            Self::LeaveFinished { waited_ms, cut_off } => write!(
-                f,
+            Self::LeaveFinished { waited_ms, cut_off } => format!(
                 "leave finished after {waited_ms} ms, {} cut off",
                 counted(*cut_off, "request")
             ),
-            Self::KeyValueDown { error } => write!(f, "key-value service doesn't answer: {error}"),
+            Self::KeyValueDown { error } => format!("key-value service doesn't answer: {error}"),
             Self::KeyValueUp { down_ms } => {
-                write!(f, "key-value service answers again after {down_ms} ms")
+                format!("key-value service answers again after {down_ms} ms")
             }
             Self::ClockDriftIgnored { peer, ahead_ms } => {
-                write!(f, "clock of {peer} is {ahead_ms} ms ahead and not followed")
+                format!("clock of {peer} is {ahead_ms} ms ahead and not followed")
             }
-            _ => return Err(Other),
+            _ => return None,
         })
     }
 }
