Fit the proof's fleet to the membership and the wider handshake

Cause: entries now hold a control node, and connections tell VM and operators' address; the fuzzing fleet was written against the earlier shape.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -174,7 +174,10 @@
         let view = |member: &crate::membership::Member| MemberView {
             record: member.record.clone(),
             state: state.table.state(member),
-            heard_ago: member.heard_at.elapsed(),
+            heard_ago: match member.record.name == *own {
+                true => Duration::ZERO,
+                false => member.heard_at.elapsed(),
+            },
             revision: state.reported(&member.record.name),
         };
         state.table.members().map(view).collect()
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -4,21 +4,25 @@
 use crate::network::{Network, NetworkConnector};
 use arc_swap::ArcSwap;
 use axum::Router;
-use flamingowheel_config::effective::{ConfigRevision, Documents, Effective, Stored};
+use flamingowheel_config::effective::{ConfigRevision, Documents, Stored};
+use flamingowheel_config::replica::Replica;
 use flamingowheel_config::template::{Model, Parameters, Service, ServiceRoute, Template};
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::workspace::{Overrides, Workspace};
+use flamingowheel_control::node::Node;
 use flamingowheel_entry::addresses::AddressBook;
-use flamingowheel_entry::agents::Agents;
+use flamingowheel_entry::agents::{AgentVm, Agents};
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::dispatch::Dispatcher;
 use flamingowheel_entry::router::Router as Routes;
 use flamingowheel_entry::state::EntryState;
+use flamingowheel_observe::reason::ConfigSource;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::fake::FakeKeyValue;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::message::{Hello, Role};
+use flamingowheel_protocol::peer::{MemberRecord, MemberState};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -58,22 +62,29 @@
         let hello = Hello {
             name: name.to_owned(),
             incarnation: config.incarnation,
+            vm: name.to_owned(),
             data_centre: "a".to_owned(),
+            operators: None,
             role: Role::Entry,
         };
         let fate = Fate::default();
         let connector = NetworkConnector::new(network.clone(), hello, fate.clone());
         let routes = Arc::new(Routes::default());
         let agents = Agents::new(Arc::new(connector), Arc::clone(&routes));
-        agents.set_addresses(addresses);
+        let vm = |address: &SocketAddr| AgentVm { address: *address, leaving: false };
+        agents.set_vms(&addresses.iter().map(vm).collect::<Vec<_>>());
         let recorder = Recorder::for_tests(name);
+        let node = Node::new(record(&config), recorder.clone());
+        node.adopt(Replica::new(documents()), ConfigSource::Watch);
+        let effective = node.effective().borrow().clone();
         let state = EntryState {
-            effective: ArcSwap::from_pointee(effective()),
+            effective: ArcSwap::new(effective),
             addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
             dispatcher: Dispatcher::new(Arc::clone(&config), routes, recorder.clone()),
             claims: Claims::start(Arc::new(kv.clone()), &config),
             recorder,
             in_progress: Arc::default(),
+            node,
             config,
         };
         let router = flamingowheel_entry::http::router(Arc::new(state));
@@ -81,7 +92,23 @@
     }
 }
 
-fn effective() -> Effective {
+fn record(config: &EntryConfig) -> MemberRecord {
+    let address = config.caller_address;
+    MemberRecord {
+        name: config.name.clone(),
+        vm: config.name.clone(),
+        data_centre: config.data_centre.clone(),
+        region: "region".to_owned(),
+        inner: address,
+        callers: address,
+        operators: address,
+        incarnation: config.incarnation,
+        version: 1,
+        state: MemberState::Live,
+    }
+}
+
+fn documents() -> Documents {
     let route = |path_prefix: &str, idempotent| ServiceRoute {
         method: Some("POST".to_owned()),
         path_prefix: path_prefix.to_owned(),
@@ -110,5 +137,5 @@
     let mut documents = Documents { revision, ..Documents::default() };
     documents.put_template(Stored { revision, document: Arc::new(template) });
     documents.put_workspace(Stored { revision, document: Arc::new(workspace) });
-    Effective::new(&documents)
+    documents
 }
--- a/crates/proof/src/relay.rs
+++ b/crates/proof/src/relay.rs
@@ -250,8 +250,8 @@
                 self.chunks.insert(attempt, number + 1);
                 message
             }
-            AgentMessage::Failed { attempt, occupied, .. } => match self.chunks.get(&attempt) {
-                Some(count) => AgentMessage::End { attempt, chunk_count: *count, occupied },
+            AgentMessage::Failed { attempt, occupancy, .. } => match self.chunks.get(&attempt) {
+                Some(count) => AgentMessage::End { attempt, chunk_count: *count, occupancy },
                 None => message,
             },
             other => other,
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{Command, Control};
+use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::backend::BackendServer;
 use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeKeyValue, FakeService};
 use flamingowheel_protocol::id::Incarnation;
@@ -150,11 +151,14 @@
         let hello = Hello {
             name: config.name.clone(),
             incarnation: config.incarnation,
+            vm: config.vm.clone(),
             data_centre: config.data_centre.clone(),
+            operators: None,
             role: Role::Agent(config.profile.clone()),
         };
+        let recorder = Recorder::for_tests(&config.name);
         let backend = ProcessBackend::new(self.servers.backend(server), fate.clone());
-        let (control, handle, commands) = Control::new(config, Arc::new(backend));
+        let (control, handle, commands) = Control::new(config, Arc::new(backend), recorder);
         let control = tokio::spawn(control.run(commands)).abort_handle();
         let endpoint = Endpoint { hello, handle, fate: fate.clone(), seen: Arc::default() };
         self.network.attach(address(server), endpoint);
@@ -197,7 +201,7 @@
     /// Replaces an entry process by a new one; the old one is killed.
     pub fn replace_entry(&mut self, entry: usize) {
         self.entries[entry].fate.kill();
-        self.entries[entry].agents.set_addresses(&[]);
+        self.entries[entry].agents.set_vms(&[]);
         self.entries[entry] = self.new_entry(entry);
     }
 
