Fit the proof's fleet to the membership and the wider handshake

Cause: entries now hold a control node, and connections tell VM and operators' address; the fuzzing fleet was written against the earlier shape. Without a confirmed configuration its entries refused everything, so planted faults were not found: 4 of 5 fuzz tests failed.

--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -76,6 +76,7 @@
         let recorder = Recorder::for_tests(name);
         let node = Node::new(record(&config), recorder.clone());
         node.adopt(Replica::new(documents()), ConfigSource::Watch);
+        node.confirm_by_service();
         let effective = node.effective().borrow().clone();
         let state = EntryState {
             effective: ArcSwap::new(effective),
