--- a/crates/policy/benches/model/mod.rs
+++ b/crates/policy/benches/model/mod.rs
@@ -18,7 +18,7 @@
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use flamingowheel_policy::load::LoadBook;
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
-use flamingowheel_policy::routing::{RouteRequest, choose};
+use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    Offer { request: RequestId, server: usize, may_wait: bool },
+    Offer { request: RequestId, server: usize, last_try: bool },
     Finish { server: usize, generation: u64 },
     Chunk { request: RequestId },
     TakeReport { server: usize },
@@ -148,7 +148,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
-            Event::Offer { request, server, may_wait } => self.offer(request, server, may_wait),
+            Event::Offer { request, server, last_try } => self.offer(request, server, last_try),
             Event::Finish { server, generation } => self.finish(server, generation),
             Event::Chunk { request } => self.chunk(request),
             Event::TakeReport { server } => self.report(server),
@@ -195,7 +195,7 @@
     }
 
     fn route(&mut self, id: RequestId) {
-        let Some((server, may_wait)) = self.choose(id) else {
+        let Some((server, last_try)) = self.choose(id) else {
             self.refuse(id);
             return;
         };
@@ -204,7 +204,7 @@
         let entry = &mut self.entries[request.entry];
         entry.book.on_sent(self.keys[server], self.now);
         entry.baseline.on_sent(server);
-        self.after(NETWORK, Event::Offer { request: id, server, may_wait });
+        self.after(NETWORK, Event::Offer { request: id, server, last_try });
     }
 
     fn choose(&mut self, id: RequestId) -> Option<(usize, bool)> {
@@ -216,22 +216,22 @@
                 let tried: Vec<usize> =
                     request.tried.iter().filter_map(|key| self.index_of(*key)).collect();
                 let rng = &mut self.rng;
-                let may_wait = baseline.early_queue.is_none();
-                return may_try.then(|| (entry.baseline.choose(baseline, &tried, rng), may_wait));
+                let last_try = baseline.early_queue.is_none();
+                return may_try.then(|| (entry.baseline.choose(baseline, &tried, rng), last_try));
             }
-            Chooser::Shipping(routing) => routing,
+            Chooser::Shipping(routing) => *routing,
         };
         let class = &self.config.classes[request.class];
-        let route = RouteRequest {
-            fingerprint: request.fingerprint,
-            tried: &request.tried,
+        let routing = RoutingConfig {
             urgent: class.priority >= self.config.admission.urgent,
             max_wait: class.max_wait,
+            ..routing
         };
+        let route = RouteRequest { fingerprint: request.fingerprint, tried: &request.tried };
         let no_cost = |_| Some(Duration::ZERO);
-        let choice = choose(routing, &route, &self.keys, &entry.book, self.now, no_cost);
+        let choice = choose(&routing, &route, &self.keys, &entry.book, self.now, no_cost);
         let choice = choice.ok()?;
-        Some((self.index_of(choice.server)?, choice.may_wait))
+        Some((self.index_of(choice.server)?, choice.last_try))
     }
 
     fn index_of(&self, server: ServerKey) -> Option<usize> {
@@ -243,7 +243,7 @@
         self.figures.classes[request.class].refused += u64::from(request.counted);
     }
 
-    fn offer(&mut self, id: RequestId, server: usize, may_wait: bool) {
+    fn offer(&mut self, id: RequestId, server: usize, last_try: bool) {
         if self.servers[server].down {
             self.fail(id, server, LastTry::NotRun);
             return;
@@ -251,7 +251,7 @@
         let request = &self.requests[id];
         let class = self.config.classes[request.class];
         let deadline = self.now + class.max_wait;
-        let offer = Offer { id, priority: class.priority, may_wait, alone: false, deadline };
+        let offer = Offer { id, priority: class.priority, last_try, deadline };
         self.servers[server].advance(self.now);
         match self.servers[server].admission.offer(offer) {
             Admitted::Start => self.start(id, server),
@@ -355,7 +355,7 @@
         let Some(server) = self.requests[id].server else { return };
         let load = self.servers[server].load();
         let entry = &mut self.entries[self.requests[id].entry];
-        entry.book.on_hint(self.keys[server], load.running, load.waiting, self.now);
+        entry.book.on_hint(self.keys[server], load.hint(), self.now);
         self.after(CHUNK_EVERY, Event::Chunk { request: id });
     }
 
--- a/crates/policy/benches/routing.rs
+++ b/crates/policy/benches/routing.rs
@@ -87,11 +87,10 @@
         book.on_report(*key, load, as_of);
     }
     let config = RoutingConfig::default();
-    let max_wait = Duration::from_secs(5);
     let start = Instant::now();
     for round in 0..ROUNDS {
         let fingerprint = Fingerprint(u128::from(round));
-        let request = RouteRequest { fingerprint, tried: &[], urgent: false, max_wait };
+        let request = RouteRequest { fingerprint, tried: &[] };
         let choice = choose(&config, &request, &keys, &book, now, |_| Some(Duration::ZERO));
         std::hint::black_box(choice.is_ok());
     }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,8 +1,8 @@
 //! The agent's decision about each request: start, queue or refuse at once.
 //!
 //! An early refusal is proof that the request did not run and carries the load as of now, so one
-//! more try elsewhere is safe for every kind of request and better informed. Only a try that
-//! the entry marked so may wait for longer. When the queue is full the lowest priority goes first.
+//! more try elsewhere is safe for every kind of request and better informed. Only a last
+//! try may wait for longer. When the queue is full the lowest priority goes first.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 pub struct AdmissionConfig {
     /// Requests that the engine runs at once.
     pub places: u16,
-    /// Requests of the same or a higher priority that a try that may not wait can still queue behind.
+    /// Requests of the same or a higher priority that a try which is not the last may wait behind.
     pub early_queue: usize,
     /// Requests that may wait in all.
     pub max_queue: usize,
@@ -47,10 +47,8 @@
     pub id: Id,
     /// Its priority.
     pub priority: Priority,
-    /// The entry asks to queue it rather than to refuse it early.
-    pub may_wait: bool,
-    /// It is suspect of crashing its backend server: it may only run while nothing else does.
-    pub alone: bool,
+    /// The entry won't try elsewhere: queue it rather than refuse it early.
+    pub last_try: bool,
     /// When the caller stops waiting.
     pub deadline: Duration,
 }
@@ -86,7 +84,7 @@
 /// let config = AdmissionConfig { places: 1, early_queue: 0, ..AdmissionConfig::default() };
 /// let mut admission = Admission::new(config);
 /// let deadline = Duration::from_secs(9);
-/// let offer = |id| Offer { id, priority: Priority(5), may_wait: false, alone: false, deadline };
+/// let offer = |id| Offer { id, priority: Priority(5), last_try: false, deadline };
 /// assert_eq!(admission.offer(offer(1)), Admitted::Start);
 /// assert!(matches!(admission.offer(offer(2)), Admitted::Full(load) if load.running == 1));
 /// ```
@@ -146,14 +144,11 @@
 
     /// Decides about a request.
     pub fn offer(&mut self, offer: Offer<Id>) -> Admitted<Id> {
-        if offer.alone {
-            return self.offer_alone(offer);
-        }
         if self.has_place(offer.priority) && self.ahead_of(offer.priority) == 0 {
             self.running += 1;
             return Admitted::Start;
         }
-        let limit = if offer.may_wait { self.config.max_queue } else { self.config.early_queue };
+        let limit = if offer.last_try { self.config.max_queue } else { self.config.early_queue };
         if self.ahead_of(offer.priority) >= limit {
             return Admitted::Full(self.load());
         }
@@ -170,6 +165,21 @@
         Admitted::Queued { shed }
     }
 
+    /// Decides about a suspect, which may only run while nothing else does. A second one is refused
+    /// meanwhile: each would drain the backend server once more.
+    pub fn offer_alone(&mut self, offer: Offer<Id>) -> Admitted<Id> {
+        if self.alone != Alone::None {
+            return Admitted::Full(self.load());
+        }
+        if self.running == 0 {
+            self.alone = Alone::Running;
+            self.running = 1;
+            return Admitted::Start;
+        }
+        self.alone = Alone::Waiting { id: offer.id, deadline: offer.deadline };
+        Admitted::Queued { shed: None }
+    }
+
     /// Notes that a started request has ended after holding its place for `held`, and returns the
     /// next request to start, if any.
     pub fn finish(&mut self, held: Duration) -> Option<Id> {
@@ -236,20 +246,6 @@
         self.config.places = places;
     }
 
-    /// A second suspect is refused: each would drain the backend server once more.
-    fn offer_alone(&mut self, offer: Offer<Id>) -> Admitted<Id> {
-        if self.alone != Alone::None {
-            return Admitted::Full(self.load());
-        }
-        if self.running == 0 {
-            self.alone = Alone::Running;
-            self.running = 1;
-            return Admitted::Start;
-        }
-        self.alone = Alone::Waiting { id: offer.id, deadline: offer.deadline };
-        Admitted::Queued { shed: None }
-    }
-
     fn has_place(&self, priority: Priority) -> bool {
         if self.alone != Alone::None {
             return false;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -46,6 +46,21 @@
     pub fn occupied(&self) -> u16 {
         self.running.saturating_add(self.waiting)
     }
+
+    /// The two counts in two bytes, for chunks: waiting above running, each at most 255. Their sum
+    /// alone would hide which backend servers have extra places in use, and urgent requests would
+    /// all go to the same one.
+    ///
+    /// ```
+    /// use flamingowheel_policy::load::Load;
+    /// let load = Load { running: 9, waiting: 2, places: 8, service_ms: 2_000 };
+    /// assert_eq!(load.hint(), 0x0209);
+    /// ```
+    #[must_use]
+    pub fn hint(&self) -> u16 {
+        let byte = |count: u16| u8::try_from(count).unwrap_or(u8::MAX);
+        u16::from_be_bytes([byte(self.waiting), byte(self.running)])
+    }
 }
 
 /// Whether a backend server may get new work.
@@ -277,10 +292,10 @@
         self.on_report(server, load, now);
     }
 
-    /// Takes in the short form carried by a chunk. Their sum alone would hide which backend servers
-    /// have extra places in use, and urgent requests would all go to the same one.
-    pub fn on_hint(&mut self, server: ServerKey, running: u16, waiting: u16, now: Duration) {
+    /// Takes in the short form carried by a chunk, made by [`Load::hint`].
+    pub fn on_hint(&mut self, server: ServerKey, hint: u16, now: Duration) {
         let Some(known) = self.servers.get(&server) else { return };
+        let [waiting, running] = hint.to_be_bytes().map(u16::from);
         let load = Load { running, waiting, ..known.load };
         self.on_fresh(server, load, now);
     }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -13,7 +13,7 @@
 use crate::key::{Fingerprint, ServerKey, mix};
 use crate::load::{Estimate, LoadBook};
 
-/// How many candidates are looked at.
+/// How a class of requests is routed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoutingConfig {
     /// Candidates with older knowledge than `fresh`; all with fresh knowledge are looked at.
@@ -25,6 +25,11 @@
     /// From this expected wait at the best candidate on, a request may wait in the agent's queue
     /// whatever its try, if the knowledge is fresh. Otherwise every request would use up all its tries under overload.
     pub queue_anyway: Duration,
+    /// The request's priority lets it overtake all that wait.
+    pub urgent: bool,
+    /// A longer expected wait than this is refused at the entry rather than tried. A lower class
+    /// gets a shorter one and so is shed first.
+    pub max_wait: Duration,
     /// Tries a request has in all; the last one may wait in the agent's queue.
     pub max_tries: u32,
 }
@@ -36,6 +41,8 @@
             fresh: Duration::from_millis(500),
             good_enough: Duration::from_millis(2),
             queue_anyway: Duration::from_millis(100),
+            urgent: false,
+            max_wait: Duration::from_secs(30),
             max_tries: 3,
         }
     }
@@ -48,10 +55,6 @@
     pub fingerprint: Fingerprint,
     /// Backend servers that refused or failed it already.
     pub tried: &'a [ServerKey],
-    /// Its priority lets it overtake all that wait.
-    pub urgent: bool,
-    /// A longer expected wait than this is refused at the entry rather than tried.
-    pub max_wait: Duration,
 }
 
 /// The backend server that was chosen, and why.
@@ -65,9 +68,9 @@
     pub candidates: usize,
     /// What was expected of the server.
     pub estimate: Estimate,
-    /// Ask the agent to queue it rather than to refuse early: it is the last try, or all
-    /// candidates have queues and another try would find no better.
-    pub may_wait: bool,
+    /// Ask the agent to queue it rather than to refuse early: no try is left, or all candidates
+    /// have queues and another try would find no better.
+    pub last_try: bool,
 }
 
 /// Why no backend server was chosen.
@@ -108,9 +111,7 @@
 ///     let load = Load { running, waiting: 0, places: 8, service_ms: 2_000 };
 ///     book.on_fresh(*server, load, Duration::ZERO);
 /// }
-/// let max_wait = Duration::from_secs(5);
-/// let request =
-///     RouteRequest { fingerprint: Fingerprint(1), tried: &[], urgent: false, max_wait };
+/// let request = RouteRequest { fingerprint: Fingerprint(1), tried: &[] };
 /// let no_cost = |_| Some(Duration::ZERO);
 /// let choice =
 ///     choose(&RoutingConfig::default(), &request, &servers, &book, Duration::ZERO, no_cost);
@@ -131,7 +132,7 @@
     if tries >= config.max_tries {
         return Err(RouteError::NoTriesLeft);
     }
-    let last_try = tries + 1 == config.max_tries;
+    let is_last = tries + 1 == config.max_tries;
     let mut best: Option<Choice> = None;
     let mut looked_at = 0;
     let mut stale = 0;
@@ -144,24 +145,24 @@
         let Some(extra) = extra_cost(server) else { continue };
         looked_at += 1;
         stale += usize::from(is_stale);
-        let cost = expected_wait(request, &estimate) + extra;
+        let cost = expected_wait(config, &estimate) + extra;
         if best.is_none_or(|choice| cost < choice.cost) {
-            best = Some(Choice { server, cost, candidates: 0, estimate, may_wait: last_try });
+            best = Some(Choice { server, cost, candidates: 0, estimate, last_try: is_last });
         }
         if cost <= config.good_enough {
             break;
         }
     }
     let best = best.ok_or(RouteError::NoneAvailable)?;
-    let wait = expected_wait(request, &best.estimate);
-    if wait > request.max_wait {
+    let wait = expected_wait(config, &best.estimate);
+    if wait > config.max_wait {
         return Err(RouteError::Overloaded { wait });
     }
     let is_fresh = best.estimate.age <= config.fresh;
     // An urgent request overtakes queues, so a queue does not tell what another try would find.
-    let queues = is_fresh && !request.urgent && wait >= config.queue_anyway;
-    let may_wait = last_try || queues;
-    Ok(Choice { candidates: looked_at, may_wait, ..best })
+    let queues = is_fresh && !config.urgent && wait >= config.queue_anyway;
+    let last_try = is_last || queues;
+    Ok(Choice { candidates: looked_at, last_try, ..best })
 }
 
 /// Chooses for a suspect that must run alone: the first usable server in its fingerprint's order
@@ -192,8 +193,8 @@
     first.ok_or(RouteError::NoneAvailable)
 }
 
-fn expected_wait(request: &RouteRequest<'_>, estimate: &Estimate) -> Duration {
-    if request.urgent { estimate.urgent_wait() } else { estimate.wait() }
+fn expected_wait(config: &RoutingConfig, estimate: &Estimate) -> Duration {
+    if config.urgent { estimate.urgent_wait() } else { estimate.wait() }
 }
 
 /// The usable servers in the fingerprint's order, by rendezvous hashing.
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -29,8 +29,7 @@
 }
 
 fn request(fingerprint: u128, tried: &[ServerKey]) -> RouteRequest<'_> {
-    let max_wait = Duration::from_secs(5);
-    RouteRequest { fingerprint: Fingerprint(fingerprint), tried, urgent: false, max_wait }
+    RouteRequest { fingerprint: Fingerprint(fingerprint), tried }
 }
 
 fn route(
@@ -60,10 +59,13 @@
 #[test]
 fn choose_all_queues_too_long_shed_at_entry() {
     let (keys, book) = fleet(&[(8, 40), (8, 30)]);
-    let error = route(&request(1, &[]), &keys, &book).unwrap_err();
+    let config = RoutingConfig { max_wait: Duration::from_secs(5), ..RoutingConfig::default() };
+    let route = |config: &RoutingConfig| {
+        choose(config, &request(1, &[]), &keys, &book, NOW, |_| Some(Duration::ZERO))
+    };
+    let error = route(&config).unwrap_err();
     assert!(matches!(error, RouteError::Overloaded { wait } if wait > Duration::from_secs(5)));
-    let urgent = RouteRequest { urgent: true, ..request(1, &[]) };
-    assert!(route(&urgent, &keys, &book).is_ok());
+    assert!(route(&RoutingConfig { urgent: true, ..config }).is_ok());
 }
 
 #[test]
@@ -117,19 +119,19 @@
 #[test]
 fn on_hint_extra_place_in_use_urgent_goes_elsewhere() {
     let (keys, mut book) = fleet(&[(0, 0), (0, 0)]);
-    book.on_hint(keys[0], 9, 1, NOW);
-    book.on_hint(keys[1], 8, 6, NOW);
+    book.on_hint(keys[0], load(9, 1).hint(), NOW);
+    book.on_hint(keys[1], load(8, 6).hint(), NOW);
     for fingerprint in 0..20 {
-        let config = RoutingConfig::default();
-        let request = RouteRequest { urgent: true, ..request(fingerprint, &[]) };
+        let config = RoutingConfig { urgent: true, ..RoutingConfig::default() };
+        let request = request(fingerprint, &[]);
         let choice = choose(&config, &request, &keys, &book, NOW, |_| Some(Duration::ZERO));
-        assert_eq!(choice.map(|choice| (choice.server, choice.may_wait)), Ok((keys[1], false)));
+        assert_eq!(choice.map(|choice| (choice.server, choice.last_try)), Ok((keys[1], false)));
     }
 }
 
-fn offer(id: u32, priority: u8, may_wait: bool) -> Offer<u32> {
+fn offer(id: u32, priority: u8, last_try: bool) -> Offer<u32> {
     let deadline = Duration::from_secs(100);
-    Offer { id, priority: Priority(priority), may_wait, alone: false, deadline }
+    Offer { id, priority: Priority(priority), last_try, deadline }
 }
 
 fn full_agent() -> Admission<u32> {
@@ -166,9 +168,9 @@
 #[test]
 fn offer_suspect_runs_alone() {
     let mut agent = full_agent();
-    let suspect = Offer { alone: true, ..offer(2, 50, false) };
-    assert_eq!(agent.offer(suspect), Admitted::Queued { shed: None });
-    assert!(matches!(agent.offer(Offer { id: 9, ..suspect }), Admitted::Full(_)));
+    let suspect = offer(2, 50, false);
+    assert_eq!(agent.offer_alone(suspect), Admitted::Queued { shed: None });
+    assert!(matches!(agent.offer_alone(Offer { id: 9, ..suspect }), Admitted::Full(_)));
     assert_eq!(agent.offer(offer(3, 200, true)), Admitted::Queued { shed: None });
     assert_eq!(agent.finish(Duration::from_secs(1)), None);
     assert_eq!(agent.finish(Duration::from_secs(1)), Some(2));
@@ -180,7 +182,7 @@
 fn expire_suspect_gone_others_go_on() {
     let mut agent = full_agent();
     let deadline = Duration::from_secs(1);
-    agent.offer(Offer { alone: true, deadline, ..offer(2, 50, false) });
+    agent.offer_alone(Offer { deadline, ..offer(2, 50, false) });
     agent.offer(offer(3, 50, true));
     assert_eq!(agent.finish(Duration::from_secs(1)), None);
     assert_eq!(agent.expire(deadline), vec![2]);
--- a/crates/policy/tests/suspicion.rs
+++ b/crates/policy/tests/suspicion.rs
@@ -207,8 +207,10 @@
             };
             let deadline = self.now + Duration::from_secs(10);
             let index = server.0 as usize;
-            let offer = Offer { id: copy, priority: Priority(1), may_wait: true, alone, deadline };
-            if self.agents[index].offer(offer) == Admitted::Start {
+            let offer = Offer { id: copy, priority: Priority(1), last_try: true, deadline };
+            let agent = &mut self.agents[index];
+            let admitted = if alone { agent.offer_alone(offer) } else { agent.offer(offer) };
+            if admitted == Admitted::Start {
                 started.push((server, *entry));
             }
         }
