Tool against the real operators' interface; reference of routes, settings, documents

The tool had been tried against answers made up by its own tests only. A session of two operators now runs against the control package over an in-memory key-value service, and the pages list the operators' routes and error codes, and every field of settings and documents, each compared with the code.

Limits of workspaces are not enforced by entries yet; the pages say so.

--- a/crates/flamingowheel/src/commands/change.rs
+++ b/crates/flamingowheel/src/commands/change.rs
@@ -1,17 +1,17 @@
 //! `change`: asks what became of a change.
 
 use flamingowheel_config::api::{ChangeAnswer, ChangeState};
-use flamingowheel_config::change::ChangeId;
 
 use super::render;
 use crate::client::Client;
+use crate::config::WhichChange;
 use crate::error::Error;
 use crate::exit::ExitCode;
 use crate::{Output, routes};
 
 /// Asks for one change.
-pub async fn run(client: &Client, id: ChangeId, json: bool) -> Result<Output, Error> {
-    let answer: ChangeAnswer = client.get(&format!("{}/{id}", routes::CHANGES)).await?;
+pub async fn run(client: &Client, change: WhichChange, json: bool) -> Result<Output, Error> {
+    let answer: ChangeAnswer = client.get(&format!("{}/{change}", routes::CHANGES)).await?;
     let exit = match answer.state {
         ChangeState::Unknown => ExitCode::UnknownOutcome,
         ChangeState::Accepted { .. } | ChangeState::NotAccepted => ExitCode::Success,
--- a/crates/flamingowheel/src/commands/diff.rs
+++ b/crates/flamingowheel/src/commands/diff.rs
@@ -5,6 +5,7 @@
 use flamingowheel_config::api::DiffAnswer;
 use flamingowheel_config::change::{Action, Conflict, DocumentDiff, FieldDiff};
 use flamingowheel_config::document::Kind;
+use flamingowheel_observe::words::counted;
 use serde_json::Value;
 
 use super::render;
@@ -39,7 +40,7 @@
         };
         let _ = write!(text, "{action} {} {}", kind_name(diff.kind), diff.name);
         if let Some(workspaces) = diff.workspaces {
-            let _ = write!(text, ", used by {workspaces} workspaces");
+            let _ = write!(text, ", used by {}", counted(workspaces as u64, "workspace"));
         }
         text.push('\n');
         for field in &diff.fields {
--- a/crates/flamingowheel/src/commands/get.rs
+++ b/crates/flamingowheel/src/commands/get.rs
@@ -5,6 +5,7 @@
 };
 use flamingowheel_config::effective::Stored;
 use flamingowheel_config::workspace::Workspace;
+use flamingowheel_observe::words::counted;
 use serde::Serialize;
 use std::sync::Arc;
 
@@ -36,8 +37,9 @@
             let path = format!("{}/{name}", routes::TEMPLATES);
             let answer: TemplateAnswer = client.get(&path).await?;
             let comment = format!(
-                "# revision {}, used by {} workspaces\n",
-                answer.template.revision.0, answer.workspaces
+                "# revision {}, used by {}\n",
+                answer.template.revision.0,
+                counted(answer.workspaces as u64, "workspace")
             );
             let document = yaml("template", &*answer.template.document)?;
             render(&answer, json, |_| comment + &document)?
--- a/crates/flamingowheel/src/config.rs
+++ b/crates/flamingowheel/src/config.rs
@@ -202,7 +202,7 @@
     /// Show the last changes.
     History,
     /// Ask what became of a change.
-    Change(ChangeId),
+    Change(WhichChange),
     /// Show the fleet.
     Status,
     /// Show what happened.
@@ -223,6 +223,24 @@
     Workspaces,
 }
 
+/// A change to ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WhichChange {
+    /// By its whole id: whether it was accepted can always be found out.
+    ById(ChangeId),
+    /// By its random part, as `--again` takes it: only an acceptance can be found out.
+    ByUuid(Uuid),
+}
+
+impl fmt::Display for WhichChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ById(id) => id.fmt(f),
+            Self::ByUuid(uuid) => uuid.fmt(f),
+        }
+    }
+}
+
 /// A change to send.
 #[derive(Clone, Debug)]
 pub struct Apply {
@@ -285,10 +303,7 @@
         TypedCommand::Get { kind, name } => get(&kind, name)?,
         TypedCommand::Diff { file } => Command::Diff { documents: documents(&file)? },
         TypedCommand::History => Command::History,
-        TypedCommand::Change { id } => match id.parse() {
-            Ok(id) => Command::Change(id),
-            Err(source) => return Err(ConfigError::Change { text: id, source }),
-        },
+        TypedCommand::Change { id } => Command::Change(change(id)?),
         TypedCommand::Status => Command::Status,
         TypedCommand::Timeline(typed) => Command::Timeline(timeline(typed)?),
         TypedCommand::Entries { workspace } => Command::Entries { workspace: name(workspace)? },
@@ -363,6 +378,16 @@
     }
 }
 
+fn change(text: String) -> Result<WhichChange, ConfigError> {
+    if let Ok(uuid) = text.parse() {
+        return Ok(WhichChange::ByUuid(uuid));
+    }
+    match text.parse() {
+        Ok(id) => Ok(WhichChange::ById(id)),
+        Err(source) => Err(ConfigError::Change { text, source }),
+    }
+}
+
 fn time(option: &'static str, text: Option<String>) -> Result<Option<Duration>, ConfigError> {
     let Some(text) = text else { return Ok(None) };
     // A bare number means seconds.
--- a/crates/flamingowheel/src/help.rs
+++ b/crates/flamingowheel/src/help.rs
@@ -151,7 +151,9 @@
 const CHANGE: &str = "\
 Asks what became of a change: accepted, not accepted, or not yet known.
 
-usage: flamingowheel change ID
+usage: flamingowheel change ID|UUID
+
+With the random part alone, as --again takes it, a change that was not accepted stays unknown.
 ";
 
 const STATUS: &str = "\
--- /dev/null
+++ b/crates/flamingowheel/tests/tool/contract.rs
@@ -0,0 +1,131 @@
+//! The tool against the operators' interface of the real control package, over an in-memory
+//! key-value service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use flamingowheel_config::api::ProcessStatus;
+use flamingowheel_config::store::Store;
+use flamingowheel_control::node::Node;
+use flamingowheel_control::operators::{Operators, OtherProcesses, router};
+use flamingowheel_control::transport::{PeerError, PeerTransport};
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::http;
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::peer::{MemberRecord, MemberState, PeerAnswer, PeerRequest};
+use tokio::net::TcpListener;
+
+use crate::session::typing;
+
+const FIRST: &str = "tests/documents/first.yaml";
+const SECOND: &str = "tests/documents/second.yaml";
+
+/// An entry without others.
+struct Alone;
+
+impl PeerTransport for Alone {
+    fn ask(
+        &self,
+        _peer: SocketAddr,
+        _request: PeerRequest,
+    ) -> BoxFuture<'_, Result<PeerAnswer, PeerError>> {
+        Box::pin(async { Err(PeerError::Unreachable) })
+    }
+}
+
+impl OtherProcesses for Alone {
+    fn list(&self) -> Vec<ProcessStatus> {
+        Vec::new()
+    }
+}
+
+/// Serves an entry's operators' port on loopback until the test ends.
+async fn entry() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+    let address = listener.local_addr().expect("an address");
+    let recorder = Recorder::for_tests("entry-1");
+    recorder.record(Event::LeaseLost { lease: "runners-a".into() });
+    let own = MemberRecord {
+        name: "entry-1".to_owned(),
+        vm: "vm-1".to_owned(),
+        data_centre: "ga-a".to_owned(),
+        region: "ga".to_owned(),
+        inner: ([127, 0, 0, 1], 1).into(),
+        callers: ([127, 0, 0, 1], 2).into(),
+        operators: address,
+        incarnation: Incarnation(7),
+        version: 1,
+        state: MemberState::Live,
+    };
+    let operators = Operators {
+        node: Node::new(own, recorder.clone()),
+        store: Store::new(Arc::new(FakeKeyValue::new())),
+        peers: Arc::new(Alone),
+        agents: Arc::new(Alone),
+    };
+    let routes = http::router(recorder).merge(router(operators));
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    address
+}
+
+fn apply(file: &str, number: u8, options: &str) -> String {
+    format!("apply -f {file} --again 67e55044-10b1-426f-9247-bb680e5fe0c{number} {options}")
+}
+
+#[tokio::test]
+async fn session_two_operators_change_one_template() {
+    let entries = [entry().await];
+    let lines = [
+        apply(FIRST, 1, "--seen 0 --dry-run"),
+        apply(FIRST, 1, "--seen 0 --wait 5s --comment first"),
+        // The answer was lost, say, and the operator sends it again.
+        apply(FIRST, 1, "--seen 0"),
+        "get templates".to_owned(),
+        "get templates callbox".to_owned(),
+        "get workspaces".to_owned(),
+        "get workspaces bibb-county".to_owned(),
+        "get workspaces nobody".to_owned(),
+        format!("diff -f {SECOND}"),
+        format!("diff -f {FIRST}"),
+        // The second operator looked before the first change.
+        apply(SECOND, 2, "--seen 0"),
+        apply(SECOND, 3, "--seen 1"),
+        apply("tests/documents/change.yaml", 4, "--operator nikos"),
+        "change 2-67e55044-10b1-426f-9247-bb680e5fe0c3".to_owned(),
+        "change 67e55044-10b1-426f-9247-bb680e5fe0c1".to_owned(),
+    ];
+    let mut shown = Vec::new();
+    for line in lines {
+        shown.push(typing(&line, &entries).await);
+    }
+    insta::assert_snapshot!(masked(&shown.join("\n\n")));
+}
+
+/// Leaves out how long something took.
+fn masked(text: &str) -> String {
+    let lines = text.lines().map(|line| match line.split_once(" after ") {
+        Some((before, after)) if after.ends_with(" ms") => format!("{before} after [time]"),
+        _ => line.to_owned(),
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+#[tokio::test]
+async fn session_history_status_and_timeline() {
+    let entries = [entry().await];
+    typing(&apply(FIRST, 1, "--comment first"), &entries).await;
+    let history = typing("history", &entries).await;
+    assert!(history.contains("put template callbox, put workspace bibb-county"), "{history}");
+    assert!(history.contains("maria") && history.contains("first"), "{history}");
+    let status = typing("status", &entries).await;
+    assert!(status.contains("configuration: revision 1"), "{status}");
+    assert!(status.contains("processes: 1 live, 0 leaving, 0 silent"), "{status}");
+    // The entry is asked once, although both the list and the operator name it.
+    let timeline = typing("timeline --since 1h", &entries).await;
+    assert_eq!(timeline.matches("lease runners-a lost").count(), 1, "{timeline}");
+    assert!(timeline.contains("accepted as revision 1"), "{timeline}");
+    assert!(!timeline.contains("NOT REACHED"), "{timeline}");
+}
--- a/crates/flamingowheel/tests/tool/main.rs
+++ b/crates/flamingowheel/tests/tool/main.rs
@@ -1,7 +1,9 @@
 //! The tool as an operator sees it.
 
 mod commands;
+mod contract;
 mod handbook;
 mod reference;
 mod session;
+mod settings;
 mod usage;
--- a/crates/flamingowheel/tests/tool/reference.rs
+++ b/crates/flamingowheel/tests/tool/reference.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeSet;
 
+use flamingowheel::routes;
+use flamingowheel_config::api::ErrorCode;
 use flamingowheel_entry::http as callers;
 use flamingowheel_observe::api::{EVENTS_PATH, METRICS_PATH};
 
 const PAGE: &str = include_str!("../../../../docs/operations/http.md");
+const OPERATORS: &str = include_str!("../../../control/src/operators.rs");
 const ANSWERS: &str = include_str!("../../../entry/src/http/answer.rs");
 
 /// The section between two headings.
@@ -39,10 +42,52 @@
     assert_eq!(paths(section("## For callers", "### ")), BTreeSet::from(routes));
 }
 
+/// Routes stand in the code as `.route("PATH", …)`.
+fn operators_routes() -> BTreeSet<&'static str> {
+    let routes = OPERATORS.split(".route(\"").skip(1);
+    let mut paths: BTreeSet<&str> = routes.filter_map(|rest| rest.split('"').next()).collect();
+    paths.extend([METRICS_PATH, EVENTS_PATH]);
+    paths
+}
+
 #[test]
 fn reference_lists_operators_routes() {
-    let routes = [METRICS_PATH, EVENTS_PATH];
-    assert_eq!(paths(section("## For operators", "\n## ")), BTreeSet::from(routes));
+    let routes = operators_routes();
+    assert!(routes.len() > 8, "{routes:?}");
+    assert_eq!(paths(section("## For operators", "### ")), routes);
+}
+
+// A path that the tool spells in another way than the entries is answered with 404, and the
+// operator is told that a template doesn't exist.
+#[test]
+fn reference_tool_asks_known_routes() {
+    let known = operators_routes();
+    let asked = [
+        routes::APPLY,
+        routes::DIFF,
+        routes::TEMPLATES,
+        routes::WORKSPACES,
+        routes::HISTORY,
+        routes::STATUS,
+    ];
+    assert!(asked.iter().all(|path| known.contains(path)), "{known:?}");
+    assert!(known.contains(&*format!("{}/{{id}}", routes::CHANGES)));
+    assert_eq!(routes::ENTRIES, callers::ENTRIES_PATH);
+}
+
+#[test]
+fn reference_lists_operators_error_codes() {
+    let unknown = serde_json::from_str::<ErrorCode>("\"?\"").expect_err("no such code");
+    let text = unknown.to_string();
+    let codes: BTreeSet<&str> = text.split('`').skip(3).step_by(2).collect();
+    let listed: Vec<(String, u16)> = rows(section("### Errors", "\n## "))
+        .filter_map(|row| Some((row[1].to_owned(), row[0].parse().ok()?)))
+        .collect();
+    assert_eq!(listed.iter().map(|(code, _)| code.as_str()).collect::<BTreeSet<_>>(), codes);
+    for (code, status) in listed {
+        let known: ErrorCode = serde_json::from_value(code.clone().into()).expect("a code");
+        assert_eq!(known.status(), status, "{code}");
+    }
 }
 
 #[test]
--- a/crates/observe/src/describe.rs
+++ b/crates/observe/src/describe.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use crate::event::Event;
+use crate::words::{counted, short};
 
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -184,23 +185,3 @@
         })
     }
 }
-
-/// A count with its noun in the singular or plural.
-pub(crate) fn counted<C>(count: C, noun: &str) -> String
-where
-    C: Into<u64>,
-{
-    let count = count.into();
-    let plural = match count {
-        1 => "",
-        _ if noun.ends_with('s') || noun.ends_with("sh") => "es",
-        _ => "s",
-    };
-    format!("{count} {noun}{plural}")
-}
-
-/// The end of an id, which differs between ids drawn at the same time.
-pub(crate) fn short(id: &uuid::Uuid) -> String {
-    let text = id.simple().to_string();
-    text[text.len() - 8..].to_owned()
-}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod recorder;
 pub mod ring;
 pub mod timeline;
+pub mod words;
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -7,8 +7,8 @@
 
 use crate::api::{EventQuery, EventsAnswer, ProcessInfo};
 use crate::clock::{DEFAULT_MAX_DRIFT_MS, Stamp};
-use crate::describe::{counted, short};
 use crate::event::{Event, Name, Stamped, Subject};
+use crate::words::{counted, short};
 
 /// Widest line of the text form.
 pub const COLUMNS: usize = 100;
--- /dev/null
+++ b/crates/observe/src/words.rs
@@ -0,0 +1,36 @@
+//! Small pieces of text that several outputs share.
+
+use uuid::Uuid;
+
+/// A count with its noun in the singular or plural.
+///
+/// ```
+/// use flamingowheel_observe::words::counted;
+///
+/// assert_eq!(counted(1_u32, "process"), "1 process");
+/// assert_eq!(counted(2_u32, "engine crash"), "2 engine crashes");
+/// ```
+pub fn counted<C>(count: C, noun: &str) -> String
+where
+    C: Into<u64>,
+{
+    let count = count.into();
+    let plural = match count {
+        1 => "",
+        _ if noun.ends_with('s') || noun.ends_with("sh") => "es",
+        _ => "s",
+    };
+    format!("{count} {noun}{plural}")
+}
+
+/// The end of an id, which differs between ids drawn at the same time.
+///
+/// ```
+/// use flamingowheel_observe::words::short;
+///
+/// assert_eq!(short(&uuid::Uuid::from_u128(0xabcd)), "0000abcd");
+/// ```
+pub fn short(id: &Uuid) -> String {
+    let text = id.simple().to_string();
+    text[text.len() - 8..].to_owned()
+}
