Tool: status without made-up revisions of agents; a dry run that says nothing differs

Tried on the demo as a new user: status showed revision 0 for agents, which have no configuration of their own, and its own process as heard seconds ago; a dry run of what is in force said it would be accepted.

--- a/crates/flamingowheel/src/commands/apply.rs
+++ b/crates/flamingowheel/src/commands/apply.rs
@@ -79,6 +79,9 @@
         (ApplyOutcome::Unchanged, _) => {
             writeln!(text, "unchanged: everything is as asked in revision {revision}")
         }
+        (ApplyOutcome::DryRun, _) if answer.diff.is_empty() => {
+            writeln!(text, "dry run: nothing differs from revision {revision}")
+        }
         (ApplyOutcome::DryRun, _) => {
             writeln!(text, "dry run: would be accepted over revision {revision}; nothing written")
         }
--- a/crates/flamingowheel/src/commands/status.rs
+++ b/crates/flamingowheel/src/commands/status.rs
@@ -33,7 +33,7 @@
     };
     text.push_str(&counts(&answer.processes));
     text.push('\n');
-    text.push_str(&processes(&answer.processes));
+    text.push_str(&processes(answer));
     text
 }
 
@@ -47,15 +47,17 @@
     )
 }
 
-fn processes(processes: &[ProcessStatus]) -> String {
+fn processes(answer: &StatusAnswer) -> String {
+    let mut sorted: Vec<&ProcessStatus> = answer.processes.iter().collect();
+    sorted.sort_by(|a, b| (a.role, &a.name).cmp(&(b.role, &b.name)));
     let mut rows = vec![row(["NAME", "ROLE", "STATE", "REVISION", "HEARD", "DATA CENTRE", "VM"])];
-    rows.extend(processes.iter().map(|process| {
+    rows.extend(sorted.into_iter().map(|process| {
         row([
             &process.name,
             role(process.role),
             state(process.state),
-            &process.revision.0.to_string(),
-            &format!("{} ms ago", process.heard_ms_ago),
+            &revision(process),
+            &heard(process, &answer.process),
             &process.data_centre,
             &process.vm,
         ])
@@ -63,6 +65,21 @@
     table(&rows)
 }
 
+/// Agents are told what they need with each request and have no configuration of their own.
+fn revision(process: &ProcessStatus) -> String {
+    match process.role {
+        ProcessRole::Entry => process.revision.0.to_string(),
+        ProcessRole::Agent => "-".to_owned(),
+    }
+}
+
+fn heard(process: &ProcessStatus, own: &str) -> String {
+    match process.name == own {
+        true => "itself".to_owned(),
+        false => format!("{} ms ago", process.heard_ms_ago),
+    }
+}
+
 fn role(role: ProcessRole) -> &'static str {
     match role {
         ProcessRole::Entry => "entry",
--- a/crates/flamingowheel/tests/tool/contract.rs
+++ b/crates/flamingowheel/tests/tool/contract.rs
@@ -83,6 +83,7 @@
         apply(FIRST, 1, "--seen 0 --wait 5s --comment first"),
         // The answer was lost, say, and the operator sends it again.
         apply(FIRST, 1, "--seen 0"),
+        apply(FIRST, 9, "--dry-run"),
         "get templates".to_owned(),
         "get templates callbox".to_owned(),
         "get workspaces".to_owned(),
--- a/crates/observe/src/describe.rs
+++ b/crates/observe/src/describe.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use crate::event::Event;
+use crate::reason::ConfigSource;
 use crate::words::{counted, short};
 
 impl fmt::Display for Event {
@@ -161,7 +162,13 @@
                 format!("change {change}: not known whether it is stored")
             }
             Self::ConfigurationInForce { revision, source } => {
-                format!("configuration {revision} in force, from {source}")
+                let source = match source {
+                    ConfigSource::Watch => "from a watch on the key-value service",
+                    ConfigSource::PeriodicRead => "from a read of the key-value service",
+                    ConfigSource::Peer => "from a peer",
+                    ConfigSource::Accepted => "accepted here",
+                };
+                format!("configuration {revision} in force, {source}")
             }
             Self::OlderConfigurationRefused { revision, in_force } => {
                 format!("older configuration {revision} not taken, {in_force} is in force")
