--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -230,7 +230,10 @@
         P: PartialEq,
         F: Fn(&Subject) -> Option<P>,
     {
-        let mut parts = self.events.iter().map(|event| part(&event.subject));
+        // Asked for one request, the title tells about that, not about what explains it.
+        let of_request = self.query.request.is_some();
+        let told = self.events.iter().filter(|e| !of_request || e.subject.request.is_some());
+        let mut parts = told.map(|event| part(&event.subject));
         let first = parts.next()??;
         parts.all(|other| other.as_ref() == Some(&first)).then_some(first)
     }
--- a/crates/observe/tests/timeline.rs
+++ b/crates/observe/tests/timeline.rs
@@ -139,6 +139,20 @@
     assert!(text.contains("COMPLETE: 1 chunk in 40 ms, 1 attempt"), "{text}");
 }
 
+// A crash that explains a request names no workspace. It must not push the workspace out of the
+// title and into every line.
+#[test]
+fn to_text_context_leaves_title_alone() {
+    let agent = process("runner-2", START_MS);
+    let started = Event::Started { attempt: 1, running: 1 };
+    let subject = Subject::request(request_id()).workspace("roadside");
+    agent.recorder.record_about(&subject, started);
+    agent.recorder.record(Event::EngineCrashed { backend_server: "runner-2".into(), running: 1 });
+    let text = merge(by_request(), vec![agent.answer(&by_request())], Vec::new()).to_text();
+    assert_eq!(text.matches("workspace roadside").count(), 1, "{text}");
+    assert!(text.contains("engine of runner-2 crashed"), "{text}");
+}
+
 // The runner's wall clock is behind the entry's by less than the bound. Sorted by wall time its
 // refusal would stand before the dispatch that it answers.
 #[test]
