--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -4,19 +4,25 @@
 //! consistent state.
 
 use crate::config::AgentConfig;
-use crate::execution::{Ending, Execution, Subject};
+use crate::execution::{Ending, Execution, Work};
 use crate::load::LoadCell;
 use crate::records::{Record, Records};
 use crate::runner::{self, RunEnd};
+use flamingowheel_observe::event::{Event, Name, Subject};
+use flamingowheel_observe::reason::LeaveCause;
+use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::suspicion::{CrashId, SuspicionBook, SuspicionConfig, Verdict};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use flamingowheel_protocol::message::{
-    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal, Suspicion,
+    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -114,6 +120,8 @@
 
 struct Running {
     fingerprint: Fingerprint,
+    subject: Subject,
+    attempt: u32,
     since: Instant,
 }
 
@@ -126,7 +134,7 @@
     admission: Admission<ExecutionKey>,
     pending: HashMap<ExecutionKey, Pending>,
     running: HashMap<ExecutionKey, Running>,
-    exclusive: Option<ExecutionKey>,
+    suspicion: SuspicionBook,
     load: LoadCell,
     links: HashMap<u64, mpsc::Sender<AgentMessage>>,
     leaving: bool,
@@ -137,13 +145,17 @@
     crash_count: u32,
     commands: mpsc::Sender<Command>,
     status: watch::Sender<AgentStatus>,
+    traffic: Handle,
+    recorder: Recorder,
 }
 
 impl Control {
-    /// Prepares a control task; run it with [`Control::run`].
+    /// Prepares a control task; run it with [`Control::run`], on a thread of its own if there is
+    /// one. Tasks that move bytes are spawned on the runtime that this is called on.
     pub fn new(
         config: AgentConfig,
         backend: Arc<dyn BackendServer>,
+        recorder: Recorder,
     ) -> (Self, AgentHandle, mpsc::Receiver<Command>) {
         let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
         let (status, status_receiver) = watch::channel(AgentStatus::default());
@@ -159,7 +171,7 @@
             started: Instant::now(),
             pending: HashMap::new(),
             running: HashMap::new(),
-            exclusive: None,
+            suspicion: SuspicionBook::new(SuspicionConfig::default()),
             load: LoadCell::default(),
             links: HashMap::new(),
             leaving: false,
@@ -170,6 +182,8 @@
             crash_count: 0,
             commands: commands.clone(),
             status,
+            traffic: Handle::current(),
+            recorder,
             config,
             backend,
         };
@@ -196,6 +210,10 @@
         match command {
             Command::Linked { link, sender } => {
                 reply(&sender, self.heartbeat());
+                let known = self.suspicion.records(self.started.elapsed());
+                if !known.is_empty() {
+                    reply(&sender, AgentMessage::Suspicions(known));
+                }
                 self.links.insert(link, sender);
             }
             Command::Unlinked { link } => {
@@ -204,13 +222,20 @@
             Command::Received { sender, message } => self.receive(&sender, message),
             Command::Ended { key, end } => self.on_ended(key, end),
             Command::Health(report) => self.on_health(report),
-            Command::Leave => {
-                self.leaving = true;
-                self.broadcast(&self.heartbeat());
-            }
+            Command::Leave => self.leave(LeaveCause::Signal),
         }
     }
 
+    /// Takes no new work from now on, and tells every entry at once.
+    fn leave(&mut self, cause: LeaveCause) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        let requests = u32::try_from(self.running.len() + self.pending.len()).unwrap_or(u32::MAX);
+        self.recorder.record(Event::LeaveBegan { cause, requests });
+        self.broadcast(&self.heartbeat());
+    }
+
     fn receive(&mut self, sender: &mpsc::Sender<AgentMessage>, message: EntryMessage) {
         match message {
             EntryMessage::Dispatch(dispatch) => self.on_dispatch(sender, dispatch),
@@ -232,7 +257,11 @@
                     execution.detach(attempt);
                 }
             }
-            EntryMessage::Suspicions(_) => {}
+            EntryMessage::Suspicions(records) => {
+                self.suspicion.merge(&records, self.started.elapsed());
+                self.tell_suspicions();
+            }
+            EntryMessage::VmLeaving => self.leave(LeaveCause::VmList),
         }
     }
 
@@ -274,7 +303,7 @@
         if execution.has_listener(dispatch.attempt) {
             return;
         }
-        if execution.subject().fingerprint != dispatch.fingerprint {
+        if execution.work().fingerprint != dispatch.fingerprint {
             return self.refuse(sender, dispatch.attempt, Refusal::TicketMismatch);
         }
         if matches!(dispatch.key, ExecutionKey::Attempt(_)) {
@@ -282,25 +311,33 @@
             return;
         }
         self.accept(sender, dispatch.attempt);
-        execution.attach(dispatch.attempt, sender.clone(), 0, self.load.clone());
+        self.record_ticket(dispatch, Event::TicketReplayed { ticket: ticket_name(dispatch.key) });
+        self.attach(execution, dispatch.attempt, sender, 0);
     }
 
-    fn objection(&self, dispatch: &Dispatch) -> Option<Refusal> {
+    fn objection(&mut self, dispatch: &Dispatch) -> Option<Refusal> {
         if self.leaving {
             return Some(Refusal::Leaving);
         }
         if dispatch.remaining_ms == 0 {
             return Some(Refusal::DeadlinePassed);
         }
-        if self.exclusive.is_some() {
-            return Some(Refusal::Full);
+        match self.suspicion.verdict(dispatch.fingerprint, self.started.elapsed()) {
+            Verdict::Refused { .. } => Some(Refusal::Suspect),
+            Verdict::Alone { crashed } if crashed.contains(&self.server()) => {
+                Some(Refusal::Suspect)
+            }
+            Verdict::Alone { .. } | Verdict::Clear => None,
         }
-        None
+    }
+
+    fn server(&self) -> ServerKey {
+        ServerKey::from_name(&self.config.name)
     }
 
     fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
         let (attempt, key) = (dispatch.attempt, dispatch.key);
-        let execution = Arc::new(Execution::new(Subject {
+        let execution = Arc::new(Execution::new(Work {
             fingerprint: dispatch.fingerprint,
             idempotent: dispatch.idempotent,
             max_replay_bytes: self.config.max_replay_bytes,
@@ -315,11 +352,12 @@
             last_try: dispatch.last_try,
             deadline: self.started.elapsed() + Duration::from_millis(dispatch.remaining_ms),
         };
-        let alone = dispatch.alone;
         let from_chunk = dispatch.resume_after_chunks;
+        let (fingerprint, dispatch_alone) = (dispatch.fingerprint, dispatch.alone);
         self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
+        let alone = dispatch_alone || self.must_run_alone(fingerprint);
         let admitted = match alone {
-            true => self.offer_alone(offer),
+            true => self.admission.offer_alone(offer),
             false => self.admission.offer(offer),
         };
         match admitted {
@@ -339,28 +377,39 @@
                 }
             }
         }
-        execution.attach(attempt, sender.clone(), from_chunk, self.load.clone());
+        self.attach(&execution, attempt, sender, from_chunk);
+    }
+
+    fn attach(
+        &self,
+        execution: &Arc<Execution>,
+        attempt: AttemptId,
+        sender: &mpsc::Sender<AgentMessage>,
+        from_chunk: u64,
+    ) {
+        let load = self.load.clone();
+        self.traffic.spawn(execution.attach(attempt, sender.clone(), from_chunk, load));
     }
 
     /// A request that may kill the backend server runs with nothing beside it, so that it can't
     /// take others down and so that a crash convicts it alone.
-    fn offer_alone(&mut self, offer: Offer<ExecutionKey>) -> Admitted<ExecutionKey> {
-        if !self.running.is_empty() {
-            return Admitted::Full(self.admission.load());
-        }
-        let admitted = self.admission.offer(offer);
-        if matches!(admitted, Admitted::Start) {
-            self.exclusive = Some(offer.id);
-        }
-        admitted
+    fn must_run_alone(&mut self, fingerprint: Fingerprint) -> bool {
+        let verdict = self.suspicion.verdict(fingerprint, self.started.elapsed());
+        matches!(verdict, Verdict::Alone { .. })
     }
 
     fn start(&mut self, key: ExecutionKey) {
         let Some(Pending { dispatch, execution }) = self.pending.remove(&key) else { return };
-        let running = Running { fingerprint: dispatch.fingerprint, since: Instant::now() };
+        let running = Running {
+            fingerprint: dispatch.fingerprint,
+            subject: subject(&dispatch),
+            attempt: dispatch.attempt.number,
+            since: Instant::now(),
+        };
         self.running.insert(key, running);
+        self.record_start(&dispatch);
         let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
-        tokio::spawn(runner::run(backend, dispatch, execution, commands));
+        self.traffic.spawn(runner::run(backend, dispatch, execution, commands));
     }
 
     fn on_ended(&mut self, key: ExecutionKey, end: RunEnd) {
@@ -374,8 +423,9 @@
             self.records.remove_ticket(key);
         }
         let Some(running) = self.running.remove(&key) else { return };
-        if self.exclusive == Some(key) {
-            self.exclusive = None;
+        self.record_end(key, &running);
+        if end == RunEnd::Whole {
+            self.suspicion.on_finished(running.fingerprint, self.started.elapsed());
         }
         let mut next = self.admission.finish(running.since.elapsed());
         while let Some(key) = next {
@@ -424,7 +474,7 @@
         match self.records.get(question.key) {
             Some(Record::Execution(execution)) => {
                 let execution = Arc::clone(execution);
-                execution.attach(attempt, sender.clone(), from_chunk, self.load.clone());
+                self.attach(&execution, attempt, sender, from_chunk);
             }
             Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
             None if self.is_forgotten(&question) => {
@@ -481,7 +531,7 @@
             self.give_up(key, Refusal::Cancelled);
             return self.refuse(sender, attempt, Refusal::Cancelled);
         }
-        if execution.subject().idempotent && !others {
+        if execution.work().idempotent && !others {
             execution.stop_token().cancel();
         }
         self.fail(sender, attempt, Failure::Cancelled);
@@ -505,7 +555,7 @@
             return;
         }
         let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
-        tokio::spawn(async move {
+        self.traffic.spawn(async move {
             let report = backend.load().await;
             let _ = commands.send(Command::Health(report)).await;
         });
@@ -528,14 +578,21 @@
             return;
         }
         self.crash_count += 1;
-        let crash = (self.config.incarnation, self.crash_count);
-        let running_count = u16::try_from(suspects.len()).unwrap_or(u16::MAX);
-        let suspicions: Vec<_> = suspects
-            .into_iter()
-            .map(|fingerprint| Suspicion { fingerprint, crash, running_count })
-            .collect();
-        tracing::warn!(running_count, crash_count = self.crash_count, "backend server died");
-        self.broadcast(&AgentMessage::Suspicions(suspicions));
+        let crash = CrashId { server: self.server(), number: rand::random() };
+        self.suspicion.on_crash(crash, &suspects, self.started.elapsed());
+        self.recorder.record(Event::EngineCrashed {
+            backend_server: self.config.name.as_str().into(),
+            running: u32::try_from(suspects.len()).unwrap_or(u32::MAX),
+        });
+        self.tell_suspicions();
+    }
+
+    /// Passes on what changed. Only news counts as a change, so this comes to an end.
+    fn tell_suspicions(&mut self) {
+        let changes = self.suspicion.take_changes(self.started.elapsed());
+        if !changes.is_empty() {
+            self.broadcast(&AgentMessage::Suspicions(changes));
+        }
     }
 
     fn on_tick(&mut self) {
@@ -545,6 +602,7 @@
         }
         self.stop_orphans();
         self.check_health();
+        self.tell_suspicions();
         self.broadcast(&self.heartbeat());
     }
 
@@ -554,12 +612,36 @@
             let Some(Record::Execution(execution)) = self.records.get(*key) else { continue };
             let unattended = execution.unattended_since().map(|since| since.elapsed());
             let orphaned = unattended.is_some_and(|time| time >= self.config.orphan_limit);
-            if orphaned && execution.subject().idempotent {
+            if orphaned && execution.work().idempotent {
                 execution.stop_token().cancel();
             }
         }
     }
 
+    fn record_start(&self, dispatch: &Dispatch) {
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let attempt = dispatch.attempt.number;
+        self.recorder.record_about(&subject(dispatch), Event::Started { attempt, running });
+        if let ExecutionKey::Ticket { .. } = dispatch.key {
+            let ticket = ticket_name(dispatch.key);
+            self.record_ticket(dispatch, Event::TicketRun { ticket });
+        }
+    }
+
+    fn record_ticket(&self, dispatch: &Dispatch, event: Event) {
+        self.recorder.record_about(&subject(dispatch), event);
+    }
+
+    fn record_end(&self, key: ExecutionKey, running: &Running) {
+        let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        let event = Event::Finished {
+            attempt: running.attempt,
+            chunks: execution.chunk_count(),
+            duration_ms: running.since.elapsed().as_millis() as u64,
+        };
+        self.recorder.record_about(&running.subject, event);
+    }
+
     fn accept(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId) {
         reply(sender, AgentMessage::Accepted { attempt, load: self.load() });
     }
@@ -581,13 +663,12 @@
         attempt: AttemptId,
         refusal: Refusal,
     ) {
-        tracing::debug!(request = %attempt.request.0, %refusal, "refused");
         reply(sender, AgentMessage::Refused { attempt, refusal, load: self.load() });
     }
 
     fn fail(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId, failure: Failure) {
-        let occupied = self.load().occupied();
-        reply(sender, AgentMessage::Failed { attempt, failure, occupied });
+        let occupancy = self.load().occupancy();
+        reply(sender, AgentMessage::Failed { attempt, failure, occupancy });
     }
 
     fn heartbeat(&self) -> AgentMessage {
@@ -637,6 +718,18 @@
     }
 }
 
+/// What a dispatch's events are about.
+fn subject(dispatch: &Dispatch) -> Subject {
+    Subject::request(dispatch.attempt.request.0).workspace(dispatch.workspace.as_str())
+}
+
+fn ticket_name(key: ExecutionKey) -> Name {
+    match key {
+        ExecutionKey::Ticket { number, .. } => number.to_string().into(),
+        ExecutionKey::Attempt(attempt) => attempt.request.0.to_string().into(),
+    }
+}
+
 /// Which attempt an entry asks about.
 #[derive(Clone, Copy)]
 struct Question {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -33,7 +33,7 @@
 
 /// What an execution is, fixed from its start.
 #[derive(Clone, Debug)]
-pub struct Subject {
+pub struct Work {
     /// Hash of workspace, route and body.
     pub fingerprint: Fingerprint,
     /// Whether running it twice is harmless.
@@ -85,7 +85,7 @@
 /// One execution, shared between the control task, the reading task and the sending tasks.
 #[derive(Debug)]
 pub struct Execution {
-    subject: Subject,
+    work: Work,
     answer: Mutex<Answer>,
     changed: Notify,
     room: Notify,
@@ -94,14 +94,14 @@
 
 impl Execution {
     /// An execution that has not begun.
-    pub fn new(subject: Subject) -> Self {
+    pub fn new(work: Work) -> Self {
         let answer = Answer {
             unattended_since: Some(Instant::now()),
-            first: subject.first_chunk,
+            first: work.first_chunk,
             ..Answer::default()
         };
         Self {
-            subject,
+            work,
             answer: Mutex::new(answer),
             changed: Notify::new(),
             room: Notify::new(),
@@ -110,8 +110,8 @@
     }
 
     /// What it is.
-    pub fn subject(&self) -> &Subject {
-        &self.subject
+    pub fn work(&self) -> &Work {
+        &self.work
     }
 
     /// Fires when the execution should be stopped.
@@ -144,14 +144,15 @@
         !self.lock().listeners.is_empty()
     }
 
-    /// Sends the answer to `attempt` over `sender`, from the given chunk on.
+    /// Attaches `attempt`; the returned task sends it the answer over `sender`, from the given
+    /// chunk on.
     pub fn attach(
         self: &Arc<Self>,
         attempt: AttemptId,
         sender: mpsc::Sender<AgentMessage>,
         from_chunk: u64,
         load: LoadCell,
-    ) {
+    ) -> impl Future<Output = ()> + Send + use<> {
         let generation = self.add_listener(attempt, from_chunk);
         let feeder = Feeder {
             execution: Arc::clone(self),
@@ -163,7 +164,7 @@
             sender,
             load,
         };
-        tokio::spawn(feeder.run());
+        feeder.run()
     }
 
     fn add_listener(&self, attempt: AttemptId, from_chunk: u64) -> u64 {
@@ -237,8 +238,8 @@
 
     fn try_push(&self, data: &mut Option<Bytes>) -> Result<bool, Failure> {
         let mut answer = self.lock();
-        while answer.kept_bytes >= self.subject.max_replay_bytes && !answer.chunks.is_empty() {
-            if !self.subject.idempotent {
+        while answer.kept_bytes >= self.work.max_replay_bytes && !answer.chunks.is_empty() {
+            if !self.work.idempotent {
                 return Err(Failure::ReplayGone);
             }
             if answer.needed_from().is_none_or(|needed| needed <= answer.first) {
@@ -259,6 +260,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Number of chunks so far, those of an earlier agent process included.
+    pub fn chunk_count(&self) -> u64 {
+        self.lock().next()
+    }
+
     /// How it ended.
     pub fn ending(&self) -> Option<Ending> {
         self.lock().ending
@@ -334,15 +340,19 @@
         if self.ended {
             return Turn::Wait;
         }
-        let (attempt, occupied) = (self.attempt, self.load.get().occupied());
+        let (attempt, occupancy) = (self.attempt, self.load.get().occupancy());
         if self.next < answer.first {
-            messages.push(AgentMessage::Failed { attempt, failure: Failure::ReplayGone, occupied });
+            messages.push(AgentMessage::Failed {
+                attempt,
+                failure: Failure::ReplayGone,
+                occupancy,
+            });
             self.ended = true;
             return Turn::Wait;
         }
         if let (Some((status, content_type)), false) = (&answer.head, self.head_sent) {
             let (status, content_type) = (*status, content_type.clone());
-            messages.push(AgentMessage::Head { attempt, status, content_type, occupied });
+            messages.push(AgentMessage::Head { attempt, status, content_type, occupancy });
             self.head_sent = true;
         }
         let limit = answer.next().min(listener.next_unacknowledged + SEND_WINDOW_CHUNKS);
@@ -351,7 +361,7 @@
                 return Turn::Again;
             }
             let data = answer.chunks[(self.next - answer.first) as usize].clone();
-            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupied });
+            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupancy });
             self.next += 1;
         }
         let Some(ending) = answer.ending else { return Turn::Wait };
@@ -359,8 +369,8 @@
             return Turn::Wait;
         }
         messages.push(match ending {
-            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupied },
-            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupied },
+            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupancy },
+            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupancy },
             Ending::NotRun(refusal) => {
                 AgentMessage::Refused { attempt, refusal, load: self.load.get() }
             }
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -6,22 +6,28 @@
 use crate::connector::{AgentLink, Connector};
 use crate::router::Router;
 use flamingowheel_policy::key::{ScopeKey, ServerKey};
+use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
 use flamingowheel_protocol::message::{
     AgentMessage, BackendProfile, EntryMessage, Hello, Role, Serves,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Shortest and longest wait between two tries to connect.
 const RECONNECT_WAIT: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(1_000));
 
+/// How long an address that turned out to be no agent is left alone.
+const NOT_AN_AGENT_WAIT: Duration = Duration::from_secs(30);
+
 /// An open connection to an agent.
 #[derive(Clone, Debug)]
 pub struct Connected {
@@ -53,6 +59,8 @@
     address: SocketAddr,
     connected: watch::Sender<Option<Connected>>,
     window: AtomicU32,
+    leaving: AtomicBool,
+    heard: Mutex<Instant>,
     streams: Mutex<HashMap<AttemptId, mpsc::UnboundedSender<StreamEvent>>>,
 }
 
@@ -62,6 +70,8 @@
             address,
             connected: watch::Sender::new(None),
             window: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            heard: Mutex::new(Instant::now()),
             streams: Mutex::default(),
         }
     }
@@ -76,6 +86,13 @@
         self.connected.borrow().clone()
     }
 
+    /// Sends a message that may get lost, if there is a connection.
+    pub fn send(&self, message: EntryMessage) {
+        if let Some(connected) = self.connected() {
+            let _ = connected.sender.try_send(message);
+        }
+    }
+
     /// Waits for a connection newer than `epoch`.
     pub async fn connected_after(&self, epoch: u64) -> Option<Connected> {
         let mut watch = self.connected.subscribe();
@@ -91,6 +108,22 @@
         Window(self.window.load(Ordering::Relaxed))
     }
 
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// How long ago its last heartbeat came.
+    pub fn heard_ago(&self) -> Duration {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
+    }
+
+    fn on_heartbeat(&self, window: Window, leaving: bool) {
+        self.window.store(window.0, Ordering::Relaxed);
+        self.leaving.store(leaving, Ordering::Relaxed);
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
     /// Registers an attempt for messages about it.
     pub fn listen(self: &Arc<Self>, attempt: AttemptId) -> StreamListener {
         let (sender, events) = mpsc::unbounded_channel();
@@ -145,30 +178,35 @@
 
 /// All agents that this entry connects to.
 pub struct Agents {
+    traffic: Handle,
     connector: Arc<dyn Connector>,
     router: Arc<Router>,
     known: Mutex<HashMap<SocketAddr, (Arc<Agent>, CancellationToken)>>,
 }
 
 impl Agents {
-    /// No agents yet.
+    /// No agents yet. Connections are served on the runtime that this is called on.
     pub fn new(connector: Arc<dyn Connector>, router: Arc<Router>) -> Self {
-        Self { connector, router, known: Mutex::default() }
+        Self { traffic: Handle::current(), connector, router, known: Mutex::default() }
     }
 
-    /// Connects to exactly these addresses from now on. Attempts in progress on agents that are
-    /// no longer named keep their connection until it ends.
-    pub fn set_addresses(&self, addresses: &[SocketAddr]) {
+    /// Connects to exactly the agents of these VMs from now on. Attempts in progress on agents
+    /// that are no longer named keep their connection until it ends.
+    pub fn set_vms(&self, vms: &[AgentVm]) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.retain(|address, (_, stop)| {
-            let keep = addresses.contains(address);
+            let keep = vms.iter().any(|vm| vm.address == *address);
             if !keep {
                 stop.cancel();
             }
             keep
         });
-        for address in addresses {
-            known.entry(*address).or_insert_with(|| self.start(*address));
+        for vm in vms {
+            let (agent, _) = known.entry(vm.address).or_insert_with(|| self.start(vm.address));
+            if vm.leaving {
+                // The list lags differently at each entry; the agent tells all of them at once.
+                agent.send(EntryMessage::VmLeaving);
+            }
         }
     }
 
@@ -187,11 +225,20 @@
             router: Arc::clone(&self.router),
             stop: stop.clone(),
         };
-        tokio::spawn(supervisor.run());
+        self.traffic.spawn(supervisor.run());
         (agent, stop)
     }
 }
 
+/// A VM that may run an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgentVm {
+    /// Where its agent would be reached.
+    pub address: SocketAddr,
+    /// The VM list says that it is leaving.
+    pub leaving: bool,
+}
+
 /// Keeps one agent connected.
 struct Supervisor {
     agent: Arc<Agent>,
@@ -224,7 +271,15 @@
     }
 
     async fn attend(&self, mut link: AgentLink, epoch: u64) {
-        let Role::Agent(profile) = &link.peer.role else { return };
+        let Role::Agent(profile) = &link.peer.role else {
+            // Another entry. It stays one until its VM is replaced.
+            let retry = tokio::time::sleep(NOT_AN_AGENT_WAIT);
+            tokio::select! {
+                () = retry => {}
+                () = self.stop.cancelled() => {}
+            }
+            return;
+        };
         let server = ServerKey::from_name(&link.peer.name);
         let connected = Connected {
             epoch,
@@ -242,6 +297,10 @@
                 announced = true;
                 self.router.add(server, &connected.profile.serves, Arc::clone(&self.agent));
                 self.agent.connected.send_replace(Some(connected.clone()));
+                let known = self.router.suspicions();
+                if !known.is_empty() {
+                    self.agent.send(EntryMessage::Suspicions(known));
+                }
             }
             if let Some(attempt) = message.attempt() {
                 self.agent.route(attempt, message);
@@ -254,12 +313,26 @@
 
     fn take(&self, server: ServerKey, message: &AgentMessage) {
         if let AgentMessage::Heartbeat { window, leaving, backend_up, .. } = message {
-            self.agent.window.store(window.0, Ordering::Relaxed);
+            self.agent.on_heartbeat(*window, *leaving);
             self.router.set_accepting(server, *leaving, *backend_up);
         }
         if let Some(hint) = message.load_hint() {
             self.router.learn(server, hint);
         }
+        if let AgentMessage::Suspicions(records) = message {
+            self.pass_on(records);
+        }
+    }
+
+    /// Entries carry suspicions from agent to agent. Only news is passed on, so it ends.
+    fn pass_on(&self, records: &[SuspectRecord]) {
+        let news = self.router.suspect(records);
+        if news.is_empty() {
+            return;
+        }
+        for agent in self.router.agents() {
+            agent.send(EntryMessage::Suspicions(news.clone()));
+        }
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::Dispatcher;
 use arc_swap::ArcSwap;
 use flamingowheel_config::effective::Effective;
+use flamingowheel_control::node::Node;
 use flamingowheel_observe::recorder::Recorder;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -27,6 +28,8 @@
     pub recorder: Recorder,
     /// Requests and streams in progress.
     pub in_progress: Arc<InProgress>,
+    /// This entry among the others.
+    pub node: Node,
 }
 
 /// Counts requests and streams in progress, so that a leaving entry knows when it may end.
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -11,17 +11,25 @@
 use thiserror::Error;
 
 use crate::key::{Fingerprint, ServerKey, mix};
-use crate::load::{Availability, Estimate, LoadBook};
+use crate::load::{Estimate, LoadBook};
 
-/// How many candidates are looked at.
+/// How a class of requests is routed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoutingConfig {
-    /// Candidates whatever their knowledge's age.
-    pub min_candidates: usize,
-    /// Candidates when all knowledge is fresh.
-    pub max_candidates: usize,
-    /// Knowledge younger than this counts as fresh.
+    /// Candidates with older knowledge than `fresh`; all with fresh knowledge are looked at.
+    pub stale_candidates: usize,
+    /// Knowledge no older than this counts as fresh.
     pub fresh: Duration,
+    /// The first candidate that costs no more than this is taken without looking further.
+    pub good_enough: Duration,
+    /// From this expected wait at the best candidate on, a request may wait in the agent's queue
+    /// whatever its try, if the knowledge is fresh. Otherwise every request would use up all its tries under overload.
+    pub queue_anyway: Duration,
+    /// The request's priority lets it overtake all that wait.
+    pub urgent: bool,
+    /// A longer expected wait than this is refused at the entry rather than tried. A lower class
+    /// gets a shorter one and so is shed first.
+    pub max_wait: Duration,
     /// Tries a request has in all; the last one may wait in the agent's queue.
     pub max_tries: u32,
 }
@@ -29,9 +37,12 @@
 impl Default for RoutingConfig {
     fn default() -> Self {
         Self {
-            min_candidates: 4,
-            max_candidates: 16,
-            fresh: Duration::from_millis(250),
+            stale_candidates: 3,
+            fresh: Duration::from_millis(500),
+            good_enough: Duration::from_millis(2),
+            queue_anyway: Duration::from_millis(100),
+            urgent: false,
+            max_wait: Duration::from_secs(30),
             max_tries: 3,
         }
     }
@@ -57,7 +68,8 @@
     pub candidates: usize,
     /// What was expected of the server.
     pub estimate: Estimate,
-    /// This is the last try: ask the agent to queue it rather than to refuse early.
+    /// Ask the agent to queue it rather than to refuse early: no try is left, or all candidates
+    /// have queues and another try would find no better.
     pub last_try: bool,
 }
 
@@ -70,6 +82,12 @@
     /// The request has used up its tries.
     #[error("no tries are left")]
     NoTriesLeft,
+    /// Even the best candidate would keep the request waiting for too long.
+    #[error("expected wait of {} ms is too long", .wait.as_millis())]
+    Overloaded {
+        /// The best candidate's expected wait: try again after it.
+        wait: Duration,
+    },
 }
 
 /// Chooses among `servers`, those of the request's cell.
@@ -114,39 +132,82 @@
     if tries >= config.max_tries {
         return Err(RouteError::NoTriesLeft);
     }
-    let last_try = tries + 1 == config.max_tries;
+    let is_last = tries + 1 == config.max_tries;
     let mut best: Option<Choice> = None;
     let mut looked_at = 0;
-    let mut fresh = 0;
-    for server in ranking(request, servers, book) {
-        let Some(extra) = extra_cost(server) else { continue };
+    let mut stale = 0;
+    for server in ranking(request.fingerprint, request.tried, servers, book) {
         let Some(estimate) = book.estimate(server, now) else { continue };
+        let is_stale = estimate.age > config.fresh;
+        if is_stale && stale >= config.stale_candidates {
+            continue;
+        }
+        let Some(extra) = extra_cost(server) else { continue };
         looked_at += 1;
-        fresh += usize::from(estimate.age <= config.fresh);
-        let cost = estimate.wait() + extra;
+        stale += usize::from(is_stale);
+        let cost = expected_wait(config, &estimate) + extra;
         if best.is_none_or(|choice| cost < choice.cost) {
-            best = Some(Choice { server, cost, candidates: 0, estimate, last_try });
+            best = Some(Choice { server, cost, candidates: 0, estimate, last_try: is_last });
         }
-        if looked_at >= candidate_count(config, fresh, looked_at) {
+        if cost <= config.good_enough {
             break;
         }
     }
     let best = best.ok_or(RouteError::NoneAvailable)?;
-    Ok(Choice { candidates: looked_at, ..best })
+    let wait = expected_wait(config, &best.estimate);
+    if wait > config.max_wait {
+        return Err(RouteError::Overloaded { wait });
+    }
+    let is_fresh = best.estimate.age <= config.fresh;
+    // An urgent request overtakes queues, so a queue does not tell what another try would find.
+    let queues = is_fresh && !config.urgent && wait >= config.queue_anyway;
+    let last_try = is_last || queues;
+    Ok(Choice { candidates: looked_at, last_try, ..best })
+}
+
+/// Chooses for a suspect that must run alone: the first usable server in its fingerprint's order
+/// that it has not crashed. Every entry sends every copy there, and the agent runs one at a time, so
+/// copies sent at once through many entries cost one backend server.
+///
+/// # Errors
+///
+/// When no server may take it.
+///
+/// ```
+/// use flamingowheel_policy::key::{Fingerprint, ServerKey};
+/// use flamingowheel_policy::load::LoadBook;
+/// use flamingowheel_policy::routing::choose_alone;
+/// let servers = [ServerKey(1), ServerKey(2)];
+/// let mut book = LoadBook::default();
+/// servers.iter().for_each(|server| assert!(book.insert(*server)));
+/// let server = choose_alone(Fingerprint(1), &[servers[0]], &servers, &book);
+/// assert_eq!(server, Ok(servers[1]));
+/// ```
+pub fn choose_alone(
+    fingerprint: Fingerprint,
+    crashed: &[ServerKey],
+    servers: &[ServerKey],
+    book: &LoadBook,
+) -> Result<ServerKey, RouteError> {
+    let first = ranking(fingerprint, crashed, servers, book).first().copied();
+    first.ok_or(RouteError::NoneAvailable)
 }
 
-/// Grows from the least to the most with the share of candidates whose knowledge is fresh.
-fn candidate_count(config: &RoutingConfig, fresh: usize, looked_at: usize) -> usize {
-    let span = config.max_candidates.saturating_sub(config.min_candidates);
-    config.min_candidates + span * fresh / looked_at.max(1)
+fn expected_wait(config: &RoutingConfig, estimate: &Estimate) -> Duration {
+    if config.urgent { estimate.urgent_wait() } else { estimate.wait() }
 }
 
-fn ranking(request: &RouteRequest<'_>, servers: &[ServerKey], book: &LoadBook) -> Vec<ServerKey> {
-    let seed = request.fingerprint.seed();
+/// The usable servers in the fingerprint's order, by rendezvous hashing.
+fn ranking(
+    fingerprint: Fingerprint,
+    excluded: &[ServerKey],
+    servers: &[ServerKey],
+    book: &LoadBook,
+) -> Vec<ServerKey> {
+    let seed = fingerprint.seed();
     let mut ranked: Vec<(u64, ServerKey)> = servers
         .iter()
-        .filter(|server| book.availability(**server) == Some(Availability::Available))
-        .filter(|server| !request.tried.contains(server))
+        .filter(|server| book.is_usable(**server) && !excluded.contains(server))
         .map(|server| (mix(seed, server.0), *server))
         .collect();
     ranked.sort_unstable();
--- a/crates/proof/tests/decoders/mod.rs
+++ b/crates/proof/tests/decoders/mod.rs
@@ -34,12 +34,12 @@
         attempt: attempt(),
         number: 3,
         data: Bytes::from_static(b"data: lamp\n\n"),
-        occupied: Default::default(),
+        occupancy: Default::default(),
     };
     let failed = AgentMessage::Failed {
         attempt: attempt(),
         failure: Failure::BackendLost,
-        occupied: Default::default(),
+        occupancy: Default::default(),
     };
     vec![encode(1, &[cancel, acknowledge]).unwrap(), encode(2, &[chunk, failed]).unwrap()]
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,7 +2,9 @@
 
 use crate::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use bytes::Bytes;
+use flamingowheel_policy::suspicion::SuspectRecord;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What each side says of itself when a connection opens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,8 +13,12 @@
     pub name: String,
     /// The process's incarnation.
     pub incarnation: Incarnation,
+    /// The VM it runs on.
+    pub vm: String,
     /// The data centre it runs in.
     pub data_centre: String,
+    /// Where operators reach it.
+    pub operators: Option<SocketAddr>,
     /// What it does.
     pub role: Role,
 }
@@ -74,17 +80,23 @@
 }
 
 impl Load {
-    /// Requests running or waiting.
+    /// The short form that goes with every chunk.
     ///
     /// ```
-    /// use flamingowheel_protocol::message::Load;
-    /// assert_eq!(Load { running: 2, waiting: 1, ..Load::default() }.occupied(), 3);
+    /// use flamingowheel_protocol::message::{Load, Occupancy};
+    /// let load = Load { running: 2, waiting: 1, ..Load::default() };
+    /// assert_eq!(load.occupancy(), Occupancy(3));
     /// ```
-    pub fn occupied(&self) -> u16 {
-        self.running.saturating_add(self.waiting)
+    pub fn occupancy(&self) -> Occupancy {
+        Occupancy(self.running.saturating_add(self.waiting))
     }
 }
 
+/// Requests running or waiting: the part of the load that goes with every chunk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Occupancy(pub u16);
+
 /// A request sent to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
@@ -117,7 +129,7 @@
     pub fingerprint: Fingerprint,
     /// Nothing else may run beside it.
     pub alone: bool,
-    /// No other try is left, so the agent may queue it rather than refuse early.
+    /// The agent may queue it rather than refuse early.
     pub last_try: bool,
     /// Events that the caller already has; only to backend servers that can resume.
     pub resume_after_chunks: u64,
@@ -172,18 +184,9 @@
         key: ExecutionKey,
     },
     /// Suspicions the sender knows of.
-    Suspicions(Vec<Suspicion>),
-}
-
-/// Evidence that a request may kill the backend server that runs it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspicion {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
-    /// Identifies the crash: the agent's incarnation and its count of crashes.
-    pub crash: (Incarnation, u32),
-    /// Requests that ran when the backend server died.
-    pub running_count: u16,
+    Suspicions(Vec<SuspectRecord>),
+    /// The VM list says that the agent's VM is leaving.
+    VmLeaving,
 }
 
 /// Why an agent did not run an attempt. Each of these is proof that it did not and will not.
@@ -285,9 +288,9 @@
         /// Media type of the body.
         #[serde(rename = "t")]
         content_type: String,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// A piece of the body.
     #[serde(rename = "c")]
@@ -301,9 +304,9 @@
         /// The bytes.
         #[serde(rename = "d", with = "serde_body")]
         data: Bytes,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// The answer is whole.
     #[serde(rename = "e")]
@@ -314,9 +317,9 @@
         /// Number of chunks in the whole answer.
         #[serde(rename = "n")]
         chunk_count: u64,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// The attempt may have run, but there is no whole answer.
     #[serde(rename = "f")]
@@ -327,9 +330,9 @@
         /// Why.
         #[serde(rename = "w")]
         failure: Failure,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// Sent several times a second, and at once when something in it changed.
     #[serde(rename = "b")]
@@ -349,7 +352,7 @@
     },
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
-    Suspicions(Vec<Suspicion>),
+    Suspicions(Vec<SuspectRecord>),
 }
 
 impl AgentMessage {
@@ -382,10 +385,10 @@
             Self::Accepted { load, .. }
             | Self::Refused { load, .. }
             | Self::Heartbeat { load, .. } => Some(LoadHint::Whole(*load)),
-            Self::Head { occupied, .. }
-            | Self::Chunk { occupied, .. }
-            | Self::End { occupied, .. }
-            | Self::Failed { occupied, .. } => Some(LoadHint::Occupied(*occupied)),
+            Self::Head { occupancy, .. }
+            | Self::Chunk { occupancy, .. }
+            | Self::End { occupancy, .. }
+            | Self::Failed { occupancy, .. } => Some(LoadHint::Occupancy(*occupancy)),
             Self::Suspicions(_) => None,
         }
     }
@@ -397,7 +400,7 @@
     /// All of it.
     Whole(Load),
     /// Requests running or waiting.
-    Occupied(u16),
+    Occupancy(Occupancy),
 }
 
 /// Bodies as CBOR byte strings; without it, serde would write an array of numbers.
