proof: fault matrix of requests, tickets, keys and leaving

Cause: what callers are told under each fault was not written down anywhere. Change: 14 steps by 15 faults in one table; each cell is run with the real code and compared with the table, and docs/FAULTS.md is written from it.

--- a/crates/proof/src/backend.rs
+++ b/crates/proof/src/backend.rs
@@ -1,11 +1,13 @@
 //! A backend server as seen by an agent process that can be killed or paused.
 
+use bytes::Bytes;
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, CacheEvent, LoadReport,
 };
+use std::collections::HashSet;
 use std::future::Future;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -74,16 +76,20 @@
     }
 }
 
+/// Bodies that were sent to a backend server, by whatever process.
+pub type Sent = Arc<Mutex<HashSet<Bytes>>>;
+
 /// The backend server of an agent process.
 pub struct ProcessBackend {
     backend: Arc<dyn BackendServer>,
     fate: Fate,
+    sent: Sent,
 }
 
 impl ProcessBackend {
     /// The view of one process.
-    pub fn new(backend: Arc<dyn BackendServer>, fate: Fate) -> Self {
-        Self { backend, fate }
+    pub fn new(backend: Arc<dyn BackendServer>, fate: Fate, sent: Sent) -> Self {
+        Self { backend, fate, sent }
     }
 }
 
@@ -112,6 +118,8 @@
 impl BackendServer for ProcessBackend {
     fn call(&self, call: BackendCall) -> BoxFuture<'_, Result<BackendAnswer, BackendError>> {
         Box::pin(async move {
+            let body = call.body.clone();
+            self.sent.lock().unwrap_or_else(PoisonError::into_inner).insert(body);
             let answer = self.fate.outside(self.backend.call(call)).await?;
             let (sender, body) = mpsc::channel(BODY_CAPACITY);
             tokio::spawn(carry(answer.body, sender, self.fate.clone()));
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -38,6 +38,11 @@
 /// Longest time a request may wait for its answer to begin.
 pub const DEADLINE_MS: u64 = 10_000;
 
+/// The key that all processes of the world share.
+pub fn fleet_key() -> FleetKey {
+    FleetKey::new([7; 32])
+}
+
 /// One entry process.
 pub struct Entry {
     /// Whether it lives.
@@ -56,7 +61,7 @@
         kv: &FakeKeyValue,
         addresses: &[SocketAddr],
     ) -> Self {
-        let key = FleetKey::new([7; 32]);
+        let key = fleet_key();
         let caller_address = SocketAddr::from(([127, 0, 0, 1], 8080));
         let config = Arc::new(EntryConfig::new(name, "a", caller_address, key));
         let hello = Hello {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod entry;
 pub mod machine;
+pub mod matrix;
 pub mod network;
 pub mod oracle;
 pub mod plant;
--- /dev/null
+++ b/crates/proof/src/matrix/mod.rs
@@ -0,0 +1,180 @@
+//! The fault matrix: every fault at every step, what is promised there, and the run that shows it.
+
+mod promise;
+pub mod report;
+pub mod run;
+
+pub use promise::{Cell, cell};
+
+/// What the fleet is doing when a fault strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    /// A completion was just dispatched.
+    ChatDispatched,
+    /// Half of a stream has been delivered.
+    ChatStreaming,
+    /// The end of a stream is about to be sent.
+    ChatEnding,
+    /// An idempotent service call is being carried out.
+    StatusRunning,
+    /// A ticket is being taken.
+    TicketTaken,
+    /// A call under a ticket was just dispatched.
+    TicketDispatched,
+    /// It is being carried out and has had no effect yet.
+    TicketRunning,
+    /// It has taken effect and is not yet answered.
+    TicketCarriedOut,
+    /// It is finished and is sent again.
+    TicketSentAgain,
+    /// A ticket that was not used is given up.
+    TicketVoided,
+    /// A caller's own key is being bound.
+    KeyBound,
+    /// A call under a key has taken effect and is not yet answered.
+    KeyCarriedOut,
+    /// A finished call under a key is sent again.
+    KeySentAgain,
+    /// An agent was told to leave while a stream runs.
+    LeaveTold,
+}
+
+impl Step {
+    /// All steps, in the order of the table.
+    pub const ALL: [Self; 14] = [
+        Self::ChatDispatched,
+        Self::ChatStreaming,
+        Self::ChatEnding,
+        Self::StatusRunning,
+        Self::TicketTaken,
+        Self::TicketDispatched,
+        Self::TicketRunning,
+        Self::TicketCarriedOut,
+        Self::TicketSentAgain,
+        Self::TicketVoided,
+        Self::KeyBound,
+        Self::KeyCarriedOut,
+        Self::KeySentAgain,
+        Self::LeaveTold,
+    ];
+
+    /// The step in words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Self::ChatDispatched => "completion dispatched",
+            Self::ChatStreaming => "stream half delivered",
+            Self::ChatEnding => "stream about to end",
+            Self::StatusRunning => "idempotent call running",
+            Self::TicketTaken => "ticket being taken",
+            Self::TicketDispatched => "ticketed call dispatched",
+            Self::TicketRunning => "ticketed call running",
+            Self::TicketCarriedOut => "ticketed call carried out, not answered",
+            Self::TicketSentAgain => "finished ticketed call sent again",
+            Self::TicketVoided => "unused ticket given up",
+            Self::KeyBound => "caller's key being bound",
+            Self::KeyCarriedOut => "keyed call carried out, not answered",
+            Self::KeySentAgain => "finished keyed call sent again",
+            Self::LeaveTold => "agent told to leave, stream running",
+        }
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// The entry process dies; another takes its place.
+    EntryKilled,
+    /// The agent process dies; another starts a second later.
+    AgentKilled,
+    /// The entry process stands still for 15 s.
+    EntryPaused,
+    /// The agent process stands still for 15 s.
+    AgentPaused,
+    /// The message on its way is lost.
+    MessageLost,
+    /// It arrives after every time limit.
+    MessageLate,
+    /// It arrives twice.
+    MessageCopied,
+    /// The next message overtakes it.
+    MessageOvertaken,
+    /// All open connections go silent for good.
+    ConnectionSilent,
+    /// The key-value service is down for 15 s.
+    KeyValueDown,
+    /// It answers after its callers' patience, for 15 s.
+    KeyValueSlow,
+    /// Its next answer is lost after the call took effect.
+    KeyValueAnswerLost,
+    /// The backend server's process dies; another starts.
+    BackendCrashed,
+    /// The backend server stands still for 15 s.
+    RankStalled,
+    /// Agent and backend server die together; new ones start a second later.
+    VmReplaced,
+}
+
+impl Fault {
+    /// All faults, in the order of the table.
+    pub const ALL: [Self; 15] = [
+        Self::EntryKilled,
+        Self::AgentKilled,
+        Self::EntryPaused,
+        Self::AgentPaused,
+        Self::MessageLost,
+        Self::MessageLate,
+        Self::MessageCopied,
+        Self::MessageOvertaken,
+        Self::ConnectionSilent,
+        Self::KeyValueDown,
+        Self::KeyValueSlow,
+        Self::KeyValueAnswerLost,
+        Self::BackendCrashed,
+        Self::RankStalled,
+        Self::VmReplaced,
+    ];
+
+    /// The fault in words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Self::EntryKilled => "entry killed",
+            Self::AgentKilled => "agent killed",
+            Self::EntryPaused => "entry paused 15 s",
+            Self::AgentPaused => "agent paused 15 s",
+            Self::MessageLost => "message lost",
+            Self::MessageLate => "message late",
+            Self::MessageCopied => "message duplicated",
+            Self::MessageOvertaken => "message reordered",
+            Self::ConnectionSilent => "connections silent",
+            Self::KeyValueDown => "key-value service down",
+            Self::KeyValueSlow => "key-value service slow",
+            Self::KeyValueAnswerLost => "key-value answer lost after effect",
+            Self::BackendCrashed => "backend server crashed",
+            Self::RankStalled => "backend server stalled 15 s",
+            Self::VmReplaced => "VM replaced",
+        }
+    }
+
+    /// Whether it strikes one message.
+    pub fn is_of_message(self) -> bool {
+        matches!(
+            self,
+            Self::MessageLost | Self::MessageLate | Self::MessageCopied | Self::MessageOvertaken
+        )
+    }
+}
+
+/// What a caller is told, without its details.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// The whole answer.
+    Complete,
+    /// Proof that it did not run.
+    NotRun,
+    /// Nobody can know.
+    Unknown,
+    /// The connection broke visibly.
+    Broken,
+    /// No ticket could be had, so nothing was asked.
+    NoTicket,
+}
--- /dev/null
+++ b/crates/proof/src/matrix/run.rs
@@ -0,0 +1,312 @@
+//! Runs one cell of the matrix.
+
+use crate::caller::Told;
+use crate::entry::MODEL;
+use crate::matrix::{Cell, Fault, Outcome, Step, cell};
+use crate::network::{Direction, MessageFault};
+use crate::oracle::{Kind, Violation};
+use crate::world::{RESTART_TIME, SERVICES, World};
+use bytes::Bytes;
+use flamingowheel_platform::fake::LostAnswer;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long a pause or an outage lasts; longer than every lease and time limit of the request path.
+const OUTAGE_TIME: Duration = Duration::from_secs(15);
+/// Later than every time limit of the request path.
+const LATE: Duration = Duration::from_secs(12);
+/// How long callers wait for their answer to begin.
+const TIMEOUT_MS: u64 = 9_000;
+/// Time a service takes for a call; it is carried out half-way.
+const SERVICE_TIME: Duration = Duration::from_millis(1_000);
+/// Tokens of a completion, 50 ms apart.
+const TOKENS: u64 = 40;
+/// Delay of a slow key-value service.
+const KEY_VALUE_DELAY: Duration = Duration::from_secs(2);
+
+/// What a run showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// What the call that was hit was told.
+    pub first: Outcome,
+    /// What a resend through another entry was told, where the caller can send it again.
+    pub again: Option<Outcome>,
+}
+
+/// How a cell failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CellFailure {
+    /// A promise that holds in every cell was broken.
+    #[error("{step:?}, {fault:?}: {violation}")]
+    Violated {
+        /// The step.
+        step: Step,
+        /// The fault.
+        fault: Fault,
+        /// Which promise.
+        violation: Violation,
+    },
+    /// Callers were told something else than the cell promises.
+    #[error("{step:?}, {fault:?}: told {seen:?}, promised {promised:?}")]
+    Otherwise {
+        /// The step.
+        step: Step,
+        /// The fault.
+        fault: Fault,
+        /// What they were told.
+        seen: Seen,
+        /// What was promised.
+        promised: Seen,
+    },
+}
+
+/// Runs a cell under a paused clock of its own and compares it with its promise.
+pub fn check(step: Step, fault: Fault) -> Result<(), CellFailure> {
+    let Cell::Runs(promised) = cell(step, fault) else { return Ok(()) };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O");
+    let seen = runtime.block_on(run(step, fault)).map_err(|violation| CellFailure::Violated {
+        step,
+        fault,
+        violation,
+    })?;
+    match seen == promised {
+        true => Ok(()),
+        false => Err(CellFailure::Otherwise { step, fault, seen, promised }),
+    }
+}
+
+/// Runs a cell. The oracle's checks hold in every cell; what callers are told is compared with the
+/// cell's promise by the caller of this.
+pub async fn run(step: Step, fault: Fault) -> Result<Seen, Violation> {
+    let mut scene = Scene::set(step).await;
+    scene.play(step, fault).await;
+    scene.world.check()?;
+    scene.world.settle().await?;
+    Ok(scene.seen(step))
+}
+
+struct Scene {
+    world: World,
+    body: Bytes,
+    work: Option<usize>,
+}
+
+impl Scene {
+    async fn set(step: Step) -> Self {
+        let world = World::start(None).await;
+        let chat = matches!(
+            step,
+            Step::ChatDispatched | Step::ChatStreaming | Step::ChatEnding | Step::LeaveTold
+        );
+        let body = if chat { chat_body() } else { Bytes::from_static(b"work 1") };
+        for service in &world.servers.services {
+            service.set_delay(SERVICE_TIME);
+            service.set_silence_limit(Duration::from_secs(3));
+        }
+        Self { world, body, work: None }
+    }
+
+    async fn play(&mut self, step: Step, fault: Fault) {
+        match step {
+            Step::ChatDispatched => self.hit_after(Kind::Chat, fault, Duration::ZERO).await,
+            Step::ChatStreaming => {
+                self.hit_after(Kind::Chat, fault, Duration::from_millis(1_010)).await;
+            }
+            Step::ChatEnding => {
+                self.hit_after(Kind::Chat, fault, Duration::from_millis(1_999)).await;
+            }
+            Step::StatusRunning => {
+                self.hit_after(Kind::Status, fault, Duration::from_millis(200)).await;
+            }
+            Step::LeaveTold => self.leave(fault).await,
+            Step::TicketTaken => self.take_ticket(fault).await,
+            Step::TicketDispatched => self.ticketed(fault, Duration::ZERO).await,
+            Step::TicketRunning => self.ticketed(fault, Duration::from_millis(200)).await,
+            Step::TicketCarriedOut => self.ticketed(fault, Duration::from_millis(700)).await,
+            Step::TicketSentAgain => self.ticketed(fault, Duration::from_secs(2)).await,
+            Step::TicketVoided => self.void(fault).await,
+            Step::KeyBound => self.keyed(fault, Duration::ZERO).await,
+            Step::KeyCarriedOut => self.keyed(fault, Duration::from_millis(700)).await,
+            Step::KeySentAgain => self.keyed(fault, Duration::from_secs(2)).await,
+        }
+    }
+
+    /// Asks, and strikes after `time`. A message that goes out at once is struck by a fault that
+    /// waits for it.
+    async fn hit_after(&mut self, kind: Kind, fault: Fault, time: Duration) {
+        let at_once = time.is_zero() && fault.is_of_message();
+        if at_once {
+            self.strike(fault, Direction::ToAgent, None).await;
+        }
+        let work = self.world.ask(0, kind, self.body.clone(), TIMEOUT_MS);
+        self.work = Some(work);
+        self.pass(time).await;
+        if !at_once {
+            self.strike(fault, Direction::ToEntry, None).await;
+        }
+        sleep(OUTAGE_TIME).await;
+    }
+
+    async fn leave(&mut self, fault: Fault) {
+        let work = self.world.ask(0, Kind::Chat, self.body.clone(), TIMEOUT_MS);
+        self.work = Some(work);
+        self.pass(Duration::from_millis(1_000)).await;
+        let server = self.world.server_of(&self.body);
+        self.world.leave(server.expect("the stream runs")).await;
+        self.pass(Duration::from_millis(10)).await;
+        self.strike(fault, Direction::ToEntry, server).await;
+        sleep(OUTAGE_TIME).await;
+    }
+
+    async fn take_ticket(&mut self, fault: Fault) {
+        self.strike(fault, Direction::ToAgent, Some(0)).await;
+        self.work = self.world.ask_with_ticket(0, self.body.clone(), TIMEOUT_MS).await;
+        sleep(OUTAGE_TIME).await;
+        self.send_again().await;
+    }
+
+    async fn ticketed(&mut self, fault: Fault, time: Duration) {
+        let at_once = time.is_zero() && fault.is_of_message();
+        if at_once {
+            self.strike(fault, Direction::ToAgent, None).await;
+        }
+        self.work = self.world.ask_with_ticket(0, self.body.clone(), TIMEOUT_MS).await;
+        self.hit_and_send_again(fault, time, at_once).await;
+    }
+
+    async fn keyed(&mut self, fault: Fault, time: Duration) {
+        let before = time.is_zero();
+        if before {
+            self.strike(fault, Direction::ToAgent, Some(0)).await;
+        }
+        self.work = Some(self.world.ask_with_key(0, self.body.clone(), TIMEOUT_MS));
+        self.hit_and_send_again(fault, time, before).await;
+    }
+
+    async fn hit_and_send_again(&mut self, fault: Fault, time: Duration, struck: bool) {
+        self.pass(time).await;
+        let finished = time > SERVICE_TIME;
+        if !struck {
+            // A resend is what is on its way once the call is finished.
+            let direction = if finished { Direction::ToAgent } else { Direction::ToEntry };
+            self.strike(fault, direction, None).await;
+        }
+        if finished {
+            self.submit_again();
+            self.pass(OUTAGE_TIME).await;
+        } else {
+            sleep(OUTAGE_TIME).await;
+            self.send_again().await;
+        }
+    }
+
+    async fn void(&mut self, fault: Fault) {
+        self.work = self.world.take_ticket(0, self.body.clone()).await;
+        let server = self.ticket_server();
+        self.strike(fault, Direction::ToAgent, server).await;
+        if let Some(work) = self.work {
+            self.world.void(0, work, TIMEOUT_MS);
+        }
+        sleep(OUTAGE_TIME).await;
+    }
+
+    /// The backend server that a ticket names is found by what it says of itself.
+    fn ticket_server(&self) -> Option<usize> {
+        let ticket = self.work.and_then(|work| self.world.ledger.get(work))?.ticket?;
+        let name = self.world.ticket_home(&ticket)?;
+        (0..SERVICES).find(|server| name == format!("runner-{server}"))
+    }
+
+    /// After everything is mended the caller sends it again, through another entry.
+    async fn send_again(&mut self) {
+        self.world.mend();
+        self.pass(Duration::from_secs(5)).await;
+        self.submit_again();
+        self.pass(Duration::from_secs(12)).await;
+    }
+
+    fn submit_again(&self) {
+        if let Some(work) = self.work {
+            self.world.resend(1, work, TIMEOUT_MS);
+        }
+    }
+
+    /// Lets time pass, at least as much as messages take.
+    async fn pass(&self, time: Duration) {
+        sleep(time.max(Duration::from_millis(1))).await;
+    }
+
+    async fn strike(&mut self, fault: Fault, direction: Direction, server: Option<usize>) {
+        let server = server.or_else(|| self.world.server_of(&self.body)).unwrap_or(0);
+        let world = &mut self.world;
+        match fault {
+            Fault::EntryKilled => world.replace_entry(0),
+            Fault::AgentKilled => {
+                world.kill_agent(server);
+                sleep(RESTART_TIME).await;
+                world.start_agent(server);
+            }
+            Fault::EntryPaused => world.pause_entry(0, true),
+            Fault::AgentPaused => world.pause_agent(server, true),
+            Fault::MessageLost => world.network.fault(direction, MessageFault::Lost),
+            Fault::MessageLate => world.network.fault(direction, MessageFault::Late(LATE)),
+            Fault::MessageCopied => {
+                world.network.fault(direction, MessageFault::Copied(RESTART_TIME));
+            }
+            Fault::MessageOvertaken => world.network.fault(direction, MessageFault::Overtaken),
+            Fault::ConnectionSilent => world.network.silence_all(),
+            Fault::KeyValueDown => world.kv.set_down(true),
+            Fault::KeyValueSlow => world.kv.set_delay(KEY_VALUE_DELAY),
+            Fault::KeyValueAnswerLost => world.kv.lose_answers(1, LostAnswer::AfterEffect),
+            Fault::BackendCrashed => crash(world, server).await,
+            Fault::RankStalled => match world.servers.services.get(server) {
+                Some(service) => service.set_frozen(true),
+                None => world.servers.engines[server - SERVICES].set_frozen(true),
+            },
+            Fault::VmReplaced => world.replace_vm(server).await,
+        }
+    }
+
+    fn seen(&self, step: Step) -> Seen {
+        let Some(work) = self.work.and_then(|work| self.world.ledger.get(work)) else {
+            return Seen { first: Outcome::NoTicket, again: None };
+        };
+        let mut outcomes = work.submissions.iter().map(|submission| outcome(&submission.told));
+        let first = outcomes.next().unwrap_or(Outcome::NoTicket);
+        let again = outcomes.next();
+        match step {
+            // The call that is hit is the second.
+            Step::TicketSentAgain | Step::KeySentAgain => {
+                Seen { first: again.unwrap_or(Outcome::NoTicket), again: None }
+            }
+            _ => Seen { first, again },
+        }
+    }
+}
+
+async fn crash(world: &mut World, server: usize) {
+    let Some(service) = world.servers.services.get(server) else {
+        return world.servers.engines[server - SERVICES].crash();
+    };
+    service.set_down(true);
+    sleep(RESTART_TIME).await;
+    service.set_down(false);
+}
+
+fn chat_body() -> Bytes {
+    let body = serde_json::json!({ "model": MODEL, "max_tokens": TOKENS, "stream": true });
+    Bytes::from(body.to_string())
+}
+
+fn outcome(told: &Told) -> Outcome {
+    match told {
+        Told::Complete(_) => Outcome::Complete,
+        Told::NotRun(_) => Outcome::NotRun,
+        Told::Unknown(_) => Outcome::Unknown,
+        Told::Broken | Told::Pending => Outcome::Broken,
+    }
+}
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -1,9 +1,9 @@
 //! A small fleet in one thread: two entries, three plain services and two engines, each with its
 //! agent, and a key-value service.
 
-use crate::backend::{Fate, ProcessBackend};
+use crate::backend::{Fate, ProcessBackend, Sent};
 use crate::caller::{Ask, Call, Told, send, take_ticket};
-use crate::entry::{Entry, MODEL, SERVICE};
+use crate::entry::{Entry, MODEL, SERVICE, fleet_key};
 use crate::network::{Endpoint, Network};
 use crate::oracle::{Kind, Ledger, Runs, Violation, Work};
 use crate::plant::Plant;
@@ -15,8 +15,9 @@
 use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeKeyValue, FakeService};
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::message::{BackendProfile, Hello, Role, Serves};
+use flamingowheel_protocol::ticket::Ticket;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
@@ -34,6 +35,8 @@
 const PLACES: u32 = 4;
 /// After this time a leaving backend server gets no new work.
 const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+/// Time from the end of a process to the start of the next at its place.
+pub const RESTART_TIME: Duration = Duration::from_secs(1);
 /// Time for connections to open at the start.
 const START_TIME: Duration = Duration::from_secs(1);
 /// Longer than any deadline, reconnect and cancel together.
@@ -97,6 +100,7 @@
     entries: Vec<Entry>,
     agents: Vec<Option<Agent>>,
     late_work: Vec<LateWork>,
+    sent: Vec<Sent>,
     plant: Option<Plant>,
     started: usize,
 }
@@ -121,6 +125,7 @@
             entries: Vec::new(),
             agents: (0..SERVERS).map(|_| None).collect(),
             late_work: Vec::new(),
+            sent: (0..SERVERS).map(|_| Sent::default()).collect(),
             plant,
             started: 0,
         };
@@ -157,7 +162,10 @@
             role: Role::Agent(config.profile.clone()),
         };
         let recorder = Recorder::for_tests(&config.name);
-        let backend = ProcessBackend::new(self.servers.backend(server), fate.clone());
+        let backend = {
+            let (backend, sent) = (self.servers.backend(server), self.sent[server].clone());
+            ProcessBackend::new(backend, fate.clone(), sent)
+        };
         let (control, handle, commands) = Control::new(config, Arc::new(backend), recorder);
         let control = tokio::spawn(control.run(commands)).abort_handle();
         let endpoint = Endpoint { hello, handle, fate: fate.clone(), seen: Arc::default() };
@@ -192,6 +200,34 @@
         }
     }
 
+    /// The name of the agent that a ticket names.
+    pub fn ticket_home(&self, ticket: &str) -> Option<String> {
+        Ticket::from_text(ticket, &fleet_key()).ok().map(|ticket| ticket.agent)
+    }
+
+    /// The backend server that this body was sent to last.
+    pub fn server_of(&self, body: &Bytes) -> Option<usize> {
+        let was_sent =
+            |sent: &Sent| sent.lock().unwrap_or_else(PoisonError::into_inner).contains(body);
+        self.sent.iter().rposition(was_sent)
+    }
+
+    /// Replaces a backend server's VM: agent and backend server die together, and new ones start
+    /// after a while.
+    pub async fn replace_vm(&mut self, server: usize) {
+        self.kill_agent(server);
+        match self.servers.services.get(server) {
+            Some(service) => service.set_down(true),
+            None => self.servers.engines[server - SERVICES].crash(),
+        }
+        sleep(RESTART_TIME).await;
+        match self.servers.services.get(server) {
+            Some(service) => service.set_down(false),
+            None => self.servers.engines[server - SERVICES].restart(),
+        }
+        self.start_agent(server);
+    }
+
     /// Whether a leaving agent has nothing left to do.
     pub fn is_drained(&self, server: usize) -> bool {
         let endpoint = self.network.endpoint(address(server));
@@ -224,6 +260,16 @@
         self.enter(entry, work, timeout_ms)
     }
 
+    /// Takes a ticket, without using it yet; gives the index of the work that it is for.
+    pub async fn take_ticket(&mut self, entry: usize, body: Bytes) -> Option<usize> {
+        let at = &self.entries[entry];
+        let taking = take_ticket(at.router.clone(), at.fate.clone());
+        let ticket = tokio::time::timeout(START_TIME, taking).await.ok().flatten()?;
+        let submissions = Vec::new();
+        let work = Work { kind: Kind::Order, body, ticket: Some(ticket), key: None, submissions };
+        Some(self.ledger.add(work))
+    }
+
     /// Takes a ticket and asks for non-idempotent work under it, if a ticket can be had.
     pub async fn ask_with_ticket(
         &mut self,
@@ -231,12 +277,10 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Option<usize> {
-        let at = &self.entries[entry];
-        let taking = take_ticket(at.router.clone(), at.fate.clone());
-        let ticket = tokio::time::timeout(START_TIME, taking).await.ok().flatten()?;
-        let submissions = Vec::new();
-        let work = Work { kind: Kind::Order, body, ticket: Some(ticket), key: None, submissions };
-        Some(self.enter(entry, work, timeout_ms))
+        let index = self.take_ticket(entry, body.clone()).await?;
+        self.note_late_work(&body);
+        self.submit(entry, index, false, timeout_ms);
+        Some(index)
     }
 
     fn enter(&mut self, entry: usize, work: Work, timeout_ms: u64) -> usize {
