--- /dev/null
+++ b/crates/proof/benches/capacity/decisions.rs
@@ -0,0 +1,140 @@
+//! What the decisions know, and the cuts of the fleet they are made within.
+
+use std::time::Duration;
+
+use flamingowheel_config::bucket;
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::reason::ConfigSource;
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_observe::ring::DEFAULT_CAPACITY;
+use flamingowheel_policy::key::{
+    DataCentreKey, EntryKey, Fingerprint, ScopeKey, ServerKey, WorkspaceKey,
+};
+use flamingowheel_policy::limits::{Limits, SplitConfig, WorkspaceLimits};
+use flamingowheel_policy::load::{Load, LoadBook};
+use flamingowheel_policy::prefix::{BlockHash, CacheChange, CacheEvent, PrefixBook, PrefixConfig};
+use flamingowheel_policy::rebalance::{DecayedLoads, Params, Placement, Request, plan, repack};
+use flamingowheel_policy::subset::{Cells, EntryInfo, SubsetConfig};
+use flamingowheel_policy::suspicion::{CrashId, SuspicionBook, SuspicionConfig};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    ENTRIES, EXPERTS, Failure, LAYERS, RANKS, SERVERS, allocated, bytes_each, cpu_us_each, print,
+};
+
+pub fn measure() -> Result<(), Failure> {
+    books();
+    subsets()?;
+    groups()
+}
+
+fn books() {
+    let load = Load { running: 3, waiting: 0, places: 8, service_ms: 2_000 };
+    let book = |count: usize| {
+        let mut book = LoadBook::default();
+        for server in (0..count as u64).map(ServerKey) {
+            book.insert(server);
+            book.on_fresh(server, load, Duration::from_secs(1));
+            book.on_sent(server, Duration::from_secs(2));
+        }
+        book
+    };
+    print("load_bytes_per_server", bytes_each(4_000, book));
+    let limits = Limits { requests_per_s: 10.0, tokens_per_s: 2_000.0, in_flight: 32 };
+    let members: Vec<EntryKey> = (0..2).map(EntryKey).collect();
+    let workspaces = |count: usize| {
+        let own = |_| {
+            let config = SplitConfig::default();
+            let mut own = WorkspaceLimits::new(config, limits, EntryKey(0), Duration::ZERO);
+            own.set_members(&members, Duration::ZERO);
+            own
+        };
+        (0..count).map(own).collect::<Vec<_>>()
+    };
+    print("limits_bytes_per_workspace", bytes_each(10_000, workspaces));
+    let blocks = |count: usize| {
+        let config = PrefixConfig { max_blocks: 2 * count, ..PrefixConfig::default() };
+        let mut book = PrefixBook::new(config);
+        let stored = CacheChange::Stored((0..count as u64).map(BlockHash).collect());
+        book.on_event(ServerKey(1), CacheEvent { number: 1, change: stored }, Duration::ZERO);
+        book
+    };
+    print("prefix_bytes_per_block", bytes_each(16_384, blocks));
+    let suspects = |count: usize| {
+        let mut book = SuspicionBook::new(SuspicionConfig::default());
+        let crash = CrashId { server: ServerKey(1), number: 1 };
+        let running: Vec<Fingerprint> = (0..count as u128).map(Fingerprint).collect();
+        book.on_crash(crash, &running, Duration::ZERO);
+        book
+    };
+    print("suspicion_bytes_per_fingerprint", bytes_each(8_000, suspects));
+    let (_recorder, ring_bytes) = allocated(|| {
+        let recorder = Recorder::for_tests("entry-000");
+        for revision in 0..2 * DEFAULT_CAPACITY as u64 {
+            recorder.record(Event::ConfigurationInForce { revision, source: ConfigSource::Watch });
+        }
+        recorder
+    });
+    print("events_ring_bytes", ring_bytes);
+}
+
+/// Cells of the whole fleet, as each entry computes them when the membership changes.
+fn subsets() -> Result<(), Failure> {
+    let entry = |number: usize| EntryInfo {
+        key: EntryKey::from_name(&format!("entry-{number}")),
+        data_centre: DataCentreKey(number as u64 % 5),
+        weight: 1.0,
+        leaving: false,
+    };
+    let entries: Vec<EntryInfo> = (0..ENTRIES).map(entry).collect();
+    const MODELS: usize = 14;
+    let servers = |model: usize| -> Vec<ServerKey> {
+        let own = (0..SERVERS).filter(|server| server % MODELS == model);
+        own.map(|server| ServerKey::from_name(&format!("server-{server}"))).collect()
+    };
+    let scopes: Vec<(ScopeKey, Vec<ServerKey>)> =
+        (0..MODELS).map(|model| (ScopeKey(model as u64), servers(model))).collect();
+    let build = || Cells::build(SubsetConfig::default(), &scopes, &entries);
+    let (cells, bytes) = allocated(build);
+    print("subset_cells", cells.iter().count() as f64);
+    print("subset_bytes_of_fleet", bytes);
+    let links = |entry: &EntryInfo| cells.cells_of(entry.key).map(|c| c.servers.len()).sum();
+    let links: Vec<usize> = entries.iter().map(links).collect();
+    print("subset_links_per_entry_mean", links.iter().sum::<usize>() as f64 / ENTRIES as f64);
+    print("subset_links_per_entry_max", links.iter().copied().max().unwrap_or(0) as f64);
+    let most_entries = cells.iter().map(|cell| cell.entries.len()).max().unwrap_or(0);
+    print("subset_links_per_agent_max", most_entries as f64);
+    let build_us = cpu_us_each(5, |_| drop(std::hint::black_box(build())))?;
+    print("subset_build_cpu_us_of_fleet", build_us);
+    let own = DataCentreKey(1);
+    let answer_us = cpu_us_each(2_000, |round| {
+        let workspace = WorkspaceKey(u64::from(round));
+        std::hint::black_box(cells.entries_for(workspace, &[ScopeKey(3)], 1.0, own));
+    })?;
+    print("subset_answer_cpu_us", answer_us);
+    Ok(())
+}
+
+/// What one group's coordinator holds and plans with.
+fn groups() -> Result<(), Failure> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let speeds = vec![1.0; RANKS];
+    let mut layer = || -> Vec<f64> { (0..EXPERTS).map(|_| rng.random::<f64>()).collect() };
+    let observed: Vec<Vec<f64>> = (0..LAYERS).map(|_| layer()).collect();
+    let now: Vec<Vec<f64>> = (0..LAYERS).map(|_| layer()).collect();
+    let make = || {
+        let loads: Vec<DecayedLoads> =
+            observed.iter().map(|loads| DecayedLoads::new(0.3, loads)).collect();
+        let placements: Vec<Placement> = now.iter().map(|l| repack(l, &speeds, 3)).collect();
+        (loads, placements)
+    };
+    let ((loads, current), bytes) = allocated(make);
+    print("group_bytes", bytes);
+    print("group_map_stored_bytes", bucket::encode(&current).len() as f64);
+    let params = Params::skew_weighted();
+    let request = Request { current: &current, loads: &loads, speeds: &speeds, params: &params };
+    let plan_us = cpu_us_each(5, |_| drop(std::hint::black_box(plan(&request))))?;
+    print("group_plan_cpu_us", plan_us);
+    Ok(())
+}
