--- a/crates/observe/src/describe.rs
+++ b/crates/observe/src/describe.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 
 use crate::event::Event;
+use crate::reason::ConfigSource;
+use crate::words::{counted, short};
 
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -160,7 +162,13 @@
                 format!("change {change}: not known whether it is stored")
             }
             Self::ConfigurationInForce { revision, source } => {
-                format!("configuration {revision} in force, from {source}")
+                let source = match source {
+                    ConfigSource::Watch => "from a watch on the key-value service",
+                    ConfigSource::PeriodicRead => "from a read of the key-value service",
+                    ConfigSource::Peer => "from a peer",
+                    ConfigSource::Accepted => "accepted here",
+                };
+                format!("configuration {revision} in force, {source}")
             }
             Self::OlderConfigurationRefused { revision, in_force } => {
                 format!("older configuration {revision} not taken, {in_force} is in force")
@@ -184,23 +192,3 @@
         })
     }
 }
-
-/// A count with its noun in the singular or plural.
-pub(crate) fn counted<C>(count: C, noun: &str) -> String
-where
-    C: Into<u64>,
-{
-    let count = count.into();
-    let plural = match count {
-        1 => "",
-        _ if noun.ends_with('s') || noun.ends_with("sh") => "es",
-        _ => "s",
-    };
-    format!("{count} {noun}{plural}")
-}
-
-/// The end of an id, which differs between ids drawn at the same time.
-pub(crate) fn short(id: &uuid::Uuid) -> String {
-    let text = id.simple().to_string();
-    text[text.len() - 8..].to_owned()
-}
