--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -172,10 +172,14 @@
     /// Every entry known, this one included.
     pub fn members(&self) -> Vec<MemberView> {
         let state = self.state();
+        let own = &state.table.own().name;
         let view = |member: &crate::membership::Member| MemberView {
             record: member.record.clone(),
             state: state.table.state(member),
-            heard_ago: member.heard_at.elapsed(),
+            heard_ago: match member.record.name == *own {
+                true => Duration::ZERO,
+                false => member.heard_at.elapsed(),
+            },
             revision: state.reported(&member.record.name),
         };
         state.table.members().map(view).collect()
