--- a/crates/flamingowheel/tests/tool/main.rs
+++ b/crates/flamingowheel/tests/tool/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod contract;
 mod handbook;
+mod links;
 mod reference;
 mod session;
 mod settings;
--- a/crates/flamingowheel/tests/tool/reference.rs
+++ b/crates/flamingowheel/tests/tool/reference.rs
@@ -123,6 +123,9 @@
     assert!(codes.len() > 10, "{codes:?}");
     let table = section("| status | code |", "### ");
     let numbered = rows(table).filter(|row| row[0].parse::<u16>().is_ok());
-    let listed: BTreeSet<&str> = numbered.map(|row| row[1]).collect();
+    let numbered: Vec<_> = numbered.map(|row| (row[1], row[2])).collect();
+    let listed: BTreeSet<&str> = numbered.iter().map(|(code, _)| *code).collect();
     assert_eq!(listed, codes);
+    // A code may stand for two outcomes, but not twice for one.
+    assert_eq!(numbered.iter().collect::<BTreeSet<_>>().len(), numbered.len());
 }
