Observe: count calls on the key-value service, and its outages at both ends

flamingowheel_kv_up went to 0 at the first failed call and never came back: nobody recorded key_value_up. ObservedKeyValue stands before the client, counts each call by its kind and records an outage once when it begins and once when it ends.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -5,6 +5,7 @@
 mod describe;
 pub mod event;
 pub mod http;
+pub mod kv;
 pub mod logs;
 pub mod metrics;
 pub mod reason;
