Time line: bound what a large fleet may send to one reader

A question about all processes of the size designed for would have brought up to 16,384 events from each of 7,680. The tool asks for the newest of each, so that 200,000 come in all, and each process says how many it left out.

--- a/crates/flamingowheel/src/commands/timeline.rs
+++ b/crates/flamingowheel/src/commands/timeline.rs
@@ -16,6 +16,12 @@
 /// Processes asked at a time: all 7,680 of a large fleet at once would exhaust the ports.
 const MAX_ASKED_AT_ONCE: usize = 128;
 
+/// Events read in all, so that a large fleet's don't fill the reader's memory.
+const MAX_EVENTS: usize = 200_000;
+
+/// Events that each process may give, however many processes there are.
+const MIN_EVENTS_EACH: usize = 20;
+
 /// Stands for the processes where nobody can list them.
 const LIST: &str = "the list of processes";
 
@@ -42,7 +48,6 @@
 /// named by the operator are asked all the same, and the missing list is told like a process that
 /// was not reached.
 pub async fn run(client: &Client, query: &EventQuery, json: bool) -> Result<Output, Error> {
-    let path = format!("{EVENTS_PATH}?{}", super::query(query)?);
     let mut asked = Asked::default();
     let processes = match client.get::<Fleet>(routes::STATUS).await {
         Ok(fleet) => fleet.processes,
@@ -52,16 +57,23 @@
         }
     };
     let targets = asked.targets(client, processes);
+    let query = EventQuery { limit: Some(limit(targets.len())), ..query.clone() };
+    let path = format!("{EVENTS_PATH}?{}", super::query(&query)?);
     asked.ask_all(client, &path, targets).await;
     if asked.answers.is_empty()
         && let Some(error) = asked.last_error.take()
     {
         return Err(error.into());
     }
-    let timeline = merge(query.clone(), asked.answers, asked.unreachable);
+    let timeline = merge(query, asked.answers, asked.unreachable);
     Ok(Output::success(render(&timeline, json, |timeline| timeline.to_text())?))
 }
 
+/// How many events each process may give, so that all of them fit into memory.
+fn limit(processes: usize) -> usize {
+    (MAX_EVENTS / processes.max(1)).max(MIN_EVENTS_EACH)
+}
+
 #[derive(Default)]
 struct Asked {
     answers: Vec<EventsAnswer>,
--- a/crates/flamingowheel/src/config.rs
+++ b/crates/flamingowheel/src/config.rs
@@ -347,6 +347,7 @@
         group: typed.group.map(Into::into),
         workspace: typed.workspace.map(Into::into),
         since_ms: time("--since", typed.since)?.map(ago_ms),
+        limit: None,
     };
     if query == EventQuery::default() {
         return Err(ConfigError::NoTimelineFilter);
--- a/crates/observe/src/api.rs
+++ b/crates/observe/src/api.rs
@@ -30,6 +30,9 @@
     /// Events from this wall-clock time on, in milliseconds since the Unix epoch.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub since_ms: Option<u64>,
+    /// The newest of them only, at most so many.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<usize>,
 }
 
 impl EventQuery {
@@ -82,6 +85,9 @@
     pub oldest: Option<Stamp>,
     /// Events that were overwritten since it started.
     pub overwritten: u64,
+    /// Older events that match but exceed the limit asked for.
+    #[serde(default)]
+    pub left_out: u64,
     /// The events asked for, oldest first.
     pub events: Vec<Arc<Stamped>>,
 }
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -161,12 +161,14 @@
     /// The answer to a query for this process's events.
     pub fn answer(&self, query: &EventQuery) -> EventsAnswer {
         let shared = &self.shared;
+        let (events, left_out) = shared.ring.select(query);
         EventsAnswer {
             process: shared.process.clone(),
             now: shared.clock.now(),
             oldest: shared.ring.oldest(),
             overwritten: shared.ring.overwritten(),
-            events: shared.ring.select(query),
+            left_out,
+            events,
         }
     }
 }
--- a/crates/observe/src/ring.rs
+++ b/crates/observe/src/ring.rs
@@ -50,8 +50,19 @@
         event
     }
 
-    /// The events that match, oldest first; for a request also the context that explains it.
-    pub fn select(&self, query: &EventQuery) -> Vec<Arc<Stamped>> {
+    /// The newest events that match, oldest first, and how many older ones the limit left out.
+    ///
+    /// Without a limit, a question about all of a large fleet would bring some 100 million events
+    /// to one reader.
+    pub fn select(&self, query: &EventQuery) -> (Vec<Arc<Stamped>>, u64) {
+        let mut events = self.matching(query);
+        let left_out = events.len().saturating_sub(query.limit.unwrap_or(usize::MAX));
+        events.drain(..left_out);
+        (events, left_out as u64)
+    }
+
+    /// The events that match; for a request also the context that explains it.
+    fn matching(&self, query: &EventQuery) -> Vec<Arc<Stamped>> {
         let state = self.lock();
         let matching: Vec<&Arc<Stamped>> =
             state.events.iter().filter(|event| query.matches(event)).collect();
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -28,15 +28,17 @@
     pub reason: Name,
 }
 
-/// A process that no longer keeps all events of the span asked for.
+/// A process that did not give all events of the span asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Incomplete {
     /// Its name.
     pub process: Name,
     /// Stamp of its oldest event.
     pub oldest: Option<Stamp>,
-    /// Events it has overwritten since its start.
+    /// Events it has overwritten since its start, if they may belong to the span.
     pub overwritten: u64,
+    /// Events of the span beyond the limit asked for.
+    pub left_out: u64,
 }
 
 /// A process whose clock differs from the others'.
@@ -57,7 +59,7 @@
     pub processes: Vec<ProcessInfo>,
     /// Processes that could not be reached.
     pub unreachable: Vec<Unreachable>,
-    /// Processes that have overwritten events of the span.
+    /// Processes that have overwritten or left out events of the span.
     pub incomplete: Vec<Incomplete>,
     /// Processes whose events may stand in the wrong place.
     pub clocks_off: Vec<ClockOff>,
@@ -106,17 +108,15 @@
 }
 
 fn incomplete(query: &EventQuery, answer: &EventsAnswer) -> Option<Incomplete> {
-    if answer.overwritten == 0 {
-        return None;
-    }
     let covers = |since_ms| answer.oldest.is_some_and(|oldest| oldest.wall_ms() < since_ms);
-    if query.since_ms.is_some_and(covers) {
-        return None;
-    }
-    Some(Incomplete {
+    let covered = query.since_ms.is_some_and(covers);
+    let overwritten = if covered { 0 } else { answer.overwritten };
+    let left_out = answer.left_out;
+    (overwritten > 0 || left_out > 0).then(|| Incomplete {
         process: answer.process.name.clone(),
         oldest: answer.oldest,
-        overwritten: answer.overwritten,
+        overwritten,
+        left_out,
     })
 }
 
@@ -138,6 +138,26 @@
         .collect()
 }
 
+impl Incomplete {
+    fn lines(&self) -> Vec<String> {
+        let name = &self.process;
+        let mut lines = Vec::new();
+        if self.overwritten > 0 {
+            let oldest = self.oldest.map_or_else(|| "none".into(), utc);
+            let overwritten = self.overwritten;
+            lines.push(format!(
+                "INCOMPLETE {name}: keeps events from {oldest} on, {overwritten} older ones are \
+                 overwritten"
+            ));
+        }
+        if self.left_out > 0 {
+            let left_out = counted(self.left_out, "older event");
+            lines.push(format!("INCOMPLETE {name}: {left_out} left out, ask for a shorter time"));
+        }
+        lines
+    }
+}
+
 impl Timeline {
     /// The time line as text, at most [`COLUMNS`] wide.
     pub fn to_text(&self) -> String {
@@ -172,13 +192,7 @@
         for process in &self.unreachable {
             lines.push(format!("NOT REACHED {}: {}", process.process, process.reason));
         }
-        for process in &self.incomplete {
-            let oldest = process.oldest.map_or_else(|| "none".into(), utc);
-            lines.push(format!(
-                "INCOMPLETE {}: keeps events from {oldest} on, {} older ones are overwritten",
-                process.process, process.overwritten
-            ));
-        }
+        lines.extend(self.incomplete.iter().flat_map(Incomplete::lines));
         for clock in &self.clocks_off {
             lines.push(format!(
                 "CLOCK OFF {}: {} ms {} the others, its events may stand in the wrong place",
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -9,6 +9,7 @@
 use flamingowheel_observe::metrics::Metrics;
 use flamingowheel_observe::reason::{Class, NotRunReason, RefusalReason};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_observe::timeline::merge;
 use http_body_util::BodyExt;
 use tower::ServiceExt;
 use uuid::Uuid;
@@ -116,6 +117,20 @@
     assert_eq!(sequences, [2, 3]);
 }
 
+// All processes of a large fleet are asked for the last hour. Each gives its newest events only and
+// says how many it left out.
+#[test]
+fn answer_limit_gives_newest_and_counts_the_rest() {
+    let (recorder, _wall) = recorder(16);
+    (0..5).for_each(|_| recorder.record(lease_lost()));
+    let query = EventQuery { limit: Some(2), ..EventQuery::default() };
+    let answer = recorder.answer(&query);
+    assert_eq!(answer.events.iter().map(|event| event.sequence).collect::<Vec<_>>(), [4, 5]);
+    assert_eq!(answer.left_out, 3);
+    let text = merge(query, vec![answer], Vec::new()).to_text();
+    assert!(text.contains("INCOMPLETE entry-1: 3 older events left out"), "{text}");
+}
+
 // An agent's engine crashes under a request. The agent records the crash for itself.
 #[test]
 fn answer_request_at_agent_brings_engine_crash() {
--- a/crates/observe/tests/timeline.rs
+++ b/crates/observe/tests/timeline.rs
@@ -270,7 +270,7 @@
         let name = names[0].as_str();
         let process = ProcessInfo { name: name.into(), vm: name.into(), data_centre: name.into() };
         let now = Stamp::new(START_MS, 0);
-        let answer = EventsAnswer { process, now, oldest: None, overwritten: 3, events };
+        let answer = EventsAnswer { process, now, oldest: None, overwritten: 3, left_out: 2, events };
         let lost = Unreachable { process: name.into(), reason: name.into() };
         let text = merge(EventQuery::default(), vec![answer], vec![lost]).to_text();
         for line in text.lines() {
