proof: fuzz the configuration against an oracle

Cause: that an accepted configuration is in force everywhere and never reverts was checked by chosen cases only. Change: five real control processes over an in-memory network and the fake key-value service; operators' changes, kills, cuts, outages, slow and lost answers, gaps and silent watches at random; an oracle that knows what operators were told and what is in force; a fifth planted fault.

--- /dev/null
+++ b/crates/proof/src/configuration/machine.rs
@@ -0,0 +1,185 @@
+//! Drives the configuration at random with proptest's state machine.
+
+use super::fleet::{Fleet, PROCESSES};
+use super::oracle::ConfigViolation;
+use crate::machine::{MAX_STEPS, config};
+use crate::plant::Plant;
+use flamingowheel_platform::fake::LostAnswer;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+/// Delay of a slow key-value service.
+const KEY_VALUE_DELAY: Duration = Duration::from_millis(800);
+/// Within a step that lets time pass, promises are checked this often.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// One step.
+#[derive(Clone, Debug)]
+pub enum ConfigStep {
+    /// An operator changes something through a process.
+    Change(usize),
+    /// A process dies.
+    Kill(usize),
+    /// A process starts, if it does not run.
+    Start(usize),
+    /// A process is cut off from the others, or reaches them again.
+    Cut(usize, bool),
+    /// The key-value service goes, or comes back.
+    KeyValueDown(bool),
+    /// The key-value service gets slow, or quick again.
+    KeyValueSlow(bool),
+    /// Its next answers are lost, after or before the effect.
+    AnswersLost(usize, bool),
+    /// A watch misses events.
+    EventsSwallowed(usize),
+    /// All watches go silent for good.
+    WatchesSilent,
+    /// Time passes.
+    Pass(u64),
+}
+
+/// The reference machine; every step is possible at any time.
+#[derive(Clone, Debug)]
+pub struct ConfigSteps;
+
+impl ReferenceStateMachine for ConfigSteps {
+    type State = ();
+    type Transition = ConfigStep;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<ConfigStep> {
+        use ConfigStep::*;
+        let process = 0..PROCESSES;
+        prop_oneof![
+            6 => process.clone().prop_map(Change),
+            2 => process.clone().prop_map(Kill),
+            4 => process.clone().prop_map(Start),
+            3 => (process, any::<bool>()).prop_map(|(process, cut)| Cut(process, cut)),
+            2 => any::<bool>().prop_map(KeyValueDown),
+            1 => any::<bool>().prop_map(KeyValueSlow),
+            2 => (1..4usize, any::<bool>()).prop_map(|(count, after)| AnswersLost(count, after)),
+            1 => (1..4usize).prop_map(EventsSwallowed),
+            1 => Just(WatchesSilent),
+            6 => prop_oneof![1..100u64, 500..3_000u64, 5_000..15_000u64].prop_map(Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _step: &ConfigStep) {}
+}
+
+/// The fleet under test and the runtime whose clock it lives by.
+pub struct ConfigDriver {
+    runtime: Runtime,
+    fleet: Fleet,
+}
+
+impl ConfigDriver {
+    /// Starts a fleet.
+    pub fn new(plant: Option<Plant>) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime without I/O");
+        let fleet = runtime.block_on(Fleet::start(plant));
+        Self { runtime, fleet }
+    }
+
+    /// Does one step and checks every promise, again and again while time passes.
+    pub fn step(&mut self, step: &ConfigStep) -> Result<(), ConfigViolation> {
+        let _guard = self.runtime.enter();
+        take(&mut self.fleet, step);
+        let mut rest = match step {
+            ConfigStep::Pass(ms) => Duration::from_millis(*ms),
+            _ => Duration::from_millis(1),
+        };
+        while !rest.is_zero() {
+            let time = rest.min(CHECK_INTERVAL);
+            rest -= time;
+            self.runtime.block_on(async { tokio::time::sleep(time).await });
+            self.fleet.check()?;
+        }
+        Ok(())
+    }
+
+    /// Mends everything and checks that the newest accepted change is in force everywhere.
+    pub fn settle(&mut self) -> Result<(), ConfigViolation> {
+        self.runtime.block_on(self.fleet.settle())
+    }
+}
+
+fn take(fleet: &mut Fleet, step: &ConfigStep) {
+    match *step {
+        ConfigStep::Change(process) => fleet.change(process),
+        ConfigStep::Kill(process) => fleet.kill(process),
+        ConfigStep::Start(process) => fleet.start_process(process),
+        ConfigStep::Cut(process, cut) => fleet.cut(process, cut),
+        ConfigStep::KeyValueDown(down) => fleet.kv.set_down(down),
+        ConfigStep::KeyValueSlow(true) => fleet.kv.set_delay(KEY_VALUE_DELAY),
+        ConfigStep::KeyValueSlow(false) => fleet.kv.set_delay(Duration::ZERO),
+        ConfigStep::AnswersLost(count, true) => {
+            fleet.kv.lose_answers(count, LostAnswer::AfterEffect);
+        }
+        ConfigStep::AnswersLost(count, false) => {
+            fleet.kv.lose_answers(count, LostAnswer::BeforeEffect);
+        }
+        ConfigStep::EventsSwallowed(count) => fleet.kv.swallow_events(count),
+        ConfigStep::WatchesSilent => fleet.kv.silence_watches(),
+        ConfigStep::Pass(_) => {}
+    }
+}
+
+/// The real code under the reference machine.
+pub struct ConfigurationPath;
+
+impl StateMachineTest for ConfigurationPath {
+    type SystemUnderTest = ConfigDriver;
+    type Reference = ConfigSteps;
+
+    fn init_test(_state: &()) -> ConfigDriver {
+        ConfigDriver::new(None)
+    }
+
+    fn apply(mut driver: ConfigDriver, _state: &(), step: ConfigStep) -> ConfigDriver {
+        if let Err(violation) = driver.step(&step) {
+            panic!("after {step:?}: {violation}");
+        }
+        driver
+    }
+
+    fn teardown(mut driver: ConfigDriver, _state: ()) {
+        if let Err(violation) = driver.settle() {
+            panic!("after everything was mended: {violation}");
+        }
+    }
+}
+
+/// Steps until a planted fault is found; `None` if it was not within `max_steps`.
+pub fn steps_until_found(
+    plant: Plant,
+    max_steps: usize,
+    seed: u64,
+) -> Option<(usize, ConfigViolation)> {
+    let mut runner = TestRunner::new(config(1, seed));
+    let mut done = 0;
+    while done < max_steps {
+        let strategy = ConfigSteps::sequential_strategy(1..MAX_STEPS);
+        let (_, steps, _) = strategy.new_tree(&mut runner).ok()?.current();
+        let mut driver = ConfigDriver::new(Some(plant));
+        for step in &steps {
+            done += 1;
+            if let Err(violation) = driver.step(step) {
+                return Some((done, violation));
+            }
+        }
+    }
+    None
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod configuration;
 pub mod entry;
 pub mod machine;
 pub mod matrix;
--- a/crates/proof/src/plant.rs
+++ b/crates/proof/src/plant.rs
@@ -15,14 +15,6 @@
     NonIdempotentRetried,
     /// A stream that broke off counts as whole.
     TruncatedStreamAccepted,
-}
-
-impl Plant {
-    /// All of them.
-    pub const ALL: [Self; 4] = [
-        Self::TombstoneSkipped,
-        Self::IncarnationIgnored,
-        Self::NonIdempotentRetried,
-        Self::TruncatedStreamAccepted,
-    ];
+    /// A process takes its configuration from a peer that is behind it.
+    OlderPeerTaken,
 }
