Apply workspaces' limits, with loans between the entries of a subset

Cause: the policy of limits had landed, but requests were not held to it. The first test of an entry outside the subset failed: its loan of 2 % filled with one request only after 500 ms. Change: each entry holds its part of a workspace's limits and borrows over the peers' connections; an entry outside the subset serves on a loan, which is large enough to fill with one request in 250 ms (at most 40 % of the limit). A refusal tells when to come back. A share that fills within 500 ms is waited for, since the first request after a quiet time was refused otherwise. Answers gathered whole are bounded, and a caller that reads nothing for 60 s counts as gone.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,6 +11,8 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_policy::key::EntryKey;
+use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{
     Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
@@ -19,7 +21,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -39,6 +41,13 @@
     effective: watch::Sender<Arc<Effective>>,
     progress: watch::Sender<Progress>,
     recorder: Recorder,
+    lender: OnceLock<Arc<dyn Lender>>,
+}
+
+/// Lends other entries a part of this one's share of a workspace's limits.
+pub trait Lender: Send + Sync + 'static {
+    /// Answers a request for a loan.
+    fn lend(&self, workspace: &str, borrower: EntryKey, request: &LoanRequest) -> Loan;
 }
 
 struct State {
@@ -117,10 +126,16 @@
             effective: watch::Sender::new(Arc::default()),
             progress: watch::Sender::default(),
             recorder,
+            lender: OnceLock::new(),
         };
         Self { shared: Arc::new(shared) }
     }
 
+    /// Says who answers requests for loans; only the first counts.
+    pub fn set_lender(&self, lender: Arc<dyn Lender>) {
+        let _ = self.shared.lender.set(lender);
+    }
+
     /// The configuration in force, now and later.
     pub fn effective(&self) -> watch::Receiver<Arc<Effective>> {
         self.shared.effective.subscribe()
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -4,6 +4,8 @@
 use flamingowheel_config::api::ConfigSource;
 use flamingowheel_config::bucket::{Bucket, BucketId, WORKSPACE_BUCKETS, encode};
 use flamingowheel_config::effective::ConfigRevision;
+use flamingowheel_policy::key::EntryKey;
+use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::peer::{
     Heartbeat, HeartbeatAnswer, PeerAnswer, PeerRequest, StoredValue,
 };
@@ -21,6 +23,17 @@
             PeerRequest::Changes { after } => self.answer_changes(ConfigRevision(after)),
             PeerRequest::Bucket { number } => self.answer_bucket(number),
             PeerRequest::Status => self.answer_status(),
+            PeerRequest::Loan { workspace, borrower, request } => {
+                PeerAnswer::Loan(self.lend(&workspace, &borrower, &request))
+            }
+        }
+    }
+
+    /// Without a lender, as in a process that is just starting, nothing is lent.
+    fn lend(&self, workspace: &str, borrower: &str, request: &LoanRequest) -> Loan {
+        match self.shared.lender.get() {
+            Some(lender) => lender.lend(workspace, EntryKey::from_name(borrower), request),
+            None => Loan { number: request.number, share: 0.0 },
         }
     }
 
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -1,5 +1,7 @@
 //! The address question: which entries a workspace's callers should use.
 
+use crate::agents::Target;
+use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_policy::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey};
 use flamingowheel_policy::subset::{Cells, EntryInfo, SubsetConfig};
 use serde::{Deserialize, Serialize};
@@ -7,6 +9,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Expected of a workspace without a limit, in requests a second.
+const DEFAULT_RATE_PER_S: f64 = 10.0;
+
+/// What decides a workspace's subset: the scopes of its models and services, and the rate in
+/// requests a second that it is expected to send.
+pub fn demand(workspace: &EffectiveWorkspace) -> (Vec<ScopeKey>, f64) {
+    let parameters = &workspace.parameters;
+    let models = parameters.models.keys().cloned().map(Target::Model);
+    let services = parameters.services.keys().cloned().map(Target::Service);
+    let scopes = models.chain(services).map(|target| target.scope()).collect();
+    (scopes, parameters.limits.requests_per_s.unwrap_or(DEFAULT_RATE_PER_S))
+}
+
 /// An entry that callers may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryMember {
@@ -79,6 +94,11 @@
         Self { cells, members }
     }
 
+    /// The entries that share a workspace's limits.
+    pub fn subset(&self, workspace: &str, scopes: &[ScopeKey], rate_per_s: f64) -> Vec<EntryKey> {
+        self.cells.subset(WorkspaceKey::from_name(workspace), scopes, rate_per_s)
+    }
+
     /// Answers for a workspace that uses `scopes` and is expected to send `rate_per_s`.
     pub fn answer(
         &self,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -72,7 +72,9 @@
 fn unknown(why: Unknown) -> UnknownReason {
     use flamingowheel_protocol::message::Failure;
     match why {
-        Unknown::Failed(Failure::ReplayGone) => UnknownReason::AnswerTruncated,
+        Unknown::Failed(Failure::ReplayGone) | Unknown::AnswerTooLarge { .. } => {
+            UnknownReason::AnswerTruncated
+        }
         Unknown::Failed(_) => UnknownReason::EngineFailed,
         Unknown::AgentUnreachable => UnknownReason::AgentSilent,
         Unknown::AgentReplaced => UnknownReason::AgentLost,
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -3,7 +3,7 @@
 use crate::attempt::Piece;
 use crate::http::{ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_HEADER, TICKET_HEADER};
 use crate::outcome::{NotRun, Unknown, Verdict};
-use crate::state::{EntryState, InProgressGuard};
+use crate::state::{EntryState, Hold};
 use crate::stream::{Answer, EVENT_STREAM};
 use axum::Json;
 use axum::body::Body;
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 /// A comment line; shows the caller that the connection lives.
 const COMMENT: &[u8] = b":\n\n";
@@ -23,6 +24,15 @@
 /// Pieces that wait for a slow caller; then the agent is not acknowledged and pauses.
 const BODY_QUEUE: usize = 64;
 
+/// A caller that takes nothing of its stream for this long counts as gone.
+const CALLER_STALL_LIMIT: Duration = Duration::from_secs(60);
+
+/// Largest answer that is gathered before it is given.
+const MAX_WHOLE_BYTES: usize = 32 << 20;
+
+/// Bytes of text that count as one token, where tokens are not counted.
+pub const BYTES_PER_TOKEN: f64 = 4.0;
+
 /// When to come back if nothing better is known.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -63,7 +73,7 @@
     result: Result<Answer, Verdict>,
     told: Told,
     state: &EntryState,
-    guard: InProgressGuard,
+    hold: Hold,
 ) -> Response {
     let answer = match result {
         Ok(answer) => answer,
@@ -72,17 +82,24 @@
         }
     };
     if answer.head().content_type.starts_with(EVENT_STREAM) {
-        return stream(answer, &told, state.config.stream_heartbeat, guard);
+        return stream(answer, &told, state.config.stream_heartbeat, hold);
     }
-    whole(answer, &told).await
+    whole(answer, &told, hold).await
 }
 
 /// Gives a whole body. It is gathered first, so that the status can tell whether it is whole.
-async fn whole(mut answer: Answer, told: &Told) -> Response {
+async fn whole(mut answer: Answer, told: &Told, mut hold: Hold) -> Response {
     let mut body = BytesMut::new();
     loop {
         match answer.next().await {
-            Ok(Piece::Chunk(_, data)) => body.extend_from_slice(&data),
+            Ok(Piece::Chunk(_, data)) if body.len() + data.len() <= MAX_WHOLE_BYTES => {
+                hold.add_tokens(data.len() as f64 / BYTES_PER_TOKEN);
+                body.extend_from_slice(&data);
+            }
+            Ok(Piece::Chunk(..)) => {
+                let verdict = Unknown::AnswerTooLarge { limit_bytes: MAX_WHOLE_BYTES }.into();
+                return give_verdict(&verdict, Some(told.request), told.ticket.as_deref());
+            }
             Ok(Piece::End) => break,
             Err(verdict) => {
                 return give_verdict(&verdict, Some(told.request), told.ticket.as_deref());
@@ -96,11 +113,11 @@
 
 /// Gives an event stream as it comes. Its head can't know the outcome yet: a stream that breaks
 /// off is cut without the end of the chunked body, which clients report as an error.
-fn stream(answer: Answer, told: &Told, heartbeat: Duration, guard: InProgressGuard) -> Response {
+fn stream(answer: Answer, told: &Told, heartbeat: Duration, hold: Hold) -> Response {
     let (sender, receiver) = mpsc::channel(BODY_QUEUE);
     let mut response = Response::new(Body::new(ChannelBody { receiver }));
     set_head(&mut response, &answer, told, "streaming");
-    tokio::spawn(pour(answer, sender, heartbeat, guard));
+    tokio::spawn(pour(answer, sender, heartbeat, hold));
     response
 }
 
@@ -108,16 +125,21 @@
     mut answer: Answer,
     sender: mpsc::Sender<Result<Bytes, Verdict>>,
     heartbeat: Duration,
-    _guard: InProgressGuard,
+    mut hold: Hold,
 ) {
     loop {
         let item = match next_piece(&mut answer, &sender, heartbeat).await {
             None | Some(Ok(Piece::End)) => return,
-            Some(Ok(Piece::Chunk(_, data))) => Ok(data),
+            Some(Ok(Piece::Chunk(_, data))) => {
+                hold.add_tokens(1.0);
+                Ok(data)
+            }
             Some(Err(verdict)) => Err(verdict),
         };
         let ended = item.is_err();
-        if sender.send(item).await.is_err() || ended {
+        // A caller that reads nothing would keep a leaving entry from ever ending.
+        let sent = timeout(CALLER_STALL_LIMIT, sender.send(item)).await;
+        if !matches!(sent, Ok(Ok(()))) || ended {
             return;
         }
     }
@@ -245,6 +267,7 @@
 fn describe_unknown(why: Unknown) -> (StatusCode, &'static str) {
     match why {
         Unknown::Failed(_) => (StatusCode::BAD_GATEWAY, "failed"),
+        Unknown::AnswerTooLarge { .. } => (StatusCode::BAD_GATEWAY, "answer_too_large"),
         Unknown::AgentUnreachable => (StatusCode::BAD_GATEWAY, "agent_unreachable"),
         Unknown::AgentReplaced => (StatusCode::BAD_GATEWAY, "agent_replaced"),
         Unknown::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "deadline_passed"),
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -1,11 +1,12 @@
 //! OpenAI-style chat completions.
 
 use crate::agents::Target;
-use crate::http::answer::{Told, refuse, respond};
+use crate::http::answer::{BYTES_PER_TOKEN, Told, refuse, respond};
 use crate::http::{CHAT_PATH, intake};
+use crate::limits::Permit;
 use crate::outcome::{MalformedRequest, NotRun};
 use crate::request::Request;
-use crate::state::EntryState;
+use crate::state::{EntryState, Hold};
 use axum::body::Body;
 use axum::extract::State;
 use axum::http::HeaderMap;
@@ -18,25 +19,34 @@
 #[derive(Deserialize)]
 struct Completion {
     model: String,
+    max_tokens: Option<u32>,
 }
 
+/// Tokens expected of an answer whose request names no maximum.
+const DEFAULT_ANSWER_TOKENS: u32 = 256;
+
 /// Takes a completion request.
 pub async fn complete(
     State(state): State<Arc<EntryState>>,
     headers: HeaderMap,
     body: Body,
 ) -> Response {
-    let guard = state.in_progress.enter();
-    let request = match read(&state, &headers, body).await {
-        Ok(request) => request,
+    let in_progress = state.in_progress.enter();
+    let (request, permit) = match read(&state, &headers, body).await {
+        Ok(read) => read,
         Err(not_run) => return refuse(not_run),
     };
+    let hold = Hold { in_progress, permit };
     let told = Told { request: request.id, ticket: None };
     let (result, _) = state.dispatcher.run(request).await;
-    respond(result, told, &state, guard).await
+    respond(result, told, &state, hold).await
 }
 
-async fn read(state: &EntryState, headers: &HeaderMap, body: Body) -> Result<Request, NotRun> {
+async fn read(
+    state: &EntryState,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<(Request, Option<Permit>), NotRun> {
     let workspace = intake::workspace(state, headers)?;
     let deadline = intake::deadline(headers, &workspace)?;
     let body = intake::body(state, body).await?;
@@ -45,8 +55,11 @@
     if !workspace.parameters.models.contains_key(&completion.model) {
         return Err(NotRun::UnknownModel);
     }
+    let prompt_tokens = body.len() as f64 / BYTES_PER_TOKEN;
+    let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    let permit = state.admit(&workspace, prompt_tokens, f64::from(answer_tokens)).await?;
     let fingerprint = intake::fingerprint(state, &workspace, CHAT_PATH, &body);
-    Ok(Request {
+    let request = Request {
         id: RequestId::fresh(),
         workspace,
         target: Target::Model(completion.model),
@@ -57,5 +70,6 @@
         idempotent: true,
         deadline,
         fingerprint,
-    })
+    };
+    Ok((request, permit))
 }
--- a/crates/entry/src/http/entries.rs
+++ b/crates/entry/src/http/entries.rs
@@ -1,6 +1,6 @@
 //! Answers the address question.
 
-use crate::agents::Target;
+use crate::addresses::demand;
 use crate::http::answer::refuse;
 use crate::http::intake::workspace_by_name_or_token;
 use crate::outcome::{MalformedRequest, NotRun};
@@ -9,14 +9,9 @@
 use axum::extract::{Query, State};
 use axum::http::HeaderMap;
 use axum::response::{IntoResponse, Response};
-use flamingowheel_config::effective::EffectiveWorkspace;
-use flamingowheel_policy::key::ScopeKey;
 use serde::Deserialize;
 use std::sync::Arc;
 
-/// Expected of a workspace without a limit, in requests a second.
-const DEFAULT_RATE_PER_S: f64 = 10.0;
-
 /// Parameters of the question.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Question {
@@ -40,22 +35,14 @@
             None => refuse(NotRun::Malformed(MalformedRequest::Query("workspace"))),
         };
     };
-    let limits = &workspace.parameters.limits;
-    let rate_per_s = limits.requests_per_s.map_or(DEFAULT_RATE_PER_S, f64::from);
+    let (scopes, rate_per_s) = demand(workspace);
     let data_centre = question.data_centre.as_deref().unwrap_or(&state.config.data_centre);
     let answer = state.addresses.load().answer(
         &workspace.name,
-        &scopes(workspace),
+        &scopes,
         rate_per_s,
         data_centre,
         state.config.address_ttl,
     );
     Json(answer).into_response()
 }
-
-/// The scopes of all models and services that the workspace uses.
-fn scopes(workspace: &EffectiveWorkspace) -> Vec<ScopeKey> {
-    let models = workspace.parameters.models.keys().cloned().map(Target::Model);
-    let services = workspace.parameters.services.keys().cloned().map(Target::Service);
-    models.chain(services).map(|target| target.scope()).collect()
-}
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -6,7 +6,7 @@
 use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
 use crate::outcome::{MalformedRequest, NotRun, TicketRefusal};
 use crate::request::Request;
-use crate::state::{EntryState, InProgressGuard};
+use crate::state::{EntryState, Hold};
 use axum::body::Body;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, Method, Uri, header};
@@ -24,15 +24,20 @@
     headers: HeaderMap,
     body: Body,
 ) -> Response {
-    let guard = state.in_progress.enter();
+    let in_progress = state.in_progress.enter();
     let called = Called { service, path: format!("/{path}"), method, uri };
     let request = match read(&state, &headers, called, body).await {
         Ok(request) => request,
         Err(not_run) => return refuse(not_run),
     };
+    let permit = match state.admit(&request.workspace, 0.0, 0.0).await {
+        Ok(permit) => permit,
+        Err(not_run) => return refuse(not_run),
+    };
+    let hold = Hold { in_progress, permit };
     match ticket(&state, &headers, &request).await {
-        Ok(Some(ticket)) => run_ticket(&state, request, ticket, guard).await,
-        Ok(None) => run(&state, request, guard).await,
+        Ok(Some(ticket)) => run_ticket(&state, request, ticket, hold).await,
+        Ok(None) => run(&state, request, hold).await,
         Err(not_run) => refuse(not_run),
     }
 }
@@ -44,22 +49,22 @@
     uri: Uri,
 }
 
-async fn run(state: &Arc<EntryState>, request: Request, guard: InProgressGuard) -> Response {
+async fn run(state: &Arc<EntryState>, request: Request, hold: Hold) -> Response {
     let id = request.id;
     let (result, ticket) = state.dispatcher.run(request).await;
     let ticket = ticket.map(|ticket| ticket.to_text(&state.config.fleet_key));
-    respond(result, Told { request: id, ticket }, state, guard).await
+    respond(result, Told { request: id, ticket }, state, hold).await
 }
 
 async fn run_ticket(
     state: &Arc<EntryState>,
     request: Request,
     ticket: Ticket,
-    guard: InProgressGuard,
+    hold: Hold,
 ) -> Response {
     let told = Told { request: request.id, ticket: Some(ticket.to_text(&state.config.fleet_key)) };
     let result = state.dispatcher.run_ticket(request, &ticket).await;
-    respond(result, told, state, guard).await
+    respond(result, told, state, hold).await
 }
 
 async fn read(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod events;
 pub mod http;
+pub mod limits;
 pub mod outcome;
 pub mod request;
 pub mod router;
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -109,6 +109,12 @@
     /// The attempt began and ended without a whole answer.
     #[error("{0}")]
     Failed(#[from] Failure),
+    /// The answer is larger than an entry gathers.
+    #[error("the answer exceeds {limit_bytes} bytes")]
+    AnswerTooLarge {
+        /// The limit.
+        limit_bytes: usize,
+    },
     /// The agent can't be reached.
     #[error("the backend server's agent can't be reached")]
     AgentUnreachable,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,13 +1,17 @@
 //! What the handlers of callers' requests share.
 
-use crate::addresses::AddressBook;
+use crate::addresses::{AddressBook, demand};
 use crate::claims::Claims;
 use crate::config::EntryConfig;
 use crate::dispatch::Dispatcher;
+use crate::limits::{Limiter, Permit};
+use crate::outcome::NotRun;
 use arc_swap::ArcSwap;
-use flamingowheel_config::effective::Effective;
+use flamingowheel_config::effective::{Effective, EffectiveWorkspace};
+use flamingowheel_config::template::Limits;
 use flamingowheel_control::node::Node;
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_policy::key::EntryKey;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -30,6 +34,48 @@
     pub in_progress: Arc<InProgress>,
     /// This entry among the others.
     pub node: Node,
+    /// Applies the workspaces' limits.
+    pub limiter: Arc<Limiter>,
+}
+
+impl EntryState {
+    /// The entries that share a workspace's limits.
+    pub fn subset(&self, workspace: &EffectiveWorkspace) -> Vec<EntryKey> {
+        let (scopes, rate_per_s) = demand(workspace);
+        self.addresses.load().subset(&workspace.name, &scopes, rate_per_s)
+    }
+
+    /// Admits a request within its workspace's limits.
+    pub async fn admit(
+        &self,
+        workspace: &EffectiveWorkspace,
+        prompt_tokens: f64,
+        answer_tokens: f64,
+    ) -> Result<Option<Permit>, NotRun> {
+        if workspace.parameters.limits == Limits::default() {
+            return Ok(None);
+        }
+        let members = self.subset(workspace);
+        self.limiter.admit(workspace, &members, prompt_tokens, answer_tokens).await
+    }
+}
+
+/// Held while a request or its answer is in progress.
+#[derive(Debug)]
+pub struct Hold {
+    /// Keeps a leaving entry from ending.
+    pub in_progress: InProgressGuard,
+    /// Counts against the workspace's limits, if it has any.
+    pub permit: Option<Permit>,
+}
+
+impl Hold {
+    /// Notes tokens that were generated.
+    pub fn add_tokens(&mut self, count: f64) {
+        if let Some(permit) = &mut self.permit {
+            permit.add_tokens(count);
+        }
+    }
 }
 
 /// Counts requests and streams in progress, so that a leaving entry knows when it may end.
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::agent::authority;
 use crate::discovery::Discovery;
 use crate::listen::{ListenLimits, StartError, bind, serve};
+use crate::loans::{EntryLender, borrow};
 use crate::membership::{publish_addresses, publish_configuration};
 use crate::operators;
 use crate::threads::spawn_control;
@@ -22,6 +23,7 @@
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::connector::WebSocketConnector;
 use flamingowheel_entry::dispatch::Dispatcher;
+use flamingowheel_entry::limits::Limiter;
 use flamingowheel_entry::router::Router;
 use flamingowheel_entry::state::EntryState;
 use flamingowheel_observe::event::Event;
@@ -30,6 +32,7 @@
 use flamingowheel_platform::client::{EtcdClient, HttpLimits, HttpVmList};
 use flamingowheel_platform::kv::KeyValue;
 use flamingowheel_platform::vm::VmList;
+use flamingowheel_policy::key::EntryKey;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::link::{Keeping, Timing};
 use flamingowheel_protocol::message::{Hello, Role as PeerRole};
@@ -92,6 +95,8 @@
             seeds: settings.peers.clone(),
             timing: SpreadTiming::default(),
         };
+        node.set_lender(Arc::new(EntryLender(Arc::clone(&state))));
+        let borrower = borrow(node.clone(), Arc::clone(&state), Arc::clone(&peers));
         let discovery = discovery(settings, Arc::clone(&agents));
         let (publisher, stopped, served) = (Arc::clone(&state), stop.clone(), node.clone());
         spawn_control("control", move || async move {
@@ -101,6 +106,7 @@
                 publish_configuration(served.clone(), Arc::clone(&publisher)),
                 publish_addresses(served, publisher),
                 discovery.run(),
+                borrower,
             );
         })?;
         let routes = flamingowheel_entry::http::router(Arc::clone(&state));
@@ -252,6 +258,7 @@
         recorder,
         in_progress: Arc::default(),
         node: node.clone(),
+        limiter: Arc::new(Limiter::new(EntryKey::from_name(&config.name))),
     });
     (state, agents)
 }
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -155,9 +155,13 @@
 const ONE_REQUEST: f64 = 1.0;
 /// Smallest part of a limit worth a message.
 const MIN_LOAN: f64 = 0.005;
-/// An entry asks for at least this much, so that the first request it gets waits only briefly for
-/// its bucket to fill.
+/// An entry asks for at least this much.
 const MIN_ASKED: f64 = 0.02;
+/// And for no more than this, unless demand calls for it.
+const MAX_FIRST_ASKED: f64 = 0.4;
+/// The share asked for fills its bucket with one request in this time, so that the first caller of
+/// an entry waits only briefly.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
 /// Part of a loan's time after which the borrower renews it.
 const RENEW_AFTER: f64 = 0.6;
 
@@ -299,7 +303,7 @@
         if missing < MIN_LOAN {
             return None;
         }
-        let missing = missing.max(MIN_ASKED);
+        let missing = missing.max(self.least_asked());
         let lender = renewed.map_or_else(|| self.take_peer(), |held| held.lender);
         self.number += 1;
         self.back_off();
@@ -370,6 +374,11 @@
         if wanted.is_finite() { wanted.min(1.0) } else { 0.0 }
     }
 
+    fn least_asked(&self) -> f64 {
+        let share = 1.0 / (self.limits.requests_per_s * FIRST_WAIT.as_secs_f64());
+        share.clamp(MIN_ASKED, MAX_FIRST_ASKED)
+    }
+
     fn note_wanted(&mut self, tokens: f64) {
         let window = self.config.demand_window.as_secs_f64();
         self.wanted_requests_per_s += 1.0 / window;
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -15,11 +15,13 @@
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::dispatch::Dispatcher;
+use flamingowheel_entry::limits::Limiter;
 use flamingowheel_entry::router::Router as Routes;
 use flamingowheel_entry::state::EntryState;
 use flamingowheel_observe::reason::ConfigSource;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_policy::key::EntryKey;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::message::{Hello, Role};
 use flamingowheel_protocol::peer::{MemberRecord, MemberState};
@@ -86,6 +88,7 @@
             recorder,
             in_progress: Arc::default(),
             node,
+            limiter: Arc::new(Limiter::new(EntryKey::from_name(name))),
             config,
         };
         let router = flamingowheel_entry::http::router(Arc::new(state));
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,6 +4,7 @@
 //! package does not look into them.
 
 use crate::id::Incarnation;
+use flamingowheel_policy::limits::{Loan, LoanRequest};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -119,7 +120,7 @@
 }
 
 /// What one entry asks another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// What is new?
     Heartbeat(Box<Heartbeat>),
@@ -135,10 +136,19 @@
     },
     /// Who are you, and what revision have you in force?
     Status,
+    /// Lend me a part of your share of a workspace's limits.
+    Loan {
+        /// The workspace.
+        workspace: String,
+        /// Name of the entry that asks.
+        borrower: String,
+        /// What it asks.
+        request: LoanRequest,
+    },
 }
 
 /// The answer to a [`PeerRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerAnswer {
     /// To a heartbeat.
     Heartbeat(Box<HeartbeatAnswer>),
@@ -162,6 +172,8 @@
         /// Digest of its table of members; equal tables have equal digests.
         digest: u64,
     },
+    /// What is lent.
+    Loan(Loan),
 }
 
 /// A value in its stored form.
@@ -170,7 +182,7 @@
 pub struct StoredValue(#[serde(with = "serde_bytes")] pub Vec<u8>);
 
 /// What travels on a connection between two entries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
     /// A request under a number chosen by its sender.
     Request {
