Group: one expert map per step, by record, lease, gates and a typestate switch

Cause: a coordinator, agent, engine, message or the key-value service may fail at any step of a map switch, and a rank that steps with another map spoils all answers.

--- /dev/null
+++ b/crates/group/src/align.rs
@@ -0,0 +1,126 @@
+//! Bringing a group back to the map in force, whatever happened to it.
+
+use crate::message::{RankError, RankState};
+use crate::ranks::Ranks;
+use crate::record::{Phase, Stored};
+use crate::session::{GroupError, RankOrder, RankResult, Session};
+use crate::switch::resume::settle;
+use crate::switch::{Failure, Switch};
+use flamingowheel_platform::orders::OrderTarget;
+
+/// How the group stands after a look at it.
+#[derive(Debug)]
+pub enum Alignment {
+    /// All ranks step with the map in force.
+    Running,
+    /// Ranks can't be verified.
+    Waiting {
+        /// The ranks and why.
+        ranks: Vec<(usize, RankError)>,
+        /// Whether the group stands still until they can be.
+        held: bool,
+    },
+}
+
+/// Looks at every rank and does what it takes for all to step with the map in force. A change that
+/// was not committed is dropped. Returns the record as last known beside the outcome.
+pub async fn align<Members>(
+    session: &Session<'_, Members>,
+    stored: Stored,
+) -> (Stored, Result<Alignment, GroupError>)
+where
+    Members: Ranks,
+{
+    let stored = match roll_back(session, stored).await {
+        Ok(stored) => stored,
+        Err(failure) => return (failure.stored, Err(failure.error)),
+    };
+    let states = match session.read_all(stored.fence()).await {
+        Ok(states) => states,
+        Err(error) => return (stored, Err(error)),
+    };
+    let version = stored.record.in_force.version;
+    let trouble = trouble(&states);
+    let states: Vec<(usize, RankState)> = known(states);
+    if !trouble.is_empty() {
+        // A rank that lost its map must not step when the missing one comes back.
+        let result = stop_others(session, &stored, &states).await;
+        let held = any_held(&states) || !all_use(&states, version);
+        return (stored, result.map(|()| Alignment::Waiting { ranks: trouble, held }));
+    }
+    let done = match (all_use(&states, version), any_held(&states)) {
+        (true, false) => settle(session, &stored).await.map_err(|error| fail(error, &stored)),
+        (true, true) => Switch::verified(session, stored.clone()).resume().await,
+        (false, _) => bring(session, stored.clone()).await,
+    };
+    match done {
+        Ok(stored) => (stored, Ok(Alignment::Running)),
+        Err(failure) => (failure.stored, Err(failure.error)),
+    }
+}
+
+fn fail(error: GroupError, stored: &Stored) -> Box<Failure> {
+    Box::new(Failure { error, stored: stored.clone() })
+}
+
+/// Drops a change that was not committed. While the service is surely unreachable it is as good as
+/// dropped: nobody else can commit it, for that needs the service too and a newer number first.
+async fn roll_back<Members>(
+    session: &Session<'_, Members>,
+    stored: Stored,
+) -> Result<Stored, Box<Failure>> {
+    if !matches!(stored.record.phase, Phase::Pending { .. }) {
+        return Ok(stored);
+    }
+    settle(session, &stored).await.map_err(|error| fail(error, &stored))
+}
+
+async fn bring<Members>(
+    session: &Session<'_, Members>,
+    stored: Stored,
+) -> Result<Stored, Box<Failure>>
+where
+    Members: Ranks,
+{
+    let held = Switch::take_up(session, stored).await?;
+    held.switch().await?.read_back().await?.resume().await
+}
+
+async fn stop_others<Members>(
+    session: &Session<'_, Members>,
+    stored: &Stored,
+    states: &[(usize, RankState)],
+) -> Result<(), GroupError>
+where
+    Members: Ranks,
+{
+    let version = stored.record.in_force.version;
+    let astray = states.iter().filter(|(_, state)| !state.uses(version) && !state.is_stopped());
+    let order = |(rank, state): &(usize, RankState)| {
+        RankOrder::new(*rank, OrderTarget::Hold { after_step: state.engine.step })
+    };
+    let orders = astray.map(order).collect();
+    session.order_all(stored.fence(), orders, session.timing.call_limit).await
+}
+
+fn trouble(states: &[RankResult]) -> Vec<(usize, RankError)> {
+    let reason = |(rank, state): (usize, &RankResult)| match state {
+        Err(error) => Some((rank, error.clone())),
+        Ok(state) if state.unresolved => Some((rank, RankError::Unresolved)),
+        Ok(_) => None,
+    };
+    states.iter().enumerate().filter_map(reason).collect()
+}
+
+fn known(states: Vec<RankResult>) -> Vec<(usize, RankState)> {
+    let known = states.into_iter().enumerate();
+    known.filter_map(|(rank, state)| Some((rank, state.ok()?))).collect()
+}
+
+fn all_use(states: &[(usize, RankState)], version: u64) -> bool {
+    states.iter().all(|(_, state)| state.uses(version))
+}
+
+fn any_held(states: &[(usize, RankState)]) -> bool {
+    states.iter().any(|(_, state)| state.engine.held_after_step.is_some())
+}
--- /dev/null
+++ b/crates/group/src/coordinator.rs
@@ -0,0 +1,219 @@
+//! The process that coordinates a group: takes the lease, takes up what it finds, and carries out
+//! changes of map.
+
+use crate::align::{Alignment, align};
+use crate::lease::Lease;
+use crate::message::RankError;
+use crate::ranks::Ranks;
+use crate::record::{GroupRecord, RecordError, RecordStore, Stored};
+use crate::session::{GroupError, Session, Timing};
+use crate::status::{Activity, GroupStatus, OutOfService};
+use crate::switch::{Failure, Switch};
+use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_platform::orders::ExpertMap;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+/// One process's part in coordinating a group. Every agent of a group runs one; the lease picks who
+/// acts.
+pub struct Coordinator<Members> {
+    kv: Arc<dyn KeyValue>,
+    group: String,
+    records: RecordStore,
+    ranks: Members,
+    timing: Timing,
+    desired: watch::Receiver<Option<ExpertMap>>,
+    status: watch::Sender<GroupStatus>,
+    trouble_since: BTreeMap<usize, Instant>,
+}
+
+impl<Members> Coordinator<Members>
+where
+    Members: Ranks,
+{
+    /// A coordinator that brings the group to the map in `desired` whenever that changes.
+    pub fn new(
+        kv: Arc<dyn KeyValue>,
+        group: &str,
+        ranks: Members,
+        timing: Timing,
+        desired: watch::Receiver<Option<ExpertMap>>,
+    ) -> Self {
+        Self {
+            records: RecordStore::new(Arc::clone(&kv), group),
+            kv,
+            group: group.to_owned(),
+            ranks,
+            timing,
+            desired,
+            status: watch::Sender::default(),
+            trouble_since: BTreeMap::new(),
+        }
+    }
+
+    /// What operators are told.
+    pub fn status(&self) -> watch::Receiver<GroupStatus> {
+        self.status.subscribe()
+    }
+
+    /// Takes part until `stop`.
+    pub async fn run(mut self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let lease = Lease::acquire(&self.kv, &self.group, self.timing.lease_ttl).await;
+            if let Ok(Some(lease)) = lease {
+                self.coordinate(&lease, &stop).await;
+                lease.release().await;
+            }
+            self.status.send_replace(GroupStatus::default());
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = sleep(self.timing.poll) => {}
+            }
+        }
+    }
+
+    async fn coordinate(&mut self, lease: &Lease, stop: &CancellationToken) {
+        tokio::select! {
+            biased;
+            () = stop.cancelled() => {}
+            () = lease.keep() => tracing::warn!(group = self.group, "lease to coordinate lost"),
+            error = self.work(lease) => tracing::warn!(group = self.group, %error, "coordination ended"),
+        }
+    }
+
+    async fn work(&mut self, lease: &Lease) -> GroupError {
+        let mut stored = None;
+        loop {
+            let result = match stored.take() {
+                Some(known) => self.look(lease, known).await,
+                None => self.claim().await,
+            };
+            stored = match result {
+                Ok(known) => Some(known),
+                Err(error) if self.is_over(lease, &error) => return error,
+                // The record is in doubt: it is read and claimed anew before anything else.
+                Err(_) => None,
+            };
+            sleep(self.timing.poll).await;
+        }
+    }
+
+    fn is_over(&self, lease: &Lease, error: &GroupError) -> bool {
+        let deposed = matches!(
+            error,
+            GroupError::Deposed
+                | GroupError::LeaseLapsed
+                | GroupError::Record(RecordError::Conflict)
+        );
+        deposed || !lease.may_align()
+    }
+
+    /// Writes the record anew, so that its revision is above all numbers that earlier coordinators
+    /// may still use.
+    async fn claim(&mut self) -> Result<Stored, GroupError> {
+        let stored = match self.records.read().await {
+            Ok(stored) => stored,
+            Err(RecordError::Missing) => return self.found().await,
+            Err(error) => return Err(error.into()),
+        };
+        let record = stored.record.clone();
+        Ok(self.records.replace(&stored, record).await?)
+    }
+
+    async fn found(&mut self) -> Result<Stored, GroupError> {
+        let Some(map) = self.desired.borrow().clone() else {
+            return Err(RecordError::Missing.into());
+        };
+        Ok(self.records.create(GroupRecord::first(map, self.ranks.count())).await?)
+    }
+
+    /// One look at the group, and a change of map if one is wanted and the group runs.
+    async fn look(&mut self, lease: &Lease, stored: Stored) -> Result<Stored, GroupError> {
+        if !lease.may_align() {
+            return Err(GroupError::LeaseLapsed);
+        }
+        let timing = self.timing;
+        let session =
+            Session { ranks: &self.ranks, records: &self.records, lease, timing: &timing };
+        let (stored, result) = align(&session, stored).await;
+        let running = matches!(result, Ok(Alignment::Running));
+        let wanted = self.desired.borrow().clone();
+        let wanted = wanted.filter(|map| running && *map != stored.record.in_force.map);
+        let (Some(map), true) = (wanted, lease.may_change()) else {
+            self.report(&stored, &result);
+            return keep(stored, result.map(drop));
+        };
+        self.report_activity(&stored, Activity::Staging, Vec::new());
+        match change(&session, stored, map).await {
+            Ok(stored) => {
+                self.report(&stored, &Ok(Alignment::Running));
+                Ok(stored)
+            }
+            Err(failure) => {
+                let result = Err(failure.error);
+                self.report(&failure.stored, &result);
+                keep(failure.stored, result.map(drop))
+            }
+        }
+    }
+
+    fn report(&mut self, stored: &Stored, result: &Result<Alignment, GroupError>) {
+        let trouble: Vec<(usize, RankError)> = match result {
+            Ok(Alignment::Running) => Vec::new(),
+            Ok(Alignment::Waiting { ranks, .. }) => ranks.clone(),
+            Err(GroupError::Rank { rank, error }) => vec![(*rank, error.clone())],
+            Err(_) => Vec::new(),
+        };
+        let now = Instant::now();
+        self.trouble_since.retain(|rank, _| trouble.iter().any(|(other, _)| other == rank));
+        let mut out_of_service = Vec::new();
+        for (rank, reason) in trouble {
+            let since = *self.trouble_since.entry(rank).or_insert(now);
+            if now.duration_since(since) >= self.timing.patience {
+                out_of_service.push(OutOfService { rank, reason });
+            }
+        }
+        let activity = match result {
+            Ok(Alignment::Running | Alignment::Waiting { held: false, .. }) => Activity::Running,
+            _ if out_of_service.is_empty() => Activity::Aligning,
+            _ => Activity::Held,
+        };
+        self.report_activity(stored, activity, out_of_service);
+    }
+
+    fn report_activity(
+        &self,
+        stored: &Stored,
+        activity: Activity,
+        out_of_service: Vec<OutOfService>,
+    ) {
+        let map_version = stored.record.in_force.version;
+        self.status.send_replace(GroupStatus { activity, map_version, out_of_service });
+    }
+}
+
+/// Goes on with the record unless the error puts it in doubt.
+fn keep(stored: Stored, result: Result<(), GroupError>) -> Result<Stored, GroupError> {
+    match result {
+        Ok(()) | Err(GroupError::Rank { .. } | GroupError::UnevenSteps) => Ok(stored),
+        Err(GroupError::Record(RecordError::NotWritten(_))) => Ok(stored),
+        Err(error) => Err(error),
+    }
+}
+
+async fn change<Members>(
+    session: &Session<'_, Members>,
+    stored: Stored,
+    map: ExpertMap,
+) -> Result<Stored, Box<Failure>>
+where
+    Members: Ranks,
+{
+    let begun = Switch::begin(session, stored, map).await?;
+    let held = begun.stage().await?.hold().await?;
+    let committed = held.commit().await?;
+    committed.switch().await?.read_back().await?.resume().await
+}
--- /dev/null
+++ b/crates/group/src/gate.rs
@@ -0,0 +1,211 @@
+//! What an agent enforces in front of its engine.
+//!
+//! Some engines refuse an order with an old fencing number, others don't look at it. The gate makes
+//! both safe: one order in flight, numbers checked at receipt and again right before the write, and
+//! no different order while an earlier one may still take effect.
+
+use crate::message::{RankError, RankRequest, RankState};
+use crate::record::{RecordError, RecordStore};
+use flamingowheel_platform::orders::{
+    EngineOrders, EngineState, ExpertMap, Fence, Order, OrderError, OrderTarget,
+};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+/// How long a request waits for the one before it.
+const QUEUE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Whether an engine looks at fencing numbers; the operator says which.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineKind {
+    /// Refuses an order with a lower number than it has seen.
+    ChecksFence,
+    /// Takes any order.
+    IgnoresFence,
+}
+
+/// An order that was sent and whose answer has not come.
+#[derive(Clone, Debug)]
+struct Sent {
+    target: OrderTarget,
+    process_id: u64,
+}
+
+/// A map whose weights the engine was seen to have loaded.
+#[derive(Clone, Debug)]
+struct Loaded {
+    map: ExpertMap,
+    process_id: u64,
+    digest: Option<u64>,
+}
+
+impl Loaded {
+    fn is_still(&self, map: &ExpertMap, engine: &EngineState) -> bool {
+        self.process_id == engine.process_id
+            && self.digest == engine.staged_map_digest
+            && self.map == *map
+    }
+}
+
+#[derive(Default)]
+struct Memory {
+    sent: Option<Sent>,
+    loaded: Option<Loaded>,
+}
+
+/// The only way from an agent to its engine's orders.
+pub struct Gate<Engine> {
+    engine: Engine,
+    kind: EngineKind,
+    incarnation: u64,
+    lowest: AtomicU64,
+    /// Locked while an order is in flight.
+    memory: Mutex<Memory>,
+}
+
+impl<Engine> Gate<Engine>
+where
+    Engine: EngineOrders,
+{
+    /// Opens the gate of a fresh agent.
+    ///
+    /// A coordinator that lost its place may still send orders. An agent that remembers nothing
+    /// would take them, and one rank would step with another map. So the agent first takes the
+    /// lowest acceptable number from the record, and stays shut while that can't be read.
+    pub async fn open(
+        engine: Engine,
+        kind: EngineKind,
+        incarnation: u64,
+        records: &RecordStore,
+    ) -> Result<Self, RecordError> {
+        let lowest = match records.read().await {
+            Ok(stored) => stored.fence().0,
+            Err(RecordError::Missing) => 0,
+            Err(error) => return Err(error),
+        };
+        let lowest = AtomicU64::new(lowest);
+        Ok(Self { engine, kind, incarnation, lowest, memory: Mutex::default() })
+    }
+
+    /// Answers a coordinator's request.
+    pub async fn handle(&self, request: &RankRequest) -> Result<RankState, RankError> {
+        if request.incarnation.is_some_and(|incarnation| incarnation != self.incarnation) {
+            return Err(RankError::WrongIncarnation { incarnation: self.incarnation });
+        }
+        self.admit(request.fence)?;
+        // A silent engine must not let requests pile up; whoever asks will ask again.
+        let locked = timeout(QUEUE_LIMIT, self.memory.lock()).await;
+        let mut memory = locked.map_err(|_| RankError::EngineSilent)?;
+        let state = self.read(&mut memory.sent).await?;
+        let Some(target) = &request.target else { return Ok(state) };
+        // While this order waited, a newer coordinator may have come; its number decides. This is
+        // the last point before the write: nothing is awaited in between.
+        self.admit(request.fence)?;
+        if state.unresolved {
+            return Err(RankError::Unresolved);
+        }
+        let version = state.engine.map_version;
+        if request.requires_version.is_some_and(|required| required != version) {
+            return Err(RankError::WrongVersion { version });
+        }
+        if is_reached(target, &state.engine) {
+            return Ok(state);
+        }
+        // A load takes long and its answer may be lost; the same load is not asked for twice.
+        if let OrderTarget::StageMap { map } = target
+            && memory.loaded.as_ref().is_some_and(|loaded| loaded.is_still(map, &state.engine))
+        {
+            return Ok(state);
+        }
+        self.write(&mut memory.sent, request.fence, target, state.engine.process_id).await?;
+        let state = self.read(&mut memory.sent).await?;
+        if let OrderTarget::StageMap { map } = target {
+            let (process_id, digest) = (state.engine.process_id, state.engine.staged_map_digest);
+            memory.loaded = Some(Loaded { map: map.clone(), process_id, digest });
+        }
+        Ok(state)
+    }
+
+    /// Refuses numbers below the highest seen, and remembers the highest.
+    fn admit(&self, given: Fence) -> Result<(), RankError> {
+        let lowest = self.lowest.fetch_max(given.0, Ordering::SeqCst);
+        if given.0 < lowest {
+            return Err(RankError::Stale { given, lowest: Fence(lowest) });
+        }
+        Ok(())
+    }
+
+    /// Reads the engine; called with the lock held, so that no order is in flight meanwhile.
+    async fn read(&self, sent: &mut Option<Sent>) -> Result<RankState, RankError> {
+        let engine = self.engine.state().await.map_err(|_| RankError::EngineSilent)?;
+        let over =
+            |sent: &Sent| sent.process_id != engine.process_id || is_reached(&sent.target, &engine);
+        if sent.as_ref().is_some_and(over) {
+            *sent = None;
+        }
+        Ok(RankState { incarnation: self.incarnation, engine, unresolved: sent.is_some() })
+    }
+
+    /// An order whose answer is lost may sit in the engine's queue and take effect a minute later,
+    /// when the group long uses another map. An engine that checks numbers will refuse it then. For
+    /// one that does not, it is remembered, and nothing different is sent until its effect is seen
+    /// or the engine's process is another. It is noted before the write, so that it is also there
+    /// if this call is given up half-way.
+    async fn write(
+        &self,
+        sent: &mut Option<Sent>,
+        fence: Fence,
+        target: &OrderTarget,
+        process_id: u64,
+    ) -> Result<(), RankError> {
+        if self.kind == EngineKind::IgnoresFence && is_harmful_when_late(target) {
+            *sent = Some(Sent { target: target.clone(), process_id });
+        }
+        let order = Order { fence, target: target.clone() };
+        let result = self.engine.order(&order).await;
+        match result {
+            Ok(()) => *sent = None,
+            Err(OrderError::Backend(error)) => {
+                if error.proves_not_started() {
+                    *sent = None;
+                }
+                return Err(RankError::EngineSilent);
+            }
+            Err(OrderError::Stale { given, highest }) => {
+                *sent = None;
+                return Err(RankError::Stale { given, lowest: highest });
+            }
+            Err(OrderError::NotPossible { reason }) => {
+                *sent = None;
+                return Err(RankError::NotPossible { reason });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Whether the engine is already where the order wants it. Orders name targets, so nothing is then
+/// written, and every order that is written has an effect by which it can be recognised.
+fn is_reached(target: &OrderTarget, engine: &EngineState) -> bool {
+    match target {
+        OrderTarget::Serve { model, version, adapters, role } => {
+            engine.model == *model
+                && engine.version == *version
+                && engine.adapters == *adapters
+                && engine.role == *role
+        }
+        // The way an engine computes the digest is its own; see `Loaded`.
+        OrderTarget::StageMap { .. } => false,
+        OrderTarget::Hold { after_step } => engine.held_after_step == Some(*after_step),
+        OrderTarget::SwitchMap { map_version, .. } => engine.map_version == *map_version,
+        OrderTarget::Resume => engine.held_after_step.is_none(),
+    }
+}
+
+/// A late hold or load stops or delays a rank, which is noticed and undone. The others could let a
+/// rank step with another map, or serve another version.
+fn is_harmful_when_late(target: &OrderTarget) -> bool {
+    !matches!(target, OrderTarget::StageMap { .. } | OrderTarget::Hold { .. })
+}
--- /dev/null
+++ b/crates/group/src/ranks.rs
@@ -0,0 +1,18 @@
+//! How a coordinator reaches the ranks of its group.
+
+use crate::message::{RankError, RankRequest, RankState};
+use flamingowheel_platform::BoxFuture;
+
+/// The ranks of one group. Requests may be lost, late or doubled on their way; the agent's
+/// [`crate::gate::Gate`] makes that harmless.
+pub trait Ranks: Send + Sync + 'static {
+    /// Number of ranks.
+    fn count(&self) -> usize;
+
+    /// Sends a request to a rank's agent.
+    fn call(
+        &self,
+        rank: usize,
+        request: RankRequest,
+    ) -> BoxFuture<'_, Result<RankState, RankError>>;
+}
--- /dev/null
+++ b/crates/group/src/switch/hold.rs
@@ -0,0 +1,109 @@
+//! Stopping a group at one step boundary.
+
+use super::{Held, Staged, Switch, Transition};
+use crate::message::RankState;
+use crate::ranks::Ranks;
+use crate::session::{GroupError, RankOrder, Session};
+use flamingowheel_platform::orders::{Fence, OrderTarget};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Steps between the one seen and the boundary, so that the order arrives before the boundary.
+const MARGIN_STEPS: u64 = 2;
+
+/// Pause between two looks at ranks that are to stop.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// Looks without any step after which a group counts as standing still.
+const STILL_LOOKS: u32 = 10;
+
+impl<'a, Members> Switch<'a, Members, Staged>
+where
+    Members: Ranks,
+{
+    /// Stops all ranks at the same step.
+    pub async fn hold(self) -> Transition<'a, Members, Held> {
+        let result = hold_all(self.session, self.stored.fence()).await.map(drop);
+        self.then(result, |state| Held { next: state.next })
+    }
+}
+
+/// Stops all ranks and confirms it.
+///
+/// Ranks step together, so the first to stop stops the rest: a boundary that one rank has accepted
+/// is passed by none. Where a rank stands still already (it crashed and came back, or an earlier
+/// switch was cut short), the others can't reach a later boundary and are held where they are.
+pub async fn hold_all<Members>(
+    session: &Session<'_, Members>,
+    fence: Fence,
+) -> Result<Vec<RankState>, GroupError>
+where
+    Members: Ranks,
+{
+    let deadline = Instant::now() + session.timing.patience;
+    let mut moving: Option<Vec<bool>> = None;
+    let mut last_steps = Vec::new();
+    let mut still_looks = 0;
+    loop {
+        let states = session.read_whole(fence).await?;
+        let moving =
+            moving.get_or_insert_with(|| states.iter().map(|state| !state.is_stopped()).collect());
+        if states.iter().all(RankState::is_stopped) {
+            return confirm(states, moving);
+        }
+        let steps: Vec<u64> = states.iter().map(|state| state.engine.step).collect();
+        still_looks = if steps == last_steps { still_looks + 1 } else { 0 };
+        last_steps = steps;
+        let result = order(session, fence, &states, still_looks >= STILL_LOOKS).await;
+        if Instant::now() >= deadline || matches!(result, Err(GroupError::Deposed)) {
+            result?;
+            return Err(GroupError::UnevenSteps);
+        }
+        // A boundary that a rank has passed meanwhile is refused; the next look sets a later one.
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+async fn order<Members>(
+    session: &Session<'_, Members>,
+    fence: Fence,
+    states: &[RankState],
+    still: bool,
+) -> Result<(), GroupError>
+where
+    Members: Ranks,
+{
+    let orders = orders(states, still);
+    // The first rank alone decides whether the boundary holds: two ranks given different ones at
+    // the same time could stop apart.
+    let mut orders = orders.into_iter();
+    let first = orders.next().into_iter().collect();
+    session.order_all(fence, first, session.timing.call_limit).await?;
+    session.order_all(fence, orders.collect(), session.timing.call_limit).await
+}
+
+fn orders(states: &[RankState], still: bool) -> Vec<RankOrder> {
+    let blocked = still || states.iter().any(RankState::is_stopped);
+    let given = states.iter().filter_map(|state| state.engine.held_after_step).max();
+    let latest = states.iter().map(|state| state.engine.step).max().unwrap_or(0);
+    // A boundary once given stays, or the group would never reach it.
+    let boundary = given.unwrap_or(latest + MARGIN_STEPS);
+    let target = |state: &RankState| if blocked { state.engine.step } else { boundary };
+    let open = states.iter().enumerate().filter(|(_, state)| {
+        !state.is_stopped() && state.engine.held_after_step != Some(target(state))
+    });
+    open.map(|(rank, state)| RankOrder::new(rank, OrderTarget::Hold { after_step: target(state) }))
+        .collect()
+}
+
+/// Ranks that went to the boundary together must have stopped at the same step. Those that stood
+/// still before may be engines that started since and count their steps anew.
+fn confirm(states: Vec<RankState>, moving: &[bool]) -> Result<Vec<RankState>, GroupError> {
+    let together = states.iter().zip(moving).filter(|(_, moving)| **moving);
+    let mut steps = together.map(|(state, _)| state.engine.step);
+    let first = steps.next();
+    if steps.any(|step| Some(step) != first) {
+        return Err(GroupError::UnevenSteps);
+    }
+    Ok(states)
+}
--- /dev/null
+++ b/crates/group/src/switch/resume.rs
@@ -0,0 +1,51 @@
+//! Letting a verified group step on.
+
+use super::{Failure, Switch, Verified};
+use crate::ranks::Ranks;
+use crate::record::{Phase, RecordError, Stored};
+use crate::session::{GroupError, RankOrder, Session};
+use flamingowheel_platform::orders::OrderTarget;
+
+impl<'a, Members> Switch<'a, Members, Verified>
+where
+    Members: Ranks,
+{
+    /// Goes on with a group all of whose ranks were just read back and use the map in force.
+    pub(crate) fn verified(session: &'a Session<'a, Members>, stored: Stored) -> Self {
+        Self { session, stored, state: Verified }
+    }
+
+    /// Tells all ranks to step on, then notes in the record that the switch is over. The note may
+    /// wait: while the service is away the group runs, and whoever coordinates next finds all ranks
+    /// on the map in force.
+    pub async fn resume(self) -> Result<Stored, Box<Failure>> {
+        let version = Some(self.stored.record.in_force.version);
+        let order =
+            |rank| RankOrder { rank, target: OrderTarget::Resume, requires_version: version };
+        let orders = (0..self.session.ranks.count()).map(order).collect();
+        let limit = self.session.timing.patience;
+        let fence = self.stored.fence();
+        if let Err(error) = self.session.order_all(fence, orders, limit).await {
+            return Err(Box::new(Failure { error, stored: self.stored }));
+        }
+        match settle(self.session, &self.stored).await {
+            Ok(stored) => Ok(stored),
+            Err(error) => Err(Box::new(Failure { error, stored: self.stored })),
+        }
+    }
+}
+
+/// Notes in the record that no change is under way.
+pub(crate) async fn settle<Members>(
+    session: &Session<'_, Members>,
+    stored: &Stored,
+) -> Result<Stored, GroupError> {
+    if stored.record.phase == Phase::Settled {
+        return Ok(stored.clone());
+    }
+    match session.records.replace(stored, stored.record.settled()).await {
+        Ok(settled) => Ok(settled),
+        Err(RecordError::NotWritten(_)) => Ok(stored.clone()),
+        Err(error) => Err(error.into()),
+    }
+}
--- /dev/null
+++ b/crates/group/src/switch/verify.rs
@@ -0,0 +1,75 @@
+//! Bringing held ranks to the map in force, and reading each one back.
+
+use super::stage::stage;
+use super::{Committed, Switch, Switched, Transition, Verified, hold_all};
+use crate::message::{RankError, RankState};
+use crate::ranks::Ranks;
+use crate::record::Stored;
+use crate::session::{GroupError, RankOrder, Session};
+use flamingowheel_platform::orders::OrderTarget;
+
+impl<'a, Members> Switch<'a, Members, Committed>
+where
+    Members: Ranks,
+{
+    /// Takes up a switch whose coordinator is gone, or brings ranks that lost their map back to it:
+    /// stops all ranks and has those that need it load the map in force.
+    pub async fn take_up(
+        session: &'a Session<'a, Members>,
+        stored: Stored,
+    ) -> Transition<'a, Members, Committed> {
+        let result = prepare(session, &stored).await;
+        Switch { session, stored, state: Committed }.then(result, |state| state)
+    }
+
+    /// Tells every rank to use the map in force from its next step on.
+    pub async fn switch(self) -> Transition<'a, Members, Switched> {
+        let in_force = &self.stored.record.in_force;
+        let target =
+            OrderTarget::SwitchMap { map_version: in_force.version, map: in_force.map.clone() };
+        let orders = (0..self.session.ranks.count())
+            .map(|rank| RankOrder::new(rank, target.clone()))
+            .collect();
+        let limit = self.session.timing.patience;
+        let result = self.session.order_all(self.stored.fence(), orders, limit).await;
+        self.then(result, |_| Switched)
+    }
+}
+
+async fn prepare<Members>(session: &Session<'_, Members>, stored: &Stored) -> Result<(), GroupError>
+where
+    Members: Ranks,
+{
+    let states = hold_all(session, stored.fence()).await?;
+    let version = stored.record.in_force.version;
+    let behind = |(rank, state): (usize, &RankState)| (!state.uses(version)).then_some(rank);
+    let behind = states.iter().enumerate().filter_map(behind).collect();
+    stage(session, stored.fence(), behind, &stored.record.in_force).await
+}
+
+impl<'a, Members> Switch<'a, Members, Switched>
+where
+    Members: Ranks,
+{
+    /// Reads every rank back. An order's answer is no proof: the engine may have crashed since.
+    pub async fn read_back(self) -> Transition<'a, Members, Verified> {
+        let result = match self.session.read_whole(self.stored.fence()).await {
+            Ok(states) => check(&states, self.stored.record.in_force.version),
+            Err(error) => Err(error),
+        };
+        self.then(result, |_| Verified)
+    }
+}
+
+fn check(states: &[RankState], version: u64) -> Result<(), GroupError> {
+    for (rank, state) in states.iter().enumerate() {
+        if state.unresolved {
+            return Err(GroupError::Rank { rank, error: RankError::Unresolved });
+        }
+        if !state.uses(version) {
+            let error = RankError::WrongVersion { version: state.engine.map_version };
+            return Err(GroupError::Rank { rank, error });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/group/tests/support/mod.rs
@@ -0,0 +1,350 @@
+//! A group of fake engines with agents and coordinators over an in-memory link, and faults that
+//! strike at a chosen message.
+#![allow(dead_code)]
+
+use flamingowheel_group::coordinator::Coordinator;
+use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::message::{RankError, RankRequest, RankState};
+use flamingowheel_group::ranks::Ranks;
+use flamingowheel_group::record::RecordStore;
+use flamingowheel_group::session::Timing;
+use flamingowheel_group::status::{Activity, GroupStatus};
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::{
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostAnswer, LostOrder, RankGroup,
+};
+use flamingowheel_platform::kv::{KeyValue, LeaseId};
+use flamingowheel_platform::orders::ExpertMap;
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+pub const RANKS: usize = 3;
+pub const GROUP: &str = "g1";
+/// How long a fault lasts that ends by itself.
+pub const OUTAGE: Duration = Duration::from_secs(4);
+const RESTART: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(25);
+
+/// What strikes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    LoseRequest,
+    LoseAnswer,
+    Duplicate,
+    Delay(Duration),
+    KillAgent,
+    CrashEngine,
+    FreezeEngine,
+    LoseOrder(LostOrder),
+    ServiceDown,
+    ServiceSlow,
+    LoseServiceAnswers(LostAnswer),
+    PauseCoordinator,
+    KillCoordinator,
+    ExpireLease,
+}
+
+/// A map that tells itself apart from others.
+pub fn map(number: u16) -> ExpertMap {
+    ExpertMap { layers: vec![vec![vec![number], vec![number + 1], vec![number + 2]]] }
+}
+
+struct Slot {
+    engine: FakeEngine,
+    gate: Mutex<Option<Arc<Gate<FakeEngine>>>>,
+    calls: Mutex<Vec<AbortHandle>>,
+}
+
+struct Process {
+    running: AbortHandle,
+    paused: watch::Sender<bool>,
+    status: watch::Receiver<GroupStatus>,
+}
+
+pub struct World {
+    pub kv: FakeKeyValue,
+    pub group: RankGroup,
+    kind: EngineKind,
+    slots: Vec<Slot>,
+    processes: Mutex<Vec<Process>>,
+    desired: watch::Sender<Option<ExpertMap>>,
+    messages: AtomicU64,
+    incarnations: AtomicU64,
+    plan: Mutex<Vec<(u64, Fault)>>,
+    stop: CancellationToken,
+}
+
+/// The link of all coordinators to all agents.
+struct Link(Arc<World>);
+
+impl World {
+    /// A group that steps with map 1, coordinated by one process with another in reserve.
+    pub async fn start(kind: EngineKind) -> Arc<Self> {
+        let fence_policy = match kind {
+            EngineKind::ChecksFence => FencePolicy::Refuses,
+            EngineKind::IgnoresFence => FencePolicy::Ignores,
+        };
+        let settings = EngineSettings {
+            fence_policy,
+            restart_after: Some(RESTART),
+            starts_held: true,
+            load_time: Duration::from_millis(100),
+            ..EngineSettings::default()
+        };
+        let engines: Vec<_> =
+            (0..RANKS).map(|rank| FakeEngine::new(rank as u64, settings.clone())).collect();
+        let slot = |engine: &FakeEngine| Slot {
+            engine: engine.clone(),
+            gate: Mutex::default(),
+            calls: Mutex::default(),
+        };
+        let world = Arc::new(Self {
+            kv: FakeKeyValue::new(),
+            kind,
+            slots: engines.iter().map(slot).collect(),
+            group: RankGroup::new(engines),
+            processes: Mutex::default(),
+            desired: watch::Sender::new(Some(map(1))),
+            messages: AtomicU64::new(0),
+            incarnations: AtomicU64::new(0),
+            plan: Mutex::default(),
+            stop: CancellationToken::new(),
+        });
+        for rank in 0..RANKS {
+            world.start_agent(rank).await;
+        }
+        world.start_coordinator();
+        world.start_coordinator();
+        let (group, stop) = (world.group.clone(), world.stop.clone());
+        tokio::spawn(async move { group.run(STEP, stop).await });
+        sleep(Duration::from_secs(2)).await;
+        assert!(world.runs_within(Duration::from_secs(1)).await, "the group does not start");
+        world
+    }
+
+    pub fn start_coordinator(self: &Arc<Self>) {
+        let kv: Arc<dyn KeyValue> = Arc::new(self.kv.clone());
+        let link = Link(Arc::clone(self));
+        let coordinator =
+            Coordinator::new(kv, GROUP, link, Timing::default(), self.desired.subscribe());
+        let status = coordinator.status();
+        let paused = watch::Sender::new(false);
+        let run = coordinator.run(CancellationToken::new());
+        let running = tokio::spawn(pausable(run, paused.subscribe())).abort_handle();
+        self.processes.lock().unwrap().push(Process { running, paused, status });
+    }
+
+    /// Starts an agent; it stays shut until it has read the group's record.
+    async fn start_agent(&self, rank: usize) {
+        let records = RecordStore::new(Arc::new(self.kv.clone()), GROUP);
+        let incarnation = self.incarnations.fetch_add(1, Ordering::SeqCst) + 1;
+        let engine = &self.slots[rank].engine;
+        loop {
+            let gate = Gate::open(engine.clone(), self.kind, incarnation, &records).await;
+            if let Ok(gate) = gate {
+                *self.slots[rank].gate.lock().unwrap() = Some(Arc::new(gate));
+                return;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    pub fn want(&self, number: u16) {
+        self.desired.send_replace(Some(map(number)));
+    }
+
+    /// Lets `fault` strike at the `message`-th message from now on.
+    pub fn plan(&self, message: u64, fault: Fault) {
+        let at = self.messages.load(Ordering::SeqCst) + message;
+        self.plan.lock().unwrap().push((at, fault));
+    }
+
+    /// Whether all planned faults have struck.
+    pub fn has_struck(&self) -> bool {
+        self.plan.lock().unwrap().is_empty()
+    }
+
+    /// Whether the group runs a step within this time from now.
+    pub async fn runs_within(&self, time: Duration) -> bool {
+        let before = self.group.step();
+        sleep(time).await;
+        self.group.step() > before
+    }
+
+    /// Ends all that runs of this world, so that it does not take time from the next.
+    pub fn end(&self) {
+        self.stop.cancel();
+        self.processes.lock().unwrap().drain(..).for_each(|process| process.running.abort());
+    }
+
+    pub fn engine(&self, rank: usize) -> &FakeEngine {
+        &self.slots[rank].engine
+    }
+
+    /// What the coordinating process says.
+    pub fn status(&self) -> GroupStatus {
+        let processes = self.processes.lock().unwrap();
+        let leading = processes
+            .iter()
+            .filter(|process| !*process.paused.borrow() && !process.running.is_finished());
+        let mut statuses = leading.map(|process| process.status.borrow().clone());
+        statuses.find(|status| status.activity != Activity::Following).unwrap_or_default()
+    }
+
+    /// No step was ever run with two maps.
+    pub fn check_steps(&self, case: &str) {
+        assert_eq!(self.group.splits(), [], "{case}");
+    }
+
+    fn strike(self: &Arc<Self>, rank: usize, fault: Fault) {
+        match fault {
+            Fault::KillAgent => self.kill_agent(rank),
+            Fault::CrashEngine => self.engine(rank).crash(),
+            Fault::FreezeEngine => {
+                self.engine(rank).set_frozen(true);
+                self.later(move |world| world.engine(rank).set_frozen(false));
+            }
+            Fault::LoseOrder(lost) => self.engine(rank).lose_order(lost),
+            Fault::ServiceDown => {
+                self.kv.set_down(true);
+                self.later(|world| world.kv.set_down(false));
+            }
+            Fault::ServiceSlow => {
+                self.kv.set_delay(Duration::from_millis(800));
+                self.later(|world| world.kv.set_delay(Duration::ZERO));
+            }
+            Fault::LoseServiceAnswers(lost) => self.kv.lose_answers(1, lost),
+            Fault::PauseCoordinator => {
+                let all = self.processes.lock().unwrap();
+                let index = all.iter().position(is_leading);
+                drop(all);
+                let Some(index) = index else { return };
+                self.pause(index, true);
+                let world = Arc::clone(self);
+                // Long enough for the lease to run out and another to take over.
+                let pause = OUTAGE * 3;
+                tokio::spawn(async move {
+                    sleep(pause).await;
+                    world.pause(index, false);
+                });
+            }
+            Fault::KillCoordinator => {
+                let all = self.processes.lock().unwrap();
+                if let Some(process) = all.iter().find(|process| is_leading(process)) {
+                    process.running.abort();
+                }
+            }
+            Fault::ExpireLease => (1..100).for_each(|id| self.kv.expire_lease(LeaseId(id))),
+            _ => {}
+        }
+    }
+
+    fn pause(&self, index: usize, paused: bool) {
+        if let Some(process) = self.processes.lock().unwrap().get(index) {
+            process.paused.send_replace(paused);
+        }
+    }
+
+    fn kill_agent(self: &Arc<Self>, rank: usize) {
+        *self.slots[rank].gate.lock().unwrap() = None;
+        self.slots[rank].calls.lock().unwrap().drain(..).for_each(|call| call.abort());
+        let world = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(RESTART).await;
+            world.start_agent(rank).await;
+        });
+    }
+
+    fn later<F>(self: &Arc<Self>, action: F)
+    where
+        F: FnOnce(&World) + Send + 'static,
+    {
+        let world = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(OUTAGE).await;
+            action(&world);
+        });
+    }
+
+    fn next_fault(&self) -> Option<Fault> {
+        let number = self.messages.fetch_add(1, Ordering::SeqCst);
+        let mut plan = self.plan.lock().unwrap();
+        let index = plan.iter().position(|(at, _)| *at <= number)?;
+        Some(plan.remove(index).1)
+    }
+
+    async fn deliver(&self, rank: usize, request: RankRequest) -> Result<RankState, RankError> {
+        let gate = self.slots[rank].gate.lock().unwrap().clone();
+        let Some(gate) = gate else { return Err(RankError::NoAnswer) };
+        // The agent goes on with what it received whether or not its caller still waits.
+        let handled = tokio::spawn(async move { gate.handle(&request).await });
+        self.slots[rank].calls.lock().unwrap().push(handled.abort_handle());
+        handled.await.unwrap_or(Err(RankError::NoAnswer))
+    }
+}
+
+fn is_leading(process: &Process) -> bool {
+    process.status.borrow().activity != Activity::Following && !*process.paused.borrow()
+}
+
+impl Ranks for Link {
+    fn count(&self) -> usize {
+        RANKS
+    }
+
+    fn call(
+        &self,
+        rank: usize,
+        request: RankRequest,
+    ) -> BoxFuture<'_, Result<RankState, RankError>> {
+        let world = Arc::clone(&self.0);
+        Box::pin(async move {
+            let fault = world.next_fault();
+            if let Some(fault) = fault {
+                world.strike(rank, fault);
+            }
+            match fault {
+                Some(Fault::LoseRequest) => std::future::pending().await,
+                Some(Fault::LoseAnswer) => {
+                    let _ = world.deliver(rank, request).await;
+                    std::future::pending().await
+                }
+                Some(Fault::Duplicate) => {
+                    let _ = world.deliver(rank, request.clone()).await;
+                    world.deliver(rank, request).await
+                }
+                Some(Fault::Delay(delay)) => {
+                    tokio::spawn(async move {
+                        sleep(delay).await;
+                        let _ = world.deliver(rank, request).await;
+                    });
+                    std::future::pending().await
+                }
+                _ => world.deliver(rank, request).await,
+            }
+        })
+    }
+}
+
+/// Runs a future as a process that can be stopped and woken again: nothing of it runs meanwhile.
+async fn pausable<F>(future: F, paused: watch::Receiver<bool>)
+where
+    F: Future<Output = ()>,
+{
+    tokio::pin!(future);
+    loop {
+        let mut signal = paused.clone();
+        let _ = signal.wait_for(|paused| !paused).await;
+        tokio::select! {
+            biased;
+            _ = signal.wait_for(|paused| *paused) => {}
+            () = &mut future => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/tests/switch.rs
@@ -0,0 +1,156 @@
+//! Switches of a group's map under faults at every message.
+
+mod support;
+
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_group::status::Activity;
+use flamingowheel_platform::fake::{LostAnswer, LostOrder};
+use std::time::Duration;
+use support::{Fault, OUTAGE, RANKS, World, map};
+use tokio::time::sleep;
+
+/// A switch sends fewer messages than this.
+const MESSAGES: u64 = 70;
+/// Bound on the time from a fault's end to the next step.
+const RECOVERY: Duration = Duration::from_secs(10);
+const KINDS: [EngineKind; 2] = [EngineKind::ChecksFence, EngineKind::IgnoresFence];
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Lets the fault strike at each message of a switch, for engines of both kinds.
+async fn strike_everywhere(fault: Fault, fault_lasts: Duration) {
+    let mut struck = 0;
+    for kind in KINDS {
+        for message in 0..MESSAGES {
+            let case = format!("{fault:?} at message {message}, {kind:?}");
+            let world = World::start(kind).await;
+            world.plan(message, fault);
+            world.want(2);
+            sleep(fault_lasts + RECOVERY).await;
+            struck += u32::from(world.has_struck());
+            check_runs_or_named(&world, &case).await;
+        }
+    }
+    assert!(struck > 60, "the fault struck only {struck} times");
+}
+
+async fn check_runs_or_named(world: &World, case: &str) {
+    let runs = world.runs_within(Duration::from_secs(1)).await;
+    let status = world.status();
+    world.check_steps(case);
+    if runs {
+        assert_eq!(status.activity, Activity::Running, "{case}: {status:?}");
+        for rank in 0..RANKS {
+            assert_eq!(world.engine(rank).peek_map(), map(2), "{case}, rank {rank}");
+        }
+    } else {
+        assert!(!status.out_of_service.is_empty(), "{case}: stands still, {status:?}");
+    }
+    world.end();
+}
+
+/// Nothing goes wrong: the group changes its map within moments and steps on.
+#[tokio::test(start_paused = true)]
+async fn switch_without_fault() {
+    for kind in KINDS {
+        let world = World::start(kind).await;
+        world.want(2);
+        sleep(Duration::from_secs(2)).await;
+        check_runs_or_named(&world, "no fault").await;
+    }
+}
+
+/// The network drops one request, one answer, or brings one twice. Callers notice at most a pause.
+#[tokio::test(start_paused = true)]
+async fn switch_message_lost_or_doubled() {
+    strike_everywhere(Fault::LoseRequest, Duration::ZERO).await;
+    strike_everywhere(Fault::LoseAnswer, Duration::ZERO).await;
+    strike_everywhere(Fault::Duplicate, Duration::ZERO).await;
+}
+
+/// An agent's process dies and a new one starts two seconds later, which remembers nothing.
+#[tokio::test(start_paused = true)]
+async fn switch_agent_killed() {
+    strike_everywhere(Fault::KillAgent, Duration::from_secs(2)).await;
+}
+
+/// An engine dies and comes back with no map. If it stepped like that, the group's tokens would be
+/// garbage from there on.
+#[tokio::test(start_paused = true)]
+async fn switch_engine_crashed() {
+    strike_everywhere(Fault::CrashEngine, Duration::from_secs(2)).await;
+}
+
+/// An engine stalls for some seconds and then goes on as if nothing had been.
+#[tokio::test(start_paused = true)]
+async fn switch_engine_frozen() {
+    strike_everywhere(Fault::FreezeEngine, OUTAGE).await;
+}
+
+/// The key-value service goes away in mid-switch, or slows down so that answers come too late.
+#[tokio::test(start_paused = true)]
+async fn switch_service_down_or_slow() {
+    strike_everywhere(Fault::ServiceDown, OUTAGE).await;
+    strike_everywhere(Fault::ServiceSlow, OUTAGE).await;
+}
+
+/// The service's answer to a write is lost, after the write took effect or before.
+#[tokio::test(start_paused = true)]
+async fn switch_service_answer_lost() {
+    strike_everywhere(Fault::LoseServiceAnswers(LostAnswer::AfterEffect), Duration::ZERO).await;
+    strike_everywhere(Fault::LoseServiceAnswers(LostAnswer::BeforeEffect), Duration::ZERO).await;
+}
+
+/// The coordinator dies; another takes up the switch where it stands.
+#[tokio::test(start_paused = true)]
+async fn switch_coordinator_killed() {
+    strike_everywhere(Fault::KillCoordinator, Duration::ZERO).await;
+}
+
+/// The coordinator sleeps past its lease and wakes in the middle of what it was doing, while
+/// another has long taken over.
+#[tokio::test(start_paused = true)]
+async fn switch_coordinator_paused() {
+    strike_everywhere(Fault::PauseCoordinator, OUTAGE * 3).await;
+}
+
+/// The lease is taken from a coordinator that goes on for a while without knowing, so that two give
+/// orders at once.
+#[tokio::test(start_paused = true)]
+async fn switch_two_coordinators() {
+    strike_everywhere(Fault::ExpireLease, Duration::ZERO).await;
+}
+
+/// An engine carries out an order but its answer is lost, or never gets it. Where the engine checks
+/// no numbers, the latter can't be told from an order still on its way, and the rank is named.
+#[tokio::test(start_paused = true)]
+async fn switch_engine_order_lost() {
+    strike_everywhere(Fault::LoseOrder(LostOrder::AfterEffect), Duration::ZERO).await;
+    strike_everywhere(Fault::LoseOrder(LostOrder::BeforeEffect), Duration::ZERO).await;
+}
+
+/// An order lies about for a minute, on the network or within the engine, and takes effect when the
+/// group has changed its map twice more and is about to do so again.
+#[tokio::test(start_paused = true)]
+async fn switch_order_late_by_a_minute() {
+    for fault in [Fault::Delay(MINUTE), Fault::LoseOrder(LostOrder::Delayed(MINUTE))] {
+        for kind in KINDS {
+            for message in 0..MESSAGES {
+                let case = format!("{fault:?} at message {message}, {kind:?}");
+                let world = World::start(kind).await;
+                world.plan(message, fault);
+                for number in [2, 3, 4] {
+                    world.want(number);
+                    sleep(MINUTE / 3).await;
+                }
+                // The late order comes about now, in the midst of further switches.
+                for number in 5..12 {
+                    world.want(number);
+                    sleep(Duration::from_millis(700)).await;
+                }
+                world.want(2);
+                sleep(RECOVERY).await;
+                check_runs_or_named(&world, &case).await;
+            }
+        }
+    }
+}
