--- a/crates/observe/benches/record.rs
+++ b/crates/observe/benches/record.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Write};
 use std::time::Instant;
 
-use flamingowheel_observe::api::{EventQuery, ProcessInfo};
+use flamingowheel_observe::api::{EventQuery, EventsAnswer, ProcessInfo};
 use flamingowheel_observe::clock::{HybridClock, SystemClock};
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::logs;
@@ -12,10 +12,14 @@
 use flamingowheel_observe::reason::RouteReason;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_observe::ring::DEFAULT_CAPACITY;
+use flamingowheel_observe::timeline::merge;
 use uuid::Uuid;
 
 const EVENTS: u64 = 400_000;
 const THREADS: u64 = 4;
+/// Processes that a time line is read from, and the events of each.
+const READ_PROCESSES: u64 = 100;
+const READ_EVENTS: u64 = 2_000;
 const PAGE_BYTES: u64 = 4_096;
 
 fn process() -> ProcessInfo {
@@ -41,6 +45,12 @@
     }
 }
 
+fn answer_of_full_ring() -> EventsAnswer {
+    let recorder = recorder(READ_EVENTS as usize);
+    record(&recorder, READ_EVENTS);
+    recorder.answer(&EventQuery::default())
+}
+
 fn nanoseconds_each<F>(count: u64, run: F) -> u64
 where
     F: FnOnce(),
@@ -94,6 +104,15 @@
     });
     print("select_of_full_ring_us", select_ns / 1_000);
 
+    let answers: Vec<_> = (0..READ_PROCESSES).map(|_| answer_of_full_ring()).collect();
+    let start = Instant::now();
+    let timeline = merge(EventQuery::default(), answers, Vec::new());
+    print("merge_200000_events_ms", start.elapsed().as_millis() as u64);
+    let start = Instant::now();
+    black_box(timeline.to_text());
+    print("text_of_200000_events_ms", start.elapsed().as_millis() as u64);
+    drop(timeline);
+
     let subscriber = logs::subscriber(process(), "info", io::sink).expect("a valid filter");
     let logged_ns = tracing::subscriber::with_default(subscriber, || {
         nanoseconds_each(EVENTS, || record(&shared, EVENTS))
