Let any entry go on with an event stream

Cause: a stream ended for its caller when the VM of its entry disappeared, though agent and engine still had it. Change: on request, events carry ids and the head a token under the fleet key; any entry attaches to the same execution under an attempt number of its own, so that a late cancel of the first entry can't cut it off. Asking for more than there was, or too late, is told as unknown.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -239,6 +239,11 @@
         self.stage.next_chunk
     }
 
+    /// Name of the backend server's agent.
+    pub fn backend_server(&self) -> &str {
+        &self.stage.line.connected.hello.name
+    }
+
     /// The agent that answers.
     pub fn agent(&self) -> &Arc<Agent> {
         self.stage.line.listener.agent()
@@ -264,6 +269,10 @@
                     self.stage.line.over = true;
                     return Ok(Piece::End);
                 }
+                // More was asked for than there ever was.
+                AgentMessage::End { chunk_count, .. } if chunk_count < wanted => {
+                    return Err(AttemptEnd::Failed(Failure::ReplayGone));
+                }
                 // The end overtook chunks, or chunks were lost: a short answer must not pass for
                 // a whole one.
                 AgentMessage::End { .. } => self.ask_again().await,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::request::Request;
 use crate::router::{RouteClass, Router};
 use crate::stream::{Answer, Origin};
+use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{CancelCause, RouteReason};
 use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
@@ -15,18 +16,21 @@
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
 use flamingowheel_policy::routing::{Choice, RouteError, RouteRequest};
 use flamingowheel_policy::suspicion::Verdict as Suspicion;
-use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
+use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation};
 use flamingowheel_protocol::message::{Dispatch, Refusal};
-use flamingowheel_protocol::ticket::Ticket;
+use flamingowheel_protocol::ticket::{StreamToken, Ticket};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
 /// Retry budgets kept at most; beyond it those of idle workspaces start anew.
 const MAX_BUDGETS: usize = 4096;
 
+/// Attempt numbers from here on are drawn at random, by entries that go on with a stream.
+const FIRST_ADOPTED: u32 = 1 << 16;
+
 /// Sends requests.
 pub struct Dispatcher {
     config: Arc<EntryConfig>,
@@ -115,11 +119,52 @@
         result
     }
 
+    /// Goes on with an answer that another entry had begun, from the given chunk on.
+    pub async fn go_on(
+        &self,
+        workspace: Arc<EffectiveWorkspace>,
+        token: &StreamToken,
+        from_chunk: u64,
+        deadline: Instant,
+    ) -> Result<Answer, Verdict> {
+        let request = Request::of_stream(workspace, token.request, deadline);
+        let log = self.recorder.about(events::subject(&request));
+        let server = ServerKey::from_name(&token.agent);
+        let home = self.home(&request, token.incarnation, server).await?;
+        // An attempt number of its own: the entry that began the stream may still live, and its
+        // cancel must not take this listener off.
+        let number = rand::random_range(FIRST_ADOPTED..u32::MAX);
+        let identity = Identity {
+            attempt: AttemptId { request: token.request, number },
+            key: token.key,
+            incarnation: token.incarnation,
+            window: token.window,
+        };
+        log.record(Event::Resumed {
+            backend_server: token.agent.as_str().into(),
+            attempt: number,
+            from_chunk,
+        });
+        let limit = self.config.reconnect_limit;
+        let mut sent = Attempt::<Sent>::adopt(identity, &home.agent, home.connected, limit);
+        sent.ask(from_chunk).await;
+        let begun = sent.begin(deadline, from_chunk).await;
+        let (head, attempt) = begun.map_err(|(end, _)| match end {
+            // Nothing is known of the stream: it was begun, so it may have run.
+            AttemptEnd::Refused(refusal) => Unknown::StreamGone(refusal).into(),
+            end => verdict(end),
+        })?;
+        // The body is not known here, so it can't be sent to a new agent process.
+        let origin = Origin { server, attempts: 1, can_resume: false };
+        let router = Arc::clone(&self.router);
+        Ok(Answer::new(request, head, attempt, origin, router, log, limit))
+    }
+
     /// Gives a ticket up. The verdict is proof that it did not run and won't, or it is unknown.
     pub async fn void(&self, request: Request, ticket: &Ticket) -> Verdict {
         let log = self.recorder.about(events::subject(&request));
         let server = ServerKey::from_name(&ticket.agent);
-        let home = match self.ticket_home(&request, ticket, server).await {
+        let home = match self.home(&request, ticket.incarnation, server).await {
             Ok(home) => home,
             Err(verdict) => return verdict,
         };
@@ -435,7 +480,7 @@
         ticket: &Ticket,
     ) -> Result<Answer, Verdict> {
         let server = ServerKey::from_name(&ticket.agent);
-        let chosen = self.ticket_home(journey.request, ticket, server).await?;
+        let chosen = self.home(journey.request, ticket.incarnation, server).await?;
         journey.tried.push(server);
         let end = match self.attempt(journey, &chosen, Some(ticket_key(ticket))).await {
             Ok(answer) => return Ok(answer),
@@ -450,17 +495,18 @@
         })
     }
 
-    async fn ticket_home(
+    /// The one agent process that can tell.
+    async fn home(
         &self,
         request: &Request,
-        ticket: &Ticket,
+        incarnation: Incarnation,
         server: ServerKey,
     ) -> Result<Chosen, Verdict> {
         let agent = self.router.agent(server).ok_or(Unknown::AgentUnreachable)?;
-        let limit = request.deadline.min(tokio::time::Instant::now() + self.config.reconnect_limit);
+        let limit = request.deadline.min(Instant::now() + self.config.reconnect_limit);
         let connected = timeout_at(limit, agent.connected_after(0)).await;
         let connected = connected.ok().flatten().ok_or(Unknown::AgentUnreachable)?;
-        if !is_incarnation(&connected, ticket.incarnation) {
+        if !is_incarnation(&connected, incarnation) {
             // Its records are gone: the work may have run there, and must run nowhere else.
             return Err(Unknown::TicketHome(Refusal::WrongIncarnation).into());
         }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -79,6 +79,7 @@
         Unknown::AgentUnreachable => UnknownReason::AgentSilent,
         Unknown::AgentReplaced => UnknownReason::AgentLost,
         Unknown::DeadlinePassed => UnknownReason::DeadlinePassed,
+        Unknown::StreamGone(_) => UnknownReason::AnswerTruncated,
         Unknown::TicketHome(_) => UnknownReason::TicketHomeGone,
     }
 }
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -1,7 +1,7 @@
 //! Tells callers the outcome of their requests.
 
 use crate::attempt::Piece;
-use crate::http::{ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_HEADER, TICKET_HEADER};
+use crate::http::{ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_HEADER, STREAM_HEADER, TICKET_HEADER};
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::state::{EntryState, Hold};
 use crate::stream::{Answer, EVENT_STREAM};
@@ -43,6 +43,8 @@
     pub request: RequestId,
     /// The ticket under which it ran.
     pub ticket: Option<String>,
+    /// The caller wants event ids and a stream token.
+    pub resumable: bool,
 }
 
 /// Body of an answer without a result, in the style of OpenAI's errors.
@@ -82,7 +84,7 @@
         }
     };
     if answer.head().content_type.starts_with(EVENT_STREAM) {
-        return stream(answer, &told, state.config.stream_heartbeat, hold);
+        return stream(answer, &told, state, hold);
     }
     whole(answer, &told, hold).await
 }
@@ -113,26 +115,36 @@
 
 /// Gives an event stream as it comes. Its head can't know the outcome yet: a stream that breaks
 /// off is cut without the end of the chunked body, which clients report as an error.
-fn stream(answer: Answer, told: &Told, heartbeat: Duration, hold: Hold) -> Response {
+fn stream(answer: Answer, told: &Told, state: &EntryState, hold: Hold) -> Response {
     let (sender, receiver) = mpsc::channel(BODY_QUEUE);
     let mut response = Response::new(Body::new(ChannelBody { receiver }));
     set_head(&mut response, &answer, told, "streaming");
-    tokio::spawn(pour(answer, sender, heartbeat, hold));
+    if told.resumable
+        && let Some(token) = answer.token()
+    {
+        let text = token.to_text(&state.config.fleet_key);
+        insert(response.headers_mut(), HeaderName::from_static(STREAM_HEADER), &text);
+    }
+    let pouring =
+        Pouring { sender, heartbeat: state.config.stream_heartbeat, resumable: told.resumable };
+    tokio::spawn(pour(answer, pouring, hold));
     response
 }
 
-async fn pour(
-    mut answer: Answer,
+struct Pouring {
     sender: mpsc::Sender<Result<Bytes, Verdict>>,
     heartbeat: Duration,
-    mut hold: Hold,
-) {
+    resumable: bool,
+}
+
+async fn pour(mut answer: Answer, pouring: Pouring, mut hold: Hold) {
+    let Pouring { sender, heartbeat, resumable } = pouring;
     loop {
         let item = match next_piece(&mut answer, &sender, heartbeat).await {
             None | Some(Ok(Piece::End)) => return,
-            Some(Ok(Piece::Chunk(_, data))) => {
+            Some(Ok(Piece::Chunk(number, data))) => {
                 hold.add_tokens(1.0);
-                Ok(data)
+                Ok(if resumable { with_id(number, &data) } else { data })
             }
             Some(Err(verdict)) => Err(verdict),
         };
@@ -145,6 +157,14 @@
     }
 }
 
+/// An event with its id line, which clients send back as the last event that they have.
+fn with_id(number: u64, event: &[u8]) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(event.len() + 24);
+    bytes.extend_from_slice(format!("id: {number}\n").as_bytes());
+    bytes.extend_from_slice(event);
+    bytes.freeze()
+}
+
 /// Waits for the next piece and meanwhile shows the caller that the connection lives. `None` when
 /// the caller is gone.
 async fn next_piece(
@@ -271,6 +291,7 @@
         Unknown::AgentUnreachable => (StatusCode::BAD_GATEWAY, "agent_unreachable"),
         Unknown::AgentReplaced => (StatusCode::BAD_GATEWAY, "agent_replaced"),
         Unknown::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "deadline_passed"),
+        Unknown::StreamGone(_) => (StatusCode::BAD_GATEWAY, "stream_gone"),
         Unknown::TicketHome(_) => (StatusCode::BAD_GATEWAY, "ticket_home_gone"),
     }
 }
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -2,7 +2,7 @@
 
 use crate::agents::Target;
 use crate::http::answer::{BYTES_PER_TOKEN, Told, refuse, respond};
-use crate::http::{CHAT_PATH, intake};
+use crate::http::{CHAT_PATH, RESUMABLE_HEADER, intake};
 use crate::limits::Permit;
 use crate::outcome::{MalformedRequest, NotRun};
 use crate::request::Request;
@@ -37,7 +37,8 @@
         Err(not_run) => return refuse(not_run),
     };
     let hold = Hold { in_progress, permit };
-    let told = Told { request: request.id, ticket: None };
+    let resumable = headers.get(RESUMABLE_HEADER).is_some_and(|value| value == "yes");
+    let told = Told { request: request.id, ticket: None, resumable };
     let (result, _) = state.dispatcher.run(request).await;
     respond(result, told, &state, hold).await
 }
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod entries;
 pub mod intake;
 pub mod services;
+pub mod streams;
 pub mod tickets;
 
 use crate::state::EntryState;
@@ -24,6 +25,9 @@
 /// Path for giving up a ticket.
 pub const TICKET_PATH: &str = "/v1/tickets/{ticket}";
 
+/// Path for going on with an event stream; takes the last event's id in `last-event-id`.
+pub const STREAM_PATH: &str = "/v1/streams/{token}";
+
 /// Header: what became of the request.
 pub const OUTCOME_HEADER: &str = "flamingowheel-outcome";
 /// Header: identity of the request, for the time line.
@@ -34,6 +38,12 @@
 pub const ATTEMPTS_HEADER: &str = "flamingowheel-attempts";
 /// Header: how long the caller waits for an answer to begin, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "flamingowheel-timeout-ms";
+/// Header: with the value `yes` the caller asks for event ids and a stream token.
+pub const RESUMABLE_HEADER: &str = "flamingowheel-resumable";
+/// Header: token with which any entry goes on with the stream.
+pub const STREAM_HEADER: &str = "flamingowheel-stream";
+/// Header of event streams: the last event that the caller has.
+pub const LAST_EVENT_HEADER: &str = "last-event-id";
 /// Header of the IETF draft of the same name.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
@@ -50,6 +60,7 @@
         .route(SERVICES_PATH, any(services::call))
         .route(TICKETS_PATH, post(tickets::issue))
         .route(TICKET_PATH, delete(tickets::void))
+        .route(STREAM_PATH, get(streams::resume))
         // The limit is enforced while reading, with a typed answer.
         .layer(DefaultBodyLimit::disable())
         .with_state(state)
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -53,7 +53,7 @@
     let id = request.id;
     let (result, ticket) = state.dispatcher.run(request).await;
     let ticket = ticket.map(|ticket| ticket.to_text(&state.config.fleet_key));
-    respond(result, Told { request: id, ticket }, state, hold).await
+    respond(result, Told { request: id, ticket, resumable: false }, state, hold).await
 }
 
 async fn run_ticket(
@@ -62,7 +62,8 @@
     ticket: Ticket,
     hold: Hold,
 ) -> Response {
-    let told = Told { request: request.id, ticket: Some(ticket.to_text(&state.config.fleet_key)) };
+    let text = ticket.to_text(&state.config.fleet_key);
+    let told = Told { request: request.id, ticket: Some(text), resumable: false };
     let result = state.dispatcher.run_ticket(request, &ticket).await;
     respond(result, told, state, hold).await
 }
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -124,6 +124,9 @@
     /// The deadline passed while it may have been running.
     #[error("deadline passed while it may have been running")]
     DeadlinePassed,
+    /// The agent no longer has the stream.
+    #[error("the stream is no longer there: {0}")]
+    StreamGone(Refusal),
     /// The ticket was submitted before or elsewhere, and its agent can't say what became of it.
     #[error("the process that holds the ticket's record can't tell: {0}")]
     TicketHome(Refusal),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -34,6 +34,22 @@
 }
 
 impl Request {
+    /// Stands for a request that another entry had sent, of which only the answer matters here.
+    pub fn of_stream(workspace: Arc<EffectiveWorkspace>, id: RequestId, deadline: Instant) -> Self {
+        Self {
+            id,
+            workspace,
+            target: Target::Model(String::new()),
+            method: String::new(),
+            path: String::new(),
+            content_type: None,
+            body: Bytes::new(),
+            idempotent: true,
+            deadline,
+            fingerprint: Fingerprint(0),
+        }
+    }
+
     /// The name of the service or model that must serve it.
     pub fn service_name(&self) -> &str {
         match &self.target {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -12,6 +12,7 @@
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
 use flamingowheel_protocol::message::Dispatch;
+use flamingowheel_protocol::ticket::StreamToken;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -70,9 +71,18 @@
         self.origin.attempts
     }
 
-    /// Identity of the attempt that answers.
-    pub fn attempt(&self) -> Option<&Attempt<Streaming>> {
-        self.attempt.as_ref()
+    /// With which any entry goes on with the stream.
+    pub fn token(&self) -> Option<StreamToken> {
+        let attempt = self.attempt.as_ref()?;
+        let identity = attempt.identity();
+        Some(StreamToken {
+            agent: attempt.backend_server().to_owned(),
+            incarnation: identity.incarnation,
+            window: identity.window,
+            key: identity.key,
+            request: self.request.id,
+            workspace: self.request.workspace.name.to_string(),
+        })
     }
 
     /// The next piece. After an error or the end there is none.
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -241,6 +241,11 @@
         self.entries[entry] = self.new_entry(entry);
     }
 
+    /// An entry's interface towards callers.
+    pub fn router(&self, entry: usize) -> axum::Router {
+        self.entries[entry].router.clone()
+    }
+
     /// Pauses an entry process, or lets it go on.
     pub fn pause_entry(&self, entry: usize, paused: bool) {
         self.entries[entry].fate.set_paused(paused);
--- a/crates/protocol/src/ticket.rs
+++ b/crates/protocol/src/ticket.rs
@@ -4,11 +4,13 @@
 //! from memory. Minting needs no agreement, so it works while the key-value service is down.
 
 use crate::auth::FleetKey;
-use crate::id::{Incarnation, Window};
+use crate::id::{ExecutionKey, Incarnation, RequestId, Window};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
 const PURPOSE: &[u8] = b"flamingowheel ticket 1";
+const STREAM_PURPOSE: &[u8] = b"flamingowheel stream 1";
 const MAX_TEXT_BYTES: usize = 1024;
 
 /// The right to run one piece of non-idempotent work at most once.
@@ -54,31 +56,86 @@
     /// assert!(Ticket::from_text(&text, &FleetKey::new([8; 32])).is_err());
     /// ```
     pub fn to_text(&self, key: &FleetKey) -> String {
-        let mut bytes = Vec::with_capacity(128);
-        // Writing plain values into memory can't fail.
-        let _ = ciborium::into_writer(self, &mut bytes);
-        let tag = key.tag(PURPOSE, &[&bytes]);
-        bytes.extend_from_slice(&tag);
-        to_hex(&bytes)
+        seal(PURPOSE, self, key)
     }
 
     /// Reads a ticket back and checks that this fleet minted it.
     pub fn from_text(text: &str, key: &FleetKey) -> Result<Self, TicketError> {
-        if text.len() > MAX_TEXT_BYTES {
-            return Err(TicketError::Malformed);
-        }
-        let bytes = from_hex(text).ok_or(TicketError::Malformed)?;
-        let Some(split) = bytes.len().checked_sub(FleetKey::TAG_BYTES) else {
-            return Err(TicketError::Malformed);
-        };
-        let (body, tag) = bytes.split_at(split);
-        if !key.verify(PURPOSE, &[body], tag) {
-            return Err(TicketError::NotAuthentic);
-        }
-        ciborium::from_reader(body).map_err(|_| TicketError::Malformed)
+        open(PURPOSE, text, key)
     }
 }
 
+/// The right to go on reading one answer through any entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamToken {
+    /// The agent that holds the answer.
+    pub agent: String,
+    /// The agent process.
+    pub incarnation: Incarnation,
+    /// The agent's record window when the request was sent.
+    pub window: Window,
+    /// What the agent filed it under.
+    pub key: ExecutionKey,
+    /// The request.
+    pub request: RequestId,
+    /// The workspace whose callers may read it.
+    pub workspace: String,
+}
+
+impl StreamToken {
+    /// Writes the token as text, authenticated by the fleet key.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::auth::FleetKey;
+    /// use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation, RequestId, Window};
+    /// use flamingowheel_protocol::ticket::StreamToken;
+    /// let (key, request) = (FleetKey::new([7; 32]), RequestId::fresh());
+    /// let token = StreamToken {
+    ///     agent: "notes-1".into(), incarnation: Incarnation(5), window: Window(1), request,
+    ///     key: ExecutionKey::Attempt(AttemptId { request, number: 1 }), workspace: "a".into(),
+    /// };
+    /// assert_eq!(StreamToken::from_text(&token.to_text(&key), &key), Ok(token));
+    /// ```
+    pub fn to_text(&self, key: &FleetKey) -> String {
+        seal(STREAM_PURPOSE, self, key)
+    }
+
+    /// Reads a token back and checks that this fleet gave it.
+    pub fn from_text(text: &str, key: &FleetKey) -> Result<Self, TicketError> {
+        open(STREAM_PURPOSE, text, key)
+    }
+}
+
+fn seal<T>(purpose: &[u8], value: &T, key: &FleetKey) -> String
+where
+    T: Serialize,
+{
+    let mut bytes = Vec::with_capacity(128);
+    // Writing plain values into memory can't fail.
+    let _ = ciborium::into_writer(value, &mut bytes);
+    let tag = key.tag(purpose, &[&bytes]);
+    bytes.extend_from_slice(&tag);
+    to_hex(&bytes)
+}
+
+fn open<T>(purpose: &[u8], text: &str, key: &FleetKey) -> Result<T, TicketError>
+where
+    T: DeserializeOwned,
+{
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(TicketError::Malformed);
+    }
+    let bytes = from_hex(text).ok_or(TicketError::Malformed)?;
+    let Some(split) = bytes.len().checked_sub(FleetKey::TAG_BYTES) else {
+        return Err(TicketError::Malformed);
+    };
+    let (body, tag) = bytes.split_at(split);
+    if !key.verify(purpose, &[body], tag) {
+        return Err(TicketError::NotAuthentic);
+    }
+    ciborium::from_reader(body).map_err(|_| TicketError::Malformed)
+}
+
 fn to_hex(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let mut text = String::with_capacity(bytes.len() * 2);
