--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -109,6 +109,12 @@
     /// The attempt began and ended without a whole answer.
     #[error("{0}")]
     Failed(#[from] Failure),
+    /// The answer is larger than an entry gathers.
+    #[error("the answer exceeds {limit_bytes} bytes")]
+    AnswerTooLarge {
+        /// The limit.
+        limit_bytes: usize,
+    },
     /// The agent can't be reached.
     #[error("the backend server's agent can't be reached")]
     AgentUnreachable,
@@ -118,6 +124,9 @@
     /// The deadline passed while it may have been running.
     #[error("deadline passed while it may have been running")]
     DeadlinePassed,
+    /// The agent no longer has the stream.
+    #[error("the stream is no longer there: {0}")]
+    StreamGone(Refusal),
     /// The ticket was submitted before or elsewhere, and its agent can't say what became of it.
     #[error("the process that holds the ticket's record can't tell: {0}")]
     TicketHome(Refusal),
