proof: fuzz map switches; group: widen the margin of a hold that came late

Cause: switches of a group's map were not checked against random faults. With messages slower than two steps the boundary to hold at had always been passed when the order came, so the group kept its old map for good. Change: a group with real coordinators and gates, faults of messages, orders, processes and the key-value service at random, and an oracle that looks at each step; the sixth planted fault (fence check only at receipt). The margin of a hold doubles each time its boundary was passed before the order came.

--- a/crates/group/src/switch/hold.rs
+++ b/crates/group/src/switch/hold.rs
@@ -11,6 +11,10 @@
 /// Steps between the one seen and the boundary, so that the order arrives before the boundary.
 const MARGIN_STEPS: u64 = 2;
 
+/// The margin doubles with each boundary that was passed before the order came, up to this. With a
+/// fixed one, a group whose ranks step faster than messages travel would never stop.
+const MAX_MARGIN_STEPS: u64 = 256;
+
 /// Pause between two looks at ranks that are to stop.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -44,6 +48,7 @@
     let mut moving: Option<Vec<bool>> = None;
     let mut last_steps = Vec::new();
     let mut still_looks = 0;
+    let mut margin_steps = MARGIN_STEPS;
     loop {
         let states = session.read_whole(fence).await?;
         let moving =
@@ -54,12 +59,16 @@
         let steps: Vec<u64> = states.iter().map(|state| state.engine.step).collect();
         still_looks = if steps == last_steps { still_looks + 1 } else { 0 };
         last_steps = steps;
-        let result = order(session, fence, &states, still_looks >= STILL_LOOKS).await;
+        let still = still_looks >= STILL_LOOKS;
+        let result = order(session, fence, orders(&states, still, margin_steps)).await;
         if Instant::now() >= deadline || matches!(result, Err(GroupError::Deposed)) {
             result?;
             return Err(GroupError::UnevenSteps);
         }
         // A boundary that a rank has passed meanwhile is refused; the next look sets a later one.
+        if result.is_err() {
+            margin_steps = (margin_steps * 2).min(MAX_MARGIN_STEPS);
+        }
         sleep(LOOK_PAUSE).await;
     }
 }
@@ -67,13 +76,11 @@
 async fn order<Members>(
     session: &Session<'_, Members>,
     fence: Fence,
-    states: &[RankState],
-    still: bool,
+    orders: Vec<RankOrder>,
 ) -> Result<(), GroupError>
 where
     Members: Ranks,
 {
-    let orders = orders(states, still);
     // The first rank alone decides whether the boundary holds: two ranks given different ones at
     // the same time could stop apart.
     let mut orders = orders.into_iter();
@@ -82,12 +89,12 @@
     session.order_all(fence, orders.collect(), session.timing.call_limit).await
 }
 
-fn orders(states: &[RankState], still: bool) -> Vec<RankOrder> {
+fn orders(states: &[RankState], still: bool, margin_steps: u64) -> Vec<RankOrder> {
     let blocked = still || states.iter().any(RankState::is_stopped);
     let given = states.iter().filter_map(|state| state.engine.held_after_step).max();
     let latest = states.iter().map(|state| state.engine.step).max().unwrap_or(0);
     // A boundary once given stays, or the group would never reach it.
-    let boundary = given.unwrap_or(latest + MARGIN_STEPS);
+    let boundary = given.unwrap_or(latest + margin_steps);
     let target = |state: &RankState| if blocked { state.engine.step } else { boundary };
     let open = states.iter().enumerate().filter(|(_, state)| {
         !state.is_stopped() && state.engine.held_after_step != Some(target(state))
--- a/crates/proof/src/backend.rs
+++ b/crates/proof/src/backend.rs
@@ -53,6 +53,12 @@
         *self.paused.borrow()
     }
 
+    /// Waits for a pause.
+    pub async fn paused(&self) {
+        let mut paused = self.paused.subscribe();
+        let _ = paused.wait_for(|paused| *paused).await;
+    }
+
     /// Waits while the process is paused.
     pub async fn awake(&self) {
         let mut paused = self.paused.subscribe();
--- /dev/null
+++ b/crates/proof/src/group/fleet.rs
@@ -0,0 +1,360 @@
+//! One group with its agents and two coordinators, in one thread.
+
+use super::gate::AnyGate;
+use crate::backend::Fate;
+use crate::plant::Plant;
+use flamingowheel_group::coordinator::Coordinator;
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_group::message::{RankError, RankRequest, RankState};
+use flamingowheel_group::ranks::Ranks;
+use flamingowheel_group::record::RecordStore;
+use flamingowheel_group::session::Timing;
+use flamingowheel_group::status::GroupStatus;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::{
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, RankGroup, SplitStep,
+};
+use flamingowheel_platform::kv::{KeyValue, LeaseId};
+use flamingowheel_platform::orders::{ExpertMap, OrderTarget};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Ranks of the group.
+pub const RANKS: usize = 3;
+/// Processes that may coordinate it.
+pub const COORDINATORS: usize = 2;
+
+const GROUP: &str = "group-a";
+/// One way between two processes; long, so that much can happen between two messages.
+const MESSAGE_TIME: Duration = Duration::from_millis(30);
+const STEP_TIME: Duration = Duration::from_millis(25);
+const LOAD_TIME: Duration = Duration::from_millis(100);
+const RESTART_TIME: Duration = Duration::from_secs(2);
+const START_TIME: Duration = Duration::from_secs(3);
+/// Within this time after the last fault the group steps again, or a rank is named.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(10);
+/// No order comes later than this.
+pub const LATEST: Duration = Duration::from_secs(60);
+/// Leases granted in a run stay below this number.
+const MAX_LEASES: i64 = 10_000;
+
+/// A promise about groups that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum GroupViolation {
+    /// A step was run with two maps.
+    #[error("step {} was run with different maps: {:?}", .0.step, .0.maps)]
+    Split(SplitStep),
+    /// The group stands still and nobody is told why.
+    #[error("the group stands still and no rank is named: {status:?}")]
+    StandsStill {
+        /// What the coordinators say.
+        status: Vec<GroupStatus>,
+    },
+}
+
+/// What befalls an order to a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// The request is lost.
+    RequestLost,
+    /// It is carried out and its answer is lost.
+    AnswerLost,
+    /// It comes twice, the second time this much later.
+    Copied(Duration),
+    /// It comes this much later.
+    Late(Duration),
+}
+
+struct Slot {
+    engine: FakeEngine,
+    gate: Mutex<Option<Arc<AnyGate>>>,
+    calls: Mutex<Vec<AbortHandle>>,
+}
+
+struct Shared {
+    kv: FakeKeyValue,
+    kind: EngineKind,
+    plant: Option<Plant>,
+    slots: Vec<Slot>,
+    faults: Mutex<VecDeque<CallFault>>,
+    incarnations: AtomicU64,
+    message_time: Duration,
+}
+
+struct Process {
+    running: AbortHandle,
+    fate: Fate,
+    status: watch::Receiver<GroupStatus>,
+}
+
+/// The group and what surrounds it.
+pub struct Fleet {
+    /// The key-value service.
+    pub kv: FakeKeyValue,
+    group: RankGroup,
+    shared: Arc<Shared>,
+    processes: Vec<Process>,
+    desired: watch::Sender<Option<ExpertMap>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A map that tells itself apart from others.
+fn map(number: u16) -> ExpertMap {
+    ExpertMap { layers: vec![vec![vec![number], vec![number + 1], vec![number + 2]]] }
+}
+
+impl Fleet {
+    /// A group that steps with map 1. With the planted fault its engines ignore fencing numbers,
+    /// as otherwise they would make up for it.
+    pub async fn start(kind: EngineKind, plant: Option<Plant>) -> Self {
+        Self::start_at_distance(kind, plant, MESSAGE_TIME).await
+    }
+
+    /// The same with messages that take this long one way.
+    pub async fn start_at_distance(
+        kind: EngineKind,
+        plant: Option<Plant>,
+        message_time: Duration,
+    ) -> Self {
+        let fence_policy = match kind {
+            EngineKind::ChecksFence => FencePolicy::Refuses,
+            EngineKind::IgnoresFence => FencePolicy::Ignores,
+        };
+        let settings = EngineSettings {
+            fence_policy,
+            restart_after: Some(RESTART_TIME),
+            starts_held: true,
+            needs_staging: false,
+            load_time: LOAD_TIME,
+            ..EngineSettings::default()
+        };
+        let engines: Vec<_> =
+            (0..RANKS).map(|rank| FakeEngine::new(rank as u64, settings.clone())).collect();
+        let slot = |engine: &FakeEngine| Slot {
+            engine: engine.clone(),
+            gate: Mutex::default(),
+            calls: Mutex::default(),
+        };
+        let kv = FakeKeyValue::new();
+        let shared = Arc::new(Shared {
+            kv: kv.clone(),
+            kind,
+            plant,
+            slots: engines.iter().map(slot).collect(),
+            faults: Mutex::default(),
+            incarnations: AtomicU64::new(0),
+            message_time,
+        });
+        let group = RankGroup::new(engines);
+        let desired = watch::Sender::new(Some(map(1)));
+        let mut fleet = Self { kv, group: group.clone(), shared, processes: Vec::new(), desired };
+        (0..RANKS).for_each(|rank| fleet.start_agent(rank, Duration::ZERO));
+        (0..COORDINATORS).for_each(|_| fleet.start_coordinator());
+        tokio::spawn(async move { group.run(STEP_TIME, CancellationToken::new()).await });
+        sleep(START_TIME).await;
+        fleet
+    }
+
+    /// Asks for another map.
+    pub fn want(&self, number: u16) {
+        self.desired.send_replace(Some(map(number)));
+    }
+
+    /// An engine of the group.
+    pub fn engine(&self, rank: usize) -> &FakeEngine {
+        &self.shared.slots[rank].engine
+    }
+
+    /// The next order to a rank meets this fault.
+    pub fn fault(&self, fault: CallFault) {
+        lock(&self.shared.faults).push_back(fault);
+    }
+
+    /// Kills an agent's process; another starts a while later.
+    pub fn replace_agent(&self, rank: usize) {
+        let slot = &self.shared.slots[rank];
+        *lock(&slot.gate) = None;
+        lock(&slot.calls).drain(..).for_each(|call| call.abort());
+        self.start_agent(rank, RESTART_TIME);
+    }
+
+    fn start_agent(&self, rank: usize, after: Duration) {
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            sleep(after).await;
+            shared.open_gate(rank).await;
+        });
+    }
+
+    /// Kills a coordinating process and starts another.
+    pub fn replace_coordinator(&mut self, index: usize) {
+        self.processes.remove(index % COORDINATORS).running.abort();
+        self.start_coordinator();
+    }
+
+    fn start_coordinator(&mut self) {
+        let kv: Arc<dyn KeyValue> = Arc::new(self.kv.clone());
+        let link = Link(Arc::clone(&self.shared));
+        let desired = self.desired.subscribe();
+        let coordinator = Coordinator::new(kv, GROUP, link, Timing::default(), desired);
+        let (status, fate) = (coordinator.status(), Fate::default());
+        let run = pausable(coordinator.run(CancellationToken::new()), fate.clone());
+        let running = tokio::spawn(run).abort_handle();
+        self.processes.push(Process { running, fate, status });
+    }
+
+    /// Pauses a coordinating process, or lets it go on.
+    pub fn pause_coordinator(&self, index: usize, paused: bool) {
+        self.processes[index % COORDINATORS].fate.set_paused(paused);
+    }
+
+    /// Takes the lease from whoever holds it, without a word.
+    pub fn expire_leases(&self) {
+        (1..MAX_LEASES).for_each(|lease| self.kv.expire_lease(LeaseId(lease)));
+    }
+
+    /// Checks that no step was run with two maps.
+    pub fn check(&self) -> Result<(), GroupViolation> {
+        match self.group.splits().into_iter().next() {
+            Some(split) => Err(GroupViolation::Split(split)),
+            None => Ok(()),
+        }
+    }
+
+    /// Mends everything; then the group must step again, or a rank must be named.
+    pub async fn settle(&self) -> Result<(), GroupViolation> {
+        lock(&self.shared.faults).clear();
+        self.kv.set_down(false);
+        self.kv.set_delay(Duration::ZERO);
+        for rank in 0..RANKS {
+            self.engine(rank).set_frozen(false);
+            self.engine(rank).clear_lost_orders();
+        }
+        (0..COORDINATORS).for_each(|index| self.pause_coordinator(index, false));
+        // What was replaced last is still starting, and late orders are still to come.
+        sleep(LATEST + RECOVERY_LIMIT).await;
+        let before = self.group.step();
+        sleep(Duration::from_secs(1)).await;
+        self.check()?;
+        let status: Vec<_> =
+            self.processes.iter().map(|process| process.status.borrow().clone()).collect();
+        let named = status.iter().any(|status| !status.out_of_service.is_empty());
+        if self.group.step() > before || named {
+            return Ok(());
+        }
+        Err(GroupViolation::StandsStill { status })
+    }
+}
+
+impl Shared {
+    async fn open_gate(&self, rank: usize) {
+        let records = RecordStore::new(Arc::new(self.kv.clone()), GROUP);
+        let incarnation = self.incarnations.fetch_add(1, Ordering::SeqCst) + 1;
+        loop {
+            let engine = self.slots[rank].engine.clone();
+            let gate = match self.plant {
+                Some(Plant::FenceAtReceiptOnly) => Some(AnyGate::receipt_only(engine, incarnation)),
+                _ => AnyGate::real(engine, self.kind, incarnation, &records).await,
+            };
+            if let Some(gate) = gate {
+                *lock(&self.slots[rank].gate) = Some(Arc::new(gate));
+                return;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    /// The fault that strikes this request. Only orders that could do harm are struck: reads, loads
+    /// and holds are so many that hardly anything else would be.
+    fn next_fault(&self, request: &RankRequest) -> Option<CallFault> {
+        match request.target.as_ref()? {
+            OrderTarget::StageMap { .. } | OrderTarget::Hold { .. } => None,
+            _ => lock(&self.faults).pop_front(),
+        }
+    }
+
+    async fn deliver(&self, rank: usize, request: RankRequest) -> Result<RankState, RankError> {
+        let gate = lock(&self.slots[rank].gate).clone();
+        let Some(gate) = gate else { return Err(RankError::NoAnswer) };
+        // The agent goes on with what it received, whether or not its caller still waits.
+        let handled = tokio::spawn(async move { gate.handle(&request).await });
+        lock(&self.slots[rank].calls).push(handled.abort_handle());
+        handled.await.unwrap_or(Err(RankError::NoAnswer))
+    }
+
+    fn deliver_late(self: &Arc<Self>, rank: usize, request: RankRequest, delay: Duration) {
+        let shared = Arc::clone(self);
+        let received_by = lock(&self.slots[rank].gate).clone();
+        tokio::spawn(async move {
+            if let (Some(gate), Some(Plant::FenceAtReceiptOnly)) = (received_by, shared.plant) {
+                return gate.handle_late(&request, delay).await;
+            }
+            sleep(delay).await;
+            // Whatever process is there by then gets it.
+            shared.deliver(rank, request).await
+        });
+    }
+}
+
+/// The link of all coordinators to all agents.
+struct Link(Arc<Shared>);
+
+impl Ranks for Link {
+    fn count(&self) -> usize {
+        RANKS
+    }
+
+    fn call(
+        &self,
+        rank: usize,
+        request: RankRequest,
+    ) -> BoxFuture<'_, Result<RankState, RankError>> {
+        let shared = Arc::clone(&self.0);
+        Box::pin(async move {
+            sleep(shared.message_time).await;
+            let fault = shared.next_fault(&request);
+            match fault {
+                Some(CallFault::RequestLost) => std::future::pending().await,
+                Some(CallFault::AnswerLost) => {
+                    let _ = shared.deliver(rank, request).await;
+                    std::future::pending().await
+                }
+                Some(CallFault::Late(delay)) => {
+                    shared.deliver_late(rank, request, delay);
+                    std::future::pending().await
+                }
+                Some(CallFault::Copied(delay)) => {
+                    shared.deliver_late(rank, request.clone(), delay);
+                    shared.deliver(rank, request).await
+                }
+                None => shared.deliver(rank, request).await,
+            }
+        })
+    }
+}
+
+/// Runs a future as a process that can be paused: nothing of it runs meanwhile.
+async fn pausable<F>(future: F, fate: Fate)
+where
+    F: Future<Output = ()>,
+{
+    tokio::pin!(future);
+    loop {
+        fate.awake().await;
+        tokio::select! {
+            biased;
+            () = fate.paused() => {}
+            () = &mut future => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/group/machine.rs
@@ -0,0 +1,219 @@
+//! Drives a group at random with proptest's state machine.
+
+use super::fleet::{COORDINATORS, CallFault, Fleet, GroupViolation, RANKS};
+use crate::machine::{MAX_STEPS, config};
+use crate::plant::Plant;
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_platform::fake::{LostAnswer, LostOrder};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+/// Delay of a slow key-value service.
+const KEY_VALUE_DELAY: Duration = Duration::from_millis(800);
+
+/// Time that passes after another map is wanted; about as long as a switch takes.
+const WANT_TIME: Duration = Duration::from_millis(800);
+
+/// One step.
+#[derive(Clone, Debug)]
+pub enum GroupStep {
+    /// Another map is wanted.
+    Want(u16),
+    /// The next orders to ranks meet these faults.
+    Calls(Vec<CallFault>),
+    /// An engine loses its next order.
+    Order(usize, LostOrder),
+    /// An agent's process is replaced.
+    ReplaceAgent(usize),
+    /// An engine's process dies; it comes back by itself.
+    CrashEngine(usize),
+    /// An engine goes silent, or wakes.
+    FreezeEngine(usize, bool),
+    /// A coordinating process is replaced.
+    ReplaceCoordinator(usize),
+    /// A coordinating process stands still, or goes on.
+    PauseCoordinator(usize, bool),
+    /// The lease is taken from its holder.
+    ExpireLease,
+    /// The key-value service goes, or comes back.
+    KeyValueDown(bool),
+    /// The key-value service gets slow, or quick again.
+    KeyValueSlow(bool),
+    /// Its next answer is lost, after or before the effect.
+    AnswerLost(bool),
+    /// Time passes.
+    Pass(u64),
+}
+
+/// The reference machine; every step is possible at any time.
+#[derive(Clone, Debug)]
+pub struct GroupSteps;
+
+impl ReferenceStateMachine for GroupSteps {
+    type State = EngineKind;
+    type Transition = GroupStep;
+
+    fn init_state() -> BoxedStrategy<EngineKind> {
+        prop_oneof![Just(EngineKind::ChecksFence), Just(EngineKind::IgnoresFence)].boxed()
+    }
+
+    fn transitions(_state: &EngineKind) -> BoxedStrategy<GroupStep> {
+        use GroupStep::*;
+        let (rank, process) = (0..RANKS, 0..COORDINATORS);
+        prop_oneof![
+            8 => (1..6u16).prop_map(Want),
+            8 => proptest::collection::vec(call_fault(), 1..5).prop_map(Calls),
+            2 => (rank.clone(), lost_order()).prop_map(|(rank, lost)| Order(rank, lost)),
+            1 => rank.clone().prop_map(ReplaceAgent),
+            1 => rank.clone().prop_map(CrashEngine),
+            1 => (rank, any::<bool>()).prop_map(|(rank, frozen)| FreezeEngine(rank, frozen)),
+            1 => process.clone().prop_map(ReplaceCoordinator),
+            1 => (process, any::<bool>()).prop_map(|(index, paused)| PauseCoordinator(index, paused)),
+            1 => Just(ExpireLease),
+            1 => any::<bool>().prop_map(KeyValueDown),
+            1 => any::<bool>().prop_map(KeyValueSlow),
+            1 => any::<bool>().prop_map(AnswerLost),
+            12 => prop_oneof![1 => 1..60u64, 3 => 100..900u64, 1 => 1_000..5_000u64].prop_map(Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: EngineKind, _step: &GroupStep) -> EngineKind {
+        state
+    }
+}
+
+fn delay() -> impl Strategy<Value = Duration> + Clone {
+    prop_oneof![
+        1 => 1..300u64,
+        6 => 300..3_000u64,
+        1 => 3_000..60_000u64,
+    ]
+    .prop_map(Duration::from_millis)
+}
+
+fn call_fault() -> impl Strategy<Value = CallFault> {
+    prop_oneof![
+        3 => Just(CallFault::RequestLost),
+        1 => Just(CallFault::AnswerLost),
+        4 => delay().prop_map(CallFault::Copied),
+        2 => delay().prop_map(CallFault::Late),
+    ]
+}
+
+fn lost_order() -> impl Strategy<Value = LostOrder> {
+    prop_oneof![
+        Just(LostOrder::AfterEffect),
+        Just(LostOrder::BeforeEffect),
+        delay().prop_map(LostOrder::Delayed),
+    ]
+}
+
+/// The group under test and the runtime whose clock it lives by.
+pub struct GroupDriver {
+    runtime: Runtime,
+    fleet: Fleet,
+}
+
+impl GroupDriver {
+    /// Starts a group.
+    pub fn new(kind: EngineKind, plant: Option<Plant>) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime without I/O");
+        let fleet = runtime.block_on(Fleet::start(kind, plant));
+        Self { runtime, fleet }
+    }
+
+    /// Does one step and checks every step that the group ran meanwhile.
+    pub fn step(&mut self, step: &GroupStep) -> Result<(), GroupViolation> {
+        let _guard = self.runtime.enter();
+        take(&mut self.fleet, step);
+        let time = match step {
+            GroupStep::Pass(ms) => Duration::from_millis(*ms),
+            GroupStep::Want(_) => WANT_TIME,
+            _ => Duration::from_millis(1),
+        };
+        self.runtime.block_on(async { tokio::time::sleep(time).await });
+        self.fleet.check()
+    }
+
+    /// Mends everything and checks that the group steps again, or a rank is named.
+    pub fn settle(&mut self) -> Result<(), GroupViolation> {
+        self.runtime.block_on(self.fleet.settle())
+    }
+}
+
+fn take(fleet: &mut Fleet, step: &GroupStep) {
+    match *step {
+        GroupStep::Want(number) => fleet.want(number),
+        GroupStep::Calls(ref faults) => faults.iter().for_each(|fault| fleet.fault(*fault)),
+        GroupStep::Order(rank, lost) => fleet.engine(rank).lose_order(lost),
+        GroupStep::ReplaceAgent(rank) => fleet.replace_agent(rank),
+        GroupStep::CrashEngine(rank) => fleet.engine(rank).crash(),
+        GroupStep::FreezeEngine(rank, frozen) => fleet.engine(rank).set_frozen(frozen),
+        GroupStep::ReplaceCoordinator(index) => fleet.replace_coordinator(index),
+        GroupStep::PauseCoordinator(index, paused) => fleet.pause_coordinator(index, paused),
+        GroupStep::ExpireLease => fleet.expire_leases(),
+        GroupStep::KeyValueDown(down) => fleet.kv.set_down(down),
+        GroupStep::KeyValueSlow(true) => fleet.kv.set_delay(KEY_VALUE_DELAY),
+        GroupStep::KeyValueSlow(false) => fleet.kv.set_delay(Duration::ZERO),
+        GroupStep::AnswerLost(true) => fleet.kv.lose_answers(1, LostAnswer::AfterEffect),
+        GroupStep::AnswerLost(false) => fleet.kv.lose_answers(1, LostAnswer::BeforeEffect),
+        GroupStep::Pass(_) => {}
+    }
+}
+
+/// The real code under the reference machine.
+pub struct MapSwitches;
+
+impl StateMachineTest for MapSwitches {
+    type SystemUnderTest = GroupDriver;
+    type Reference = GroupSteps;
+
+    fn init_test(kind: &EngineKind) -> GroupDriver {
+        GroupDriver::new(*kind, None)
+    }
+
+    fn apply(mut driver: GroupDriver, _kind: &EngineKind, step: GroupStep) -> GroupDriver {
+        if let Err(violation) = driver.step(&step) {
+            panic!("after {step:?}: {violation}");
+        }
+        driver
+    }
+
+    fn teardown(mut driver: GroupDriver, _kind: EngineKind) {
+        if let Err(violation) = driver.settle() {
+            panic!("after everything was mended: {violation}");
+        }
+    }
+}
+
+/// Steps until the planted fault is found; `None` if it was not within `max_steps`. Only a step
+/// with two maps counts.
+pub fn steps_until_found(
+    plant: Plant,
+    max_steps: usize,
+    seed: u64,
+) -> Option<(usize, GroupViolation)> {
+    let mut runner = TestRunner::new(config(1, seed));
+    let mut done = 0;
+    while done < max_steps {
+        let strategy = GroupSteps::sequential_strategy(1..MAX_STEPS);
+        let (_, steps, _) = strategy.new_tree(&mut runner).ok()?.current();
+        let mut driver = GroupDriver::new(EngineKind::IgnoresFence, Some(plant));
+        for step in &steps {
+            done += 1;
+            if let Err(violation) = driver.step(step) {
+                return Some((done, violation));
+            }
+        }
+    }
+    None
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod entry;
+pub mod group;
 pub mod machine;
 pub mod matrix;
 pub mod network;
--- a/crates/proof/src/plant.rs
+++ b/crates/proof/src/plant.rs
@@ -17,4 +17,7 @@
     TruncatedStreamAccepted,
     /// A process takes its configuration from a peer that is behind it.
     OlderPeerTaken,
+    /// An agent checks an order's fencing number when the order comes, but not again before it is
+    /// written.
+    FenceAtReceiptOnly,
 }
