Reference test knows the stream route and headers

Cause: the lists of routes and headers in the reference's test lacked the new ones. Change: added, as strict as before. Conclusion: page and code agree again.

--- a/crates/flamingowheel/tests/tool/reference.rs
+++ b/crates/flamingowheel/tests/tool/reference.rs
@@ -38,6 +38,7 @@
         callers::SERVICES_PATH,
         callers::TICKETS_PATH,
         callers::TICKET_PATH,
+        callers::STREAM_PATH,
     ];
     assert_eq!(paths(section("## For callers", "### ")), BTreeSet::from(routes));
 }
@@ -103,8 +104,15 @@
         callers::REQUEST_HEADER,
         callers::ATTEMPTS_HEADER,
         callers::TICKET_HEADER,
+        callers::STREAM_HEADER,
+    ];
+    let asked = [
+        callers::TIMEOUT_HEADER,
+        callers::TICKET_HEADER,
+        callers::IDEMPOTENCY_KEY_HEADER,
+        callers::RESUMABLE_HEADER,
+        callers::LAST_EVENT_HEADER,
     ];
-    let asked = [callers::TIMEOUT_HEADER, callers::TICKET_HEADER, callers::IDEMPOTENCY_KEY_HEADER];
     let became = section("### What became of a request", "An answer without");
     assert_eq!(named(became), BTreeSet::from(answered));
     assert_eq!(named(section("### What a request may say", "### ")), BTreeSet::from(asked));
