Notice silent connections towards backend servers, and test the agent's promises

Cause: a health check used the limits of a call (600 s for the head), so one over a dead pooled connection would have left a crash unnoticed; a stream whose engine connection went silent failed although the engine still had it. Change: health checks, cancels and cache events have limits of their own (1 s); connections to backend servers are probed by the kernel; a stream silent for 3 s goes on over a fresh connection from the event that is missing. A stream that breaks off is not sent again: its engine may have died of it. Conclusion: nothing waits for good on a dead inner or control connection; a plain service's dead connection is noticed by the kernel's probes only.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -341,6 +341,7 @@
             fingerprint: dispatch.fingerprint,
             idempotent: dispatch.idempotent,
             max_replay_bytes: self.config.max_replay_bytes,
+            can_resume: self.config.profile.can_resume,
             first_chunk: dispatch.resume_after_chunks,
         }));
         if self.records.insert(key, Arc::clone(&execution)).is_err() {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -20,6 +20,9 @@
 /// Chunks put into one turn of sending.
 const TURN_CHUNKS: usize = 64;
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// How an execution ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -40,6 +43,8 @@
     pub idempotent: bool,
     /// Bytes of the answer kept for replay.
     pub max_replay_bytes: usize,
+    /// The backend server can go on with an event stream from a given event.
+    pub can_resume: bool,
     /// Number of the first chunk that this execution yields; an earlier agent process yielded
     /// those before it.
     pub first_chunk: u64,
@@ -265,6 +270,14 @@
         self.lock().next()
     }
 
+    /// Whether the backend server can be asked for the rest of the answer. Engines count events,
+    /// so only of an event stream that has begun.
+    pub fn may_resume(&self) -> bool {
+        let answer = self.lock();
+        let events = answer.head.as_ref().is_some_and(|(_, kind)| kind.starts_with(EVENT_STREAM));
+        events && self.work.can_resume && self.work.idempotent && answer.ending.is_none()
+    }
+
     /// How it ended.
     pub fn ending(&self) -> Option<Ending> {
         self.lock().ending
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -8,7 +8,15 @@
 use flamingowheel_protocol::id::ExecutionKey;
 use flamingowheel_protocol::message::{Dispatch, Failure};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// How often one execution's stream is gone on with over a fresh connection.
+const MAX_RESUMES: usize = 2;
+
+/// How long the backend server may take until a stream goes on.
+const RESUME_LIMIT: Duration = Duration::from_secs(3);
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,30 +55,50 @@
     let _ = commands.send(Command::Ended { key, end }).await;
 }
 
+/// Carries the answer. A stream that goes silent is gone on with over a fresh connection, from the
+/// first event that is missing, if the backend server can do that.
+///
+/// One that breaks off is not: the backend server may have died of this very request, and sending
+/// it again at once would kill the next process too.
 async fn carry(
     backend: &dyn BackendServer,
     id: &str,
     dispatch: &Dispatch,
     execution: &Execution,
 ) -> RunEnd {
-    let Ok(method) = http::Method::from_bytes(dispatch.method.as_bytes()) else {
+    let Some(call) = backend_call(id, dispatch) else {
         return RunEnd::Failed(Failure::Malformed);
     };
-    let call = BackendCall {
+    let mut end = match backend.call(call.clone()).await {
+        Ok(answer) => pour(answer, execution).await,
+        Err(error) if error.proves_not_started() => return RunEnd::NotStarted,
+        Err(error) => RunEnd::Failed(failure(&error)),
+    };
+    for _ in 0..MAX_RESUMES {
+        if end != RunEnd::Failed(Failure::BackendSilent) || !execution.may_resume() {
+            break;
+        }
+        let rest = BackendCall { resume_after_events: execution.chunk_count(), ..call.clone() };
+        // A backend server that is frozen as a whole answers no call; the caller must hear of it.
+        end = match timeout(RESUME_LIMIT, backend.call(rest)).await {
+            Ok(Ok(answer)) => pour(answer, execution).await,
+            Ok(Err(_)) | Err(_) => break,
+        };
+    }
+    end
+}
+
+fn backend_call(id: &str, dispatch: &Dispatch) -> Option<BackendCall> {
+    Some(BackendCall {
         id: id.to_owned(),
-        method,
+        method: http::Method::from_bytes(dispatch.method.as_bytes()).ok()?,
         path: dispatch.path.clone(),
         content_type: dispatch.content_type.clone(),
         body: dispatch.body.clone(),
         // Engines take the lower number first.
         priority: Priority(u8::MAX - dispatch.priority),
         resume_after_events: dispatch.resume_after_chunks,
-    };
-    match backend.call(call).await {
-        Ok(answer) => pour(answer, execution).await,
-        Err(error) if error.proves_not_started() => RunEnd::NotStarted,
-        Err(error) => RunEnd::Failed(failure(&error)),
-    }
+    })
 }
 
 async fn pour(mut answer: BackendAnswer, execution: &Execution) -> RunEnd {
--- /dev/null
+++ b/crates/agent/tests/agent.rs
@@ -0,0 +1,289 @@
+//! What an agent promises to entries, with faked backend servers and a paused clock.
+
+mod session;
+
+use flamingowheel_platform::fake::text::whole_stream;
+use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeService};
+use flamingowheel_protocol::id::{AttemptId, Incarnation};
+use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Failure, Refusal};
+use session::{Session, attach, cancel, config};
+use std::time::Duration;
+use tokio::time::sleep;
+use uuid::Uuid;
+
+const STREAM: &str = r#"{"stream":true,"max_tokens":20}"#;
+
+fn slow_service() -> FakeService {
+    let service = FakeService::new(1);
+    service.set_delay(Duration::from_secs(1));
+    service
+}
+
+// The network delivers a dispatch twice: first it is refused because all places are taken, then
+// places become free and the late copy arrives. Its caller was told "not run", so it must not run.
+#[tokio::test(start_paused = true)]
+async fn dispatch_refused_late_copy_does_not_run() {
+    let service = slow_service();
+    let mut config = config();
+    config.queue_places = 0;
+    let mut session = Session::start(service.clone(), config).await;
+    let (first, second, third) = (session.request("a"), session.request("b"), session.request("c"));
+    for dispatch in [&first, &second, &third] {
+        session.dispatch(dispatch).await;
+    }
+    assert_eq!(session.refusal(third.attempt).await, Refusal::Full);
+    sleep(Duration::from_secs(2)).await;
+    session.dispatch(&third).await;
+    assert_eq!(session.refusal(third.attempt).await, Refusal::Cancelled);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(service.executions(b"c"), 0);
+}
+
+// An entry gives up before its dispatch has arrived and tells the caller "not run" on the agent's
+// word. The dispatch, delayed on its way, must be refused when it comes.
+#[tokio::test(start_paused = true)]
+async fn cancel_overtakes_dispatch() {
+    let service = FakeService::new(1);
+    let mut session = Session::start(service.clone(), config()).await;
+    let order = session.order("repair box 17", Uuid::now_v7());
+    session.send(cancel(&order, false)).await;
+    assert_eq!(session.refusal(order.attempt).await, Refusal::Cancelled);
+    session.dispatch(&order).await;
+    assert_eq!(session.refusal(order.attempt).await, Refusal::Cancelled);
+    assert_eq!(service.executions(b"repair box 17"), 0);
+}
+
+// The connection is lost together with the dispatch. The entry asks over a fresh one; the answer
+// is proof, even if the dispatch turns up afterwards.
+#[tokio::test(start_paused = true)]
+async fn attach_dispatch_never_arrived() {
+    let service = FakeService::new(1);
+    let mut session = Session::start(service.clone(), config()).await;
+    let request = session.request("a");
+    session.send(attach(&request, 0)).await;
+    assert_eq!(session.refusal(request.attempt).await, Refusal::NeverArrived);
+    session.dispatch(&request).await;
+    assert_eq!(session.refusal(request.attempt).await, Refusal::Cancelled);
+    assert_eq!(service.executions(b"a"), 0);
+}
+
+// A dispatch to the process that ran here before comes after a restart. Nobody knows whether that
+// process ran it, so this one must not.
+#[tokio::test(start_paused = true)]
+async fn dispatch_to_earlier_incarnation() {
+    let service = FakeService::new(1);
+    let mut session = Session::start(service.clone(), config()).await;
+    let mut order = session.order("payout 5", Uuid::now_v7());
+    order.incarnation = Incarnation(7);
+    session.dispatch(&order).await;
+    assert_eq!(session.refusal(order.attempt).await, Refusal::WrongIncarnation);
+    assert_eq!(service.executions(b"payout 5"), 0);
+}
+
+// A dispatcher clicks twice, and both clicks come through different entries at the same moment.
+// One crew goes out, and both screens show it.
+#[tokio::test(start_paused = true)]
+async fn ticket_twice_at_once_runs_once() {
+    let service = slow_service();
+    let mut session = Session::start(service.clone(), config()).await;
+    let number = Uuid::now_v7();
+    let (first, second) = (session.order("crew", number), session.order("crew", number));
+    session.dispatch(&first).await;
+    session.dispatch(&second).await;
+    let one = session.whole(first.attempt).await;
+    session.dispatch(&session.order("crew", number)).await;
+    let third = session.order("crew", number);
+    session.dispatch(&third).await;
+    assert_eq!(session.whole(third.attempt).await, one);
+    assert_eq!(service.executions(b"crew"), 1);
+}
+
+// The same ticket comes with another body: a program reuses it by mistake. The second work must
+// not pass for the first.
+#[tokio::test(start_paused = true)]
+async fn ticket_other_body_refused() {
+    let service = FakeService::new(1);
+    let mut session = Session::start(service.clone(), config()).await;
+    let number = Uuid::now_v7();
+    let (first, other) = (session.order("box 17", number), session.order("box 18", number));
+    session.dispatch(&first).await;
+    session.whole(first.attempt).await;
+    session.dispatch(&other).await;
+    assert_eq!(session.refusal(other.attempt).await, Refusal::TicketMismatch);
+    assert_eq!(service.executions(b"box 18"), 0);
+}
+
+// A ticket is given up while another copy of its work waits for a place. The copy that is told
+// "not run" must not run, nor may any other.
+#[tokio::test(start_paused = true)]
+async fn void_ticket_never_runs() {
+    let service = FakeService::new(1);
+    let mut session = Session::start(service.clone(), config()).await;
+    let number = Uuid::now_v7();
+    let question = session.order("takedown", number);
+    session.send(cancel(&question, true)).await;
+    assert_eq!(session.refusal(question.attempt).await, Refusal::Cancelled);
+    let late = session.order("takedown", number);
+    session.dispatch(&late).await;
+    assert_eq!(session.refusal(late.attempt).await, Refusal::Cancelled);
+    assert_eq!(service.executions(b"takedown"), 0);
+}
+
+// A resend comes after the record's time. The agent has forgotten whether it ran, so it refuses.
+#[tokio::test(start_paused = true)]
+async fn ticket_after_record_time_refused() {
+    let service = FakeService::new(1);
+    let mut config = config();
+    config.ticket_windows = 6;
+    let mut session = Session::start(service.clone(), config).await;
+    let number = Uuid::now_v7();
+    let first = session.order("payout 6", number);
+    session.dispatch(&first).await;
+    session.whole(first.attempt).await;
+    session.send(EntryMessage::Release { attempt: first.attempt, key: first.key }).await;
+    sleep(Duration::from_secs(120)).await;
+    let mut late = session.order("payout 6", number);
+    late.window = flamingowheel_protocol::id::Window(13);
+    session.dispatch(&late).await;
+    assert_eq!(session.refusal(late.attempt).await, Refusal::Expired);
+    assert_eq!(service.executions(b"payout 6"), 1);
+}
+
+// More work orders come within the record time than there is room for records. New ones are
+// refused; none that ran is forgotten.
+#[tokio::test(start_paused = true)]
+async fn ticket_records_full_refused_not_forgotten() {
+    let service = FakeService::new(1);
+    let mut config = config();
+    config.max_ticket_records = 2;
+    let mut session = Session::start(service.clone(), config).await;
+    let numbers = [Uuid::now_v7(), Uuid::now_v7(), Uuid::now_v7()];
+    for number in &numbers[..2] {
+        let order = session.order("crew", *number);
+        session.dispatch(&order).await;
+        session.whole(order.attempt).await;
+    }
+    let third = session.order("crew", numbers[2]);
+    session.dispatch(&third).await;
+    assert_eq!(session.refusal(third.attempt).await, Refusal::RecordsFull);
+    let again = session.order("crew", numbers[0]);
+    session.dispatch(&again).await;
+    session.whole(again.attempt).await;
+    assert_eq!(service.executions(b"crew"), 2);
+}
+
+// The connection to the engine goes silent in the middle of a stream while new ones work. The
+// caller must see the stream go on, without a missing or repeated token.
+#[tokio::test(start_paused = true)]
+async fn stream_silent_engine_connection_replaced() {
+    let engine = FakeEngine::new(1, EngineSettings::default());
+    let mut session = Session::start(engine.clone(), config()).await;
+    let request = session.request(STREAM);
+    session.dispatch(&request).await;
+    sleep(Duration::from_millis(105)).await;
+    engine.set_frozen(true);
+    sleep(Duration::from_secs(4)).await;
+    engine.set_frozen(false);
+    let chunks = session.whole(request.attempt).await;
+    let expected = whole_stream(STREAM.as_bytes(), 0);
+    assert!(chunks.iter().map(|(number, _)| *number).eq(0..expected.len() as u64));
+    assert!(chunks.into_iter().map(|(_, data)| data).eq(expected));
+}
+
+// The connection to an entry is lost in the middle of a stream; the entry asks from the first
+// chunk that it lacks.
+#[tokio::test(start_paused = true)]
+async fn attach_goes_on_from_chunk() {
+    let engine = FakeEngine::new(1, EngineSettings::default());
+    let mut session = Session::start(engine, config()).await;
+    let request = session.request(STREAM);
+    session.dispatch(&request).await;
+    let seen = loop {
+        if let AgentMessage::Chunk { number: 4, .. } = session.next(request.attempt).await {
+            break 5;
+        }
+    };
+    session.send(attach(&request, seen)).await;
+    let mut numbers = Vec::new();
+    loop {
+        match session.next(request.attempt).await {
+            AgentMessage::Chunk { number, .. } => numbers.push(number),
+            AgentMessage::End { .. } => break,
+            _ => {}
+        }
+    }
+    numbers.retain(|number| *number >= seen);
+    let count = whole_stream(STREAM.as_bytes(), 0).len() as u64;
+    assert!(numbers.into_iter().eq(seen..count));
+}
+
+// A request makes the engine crash; its caller sends it again. This backend server refuses it from
+// then on, and the entries hear of it.
+#[tokio::test(start_paused = true)]
+async fn crash_makes_suspect() {
+    let engine = FakeEngine::new(1, EngineSettings::default());
+    engine.crash_on("poison");
+    let mut session = Session::start(engine.clone(), config()).await;
+    sleep(Duration::from_secs(1)).await;
+    let poison = session.request(r#"{"poison":1,"stream":true}"#);
+    session.dispatch(&poison).await;
+    loop {
+        match session.next(poison.attempt).await {
+            AgentMessage::Failed { failure, .. } => {
+                assert_eq!(failure, Failure::BackendLost);
+                break;
+            }
+            AgentMessage::Refused { refusal, .. } => panic!("{refusal}"),
+            _ => {}
+        }
+    }
+    assert_eq!(session.next_suspicions().await, 1);
+    engine.restart();
+    sleep(Duration::from_secs(1)).await;
+    let again = session.request(r#"{"poison":1,"stream":true}"#);
+    session.dispatch(&again).await;
+    assert_eq!(session.refusal(again.attempt).await, Refusal::Suspect);
+    assert_eq!(engine.crashes(), 1);
+}
+
+// The VM is about to leave. New work is refused at once, what runs ends whole, and a resend of
+// finished work still gets its answer until the process ends.
+#[tokio::test(start_paused = true)]
+async fn leave_refuses_new_and_finishes_old() {
+    let service = slow_service();
+    let mut session = Session::start(service.clone(), config()).await;
+    let number = Uuid::now_v7();
+    let running = session.order("crew", number);
+    session.dispatch(&running).await;
+    sleep(Duration::from_millis(100)).await;
+    session.send(EntryMessage::VmLeaving).await;
+    let new = session.request("new");
+    session.dispatch(&new).await;
+    assert_eq!(session.refusal(new.attempt).await, Refusal::Leaving);
+    assert!(!session.agent.status().drained);
+    let answer = session.whole(running.attempt).await;
+    let again = session.order("crew", number);
+    session.dispatch(&again).await;
+    assert_eq!(session.whole(again.attempt).await, answer);
+    for attempt in [running.attempt, again.attempt] {
+        session.send(EntryMessage::Release { attempt, key: running.key }).await;
+    }
+    let mut agent = session.agent.clone();
+    agent.drain().await;
+    assert_eq!(service.executions(b"crew"), 1);
+}
+
+// The entry that sent a request died. Nobody will read the answer, so the work is stopped after a
+// while instead of holding a place.
+#[tokio::test(start_paused = true)]
+async fn orphan_stopped() {
+    let engine = FakeEngine::new(1, EngineSettings::default());
+    let mut session = Session::start(engine.clone(), config()).await;
+    let request = session.request(r#"{"stream":true,"max_tokens":100000}"#);
+    session.dispatch(&request).await;
+    session.next(request.attempt).await;
+    let attempt: AttemptId = request.attempt;
+    session.send(EntryMessage::Release { attempt, key: request.key }).await;
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(engine.runs_of_body(&request.body).cancelled, 1);
+}
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -25,8 +25,9 @@
 /// cancel at the caller's deadline, which comes first.
 const HEAD_LIMIT_MS: u64 = 600_000;
 
-/// The longest time without a byte within a body, in milliseconds.
-const SILENCE_LIMIT_MS: u64 = 10_000;
+/// The longest time without a byte within a body, in milliseconds. Engines send a token every few
+/// hundredths of a second.
+const SILENCE_LIMIT_MS: u64 = 3_000;
 
 /// A running agent.
 pub struct AgentProcess {
--- a/crates/platform/src/client/backend.rs
+++ b/crates/platform/src/client/backend.rs
@@ -27,6 +27,10 @@
 /// Largest event of a stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// The longest that a health check, a cancel or a read of cache events may take. A health check
+/// that waits on a dead connection would leave a crash unnoticed.
+const CONTROL_LIMIT_MS: u64 = 1_000;
+
 /// What kind of backend server it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendKind {
@@ -40,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub struct HttpBackend {
     http: HttpClient,
+    /// For health checks and the like, which are answered at once or not at all.
+    control: HttpClient,
     kind: BackendKind,
 }
 
@@ -54,7 +60,16 @@
     /// # });
     /// ```
     pub fn new(authority: Authority, kind: BackendKind, limits: HttpLimits) -> Self {
-        Self { http: HttpClient::new(authority, limits), kind }
+        let control = HttpLimits {
+            head_ms: limits.head_ms.min(CONTROL_LIMIT_MS),
+            silence_ms: limits.silence_ms.min(CONTROL_LIMIT_MS),
+            ..limits.clone()
+        };
+        Self {
+            control: HttpClient::new(authority.clone(), control),
+            http: HttpClient::new(authority, limits),
+            kind,
+        }
     }
 
     async fn start(&self, call: BackendCall) -> Result<BackendAnswer, BackendError> {
@@ -90,11 +105,11 @@
         A: DeserializeOwned,
     {
         let request = self
-            .http
+            .control
             .request(Method::GET, path)
             .body(Full::default())
             .map_err(|_| BackendError::Refused)?;
-        let answer = self.http.fetch(request, Reuse::Allowed).await.map_err(backend_error)?;
+        let answer = self.control.fetch(request, Reuse::Allowed).await.map_err(backend_error)?;
         if !answer.status.is_success() {
             return Err(BackendError::Malformed);
         }
@@ -181,11 +196,12 @@
         Box::pin(async move {
             let path = format!("/v1/cancel/{}", segment(id));
             let request = self
-                .http
+                .control
                 .request(Method::POST, &path)
                 .body(Full::default())
                 .map_err(|_| BackendError::Refused)?;
-            let answer = self.http.fetch(request, Reuse::Allowed).await.map_err(backend_error)?;
+            let answer =
+                self.control.fetch(request, Reuse::Allowed).await.map_err(backend_error)?;
             if answer.status.is_success() { Ok(()) } else { Err(BackendError::Malformed) }
         })
     }
--- a/crates/platform/src/client/http.rs
+++ b/crates/platform/src/client/http.rs
@@ -214,10 +214,21 @@
         .is_some_and(|value| value.to_ascii_lowercase().trim_end().ends_with("chunked"))
 }
 
+/// Silence after which the kernel probes a connection, and time between probes. With the retries
+/// a dead connection is noticed within 3 s.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 2;
+
 fn build(limits: &HttpLimits, pool: bool) -> RawClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(Duration::from_millis(limits.connect_ms)));
     connector.set_nodelay(true);
+    // Something between the two ends can lose track of a connection: it stays open and nothing
+    // arrives any more. While an answer is being prepared nothing is sent either, so only the
+    // kernel's probes tell a dead connection from a slow answer.
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     let mut builder = Client::builder(TokioExecutor::new());
     builder
         .retry_canceled_requests(false)
--- a/crates/proof/benches/capacity/links.rs
+++ b/crates/proof/benches/capacity/links.rs
@@ -121,6 +121,7 @@
             fingerprint: Fingerprint(number as u128),
             idempotent: false,
             max_replay_bytes: config.max_replay_bytes,
+            can_resume: false,
             first_chunk: 0,
         }));
         execution.begin(200, "application/json".to_owned());
