Find other entries through the key-value service and the VM list; come back without accusing

Cause: entries found each other only through the addresses in their settings, which go stale as VMs are replaced. Change: entries list themselves in the key-value service, one write in ten minutes; a start asks some of them, else VMs of the list at the shared port; watchers ask again about once a minute, so that groups which never met join; old names are taken off. Whoever was cut off gives all others the full time once it hears most again.

--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -95,6 +95,11 @@
         Self { kv }
     }
 
+    /// The key-value service itself.
+    pub fn key_value(&self) -> &dyn KeyValue {
+        &*self.kv
+    }
+
     /// Reads the head; one call.
     pub async fn head(&self) -> Result<HeadEntry, StoreError> {
         let reads = self.get(vec![HEAD_KEY.to_owned()]).await?;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,7 @@
 //! The control state of one entry, and its answers to peers.
 
 mod answers;
+mod suspicion;
 
 use crate::duties::Duties;
 use crate::membership::{Observation, Table};
@@ -48,6 +49,8 @@
     /// Set while nobody has confirmed the configuration since a pause.
     unconfirmed_since: Option<Instant>,
     confirmed_at: Option<Instant>,
+    /// Hears hardly anybody, as far as was seen at the last look.
+    cut_off: bool,
     key_value_answered_at: Option<Instant>,
     cursors: HashMap<String, Cursor>,
     /// The revision that each process last reported here.
@@ -108,6 +111,7 @@
             source: ConfigSource::None,
             unconfirmed_since: None,
             confirmed_at: None,
+            cut_off: false,
             key_value_answered_at: None,
             cursors: HashMap::new(),
             reported: HashMap::new(),
@@ -287,6 +291,20 @@
         from.choose(&mut self.state().random)
     }
 
+    /// Some of these, at most `count`.
+    pub(crate) fn choose_some<T>(&self, from: &[T], count: usize) -> Vec<T>
+    where
+        T: Clone,
+    {
+        from.sample(&mut self.state().random, count).cloned().collect()
+    }
+
+    /// Whether the list of entries in the key-value service should be tidied; true now and then.
+    pub(crate) fn tidy_is_due(&self) -> bool {
+        const ONE_IN: u32 = 60;
+        self.state().random.random_range(0..ONE_IN) == 0
+    }
+
     /// What to tell a peer: everything it has not had.
     pub fn heartbeat(&self, peer: Option<&str>, hold: Duration) -> Heartbeat {
         let state = self.state();
@@ -344,30 +362,6 @@
         self.state().table.digest()
     }
 
-    /// Calls those of `watched` silent that were not heard for `limit`.
-    ///
-    /// A process that hears hardly anybody is more likely cut off itself. Its accusations would
-    /// all go round once it is back, and for a while take everybody out of address answers. So
-    /// it accuses only if it heard most of the others for `longer` than the accused, a time that
-    /// must exceed the one between two words of a healthy peer, or if the key-value service
-    /// answers it.
-    pub fn accuse_unheard(&self, watched: &[String], limit: Duration, longer: Duration) {
-        self.change(|state| {
-            let heard = |name: &String| state.table.member(name).map(|member| member.heard_at);
-            let times: Vec<(&String, Instant)> =
-                watched.iter().filter_map(|name| Some((name, heard(name)?))).collect();
-            let in_touch = state.key_value_answered_at.is_some_and(|at| at.elapsed() < 2 * limit);
-            let most_heard_since = |at: Instant| {
-                2 * times.iter().filter(|(_, other)| *other >= at + longer).count() >= times.len()
-            };
-            let unheard = times
-                .iter()
-                .filter(|(_, at)| at.elapsed() >= limit && (in_touch || most_heard_since(*at)))
-                .map(|(name, _)| *name);
-            unheard.filter_map(|name| state.table.accuse(name)).collect()
-        });
-    }
-
     /// Changes the table of members, and tells waiting peers and the event log what came of it.
     pub(crate) fn change_table<F>(&self, change: F)
     where
--- /dev/null
+++ b/crates/control/src/node/suspicion.rs
@@ -0,0 +1,51 @@
+//! Calling others silent, and when not to.
+
+use super::{Node, State};
+use crate::membership::Observation;
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl Node {
+    /// Calls those of `watched` silent that were not heard for `limit`.
+    ///
+    /// A process that hears hardly anybody is more likely cut off itself. Its accusations would
+    /// all go round once it is back, and for a while take everybody out of address answers. So
+    /// it accuses only if it heard most of the others for `longer` than the accused, a time that
+    /// must exceed the one between two words of a healthy peer, or if the key-value service
+    /// answers it. Once it hears most again, the rest get the full time, since they come back
+    /// one after the other.
+    pub fn accuse_unheard(&self, watched: &[String], limit: Duration, longer: Duration) {
+        self.change(|state| state.accuse_unheard(watched, limit, longer));
+    }
+}
+
+impl State {
+    fn accuse_unheard(
+        &mut self,
+        watched: &[String],
+        limit: Duration,
+        longer: Duration,
+    ) -> Vec<Observation> {
+        let heard = |name: &String| self.table.member(name).map(|member| member.heard_at);
+        let times: Vec<(&String, Instant)> =
+            watched.iter().filter_map(|name| Some((name, heard(name)?))).collect();
+        let unheard: Vec<&(&String, Instant)> =
+            times.iter().filter(|(_, at)| at.elapsed() >= limit).collect();
+        let in_touch = self.key_value_answered_at.is_some_and(|at| at.elapsed() < 2 * limit);
+        let was_cut_off = self.cut_off;
+        self.cut_off = 2 * unheard.len() > times.len() && !in_touch;
+        if self.cut_off {
+            return Vec::new();
+        }
+        if was_cut_off {
+            self.table.forget_times(Instant::now());
+            return Vec::new();
+        }
+        let most_heard_since = |at: Instant| {
+            2 * times.iter().filter(|(_, other)| *other >= at + longer).count() >= times.len()
+        };
+        let accused = unheard.iter().filter(|(_, at)| in_touch || most_heard_since(*at));
+        let accused: Vec<&String> = accused.map(|(name, _)| *name).collect();
+        accused.into_iter().filter_map(|name| self.table.accuse(name)).collect()
+    }
+}
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -8,6 +8,7 @@
 use crate::fetch::Fetcher;
 use crate::node::{Followup, Node};
 use crate::pause::{PauseDetector, TICK};
+use crate::seeds;
 use crate::transport::{PeerError, PeerTransport};
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::store::Store;
@@ -56,8 +57,31 @@
     }
 }
 
+/// Who answered, and what they have.
+#[derive(Default)]
+struct Found {
+    anybody: bool,
+    offers: Vec<(ConfigRevision, SocketAddr)>,
+}
+
+impl Found {
+    async fn ask(&mut self, spread: &Spread, seeds: Vec<SocketAddr>) {
+        let asked = seeds
+            .into_iter()
+            .map(|seed| async move { (seed, spread.poll(seed, None, Duration::ZERO).await) });
+        for (seed, answer) in join_all(asked).await {
+            self.anybody |= answer.is_ok();
+            if let Ok(Followup::Fetch(revision)) = answer {
+                self.offers.push((revision, seed));
+            }
+        }
+    }
+}
+
 /// Pause after a poll that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// After this many probes a watcher asks the seeds again.
+const SEED_ROUNDS: u64 = 12;
 /// How often the wanted polls are compared with the running ones.
 const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -72,7 +96,7 @@
     pub peers: Arc<dyn PeerTransport>,
     /// The VM list.
     pub vms: Arc<dyn VmList>,
-    /// Inner addresses to begin with.
+    /// Inner addresses to begin with, besides those listed in the key-value service.
     pub seeds: Vec<SocketAddr>,
     /// Times.
     pub timing: Timing,
@@ -88,6 +112,7 @@
                 self.poll_neighbours(),
                 self.probe_members(),
                 self.read_vm_list(),
+                seeds::stay_listed(&self),
                 crate::service::follow(&self),
             );
         };
@@ -123,18 +148,16 @@
         }
     }
 
-    /// Asks all seeds at once and fetches from the highest; tells whether that left a
+    /// Asks those it can find and fetches from the highest; tells whether that left a
     /// configuration.
     async fn ask_seeds(&self) -> bool {
-        let asked = self.seeds.iter().map(|seed| async {
-            match self.poll(*seed, None, Duration::ZERO).await {
-                Ok(Followup::Fetch(revision)) => Some((revision, *seed)),
-                _ => None,
-            }
-        });
-        let mut offers: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
-        offers.sort_unstable();
-        for (revision, seed) in offers.into_iter().rev() {
+        let mut found = Found::default();
+        found.ask(self, seeds::known(self).await).await;
+        if !found.anybody {
+            found.ask(self, seeds::guessed(self).await).await;
+        }
+        found.offers.sort_unstable();
+        for (revision, seed) in found.offers.into_iter().rev() {
             // A lower offer is tried only if the higher one's giver failed meanwhile.
             if self.fetcher().fetch(seed, revision).await.is_ok() {
                 self.node.confirm_by_peers(false);
@@ -256,7 +279,7 @@
     }
 
     async fn probe_members(&self) {
-        loop {
+        for round in 1_u64.. {
             sleep(self.node.jitter(self.timing.probe)).await;
             let own = self.node.own().name;
             let others: Vec<_> = self
@@ -265,10 +288,11 @@
                 .into_iter()
                 .filter(|member| member.record.name != own && member.state != MemberState::Gone)
                 .collect();
-            let Some(chosen) = self.node.choose(&others) else {
+            // Two groups that know nothing of each other would never probe each other.
+            if others.is_empty() || self.node.duties().is_watcher && round % SEED_ROUNDS == 0 {
                 self.ask_seeds().await;
-                continue;
-            };
+            }
+            let Some(chosen) = self.node.choose(&others) else { continue };
             let (name, peer) = (&chosen.record.name, chosen.record.inner);
             // It may be gone; those that watch it find out.
             let _ = self.probe(name, peer).await;
@@ -303,6 +327,7 @@
                 vms.iter().filter(|vm| vm.state == flamingowheel_platform::vm::VmState::Leaving);
             let leaving = leaving.map(|vm| vm.name.as_str()).collect();
             self.node.change_table(|table| table.merge_vm_list(&listed, &leaving));
+            seeds::tidy(self, &listed).await;
         }
     }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -238,6 +238,15 @@
 
     pub fn add(&mut self, number: usize, centres: usize) -> &Entry {
         let seeds = self.entries.values().take(3).map(|entry| entry.address).collect();
+        self.add_with_seeds(number, centres, seeds)
+    }
+
+    pub fn add_with_seeds(
+        &mut self,
+        number: usize,
+        centres: usize,
+        seeds: Vec<SocketAddr>,
+    ) -> &Entry {
         let record = record(number, centres);
         let (name, address) = (record.name.clone(), record.inner);
         self.vms.add(Vm {
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -87,6 +87,41 @@
     fleet.until(Duration::from_secs(60), all_live).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn start_finds_others_by_the_key_value_service() {
+    // All VMs that the settings once named have been replaced.
+    let mut fleet = Fleet::start(3, 1).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.vms.set_down(true);
+    fleet.add_with_seeds(3, 1, Vec::new());
+    fleet.until(Duration::from_secs(8), |entry| entry.node.members().len() == 4).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn start_finds_others_by_the_vm_list() {
+    // The same, with the key-value service down on top: the VM list and the shared port remain.
+    let mut fleet = Fleet::start(3, 1).await;
+    fleet.kv.set_down(true);
+    fleet.add_with_seeds(3, 1, Vec::new());
+    fleet.until(Duration::from_secs(8), |entry| entry.node.members().len() == 4).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_groups_that_never_met_join() {
+    // Two halves of a new fleet start at the same moment, each with seeds of its own only, before
+    // any entry is listed. Each would take itself for all there is.
+    let mut fleet = Fleet::start(0, 1).await;
+    fleet.vms.set_down(true);
+    // All have read the list before the first is on it.
+    fleet.kv.set_delay(Duration::from_millis(100));
+    for number in 0..6 {
+        let seeds = if number < 2 { Vec::new() } else { vec![record(number % 2, 1).inner] };
+        fleet.add_with_seeds(number, 1, seeds);
+    }
+    fleet.until(Duration::from_secs(1), |entry| entry.node.members().len() == 3).await;
+    fleet.until(Duration::from_secs(150), |entry| entry.node.members().len() == 6).await;
+}
+
 #[test]
 fn merge_restarted_process_overrides_its_older_record() {
     // A process restarts on the same VM. The record of its last start still goes round with a
