--- a/crates/flamingowheel/src/commands/diff.rs
+++ b/crates/flamingowheel/src/commands/diff.rs
@@ -30,6 +30,15 @@
 }
 
 /// What differs, one field a line.
+///
+/// ```
+/// use flamingowheel::commands::diff::text;
+/// use flamingowheel_config::{change, document, effective::Documents};
+///
+/// let edits = document::parse("kind: template\nname: callbox\n").expect("a document");
+/// let diff = change::diff(&Documents::default(), &edits);
+/// assert!(text(&diff).starts_with("create template callbox"));
+/// ```
 pub fn text(diffs: &[DocumentDiff]) -> String {
     let mut text = String::new();
     for diff in diffs {
--- a/crates/flamingowheel/src/config.rs
+++ b/crates/flamingowheel/src/config.rs
@@ -262,6 +262,17 @@
 
 impl Config {
     /// Checks what was typed and reads the files it names.
+    ///
+    /// ```
+    /// use flamingowheel::cli::{Invocation, parse};
+    /// use flamingowheel::config::{Config, Environment};
+    ///
+    /// let environment = Environment::default().with("FLAMINGOWHEEL_TOKEN", "operators-token");
+    /// let typed = parse(vec!["status".into(), "--entry".into(), "10.0.0.7:8082".into()]);
+    /// let Ok(Invocation::Run(typed)) = typed else { unreachable!() };
+    /// let config = Config::new(*typed, &environment).expect("complete");
+    /// assert_eq!(config.entries.len(), 1);
+    /// ```
     pub fn new(typed: Typed, environment: &Environment) -> Result<Self, ConfigError> {
         Ok(Self {
             command: command(typed.command, environment)?,
--- a/crates/flamingowheel/src/help.rs
+++ b/crates/flamingowheel/src/help.rs
@@ -49,6 +49,12 @@
     }
 
     /// The subcommand of a name.
+    ///
+    /// ```
+    /// use flamingowheel::help::Topic;
+    ///
+    /// assert_eq!(Topic::named("status"), Some(Topic::Status));
+    /// ```
     pub fn named(name: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|topic| topic.name() == name)
     }
@@ -68,6 +74,12 @@
 }
 
 /// Help for one subcommand, or for the tool.
+///
+/// ```
+/// use flamingowheel::help::text;
+///
+/// assert!(text(None).contains("usage: flamingowheel"));
+/// ```
 pub fn text(topic: Option<Topic>) -> String {
     topic.map_or(TOOL, Topic::text).to_owned()
 }
--- a/crates/observe/src/clock.rs
+++ b/crates/observe/src/clock.rs
@@ -56,6 +56,12 @@
     }
 
     /// Milliseconds since the Unix epoch.
+    ///
+    /// ```
+    /// use flamingowheel_observe::clock::Stamp;
+    ///
+    /// assert_eq!(Stamp::new(1_000, 3).wall_ms(), 1_000);
+    /// ```
     pub fn wall_ms(self) -> u64 {
         self.0 >> LOGICAL_BITS
     }
@@ -163,6 +169,12 @@
 
 impl RuntimeClock {
     /// A clock that reads `start_ms` now.
+    ///
+    /// ```
+    /// use flamingowheel_observe::clock::{RuntimeClock, WallClock};
+    ///
+    /// assert!(RuntimeClock::starting_at(1_000).now_ms() >= 1_000);
+    /// ```
     pub fn starting_at(start_ms: u64) -> Self {
         Self { start_ms, start: Instant::now() }
     }
@@ -242,6 +254,15 @@
     /// future, and theirs in turn; the time line would then show minutes that never were. Its
     /// stamps are ignored beyond the drift bound; the caller records that, so it shows up as an
     /// event and in a metric. Events caused by that process may then sort before their cause.
+    ///
+    /// ```
+    /// use flamingowheel_observe::clock::{HybridClock, ManualClock, Stamp};
+    ///
+    /// let clock = HybridClock::new(ManualClock::default());
+    /// let remote = Stamp::new(5, 0);
+    /// assert!(clock.observe(remote).is_ok_and(|own| own > remote));
+    /// assert!(clock.observe(Stamp::new(60_000, 0)).is_err());
+    /// ```
     pub fn observe(&self, remote: Stamp) -> Result<Stamp, DriftExceeded> {
         let ahead_ms = remote.wall_ms().saturating_sub(self.wall.now_ms());
         if ahead_ms > self.max_drift_ms {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -203,6 +203,13 @@
 
 impl Event {
     /// Whether an operator should look at it even when nobody asks.
+    ///
+    /// ```
+    /// use flamingowheel_observe::event::Event;
+    ///
+    /// let crashed = Event::EngineCrashed { backend_server: "runner-3".into(), running: 2 };
+    /// assert!(crashed.is_warning());
+    /// ```
     pub fn is_warning(&self) -> bool {
         matches!(
             self,
@@ -218,6 +225,12 @@
         )
     }
     /// The other party of the event: a backend server, or a process by its name.
+    ///
+    /// ```
+    /// use flamingowheel_observe::event::Event;
+    ///
+    /// assert_eq!(Event::Forwarded { entry: "entry-2".into() }.peer(), Some("entry-2"));
+    /// ```
     pub fn peer(&self) -> Option<&str> {
         match self {
             Self::Routed { backend_server, .. }
--- a/crates/observe/src/http.rs
+++ b/crates/observe/src/http.rs
@@ -12,6 +12,13 @@
 const TEXT_FORMAT: &str = "text/plain; version=0.0.4";
 
 /// Serves a process's metrics and events; whoever mounts it checks the operator's token.
+///
+/// ```
+/// use flamingowheel_observe::http::router;
+/// use flamingowheel_observe::recorder::Recorder;
+///
+/// assert!(router(Recorder::for_tests("entry-1")).has_routes());
+/// ```
 pub fn router(recorder: Recorder) -> Router {
     Router::new()
         .route(METRICS_PATH, get(give_metrics))
--- a/crates/observe/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -35,6 +35,14 @@
 }
 
 /// A subscriber that writes JSON lines to `writer`.
+///
+/// ```
+/// use flamingowheel_observe::logs::subscriber;
+/// use flamingowheel_observe::recorder::Recorder;
+///
+/// let process = Recorder::for_tests("entry-1").process().clone();
+/// assert!(subscriber(process, "info", std::io::sink).is_ok());
+/// ```
 pub fn subscriber<W>(
     process: ProcessInfo,
     filter: &str,
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -133,6 +133,15 @@
     }
 
     /// Takes in the stamp of a message from `peer`, so that what follows sorts after it.
+    ///
+    /// ```
+    /// use flamingowheel_observe::recorder::Recorder;
+    ///
+    /// let (sender, receiver) = (Recorder::for_tests("a"), Recorder::for_tests("b"));
+    /// let sent = sender.stamp();
+    /// receiver.observe("a", sent);
+    /// assert!(receiver.stamp() > sent);
+    /// ```
     pub fn observe(&self, peer: &str, remote: Stamp) {
         if let Err(drift) = self.shared.clock.observe(remote)
             && self.shared.drifts.is_due(peer, self.shared.clock.wall_ms())
@@ -159,6 +168,14 @@
     }
 
     /// The answer to a query for this process's events.
+    ///
+    /// ```
+    /// use flamingowheel_observe::api::EventQuery;
+    /// use flamingowheel_observe::recorder::Recorder;
+    ///
+    /// let answer = Recorder::for_tests("entry-1").answer(&EventQuery::default());
+    /// assert_eq!(&*answer.process.name, "entry-1");
+    /// ```
     pub fn answer(&self, query: &EventQuery) -> EventsAnswer {
         let shared = &self.shared;
         let (events, left_out) = shared.ring.select(query);
--- a/crates/observe/src/ring.rs
+++ b/crates/observe/src/ring.rs
@@ -28,6 +28,12 @@
 
 impl Ring {
     /// An empty ring for `capacity` events, at least one.
+    ///
+    /// ```
+    /// use flamingowheel_observe::ring::Ring;
+    ///
+    /// assert_eq!(Ring::new(16).overwritten(), 0);
+    /// ```
     pub fn new(capacity: usize) -> Self {
         Self { capacity: capacity.max(1), state: Mutex::default() }
     }
@@ -36,6 +42,21 @@
     ///
     /// Threads that stamp first and then race to the ring would leave it out of order, and a time
     /// line would show an effect before its cause; so the event is built under the ring's lock.
+    ///
+    /// ```
+    /// use flamingowheel_observe::clock::Stamp;
+    /// use flamingowheel_observe::event::{Event, Stamped, Subject};
+    /// use flamingowheel_observe::ring::Ring;
+    ///
+    /// let pushed = Ring::new(16).push_with(|sequence| Stamped {
+    ///     stamp: Stamp::default(),
+    ///     sequence,
+    ///     process: "entry-1".into(),
+    ///     subject: Subject::default(),
+    ///     event: Event::LeaseLost { lease: "runners-a".into() },
+    /// });
+    /// assert_eq!(pushed.sequence, 1);
+    /// ```
     pub fn push_with<F>(&self, make: F) -> Arc<Stamped>
     where
         F: FnOnce(u64) -> Stamped,
