--- a/crates/flamingowheel/tests/tool/commands.rs
+++ b/crates/flamingowheel/tests/tool/commands.rs
@@ -125,6 +125,17 @@
     assert_eq!(cut.requests(), whole.requests());
 }
 
+// An entry takes the change and goes silent, its connection open: something between lost track of
+// it. The operator waits no longer than asked and is told that nobody knows.
+#[tokio::test]
+async fn apply_entry_silent_is_unknown() {
+    let entry = Entry::default().replies("/v1/config/apply", Reply::Silent);
+    let line = format!("{APPLY} --seen 7 --timeout 50ms");
+    let shown = typing(&line, &[entry.listen().await]).await;
+    assert!(shown.contains("gave no answer: timed out after 50 ms"), "{shown}");
+    assert!(shown.ends_with("[exit 6 UnknownOutcome]"), "{shown}");
+}
+
 #[tokio::test]
 async fn apply_answer_lost_in_dry_run_is_no_unknown_outcome() {
     let entry = Entry::default().replies("/v1/config/apply", Reply::Cut);
--- a/crates/flamingowheel/tests/tool/session.rs
+++ b/crates/flamingowheel/tests/tool/session.rs
@@ -25,6 +25,8 @@
     Json(u16, Value),
     /// Closes the connection after it has read the request.
     Cut,
+    /// Takes the request and never answers.
+    Silent,
 }
 
 /// An entry played by the test.
@@ -83,6 +85,7 @@
             (status, axum::Json(body)).into_response()
         }
         Some(Reply::Cut) => cut(),
+        Some(Reply::Silent) => std::future::pending().await,
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
