Tool: an answer that can't be read leaves a change's outcome unknown

A change answered with something unreadable, or with a bare 502 of something on the way, ended with exit 1 or as failed, though it may stand. Only a refusal in the interface's own form is proof that nothing was changed.

--- a/crates/flamingowheel/src/client.rs
+++ b/crates/flamingowheel/src/client.rs
@@ -30,6 +30,9 @@
 /// Why there is no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
+    /// There is nobody to ask.
+    #[error("no entry was named")]
+    NoEntries,
     /// No connection: nothing was sent.
     #[error("{address} can't be reached: {}", root(cause.as_ref()))]
     NotSent {
@@ -82,6 +85,22 @@
 struct TimedOut(Duration);
 
 impl ClientError {
+    /// Whether a request that was to change something may have done so.
+    ///
+    /// Only a refusal in the operators' interface's own form is proof that nothing was changed. An
+    /// answer that can't be read, or a bare error of something on the way, is none.
+    pub fn leaves_outcome_open(&self) -> bool {
+        match self {
+            Self::NoAnswer { .. } | Self::Malformed { .. } => true,
+            Self::Status { status, .. } => status.is_server_error(),
+            Self::NoEntries
+            | Self::NotSent { .. }
+            | Self::Refused(_)
+            | Self::WrongToken { .. }
+            | Self::Path(_) => false,
+        }
+    }
+
     /// Whether another entry may do better.
     fn is_silence(&self) -> bool {
         matches!(self, Self::NotSent { .. } | Self::NoAnswer { .. })
@@ -138,7 +157,7 @@
                 answer => return answer,
             }
         }
-        Err(last.unwrap_or_else(no_entries))
+        Err(last.unwrap_or(ClientError::NoEntries))
     }
 
     /// Reads from one process.
@@ -174,7 +193,7 @@
                 answer => return answer,
             }
         }
-        Err(last.unwrap_or_else(no_entries))
+        Err(last.unwrap_or(ClientError::NoEntries))
     }
 
     async fn request(
@@ -248,10 +267,3 @@
         _ => error,
     }
 }
-
-/// Unused while the configuration refuses an empty list of entries.
-fn no_entries() -> ClientError {
-    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    let cause = std::io::Error::from(std::io::ErrorKind::AddrNotAvailable);
-    ClientError::NotSent { address: nowhere, cause: cause.into() }
-}
--- a/crates/flamingowheel/src/commands/apply.rs
+++ b/crates/flamingowheel/src/commands/apply.rs
@@ -9,7 +9,7 @@
 use uuid::Uuid;
 
 use super::{diff, render};
-use crate::client::{Client, ClientError};
+use crate::client::Client;
 use crate::config::Apply;
 use crate::error::Error;
 use crate::exit::ExitCode;
@@ -60,8 +60,7 @@
     let extra = change.wait.unwrap_or(Duration::ZERO);
     let path = format!("{}?{query}", routes::APPLY);
     match client.post_documents(&path, &change.documents, extra).await {
-        // It may have arrived and taken effect, unless nothing was to be written.
-        Err(source @ ClientError::NoAnswer { .. }) if !change.dry_run => {
+        Err(source) if source.leaves_outcome_open() && !change.dry_run => {
             Err(Error::OutcomeUnknown { uuid: change.uuid, seen, source })
         }
         answer => Ok(answer?),
--- a/crates/flamingowheel/tests/tool/commands.rs
+++ b/crates/flamingowheel/tests/tool/commands.rs
@@ -125,6 +125,17 @@
     assert_eq!(cut.requests(), whole.requests());
 }
 
+// Something answers in the entry's place, or the entry answers what can't be read. The change may
+// stand all the same, and a script that takes exit 1 for "not done" would apply another.
+#[tokio::test]
+async fn apply_answer_not_readable_is_unknown() {
+    for reply in [Reply::Json(200, json!({})), Reply::Json(502, json!("bad gateway"))] {
+        let entry = Entry::default().replies("/v1/config/apply", reply);
+        let shown = typing(&format!("{APPLY} --seen 7"), &[entry.listen().await]).await;
+        assert!(shown.ends_with("[exit 6 UnknownOutcome]"), "{shown}");
+    }
+}
+
 // An entry takes the change and goes silent, its connection open: something between lost track of
 // it. The operator waits no longer than asked and is told that nobody knows.
 #[tokio::test]
