--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,7 @@
 //! The control state of one entry, and its answers to peers.
 
 mod answers;
+mod suspicion;
 
 use crate::duties::Duties;
 use crate::membership::{Observation, Table};
@@ -11,13 +12,17 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_policy::key::EntryKey;
+use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
-use flamingowheel_protocol::peer::{Heartbeat, HeartbeatAnswer, MemberRecord, MemberState};
+use flamingowheel_protocol::peer::{
+    Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
+};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -37,6 +42,13 @@
     effective: watch::Sender<Arc<Effective>>,
     progress: watch::Sender<Progress>,
     recorder: Recorder,
+    lender: OnceLock<Arc<dyn Lender>>,
+}
+
+/// Lends other entries a part of this one's share of a workspace's limits.
+pub trait Lender: Send + Sync + 'static {
+    /// Answers a request for a loan.
+    fn lend(&self, workspace: &str, borrower: EntryKey, request: &LoanRequest) -> Loan;
 }
 
 struct State {
@@ -46,6 +58,8 @@
     /// Set while nobody has confirmed the configuration since a pause.
     unconfirmed_since: Option<Instant>,
     confirmed_at: Option<Instant>,
+    /// Hears hardly anybody, as far as was seen at the last look.
+    cut_off: bool,
     key_value_answered_at: Option<Instant>,
     cursors: HashMap<String, Cursor>,
     /// The revision that each process last reported here.
@@ -106,6 +120,7 @@
             source: ConfigSource::None,
             unconfirmed_since: None,
             confirmed_at: None,
+            cut_off: false,
             key_value_answered_at: None,
             cursors: HashMap::new(),
             reported: HashMap::new(),
@@ -115,10 +130,16 @@
             effective: watch::Sender::new(Arc::default()),
             progress: watch::Sender::default(),
             recorder,
+            lender: OnceLock::new(),
         };
         Self { shared: Arc::new(shared) }
     }
 
+    /// Says who answers requests for loans; only the first counts.
+    pub fn set_lender(&self, lender: Arc<dyn Lender>) {
+        let _ = self.shared.lender.set(lender);
+    }
+
     /// The configuration in force, now and later.
     pub fn effective(&self) -> watch::Receiver<Arc<Effective>> {
         self.shared.effective.subscribe()
@@ -227,12 +248,13 @@
         F: FnOnce(&mut Replica) -> bool,
     {
         let mut state = self.state();
+        let before = state.replica.revision();
         let moved = change(&mut state.replica);
         let revision = state.replica.revision();
         if moved {
             // Published under the lock, so that an older one can't come after a newer one.
-            let effective = Arc::new(Effective::new(state.replica.documents()));
-            self.shared.effective.send_replace(effective);
+            let effective = resolve(&self.shared.effective.borrow(), before, &state.replica);
+            self.shared.effective.send_replace(Arc::new(effective));
             self.publish(&state);
             let event = Event::ConfigurationInForce { revision: revision.0, source: origin };
             self.shared.recorder.record(event);
@@ -284,12 +306,26 @@
         from.choose(&mut self.state().random)
     }
 
+    /// Some of these, at most `count`.
+    pub(crate) fn choose_some<T>(&self, from: &[T], count: usize) -> Vec<T>
+    where
+        T: Clone,
+    {
+        from.sample(&mut self.state().random, count).cloned().collect()
+    }
+
+    /// Whether the list of entries in the key-value service should be tidied; true now and then.
+    pub(crate) fn tidy_is_due(&self) -> bool {
+        const ONE_IN: u32 = 60;
+        self.state().random.random_range(0..ONE_IN) == 0
+    }
+
     /// What to tell a peer: everything it has not had.
     pub fn heartbeat(&self, peer: Option<&str>, hold: Duration) -> Heartbeat {
         let state = self.state();
         let cursor = peer.and_then(|peer| state.cursors.get(peer));
         Heartbeat {
-            from: state.table.own().clone(),
+            from: state.sender(),
             revision: state.replica.revision().0,
             after: cursor.map_or(0, |cursor| cursor.theirs),
             hold_ms: hold.as_millis() as u32,
@@ -311,8 +347,8 @@
                 false => Cursor { incarnation, theirs: answer.version, ours: told },
             };
             state.reported.insert(name.clone(), offered);
-            state.cursors.insert(name, cursor);
-            state.take(answer.from, answer.news)
+            state.cursors.insert(name.clone(), cursor);
+            state.take(&name, answer.news)
         });
         if offered > self.revision() {
             return Followup::Fetch(offered);
@@ -341,30 +377,6 @@
         self.state().table.digest()
     }
 
-    /// Calls those of `watched` silent that were not heard for `limit`.
-    ///
-    /// A process that hears hardly anybody is more likely cut off itself. Its accusations would
-    /// all go round once it is back, and for a while take everybody out of address answers. So
-    /// it accuses only if it heard most of the others for `longer` than the accused, a time that
-    /// must exceed the one between two words of a healthy peer, or if the key-value service
-    /// answers it.
-    pub fn accuse_unheard(&self, watched: &[String], limit: Duration, longer: Duration) {
-        self.change(|state| {
-            let heard = |name: &String| state.table.member(name).map(|member| member.heard_at);
-            let times: Vec<(&String, Instant)> =
-                watched.iter().filter_map(|name| Some((name, heard(name)?))).collect();
-            let in_touch = state.key_value_answered_at.is_some_and(|at| at.elapsed() < 2 * limit);
-            let most_heard_since = |at: Instant| {
-                2 * times.iter().filter(|(_, other)| *other >= at + longer).count() >= times.len()
-            };
-            let unheard = times
-                .iter()
-                .filter(|(_, at)| at.elapsed() >= limit && (in_touch || most_heard_since(*at)))
-                .map(|(name, _)| *name);
-            unheard.filter_map(|name| state.table.accuse(name)).collect()
-        });
-    }
-
     /// Changes the table of members, and tells waiting peers and the event log what came of it.
     pub(crate) fn change_table<F>(&self, change: F)
     where
@@ -443,18 +455,30 @@
         self.confirmed_at = Some(Instant::now());
     }
 
-    fn take(
-        &mut self,
-        from: MemberRecord,
-        news: flamingowheel_protocol::peer::News,
-    ) -> Vec<Observation> {
+    fn sender(&self) -> Sender {
+        let own = self.table.own();
+        Sender { name: own.name.clone(), incarnation: own.incarnation }
+    }
+
+    fn take(&mut self, from: &str, news: News) -> Vec<Observation> {
         let now = Instant::now();
-        let mut observations = self.table.merge(news, now);
-        observations.extend(self.table.heard(from, now));
+        let observations = self.table.merge(news, now);
+        self.table.heard_from(from, now);
         observations
     }
 }
 
+/// Resolves what the changes since `before` touched, or everything if some are not kept.
+fn resolve(old: &Effective, before: ConfigRevision, replica: &Replica) -> Effective {
+    match replica.changes_after(before) {
+        Some(changes) if old.revision() == before => {
+            let edits = changes.iter().flat_map(|change| change.edits.iter().cloned());
+            old.after(replica.documents(), &edits.collect::<Vec<_>>())
+        }
+        _ => Effective::new(replica.documents()),
+    }
+}
+
 fn seen(state: MemberState) -> Seen {
     match state {
         MemberState::Live => Seen::Live,
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -15,11 +15,13 @@
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::dispatch::Dispatcher;
+use flamingowheel_entry::limits::Limiter;
 use flamingowheel_entry::router::Router as Routes;
 use flamingowheel_entry::state::EntryState;
 use flamingowheel_observe::reason::ConfigSource;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_policy::key::EntryKey;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::message::{Hello, Role};
 use flamingowheel_protocol::peer::{MemberRecord, MemberState};
@@ -38,6 +40,11 @@
 /// Longest time a request may wait for its answer to begin.
 pub const DEADLINE_MS: u64 = 10_000;
 
+/// The key that all processes of the world share.
+pub fn fleet_key() -> FleetKey {
+    FleetKey::new([7; 32])
+}
+
 /// One entry process.
 pub struct Entry {
     /// Whether it lives.
@@ -56,7 +63,7 @@
         kv: &FakeKeyValue,
         addresses: &[SocketAddr],
     ) -> Self {
-        let key = FleetKey::new([7; 32]);
+        let key = fleet_key();
         let caller_address = SocketAddr::from(([127, 0, 0, 1], 8080));
         let config = Arc::new(EntryConfig::new(name, "a", caller_address, key));
         let hello = Hello {
@@ -86,6 +93,7 @@
             recorder,
             in_progress: Arc::default(),
             node,
+            limiter: Arc::new(Limiter::new(EntryKey::from_name(name))),
             config,
         };
         let router = flamingowheel_entry::http::router(Arc::new(state));
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,6 +4,7 @@
 //! package does not look into them.
 
 use crate::id::Incarnation;
+use flamingowheel_policy::limits::{Loan, LoanRequest};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -45,18 +46,35 @@
     Gone,
 }
 
+/// Who sends a message. Its record is among the news as long as the receiver lacks it, so that
+/// heartbeats stay small.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Its name.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// Its start.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+}
+
 /// Asks a peer for what is new, and says what is new here.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender.
-    pub from: MemberRecord,
+    #[serde(rename = "f")]
+    pub from: Sender,
     /// The configuration revision the sender has in force.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// The peer's table version up to which the sender has its news.
+    #[serde(rename = "a")]
     pub after: u64,
     /// The peer may hold its answer this long, until it has news.
+    #[serde(rename = "h")]
     pub hold_ms: u32,
     /// What the sender learnt since the peer last answered.
+    #[serde(rename = "n", default, skip_serializing_if = "News::is_empty")]
     pub news: News,
 }
 
@@ -64,14 +82,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatAnswer {
     /// The one that answers.
-    pub from: MemberRecord,
+    #[serde(rename = "f")]
+    pub from: Sender,
     /// The configuration revision it has in force.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// Whether that came from the key-value service since its start, directly or through peers.
+    #[serde(rename = "s")]
     pub from_service: bool,
     /// Its table version.
+    #[serde(rename = "v")]
     pub version: u64,
     /// What it learnt since the version asked for.
+    #[serde(rename = "n", default, skip_serializing_if = "News::is_empty")]
     pub news: News,
 }
 
@@ -84,8 +107,20 @@
     pub leaving_vms: Vec<String>,
 }
 
+impl News {
+    /// Whether there is nothing in it.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::peer::News;
+    /// assert!(News::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.leaving_vms.is_empty()
+    }
+}
+
 /// What one entry asks another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// What is new?
     Heartbeat(Box<Heartbeat>),
@@ -101,10 +136,19 @@
     },
     /// Who are you, and what revision have you in force?
     Status,
+    /// Lend me a part of your share of a workspace's limits.
+    Loan {
+        /// The workspace.
+        workspace: String,
+        /// Name of the entry that asks.
+        borrower: String,
+        /// What it asks.
+        request: LoanRequest,
+    },
 }
 
 /// The answer to a [`PeerRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerAnswer {
     /// To a heartbeat.
     Heartbeat(Box<HeartbeatAnswer>),
@@ -128,6 +172,8 @@
         /// Digest of its table of members; equal tables have equal digests.
         digest: u64,
     },
+    /// What is lent.
+    Loan(Loan),
 }
 
 /// A value in its stored form.
@@ -136,7 +182,7 @@
 pub struct StoredValue(#[serde(with = "serde_bytes")] pub Vec<u8>);
 
 /// What travels on a connection between two entries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
     /// A request under a number chosen by its sender.
     Request {
