proof: matrix of configuration changes, map switches, addresses and fault pairs

Cause: the matrix covered requests only, with one fault at a time. Change: six more steps and two faults of a group's coordinator; all ordered pairs of 15 faults at two steps of requests; cells that are not run yet say so. The oracle of the configuration also looks for changes in force that were told not to be accepted. The fake can lose the answers of writes alone. Conclusion: docs/FAULTS.md says what was run and what was not.

--- a/crates/platform/src/fake/kv.rs
+++ b/crates/platform/src/fake/kv.rs
@@ -4,8 +4,8 @@
 use super::store::{Store, concerns};
 use crate::BoxFuture;
 use crate::kv::{
-    KeyValue, KeyValueError, LeaseId, Revision, Snapshot, Transaction, TransactionAnswer, Watch,
-    WatchEvent,
+    KeyValue, KeyValueError, LeaseId, Operation, Revision, Snapshot, Transaction,
+    TransactionAnswer, Watch, WatchEvent,
 };
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
@@ -73,6 +73,7 @@
     answer_limit: Duration,
     progress_interval: Duration,
     lost_answers: Vec<LostAnswer>,
+    lost_write_answers: Vec<LostAnswer>,
     swallow_events: usize,
     rate_exceeded: bool,
 }
@@ -93,6 +94,12 @@
         }
     }
 
+    /// Lets the next call, a write, meet the fault that waits for one.
+    fn arm_write_fault(&mut self) {
+        let armed = self.lost_write_answers.pop();
+        self.lost_answers.extend(armed);
+    }
+
     fn expire(&mut self) {
         let events = self.store.expire(Instant::now());
         self.publish(&events);
@@ -134,6 +141,7 @@
             answer_limit: DEFAULT_ANSWER_LIMIT,
             progress_interval: DEFAULT_PROGRESS_INTERVAL,
             lost_answers: Vec::new(),
+            lost_write_answers: Vec::new(),
             swallow_events: 0,
             rate_exceeded: false,
         };
@@ -174,6 +182,12 @@
         state.lost_answers.splice(0..0, std::iter::repeat_n(lost, count));
     }
 
+    /// Loses the answers of the next `count` transactions that write; reads are answered.
+    pub fn lose_write_answers(&self, count: usize, lost: LostAnswer) {
+        let mut state = lock(&self.state);
+        state.lost_write_answers.splice(0..0, std::iter::repeat_n(lost, count));
+    }
+
     /// Brings no watch the next `count` events.
     pub fn swallow_events(&self, count: usize) {
         lock(&self.state).swallow_events = count;
@@ -354,12 +368,21 @@
         &self,
         transaction: Transaction,
     ) -> BoxFuture<'_, Result<TransactionAnswer, KeyValueError>> {
+        let writes = transaction
+            .on_success
+            .iter()
+            .any(|operation| !matches!(operation, Operation::Get { .. }));
         let effect = move |state: &mut State| {
             let (answer, events) = state.store.transact(&transaction)?;
             state.publish(&events);
             Ok(answer)
         };
-        Box::pin(self.serve(|calls| calls.transact += 1, effect))
+        Box::pin(async move {
+            if writes {
+                lock(&self.state).arm_write_fault();
+            }
+            self.serve(|calls| calls.transact += 1, effect).await
+        })
     }
 
     fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, KeyValueError>> {
--- a/crates/platform/tests/fake_kv.rs
+++ b/crates/platform/tests/fake_kv.rs
@@ -59,6 +59,17 @@
     assert_eq!(kv.range("a").await.unwrap().entries.len(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn lose_write_answers_spares_reads() {
+    let kv = FakeKeyValue::new();
+    kv.lose_write_answers(1, LostAnswer::AfterEffect);
+    let get = Operation::Get { key: "a".to_owned() };
+    let read = Transaction { on_success: vec![get], ..Transaction::default() };
+    assert!(kv.transact(read).await.is_ok());
+    assert!(kv.transact(put("a", "1", None)).await.is_err());
+    assert!(kv.transact(put("a", "2", None)).await.is_ok());
+}
+
 // The request itself is lost; the writer hears the same as if its answer were.
 #[tokio::test(start_paused = true)]
 async fn transact_answer_lost_before_effect() {
--- a/crates/proof/examples/faults.rs
+++ b/crates/proof/examples/faults.rs
@@ -15,6 +15,14 @@
             }
         }
     }
+    for step in report::PAIR_STEPS {
+        for (first, second) in report::pairs() {
+            if let Err(failure) = run::check_pair(step, first, second) {
+                eprintln!("{step:?}, {first:?} and {second:?}: {failure}");
+                failed += 1;
+            }
+        }
+    }
     if failed > 0 {
         eprintln!("{failed} cells failed; no page written");
         return ExitCode::FAILURE;
--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use flamingowheel_entry::http::tickets::Issued;
 use flamingowheel_entry::http::{
-    CHAT_PATH, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, TICKET_HEADER, TICKETS_PATH, TIMEOUT_HEADER,
+    CHAT_PATH, ENTRIES_PATH, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, TICKET_HEADER, TICKETS_PATH,
+    TIMEOUT_HEADER,
 };
 use http::{Method, Request, StatusCode, header};
 use http_body_util::BodyExt;
@@ -44,6 +45,8 @@
     Key(String),
     /// Give a ticket up.
     Void(String),
+    /// Which addresses to use.
+    Addresses,
 }
 
 /// One call.
@@ -66,6 +69,7 @@
                 (Method::POST, format!("/v1/services/{SERVICE}/orders"))
             }
             Ask::Void(ticket) => (Method::DELETE, format!("{TICKETS_PATH}/{ticket}")),
+            Ask::Addresses => (Method::GET, ENTRIES_PATH.to_owned()),
         };
         let mut request = base(method, &path).header(TIMEOUT_HEADER, self.timeout_ms);
         request = match &self.ask {
@@ -115,6 +119,7 @@
 }
 
 async fn read(response: Response) -> Told {
+    let is_plain = response.status().is_success();
     let outcome = response.headers().get(OUTCOME_HEADER).cloned();
     let outcome = outcome.as_ref().and_then(|value| value.to_str().ok()).unwrap_or("none");
     // An HTTP client reports a body that ends without its end as an error; any other is whole.
@@ -124,6 +129,8 @@
     let text = || String::from_utf8_lossy(&body).into_owned();
     match outcome {
         "complete" | "streaming" => Told::Complete(body),
+        // Answers that run nothing carry no outcome.
+        "none" if is_plain => Told::Complete(body),
         "not-run" => Told::NotRun(text()),
         _ => Told::Unknown(text()),
     }
--- a/crates/proof/src/configuration/fleet.rs
+++ b/crates/proof/src/configuration/fleet.rs
@@ -180,11 +180,12 @@
         };
     }
 
-    /// An operator changes the configuration through a process.
-    pub fn change(&mut self, process: usize) {
-        let Some(life) = &self.lives[process] else { return };
+    /// An operator changes the configuration through a process; gives the value that is set.
+    pub fn change(&mut self, process: usize) -> Option<u64> {
+        let life = self.lives[process].as_ref()?;
         self.asked += 1;
         let (value, node, oracle) = (self.asked, life.node.clone(), self.oracle.clone());
+        let stop = life.stop.clone();
         let store = Store::new(Arc::new(self.kv.clone()));
         tokio::spawn(async move {
             let origin = Origin { operator: "ana".into(), at_unix_ms: 0, comment: String::new() };
@@ -192,10 +193,16 @@
             let seen = node.revision();
             let request = ApplyRequest { uuid: Uuid::new_v4(), origin, edits, seen };
             let mut replica = node.replica();
-            let answer = store.apply(&mut replica, &request).await;
+            // The operator of a process that dies is told nothing.
+            let answer = tokio::select! {
+                biased;
+                () = stop.cancelled() => return,
+                answer = store.apply(&mut replica, &request) => answer,
+            };
             node.adopt(replica, ConfigSource::Accepted);
             oracle.told(value, &answer);
         });
+        Some(value)
     }
 
     /// Mends everything.
--- a/crates/proof/src/configuration/machine.rs
+++ b/crates/proof/src/configuration/machine.rs
@@ -118,7 +118,9 @@
 
 fn take(fleet: &mut Fleet, step: &ConfigStep) {
     match *step {
-        ConfigStep::Change(process) => fleet.change(process),
+        ConfigStep::Change(process) => {
+            fleet.change(process);
+        }
         ConfigStep::Kill(process) => fleet.kill(process),
         ConfigStep::Start(process) => fleet.start_process(process),
         ConfigStep::Cut(process, cut) => fleet.cut(process, cut),
--- a/crates/proof/src/configuration/mod.rs
+++ b/crates/proof/src/configuration/mod.rs
@@ -6,4 +6,4 @@
 pub mod oracle;
 
 pub use fleet::Fleet;
-pub use oracle::{ConfigViolation, Oracle};
+pub use oracle::{ChangeAnswer, ConfigViolation, Oracle};
--- a/crates/proof/src/configuration/oracle.rs
+++ b/crates/proof/src/configuration/oracle.rs
@@ -45,6 +45,14 @@
         /// How long it could have had it, in milliseconds.
         behind_ms: u64,
     },
+    /// A change is in force of which the operator was told that it is not accepted.
+    #[error("process {process} has {value} in force, which was told not to be accepted")]
+    NotAcceptedButInForce {
+        /// Which process.
+        process: usize,
+        /// The value.
+        value: u64,
+    },
     /// Two changes were accepted under one revision.
     #[error("values {first} and {second} were both accepted as revision {revision}")]
     AcceptedTwice {
@@ -61,6 +69,18 @@
 struct State {
     accepted: BTreeMap<u64, u64>,
     clash: Option<ConfigViolation>,
+    answers: BTreeMap<u64, ChangeAnswer>,
+}
+
+/// What an operator was told of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeAnswer {
+    /// It is accepted.
+    Accepted,
+    /// It is not accepted and won't be.
+    NotAccepted,
+    /// Nobody can tell yet.
+    Unknown,
 }
 
 /// The oracle's book; clones share it.
@@ -72,9 +92,15 @@
 impl Oracle {
     /// Notes what an operator was told of a change that sets `value`.
     pub fn told(&self, value: u64, answer: &Result<Applied, ApplyError>) {
+        let mut state = self.lock();
+        let said = match answer {
+            Ok(_) => ChangeAnswer::Accepted,
+            Err(ApplyError::Unknown { .. }) => ChangeAnswer::Unknown,
+            Err(_) => ChangeAnswer::NotAccepted,
+        };
+        state.answers.insert(value, said);
         let Ok(Applied::Accepted(change)) = answer else { return };
         let revision = change.revision().0;
-        let mut state = self.lock();
         if let Some(first) = state.accepted.insert(revision, value)
             && first != value
         {
@@ -82,6 +108,11 @@
         }
     }
 
+    /// What the operator was told of the change that sets `value`, if anything yet.
+    pub fn answer(&self, value: u64) -> Option<ChangeAnswer> {
+        self.lock().answers.get(&value).copied()
+    }
+
     /// The newest revision that an operator was told is accepted.
     pub fn newest(&self) -> u64 {
         self.lock().accepted.keys().next_back().copied().unwrap_or(0)
@@ -100,6 +131,11 @@
         found: Option<u64>,
     ) -> Result<(), ConfigViolation> {
         let state = self.lock();
+        if let Some(value) = found
+            && state.answers.get(&value) == Some(&ChangeAnswer::NotAccepted)
+        {
+            return Err(ConfigViolation::NotAcceptedButInForce { process, value });
+        }
         let (Some(wanted), Some(found)) = (state.accepted.get(&revision).copied(), found) else {
             return Ok(());
         };
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -10,7 +10,7 @@
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::workspace::{Overrides, Workspace};
 use flamingowheel_control::node::Node;
-use flamingowheel_entry::addresses::AddressBook;
+use flamingowheel_entry::addresses::{AddressBook, EntryMember};
 use flamingowheel_entry::agents::{AgentVm, Agents};
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
@@ -87,7 +87,7 @@
         let effective = node.effective().borrow().clone();
         let state = EntryState {
             effective: ArcSwap::new(effective),
-            addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
+            addresses: ArcSwap::from_pointee(AddressBook::new(&[], members())),
             dispatcher: Dispatcher::new(Arc::clone(&config), routes, recorder.clone()),
             claims: Claims::start(Arc::new(kv.clone()), &config),
             recorder,
@@ -101,6 +101,17 @@
     }
 }
 
+/// The entries that callers may be sent to.
+fn members() -> Vec<EntryMember> {
+    let member = |entry: u16| EntryMember {
+        name: format!("entry-{entry}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 8080 + entry)),
+        data_centre: "a".to_owned(),
+        leaving: false,
+    };
+    (0..2).map(member).collect()
+}
+
 fn record(config: &EntryConfig) -> MemberRecord {
     let address = config.caller_address;
     MemberRecord {
--- a/crates/proof/src/group/fleet.rs
+++ b/crates/proof/src/group/fleet.rs
@@ -9,7 +9,7 @@
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::RecordStore;
 use flamingowheel_group::session::Timing;
-use flamingowheel_group::status::GroupStatus;
+use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::{
     EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, RankGroup, SplitStep,
@@ -213,6 +213,12 @@
         self.processes.push(Process { running, fate, status });
     }
 
+    /// The process that coordinates at present.
+    pub fn leader(&self) -> usize {
+        let leads = |process: &Process| process.status.borrow().activity != Activity::Following;
+        self.processes.iter().position(leads).unwrap_or(0)
+    }
+
     /// Pauses a coordinating process, or lets it go on.
     pub fn pause_coordinator(&self, index: usize, paused: bool) {
         self.processes[index % COORDINATORS].fate.set_paused(paused);
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! [`world`] holds a small fleet in one thread: real entries and agents, an in-memory network
 //! between them, fakes behind them. [`oracle`] knows only what callers asked, what they were told
-//! and what the backend servers carried out. [`machine`] drives the world at random.
+//! and what the backend servers carried out. [`machine`] drives the world at random, and [`matrix`]
+//! brings about every fault at every step. [`configuration`] and [`group`] do the same for the
+//! operators' configuration and for map switches. [`plant`] names known-wrong variants.
 
 pub mod backend;
 pub mod caller;
--- a/crates/proof/src/matrix/mod.rs
+++ b/crates/proof/src/matrix/mod.rs
@@ -1,5 +1,6 @@
 //! The fault matrix: every fault at every step, what is promised there, and the run that shows it.
 
+mod control;
 mod promise;
 pub mod report;
 pub mod run;
@@ -37,11 +38,23 @@
     KeySentAgain,
     /// An agent was told to leave while a stream runs.
     LeaveTold,
+    /// A caller asks which addresses to use.
+    AddressAsked,
+    /// An operator's change is being written.
+    ConfigurationWritten,
+    /// An accepted change is on its way to the other entries.
+    ConfigurationSpreading,
+    /// The weights of a group's new map are being loaded.
+    MapStaged,
+    /// The group is being stopped for the new map.
+    MapHeld,
+    /// The ranks are being told to use it.
+    MapSwitched,
 }
 
 impl Step {
     /// All steps, in the order of the table.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 20] = [
         Self::ChatDispatched,
         Self::ChatStreaming,
         Self::ChatEnding,
@@ -56,6 +69,12 @@
         Self::KeyCarriedOut,
         Self::KeySentAgain,
         Self::LeaveTold,
+        Self::AddressAsked,
+        Self::ConfigurationWritten,
+        Self::ConfigurationSpreading,
+        Self::MapStaged,
+        Self::MapHeld,
+        Self::MapSwitched,
     ];
 
     /// The step in words.
@@ -75,6 +94,12 @@
             Self::KeyCarriedOut => "keyed call carried out, not answered",
             Self::KeySentAgain => "finished keyed call sent again",
             Self::LeaveTold => "agent told to leave, stream running",
+            Self::AddressAsked => "address question",
+            Self::ConfigurationWritten => "configuration change being written",
+            Self::ConfigurationSpreading => "configuration change spreading",
+            Self::MapStaged => "map switch, weights being loaded",
+            Self::MapHeld => "map switch, group being stopped",
+            Self::MapSwitched => "map switch, ranks being switched",
         }
     }
 }
@@ -112,11 +137,15 @@
     RankStalled,
     /// Agent and backend server die together; new ones start a second later.
     VmReplaced,
+    /// The process that coordinates a group dies; another takes its place.
+    CoordinatorKilled,
+    /// It stands still for 15 s, past its lease.
+    CoordinatorPaused,
 }
 
 impl Fault {
     /// All faults, in the order of the table.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::EntryKilled,
         Self::AgentKilled,
         Self::EntryPaused,
@@ -132,6 +161,8 @@
         Self::BackendCrashed,
         Self::RankStalled,
         Self::VmReplaced,
+        Self::CoordinatorKilled,
+        Self::CoordinatorPaused,
     ];
 
     /// The fault in words.
@@ -152,6 +183,8 @@
             Self::BackendCrashed => "backend server crashed",
             Self::RankStalled => "backend server stalled 15 s",
             Self::VmReplaced => "VM replaced",
+            Self::CoordinatorKilled => "group's coordinator killed",
+            Self::CoordinatorPaused => "group's coordinator paused 15 s",
         }
     }
 
--- a/crates/proof/src/matrix/promise.rs
+++ b/crates/proof/src/matrix/promise.rs
@@ -11,31 +11,53 @@
     Runs(Seen),
     /// The fault can't strike at this step, for this reason.
     CannotOccur(&'static str),
+    /// It could strike, but no run shows yet what happens.
+    NotYet,
 }
 
-/// Why no message can be hit while a ticket is taken.
-const NO_MESSAGE: &str = "the entry mints a ticket by itself; no message is sent";
-
 /// What callers are told, by step and in the order of [`Fault::ALL`]: first for the call that was
 /// hit, then for its resend. C complete, N not run, U unknown, B broken, T no ticket to be had,
-/// - no resend, x can't occur.
-const PROMISES: [(Step, &str); 14] = [
-    (Step::ChatDispatched, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C-"),
-    (Step::ChatStreaming, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C-"),
-    (Step::ChatEnding, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C-"),
-    (Step::StatusRunning, "B- C- U- C- C- C- C- C- C- C- C- C- C- C- C-"),
-    (Step::TicketTaken, "T- CC UC CC xx xx xx xx NC CC CC CC CC CC CC"),
-    (Step::TicketDispatched, "BC UU UC UC NC NC CC NC CC CC CC CC UU UU UU"),
-    (Step::TicketRunning, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU"),
-    (Step::TicketCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU"),
-    (Step::TicketSentAgain, "C- U- C- U- C- C- C- C- C- C- C- C- C- C- U-"),
-    (Step::TicketVoided, "U- U- U- U- U- U- N- U- U- N- N- N- N- N- U-"),
-    (Step::KeyBound, "NC CC NC UC NC NC CC NC NC NC NC NC CC UU CC"),
-    (Step::KeyCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU"),
-    (Step::KeySentAgain, "C- U- C- U- C- C- C- C- C- N- N- C- C- C- U-"),
-    (Step::LeaveTold, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C-"),
+/// - no resend, x can't occur, o not run yet.
+const PROMISES: [(Step, &str); 20] = [
+    (Step::ChatDispatched, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
+    (Step::ChatStreaming, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
+    (Step::ChatEnding, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
+    (Step::StatusRunning, "B- C- U- C- C- C- C- C- C- C- C- C- C- C- C- xx xx"),
+    (Step::TicketTaken, "T- CC UC CC xx xx xx xx NC CC CC CC CC CC CC xx xx"),
+    (Step::TicketDispatched, "BC UU UC UC NC NC CC NC CC CC CC CC UU UU UU xx xx"),
+    (Step::TicketRunning, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
+    (Step::TicketCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
+    (Step::TicketSentAgain, "C- U- C- U- C- C- C- C- C- C- C- C- C- C- U- xx xx"),
+    (Step::TicketVoided, "U- U- U- U- U- U- N- U- U- N- N- N- N- N- U- xx xx"),
+    (Step::KeyBound, "NC CC NC UC NC NC CC NC NC NC NC NC CC UU CC xx xx"),
+    (Step::KeyCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
+    (Step::KeySentAgain, "C- U- C- U- C- C- C- C- C- N- N- C- C- C- U- xx xx"),
+    (Step::LeaveTold, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
+    (Step::AddressAsked, "BC CC CC CC xx xx xx xx CC CC CC CC CC CC CC xx xx"),
+    (Step::ConfigurationWritten, "B- xx oo xx C- oo oo oo C- N- N- C- xx xx xx xx xx"),
+    (Step::ConfigurationSpreading, "C- xx oo xx C- oo oo oo C- C- C- C- xx xx xx xx xx"),
+    (Step::MapStaged, "xx N- xx oo C- C- C- oo oo N- C- C- N- N- N- N- N-"),
+    (Step::MapHeld, "xx N- xx oo C- C- C- oo oo N- C- C- N- N- N- N- N-"),
+    (Step::MapSwitched, "xx C- xx oo C- C- C- oo oo C- C- C- C- C- C- C- C-"),
 ];
 
+/// Why a fault can't strike at a step.
+fn reason(step: Step, fault: Fault) -> &'static str {
+    match (step, fault) {
+        (_, Fault::CoordinatorKilled | Fault::CoordinatorPaused) => {
+            "no group's coordinator takes part"
+        }
+        (Step::TicketTaken | Step::AddressAsked, _) => {
+            "the entry answers by itself; no message is sent"
+        }
+        (Step::ConfigurationWritten | Step::ConfigurationSpreading, _) => {
+            "no agent or backend server takes part"
+        }
+        (Step::MapStaged | Step::MapHeld | Step::MapSwitched, _) => "no entry takes part",
+        _ => "the fault strikes nothing that takes part",
+    }
+}
+
 /// The cell of a step and a fault.
 ///
 /// ```
@@ -50,7 +72,8 @@
     let (first, again) = (letters.next().unwrap_or('x'), letters.next().unwrap_or('x'));
     match outcome(first) {
         Some(first) => Cell::Runs(Seen { first, again: outcome(again) }),
-        None => Cell::CannotOccur(NO_MESSAGE),
+        None if first == 'o' => Cell::NotYet,
+        None => Cell::CannotOccur(reason(step, fault)),
     }
 }
 
--- a/crates/proof/src/matrix/report.rs
+++ b/crates/proof/src/matrix/report.rs
@@ -10,23 +10,46 @@
 # Faults
 
 Every fault at every step, and what callers are told. Each cell is run by `cargo test` with the
-real code of entries and agents, on an in-memory network, fakes of the platform and a paused clock.
-In every cell that is run, three things are checked besides: nobody is told \"not run\" of work that
+real code, on an in-memory network, fakes of the platform and a paused clock. In every cell of a
+request that is run, three things are checked besides: nobody is told \"not run\" of work that
 ran, \"complete\" comes with the caller's own whole answer, and non-idempotent work runs at most once.
 
+For a configuration change the page says what the operator is told; in every cell what was accepted
+is in force everywhere within 11 s after the fault's end, and no process goes back. For a map switch
+it says which map the group ends with; in every cell no step is run with two maps, and the group
+steps again or names the rank that it waits for.
+
 *broken* means that the connection ends visibly early, which tells as little as *unknown*. *sent
 again* is what a resend under the same ticket or key is told, through another entry, after the fault
 has ended. A resend that is told *not run* says nothing of the calls before it.
 ";
 
-/// Steps that the matrix does not have yet.
+/// What the matrix does not have yet.
 const MISSING: &str = "\
 ## Not in the matrix yet
 
-A configuration change, an address answer, a map switch and a model load have no cells here, and
-no cell has two faults at once.
+A model load has no cells here. The cells that say so above are not run yet.
 ";
 
+/// Steps at which two faults meet.
+pub const PAIR_STEPS: [Step; 2] = [Step::ChatStreaming, Step::TicketDispatched];
+
+/// Every two different faults that can meet at a step of a request, in both orders.
+///
+/// ```
+/// assert_eq!(flamingowheel_proof::matrix::report::pairs().len(), 15 * 14);
+/// ```
+pub fn pairs() -> Vec<(Fault, Fault)> {
+    let of_requests = Fault::ALL
+        .into_iter()
+        .filter(|fault| !matches!(fault, Fault::CoordinatorKilled | Fault::CoordinatorPaused));
+    let all = || of_requests.clone();
+    all()
+        .flat_map(|first| all().map(move |second| (first, second)))
+        .filter(|(first, second)| first != second)
+        .collect()
+}
+
 /// Numbers of cells.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Count {
@@ -34,13 +57,15 @@
     pub run: usize,
     /// Cells that can't occur.
     pub cannot_occur: usize,
+    /// Cells that are not run yet.
+    pub not_yet: usize,
 }
 
 /// Counts the cells.
 ///
 /// ```
 /// let count = flamingowheel_proof::matrix::report::count();
-/// assert_eq!(count.run + count.cannot_occur, 14 * 15);
+/// assert_eq!(count.run + count.cannot_occur + count.not_yet, 20 * 17);
 /// ```
 pub fn count() -> Count {
     let mut count = Count::default();
@@ -49,6 +74,7 @@
             match cell(step, fault) {
                 Cell::Runs(_) => count.run += 1,
                 Cell::CannotOccur(_) => count.cannot_occur += 1,
+                Cell::NotYet => count.not_yet += 1,
             }
         }
     }
@@ -57,11 +83,17 @@
 
 /// The page.
 pub fn page() -> String {
-    let Count { run, cannot_occur } = count();
-    let total = run + cannot_occur;
-    let mut page = format!("{HEAD}\nWritten by `{COMMAND}`, which runs every cell; don't edit.\n");
+    let Count { run, cannot_occur, not_yet } = count();
+    let total = run + cannot_occur + not_yet;
+    let mut page = format!("{HEAD}\nWritten by `{COMMAND}`,\nwhich runs every cell; don't edit.\n");
     // Writing to a string can't fail.
-    let _ = writeln!(page, "\n{total} cells: {run} run, {cannot_occur} can't occur.");
+    let counts = format!("{run} run, {cannot_occur} can't occur, {not_yet} not run yet");
+    let _ = writeln!(page, "\n{total} cells: {counts}.");
+    let pairs = pairs().len();
+    let steps = PAIR_STEPS.map(|step| format!("\"{}\"", step.words())).join(" and ");
+    let _ = writeln!(page, "\nTwo faults, 100 ms apart: all {pairs} ordered pairs at each of");
+    let _ = writeln!(page, "{steps}.");
+    let _ = writeln!(page, "There only what holds in every cell is checked.");
     for step in Step::ALL {
         let _ = writeln!(page, "\n## {}\n", capitalised(step.words()));
         page.push_str("| fault | told | sent again |\n|---|---|---|\n");
@@ -77,14 +109,22 @@
 fn told(step: Step, fault: Fault) -> String {
     match cell(step, fault) {
         Cell::CannotOccur(reason) => format!("can't occur: {reason} |"),
+        Cell::NotYet => "not run yet |".to_owned(),
         Cell::Runs(seen) => {
+            let words = |outcome| words(step, outcome);
             format!("{} | {}", words(seen.first), seen.again.map_or("", words))
         }
     }
 }
 
-fn words(outcome: Outcome) -> &'static str {
+fn words(step: Step, outcome: Outcome) -> &'static str {
+    let configuration = matches!(step, Step::ConfigurationWritten | Step::ConfigurationSpreading);
+    let map = matches!(step, Step::MapStaged | Step::MapHeld | Step::MapSwitched);
     match outcome {
+        Outcome::Complete if configuration => "accepted",
+        Outcome::NotRun if configuration => "not accepted",
+        Outcome::Complete if map => "switched",
+        Outcome::NotRun if map => "the old map stays",
         Outcome::Complete => "complete",
         Outcome::NotRun => "not run",
         Outcome::Unknown => "unknown",
--- a/crates/proof/src/matrix/run.rs
+++ b/crates/proof/src/matrix/run.rs
@@ -1,8 +1,10 @@
 //! Runs one cell of the matrix.
 
 use crate::caller::Told;
+use crate::configuration::ConfigViolation;
 use crate::entry::MODEL;
-use crate::matrix::{Cell, Fault, Outcome, Step, cell};
+use crate::group::GroupViolation;
+use crate::matrix::{Cell, Fault, Outcome, Step, cell, control};
 use crate::network::{Direction, MessageFault};
 use crate::oracle::{Kind, Violation};
 use crate::world::{RESTART_TIME, SERVICES, World};
@@ -12,7 +14,7 @@
 use tokio::time::sleep;
 
 /// How long a pause or an outage lasts; longer than every lease and time limit of the request path.
-const OUTAGE_TIME: Duration = Duration::from_secs(15);
+pub(super) const OUTAGE_TIME: Duration = Duration::from_secs(15);
 /// Later than every time limit of the request path.
 const LATE: Duration = Duration::from_secs(12);
 /// How long callers wait for their answer to begin.
@@ -21,8 +23,10 @@
 const SERVICE_TIME: Duration = Duration::from_millis(1_000);
 /// Tokens of a completion, 50 ms apart.
 const TOKENS: u64 = 40;
+/// Time between two faults that meet.
+const PAIR_TIME: Duration = Duration::from_millis(100);
 /// Delay of a slow key-value service.
-const KEY_VALUE_DELAY: Duration = Duration::from_secs(2);
+pub(super) const KEY_VALUE_DELAY: Duration = Duration::from_secs(2);
 
 /// What a run showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,18 +37,32 @@
     pub again: Option<Outcome>,
 }
 
+/// A promise that holds in every cell and was broken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    /// About requests.
+    #[error(transparent)]
+    Request(#[from] Violation),
+    /// About the configuration.
+    #[error(transparent)]
+    Configuration(#[from] ConfigViolation),
+    /// About groups.
+    #[error(transparent)]
+    Group(#[from] GroupViolation),
+}
+
 /// How a cell failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CellFailure {
     /// A promise that holds in every cell was broken.
-    #[error("{step:?}, {fault:?}: {violation}")]
+    #[error("{step:?}, {fault:?}: {broken}")]
     Violated {
         /// The step.
         step: Step,
         /// The fault.
         fault: Fault,
         /// Which promise.
-        violation: Violation,
+        broken: Broken,
     },
     /// Callers were told something else than the cell promises.
     #[error("{step:?}, {fault:?}: told {seen:?}, promised {promised:?}")]
@@ -68,10 +86,10 @@
         .start_paused(true)
         .build()
         .expect("a runtime without I/O");
-    let seen = runtime.block_on(run(step, fault)).map_err(|violation| CellFailure::Violated {
+    let seen = runtime.block_on(run(step, fault)).map_err(|broken| CellFailure::Violated {
         step,
         fault,
-        violation,
+        broken,
     })?;
     match seen == promised {
         true => Ok(()),
@@ -79,9 +97,44 @@
     }
 }
 
+/// Runs two faults that meet under a paused clock of their own.
+pub fn check_pair(step: Step, first: Fault, second: Fault) -> Result<(), Violation> {
+    runtime().block_on(run_pair(step, first, second))
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O")
+}
+
 /// Runs a cell. The oracle's checks hold in every cell; what callers are told is compared with the
 /// cell's promise by the caller of this.
-pub async fn run(step: Step, fault: Fault) -> Result<Seen, Violation> {
+pub async fn run(step: Step, fault: Fault) -> Result<Seen, Broken> {
+    match step {
+        Step::ConfigurationWritten | Step::ConfigurationSpreading => {
+            Ok(control::change(step, fault).await?)
+        }
+        Step::MapStaged | Step::MapHeld | Step::MapSwitched => {
+            Ok(control::switch(step, fault).await?)
+        }
+        _ => Ok(run_request(step, fault).await?),
+    }
+}
+
+/// Runs a step of a request with two faults, the second moments after the first. Only what holds
+/// in every cell is checked.
+pub async fn run_pair(step: Step, first: Fault, second: Fault) -> Result<(), Violation> {
+    let mut scene = Scene::set(step).await;
+    scene.second = Some(second);
+    scene.play(step, first).await;
+    scene.world.check()?;
+    scene.world.settle().await
+}
+
+async fn run_request(step: Step, fault: Fault) -> Result<Seen, Violation> {
     let mut scene = Scene::set(step).await;
     scene.play(step, fault).await;
     scene.world.check()?;
@@ -93,6 +146,7 @@
     world: World,
     body: Bytes,
     work: Option<usize>,
+    second: Option<Fault>,
 }
 
 impl Scene {
@@ -107,7 +161,7 @@
             service.set_delay(SERVICE_TIME);
             service.set_silence_limit(Duration::from_secs(3));
         }
-        Self { world, body, work: None }
+        Self { world, body, work: None, second: None }
     }
 
     async fn play(&mut self, step: Step, fault: Fault) {
@@ -132,6 +186,13 @@
             Step::KeyBound => self.keyed(fault, Duration::ZERO).await,
             Step::KeyCarriedOut => self.keyed(fault, Duration::from_millis(700)).await,
             Step::KeySentAgain => self.keyed(fault, Duration::from_secs(2)).await,
+            Step::AddressAsked => self.ask_addresses(fault).await,
+            // Run elsewhere.
+            Step::ConfigurationWritten
+            | Step::ConfigurationSpreading
+            | Step::MapStaged
+            | Step::MapHeld
+            | Step::MapSwitched => {}
         }
     }
 
@@ -204,6 +265,15 @@
         }
     }
 
+    async fn ask_addresses(&mut self, fault: Fault) {
+        self.world.ask_addresses(0);
+        self.strike(fault, Direction::ToAgent, Some(0)).await;
+        sleep(OUTAGE_TIME).await;
+        self.world.ask_addresses(1);
+        self.pass(RESTART_TIME).await;
+        self.work = Some(0);
+    }
+
     async fn void(&mut self, fault: Fault) {
         self.work = self.world.take_ticket(0, self.body.clone()).await;
         let server = self.ticket_server();
@@ -241,6 +311,14 @@
     }
 
     async fn strike(&mut self, fault: Fault, direction: Direction, server: Option<usize>) {
+        self.strike_once(fault, direction, server).await;
+        if let Some(second) = self.second.take() {
+            self.pass(PAIR_TIME).await;
+            self.strike_once(second, direction, server).await;
+        }
+    }
+
+    async fn strike_once(&mut self, fault: Fault, direction: Direction, server: Option<usize>) {
         let server = server.or_else(|| self.world.server_of(&self.body)).unwrap_or(0);
         let world = &mut self.world;
         match fault {
@@ -268,6 +346,8 @@
                 None => world.servers.engines[server - SERVICES].set_frozen(true),
             },
             Fault::VmReplaced => world.replace_vm(server).await,
+            // Groups are not part of this world.
+            Fault::CoordinatorKilled | Fault::CoordinatorPaused => {}
         }
     }
 
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -17,6 +17,8 @@
     Chat,
     /// An idempotent service call.
     Status,
+    /// The address question.
+    Addresses,
     /// A non-idempotent one, by whatever means it is kept from running twice.
     Order,
 }
@@ -207,6 +209,7 @@
             Kind::Chat => self.is_whole_chat(answer),
             // A service's answer tells which execution it is of.
             Kind::Status => (1..=runs).any(|run| FakeService::answer(&self.body, run) == *answer),
+            Kind::Addresses => answer.windows(9).any(|part| part == b"127.0.0.1"),
             Kind::Order => FakeService::answer(&self.body, 1) == *answer,
         }
     }
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -306,6 +306,17 @@
         }
     }
 
+    /// Asks an entry which addresses to use; all such questions are one piece of work.
+    pub fn ask_addresses(&self, entry: usize) {
+        if self.ledger.is_empty() {
+            let submissions = Vec::new();
+            let body = Bytes::new();
+            let kind = Kind::Addresses;
+            self.ledger.add(Work { kind, body, ticket: None, key: None, submissions });
+        }
+        self.submit(entry, 0, false, 1_000);
+    }
+
     /// Sends a piece of work again, under its ticket or key if it has one.
     pub fn resend(&self, entry: usize, index: usize, timeout_ms: u64) {
         let Some(work) = self.ledger.get(index) else { return };
@@ -332,6 +343,7 @@
             (None, None, Kind::Chat) => Ask::Chat,
             (None, None, Kind::Status) => Ask::Status,
             (None, None, Kind::Order) => Ask::Order,
+            (None, None, Kind::Addresses) => Ask::Addresses,
         };
         let repeats = ask == Ask::Order && self.plant == Some(Plant::NonIdempotentRetried);
         let call = Call { ask, body: work.body, timeout_ms };
--- a/crates/proof/tests/fault_matrix.rs
+++ b/crates/proof/tests/fault_matrix.rs
@@ -43,8 +43,50 @@
     matrix_key_carried_out: KeyCarriedOut,
     matrix_key_sent_again: KeySentAgain,
     matrix_leave_told: LeaveTold,
+    matrix_address_asked: AddressAsked,
+    matrix_configuration_written: ConfigurationWritten,
+    matrix_configuration_spreading: ConfigurationSpreading,
+    matrix_map_staged: MapStaged,
+    matrix_map_held: MapHeld,
+    matrix_map_switched: MapSwitched,
 );
 
+/// Two faults that meet, at the steps that the page names; each call takes a part of the pairs.
+fn check_pairs(step: Step, part: usize) {
+    assert!(report::PAIR_STEPS.contains(&step));
+    let mine = report::pairs().into_iter().enumerate().filter(|(index, _)| index % PARTS == part);
+    let failures: Vec<String> = mine
+        .filter_map(|(_, (first, second))| {
+            let failure = run::check_pair(step, first, second).err()?;
+            Some(format!("{first:?} and {second:?}: {failure}"))
+        })
+        .collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Parts into which the pairs are divided, so that they run side by side.
+const PARTS: usize = 2;
+
+#[test]
+fn matrix_pairs_chat_streaming_even() {
+    check_pairs(Step::ChatStreaming, 0);
+}
+
+#[test]
+fn matrix_pairs_chat_streaming_odd() {
+    check_pairs(Step::ChatStreaming, 1);
+}
+
+#[test]
+fn matrix_pairs_ticket_dispatched_even() {
+    check_pairs(Step::TicketDispatched, 0);
+}
+
+#[test]
+fn matrix_pairs_ticket_dispatched_odd() {
+    check_pairs(Step::TicketDispatched, 1);
+}
+
 #[test]
 fn page_matches_table() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/FAULTS.md");
