Switch and rebalance expert maps through the fleet

Cause: the map switch and the rebalancer existed as packages, but no process used them. Change: each rank group is the duty of one entry, by rendezvous hashing and the group's lease; requests to ranks travel over the connections to agents; agents put the gate before their engine and open it once the record is read; loads come from counters that engines report. The groups' status is on the operators' port. Orders that load nothing are given up after 1 s, so that a silent engine does not block its group.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -45,7 +45,7 @@
     /// use flamingowheel_agent::config::AgentConfig;
     /// use flamingowheel_protocol::message::{BackendProfile, Serves};
     /// let profile = BackendProfile {
-    ///     serves: Serves::Service { service: "orders".into() }, places: 4, can_resume: false,
+    ///     serves: Serves::Service { service: "orders".into() }, places: 4, can_resume: false, experts: None,
     /// };
     /// assert_eq!(AgentConfig::new("desk-1", "attiki-a", profile).queue_places, 4);
     /// ```
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -8,9 +8,11 @@
 use crate::load::LoadCell;
 use crate::records::{Record, Records};
 use crate::runner::{self, RunEnd};
+use bytes::Bytes;
 use flamingowheel_observe::event::{Event, Name, Subject};
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
 use flamingowheel_policy::key::ServerKey;
@@ -147,6 +149,13 @@
     status: watch::Sender<AgentStatus>,
     traffic: Handle,
     recorder: Recorder,
+    orders: Option<Arc<dyn OrderHandler>>,
+}
+
+/// Carries out requests of the group's coordinator.
+pub trait OrderHandler: Send + Sync + 'static {
+    /// Answers one request; both are encoded messages of the group's package.
+    fn handle(&self, body: Bytes) -> BoxFuture<'_, Bytes>;
 }
 
 impl Control {
@@ -184,12 +193,19 @@
             status,
             traffic: Handle::current(),
             recorder,
+            orders: None,
             config,
             backend,
         };
         (control, AgentHandle { commands, status: status_receiver }, receiver)
     }
 
+    /// Says who carries out orders; without it they are not answered.
+    pub fn with_orders(mut self, orders: Arc<dyn OrderHandler>) -> Self {
+        self.orders = Some(orders);
+        self
+    }
+
     /// Runs until every handle is gone.
     pub async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
         let mut tick = tokio::time::interval(TICK);
@@ -262,9 +278,20 @@
                 self.tell_suspicions();
             }
             EntryMessage::VmLeaving => self.leave(LeaveCause::VmList),
+            EntryMessage::Order { number, body } => self.on_order(sender, number, body),
         }
     }
 
+    fn on_order(&self, sender: &mpsc::Sender<AgentMessage>, number: u64, body: Bytes) {
+        let Some(orders) = self.orders.clone() else { return };
+        let sender = sender.clone();
+        self.traffic.spawn(async move {
+            let body = orders.handle(body).await;
+            // Whoever asked over a connection that ended asks again.
+            let _ = sender.send(AgentMessage::OrderAnswer { number, body }).await;
+        });
+    }
+
     fn on_dispatch(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
         let (attempt, key) = (dispatch.attempt, dispatch.key);
         if dispatch.incarnation != self.config.incarnation {
@@ -668,7 +695,7 @@
     }
 
     fn fail(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId, failure: Failure) {
-        let occupancy = self.load().occupancy();
+        let occupancy = self.load().into();
         reply(sender, AgentMessage::Failed { attempt, failure, occupancy });
     }
 
@@ -682,13 +709,7 @@
     }
 
     fn load(&self) -> Load {
-        let load = self.admission.load();
-        Load {
-            running: load.running,
-            waiting: load.waiting,
-            places: load.places,
-            service_ms: load.service_ms,
-        }
+        self.admission.load()
     }
 
     fn broadcast(&self, message: &AgentMessage) {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -7,7 +7,7 @@
 use crate::load::LoadCell;
 use bytes::Bytes;
 use flamingowheel_protocol::id::{AttemptId, Fingerprint};
-use flamingowheel_protocol::message::{AgentMessage, Failure, Refusal};
+use flamingowheel_protocol::message::{AgentMessage, Failure, Occupancy, Refusal};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, mpsc};
@@ -353,7 +353,7 @@
         if self.ended {
             return Turn::Wait;
         }
-        let (attempt, occupancy) = (self.attempt, self.load.get().occupancy());
+        let (attempt, occupancy) = (self.attempt, Occupancy::from(self.load.get()));
         if self.next < answer.first {
             messages.push(AgentMessage::Failed {
                 attempt,
--- a/crates/agent/tests/session/mod.rs
+++ b/crates/agent/tests/session/mod.rs
@@ -32,6 +32,7 @@
         serves: Serves::Service { service: "orders".to_owned() },
         places: 2,
         can_resume: true,
+        experts: None,
     };
     AgentConfig::new("runner-1", "a", profile)
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -143,6 +143,17 @@
     pub replay_window_bytes: u64,
 }
 
+/// Sizes of a group's expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpertSettings {
+    /// Layers with experts.
+    pub layers: u32,
+    /// Experts a layer.
+    pub experts: u32,
+    /// Expert weights that a rank holds a layer.
+    pub slots: u32,
+}
+
 /// What a backend server is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BackendServerKind {
@@ -158,6 +169,8 @@
         ranks: u32,
         /// Whether the engine itself refuses orders with an old fencing number.
         checks_fencing: bool,
+        /// Sizes of the expert map, if the group's ranks share one.
+        experts: Option<ExpertSettings>,
     },
     /// A plain service.
     Service {
--- a/crates/config/src/settings/file.rs
+++ b/crates/config/src/settings/file.rs
@@ -1,8 +1,8 @@
 //! The settings file as it is written, and how it becomes [`Settings`].
 
 use super::{
-    AgentSettings, BackendServerKind, EntrySettings, KeyValueSettings, Listen, LogLevel,
-    MIN_SECRET_BYTES, Role, Settings, SettingsProblem, VmListSettings,
+    AgentSettings, BackendServerKind, EntrySettings, ExpertSettings, KeyValueSettings, Listen,
+    LogLevel, MIN_SECRET_BYTES, Role, Settings, SettingsProblem, VmListSettings,
 };
 use crate::problem::{Collector, Reason};
 use crate::secret::{Secret, SecretSource};
@@ -52,6 +52,9 @@
     group: Option<String>,
     rank: Option<u32>,
     ranks: Option<u32>,
+    layers: Option<u32>,
+    experts: Option<u32>,
+    expert_slots: Option<u32>,
     #[serde(default)]
     checks_fencing: bool,
     service: Option<String>,
@@ -265,7 +268,25 @@
         problems.range("agent.ranks", f64::from(ranks), 1.0, 4_096.0);
         problems.range("agent.rank", f64::from(rank), 0.0, f64::from(ranks.max(1) - 1));
         let checks_fencing = self.checks_fencing;
-        Some(BackendServerKind::Engine { model, group, rank, ranks, checks_fencing })
+        let experts = self.expert_settings(ranks, problems);
+        Some(BackendServerKind::Engine { model, group, rank, ranks, checks_fencing, experts })
+    }
+
+    /// All three sizes or none; the slots must hold every expert.
+    fn expert_settings(&self, ranks: u32, problems: &mut Problems) -> Option<ExpertSettings> {
+        let given = [self.layers, self.experts, self.expert_slots];
+        if given.iter().all(Option::is_none) {
+            return None;
+        }
+        let layers = required(&self.layers, "agent.layers", problems);
+        let experts = required(&self.experts, "agent.experts", problems);
+        let slots = required(&self.expert_slots, "agent.expert_slots", problems);
+        let (layers, experts, slots) = (layers?, experts?, slots?);
+        problems.range("agent.layers", f64::from(layers), 1.0, 1_024.0);
+        problems.range("agent.experts", f64::from(experts), 1.0, 4_096.0);
+        let fewest = f64::from(experts.div_ceil(ranks.max(1)));
+        problems.range("agent.expert_slots", f64::from(slots), fewest, f64::from(experts));
+        Some(ExpertSettings { layers, experts, slots })
     }
 
     fn service(&self, problems: &mut Problems) -> Option<BackendServerKind> {
@@ -274,6 +295,9 @@
             ("agent.group", self.group.is_some()),
             ("agent.rank", self.rank.is_some()),
             ("agent.ranks", self.ranks.is_some()),
+            ("agent.layers", self.layers.is_some()),
+            ("agent.experts", self.experts.is_some()),
+            ("agent.expert_slots", self.expert_slots.is_some()),
             ("agent.checks_fencing", self.checks_fencing),
         ];
         for (field, _) in engine_only.into_iter().filter(|(_, given)| *given) {
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -5,6 +5,7 @@
 
 use crate::connector::{AgentLink, Connector};
 use crate::router::Router;
+use bytes::Bytes;
 use flamingowheel_policy::key::{ScopeKey, ServerKey};
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
@@ -13,11 +14,11 @@
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -61,6 +62,8 @@
     window: AtomicU32,
     leaving: AtomicBool,
     heard: Mutex<Instant>,
+    orders: Mutex<HashMap<u64, oneshot::Sender<Bytes>>>,
+    order_number: AtomicU64,
     streams: Mutex<HashMap<AttemptId, mpsc::UnboundedSender<StreamEvent>>>,
 }
 
@@ -72,6 +75,8 @@
             window: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             heard: Mutex::new(Instant::now()),
+            orders: Mutex::default(),
+            order_number: AtomicU64::new(1),
             streams: Mutex::default(),
         }
     }
@@ -135,6 +140,22 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sends a request of the group's coordinator and waits for the answer; `None` if there is no
+    /// connection, or it ends first. The caller bounds the wait.
+    pub async fn order(&self, body: Bytes) -> Option<Bytes> {
+        let connected = self.connected()?;
+        let number = self.order_number.fetch_add(1, Ordering::Relaxed);
+        let (sender, answer) = oneshot::channel();
+        self.orders().insert(number, sender);
+        let _waiting = OrderWaiting { agent: self, number };
+        connected.sender.send(EntryMessage::Order { number, body }).await.ok()?;
+        answer.await.ok()
+    }
+
+    fn orders(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Bytes>>> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Hands a message to its attempt. One whose attempt is over or unknown is dropped here, so
     /// that a late answer can't reach another caller.
     fn route(&self, attempt: AttemptId, message: AgentMessage) {
@@ -144,12 +165,25 @@
     }
 
     fn tell_lost(&self, epoch: u64) {
+        self.orders().clear();
         for stream in self.streams().values() {
             let _ = stream.send(StreamEvent::Lost { epoch });
         }
     }
 }
 
+/// Takes an order's place out again when its sender stops waiting.
+struct OrderWaiting<'a> {
+    agent: &'a Agent,
+    number: u64,
+}
+
+impl Drop for OrderWaiting<'_> {
+    fn drop(&mut self) {
+        self.agent.orders().remove(&self.number);
+    }
+}
+
 /// Receives the messages about one attempt until dropped.
 #[derive(Debug)]
 pub struct StreamListener {
@@ -302,8 +336,17 @@
                     self.agent.send(EntryMessage::Suspicions(known));
                 }
             }
-            if let Some(attempt) = message.attempt() {
-                self.agent.route(attempt, message);
+            match message {
+                AgentMessage::OrderAnswer { number, body } => {
+                    if let Some(waiting) = self.agent.orders().remove(&number) {
+                        let _ = waiting.send(body);
+                    }
+                }
+                message => {
+                    if let Some(attempt) = message.attempt() {
+                        self.agent.route(attempt, message);
+                    }
+                }
             }
         }
         self.router.remove(server, &self.agent);
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -2,7 +2,7 @@
 
 use crate::agents::{Agent, Target};
 use flamingowheel_policy::key::{Fingerprint, ScopeKey, ServerKey};
-use flamingowheel_policy::load::{Availability, Load, LoadBook};
+use flamingowheel_policy::load::{Availability, LoadBook};
 use flamingowheel_policy::routing::{
     Choice, RouteError, RouteRequest, RoutingConfig, choose, choose_alone,
 };
@@ -119,16 +119,8 @@
         let now = self.started.elapsed();
         let book = &mut self.lock().book;
         match hint {
-            LoadHint::Whole(load) => {
-                let load = Load {
-                    running: load.running,
-                    waiting: load.waiting,
-                    places: load.places,
-                    service_ms: load.service_ms,
-                };
-                book.on_fresh(server, load, now);
-            }
-            LoadHint::Occupancy(Occupancy(occupied)) => book.on_hint(server, occupied, now),
+            LoadHint::Whole(load) => book.on_fresh(server, load, now),
+            LoadHint::Occupancy(Occupancy(hint)) => book.on_hint(server, hint, now),
         }
     }
 
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -2,6 +2,7 @@
 
 use crate::listen::{ListenLimits, StartError, bind, serve as serve_http};
 use crate::operators;
+use crate::orders::GateOrders;
 use crate::threads::spawn_control;
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{AgentHandle, Control};
@@ -12,7 +13,7 @@
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::client::{BackendKind, HttpBackend, HttpLimits};
 use flamingowheel_protocol::link::{Keeping, Timing};
-use flamingowheel_protocol::message::{BackendProfile, Serves};
+use flamingowheel_protocol::message::{BackendProfile, ExpertShape, Serves};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -54,7 +55,12 @@
         let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
         let key = crate::entry::fleet_key(settings);
         let identity = serve::identity(&config, key, keeping);
+        let orders = GateOrders::start(settings, own, config.incarnation);
         let (control, handle, commands) = Control::new(config, backend, recorder.clone());
+        let control = match orders {
+            Some(orders) => control.with_orders(orders),
+            None => control,
+        };
         spawn_control("control", move || control.run(commands))?;
         let stop = CancellationToken::new();
         tokio::spawn(serve::serve(inner, identity, handle.clone(), stop.clone()));
@@ -112,6 +118,7 @@
         can_resume: matches!(serves, Serves::Model { .. }),
         serves,
         places: u32::try_from(own.places).unwrap_or(u32::MAX),
+        experts: expert_shape(&own.kind),
     };
     let mut config = AgentConfig::new(&settings.name, &settings.data_centre, profile);
     config.vm = settings.vm.clone();
@@ -124,6 +131,18 @@
     config
 }
 
+fn expert_shape(kind: &BackendServerKind) -> Option<ExpertShape> {
+    let BackendServerKind::Engine { ranks, experts: Some(experts), .. } = kind else { return None };
+    // The settings' check keeps all of them far below the type's bound.
+    let size = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
+    Some(ExpertShape {
+        ranks: size(*ranks),
+        layers: size(experts.layers),
+        experts: size(experts.experts),
+        slots: size(experts.slots),
+    })
+}
+
 fn backend(own: &AgentSettings) -> HttpBackend {
     let kind = match own.kind {
         BackendServerKind::Engine { .. } => BackendKind::Engine,
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -14,7 +14,8 @@
 use flamingowheel_config::store::Store;
 use flamingowheel_platform::client::{EtcdClient, HttpLimits};
 use flamingowheel_platform::fake::engine::EngineSettings;
-use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList};
+use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList, RankGroup};
+use flamingowheel_platform::orders::expert_counter;
 use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::Connections;
 use std::io;
@@ -36,6 +37,17 @@
 /// The service with calls that may not be repeated.
 pub const SERVICE: &str = "orders";
 
+/// The group whose ranks step together.
+pub const GROUP: &str = "notes-a";
+
+const LAYERS: u16 = 2;
+const EXPERTS: u16 = 8;
+const SLOTS: u16 = 3;
+/// Time between two steps of the stand-in group.
+const STEP: Duration = Duration::from_millis(50);
+/// Tokens of the most popular expert a step; the next has half as many, and so on.
+const MOST_TOKENS: u64 = 512;
+
 const ENTRIES: u8 = 2;
 const RANKS: u8 = 4;
 const SERVERS: u8 = 2;
@@ -96,6 +108,8 @@
     pub vms: FakeVmList,
     /// The engines, one a rank.
     pub engines: Vec<FakeEngine>,
+    /// The engines' group; it notes every step that was run with two maps.
+    pub group: RankGroup,
     /// The plain services.
     pub services: Vec<FakeService>,
     key_value_address: SocketAddr,
@@ -120,6 +134,7 @@
         let inner_port = free_port().await?;
         let standins = start_standins().await?;
         let mut fleet = Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port };
+        fleet.standins.run_group();
         fleet.start_agents().await?;
         fleet.start_entries().await?;
         fleet.apply().await?;
@@ -132,7 +147,9 @@
             let engine = self.standins.engines[usize::from(rank)].clone();
             let address = self.standins.start_engine(engine).await?;
             let kind = format!(
-                "{{backend_server: \"{address}\", kind: engine, model: {MODEL}, group: notes-a, rank: {rank}, ranks: {RANKS}}}"
+                "{{backend_server: \"{address}\", kind: engine, model: {MODEL}, group: {GROUP}, \
+                 rank: {rank}, ranks: {RANKS}, layers: {LAYERS}, experts: {EXPERTS}, \
+                 expert_slots: {SLOTS}, checks_fencing: true}}"
             );
             self.start_agent(&format!("notes-{rank}"), rank, &kind).await?;
         }
@@ -255,7 +272,9 @@
              What happened to a request (its id is in the header flamingowheel-request):\n  \
              export FLAMINGOWHEEL_ENTRIES={operators} FLAMINGOWHEEL_TOKEN={OPERATORS_TOKEN}\n  \
              cargo run --release --bin flamingowheel -- timeline --request ID\n  \
-             cargo run --release --bin flamingowheel -- status\n\n",
+             cargo run --release --bin flamingowheel -- status\n\
+             Which expert map the rank group runs on; after some seconds it is rebalanced:\n  \
+             curl -H 'authorization: Bearer {OPERATORS_TOKEN}' http://{operators}/v1/groups\n\n",
             operators = self.entries[0].operators,
         );
         text
@@ -276,6 +295,20 @@
 }
 
 impl Standins {
+    /// Lets the engines step in lock-step, as ranks of one group, and count their experts' tokens.
+    fn run_group(&self) {
+        let group = self.group.clone();
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            while !stop.is_cancelled() {
+                tokio::time::sleep(STEP).await;
+                if group.try_step() {
+                    group.ranks().iter().enumerate().for_each(|(rank, e)| count_tokens(rank, e));
+                }
+            }
+        });
+    }
+
     async fn start_engine(&self, engine: FakeEngine) -> Result<SocketAddr, DemoError> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
@@ -314,10 +347,12 @@
         stop.clone(),
     ));
     let engine = |seed| FakeEngine::new(u64::from(seed), EngineSettings::default());
+    let engines: Vec<FakeEngine> = (0..RANKS).map(engine).collect();
     Ok(Standins {
         key_value,
         vms,
-        engines: (0..RANKS).map(engine).collect(),
+        group: RankGroup::new(engines.clone()),
+        engines,
         services: (0..SERVERS).map(|seed| FakeService::new(u64::from(seed))).collect(),
         key_value_address,
         vms_address,
@@ -325,6 +360,19 @@
     })
 }
 
+/// The tokens of one step for the experts that an engine holds. Of an expert that stands on more
+/// ranks, each counts its share; the demo takes all shares as equal.
+fn count_tokens(rank: usize, engine: &FakeEngine) {
+    for (layer, ranks) in engine.peek_map().layers.iter().enumerate() {
+        let Some(own) = ranks.get(rank) else { continue };
+        for expert in own {
+            let replicas = ranks.iter().flatten().filter(|other| *other == expert).count();
+            let tokens = (MOST_TOKENS >> expert) / replicas.max(1) as u64;
+            engine.add_to_counter(&expert_counter(layer, *expert), tokens);
+        }
+    }
+}
+
 fn vms() -> Vec<Vm> {
     let vm = |name: String, ip| Vm {
         name,
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::authority;
 use crate::discovery::Discovery;
+use crate::groups::Groups;
 use crate::listen::{ListenLimits, StartError, bind, serve};
 use crate::loans::{EntryLender, borrow};
 use crate::membership::{publish_addresses, publish_configuration};
@@ -85,7 +86,9 @@
         let node = Node::new(record, recorder.clone());
         let (state, agents) = assemble(&config, &kv, &identity, &node);
         let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
-        let store = Store::new(kv);
+        let store = Store::new(Arc::clone(&kv));
+        let groups = Groups::new(kv, Arc::clone(&agents), node.clone());
+        let group_routes = groups.router();
         let peers: Arc<dyn PeerTransport> = Arc::new(WebSocketPeers::new(identity.clone()));
         let spread = Spread {
             node: node.clone(),
@@ -107,6 +110,7 @@
                 publish_addresses(served, publisher),
                 discovery.run(),
                 borrower,
+                groups.run(),
             );
         })?;
         let routes = flamingowheel_entry::http::router(Arc::clone(&state));
@@ -114,6 +118,7 @@
         let callers_task = tokio::spawn(serve(callers, routes, limits, stop_accepting.clone()));
         let others = Arc::new(AgentList(Arc::clone(&agents)));
         let routes = operators_router(Operators { node, store, peers, agents: others })
+            .merge(group_routes)
             .merge(flamingowheel_entry::http::entries_router(Arc::clone(&state)))
             .merge(flamingowheel_observe::http::router(recorder));
         let routes = operators::guard(routes, &settings.operators_token);
@@ -277,7 +282,8 @@
     FleetKey::new(Sha256::digest(settings.fleet_key.expose()).into())
 }
 
-fn key_value(settings: &Settings) -> EtcdClient {
+/// The client of the key-value service.
+pub fn key_value(settings: &Settings) -> EtcdClient {
     // Settings without an address don't pass their check.
     let address = settings.key_value.addresses[0];
     let limits = HttpLimits {
--- /dev/null
+++ b/crates/flamingowheeld/src/groups.rs
@@ -0,0 +1,275 @@
+//! Coordinates rank groups from the entries.
+//!
+//! Entries are connected to the agents already, so coordination needs no further connections.
+//! Each group is the duty of the entry that ranks first for it; the lease in the key-value
+//! service decides where entries disagree for a while.
+
+use crate::placement::{Observer, even_map};
+use axum::extract::State;
+use axum::routing::get;
+use axum::{Json, Router};
+use bytes::Bytes;
+use flamingowheel_config::effective::Effective;
+use flamingowheel_control::node::Node;
+use flamingowheel_entry::agents::{Agent, Agents, Connected};
+use flamingowheel_group::coordinator::Coordinator;
+use flamingowheel_group::message::{RankError, RankRequest, RankState};
+use flamingowheel_group::ranks::Ranks;
+use flamingowheel_group::session::Timing;
+use flamingowheel_group::status::GroupStatus;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_platform::orders::{ExpertMap, Fence};
+use flamingowheel_policy::key::EntryKey;
+use flamingowheel_policy::rebalance::Params;
+use flamingowheel_protocol::message::{ExpertShape, Serves};
+use flamingowheel_protocol::peer::MemberState;
+use futures_util::future::join_all;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Path of the groups' status on the operators' port.
+pub const GROUPS_PATH: &str = "/v1/groups";
+
+/// Time between two looks at which groups are this entry's duty.
+const DUTY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_secs(10);
+
+/// How long a rank may take to tell its state for a plan.
+const READ_LIMIT: Duration = Duration::from_secs(1);
+
+type Statuses = Arc<Mutex<BTreeMap<String, watch::Receiver<GroupStatus>>>>;
+
+/// The groups that this entry coordinates.
+pub struct Groups {
+    kv: Arc<dyn KeyValue>,
+    agents: Arc<Agents>,
+    node: Node,
+    duties: BTreeMap<String, CancellationToken>,
+    statuses: Statuses,
+}
+
+/// One group as its agents describe it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Group {
+    name: String,
+    model: String,
+    shape: ExpertShape,
+}
+
+impl Groups {
+    /// None yet.
+    pub fn new(kv: Arc<dyn KeyValue>, agents: Arc<Agents>, node: Node) -> Self {
+        Self { kv, agents, node, duties: BTreeMap::new(), statuses: Arc::default() }
+    }
+
+    /// The route that tells the status of the groups that this entry coordinates.
+    pub fn router(&self) -> Router {
+        Router::new().route(GROUPS_PATH, get(give_status)).with_state(Arc::clone(&self.statuses))
+    }
+
+    /// Takes up and gives up duties for ever.
+    pub async fn run(mut self) {
+        loop {
+            let groups = self.own_groups();
+            self.give_up(&groups);
+            for group in groups {
+                if !self.duties.contains_key(&group.name) {
+                    self.take_up(group);
+                }
+            }
+            sleep(DUTY_INTERVAL).await;
+        }
+    }
+
+    fn own_groups(&self) -> Vec<Group> {
+        let members = self.node.members();
+        let live = members.iter().filter(|member| member.state == MemberState::Live);
+        let entries: Vec<EntryKey> =
+            live.map(|member| EntryKey::from_name(&member.record.name)).collect();
+        let own = EntryKey::from_name(&self.node.own().name);
+        let mut groups: Vec<Group> =
+            self.agents.connected().iter().filter_map(|(_, c)| group_of(c)).collect();
+        groups.sort_by(|a, b| a.name.cmp(&b.name));
+        groups.dedup_by(|a, b| a.name == b.name);
+        groups.retain(|group| first_for(&group.name, &entries) == Some(own));
+        groups
+    }
+
+    fn give_up(&mut self, groups: &[Group]) {
+        self.duties.retain(|name, stop| {
+            let keep = groups.iter().any(|group| group.name == *name);
+            if !keep {
+                stop.cancel();
+            }
+            keep
+        });
+        let mut statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
+        statuses.retain(|name, _| self.duties.contains_key(name));
+    }
+
+    fn take_up(&mut self, group: Group) {
+        let ranks = LinkRanks { agents: Arc::clone(&self.agents), group: group.clone() };
+        let (desired, receiver) = watch::channel(Some(even_map(group.shape)));
+        let coordinator = Coordinator::new(
+            Arc::clone(&self.kv),
+            &group.name,
+            ranks.clone(),
+            Timing::default(),
+            receiver,
+        );
+        let stop = CancellationToken::new();
+        let status = coordinator.status();
+        let mut statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
+        statuses.insert(group.name.clone(), status);
+        drop(statuses);
+        let planner = Planner {
+            group: group.clone(),
+            ranks,
+            desired,
+            records: flamingowheel_group::record::RecordStore::new(
+                Arc::clone(&self.kv),
+                &group.name,
+            ),
+            effective: self.node.effective(),
+        };
+        self.duties.insert(group.name, stop.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = coordinator.run(stop) => {}
+                () = planner.run() => {}
+            }
+        });
+    }
+}
+
+async fn give_status(State(statuses): State<Statuses>) -> Json<BTreeMap<String, GroupStatus>> {
+    let statuses = statuses.lock().unwrap_or_else(PoisonError::into_inner);
+    let current = |(name, status): (&String, &watch::Receiver<GroupStatus>)| {
+        (name.clone(), status.borrow().clone())
+    };
+    Json(statuses.iter().map(current).collect())
+}
+
+fn group_of(connected: &Connected) -> Option<Group> {
+    let Serves::Model { model, group, .. } = &connected.profile.serves else { return None };
+    let shape = connected.profile.experts?;
+    Some(Group { name: group.clone(), model: model.clone(), shape })
+}
+
+/// The entry that ranks first for a group, by rendezvous hashing.
+fn first_for(group: &str, entries: &[EntryKey]) -> Option<EntryKey> {
+    entries.iter().copied().max_by_key(|entry| xxh3_64_with_seed(group.as_bytes(), entry.0))
+}
+
+/// Reaches the ranks of a group over the connections to their agents.
+#[derive(Clone)]
+struct LinkRanks {
+    agents: Arc<Agents>,
+    group: Group,
+}
+
+impl LinkRanks {
+    fn agent(&self, rank: usize) -> Option<Arc<Agent>> {
+        let connected = self.agents.connected();
+        let found = connected.into_iter().find(|(_, connected)| self.is_rank(connected, rank));
+        found.map(|(agent, _)| agent)
+    }
+
+    fn is_rank(&self, connected: &Connected, wanted: usize) -> bool {
+        match &connected.profile.serves {
+            Serves::Model { group, rank, .. } => {
+                *group == self.group.name && usize::from(*rank) == wanted
+            }
+            Serves::Service { .. } => false,
+        }
+    }
+
+    async fn ask(&self, rank: usize, request: RankRequest) -> Result<RankState, RankError> {
+        let agent = self.agent(rank).ok_or(RankError::NoAnswer)?;
+        let mut body = Vec::new();
+        // Writing plain values into memory can't fail.
+        let _ = ciborium::into_writer(&request, &mut body);
+        let answer = agent.order(Bytes::from(body)).await.ok_or(RankError::NoAnswer)?;
+        ciborium::from_reader(&answer[..]).map_err(|_| RankError::NoAnswer)?
+    }
+}
+
+impl Ranks for LinkRanks {
+    fn count(&self) -> usize {
+        usize::from(self.group.shape.ranks)
+    }
+
+    fn call(
+        &self,
+        rank: usize,
+        request: RankRequest,
+    ) -> BoxFuture<'_, Result<RankState, RankError>> {
+        Box::pin(self.ask(rank, request))
+    }
+}
+
+/// Plans a group's map from what its engines count.
+struct Planner {
+    group: Group,
+    ranks: LinkRanks,
+    desired: watch::Sender<Option<ExpertMap>>,
+    records: flamingowheel_group::record::RecordStore,
+    effective: watch::Receiver<Arc<Effective>>,
+}
+
+impl Planner {
+    async fn run(self) {
+        let mut observer = Observer::new(self.group.shape);
+        loop {
+            sleep(PLAN_INTERVAL).await;
+            self.plan(&mut observer).await;
+        }
+    }
+
+    async fn plan(&self, observer: &mut Observer) {
+        // Without the record in force there is nothing to improve on; the map stays as it is.
+        let Ok(stored) = self.records.read().await else { return };
+        let Some(states) = self.read(stored.fence()).await else { return };
+        observer.observe(&states);
+        let current = &stored.record.in_force.map;
+        let wanted = observer.better_map(current, &self.params());
+        self.desired.send_replace(Some(wanted.unwrap_or_else(|| current.clone())));
+    }
+
+    /// All ranks' states, or none: a plan from half the loads would move experts for nothing.
+    async fn read(&self, fence: Fence) -> Option<Vec<RankState>> {
+        let read = |rank| {
+            let request =
+                RankRequest { incarnation: None, fence, target: None, requires_version: None };
+            timeout(READ_LIMIT, self.ranks.call(rank, request))
+        };
+        let states = join_all((0..self.ranks.count()).map(read)).await;
+        states.into_iter().map(|state| state.ok()?.ok()).collect()
+    }
+
+    /// Weights of the first template that offers the group's model.
+    fn params(&self) -> Params {
+        let effective = self.effective.borrow();
+        let serves = effective
+            .workspaces()
+            .filter(|workspace| workspace.parameters.models.contains_key(&self.group.model))
+            .min_by(|a, b| a.template.cmp(&b.template));
+        let preset = Params::skew_weighted();
+        match serves {
+            Some(workspace) => Params {
+                skew_weight: workspace.rebalancing.skew_weight,
+                move_weight: workspace.rebalancing.move_weight,
+                ..preset
+            },
+            None => preset,
+        }
+    }
+}
--- a/crates/platform/src/client/orders.rs
+++ b/crates/platform/src/client/orders.rs
@@ -4,7 +4,7 @@
 use super::http::{HttpClient, HttpLimits, Reuse};
 use crate::BoxFuture;
 use crate::backend::BackendError;
-use crate::orders::{EngineOrders, EngineState, Fence, Order, OrderError};
+use crate::orders::{EngineOrders, EngineState, Fence, Order, OrderError, OrderTarget};
 use bytes::Bytes;
 use http::uri::Authority;
 use http::{Method, StatusCode};
@@ -38,9 +38,15 @@
     }
 }
 
+/// The longest that an order without weights to load, or a question, may take.
+const PROMPT_LIMIT_MS: u64 = 1_000;
+
 /// The client.
 #[derive(Clone, Debug)]
 pub struct HttpOrders {
+    /// For orders that load weights.
+    loading: HttpClient,
+    /// For all others and for questions, which are answered at once or not at all.
     http: HttpClient,
 }
 
@@ -54,28 +60,44 @@
     /// # });
     /// ```
     pub fn new(authority: Authority, limits: HttpLimits) -> Self {
-        Self { http: HttpClient::new(authority, limits) }
+        let prompt = HttpLimits { head_ms: limits.head_ms.min(PROMPT_LIMIT_MS), ..limits.clone() };
+        Self {
+            http: HttpClient::new(authority.clone(), prompt),
+            loading: HttpClient::new(authority, limits),
+        }
+    }
+
+    /// Loading weights takes as long as it takes; anything else that is not answered soon holds
+    /// back the group's coordinator for nothing.
+    fn client(&self, target: &OrderTarget) -> &HttpClient {
+        match target {
+            OrderTarget::Serve { .. } | OrderTarget::StageMap { .. } => &self.loading,
+            OrderTarget::Hold { .. } | OrderTarget::SwitchMap { .. } | OrderTarget::Resume => {
+                &self.http
+            }
+        }
     }
 
     async fn exchange(
-        &self,
+        http: &HttpClient,
         method: Method,
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), BackendError> {
-        let request = self
-            .http
+        let request = http
             .request(method, path)
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|_| BackendError::Refused)?;
-        let answer = self.http.fetch(request, Reuse::Never).await.map_err(backend_error)?;
+        let answer = http.fetch(request, Reuse::Never).await.map_err(backend_error)?;
         Ok((answer.status, answer.body))
     }
 
     async fn send(&self, order: &Order) -> Result<(), OrderError> {
         let body = serde_json::to_vec(order).map_err(|_| BackendError::Refused)?;
-        let (status, body) = self.exchange(Method::POST, "/v1/orders", body.into()).await?;
+        let (status, body) =
+            Self::exchange(self.client(&order.target), Method::POST, "/v1/orders", body.into())
+                .await?;
         if status.is_success() {
             return Ok(());
         }
@@ -95,7 +117,8 @@
 
     fn state(&self) -> BoxFuture<'_, Result<EngineState, BackendError>> {
         Box::pin(async move {
-            let (status, body) = self.exchange(Method::GET, "/v1/state", Bytes::new()).await?;
+            let (status, body) =
+                Self::exchange(&self.http, Method::GET, "/v1/state", Bytes::new()).await?;
             if !status.is_success() {
                 return Err(BackendError::Malformed);
             }
--- a/crates/platform/src/fake/engine/control.rs
+++ b/crates/platform/src/fake/engine/control.rs
@@ -52,6 +52,12 @@
         true
     }
 
+    /// Adds to one of the counters that the engine reports with its state.
+    pub fn add_to_counter(&self, name: &str, amount: u64) {
+        let mut state = lock(&self.shared.state);
+        *state.reported.counters.entry(name.to_owned()).or_default() += amount;
+    }
+
     /// Any request whose body holds `part` kills the process.
     pub fn crash_on<B>(&self, part: B)
     where
--- a/crates/platform/src/orders.rs
+++ b/crates/platform/src/orders.rs
@@ -87,10 +87,20 @@
     pub step: u64,
     /// The boundary at which stepping stopped, if held.
     pub held_after_step: Option<u64>,
-    /// Free form counters by name.
+    /// Free form counters by name. Engines count the tokens that each expert they hold has worked
+    /// on since their process started under [`expert_counter`].
     pub counters: BTreeMap<String, u64>,
 }
 
+/// Name of the counter of tokens that an expert of a layer has worked on.
+///
+/// ```
+/// assert_eq!(flamingowheel_platform::orders::expert_counter(2, 17), "expert_tokens/2/17");
+/// ```
+pub fn expert_counter(layer: usize, expert: u16) -> String {
+    format!("expert_tokens/{layer}/{expert}")
+}
+
 /// Why an order was not carried out.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum OrderError {
--- a/crates/proof/benches/capacity/links.rs
+++ b/crates/proof/benches/capacity/links.rs
@@ -31,7 +31,7 @@
 fn profile() -> BackendProfile {
     let serves =
         Serves::Model { model: "model-1".to_owned(), group: "group-17".to_owned(), rank: 3 };
-    BackendProfile { serves, places: 8, can_resume: true }
+    BackendProfile { serves, places: 8, can_resume: true, experts: None }
 }
 
 fn identity(name: &str, role: Role) -> Identity {
--- a/crates/proof/benches/capacity/wire.rs
+++ b/crates/proof/benches/capacity/wire.rs
@@ -50,7 +50,7 @@
     one_message("dispatch_with_body_of_1024", &dispatch)?;
     one_message("accepted", &AgentMessage::Accepted { attempt, load })?;
     let data = Bytes::from(vec![b'x'; 200]);
-    let occupancy = load.occupancy();
+    let occupancy = load.into();
     one_message("chunk_of_200", &AgentMessage::Chunk { attempt, number: 99, data, occupancy })?;
     one_message("end", &AgentMessage::End { attempt, chunk_count: 223, occupancy })?;
     one_message("acknowledge", &EntryMessage::Acknowledge { attempt, key, next_chunk: 64 })?;
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -401,5 +401,5 @@
             rank: (server - SERVICES) as u16,
         },
     };
-    BackendProfile { serves, places: PLACES, can_resume: server >= SERVICES }
+    BackendProfile { serves, places: PLACES, can_resume: server >= SERVICES, experts: None }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use bytes::Bytes;
+pub use flamingowheel_policy::load::Load;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -41,6 +42,21 @@
     pub places: u32,
     /// Whether the backend server can resume an event stream that it had begun.
     pub can_resume: bool,
+    /// The experts of the group, if its ranks share an expert map.
+    pub experts: Option<ExpertShape>,
+}
+
+/// Sizes of a group's expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpertShape {
+    /// Ranks of the group.
+    pub ranks: u16,
+    /// Layers with experts.
+    pub layers: u16,
+    /// Experts a layer.
+    pub experts: u16,
+    /// Expert weights that a rank holds a layer.
+    pub slots: u16,
 }
 
 /// What a backend server offers.
@@ -62,41 +78,17 @@
     },
 }
 
-/// The load of an agent, as of the moment the message was made.
+/// The short form of the load that goes with every chunk; see [`Load::hint`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests running on the backend server.
-    #[serde(rename = "r")]
-    pub running: u16,
-    /// Requests waiting at the agent.
-    #[serde(rename = "w")]
-    pub waiting: u16,
-    /// Requests that may run at once.
-    #[serde(rename = "p")]
-    pub places: u16,
-    /// Mean time a request holds a place, in milliseconds; zero if not yet measured.
-    #[serde(rename = "s")]
-    pub service_ms: u32,
-}
+#[serde(transparent)]
+pub struct Occupancy(pub u16);
 
-impl Load {
-    /// The short form that goes with every chunk.
-    ///
-    /// ```
-    /// use flamingowheel_protocol::message::{Load, Occupancy};
-    /// let load = Load { running: 2, waiting: 1, ..Load::default() };
-    /// assert_eq!(load.occupancy(), Occupancy(3));
-    /// ```
-    pub fn occupancy(&self) -> Occupancy {
-        Occupancy(self.running.saturating_add(self.waiting))
+impl From<Load> for Occupancy {
+    fn from(load: Load) -> Self {
+        Self(load.hint())
     }
 }
 
-/// Requests running or waiting: the part of the load that goes with every chunk.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Occupancy(pub u16);
-
 /// A request sent to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
@@ -187,6 +179,14 @@
     Suspicions(Vec<SuspectRecord>),
     /// The VM list says that the agent's VM is leaving.
     VmLeaving,
+    /// A request of the group's coordinator; its body is a message of its own package.
+    Order {
+        /// Chosen by the sender; the answer carries it.
+        number: u64,
+        /// The request.
+        #[serde(with = "serde_body")]
+        body: Bytes,
+    },
 }
 
 /// Why an agent did not run an attempt. Each of these is proof that it did not and will not.
@@ -353,6 +353,16 @@
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
     Suspicions(Vec<SuspectRecord>),
+    /// The answer to an order.
+    #[serde(rename = "o")]
+    OrderAnswer {
+        /// The order's number.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The answer.
+        #[serde(rename = "d", with = "serde_body")]
+        body: Bytes,
+    },
 }
 
 impl AgentMessage {
@@ -370,7 +380,7 @@
             | Self::Chunk { attempt, .. }
             | Self::End { attempt, .. }
             | Self::Failed { attempt, .. } => Some(*attempt),
-            Self::Heartbeat { .. } | Self::Suspicions(_) => None,
+            Self::Heartbeat { .. } | Self::Suspicions(_) | Self::OrderAnswer { .. } => None,
         }
     }
 
@@ -389,7 +399,7 @@
             | Self::Chunk { occupancy, .. }
             | Self::End { occupancy, .. }
             | Self::Failed { occupancy, .. } => Some(LoadHint::Occupancy(*occupancy)),
-            Self::Suspicions(_) => None,
+            Self::Suspicions(_) | Self::OrderAnswer { .. } => None,
         }
     }
 }
@@ -399,7 +409,7 @@
 pub enum LoadHint {
     /// All of it.
     Whole(Load),
-    /// Requests running or waiting.
+    /// The short form.
     Occupancy(Occupancy),
 }
 
--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -22,6 +22,10 @@
 /// Handshake messages are small; a stranger can't make this side hold more.
 const MAX_HANDSHAKE_BYTES: usize = 16 * 1024;
 
+/// Buffer of each connection. Batches are small, and a process holds a hundred connections; the
+/// library's default would cost 128 KiB each.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Why a connection could not be opened.
 #[derive(Debug, thiserror::Error)]
 pub enum HandshakeError {
@@ -104,6 +108,7 @@
 
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_BATCH_BYTES))
         .max_frame_size(Some(MAX_BATCH_BYTES))
 }
