Group: tests of gates, records, shares, pauses and pairs of faults

Cause: the matrix alone did not show that each guard is needed, for others stand behind it: with any one guard out, most single faults still end well. Change: tests of the gate, the record and the weight store's shares by themselves; an agent paused within an order; an engine crash during an outage; all pairs of 17 faults for engines of both kinds.

--- /dev/null
+++ b/crates/group/tests/budget.rs
@@ -0,0 +1,112 @@
+//! The weight store's rate is kept by the whole fleet at every moment.
+
+use flamingowheel_group::budget::{Allocation, Pacer, Share, VALID_FOR};
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+const RATE_BYTES_PER_S: f64 = 1e9;
+const MAX_MEMBERS: usize = 20;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn allocation(members: &[usize]) -> Allocation {
+    Allocation {
+        rate_bytes_per_s: RATE_BYTES_PER_S,
+        max_members: MAX_MEMBERS,
+        members: members.iter().map(|member| member.to_string()).collect(),
+    }
+}
+
+fn share(member: usize) -> Share {
+    Share::new(&member.to_string(), allocation(&[]).minimum_bytes_per_s())
+}
+
+/// A small generator, so that every run is the same.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// Groups come and go, each reads the record when it can, some are cut off from the service for
+/// minutes, and reads are slow. If the sum of what all believe to be theirs were above the rate, the
+/// store would refuse loads and a map switch would hang.
+#[tokio::test(start_paused = true)]
+async fn share_sum_within_rate() {
+    let mut highest: f64 = 0.0;
+    for seed in 0..20 {
+        let mut random = Random(seed);
+        let mut shares: Vec<Share> = (0..MAX_MEMBERS).map(share).collect();
+        let mut cut_off_s = [0; MAX_MEMBERS];
+        let mut reads: Vec<Option<(Instant, u64, Allocation)>> = vec![None; MAX_MEMBERS];
+        let (mut current, mut revision) = (allocation(&[0, 1]), 1);
+        let mut written_at = Instant::now();
+        for _ in 0..1200 {
+            advance(SECOND).await;
+            let now = Instant::now();
+            if Allocation::may_be_replaced(written_at, now) && random.below(20) == 0 {
+                let members: Vec<usize> =
+                    (0..MAX_MEMBERS).filter(|_| random.below(3) == 0).collect();
+                (current, revision, written_at) = (allocation(&members), revision + 1, now);
+            }
+            for member in 0..MAX_MEMBERS {
+                // A read that began earlier ends now; what it found may be replaced meanwhile.
+                if let Some((read_at, found, allocation)) = reads[member].take() {
+                    shares[member].read(&allocation, found, read_at, now);
+                }
+                if cut_off_s[member] > 0 {
+                    cut_off_s[member] -= 1;
+                } else if random.below(200) == 0 {
+                    cut_off_s[member] = random.below(200);
+                } else if random.below(15) == 0 {
+                    reads[member] = Some((now, revision, current.clone()));
+                }
+            }
+            let sum: f64 = shares.iter().map(|share| share.rate_bytes_per_s(now)).sum();
+            assert!(sum <= RATE_BYTES_PER_S * 1.000_001, "seed {seed}: {sum}");
+            highest = highest.max(sum);
+        }
+    }
+    assert!(highest > RATE_BYTES_PER_S * 0.8, "the rate is hardly used: {highest}");
+}
+
+/// The key-value service goes away for long. A group that can't confirm its share falls back to the
+/// minimum, which is reserved for it, and can still load what it must.
+#[tokio::test(start_paused = true)]
+async fn share_service_down() {
+    let mut share = share(0);
+    let allotted = allocation(&[0, 1]);
+    let start = Instant::now();
+    share.read(&allotted, 1, start, start);
+    assert_eq!(share.rate_bytes_per_s(start), allotted.minimum_bytes_per_s());
+    advance(VALID_FOR - SECOND).await;
+    share.read(&allotted, 1, Instant::now(), Instant::now());
+    advance(SECOND).await;
+    assert_eq!(share.rate_bytes_per_s(Instant::now()), allotted.share_bytes_per_s());
+    advance(VALID_FOR).await;
+    assert_eq!(share.rate_bytes_per_s(Instant::now()), allotted.minimum_bytes_per_s());
+}
+
+/// An answer of the service comes late, after a newer one.
+#[tokio::test(start_paused = true)]
+async fn share_older_revision_ignored() {
+    let mut share = share(0);
+    let now = Instant::now();
+    share.read(&allocation(&[1]), 2, now, now);
+    share.read(&allocation(&[0]), 1, now, now);
+    advance(VALID_FOR - SECOND).await;
+    let minimum = allocation(&[]).minimum_bytes_per_s();
+    assert_eq!(share.rate_bytes_per_s(Instant::now()), minimum);
+}
+
+#[tokio::test(start_paused = true)]
+async fn book_keeps_rate() {
+    let start = Instant::now();
+    let mut pacer = Pacer::new(start);
+    assert_eq!(pacer.book(1000, 500.0, start), start);
+    assert_eq!(pacer.book(1000, 500.0, start), start + SECOND * 2);
+    advance(SECOND * 10).await;
+    assert_eq!(pacer.book(1, 500.0, Instant::now()), Instant::now());
+}
--- /dev/null
+++ b/crates/group/tests/gate.rs
@@ -0,0 +1,184 @@
+//! What an agent's gate lets through to its engine.
+
+use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::message::{RankError, RankRequest, RankState};
+use flamingowheel_group::record::{GroupRecord, RecordError, RecordStore};
+use flamingowheel_platform::fake::{
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostOrder,
+};
+use flamingowheel_platform::orders::{ExpertMap, Fence, OrderTarget};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const INCARNATION: u64 = 7;
+
+fn engine(kind: EngineKind) -> FakeEngine {
+    let fence_policy = match kind {
+        EngineKind::ChecksFence => FencePolicy::Refuses,
+        EngineKind::IgnoresFence => FencePolicy::Ignores,
+    };
+    let load_time = Duration::from_millis(500);
+    let settings = EngineSettings { fence_policy, load_time, ..EngineSettings::default() };
+    FakeEngine::new(1, settings)
+}
+
+async fn open(engine: &FakeEngine, kind: EngineKind, kv: &FakeKeyValue) -> Gate<FakeEngine> {
+    let records = RecordStore::new(Arc::new(kv.clone()), "g1");
+    Gate::open(engine.clone(), kind, INCARNATION, &records).await.unwrap()
+}
+
+fn order(fence: u64, target: OrderTarget) -> RankRequest {
+    RankRequest {
+        incarnation: Some(INCARNATION),
+        fence: Fence(fence),
+        target: Some(target),
+        requires_version: None,
+    }
+}
+
+fn serve(version: &str) -> OrderTarget {
+    OrderTarget::Serve {
+        model: "notes".to_owned(),
+        version: version.to_owned(),
+        adapters: Vec::new(),
+        role: "both".to_owned(),
+    }
+}
+
+fn version(result: Result<RankState, RankError>) -> Result<String, RankError> {
+    result.map(|state| state.engine.version)
+}
+
+/// A coordinator that was replaced still sends an order. An engine that checks no numbers would
+/// carry it out, and its callers would get answers of another model version.
+#[tokio::test(start_paused = true)]
+async fn handle_old_number_refused() {
+    for kind in [EngineKind::ChecksFence, EngineKind::IgnoresFence] {
+        let (engine, kv) = (engine(kind), FakeKeyValue::new());
+        let gate = open(&engine, kind, &kv).await;
+        assert_eq!(version(gate.handle(&order(5, serve("2"))).await), Ok("2".to_owned()));
+        let stale = RankError::Stale { given: Fence(4), lowest: Fence(5) };
+        assert_eq!(gate.handle(&order(4, serve("1"))).await, Err(stale));
+        assert_eq!(engine.peek_state().version, "2");
+    }
+}
+
+/// An old order was received in time but waits behind another while a newer coordinator comes. It
+/// was good at receipt, and must not be written after all.
+#[tokio::test(start_paused = true)]
+async fn handle_number_outdated_while_waiting() {
+    let kind = EngineKind::IgnoresFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = Arc::new(open(&engine, kind, &kv).await);
+    let send = |request: RankRequest| {
+        let gate = Arc::clone(&gate);
+        tokio::spawn(async move { gate.handle(&request).await })
+    };
+    let load = send(order(4, OrderTarget::StageMap { map: ExpertMap::default() }));
+    sleep(Duration::from_millis(10)).await;
+    let waiting = send(order(4, serve("1")));
+    sleep(Duration::from_millis(10)).await;
+    let newer = send(order(5, OrderTarget::Resume));
+    assert!(load.await.unwrap().is_ok());
+    let stale = RankError::Stale { given: Fence(4), lowest: Fence(5) };
+    assert_eq!(waiting.await.unwrap(), Err(stale));
+    assert!(newer.await.unwrap().is_ok());
+    assert_eq!(engine.peek_state().version, "");
+}
+
+/// An agent dies between two orders and a new one, which remembers nothing, gets a late order of a
+/// coordinator that was replaced long ago.
+#[tokio::test(start_paused = true)]
+async fn open_takes_lowest_number_from_record() {
+    let kind = EngineKind::IgnoresFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let records = RecordStore::new(Arc::new(kv.clone()), "g1");
+    let first = records.create(GroupRecord::first(ExpertMap::default(), 1)).await.unwrap();
+    let second = records.replace(&first, first.record.settled()).await.unwrap();
+    let gate = open(&engine, kind, &kv).await;
+    let late = gate.handle(&order(first.revision.0, serve("1"))).await;
+    assert!(matches!(late, Err(RankError::Stale { .. })), "{late:?}");
+    assert!(gate.handle(&order(second.revision.0, serve("2"))).await.is_ok());
+}
+
+/// The service is away when an agent starts. It can't know which numbers are old, so it stays shut.
+#[tokio::test(start_paused = true)]
+async fn open_service_down() {
+    let (engine, kv) = (engine(EngineKind::ChecksFence), FakeKeyValue::new());
+    kv.set_down(true);
+    let records = RecordStore::new(Arc::new(kv.clone()), "g1");
+    let opened = Gate::open(engine, EngineKind::ChecksFence, INCARNATION, &records).await;
+    assert!(matches!(opened, Err(RecordError::NotWritten(_))));
+}
+
+/// An order was on its way to an agent that has died since. Its successor must not take it: whoever
+/// sent it knew the rank as it was before.
+#[tokio::test(start_paused = true)]
+async fn handle_order_for_earlier_agent() {
+    let kind = EngineKind::ChecksFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = open(&engine, kind, &kv).await;
+    let request = RankRequest { incarnation: Some(6), ..order(5, serve("2")) };
+    let refused = Err(RankError::WrongIncarnation { incarnation: INCARNATION });
+    assert_eq!(gate.handle(&request).await, refused);
+    assert_eq!(engine.peek_state().version, "");
+}
+
+/// An engine crashes and comes back with no map just before it is told to step on.
+#[tokio::test(start_paused = true)]
+async fn handle_resume_requires_version() {
+    let kind = EngineKind::ChecksFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = open(&engine, kind, &kv).await;
+    gate.handle(&order(5, OrderTarget::Hold { after_step: 0 })).await.unwrap();
+    let resume = RankRequest { requires_version: Some(3), ..order(5, OrderTarget::Resume) };
+    assert_eq!(gate.handle(&resume).await, Err(RankError::WrongVersion { version: 0 }));
+    assert_eq!(engine.peek_state().held_after_step, Some(0));
+}
+
+/// An order lies in the engine for a minute. If a different one were sent meanwhile, the late one
+/// would undo it. The rank says so until the late order has come about, and then goes on.
+#[tokio::test(start_paused = true)]
+async fn handle_order_late_in_engine_that_ignores_numbers() {
+    let kind = EngineKind::IgnoresFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = open(&engine, kind, &kv).await;
+    engine.lose_order(LostOrder::Delayed(Duration::from_secs(60)));
+    assert_eq!(gate.handle(&order(5, serve("1"))).await, Err(RankError::EngineSilent));
+    assert_eq!(gate.handle(&order(6, serve("2"))).await, Err(RankError::Unresolved));
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(version(gate.handle(&order(6, serve("2"))).await), Ok("2".to_owned()));
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(engine.peek_state().version, "2");
+}
+
+/// The caller of an order hangs up while the order is with the engine. The agent must still know
+/// that it may take effect.
+#[tokio::test(start_paused = true)]
+async fn handle_given_up_half_way() {
+    let kind = EngineKind::IgnoresFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = open(&engine, kind, &kv).await;
+    let request = order(5, serve("1"));
+    let limit = Duration::from_millis(100);
+    assert!(tokio::time::timeout(limit, gate.handle(&request)).await.is_err());
+    assert_eq!(gate.handle(&order(6, serve("2"))).await, Err(RankError::Unresolved));
+}
+
+/// A load's answer is lost on the way to the coordinator, which asks again. The weight store must
+/// not be asked twice.
+#[tokio::test(start_paused = true)]
+async fn handle_same_load_twice() {
+    let kind = EngineKind::ChecksFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = open(&engine, kind, &kv).await;
+    let load = order(5, OrderTarget::StageMap { map: ExpertMap::default() });
+    for _ in 0..2 {
+        gate.handle(&load).await.unwrap();
+    }
+    assert_eq!(engine.peek_state().counters["orders"], 1);
+    engine.restart();
+    gate.handle(&load).await.unwrap();
+    assert_eq!(engine.peek_state().counters["orders"], 1, "a new process has loaded nothing");
+}
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -39,6 +39,7 @@
     Duplicate,
     Delay(Duration),
     KillAgent,
+    PauseAgent,
     CrashEngine,
     FreezeEngine,
     LoseOrder(LostOrder),
@@ -59,6 +60,7 @@
     engine: FakeEngine,
     gate: Mutex<Option<Arc<Gate<FakeEngine>>>>,
     calls: Mutex<Vec<AbortHandle>>,
+    paused: watch::Sender<bool>,
 }
 
 struct Process {
@@ -103,6 +105,7 @@
             engine: engine.clone(),
             gate: Mutex::default(),
             calls: Mutex::default(),
+            paused: watch::Sender::new(false),
         };
         let world = Arc::new(Self {
             kv: FakeKeyValue::new(),
@@ -155,6 +158,11 @@
         }
     }
 
+    /// Strikes now.
+    pub fn strike_now(self: &Arc<Self>, rank: usize, fault: Fault) {
+        self.strike(rank, fault);
+    }
+
     pub fn want(&self, number: u16) {
         self.desired.send_replace(Some(map(number)));
     }
@@ -205,6 +213,12 @@
     fn strike(self: &Arc<Self>, rank: usize, fault: Fault) {
         match fault {
             Fault::KillAgent => self.kill_agent(rank),
+            Fault::PauseAgent => {
+                self.slots[rank].paused.send_replace(true);
+                self.later(move |world| {
+                    world.slots[rank].paused.send_replace(false);
+                });
+            }
             Fault::CrashEngine => self.engine(rank).crash(),
             Fault::FreezeEngine => {
                 self.engine(rank).set_frozen(true);
@@ -283,7 +297,12 @@
         let gate = self.slots[rank].gate.lock().unwrap().clone();
         let Some(gate) = gate else { return Err(RankError::NoAnswer) };
         // The agent goes on with what it received whether or not its caller still waits.
-        let handled = tokio::spawn(async move { gate.handle(&request).await });
+        let paused = self.slots[rank].paused.subscribe();
+        let handled = tokio::spawn(async move {
+            let mut answer = Err(RankError::NoAnswer);
+            pausable(async { answer = gate.handle(&request).await }, paused).await;
+            answer
+        });
         self.slots[rank].calls.lock().unwrap().push(handled.abort_handle());
         handled.await.unwrap_or(Err(RankError::NoAnswer))
     }
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -73,6 +73,13 @@
     strike_everywhere(Fault::KillAgent, Duration::from_secs(2)).await;
 }
 
+/// An agent's process stands still for some seconds, in the middle of an order, and goes on with
+/// it as if no time had passed.
+#[tokio::test(start_paused = true)]
+async fn switch_agent_paused() {
+    strike_everywhere(Fault::PauseAgent, OUTAGE).await;
+}
+
 /// An engine dies and comes back with no map. If it stepped like that, the group's tokens would be
 /// garbage from there on.
 #[tokio::test(start_paused = true)]
@@ -154,3 +161,68 @@
         }
     }
 }
+
+/// The key-value service is away for long, and in that time an engine crashes and an agent dies. The
+/// group must not stand still for the whole outage because one engine came back without its map.
+#[tokio::test(start_paused = true)]
+async fn align_while_service_down() {
+    for kind in KINDS {
+        let world = World::start(kind).await;
+        world.kv.set_down(true);
+        sleep(MINUTE).await;
+        world.strike_now(1, Fault::CrashEngine);
+        sleep(RECOVERY + Duration::from_secs(2)).await;
+        assert!(world.runs_within(Duration::from_secs(1)).await, "{kind:?}");
+        world.want(2);
+        world.strike_now(2, Fault::KillAgent);
+        sleep(MINUTE).await;
+        assert_eq!(world.engine(0).peek_map(), map(1), "a map was changed during the outage");
+        world.kv.set_down(false);
+        sleep(RECOVERY).await;
+        check_runs_or_named(&world, "service back").await;
+        assert_eq!(world.engine(0).peek_map(), map(2));
+    }
+}
+
+const FAULTS: [Fault; 17] = [
+    Fault::LoseRequest,
+    Fault::LoseAnswer,
+    Fault::Duplicate,
+    Fault::Delay(Duration::from_secs(5)),
+    Fault::KillAgent,
+    Fault::PauseAgent,
+    Fault::CrashEngine,
+    Fault::FreezeEngine,
+    Fault::LoseOrder(LostOrder::AfterEffect),
+    Fault::LoseOrder(LostOrder::BeforeEffect),
+    Fault::ServiceDown,
+    Fault::ServiceSlow,
+    Fault::LoseServiceAnswers(LostAnswer::AfterEffect),
+    Fault::LoseServiceAnswers(LostAnswer::BeforeEffect),
+    Fault::PauseCoordinator,
+    Fault::KillCoordinator,
+    Fault::ExpireLease,
+];
+
+/// Two faults strike in one switch, each pair at a few places: what mends the first may be what the
+/// second takes away.
+#[tokio::test(start_paused = true)]
+async fn switch_two_faults() {
+    let mut place = 0;
+    for first in FAULTS {
+        for second in FAULTS {
+            for kind in KINDS {
+                // Steps through the messages without a pattern, the same in every run.
+                place = (place * 31 + 17) % 1009;
+                let (at, gap) = (place % 45, place % 13);
+                let case = format!("{first:?} at {at}, {second:?} {gap} later, {kind:?}");
+                let world = World::start(kind).await;
+                world.plan(at, first);
+                world.plan(at + gap, second);
+                world.want(2);
+                sleep(OUTAGE * 4 + RECOVERY).await;
+                check_runs_or_named(&world, &case).await;
+            }
+        }
+    }
+}
