--- /dev/null
+++ b/crates/group/benches/switch.rs
@@ -0,0 +1,106 @@
+//! How long a group stands still for a switch of its map, and for each fault at each message of
+//! one. Time is the runtime's paused clock, so the figures don't depend on the machine.
+#![allow(clippy::print_stdout)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_platform::fake::{LostAnswer, LostOrder};
+use std::time::Duration;
+use support::{Fault, OUTAGE, World};
+use tokio::time::sleep;
+
+const MESSAGES: u64 = 70;
+const LOOK: Duration = Duration::from_millis(50);
+const WATCH: Duration = Duration::from_secs(25);
+
+/// A fault's name, the fault, and how long it lasts.
+const FAULTS: [(&str, Fault, Duration); 17] = [
+    ("request_lost", Fault::LoseRequest, Duration::ZERO),
+    ("answer_lost", Fault::LoseAnswer, Duration::ZERO),
+    ("request_doubled", Fault::Duplicate, Duration::ZERO),
+    ("request_5_s_late", Fault::Delay(Duration::from_secs(5)), Duration::ZERO),
+    ("agent_killed", Fault::KillAgent, Duration::from_secs(2)),
+    ("agent_paused", Fault::PauseAgent, OUTAGE),
+    ("engine_crashed", Fault::CrashEngine, Duration::from_secs(2)),
+    ("engine_frozen", Fault::FreezeEngine, OUTAGE),
+    ("order_lost_after_effect", Fault::LoseOrder(LostOrder::AfterEffect), Duration::ZERO),
+    ("order_lost_before_effect", Fault::LoseOrder(LostOrder::BeforeEffect), Duration::ZERO),
+    ("service_down", Fault::ServiceDown, OUTAGE),
+    ("service_slow", Fault::ServiceSlow, OUTAGE),
+    ("write_lost_after", Fault::LoseServiceAnswers(LostAnswer::AfterEffect), Duration::ZERO),
+    ("write_lost_before", Fault::LoseServiceAnswers(LostAnswer::BeforeEffect), Duration::ZERO),
+    ("coordinator_paused", Fault::PauseCoordinator, Duration::ZERO),
+    ("coordinator_killed", Fault::KillCoordinator, Duration::ZERO),
+    ("lease_expired", Fault::ExpireLease, Duration::ZERO),
+];
+
+/// What was seen of one run.
+#[derive(Default)]
+struct Seen {
+    still: Duration,
+    /// From the fault's end to the last look without a step.
+    recovery: Duration,
+    runs: bool,
+    splits: usize,
+}
+
+async fn watch(kind: EngineKind, fault: Option<(u64, Fault, Duration)>) -> Seen {
+    let world = World::start(kind).await;
+    if let Some((message, fault, _)) = fault {
+        world.plan(message, fault);
+    }
+    world.want(2);
+    let lasts = fault.map_or(Duration::ZERO, |(_, _, lasts)| lasts);
+    let mut seen = Seen::default();
+    let (mut since_start, mut struck_at) = (Duration::ZERO, None);
+    while since_start < WATCH {
+        let runs = world.runs_within(LOOK).await;
+        since_start += LOOK;
+        if world.has_struck() {
+            struck_at.get_or_insert(since_start);
+        }
+        seen.runs = runs;
+        if !runs {
+            seen.still += LOOK;
+            let over = struck_at.map_or(since_start, |struck| struck + lasts);
+            seen.recovery = since_start.saturating_sub(over);
+        }
+    }
+    seen.splits = world.group.splits().len();
+    world.end();
+    // Lets what was ended go before the next world begins.
+    sleep(LOOK).await;
+    seen
+}
+
+async fn print(kind_name: &str, kind: EngineKind) {
+    let plain = watch(kind, None).await;
+    println!("{kind_name}.no_fault.still_ms={}", plain.still.as_millis());
+    for (name, fault, lasts) in FAULTS {
+        let (mut worst, mut never, mut splits) = (Duration::ZERO, 0, plain.splits);
+        for message in 0..MESSAGES {
+            let seen = watch(kind, Some((message, fault, lasts))).await;
+            splits += seen.splits;
+            never += u32::from(!seen.runs);
+            worst = if seen.runs { worst.max(seen.recovery) } else { worst };
+        }
+        let name = format!("{kind_name}.{name}");
+        println!("{name}.worst_recovery_ms={}", worst.as_millis());
+        println!("{name}.out_of_service_runs={never}");
+        println!("{name}.split_steps={splits}");
+    }
+}
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O can always be built");
+    runtime.block_on(async {
+        print("checks_fence", EngineKind::ChecksFence).await;
+        print("ignores_fence", EngineKind::IgnoresFence).await;
+    });
+}
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -110,3 +110,39 @@
     advance(SECOND * 10).await;
     assert_eq!(pacer.book(1, 500.0, Instant::now()), Instant::now());
 }
+
+/// The members change twice while one group reads the record rarely and another is cut off right
+/// after it was added. If the second change came too soon, the first group would never see the one
+/// between, and both would take what only one may have.
+#[tokio::test(start_paused = true)]
+async fn may_be_replaced_change_between_missed() {
+    let (two, three) = (allocation(&[0, 1]), allocation(&[0, 1, 2]));
+    let mut shares: Vec<Share> = (0..3).map(share).collect();
+    let settled = Instant::now();
+    for share in &mut shares {
+        share.read(&two, 1, settled, settled);
+    }
+    advance(VALID_FOR - SECOND).await;
+    for share in &mut shares {
+        share.read(&two, 1, Instant::now(), Instant::now());
+    }
+    advance(SECOND).await;
+    let written_at = Instant::now();
+    let mut current = (&three, 2);
+    for second in 0..300 {
+        let now = Instant::now();
+        if current.1 == 2 && Allocation::may_be_replaced(written_at, now) {
+            current = (&two, 3);
+        }
+        if second % 57 == 56 {
+            shares[0].read(current.0, current.1, now, now);
+            shares[1].read(current.0, current.1, now, now);
+        }
+        if second < 55 && current.1 == 2 {
+            shares[2].read(current.0, current.1, now, now);
+        }
+        let sum: f64 = shares.iter().map(|share| share.rate_bytes_per_s(now)).sum();
+        assert!(sum <= RATE_BYTES_PER_S * 1.000_001, "second {second}: {sum}");
+        advance(SECOND).await;
+    }
+}
