--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod lease;
 pub mod message;
+pub mod proposal;
 pub mod ranks;
 pub mod record;
 pub mod session;
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -13,6 +13,9 @@
 const MESSAGES: u64 = 70;
 /// Bound on the time from a fault's end to the next step.
 const RECOVERY: Duration = Duration::from_secs(10);
+/// Bound on a switch without fault: half a second until the coordinator looks, a tenth for the load,
+/// a few steps to hold. A second try would take another half second.
+const PLAIN_SWITCH: Duration = Duration::from_millis(900);
 const KINDS: [EngineKind; 2] = [EngineKind::ChecksFence, EngineKind::IgnoresFence];
 const MINUTE: Duration = Duration::from_secs(60);
 
@@ -54,7 +57,8 @@
     for kind in KINDS {
         let world = World::start(kind).await;
         world.want(2);
-        sleep(Duration::from_secs(2)).await;
+        sleep(PLAIN_SWITCH).await;
+        assert_eq!(world.engine(0).peek_map(), map(2), "{kind:?}: the switch took a second try");
         check_runs_or_named(&world, "no fault").await;
     }
 }
--- /dev/null
+++ b/crates/group/tests/verify.rs
@@ -0,0 +1,86 @@
+//! What a rank answers to an order is no proof of what it does afterwards.
+
+use flamingowheel_group::lease::Lease;
+use flamingowheel_group::message::{RankError, RankRequest, RankState};
+use flamingowheel_group::ranks::Ranks;
+use flamingowheel_group::record::{GroupRecord, RecordStore};
+use flamingowheel_group::session::{GroupError, Session, Timing};
+use flamingowheel_group::switch::Switch;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_platform::orders::{EngineState, ExpertMap, OrderTarget};
+use std::sync::Arc;
+
+/// Ranks that stand still and confirm every order; the last one forgets its map right after.
+struct Forgetful {
+    forgets: bool,
+}
+
+const RANKS: usize = 2;
+
+impl Ranks for Forgetful {
+    fn count(&self) -> usize {
+        RANKS
+    }
+
+    fn call(
+        &self,
+        rank: usize,
+        request: RankRequest,
+    ) -> BoxFuture<'_, Result<RankState, RankError>> {
+        let ordered = matches!(request.target, Some(OrderTarget::SwitchMap { .. }));
+        let forgot = self.forgets && rank == RANKS - 1 && !ordered;
+        let engine = EngineState {
+            map_version: u64::from(!forgot),
+            held_after_step: Some(0),
+            ..EngineState::default()
+        };
+        Box::pin(async move { Ok(RankState { incarnation: 1, engine, unresolved: false }) })
+    }
+}
+
+async fn read_back(ranks: Forgetful) -> Result<(), GroupError> {
+    let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
+    let records = RecordStore::new(Arc::clone(&kv), "g1");
+    let stored = records.create(GroupRecord::first(ExpertMap::default(), RANKS)).await.unwrap();
+    let timing = Timing::default();
+    let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
+    let session = Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing };
+    let held = Switch::take_up(&session, stored).await.unwrap();
+    let switched = held.switch().await.unwrap();
+    switched.read_back().await.map(drop).map_err(|failure| failure.error)
+}
+
+/// An engine confirms the switch and crashes the moment after. A coordinator that trusted the answer
+/// would let the group step on while one rank has no map.
+#[tokio::test(start_paused = true)]
+async fn read_back_rank_forgot_its_map() {
+    assert_eq!(read_back(Forgetful { forgets: false }).await, Ok(()));
+    let error = RankError::WrongVersion { version: 0 };
+    let expected = GroupError::Rank { rank: RANKS - 1, error };
+    assert_eq!(read_back(Forgetful { forgets: true }).await, Err(expected));
+}
+
+/// Two processes want to coordinate: one is told that it doesn't, until the other gives way.
+#[tokio::test(start_paused = true)]
+async fn acquire_held_by_another() {
+    let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
+    let ttl = Timing::default().lease_ttl;
+    let first = Lease::acquire(&kv, "g1", ttl).await.unwrap().unwrap();
+    assert!(Lease::acquire(&kv, "g1", ttl).await.unwrap().is_none());
+    first.release().await;
+    assert!(Lease::acquire(&kv, "g1", ttl).await.unwrap().is_some());
+}
+
+/// A process is paused for longer than its lease lasts. When it wakes it must not go on with the
+/// change it was about to commit.
+#[tokio::test(start_paused = true)]
+async fn may_change_after_pause() {
+    let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
+    let ttl = Timing::default().lease_ttl;
+    let lease = Lease::acquire(&kv, "g1", ttl).await.unwrap().unwrap();
+    assert!(lease.may_change() && lease.may_align());
+    tokio::time::advance(ttl).await;
+    assert!(!lease.may_change() && !lease.may_align());
+}
