Give newly watched processes the full time before they are called silent

Cause: when an entry is gone, others move up in the order and are watched by processes that had no reason to hear them before; those were called silent at once. One death could take several live entries out of address answers for a moment. Found by cutting off nine entries in turn instead of one. Change: whoever is watched from now on counts as heard just now; the early return for a process that is cut off goes, since the rule on who heard most covers it. Conclusion: a death accuses nobody else, in fleets of 18 and 24 entries with the paused clock.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -51,6 +51,8 @@
     confirmed_at: Option<Instant>,
     /// Hears hardly anybody, as far as was seen at the last look.
     cut_off: bool,
+    /// Those watched at the last look.
+    watched: Vec<String>,
     key_value_answered_at: Option<Instant>,
     cursors: HashMap<String, Cursor>,
     /// The revision that each process last reported here.
@@ -112,6 +114,7 @@
             unconfirmed_since: None,
             confirmed_at: None,
             cut_off: false,
+            watched: Vec::new(),
             key_value_answered_at: None,
             cursors: HashMap::new(),
             reported: HashMap::new(),
--- a/crates/control/src/node/suspicion.rs
+++ b/crates/control/src/node/suspicion.rs
@@ -20,12 +20,23 @@
 }
 
 impl State {
+    /// Whoever is watched from now on gets the full time. When it was heard before says nothing:
+    /// it had no reason to poll this process, and it takes a moment to learn of it.
+    fn begin_watching(&mut self, watched: &[String]) {
+        let now = Instant::now();
+        for name in watched.iter().filter(|name| !self.watched.contains(name)) {
+            self.table.heard_from(name, now);
+        }
+        self.watched = watched.to_vec();
+    }
+
     fn accuse_unheard(
         &mut self,
         watched: &[String],
         limit: Duration,
         longer: Duration,
     ) -> Vec<Observation> {
+        self.begin_watching(watched);
         let heard = |name: &String| self.table.member(name).map(|member| member.heard_at);
         let times: Vec<(&String, Instant)> =
             watched.iter().filter_map(|name| Some((name, heard(name)?))).collect();
@@ -34,10 +45,7 @@
         let in_touch = self.key_value_answered_at.is_some_and(|at| at.elapsed() < 2 * limit);
         let was_cut_off = self.cut_off;
         self.cut_off = 2 * unheard.len() > times.len() && !in_touch;
-        if self.cut_off {
-            return Vec::new();
-        }
-        if was_cut_off {
+        if was_cut_off && !self.cut_off {
             self.table.forget_times(Instant::now());
             return Vec::new();
         }
