Compare tables by digest before asking seeds for news

Cause: watchers that ask the seeds again each minute exchanged whole tables with them. Change: seeds are probed like random members, by digest first; shorter keys in records; a test that bounds what a quiet fleet sends.

--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -66,9 +66,7 @@
 
 impl Found {
     async fn ask(&mut self, spread: &Spread, seeds: Vec<SocketAddr>) {
-        let asked = seeds
-            .into_iter()
-            .map(|seed| async move { (seed, spread.poll(seed, None, Duration::ZERO).await) });
+        let asked = seeds.into_iter().map(|seed| async move { (seed, spread.probe(seed).await) });
         for (seed, answer) in join_all(asked).await {
             self.anybody |= answer.is_ok();
             if let Ok(Followup::Fetch(revision)) = answer {
@@ -171,7 +169,7 @@
     async fn poll(
         &self,
         peer: SocketAddr,
-        name: Option<&str>,
+        name: &str,
         hold: Duration,
     ) -> Result<Followup, PeerError> {
         let told = self.node.table_version();
@@ -197,7 +195,7 @@
         name: &str,
         hold: Duration,
     ) -> Result<(), PeerError> {
-        match self.poll(peer, Some(name), hold).await? {
+        match self.poll(peer, name, hold).await? {
             Followup::None => Ok(()),
             Followup::Fetch(revision) => self.fetcher().fetch(peer, revision).await,
         }
@@ -293,26 +291,29 @@
                 self.ask_seeds().await;
             }
             let Some(chosen) = self.node.choose(&others) else { continue };
-            let (name, peer) = (&chosen.record.name, chosen.record.inner);
             // It may be gone; those that watch it find out.
-            let _ = self.probe(name, peer).await;
+            let peer = chosen.record.inner;
+            if let Ok(Followup::Fetch(revision)) = self.probe(peer).await {
+                let _ = self.fetcher().fetch(peer, revision).await;
+            }
         }
     }
 
     /// Compares tables by their digest first: whole tables between random pairs would cost more
     /// than everything else together.
-    async fn probe(&self, name: &str, peer: SocketAddr) -> Result<(), PeerError> {
+    async fn probe(&self, peer: SocketAddr) -> Result<Followup, PeerError> {
         let asked = timeout(self.timing.answer_limit, self.peers.ask(peer, PeerRequest::Status));
         let PeerAnswer::Status { record, revision, digest } =
             asked.await.map_err(|_| PeerError::Silent)??
         else {
             return Err(PeerError::Unexpected);
         };
+        let name = record.name.clone();
         self.node.take_status(*record, ConfigRevision(revision));
         if digest == self.node.digest() && revision <= self.node.revision().0 {
-            return Ok(());
+            return Ok(Followup::None);
         }
-        self.poll_and_fetch(peer, name, Duration::ZERO).await
+        self.poll(peer, &name, Duration::ZERO).await
     }
 
     async fn read_vm_list(&self) {
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -146,6 +146,20 @@
     fleet.until(Duration::from_secs(150), |entry| entry.node.members().len() == 6).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn quiet_fleet_sends_little() {
+    // Nothing changes, yet now and then processes that do not poll each other compare what they
+    // know. Were they to exchange whole tables, that would cost more than all the rest.
+    const WATCHED: Duration = Duration::from_secs(200);
+    const MOST_BYTES_PER_S: u64 = 1_500;
+    let fleet = Fleet::start(40, 2).await;
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    fleet.network.measure();
+    tokio::time::sleep(WATCHED).await;
+    let most = fleet.network.measured().into_values().max().unwrap();
+    assert!(most / WATCHED.as_secs() < MOST_BYTES_PER_S, "{} B/s", most / WATCHED.as_secs());
+}
+
 #[test]
 fn merge_restarted_process_overrides_its_older_record() {
     // A process restarts on the same VM. The record of its last start still goes round with a
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -11,24 +11,34 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Its name, unique in the fleet.
+    #[serde(rename = "n")]
     pub name: String,
     /// Its VM.
+    #[serde(rename = "m")]
     pub vm: String,
     /// Its data centre.
+    #[serde(rename = "d")]
     pub data_centre: String,
     /// The region of the data centre.
+    #[serde(rename = "g")]
     pub region: String,
     /// Where other entries reach it.
+    #[serde(rename = "i")]
     pub inner: SocketAddr,
     /// Where callers reach it.
+    #[serde(rename = "c")]
     pub callers: SocketAddr,
     /// Where operators reach it.
+    #[serde(rename = "o")]
     pub operators: SocketAddr,
     /// The process start that this is about.
+    #[serde(rename = "s")]
     pub incarnation: Incarnation,
     /// Raised by the process itself with everything it says of itself; the highest counts.
+    #[serde(rename = "v")]
     pub version: u64,
     /// Its state.
+    #[serde(rename = "t")]
     pub state: MemberState,
 }
 
