--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -153,6 +153,17 @@
     assert_eq!(fields(&problems), [(3, "name")]);
 }
 
+#[test]
+fn page_examples_are_valid() {
+    let page = include_str!("../../../docs/operations/configuration.md");
+    let blocks = page.split("```yaml\n").skip(1);
+    let examples: Vec<&str> = blocks.filter_map(|rest| rest.split("```").next()).collect();
+    assert_eq!(examples.len(), 2);
+    for example in examples {
+        assert_eq!(validate(&Documents::default(), &parse(example).unwrap()), Ok(()), "{example}");
+    }
+}
+
 /// What a lookup by name and by token finds, for names and tokens `w0` to `w5`.
 fn found(effective: &Effective) -> Vec<(Option<EffectiveWorkspace>, Option<String>)> {
     let look_up = |number: usize| {
