--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod backend;
 pub mod caller;
+pub mod configuration;
 pub mod entry;
 pub mod machine;
+pub mod matrix;
 pub mod network;
 pub mod oracle;
 pub mod plant;
