--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -324,9 +324,9 @@
     }
 
     /// What to tell a peer: everything it has not had.
-    pub fn heartbeat(&self, peer: &str, hold: Duration) -> Heartbeat {
+    pub fn heartbeat(&self, peer: Option<&str>, hold: Duration) -> Heartbeat {
         let state = self.state();
-        let cursor = state.cursors.get(peer);
+        let cursor = peer.and_then(|peer| state.cursors.get(peer));
         Heartbeat {
             from: state.sender(),
             revision: state.replica.revision().0,
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -174,7 +174,7 @@
     ) -> Result<Followup, PeerError> {
         let told = self.node.table_version();
         let asked_at = Instant::now();
-        let request = PeerRequest::Heartbeat(Box::new(self.node.heartbeat(name, hold)));
+        let request = PeerRequest::Heartbeat(Box::new(self.node.heartbeat(Some(name), hold)));
         let limit = hold + self.timing.answer_limit;
         let answer = timeout(limit, self.peers.ask(peer, request)).await;
         let answer = answer.map_err(|_| PeerError::Silent)??;
--- a/crates/control/tests/websocket.rs
+++ b/crates/control/tests/websocket.rs
@@ -49,7 +49,7 @@
     }
     // The peer's process ends while a question is held; whoever waits hears of it.
     let heartbeat = Node::new(record(0, 1), Recorder::for_tests("entry"))
-        .heartbeat("entry-1", Duration::from_secs(10));
+        .heartbeat(None, Duration::from_secs(10));
     let heartbeat = flamingowheel_protocol::peer::Heartbeat { after: u64::MAX, ..heartbeat };
     let held = peers.ask(address, PeerRequest::Heartbeat(Box::new(heartbeat)));
     let (held, ()) = tokio::join!(held, async {
