Close idle connections between entries; compare a change with what it replaces

Cause: every process probes a random member each 5 s and kept up to 64 such connections open, whose heartbeats alone would be 128 frames a second. And an entry that was behind answered apply with the difference to its own old revision. Change: a connection without a question for 8 s is closed; the difference is taken from the state that the change was checked against. Conclusion: an entry keeps the connections of its place in the order and one or two of probes.

--- a/crates/config/src/apply.rs
+++ b/crates/config/src/apply.rs
@@ -2,7 +2,7 @@
 //! called unknown.
 
 use crate::bucket::{TooLarge, check_sizes};
-use crate::change::{Change, ChangeId, Conflict, Origin, diff_one};
+use crate::change::{Change, ChangeId, Conflict, DocumentDiff, Origin, diff, diff_one};
 use crate::document::Edit;
 use crate::effective::ConfigRevision;
 use crate::replica::Replica;
@@ -90,15 +90,27 @@
         replica: &mut Replica,
         request: &ApplyRequest,
     ) -> Result<Applied, ApplyError> {
+        Ok(self.apply_and_compare(replica, request).await?.0)
+    }
+
+    /// The same, with what differs through the change from what was in force before it.
+    pub async fn apply_and_compare(
+        &self,
+        replica: &mut Replica,
+        request: &ApplyRequest,
+    ) -> Result<(Applied, Vec<DocumentDiff>), ApplyError> {
         for _ in 0..MAX_RACES {
             let entry = self.catch_up(replica).await?;
             if let Some(change) = replica.find(request.uuid) {
-                return Ok(Applied::Accepted(Arc::clone(change)));
+                return Ok((Applied::Accepted(Arc::clone(change)), Vec::new()));
             }
             let entry = self.make_room(replica, entry).await?;
-            let Some(change) = check(replica, request)? else { return Ok(Applied::Unchanged) };
+            let Some(change) = check(replica, request)? else {
+                return Ok((Applied::Unchanged, Vec::new()));
+            };
+            let differs = diff(replica.documents(), &change.edits);
             match self.append(&entry, &change).await? {
-                Appended::Accepted => return Ok(accept(replica, change)),
+                Appended::Accepted => return Ok((accept(replica, change), differs)),
                 Appended::Raced => {}
                 Appended::Voided => return Err(ApplyError::Voided),
             }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -15,7 +15,7 @@
     TemplatesAnswer, WorkspaceAnswer, WorkspacesAnswer,
 };
 use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest, check};
-use flamingowheel_config::change::{Change, ChangeId, Origin, diff};
+use flamingowheel_config::change::{Change, ChangeId, DocumentDiff, Origin, diff};
 use flamingowheel_config::document::{Edit, MAX_FILE_BYTES, parse};
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::replica::Replica;
@@ -149,13 +149,11 @@
     async fn accept(&self, request: ApplyRequest) -> Result<ApplyAnswer, Failure> {
         let this = self.clone();
         let task = tokio::spawn(async move {
-            let (uuid, edits) = (request.uuid, request.edits.clone());
             let mut replica = this.node.replica();
-            let before = replica.documents().clone();
-            let applied = this.store.apply(&mut replica, &request).await;
-            this.record(uuid, &applied);
+            let applied = this.store.apply_and_compare(&mut replica, &request).await;
+            this.record(request.uuid, &applied);
             this.node.adopt(replica.clone(), ConfigSource::Accepted);
-            let answer = applied.map(|applied| answer_to(applied, &replica, diff(&before, &edits)));
+            let answer = applied.map(|(applied, diff)| answer_to(applied, &replica, diff));
             this.fold_later(replica);
             answer
         });
@@ -164,10 +162,10 @@
         Ok(answer?)
     }
 
-    fn record(&self, change: Uuid, applied: &Result<Applied, ApplyError>) {
+    fn record(&self, change: Uuid, applied: &Result<(Applied, Vec<DocumentDiff>), ApplyError>) {
         let revision = self.node.revision().0;
         let event = match applied {
-            Ok(Applied::Accepted(accepted)) => {
+            Ok((Applied::Accepted(accepted), _)) => {
                 Event::ChangeAccepted { change, revision: accepted.revision().0 }
             }
             Err(ApplyError::Conflict(_)) => Event::ChangeConflict { change, revision },
@@ -188,11 +186,7 @@
     }
 }
 
-fn answer_to(
-    applied: Applied,
-    replica: &Replica,
-    diff: Vec<flamingowheel_config::change::DocumentDiff>,
-) -> ApplyAnswer {
+fn answer_to(applied: Applied, replica: &Replica, diff: Vec<DocumentDiff>) -> ApplyAnswer {
     let (outcome, change, revision) = match &applied {
         Applied::Accepted(change) => (ApplyOutcome::Accepted, Some(change.id), change.revision()),
         Applied::Unchanged => (ApplyOutcome::Unchanged, None, replica.revision()),
--- a/crates/control/src/websocket.rs
+++ b/crates/control/src/websocket.rs
@@ -10,12 +10,15 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Most connections to other entries; the topology needs far fewer.
-const MAX_CONNECTIONS: usize = 64;
+/// A connection that nobody asked over for this long is closed. Random members are probed all the
+/// time; kept open, those connections would cost more in heartbeats than all that is said.
+const IDLE_LIMIT: Duration = Duration::from_secs(8);
 /// Most connections of other entries.
 const MAX_ACCEPTED: usize = 256;
 /// Most requests of one connection that are worked on at one time.
@@ -29,18 +32,38 @@
     identity: Identity,
     connections: Mutex<HashMap<SocketAddr, Connection>>,
     number: AtomicU64,
+    idle_limit: Duration,
 }
 
 #[derive(Clone)]
 struct Connection {
     sender: mpsc::Sender<PeerFrame>,
     waiting: Waiting,
+    used_at: Instant,
+}
+
+impl Connection {
+    fn is_needed(&self, idle_limit: Duration) -> bool {
+        let in_use = !lock(&self.waiting).is_empty() || self.used_at.elapsed() < idle_limit;
+        !self.sender.is_closed() && in_use
+    }
 }
 
 impl WebSocketPeers {
     /// A transport that introduces itself in this way.
     pub fn new(identity: Identity) -> Self {
-        Self { identity, connections: Mutex::default(), number: AtomicU64::new(1) }
+        Self::with_idle_limit(identity, IDLE_LIMIT)
+    }
+
+    /// The same, with another time after which connections without a question are closed.
+    pub fn with_idle_limit(identity: Identity, idle_limit: Duration) -> Self {
+        let number = AtomicU64::new(1);
+        Self { identity, connections: Mutex::default(), number, idle_limit }
+    }
+
+    /// How many connections are open or were not yet found closed.
+    pub fn open_connections(&self) -> usize {
+        lock(&self.connections).len()
     }
 
     async fn connection(&self, peer: SocketAddr) -> Result<Connection, PeerError> {
@@ -50,20 +73,17 @@
         let link: PeerLink =
             connect(peer, &self.identity).await.map_err(|_| PeerError::Unreachable)?;
         let connection = start(link);
-        let mut connections = lock(&self.connections);
-        connections.retain(|_, other| !other.sender.is_closed());
-        if connections.len() >= MAX_CONNECTIONS {
-            // Any one may go: it is opened again if it is still needed.
-            let first = connections.keys().next().copied();
-            first.and_then(|first| connections.remove(&first));
-        }
-        connections.insert(peer, connection.clone());
+        lock(&self.connections).insert(peer, connection.clone());
         Ok(connection)
     }
 
+    /// The open connection to a peer; others that are no longer needed are closed on the way.
     fn open(&self, peer: SocketAddr) -> Option<Connection> {
-        let connections = lock(&self.connections);
-        connections.get(&peer).filter(|open| !open.sender.is_closed()).cloned()
+        let mut connections = lock(&self.connections);
+        connections.retain(|other, own| *other == peer || own.is_needed(self.idle_limit));
+        let open = connections.get_mut(&peer).filter(|open| !open.sender.is_closed())?;
+        open.used_at = Instant::now();
+        Some(open.clone())
     }
 }
 
@@ -102,7 +122,7 @@
 fn start(link: PeerLink) -> Connection {
     let Link { sender, mut receiver, .. } = link;
     let waiting = Waiting::default();
-    let connection = Connection { sender, waiting: Arc::clone(&waiting) };
+    let connection = Connection { sender, waiting: Arc::clone(&waiting), used_at: Instant::now() };
     tokio::spawn(async move {
         while let Some(frame) = receiver.recv().await {
             if let PeerFrame::Answer { number, answer } = frame
--- a/crates/control/tests/operators.rs
+++ b/crates/control/tests/operators.rs
@@ -120,6 +120,22 @@
     assert_eq!(fields[0].field, "parameters.priority");
 }
 
+#[tokio::test(start_paused = true)]
+async fn apply_through_an_entry_that_is_behind() {
+    // An entry is cut off from the others and has not heard of the last change. What it tells the
+    // operator must still be the difference to what was accepted, not to what it believes.
+    let fleet = Fleet::start(6, 1).await;
+    apply(fleet.entry(0), "", &template(1)).await;
+    fleet.until_revision(1, Duration::from_secs(5)).await;
+    let behind = fleet.entries.values().find(|entry| !entry.node.duties().is_watcher).unwrap();
+    fleet.network.cut(behind.address);
+    let other = fleet.entries.values().find(|entry| entry.address != behind.address).unwrap();
+    apply(other, "", &template(2)).await;
+    assert_eq!(behind.node.revision().0, 1);
+    let answer = apply(behind, "seen=2", &template(3)).await;
+    assert_eq!(answer.diff[0].fields[0].before, Some(2.into()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn apply_during_an_outage_is_refused() {
     let fleet = Fleet::start(2, 1).await;
--- a/crates/control/tests/websocket.rs
+++ b/crates/control/tests/websocket.rs
@@ -69,3 +69,32 @@
     let stranger = WebSocketPeers::new(identity(0, 2));
     assert_eq!(stranger.ask(address, PeerRequest::Status).await, Err(PeerError::Unreachable));
 }
+
+#[tokio::test]
+async fn ask_many_keeps_few_connections() {
+    // Each process probes a random member every few seconds. If all those connections stayed
+    // open, their heartbeats would exceed what control may send.
+    let peers = WebSocketPeers::with_idle_limit(identity(0, 1), Duration::ZERO);
+    let mut stops = Vec::new();
+    for number in 1..8 {
+        let (address, _, stop) = start(number).await;
+        stops.push(stop);
+        peers.ask(address, PeerRequest::Status).await.unwrap();
+        assert_eq!(peers.open_connections(), 1);
+    }
+    // One with a question on its way stays.
+    let (held, node, _stop) = start(8).await;
+    let (other, _, _stop) = start(9).await;
+    let heartbeat = Node::new(record(0, 1), Recorder::for_tests("entry"))
+        .heartbeat(None, Duration::from_millis(50));
+    let heartbeat = flamingowheel_protocol::peer::Heartbeat { after: u64::MAX, ..heartbeat };
+    let question = peers.ask(held, PeerRequest::Heartbeat(Box::new(heartbeat)));
+    let (answer, ()) = tokio::join!(question, async {
+        while node.members().len() < 2 {
+            tokio::task::yield_now().await;
+        }
+        peers.ask(other, PeerRequest::Status).await.unwrap();
+        assert_eq!(peers.open_connections(), 2);
+    });
+    assert!(answer.is_ok(), "{answer:?}");
+}
