Time line: name backend servers that got attempts and are in no list any more

Tried with an agent killed under a payout: the caller was told unknown, but the time line said '6 events from 8 processes' and nothing of the agent, because a dead agent drops out of /v1/status and so was not even asked. It looked complete. The merge now names every backend server that got an attempt and gave no events.

timeline_agent_killed_tells_what_became_of_the_payout failed before and holds it now. The agent runs in a runtime of its own that is shut down, which drops its connections as a killed process would.

--- a/crates/flamingowheel/tests/fleet.rs
+++ b/crates/flamingowheel/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! The tool against the demo's fleet: finding out what happened from the time line alone.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
 
 use bytes::Bytes;
 use flamingowheel::Output;
@@ -9,10 +11,21 @@
 use flamingowheel::config::{Config, Environment};
 use flamingowheel::error::Error;
 use flamingowheel::exit::ExitCode;
+use flamingowheel_config::settings::Settings;
+use flamingowheel_daemon::agent::{AgentProcess, recorder};
 use flamingowheel_daemon::demo::caller::{Caller, Reply};
 use flamingowheel_daemon::demo::{Fleet, OPERATORS_TOKEN, SERVICE, TOKEN};
 use flamingowheel_entry::http::{REQUEST_HEADER, TICKET_HEADER};
+use flamingowheel_observe::api::EventQuery;
+use flamingowheel_observe::event::Event;
+use flamingowheel_platform::fake::FakeService;
+use flamingowheel_platform::vm::{Vm, VmList, VmState};
 use http::Method;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+
+/// Long enough for a busy machine.
+const PATIENCE: Duration = Duration::from_secs(30);
 
 const ORDER: &[u8] = b"repair callbox 17";
 
@@ -33,7 +46,11 @@
 }
 
 async fn file_order(entry: SocketAddr, headers: &[(&str, &str)]) -> Reply {
-    let path = format!("/v1/services/{SERVICE}/orders");
+    send(SERVICE, entry, headers).await
+}
+
+async fn send(service: &str, entry: SocketAddr, headers: &[(&str, &str)]) -> Reply {
+    let path = format!("/v1/services/{service}/orders");
     let order = Bytes::from_static(ORDER);
     Caller::new(TOKEN).call(Method::POST, entry, &path, headers, order).await.expect("an answer")
 }
@@ -90,3 +107,112 @@
     assert_eq!(accepted.exit, ExitCode::Success);
     fleet.leave().await;
 }
+
+const INNER_ADDRESS: [u8; 4] = [127, 0, 2, 99];
+
+/// An agent in a runtime of its own: ending the runtime drops its connections and all it knows, as
+/// killing its process would.
+struct Killable {
+    runtime: Runtime,
+    _agent: AgentProcess,
+    service: FakeService,
+}
+
+impl Killable {
+    /// Starts an agent of the service `payouts` on a VM that joins the fleet.
+    async fn join(fleet: &Fleet) -> Self {
+        let inner = fleet.entries[0].state().node.members()[0].record.inner;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let service = FakeService::new(9);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+        let settings = agent_settings(inner.port(), listener.local_addr().expect("an address"));
+        let served = service.clone();
+        let started = runtime.spawn(async move {
+            let (connections, stop) = Default::default();
+            tokio::spawn(flamingowheel_standin::service::serve(
+                listener,
+                served,
+                connections,
+                stop,
+            ));
+            let recorder = recorder(&settings).expect("a recorder");
+            AgentProcess::start(&settings, recorder).await.expect("an agent")
+        });
+        let agent = started.await.expect("no panic");
+        let mut vms = fleet.standins.vms.list().await.expect("a list");
+        vms.push(Vm {
+            name: "vm-payouts".to_owned(),
+            ip: INNER_ADDRESS.into(),
+            data_centre: "ga-central-a".to_owned(),
+            state: VmState::Live,
+        });
+        fleet.standins.vms.set(vms);
+        Self { runtime, _agent: agent, service }
+    }
+
+    fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
+fn agent_settings(inner_port: u16, service: SocketAddr) -> Settings {
+    let ip = Ipv4Addr::from(INNER_ADDRESS);
+    let text = format!(
+        "name: payouts-0\nvm: vm-payouts\ndata_centre: ga-central-a\nregion: ga-central\n\
+         role: agent\nlisten: {{inner: \"{ip}:{inner_port}\", operators: \"{ip}:0\"}}\n\
+         key_value: {{addresses: [\"127.0.0.1:1\"]}}\nvm_list: {{address: \"127.0.0.1:1\"}}\n\
+         fleet_key: {{inline: demo-fleet-key-of-32-characters!}}\n\
+         operators_token: {{inline: {OPERATORS_TOKEN}}}\n\
+         agent: {{backend_server: \"{service}\", kind: service, service: payouts}}\n"
+    );
+    Settings::parse(&text, Path::new("payouts.yaml")).expect("settings")
+}
+
+async fn until<F>(what: &str, holds: F)
+where
+    F: Fn() -> bool,
+{
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(waited.is_ok(), "{what}");
+}
+
+// An agent's process is killed while its service carries a payout out. The caller is told that
+// nobody can know whether it ran. The operator has the request's id only, and must find out from
+// the time line which backend server had it, that its agent is gone with what it knew, and why the
+// payout was not sent elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn timeline_agent_killed_tells_what_became_of_the_payout() {
+    let fleet = Fleet::start().await.expect("a fleet");
+    let entry = &fleet.entries[0];
+    let known = entry.agents().connected().len();
+    let agent = Killable::join(&fleet).await;
+    typing("apply -f tests/documents/payouts.yaml --wait 11s", entry.operators).await;
+    until("the agent is connected", || entry.agents().connected().len() > known).await;
+    agent.service.set_frozen(true);
+
+    let (callers, recorder) = (entry.callers, entry.state().recorder.clone());
+    let sent = tokio::spawn(async move { send("payouts", callers, &[]).await });
+    let dispatched = |event: &Event| matches!(event, Event::Dispatched { .. });
+    let events = || recorder.answer(&EventQuery::default()).events;
+    until("it is dispatched", || events().iter().any(|event| dispatched(&event.event))).await;
+    agent.kill();
+
+    let reply = tokio::time::timeout(PATIENCE, sent).await.expect("in time").expect("no panic");
+    assert_eq!(reply.outcome(), "unknown");
+    let request = reply.headers[REQUEST_HEADER].to_str().expect("an id");
+    let shown = typing(&format!("timeline --request {request}"), entry.operators).await;
+    for line in ["NOT REACHED payouts-0:", "dispatched to payouts-0", "not idempotent", "UNKNOWN: "]
+    {
+        assert!(shown.contains(line), "{line}\n{shown}");
+    }
+    fleet.leave().await;
+}
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -1,5 +1,6 @@
 //! Merges the events of many processes into one time line.
 
+use std::collections::HashSet;
 use std::fmt::Write;
 use std::time::{Duration, UNIX_EPOCH};
 
@@ -87,11 +88,12 @@
     mut unreachable: Vec<Unreachable>,
 ) -> Timeline {
     answers.sort_by(|a, b| a.process.name.cmp(&b.process.name));
-    unreachable.sort_by(|a, b| a.process.cmp(&b.process));
     let incomplete = answers.iter().filter_map(|answer| incomplete(&query, answer)).collect();
     let clocks_off = clocks_off(&answers);
     let events = merge_events(&answers);
-    let processes = answers.into_iter().map(|answer| answer.process).collect();
+    let processes: Vec<ProcessInfo> = answers.into_iter().map(|answer| answer.process).collect();
+    unreachable.extend(unlisted(&events, &processes, &unreachable));
+    unreachable.sort_by(|a, b| a.process.cmp(&b.process));
     Timeline { query, processes, unreachable, incomplete, clocks_off, events }
 }
 
@@ -107,6 +109,32 @@
     events
 }
 
+/// Backend servers that got attempts and are in neither list.
+///
+/// A process that is gone drops out of the list of processes after a while. Its part of the story
+/// is missing all the same, and a time line that doesn't say so looks complete.
+fn unlisted(
+    events: &[Stamped],
+    processes: &[ProcessInfo],
+    unreachable: &[Unreachable],
+) -> Vec<Unreachable> {
+    let known = processes.iter().map(|process| &process.name);
+    let known: HashSet<&Name> = known.chain(unreachable.iter().map(|one| &one.process)).collect();
+    let mut missing: Vec<&Name> = events
+        .iter()
+        .filter_map(|event| match &event.event {
+            Event::Dispatched { backend_server, .. } => Some(backend_server),
+            _ => None,
+        })
+        .filter(|name| !known.contains(name))
+        .collect();
+    missing.sort();
+    missing.dedup();
+    let reason: Name = "got attempts, and is no longer in the list of processes".into();
+    let missed = |name: &Name| Unreachable { process: name.clone(), reason: reason.clone() };
+    missing.into_iter().map(missed).collect()
+}
+
 fn incomplete(query: &EventQuery, answer: &EventsAnswer) -> Option<Incomplete> {
     let covers = |since_ms| answer.oldest.is_some_and(|oldest| oldest.wall_ms() < since_ms);
     let covered = query.since_ms.is_some_and(covers);
--- a/crates/observe/tests/reference.rs
+++ b/crates/observe/tests/reference.rs
@@ -7,6 +7,7 @@
 
 const TIMELINE: &str = include_str!("../../../docs/operations/timeline.md");
 const ALARMS: &str = include_str!("../../../docs/operations/alarms.md");
+const STORY: &str = include_str!("snapshots/timeline__to_text_agent_killed_tells_the_story.snap");
 
 /// A label per workspace or request would exceed this at once.
 const MAX_SERIES: usize = 150;
@@ -38,6 +39,12 @@
     assert_eq!(table_names(TIMELINE), names);
 }
 
+#[test]
+fn timeline_page_shows_what_is_printed() {
+    let (_, printed) = STORY.rsplit_once("---\n").expect("a snapshot");
+    assert!(TIMELINE.contains(printed.trim()), "{printed}");
+}
+
 #[test]
 fn alarms_page_lists_every_metric() {
     let names = metric_names();
--- a/crates/observe/tests/timeline.rs
+++ b/crates/observe/tests/timeline.rs
@@ -72,7 +72,7 @@
 #[test]
 fn to_text_agent_killed_tells_the_story() {
     let entry = process("entry-1", START_MS);
-    let runner = process("agent-runner-2", START_MS - 700);
+    let runner = process("runner-2", START_MS - 700);
     let subject = Subject::request(request_id()).workspace("roadside").group("runners-a");
     let at_entry = entry.recorder.about(subject.clone());
     at_entry.record(Event::RequestAccepted {
@@ -107,8 +107,7 @@
 
     let query = by_request();
     let answers = vec![runner.answer(&query), entry.answer(&query)];
-    let lost =
-        Unreachable { process: "agent-runner-7".into(), reason: "connection refused".into() };
+    let lost = Unreachable { process: "runner-7".into(), reason: "connection refused".into() };
     let timeline = merge(query, answers, vec![lost]);
     insta::assert_snapshot!(timeline.to_text());
     insta::assert_json_snapshot!(timeline);
@@ -153,6 +152,17 @@
     assert!(text.contains("engine of runner-2 crashed"), "{text}");
 }
 
+// An agent was killed a while ago: nobody lists it any more, so nobody is asked for its events.
+#[test]
+fn merge_names_agent_that_no_list_has() {
+    let entry = process("entry-1", START_MS);
+    entry.recorder.record(dispatched("runner-7", 1));
+    let query = EventQuery::default();
+    let timeline = merge(query.clone(), vec![entry.answer(&query)], Vec::new());
+    assert_eq!(timeline.unreachable.len(), 1);
+    assert!(timeline.to_text().contains("NOT REACHED runner-7: got attempts"));
+}
+
 // The runner's wall clock is behind the entry's by less than the bound. Sorted by wall time its
 // refusal would stand before the dispatch that it answers.
 #[test]
