Observe: an outage doesn't fill the ring with itself

An entry started without the key-value service recorded key_value_down 25 times in 6 s; an hour's outage would have pushed nearly everything else out of the ring of 16,384, just when somebody wants to know what it did. Events about a condition that lasts are counted each time and recorded once a minute; the return of the service makes the next outage show at once.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod reason;
 pub mod recorder;
+mod repeats;
 pub mod ring;
 pub mod timeline;
 pub mod words;
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -1,8 +1,7 @@
 //! Handle by which all code of a process records events.
 
-use std::collections::HashMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use flamingowheel_protocol::link::Stamps;
 
@@ -10,17 +9,12 @@
 use crate::clock::{HybridClock, Stamp, SystemClock};
 use crate::event::{Event, Name, Stamped, Subject};
 use crate::metrics::Metrics;
+use crate::repeats::Repeats;
 use crate::ring::{DEFAULT_CAPACITY, Ring};
 
 /// Target of the log lines that repeat recorded events.
 pub const LOG_TARGET: &str = "flamingowheel::event";
 
-/// How often a peer's drift is reported at the most.
-const DRIFT_REPORT_INTERVAL_MS: u64 = 60_000;
-
-/// Peers whose last report is remembered.
-const MAX_DRIFT_PEERS: usize = 1_024;
-
 /// Records events: counts, stamps, keeps and logs them. Clones share all of it.
 ///
 /// ```
@@ -43,31 +37,7 @@
     clock: HybridClock,
     ring: Ring,
     metrics: Metrics,
-    drifts: DriftReports,
-}
-
-/// Which peers' drift was reported when.
-///
-/// Every message carries a stamp, heartbeats too. A process whose own clock is slow finds all its
-/// peers ahead, and an event for each message would push everything else out of its ring within
-/// seconds.
-#[derive(Debug, Default)]
-struct DriftReports(Mutex<HashMap<Name, u64>>);
-
-impl DriftReports {
-    fn is_due(&self, peer: &str, now_ms: u64) -> bool {
-        let mut reported = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let last_ms = reported.get(peer).copied();
-        // A wall clock set back must not silence the reports.
-        if last_ms.is_some_and(|last_ms| now_ms.abs_diff(last_ms) < DRIFT_REPORT_INTERVAL_MS) {
-            return false;
-        }
-        if reported.len() >= MAX_DRIFT_PEERS {
-            reported.clear();
-        }
-        reported.insert(Name::from(peer), now_ms);
-        true
-    }
+    repeats: Repeats,
 }
 
 impl Recorder {
@@ -80,13 +50,7 @@
     ) -> Self {
         let ring = Ring::new(capacity);
         Self {
-            shared: Arc::new(Shared {
-                process,
-                clock,
-                ring,
-                metrics,
-                drifts: DriftReports::default(),
-            }),
+            shared: Arc::new(Shared { process, clock, ring, metrics, repeats: Repeats::default() }),
         }
     }
 
@@ -108,10 +72,14 @@
         self.record_about(&Subject::default(), event);
     }
 
-    /// Records an event about `subject`.
+    /// Records an event about `subject`. What lasts and is found anew again and again, as an outage
+    /// of the key-value service, is counted each time and recorded once a minute.
     pub fn record_about(&self, subject: &Subject, event: Event) {
         let shared = &self.shared;
         shared.metrics.count(&event);
+        if !shared.repeats.is_due(&event, shared.clock.wall_ms()) {
+            return;
+        }
         let stamped = shared.ring.push_with(|sequence| Stamped {
             stamp: shared.clock.now(),
             sequence,
@@ -143,9 +111,7 @@
     /// assert!(receiver.stamp() > sent);
     /// ```
     pub fn observe(&self, peer: &str, remote: Stamp) {
-        if let Err(drift) = self.shared.clock.observe(remote)
-            && self.shared.drifts.is_due(peer, self.shared.clock.wall_ms())
-        {
+        if let Err(drift) = self.shared.clock.observe(remote) {
             let event =
                 Event::ClockDriftIgnored { peer: Name::from(peer), ahead_ms: drift.ahead_ms };
             self.record(event);
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -169,6 +169,26 @@
     assert_eq!(peers, ["agent-9", "agent-9", "agent-9", "agent-8"]);
 }
 
+// The key-value service is down for an hour and asked four times a second. The ring must still hold
+// what else happened, and the next outage must show at once.
+#[test]
+fn record_outage_does_not_fill_the_ring() {
+    let (recorder, wall) = recorder(100);
+    let down = || Event::KeyValueDown { error: "unreachable".into() };
+    recorder.record(lease_lost());
+    for quarter in 0..4 * 3_600 {
+        wall.set_ms(1_000 + 250 * quarter);
+        recorder.record(down());
+    }
+    let answer = recorder.answer(&EventQuery::default());
+    assert_eq!(answer.events[0].event, lease_lost());
+    assert_eq!(answer.events.len(), 61);
+    recorder.record(Event::KeyValueUp { down_ms: 3_600_000 });
+    recorder.record(down());
+    let last = recorder.answer(&EventQuery::default()).events;
+    assert_eq!(last.last().map(|event| &event.event), Some(&down()));
+}
+
 async fn get(path: &str) -> (StatusCode, String) {
     let (recorder, _wall) = recorder(1);
     let not_run =
