Observe: time a stream's chunks by one handle

first_token and chunk were to be called with times that each caller had to keep; nobody did. An answer now holds a StreamTimer, begun with the request, and calls chunk() for each piece it passes on; the first counts as first token.

Wanted in entry's stream: a field begun with metrics().stream_timer(request's beginning), and chunk() where a piece goes to the caller.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -11,6 +11,8 @@
     TextEncoder,
 };
 
+use tokio::time::Instant;
+
 use crate::event::Event;
 use crate::reason::{Class, Limit, Outcome, RefusalReason, RetryDenial, RetryReason, named_enum};
 
@@ -197,15 +199,21 @@
         self.shared.requests.with_label_values(&[class.as_str(), outcome.as_str()]).inc();
     }
 
-    /// The first token of a request was passed on.
-    pub fn first_token(&self, since_request: Duration) {
-        self.shared.first_token.observe(milliseconds(since_request));
-    }
-
-    /// A chunk was passed on `since_last` after the one before.
-    pub fn chunk(&self, since_last: Duration) {
-        self.shared.chunks.inc();
-        self.shared.between_tokens.observe(milliseconds(since_last));
+    /// Times the chunks of an answer whose request came at `requested`.
+    ///
+    /// ```
+    /// use flamingowheel_observe::metrics::Metrics;
+    /// use tokio::time::Instant;
+    ///
+    /// let metrics = Metrics::new()?;
+    /// let mut timer = metrics.stream_timer(Instant::now());
+    /// timer.chunk();
+    /// timer.chunk();
+    /// assert!(metrics.encode()?.contains("flamingowheel_chunks_total 2"));
+    /// # Ok::<(), flamingowheel_observe::metrics::MetricsError>(())
+    /// ```
+    pub fn stream_timer(&self, requested: Instant) -> StreamTimer {
+        StreamTimer { metrics: self.clone(), last: requested, begun: false }
     }
 
     /// How many fingerprints are under suspicion now.
@@ -240,6 +248,29 @@
     }
 }
 
+/// Times the chunks of one answer.
+#[derive(Clone)]
+pub struct StreamTimer {
+    metrics: Metrics,
+    last: Instant,
+    begun: bool,
+}
+
+impl StreamTimer {
+    /// A chunk was passed on.
+    pub fn chunk(&mut self) {
+        let shared = &self.metrics.shared;
+        let now = Instant::now();
+        let since_last = milliseconds(now.duration_since(self.last));
+        shared.chunks.inc();
+        match self.begun {
+            true => shared.between_tokens.observe(since_last),
+            false => shared.first_token.observe(since_last),
+        }
+        (self.last, self.begun) = (now, true);
+    }
+}
+
 impl Shared {
     /// Brings out every label value from the start, and counts as up what was not seen down.
     ///
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -1,5 +1,7 @@
 //! Recording from many threads, the ring's bound and the HTTP routes.
 
+use std::time::Duration;
+
 use axum::body::Body;
 use axum::http::{Request, StatusCode};
 use flamingowheel_observe::api::{EventQuery, EventsAnswer, ProcessInfo};
@@ -11,6 +13,7 @@
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_observe::timeline::merge;
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 use tower::ServiceExt;
 use uuid::Uuid;
 
@@ -189,6 +192,26 @@
     assert_eq!(last.last().map(|event| &event.event), Some(&down()));
 }
 
+#[tokio::test(start_paused = true)]
+async fn stream_timer_tells_first_from_further_chunks() {
+    let metrics = Metrics::new().expect("metrics register");
+    let mut timer = metrics.stream_timer(Instant::now());
+    for wait_ms in [250, 40, 60] {
+        tokio::time::advance(Duration::from_millis(wait_ms)).await;
+        timer.chunk();
+    }
+    let text = metrics.encode().expect("metrics encode");
+    for line in [
+        "flamingowheel_first_token_ms_sum 250",
+        "flamingowheel_first_token_ms_count 1",
+        "flamingowheel_between_tokens_ms_sum 100",
+        "flamingowheel_between_tokens_ms_count 2",
+        "flamingowheel_chunks_total 3",
+    ] {
+        assert!(text.contains(line), "{line}\n{text}");
+    }
+}
+
 async fn get(path: &str) -> (StatusCode, String) {
     let (recorder, _wall) = recorder(1);
     let not_run =
