Observe: sample places in use when the metrics are read

set_occupancy and set_suspects were to be called at each change, and nobody did. Suspects became a kind of occupancy.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Labels come from closed enums only. A label per workspace, request or peer would grow with the
 //! fleet: 27,000 workspaces on 380 entries would outgrow the processes' memory budget.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use prometheus::{
@@ -54,6 +54,8 @@
         Records = "records",
         /// Open connections between this system's processes.
         Links = "links",
+        /// Fingerprints under suspicion of causing crashes.
+        Suspects = "suspects",
     }
 }
 
@@ -90,7 +92,6 @@
     stale_orders: IntCounter,
     ranks_unverified: IntCounter,
     cut_off: IntCounter,
-    suspects: IntGauge,
     occupancy: IntGaugeVec,
     config_revision: IntGauge,
     kv_calls: IntCounterVec,
@@ -98,8 +99,12 @@
     kv_up: IntGauge,
     events_overwritten: IntGauge,
     clock_drift_ignored: IntCounter,
+    samplers: Mutex<Vec<Sampler>>,
 }
 
+/// Reads how many places of a kind are in use.
+type Sampler = (Occupancy, Box<dyn Fn() -> usize + Send + Sync>);
+
 impl Metrics {
     /// Metrics in a registry of their own.
     pub fn new() -> Result<Self, MetricsError> {
@@ -144,7 +149,6 @@
             ranks_unverified: new
                 .counter("ranks_unverified_total", "Ranks taken out of service as unverified")?,
             cut_off: new.counter("cut_off_total", "Requests cut off at the end of a leave")?,
-            suspects: new.gauge("suspects", "Fingerprints under suspicion of causing crashes")?,
             occupancy: new.gauges("occupancy", "Places in use, by kind", &["kind"])?,
             config_revision: new.gauge("config_revision", "Configuration revision in force")?,
             kv_calls: new.counters(
@@ -161,6 +165,7 @@
                 .gauge("events_overwritten", "Events lost from the ring since the start")?,
             clock_drift_ignored: new
                 .counter("clock_drift_ignored_total", "Stamps too far ahead to be followed")?,
+            samplers: Mutex::default(),
             registry: registry.clone(),
         };
         shared.begin();
@@ -216,15 +221,21 @@
         StreamTimer { metrics: self.clone(), last: requested, begun: false }
     }
 
-    /// How many fingerprints are under suspicion now.
-    pub fn set_suspects(&self, suspects: usize) {
-        self.shared.suspects.set(gauge_value(suspects as u64));
-    }
-
-    /// How many places of a kind are in use now.
-    pub fn set_occupancy(&self, kind: Occupancy, used: usize) {
-        let gauge = self.shared.occupancy.with_label_values(&[kind.as_str()]);
-        gauge.set(gauge_value(used as u64));
+    /// Has `read` called whenever the metrics are read, for how many places of a kind are in use.
+    ///
+    /// ```
+    /// use flamingowheel_observe::metrics::{Metrics, Occupancy};
+    ///
+    /// let metrics = Metrics::new()?;
+    /// metrics.sample(Occupancy::Queue, || 3);
+    /// assert!(metrics.encode()?.contains("flamingowheel_occupancy{kind=\"queue\"} 3"));
+    /// # Ok::<(), flamingowheel_observe::metrics::MetricsError>(())
+    /// ```
+    pub fn sample<F>(&self, kind: Occupancy, read: F)
+    where
+        F: Fn() -> usize + Send + Sync + 'static,
+    {
+        self.shared.samplers().push((kind, Box::new(read)));
     }
 
     /// A call on the key-value service was made.
@@ -244,6 +255,10 @@
 
     /// All metrics in Prometheus's text format.
     pub fn encode(&self) -> Result<String, MetricsError> {
+        for (kind, read) in self.shared.samplers().iter() {
+            let gauge = self.shared.occupancy.with_label_values(&[kind.as_str()]);
+            gauge.set(gauge_value(read() as u64));
+        }
         Ok(TextEncoder::new().encode_to_string(&self.shared.registry.gather())?)
     }
 }
@@ -272,6 +287,10 @@
 }
 
 impl Shared {
+    fn samplers(&self) -> MutexGuard<'_, Vec<Sampler>> {
+        self.samplers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Brings out every label value from the start, and counts as up what was not seen down.
     ///
     /// A counter that first appears with its first event shows no increase to a rate query, so the
