--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -8,14 +8,18 @@
 use crate::load::LoadCell;
 use crate::records::{Record, Records};
 use crate::runner::{self, RunEnd};
+use bytes::Bytes;
 use flamingowheel_observe::event::{Event, Name, Subject};
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::suspicion::{CrashId, SuspicionBook, SuspicionConfig, Verdict};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use flamingowheel_protocol::message::{
-    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal, Suspicion,
+    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -132,7 +136,7 @@
     admission: Admission<ExecutionKey>,
     pending: HashMap<ExecutionKey, Pending>,
     running: HashMap<ExecutionKey, Running>,
-    exclusive: Option<ExecutionKey>,
+    suspicion: SuspicionBook,
     load: LoadCell,
     links: HashMap<u64, mpsc::Sender<AgentMessage>>,
     leaving: bool,
@@ -145,6 +149,13 @@
     status: watch::Sender<AgentStatus>,
     traffic: Handle,
     recorder: Recorder,
+    orders: Option<Arc<dyn OrderHandler>>,
+}
+
+/// Carries out requests of the group's coordinator.
+pub trait OrderHandler: Send + Sync + 'static {
+    /// Answers one request; both are encoded messages of the group's package.
+    fn handle(&self, body: Bytes) -> BoxFuture<'_, Bytes>;
 }
 
 impl Control {
@@ -169,7 +180,7 @@
             started: Instant::now(),
             pending: HashMap::new(),
             running: HashMap::new(),
-            exclusive: None,
+            suspicion: SuspicionBook::new(SuspicionConfig::default()),
             load: LoadCell::default(),
             links: HashMap::new(),
             leaving: false,
@@ -182,12 +193,19 @@
             status,
             traffic: Handle::current(),
             recorder,
+            orders: None,
             config,
             backend,
         };
         (control, AgentHandle { commands, status: status_receiver }, receiver)
     }
 
+    /// Says who carries out orders; without it they are not answered.
+    pub fn with_orders(mut self, orders: Arc<dyn OrderHandler>) -> Self {
+        self.orders = Some(orders);
+        self
+    }
+
     /// Runs until every handle is gone.
     pub async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
         let mut tick = tokio::time::interval(TICK);
@@ -208,6 +226,10 @@
         match command {
             Command::Linked { link, sender } => {
                 reply(&sender, self.heartbeat());
+                let known = self.suspicion.records(self.started.elapsed());
+                if !known.is_empty() {
+                    reply(&sender, AgentMessage::Suspicions(known));
+                }
                 self.links.insert(link, sender);
             }
             Command::Unlinked { link } => {
@@ -251,11 +273,25 @@
                     execution.detach(attempt);
                 }
             }
-            EntryMessage::Suspicions(_) => {}
+            EntryMessage::Suspicions(records) => {
+                self.suspicion.merge(&records, self.started.elapsed());
+                self.tell_suspicions();
+            }
             EntryMessage::VmLeaving => self.leave(LeaveCause::VmList),
+            EntryMessage::Order { number, body } => self.on_order(sender, number, body),
         }
     }
 
+    fn on_order(&self, sender: &mpsc::Sender<AgentMessage>, number: u64, body: Bytes) {
+        let Some(orders) = self.orders.clone() else { return };
+        let sender = sender.clone();
+        self.traffic.spawn(async move {
+            let body = orders.handle(body).await;
+            // Whoever asked over a connection that ended asks again.
+            let _ = sender.send(AgentMessage::OrderAnswer { number, body }).await;
+        });
+    }
+
     fn on_dispatch(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
         let (attempt, key) = (dispatch.attempt, dispatch.key);
         if dispatch.incarnation != self.config.incarnation {
@@ -306,17 +342,24 @@
         self.attach(execution, dispatch.attempt, sender, 0);
     }
 
-    fn objection(&self, dispatch: &Dispatch) -> Option<Refusal> {
+    fn objection(&mut self, dispatch: &Dispatch) -> Option<Refusal> {
         if self.leaving {
             return Some(Refusal::Leaving);
         }
         if dispatch.remaining_ms == 0 {
             return Some(Refusal::DeadlinePassed);
         }
-        if self.exclusive.is_some() {
-            return Some(Refusal::Full);
+        match self.suspicion.verdict(dispatch.fingerprint, self.started.elapsed()) {
+            Verdict::Refused { .. } => Some(Refusal::Suspect),
+            Verdict::Alone { crashed } if crashed.contains(&self.server()) => {
+                Some(Refusal::Suspect)
+            }
+            Verdict::Alone { .. } | Verdict::Clear => None,
         }
-        None
+    }
+
+    fn server(&self) -> ServerKey {
+        ServerKey::from_name(&self.config.name)
     }
 
     fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
@@ -325,6 +368,7 @@
             fingerprint: dispatch.fingerprint,
             idempotent: dispatch.idempotent,
             max_replay_bytes: self.config.max_replay_bytes,
+            can_resume: self.config.profile.can_resume,
             first_chunk: dispatch.resume_after_chunks,
         }));
         if self.records.insert(key, Arc::clone(&execution)).is_err() {
@@ -336,11 +380,12 @@
             last_try: dispatch.last_try,
             deadline: self.started.elapsed() + Duration::from_millis(dispatch.remaining_ms),
         };
-        let alone = dispatch.alone;
         let from_chunk = dispatch.resume_after_chunks;
+        let (fingerprint, dispatch_alone) = (dispatch.fingerprint, dispatch.alone);
         self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
+        let alone = dispatch_alone || self.must_run_alone(fingerprint);
         let admitted = match alone {
-            true => self.offer_alone(offer),
+            true => self.admission.offer_alone(offer),
             false => self.admission.offer(offer),
         };
         match admitted {
@@ -376,15 +421,9 @@
 
     /// A request that may kill the backend server runs with nothing beside it, so that it can't
     /// take others down and so that a crash convicts it alone.
-    fn offer_alone(&mut self, offer: Offer<ExecutionKey>) -> Admitted<ExecutionKey> {
-        if !self.running.is_empty() {
-            return Admitted::Full(self.admission.load());
-        }
-        let admitted = self.admission.offer(offer);
-        if matches!(admitted, Admitted::Start) {
-            self.exclusive = Some(offer.id);
-        }
-        admitted
+    fn must_run_alone(&mut self, fingerprint: Fingerprint) -> bool {
+        let verdict = self.suspicion.verdict(fingerprint, self.started.elapsed());
+        matches!(verdict, Verdict::Alone { .. })
     }
 
     fn start(&mut self, key: ExecutionKey) {
@@ -413,8 +452,8 @@
         }
         let Some(running) = self.running.remove(&key) else { return };
         self.record_end(key, &running);
-        if self.exclusive == Some(key) {
-            self.exclusive = None;
+        if end == RunEnd::Whole {
+            self.suspicion.on_finished(running.fingerprint, self.started.elapsed());
         }
         let mut next = self.admission.finish(running.since.elapsed());
         while let Some(key) = next {
@@ -567,17 +606,21 @@
             return;
         }
         self.crash_count += 1;
-        let crash = (self.config.incarnation, self.crash_count);
-        let running_count = u16::try_from(suspects.len()).unwrap_or(u16::MAX);
-        let suspicions: Vec<_> = suspects
-            .into_iter()
-            .map(|fingerprint| Suspicion { fingerprint, crash, running_count })
-            .collect();
+        let crash = CrashId { server: self.server(), number: rand::random() };
+        self.suspicion.on_crash(crash, &suspects, self.started.elapsed());
         self.recorder.record(Event::EngineCrashed {
             backend_server: self.config.name.as_str().into(),
-            running: u32::from(running_count),
+            running: u32::try_from(suspects.len()).unwrap_or(u32::MAX),
         });
-        self.broadcast(&AgentMessage::Suspicions(suspicions));
+        self.tell_suspicions();
+    }
+
+    /// Passes on what changed. Only news counts as a change, so this comes to an end.
+    fn tell_suspicions(&mut self) {
+        let changes = self.suspicion.take_changes(self.started.elapsed());
+        if !changes.is_empty() {
+            self.broadcast(&AgentMessage::Suspicions(changes));
+        }
     }
 
     fn on_tick(&mut self) {
@@ -587,6 +630,7 @@
         }
         self.stop_orphans();
         self.check_health();
+        self.tell_suspicions();
         self.broadcast(&self.heartbeat());
     }
 
@@ -651,8 +695,8 @@
     }
 
     fn fail(&self, sender: &mpsc::Sender<AgentMessage>, attempt: AttemptId, failure: Failure) {
-        let occupied = self.load().occupied();
-        reply(sender, AgentMessage::Failed { attempt, failure, occupied });
+        let occupancy = self.load().into();
+        reply(sender, AgentMessage::Failed { attempt, failure, occupancy });
     }
 
     fn heartbeat(&self) -> AgentMessage {
@@ -665,13 +709,7 @@
     }
 
     fn load(&self) -> Load {
-        let load = self.admission.load();
-        Load {
-            running: load.running,
-            waiting: load.waiting,
-            places: load.places,
-            service_ms: load.service_ms,
-        }
+        self.admission.load()
     }
 
     fn broadcast(&self, message: &AgentMessage) {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -7,7 +7,7 @@
 use crate::load::LoadCell;
 use bytes::Bytes;
 use flamingowheel_protocol::id::{AttemptId, Fingerprint};
-use flamingowheel_protocol::message::{AgentMessage, Failure, Refusal};
+use flamingowheel_protocol::message::{AgentMessage, Failure, Occupancy, Refusal};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, mpsc};
@@ -20,6 +20,9 @@
 /// Chunks put into one turn of sending.
 const TURN_CHUNKS: usize = 64;
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// How an execution ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -40,6 +43,8 @@
     pub idempotent: bool,
     /// Bytes of the answer kept for replay.
     pub max_replay_bytes: usize,
+    /// The backend server can go on with an event stream from a given event.
+    pub can_resume: bool,
     /// Number of the first chunk that this execution yields; an earlier agent process yielded
     /// those before it.
     pub first_chunk: u64,
@@ -265,6 +270,14 @@
         self.lock().next()
     }
 
+    /// Whether the backend server can be asked for the rest of the answer. Engines count events,
+    /// so only of an event stream that has begun.
+    pub fn may_resume(&self) -> bool {
+        let answer = self.lock();
+        let events = answer.head.as_ref().is_some_and(|(_, kind)| kind.starts_with(EVENT_STREAM));
+        events && self.work.can_resume && self.work.idempotent && answer.ending.is_none()
+    }
+
     /// How it ended.
     pub fn ending(&self) -> Option<Ending> {
         self.lock().ending
@@ -340,15 +353,19 @@
         if self.ended {
             return Turn::Wait;
         }
-        let (attempt, occupied) = (self.attempt, self.load.get().occupied());
+        let (attempt, occupancy) = (self.attempt, Occupancy::from(self.load.get()));
         if self.next < answer.first {
-            messages.push(AgentMessage::Failed { attempt, failure: Failure::ReplayGone, occupied });
+            messages.push(AgentMessage::Failed {
+                attempt,
+                failure: Failure::ReplayGone,
+                occupancy,
+            });
             self.ended = true;
             return Turn::Wait;
         }
         if let (Some((status, content_type)), false) = (&answer.head, self.head_sent) {
             let (status, content_type) = (*status, content_type.clone());
-            messages.push(AgentMessage::Head { attempt, status, content_type, occupied });
+            messages.push(AgentMessage::Head { attempt, status, content_type, occupancy });
             self.head_sent = true;
         }
         let limit = answer.next().min(listener.next_unacknowledged + SEND_WINDOW_CHUNKS);
@@ -357,7 +374,7 @@
                 return Turn::Again;
             }
             let data = answer.chunks[(self.next - answer.first) as usize].clone();
-            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupied });
+            messages.push(AgentMessage::Chunk { attempt, number: self.next, data, occupancy });
             self.next += 1;
         }
         let Some(ending) = answer.ending else { return Turn::Wait };
@@ -365,8 +382,8 @@
             return Turn::Wait;
         }
         messages.push(match ending {
-            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupied },
-            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupied },
+            Ending::Whole => AgentMessage::End { attempt, chunk_count: answer.next(), occupancy },
+            Ending::Failed(failure) => AgentMessage::Failed { attempt, failure, occupancy },
             Ending::NotRun(refusal) => {
                 AgentMessage::Refused { attempt, refusal, load: self.load.get() }
             }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::problem::{Collector, Reason};
 use crate::secret::Secret;
+use crate::yaml;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -142,6 +143,17 @@
     pub replay_window_bytes: u64,
 }
 
+/// Sizes of a group's expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpertSettings {
+    /// Layers with experts.
+    pub layers: u32,
+    /// Experts a layer.
+    pub experts: u32,
+    /// Expert weights that a rank holds a layer.
+    pub slots: u32,
+}
+
 /// What a backend server is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BackendServerKind {
@@ -157,6 +169,8 @@
         ranks: u32,
         /// Whether the engine itself refuses orders with an old fencing number.
         checks_fencing: bool,
+        /// Sizes of the expert map, if the group's ranks share one.
+        experts: Option<ExpertSettings>,
     },
     /// A plain service.
     Service {
@@ -262,7 +276,7 @@
     /// ```
     pub fn parse(text: &str, file: &Path) -> Result<Self, SettingsError> {
         let raw: file::File =
-            serde_yaml_ng::from_str(text).map_err(|source| syntax(file, source))?;
+            yaml::guard(|| serde_yaml_ng::from_str(text)).map_err(|source| syntax(file, source))?;
         let mut problems = Collector::new(|field, reason| SettingsProblem { field, reason });
         let settings = raw.resolve(&mut problems);
         match settings {
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -1,10 +1,12 @@
 //! Operators' documents: reading, resolving and checking them.
 
 use flamingowheel_config::document::{DocumentError, Edit, parse};
-use flamingowheel_config::effective::{ConfigRevision, Documents, Effective};
+use flamingowheel_config::effective::{ConfigRevision, Documents, Effective, EffectiveWorkspace};
 use flamingowheel_config::problem::Reason;
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::validate::{Problem, validate};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::sync::Arc;
 
 const TEMPLATE: &str = "\
@@ -150,3 +152,79 @@
     let problems = validate(&Documents::default(), &parse(&text).unwrap()).unwrap_err();
     assert_eq!(fields(&problems), [(3, "name")]);
 }
+
+#[test]
+fn page_examples_are_valid() {
+    let page = include_str!("../../../docs/operations/configuration.md");
+    let blocks = page.split("```yaml\n").skip(1);
+    let examples: Vec<&str> = blocks.filter_map(|rest| rest.split("```").next()).collect();
+    assert_eq!(examples.len(), 2);
+    for example in examples {
+        assert_eq!(validate(&Documents::default(), &parse(example).unwrap()), Ok(()), "{example}");
+    }
+}
+
+/// What a lookup by name and by token finds, for names and tokens `w0` to `w5`.
+fn found(effective: &Effective) -> Vec<(Option<EffectiveWorkspace>, Option<String>)> {
+    let look_up = |number: usize| {
+        let name = format!("w{number}");
+        let by_token = effective.workspace_by_token(name.as_bytes());
+        let by_name = effective.workspace(&name).map(|workspace| (**workspace).clone());
+        (by_name, by_token.map(|workspace| workspace.name.to_string()))
+    };
+    (0..6).map(look_up).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Workspaces come, go, change templates and hand their tokens on, several in one change.
+    #[test]
+    fn effective_after_is_as_new(
+        changes in prop::collection::vec(
+            prop::collection::btree_map(0..6_u8, (0..3_u8, 0..6_u8, 0..3_u8), 1..4), 1..12
+        )
+    ) {
+        let mut documents = documents(&format!("{TEMPLATE}---\nkind: template\nname: other\n"));
+        let mut effective = Effective::new(&documents);
+        for change in changes {
+            let mut edits = Vec::new();
+            for (name, (kind, token, priority)) in change {
+                let name = format!("w{name}");
+                let template = if priority == 0 { "other" } else { "callbox" };
+                let text = workspace(&name, &format!("w{token}"), &format!("overrides: {{ priority: {priority} }}"));
+                match kind {
+                    0 => edits.push(Edit::RemoveWorkspace(name)),
+                    _ => edits.extend(parse(&text.replace("template: callbox", &format!("template: {template}"))).unwrap()),
+                }
+            }
+            if validate(&documents, &edits).is_err() {
+                continue;
+            }
+            documents.apply(documents.revision.next(), &edits);
+            effective = effective.after(&documents, &edits);
+            prop_assert_eq!(found(&effective), found(&Effective::new(&documents)));
+            prop_assert_eq!(effective.revision(), documents.revision);
+        }
+    }
+}
+// An operator pastes text that is no YAML. The parser repeats its error without end; the entry that
+// takes the change would loop and eat its memory.
+#[test]
+fn parse_not_yaml_ends() {
+    for text in ["[", "{", "@", "kind: remove\nworkspace: a\n---\n@"] {
+        let errors = parse(text).unwrap_err();
+        assert!((1..=2).contains(&errors.len()), "{errors:?}");
+    }
+}
+
+// An alias that stands for nothing made the parser panic, and the operator's call broke off.
+#[test]
+fn parse_alias_without_anchor() {
+    assert!(parse("kind: remove\nworkspace: [*a]\n").is_err());
+    assert!(parse("a: [*a]\n").is_err());
+}
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -5,18 +5,21 @@
 
 use crate::connector::{AgentLink, Connector};
 use crate::router::Router;
+use bytes::Bytes;
 use flamingowheel_policy::key::{ScopeKey, ServerKey};
+use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
 use flamingowheel_protocol::message::{
     AgentMessage, BackendProfile, EntryMessage, Hello, Role, Serves,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Shortest and longest wait between two tries to connect.
@@ -57,6 +60,10 @@
     address: SocketAddr,
     connected: watch::Sender<Option<Connected>>,
     window: AtomicU32,
+    leaving: AtomicBool,
+    heard: Mutex<Instant>,
+    orders: Mutex<HashMap<u64, oneshot::Sender<Bytes>>>,
+    order_number: AtomicU64,
     streams: Mutex<HashMap<AttemptId, mpsc::UnboundedSender<StreamEvent>>>,
 }
 
@@ -66,6 +73,10 @@
             address,
             connected: watch::Sender::new(None),
             window: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            heard: Mutex::new(Instant::now()),
+            orders: Mutex::default(),
+            order_number: AtomicU64::new(1),
             streams: Mutex::default(),
         }
     }
@@ -81,7 +92,7 @@
     }
 
     /// Sends a message that may get lost, if there is a connection.
-    fn send(&self, message: EntryMessage) {
+    pub fn send(&self, message: EntryMessage) {
         if let Some(connected) = self.connected() {
             let _ = connected.sender.try_send(message);
         }
@@ -102,6 +113,22 @@
         Window(self.window.load(Ordering::Relaxed))
     }
 
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// How long ago its last heartbeat came.
+    pub fn heard_ago(&self) -> Duration {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
+    }
+
+    fn on_heartbeat(&self, window: Window, leaving: bool) {
+        self.window.store(window.0, Ordering::Relaxed);
+        self.leaving.store(leaving, Ordering::Relaxed);
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
     /// Registers an attempt for messages about it.
     pub fn listen(self: &Arc<Self>, attempt: AttemptId) -> StreamListener {
         let (sender, events) = mpsc::unbounded_channel();
@@ -113,6 +140,22 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sends a request of the group's coordinator and waits for the answer; `None` if there is no
+    /// connection, or it ends first. The caller bounds the wait.
+    pub async fn order(&self, body: Bytes) -> Option<Bytes> {
+        let connected = self.connected()?;
+        let number = self.order_number.fetch_add(1, Ordering::Relaxed);
+        let (sender, answer) = oneshot::channel();
+        self.orders().insert(number, sender);
+        let _waiting = OrderWaiting { agent: self, number };
+        connected.sender.send(EntryMessage::Order { number, body }).await.ok()?;
+        answer.await.ok()
+    }
+
+    fn orders(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Bytes>>> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Hands a message to its attempt. One whose attempt is over or unknown is dropped here, so
     /// that a late answer can't reach another caller.
     fn route(&self, attempt: AttemptId, message: AgentMessage) {
@@ -122,12 +165,25 @@
     }
 
     fn tell_lost(&self, epoch: u64) {
+        self.orders().clear();
         for stream in self.streams().values() {
             let _ = stream.send(StreamEvent::Lost { epoch });
         }
     }
 }
 
+/// Takes an order's place out again when its sender stops waiting.
+struct OrderWaiting<'a> {
+    agent: &'a Agent,
+    number: u64,
+}
+
+impl Drop for OrderWaiting<'_> {
+    fn drop(&mut self) {
+        self.agent.orders().remove(&self.number);
+    }
+}
+
 /// Receives the messages about one attempt until dropped.
 #[derive(Debug)]
 pub struct StreamListener {
@@ -275,9 +331,22 @@
                 announced = true;
                 self.router.add(server, &connected.profile.serves, Arc::clone(&self.agent));
                 self.agent.connected.send_replace(Some(connected.clone()));
+                let known = self.router.suspicions();
+                if !known.is_empty() {
+                    self.agent.send(EntryMessage::Suspicions(known));
+                }
             }
-            if let Some(attempt) = message.attempt() {
-                self.agent.route(attempt, message);
+            match message {
+                AgentMessage::OrderAnswer { number, body } => {
+                    if let Some(waiting) = self.agent.orders().remove(&number) {
+                        let _ = waiting.send(body);
+                    }
+                }
+                message => {
+                    if let Some(attempt) = message.attempt() {
+                        self.agent.route(attempt, message);
+                    }
+                }
             }
         }
         self.router.remove(server, &self.agent);
@@ -287,12 +356,26 @@
 
     fn take(&self, server: ServerKey, message: &AgentMessage) {
         if let AgentMessage::Heartbeat { window, leaving, backend_up, .. } = message {
-            self.agent.window.store(window.0, Ordering::Relaxed);
+            self.agent.on_heartbeat(*window, *leaving);
             self.router.set_accepting(server, *leaving, *backend_up);
         }
         if let Some(hint) = message.load_hint() {
             self.router.learn(server, hint);
         }
+        if let AgentMessage::Suspicions(records) = message {
+            self.pass_on(records);
+        }
+    }
+
+    /// Entries carry suspicions from agent to agent. Only news is passed on, so it ends.
+    fn pass_on(&self, records: &[SuspectRecord]) {
+        let news = self.router.suspect(records);
+        if news.is_empty() {
+            return;
+        }
+        for agent in self.router.agents() {
+            agent.send(EntryMessage::Suspicions(news.clone()));
+        }
     }
 }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -6,26 +6,31 @@
 use crate::events;
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::request::Request;
-use crate::router::Router;
+use crate::router::{RouteClass, Router};
 use crate::stream::{Answer, Origin};
+use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{CancelCause, RouteReason};
 use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
-use flamingowheel_policy::routing::Choice;
-use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
+use flamingowheel_policy::routing::{Choice, RouteError, RouteRequest};
+use flamingowheel_policy::suspicion::Verdict as Suspicion;
+use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation};
 use flamingowheel_protocol::message::{Dispatch, Refusal};
-use flamingowheel_protocol::ticket::Ticket;
+use flamingowheel_protocol::ticket::{StreamToken, Ticket};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 use uuid::Uuid;
 
 /// Retry budgets kept at most; beyond it those of idle workspaces start anew.
 const MAX_BUDGETS: usize = 4096;
 
+/// Attempt numbers from here on are drawn at random, by entries that go on with a stream.
+const FIRST_ADOPTED: u32 = 1 << 16;
+
 /// Sends requests.
 pub struct Dispatcher {
     config: Arc<EntryConfig>,
@@ -63,9 +68,13 @@
     }
 
     /// What the caller is told when no backend server is left.
-    fn no_choice(&self) -> Verdict {
-        match self.last {
-            Some(AttemptEnd::Refused(refusal)) => self.verdict(NotRun::Refused(refusal)),
+    fn no_choice(&self, error: RouteError) -> Verdict {
+        match (error, self.last) {
+            (RouteError::Overloaded { wait }, _) => {
+                let retry_after_ms = wait.as_millis() as u64;
+                self.verdict(NotRun::Overloaded { retry_after_ms })
+            }
+            (_, Some(AttemptEnd::Refused(refusal))) => self.verdict(NotRun::Refused(refusal)),
             _ => self.verdict(NotRun::NoneAvailable),
         }
     }
@@ -77,6 +86,7 @@
     agent: Arc<Agent>,
     connected: Connected,
     last_try: bool,
+    alone: bool,
 }
 
 impl Dispatcher {
@@ -109,11 +119,52 @@
         result
     }
 
+    /// Goes on with an answer that another entry had begun, from the given chunk on.
+    pub async fn go_on(
+        &self,
+        workspace: Arc<EffectiveWorkspace>,
+        token: &StreamToken,
+        from_chunk: u64,
+        deadline: Instant,
+    ) -> Result<Answer, Verdict> {
+        let request = Request::of_stream(workspace, token.request, deadline);
+        let log = self.recorder.about(events::subject(&request));
+        let server = ServerKey::from_name(&token.agent);
+        let home = self.home(&request, token.incarnation, server).await?;
+        // An attempt number of its own: the entry that began the stream may still live, and its
+        // cancel must not take this listener off.
+        let number = rand::random_range(FIRST_ADOPTED..u32::MAX);
+        let identity = Identity {
+            attempt: AttemptId { request: token.request, number },
+            key: token.key,
+            incarnation: token.incarnation,
+            window: token.window,
+        };
+        log.record(Event::Resumed {
+            backend_server: token.agent.as_str().into(),
+            attempt: number,
+            from_chunk,
+        });
+        let limit = self.config.reconnect_limit;
+        let mut sent = Attempt::<Sent>::adopt(identity, &home.agent, home.connected, limit);
+        sent.ask(from_chunk).await;
+        let begun = sent.begin(deadline, from_chunk).await;
+        let (head, attempt) = begun.map_err(|(end, _)| match end {
+            // Nothing is known of the stream: it was begun, so it may have run.
+            AttemptEnd::Refused(refusal) => Unknown::StreamGone(refusal).into(),
+            end => verdict(end),
+        })?;
+        // The body is not known here, so it can't be sent to a new agent process.
+        let origin = Origin { server, attempts: 1, can_resume: false };
+        let router = Arc::clone(&self.router);
+        Ok(Answer::new(request, head, attempt, origin, router, log, limit))
+    }
+
     /// Gives a ticket up. The verdict is proof that it did not run and won't, or it is unknown.
     pub async fn void(&self, request: Request, ticket: &Ticket) -> Verdict {
         let log = self.recorder.about(events::subject(&request));
         let server = ServerKey::from_name(&ticket.agent);
-        let home = match self.ticket_home(&request, ticket, server).await {
+        let home = match self.home(&request, ticket.incarnation, server).await {
             Ok(home) => home,
             Err(verdict) => return verdict,
         };
@@ -142,9 +193,10 @@
 
     /// Mints a ticket for a backend server that is likely to have room.
     pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
+        let question = RouteRequest { fingerprint: request.fingerprint, tried: &[] };
         let (choice, agent) = self
             .router
-            .route(&request.target, request.fingerprint, &[])
+            .route(&request.target, &question, &route_class(request))
             .map_err(|_| NotRun::NoneAvailable)?;
         self.router.ended(choice.server);
         let connected = agent.connected().ok_or(NotRun::NoneAvailable)?;
@@ -215,14 +267,59 @@
 
     fn choose(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
         let request = journey.request;
-        let routed = self.router.route(&request.target, request.fingerprint, &journey.tried);
-        let (choice, agent) = routed.map_err(|_| journey.no_choice())?;
-        let connected = agent.connected().ok_or_else(|| {
-            self.router.ended(choice.server);
-            journey.no_choice()
-        })?;
+        match self.router.verdict(request.fingerprint) {
+            Suspicion::Clear => self.choose_best(journey),
+            Suspicion::Alone { crashed } => self.choose_alone(journey, crashed),
+            Suspicion::Refused { retry_after } => {
+                let retry_after_ms = retry_after.as_millis() as u64;
+                Err(journey.verdict(NotRun::Suspect { retry_after_ms }))
+            }
+        }
+    }
+
+    fn choose_best(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
+        let request = journey.request;
+        let question = RouteRequest { fingerprint: request.fingerprint, tried: &journey.tried };
+        let routed = self.router.route(&request.target, &question, &route_class(request));
+        let (choice, agent) = routed.map_err(|error| journey.no_choice(error))?;
+        let connected = self.connected(journey, choice.server, &agent)?;
         log_route(journey, &choice, &connected);
-        Ok(Chosen { server: choice.server, agent, connected, last_try: choice.last_try })
+        let last_try = choice.last_try;
+        Ok(Chosen { server: choice.server, agent, connected, last_try, alone: false })
+    }
+
+    /// A request that may have crashed a backend server goes to one that all entries agree on,
+    /// so that copies of it that come through many entries can't crash many.
+    fn choose_alone(
+        &self,
+        journey: &Journey<'_>,
+        mut crashed: Vec<ServerKey>,
+    ) -> Result<Chosen, Verdict> {
+        let request = journey.request;
+        crashed.extend(&journey.tried);
+        let routed = self.router.route_alone(&request.target, request.fingerprint, &crashed);
+        let (server, agent) = routed.map_err(|error| journey.no_choice(error))?;
+        let connected = self.connected(journey, server, &agent)?;
+        journey.log.record(Event::Routed {
+            backend_server: connected.hello.name.as_str().into(),
+            attempt: journey.attempts + 1,
+            reason: RouteReason::Quarantine,
+            candidates: 1,
+            predicted_wait_ms: 0,
+        });
+        Ok(Chosen { server, agent, connected, last_try: true, alone: true })
+    }
+
+    fn connected(
+        &self,
+        journey: &Journey<'_>,
+        server: ServerKey,
+        agent: &Agent,
+    ) -> Result<Connected, Verdict> {
+        agent.connected().ok_or_else(|| {
+            self.router.ended(server);
+            journey.no_choice(RouteError::NoneAvailable)
+        })
     }
 
     /// Decides whether another attempt may follow one that ended like this.
@@ -304,7 +401,7 @@
             priority: request.workspace.parameters.priority,
             remaining_ms: request.remaining_ms(),
             fingerprint: request.fingerprint,
-            alone: false,
+            alone: chosen.alone,
             last_try: chosen.last_try,
             resume_after_chunks: 0,
         };
@@ -383,7 +480,7 @@
         ticket: &Ticket,
     ) -> Result<Answer, Verdict> {
         let server = ServerKey::from_name(&ticket.agent);
-        let chosen = self.ticket_home(journey.request, ticket, server).await?;
+        let chosen = self.home(journey.request, ticket.incarnation, server).await?;
         journey.tried.push(server);
         let end = match self.attempt(journey, &chosen, Some(ticket_key(ticket))).await {
             Ok(answer) => return Ok(answer),
@@ -398,21 +495,22 @@
         })
     }
 
-    async fn ticket_home(
+    /// The one agent process that can tell.
+    async fn home(
         &self,
         request: &Request,
-        ticket: &Ticket,
+        incarnation: Incarnation,
         server: ServerKey,
     ) -> Result<Chosen, Verdict> {
         let agent = self.router.agent(server).ok_or(Unknown::AgentUnreachable)?;
-        let limit = request.deadline.min(tokio::time::Instant::now() + self.config.reconnect_limit);
+        let limit = request.deadline.min(Instant::now() + self.config.reconnect_limit);
         let connected = timeout_at(limit, agent.connected_after(0)).await;
         let connected = connected.ok().flatten().ok_or(Unknown::AgentUnreachable)?;
-        if !is_incarnation(&connected, ticket.incarnation) {
+        if !is_incarnation(&connected, incarnation) {
             // Its records are gone: the work may have run there, and must run nowhere else.
             return Err(Unknown::TicketHome(Refusal::WrongIncarnation).into());
         }
-        Ok(Chosen { server, agent, connected, last_try: true })
+        Ok(Chosen { server, agent, connected, last_try: true, alone: false })
     }
 }
 
@@ -421,6 +519,13 @@
     ExecutionKey::Ticket { number: ticket.number, window: ticket.window }
 }
 
+fn route_class(request: &Request) -> RouteClass {
+    RouteClass {
+        urgent: events::is_urgent(request),
+        max_wait: Duration::from_millis(request.remaining_ms()),
+    }
+}
+
 fn log_route(journey: &Journey<'_>, choice: &Choice, connected: &Connected) {
     journey.log.record(Event::Routed {
         backend_server: connected.hello.name.as_str().into(),
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -7,6 +7,9 @@
 /// Proof that a request did not run and won't.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NotRun {
+    /// This entry does not yet know, or no longer trusts, the configuration that it has.
+    #[error("this entry has no confirmed configuration yet")]
+    NotReady,
     /// No workspace is known for the token.
     #[error("unknown workspace or token")]
     Unauthorised,
@@ -31,6 +34,18 @@
         /// When to come back, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Every backend server has more waiting than the caller has time for.
+    #[error("backend servers overloaded")]
+    Overloaded {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// It crashed backend servers.
+    #[error("refused because backend servers crashed while running this request")]
+    Suspect {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No agent that serves it is reachable.
     #[error("no backend server is available")]
     NoneAvailable,
@@ -94,6 +109,12 @@
     /// The attempt began and ended without a whole answer.
     #[error("{0}")]
     Failed(#[from] Failure),
+    /// The answer is larger than an entry gathers.
+    #[error("the answer exceeds {limit_bytes} bytes")]
+    AnswerTooLarge {
+        /// The limit.
+        limit_bytes: usize,
+    },
     /// The agent can't be reached.
     #[error("the backend server's agent can't be reached")]
     AgentUnreachable,
@@ -103,6 +124,9 @@
     /// The deadline passed while it may have been running.
     #[error("deadline passed while it may have been running")]
     DeadlinePassed,
+    /// The agent no longer has the stream.
+    #[error("the stream is no longer there: {0}")]
+    StreamGone(Refusal),
     /// The ticket was submitted before or elsewhere, and its agent can't say what became of it.
     #[error("the process that holds the ticket's record can't tell: {0}")]
     TicketHome(Refusal),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,14 +1,19 @@
 //! What the handlers of callers' requests share.
 
-use crate::addresses::AddressBook;
+use crate::addresses::{AddressBook, demand};
 use crate::claims::Claims;
 use crate::config::EntryConfig;
 use crate::dispatch::Dispatcher;
+use crate::limits::{Limiter, Permit};
+use crate::outcome::NotRun;
 use arc_swap::ArcSwap;
-use flamingowheel_config::effective::Effective;
+use flamingowheel_config::effective::{Effective, EffectiveWorkspace};
+use flamingowheel_config::template::Limits;
+use flamingowheel_control::node::Node;
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_policy::key::EntryKey;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Shared by all handlers. The control thread replaces the snapshots; traffic reads them without
 /// a lock.
@@ -27,14 +32,49 @@
     pub recorder: Recorder,
     /// Requests and streams in progress.
     pub in_progress: Arc<InProgress>,
-    /// This entry is leaving and must not appear in address answers.
-    pub leaving: AtomicBool,
+    /// This entry among the others.
+    pub node: Node,
+    /// Applies the workspaces' limits.
+    pub limiter: Arc<Limiter>,
 }
 
 impl EntryState {
-    /// Takes this entry out of address answers.
-    pub fn set_leaving(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// The entries that share a workspace's limits.
+    pub fn subset(&self, workspace: &EffectiveWorkspace) -> Vec<EntryKey> {
+        let (scopes, rate_per_s) = demand(workspace);
+        self.addresses.load().subset(&workspace.name, &scopes, rate_per_s)
+    }
+
+    /// Admits a request within its workspace's limits.
+    pub async fn admit(
+        &self,
+        workspace: &EffectiveWorkspace,
+        prompt_tokens: f64,
+        answer_tokens: f64,
+    ) -> Result<Option<Permit>, NotRun> {
+        if workspace.parameters.limits == Limits::default() {
+            return Ok(None);
+        }
+        let members = self.subset(workspace);
+        self.limiter.admit(workspace, &members, prompt_tokens, answer_tokens).await
+    }
+}
+
+/// Held while a request or its answer is in progress.
+#[derive(Debug)]
+pub struct Hold {
+    /// Keeps a leaving entry from ending.
+    pub in_progress: InProgressGuard,
+    /// Counts against the workspace's limits, if it has any.
+    pub permit: Option<Permit>,
+}
+
+impl Hold {
+    /// Notes tokens that were generated.
+    pub fn add_tokens(&mut self, count: f64) {
+        if let Some(permit) = &mut self.permit {
+            permit.add_tokens(count);
+        }
     }
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -12,10 +12,14 @@
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey};
 use flamingowheel_protocol::message::Dispatch;
+use flamingowheel_protocol::ticket::StreamToken;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Media type of event streams.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
 /// Where an answer comes from.
 #[derive(Clone, Copy, Debug)]
 pub struct Origin {
@@ -67,9 +71,18 @@
         self.origin.attempts
     }
 
-    /// Identity of the attempt that answers.
-    pub fn attempt(&self) -> Option<&Attempt<Streaming>> {
-        self.attempt.as_ref()
+    /// With which any entry goes on with the stream.
+    pub fn token(&self) -> Option<StreamToken> {
+        let attempt = self.attempt.as_ref()?;
+        let identity = attempt.identity();
+        Some(StreamToken {
+            agent: attempt.backend_server().to_owned(),
+            incarnation: identity.incarnation,
+            window: identity.window,
+            key: identity.key,
+            request: self.request.id,
+            workspace: self.request.workspace.name.to_string(),
+        })
     }
 
     /// The next piece. After an error or the end there is none.
@@ -91,7 +104,11 @@
     async fn resume_or_fail(&mut self, end: AttemptEnd) -> Result<(), Verdict> {
         let resumable = matches!(end, AttemptEnd::Replaced(_));
         let resumed = match self.attempt.take() {
-            Some(attempt) if resumable && self.may_resume() => self.resume(attempt).await,
+            // What the new process says of the second attempt proves nothing of the first, which
+            // ran: its refusal must not become "not run".
+            Some(attempt) if resumable && self.may_resume() => {
+                self.resume(attempt).await.map_err(|_| end)
+            }
             _ => Err(end),
         };
         match resumed {
@@ -109,8 +126,11 @@
         }
     }
 
+    /// Engines resume event streams only. Any other body would come once more from its beginning,
+    /// and the caller would take part of one answer and the whole of another for its own.
     fn may_resume(&self) -> bool {
-        self.origin.can_resume && self.request.idempotent
+        let events = self.head.content_type.starts_with(EVENT_STREAM);
+        events && self.origin.can_resume && self.request.idempotent
     }
 
     async fn resume(&mut self, old: Attempt<Streaming>) -> Result<Attempt<Streaming>, AttemptEnd> {
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -14,7 +14,8 @@
 use flamingowheel_config::store::Store;
 use flamingowheel_platform::client::{EtcdClient, HttpLimits};
 use flamingowheel_platform::fake::engine::EngineSettings;
-use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList};
+use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList, RankGroup};
+use flamingowheel_platform::orders::expert_counter;
 use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::Connections;
 use std::io;
@@ -36,6 +37,17 @@
 /// The service with calls that may not be repeated.
 pub const SERVICE: &str = "orders";
 
+/// The group whose ranks step together.
+pub const GROUP: &str = "notes-a";
+
+const LAYERS: u16 = 2;
+const EXPERTS: u16 = 8;
+const SLOTS: u16 = 3;
+/// Time between two steps of the stand-in group.
+const STEP: Duration = Duration::from_millis(50);
+/// Tokens of the most popular expert a step; the next has half as many, and so on.
+const MOST_TOKENS: u64 = 512;
+
 const ENTRIES: u8 = 2;
 const RANKS: u8 = 4;
 const SERVERS: u8 = 2;
@@ -96,6 +108,8 @@
     pub vms: FakeVmList,
     /// The engines, one a rank.
     pub engines: Vec<FakeEngine>,
+    /// The engines' group; it notes every step that was run with two maps.
+    pub group: RankGroup,
     /// The plain services.
     pub services: Vec<FakeService>,
     key_value_address: SocketAddr,
@@ -120,6 +134,7 @@
         let inner_port = free_port().await?;
         let standins = start_standins().await?;
         let mut fleet = Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port };
+        fleet.standins.run_group();
         fleet.start_agents().await?;
         fleet.start_entries().await?;
         fleet.apply().await?;
@@ -132,7 +147,9 @@
             let engine = self.standins.engines[usize::from(rank)].clone();
             let address = self.standins.start_engine(engine).await?;
             let kind = format!(
-                "{{backend_server: \"{address}\", kind: engine, model: {MODEL}, group: notes-a, rank: {rank}, ranks: {RANKS}}}"
+                "{{backend_server: \"{address}\", kind: engine, model: {MODEL}, group: {GROUP}, \
+                 rank: {rank}, ranks: {RANKS}, layers: {LAYERS}, experts: {EXPERTS}, \
+                 expert_slots: {SLOTS}, checks_fencing: true}}"
             );
             self.start_agent(&format!("notes-{rank}"), rank, &kind).await?;
         }
@@ -172,17 +189,24 @@
         };
         let text = format!(
             "name: {name}\nvm: vm-{name}\ndata_centre: ga-central-a\nregion: ga-central\n\
-             listen:\n{callers}  inner: \"{ip}:{port}\"\n  operators: \"{ip}:0\"\n\
+             peers: [{peers}]\nlisten:\n{callers}  inner: \"{ip}:{port}\"\n  operators: \"{ip}:0\"\n\
              key_value: {{addresses: [\"{kv}\"]}}\nvm_list: {{address: \"{vms}\"}}\n\
              fleet_key: {{inline: demo-fleet-key-of-32-characters!}}\n\
              operators_token: {{inline: {OPERATORS_TOKEN}}}\n{role}",
             port = self.inner_port,
+            peers = self.peers(),
             kv = self.standins.key_value_address,
             vms = self.standins.vms_address,
         );
         Settings::parse(&text, Path::new("demo.yaml"))
     }
 
+    /// The entries' inner addresses, as a YAML list's items.
+    fn peers(&self) -> String {
+        let peers = (0..ENTRIES).map(|n| format!("\"{}:{}\"", entry_ip(n), self.inner_port));
+        peers.collect::<Vec<_>>().join(", ")
+    }
+
     async fn apply(&self) -> Result<(), DemoError> {
         let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
         let text = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
@@ -192,7 +216,11 @@
         let store = Store::new(Arc::new(kv));
         let request = ApplyRequest {
             uuid: uuid::Uuid::now_v7(),
-            origin: Origin { operator: "demo".to_owned(), at_unix_ms: 0, comment: String::new() },
+            origin: Origin {
+                operator: "demo".to_owned(),
+                at_unix_ms: unix_ms(),
+                comment: String::new(),
+            },
             edits,
             seen: Default::default(),
         };
@@ -205,8 +233,10 @@
         let agents = usize::from(RANKS + SERVERS);
         let ready = || {
             self.entries.iter().all(|entry| {
-                entry.state().effective.load().workspace(WORKSPACE).is_some()
+                let state = entry.state();
+                state.effective.load().workspace(WORKSPACE).is_some()
                     && entry.agents().connected().len() == agents
+                    && state.node.members().len() == self.entries.len()
             })
         };
         let waiting = async {
@@ -239,8 +269,12 @@
              File a work order; sent again with the same key it runs once:\n  \
              curl -i {auth} -H 'idempotency-key: box-17' -d 'repair box 17' \
              http://{first}/v1/services/{SERVICE}/orders\n\
-             What happened to a request:\n  \
-             curl -H 'authorization: Bearer {OPERATORS_TOKEN}' 'http://{operators}/v1/events'\n\n",
+             What happened to a request (its id is in the header flamingowheel-request):\n  \
+             export FLAMINGOWHEEL_ENTRIES={operators} FLAMINGOWHEEL_TOKEN={OPERATORS_TOKEN}\n  \
+             cargo run --release --bin flamingowheel -- timeline --request ID\n  \
+             cargo run --release --bin flamingowheel -- status\n\
+             Which expert map the rank group runs on; after some seconds it is rebalanced:\n  \
+             curl -H 'authorization: Bearer {OPERATORS_TOKEN}' http://{operators}/v1/groups\n\n",
             operators = self.entries[0].operators,
         );
         text
@@ -261,6 +295,20 @@
 }
 
 impl Standins {
+    /// Lets the engines step in lock-step, as ranks of one group, and count their experts' tokens.
+    fn run_group(&self) {
+        let group = self.group.clone();
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            while !stop.is_cancelled() {
+                tokio::time::sleep(STEP).await;
+                if group.try_step() {
+                    group.ranks().iter().enumerate().for_each(|(rank, e)| count_tokens(rank, e));
+                }
+            }
+        });
+    }
+
     async fn start_engine(&self, engine: FakeEngine) -> Result<SocketAddr, DemoError> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
@@ -299,10 +347,12 @@
         stop.clone(),
     ));
     let engine = |seed| FakeEngine::new(u64::from(seed), EngineSettings::default());
+    let engines: Vec<FakeEngine> = (0..RANKS).map(engine).collect();
     Ok(Standins {
         key_value,
         vms,
-        engines: (0..RANKS).map(engine).collect(),
+        group: RankGroup::new(engines.clone()),
+        engines,
         services: (0..SERVERS).map(|seed| FakeService::new(u64::from(seed))).collect(),
         key_value_address,
         vms_address,
@@ -310,6 +360,19 @@
     })
 }
 
+/// The tokens of one step for the experts that an engine holds. Of an expert that stands on more
+/// ranks, each counts its share; the demo takes all shares as equal.
+fn count_tokens(rank: usize, engine: &FakeEngine) {
+    for (layer, ranks) in engine.peek_map().layers.iter().enumerate() {
+        let Some(own) = ranks.get(rank) else { continue };
+        for expert in own {
+            let replicas = ranks.iter().flatten().filter(|other| *other == expert).count();
+            let tokens = (MOST_TOKENS >> expert) / replicas.max(1) as u64;
+            engine.add_to_counter(&expert_counter(layer, *expert), tokens);
+        }
+    }
+}
+
 fn vms() -> Vec<Vm> {
     let vm = |name: String, ip| Vm {
         name,
@@ -331,6 +394,11 @@
     Ipv4Addr::new(127, 0, 2, number + 1).into()
 }
 
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// A port that is free now. All processes of a fleet listen on the same one, each on its own IP.
 async fn free_port() -> io::Result<u16> {
     Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?.local_addr()?.port())
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -1,21 +1,30 @@
 //! An entry process, assembled from its settings.
 
 use crate::agent::authority;
-use crate::configuration;
 use crate::discovery::Discovery;
+use crate::groups::Groups;
 use crate::listen::{ListenLimits, StartError, bind, serve};
+use crate::loans::{EntryLender, borrow};
+use crate::membership::{publish_addresses, publish_configuration};
 use crate::operators;
 use crate::threads::spawn_control;
 use arc_swap::ArcSwap;
-use flamingowheel_config::effective::Effective;
+use flamingowheel_config::api::{ProcessRole, ProcessState, ProcessStatus};
+use flamingowheel_config::effective::{ConfigRevision, Effective};
 use flamingowheel_config::settings::{EntrySettings, Role, Settings};
 use flamingowheel_config::store::Store;
-use flamingowheel_entry::addresses::{AddressBook, EntryMember};
-use flamingowheel_entry::agents::Agents;
+use flamingowheel_control::node::Node;
+use flamingowheel_control::operators::{Operators, OtherProcesses, router as operators_router};
+use flamingowheel_control::spread::{Spread, Timing as SpreadTiming};
+use flamingowheel_control::transport::PeerTransport;
+use flamingowheel_control::websocket::{WebSocketPeers, serve as serve_peers};
+use flamingowheel_entry::addresses::AddressBook;
+use flamingowheel_entry::agents::{Agent, Agents, Connected};
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::connector::WebSocketConnector;
 use flamingowheel_entry::dispatch::Dispatcher;
+use flamingowheel_entry::limits::Limiter;
 use flamingowheel_entry::router::Router;
 use flamingowheel_entry::state::EntryState;
 use flamingowheel_observe::event::Event;
@@ -23,9 +32,12 @@
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::client::{EtcdClient, HttpLimits, HttpVmList};
 use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_platform::vm::VmList;
+use flamingowheel_policy::key::EntryKey;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::link::{Keeping, Timing};
 use flamingowheel_protocol::message::{Hello, Role as PeerRole};
+use flamingowheel_protocol::peer::{MemberRecord, MemberState};
 use flamingowheel_protocol::websocket::Identity;
 use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
@@ -60,6 +72,8 @@
         let callers = settings.listen.callers.ok_or(StartError::NoCallersAddress)?;
         let callers = bind(callers, "callers").await?;
         let operators = bind(settings.listen.operators, "operators").await?;
+        let inner = bind(settings.listen.inner, "the fleet's own processes").await?;
+        let inner_address = inner.local_addr()?;
         let (callers_address, operators_address) = (callers.local_addr()?, operators.local_addr()?);
         let config = Arc::new(config(settings, own, callers_address));
         recorder.record(Event::ProcessStarted {
@@ -67,18 +81,46 @@
             incarnation: uuid::Uuid::from_u64_pair(0, config.incarnation.0),
         });
         let kv: Arc<dyn KeyValue> = Arc::new(key_value(settings));
-        let (state, agents) = assemble(&config, &kv, &recorder);
+        let identity = identity(settings, &config, &recorder, operators_address);
+        let record = member_record(settings, &config, inner_address, operators_address);
+        let node = Node::new(record, recorder.clone());
+        let (state, agents) = assemble(&config, &kv, &identity, &node);
+        let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
+        let store = Store::new(Arc::clone(&kv));
+        let groups = Groups::new(kv, Arc::clone(&agents), node.clone());
+        let group_routes = groups.router();
+        let peers: Arc<dyn PeerTransport> = Arc::new(WebSocketPeers::new(identity.clone()));
+        let spread = Spread {
+            node: node.clone(),
+            store: store.clone(),
+            peers: Arc::clone(&peers),
+            vms: vm_list(settings),
+            seeds: settings.peers.clone(),
+            timing: SpreadTiming::default(),
+        };
+        node.set_lender(Arc::new(EntryLender(Arc::clone(&state))));
+        let borrower = borrow(node.clone(), Arc::clone(&state), Arc::clone(&peers));
         let discovery = discovery(settings, Arc::clone(&agents));
-        let follower = Arc::clone(&state);
+        let (publisher, stopped, served) = (Arc::clone(&state), stop.clone(), node.clone());
         spawn_control("control", move || async move {
-            let store = Store::new(kv);
-            tokio::join!(configuration::follow(store, follower), discovery.run());
+            tokio::join!(
+                spread.run(stopped.clone()),
+                serve_peers(inner, identity, served.clone(), stopped),
+                publish_configuration(served.clone(), Arc::clone(&publisher)),
+                publish_addresses(served, publisher),
+                discovery.run(),
+                borrower,
+                groups.run(),
+            );
         })?;
-        let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
         let routes = flamingowheel_entry::http::router(Arc::clone(&state));
         let limits = limits(own);
         let callers_task = tokio::spawn(serve(callers, routes, limits, stop_accepting.clone()));
-        let routes = flamingowheel_observe::http::router(recorder);
+        let others = Arc::new(AgentList(Arc::clone(&agents)));
+        let routes = operators_router(Operators { node, store, peers, agents: others })
+            .merge(group_routes)
+            .merge(flamingowheel_entry::http::entries_router(Arc::clone(&state)))
+            .merge(flamingowheel_observe::http::router(recorder));
         let routes = operators::guard(routes, &settings.operators_token);
         tokio::spawn(serve(operators, routes, ListenLimits::default(), stop.clone()));
         Ok(Self {
@@ -110,7 +152,7 @@
         let requests = u32::try_from(self.state.in_progress.get()).unwrap_or(u32::MAX);
         let cause = LeaveCause::Signal;
         self.state.recorder.record(Event::LeaveBegan { cause, requests });
-        self.state.set_leaving();
+        self.state.node.leave();
         tokio::select! {
             () = tokio::time::sleep(self.state.config.address_ttl + ADDRESS_MARGIN) => {}
             () = hurry.cancelled() => {}
@@ -137,37 +179,91 @@
     }
 }
 
-fn assemble(
-    config: &Arc<EntryConfig>,
-    kv: &Arc<dyn KeyValue>,
+/// The agents that this entry is connected to, for the operators' status.
+struct AgentList(Arc<Agents>);
+
+impl OtherProcesses for AgentList {
+    fn list(&self) -> Vec<ProcessStatus> {
+        let connected = self.0.connected();
+        connected.into_iter().map(|(agent, connected)| agent_status(&agent, &connected)).collect()
+    }
+}
+
+fn agent_status(agent: &Agent, connected: &Connected) -> ProcessStatus {
+    ProcessStatus {
+        name: connected.hello.name.clone(),
+        role: ProcessRole::Agent,
+        vm: connected.hello.vm.clone(),
+        data_centre: connected.hello.data_centre.clone(),
+        state: match agent.is_leaving() {
+            true => ProcessState::Leaving,
+            false => ProcessState::Live,
+        },
+        // Agents hold no configuration.
+        revision: ConfigRevision::default(),
+        operators_address: connected.hello.operators,
+        heard_ms_ago: agent.heard_ago().as_millis() as u64,
+    }
+}
+
+fn identity(
+    settings: &Settings,
+    config: &EntryConfig,
     recorder: &Recorder,
-) -> (Arc<EntryState>, Arc<Agents>) {
-    let router = Arc::new(Router::default());
+    operators: SocketAddr,
+) -> Identity {
     let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
     let hello = Hello {
         name: config.name.clone(),
         incarnation: config.incarnation,
+        vm: settings.vm.clone(),
         data_centre: config.data_centre.clone(),
+        operators: Some(operators),
         role: PeerRole::Entry,
     };
-    let identity = Identity { hello, key: config.fleet_key.clone(), keeping };
-    let connector = Arc::new(WebSocketConnector { identity });
-    let agents = Arc::new(Agents::new(connector, Arc::clone(&router)));
-    let own = EntryMember {
+    Identity { hello, key: config.fleet_key.clone(), keeping }
+}
+
+fn member_record(
+    settings: &Settings,
+    config: &EntryConfig,
+    inner: SocketAddr,
+    operators: SocketAddr,
+) -> MemberRecord {
+    MemberRecord {
         name: config.name.clone(),
-        address: config.caller_address,
+        vm: settings.vm.clone(),
         data_centre: config.data_centre.clone(),
-        leaving: false,
-    };
+        region: settings.region.clone(),
+        inner,
+        callers: config.caller_address,
+        operators,
+        incarnation: config.incarnation,
+        version: 1,
+        state: MemberState::Live,
+    }
+}
+
+fn assemble(
+    config: &Arc<EntryConfig>,
+    kv: &Arc<dyn KeyValue>,
+    identity: &Identity,
+    node: &Node,
+) -> (Arc<EntryState>, Arc<Agents>) {
+    let router = Arc::new(Router::default());
+    let connector = Arc::new(WebSocketConnector { identity: identity.clone() });
+    let agents = Arc::new(Agents::new(connector, Arc::clone(&router)));
+    let recorder = node.recorder().clone();
     let state = Arc::new(EntryState {
         config: Arc::clone(config),
         effective: ArcSwap::from_pointee(Effective::default()),
-        addresses: ArcSwap::from_pointee(AddressBook::new(&[], vec![own])),
+        addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
         dispatcher: Dispatcher::new(Arc::clone(config), router, recorder.clone()),
         claims: Claims::start(Arc::clone(kv), config),
-        recorder: recorder.clone(),
+        recorder,
         in_progress: Arc::default(),
-        leaving: std::sync::atomic::AtomicBool::new(false),
+        node: node.clone(),
+        limiter: Arc::new(Limiter::new(EntryKey::from_name(&config.name))),
     });
     (state, agents)
 }
@@ -186,7 +282,8 @@
     FleetKey::new(Sha256::digest(settings.fleet_key.expose()).into())
 }
 
-fn key_value(settings: &Settings) -> EtcdClient {
+/// The client of the key-value service.
+pub fn key_value(settings: &Settings) -> EtcdClient {
     // Settings without an address don't pass their check.
     let address = settings.key_value.addresses[0];
     let limits = HttpLimits {
@@ -196,10 +293,13 @@
     EtcdClient::new(authority(address), limits)
 }
 
+fn vm_list(settings: &Settings) -> Arc<dyn VmList> {
+    Arc::new(HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default()))
+}
+
 fn discovery(settings: &Settings, agents: Arc<Agents>) -> Discovery {
-    let list = HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default());
     Discovery {
-        list: Arc::new(list),
+        list: vm_list(settings),
         agents,
         inner_port: settings.listen.inner.port(),
         own: settings.listen.inner.ip(),
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -1,5 +1,6 @@
 //! Merges the events of many processes into one time line.
 
+use std::collections::HashSet;
 use std::fmt::Write;
 use std::time::{Duration, UNIX_EPOCH};
 
@@ -7,8 +8,8 @@
 
 use crate::api::{EventQuery, EventsAnswer, ProcessInfo};
 use crate::clock::{DEFAULT_MAX_DRIFT_MS, Stamp};
-use crate::describe::{counted, short};
 use crate::event::{Event, Name, Stamped, Subject};
+use crate::words::{counted, short};
 
 /// Widest line of the text form.
 pub const COLUMNS: usize = 100;
@@ -28,15 +29,17 @@
     pub reason: Name,
 }
 
-/// A process that no longer keeps all events of the span asked for.
+/// A process that did not give all events of the span asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Incomplete {
     /// Its name.
     pub process: Name,
     /// Stamp of its oldest event.
     pub oldest: Option<Stamp>,
-    /// Events it has overwritten since its start.
+    /// Events it has overwritten since its start, if they may belong to the span.
     pub overwritten: u64,
+    /// Events of the span beyond the limit asked for.
+    pub left_out: u64,
 }
 
 /// A process whose clock differs from the others'.
@@ -57,7 +60,7 @@
     pub processes: Vec<ProcessInfo>,
     /// Processes that could not be reached.
     pub unreachable: Vec<Unreachable>,
-    /// Processes that have overwritten events of the span.
+    /// Processes that have overwritten or left out events of the span.
     pub incomplete: Vec<Incomplete>,
     /// Processes whose events may stand in the wrong place.
     pub clocks_off: Vec<ClockOff>,
@@ -85,11 +88,12 @@
     mut unreachable: Vec<Unreachable>,
 ) -> Timeline {
     answers.sort_by(|a, b| a.process.name.cmp(&b.process.name));
-    unreachable.sort_by(|a, b| a.process.cmp(&b.process));
     let incomplete = answers.iter().filter_map(|answer| incomplete(&query, answer)).collect();
     let clocks_off = clocks_off(&answers);
     let events = merge_events(&answers);
-    let processes = answers.into_iter().map(|answer| answer.process).collect();
+    let processes: Vec<ProcessInfo> = answers.into_iter().map(|answer| answer.process).collect();
+    unreachable.extend(unlisted(&events, &processes, &unreachable));
+    unreachable.sort_by(|a, b| a.process.cmp(&b.process));
     Timeline { query, processes, unreachable, incomplete, clocks_off, events }
 }
 
@@ -105,18 +109,42 @@
     events
 }
 
+/// Backend servers that got attempts and are in neither list.
+///
+/// A process that is gone drops out of the list of processes after a while. Its part of the story
+/// is missing all the same, and a time line that doesn't say so looks complete.
+fn unlisted(
+    events: &[Stamped],
+    processes: &[ProcessInfo],
+    unreachable: &[Unreachable],
+) -> Vec<Unreachable> {
+    let known = processes.iter().map(|process| &process.name);
+    let known: HashSet<&Name> = known.chain(unreachable.iter().map(|one| &one.process)).collect();
+    let mut missing: Vec<&Name> = events
+        .iter()
+        .filter_map(|event| match &event.event {
+            Event::Dispatched { backend_server, .. } => Some(backend_server),
+            _ => None,
+        })
+        .filter(|name| !known.contains(name))
+        .collect();
+    missing.sort();
+    missing.dedup();
+    let reason: Name = "got attempts, and is no longer in the list of processes".into();
+    let missed = |name: &Name| Unreachable { process: name.clone(), reason: reason.clone() };
+    missing.into_iter().map(missed).collect()
+}
+
 fn incomplete(query: &EventQuery, answer: &EventsAnswer) -> Option<Incomplete> {
-    if answer.overwritten == 0 {
-        return None;
-    }
     let covers = |since_ms| answer.oldest.is_some_and(|oldest| oldest.wall_ms() < since_ms);
-    if query.since_ms.is_some_and(covers) {
-        return None;
-    }
-    Some(Incomplete {
+    let covered = query.since_ms.is_some_and(covers);
+    let overwritten = if covered { 0 } else { answer.overwritten };
+    let left_out = answer.left_out;
+    (overwritten > 0 || left_out > 0).then(|| Incomplete {
         process: answer.process.name.clone(),
         oldest: answer.oldest,
-        overwritten: answer.overwritten,
+        overwritten,
+        left_out,
     })
 }
 
@@ -138,6 +166,26 @@
         .collect()
 }
 
+impl Incomplete {
+    fn lines(&self) -> Vec<String> {
+        let name = &self.process;
+        let mut lines = Vec::new();
+        if self.overwritten > 0 {
+            let oldest = self.oldest.map_or_else(|| "none".into(), utc);
+            let overwritten = self.overwritten;
+            lines.push(format!(
+                "INCOMPLETE {name}: keeps events from {oldest} on, {overwritten} older ones are \
+                 overwritten"
+            ));
+        }
+        if self.left_out > 0 {
+            let left_out = counted(self.left_out, "older event");
+            lines.push(format!("INCOMPLETE {name}: {left_out} left out, ask for a shorter time"));
+        }
+        lines
+    }
+}
+
 impl Timeline {
     /// The time line as text, at most [`COLUMNS`] wide.
     pub fn to_text(&self) -> String {
@@ -172,13 +220,7 @@
         for process in &self.unreachable {
             lines.push(format!("NOT REACHED {}: {}", process.process, process.reason));
         }
-        for process in &self.incomplete {
-            let oldest = process.oldest.map_or_else(|| "none".into(), utc);
-            lines.push(format!(
-                "INCOMPLETE {}: keeps events from {oldest} on, {} older ones are overwritten",
-                process.process, process.overwritten
-            ));
-        }
+        lines.extend(self.incomplete.iter().flat_map(Incomplete::lines));
         for clock in &self.clocks_off {
             lines.push(format!(
                 "CLOCK OFF {}: {} ms {} the others, its events may stand in the wrong place",
@@ -230,7 +272,10 @@
         P: PartialEq,
         F: Fn(&Subject) -> Option<P>,
     {
-        let mut parts = self.events.iter().map(|event| part(&event.subject));
+        // Asked for one request, the title tells about that, not about what explains it.
+        let of_request = self.query.request.is_some();
+        let told = self.events.iter().filter(|e| !of_request || e.subject.request.is_some());
+        let mut parts = told.map(|event| part(&event.subject));
         let first = parts.next()??;
         parts.all(|other| other.as_ref() == Some(&first)).then_some(first)
     }
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -1,5 +1,7 @@
 //! Recording from many threads, the ring's bound and the HTTP routes.
 
+use std::time::Duration;
+
 use axum::body::Body;
 use axum::http::{Request, StatusCode};
 use flamingowheel_observe::api::{EventQuery, EventsAnswer, ProcessInfo};
@@ -9,7 +11,9 @@
 use flamingowheel_observe::metrics::Metrics;
 use flamingowheel_observe::reason::{Class, NotRunReason, RefusalReason};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_observe::timeline::merge;
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 use tower::ServiceExt;
 use uuid::Uuid;
 
@@ -116,6 +120,20 @@
     assert_eq!(sequences, [2, 3]);
 }
 
+// All processes of a large fleet are asked for the last hour. Each gives its newest events only and
+// says how many it left out.
+#[test]
+fn answer_limit_gives_newest_and_counts_the_rest() {
+    let (recorder, _wall) = recorder(16);
+    (0..5).for_each(|_| recorder.record(lease_lost()));
+    let query = EventQuery { limit: Some(2), ..EventQuery::default() };
+    let answer = recorder.answer(&query);
+    assert_eq!(answer.events.iter().map(|event| event.sequence).collect::<Vec<_>>(), [4, 5]);
+    assert_eq!(answer.left_out, 3);
+    let text = merge(query, vec![answer], Vec::new()).to_text();
+    assert!(text.contains("INCOMPLETE entry-1: 3 older events left out"), "{text}");
+}
+
 // An agent's engine crashes under a request. The agent records the crash for itself.
 #[test]
 fn answer_request_at_agent_brings_engine_crash() {
@@ -154,6 +172,46 @@
     assert_eq!(peers, ["agent-9", "agent-9", "agent-9", "agent-8"]);
 }
 
+// The key-value service is down for an hour and asked four times a second. The ring must still hold
+// what else happened, and the next outage must show at once.
+#[test]
+fn record_outage_does_not_fill_the_ring() {
+    let (recorder, wall) = recorder(100);
+    let down = || Event::KeyValueDown { error: "unreachable".into() };
+    recorder.record(lease_lost());
+    for quarter in 0..4 * 3_600 {
+        wall.set_ms(1_000 + 250 * quarter);
+        recorder.record(down());
+    }
+    let answer = recorder.answer(&EventQuery::default());
+    assert_eq!(answer.events[0].event, lease_lost());
+    assert_eq!(answer.events.len(), 61);
+    recorder.record(Event::KeyValueUp { down_ms: 3_600_000 });
+    recorder.record(down());
+    let last = recorder.answer(&EventQuery::default()).events;
+    assert_eq!(last.last().map(|event| &event.event), Some(&down()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn stream_timer_tells_first_from_further_chunks() {
+    let metrics = Metrics::new().expect("metrics register");
+    let mut timer = metrics.stream_timer(Instant::now());
+    for wait_ms in [250, 40, 60] {
+        tokio::time::advance(Duration::from_millis(wait_ms)).await;
+        timer.chunk();
+    }
+    let text = metrics.encode().expect("metrics encode");
+    for line in [
+        "flamingowheel_first_token_ms_sum 250",
+        "flamingowheel_first_token_ms_count 1",
+        "flamingowheel_between_tokens_ms_sum 100",
+        "flamingowheel_between_tokens_ms_count 2",
+        "flamingowheel_chunks_total 3",
+    ] {
+        assert!(text.contains(line), "{line}\n{text}");
+    }
+}
+
 async fn get(path: &str) -> (StatusCode, String) {
     let (recorder, _wall) = recorder(1);
     let not_run =
--- a/crates/platform/src/fake/engine/control.rs
+++ b/crates/platform/src/fake/engine/control.rs
@@ -52,6 +52,12 @@
         true
     }
 
+    /// Adds to one of the counters that the engine reports with its state.
+    pub fn add_to_counter(&self, name: &str, amount: u64) {
+        let mut state = lock(&self.shared.state);
+        *state.reported.counters.entry(name.to_owned()).or_default() += amount;
+    }
+
     /// Any request whose body holds `part` kills the process.
     pub fn crash_on<B>(&self, part: B)
     where
@@ -80,6 +86,11 @@
         lock(&self.shared.state).lost_orders.push_back(lost);
     }
 
+    /// Forgets ways of losing orders that have not struck yet.
+    pub fn clear_lost_orders(&self) {
+        lock(&self.shared.state).lost_orders.clear();
+    }
+
     /// Numbers the next `count` cache events but never shows them.
     pub fn lose_cache_events(&self, count: usize) {
         lock(&self.shared.state).cache.lose_events(count);
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -42,6 +42,9 @@
     pub loan: Duration,
     /// Shortest time between two requests for a loan.
     pub ask_every: Duration,
+    /// The time doubles, up to this, each time that no peer had anything to lend. Otherwise the
+    /// members of a workspace at its limit would keep asking each other.
+    pub ask_every_at_most: Duration,
     /// Time over which demand is averaged.
     pub demand_window: Duration,
 }
@@ -52,6 +55,7 @@
             burst: Duration::from_secs(1),
             loan: Duration::from_secs(5),
             ask_every: Duration::from_millis(100),
+            ask_every_at_most: Duration::from_millis(1_600),
             demand_window: Duration::from_secs(1),
         }
     }
@@ -146,14 +150,18 @@
 const HEADROOM: f64 = 1.2;
 /// Part of its base share that an entry never lends, so that its first callers after a quiet time
 /// are not refused until a loan ends.
-const KEPT: f64 = 0.25;
+const KEPT: f64 = 0.1;
 /// A small limit's bucket still holds one request, else it would admit none.
 const ONE_REQUEST: f64 = 1.0;
 /// Smallest part of a limit worth a message.
 const MIN_LOAN: f64 = 0.005;
-/// An entry asks for at least this much, so that the first request it gets waits only briefly for
-/// its bucket to fill.
+/// An entry asks for at least this much.
 const MIN_ASKED: f64 = 0.02;
+/// And for no more than this, unless demand calls for it.
+const MAX_FIRST_ASKED: f64 = 0.4;
+/// The share asked for fills its bucket with one request in this time, so that the first caller of
+/// an entry waits only briefly.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
 /// Part of a loan's time after which the borrower renews it.
 const RENEW_AFTER: f64 = 0.6;
 
@@ -182,6 +190,8 @@
     number: u64,
     asked: HashMap<EntryKey, Asked>,
     last_asked: Option<Duration>,
+    ask_after: Duration,
+    asked_in_vain: usize,
     held: Vec<Held>,
     lent: HashMap<(EntryKey, u64), Lent>,
     requests: Bucket,
@@ -207,6 +217,8 @@
             number: 0,
             asked: HashMap::new(),
             last_asked: None,
+            ask_after: config.ask_every,
+            asked_in_vain: 0,
             held: Vec::new(),
             lent: HashMap::new(),
             requests: Bucket::default(),
@@ -282,7 +294,7 @@
     /// Whom to ask for a loan now, if one is needed.
     pub fn next_request(&mut self, now: Duration) -> Option<(EntryKey, LoanRequest)> {
         self.update(now);
-        let is_early = self.last_asked.is_some_and(|last| now < last + self.config.ask_every);
+        let is_early = self.last_asked.is_some_and(|last| now < last + self.ask_after);
         if is_early || self.peers.is_empty() {
             return None;
         }
@@ -291,9 +303,10 @@
         if missing < MIN_LOAN {
             return None;
         }
-        let missing = missing.max(MIN_ASKED);
+        let missing = missing.max(self.least_asked());
         let lender = renewed.map_or_else(|| self.take_peer(), |held| held.lender);
         self.number += 1;
+        self.back_off();
         self.last_asked = Some(now);
         self.asked.insert(lender, Asked { number: self.number, at: now });
         let returns = renewed.map(|held| held.number);
@@ -337,6 +350,8 @@
         if loan.share <= 0.0 || until <= now {
             return;
         }
+        self.asked_in_vain = 0;
+        self.ask_after = self.config.ask_every;
         self.held.push(Held { lender, number: loan.number, share: loan.share, until });
     }
 
@@ -359,6 +374,11 @@
         if wanted.is_finite() { wanted.min(1.0) } else { 0.0 }
     }
 
+    fn least_asked(&self) -> f64 {
+        let share = 1.0 / (self.limits.requests_per_s * FIRST_WAIT.as_secs_f64());
+        share.clamp(MIN_ASKED, MAX_FIRST_ASKED)
+    }
+
     fn note_wanted(&mut self, tokens: f64) {
         let window = self.config.demand_window.as_secs_f64();
         self.wanted_requests_per_s += 1.0 / window;
@@ -374,6 +394,15 @@
         Some(held)
     }
 
+    /// Counts a request as in vain until a loan comes.
+    fn back_off(&mut self) {
+        self.asked_in_vain += 1;
+        if self.asked_in_vain > self.peers.len() {
+            self.asked_in_vain = 0;
+            self.ask_after = (self.ask_after * 2).min(self.config.ask_every_at_most);
+        }
+    }
+
     fn take_peer(&mut self) -> EntryKey {
         let peer = self.peers[self.next_peer % self.peers.len()];
         self.next_peer += 1;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,7 +2,10 @@
 
 use crate::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use bytes::Bytes;
+pub use flamingowheel_policy::load::Load;
+use flamingowheel_policy::suspicion::SuspectRecord;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What each side says of itself when a connection opens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,8 +14,12 @@
     pub name: String,
     /// The process's incarnation.
     pub incarnation: Incarnation,
+    /// The VM it runs on.
+    pub vm: String,
     /// The data centre it runs in.
     pub data_centre: String,
+    /// Where operators reach it.
+    pub operators: Option<SocketAddr>,
     /// What it does.
     pub role: Role,
 }
@@ -35,6 +42,21 @@
     pub places: u32,
     /// Whether the backend server can resume an event stream that it had begun.
     pub can_resume: bool,
+    /// The experts of the group, if its ranks share an expert map.
+    pub experts: Option<ExpertShape>,
+}
+
+/// Sizes of a group's expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpertShape {
+    /// Ranks of the group.
+    pub ranks: u16,
+    /// Layers with experts.
+    pub layers: u16,
+    /// Experts a layer.
+    pub experts: u16,
+    /// Expert weights that a rank holds a layer.
+    pub slots: u16,
 }
 
 /// What a backend server offers.
@@ -56,32 +78,14 @@
     },
 }
 
-/// The load of an agent, as of the moment the message was made.
+/// The short form of the load that goes with every chunk; see [`Load::hint`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests running on the backend server.
-    #[serde(rename = "r")]
-    pub running: u16,
-    /// Requests waiting at the agent.
-    #[serde(rename = "w")]
-    pub waiting: u16,
-    /// Requests that may run at once.
-    #[serde(rename = "p")]
-    pub places: u16,
-    /// Mean time a request holds a place, in milliseconds; zero if not yet measured.
-    #[serde(rename = "s")]
-    pub service_ms: u32,
-}
+#[serde(transparent)]
+pub struct Occupancy(pub u16);
 
-impl Load {
-    /// Requests running or waiting.
-    ///
-    /// ```
-    /// use flamingowheel_protocol::message::Load;
-    /// assert_eq!(Load { running: 2, waiting: 1, ..Load::default() }.occupied(), 3);
-    /// ```
-    pub fn occupied(&self) -> u16 {
-        self.running.saturating_add(self.waiting)
+impl From<Load> for Occupancy {
+    fn from(load: Load) -> Self {
+        Self(load.hint())
     }
 }
 
@@ -117,7 +121,7 @@
     pub fingerprint: Fingerprint,
     /// Nothing else may run beside it.
     pub alone: bool,
-    /// No other try is left, so the agent may queue it rather than refuse early.
+    /// The agent may queue it rather than refuse early.
     pub last_try: bool,
     /// Events that the caller already has; only to backend servers that can resume.
     pub resume_after_chunks: u64,
@@ -172,20 +176,17 @@
         key: ExecutionKey,
     },
     /// Suspicions the sender knows of.
-    Suspicions(Vec<Suspicion>),
+    Suspicions(Vec<SuspectRecord>),
     /// The VM list says that the agent's VM is leaving.
     VmLeaving,
-}
-
-/// Evidence that a request may kill the backend server that runs it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspicion {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
-    /// Identifies the crash: the agent's incarnation and its count of crashes.
-    pub crash: (Incarnation, u32),
-    /// Requests that ran when the backend server died.
-    pub running_count: u16,
+    /// A request of the group's coordinator; its body is a message of its own package.
+    Order {
+        /// Chosen by the sender; the answer carries it.
+        number: u64,
+        /// The request.
+        #[serde(with = "serde_body")]
+        body: Bytes,
+    },
 }
 
 /// Why an agent did not run an attempt. Each of these is proof that it did not and will not.
@@ -287,9 +288,9 @@
         /// Media type of the body.
         #[serde(rename = "t")]
         content_type: String,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// A piece of the body.
     #[serde(rename = "c")]
@@ -303,9 +304,9 @@
         /// The bytes.
         #[serde(rename = "d", with = "serde_body")]
         data: Bytes,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// The answer is whole.
     #[serde(rename = "e")]
@@ -316,9 +317,9 @@
         /// Number of chunks in the whole answer.
         #[serde(rename = "n")]
         chunk_count: u64,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// The attempt may have run, but there is no whole answer.
     #[serde(rename = "f")]
@@ -329,9 +330,9 @@
         /// Why.
         #[serde(rename = "w")]
         failure: Failure,
-        /// Requests running or waiting at the agent, as of now.
+        /// Requests running or waiting, as of now.
         #[serde(rename = "l")]
-        occupied: u16,
+        occupancy: Occupancy,
     },
     /// Sent several times a second, and at once when something in it changed.
     #[serde(rename = "b")]
@@ -351,7 +352,17 @@
     },
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
-    Suspicions(Vec<Suspicion>),
+    Suspicions(Vec<SuspectRecord>),
+    /// The answer to an order.
+    #[serde(rename = "o")]
+    OrderAnswer {
+        /// The order's number.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The answer.
+        #[serde(rename = "d", with = "serde_body")]
+        body: Bytes,
+    },
 }
 
 impl AgentMessage {
@@ -369,7 +380,7 @@
             | Self::Chunk { attempt, .. }
             | Self::End { attempt, .. }
             | Self::Failed { attempt, .. } => Some(*attempt),
-            Self::Heartbeat { .. } | Self::Suspicions(_) => None,
+            Self::Heartbeat { .. } | Self::Suspicions(_) | Self::OrderAnswer { .. } => None,
         }
     }
 
@@ -384,11 +395,11 @@
             Self::Accepted { load, .. }
             | Self::Refused { load, .. }
             | Self::Heartbeat { load, .. } => Some(LoadHint::Whole(*load)),
-            Self::Head { occupied, .. }
-            | Self::Chunk { occupied, .. }
-            | Self::End { occupied, .. }
-            | Self::Failed { occupied, .. } => Some(LoadHint::Occupied(*occupied)),
-            Self::Suspicions(_) => None,
+            Self::Head { occupancy, .. }
+            | Self::Chunk { occupancy, .. }
+            | Self::End { occupancy, .. }
+            | Self::Failed { occupancy, .. } => Some(LoadHint::Occupancy(*occupancy)),
+            Self::Suspicions(_) | Self::OrderAnswer { .. } => None,
         }
     }
 }
@@ -398,8 +409,8 @@
 pub enum LoadHint {
     /// All of it.
     Whole(Load),
-    /// Requests running or waiting.
-    Occupied(u16),
+    /// The short form.
+    Occupancy(Occupancy),
 }
 
 /// Bodies as CBOR byte strings; without it, serde would write an array of numbers.
