Policy: take trial switches out of the rebalancing benchmark

Cause: the presets could be changed through the environment, left over from choosing them, so that a run might not have shown what ships. Change: the benchmark takes the presets as they are.

--- a/crates/policy/benches/rebalance.rs
+++ b/crates/policy/benches/rebalance.rs
@@ -99,23 +99,12 @@
     }
 }
 
-fn env(name: &str, default: f64) -> f64 {
-    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
-}
-fn tuned(p: Params, k: &str) -> Params {
-    Params {
-        move_weight: env(&format!("{k}MW"), p.move_weight),
-        horizon_steps: env("H", p.horizon_steps),
-        min_gain: env(&format!("{k}MG"), p.min_gain),
-        ..p
-    }
-}
 fn policies() -> [(&'static str, Policy); 4] {
     [
         ("static", Policy::Static),
         ("repack", Policy::Repack),
-        ("skew_weighted", Policy::Planned(tuned(Params::skew_weighted(), "S"))),
-        ("move_weighted", Policy::Planned(tuned(Params::move_weighted(), "M"))),
+        ("skew_weighted", Policy::Planned(Params::skew_weighted())),
+        ("move_weighted", Policy::Planned(Params::move_weighted())),
     ]
 }
 
