Policy: keep each expert's share a replica instead of dividing anew

Cause: the search divides by replica counts for each change it weighs, and the slowest plan for 58 layers came close to its 50 ms. Change: shares with one replica less, as now and one more are kept with the score.

--- a/crates/policy/src/rebalance/score.rs
+++ b/crates/policy/src/rebalance/score.rs
@@ -64,6 +64,8 @@
     /// Replicas by rank and expert.
     held: Vec<u8>,
     loads: Vec<Values>,
+    /// Load of each replica of an expert with one replica less, as now, and with one more.
+    shares: Vec<[Values; 3]>,
     inverse_speeds: Vec<f64>,
     times: Vec<Values>,
     powers: Vec<Values>,
@@ -86,6 +88,7 @@
             hosts: vec![Vec::new(); experts],
             held: vec![0; experts * speeds.len()],
             loads: (0..experts).map(load).collect(),
+            shares: Vec::new(),
             inverse_speeds: speeds.iter().map(|speed| 1.0 / speed).collect(),
             times: vec![[0.0; FORECASTS]; speeds.len()],
             powers: vec![[0.0; FORECASTS]; speeds.len()],
@@ -111,6 +114,8 @@
 
     /// Computes all times anew.
     fn refresh(&mut self) {
+        let experts = 0..self.hosts.len();
+        self.shares = experts.map(|expert| self.shares_of(expert as Expert)).collect();
         self.times.fill([0.0; FORECASTS]);
         for expert in 0..self.hosts.len() {
             let share = self.share(expert as Expert);
@@ -196,21 +201,35 @@
         self.held[usize::from(rank) * self.hosts.len() + usize::from(expert)] > 0
     }
 
+    fn shares_of(&self, expert: Expert) -> [Values; 3] {
+        let replicas = self.replicas(expert);
+        let share = |replicas: usize| {
+            let part = 1.0 / replicas.max(1) as f64;
+            self.loads[usize::from(expert)].map(|load| load * part)
+        };
+        [share(replicas.saturating_sub(1)), share(replicas), share(replicas + 1)]
+    }
+
     /// Load of each replica of the expert.
     fn share(&self, expert: Expert) -> Values {
-        self.share_among(expert, self.replicas(expert))
+        self.shares[usize::from(expert)][1]
+    }
+
+    /// Load of each replica of the expert if it had one less.
+    fn share_with_less(&self, expert: Expert) -> Values {
+        self.shares[usize::from(expert)][0]
     }
 
-    fn share_among(&self, expert: Expert, replicas: usize) -> Values {
-        let part = 1.0 / replicas as f64;
-        self.loads[usize::from(expert)].map(|load| load * part)
+    /// Load of each replica of the expert if it had `more` replicas, none or one.
+    fn share_with(&self, expert: Expert, more: usize) -> Values {
+        self.shares[usize::from(expert)][1 + more.min(1)]
     }
 
     /// Whether the slot's rank has less load, by any forecast, with `expert` there and that many
     /// replicas more of it.
     pub(super) fn relieves(&self, slot: Slot, expert: Expert, more_replicas: usize) -> bool {
         let before = self.share(self.expert_in(slot));
-        let after = self.share_among(expert, self.replicas(expert) + more_replicas);
+        let after = self.share_with(expert, more_replicas);
         after.iter().zip(&before).any(|(after, before)| after < before)
     }
 
@@ -219,7 +238,7 @@
     pub(super) fn fits(&self, slot: Slot, expert: Expert, more_replicas: usize, hot: u16) -> bool {
         let rank = usize::from(self.rank_of(slot));
         let before = self.share(self.expert_in(slot));
-        let after = self.share_among(expert, self.replicas(expert) + more_replicas);
+        let after = self.share_with(expert, more_replicas);
         let time = |index: usize| {
             self.times[rank][index] + (after[index] - before[index]) * self.inverse_speeds[rank]
         };
@@ -281,8 +300,8 @@
         let rank = self.rank_of(slot);
         let dropped = self.expert_in(slot);
         let (dropped_share, share) = (self.share(dropped), self.share(expert));
-        let dropped_after = self.share_among(dropped, self.replicas(dropped) - 1);
-        let after = self.share_among(expert, self.replicas(expert) + 1);
+        let dropped_after = self.share_with_less(dropped);
+        let after = self.share_with(expert, 1);
         let more = each(|index| dropped_after[index] - dropped_share[index]);
         let less = each(|index| after[index] - share[index]);
         let own = each(|index| after[index] - dropped_share[index]);
