--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Whether the VM list calls a VM leaving.
+    /// Whether the VM list calls the VM of a known entry leaving.
     pub fn is_vm_leaving(&self, vm: &str) -> bool {
         self.leaving_vms.contains_key(vm)
     }
@@ -212,8 +212,8 @@
 
     /// Takes a read of the VM list: which VMs are listed at all, and which are leaving.
     ///
-    /// The list lags, so it never makes a process live or silent. A VM that it calls leaving
-    /// stays so, since a VM's name is never used again. Only a process that is silent *and* on
+    /// The list lags, so it never makes a process live or silent. A VM that it once called
+    /// leaving stays so, since a VM's name is never used again. Only a process that is silent *and* on
     /// no listed VM is gone.
     pub fn merge_vm_list(
         &mut self,
@@ -227,8 +227,6 @@
         if listed.is_empty() {
             return Vec::new();
         }
-        self.leaving_vms
-            .retain(|vm, _| listed.contains(vm.as_str()) || leaving.contains(vm.as_str()));
         let gone = |member: &&Member| {
             member.record.state == MemberState::Silent
                 && !listed.contains(member.record.vm.as_str())
@@ -238,8 +236,11 @@
         gone.iter().filter_map(|name| self.worsen(name, MemberState::Gone)).collect()
     }
 
+    /// Only VMs of known entries are kept: the list names thousands a day, and a table that took
+    /// them all would only grow.
     fn mark_vm_leaving(&mut self, vm: String) {
-        if !self.leaving_vms.contains_key(&vm) {
+        let is_of_member = self.members.values().any(|member| member.record.vm == vm);
+        if is_of_member && !self.leaving_vms.contains_key(&vm) {
             self.version += 1;
             self.leaving_vms.insert(vm, self.version);
         }
@@ -251,12 +252,14 @@
         self.members.values_mut().for_each(|member| member.heard_at = now);
     }
 
-    /// Drops records of processes that have been gone for long.
+    /// Drops records of processes that have been gone for long, and what is known of their VMs.
     pub fn expire(&mut self, now: Instant) {
         let kept = |member: &Member| {
             member.record.state != MemberState::Gone || now - member.heard_at < FORGET_AFTER
         };
         self.members.retain(|_, member| kept(member));
+        let vms: BTreeSet<&str> = self.members.values().map(|m| m.record.vm.as_str()).collect();
+        self.leaving_vms.retain(|vm, _| vms.contains(vm.as_str()));
     }
 }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,7 @@
 //! The control state of one entry, and its answers to peers.
 
 mod answers;
+mod random;
 mod suspicion;
 
 use crate::duties::Duties;
@@ -18,9 +19,8 @@
 use flamingowheel_protocol::peer::{
     Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
 };
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -299,30 +299,6 @@
         });
     }
 
-    /// Spreads what many processes do at the same interval.
-    pub(crate) fn jitter(&self, interval: Duration) -> Duration {
-        interval.mul_f64(self.state().random.random_range(0.9..1.1))
-    }
-
-    /// Any one of these.
-    pub(crate) fn choose<'a, T>(&self, from: &'a [T]) -> Option<&'a T> {
-        from.choose(&mut self.state().random)
-    }
-
-    /// Some of these, at most `count`.
-    pub(crate) fn choose_some<T>(&self, from: &[T], count: usize) -> Vec<T>
-    where
-        T: Clone,
-    {
-        from.sample(&mut self.state().random, count).cloned().collect()
-    }
-
-    /// Whether the list of entries in the key-value service should be tidied; true now and then.
-    pub(crate) fn tidy_is_due(&self) -> bool {
-        const ONE_IN: u32 = 60;
-        self.state().random.random_range(0..ONE_IN) == 0
-    }
-
     /// What to tell a peer: everything it has not had.
     pub fn heartbeat(&self, peer: Option<&str>, hold: Duration) -> Heartbeat {
         let state = self.state();
@@ -380,6 +356,17 @@
         self.state().table.digest()
     }
 
+    /// Drops what is known of processes that have been gone for long.
+    pub(crate) fn expire(&self) {
+        self.change(|state| {
+            state.table.expire(Instant::now());
+            let State { table, cursors, reported, .. } = state;
+            cursors.retain(|name, _| table.member(name).is_some());
+            reported.retain(|name, _| table.member(name).is_some());
+            Vec::new()
+        });
+    }
+
     /// Changes the table of members, and tells waiting peers and the event log what came of it.
     pub(crate) fn change_table<F>(&self, change: F)
     where
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -264,10 +264,7 @@
             watched.dedup();
             let longer = self.timing.remote_hold + self.timing.answer_limit / 2;
             self.node.accuse_unheard(&watched, self.watched_limit(), longer);
-            self.node.change_table(|table| {
-                table.expire(Instant::now());
-                Vec::new()
-            });
+            self.node.expire();
         }
     }
 
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Fleet, record};
-use flamingowheel_control::membership::Table;
+use flamingowheel_control::membership::{FORGET_AFTER, Table};
 use flamingowheel_control::node::MemberView;
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{MemberState, News};
@@ -217,3 +217,24 @@
     assert!(table.merge_vm_list(&BTreeSet::new(), &BTreeSet::new()).is_empty());
     assert_eq!(table.merge_vm_list(&listed, &BTreeSet::new()).len(), 1);
 }
+
+#[test]
+fn expire_leaves_nothing_behind() {
+    // VMs are replaced under new names all the time. What is kept of the old ones would fill the
+    // memory in the end.
+    let now = Instant::now();
+    let mut table = Table::new(record(0, 1), now);
+    for number in 1..50 {
+        let vm = format!("vm-{number}");
+        table.heard(record(number, 1), now);
+        let listed = BTreeSet::from(["vm-0", vm.as_str()]);
+        let leaving = BTreeSet::from([vm.as_str(), "vm-of-an-agent"]);
+        table.merge_vm_list(&listed, &leaving);
+        assert!(table.is_vm_leaving(&vm) && !table.is_vm_leaving("vm-of-an-agent"));
+        table.accuse(&format!("entry-{number}"));
+    }
+    table.merge_vm_list(&BTreeSet::from(["vm-0"]), &BTreeSet::new());
+    table.expire(now + FORGET_AFTER);
+    assert_eq!(table.members().count(), 1);
+    assert!(table.news_after(0).leaving_vms.is_empty());
+}
