--- a/crates/flamingowheel/tests/tool/reference.rs
+++ b/crates/flamingowheel/tests/tool/reference.rs
@@ -4,6 +4,7 @@
 
 use flamingowheel::routes;
 use flamingowheel_config::api::ErrorCode;
+use flamingowheel_daemon::groups::GROUPS_PATH;
 use flamingowheel_entry::http as callers;
 use flamingowheel_observe::api::{EVENTS_PATH, METRICS_PATH};
 
@@ -52,7 +53,7 @@
 fn operators_routes() -> BTreeSet<&'static str> {
     let routes = OPERATORS.split(".route(\"").skip(1);
     let mut paths: BTreeSet<&str> = routes.filter_map(|rest| rest.split('"').next()).collect();
-    paths.extend([METRICS_PATH, EVENTS_PATH]);
+    paths.extend([METRICS_PATH, EVENTS_PATH, GROUPS_PATH]);
     paths
 }
 
