Tool: status shows rank groups and names ranks out of service

A rank that can't be verified after a switch was told by /v1/groups only, of one entry at a time. status asks every entry for the groups it coordinates and names entries that did not tell.

--- a/crates/flamingowheel/src/commands/status.rs
+++ b/crates/flamingowheel/src/commands/status.rs
@@ -1,23 +1,105 @@
 //! `status`: shows the fleet's processes.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 use flamingowheel_config::api::{
     ConfigSource, ProcessRole, ProcessState, ProcessStatus, StatusAnswer,
 };
 
+use flamingowheel_group::status::{Activity, GroupStatus};
+use serde::Serialize;
+use tokio::task::JoinSet;
+
 use super::{render, row, table};
 use crate::client::Client;
 use crate::error::Error;
 use crate::{Output, routes};
 
+/// Entries asked for their groups at one time.
+const MAX_ASKED_AT_ONCE: usize = 32;
+
+/// The fleet as one entry sees it, and the groups as their coordinators see them.
+#[derive(Serialize)]
+struct FleetStatus {
+    #[serde(flatten)]
+    status: StatusAnswer,
+    groups: BTreeMap<String, CoordinatedGroup>,
+    /// Entries that did not tell which groups they coordinate.
+    groups_not_asked: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct CoordinatedGroup {
+    coordinator: String,
+    #[serde(flatten)]
+    status: GroupStatus,
+}
+
+type Groups = BTreeMap<String, GroupStatus>;
+
+/// An entry's name and its groups, if it told them.
+type Reply = (String, Option<Groups>);
+
 /// Shows the fleet as the first entry that answers sees it.
 pub async fn run(client: &Client, json: bool) -> Result<Output, Error> {
-    let answer: StatusAnswer = client.get(routes::STATUS).await?;
-    Ok(Output::success(render(&answer, json, text)?))
+    let status: StatusAnswer = client.get(routes::STATUS).await?;
+    let mut fleet = FleetStatus { status, groups: BTreeMap::new(), groups_not_asked: Vec::new() };
+    fleet.ask_groups(client).await;
+    Ok(Output::success(render(&fleet, json, text)?))
 }
 
-fn text(answer: &StatusAnswer) -> String {
+impl FleetStatus {
+    /// Asks every entry, since each tells only of the groups that it coordinates.
+    async fn ask_groups(&mut self, client: &Client) {
+        let entries = self.status.processes.iter().filter(|one| one.role == ProcessRole::Entry);
+        let entries: Vec<_> =
+            entries.map(|entry| (entry.name.clone(), entry.operators_address)).collect();
+        let mut running = JoinSet::new();
+        for (name, address) in entries {
+            let Some(address) = address else {
+                self.groups_not_asked.push(name);
+                continue;
+            };
+            if running.len() == MAX_ASKED_AT_ONCE {
+                self.take_one(&mut running).await;
+            }
+            let client = client.clone();
+            running.spawn(async move {
+                let groups = client.get_from::<Groups>(address, routes::GROUPS).await;
+                (name, groups.ok())
+            });
+        }
+        while !running.is_empty() {
+            self.take_one(&mut running).await;
+        }
+        self.groups_not_asked.sort();
+    }
+
+    async fn take_one(&mut self, running: &mut JoinSet<Reply>) {
+        match running.join_next().await {
+            Some(Ok((coordinator, Some(groups)))) => {
+                for (group, status) in groups {
+                    self.take_group(group, &coordinator, status);
+                }
+            }
+            Some(Ok((entry, None))) => self.groups_not_asked.push(entry),
+            Some(Err(_)) | None => {}
+        }
+    }
+
+    /// While a duty moves, two entries tell of a group; the one in charge knows more.
+    fn take_group(&mut self, group: String, coordinator: &str, status: GroupStatus) {
+        if status.activity == Activity::Following && self.groups.contains_key(&group) {
+            return;
+        }
+        let coordinator = coordinator.to_owned();
+        self.groups.insert(group, CoordinatedGroup { coordinator, status });
+    }
+}
+
+fn text(fleet: &FleetStatus) -> String {
+    let answer = &fleet.status;
     let mut text = format!("as {} sees it\n", answer.process);
     let source = match answer.source {
         ConfigSource::None => "none yet; it refuses requests",
@@ -34,9 +116,42 @@
     text.push_str(&counts(&answer.processes));
     text.push('\n');
     text.push_str(&processes(answer));
+    text.push_str(&groups(fleet));
+    text
+}
+
+fn groups(fleet: &FleetStatus) -> String {
+    let mut text = String::new();
+    if !fleet.groups.is_empty() {
+        let mut rows = vec![row(["GROUP", "ACTIVITY", "MAP", "COORDINATOR"])];
+        rows.extend(fleet.groups.iter().map(|(name, group)| {
+            let status = &group.status;
+            let map = status.map_version.to_string();
+            row([name, activity(status.activity), &map, &group.coordinator])
+        }));
+        let _ = write!(text, "\n{}", table(&rows));
+    }
+    for (name, group) in &fleet.groups {
+        for rank in &group.status.out_of_service {
+            let _ = writeln!(text, "OUT OF SERVICE {name} rank {}: {}", rank.rank, rank.reason);
+        }
+    }
+    for entry in &fleet.groups_not_asked {
+        let _ = writeln!(text, "NOT REACHED {entry}: the groups it coordinates are not shown");
+    }
     text
 }
 
+fn activity(activity: Activity) -> &'static str {
+    match activity {
+        Activity::Following => "following",
+        Activity::Running => "running",
+        Activity::Staging => "staging",
+        Activity::Aligning => "aligning",
+        Activity::Held => "HELD",
+    }
+}
+
 fn counts(processes: &[ProcessStatus]) -> String {
     let count = |state| processes.iter().filter(|process| process.state == state).count();
     format!(
--- a/crates/flamingowheel/src/help.rs
+++ b/crates/flamingowheel/src/help.rs
@@ -169,7 +169,8 @@
 ";
 
 const STATUS: &str = "\
-Shows which processes are live, leaving or silent, and which configuration they have.
+Shows which processes are live, leaving or silent, and which configuration they have; then the rank
+groups, with the ranks that are out of service.
 
 usage: flamingowheel status
 ";
--- a/crates/flamingowheel/src/routes.rs
+++ b/crates/flamingowheel/src/routes.rs
@@ -14,5 +14,7 @@
 pub const CHANGES: &str = "/v1/config/changes";
 /// Lists the fleet's processes.
 pub const STATUS: &str = "/v1/status";
+/// Lists the rank groups that an entry coordinates.
+pub const GROUPS: &str = "/v1/groups";
 /// Answers the address question.
 pub const ENTRIES: &str = "/v1/entries";
--- a/crates/flamingowheel/tests/tool/commands.rs
+++ b/crates/flamingowheel/tests/tool/commands.rs
@@ -46,6 +46,22 @@
     insta::assert_snapshot!(typing("status", &[entry.listen().await]).await);
 }
 
+// A rank could not be verified after a switch and holds its group. The operator must see which.
+#[tokio::test]
+async fn status_names_rank_out_of_service() {
+    let group = |activity: &str, out_of_service: Value| json!({ "activity": activity, "map_version": 4, "out_of_service": out_of_service });
+    let silent = json!([{ "rank": 3, "reason": { "error": "unresolved" } }]);
+    let groups =
+        json!({ "runners-a": group("running", json!([])), "runners-b": group("held", silent) });
+    let entry = Entry::default().answers("/v1/groups", groups);
+    let address = entry.listen().await;
+    let mut status = status();
+    status["processes"][0]["operators_address"] = json!(address);
+    let entry = entry.answers("/v1/status", status);
+    insta::assert_snapshot!(typing("status", &[address]).await);
+    assert_eq!(entry.requests().len(), 2);
+}
+
 #[tokio::test]
 async fn apply_accepted_shows_diff_and_processes() {
     let path = "/v1/config/apply";
--- a/crates/flamingowheel/tests/tool/reference.rs
+++ b/crates/flamingowheel/tests/tool/reference.rs
@@ -76,6 +76,7 @@
         routes::WORKSPACES,
         routes::HISTORY,
         routes::STATUS,
+        routes::GROUPS,
     ];
     assert!(asked.iter().all(|path| known.contains(path)), "{known:?}");
     assert!(known.contains(&*format!("{}/{{id}}", routes::CHANGES)));
