--- a/crates/config/tests/store.rs
+++ b/crates/config/tests/store.rs
@@ -3,7 +3,7 @@
 use flamingowheel_config::api::ChangeState;
 use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
 use flamingowheel_config::bucket::{FOLD_AT, HEAD_KEY, LOG_SLOTS, PREFIX};
-use flamingowheel_config::change::{Change, Origin};
+use flamingowheel_config::change::{Change, ChangeId, Origin};
 use flamingowheel_config::document::parse;
 use flamingowheel_config::effective::{ConfigRevision, Effective};
 use flamingowheel_config::replica::Replica;
@@ -223,6 +223,28 @@
     assert_eq!(priority(&late.store.load().await.unwrap(), "bibb"), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn apply_voided_while_it_is_tried_again() {
+    // The tool asks for the outcome while the entry still tries. It was told "not accepted", so
+    // the entry must not go on and have the change accepted after all.
+    let kv = FakeKeyValue::new();
+    let mut operator = Operator::new(&kv);
+    operator.accepted(TEMPLATE).await;
+    let (uuid, seen) = (Uuid::new_v4(), operator.replica.revision());
+    let mut struck = operator.struck(&kv, |kv| kv.lose_answers(1, LostAnswer::BeforeEffect));
+    let text = workspace("bibb", 3);
+    let applying = struck.apply_seen(&text, seen, uuid);
+    let asking = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let id = ChangeId { revision: seen.next(), uuid };
+        operator.store.change_state(id).await
+    };
+    let (applied, state) = tokio::join!(applying, asking);
+    assert_eq!(state, Ok(ChangeState::NotAccepted));
+    assert_eq!(applied, Err(ApplyError::Voided));
+    assert_eq!(priority(&operator.store.load().await.unwrap(), "bibb"), None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn apply_racing_operators() {
     // Two operators look at the same revision and change the same workspace through different
