--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -54,7 +54,12 @@
     for kind in KINDS {
         let world = World::start(kind).await;
         world.want(2);
-        sleep(Duration::from_secs(2)).await;
+        for _ in 0..100 {
+            sleep(Duration::from_millis(10)).await;
+            let activity = world.status().activity;
+            assert_ne!(activity, Activity::Aligning, "{kind:?}: the switch took a second try");
+        }
+        assert_eq!(world.engine(0).peek_map(), map(2), "{kind:?}");
         check_runs_or_named(&world, "no fault").await;
     }
 }
@@ -73,6 +78,13 @@
     strike_everywhere(Fault::KillAgent, Duration::from_secs(2)).await;
 }
 
+/// An agent's process stands still for some seconds, in the middle of an order, and goes on with
+/// it as if no time had passed.
+#[tokio::test(start_paused = true)]
+async fn switch_agent_paused() {
+    strike_everywhere(Fault::PauseAgent, OUTAGE).await;
+}
+
 /// An engine dies and comes back with no map. If it stepped like that, the group's tokens would be
 /// garbage from there on.
 #[tokio::test(start_paused = true)]
@@ -154,3 +166,84 @@
         }
     }
 }
+
+/// The key-value service is away for long, and in that time an engine crashes and an agent dies. The
+/// group must not stand still for the whole outage because one engine came back without its map.
+#[tokio::test(start_paused = true)]
+async fn align_while_service_down() {
+    for kind in KINDS {
+        let world = World::start(kind).await;
+        world.kv.set_down(true);
+        sleep(MINUTE).await;
+        world.strike_now(1, Fault::CrashEngine);
+        sleep(RECOVERY + Duration::from_secs(2)).await;
+        assert!(world.runs_within(Duration::from_secs(1)).await, "{kind:?}");
+        world.want(2);
+        world.strike_now(2, Fault::KillAgent);
+        sleep(MINUTE).await;
+        assert_eq!(world.engine(0).peek_map(), map(1), "a map was changed during the outage");
+        world.kv.set_down(false);
+        sleep(RECOVERY).await;
+        check_runs_or_named(&world, "service back").await;
+        assert_eq!(world.engine(0).peek_map(), map(2));
+    }
+}
+
+/// A coordinator dies while the group runs. Its successor takes a higher number although nothing is
+/// to be done, so that whatever the dead one has on its way is refused from then on.
+#[tokio::test(start_paused = true)]
+async fn claim_raises_number() {
+    let world = World::start(EngineKind::ChecksFence).await;
+    let revision = || world.kv.peek("groups/g1/record").entries[0].mod_revision;
+    let before = revision();
+    sleep(RECOVERY).await;
+    assert_eq!(revision(), before, "a quiet group needs no writes");
+    world.strike_now(0, Fault::KillCoordinator);
+    sleep(RECOVERY).await;
+    assert!(revision() > before);
+    let highest = world.engine(0).peek_state().highest_fence;
+    assert!(highest.is_some_and(|highest| highest.0 <= revision().0));
+}
+
+const FAULTS: [Fault; 17] = [
+    Fault::LoseRequest,
+    Fault::LoseAnswer,
+    Fault::Duplicate,
+    Fault::Delay(Duration::from_secs(5)),
+    Fault::KillAgent,
+    Fault::PauseAgent,
+    Fault::CrashEngine,
+    Fault::FreezeEngine,
+    Fault::LoseOrder(LostOrder::AfterEffect),
+    Fault::LoseOrder(LostOrder::BeforeEffect),
+    Fault::ServiceDown,
+    Fault::ServiceSlow,
+    Fault::LoseServiceAnswers(LostAnswer::AfterEffect),
+    Fault::LoseServiceAnswers(LostAnswer::BeforeEffect),
+    Fault::PauseCoordinator,
+    Fault::KillCoordinator,
+    Fault::ExpireLease,
+];
+
+/// Two faults strike in one switch, each pair at a few places: what mends the first may be what the
+/// second takes away.
+#[tokio::test(start_paused = true)]
+async fn switch_two_faults() {
+    let mut place = 0;
+    for first in FAULTS {
+        for second in FAULTS {
+            for kind in KINDS {
+                // Steps through the messages without a pattern, the same in every run.
+                place = (place * 31 + 17) % 1009;
+                let (at, gap) = (place % 45, place % 13);
+                let case = format!("{first:?} at {at}, {second:?} {gap} later, {kind:?}");
+                let world = World::start(kind).await;
+                world.plan(at, first);
+                world.plan(at + gap, second);
+                world.want(2);
+                sleep(OUTAGE * 4 + RECOVERY).await;
+                check_runs_or_named(&world, &case).await;
+            }
+        }
+    }
+}
