Group: pace the loads of map switches by the fleet's shares

Cause: shares of the weight store's rate existed but nobody read or wrote their record, and nothing waited for them. Conclusion: loads of maps keep to the rate, also while the service is down; loads of models are not paced yet.

--- /dev/null
+++ b/crates/group/src/budget/keeper.rs
@@ -0,0 +1,161 @@
+//! One member's share, kept confirmed against the key-value service.
+
+use super::{Allocation, Pacer, Share, VALID_FOR};
+use bytes::Bytes;
+use flamingowheel_platform::kv::{
+    Compare, KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Transaction,
+};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+const PREFIX: &str = "budget/";
+const ALLOCATION_KEY: &str = "budget/allocation";
+const MEMBERS_PREFIX: &str = "budget/members/";
+
+/// Time between two reads of the record; two may fail before a share lapses.
+const REFRESH: Duration = Duration::from_secs(20);
+
+/// What the operator says of the weight store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StoreLimits {
+    /// The store's rate.
+    pub rate_bytes_per_s: f64,
+    /// Most processes that may ever use the store at the same time.
+    pub max_members: usize,
+}
+
+struct State {
+    share: Share,
+    pacer: Pacer,
+    lease: Option<LeaseId>,
+    /// The allocation's revision and when this process first saw it.
+    seen: Option<(u64, Instant)>,
+}
+
+/// One member's use of the weight store.
+pub struct Budget {
+    kv: Arc<dyn KeyValue>,
+    member: String,
+    limits: StoreLimits,
+    state: Mutex<State>,
+}
+
+impl Budget {
+    /// A member that may use the reserved minimum until [`Budget::run`] has confirmed more.
+    pub fn new(kv: Arc<dyn KeyValue>, member: &str, limits: StoreLimits) -> Self {
+        let minimum_bytes_per_s = allocation(limits, BTreeSet::new()).minimum_bytes_per_s();
+        let share = Share::new(member, minimum_bytes_per_s);
+        let pacer = Pacer::new(Instant::now());
+        let state = State { share, pacer, lease: None, seen: None };
+        Self { kv, member: member.to_owned(), limits, state: Mutex::new(state) }
+    }
+
+    /// Waits until so much may be read.
+    pub async fn take(&self, size_bytes: u64) {
+        let begin = self.book(size_bytes);
+        sleep_until(begin).await;
+    }
+
+    fn book(&self, size_bytes: u64) -> Instant {
+        let now = Instant::now();
+        let mut state = self.state();
+        let rate_bytes_per_s = state.share.rate_bytes_per_s(now);
+        state.pacer.book(size_bytes, rate_bytes_per_s, now)
+    }
+
+    /// The rate this member may use now.
+    pub fn rate_bytes_per_s(&self) -> f64 {
+        self.state().share.rate_bytes_per_s(Instant::now())
+    }
+
+    /// Keeps the share confirmed until `stop`.
+    pub async fn run(&self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            if let Err(error) = self.refresh().await {
+                tracing::warn!(member = self.member, %error, "share of the weight store not confirmed");
+            }
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = sleep(REFRESH) => {}
+            }
+        }
+    }
+
+    async fn refresh(&self) -> Result<(), KeyValueError> {
+        self.be_listed().await?;
+        let read_at = Instant::now();
+        let snapshot = self.kv.range(PREFIX).await?;
+        let now = Instant::now();
+        let stored = snapshot.entries.iter().find(|entry| entry.key == ALLOCATION_KEY);
+        let known = stored.and_then(|entry| decode(entry).map(|found| (found, entry)));
+        let names = snapshot.entries.iter().filter_map(|e| e.key.strip_prefix(MEMBERS_PREFIX));
+        let wanted = allocation(self.limits, names.map(str::to_owned).collect());
+        let Some((found, entry)) = known else {
+            let compare = Compare::Absent { key: ALLOCATION_KEY.to_owned() };
+            return self.write(compare, &wanted).await;
+        };
+        let revision = entry.mod_revision;
+        let first_seen = self.read(&found, revision.0, read_at, now);
+        if found == wanted || !Allocation::may_be_replaced(first_seen, now) {
+            return Ok(());
+        }
+        let compare = Compare::ModRevision { key: ALLOCATION_KEY.to_owned(), revision };
+        self.write(compare, &wanted).await
+    }
+
+    fn read(&self, found: &Allocation, revision: u64, read_at: Instant, now: Instant) -> Instant {
+        let mut state = self.state();
+        state.share.read(found, revision, read_at, now);
+        let seen = state.seen.filter(|(known, _)| *known == revision);
+        let seen = seen.unwrap_or((revision, now));
+        state.seen = Some(seen);
+        seen.1
+    }
+
+    /// Keeps a key bound to a lease, so that a member that is gone drops out of the next allocation.
+    async fn be_listed(&self) -> Result<(), KeyValueError> {
+        let known = self.state().lease;
+        if let Some(lease) = known {
+            match self.kv.keep_alive(lease).await {
+                Err(KeyValueError::LeaseNotFound) => {}
+                result => return result,
+            }
+        }
+        let lease = self.kv.grant_lease(VALID_FOR * 2).await?;
+        let key = format!("{MEMBERS_PREFIX}{}", self.member);
+        let put = Operation::Put { key, value: Bytes::new(), lease: Some(lease) };
+        self.kv.transact(Transaction { on_success: vec![put], ..Transaction::default() }).await?;
+        self.state().lease = Some(lease);
+        Ok(())
+    }
+
+    /// Whether it took effect shows at the next read, so a lost answer needs no care here.
+    async fn write(&self, compare: Compare, wanted: &Allocation) -> Result<(), KeyValueError> {
+        let encoded = serde_json::to_vec(wanted);
+        let value = encoded.map_err(|_| KeyValueError::Malformed { what: "allocation" })?;
+        let key = ALLOCATION_KEY.to_owned();
+        let put = Operation::Put { key, value: Bytes::from(value), lease: None };
+        let transaction = Transaction {
+            compares: vec![compare],
+            on_success: vec![put],
+            ..Transaction::default()
+        };
+        self.kv.transact(transaction).await.map(drop)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn allocation(limits: StoreLimits, members: BTreeSet<String>) -> Allocation {
+    let StoreLimits { rate_bytes_per_s, max_members } = limits;
+    Allocation { rate_bytes_per_s, max_members, members }
+}
+
+fn decode(entry: &KeyValueEntry) -> Option<Allocation> {
+    serde_json::from_slice(&entry.value).ok()
+}
--- a/crates/group/src/budget.rs
+++ b/crates/group/src/budget/mod.rs
@@ -8,6 +8,9 @@
 //! every moment: a member takes a smaller share at once and a larger one only when everybody who
 //! may still use the former allocation has lost it.
 
+mod keeper;
+
+pub use keeper::{Budget, StoreLimits};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -27,7 +30,9 @@
     pub rate_bytes_per_s: f64,
     /// Most processes that may ever use the store at the same time.
     pub max_members: usize,
-    /// The members that have a share: one for each group, which divides it over its ranks.
+    /// The members that have a share: one for each process that
+    /// coordinates a group and paces the loads of its ranks. Names are unique to the process: two
+    /// processes under one name would use a share twice.
     pub members: BTreeSet<String>,
 }
 
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -6,7 +6,7 @@
 use crate::message::RankError;
 use crate::ranks::Ranks;
 use crate::record::{GroupRecord, RecordError, RecordStore, Stored};
-use crate::session::{GroupError, Session, Timing};
+use crate::session::{GroupError, Loads, Session, Timing};
 use crate::status::{Activity, GroupStatus, OutOfService};
 use crate::switch::{Failure, Switch};
 use flamingowheel_platform::kv::KeyValue;
@@ -27,6 +27,7 @@
     timing: Timing,
     desired: watch::Receiver<Option<ExpertMap>>,
     status: watch::Sender<GroupStatus>,
+    loads: Option<Loads>,
     trouble_since: BTreeMap<usize, Instant>,
 }
 
@@ -50,10 +51,16 @@
             timing,
             desired,
             status: watch::Sender::default(),
+            loads: None,
             trouble_since: BTreeMap::new(),
         }
     }
 
+    /// Keeps loads of expert weights within the group's share of the weight store's rate.
+    pub fn with_loads(self, loads: Loads) -> Self {
+        Self { loads: Some(loads), ..self }
+    }
+
     /// What operators are told.
     pub fn status(&self) -> watch::Receiver<GroupStatus> {
         self.status.subscribe()
@@ -76,9 +83,18 @@
     }
 
     async fn coordinate(&mut self, lease: &Lease, stop: &CancellationToken) {
+        let loads = self.loads.clone();
+        // Only the process that acts needs a share; it lapses when this one no longer does.
+        let confirm = async {
+            match &loads {
+                Some(loads) => loads.budget.run(stop.clone()).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             () = stop.cancelled() => {}
+            () = confirm => {}
             () = lease.keep() => tracing::warn!(group = self.group, "lease to coordinate lost"),
             error = self.work(lease) => tracing::warn!(group = self.group, %error, "coordination ended"),
         }
@@ -136,8 +152,13 @@
             return Err(GroupError::LeaseLapsed);
         }
         let timing = self.timing;
-        let session =
-            Session { ranks: &self.ranks, records: &self.records, lease, timing: &timing };
+        let session = Session {
+            ranks: &self.ranks,
+            records: &self.records,
+            lease,
+            timing: &timing,
+            loads: self.loads.as_ref(),
+        };
         let (stored, result) = align(&session, stored).await;
         let running = matches!(result, Ok(Alignment::Running));
         let wanted = self.desired.borrow().clone();
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -1,11 +1,13 @@
 //! A coordinator's dealings with its ranks, bounded in time and within its lease.
 
+use crate::budget::Budget;
 use crate::lease::Lease;
 use crate::message::{RankError, RankRequest, RankState};
 use crate::ranks::Ranks;
 use crate::record::{RecordError, RecordStore};
-use flamingowheel_platform::orders::{Fence, OrderTarget};
+use flamingowheel_platform::orders::{ExpertMap, Fence, OrderTarget};
 use futures_util::future::join_all;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -71,6 +73,34 @@
     pub lease: &'a Lease,
     /// How long things may take.
     pub timing: &'a Timing,
+    /// Paces loads from the weight store.
+    pub loads: Option<&'a Loads>,
+}
+
+/// How loads of expert weights are kept within the weight store's rate.
+#[derive(Clone)]
+pub struct Loads {
+    /// This process's share; the coordinator keeps it confirmed while it acts.
+    pub budget: Arc<Budget>,
+    /// Size of one expert's weights in one layer.
+    pub expert_bytes: u64,
+}
+
+impl Loads {
+    /// Waits until a rank may load what `next` gives it beyond what it holds.
+    pub async fn take(&self, rank: usize, held: Option<&ExpertMap>, next: &ExpertMap) {
+        self.budget.take(self.expert_bytes * experts_to_load(rank, held, next)).await;
+    }
+}
+
+fn experts_to_load(rank: usize, held: Option<&ExpertMap>, next: &ExpertMap) -> u64 {
+    let mut count = 0;
+    for (layer, ranks) in next.layers.iter().enumerate() {
+        let old = held.and_then(|map| map.layers.get(layer)?.get(rank));
+        let is_new = |expert: &&u16| old.is_none_or(|old| !old.contains(expert));
+        count += ranks.get(rank).map_or(0, |experts| experts.iter().filter(is_new).count());
+    }
+    count as u64
 }
 
 impl<Members> Session<'_, Members>
--- a/crates/group/src/switch/stage.rs
+++ b/crates/group/src/switch/stage.rs
@@ -2,9 +2,10 @@
 
 use super::{Begun, Staged, Switch, Transition};
 use crate::ranks::Ranks;
-use crate::record::VersionedMap;
+use crate::record::{Stored, VersionedMap};
 use crate::session::{GroupError, RankOrder, Session};
-use flamingowheel_platform::orders::{Fence, OrderTarget};
+use flamingowheel_platform::orders::OrderTarget;
+use futures_util::future::join_all;
 
 impl<'a, Members> Switch<'a, Members, Begun>
 where
@@ -13,22 +14,30 @@
     /// Has every rank load what the next map needs.
     pub async fn stage(self) -> Transition<'a, Members, Staged> {
         let ranks = (0..self.session.ranks.count()).collect();
-        let result = stage(self.session, self.stored.fence(), ranks, &self.state.next).await;
+        let result = stage(self.session, &self.stored, ranks, &self.state.next).await;
         self.then(result, |state| Staged { next: state.next })
     }
 }
 
-/// Has these ranks load what `map` needs.
+/// Has these ranks load what `map` needs, each when the weight store's rate allows.
 pub(crate) async fn stage<Members>(
     session: &Session<'_, Members>,
-    fence: Fence,
+    stored: &Stored,
     ranks: Vec<usize>,
     map: &VersionedMap,
 ) -> Result<(), GroupError>
 where
     Members: Ranks,
 {
-    let target = OrderTarget::StageMap { map: map.map.clone() };
-    let orders = ranks.into_iter().map(|rank| RankOrder::new(rank, target.clone())).collect();
-    session.order_all(fence, orders, session.timing.stage_limit).await
+    // Ranks hold what is in force, but for one that lost it and loads all anew.
+    let in_force = &stored.record.in_force;
+    let held = (in_force.version != map.version).then_some(&in_force.map);
+    let load = |rank| async move {
+        if let Some(loads) = session.loads {
+            loads.take(rank, held, &map.map).await;
+        }
+        let order = RankOrder::new(rank, OrderTarget::StageMap { map: map.map.clone() });
+        session.order_all(stored.fence(), vec![order], session.timing.stage_limit).await
+    };
+    join_all(ranks.into_iter().map(load)).await.into_iter().collect()
 }
--- a/crates/group/src/switch/verify.rs
+++ b/crates/group/src/switch/verify.rs
@@ -44,7 +44,7 @@
     let version = stored.record.in_force.version;
     let behind = |(rank, state): (usize, &RankState)| (!state.uses(version)).then_some(rank);
     let behind = states.iter().enumerate().filter_map(behind).collect();
-    stage(session, stored.fence(), behind, &stored.record.in_force).await
+    stage(session, stored, behind, &stored.record.in_force).await
 }
 
 impl<'a, Members> Switch<'a, Members, Switched>
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -1,8 +1,13 @@
 //! The weight store's rate is kept by the whole fleet at every moment.
 
-use flamingowheel_group::budget::{Allocation, Pacer, Share, VALID_FOR};
+use flamingowheel_group::budget::{Allocation, Budget, Pacer, Share, StoreLimits, VALID_FOR};
+use flamingowheel_group::session::Loads;
+use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_platform::orders::ExpertMap;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, advance};
+use tokio::time::{Instant, advance, sleep};
+use tokio_util::sync::CancellationToken;
 
 const RATE_BYTES_PER_S: f64 = 1e9;
 const MAX_MEMBERS: usize = 20;
@@ -146,3 +151,60 @@
         advance(SECOND).await;
     }
 }
+
+const LIMITS: StoreLimits =
+    StoreLimits { rate_bytes_per_s: RATE_BYTES_PER_S, max_members: MAX_MEMBERS };
+
+/// Starts a member; the token ends it as a crash would.
+fn start(kv: &FakeKeyValue, member: usize) -> (Arc<Budget>, CancellationToken) {
+    let budget = Arc::new(Budget::new(Arc::new(kv.clone()), &member.to_string(), LIMITS));
+    let (running, stop) = (Arc::clone(&budget), CancellationToken::new());
+    let token = stop.clone();
+    tokio::spawn(async move { running.run(token).await });
+    (budget, stop)
+}
+
+/// Groups start, one dies, the service goes away for minutes and comes back. The members find their
+/// shares by themselves, never use more than the store gives, and fall back to the minimum.
+#[tokio::test(start_paused = true)]
+async fn run_members_share_the_rate() {
+    let kv = FakeKeyValue::new();
+    let mut members = Vec::new();
+    let mut rates = Vec::new();
+    for second in 0..2400 {
+        match second {
+            0 | 10 | 300 => members.push(start(&kv, members.len())),
+            900 => members[0].1.cancel(),
+            1500 => kv.set_down(true),
+            1800 => kv.set_down(false),
+            _ => {}
+        }
+        sleep(SECOND).await;
+        let sum: f64 = members.iter().map(|(budget, _)| budget.rate_bytes_per_s()).sum();
+        assert!(sum <= RATE_BYTES_PER_S * 1.000_001, "second {second}: {sum}");
+        if [880, 1480, 1700, 2300].contains(&second) {
+            rates.push(members[1].0.rate_bytes_per_s() / RATE_BYTES_PER_S);
+        }
+    }
+    assert_eq!(rates, [0.3, 0.45, 0.005, 0.45]);
+}
+
+/// A switch of a map loads weights on all ranks of a group; at once they would take the rate of all
+/// groups. Each rank waits for its turn, and what a rank holds already is not counted.
+#[tokio::test(start_paused = true)]
+async fn take_loads_one_rank_after_another() {
+    let budget = Arc::new(Budget::new(Arc::new(FakeKeyValue::new()), "0", LIMITS));
+    let minimum = budget.rate_bytes_per_s();
+    let loads = Loads { budget, expert_bytes: minimum as u64 };
+    let map = |experts: [u16; 4]| ExpertMap {
+        layers: vec![experts.chunks(2).map(<[u16]>::to_vec).collect()],
+    };
+    let (held, next) = (map([0, 1, 2, 3]), map([0, 2, 1, 3]));
+    let start = Instant::now();
+    loads.take(0, Some(&held), &next).await;
+    assert_eq!(start.elapsed(), Duration::ZERO);
+    loads.take(1, None, &next).await;
+    assert_eq!(start.elapsed(), SECOND, "rank 0 loads one expert");
+    loads.take(0, Some(&held), &held).await;
+    assert_eq!(start.elapsed(), SECOND * 3, "rank 1 holds nothing and loads two");
+}
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -2,12 +2,13 @@
 //! strike at a chosen message.
 #![allow(dead_code)]
 
+use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::gate::{EngineKind, Gate};
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::RecordStore;
-use flamingowheel_group::session::Timing;
+use flamingowheel_group::session::{Loads, Timing};
 use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::{
@@ -25,6 +26,8 @@
 use tokio_util::sync::CancellationToken;
 
 pub const RANKS: usize = 3;
+/// The reserved minimum of one process is 50 bytes a second.
+const LIMITS: StoreLimits = StoreLimits { rate_bytes_per_s: 1000.0, max_members: 2 };
 pub const GROUP: &str = "g1";
 /// How long a fault lasts that ends by itself.
 pub const OUTAGE: Duration = Duration::from_secs(4);
@@ -73,6 +76,7 @@
     pub kv: FakeKeyValue,
     pub group: RankGroup,
     kind: EngineKind,
+    expert_bytes: Option<u64>,
     slots: Vec<Slot>,
     processes: Mutex<Vec<Process>>,
     desired: watch::Sender<Option<ExpertMap>>,
@@ -88,6 +92,11 @@
 impl World {
     /// A group that steps with map 1, coordinated by one process with another in reserve.
     pub async fn start(kind: EngineKind) -> Arc<Self> {
+        Self::start_with(kind, None).await
+    }
+
+    /// The same with loads paced by the fleet's budget, one expert being of this size.
+    pub async fn start_with(kind: EngineKind, expert_bytes: Option<u64>) -> Arc<Self> {
         let fence_policy = match kind {
             EngineKind::ChecksFence => FencePolicy::Refuses,
             EngineKind::IgnoresFence => FencePolicy::Ignores,
@@ -110,6 +119,7 @@
         let world = Arc::new(Self {
             kv: FakeKeyValue::new(),
             kind,
+            expert_bytes,
             slots: engines.iter().map(slot).collect(),
             group: RankGroup::new(engines),
             processes: Mutex::default(),
@@ -134,8 +144,14 @@
     pub fn start_coordinator(self: &Arc<Self>) {
         let kv: Arc<dyn KeyValue> = Arc::new(self.kv.clone());
         let link = Link(Arc::clone(self));
-        let coordinator =
-            Coordinator::new(kv, GROUP, link, Timing::default(), self.desired.subscribe());
+        let desired = self.desired.subscribe();
+        let mut coordinator =
+            Coordinator::new(Arc::clone(&kv), GROUP, link, Timing::default(), desired);
+        if let Some(expert_bytes) = self.expert_bytes {
+            let member = format!("p{}", self.processes.lock().unwrap().len());
+            let budget = Arc::new(Budget::new(kv, &member, LIMITS));
+            coordinator = coordinator.with_loads(Loads { budget, expert_bytes });
+        }
         let status = coordinator.status();
         let paused = watch::Sender::new(false);
         let run = coordinator.run(CancellationToken::new());
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// A group changes its map while the weight store is shared with many others. Its ranks load one
+/// after another within what the process may use, and the group steps on meanwhile.
+#[tokio::test(start_paused = true)]
+async fn switch_loads_paced() {
+    // At the minimum of 50 bytes a second each rank's load takes 0.9 s.
+    let world = World::start_with(EngineKind::ChecksFence, Some(45)).await;
+    world.want(2);
+    sleep(Duration::from_millis(1700)).await;
+    assert_eq!(world.engine(0).peek_map(), map(1), "the third rank must not have loaded yet");
+    assert_eq!(world.status().activity, Activity::Staging);
+    assert!(world.runs_within(Duration::from_millis(100)).await);
+    sleep(Duration::from_secs(2)).await;
+    check_runs_or_named(&world, "paced").await;
+}
+
 /// The network drops one request, one answer, or brings one twice. Callers notice at most a pause.
 #[tokio::test(start_paused = true)]
 async fn switch_message_lost_or_doubled() {
