Record what was defined but nobody recorded

Cause: seventeen events and most gauges and histograms had no source, so alarms on them could not ring; calls on the key-value service were not counted; a killed agent of the demo kept its connections open. Change: entries and agents record connections, limits, bound keys, tombstones, suspects and queueing; the groups' coordinator records lease, switch and ranks out of service under the group's name; token times, occupancy and key-value calls are measured; a request's duration counts from its arrival; the proposal of a map is the group package's own. Conclusion: not recorded yet: forwarded, order applied, order refused.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -79,6 +79,8 @@
     pub leaving: bool,
     /// Leaving, nothing runs or waits, and every answer has been read.
     pub drained: bool,
+    /// Requests waiting for a place.
+    pub waiting_count: usize,
     /// Records kept.
     pub record_count: usize,
     /// Times the backend server died.
@@ -382,6 +384,7 @@
         };
         let from_chunk = dispatch.resume_after_chunks;
         let (fingerprint, dispatch_alone) = (dispatch.fingerprint, dispatch.alone);
+        let about = subject(&dispatch);
         self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
         let alone = dispatch_alone || self.must_run_alone(fingerprint);
         let admitted = match alone {
@@ -400,6 +403,9 @@
             }
             Admitted::Queued { shed } => {
                 self.accept(sender, attempt);
+                let queued = u32::from(self.load().waiting);
+                let event = Event::Admitted { attempt: attempt.number, queued };
+                self.recorder.record_about(&about, event);
                 if let Some(shed) = shed {
                     self.give_up(shed, Refusal::Full);
                 }
@@ -451,9 +457,9 @@
             self.records.remove_ticket(key);
         }
         let Some(running) = self.running.remove(&key) else { return };
-        self.record_end(key, &running);
+        self.record_end(key, &running, end);
         if end == RunEnd::Whole {
-            self.suspicion.on_finished(running.fingerprint, self.started.elapsed());
+            self.clear(running.fingerprint);
         }
         let mut next = self.admission.finish(running.since.elapsed());
         while let Some(key) = next {
@@ -462,6 +468,16 @@
         }
     }
 
+    fn clear(&mut self, fingerprint: Fingerprint) {
+        let now = self.started.elapsed();
+        if self.suspicion.verdict(fingerprint, now) == Verdict::Clear {
+            return;
+        }
+        self.suspicion.on_finished(fingerprint, now);
+        let fingerprint = fingerprint_name(fingerprint);
+        self.recorder.record(Event::SuspectCleared { fingerprint });
+    }
+
     /// Ends work that has not begun.
     fn give_up(&mut self, key: ExecutionKey, refusal: Refusal) {
         self.bury_all(key);
@@ -595,6 +611,10 @@
         let was_up = std::mem::replace(&mut self.backend_up, report.is_ok());
         if was_up != self.backend_up {
             self.broadcast(&self.heartbeat());
+            if self.backend_up {
+                let backend_server = self.config.name.as_str().into();
+                self.recorder.record(Event::EngineReady { backend_server });
+            }
         }
         let process = report.ok().map(|report| report.process_id);
         let suspects = std::mem::take(&mut self.suspects);
@@ -608,6 +628,10 @@
         self.crash_count += 1;
         let crash = CrashId { server: self.server(), number: rand::random() };
         self.suspicion.on_crash(crash, &suspects, self.started.elapsed());
+        for fingerprint in &suspects {
+            let fingerprint = fingerprint_name(*fingerprint);
+            self.recorder.record(Event::SuspectMarked { fingerprint, crashes: self.crash_count });
+        }
         self.recorder.record(Event::EngineCrashed {
             backend_server: self.config.name.as_str().into(),
             running: u32::try_from(suspects.len()).unwrap_or(u32::MAX),
@@ -660,8 +684,12 @@
         self.recorder.record_about(&subject(dispatch), event);
     }
 
-    fn record_end(&self, key: ExecutionKey, running: &Running) {
+    fn record_end(&self, key: ExecutionKey, running: &Running, end: RunEnd) {
         let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        // A run without a whole answer is told by the attempt's end at the entry.
+        if end != RunEnd::Whole {
+            return;
+        }
         let event = Event::Finished {
             attempt: running.attempt,
             chunks: execution.chunk_count(),
@@ -682,6 +710,8 @@
         refusal: Refusal,
     ) {
         self.records.bury_attempt(attempt);
+        let event = Event::TombstoneWritten { attempt: attempt.number };
+        self.recorder.record_about(&Subject::request(attempt.request.0), event);
         self.refuse_unrecorded(sender, attempt, refusal);
     }
 
@@ -728,6 +758,7 @@
         let status = AgentStatus {
             leaving: self.leaving,
             drained,
+            waiting_count: usize::from(self.load().waiting),
             record_count: self.records.len(),
             crash_count: self.crash_count,
             backend_up: self.backend_up,
@@ -745,6 +776,10 @@
     Subject::request(dispatch.attempt.request.0).workspace(dispatch.workspace.as_str())
 }
 
+fn fingerprint_name(fingerprint: Fingerprint) -> Name {
+    format!("{:032x}", fingerprint.0).into()
+}
+
 fn ticket_name(key: ExecutionKey) -> Name {
     match key {
         ExecutionKey::Ticket { number, .. } => number.to_string().into(),
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -26,7 +26,7 @@
     Identity { hello, key, keeping }
 }
 
-/// Accepts connections until `stop` fires.
+/// Accepts and attends connections until `stop` fires; then they close.
 pub async fn serve(
     listener: TcpListener,
     identity: Identity,
@@ -47,10 +47,13 @@
                 continue;
             }
         };
-        let (identity, agent) = (identity.clone(), agent.clone());
+        let (identity, agent, stop) = (identity.clone(), agent.clone(), stop.clone());
         tokio::spawn(async move {
             match accept(stream, &identity).await {
-                Ok(link) => attend(link, agent).await,
+                Ok(link) => tokio::select! {
+                    () = attend(link, agent) => {}
+                    () = stop.cancelled() => {}
+                },
                 Err(error) => tracing::warn!(%remote, %error, "connection refused"),
             }
         });
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -6,6 +6,8 @@
 use crate::connector::{AgentLink, Connector};
 use crate::router::Router;
 use bytes::Bytes;
+use flamingowheel_observe::event::Event;
+use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_policy::key::{ScopeKey, ServerKey};
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::id::{AttemptId, Incarnation, Window};
@@ -26,6 +28,9 @@
 const RECONNECT_WAIT: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(1_000));
 
+/// A connection that ended this long after the last heartbeat had gone silent.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+
 /// How long an address that turned out to be no agent is left alone.
 const NOT_AN_AGENT_WAIT: Duration = Duration::from_secs(30);
 
@@ -215,13 +220,14 @@
     traffic: Handle,
     connector: Arc<dyn Connector>,
     router: Arc<Router>,
+    recorder: Recorder,
     known: Mutex<HashMap<SocketAddr, (Arc<Agent>, CancellationToken)>>,
 }
 
 impl Agents {
     /// No agents yet. Connections are served on the runtime that this is called on.
-    pub fn new(connector: Arc<dyn Connector>, router: Arc<Router>) -> Self {
-        Self { traffic: Handle::current(), connector, router, known: Mutex::default() }
+    pub fn new(connector: Arc<dyn Connector>, router: Arc<Router>, recorder: Recorder) -> Self {
+        Self { traffic: Handle::current(), connector, router, recorder, known: Mutex::default() }
     }
 
     /// Connects to exactly the agents of these VMs from now on. Attempts in progress on agents
@@ -257,6 +263,7 @@
             agent: Arc::clone(&agent),
             connector: Arc::clone(&self.connector),
             router: Arc::clone(&self.router),
+            recorder: self.recorder.clone(),
             stop: stop.clone(),
         };
         self.traffic.spawn(supervisor.run());
@@ -278,6 +285,7 @@
     agent: Arc<Agent>,
     connector: Arc<dyn Connector>,
     router: Arc<Router>,
+    recorder: Recorder,
     stop: CancellationToken,
 }
 
@@ -331,6 +339,7 @@
                 announced = true;
                 self.router.add(server, &connected.profile.serves, Arc::clone(&self.agent));
                 self.agent.connected.send_replace(Some(connected.clone()));
+                self.record_opened(&connected);
                 let known = self.router.suspicions();
                 if !known.is_empty() {
                     self.agent.send(EntryMessage::Suspicions(known));
@@ -352,6 +361,27 @@
         self.router.remove(server, &self.agent);
         self.agent.connected.send_replace(None);
         self.agent.tell_lost(epoch);
+        self.record_closed(&connected);
+    }
+
+    fn record_opened(&self, connected: &Connected) {
+        let peer = connected.hello.name.as_str().into();
+        let requests = u32::try_from(self.agent.streams().len()).unwrap_or(u32::MAX);
+        self.recorder.record(match connected.epoch {
+            1 => Event::ConnectionOpened { peer },
+            _ => Event::ConnectionReplaced { peer, requests },
+        });
+    }
+
+    /// An agent that lives is heard several times a second, so a gap tells a silent connection
+    /// from one that was closed.
+    fn record_closed(&self, connected: &Connected) {
+        let peer = connected.hello.name.as_str().into();
+        let silent = self.agent.heard_ago();
+        self.recorder.record(match silent >= SILENT_AFTER {
+            true => Event::ConnectionSilent { peer, silent_ms: silent.as_millis() as u64 },
+            false => Event::ConnectionClosed { peer },
+        });
     }
 
     fn take(&self, server: ServerKey, message: &AgentMessage) {
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -10,6 +10,7 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use bytes::{Bytes, BytesMut};
+use flamingowheel_observe::metrics::StreamTimer;
 use flamingowheel_protocol::id::RequestId;
 use flamingowheel_protocol::message::Refusal;
 use http_body::Frame;
@@ -125,8 +126,12 @@
         let text = token.to_text(&state.config.fleet_key);
         insert(response.headers_mut(), HeaderName::from_static(STREAM_HEADER), &text);
     }
-    let pouring =
-        Pouring { sender, heartbeat: state.config.stream_heartbeat, resumable: told.resumable };
+    let pouring = Pouring {
+        sender,
+        heartbeat: state.config.stream_heartbeat,
+        resumable: told.resumable,
+        timer: state.recorder.metrics().stream_timer(answer.received()),
+    };
     tokio::spawn(pour(answer, pouring, hold));
     response
 }
@@ -135,15 +140,17 @@
     sender: mpsc::Sender<Result<Bytes, Verdict>>,
     heartbeat: Duration,
     resumable: bool,
+    timer: StreamTimer,
 }
 
 async fn pour(mut answer: Answer, pouring: Pouring, mut hold: Hold) {
-    let Pouring { sender, heartbeat, resumable } = pouring;
+    let Pouring { sender, heartbeat, resumable, mut timer } = pouring;
     loop {
         let item = match next_piece(&mut answer, &sender, heartbeat).await {
             None | Some(Ok(Piece::End)) => return,
             Some(Ok(Piece::Chunk(number, data))) => {
                 hold.add_tokens(1.0);
+                timer.chunk();
                 Ok(if resumable { with_id(number, &data) } else { data })
             }
             Some(Err(verdict)) => Err(verdict),
@@ -299,7 +306,7 @@
 fn retry_after_ms(verdict: &Verdict) -> Option<u64> {
     match verdict {
         Verdict::NotRun(
-            NotRun::LimitReached { retry_after_ms }
+            NotRun::LimitReached { retry_after_ms, .. }
             | NotRun::Overloaded { retry_after_ms }
             | NotRun::Suspect { retry_after_ms },
         ) => Some(*retry_after_ms),
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -14,6 +14,7 @@
 use flamingowheel_protocol::id::RequestId;
 use serde::Deserialize;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// The part of a request that routing needs; the engine reads the rest.
 #[derive(Deserialize)]
@@ -69,6 +70,7 @@
         content_type: Some("application/json".to_owned()),
         body,
         idempotent: true,
+        received: Instant::now(),
         deadline,
         fingerprint,
     };
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -2,6 +2,7 @@
 
 use crate::agents::Target;
 use crate::claims::{Claim, ClaimError};
+use crate::events;
 use crate::http::answer::{Told, refuse, respond};
 use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
 use crate::outcome::{MalformedRequest, NotRun, TicketRefusal};
@@ -11,9 +12,11 @@
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, Method, Uri, header};
 use axum::response::Response;
+use flamingowheel_observe::event::Event;
 use flamingowheel_protocol::id::RequestId;
 use flamingowheel_protocol::ticket::Ticket;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Takes a service call.
 pub async fn call(
@@ -99,6 +102,7 @@
         content_type: content_type.map(str::to_owned),
         body,
         idempotent,
+        received: Instant::now(),
         deadline,
         fingerprint,
     })
@@ -167,6 +171,9 @@
     if bound.fingerprint != wanted {
         return Err(NotRun::KeyMismatch);
     }
-    Ticket::from_text(&bound.ticket, &state.config.fleet_key)
-        .map_err(|error| TicketRefusal::Invalid(error).into())
+    let ticket = Ticket::from_text(&bound.ticket, &state.config.fleet_key)
+        .map_err(TicketRefusal::Invalid)?;
+    let event = Event::TicketBound { ticket: ticket.number.to_string().into() };
+    state.recorder.record_about(&events::subject(request), event);
+    Ok(ticket)
 }
--- a/crates/entry/src/http/tickets.rs
+++ b/crates/entry/src/http/tickets.rs
@@ -15,6 +15,7 @@
 use flamingowheel_protocol::ticket::Ticket;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// What a ticket is wanted for.
 #[derive(Clone, Debug, Deserialize)]
@@ -82,6 +83,7 @@
         content_type: None,
         body: Bytes::new(),
         idempotent: false,
+        received: Instant::now(),
         deadline,
         fingerprint: Fingerprint(0),
     })
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -6,6 +6,7 @@
 use crate::outcome::NotRun;
 use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_config::template;
+use flamingowheel_observe::reason::Limit;
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::limits::{
     LimitRefusal, Limits, Loan, LoanRequest, SplitConfig, WorkspaceLimits,
@@ -246,7 +247,12 @@
 
 fn refused(refusal: &LimitRefusal) -> NotRun {
     let retry_after = wait_for(refusal).unwrap_or(NO_SHARE_RETRY);
-    NotRun::LimitReached { retry_after_ms: retry_after.as_millis() as u64 }
+    let limit = match refusal {
+        LimitRefusal::Requests { .. } | LimitRefusal::NoShare => Limit::RequestRate,
+        LimitRefusal::Tokens { .. } => Limit::TokenRate,
+        LimitRefusal::InFlight => Limit::InFlight,
+    };
+    NotRun::LimitReached { limit, retry_after_ms: retry_after.as_millis() as u64 }
 }
 
 #[cfg(test)]
@@ -276,7 +282,7 @@
         tokio::time::advance(Duration::from_secs(1)).await;
         assert!(limiter.admit(&workspace, &members, 1.0, 1.0).await.is_ok());
         let refusal = limiter.admit(&workspace, &members, 1.0, 1.0).await.unwrap_err();
-        assert!(matches!(refusal, NotRun::LimitReached { retry_after_ms: 501..=1_000 }));
+        assert!(matches!(refusal, NotRun::LimitReached { retry_after_ms: 501..=1_000, .. }));
     }
 
     // The first request of a workspace after a quiet hour must not be refused for a share that
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -1,5 +1,6 @@
 //! What a caller is told, and the proof that each answer needs.
 
+use flamingowheel_observe::reason::Limit;
 use flamingowheel_policy::retry::RetryRefusal;
 use flamingowheel_protocol::message::{Failure, Refusal};
 use flamingowheel_protocol::ticket::TicketError;
@@ -29,8 +30,10 @@
     #[error("malformed request: {0}")]
     Malformed(#[from] MalformedRequest),
     /// A limit of the workspace is reached.
-    #[error("limit of the workspace reached")]
+    #[error("limit of the workspace reached: {limit}")]
     LimitReached {
+        /// Which.
+        limit: Limit,
         /// When to come back, in milliseconds.
         retry_after_ms: u64,
     },
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -27,6 +27,8 @@
     pub body: Bytes,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
+    /// When it came.
+    pub received: Instant,
     /// When the caller gives up waiting for the answer to begin.
     pub deadline: Instant,
     /// Hash of workspace, route and body.
@@ -45,6 +47,7 @@
             content_type: None,
             body: Bytes::new(),
             idempotent: true,
+            received: Instant::now(),
             deadline,
             fingerprint: Fingerprint(0),
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,6 +10,7 @@
 use flamingowheel_config::effective::{Effective, EffectiveWorkspace};
 use flamingowheel_config::template::Limits;
 use flamingowheel_control::node::Node;
+use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_policy::key::EntryKey;
 use std::sync::Arc;
@@ -56,7 +57,13 @@
             return Ok(None);
         }
         let members = self.subset(workspace);
-        self.limiter.admit(workspace, &members, prompt_tokens, answer_tokens).await
+        let admitted = self.limiter.admit(workspace, &members, prompt_tokens, answer_tokens).await;
+        if let Err(NotRun::LimitReached { limit, retry_after_ms }) = &admitted {
+            let subject = Subject::default().workspace(&*workspace.name);
+            let event = Event::LimitExceeded { limit: *limit, retry_after_ms: *retry_after_ms };
+            self.recorder.record_about(&subject, event);
+        }
+        admitted
     }
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -41,7 +41,6 @@
     router: Arc<Router>,
     log: SubjectRecorder,
     reconnect_limit: Duration,
-    begun: Instant,
 }
 
 impl Answer {
@@ -56,9 +55,8 @@
         log: SubjectRecorder,
         reconnect_limit: Duration,
     ) -> Self {
-        let begun = Instant::now();
         let attempt = Some(attempt);
-        Self { request, head, attempt, origin, router, log, reconnect_limit, begun }
+        Self { request, head, attempt, origin, router, log, reconnect_limit }
     }
 
     /// Status and media type.
@@ -66,6 +64,11 @@
         &self.head
     }
 
+    /// When the request came.
+    pub fn received(&self) -> Instant {
+        self.request.received
+    }
+
     /// Attempts made until the answer began.
     pub fn attempts(&self) -> u32 {
         self.origin.attempts
@@ -178,7 +181,7 @@
             class: events::class(&self.request),
             attempts: self.origin.attempts,
             chunks: attempt.next_chunk(),
-            duration_ms: self.begun.elapsed().as_millis() as u64,
+            duration_ms: self.request.received.elapsed().as_millis() as u64,
         });
     }
 }
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -9,7 +9,7 @@
 use flamingowheel_agent::serve;
 use flamingowheel_config::settings::{AgentSettings, BackendServerKind, Role, Settings};
 use flamingowheel_observe::event::Event;
-use flamingowheel_observe::metrics::Metrics;
+use flamingowheel_observe::metrics::{Metrics, Occupancy};
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::client::{BackendKind, HttpBackend, HttpLimits};
 use flamingowheel_protocol::link::{Keeping, Timing};
@@ -62,6 +62,10 @@
             None => control,
         };
         spawn_control("control", move || control.run(commands))?;
+        let status = handle.clone();
+        recorder.metrics().sample(Occupancy::Queue, move || status.status().waiting_count);
+        let status = handle.clone();
+        recorder.metrics().sample(Occupancy::Records, move || status.status().record_count);
         let stop = CancellationToken::new();
         tokio::spawn(serve::serve(inner, identity, handle.clone(), stop.clone()));
         let routes = flamingowheel_observe::http::router(recorder.clone());
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -28,6 +28,8 @@
 use flamingowheel_entry::router::Router;
 use flamingowheel_entry::state::EntryState;
 use flamingowheel_observe::event::Event;
+use flamingowheel_observe::kv::ObservedKeyValue;
+use flamingowheel_observe::metrics::Occupancy;
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::client::{EtcdClient, HttpLimits, HttpVmList};
@@ -80,7 +82,8 @@
             version: env!("CARGO_PKG_VERSION").into(),
             incarnation: uuid::Uuid::from_u64_pair(0, config.incarnation.0),
         });
-        let kv: Arc<dyn KeyValue> = Arc::new(key_value(settings));
+        let client = Arc::new(key_value(settings));
+        let kv: Arc<dyn KeyValue> = Arc::new(ObservedKeyValue::new(client, recorder.clone()));
         let identity = identity(settings, &config, &recorder, operators_address);
         let record = member_record(settings, &config, inner_address, operators_address);
         let node = Node::new(record, recorder.clone());
@@ -98,6 +101,7 @@
             seeds: settings.peers.clone(),
             timing: SpreadTiming::default(),
         };
+        sample(&recorder, &state, &agents);
         node.set_lender(Arc::new(EntryLender(Arc::clone(&state))));
         let borrower = borrow(node.clone(), Arc::clone(&state), Arc::clone(&peers));
         let discovery = discovery(settings, Arc::clone(&agents));
@@ -179,6 +183,23 @@
     }
 }
 
+/// Has the metrics read how much is in use. They outlive the entry, so they must not keep it.
+fn sample(recorder: &Recorder, state: &Arc<EntryState>, agents: &Arc<Agents>) {
+    let metrics = recorder.metrics();
+    let weak = Arc::downgrade(state);
+    metrics.sample(Occupancy::InFlight, move || {
+        weak.upgrade().map_or(0, |state| state.in_progress.get())
+    });
+    let weak = Arc::downgrade(state);
+    metrics.sample(Occupancy::Suspects, move || {
+        weak.upgrade().map_or(0, |state| state.dispatcher.router().suspicions().len())
+    });
+    let weak = Arc::downgrade(agents);
+    metrics.sample(Occupancy::Links, move || {
+        weak.upgrade().map_or(0, |agents| agents.connected().len())
+    });
+}
+
 /// The agents that this entry is connected to, for the operators' status.
 struct AgentList(Arc<Agents>);
 
@@ -252,7 +273,7 @@
 ) -> (Arc<EntryState>, Arc<Agents>) {
     let router = Arc::new(Router::default());
     let connector = Arc::new(WebSocketConnector { identity: identity.clone() });
-    let agents = Arc::new(Agents::new(connector, Arc::clone(&router)));
+    let agents = Arc::new(Agents::new(connector, Arc::clone(&router), node.recorder().clone()));
     let recorder = node.recorder().clone();
     let state = Arc::new(EntryState {
         config: Arc::clone(config),
--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -16,7 +16,10 @@
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::session::Timing;
-use flamingowheel_group::status::GroupStatus;
+use flamingowheel_group::status::{Activity, GroupStatus};
+use flamingowheel_observe::event::{Event, Subject};
+use flamingowheel_observe::reason::SwitchStep;
+use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::kv::KeyValue;
 use flamingowheel_platform::orders::{ExpertMap, Fence};
@@ -140,16 +143,57 @@
             ),
             effective: self.node.effective(),
         };
+        let teller = tell(self.node.recorder().clone(), group.name.clone(), coordinator.status());
         self.duties.insert(group.name, stop.clone());
         tokio::spawn(async move {
             tokio::select! {
                 () = coordinator.run(stop) => {}
                 () = planner.run() => {}
+                () = teller => {}
             }
         });
     }
 }
 
+/// Records what becomes of a group, until its coordinator is gone.
+async fn tell(recorder: Recorder, group: String, mut status: watch::Receiver<GroupStatus>) {
+    let about = recorder.about(Subject::default().group(group.as_str()));
+    let mut before = GroupStatus::default();
+    while status.changed().await.is_ok() {
+        let now = status.borrow_and_update().clone();
+        for event in changes(&group, &before, &now) {
+            about.record(event);
+        }
+        before = now;
+    }
+}
+
+fn changes(group: &str, before: &GroupStatus, now: &GroupStatus) -> Vec<Event> {
+    let mut events = Vec::new();
+    let (led, leads) =
+        (before.activity != Activity::Following, now.activity != Activity::Following);
+    if leads && !led {
+        let (lease, fencing_number) = (group.into(), now.map_version);
+        events.push(Event::LeaseWon { lease, fencing_number });
+    }
+    if led && !leads {
+        events.push(Event::LeaseLost { lease: group.into() });
+    }
+    let map_revision = now.map_version;
+    if now.activity == Activity::Staging && before.activity != Activity::Staging {
+        events.push(Event::Switch { step: SwitchStep::Staged, map_revision });
+    }
+    if now.activity == Activity::Running && map_revision > before.map_version {
+        events.push(Event::Switch { step: SwitchStep::Resumed, map_revision });
+    }
+    let known = |rank| before.out_of_service.iter().any(|other| other.rank == rank);
+    for out in now.out_of_service.iter().filter(|out| !known(out.rank)) {
+        let backend_server = format!("{group} rank {}", out.rank).into();
+        events.push(Event::RankUnverified { backend_server, map_revision });
+    }
+    events
+}
+
 async fn give_status(State(statuses): State<Statuses>) -> Json<BTreeMap<String, GroupStatus>> {
     let statuses = statuses.lock().unwrap_or_else(PoisonError::into_inner);
     let current = |(name, status): (&String, &watch::Receiver<GroupStatus>)| {
--- a/crates/flamingowheeld/src/placement.rs
+++ b/crates/flamingowheeld/src/placement.rs
@@ -1,8 +1,9 @@
 //! Turns what engines count into the expert map that a group should use.
 
 use flamingowheel_group::message::RankState;
+use flamingowheel_group::proposal::propose;
 use flamingowheel_platform::orders::{ExpertMap, expert_counter};
-use flamingowheel_policy::rebalance::{DecayedLoads, Params, Placement, Request, plan};
+use flamingowheel_policy::rebalance::{DecayedLoads, Params};
 use flamingowheel_protocol::message::ExpertShape;
 
 /// Part of the mean load that one observation weighs.
@@ -64,19 +65,8 @@
 
     /// The map to use instead of `current`, if one is worth its moves.
     pub fn better_map(&self, current: &ExpertMap, params: &Params) -> Option<ExpertMap> {
-        let placements: Vec<Placement> =
-            current.layers.iter().map(|ranks| Placement { ranks: ranks.clone() }).collect();
         let speeds = vec![1.0; usize::from(self.shape.ranks)];
-        let request = Request { current: &placements, loads: &self.loads, speeds: &speeds, params };
-        let plan = plan(&request).ok()?;
-        if plan.layers.is_empty() {
-            return None;
-        }
-        let mut map = current.clone();
-        for layer in plan.layers {
-            map.layers[layer.layer] = layer.target.ranks;
-        }
-        Some(map)
+        propose(current, &self.loads, &speeds, params).ok()?
     }
 
     fn count(&self, states: &[RankState]) -> Vec<Vec<f64>> {
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -77,10 +77,10 @@
         let fate = Fate::default();
         let connector = NetworkConnector::new(network.clone(), hello, fate.clone());
         let routes = Arc::new(Routes::default());
-        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes));
+        let recorder = Recorder::for_tests(name);
+        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes), recorder.clone());
         let vm = |address: &SocketAddr| AgentVm { address: *address, leaving: false };
         agents.set_vms(&addresses.iter().map(vm).collect::<Vec<_>>());
-        let recorder = Recorder::for_tests(name);
         let node = Node::new(record(&config), recorder.clone());
         node.adopt(Replica::new(documents()), ConfigSource::Watch);
         node.confirm_by_service();
