Share one definition of prompt blocks

Cause: the stand-in engine and the policy each had a block hash of their own that happened to agree, and a restarted stand-in kept its prefix cache, which no engine does.

Change: the stand-in uses the policy's hash and block size; a restart empties its cache and counts events anew. The prefix book gives what servers would prefill beyond the best covered one: differences decide a choice, and they are zero if nobody has any of it.

Conclusion: entry and engine can't drift apart in the hash.

--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -99,7 +99,8 @@
     pub process_id: u64,
 }
 
-/// A prefix-cache event. Numbers rise by one; a jump tells that events were lost.
+/// A prefix-cache event. Numbers rise by one within one life of the process, which begins with an
+/// empty cache; a jump tells that events were lost.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
     /// The event's number.
--- a/crates/platform/src/fake/engine/control.rs
+++ b/crates/platform/src/fake/engine/control.rs
@@ -1,5 +1,6 @@
 //! What a test does to the engine and reads from it.
 
+use super::cache::PrefixCache;
 use super::{FakeEngine, LostOrder, Process, RunCount, State};
 use crate::backend::{BackendError, LoadReport};
 use crate::fake::lock;
@@ -23,6 +24,7 @@
         let held_after_step = self.shared.settings.starts_held.then_some(0);
         state.reported = EngineState { process_id: id, held_after_step, ..EngineState::default() };
         state.map = ExpertMap::default();
+        state.cache = PrefixCache::new(self.shared.settings.cache_blocks);
         note_load(&mut state);
         drop(state);
         self.shared.up.send_replace(true);
--- a/crates/platform/src/fake/text.rs
+++ b/crates/platform/src/fake/text.rs
@@ -2,13 +2,14 @@
 //! tell whether a caller got the whole answer to its own request.
 
 use bytes::Bytes;
+use flamingowheel_policy::prefix::{self, BLOCK_SIZE_BYTES};
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The event that ends a whole event stream.
 pub const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 /// Bytes of the body that make one block of the prefix cache.
-pub const CACHE_BLOCK_BYTES: usize = 256;
+pub const CACHE_BLOCK_BYTES: usize = BLOCK_SIZE_BYTES;
 
 const WORDS: [&str; 16] = [
     "lamp", "relay", "cable", "panel", "road", "mile", "box", "call", "photo", "page", "desk",
@@ -78,12 +79,5 @@
 
 /// Hashes of the body's whole prefix blocks; each covers all bytes before it.
 pub fn block_hashes(body: &[u8]) -> Vec<u64> {
-    let mut previous = 0;
-    let blocks = body.chunks_exact(CACHE_BLOCK_BYTES);
-    blocks
-        .map(|block| {
-            previous = xxh3_64_with_seed(block, previous);
-            previous
-        })
-        .collect()
+    prefix::block_hashes(body, CACHE_BLOCK_BYTES).into_iter().map(|hash| hash.0).collect()
 }
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// Bytes that make one block, unless a deployment says otherwise.
+pub const BLOCK_SIZE_BYTES: usize = 256;
+
 /// Hash of a block of a prompt and of all blocks before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -233,6 +236,41 @@
         self.config.prefill_per_block.mul_f64(uncovered.max(0.0))
     }
 
+    /// What each of these servers would prefill beyond the one that has most of the prompt.
+    ///
+    /// Only differences matter for a choice. Taken from the best, they are all zero if nobody has
+    /// any of the prompt, and the choice is then as quick and as spread as without a prompt.
+    ///
+    /// ```
+    /// use flamingowheel_policy::key::ServerKey;
+    /// use flamingowheel_policy::prefix::{PrefixBook, PrefixConfig, block_hashes};
+    /// use std::time::Duration;
+    /// let book = PrefixBook::new(PrefixConfig::default());
+    /// let prompt = block_hashes(b"abcdefgh", 4);
+    /// let extra = book.extra_prefill(&[ServerKey(1)], &prompt, Duration::ZERO);
+    /// assert_eq!(extra.of(ServerKey(1)), Duration::ZERO);
+    /// assert!(!extra.is_covered(ServerKey(1)));
+    /// ```
+    #[must_use]
+    pub fn extra_prefill(
+        &self,
+        servers: &[ServerKey],
+        prompt: &[BlockHash],
+        now: Duration,
+    ) -> ExtraPrefill {
+        let per_block = self.config.prefill_per_block;
+        if prompt.is_empty() {
+            return ExtraPrefill { per_block, most: 0.0, covered: Vec::new() };
+        }
+        let covered = servers.iter().map(|server| {
+            let blocks = self.covered_blocks(*server, prompt, now);
+            (*server, blocks)
+        });
+        let covered: Vec<_> = covered.filter(|(_, blocks)| *blocks > 0.0).collect();
+        let most = covered.iter().map(|(_, blocks)| *blocks).fold(0.0, f64::max);
+        ExtraPrefill { per_block, most, covered }
+    }
+
     /// Whether events of this server are missing.
     #[must_use]
     pub fn has_gap(&self, server: ServerKey) -> bool {
@@ -245,3 +283,31 @@
         self.servers.values().map(|cache| cache.blocks.len()).sum()
     }
 }
+
+/// How much longer each server would prefill one prompt than the server that has most of it.
+#[derive(Clone, Debug)]
+pub struct ExtraPrefill {
+    per_block: Duration,
+    most: f64,
+    /// The servers that have some of the prompt, which are few.
+    covered: Vec<(ServerKey, f64)>,
+}
+
+impl ExtraPrefill {
+    /// The extra time of one server.
+    #[must_use]
+    pub fn of(&self, server: ServerKey) -> Duration {
+        self.per_block.mul_f64(self.most - self.covered_blocks(server))
+    }
+
+    /// Whether the server probably has any of the prompt.
+    #[must_use]
+    pub fn is_covered(&self, server: ServerKey) -> bool {
+        self.covered_blocks(server) > 0.0
+    }
+
+    fn covered_blocks(&self, server: ServerKey) -> f64 {
+        let found = self.covered.iter().find(|(covered, _)| *covered == server);
+        found.map_or(0.0, |(_, blocks)| *blocks)
+    }
+}
