Route by what is known of prefix caches

Cause: the entry passed no extra cost to the choice, so a prompt that one rank had cached was prefilled again on others.

The entry hashes a completion's prompt once (at most 256 blocks) and passes the extra prefill to the choice. The reason prefix_cached is logged when the choice without caches would have been another.

Conclusion: a wrong guess costs prefill only; outcomes are decided as before.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -3,6 +3,7 @@
 //! It takes commands one at a time and never waits for the network, so every decision sees a
 //! consistent state.
 
+use crate::cache::{CacheView, Poll};
 use crate::config::AgentConfig;
 use crate::execution::{Ending, Execution, Work};
 use crate::load::LoadCell;
@@ -13,15 +14,15 @@
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
+use flamingowheel_platform::backend::{BackendError, BackendServer, CacheEvent, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::suspicion::{CrashId, SuspicionBook, SuspicionConfig, Verdict};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use flamingowheel_protocol::message::{
-    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal,
+    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal, Serves,
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -68,6 +69,8 @@
     },
     /// The backend server answered a health check, or did not.
     Health(Result<LoadReport, BackendError>),
+    /// The engine answered a poll for cache events, or did not.
+    CacheEvents(Poll, Result<Vec<CacheEvent>, BackendError>),
     /// Take no new work from now on.
     Leave,
 }
@@ -143,6 +146,10 @@
     backend_process: Option<u64>,
     backend_up: bool,
     checking_health: bool,
+    cache: CacheView,
+    polling_cache: bool,
+    /// Connections that a message about the cache could not be sent over.
+    behind: HashSet<u64>,
     suspects: Vec<Fingerprint>,
     crash_count: u32,
     commands: mpsc::Sender<Command>,
@@ -187,6 +194,9 @@
             backend_process: None,
             backend_up: true,
             checking_health: false,
+            cache: CacheView::default(),
+            polling_cache: false,
+            behind: HashSet::new(),
             suspects: Vec::new(),
             crash_count: 0,
             commands: commands.clone(),
@@ -230,14 +240,20 @@
                 if !known.is_empty() {
                     reply(&sender, AgentMessage::Suspicions(known));
                 }
+                if self.has_prefix_cache() {
+                    // Without it a new entry would know nothing of what has been cached so far.
+                    reply(&sender, AgentMessage::CacheEvents(vec![self.cache.snapshot()]));
+                }
                 self.links.insert(link, sender);
             }
             Command::Unlinked { link } => {
                 self.links.remove(&link);
+                self.behind.remove(&link);
             }
             Command::Received { sender, message } => self.receive(&sender, message),
             Command::Ended { key, end } => self.on_ended(key, end),
             Command::Health(report) => self.on_health(report),
+            Command::CacheEvents(poll, events) => self.on_cache_events(poll, events),
             Command::Leave => self.leave(LeaveCause::Signal),
         }
     }
@@ -597,6 +613,7 @@
             self.broadcast(&self.heartbeat());
         }
         let process = report.ok().map(|report| report.process_id);
+        self.note_process(process);
         let suspects = std::mem::take(&mut self.suspects);
         let died = process.is_none() || process != self.backend_process;
         if process.is_some() {
@@ -615,6 +632,62 @@
         self.tell_suspicions();
     }
 
+    /// A new engine process has an empty cache; what was known would send prompts there in vain.
+    fn note_process(&mut self, process: Option<u64>) {
+        let is_other = process.is_some() && process != self.backend_process;
+        if is_other && self.backend_process.is_some() && self.has_prefix_cache() {
+            let snapshot = self.cache.start_over();
+            self.tell_cache(vec![snapshot]);
+        }
+    }
+
+    fn has_prefix_cache(&self) -> bool {
+        matches!(self.config.profile.serves, Serves::Model { .. })
+    }
+
+    fn poll_cache(&mut self) {
+        if !self.has_prefix_cache() || std::mem::replace(&mut self.polling_cache, true) {
+            return;
+        }
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        let poll = self.cache.poll();
+        self.traffic.spawn(async move {
+            let events = backend.cache_events(poll.after).await;
+            let _ = commands.send(Command::CacheEvents(poll, events)).await;
+        });
+    }
+
+    /// After a failed poll the next one asks for the same events again.
+    fn on_cache_events(&mut self, poll: Poll, events: Result<Vec<CacheEvent>, BackendError>) {
+        self.polling_cache = false;
+        let mut told = self.cache.on_events(poll, events.unwrap_or_default());
+        told.extend(self.cache.expire());
+        if !told.is_empty() {
+            self.tell_cache(told);
+        }
+    }
+
+    /// A connection that is stuck misses the message and later gets all that is known instead.
+    fn tell_cache(&mut self, events: Vec<flamingowheel_policy::prefix::CacheEvent>) {
+        let message = AgentMessage::CacheEvents(events);
+        for (link, sender) in &self.links {
+            if sender.try_send(message.clone()).is_err() {
+                self.behind.insert(*link);
+            }
+        }
+    }
+
+    fn catch_up(&mut self) {
+        if self.behind.is_empty() {
+            return;
+        }
+        let message = AgentMessage::CacheEvents(vec![self.cache.snapshot()]);
+        let links = &self.links;
+        self.behind.retain(|link| {
+            links.get(link).is_some_and(|sender| sender.try_send(message.clone()).is_err())
+        });
+    }
+
     /// Passes on what changed. Only news counts as a change, so this comes to an end.
     fn tell_suspicions(&mut self) {
         let changes = self.suspicion.take_changes(self.started.elapsed());
@@ -630,6 +703,8 @@
         }
         self.stop_orphans();
         self.check_health();
+        self.catch_up();
+        self.poll_cache();
         self.tell_suspicions();
         self.broadcast(&self.heartbeat());
     }
--- /dev/null
+++ b/crates/agent/tests/cache.rs
@@ -0,0 +1,90 @@
+//! What an agent makes of its engine's cache events, with a paused clock.
+
+use flamingowheel_agent::cache::{CacheView, DOUBT_LIMIT, MAX_BATCH, MAX_BLOCKS};
+use flamingowheel_platform::backend;
+use flamingowheel_policy::prefix::{BlockHash, CacheChange, CacheEvent};
+use std::ops::RangeInclusive;
+use std::time::Duration;
+use tokio::time::advance;
+
+fn stored(numbers: RangeInclusive<u64>) -> Vec<backend::CacheEvent> {
+    let event = |number| backend::CacheEvent { number, block_hash: number, stored: true };
+    numbers.map(event).collect()
+}
+
+fn blocks(numbers: RangeInclusive<u64>) -> Vec<BlockHash> {
+    numbers.map(BlockHash).collect()
+}
+
+fn read(view: &mut CacheView, events: Vec<backend::CacheEvent>) -> Vec<CacheEvent> {
+    view.on_events(view.poll(), events)
+}
+
+#[tokio::test(start_paused = true)]
+async fn on_events_batch_told_under_one_number() {
+    let mut view = CacheView::default();
+    let told = read(&mut view, stored(1..=3));
+    assert_eq!(told, [CacheEvent { number: 1, change: CacheChange::Stored(blocks(1..=3)) }]);
+    let removed = backend::CacheEvent { number: 4, block_hash: 2, stored: false };
+    let told = read(&mut view, vec![removed]);
+    let change = CacheChange::Removed(blocks(2..=2));
+    assert_eq!(told, [CacheEvent { number: 2, change }]);
+    let change = CacheChange::Snapshot(vec![BlockHash(1), BlockHash(3)]);
+    assert_eq!(view.snapshot(), CacheEvent { number: 2, change });
+    assert!(read(&mut view, Vec::new()).is_empty());
+}
+
+// The engine loses an event: what the agent knew may have been evicted unseen. Entries see a number
+// left out; a new entry hears only of what is certain, and the doubt ends after a time.
+#[tokio::test(start_paused = true)]
+async fn on_events_lost_number_left_out_until_doubt_ends() {
+    let mut view = CacheView::default();
+    read(&mut view, stored(1..=3));
+    let told = read(&mut view, stored(5..=6));
+    assert_eq!(told, [CacheEvent { number: 3, change: CacheChange::Stored(blocks(5..=6)) }]);
+    assert_eq!(view.snapshot().change, CacheChange::Snapshot(blocks(5..=6)));
+    advance(DOUBT_LIMIT - Duration::from_secs(1)).await;
+    // A later loss doesn't make the doubt about the first begin anew.
+    read(&mut view, stored(8..=8));
+    assert_eq!(view.expire(), None);
+    advance(Duration::from_secs(1)).await;
+    let change = CacheChange::Snapshot(blocks(8..=8));
+    assert_eq!(view.expire(), Some(CacheEvent { number: 6, change }));
+    assert_eq!(view.expire(), None);
+}
+
+// An engine comes back with an empty cache and counts anew. An answer of the old one that is still
+// on its way must not bring the old blocks back.
+#[tokio::test(start_paused = true)]
+async fn start_over_late_answer_ignored() {
+    let mut view = CacheView::default();
+    read(&mut view, stored(1..=3));
+    let late = view.poll();
+    let change = CacheChange::Snapshot(Vec::new());
+    assert_eq!(view.start_over(), CacheEvent { number: 2, change });
+    assert!(view.on_events(late, stored(4..=9)).is_empty());
+    assert_eq!(view.poll().after, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn on_events_numbers_fell_known_blocks_void() {
+    let mut view = CacheView::default();
+    read(&mut view, stored(1..=9));
+    let told = read(&mut view, stored(1..=2));
+    let void = CacheEvent { number: 2, change: CacheChange::Snapshot(Vec::new()) };
+    assert_eq!(told[0], void);
+    assert_eq!(view.snapshot().change, CacheChange::Snapshot(blocks(1..=2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn on_events_many_memory_and_batch_bounded() {
+    let mut view = CacheView::default();
+    let count = 3 * MAX_BLOCKS as u64;
+    while view.poll().after < count {
+        let before = view.poll().after;
+        read(&mut view, stored(before + 1..=count));
+        assert_eq!(view.poll().after, count.min(before + MAX_BATCH as u64));
+    }
+    let newest = count - MAX_BLOCKS as u64 + 1..=count;
+    assert_eq!(view.snapshot().change, CacheChange::Snapshot(blocks(newest)));
+}
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -337,6 +337,7 @@
                 }
             }
             match message {
+                AgentMessage::CacheEvents(events) => self.router.learn_cache(server, events),
                 AgentMessage::OrderAnswer { number, body } => {
                     if let Some(waiting) = self.agent.orders().remove(&number) {
                         let _ = waiting.send(body);
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -1,5 +1,6 @@
 //! What an entry is told at start.
 
+use flamingowheel_policy::prefix::BLOCK_SIZE_BYTES;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::id::Incarnation;
 use std::net::SocketAddr;
@@ -32,6 +33,9 @@
     pub key_record_time: Duration,
     /// A comment is sent on an event stream that is idle for this long.
     pub stream_heartbeat: Duration,
+    /// Bytes of a request that make one block of the engines' prefix cache. A parameter of the
+    /// deployment: the same for all its engines, or their cached prefixes are not recognised.
+    pub cache_block_bytes: usize,
 }
 
 impl EntryConfig {
@@ -63,6 +67,7 @@
             cancel_limit: Duration::from_secs(1),
             key_record_time: Duration::from_secs(24 * 3600),
             stream_heartbeat: Duration::from_secs(1),
+            cache_block_bytes: BLOCK_SIZE_BYTES,
         }
     }
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::events;
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::request::Request;
-use crate::router::{RouteClass, Router};
+use crate::router::{RouteClass, Routed, Router};
 use crate::stream::{Answer, Origin};
 use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_observe::event::Event;
@@ -14,7 +14,7 @@
 use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
-use flamingowheel_policy::routing::{Choice, RouteError, RouteRequest};
+use flamingowheel_policy::routing::{RouteError, RouteRequest};
 use flamingowheel_policy::suspicion::Verdict as Suspicion;
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation};
 use flamingowheel_protocol::message::{Dispatch, Refusal};
@@ -194,13 +194,13 @@
     /// Mints a ticket for a backend server that is likely to have room.
     pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
         let question = RouteRequest { fingerprint: request.fingerprint, tried: &[] };
-        let (choice, agent) = self
+        let routed = self
             .router
-            .route(&request.target, &question, &route_class(request))
+            .route(&request.target, &question, &route_class(request), &request.prompt)
             .map_err(|_| NotRun::NoneAvailable)?;
-        self.router.ended(choice.server);
-        let connected = agent.connected().ok_or(NotRun::NoneAvailable)?;
-        Ok(self.mint_for(request, &agent, &connected))
+        self.router.ended(routed.choice.server);
+        let connected = routed.agent.connected().ok_or(NotRun::NoneAvailable)?;
+        Ok(self.mint_for(request, &routed.agent, &connected))
     }
 
     fn mint_for(&self, request: &Request, agent: &Agent, connected: &Connected) -> Ticket {
@@ -280,10 +280,12 @@
     fn choose_best(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
         let request = journey.request;
         let question = RouteRequest { fingerprint: request.fingerprint, tried: &journey.tried };
-        let routed = self.router.route(&request.target, &question, &route_class(request));
-        let (choice, agent) = routed.map_err(|error| journey.no_choice(error))?;
-        let connected = self.connected(journey, choice.server, &agent)?;
-        log_route(journey, &choice, &connected);
+        let class = route_class(request);
+        let routed = self.router.route(&request.target, &question, &class, &request.prompt);
+        let routed = routed.map_err(|error| journey.no_choice(error))?;
+        let connected = self.connected(journey, routed.choice.server, &routed.agent)?;
+        log_route(journey, &routed, &connected);
+        let Routed { choice, agent, .. } = routed;
         let last_try = choice.last_try;
         Ok(Chosen { server: choice.server, agent, connected, last_try, alone: false })
     }
@@ -526,11 +528,13 @@
     }
 }
 
-fn log_route(journey: &Journey<'_>, choice: &Choice, connected: &Connected) {
+fn log_route(journey: &Journey<'_>, routed: &Routed, connected: &Connected) {
+    let choice = &routed.choice;
     journey.log.record(Event::Routed {
         backend_server: connected.hello.name.as_str().into(),
         attempt: journey.attempts + 1,
         reason: match choice.candidates {
+            _ if routed.by_prefix => RouteReason::PrefixCached,
             1 => RouteReason::OnlyCandidate,
             _ => RouteReason::LeastWait,
         },
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -5,7 +5,7 @@
 use crate::http::{CHAT_PATH, RESUMABLE_HEADER, intake};
 use crate::limits::Permit;
 use crate::outcome::{MalformedRequest, NotRun};
-use crate::request::Request;
+use crate::request::{Request, prompt_blocks};
 use crate::state::{EntryState, Hold};
 use axum::body::Body;
 use axum::extract::State;
@@ -60,6 +60,7 @@
     let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
     let permit = state.admit(&workspace, prompt_tokens, f64::from(answer_tokens)).await?;
     let fingerprint = intake::fingerprint(state, &workspace, CHAT_PATH, &body);
+    let prompt = prompt_blocks(&body, state.config.cache_block_bytes);
     let request = Request {
         id: RequestId::fresh(),
         workspace,
@@ -71,6 +72,7 @@
         idempotent: true,
         deadline,
         fingerprint,
+        prompt,
     };
     Ok((request, permit))
 }
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -101,6 +101,7 @@
         idempotent,
         deadline,
         fingerprint,
+        prompt: Vec::new(),
     })
 }
 
--- a/crates/entry/src/http/tickets.rs
+++ b/crates/entry/src/http/tickets.rs
@@ -84,5 +84,6 @@
         idempotent: false,
         deadline,
         fingerprint: Fingerprint(0),
+        prompt: Vec::new(),
     })
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_policy::key::Fingerprint;
+use flamingowheel_policy::prefix::{BlockHash, block_hashes};
 use flamingowheel_protocol::id::RequestId;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -31,6 +32,28 @@
     pub deadline: Instant,
     /// Hash of workspace, route and body.
     pub fingerprint: Fingerprint,
+    /// Blocks of the prompt as the engine's prefix cache counts them.
+    pub prompt: Vec<BlockHash>,
+}
+
+/// Blocks of a prompt that routing looks at. What lies beyond can't change a choice by much, and
+/// every block is looked up for every backend server that has those before it.
+pub const MAX_PROMPT_BLOCKS: usize = 256;
+
+/// The blocks of a completion's prompt, which is the body from its first byte on.
+///
+/// Engines hash blocks in ways of their own; this must agree with them in the size, which
+/// [`crate::config::EntryConfig::cache_block_bytes`] gives, and in the hash. Where it does not, no
+/// block is ever found and requests are routed by load alone.
+///
+/// ```
+/// use flamingowheel_entry::request::{MAX_PROMPT_BLOCKS, prompt_blocks};
+/// assert_eq!(prompt_blocks(&[7; 300], 256).len(), 1);
+/// assert_eq!(prompt_blocks(&[7; 300], 1).len(), MAX_PROMPT_BLOCKS);
+/// ```
+pub fn prompt_blocks(body: &[u8], cache_block_bytes: usize) -> Vec<BlockHash> {
+    let longest_bytes = MAX_PROMPT_BLOCKS.saturating_mul(cache_block_bytes);
+    block_hashes(&body[..body.len().min(longest_bytes)], cache_block_bytes)
 }
 
 impl Request {
@@ -47,6 +70,7 @@
             idempotent: true,
             deadline,
             fingerprint: Fingerprint(0),
+            prompt: Vec::new(),
         }
     }
 
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -3,6 +3,7 @@
 use crate::agents::{Agent, Target};
 use flamingowheel_policy::key::{Fingerprint, ScopeKey, ServerKey};
 use flamingowheel_policy::load::{Availability, LoadBook};
+use flamingowheel_policy::prefix::{BlockHash, CacheEvent, PrefixBook, PrefixConfig};
 use flamingowheel_policy::routing::{
     Choice, RouteError, RouteRequest, RoutingConfig, choose, choose_alone,
 };
@@ -30,13 +31,37 @@
     suspicion: Mutex<SuspicionBook>,
 }
 
-#[derive(Default)]
+/// Where a request goes.
+pub struct Routed {
+    /// The choice.
+    pub choice: Choice,
+    /// The agent in front of the backend server.
+    pub agent: Arc<Agent>,
+    /// Without knowledge of prefix caches it would have gone elsewhere.
+    pub by_prefix: bool,
+}
+
 struct State {
     book: LoadBook,
+    prefixes: PrefixBook,
     by_target: HashMap<Target, Vec<ServerKey>>,
     agents: HashMap<ServerKey, Arc<Agent>>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        // Agents send in order and leave a number out where events were lost for good, so there
+        // is nothing to wait for.
+        let config = PrefixConfig { max_pending: 0, ..PrefixConfig::default() };
+        Self {
+            book: LoadBook::default(),
+            prefixes: PrefixBook::new(config),
+            by_target: HashMap::new(),
+            agents: HashMap::new(),
+        }
+    }
+}
+
 impl Default for Router {
     fn default() -> Self {
         Self::new(RoutingConfig::default())
@@ -54,6 +79,8 @@
     pub fn add(&self, server: ServerKey, serves: &Serves, agent: Arc<Agent>) {
         let mut state = self.lock();
         state.book.insert(server);
+        // A new agent process counts its cache events anew.
+        state.prefixes.remove(server);
         state.agents.insert(server, agent);
         let servers = state.by_target.entry(Target::from(serves)).or_default();
         if !servers.contains(&server) {
@@ -70,6 +97,7 @@
         }
         state.agents.remove(&server);
         state.book.remove(server);
+        state.prefixes.remove(server);
         for servers in state.by_target.values_mut() {
             servers.retain(|known| *known != server);
         }
@@ -124,23 +152,54 @@
         }
     }
 
-    /// Chooses a backend server and counts the request that will be sent to it.
+    /// Takes in changes of a backend server's prefix cache.
+    pub fn learn_cache(&self, server: ServerKey, events: Vec<CacheEvent>) {
+        let now = self.started.elapsed();
+        let mut state = self.lock();
+        if !state.agents.contains_key(&server) {
+            return;
+        }
+        for event in events {
+            state.prefixes.on_event(server, event, now);
+        }
+    }
+
+    /// Leading blocks of a prompt that a backend server probably has cached.
+    pub fn covered_blocks(&self, server: ServerKey, prompt: &[BlockHash]) -> f64 {
+        let now = self.started.elapsed();
+        self.lock().prefixes.covered_blocks(server, prompt, now)
+    }
+
+    /// Blocks of prefix caches that are remembered in all.
+    pub fn block_count(&self) -> usize {
+        self.lock().prefixes.block_count()
+    }
+
+    /// Chooses a backend server for a request whose prompt has these blocks, and counts the
+    /// request that will be sent to it.
     pub fn route(
         &self,
         target: &Target,
         request: &RouteRequest<'_>,
         class: &RouteClass,
-    ) -> Result<(Choice, Arc<Agent>), RouteError> {
+        prompt: &[BlockHash],
+    ) -> Result<Routed, RouteError> {
         let now = self.started.elapsed();
         let mut state = self.lock();
         let servers = state.by_target.get(target).ok_or(RouteError::NoneAvailable)?;
-        let no_cost = |_| Some(Duration::ZERO);
+        let extra = state.prefixes.extra_prefill(servers, prompt, now);
         let RouteClass { urgent, max_wait } = *class;
         let config = RoutingConfig { urgent, max_wait, ..self.config };
-        let choice = choose(&config, request, servers, &state.book, now, no_cost)?;
+        let extra_cost = |server| Some(extra.of(server));
+        let choice = choose(&config, request, servers, &state.book, now, extra_cost)?;
+        let by_prefix = extra.is_covered(choice.server) && {
+            let no_cost = |_| Some(Duration::ZERO);
+            let otherwise = choose(&config, request, servers, &state.book, now, no_cost);
+            otherwise.is_ok_and(|otherwise| otherwise.server != choice.server)
+        };
         let agent = state.agents.get(&choice.server).cloned().ok_or(RouteError::NoneAvailable)?;
         state.book.on_sent(choice.server, now);
-        Ok((choice, agent))
+        Ok(Routed { choice, agent, by_prefix })
     }
 
     /// Chooses the one backend server for a request that may have crashed others.
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -53,6 +53,10 @@
     pub router: Router,
     /// Its connections to agents.
     pub agents: Agents,
+    /// What it knows of the backend servers.
+    pub routes: Arc<Routes>,
+    /// Its events.
+    pub recorder: Recorder,
 }
 
 impl Entry {
@@ -88,16 +92,16 @@
         let state = EntryState {
             effective: ArcSwap::new(effective),
             addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
-            dispatcher: Dispatcher::new(Arc::clone(&config), routes, recorder.clone()),
+            dispatcher: Dispatcher::new(Arc::clone(&config), Arc::clone(&routes), recorder.clone()),
             claims: Claims::start(Arc::new(kv.clone()), &config),
-            recorder,
+            recorder: recorder.clone(),
             in_progress: Arc::default(),
             node,
             limiter: Arc::new(Limiter::new(EntryKey::from_name(name))),
             config,
         };
         let router = flamingowheel_entry::http::router(Arc::new(state));
-        Self { fate, router, agents }
+        Self { fate, router, agents, routes, recorder }
     }
 }
 
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -241,6 +241,11 @@
         self.entries[entry] = self.new_entry(entry);
     }
 
+    /// An entry process.
+    pub fn entry(&self, entry: usize) -> &Entry {
+        &self.entries[entry]
+    }
+
     /// An entry's interface towards callers.
     pub fn router(&self, entry: usize) -> axum::Router {
         self.entries[entry].router.clone()
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -3,6 +3,7 @@
 use crate::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use bytes::Bytes;
 pub use flamingowheel_policy::load::Load;
+use flamingowheel_policy::prefix::CacheEvent;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -353,6 +354,9 @@
     /// Suspicions the sender knows of.
     #[serde(rename = "s")]
     Suspicions(Vec<SuspectRecord>),
+    /// Changes of the engine's prefix cache, numbered by the agent; a jump tells of a gap.
+    #[serde(rename = "k")]
+    CacheEvents(Vec<CacheEvent>),
     /// The answer to an order.
     #[serde(rename = "o")]
     OrderAnswer {
@@ -380,7 +384,10 @@
             | Self::Chunk { attempt, .. }
             | Self::End { attempt, .. }
             | Self::Failed { attempt, .. } => Some(*attempt),
-            Self::Heartbeat { .. } | Self::Suspicions(_) | Self::OrderAnswer { .. } => None,
+            Self::Heartbeat { .. }
+            | Self::Suspicions(_)
+            | Self::CacheEvents(_)
+            | Self::OrderAnswer { .. } => None,
         }
     }
 
@@ -399,7 +406,7 @@
             | Self::Chunk { occupancy, .. }
             | Self::End { occupancy, .. }
             | Self::Failed { occupancy, .. } => Some(LoadHint::Occupancy(*occupancy)),
-            Self::Suspicions(_) | Self::OrderAnswer { .. } => None,
+            Self::Suspicions(_) | Self::CacheEvents(_) | Self::OrderAnswer { .. } => None,
         }
     }
 }
