--- a/crates/agent/tests/cache.rs
+++ b/crates/agent/tests/cache.rs
@@ -1,11 +1,19 @@
 //! What an agent makes of its engine's cache events, with a paused clock.
 
+use bytes::Bytes;
 use flamingowheel_agent::cache::{CacheView, DOUBT_LIMIT, MAX_BATCH, MAX_BLOCKS};
-use flamingowheel_platform::backend;
+use flamingowheel_agent::config::AgentConfig;
+use flamingowheel_agent::control::{Command, Control};
+use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::backend::{self, BackendCall, BackendServer, Priority};
+use flamingowheel_platform::fake::{EngineSettings, FakeEngine, text};
 use flamingowheel_policy::prefix::{BlockHash, CacheChange, CacheEvent};
+use flamingowheel_protocol::message::{AgentMessage, BackendProfile, Serves};
 use std::ops::RangeInclusive;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::advance;
+use tokio::sync::mpsc;
+use tokio::time::{advance, sleep};
 
 fn stored(numbers: RangeInclusive<u64>) -> Vec<backend::CacheEvent> {
     let event = |number| backend::CacheEvent { number, block_hash: number, stored: true };
@@ -88,3 +96,49 @@
     let newest = count - MAX_BLOCKS as u64 + 1..=count;
     assert_eq!(view.snapshot().change, CacheChange::Snapshot(blocks(newest)));
 }
+
+async fn prefill(engine: &FakeEngine, body: &Bytes) {
+    let call = BackendCall {
+        id: "call".to_owned(),
+        method: http::Method::POST,
+        path: "/v1/chat/completions".to_owned(),
+        content_type: None,
+        body: body.clone(),
+        priority: Priority::default(),
+        resume_after_events: 0,
+    };
+    let mut answer = engine.call(call).await.unwrap();
+    while answer.body.recv().await.is_some() {}
+}
+
+// A connection is stuck while the cache changes, and the message about it is dropped. Once it moves
+// again the entry must hear of the blocks, or it would not send any prompt to them for good.
+#[tokio::test(start_paused = true)]
+async fn cache_events_connection_stuck_caught_up() {
+    let engine = FakeEngine::new(1, EngineSettings::default());
+    let serves = Serves::Model { model: "m".into(), group: "g".into(), rank: 0 };
+    let profile = BackendProfile { serves, places: 4, can_resume: true, experts: None };
+    let config = AgentConfig::new("runner-1", "a", profile);
+    let recorder = Recorder::for_tests(&config.name);
+    let (control, agent, commands) = Control::new(config, Arc::new(engine.clone()), recorder);
+    tokio::spawn(control.run(commands));
+    // Heartbeat and first snapshot fill the connection.
+    let (sender, mut receiver) = mpsc::channel(2);
+    agent.commands().send(Command::Linked { link: 1, sender }).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    let body = Bytes::from(vec![b'x'; 3 * text::CACHE_BLOCK_BYTES]);
+    prefill(&engine, &body).await;
+    sleep(Duration::from_secs(3)).await;
+    let expected = text::block_hashes(&body).into_iter().map(BlockHash).collect();
+    let expected = CacheChange::Snapshot(expected);
+    let hears = async {
+        while let Some(message) = receiver.recv().await {
+            let AgentMessage::CacheEvents(events) = message else { continue };
+            if events.iter().any(|event| event.change == expected) {
+                return true;
+            }
+        }
+        false
+    };
+    assert_eq!(tokio::time::timeout(Duration::from_secs(5), hears).await, Ok(true));
+}
