--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -105,6 +105,7 @@
         received: Instant::now(),
         deadline,
         fingerprint,
+        prompt: Vec::new(),
     })
 }
 
--- a/crates/entry/src/http/tickets.rs
+++ b/crates/entry/src/http/tickets.rs
@@ -86,5 +86,6 @@
         received: Instant::now(),
         deadline,
         fingerprint: Fingerprint(0),
+        prompt: Vec::new(),
     })
 }
