Bound the stored answers of tickets in bytes

Cause: an agent's records of tickets were bounded by their number only, so 50,000 records of 1 MiB each were allowed: far more memory than a VM has. An agent that is killed for memory loses every record that it was to keep.

Change: all executions under tickets count the bytes that they keep in one counter, chunk overhead included, and take them off when they go. At the bound (agent.record_bytes, 64 MiB unless set) new tickets are refused with RecordsFull; none is forgotten, and old answers are still given. What runs or waits at that moment may exceed the bound by its own answer each. Kept chunks are copied out of the connection's buffer, which they would otherwise hold whole.

Tests: ticket_answers_reach_byte_bound_refused_not_forgotten, idempotent_answers_take_no_record_bytes.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -32,6 +32,9 @@
     pub max_attempt_records: usize,
     /// Tickets remembered at most; new ones are refused beyond it.
     pub max_ticket_records: usize,
+    /// Bytes of tickets' answers remembered at most, over all records; new tickets are refused
+    /// beyond it. What runs at that moment may exceed it by one answer each.
+    pub max_record_bytes: usize,
     /// Bytes of one answer kept for replay.
     pub max_replay_bytes: usize,
     /// How long idempotent work goes on without anybody attached.
@@ -63,6 +66,7 @@
             ticket_windows: 8_640,
             max_attempt_records: 100_000,
             max_ticket_records: 100_000,
+            max_record_bytes: 64 << 20,
             max_replay_bytes: 256 * 1024,
             orphan_limit: Duration::from_secs(10),
         }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -364,13 +364,7 @@
 
     fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
         let (attempt, key) = (dispatch.attempt, dispatch.key);
-        let execution = Arc::new(Execution::new(Work {
-            fingerprint: dispatch.fingerprint,
-            idempotent: dispatch.idempotent,
-            max_replay_bytes: self.config.max_replay_bytes,
-            can_resume: self.config.profile.can_resume,
-            first_chunk: dispatch.resume_after_chunks,
-        }));
+        let execution = Arc::new(self.execution(&dispatch));
         if self.records.insert(key, Arc::clone(&execution)).is_err() {
             return self.refuse(sender, attempt, Refusal::RecordsFull);
         }
@@ -408,6 +402,20 @@
         self.attach(&execution, attempt, sender, from_chunk);
     }
 
+    fn execution(&self, dispatch: &Dispatch) -> Execution {
+        let work = Work {
+            fingerprint: dispatch.fingerprint,
+            idempotent: dispatch.idempotent,
+            max_replay_bytes: self.config.max_replay_bytes,
+            can_resume: self.config.profile.can_resume,
+            first_chunk: dispatch.resume_after_chunks,
+        };
+        match dispatch.key {
+            ExecutionKey::Attempt(_) => Execution::new(work),
+            ExecutionKey::Ticket { .. } => Execution::counted(work, self.records.stored().clone()),
+        }
+    }
+
     fn attach(
         &self,
         execution: &Arc<Execution>,
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -5,6 +5,7 @@
 //! connection and go on from the first chunk it lacks.
 
 use crate::load::LoadCell;
+use crate::stored::StoredBytes;
 use bytes::Bytes;
 use flamingowheel_protocol::id::{AttemptId, Fingerprint};
 use flamingowheel_protocol::message::{AgentMessage, Failure, Occupancy, Refusal};
@@ -20,6 +21,10 @@
 /// Chunks put into one turn of sending.
 const TURN_CHUNKS: usize = 64;
 
+/// Memory that a chunk takes beside its bytes. Without it an answer of very many tiny chunks would
+/// hardly count.
+const CHUNK_OVERHEAD_BYTES: usize = std::mem::size_of::<Bytes>();
+
 /// Media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -67,6 +72,7 @@
     listeners: Vec<Listener>,
     generations: u64,
     unattended_since: Option<Instant>,
+    stored: Option<StoredBytes>,
 }
 
 impl Answer {
@@ -78,15 +84,40 @@
         if let Some(chunk) = self.chunks.pop_front() {
             self.kept_bytes -= chunk.len();
             self.first += 1;
+            if let Some(stored) = &self.stored {
+                stored.remove(chunk.len() + CHUNK_OVERHEAD_BYTES);
+            }
         }
     }
 
+    fn keep(&mut self, chunk: Bytes) {
+        self.kept_bytes += chunk.len();
+        let chunk = match &self.stored {
+            Some(stored) => {
+                stored.add(chunk.len() + CHUNK_OVERHEAD_BYTES);
+                // What came in is a slice of a connection's buffer; kept for an hour it would hold
+                // all of that buffer, which nobody counts.
+                Bytes::copy_from_slice(&chunk)
+            }
+            None => chunk,
+        };
+        self.chunks.push_back(chunk);
+    }
+
     /// The first chunk that some listener may still need sent again.
     fn needed_from(&self) -> Option<u64> {
         self.listeners.iter().map(|listener| listener.next_unacknowledged).min()
     }
 }
 
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let Some(stored) = &self.stored {
+            stored.remove(self.kept_bytes + self.chunks.len() * CHUNK_OVERHEAD_BYTES);
+        }
+    }
+}
+
 /// One execution, shared between the control task, the reading task and the sending tasks.
 #[derive(Debug)]
 pub struct Execution {
@@ -100,11 +131,19 @@
 impl Execution {
     /// An execution that has not begun.
     pub fn new(work: Work) -> Self {
-        let answer = Answer {
-            unattended_since: Some(Instant::now()),
-            first: work.first_chunk,
-            ..Answer::default()
-        };
+        Self::start(work, None)
+    }
+
+    /// The same, whose answer counts as stored for as long as the execution is there.
+    pub fn counted(work: Work, stored: StoredBytes) -> Self {
+        Self::start(work, Some(stored))
+    }
+
+    fn start(work: Work, stored: Option<StoredBytes>) -> Self {
+        let mut answer = Answer::default();
+        answer.unattended_since = Some(Instant::now());
+        answer.first = work.first_chunk;
+        answer.stored = stored;
         Self {
             work,
             answer: Mutex::new(answer),
@@ -253,8 +292,7 @@
             answer.drop_front();
         }
         if let Some(data) = data.take() {
-            answer.kept_bytes += data.len();
-            answer.chunks.push_back(data);
+            answer.keep(data);
         }
         Ok(true)
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod records;
 pub mod runner;
 pub mod serve;
+pub mod stored;
--- a/crates/agent/src/records.rs
+++ b/crates/agent/src/records.rs
@@ -7,6 +7,7 @@
 
 use crate::config::AgentConfig;
 use crate::execution::Execution;
+use crate::stored::StoredBytes;
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Window};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -67,6 +68,8 @@
     ticket_windows: u32,
     max_attempts: usize,
     max_tickets: usize,
+    max_bytes: usize,
+    stored: StoredBytes,
     attempts: Shelf,
     tickets: Shelf,
 }
@@ -81,6 +84,8 @@
             ticket_windows: config.ticket_windows,
             max_attempts: config.max_attempt_records,
             max_tickets: config.max_ticket_records,
+            max_bytes: config.max_record_bytes,
+            stored: StoredBytes::default(),
             attempts: Shelf::default(),
             tickets: Shelf::default(),
         }
@@ -128,9 +133,7 @@
     ) -> Result<(), RecordsFull> {
         match key {
             ExecutionKey::Attempt(_) => self.make_room(),
-            ExecutionKey::Ticket { .. } if self.tickets.records.len() >= self.max_tickets => {
-                return Err(RecordsFull);
-            }
+            ExecutionKey::Ticket { .. } if !self.has_room() => return Err(RecordsFull),
             ExecutionKey::Ticket { .. } => {}
         }
         let window = self.filing_window(key);
@@ -168,6 +171,11 @@
         }
     }
 
+    /// Where the answers of tickets are counted.
+    pub fn stored(&self) -> &StoredBytes {
+        &self.stored
+    }
+
     /// Number of records kept.
     pub fn len(&self) -> usize {
         self.attempts.records.len() + self.tickets.records.len()
@@ -187,6 +195,12 @@
         })
     }
 
+    /// Whether another ticket's answer may be stored. What runs already may exceed the bound by
+    /// its own answers; those are bounded each.
+    fn has_room(&self) -> bool {
+        self.tickets.records.len() < self.max_tickets && self.stored.get() < self.max_bytes
+    }
+
     fn make_room(&mut self) {
         let now = self.window();
         while self.attempts.records.len() >= self.max_attempts {
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -2,9 +2,10 @@
 
 mod session;
 
+use bytes::Bytes;
 use flamingowheel_platform::fake::text::whole_stream;
 use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeService};
-use flamingowheel_protocol::id::{AttemptId, Incarnation};
+use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation};
 use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Failure, Refusal};
 use session::{Session, attach, cancel, config};
 use std::time::Duration;
@@ -172,6 +173,61 @@
     assert_eq!(service.executions(b"crew"), 2);
 }
 
+// The answers of work orders fill the agent's memory before there are many records. New work orders are refused; the answers of old ones are still given, and there is room
+// again once their record time is over.
+#[tokio::test(start_paused = true)]
+async fn ticket_answers_reach_byte_bound_refused_not_forgotten() {
+    let one = FakeService::answer(b"crew", 1).len() + size_of::<Bytes>();
+    let service = FakeService::new(1);
+    let mut config = config();
+    config.ticket_windows = 6;
+    config.max_record_bytes = one * 3 / 2;
+    let mut session = Session::start(service.clone(), config).await;
+    let numbers: Vec<_> = (0..3).map(|_| Uuid::now_v7()).collect();
+    let mut answers = Vec::new();
+    for number in &numbers[..2] {
+        let order = session.order("crew", *number);
+        session.dispatch(&order).await;
+        answers.push(session.whole(order.attempt).await);
+        session.send(EntryMessage::Release { attempt: order.attempt, key: order.key }).await;
+    }
+    let third = session.order("crew", numbers[2]);
+    session.dispatch(&third).await;
+    assert_eq!(session.refusal(third.attempt).await, Refusal::RecordsFull);
+    for (number, answer) in numbers.iter().zip(&answers) {
+        let again = session.order("crew", *number);
+        session.dispatch(&again).await;
+        assert_eq!(session.whole(again.attempt).await, *answer);
+        session.send(EntryMessage::Release { attempt: again.attempt, key: again.key }).await;
+    }
+    assert_eq!(service.executions(b"crew"), 2);
+
+    sleep(Duration::from_secs(120)).await;
+    let mut later = session.order("crew", numbers[2]);
+    let window = flamingowheel_protocol::id::Window(13);
+    later.window = window;
+    later.key = ExecutionKey::Ticket { number: numbers[2], window };
+    session.dispatch(&later).await;
+    session.whole(later.attempt).await;
+    assert_eq!(service.executions(b"crew"), 3);
+}
+
+// Idempotent answers are no records of tickets: many of them must not keep work orders out.
+#[tokio::test(start_paused = true)]
+async fn idempotent_answers_take_no_record_bytes() {
+    let mut config = config();
+    config.max_record_bytes = 1;
+    let mut session = Session::start(FakeService::new(1), config).await;
+    for _ in 0..3 {
+        let request = session.request("status");
+        session.dispatch(&request).await;
+        session.whole(request.attempt).await;
+    }
+    let order = session.order("crew", Uuid::now_v7());
+    session.dispatch(&order).await;
+    session.whole(order.attempt).await;
+}
+
 // The connection to the engine goes silent in the middle of a stream while new ones work. The
 // caller must see the stream go on, without a missing or repeated token.
 #[tokio::test(start_paused = true)]
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -139,6 +139,8 @@
     pub record_window_s: u64,
     /// Most records kept; beyond it new non-idempotent work is refused.
     pub record_capacity: u64,
+    /// Most bytes of answers in records; beyond it new non-idempotent work is refused.
+    pub record_bytes: u64,
     /// Bytes of a stream kept for resuming it.
     pub replay_window_bytes: u64,
 }
--- a/crates/config/src/settings/file.rs
+++ b/crates/config/src/settings/file.rs
@@ -66,6 +66,8 @@
     record_window_s: u64,
     #[serde(default = "defaults::record_capacity")]
     record_capacity: u64,
+    #[serde(default = "defaults::record_bytes")]
+    record_bytes: u64,
     #[serde(default = "defaults::replay_window_bytes")]
     replay_window_bytes: u64,
 }
@@ -96,6 +98,9 @@
     pub fn record_capacity() -> u64 {
         50_000
     }
+    pub fn record_bytes() -> u64 {
+        64 << 20
+    }
     pub fn replay_window_bytes() -> u64 {
         1 << 20
     }
@@ -237,6 +242,7 @@
         problems.range("agent.queue_length", self.queue_length as f64, 0.0, 10_000.0);
         problems.range("agent.record_window_s", self.record_window_s as f64, 60.0, 604_800.0);
         problems.range("agent.record_capacity", self.record_capacity as f64, 100.0, 1e7);
+        problems.range("agent.record_bytes", self.record_bytes as f64, 65_536.0, 1e12);
         let replay = self.replay_window_bytes as f64;
         problems.range("agent.replay_window_bytes", replay, 4_096.0, 1e9);
         let kind = match self.kind {
@@ -250,6 +256,7 @@
             queue_length: self.queue_length,
             record_window_s: self.record_window_s,
             record_capacity: self.record_capacity,
+            record_bytes: self.record_bytes,
             replay_window_bytes: self.replay_window_bytes,
         })
     }
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -125,6 +125,7 @@
     config.operators = Some(operators);
     config.queue_places = own.queue_length as usize;
     config.max_ticket_records = own.record_capacity as usize;
+    config.max_record_bytes = usize::try_from(own.record_bytes).unwrap_or(usize::MAX);
     config.max_replay_bytes = own.replay_window_bytes as usize;
     let windows = own.record_window_s.div_ceil(config.window.as_secs().max(1));
     config.ticket_windows = u32::try_from(windows).unwrap_or(u32::MAX);
