Measure ticketed work and key calls through an outage

Cause: that ticketed work goes on without the key-value service, and how many calls callers' own keys cost, was claimed and not measured.

--- /dev/null
+++ b/crates/proof/benches/outage/keys.rs
@@ -0,0 +1,172 @@
+//! Calls to the key-value service for callers' idempotency keys.
+
+use crate::Failure;
+use flamingowheel_entry::claims::{Claim, Claims};
+use flamingowheel_entry::config::EntryConfig;
+use flamingowheel_platform::BoxFuture;
+use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_platform::kv::{
+    KeyValue, KeyValueError, LeaseId, Revision, Snapshot, Transaction, TransactionAnswer, Watch,
+};
+use flamingowheel_proof::entry::fleet_key;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+const ENTRIES: usize = 8;
+const KEYS_PER_S: [u32; 3] = [10, 100, 650];
+const ANSWER_TIMES: [Duration; 3] =
+    [Duration::from_millis(2), Duration::from_millis(10), Duration::from_millis(50)];
+const LENGTH: Duration = Duration::from_secs(60);
+/// Longer than the service's clients wait.
+const SILENT: Duration = Duration::from_secs(3_600);
+
+/// What the service is like during a measurement.
+#[derive(Clone, Copy)]
+enum Service {
+    Answers(Duration),
+    /// It refuses connections.
+    Refuses,
+    /// It takes calls and answers none.
+    Silent,
+}
+
+/// Counts every call that is tried, served or not.
+#[derive(Clone)]
+struct Counting {
+    kv: FakeKeyValue,
+    transacts: Arc<AtomicU32>,
+    others: Arc<AtomicU32>,
+}
+
+impl Counting {
+    fn count_other(&self) {
+        self.others.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl KeyValue for Counting {
+    fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Snapshot, KeyValueError>> {
+        self.count_other();
+        self.kv.range(prefix)
+    }
+
+    fn transact(
+        &self,
+        transaction: Transaction,
+    ) -> BoxFuture<'_, Result<TransactionAnswer, KeyValueError>> {
+        self.transacts.fetch_add(1, Ordering::Relaxed);
+        self.kv.transact(transaction)
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, KeyValueError>> {
+        self.count_other();
+        self.kv.grant_lease(ttl)
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>> {
+        self.count_other();
+        self.kv.keep_alive(lease)
+    }
+
+    fn revoke_lease(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), KeyValueError>> {
+        self.count_other();
+        self.kv.revoke_lease(lease)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+    ) -> BoxFuture<'a, Result<Watch, KeyValueError>> {
+        self.count_other();
+        self.kv.watch(prefix, after)
+    }
+}
+
+/// Measures all rates.
+pub async fn measure(seed: u64) -> Result<(), Failure> {
+    println!("keys_entries={ENTRIES}");
+    println!("keys_length_s={}", LENGTH.as_secs());
+    for keys_per_s in KEYS_PER_S {
+        for time in ANSWER_TIMES {
+            let name = format!("keys_{keys_per_s}_per_s_answered_in_{}_ms", time.as_millis());
+            run(seed, &name, keys_per_s, Service::Answers(time)).await?;
+        }
+        let name = format!("keys_{keys_per_s}_per_s_service_refuses");
+        run(seed, &name, keys_per_s, Service::Refuses).await?;
+        let name = format!("keys_{keys_per_s}_per_s_service_silent");
+        run(seed, &name, keys_per_s, Service::Silent).await?;
+    }
+    Ok(())
+}
+
+async fn run(seed: u64, name: &str, keys_per_s: u32, service: Service) -> Result<(), Failure> {
+    let kv = FakeKeyValue::new();
+    let counting = Counting { kv: kv.clone(), transacts: Arc::default(), others: Arc::default() };
+    let entries: Vec<_> = (0..ENTRIES).map(|entry| start(entry, &counting)).collect();
+    for (number, claims) in entries.iter().enumerate() {
+        // An entry in use has a lease already.
+        claims.bind("workspace", &format!("first-{number}"), claim()).await?;
+    }
+    match service {
+        Service::Answers(time) => kv.set_delay(time),
+        Service::Refuses => kv.set_down(true),
+        Service::Silent => kv.set_delay(SILENT),
+    }
+    let before = [&counting.transacts, &counting.others].map(|count| count.load(Ordering::Relaxed));
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let (begin, mut calls) = (Instant::now(), JoinSet::new());
+    let (mut asked, mut due_s) = (0_u32, 0.0);
+    while due_s < LENGTH.as_secs_f64() {
+        tokio::time::sleep_until(begin + Duration::from_secs_f64(due_s)).await;
+        let (claims, key) = (entries[rng.random_range(0..ENTRIES)].clone(), format!("key-{asked}"));
+        calls.spawn(async move {
+            let asked = Instant::now();
+            let bound = claims.bind("workspace", &key, claim()).await.is_ok();
+            (bound, asked.elapsed())
+        });
+        asked += 1;
+        due_s += gap_s(&mut rng, keys_per_s);
+    }
+    let counts = [&counting.transacts, &counting.others].map(|count| count.load(Ordering::Relaxed));
+    let per_s = |index: usize| f64::from(counts[index] - before[index]) / LENGTH.as_secs_f64();
+    let mut waits = Vec::new();
+    let mut bound = 0_u32;
+    while let Some(call) = calls.join_next().await {
+        let (is_bound, wait) = call?;
+        bound += u32::from(is_bound);
+        waits.push(wait);
+    }
+    waits.sort_unstable();
+    let p99 = waits[(waits.len() * 99 / 100).min(waits.len() - 1)];
+    println!("{name}_asked={asked}");
+    println!("{name}_bound={bound}");
+    println!("{name}_transactions_per_s={:.2}", per_s(0));
+    println!("{name}_other_calls_per_s={:.2}", per_s(1));
+    println!("{name}_wait_p99_ms={}", p99.as_millis());
+    // A settled service, so that nothing of this run goes on in the next.
+    sleep(Duration::from_secs(5)).await;
+    Ok(())
+}
+
+/// Time to the next arrival of a Poisson process.
+fn gap_s(rng: &mut ChaCha8Rng, per_s: u32) -> f64 {
+    let uniform: f64 = rng.random();
+    -(1.0 - uniform).ln() / f64::from(per_s)
+}
+
+fn start(entry: usize, kv: &Counting) -> Claims {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 8080));
+    let config = EntryConfig::new(&format!("entry-{entry}"), "a", address, fleet_key());
+    Claims::start(Arc::new(kv.clone()), &config)
+}
+
+fn claim() -> Claim {
+    Claim { ticket: "ticket".repeat(50), fingerprint: "0".repeat(32) }
+}
