Keep answers of finished work orders through a planned stop

Cause: an agent's records of tickets are in its memory only. After a planned stop a resend was told "unknown" of work whose whole answer had been known.

Change: a leaving agent writes the whole answers of its finished tickets, up to 64 KiB each, to the key-value service: spread over at most 256 values of at most 512 KiB, many to a transaction, under one lease of the record time. An entry that finds a ticket's home gone or replaced reads the one value that the ticket belongs to, with at most four reads at a time and at most 1 s each, and gives the answer if ticket, agent process and fingerprint are the same. The stop takes 3 s longer at the most. Safety does not lean on it: absence, an error or a slow service mean "unknown", as before.

Tests: crates/proof/tests/stop.rs, seven cases, on the in-memory fleet: same answer after a planned stop, with and without a new process in place; another body; a kill; service down or silent during the stop and during the resend; 600 orders and at most four calls for a stop.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -71,4 +71,9 @@
             orphan_limit: Duration::from_secs(10),
         }
     }
+
+    /// How long a ticket's record is kept.
+    pub fn record_time(&self) -> Duration {
+        self.window * self.ticket_windows
+    }
 }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -25,8 +25,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
+use uuid::Uuid;
 
 /// Commands that may wait for the control task.
 const COMMAND_QUEUE: usize = 1024;
@@ -70,6 +71,8 @@
     Health(Result<LoadReport, BackendError>),
     /// Take no new work from now on.
     Leave,
+    /// Somebody wants all tickets with a whole answer.
+    ListFinished(oneshot::Sender<Vec<(Uuid, Arc<Execution>)>>),
 }
 
 /// What others may see of the agent.
@@ -112,6 +115,13 @@
         }
         let _ = self.status.wait_for(|status| status.drained).await;
     }
+
+    /// All tickets with a whole answer; none if the control task is gone.
+    pub async fn finished_tickets(&self) -> Vec<(Uuid, Arc<Execution>)> {
+        let (list, finished) = oneshot::channel();
+        let _ = self.commands.send(Command::ListFinished(list)).await;
+        finished.await.unwrap_or_default()
+    }
 }
 
 /// Work that was admitted but has not begun.
@@ -239,9 +249,22 @@
             Command::Ended { key, end } => self.on_ended(key, end),
             Command::Health(report) => self.on_health(report),
             Command::Leave => self.leave(LeaveCause::Signal),
+            Command::ListFinished(list) => {
+                let _ = list.send(self.finished_tickets());
+            }
         }
     }
 
+    fn finished_tickets(&self) -> Vec<(Uuid, Arc<Execution>)> {
+        let finished = self.records.executions().filter_map(|(key, execution)| match key {
+            ExecutionKey::Ticket { number, .. } if execution.ending() == Some(Ending::Whole) => {
+                Some((*number, Arc::clone(execution)))
+            }
+            _ => None,
+        });
+        finished.collect()
+    }
+
     /// Takes no new work from now on, and tells every entry at once.
     fn leave(&mut self, cause: LeaveCause) {
         if std::mem::replace(&mut self.leaving, true) {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -6,7 +6,7 @@
 
 use crate::load::LoadCell;
 use crate::stored::StoredBytes;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use flamingowheel_protocol::id::{AttemptId, Fingerprint};
 use flamingowheel_protocol::message::{AgentMessage, Failure, Occupancy, Refusal};
 use std::collections::VecDeque;
@@ -55,6 +55,17 @@
     pub first_chunk: u64,
 }
 
+/// A whole answer, gathered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// Media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
 #[derive(Debug)]
 struct Listener {
     attempt: AttemptId,
@@ -321,6 +332,19 @@
         self.lock().ending
     }
 
+    /// The answer, if all of it is here and its body is not larger than `max_bytes`.
+    pub fn whole_answer(&self, max_bytes: usize) -> Option<WholeAnswer> {
+        let answer = self.lock();
+        let is_whole = answer.ending == Some(Ending::Whole) && answer.first == 0;
+        if !is_whole || answer.kept_bytes > max_bytes {
+            return None;
+        }
+        let (status, content_type) = answer.head.clone()?;
+        let mut body = BytesMut::with_capacity(answer.kept_bytes);
+        answer.chunks.iter().for_each(|chunk| body.extend_from_slice(chunk));
+        Some(WholeAnswer { status, content_type, body: body.freeze() })
+    }
+
     fn lock(&self) -> MutexGuard<'_, Answer> {
         // The data stays consistent: no code panics between two related writes.
         self.answer.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! All decisions are made by one control task that owns the state ([`control`]); the bytes of
 //! answers are moved by other tasks ([`execution`]).
 
+pub mod archive;
 pub mod config;
 pub mod control;
 pub mod execution;
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -10,6 +10,7 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use bytes::{Bytes, BytesMut};
+use flamingowheel_protocol::archive::ArchivedAnswer;
 use flamingowheel_protocol::id::RequestId;
 use flamingowheel_protocol::message::Refusal;
 use http_body::Frame;
@@ -113,6 +114,17 @@
     response
 }
 
+/// Gives the answer that an agent process left behind when it ended.
+pub fn give_archived(answer: ArchivedAnswer, told: &Told) -> Response {
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    insert(headers, header::CONTENT_TYPE, &answer.content_type);
+    insert(headers, HeaderName::from_static(OUTCOME_HEADER), "complete");
+    tell(headers, Some(told.request), told.ticket.as_deref());
+    response
+}
+
 /// Gives an event stream as it comes. Its head can't know the outcome yet: a stream that breaks
 /// off is cut without the end of the chunked body, which clients report as an error.
 fn stream(answer: Answer, told: &Told, state: &EntryState, hold: Hold) -> Response {
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -2,15 +2,17 @@
 
 use crate::agents::Target;
 use crate::claims::{Claim, ClaimError};
-use crate::http::answer::{Told, refuse, respond};
+use crate::events;
+use crate::http::answer::{Told, give_archived, refuse, respond};
 use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
-use crate::outcome::{MalformedRequest, NotRun, TicketRefusal};
+use crate::outcome::{MalformedRequest, NotRun, TicketRefusal, Verdict};
 use crate::request::Request;
 use crate::state::{EntryState, Hold};
 use axum::body::Body;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, Method, Uri, header};
 use axum::response::Response;
+use flamingowheel_observe::event::Event;
 use flamingowheel_protocol::id::RequestId;
 use flamingowheel_protocol::ticket::Ticket;
 use std::sync::Arc;
@@ -64,7 +66,17 @@
 ) -> Response {
     let text = ticket.to_text(&state.config.fleet_key);
     let told = Told { request: request.id, ticket: Some(text), resumable: false };
+    let fingerprint = request.fingerprint;
+    let subject = events::subject(&request);
     let result = state.dispatcher.run_ticket(request, &ticket).await;
+    if let Err(Verdict::Unknown(why)) = &result
+        && why.is_home_gone()
+        && let Some(answer) = state.archive.find(&ticket, fingerprint).await
+    {
+        let ticket = ticket.number.to_string().into();
+        state.recorder.record_about(&subject, Event::TicketReplayed { ticket });
+        return give_archived(answer, &told);
+    }
     respond(result, told, state, hold).await
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod addresses;
 pub mod agents;
+pub mod archive;
 pub mod attempt;
 pub mod claims;
 pub mod config;
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -132,6 +132,13 @@
     TicketHome(Refusal),
 }
 
+impl Unknown {
+    /// Whether the agent process that could tell can't be asked any more.
+    pub fn is_home_gone(self) -> bool {
+        matches!(self, Self::TicketHome(_) | Self::AgentUnreachable | Self::AgentReplaced)
+    }
+}
+
 /// Why a request has no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Verdict {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,6 +1,7 @@
 //! What the handlers of callers' requests share.
 
 use crate::addresses::{AddressBook, demand};
+use crate::archive::Archive;
 use crate::claims::Claims;
 use crate::config::EntryConfig;
 use crate::dispatch::Dispatcher;
@@ -28,6 +29,8 @@
     pub dispatcher: Dispatcher,
     /// Binds idempotency keys.
     pub claims: Claims,
+    /// Answers of agent processes that ended as planned.
+    pub archive: Archive,
     /// Events.
     pub recorder: Recorder,
     /// Requests and streams in progress.
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -4,6 +4,7 @@
 use crate::operators;
 use crate::orders::GateOrders;
 use crate::threads::spawn_control;
+use flamingowheel_agent::archive::Archive;
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{AgentHandle, Control};
 use flamingowheel_agent::serve;
@@ -11,7 +12,7 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::metrics::Metrics;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::client::{BackendKind, HttpBackend, HttpLimits};
+use flamingowheel_platform::client::{BackendKind, EtcdClient, HttpBackend, HttpLimits};
 use flamingowheel_protocol::link::{Keeping, Timing};
 use flamingowheel_protocol::message::{BackendProfile, ExpertShape, Serves};
 use std::net::SocketAddr;
@@ -34,6 +35,8 @@
 pub struct AgentProcess {
     handle: AgentHandle,
     recorder: Recorder,
+    archive: Archive,
+    kv: EtcdClient,
     stop: CancellationToken,
     /// Where operators reach it.
     pub operators: SocketAddr,
@@ -47,6 +50,8 @@
         let operators = bind(settings.listen.operators, "operators").await?;
         let operators_address = operators.local_addr()?;
         let config = config(settings, own, operators_address);
+        let archive =
+            Archive { incarnation: config.incarnation, record_time: config.record_time() };
         let backend = Arc::new(backend(own));
         recorder.record(Event::ProcessStarted {
             version: env!("CARGO_PKG_VERSION").into(),
@@ -67,7 +72,8 @@
         let routes = flamingowheel_observe::http::router(recorder.clone());
         let routes = operators::guard(routes, &settings.operators_token);
         tokio::spawn(serve_http(operators, routes, ListenLimits::default(), stop.clone()));
-        Ok(Self { handle, recorder, stop, operators: operators_address })
+        let kv = crate::entry::key_value(settings);
+        Ok(Self { handle, recorder, archive, kv, stop, operators: operators_address })
     }
 
     /// Takes no new work, and ends when what is in progress is done and read. Gives up waiting
@@ -81,6 +87,8 @@
             }
             None => drained.await,
         }
+        let archived = self.archive.store(&self.handle, &self.kv).await;
+        tracing::info!(archived.finished, archived.written, "answers of tickets archived");
         tokio::time::sleep(LINGER).await;
         self.recorder.record(Event::LeaveFinished {
             waited_ms: began.elapsed().as_millis() as u64,
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -20,6 +20,7 @@
 use flamingowheel_control::websocket::{WebSocketPeers, serve as serve_peers};
 use flamingowheel_entry::addresses::AddressBook;
 use flamingowheel_entry::agents::{Agent, Agents, Connected};
+use flamingowheel_entry::archive::Archive;
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::connector::WebSocketConnector;
@@ -259,6 +260,7 @@
         effective: ArcSwap::from_pointee(Effective::default()),
         addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
         dispatcher: Dispatcher::new(Arc::clone(config), router, recorder.clone()),
+        archive: Archive::new(Arc::clone(kv)),
         claims: Claims::start(Arc::clone(kv), config),
         recorder,
         in_progress: Arc::default(),
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -12,6 +12,7 @@
 use flamingowheel_control::node::Node;
 use flamingowheel_entry::addresses::AddressBook;
 use flamingowheel_entry::agents::{AgentVm, Agents};
+use flamingowheel_entry::archive::Archive;
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::dispatch::Dispatcher;
@@ -89,6 +90,7 @@
             effective: ArcSwap::new(effective),
             addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
             dispatcher: Dispatcher::new(Arc::clone(&config), routes, recorder.clone()),
+            archive: Archive::new(Arc::new(kv.clone())),
             claims: Claims::start(Arc::new(kv.clone()), &config),
             recorder,
             in_progress: Arc::default(),
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -8,6 +8,7 @@
 use crate::oracle::{Kind, Ledger, Runs, Violation, Work};
 use crate::plant::Plant;
 use bytes::Bytes;
+use flamingowheel_agent::archive::Archive;
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{Command, Control};
 use flamingowheel_observe::recorder::Recorder;
@@ -46,6 +47,7 @@
 struct Agent {
     fate: Fate,
     control: AbortHandle,
+    archive: Archive,
     leaving_since: Option<Instant>,
 }
 
@@ -161,6 +163,8 @@
             operators: None,
             role: Role::Agent(config.profile.clone()),
         };
+        let archive =
+            Archive { incarnation: config.incarnation, record_time: config.record_time() };
         let recorder = Recorder::for_tests(&config.name);
         let backend = {
             let (backend, sent) = (self.servers.backend(server), self.sent[server].clone());
@@ -170,7 +174,7 @@
         let control = tokio::spawn(control.run(commands)).abort_handle();
         let endpoint = Endpoint { hello, handle, fate: fate.clone(), seen: Arc::default() };
         self.network.attach(address(server), endpoint);
-        self.agents[server] = Some(Agent { fate, control, leaving_since: None });
+        self.agents[server] = Some(Agent { fate, control, archive, leaving_since: None });
     }
 
     /// Kills an agent process.
@@ -200,6 +204,16 @@
         }
     }
 
+    /// Stops an agent process as planned: it leaves, ends what runs, archives its answers and ends.
+    pub async fn stop_agent(&mut self, server: usize) {
+        self.leave(server).await;
+        let Some(archive) = self.agents[server].as_ref().map(|agent| agent.archive) else { return };
+        let Some(mut endpoint) = self.network.endpoint(address(server)) else { return };
+        endpoint.handle.drain().await;
+        archive.store(&endpoint.handle, &self.kv).await;
+        self.kill_agent(server);
+    }
+
     /// The name of the agent that a ticket names.
     pub fn ticket_home(&self, ticket: &str) -> Option<String> {
         Ticket::from_text(ticket, &fleet_key()).ok().map(|ticket| ticket.agent)
--- /dev/null
+++ b/crates/proof/tests/stop.rs
@@ -0,0 +1,157 @@
+//! Work orders whose agent process ends, as planned or not, before the caller resends.
+
+use bytes::Bytes;
+use flamingowheel_proof::backend::Fate;
+use flamingowheel_proof::caller::{Ask, Call, Told, send};
+use flamingowheel_proof::oracle::Runs;
+use flamingowheel_proof::world::{SERVICES, World};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Longer than a planned stop with nothing in progress may take, and shorter than patience.
+const STOP_LIMIT: Duration = Duration::from_secs(4);
+const TIMEOUT_MS: u64 = 5_000;
+
+/// A finished work order under a ticket, and the server that ran it.
+async fn finished(world: &mut World, body: &'static str) -> (usize, usize) {
+    let work = world.ask_with_ticket(0, Bytes::from_static(body.as_bytes()), TIMEOUT_MS).await;
+    let work = work.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    assert!(matches!(told(world, work, 0), Told::Complete(_)));
+    (work, home(world, work))
+}
+
+fn home(world: &World, work: usize) -> usize {
+    let ticket = world.ledger.get(work).unwrap().ticket.unwrap();
+    let name = world.ticket_home(&ticket).unwrap();
+    (0..SERVICES).find(|server| name == format!("runner-{server}")).unwrap()
+}
+
+fn told(world: &World, work: usize, submission: usize) -> Told {
+    world.ledger.get(work).unwrap().submissions[submission].told.clone()
+}
+
+/// Resends at the other entry and waits for what it is told.
+async fn resent(world: &mut World, work: usize) -> Told {
+    world.resend(1, work, TIMEOUT_MS);
+    world.settle().await.unwrap();
+    told(world, work, 1)
+}
+
+// A VM is replaced as planned right after a work order ended, and the caller, whose own connection
+// was lost, resends it. The answer was known all the time, so the caller must not be told that
+// nobody can know.
+#[tokio::test(start_paused = true)]
+async fn resend_after_planned_stop_same_answer() {
+    let mut world = World::start(None).await;
+    let (work, server) = finished(&mut world, "payout 5").await;
+    world.stop_agent(server).await;
+    world.start_agent(server);
+    assert_eq!(resent(&mut world, work).await, told(&world, work, 0));
+    assert_eq!(world.servers.started(b"payout 5"), 1);
+}
+
+// The same while no new process has come in the old one's place.
+#[tokio::test(start_paused = true)]
+async fn resend_after_planned_stop_home_unreachable() {
+    let mut world = World::start(None).await;
+    let (work, server) = finished(&mut world, "payout 6").await;
+    world.stop_agent(server).await;
+    world.resend(1, work, TIMEOUT_MS);
+    sleep(Duration::from_secs(8)).await;
+    assert_eq!(told(&world, work, 1), told(&world, work, 0));
+    world.settle().await.unwrap();
+    assert_eq!(world.servers.started(b"payout 6"), 1);
+}
+
+// A program reuses a ticket for another work order after the stop. The old answer must not pass
+// for an answer to the new work.
+#[tokio::test(start_paused = true)]
+async fn other_body_after_planned_stop_stays_unknown() {
+    let mut world = World::start(None).await;
+    let (work, server) = finished(&mut world, "box 17").await;
+    world.stop_agent(server).await;
+    world.start_agent(server);
+    sleep(Duration::from_secs(1)).await;
+    let ticket = world.ledger.get(work).unwrap().ticket.unwrap();
+    let body = Bytes::from_static(b"box 18");
+    let call = Call { ask: Ask::Ticket(ticket), body, timeout_ms: TIMEOUT_MS };
+    let told = send(world.router(1), Fate::default(), call).await;
+    assert!(matches!(told, Told::Unknown(_)), "{told:?}");
+    assert_eq!(world.servers.started(b"box 18"), 0);
+}
+
+// The process is killed: nothing is archived, and the resend is told "unknown" and does not run.
+#[tokio::test(start_paused = true)]
+async fn resend_after_kill_stays_unknown() {
+    let mut world = World::start(None).await;
+    let (work, server) = finished(&mut world, "payout 7").await;
+    world.kill_agent(server);
+    world.start_agent(server);
+    let told = resent(&mut world, work).await;
+    assert!(matches!(told, Told::Unknown(_)), "{told:?}");
+    assert_eq!(world.servers.started(b"payout 7"), 1);
+}
+
+// The key-value service refuses connections, or takes calls and never answers, while an agent
+// stops. The stop must end all the same; only the better answer is lost.
+#[tokio::test(start_paused = true)]
+async fn planned_stop_service_down_ends() {
+    for silent in [false, true] {
+        let mut world = World::start(None).await;
+        let (work, server) = finished(&mut world, "payout 8").await;
+        if silent {
+            world.kv.set_answer_limit(Duration::from_secs(3_600));
+            world.kv.set_delay(Duration::from_secs(3_600));
+        } else {
+            world.kv.set_down(true);
+        }
+        let began = Instant::now();
+        world.stop_agent(server).await;
+        assert!(began.elapsed() < STOP_LIMIT, "{:?}", began.elapsed());
+        world.start_agent(server);
+        let told = resent(&mut world, work).await;
+        assert!(matches!(told, Told::Unknown(_)), "{told:?}");
+        assert_eq!(world.servers.started(b"payout 8"), 1);
+    }
+}
+
+// The key-value service goes silent after the stop. Looking the answer up must not hold the caller
+// for longer than a second beyond what it waits today.
+#[tokio::test(start_paused = true)]
+async fn resend_service_silent_told_unknown_soon() {
+    let mut world = World::start(None).await;
+    let (work, server) = finished(&mut world, "payout 9").await;
+    world.stop_agent(server).await;
+    world.start_agent(server);
+    sleep(Duration::from_secs(1)).await;
+    world.kv.set_answer_limit(Duration::from_secs(3_600));
+    world.kv.set_delay(Duration::from_secs(3_600));
+    world.resend(1, work, TIMEOUT_MS);
+    sleep(Duration::from_secs(2)).await;
+    assert!(matches!(told(&world, work, 1), Told::Unknown(_)));
+}
+
+// Hundreds of agents may leave in one roll-out. Each must cost the service's rate a few calls, not
+// one for every answer.
+#[tokio::test(start_paused = true)]
+async fn planned_stop_few_calls() {
+    const ORDERS: usize = 600;
+    let mut world = World::start(None).await;
+    for number in 0..ORDERS {
+        let body = Bytes::from(format!("order {number}"));
+        world.ask_with_ticket(number % 2, body, TIMEOUT_MS).await.unwrap();
+        sleep(Duration::from_millis(20)).await;
+    }
+    let at = |server: &usize| (0..ORDERS).filter(|work| home(&world, *work) == *server).count();
+    let server = (0..SERVICES).max_by_key(at).unwrap();
+    assert!(at(&server) >= ORDERS / SERVICES);
+    let before = world.kv.calls().total();
+    world.stop_agent(server).await;
+    assert!(world.kv.calls().total() - before <= 4);
+    world.start_agent(server);
+    (0..ORDERS).for_each(|work| world.resend(1, work, 30_000));
+    world.settle().await.unwrap();
+    let same = |work: &usize| told(&world, *work, 0) == told(&world, *work, 1);
+    assert_eq!((0..ORDERS).filter(same).count(), ORDERS);
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! The protocol between flamingowheel's own processes: identities, messages, codec, tickets and
 //! authenticated connections.
 
+pub mod archive;
 pub mod auth;
 pub mod codec;
 pub mod id;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -414,7 +414,7 @@
 }
 
 /// Bodies as CBOR byte strings; without it, serde would write an array of numbers.
-mod serde_body {
+pub(crate) mod serde_body {
     use bytes::Bytes;
     use serde::{Deserializer, Serializer};
 
