Tell callers with own keys by their deadline

Cause: an idempotency key was bound without regard to the caller's deadline. With the key-value service silent each batch of 60 takes about a second.

Change: binding ends at the caller's deadline with "not run" (nothing was sent under the key), and claims whose callers gave up are dropped before a batch is written, so that others don't stand behind them.

Tests: crates/proof/tests/keys.rs, two cases; both fail without the change.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// Prefix of all keys written here.
 pub const PREFIX: &str = "flamingowheel/idempotency-keys/";
@@ -42,6 +42,9 @@
     /// What is stored can't be read.
     #[error("stored record of the idempotency key can't be read")]
     Malformed,
+    /// The caller's deadline passed first.
+    #[error("deadline passed before the idempotency key was bound")]
+    DeadlinePassed,
     /// Too many claims wait.
     #[error("too many idempotency keys wait to be bound")]
     Busy,
@@ -69,17 +72,20 @@
         Self { queue }
     }
 
-    /// Binds `key` to `claim`, or returns what it is bound to already.
+    /// Binds `key` to `claim`, or returns what it is bound to already. Gives up at `deadline`; the
+    /// key may be bound all the same, and then stands for a ticket that nothing was sent under.
     pub async fn bind(
         &self,
         workspace: &str,
         key: &str,
         claim: Claim,
+        deadline: Instant,
     ) -> Result<Claim, ClaimError> {
         let (bound, answer) = oneshot::channel();
         let waiting = Waiting { key: record_key(workspace, key), claim, bound };
         self.queue.try_send(waiting).map_err(|_| ClaimError::Busy)?;
-        answer.await.map_err(|_| ClaimError::Busy)?
+        let answer = timeout_at(deadline, answer).await.map_err(|_| ClaimError::DeadlinePassed)?;
+        answer.map_err(|_| ClaimError::Busy)?
     }
 }
 
@@ -108,6 +114,9 @@
     /// Binds the whole batch in at most three transactions: one that hopes that all are new, one
     /// for those that are, and one to read back.
     async fn bind_all(&mut self, batch: &mut Vec<Waiting>) {
+        // With the service silent each batch takes about a second; without this, callers who wait
+        // still would stand behind all who gave up.
+        batch.retain(|waiting| !waiting.bound.is_closed());
         keep_one_per_key(batch);
         for _ in 0..2 {
             if batch.is_empty() {
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -170,12 +170,11 @@
         fingerprint: format!("{:032x}", request.fingerprint.0),
     };
     let wanted = claim.fingerprint.clone();
-    let bound = state.claims.bind(&request.workspace.name, key, claim).await.map_err(
-        |error: ClaimError| {
-            tracing::warn!(%error, "idempotency key not bound");
-            NotRun::KeyNotChecked
-        },
-    )?;
+    let binding = state.claims.bind(&request.workspace.name, key, claim, request.deadline);
+    let bound = binding.await.map_err(|error: ClaimError| {
+        tracing::warn!(%error, "idempotency key not bound");
+        NotRun::KeyNotChecked
+    })?;
     if bound.fingerprint != wanted {
         return Err(NotRun::KeyMismatch);
     }
--- /dev/null
+++ b/crates/proof/tests/keys.rs
@@ -0,0 +1,49 @@
+//! Callers' own idempotency keys while the key-value service is in trouble.
+
+use bytes::Bytes;
+use flamingowheel_proof::caller::Told;
+use flamingowheel_proof::oracle::Runs;
+use flamingowheel_proof::world::World;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const TIMEOUT_MS: u64 = 3_000;
+
+// The key-value service goes silent while very many callers bring keys of their own, and batch
+// after batch waits for an answer that does not come. A caller must be told "not run" by its own
+// deadline, not when all who came before it have been; nothing may run.
+#[tokio::test(start_paused = true)]
+async fn ask_with_key_service_silent_told_by_deadline() {
+    const CALLERS: usize = 900;
+    let mut world = World::start(None).await;
+    world.kv.set_delay(Duration::from_secs(3_600));
+    let body = |number: usize| Bytes::from(format!("order {number}"));
+    for number in 0..CALLERS {
+        world.ask_with_key(0, body(number), TIMEOUT_MS);
+    }
+    sleep(Duration::from_millis(TIMEOUT_MS + 100)).await;
+    for work in world.ledger.all() {
+        let told = &work.submissions[0].told;
+        assert!(matches!(told, Told::NotRun(_)), "{work}");
+    }
+    world.settle().await.unwrap();
+    assert!((0..CALLERS).all(|number| world.servers.started(&body(number)) == 0));
+}
+
+// The service comes back. Callers must not stand behind those that gave up long ago.
+#[tokio::test(start_paused = true)]
+async fn ask_with_key_service_back_bound_soon() {
+    const CALLERS: usize = 900;
+    let mut world = World::start(None).await;
+    world.kv.set_delay(Duration::from_secs(3_600));
+    for number in 0..CALLERS {
+        world.ask_with_key(0, Bytes::from(format!("order {number}")), TIMEOUT_MS);
+    }
+    sleep(Duration::from_millis(TIMEOUT_MS + 100)).await;
+    world.kv.set_delay(Duration::from_millis(400));
+    let last = world.ask_with_key(0, Bytes::from_static(b"the last"), TIMEOUT_MS);
+    sleep(Duration::from_millis(TIMEOUT_MS)).await;
+    let told = world.ledger.get(last).unwrap().submissions.remove(0).told;
+    assert!(matches!(told, Told::Complete(_)), "{told:?}");
+    world.settle().await.unwrap();
+}
