--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -26,8 +26,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
+use uuid::Uuid;
 
 /// Commands that may wait for the control task.
 const COMMAND_QUEUE: usize = 1024;
@@ -73,6 +74,8 @@
     CacheEvents(Poll, Result<Vec<CacheEvent>, BackendError>),
     /// Take no new work from now on.
     Leave,
+    /// Somebody wants all tickets with a whole answer.
+    ListFinished(oneshot::Sender<Vec<(Uuid, Arc<Execution>)>>),
 }
 
 /// What others may see of the agent.
@@ -117,6 +120,13 @@
         }
         let _ = self.status.wait_for(|status| status.drained).await;
     }
+
+    /// All tickets with a whole answer; none if the control task is gone.
+    pub async fn finished_tickets(&self) -> Vec<(Uuid, Arc<Execution>)> {
+        let (list, finished) = oneshot::channel();
+        let _ = self.commands.send(Command::ListFinished(list)).await;
+        finished.await.unwrap_or_default()
+    }
 }
 
 /// Work that was admitted but has not begun.
@@ -257,9 +267,22 @@
             Command::Health(report) => self.on_health(report),
             Command::CacheEvents(poll, events) => self.on_cache_events(poll, events),
             Command::Leave => self.leave(LeaveCause::Signal),
+            Command::ListFinished(list) => {
+                let _ = list.send(self.finished_tickets());
+            }
         }
     }
 
+    fn finished_tickets(&self) -> Vec<(Uuid, Arc<Execution>)> {
+        let finished = self.records.executions().filter_map(|(key, execution)| match key {
+            ExecutionKey::Ticket { number, .. } if execution.ending() == Some(Ending::Whole) => {
+                Some((*number, Arc::clone(execution)))
+            }
+            _ => None,
+        });
+        finished.collect()
+    }
+
     /// Takes no new work from now on, and tells every entry at once.
     fn leave(&mut self, cause: LeaveCause) {
         if std::mem::replace(&mut self.leaving, true) {
@@ -382,13 +405,7 @@
 
     fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
         let (attempt, key) = (dispatch.attempt, dispatch.key);
-        let execution = Arc::new(Execution::new(Work {
-            fingerprint: dispatch.fingerprint,
-            idempotent: dispatch.idempotent,
-            max_replay_bytes: self.config.max_replay_bytes,
-            can_resume: self.config.profile.can_resume,
-            first_chunk: dispatch.resume_after_chunks,
-        }));
+        let execution = Arc::new(self.execution(&dispatch));
         if self.records.insert(key, Arc::clone(&execution)).is_err() {
             return self.refuse(sender, attempt, Refusal::RecordsFull);
         }
@@ -430,6 +447,20 @@
         self.attach(&execution, attempt, sender, from_chunk);
     }
 
+    fn execution(&self, dispatch: &Dispatch) -> Execution {
+        let work = Work {
+            fingerprint: dispatch.fingerprint,
+            idempotent: dispatch.idempotent,
+            max_replay_bytes: self.config.max_replay_bytes,
+            can_resume: self.config.profile.can_resume,
+            first_chunk: dispatch.resume_after_chunks,
+        };
+        match dispatch.key {
+            ExecutionKey::Attempt(_) => Execution::new(work),
+            ExecutionKey::Ticket { .. } => Execution::counted(work, self.records.stored().clone()),
+        }
+    }
+
     fn attach(
         &self,
         execution: &Arc<Execution>,
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -5,7 +5,8 @@
 //! connection and go on from the first chunk it lacks.
 
 use crate::load::LoadCell;
-use bytes::Bytes;
+use crate::stored::StoredBytes;
+use bytes::{Bytes, BytesMut};
 use flamingowheel_protocol::id::{AttemptId, Fingerprint};
 use flamingowheel_protocol::message::{AgentMessage, Failure, Occupancy, Refusal};
 use std::collections::VecDeque;
@@ -20,6 +21,10 @@
 /// Chunks put into one turn of sending.
 const TURN_CHUNKS: usize = 64;
 
+/// Memory that a chunk takes beside its bytes. Without it an answer of very many tiny chunks would
+/// hardly count.
+const CHUNK_OVERHEAD_BYTES: usize = std::mem::size_of::<Bytes>();
+
 /// Media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -50,6 +55,17 @@
     pub first_chunk: u64,
 }
 
+/// A whole answer, gathered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// Media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
 #[derive(Debug)]
 struct Listener {
     attempt: AttemptId,
@@ -67,6 +83,7 @@
     listeners: Vec<Listener>,
     generations: u64,
     unattended_since: Option<Instant>,
+    stored: Option<StoredBytes>,
 }
 
 impl Answer {
@@ -78,15 +95,40 @@
         if let Some(chunk) = self.chunks.pop_front() {
             self.kept_bytes -= chunk.len();
             self.first += 1;
+            if let Some(stored) = &self.stored {
+                stored.remove(chunk.len() + CHUNK_OVERHEAD_BYTES);
+            }
         }
     }
 
+    fn keep(&mut self, chunk: Bytes) {
+        self.kept_bytes += chunk.len();
+        let chunk = match &self.stored {
+            Some(stored) => {
+                stored.add(chunk.len() + CHUNK_OVERHEAD_BYTES);
+                // What came in is a slice of a connection's buffer; kept for an hour it would hold
+                // all of that buffer, which nobody counts.
+                Bytes::copy_from_slice(&chunk)
+            }
+            None => chunk,
+        };
+        self.chunks.push_back(chunk);
+    }
+
     /// The first chunk that some listener may still need sent again.
     fn needed_from(&self) -> Option<u64> {
         self.listeners.iter().map(|listener| listener.next_unacknowledged).min()
     }
 }
 
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let Some(stored) = &self.stored {
+            stored.remove(self.kept_bytes + self.chunks.len() * CHUNK_OVERHEAD_BYTES);
+        }
+    }
+}
+
 /// One execution, shared between the control task, the reading task and the sending tasks.
 #[derive(Debug)]
 pub struct Execution {
@@ -100,11 +142,19 @@
 impl Execution {
     /// An execution that has not begun.
     pub fn new(work: Work) -> Self {
-        let answer = Answer {
-            unattended_since: Some(Instant::now()),
-            first: work.first_chunk,
-            ..Answer::default()
-        };
+        Self::start(work, None)
+    }
+
+    /// The same, whose answer counts as stored for as long as the execution is there.
+    pub fn counted(work: Work, stored: StoredBytes) -> Self {
+        Self::start(work, Some(stored))
+    }
+
+    fn start(work: Work, stored: Option<StoredBytes>) -> Self {
+        let mut answer = Answer::default();
+        answer.unattended_since = Some(Instant::now());
+        answer.first = work.first_chunk;
+        answer.stored = stored;
         Self {
             work,
             answer: Mutex::new(answer),
@@ -253,8 +303,7 @@
             answer.drop_front();
         }
         if let Some(data) = data.take() {
-            answer.kept_bytes += data.len();
-            answer.chunks.push_back(data);
+            answer.keep(data);
         }
         Ok(true)
     }
@@ -283,6 +332,19 @@
         self.lock().ending
     }
 
+    /// The answer, if all of it is here and its body is not larger than `max_bytes`.
+    pub fn whole_answer(&self, max_bytes: usize) -> Option<WholeAnswer> {
+        let answer = self.lock();
+        let is_whole = answer.ending == Some(Ending::Whole) && answer.first == 0;
+        if !is_whole || answer.kept_bytes > max_bytes {
+            return None;
+        }
+        let (status, content_type) = answer.head.clone()?;
+        let mut body = BytesMut::with_capacity(answer.kept_bytes);
+        answer.chunks.iter().for_each(|chunk| body.extend_from_slice(chunk));
+        Some(WholeAnswer { status, content_type, body: body.freeze() })
+    }
+
     fn lock(&self) -> MutexGuard<'_, Answer> {
         // The data stays consistent: no code panics between two related writes.
         self.answer.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! All decisions are made by one control task that owns the state ([`control`]); the bytes of
 //! answers are moved by other tasks ([`execution`]).
 
+pub mod archive;
 pub mod cache;
 pub mod config;
 pub mod control;
@@ -12,3 +13,4 @@
 pub mod records;
 pub mod runner;
 pub mod serve;
+pub mod stored;
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -3,9 +3,9 @@
 use crate::agents::Target;
 use crate::claims::{Claim, ClaimError};
 use crate::events;
-use crate::http::answer::{Told, refuse, respond};
+use crate::http::answer::{Told, give_archived, refuse, respond};
 use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
-use crate::outcome::{MalformedRequest, NotRun, TicketRefusal};
+use crate::outcome::{MalformedRequest, NotRun, TicketRefusal, Verdict};
 use crate::request::Request;
 use crate::state::{EntryState, Hold};
 use axum::body::Body;
@@ -67,7 +67,17 @@
 ) -> Response {
     let text = ticket.to_text(&state.config.fleet_key);
     let told = Told { request: request.id, ticket: Some(text), resumable: false };
+    let fingerprint = request.fingerprint;
+    let subject = events::subject(&request);
     let result = state.dispatcher.run_ticket(request, &ticket).await;
+    if let Err(Verdict::Unknown(why)) = &result
+        && why.is_home_gone()
+        && let Some(answer) = state.archive.find(&ticket, fingerprint).await
+    {
+        let ticket = ticket.number.to_string().into();
+        state.recorder.record_about(&subject, Event::TicketReplayed { ticket });
+        return give_archived(answer, &told);
+    }
     respond(result, told, state, hold).await
 }
 
@@ -163,12 +173,11 @@
         fingerprint: format!("{:032x}", request.fingerprint.0),
     };
     let wanted = claim.fingerprint.clone();
-    let bound = state.claims.bind(&request.workspace.name, key, claim).await.map_err(
-        |error: ClaimError| {
-            tracing::warn!(%error, "idempotency key not bound");
-            NotRun::KeyNotChecked
-        },
-    )?;
+    let binding = state.claims.bind(&request.workspace.name, key, claim, request.deadline);
+    let bound = binding.await.map_err(|error: ClaimError| {
+        tracing::warn!(%error, "idempotency key not bound");
+        NotRun::KeyNotChecked
+    })?;
     if bound.fingerprint != wanted {
         return Err(NotRun::KeyMismatch);
     }
