Hold the head of an answer until its first piece; split the two largest files

Cause: engines send a stream's head at once, so an attempt that failed before its first token ended as a broken stream although the caller had nothing yet; a ticket could only be given up within 1 s, and a lost cancel was not repeated. Change: the answer is given to the caller with its first piece, and until then a failed attempt is followed by another as the budget allows; cancels are repeated each second, and giving up a ticket takes until the caller's deadline. The control task and the dispatcher are cut into rooms by their jobs. Conclusion: a crash before the first token no longer reaches the caller.

--- /dev/null
+++ b/crates/agent/src/control/health.rs
@@ -0,0 +1,146 @@
+//! The backend server as seen from here: crashes, suspects, its prefix cache.
+
+use super::{Command, Control, fingerprint_name};
+use crate::cache::Poll;
+use crate::records::Record;
+use flamingowheel_observe::event::Event;
+use flamingowheel_platform::backend::{BackendError, CacheEvent, LoadReport};
+use flamingowheel_policy::suspicion::CrashId;
+use flamingowheel_protocol::message::{AgentMessage, Serves};
+use std::sync::Arc;
+
+impl Control {
+    /// When the backend server dies, whatever ran is what may have killed it.
+    pub(super) fn note_suspects(&mut self) {
+        if self.suspects.is_empty() {
+            self.suspects = self.running.values().map(|running| running.fingerprint).collect();
+        }
+        self.check_health();
+    }
+
+    pub(super) fn check_health(&mut self) {
+        if std::mem::replace(&mut self.checking_health, true) {
+            return;
+        }
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        self.traffic.spawn(async move {
+            let report = backend.load().await;
+            let _ = commands.send(Command::Health(report)).await;
+        });
+    }
+
+    /// A lost connection alone is no crash: the backend server must be gone or be a new process.
+    pub(super) fn on_health(&mut self, report: Result<LoadReport, BackendError>) {
+        self.checking_health = false;
+        let was_up = std::mem::replace(&mut self.backend_up, report.is_ok());
+        if was_up != self.backend_up {
+            self.broadcast(&self.heartbeat());
+            if self.backend_up {
+                let backend_server = self.config.name.as_str().into();
+                self.recorder.record(Event::EngineReady { backend_server });
+            }
+        }
+        let process = report.ok().map(|report| report.process_id);
+        self.note_process(process);
+        let suspects = std::mem::take(&mut self.suspects);
+        let died = process.is_none() || process != self.backend_process;
+        if process.is_some() {
+            self.backend_process = process;
+        }
+        if suspects.is_empty() || !died {
+            return;
+        }
+        self.crash_count += 1;
+        let crash = CrashId { server: self.server(), number: rand::random() };
+        self.suspicion.on_crash(crash, &suspects, self.started.elapsed());
+        for fingerprint in &suspects {
+            let fingerprint = fingerprint_name(*fingerprint);
+            self.recorder.record(Event::SuspectMarked { fingerprint, crashes: self.crash_count });
+        }
+        self.recorder.record(Event::EngineCrashed {
+            backend_server: self.config.name.as_str().into(),
+            running: u32::try_from(suspects.len()).unwrap_or(u32::MAX),
+        });
+        self.tell_suspicions();
+    }
+
+    /// A new engine process has an empty cache; what was known would send prompts there in vain.
+    pub(super) fn note_process(&mut self, process: Option<u64>) {
+        let is_other = process.is_some() && process != self.backend_process;
+        if is_other && self.backend_process.is_some() && self.has_prefix_cache() {
+            let snapshot = self.cache.start_over();
+            self.tell_cache(vec![snapshot]);
+        }
+    }
+
+    /// Passes on what changed. Only news counts as a change, so this comes to an end.
+    pub(super) fn tell_suspicions(&mut self) {
+        let changes = self.suspicion.take_changes(self.started.elapsed());
+        if !changes.is_empty() {
+            self.broadcast(&AgentMessage::Suspicions(changes));
+        }
+    }
+
+    /// An entry that died can't cancel what it sent; without this the work would go on for nobody.
+    pub(super) fn stop_orphans(&self) {
+        for key in self.running.keys() {
+            let Some(Record::Execution(execution)) = self.records.get(*key) else { continue };
+            let unattended = execution.unattended_since().map(|since| since.elapsed());
+            let orphaned = unattended.is_some_and(|time| time >= self.config.orphan_limit);
+            if orphaned && execution.work().idempotent {
+                execution.stop_token().cancel();
+            }
+        }
+    }
+
+    pub(super) fn has_prefix_cache(&self) -> bool {
+        matches!(self.config.profile.serves, Serves::Model { .. })
+    }
+
+    pub(super) fn poll_cache(&mut self) {
+        if !self.has_prefix_cache() || std::mem::replace(&mut self.polling_cache, true) {
+            return;
+        }
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        let poll = self.cache.poll();
+        self.traffic.spawn(async move {
+            let events = backend.cache_events(poll.after).await;
+            let _ = commands.send(Command::CacheEvents(poll, events)).await;
+        });
+    }
+
+    /// After a failed poll the next one asks for the same events again.
+    pub(super) fn on_cache_events(
+        &mut self,
+        poll: Poll,
+        events: Result<Vec<CacheEvent>, BackendError>,
+    ) {
+        self.polling_cache = false;
+        let mut told = self.cache.on_events(poll, events.unwrap_or_default());
+        told.extend(self.cache.expire());
+        if !told.is_empty() {
+            self.tell_cache(told);
+        }
+    }
+
+    /// A connection that is stuck misses the message and later gets all that is known instead.
+    pub(super) fn tell_cache(&mut self, events: Vec<flamingowheel_policy::prefix::CacheEvent>) {
+        let message = AgentMessage::CacheEvents(events);
+        for (link, sender) in &self.links {
+            if sender.try_send(message.clone()).is_err() {
+                self.behind.insert(*link);
+            }
+        }
+    }
+
+    pub(super) fn catch_up(&mut self) {
+        if self.behind.is_empty() {
+            return;
+        }
+        let message = AgentMessage::CacheEvents(vec![self.cache.snapshot()]);
+        let links = &self.links;
+        self.behind.retain(|link| {
+            links.get(link).is_some_and(|sender| sender.try_send(message.clone()).is_err())
+        });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/questions.rs
@@ -0,0 +1,95 @@
+//! Answers about attempts that lost their connection or their caller.
+
+use super::{Control, Question};
+use crate::execution::{Ending, Execution};
+use crate::records::Record;
+use flamingowheel_protocol::id::ExecutionKey;
+use flamingowheel_protocol::message::{AgentMessage, Failure, Refusal};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+impl Control {
+    pub(super) fn on_attach(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        from_chunk: u64,
+    ) {
+        let attempt = question.attempt;
+        if question.incarnation != self.config.incarnation {
+            return self.fail(sender, attempt, Failure::RecordGone);
+        }
+        if self.records.is_buried(attempt) {
+            return self.refuse_unrecorded(sender, attempt, Refusal::Cancelled);
+        }
+        match self.records.get(question.key) {
+            Some(Record::Execution(execution)) => {
+                let execution = Arc::clone(execution);
+                self.attach(&execution, attempt, sender, from_chunk);
+            }
+            Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
+            None if self.is_forgotten(&question) => {
+                self.fail(sender, attempt, Failure::RecordGone);
+            }
+            None => self.refuse(sender, attempt, Refusal::NeverArrived),
+        }
+    }
+
+    pub(super) fn on_cancel(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        void_ticket: bool,
+    ) {
+        let (attempt, key) = (question.attempt, question.key);
+        if question.incarnation != self.config.incarnation {
+            return self.fail(sender, attempt, Failure::RecordGone);
+        }
+        match self.records.get(key) {
+            Some(Record::Execution(execution)) => {
+                let execution = Arc::clone(execution);
+                self.cancel_execution(sender, question, &execution);
+            }
+            Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
+            None if self.is_forgotten(&question) => {
+                self.fail(sender, attempt, Failure::RecordGone);
+            }
+            None => {
+                // The dispatch may still be on its way. Without the tombstone it would run after
+                // the caller was told that it did not.
+                if void_ticket && self.records.bury(key).is_err() {
+                    return self.fail(sender, attempt, Failure::Cancelled);
+                }
+                self.refuse(sender, attempt, Refusal::Cancelled);
+            }
+        }
+    }
+
+    pub(super) fn cancel_execution(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        execution: &Arc<Execution>,
+    ) {
+        let (attempt, key) = (question.attempt, question.key);
+        if let Some(Ending::NotRun(_)) = execution.ending() {
+            return self.refuse(sender, attempt, Refusal::Cancelled);
+        }
+        let others = execution.detach(attempt);
+        let waiting = self.pending.contains_key(&key);
+        if waiting && !others {
+            self.admission.cancel(key);
+            self.give_up(key, Refusal::Cancelled);
+            return self.refuse(sender, attempt, Refusal::Cancelled);
+        }
+        if execution.work().idempotent && !others {
+            execution.stop_token().cancel();
+        }
+        self.fail(sender, attempt, Failure::Cancelled);
+    }
+
+    pub(super) fn is_forgotten(&self, question: &Question) -> bool {
+        self.records.is_forgotten(ExecutionKey::Attempt(question.attempt), question.window)
+            || self.records.is_forgotten(question.key, question.window)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/record.rs
@@ -0,0 +1,38 @@
+//! What the control task records of executions.
+
+use super::{Control, Running, subject, ticket_name};
+use crate::records::Record;
+use crate::runner::RunEnd;
+use flamingowheel_observe::event::Event;
+use flamingowheel_protocol::id::ExecutionKey;
+use flamingowheel_protocol::message::Dispatch;
+
+impl Control {
+    pub(super) fn record_start(&self, dispatch: &Dispatch) {
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let attempt = dispatch.attempt.number;
+        self.recorder.record_about(&subject(dispatch), Event::Started { attempt, running });
+        if let ExecutionKey::Ticket { .. } = dispatch.key {
+            let ticket = ticket_name(dispatch.key);
+            self.record_ticket(dispatch, Event::TicketRun { ticket });
+        }
+    }
+
+    pub(super) fn record_ticket(&self, dispatch: &Dispatch, event: Event) {
+        self.recorder.record_about(&subject(dispatch), event);
+    }
+
+    pub(super) fn record_end(&self, key: ExecutionKey, running: &Running, end: RunEnd) {
+        let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        // A run without a whole answer is told by the attempt's end at the entry.
+        if end != RunEnd::Whole {
+            return;
+        }
+        let event = Event::Finished {
+            attempt: running.attempt,
+            chunks: execution.chunk_count(),
+            duration_ms: running.since.elapsed().as_millis() as u64,
+        };
+        self.recorder.record_about(&running.subject, event);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/control/work.rs
@@ -0,0 +1,227 @@
+//! Admission, start and end of work.
+
+use super::{Control, Pending, Running, fingerprint_name, subject, ticket_name};
+use crate::execution::{Ending, Execution, Work};
+use crate::records::Record;
+use crate::runner::{self, RunEnd};
+use flamingowheel_observe::event::Event;
+use flamingowheel_policy::admission::{Admitted, Offer, Priority};
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::suspicion::Verdict;
+use flamingowheel_protocol::id::{ExecutionKey, Fingerprint};
+use flamingowheel_protocol::message::{AgentMessage, Dispatch, Failure, Refusal};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+impl Control {
+    pub(super) fn on_dispatch(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        dispatch: Box<Dispatch>,
+    ) {
+        let (attempt, key) = (dispatch.attempt, dispatch.key);
+        if dispatch.incarnation != self.config.incarnation {
+            // No record is needed: this process never runs what names another.
+            return self.refuse_unrecorded(sender, attempt, Refusal::WrongIncarnation);
+        }
+        if self.records.is_buried(attempt) {
+            return self.refuse_unrecorded(sender, attempt, Refusal::Cancelled);
+        }
+        match self.records.get(key) {
+            Some(Record::Tombstone) => return self.refuse(sender, attempt, Refusal::Cancelled),
+            Some(Record::Execution(execution)) => {
+                let execution = Arc::clone(execution);
+                return self.on_known(sender, &dispatch, &execution);
+            }
+            None => {}
+        }
+        if self.records.is_forgotten(ExecutionKey::Attempt(attempt), dispatch.window)
+            || self.records.is_forgotten(key, dispatch.window)
+        {
+            return self.refuse_unrecorded(sender, attempt, Refusal::Expired);
+        }
+        if let Some(refusal) = self.objection(&dispatch) {
+            return self.refuse(sender, attempt, refusal);
+        }
+        self.admit(sender, dispatch);
+    }
+
+    /// A resend of a ticket joins the one execution; a copy of the same dispatch changes nothing.
+    pub(super) fn on_known(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        dispatch: &Dispatch,
+        execution: &Arc<Execution>,
+    ) {
+        if execution.has_listener(dispatch.attempt) {
+            return;
+        }
+        if execution.work().fingerprint != dispatch.fingerprint {
+            return self.refuse(sender, dispatch.attempt, Refusal::TicketMismatch);
+        }
+        if matches!(dispatch.key, ExecutionKey::Attempt(_)) {
+            // A late copy of a dispatch whose answer was already read.
+            return;
+        }
+        self.accept(sender, dispatch.attempt);
+        self.record_ticket(dispatch, Event::TicketReplayed { ticket: ticket_name(dispatch.key) });
+        self.attach(execution, dispatch.attempt, sender, 0);
+    }
+
+    pub(super) fn objection(&mut self, dispatch: &Dispatch) -> Option<Refusal> {
+        if self.leaving {
+            return Some(Refusal::Leaving);
+        }
+        if dispatch.remaining_ms == 0 {
+            return Some(Refusal::DeadlinePassed);
+        }
+        match self.suspicion.verdict(dispatch.fingerprint, self.started.elapsed()) {
+            Verdict::Refused { .. } => Some(Refusal::Suspect),
+            Verdict::Alone { crashed } if crashed.contains(&self.server()) => {
+                Some(Refusal::Suspect)
+            }
+            Verdict::Alone { .. } | Verdict::Clear => None,
+        }
+    }
+
+    pub(super) fn server(&self) -> ServerKey {
+        ServerKey::from_name(&self.config.name)
+    }
+
+    pub(super) fn admit(&mut self, sender: &mpsc::Sender<AgentMessage>, dispatch: Box<Dispatch>) {
+        let (attempt, key) = (dispatch.attempt, dispatch.key);
+        let execution = Arc::new(self.execution(&dispatch));
+        if self.records.insert(key, Arc::clone(&execution)).is_err() {
+            return self.refuse(sender, attempt, Refusal::RecordsFull);
+        }
+        let offer = Offer {
+            id: key,
+            priority: Priority(dispatch.priority),
+            last_try: dispatch.last_try,
+            deadline: self.started.elapsed() + Duration::from_millis(dispatch.remaining_ms),
+        };
+        let from_chunk = dispatch.resume_after_chunks;
+        let (fingerprint, dispatch_alone) = (dispatch.fingerprint, dispatch.alone);
+        let about = subject(&dispatch);
+        self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
+        let alone = dispatch_alone || self.must_run_alone(fingerprint);
+        let admitted = match alone {
+            true => self.admission.offer_alone(offer),
+            false => self.admission.offer(offer),
+        };
+        match admitted {
+            Admitted::Full(_) => {
+                self.pending.remove(&key);
+                self.records.remove_ticket(key);
+                return self.refuse(sender, attempt, Refusal::Full);
+            }
+            Admitted::Start => {
+                self.accept(sender, attempt);
+                self.start(key);
+            }
+            Admitted::Queued { shed } => {
+                self.accept(sender, attempt);
+                let queued = u32::from(self.load().waiting);
+                let event = Event::Admitted { attempt: attempt.number, queued };
+                self.recorder.record_about(&about, event);
+                if let Some(shed) = shed {
+                    self.give_up(shed, Refusal::Full);
+                }
+            }
+        }
+        self.attach(&execution, attempt, sender, from_chunk);
+    }
+
+    pub(super) fn execution(&self, dispatch: &Dispatch) -> Execution {
+        let work = Work {
+            fingerprint: dispatch.fingerprint,
+            idempotent: dispatch.idempotent,
+            max_replay_bytes: self.config.max_replay_bytes,
+            can_resume: self.config.profile.can_resume,
+            first_chunk: dispatch.resume_after_chunks,
+        };
+        match dispatch.key {
+            ExecutionKey::Attempt(_) => Execution::new(work),
+            ExecutionKey::Ticket { .. } => Execution::counted(work, self.records.stored().clone()),
+        }
+    }
+
+    /// A request that may kill the backend server runs with nothing beside it, so that it can't
+    /// take others down and so that a crash convicts it alone.
+    pub(super) fn must_run_alone(&mut self, fingerprint: Fingerprint) -> bool {
+        let verdict = self.suspicion.verdict(fingerprint, self.started.elapsed());
+        matches!(verdict, Verdict::Alone { .. })
+    }
+
+    pub(super) fn start(&mut self, key: ExecutionKey) {
+        let Some(Pending { dispatch, execution }) = self.pending.remove(&key) else { return };
+        let running = Running {
+            fingerprint: dispatch.fingerprint,
+            subject: subject(&dispatch),
+            attempt: dispatch.attempt.number,
+            since: Instant::now(),
+        };
+        self.running.insert(key, running);
+        self.record_start(&dispatch);
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        self.traffic.spawn(runner::run(backend, dispatch, execution, commands));
+    }
+
+    pub(super) fn on_ended(&mut self, key: ExecutionKey, end: RunEnd) {
+        if matches!(end, RunEnd::Failed(Failure::BackendLost)) {
+            self.note_suspects();
+        }
+        if matches!(end, RunEnd::NotStarted) {
+            // Before the callers hear "not run", no late copy may be able to run.
+            self.bury_all(key);
+            self.finish(key, Ending::NotRun(Refusal::BackendDown));
+            self.records.remove_ticket(key);
+        }
+        let Some(running) = self.running.remove(&key) else { return };
+        self.record_end(key, &running, end);
+        if end == RunEnd::Whole {
+            self.clear(running.fingerprint);
+        }
+        let mut next = self.admission.finish(running.since.elapsed());
+        while let Some(key) = next {
+            self.start(key);
+            next = self.admission.start_next();
+        }
+    }
+
+    pub(super) fn clear(&mut self, fingerprint: Fingerprint) {
+        let now = self.started.elapsed();
+        if self.suspicion.verdict(fingerprint, now) == Verdict::Clear {
+            return;
+        }
+        self.suspicion.on_finished(fingerprint, now);
+        let fingerprint = fingerprint_name(fingerprint);
+        self.recorder.record(Event::SuspectCleared { fingerprint });
+    }
+
+    /// Ends work that has not begun.
+    pub(super) fn give_up(&mut self, key: ExecutionKey, refusal: Refusal) {
+        self.bury_all(key);
+        self.pending.remove(&key);
+        self.finish(key, Ending::NotRun(refusal));
+        self.records.remove_ticket(key);
+    }
+
+    pub(super) fn bury_all(&mut self, key: ExecutionKey) {
+        let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        for attempt in Arc::clone(execution).attempts() {
+            // An attempt of idempotent work has its execution as record already.
+            if ExecutionKey::Attempt(attempt) != key {
+                self.records.bury_attempt(attempt);
+            }
+        }
+    }
+
+    pub(super) fn finish(&self, key: ExecutionKey, ending: Ending) {
+        if let Some(Record::Execution(execution)) = self.records.get(key) {
+            execution.finish(ending);
+        }
+    }
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,6 +17,9 @@
 /// An attempt that hears nothing for this long asks its agent about itself.
 const PROBE_AFTER: Duration = Duration::from_secs(3);
 
+/// A cancel without an answer is sent again after this time.
+const CANCEL_AGAIN: Duration = Duration::from_secs(1);
+
 /// Not sent yet.
 #[derive(Debug)]
 pub struct Prepared {
@@ -212,7 +215,8 @@
         let deadline = Instant::now() + limit;
         loop {
             send_cancel(&line.connected, &self.identity, void_ticket);
-            match line.answer_to_cancel(deadline).await {
+            let again_at = deadline.min(Instant::now() + CANCEL_AGAIN);
+            match line.answer_to_cancel(again_at).await {
                 CancelAnswer::Refused(refusal) => {
                     line.over = true;
                     return Ok(refusal);
@@ -221,7 +225,11 @@
                     line.over = true;
                     return Err(AttemptEnd::Failed(failure));
                 }
-                CancelAnswer::Late => return Err(AttemptEnd::DeadlinePassed),
+                CancelAnswer::Late if Instant::now() >= deadline => {
+                    return Err(AttemptEnd::DeadlinePassed);
+                }
+                // The cancel or its answer went missing; saying it again does no harm.
+                CancelAnswer::Late => {}
                 CancelAnswer::Lost => line.reconnect(deadline).await?,
             }
         }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -37,6 +37,8 @@
     request: Request,
     head: Head,
     attempt: Option<Attempt<Streaming>>,
+    /// Read before the answer was given to the caller.
+    first: Option<Piece>,
     origin: Origin,
     router: Arc<Router>,
     log: SubjectRecorder,
@@ -56,7 +58,7 @@
         reconnect_limit: Duration,
     ) -> Self {
         let attempt = Some(attempt);
-        Self { request, head, attempt, origin, router, log, reconnect_limit }
+        Self { request, head, attempt, first: None, origin, router, log, reconnect_limit }
     }
 
     /// Status and media type.
@@ -88,11 +90,21 @@
         })
     }
 
+    /// Gives it back a piece that was read already.
+    pub fn with_first(mut self, first: Piece) -> Self {
+        self.first = Some(first);
+        self
+    }
+
     /// The next piece. After an error or the end there is none.
     pub async fn next(&mut self) -> Result<Piece, Verdict> {
         loop {
             let Some(attempt) = self.attempt.as_mut() else { return Ok(Piece::End) };
-            match attempt.next().await {
+            let next = match self.first.take() {
+                Some(first) => Ok(first),
+                None => attempt.next().await,
+            };
+            match next {
                 Ok(Piece::End) => {
                     self.finish();
                     return Ok(Piece::End);
