Try the key-value service's addresses in turn

Cause: settings list several addresses, and only the first was used, so one member of the service that was being replaced was an outage for the fleet.

Change: a client over one client for each address. It stays at the address that answers. At one that refuses the connection or leaves a call without an answer it moves on. Reads, watches and lease renewals are sent again; a write goes to another address only if the first refused the connection, so that it can't have taken effect. Refusals of the service itself are passed on.

--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -12,7 +12,7 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::metrics::Metrics;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::client::{BackendKind, EtcdClient, HttpBackend, HttpLimits};
+use flamingowheel_platform::client::{BackendKind, EtcdClient, Failover, HttpBackend, HttpLimits};
 use flamingowheel_protocol::link::{Keeping, Timing};
 use flamingowheel_protocol::message::{BackendProfile, ExpertShape, Serves};
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     handle: AgentHandle,
     recorder: Recorder,
     archive: Archive,
-    kv: EtcdClient,
+    kv: Failover<EtcdClient>,
     stop: CancellationToken,
     /// Where operators reach it.
     pub operators: SocketAddr,
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -31,7 +31,7 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::client::{EtcdClient, HttpLimits, HttpVmList};
+use flamingowheel_platform::client::{EtcdClient, Failover, HttpLimits, HttpVmList};
 use flamingowheel_platform::kv::KeyValue;
 use flamingowheel_platform::vm::VmList;
 use flamingowheel_policy::key::EntryKey;
@@ -284,15 +284,14 @@
     FleetKey::new(Sha256::digest(settings.fleet_key.expose()).into())
 }
 
-/// The client of the key-value service.
-pub fn key_value(settings: &Settings) -> EtcdClient {
-    // Settings without an address don't pass their check.
-    let address = settings.key_value.addresses[0];
+/// The client of the key-value service, at all of its addresses.
+pub fn key_value(settings: &Settings) -> Failover<EtcdClient> {
     let limits = HttpLimits {
         head_ms: settings.key_value.timeout_ms,
         ..flamingowheel_platform::client::etcd::default_limits()
     };
-    EtcdClient::new(authority(address), limits)
+    let client = |address: &SocketAddr| EtcdClient::new(authority(*address), limits.clone());
+    Failover::new(settings.key_value.addresses.iter().map(client).collect())
 }
 
 fn vm_list(settings: &Settings) -> Arc<dyn VmList> {
--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod etcd;
+pub mod failover;
 pub mod http;
 pub mod orders;
 pub mod split;
@@ -11,6 +12,7 @@
 
 pub use backend::{BackendKind, HttpBackend};
 pub use etcd::EtcdClient;
+pub use failover::Failover;
 pub use http::{HttpClient, HttpError, HttpLimits};
 pub use orders::HttpOrders;
 pub use vm::HttpVmList;
