--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -3,6 +3,7 @@
 //! It takes commands one at a time and never waits for the network, so every decision sees a
 //! consistent state.
 
+use crate::cache::{CacheView, Poll};
 use crate::config::AgentConfig;
 use crate::execution::{Ending, Execution, Work};
 use crate::load::LoadCell;
@@ -13,15 +14,15 @@
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::backend::{BackendError, BackendServer, LoadReport};
+use flamingowheel_platform::backend::{BackendError, BackendServer, CacheEvent, LoadReport};
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Admitted, Offer, Priority};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::suspicion::{CrashId, SuspicionBook, SuspicionConfig, Verdict};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
 use flamingowheel_protocol::message::{
-    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal,
+    AgentMessage, Dispatch, EntryMessage, Failure, Load, Refusal, Serves,
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -69,6 +70,8 @@
     },
     /// The backend server answered a health check, or did not.
     Health(Result<LoadReport, BackendError>),
+    /// The engine answered a poll for cache events, or did not.
+    CacheEvents(Poll, Result<Vec<CacheEvent>, BackendError>),
     /// Take no new work from now on.
     Leave,
     /// Somebody wants all tickets with a whole answer.
@@ -82,6 +85,8 @@
     pub leaving: bool,
     /// Leaving, nothing runs or waits, and every answer has been read.
     pub drained: bool,
+    /// Requests waiting for a place.
+    pub waiting_count: usize,
     /// Records kept.
     pub record_count: usize,
     /// Times the backend server died.
@@ -153,6 +158,10 @@
     backend_process: Option<u64>,
     backend_up: bool,
     checking_health: bool,
+    cache: CacheView,
+    polling_cache: bool,
+    /// Connections that a message about the cache could not be sent over.
+    behind: HashSet<u64>,
     suspects: Vec<Fingerprint>,
     crash_count: u32,
     commands: mpsc::Sender<Command>,
@@ -197,6 +206,9 @@
             backend_process: None,
             backend_up: true,
             checking_health: false,
+            cache: CacheView::default(),
+            polling_cache: false,
+            behind: HashSet::new(),
             suspects: Vec::new(),
             crash_count: 0,
             commands: commands.clone(),
@@ -240,14 +252,20 @@
                 if !known.is_empty() {
                     reply(&sender, AgentMessage::Suspicions(known));
                 }
+                if self.has_prefix_cache() {
+                    // Without it a new entry would know nothing of what has been cached so far.
+                    reply(&sender, AgentMessage::CacheEvents(vec![self.cache.snapshot()]));
+                }
                 self.links.insert(link, sender);
             }
             Command::Unlinked { link } => {
                 self.links.remove(&link);
+                self.behind.remove(&link);
             }
             Command::Received { sender, message } => self.receive(&sender, message),
             Command::Ended { key, end } => self.on_ended(key, end),
             Command::Health(report) => self.on_health(report),
+            Command::CacheEvents(poll, events) => self.on_cache_events(poll, events),
             Command::Leave => self.leave(LeaveCause::Signal),
             Command::ListFinished(list) => {
                 let _ = list.send(self.finished_tickets());
@@ -399,6 +417,7 @@
         };
         let from_chunk = dispatch.resume_after_chunks;
         let (fingerprint, dispatch_alone) = (dispatch.fingerprint, dispatch.alone);
+        let about = subject(&dispatch);
         self.pending.insert(key, Pending { dispatch, execution: Arc::clone(&execution) });
         let alone = dispatch_alone || self.must_run_alone(fingerprint);
         let admitted = match alone {
@@ -417,6 +436,9 @@
             }
             Admitted::Queued { shed } => {
                 self.accept(sender, attempt);
+                let queued = u32::from(self.load().waiting);
+                let event = Event::Admitted { attempt: attempt.number, queued };
+                self.recorder.record_about(&about, event);
                 if let Some(shed) = shed {
                     self.give_up(shed, Refusal::Full);
                 }
@@ -482,9 +504,9 @@
             self.records.remove_ticket(key);
         }
         let Some(running) = self.running.remove(&key) else { return };
-        self.record_end(key, &running);
+        self.record_end(key, &running, end);
         if end == RunEnd::Whole {
-            self.suspicion.on_finished(running.fingerprint, self.started.elapsed());
+            self.clear(running.fingerprint);
         }
         let mut next = self.admission.finish(running.since.elapsed());
         while let Some(key) = next {
@@ -493,6 +515,16 @@
         }
     }
 
+    fn clear(&mut self, fingerprint: Fingerprint) {
+        let now = self.started.elapsed();
+        if self.suspicion.verdict(fingerprint, now) == Verdict::Clear {
+            return;
+        }
+        self.suspicion.on_finished(fingerprint, now);
+        let fingerprint = fingerprint_name(fingerprint);
+        self.recorder.record(Event::SuspectCleared { fingerprint });
+    }
+
     /// Ends work that has not begun.
     fn give_up(&mut self, key: ExecutionKey, refusal: Refusal) {
         self.bury_all(key);
@@ -626,8 +658,13 @@
         let was_up = std::mem::replace(&mut self.backend_up, report.is_ok());
         if was_up != self.backend_up {
             self.broadcast(&self.heartbeat());
+            if self.backend_up {
+                let backend_server = self.config.name.as_str().into();
+                self.recorder.record(Event::EngineReady { backend_server });
+            }
         }
         let process = report.ok().map(|report| report.process_id);
+        self.note_process(process);
         let suspects = std::mem::take(&mut self.suspects);
         let died = process.is_none() || process != self.backend_process;
         if process.is_some() {
@@ -639,6 +676,10 @@
         self.crash_count += 1;
         let crash = CrashId { server: self.server(), number: rand::random() };
         self.suspicion.on_crash(crash, &suspects, self.started.elapsed());
+        for fingerprint in &suspects {
+            let fingerprint = fingerprint_name(*fingerprint);
+            self.recorder.record(Event::SuspectMarked { fingerprint, crashes: self.crash_count });
+        }
         self.recorder.record(Event::EngineCrashed {
             backend_server: self.config.name.as_str().into(),
             running: u32::try_from(suspects.len()).unwrap_or(u32::MAX),
@@ -646,6 +687,62 @@
         self.tell_suspicions();
     }
 
+    /// A new engine process has an empty cache; what was known would send prompts there in vain.
+    fn note_process(&mut self, process: Option<u64>) {
+        let is_other = process.is_some() && process != self.backend_process;
+        if is_other && self.backend_process.is_some() && self.has_prefix_cache() {
+            let snapshot = self.cache.start_over();
+            self.tell_cache(vec![snapshot]);
+        }
+    }
+
+    fn has_prefix_cache(&self) -> bool {
+        matches!(self.config.profile.serves, Serves::Model { .. })
+    }
+
+    fn poll_cache(&mut self) {
+        if !self.has_prefix_cache() || std::mem::replace(&mut self.polling_cache, true) {
+            return;
+        }
+        let (backend, commands) = (Arc::clone(&self.backend), self.commands.clone());
+        let poll = self.cache.poll();
+        self.traffic.spawn(async move {
+            let events = backend.cache_events(poll.after).await;
+            let _ = commands.send(Command::CacheEvents(poll, events)).await;
+        });
+    }
+
+    /// After a failed poll the next one asks for the same events again.
+    fn on_cache_events(&mut self, poll: Poll, events: Result<Vec<CacheEvent>, BackendError>) {
+        self.polling_cache = false;
+        let mut told = self.cache.on_events(poll, events.unwrap_or_default());
+        told.extend(self.cache.expire());
+        if !told.is_empty() {
+            self.tell_cache(told);
+        }
+    }
+
+    /// A connection that is stuck misses the message and later gets all that is known instead.
+    fn tell_cache(&mut self, events: Vec<flamingowheel_policy::prefix::CacheEvent>) {
+        let message = AgentMessage::CacheEvents(events);
+        for (link, sender) in &self.links {
+            if sender.try_send(message.clone()).is_err() {
+                self.behind.insert(*link);
+            }
+        }
+    }
+
+    fn catch_up(&mut self) {
+        if self.behind.is_empty() {
+            return;
+        }
+        let message = AgentMessage::CacheEvents(vec![self.cache.snapshot()]);
+        let links = &self.links;
+        self.behind.retain(|link| {
+            links.get(link).is_some_and(|sender| sender.try_send(message.clone()).is_err())
+        });
+    }
+
     /// Passes on what changed. Only news counts as a change, so this comes to an end.
     fn tell_suspicions(&mut self) {
         let changes = self.suspicion.take_changes(self.started.elapsed());
@@ -661,6 +758,8 @@
         }
         self.stop_orphans();
         self.check_health();
+        self.catch_up();
+        self.poll_cache();
         self.tell_suspicions();
         self.broadcast(&self.heartbeat());
     }
@@ -691,8 +790,12 @@
         self.recorder.record_about(&subject(dispatch), event);
     }
 
-    fn record_end(&self, key: ExecutionKey, running: &Running) {
+    fn record_end(&self, key: ExecutionKey, running: &Running, end: RunEnd) {
         let Some(Record::Execution(execution)) = self.records.get(key) else { return };
+        // A run without a whole answer is told by the attempt's end at the entry.
+        if end != RunEnd::Whole {
+            return;
+        }
         let event = Event::Finished {
             attempt: running.attempt,
             chunks: execution.chunk_count(),
@@ -713,6 +816,8 @@
         refusal: Refusal,
     ) {
         self.records.bury_attempt(attempt);
+        let event = Event::TombstoneWritten { attempt: attempt.number };
+        self.recorder.record_about(&Subject::request(attempt.request.0), event);
         self.refuse_unrecorded(sender, attempt, refusal);
     }
 
@@ -759,6 +864,7 @@
         let status = AgentStatus {
             leaving: self.leaving,
             drained,
+            waiting_count: usize::from(self.load().waiting),
             record_count: self.records.len(),
             crash_count: self.crash_count,
             backend_up: self.backend_up,
@@ -776,6 +882,10 @@
     Subject::request(dispatch.attempt.request.0).workspace(dispatch.workspace.as_str())
 }
 
+fn fingerprint_name(fingerprint: Fingerprint) -> Name {
+    format!("{:032x}", fingerprint.0).into()
+}
+
 fn ticket_name(key: ExecutionKey) -> Name {
     match key {
         ExecutionKey::Ticket { number, .. } => number.to_string().into(),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 //! answers are moved by other tasks ([`execution`]).
 
 pub mod archive;
+pub mod cache;
 pub mod config;
 pub mod control;
 pub mod execution;
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -5,7 +5,7 @@
 use crate::http::{CHAT_PATH, RESUMABLE_HEADER, intake};
 use crate::limits::Permit;
 use crate::outcome::{MalformedRequest, NotRun};
-use crate::request::Request;
+use crate::request::{Request, prompt_blocks};
 use crate::state::{EntryState, Hold};
 use axum::body::Body;
 use axum::extract::State;
@@ -14,6 +14,7 @@
 use flamingowheel_protocol::id::RequestId;
 use serde::Deserialize;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// The part of a request that routing needs; the engine reads the rest.
 #[derive(Deserialize)]
@@ -60,6 +61,7 @@
     let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
     let permit = state.admit(&workspace, prompt_tokens, f64::from(answer_tokens)).await?;
     let fingerprint = intake::fingerprint(state, &workspace, CHAT_PATH, &body);
+    let prompt = prompt_blocks(&body, state.config.cache_block_bytes);
     let request = Request {
         id: RequestId::fresh(),
         workspace,
@@ -69,8 +71,10 @@
         content_type: Some("application/json".to_owned()),
         body,
         idempotent: true,
+        received: Instant::now(),
         deadline,
         fingerprint,
+        prompt,
     };
     Ok((request, permit))
 }
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -16,6 +16,7 @@
 use flamingowheel_protocol::id::RequestId;
 use flamingowheel_protocol::ticket::Ticket;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Takes a service call.
 pub async fn call(
@@ -111,8 +112,10 @@
         content_type: content_type.map(str::to_owned),
         body,
         idempotent,
+        received: Instant::now(),
         deadline,
         fingerprint,
+        prompt: Vec::new(),
     })
 }
 
@@ -178,6 +181,9 @@
     if bound.fingerprint != wanted {
         return Err(NotRun::KeyMismatch);
     }
-    Ticket::from_text(&bound.ticket, &state.config.fleet_key)
-        .map_err(|error| TicketRefusal::Invalid(error).into())
+    let ticket = Ticket::from_text(&bound.ticket, &state.config.fleet_key)
+        .map_err(TicketRefusal::Invalid)?;
+    let event = Event::TicketBound { ticket: ticket.number.to_string().into() };
+    state.recorder.record_about(&events::subject(request), event);
+    Ok(ticket)
 }
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -10,7 +10,7 @@
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::workspace::{Overrides, Workspace};
 use flamingowheel_control::node::Node;
-use flamingowheel_entry::addresses::AddressBook;
+use flamingowheel_entry::addresses::{AddressBook, EntryMember};
 use flamingowheel_entry::agents::{AgentVm, Agents};
 use flamingowheel_entry::archive::Archive;
 use flamingowheel_entry::claims::Claims;
@@ -54,6 +54,10 @@
     pub router: Router,
     /// Its connections to agents.
     pub agents: Agents,
+    /// What it knows of the backend servers.
+    pub routes: Arc<Routes>,
+    /// Its events.
+    pub recorder: Recorder,
 }
 
 impl Entry {
@@ -78,31 +82,42 @@
         let fate = Fate::default();
         let connector = NetworkConnector::new(network.clone(), hello, fate.clone());
         let routes = Arc::new(Routes::default());
-        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes));
+        let recorder = Recorder::for_tests(name);
+        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes), recorder.clone());
         let vm = |address: &SocketAddr| AgentVm { address: *address, leaving: false };
         agents.set_vms(&addresses.iter().map(vm).collect::<Vec<_>>());
-        let recorder = Recorder::for_tests(name);
         let node = Node::new(record(&config), recorder.clone());
         node.adopt(Replica::new(documents()), ConfigSource::Watch);
         node.confirm_by_service();
         let effective = node.effective().borrow().clone();
         let state = EntryState {
             effective: ArcSwap::new(effective),
-            addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
-            dispatcher: Dispatcher::new(Arc::clone(&config), routes, recorder.clone()),
+            addresses: ArcSwap::from_pointee(AddressBook::new(&[], members())),
+            dispatcher: Dispatcher::new(Arc::clone(&config), Arc::clone(&routes), recorder.clone()),
             archive: Archive::new(Arc::new(kv.clone())),
             claims: Claims::start(Arc::new(kv.clone()), &config),
-            recorder,
+            recorder: recorder.clone(),
             in_progress: Arc::default(),
             node,
             limiter: Arc::new(Limiter::new(EntryKey::from_name(name))),
             config,
         };
         let router = flamingowheel_entry::http::router(Arc::new(state));
-        Self { fate, router, agents }
+        Self { fate, router, agents, routes, recorder }
     }
 }
 
+/// The entries that callers may be sent to.
+fn members() -> Vec<EntryMember> {
+    let member = |entry: u16| EntryMember {
+        name: format!("entry-{entry}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 8080 + entry)),
+        data_centre: "a".to_owned(),
+        leaving: false,
+    };
+    (0..2).map(member).collect()
+}
+
 fn record(config: &EntryConfig) -> MemberRecord {
     let address = config.caller_address;
     MemberRecord {
