Measure what knowledge of prefix caches saves

Cause: the model had no prompts, so no figure told what the entry's new knowledge is worth.

Change: the model draws prompts with shared beginnings, where asked to, and keeps a cache for each server; the routing bench prints the share of prefill saved with and without.

--- a/crates/policy/benches/model/config.rs
+++ b/crates/policy/benches/model/config.rs
@@ -53,6 +53,25 @@
     pub same_body_share: f64,
     /// Draw candidates by the body's fingerprint rather than anew for every request.
     pub seeded: bool,
+    /// Prompts with shared prefixes; their prefill comes on top of the service.
+    pub prompts: Option<PromptsConfig>,
+}
+
+/// Requests of conversations whose prompts begin alike.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptsConfig {
+    /// Different shared beginnings; the n-th is asked for in proportion to 1/n.
+    pub prefixes: usize,
+    /// Blocks of a shared beginning.
+    pub prefix_blocks: usize,
+    /// Blocks of a prompt's own end.
+    pub own_blocks: usize,
+    /// Blocks that a backend server's cache holds.
+    pub cache_blocks: usize,
+    /// Time between two messages about a cache.
+    pub told_every: Duration,
+    /// Whether entries are told at all.
+    pub told: bool,
 }
 
 /// What one class met.
@@ -84,6 +103,10 @@
     pub work_done_s: f64,
     /// How often the one same body ran on each backend server.
     pub same_body_runs: Vec<u64>,
+    /// Blocks of the prompts that were started.
+    pub prompt_blocks: u64,
+    /// Those of them that were cached where they were started.
+    pub cached_blocks: u64,
 }
 
 impl Figures {
@@ -108,6 +131,11 @@
         runs.iter().take(8).sum::<u64>() as f64 / all.max(1) as f64
     }
 
+    /// Share of all prefill that caches saved.
+    pub fn prefill_saved_share(&self) -> f64 {
+        self.cached_blocks as f64 / self.prompt_blocks.max(1) as f64
+    }
+
     pub fn wait_s(&self, quantile: f64) -> f64 {
         let mut all = self.classes[0].wait_us.clone();
         for class in &self.classes[1..] {
--- a/crates/policy/benches/model/mod.rs
+++ b/crates/policy/benches/model/mod.rs
@@ -8,6 +8,7 @@
 pub mod baseline;
 pub mod config;
 pub mod limits;
+pub mod prompts;
 pub mod server;
 
 use std::cmp::Reverse;
@@ -17,6 +18,7 @@
 use flamingowheel_policy::admission::{Admitted, Offer};
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use flamingowheel_policy::load::LoadBook;
+use flamingowheel_policy::prefix::{BlockHash, CacheEvent, PrefixBook, PrefixConfig};
 use flamingowheel_policy::retry::{LastTry, RetryBudget, RetryConfig, RetryRequest};
 use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
 use rand::{RngExt, SeedableRng};
@@ -25,6 +27,7 @@
 use baseline::BaselineBook;
 use config::ClassFigures;
 pub use config::{Chooser, Class, Figures, ModelConfig};
+use prompts::Prompts;
 use server::{Server, Started};
 
 /// One way between an entry and an agent.
@@ -41,6 +44,7 @@
     Finish { server: usize, generation: u64 },
     Chunk { request: RequestId },
     TakeReport { server: usize },
+    TellCache { server: usize },
     OutageStarts,
     OutageEnds,
 }
@@ -56,9 +60,11 @@
     started: Duration,
     counted: bool,
     same_body: bool,
+    prompt: Vec<BlockHash>,
 }
 
 struct Entry {
+    prefixes: PrefixBook,
     book: LoadBook,
     baseline: BaselineBook,
     budget: RetryBudget,
@@ -74,6 +80,9 @@
     entries: Vec<Entry>,
     servers: Vec<Server>,
     keys: Vec<ServerKey>,
+    prompts: Option<Prompts>,
+    /// Cache events that entries have not heard yet, of each server.
+    untold: Vec<Vec<CacheEvent>>,
     figures: Figures,
 }
 
@@ -86,6 +95,7 @@
             book.insert(*key);
         }
         let entry = || Entry {
+            prefixes: PrefixBook::new(PrefixConfig { max_pending: 0, ..PrefixConfig::default() }),
             book: book.clone(),
             baseline: BaselineBook::new(config.servers),
             budget: RetryBudget::new(RetryConfig::default()),
@@ -95,7 +105,10 @@
             tries: 0,
             work_done_s: 0.0,
             same_body_runs: vec![0; config.servers],
+            prompt_blocks: 0,
+            cached_blocks: 0,
         };
+        let prompts = config.prompts.map(|prompts| Prompts::new(prompts, config.servers));
         Self {
             rng: ChaCha8Rng::seed_from_u64(config.seed),
             now: Duration::ZERO,
@@ -105,6 +118,8 @@
             entries: (0..config.entries).map(|_| entry()).collect(),
             servers: (0..config.servers).map(|_| Server::new(config.admission)).collect(),
             keys,
+            prompts,
+            untold: vec![Vec::new(); config.servers],
             figures,
             config,
         }
@@ -116,6 +131,12 @@
             let offset = self.config.report_every.mul_f64(self.rng.random());
             self.at(offset, Event::TakeReport { server });
         }
+        if let Some(prompts) = self.config.prompts {
+            for server in 0..self.config.servers {
+                let offset = prompts.told_every.mul_f64(self.rng.random());
+                self.at(offset, Event::TellCache { server });
+            }
+        }
         if let Some(outage) = self.config.outage {
             self.at(outage.from, Event::OutageStarts);
             self.at(outage.until, Event::OutageEnds);
@@ -152,6 +173,7 @@
             Event::Finish { server, generation } => self.finish(server, generation),
             Event::Chunk { request } => self.chunk(request),
             Event::TakeReport { server } => self.report(server),
+            Event::TellCache { server } => self.tell_cache(server),
             Event::OutageStarts => self.start_outage(),
             Event::OutageEnds => self.servers.iter_mut().for_each(|server| server.down = false),
         }
@@ -168,6 +190,10 @@
         let class = self.draw_class();
         let counted = self.now >= self.config.warm_up;
         self.figures.classes[class].arrived += u64::from(counted);
+        let prompt = match &mut self.prompts {
+            Some(prompts) => prompts.draw(&mut self.rng),
+            None => Vec::new(),
+        };
         self.requests.push(Request {
             arrived: self.now,
             entry: self.rng.random_range(0..self.config.entries),
@@ -179,6 +205,7 @@
             started: Duration::ZERO,
             counted,
             same_body,
+            prompt,
         });
         self.route(self.requests.len() - 1);
     }
@@ -228,8 +255,9 @@
             ..routing
         };
         let route = RouteRequest { fingerprint: request.fingerprint, tried: &request.tried };
-        let no_cost = |_| Some(Duration::ZERO);
-        let choice = choose(&routing, &route, &self.keys, &entry.book, self.now, no_cost);
+        let extra = entry.prefixes.extra_prefill(&self.keys, &request.prompt, self.now);
+        let extra_cost = |server| Some(extra.of(server));
+        let choice = choose(&routing, &route, &self.keys, &entry.book, self.now, extra_cost);
         let choice = choice.ok()?;
         Some((self.index_of(choice.server)?, choice.last_try))
     }
@@ -296,8 +324,19 @@
         if request.same_body {
             self.figures.same_body_runs[server] += 1;
         }
+        let mut prefill = self.config.prefill;
+        if let Some(prompts) = &mut self.prompts {
+            let (cached, events) = prompts.start(server, &request.prompt);
+            prefill = prompts.prefill(request.prompt.len() - cached);
+            request.work += prefill;
+            self.untold[server].extend(events);
+            if request.counted {
+                self.figures.prompt_blocks += request.prompt.len() as u64;
+                self.figures.cached_blocks += cached as u64;
+            }
+        }
         let work = request.work;
-        self.servers[server].start(Started { id, left: work, to_first_token: self.config.prefill });
+        self.servers[server].start(Started { id, left: work, to_first_token: prefill });
         self.carry_load(id, server);
         self.schedule(server);
         if matches!(self.config.chooser, Chooser::Shipping(_)) {
@@ -372,6 +411,20 @@
         self.after(self.config.report_every, Event::TakeReport { server });
     }
 
+    /// What has changed since the last time reaches every entry, if they are told at all.
+    fn tell_cache(&mut self, server: usize) {
+        let Some(prompts) = self.config.prompts else { return };
+        let events = std::mem::take(&mut self.untold[server]);
+        if prompts.told {
+            for entry in &mut self.entries {
+                for event in &events {
+                    entry.prefixes.on_event(self.keys[server], event.clone(), self.now);
+                }
+            }
+        }
+        self.after(prompts.told_every, Event::TellCache { server });
+    }
+
     fn start_outage(&mut self) {
         let Some(outage) = self.config.outage else { return };
         let down = (self.config.servers as f64 * outage.share).round() as usize;
--- a/crates/policy/benches/overload.rs
+++ b/crates/policy/benches/overload.rs
@@ -138,5 +138,6 @@
         outage: None,
         same_body_share: 0.0,
         seeded: true,
+        prompts: None,
     }
 }
--- a/crates/policy/benches/routing.rs
+++ b/crates/policy/benches/routing.rs
@@ -9,9 +9,11 @@
 use flamingowheel_policy::admission::{AdmissionConfig, Priority};
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use flamingowheel_policy::load::{Load, LoadBook};
+use flamingowheel_policy::prefix::{BlockHash, CacheChange, CacheEvent, PrefixBook, PrefixConfig};
 use flamingowheel_policy::routing::{RouteRequest, RoutingConfig, choose};
 
 use model::baseline::{Baseline, Rule};
+use model::config::PromptsConfig;
 use model::{Chooser, Class, Figures, Model, ModelConfig};
 
 const SERVERS: usize = 64;
@@ -37,7 +39,9 @@
         println!("shipping_{entries}_entries_wait_p99_vs_best_of_2_with_8={ratio:.4}");
     }
     same_body(seed);
+    shared_prefixes(seed);
     println!("shipping_choose_ns={:.0}", choose_ns());
+    println!("prefix_choose_ns={:.0}", prefix_choose_ns());
     ExitCode::SUCCESS
 }
 
@@ -74,6 +78,39 @@
     }
 }
 
+/// Prefill that caches save with and without knowledge of them, on one trace of prompts that begin
+/// alike: 200 beginnings of 24 blocks, 8 blocks of their own, caches of 40 whole prompts.
+fn shared_prefixes(seed: u64) {
+    for load in [0.5, 0.9] {
+        for (name, told) in [("without", false), ("with", true)] {
+            let prompts = PromptsConfig {
+                prefixes: 200,
+                prefix_blocks: 24,
+                own_blocks: 8,
+                cache_blocks: 40 * 32,
+                told_every: Duration::from_millis(500),
+                told,
+            };
+            // Prefill of a whole prompt adds 320 ms to a service of 2 s; the load counts it in full.
+            let load_with_prefill = load * 2.0 / 2.32;
+            let config = ModelConfig {
+                prompts: Some(prompts),
+                load: load_with_prefill,
+                ..config(seed, ENTRIES, shipping())
+            };
+            let figures = run(config);
+            let name = format!("prefix_load_{load:.1}_{name}_knowledge");
+            println!("{name}_prefill_saved_share={:.4}", figures.prefill_saved_share());
+            let first_token = &figures.classes[0].first_token_us;
+            println!("{name}_first_token_mean_s={:.4}", first_token.mean() / 1e6);
+            let p99 = first_token.value_at_quantile(0.99) as f64 / 1e6;
+            println!("{name}_first_token_p99_s={p99:.4}");
+            println!("{name}_tries={:.4}", figures.tries_per_request());
+            println!("{name}_refused={:.6}", figures.refused_share());
+        }
+    }
+}
+
 /// Time of one decision over a cell of 64 backend servers with fresh knowledge of a half.
 fn choose_ns() -> f64 {
     const ROUNDS: u32 = 200_000;
@@ -97,6 +134,34 @@
     start.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
 }
 
+/// The same for a prompt of 32 blocks of which every eighth backend server has 24.
+fn prefix_choose_ns() -> f64 {
+    const ROUNDS: u32 = 50_000;
+    let keys: Vec<ServerKey> = (0..SERVERS as u64).map(ServerKey).collect();
+    let now = Duration::from_secs(10);
+    let prompt: Vec<BlockHash> = (0..32).map(BlockHash).collect();
+    let (mut book, mut prefixes) = (LoadBook::default(), PrefixBook::new(PrefixConfig::default()));
+    for (index, key) in keys.iter().enumerate() {
+        book.insert(*key);
+        let load = Load { running: 7, waiting: 0, places: 8, service_ms: 2_000 };
+        book.on_report(*key, load, now);
+        if index % 8 == 0 {
+            let change = CacheChange::Stored(prompt[..24].to_vec());
+            prefixes.on_event(*key, CacheEvent { number: 1, change }, now);
+        }
+    }
+    let config = RoutingConfig::default();
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let request = RouteRequest { fingerprint: Fingerprint(u128::from(round)), tried: &[] };
+        let extra = prefixes.extra_prefill(&keys, &prompt, now);
+        let extra_cost = |server| Some(extra.of(server));
+        let choice = choose(&config, &request, &keys, &book, now, extra_cost);
+        std::hint::black_box(choice.is_ok());
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
+
 fn shipping() -> Chooser {
     Chooser::Shipping(RoutingConfig::default())
 }
@@ -131,6 +196,7 @@
         outage: None,
         same_body_share: 0.0,
         seeded: true,
+        prompts: None,
     }
 }
 
