--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -10,7 +10,7 @@
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::workspace::{Overrides, Workspace};
 use flamingowheel_control::node::Node;
-use flamingowheel_entry::addresses::AddressBook;
+use flamingowheel_entry::addresses::{AddressBook, EntryMember};
 use flamingowheel_entry::agents::{AgentVm, Agents};
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
@@ -81,17 +81,17 @@
         let fate = Fate::default();
         let connector = NetworkConnector::new(network.clone(), hello, fate.clone());
         let routes = Arc::new(Routes::default());
-        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes));
+        let recorder = Recorder::for_tests(name);
+        let agents = Agents::new(Arc::new(connector), Arc::clone(&routes), recorder.clone());
         let vm = |address: &SocketAddr| AgentVm { address: *address, leaving: false };
         agents.set_vms(&addresses.iter().map(vm).collect::<Vec<_>>());
-        let recorder = Recorder::for_tests(name);
         let node = Node::new(record(&config), recorder.clone());
         node.adopt(Replica::new(documents()), ConfigSource::Watch);
         node.confirm_by_service();
         let effective = node.effective().borrow().clone();
         let state = EntryState {
             effective: ArcSwap::new(effective),
-            addresses: ArcSwap::from_pointee(AddressBook::new(&[], Vec::new())),
+            addresses: ArcSwap::from_pointee(AddressBook::new(&[], members())),
             dispatcher: Dispatcher::new(Arc::clone(&config), Arc::clone(&routes), recorder.clone()),
             claims: Claims::start(Arc::new(kv.clone()), &config),
             recorder: recorder.clone(),
@@ -105,6 +105,17 @@
     }
 }
 
+/// The entries that callers may be sent to.
+fn members() -> Vec<EntryMember> {
+    let member = |entry: u16| EntryMember {
+        name: format!("entry-{entry}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 8080 + entry)),
+        data_centre: "a".to_owned(),
+        leaving: false,
+    };
+    (0..2).map(member).collect()
+}
+
 fn record(config: &EntryConfig) -> MemberRecord {
     let address = config.caller_address;
     MemberRecord {
