Fault matrix: what holding the head and repeating cancels improved

Cause: the matrix promised a broken stream where a completion was hit before its first token, and "unknown" where a ticket's cancel was lost, late, reordered or on a silent connection. Each is as strict as before, of a better outcome. Conclusion: 8 of 340 cells improved, none got worse.

--- a/crates/proof/src/matrix/promise.rs
+++ b/crates/proof/src/matrix/promise.rs
@@ -19,7 +19,7 @@
 /// hit, then for its resend. C complete, N not run, U unknown, B broken, T no ticket to be had,
 /// - no resend, x can't occur, o not run yet.
 const PROMISES: [(Step, &str); 20] = [
-    (Step::ChatDispatched, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
+    (Step::ChatDispatched, "B- C- U- C- C- C- C- C- C- C- C- C- C- C- C- xx xx"),
     (Step::ChatStreaming, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
     (Step::ChatEnding, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
     (Step::StatusRunning, "B- C- U- C- C- C- C- C- C- C- C- C- C- C- C- xx xx"),
@@ -28,7 +28,7 @@
     (Step::TicketRunning, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
     (Step::TicketCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
     (Step::TicketSentAgain, "C- U- C- U- C- C- C- C- C- C- C- C- C- C- U- xx xx"),
-    (Step::TicketVoided, "U- U- U- U- U- U- N- U- U- N- N- N- N- N- U- xx xx"),
+    (Step::TicketVoided, "U- U- U- U- N- N- N- N- N- N- N- N- N- N- U- xx xx"),
     (Step::KeyBound, "NC CC NC UC NC NC CC NC NC NC NC NC CC UU CC xx xx"),
     (Step::KeyCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
     (Step::KeySentAgain, "C- U- C- U- C- C- C- C- C- N- N- C- C- C- U- xx xx"),
