--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -2,7 +2,8 @@
 //!
 //! Two resends of one key may reach two entries at the same moment. Whoever creates the key's
 //! record first decides which ticket it stands for; the ticket's agent then runs the work at most
-//! once. Records that wait are written together, so the calls a second don't grow with requests.
+//! once. Records that wait are written together, so an entry's calls a second have a bound however
+//! many requests come.
 
 use crate::config::EntryConfig;
 use flamingowheel_platform::kv::{
@@ -13,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Prefix of all keys written here.
 pub const PREFIX: &str = "flamingowheel/idempotency-keys/";
@@ -21,6 +22,10 @@
 /// Keys written in one transaction; each takes a comparison and an operation of the 128 allowed.
 const MAX_BATCH: usize = 60;
 
+/// Shortest time from one call to the next. With eight entries the service sees at most 320 writes
+/// a second, and a key waits for at most this long more.
+const CALL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Claims that may wait; beyond it callers are told at once.
 const QUEUE: usize = 1024;
 
@@ -104,9 +109,16 @@
 impl Writer {
     async fn run(mut self, mut queue: mpsc::Receiver<Waiting>) {
         let mut batch = Vec::with_capacity(MAX_BATCH);
+        let mut written = None;
         // While one transaction is on its way the next batch gathers, so there is never more than
-        // one call at a time, however many requests come.
+        // one call at a time. A service that answers quickly would still see a call for nearly
+        // every key; so after one call the next waits, and takes what has come meanwhile.
         while queue.recv_many(&mut batch, MAX_BATCH).await > 0 {
+            if let Some(next) = written.map(|at: Instant| at + CALL_INTERVAL) {
+                sleep_until(next).await;
+                take_more(&mut queue, &mut batch);
+            }
+            written = Some(Instant::now());
             self.bind_all(&mut batch).await;
         }
     }
@@ -181,6 +193,13 @@
     None { stored: Vec<Option<KeyValueEntry>> },
 }
 
+fn take_more(queue: &mut mpsc::Receiver<Waiting>, batch: &mut Vec<Waiting>) {
+    while batch.len() < MAX_BATCH {
+        let Ok(waiting) = queue.try_recv() else { return };
+        batch.push(waiting);
+    }
+}
+
 fn put(waiting: &Waiting, lease: LeaseId) -> Operation {
     // Writing plain values to memory can't fail.
     let value = serde_json::to_vec(&waiting.claim).unwrap_or_default();
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -21,16 +21,21 @@
 /// Assumed until an agent has reported its places.
 const DEFAULT_PLACES: u16 = 8;
 
-/// Load of one backend server as its agent sees it.
+/// Load of one backend server as its agent sees it. It travels with every heartbeat, so its names
+/// on the wire are short.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests that the engine runs now.
+    #[serde(rename = "r")]
     pub running: u16,
     /// Requests that wait in the agent's queue.
+    #[serde(rename = "w")]
     pub waiting: u16,
     /// Requests that the engine can run at once; zero while it is down.
+    #[serde(rename = "p")]
     pub places: u16,
     /// Mean time a request holds a place; zero where the agent has not measured one.
+    #[serde(rename = "s")]
     pub service_ms: u32,
 }
 
