Accept connections in one way, bounded at agents too

Cause: agents and entries had the same loop around accept twice, and only the entries' was bounded; a stranger opening connections could use up an agent's descriptors. Change: one function takes the next stream and pauses when that fails; agents hold at most 256 connections. Conclusion: no behaviour of known peers changes.

--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -5,14 +5,20 @@
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::link::{Keeping, Link};
 use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Hello, Role};
-use flamingowheel_protocol::websocket::{Identity, accept};
+use flamingowheel_protocol::websocket::{Identity, accept, next_stream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 /// Numbers connections within the process.
 static LINKS: AtomicU64 = AtomicU64::new(1);
 
+/// Most connections at one time. About a dozen entries stand before an agent; without a bound a
+/// stranger that opens connections and says nothing would use up the process's descriptors.
+const MAX_ACCEPTED: usize = 256;
+
 /// How the agent introduces itself.
 pub fn identity(config: &AgentConfig, key: FleetKey, keeping: Keeping) -> Identity {
     let hello = Hello {
@@ -33,22 +39,19 @@
     agent: AgentHandle,
     stop: CancellationToken,
 ) {
+    let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, remote) = tokio::select! {
+            accepted = next_stream(&listener) => accepted,
             () = stop.cancelled() => return,
         };
-        let (stream, remote) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                // Out of descriptors, most likely; trying again at once would only spin.
-                tracing::warn!(%error, "can't accept");
-                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-                continue;
-            }
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            tracing::warn!(%remote, "too many connections");
+            continue;
         };
         let (identity, agent, stop) = (identity.clone(), agent.clone(), stop.clone());
         tokio::spawn(async move {
+            let _permit = permit;
             match accept(stream, &identity).await {
                 Ok(link) => tokio::select! {
                     () = attend(link, agent) => {}
--- a/crates/control/src/websocket.rs
+++ b/crates/control/src/websocket.rs
@@ -5,7 +5,7 @@
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_protocol::link::Link;
 use flamingowheel_protocol::peer::{PeerAnswer, PeerFrame, PeerRequest};
-use flamingowheel_protocol::websocket::{Identity, accept, connect};
+use flamingowheel_protocol::websocket::{Identity, accept, connect, next_stream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -141,19 +141,10 @@
 pub async fn serve(listener: TcpListener, identity: Identity, node: Node, stop: CancellationToken) {
     let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, remote) = tokio::select! {
+            accepted = next_stream(&listener) => accepted,
             () = stop.cancelled() => return,
         };
-        let (stream, remote) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                // Out of descriptors, most likely; trying again at once would only spin.
-                tracing::warn!(%error, "can't accept");
-                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-                continue;
-            }
-        };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             tracing::warn!(%remote, "too many connections of entries");
             continue;
--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -26,6 +26,9 @@
 /// library's default would cost 128 KiB each.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Why a connection could not be opened.
 #[derive(Debug, thiserror::Error)]
 pub enum HandshakeError {
@@ -86,6 +89,20 @@
     timeout(HANDSHAKE_LIMIT, opening).await.map_err(|_| HandshakeError::TimedOut)?
 }
 
+/// Takes the next stream of a listener.
+pub async fn next_stream(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            // Out of descriptors, most likely; trying again at once would only spin.
+            Err(error) => {
+                tracing::warn!(%error, "can't accept");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Accepts a connection.
 pub async fn accept<Out, In>(
     stream: TcpStream,
