Keep the expert map in force when a group is taken over

Cause: reading the code as a newcomer: an entry that took a group's coordination over wanted the even map, so every change of the coordinating entry would have undone the rebalancing, at the cost of two switches. Besides, the time line named the map's version as the lease's fencing number, and said "only candidate" where the search had ended at the first good one. Change: the map to begin with is the one in force; an even one only for a group without a record. The lease's event carries the record's revision; the reason is "least wait". Conclusion: a take-over no longer moves experts.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -374,10 +374,11 @@
     journey.log.record(Event::Routed {
         backend_server: connected.hello.name.as_str().into(),
         attempt: journey.attempts + 1,
-        reason: match choice.candidates {
-            _ if routed.by_prefix => RouteReason::PrefixCached,
-            1 => RouteReason::OnlyCandidate,
-            _ => RouteReason::LeastWait,
+        // The search ends at the first candidate that is good enough, so that one was looked at
+        // does not say that no other was left.
+        reason: match routed.by_prefix {
+            true => RouteReason::PrefixCached,
+            false => RouteReason::LeastWait,
         },
         candidates: u32::try_from(choice.candidates).unwrap_or(u32::MAX),
         predicted_wait_ms: choice.cost.as_millis() as u64,
--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -15,11 +15,12 @@
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
+use flamingowheel_group::record::{RecordError, RecordStore};
 use flamingowheel_group::session::Timing;
 use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::reason::SwitchStep;
-use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_observe::recorder::SubjectRecorder;
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::kv::KeyValue;
 use flamingowheel_platform::orders::{ExpertMap, Fence};
@@ -120,7 +121,8 @@
 
     fn take_up(&mut self, group: Group) {
         let ranks = LinkRanks { agents: Arc::clone(&self.agents), group: group.clone() };
-        let (desired, receiver) = watch::channel(Some(even_map(group.shape)));
+        let records = RecordStore::new(Arc::clone(&self.kv), &group.name);
+        let (desired, receiver) = watch::channel(None);
         let coordinator = Coordinator::new(
             Arc::clone(&self.kv),
             &group.name,
@@ -137,15 +139,15 @@
             group: group.clone(),
             ranks,
             desired,
-            records: flamingowheel_group::record::RecordStore::new(
-                Arc::clone(&self.kv),
-                &group.name,
-            ),
+            records: records.clone(),
             effective: self.node.effective(),
         };
-        let teller = tell(self.node.recorder().clone(), group.name.clone(), coordinator.status());
-        self.duties.insert(group.name, stop.clone());
+        let about = self.node.recorder().about(Subject::default().group(group.name.as_str()));
+        let teller = tell(about, group.name.clone(), records.clone(), coordinator.status());
+        self.duties.insert(group.name.clone(), stop.clone());
         tokio::spawn(async move {
+            let first = first_map(&records, group.shape).await;
+            planner.desired.send_replace(Some(first));
             tokio::select! {
                 () = coordinator.run(stop) => {}
                 () = planner.run() => {}
@@ -155,12 +157,32 @@
     }
 }
 
+/// The map to begin with: the one in force, and an even one only for a group that has none. An
+/// entry that takes a group over would otherwise undo what was rebalanced before.
+async fn first_map(records: &RecordStore, shape: ExpertShape) -> ExpertMap {
+    loop {
+        match records.read().await {
+            Ok(stored) => return stored.record.in_force.map,
+            Err(RecordError::Missing) => return even_map(shape),
+            Err(error) => tracing::warn!(%error, "group's record not read"),
+        }
+        sleep(DUTY_INTERVAL).await;
+    }
+}
+
 /// Records what becomes of a group, until its coordinator is gone.
-async fn tell(recorder: Recorder, group: String, mut status: watch::Receiver<GroupStatus>) {
-    let about = recorder.about(Subject::default().group(group.as_str()));
+async fn tell(
+    about: SubjectRecorder,
+    group: String,
+    records: RecordStore,
+    mut status: watch::Receiver<GroupStatus>,
+) {
     let mut before = GroupStatus::default();
     while status.changed().await.is_ok() {
         let now = status.borrow_and_update().clone();
+        if leads(&now) && !leads(&before) {
+            about.record(lease_won(&group, &records).await);
+        }
         for event in changes(&group, &before, &now) {
             about.record(event);
         }
@@ -168,15 +190,20 @@
     }
 }
 
+fn leads(status: &GroupStatus) -> bool {
+    status.activity != Activity::Following
+}
+
+/// The number is that of the record as it stands; 0 if it can't be read just now.
+async fn lease_won(group: &str, records: &RecordStore) -> Event {
+    let stored = records.read().await;
+    let fencing_number = stored.map_or(0, |stored| stored.fence().0);
+    Event::LeaseWon { lease: group.into(), fencing_number }
+}
+
 fn changes(group: &str, before: &GroupStatus, now: &GroupStatus) -> Vec<Event> {
     let mut events = Vec::new();
-    let (led, leads) =
-        (before.activity != Activity::Following, now.activity != Activity::Following);
-    if leads && !led {
-        let (lease, fencing_number) = (group.into(), now.map_version);
-        events.push(Event::LeaseWon { lease, fencing_number });
-    }
-    if led && !leads {
+    if leads(before) && !leads(now) {
         events.push(Event::LeaseLost { lease: group.into() });
     }
     let map_revision = now.map_version;
@@ -265,7 +292,7 @@
     group: Group,
     ranks: LinkRanks,
     desired: watch::Sender<Option<ExpertMap>>,
-    records: flamingowheel_group::record::RecordStore,
+    records: RecordStore,
     effective: watch::Receiver<Arc<Effective>>,
 }
 
@@ -317,3 +344,36 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use flamingowheel_group::record::GroupRecord;
+    use flamingowheel_platform::fake::FakeKeyValue;
+
+    const SHAPE: ExpertShape = ExpertShape { ranks: 2, layers: 1, experts: 4, slots: 2 };
+
+    // The entry that coordinated a group is replaced; another takes the group over. Going back to
+    // the even map would cost the group two switches, and be slow until it is rebalanced again.
+    #[tokio::test(start_paused = true)]
+    async fn first_map_keeps_the_one_in_force() {
+        let records = RecordStore::new(Arc::new(FakeKeyValue::new()), "notes-a");
+        assert_eq!(first_map(&records, SHAPE).await, even_map(SHAPE));
+        let rebalanced = ExpertMap { layers: vec![vec![vec![0, 3], vec![1, 2]]] };
+        records.create(GroupRecord::first(rebalanced.clone(), 2)).await.unwrap();
+        assert_eq!(first_map(&records, SHAPE).await, rebalanced);
+    }
+
+    // The key-value service is down when the group is taken over.
+    #[tokio::test(start_paused = true)]
+    async fn first_map_waits_for_the_service() {
+        let kv = FakeKeyValue::new();
+        let records = RecordStore::new(Arc::new(kv.clone()), "notes-a");
+        kv.set_down(true);
+        let waiting = tokio::spawn(async move { first_map(&records, SHAPE).await });
+        sleep(Duration::from_secs(60)).await;
+        assert!(!waiting.is_finished());
+        kv.set_down(false);
+        assert_eq!(waiting.await.unwrap(), even_map(SHAPE));
+    }
+}
