--- a/crates/flamingowheeld/src/discovery.rs
+++ b/crates/flamingowheeld/src/discovery.rs
@@ -29,6 +29,9 @@
         loop {
             tick.tick().await;
             match self.list.list().await {
+                // This VM is listed too, so an empty list is a fault of the list. Taking it at
+                // its word would leave all callers without a backend server.
+                Ok(vms) if vms.is_empty() => tracing::warn!("empty VM list not taken"),
                 Ok(vms) => self.agents.set_vms(&self.agent_vms(&vms)),
                 Err(error) => tracing::warn!(%error, "VM list not read"),
             }
