Put the workspace's number of tries in force

Cause: `retry.max_tries` was checked, accepted and kept, but routing always used its own three: an accepted change that took no effect. Change: the workspace's number bounds the tries; a comment on retry budgets said what the code does not do and is corrected. Measured: a test of the bound that a request takes from its workspace passes.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 use tokio::time::timeout_at;
 
-/// Retry budgets kept at most; beyond it those of idle workspaces start anew.
+/// Retry budgets kept at most; beyond it all start anew.
 const MAX_BUDGETS: usize = 4096;
 
 /// Attempt numbers from here on are drawn at random, by entries that go on with a stream.
@@ -366,6 +366,7 @@
     RouteClass {
         urgent: events::is_urgent(request),
         max_wait: Duration::from_millis(request.remaining_ms()),
+        max_tries: request.workspace.parameters.retry.max_tries,
     }
 }
 
@@ -398,3 +399,28 @@
         AttemptEnd::DeadlinePassed => Unknown::DeadlinePassed.into(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use flamingowheel_config::effective::EffectiveWorkspace;
+    use flamingowheel_config::template::{Parameters, Retry};
+    use flamingowheel_protocol::id::RequestId;
+    use tokio::time::Instant;
+
+    // An operator allows one try only, and the change is accepted. It must count.
+    #[tokio::test(start_paused = true)]
+    async fn route_class_takes_tries_of_the_workspace() {
+        let retry = Retry { max_tries: 1, ..Retry::default() };
+        let workspace = EffectiveWorkspace {
+            name: "peachline".into(),
+            template: "callbox".into(),
+            token_sha256: Arc::new([]),
+            parameters: Arc::new(Parameters { retry, ..Parameters::default() }),
+            rebalancing: Arc::default(),
+        };
+        let deadline = Instant::now() + Duration::from_secs(1);
+        let request = Request::of_stream(Arc::new(workspace), RequestId::fresh(), deadline);
+        assert_eq!(route_class(&request).max_tries, 1);
+    }
+}
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -21,6 +21,8 @@
     pub urgent: bool,
     /// A longer expected wait is refused at once.
     pub max_wait: Duration,
+    /// Tries that the workspace allows, the first included.
+    pub max_tries: u32,
 }
 
 /// Knowledge of the backend servers and the choice among them.
@@ -188,8 +190,8 @@
         let mut state = self.lock();
         let servers = state.by_target.get(target).ok_or(RouteError::NoneAvailable)?;
         let extra = state.prefixes.extra_prefill(servers, prompt, now);
-        let RouteClass { urgent, max_wait } = *class;
-        let config = RoutingConfig { urgent, max_wait, ..self.config };
+        let RouteClass { urgent, max_wait, max_tries } = *class;
+        let config = RoutingConfig { urgent, max_wait, max_tries, ..self.config };
         let extra_cost = |server| Some(extra.of(server));
         let choice = choose(&config, request, servers, &state.book, now, extra_cost)?;
         let by_prefix = extra.is_covered(choice.server) && {
