Hold the demo's listeners from the moment its port is chosen

Cause: the demo looked for a free port, let it go, and bound it process by process. An entry bound its callers' and operators' listeners, with port 0, on the same IP before its inner one; the kernel could give them that very port, and the start ended with "address already in use" on 127.0.1.1. Ruled out: a port taken by connections of our own (their source is 127.0.0.1, another IP).

Change: one port is bound on all IPs of the fleet at once and the listeners are handed to the processes. Each process binds its inner listener first, whose port is fixed, before those with port 0.

Conclusion: the start no longer depends on which ports the kernel hands out.

--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -1,6 +1,6 @@
 //! An agent process, assembled from its settings.
 
-use crate::listen::{ListenLimits, StartError, bind, serve as serve_http};
+use crate::listen::{ListenLimits, Sockets, StartError, serve as serve_http};
 use crate::operators;
 use crate::orders::GateOrders;
 use crate::threads::spawn_control;
@@ -45,9 +45,18 @@
 impl AgentProcess {
     /// Starts an agent.
     pub async fn start(settings: &Settings, recorder: Recorder) -> Result<Self, StartError> {
+        let sockets = Sockets::bind(&settings.listen).await?;
+        Self::start_on(settings, recorder, sockets).await
+    }
+
+    /// Starts an agent on sockets that are bound already.
+    pub async fn start_on(
+        settings: &Settings,
+        recorder: Recorder,
+        sockets: Sockets,
+    ) -> Result<Self, StartError> {
         let Role::Agent(own) = &settings.role else { return Err(StartError::OtherRole) };
-        let inner = bind(settings.listen.inner, "the fleet's own processes").await?;
-        let operators = bind(settings.listen.operators, "operators").await?;
+        let Sockets { inner, operators, .. } = sockets;
         let operators_address = operators.local_addr()?;
         let config = config(settings, own, operators_address);
         let archive =
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -2,10 +2,11 @@
 
 pub mod caller;
 pub mod once;
+mod ports;
 
 use crate::agent::{AgentProcess, authority, recorder};
 use crate::entry::EntryProcess;
-use crate::listen::StartError;
+use crate::listen::{Sockets, StartError};
 use flamingowheel_config::apply::{ApplyError, ApplyRequest};
 use flamingowheel_config::change::Origin;
 use flamingowheel_config::document::DocumentError;
@@ -18,6 +19,7 @@
 use flamingowheel_platform::orders::expert_counter;
 use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::Connections;
+use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -126,14 +128,17 @@
     /// The agents: those of the engines, then those of the services.
     pub agents: Vec<AgentProcess>,
     inner_port: u16,
+    /// The inner listeners of processes that are not started yet.
+    held: HashMap<IpAddr, TcpListener>,
 }
 
 impl Fleet {
     /// Starts everything, has the configuration accepted, and waits until it is in force.
     pub async fn start() -> Result<Self, DemoError> {
-        let inner_port = free_port().await?;
+        let (inner_port, held) = ports::hold_same_port(&process_ips()).await?;
         let standins = start_standins().await?;
-        let mut fleet = Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port };
+        let mut fleet =
+            Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port, held };
         fleet.standins.run_group();
         fleet.start_agents().await?;
         fleet.start_entries().await?;
@@ -166,17 +171,26 @@
     async fn start_agent(&mut self, name: &str, vm: u8, kind: &str) -> Result<(), DemoError> {
         let settings =
             self.settings(name, agent_ip(vm), &format!("role: agent\nagent: {kind}\n"))?;
-        let agent = AgentProcess::start(&settings, recorder(&settings)?).await?;
+        let sockets = self.sockets(&settings).await?;
+        let agent = AgentProcess::start_on(&settings, recorder(&settings)?, sockets).await?;
         self.agents.push(agent);
         Ok(())
     }
 
+    async fn sockets(&mut self, settings: &Settings) -> Result<Sockets, StartError> {
+        match self.held.remove(&settings.listen.inner.ip()) {
+            Some(inner) => Sockets::bind_others(&settings.listen, inner).await,
+            None => Sockets::bind(&settings.listen).await,
+        }
+    }
+
     async fn start_entries(&mut self) -> Result<(), DemoError> {
         for number in 0..ENTRIES {
             let name = format!("entry-{number}");
             let role = "role: entry\nentry: {address_ttl_s: 5}\n";
             let settings = self.settings(&name, entry_ip(number), role)?;
-            let entry = EntryProcess::start(&settings, recorder(&settings)?).await?;
+            let sockets = self.sockets(&settings).await?;
+            let entry = EntryProcess::start_on(&settings, recorder(&settings)?, sockets).await?;
             self.entries.push(entry);
         }
         Ok(())
@@ -399,7 +413,7 @@
     now.map_or(0, |since| since.as_millis() as u64)
 }
 
-/// A port that is free now. All processes of a fleet listen on the same one, each on its own IP.
-async fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?.local_addr()?.port())
+/// The IPs of all processes, in the order in which they start.
+fn process_ips() -> Vec<IpAddr> {
+    (0..RANKS + SERVERS).map(agent_ip).chain((0..ENTRIES).map(entry_ip)).collect()
 }
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -3,7 +3,7 @@
 use crate::agent::authority;
 use crate::discovery::Discovery;
 use crate::groups::Groups;
-use crate::listen::{ListenLimits, StartError, bind, serve};
+use crate::listen::{ListenLimits, Sockets, StartError, serve};
 use crate::loans::{EntryLender, borrow};
 use crate::membership::{publish_addresses, publish_configuration};
 use crate::operators;
@@ -71,11 +71,19 @@
 impl EntryProcess {
     /// Starts an entry.
     pub async fn start(settings: &Settings, recorder: Recorder) -> Result<Self, StartError> {
+        let sockets = Sockets::bind(&settings.listen).await?;
+        Self::start_on(settings, recorder, sockets).await
+    }
+
+    /// Starts an entry on sockets that are bound already.
+    pub async fn start_on(
+        settings: &Settings,
+        recorder: Recorder,
+        sockets: Sockets,
+    ) -> Result<Self, StartError> {
         let Role::Entry(own) = &settings.role else { return Err(StartError::OtherRole) };
-        let callers = settings.listen.callers.ok_or(StartError::NoCallersAddress)?;
-        let callers = bind(callers, "callers").await?;
-        let operators = bind(settings.listen.operators, "operators").await?;
-        let inner = bind(settings.listen.inner, "the fleet's own processes").await?;
+        let Sockets { inner, operators, callers } = sockets;
+        let callers = callers.ok_or(StartError::NoCallersAddress)?;
         let inner_address = inner.local_addr()?;
         let (callers_address, operators_address) = (callers.local_addr()?, operators.local_addr()?);
         let config = Arc::new(config(settings, own, callers_address));
--- a/crates/flamingowheeld/src/listen.rs
+++ b/crates/flamingowheeld/src/listen.rs
@@ -1,6 +1,7 @@
 //! Binds listeners and serves HTTP on them, within limits and with a graceful stop.
 
 use axum::Router;
+use flamingowheel_config::settings::Listen as ListenSettings;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
@@ -49,6 +50,39 @@
     bound.map_err(|source| StartError::Bind { address, purpose, source })
 }
 
+/// The listeners of a process, bound before it starts.
+pub struct Sockets {
+    /// For the fleet's own processes.
+    pub inner: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+    /// For callers, on an entry.
+    pub callers: Option<TcpListener>,
+}
+
+impl Sockets {
+    /// Binds what the settings name.
+    pub async fn bind(listen: &ListenSettings) -> Result<Self, StartError> {
+        let inner = bind(listen.inner, "the fleet's own processes").await?;
+        Self::bind_others(listen, inner).await
+    }
+
+    /// Binds all but the inner listener, which is bound already. It comes first because its port is
+    /// fixed: another one on the same IP with port 0 might be given that very port, and the process
+    /// would not start, now and then, with "address already in use".
+    pub async fn bind_others(
+        listen: &ListenSettings,
+        inner: TcpListener,
+    ) -> Result<Self, StartError> {
+        let operators = bind(listen.operators, "operators").await?;
+        let callers = match listen.callers {
+            Some(address) => Some(bind(address, "callers").await?),
+            None => None,
+        };
+        Ok(Self { inner, operators, callers })
+    }
+}
+
 /// Bounds on what a client may make a listener hold or wait for.
 #[derive(Clone, Debug)]
 pub struct ListenLimits {
