Say "peers only" until the key-value service answered after the start

Cause: a heartbeat's answer carried "from the service since its start" as a flag. A fresh process asked peers that had heard the service before it went down, took over their flag, and operators saw a process in line with a service that nobody reached. A test with separate processes found it: the source was `peers_only` for a second and `key_value` from then on.

Change: the answer says how long ago the service answered anybody, and a process counts as confirmed only if that was after its own start.

Conclusion: status tells an outage for as long as it lasts.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -63,6 +63,9 @@
     /// Those watched at the last look.
     watched: Vec<String>,
     key_value_answered_at: Option<Instant>,
+    started_at: Instant,
+    /// When the key-value service last answered anybody, as far as is known here.
+    service_answered_at: Option<Instant>,
     cursors: HashMap<String, Cursor>,
     /// The revision that each process last reported here.
     reported: HashMap<String, ConfigRevision>,
@@ -110,6 +113,15 @@
     Fetch(ConfigRevision),
 }
 
+/// What a heartbeat was made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// The own table's version.
+    pub version: u64,
+    /// When.
+    pub at: Instant,
+}
+
 impl Node {
     /// The state of an entry that has just started.
     pub fn new(own: MemberRecord, recorder: Recorder) -> Self {
@@ -125,6 +137,8 @@
             cut_off: false,
             watched: Vec::new(),
             key_value_answered_at: None,
+            started_at: Instant::now(),
+            service_answered_at: None,
             cursors: HashMap::new(),
             reported: HashMap::new(),
         };
@@ -269,16 +283,25 @@
     pub fn confirm_by_service(&self) {
         let mut state = self.state();
         state.key_value_answered_at = Some(Instant::now());
+        state.service_answered_at = state.key_value_answered_at;
         state.source = ConfigSource::KeyValue;
         state.confirm();
     }
 
-    /// Peers were asked, and none has anything newer.
-    pub fn confirm_by_peers(&self, from_service: bool) {
+    /// Peers were asked, and none has anything newer. `service_answered` is how long ago the
+    /// key-value service answered, as far as they know.
+    ///
+    /// An answer from before this process started proves nothing about what was accepted since.
+    /// Taking it as confirmation would show operators a process in line with the service while
+    /// that is down.
+    pub fn confirm_by_peers(&self, service_answered: Option<Duration>) {
         let mut state = self.state();
+        let answered_at = service_answered.and_then(|ago| Instant::now().checked_sub(ago));
+        state.service_answered_at = state.service_answered_at.max(answered_at);
+        let since_start = state.service_answered_at.is_some_and(|at| at >= state.started_at);
         state.source = match state.source {
             ConfigSource::KeyValue => ConfigSource::KeyValue,
-            _ if from_service => ConfigSource::KeyValue,
+            _ if since_start => ConfigSource::KeyValue,
             _ => ConfigSource::PeersOnly,
         };
         state.confirm();
@@ -312,18 +335,21 @@
         }
     }
 
-    /// Takes a peer's answer; `told` is the own table version that the heartbeat was made at.
-    pub fn take_answer(&self, answer: HeartbeatAnswer, told: u64) -> Followup {
+    /// Takes a peer's answer to what was asked.
+    pub fn take_answer(&self, answer: HeartbeatAnswer, asked: Asked) -> Followup {
         let offered = ConfigRevision(answer.revision);
         let (name, incarnation) = (answer.from.name.clone(), answer.from.incarnation);
-        let from_service = answer.from_service;
+        // Counted from the question. Counted from when the answer arrived, the time would grow by
+        // the way between two peers that ask each other, and never get old.
+        let answered_ago = answer.service_answered_ms_ago.map(Duration::from_millis);
+        let service_answered = answered_ago.map(|ago| ago + asked.at.elapsed());
         self.change(|state| {
             let known = state.cursors.get(&name);
             let restarted = known.is_some_and(|cursor| cursor.incarnation != incarnation);
             // A peer that restarted lost what it was told and counts versions anew.
             let cursor = match restarted {
                 true => Cursor { incarnation, theirs: 0, ours: 0 },
-                false => Cursor { incarnation, theirs: answer.version, ours: told },
+                false => Cursor { incarnation, theirs: answer.version, ours: asked.version },
             };
             state.reported.insert(name.clone(), offered);
             state.cursors.insert(name.clone(), cursor);
@@ -333,7 +359,7 @@
             return Followup::Fetch(offered);
         }
         if offered == self.revision() {
-            self.confirm_by_peers(from_service);
+            self.confirm_by_peers(service_answered);
         }
         Followup::None
     }
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -1,7 +1,6 @@
 //! Answers to peers.
 
 use super::{Node, Progress};
-use flamingowheel_config::api::ConfigSource;
 use flamingowheel_config::bucket::{Bucket, BucketId, WORKSPACE_BUCKETS, encode};
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_policy::key::EntryKey;
@@ -52,7 +51,9 @@
         PeerAnswer::Heartbeat(Box::new(HeartbeatAnswer {
             from: state.sender(),
             revision: state.replica.revision().0,
-            from_service: state.source == ConfigSource::KeyValue,
+            service_answered_ms_ago: state
+                .service_answered_at
+                .map(|at| at.elapsed().as_millis() as u64),
             version: state.table.version(),
             news: state.table.news_after(after),
         }))
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -6,7 +6,7 @@
 //! of a fleet again after they lost each other.
 
 use crate::fetch::Fetcher;
-use crate::node::{Followup, Node};
+use crate::node::{Asked, Followup, Node};
 use crate::pause::{PauseDetector, TICK};
 use crate::seeds;
 use crate::transport::{PeerError, PeerTransport};
@@ -158,7 +158,7 @@
         for (revision, seed) in found.offers.into_iter().rev() {
             // A lower offer is tried only if the higher one's giver failed meanwhile.
             if self.fetcher().fetch(seed, revision).await.is_ok() {
-                self.node.confirm_by_peers(false);
+                self.node.confirm_by_peers(None);
                 return true;
             }
         }
@@ -172,19 +172,18 @@
         name: &str,
         hold: Duration,
     ) -> Result<Followup, PeerError> {
-        let told = self.node.table_version();
-        let asked_at = Instant::now();
+        let asked = Asked { version: self.node.table_version(), at: Instant::now() };
         let request = PeerRequest::Heartbeat(Box::new(self.node.heartbeat(Some(name), hold)));
         let limit = hold + self.timing.answer_limit;
         let answer = timeout(limit, self.peers.ask(peer, request)).await;
         let answer = answer.map_err(|_| PeerError::Silent)??;
         // After a pause of this process an answer from before lies ready, and a timeout lets a
         // ready answer pass. It would confirm a configuration that was replaced since.
-        if asked_at.elapsed() > limit {
+        if asked.at.elapsed() > limit {
             return Err(PeerError::Silent);
         }
         match answer {
-            PeerAnswer::Heartbeat(answer) => Ok(self.node.take_answer(*answer, told)),
+            PeerAnswer::Heartbeat(answer) => Ok(self.node.take_answer(*answer, asked)),
             _ => Err(PeerError::Unexpected),
         }
     }
--- a/crates/control/tests/spread.rs
+++ b/crates/control/tests/spread.rs
@@ -82,6 +82,9 @@
     assert!(fresh.may_serve());
     // It says where that came from, until the service answers again.
     assert_eq!(fresh.source(), ConfigSource::PeersOnly);
+    // Its peers had answers of the service, but from before it started.
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(fresh.source(), ConfigSource::PeersOnly);
     fleet.kv.set_down(false);
     fleet.network.mend(fleet.entry(1).address);
     fleet.until_revision(2, IN_FORCE_LIMIT).await;
--- a/crates/proof/benches/capacity/membership.rs
+++ b/crates/proof/benches/capacity/membership.rs
@@ -5,7 +5,7 @@
 
 use flamingowheel_control::duties::Duties;
 use flamingowheel_control::membership::Table;
-use flamingowheel_control::node::Node;
+use flamingowheel_control::node::{Asked, Node};
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{MemberRecord, MemberState, News, PeerAnswer, PeerRequest};
@@ -88,12 +88,12 @@
 
 /// One heartbeat and its answer, encoded and decoded; returns the bytes of both.
 async fn heartbeat(child: &Node, parent: &Node) -> Result<(usize, usize), Failure> {
-    let told = child.table_version();
+    let asked = Asked { version: child.table_version(), at: Instant::now() };
     let name = parent.own().name;
     let request = PeerRequest::Heartbeat(Box::new(child.heartbeat(Some(&name), Duration::ZERO)));
     let (request, request_bytes) = through_codec(request)?;
     let (answer, answer_bytes) = through_codec(parent.answer(request).await)?;
     let PeerAnswer::Heartbeat(answer) = answer else { return Err("no heartbeat".into()) };
-    child.take_answer(*answer, told);
+    child.take_answer(*answer, asked);
     Ok((request_bytes, answer_bytes))
 }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -97,9 +97,10 @@
     /// The configuration revision it has in force.
     #[serde(rename = "r")]
     pub revision: u64,
-    /// Whether that came from the key-value service since its start, directly or through peers.
-    #[serde(rename = "s")]
-    pub from_service: bool,
+    /// How long ago the key-value service is known to have answered, itself or a peer that told
+    /// it, in milliseconds.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub service_answered_ms_ago: Option<u64>,
     /// Its table version.
     #[serde(rename = "v")]
     pub version: u64,
