--- a/crates/flamingowheeld/src/demo/caller.rs
+++ b/crates/flamingowheeld/src/demo/caller.rs
@@ -2,8 +2,9 @@
 
 use bytes::Bytes;
 use flamingowheel_entry::http::OUTCOME_HEADER;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -70,6 +71,21 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> Result<Reply, CallError> {
+        let response = self.open(method, address, path, headers, body).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+        Ok(Reply { status: head.status, headers: head.headers, body })
+    }
+
+    /// Sends a request and leaves the body of its answer to be read.
+    pub async fn open(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>, CallError> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -77,9 +93,6 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let response = self.client.request(request.body(Full::new(body))?).await?;
-        let (head, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
-        Ok(Reply { status: head.status, headers: head.headers, body })
+        Ok(self.client.request(request.body(Full::new(body))?).await?)
     }
 }
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -139,10 +139,13 @@
         let standins = start_standins().await?;
         let mut fleet =
             Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port, held };
-        fleet.standins.run_group();
+        let (group, stop) = (fleet.standins.group.clone(), fleet.standins.stop.clone());
+        tokio::spawn(run_group(group, stop));
         fleet.start_agents().await?;
         fleet.start_entries().await?;
-        fleet.apply().await?;
+        let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
+        let documents = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
+        apply(fleet.standins.key_value_address, &documents).await?;
         fleet.wait_ready().await?;
         Ok(fleet)
     }
@@ -221,27 +224,6 @@
         peers.collect::<Vec<_>>().join(", ")
     }
 
-    async fn apply(&self) -> Result<(), DemoError> {
-        let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
-        let text = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
-        let edits = flamingowheel_config::document::parse(&text).map_err(DemoError::Document)?;
-        let authority = authority(self.standins.key_value_address);
-        let kv = EtcdClient::new(authority, HttpLimits::default());
-        let store = Store::new(Arc::new(kv));
-        let request = ApplyRequest {
-            uuid: uuid::Uuid::now_v7(),
-            origin: Origin {
-                operator: "demo".to_owned(),
-                at_unix_ms: unix_ms(),
-                comment: String::new(),
-            },
-            edits,
-            seen: Default::default(),
-        };
-        store.apply(&mut Replica::default(), &request).await?;
-        Ok(())
-    }
-
     /// Waits until every entry knows the workspace and every agent.
     async fn wait_ready(&self) -> Result<(), DemoError> {
         let agents = usize::from(RANKS + SERVERS);
@@ -308,21 +290,17 @@
     }
 }
 
-impl Standins {
-    /// Lets the engines step in lock-step, as ranks of one group, and count their experts' tokens.
-    fn run_group(&self) {
-        let group = self.group.clone();
-        let stop = self.stop.clone();
-        tokio::spawn(async move {
-            while !stop.is_cancelled() {
-                tokio::time::sleep(STEP).await;
-                if group.try_step() {
-                    group.ranks().iter().enumerate().for_each(|(rank, e)| count_tokens(rank, e));
-                }
-            }
-        });
+/// Lets engines step in lock-step, as ranks of one group, and count their experts' tokens.
+pub async fn run_group(group: RankGroup, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        tokio::time::sleep(STEP).await;
+        if group.try_step() {
+            group.ranks().iter().enumerate().for_each(|(rank, e)| count_tokens(rank, e));
+        }
     }
+}
 
+impl Standins {
     async fn start_engine(&self, engine: FakeEngine) -> Result<SocketAddr, DemoError> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
@@ -347,17 +325,16 @@
     let kv_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let vms_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let (key_value_address, vms_address) = (kv_listener.local_addr()?, vms_listener.local_addr()?);
-    let connections = Connections::default();
     tokio::spawn(flamingowheel_standin::kv::serve(
         kv_listener,
         key_value.clone(),
-        connections.clone(),
+        Connections::default(),
         stop.clone(),
     ));
     tokio::spawn(flamingowheel_standin::vms::serve(
         vms_listener,
         vms.clone(),
-        connections,
+        Connections::default(),
         stop.clone(),
     ));
     let engine = |seed| FakeEngine::new(u64::from(seed), EngineSettings::default());
@@ -387,6 +364,19 @@
     }
 }
 
+/// Has the first configuration accepted, before any operator's tool is at hand.
+pub async fn apply(key_value: SocketAddr, documents: &str) -> Result<(), DemoError> {
+    let edits = flamingowheel_config::document::parse(documents).map_err(DemoError::Document)?;
+    let kv = EtcdClient::new(authority(key_value), HttpLimits::default());
+    let store = Store::new(Arc::new(kv));
+    let origin =
+        Origin { operator: "demo".to_owned(), at_unix_ms: unix_ms(), comment: String::new() };
+    let seen = Default::default();
+    let request = ApplyRequest { uuid: uuid::Uuid::now_v7(), origin, edits, seen };
+    store.apply(&mut Replica::default(), &request).await?;
+    Ok(())
+}
+
 fn vms() -> Vec<Vm> {
     let vm = |name: String, ip| Vm {
         name,
