Try a failed switch of map again with pauses

Cause: a switch that failed before its commit was tried again at each look, twice a second, for as long as the map was wanted; each try loads weights.

Change: pauses of 1 s, doubling to 60 s; another wanted map is due at once.

Conclusion: the group needs no new plan to recover, and the weight store is left to others.

--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -6,6 +6,7 @@
 use crate::message::RankError;
 use crate::ranks::Ranks;
 use crate::record::{GroupRecord, RecordError, RecordStore, Stored};
+use crate::retry::Retries;
 use crate::session::{GroupError, Loads, Session, Timing};
 use crate::status::{Activity, GroupStatus, OutOfService};
 use crate::switch::{Failure, Switch};
@@ -29,6 +30,7 @@
     status: watch::Sender<GroupStatus>,
     loads: Option<Loads>,
     trouble_since: BTreeMap<usize, Instant>,
+    retries: Retries,
 }
 
 impl<Members> Coordinator<Members>
@@ -53,6 +55,7 @@
             status: watch::Sender::default(),
             loads: None,
             trouble_since: BTreeMap::new(),
+            retries: Retries::default(),
         }
     }
 
@@ -161,8 +164,11 @@
         };
         let (stored, result) = align(&session, stored).await;
         let running = matches!(result, Ok(Alignment::Running));
-        let wanted = self.desired.borrow().clone();
-        let wanted = wanted.filter(|map| running && *map != stored.record.in_force.map);
+        if let Some(map) = &*self.desired.borrow_and_update() {
+            self.retries.want(map);
+        }
+        let in_force = &stored.record.in_force.map;
+        let wanted = self.retries.due(in_force, Instant::now()).filter(|_| running).cloned();
         let (Some(map), true) = (wanted, lease.may_change()) else {
             self.report(&stored, &result);
             return keep(stored, result.map(drop));
@@ -174,6 +180,7 @@
                 Ok(stored)
             }
             Err(failure) => {
+                self.retries.failed(Instant::now());
                 let result = Err(failure.error);
                 self.report(&failure.stored, &result);
                 keep(failure.stored, result.map(drop))
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod proposal;
 pub mod ranks;
 pub mod record;
+mod retry;
 pub mod session;
 pub mod status;
 pub mod switch;
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -15,9 +15,9 @@
     EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostAnswer, LostOrder, RankGroup,
 };
 use flamingowheel_platform::kv::{KeyValue, LeaseId};
-use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_platform::orders::{ExpertMap, OrderTarget};
 use std::future::Future;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -64,6 +64,7 @@
     gate: Mutex<Option<Arc<Gate<FakeEngine>>>>,
     calls: Mutex<Vec<AbortHandle>>,
     paused: watch::Sender<bool>,
+    refuses_loads: AtomicBool,
 }
 
 struct Process {
@@ -81,6 +82,7 @@
     processes: Mutex<Vec<Process>>,
     desired: watch::Sender<Option<ExpertMap>>,
     messages: AtomicU64,
+    refused_loads: AtomicU64,
     incarnations: AtomicU64,
     plan: Mutex<Vec<(u64, Fault)>>,
     stop: CancellationToken,
@@ -115,6 +117,7 @@
             gate: Mutex::default(),
             calls: Mutex::default(),
             paused: watch::Sender::new(false),
+            refuses_loads: AtomicBool::new(false),
         };
         let world = Arc::new(Self {
             kv: FakeKeyValue::new(),
@@ -125,6 +128,7 @@
             processes: Mutex::default(),
             desired: watch::Sender::new(Some(map(1))),
             messages: AtomicU64::new(0),
+            refused_loads: AtomicU64::new(0),
             incarnations: AtomicU64::new(0),
             plan: Mutex::default(),
             stop: CancellationToken::new(),
@@ -179,6 +183,16 @@
         self.strike(rank, fault);
     }
 
+    /// Has a rank refuse to load maps.
+    pub fn refuse_loads(&self, rank: usize, refuses: bool) {
+        self.slots[rank].refuses_loads.store(refuses, Ordering::SeqCst);
+    }
+
+    /// Loads that were refused so far.
+    pub fn refused_loads(&self) -> u64 {
+        self.refused_loads.load(Ordering::SeqCst)
+    }
+
     pub fn want(&self, number: u16) {
         self.desired.send_replace(Some(map(number)));
     }
@@ -312,6 +326,11 @@
     async fn deliver(&self, rank: usize, request: RankRequest) -> Result<RankState, RankError> {
         let gate = self.slots[rank].gate.lock().unwrap().clone();
         let Some(gate) = gate else { return Err(RankError::NoAnswer) };
+        let refuses_loads = self.slots[rank].refuses_loads.load(Ordering::SeqCst);
+        if refuses_loads && matches!(request.target, Some(OrderTarget::StageMap { .. })) {
+            self.refused_loads.fetch_add(1, Ordering::SeqCst);
+            return Err(RankError::NotPossible { reason: "weights can't be read".to_owned() });
+        }
         // The agent goes on with what it received whether or not its caller still waits.
         let paused = self.slots[rank].paused.subscribe();
         let handled = tokio::spawn(async move {
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -262,3 +262,23 @@
         }
     }
 }
+
+/// A rank can't load the wanted map: each load is lost on its way to the engine. Had it to be wanted
+/// anew first, the group would keep its uneven map until the next plan; were it tried at every look,
+/// the loads would use up what other groups have of the weight store.
+#[tokio::test(start_paused = true)]
+async fn switch_failed_before_commit_tried_again() {
+    let world = World::start(EngineKind::ChecksFence).await;
+    world.refuse_loads(1, true);
+    world.want(2);
+    sleep(MINUTE * 4).await;
+    assert_eq!(world.engine(0).peek_map(), map(1));
+    assert!(world.runs_within(Duration::from_secs(1)).await);
+    let tries = world.refused_loads();
+    // At each look it would have been several hundred.
+    assert!((4..=12).contains(&tries), "{tries} tries in four minutes");
+    world.refuse_loads(1, false);
+    sleep(MINUTE + Duration::from_secs(5)).await;
+    assert_eq!(world.engine(0).peek_map(), map(2));
+    world.check_steps("loads refused");
+}
