Record orders to engines in the agents' time line

Cause: order_applied and order_refused were defined and never recorded, so a group's time line did not tell who ordered what.

Change: the agent's gate records each order that took effect and each that carried an old fencing number, under the group's name. Reads and orders that failed otherwise are not recorded; the coordinator repeats those.

Conclusion: the number of an order leads to the lease_won of its coordinator.

--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -60,7 +60,7 @@
         let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
         let key = crate::entry::fleet_key(settings);
         let identity = serve::identity(&config, key, keeping);
-        let orders = GateOrders::start(settings, own, config.incarnation);
+        let orders = GateOrders::start(settings, own, config.incarnation, &recorder);
         let (control, handle, commands) = Control::new(config, backend, recorder.clone());
         let control = match orders {
             Some(orders) => control.with_orders(orders),
--- a/crates/flamingowheeld/src/orders.rs
+++ b/crates/flamingowheeld/src/orders.rs
@@ -8,8 +8,12 @@
 use flamingowheel_group::gate::{EngineKind, Gate};
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::record::RecordStore;
+use flamingowheel_observe::event::{Event, Subject};
+use flamingowheel_observe::reason::OrderKind;
+use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::client::{HttpLimits, HttpOrders};
+use flamingowheel_platform::orders::OrderTarget;
 use flamingowheel_protocol::id::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +32,7 @@
 /// Carries out orders through the gate, once it is open.
 pub struct GateOrders {
     gate: OnceCell<Gate<HttpOrders>>,
+    about: SubjectRecorder,
 }
 
 impl GateOrders {
@@ -38,6 +43,7 @@
         settings: &Settings,
         own: &AgentSettings,
         incarnation: Incarnation,
+        recorder: &Recorder,
     ) -> Option<Arc<Self>> {
         let BackendServerKind::Engine { group, checks_fencing, experts: Some(_), .. } = &own.kind
         else {
@@ -54,7 +60,8 @@
         };
         let engine = HttpOrders::new(authority(own.backend_server), limits);
         let records = RecordStore::new(Arc::new(key_value(settings)), group);
-        let orders = Arc::new(Self { gate: OnceCell::new() });
+        let about = recorder.about(Subject::default().group(group.as_str()));
+        let orders = Arc::new(Self { gate: OnceCell::new(), about });
         tokio::spawn(open(Arc::clone(&orders), engine, kind, incarnation, records));
         Some(orders)
     }
@@ -63,7 +70,36 @@
         let gate = self.gate.get().ok_or(RankError::NotReady)?;
         let request: RankRequest = ciborium::from_reader(body)
             .map_err(|_| RankError::NotPossible { reason: "request can't be read".to_owned() })?;
-        gate.handle(&request).await
+        let answer = gate.handle(&request).await;
+        if let Some(event) = event(&request, &answer) {
+            self.about.record(event);
+        }
+        answer
+    }
+}
+
+/// What is recorded of an order: with the number that its coordinator won its lease with, so that
+/// a group's time line tells who ordered what. Reads are not recorded.
+fn event(request: &RankRequest, answer: &Result<RankState, RankError>) -> Option<Event> {
+    let order = kind(request.target.as_ref()?);
+    let fencing_number = request.fence.0;
+    match answer {
+        Ok(_) => Some(Event::OrderApplied { order, fencing_number }),
+        Err(RankError::Stale { lowest, .. }) => {
+            let lowest_accepted = lowest.0;
+            Some(Event::OrderRefused { order, fencing_number, lowest_accepted })
+        }
+        Err(_) => None,
+    }
+}
+
+fn kind(target: &OrderTarget) -> OrderKind {
+    match target {
+        OrderTarget::Serve { .. } => OrderKind::Serve,
+        OrderTarget::StageMap { .. } => OrderKind::StageMap,
+        OrderTarget::Hold { .. } => OrderKind::Hold,
+        OrderTarget::SwitchMap { .. } => OrderKind::SwitchMap,
+        OrderTarget::Resume => OrderKind::Resume,
     }
 }
 
@@ -97,3 +133,36 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use flamingowheel_platform::orders::{EngineState, Fence};
+
+    fn state() -> RankState {
+        RankState { incarnation: 1, engine: EngineState::default(), unresolved: false }
+    }
+
+    fn request(target: Option<OrderTarget>) -> RankRequest {
+        RankRequest { incarnation: Some(1), fence: Fence(7), target, requires_version: None }
+    }
+
+    // A coordinator that was replaced while it was paused still sends an order. Whoever looks into a
+    // group's time line must see that it had no effect, and which number was in charge.
+    #[test]
+    fn event_old_number_recorded_as_refused() {
+        let answer = Err(RankError::Stale { given: Fence(7), lowest: Fence(9) });
+        let refused =
+            Event::OrderRefused { order: OrderKind::Resume, fencing_number: 7, lowest_accepted: 9 };
+        assert_eq!(event(&request(Some(OrderTarget::Resume)), &answer), Some(refused));
+    }
+
+    #[test]
+    fn event_applied_order_but_no_read() {
+        let hold = OrderTarget::Hold { after_step: 3 };
+        let applied = Event::OrderApplied { order: OrderKind::Hold, fencing_number: 7 };
+        assert_eq!(event(&request(Some(hold.clone())), &Ok(state())), Some(applied));
+        assert_eq!(event(&request(None), &Ok(state())), None);
+        assert_eq!(event(&request(Some(hold)), &Err(RankError::EngineSilent)), None);
+    }
+}
