--- a/crates/flamingowheel/src/commands/status.rs
+++ b/crates/flamingowheel/src/commands/status.rs
@@ -147,6 +147,7 @@
         Activity::Following => "following",
         Activity::Running => "running",
         Activity::Staging => "staging",
+        Activity::Draining => "draining",
         Activity::Aligning => "aligning",
         Activity::Held => "HELD",
     }
--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -317,11 +317,7 @@
 
     /// All ranks' states, or none: a plan from half the loads would move experts for nothing.
     async fn read(&self, fence: Fence) -> Option<Vec<RankState>> {
-        let read = |rank| {
-            let request =
-                RankRequest { incarnation: None, fence, target: None, requires_version: None };
-            timeout(READ_LIMIT, self.ranks.call(rank, request))
-        };
+        let read = |rank| timeout(READ_LIMIT, self.ranks.call(rank, RankRequest::read(fence)));
         let states = join_all((0..self.ranks.count()).map(read)).await;
         states.into_iter().map(|state| state.ok()?.ok()).collect()
     }
--- a/crates/flamingowheeld/src/orders.rs
+++ b/crates/flamingowheeld/src/orders.rs
@@ -137,14 +137,26 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use flamingowheel_group::intake::Work;
     use flamingowheel_platform::orders::{EngineState, Fence};
 
     fn state() -> RankState {
-        RankState { incarnation: 1, engine: EngineState::default(), unresolved: false }
+        RankState {
+            incarnation: 1,
+            engine: EngineState::default(),
+            unresolved: false,
+            work: Work::default(),
+        }
     }
 
     fn request(target: Option<OrderTarget>) -> RankRequest {
-        RankRequest { incarnation: Some(1), fence: Fence(7), target, requires_version: None }
+        RankRequest {
+            incarnation: Some(1),
+            fence: Fence(7),
+            target,
+            requires_version: None,
+            open: None,
+        }
     }
 
     // A coordinator that was replaced while it was paused still sends an order. Whoever looks into a
--- a/crates/flamingowheeld/src/placement.rs
+++ b/crates/flamingowheeld/src/placement.rs
@@ -86,6 +86,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use flamingowheel_group::intake::Work;
     use flamingowheel_platform::orders::EngineState;
 
     const SHAPE: ExpertShape = ExpertShape { ranks: 2, layers: 1, experts: 4, slots: 2 };
@@ -95,7 +96,7 @@
         for (expert, count) in counts.into_iter().enumerate() {
             engine.counters.insert(expert_counter(0, expert as u16), count);
         }
-        vec![RankState { incarnation: 1, engine, unresolved: false }]
+        vec![RankState { incarnation: 1, engine, unresolved: false, work: Work::default() }]
     }
 
     #[test]
--- a/crates/group/src/align.rs
+++ b/crates/group/src/align.rs
@@ -1,8 +1,10 @@
 //! Bringing a group back to the map in force, whatever happened to it.
 
+use crate::intake::Work;
 use crate::message::{RankError, RankState};
 use crate::ranks::Ranks;
 use crate::record::{Phase, Stored};
+use crate::serve::{self, Progress};
 use crate::session::{GroupError, RankOrder, RankResult, Session};
 use crate::switch::resume::settle;
 use crate::switch::{Failure, Switch};
@@ -13,12 +15,21 @@
 pub enum Alignment {
     /// All ranks step with the map in force.
     Running,
+    /// Ranks are to serve another version and have requests in progress.
+    Draining {
+        /// The ranks that have, and their work.
+        ranks: Vec<(usize, Work)>,
+        /// All ranks that don't serve it yet.
+        behind: Vec<usize>,
+    },
     /// Ranks can't be verified.
     Waiting {
         /// The ranks and why.
         ranks: Vec<(usize, RankError)>,
         /// Whether the group stands still until they can be.
         held: bool,
+        /// Ranks that answer and serve something else than they are to.
+        behind: Vec<usize>,
     },
 }
 
@@ -45,16 +56,28 @@
     if !trouble.is_empty() {
         // A rank that lost its map must not step when the missing one comes back.
         let result = stop_others(session, &stored, &states).await;
+        let behind = serve::behind(&states, &stored.record);
         let held = any_held(&states) || !all_use(&states, version);
-        return (stored, result.map(|()| Alignment::Waiting { ranks: trouble, held }));
+        return (stored, result.map(|()| Alignment::Waiting { ranks: trouble, held, behind }));
     }
+    let behind = serve::behind(&states, &stored.record);
+    let states = match serve::bring(session, &stored, states).await {
+        Ok(Progress::Served(states)) => states,
+        Ok(Progress::Draining(ranks)) => {
+            return (stored, Ok(Alignment::Draining { ranks, behind }));
+        }
+        Err(error) => return (stored, Err(error)),
+    };
     let done = match (all_use(&states, version), any_held(&states)) {
         (true, false) => settle(session, &stored).await.map_err(|error| fail(error, &stored)),
         (true, true) => Switch::verified(session, stored.clone()).resume().await,
         (false, _) => bring(session, stored.clone()).await,
     };
     match done {
-        Ok(stored) => (stored, Ok(Alignment::Running)),
+        Ok(stored) => {
+            serve::reopen(session, &stored, &states).await;
+            (stored, Ok(Alignment::Running))
+        }
         Err(failure) => (failure.stored, Err(failure.error)),
     }
 }
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -7,6 +7,8 @@
 use crate::ranks::Ranks;
 use crate::record::{GroupRecord, RecordError, RecordStore, Stored};
 use crate::retry::Retries;
+use crate::rollout::Rollout;
+use crate::serve::Wanted;
 use crate::session::{GroupError, Loads, Session, Timing};
 use crate::status::{Activity, GroupStatus, OutOfService};
 use crate::switch::{Failure, Switch};
@@ -30,7 +32,10 @@
     status: watch::Sender<GroupStatus>,
     loads: Option<Loads>,
     trouble_since: BTreeMap<usize, Instant>,
+    /// Ranks that don't serve what they are to, as last seen.
+    behind: Vec<usize>,
     retries: Retries,
+    rollout: Option<Rollout>,
 }
 
 impl<Members> Coordinator<Members>
@@ -55,7 +60,9 @@
             status: watch::Sender::default(),
             loads: None,
             trouble_since: BTreeMap::new(),
+            behind: Vec::new(),
             retries: Retries::default(),
+            rollout: None,
         }
     }
 
@@ -64,6 +71,12 @@
         Self { loads: Some(loads), ..self }
     }
 
+    /// Keeps the group at what is in `wanted` of its model.
+    pub fn with_rollout(self, model: &str, wanted: watch::Receiver<Option<Wanted>>) -> Self {
+        let rollout = Rollout::new(Arc::clone(&self.kv), model, &self.group, wanted);
+        Self { rollout: Some(rollout), ..self }
+    }
+
     /// What operators are told.
     pub fn status(&self) -> watch::Receiver<GroupStatus> {
         self.status.subscribe()
@@ -146,7 +159,12 @@
         let Some(map) = self.desired.borrow().clone() else {
             return Err(RecordError::Missing.into());
         };
-        Ok(self.records.create(GroupRecord::first(map, self.ranks.count())).await?)
+        let ranks = self.ranks.count();
+        let record = match map.layers.is_empty() {
+            true => GroupRecord::without_map(ranks),
+            false => GroupRecord::first(map, ranks),
+        };
+        Ok(self.records.create(record).await?)
     }
 
     /// One look at the group, and a change of map if one is wanted and the group runs.
@@ -162,8 +180,17 @@
             timing: &timing,
             loads: self.loads.as_ref(),
         };
+        let stored = match &mut self.rollout {
+            Some(rollout) => rollout.retarget(&session, stored).await?,
+            None => stored,
+        };
         let (stored, result) = align(&session, stored).await;
         let running = matches!(result, Ok(Alignment::Running));
+        if let Some(rollout) = self.rollout.as_mut().filter(|_| running)
+            && let Some(stored) = rollout.begin(&session, &stored).await?
+        {
+            return Ok(stored);
+        }
         if let Some(map) = &*self.desired.borrow_and_update() {
             self.retries.want(map);
         }
@@ -190,7 +217,7 @@
 
     fn report(&mut self, stored: &Stored, result: &Result<Alignment, GroupError>) {
         let trouble: Vec<(usize, RankError)> = match result {
-            Ok(Alignment::Running) => Vec::new(),
+            Ok(Alignment::Running | Alignment::Draining { .. }) => Vec::new(),
             Ok(Alignment::Waiting { ranks, .. }) => ranks.clone(),
             Err(GroupError::Rank { rank, error }) => vec![(*rank, error.clone())],
             Err(_) => Vec::new(),
@@ -206,9 +233,17 @@
         }
         let activity = match result {
             Ok(Alignment::Running | Alignment::Waiting { held: false, .. }) => Activity::Running,
+            Ok(Alignment::Draining { .. }) => Activity::Draining,
             _ if out_of_service.is_empty() => Activity::Aligning,
             _ => Activity::Held,
         };
+        match result {
+            Ok(Alignment::Running) => self.behind = Vec::new(),
+            Ok(Alignment::Waiting { behind, .. } | Alignment::Draining { behind, .. }) => {
+                self.behind.clone_from(behind);
+            }
+            Err(_) => {}
+        }
         self.report_activity(stored, activity, out_of_service);
     }
 
@@ -219,7 +254,19 @@
         out_of_service: Vec<OutOfService>,
     ) {
         let map_version = stored.record.in_force.version;
-        self.status.send_replace(GroupStatus { activity, map_version, out_of_service });
+        let mut status = GroupStatus {
+            activity,
+            map_version,
+            out_of_service,
+            serving: stored.record.serving.clone(),
+            behind: self.behind.clone(),
+            waits_for: None,
+        };
+        if let Some((next, group)) = self.rollout.as_ref().and_then(Rollout::waiting) {
+            status.behind = (0..self.ranks.count()).collect();
+            (status.serving, status.waits_for) = (Some(next), Some(group));
+        }
+        self.status.send_replace(status);
     }
 }
 
--- a/crates/group/src/gate.rs
+++ b/crates/group/src/gate.rs
@@ -4,11 +4,14 @@
 //! both safe: one order in flight, numbers checked at receipt and again right before the write, and
 //! no different order while an earlier one may still take effect.
 
+use crate::intake::{Idle, Intake};
 use crate::message::{RankError, RankRequest, RankState};
-use crate::record::{RecordError, RecordStore};
+use crate::record::{Phase, RecordError, RecordStore};
+use crate::serve::is_same_set;
 use flamingowheel_platform::orders::{
     EngineOrders, EngineState, ExpertMap, Fence, Order, OrderError, OrderTarget,
 };
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::Mutex;
@@ -63,6 +66,9 @@
     lowest: AtomicU64,
     /// Locked while an order is in flight.
     memory: Mutex<Memory>,
+    intake: Arc<dyn Intake>,
+    /// When the gate was opened the group was about to change its version.
+    is_rolling: bool,
 }
 
 impl<Engine> Gate<Engine>
@@ -80,13 +86,25 @@
         incarnation: u64,
         records: &RecordStore,
     ) -> Result<Self, RecordError> {
-        let lowest = match records.read().await {
-            Ok(stored) => stored.fence().0,
-            Err(RecordError::Missing) => 0,
+        let (lowest, is_rolling) = match records.read().await {
+            Ok(stored) => (stored.fence().0, stored.record.phase == Phase::Rolling),
+            Err(RecordError::Missing) => (0, false),
             Err(error) => return Err(error),
         };
         let lowest = AtomicU64::new(lowest);
-        Ok(Self { engine, kind, incarnation, lowest, memory: Mutex::default() })
+        let (memory, intake) = (Mutex::default(), Arc::new(Idle::default()));
+        Ok(Self { engine, kind, incarnation, lowest, memory, intake, is_rolling })
+    }
+
+    /// Says what work the agent has.
+    ///
+    /// A fresh agent of a group that is about to change its version takes no work: its requests
+    /// would begin with a version that goes away, while the group may stand still already.
+    pub fn with_intake(self, intake: Arc<dyn Intake>) -> Self {
+        if self.is_rolling {
+            intake.set_open(false);
+        }
+        Self { intake, ..self }
     }
 
     /// Answers a coordinator's request.
@@ -99,10 +117,13 @@
         let locked = timeout(QUEUE_LIMIT, self.memory.lock()).await;
         let mut memory = locked.map_err(|_| RankError::EngineSilent)?;
         let state = self.read(&mut memory.sent).await?;
-        let Some(target) = &request.target else { return Ok(state) };
         // While this order waited, a newer coordinator may have come; its number decides. This is
         // the last point before the write: nothing is awaited in between.
         self.admit(request.fence)?;
+        if let Some(open) = request.open {
+            self.intake.set_open(open);
+        }
+        let Some(target) = &request.target else { return Ok(state) };
         if state.unresolved {
             return Err(RankError::Unresolved);
         }
@@ -113,6 +134,7 @@
         if is_reached(target, &state.engine) {
             return Ok(state);
         }
+        self.check_streams(target, &state.engine)?;
         // A load takes long and its answer may be lost; the same load is not asked for twice.
         if let OrderTarget::StageMap { map } = target
             && memory.loaded.as_ref().is_some_and(|loaded| loaded.is_still(map, &state.engine))
@@ -145,7 +167,21 @@
         if sent.as_ref().is_some_and(over) {
             *sent = None;
         }
-        Ok(RankState { incarnation: self.incarnation, engine, unresolved: sent.is_some() })
+        let (incarnation, work) = (self.incarnation, self.intake.work());
+        Ok(RankState { incarnation, engine, unresolved: sent.is_some(), work })
+    }
+
+    /// An answer that began with one version would go on with another: its caller gets the two
+    /// halves of two answers and nothing tells. So while anything runs no other version is loaded,
+    /// whoever asks. A process that was started held and has no map has run no step yet.
+    fn check_streams(&self, target: &OrderTarget, engine: &EngineState) -> Result<(), RankError> {
+        let OrderTarget::Serve { model, version, .. } = target else { return Ok(()) };
+        let changes = engine.model != *model || engine.version != *version;
+        let is_fresh = engine.held_after_step.is_some() && engine.map_version == 0;
+        if !changes || is_fresh || !self.intake.is_in_use() {
+            return Ok(());
+        }
+        Err(RankError::Busy { in_progress: self.intake.work().in_progress })
     }
 
     /// An order whose answer is lost may sit in the engine's queue and take effect a minute later,
@@ -193,7 +229,7 @@
         OrderTarget::Serve { model, version, adapters, role } => {
             engine.model == *model
                 && engine.version == *version
-                && engine.adapters == *adapters
+                && is_same_set(&engine.adapters, adapters)
                 && engine.role == *role
         }
         // The way an engine computes the digest is its own; see `Loaded`.
--- a/crates/group/src/message.rs
+++ b/crates/group/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between a group's coordinator and the agents of its ranks.
 
+use crate::intake::Work;
 use flamingowheel_platform::orders::{EngineState, Fence, OrderTarget};
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +18,22 @@
     /// back with no map between the coordinator's read and its order to resume; it would step with
     /// another map than the rest.
     pub requires_version: Option<u64>,
+    /// Whether the agent is to take new work from now on; `None` leaves it as it is.
+    #[serde(default)]
+    pub open: Option<bool>,
+}
+
+impl RankRequest {
+    /// A question that changes nothing but the lowest number.
+    ///
+    /// ```
+    /// use flamingowheel_group::message::RankRequest;
+    /// use flamingowheel_platform::orders::Fence;
+    /// assert_eq!(RankRequest::read(Fence(7)).target, None);
+    /// ```
+    pub fn read(fence: Fence) -> Self {
+        Self { incarnation: None, fence, target: None, requires_version: None, open: None }
+    }
 }
 
 /// What an agent says of its rank.
@@ -28,6 +45,9 @@
     pub engine: EngineState,
     /// An order was sent whose answer was lost and which may still take effect at any time.
     pub unresolved: bool,
+    /// The agent's work.
+    #[serde(default)]
+    pub work: Work,
 }
 
 impl RankState {
@@ -36,6 +56,11 @@
         self.engine.held_after_step.is_some_and(|boundary| boundary <= self.engine.step)
     }
 
+    /// Whether the engine was started held and has run no step since.
+    pub fn is_fresh(&self) -> bool {
+        self.engine.held_after_step.is_some() && self.engine.map_version == 0
+    }
+
     /// Whether the rank surely uses this version from its next step on.
     pub fn uses(&self, map_version: u64) -> bool {
         !self.unresolved && self.engine.map_version == map_version
@@ -75,6 +100,18 @@
         /// The version in use.
         version: u64,
     },
+    /// Requests are in progress that began with another version of the model.
+    #[error("{in_progress} requests in progress began with another version")]
+    Busy {
+        /// How many.
+        in_progress: u32,
+    },
+    /// The rank serves something else than it was told to.
+    #[error("the rank serves version `{version}`")]
+    WrongModel {
+        /// The version it reports.
+        version: String,
+    },
     /// The engine did not answer its agent.
     #[error("the engine does not answer")]
     EngineSilent,
--- a/crates/group/src/record.rs
+++ b/crates/group/src/record.rs
@@ -6,6 +6,7 @@
 };
 use flamingowheel_platform::orders::{ExpertMap, Fence};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use uuid::Uuid;
@@ -38,6 +39,21 @@
     },
     /// The map in force is new, and ranks are being brought to it.
     Committed,
+    /// Another version of the model is in force. Ranks take no new work, and when nothing is in
+    /// progress any more they are brought to it.
+    Rolling,
+}
+
+/// What all ranks of a group serve.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Serving {
+    /// The model.
+    pub model: String,
+    /// Its version.
+    pub version: String,
+    /// Adapters that each rank holds at least.
+    pub adapters: BTreeSet<String>,
 }
 
 /// A rank as the record knows it.
@@ -61,6 +77,9 @@
     pub phase: Phase,
     /// The group's ranks.
     pub ranks: Vec<RankEntry>,
+    /// What they serve; `None` until operators have named a version or an adapter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub serving: Option<Serving>,
 }
 
 impl GroupRecord {
@@ -78,9 +97,34 @@
             last_version: 1,
             phase: Phase::Committed,
             ranks: vec![RankEntry::default(); ranks],
+            serving: None,
         }
     }
 
+    /// The first record of a group whose ranks share no map: engines report version zero.
+    ///
+    /// ```
+    /// use flamingowheel_group::record::GroupRecord;
+    /// assert_eq!(GroupRecord::without_map(1).in_force.version, 0);
+    /// ```
+    pub fn without_map(ranks: usize) -> Self {
+        let first = Self::first(ExpertMap::default(), ranks);
+        let in_force = VersionedMap::default();
+        Self { in_force, last_version: 0, phase: Phase::Settled, ..first }
+    }
+
+    /// The record with `serving` in force. Adapters are loaded beside what runs; another version
+    /// has to wait until nothing does.
+    pub fn serving(&self, serving: Serving) -> Self {
+        let known = self.serving.as_ref();
+        let adds_only = known.is_some_and(|known| known.version == serving.version);
+        let phase = match adds_only && self.phase != Phase::Rolling {
+            true => Phase::Committed,
+            false => Phase::Rolling,
+        };
+        Self { phase, serving: Some(serving), ..self.clone() }
+    }
+
     /// The record while ranks load `map`.
     pub fn pending(&self, map: ExpertMap) -> Self {
         let last_version = self.last_version + 1;
--- /dev/null
+++ b/crates/group/src/serve.rs
@@ -0,0 +1,202 @@
+//! Bringing ranks to the model version and adapters that operators accepted.
+
+use crate::intake::Work;
+use crate::message::{RankError, RankState};
+use crate::ranks::Ranks;
+use crate::record::{GroupRecord, Serving, Stored};
+use crate::session::{GroupError, RankOrder, Session};
+use crate::switch::hold_all;
+use flamingowheel_platform::orders::{EngineState, OrderTarget};
+use futures_util::future::join_all;
+use std::collections::BTreeSet;
+
+/// What operators accepted of one model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// The version; `None` keeps the one that is served.
+    pub version: Option<String>,
+    /// Adapters that some workspace may name.
+    pub adapters: BTreeSet<String>,
+}
+
+/// What the group's record should say next; `None` if it says so already. `reported` is the version
+/// that all ranks report, used while nobody has named one.
+///
+/// An adapter that nobody names any more stays until the next version: unloading it would mean to
+/// wait for the requests that use it, and callers can't name it any more anyway.
+///
+/// ```
+/// use flamingowheel_group::record::GroupRecord;
+/// use flamingowheel_group::serve::{Wanted, next};
+/// let record = GroupRecord::without_map(1);
+/// let wanted = Wanted { version: Some("7".to_owned()), ..Wanted::default() };
+/// assert_eq!(next("notes", &wanted, &record, None).unwrap().version, "7");
+/// assert_eq!(next("notes", &Wanted::default(), &record, Some("6")), None);
+/// ```
+pub fn next(
+    model: &str,
+    wanted: &Wanted,
+    record: &GroupRecord,
+    reported: Option<&str>,
+) -> Option<Serving> {
+    let known = record.serving.as_ref();
+    if known.is_none() && *wanted == Wanted::default() {
+        return None;
+    }
+    let kept = known.map(|known| known.version.as_str()).or(reported);
+    let version = wanted.version.as_deref().or(kept)?.to_owned();
+    let mut adapters = wanted.adapters.clone();
+    if let Some(known) = known.filter(|known| known.version == version) {
+        adapters.extend(known.adapters.iter().cloned());
+    }
+    let next = Serving { model: model.to_owned(), version, adapters };
+    (known != Some(&next)).then_some(next)
+}
+
+/// The version that all ranks report, if they agree on one.
+pub(crate) fn reported(states: &[RankState]) -> Option<&str> {
+    let version = states.first()?.engine.version.as_str();
+    let agree = states.iter().all(|state| state.engine.version == version);
+    (agree && !version.is_empty()).then_some(version)
+}
+
+pub(crate) fn is_same_set(one: &[String], other: &[String]) -> bool {
+    one.iter().collect::<BTreeSet<_>>() == other.iter().collect::<BTreeSet<_>>()
+}
+
+fn is_version(engine: &EngineState, serving: &Serving) -> bool {
+    engine.model == serving.model && engine.version == serving.version
+}
+
+fn serves(engine: &EngineState, serving: &Serving) -> bool {
+    is_version(engine, serving) && serving.adapters.iter().all(|own| engine.adapters.contains(own))
+}
+
+/// The order that brings an engine there. Its role is its own, and adapters that it holds beyond
+/// those named stay while the version does.
+fn target(engine: &EngineState, serving: &Serving) -> OrderTarget {
+    let mut adapters = serving.adapters.clone();
+    if is_version(engine, serving) {
+        adapters.extend(engine.adapters.iter().cloned());
+    }
+    OrderTarget::Serve {
+        model: serving.model.clone(),
+        version: serving.version.clone(),
+        adapters: adapters.into_iter().collect(),
+        role: engine.role.clone(),
+    }
+}
+
+/// How far the ranks are.
+pub(crate) enum Progress {
+    /// All serve what the record says; their states.
+    Served(Vec<(usize, RankState)>),
+    /// Requests of another version are in progress.
+    Draining(Vec<(usize, Work)>),
+}
+
+/// Ranks that don't serve what the record says.
+pub(crate) fn behind(states: &[(usize, RankState)], record: &GroupRecord) -> Vec<usize> {
+    let Some(serving) = &record.serving else { return Vec::new() };
+    let is_behind = |(_, state): &&(usize, RankState)| !serves(&state.engine, serving);
+    states.iter().filter(is_behind).map(|(rank, _)| *rank).collect()
+}
+
+/// Takes the next step towards what the record says.
+///
+/// Ranks that have to change their version first take no new work, and the group goes on until
+/// theirs has ended. Then all stop, so that no step is run with two versions; they stay stopped
+/// until all were read back.
+pub(crate) async fn bring<Members>(
+    session: &Session<'_, Members>,
+    stored: &Stored,
+    states: Vec<(usize, RankState)>,
+) -> Result<Progress, GroupError>
+where
+    Members: Ranks,
+{
+    let ranks = behind(&states, &stored.record);
+    let Some(serving) = stored.record.serving.as_ref().filter(|_| !ranks.is_empty()) else {
+        return Ok(Progress::Served(states));
+    };
+    let changing: Vec<&(usize, RankState)> =
+        states.iter().filter(|(_, state)| !is_version(&state.engine, serving)).collect();
+    if !changing.is_empty() {
+        let busy = drain(session, stored, &changing).await;
+        if !busy.is_empty() {
+            return Ok(Progress::Draining(busy));
+        }
+        if session.ranks.count() > 1 {
+            hold_all(session, stored.fence()).await?;
+        }
+    }
+    let loads = states
+        .iter()
+        .filter(|(rank, _)| ranks.contains(rank))
+        .map(|(rank, state)| load(session, stored, *rank, &state.engine, serving));
+    join_all(loads).await.into_iter().collect::<Result<Vec<()>, GroupError>>()?;
+    // An order's answer is no proof: the engine may have crashed since.
+    let states = session.read_whole(stored.fence()).await?;
+    let states: Vec<(usize, RankState)> = states.into_iter().enumerate().collect();
+    match behind(&states, &stored.record).first() {
+        None => Ok(Progress::Served(states)),
+        Some(rank) => {
+            let version = states[*rank].1.engine.version.clone();
+            Err(GroupError::Rank { rank: *rank, error: RankError::WrongModel { version } })
+        }
+    }
+}
+
+/// Closes the ranks' intakes; gives those that have work left. Ranks that were started held and
+/// have no map have run no step: what waits there can't end before they are let go.
+async fn drain<Members>(
+    session: &Session<'_, Members>,
+    stored: &Stored,
+    changing: &[&(usize, RankState)],
+) -> Vec<(usize, Work)>
+where
+    Members: Ranks,
+{
+    let open = changing.iter().filter(|(_, state)| state.work.is_open);
+    let open: Vec<usize> = open.map(|(rank, _)| *rank).collect();
+    session.set_open(stored.fence(), &open, false).await;
+    let is_busy = |state: &RankState| !state.is_fresh() && !state.work.is_drained();
+    let busy = changing.iter().filter(|(_, state)| is_busy(state));
+    busy.map(|(rank, state)| (*rank, state.work)).collect()
+}
+
+/// Has a rank load what it lacks, when the weight store's rate allows.
+async fn load<Members>(
+    session: &Session<'_, Members>,
+    stored: &Stored,
+    rank: usize,
+    engine: &EngineState,
+    serving: &Serving,
+) -> Result<(), GroupError>
+where
+    Members: Ranks,
+{
+    let is_other_version = !is_version(engine, serving);
+    let lacks = |own: &&String| is_other_version || !engine.adapters.contains(own);
+    let adapters = serving.adapters.iter().filter(lacks).count();
+    if let Some(loads) = session.loads {
+        loads.take_model(is_other_version, adapters).await;
+    }
+    let order = RankOrder::new(rank, target(engine, serving));
+    session.order_all(stored.fence(), vec![order], session.timing.stage_limit).await
+}
+
+/// Lets ranks take work again that were closed for a change.
+pub(crate) async fn reopen<Members>(
+    session: &Session<'_, Members>,
+    stored: &Stored,
+    states: &[(usize, RankState)],
+) where
+    Members: Ranks,
+{
+    let closed = states.iter().filter(|(_, state)| !state.work.is_open);
+    let closed: Vec<usize> = closed.map(|(rank, _)| *rank).collect();
+    if !closed.is_empty() {
+        session.set_open(stored.fence(), &closed, true).await;
+    }
+}
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -82,14 +82,34 @@
 pub struct Loads {
     /// This process's share; the coordinator keeps it confirmed while it acts.
     pub budget: Arc<Budget>,
-    /// Size of one expert's weights in one layer.
+    /// Sizes of what is loaded.
+    pub sizes: Sizes,
+}
+
+/// Sizes of weights, of the largest model: a load that is counted for too little would overrun the
+/// store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    /// One expert's weights in one layer.
     pub expert_bytes: u64,
+    /// All that one rank loads of a version.
+    pub rank_bytes: u64,
+    /// One adapter on one rank.
+    pub adapter_bytes: u64,
 }
 
 impl Loads {
     /// Waits until a rank may load what `next` gives it beyond what it holds.
     pub async fn take(&self, rank: usize, held: Option<&ExpertMap>, next: &ExpertMap) {
-        self.budget.take(self.expert_bytes * experts_to_load(rank, held, next)).await;
+        let count = experts_to_load(rank, held, next);
+        self.budget.take(self.sizes.expert_bytes * count).await;
+    }
+
+    /// Waits until a rank may load a version, if it is another one, and so many adapters.
+    pub async fn take_model(&self, is_other_version: bool, adapters: usize) {
+        let version_bytes = if is_other_version { self.sizes.rank_bytes } else { 0 };
+        let adapter_bytes = self.sizes.adapter_bytes * adapters as u64;
+        self.budget.take(version_bytes + adapter_bytes).await;
     }
 }
 
@@ -127,9 +147,13 @@
     }
 
     async fn read(&self, rank: usize, fence: Fence) -> RankResult {
-        let request =
-            RankRequest { incarnation: None, fence, target: None, requires_version: None };
-        self.call(rank, request).await
+        self.call(rank, RankRequest::read(fence)).await
+    }
+
+    /// Has these ranks' agents take new work or not. Whether they do shows at the next read.
+    pub async fn set_open(&self, fence: Fence, ranks: &[usize], open: bool) {
+        let request = RankRequest { open: Some(open), ..RankRequest::read(fence) };
+        join_all(ranks.iter().map(|rank| self.call(*rank, request.clone()))).await;
     }
 
     async fn call(&self, rank: usize, request: RankRequest) -> RankResult {
@@ -190,6 +214,7 @@
             fence,
             target: Some(order.target.clone()),
             requires_version: order.requires_version,
+            open: None,
         };
         Ok(self.call(order.rank, request).await)
     }
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -1,6 +1,7 @@
 //! What operators are told of a group.
 
 use crate::message::RankError;
+use crate::record::Serving;
 use serde::{Deserialize, Serialize};
 
 /// Where a group stands.
@@ -14,6 +15,8 @@
     Running,
     /// Weights of a new map are being loaded; the group steps on.
     Staging,
+    /// Another version of the model is in force, and requests of the former one run to their end.
+    Draining,
     /// The group is stopped while ranks are brought to the map in force.
     Aligning,
     /// The group is stopped because a rank can't be verified.
@@ -38,4 +41,13 @@
     pub map_version: u64,
     /// Ranks out of service.
     pub out_of_service: Vec<OutOfService>,
+    /// What the ranks are to serve, if operators said so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub serving: Option<Serving>,
+    /// Ranks that don't serve it yet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub behind: Vec<usize>,
+    /// The group waits for another group of the model before it changes its version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waits_for: Option<String>,
 }
--- /dev/null
+++ b/crates/group/src/turn.rs
@@ -0,0 +1,96 @@
+//! Whose turn it is to change the version of a model: one group after the other, so that the rest
+//! of the model's groups serve meanwhile.
+
+use bytes::Bytes;
+use flamingowheel_platform::kv::{
+    Compare, KeyValue, KeyValueError, LeaseId, Operation, Transaction,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a turn outlasts the coordinator that took it. Its successor takes the turn over well
+/// within this time, so that the group ends what it began before another one begins.
+const TTL: Duration = Duration::from_secs(60);
+
+/// Time between two calls of one group about its turn.
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// One group's part in taking turns.
+pub(crate) struct Turns {
+    kv: Arc<dyn KeyValue>,
+    key: String,
+    group: String,
+    lease: Option<LeaseId>,
+    asked_at: Option<Instant>,
+    /// The group that had the turn when it was last asked for.
+    taken_by: Option<String>,
+}
+
+impl Turns {
+    pub(crate) fn new(kv: Arc<dyn KeyValue>, model: &str, group: &str) -> Self {
+        let key = format!("models/{model}/turn");
+        Self { kv, key, group: group.to_owned(), lease: None, asked_at: None, taken_by: None }
+    }
+
+    /// The group that this one waits for.
+    pub(crate) fn waits_for(&self) -> Option<String> {
+        self.taken_by.clone()
+    }
+
+    /// Whether it is this group's turn; asks for it, or confirms it, at most every few seconds.
+    pub(crate) async fn take(&mut self) -> bool {
+        let is_due = self.asked_at.is_none_or(|asked_at| asked_at.elapsed() >= INTERVAL);
+        if is_due {
+            self.asked_at = Some(Instant::now());
+            if let Err(error) = self.ask().await {
+                tracing::warn!(group = self.group, %error, "turn not asked for");
+            }
+        }
+        self.lease.is_some()
+    }
+
+    /// Lets the next group begin. If this is lost the turn runs out by itself.
+    pub(crate) async fn release(&mut self) {
+        self.taken_by = None;
+        if let Some(lease) = self.lease.take() {
+            self.asked_at = None;
+            let _ = self.kv.revoke_lease(lease).await;
+        }
+    }
+
+    async fn ask(&mut self) -> Result<(), KeyValueError> {
+        if let Some(lease) = self.lease {
+            match self.kv.keep_alive(lease).await {
+                Err(KeyValueError::LeaseNotFound) => self.lease = None,
+                result => return result,
+            }
+        }
+        let snapshot = self.kv.range(&self.key).await?;
+        let found = snapshot.entries.into_iter().find(|entry| entry.key == self.key);
+        let compare = match &found {
+            None => Compare::Absent { key: self.key.clone() },
+            // It was taken by an earlier coordinator of this group.
+            Some(entry) if entry.value == self.group => {
+                Compare::ModRevision { key: self.key.clone(), revision: entry.mod_revision }
+            }
+            Some(entry) => {
+                self.taken_by = Some(String::from_utf8_lossy(&entry.value).into_owned());
+                return Ok(());
+            }
+        };
+        let lease = self.kv.grant_lease(TTL).await?;
+        let (key, value) = (self.key.clone(), Bytes::from(self.group.clone()));
+        let put = Operation::Put { key, value, lease: Some(lease) };
+        let transaction = Transaction {
+            compares: vec![compare],
+            on_success: vec![put],
+            ..Transaction::default()
+        };
+        // If the answer is lost, the group finds its own name at the next try.
+        if self.kv.transact(transaction).await?.succeeded {
+            (self.lease, self.taken_by) = (Some(lease), None);
+        }
+        Ok(())
+    }
+}
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -1,7 +1,7 @@
 //! The weight store's rate is kept by the whole fleet at every moment.
 
 use flamingowheel_group::budget::{Allocation, Budget, Pacer, Share, StoreLimits, VALID_FOR};
-use flamingowheel_group::session::Loads;
+use flamingowheel_group::session::{Loads, Sizes};
 use flamingowheel_platform::fake::FakeKeyValue;
 use flamingowheel_platform::orders::ExpertMap;
 use std::sync::Arc;
@@ -195,7 +195,7 @@
 async fn take_loads_one_rank_after_another() {
     let budget = Arc::new(Budget::new(Arc::new(FakeKeyValue::new()), "0", LIMITS));
     let minimum = budget.rate_bytes_per_s();
-    let loads = Loads { budget, expert_bytes: minimum as u64 };
+    let loads = Loads { budget, sizes: Sizes { expert_bytes: minimum as u64, ..Sizes::default() } };
     let map = |experts: [u16; 4]| ExpertMap {
         layers: vec![experts.chunks(2).map(<[u16]>::to_vec).collect()],
     };
--- a/crates/group/tests/gate.rs
+++ b/crates/group/tests/gate.rs
@@ -34,6 +34,7 @@
         fence: Fence(fence),
         target: Some(target),
         requires_version: None,
+        open: None,
     }
 }
 
--- /dev/null
+++ b/crates/group/tests/rollout.rs
@@ -0,0 +1,267 @@
+//! Changes of a model's version and adapters under faults at every message.
+
+mod support;
+
+use bytes::Bytes;
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_group::session::Sizes;
+use flamingowheel_group::status::Activity;
+use flamingowheel_platform::fake::{LostAnswer, LostOrder};
+use flamingowheel_platform::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_platform::orders::ExpertMap;
+use std::time::Duration;
+use support::{Fault, GROUP, MODEL, OUTAGE, RANKS, World, map};
+use tokio::time::sleep;
+
+/// A change of version sends fewer messages than this.
+const MESSAGES: u64 = 60;
+const KINDS: [EngineKind; 2] = [EngineKind::ChecksFence, EngineKind::IgnoresFence];
+const MINUTE: Duration = Duration::from_secs(60);
+const SECOND: Duration = Duration::from_secs(1);
+/// Time of one request.
+const REQUEST: Duration = Duration::from_millis(900);
+/// Bound on the time from a fault's end until the change is through.
+const RECOVERY: Duration = Duration::from_secs(20);
+
+/// A group that serves version 1 and is at work.
+async fn serving(kind: EngineKind) -> std::sync::Arc<World> {
+    let world = World::start(kind).await;
+    world.accept("1", &[]);
+    sleep(SECOND * 4).await;
+    assert!(world.all_serve("1"), "{:?}", world.status());
+    world.run_traffic(REQUEST);
+    sleep(SECOND).await;
+    world
+}
+
+async fn strike_everywhere(fault: Fault, fault_lasts: Duration) {
+    let mut struck = 0;
+    for kind in KINDS {
+        for message in 0..MESSAGES {
+            let case = format!("{fault:?} at message {message}, {kind:?}");
+            let world = serving(kind).await;
+            world.plan(message, fault);
+            world.accept("2", &[]);
+            sleep(fault_lasts + RECOVERY).await;
+            struck += u32::from(world.has_struck());
+            check_serves_or_named(&world, "2", &case).await;
+        }
+    }
+    assert!(struck > 60, "the fault struck only {struck} times");
+}
+
+/// No step and no answer is of two versions. The group serves the wanted one and runs, or the rank
+/// that can't be verified is named.
+async fn check_serves_or_named(world: &World, version: &str, case: &str) {
+    let runs = world.runs_within(SECOND).await;
+    let status = world.status();
+    world.check_steps(case);
+    assert_eq!(world.mixed_answers(), 0, "{case}");
+    if runs {
+        assert_eq!(status.activity, Activity::Running, "{case}: {status:?}");
+        assert!(status.behind.is_empty(), "{case}: {status:?}");
+        assert!(world.all_serve(version), "{case}: {status:?}");
+    } else {
+        assert!(!status.out_of_service.is_empty(), "{case}: stands still, {status:?}");
+    }
+    world.end();
+}
+
+/// Nothing goes wrong: operators accept another version, requests in progress end with the one they
+/// began with, and the group goes on with the other.
+#[tokio::test(start_paused = true)]
+async fn rollout_without_fault() {
+    for kind in KINDS {
+        let world = serving(kind).await;
+        world.accept("2", &["bibb", "houston"]);
+        sleep(SECOND * 3).await;
+        let finished = world.work(0).finished();
+        check_serves_or_named(&world, "2", "no fault").await;
+        assert!(world.work(0).finished() > finished, "{kind:?}: work goes on");
+        assert_eq!(world.engine(1).peek_state().adapters, ["bibb", "houston"]);
+    }
+}
+
+/// One request takes much longer than the others. The group must not cut it off, and must not answer
+/// the second half of it with another version.
+#[tokio::test(start_paused = true)]
+async fn rollout_waits_for_a_long_request() {
+    let world = serving(EngineKind::ChecksFence).await;
+    let (work, engine) = (std::sync::Arc::clone(world.work(1)), world.engine(1).clone());
+    tokio::spawn(async move { work.run_one(&engine, MINUTE).await });
+    sleep(SECOND).await;
+    world.accept("2", &[]);
+    sleep(MINUTE - SECOND * 3).await;
+    let status = world.status();
+    assert_eq!((status.activity, status.behind.len()), (Activity::Draining, RANKS));
+    assert_eq!(world.engine(0).peek_state().version, "1");
+    assert!(world.runs_within(SECOND).await, "the request goes on");
+    sleep(SECOND * 6).await;
+    check_serves_or_named(&world, "2", "long request").await;
+}
+
+/// An operator takes a bad version back at once, while long requests still run on the good one. It
+/// must not be loaded first, and nothing waits for the long request.
+#[tokio::test(start_paused = true)]
+async fn rollout_version_changed_twice() {
+    for kind in KINDS {
+        let world = serving(kind).await;
+        let (work, engine) = (std::sync::Arc::clone(world.work(1)), world.engine(1).clone());
+        tokio::spawn(async move { work.run_one(&engine, MINUTE).await });
+        sleep(SECOND).await;
+        world.accept("bad", &[]);
+        sleep(SECOND * 2).await;
+        assert_eq!(world.status().activity, Activity::Draining);
+        world.accept("1", &[]);
+        sleep(SECOND * 2).await;
+        check_serves_or_named(&world, "1", "taken back").await;
+        let world = serving(kind).await;
+        for version in ["2", "3", "4"] {
+            world.accept(version, &[]);
+            sleep(Duration::from_millis(400)).await;
+        }
+        sleep(RECOVERY).await;
+        check_serves_or_named(&world, "4", "three versions").await;
+    }
+}
+
+/// Another group of the model changes its version just now. If both did at once, nobody would serve
+/// the model; its callers would be refused for as long as weights take to load.
+#[tokio::test(start_paused = true)]
+async fn rollout_waits_for_its_turn() {
+    let world = serving(EngineKind::ChecksFence).await;
+    sleep(SECOND * 6).await;
+    let key = format!("models/{MODEL}/turn");
+    let put = Operation::Put { key: key.clone(), value: Bytes::from("g2"), lease: None };
+    let put = Transaction { on_success: vec![put], ..Transaction::default() };
+    world.kv.transact(put).await.unwrap();
+    world.accept("2", &[]);
+    sleep(MINUTE).await;
+    assert!(world.all_serve("1"));
+    let status = world.status();
+    assert_eq!((status.waits_for.as_deref(), status.behind.len()), (Some("g2"), RANKS));
+    let delete = Operation::Delete { key };
+    let delete = Transaction { on_success: vec![delete], ..Transaction::default() };
+    world.kv.transact(delete).await.unwrap();
+    sleep(SECOND * 10).await;
+    check_serves_or_named(&world, "2", GROUP).await;
+}
+
+/// An adapter is added to the version that is served. Nothing has to stop for it.
+#[tokio::test(start_paused = true)]
+async fn rollout_adapter_added_without_a_stop() {
+    for kind in KINDS {
+        let world = serving(kind).await;
+        let stalled = world.group.stalled();
+        world.accept("1", &["bibb"]);
+        sleep(SECOND * 2).await;
+        assert_eq!(world.group.stalled(), stalled, "{kind:?}");
+        assert_eq!(world.engine(2).peek_state().adapters, ["bibb"]);
+        world.accept("1", &["houston"]);
+        sleep(SECOND * 2).await;
+        assert_eq!(world.engine(2).peek_state().adapters, ["bibb", "houston"], "kept meanwhile");
+        check_serves_or_named(&world, "1", "adapters").await;
+    }
+}
+
+/// Engines whose ranks share no expert map change their version like the others.
+#[tokio::test(start_paused = true)]
+async fn rollout_without_expert_map() {
+    let world = World::start_sized(EngineKind::IgnoresFence, None, ExpertMap::default()).await;
+    world.accept("1", &[]);
+    sleep(SECOND * 4).await;
+    world.accept("2", &[]);
+    sleep(SECOND * 4).await;
+    check_serves_or_named(&world, "2", "no map").await;
+    assert_eq!(world.engine(0).peek_state().map_version, 0);
+}
+
+/// A group changes its version while the weight store is shared with many others. Its ranks load
+/// one after another within what the process may use.
+#[tokio::test(start_paused = true)]
+async fn rollout_loads_paced() {
+    // At the minimum of 50 bytes a second each rank's load takes 10 s.
+    let sizes = Sizes { rank_bytes: 500, ..Sizes::default() };
+    let world = World::start_sized(EngineKind::ChecksFence, Some(sizes), map(1)).await;
+    world.accept("2", &[]);
+    sleep(SECOND * 18).await;
+    let version = |rank: usize| world.engine(rank).peek_state().version;
+    assert_eq!((version(0).as_str(), version(2).as_str()), ("2", ""));
+    sleep(SECOND * 8).await;
+    check_serves_or_named(&world, "2", "paced").await;
+}
+
+/// The coordinator sleeps past its lease in the middle of a change. When it wakes, another has
+/// brought the group to the wanted version, and its orders are of an old target.
+#[tokio::test(start_paused = true)]
+async fn rollout_coordinator_paused() {
+    strike_everywhere(Fault::PauseCoordinator, OUTAGE * 3).await;
+}
+
+/// The lease is taken from a coordinator that goes on for a while, so that two order the same ranks.
+#[tokio::test(start_paused = true)]
+async fn rollout_two_coordinators() {
+    strike_everywhere(Fault::ExpireLease, Duration::ZERO).await;
+}
+
+/// The coordinator dies; another takes up the change where it stands.
+#[tokio::test(start_paused = true)]
+async fn rollout_coordinator_killed() {
+    strike_everywhere(Fault::KillCoordinator, Duration::ZERO).await;
+}
+
+/// An agent's process dies between two orders, and a new one remembers nothing of the first. Its
+/// engine goes on with what it was told.
+#[tokio::test(start_paused = true)]
+async fn rollout_agent_restarted() {
+    strike_everywhere(Fault::KillAgent, SECOND * 2).await;
+}
+
+/// An engine dies in the middle of a change and comes back with nothing loaded.
+#[tokio::test(start_paused = true)]
+async fn rollout_engine_crashed() {
+    strike_everywhere(Fault::CrashEngine, SECOND * 2).await;
+}
+
+/// The key-value service goes away in the middle of a change, or the answer to a write is lost
+/// after the write took effect or before.
+#[tokio::test(start_paused = true)]
+async fn rollout_service_down_or_answer_lost() {
+    strike_everywhere(Fault::ServiceDown, OUTAGE).await;
+    strike_everywhere(Fault::LoseServiceAnswers(LostAnswer::AfterEffect), Duration::ZERO).await;
+    strike_everywhere(Fault::LoseServiceAnswers(LostAnswer::BeforeEffect), Duration::ZERO).await;
+}
+
+/// A request to an agent or its answer is lost, or the engine carries out an order and its answer is
+/// lost.
+#[tokio::test(start_paused = true)]
+async fn rollout_answer_lost_after_effect() {
+    strike_everywhere(Fault::LoseRequest, Duration::ZERO).await;
+    strike_everywhere(Fault::LoseAnswer, Duration::ZERO).await;
+    strike_everywhere(Fault::LoseOrder(LostOrder::AfterEffect), Duration::ZERO).await;
+}
+
+/// An order lies about for a minute, on the network or within the engine, while operators accept two
+/// further versions. If it took effect then, one rank would answer with an old version.
+#[tokio::test(start_paused = true)]
+async fn rollout_order_late_by_a_minute() {
+    for fault in [Fault::Delay(MINUTE), Fault::LoseOrder(LostOrder::Delayed(MINUTE))] {
+        for kind in KINDS {
+            for message in 0..MESSAGES {
+                let case = format!("{fault:?} at message {message}, {kind:?}");
+                let world = serving(kind).await;
+                world.plan(message, fault);
+                for version in ["2", "3", "4"] {
+                    world.accept(version, &[]);
+                    sleep(MINUTE / 3).await;
+                }
+                for version in ["5", "6", "7"] {
+                    world.accept(version, &[]);
+                    sleep(SECOND * 2).await;
+                }
+                sleep(RECOVERY).await;
+                check_serves_or_named(&world, "7", &case).await;
+            }
+        }
+    }
+}
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -2,13 +2,17 @@
 //! strike at a chosen message.
 #![allow(dead_code)]
 
+pub mod traffic;
+
 use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::intake::Intake;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::RecordStore;
-use flamingowheel_group::session::{Loads, Timing};
+use flamingowheel_group::serve::Wanted;
+use flamingowheel_group::session::{Loads, Sizes, Timing};
 use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::{
@@ -24,14 +28,17 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use traffic::Traffic;
 
 pub const RANKS: usize = 3;
 /// The reserved minimum of one process is 50 bytes a second.
 const LIMITS: StoreLimits = StoreLimits { rate_bytes_per_s: 1000.0, max_members: 2 };
 pub const GROUP: &str = "g1";
+pub const MODEL: &str = "notes";
 /// How long a fault lasts that ends by itself.
 pub const OUTAGE: Duration = Duration::from_secs(4);
 const RESTART: Duration = Duration::from_secs(2);
+const LOAD_SPREAD: Duration = Duration::from_millis(40);
 const STEP: Duration = Duration::from_millis(25);
 
 /// What strikes.
@@ -65,6 +72,7 @@
     calls: Mutex<Vec<AbortHandle>>,
     paused: watch::Sender<bool>,
     refuses_loads: AtomicBool,
+    pub work: Arc<Traffic>,
 }
 
 struct Process {
@@ -77,7 +85,8 @@
     pub kv: FakeKeyValue,
     pub group: RankGroup,
     kind: EngineKind,
-    expert_bytes: Option<u64>,
+    sizes: Option<Sizes>,
+    wanted: watch::Sender<Option<Wanted>>,
     slots: Vec<Slot>,
     processes: Mutex<Vec<Process>>,
     desired: watch::Sender<Option<ExpertMap>>,
@@ -99,6 +108,12 @@
 
     /// The same with loads paced by the fleet's budget, one expert being of this size.
     pub async fn start_with(kind: EngineKind, expert_bytes: Option<u64>) -> Arc<Self> {
+        let sizes = expert_bytes.map(|expert_bytes| Sizes { expert_bytes, ..Sizes::default() });
+        Self::start_sized(kind, sizes, map(1)).await
+    }
+
+    /// The same with loads of these sizes, and with this map.
+    pub async fn start_sized(kind: EngineKind, sizes: Option<Sizes>, map: ExpertMap) -> Arc<Self> {
         let fence_policy = match kind {
             EngineKind::ChecksFence => FencePolicy::Refuses,
             EngineKind::IgnoresFence => FencePolicy::Ignores,
@@ -110,23 +125,29 @@
             load_time: Duration::from_millis(100),
             ..EngineSettings::default()
         };
-        let engines: Vec<_> =
-            (0..RANKS).map(|rank| FakeEngine::new(rank as u64, settings.clone())).collect();
+        // Ranks load at different speeds, so that one is done while another is not.
+        let engine = |rank: u32| {
+            let load_time = settings.load_time + rank * LOAD_SPREAD;
+            FakeEngine::new(rank.into(), EngineSettings { load_time, ..settings.clone() })
+        };
+        let engines: Vec<_> = (0..RANKS as u32).map(engine).collect();
         let slot = |engine: &FakeEngine| Slot {
             engine: engine.clone(),
             gate: Mutex::default(),
             calls: Mutex::default(),
             paused: watch::Sender::new(false),
             refuses_loads: AtomicBool::new(false),
+            work: Arc::default(),
         };
         let world = Arc::new(Self {
             kv: FakeKeyValue::new(),
             kind,
-            expert_bytes,
+            sizes,
+            wanted: watch::Sender::new(None),
             slots: engines.iter().map(slot).collect(),
             group: RankGroup::new(engines),
             processes: Mutex::default(),
-            desired: watch::Sender::new(Some(map(1))),
+            desired: watch::Sender::new(Some(map)),
             messages: AtomicU64::new(0),
             refused_loads: AtomicU64::new(0),
             incarnations: AtomicU64::new(0),
@@ -151,10 +172,11 @@
         let desired = self.desired.subscribe();
         let mut coordinator =
             Coordinator::new(Arc::clone(&kv), GROUP, link, Timing::default(), desired);
-        if let Some(expert_bytes) = self.expert_bytes {
+        coordinator = coordinator.with_rollout(MODEL, self.wanted.subscribe());
+        if let Some(sizes) = self.sizes {
             let member = format!("p{}", self.processes.lock().unwrap().len());
             let budget = Arc::new(Budget::new(kv, &member, LIMITS));
-            coordinator = coordinator.with_loads(Loads { budget, expert_bytes });
+            coordinator = coordinator.with_loads(Loads { budget, sizes });
         }
         let status = coordinator.status();
         let paused = watch::Sender::new(false);
@@ -171,6 +193,9 @@
         loop {
             let gate = Gate::open(engine.clone(), self.kind, incarnation, &records).await;
             if let Ok(gate) = gate {
+                let work = &self.slots[rank].work;
+                work.restart();
+                let gate = gate.with_intake(Arc::clone(work) as Arc<dyn Intake>);
                 *self.slots[rank].gate.lock().unwrap() = Some(Arc::new(gate));
                 return;
             }
@@ -193,6 +218,43 @@
         self.refused_loads.load(Ordering::SeqCst)
     }
 
+    /// Operators accept a version and adapters of the model.
+    pub fn accept(&self, version: &str, adapters: &[&str]) {
+        let version = Some(version.to_owned());
+        let adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
+        self.wanted.send_replace(Some(Wanted { version, adapters }));
+    }
+
+    /// The requests of a rank.
+    pub fn work(&self, rank: usize) -> &Arc<Traffic> {
+        &self.slots[rank].work
+    }
+
+    /// Keeps all ranks at work, each request taking this long.
+    pub fn run_traffic(self: &Arc<Self>, length: Duration) {
+        for (rank, slot) in (0u32..).zip(&self.slots) {
+            let (work, engine) = (Arc::clone(&slot.work), slot.engine.clone());
+            let stop = self.stop.clone();
+            tokio::spawn(async move {
+                // Ranks are out of step with each other.
+                sleep(length * rank / RANKS as u32).await;
+                work.run(engine, length, stop).await;
+            });
+        }
+    }
+
+    /// Answers that began with one version of the model and ended with another.
+    pub fn mixed_answers(&self) -> u32 {
+        self.slots.iter().map(|slot| slot.work.mixed()).sum()
+    }
+
+    /// Whether every engine serves this version and its agent takes work.
+    pub fn all_serve(&self, version: &str) -> bool {
+        let serves =
+            |slot: &Slot| slot.engine.peek_state().version == version && slot.work.work().is_open;
+        self.slots.iter().all(serves)
+    }
+
     pub fn want(&self, number: u16) {
         self.desired.send_replace(Some(map(number)));
     }
@@ -238,6 +300,7 @@
     /// No step was ever run with two maps.
     pub fn check_steps(&self, case: &str) {
         assert_eq!(self.group.splits(), [], "{case}");
+        assert!(self.group.mixed().is_empty(), "{case}: steps with two versions");
     }
 
     fn strike(self: &Arc<Self>, rank: usize, fault: Fault) {
--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -1,6 +1,7 @@
 //! What a rank answers to an order is no proof of what it does afterwards.
 
 use flamingowheel_group::align::{Alignment, align};
+use flamingowheel_group::intake::Work;
 use flamingowheel_group::lease::Lease;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
@@ -42,7 +43,9 @@
             held_after_step: Some(0),
             ..EngineState::default()
         };
-        Box::pin(async move { Ok(RankState { incarnation: 1, engine, unresolved: false }) })
+        Box::pin(async move {
+            Ok(RankState { incarnation: 1, engine, unresolved: false, work: Work::default() })
+        })
     }
 }
 
@@ -92,7 +95,9 @@
         *held |= request.target == Some(OrderTarget::Hold { after_step: 5 });
         let held_after_step = held.then_some(5);
         let engine = EngineState { step: 5, held_after_step, ..EngineState::default() };
-        Box::pin(async move { Ok(RankState { incarnation: 1, engine, unresolved: false }) })
+        Box::pin(async move {
+            Ok(RankState { incarnation: 1, engine, unresolved: false, work: Work::default() })
+        })
     }
 }
 
--- a/crates/platform/src/fake/group.rs
+++ b/crates/platform/src/fake/group.rs
@@ -2,6 +2,7 @@
 
 use super::engine::FakeEngine;
 use super::{engine::map_digest, lock};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
@@ -19,6 +20,7 @@
 struct State {
     step: u64,
     splits: Vec<SplitStep>,
+    mixed: Vec<u64>,
     stalled: u64,
 }
 
@@ -68,6 +70,10 @@
         if maps.windows(2).any(|pair| pair[0] != pair[1]) {
             state.splits.push(SplitStep { step: next, maps });
         }
+        let versions = self.ranks.iter().map(|rank| rank.peek_state().version);
+        if versions.collect::<HashSet<_>>().len() > 1 {
+            state.mixed.push(next);
+        }
         self.ranks.iter().for_each(|rank| rank.set_step(next));
         state.step = next;
         true
@@ -93,6 +99,11 @@
         lock(&self.state).stalled
     }
 
+    /// All steps that were run with two versions of the model.
+    pub fn mixed(&self) -> Vec<u64> {
+        lock(&self.state).mixed.clone()
+    }
+
     /// All steps that were run with two maps; a sound switch leaves none.
     pub fn splits(&self) -> Vec<SplitStep> {
         lock(&self.state).splits.clone()
--- a/crates/proof/src/group/gate.rs
+++ b/crates/proof/src/group/gate.rs
@@ -1,6 +1,7 @@
 //! The way from an agent to its engine's orders, with or without one safeguard.
 
 use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::intake::Work;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::record::RecordStore;
 use flamingowheel_platform::fake::FakeEngine;
@@ -93,7 +94,12 @@
             self.engine.order(&order).await.map_err(rank_error)?;
         }
         let engine = self.engine.state().await.map_err(|_| RankError::EngineSilent)?;
-        Ok(RankState { incarnation: self.incarnation, engine, unresolved: false })
+        Ok(RankState {
+            incarnation: self.incarnation,
+            engine,
+            unresolved: false,
+            work: Work::default(),
+        })
     }
 }
 
