Let agents take no new work while their group changes its version

Cause: a change of version must wait for the requests in progress, and nothing kept new ones from beginning meanwhile.

Change: a closed agent ends what runs, says of what waits that it did not run, and refuses what comes as it does while its backend server is down, which it also tells the entries. The gate closes and opens it; an engine without an expert map gets a gate too, as a group whose map has no layers.

Conclusion: callers' requests go to the model's other groups meanwhile.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -4,6 +4,7 @@
 //! consistent state.
 
 mod health;
+mod intake;
 mod questions;
 mod record;
 mod work;
@@ -78,6 +79,8 @@
     CacheEvents(Poll, Result<Vec<CacheEvent>, BackendError>),
     /// Take no new work from now on.
     Leave,
+    /// Take new work, or none until told otherwise.
+    SetOpen(bool),
     /// Somebody wants all tickets with a whole answer.
     ListFinished(oneshot::Sender<Vec<(Uuid, Arc<Execution>)>>),
 }
@@ -87,6 +90,10 @@
 pub struct AgentStatus {
     /// No new work is taken.
     pub leaving: bool,
+    /// No new work is taken until the group has changed its version.
+    pub closed: bool,
+    /// Requests that run or wait.
+    pub in_progress_count: usize,
     /// Leaving, nothing runs or waits, and every answer has been read.
     pub drained: bool,
     /// Requests waiting for a place.
@@ -159,6 +166,7 @@
     load: LoadCell,
     links: HashMap<u64, mpsc::Sender<AgentMessage>>,
     leaving: bool,
+    closed: bool,
     backend_process: Option<u64>,
     backend_up: bool,
     checking_health: bool,
@@ -207,6 +215,7 @@
             load: LoadCell::default(),
             links: HashMap::new(),
             leaving: false,
+            closed: false,
             backend_process: None,
             backend_up: true,
             checking_health: false,
@@ -270,6 +279,7 @@
             Command::Ended { key, end } => self.on_ended(key, end),
             Command::Health(report) => self.on_health(report),
             Command::CacheEvents(poll, events) => self.on_cache_events(poll, events),
+            Command::SetOpen(open) => self.set_open(open),
             Command::Leave => self.leave(LeaveCause::Signal),
             Command::ListFinished(list) => {
                 let _ = list.send(self.finished_tickets());
@@ -397,7 +407,7 @@
             load: self.load(),
             window: self.records.window(),
             leaving: self.leaving,
-            backend_up: self.backend_up,
+            backend_up: self.backend_up && !self.closed,
         }
     }
 
@@ -420,6 +430,8 @@
             && !self.records.executions().any(|(_, execution)| execution.is_being_read());
         let status = AgentStatus {
             leaving: self.leaving,
+            closed: self.closed,
+            in_progress_count: self.running.len() + self.pending.len(),
             drained,
             waiting_count: usize::from(self.load().waiting),
             record_count: self.records.len(),
--- a/crates/agent/src/control/work.rs
+++ b/crates/agent/src/control/work.rs
@@ -74,6 +74,9 @@
         if self.leaving {
             return Some(Refusal::Leaving);
         }
+        if self.closed {
+            return Some(Refusal::BackendDown);
+        }
         if dispatch.remaining_ms == 0 {
             return Some(Refusal::DeadlinePassed);
         }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -3,10 +3,11 @@
 mod session;
 
 use bytes::Bytes;
+use flamingowheel_agent::control::Command;
 use flamingowheel_platform::fake::text::whole_stream;
 use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeService};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation};
-use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Failure, Refusal};
+use flamingowheel_protocol::message::{AgentMessage, Dispatch, EntryMessage, Failure, Refusal};
 use session::{Session, attach, cancel, config};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -343,3 +344,31 @@
     sleep(Duration::from_secs(15)).await;
     assert_eq!(engine.runs_of_body(&request.body).cancelled, 1);
 }
+
+// The group of a backend server changes its version. What runs must end whole, what waits is said not
+// to have run, so that another group takes it, and neither it nor what comes later runs here.
+#[tokio::test(start_paused = true)]
+async fn set_open_closed_ends_what_runs_and_hands_back_the_rest() {
+    let service = slow_service();
+    let mut session = Session::start(service.clone(), config()).await;
+    let (first, second) = (session.request("a"), session.request("b"));
+    // A last try may wait.
+    let third = Dispatch { last_try: true, ..session.request("c") };
+    for dispatch in [&first, &second, &third] {
+        session.dispatch(dispatch).await;
+    }
+    session.agent.commands().send(Command::SetOpen(false)).await.unwrap();
+    assert_eq!(session.refusal(third.attempt).await, Refusal::BackendDown);
+    let late = session.request("d");
+    session.dispatch(&late).await;
+    assert_eq!(session.refusal(late.attempt).await, Refusal::BackendDown);
+    assert_eq!(session.agent.status().in_progress_count, 2);
+    session.whole(first.attempt).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(session.agent.status().in_progress_count, 0);
+    assert_eq!((service.executions(b"c"), service.executions(b"d")), (0, 0));
+    session.agent.commands().send(Command::SetOpen(true)).await.unwrap();
+    let next = session.request("e");
+    session.dispatch(&next).await;
+    session.whole(next.attempt).await;
+}
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -8,7 +8,9 @@
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{AgentHandle, Control};
 use flamingowheel_agent::serve;
-use flamingowheel_config::settings::{AgentSettings, BackendServerKind, Role, Settings};
+use flamingowheel_config::settings::{
+    AgentSettings, BackendServerKind, ExpertSettings, Role, Settings,
+};
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::metrics::{Metrics, Occupancy};
 use flamingowheel_observe::recorder::Recorder;
@@ -60,8 +62,9 @@
         let keeping = Keeping { timing: Timing::default(), stamps: Arc::new(recorder.clone()) };
         let key = crate::entry::fleet_key(settings);
         let identity = serve::identity(&config, key, keeping);
-        let orders = GateOrders::start(settings, own, config.incarnation, &recorder);
+        let incarnation = config.incarnation;
         let (control, handle, commands) = Control::new(config, backend, recorder.clone());
+        let orders = GateOrders::start(settings, own, incarnation, &handle, &recorder);
         let control = match orders {
             Some(orders) => control.with_orders(orders),
             None => control,
@@ -145,7 +148,9 @@
 }
 
 fn expert_shape(kind: &BackendServerKind) -> Option<ExpertShape> {
-    let BackendServerKind::Engine { ranks, experts: Some(experts), .. } = kind else { return None };
+    let BackendServerKind::Engine { ranks, experts, .. } = kind else { return None };
+    // Ranks that share no expert map are a group whose map has no layers.
+    let experts = experts.unwrap_or(ExpertSettings { layers: 0, experts: 0, slots: 0 });
     // The settings' check keeps all of them far below the type's bound.
     let size = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
     Some(ExpertShape {
--- a/crates/flamingowheeld/src/orders.rs
+++ b/crates/flamingowheeld/src/orders.rs
@@ -3,9 +3,10 @@
 use crate::agent::authority;
 use crate::entry::key_value;
 use bytes::Bytes;
-use flamingowheel_agent::control::OrderHandler;
+use flamingowheel_agent::control::{AgentHandle, Command, OrderHandler};
 use flamingowheel_config::settings::{AgentSettings, BackendServerKind, Settings};
 use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::intake::{Intake, Work};
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::record::RecordStore;
 use flamingowheel_observe::event::{Event, Subject};
@@ -37,16 +38,15 @@
 
 impl GateOrders {
     /// Opens the gate in the background. Until the group's record has been read no order is
-    /// taken: the lowest acceptable fencing number is not known. `None` where the ranks share no
-    /// expert map.
+    /// taken: the lowest acceptable fencing number is not known. `None` for plain services.
     pub fn start(
         settings: &Settings,
         own: &AgentSettings,
         incarnation: Incarnation,
+        agent: &AgentHandle,
         recorder: &Recorder,
     ) -> Option<Arc<Self>> {
-        let BackendServerKind::Engine { group, checks_fencing, experts: Some(_), .. } = &own.kind
-        else {
+        let BackendServerKind::Engine { group, checks_fencing, .. } = &own.kind else {
             return None;
         };
         let kind = match checks_fencing {
@@ -62,7 +62,8 @@
         let records = RecordStore::new(Arc::new(key_value(settings)), group);
         let about = recorder.about(Subject::default().group(group.as_str()));
         let orders = Arc::new(Self { gate: OnceCell::new(), about });
-        tokio::spawn(open(Arc::clone(&orders), engine, kind, incarnation, records));
+        let intake = Arc::new(AgentIntake(agent.clone()));
+        tokio::spawn(open(Arc::clone(&orders), engine, kind, incarnation, records, intake));
         Some(orders)
     }
 
@@ -109,11 +110,12 @@
     kind: EngineKind,
     incarnation: Incarnation,
     records: RecordStore,
+    intake: Arc<AgentIntake>,
 ) {
     loop {
         match Gate::open(engine.clone(), kind, incarnation.0, &records).await {
             Ok(gate) => {
-                let _ = orders.gate.set(gate);
+                let _ = orders.gate.set(gate.with_intake(intake));
                 return;
             }
             Err(error) => tracing::warn!(%error, "group's record not read; no order is taken"),
@@ -122,6 +124,23 @@
     }
 }
 
+/// The agent's own admission.
+struct AgentIntake(AgentHandle);
+
+impl Intake for AgentIntake {
+    fn set_open(&self, open: bool) {
+        let commands = self.0.commands().clone();
+        // Whether it came about shows in the work; whoever asked for it looks and asks again.
+        tokio::spawn(async move { commands.send(Command::SetOpen(open)).await });
+    }
+
+    fn work(&self) -> Work {
+        let status = self.0.status();
+        let in_progress = u32::try_from(status.in_progress_count).unwrap_or(u32::MAX);
+        Work { is_open: !status.closed, in_progress }
+    }
+}
+
 impl OrderHandler for GateOrders {
     fn handle(&self, body: Bytes) -> BoxFuture<'_, Bytes> {
         Box::pin(async move {
@@ -137,7 +156,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use flamingowheel_group::intake::Work;
     use flamingowheel_platform::orders::{EngineState, Fence};
 
     fn state() -> RankState {
