Refuse a second version of a model, and tell what is wanted of one

Cause: two documents could name different versions of a model although all ranks of a group serve one; the second would be accepted and never come into force. And nothing told what is wanted of a model over all documents.

Change: every document that names a version of a model names the same, or the change is refused with the other's name; both can be changed at once. The adapters of all workspaces are united. Settings of an entry name the weight store's rate and the sizes that loads take of it.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod problem;
 pub mod replica;
 pub mod secret;
+pub mod served;
 pub mod settings;
 pub mod store;
 pub mod template;
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -79,6 +79,18 @@
         /// The other workspace.
         workspace: String,
     },
+    /// A version of a model while another document names another one.
+    #[error(
+        "is `{value}`, but {holder} names version `{other}`, and groups serve one: change both at once"
+    )]
+    OtherVersion {
+        /// The version found.
+        value: String,
+        /// The other version.
+        other: String,
+        /// The template or workspace that names it.
+        holder: String,
+    },
     /// A file could not be read.
     #[error("file {file} can't be read: {kind}")]
     Unreadable {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -108,6 +108,24 @@
     pub body_timeout_ms: u64,
     /// Most connections of callers at one time.
     pub max_connections: u64,
+    /// The weight store; loads are not paced if absent.
+    pub weight_store: Option<WeightStoreSettings>,
+}
+
+/// The weight store's rate and what loads take of it; the same at all entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightStoreSettings {
+    /// Rate of the whole store, in bytes a second.
+    pub rate_bytes_per_s: u64,
+    /// Most entries that may ever coordinate groups at the same time.
+    pub max_members: u64,
+    /// Weights of one expert of one layer, of the largest model.
+    pub expert_bytes: u64,
+    /// All that one rank loads of a version, of the largest model.
+    pub rank_bytes: u64,
+    /// Weights of one adapter on one rank, of the largest.
+    pub adapter_bytes: u64,
 }
 
 impl Default for EntrySettings {
@@ -120,6 +138,7 @@
             header_timeout_ms: 5_000,
             body_timeout_ms: 30_000,
             max_connections: 8_192,
+            weight_store: None,
         }
     }
 }
--- a/crates/config/src/settings/file.rs
+++ b/crates/config/src/settings/file.rs
@@ -3,6 +3,7 @@
 use super::{
     AgentSettings, BackendServerKind, EntrySettings, ExpertSettings, KeyValueSettings, Listen,
     LogLevel, MIN_SECRET_BYTES, Role, Settings, SettingsProblem, VmListSettings,
+    WeightStoreSettings,
 };
 use crate::problem::{Collector, Reason};
 use crate::secret::{Secret, SecretSource};
@@ -233,6 +234,22 @@
         problems.range("entry.header_timeout_ms", self.header_timeout_ms as f64, 100.0, 60_000.0);
         problems.range("entry.body_timeout_ms", self.body_timeout_ms as f64, 100.0, 600_000.0);
         problems.range("entry.max_connections", self.max_connections as f64, 1.0, 1e6);
+        if let Some(store) = &self.weight_store {
+            store.check(problems);
+        }
+    }
+}
+
+impl WeightStoreSettings {
+    fn check(&self, problems: &mut Problems) {
+        let mut range = |field: &str, value: u64, min: f64, max: f64| {
+            problems.range(format!("entry.weight_store.{field}"), value as f64, min, max);
+        };
+        range("rate_bytes_per_s", self.rate_bytes_per_s, 1e3, 1e15);
+        range("max_members", self.max_members, 1.0, 1e5);
+        range("expert_bytes", self.expert_bytes, 1.0, 1e15);
+        range("rank_bytes", self.rank_bytes, 1.0, 1e15);
+        range("adapter_bytes", self.adapter_bytes, 1.0, 1e15);
     }
 }
 
--- a/crates/config/src/template.rs
+++ b/crates/config/src/template.rs
@@ -59,10 +59,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Model {
-    /// Version to serve; the one that is loaded if absent.
+    /// Version to serve; the one that is loaded if absent. All documents that name one name the
+    /// same.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub version: Option<String>,
-    /// Adapters that may be named with it.
+    /// Adapters that may be named with it; engines hold those of all documents.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub adapters: Vec<String>,
 }
--- a/crates/config/src/validate.rs
+++ b/crates/config/src/validate.rs
@@ -75,6 +75,35 @@
     base: &'a Documents,
     after: &'a Documents,
     tokens: HashMap<TokenHash, Vec<&'a str>>,
+    versions: BTreeMap<&'a str, Vec<NamedVersion<'a>>>,
+}
+
+/// A document that names a version of a model.
+struct NamedVersion<'a> {
+    kind: Kind,
+    name: &'a str,
+    version: &'a str,
+}
+
+/// All versions of models that documents name. Few workspaces have models of their own.
+fn versions(documents: &Documents) -> BTreeMap<&str, Vec<NamedVersion<'_>>> {
+    let templates = documents.templates.values().map(|stored| {
+        let template = &stored.document;
+        (Kind::Template, template.name.as_str(), &template.parameters.models)
+    });
+    let workspaces = documents.workspaces.values().filter_map(|stored| {
+        let workspace = &stored.document;
+        let models = workspace.overrides.models.as_ref()?;
+        Some((Kind::Workspace, workspace.name.as_str(), models))
+    });
+    let mut versions: BTreeMap<&str, Vec<NamedVersion<'_>>> = BTreeMap::new();
+    for (kind, name, models) in templates.chain(workspaces) {
+        for (model, own) in models {
+            let Some(version) = own.version.as_deref() else { continue };
+            versions.entry(model).or_default().push(NamedVersion { kind, name, version });
+        }
+    }
+    versions
 }
 
 impl<'a> Context<'a> {
@@ -95,12 +124,16 @@
                 }
             }
         }
-        Self { base, after, tokens }
+        Self { base, after, tokens, versions: versions(after) }
     }
 
     fn check(&self, edit: &Edit, fields: &mut Fields) {
         match edit {
-            Edit::PutTemplate(template) => check_template(template, fields),
+            Edit::PutTemplate(template) => {
+                check_template(template, fields);
+                let models = &template.parameters.models;
+                self.check_versions("parameters.models", models, fields);
+            }
             Edit::PutWorkspace(workspace) => self.check_workspace(workspace, fields),
             Edit::RemoveTemplate(name) => self.check_template_removal(name, fields),
             Edit::RemoveWorkspace(name) => {
@@ -131,6 +164,33 @@
         }
         self.check_tokens(workspace, fields);
         check_overrides(&workspace.overrides, fields);
+        if let Some(models) = &workspace.overrides.models {
+            self.check_versions("overrides.models", models, fields);
+        }
+    }
+
+    /// All ranks of a group serve one version, and a group serves many workspaces. Were two
+    /// versions accepted, one of them could never come into force.
+    fn check_versions(&self, path: &str, models: &BTreeMap<String, Model>, fields: &mut Fields) {
+        for (name, model) in models {
+            let Some(version) = &model.version else { continue };
+            let named = self.versions.get(name.as_str()).into_iter().flatten();
+            let Some(other) = named.into_iter().find(|other| other.version != *version) else {
+                continue;
+            };
+            let kind = match other.kind {
+                Kind::Template => "template",
+                Kind::Workspace => "workspace",
+            };
+            fields.push(
+                format!("{path}.{name}.version"),
+                Reason::OtherVersion {
+                    value: version.clone(),
+                    other: other.version.to_owned(),
+                    holder: format!("{kind} `{}`", other.name),
+                },
+            );
+        }
     }
 
     fn check_tokens(&self, workspace: &Workspace, fields: &mut Fields) {
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -3,6 +3,7 @@
 use flamingowheel_config::document::{DocumentError, Edit, parse};
 use flamingowheel_config::effective::{ConfigRevision, Documents, Effective, EffectiveWorkspace};
 use flamingowheel_config::problem::Reason;
+use flamingowheel_config::served::served;
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::validate::{Problem, validate};
 use proptest::prelude::*;
@@ -228,3 +229,51 @@
     assert!(parse("kind: remove\nworkspace: [*a]\n").is_err());
     assert!(parse("a: [*a]\n").is_err());
 }
+
+fn template_of(name: &str, model: &str) -> String {
+    format!("kind: template\nname: {name}\nparameters: {{models: {{notes: {model}}}}}\n---\n")
+}
+
+/// Two operators name different versions of a model. All ranks of a group serve one, so one of the
+/// two would be accepted and never come into force.
+#[test]
+fn validate_other_version_refused_unless_changed_together() {
+    let old = format!("{}{}", template_of("a", "{version: '1'}"), template_of("b", "{}"));
+    let base = documents(&old);
+    let check = |text: &str| {
+        let problems = validate(&base, &parse(text).unwrap());
+        problems
+            .err()
+            .unwrap_or_default()
+            .into_iter()
+            .map(|p| (p.field, p.reason))
+            .collect::<Vec<_>>()
+    };
+    let refused = check(&template_of("b", "{version: '2'}"));
+    let reason = Reason::OtherVersion {
+        value: "2".to_owned(),
+        other: "1".to_owned(),
+        holder: "template `a`".to_owned(),
+    };
+    assert_eq!(refused, [("parameters.models.notes.version".to_owned(), reason)]);
+    let overrides = "overrides: {models: {notes: {version: '3'}}}\n";
+    let own = workspace("bibb", "t", overrides).replace("callbox", "a");
+    assert_eq!(check(&own).len(), 1);
+    let both =
+        format!("{}{}", template_of("a", "{version: '2'}"), template_of("b", "{version: '2'}"));
+    assert_eq!(check(&both), []);
+}
+
+#[test]
+fn served_unites_adapters_and_finds_the_version() {
+    let templates = format!(
+        "{}{}",
+        template_of("a", "{adapters: [x, y]}"),
+        template_of("b", "{version: '2', adapters: [y, z]}")
+    );
+    let of = |name: &str, template: &str| workspace(name, name, "").replace("callbox", template);
+    let documents = documents(&format!("{templates}{}{}", of("bibb", "a"), of("jones", "b")));
+    let served = served(&Effective::new(&documents), "notes").unwrap();
+    assert_eq!(served.version.as_deref(), Some("2"));
+    assert_eq!(served.adapters.iter().collect::<Vec<_>>(), ["x", "y", "z"]);
+}
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -114,3 +114,25 @@
     let broken = COMMON.replace("['127.0.0.1:2379']", "[*a]");
     assert!(matches!(parse(&[&broken, ENTRY]), Err(SettingsError::Syntax { .. })));
 }
+
+const STORE: &str = "\
+entry:
+  weight_store:
+    rate_bytes_per_s: 40000000000
+    max_members: 380
+    expert_bytes: 40000000
+    rank_bytes: 40000000000
+    adapter_bytes: 200000000
+";
+
+#[test]
+fn parse_weight_store() {
+    let settings = parse(&[COMMON, ENTRY, STORE]).unwrap();
+    let Role::Entry(entry) = settings.role else { panic!("not an entry") };
+    assert_eq!(entry.weight_store.unwrap().max_members, 380);
+    let none = STORE.replace("max_members: 380", "max_members: 0");
+    assert_eq!(problems(&[COMMON, ENTRY, &none])[0].0, "entry.weight_store.max_members");
+    let unknown = STORE.replace("expert_bytes", "expert_byte");
+    let error = parse(&[COMMON, ENTRY, &unknown]).unwrap_err();
+    assert!(matches!(error, SettingsError::Syntax { line: 15, .. }), "{error}");
+}
