Have the daemon act on versions and adapters, within the weight store's rate

Cause: versions and adapters of templates reached no engine, and the weight store's budget was not used.

Change: entries give each group's coordinator what is wanted of its model, and pace stage and serve orders by one share a process. A load that waits looks at the rate again every second: booked once, the last of 32 loads would keep the rate of the moment when all were asked for. One of a process's coordinators keeps the share confirmed instead of each.

The test of the pacer is replaced by one of the same figures on the new call, and one of a rate that changes while a load waits.

--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::listen::{ListenLimits, StartError, bind, serve};
 use crate::loans::{EntryLender, borrow};
 use crate::membership::{publish_addresses, publish_configuration};
+use crate::models;
 use crate::operators;
 use crate::threads::spawn_control;
 use arc_swap::ArcSwap;
@@ -91,7 +92,10 @@
         let (state, agents) = assemble(&config, &kv, &identity, &node);
         let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
         let store = Store::new(Arc::clone(&kv));
-        let groups = Groups::new(kv, Arc::clone(&agents), node.clone());
+        let member = format!("{}-{}", config.name, config.incarnation.0);
+        let loads = own.weight_store.as_ref();
+        let loads = loads.map(|store| models::loads(Arc::clone(&kv), &member, store));
+        let groups = Groups::new(kv, Arc::clone(&agents), node.clone()).with_loads(loads);
         let group_routes = groups.router();
         let peers: Arc<dyn PeerTransport> = Arc::new(WebSocketPeers::new(identity.clone()));
         let spread = Spread {
--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -4,6 +4,7 @@
 //! Each group is the duty of the entry that ranks first for it; the lease in the key-value
 //! service decides where entries disagree for a while.
 
+use crate::models;
 use crate::placement::{Observer, even_map};
 use axum::extract::State;
 use axum::routing::get;
@@ -16,7 +17,7 @@
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::{RecordError, RecordStore};
-use flamingowheel_group::session::Timing;
+use flamingowheel_group::session::{Loads, Timing};
 use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::reason::SwitchStep;
@@ -58,6 +59,7 @@
     node: Node,
     duties: BTreeMap<String, CancellationToken>,
     statuses: Statuses,
+    loads: Option<Loads>,
 }
 
 /// One group as its agents describe it.
@@ -71,7 +73,12 @@
 impl Groups {
     /// None yet.
     pub fn new(kv: Arc<dyn KeyValue>, agents: Arc<Agents>, node: Node) -> Self {
-        Self { kv, agents, node, duties: BTreeMap::new(), statuses: Arc::default() }
+        Self { kv, agents, node, duties: BTreeMap::new(), statuses: Arc::default(), loads: None }
+    }
+
+    /// Keeps loads of weights within this process's share of the weight store's rate.
+    pub fn with_loads(self, loads: Option<Loads>) -> Self {
+        Self { loads, ..self }
     }
 
     /// The route that tells the status of the groups that this entry coordinates.
@@ -130,6 +137,9 @@
             Timing::default(),
             receiver,
         );
+        let wanted = models::wanted(self.node.effective(), &group.model);
+        let coordinator =
+            coordinator.with_rollout(&group.model, wanted).with_loads(self.loads.clone());
         let stop = CancellationToken::new();
         let status = coordinator.status();
         let mut statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/flamingowheeld/src/lib.rs
+++ b/crates/flamingowheeld/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod listen;
 pub mod loans;
 pub mod membership;
+pub mod models;
 pub mod operators;
 pub mod orders;
 pub mod placement;
--- /dev/null
+++ b/crates/flamingowheeld/src/models.rs
@@ -0,0 +1,84 @@
+//! What operators accepted of a group's model, and how fast its weights may be loaded.
+
+use flamingowheel_config::effective::Effective;
+use flamingowheel_config::served::served;
+use flamingowheel_config::settings::WeightStoreSettings;
+use flamingowheel_group::budget::{Budget, StoreLimits};
+use flamingowheel_group::serve::Wanted;
+use flamingowheel_group::session::{Loads, Sizes};
+use flamingowheel_platform::kv::KeyValue;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Version and adapters of a model, now and after each change of the configuration, for as long as
+/// somebody listens.
+pub fn wanted(
+    mut effective: watch::Receiver<Arc<Effective>>,
+    model: &str,
+) -> watch::Receiver<Option<Wanted>> {
+    let model = model.to_owned();
+    let (sender, receiver) = watch::channel(None);
+    tokio::spawn(async move {
+        loop {
+            let now = wanted_of(&effective.borrow_and_update(), &model);
+            sender.send_if_modified(|known| {
+                let changed = *known != now;
+                *known = now;
+                changed
+            });
+            tokio::select! {
+                () = sender.closed() => return,
+                changed = effective.changed() => if changed.is_err() { return },
+            }
+        }
+    });
+    receiver
+}
+
+fn wanted_of(effective: &Effective, model: &str) -> Option<Wanted> {
+    let served = served(effective, model)?;
+    Some(Wanted { version: served.version, adapters: served.adapters })
+}
+
+/// The share of the weight store that this process paces its groups' loads by. `member` is unique to
+/// the process.
+pub fn loads(kv: Arc<dyn KeyValue>, member: &str, settings: &WeightStoreSettings) -> Loads {
+    let limits = StoreLimits {
+        rate_bytes_per_s: settings.rate_bytes_per_s as f64,
+        max_members: usize::try_from(settings.max_members).unwrap_or(usize::MAX),
+    };
+    let sizes = Sizes {
+        expert_bytes: settings.expert_bytes,
+        rank_bytes: settings.rank_bytes,
+        adapter_bytes: settings.adapter_bytes,
+    };
+    Loads { budget: Arc::new(Budget::new(kv, member, limits)), sizes }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use flamingowheel_config::document::parse;
+    use flamingowheel_config::effective::{ConfigRevision, Documents};
+
+    fn effective(revision: u64, model: &str) -> Arc<Effective> {
+        let text = format!(
+            "kind: template\nname: t\nparameters: {{models: {{notes: {model}}}}}\n---\n\
+             kind: workspace\nname: w\ntemplate: t\ntoken_sha256: [{}]\n",
+            "0".repeat(64)
+        );
+        let mut documents = Documents::default();
+        documents.apply(ConfigRevision(revision), &parse(&text).unwrap());
+        Arc::new(Effective::new(&documents))
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn wanted_follows_the_configuration() {
+        let (sender, receiver) = watch::channel(effective(1, "{}"));
+        let mut wanted = wanted(receiver, "notes");
+        wanted.wait_for(|wanted| *wanted == Some(Wanted::default())).await.unwrap();
+        sender.send_replace(effective(2, "{version: '7', adapters: [a]}"));
+        let expected = Wanted { version: Some("7".to_owned()), adapters: ["a".to_owned()].into() };
+        wanted.wait_for(|wanted| *wanted == Some(expected.clone())).await.unwrap();
+    }
+}
--- a/crates/group/src/budget/keeper.rs
+++ b/crates/group/src/budget/keeper.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::Mutex as Turn;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 const PREFIX: &str = "budget/";
@@ -18,6 +19,9 @@
 /// Time between two reads of the record; two may fail before a share lapses.
 const REFRESH: Duration = Duration::from_secs(20);
 
+/// How often a waiting load looks at the rate.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// What the operator says of the weight store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StoreLimits {
@@ -41,6 +45,10 @@
     member: String,
     limits: StoreLimits,
     state: Mutex<State>,
+    /// Held by the one task that keeps the share confirmed.
+    running: Turn<()>,
+    /// Held by the load that is next.
+    next: Turn<()>,
 }
 
 impl Budget {
@@ -50,20 +58,31 @@
         let share = Share::new(member, minimum_bytes_per_s);
         let pacer = Pacer::new(Instant::now());
         let state = State { share, pacer, lease: None, seen: None };
-        Self { kv, member: member.to_owned(), limits, state: Mutex::new(state) }
+        let (running, next) = (Turn::default(), Turn::default());
+        Self { kv, member: member.to_owned(), limits, state: Mutex::new(state), running, next }
     }
 
-    /// Waits until so much may be read.
+    /// Waits until so much may be read: until all that was taken before has had its time.
+    ///
+    /// A group of 32 ranks takes all its loads at once. Were each booked at the rate of that moment,
+    /// the last of them would wait for hours at the minimum although the share has grown long since,
+    /// or be read too fast although it has lapsed. So the rate is looked at again all the time.
     pub async fn take(&self, size_bytes: u64) {
-        let begin = self.book(size_bytes);
-        sleep_until(begin).await;
+        let _first = self.next.lock().await;
+        loop {
+            let wait = self.try_take(size_bytes);
+            if wait.is_zero() {
+                return;
+            }
+            sleep(wait.min(LOOK)).await;
+        }
     }
 
-    fn book(&self, size_bytes: u64) -> Instant {
+    fn try_take(&self, size_bytes: u64) -> Duration {
         let now = Instant::now();
         let mut state = self.state();
         let rate_bytes_per_s = state.share.rate_bytes_per_s(now);
-        state.pacer.book(size_bytes, rate_bytes_per_s, now)
+        state.pacer.try_take(size_bytes, rate_bytes_per_s, now)
     }
 
     /// The rate this member may use now.
@@ -72,7 +91,13 @@
     }
 
     /// Keeps the share confirmed until `stop`.
+    ///
+    /// One process coordinates several groups under one share; one of them is enough to keep it.
     pub async fn run(&self, stop: CancellationToken) {
+        let _only = tokio::select! {
+            () = stop.cancelled() => return,
+            only = self.running.lock() => only,
+        };
         while !stop.is_cancelled() {
             if let Err(error) = self.refresh().await {
                 tracing::warn!(member = self.member, %error, "share of the weight store not confirmed");
--- a/crates/group/src/budget/mod.rs
+++ b/crates/group/src/budget/mod.rs
@@ -142,23 +142,39 @@
     }
 }
 
+/// Waits shorter than this are none.
+const ROUNDING: Duration = Duration::from_micros(1);
+
 /// Spaces one member's reads so that they keep to its rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Pacer {
-    free_at: Instant,
+    /// Bytes that were taken and have not had their time yet.
+    owed_bytes: f64,
+    counted_at: Instant,
+    /// The rate at the last call.
+    rate_bytes_per_s: f64,
 }
 
 impl Pacer {
     /// A pacer with nothing outstanding.
     pub fn new(now: Instant) -> Self {
-        Self { free_at: now }
+        Self { owed_bytes: 0.0, counted_at: now, rate_bytes_per_s: 0.0 }
     }
 
-    /// Books a read and returns when it may begin: once all booked before have had their time.
-    /// Large weights are read in pieces, so that a change of rate takes hold soon.
-    pub fn book(&mut self, bytes: u64, rate_bytes_per_s: f64, now: Instant) -> Instant {
-        let begin = self.free_at.max(now);
-        self.free_at = begin + Duration::from_secs_f64(bytes as f64 / rate_bytes_per_s.max(1.0));
-        begin
+    /// Takes a read if all that was taken before has had its time; else tells how long that lasts
+    /// at this rate. Since the last call the lower of both rates counts: when it changed is not known.
+    pub fn try_take(&mut self, bytes: u64, rate_bytes_per_s: f64, now: Instant) -> Duration {
+        let rate_bytes_per_s = rate_bytes_per_s.max(1.0);
+        let since = now.duration_since(self.counted_at).as_secs_f64();
+        let held_bytes_per_s = rate_bytes_per_s.min(self.rate_bytes_per_s);
+        self.owed_bytes = (self.owed_bytes - since * held_bytes_per_s).max(0.0);
+        (self.counted_at, self.rate_bytes_per_s) = (now, rate_bytes_per_s);
+        // Times are rounded to nanoseconds; what is left of that is no reason to wait.
+        let wait = Duration::from_secs_f64(self.owed_bytes / rate_bytes_per_s);
+        if wait > ROUNDING {
+            return wait;
+        }
+        self.owed_bytes += bytes as f64;
+        Duration::ZERO
     }
 }
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -67,8 +67,8 @@
     }
 
     /// Keeps loads of expert weights within the group's share of the weight store's rate.
-    pub fn with_loads(self, loads: Loads) -> Self {
-        Self { loads: Some(loads), ..self }
+    pub fn with_loads(self, loads: Option<Loads>) -> Self {
+        Self { loads, ..self }
     }
 
     /// Keeps the group at what is in `wanted` of its model.
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -107,13 +107,27 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn book_keeps_rate() {
+async fn try_take_keeps_rate() {
     let start = Instant::now();
     let mut pacer = Pacer::new(start);
-    assert_eq!(pacer.book(1000, 500.0, start), start);
-    assert_eq!(pacer.book(1000, 500.0, start), start + SECOND * 2);
+    assert_eq!(pacer.try_take(1000, 500.0, start), Duration::ZERO);
+    assert_eq!(pacer.try_take(1000, 500.0, start), SECOND * 2);
     advance(SECOND * 10).await;
-    assert_eq!(pacer.book(1, 500.0, Instant::now()), Instant::now());
+    assert_eq!(pacer.try_take(1, 500.0, Instant::now()), Duration::ZERO);
+}
+
+/// A group takes its loads while its process has only the minimum, and the share grows afterwards.
+/// Were the loads booked at the rate of that moment, the last would wait for as long as before.
+#[tokio::test(start_paused = true)]
+async fn try_take_rate_changes_while_waiting() {
+    let mut pacer = Pacer::new(Instant::now());
+    assert_eq!(pacer.try_take(1000, 10.0, Instant::now()), Duration::ZERO);
+    assert_eq!(pacer.try_take(1, 10.0, Instant::now()), SECOND * 100);
+    advance(SECOND * 10).await;
+    // The first ten seconds count at the old rate.
+    assert_eq!(pacer.try_take(1, 100.0, Instant::now()), SECOND * 9);
+    advance(SECOND * 9).await;
+    assert_eq!(pacer.try_take(1, 100.0, Instant::now()), Duration::ZERO);
 }
 
 /// The members change twice while one group reads the record rarely and another is cut off right
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -176,7 +176,7 @@
         if let Some(sizes) = self.sizes {
             let member = format!("p{}", self.processes.lock().unwrap().len());
             let budget = Arc::new(Budget::new(kv, &member, LIMITS));
-            coordinator = coordinator.with_loads(Loads { budget, sizes });
+            coordinator = coordinator.with_loads(Some(Loads { budget, sizes }));
         }
         let status = coordinator.status();
         let paused = watch::Sender::new(false);
