--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -58,7 +58,7 @@
 description: Summaries and work orders
 parameters:
   models:
-    notes: {}
+    notes: MODEL
   services:
     orders:
       routes:
@@ -137,7 +137,7 @@
         fleet.standins.run_group();
         fleet.start_agents().await?;
         fleet.start_entries().await?;
-        fleet.apply().await?;
+        fleet.apply("{}").await?;
         fleet.wait_ready().await?;
         Ok(fleet)
     }
@@ -207,13 +207,17 @@
         peers.collect::<Vec<_>>().join(", ")
     }
 
-    async fn apply(&self) -> Result<(), DemoError> {
+    /// Has operators say this of the model.
+    async fn apply(&self, model: &str) -> Result<(), DemoError> {
         let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
         let text = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
+        let text = text.replace("MODEL", model);
         let edits = flamingowheel_config::document::parse(&text).map_err(DemoError::Document)?;
         let authority = authority(self.standins.key_value_address);
         let kv = EtcdClient::new(authority, HttpLimits::default());
         let store = Store::new(Arc::new(kv));
+        let seen = self.entries.first().map(|entry| entry.state().effective.load().revision());
+        let seen = seen.unwrap_or_default();
         let request = ApplyRequest {
             uuid: uuid::Uuid::now_v7(),
             origin: Origin {
@@ -222,7 +226,7 @@
                 comment: String::new(),
             },
             edits,
-            seen: Default::default(),
+            seen,
         };
         store.apply(&mut Replica::default(), &request).await?;
         Ok(())
--- a/crates/flamingowheeld/src/demo/once.rs
+++ b/crates/flamingowheeld/src/demo/once.rs
@@ -8,6 +8,14 @@
 use flamingowheel_entry::addresses::AddressAnswer;
 use http::Method;
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The version that is named in the end.
+const VERSION: &str = "2026-12";
+
+/// Engines that don't serve it by then never will.
+const CHANGE_LIMIT: Duration = Duration::from_secs(60);
 
 const ORDER: &[u8] = b"repair callbox 17";
 
@@ -18,7 +26,8 @@
     let addresses = ask_addresses(&caller, first).await?;
     let streamed = stream(&caller, addresses.first().copied().unwrap_or(first)).await?;
     let ran_once = file_twice(fleet, &caller, first, second).await?;
-    let all = !addresses.is_empty() && streamed && ran_once;
+    let changed = change_version(fleet).await?;
+    let all = !addresses.is_empty() && streamed && ran_once && changed;
     println!("{}", if all { "all as promised" } else { "NOT as promised" });
     Ok(all)
 }
@@ -65,6 +74,23 @@
     Ok(complete && runs == 1 && one.body == two.body)
 }
 
+/// An operator names another version of the model; every engine serves it soon after.
+async fn change_version(fleet: &Fleet) -> Result<bool, DemoError> {
+    let asked_at = Instant::now();
+    fleet.apply(&format!("{{version: '{VERSION}'}}")).await?;
+    let engines = &fleet.standins.engines;
+    let serve = || engines.iter().all(|engine| engine.peek_state().version == VERSION);
+    while !serve() && asked_at.elapsed() < CHANGE_LIMIT {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let count = engines.iter().filter(|engine| engine.peek_state().version == VERSION).count();
+    println!(
+        "version {VERSION} of {MODEL} accepted: {count} of {} engines serve it",
+        engines.len()
+    );
+    Ok(serve())
+}
+
 fn show(what: &str, reply: &Reply) {
     println!("{what}: {} outcome={}", reply.status, reply.outcome());
     for line in reply.text().lines().filter(|line| !line.is_empty()) {
