--- /dev/null
+++ b/crates/group/benches/rollout.rs
@@ -0,0 +1,74 @@
+//! What one change of a model's version costs a group of 32 ranks. Time is the runtime's paused
+//! clock, so the figures don't depend on the machine.
+#![allow(clippy::print_stdout)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_platform::orders::ExpertMap;
+use std::time::Duration;
+use support::World;
+use tokio::time::{Instant, sleep};
+
+const RANKS: u16 = 32;
+const LOOK: Duration = Duration::from_millis(10);
+
+fn map() -> ExpertMap {
+    ExpertMap { layers: vec![(0..RANKS).map(|rank| vec![2 * rank, 2 * rank + 1]).collect()] }
+}
+
+/// Time and messages until every rank serves `version`, and the steps that were left out.
+async fn change(world: &World, name: &str, version: &str, adapters: &[&str]) {
+    let began = Instant::now();
+    let (calls, messages) = (world.kv.calls(), world.messages());
+    let (stalled, orders) = (world.group.stalled(), world.orders());
+    world.accept(version, adapters);
+    let done = || {
+        let holds = |rank| adapters.len() <= world.engine(rank).peek_state().adapters.len();
+        world.all_serve(version) && (0..usize::from(RANKS)).all(holds)
+    };
+    while !done() {
+        sleep(LOOK).await;
+    }
+    let took_ms = began.elapsed().as_millis();
+    // The turn is given back at the next look.
+    sleep(Duration::from_secs(1)).await;
+    let writes = world.kv.calls().transact - calls.transact;
+    let leases = world.kv.calls().grant_lease - calls.grant_lease;
+    println!("{name}.took_ms={took_ms}");
+    println!("{name}.still_ms={}", (world.group.stalled() - stalled) * 25);
+    println!("{name}.messages={}", world.messages() - messages);
+    println!("{name}.orders_to_engines={}", world.orders() - orders);
+    println!("{name}.kv_writes={writes}");
+    println!("{name}.kv_leases={leases}");
+    println!("{name}.mixed_steps={}", world.group.mixed().len());
+    println!("{name}.mixed_answers={}", world.mixed_answers());
+}
+
+async fn print(kind_name: &str, kind: EngineKind) {
+    let world = World::start_ranks(kind, None, map(), RANKS.into()).await;
+    // Its tries for the lease are not calls of the change.
+    world.end_reserve();
+    world.accept("1", &[]);
+    while !world.all_serve("1") {
+        sleep(LOOK).await;
+    }
+    world.run_traffic(Duration::from_secs(5));
+    sleep(Duration::from_secs(20)).await;
+    change(&world, &format!("{kind_name}.version"), "2", &[]).await;
+    change(&world, &format!("{kind_name}.adapter"), "2", &["bibb"]).await;
+    world.end();
+}
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O can always be built");
+    runtime.block_on(async {
+        print("checks_fence", EngineKind::ChecksFence).await;
+        print("ignores_fence", EngineKind::IgnoresFence).await;
+    });
+}
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -2,8 +2,9 @@
 
 use flamingowheel_group::budget::{Allocation, Budget, Pacer, Share, StoreLimits, VALID_FOR};
 use flamingowheel_group::session::{Loads, Sizes};
-use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_platform::fake::{FakeKeyValue, FakeWeightStore};
 use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_platform::weights::WeightStore;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, advance, sleep};
@@ -222,3 +223,46 @@
     loads.take(0, Some(&held), &held).await;
     assert_eq!(start.elapsed(), SECOND * 3, "rank 1 holds nothing and loads two");
 }
+
+/// Operators accept another version, and three processes have their groups load it at once; the
+/// key-value service goes away in the middle. If they read faster than the store gives, it refuses
+/// reads, and the groups stand still for longer.
+#[tokio::test(start_paused = true)]
+async fn take_stand_in_store_refuses_nothing() {
+    const LOAD_BYTES: u64 = 1_000_000_000;
+    const LOADS: u64 = 640;
+    let kv = FakeKeyValue::new();
+    // Each process may have one read just begun.
+    let store = FakeWeightStore::new(RATE_BYTES_PER_S as u64, 3 * LOAD_BYTES);
+    let members: Vec<_> = (0..3).map(|member| start(&kv, member)).collect();
+    sleep(SECOND * 300).await;
+    let (began, before) = (Instant::now(), store.read_bytes());
+    for (budget, _) in &members {
+        for load in 0..LOADS {
+            let (budget, store) = (Arc::clone(budget), store.clone());
+            tokio::spawn(async move {
+                budget.take(LOAD_BYTES).await;
+                assert_eq!(store.read("notes", LOAD_BYTES).await, Ok(()), "load {load}");
+            });
+        }
+    }
+    let used = |store: &FakeWeightStore| {
+        (store.read_bytes() - before) as f64 / began.elapsed().as_secs_f64() / RATE_BYTES_PER_S
+    };
+    sleep(SECOND * 600).await;
+    let in_service = used(&store);
+    kv.set_down(true);
+    sleep(SECOND * 600).await;
+    assert_eq!(store.refused(), 0);
+    let read_bytes = store.read_bytes();
+    sleep(SECOND * 600).await;
+    let while_down = (store.read_bytes() - read_bytes) as f64 / 600.0 / RATE_BYTES_PER_S;
+    kv.set_down(false);
+    sleep(SECOND * 2400).await;
+    assert_eq!((store.refused(), store.read_bytes()), (0, 3 * LOADS * LOAD_BYTES));
+    // Nine tenths are shared out; the minimum of each is a two-hundredth. A read counts whole at its
+    // begin.
+    assert!((0.89..=0.91).contains(&in_service), "{in_service}");
+    assert!((0.01..=0.02).contains(&while_down), "{while_down}");
+    println!("store_used={in_service:.3} while_down={while_down:.4}");
+}
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -114,6 +114,16 @@
 
     /// The same with loads of these sizes, and with this map.
     pub async fn start_sized(kind: EngineKind, sizes: Option<Sizes>, map: ExpertMap) -> Arc<Self> {
+        Self::start_ranks(kind, sizes, map, RANKS).await
+    }
+
+    /// The same with this many ranks.
+    pub async fn start_ranks(
+        kind: EngineKind,
+        sizes: Option<Sizes>,
+        map: ExpertMap,
+        ranks: usize,
+    ) -> Arc<Self> {
         let fence_policy = match kind {
             EngineKind::ChecksFence => FencePolicy::Refuses,
             EngineKind::IgnoresFence => FencePolicy::Ignores,
@@ -130,7 +140,7 @@
             let load_time = settings.load_time + rank * LOAD_SPREAD;
             FakeEngine::new(rank.into(), EngineSettings { load_time, ..settings.clone() })
         };
-        let engines: Vec<_> = (0..RANKS as u32).map(engine).collect();
+        let engines: Vec<_> = (0..ranks as u32).map(engine).collect();
         let slot = |engine: &FakeEngine| Slot {
             engine: engine.clone(),
             gate: Mutex::default(),
@@ -154,7 +164,7 @@
             plan: Mutex::default(),
             stop: CancellationToken::new(),
         });
-        for rank in 0..RANKS {
+        for rank in 0..ranks {
             world.start_agent(rank).await;
         }
         world.start_coordinator();
@@ -232,12 +242,13 @@
 
     /// Keeps all ranks at work, each request taking this long.
     pub fn run_traffic(self: &Arc<Self>, length: Duration) {
+        let count = self.slots.len() as u32;
         for (rank, slot) in (0u32..).zip(&self.slots) {
             let (work, engine) = (Arc::clone(&slot.work), slot.engine.clone());
             let stop = self.stop.clone();
             tokio::spawn(async move {
                 // Ranks are out of step with each other.
-                sleep(length * rank / RANKS as u32).await;
+                sleep(length * rank / count).await;
                 work.run(engine, length, stop).await;
             });
         }
@@ -248,6 +259,24 @@
         self.slots.iter().map(|slot| slot.work.mixed()).sum()
     }
 
+    /// Ends the processes that don't coordinate.
+    pub fn end_reserve(&self) {
+        let processes = self.processes.lock().unwrap();
+        let reserve = processes.iter().filter(|process| !is_leading(process));
+        reserve.for_each(|process| process.running.abort());
+    }
+
+    /// Messages from coordinators to agents so far.
+    pub fn messages(&self) -> u64 {
+        self.messages.load(Ordering::SeqCst)
+    }
+
+    /// Orders that engines carried out so far.
+    pub fn orders(&self) -> u64 {
+        let count = |slot: &Slot| slot.engine.peek_state().counters.get("orders").copied();
+        self.slots.iter().filter_map(count).sum()
+    }
+
     /// Whether every engine serves this version and its agent takes work.
     pub fn all_serve(&self, version: &str) -> bool {
         let serves =
@@ -412,7 +441,7 @@
 
 impl Ranks for Link {
     fn count(&self) -> usize {
-        RANKS
+        self.0.slots.len()
     }
 
     fn call(
