--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -10,6 +10,7 @@
 use flamingowheel_config::apply::{ApplyError, ApplyRequest};
 use flamingowheel_config::change::Origin;
 use flamingowheel_config::document::DocumentError;
+use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::replica::Replica;
 use flamingowheel_config::settings::{Settings, SettingsError};
 use flamingowheel_config::store::Store;
@@ -60,7 +61,7 @@
 description: Summaries and work orders
 parameters:
   models:
-    notes: {}
+    notes: MODEL
   services:
     orders:
       routes:
@@ -143,9 +144,7 @@
         tokio::spawn(run_group(group, stop));
         fleet.start_agents().await?;
         fleet.start_entries().await?;
-        let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
-        let documents = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
-        apply(fleet.standins.key_value_address, &documents).await?;
+        fleet.apply("{}").await?;
         fleet.wait_ready().await?;
         Ok(fleet)
     }
@@ -224,6 +223,16 @@
         peers.collect::<Vec<_>>().join(", ")
     }
 
+    /// Has operators say this of the model.
+    async fn apply(&self, model: &str) -> Result<(), DemoError> {
+        let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
+        let documents = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
+        let documents = documents.replace("MODEL", model);
+        let seen = self.entries.first().map(|entry| entry.state().effective.load().revision());
+        let seen = seen.unwrap_or_default();
+        apply(self.standins.key_value_address, &documents, seen).await
+    }
+
     /// Waits until every entry knows the workspace and every agent.
     async fn wait_ready(&self) -> Result<(), DemoError> {
         let agents = usize::from(RANKS + SERVERS);
@@ -364,14 +373,17 @@
     }
 }
 
-/// Has the first configuration accepted, before any operator's tool is at hand.
-pub async fn apply(key_value: SocketAddr, documents: &str) -> Result<(), DemoError> {
+/// Has a configuration accepted without the operators' tool.
+pub async fn apply(
+    key_value: SocketAddr,
+    documents: &str,
+    seen: ConfigRevision,
+) -> Result<(), DemoError> {
     let edits = flamingowheel_config::document::parse(documents).map_err(DemoError::Document)?;
     let kv = EtcdClient::new(authority(key_value), HttpLimits::default());
     let store = Store::new(Arc::new(kv));
     let origin =
         Origin { operator: "demo".to_owned(), at_unix_ms: unix_ms(), comment: String::new() };
-    let seen = Default::default();
     let request = ApplyRequest { uuid: uuid::Uuid::now_v7(), origin, edits, seen };
     store.apply(&mut Replica::default(), &request).await?;
     Ok(())
--- a/crates/flamingowheeld/src/orders.rs
+++ b/crates/flamingowheeld/src/orders.rs
@@ -3,13 +3,18 @@
 use crate::agent::authority;
 use crate::entry::key_value;
 use bytes::Bytes;
-use flamingowheel_agent::control::OrderHandler;
+use flamingowheel_agent::control::{AgentHandle, Command, OrderHandler};
 use flamingowheel_config::settings::{AgentSettings, BackendServerKind, Settings};
 use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::intake::{Intake, Work};
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::record::RecordStore;
+use flamingowheel_observe::event::{Event, Subject};
+use flamingowheel_observe::reason::OrderKind;
+use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::client::{HttpLimits, HttpOrders};
+use flamingowheel_platform::orders::OrderTarget;
 use flamingowheel_protocol::id::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,19 +33,20 @@
 /// Carries out orders through the gate, once it is open.
 pub struct GateOrders {
     gate: OnceCell<Gate<HttpOrders>>,
+    about: SubjectRecorder,
 }
 
 impl GateOrders {
     /// Opens the gate in the background. Until the group's record has been read no order is
-    /// taken: the lowest acceptable fencing number is not known. `None` where the ranks share no
-    /// expert map.
+    /// taken: the lowest acceptable fencing number is not known. `None` for plain services.
     pub fn start(
         settings: &Settings,
         own: &AgentSettings,
         incarnation: Incarnation,
+        agent: &AgentHandle,
+        recorder: &Recorder,
     ) -> Option<Arc<Self>> {
-        let BackendServerKind::Engine { group, checks_fencing, experts: Some(_), .. } = &own.kind
-        else {
+        let BackendServerKind::Engine { group, checks_fencing, .. } = &own.kind else {
             return None;
         };
         let kind = match checks_fencing {
@@ -54,8 +60,10 @@
         };
         let engine = HttpOrders::new(authority(own.backend_server), limits);
         let records = RecordStore::new(Arc::new(key_value(settings)), group);
-        let orders = Arc::new(Self { gate: OnceCell::new() });
-        tokio::spawn(open(Arc::clone(&orders), engine, kind, incarnation, records));
+        let about = recorder.about(Subject::default().group(group.as_str()));
+        let orders = Arc::new(Self { gate: OnceCell::new(), about });
+        let intake = Arc::new(AgentIntake(agent.clone()));
+        tokio::spawn(open(Arc::clone(&orders), engine, kind, incarnation, records, intake));
         Some(orders)
     }
 
@@ -63,7 +71,36 @@
         let gate = self.gate.get().ok_or(RankError::NotReady)?;
         let request: RankRequest = ciborium::from_reader(body)
             .map_err(|_| RankError::NotPossible { reason: "request can't be read".to_owned() })?;
-        gate.handle(&request).await
+        let answer = gate.handle(&request).await;
+        if let Some(event) = event(&request, &answer) {
+            self.about.record(event);
+        }
+        answer
+    }
+}
+
+/// What is recorded of an order: with the number that its coordinator won its lease with, so that
+/// a group's time line tells who ordered what. Reads are not recorded.
+fn event(request: &RankRequest, answer: &Result<RankState, RankError>) -> Option<Event> {
+    let order = kind(request.target.as_ref()?);
+    let fencing_number = request.fence.0;
+    match answer {
+        Ok(_) => Some(Event::OrderApplied { order, fencing_number }),
+        Err(RankError::Stale { lowest, .. }) => {
+            let lowest_accepted = lowest.0;
+            Some(Event::OrderRefused { order, fencing_number, lowest_accepted })
+        }
+        Err(_) => None,
+    }
+}
+
+fn kind(target: &OrderTarget) -> OrderKind {
+    match target {
+        OrderTarget::Serve { .. } => OrderKind::Serve,
+        OrderTarget::StageMap { .. } => OrderKind::StageMap,
+        OrderTarget::Hold { .. } => OrderKind::Hold,
+        OrderTarget::SwitchMap { .. } => OrderKind::SwitchMap,
+        OrderTarget::Resume => OrderKind::Resume,
     }
 }
 
@@ -73,11 +110,12 @@
     kind: EngineKind,
     incarnation: Incarnation,
     records: RecordStore,
+    intake: Arc<AgentIntake>,
 ) {
     loop {
         match Gate::open(engine.clone(), kind, incarnation.0, &records).await {
             Ok(gate) => {
-                let _ = orders.gate.set(gate);
+                let _ = orders.gate.set(gate.with_intake(intake));
                 return;
             }
             Err(error) => tracing::warn!(%error, "group's record not read; no order is taken"),
@@ -86,6 +124,23 @@
     }
 }
 
+/// The agent's own admission.
+struct AgentIntake(AgentHandle);
+
+impl Intake for AgentIntake {
+    fn set_open(&self, open: bool) {
+        let commands = self.0.commands().clone();
+        // Whether it came about shows in the work; whoever asked for it looks and asks again.
+        tokio::spawn(async move { commands.send(Command::SetOpen(open)).await });
+    }
+
+    fn work(&self) -> Work {
+        let status = self.0.status();
+        let in_progress = u32::try_from(status.in_progress_count).unwrap_or(u32::MAX);
+        Work { is_open: !status.closed, in_progress }
+    }
+}
+
 impl OrderHandler for GateOrders {
     fn handle(&self, body: Bytes) -> BoxFuture<'_, Bytes> {
         Box::pin(async move {
@@ -97,3 +152,47 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use flamingowheel_platform::orders::{EngineState, Fence};
+
+    fn state() -> RankState {
+        RankState {
+            incarnation: 1,
+            engine: EngineState::default(),
+            unresolved: false,
+            work: Work::default(),
+        }
+    }
+
+    fn request(target: Option<OrderTarget>) -> RankRequest {
+        RankRequest {
+            incarnation: Some(1),
+            fence: Fence(7),
+            target,
+            requires_version: None,
+            open: None,
+        }
+    }
+
+    // A coordinator that was replaced while it was paused still sends an order. Whoever looks into a
+    // group's time line must see that it had no effect, and which number was in charge.
+    #[test]
+    fn event_old_number_recorded_as_refused() {
+        let answer = Err(RankError::Stale { given: Fence(7), lowest: Fence(9) });
+        let refused =
+            Event::OrderRefused { order: OrderKind::Resume, fencing_number: 7, lowest_accepted: 9 };
+        assert_eq!(event(&request(Some(OrderTarget::Resume)), &answer), Some(refused));
+    }
+
+    #[test]
+    fn event_applied_order_but_no_read() {
+        let hold = OrderTarget::Hold { after_step: 3 };
+        let applied = Event::OrderApplied { order: OrderKind::Hold, fencing_number: 7 };
+        assert_eq!(event(&request(Some(hold.clone())), &Ok(state())), Some(applied));
+        assert_eq!(event(&request(None), &Ok(state())), None);
+        assert_eq!(event(&request(Some(hold)), &Err(RankError::EngineSilent)), None);
+    }
+}
--- a/crates/flamingowheeld/tests/processes/fleet.rs
+++ b/crates/flamingowheeld/tests/processes/fleet.rs
@@ -125,7 +125,7 @@
         let (fake, list) = (fleet.key_value.clone(), FakeVmList::new(fleet.vms()));
         tokio::spawn(kv::serve(key_value, fake, Connections::default(), stop.clone()));
         tokio::spawn(vms::serve(vm_list, list, Connections::default(), stop.clone()));
-        demo::apply(fleet.key_value_address, &documents()).await.unwrap();
+        demo::apply(fleet.key_value_address, &documents(), Default::default()).await.unwrap();
         fleet.start_agents(&stop).await;
         for number in 0..ENTRIES {
             let entry = fleet.start_entry(number);
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -1,9 +1,10 @@
 //! The weight store's rate is kept by the whole fleet at every moment.
 
 use flamingowheel_group::budget::{Allocation, Budget, Pacer, Share, StoreLimits, VALID_FOR};
-use flamingowheel_group::session::Loads;
-use flamingowheel_platform::fake::FakeKeyValue;
+use flamingowheel_group::session::{Loads, Sizes};
+use flamingowheel_platform::fake::{FakeKeyValue, FakeWeightStore};
 use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_platform::weights::WeightStore;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, advance, sleep};
@@ -107,13 +108,27 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn book_keeps_rate() {
+async fn try_take_keeps_rate() {
     let start = Instant::now();
     let mut pacer = Pacer::new(start);
-    assert_eq!(pacer.book(1000, 500.0, start), start);
-    assert_eq!(pacer.book(1000, 500.0, start), start + SECOND * 2);
+    assert_eq!(pacer.try_take(1000, 500.0, start), Duration::ZERO);
+    assert_eq!(pacer.try_take(1000, 500.0, start), SECOND * 2);
     advance(SECOND * 10).await;
-    assert_eq!(pacer.book(1, 500.0, Instant::now()), Instant::now());
+    assert_eq!(pacer.try_take(1, 500.0, Instant::now()), Duration::ZERO);
+}
+
+/// A group takes its loads while its process has only the minimum, and the share grows afterwards.
+/// Were the loads booked at the rate of that moment, the last would wait for as long as before.
+#[tokio::test(start_paused = true)]
+async fn try_take_rate_changes_while_waiting() {
+    let mut pacer = Pacer::new(Instant::now());
+    assert_eq!(pacer.try_take(1000, 10.0, Instant::now()), Duration::ZERO);
+    assert_eq!(pacer.try_take(1, 10.0, Instant::now()), SECOND * 100);
+    advance(SECOND * 10).await;
+    // The first ten seconds count at the old rate.
+    assert_eq!(pacer.try_take(1, 100.0, Instant::now()), SECOND * 9);
+    advance(SECOND * 9).await;
+    assert_eq!(pacer.try_take(1, 100.0, Instant::now()), Duration::ZERO);
 }
 
 /// The members change twice while one group reads the record rarely and another is cut off right
@@ -195,7 +210,7 @@
 async fn take_loads_one_rank_after_another() {
     let budget = Arc::new(Budget::new(Arc::new(FakeKeyValue::new()), "0", LIMITS));
     let minimum = budget.rate_bytes_per_s();
-    let loads = Loads { budget, expert_bytes: minimum as u64 };
+    let loads = Loads { budget, sizes: Sizes { expert_bytes: minimum as u64, ..Sizes::default() } };
     let map = |experts: [u16; 4]| ExpertMap {
         layers: vec![experts.chunks(2).map(<[u16]>::to_vec).collect()],
     };
@@ -208,3 +223,46 @@
     loads.take(0, Some(&held), &held).await;
     assert_eq!(start.elapsed(), SECOND * 3, "rank 1 holds nothing and loads two");
 }
+
+/// Operators accept another version, and three processes have their groups load it at once; the
+/// key-value service goes away in the middle. If they read faster than the store gives, it refuses
+/// reads, and the groups stand still for longer.
+#[tokio::test(start_paused = true)]
+async fn take_stand_in_store_refuses_nothing() {
+    const LOAD_BYTES: u64 = 1_000_000_000;
+    const LOADS: u64 = 640;
+    let kv = FakeKeyValue::new();
+    // Each process may have one read just begun.
+    let store = FakeWeightStore::new(RATE_BYTES_PER_S as u64, 3 * LOAD_BYTES);
+    let members: Vec<_> = (0..3).map(|member| start(&kv, member)).collect();
+    sleep(SECOND * 300).await;
+    let (began, before) = (Instant::now(), store.read_bytes());
+    for (budget, _) in &members {
+        for load in 0..LOADS {
+            let (budget, store) = (Arc::clone(budget), store.clone());
+            tokio::spawn(async move {
+                budget.take(LOAD_BYTES).await;
+                assert_eq!(store.read("notes", LOAD_BYTES).await, Ok(()), "load {load}");
+            });
+        }
+    }
+    let used = |store: &FakeWeightStore| {
+        (store.read_bytes() - before) as f64 / began.elapsed().as_secs_f64() / RATE_BYTES_PER_S
+    };
+    sleep(SECOND * 600).await;
+    let in_service = used(&store);
+    kv.set_down(true);
+    sleep(SECOND * 600).await;
+    assert_eq!(store.refused(), 0);
+    let read_bytes = store.read_bytes();
+    sleep(SECOND * 600).await;
+    let while_down = (store.read_bytes() - read_bytes) as f64 / 600.0 / RATE_BYTES_PER_S;
+    kv.set_down(false);
+    sleep(SECOND * 2400).await;
+    assert_eq!((store.refused(), store.read_bytes()), (0, 3 * LOADS * LOAD_BYTES));
+    // Nine tenths are shared out; the minimum of each is a two-hundredth. A read counts whole at its
+    // begin.
+    assert!((0.89..=0.91).contains(&in_service), "{in_service}");
+    assert!((0.01..=0.02).contains(&while_down), "{while_down}");
+    println!("store_used={in_service:.3} while_down={while_down:.4}");
+}
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -2,36 +2,43 @@
 //! strike at a chosen message.
 #![allow(dead_code)]
 
+pub mod traffic;
+
 use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::intake::Intake;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::RecordStore;
-use flamingowheel_group::session::{Loads, Timing};
+use flamingowheel_group::serve::Wanted;
+use flamingowheel_group::session::{Loads, Sizes, Timing};
 use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::{
     EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostAnswer, LostOrder, RankGroup,
 };
 use flamingowheel_platform::kv::{KeyValue, LeaseId};
-use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_platform::orders::{ExpertMap, OrderTarget};
 use std::future::Future;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use traffic::Traffic;
 
 pub const RANKS: usize = 3;
 /// The reserved minimum of one process is 50 bytes a second.
 const LIMITS: StoreLimits = StoreLimits { rate_bytes_per_s: 1000.0, max_members: 2 };
 pub const GROUP: &str = "g1";
+pub const MODEL: &str = "notes";
 /// How long a fault lasts that ends by itself.
 pub const OUTAGE: Duration = Duration::from_secs(4);
 const RESTART: Duration = Duration::from_secs(2);
+const LOAD_SPREAD: Duration = Duration::from_millis(40);
 const STEP: Duration = Duration::from_millis(25);
 
 /// What strikes.
@@ -64,6 +71,8 @@
     gate: Mutex<Option<Arc<Gate<FakeEngine>>>>,
     calls: Mutex<Vec<AbortHandle>>,
     paused: watch::Sender<bool>,
+    refuses_loads: AtomicBool,
+    pub work: Arc<Traffic>,
 }
 
 struct Process {
@@ -76,11 +85,13 @@
     pub kv: FakeKeyValue,
     pub group: RankGroup,
     kind: EngineKind,
-    expert_bytes: Option<u64>,
+    sizes: Option<Sizes>,
+    wanted: watch::Sender<Option<Wanted>>,
     slots: Vec<Slot>,
     processes: Mutex<Vec<Process>>,
     desired: watch::Sender<Option<ExpertMap>>,
     messages: AtomicU64,
+    refused_loads: AtomicU64,
     incarnations: AtomicU64,
     plan: Mutex<Vec<(u64, Fault)>>,
     stop: CancellationToken,
@@ -97,6 +108,22 @@
 
     /// The same with loads paced by the fleet's budget, one expert being of this size.
     pub async fn start_with(kind: EngineKind, expert_bytes: Option<u64>) -> Arc<Self> {
+        let sizes = expert_bytes.map(|expert_bytes| Sizes { expert_bytes, ..Sizes::default() });
+        Self::start_sized(kind, sizes, map(1)).await
+    }
+
+    /// The same with loads of these sizes, and with this map.
+    pub async fn start_sized(kind: EngineKind, sizes: Option<Sizes>, map: ExpertMap) -> Arc<Self> {
+        Self::start_ranks(kind, sizes, map, RANKS).await
+    }
+
+    /// The same with this many ranks.
+    pub async fn start_ranks(
+        kind: EngineKind,
+        sizes: Option<Sizes>,
+        map: ExpertMap,
+        ranks: usize,
+    ) -> Arc<Self> {
         let fence_policy = match kind {
             EngineKind::ChecksFence => FencePolicy::Refuses,
             EngineKind::IgnoresFence => FencePolicy::Ignores,
@@ -108,28 +135,36 @@
             load_time: Duration::from_millis(100),
             ..EngineSettings::default()
         };
-        let engines: Vec<_> =
-            (0..RANKS).map(|rank| FakeEngine::new(rank as u64, settings.clone())).collect();
+        // Ranks load at different speeds, so that one is done while another is not.
+        let engine = |rank: u32| {
+            let load_time = settings.load_time + rank * LOAD_SPREAD;
+            FakeEngine::new(rank.into(), EngineSettings { load_time, ..settings.clone() })
+        };
+        let engines: Vec<_> = (0..ranks as u32).map(engine).collect();
         let slot = |engine: &FakeEngine| Slot {
             engine: engine.clone(),
             gate: Mutex::default(),
             calls: Mutex::default(),
             paused: watch::Sender::new(false),
+            refuses_loads: AtomicBool::new(false),
+            work: Arc::default(),
         };
         let world = Arc::new(Self {
             kv: FakeKeyValue::new(),
             kind,
-            expert_bytes,
+            sizes,
+            wanted: watch::Sender::new(None),
             slots: engines.iter().map(slot).collect(),
             group: RankGroup::new(engines),
             processes: Mutex::default(),
-            desired: watch::Sender::new(Some(map(1))),
+            desired: watch::Sender::new(Some(map)),
             messages: AtomicU64::new(0),
+            refused_loads: AtomicU64::new(0),
             incarnations: AtomicU64::new(0),
             plan: Mutex::default(),
             stop: CancellationToken::new(),
         });
-        for rank in 0..RANKS {
+        for rank in 0..ranks {
             world.start_agent(rank).await;
         }
         world.start_coordinator();
@@ -147,10 +182,11 @@
         let desired = self.desired.subscribe();
         let mut coordinator =
             Coordinator::new(Arc::clone(&kv), GROUP, link, Timing::default(), desired);
-        if let Some(expert_bytes) = self.expert_bytes {
+        coordinator = coordinator.with_rollout(MODEL, self.wanted.subscribe());
+        if let Some(sizes) = self.sizes {
             let member = format!("p{}", self.processes.lock().unwrap().len());
             let budget = Arc::new(Budget::new(kv, &member, LIMITS));
-            coordinator = coordinator.with_loads(Loads { budget, expert_bytes });
+            coordinator = coordinator.with_loads(Some(Loads { budget, sizes }));
         }
         let status = coordinator.status();
         let paused = watch::Sender::new(false);
@@ -167,6 +203,9 @@
         loop {
             let gate = Gate::open(engine.clone(), self.kind, incarnation, &records).await;
             if let Ok(gate) = gate {
+                let work = &self.slots[rank].work;
+                work.restart();
+                let gate = gate.with_intake(Arc::clone(work) as Arc<dyn Intake>);
                 *self.slots[rank].gate.lock().unwrap() = Some(Arc::new(gate));
                 return;
             }
@@ -179,6 +218,72 @@
         self.strike(rank, fault);
     }
 
+    /// Has a rank refuse to load maps.
+    pub fn refuse_loads(&self, rank: usize, refuses: bool) {
+        self.slots[rank].refuses_loads.store(refuses, Ordering::SeqCst);
+    }
+
+    /// Loads that were refused so far.
+    pub fn refused_loads(&self) -> u64 {
+        self.refused_loads.load(Ordering::SeqCst)
+    }
+
+    /// Operators accept a version and adapters of the model.
+    pub fn accept(&self, version: &str, adapters: &[&str]) {
+        let version = Some(version.to_owned());
+        let adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
+        self.wanted.send_replace(Some(Wanted { version, adapters }));
+    }
+
+    /// The requests of a rank.
+    pub fn work(&self, rank: usize) -> &Arc<Traffic> {
+        &self.slots[rank].work
+    }
+
+    /// Keeps all ranks at work, each request taking this long.
+    pub fn run_traffic(self: &Arc<Self>, length: Duration) {
+        let count = self.slots.len() as u32;
+        for (rank, slot) in (0u32..).zip(&self.slots) {
+            let (work, engine) = (Arc::clone(&slot.work), slot.engine.clone());
+            let stop = self.stop.clone();
+            tokio::spawn(async move {
+                // Ranks are out of step with each other.
+                sleep(length * rank / count).await;
+                work.run(engine, length, stop).await;
+            });
+        }
+    }
+
+    /// Answers that began with one version of the model and ended with another.
+    pub fn mixed_answers(&self) -> u32 {
+        self.slots.iter().map(|slot| slot.work.mixed()).sum()
+    }
+
+    /// Ends the processes that don't coordinate.
+    pub fn end_reserve(&self) {
+        let processes = self.processes.lock().unwrap();
+        let reserve = processes.iter().filter(|process| !is_leading(process));
+        reserve.for_each(|process| process.running.abort());
+    }
+
+    /// Messages from coordinators to agents so far.
+    pub fn messages(&self) -> u64 {
+        self.messages.load(Ordering::SeqCst)
+    }
+
+    /// Orders that engines carried out so far.
+    pub fn orders(&self) -> u64 {
+        let count = |slot: &Slot| slot.engine.peek_state().counters.get("orders").copied();
+        self.slots.iter().filter_map(count).sum()
+    }
+
+    /// Whether every engine serves this version and its agent takes work.
+    pub fn all_serve(&self, version: &str) -> bool {
+        let serves =
+            |slot: &Slot| slot.engine.peek_state().version == version && slot.work.work().is_open;
+        self.slots.iter().all(serves)
+    }
+
     pub fn want(&self, number: u16) {
         self.desired.send_replace(Some(map(number)));
     }
@@ -224,6 +329,7 @@
     /// No step was ever run with two maps.
     pub fn check_steps(&self, case: &str) {
         assert_eq!(self.group.splits(), [], "{case}");
+        assert!(self.group.mixed().is_empty(), "{case}: steps with two versions");
     }
 
     fn strike(self: &Arc<Self>, rank: usize, fault: Fault) {
@@ -312,6 +418,11 @@
     async fn deliver(&self, rank: usize, request: RankRequest) -> Result<RankState, RankError> {
         let gate = self.slots[rank].gate.lock().unwrap().clone();
         let Some(gate) = gate else { return Err(RankError::NoAnswer) };
+        let refuses_loads = self.slots[rank].refuses_loads.load(Ordering::SeqCst);
+        if refuses_loads && matches!(request.target, Some(OrderTarget::StageMap { .. })) {
+            self.refused_loads.fetch_add(1, Ordering::SeqCst);
+            return Err(RankError::NotPossible { reason: "weights can't be read".to_owned() });
+        }
         // The agent goes on with what it received whether or not its caller still waits.
         let paused = self.slots[rank].paused.subscribe();
         let handled = tokio::spawn(async move {
@@ -330,7 +441,7 @@
 
 impl Ranks for Link {
     fn count(&self) -> usize {
-        RANKS
+        self.0.slots.len()
     }
 
     fn call(
