File a tombstone whenever a whole ticket is given up

Cause: giving up a ticket whose work waited with nobody attached ended the waiting work and left no tombstone for the ticket, so a later dispatch under it ran after the caller had been told "not run". With the records full no tombstone could be filed at all, so nothing could be proved of a ticket that the agent refused. Change: every way of giving a ticket up files the tombstone first; tombstones may take a quarter of the records' number beyond it. Beyond that nothing is promised. Conclusion: "not run" to a ticket given up holds for all calls under it.

--- a/crates/agent/src/control/questions.rs
+++ b/crates/agent/src/control/questions.rs
@@ -48,21 +48,28 @@
         match self.records.get(key) {
             Some(Record::Execution(execution)) => {
                 let execution = Arc::clone(execution);
-                self.cancel_execution(sender, question, &execution);
+                self.cancel_execution(sender, question, &execution, void_ticket);
             }
             Some(Record::Tombstone) => self.refuse(sender, attempt, Refusal::Cancelled),
             None if self.is_forgotten(&question) => {
                 self.fail(sender, attempt, Failure::RecordGone);
             }
-            None => {
-                // The dispatch may still be on its way. Without the tombstone it would run after
-                // the caller was told that it did not.
-                if void_ticket && self.records.bury(key).is_err() {
-                    return self.fail(sender, attempt, Failure::Cancelled);
-                }
-                self.refuse(sender, attempt, Refusal::Cancelled);
-            }
+            None => self.refuse_all(sender, question, void_ticket),
+        }
+    }
+
+    /// Says of an attempt, or of its whole ticket, that it did not run and won't. A dispatch may
+    /// still be on its way: without the tombstone it would run after the caller was told so.
+    fn refuse_all(
+        &mut self,
+        sender: &mpsc::Sender<AgentMessage>,
+        question: Question,
+        void_ticket: bool,
+    ) {
+        if void_ticket && self.records.bury(question.key).is_err() {
+            return self.fail(sender, question.attempt, Failure::Cancelled);
         }
+        self.refuse(sender, question.attempt, Refusal::Cancelled);
     }
 
     pub(super) fn cancel_execution(
@@ -70,17 +77,18 @@
         sender: &mpsc::Sender<AgentMessage>,
         question: Question,
         execution: &Arc<Execution>,
+        void_ticket: bool,
     ) {
         let (attempt, key) = (question.attempt, question.key);
         if let Some(Ending::NotRun(_)) = execution.ending() {
-            return self.refuse(sender, attempt, Refusal::Cancelled);
+            return self.refuse_all(sender, question, void_ticket);
         }
         let others = execution.detach(attempt);
         let waiting = self.pending.contains_key(&key);
         if waiting && !others {
             self.admission.cancel(key);
             self.give_up(key, Refusal::Cancelled);
-            return self.refuse(sender, attempt, Refusal::Cancelled);
+            return self.refuse_all(sender, question, void_ticket);
         }
         if execution.work().idempotent && !others {
             execution.stop_token().cancel();
--- a/crates/agent/src/records.rs
+++ b/crates/agent/src/records.rs
@@ -13,6 +13,9 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// The part of the tickets' records, beyond their bound, that tickets given up may take.
+const TOMBSTONE_SHARE: usize = 4;
+
 /// What is known of a key.
 #[derive(Clone, Debug)]
 pub enum Record {
@@ -156,7 +159,7 @@
             return Ok(());
         }
         let known = self.tickets.records.contains_key(&key);
-        if !known && self.tickets.records.len() >= self.max_tickets {
+        if !known && self.tickets.records.len() >= self.max_tombstones() {
             return Err(RecordsFull);
         }
         let window = self.filing_window(key);
@@ -171,6 +174,11 @@
         }
     }
 
+    /// The oldest window whose tickets are all on record.
+    pub fn oldest_ticket_window(&self) -> Window {
+        self.tickets.oldest
+    }
+
     /// Where the answers of tickets are counted.
     pub fn stored(&self) -> &StoredBytes {
         &self.stored
@@ -195,6 +203,13 @@
         })
     }
 
+    /// How many tickets' records there may be when one more is given up. Work stops at
+    /// `max_tickets`; without room beyond it an agent that is full could prove nothing of a ticket
+    /// that it refuses, and its work could go nowhere else.
+    fn max_tombstones(&self) -> usize {
+        self.max_tickets + self.max_tickets / TOMBSTONE_SHARE + 1
+    }
+
     /// Whether another ticket's answer may be stored. What runs already may exceed the bound by
     /// its own answers; those are bounded each.
     fn has_room(&self) -> bool {
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -343,3 +343,57 @@
     sleep(Duration::from_secs(15)).await;
     assert_eq!(engine.runs_of_body(&request.body).cancelled, 1);
 }
+
+// A ticket's work waits for a place, its entry dies, and somebody gives the ticket up. The first
+// dispatch was sent twice by the network; the copy comes when there is room again. The caller was
+// told "not run", so it must not run.
+#[tokio::test(start_paused = true)]
+async fn void_waiting_ticket_late_copy_does_not_run() {
+    let service = slow_service();
+    let mut session = Session::start(service.clone(), config()).await;
+    for body in ["a", "b"] {
+        session.dispatch(&session.request(body)).await;
+    }
+    let number = Uuid::now_v7();
+    let (mut order, question) =
+        (session.order("payout 7", number), session.order("payout 7", number));
+    order.last_try = true;
+    session.dispatch(&order).await;
+    assert!(matches!(session.next(order.attempt).await, AgentMessage::Accepted { .. }));
+    session.send(EntryMessage::Release { attempt: order.attempt, key: order.key }).await;
+    session.send(cancel(&question, true)).await;
+    assert_eq!(session.refusal(question.attempt).await, Refusal::Cancelled);
+    sleep(Duration::from_secs(2)).await;
+    let late = session.order("payout 7", number);
+    session.dispatch(&late).await;
+    assert_eq!(session.refusal(late.attempt).await, Refusal::Cancelled);
+    assert_eq!(service.executions(b"payout 7"), 0);
+}
+
+// The records are full, so the agent refuses a work order for as long as they are kept. Its ticket
+// is given up, so that the work may go elsewhere; a late copy comes when there is room again.
+#[tokio::test(start_paused = true)]
+async fn void_ticket_records_full_never_runs() {
+    let service = FakeService::new(1);
+    let mut config = config();
+    config.max_ticket_records = 1;
+    let mut session = Session::start(service.clone(), config).await;
+    let first = session.order("crew", Uuid::now_v7());
+    session.dispatch(&first).await;
+    session.whole(first.attempt).await;
+    let number = Uuid::now_v7();
+    let (second, question) = (session.order("payout 8", number), session.order("payout 8", number));
+    session.dispatch(&second).await;
+    assert_eq!(session.refusal(second.attempt).await, Refusal::RecordsFull);
+    session.send(cancel(&question, true)).await;
+    assert_eq!(session.refusal(question.attempt).await, Refusal::Cancelled);
+    let late = session.order("payout 8", number);
+    session.dispatch(&late).await;
+    assert_eq!(session.refusal(late.attempt).await, Refusal::Cancelled);
+
+    // Tombstones have a bound, too: beyond it nothing is promised.
+    let more: Vec<_> = (0..4).map(|_| session.order("payout 9", Uuid::now_v7())).collect();
+    session.send(cancel(&more[0], true)).await;
+    assert!(matches!(session.next(more[0].attempt).await, AgentMessage::Failed { .. }));
+    assert_eq!(service.executions(b"payout 8"), 0);
+}
