Let a key leave a home that refuses for good, with proof

Cause: a caller's key stayed bound to its first ticket. With that agent leaving, full, down or gone, each resend was refused or told unknown for ever, although the work may provably never have run. Change: a refusing home files a tombstone for the ticket, and the key is bound to a ticket elsewhere by compare-and-swap with the epoch one higher, at most twice a call. An agent that ends as planned, with nothing left, seals its archive: what is not in it never ran, so keys move and unused tickets are told `not-run` (409 `home_ended`). Promises of the fault matrix: KeyBound with a message lost, late or overtaken, or with silent connections, is told complete at once in place of not-run first and complete to the resend; the oracle holds as before. Conclusion: a key stays bound only where nothing can be proved.

--- a/crates/agent/src/archive.rs
+++ b/crates/agent/src/archive.rs
@@ -1,13 +1,14 @@
 //! Leaves the answers of finished tickets in the key-value service before the process ends.
 //!
 //! The records are in this process's memory and go with it. After a planned stop a resend would be
-//! told "unknown" of work whose answer was known all the time. Safety never leans on what is
-//! written here: what is absent stays unknown.
+//! told "unknown" of work whose answer was known all the time. An archive with no seal proves nothing
+//! of what is absent. A process that takes no more work and has none left seals its archive: what is
+//! absent then never ran, and its callers may have it run elsewhere.
 
-use crate::control::AgentHandle;
+use crate::control::{AgentHandle, TicketList};
 use crate::execution::Execution;
 use flamingowheel_platform::kv::{KeyValue, KeyValueError, Operation, Transaction};
-use flamingowheel_protocol::archive::{self, ArchivedAnswer, BUCKETS};
+use flamingowheel_protocol::archive::{self, ArchivedAnswer, BUCKETS, Seal};
 use flamingowheel_protocol::id::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     pub finished: usize,
     /// Those whose write was confirmed.
     pub written: usize,
+    /// Whether it is certain that what is not archived never ran.
+    pub sealed: bool,
 }
 
 impl Archive {
@@ -53,12 +56,13 @@
     where
         K: KeyValue + ?Sized,
     {
-        let finished = agent.finished_tickets().await;
-        let mut archived = Archived { finished: finished.len(), written: 0 };
-        if finished.is_empty() {
+        let tickets = agent.tickets().await;
+        let finished = tickets.finished.len();
+        let mut archived = Archived { finished, ..Archived::default() };
+        if finished == 0 && !tickets.is_final {
             return archived;
         }
-        match timeout(LIMIT, self.write(finished, kv, &mut archived.written)).await {
+        match timeout(LIMIT, self.write(tickets, kv, &mut archived)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => tracing::warn!(%error, "answers of tickets not archived"),
             Err(_) => tracing::warn!("answers of tickets not archived in time"),
@@ -68,29 +72,42 @@
 
     async fn write<K>(
         &self,
-        finished: Vec<(Uuid, Arc<Execution>)>,
+        tickets: TicketList,
         kv: &K,
-        written: &mut usize,
+        archived: &mut Archived,
     ) -> Result<(), KeyValueError>
     where
         K: KeyValue + ?Sized,
     {
-        let lease = kv.grant_lease(self.record_time).await?;
+        // All keys have one lease: a seal that outlives a bucket would say of work that ran that it
+        // never did.
+        let lease = Some(kv.grant_lease(self.record_time).await?);
         let mut batch = Batch::default();
-        for (number, answers) in buckets(finished).into_iter().enumerate() {
-            if answers.is_empty() {
-                continue;
-            }
+        let mut seal =
+            Seal { oldest: tickets.oldest, unanswered: tickets.unanswered, ..Seal::default() };
+        for (number, answers) in buckets(tickets.finished, &mut seal.unanswered) {
+            seal.buckets.push(number);
             let value = archive::encode(&answers);
             if !batch.has_room_for(value.len()) {
-                batch.send(kv, written).await?;
+                batch.send(kv, &mut archived.written).await?;
             }
-            let key = archive::key(self.incarnation, number);
+            let key = archive::key(self.incarnation, usize::from(number));
             batch.bytes += value.len();
             batch.answers += answers.len();
-            batch.writes.push(Operation::Put { key, value, lease: Some(lease) });
+            batch.writes.push(Operation::Put { key, value, lease });
+        }
+        let value = archive::encode(&seal);
+        let sealed = tickets.is_final && value.len() <= MAX_BATCH_BYTES;
+        if sealed {
+            if !batch.has_room_for(value.len()) {
+                batch.send(kv, &mut archived.written).await?;
+            }
+            let key = archive::seal_key(self.incarnation);
+            batch.writes.push(Operation::Put { key, value, lease });
         }
-        batch.send(kv, written).await
+        batch.send(kv, &mut archived.written).await?;
+        archived.sealed = sealed;
+        Ok(())
     }
 }
 
@@ -121,24 +138,39 @@
     }
 }
 
-/// Spreads the answers over buckets; what is too large for its bucket is left out.
-fn buckets(finished: Vec<(Uuid, Arc<Execution>)>) -> Vec<Vec<ArchivedAnswer>> {
+/// Spreads the answers over buckets, those without any left out; what is too large for its bucket is
+/// named as unanswered.
+fn buckets(
+    finished: Vec<(Uuid, Arc<Execution>)>,
+    unanswered: &mut Vec<Uuid>,
+) -> impl Iterator<Item = (u8, Vec<ArchivedAnswer>)> {
     let mut buckets: Vec<(usize, Vec<ArchivedAnswer>)> = vec![(0, Vec::new()); BUCKETS];
     for (number, execution) in finished {
-        let Some(whole) = execution.whole_answer(MAX_BODY_BYTES) else { continue };
         let (bytes, answers) = &mut buckets[archive::bucket(number)];
-        let added = whole.body.len() + whole.content_type.len() + RECORD_OVERHEAD_BYTES;
-        if *bytes + added > MAX_BATCH_BYTES {
+        let room = MAX_BATCH_BYTES - *bytes;
+        let Some((added, answer)) =
+            archived(number, &execution).filter(|(added, _)| *added <= room)
+        else {
+            unanswered.push(number);
             continue;
-        }
+        };
         *bytes += added;
-        answers.push(ArchivedAnswer {
-            number,
-            fingerprint: execution.work().fingerprint,
-            status: whole.status,
-            content_type: whole.content_type,
-            body: whole.body,
-        });
+        answers.push(answer);
     }
-    buckets.into_iter().map(|(_, answers)| answers).collect()
+    let filled = (0..=u8::MAX).zip(buckets).map(|(number, (_, answers))| (number, answers));
+    filled.filter(|(_, answers)| !answers.is_empty())
+}
+
+/// What is archived of a ticket, and its bytes at the most.
+fn archived(number: Uuid, execution: &Execution) -> Option<(usize, ArchivedAnswer)> {
+    let whole = execution.whole_answer(MAX_BODY_BYTES)?;
+    let bytes = whole.body.len() + whole.content_type.len() + RECORD_OVERHEAD_BYTES;
+    let answer = ArchivedAnswer {
+        number,
+        fingerprint: execution.work().fingerprint,
+        status: whole.status,
+        content_type: whole.content_type,
+        body: whole.body,
+    };
+    Some((bytes, answer))
 }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -10,7 +10,7 @@
 
 use crate::cache::{CacheView, Poll};
 use crate::config::AgentConfig;
-use crate::execution::{Ending, Execution};
+use crate::execution::Execution;
 use crate::load::LoadCell;
 use crate::records::{Record, Records};
 use crate::runner::RunEnd;
@@ -78,8 +78,21 @@
     CacheEvents(Poll, Result<Vec<CacheEvent>, BackendError>),
     /// Take no new work from now on.
     Leave,
-    /// Somebody wants all tickets with a whole answer.
-    ListFinished(oneshot::Sender<Vec<(Uuid, Arc<Execution>)>>),
+    /// Somebody wants to know what became of all tickets.
+    ListTickets(oneshot::Sender<TicketList>),
+}
+
+/// What became of the tickets of this process.
+#[derive(Debug, Default)]
+pub struct TicketList {
+    /// Those with a whole answer.
+    pub finished: Vec<(Uuid, Arc<Execution>)>,
+    /// Those that began, or may have, and have none.
+    pub unanswered: Vec<Uuid>,
+    /// The oldest window whose tickets are all listed.
+    pub oldest: Window,
+    /// This process takes tickets, and from now on none that is not listed will begin.
+    pub is_final: bool,
 }
 
 /// What others may see of the agent.
@@ -125,11 +138,11 @@
         let _ = self.status.wait_for(|status| status.drained).await;
     }
 
-    /// All tickets with a whole answer; none if the control task is gone.
-    pub async fn finished_tickets(&self) -> Vec<(Uuid, Arc<Execution>)> {
-        let (list, finished) = oneshot::channel();
-        let _ = self.commands.send(Command::ListFinished(list)).await;
-        finished.await.unwrap_or_default()
+    /// What became of all tickets; nothing, and not final, if the control task is gone.
+    pub async fn tickets(&self) -> TicketList {
+        let (list, tickets) = oneshot::channel();
+        let _ = self.commands.send(Command::ListTickets(list)).await;
+        tickets.await.unwrap_or_default()
     }
 }
 
@@ -271,22 +284,12 @@
             Command::Health(report) => self.on_health(report),
             Command::CacheEvents(poll, events) => self.on_cache_events(poll, events),
             Command::Leave => self.leave(LeaveCause::Signal),
-            Command::ListFinished(list) => {
-                let _ = list.send(self.finished_tickets());
+            Command::ListTickets(list) => {
+                let _ = list.send(self.tickets());
             }
         }
     }
 
-    fn finished_tickets(&self) -> Vec<(Uuid, Arc<Execution>)> {
-        let finished = self.records.executions().filter_map(|(key, execution)| match key {
-            ExecutionKey::Ticket { number, .. } if execution.ending() == Some(Ending::Whole) => {
-                Some((*number, Arc::clone(execution)))
-            }
-            _ => None,
-        });
-        finished.collect()
-    }
-
     /// Takes no new work from now on, and tells every entry at once.
     fn leave(&mut self, cause: LeaveCause) {
         if std::mem::replace(&mut self.leaving, true) {
--- a/crates/agent/src/control/record.rs
+++ b/crates/agent/src/control/record.rs
@@ -1,13 +1,36 @@
 //! What the control task records of executions.
 
-use super::{Control, Running, subject, ticket_name};
+use super::{Control, Running, TicketList, subject, ticket_name};
+use crate::execution::Ending;
 use crate::records::Record;
 use crate::runner::RunEnd;
 use flamingowheel_observe::event::Event;
 use flamingowheel_protocol::id::ExecutionKey;
-use flamingowheel_protocol::message::Dispatch;
+use flamingowheel_protocol::message::{Dispatch, Serves};
+use std::sync::Arc;
 
 impl Control {
+    /// What became of the tickets. Once nothing new is taken and nothing is left, the list is final:
+    /// a ticket of its windows that is not in it never began.
+    pub(super) fn tickets(&self) -> TicketList {
+        let mut list = TicketList {
+            oldest: self.records.oldest_ticket_window(),
+            is_final: self.leaving
+                && self.pending.is_empty()
+                && self.running.is_empty()
+                && matches!(self.config.profile.serves, Serves::Service { .. }),
+            ..TicketList::default()
+        };
+        for (key, execution) in self.records.executions() {
+            let ExecutionKey::Ticket { number, .. } = key else { continue };
+            match execution.ending() {
+                Some(Ending::Whole) => list.finished.push((*number, Arc::clone(execution))),
+                _ => list.unanswered.push(*number),
+            }
+        }
+        list
+    }
+
     pub(super) fn record_start(&self, dispatch: &Dispatch) {
         let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         let attempt = dispatch.attempt.number;
--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -3,7 +3,7 @@
 //! Absence, an error or a slow service mean that nothing is known, as if nobody had looked.
 
 use flamingowheel_platform::kv::{KeyValue, Operation, Transaction};
-use flamingowheel_protocol::archive::{self, ArchivedAnswer};
+use flamingowheel_protocol::archive::{self, Trace};
 use flamingowheel_protocol::id::Fingerprint;
 use flamingowheel_protocol::ticket::Ticket;
 use std::sync::Arc;
@@ -31,19 +31,29 @@
         Self { kv, places: Arc::new(Semaphore::new(MAX_LOOKUPS)) }
     }
 
-    /// The answer that a ticket's work had, if it is there and of this very request.
-    pub async fn find(&self, ticket: &Ticket, fingerprint: Fingerprint) -> Option<ArchivedAnswer> {
-        let answer = timeout(LOOKUP_LIMIT, self.read(ticket)).await.ok()??;
-        (answer.fingerprint == fingerprint).then_some(answer)
+    /// What an agent process that ended left of a ticket. An answer to another request than this one
+    /// tells nothing.
+    pub async fn trace(&self, ticket: &Ticket, fingerprint: Fingerprint) -> Trace {
+        let trace = timeout(LOOKUP_LIMIT, self.read(ticket)).await.ok().flatten();
+        match trace {
+            Some(Trace::Answer(answer)) if answer.fingerprint != fingerprint => Trace::None,
+            Some(trace) => trace,
+            None => Trace::None,
+        }
     }
 
-    async fn read(&self, ticket: &Ticket) -> Option<ArchivedAnswer> {
+    /// One read of both keys: of two reads, the seal's could come before the bucket was written or
+    /// after it was gone.
+    async fn read(&self, ticket: &Ticket) -> Option<Trace> {
         let _place = self.places.acquire().await.ok()?;
-        let key = archive::key(ticket.incarnation, archive::bucket(ticket.number));
-        let on_success = vec![Operation::Get { key }];
+        let bucket = archive::key(ticket.incarnation, archive::bucket(ticket.number));
+        let seal = archive::seal_key(ticket.incarnation);
+        let on_success = vec![Operation::Get { key: bucket }, Operation::Get { key: seal }];
         let read = Transaction { on_success, ..Transaction::default() };
         let answer = self.kv.transact(read).await.ok()?;
-        let entry = answer.reads.into_iter().next()??;
-        archive::find(&entry.value, ticket.number)
+        let [bucket, seal] = answer.reads.try_into().ok()?;
+        let bucket = bucket.as_ref().map(|entry| &entry.value[..]);
+        let seal = seal.as_ref().map(|entry| &entry.value[..]);
+        Some(archive::trace(bucket, seal, ticket.number, ticket.window))
     }
 }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -7,7 +7,7 @@
 
 use crate::config::EntryConfig;
 use flamingowheel_platform::kv::{
-    Compare, KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Transaction,
+    Compare, KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Revision, Transaction,
 };
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -26,6 +26,9 @@
 /// a second, and a key waits for at most this long more.
 const CALL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Transactions that a batch may take until all of it is bound.
+const MAX_WRITES: usize = 3;
+
 /// Claims that may wait; beyond it callers are told at once.
 const QUEUE: usize = 1024;
 
@@ -36,6 +39,32 @@
     pub ticket: String,
     /// Hash of the request, as hexadecimal text; a key must not be used for another request.
     pub fingerprint: String,
+    /// How often the key was bound anew. Rises with each binding, so that of two records of one key
+    /// it can be told which is later.
+    #[serde(default, skip_serializing_if = "is_first")]
+    pub epoch: u32,
+}
+
+fn is_first(epoch: &u32) -> bool {
+    *epoch == 0
+}
+
+impl Claim {
+    /// The first binding of a key.
+    pub fn new(ticket: String, fingerprint: String) -> Self {
+        Self { ticket, fingerprint, epoch: 0 }
+    }
+
+    /// The binding that takes this one's place.
+    ///
+    /// ```
+    /// use flamingowheel_entry::claims::Claim;
+    /// let first = Claim::new("one".into(), "0".into());
+    /// assert_eq!(first.followed_by("two".into()).epoch, 1);
+    /// ```
+    pub fn followed_by(&self, ticket: String) -> Self {
+        Self { ticket, fingerprint: self.fingerprint.clone(), epoch: self.epoch.saturating_add(1) }
+    }
 }
 
 /// Why a key could not be bound. In each case nothing was sent under it by this entry.
@@ -59,9 +88,23 @@
 struct Waiting {
     key: String,
     claim: Claim,
+    /// The binding whose place it is to take, if the key is bound.
+    replaces: Option<Claim>,
+    /// The write of that binding, once it has been read.
+    written_at: Option<Revision>,
     bound: oneshot::Sender<Result<Claim, ClaimError>>,
 }
 
+impl Waiting {
+    fn compare(&self) -> Compare {
+        let key = self.key.clone();
+        match self.written_at {
+            Some(revision) => Compare::ModRevision { key, revision },
+            None => Compare::Absent { key },
+        }
+    }
+}
+
 /// Binds keys.
 #[derive(Clone)]
 pub struct Claims {
@@ -85,9 +128,34 @@
         key: &str,
         claim: Claim,
         deadline: Instant,
+    ) -> Result<Claim, ClaimError> {
+        self.settle(workspace, key, claim, None, deadline).await
+    }
+
+    /// Binds `key` to `claim` in the place of `old`, whose ticket provably never ran and won't. If
+    /// the key stands for something else by now, that is returned: somebody else was first.
+    pub async fn rebind(
+        &self,
+        workspace: &str,
+        key: &str,
+        old: Claim,
+        claim: Claim,
+        deadline: Instant,
+    ) -> Result<Claim, ClaimError> {
+        self.settle(workspace, key, claim, Some(old), deadline).await
+    }
+
+    async fn settle(
+        &self,
+        workspace: &str,
+        key: &str,
+        claim: Claim,
+        replaces: Option<Claim>,
+        deadline: Instant,
     ) -> Result<Claim, ClaimError> {
         let (bound, answer) = oneshot::channel();
-        let waiting = Waiting { key: record_key(workspace, key), claim, bound };
+        let key = record_key(workspace, key);
+        let waiting = Waiting { key, claim, replaces, written_at: None, bound };
         self.queue.try_send(waiting).map_err(|_| ClaimError::Busy)?;
         let answer = timeout_at(deadline, answer).await.map_err(|_| ClaimError::DeadlinePassed)?;
         answer.map_err(|_| ClaimError::Busy)?
@@ -123,14 +191,15 @@
         }
     }
 
-    /// Binds the whole batch in at most three transactions: one that hopes that all are new, one
-    /// for those that are, and one to read back.
+    /// Binds the whole batch in at most four transactions: one that hopes that all are new, one for
+    /// those that are and for those that take another's place, one more if somebody else came
+    /// between, and one to read back.
     async fn bind_all(&mut self, batch: &mut Vec<Waiting>) {
         // With the service silent each batch takes about a second; without this, callers who wait
         // still would stand behind all who gave up.
         batch.retain(|waiting| !waiting.bound.is_closed());
         keep_one_per_key(batch);
-        for _ in 0..2 {
+        for _ in 0..MAX_WRITES {
             if batch.is_empty() {
                 return;
             }
@@ -151,7 +220,7 @@
         let answer = self
             .kv
             .transact(Transaction {
-                compares: batch.iter().map(|w| Compare::Absent { key: w.key.clone() }).collect(),
+                compares: batch.iter().map(Waiting::compare).collect(),
                 on_success: batch.iter().map(|w| put(w, lease)).collect(),
                 on_failure: batch.iter().map(get).collect(),
             })
@@ -227,16 +296,24 @@
     }
 }
 
-/// Answers those whose key is stored, and keeps the others.
+/// Answers those whose key is stored, and keeps the others: those whose key is new, and those that
+/// are to take the place of what is stored.
 fn settle_stored(batch: &mut Vec<Waiting>, stored: Vec<Option<KeyValueEntry>>) {
     let waiting = std::mem::take(batch);
-    for (waiting, stored) in waiting.into_iter().zip(stored) {
-        match stored {
-            Some(entry) => {
-                let claim = serde_json::from_slice(&entry.value).map_err(|_| ClaimError::Malformed);
-                let _ = waiting.bound.send(claim);
+    for (mut waiting, stored) in waiting.into_iter().zip(stored) {
+        let Some(entry) = stored else {
+            waiting.written_at = None;
+            batch.push(waiting);
+            continue;
+        };
+        match serde_json::from_slice::<Claim>(&entry.value) {
+            Ok(claim) if waiting.replaces.as_ref() == Some(&claim) => {
+                waiting.written_at = Some(entry.mod_revision);
+                batch.push(waiting);
+            }
+            claim => {
+                let _ = waiting.bound.send(claim.map_err(|_| ClaimError::Malformed));
             }
-            None => batch.push(waiting),
         }
     }
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends requests to agents until one of the three outcomes is known.
 
 mod home;
+pub mod keys;
 
 use crate::agents::{Agent, Connected};
 use crate::attempt::{Attempt, AttemptEnd, Prepared, Sent};
@@ -107,7 +108,9 @@
         let mut journey = self.journey(&request);
         let mut ticket = None;
         let result = self.attempts(&mut journey, &mut ticket).await;
-        self.conclude(&journey, &result);
+        if let Err(verdict) = &result {
+            self.conclude(&journey, verdict);
+        }
         (result, ticket)
     }
 
@@ -121,11 +124,9 @@
         Journey { request, log, tried: Vec::new(), attempts: 0, last: None, uncertain: None }
     }
 
-    fn conclude(&self, journey: &Journey<'_>, result: &Result<Answer, Verdict>) {
-        if let Err(verdict) = result {
-            let class = events::class(journey.request);
-            journey.log.record(events::verdict(verdict, class, journey.attempts));
-        }
+    fn conclude(&self, journey: &Journey<'_>, verdict: &Verdict) {
+        let class = events::class(journey.request);
+        journey.log.record(events::verdict(verdict, class, journey.attempts));
     }
 
     async fn attempts(
--- a/crates/entry/src/dispatch/home.rs
+++ b/crates/entry/src/dispatch/home.rs
@@ -24,7 +24,9 @@
     pub async fn run_ticket(&self, request: Request, ticket: &Ticket) -> Result<Answer, Verdict> {
         let mut journey = self.journey(&request);
         let result = self.ticket_attempt(&mut journey, ticket).await;
-        self.conclude(&journey, &result);
+        if let Err(verdict) = &result {
+            self.conclude(&journey, verdict);
+        }
         result
     }
 
@@ -71,14 +73,26 @@
 
     /// Gives a ticket up. The verdict is proof that it did not run and won't, or it is unknown.
     pub async fn void(&self, request: Request, ticket: &Ticket) -> Verdict {
-        let log = self.recorder.about(events::subject(&request));
+        let limit = Duration::from_millis(request.remaining_ms());
+        self.give_up_ticket(&request, ticket, limit).await
+    }
+
+    pub(super) async fn give_up_ticket(
+        &self,
+        request: &Request,
+        ticket: &Ticket,
+        limit: Duration,
+    ) -> Verdict {
+        let log = self.recorder.about(events::subject(request));
         let server = ServerKey::from_name(&ticket.agent);
-        let home = match self.home(&request, ticket.incarnation, server).await {
+        let home = match self.home(request, ticket.incarnation, server).await {
             Ok(home) => home,
             Err(verdict) => return verdict,
         };
+        // A number that no attempt of the request has: it is told "cancelled" and never runs.
+        let number = rand::random_range(FIRST_ADOPTED..u32::MAX);
         let identity = Identity {
-            attempt: AttemptId { request: request.id, number: 1 },
+            attempt: AttemptId { request: request.id, number },
             key: ticket_key(ticket),
             incarnation: ticket.incarnation,
             window: home.agent.window(),
@@ -89,7 +103,7 @@
             home.connected,
             self.config.reconnect_limit,
         );
-        match sent.void(Duration::from_millis(request.remaining_ms())).await {
+        match sent.void(limit).await {
             Ok(refusal) => {
                 let ticket = ticket.number.to_string().into();
                 log.record(Event::TicketVoided { ticket });
@@ -102,7 +116,16 @@
 
     /// Mints a ticket for a backend server that is likely to have room.
     pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
-        let question = RouteRequest { fingerprint: request.fingerprint, tried: &[] };
+        self.mint_beside(request, &[])
+    }
+
+    /// The same, at none of these.
+    pub(super) fn mint_beside(
+        &self,
+        request: &Request,
+        tried: &[ServerKey],
+    ) -> Result<Ticket, NotRun> {
+        let question = RouteRequest { fingerprint: request.fingerprint, tried };
         let routed = self
             .router
             .route(&request.target, &question, &route_class(request), &request.prompt)
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -65,7 +65,7 @@
         NotRun::Refused(_) => NotRunReason::RefusedByAll,
         NotRun::DeadlinePassed => NotRunReason::DeadlinePassed,
         NotRun::KeyNotChecked => NotRunReason::KeyValueDown,
-        NotRun::Ticket(_) => NotRunReason::TicketVoid,
+        NotRun::Ticket(_) | NotRun::HomeEnded => NotRunReason::TicketVoid,
     }
 }
 
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -300,6 +300,7 @@
         NotRun::KeyNotChecked => (StatusCode::SERVICE_UNAVAILABLE, "key_not_checked"),
         NotRun::Ticket(_) => (StatusCode::BAD_REQUEST, "ticket"),
         NotRun::KeyMismatch => (StatusCode::UNPROCESSABLE_ENTITY, "key_mismatch"),
+        NotRun::HomeEnded => (StatusCode::CONFLICT, "home_ended"),
     }
 }
 
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 pub mod chat;
 pub mod entries;
 pub mod intake;
+mod keys;
 pub mod services;
 pub mod streams;
 pub mod tickets;
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -1,9 +1,9 @@
 //! Calls to plain services, idempotent or not as the workspace's template says.
 
 use crate::agents::Target;
-use crate::claims::{Claim, ClaimError};
 use crate::events;
-use crate::http::answer::{Told, give_archived, refuse, respond};
+use crate::http::answer::{Told, give_archived, give_verdict, refuse, respond};
+use crate::http::keys;
 use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
 use crate::outcome::{MalformedRequest, NotRun, TicketRefusal, Verdict};
 use crate::request::Request;
@@ -13,6 +13,7 @@
 use axum::http::{HeaderMap, Method, Uri, header};
 use axum::response::Response;
 use flamingowheel_observe::event::Event;
+use flamingowheel_protocol::archive::Trace;
 use flamingowheel_protocol::id::RequestId;
 use flamingowheel_protocol::ticket::Ticket;
 use std::sync::Arc;
@@ -38,13 +39,24 @@
         Err(not_run) => return refuse(not_run),
     };
     let hold = Hold { in_progress, permit };
-    match ticket(&state, &headers, &request).await {
-        Ok(Some(ticket)) => run_ticket(&state, request, ticket, hold).await,
-        Ok(None) => run(&state, request, hold).await,
+    match permission(&state, &headers, &request) {
+        Ok(Permission::Ticket(ticket)) => run_ticket(&state, request, ticket, hold).await,
+        Ok(Permission::Key(key)) => keys::run(&state, request, key, hold).await,
+        Ok(Permission::Free) => run(&state, request, hold).await,
         Err(not_run) => refuse(not_run),
     }
 }
 
+/// What a call runs under.
+enum Permission {
+    /// Each attempt gets a ticket of its own, or needs none.
+    Free,
+    /// A ticket that the caller brought.
+    Ticket(Ticket),
+    /// A key of the caller's own.
+    Key(String),
+}
+
 struct Called {
     service: String,
     path: String,
@@ -72,11 +84,19 @@
     let result = state.dispatcher.run_ticket(request, &ticket).await;
     if let Err(Verdict::Unknown(why)) = &result
         && why.is_home_gone()
-        && let Some(answer) = state.archive.find(&ticket, fingerprint).await
     {
-        let ticket = ticket.number.to_string().into();
-        state.recorder.record_about(&subject, Event::TicketReplayed { ticket });
-        return give_archived(answer, &told);
+        match state.archive.trace(&ticket, fingerprint).await {
+            Trace::Answer(answer) => {
+                let ticket = ticket.number.to_string().into();
+                state.recorder.record_about(&subject, Event::TicketReplayed { ticket });
+                return give_archived(answer, &told);
+            }
+            Trace::NeverRan => {
+                let verdict = NotRun::HomeEnded.into();
+                return give_verdict(&verdict, Some(told.request), None);
+            }
+            Trace::None => {}
+        }
     }
     respond(result, told, state, hold).await
 }
@@ -131,27 +151,24 @@
     Err(MalformedRequest::Path.into())
 }
 
-/// The ticket under which a non-idempotent call runs, if the caller brought one or a key. With
-/// neither, each attempt gets a ticket of its own.
-async fn ticket(
+/// What a call runs under: a non-idempotent one may bring a ticket or a key.
+fn permission(
     state: &EntryState,
     headers: &HeaderMap,
     request: &Request,
-) -> Result<Option<Ticket>, NotRun> {
+) -> Result<Permission, NotRun> {
     let text = intake::text_header(headers, TICKET_HEADER)?;
     if request.idempotent {
         return match text {
             Some(_) => Err(TicketRefusal::NotNeeded.into()),
-            None => Ok(None),
+            None => Ok(Permission::Free),
         };
     }
     if let Some(text) = text {
-        return own_ticket(state, request, text).map(Some);
-    }
-    match intake::text_header(headers, IDEMPOTENCY_KEY_HEADER)? {
-        Some(key) => bound_ticket(state, request, key).await.map(Some),
-        None => Ok(None),
+        return own_ticket(state, request, text).map(Permission::Ticket);
     }
+    let key = intake::text_header(headers, IDEMPOTENCY_KEY_HEADER)?;
+    Ok(key.map_or(Permission::Free, |key| Permission::Key(key.to_owned())))
 }
 
 fn own_ticket(state: &EntryState, request: &Request, text: &str) -> Result<Ticket, NotRun> {
@@ -164,26 +181,3 @@
     }
     Ok(ticket)
 }
-
-/// The ticket that the caller's own key stands for; a new one if the key is new.
-async fn bound_ticket(state: &EntryState, request: &Request, key: &str) -> Result<Ticket, NotRun> {
-    let minted = state.dispatcher.mint(request)?;
-    let claim = Claim {
-        ticket: minted.to_text(&state.config.fleet_key),
-        fingerprint: format!("{:032x}", request.fingerprint.0),
-    };
-    let wanted = claim.fingerprint.clone();
-    let binding = state.claims.bind(&request.workspace.name, key, claim, request.deadline);
-    let bound = binding.await.map_err(|error: ClaimError| {
-        tracing::warn!(%error, "idempotency key not bound");
-        NotRun::KeyNotChecked
-    })?;
-    if bound.fingerprint != wanted {
-        return Err(NotRun::KeyMismatch);
-    }
-    let ticket = Ticket::from_text(&bound.ticket, &state.config.fleet_key)
-        .map_err(TicketRefusal::Invalid)?;
-    let event = Event::TicketBound { ticket: ticket.number.to_string().into() };
-    state.recorder.record_about(&events::subject(request), event);
-    Ok(ticket)
-}
--- a/crates/entry/src/http/tickets.rs
+++ b/crates/entry/src/http/tickets.rs
@@ -3,7 +3,7 @@
 use crate::agents::Target;
 use crate::http::answer::{give_verdict, refuse};
 use crate::http::intake;
-use crate::outcome::{NotRun, TicketRefusal};
+use crate::outcome::{NotRun, TicketRefusal, Verdict};
 use crate::request::Request;
 use crate::state::EntryState;
 use axum::Json;
@@ -11,6 +11,7 @@
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
+use flamingowheel_protocol::archive::Trace;
 use flamingowheel_protocol::id::{Fingerprint, RequestId};
 use flamingowheel_protocol::ticket::Ticket;
 use serde::{Deserialize, Serialize};
@@ -65,7 +66,14 @@
         Err(not_run) => return refuse(not_run),
     };
     let id = request.id;
-    give_verdict(&state.dispatcher.void(request, &ticket).await, Some(id), None)
+    let mut verdict = state.dispatcher.void(request, &ticket).await;
+    if let Verdict::Unknown(why) = &verdict
+        && why.is_home_gone()
+        && state.archive.trace(&ticket, Fingerprint(0)).await == Trace::NeverRan
+    {
+        verdict = NotRun::HomeEnded.into();
+    }
+    give_verdict(&verdict, Some(id), None)
 }
 
 fn subject(state: &EntryState, headers: &HeaderMap, service: &str) -> Result<Request, NotRun> {
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -67,6 +67,9 @@
     /// The idempotency key was used for another request.
     #[error("the idempotency key was used for another request")]
     KeyMismatch,
+    /// The ticket's agent process ended as planned, and its archive says that it never ran it.
+    #[error("the process that holds the ticket ended without running it; take a new ticket")]
+    HomeEnded,
 }
 
 /// What can't be read in a request.
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -92,7 +92,12 @@
             None => drained.await,
         }
         let archived = self.archive.store(&self.handle, &self.kv).await;
-        tracing::info!(archived.finished, archived.written, "answers of tickets archived");
+        tracing::info!(
+            archived.finished,
+            archived.written,
+            archived.sealed,
+            "answers of tickets archived"
+        );
         tokio::time::sleep(LINGER).await;
         self.recorder.record(Event::LeaveFinished {
             waited_ms: began.elapsed().as_millis() as u64,
--- a/crates/proof/src/matrix/promise.rs
+++ b/crates/proof/src/matrix/promise.rs
@@ -29,7 +29,7 @@
     (Step::TicketCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
     (Step::TicketSentAgain, "C- U- C- U- C- C- C- C- C- C- C- C- C- C- U- xx xx"),
     (Step::TicketVoided, "U- U- U- U- N- N- N- N- N- N- N- N- N- N- U- xx xx"),
-    (Step::KeyBound, "NC CC NC UC NC NC CC NC NC NC NC NC CC UU CC xx xx"),
+    (Step::KeyBound, "NC CC NC UC CC CC CC CC CC NC NC NC CC UU CC xx xx"),
     (Step::KeyCarriedOut, "BC UU UC UC CC CC CC CC CC CC CC CC UU UU UU xx xx"),
     (Step::KeySentAgain, "C- U- C- U- C- C- C- C- C- N- N- C- C- C- U- xx xx"),
     (Step::LeaveTold, "B- C- B- B- C- C- C- C- C- C- C- C- B- B- C- xx xx"),
--- /dev/null
+++ b/crates/proof/tests/rebind.rs
@@ -0,0 +1,195 @@
+//! Callers' own keys whose home refuses for good, or is gone.
+
+use bytes::Bytes;
+use flamingowheel_entry::claims::{Claim, PREFIX};
+use flamingowheel_platform::fake::LostAnswer;
+use flamingowheel_proof::caller::Told;
+use flamingowheel_proof::network::{Direction, MessageFault};
+use flamingowheel_proof::oracle::Runs;
+use flamingowheel_proof::world::{SERVICES, World};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const TIMEOUT_MS: u64 = 5_000;
+const BODY: &[u8] = b"payout 5";
+
+fn claim(world: &World) -> Option<Claim> {
+    let stored = world.kv.peek(PREFIX).entries.pop()?;
+    serde_json::from_slice(&stored.value).ok()
+}
+
+/// The server that the only key is bound to.
+fn home(world: &World) -> usize {
+    let name = world.ticket_home(&claim(world).unwrap().ticket).unwrap();
+    (0..SERVICES).find(|server| name == format!("runner-{server}")).unwrap()
+}
+
+fn told(world: &World, work: usize, submission: usize) -> Told {
+    world.ledger.get(work).unwrap().submissions[submission].told.clone()
+}
+
+/// A key that is bound, though its entry died before it sent anything under it.
+async fn bound_unused(world: &mut World) -> usize {
+    world.kv.set_delay(Duration::from_millis(200));
+    let work = world.ask_with_key(0, Bytes::from_static(BODY), TIMEOUT_MS);
+    while claim(world).is_none() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    world.replace_entry(0);
+    world.kv.set_delay(Duration::ZERO);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(world.servers.started(BODY), 0);
+    work
+}
+
+async fn resent(world: &mut World, work: usize) -> Told {
+    world.resend(1, work, TIMEOUT_MS);
+    sleep(Duration::from_secs(8)).await;
+    let told = world.ledger.get(work).unwrap().submissions.pop().unwrap().told;
+    world.settle().await.unwrap();
+    told
+}
+
+// A key is bound to an agent that is told to leave before anything is sent under the key. It refuses
+// each resend, and the payout is never made although other backend servers have room.
+#[tokio::test(start_paused = true)]
+async fn resend_home_leaving_runs_elsewhere() {
+    let mut world = World::start(None).await;
+    let work = bound_unused(&mut world).await;
+    let left = home(&world);
+    world.leave(left).await;
+    assert!(matches!(resent(&mut world, work).await, Told::Complete(_)));
+    assert_ne!(home(&world), left);
+    assert_eq!(claim(&world).unwrap().epoch, 1);
+    assert_eq!(world.servers.started(BODY), 1);
+}
+
+// The agent has ended as planned. Its archive says that it never ran the work.
+#[tokio::test(start_paused = true)]
+async fn resend_home_stopped_unused_runs_elsewhere() {
+    let mut world = World::start(None).await;
+    let work = bound_unused(&mut world).await;
+    let stopped = home(&world);
+    world.stop_agent(stopped).await;
+    assert!(matches!(resent(&mut world, work).await, Told::Complete(_)));
+    assert_eq!(world.servers.started(BODY), 1);
+}
+
+// A ticket that nothing was sent under, whose agent ended as planned: its caller is told "not run"
+// and may take another.
+#[tokio::test(start_paused = true)]
+async fn resend_ticket_home_stopped_unused_not_run() {
+    let mut world = World::start(None).await;
+    let work = world.take_ticket(0, Bytes::from_static(BODY)).await.unwrap();
+    let name = world.ticket_home(&world.ledger.get(work).unwrap().ticket.unwrap()).unwrap();
+    let server = (0..SERVICES).find(|server| name == format!("runner-{server}")).unwrap();
+    world.stop_agent(server).await;
+    world.start_agent(server);
+    assert!(matches!(resent(&mut world, work).await, Told::NotRun(_)));
+    assert_eq!(world.servers.started(BODY), 0);
+}
+
+// The agent was killed. It may have run the work, or not: nobody can know, so it runs nowhere else.
+#[tokio::test(start_paused = true)]
+async fn resend_home_killed_unknown() {
+    let mut world = World::start(None).await;
+    let work = bound_unused(&mut world).await;
+    let killed = home(&world);
+    world.kill_agent(killed);
+    world.start_agent(killed);
+    assert!(matches!(resent(&mut world, work).await, Told::Unknown(_)));
+    assert_eq!(home(&world), killed);
+    assert_eq!(world.servers.started(BODY), 0);
+}
+
+// The agent ended as planned, but its archive could not be written. What is absent proves nothing.
+#[tokio::test(start_paused = true)]
+async fn resend_home_stopped_unarchived_unknown() {
+    let mut world = World::start(None).await;
+    let work = bound_unused(&mut world).await;
+    let stopped = home(&world);
+    world.kv.set_down(true);
+    world.stop_agent(stopped).await;
+    world.kv.set_down(false);
+    assert!(matches!(resent(&mut world, work).await, Told::Unknown(_)));
+    assert_eq!(world.servers.started(BODY), 0);
+}
+
+// The backend server of the key's home is down, so the call goes to another. The network brings a
+// copy of the first dispatch when the first backend server is up again.
+#[tokio::test(start_paused = true)]
+async fn late_copy_after_rebinding_does_not_run() {
+    let mut world = World::start(None).await;
+    let work = bound_unused(&mut world).await;
+    let down = home(&world);
+    world.servers.services[down].set_down(true);
+    world.network.fault(Direction::ToAgent, MessageFault::Copied(Duration::from_secs(20)));
+    world.resend(1, work, TIMEOUT_MS);
+    sleep(Duration::from_secs(4)).await;
+    assert!(matches!(told(&world, work, 1), Told::Complete(_)));
+    world.servers.services[down].set_down(false);
+    world.settle().await.unwrap();
+    assert_eq!(world.servers.started(BODY), 1);
+}
+
+// Two resends through two entries find the home leaving at the same moment.
+#[tokio::test(start_paused = true)]
+async fn two_entries_rebind_at_once_one_run() {
+    let mut world = World::start(None).await;
+    let work = bound_unused(&mut world).await;
+    let left = home(&world);
+    world.leave(left).await;
+    world.kv.set_delay(Duration::from_millis(50));
+    (0..2).for_each(|entry| world.resend(entry, work, TIMEOUT_MS));
+    sleep(Duration::from_secs(4)).await;
+    assert!(matches!(told(&world, work, 1), Told::Complete(_)));
+    assert_eq!(told(&world, work, 1), told(&world, work, 2));
+    assert_eq!(claim(&world).unwrap().epoch, 1);
+    world.settle().await.unwrap();
+    assert_eq!(world.servers.started(BODY), 1);
+}
+
+// The answer of the write that binds the key anew is lost, before or after its effect.
+#[tokio::test(start_paused = true)]
+async fn rebind_answer_lost_one_run() {
+    for lost in [LostAnswer::BeforeEffect, LostAnswer::AfterEffect] {
+        let mut world = World::start(None).await;
+        let work = bound_unused(&mut world).await;
+        let left = home(&world);
+        world.leave(left).await;
+        world.kv.lose_write_answers(1, lost);
+        world.resend(1, work, TIMEOUT_MS);
+        sleep(Duration::from_secs(6)).await;
+        let told = told(&world, work, 1);
+        assert!(!matches!(told, Told::Unknown(_)), "{lost:?}: {told:?}");
+        assert!(matches!(resent(&mut world, work).await, Told::Complete(_)), "{lost:?}");
+        assert_eq!(world.servers.started(BODY), 1, "{lost:?}");
+    }
+}
+
+// The entry that binds the key anew dies at any moment: before the old home's tombstone, between it
+// and the write, while the write is on its way, or after it. The next resend must run the payout.
+#[tokio::test(start_paused = true)]
+async fn rebinding_entry_killed_at_each_step_one_run() {
+    const STEP: Duration = Duration::from_millis(25);
+    const STEPS: u32 = 14;
+    let mut epochs = Vec::new();
+    for step in 0..STEPS {
+        let mut world = World::start(None).await;
+        let work = bound_unused(&mut world).await;
+        let left = home(&world);
+        world.leave(left).await;
+        world.kv.set_delay(Duration::from_millis(60));
+        world.resend(0, work, TIMEOUT_MS);
+        sleep(STEP * step).await;
+        world.replace_entry(0);
+        epochs.push(claim(&world).unwrap().epoch);
+        world.kv.set_delay(Duration::ZERO);
+        sleep(Duration::from_secs(1)).await;
+        world.resend(1, work, TIMEOUT_MS);
+        sleep(Duration::from_secs(4)).await;
+        assert!(matches!(told(&world, work, 2), Told::Complete(_)), "step {step}");
+        assert_eq!(world.servers.started(BODY), 1, "step {step}");
+    }
+    assert!(epochs.contains(&0) && epochs.contains(&1), "{epochs:?}");
+}
--- a/crates/protocol/src/archive.rs
+++ b/crates/protocol/src/archive.rs
@@ -1,8 +1,9 @@
 //! Answers of finished tickets, as an agent that ends leaves them in the key-value service.
 //!
-//! They are a convenience for callers that resend. What is absent there proves nothing.
+//! They are a convenience for callers that resend. What is absent there proves nothing, unless the
+//! agent sealed its archive: then a ticket that is not in it never ran.
 
-use crate::id::{Fingerprint, Incarnation};
+use crate::id::{Fingerprint, Incarnation, Window};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -55,16 +56,87 @@
     format!("{PREFIX}{:016x}/{bucket:02x}", incarnation.0)
 }
 
-/// Writes a bucket.
-pub fn encode(answers: &[ArchivedAnswer]) -> Bytes {
+/// What an agent process that took no more work, and had none left, says of all its tickets. It is
+/// written with the last bucket or after it, so it never speaks of a bucket that is yet to come.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seal {
+    /// Tickets of older windows are forgotten, so nothing is said of them.
+    #[serde(rename = "o")]
+    pub oldest: Window,
+    /// The buckets that were written.
+    #[serde(rename = "b", with = "serde_bytes")]
+    pub buckets: Vec<u8>,
+    /// Tickets that began, or may have, and are in no bucket.
+    #[serde(rename = "r")]
+    pub unanswered: Vec<Uuid>,
+}
+
+/// What an archive says of a ticket.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trace {
+    /// It ran, and this is its answer.
+    Answer(ArchivedAnswer),
+    /// Proof that it never ran: the only process that would have run it has ended.
+    NeverRan,
+    /// Nothing is known.
+    None,
+}
+
+/// The key of one agent process's seal.
+///
+/// ```
+/// use flamingowheel_protocol::{archive::seal_key, id::Incarnation};
+/// assert_eq!(seal_key(Incarnation(10)), "flamingowheel/answers/000000000000000a/seal");
+/// ```
+pub fn seal_key(incarnation: Incarnation) -> String {
+    format!("{PREFIX}{:016x}/seal", incarnation.0)
+}
+
+/// Writes a bucket or a seal.
+pub fn encode<T>(value: &T) -> Bytes
+where
+    T: Serialize + ?Sized,
+{
     let mut bytes = Vec::new();
     // Writing plain values into memory can't fail.
-    let _ = ciborium::into_writer(answers, &mut bytes);
+    let _ = ciborium::into_writer(value, &mut bytes);
     bytes.into()
 }
 
-/// Finds a ticket's answer in a bucket. A value that can't be read holds none.
-pub fn find(bucket: &[u8], number: Uuid) -> Option<ArchivedAnswer> {
-    let answers: Vec<ArchivedAnswer> = ciborium::from_reader(bucket).ok()?;
-    answers.into_iter().find(|answer| answer.number == number)
+/// Looks a ticket up in its bucket and its agent's seal, read at one moment. A value that can't be
+/// read proves nothing.
+///
+/// ```
+/// use flamingowheel_protocol::archive::{Seal, Trace, encode, trace};
+/// use flamingowheel_protocol::id::Window;
+/// let (number, seal) = (uuid::Uuid::now_v7(), encode(&Seal::default()));
+/// assert_eq!(trace(None, Some(&seal), number, Window(3)), Trace::NeverRan);
+/// assert_eq!(trace(None, None, number, Window(3)), Trace::None);
+/// ```
+pub fn trace(bucket: Option<&[u8]>, seal: Option<&[u8]>, number: Uuid, window: Window) -> Trace {
+    let answers = match bucket.map(ciborium::from_reader::<Vec<ArchivedAnswer>, _>) {
+        None => None,
+        Some(Ok(answers)) => Some(answers),
+        Some(Err(_)) => return Trace::None,
+    };
+    let has_bucket = answers.is_some();
+    let found = answers.into_iter().flatten().find(|answer| answer.number == number);
+    if let Some(answer) = found {
+        return Trace::Answer(answer);
+    }
+    let seal = seal.and_then(|seal| ciborium::from_reader::<Seal, _>(seal).ok());
+    match seal {
+        Some(seal) if seal.proves_never_ran(number, window, has_bucket) => Trace::NeverRan,
+        _ => Trace::None,
+    }
+}
+
+impl Seal {
+    /// Whether a ticket that is not in its bucket never ran. A bucket that was written and is not
+    /// there any more may have named it.
+    fn proves_never_ran(&self, number: Uuid, window: Window, has_bucket: bool) -> bool {
+        let bucket = bucket(number);
+        let written = self.buckets.iter().any(|own| usize::from(*own) == bucket);
+        window >= self.oldest && written == has_bucket && !self.unanswered.contains(&number)
+    }
 }
