Hold one lease per process for all groups it coordinates

Cause: each group had a lease of its own, renewed every second: 228 renewals a second at 228 groups, besides a read of the record for each plan.

Change: `Leases` holds one lease of the service; each group is a key bound to it. The groups' own calls renew in turn, so nothing runs on in a process that stopped coordinating. A group that is given up has its key deleted, at once or with a later renewal, as the lease itself does not run out. The planner takes the record from the coordinator instead of the service, and makes no plan while a switch is under way: it would wish the map before the switch back.

Reads of records for plans: one in 10 s a group before, none now.

Tests: the switch tests let each process hold a second group under the same lease; verify.rs acquires through `Leases`, what it checks is unchanged.

--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -13,9 +13,10 @@
 use flamingowheel_control::node::Node;
 use flamingowheel_entry::agents::{Agent, Agents, Connected};
 use flamingowheel_group::coordinator::Coordinator;
+use flamingowheel_group::lease::Leases;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
-use flamingowheel_group::record::{RecordError, RecordStore};
+use flamingowheel_group::record::{RecordError, RecordStore, Stored};
 use flamingowheel_group::session::Timing;
 use flamingowheel_group::status::{Activity, GroupStatus};
 use flamingowheel_observe::event::{Event, Subject};
@@ -54,6 +55,7 @@
 /// The groups that this entry coordinates.
 pub struct Groups {
     kv: Arc<dyn KeyValue>,
+    leases: Leases,
     agents: Arc<Agents>,
     node: Node,
     duties: BTreeMap<String, CancellationToken>,
@@ -71,7 +73,8 @@
 impl Groups {
     /// None yet.
     pub fn new(kv: Arc<dyn KeyValue>, agents: Arc<Agents>, node: Node) -> Self {
-        Self { kv, agents, node, duties: BTreeMap::new(), statuses: Arc::default() }
+        let leases = Leases::new(Arc::clone(&kv), Timing::default().lease_ttl);
+        Self { kv, leases, agents, node, duties: BTreeMap::new(), statuses: Arc::default() }
     }
 
     /// The route that tells the status of the groups that this entry coordinates.
@@ -129,7 +132,8 @@
             ranks.clone(),
             Timing::default(),
             receiver,
-        );
+        )
+        .with_leases(self.leases.clone());
         let stop = CancellationToken::new();
         let status = coordinator.status();
         let mut statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
@@ -139,7 +143,8 @@
             group: group.clone(),
             ranks,
             desired,
-            records: records.clone(),
+            status: coordinator.status(),
+            record: coordinator.record(),
             effective: self.node.effective(),
         };
         let about = self.node.recorder().about(Subject::default().group(group.name.as_str()));
@@ -292,7 +297,8 @@
     group: Group,
     ranks: LinkRanks,
     desired: watch::Sender<Option<ExpertMap>>,
-    records: RecordStore,
+    status: watch::Receiver<GroupStatus>,
+    record: watch::Receiver<Option<Stored>>,
     effective: watch::Receiver<Arc<Effective>>,
 }
 
@@ -306,15 +312,24 @@
     }
 
     async fn plan(&self, observer: &mut Observer) {
-        // Without the record in force there is nothing to improve on; the map stays as it is.
-        let Ok(stored) = self.records.read().await else { return };
+        let Some(stored) = self.settled() else { return };
         let Some(states) = self.read(stored.fence()).await else { return };
         observer.observe(&states);
+        // A switch that began meanwhile would be undone by a plan made from the map before it.
+        if self.settled().as_ref() != Some(&stored) {
+            return;
+        }
         let current = &stored.record.in_force.map;
         let wanted = observer.better_map(current, &self.params());
         self.desired.send_replace(Some(wanted.unwrap_or_else(|| current.clone())));
     }
 
+    /// The record, if this process coordinates the group and no switch is under way.
+    fn settled(&self) -> Option<Stored> {
+        let running = self.status.borrow().activity == Activity::Running;
+        self.record.borrow().clone().filter(|_| running)
+    }
+
     /// All ranks' states, or none: a plan from half the loads would move experts for nothing.
     async fn read(&self, fence: Fence) -> Option<Vec<RankState>> {
         let read = |rank| {
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -2,7 +2,7 @@
 //! changes of map.
 
 use crate::align::{Alignment, align};
-use crate::lease::Lease;
+use crate::lease::{Lease, Leases};
 use crate::message::RankError;
 use crate::ranks::Ranks;
 use crate::record::{GroupRecord, RecordError, RecordStore, Stored};
@@ -20,13 +20,14 @@
 /// One process's part in coordinating a group. Every agent of a group runs one; the lease picks who
 /// acts.
 pub struct Coordinator<Members> {
-    kv: Arc<dyn KeyValue>,
+    leases: Leases,
     group: String,
     records: RecordStore,
     ranks: Members,
     timing: Timing,
     desired: watch::Receiver<Option<ExpertMap>>,
     status: watch::Sender<GroupStatus>,
+    record: watch::Sender<Option<Stored>>,
     loads: Option<Loads>,
     trouble_since: BTreeMap<usize, Instant>,
 }
@@ -45,12 +46,13 @@
     ) -> Self {
         Self {
             records: RecordStore::new(Arc::clone(&kv), group),
-            kv,
+            leases: Leases::new(kv, timing.lease_ttl),
             group: group.to_owned(),
             ranks,
             timing,
             desired,
             status: watch::Sender::default(),
+            record: watch::Sender::default(),
             loads: None,
             trouble_since: BTreeMap::new(),
         }
@@ -61,20 +63,31 @@
         Self { loads: Some(loads), ..self }
     }
 
+    /// Takes part with the leases of a process that coordinates several groups.
+    pub fn with_leases(self, leases: Leases) -> Self {
+        Self { leases, ..self }
+    }
+
     /// What operators are told.
     pub fn status(&self) -> watch::Receiver<GroupStatus> {
         self.status.subscribe()
     }
 
+    /// The record as this process holds it while it coordinates. Reading it again from the service
+    /// would tell nothing newer.
+    pub fn record(&self) -> watch::Receiver<Option<Stored>> {
+        self.record.subscribe()
+    }
+
     /// Takes part until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         while !stop.is_cancelled() {
-            let lease = Lease::acquire(&self.kv, &self.group, self.timing.lease_ttl).await;
-            if let Ok(Some(lease)) = lease {
+            if let Ok(Some(lease)) = self.leases.acquire(&self.group).await {
                 self.coordinate(&lease, &stop).await;
                 lease.release().await;
             }
             self.status.send_replace(GroupStatus::default());
+            self.record.send_replace(None);
             tokio::select! {
                 () = stop.cancelled() => {}
                 () = sleep(self.timing.poll) => {}
@@ -212,6 +225,9 @@
         out_of_service: Vec<OutOfService>,
     ) {
         let map_version = stored.record.in_force.version;
+        if self.record.borrow().as_ref() != Some(stored) {
+            self.record.send_replace(Some(stored.clone()));
+        }
         self.status.send_replace(GroupStatus { activity, map_version, out_of_service });
     }
 }
--- /dev/null
+++ b/crates/group/tests/lease.rs
@@ -0,0 +1,134 @@
+//! One lease for all groups of a process, under pauses, outages and losses.
+
+use flamingowheel_group::lease::{Lease, Leases};
+use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_platform::kv::LeaseId;
+use futures_util::future::{join_all, select_all};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const TTL: Duration = Duration::from_secs(3);
+const GROUPS: [&str; 3] = ["g1", "g2", "g3"];
+
+fn process(kv: &FakeKeyValue) -> Leases {
+    Leases::new(Arc::new(kv.clone()), TTL)
+}
+
+async fn acquire_all(leases: &Leases) -> Vec<Lease> {
+    let acquired = join_all(GROUPS.map(|group| leases.acquire(group))).await;
+    acquired.into_iter().map(|lease| lease.unwrap().expect("free")).collect()
+}
+
+/// Keeps the leases for a while and tells whether none was lost.
+async fn keeps(leases: &[Lease], time: Duration) -> bool {
+    let all = leases.iter().map(|lease| Box::pin(lease.keep()));
+    timeout(time, select_all(all)).await.is_err()
+}
+
+/// An entry coordinates several groups. If each cost a renewal a second, the fleet's groups would
+/// take up what the service has for configuration and requests.
+#[tokio::test(start_paused = true)]
+async fn keep_renews_once_for_all_groups() {
+    let kv = FakeKeyValue::new();
+    let held = acquire_all(&process(&kv)).await;
+    assert!(keeps(&held, TTL * 20).await);
+    let calls = kv.calls();
+    assert_eq!(calls.grant_lease, 1);
+    assert!((38..=41).contains(&calls.keep_alive), "{calls:?}");
+    assert_eq!(kv.peek("groups/").entries.len(), GROUPS.len());
+}
+
+/// An entry sleeps past its lease and another takes its groups over. When it wakes, it must begin
+/// nothing in any of them, and what it gives up must not be what the other holds by then.
+#[tokio::test(start_paused = true)]
+async fn keep_paused_past_lease() {
+    let kv = FakeKeyValue::new();
+    let (sleeper, other) = (process(&kv), process(&kv));
+    let held = acquire_all(&sleeper).await;
+    assert!(other.acquire("g1").await.unwrap().is_none());
+    sleep(TTL * 2).await;
+    let taken = acquire_all(&other).await;
+    assert!(held.iter().all(|lease| !lease.may_change() && !lease.may_align()));
+    join_all(held.iter().map(Lease::keep)).await;
+    join_all(held.into_iter().map(Lease::release)).await;
+    assert!(sleeper.acquire("g1").await.unwrap().is_none());
+    assert!(keeps(&taken, TTL * 2).await);
+    assert_eq!(kv.peek("groups/").entries.len(), GROUPS.len());
+}
+
+/// The service is away for longer than the lease. No map may be changed, but a rank that crashes
+/// must be brought back; once the service is there, all groups are taken anew.
+#[tokio::test(start_paused = true)]
+async fn keep_service_down_and_back() {
+    let kv = FakeKeyValue::new();
+    let leases = process(&kv);
+    let held = acquire_all(&leases).await;
+    kv.set_down(true);
+    assert!(keeps(&held, TTL * 4).await);
+    assert!(held.iter().all(|lease| !lease.may_change() && lease.may_align()));
+    kv.set_down(false);
+    timeout(TTL, join_all(held.iter().map(Lease::keep))).await.expect("the loss is noticed");
+    drop(held);
+    let held = acquire_all(&leases).await;
+    assert!(held.iter().all(Lease::may_change));
+    assert!(keeps(&held, TTL * 4).await);
+}
+
+/// The lease is revoked by an operator's mistake. All groups bound to it must stop at once.
+#[tokio::test(start_paused = true)]
+async fn keep_lease_lost() {
+    let kv = FakeKeyValue::new();
+    let leases = process(&kv);
+    let held = acquire_all(&leases).await;
+    (0..9).for_each(|id| kv.expire_lease(LeaseId(id)));
+    timeout(TTL / 2, join_all(held.iter().map(Lease::keep))).await.expect("the loss is noticed");
+    assert!(held.iter().all(|lease| !lease.may_change() && !lease.may_align()));
+    let other = process(&kv);
+    assert!(other.acquire("g2").await.unwrap().is_some());
+}
+
+/// One group becomes another entry's duty. If its key stayed until the lease ran out, which the
+/// other groups prevent, nobody could coordinate it ever again.
+#[tokio::test(start_paused = true)]
+async fn release_one_group_without_the_others() {
+    for lost in [None, Some(LostAnswer::BeforeEffect), Some(LostAnswer::AfterEffect)] {
+        let kv = FakeKeyValue::new();
+        let (leases, other) = (process(&kv), process(&kv));
+        let mut held = acquire_all(&leases).await;
+        if let Some(lost) = lost {
+            kv.lose_write_answers(1, lost);
+        }
+        held.remove(0).release().await;
+        assert!(keeps(&held, TTL).await, "{lost:?}");
+        let taken = other.acquire("g1").await.unwrap().expect("free again");
+        assert!(other.acquire("g2").await.unwrap().is_none(), "{lost:?}");
+        assert!(leases.acquire("g1").await.unwrap().is_none(), "{lost:?}");
+        held.push(taken);
+        assert!(keeps(&held, TTL * 2).await, "{lost:?}");
+    }
+}
+
+/// The coordinator's task ends without giving its group back, or while it still asks for it.
+#[tokio::test(start_paused = true)]
+async fn acquire_dropped_midway() {
+    let kv = FakeKeyValue::new();
+    let (leases, other) = (process(&kv), process(&kv));
+    let held = [leases.acquire("g2").await.unwrap().expect("free")];
+    kv.lose_answers(2, LostAnswer::AfterEffect);
+    assert!(timeout(TTL / 30, leases.acquire("g1")).await.is_err());
+    assert!(keeps(&held, TTL * 2).await);
+    assert!(other.acquire("g1").await.unwrap().is_some());
+}
+
+/// Two tasks of one process want the same group. Both hold the process's token, which must not
+/// let the second in.
+#[tokio::test(start_paused = true)]
+async fn acquire_twice_in_one_process() {
+    let kv = FakeKeyValue::new();
+    let leases = process(&kv);
+    let first = leases.acquire("g1").await.unwrap();
+    assert!(first.is_some() && leases.acquire("g1").await.unwrap().is_none());
+    drop(first);
+    assert!(leases.acquire("g1").await.unwrap().is_some());
+}
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::gate::{EngineKind, Gate};
+use flamingowheel_group::lease::Leases;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::RecordStore;
@@ -29,6 +30,8 @@
 /// The reserved minimum of one process is 50 bytes a second.
 const LIMITS: StoreLimits = StoreLimits { rate_bytes_per_s: 1000.0, max_members: 2 };
 pub const GROUP: &str = "g1";
+/// Another group that the processes coordinate under the same lease.
+const OTHER_GROUP: &str = "g2";
 /// How long a fault lasts that ends by itself.
 pub const OUTAGE: Duration = Duration::from_secs(4);
 const RESTART: Duration = Duration::from_secs(2);
@@ -154,7 +157,9 @@
         }
         let status = coordinator.status();
         let paused = watch::Sender::new(false);
-        let run = coordinator.run(CancellationToken::new());
+        let leases = Leases::new(Arc::new(self.kv.clone()), Timing::default().lease_ttl);
+        let run = coordinator.with_leases(leases.clone()).run(CancellationToken::new());
+        let run = async { tokio::join!(run, hold_other_group(leases)).0 };
         let running = tokio::spawn(pausable(run, paused.subscribe())).abort_handle();
         self.processes.lock().unwrap().push(Process { running, paused, status });
     }
@@ -324,6 +329,17 @@
     }
 }
 
+/// Takes the other group whenever it can be had.
+async fn hold_other_group(leases: Leases) {
+    loop {
+        if let Ok(Some(lease)) = leases.acquire(OTHER_GROUP).await {
+            lease.keep().await;
+            lease.release().await;
+        }
+        sleep(Timing::default().poll).await;
+    }
+}
+
 fn is_leading(process: &Process) -> bool {
     process.status.borrow().activity != Activity::Following && !*process.paused.borrow()
 }
--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -1,7 +1,7 @@
 //! What a rank answers to an order is no proof of what it does afterwards.
 
 use flamingowheel_group::align::{Alignment, align};
-use flamingowheel_group::lease::Lease;
+use flamingowheel_group::lease::Leases;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::{GroupRecord, Phase, RecordStore};
@@ -51,7 +51,8 @@
     let records = RecordStore::new(Arc::clone(&kv), "g1");
     let stored = records.create(GroupRecord::first(ExpertMap::default(), RANKS)).await.unwrap();
     let timing = Timing::default();
-    let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
+    let lease =
+        Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
     let session =
         Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
     let held = Switch::take_up(&session, stored).await.unwrap();
@@ -104,7 +105,8 @@
     let records = RecordStore::new(Arc::clone(&kv), "g1");
     let stored = records.create(GroupRecord::first(ExpertMap::default(), RANKS)).await.unwrap();
     let timing = Timing::default();
-    let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
+    let lease =
+        Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
     let ranks = Astray::default();
     let session =
         Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
@@ -125,7 +127,8 @@
     let stored = records.replace(&first, pending).await.unwrap();
     let dropped = stored.fence();
     let timing = Timing::default();
-    let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
+    let lease =
+        Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
     let ranks = Forgetful::default();
     let session =
         Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
@@ -142,10 +145,10 @@
 async fn acquire_held_by_another() {
     let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
     let ttl = Timing::default().lease_ttl;
-    let first = Lease::acquire(&kv, "g1", ttl).await.unwrap().unwrap();
-    assert!(Lease::acquire(&kv, "g1", ttl).await.unwrap().is_none());
+    let first = Leases::new(Arc::clone(&kv), ttl).acquire("g1").await.unwrap().unwrap();
+    assert!(Leases::new(Arc::clone(&kv), ttl).acquire("g1").await.unwrap().is_none());
     first.release().await;
-    assert!(Lease::acquire(&kv, "g1", ttl).await.unwrap().is_some());
+    assert!(Leases::new(Arc::clone(&kv), ttl).acquire("g1").await.unwrap().is_some());
 }
 
 /// A process is paused for longer than its lease lasts. When it wakes it must not go on with the
@@ -154,7 +157,7 @@
 async fn may_change_after_pause() {
     let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
     let ttl = Timing::default().lease_ttl;
-    let lease = Lease::acquire(&kv, "g1", ttl).await.unwrap().unwrap();
+    let lease = Leases::new(Arc::clone(&kv), ttl).acquire("g1").await.unwrap().unwrap();
     assert!(lease.may_change() && lease.may_align());
     tokio::time::advance(ttl).await;
     assert!(!lease.may_change() && !lease.may_align());
