Plan with the speeds of ranks instead of taking them as 1

Cause: the daemon's planner was given a speed of 1 for every rank, so a slow rank was never relieved.

Change: engines count the time that they are busy with their experts' tokens (`expert_busy_us`); `RankSpeeds` compares tokens per busy time with the group's median. A rank counts as slow, or as recovered, once two samples in turn are off by more than 15 % and by more than four standard deviations of the samples' own noise. A rank without the counter counts as 1. The stand-in group counts both, in the demo too.

--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -15,7 +15,6 @@
 use flamingowheel_platform::client::{EtcdClient, HttpLimits};
 use flamingowheel_platform::fake::engine::EngineSettings;
 use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList, RankGroup};
-use flamingowheel_platform::orders::expert_counter;
 use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::Connections;
 use std::io;
@@ -303,7 +302,7 @@
             while !stop.is_cancelled() {
                 tokio::time::sleep(STEP).await;
                 if group.try_step() {
-                    group.ranks().iter().enumerate().for_each(|(rank, e)| count_tokens(rank, e));
+                    group.count_work(|_, expert| MOST_TOKENS >> expert, &[1.0; RANKS as usize]);
                 }
             }
         });
@@ -360,19 +359,6 @@
     })
 }
 
-/// The tokens of one step for the experts that an engine holds. Of an expert that stands on more
-/// ranks, each counts its share; the demo takes all shares as equal.
-fn count_tokens(rank: usize, engine: &FakeEngine) {
-    for (layer, ranks) in engine.peek_map().layers.iter().enumerate() {
-        let Some(own) = ranks.get(rank) else { continue };
-        for expert in own {
-            let replicas = ranks.iter().flatten().filter(|other| *other == expert).count();
-            let tokens = (MOST_TOKENS >> expert) / replicas.max(1) as u64;
-            engine.add_to_counter(&expert_counter(layer, *expert), tokens);
-        }
-    }
-}
-
 fn vms() -> Vec<Vm> {
     let vm = |name: String, ip| Vm {
         name,
--- a/crates/flamingowheeld/src/placement.rs
+++ b/crates/flamingowheeld/src/placement.rs
@@ -2,13 +2,16 @@
 
 use flamingowheel_group::message::RankState;
 use flamingowheel_group::proposal::propose;
-use flamingowheel_platform::orders::{ExpertMap, expert_counter};
-use flamingowheel_policy::rebalance::{DecayedLoads, Params};
+use flamingowheel_platform::orders::{EXPERT_BUSY_COUNTER, ExpertMap, expert_counter};
+use flamingowheel_policy::rebalance::{DecayedLoads, Params, RankSpeeds, Work};
 use flamingowheel_protocol::message::ExpertShape;
 
 /// Part of the mean load that one observation weighs.
 const OBSERVATION_SHARE: f64 = 0.3;
 
+/// What the names of the experts' counters begin with.
+const EXPERT_COUNTERS: &str = "expert_tokens/";
+
 /// A rank whose engine was replaced has counted nothing yet; such an interval is left out.
 const MIN_TOKENS: f64 = 1.0;
 
@@ -27,22 +30,62 @@
     ExpertMap { layers: vec![layer; usize::from(shape.layers)] }
 }
 
-/// Loads of a group's experts over time.
+/// What one rank has counted since its process started.
+#[derive(Clone, Copy, Debug)]
+struct RankCount {
+    process_id: u64,
+    tokens: u64,
+    busy_us: u64,
+}
+
+impl RankCount {
+    fn of(state: &RankState) -> Option<Self> {
+        let counters = &state.engine.counters;
+        let of_experts = counters.iter().filter(|(name, _)| name.starts_with(EXPERT_COUNTERS));
+        Some(Self {
+            process_id: state.engine.process_id,
+            tokens: of_experts.map(|(_, count)| count).sum(),
+            busy_us: *counters.get(EXPERT_BUSY_COUNTER)?,
+        })
+    }
+
+    /// The work since an earlier report of the same process.
+    fn since(&self, before: &Self) -> Option<Work> {
+        if self.process_id != before.process_id {
+            return None;
+        }
+        let tokens = self.tokens.checked_sub(before.tokens)? as f64;
+        let busy_us = self.busy_us.checked_sub(before.busy_us)? as f64;
+        Some(Work { tokens, busy_us })
+    }
+}
+
+/// Loads of a group's experts and speeds of its ranks over time.
 #[derive(Debug)]
 pub struct Observer {
     shape: ExpertShape,
     counted: Option<Vec<Vec<f64>>>,
     loads: Vec<DecayedLoads>,
+    ranks: Vec<Option<RankCount>>,
+    speeds: RankSpeeds,
 }
 
 impl Observer {
     /// Nothing observed yet.
     pub fn new(shape: ExpertShape) -> Self {
-        Self { shape, counted: None, loads: Vec::new() }
+        let ranks = usize::from(shape.ranks);
+        Self {
+            shape,
+            counted: None,
+            loads: Vec::new(),
+            ranks: vec![None; ranks],
+            speeds: RankSpeeds::new(ranks),
+        }
     }
 
     /// Takes in what all ranks have counted so far.
     pub fn observe(&mut self, states: &[RankState]) {
+        self.observe_speeds(states);
         let counted = self.count(states);
         let Some(before) = self.counted.replace(counted.clone()) else { return };
         let since: Vec<Vec<f64>> = counted
@@ -63,10 +106,19 @@
         }
     }
 
+    fn observe_speeds(&mut self, states: &[RankState]) {
+        let mut work = vec![None; self.ranks.len()];
+        for ((before, state), work) in self.ranks.iter_mut().zip(states).zip(&mut work) {
+            let now = RankCount::of(state);
+            *work = now.zip(*before).and_then(|(now, before)| now.since(&before));
+            *before = now;
+        }
+        self.speeds.observe(&work);
+    }
+
     /// The map to use instead of `current`, if one is worth its moves.
     pub fn better_map(&self, current: &ExpertMap, params: &Params) -> Option<ExpertMap> {
-        let speeds = vec![1.0; usize::from(self.shape.ranks)];
-        propose(current, &self.loads, &speeds, params).ok()?
+        propose(current, &self.loads, &self.speeds.speeds(), params).ok()?
     }
 
     fn count(&self, states: &[RankState]) -> Vec<Vec<f64>> {
--- a/crates/platform/src/fake/group.rs
+++ b/crates/platform/src/fake/group.rs
@@ -2,10 +2,14 @@
 
 use super::engine::FakeEngine;
 use super::{engine::map_digest, lock};
+use crate::orders::{EXPERT_BUSY_COUNTER, expert_counter};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
+/// Time that a rank of speed 1 is busy with a token of one expert.
+const US_PER_TOKEN: f64 = 10.0;
+
 /// A step in which two ranks used different maps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SplitStep {
@@ -73,6 +77,29 @@
         true
     }
 
+    /// Counts one step's work in each rank: `tokens` of each expert, shared evenly by its
+    /// replicas, and the time a rank of that speed is busy with them. Returns the longest time.
+    pub fn count_work<Tokens>(&self, tokens: Tokens, speeds: &[f64]) -> u64
+    where
+        Tokens: Fn(usize, u16) -> u64,
+    {
+        let work = |(rank, engine): (usize, &FakeEngine)| {
+            let mut done = 0;
+            for (layer, ranks) in engine.peek_map().layers.iter().enumerate() {
+                for expert in ranks.get(rank).into_iter().flatten() {
+                    let replicas = ranks.iter().flatten().filter(|other| *other == expert).count();
+                    let share = tokens(layer, *expert) / replicas.max(1) as u64;
+                    engine.add_to_counter(&expert_counter(layer, *expert), share);
+                    done += share;
+                }
+            }
+            let busy_us = done as f64 * US_PER_TOKEN / speeds.get(rank).unwrap_or(&1.0);
+            engine.add_to_counter(EXPERT_BUSY_COUNTER, busy_us as u64);
+            busy_us as u64
+        };
+        self.ranks.iter().enumerate().map(work).max().unwrap_or(0)
+    }
+
     /// Steps at this interval until `stop`.
     pub async fn run(&self, interval: Duration, stop: CancellationToken) {
         loop {
--- a/crates/platform/src/orders.rs
+++ b/crates/platform/src/orders.rs
@@ -88,10 +88,16 @@
     /// The boundary at which stepping stopped, if held.
     pub held_after_step: Option<u64>,
     /// Free form counters by name. Engines count the tokens that each expert they hold has worked
-    /// on since their process started under [`expert_counter`].
+    /// on since their process started under [`expert_counter`], and the time they were busy with
+    /// that under [`EXPERT_BUSY_COUNTER`].
     pub counters: BTreeMap<String, u64>,
 }
 
+/// Name of the counter of microseconds that an engine worked on its experts' tokens. Waits for
+/// other ranks don't count, nor does work that is the same whatever experts the engine holds: a
+/// rank with few tokens would seem slow and be given ever fewer.
+pub const EXPERT_BUSY_COUNTER: &str = "expert_busy_us";
+
 /// Name of the counter of tokens that an expert of a layer has worked on.
 ///
 /// ```
--- a/crates/policy/src/rebalance/mod.rs
+++ b/crates/policy/src/rebalance/mod.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod score;
 mod search;
+mod speed;
 
 pub use baseline::repack;
 pub use load::DecayedLoads;
@@ -18,3 +19,4 @@
 pub use placement::{Expert, Move, Placement, PlacementError, Rank, moves_between};
 pub use plan::{LayerPlan, Plan, Request, RequestError, plan};
 pub use score::skew;
+pub use speed::{RankSpeeds, Work};
