--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -264,5 +264,4 @@
     // begin.
     assert!((0.89..=0.91).contains(&in_service), "{in_service}");
     assert!((0.01..=0.02).contains(&while_down), "{while_down}");
-    println!("store_used={in_service:.3} while_down={while_down:.4}");
 }
