One driver under proptest for the three fuzzed fleets

Cause: running random steps, panicking with them and counting the steps until a planted fault is found stood three times (requests, groups, configuration), and the tests' loop around it three times more. Change: the module `fuzz` holds it once, over a trait of what a fleet can do. The seed in FLAMINGOWHEEL_FUZZ_SEED also gives the fleet key of the request world, so that the fault matrix can be run with other hashes of requests; unset it stays as it was.

--- a/crates/proof/src/configuration/machine.rs
+++ b/crates/proof/src/configuration/machine.rs
@@ -2,13 +2,11 @@
 
 use super::fleet::{Fleet, PROCESSES};
 use super::oracle::ConfigViolation;
-use crate::machine::{MAX_STEPS, config};
+use crate::fuzz::{Driver, paused_runtime};
 use crate::plant::Plant;
 use flamingowheel_platform::fake::LostAnswer;
 use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::TestRunner;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::ReferenceStateMachine;
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
@@ -81,20 +79,18 @@
     fleet: Fleet,
 }
 
-impl ConfigDriver {
-    /// Starts a fleet.
-    pub fn new(plant: Option<Plant>) -> Self {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime without I/O");
+impl Driver for ConfigDriver {
+    type Steps = ConfigSteps;
+    type Violation = ConfigViolation;
+
+    fn start(_state: &(), plant: Option<Plant>) -> Self {
+        let runtime = paused_runtime();
         let fleet = runtime.block_on(Fleet::start(plant));
         Self { runtime, fleet }
     }
 
-    /// Does one step and checks every promise, again and again while time passes.
-    pub fn step(&mut self, step: &ConfigStep) -> Result<(), ConfigViolation> {
+    /// Checks every promise again and again while time passes.
+    fn step(&mut self, step: &ConfigStep) -> Result<(), ConfigViolation> {
         let _guard = self.runtime.enter();
         take(&mut self.fleet, step);
         let mut rest = match step {
@@ -110,8 +106,7 @@
         Ok(())
     }
 
-    /// Mends everything and checks that the newest accepted change is in force everywhere.
-    pub fn settle(&mut self) -> Result<(), ConfigViolation> {
+    fn settle(&mut self) -> Result<(), ConfigViolation> {
         self.runtime.block_on(self.fleet.settle())
     }
 }
@@ -138,50 +133,3 @@
         ConfigStep::Pass(_) => {}
     }
 }
-
-/// The real code under the reference machine.
-pub struct ConfigurationPath;
-
-impl StateMachineTest for ConfigurationPath {
-    type SystemUnderTest = ConfigDriver;
-    type Reference = ConfigSteps;
-
-    fn init_test(_state: &()) -> ConfigDriver {
-        ConfigDriver::new(None)
-    }
-
-    fn apply(mut driver: ConfigDriver, _state: &(), step: ConfigStep) -> ConfigDriver {
-        if let Err(violation) = driver.step(&step) {
-            panic!("after {step:?}: {violation}");
-        }
-        driver
-    }
-
-    fn teardown(mut driver: ConfigDriver, _state: ()) {
-        if let Err(violation) = driver.settle() {
-            panic!("after everything was mended: {violation}");
-        }
-    }
-}
-
-/// Steps until a planted fault is found; `None` if it was not within `max_steps`.
-pub fn steps_until_found(
-    plant: Plant,
-    max_steps: usize,
-    seed: u64,
-) -> Option<(usize, ConfigViolation)> {
-    let mut runner = TestRunner::new(config(1, seed));
-    let mut done = 0;
-    while done < max_steps {
-        let strategy = ConfigSteps::sequential_strategy(1..MAX_STEPS);
-        let (_, steps, _) = strategy.new_tree(&mut runner).ok()?.current();
-        let mut driver = ConfigDriver::new(Some(plant));
-        for step in &steps {
-            done += 1;
-            if let Err(violation) = driver.step(step) {
-                return Some((done, violation));
-            }
-        }
-    }
-    None
-}
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry process: its real router and dispatcher over the in-memory network.
 
 use crate::backend::Fate;
+use crate::fuzz::seed_from_environment;
 use crate::network::{Network, NetworkConnector};
 use arc_swap::ArcSwap;
 use axum::Router;
@@ -41,9 +42,13 @@
 /// Longest time a request may wait for its answer to begin.
 pub const DEADLINE_MS: u64 = 10_000;
 
-/// The key that all processes of the world share.
+/// The key that all processes of the world share. Another seed gives another one, and with it other
+/// hashes of requests, so that they go to other backend servers.
 pub fn fleet_key() -> FleetKey {
-    FleetKey::new([7; 32])
+    let Some(seed) = seed_from_environment() else { return FleetKey::new([7; 32]) };
+    let mut key = [7; 32];
+    key[..8].copy_from_slice(&seed.to_le_bytes());
+    FleetKey::new(key)
 }
 
 /// One entry process.
--- a/crates/proof/src/group/machine.rs
+++ b/crates/proof/src/group/machine.rs
@@ -1,14 +1,12 @@
 //! Drives a group at random with proptest's state machine.
 
 use super::fleet::{COORDINATORS, CallFault, Fleet, GroupViolation, RANKS};
-use crate::machine::{MAX_STEPS, config};
+use crate::fuzz::{Driver, paused_runtime};
 use crate::plant::Plant;
 use flamingowheel_group::gate::EngineKind;
 use flamingowheel_platform::fake::{LostAnswer, LostOrder};
 use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::TestRunner;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::ReferenceStateMachine;
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
@@ -122,20 +120,21 @@
     fleet: Fleet,
 }
 
-impl GroupDriver {
-    /// Starts a group.
-    pub fn new(kind: EngineKind, plant: Option<Plant>) -> Self {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime without I/O");
+/// Only a step with two maps counts as finding a planted fault.
+impl Driver for GroupDriver {
+    type Steps = GroupSteps;
+    type Violation = GroupViolation;
+
+    /// With the planted fault the engines ignore fencing numbers, as otherwise they would make up
+    /// for it.
+    fn start(kind: &EngineKind, plant: Option<Plant>) -> Self {
+        let kind = plant.map_or(*kind, |_| EngineKind::IgnoresFence);
+        let runtime = paused_runtime();
         let fleet = runtime.block_on(Fleet::start(kind, plant));
         Self { runtime, fleet }
     }
 
-    /// Does one step and checks every step that the group ran meanwhile.
-    pub fn step(&mut self, step: &GroupStep) -> Result<(), GroupViolation> {
+    fn step(&mut self, step: &GroupStep) -> Result<(), GroupViolation> {
         let _guard = self.runtime.enter();
         take(&mut self.fleet, step);
         let time = match step {
@@ -147,8 +146,7 @@
         self.fleet.check()
     }
 
-    /// Mends everything and checks that the group steps again, or a rank is named.
-    pub fn settle(&mut self) -> Result<(), GroupViolation> {
+    fn settle(&mut self) -> Result<(), GroupViolation> {
         self.runtime.block_on(self.fleet.settle())
     }
 }
@@ -173,51 +171,3 @@
         GroupStep::Pass(_) => {}
     }
 }
-
-/// The real code under the reference machine.
-pub struct MapSwitches;
-
-impl StateMachineTest for MapSwitches {
-    type SystemUnderTest = GroupDriver;
-    type Reference = GroupSteps;
-
-    fn init_test(kind: &EngineKind) -> GroupDriver {
-        GroupDriver::new(*kind, None)
-    }
-
-    fn apply(mut driver: GroupDriver, _kind: &EngineKind, step: GroupStep) -> GroupDriver {
-        if let Err(violation) = driver.step(&step) {
-            panic!("after {step:?}: {violation}");
-        }
-        driver
-    }
-
-    fn teardown(mut driver: GroupDriver, _kind: EngineKind) {
-        if let Err(violation) = driver.settle() {
-            panic!("after everything was mended: {violation}");
-        }
-    }
-}
-
-/// Steps until the planted fault is found; `None` if it was not within `max_steps`. Only a step
-/// with two maps counts.
-pub fn steps_until_found(
-    plant: Plant,
-    max_steps: usize,
-    seed: u64,
-) -> Option<(usize, GroupViolation)> {
-    let mut runner = TestRunner::new(config(1, seed));
-    let mut done = 0;
-    while done < max_steps {
-        let strategy = GroupSteps::sequential_strategy(1..MAX_STEPS);
-        let (_, steps, _) = strategy.new_tree(&mut runner).ok()?.current();
-        let mut driver = GroupDriver::new(EngineKind::IgnoresFence, Some(plant));
-        for step in &steps {
-            done += 1;
-            if let Err(violation) = driver.step(step) {
-                return Some((done, violation));
-            }
-        }
-    }
-    None
-}
--- a/crates/proof/src/machine.rs
+++ b/crates/proof/src/machine.rs
@@ -1,6 +1,7 @@
 //! Drives the world at random with proptest's state machine.
 
 use crate::entry::MODEL;
+use crate::fuzz::{self, paused_runtime};
 use crate::network::{Direction, MessageFault};
 use crate::oracle::{Kind, Violation};
 use crate::plant::Plant;
@@ -8,20 +9,10 @@
 use bytes::Bytes;
 use flamingowheel_platform::fake::LostAnswer;
 use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::ReferenceStateMachine;
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
-/// Cases of one run, unless the environment says otherwise.
-pub const CASES_VARIABLE: &str = "FLAMINGOWHEEL_FUZZ_CASES";
-/// Seed of a run, unless the environment says otherwise.
-pub const SEED_VARIABLE: &str = "FLAMINGOWHEEL_FUZZ_SEED";
-
-/// Longest sequence of steps in a case.
-pub const MAX_STEPS: usize = 60;
-
 /// Time that passes with every step.
 const STEP_TIME: Duration = Duration::from_millis(1);
 /// Delay of a slow key-value service; beyond its callers' patience.
@@ -210,20 +201,19 @@
     asked: usize,
 }
 
-impl Driver {
-    /// Starts a world.
-    pub fn new(plant: Option<Plant>) -> Self {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime without I/O");
+impl fuzz::Driver for Driver {
+    type Steps = Steps;
+    type Violation = Violation;
+
+    const PLANT_SHOWS_WHEN_SETTLED: bool = true;
+
+    fn start(_state: &(), plant: Option<Plant>) -> Self {
+        let runtime = paused_runtime();
         let world = runtime.block_on(World::start(plant));
         Self { runtime, world, asked: 0 }
     }
 
-    /// Does one step and checks every promise.
-    pub fn step(&mut self, step: &Step) -> Result<(), Violation> {
+    fn step(&mut self, step: &Step) -> Result<(), Violation> {
         let Self { runtime, world, asked } = self;
         runtime.block_on(async {
             take(world, asked, step).await;
@@ -232,8 +222,7 @@
         self.world.check()
     }
 
-    /// Mends everything and checks that every request came to an end.
-    pub fn settle(&mut self) -> Result<(), Violation> {
+    fn settle(&mut self) -> Result<(), Violation> {
         self.runtime.block_on(self.world.settle())
     }
 }
@@ -317,57 +306,3 @@
         Happening::KeyValueAnswerLost(false) => world.kv.lose_answers(1, LostAnswer::BeforeEffect),
     }
 }
-
-/// The real code under the reference machine.
-pub struct RequestPath;
-
-impl StateMachineTest for RequestPath {
-    type SystemUnderTest = Driver;
-    type Reference = Steps;
-
-    fn init_test(_state: &()) -> Driver {
-        Driver::new(None)
-    }
-
-    fn apply(mut driver: Driver, _state: &(), step: Step) -> Driver {
-        if let Err(violation) = driver.step(&step) {
-            panic!("after {step:?}: {violation}");
-        }
-        driver
-    }
-
-    fn teardown(mut driver: Driver, _state: ()) {
-        if let Err(violation) = driver.settle() {
-            panic!("after everything was mended: {violation}");
-        }
-    }
-}
-
-/// Cases and seed of a run, from the environment or as given.
-pub fn config(cases: u32, seed: u64) -> Config {
-    let from = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
-    let cases = from(CASES_VARIABLE).and_then(|cases| u32::try_from(cases).ok()).unwrap_or(cases);
-    let rng_seed = RngSeed::Fixed(from(SEED_VARIABLE).unwrap_or(seed));
-    Config { cases, rng_seed, failure_persistence: None, ..Config::default() }
-}
-
-/// Steps until a planted fault is found; `None` if it was not within `max_steps`.
-pub fn steps_until_found(plant: Plant, max_steps: usize, seed: u64) -> Option<(usize, Violation)> {
-    let mut runner = TestRunner::new(config(1, seed));
-    let mut done = 0;
-    while done < max_steps {
-        let strategy = Steps::sequential_strategy(1..MAX_STEPS);
-        let (_, steps, _) = strategy.new_tree(&mut runner).ok()?.current();
-        let mut driver = Driver::new(Some(plant));
-        for step in &steps {
-            done += 1;
-            if let Err(violation) = driver.step(step) {
-                return Some((done, violation));
-            }
-        }
-        if let Err(violation) = driver.settle() {
-            return Some((done, violation));
-        }
-    }
-    None
-}
--- a/crates/proof/src/matrix/run.rs
+++ b/crates/proof/src/matrix/run.rs
@@ -3,6 +3,7 @@
 use crate::caller::Told;
 use crate::configuration::ConfigViolation;
 use crate::entry::MODEL;
+use crate::fuzz::paused_runtime;
 use crate::group::GroupViolation;
 use crate::matrix::{Cell, Fault, Outcome, Step, cell, control};
 use crate::network::{Direction, MessageFault};
@@ -81,16 +82,9 @@
 /// Runs a cell under a paused clock of its own and compares it with its promise.
 pub fn check(step: Step, fault: Fault) -> Result<(), CellFailure> {
     let Cell::Runs(promised) = cell(step, fault) else { return Ok(()) };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("a runtime without I/O");
-    let seen = runtime.block_on(run(step, fault)).map_err(|broken| CellFailure::Violated {
-        step,
-        fault,
-        broken,
-    })?;
+    let seen = paused_runtime()
+        .block_on(run(step, fault))
+        .map_err(|broken| CellFailure::Violated { step, fault, broken })?;
     match seen == promised {
         true => Ok(()),
         false => Err(CellFailure::Otherwise { step, fault, seen, promised }),
@@ -99,15 +93,7 @@
 
 /// Runs two faults that meet under a paused clock of their own.
 pub fn check_pair(step: Step, first: Fault, second: Fault) -> Result<(), Violation> {
-    runtime().block_on(run_pair(step, first, second))
-}
-
-fn runtime() -> tokio::runtime::Runtime {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("a runtime without I/O")
+    paused_runtime().block_on(run_pair(step, first, second))
 }
 
 /// Runs a cell. The oracle's checks hold in every cell; what callers are told is compared with the
--- a/crates/proof/tests/fuzz_decode.rs
+++ b/crates/proof/tests/fuzz_decode.rs
@@ -5,7 +5,7 @@
 use decoders::{decode_all, samples};
 use flamingowheel_config::document;
 use flamingowheel_config::settings::Settings;
-use flamingowheel_proof::machine::config;
+use flamingowheel_proof::fuzz::config;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::ticket::Ticket;
 use proptest::prelude::*;
--- a/crates/proof/tests/fuzz_requests.rs
+++ b/crates/proof/tests/fuzz_requests.rs
@@ -2,10 +2,9 @@
 
 #![allow(clippy::print_stdout, reason = "figures of the run")]
 
-use flamingowheel_proof::machine::{MAX_STEPS, RequestPath, Steps, config, steps_until_found};
+use flamingowheel_proof::fuzz::{hold_promises, steps_until_found};
+use flamingowheel_proof::machine::Driver;
 use flamingowheel_proof::plant::Plant;
-use proptest::test_runner::TestRunner;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 const CASES: u32 = 100;
 const SEED: u64 = 20261202;
@@ -13,20 +12,12 @@
 
 #[test]
 fn fuzz_requests_hold_promises() {
-    let config = config(CASES, SEED);
-    let strategy = Steps::sequential_strategy(1..MAX_STEPS);
-    let result = TestRunner::new(config.clone()).run(&strategy, |(state, steps, seen)| {
-        RequestPath::test_sequential(config.clone(), state, steps, seen);
-        Ok(())
-    });
-    if let Err(failure) = result {
-        panic!("{failure}");
-    }
+    hold_promises::<Driver>(CASES, SEED);
 }
 
 fn assert_found(plant: Plant) {
-    let (steps, violation) =
-        steps_until_found(plant, MAX_STEPS_TO_FIND, SEED).expect("planted fault not found");
+    let (steps, violation) = steps_until_found::<Driver>(plant, MAX_STEPS_TO_FIND, SEED)
+        .expect("planted fault not found");
     println!("{plant:?}: found after {steps} steps: {violation}");
 }
 
