Tell all entries of every agent, and link only to those of the own cells

Cause: an entry connected to the agent of every VM in the list.

Change: a directory of agents goes round with the members' news, compared by 256 digests between entries that meet rarely or for the first time. An entry keeps links to the agents of its cells and to all ranks of the groups it coordinates; others are opened for a ticket, a stream, a suspect or a model that its cells don't serve, take no other work and are closed when unused for 30 s. Fleets of up to 12 entries link to all agents as before. Larger ones read the VM list in turn, one read an interval in all. A suspect is sent to the one backend server of the whole fleet that all entries agree on, linked or not.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! operators' interface.
 //!
 //! * [`membership`]: what one process believes of the others, as a pure table.
+//! * [`directory`]: every agent, as entries tell each other of it.
 //! * [`topology`]: who watches whom, computed from the table.
 //! * [`duties`]: what that means for this process.
 //! * [`pause`]: noticing that this process itself stood still.
@@ -10,6 +11,7 @@
 //! * [`operators`]: the operators' HTTP interface.
 //! * [`transport`] and [`websocket`]: how peers are reached.
 
+pub mod directory;
 pub mod duties;
 mod fetch;
 pub mod membership;
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -4,8 +4,11 @@
 //! that watch it may call it silent under the version it last gave; it answers with a higher one.
 //! The VM list marks VMs that are leaving, and confirms that a silent one is gone.
 
-use flamingowheel_protocol::peer::{MemberRecord, MemberState, News};
+use crate::directory::Directory;
+use flamingowheel_protocol::message::Hello;
+use flamingowheel_protocol::peer::{AgentRecord, MemberRecord, MemberState, News};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,6 +24,7 @@
     version: u64,
     members: BTreeMap<String, Member>,
     leaving_vms: BTreeMap<String, u64>,
+    directory: Directory,
 }
 
 /// What is believed of one process.
@@ -59,6 +63,7 @@
             version: 1,
             members: BTreeMap::from([(name, member)]),
             leaving_vms: BTreeMap::new(),
+            directory: Directory::default(),
         }
     }
 
@@ -103,6 +108,34 @@
         News {
             records: self.members.values().filter(newer).map(|m| m.record.clone()).collect(),
             leaving_vms: vms.map(|(vm, _)| vm.clone()).collect(),
+            // Between two that meet for the first time, digests tell what is missing.
+            agents: if version == 0 { Vec::new() } else { self.directory.after(version) },
+        }
+    }
+
+    /// The agents known of.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// An agent process introduced itself at this address.
+    pub fn met_agent(&mut self, address: SocketAddr, hello: &Hello, now: Instant) {
+        for record in self.directory.met(address, hello) {
+            self.merge_agent(record, now);
+        }
+    }
+
+    /// Notes that an agent is leaving or gone.
+    pub fn worsen_agent(&mut self, name: &str, state: MemberState, now: Instant) {
+        if let Some(known) = self.directory.get(name) {
+            let record = AgentRecord { state: state.max(known.state), ..known.clone() };
+            self.merge_agent(record, now);
+        }
+    }
+
+    fn merge_agent(&mut self, record: AgentRecord, now: Instant) {
+        if self.directory.merge(record, self.version + 1, now) {
+            self.version += 1;
         }
     }
 
@@ -112,7 +145,8 @@
             let MemberRecord { name, version, incarnation, state, .. } = &member.record;
             xxh3_64(format!("{name} {version} {} {state:?}", incarnation.0).as_bytes())
         });
-        records.fold(0, |digest, record| digest ^ record)
+        let agents = self.directory.digests().iter().fold(0, |digest, part| digest ^ part);
+        records.fold(agents, |digest, record| digest ^ record)
     }
 
     /// Takes news from a peer.
@@ -124,6 +158,9 @@
         for vm in news.leaving_vms {
             self.mark_vm_leaving(vm);
         }
+        for agent in news.agents {
+            self.merge_agent(agent, now);
+        }
         observations
     }
 
@@ -260,6 +297,7 @@
         self.members.retain(|_, member| kept(member));
         let vms: BTreeSet<&str> = self.members.values().map(|m| m.record.vm.as_str()).collect();
         self.leaving_vms.retain(|vm, _| vms.contains(vm.as_str()));
+        self.directory.expire(now);
     }
 }
 
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -38,7 +38,7 @@
     }
 
     async fn answer_heartbeat(&self, heartbeat: Heartbeat) -> PeerAnswer {
-        let Heartbeat { from, revision, after, hold_ms, news } = heartbeat;
+        let Heartbeat { from, revision, after, hold_ms, news, agent_digests } = heartbeat;
         self.change(|state| {
             state.reported.insert(from.name.clone(), ConfigRevision(revision));
             state.take(&from.name, news)
@@ -49,12 +49,19 @@
         // Running out of time only means that there is no news.
         let _ = tokio::time::timeout(hold, progress.wait_for(news)).await;
         let state = self.state();
+        let mut news = state.table.news_after(after);
+        let mut agent_parts = Vec::new();
+        if !agent_digests.is_empty() {
+            agent_parts = state.table.directory().differing(&agent_digests);
+            news.agents = state.table.directory().parts(&agent_parts);
+        }
         PeerAnswer::Heartbeat(Box::new(HeartbeatAnswer {
             from: state.sender(),
             revision: state.replica.revision().0,
             from_service: state.source == ConfigSource::KeyValue,
             version: state.table.version(),
-            news: state.table.news_after(after),
+            news,
+            agent_parts,
         }))
     }
 
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -13,7 +13,9 @@
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::store::Store;
 use flamingowheel_platform::vm::VmList;
-use flamingowheel_protocol::peer::{MemberState, PeerAnswer, PeerRequest};
+use flamingowheel_protocol::peer::{
+    AgentRecord, Heartbeat, MemberState, News, PeerAnswer, PeerRequest,
+};
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
@@ -173,8 +175,20 @@
         hold: Duration,
     ) -> Result<Followup, PeerError> {
         let told = self.node.table_version();
+        let heartbeat = self.node.heartbeat(Some(name), hold);
+        self.beat(peer, name, heartbeat, told).await
+    }
+
+    async fn beat(
+        &self,
+        peer: SocketAddr,
+        name: &str,
+        heartbeat: Heartbeat,
+        told: u64,
+    ) -> Result<Followup, PeerError> {
+        let hold = Duration::from_millis(u64::from(heartbeat.hold_ms));
         let asked_at = Instant::now();
-        let request = PeerRequest::Heartbeat(Box::new(self.node.heartbeat(Some(name), hold)));
+        let request = PeerRequest::Heartbeat(Box::new(heartbeat));
         let limit = hold + self.timing.answer_limit;
         let answer = timeout(limit, self.peers.ask(peer, request)).await;
         let answer = answer.map_err(|_| PeerError::Silent)??;
@@ -183,10 +197,23 @@
         if asked_at.elapsed() > limit {
             return Err(PeerError::Silent);
         }
-        match answer {
-            PeerAnswer::Heartbeat(answer) => Ok(self.node.take_answer(*answer, told)),
-            _ => Err(PeerError::Unexpected),
+        let PeerAnswer::Heartbeat(answer) = answer else { return Err(PeerError::Unexpected) };
+        let lacking = self.node.agents_lacking(&answer);
+        let followup = self.node.take_answer(*answer, told);
+        self.tell_agents(peer, name, lacking).await;
+        Ok(followup)
+    }
+
+    /// Tells a peer what its directory lacks; if that fails, the next comparison does.
+    async fn tell_agents(&self, peer: SocketAddr, name: &str, lacking: Vec<AgentRecord>) {
+        if lacking.is_empty() {
+            return;
         }
+        let mut heartbeat = self.node.heartbeat(Some(name), Duration::ZERO);
+        heartbeat.news = News { agents: lacking, ..News::default() };
+        heartbeat.agent_digests.clear();
+        let request = PeerRequest::Heartbeat(Box::new(heartbeat));
+        let _ = timeout(self.timing.answer_limit, self.peers.ask(peer, request)).await;
     }
 
     async fn poll_and_fetch(
@@ -310,7 +337,9 @@
         if digest == self.node.digest() && revision <= self.node.revision().0 {
             return Ok(Followup::None);
         }
-        self.poll(peer, &name, Duration::ZERO).await
+        let told = self.node.table_version();
+        let heartbeat = self.node.comparing_heartbeat(&name);
+        self.beat(peer, &name, heartbeat, told).await
     }
 
     async fn read_vm_list(&self) {
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -3,15 +3,20 @@
 use crate::agents::Target;
 use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_policy::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey};
-use flamingowheel_policy::subset::{Cells, EntryInfo, SubsetConfig};
+use flamingowheel_policy::subset::{Cell, Cells, EntryInfo, SubsetConfig};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Expected of a workspace without a limit, in requests a second.
 const DEFAULT_RATE_PER_S: f64 = 10.0;
 
+/// Most links of an entry to the agents of its cells: 3 times what the planned size needs at the
+/// most. Agents beyond it are reached on demand.
+pub const MAX_LINKS: usize = 1_024;
+
 /// What decides a workspace's subset: the scopes of its models and services, and the rate in
 /// requests a second that it is expected to send.
 pub fn demand(workspace: &EffectiveWorkspace) -> (Vec<ScopeKey>, f64) {
@@ -94,6 +99,25 @@
         Self { cells, members }
     }
 
+    /// Whether the fleet is so small that every entry stands before all backend servers.
+    pub fn takes_all_entries(&self) -> bool {
+        self.cells.takes_all_entries()
+    }
+
+    /// The backend servers of the cells that an entry stands before, at most [`MAX_LINKS`];
+    /// `None` if it stands before all there are.
+    pub fn servers_of(&self, entry: &str) -> Option<BTreeSet<ServerKey>> {
+        if self.cells.takes_all_entries() {
+            return None;
+        }
+        let entry = EntryKey::from_name(entry);
+        let mut cells: Vec<&Cell> = self.cells.cells_of(entry).collect();
+        // An entry that hears nobody stands before all cells, each such entry before other ones.
+        cells.sort_by_key(|cell| xxh3_64_with_seed(&cell.id.to_le_bytes(), entry.0));
+        let servers = cells.iter().flat_map(|cell| cell.servers.iter().copied());
+        Some(servers.take(MAX_LINKS).collect())
+    }
+
     /// The entries that share a workspace's limits.
     pub fn subset(&self, workspace: &str, scopes: &[ScopeKey], rate_per_s: f64) -> Vec<EntryKey> {
         self.cells.subset(WorkspaceKey::from_name(workspace), scopes, rate_per_s)
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -23,7 +23,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// Retry budgets kept at most; beyond it all start anew.
 const MAX_BUDGETS: usize = 4096;
@@ -135,7 +135,7 @@
     ) -> Result<Answer, Verdict> {
         let request = journey.request;
         loop {
-            let chosen = self.choose(journey)?;
+            let chosen = self.choose(journey).await?;
             journey.tried.push(chosen.server);
             let key = match request.idempotent {
                 true => None,
@@ -156,11 +156,11 @@
         }
     }
 
-    fn choose(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
+    async fn choose(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
         let request = journey.request;
         match self.router.verdict(request.fingerprint) {
-            Suspicion::Clear => self.choose_best(journey),
-            Suspicion::Alone { crashed } => self.choose_alone(journey, crashed),
+            Suspicion::Clear => self.choose_best(journey).await,
+            Suspicion::Alone { crashed } => self.choose_alone(journey, crashed).await,
             Suspicion::Refused { retry_after } => {
                 let retry_after_ms = retry_after.as_millis() as u64;
                 Err(journey.verdict(NotRun::Suspect { retry_after_ms }))
@@ -168,11 +168,12 @@
         }
     }
 
-    fn choose_best(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
+    async fn choose_best(&self, journey: &Journey<'_>) -> Result<Chosen, Verdict> {
         let request = journey.request;
         let question = RouteRequest { fingerprint: request.fingerprint, tried: &journey.tried };
         let class = route_class(request);
-        let routed = self.router.route(&request.target, &question, &class, &request.prompt);
+        let routed =
+            self.router.route_anywhere(&request.target, &question, &class, &request.prompt).await;
         let routed = routed.map_err(|error| journey.no_choice(error))?;
         let connected = self.connected(journey, routed.choice.server, &routed.agent)?;
         log_route(journey, &routed, &connected);
@@ -183,7 +184,7 @@
 
     /// A request that may have crashed a backend server goes to one that all entries agree on,
     /// so that copies of it that come through many entries can't crash many.
-    fn choose_alone(
+    async fn choose_alone(
         &self,
         journey: &Journey<'_>,
         mut crashed: Vec<ServerKey>,
@@ -192,6 +193,9 @@
         crashed.extend(&journey.tried);
         let routed = self.router.route_alone(&request.target, request.fingerprint, &crashed);
         let (server, agent) = routed.map_err(|error| journey.no_choice(error))?;
+        // Its link may just be opening.
+        let limit = request.deadline.min(Instant::now() + self.config.reconnect_limit);
+        let _ = timeout_at(limit, agent.connected_after(0)).await;
         let connected = self.connected(journey, server, &agent)?;
         journey.log.record(Event::Routed {
             backend_server: connected.hello.name.as_str().into(),
--- a/crates/entry/src/dispatch/home.rs
+++ b/crates/entry/src/dispatch/home.rs
@@ -101,11 +101,12 @@
     }
 
     /// Mints a ticket for a backend server that is likely to have room.
-    pub fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
+    pub async fn mint(&self, request: &Request) -> Result<Ticket, NotRun> {
         let question = RouteRequest { fingerprint: request.fingerprint, tried: &[] };
         let routed = self
             .router
-            .route(&request.target, &question, &route_class(request), &request.prompt)
+            .route_anywhere(&request.target, &question, &route_class(request), &request.prompt)
+            .await
             .map_err(|_| NotRun::NoneAvailable)?;
         self.router.ended(routed.choice.server);
         let connected = routed.agent.connected().ok_or(NotRun::NoneAvailable)?;
@@ -162,7 +163,8 @@
         incarnation: Incarnation,
         server: ServerKey,
     ) -> Result<Chosen, Verdict> {
-        let agent = self.router.agent(server).ok_or(Unknown::AgentUnreachable)?;
+        let agent = self.router.called(server, request.deadline).await;
+        let agent = agent.ok_or(Unknown::AgentUnreachable)?;
         let limit = request.deadline.min(Instant::now() + self.config.reconnect_limit);
         let connected = timeout_at(limit, agent.connected_after(0)).await;
         let connected = connected.ok().flatten().ok_or(Unknown::AgentUnreachable)?;
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -167,7 +167,7 @@
 
 /// The ticket that the caller's own key stands for; a new one if the key is new.
 async fn bound_ticket(state: &EntryState, request: &Request, key: &str) -> Result<Ticket, NotRun> {
-    let minted = state.dispatcher.mint(request)?;
+    let minted = state.dispatcher.mint(request).await?;
     let claim = Claim {
         ticket: minted.to_text(&state.config.fleet_key),
         fingerprint: format!("{:032x}", request.fingerprint.0),
--- a/crates/entry/src/http/tickets.rs
+++ b/crates/entry/src/http/tickets.rs
@@ -37,9 +37,11 @@
     headers: HeaderMap,
     Query(wanted): Query<Wanted>,
 ) -> Response {
-    match subject(&state, &headers, &wanted.service)
-        .and_then(|request| state.dispatcher.mint(&request))
-    {
+    let minted = match subject(&state, &headers, &wanted.service) {
+        Ok(request) => state.dispatcher.mint(&request).await,
+        Err(not_run) => Err(not_run),
+    };
+    match minted {
         Ok(ticket) => {
             let ticket = ticket.to_text(&state.config.fleet_key);
             (StatusCode::CREATED, Json(Issued { ticket })).into_response()
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -9,10 +9,11 @@
 };
 use flamingowheel_policy::suspicion::{SuspectRecord, SuspicionBook, SuspicionConfig, Verdict};
 use flamingowheel_protocol::message::{LoadHint, Occupancy, Serves};
+use futures_util::future::select_all;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, timeout};
 
 /// How a request is treated among others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,8 +32,33 @@
     started: Instant,
     state: Mutex<State>,
     suspicion: Mutex<SuspicionBook>,
+    reach: OnceLock<Weak<dyn Reach>>,
 }
 
+/// Reaches agents that this entry has no link to.
+pub trait Reach: Send + Sync {
+    /// Whether there is a directory of agents yet.
+    fn is_ready(&self) -> bool;
+
+    /// The agent in front of a backend server; its link is opened if there is none.
+    fn agent(&self, server: ServerKey) -> Option<Arc<Agent>>;
+
+    /// All backend servers of the fleet that serve this, linked or not.
+    fn serving(&self, target: &Target) -> Vec<ServerKey>;
+
+    /// Opens links to some more agents that serve this.
+    fn invite(&self, target: &Target) -> Vec<Arc<Agent>>;
+}
+
+/// How long a request waits for the first link of those that it made this entry open.
+const INVITE_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long a new agent's record may take to get here after a caller does.
+const LISTED_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time between two looks for it.
+const LISTED_POLL: Duration = Duration::from_millis(100);
+
 /// Where a request goes.
 pub struct Routed {
     /// The choice.
@@ -74,7 +100,55 @@
     /// Knows no backend server yet.
     pub fn new(config: RoutingConfig) -> Self {
         let suspicion = Mutex::new(SuspicionBook::new(SuspicionConfig::default()));
-        Self { config, started: Instant::now(), state: Mutex::default(), suspicion }
+        let (started, state) = (Instant::now(), Mutex::default());
+        Self { config, started, state, suspicion, reach: OnceLock::new() }
+    }
+
+    /// Says who opens links on demand; only the first counts.
+    pub fn set_reach(&self, reach: Weak<dyn Reach>) {
+        let _ = self.reach.set(reach);
+    }
+
+    fn reach(&self) -> Option<Arc<dyn Reach>> {
+        self.reach.get()?.upgrade()
+    }
+
+    /// The agent in front of a backend server, whichever cell that is in.
+    pub async fn called(&self, server: ServerKey, deadline: Instant) -> Option<Arc<Agent>> {
+        let deadline = deadline.min(Instant::now() + LISTED_LIMIT);
+        loop {
+            if let Some(agent) = self.agent(server) {
+                return Some(agent);
+            }
+            let reach = self.reach().filter(|reach| reach.is_ready())?;
+            if let Some(agent) = reach.agent(server) {
+                return Some(agent);
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            sleep(LISTED_POLL).await;
+        }
+    }
+
+    /// Like [`Router::route`]; opens links if no agent at hand can serve this.
+    pub async fn route_anywhere(
+        &self,
+        target: &Target,
+        request: &RouteRequest<'_>,
+        class: &RouteClass,
+        prompt: &[BlockHash],
+    ) -> Result<Routed, RouteError> {
+        loop {
+            let routed = self.route(target, request, class, prompt);
+            if !matches!(routed, Err(RouteError::NoneAvailable)) {
+                return routed;
+            }
+            let invited = self.reach().map(|reach| reach.invite(target)).unwrap_or_default();
+            if !any_connects(invited, class.max_wait.min(INVITE_LIMIT)).await {
+                return routed;
+            }
+        }
     }
 
     /// Adds a backend server whose agent is connected.
@@ -212,18 +286,37 @@
         crashed: &[ServerKey],
     ) -> Result<(ServerKey, Arc<Agent>), RouteError> {
         let now = self.started.elapsed();
-        let mut state = self.lock();
-        let servers = state.by_target.get(target).ok_or(RouteError::NoneAvailable)?;
-        let server = choose_alone(fingerprint, crashed, servers, &state.book)?;
-        let agent = state.agents.get(&server).cloned().ok_or(RouteError::NoneAvailable)?;
-        state.book.on_sent(server, now);
+        let server = self.alone(target, fingerprint, crashed)?;
+        let reached = || self.reach().and_then(|reach| reach.agent(server));
+        let agent = self.agent(server).or_else(reached).ok_or(RouteError::NoneAvailable)?;
+        self.lock().book.on_sent(server, now);
         Ok((server, agent))
     }
 
+    /// The choice is among all backend servers of the fleet: were it among those at hand, copies
+    /// through entries of different cells would each crash another one.
+    fn alone(
+        &self,
+        target: &Target,
+        fingerprint: Fingerprint,
+        crashed: &[ServerKey],
+    ) -> Result<ServerKey, RouteError> {
+        let mut servers = self.reach().map(|reach| reach.serving(target)).unwrap_or_default();
+        let state = self.lock();
+        servers.extend(state.by_target.get(target).into_iter().flatten());
+        servers.sort_unstable();
+        servers.dedup();
+        choose_alone(fingerprint, crashed, &servers, &state.book)
+    }
+
     /// Backend servers by what they serve, for the choice of subsets.
     pub fn scopes(&self) -> Vec<(ScopeKey, Vec<ServerKey>)> {
         let state = self.lock();
-        state.by_target.iter().map(|(target, servers)| (target.scope(), servers.clone())).collect()
+        let scopes = state.by_target.iter();
+        let mut scopes: Vec<_> =
+            scopes.map(|(target, servers)| (target.scope(), servers.clone())).collect();
+        scopes.sort_unstable();
+        scopes
     }
 
     /// Counts the end of a request that was sent.
@@ -240,3 +333,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether one of these agents is connected in time.
+async fn any_connects(agents: Vec<Arc<Agent>>, limit: Duration) -> bool {
+    let connecting = agents.iter().map(|agent| Box::pin(agent.connected_after(0)));
+    let connecting: Vec<_> = connecting.collect();
+    if connecting.is_empty() {
+        return false;
+    }
+    timeout(limit, select_all(connecting)).await.is_ok()
+}
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -105,7 +105,7 @@
         sample(&recorder, &state, &agents);
         node.set_lender(Arc::new(EntryLender(Arc::clone(&state))));
         let borrower = borrow(node.clone(), Arc::clone(&state), Arc::clone(&peers));
-        let discovery = discovery(settings, Arc::clone(&agents));
+        let discovery = discovery(settings, Arc::clone(&agents), &state);
         let (publisher, stopped, served) = (Arc::clone(&state), stop.clone(), node.clone());
         spawn_control("control", move || async move {
             tokio::join!(
@@ -319,10 +319,14 @@
     Arc::new(HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default()))
 }
 
-fn discovery(settings: &Settings, agents: Arc<Agents>) -> Discovery {
+fn discovery(settings: &Settings, agents: Arc<Agents>, state: &Arc<EntryState>) -> Discovery {
+    let (books, recorder) = (Arc::clone(state), state.recorder.clone());
     Discovery {
         list: vm_list(settings),
         agents,
+        node: state.node.clone(),
+        book: Arc::new(move || books.addresses.load_full()),
+        clock: Arc::new(move || recorder.stamp().wall_ms()),
         inner_port: settings.listen.inner.port(),
         own: settings.listen.inner.ip(),
         interval: Duration::from_millis(settings.vm_list.interval_ms),
--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -1,6 +1,6 @@
 //! Coordinates rank groups from the entries.
 //!
-//! Entries are connected to the agents already, so coordination needs no further connections.
+//! An entry keeps links to all ranks of the groups it coordinates, besides those of its cells.
 //! Each group is the duty of the entry that ranks first for it; the lease in the key-value
 //! service decides where entries disagree for a while.
 
@@ -29,7 +29,7 @@
 use flamingowheel_protocol::message::{ExpertShape, Serves};
 use flamingowheel_protocol::peer::MemberState;
 use futures_util::future::join_all;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -83,6 +83,7 @@
     pub async fn run(mut self) {
         loop {
             let groups = self.own_groups();
+            self.agents.pin_groups(groups.iter().map(|group| group.name.clone()).collect());
             self.give_up(&groups);
             for group in groups {
                 if !self.duties.contains_key(&group.name) {
@@ -99,8 +100,17 @@
         let entries: Vec<EntryKey> =
             live.map(|member| EntryKey::from_name(&member.record.name)).collect();
         let own = EntryKey::from_name(&self.node.own().name);
+        let listed = self.node.agents();
+        let connected = self.agents.connected();
+        let met = connected.iter().map(|(_, c)| (&c.profile.serves, c.profile.experts));
+        let known = listed.iter().map(|agent| (&agent.serves, agent.experts)).chain(met);
+        let mut seen = HashSet::new();
+        let first = known.filter(|(serves, experts)| match serves {
+            Serves::Model { group, .. } => experts.is_some() && seen.insert(group),
+            Serves::Service { .. } => false,
+        });
         let mut groups: Vec<Group> =
-            self.agents.connected().iter().filter_map(|(_, c)| group_of(c)).collect();
+            first.filter_map(|(serves, experts)| group_of(serves, experts)).collect();
         groups.sort_by(|a, b| a.name.cmp(&b.name));
         groups.dedup_by(|a, b| a.name == b.name);
         groups.retain(|group| first_for(&group.name, &entries) == Some(own));
@@ -229,9 +239,9 @@
     Json(statuses.iter().map(current).collect())
 }
 
-fn group_of(connected: &Connected) -> Option<Group> {
-    let Serves::Model { model, group, .. } = &connected.profile.serves else { return None };
-    let shape = connected.profile.experts?;
+fn group_of(serves: &Serves, experts: Option<ExpertShape>) -> Option<Group> {
+    let Serves::Model { model, group, .. } = serves else { return None };
+    let shape = experts?;
     Some(Group { name: group.clone(), model: model.clone(), shape })
 }
 
--- a/crates/flamingowheeld/src/membership.rs
+++ b/crates/flamingowheeld/src/membership.rs
@@ -1,9 +1,12 @@
 //! Brings what the control thread knows into what traffic reads.
 
 use flamingowheel_control::node::Node;
-use flamingowheel_entry::addresses::{AddressBook, EntryMember};
+use flamingowheel_entry::addresses::{AddressBook, EntryMember, Scope};
+use flamingowheel_entry::agents::Target;
 use flamingowheel_entry::state::EntryState;
+use flamingowheel_policy::key::{ScopeKey, ServerKey};
 use flamingowheel_protocol::peer::MemberState;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +14,9 @@
 /// may have come or gone.
 const REFRESH: Duration = Duration::from_secs(2);
 
+/// Shortest time between two address books.
+const REBUILD_PAUSE: Duration = Duration::from_millis(250);
+
 /// Publishes every configuration that comes in force.
 pub async fn publish_configuration(node: Node, state: Arc<EntryState>) {
     let mut effective = node.effective();
@@ -25,9 +31,14 @@
 /// Publishes the entries that callers may be sent to.
 pub async fn publish_addresses(node: Node, state: Arc<EntryState>) {
     let mut progress = node.progress();
+    let mut built_from = None;
     loop {
-        let scopes = state.dispatcher.router().scopes();
-        state.addresses.store(Arc::new(AddressBook::new(&scopes, members(&node))));
+        let from = (node.table_version(), state.dispatcher.router().scopes());
+        if built_from.as_ref() != Some(&from) {
+            let scopes = scopes(&node, from.1.clone());
+            state.addresses.store(Arc::new(AddressBook::new(&scopes, members(&node))));
+            built_from = Some(from);
+        }
         tokio::select! {
             changed = progress.changed() => {
                 if changed.is_err() {
@@ -36,7 +47,25 @@
             }
             () = tokio::time::sleep(REFRESH) => {}
         }
+        // When many processes start, each is news; cutting cells anew for each would take a core.
+        tokio::time::sleep(REBUILD_PAUSE).await;
+    }
+}
+
+/// Backend servers by what they serve: those of the directory, and those at hand whose record may
+/// not be in it yet.
+fn scopes(node: &Node, connected: Vec<Scope>) -> Vec<Scope> {
+    let mut scopes: BTreeMap<ScopeKey, BTreeSet<ServerKey>> = BTreeMap::new();
+    for (scope, servers) in connected {
+        scopes.entry(scope).or_default().extend(servers);
+    }
+    for agent in node.agents() {
+        let scope = Target::from(&agent.serves).scope();
+        scopes.entry(scope).or_default().insert(ServerKey::from_name(&agent.name));
     }
+    let owned =
+        |(scope, servers): (ScopeKey, BTreeSet<ServerKey>)| (scope, servers.into_iter().collect());
+    scopes.into_iter().map(owned).collect()
 }
 
 /// A silent entry may only be cut off from here, but a caller sent to it would lose time; it is
@@ -44,6 +73,7 @@
 fn members(node: &Node) -> Vec<EntryMember> {
     node.members()
         .into_iter()
+        .filter(|view| view.state != MemberState::Gone)
         .map(|view| EntryMember {
             name: view.record.name,
             address: view.record.callers,
--- a/crates/flamingowheeld/tests/discovery.rs
+++ b/crates/flamingowheeld/tests/discovery.rs
@@ -1,6 +1,8 @@
 //! Agents found through a VM list that is wrong.
 
+use flamingowheel_control::node::Node;
 use flamingowheel_daemon::discovery::Discovery;
+use flamingowheel_entry::addresses::AddressBook;
 use flamingowheel_entry::agents::Agents;
 use flamingowheel_entry::connector::{AgentLink, Connector};
 use flamingowheel_entry::router::Router;
@@ -8,6 +10,8 @@
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::FakeVmList;
 use flamingowheel_platform::vm::{Vm, VmState};
+use flamingowheel_protocol::id::Incarnation;
+use flamingowheel_protocol::peer::{MemberRecord, MemberState};
 use flamingowheel_protocol::websocket::HandshakeError;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -15,6 +19,22 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+fn record(name: &str) -> MemberRecord {
+    let address = SocketAddr::from(([127, 0, 1, 1], 7_400));
+    MemberRecord {
+        name: name.to_owned(),
+        vm: name.to_owned(),
+        data_centre: "a".to_owned(),
+        region: "r".to_owned(),
+        inner: address,
+        callers: address,
+        operators: address,
+        incarnation: Incarnation(1),
+        version: 1,
+        state: MemberState::Live,
+    }
+}
+
 /// Counts the tries to connect; none succeeds.
 #[derive(Default)]
 struct Tries(AtomicUsize);
@@ -39,9 +59,13 @@
     let (list, tries) = (FakeVmList::new(vec![vm]), Arc::new(Tries::default()));
     let connector: Arc<dyn Connector> = Arc::clone(&tries) as Arc<dyn Connector>;
     let agents = Agents::new(connector, Arc::new(Router::default()), Recorder::for_tests("entry"));
+    let book = Arc::new(AddressBook::new(&[], Vec::new()));
     let discovery = Discovery {
         list: Arc::new(list.clone()),
         agents: Arc::new(agents),
+        node: Node::new(record("entry"), Recorder::for_tests("entry")),
+        book: Arc::new(move || Arc::clone(&book)),
+        clock: Arc::new(|| 0),
         inner_port: 7_400,
         own: Ipv4Addr::new(127, 0, 1, 1).into(),
         interval: Duration::from_secs(1),
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -189,8 +189,14 @@
     servers: &[ServerKey],
     book: &LoadBook,
 ) -> Result<ServerKey, RouteError> {
-    let first = ranking(fingerprint, crashed, servers, book).first().copied();
-    first.ok_or(RouteError::NoneAvailable)
+    // A server that this entry has no link to may well be usable, and other entries know it is.
+    let may_run = |server: &&ServerKey| {
+        !crashed.contains(server)
+            && (book.is_usable(**server) || book.availability(**server).is_none())
+    };
+    let seed = fingerprint.seed();
+    let first = servers.iter().filter(may_run).min_by_key(|server| (mix(seed, server.0), **server));
+    first.copied().ok_or(RouteError::NoneAvailable)
 }
 
 fn expected_wait(config: &RoutingConfig, estimate: &Estimate) -> Duration {
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -91,6 +91,8 @@
 pub struct Cells {
     config: SubsetConfig,
     entries: BTreeMap<EntryKey, EntryInfo>,
+    /// Entries of the fleet, those that get no work included.
+    fleet: usize,
     scopes: BTreeMap<ScopeKey, Vec<Cell>>,
 }
 
@@ -102,6 +104,7 @@
         scopes: &[(ScopeKey, Vec<ServerKey>)],
         entries: &[EntryInfo],
     ) -> Self {
+        let fleet = entries.len();
         let usable = entries.iter().filter(|entry| entry.is_usable());
         let entries: BTreeMap<EntryKey, EntryInfo> =
             usable.map(|entry| (entry.key, *entry)).collect();
@@ -109,7 +112,7 @@
         for (scope, servers) in scopes {
             cut.insert(*scope, cut_scope(&config, *scope, servers));
         }
-        let mut cells = Self { config, entries, scopes: cut };
+        let mut cells = Self { config, entries, fleet, scopes: cut };
         cells.assign_entries();
         cells
     }
@@ -239,9 +242,13 @@
         self.scopes = scopes;
     }
 
-    /// A small fleet has nothing to choose: each cell is before all entries.
-    fn takes_all_entries(&self) -> bool {
-        self.entries.len() <= self.config.max_entries
+    /// A small fleet has nothing to choose: each cell is before all entries. While a small fleet
+    /// is replaced it counts twice; an entry that is cut off from a large one must not take all
+    /// backend servers for its own.
+    #[must_use]
+    pub fn takes_all_entries(&self) -> bool {
+        let max = self.config.max_entries;
+        self.entries.len() <= max && self.fleet <= 2 * max
     }
 
     fn wanted_entries(&self, cell: &Cell) -> usize {
--- a/crates/proof/benches/capacity/membership.rs
+++ b/crates/proof/benches/capacity/membership.rs
@@ -37,7 +37,7 @@
     let others = Node::new(member(count), Recorder::for_tests("other"));
     let records: Vec<MemberRecord> =
         (0..count).filter(|number| *number != own).map(member).collect();
-    let news = News { records, leaving_vms: Vec::new() };
+    let news = News { records, ..News::default() };
     let mut heartbeat = others.heartbeat(None, Duration::ZERO);
     heartbeat.news = news;
     node.answer(PeerRequest::Heartbeat(Box::new(heartbeat))).await;
@@ -69,12 +69,12 @@
     let both_ends = (thread_cpu_ns()? - before) / 1_000.0 / f64::from(ROUNDS);
     print("membership_heartbeat_cpu_us_both_ends", both_ends);
     let mut table = Table::new(member(1), Instant::now());
-    let news = News { records: (0..ENTRIES).map(member).collect(), leaving_vms: Vec::new() };
+    let news = News { records: (0..ENTRIES).map(member).collect(), ..News::default() };
     table.merge(news, Instant::now());
     let duties_us = cpu_us_each(200, |_| drop(std::hint::black_box(Duties::new(&table))))?;
     print("membership_duties_cpu_us_per_change_of_members", duties_us);
     let links = |own: usize| -> usize {
-        let news = News { records: (0..ENTRIES).map(member).collect(), leaving_vms: Vec::new() };
+        let news = News { records: (0..ENTRIES).map(member).collect(), ..News::default() };
         let mut table = Table::new(member(own), Instant::now());
         table.merge(news, Instant::now());
         let duties = Duties::new(&table);
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,6 +4,7 @@
 //! package does not look into them.
 
 use crate::id::Incarnation;
+use crate::message::{ExpertShape, Serves};
 use flamingowheel_policy::limits::{Loan, LoanRequest};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -56,6 +57,36 @@
     Gone,
 }
 
+/// What entries tell each other of an agent, so that each can reach every one without a connection
+/// to it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentRecord {
+    /// Its name, unique in the fleet.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// Where entries reach it.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Its data centre.
+    #[serde(rename = "d")]
+    pub data_centre: String,
+    /// What its backend server serves.
+    #[serde(rename = "s")]
+    pub serves: Serves,
+    /// The experts of its group, if the group's ranks share an expert map.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub experts: Option<ExpertShape>,
+    /// The process start that this is about.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+    /// Raised by whoever finds the record untrue; the highest counts.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Live; leaving, by the VM list; or gone: on no listed VM and not reached.
+    #[serde(rename = "t")]
+    pub state: MemberState,
+}
+
 /// Who sends a message. Its record is among the news as long as the receiver lacks it, so that
 /// heartbeats stay small.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +117,10 @@
     /// What the sender learnt since the peer last answered.
     #[serde(rename = "n", default, skip_serializing_if = "News::is_empty")]
     pub news: News,
+    /// Digests of the sender's directory of agents. With them the answer holds what differs;
+    /// without, what is newer than `after`.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub agent_digests: Vec<u64>,
 }
 
 /// Answer to a [`Heartbeat`].
@@ -106,6 +141,9 @@
     /// What it learnt since the version asked for.
     #[serde(rename = "n", default, skip_serializing_if = "News::is_empty")]
     pub news: News,
+    /// The parts of the directory of agents whose digests differ.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub agent_parts: Vec<u8>,
 }
 
 /// Changes of the table of members.
@@ -115,6 +153,9 @@
     pub records: Vec<MemberRecord>,
     /// VMs that the VM list calls leaving.
     pub leaving_vms: Vec<String>,
+    /// Agents.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub agents: Vec<AgentRecord>,
 }
 
 impl News {
@@ -125,7 +166,7 @@
     /// assert!(News::default().is_empty());
     /// ```
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.leaving_vms.is_empty()
+        self.records.is_empty() && self.leaving_vms.is_empty() && self.agents.is_empty()
     }
 }
 
@@ -179,7 +220,8 @@
         record: Box<MemberRecord>,
         /// The revision it has in force.
         revision: u64,
-        /// Digest of its table of members; equal tables have equal digests.
+        /// Digest of its table of members and its directory of agents; equal ones have equal
+        /// digests.
         digest: u64,
     },
     /// What is lent.
