--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -419,7 +419,8 @@
     }
 }
 
-fn address(server: usize) -> SocketAddr {
+/// Where an agent is reached.
+pub fn address(server: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1 + server as u8], 7000))
 }
 
--- /dev/null
+++ b/crates/proof/tests/cells.rs
@@ -0,0 +1,138 @@
+//! Agents outside an entry's cells, and cells that change while work runs.
+
+use bytes::Bytes;
+use flamingowheel_entry::agents::AgentVm;
+use flamingowheel_entry::links::IDLE_LIMIT;
+use flamingowheel_protocol::message::Role;
+use flamingowheel_protocol::peer::{AgentRecord, MemberState};
+use flamingowheel_proof::caller::Told;
+use flamingowheel_proof::entry::MODEL;
+use flamingowheel_proof::oracle::{Kind, Runs};
+use flamingowheel_proof::world::{SERVERS, World, address};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const TIMEOUT_MS: u64 = 10_000;
+
+fn chat(tokens: u64) -> Bytes {
+    let body = serde_json::json!({ "model": MODEL, "max_tokens": tokens, "stream": true });
+    Bytes::from(body.to_string())
+}
+
+/// The directory as of now.
+fn directory(world: &World) -> Vec<Arc<AgentRecord>> {
+    let record = |server: usize| {
+        let hello = world.network.endpoint(address(server))?.hello;
+        let Role::Agent(profile) = hello.role else { return None };
+        Some(Arc::new(AgentRecord {
+            name: hello.name,
+            address: address(server),
+            data_centre: hello.data_centre,
+            serves: profile.serves,
+            experts: profile.experts,
+            incarnation: hello.incarnation,
+            version: 1,
+            state: MemberState::Live,
+        }))
+    };
+    (0..SERVERS).filter_map(record).collect()
+}
+
+/// A world whose second entry stands before no cell and has no link.
+async fn world_with_bare_entry() -> World {
+    let world = World::start(None).await;
+    let bare = &world.entry(1).agents;
+    bare.set_listed(&directory(&world));
+    bare.set_vms(&[]);
+    sleep(IDLE_LIMIT + Duration::from_secs(1)).await;
+    bare.set_vms(&[]);
+    sleep(Duration::from_millis(10)).await;
+    assert!(bare.connected().is_empty());
+    world
+}
+
+fn told(world: &World, index: usize) -> Told {
+    world.ledger.get(index).unwrap().submissions.pop().unwrap().told
+}
+
+// A caller keeps an address for long and goes on to use an entry whose cells don't serve its model.
+// Without links on demand it would be told that no backend server is there.
+#[tokio::test(start_paused = true)]
+async fn ask_entry_outside_cell_served() {
+    let mut world = world_with_bare_entry().await;
+    let index = world.ask(1, Kind::Chat, chat(20), TIMEOUT_MS);
+    sleep(Duration::from_secs(5)).await;
+    assert!(matches!(told(&world, index), Told::Complete(_)), "{:?}", told(&world, index));
+    world.settle().await.unwrap();
+}
+
+// A ticket was taken at one entry and is used at another one that has no link to its agent. The
+// work runs there and nowhere else, and a resend at the first entry gets the same answer.
+#[tokio::test(start_paused = true)]
+async fn ask_ticket_home_outside_cell_served() {
+    let mut world = world_with_bare_entry().await;
+    let body = Bytes::from_static(b"pay once");
+    let index = world.take_ticket(0, body.clone()).await.unwrap();
+    world.resend(1, index, TIMEOUT_MS);
+    sleep(Duration::from_secs(5)).await;
+    let first = told(&world, index);
+    assert!(matches!(first, Told::Complete(_)), "{first:?}");
+    world.resend(0, index, TIMEOUT_MS);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(told(&world, index), first);
+    assert_eq!(world.servers.started(&body), 1);
+    world.settle().await.unwrap();
+}
+
+// An entry joins, the cells change, and an agent falls out of this entry's cells while it streams;
+// then the connection breaks as well. The caller must not notice either, and the link goes once
+// nothing needs it.
+#[tokio::test(start_paused = true)]
+async fn cells_change_stream_goes_on() {
+    let mut world = World::start(None).await;
+    let index = world.ask(0, Kind::Chat, chat(200), TIMEOUT_MS);
+    sleep(Duration::from_secs(2)).await;
+    world.entry(0).agents.set_vms(&[]);
+    sleep(Duration::from_secs(2)).await;
+    world.network.cut_all();
+    for _ in 0..40 {
+        sleep(Duration::from_secs(1)).await;
+        world.entry(0).agents.set_vms(&[]);
+    }
+    assert!(matches!(told(&world, index), Told::Complete(_)), "{:?}", told(&world, index));
+    sleep(IDLE_LIMIT).await;
+    world.entry(0).agents.set_vms(&[]);
+    sleep(Duration::from_millis(10)).await;
+    assert!(world.entry(0).agents.connected().is_empty());
+    // Back in the cells, they take work at once.
+    let all: Vec<AgentVm> =
+        (0..SERVERS).map(|s| AgentVm { address: address(s), leaving: false }).collect();
+    world.entry(0).agents.set_vms(&all);
+    sleep(Duration::from_secs(2)).await;
+    let index = world.ask(0, Kind::Chat, chat(5), TIMEOUT_MS);
+    sleep(Duration::from_secs(2)).await;
+    assert!(matches!(told(&world, index), Told::Complete(_)), "{:?}", told(&world, index));
+    world.settle().await.unwrap();
+}
+
+// The directory lags: an agent was replaced under its name, and the record names the process
+// before. A ticket of that process must not run in the new one; other work may.
+#[tokio::test(start_paused = true)]
+async fn ask_stale_record_no_second_run() {
+    let mut world = world_with_bare_entry().await;
+    let body = Bytes::from_static(b"pay once");
+    let index = world.take_ticket(0, body.clone()).await.unwrap();
+    for server in 0..SERVERS {
+        world.kill_agent(server);
+        world.start_agent(server);
+    }
+    sleep(Duration::from_secs(3)).await;
+    world.resend(1, index, TIMEOUT_MS);
+    let other = world.ask(1, Kind::Chat, chat(5), TIMEOUT_MS);
+    sleep(Duration::from_secs(5)).await;
+    assert!(matches!(told(&world, index), Told::Unknown(_)), "{:?}", told(&world, index));
+    assert_eq!(world.servers.started(&body), 0);
+    assert!(matches!(told(&world, other), Told::Complete(_)), "{:?}", told(&world, other));
+    world.settle().await.unwrap();
+}
