--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -2,10 +2,12 @@
 
 use crate::agents::Target;
 use flamingowheel_config::effective::EffectiveWorkspace;
-use flamingowheel_policy::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey};
+use flamingowheel_policy::key::{
+    DataCentreKey, EntryKey, RegionKey, ScopeKey, ServerKey, WorkspaceKey,
+};
 use flamingowheel_policy::subset::{Cell, Cells, EntryInfo, SubsetConfig};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -36,6 +38,8 @@
     pub address: SocketAddr,
     /// The data centre it runs in.
     pub data_centre: String,
+    /// The region of that.
+    pub region: String,
     /// It takes no new callers.
     pub leaving: bool,
 }
@@ -61,10 +65,15 @@
 /// Backend servers of one model or service, as the subset choice groups them.
 pub type Scope = (ScopeKey, Vec<ServerKey>);
 
+/// The same within one region.
+pub type RegionScope = (ScopeKey, RegionKey, Vec<ServerKey>);
+
 /// Everything needed to answer; built whenever the membership changes.
 #[derive(Clone, Debug)]
 pub struct AddressBook {
     cells: Cells,
+    /// The regions that scopes are cut by; none where every entry stands before all.
+    regions: BTreeSet<RegionKey>,
     members: HashMap<EntryKey, EntryMember>,
 }
 
@@ -78,6 +87,7 @@
     ///     name: "entry-1".into(),
     ///     address: "127.0.0.1:8080".parse().unwrap(),
     ///     data_centre: "ga-a".into(),
+    ///     region: "ga".into(),
     ///     leaving: false,
     /// };
     /// let book = AddressBook::new(&[], vec![member]);
@@ -85,18 +95,34 @@
     /// assert_eq!(answer.addresses.len(), 1);
     /// ```
     pub fn new(scopes: &[Scope], members: Vec<EntryMember>) -> Self {
-        let infos: Vec<EntryInfo> = members
+        let cells = Cells::build(SubsetConfig::default(), scopes, &infos(&members));
+        Self { cells, regions: BTreeSet::new(), members: by_key(members) }
+    }
+
+    /// Builds the book of a fleet in several regions: an entry stands before backend servers of
+    /// its own one. A small fleet has one set of cells for all.
+    pub fn of_regions(scopes: &[RegionScope], members: Vec<EntryMember>) -> Self {
+        let config = SubsetConfig::default();
+        let usable = members.iter().filter(|member| !member.leaving).count();
+        if config.takes_all(usable, members.len()) {
+            return Self::new(&anywhere(scopes), members);
+        }
+        let regions = scopes.iter().map(|(_, region, _)| *region).collect();
+        let placed = scopes
             .iter()
-            .map(|member| EntryInfo {
-                key: EntryKey::from_name(&member.name),
-                data_centre: DataCentreKey::from_name(&member.data_centre),
-                weight: 1.0,
-                leaving: member.leaving,
-            })
-            .collect();
-        let cells = Cells::build(SubsetConfig::default(), scopes, &infos);
-        let members = members.into_iter().map(|m| (EntryKey::from_name(&m.name), m)).collect();
-        Self { cells, members }
+            .map(|(scope, region, servers)| (scope.within(*region), *region, servers.clone()));
+        let placed: Vec<RegionScope> = placed.collect();
+        let cells = Cells::build_within(config, &placed, &infos(&members));
+        Self { cells, regions, members: by_key(members) }
+    }
+
+    /// The scopes of these models and services in all regions.
+    fn placed(&self, scopes: &[ScopeKey]) -> Vec<ScopeKey> {
+        if self.regions.is_empty() {
+            return scopes.to_vec();
+        }
+        let regions = self.regions.iter();
+        regions.flat_map(|region| scopes.iter().map(|scope| scope.within(*region))).collect()
     }
 
     /// Whether the fleet is so small that every entry stands before all backend servers.
@@ -120,7 +146,7 @@
 
     /// The entries that share a workspace's limits.
     pub fn subset(&self, workspace: &str, scopes: &[ScopeKey], rate_per_s: f64) -> Vec<EntryKey> {
-        self.cells.subset(WorkspaceKey::from_name(workspace), scopes, rate_per_s)
+        self.cells.subset(WorkspaceKey::from_name(workspace), &self.placed(scopes), rate_per_s)
     }
 
     /// Answers for a workspace that uses `scopes` and is expected to send `rate_per_s`.
@@ -134,7 +160,8 @@
     ) -> AddressAnswer {
         let own = DataCentreKey::from_name(data_centre);
         let workspace = WorkspaceKey::from_name(workspace);
-        let entries = self.cells.entries_for(workspace, scopes, rate_per_s, own);
+        let scopes = self.placed(scopes);
+        let entries = self.cells.entries_for(workspace, &scopes, rate_per_s, own);
         let members = entries.iter().filter_map(|entry| self.members.get(entry));
         let addresses = members
             .map(|member| Address {
@@ -145,3 +172,27 @@
         AddressAnswer { addresses, keep_s: ttl.as_secs() }
     }
 }
+
+fn infos(members: &[EntryMember]) -> Vec<EntryInfo> {
+    let info = |member: &EntryMember| EntryInfo {
+        key: EntryKey::from_name(&member.name),
+        data_centre: DataCentreKey::from_name(&member.data_centre),
+        region: RegionKey::from_name(&member.region),
+        weight: 1.0,
+        leaving: member.leaving,
+    };
+    members.iter().map(info).collect()
+}
+
+fn by_key(members: Vec<EntryMember>) -> HashMap<EntryKey, EntryMember> {
+    members.into_iter().map(|member| (EntryKey::from_name(&member.name), member)).collect()
+}
+
+/// Scopes whatever their region.
+fn anywhere(scopes: &[RegionScope]) -> Vec<Scope> {
+    let mut merged: BTreeMap<ScopeKey, Vec<ServerKey>> = BTreeMap::new();
+    for (scope, _, servers) in scopes {
+        merged.entry(*scope).or_default().extend(servers);
+    }
+    merged.into_iter().collect()
+}
--- a/crates/flamingowheeld/src/discovery.rs
+++ b/crates/flamingowheeld/src/discovery.rs
@@ -150,7 +150,7 @@
             };
             let mut unknown: Vec<_> = listed.into_iter().filter(|a| !known(a)).collect();
             // Not the same ones each time: VMs that don't answer must not hide the others.
-            unknown.sort_by_key(|_| rand::random::<u32>());
+            unknown.sort_by_cached_key(|_| rand::random::<u32>());
             looks.extend(unknown.into_iter().take(MAX_LOOKS - looks.len()));
         }
         let looks: FuturesUnordered<_> =
--- a/crates/flamingowheeld/src/membership.rs
+++ b/crates/flamingowheeld/src/membership.rs
@@ -1,12 +1,12 @@
 //! Brings what the control thread knows into what traffic reads.
 
-use flamingowheel_control::node::Node;
-use flamingowheel_entry::addresses::{AddressBook, EntryMember, Scope};
+use flamingowheel_control::node::{MemberView, Node};
+use flamingowheel_entry::addresses::{AddressBook, EntryMember, RegionScope, Scope};
 use flamingowheel_entry::agents::Target;
 use flamingowheel_entry::state::EntryState;
-use flamingowheel_policy::key::{ScopeKey, ServerKey};
+use flamingowheel_policy::key::{RegionKey, ScopeKey, ServerKey};
 use flamingowheel_protocol::peer::MemberState;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,8 +35,8 @@
     loop {
         let from = (node.table_version(), state.dispatcher.router().scopes());
         if built_from.as_ref() != Some(&from) {
-            let scopes = scopes(&node, from.1.clone());
-            state.addresses.store(Arc::new(AddressBook::new(&scopes, members(&node))));
+            let scopes = scopes(&node, &from.1);
+            state.addresses.store(Arc::new(AddressBook::of_regions(&scopes, members(&node))));
             built_from = Some(from);
         }
         tokio::select! {
@@ -52,19 +52,32 @@
     }
 }
 
-/// Backend servers by what they serve: those of the directory, and those at hand whose record may
-/// not be in it yet.
-fn scopes(node: &Node, connected: Vec<Scope>) -> Vec<Scope> {
-    let mut scopes: BTreeMap<ScopeKey, BTreeSet<ServerKey>> = BTreeMap::new();
-    for (scope, servers) in connected {
-        scopes.entry(scope).or_default().extend(servers);
-    }
+/// Backend servers by what they serve and where: those of the directory, and those at hand whose
+/// record may not be in it yet, which count as near.
+fn scopes(node: &Node, connected: &[Scope]) -> Vec<RegionScope> {
+    let own = RegionKey::from_name(&node.own().region);
+    let members = node.members();
+    let region = |member: &MemberView| RegionKey::from_name(&member.record.region);
+    let regions: HashMap<&str, RegionKey> =
+        members.iter().map(|m| (m.record.data_centre.as_str(), region(m))).collect();
+    let mut scopes: BTreeMap<(ScopeKey, RegionKey), BTreeSet<ServerKey>> = BTreeMap::new();
+    let mut listed = HashSet::new();
     for agent in node.agents() {
-        let scope = Target::from(&agent.serves).scope();
-        scopes.entry(scope).or_default().insert(ServerKey::from_name(&agent.name));
+        // A data centre without entries is a region of its own.
+        let region = regions.get(agent.data_centre.as_str()).copied();
+        let region = region.unwrap_or_else(|| RegionKey::from_name(&agent.data_centre));
+        let (scope, server) =
+            (Target::from(&agent.serves).scope(), ServerKey::from_name(&agent.name));
+        scopes.entry((scope, region)).or_default().insert(server);
+        listed.insert(server);
+    }
+    for (scope, servers) in connected {
+        let unlisted = servers.iter().filter(|server| !listed.contains(server));
+        scopes.entry((*scope, own)).or_default().extend(unlisted);
     }
-    let owned =
-        |(scope, servers): (ScopeKey, BTreeSet<ServerKey>)| (scope, servers.into_iter().collect());
+    let owned = |((scope, region), servers): (_, BTreeSet<ServerKey>)| {
+        (scope, region, servers.into_iter().collect())
+    };
     scopes.into_iter().map(owned).collect()
 }
 
@@ -78,6 +91,7 @@
             name: view.record.name,
             address: view.record.callers,
             data_centre: view.record.data_centre,
+            region: view.record.region,
             leaving: view.state != MemberState::Live,
         })
         .collect()
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -35,8 +35,24 @@
 key!(EntryKey, "an entry");
 key!(WorkspaceKey, "a workspace");
 key!(DataCentreKey, "a data centre");
+key!(RegionKey, "a region, where data centres are near each other");
 key!(ScopeKey, "a pool of backend servers: one model within one region");
 
+impl ScopeKey {
+    /// The part of a scope that one region holds.
+    ///
+    /// ```
+    /// use flamingowheel_policy::key::{RegionKey, ScopeKey};
+    /// let model = ScopeKey::from_name("model/notes");
+    /// let east = model.within(RegionKey::from_name("east"));
+    /// assert_ne!(east, model.within(RegionKey::from_name("west")));
+    /// ```
+    #[must_use]
+    pub fn within(self, region: RegionKey) -> Self {
+        Self(mix(self.0, region.0))
+    }
+}
+
 /// Hash of what a request asks for. A resend under a new request id has the same fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey, mix};
+use crate::key::{DataCentreKey, EntryKey, RegionKey, ScopeKey, ServerKey, WorkspaceKey, mix};
 
 /// An entry as the subset choice sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,6 +18,8 @@
     pub key: EntryKey,
     /// Its data centre.
     pub data_centre: DataCentreKey,
+    /// The region of that.
+    pub region: RegionKey,
     /// Share of work relative to other entries; not above zero means none.
     pub weight: f64,
     /// It is leaving and must not appear in any answer.
@@ -47,6 +49,14 @@
     pub min_subset: usize,
 }
 
+impl SubsetConfig {
+    /// Whether a fleet of this many entries, of which so many are usable, stands before all cells.
+    #[must_use]
+    pub fn takes_all(&self, usable: usize, fleet: usize) -> bool {
+        usable <= self.max_entries && fleet <= 2 * self.max_entries
+    }
+}
+
 impl Default for SubsetConfig {
     fn default() -> Self {
         Self {
@@ -67,6 +77,8 @@
     pub id: u64,
     /// Its backend servers, sorted.
     pub servers: Vec<ServerKey>,
+    /// Only entries of this region stand before it, if there are any.
+    pub region: Option<RegionKey>,
     /// Its entries, in the order of its slots.
     pub entries: Vec<EntryKey>,
 }
@@ -74,11 +86,19 @@
 /// The cells of all scopes.
 ///
 /// ```
-/// use flamingowheel_policy::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey};
+/// use flamingowheel_policy::key::{
+///     DataCentreKey, EntryKey, RegionKey, ScopeKey, ServerKey, WorkspaceKey,
+/// };
 /// use flamingowheel_policy::subset::{Cells, EntryInfo, SubsetConfig};
 /// let own = DataCentreKey::from_name("ga-1");
 /// let entries: Vec<EntryInfo> = (0..6)
-///     .map(|n| EntryInfo { key: EntryKey(n), data_centre: own, weight: 1.0, leaving: n == 0 })
+///     .map(|n| EntryInfo {
+///         key: EntryKey(n),
+///         data_centre: own,
+///         region: RegionKey::from_name("ga-central"),
+///         weight: 1.0,
+///         leaving: n == 0,
+///     })
 ///     .collect();
 /// let scope = ScopeKey::from_name("notes-model/ga-central");
 /// let servers = [(scope, vec![ServerKey(1), ServerKey(2)])];
@@ -104,13 +124,36 @@
         scopes: &[(ScopeKey, Vec<ServerKey>)],
         entries: &[EntryInfo],
     ) -> Self {
+        let anywhere = scopes.iter().map(|(scope, servers)| (*scope, None, servers.as_slice()));
+        Self::cut(config, anywhere, entries)
+    }
+
+    /// The same for scopes that each lie within a region, so that links between regions are rare.
+    #[must_use]
+    pub fn build_within(
+        config: SubsetConfig,
+        scopes: &[(ScopeKey, RegionKey, Vec<ServerKey>)],
+        entries: &[EntryInfo],
+    ) -> Self {
+        let within = scopes
+            .iter()
+            .map(|(scope, region, servers)| (*scope, Some(*region), servers.as_slice()));
+        Self::cut(config, within, entries)
+    }
+
+    fn cut<'a, I>(config: SubsetConfig, scopes: I, entries: &[EntryInfo]) -> Self
+    where
+        I: Iterator<Item = (ScopeKey, Option<RegionKey>, &'a [ServerKey])>,
+    {
         let fleet = entries.len();
         let usable = entries.iter().filter(|entry| entry.is_usable());
         let entries: BTreeMap<EntryKey, EntryInfo> =
             usable.map(|entry| (entry.key, *entry)).collect();
         let mut cut: BTreeMap<ScopeKey, Vec<Cell>> = BTreeMap::new();
-        for (scope, servers) in scopes {
-            cut.insert(*scope, cut_scope(&config, *scope, servers));
+        for (scope, region, servers) in scopes {
+            let mut cells = cut_scope(&config, scope, servers);
+            cells.iter_mut().for_each(|cell| cell.region = region);
+            cut.insert(scope, cells);
         }
         let mut cells = Self { config, entries, fleet, scopes: cut };
         cells.assign_entries();
@@ -184,7 +227,12 @@
         own: DataCentreKey,
     ) -> Vec<EntryKey> {
         let mut answer = self.subset(workspace, scopes, rate_per_s);
-        answer.sort_by_key(|entry| self.entries[entry].data_centre != own);
+        let at = self.entries.values().find(|entry| entry.data_centre == own);
+        let region = at.map(|entry| entry.region);
+        answer.sort_by_key(|entry| {
+            let entry = &self.entries[entry];
+            (entry.data_centre != own, Some(entry.region) != region)
+        });
         let is_elsewhere = |entry: &EntryKey| self.entries[entry].data_centre != own;
         if answer.iter().any(is_elsewhere) {
             return answer;
@@ -247,8 +295,7 @@
     /// backend servers for its own.
     #[must_use]
     pub fn takes_all_entries(&self) -> bool {
-        let max = self.config.max_entries;
-        self.entries.len() <= max && self.fleet <= 2 * max
+        self.config.takes_all(self.entries.len(), self.fleet)
     }
 
     fn wanted_entries(&self, cell: &Cell) -> usize {
@@ -264,22 +311,25 @@
     /// slots behind it, and with them the workspaces that use those.
     fn choose_entries(&self, cell: &Cell, room: &mut HashMap<EntryKey, usize>) -> Vec<EntryKey> {
         let wanted = self.wanted_entries(cell);
-        let mut quota = self.data_centre_quota(wanted);
+        let is_local = |entry: &EntryInfo| cell.region.is_none_or(|region| entry.region == region);
+        let has_local = self.entries.values().any(is_local);
+        let is_near = |entry: &EntryInfo| !has_local || is_local(entry);
+        let mut quota = self.data_centre_quota(wanted, is_near);
         let mut chosen: Vec<EntryKey> = Vec::with_capacity(wanted);
         for slot in 0..wanted as u64 {
             let seed = mix(cell.id, slot);
             let is_open = |entry: &EntryInfo| {
-                !chosen.contains(&entry.key)
+                is_near(entry)
+                    && !chosen.contains(&entry.key)
                     && quota[&entry.data_centre] > 0
                     && room[&entry.key] > 0
             };
             // A small data centre can't fill its share: then others do, and room yields to
-            // redundancy.
+            // redundancy. So does the region.
+            let is_left = |entry: &EntryInfo| !chosen.contains(&entry.key);
             let best = self.best(seed, is_open);
-            let Some(best) = best.or_else(|| self.best(seed, |entry| !chosen.contains(&entry.key)))
-            else {
-                break;
-            };
+            let best = best.or_else(|| self.best(seed, |entry| is_near(entry) && is_left(entry)));
+            let Some(best) = best.or_else(|| self.best(seed, is_left)) else { break };
             quota.entry(best.data_centre).and_modify(|left| *left = left.saturating_sub(1));
             room.entry(best.key).and_modify(|left| *left = left.saturating_sub(1));
             chosen.push(best.key);
@@ -297,9 +347,12 @@
         })
     }
 
-    fn data_centre_quota(&self, wanted: usize) -> HashMap<DataCentreKey, usize> {
+    fn data_centre_quota<F>(&self, wanted: usize, is_near: F) -> HashMap<DataCentreKey, usize>
+    where
+        F: Fn(&EntryInfo) -> bool,
+    {
         let mut quota: HashMap<DataCentreKey, usize> = HashMap::new();
-        for entry in self.entries.values() {
+        for entry in self.entries.values().filter(|entry| is_near(entry)) {
             quota.insert(entry.data_centre, 0);
         }
         let share = wanted.div_ceil(quota.len().max(1));
@@ -346,7 +399,7 @@
     if hashed.len() <= max_servers || depth == u64::BITS - 1 {
         let mut servers: Vec<ServerKey> = hashed.iter().map(|(_, server)| *server).collect();
         servers.sort_unstable();
-        cells.push(Cell { id: cell_id(scope, path), servers, entries: Vec::new() });
+        cells.push(Cell { id: cell_id(scope, path), servers, region: None, entries: Vec::new() });
         return;
     }
     let bit = 1u64 << (u64::BITS - 1 - depth);
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{HashMap, HashSet};
 
-use flamingowheel_policy::key::{DataCentreKey, EntryKey, ScopeKey, ServerKey, WorkspaceKey};
+use flamingowheel_policy::key::{
+    DataCentreKey, EntryKey, RegionKey, ScopeKey, ServerKey, WorkspaceKey,
+};
 use flamingowheel_policy::subset::{Cells, EntryInfo, SubsetConfig};
 use proptest::prelude::*;
 
@@ -10,6 +12,7 @@
 
 fn entries(count: u64) -> Vec<EntryInfo> {
     let entry = |n| EntryInfo {
+        region: RegionKey(0),
         key: EntryKey::from_name(&format!("entry-{n}")),
         data_centre: DataCentreKey(n % 5),
         weight: 1.0,
--- a/crates/proof/benches/capacity/decisions.rs
+++ b/crates/proof/benches/capacity/decisions.rs
@@ -8,7 +8,7 @@
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_observe::ring::DEFAULT_CAPACITY;
 use flamingowheel_policy::key::{
-    DataCentreKey, EntryKey, Fingerprint, ScopeKey, ServerKey, WorkspaceKey,
+    DataCentreKey, EntryKey, Fingerprint, RegionKey, ScopeKey, ServerKey, WorkspaceKey,
 };
 use flamingowheel_policy::limits::{Limits, SplitConfig, WorkspaceLimits};
 use flamingowheel_policy::load::{Load, LoadBook};
@@ -81,21 +81,29 @@
 
 /// Cells of the whole fleet, as each entry computes them when the membership changes.
 fn subsets() -> Result<(), Failure> {
+    // Three data centres in one region, two in the other.
+    let region = |number: usize| RegionKey(u64::from(number % 5 >= 3));
     let entry = |number: usize| EntryInfo {
         key: EntryKey::from_name(&format!("entry-{number}")),
         data_centre: DataCentreKey(number as u64 % 5),
+        region: region(number),
         weight: 1.0,
         leaving: false,
     };
     let entries: Vec<EntryInfo> = (0..ENTRIES).map(entry).collect();
     const MODELS: usize = 14;
-    let servers = |model: usize| -> Vec<ServerKey> {
+    let servers = |model: usize, within: u64| -> Vec<ServerKey> {
         let own = (0..SERVERS).filter(|server| server % MODELS == model);
+        let own = own.filter(|server| region(*server) == RegionKey(within));
         own.map(|server| ServerKey::from_name(&format!("server-{server}"))).collect()
     };
-    let scopes: Vec<(ScopeKey, Vec<ServerKey>)> =
-        (0..MODELS).map(|model| (ScopeKey(model as u64), servers(model))).collect();
-    let build = || Cells::build(SubsetConfig::default(), &scopes, &entries);
+    let scope = |model: usize, within: u64| {
+        let key = ScopeKey(model as u64).within(RegionKey(within));
+        (key, RegionKey(within), servers(model, within))
+    };
+    let scopes: Vec<(ScopeKey, RegionKey, Vec<ServerKey>)> =
+        (0..MODELS).flat_map(|model| [scope(model, 0), scope(model, 1)]).collect();
+    let build = || Cells::build_within(SubsetConfig::default(), &scopes, &entries);
     let (cells, bytes) = allocated(build);
     print("subset_cells", cells.iter().count() as f64);
     print("subset_bytes_of_fleet", bytes);
@@ -110,7 +118,12 @@
     let own = DataCentreKey(1);
     let answer_us = cpu_us_each(2_000, |round| {
         let workspace = WorkspaceKey(u64::from(round));
-        std::hint::black_box(cells.entries_for(workspace, &[ScopeKey(3)], 1.0, own));
+        std::hint::black_box(cells.entries_for(
+            workspace,
+            &[ScopeKey(3).within(RegionKey(0))],
+            1.0,
+            own,
+        ));
     })?;
     print("subset_answer_cpu_us", answer_us);
     Ok(())
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -113,6 +113,7 @@
         name: format!("entry-{entry}"),
         address: SocketAddr::from(([127, 0, 0, 1], 8080 + entry)),
         data_centre: "a".to_owned(),
+        region: "r".to_owned(),
         leaving: false,
     };
     (0..2).map(member).collect()
