--- a/crates/entry/src/dispatch/keys.rs
+++ b/crates/entry/src/dispatch/keys.rs
@@ -123,12 +123,13 @@
             Verdict::Unknown(why) if why.is_home_gone() => {
                 match home.trace(request, ticket).await {
                     Trace::Answer(answer) => Fate::Archived(answer),
-                    Trace::NeverRan if may_rebind => self.replacement(journey, None),
+                    Trace::NeverRan if may_rebind => self.replacement(journey, None).await,
                     Trace::NeverRan | Trace::None => Fate::Told,
                 }
             }
             Verdict::NotRun(why) if may_rebind && helps_elsewhere(why) => {
-                let Fate::Replaceable(minted) = self.replacement(journey, Some((ticket, why)))
+                let Fate::Replaceable(minted) =
+                    self.replacement(journey, Some((ticket, why))).await
                 else {
                     return Fate::Told;
                 };
@@ -145,13 +146,17 @@
 
     /// A ticket at another backend server than those that refused; at the same one only if nothing
     /// else is left and the old ticket is dead there.
-    fn replacement(&self, journey: &Journey<'_>, refused: Option<(&Ticket, &NotRun)>) -> Fate {
+    async fn replacement(
+        &self,
+        journey: &Journey<'_>,
+        refused: Option<(&Ticket, &NotRun)>,
+    ) -> Fate {
         let request = journey.request;
-        if let Ok(minted) = self.mint_beside(request, &journey.tried) {
+        if let Ok(minted) = self.mint_beside(request, &journey.tried).await {
             return Fate::Replaceable(minted);
         }
         let is_dead = refused.is_none_or(|(_, why)| *why == NotRun::DeadlinePassed);
-        match self.mint(request) {
+        match self.mint(request).await {
             Ok(minted) if is_dead => Fate::Replaceable(minted),
             _ => Fate::Told,
         }
--- a/crates/entry/src/http/keys.rs
+++ b/crates/entry/src/http/keys.rs
@@ -47,7 +47,7 @@
     /// The ticket that the key stands for; a new one if the key is new.
     async fn bind(&self, request: &Request) -> Result<Bound, NotRun> {
         let state = self.state;
-        let minted = state.dispatcher.mint(request)?;
+        let minted = state.dispatcher.mint(request).await?;
         let fingerprint = format!("{:032x}", request.fingerprint.0);
         let claim = Claim::new(minted.to_text(&state.config.fleet_key), fingerprint.clone());
         let workspace = &request.workspace.name;
