Name ranks that are behind, and load a version that failed less often

Cause: a version that one rank can't load was ordered twice a second, each time at the weight store's cost; and nobody could see which ranks were behind.

Change: loads that an engine refused are tried again after 1 s to 60 s, or at once when operators accept something else. GET /v1/groups and status name what a group is to serve, the ranks that don't yet, and the group it waits for.

Measured over four minutes with a rank that refuses: at most 12 tries.

--- a/crates/flamingowheel/src/commands/status.rs
+++ b/crates/flamingowheel/src/commands/status.rs
@@ -135,6 +135,7 @@
         for rank in &group.status.out_of_service {
             let _ = writeln!(text, "OUT OF SERVICE {name} rank {}: {}", rank.rank, rank.reason);
         }
+        text.push_str(&behind(name, &group.status));
     }
     for entry in &fleet.groups_not_asked {
         let _ = writeln!(text, "NOT REACHED {entry}: the groups it coordinates are not shown");
@@ -142,6 +143,24 @@
     text
 }
 
+/// Which ranks don't serve what operators accepted.
+fn behind(name: &str, status: &GroupStatus) -> String {
+    let Some(serving) = status.serving.as_ref().filter(|_| !status.behind.is_empty()) else {
+        return String::new();
+    };
+    let ranks: Vec<String> = status.behind.iter().map(ToString::to_string).collect();
+    let waits = match &status.waits_for {
+        Some(group) => format!("; waits for {group}"),
+        None => String::new(),
+    };
+    format!(
+        "BEHIND {name}: not yet on {} {}: ranks {}{waits}\n",
+        serving.model,
+        serving.version,
+        ranks.join(" ")
+    )
+}
+
 fn activity(activity: Activity) -> &'static str {
     match activity {
         Activity::Following => "following",
--- a/crates/flamingowheel/tests/tool/commands.rs
+++ b/crates/flamingowheel/tests/tool/commands.rs
@@ -62,6 +62,29 @@
     assert_eq!(entry.requests().len(), 2);
 }
 
+// Operators accepted another version, and one group still ends requests of the former while the next
+// waits for it. Without the names an operator can't tell a slow change from one that hangs.
+#[tokio::test]
+async fn status_names_ranks_behind() {
+    let group = |activity: &str, waits_for: Value| {
+        json!({
+            "activity": activity, "map_version": 4, "out_of_service": [], "waits_for": waits_for,
+            "serving": { "model": "runners", "version": "2026-12", "adapters": [] },
+            "behind": [0, 3]
+        })
+    };
+    let groups = json!({
+        "runners-a": group("draining", Value::Null),
+        "runners-b": group("running", json!("runners-a"))
+    });
+    let entry = Entry::default().answers("/v1/groups", groups);
+    let address = entry.listen().await;
+    let mut status = status();
+    status["processes"][0]["operators_address"] = json!(address);
+    entry.answers("/v1/status", status);
+    insta::assert_snapshot!(typing("status", &[address]).await);
+}
+
 #[tokio::test]
 async fn apply_accepted_shows_diff_and_processes() {
     let path = "/v1/config/apply";
--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -6,7 +6,7 @@
 use crate::message::RankError;
 use crate::ranks::Ranks;
 use crate::record::{GroupRecord, RecordError, RecordStore, Stored};
-use crate::retry::Retries;
+use crate::retry::{Pauses, Retries};
 use crate::rollout::Rollout;
 use crate::serve::Wanted;
 use crate::session::{GroupError, Loads, Session, Timing};
@@ -35,6 +35,8 @@
     /// Ranks that don't serve what they are to, as last seen.
     behind: Vec<usize>,
     retries: Retries,
+    /// Between loads of a version that an engine could not load.
+    load_pauses: Pauses,
     rollout: Option<Rollout>,
 }
 
@@ -62,6 +64,7 @@
             trouble_since: BTreeMap::new(),
             behind: Vec::new(),
             retries: Retries::default(),
+            load_pauses: Pauses::default(),
             rollout: None,
         }
     }
@@ -173,18 +176,31 @@
             return Err(GroupError::LeaseLapsed);
         }
         let timing = self.timing;
-        let session = Session {
+        let mut session = Session {
             ranks: &self.ranks,
             records: &self.records,
             lease,
             timing: &timing,
             loads: self.loads.as_ref(),
+            may_load: self.load_pauses.are_over(Instant::now()),
         };
+        let revision = stored.revision;
         let stored = match &mut self.rollout {
             Some(rollout) => rollout.retarget(&session, stored).await?,
             None => stored,
         };
+        if stored.revision != revision {
+            self.load_pauses = Pauses::default();
+            session.may_load = true;
+        }
         let (stored, result) = align(&session, stored).await;
+        match &result {
+            Ok(_) => self.load_pauses = Pauses::default(),
+            Err(GroupError::Rank { error: RankError::NotPossible { .. }, .. }) => {
+                self.load_pauses.failed(Instant::now());
+            }
+            Err(_) => {}
+        }
         let running = matches!(result, Ok(Alignment::Running));
         if let Some(rollout) = self.rollout.as_mut().filter(|_| running)
             && let Some(stored) = rollout.begin(&session, &stored).await?
--- a/crates/group/src/retry.rs
+++ b/crates/group/src/retry.rs
@@ -1,4 +1,4 @@
-//! When a change of map that failed is tried again.
+//! When a change or a load that failed is tried again.
 
 use flamingowheel_platform::orders::ExpertMap;
 use std::time::Duration;
@@ -10,6 +10,27 @@
 /// The longest pause: what was in the way may be gone, and nobody has to tell.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
 
+/// Pauses that grow with each failure.
+#[derive(Debug, Default)]
+pub(crate) struct Pauses {
+    failures: u32,
+    not_before: Option<Instant>,
+}
+
+impl Pauses {
+    /// Whether the next try may begin.
+    pub(crate) fn are_over(&self, now: Instant) -> bool {
+        self.not_before.is_none_or(|begin| begin <= now)
+    }
+
+    /// A try has failed.
+    pub(crate) fn failed(&mut self, now: Instant) {
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(16)).min(LONGEST_PAUSE);
+        self.failures += 1;
+        self.not_before = Some(now + pause);
+    }
+}
+
 /// The wanted map and how its switch has fared.
 ///
 /// A rank that can't load a map would otherwise be told to twice a second, and each try takes from
@@ -17,8 +38,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Retries {
     wanted: Option<ExpertMap>,
-    failures: u32,
-    not_before: Option<Instant>,
+    pauses: Pauses,
 }
 
 impl Retries {
@@ -31,15 +51,13 @@
 
     /// The map to switch to now, if any.
     pub(crate) fn due(&self, in_force: &ExpertMap, now: Instant) -> Option<&ExpertMap> {
-        let is_due = self.not_before.is_none_or(|begin| begin <= now);
+        let is_due = self.pauses.are_over(now);
         self.wanted.as_ref().filter(|map| is_due && *map != in_force)
     }
 
     /// A switch to the wanted map did not get through.
     pub(crate) fn failed(&mut self, now: Instant) {
-        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(16)).min(LONGEST_PAUSE);
-        self.failures += 1;
-        self.not_before = Some(now + pause);
+        self.pauses.failed(now);
     }
 }
 
--- a/crates/group/src/serve.rs
+++ b/crates/group/src/serve.rs
@@ -23,7 +23,7 @@
 /// that all ranks report, used while nobody has named one.
 ///
 /// An adapter that nobody names any more stays until the next version: unloading it would mean to
-/// wait for the requests that use it, and callers can't name it any more anyway.
+/// wait for the requests that use it.
 ///
 /// ```
 /// use flamingowheel_group::record::GroupRecord;
@@ -130,6 +130,12 @@
             hold_all(session, stored.fence()).await?;
         }
     }
+    if let Some((rank, state)) = states.iter().find(|(rank, _)| ranks.contains(rank))
+        && !session.may_load
+    {
+        let version = state.engine.version.clone();
+        return Err(GroupError::Rank { rank: *rank, error: RankError::WrongModel { version } });
+    }
     let loads = states
         .iter()
         .filter(|(rank, _)| ranks.contains(rank))
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -75,6 +75,8 @@
     pub timing: &'a Timing,
     /// Paces loads from the weight store.
     pub loads: Option<&'a Loads>,
+    /// Versions and adapters may be loaded; not right after an engine could not.
+    pub may_load: bool,
 }
 
 /// How loads of expert weights are kept within the weight store's rate.
--- a/crates/group/tests/rollout.rs
+++ b/crates/group/tests/rollout.rs
@@ -125,6 +125,25 @@
     }
 }
 
+/// Operators name a version that one rank can't load. The group takes no work and is named; each try
+/// takes from the weight store's rate, so they grow rarer. Taking the version back is enough.
+#[tokio::test(start_paused = true)]
+async fn rollout_version_that_cannot_be_loaded() {
+    for kind in KINDS {
+        let world = serving(kind).await;
+        world.refuse_loads(1, true);
+        world.accept("bad", &[]);
+        sleep(MINUTE * 4).await;
+        let status = world.status();
+        let named: Vec<usize> = status.out_of_service.iter().map(|out| out.rank).collect();
+        assert_eq!((status.activity, named), (Activity::Held, vec![1]), "{status:?}");
+        assert!((4..=12).contains(&world.refused_loads()), "{}", world.refused_loads());
+        world.accept("1", &[]);
+        sleep(SECOND * 5).await;
+        check_serves_or_named(&world, "1", "taken back").await;
+    }
+}
+
 /// Another group of the model changes its version just now. If both did at once, nobody would serve
 /// the model; its callers would be refused for as long as weights take to load.
 #[tokio::test(start_paused = true)]
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -218,7 +218,7 @@
         self.strike(rank, fault);
     }
 
-    /// Has a rank refuse to load maps.
+    /// Has a rank refuse to load maps and versions.
     pub fn refuse_loads(&self, rank: usize, refuses: bool) {
         self.slots[rank].refuses_loads.store(refuses, Ordering::SeqCst);
     }
@@ -419,7 +419,12 @@
         let gate = self.slots[rank].gate.lock().unwrap().clone();
         let Some(gate) = gate else { return Err(RankError::NoAnswer) };
         let refuses_loads = self.slots[rank].refuses_loads.load(Ordering::SeqCst);
-        if refuses_loads && matches!(request.target, Some(OrderTarget::StageMap { .. })) {
+        if refuses_loads
+            && matches!(
+                request.target,
+                Some(OrderTarget::StageMap { .. } | OrderTarget::Serve { .. })
+            )
+        {
             self.refused_loads.fetch_add(1, Ordering::SeqCst);
             return Err(RankError::NotPossible { reason: "weights can't be read".to_owned() });
         }
--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -55,8 +55,14 @@
     let stored = records.create(GroupRecord::first(ExpertMap::default(), RANKS)).await.unwrap();
     let timing = Timing::default();
     let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
-    let session =
-        Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
+    let session = Session {
+        ranks: &ranks,
+        records: &records,
+        lease: &lease,
+        timing: &timing,
+        loads: None,
+        may_load: true,
+    };
     let held = Switch::take_up(&session, stored).await.unwrap();
     let switched = held.switch().await.unwrap();
     switched.read_back().await.map(drop).map_err(|failure| failure.error)
@@ -111,8 +117,14 @@
     let timing = Timing::default();
     let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
     let ranks = Astray::default();
-    let session =
-        Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
+    let session = Session {
+        ranks: &ranks,
+        records: &records,
+        lease: &lease,
+        timing: &timing,
+        loads: None,
+        may_load: true,
+    };
     let (_, result) = align(&session, stored).await;
     assert!(matches!(result, Ok(Alignment::Waiting { held: true, .. })), "{result:?}");
     assert!(*ranks.held.lock().unwrap());
@@ -132,8 +144,14 @@
     let timing = Timing::default();
     let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
     let ranks = Forgetful::default();
-    let session =
-        Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
+    let session = Session {
+        ranks: &ranks,
+        records: &records,
+        lease: &lease,
+        timing: &timing,
+        loads: None,
+        may_load: true,
+    };
     let (stored, result) = align(&session, stored).await;
     assert!(matches!(result, Ok(Alignment::Running)), "{result:?}");
     assert_eq!(stored.record.phase, Phase::Settled);
