Let the others take work when one agent is gone after a change

Cause: agents that were closed for a change were opened only once all ranks answered; one lost agent would have kept its group from new work.

Change: once the change is settled and the group steps, those that answer are opened.

--- a/crates/group/src/align.rs
+++ b/crates/group/src/align.rs
@@ -58,6 +58,10 @@
         let result = stop_others(session, &stored, &states).await;
         let behind = serve::behind(&states, &stored.record);
         let held = any_held(&states) || !all_use(&states, version);
+        // The change is over and the others step: one agent that is gone keeps none of them closed.
+        if stored.record.phase == Phase::Settled && !held && behind.is_empty() {
+            serve::reopen(session, &stored, &states).await;
+        }
         return (stored, result.map(|()| Alignment::Waiting { ranks: trouble, held, behind }));
     }
     let behind = serve::behind(&states, &stored.record);
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -246,67 +246,6 @@
         self.refused_loads.load(Ordering::SeqCst)
     }
 
-    /// Operators accept a version and adapters of the model.
-    pub fn accept(&self, version: &str, adapters: &[&str]) {
-        let version = Some(version.to_owned());
-        let adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
-        self.wanted.send_replace(Some(Wanted { version, adapters }));
-    }
-
-    /// The requests of a rank.
-    pub fn work(&self, rank: usize) -> &Arc<Traffic> {
-        &self.slots[rank].work
-    }
-
-    /// Keeps all ranks at work, each request taking this long.
-    pub fn run_traffic(self: &Arc<Self>, length: Duration) {
-        let count = self.slots.len() as u32;
-        for (rank, slot) in (0u32..).zip(&self.slots) {
-            let (work, engine) = (Arc::clone(&slot.work), slot.engine.clone());
-            let stop = self.stop.clone();
-            tokio::spawn(async move {
-                // Ranks are out of step with each other.
-                sleep(length * rank / count).await;
-                work.run(engine, length, stop).await;
-            });
-        }
-    }
-
-    /// Answers that began with one version of the model and ended with another.
-    pub fn mixed_answers(&self) -> u32 {
-        self.slots.iter().map(|slot| slot.work.mixed()).sum()
-    }
-
-    /// Ends the processes that don't coordinate.
-    pub fn end_reserve(&self) {
-        let processes = self.processes.lock().unwrap();
-        let reserve = processes.iter().filter(|process| !is_leading(process));
-        reserve.for_each(|process| process.running.abort());
-    }
-
-    /// Messages from coordinators to agents so far.
-    pub fn messages(&self) -> u64 {
-        self.messages.load(Ordering::SeqCst)
-    }
-
-    /// Orders that engines carried out so far.
-    pub fn orders(&self) -> u64 {
-        let count = |slot: &Slot| slot.engine.peek_state().counters.get("orders").copied();
-        self.slots.iter().filter_map(count).sum()
-    }
-
-    /// Whether some rank takes new work.
-    pub fn takes_work(&self) -> bool {
-        self.slots.iter().any(|slot| slot.work.work().is_open)
-    }
-
-    /// Whether every engine serves this version and its agent takes work.
-    pub fn all_serve(&self, version: &str) -> bool {
-        let serves =
-            |slot: &Slot| slot.engine.peek_state().version == version && slot.work.work().is_open;
-        self.slots.iter().all(serves)
-    }
-
     pub fn want(&self, number: u16) {
         self.desired.send_replace(Some(map(number)));
     }
--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -125,6 +125,55 @@
     assert!(*ranks.held.lock().unwrap());
 }
 
+/// Ranks that step with the map in force; the first does not answer, the others are closed.
+#[derive(Default)]
+struct Closed {
+    opened: Mutex<Vec<usize>>,
+}
+
+impl Ranks for Closed {
+    fn count(&self) -> usize {
+        RANKS
+    }
+
+    fn call(
+        &self,
+        rank: usize,
+        request: RankRequest,
+    ) -> BoxFuture<'_, Result<RankState, RankError>> {
+        if rank == 0 {
+            return Box::pin(async { Err(RankError::NoAnswer) });
+        }
+        if request.open == Some(true) {
+            self.opened.lock().unwrap().push(rank);
+        }
+        let engine = EngineState { map_version: 1, ..EngineState::default() };
+        let work = Work { is_open: false, in_progress: 0 };
+        Box::pin(async move { Ok(RankState { incarnation: 1, engine, unresolved: false, work }) })
+    }
+}
+
+async fn opened(phase: Phase) -> Vec<usize> {
+    let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
+    let records = RecordStore::new(Arc::clone(&kv), "g1");
+    let first = GroupRecord::first(ExpertMap::default(), RANKS);
+    let stored = records.create(GroupRecord { phase, ..first }).await.unwrap();
+    let timing = Timing::default();
+    let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
+    let ranks = Closed::default();
+    let (_, result) = align(&session(&ranks, &records, &lease, &timing), stored).await;
+    assert!(matches!(result, Ok(Alignment::Waiting { held: false, .. })), "{result:?}");
+    ranks.opened.into_inner().unwrap()
+}
+
+/// An agent is gone for good right after its group has changed its version. The group steps on, but
+/// its other agents would go on refusing work for want of the last one. In mid-change they must.
+#[tokio::test(start_paused = true)]
+async fn align_opens_the_others_when_a_change_is_over() {
+    assert_eq!(opened(Phase::Settled).await, [1]);
+    assert!(opened(Phase::Rolling).await.is_empty());
+}
+
 /// A coordinator died while it stopped ranks for a new map. Its successor drops that change, in the
 /// record first: ranks resume under the number of that write, so that a late order of the dropped
 /// change can't stop them again.
