Say how test ranks answer in one place

Cause: each stub of a rank in verify.rs was a type of its own. Measured: the tests of the group package pass. Conclusion: a test shows what its ranks answer.

--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -80,32 +80,22 @@
     assert_eq!(read_back(Forgetful { forgets: true, ..Forgetful::default() }).await, Err(expected));
 }
 
-/// Ranks of which the first does not answer and the second steps without a map.
-#[derive(Default)]
-struct Astray {
-    held: Mutex<bool>,
-}
+type Call<'a> = BoxFuture<'a, Result<RankState, RankError>>;
+
+/// Ranks that answer as this says.
+struct By<Answer>(Answer);
 
-impl Ranks for Astray {
+impl<Answer> Ranks for By<Answer>
+where
+    Answer: Fn(usize, &RankRequest) -> Result<RankState, RankError> + Send + Sync + 'static,
+{
     fn count(&self) -> usize {
         RANKS
     }
 
-    fn call(
-        &self,
-        rank: usize,
-        request: RankRequest,
-    ) -> BoxFuture<'_, Result<RankState, RankError>> {
-        if rank == 0 {
-            return Box::pin(async { Err(RankError::NoAnswer) });
-        }
-        let mut held = self.held.lock().unwrap();
-        *held |= request.target == Some(OrderTarget::Hold { after_step: 5 });
-        let held_after_step = held.then_some(5);
-        let engine = EngineState { step: 5, held_after_step, ..EngineState::default() };
-        Box::pin(async move {
-            Ok(RankState { incarnation: 1, engine, unresolved: false, work: Work::default() })
-        })
+    fn call(&self, rank: usize, request: RankRequest) -> Call<'_> {
+        let answer = (self.0)(rank, &request);
+        Box::pin(async move { answer })
     }
 }
 
@@ -118,39 +108,23 @@
     let stored = records.create(GroupRecord::first(ExpertMap::default(), RANKS)).await.unwrap();
     let timing = Timing::default();
     let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
-    let ranks = Astray::default();
+    let held = Arc::new(Mutex::new(false));
+    let holding = Arc::clone(&held);
+    // The first rank does not answer and the second steps without a map.
+    let ranks = By(move |rank, request: &RankRequest| {
+        if rank == 0 {
+            return Err(RankError::NoAnswer);
+        }
+        let mut held = holding.lock().unwrap();
+        *held |= request.target == Some(OrderTarget::Hold { after_step: 5 });
+        let held_after_step = held.then_some(5);
+        let engine = EngineState { step: 5, held_after_step, ..EngineState::default() };
+        Ok(RankState { incarnation: 1, engine, unresolved: false, work: Work::default() })
+    });
     let session = session(&ranks, &records, &lease, &timing);
     let (_, result) = align(&session, stored).await;
     assert!(matches!(result, Ok(Alignment::Waiting { held: true, .. })), "{result:?}");
-    assert!(*ranks.held.lock().unwrap());
-}
-
-/// Ranks that step with the map in force; the first does not answer, the others are closed.
-#[derive(Default)]
-struct Closed {
-    opened: Mutex<Vec<usize>>,
-}
-
-impl Ranks for Closed {
-    fn count(&self) -> usize {
-        RANKS
-    }
-
-    fn call(
-        &self,
-        rank: usize,
-        request: RankRequest,
-    ) -> BoxFuture<'_, Result<RankState, RankError>> {
-        if rank == 0 {
-            return Box::pin(async { Err(RankError::NoAnswer) });
-        }
-        if request.open == Some(true) {
-            self.opened.lock().unwrap().push(rank);
-        }
-        let engine = EngineState { map_version: 1, ..EngineState::default() };
-        let work = Work { is_open: false, in_progress: 0 };
-        Box::pin(async move { Ok(RankState { incarnation: 1, engine, unresolved: false, work }) })
-    }
+    assert!(*held.lock().unwrap());
 }
 
 async fn opened(phase: Phase) -> Vec<usize> {
@@ -160,10 +134,23 @@
     let stored = records.create(GroupRecord { phase, ..first }).await.unwrap();
     let timing = Timing::default();
     let lease = Lease::acquire(&kv, "g1", timing.lease_ttl).await.unwrap().unwrap();
-    let ranks = Closed::default();
+    let opened = Arc::new(Mutex::new(Vec::new()));
+    let noted = Arc::clone(&opened);
+    // The ranks step with the map in force; the first does not answer, the others are closed.
+    let ranks = By(move |rank, request: &RankRequest| {
+        if rank == 0 {
+            return Err(RankError::NoAnswer);
+        }
+        if request.open == Some(true) {
+            noted.lock().unwrap().push(rank);
+        }
+        let engine = EngineState { map_version: 1, ..EngineState::default() };
+        let work = Work { is_open: false, in_progress: 0 };
+        Ok(RankState { incarnation: 1, engine, unresolved: false, work })
+    });
     let (_, result) = align(&session(&ranks, &records, &lease, &timing), stored).await;
     assert!(matches!(result, Ok(Alignment::Waiting { held: false, .. })), "{result:?}");
-    ranks.opened.into_inner().unwrap()
+    opened.lock().unwrap().clone()
 }
 
 /// An agent is gone for good right after its group has changed its version. The group steps on, but
