--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -87,6 +87,7 @@
 pub struct World {
     pub kv: FakeKeyValue,
     pub group: RankGroup,
+    name: &'static str,
     kind: EngineKind,
     sizes: Option<Sizes>,
     wanted: watch::Sender<Option<Wanted>>,
@@ -120,12 +121,28 @@
         Self::start_ranks(kind, sizes, map, RANKS).await
     }
 
+    /// Another group beside those of this service.
+    pub async fn start_beside(kv: FakeKeyValue, group: &'static str) -> Arc<Self> {
+        Self::start_in(kv, group, EngineKind::ChecksFence, None, map(1), RANKS).await
+    }
+
     /// The same with this many ranks.
     pub async fn start_ranks(
         kind: EngineKind,
         sizes: Option<Sizes>,
         map: ExpertMap,
         ranks: usize,
+    ) -> Arc<Self> {
+        Self::start_in(FakeKeyValue::new(), GROUP, kind, sizes, map, ranks).await
+    }
+
+    async fn start_in(
+        kv: FakeKeyValue,
+        name: &'static str,
+        kind: EngineKind,
+        sizes: Option<Sizes>,
+        map: ExpertMap,
+        ranks: usize,
     ) -> Arc<Self> {
         let fence_policy = match kind {
             EngineKind::ChecksFence => FencePolicy::Refuses,
@@ -153,7 +170,8 @@
             work: Arc::default(),
         };
         let world = Arc::new(Self {
-            kv: FakeKeyValue::new(),
+            kv,
+            name,
             kind,
             sizes,
             wanted: watch::Sender::new(None),
@@ -184,7 +202,7 @@
         let link = Link(Arc::clone(self));
         let desired = self.desired.subscribe();
         let mut coordinator =
-            Coordinator::new(Arc::clone(&kv), GROUP, link, Timing::default(), desired);
+            Coordinator::new(Arc::clone(&kv), self.name, link, Timing::default(), desired);
         coordinator = coordinator.with_rollout(Arc::clone(&kv), MODEL, self.wanted.subscribe());
         if let Some(sizes) = self.sizes {
             let member = format!("p{}", self.processes.lock().unwrap().len());
@@ -202,7 +220,7 @@
 
     /// Starts an agent; it stays shut until it has read the group's record.
     async fn start_agent(&self, rank: usize) {
-        let records = RecordStore::new(Arc::new(self.kv.clone()), GROUP);
+        let records = RecordStore::new(Arc::new(self.kv.clone()), self.name);
         let incarnation = self.incarnations.fetch_add(1, Ordering::SeqCst) + 1;
         let engine = &self.slots[rank].engine;
         loop {
@@ -223,7 +241,7 @@
         self.strike(rank, fault);
     }
 
-    /// Has a rank refuse to load maps.
+    /// Has a rank refuse to load maps and versions.
     pub fn refuse_loads(&self, rank: usize, refuses: bool) {
         self.slots[rank].refuses_loads.store(refuses, Ordering::SeqCst);
     }
@@ -233,62 +251,6 @@
         self.refused_loads.load(Ordering::SeqCst)
     }
 
-    /// Operators accept a version and adapters of the model.
-    pub fn accept(&self, version: &str, adapters: &[&str]) {
-        let version = Some(version.to_owned());
-        let adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
-        self.wanted.send_replace(Some(Wanted { version, adapters }));
-    }
-
-    /// The requests of a rank.
-    pub fn work(&self, rank: usize) -> &Arc<Traffic> {
-        &self.slots[rank].work
-    }
-
-    /// Keeps all ranks at work, each request taking this long.
-    pub fn run_traffic(self: &Arc<Self>, length: Duration) {
-        let count = self.slots.len() as u32;
-        for (rank, slot) in (0u32..).zip(&self.slots) {
-            let (work, engine) = (Arc::clone(&slot.work), slot.engine.clone());
-            let stop = self.stop.clone();
-            tokio::spawn(async move {
-                // Ranks are out of step with each other.
-                sleep(length * rank / count).await;
-                work.run(engine, length, stop).await;
-            });
-        }
-    }
-
-    /// Answers that began with one version of the model and ended with another.
-    pub fn mixed_answers(&self) -> u32 {
-        self.slots.iter().map(|slot| slot.work.mixed()).sum()
-    }
-
-    /// Ends the processes that don't coordinate.
-    pub fn end_reserve(&self) {
-        let processes = self.processes.lock().unwrap();
-        let reserve = processes.iter().filter(|process| !is_leading(process));
-        reserve.for_each(|process| process.running.abort());
-    }
-
-    /// Messages from coordinators to agents so far.
-    pub fn messages(&self) -> u64 {
-        self.messages.load(Ordering::SeqCst)
-    }
-
-    /// Orders that engines carried out so far.
-    pub fn orders(&self) -> u64 {
-        let count = |slot: &Slot| slot.engine.peek_state().counters.get("orders").copied();
-        self.slots.iter().filter_map(count).sum()
-    }
-
-    /// Whether every engine serves this version and its agent takes work.
-    pub fn all_serve(&self, version: &str) -> bool {
-        let serves =
-            |slot: &Slot| slot.engine.peek_state().version == version && slot.work.work().is_open;
-        self.slots.iter().all(serves)
-    }
-
     pub fn want(&self, number: u16) {
         self.desired.send_replace(Some(map(number)));
     }
@@ -424,7 +386,12 @@
         let gate = self.slots[rank].gate.lock().unwrap().clone();
         let Some(gate) = gate else { return Err(RankError::NoAnswer) };
         let refuses_loads = self.slots[rank].refuses_loads.load(Ordering::SeqCst);
-        if refuses_loads && matches!(request.target, Some(OrderTarget::StageMap { .. })) {
+        if refuses_loads
+            && matches!(
+                request.target,
+                Some(OrderTarget::StageMap { .. } | OrderTarget::Serve { .. })
+            )
+        {
             self.refused_loads.fetch_add(1, Ordering::SeqCst);
             return Err(RankError::NotPossible { reason: "weights can't be read".to_owned() });
         }
--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -2,7 +2,7 @@
 
 use flamingowheel_group::align::{Alignment, align};
 use flamingowheel_group::intake::Work;
-use flamingowheel_group::lease::Leases;
+use flamingowheel_group::lease::{Lease, Leases};
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::ranks::Ranks;
 use flamingowheel_group::record::{GroupRecord, Phase, RecordStore};
@@ -49,6 +49,15 @@
     }
 }
 
+fn session<'a, Members>(
+    ranks: &'a Members,
+    records: &'a RecordStore,
+    lease: &'a Lease,
+    timing: &'a Timing,
+) -> Session<'a, Members> {
+    Session { ranks, records, lease, timing, loads: None, may_load: true }
+}
+
 async fn read_back(ranks: Forgetful) -> Result<(), GroupError> {
     let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
     let records = RecordStore::new(Arc::clone(&kv), "g1");
@@ -56,8 +65,7 @@
     let timing = Timing::default();
     let lease =
         Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
-    let session =
-        Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
+    let session = session(&ranks, &records, &lease, &timing);
     let held = Switch::take_up(&session, stored).await.unwrap();
     let switched = held.switch().await.unwrap();
     switched.read_back().await.map(drop).map_err(|failure| failure.error)
@@ -73,32 +81,22 @@
     assert_eq!(read_back(Forgetful { forgets: true, ..Forgetful::default() }).await, Err(expected));
 }
 
-/// Ranks of which the first does not answer and the second steps without a map.
-#[derive(Default)]
-struct Astray {
-    held: Mutex<bool>,
-}
+type Call<'a> = BoxFuture<'a, Result<RankState, RankError>>;
+
+/// Ranks that answer as this says.
+struct By<Answer>(Answer);
 
-impl Ranks for Astray {
+impl<Answer> Ranks for By<Answer>
+where
+    Answer: Fn(usize, &RankRequest) -> Result<RankState, RankError> + Send + Sync + 'static,
+{
     fn count(&self) -> usize {
         RANKS
     }
 
-    fn call(
-        &self,
-        rank: usize,
-        request: RankRequest,
-    ) -> BoxFuture<'_, Result<RankState, RankError>> {
-        if rank == 0 {
-            return Box::pin(async { Err(RankError::NoAnswer) });
-        }
-        let mut held = self.held.lock().unwrap();
-        *held |= request.target == Some(OrderTarget::Hold { after_step: 5 });
-        let held_after_step = held.then_some(5);
-        let engine = EngineState { step: 5, held_after_step, ..EngineState::default() };
-        Box::pin(async move {
-            Ok(RankState { incarnation: 1, engine, unresolved: false, work: Work::default() })
-        })
+    fn call(&self, rank: usize, request: RankRequest) -> Call<'_> {
+        let answer = (self.0)(rank, &request);
+        Box::pin(async move { answer })
     }
 }
 
@@ -112,12 +110,58 @@
     let timing = Timing::default();
     let lease =
         Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
-    let ranks = Astray::default();
-    let session =
-        Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
+    let held = Arc::new(Mutex::new(false));
+    let holding = Arc::clone(&held);
+    // The first rank does not answer and the second steps without a map.
+    let ranks = By(move |rank, request: &RankRequest| {
+        if rank == 0 {
+            return Err(RankError::NoAnswer);
+        }
+        let mut held = holding.lock().unwrap();
+        *held |= request.target == Some(OrderTarget::Hold { after_step: 5 });
+        let held_after_step = held.then_some(5);
+        let engine = EngineState { step: 5, held_after_step, ..EngineState::default() };
+        Ok(RankState { incarnation: 1, engine, unresolved: false, work: Work::default() })
+    });
+    let session = session(&ranks, &records, &lease, &timing);
     let (_, result) = align(&session, stored).await;
     assert!(matches!(result, Ok(Alignment::Waiting { held: true, .. })), "{result:?}");
-    assert!(*ranks.held.lock().unwrap());
+    assert!(*held.lock().unwrap());
+}
+
+async fn opened(phase: Phase) -> Vec<usize> {
+    let kv: Arc<dyn KeyValue> = Arc::new(FakeKeyValue::new());
+    let records = RecordStore::new(Arc::clone(&kv), "g1");
+    let first = GroupRecord::first(ExpertMap::default(), RANKS);
+    let stored = records.create(GroupRecord { phase, ..first }).await.unwrap();
+    let timing = Timing::default();
+    let lease =
+        Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
+    let opened = Arc::new(Mutex::new(Vec::new()));
+    let noted = Arc::clone(&opened);
+    // The ranks step with the map in force; the first does not answer, the others are closed.
+    let ranks = By(move |rank, request: &RankRequest| {
+        if rank == 0 {
+            return Err(RankError::NoAnswer);
+        }
+        if request.open == Some(true) {
+            noted.lock().unwrap().push(rank);
+        }
+        let engine = EngineState { map_version: 1, ..EngineState::default() };
+        let work = Work { is_open: false, in_progress: 0 };
+        Ok(RankState { incarnation: 1, engine, unresolved: false, work })
+    });
+    let (_, result) = align(&session(&ranks, &records, &lease, &timing), stored).await;
+    assert!(matches!(result, Ok(Alignment::Waiting { held: false, .. })), "{result:?}");
+    opened.lock().unwrap().clone()
+}
+
+/// An agent is gone for good right after its group has changed its version. The group steps on, but
+/// its other agents would go on refusing work for want of the last one. In mid-change they must.
+#[tokio::test(start_paused = true)]
+async fn align_opens_the_others_when_a_change_is_over() {
+    assert_eq!(opened(Phase::Settled).await, [1]);
+    assert!(opened(Phase::Rolling).await.is_empty());
 }
 
 /// A coordinator died while it stopped ranks for a new map. Its successor drops that change, in the
@@ -135,8 +179,7 @@
     let lease =
         Leases::new(Arc::clone(&kv), timing.lease_ttl).acquire("g1").await.unwrap().unwrap();
     let ranks = Forgetful::default();
-    let session =
-        Session { ranks: &ranks, records: &records, lease: &lease, timing: &timing, loads: None };
+    let session = session(&ranks, &records, &lease, &timing);
     let (stored, result) = align(&session, stored).await;
     assert!(matches!(result, Ok(Alignment::Running)), "{result:?}");
     assert_eq!(stored.record.phase, Phase::Settled);
