Hand callers' keys to few entries that write them

Cause: claims gather at one entry only. With 380 entries hardly two meet, so 650 keys a second were 648 writes a second, beyond the key-value service. Two claims of one key at one moment at one entry: the second was refused. With no answer for 1 s, or a refusal, the entry writes itself. The second claim of a key waits for the next transaction. Who writes decides nothing.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,11 +13,12 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{
-    Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
+    Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender, StoredValue,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -43,6 +44,13 @@
     progress: watch::Sender<Progress>,
     recorder: Recorder,
     lender: OnceLock<Arc<dyn Lender>>,
+    binder: OnceLock<Arc<dyn KeyBinder>>,
+}
+
+/// Binds idempotency keys for other entries.
+pub trait KeyBinder: Send + Sync + 'static {
+    /// Binds one; claim and answer are in the form of the entry's own package.
+    fn bind(&self, claim: StoredValue) -> BoxFuture<'_, StoredValue>;
 }
 
 /// Lends other entries a part of this one's share of a workspace's limits.
@@ -134,6 +142,7 @@
             progress: watch::Sender::default(),
             recorder,
             lender: OnceLock::new(),
+            binder: OnceLock::new(),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -143,6 +152,11 @@
         let _ = self.shared.lender.set(lender);
     }
 
+    /// Says who binds idempotency keys for others; only the first counts.
+    pub fn set_key_binder(&self, binder: Arc<dyn KeyBinder>) {
+        let _ = self.shared.binder.set(binder);
+    }
+
     /// The configuration in force, now and later.
     pub fn effective(&self) -> watch::Receiver<Arc<Effective>> {
         self.shared.effective.subscribe()
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -26,6 +26,7 @@
             PeerRequest::Loan { workspace, borrower, request } => {
                 PeerAnswer::Loan(self.lend(&workspace, &borrower, &request))
             }
+            PeerRequest::BindKey(claim) => PeerAnswer::KeyBound(self.bind_key(claim).await),
         }
     }
 
@@ -37,6 +38,14 @@
         }
     }
 
+    /// Without a binder the answer is empty, and whoever asked binds the key itself.
+    async fn bind_key(&self, claim: StoredValue) -> StoredValue {
+        match self.shared.binder.get() {
+            Some(binder) => binder.bind(claim).await,
+            None => StoredValue(Vec::new()),
+        }
+    }
+
     async fn answer_heartbeat(&self, heartbeat: Heartbeat) -> PeerAnswer {
         let Heartbeat { from, revision, after, hold_ms, news } = heartbeat;
         self.change(|state| {
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::agent::authority;
 use crate::discovery::Discovery;
 use crate::groups::Groups;
+use crate::keys::{EntryBinder, KeyPeers};
 use crate::listen::{ListenLimits, StartError, bind, serve};
 use crate::loans::{EntryLender, borrow};
 use crate::membership::{publish_addresses, publish_configuration};
@@ -104,6 +105,8 @@
         };
         sample(&recorder, &state, &agents);
         node.set_lender(Arc::new(EntryLender(Arc::clone(&state))));
+        node.set_key_binder(Arc::new(EntryBinder(Arc::clone(&state))));
+        state.claims.hand_to(Arc::new(KeyPeers::new(node.clone(), Arc::clone(&peers))));
         let borrower = borrow(node.clone(), Arc::clone(&state), Arc::clone(&peers));
         let discovery = discovery(settings, Arc::clone(&agents));
         let (publisher, stopped, served) = (Arc::clone(&state), stop.clone(), node.clone());
--- a/crates/flamingowheeld/src/lib.rs
+++ b/crates/flamingowheeld/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod entry;
 pub mod groups;
+pub mod keys;
 pub mod listen;
 pub mod loans;
 pub mod membership;
--- a/crates/proof/benches/outage/keys.rs
+++ b/crates/proof/benches/outage/keys.rs
@@ -1,7 +1,7 @@
 //! Calls to the key-value service for callers' idempotency keys.
 
 use crate::Failure;
-use flamingowheel_entry::claims::{Claim, Claims};
+use flamingowheel_entry::claims::{Claim, Claims, Handed, Peers, Settled, writer_of};
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_platform::fake::FakeKeyValue;
@@ -11,6 +11,7 @@
 use flamingowheel_proof::entry::fleet_key;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -18,7 +19,14 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
-const ENTRIES: usize = 8;
+/// A small fleet, and the planned one with and without handing claims to few entries.
+const FLEETS: [Fleet; 3] = [
+    Fleet { name: "8_entries", entries: 8, regions: 1, hands: true },
+    Fleet { name: "380_entries_each_writes", entries: 380, regions: 2, hands: false },
+    Fleet { name: "380_entries", entries: 380, regions: 2, hands: true },
+];
+/// A message between two entries of a region.
+const HAND_TIME: Duration = Duration::from_millis(1);
 const KEYS_PER_S: [u32; 3] = [10, 100, 650];
 const ANSWER_TIMES: [Duration; 3] =
     [Duration::from_millis(2), Duration::from_millis(10), Duration::from_millis(50)];
@@ -28,6 +36,39 @@
 /// Longer than the service's clients wait.
 const SILENT: Duration = Duration::from_secs(3_600);
 
+#[derive(Clone, Copy)]
+struct Fleet {
+    name: &'static str,
+    entries: usize,
+    regions: usize,
+    /// Claims are handed to the entries that write for others.
+    hands: bool,
+}
+
+/// The other entries of a region, in memory.
+struct Region {
+    own: String,
+    entries: Arc<BTreeMap<String, Claims>>,
+    handed: Arc<AtomicU32>,
+}
+
+impl Peers for Region {
+    fn writer(&self) -> Option<String> {
+        let writer = writer_of(&self.own, self.entries.keys().map(String::as_str));
+        (writer != self.own).then(|| writer.to_owned())
+    }
+
+    fn ask<'a>(&'a self, writer: &'a str, handed: &'a Handed) -> BoxFuture<'a, Option<Settled>> {
+        self.handed.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move {
+            sleep(HAND_TIME).await;
+            let settled = self.entries.get(writer)?.settle_for(handed.clone()).await;
+            sleep(HAND_TIME).await;
+            Some(settled)
+        })
+    }
+}
+
 /// What the service is like during a measurement.
 #[derive(Clone, Copy)]
 enum Service {
@@ -93,30 +134,46 @@
 
 /// Measures all rates.
 pub async fn measure(seed: u64) -> Result<(), Failure> {
-    println!("keys_entries={ENTRIES}");
     println!("keys_length_s={}", LENGTH.as_secs());
-    for keys_per_s in KEYS_PER_S {
-        for time in ANSWER_TIMES {
-            let name = format!("keys_{keys_per_s}_per_s_answered_in_{}_ms", time.as_millis());
-            run(seed, &name, keys_per_s, Service::Answers(time)).await?;
+    for fleet in FLEETS {
+        for keys_per_s in KEYS_PER_S {
+            measure_rate(seed, fleet, keys_per_s).await?;
         }
-        let name = format!("keys_{keys_per_s}_per_s_service_refuses");
-        run(seed, &name, keys_per_s, Service::Refuses).await?;
-        let name = format!("keys_{keys_per_s}_per_s_service_silent");
-        run(seed, &name, keys_per_s, Service::Silent).await?;
     }
     Ok(())
 }
 
-async fn run(seed: u64, name: &str, keys_per_s: u32, service: Service) -> Result<(), Failure> {
+async fn measure_rate(seed: u64, fleet: Fleet, keys_per_s: u32) -> Result<(), Failure> {
+    let begin = format!("keys_{}_{keys_per_s}_per_s", fleet.name);
+    for time in ANSWER_TIMES {
+        let name = format!("{begin}_answered_in_{}_ms", time.as_millis());
+        run(seed, fleet, &name, keys_per_s, Service::Answers(time)).await?;
+    }
+    let name = format!("{begin}_service_refuses");
+    run(seed, fleet, &name, keys_per_s, Service::Refuses).await?;
+    let name = format!("{begin}_service_silent");
+    run(seed, fleet, &name, keys_per_s, Service::Silent).await
+}
+
+async fn run(
+    seed: u64,
+    fleet: Fleet,
+    name: &str,
+    keys_per_s: u32,
+    service: Service,
+) -> Result<(), Failure> {
     let kv = FakeKeyValue::new();
     let counting = Counting { kv: kv.clone(), transacts: Arc::default(), others: Arc::default() };
-    let entries: Vec<_> = (0..ENTRIES).map(|entry| start(entry, &counting)).collect();
+    let handed = Arc::new(AtomicU32::new(0));
+    let entries: Vec<_> = (0..fleet.entries).map(|entry| start(entry, &counting)).collect();
     for (number, claims) in entries.iter().enumerate() {
         // An entry in use has a lease already.
         let deadline = Instant::now() + DEADLINE;
         claims.bind("workspace", &format!("first-{number}"), claim(), deadline).await?;
     }
+    if fleet.hands {
+        connect(&entries, fleet.regions, &handed);
+    }
     match service {
         Service::Answers(time) => kv.set_delay(time),
         Service::Refuses => kv.set_down(true),
@@ -128,7 +185,8 @@
     let (mut asked, mut due_s) = (0_u32, 0.0);
     while due_s < LENGTH.as_secs_f64() {
         tokio::time::sleep_until(begin + Duration::from_secs_f64(due_s)).await;
-        let (claims, key) = (entries[rng.random_range(0..ENTRIES)].clone(), format!("key-{asked}"));
+        let (claims, key) =
+            (entries[rng.random_range(0..fleet.entries)].clone(), format!("key-{asked}"));
         calls.spawn(async move {
             let asked = Instant::now();
             let bound = claims.bind("workspace", &key, claim(), asked + DEADLINE).await.is_ok();
@@ -152,6 +210,8 @@
     println!("{name}_bound={bound}");
     println!("{name}_transactions_per_s={:.2}", per_s(0));
     println!("{name}_other_calls_per_s={:.2}", per_s(1));
+    let handed = f64::from(handed.load(Ordering::Relaxed)) / LENGTH.as_secs_f64();
+    println!("{name}_handed_per_s={handed:.2}");
     println!("{name}_wait_p99_ms={}", p99.as_millis());
     // A settled service, so that nothing of this run goes on in the next.
     sleep(Duration::from_secs(5)).await;
@@ -164,9 +224,26 @@
     -(1.0 - uniform).ln() / f64::from(per_s)
 }
 
+/// Lets each entry reach the others of its region.
+fn connect(entries: &[Claims], regions: usize, handed: &Arc<AtomicU32>) {
+    for region in 0..regions {
+        let own = entries.iter().enumerate().skip(region).step_by(regions);
+        let named = own.map(|(entry, claims)| (entry_name(entry), claims.clone()));
+        let peers: Arc<BTreeMap<_, _>> = Arc::new(named.collect());
+        for (name, claims) in peers.iter() {
+            let (own, entries) = (name.clone(), Arc::clone(&peers));
+            claims.hand_to(Arc::new(Region { own, entries, handed: Arc::clone(handed) }));
+        }
+    }
+}
+
+fn entry_name(entry: usize) -> String {
+    format!("entry-{entry}")
+}
+
 fn start(entry: usize, kv: &Counting) -> Claims {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 8080));
-    let config = EntryConfig::new(&format!("entry-{entry}"), "a", address, fleet_key());
+    let config = EntryConfig::new(&entry_name(entry), "a", address, fleet_key());
     Claims::start(Arc::new(kv.clone()), &config)
 }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -155,6 +155,9 @@
         /// What it asks.
         request: LoanRequest,
     },
+    /// Bind a caller's idempotency key, together with those of others. The claim is in the form of
+    /// the entry's own package.
+    BindKey(StoredValue),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -184,6 +187,8 @@
     },
     /// What is lent.
     Loan(Loan),
+    /// What became of the claim.
+    KeyBound(StoredValue),
 }
 
 /// A value in its stored form.
