Bound the bytes of idempotent answers that an agent keeps

Cause: answers kept for resumption were bounded by their number only: 100,000 of 256 KB each, 25 GB. What was kept was a slice of a connection's buffer and held all of it. Change: they count against 192 MiB of their own; at it new idempotent work is refused, and what is kept is not forgotten before its time. An answer that is no event stream is dropped when it was read, since nobody can go on with it. Chunks are copied out of the connection's buffer, as those of tickets were. Measured: two new tests of the agent; the relay's speed was not measured again. Conclusion: kept answers have a bound in bytes, for tickets and for streams.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -35,6 +35,10 @@
     /// Bytes of tickets' answers remembered at most, over all records; new tickets are refused
     /// beyond it. What runs at that moment may exceed it by one answer each.
     pub max_record_bytes: usize,
+    /// Bytes of idempotent work's answers kept for replay at the most, over all records; new
+    /// idempotent work is refused beyond it. What runs at that moment may exceed it by one answer
+    /// each.
+    pub max_attempt_bytes: usize,
     /// Bytes of one answer kept for replay.
     pub max_replay_bytes: usize,
     /// How long idempotent work goes on without anybody attached.
@@ -67,6 +71,7 @@
             max_attempt_records: 100_000,
             max_ticket_records: 100_000,
             max_record_bytes: 64 << 20,
+            max_attempt_bytes: 192 << 20,
             max_replay_bytes: 256 * 1024,
             orphan_limit: Duration::from_secs(10),
         }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -319,6 +319,9 @@
             EntryMessage::Release { attempt, key } => {
                 if let Some(Record::Execution(execution)) = self.records.get(key) {
                     execution.detach(attempt);
+                    if matches!(key, ExecutionKey::Attempt(_)) {
+                        execution.discard_unresumable();
+                    }
                 }
             }
             EntryMessage::Suspicions(records) => {
--- a/crates/agent/src/control/work.rs
+++ b/crates/agent/src/control/work.rs
@@ -142,10 +142,7 @@
             can_resume: self.config.profile.can_resume,
             first_chunk: dispatch.resume_after_chunks,
         };
-        match dispatch.key {
-            ExecutionKey::Attempt(_) => Execution::new(work),
-            ExecutionKey::Ticket { .. } => Execution::counted(work, self.records.stored().clone()),
-        }
+        Execution::new(work, self.records.stored(dispatch.key).clone())
     }
 
     /// A request that may kill the backend server runs with nothing beside it, so that it can't
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -83,7 +83,7 @@
     listeners: Vec<Listener>,
     generations: u64,
     unattended_since: Option<Instant>,
-    stored: Option<StoredBytes>,
+    stored: StoredBytes,
 }
 
 impl Answer {
@@ -95,23 +95,16 @@
         if let Some(chunk) = self.chunks.pop_front() {
             self.kept_bytes -= chunk.len();
             self.first += 1;
-            if let Some(stored) = &self.stored {
-                stored.remove(chunk.len() + CHUNK_OVERHEAD_BYTES);
-            }
+            self.stored.remove(chunk.len() + CHUNK_OVERHEAD_BYTES);
         }
     }
 
     fn keep(&mut self, chunk: Bytes) {
         self.kept_bytes += chunk.len();
-        let chunk = match &self.stored {
-            Some(stored) => {
-                stored.add(chunk.len() + CHUNK_OVERHEAD_BYTES);
-                // What came in is a slice of a connection's buffer; kept for an hour it would hold
-                // all of that buffer, which nobody counts.
-                Bytes::copy_from_slice(&chunk)
-            }
-            None => chunk,
-        };
+        self.stored.add(chunk.len() + CHUNK_OVERHEAD_BYTES);
+        // What came in is a slice of a connection's buffer; kept for minutes it would hold all of that
+        // buffer, which nobody counts.
+        let chunk = Bytes::copy_from_slice(&chunk);
         self.chunks.push_back(chunk);
     }
 
@@ -123,9 +116,7 @@
 
 impl Drop for Answer {
     fn drop(&mut self) {
-        if let Some(stored) = &self.stored {
-            stored.remove(self.kept_bytes + self.chunks.len() * CHUNK_OVERHEAD_BYTES);
-        }
+        self.stored.remove(self.kept_bytes + self.chunks.len() * CHUNK_OVERHEAD_BYTES);
     }
 }
 
@@ -140,17 +131,8 @@
 }
 
 impl Execution {
-    /// An execution that has not begun.
-    pub fn new(work: Work) -> Self {
-        Self::start(work, None)
-    }
-
-    /// The same, whose answer counts as stored for as long as the execution is there.
-    pub fn counted(work: Work, stored: StoredBytes) -> Self {
-        Self::start(work, Some(stored))
-    }
-
-    fn start(work: Work, stored: Option<StoredBytes>) -> Self {
+    /// An execution that has not begun, whose answer counts as stored for as long as it is kept.
+    pub fn new(work: Work, stored: StoredBytes) -> Self {
         let mut answer = Answer::default();
         answer.unattended_since = Some(Instant::now());
         answer.first = work.first_chunk;
@@ -258,6 +240,20 @@
         }
     }
 
+    /// Keeps no chunk of an answer that nobody can ask for again: it was read to its end, and only
+    /// event streams are gone on with through another entry.
+    pub fn discard_unresumable(&self) {
+        let mut answer = self.lock();
+        let is_events =
+            answer.head.as_ref().is_some_and(|(_, kind)| kind.starts_with(EVENT_STREAM));
+        if is_events || answer.ending.is_none() || !answer.listeners.is_empty() {
+            return;
+        }
+        while !answer.chunks.is_empty() {
+            answer.drop_front();
+        }
+    }
+
     /// Notes that all chunks below `next_chunk` arrived.
     pub fn acknowledge(&self, attempt: AttemptId, next_chunk: u64) {
         let mut answer = self.lock();
--- a/crates/agent/src/records.rs
+++ b/crates/agent/src/records.rs
@@ -72,7 +72,9 @@
     max_attempts: usize,
     max_tickets: usize,
     max_bytes: usize,
+    max_attempt_bytes: usize,
     stored: StoredBytes,
+    stored_of_attempts: StoredBytes,
     attempts: Shelf,
     tickets: Shelf,
 }
@@ -88,7 +90,9 @@
             max_attempts: config.max_attempt_records,
             max_tickets: config.max_ticket_records,
             max_bytes: config.max_record_bytes,
+            max_attempt_bytes: config.max_attempt_bytes,
             stored: StoredBytes::default(),
+            stored_of_attempts: StoredBytes::default(),
             attempts: Shelf::default(),
             tickets: Shelf::default(),
         }
@@ -127,14 +131,19 @@
         window < self.shelf(key).oldest || window > self.window()
     }
 
-    /// Files an execution. Attempts always find room, since closing old windows is safe; tickets
-    /// don't, since closing their windows early would break the promised record time.
+    /// Files an execution. The number of attempts always finds room, since closing old windows is
+    /// safe; that of tickets does not, since closing their windows early would break the promised
+    /// record time. Bytes of answers have a bound of their own for either: work orders must not be
+    /// kept out by what others stream.
     pub fn insert(
         &mut self,
         key: ExecutionKey,
         execution: Arc<Execution>,
     ) -> Result<(), RecordsFull> {
         match key {
+            ExecutionKey::Attempt(_) if self.stored_of_attempts.get() >= self.max_attempt_bytes => {
+                return Err(RecordsFull);
+            }
             ExecutionKey::Attempt(_) => self.make_room(),
             ExecutionKey::Ticket { .. } if !self.has_room() => return Err(RecordsFull),
             ExecutionKey::Ticket { .. } => {}
@@ -179,9 +188,12 @@
         self.tickets.oldest
     }
 
-    /// Where the answers of tickets are counted.
-    pub fn stored(&self) -> &StoredBytes {
-        &self.stored
+    /// Where the answer filed under `key` is counted.
+    pub fn stored(&self, key: ExecutionKey) -> &StoredBytes {
+        match key {
+            ExecutionKey::Attempt(_) => &self.stored_of_attempts,
+            ExecutionKey::Ticket { .. } => &self.stored,
+        }
     }
 
     /// Number of records kept.
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -397,3 +397,52 @@
     assert!(matches!(session.next(more[0].attempt).await, AgentMessage::Failed { .. }));
     assert_eq!(service.executions(b"payout 8"), 0);
 }
+
+// Long streams that were read stay for a while, since their callers may go on with them through
+// another entry. At the bound on their bytes new requests are refused, to run elsewhere; what is kept
+// is not forgotten early, work orders are taken, and there is room again once the time is over.
+#[tokio::test(start_paused = true)]
+async fn stream_answers_reach_byte_bound_refused_not_forgotten() {
+    let engine = FakeEngine::new(1, EngineSettings::default());
+    let mut config = config();
+    config.max_attempt_bytes = 1;
+    let mut session = Session::start(engine, config).await;
+    let first = session.request(STREAM);
+    session.dispatch(&first).await;
+    let chunks = session.whole(first.attempt).await;
+    session.send(EntryMessage::Release { attempt: first.attempt, key: first.key }).await;
+    let second = session.request(STREAM);
+    session.dispatch(&second).await;
+    assert_eq!(session.refusal(second.attempt).await, Refusal::RecordsFull);
+    let mut resumed = attach(&first, 0);
+    let other = AttemptId { number: 70_000, ..first.attempt };
+    if let EntryMessage::Attach { attempt, .. } = &mut resumed {
+        *attempt = other;
+    }
+    session.send(resumed).await;
+    assert_eq!(session.whole(other).await, chunks);
+    session.send(EntryMessage::Release { attempt: other, key: first.key }).await;
+    let order = session.order(STREAM, Uuid::now_v7());
+    session.dispatch(&order).await;
+    session.whole(order.attempt).await;
+
+    sleep(Duration::from_secs(140)).await;
+    let mut third = session.request(STREAM);
+    third.window = flamingowheel_protocol::id::Window(15);
+    session.dispatch(&third).await;
+    session.whole(third.attempt).await;
+}
+
+// Answers that are no event streams can't be gone on with, so they take no room once they were read.
+#[tokio::test(start_paused = true)]
+async fn plain_answers_read_take_no_bytes() {
+    let mut config = config();
+    config.max_attempt_bytes = 1;
+    let mut session = Session::start(FakeService::new(1), config).await;
+    for _ in 0..3 {
+        let request = session.request("status");
+        session.dispatch(&request).await;
+        session.whole(request.attempt).await;
+        session.send(EntryMessage::Release { attempt: request.attempt, key: request.key }).await;
+    }
+}
--- a/crates/proof/benches/capacity/links.rs
+++ b/crates/proof/benches/capacity/links.rs
@@ -8,6 +8,7 @@
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::execution::{Ending, Execution, Work};
 use flamingowheel_agent::records::Records;
+use flamingowheel_agent::stored::StoredBytes;
 use flamingowheel_policy::key::Fingerprint;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::id::{ExecutionKey, Incarnation};
@@ -117,13 +118,16 @@
     let region = Region::new(ALLOCATOR);
     let mut records = Records::new(&config);
     for number in 0..count {
-        let execution = Arc::new(Execution::new(Work {
-            fingerprint: Fingerprint(number as u128),
-            idempotent: false,
-            max_replay_bytes: config.max_replay_bytes,
-            can_resume: false,
-            first_chunk: 0,
-        }));
+        let execution = Arc::new(Execution::new(
+            Work {
+                fingerprint: Fingerprint(number as u128),
+                idempotent: false,
+                max_replay_bytes: config.max_replay_bytes,
+                can_resume: false,
+                first_chunk: 0,
+            },
+            StoredBytes::default(),
+        ));
         execution.begin(200, "application/json".to_owned());
         if answer_bytes > 0 {
             execution.push(Bytes::from(vec![b'x'; answer_bytes])).await?;
