Remove the event "forwarded", which nothing records

Cause: it stood for an entry outside a workspace's subset passing a request on. Such an entry serves the request itself, and counts it against the subset's limits. Conclusion: the list of events holds what can happen.

--- a/crates/observe/src/describe.rs
+++ b/crates/observe/src/describe.rs
@@ -25,7 +25,6 @@
                 let repeat = if *idempotent { "idempotent" } else { "not idempotent" };
                 format!("request accepted: {class} class, {repeat}, {deadline_ms} ms to go")
             }
-            Self::Forwarded { entry } => format!("forwarded to {entry}"),
             Self::LimitExceeded { limit, retry_after_ms } => {
                 format!("limit exceeded: {limit}; may return in {retry_after_ms} ms")
             }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -94,8 +94,6 @@
 
     /// An entry took a caller's request.
     RequestAccepted { class: Class, idempotent: bool, deadline_ms: u64 },
-    /// An entry outside the workspace's subset passed a request on.
-    Forwarded { entry: Name },
     /// A limit of the workspace was exceeded.
     LimitExceeded { limit: Limit, retry_after_ms: u64 },
     /// A backend server was chosen for an attempt.
@@ -229,7 +227,7 @@
     /// ```
     /// use flamingowheel_observe::event::Event;
     ///
-    /// assert_eq!(Event::Forwarded { entry: "entry-2".into() }.peer(), Some("entry-2"));
+    /// assert_eq!(Event::ConnectionOpened { peer: "entry-2".into() }.peer(), Some("entry-2"));
     /// ```
     pub fn peer(&self) -> Option<&str> {
         match self {
@@ -246,7 +244,6 @@
             | Self::ConnectionReplaced { peer, .. }
             | Self::ConnectionClosed { peer }
             | Self::ClockDriftIgnored { peer, .. } => Some(peer),
-            Self::Forwarded { entry } => Some(entry),
             Self::MemberChanged { member, .. } => Some(member),
             _ => None,
         }
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -24,7 +24,7 @@
 ///
 /// let recorder = Recorder::for_tests("entry-1");
 /// let request = recorder.about(Subject::default().workspace("roadside"));
-/// request.record(Event::Forwarded { entry: "entry-2".into() });
+/// request.record(Event::ConnectionOpened { peer: "runner-2".into() });
 /// assert_eq!(recorder.answer(&EventQuery::default()).events.len(), 1);
 /// ```
 #[derive(Clone)]
--- a/crates/observe/tests/recorder.rs
+++ b/crates/observe/tests/recorder.rs
@@ -82,7 +82,7 @@
     let (recorder, wall) = recorder(16);
     let request = Uuid::from_u128(7);
     let about = recorder.about(Subject::request(request).workspace("roadside"));
-    about.record(Event::Forwarded { entry: "entry-2".into() });
+    about.record(Event::ConnectionOpened { peer: "entry-2".into() });
     wall.set_ms(9_000);
     recorder.record_about(&Subject::default().group("runners-a"), lease_lost());
 
