Count requests that are refused before their dispatch

Cause: `requests_total` is fed by events of requests that have an identity. Refusals for token, route, size, limit or key come before that and were in no metric, so a workspace whose every call was refused looked idle. Measured: `intake_refusals_are_counted` passes.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -3,6 +3,7 @@
 use crate::attempt::AttemptEnd;
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::request::Request;
+use flamingowheel_config::effective::EffectiveWorkspace;
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::reason::{
     Class, NotRunReason, RefusalReason, RetryDenial, RetryReason, UnknownReason,
@@ -23,7 +24,12 @@
 
 /// The class under which a request is counted.
 pub fn class(request: &Request) -> Class {
-    match request.workspace.parameters.priority {
+    class_of(&request.workspace)
+}
+
+/// The same, of a workspace.
+pub fn class_of(workspace: &EffectiveWorkspace) -> Class {
+    match workspace.parameters.priority {
         HIGH_PRIORITY.. => Class::High,
         NORMAL_PRIORITY.. => Class::Normal,
         _ => Class::Low,
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -1,6 +1,8 @@
 //! Tells callers the outcome of their requests.
 
 use crate::attempt::Piece;
+use crate::events;
+use crate::http::intake;
 use crate::http::{ATTEMPTS_HEADER, OUTCOME_HEADER, REQUEST_HEADER, STREAM_HEADER, TICKET_HEADER};
 use crate::outcome::{NotRun, Unknown, Verdict};
 use crate::state::{EntryState, Hold};
@@ -72,6 +74,15 @@
     give_verdict(&not_run.into(), None, None)
 }
 
+/// The same of a request for work, which counts as ended. It has no identity and so no time line;
+/// without this a workspace whose every call is refused would not show in the metrics.
+pub fn refuse_request(state: &EntryState, headers: &HeaderMap, not_run: NotRun) -> Response {
+    let workspace = intake::workspace(state, headers).ok();
+    let class = workspace.map(|workspace| events::class_of(&workspace));
+    state.recorder.metrics().request_refused(class);
+    refuse(not_run)
+}
+
 /// Answers a request with what became of it.
 pub async fn respond(
     result: Result<Answer, Verdict>,
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -1,7 +1,7 @@
 //! OpenAI-style chat completions.
 
 use crate::agents::Target;
-use crate::http::answer::{BYTES_PER_TOKEN, Told, refuse, respond};
+use crate::http::answer::{BYTES_PER_TOKEN, Told, refuse_request, respond};
 use crate::http::{CHAT_PATH, RESUMABLE_HEADER, intake};
 use crate::limits::Permit;
 use crate::outcome::{MalformedRequest, NotRun};
@@ -35,7 +35,7 @@
     let in_progress = state.in_progress.enter();
     let (request, permit) = match read(&state, &headers, body).await {
         Ok(read) => read,
-        Err(not_run) => return refuse(not_run),
+        Err(not_run) => return refuse_request(&state, &headers, not_run),
     };
     let hold = Hold { in_progress, permit };
     let resumable = headers.get(RESUMABLE_HEADER).is_some_and(|value| value == "yes");
--- a/crates/entry/src/http/keys.rs
+++ b/crates/entry/src/http/keys.rs
@@ -3,10 +3,11 @@
 use crate::claims::{Claim, ClaimError};
 use crate::dispatch::keys::{Bound, KeyEnd, KeyHome};
 use crate::events;
-use crate::http::answer::{Told, give_archived, refuse, respond};
+use crate::http::answer::{Told, give_archived, refuse_request, respond};
 use crate::outcome::{NotRun, TicketRefusal};
 use crate::request::Request;
 use crate::state::{EntryState, Hold};
+use axum::http::HeaderMap;
 use axum::response::Response;
 use flamingowheel_observe::event::Event;
 use flamingowheel_platform::BoxFuture;
@@ -15,11 +16,17 @@
 use std::sync::Arc;
 
 /// Runs a call under the ticket that the key stands for.
-pub async fn run(state: &Arc<EntryState>, request: Request, key: String, hold: Hold) -> Response {
+pub async fn run(
+    state: &Arc<EntryState>,
+    request: Request,
+    key: String,
+    headers: &HeaderMap,
+    hold: Hold,
+) -> Response {
     let home = Home { state, key };
     let bound = match home.bind(&request).await {
         Ok(bound) => bound,
-        Err(not_run) => return refuse(not_run),
+        Err(not_run) => return refuse_request(state, headers, not_run),
     };
     let (id, subject) = (request.id, events::subject(&request));
     let (end, ticket) = state.dispatcher.run_key(request, bound, &home).await;
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -2,7 +2,7 @@
 
 use crate::agents::Target;
 use crate::events;
-use crate::http::answer::{Told, give_archived, give_verdict, refuse, respond};
+use crate::http::answer::{Told, give_archived, give_verdict, refuse_request, respond};
 use crate::http::keys;
 use crate::http::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER, intake};
 use crate::outcome::{MalformedRequest, NotRun, TicketRefusal, Verdict};
@@ -32,18 +32,18 @@
     let called = Called { service, path: format!("/{path}"), method, uri };
     let request = match read(&state, &headers, called, body).await {
         Ok(request) => request,
-        Err(not_run) => return refuse(not_run),
+        Err(not_run) => return refuse_request(&state, &headers, not_run),
     };
     let permit = match state.admit(&request.workspace, 0.0, 0.0).await {
         Ok(permit) => permit,
-        Err(not_run) => return refuse(not_run),
+        Err(not_run) => return refuse_request(&state, &headers, not_run),
     };
     let hold = Hold { in_progress, permit };
     match permission(&state, &headers, &request) {
         Ok(Permission::Ticket(ticket)) => run_ticket(&state, request, ticket, hold).await,
-        Ok(Permission::Key(key)) => keys::run(&state, request, key, hold).await,
+        Ok(Permission::Key(key)) => keys::run(&state, request, key, &headers, hold).await,
         Ok(Permission::Free) => run(&state, request, hold).await,
-        Err(not_run) => refuse(not_run),
+        Err(not_run) => refuse_request(&state, &headers, not_run),
     }
 }
 
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -200,6 +200,23 @@
         }
     }
 
+    /// Counts a request that was refused before it had an identity; `None` if its workspace is not
+    /// known, and so not its class.
+    ///
+    /// ```
+    /// use flamingowheel_observe::metrics::Metrics;
+    ///
+    /// let metrics = Metrics::new()?;
+    /// metrics.request_refused(None);
+    /// let line = r#"flamingowheel_requests_total{class="none",outcome="not_run"} 1"#;
+    /// assert!(metrics.encode()?.contains(line));
+    /// # Ok::<(), flamingowheel_observe::metrics::MetricsError>(())
+    /// ```
+    pub fn request_refused(&self, class: Option<Class>) {
+        let class = class.map_or("none", Class::as_str);
+        self.shared.requests.with_label_values(&[class, Outcome::NotRun.as_str()]).inc();
+    }
+
     fn request_ended(&self, class: Class, outcome: Outcome) {
         self.shared.requests.with_label_values(&[class.as_str(), outcome.as_str()]).inc();
     }
--- a/crates/proof/tests/intake.rs
+++ b/crates/proof/tests/intake.rs
@@ -58,6 +58,29 @@
     assert_refusal(&refused(&world, ticket).await, StatusCode::BAD_REQUEST, "ticket");
 }
 
+// Every call of a workspace is refused before it is dispatched, and strangers knock. Operators must see
+// both in the metrics, and apart.
+#[tokio::test(start_paused = true)]
+async fn intake_refusals_are_counted() {
+    let world = World::start(None).await;
+    for _ in 0..2 {
+        let stranger = request("POST", CHAT_PATH, "withdrawn").body(chat(MODEL)).unwrap();
+        refused(&world, stranger).await;
+    }
+    let model = request("POST", CHAT_PATH, TOKEN).body(chat("other")).unwrap();
+    refused(&world, model).await;
+    let orders = format!("/v1/services/{SERVICE}/orders");
+    let large = request("POST", &orders, TOKEN).body(Body::from(vec![b' '; TOO_LARGE])).unwrap();
+    refused(&world, large).await;
+    let metrics = world.entry(0).recorder.metrics().encode().unwrap();
+    let count = |class: &str| {
+        let name = format!(r#"requests_total{{class="{class}",outcome="not_run"}} "#);
+        metrics.split(&name).nth(1).and_then(|rest| rest.lines().next()).map(str::to_owned)
+    };
+    assert_eq!(count("none").as_deref(), Some("2"));
+    assert_eq!(count("normal").as_deref(), Some("2"));
+}
+
 // A body that is larger than an entry holds must not fill its memory.
 #[tokio::test(start_paused = true)]
 async fn intake_body_too_large() {
