--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -14,12 +14,13 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::message::Hello;
 use flamingowheel_protocol::peer::{
-    AgentRecord, Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
+    AgentRecord, Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender, StoredValue,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -45,6 +46,13 @@
     progress: watch::Sender<Progress>,
     recorder: Recorder,
     lender: OnceLock<Arc<dyn Lender>>,
+    binder: OnceLock<Arc<dyn KeyBinder>>,
+}
+
+/// Binds idempotency keys for other entries.
+pub trait KeyBinder: Send + Sync + 'static {
+    /// Binds one; claim and answer are in the form of the entry's own package.
+    fn bind(&self, claim: StoredValue) -> BoxFuture<'_, StoredValue>;
 }
 
 /// Lends other entries a part of this one's share of a workspace's limits.
@@ -150,6 +158,7 @@
             progress: watch::Sender::default(),
             recorder,
             lender: OnceLock::new(),
+            binder: OnceLock::new(),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -159,6 +168,11 @@
         let _ = self.shared.lender.set(lender);
     }
 
+    /// Says who binds idempotency keys for others; only the first counts.
+    pub fn set_key_binder(&self, binder: Arc<dyn KeyBinder>) {
+        let _ = self.shared.binder.set(binder);
+    }
+
     /// The configuration in force, now and later.
     pub fn effective(&self) -> watch::Receiver<Arc<Effective>> {
         self.shared.effective.subscribe()
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -197,6 +197,9 @@
         /// What it asks.
         request: LoanRequest,
     },
+    /// Bind a caller's idempotency key, together with those of others. The claim is in the form of
+    /// the entry's own package.
+    BindKey(StoredValue),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -227,6 +230,8 @@
     },
     /// What is lent.
     Loan(Loan),
+    /// What became of the claim.
+    KeyBound(StoredValue),
 }
 
 /// A value in its stored form.
