--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,10 +1,10 @@
 //! The control state of one entry, and its answers to peers.
 
+mod agents;
 mod answers;
 mod random;
 mod suspicion;
 
-use crate::directory::precedence;
 use crate::duties::Duties;
 use crate::membership::{Observation, Table};
 use flamingowheel_config::api::ConfigSource;
@@ -17,9 +17,8 @@
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
-use flamingowheel_protocol::message::Hello;
 use flamingowheel_protocol::peer::{
-    AgentRecord, Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
+    Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -317,51 +316,6 @@
         }
     }
 
-    /// The same for a peer that is met once in a while: by digests, since what changed in between
-    /// may be most of the directory.
-    pub(crate) fn comparing_heartbeat(&self, peer: &str) -> Heartbeat {
-        let mut heartbeat = self.heartbeat(Some(peer), Duration::ZERO);
-        heartbeat.news.agents.clear();
-        heartbeat.agent_digests = self.state().table.directory().digests().to_vec();
-        heartbeat
-    }
-
-    /// What a peer lacks of the directory by its answer to digests.
-    pub(crate) fn agents_lacking(&self, answer: &HeartbeatAnswer) -> Vec<AgentRecord> {
-        if answer.agent_parts.is_empty() {
-            return Vec::new();
-        }
-        let theirs: HashMap<&str, &AgentRecord> =
-            answer.news.agents.iter().map(|record| (record.name.as_str(), record)).collect();
-        let own = self.state().table.directory().parts(&answer.agent_parts);
-        let lacks = |record: &AgentRecord| {
-            let known = theirs.get(record.name.as_str());
-            known.is_none_or(|known| precedence(known) < precedence(record))
-        };
-        own.into_iter().filter(lacks).collect()
-    }
-
-    /// Every agent known of that is not gone.
-    pub fn agents(&self) -> Vec<Arc<AgentRecord>> {
-        self.state().table.directory().agents().cloned().collect()
-    }
-
-    /// An agent process introduced itself at this address.
-    pub fn met_agent(&self, address: std::net::SocketAddr, hello: &Hello) {
-        self.change_table(|table| {
-            table.met_agent(address, hello, Instant::now());
-            Vec::new()
-        });
-    }
-
-    /// Notes that an agent is leaving or gone.
-    pub fn worsen_agent(&self, name: &str, state: MemberState) {
-        self.change_table(|table| {
-            table.worsen_agent(name, state, Instant::now());
-            Vec::new()
-        });
-    }
-
     /// Takes a peer's answer; `told` is the own table version that the heartbeat was made at.
     pub fn take_answer(&self, answer: HeartbeatAnswer, told: u64) -> Followup {
         let offered = ConfigRevision(answer.revision);
--- /dev/null
+++ b/crates/control/src/node/agents.rs
@@ -0,0 +1,58 @@
+//! The directory of agents as a node keeps it.
+
+use super::Node;
+use crate::directory::precedence;
+use flamingowheel_protocol::message::Hello;
+use flamingowheel_protocol::peer::{AgentRecord, Heartbeat, HeartbeatAnswer, MemberState};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl Node {
+    /// The same for a peer that is met once in a while: by digests, since what changed in between
+    /// may be most of the directory.
+    pub(crate) fn comparing_heartbeat(&self, peer: &str) -> Heartbeat {
+        let mut heartbeat = self.heartbeat(Some(peer), Duration::ZERO);
+        heartbeat.news.agents.clear();
+        heartbeat.agent_digests = self.state().table.directory().digests().to_vec();
+        heartbeat
+    }
+
+    /// What a peer lacks of the directory by its answer to digests.
+    pub(crate) fn agents_lacking(&self, answer: &HeartbeatAnswer) -> Vec<AgentRecord> {
+        if answer.agent_parts.is_empty() {
+            return Vec::new();
+        }
+        let theirs: HashMap<&str, &AgentRecord> =
+            answer.news.agents.iter().map(|record| (record.name.as_str(), record)).collect();
+        let own = self.state().table.directory().parts(&answer.agent_parts);
+        let lacks = |record: &AgentRecord| {
+            let known = theirs.get(record.name.as_str());
+            known.is_none_or(|known| precedence(known) < precedence(record))
+        };
+        own.into_iter().filter(lacks).collect()
+    }
+
+    /// Every agent known of that is not gone.
+    pub fn agents(&self) -> Vec<Arc<AgentRecord>> {
+        self.state().table.directory().agents().cloned().collect()
+    }
+
+    /// An agent process introduced itself at this address.
+    pub fn met_agent(&self, address: SocketAddr, hello: &Hello) {
+        self.change_table(|table| {
+            table.met_agent(address, hello, Instant::now());
+            Vec::new()
+        });
+    }
+
+    /// Notes that an agent is leaving or gone.
+    pub fn worsen_agent(&self, name: &str, state: MemberState) {
+        self.change_table(|table| {
+            table.worsen_agent(name, state, Instant::now());
+            Vec::new()
+        });
+    }
+}
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -177,3 +177,30 @@
         assert!(!no_scope.is_empty());
     }
 }
+
+/// Three of the five data centres are in one region, two in another.
+fn of_two_regions(count: u64) -> Vec<EntryInfo> {
+    let region = |entry: &EntryInfo| RegionKey(u64::from(entry.data_centre.0 >= 3));
+    entries(count).iter().map(|entry| EntryInfo { region: region(entry), ..*entry }).collect()
+}
+
+// Links between regions are slow and may all break at once. A cell must not need them while its
+// own region has entries, and must not be without entries if it has none.
+#[test]
+fn build_within_region_stays_near() {
+    let entries = of_two_regions(60);
+    let servers = servers(300);
+    let scope = |region: u64| {
+        let region = RegionKey(region);
+        (SCOPE.within(region), region, servers.clone())
+    };
+    let scopes = [scope(0), scope(1), scope(7)];
+    let cells = Cells::build_within(SubsetConfig::default(), &scopes, &entries);
+    let region_of = |key: &EntryKey| entries.iter().find(|entry| entry.key == *key).unwrap().region;
+    for cell in cells.iter() {
+        assert!(cell.entries.len() >= 8, "{cell:?}");
+        let region = cell.region.unwrap();
+        let near = cell.entries.iter().filter(|entry| region_of(entry) == region).count();
+        assert!(region == RegionKey(7) || near == cell.entries.len(), "{cell:?}");
+    }
+}
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -9,6 +9,8 @@
 mod configuration;
 #[path = "capacity/decisions.rs"]
 mod decisions;
+#[path = "capacity/directory.rs"]
+mod directory;
 #[path = "capacity/links.rs"]
 mod links;
 #[path = "capacity/membership.rs"]
@@ -41,6 +43,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     configuration::measure()?;
     runtime.block_on(membership::measure())?;
+    directory::measure()?;
     runtime.block_on(links::measure())?;
     decisions::measure()?;
     wire::measure()
--- a/crates/proof/tests/cells.rs
+++ b/crates/proof/tests/cells.rs
@@ -1,8 +1,9 @@
 //! Agents outside an entry's cells, and cells that change while work runs.
 
 use bytes::Bytes;
-use flamingowheel_entry::agents::AgentVm;
+use flamingowheel_entry::agents::{AgentVm, Target};
 use flamingowheel_entry::links::IDLE_LIMIT;
+use flamingowheel_policy::key::Fingerprint;
 use flamingowheel_proof::caller::Told;
 use flamingowheel_proof::entry::MODEL;
 use flamingowheel_proof::oracle::{Kind, Runs};
@@ -91,12 +92,12 @@
 #[tokio::test(start_paused = true)]
 async fn cells_change_stream_goes_on() {
     let mut world = World::start(None).await;
-    let index = world.ask(0, Kind::Chat, chat(200), TIMEOUT_MS);
+    let index = world.ask(0, Kind::Chat, chat(900), TIMEOUT_MS);
     sleep(Duration::from_secs(2)).await;
     world.entry(0).agents.set_vms(&[]);
     sleep(Duration::from_secs(2)).await;
     world.network.cut_all();
-    for _ in 0..40 {
+    for _ in 0..60 {
         sleep(Duration::from_secs(1)).await;
         world.entry(0).agents.set_vms(&[]);
     }
@@ -136,3 +137,18 @@
     assert!(matches!(told(&world, other), Told::Complete(_)), "{:?}", told(&world, other));
     world.settle().await.unwrap();
 }
+
+// Copies of a request that crashes backend servers come through two entries of different cells.
+// Both must choose the same backend server, or each copy takes down another one.
+#[tokio::test(start_paused = true)]
+async fn route_alone_other_cells_same_server() {
+    let world = world_with_bare_entry().await;
+    let target = Target::Model(MODEL.to_owned());
+    for number in 0..20 {
+        let alone = |entry: usize| {
+            let routes = &world.entry(entry).routes;
+            routes.route_alone(&target, Fingerprint(number), &[]).unwrap().0
+        };
+        assert_eq!(alone(0), alone(1));
+    }
+}
