--- a/crates/proof/src/backend.rs
+++ b/crates/proof/src/backend.rs
@@ -65,6 +65,22 @@
         let _ = paused.wait_for(|paused| !paused).await;
     }
 
+    /// Runs what the process does; nothing of it runs while the process is paused.
+    pub async fn run<F>(self, work: F)
+    where
+        F: Future<Output = ()>,
+    {
+        tokio::pin!(work);
+        loop {
+            self.awake().await;
+            tokio::select! {
+                biased;
+                () = self.paused() => {}
+                () = &mut work => return,
+            }
+        }
+    }
+
     /// Runs a call of the process to the outside. Killed, it never returns to its caller; the
     /// call is dropped, as the kernel closes a dead process's sockets.
     pub async fn outside<F>(&self, call: F) -> F::Output
--- a/crates/proof/src/entry.rs
+++ b/crates/proof/src/entry.rs
@@ -63,6 +63,9 @@
     pub routes: Arc<Routes>,
     /// Its events.
     pub recorder: Recorder,
+    /// Whether it was told to leave; it then takes no new requests.
+    pub leaving: bool,
+    state: Arc<EntryState>,
 }
 
 impl Entry {
@@ -107,8 +110,26 @@
             limiter: Arc::new(Limiter::new(EntryKey::from_name(name))),
             config,
         };
-        let router = flamingowheel_entry::http::router(Arc::new(state));
-        Self { fate, router, agents, routes, recorder }
+        let state = Arc::new(state);
+        let router = flamingowheel_entry::http::router(Arc::clone(&state));
+        Self { fate, router, agents, routes, recorder, leaving: false, state }
+    }
+
+    /// Tells it to leave.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.state.node.leave();
+    }
+
+    /// Whether it has no request in progress.
+    pub fn is_drained(&self) -> bool {
+        self.state.in_progress.get() == 0
+    }
+
+    /// Ends the process, planned or not: nothing more comes from it.
+    pub fn end(&self) {
+        self.fate.kill();
+        self.agents.set_vms(&[]);
     }
 }
 
--- a/crates/proof/src/machine.rs
+++ b/crates/proof/src/machine.rs
@@ -46,6 +46,14 @@
         /// The work.
         work: usize,
     },
+    /// The key-value service is down for a while, and meanwhile an order comes under a key of the
+    /// caller's own and is sent again through the other entry.
+    KeyInOutage {
+        /// The entry asked first.
+        entry: usize,
+        /// How long the service is down.
+        ms: u64,
+    },
     /// Time passes.
     Pass {
         /// How much.
@@ -89,8 +97,16 @@
     ResumeAgent(usize),
     /// An agent is told to leave.
     Leave(usize),
+    /// A VM dies and another comes at the same address: agent and backend server are new.
+    ReplaceVm(usize),
     /// An entry process dies and another takes its place.
     ReplaceEntry(usize),
+    /// An entry process dies and nothing takes its place yet.
+    KillEntry(usize),
+    /// An entry process starts, if none runs.
+    StartEntry(usize),
+    /// An entry is told to leave; once its requests have ended another takes its place.
+    LeaveEntry(usize),
     /// Every connection breaks.
     CutConnections,
     /// Every connection goes silent for good.
@@ -135,6 +151,8 @@
             1 => (0..ENTRIES, 0..64usize).prop_map(|(entry, work)| Step::Void { entry, work }),
             6 => prop_oneof![1..60u64, 100..900u64, 1_000..6_000u64]
                 .prop_map(|ms| Step::Pass { ms }),
+            1 => (0..ENTRIES, prop_oneof![50..900u64, 1_000..9_000u64])
+                .prop_map(|(entry, ms)| Step::KeyInOutage { entry, ms }),
             4 => (direction(), message_fault())
                 .prop_map(|(direction, fault)| Step::Message(direction, fault)),
             5 => happening().prop_map(Step::Event),
@@ -179,7 +197,11 @@
         1 => (0..SERVERS).prop_map(PauseAgent),
         2 => (0..SERVERS).prop_map(ResumeAgent),
         1 => (0..SERVERS).prop_map(Leave),
+        1 => (0..SERVERS).prop_map(ReplaceVm),
         1 => (0..ENTRIES).prop_map(ReplaceEntry),
+        1 => (0..ENTRIES).prop_map(KillEntry),
+        2 => (0..ENTRIES).prop_map(StartEntry),
+        1 => (0..ENTRIES).prop_map(LeaveEntry),
         1 => Just(CutConnections),
         1 => Just(SilenceConnections),
         2 => (0..SERVICES).prop_map(CrashService),
@@ -216,6 +238,7 @@
     fn step(&mut self, step: &Step) -> Result<(), Violation> {
         let Self { runtime, world, asked } = self;
         runtime.block_on(async {
+            world.replace_left_entries();
             take(world, asked, step).await;
             tokio::time::sleep(STEP_TIME).await;
         });
@@ -240,6 +263,10 @@
             world.void(*entry, work % world.ledger.len(), 2_000);
         }
         Step::Resend { .. } | Step::Void { .. } => {}
+        Step::KeyInOutage { entry, ms } => {
+            *asked += 1;
+            key_in_outage(world, *entry, *asked, Duration::from_millis(*ms)).await;
+        }
         Step::Pass { ms } => tokio::time::sleep(Duration::from_millis(*ms)).await,
         Step::Message(direction, fault) => world.network.fault(*direction, *fault),
         Step::Event(happening) => happen(world, *happening).await,
@@ -271,6 +298,16 @@
     }
 }
 
+async fn key_in_outage(world: &mut World, entry: usize, number: usize, time: Duration) {
+    let body = Bytes::from(format!("work {number}"));
+    world.kv.set_down(true);
+    let work = world.ask_with_key(entry, body, 8_000);
+    tokio::time::sleep(time / 2).await;
+    world.resend((entry + 1) % ENTRIES, work, 8_000);
+    tokio::time::sleep(time / 2).await;
+    world.kv.set_down(false);
+}
+
 fn chat(number: usize, tokens: u64, stream: bool) -> Bytes {
     let body = serde_json::json!({
         "model": MODEL, "max_tokens": tokens, "stream": stream, "prompt": format!("work {number}"),
@@ -289,6 +326,10 @@
         Happening::PauseAgent(server) => world.pause_agent(server, true),
         Happening::ResumeAgent(server) => world.pause_agent(server, false),
         Happening::Leave(server) => world.leave(server).await,
+        Happening::ReplaceVm(server) => world.replace_vm(server).await,
+        Happening::KillEntry(entry) => world.kill_entry(entry),
+        Happening::StartEntry(entry) => world.start_entry(entry),
+        Happening::LeaveEntry(entry) => world.leave_entry(entry),
         Happening::ReplaceEntry(entry) => world.replace_entry(entry),
         Happening::CutConnections => world.network.cut_all(),
         Happening::SilenceConnections => world.network.silence_all(),
--- /dev/null
+++ b/crates/proof/src/matrix/load.rs
@@ -0,0 +1,232 @@
+//! Cells of a model load: an order to serve another version, through an agent's gate.
+//!
+//! A coordinating process sends it under the number of the record that it wrote. Once it was told
+//! something, or its time is up, another takes over and orders a third version until it is told
+//! that this is served; from then on the engine must serve nothing else.
+
+use super::control::{LATE, call_fault, strike_key_value};
+use super::run::{OUTAGE_TIME, PAIR_TIME, Seen};
+use super::{Fault, Outcome};
+use crate::backend::Fate;
+use crate::group::GroupViolation;
+use crate::group::fleet::{Fleet, Link};
+use flamingowheel_group::gate::EngineKind;
+use flamingowheel_group::message::{RankError, RankRequest, RankState};
+use flamingowheel_group::ranks::Ranks;
+use flamingowheel_group::record::{GroupRecord, RecordStore, Stored};
+use flamingowheel_platform::fake::{EngineSettings, LostOrder};
+use flamingowheel_platform::orders::OrderTarget;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+/// The rank that gets the order.
+const RANK: usize = 0;
+const MESSAGE_TIME: Duration = Duration::from_millis(5);
+/// Time that the weights take.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+/// The load is under way after this time.
+const LOADING_AFTER: Duration = Duration::from_millis(500);
+/// How long a coordinating process waits for an answer.
+const ORDER_LIMIT: Duration = Duration::from_secs(5);
+/// A process that gets no answer reads the rank's state this often.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Within this time after the last fault a new order is carried out.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(30);
+/// How long the engine is watched afterwards, and how often.
+const WATCH: (Duration, Duration) = (Duration::from_secs(60), Duration::from_millis(100));
+
+const FIRST_VERSION: &str = "1";
+const SECOND_VERSION: &str = "2";
+const LAST_VERSION: &str = "3";
+
+type Answer = Result<RankState, RankError>;
+
+/// A coordinating process with an order on its way.
+struct Coordinating {
+    fate: Fate,
+    running: AbortHandle,
+    answer: oneshot::Receiver<Answer>,
+}
+
+struct Scene {
+    fleet: Fleet,
+    records: RecordStore,
+    first: Coordinating,
+}
+
+/// A model is loaded while these faults strike one after the other.
+pub(super) async fn load(kind: EngineKind, faults: &[Fault]) -> Result<Seen, GroupViolation> {
+    let scene = Scene::start(kind, faults).await?;
+    sleep(LOADING_AFTER).await;
+    for fault in faults {
+        scene.strike(*fault);
+        sleep(PAIR_TIME).await;
+    }
+    // The order is on its way or carried out meanwhile; whoever takes over does not wait for it.
+    sleep(ORDER_LIMIT).await;
+    let taking_over = scene.take_over().await;
+    sleep(OUTAGE_TIME - ORDER_LIMIT).await;
+    scene.mend();
+    let last = taking_over.await.unwrap_or(Err(RankError::NoAnswer));
+    if let Err(last) = last {
+        return Err(GroupViolation::NotOrdered { last: last.to_string() });
+    }
+    scene.watch().await?;
+    Ok(Seen { first: scene.told(), again: Some(Outcome::Complete) })
+}
+
+impl Scene {
+    async fn start(kind: EngineKind, faults: &[Fault]) -> Result<Self, GroupViolation> {
+        let settings = EngineSettings { load_time: LOAD_TIME, ..EngineSettings::default() };
+        let fleet = Fleet::without_coordinators(kind, None, MESSAGE_TIME, settings);
+        let records = fleet.records();
+        let record = GroupRecord::first(Default::default(), crate::group::fleet::RANKS);
+        let _ = records.create(record).await;
+        let served = until_served(fleet.link(), records.clone(), FIRST_VERSION).await;
+        served.map_err(|last| GroupViolation::NotOrdered { last: last.to_string() })?;
+        let stored = claim(&records).await;
+        // An engine goes on loading for a caller that is gone, and has the effect late.
+        if faults.iter().any(|fault| matches!(fault, Fault::AgentKilled | Fault::ConnectionSilent))
+        {
+            fleet.engine(RANK).lose_order(LostOrder::Delayed(LATE));
+        }
+        for fault in faults.iter().filter_map(|fault| call_fault(*fault)) {
+            fleet.fault(fault);
+        }
+        let first = Coordinating::start(fleet.link(), stored);
+        Ok(Self { fleet, records, first })
+    }
+
+    fn strike(&self, fault: Fault) {
+        let engine = self.fleet.engine(RANK);
+        match fault {
+            Fault::AgentKilled => self.fleet.replace_agent(RANK),
+            Fault::AgentPaused => self.fleet.pause_agent(RANK, true),
+            Fault::ConnectionSilent => self.fleet.silence(),
+            Fault::BackendCrashed => engine.crash(),
+            Fault::RankStalled => engine.set_frozen(true),
+            Fault::VmReplaced => {
+                self.fleet.replace_agent(RANK);
+                engine.crash();
+            }
+            Fault::CoordinatorKilled => self.first.running.abort(),
+            Fault::CoordinatorPaused => self.first.fate.set_paused(true),
+            _ => strike_key_value(&self.fleet.kv, fault),
+        }
+    }
+
+    async fn take_over(&self) -> tokio::task::JoinHandle<Answer> {
+        let (link, records) = (self.fleet.link(), self.records.clone());
+        tokio::spawn(until_served(link, records, LAST_VERSION))
+    }
+
+    fn mend(&self) {
+        self.fleet.mend();
+        self.first.fate.set_paused(false);
+    }
+
+    /// The newest order that was carried out stays so, whatever else is still on its way. A crashed
+    /// engine comes back without a version.
+    async fn watch(&self) -> Result<(), GroupViolation> {
+        let (time, interval) = WATCH;
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let found = self.fleet.engine(RANK).peek_state().version;
+            if found != LAST_VERSION {
+                return Err(GroupViolation::OtherVersion {
+                    found,
+                    wanted: LAST_VERSION.to_owned(),
+                });
+            }
+            sleep(interval).await;
+        }
+        Ok(())
+    }
+
+    fn told(mut self) -> Outcome {
+        match self.first.answer.try_recv() {
+            Ok(Ok(_)) => Outcome::Complete,
+            Ok(Err(RankError::EngineSilent | RankError::NoAnswer)) => Outcome::Unknown,
+            Ok(Err(_)) => Outcome::NotRun,
+            Err(_) => Outcome::Broken,
+        }
+    }
+}
+
+impl Coordinating {
+    fn start(link: Link, stored: Stored) -> Self {
+        let fate = Fate::default();
+        let (sender, answer) = oneshot::channel();
+        let work = async move {
+            let first = order(&link, &stored, SECOND_VERSION).await;
+            let unknown = matches!(first, Err(RankError::NoAnswer | RankError::EngineSilent));
+            let _ = sender.send(first);
+            if unknown {
+                // As long as it doesn't know that it was replaced, it tries again.
+                let _ = order(&link, &stored, SECOND_VERSION).await;
+            }
+        };
+        let running = tokio::spawn(fate.clone().run(work)).abort_handle();
+        Self { fate, running, answer }
+    }
+}
+
+/// Writes the record anew, as a process does that takes over.
+async fn claim(records: &RecordStore) -> Stored {
+    loop {
+        if let Ok(stored) = records.read().await
+            && let Ok(stored) = records.replace(&stored, stored.record.clone()).await
+        {
+            return stored;
+        }
+        sleep(READ_INTERVAL).await;
+    }
+}
+
+/// Takes over and orders a version until the rank is told to serve it; gives the last answer.
+async fn until_served(link: Link, records: RecordStore, version: &'static str) -> Answer {
+    let end = Instant::now() + OUTAGE_TIME + RECOVERY_LIMIT;
+    let stored = claim(&records).await;
+    loop {
+        let answer = order(&link, &stored, version).await;
+        if answer.is_ok() || Instant::now() > end {
+            return answer;
+        }
+        sleep(READ_INTERVAL).await;
+    }
+}
+
+/// One order and the read before it, which tells the agent's process. Reads go on while the answer
+/// is awaited, as a coordinator's do.
+async fn order(link: &Link, stored: &Stored, version: &str) -> Answer {
+    let read = || RankRequest {
+        incarnation: None,
+        fence: stored.fence(),
+        target: None,
+        requires_version: None,
+    };
+    let call = |request| async move {
+        let answer = timeout(ORDER_LIMIT, link.call(RANK, request)).await;
+        answer.unwrap_or(Err(RankError::NoAnswer))
+    };
+    let incarnation = Some(call(read()).await?.incarnation);
+    let target = OrderTarget::Serve {
+        model: "callbox-7b".to_owned(),
+        version: version.to_owned(),
+        adapters: Vec::new(),
+        role: "both".to_owned(),
+    };
+    let request = RankRequest { incarnation, target: Some(target), ..read() };
+    let reading = async {
+        loop {
+            sleep(READ_INTERVAL).await;
+            let _ = link.call(RANK, read()).await;
+        }
+    };
+    tokio::select! {
+        answer = call(request) => answer,
+        () = reading => Err(RankError::NoAnswer),
+    }
+}
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -84,6 +84,12 @@
         /// The work.
         work: String,
     },
+    /// An entry that was told to leave still has requests in progress that were all answered.
+    #[error("entry {entry} was told to leave and does not come to an end")]
+    LeaveNeverEnds {
+        /// Which.
+        entry: usize,
+    },
     /// A backend server got new work after it began to leave.
     #[error("backend server {server} was sent new work {after_ms} ms after it began to leave")]
     NewWorkWhileLeaving {
