--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod oracle;
 pub mod plant;
 pub mod relay;
+pub mod servers;
 pub mod world;
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -3,19 +3,19 @@
 
 use crate::backend::{Fate, ProcessBackend, Sent};
 use crate::caller::{Ask, Call, Told, send, take_ticket};
-use crate::entry::{Entry, MODEL, SERVICE, fleet_key};
+use crate::entry::{Entry, fleet_key};
 use crate::network::{Endpoint, Network};
-use crate::oracle::{Kind, Ledger, Runs, Violation, Work};
+use crate::oracle::{Kind, Ledger, Violation, Work};
 use crate::plant::Plant;
+use crate::servers::{Servers, Size};
 use bytes::Bytes;
 use flamingowheel_agent::archive::Archive;
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{Command, Control};
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::backend::BackendServer;
-use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeKeyValue, FakeService};
+use flamingowheel_platform::fake::FakeKeyValue;
 use flamingowheel_protocol::id::Incarnation;
-use flamingowheel_protocol::message::{BackendProfile, Hello, Role, Serves};
+use flamingowheel_protocol::message::{Hello, Role};
 use flamingowheel_protocol::ticket::Ticket;
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
@@ -25,15 +25,6 @@
 
 /// Entries in the world.
 pub const ENTRIES: usize = 2;
-/// Plain services in the world.
-pub const SERVICES: usize = 3;
-/// Engines in the world.
-pub const ENGINES: usize = 2;
-/// Backend servers in the world, services first.
-pub const SERVERS: usize = SERVICES + ENGINES;
-
-/// Requests that run at once on a backend server.
-const PLACES: u32 = 4;
 /// After this time a leaving backend server gets no new work.
 const LEAVE_LIMIT: Duration = Duration::from_secs(2);
 /// Time from the end of a process to the start of the next at its place.
@@ -54,76 +45,6 @@
     leaving_since: Option<Instant>,
 }
 
-/// The backend servers, which outlive their agents.
-#[derive(Clone)]
-pub struct Servers {
-    /// Plain services.
-    pub services: Vec<FakeService>,
-    /// Engines.
-    pub engines: Vec<FakeEngine>,
-}
-
-impl Servers {
-    /// Number of backend servers.
-    pub fn count(&self) -> usize {
-        self.services.len() + self.engines.len()
-    }
-
-    /// The engine with this index among all backend servers.
-    pub fn engine(&self, server: usize) -> &FakeEngine {
-        &self.engines[server - self.services.len()]
-    }
-
-    fn backend(&self, server: usize) -> Arc<dyn BackendServer> {
-        match self.services.get(server) {
-            Some(service) => Arc::new(service.clone()),
-            None => Arc::new(self.engine(server).clone()),
-        }
-    }
-
-    fn profile(&self, server: usize) -> BackendProfile {
-        let first_engine = self.services.len();
-        let serves = match server < first_engine {
-            true => Serves::Service { service: SERVICE.to_owned() },
-            false => Serves::Model {
-                model: MODEL.to_owned(),
-                group: "group-a".to_owned(),
-                rank: (server - first_engine) as u16,
-            },
-        };
-        let can_resume = server >= first_engine;
-        BackendProfile { serves, places: PLACES, can_resume, experts: None }
-    }
-
-    fn started_on(&self, server: usize, body: &[u8]) -> u32 {
-        match self.services.get(server) {
-            Some(service) => service.executions(body),
-            None => self.engine(server).runs_of_body(body).started,
-        }
-    }
-}
-
-impl Runs for Servers {
-    fn started(&self, body: &[u8]) -> u32 {
-        (0..self.count()).map(|server| self.started_on(server, body)).sum()
-    }
-}
-
-/// How many backend servers a world has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Size {
-    /// Plain services.
-    pub services: usize,
-    /// Engines.
-    pub engines: usize,
-}
-
-impl Default for Size {
-    fn default() -> Self {
-        Self { services: SERVICES, engines: ENGINES }
-    }
-}
-
 /// Work that was first asked for while a backend server had been leaving for long enough.
 struct LateWork {
     server: usize,
@@ -157,20 +78,10 @@
 
     /// The same with another number of backend servers.
     pub async fn start_sized(plant: Option<Plant>, size: Size) -> Self {
-        let services = (0..size.services as u64).map(FakeService::new).collect();
-        let settings = EngineSettings {
-            token_delay: Duration::from_millis(50),
-            restart_after: Some(Duration::from_secs(3)),
-            places: PLACES as usize,
-            ..EngineSettings::default()
-        };
-        let engines = (0..size.engines as u64)
-            .map(|seed| FakeEngine::new(100 + seed, settings.clone()))
-            .collect();
         let mut world = Self {
             network: Network::new(plant),
             kv: FakeKeyValue::new(),
-            servers: Servers { services, engines },
+            servers: Servers::start(size),
             ledger: Ledger::default(),
             entries: Vec::new(),
             agents: (0..size.services + size.engines).map(|_| None).collect(),
--- a/crates/proof/tests/poison.rs
+++ b/crates/proof/tests/poison.rs
@@ -4,7 +4,8 @@
 use flamingowheel_proof::caller::Told;
 use flamingowheel_proof::entry::MODEL;
 use flamingowheel_proof::oracle::{Kind, Runs};
-use flamingowheel_proof::world::{ENGINES, ENTRIES, SERVICES, World};
+use flamingowheel_proof::servers::{ENGINES, SERVICES};
+use flamingowheel_proof::world::{ENTRIES, World};
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/proof/tests/prefix.rs
+++ b/crates/proof/tests/prefix.rs
@@ -13,7 +13,8 @@
 use flamingowheel_policy::prefix::BlockHash;
 use flamingowheel_proof::caller::{Ask, Call, Told, send};
 use flamingowheel_proof::entry::{MODEL, fleet_key};
-use flamingowheel_proof::world::{ENGINES, SERVICES, World};
+use flamingowheel_proof::servers::{ENGINES, SERVICES};
+use flamingowheel_proof::world::World;
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/proof/tests/resume.rs
+++ b/crates/proof/tests/resume.rs
@@ -4,7 +4,8 @@
 use flamingowheel_proof::caller::Told;
 use flamingowheel_proof::entry::MODEL;
 use flamingowheel_proof::oracle::Kind;
-use flamingowheel_proof::world::{ENGINES, SERVICES, World};
+use flamingowheel_proof::servers::{ENGINES, SERVICES};
+use flamingowheel_proof::world::World;
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/proof/tests/stop.rs
+++ b/crates/proof/tests/stop.rs
@@ -4,7 +4,8 @@
 use flamingowheel_proof::backend::Fate;
 use flamingowheel_proof::caller::{Ask, Call, Told, send};
 use flamingowheel_proof::oracle::Runs;
-use flamingowheel_proof::world::{SERVICES, World};
+use flamingowheel_proof::servers::SERVICES;
+use flamingowheel_proof::world::World;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
