Record a change that is late with three of five processes lost

Tried: a shorter wait until an isolated process reads the service by itself (7 s for 10 s); no difference, so the cause is elsewhere. Not found yet. Conclusion: left for the package of the control processes.

--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -101,6 +101,16 @@
         self.stop.cancel();
     }
 
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.recorder.process().name
+    }
+
+    /// Work that it has taken so far and keeps a record of.
+    pub fn record_count(&self) -> usize {
+        self.handle.status().record_count
+    }
+
     /// Ends at once, as if the process had been killed.
     pub fn kill(&self) {
         self.stop.cancel();
--- a/crates/flamingowheeld/src/cli.rs
+++ b/crates/flamingowheeld/src/cli.rs
@@ -13,6 +13,8 @@
   flamingowheeld --check FILE      check the settings and end
   flamingowheeld --demo            run a small fleet with stand-ins on loopback
   flamingowheeld --demo --once     the same, try its promises once, and end
+  flamingowheeld --demo --lose-agent
+                                   the demo; the agent of the first work order dies while it runs
 
 Options:
   -h, --help       show this
@@ -43,6 +45,8 @@
     Demo {
         /// Try the promises once and end.
         once: bool,
+        /// The agent of the first work order dies while the order runs.
+        lose_agent: bool,
     },
 }
 
@@ -72,13 +76,14 @@
     let check: Option<PathBuf> = arguments.opt_value_from_str("--check")?;
     let demo = arguments.contains("--demo");
     let once = arguments.contains("--once");
+    let lose_agent = arguments.contains("--lose-agent");
     if let Some(unknown) = arguments.finish().into_iter().next() {
         return Err(UsageError::Unknown(unknown));
     }
     match (run, check, demo) {
-        (Some(file), None, false) if !once => Ok(Command::Run(file)),
-        (None, Some(file), false) if !once => Ok(Command::Check(file)),
-        (None, None, true) => Ok(Command::Demo { once }),
+        (Some(file), None, false) if !once && !lose_agent => Ok(Command::Run(file)),
+        (None, Some(file), false) if !once && !lose_agent => Ok(Command::Check(file)),
+        (None, None, true) if !(once && lose_agent) => Ok(Command::Demo { once, lose_agent }),
         _ => Err(UsageError::NotOne),
     }
 }
@@ -93,7 +98,9 @@
 
     #[test]
     fn parse_known_commands() {
-        assert_eq!(typed(&["--demo", "--once"]).unwrap(), Command::Demo { once: true });
+        let demo = |once, lose_agent| Command::Demo { once, lose_agent };
+        assert_eq!(typed(&["--demo", "--once"]).unwrap(), demo(true, false));
+        assert_eq!(typed(&["--demo", "--lose-agent"]).unwrap(), demo(false, true));
         assert_eq!(typed(&["--settings", "a"]).unwrap(), Command::Run("a".into()));
     }
 
@@ -101,6 +108,7 @@
     fn parse_contradictions_refused() {
         assert!(matches!(typed(&[]), Err(UsageError::NotOne)));
         assert!(matches!(typed(&["--demo", "--check", "a"]), Err(UsageError::NotOne)));
+        assert!(matches!(typed(&["--check", "a", "--lose-agent"]), Err(UsageError::NotOne)));
         assert!(matches!(typed(&["--dmeo"]), Err(UsageError::Unknown(_))));
     }
 }
--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -52,6 +52,9 @@
 const RANKS: u8 = 4;
 const SERVERS: u8 = 2;
 
+/// A work order whose agent is to die takes this long, and the agent dies half-way.
+const LOST_ORDER_TIME: Duration = Duration::from_secs(2);
+
 const CONFIGURATION: &str = "\
 kind: template
 name: callbox
@@ -247,6 +250,23 @@
         tokio::time::timeout(READY_LIMIT, waiting).await.map_err(|_| DemoError::NotReady)
     }
 
+    /// Waits for the first work order and has its agent die while the order runs; gives its name.
+    pub async fn lose_agent(&self) -> &str {
+        let delay = |time| self.standins.services.iter().for_each(|one| one.set_delay(time));
+        delay(LOST_ORDER_TIME);
+        let agents = &self.agents[usize::from(RANKS)..];
+        let busy = loop {
+            if let Some(agent) = agents.iter().find(|agent| agent.record_count() > 0) {
+                break agent;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+        tokio::time::sleep(LOST_ORDER_TIME / 2).await;
+        busy.kill();
+        delay(Duration::ZERO);
+        busy.name()
+    }
+
     /// What to try, as shell commands.
     pub fn guide(&self) -> String {
         let mut text =
--- a/crates/flamingowheeld/src/main.rs
+++ b/crates/flamingowheeld/src/main.rs
@@ -29,7 +29,7 @@
         }
         Command::Run(file) => run::role(&file),
         Command::Check(file) => run::check(&file),
-        Command::Demo { once } => run::demo(once),
+        Command::Demo { once, lose_agent } => run::demo(once, lose_agent),
     };
     match result {
         Ok(exit) => exit.into(),
--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -48,7 +48,7 @@
 }
 
 /// Runs the demo.
-pub fn demo(once: bool) -> Result<Exit> {
+pub fn demo(once: bool, lose_agent: bool) -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         let fleet = demo::Fleet::start().await?;
@@ -58,7 +58,19 @@
             return Ok(if shown { Exit::Success } else { Exit::DemoFailed });
         }
         print!("{}", fleet.guide());
-        Signals::new()?.next().await;
+        let lost = async {
+            if lose_agent {
+                println!("The agent of the first work order will die while the order runs.\n");
+                let name = fleet.lose_agent().await;
+                println!("agent {name} died while a work order ran");
+            }
+            std::future::pending::<()>().await;
+        };
+        let mut signals = Signals::new()?;
+        tokio::select! {
+            () = signals.next() => {}
+            () = lost => {}
+        }
         println!("leaving: streams in progress end first");
         fleet.leave().await;
         Ok(Exit::Success)
--- a/crates/proof/tests/fuzz_configuration.rs
+++ b/crates/proof/tests/fuzz_configuration.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::print_stdout, reason = "figures of the run")]
 
-use flamingowheel_proof::configuration::machine::ConfigDriver;
-use flamingowheel_proof::fuzz::{hold_promises, steps_until_found};
+use flamingowheel_proof::configuration::machine::{ConfigDriver, ConfigStep};
+use flamingowheel_proof::fuzz::{Driver, hold_promises, steps_until_found};
 use flamingowheel_proof::plant::Plant;
 
 const CASES: u32 = 100;
@@ -24,3 +24,27 @@
             .expect("planted fault not found");
     println!("OlderPeerTaken: found after {steps} steps: {violation}");
 }
+
+// Right after a change three of five processes are lost at once, the key-value service gets slow
+// and a watch has missed the event. A process that can reach one with the change still lacks it
+// after 11 s. Found with seed 4.
+#[test]
+fn change_three_of_five_lost_service_slow() {
+    let steps = [
+        ConfigStep::EventsSwallowed(1),
+        ConfigStep::KeyValueDown(true),
+        ConfigStep::Kill(4),
+        ConfigStep::EventsSwallowed(1),
+        ConfigStep::Pass(5_000),
+        ConfigStep::KeyValueDown(false),
+        ConfigStep::Change(0),
+        ConfigStep::Kill(2),
+        ConfigStep::Cut(3, true),
+        ConfigStep::KeyValueSlow(true),
+        ConfigStep::Pass(12_000),
+    ];
+    let mut driver = ConfigDriver::start(&(), None);
+    for step in &steps {
+        assert_eq!(driver.step(step), Ok(()), "{step:?}");
+    }
+}
