Ask random members while nobody confirms the configuration

Cause: a process polls a few others. When all of them are lost at once, their places are taken only after they are called silent, and a process that hears hardly anybody calls nobody silent. Ruled out: the wait until an isolated process reads the service by itself (shorter, no difference: the service was slow).

Change: from 4 s without a confirmation on, four random members are asked each second, and what the highest of them has is fetched.

Conclusion: losing all neighbours at once no longer holds a change back.

--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -80,6 +80,13 @@
 
 /// Pause after a poll that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// A process whose configuration nobody confirmed for this long looks for somebody who does. Longer
+/// than the time between two words of a healthy peer.
+const ISOLATED_AFTER: Duration = Duration::from_secs(4);
+/// Time between two rounds of an isolated process.
+const ISOLATED_PROBE: Duration = Duration::from_secs(1);
+/// Members that it asks in one round.
+const ISOLATED_PROBES: usize = 4;
 /// After this many probes a watcher asks the seeds again.
 const SEED_ROUNDS: u64 = 12;
 /// How often the wanted polls are compared with the running ones.
@@ -111,6 +118,7 @@
                 self.tick(),
                 self.poll_neighbours(),
                 self.probe_members(),
+                self.probe_while_isolated(),
                 self.read_vm_list(),
                 seeds::stay_listed(&self),
                 crate::service::follow(&self),
@@ -156,11 +164,19 @@
         if !found.anybody {
             found.ask(self, seeds::guessed(self).await).await;
         }
+        let fetched = self.fetch_highest(found).await;
+        if fetched {
+            self.node.confirm_by_peers(None);
+        }
+        fetched
+    }
+
+    /// Fetches from whoever has the highest revision; tells whether somebody had a newer one.
+    async fn fetch_highest(&self, mut found: Found) -> bool {
         found.offers.sort_unstable();
-        for (revision, seed) in found.offers.into_iter().rev() {
+        for (revision, peer) in found.offers.into_iter().rev() {
             // A lower offer is tried only if the higher one's giver failed meanwhile.
-            if self.fetcher().fetch(seed, revision).await.is_ok() {
-                self.node.confirm_by_peers(None);
+            if self.fetcher().fetch(peer, revision).await.is_ok() {
                 return true;
             }
         }
@@ -302,26 +318,47 @@
     async fn probe_members(&self) {
         for round in 1_u64.. {
             sleep(self.node.jitter(self.timing.probe)).await;
-            let own = self.node.own().name;
-            let others: Vec<_> = self
-                .node
-                .members()
-                .into_iter()
-                .filter(|member| member.record.name != own && member.state != MemberState::Gone)
-                .collect();
+            let others = self.others();
             // Two groups that know nothing of each other would never probe each other.
             if others.is_empty() || self.node.duties().is_watcher && round % SEED_ROUNDS == 0 {
                 self.ask_seeds().await;
             }
             let Some(chosen) = self.node.choose(&others) else { continue };
             // It may be gone; those that watch it find out.
-            let peer = chosen.record.inner;
+            let peer = *chosen;
             if let Ok(Followup::Fetch(revision)) = self.probe(peer).await {
                 let _ = self.fetcher().fetch(peer, revision).await;
             }
         }
     }
 
+    /// Where the others are reached that are not known to be gone.
+    fn others(&self) -> Vec<SocketAddr> {
+        let own = self.node.own().name;
+        let members = self.node.members().into_iter();
+        let others =
+            members.filter(|member| member.record.name != own && member.state != MemberState::Gone);
+        others.map(|member| member.record.inner).collect()
+    }
+
+    /// Asks members at random while nobody confirms the configuration.
+    ///
+    /// All that a process polls can go at once. Until they are called silent nobody takes their
+    /// place, and whoever hears hardly anybody does not call others silent (see
+    /// [`Node::accuse_unheard`]). A change that others have is then missing here for longer than
+    /// operators are promised, and `status` shows this process behind. Some of those asked are there.
+    async fn probe_while_isolated(&self) {
+        loop {
+            sleep(self.node.jitter(ISOLATED_PROBE)).await;
+            if self.node.unconfirmed_for().is_none_or(|time| time < ISOLATED_AFTER) {
+                continue;
+            }
+            let mut found = Found::default();
+            found.ask(self, self.node.choose_some(&self.others(), ISOLATED_PROBES)).await;
+            self.fetch_highest(found).await;
+        }
+    }
+
     /// Compares tables by their digest first: whole tables between random pairs would cost more
     /// than everything else together.
     async fn probe(&self, peer: SocketAddr) -> Result<Followup, PeerError> {
--- a/crates/proof/src/matrix/load.rs
+++ b/crates/proof/src/matrix/load.rs
@@ -206,6 +206,7 @@
         fence: stored.fence(),
         target: None,
         requires_version: None,
+        open: None,
     };
     let call = |request| async move {
         let answer = timeout(ORDER_LIMIT, link.call(RANK, request)).await;
--- a/crates/proof/tests/rebind.rs
+++ b/crates/proof/tests/rebind.rs
@@ -6,7 +6,8 @@
 use flamingowheel_proof::caller::Told;
 use flamingowheel_proof::network::{Direction, MessageFault};
 use flamingowheel_proof::oracle::Runs;
-use flamingowheel_proof::world::{SERVICES, World};
+use flamingowheel_proof::servers::SERVICES;
+use flamingowheel_proof::world::World;
 use std::time::Duration;
 use tokio::time::sleep;
 
