Keep a leaving entry's links, and pass over backend servers that can't be reached for a suspect

A leaving entry stands before no cell, but callers still come for as long as they keep its address; it would have lost its links to the agents and read the VM list in every interval. A suspect's one backend server may be dead while its record is still in the directory: it is passed over after 1 s, or at once where the link to it is lost.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -28,6 +28,9 @@
 /// Retry budgets kept at most; beyond it all start anew.
 const MAX_BUDGETS: usize = 4096;
 
+/// How long the link to a backend server for a suspect may take to open.
+const ALONE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Attempt numbers from here on are drawn at random, by entries that go on with a stream.
 const FIRST_ADOPTED: u32 = 1 << 16;
 
@@ -191,11 +194,20 @@
     ) -> Result<Chosen, Verdict> {
         let request = journey.request;
         crashed.extend(&journey.tried);
-        let routed = self.router.route_alone(&request.target, request.fingerprint, &crashed);
-        let (server, agent) = routed.map_err(|error| journey.no_choice(error))?;
-        // Its link may just be opening.
-        let limit = request.deadline.min(Instant::now() + self.config.reconnect_limit);
-        let _ = timeout_at(limit, agent.connected_after(0)).await;
+        let (server, agent) = loop {
+            let routed = self.router.route_alone(&request.target, request.fingerprint, &crashed);
+            let (server, agent) = routed.map_err(|error| journey.no_choice(error))?;
+            // Its link may just be opening. One that can't be opened is no place to run at.
+            let limit = request.deadline.min(Instant::now() + ALONE_LIMIT);
+            if timeout_at(limit, agent.connected_after(0)).await.is_ok() {
+                break (server, agent);
+            }
+            self.router.ended(server);
+            if Instant::now() >= request.deadline {
+                return Err(journey.no_choice(RouteError::NoneAvailable));
+            }
+            crashed.push(server);
+        };
         let connected = self.connected(journey, server, &agent)?;
         journey.log.record(Event::Routed {
             backend_server: connected.hello.name.as_str().into(),
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -201,7 +201,14 @@
     }
 
     fn serving(&self, target: &Target) -> Vec<ServerKey> {
-        self.listed().by_target.get(target).cloned().unwrap_or_default()
+        let (listed, known) = (self.listed(), self.known());
+        let is_lost = |server: &ServerKey| {
+            let agent = listed.agents.get(server).and_then(|agent| known.get(&agent.address));
+            agent
+                .is_some_and(|(agent, _)| agent.duty() == Duty::Cell && agent.connected().is_none())
+        };
+        let servers = listed.by_target.get(target).into_iter().flatten();
+        servers.copied().filter(|server| !is_lost(server)).collect()
     }
 
     fn invite(&self, target: &Target) -> Vec<Arc<Agent>> {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -43,7 +43,8 @@
     /// The agent in front of a backend server; its link is opened if there is none.
     fn agent(&self, server: ServerKey) -> Option<Arc<Agent>>;
 
-    /// All backend servers of the fleet that serve this, linked or not.
+    /// All backend servers of the fleet that serve this, linked or not, but for those whose link
+    /// should be there and is not.
     fn serving(&self, target: &Target) -> Vec<ServerKey>;
 
     /// Opens links to some more agents that serve this.
--- a/crates/flamingowheeld/src/discovery.rs
+++ b/crates/flamingowheeld/src/discovery.rs
@@ -104,10 +104,12 @@
         }
         let directory = self.node.agents();
         self.agents.set_listed(&directory);
-        wanted.vms = match book.servers_of(&self.node.own().name) {
-            Some(servers) if !is_small => of_cells(&directory, &servers, &pinned),
-            _ => self.all(&directory, &wanted.listed),
-        };
+        match book.servers_of(&self.node.own().name) {
+            // A leaving entry stands before no cell, and callers still come: it keeps its links.
+            Some(servers) if servers.is_empty() => {}
+            Some(servers) if !is_small => wanted.vms = of_cells(&directory, &servers, &pinned),
+            _ => wanted.vms = self.all(&directory, &wanted.listed),
+        }
         wanted.as_of = Some((version, Arc::clone(book), pinned));
     }
 
@@ -248,5 +250,5 @@
     let mut order = live.to_vec();
     order.sort_unstable();
     let count = order.len().max(1) as u64;
-    order.iter().position(|name| *name == own).is_none_or(|place| place as u64 == turn % count)
+    order.iter().position(|name| *name == own).is_some_and(|place| place as u64 == turn % count)
 }
