Take the states of entries' VMs from the reads in turn

Cause: two entries read the VM list every 5 s for all, 647 KB each time at the planned size: 129 KB/s for a budget of 3 KB/s.

Change: where entries read the list in turn, whoever reads it also tells which entries' VMs are leaving and which silent entries are gone; the two read it every 300 s to tidy the list of entries.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -23,6 +23,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -44,6 +45,7 @@
     progress: watch::Sender<Progress>,
     recorder: Recorder,
     lender: OnceLock<Arc<dyn Lender>>,
+    list_in_turn: AtomicBool,
 }
 
 /// Lends other entries a part of this one's share of a workspace's limits.
@@ -135,6 +137,7 @@
             progress: watch::Sender::default(),
             recorder,
             lender: OnceLock::new(),
+            list_in_turn: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
     }
--- a/crates/control/src/node/agents.rs
+++ b/crates/control/src/node/agents.rs
@@ -2,11 +2,13 @@
 
 use super::Node;
 use crate::directory::precedence;
+use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_protocol::message::Hello;
 use flamingowheel_protocol::peer::{AgentRecord, Heartbeat, HeartbeatAnswer, MemberState};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -55,4 +57,22 @@
             Vec::new()
         });
     }
+
+    /// Says whether all entries read the VM list in turn; then the two that read it for the whole
+    /// fleet do so rarely.
+    pub fn set_list_in_turn(&self, in_turn: bool) {
+        self.shared.list_in_turn.store(in_turn, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_list_in_turn(&self) -> bool {
+        self.shared.list_in_turn.load(Ordering::Relaxed)
+    }
+
+    /// Takes a read of the VM list.
+    pub fn take_vm_list(&self, vms: &[Vm]) {
+        let listed = vms.iter().map(|vm| vm.name.as_str()).collect();
+        let leaving = vms.iter().filter(|vm| vm.state == VmState::Leaving);
+        let leaving = leaving.map(|vm| vm.name.as_str()).collect();
+        self.change_table(|table| table.merge_vm_list(&listed, &leaving));
+    }
 }
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -82,6 +82,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// After this many probes a watcher asks the seeds again.
 const SEED_ROUNDS: u64 = 12;
+/// How often the VM list is read to tidy the list of entries, where all read it in turn. One read
+/// at the planned size is 647 KB, so this is 2 KB/s.
+const TIDY_INTERVAL: Duration = Duration::from_secs(300);
 /// How often the wanted polls are compared with the running ones.
 const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -344,16 +347,17 @@
 
     async fn read_vm_list(&self) {
         loop {
-            sleep(self.node.jitter(self.timing.vm_list)).await;
+            let interval = match self.node.is_list_in_turn() {
+                true => self.timing.vm_list.max(TIDY_INTERVAL),
+                false => self.timing.vm_list,
+            };
+            sleep(self.node.jitter(interval)).await;
             if !self.node.duties().reads_vm_list {
                 continue;
             }
             let Ok(vms) = self.vms.list().await else { continue };
             let listed = vms.iter().map(|vm| vm.name.as_str()).collect();
-            let leaving =
-                vms.iter().filter(|vm| vm.state == flamingowheel_platform::vm::VmState::Leaving);
-            let leaving = leaving.map(|vm| vm.name.as_str()).collect();
-            self.node.change_table(|table| table.merge_vm_list(&listed, &leaving));
+            self.node.take_vm_list(&vms);
             seeds::tidy(self, &listed).await;
         }
     }
--- a/crates/flamingowheeld/src/discovery.rs
+++ b/crates/flamingowheeld/src/discovery.rs
@@ -64,6 +64,7 @@
             self.note_connected();
             let book = (self.book)();
             let is_small = book.takes_all_entries();
+            self.node.set_list_in_turn(!is_small);
             let read = if is_small || self.is_own_turn() { self.read().await } else { None };
             if let (Some(vms), true) = (&read, is_small) {
                 wanted.listed = self.agent_vms(vms);
@@ -76,6 +77,9 @@
                 self.agents.set_vms(&wanted.vms);
             }
             if let Some(vms) = read {
+                if !is_small {
+                    self.node.take_vm_list(&vms);
+                }
                 self.look(&vms, is_small).await;
             }
         }
--- a/crates/flamingowheeld/tests/discovery.rs
+++ b/crates/flamingowheeld/tests/discovery.rs
@@ -1,6 +1,6 @@
 //! Agents found through a VM list that is wrong.
 
-use flamingowheel_control::node::Node;
+use flamingowheel_control::node::{MemberView, Node};
 use flamingowheel_daemon::discovery::Discovery;
 use flamingowheel_entry::addresses::{AddressBook, EntryMember, Scope};
 use flamingowheel_entry::agents::{Agents, Target};
@@ -248,6 +248,23 @@
     }
 }
 
+// The VM of another entry is taken away. All read the list in turn, so whoever does must say so:
+// callers would be sent to that entry until it is cut off.
+#[tokio::test(start_paused = true)]
+async fn run_in_turn_leaving_entry_noted() {
+    let mut vms: Vec<Vm> = (0..10).map(|number| vm(number, VmState::Live)).collect();
+    vms[3].name = entry_name(3);
+    vms[3].state = VmState::Leaving;
+    let (node, plain) = (node_of(0).await, Plain::default());
+    let _agents = start(&node, &FakeVmList::new(vms), &plain);
+    sleep(Duration::from_secs(LARGE as u64 + 1)).await;
+    let leaving = |view: &MemberView| view.state == MemberState::Leaving;
+    let members = node.members();
+    let names: Vec<_> = members.iter().filter(|view| leaving(view)).collect();
+    assert_eq!(names.len(), 1);
+    assert_eq!(names[0].record.name, entry_name(3));
+}
+
 fn state(leaving: bool) -> VmState {
     if leaving { VmState::Leaving } else { VmState::Live }
 }
