--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -24,6 +24,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -46,6 +47,7 @@
     recorder: Recorder,
     lender: OnceLock<Arc<dyn Lender>>,
     binder: OnceLock<Arc<dyn KeyBinder>>,
+    list_in_turn: AtomicBool,
 }
 
 /// Binds idempotency keys for other entries.
@@ -158,6 +160,7 @@
             recorder,
             lender: OnceLock::new(),
             binder: OnceLock::new(),
+            list_in_turn: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
     }
