Demo: lose the agent of a work order, to try the time line

Cause: the demo runs in one process, so a newcomer could not see what the time line tells of a request whose agent died; a stop of the agent's listener let its work end. A time line without events says what that may mean. Measured: tests of the daemon, the tool and observe pass.

--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
 use tokio_util::sync::CancellationToken;
 
 /// The workspace that the demo applies.
@@ -128,15 +129,39 @@
     pub entries: Vec<EntryProcess>,
     /// The agents: those of the engines, then those of the services.
     pub agents: Vec<AgentProcess>,
+    /// Each agent's own, so that it can die with all that it does.
+    runtimes: Vec<OwnRuntime>,
     inner_port: u16,
 }
 
+/// A runtime that ends in the background, as an async context may not wait for one.
+struct OwnRuntime(Option<Runtime>);
+
+impl OwnRuntime {
+    fn start() -> io::Result<Self> {
+        Builder::new_multi_thread().worker_threads(1).enable_all().build().map(Some).map(Self)
+    }
+
+    fn end(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for OwnRuntime {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 impl Fleet {
     /// Starts everything, has the configuration accepted, and waits until it is in force.
     pub async fn start() -> Result<Self, DemoError> {
         let inner_port = free_port().await?;
         let standins = start_standins().await?;
-        let mut fleet = Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port };
+        let (entries, agents, runtimes) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fleet = Self { standins, entries, agents, runtimes, inner_port };
         fleet.standins.run_group();
         fleet.start_agents().await?;
         fleet.start_entries().await?;
@@ -169,8 +194,13 @@
     async fn start_agent(&mut self, name: &str, vm: u8, kind: &str) -> Result<(), DemoError> {
         let settings =
             self.settings(name, agent_ip(vm), &format!("role: agent\nagent: {kind}\n"))?;
-        let agent = AgentProcess::start(&settings, recorder(&settings)?).await?;
+        let recorder = recorder(&settings)?;
+        let runtime = OwnRuntime::start()?;
+        let Some(own) = &runtime.0 else { return Ok(()) };
+        let start = async move { AgentProcess::start(&settings, recorder).await };
+        let agent = own.spawn(start).await.map_err(io::Error::other)??;
         self.agents.push(agent);
+        self.runtimes.push(runtime);
         Ok(())
     }
 
@@ -251,20 +281,22 @@
     }
 
     /// Waits for the first work order and has its agent die while the order runs; gives its name.
-    pub async fn lose_agent(&self) -> &str {
+    pub async fn lose_agent(&mut self) -> String {
         let delay = |time| self.standins.services.iter().for_each(|one| one.set_delay(time));
         delay(LOST_ORDER_TIME);
-        let agents = &self.agents[usize::from(RANKS)..];
+        let is_busy = |(index, agent): (usize, &AgentProcess)| {
+            index >= usize::from(RANKS) && agent.record_count() > 0
+        };
         let busy = loop {
-            if let Some(agent) = agents.iter().find(|agent| agent.record_count() > 0) {
-                break agent;
+            if let Some(index) = self.agents.iter().enumerate().position(is_busy) {
+                break index;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         };
         tokio::time::sleep(LOST_ORDER_TIME / 2).await;
-        busy.kill();
+        self.runtimes.remove(busy).end();
         delay(Duration::ZERO);
-        busy.name()
+        self.agents.remove(busy).name().to_owned()
     }
 
     /// What to try, as shell commands.
--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -51,7 +51,7 @@
 pub fn demo(once: bool, lose_agent: bool) -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let fleet = demo::Fleet::start().await?;
+        let mut fleet = demo::Fleet::start().await?;
         if once {
             let shown = demo::once::run(&fleet).await?;
             fleet.leave().await;
--- a/crates/observe/src/timeline.rs
+++ b/crates/observe/src/timeline.rs
@@ -19,6 +19,9 @@
 /// The last millisecond of the year 9999.
 const LAST_UTC_MS: u64 = 253_402_300_799_999;
 const GAP: &str = "  ";
+/// What to think of a time line without events.
+const NOTHING: &str = "NOTHING FOUND: either the name is wrong, or it belongs to another fleet, or it \
+     is older than what these processes keep (then see their logs)";
 
 /// A process whose events are missing.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -217,6 +220,9 @@
     fn header(&self) -> Vec<String> {
         let mut lines = vec![self.title()];
         lines.extend(self.start().map(|start| format!("begins {}", utc(start))));
+        if self.events.is_empty() {
+            lines.push(NOTHING.to_owned());
+        }
         for process in &self.unreachable {
             lines.push(format!("NOT REACHED {}: {}", process.process, process.reason));
         }
