Fuzz the decoders of peers' frames, archived answers, stored changes and stream tokens

Cause: random bytes met the frames between entries and agents and the handshake only. Change: frames between entries, buckets of archived answers, stored changes and buckets of documents, stream tokens, and tickets altered in a few places are decoded too, from valid samples of each; memory is bounded for all of them. The memory test runs its four kinds of announced lengths side by side.

--- a/crates/proof/tests/decoders/mod.rs
+++ b/crates/proof/tests/decoders/mod.rs
@@ -1,18 +1,34 @@
 //! The decoders of inner frames, and valid batches to start from.
 
 use bytes::Bytes;
+use flamingowheel_config::bucket::Bucket;
+use flamingowheel_config::change::Change;
+use flamingowheel_protocol::archive::{self, ArchivedAnswer};
 use flamingowheel_protocol::auth::{Opening, Proof, Reply};
 use flamingowheel_protocol::codec::{decode, encode};
-use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation, RequestId, Window};
-use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Failure};
+use flamingowheel_protocol::id::{
+    AttemptId, ExecutionKey, Fingerprint, Incarnation, RequestId, Window,
+};
+use flamingowheel_protocol::message::{AgentMessage, Dispatch, EntryMessage, Failure};
+use flamingowheel_protocol::peer::{
+    Heartbeat, MemberRecord, MemberState, News, PeerAnswer, PeerFrame, PeerRequest, Sender,
+    StoredValue,
+};
 
-/// Tries every decoder of inner frames.
+/// Number of the archived ticket.
+const NUMBER: uuid::Uuid = uuid::Uuid::from_u128(9);
+
+/// Tries every decoder of inner frames and of what is stored.
 pub fn decode_all(bytes: &[u8]) {
     let _ = decode::<EntryMessage>(bytes);
     let _ = decode::<AgentMessage>(bytes);
     let _ = decode::<Opening>(bytes);
     let _ = decode::<Reply>(bytes);
     let _ = decode::<Proof>(bytes);
+    let _ = decode::<PeerFrame>(bytes);
+    let _ = archive::find(bytes, NUMBER);
+    let _ = serde_json::from_slice::<Change>(bytes);
+    let _ = serde_json::from_slice::<Bucket>(bytes);
 }
 
 fn attempt() -> AttemptId {
@@ -41,5 +57,68 @@
         failure: Failure::BackendLost,
         occupancy: Default::default(),
     };
-    vec![encode(1, &[cancel, acknowledge]).unwrap(), encode(2, &[chunk, failed]).unwrap()]
+    vec![
+        encode(1, &[cancel, acknowledge]).unwrap(),
+        encode(2, &[chunk, failed]).unwrap(),
+        encode(3, &[EntryMessage::Dispatch(Box::new(dispatch()))]).unwrap(),
+        encode(4, &peer_frames()).unwrap(),
+        archive::encode(&[archived()]).to_vec(),
+    ]
+}
+
+fn dispatch() -> Dispatch {
+    Dispatch {
+        attempt: attempt(),
+        key: ExecutionKey::Attempt(attempt()),
+        incarnation: Incarnation(5),
+        window: Window(3),
+        workspace: "bibb-county".to_owned(),
+        method: "POST".to_owned(),
+        path: "/orders".to_owned(),
+        content_type: Some("text/plain".to_owned()),
+        body: Bytes::from_static(b"work 1"),
+        idempotent: false,
+        priority: 1,
+        remaining_ms: 9_000,
+        fingerprint: Fingerprint(7),
+        alone: false,
+        last_try: true,
+        resume_after_chunks: 0,
+    }
+}
+
+fn peer_frames() -> [PeerFrame; 2] {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let record = MemberRecord {
+        name: "entry-1".to_owned(),
+        vm: "vm-1".to_owned(),
+        data_centre: "a".to_owned(),
+        region: "region".to_owned(),
+        inner: address,
+        callers: address,
+        operators: address,
+        incarnation: Incarnation(5),
+        version: 1,
+        state: MemberState::Live,
+    };
+    let heartbeat = Heartbeat {
+        from: Sender { name: "entry-1".to_owned(), incarnation: Incarnation(5) },
+        revision: 3,
+        after: 2,
+        hold_ms: 1_000,
+        news: News { records: vec![record], leaving_vms: vec!["vm-2".to_owned()] },
+    };
+    let request = PeerRequest::Heartbeat(Box::new(heartbeat));
+    let answer = PeerAnswer::Changes(vec![StoredValue(b"{}".to_vec())]);
+    [PeerFrame::Request { number: 1, request }, PeerFrame::Answer { number: 1, answer }]
+}
+
+fn archived() -> ArchivedAnswer {
+    ArchivedAnswer {
+        number: NUMBER,
+        fingerprint: Fingerprint(7),
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: Bytes::from_static(b"done"),
+    }
 }
--- a/crates/proof/tests/fuzz_decode.rs
+++ b/crates/proof/tests/fuzz_decode.rs
@@ -7,7 +7,8 @@
 use flamingowheel_config::settings::Settings;
 use flamingowheel_proof::fuzz::config;
 use flamingowheel_protocol::auth::FleetKey;
-use flamingowheel_protocol::ticket::Ticket;
+use flamingowheel_protocol::id::{Incarnation, Window};
+use flamingowheel_protocol::ticket::{StreamToken, Ticket};
 use proptest::prelude::*;
 use std::path::Path;
 
@@ -46,6 +47,17 @@
     }
 }
 
+fn ticket() -> Ticket {
+    Ticket {
+        agent: "desk-1".to_owned(),
+        incarnation: Incarnation(5),
+        window: Window(3),
+        number: uuid::Uuid::from_u128(9),
+        workspace: "bibb-county".to_owned(),
+        service: "desk".to_owned(),
+    }
+}
+
 proptest! {
     #![proptest_config(config(CASES, SEED))]
 
@@ -56,9 +68,10 @@
 
     #[test]
     fn fuzz_decode_changed_batches(
-        sample in 0..2usize, changes in proptest::collection::vec(change(), 1..6),
+        sample in any::<prop::sample::Index>(), changes in proptest::collection::vec(change(), 1..6),
     ) {
-        let mut bytes = samples().swap_remove(sample);
+        let mut samples = samples();
+        let mut bytes = samples.swap_remove(sample.index(samples.len()));
         changes.iter().for_each(|change| apply(&mut bytes, change));
         decode_all(&bytes);
     }
@@ -66,6 +79,19 @@
     #[test]
     fn fuzz_ticket_text(text in "[0-9a-fA-F]{0,300}|.{0,64}") {
         prop_assert!(Ticket::from_text(&text, &FleetKey::new([1; 32])).is_err());
+        prop_assert!(StreamToken::from_text(&text, &FleetKey::new([1; 32])).is_err());
+    }
+
+    // A ticket that was tampered with must not be read: it could name another workspace's work.
+    #[test]
+    fn fuzz_ticket_changed(changes in proptest::collection::vec(change(), 1..4)) {
+        let key = FleetKey::new([1; 32]);
+        let whole = ticket().to_text(&key);
+        let mut bytes = whole.clone().into_bytes();
+        changes.iter().for_each(|change| apply(&mut bytes, change));
+        if let Ok(text) = String::from_utf8(bytes) && !text.eq_ignore_ascii_case(&whole) {
+            prop_assert!(Ticket::from_text(&text, &key).is_err(), "{}", text);
+        }
     }
 
     #[test]
--- a/crates/proof/tests/fuzz_memory.rs
+++ b/crates/proof/tests/fuzz_memory.rs
@@ -20,18 +20,25 @@
 
 // A stranger sends a few bytes that announce terabytes; the process must not set them aside.
 fn announced_lengths() {
-    // Byte strings, texts, arrays and maps that claim every power of two of elements.
-    for major in [0x5b, 0x7b, 0x9b, 0xbb] {
-        for power in 0..64 {
-            let mut head = vec![major];
-            head.extend_from_slice(&(1u64 << power).to_be_bytes());
-            // Alone, as the batch, and in the place of a body within one.
-            decode_all(&head);
-            decode_all(&[&[0x82, 0x01][..], &head[..]].concat());
-            for sample in samples() {
-                for at in 0..sample.len() {
-                    decode_all(&[&sample[..at], &head[..], &sample[at..]].concat());
-                }
+    // Byte strings, texts, arrays and maps, side by side.
+    std::thread::scope(|scope| {
+        for major in [0x5b, 0x7b, 0x9b, 0xbb] {
+            scope.spawn(move || announced_of(major));
+        }
+    });
+}
+
+/// Claims every power of two of elements.
+fn announced_of(major: u8) {
+    for power in 0..64 {
+        let mut head = vec![major];
+        head.extend_from_slice(&(1u64 << power).to_be_bytes());
+        // Alone, as the batch, and in the place of a body within one.
+        decode_all(&head);
+        decode_all(&[&[0x82, 0x01][..], &head[..]].concat());
+        for sample in samples() {
+            for at in 0..sample.len() {
+                decode_all(&[&sample[..at], &head[..], &sample[at..]].concat());
             }
         }
     }
