--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -37,7 +37,7 @@
 pub const GROUP: &str = "g1";
 pub const MODEL: &str = "notes";
 /// Another group that the processes coordinate under the same lease.
-const OTHER_GROUP: &str = "g2";
+const OTHER_GROUP: &str = "beside";
 /// How long a fault lasts that ends by itself.
 pub const OUTAGE: Duration = Duration::from_secs(4);
 const RESTART: Duration = Duration::from_secs(2);
