--- a/crates/flamingowheeld/src/demo/mod.rs
+++ b/crates/flamingowheeld/src/demo/mod.rs
@@ -2,22 +2,24 @@
 
 pub mod caller;
 pub mod once;
+mod ports;
 
 use crate::agent::{AgentProcess, authority, recorder};
 use crate::entry::EntryProcess;
-use crate::listen::StartError;
+use crate::listen::{Sockets, StartError};
 use flamingowheel_config::apply::{ApplyError, ApplyRequest};
 use flamingowheel_config::change::Origin;
 use flamingowheel_config::document::DocumentError;
+use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::replica::Replica;
 use flamingowheel_config::settings::{Settings, SettingsError};
 use flamingowheel_config::store::Store;
 use flamingowheel_platform::client::{EtcdClient, HttpLimits};
 use flamingowheel_platform::fake::engine::EngineSettings;
 use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList, RankGroup};
-use flamingowheel_platform::orders::expert_counter;
 use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::Connections;
+use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -126,15 +128,19 @@
     /// The agents: those of the engines, then those of the services.
     pub agents: Vec<AgentProcess>,
     inner_port: u16,
+    /// The inner listeners of processes that are not started yet.
+    held: HashMap<IpAddr, TcpListener>,
 }
 
 impl Fleet {
     /// Starts everything, has the configuration accepted, and waits until it is in force.
     pub async fn start() -> Result<Self, DemoError> {
-        let inner_port = free_port().await?;
+        let (inner_port, held) = ports::hold_same_port(&process_ips()).await?;
         let standins = start_standins().await?;
-        let mut fleet = Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port };
-        fleet.standins.run_group();
+        let mut fleet =
+            Self { standins, entries: Vec::new(), agents: Vec::new(), inner_port, held };
+        let (group, stop) = (fleet.standins.group.clone(), fleet.standins.stop.clone());
+        tokio::spawn(run_group(group, stop));
         fleet.start_agents().await?;
         fleet.start_entries().await?;
         fleet.apply("{}").await?;
@@ -166,17 +172,26 @@
     async fn start_agent(&mut self, name: &str, vm: u8, kind: &str) -> Result<(), DemoError> {
         let settings =
             self.settings(name, agent_ip(vm), &format!("role: agent\nagent: {kind}\n"))?;
-        let agent = AgentProcess::start(&settings, recorder(&settings)?).await?;
+        let sockets = self.sockets(&settings).await?;
+        let agent = AgentProcess::start_on(&settings, recorder(&settings)?, sockets).await?;
         self.agents.push(agent);
         Ok(())
     }
 
+    async fn sockets(&mut self, settings: &Settings) -> Result<Sockets, StartError> {
+        match self.held.remove(&settings.listen.inner.ip()) {
+            Some(inner) => Sockets::bind_others(&settings.listen, inner).await,
+            None => Sockets::bind(&settings.listen).await,
+        }
+    }
+
     async fn start_entries(&mut self) -> Result<(), DemoError> {
         for number in 0..ENTRIES {
             let name = format!("entry-{number}");
             let role = "role: entry\nentry: {address_ttl_s: 5}\n";
             let settings = self.settings(&name, entry_ip(number), role)?;
-            let entry = EntryProcess::start(&settings, recorder(&settings)?).await?;
+            let sockets = self.sockets(&settings).await?;
+            let entry = EntryProcess::start_on(&settings, recorder(&settings)?, sockets).await?;
             self.entries.push(entry);
         }
         Ok(())
@@ -210,26 +225,11 @@
     /// Has operators say this of the model.
     async fn apply(&self, model: &str) -> Result<(), DemoError> {
         let hash = flamingowheel_config::token::TokenHash::of(TOKEN.as_bytes());
-        let text = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
-        let text = text.replace("MODEL", model);
-        let edits = flamingowheel_config::document::parse(&text).map_err(DemoError::Document)?;
-        let authority = authority(self.standins.key_value_address);
-        let kv = EtcdClient::new(authority, HttpLimits::default());
-        let store = Store::new(Arc::new(kv));
+        let documents = CONFIGURATION.replace("TOKEN_HASH", &hash.to_string());
+        let documents = documents.replace("MODEL", model);
         let seen = self.entries.first().map(|entry| entry.state().effective.load().revision());
         let seen = seen.unwrap_or_default();
-        let request = ApplyRequest {
-            uuid: uuid::Uuid::now_v7(),
-            origin: Origin {
-                operator: "demo".to_owned(),
-                at_unix_ms: unix_ms(),
-                comment: String::new(),
-            },
-            edits,
-            seen,
-        };
-        store.apply(&mut Replica::default(), &request).await?;
-        Ok(())
+        apply(self.standins.key_value_address, &documents, seen).await
     }
 
     /// Waits until every entry knows the workspace and every agent.
@@ -298,21 +298,17 @@
     }
 }
 
-impl Standins {
-    /// Lets the engines step in lock-step, as ranks of one group, and count their experts' tokens.
-    fn run_group(&self) {
-        let group = self.group.clone();
-        let stop = self.stop.clone();
-        tokio::spawn(async move {
-            while !stop.is_cancelled() {
-                tokio::time::sleep(STEP).await;
-                if group.try_step() {
-                    group.ranks().iter().enumerate().for_each(|(rank, e)| count_tokens(rank, e));
-                }
-            }
-        });
+/// Lets engines step in lock-step, as ranks of one group, and count their experts' tokens.
+pub async fn run_group(group: RankGroup, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        tokio::time::sleep(STEP).await;
+        if group.try_step() {
+            group.count_work(|_, expert| MOST_TOKENS >> expert, &[1.0; RANKS as usize]);
+        }
     }
+}
 
+impl Standins {
     async fn start_engine(&self, engine: FakeEngine) -> Result<SocketAddr, DemoError> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
@@ -337,17 +333,16 @@
     let kv_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let vms_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let (key_value_address, vms_address) = (kv_listener.local_addr()?, vms_listener.local_addr()?);
-    let connections = Connections::default();
     tokio::spawn(flamingowheel_standin::kv::serve(
         kv_listener,
         key_value.clone(),
-        connections.clone(),
+        Connections::default(),
         stop.clone(),
     ));
     tokio::spawn(flamingowheel_standin::vms::serve(
         vms_listener,
         vms.clone(),
-        connections,
+        Connections::default(),
         stop.clone(),
     ));
     let engine = |seed| FakeEngine::new(u64::from(seed), EngineSettings::default());
@@ -364,17 +359,20 @@
     })
 }
 
-/// The tokens of one step for the experts that an engine holds. Of an expert that stands on more
-/// ranks, each counts its share; the demo takes all shares as equal.
-fn count_tokens(rank: usize, engine: &FakeEngine) {
-    for (layer, ranks) in engine.peek_map().layers.iter().enumerate() {
-        let Some(own) = ranks.get(rank) else { continue };
-        for expert in own {
-            let replicas = ranks.iter().flatten().filter(|other| *other == expert).count();
-            let tokens = (MOST_TOKENS >> expert) / replicas.max(1) as u64;
-            engine.add_to_counter(&expert_counter(layer, *expert), tokens);
-        }
-    }
+/// Has a configuration accepted without the operators' tool.
+pub async fn apply(
+    key_value: SocketAddr,
+    documents: &str,
+    seen: ConfigRevision,
+) -> Result<(), DemoError> {
+    let edits = flamingowheel_config::document::parse(documents).map_err(DemoError::Document)?;
+    let kv = EtcdClient::new(authority(key_value), HttpLimits::default());
+    let store = Store::new(Arc::new(kv));
+    let origin =
+        Origin { operator: "demo".to_owned(), at_unix_ms: unix_ms(), comment: String::new() };
+    let request = ApplyRequest { uuid: uuid::Uuid::now_v7(), origin, edits, seen };
+    store.apply(&mut Replica::default(), &request).await?;
+    Ok(())
 }
 
 fn vms() -> Vec<Vm> {
@@ -403,7 +401,7 @@
     now.map_or(0, |since| since.as_millis() as u64)
 }
 
-/// A port that is free now. All processes of a fleet listen on the same one, each on its own IP.
-async fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?.local_addr()?.port())
+/// The IPs of all processes, in the order in which they start.
+fn process_ips() -> Vec<IpAddr> {
+    (0..RANKS + SERVERS).map(agent_ip).chain((0..ENTRIES).map(entry_ip)).collect()
 }
