--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -44,6 +44,9 @@
 /// How often the control task looks after deadlines, records and the backend server's health.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Ticks after which the same load is told again.
+const REPEAT_TICKS: u32 = 2;
+
 /// What the control task is told.
 #[derive(Debug)]
 pub enum Command {
@@ -178,6 +181,8 @@
     suspicion: SuspicionBook,
     load: LoadCell,
     links: HashMap<u64, mpsc::Sender<AgentMessage>>,
+    /// What all links were told last, and how many ticks ago.
+    told: (Option<AgentMessage>, u32),
     leaving: bool,
     closed: bool,
     backend_process: Option<u64>,
@@ -227,6 +232,7 @@
             suspicion: SuspicionBook::new(SuspicionConfig::default()),
             load: LoadCell::default(),
             links: HashMap::new(),
+            told: (None, 0),
             leaving: false,
             closed: false,
             backend_process: None,
@@ -329,6 +335,9 @@
             EntryMessage::Release { attempt, key } => {
                 if let Some(Record::Execution(execution)) = self.records.get(key) {
                     execution.detach(attempt);
+                    if matches!(key, ExecutionKey::Attempt(_)) {
+                        execution.discard_unresumable();
+                    }
                 }
             }
             EntryMessage::Suspicions(records) => {
@@ -371,6 +380,18 @@
         self.catch_up();
         self.poll_cache();
         self.tell_suspicions();
+        self.tell_load();
+    }
+
+    /// Says what changed at once, and the same again once a second.
+    fn tell_load(&mut self) {
+        let now = Some(self.heartbeat());
+        let (last, age) = &mut self.told;
+        *age += 1;
+        if *last == now && *age < REPEAT_TICKS {
+            return;
+        }
+        self.told = (now, 0);
         self.broadcast(&self.heartbeat());
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! The control state of one entry, and its answers to peers.
 
+mod agents;
 mod answers;
 mod random;
 mod suspicion;
@@ -13,15 +14,17 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
 use flamingowheel_observe::recorder::Recorder;
+use flamingowheel_platform::BoxFuture;
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{
-    Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender,
+    Heartbeat, HeartbeatAnswer, MemberRecord, MemberState, News, Sender, StoredValue,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -43,6 +46,14 @@
     progress: watch::Sender<Progress>,
     recorder: Recorder,
     lender: OnceLock<Arc<dyn Lender>>,
+    binder: OnceLock<Arc<dyn KeyBinder>>,
+    list_in_turn: AtomicBool,
+}
+
+/// Binds idempotency keys for other entries.
+pub trait KeyBinder: Send + Sync + 'static {
+    /// Binds one; claim and answer are in the form of the entry's own package.
+    fn bind(&self, claim: StoredValue) -> BoxFuture<'_, StoredValue>;
 }
 
 /// Lends other entries a part of this one's share of a workspace's limits.
@@ -148,6 +159,8 @@
             progress: watch::Sender::default(),
             recorder,
             lender: OnceLock::new(),
+            binder: OnceLock::new(),
+            list_in_turn: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -157,6 +170,11 @@
         let _ = self.shared.lender.set(lender);
     }
 
+    /// Says who binds idempotency keys for others; only the first counts.
+    pub fn set_key_binder(&self, binder: Arc<dyn KeyBinder>) {
+        let _ = self.shared.binder.set(binder);
+    }
+
     /// The configuration in force, now and later.
     pub fn effective(&self) -> watch::Receiver<Arc<Effective>> {
         self.shared.effective.subscribe()
@@ -326,7 +344,10 @@
     pub fn heartbeat(&self, peer: Option<&str>, hold: Duration) -> Heartbeat {
         let state = self.state();
         let cursor = peer.and_then(|peer| state.cursors.get(peer));
+        let is_first = cursor.is_none_or(|cursor| cursor.theirs == 0);
+        let digests = if is_first { state.table.directory().digests() } else { &[] };
         Heartbeat {
+            agent_digests: digests.to_vec(),
             from: state.sender(),
             revision: state.replica.revision().0,
             after: cursor.map_or(0, |cursor| cursor.theirs),
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -13,7 +13,9 @@
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::store::Store;
 use flamingowheel_platform::vm::VmList;
-use flamingowheel_protocol::peer::{MemberState, PeerAnswer, PeerRequest};
+use flamingowheel_protocol::peer::{
+    AgentRecord, Heartbeat, MemberState, News, PeerAnswer, PeerRequest,
+};
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
@@ -78,8 +80,18 @@
 
 /// Pause after a poll that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// A process whose configuration nobody confirmed for this long looks for somebody who does. Longer
+/// than the time between two words of a healthy peer.
+const ISOLATED_AFTER: Duration = Duration::from_secs(4);
+/// Time between two rounds of an isolated process.
+const ISOLATED_PROBE: Duration = Duration::from_secs(1);
+/// Members that it asks in one round.
+const ISOLATED_PROBES: usize = 4;
 /// After this many probes a watcher asks the seeds again.
 const SEED_ROUNDS: u64 = 12;
+/// How often the VM list is read to tidy the list of entries, where all read it in turn. One read
+/// at the planned size is 647 KB, so this is 2 KB/s.
+const TIDY_INTERVAL: Duration = Duration::from_secs(300);
 /// How often the wanted polls are compared with the running ones.
 const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -109,6 +121,7 @@
                 self.tick(),
                 self.poll_neighbours(),
                 self.probe_members(),
+                self.probe_while_isolated(),
                 self.read_vm_list(),
                 seeds::stay_listed(&self),
                 crate::service::follow(&self),
@@ -154,11 +167,19 @@
         if !found.anybody {
             found.ask(self, seeds::guessed(self).await).await;
         }
+        let fetched = self.fetch_highest(found).await;
+        if fetched {
+            self.node.confirm_by_peers(None);
+        }
+        fetched
+    }
+
+    /// Fetches from whoever has the highest revision; tells whether somebody had a newer one.
+    async fn fetch_highest(&self, mut found: Found) -> bool {
         found.offers.sort_unstable();
-        for (revision, seed) in found.offers.into_iter().rev() {
+        for (revision, peer) in found.offers.into_iter().rev() {
             // A lower offer is tried only if the higher one's giver failed meanwhile.
-            if self.fetcher().fetch(seed, revision).await.is_ok() {
-                self.node.confirm_by_peers(None);
+            if self.fetcher().fetch(peer, revision).await.is_ok() {
                 return true;
             }
         }
@@ -173,7 +194,19 @@
         hold: Duration,
     ) -> Result<Followup, PeerError> {
         let asked = Asked { version: self.node.table_version(), at: Instant::now() };
-        let request = PeerRequest::Heartbeat(Box::new(self.node.heartbeat(Some(name), hold)));
+        let heartbeat = self.node.heartbeat(Some(name), hold);
+        self.beat(peer, name, heartbeat, asked).await
+    }
+
+    async fn beat(
+        &self,
+        peer: SocketAddr,
+        name: &str,
+        heartbeat: Heartbeat,
+        asked: Asked,
+    ) -> Result<Followup, PeerError> {
+        let hold = Duration::from_millis(u64::from(heartbeat.hold_ms));
+        let request = PeerRequest::Heartbeat(Box::new(heartbeat));
         let limit = hold + self.timing.answer_limit;
         let answer = timeout(limit, self.peers.ask(peer, request)).await;
         let answer = answer.map_err(|_| PeerError::Silent)??;
@@ -182,10 +215,23 @@
         if asked.at.elapsed() > limit {
             return Err(PeerError::Silent);
         }
-        match answer {
-            PeerAnswer::Heartbeat(answer) => Ok(self.node.take_answer(*answer, asked)),
-            _ => Err(PeerError::Unexpected),
+        let PeerAnswer::Heartbeat(answer) = answer else { return Err(PeerError::Unexpected) };
+        let lacking = self.node.agents_lacking(&answer);
+        let followup = self.node.take_answer(*answer, asked);
+        self.tell_agents(peer, name, lacking).await;
+        Ok(followup)
+    }
+
+    /// Tells a peer what its directory lacks; if that fails, the next comparison does.
+    async fn tell_agents(&self, peer: SocketAddr, name: &str, lacking: Vec<AgentRecord>) {
+        if lacking.is_empty() {
+            return;
         }
+        let mut heartbeat = self.node.heartbeat(Some(name), Duration::ZERO);
+        heartbeat.news = News { agents: lacking, ..News::default() };
+        heartbeat.agent_digests.clear();
+        let request = PeerRequest::Heartbeat(Box::new(heartbeat));
+        let _ = timeout(self.timing.answer_limit, self.peers.ask(peer, request)).await;
     }
 
     async fn poll_and_fetch(
@@ -275,26 +321,47 @@
     async fn probe_members(&self) {
         for round in 1_u64.. {
             sleep(self.node.jitter(self.timing.probe)).await;
-            let own = self.node.own().name;
-            let others: Vec<_> = self
-                .node
-                .members()
-                .into_iter()
-                .filter(|member| member.record.name != own && member.state != MemberState::Gone)
-                .collect();
+            let others = self.others();
             // Two groups that know nothing of each other would never probe each other.
             if others.is_empty() || self.node.duties().is_watcher && round % SEED_ROUNDS == 0 {
                 self.ask_seeds().await;
             }
             let Some(chosen) = self.node.choose(&others) else { continue };
             // It may be gone; those that watch it find out.
-            let peer = chosen.record.inner;
+            let peer = *chosen;
             if let Ok(Followup::Fetch(revision)) = self.probe(peer).await {
                 let _ = self.fetcher().fetch(peer, revision).await;
             }
         }
     }
 
+    /// Where the others are reached that are not known to be gone.
+    fn others(&self) -> Vec<SocketAddr> {
+        let own = self.node.own().name;
+        let members = self.node.members().into_iter();
+        let others =
+            members.filter(|member| member.record.name != own && member.state != MemberState::Gone);
+        others.map(|member| member.record.inner).collect()
+    }
+
+    /// Asks members at random while nobody confirms the configuration.
+    ///
+    /// All that a process polls can go at once. Until they are called silent nobody takes their
+    /// place, and whoever hears hardly anybody does not call others silent (see
+    /// [`Node::accuse_unheard`]). A change that others have is then missing here for longer than
+    /// operators are promised, and `status` shows this process behind. Some of those asked are there.
+    async fn probe_while_isolated(&self) {
+        loop {
+            sleep(self.node.jitter(ISOLATED_PROBE)).await;
+            if self.node.unconfirmed_for().is_none_or(|time| time < ISOLATED_AFTER) {
+                continue;
+            }
+            let mut found = Found::default();
+            found.ask(self, self.node.choose_some(&self.others(), ISOLATED_PROBES)).await;
+            self.fetch_highest(found).await;
+        }
+    }
+
     /// Compares tables by their digest first: whole tables between random pairs would cost more
     /// than everything else together.
     async fn probe(&self, peer: SocketAddr) -> Result<Followup, PeerError> {
@@ -309,21 +376,24 @@
         if digest == self.node.digest() && revision <= self.node.revision().0 {
             return Ok(Followup::None);
         }
-        self.poll(peer, &name, Duration::ZERO).await
+        let asked = Asked { version: self.node.table_version(), at: Instant::now() };
+        let heartbeat = self.node.comparing_heartbeat(&name);
+        self.beat(peer, &name, heartbeat, asked).await
     }
 
     async fn read_vm_list(&self) {
         loop {
-            sleep(self.node.jitter(self.timing.vm_list)).await;
+            let interval = match self.node.is_list_in_turn() {
+                true => self.timing.vm_list.max(TIDY_INTERVAL),
+                false => self.timing.vm_list,
+            };
+            sleep(self.node.jitter(interval)).await;
             if !self.node.duties().reads_vm_list {
                 continue;
             }
             let Ok(vms) = self.vms.list().await else { continue };
             let listed = vms.iter().map(|vm| vm.name.as_str()).collect();
-            let leaving =
-                vms.iter().filter(|vm| vm.state == flamingowheel_platform::vm::VmState::Leaving);
-            let leaving = leaving.map(|vm| vm.name.as_str()).collect();
-            self.node.change_table(|table| table.merge_vm_list(&listed, &leaving));
+            self.node.take_vm_list(&vms);
             seeds::tidy(self, &listed).await;
         }
     }
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::agent::authority;
 use crate::discovery::Discovery;
 use crate::groups::Groups;
+use crate::keys::{EntryBinder, KeyPeers};
 use crate::listen::{ListenLimits, Sockets, StartError, serve};
 use crate::loans::{EntryLender, borrow};
 use crate::membership::{publish_addresses, publish_configuration};
@@ -116,8 +117,10 @@
         };
         sample(&recorder, &state, &agents);
         node.set_lender(Arc::new(EntryLender(Arc::clone(&state))));
+        node.set_key_binder(Arc::new(EntryBinder(Arc::clone(&state))));
+        state.claims.hand_to(Arc::new(KeyPeers::new(node.clone(), Arc::clone(&peers))));
         let borrower = borrow(node.clone(), Arc::clone(&state), Arc::clone(&peers));
-        let discovery = discovery(settings, Arc::clone(&agents));
+        let discovery = discovery(settings, Arc::clone(&agents), &state);
         let (publisher, stopped, served) = (Arc::clone(&state), stop.clone(), node.clone());
         spawn_control("control", move || async move {
             tokio::join!(
@@ -331,10 +334,14 @@
     Arc::new(HttpVmList::new(authority(settings.vm_list.address), HttpLimits::default()))
 }
 
-fn discovery(settings: &Settings, agents: Arc<Agents>) -> Discovery {
+fn discovery(settings: &Settings, agents: Arc<Agents>, state: &Arc<EntryState>) -> Discovery {
+    let (books, recorder) = (Arc::clone(state), state.recorder.clone());
     Discovery {
         list: vm_list(settings),
         agents,
+        node: state.node.clone(),
+        book: Arc::new(move || books.addresses.load_full()),
+        clock: Arc::new(move || recorder.stamp().wall_ms()),
         inner_port: settings.listen.inner.port(),
         own: settings.listen.inner.ip(),
         interval: Duration::from_millis(settings.vm_list.interval_ms),
