--- a/crates/group/tests/rollout.rs
+++ b/crates/group/tests/rollout.rs
@@ -172,7 +172,7 @@
 async fn rollout_one_group_after_the_other() {
     let first = serving(EngineKind::ChecksFence).await;
     let mut groups = vec![first];
-    for name in ["g2", "g3"] {
+    for name in ["beside-1", "beside-2"] {
         let group = World::start_beside(groups[0].kv.clone(), name).await;
         group.accept("1", &[]);
         sleep(SECOND * 10).await;
