Plan for past, present and forecast loads; believe trends above their noise

The plan followed the extrapolated trend past the turn, paid again to come back, and a wide hysteresis kept it from acting in between.

Change: a placement is scored for the loads traced back over 1.45 horizons, too, so that what comes back needs no moves; trends are taken only as far as they exceed the noise of the forecasts' own errors, so that `min_gain` can be lower. Each layer is probed with a narrow beam and only the first in need is searched with a wide one; candidates are dropped by a bound that needs no roots, and halves of changes are computed once.

--- a/crates/policy/src/rebalance/load.rs
+++ b/crates/policy/src/rebalance/load.rs
@@ -1,7 +1,14 @@
 //! Decayed loads of the experts of one layer, and where they are heading.
 
 /// How much slower the second mean decays than the first.
-const SLOWER: f64 = 2.5;
+const SLOWER: f64 = 2.8;
+
+/// Part of the trends that is put down to noise, as a multiple of what noise alone would make of
+/// them. Trends of noise move experts for nothing, and back at the next plan.
+const DOUBT: f64 = 1.5;
+
+/// Observations from which a forecast can be held against the next load.
+const FORECAST_FROM: u32 = 4;
 
 /// Smallest part of a mean that one observation may weigh.
 const MIN_SHARE: f64 = 1e-3;
@@ -16,6 +23,8 @@
     observed: u32,
     fast: Vec<f64>,
     slow: Vec<f64>,
+    /// Decayed squares of how far each load was from its forecast.
+    errors: Vec<f64>,
 }
 
 impl DecayedLoads {
@@ -34,6 +43,7 @@
             observed: 1,
             fast: first.to_vec(),
             slow: first.to_vec(),
+            errors: vec![0.0; first.len()],
         }
     }
 
@@ -41,6 +51,7 @@
     pub fn observe(&mut self, loads: &[f64]) {
         // The first observations count alike. Else the slow mean would hold on to the noise of the
         // very first one, which would look like drift for many steps and cause needless moves.
+        self.observe_errors(loads);
         self.observed = self.observed.saturating_add(1);
         let even_share = 1.0 / f64::from(self.observed);
         let fast_share = self.fast_share.max(even_share);
@@ -51,12 +62,22 @@
         }
     }
 
+    fn observe_errors(&mut self, loads: &[f64]) {
+        let known = self.observed > FORECAST_FROM;
+        let expected = if known { self.forecast(1.0) } else { self.fast.clone() };
+        let share = self.slow_share.max(1.0 / f64::from(self.observed));
+        for ((error, load), expected) in self.errors.iter_mut().zip(loads).zip(&expected) {
+            *error += share * ((load - expected).powi(2) - *error);
+        }
+    }
+
     /// The fast means.
     pub fn means(&self) -> &[f64] {
         &self.fast
     }
 
-    /// The loads expected so many steps after the last one observed, on a line through both means.
+    /// The loads expected so many steps after the last one observed, or before it if negative, on
+    /// a line through both means; flat as far as noise explains the slope.
     ///
     /// ```
     /// use flamingowheel_policy::rebalance::DecayedLoads;
@@ -68,10 +89,30 @@
     pub fn forecast(&self, ahead_steps: f64) -> Vec<f64> {
         let fast_lag_steps = lag_steps(self.fast_share);
         let slow_lag_steps = lag_steps(self.slow_share);
-        let reach = (fast_lag_steps + ahead_steps) / (slow_lag_steps - fast_lag_steps);
+        let steps = (fast_lag_steps + ahead_steps) / (slow_lag_steps - fast_lag_steps);
+        let reach = steps * self.trust();
         let pairs = self.fast.iter().zip(&self.slow);
         pairs.map(|(fast, slow)| (fast + (fast - slow) * reach).max(0.0)).collect()
     }
+
+    /// Part of the trends that noise does not explain, from all experts together: noise makes the
+    /// means differ by a known part of the loads' own variance.
+    fn trust(&self) -> f64 {
+        let share = difference_variance(self.fast_share, self.slow_share);
+        let pairs = self.fast.iter().zip(&self.slow).zip(&self.errors);
+        let by_noise = |((fast, slow), error): ((&f64, &f64), &f64)| {
+            (fast - slow).powi(2) / (share * error).max(f64::MIN_POSITIVE)
+        };
+        let mean = pairs.map(by_noise).sum::<f64>() / self.fast.len().max(1) as f64;
+        if mean > DOUBT { 1.0 - DOUBT / mean } else { 0.0 }
+    }
+}
+
+/// Variance of the difference of two decayed means of the same noise of variance 1.
+fn difference_variance(fast_share: f64, slow_share: f64) -> f64 {
+    let own = |share: f64| share / (2.0 - share);
+    let common = 1.0 - (1.0 - fast_share) * (1.0 - slow_share);
+    own(fast_share) + own(slow_share) - 2.0 * fast_share * slow_share / common
 }
 
 /// Steps by which a mean lags behind a load that changes evenly.
--- a/crates/policy/src/rebalance/plan.rs
+++ b/crates/policy/src/rebalance/plan.rs
@@ -4,7 +4,15 @@
 use super::params::Params;
 use super::placement::{Move, Placement, PlacementError, align, moves_between};
 use super::score::Score;
-use super::search::search;
+use super::search::probe;
+
+/// How far the loads are traced back, in horizons. What is popular comes back: a placement that is
+/// good for the last hours too needs no moves when they do.
+const LOOK_BACK: f64 = 1.45;
+
+/// Layers, those in most need first, that are searched thoroughly in one plan. Such a search takes
+/// as long as a dozen probes; a plan for many layers has to end soon.
+const THOROUGH_LAYERS: usize = 1;
 
 /// What a plan is made from. All slices run over the same layers.
 #[derive(Clone, Copy, Debug)]
@@ -99,7 +107,8 @@
         if left == 0 {
             break;
         }
-        let Some(planned) = plan_layer(layer, score, request, left) else { continue };
+        let thorough = layers.len() < THOROUGH_LAYERS;
+        let Some(planned) = plan_layer(layer, score, request, left, thorough) else { continue };
         left -= planned.moves.len();
         layers.push(planned);
     }
@@ -108,14 +117,12 @@
 }
 
 /// Layers that could save enough, those that could save most first: when the budget is small it
-/// goes where steps are slowest, and the search is spared where nothing can come of it.
+/// goes where steps are slowest, and the search is spared where nothing can come of it, as no
+/// placement beats a perfectly even split.
 fn by_need(request: &Request<'_>) -> Vec<(usize, Score)> {
-    let horizon_steps = request.params.horizon_steps;
     let mut layers = Vec::new();
     for (layer, (current, loads)) in request.current.iter().zip(request.loads).enumerate() {
-        let near = loads.forecast(0.0);
-        let far = loads.forecast(horizon_steps);
-        let score = Score::new(current, [&near, &far], request.speeds);
+        let score = forecast_score(current, loads, request);
         let could_save = score.predicted() - score.floor();
         if could_save >= request.params.min_gain {
             layers.push((could_save, layer, score));
@@ -125,16 +132,22 @@
     layers.into_iter().map(|(_, layer, score)| (layer, score)).collect()
 }
 
+fn forecast_score(current: &Placement, loads: &DecayedLoads, request: &Request<'_>) -> Score {
+    let horizon_steps = request.params.horizon_steps;
+    let forecasts = [-horizon_steps * LOOK_BACK, 0.0, horizon_steps];
+    let [past, near, far] = forecasts.map(|ahead_steps| loads.forecast(ahead_steps));
+    Score::new(current, [&past, &near, &far], request.speeds)
+}
+
 fn plan_layer(
     layer: usize,
     score: Score,
     request: &Request<'_>,
     max_moves: usize,
+    thorough: bool,
 ) -> Option<LayerPlan> {
-    let found = search(score, request.params, max_moves)?;
-    if found.gain < request.params.min_gain {
-        return None;
-    }
+    let probe = probe(score, request.params, max_moves)?;
+    let found = if thorough { probe.search_on() } else { probe.found() };
     let current = &request.current[layer];
     let target = align(current, &found.target);
     Some(LayerPlan { layer, moves: moves_between(current, &target), target, gain: found.gain })
--- a/crates/policy/src/rebalance/score.rs
+++ b/crates/policy/src/rebalance/score.rs
@@ -24,10 +24,10 @@
 pub(super) type Write = (Slot, Expert);
 
 /// Points in time for which loads are forecast.
-pub(super) const FORECASTS: usize = 2;
+pub(super) const FORECASTS: usize = 3;
 
 /// One value for each forecast.
-type Values = [f64; FORECASTS];
+pub(super) type Values = [f64; FORECASTS];
 
 fn each<F>(value: F) -> Values
 where
@@ -60,7 +60,10 @@
     slots: Vec<Expert>,
     first_slot: Vec<Slot>,
     rank_of: Vec<u16>,
-    hosts: Vec<Vec<u16>>,
+    /// The ranks of each expert's replicas, one expert after another.
+    hosts: Vec<u16>,
+    /// Where each expert's ranks begin in `hosts`.
+    first_host: Vec<Slot>,
     /// Replicas by rank and expert.
     held: Vec<u8>,
     loads: Vec<Values>,
@@ -85,7 +88,8 @@
             slots: placement.ranks.iter().flatten().copied().collect(),
             first_slot: Vec::with_capacity(placement.ranks.len() + 1),
             rank_of: Vec::new(),
-            hosts: vec![Vec::new(); experts],
+            hosts: Vec::new(),
+            first_host: vec![0; experts + 1],
             held: vec![0; experts * speeds.len()],
             loads: (0..experts).map(load).collect(),
             shares: Vec::new(),
@@ -106,23 +110,44 @@
             next += experts.len() as Slot;
             for &expert in experts {
                 self.rank_of.push(rank as u16);
-                self.add_host(expert, rank as u16);
+                *self.held_mut(expert, rank as u16) += 1;
             }
         }
         self.first_slot.push(next);
     }
 
+    /// Lists each expert's ranks anew.
+    fn list_hosts(&mut self) {
+        self.first_host.fill(0);
+        for &expert in &self.slots {
+            self.first_host[usize::from(expert) + 1] += 1;
+        }
+        for expert in 1..self.first_host.len() {
+            self.first_host[expert] += self.first_host[expert - 1];
+        }
+        self.hosts.resize(self.slots.len(), 0);
+        let mut next = self.first_host.clone();
+        for (&expert, &rank) in self.slots.iter().zip(&self.rank_of) {
+            let place = &mut next[usize::from(expert)];
+            self.hosts[*place as usize] = rank;
+            *place += 1;
+        }
+    }
+
     /// Computes all times anew.
     fn refresh(&mut self) {
-        let experts = 0..self.hosts.len();
-        self.shares = experts.map(|expert| self.shares_of(expert as Expert)).collect();
+        self.list_hosts();
+        self.shares.clear();
         self.times.fill([0.0; FORECASTS]);
-        for expert in 0..self.hosts.len() {
-            let share = self.share(expert as Expert);
-            for &rank in &self.hosts[expert] {
-                let rank = usize::from(rank);
+        for expert in 0..self.expert_count() {
+            let shares = self.shares_of(expert);
+            self.shares.push(shares);
+            for slot in
+                self.first_host[usize::from(expert)]..self.first_host[usize::from(expert) + 1]
+            {
+                let rank = usize::from(self.hosts[slot as usize]);
                 let inverse_speed = self.inverse_speeds[rank];
-                for (time, share) in self.times[rank].iter_mut().zip(share) {
+                for (time, share) in self.times[rank].iter_mut().zip(shares[1]) {
                     *time += share * inverse_speed;
                 }
             }
@@ -173,7 +198,7 @@
     }
 
     pub(super) fn expert_count(&self) -> Expert {
-        self.hosts.len() as Expert
+        self.loads.len() as Expert
     }
 
     pub(super) fn slots_of(&self, rank: u16) -> std::ops::Range<Slot> {
@@ -194,11 +219,20 @@
     }
 
     pub(super) fn replicas(&self, expert: Expert) -> usize {
-        self.hosts[usize::from(expert)].len()
+        self.hosts_of(expert).len()
+    }
+
+    fn hosts_of(&self, expert: Expert) -> &[u16] {
+        let expert = usize::from(expert);
+        &self.hosts[self.first_host[expert] as usize..self.first_host[expert + 1] as usize]
+    }
+
+    fn held_mut(&mut self, expert: Expert, rank: u16) -> &mut u8 {
+        &mut self.held[usize::from(rank) * self.loads.len() + usize::from(expert)]
     }
 
     pub(super) fn stands_on(&self, expert: Expert, rank: u16) -> bool {
-        self.held[usize::from(rank) * self.hosts.len() + usize::from(expert)] > 0
+        self.held[usize::from(rank) * self.loads.len() + usize::from(expert)] > 0
     }
 
     fn shares_of(&self, expert: Expert) -> [Values; 3] {
@@ -260,40 +294,99 @@
     fn write(&mut self, (slot, expert): Write) {
         let rank = self.rank_of(slot);
         let old = std::mem::replace(&mut self.slots[slot as usize], expert);
-        self.remove_host(old, rank);
-        self.add_host(expert, rank);
+        *self.held_mut(old, rank) -= 1;
+        *self.held_mut(expert, rank) += 1;
+    }
+
+    /// Predicted step time after [`Change::Replace`], unless it is surely no less than `limit`.
+    pub(super) fn after_replace(&self, write: Write, limit: f64) -> Option<f64> {
+        let mut total = self.total;
+        self.try_replace(write, &mut total);
+        (!reaches(&total, limit)).then(|| step_time(&total))
+    }
+
+    /// One side of added replicas of an expert: the totals once its hosts share with one more.
+    pub(super) fn half_add(&self, expert: Expert) -> Values {
+        let less = self.less_each(expert);
+        let mut total = self.total;
+        for &host in self.hosts_of(expert) {
+            self.shift(host, &less, &mut total);
+        }
+        total
     }
 
-    fn remove_host(&mut self, expert: Expert, rank: u16) {
-        let hosts = &mut self.hosts[usize::from(expert)];
-        if let Some(index) = hosts.iter().position(|&host| host == rank) {
-            hosts.swap_remove(index);
+    /// Predicted step time if `slot` gave up its replica for one of `expert`, whose rank does not
+    /// hold that yet, after `half` was done; `None` if it is surely no less than `limit`.
+    pub(super) fn after_add(
+        &self,
+        half: &Values,
+        (slot, expert): Write,
+        limit: f64,
+    ) -> Option<f64> {
+        let rank = self.rank_of(slot);
+        let dropped = self.expert_in(slot);
+        let (given, taken) = (self.share(dropped), self.share_with(expert, 1));
+        let mut total = *half;
+        self.shift(rank, &each(|index| taken[index] - given[index]), &mut total);
+        // The other hosts of what is dropped only get more.
+        if reaches(&total, limit) {
+            return None;
+        }
+        let dropped_after = self.share_with_less(dropped);
+        let more = each(|index| dropped_after[index] - given[index]);
+        let less = self.less_each(expert);
+        for &host in self.hosts_of(dropped).iter().filter(|host| **host != rank) {
+            if self.stands_on(expert, host) {
+                self.shift_twice(host, &less, &more, &mut total);
+            } else {
+                self.shift(host, &more, &mut total);
+            }
         }
-        let experts = self.hosts.len();
-        self.held[usize::from(rank) * experts + usize::from(expert)] -= 1;
+        (!reaches(&total, limit)).then(|| step_time(&total))
     }
 
-    fn add_host(&mut self, expert: Expert, rank: u16) {
-        self.hosts[usize::from(expert)].push(rank);
-        let experts = self.hosts.len();
-        self.held[usize::from(rank) * experts + usize::from(expert)] += 1;
+    /// What one more replica of an expert takes off each of its hosts.
+    fn less_each(&self, expert: Expert) -> Values {
+        let (before, after) = (self.share(expert), self.share_with(expert, 1));
+        each(|index| after[index] - before[index])
     }
 
-    /// Predicted step time if `change` were carried out.
-    pub(super) fn predicted_after(&self, change: &Change) -> f64 {
-        let mut total = self.total;
-        match *change {
-            Change::Replace(write) => self.try_replace(write, &mut total),
-            Change::Swap(first, second) => self.try_swap(first, second, &mut total),
+    /// Changes the total by `second` as if `rank` had `first` more load already.
+    fn shift_twice(&self, rank: u16, first: &Values, second: &Values, total: &mut Values) {
+        let mut undone = [0.0; FORECASTS];
+        self.shift(rank, first, &mut undone);
+        self.shift(rank, &each(|index| first[index] + second[index]), total);
+        for (total, undone) in total.iter_mut().zip(undone) {
+            *total -= undone;
         }
-        step_time(&total)
     }
 
-    fn try_swap(&self, first: Write, second: Write, total: &mut Values) {
-        let (to_first, to_second) = (self.share(first.1), self.share(second.1));
-        let gain = each(|index| to_first[index] - to_second[index]);
-        self.shift(self.rank_of(first.0), &gain, total);
-        self.shift(self.rank_of(second.0), &gain.map(|load| -load), total);
+    /// One side of exchanges of `slot`: the totals if its rank gave up its expert for `resident`.
+    pub(super) fn half_swap(&self, slot: Slot, resident: Expert) -> Values {
+        let (given, taken) = (self.share(self.expert_in(slot)), self.share(resident));
+        let mut total = self.total;
+        self.shift(self.rank_of(slot), &each(|index| taken[index] - given[index]), &mut total);
+        total
+    }
+
+    /// Predicted step time if `other` gave up its expert for `expert`, after `half` was done;
+    /// `None` if it is surely no less than `limit`.
+    pub(super) fn after_swap(
+        &self,
+        half: &Values,
+        (other, expert): Write,
+        limit: f64,
+    ) -> Option<f64> {
+        let rank = self.rank_of(other);
+        let own = &self.powers[usize::from(rank)];
+        // Even with nothing left to do for the other rank.
+        if reaches(&each(|index| half[index] - own[index]), limit) {
+            return None;
+        }
+        let (given, taken) = (self.share(self.expert_in(other)), self.share(expert));
+        let mut total = *half;
+        self.shift(rank, &each(|index| taken[index] - given[index]), &mut total);
+        (!reaches(&total, limit)).then(|| step_time(&total))
     }
 
     fn try_replace(&self, (slot, expert): Write, total: &mut Values) {
@@ -306,7 +399,7 @@
         let less = each(|index| after[index] - share[index]);
         let own = each(|index| after[index] - dropped_share[index]);
         self.shift(rank, &own, total);
-        for &host in &self.hosts[usize::from(dropped)] {
+        for &host in self.hosts_of(dropped) {
             if host == rank {
                 continue;
             }
@@ -316,7 +409,7 @@
                 self.shift(host, &more, total);
             }
         }
-        for &host in &self.hosts[usize::from(expert)] {
+        for &host in self.hosts_of(expert) {
             if !self.stands_on(dropped, host) {
                 self.shift(host, &less, total);
             }
@@ -345,3 +438,20 @@
     }
     roots.iter().sum::<f64>() / FORECASTS as f64
 }
+
+/// Limits above this are not compared by powers, which would overflow.
+const MAX_LIMIT: f64 = 8.0;
+
+/// Whether the step time is surely not below `limit`: a mean is at least the geometric mean, and
+/// that needs no roots to be compared. Most candidates of a search end here.
+fn reaches(total: &Values, limit: f64) -> bool {
+    if limit <= 0.0 {
+        return true;
+    }
+    if limit > MAX_LIMIT {
+        return false;
+    }
+    let product: f64 = total.iter().product();
+    let [power, ..] = powers(&[limit.powi(FORECASTS as i32); FORECASTS]);
+    product >= power
+}
--- a/crates/policy/src/rebalance/search.rs
+++ b/crates/policy/src/rebalance/search.rs
@@ -2,13 +2,7 @@
 
 use super::params::Params;
 use super::placement::{Expert, Placement};
-use super::score::{Change, Score, Slot, Write};
-
-/// Chains kept from one depth to the next.
-const WIDTH: usize = 3;
-
-/// Ranks, slowest first, whose slots a change starts from.
-const HOT_RANKS: usize = 1;
+use super::score::{Change, Score, Slot, Values, Write};
 
 /// Costs closer than this are taken for the same placement.
 const SAME_COST: f64 = 1e-9;
@@ -17,6 +11,23 @@
 /// that are no better yet, which single greedy swaps never do.
 const PATIENCE: usize = 3;
 
+/// How wide a search looks.
+#[derive(Clone, Copy)]
+struct Beam {
+    /// Chains kept from one depth to the next.
+    width: usize,
+    /// Ranks, slowest first, whose slots a change starts from.
+    hot_ranks: usize,
+    /// Longest chain, so that the time of a plan is bounded; the next plan goes on from there.
+    depth: usize,
+}
+
+/// Beam of [`probe`].
+const PROBE: Beam = Beam { width: 2, hot_ranks: 1, depth: 12 };
+
+/// Beam of a thorough search.
+const THOROUGH: Beam = Beam { width: 10, hot_ranks: 2, depth: 20 };
+
 /// A placement reached by a chain of changes.
 #[derive(Clone)]
 struct State {
@@ -33,14 +44,20 @@
 }
 
 /// The cheapest candidates offered, cheapest first.
-#[derive(Default)]
 struct Cheapest {
     found: Vec<Candidate>,
+    width: usize,
 }
 
 impl Cheapest {
+    /// Candidates that cost this or more are not kept.
+    fn limit(&self) -> f64 {
+        let full = self.found.len() >= self.width;
+        self.found.last().filter(|_| full).map_or(f64::INFINITY, |last| last.cost)
+    }
+
     fn offer(&mut self, candidate: Candidate) {
-        let full = self.found.len() == WIDTH;
+        let full = self.found.len() == self.width;
         if full && self.found.last().is_some_and(|last| last.cost <= candidate.cost) {
             return;
         }
@@ -64,13 +81,46 @@
     pub(super) gain: f64,
 }
 
-/// Looks for a placement that saves more predicted skew than its moves are priced at.
-pub(super) fn search(start: Score, params: &Params, max_moves: usize) -> Option<Found> {
-    let search = Search { origin: Origin::new(&start), price: params.price(), max_moves };
-    let before = start.predicted();
-    let best = search.run(start)?;
-    let gain = before - best.score.predicted();
-    Some(Found { target: best.score.placement(), gain })
+/// What a narrow search found worth its moves. It costs a small part of a thorough one, and most
+/// layers have nothing to gain at most plans.
+pub(super) struct Probe {
+    search: Search,
+    start: Score,
+    best: State,
+    min_gain: f64,
+}
+
+/// Looks for a placement that saves at least `min_gain` and more than its moves are priced at.
+pub(super) fn probe(start: Score, params: &Params, max_moves: usize) -> Option<Probe> {
+    let origin = Origin::new(&start);
+    let search = Search { origin, price: params.price(), max_moves, beam: PROBE };
+    let best = search.run(start.clone())?;
+    let probe = Probe { search, start, best, min_gain: params.min_gain };
+    (probe.gain(&probe.best) >= params.min_gain).then_some(probe)
+}
+
+impl Probe {
+    fn gain(&self, state: &State) -> f64 {
+        self.start.predicted() - state.score.predicted()
+    }
+
+    pub(super) fn found(&self) -> Found {
+        Found { target: self.best.score.placement(), gain: self.gain(&self.best) }
+    }
+
+    /// The same or better, from a thorough search.
+    pub(super) fn search_on(mut self) -> Found {
+        self.search.beam = THOROUGH;
+        let wide = self.search.run(self.start.clone());
+        let better = |wide: &State| {
+            // It may be cheaper by saving less with far fewer moves.
+            wide.cost < self.best.cost && self.gain(wide) >= self.min_gain
+        };
+        if let Some(wide) = wide.filter(better) {
+            self.best = wide;
+        }
+        self.found()
+    }
 }
 
 /// Which expert stood on which rank before the search: putting one back costs nothing.
@@ -99,6 +149,7 @@
     origin: Origin,
     price: f64,
     max_moves: usize,
+    beam: Beam,
 }
 
 impl Search {
@@ -108,7 +159,10 @@
         let mut best: Option<State> = None;
         let mut best_cost = cost;
         let mut stale = 0;
-        while stale <= PATIENCE && !beam.is_empty() {
+        for _ in 0..self.beam.depth {
+            if stale > PATIENCE || beam.is_empty() {
+                break;
+            }
             beam = self.deepen(&beam);
             stale += 1;
             let Some(first) = beam.first() else { break };
@@ -123,9 +177,9 @@
 
     /// The cheapest states one change further.
     fn deepen(&self, beam: &[State]) -> Vec<State> {
-        let mut cheapest = Cheapest::default();
+        let mut cheapest = Cheapest { found: Vec::new(), width: self.beam.width };
         for (from, state) in beam.iter().enumerate() {
-            self.expand(state, |cost, change| cheapest.offer(Candidate { cost, from, change }));
+            self.expand(from, state, &mut cheapest);
         }
         let apply = |found: &Candidate| self.apply(&beam[found.from], &found.change);
         cheapest.found.iter().map(apply).collect()
@@ -154,23 +208,17 @@
         state.moves.saturating_add_signed(delta)
     }
 
-    fn expand<Visit>(&self, state: &State, mut visit: Visit)
-    where
-        Visit: FnMut(f64, Change),
-    {
-        for rank in state.score.slowest(HOT_RANKS) {
+    fn expand(&self, from: usize, state: &State, cheapest: &mut Cheapest) {
+        for rank in state.score.slowest(self.beam.hot_ranks) {
             for slot in state.score.slots_of(rank) {
-                self.replace(state, slot, &mut visit);
-                self.share_out(state, slot, &mut visit);
+                self.replace(from, state, slot, cheapest);
+                self.share_out(from, state, slot, cheapest);
             }
         }
     }
 
     /// Drops a replica from a hot rank for any other expert.
-    fn replace<Visit>(&self, state: &State, slot: Slot, visit: &mut Visit)
-    where
-        Visit: FnMut(f64, Change),
-    {
+    fn replace(&self, from: usize, state: &State, slot: Slot, cheapest: &mut Cheapest) {
         let score = &state.score;
         if score.replicas(score.expert_in(slot)) < 2 {
             return;
@@ -178,20 +226,19 @@
         let rank = score.rank_of(slot);
         for expert in 0..state.score.expert_count() {
             if !state.score.stands_on(expert, rank) && state.score.relieves(slot, expert, 1) {
-                self.weigh(state, Change::Replace((slot, expert)), visit);
+                self.weigh_replace(from, state, (slot, expert), cheapest);
             }
         }
     }
 
     /// Exchanges the slot of a hot rank with one elsewhere, or adds a replica there.
-    fn share_out<Visit>(&self, state: &State, slot: Slot, visit: &mut Visit)
-    where
-        Visit: FnMut(f64, Change),
-    {
+    fn share_out(&self, from: usize, state: &State, slot: Slot, cheapest: &mut Cheapest) {
         let expert = state.score.expert_in(slot);
         let rank = state.score.rank_of(slot);
-        for other in 0..state.score.slot_count() {
-            let score = &state.score;
+        let mut halves: Vec<Option<Values>> = vec![None; usize::from(state.score.expert_count())];
+        let score = &state.score;
+        let half_add = score.half_add(expert);
+        for other in 0..score.slot_count() {
             let resident = score.expert_in(other);
             let host = score.rank_of(other);
             if host == rank || score.stands_on(expert, host) {
@@ -202,23 +249,42 @@
                 && score.fits(other, expert, 0, rank);
             let adds = score.replicas(resident) > 1 && score.fits(other, expert, 1, rank);
             if swaps {
-                self.weigh(state, Change::Swap((slot, resident), (other, expert)), visit);
+                let half = halves[usize::from(resident)]
+                    .get_or_insert_with(|| score.half_swap(slot, resident));
+                let change = Change::Swap((slot, resident), (other, expert));
+                let weigh = |limit| score.after_swap(half, (other, expert), limit);
+                self.weigh(from, state, change, weigh, cheapest);
             }
             if adds {
-                self.weigh(state, Change::Replace((other, expert)), visit);
+                let write = (other, expert);
+                let weigh = |limit| score.after_add(&half_add, write, limit);
+                self.weigh(from, state, Change::Replace(write), weigh, cheapest);
             }
         }
     }
 
-    fn weigh<Visit>(&self, state: &State, change: Change, visit: &mut Visit)
-    where
-        Visit: FnMut(f64, Change),
+    fn weigh_replace(&self, from: usize, state: &State, write: Write, cheapest: &mut Cheapest) {
+        let weigh = |limit| state.score.after_replace(write, limit);
+        self.weigh(from, state, Change::Replace(write), weigh, cheapest);
+    }
+
+    /// Offers a change with what it is predicted to make of the step time, below a limit.
+    fn weigh<Predict>(
+        &self,
+        from: usize,
+        state: &State,
+        change: Change,
+        predict: Predict,
+        cheapest: &mut Cheapest,
+    ) where
+        Predict: FnOnce(f64) -> Option<f64>,
     {
         let moves = self.moves_after(state, &change);
         if moves > self.max_moves {
             return;
         }
-        let cost = state.score.predicted_after(&change) + self.price * moves as f64;
-        visit(cost, change);
+        let paid = self.price * moves as f64;
+        let Some(predicted) = predict(cheapest.limit() - paid) else { return };
+        cheapest.offer(Candidate { cost: predicted + paid, from, change });
     }
 }
