--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -348,15 +348,10 @@
             .workspaces()
             .filter(|workspace| workspace.parameters.models.contains_key(&self.group.model))
             .min_by(|a, b| a.template.cmp(&b.template));
-        let preset = Params::skew_weighted();
-        match serves {
-            Some(workspace) => Params {
-                skew_weight: workspace.rebalancing.skew_weight,
-                move_weight: workspace.rebalancing.move_weight,
-                ..preset
-            },
-            None => preset,
-        }
+        serves.map_or_else(Params::skew_weighted, |workspace| {
+            let weights = &workspace.rebalancing;
+            Params::weighted(weights.skew_weight, weights.move_weight)
+        })
     }
 }
 
