Operators' tool: say what a command lacks, and a cause once

Cause: tried as someone who never saw it. `get` alone said "free-standing argument is missing", `apply` "the '-f' option must be set", and a cause that a message tells by itself was printed a second time after it. Change: each command names what it needs; `get template` and `get workspace` are taken too; a cause is added only if the message does not tell it yet.

--- a/crates/flamingowheel/src/cli.rs
+++ b/crates/flamingowheel/src/cli.rs
@@ -16,6 +16,14 @@
     /// No such subcommand.
     #[error("no command `{0}`; see --help")]
     UnknownCommand(String),
+    /// A command lacks what it is about.
+    #[error("{command} needs {needed}; see {command} --help")]
+    Missing {
+        /// The command.
+        command: &'static str,
+        /// What it needs.
+        needed: &'static str,
+    },
     /// An option is missing or malformed.
     #[error(transparent)]
     Option(#[from] pico_args::Error),
@@ -155,23 +163,39 @@
     Ok(match topic {
         Topic::Apply => TypedCommand::Apply(apply(arguments)?),
         Topic::Get => {
-            let kind = arguments.free_from_str()?;
+            let kind = needed("get", "templates or workspaces", arguments.opt_free_from_str()?)?;
             TypedCommand::Get { kind, name: arguments.opt_free_from_str()? }
         }
-        Topic::Diff => TypedCommand::Diff { file: arguments.value_from_str("-f")? },
+        Topic::Diff => TypedCommand::Diff { file: file("diff", arguments)? },
         Topic::History => TypedCommand::History,
-        Topic::Change => TypedCommand::Change { id: arguments.free_from_str()? },
+        Topic::Change => {
+            let id = needed("change", "the id of a change", arguments.opt_free_from_str()?)?;
+            TypedCommand::Change { id }
+        }
         Topic::Status => TypedCommand::Status,
         Topic::Timeline => TypedCommand::Timeline(timeline(arguments)?),
         Topic::Entries => {
-            TypedCommand::Entries { workspace: arguments.value_from_str("--workspace")? }
+            let workspace = arguments.opt_value_from_str("--workspace")?;
+            TypedCommand::Entries { workspace: needed("entries", "--workspace NAME", workspace)? }
         }
     })
 }
 
+fn needed<T>(
+    command: &'static str,
+    needed: &'static str,
+    given: Option<T>,
+) -> Result<T, UsageError> {
+    given.ok_or(UsageError::Missing { command, needed })
+}
+
+fn file(command: &'static str, arguments: &mut Arguments) -> Result<PathBuf, UsageError> {
+    needed(command, "-f FILE with documents", arguments.opt_value_from_str("-f")?)
+}
+
 fn apply(arguments: &mut Arguments) -> Result<TypedApply, UsageError> {
     Ok(TypedApply {
-        file: arguments.value_from_str("-f")?,
+        file: file("apply", arguments)?,
         dry_run: arguments.contains("--dry-run"),
         wait: arguments.opt_value_from_str("--wait")?,
         seen: arguments.opt_value_from_str("--seen")?,
--- a/crates/flamingowheel/src/config.rs
+++ b/crates/flamingowheel/src/config.rs
@@ -342,8 +342,8 @@
 
 fn get(kind: &str, wanted: Option<String>) -> Result<Command, ConfigError> {
     let kind = match kind {
-        "templates" => Kind::Templates,
-        "workspaces" => Kind::Workspaces,
+        "templates" | "template" => Kind::Templates,
+        "workspaces" | "workspace" => Kind::Workspaces,
         _ => return Err(ConfigError::Kind(kind.to_owned())),
     };
     Ok(match wanted {
--- a/crates/flamingowheel/src/main.rs
+++ b/crates/flamingowheel/src/main.rs
@@ -13,13 +13,24 @@
     let exit = match run() {
         Ok(output) => print(&output),
         Err(report) => {
-            let _ = writeln!(std::io::stderr(), "flamingowheel: {report:#}");
+            let _ = writeln!(std::io::stderr(), "flamingowheel: {}", told(&report));
             report.downcast_ref::<Error>().map_or(ExitCode::Failed, Error::exit_code)
         }
     };
     exit.into()
 }
 
+/// A failure with its causes. Most failures tell their cause themselves; it isn't said twice.
+fn told(report: &eyre::Report) -> String {
+    let mut told = report.to_string();
+    for cause in report.chain().skip(1).map(ToString::to_string) {
+        if !told.contains(&cause) {
+            told = format!("{told}: {cause}");
+        }
+    }
+    told
+}
+
 fn run() -> eyre::Result<Output> {
     let arguments = std::env::args_os().skip(1).collect();
     let typed = match cli::parse(arguments).map_err(Error::from)? {
