--- a/crates/control/src/operators/answer.rs
+++ b/crates/control/src/operators/answer.rs
@@ -61,7 +61,10 @@
     fn from(syntax: Vec<DocumentError>) -> Self {
         let too_large = syntax.iter().any(|error| matches!(error, DocumentError::TooLarge { .. }));
         let code = if too_large { ErrorCode::TooLarge } else { ErrorCode::InvalidSyntax };
-        let message = format!("{} errors in the documents", syntax.len());
+        let message = match syntax.len() {
+            1 => "1 error in the documents".to_owned(),
+            many => format!("{many} errors in the documents"),
+        };
         Self(Box::new(ApiError { syntax, ..ApiError::new(code, message) }))
     }
 }
--- a/crates/flamingowheel/src/client.rs
+++ b/crates/flamingowheel/src/client.rs
@@ -58,6 +58,14 @@
         /// The address asked.
         address: SocketAddr,
     },
+    /// No such workspace, or the token was not accepted; entries don't tell which.
+    #[error("{address} knows no workspace `{workspace}`, or refused the operators' token")]
+    WrongWorkspace {
+        /// The address asked.
+        address: SocketAddr,
+        /// The workspace asked about.
+        workspace: String,
+    },
     /// An error without the operators' interface's own form.
     #[error("{address} answered {status}")]
     Status {
@@ -97,6 +105,7 @@
             | Self::NotSent { .. }
             | Self::Refused(_)
             | Self::WrongToken { .. }
+            | Self::WrongWorkspace { .. }
             | Self::Path(_) => false,
         }
     }
--- a/crates/flamingowheel/src/commands/entries.rs
+++ b/crates/flamingowheel/src/commands/entries.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{render, row, table};
-use crate::client::Client;
+use crate::client::{Client, ClientError};
 use crate::error::Error;
 use crate::{Output, routes};
 
@@ -29,7 +29,13 @@
 /// Asks as a caller of the workspace would.
 pub async fn run(client: &Client, workspace: &str, json: bool) -> Result<Output, Error> {
     let query = super::query(&Question { workspace })?;
-    let answer: Answer = client.get(&format!("{}?{query}", routes::ENTRIES)).await?;
+    let asked = client.get::<Answer>(&format!("{}?{query}", routes::ENTRIES)).await;
+    let answer = asked.map_err(|error| match error {
+        ClientError::WrongToken { address } => {
+            ClientError::WrongWorkspace { address, workspace: workspace.to_owned() }
+        }
+        error => error,
+    })?;
     Ok(Output::success(render(&answer, json, text)?))
 }
 
--- a/crates/flamingowheel/src/error.rs
+++ b/crates/flamingowheel/src/error.rs
@@ -75,7 +75,7 @@
             ErrorCode::UnknownOutcome => ExitCode::UnknownOutcome,
             _ => ExitCode::Refused,
         },
-        ClientError::WrongToken { .. } => ExitCode::Refused,
+        ClientError::WrongToken { .. } | ClientError::WrongWorkspace { .. } => ExitCode::Refused,
         ClientError::Status { status, .. } if status.is_client_error() => ExitCode::Refused,
         ClientError::Status { .. } | ClientError::Malformed { .. } => ExitCode::Failed,
         ClientError::Path(_) | ClientError::NoEntries => ExitCode::Usage,
