--- a/crates/proof/src/matrix/report.rs
+++ b/crates/proof/src/matrix/report.rs
@@ -26,6 +26,9 @@
 *broken* means that the connection ends visibly early, which tells as little as *unknown*. *sent
 again* is what a resend under the same ticket or key is told, through another entry, after the fault
 has ended. A resend that is told *not run* says nothing of the calls before it.
+
+`FLAMINGOWHEEL_FUZZ_SEED=N` gives the fleet another key, with which requests go to other backend
+servers; what is promised stays the same. Unset, as in CI, the key is always the same.
 ";
 
 /// Numbers of cells.
