Give handle and configuration files of their own

Change: commands, status and the handle stand in control/handle.rs; what is in force and who confirmed it in node/configuration.rs. Conclusion: one job a file again.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -3,24 +3,26 @@
 //! It takes commands one at a time and never waits for the network, so every decision sees a
 //! consistent state.
 
+mod handle;
 mod health;
 mod intake;
 mod questions;
 mod record;
 mod work;
 
-use crate::cache::{CacheView, Poll};
+pub use handle::{AgentHandle, AgentStatus, Command, TicketList};
+
+use crate::cache::CacheView;
 use crate::config::AgentConfig;
 use crate::execution::Execution;
 use crate::load::LoadCell;
 use crate::records::{Record, Records};
-use crate::runner::RunEnd;
 use bytes::Bytes;
 use flamingowheel_observe::event::{Event, Name, Subject};
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
 use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::backend::{BackendError, BackendServer, CacheEvent, LoadReport};
+use flamingowheel_platform::backend::BackendServer;
 use flamingowheel_policy::admission::{Admission, AdmissionConfig, Priority};
 use flamingowheel_policy::suspicion::{SuspicionBook, SuspicionConfig};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Fingerprint, Incarnation, Window};
@@ -31,9 +33,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
-use uuid::Uuid;
 
 /// Commands that may wait for the control task.
 const COMMAND_QUEUE: usize = 1024;
@@ -47,115 +48,6 @@
 /// Ticks after which the same load is told again.
 const REPEAT_TICKS: u32 = 2;
 
-/// What the control task is told.
-#[derive(Debug)]
-pub enum Command {
-    /// A connection from an entry opened.
-    Linked {
-        /// Identifies the connection.
-        link: u64,
-        /// Messages to that entry.
-        sender: mpsc::Sender<AgentMessage>,
-    },
-    /// A connection ended.
-    Unlinked {
-        /// Identifies the connection.
-        link: u64,
-    },
-    /// A message arrived from an entry.
-    Received {
-        /// Where answers go.
-        sender: mpsc::Sender<AgentMessage>,
-        /// The message.
-        message: EntryMessage,
-    },
-    /// An execution ended.
-    Ended {
-        /// Which.
-        key: ExecutionKey,
-        /// How.
-        end: RunEnd,
-    },
-    /// The backend server answered a health check, or did not.
-    Health(Result<LoadReport, BackendError>),
-    /// The engine answered a poll for cache events, or did not.
-    CacheEvents(Poll, Result<Vec<CacheEvent>, BackendError>),
-    /// Take no new work from now on.
-    Leave,
-    /// Take new work, or none until told otherwise.
-    SetOpen(bool),
-    /// Somebody wants to know what became of all tickets.
-    ListTickets(oneshot::Sender<TicketList>),
-}
-
-/// What became of the tickets of this process.
-#[derive(Debug, Default)]
-pub struct TicketList {
-    /// Those with a whole answer.
-    pub finished: Vec<(Uuid, Arc<Execution>)>,
-    /// Those that began, or may have, and have none.
-    pub unanswered: Vec<Uuid>,
-    /// The oldest window whose tickets are all listed.
-    pub oldest: Window,
-    /// This process takes tickets, and from now on none that is not listed will begin.
-    pub is_final: bool,
-}
-
-/// What others may see of the agent.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct AgentStatus {
-    /// No new work is taken.
-    pub leaving: bool,
-    /// No new work is taken until the group has changed its version.
-    pub closed: bool,
-    /// Requests that run or wait.
-    pub in_progress_count: usize,
-    /// Leaving, nothing runs or waits, and every answer has been read.
-    pub drained: bool,
-    /// Requests waiting for a place.
-    pub waiting_count: usize,
-    /// Records kept.
-    pub record_count: usize,
-    /// Times the backend server died.
-    pub crash_count: u32,
-    /// Whether the last health check was answered.
-    pub backend_up: bool,
-}
-
-/// Handle to a running control task.
-#[derive(Clone, Debug)]
-pub struct AgentHandle {
-    commands: mpsc::Sender<Command>,
-    status: watch::Receiver<AgentStatus>,
-}
-
-impl AgentHandle {
-    /// Where commands go.
-    pub fn commands(&self) -> &mpsc::Sender<Command> {
-        &self.commands
-    }
-
-    /// The agent's status as of its last change.
-    pub fn status(&self) -> AgentStatus {
-        self.status.borrow().clone()
-    }
-
-    /// Stops taking new work, and waits until the rest is done and read.
-    pub async fn drain(&mut self) {
-        if self.commands.send(Command::Leave).await.is_err() {
-            return;
-        }
-        let _ = self.status.wait_for(|status| status.drained).await;
-    }
-
-    /// What became of all tickets; nothing, and not final, if the control task is gone.
-    pub async fn tickets(&self) -> TicketList {
-        let (list, tickets) = oneshot::channel();
-        let _ = self.commands.send(Command::ListTickets(list)).await;
-        tickets.await.unwrap_or_default()
-    }
-}
-
 /// Work that was admitted but has not begun.
 struct Pending {
     dispatch: Box<Dispatch>,
