Name agents that can't be reached in status

Cause: status listed the agents with an open connection only. One that died was gone from it without a word; whoever looked had to know how many there should be. Change: each entry remembers who was connected last at an address that it still wants; while nobody answers there, status lists that agent as silent. Conclusion: a dead agent is seen where an operator looks first.

--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -58,6 +58,8 @@
 pub struct Agent {
     address: SocketAddr,
     pub(crate) connected: watch::Sender<Option<Connected>>,
+    /// Who was connected here last.
+    last: Mutex<Option<Arc<Hello>>>,
     pub(crate) window: AtomicU32,
     leaving: AtomicBool,
     heard: Mutex<Instant>,
@@ -73,6 +75,7 @@
         Self {
             address,
             connected: watch::Sender::new(None),
+            last: Mutex::default(),
             window: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             heard: Mutex::new(Instant::now()),
@@ -94,6 +97,16 @@
         self.connected.borrow().clone()
     }
 
+    pub(crate) fn announce(&self, connected: Connected) {
+        *self.last.lock().unwrap_or_else(PoisonError::into_inner) =
+            Some(Arc::clone(&connected.hello));
+        self.connected.send_replace(Some(connected));
+    }
+
+    pub(crate) fn last(&self) -> Option<Arc<Hello>> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Sends a message that may get lost, if there is a connection.
     pub fn send(&self, message: EntryMessage) {
         if let Some(connected) = self.connected() {
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -123,6 +123,14 @@
         self.shared.pinned.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The agents that were connected, are still wanted, and can't be reached.
+    pub fn lost(&self) -> Vec<(Arc<Agent>, Arc<Hello>)> {
+        let known = self.shared.known();
+        let agents = known.values().map(|(agent, _)| agent);
+        let lost = agents.filter(|agent| agent.connected().is_none());
+        lost.filter_map(|agent| Some((Arc::clone(agent), agent.last()?))).collect()
+    }
+
     /// All agents that are connected.
     pub fn connected(&self) -> Vec<(Arc<Agent>, Connected)> {
         let known = self.shared.known();
--- a/crates/entry/src/supervisor.rs
+++ b/crates/entry/src/supervisor.rs
@@ -80,7 +80,7 @@
             // The first heartbeat tells the window; a dispatch before it would be refused.
             if !announced && matches!(message, AgentMessage::Heartbeat { .. }) {
                 announced = true;
-                self.agent.connected.send_replace(Some(connected.clone()));
+                self.agent.announce(connected.clone());
                 place(&self.router, &self.agent);
                 self.record_opened(&connected);
                 let known = self.router.suspicions();
--- a/crates/flamingowheel/tests/fleet.rs
+++ b/crates/flamingowheel/tests/fleet.rs
@@ -214,5 +214,8 @@
     {
         assert!(shown.contains(line), "{line}\n{shown}");
     }
+    let status = typing("status", entry.operators).await;
+    let lost = status.lines().find(|line| line.starts_with("payouts-0")).expect("a line");
+    assert!(lost.contains("SILENT"), "{status}");
     fleet.leave().await;
 }
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -21,7 +21,7 @@
 use flamingowheel_control::transport::PeerTransport;
 use flamingowheel_control::websocket::{WebSocketPeers, serve as serve_peers};
 use flamingowheel_entry::addresses::AddressBook;
-use flamingowheel_entry::agents::{Agent, Agents, Connected};
+use flamingowheel_entry::agents::{Agent, Agents};
 use flamingowheel_entry::archive::Archive;
 use flamingowheel_entry::claims::Claims;
 use flamingowheel_entry::config::EntryConfig;
@@ -222,23 +222,31 @@
 impl OtherProcesses for AgentList {
     fn list(&self) -> Vec<ProcessStatus> {
         let connected = self.0.connected();
-        connected.into_iter().map(|(agent, connected)| agent_status(&agent, &connected)).collect()
+        let connected = connected.iter().map(|(agent, connected)| {
+            let state = match agent.is_leaving() {
+                true => ProcessState::Leaving,
+                false => ProcessState::Live,
+            };
+            agent_status(agent, &connected.hello, state)
+        });
+        // An agent that died would otherwise be missing without a word while its VM is listed.
+        let lost = self.0.lost();
+        let lost =
+            lost.iter().map(|(agent, hello)| agent_status(agent, hello, ProcessState::Silent));
+        connected.chain(lost).collect()
     }
 }
 
-fn agent_status(agent: &Agent, connected: &Connected) -> ProcessStatus {
+fn agent_status(agent: &Agent, hello: &Hello, state: ProcessState) -> ProcessStatus {
     ProcessStatus {
-        name: connected.hello.name.clone(),
+        name: hello.name.clone(),
         role: ProcessRole::Agent,
-        vm: connected.hello.vm.clone(),
-        data_centre: connected.hello.data_centre.clone(),
-        state: match agent.is_leaving() {
-            true => ProcessState::Leaving,
-            false => ProcessState::Live,
-        },
+        vm: hello.vm.clone(),
+        data_centre: hello.data_centre.clone(),
+        state,
         // Agents hold no configuration.
         revision: ConfigRevision::default(),
-        operators_address: connected.hello.operators,
+        operators_address: hello.operators,
         heard_ms_ago: agent.heard_ago().as_millis() as u64,
     }
 }
