Accept inner connections in one piece of code

Cause: agents and entries each had their own loop that bounds, accepts and attends connections of the fleet's processes; the two had begun to differ (one let a handshake go on after the stop). Change: `accept_links` in the protocol package does it for both. Conclusion: a bound that is changed is changed for both.

--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -5,20 +5,14 @@
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::link::{Keeping, Link};
 use flamingowheel_protocol::message::{AgentMessage, EntryMessage, Hello, Role};
-use flamingowheel_protocol::websocket::{Identity, accept, next_stream};
-use std::sync::Arc;
+use flamingowheel_protocol::websocket::{Identity, accept_links};
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 /// Numbers connections within the process.
 static LINKS: AtomicU64 = AtomicU64::new(1);
 
-/// Most connections at one time. About a dozen entries stand before an agent; without a bound a
-/// stranger that opens connections and says nothing would use up the process's descriptors.
-const MAX_ACCEPTED: usize = 256;
-
 /// How the agent introduces itself.
 pub fn identity(config: &AgentConfig, key: FleetKey, keeping: Keeping) -> Identity {
     let hello = Hello {
@@ -39,28 +33,7 @@
     agent: AgentHandle,
     stop: CancellationToken,
 ) {
-    let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
-    loop {
-        let (stream, remote) = tokio::select! {
-            accepted = next_stream(&listener) => accepted,
-            () = stop.cancelled() => return,
-        };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            tracing::warn!(%remote, "too many connections");
-            continue;
-        };
-        let (identity, agent, stop) = (identity.clone(), agent.clone(), stop.clone());
-        tokio::spawn(async move {
-            let _permit = permit;
-            match accept(stream, &identity).await {
-                Ok(link) => tokio::select! {
-                    () = attend(link, agent) => {}
-                    () = stop.cancelled() => {}
-                },
-                Err(error) => tracing::warn!(%remote, %error, "connection refused"),
-            }
-        });
-    }
+    accept_links(listener, identity, stop, move |link| attend(link, agent.clone())).await;
 }
 
 /// Hands the messages of one connection to the control task until it ends.
--- a/crates/control/src/websocket.rs
+++ b/crates/control/src/websocket.rs
@@ -5,7 +5,7 @@
 use flamingowheel_platform::BoxFuture;
 use flamingowheel_protocol::link::Link;
 use flamingowheel_protocol::peer::{PeerAnswer, PeerFrame, PeerRequest};
-use flamingowheel_protocol::websocket::{Identity, accept, connect, next_stream};
+use flamingowheel_protocol::websocket::{Identity, accept_links, connect};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,8 +19,6 @@
 /// A connection that nobody asked over for this long is closed. Random members are probed all the
 /// time; kept open, those connections would cost more in heartbeats than all that is said.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
-/// Most connections of other entries.
-const MAX_ACCEPTED: usize = 256;
 /// Most requests of one connection that are worked on at one time.
 const MAX_REQUESTS: usize = 32;
 
@@ -139,34 +137,12 @@
 
 /// Answers other entries until `stop` fires.
 pub async fn serve(listener: TcpListener, identity: Identity, node: Node, stop: CancellationToken) {
-    let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
-    loop {
-        let (stream, remote) = tokio::select! {
-            accepted = next_stream(&listener) => accepted,
-            () = stop.cancelled() => return,
-        };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            tracing::warn!(%remote, "too many connections of entries");
-            continue;
-        };
-        let (identity, node, stop) = (identity.clone(), node.clone(), stop.clone());
-        tokio::spawn(async move {
-            let _permit = permit;
-            stop.run_until_cancelled(attend(stream, &identity, node, stop.clone())).await;
-        });
-    }
+    let closing = stop.clone();
+    let attend = move |link| attend(link, node.clone(), closing.clone());
+    accept_links(listener, identity, stop, attend).await;
 }
 
-async fn attend(
-    stream: tokio::net::TcpStream,
-    identity: &Identity,
-    node: Node,
-    stop: CancellationToken,
-) {
-    let mut link: PeerLink = match accept(stream, identity).await {
-        Ok(link) => link,
-        Err(error) => return tracing::warn!(%error, "connection refused"),
-    };
+async fn attend(mut link: PeerLink, node: Node, stop: CancellationToken) {
     let permits = Arc::new(Semaphore::new(MAX_REQUESTS));
     while let Some(frame) = link.receiver.recv().await {
         let PeerFrame::Request { number, request } = frame else { continue };
--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -9,12 +9,15 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_util::sync::CancellationToken;
 
 /// A handshake that takes longer is given up.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
@@ -26,6 +29,10 @@
 /// library's default would cost 128 KiB each.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Most connections that one listener has at one time. Few processes connect to any other; without a
+/// bound a stranger that opens connections and says nothing would use up this one's descriptors.
+const MAX_ACCEPTED: usize = 256;
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -89,8 +96,43 @@
     timeout(HANDSHAKE_LIMIT, opening).await.map_err(|_| HandshakeError::TimedOut)?
 }
 
-/// Takes the next stream of a listener.
-pub async fn next_stream(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+/// Accepts connections and has each attended, until `stop` fires; then they close.
+pub async fn accept_links<Out, In, Attend, Attending>(
+    listener: TcpListener,
+    identity: Identity,
+    stop: CancellationToken,
+    attend: Attend,
+) where
+    Out: Serialize + Send + Sync + 'static,
+    In: DeserializeOwned + Send + 'static,
+    Attend: Fn(Link<Out, In>) -> Attending + Clone + Send + 'static,
+    Attending: Future<Output = ()> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
+    loop {
+        let (stream, remote) = tokio::select! {
+            accepted = next_stream(&listener) => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            tracing::warn!(%remote, "too many connections");
+            continue;
+        };
+        let (identity, attend, stop) = (identity.clone(), attend.clone(), stop.clone());
+        tokio::spawn(async move {
+            let _permit = permit;
+            let attending = async move {
+                match accept(stream, &identity).await {
+                    Ok(link) => attend(link).await,
+                    Err(error) => tracing::warn!(%remote, %error, "connection refused"),
+                }
+            };
+            stop.run_until_cancelled(attending).await;
+        });
+    }
+}
+
+async fn next_stream(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
             Ok(accepted) => return accepted,
