--- a/crates/agent/src/archive.rs
+++ b/crates/agent/src/archive.rs
@@ -7,7 +7,7 @@
 
 use crate::control::{AgentHandle, TicketList};
 use crate::execution::Execution;
-use flamingowheel_platform::kv::{KeyValue, KeyValueError, Operation, Transaction};
+use flamingowheel_backing::kv::{KeyValue, KeyValueError, Operation, Transaction};
 use flamingowheel_protocol::archive::{self, ArchivedAnswer, BUCKETS, Seal};
 use flamingowheel_protocol::id::Incarnation;
 use std::sync::Arc;
--- a/crates/agent/src/cache.rs
+++ b/crates/agent/src/cache.rs
@@ -5,7 +5,7 @@
 //! have been evicted unseen: entries trust it less with time, and after [`DOUBT_LIMIT`] all but
 //! what was stored since is forgotten here and there.
 
-use flamingowheel_platform::backend;
+use flamingowheel_backing::backend;
 use flamingowheel_policy::prefix::{BlockHash, CacheChange, CacheEvent};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
--- a/crates/agent/src/control/handle.rs
+++ b/crates/agent/src/control/handle.rs
@@ -3,7 +3,7 @@
 use crate::cache::Poll;
 use crate::execution::Execution;
 use crate::runner::RunEnd;
-use flamingowheel_platform::backend::{BackendError, CacheEvent, LoadReport};
+use flamingowheel_backing::backend::{BackendError, CacheEvent, LoadReport};
 use flamingowheel_protocol::id::{ExecutionKey, Window};
 use flamingowheel_protocol::message::{AgentMessage, EntryMessage};
 use std::sync::Arc;
--- a/crates/agent/src/control/health.rs
+++ b/crates/agent/src/control/health.rs
@@ -3,8 +3,8 @@
 use super::{Command, Control, fingerprint_name};
 use crate::cache::Poll;
 use crate::records::Record;
+use flamingowheel_backing::backend::{BackendError, CacheEvent, LoadReport};
 use flamingowheel_observe::event::Event;
-use flamingowheel_platform::backend::{BackendError, CacheEvent, LoadReport};
 use flamingowheel_policy::suspicion::CrashId;
 use flamingowheel_protocol::message::{AgentMessage, Serves};
 use std::sync::Arc;
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -2,7 +2,7 @@
 
 use crate::control::Command;
 use crate::execution::{Ending, Execution};
-use flamingowheel_platform::backend::{
+use flamingowheel_backing::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, Priority,
 };
 use flamingowheel_protocol::id::ExecutionKey;
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use flamingowheel_agent::control::Command;
-use flamingowheel_platform::fake::text::whole_stream;
-use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeService};
+use flamingowheel_backing::fake::text::whole_stream;
+use flamingowheel_backing::fake::{EngineSettings, FakeEngine, FakeService};
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation};
 use flamingowheel_protocol::message::{AgentMessage, Dispatch, EntryMessage, Failure, Refusal};
 use session::{Session, attach, cancel, config};
--- a/crates/agent/tests/session/mod.rs
+++ b/crates/agent/tests/session/mod.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{AgentHandle, Command, Control};
+use flamingowheel_backing::backend::BackendServer;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::backend::BackendServer;
 use flamingowheel_protocol::id::{
     AttemptId, ExecutionKey, Fingerprint, Incarnation, RequestId, Window,
 };
--- a/crates/platform/src/backend.rs
+++ b/crates/backing/src/backend.rs
@@ -77,7 +77,7 @@
     /// Whether the call surely did not start, so that "not run" may be said.
     ///
     /// ```
-    /// use flamingowheel_platform::backend::BackendError;
+    /// use flamingowheel_backing::backend::BackendError;
     /// assert!(BackendError::Refused.proves_not_started());
     /// assert!(!BackendError::Lost.proves_not_started());
     /// ```
--- a/crates/platform/src/client/backend.rs
+++ b/crates/backing/src/client/backend.rs
@@ -53,7 +53,7 @@
     /// A client of the backend server at `authority`.
     ///
     /// ```
-    /// use flamingowheel_platform::client::{BackendKind, HttpBackend, HttpLimits};
+    /// use flamingowheel_backing::client::{BackendKind, HttpBackend, HttpLimits};
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let authority = "127.0.0.1:8000".parse().unwrap();
     /// let _engine = HttpBackend::new(authority, BackendKind::Engine, HttpLimits::default());
--- a/crates/platform/src/client/etcd.rs
+++ b/crates/backing/src/client/etcd.rs
@@ -48,7 +48,7 @@
     /// A client of the gateway at `authority`.
     ///
     /// ```
-    /// use flamingowheel_platform::client::{EtcdClient, etcd};
+    /// use flamingowheel_backing::client::{EtcdClient, etcd};
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let limits = etcd::default_limits();
     /// let _client = EtcdClient::new("127.0.0.1:2379".parse().unwrap(), limits);
--- a/crates/platform/src/client/failover.rs
+++ b/crates/backing/src/client/failover.rs
@@ -23,9 +23,9 @@
 /// A client of several addresses of one service. Calls go to the address that answered last.
 ///
 /// ```
-/// use flamingowheel_platform::client::Failover;
-/// use flamingowheel_platform::fake::FakeKeyValue;
-/// use flamingowheel_platform::kv::KeyValue;
+/// use flamingowheel_backing::client::Failover;
+/// use flamingowheel_backing::fake::FakeKeyValue;
+/// use flamingowheel_backing::kv::KeyValue;
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let (first, second) = (FakeKeyValue::new(), FakeKeyValue::new());
 /// first.set_down(true);
--- a/crates/platform/src/client/http.rs
+++ b/crates/backing/src/client/http.rs
@@ -107,7 +107,7 @@
     /// A client of the server at `authority`, for example `10.0.0.7:8000`.
     ///
     /// ```
-    /// use flamingowheel_platform::client::{HttpClient, HttpLimits};
+    /// use flamingowheel_backing::client::{HttpClient, HttpLimits};
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let client = HttpClient::new("127.0.0.1:8000".parse().unwrap(), HttpLimits::default());
     /// assert_eq!(client.limits().max_headers, 64);
--- a/crates/platform/src/client/orders.rs
+++ b/crates/backing/src/client/orders.rs
@@ -54,7 +54,7 @@
     /// A client of the engine at `authority`; loading weights takes long, so give `head_ms` room.
     ///
     /// ```
-    /// use flamingowheel_platform::client::{HttpLimits, HttpOrders};
+    /// use flamingowheel_backing::client::{HttpLimits, HttpOrders};
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let _orders = HttpOrders::new("127.0.0.1:8000".parse().unwrap(), HttpLimits::default());
     /// # });
--- a/crates/platform/src/client/split.rs
+++ b/crates/backing/src/client/split.rs
@@ -29,7 +29,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use flamingowheel_platform::client::split::Splitter;
+    /// use flamingowheel_backing::client::split::Splitter;
     /// let mut events = Splitter::events(1024);
     /// events.push(Bytes::from_static(b"data: a\n\ndata: b\n"));
     /// assert_eq!(events.next_item().unwrap().unwrap(), "data: a\n\n");
@@ -125,7 +125,7 @@
 /// Whether an event is the end marker of an OpenAI-style stream.
 ///
 /// ```
-/// use flamingowheel_platform::client::split::is_done;
+/// use flamingowheel_backing::client::split::is_done;
 /// assert!(is_done(b"data: [DONE]\n\n"));
 /// assert!(!is_done(b"data: {\"content\": \"[DONE]\"}\n\n"));
 /// ```
--- a/crates/platform/src/client/vm.rs
+++ b/crates/backing/src/client/vm.rs
@@ -17,7 +17,7 @@
     /// A client of the list at `authority`.
     ///
     /// ```
-    /// use flamingowheel_platform::client::{HttpLimits, HttpVmList};
+    /// use flamingowheel_backing::client::{HttpLimits, HttpVmList};
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let _list = HttpVmList::new("127.0.0.1:8000".parse().unwrap(), HttpLimits::default());
     /// # });
--- a/crates/platform/src/client/weights.rs
+++ b/crates/backing/src/client/weights.rs
@@ -22,7 +22,7 @@
     /// A client of the store at `authority`.
     ///
     /// ```
-    /// use flamingowheel_platform::client::{HttpLimits, HttpWeightStore};
+    /// use flamingowheel_backing::client::{HttpLimits, HttpWeightStore};
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let _store = HttpWeightStore::new("127.0.0.1:8000".parse().unwrap(), HttpLimits::default());
     /// # });
--- a/crates/platform/src/client/wire.rs
+++ b/crates/backing/src/client/wire.rs
@@ -158,7 +158,7 @@
     /// All keys that start with `prefix`.
     ///
     /// ```
-    /// use flamingowheel_platform::client::wire::RangeRequest;
+    /// use flamingowheel_backing::client::wire::RangeRequest;
     /// assert_eq!(&RangeRequest::prefix("a/").range_end.unwrap().0[..], b"a0");
     /// ```
     pub fn prefix(prefix: &str) -> Self {
--- a/crates/platform/src/fake/engine/mod.rs
+++ b/crates/backing/src/fake/engine/mod.rs
@@ -159,8 +159,8 @@
 /// The fake; clones share one engine.
 ///
 /// ```
-/// use flamingowheel_platform::backend::BackendServer;
-/// use flamingowheel_platform::fake::{EngineSettings, FakeEngine};
+/// use flamingowheel_backing::backend::BackendServer;
+/// use flamingowheel_backing::fake::{EngineSettings, FakeEngine};
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let engine = FakeEngine::new(1, EngineSettings::default());
 /// assert_eq!(engine.load().await.unwrap().running, 0);
--- a/crates/platform/src/fake/group.rs
+++ b/crates/backing/src/fake/group.rs
@@ -31,7 +31,7 @@
 /// A group of engines in lock-step: a step is run by all ranks or by none.
 ///
 /// ```
-/// use flamingowheel_platform::fake::{EngineSettings, FakeEngine, RankGroup};
+/// use flamingowheel_backing::fake::{EngineSettings, FakeEngine, RankGroup};
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let ranks = vec![FakeEngine::new(1, EngineSettings::default())];
 /// let group = RankGroup::new(ranks);
--- a/crates/platform/src/fake/kv.rs
+++ b/crates/backing/src/fake/kv.rs
@@ -112,8 +112,8 @@
 /// The fake; clones share one store.
 ///
 /// ```
-/// use flamingowheel_platform::fake::FakeKeyValue;
-/// use flamingowheel_platform::kv::{KeyValue, KeyValueError};
+/// use flamingowheel_backing::fake::FakeKeyValue;
+/// use flamingowheel_backing::kv::{KeyValue, KeyValueError};
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let kv = FakeKeyValue::new();
 /// assert!(kv.range("config/").await.unwrap().entries.is_empty());
--- a/crates/platform/src/fake/service.rs
+++ b/crates/backing/src/fake/service.rs
@@ -28,7 +28,7 @@
 /// The fake; clones share one service.
 ///
 /// ```
-/// use flamingowheel_platform::fake::FakeService;
+/// use flamingowheel_backing::fake::FakeService;
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let service = FakeService::new(1);
 /// assert_eq!(service.executions(b"pay 5"), 0);
--- a/crates/platform/src/fake/text.rs
+++ b/crates/backing/src/fake/text.rs
@@ -29,7 +29,7 @@
     /// Reads `max_tokens` and `stream` of a JSON body; any other body is streamed.
     ///
     /// ```
-    /// use flamingowheel_platform::fake::text::Generation;
+    /// use flamingowheel_backing::fake::text::Generation;
     /// let body = br#"{"max_tokens": 7, "stream": true}"#;
     /// assert_eq!(Generation::of(body, 3), Generation { tokens: 7, stream: true });
     /// assert_eq!(Generation::of(b"plain", 3), Generation { tokens: 3, stream: true });
--- a/crates/platform/src/fake/vm.rs
+++ b/crates/backing/src/fake/vm.rs
@@ -20,8 +20,8 @@
 /// The fake; clones share one list.
 ///
 /// ```
-/// use flamingowheel_platform::fake::FakeVmList;
-/// use flamingowheel_platform::vm::VmList;
+/// use flamingowheel_backing::fake::FakeVmList;
+/// use flamingowheel_backing::vm::VmList;
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let list = FakeVmList::new(Vec::new());
 /// assert!(list.list().await.unwrap().is_empty());
--- a/crates/platform/src/fake/weights.rs
+++ b/crates/backing/src/fake/weights.rs
@@ -51,8 +51,8 @@
 /// The fake; clones share one rate.
 ///
 /// ```
-/// use flamingowheel_platform::fake::FakeWeightStore;
-/// use flamingowheel_platform::weights::{WeightStore, WeightStoreError};
+/// use flamingowheel_backing::fake::FakeWeightStore;
+/// use flamingowheel_backing::weights::{WeightStore, WeightStoreError};
 /// # #[tokio::main(flavor = "current_thread", start_paused = true)] async fn main() {
 /// let store = FakeWeightStore::new(1_000, 500);
 /// assert_eq!(store.read("m", 500).await, Ok(()));
--- a/crates/platform/src/kv.rs
+++ b/crates/backing/src/kv.rs
@@ -176,7 +176,7 @@
     /// back before it judges.
     ///
     /// ```
-    /// use flamingowheel_platform::kv::KeyValueError;
+    /// use flamingowheel_backing::kv::KeyValueError;
     /// assert!(KeyValueError::NoAnswer { limit_ms: 500 }.may_have_taken_effect());
     /// assert!(!KeyValueError::Unreachable.may_have_taken_effect());
     /// ```
--- a/crates/platform/src/orders.rs
+++ b/crates/backing/src/orders.rs
@@ -101,7 +101,7 @@
 /// Name of the counter of tokens that an expert of a layer has worked on.
 ///
 /// ```
-/// assert_eq!(flamingowheel_platform::orders::expert_counter(2, 17), "expert_tokens/2/17");
+/// assert_eq!(flamingowheel_backing::orders::expert_counter(2, 17), "expert_tokens/2/17");
 /// ```
 pub fn expert_counter(layer: usize, expert: u16) -> String {
     format!("expert_tokens/{layer}/{expert}")
--- a/crates/platform/tests/failover.rs
+++ b/crates/backing/tests/failover.rs
@@ -1,9 +1,9 @@
 //! A key-value service with several addresses, some of which fail.
 
 use bytes::Bytes;
-use flamingowheel_platform::client::Failover;
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
-use flamingowheel_platform::kv::{KeyValue, KeyValueError, Operation, Transaction};
+use flamingowheel_backing::client::Failover;
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_backing::kv::{KeyValue, KeyValueError, Operation, Transaction};
 use std::time::Duration;
 
 fn two() -> (FakeKeyValue, FakeKeyValue, Failover<FakeKeyValue>) {
--- a/crates/platform/tests/fake_engine.rs
+++ b/crates/backing/tests/fake_engine.rs
@@ -1,18 +1,18 @@
 //! The engine, group, service and VM list fakes under a paused clock.
 
 use bytes::Bytes;
-use flamingowheel_platform::backend::{
+use flamingowheel_backing::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, Priority,
 };
-use flamingowheel_platform::fake::engine::map_digest;
-use flamingowheel_platform::fake::text::whole_stream;
-use flamingowheel_platform::fake::{
+use flamingowheel_backing::fake::engine::map_digest;
+use flamingowheel_backing::fake::text::whole_stream;
+use flamingowheel_backing::fake::{
     EngineSettings, FakeEngine, FakeService, FakeVmList, FencePolicy, LostOrder, RankGroup,
 };
-use flamingowheel_platform::orders::{
+use flamingowheel_backing::orders::{
     EngineOrders, ExpertMap, Fence, Order, OrderError, OrderTarget,
 };
-use flamingowheel_platform::vm::{Vm, VmList, VmState};
+use flamingowheel_backing::vm::{Vm, VmList, VmState};
 use std::time::Duration;
 
 fn call(id: &str, body: &str) -> BackendCall {
--- a/crates/platform/tests/fake_kv.rs
+++ b/crates/backing/tests/fake_kv.rs
@@ -1,8 +1,8 @@
 //! The key-value fake's faults, under a paused clock.
 
 use bytes::Bytes;
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueError, LeaseId, Operation, Revision, Transaction, WatchEvent,
 };
 use std::time::Duration;
--- a/crates/config/src/apply.rs
+++ b/crates/config/src/apply.rs
@@ -8,7 +8,7 @@
 use crate::replica::Replica;
 use crate::store::{HeadEntry, Store, StoreError, append_transaction, slot_change};
 use crate::validate::{Problem, validate};
-use flamingowheel_platform::kv::{KeyValueError, Transaction};
+use flamingowheel_backing::kv::{KeyValueError, Transaction};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/config/src/bucket.rs
+++ b/crates/config/src/bucket.rs
@@ -12,7 +12,7 @@
 use crate::effective::{ConfigRevision, Documents, Stored};
 use crate::template::Template;
 use crate::workspace::Workspace;
-use flamingowheel_platform::kv::MAX_VALUE_BYTES;
+use flamingowheel_backing::kv::MAX_VALUE_BYTES;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -3,7 +3,7 @@
 use crate::bucket::{Bucket, BucketId, HEAD_KEY, Head, touched};
 use crate::replica::Replica;
 use crate::store::{HeadEntry, Store, StoreError, put};
-use flamingowheel_platform::kv::{Operation, Transaction};
+use flamingowheel_backing::kv::{Operation, Transaction};
 use std::collections::BTreeSet;
 
 /// How often one write is tried again after a change came first.
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -8,7 +8,7 @@
 use crate::document::Edit;
 use crate::effective::{ConfigRevision, Documents};
 use crate::replica::Replica;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueEntry, KeyValueError, Operation, Revision, Transaction, Watch,
 };
 use serde::de::DeserializeOwned;
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -1,6 +1,12 @@
 //! Random changes by several operators under random faults of the key-value service, against a
 //! simple oracle: what was told to the operators is what a fresh process finds.
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeKeyValue;
+use flamingowheel_backing::kv::{
+    KeyValue, KeyValueError, LeaseId, Operation, Revision, Snapshot, Transaction,
+    TransactionAnswer, Watch,
+};
 use flamingowheel_config::api::ChangeState;
 use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
 use flamingowheel_config::change::{ChangeId, Origin};
@@ -11,12 +17,6 @@
 use flamingowheel_config::template::Limits;
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::workspace::{Overrides, Workspace};
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeKeyValue;
-use flamingowheel_platform::kv::{
-    KeyValue, KeyValueError, LeaseId, Operation, Revision, Snapshot, Transaction,
-    TransactionAnswer, Watch,
-};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/config/tests/store.rs
+++ b/crates/config/tests/store.rs
@@ -1,5 +1,11 @@
 //! Changes through the key-value service, with its faults.
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_backing::kv::{
+    KeyValue, KeyValueError, LeaseId, MAX_VALUE_BYTES, Operation, Revision, Snapshot, Transaction,
+    TransactionAnswer, Watch,
+};
 use flamingowheel_config::api::ChangeState;
 use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
 use flamingowheel_config::bucket::{FOLD_AT, HEAD_KEY, LOG_SLOTS, PREFIX};
@@ -9,12 +15,6 @@
 use flamingowheel_config::replica::Replica;
 use flamingowheel_config::store::{Store, StoreError};
 use flamingowheel_config::token::TokenHash;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
-use flamingowheel_platform::kv::{
-    KeyValue, KeyValueError, LeaseId, MAX_VALUE_BYTES, Operation, Revision, Snapshot, Transaction,
-    TransactionAnswer, Watch,
-};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use uuid::Uuid;
--- a/crates/control/benches/config.rs
+++ b/crates/control/benches/config.rs
@@ -9,6 +9,7 @@
 mod common;
 
 use common::{Entry, Fleet, template};
+use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_config::apply::{Applied, ApplyRequest};
 use flamingowheel_config::bucket::{BUCKET_PREFIX, LOG_PREFIX, PREFIX, encode};
 use flamingowheel_config::change::{Change, Origin};
@@ -19,7 +20,6 @@
 use flamingowheel_config::template::{Limits, Model, Parameters, Template};
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_config::workspace::{Overrides, Workspace};
-use flamingowheel_platform::fake::FakeKeyValue;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use uuid::Uuid;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -8,13 +8,13 @@
 
 use crate::duties::Duties;
 use crate::membership::{Observation, Table};
+use flamingowheel_backing::BoxFuture;
 use flamingowheel_config::api::ConfigSource;
 use flamingowheel_config::effective::{ConfigRevision, Effective};
 use flamingowheel_config::replica::Replica;
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::{ConfigSource as Origin, MemberState as Seen};
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::BoxFuture;
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::limits::{Loan, LoanRequest};
 use flamingowheel_protocol::id::Incarnation;
--- a/crates/control/src/node/agents.rs
+++ b/crates/control/src/node/agents.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use crate::directory::precedence;
-use flamingowheel_platform::vm::{Vm, VmState};
+use flamingowheel_backing::vm::{Vm, VmState};
 use flamingowheel_protocol::message::Hello;
 use flamingowheel_protocol::peer::{AgentRecord, Heartbeat, HeartbeatAnswer, MemberState};
 use std::collections::HashMap;
--- a/crates/control/src/registry.rs
+++ b/crates/control/src/registry.rs
@@ -3,7 +3,7 @@
 //! It only serves to find somebody. Who is there is told by the table of members, so entries
 //! write here once in a while, hold no lease, and old names do no harm until they are removed.
 
-use flamingowheel_platform::kv::{KeyValue, KeyValueError, Operation, Transaction};
+use flamingowheel_backing::kv::{KeyValue, KeyValueError, Operation, Transaction};
 use flamingowheel_protocol::peer::MemberRecord;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,12 +1,12 @@
 //! Following the key-value service: watchers do it for their data centre.
 
 use crate::spread::Spread;
+use flamingowheel_backing::kv::{KeyValueEntry, Revision, Watch, WatchEvent};
 use flamingowheel_config::bucket::LOG_PREFIX;
 use flamingowheel_config::change::Change;
 use flamingowheel_config::store::{HeadEntry, StoreError};
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::ConfigSource;
-use flamingowheel_platform::kv::{KeyValueEntry, Revision, Watch, WatchEvent};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -10,9 +10,9 @@
 use crate::pause::{PauseDetector, TICK};
 use crate::seeds;
 use crate::transport::{PeerError, PeerTransport};
+use flamingowheel_backing::vm::VmList;
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_config::store::Store;
-use flamingowheel_platform::vm::VmList;
 use flamingowheel_protocol::peer::{
     AgentRecord, Heartbeat, MemberState, News, PeerAnswer, PeerRequest,
 };
--- a/crates/control/src/transport.rs
+++ b/crates/control/src/transport.rs
@@ -1,6 +1,6 @@
 //! How other entries are reached.
 
-use flamingowheel_platform::BoxFuture;
+use flamingowheel_backing::BoxFuture;
 use flamingowheel_protocol::peer::{PeerAnswer, PeerRequest};
 use std::net::SocketAddr;
 
--- a/crates/control/src/websocket.rs
+++ b/crates/control/src/websocket.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use crate::transport::{PeerError, PeerTransport};
-use flamingowheel_platform::BoxFuture;
+use flamingowheel_backing::BoxFuture;
 use flamingowheel_protocol::link::Link;
 use flamingowheel_protocol::peer::{PeerAnswer, PeerFrame, PeerRequest};
 use flamingowheel_protocol::websocket::{Identity, accept_links, connect};
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::{FakeKeyValue, FakeVmList};
+use flamingowheel_backing::vm::{Vm, VmState};
 use flamingowheel_config::apply::{Applied, ApplyError, ApplyRequest};
 use flamingowheel_config::bucket::{HEAD_KEY, Head};
 use flamingowheel_config::change::Origin;
@@ -14,9 +17,6 @@
 use flamingowheel_control::transport::{PeerError, PeerTransport};
 use flamingowheel_observe::reason::ConfigSource;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::{FakeKeyValue, FakeVmList};
-use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_protocol::codec::encode;
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{MemberRecord, MemberState, PeerAnswer, PeerFrame, PeerRequest};
--- a/crates/control/tests/operators.rs
+++ b/crates/control/tests/operators.rs
@@ -6,13 +6,13 @@
 use axum::body::Body;
 use axum::http::{Request, StatusCode};
 use common::{Entry, Fleet, TEMPLATE, template, workspace};
+use flamingowheel_backing::fake::LostAnswer;
 use flamingowheel_config::api::{
     ApiError, ApplyAnswer, ApplyOutcome, ChangeAnswer, ChangeState, DiffAnswer, ErrorCode,
     HistoryAnswer, ProcessState, ProcessStatus, StatusAnswer, TemplateAnswer, WorkspaceAnswer,
     WorkspacesAnswer,
 };
 use flamingowheel_control::operators::{Operators, OtherProcesses, router};
-use flamingowheel_platform::fake::LostAnswer;
 use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -2,7 +2,7 @@
 //!
 //! Absence, an error or a slow service mean that nothing is known, as if nobody had looked.
 
-use flamingowheel_platform::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_protocol::archive::{self, Trace};
 use flamingowheel_protocol::id::Fingerprint;
 use flamingowheel_protocol::ticket::Ticket;
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -12,7 +12,7 @@
 pub use handing::{Handed, Handing, Peers, Settled, writer_of};
 
 use crate::config::EntryConfig;
-use flamingowheel_platform::kv::{Compare, KeyValue, KeyValueError, Revision};
+use flamingowheel_backing::kv::{Compare, KeyValue, KeyValueError, Revision};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::{Arc, OnceLock};
--- a/crates/entry/src/claims/handing.rs
+++ b/crates/entry/src/claims/handing.rs
@@ -5,7 +5,7 @@
 //! there are entries to one writer.
 
 use super::{Claim, ClaimError};
-use flamingowheel_platform::BoxFuture;
+use flamingowheel_backing::BoxFuture;
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/entry/src/claims/writer.rs
+++ b/crates/entry/src/claims/writer.rs
@@ -1,7 +1,7 @@
 //! Writes claims to the key-value service, many in a transaction.
 
 use super::{CALL_INTERVAL, Claim, ClaimError, MAX_BATCH, Waiting};
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::kv::{
     KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Transaction,
 };
 use std::collections::HashSet;
--- a/crates/entry/src/connector.rs
+++ b/crates/entry/src/connector.rs
@@ -1,6 +1,6 @@
 //! How an entry opens connections to agents; a trait, so that tests connect in memory.
 
-use flamingowheel_platform::BoxFuture;
+use flamingowheel_backing::BoxFuture;
 use flamingowheel_protocol::link::Link;
 use flamingowheel_protocol::message::{AgentMessage, EntryMessage};
 use flamingowheel_protocol::websocket::{HandshakeError, Identity, connect};
--- a/crates/entry/src/dispatch/keys.rs
+++ b/crates/entry/src/dispatch/keys.rs
@@ -9,7 +9,7 @@
 use crate::outcome::{NotRun, Verdict};
 use crate::request::Request;
 use crate::stream::Answer;
-use flamingowheel_platform::BoxFuture;
+use flamingowheel_backing::BoxFuture;
 use flamingowheel_protocol::archive::{ArchivedAnswer, Trace};
 use flamingowheel_protocol::message::Refusal;
 use flamingowheel_protocol::ticket::Ticket;
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -1,9 +1,9 @@
 //! Callers' keys that entries hand to others to write.
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_entry::claims::{Claim, Claims, Handed, Peers, Settled};
 use flamingowheel_entry::config::EntryConfig;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeKeyValue;
 use flamingowheel_protocol::auth::FleetKey;
 use std::future::pending;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/flamingowheel/tests/tool/contract.rs
+++ b/crates/flamingowheel/tests/tool/contract.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_config::api::ProcessStatus;
 use flamingowheel_config::store::Store;
 use flamingowheel_control::node::Node;
@@ -12,8 +14,6 @@
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::http;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeKeyValue;
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::peer::{MemberRecord, MemberState, PeerAnswer, PeerRequest};
 use tokio::net::TcpListener;
--- a/crates/flamingowheeld/benches/relay.rs
+++ b/crates/flamingowheeld/benches/relay.rs
@@ -5,6 +5,8 @@
 
 #![allow(clippy::print_stdout, missing_docs, reason = "a program")]
 
+use flamingowheel_backing::fake::{FakeKeyValue, FakeVmList};
+use flamingowheel_backing::vm::{Vm, VmState};
 use flamingowheel_config::apply::ApplyRequest;
 use flamingowheel_config::change::Origin;
 use flamingowheel_config::replica::Replica;
@@ -14,8 +16,6 @@
 use flamingowheel_daemon::agent::{AgentProcess, recorder};
 use flamingowheel_daemon::demo::caller::Caller;
 use flamingowheel_daemon::entry::EntryProcess;
-use flamingowheel_platform::fake::{FakeKeyValue, FakeVmList};
-use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::Connections;
 use hdrhistogram::Histogram;
 use http::Method;
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -8,13 +8,13 @@
 use flamingowheel_agent::config::AgentConfig;
 use flamingowheel_agent::control::{AgentHandle, Control};
 use flamingowheel_agent::serve;
+use flamingowheel_backing::client::{BackendKind, EtcdClient, Failover, HttpBackend, HttpLimits};
 use flamingowheel_config::settings::{
     AgentSettings, BackendServerKind, ExpertSettings, Role, Settings,
 };
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::metrics::{Metrics, Occupancy};
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::client::{BackendKind, EtcdClient, Failover, HttpBackend, HttpLimits};
 use flamingowheel_protocol::link::{Keeping, Timing};
 use flamingowheel_protocol::message::{BackendProfile, ExpertShape, Serves};
 use std::net::SocketAddr;
--- a/crates/flamingowheeld/src/demo/once.rs
+++ b/crates/flamingowheeld/src/demo/once.rs
@@ -46,7 +46,7 @@
         "{{\"model\":\"{MODEL}\",\"stream\":true,\"max_tokens\":5,\
          \"messages\":[{{\"role\":\"user\",\"content\":\"summarise the fault log\"}}]}}"
     );
-    let expected = flamingowheel_platform::fake::text::whole_stream(body.as_bytes(), 0).concat();
+    let expected = flamingowheel_backing::fake::text::whole_stream(body.as_bytes(), 0).concat();
     let path = "/v1/chat/completions";
     let reply = caller.call(Method::POST, entry, path, &[], body.into()).await?;
     show("stream", &reply);
--- a/crates/flamingowheeld/src/discovery.rs
+++ b/crates/flamingowheeld/src/discovery.rs
@@ -5,10 +5,10 @@
 //! at VMs that nobody knows, tells the others what it finds through the directory, and tells
 //! agents whose VM is leaving.
 
+use flamingowheel_backing::vm::{Vm, VmList, VmState};
 use flamingowheel_control::node::Node;
 use flamingowheel_entry::addresses::{AddressBook, MAX_LINKS};
 use flamingowheel_entry::agents::{AgentVm, Agents};
-use flamingowheel_platform::vm::{Vm, VmList, VmState};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::load::MAX_SERVERS;
 use flamingowheel_protocol::message::{EntryMessage, Role, Serves};
--- a/crates/flamingowheeld/src/entry.rs
+++ b/crates/flamingowheeld/src/entry.rs
@@ -11,6 +11,9 @@
 use crate::operators;
 use crate::threads::spawn_control;
 use arc_swap::ArcSwap;
+use flamingowheel_backing::client::{EtcdClient, Failover, HttpLimits, HttpVmList};
+use flamingowheel_backing::kv::KeyValue;
+use flamingowheel_backing::vm::VmList;
 use flamingowheel_config::api::{ProcessRole, ProcessState, ProcessStatus};
 use flamingowheel_config::effective::{ConfigRevision, Effective};
 use flamingowheel_config::settings::{EntrySettings, Role, Settings};
@@ -35,9 +38,6 @@
 use flamingowheel_observe::metrics::Occupancy;
 use flamingowheel_observe::reason::LeaveCause;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::client::{EtcdClient, Failover, HttpLimits, HttpVmList};
-use flamingowheel_platform::kv::KeyValue;
-use flamingowheel_platform::vm::VmList;
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::link::{Keeping, Timing};
@@ -332,7 +332,7 @@
 pub fn key_value(settings: &Settings) -> Failover<EtcdClient> {
     let limits = HttpLimits {
         head_ms: settings.key_value.timeout_ms,
-        ..flamingowheel_platform::client::etcd::default_limits()
+        ..flamingowheel_backing::client::etcd::default_limits()
     };
     let client = |address: &SocketAddr| EtcdClient::new(authority(*address), limits.clone());
     Failover::new(settings.key_value.addresses.iter().map(client).collect())
--- a/crates/flamingowheeld/src/groups.rs
+++ b/crates/flamingowheeld/src/groups.rs
@@ -10,6 +10,9 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use bytes::Bytes;
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::kv::KeyValue;
+use flamingowheel_backing::orders::{ExpertMap, Fence};
 use flamingowheel_config::effective::Effective;
 use flamingowheel_control::node::Node;
 use flamingowheel_entry::agents::{Agent, Agents, Connected};
@@ -23,9 +26,6 @@
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::reason::SwitchStep;
 use flamingowheel_observe::recorder::SubjectRecorder;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::kv::KeyValue;
-use flamingowheel_platform::orders::{ExpertMap, Fence};
 use flamingowheel_policy::key::EntryKey;
 use flamingowheel_policy::rebalance::Params;
 use flamingowheel_protocol::message::{ExpertShape, Serves};
@@ -378,8 +378,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use flamingowheel_backing::fake::FakeKeyValue;
     use flamingowheel_group::record::GroupRecord;
-    use flamingowheel_platform::fake::FakeKeyValue;
 
     const SHAPE: ExpertShape = ExpertShape { ranks: 2, layers: 1, experts: 4, slots: 2 };
 
--- a/crates/flamingowheeld/src/keys.rs
+++ b/crates/flamingowheeld/src/keys.rs
@@ -1,10 +1,10 @@
 //! Hands callers' idempotency keys to the entries that write them.
 
+use flamingowheel_backing::BoxFuture;
 use flamingowheel_control::node::{KeyBinder, Node};
 use flamingowheel_control::transport::PeerTransport;
 use flamingowheel_entry::claims::{Claims, Handed, Peers, Settled, writer_of};
 use flamingowheel_entry::state::EntryState;
-use flamingowheel_platform::BoxFuture;
 use flamingowheel_protocol::peer::{MemberState, PeerAnswer, PeerRequest, StoredValue};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/flamingowheeld/src/models.rs
+++ b/crates/flamingowheeld/src/models.rs
@@ -1,12 +1,12 @@
 //! What operators accepted of a group's model, and how fast its weights may be loaded.
 
+use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_config::effective::Effective;
 use flamingowheel_config::served::served;
 use flamingowheel_config::settings::WeightStoreSettings;
 use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::serve::Wanted;
 use flamingowheel_group::session::{Loads, Sizes};
-use flamingowheel_platform::kv::KeyValue;
 use std::sync::Arc;
 use tokio::sync::watch;
 
--- a/crates/flamingowheeld/src/orders.rs
+++ b/crates/flamingowheeld/src/orders.rs
@@ -4,6 +4,9 @@
 use crate::entry::key_value;
 use bytes::Bytes;
 use flamingowheel_agent::control::{AgentHandle, Command, OrderHandler};
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::client::{HttpLimits, HttpOrders};
+use flamingowheel_backing::orders::OrderTarget;
 use flamingowheel_config::settings::{AgentSettings, BackendServerKind, Settings};
 use flamingowheel_group::gate::{EngineKind, Gate};
 use flamingowheel_group::intake::{Intake, Work};
@@ -12,9 +15,6 @@
 use flamingowheel_observe::event::{Event, Subject};
 use flamingowheel_observe::reason::OrderKind;
 use flamingowheel_observe::recorder::{Recorder, SubjectRecorder};
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::client::{HttpLimits, HttpOrders};
-use flamingowheel_platform::orders::OrderTarget;
 use flamingowheel_protocol::id::Incarnation;
 use std::sync::Arc;
 use std::time::Duration;
@@ -156,7 +156,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use flamingowheel_platform::orders::{EngineState, Fence};
+    use flamingowheel_backing::orders::{EngineState, Fence};
 
     fn state() -> RankState {
         RankState {
--- a/crates/flamingowheeld/src/placement.rs
+++ b/crates/flamingowheeld/src/placement.rs
@@ -1,8 +1,8 @@
 //! Turns what engines count into the expert map that a group should use.
 
+use flamingowheel_backing::orders::{EXPERT_BUSY_COUNTER, ExpertMap, expert_counter};
 use flamingowheel_group::message::RankState;
 use flamingowheel_group::proposal::propose;
-use flamingowheel_platform::orders::{EXPERT_BUSY_COUNTER, ExpertMap, expert_counter};
 use flamingowheel_policy::rebalance::{DecayedLoads, Params, RankSpeeds, Work};
 use flamingowheel_protocol::message::ExpertShape;
 
@@ -138,8 +138,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use flamingowheel_backing::orders::EngineState;
     use flamingowheel_group::intake::Work;
-    use flamingowheel_platform::orders::EngineState;
 
     const SHAPE: ExpertShape = ExpertShape { ranks: 2, layers: 1, experts: 4, slots: 2 };
 
--- a/crates/flamingowheeld/tests/discovery.rs
+++ b/crates/flamingowheeld/tests/discovery.rs
@@ -1,5 +1,8 @@
 //! Agents found through a VM list that is wrong.
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeVmList;
+use flamingowheel_backing::vm::{Vm, VmState};
 use flamingowheel_control::node::{MemberView, Node};
 use flamingowheel_daemon::discovery::Discovery;
 use flamingowheel_entry::addresses::{AddressBook, EntryMember, Scope};
@@ -7,9 +10,6 @@
 use flamingowheel_entry::connector::{AgentLink, Connector};
 use flamingowheel_entry::router::Router;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeVmList;
-use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_protocol::id::{Incarnation, Window};
 use flamingowheel_protocol::link::Link;
--- a/crates/flamingowheeld/tests/keys.rs
+++ b/crates/flamingowheeld/tests/keys.rs
@@ -1,13 +1,13 @@
 //! Callers' idempotency keys on their way to the entry that writes them, over real connections.
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_control::node::{KeyBinder, Node};
 use flamingowheel_control::websocket::{WebSocketPeers, serve};
 use flamingowheel_daemon::keys::{KeyPeers, bind_for};
 use flamingowheel_entry::claims::{Claim, Claims, Handed, Peers, Settled, writer_of};
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeKeyValue;
 use flamingowheel_protocol::auth::FleetKey;
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::link::Keeping;
--- a/crates/flamingowheeld/tests/placement.rs
+++ b/crates/flamingowheeld/tests/placement.rs
@@ -1,11 +1,11 @@
 //! Maps planned from what a group of stand-in engines counts.
 
-use flamingowheel_daemon::placement::{Observer, even_map};
-use flamingowheel_group::message::RankState;
-use flamingowheel_platform::fake::{EngineSettings, FakeEngine, RankGroup};
-use flamingowheel_platform::orders::{
+use flamingowheel_backing::fake::{EngineSettings, FakeEngine, RankGroup};
+use flamingowheel_backing::orders::{
     EXPERT_BUSY_COUNTER, EngineOrders, ExpertMap, Fence, Order, OrderTarget,
 };
+use flamingowheel_daemon::placement::{Observer, even_map};
+use flamingowheel_group::message::RankState;
 use flamingowheel_policy::rebalance::Params;
 use flamingowheel_protocol::message::ExpertShape;
 use rand::{RngExt, SeedableRng};
--- a/crates/flamingowheeld/tests/processes/fleet.rs
+++ b/crates/flamingowheeld/tests/processes/fleet.rs
@@ -1,13 +1,13 @@
 //! A fleet of real daemon processes on loopback, before stand-ins in the test's own process.
 
+use flamingowheel_backing::fake::engine::EngineSettings;
+use flamingowheel_backing::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList};
+use flamingowheel_backing::vm::{Vm, VmState};
 use flamingowheel_config::api::{ProcessState, StatusAnswer};
 use flamingowheel_config::token::TokenHash;
 use flamingowheel_daemon::demo;
 use flamingowheel_daemon::demo::caller::{Caller, Reply};
 use flamingowheel_entry::http::tickets::Issued;
-use flamingowheel_platform::fake::engine::EngineSettings;
-use flamingowheel_platform::fake::{FakeEngine, FakeKeyValue, FakeService, FakeVmList};
-use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_standin::{Connections, engine, kv, service, vms};
 use http::Method;
 use rustix::process::{Pid, Signal, kill_process};
--- a/crates/flamingowheeld/tests/processes/main.rs
+++ b/crates/flamingowheeld/tests/processes/main.rs
@@ -3,11 +3,11 @@
 mod fleet;
 
 use bytes::{Bytes, BytesMut};
+use flamingowheel_backing::fake::text;
 use flamingowheel_config::api::ConfigSource;
 use flamingowheel_entry::http::{
     LAST_EVENT_HEADER, RESUMABLE_HEADER, STREAM_HEADER, TICKET_HEADER, TIMEOUT_HEADER,
 };
-use flamingowheel_platform::fake::text;
 use fleet::{Fleet, MODEL, PATIENCE, SERVERS, until};
 use http::{Method, Response};
 use http_body_util::BodyExt;
--- a/crates/group/benches/lease.rs
+++ b/crates/group/benches/lease.rs
@@ -1,9 +1,9 @@
 //! Calls that the leases to coordinate cost the key-value service, counted by its fake.
 #![allow(clippy::print_stdout)]
 
+use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_group::lease::{Lease, Leases};
 use flamingowheel_group::session::Timing;
-use flamingowheel_platform::fake::FakeKeyValue;
 use futures_util::future::join_all;
 use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/group/benches/rollout.rs
+++ b/crates/group/benches/rollout.rs
@@ -5,8 +5,8 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
+use flamingowheel_backing::orders::ExpertMap;
 use flamingowheel_group::gate::EngineKind;
-use flamingowheel_platform::orders::ExpertMap;
 use std::time::Duration;
 use support::World;
 use tokio::time::{Instant, sleep};
--- a/crates/group/benches/switch.rs
+++ b/crates/group/benches/switch.rs
@@ -5,8 +5,8 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
+use flamingowheel_backing::fake::{LostAnswer, LostOrder};
 use flamingowheel_group::gate::EngineKind;
-use flamingowheel_platform::fake::{LostAnswer, LostOrder};
 use std::time::Duration;
 use support::{Fault, OUTAGE, World};
 use tokio::time::sleep;
--- a/crates/group/src/align.rs
+++ b/crates/group/src/align.rs
@@ -8,7 +8,7 @@
 use crate::session::{GroupError, RankOrder, RankResult, Session};
 use crate::switch::resume::settle;
 use crate::switch::{Failure, Switch};
-use flamingowheel_platform::orders::OrderTarget;
+use flamingowheel_backing::orders::OrderTarget;
 
 /// How the group stands after a look at it.
 #[derive(Debug)]
--- a/crates/group/src/budget/keeper.rs
+++ b/crates/group/src/budget/keeper.rs
@@ -2,7 +2,7 @@
 
 use super::{Allocation, Pacer, Share, VALID_FOR};
 use bytes::Bytes;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Transaction,
 };
 use std::collections::BTreeSet;
--- a/crates/group/src/gate.rs
+++ b/crates/group/src/gate.rs
@@ -8,7 +8,7 @@
 use crate::message::{RankError, RankRequest, RankState};
 use crate::record::{Phase, RecordError, RecordStore};
 use crate::serve::is_same_set;
-use flamingowheel_platform::orders::{
+use flamingowheel_backing::orders::{
     EngineOrders, EngineState, ExpertMap, Fence, Order, OrderError, OrderTarget,
 };
 use std::sync::Arc;
--- a/crates/group/src/lease.rs
+++ b/crates/group/src/lease.rs
@@ -4,7 +4,7 @@
 //! is asked for one renewal however many groups there are.
 
 use bytes::Bytes;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueEntry, KeyValueError, LeaseId, Operation, Transaction,
 };
 use std::collections::BTreeSet;
--- a/crates/group/src/message.rs
+++ b/crates/group/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between a group's coordinator and the agents of its ranks.
 
 use crate::intake::Work;
-use flamingowheel_platform::orders::{EngineState, Fence, OrderTarget};
+use flamingowheel_backing::orders::{EngineState, Fence, OrderTarget};
 use serde::{Deserialize, Serialize};
 
 /// What the coordinator asks of a rank's agent.
@@ -28,7 +28,7 @@
     ///
     /// ```
     /// use flamingowheel_group::message::RankRequest;
-    /// use flamingowheel_platform::orders::Fence;
+    /// use flamingowheel_backing::orders::Fence;
     /// assert_eq!(RankRequest::read(Fence(7)).target, None);
     /// ```
     pub fn read(fence: Fence) -> Self {
--- a/crates/group/src/proposal.rs
+++ b/crates/group/src/proposal.rs
@@ -1,6 +1,6 @@
 //! From the rebalancer's plan to the group's next map.
 
-use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_backing::orders::ExpertMap;
 use flamingowheel_policy::rebalance::{
     DecayedLoads, Params, Placement, Request, RequestError, plan,
 };
@@ -9,7 +9,7 @@
 ///
 /// ```
 /// use flamingowheel_group::proposal::propose;
-/// use flamingowheel_platform::orders::ExpertMap;
+/// use flamingowheel_backing::orders::ExpertMap;
 /// use flamingowheel_policy::rebalance::{DecayedLoads, Params};
 /// let in_force = ExpertMap { layers: vec![vec![vec![0, 1], vec![2, 3]]] };
 /// let even = [DecayedLoads::new(0.3, &[1.0; 4])];
--- a/crates/group/src/ranks.rs
+++ b/crates/group/src/ranks.rs
@@ -1,7 +1,7 @@
 //! How a coordinator reaches the ranks of its group.
 
 use crate::message::{RankError, RankRequest, RankState};
-use flamingowheel_platform::BoxFuture;
+use flamingowheel_backing::BoxFuture;
 
 /// The ranks of one group. Requests may be lost, late or doubled on their way; the agent's
 /// [`crate::gate::Gate`] makes that harmless.
--- a/crates/group/src/record.rs
+++ b/crates/group/src/record.rs
@@ -1,10 +1,10 @@
 //! The group's record in the key-value service.
 
 use bytes::Bytes;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueEntry, KeyValueError, Operation, Revision, Transaction,
 };
-use flamingowheel_platform::orders::{ExpertMap, Fence};
+use flamingowheel_backing::orders::{ExpertMap, Fence};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/group/src/retry.rs
+++ b/crates/group/src/retry.rs
@@ -1,6 +1,6 @@
 //! When a change or a load that failed is tried again.
 
-use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_backing::orders::ExpertMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/group/src/rollout.rs
+++ b/crates/group/src/rollout.rs
@@ -5,7 +5,7 @@
 use crate::serve::{Wanted, next, reported};
 use crate::session::{GroupError, Session};
 use crate::turn::Turns;
-use flamingowheel_platform::kv::KeyValue;
+use flamingowheel_backing::kv::KeyValue;
 use std::sync::Arc;
 use tokio::sync::watch;
 
--- a/crates/group/src/serve.rs
+++ b/crates/group/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::record::{GroupRecord, Serving, Stored};
 use crate::session::{GroupError, RankOrder, Session};
 use crate::switch::hold_all;
-use flamingowheel_platform::orders::{EngineState, OrderTarget};
+use flamingowheel_backing::orders::{EngineState, OrderTarget};
 use futures_util::future::join_all;
 use std::collections::BTreeSet;
 
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -5,7 +5,7 @@
 use crate::message::{RankError, RankRequest, RankState};
 use crate::ranks::Ranks;
 use crate::record::{RecordError, RecordStore};
-use flamingowheel_platform::orders::{ExpertMap, Fence, OrderTarget};
+use flamingowheel_backing::orders::{ExpertMap, Fence, OrderTarget};
 use futures_util::future::join_all;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/group/src/switch/hold.rs
+++ b/crates/group/src/switch/hold.rs
@@ -4,7 +4,7 @@
 use crate::message::RankState;
 use crate::ranks::Ranks;
 use crate::session::{GroupError, RankOrder, Session};
-use flamingowheel_platform::orders::{Fence, OrderTarget};
+use flamingowheel_backing::orders::{Fence, OrderTarget};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
--- a/crates/group/src/switch/mod.rs
+++ b/crates/group/src/switch/mod.rs
@@ -14,7 +14,7 @@
 use crate::ranks::Ranks;
 use crate::record::{GroupRecord, Phase, RankEntry, RecordError, Stored, VersionedMap};
 use crate::session::{GroupError, Session};
-use flamingowheel_platform::orders::ExpertMap;
+use flamingowheel_backing::orders::ExpertMap;
 
 /// A switch in the state `State`.
 pub struct Switch<'a, Members, State> {
--- a/crates/group/src/switch/resume.rs
+++ b/crates/group/src/switch/resume.rs
@@ -4,7 +4,7 @@
 use crate::ranks::Ranks;
 use crate::record::{Phase, RecordError, Stored};
 use crate::session::{GroupError, RankOrder, Session};
-use flamingowheel_platform::orders::OrderTarget;
+use flamingowheel_backing::orders::OrderTarget;
 
 impl<'a, Members> Switch<'a, Members, Verified>
 where
--- a/crates/group/src/switch/stage.rs
+++ b/crates/group/src/switch/stage.rs
@@ -4,7 +4,7 @@
 use crate::ranks::Ranks;
 use crate::record::{Stored, VersionedMap};
 use crate::session::{GroupError, RankOrder, Session};
-use flamingowheel_platform::orders::OrderTarget;
+use flamingowheel_backing::orders::OrderTarget;
 use futures_util::future::join_all;
 
 impl<'a, Members> Switch<'a, Members, Begun>
--- a/crates/group/src/switch/verify.rs
+++ b/crates/group/src/switch/verify.rs
@@ -6,7 +6,7 @@
 use crate::ranks::Ranks;
 use crate::record::Stored;
 use crate::session::{GroupError, RankOrder, Session};
-use flamingowheel_platform::orders::OrderTarget;
+use flamingowheel_backing::orders::OrderTarget;
 
 impl<'a, Members> Switch<'a, Members, Committed>
 where
--- a/crates/group/src/turn.rs
+++ b/crates/group/src/turn.rs
@@ -2,7 +2,7 @@
 //! of the model's groups serve meanwhile.
 
 use bytes::Bytes;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueError, LeaseId, Operation, Transaction,
 };
 use std::sync::Arc;
--- a/crates/group/tests/budget.rs
+++ b/crates/group/tests/budget.rs
@@ -1,10 +1,10 @@
 //! The weight store's rate is kept by the whole fleet at every moment.
 
+use flamingowheel_backing::fake::{FakeKeyValue, FakeWeightStore};
+use flamingowheel_backing::orders::ExpertMap;
+use flamingowheel_backing::weights::WeightStore;
 use flamingowheel_group::budget::{Allocation, Budget, Pacer, Share, StoreLimits, VALID_FOR};
 use flamingowheel_group::session::{Loads, Sizes};
-use flamingowheel_platform::fake::{FakeKeyValue, FakeWeightStore};
-use flamingowheel_platform::orders::ExpertMap;
-use flamingowheel_platform::weights::WeightStore;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, advance, sleep};
--- a/crates/group/tests/gate.rs
+++ b/crates/group/tests/gate.rs
@@ -1,12 +1,12 @@
 //! What an agent's gate lets through to its engine.
 
+use flamingowheel_backing::fake::{
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostOrder,
+};
+use flamingowheel_backing::orders::{ExpertMap, Fence, OrderTarget};
 use flamingowheel_group::gate::{EngineKind, Gate};
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::record::{GroupRecord, RecordError, RecordStore};
-use flamingowheel_platform::fake::{
-    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostOrder,
-};
-use flamingowheel_platform::orders::{ExpertMap, Fence, OrderTarget};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/group/tests/lease.rs
+++ b/crates/group/tests/lease.rs
@@ -1,8 +1,8 @@
 //! One lease for all groups of a process, under pauses, outages and losses.
 
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_backing::kv::LeaseId;
 use flamingowheel_group::lease::{Lease, Leases};
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
-use flamingowheel_platform::kv::LeaseId;
 use futures_util::future::{join_all, select_all};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/group/tests/record.rs
+++ b/crates/group/tests/record.rs
@@ -1,8 +1,8 @@
 //! Writes of the group's record whose answers are lost or late.
 
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_backing::orders::ExpertMap;
 use flamingowheel_group::record::{GroupRecord, Phase, RecordError, RecordStore, Stored};
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
-use flamingowheel_platform::orders::ExpertMap;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/group/tests/rollout.rs
+++ b/crates/group/tests/rollout.rs
@@ -3,12 +3,12 @@
 mod support;
 
 use bytes::Bytes;
+use flamingowheel_backing::fake::{LostAnswer, LostOrder};
+use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_backing::orders::ExpertMap;
 use flamingowheel_group::gate::EngineKind;
 use flamingowheel_group::session::Sizes;
 use flamingowheel_group::status::Activity;
-use flamingowheel_platform::fake::{LostAnswer, LostOrder};
-use flamingowheel_platform::kv::{KeyValue, Operation, Transaction};
-use flamingowheel_platform::orders::ExpertMap;
 use std::time::Duration;
 use support::{Fault, GROUP, MODEL, OUTAGE, RANKS, World, map};
 use tokio::time::sleep;
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -4,6 +4,12 @@
 
 pub mod traffic;
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::{
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostAnswer, LostOrder, RankGroup,
+};
+use flamingowheel_backing::kv::{KeyValue, LeaseId};
+use flamingowheel_backing::orders::{ExpertMap, OrderTarget};
 use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::gate::{EngineKind, Gate};
@@ -15,12 +21,6 @@
 use flamingowheel_group::serve::Wanted;
 use flamingowheel_group::session::{Loads, Sizes, Timing};
 use flamingowheel_group::status::{Activity, GroupStatus};
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::{
-    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostAnswer, LostOrder, RankGroup,
-};
-use flamingowheel_platform::kv::{KeyValue, LeaseId};
-use flamingowheel_platform::orders::{ExpertMap, OrderTarget};
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
--- a/crates/group/tests/support/traffic.rs
+++ b/crates/group/tests/support/traffic.rs
@@ -1,9 +1,9 @@
 //! Requests of a rank, and the check that each answer comes of one version of the model.
 
 use super::{Slot, World, is_leading};
+use flamingowheel_backing::fake::FakeEngine;
 use flamingowheel_group::intake::{Intake, Work};
 use flamingowheel_group::serve::Wanted;
-use flamingowheel_platform::fake::FakeEngine;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
+use flamingowheel_backing::fake::{LostAnswer, LostOrder};
 use flamingowheel_group::gate::EngineKind;
 use flamingowheel_group::status::Activity;
-use flamingowheel_platform::fake::{LostAnswer, LostOrder};
 use std::time::Duration;
 use support::{Fault, OUTAGE, RANKS, World, map};
 use tokio::time::sleep;
--- a/crates/group/tests/verify.rs
+++ b/crates/group/tests/verify.rs
@@ -1,5 +1,9 @@
 //! What a rank answers to an order is no proof of what it does afterwards.
 
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeKeyValue;
+use flamingowheel_backing::kv::KeyValue;
+use flamingowheel_backing::orders::{EngineState, ExpertMap, Fence, OrderTarget};
 use flamingowheel_group::align::{Alignment, align};
 use flamingowheel_group::intake::Work;
 use flamingowheel_group::lease::{Lease, Leases};
@@ -8,10 +12,6 @@
 use flamingowheel_group::record::{GroupRecord, Phase, RecordStore};
 use flamingowheel_group::session::{GroupError, Session, Timing};
 use flamingowheel_group::switch::Switch;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeKeyValue;
-use flamingowheel_platform::kv::KeyValue;
-use flamingowheel_platform::orders::{EngineState, ExpertMap, Fence, OrderTarget};
 use std::sync::{Arc, Mutex};
 
 /// Ranks that stand still and confirm every order; the last one forgets its map right after.
--- a/crates/observe/src/kv.rs
+++ b/crates/observe/src/kv.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::kv::{
     KeyValue, KeyValueError, LeaseId, Operation, Revision, Snapshot, Transaction,
     TransactionAnswer, Watch,
 };
@@ -30,7 +30,7 @@
     ///
     /// use flamingowheel_observe::kv::ObservedKeyValue;
     /// use flamingowheel_observe::recorder::Recorder;
-    /// use flamingowheel_platform::fake::FakeKeyValue;
+    /// use flamingowheel_backing::fake::FakeKeyValue;
     ///
     /// let recorder = Recorder::for_tests("entry-1");
     /// let _kv = ObservedKeyValue::new(Arc::new(FakeKeyValue::new()), recorder);
--- a/crates/observe/tests/kv.rs
+++ b/crates/observe/tests/kv.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use flamingowheel_backing::fake::FakeKeyValue;
+use flamingowheel_backing::kv::{KeyValue, Operation, Revision, Transaction};
 use flamingowheel_observe::api::EventQuery;
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::kv::ObservedKeyValue;
 use flamingowheel_observe::recorder::Recorder;
-use flamingowheel_platform::fake::FakeKeyValue;
-use flamingowheel_platform::kv::{KeyValue, Operation, Revision, Transaction};
 
 fn observed() -> (FakeKeyValue, ObservedKeyValue, Recorder) {
     let fake = FakeKeyValue::new();
--- a/crates/proof/benches/capacity/directory.rs
+++ b/crates/proof/benches/capacity/directory.rs
@@ -1,7 +1,7 @@
 //! The directory of agents, and the VM list that it is found through.
 
+use flamingowheel_backing::vm::{Vm, VmState};
 use flamingowheel_control::directory::Directory;
-use flamingowheel_platform::vm::{Vm, VmState};
 use flamingowheel_protocol::codec::encode;
 use flamingowheel_protocol::id::Incarnation;
 use flamingowheel_protocol::message::Serves;
--- a/crates/proof/benches/outage/keys.rs
+++ b/crates/proof/benches/outage/keys.rs
@@ -1,13 +1,13 @@
 //! Calls to the key-value service for callers' idempotency keys.
 
 use crate::Failure;
-use flamingowheel_entry::claims::{Claim, Claims, Handed, Peers, Settled, writer_of};
-use flamingowheel_entry::config::EntryConfig;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::FakeKeyValue;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::FakeKeyValue;
+use flamingowheel_backing::kv::{
     KeyValue, KeyValueError, LeaseId, Revision, Snapshot, Transaction, TransactionAnswer, Watch,
 };
+use flamingowheel_entry::claims::{Claim, Claims, Handed, Peers, Settled, writer_of};
+use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_proof::entry::fleet_key;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/proof/src/backend.rs
+++ b/crates/proof/src/backend.rs
@@ -1,8 +1,8 @@
 //! A backend server as seen by an agent process that can be killed or paused.
 
 use bytes::Bytes;
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::backend::{
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, CacheEvent, LoadReport,
 };
 use std::collections::HashSet;
--- a/crates/proof/src/configuration/machine.rs
+++ b/crates/proof/src/configuration/machine.rs
@@ -4,7 +4,7 @@
 use super::oracle::ConfigViolation;
 use crate::fuzz::{Driver, paused_runtime};
 use crate::plant::Plant;
-use flamingowheel_platform::fake::LostAnswer;
+use flamingowheel_backing::fake::LostAnswer;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use std::time::Duration;
--- a/crates/proof/src/group/fleet.rs
+++ b/crates/proof/src/group/fleet.rs
@@ -3,6 +3,12 @@
 use super::gate::AnyGate;
 use crate::backend::Fate;
 use crate::plant::Plant;
+use flamingowheel_backing::BoxFuture;
+use flamingowheel_backing::fake::{
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, RankGroup, SplitStep,
+};
+use flamingowheel_backing::kv::{KeyValue, LeaseId};
+use flamingowheel_backing::orders::{ExpertMap, OrderTarget};
 use flamingowheel_group::coordinator::Coordinator;
 use flamingowheel_group::gate::EngineKind;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
@@ -10,12 +16,6 @@
 use flamingowheel_group::record::RecordStore;
 use flamingowheel_group::session::Timing;
 use flamingowheel_group::status::{Activity, GroupStatus};
-use flamingowheel_platform::BoxFuture;
-use flamingowheel_platform::fake::{
-    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, RankGroup, SplitStep,
-};
-use flamingowheel_platform::kv::{KeyValue, LeaseId};
-use flamingowheel_platform::orders::{ExpertMap, OrderTarget};
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/proof/src/group/gate.rs
+++ b/crates/proof/src/group/gate.rs
@@ -1,11 +1,11 @@
 //! The way from an agent to its engine's orders, with or without one safeguard.
 
+use flamingowheel_backing::fake::FakeEngine;
+use flamingowheel_backing::orders::{EngineOrders, Fence, Order, OrderError};
 use flamingowheel_group::gate::{EngineKind, Gate};
 use flamingowheel_group::intake::Work;
 use flamingowheel_group::message::{RankError, RankRequest, RankState};
 use flamingowheel_group::record::RecordStore;
-use flamingowheel_platform::fake::FakeEngine;
-use flamingowheel_platform::orders::{EngineOrders, Fence, Order, OrderError};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::Mutex;
--- a/crates/proof/src/group/machine.rs
+++ b/crates/proof/src/group/machine.rs
@@ -3,8 +3,8 @@
 use super::fleet::{COORDINATORS, CallFault, Fleet, GroupViolation, RANKS};
 use crate::fuzz::{Driver, paused_runtime};
 use crate::plant::Plant;
+use flamingowheel_backing::fake::{LostAnswer, LostOrder};
 use flamingowheel_group::gate::EngineKind;
-use flamingowheel_platform::fake::{LostAnswer, LostOrder};
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use std::time::Duration;
--- a/crates/proof/src/machine.rs
+++ b/crates/proof/src/machine.rs
@@ -8,7 +8,7 @@
 use crate::servers::{ENGINES, SERVERS, SERVICES};
 use crate::world::{ENTRIES, World};
 use bytes::Bytes;
-use flamingowheel_platform::fake::LostAnswer;
+use flamingowheel_backing::fake::LostAnswer;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use std::time::Duration;
--- a/crates/proof/src/matrix/control.rs
+++ b/crates/proof/src/matrix/control.rs
@@ -7,8 +7,8 @@
 use crate::group::{Fleet as GroupFleet, GroupViolation};
 use crate::network::MessageFault;
 use crate::world::RESTART_TIME;
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
 use flamingowheel_group::gate::EngineKind;
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/proof/src/matrix/run.rs
+++ b/crates/proof/src/matrix/run.rs
@@ -11,8 +11,8 @@
 use crate::servers::Size;
 use crate::world::{RESTART_TIME, World};
 use bytes::Bytes;
+use flamingowheel_backing::fake::LostAnswer;
 use flamingowheel_group::gate::EngineKind;
-use flamingowheel_platform::fake::LostAnswer;
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/proof/src/oracle.rs
+++ b/crates/proof/src/oracle.rs
@@ -5,8 +5,8 @@
 
 use crate::caller::Told;
 use bytes::Bytes;
-use flamingowheel_platform::fake::FakeService;
-use flamingowheel_platform::fake::text::{Generation, whole_json, whole_stream};
+use flamingowheel_backing::fake::FakeService;
+use flamingowheel_backing::fake::text::{Generation, whole_json, whole_stream};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
--- a/crates/proof/src/servers.rs
+++ b/crates/proof/src/servers.rs
@@ -2,8 +2,8 @@
 
 use crate::entry::{MODEL, SERVICE};
 use crate::oracle::Runs;
-use flamingowheel_platform::backend::BackendServer;
-use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeService};
+use flamingowheel_backing::backend::BackendServer;
+use flamingowheel_backing::fake::{EngineSettings, FakeEngine, FakeService};
 use flamingowheel_protocol::message::{BackendProfile, Serves};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/proof/tests/prefix.rs
+++ b/crates/proof/tests/prefix.rs
@@ -1,14 +1,14 @@
 //! Knowledge of prefix caches from the engines to the entries' choices.
 
 use bytes::Bytes;
+use flamingowheel_backing::backend::{BackendCall, BackendServer, Priority};
+use flamingowheel_backing::fake::text;
 use flamingowheel_entry::config::EntryConfig;
 use flamingowheel_entry::http::CHAT_PATH;
 use flamingowheel_entry::request::prompt_blocks;
 use flamingowheel_observe::api::EventQuery;
 use flamingowheel_observe::event::Event;
 use flamingowheel_observe::reason::RouteReason;
-use flamingowheel_platform::backend::{BackendCall, BackendServer, Priority};
-use flamingowheel_platform::fake::text;
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::prefix::BlockHash;
 use flamingowheel_proof::caller::{Ask, Call, Told, send};
--- a/crates/proof/tests/rebind.rs
+++ b/crates/proof/tests/rebind.rs
@@ -1,8 +1,8 @@
 //! Callers' own keys whose home refuses for good, or is gone.
 
 use bytes::Bytes;
+use flamingowheel_backing::fake::LostAnswer;
 use flamingowheel_entry::claims::{Claim, PREFIX};
-use flamingowheel_platform::fake::LostAnswer;
 use flamingowheel_proof::caller::Told;
 use flamingowheel_proof::network::{Direction, MessageFault};
 use flamingowheel_proof::oracle::Runs;
--- a/crates/proof/tests/stream.rs
+++ b/crates/proof/tests/stream.rs
@@ -3,10 +3,10 @@
 use axum::body::Body;
 use axum::response::Response;
 use bytes::Bytes;
+use flamingowheel_backing::fake::text::whole_stream;
 use flamingowheel_entry::http::{
     CHAT_PATH, LAST_EVENT_HEADER, OUTCOME_HEADER, RESUMABLE_HEADER, STREAM_HEADER,
 };
-use flamingowheel_platform::fake::text::whole_stream;
 use flamingowheel_proof::entry::{MODEL, TOKEN};
 use flamingowheel_proof::world::World;
 use http::{Request, StatusCode, header};
--- a/crates/standin/src/fast.rs
+++ b/crates/standin/src/fast.rs
@@ -8,7 +8,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use bytes::Bytes;
-use flamingowheel_platform::fake::text::{DONE_EVENT, token_event};
+use flamingowheel_backing::fake::text::{DONE_EVENT, token_event};
 use futures_util::stream;
 use http::{StatusCode, header};
 use std::convert::Infallible;
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -7,13 +7,13 @@
 use axum::routing::post;
 use axum::{Json, Router};
 use bytes::Bytes;
-use flamingowheel_platform::client::wire::{
+use flamingowheel_backing::client::wire::{
     CODE_NOT_FOUND, CODE_RESOURCE_EXHAUSTED, ChangeKind, CompareTarget, ErrorBody, Header, Int64,
     LeaseMessage, RangeRequest, RangeResponse, RequestOp, ResponseOp, Streamed, TxnRequest,
     TxnResponse, WatchRequest, WatchResponse, WireChange, WireCompare, WireEntry, key_text,
 };
-use flamingowheel_platform::fake::FakeKeyValue;
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::fake::FakeKeyValue;
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueError, LeaseId, MAX_VALUE_BYTES, Operation, Revision, Transaction,
     WatchEvent,
 };
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -6,11 +6,11 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use flamingowheel_platform::backend::{
+use flamingowheel_backing::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, Priority,
 };
-use flamingowheel_platform::client::backend::{PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER};
-use flamingowheel_platform::fake::FakeService;
+use flamingowheel_backing::client::backend::{PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER};
+use flamingowheel_backing::fake::FakeService;
 use futures_util::stream;
 use http::{HeaderMap, Method, StatusCode, Uri, header};
 use std::io;
--- a/crates/standin/tests/contract_engine.rs
+++ b/crates/standin/tests/contract_engine.rs
@@ -2,13 +2,13 @@
 //! against the HTTP client and stand-in over loopback.
 
 use bytes::Bytes;
-use flamingowheel_platform::backend::{
+use flamingowheel_backing::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, Priority,
 };
-use flamingowheel_platform::client::{BackendKind, HttpBackend, HttpLimits, HttpOrders};
-use flamingowheel_platform::fake::text::{whole_json, whole_stream};
-use flamingowheel_platform::fake::{EngineSettings, FakeEngine, FakeService};
-use flamingowheel_platform::orders::{EngineOrders, Fence, Order, OrderError, OrderTarget};
+use flamingowheel_backing::client::{BackendKind, HttpBackend, HttpLimits, HttpOrders};
+use flamingowheel_backing::fake::text::{whole_json, whole_stream};
+use flamingowheel_backing::fake::{EngineSettings, FakeEngine, FakeService};
+use flamingowheel_backing::orders::{EngineOrders, Fence, Order, OrderError, OrderTarget};
 use flamingowheel_standin::{Connections, engine, fast, service};
 use http::uri::Authority;
 use std::future::Future;
--- a/crates/standin/tests/contract_kv.rs
+++ b/crates/standin/tests/contract_kv.rs
@@ -2,9 +2,9 @@
 //! against the HTTP client and stand-in over loopback.
 
 use bytes::Bytes;
-use flamingowheel_platform::client::{EtcdClient, HttpLimits, etcd};
-use flamingowheel_platform::fake::{FakeKeyValue, LostAnswer};
-use flamingowheel_platform::kv::{
+use flamingowheel_backing::client::{EtcdClient, HttpLimits, etcd};
+use flamingowheel_backing::fake::{FakeKeyValue, LostAnswer};
+use flamingowheel_backing::kv::{
     Compare, KeyValue, KeyValueError, LeaseId, MAX_VALUE_BYTES, Operation, Revision, Transaction,
     Watch, WatchEvent,
 };
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -1,9 +1,9 @@
 //! The VM list and the weight store over loopback.
 
-use flamingowheel_platform::client::{HttpLimits, HttpVmList, HttpWeightStore};
-use flamingowheel_platform::fake::{FakeVmList, FakeWeightStore};
-use flamingowheel_platform::vm::{Vm, VmList, VmListError, VmState};
-use flamingowheel_platform::weights::{WeightStore, WeightStoreError};
+use flamingowheel_backing::client::{HttpLimits, HttpVmList, HttpWeightStore};
+use flamingowheel_backing::fake::{FakeVmList, FakeWeightStore};
+use flamingowheel_backing::vm::{Vm, VmList, VmListError, VmState};
+use flamingowheel_backing::weights::{WeightStore, WeightStoreError};
 use flamingowheel_standin::{Connections, vms, weights};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
