Serve callers on the users' platform: the whole path, thin

Cause: the product could not run on the platform's machines: it knew neither its settings, store, list of backend servers, configuration nor headers.

--- a/crates/flamingowheeld/src/cli.rs
+++ b/crates/flamingowheeld/src/cli.rs
@@ -11,6 +11,8 @@
 Usage:
   flamingowheeld --settings FILE   run the role that the settings name
   flamingowheeld --check FILE      check the settings and end
+  flamingowheeld --platform        run on the platform whose settings file the environment
+                                   names: as entry, or as agent beside a backend server
   flamingowheeld --demo            run a small fleet with stand-ins on loopback
   flamingowheeld --demo --once     the same, try its promises once, and end
   flamingowheeld --demo --lose-agent
@@ -39,6 +41,8 @@
     Version,
     /// Run the role of a settings file.
     Run(PathBuf),
+    /// Run on the platform that the environment names.
+    Platform,
     /// Check a settings file.
     Check(PathBuf),
     /// Run the demo.
@@ -60,7 +64,7 @@
     #[error("unknown argument {0:?}")]
     Unknown(OsString),
     /// Nothing to do was named, or too much.
-    #[error("name exactly one of --settings, --check and --demo")]
+    #[error("name exactly one of --settings, --check, --platform and --demo")]
     NotOne,
 }
 
@@ -74,12 +78,17 @@
     }
     let run: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
     let check: Option<PathBuf> = arguments.opt_value_from_str("--check")?;
+    let platform = arguments.contains("--platform");
     let demo = arguments.contains("--demo");
     let once = arguments.contains("--once");
     let lose_agent = arguments.contains("--lose-agent");
     if let Some(unknown) = arguments.finish().into_iter().next() {
         return Err(UsageError::Unknown(unknown));
     }
+    if platform {
+        let is_alone = run.is_none() && check.is_none() && !demo && !once && !lose_agent;
+        return if is_alone { Ok(Command::Platform) } else { Err(UsageError::NotOne) };
+    }
     match (run, check, demo) {
         (Some(file), None, false) if !once && !lose_agent => Ok(Command::Run(file)),
         (None, Some(file), false) if !once && !lose_agent => Ok(Command::Check(file)),
@@ -101,6 +110,7 @@
         let demo = |once, lose_agent| Command::Demo { once, lose_agent };
         assert_eq!(typed(&["--demo", "--once"]).unwrap(), demo(true, false));
         assert_eq!(typed(&["--demo", "--lose-agent"]).unwrap(), demo(false, true));
+        assert_eq!(typed(&["--platform"]).unwrap(), Command::Platform);
         assert_eq!(typed(&["--settings", "a"]).unwrap(), Command::Run("a".into()));
     }
 
@@ -109,6 +119,7 @@
         assert!(matches!(typed(&[]), Err(UsageError::NotOne)));
         assert!(matches!(typed(&["--demo", "--check", "a"]), Err(UsageError::NotOne)));
         assert!(matches!(typed(&["--check", "a", "--lose-agent"]), Err(UsageError::NotOne)));
+        assert!(matches!(typed(&["--platform", "--demo"]), Err(UsageError::NotOne)));
         assert!(matches!(typed(&["--dmeo"]), Err(UsageError::Unknown(_))));
     }
 }
--- a/crates/flamingowheeld/src/main.rs
+++ b/crates/flamingowheeld/src/main.rs
@@ -28,6 +28,7 @@
             return Exit::Success.into();
         }
         Command::Run(file) => run::role(&file),
+        Command::Platform => run::on_platform(),
         Command::Check(file) => run::check(&file),
         Command::Demo { once, lose_agent } => run::demo(once, lose_agent),
     };
--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -47,6 +47,24 @@
     })
 }
 
+/// Runs on the platform: as entry where callers connect, as agent beside a backend server.
+pub fn on_platform() -> Result<Exit> {
+    let settings = flamingowheel_platform::settings::load()?;
+    logs::init_plain(&settings.vm, &settings.data_centre)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut signals = Signals::new()?;
+        tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
+        if settings.callers.is_some() {
+            flamingowheel_gateway::process::run(&settings, signals.next()).await?;
+        } else {
+            signals.next().await;
+        }
+        tracing::info!("stopped");
+        Ok(Exit::Success)
+    })
+}
+
 /// Runs the demo.
 pub fn demo(once: bool, lose_agent: bool) -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
@@ -79,7 +97,9 @@
 
 /// The exit code that tells why a run failed.
 pub fn exit_for(error: &eyre::Report) -> Exit {
-    if error.downcast_ref::<SettingsError>().is_some() {
+    if error.downcast_ref::<SettingsError>().is_some()
+        || error.downcast_ref::<flamingowheel_platform::SettingsError>().is_some()
+    {
         return Exit::Settings;
     }
     match error.downcast_ref::<StartError>() {
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,544 @@
+//! Takes one request from a caller to a backend server and its answer back.
+
+use crate::balance;
+use crate::budget::RetryBudget;
+use crate::connection::{Connection, SendError};
+use crate::metrics::Metrics;
+use crate::relay::{AnswerBody, Relay, Source, whole};
+use crate::server::{InFlight, Server};
+use crate::view::{View, Views};
+use bytes::Bytes;
+use flamingowheel_fleet::configuration::{Repeat, Route, Workspace};
+use flamingowheel_platform::headers::{self, AnswerHead, ForwardHead, RequestHead};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Time that a caller waits if it does not say so, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+
+/// When a refused caller should come back, in milliseconds, if nothing better is known.
+const RETRY_AFTER_MS: u64 = 250;
+
+/// Largest answer that is collected before its head is passed on, in bytes. A broken answer of
+/// this size can be replaced by that of another server; larger ones are passed on as they come.
+const MAX_WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
+
+/// Most backend servers that one request is offered to, refusals included.
+const MAX_OFFERS: usize = 3;
+
+/// How long a caller may take to send a body.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Why a request ends without a backend server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route of the host matches the path.
+    NoRoute,
+    /// The API key is missing or unknown.
+    UnknownKey,
+    /// The body exceeds the limit.
+    BodyTooLarge,
+    /// The body did not arrive.
+    BodyLost,
+    /// No backend server takes work, and none ran the request.
+    Full,
+    /// The deadline passed before a backend server could run the request.
+    TooLate,
+    /// A backend server may have run the request; its answer was lost.
+    AnswerLost,
+    /// A backend server may be running the request; the deadline has passed.
+    NoAnswerInTime,
+}
+
+impl Refusal {
+    /// The status. 429, 408 and 503 promise that the request did not and will not run.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration | Self::Full | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLost => StatusCode::REQUEST_TIMEOUT,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The word for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyLost => "body_lost",
+            Self::Full => "full",
+            Self::TooLate => "too_late",
+            Self::AnswerLost => "answer_lost",
+            Self::NoAnswerInTime => "no_answer_in_time",
+        }
+    }
+}
+
+/// A caller's request, read whole, with what the configuration says of it.
+#[derive(Debug)]
+pub struct Exchange {
+    /// When its head arrived.
+    pub arrived: Instant,
+    /// When the caller or the route gives it up.
+    pub deadline: Instant,
+    /// What the caller says of it.
+    pub head: RequestHead,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service chosen.
+    pub service: String,
+    /// The caller's workspace.
+    pub workspace: Option<Arc<Workspace>>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Exchange {
+    /// The word for metrics.
+    pub fn kind(&self) -> &'static str {
+        match (self.route.is_stream, self.route.repeat) {
+            (true, _) => "stream",
+            (false, Repeat::Never) => "once",
+            (false, _) => "idempotent",
+        }
+    }
+}
+
+/// One send to a backend server.
+#[derive(Debug)]
+pub struct Sent {
+    /// The head and body of the answer.
+    pub response: Response<Incoming>,
+    /// What the head says.
+    pub answer: AnswerHead,
+    /// The connection, to be used again after the body's end.
+    pub connection: Connection,
+    /// Counts the request at the server.
+    pub in_flight: InFlight,
+    /// When it was sent.
+    pub sent_at: Instant,
+}
+
+/// Why a send got no answer.
+#[derive(Debug)]
+pub enum SendFailure {
+    /// Nothing reached the server.
+    NotSent,
+    /// The request may have run.
+    MayHaveRun,
+}
+
+/// What all requests of an entry share.
+#[derive(Debug)]
+pub struct Gateway {
+    views: Views,
+    budget: Mutex<RetryBudget>,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Gateway {
+    /// A gateway that reads `views`.
+    pub fn new(views: Views, budget: RetryBudget, metrics: Arc<Metrics>) -> Self {
+        Self { views, budget: Mutex::new(budget), metrics }
+    }
+
+    /// The newest view.
+    pub fn view(&self) -> Arc<View> {
+        self.views.load_full()
+    }
+
+    /// Answers a caller's request.
+    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = Instant::now();
+        let exchange = match self.admit(request, arrived).await {
+            Ok(exchange) => exchange,
+            Err((refusal, head)) => return self.refuse(refusal, &head, "unknown", arrived),
+        };
+        let exchange = Arc::new(exchange);
+        self.budget().note_request(&exchange.service, arrived);
+        match self.serve(&exchange).await {
+            Ok(response) => response,
+            Err(refusal) => self.refuse(refusal, &exchange.head, exchange.kind(), arrived),
+        }
+    }
+
+    /// Finds route, workspace and service, and reads the body.
+    async fn admit(
+        &self,
+        request: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Exchange, (Refusal, RequestHead)> {
+        let (parts, body) = request.into_parts();
+        let head = headers::request(&parts.headers);
+        let view = self.view();
+        let Some(configuration) = &view.configuration else {
+            return Err((Refusal::NoConfiguration, head));
+        };
+        let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
+        let Some(route) = configuration.route(host, parts.uri.path()) else {
+            return Err((Refusal::NoRoute, head));
+        };
+        let workspace = match &configuration.workspaces {
+            Some(workspaces) => head.api_key.as_ref().and_then(|key| workspaces.get(key)),
+            None => None,
+        };
+        let is_open = route.is_public || configuration.workspaces.is_none();
+        if workspace.is_none() && !is_open {
+            return Err((Refusal::UnknownKey, head));
+        }
+        let Some(service) = choose_service(route) else {
+            return Err((Refusal::NoRoute, head));
+        };
+        let max_body_bytes = configuration.limits.max_body_bytes;
+        let body = match read_body(body, max_body_bytes).await {
+            Ok(body) => body,
+            Err(refusal) => return Err((refusal, head)),
+        };
+        let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+        let wait_ms = if route.timeout_ms > 0 { wait_ms.min(route.timeout_ms) } else { wait_ms };
+        Ok(Exchange {
+            arrived,
+            deadline: arrived + Duration::from_millis(wait_ms),
+            route: Arc::clone(route),
+            service,
+            workspace: workspace.cloned(),
+            head,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn serve(
+        self: &Arc<Self>,
+        exchange: &Arc<Exchange>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let mut tried = Vec::new();
+        let mut may_have_run = false;
+        let mut runs = 0;
+        let mut fallback = None;
+        while tried.len() < MAX_OFFERS {
+            let now = Instant::now();
+            if now >= exchange.deadline {
+                break;
+            }
+            let is_repeat = !tried.is_empty();
+            let Some(server) = self.choose(exchange, &tried, now) else {
+                break;
+            };
+            if is_repeat && !self.may_repeat(exchange, now) {
+                break;
+            }
+            tried.push(Arc::clone(&server));
+            match self.send(exchange, &server, exchange.head.last_event_id).await {
+                Ok(sent) if sent.answer.is_not_run => {
+                    self.note_not_run(exchange, &sent);
+                    continue;
+                }
+                Ok(sent) => {
+                    may_have_run = true;
+                    runs += 1;
+                    let can_repeat = exchange.route.repeat != Repeat::Never
+                        && runs < exchange.route.max_attempts;
+                    match self.finish(exchange, sent, &tried, runs).await {
+                        Ok(response) if response.status().is_server_error() && can_repeat => {
+                            fallback = Some(response);
+                        }
+                        Ok(response) => return Ok(response),
+                        Err(Refusal::NoAnswerInTime) => return Err(Refusal::NoAnswerInTime),
+                        Err(_) if can_repeat => {}
+                        Err(refusal) => return Err(refusal),
+                    }
+                }
+                Err(SendFailure::NotSent) => {}
+                Err(SendFailure::MayHaveRun) => {
+                    may_have_run = true;
+                    runs += 1;
+                    let can_repeat = exchange.route.repeat != Repeat::Never
+                        && runs < exchange.route.max_attempts;
+                    if !can_repeat {
+                        break;
+                    }
+                }
+            }
+        }
+        if let Some(response) = fallback {
+            return Ok(response);
+        }
+        let is_late = Instant::now() >= exchange.deadline;
+        Err(match (may_have_run, is_late) {
+            (false, false) => Refusal::Full,
+            (false, true) => Refusal::TooLate,
+            (true, false) => Refusal::AnswerLost,
+            (true, true) => Refusal::NoAnswerInTime,
+        })
+    }
+
+    /// A backend server for the next try.
+    pub fn choose(
+        &self,
+        exchange: &Exchange,
+        tried: &[Arc<Server>],
+        now: Instant,
+    ) -> Option<Arc<Server>> {
+        let view = self.view();
+        balance::choose(view.servers_of(&exchange.service), tried, now)
+    }
+
+    /// Takes a repeated send out of the budget.
+    pub fn may_repeat(&self, exchange: &Exchange, now: Instant) -> bool {
+        let entries = self.view().entry_count();
+        self.budget().try_take(&exchange.service, entries, now)
+    }
+
+    /// Sends the request to a server and waits for the head of the answer.
+    pub async fn send(
+        &self,
+        exchange: &Exchange,
+        server: &Arc<Server>,
+        last_event_id: Option<u64>,
+    ) -> Result<Sent, SendFailure> {
+        let in_flight = server.begin();
+        let sent_at = Instant::now();
+        let sending = self.send_on_connection(exchange, server, last_event_id);
+        let result = match timeout_at(exchange.deadline, sending).await {
+            Ok(result) => result,
+            Err(_) => Err(SendFailure::MayHaveRun),
+        };
+        match result {
+            Ok((response, connection)) => {
+                let id = &exchange.head.attempt_id;
+                let answer = headers::answer(response.headers(), response.status(), id);
+                if !answer.is_for_attempt {
+                    // An earlier request's second answer; whatever follows on this connection
+                    // can't be told apart.
+                    tracing::warn!(
+                        request = id,
+                        server = server.listed.id,
+                        "answer of another request"
+                    );
+                    self.metrics.try_ended(exchange.kind(), "foreign_answer");
+                    return Err(SendFailure::MayHaveRun);
+                }
+                Ok(Sent { response, answer, connection, in_flight, sent_at })
+            }
+            Err(failure) => {
+                let result = match failure {
+                    SendFailure::NotSent => "not_sent",
+                    SendFailure::MayHaveRun => "lost",
+                };
+                self.metrics.try_ended(exchange.kind(), result);
+                tracing::info!(
+                    request = exchange.head.attempt_id,
+                    server = server.listed.id,
+                    result,
+                    after_ms = sent_at.elapsed().as_millis() as u64,
+                    "no answer from backend server"
+                );
+                server.note_unreached(Instant::now());
+                Err(failure)
+            }
+        }
+    }
+
+    async fn send_on_connection(
+        &self,
+        exchange: &Exchange,
+        server: &Arc<Server>,
+        last_event_id: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), SendFailure> {
+        // What may run once only goes out on a new connection: on a used one, the server's closing
+        // or a late second answer would leave its outcome unknown.
+        let may_reuse = exchange.route.repeat != Repeat::Never;
+        let idle = may_reuse.then(|| server.take_idle(Instant::now())).flatten();
+        if let Some(mut connection) = idle {
+            match connection.send(self.outgoing(exchange, server, last_event_id)).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(SendError::NeverSent) => {}
+                Err(SendError::Lost(_)) => return Err(SendFailure::MayHaveRun),
+            }
+        }
+        let mut connection = Connection::open(server.listed.address).await.map_err(|error| {
+            tracing::debug!(server = server.listed.id, %error, "no connection");
+            SendFailure::NotSent
+        })?;
+        match connection.send(self.outgoing(exchange, server, last_event_id)).await {
+            Ok(response) => Ok((response, connection)),
+            Err(SendError::NeverSent) => Err(SendFailure::NotSent),
+            Err(SendError::Lost(_)) => Err(SendFailure::MayHaveRun),
+        }
+    }
+
+    fn outgoing(
+        &self,
+        exchange: &Exchange,
+        server: &Server,
+        last_event_id: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let remaining = exchange.deadline.saturating_duration_since(Instant::now());
+        let head = ForwardHead {
+            remaining_ms: remaining.as_millis() as u64,
+            server: &server.listed.id,
+            workspace: exchange.workspace.as_ref().map(|workspace| workspace.name.as_str()),
+            priority: None,
+            last_event_id,
+        };
+        let mut request = Request::new(Full::new(exchange.body.clone()));
+        *request.method_mut() = exchange.method.clone();
+        *request.uri_mut() = exchange.uri.clone();
+        let mut headers = exchange.headers.clone();
+        headers::forward(&mut headers, &head);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    fn note_not_run(&self, exchange: &Exchange, sent: &Sent) {
+        self.metrics.try_ended(exchange.kind(), "not_run");
+        let server = sent.in_flight.server();
+        tracing::info!(
+            request = exchange.head.attempt_id,
+            server = server.listed.id,
+            status = sent.response.status().as_u16(),
+            "backend server refused"
+        );
+        server.note_answer(sent.sent_at.elapsed(), true);
+    }
+
+    /// Passes an answer on: streams as they come, others once they are whole.
+    async fn finish(
+        self: &Arc<Self>,
+        exchange: &Arc<Exchange>,
+        sent: Sent,
+        tried: &[Arc<Server>],
+        runs: u32,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let Sent { response, connection, in_flight, sent_at, .. } = sent;
+        let status = response.status();
+        let is_success = status.is_success();
+        let (mut parts, body) = response.into_parts();
+        headers::strip_hop_by_hop(&mut parts.headers);
+        if exchange.route.is_stream && is_success {
+            parts.headers.remove(http::header::CONTENT_LENGTH);
+            let source = Source { body, connection, in_flight };
+            let (gateway, exchange) = (Arc::clone(self), Arc::clone(exchange));
+            let relay = Relay::new(gateway, exchange, source, tried.to_vec(), runs);
+            return Ok(Response::from_parts(parts, relay.into_body()));
+        }
+        let collecting = collect(body);
+        let collected = match timeout_at(exchange.deadline, collecting).await {
+            Ok(collected) => collected,
+            Err(_) => return Err(Refusal::NoAnswerInTime),
+        };
+        let server = Arc::clone(in_flight.server());
+        let Some(bytes) = collected else {
+            self.metrics.try_ended(exchange.kind(), "broken");
+            server.note_answer(sent_at.elapsed(), true);
+            return Err(Refusal::AnswerLost);
+        };
+        server.note_answer(sent_at.elapsed(), status.is_server_error());
+        keep_connection(connection, server);
+        self.metrics.try_ended(exchange.kind(), if is_success { "answered" } else { "failed" });
+        self.note_end(exchange, in_flight.server(), status, runs);
+        Ok(Response::from_parts(parts, whole(bytes)))
+    }
+
+    fn note_end(&self, exchange: &Exchange, server: &Server, status: StatusCode, runs: u32) {
+        let after = exchange.arrived.elapsed();
+        self.metrics.answered(exchange.kind(), after);
+        self.metrics.request_ended(exchange.kind(), "answered");
+        tracing::info!(
+            request = exchange.head.attempt_id,
+            route = exchange.route.name,
+            server = server.listed.id,
+            status = status.as_u16(),
+            after_ms = after.as_millis() as u64,
+            runs,
+            "answered"
+        );
+    }
+
+    fn refuse(
+        &self,
+        refusal: Refusal,
+        head: &RequestHead,
+        kind: &'static str,
+        arrived: Instant,
+    ) -> Response<AnswerBody> {
+        self.metrics.request_ended(kind, refusal.name());
+        tracing::info!(
+            request = head.attempt_id,
+            reason = refusal.name(),
+            after_ms = arrived.elapsed().as_millis() as u64,
+            "refused"
+        );
+        let mut response = Response::new(whole(Bytes::new()));
+        *response.status_mut() = refusal.status();
+        if refusal.status() == StatusCode::SERVICE_UNAVAILABLE {
+            headers::set_retry_after(response.headers_mut(), RETRY_AFTER_MS);
+        }
+        response
+    }
+
+    fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Puts a connection back once it has finished with the last exchange.
+pub fn keep_connection(mut connection: Connection, server: Arc<Server>) {
+    if connection.is_usable() {
+        server.put_idle(connection, Instant::now());
+        return;
+    }
+    tokio::spawn(async move {
+        if connection.settle().await {
+            server.put_idle(connection, Instant::now());
+        }
+    });
+}
+
+fn choose_service(route: &Route) -> Option<String> {
+    let total: u32 = route.splits.iter().map(|split| split.weight).sum();
+    if total == 0 {
+        return route.splits.first().map(|split| split.service.clone());
+    }
+    let mut drawn = rand::random_range(0..total);
+    for split in &route.splits {
+        if drawn < split.weight {
+            return Some(split.service.clone());
+        }
+        drawn -= split.weight;
+    }
+    None
+}
+
+async fn read_body(body: Incoming, max_body_bytes: usize) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, max_body_bytes).collect();
+    match tokio::time::timeout(BODY_LIMIT, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) | Err(_) => Err(Refusal::BodyLost),
+    }
+}
+
+async fn collect(body: Incoming) -> Option<Bytes> {
+    let limited = Limited::new(body, MAX_WHOLE_ANSWER_BYTES as usize);
+    limited.collect().await.ok().map(http_body_util::Collected::to_bytes)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! The entry on a platform: takes callers' requests, sends each to a backend server, and passes
+//! the answer back.
+//!
+//! One thread holds the control state: it follows the key-value store and publishes immutable
+//! [`view::View`]s. The other threads take requests and read the newest view without a lock.
+
+pub mod balance;
+pub mod budget;
+pub mod connection;
+pub mod events;
+pub mod follow;
+pub mod forward;
+pub mod front;
+pub mod info;
+pub mod member;
+pub mod metrics;
+pub mod process;
+pub mod relay;
+pub mod server;
+pub mod view;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters and latency histograms of an entry.
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Buckets of times to an answer, in seconds: the goals of the routes (0.1 to 0.5 s) and their
+/// time limits (0.6 to 8 s) lie among them.
+const ANSWER_BUCKETS_S: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+/// Buckets of pauses between events, in seconds, around the goals of 0.12 and 0.15 s.
+const PAUSE_BUCKETS_S: [f64; 9] = [0.02, 0.04, 0.06, 0.09, 0.12, 0.15, 0.25, 0.5, 1.5];
+
+/// The metrics. Labels come from small fixed sets, so that their number is bounded.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    tries: IntCounterVec,
+    answers: HistogramVec,
+    pauses: Histogram,
+    configuration_version: IntGauge,
+}
+
+impl Metrics {
+    /// All at zero.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new("flamingowheel_requests_total", "Requests by kind and how they ended"),
+            &["kind", "outcome"],
+        )?;
+        let tries = IntCounterVec::new(
+            Opts::new("flamingowheel_tries_total", "Sends to backend servers and how they ended"),
+            &["kind", "result"],
+        )?;
+        let answers = HistogramVec::new(
+            HistogramOpts::new(
+                "flamingowheel_answer_seconds",
+                "Time to the answer, of streams to the first event",
+            )
+            .buckets(ANSWER_BUCKETS_S.to_vec()),
+            &["kind"],
+        )?;
+        let pauses = Histogram::with_opts(
+            HistogramOpts::new("flamingowheel_pause_seconds", "Pauses between events")
+                .buckets(PAUSE_BUCKETS_S.to_vec()),
+        )?;
+        let configuration_version = IntGauge::new(
+            "flamingowheel_configuration_version",
+            "Version of the configuration in force",
+        )?;
+        registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(tries.clone()))?;
+        registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(pauses.clone()))?;
+        registry.register(Box::new(configuration_version.clone()))?;
+        Ok(Self { registry, requests, tries, answers, pauses, configuration_version })
+    }
+
+    /// Counts a request that ended.
+    pub fn request_ended(&self, kind: &'static str, outcome: &'static str) {
+        self.requests.with_label_values(&[kind, outcome]).inc();
+    }
+
+    /// Counts a send to a backend server that ended.
+    pub fn try_ended(&self, kind: &'static str, result: &'static str) {
+        self.tries.with_label_values(&[kind, result]).inc();
+    }
+
+    /// Notes the time to an answer.
+    pub fn answered(&self, kind: &'static str, after: Duration) {
+        self.answers.with_label_values(&[kind]).observe(after.as_secs_f64());
+    }
+
+    /// Notes a pause between two events of a stream.
+    pub fn paused(&self, pause: Duration) {
+        self.pauses.observe(pause.as_secs_f64());
+    }
+
+    /// Notes the configuration in force.
+    pub fn set_configuration_version(&self, version: u64) {
+        self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,145 @@
+//! Runs an entry: one control thread, and a traffic thread for each core.
+
+use crate::budget::{Allowance, RetryBudget};
+use crate::follow::Follower;
+use crate::forward::Gateway;
+use crate::front::{self, Stop};
+use crate::info::{self, DIRECTORY_TTL_MS, Info};
+use crate::member::Announcement;
+use crate::metrics::Metrics;
+use crate::view::{EntryRecord, Views};
+use flamingowheel_fleet::ProcessSettings;
+use flamingowheel_platform::StoreClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Part of the time to the forced end that is kept for the process to end by itself.
+const END_RESERVE: Duration = Duration::from_millis(300);
+
+/// Stack of a traffic thread, in bytes. Futures live on the heap; the stack holds one poll.
+const STACK_BYTES: usize = 512 * 1024;
+
+/// Why an entry can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings lack what an entry needs.
+    #[error("settings name no address for {0}")]
+    NoAddress(&'static str),
+    /// The store's address is no authority.
+    #[error("store's address: {0}")]
+    Store(#[from] http::uri::InvalidUri),
+    /// A port is taken, or a thread can't be started.
+    #[error("can't listen or start: {0}")]
+    Io(#[from] std::io::Error),
+    /// Metrics can't be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Runs an entry until `asked_to_stop` resolves, then lets work in progress end.
+pub async fn run<F>(settings: &ProcessSettings, asked_to_stop: F) -> Result<(), StartError>
+where
+    F: Future<Output = ()>,
+{
+    let callers = settings.callers.ok_or(StartError::NoAddress("callers"))?;
+    let readiness = settings.readiness.ok_or(StartError::NoAddress("readiness"))?;
+    let directory = settings.directory.ok_or(StartError::NoAddress("the directory"))?;
+    let store = StoreClient::new(settings.key_value)?;
+    let views = Views::default();
+    let metrics = Arc::new(Metrics::new()?);
+    let stop = Stop::default();
+
+    let gateway = Arc::new(Gateway::new(
+        Arc::clone(&views),
+        RetryBudget::new(allowance(settings)),
+        Arc::clone(&metrics),
+    ));
+    let traffic = start_traffic(callers, &gateway, &stop)?;
+
+    let info = Info { views: Arc::clone(&views), callers, leaving: stop.leaving.clone(), metrics };
+    serve_info(readiness, info::readiness(info.clone())).await?;
+    serve_info(directory, info::directory(info)).await?;
+    tokio::spawn(Follower::new(store.clone(), views).run());
+    let announcement = Announcement {
+        store,
+        vm: settings.vm.clone(),
+        record: EntryRecord { callers, data_centre: settings.data_centre.clone() },
+        min_ttl: Duration::from_millis(settings.min_lease_ttl_ms),
+    };
+    let announced = tokio::spawn(announcement.run(stop.leaving.clone()));
+
+    asked_to_stop.await;
+    tracing::info!("leaving");
+    stop.leaving.cancel();
+    let grace = Duration::from_millis(settings.bounds.grace_ms).saturating_sub(END_RESERVE);
+    let leaving = async {
+        // Callers keep the directory's answers this long; until then they still come here.
+        sleep(Duration::from_millis(DIRECTORY_TTL_MS)).await;
+        stop.closing.cancel();
+        let joined = tokio::task::spawn_blocking(move || {
+            traffic.into_iter().all(|thread| thread.join().is_ok())
+        });
+        if !matches!(joined.await, Ok(true)) {
+            tracing::error!("a traffic thread panicked");
+        }
+        if let Err(error) = announced.await {
+            tracing::error!(%error, "announcement ended early");
+        }
+    };
+    if tokio::time::timeout(grace, leaving).await.is_err() {
+        tracing::warn!("time to stop is over; requests in progress are cut off");
+    }
+    Ok(())
+}
+
+fn allowance(settings: &ProcessSettings) -> Allowance {
+    Allowance {
+        ratio: settings.bounds.retry_ratio,
+        slack: settings.bounds.retry_slack,
+        window: Duration::from_millis(settings.bounds.retry_window_ms),
+    }
+}
+
+async fn serve_info(address: SocketAddr, router: axum::Router) -> Result<(), std::io::Error> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            tracing::error!(%address, %error, "listener ended");
+        }
+    });
+    Ok(())
+}
+
+type Threads = Vec<std::thread::JoinHandle<()>>;
+
+fn start_traffic(
+    address: SocketAddr,
+    gateway: &Arc<Gateway>,
+    stop: &Stop,
+) -> Result<Threads, std::io::Error> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let count = std::thread::available_parallelism().map_or(1, usize::from);
+    let mut threads = Vec::new();
+    for _ in 0..count {
+        let listener = listener.try_clone()?;
+        let (gateway, stop) = (Arc::clone(gateway), stop.clone());
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let thread = std::thread::Builder::new()
+            .name("traffic".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || {
+                runtime.block_on(async {
+                    match TcpListener::from_std(listener) {
+                        Ok(listener) => front::serve(listener, gateway, stop).await,
+                        Err(error) => tracing::error!(%error, "can't listen for callers"),
+                    }
+                });
+            })?;
+        threads.push(thread);
+    }
+    Ok(threads)
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,244 @@
+//! Passes a stream's events on as they come, and goes on at another backend server if one breaks
+//! off.
+
+use crate::connection::Connection;
+use crate::events::EventSplitter;
+use crate::forward::{Exchange, Gateway, SendFailure, keep_connection};
+use crate::server::{InFlight, Server};
+use bytes::Bytes;
+use flamingowheel_fleet::configuration::Repeat;
+use futures_util::stream;
+use http_body::Frame;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use tokio::time::{Instant, timeout_at};
+
+/// A stream that can't be finished. The connection to the caller is broken off, so that nobody
+/// takes the part for the whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("answer broken off")]
+pub struct BrokenOff;
+
+/// The body of an answer to a caller.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenOff>;
+
+/// A body that is known whole.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A stream on its way from a backend server to a caller.
+#[derive(Debug)]
+pub struct Relay {
+    gateway: Arc<Gateway>,
+    exchange: Arc<Exchange>,
+    body: Incoming,
+    connection: Option<Connection>,
+    in_flight: InFlight,
+    tried: Vec<Arc<Server>>,
+    runs: u32,
+    splitter: EventSplitter,
+    last_event_at: Option<Instant>,
+    longest_pause_ms: u64,
+    is_over: bool,
+}
+
+enum Step {
+    Events(Bytes),
+    End,
+    Broken,
+    TooLate,
+}
+
+impl Relay {
+    /// A stream whose head has arrived.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        exchange: Arc<Exchange>,
+        source: Source,
+        tried: Vec<Arc<Server>>,
+        runs: u32,
+    ) -> Self {
+        let Source { body, connection, in_flight } = source;
+        Self {
+            gateway,
+            exchange,
+            body,
+            connection: Some(connection),
+            in_flight,
+            tried,
+            runs,
+            splitter: EventSplitter::default(),
+            last_event_at: None,
+            longest_pause_ms: 0,
+            is_over: false,
+        }
+    }
+
+    /// The body that the caller gets.
+    pub fn into_body(self) -> AnswerBody {
+        let frames = stream::unfold(self, |mut relay| async move {
+            let frame = relay.next().await?;
+            Some((frame.map(Frame::data), relay))
+        });
+        BodyExt::boxed_unsync(StreamBody::new(frames))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.step().await {
+                Step::Events(events) => {
+                    self.note_events();
+                    return Some(Ok(events));
+                }
+                Step::End => {
+                    self.end("complete");
+                    let rest = Bytes::copy_from_slice(self.splitter.pending());
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Step::Broken if self.resume().await => {}
+                Step::Broken => {
+                    self.end("broken_off");
+                    return Some(Err(BrokenOff));
+                }
+                Step::TooLate => {
+                    self.end("too_late");
+                    return Some(Err(BrokenOff));
+                }
+            }
+        }
+    }
+
+    /// Waits for whole events.
+    async fn step(&mut self) -> Step {
+        loop {
+            let frame = match timeout_at(self.exchange.deadline, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => {
+                    tracing::info!(
+                        request = self.exchange.head.attempt_id,
+                        server = self.in_flight.server().listed.id,
+                        %error,
+                        "stream broken"
+                    );
+                    return Step::Broken;
+                }
+                Ok(None) => return Step::End,
+                Err(_) => return Step::TooLate,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            match self.splitter.push(&data) {
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => return Step::Events(events),
+                Err(error) => {
+                    tracing::warn!(request = self.exchange.head.attempt_id, %error, "stream broken");
+                    return Step::Broken;
+                }
+            }
+        }
+    }
+
+    /// Goes on at another backend server after the last event that was passed on.
+    async fn resume(&mut self) -> bool {
+        self.connection = None;
+        self.splitter.drop_pending();
+        let server = self.in_flight.server();
+        server.note_answer(self.exchange.arrived.elapsed(), true);
+        if self.exchange.route.repeat != Repeat::Resume {
+            return false;
+        }
+        let last_event_id = self.splitter.last_id().or(self.exchange.head.last_event_id);
+        while self.runs < self.exchange.route.max_attempts {
+            let now = Instant::now();
+            let Some(server) = self.gateway.choose(&self.exchange, &self.tried, now) else {
+                return false;
+            };
+            if !self.gateway.may_repeat(&self.exchange, now) {
+                return false;
+            }
+            self.tried.push(Arc::clone(&server));
+            match self.gateway.send(&self.exchange, &server, last_event_id).await {
+                Ok(sent) if sent.response.status().is_success() => {
+                    tracing::info!(
+                        request = self.exchange.head.attempt_id,
+                        server = server.listed.id,
+                        after_event = last_event_id,
+                        "stream resumed"
+                    );
+                    self.runs += 1;
+                    self.body = sent.response.into_body();
+                    self.connection = Some(sent.connection);
+                    self.in_flight = sent.in_flight;
+                    return true;
+                }
+                Ok(sent) if sent.answer.is_not_run => {}
+                Ok(_) | Err(SendFailure::MayHaveRun) => self.runs += 1,
+                Err(SendFailure::NotSent) => {}
+            }
+        }
+        false
+    }
+
+    fn note_events(&mut self) {
+        let now = Instant::now();
+        match self.last_event_at.replace(now) {
+            None => {
+                let after = now - self.exchange.arrived;
+                self.gateway.metrics.answered(self.exchange.kind(), after);
+                self.in_flight.server().note_answer(after, false);
+                tracing::info!(
+                    request = self.exchange.head.attempt_id,
+                    route = self.exchange.route.name,
+                    server = self.in_flight.server().listed.id,
+                    after_ms = after.as_millis() as u64,
+                    "first event"
+                );
+            }
+            Some(last) => {
+                let pause = now - last;
+                self.longest_pause_ms = self.longest_pause_ms.max(pause.as_millis() as u64);
+                self.gateway.metrics.paused(pause);
+            }
+        }
+    }
+
+    fn end(&mut self, outcome: &'static str) {
+        self.is_over = true;
+        self.gateway.metrics.request_ended(self.exchange.kind(), outcome);
+        tracing::info!(
+            request = self.exchange.head.attempt_id,
+            server = self.in_flight.server().listed.id,
+            outcome,
+            last_event = self.splitter.last_id(),
+            longest_pause_ms = self.longest_pause_ms,
+            after_ms = self.exchange.arrived.elapsed().as_millis() as u64,
+            runs = self.runs,
+            "stream ended"
+        );
+        match self.connection.take() {
+            Some(connection) if outcome == "complete" => {
+                keep_connection(connection, Arc::clone(self.in_flight.server()));
+            }
+            // Closing it stops the server's work.
+            _ => {}
+        }
+    }
+}
+
+/// Where a stream's bytes come from.
+#[derive(Debug)]
+pub struct Source {
+    /// The body.
+    pub body: Incoming,
+    /// The connection that it comes on.
+    pub connection: Connection,
+    /// Counts the request at the server.
+    pub in_flight: InFlight,
+}
--- a/crates/observe/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -60,6 +60,14 @@
         .finish())
 }
 
+/// Sends the logs of a process on a platform to standard output as JSON lines.
+pub fn init_plain(vm: &str, data_centre: &str) -> Result<(), LogError> {
+    let process = ProcessInfo { name: vm.into(), vm: vm.into(), data_centre: data_centre.into() };
+    let subscriber = subscriber(process, "info", std::io::stdout)?;
+    tracing::subscriber::set_global_default(subscriber)?;
+    Ok(())
+}
+
 struct JsonLines {
     process: ProcessInfo,
 }
