Keep rank groups' expert maps even: agents beside the engines

Cause: the most loaded rank carried 2.99 times the mean, and a pass lasts as long as that rank; with it a stream's pauses and first event were far beyond their goals. Change: crates/ranks runs beside every engine. Rank 0 collects all ranks' counts ten times a second, notices shifts of demand by set, and takes small steps (two copies a rank) with a hold at rank 0, an arming of every rank that is read back, and a release. policy::experts plans the steps. Ruled out: copying all that is wanted at once; one expert takes 0.15 s, and demand shifts meanwhile.

--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -58,7 +58,7 @@
         if settings.callers.is_some() {
             flamingowheel_gateway::process::run(&settings, signals.next()).await?;
         } else {
-            signals.next().await;
+            flamingowheel_ranks::process::run(&settings, signals.next()).await?;
         }
         tracing::info!("stopped");
         Ok(Exit::Success)
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -23,6 +23,8 @@
     pub internal_ports: (u16, u16),
     /// The backend server beside this process, on VMs that have one.
     pub backend_server: Option<SocketAddr>,
+    /// The service of that backend server.
+    pub backend_service: Option<String>,
     /// The key-value service.
     pub key_value: SocketAddr,
     /// Most calls a second that may write to the key-value service, over all processes.
--- /dev/null
+++ b/crates/policy/src/experts.rs
@@ -0,0 +1,350 @@
+//! Keeps the experts of a lock-step rank group even, in small steps.
+//!
+//! A pass lasts as long as its most loaded rank, set by set. Demand jumps within a pass and then
+//! stays for seconds; copying one expert takes longer than several passes. So demand is learnt
+//! from a few short windows, and each step copies only the few experts that shorten passes most.
+
+/// Weight of the newest window in the mean while demand stays as it is: windows of about one
+/// pass vary by chance, and the mean of the last few predicts the next best.
+const NEWEST_WEIGHT: f64 = 0.25;
+
+/// Part of the choices that must have moved between two windows for demand to count as shifted.
+/// Chance moves less than a fifth within a group's window; a shift moves half or more.
+const SHIFTED_SHARE: f64 = 0.35;
+
+/// Choices below which a window says nothing by itself.
+const MIN_WINDOW_CHOICES: u64 = 2_000;
+
+/// Exponent of the norm that stands for the most loaded rank. A plain maximum is flat where two
+/// ranks are equally loaded, so that no single move would seem to help.
+const NORM_EXPONENT: i32 = 12;
+
+/// What a copy must save at least, as a share of an even rank's load in one set. Below it, chance in the
+/// next passes outweighs the gain.
+const MIN_GAIN: f64 = 0.01;
+
+/// Experts by set and rank.
+pub type Map = Vec<Vec<Vec<u16>>>;
+
+/// Sizes of a group's map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    /// Sets of layers with a placement of their own.
+    pub sets: usize,
+    /// Experts in a set.
+    pub experts: usize,
+    /// Ranks of the group.
+    pub ranks: usize,
+    /// Experts that a rank holds in a set, at most.
+    pub replicas_per_rank: usize,
+}
+
+impl Shape {
+    /// The map that a group begins with: experts in turn.
+    ///
+    /// ```
+    /// use flamingowheel_policy::experts::Shape;
+    /// let shape = Shape { sets: 1, experts: 4, ranks: 2, replicas_per_rank: 3 };
+    /// assert_eq!(shape.first_map(), [[[0, 2], [1, 3]]]);
+    /// ```
+    pub fn first_map(&self) -> Map {
+        let rank = |rank: usize| (rank..self.experts).step_by(self.ranks).map(|e| e as u16);
+        let set: Vec<Vec<u16>> = (0..self.ranks).map(|r| rank(r).collect()).collect();
+        vec![set; self.sets]
+    }
+}
+
+/// What requests want of each expert, learnt from windows of counts.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    shape: Shape,
+    /// Shares by set and expert, in one row; each set sums to 1.
+    mean: Vec<f64>,
+    is_known: Vec<bool>,
+}
+
+impl Demand {
+    /// Nothing known.
+    pub fn new(shape: Shape) -> Self {
+        let mean = vec![0.0; shape.sets * shape.experts];
+        Self { shape, mean, is_known: vec![false; shape.sets] }
+    }
+
+    /// Takes in how often each expert was chosen in a window, by set and expert in one row.
+    /// Returns how many sets have shifted.
+    pub fn observe(&mut self, counts: &[u64]) -> usize {
+        let mut shifted = 0;
+        for (set, counts) in counts.chunks(self.shape.experts).take(self.shape.sets).enumerate() {
+            let total: u64 = counts.iter().sum();
+            if total < MIN_WINDOW_CHOICES {
+                continue;
+            }
+            let start = set * self.shape.experts;
+            let mean = &mut self.mean[start..start + counts.len()];
+            let share = |count: &u64| *count as f64 / total as f64;
+            let moved: f64 =
+                mean.iter().zip(counts).map(|(mean, count)| (share(count) - mean).abs()).sum();
+            let has_shifted = !self.is_known[set] || moved / 2.0 > SHIFTED_SHARE;
+            let weight = if has_shifted { 1.0 } else { NEWEST_WEIGHT };
+            for (mean, count) in mean.iter_mut().zip(counts) {
+                *mean += weight * (share(count) - *mean);
+            }
+            self.is_known[set] = true;
+            shifted += usize::from(has_shifted);
+        }
+        shifted
+    }
+
+    /// Whether anything is known of every set.
+    pub fn is_known(&self) -> bool {
+        self.is_known.iter().all(|known| *known)
+    }
+
+    fn of_set(&self, set: usize) -> &[f64] {
+        &self.mean[set * self.shape.experts..(set + 1) * self.shape.experts]
+    }
+}
+
+/// What one step may copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StepLimits {
+    /// Experts that are new to a rank, over all sets.
+    pub copies_per_rank: usize,
+    /// Experts that are new to a rank in one set.
+    pub copies_per_rank_and_set: usize,
+}
+
+/// A better map.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The map.
+    pub map: Map,
+    /// Most copies to one rank.
+    pub copies: usize,
+    /// Skew by the demand that is known, mean of the sets, before.
+    pub skew_before: f64,
+    /// The same with the new map.
+    pub skew_after: f64,
+}
+
+/// The most loaded rank against the mean, averaged over the sets.
+pub fn skew(map: &Map, demand: &Demand) -> f64 {
+    let skews = map.iter().enumerate().map(|(set, ranks)| {
+        let placement = Placement::new(ranks, demand.of_set(set));
+        placement.loads.iter().copied().fold(0.0, f64::max)
+    });
+    skews.sum::<f64>() / map.len().max(1) as f64
+}
+
+/// The next small step to an even map, if one is worth its copies.
+pub fn step(map: &Map, demand: &Demand, limits: StepLimits) -> Option<Step> {
+    let shape = demand.shape;
+    let skew_before = skew(map, demand);
+    let mut placements: Vec<Placement> = map
+        .iter()
+        .enumerate()
+        .map(|(set, ranks)| Placement::new(ranks, demand.of_set(set)))
+        .collect();
+    let mut copied = vec![0_usize; shape.ranks];
+    let mut best: Vec<Option<Change>> =
+        placements.iter().map(|placement| placement.best_change(&shape, &copied, limits)).collect();
+    loop {
+        let chosen = best
+            .iter()
+            .enumerate()
+            .filter_map(|(set, change)| change.map(|change| (set, change)))
+            .max_by(|a, b| a.1.gain_per_copy().total_cmp(&b.1.gain_per_copy()));
+        let Some((set, change)) = chosen else {
+            break;
+        };
+        let still_fits = change.copies().all(|rank| copied[rank] < limits.copies_per_rank);
+        if still_fits {
+            placements[set].apply(&change);
+            change.copies().for_each(|rank| copied[rank] += 1);
+        }
+        best[set] = placements[set].best_change(&shape, &copied, limits);
+    }
+    let map: Map = placements.into_iter().map(|placement| placement.ranks).collect();
+    let skew_after = skew(&map, demand);
+    let copies = copied.into_iter().max().unwrap_or(0);
+    (copies > 0).then_some(Step { map, copies, skew_before, skew_after })
+}
+
+/// One set's experts on the ranks, with their loads; 1 is an even rank's.
+#[derive(Clone, Debug)]
+struct Placement {
+    ranks: Vec<Vec<u16>>,
+    shares: Vec<f64>,
+    holders: Vec<u16>,
+    loads: Vec<f64>,
+    copies: Vec<usize>,
+}
+
+/// A replica of `expert` on `to`, in the place of `victim` if the rank is full; `returned` moves
+/// the victim to the rank that gives `expert` away, since it has no other holder.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    expert: u16,
+    from: usize,
+    to: usize,
+    victim: Option<u16>,
+    is_exchange: bool,
+    gain: f64,
+}
+
+impl Change {
+    fn gain_per_copy(&self) -> f64 {
+        self.gain / if self.is_exchange { 2.0 } else { 1.0 }
+    }
+
+    /// The ranks that copy an expert.
+    fn copies(&self) -> impl Iterator<Item = usize> {
+        let back = self.is_exchange.then_some(self.from);
+        std::iter::once(self.to).chain(back)
+    }
+}
+
+impl Placement {
+    fn new(ranks: &[Vec<u16>], demand: &[f64]) -> Self {
+        let count = ranks.len() as f64;
+        let shares: Vec<f64> = demand.iter().map(|share| share * count).collect();
+        let mut holders = vec![0_u16; shares.len()];
+        for expert in ranks.iter().flatten() {
+            holders[usize::from(*expert)] += 1;
+        }
+        let load = |experts: &Vec<u16>| {
+            experts
+                .iter()
+                .map(|e| shares[usize::from(*e)] / f64::from(holders[usize::from(*e)]))
+                .sum()
+        };
+        let loads = ranks.iter().map(load).collect();
+        let copies = vec![0; ranks.len()];
+        Self { ranks: ranks.to_vec(), shares, holders, loads, copies }
+    }
+
+    fn best_change(&self, shape: &Shape, copied: &[usize], limits: StepLimits) -> Option<Change> {
+        let from = most_loaded(&self.loads)?;
+        let norm = norm(&self.loads);
+        let may_copy = |rank: usize| {
+            copied[rank] < limits.copies_per_rank
+                && self.copies[rank] < limits.copies_per_rank_and_set
+        };
+        let mut best: Option<Change> = None;
+        let mut scratch = self.loads.clone();
+        for &expert in &self.ranks[from] {
+            for to in (0..self.ranks.len()).filter(|to| *to != from && may_copy(*to)) {
+                if self.ranks[to].contains(&expert) {
+                    continue;
+                }
+                for change in self.changes(shape, expert, from, to, may_copy(from)) {
+                    scratch.copy_from_slice(&self.loads);
+                    self.shift_loads(&change, &mut scratch);
+                    let gain = norm - self::norm(&scratch);
+                    let change = Change { gain, ..change };
+                    let is_better =
+                        best.is_none_or(|best| change.gain_per_copy() > best.gain_per_copy());
+                    if change.gain_per_copy() > MIN_GAIN && is_better {
+                        best = Some(change);
+                    }
+                }
+            }
+        }
+        best
+    }
+
+    /// The ways to give `to` a replica.
+    fn changes(
+        &self,
+        shape: &Shape,
+        expert: u16,
+        from: usize,
+        to: usize,
+        may_copy_back: bool,
+    ) -> Vec<Change> {
+        let change =
+            |victim, is_exchange| Change { expert, from, to, victim, is_exchange, gain: 0.0 };
+        if self.ranks[to].len() < shape.replicas_per_rank {
+            return vec![change(None, false)];
+        }
+        let mut changes = Vec::with_capacity(self.ranks[to].len());
+        for &victim in &self.ranks[to] {
+            if self.holders[usize::from(victim)] > 1 {
+                changes.push(change(Some(victim), false));
+            } else if may_copy_back && !self.ranks[from].contains(&victim) {
+                changes.push(change(Some(victim), true));
+            }
+        }
+        changes
+    }
+
+    fn shift_loads(&self, change: &Change, loads: &mut [f64]) {
+        let expert = usize::from(change.expert);
+        let (share, holders) = (self.shares[expert], f64::from(self.holders[expert]));
+        if change.is_exchange {
+            loads[change.from] -= share / holders;
+            loads[change.to] += share / holders;
+        } else {
+            let after = share / (holders + 1.0);
+            self.on_holders(change.expert, |rank| loads[rank] += after - share / holders);
+            loads[change.to] += after;
+        }
+        let Some(victim) = change.victim else {
+            return;
+        };
+        let share = self.shares[usize::from(victim)];
+        let holders = f64::from(self.holders[usize::from(victim)]);
+        loads[change.to] -= share / holders;
+        if change.is_exchange {
+            loads[change.from] += share / holders;
+            return;
+        }
+        let after = share / (holders - 1.0);
+        self.on_holders(victim, |rank| {
+            if rank != change.to {
+                loads[rank] += after - share / holders;
+            }
+        });
+    }
+
+    fn on_holders<F>(&self, expert: u16, mut visit: F)
+    where
+        F: FnMut(usize),
+    {
+        let holding = self.ranks.iter().enumerate().filter(|(_, held)| held.contains(&expert));
+        holding.for_each(|(rank, _)| visit(rank));
+    }
+
+    fn apply(&mut self, change: &Change) {
+        if let Some(victim) = change.victim {
+            self.ranks[change.to].retain(|held| *held != victim);
+            if change.is_exchange {
+                self.ranks[change.from].retain(|held| *held != change.expert);
+                self.ranks[change.from].push(victim);
+            } else {
+                self.holders[usize::from(victim)] -= 1;
+            }
+        }
+        self.ranks[change.to].push(change.expert);
+        if !change.is_exchange {
+            self.holders[usize::from(change.expert)] += 1;
+        }
+        for rank in change.copies() {
+            self.copies[rank] += 1;
+        }
+        for (rank, held) in self.ranks.iter().enumerate() {
+            let load =
+                |e: &u16| self.shares[usize::from(*e)] / f64::from(self.holders[usize::from(*e)]);
+            self.loads[rank] = held.iter().map(load).sum();
+        }
+    }
+}
+
+fn most_loaded(loads: &[f64]) -> Option<usize> {
+    (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))
+}
+
+fn norm(loads: &[f64]) -> f64 {
+    let sum: f64 = loads.iter().map(|load| load.max(0.0).powi(NORM_EXPONENT)).sum();
+    sum.powf(1.0 / f64::from(NORM_EXPONENT))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! clock and in the benches.
 
 pub mod admission;
+pub mod experts;
 pub mod key;
 pub mod limits;
 pub mod load;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod link;
 pub mod message;
 pub mod peer;
+pub mod ranks;
 pub mod ticket;
 pub mod websocket;
--- /dev/null
+++ b/crates/protocol/src/ranks.rs
@@ -0,0 +1,74 @@
+//! Messages between the agents of one rank group: the coordinator states what a rank should be
+//! brought to, the rank's agent tells how it stands.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Experts by set and rank.
+pub type Map = Vec<Vec<Vec<u16>>>;
+
+/// What a rank should be brought to. An absolute state, so that it can be stated again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RankTarget {
+    /// A map's experts are copied.
+    Prepared {
+        /// The group's epoch.
+        epoch: u64,
+        /// The map's version.
+        version: u64,
+        /// The map.
+        map: Arc<Map>,
+    },
+    /// A prepared map will be used from a pass on.
+    Armed {
+        /// The group's epoch.
+        epoch: u64,
+        /// The map's version.
+        version: u64,
+        /// The first pass that uses it.
+        pass: u64,
+    },
+    /// Nothing is to be done.
+    Idle,
+}
+
+/// How a rank stands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RankState {
+    /// The rank group.
+    pub group: String,
+    /// Rises each time the group forms again.
+    pub epoch: u64,
+    /// The rank.
+    pub rank: usize,
+    /// Ranks in the group.
+    pub size: usize,
+    /// Whether the group works.
+    pub is_open: bool,
+    /// The last pass that began.
+    pub pass: u64,
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait for their first pass.
+    pub waiting: u32,
+    /// Version of the map in use.
+    pub map_version: u64,
+    /// Version of the map whose experts have been copied.
+    pub prepared_version: Option<u64>,
+    /// Version and pass of the switch to come.
+    pub armed: Option<(u64, u64)>,
+    /// The pass that is held back.
+    pub held_pass: Option<u64>,
+}
+
+/// What a rank's agent sends to the coordinator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankUpdate {
+    /// How the rank stands.
+    pub state: RankState,
+    /// How often its requests chose each expert since the last update that had counts; empty if
+    /// there are none.
+    pub choices: Vec<u32>,
+    /// The experts that the rank holds, by set; sent with the counts.
+    pub experts: Vec<Vec<u16>>,
+}
--- /dev/null
+++ b/crates/ranks/src/engine.rs
@@ -0,0 +1,248 @@
+//! One rank's engine, seen from its own VM: polled for its state, and brought to a target.
+
+use flamingowheel_fleet::engine::{EngineReport, GroupState, MapOrder, OrderAnswer};
+use flamingowheel_platform::EngineClient;
+use flamingowheel_platform::engine::HeldExperts;
+use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
+use std::time::Duration;
+use tokio::sync::{broadcast, watch};
+use tokio::time::{Instant, sleep};
+
+/// Time between reads of the report while nothing is to be done: about one pass.
+const IDLE_POLL: Duration = Duration::from_millis(50);
+
+/// Time between reads while a target is not reached, a fraction of a pass.
+const BUSY_POLL: Duration = Duration::from_millis(12);
+
+/// Time between updates with counts: one or two passes, so that a shift of demand is seen soon.
+const COUNTS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which an order that was taken but shows no effect is given again. Engines can
+/// answer an order and carry it out seconds later.
+const REPEAT_AFTER: Duration = Duration::from_millis(60);
+
+/// Updates that a slow reader may lag behind.
+pub const UPDATE_CAPACITY: usize = 64;
+
+/// The engine's poller.
+#[derive(Debug)]
+pub struct Engine {
+    client: EngineClient,
+    targets: watch::Receiver<RankTarget>,
+    updates: broadcast::Sender<RankUpdate>,
+    last_counts: Option<Counted>,
+    counted_at: Option<Instant>,
+    /// The experts held, and the epoch and map that they belong to.
+    experts: Option<(u64, HeldExperts)>,
+    /// The target that an order was given for, and when.
+    ordered: Option<(RankTarget, Instant)>,
+}
+
+#[derive(Debug)]
+struct Counted {
+    epoch: u64,
+    started_ms: u64,
+    counts: Vec<u64>,
+}
+
+impl Engine {
+    /// A poller of the engine behind `client`.
+    pub fn new(
+        client: EngineClient,
+        targets: watch::Receiver<RankTarget>,
+        updates: broadcast::Sender<RankUpdate>,
+    ) -> Self {
+        Self {
+            client,
+            targets,
+            updates,
+            last_counts: None,
+            counted_at: None,
+            experts: None,
+            ordered: None,
+        }
+    }
+
+    /// Polls until dropped.
+    pub async fn run(mut self) {
+        let mut last_state = RankState::default();
+        let mut is_reached = true;
+        loop {
+            let changed = self.targets.changed();
+            let pause = if is_reached { IDLE_POLL } else { BUSY_POLL };
+            tokio::select! {
+                () = sleep(pause) => {}
+                changed = changed => if changed.is_err() { return },
+            }
+            let report = match self.client.report().await {
+                Ok(report) => report,
+                Err(error) => {
+                    tracing::debug!(%error, "no report from the engine");
+                    sleep(IDLE_POLL).await;
+                    continue;
+                }
+            };
+            let Some(state) = rank_state(&report) else {
+                continue;
+            };
+            is_reached = self.approach(&state).await;
+            let choices = self.choices(&report).await;
+            let is_news = RankState { pass: last_state.pass, ..state.clone() } != last_state;
+            if is_news || !choices.is_empty() || !is_reached {
+                let experts = if choices.is_empty() { Vec::new() } else { self.held(&state).await };
+                // Nobody listens while no coordinator is connected.
+                let _ = self.updates.send(RankUpdate { state: state.clone(), choices, experts });
+                last_state = state;
+            }
+        }
+    }
+
+    /// Gives the order that the target needs, if one is needed now. Returns whether the target
+    /// is reached or can't be reached any more.
+    async fn approach(&mut self, state: &RankState) -> bool {
+        let target = self.targets.borrow_and_update().clone();
+        let Some((epoch, order)) = missing_order(&target, state) else {
+            self.ordered = None;
+            return true;
+        };
+        let is_waiting = self
+            .ordered
+            .as_ref()
+            .is_some_and(|(ordered, at)| *ordered == target && at.elapsed() < repeat_after(&order));
+        if is_waiting {
+            return false;
+        }
+        let answer = self.client.order(epoch, &order).await;
+        tracing::info!(
+            order = order_name(&order),
+            version = version_of(&order),
+            epoch,
+            pass = state.pass,
+            ?answer,
+            "order given"
+        );
+        let at = Instant::now();
+        self.ordered = (answer != OrderAnswer::Unknown).then_some((target, at));
+        false
+    }
+
+    /// The experts held under the map in use; asked for when that has changed.
+    async fn held(&mut self, state: &RankState) -> Vec<Vec<u16>> {
+        let is_current = self.experts.as_ref().is_some_and(|(epoch, held)| {
+            *epoch == state.epoch && held.map_version == state.map_version
+        });
+        if !is_current {
+            self.experts = match self.client.held_experts().await {
+                Ok(held) => Some((state.epoch, held)),
+                Err(error) => {
+                    tracing::debug!(%error, "no list of experts from the engine");
+                    None
+                }
+            };
+        }
+        let current =
+            self.experts.as_ref().filter(|(_, held)| held.map_version == state.map_version);
+        current.map(|(_, held)| held.experts.clone()).unwrap_or_default()
+    }
+
+    /// The choices since the last time, when it is time for them.
+    async fn choices(&mut self, report: &EngineReport) -> Vec<u32> {
+        let now = Instant::now();
+        if self.counted_at.is_some_and(|at| now - at < COUNTS_INTERVAL) {
+            return Vec::new();
+        }
+        let counts = match self.client.counts().await {
+            Ok(counts) => counts,
+            Err(error) => {
+                tracing::debug!(%error, "no counts from the engine");
+                return Vec::new();
+            }
+        };
+        self.counted_at = Some(now);
+        let counted =
+            Counted { epoch: counts.epoch, started_ms: report.started_ms, counts: counts.counts };
+        let choices = self.last_counts.as_ref().and_then(|last| difference(last, &counted));
+        self.last_counts = Some(counted);
+        choices.unwrap_or_default()
+    }
+}
+
+/// `None` if the engine has begun anew, so that the counts don't belong together.
+fn difference(last: &Counted, now: &Counted) -> Option<Vec<u32>> {
+    let is_same = last.started_ms == now.started_ms
+        && last.epoch == now.epoch
+        && last.counts.len() == now.counts.len();
+    if !is_same {
+        return None;
+    }
+    let differences = last.counts.iter().zip(&now.counts);
+    differences
+        .map(|(last, now)| Some(u32::try_from(now.checked_sub(*last)?).unwrap_or(u32::MAX)))
+        .collect()
+}
+
+fn rank_state(report: &EngineReport) -> Option<RankState> {
+    let group = report.group.as_ref()?;
+    Some(RankState {
+        group: group.name.clone(),
+        epoch: group.epoch,
+        rank: group.rank,
+        size: group.size,
+        is_open: group.state == GroupState::Open,
+        pass: report.pass,
+        running: report.running,
+        waiting: report.waiting,
+        map_version: report.map_version,
+        prepared_version: report.prepared_version,
+        armed: report.armed,
+        held_pass: report.held_pass,
+    })
+}
+
+/// The order that brings a rank nearer to its target; `None` if there is nothing left to order.
+fn missing_order(target: &RankTarget, state: &RankState) -> Option<(u64, MapOrder)> {
+    match target {
+        RankTarget::Idle => None,
+        RankTarget::Prepared { epoch, version, map } => {
+            let is_done = state.prepared_version == Some(*version) || state.map_version == *version;
+            let is_void = state.epoch != *epoch;
+            if is_done || is_void {
+                return None;
+            }
+            Some((*epoch, MapOrder::Prepare { version: *version, map: map.clone() }))
+        }
+        RankTarget::Armed { epoch, version, pass } => {
+            let is_done = state.armed == Some((*version, *pass)) || state.map_version == *version;
+            // After the pass has begun the engine would only refuse.
+            let is_void = state.epoch != *epoch || state.pass >= *pass;
+            if is_done || is_void {
+                return None;
+            }
+            Some((*epoch, MapOrder::Arm { version: *version, pass: *pass }))
+        }
+    }
+}
+
+/// Copying takes long, arming shows at once.
+fn repeat_after(order: &MapOrder) -> Duration {
+    match order {
+        MapOrder::Prepare { .. } => REPEAT_AFTER * 5,
+        _ => REPEAT_AFTER,
+    }
+}
+
+fn order_name(order: &MapOrder) -> &'static str {
+    match order {
+        MapOrder::Prepare { .. } => "prepare",
+        MapOrder::Arm { .. } => "arm",
+        MapOrder::Hold { .. } => "hold",
+        MapOrder::Release { .. } => "release",
+    }
+}
+
+fn version_of(order: &MapOrder) -> Option<u64> {
+    match order {
+        MapOrder::Prepare { version, .. } | MapOrder::Arm { version, .. } => Some(*version),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/ranks/src/switch.rs
@@ -0,0 +1,168 @@
+//! The life cycle of one change of a group's map, without I/O.
+//!
+//! Engines here take orders without fencing numbers and may carry one out seconds after it was
+//! given up. Two things stand in for the number. A hold at rank 0 keeps the whole group from
+//! beginning the pass at which maps change until every rank was read back as armed for it; so a
+//! coordinator that dies in between leaves a group that waits, never one with two maps. And every
+//! order names the group's epoch and a pass: an order that is carried out late, after its pass
+//! has begun or the group has formed again, is refused by the engine itself. Nothing is ever
+//! disarmed, since an arming still on its way could then take effect alone.
+
+use flamingowheel_protocol::ranks::{Map, RankState, RankTarget};
+use std::sync::Arc;
+
+/// Passes between the newest one known and the one at which maps change: the time for all ranks
+/// to be armed, so that the hold seldom makes a pass wait. An arming takes some 15 ms and a pass
+/// 40 ms or more.
+const PASSES_AHEAD: u64 = 2;
+
+/// A change in one state of its life cycle.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Switch<S> {
+    /// The group's epoch; in any other one the change is void.
+    pub epoch: u64,
+    /// The map's version.
+    pub version: u64,
+    /// The map.
+    pub map: Arc<Map>,
+    state: S,
+}
+
+/// Ranks copy the experts that they lack.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Preparing;
+
+/// The group is to be held before a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holding {
+    pass: u64,
+}
+
+/// The group can't begin the pass; ranks are armed for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arming {
+    pass: u64,
+}
+
+/// All ranks are armed; the hold is to be lifted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Releasing {
+    pass: u64,
+}
+
+/// The pass may begin; it does so with the next request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Released {
+    pass: u64,
+}
+
+impl Switch<Preparing> {
+    /// A change that has just been decided.
+    pub fn new(epoch: u64, version: u64, map: Map) -> Self {
+        Self { epoch, version, map: Arc::new(map), state: Preparing }
+    }
+
+    /// What every rank is to be brought to.
+    pub fn target(&self) -> RankTarget {
+        let (epoch, version, map) = (self.epoch, self.version, Arc::clone(&self.map));
+        RankTarget::Prepared { epoch, version, map }
+    }
+
+    /// Goes on once all ranks have all experts.
+    pub fn advance(self, ranks: &[RankState]) -> Result<Switch<Holding>, Self> {
+        let is_ready = ranks.iter().all(|rank| rank.prepared_version == Some(self.version));
+        if !is_ready {
+            return Err(self);
+        }
+        let pass = next_pass(ranks);
+        Ok(self.with(Holding { pass }))
+    }
+}
+
+impl Switch<Holding> {
+    /// The pass to hold.
+    pub fn pass(&self) -> u64 {
+        self.state.pass
+    }
+
+    /// The hold has been read back.
+    pub fn held(self) -> Switch<Arming> {
+        let pass = self.state.pass;
+        self.with(Arming { pass })
+    }
+
+    /// The pass had begun before the hold arrived; a later one is taken. A hold of the old pass
+    /// that is still on its way will be refused.
+    pub fn too_late(self, ranks: &[RankState]) -> Self {
+        let pass = next_pass(ranks).max(self.state.pass + 1);
+        self.with(Holding { pass })
+    }
+}
+
+impl Switch<Arming> {
+    /// What every rank is to be brought to.
+    pub fn target(&self) -> RankTarget {
+        RankTarget::Armed { epoch: self.epoch, version: self.version, pass: self.state.pass }
+    }
+
+    /// Goes on once every rank was read back as armed.
+    pub fn advance(self, ranks: &[RankState]) -> Result<Switch<Releasing>, Self> {
+        let armed = Some((self.version, self.state.pass));
+        if !ranks.iter().all(|rank| rank.armed == armed) {
+            return Err(self);
+        }
+        let pass = self.state.pass;
+        Ok(self.with(Releasing { pass }))
+    }
+}
+
+impl Switch<Releasing> {
+    /// The pass to let go.
+    pub fn pass(&self) -> u64 {
+        self.state.pass
+    }
+
+    /// The hold has been read back as lifted.
+    pub fn released(self) -> Switch<Released> {
+        let pass = self.state.pass;
+        self.with(Released { pass })
+    }
+}
+
+impl Switch<Released> {
+    /// The pass that may begin.
+    pub fn pass(&self) -> u64 {
+        self.state.pass
+    }
+
+    /// Whether all ranks use the map.
+    pub fn is_done(&self, ranks: &[RankState]) -> bool {
+        ranks.iter().all(|rank| rank.map_version == self.version && rank.armed.is_none())
+    }
+}
+
+impl Switch<Arming> {
+    /// A change that an earlier coordinator had begun: the group is held before `pass`, or a rank
+    /// is armed for it.
+    pub fn resume(epoch: u64, version: u64, pass: u64) -> Self {
+        Switch { epoch, version, map: Arc::default(), state: Arming { pass } }
+    }
+}
+
+impl Switch<Releasing> {
+    /// A hold that an earlier coordinator left, with no rank armed or able to be.
+    pub fn abandoned(epoch: u64, pass: u64) -> Self {
+        Switch { epoch, version: 0, map: Arc::default(), state: Releasing { pass } }
+    }
+}
+
+impl<S> Switch<S> {
+    fn with<T>(self, state: T) -> Switch<T> {
+        let Self { epoch, version, map, .. } = self;
+        Switch { epoch, version, map, state }
+    }
+}
+
+fn next_pass(ranks: &[RankState]) -> u64 {
+    ranks.iter().map(|rank| rank.pass).max().unwrap_or(0) + PASSES_AHEAD
+}
