Ranks: finish the change of a coordinator that froze, plan on lists of the map in use

Ruled out: orders carried out late; each refusal came at once, from every rank. Change: the targets carry the engines' addresses; an agent that sees its group stand still reads all ranks, arms those that lack it and releases. Lists of experts carry their version. The next step is planned as soon as one is in use; ranks are armed from afar at most every 300 ms.

--- a/crates/protocol/src/ranks.rs
+++ b/crates/protocol/src/ranks.rs
@@ -2,6 +2,7 @@
 //! brought to, the rank's agent tells how it stands.
 
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Experts by set and rank.
@@ -18,6 +19,8 @@
         version: u64,
         /// The map.
         map: Arc<Map>,
+        /// The engines by rank, for whoever must finish the change if its coordinator dies.
+        engines: Arc<Vec<SocketAddr>>,
     },
     /// A prepared map will be used from a pass on.
     Armed {
@@ -27,6 +30,8 @@
         version: u64,
         /// The first pass that uses it.
         pass: u64,
+        /// The engines by rank.
+        engines: Arc<Vec<SocketAddr>>,
     },
     /// Nothing is to be done.
     Idle,
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -1,7 +1,9 @@
 //! Keeps the expert map of one group even; runs beside rank 0.
 
 use crate::peers::{PeerUpdate, Peers, engines_of};
-use crate::switch::{Arming, Holding, Preparing, Released, Releasing, Switch};
+use crate::switch::{
+    Arming, Holding, Leftover, Preparing, Released, Releasing, Switch, is_armed, leftover,
+};
 use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_fleet::EngineParameters;
 use flamingowheel_fleet::engine::{MapOrder, OrderAnswer};
@@ -9,7 +11,7 @@
 use flamingowheel_policy::experts::{self, Demand, Map, Shape, StepLimits};
 use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
 use std::collections::{BTreeMap, HashSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{broadcast, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -33,7 +35,7 @@
 
 /// Time for copies before a change is given up: 2 copies of 0.15 s, and an order that is carried
 /// out only when it is given again.
-const PREPARE_LIMIT: Duration = Duration::from_secs(3);
+const PREPARE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Time after which ranks whose agents don't show them armed are armed from here.
 const DIRECT_AFTER: Duration = Duration::from_millis(300);
@@ -53,8 +55,8 @@
     pub store: K,
     /// The rank's own engine.
     pub own: EngineClient,
-    /// IP address of this VM.
-    pub own_ip: IpAddr,
+    /// The rank's own engine's address.
+    pub own_engine: SocketAddr,
     /// The service of the engines.
     pub service: String,
     /// What all ranks are to be brought to.
@@ -71,8 +73,9 @@
 struct Rank {
     state: RankState,
     seen_at: Instant,
-    engine: Option<SocketAddr>,
-    experts: Vec<Vec<u16>>,
+    engine: SocketAddr,
+    /// The experts held, by set, under the map of this version.
+    experts: Option<(u64, Vec<Vec<u16>>)>,
 }
 
 #[derive(Debug, Default)]
@@ -81,6 +84,7 @@
     Watching,
     Preparing(Switch<Preparing>, Instant),
     Holding(Switch<Holding>),
+    /// The time is that at which ranks are armed from here.
     Arming(Switch<Arming>, Instant),
     Releasing(Switch<Releasing>),
     Released(Switch<Released>),
@@ -125,7 +129,7 @@
                 },
                 Some(update) = self.peer_updates.recv() => {
                     if let Some(group) = &mut group {
-                        group.take(update.update, Some(update.engine));
+                        group.take(update.update, update.engine);
                     }
                 }
                 _ = ticks.tick(), if is_active => {}
@@ -139,8 +143,11 @@
                     }
                 }
             }
-            if let Some(group) = &group {
-                phase = self.advance(phase, group).await;
+            if let Some(known) = &group {
+                phase = self.advance(phase, known).await;
+                if is_active && matches!(phase, Phase::Watching) {
+                    phase = self.watch(&group);
+                }
             }
         }
     }
@@ -156,7 +163,7 @@
             *group = Some(Group::new(&update.state));
         }
         if let Some(group) = group {
-            group.take(update, None);
+            group.take(update, self.own_engine);
         }
     }
 
@@ -176,7 +183,7 @@
             Ok(engines) => {
                 let peers = Peers { group: group.name.clone(), ..self.peers.clone() };
                 let stop = group.stop.clone();
-                peers.connect_to(&engines, self.own_ip, &mut group.connected, &stop);
+                peers.connect_to(&engines, self.own_engine.ip(), &mut group.connected, &stop);
             }
             Err(error) => tracing::debug!(%error, "backend servers not listed"),
         }
@@ -208,7 +215,7 @@
         };
         if let Some(left) = leftover(&states) {
             tracing::info!(group = group.name, epoch = group.epoch, ?left, "change taken up");
-            return left.into_phase(now);
+            return into_phase(left, now);
         }
         let Some(step) = group.next_step(&states) else {
             return Phase::Watching;
@@ -224,7 +231,8 @@
             skew_after = step.skew_after,
             "map planned"
         );
-        let switch = Switch::new(group.epoch, version, step.map);
+        let engines = group.ranks.values().map(|rank| rank.engine).collect();
+        let switch = Switch::new(group.epoch, version, step.map, engines);
         self.targets.send_replace(switch.target());
         Phase::Preparing(switch, now)
     }
@@ -256,14 +264,13 @@
                 Err(switch) => Phase::Preparing(switch, since),
             },
             Phase::Holding(switch) => self.hold(switch, &states).await,
-            Phase::Arming(switch, since) => match switch.advance(&states) {
+            Phase::Arming(switch, direct_at) => match switch.advance(&states) {
                 Ok(releasing) => self.release(releasing).await,
-                Err(switch) => {
-                    if since.elapsed() > DIRECT_AFTER {
-                        self.arm_directly(&switch, group).await;
-                    }
-                    Phase::Arming(switch, since)
+                Err(switch) if Instant::now() >= direct_at => {
+                    self.arm_directly(&switch, group).await;
+                    Phase::Arming(switch, Instant::now() + DIRECT_AFTER)
                 }
+                Err(switch) => Phase::Arming(switch, direct_at),
             },
             Phase::Releasing(switch) => self.release(switch).await,
             Phase::Released(switch) => {
@@ -279,6 +286,11 @@
     }
 
     async fn hold(&self, switch: Switch<Holding>, states: &[RankState]) -> Phase {
+        if states.iter().all(|state| state.map_version == switch.version) {
+            // Somebody else finished the change while this process was frozen.
+            self.targets.send_replace(RankTarget::Idle);
+            return Phase::Watching;
+        }
         let pass = switch.pass();
         let answer = self.own.order(switch.epoch, &MapOrder::Hold { pass }).await;
         let held = self.own.report().await.ok().and_then(|report| report.held_pass);
@@ -286,7 +298,7 @@
         if held == Some(pass) {
             let arming = switch.held();
             self.targets.send_replace(arming.target());
-            return Phase::Arming(arming, Instant::now());
+            return Phase::Arming(arming, Instant::now() + DIRECT_AFTER);
         }
         if answer == OrderAnswer::Conflict {
             return Phase::Holding(switch.too_late(states));
@@ -307,11 +319,11 @@
 
     /// Arms ranks whose agents don't: theirs may have died while the whole group waits.
     async fn arm_directly(&self, switch: &Switch<Arming>, group: &Group) {
-        let RankTarget::Armed { epoch, version, pass } = switch.target() else {
+        let RankTarget::Armed { epoch, version, pass, .. } = switch.target() else {
             return;
         };
-        let missing = group.ranks.values().filter(|r| r.state.armed != Some((version, pass)));
-        for engine in missing.filter_map(|rank| rank.engine) {
+        let missing = group.ranks.values().filter(|r| !is_armed(&r.state, version, pass));
+        for engine in missing.map(|rank| rank.engine) {
             match EngineClient::new(engine, DIRECT_AFTER.as_millis() as u64) {
                 Ok(client) => {
                     let answer = client.order(epoch, &MapOrder::Arm { version, pass }).await;
@@ -336,39 +348,12 @@
     }
 }
 
-/// What an earlier coordinator left behind.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Leftover {
-    /// Ranks are armed, or may still become so: only arming all of them is safe.
-    Armed { epoch: u64, version: u64, pass: u64 },
-    /// The group is held, and no rank can have been armed.
-    Held { epoch: u64, pass: u64 },
-}
-
-impl Leftover {
-    fn into_phase(self, now: Instant) -> Phase {
-        match self {
-            Self::Armed { epoch, version, pass } => {
-                Phase::Arming(Switch::resume(epoch, version, pass), now)
-            }
-            Self::Held { epoch, pass } => Phase::Releasing(Switch::abandoned(epoch, pass)),
-        }
-    }
-}
-
-fn leftover(states: &[RankState]) -> Option<Leftover> {
-    let epoch = states.first()?.epoch;
-    if let Some((version, pass)) = states.iter().find_map(|state| state.armed) {
-        return Some(Leftover::Armed { epoch, version, pass });
-    }
-    let pass = states.iter().find_map(|state| state.held_pass)?;
-    let first = states.first()?.prepared_version;
-    // Arming orders go out only after all ranks were seen prepared with one version.
-    match first {
-        Some(version) if states.iter().all(|state| state.prepared_version == first) => {
-            Some(Leftover::Armed { epoch, version, pass })
+fn into_phase(left: Leftover, now: Instant) -> Phase {
+    match left {
+        Leftover::Armed { epoch, version, pass } => {
+            Phase::Arming(Switch::resume(epoch, version, pass), now + DIRECT_AFTER)
         }
-        _ => Some(Leftover::Held { epoch, pass }),
+        Leftover::Held { epoch, pass } => Phase::Releasing(Switch::abandoned(epoch, pass)),
     }
 }
 
@@ -388,14 +373,17 @@
         }
     }
 
-    fn take(&mut self, update: RankUpdate, engine: Option<SocketAddr>) {
+    fn take(&mut self, update: RankUpdate, engine: SocketAddr) {
         let RankUpdate { state, choices, experts } = update;
         if state.epoch > self.epoch {
             self.epoch = state.epoch;
             self.size = state.size;
             self.ranks.clear();
-            // A member may have been replaced by one at another address.
-            self.connected.retain(|_| true);
+            // A member may have been replaced by one that was taken for another group's before.
+            self.stop.cancel();
+            self.stop = CancellationToken::new();
+            self.connected.clear();
+            self.listed_at = None;
         }
         if state.epoch < self.epoch {
             return;
@@ -407,8 +395,9 @@
         } else if !choices.is_empty() {
             self.window = choices.iter().map(|choices| u64::from(*choices)).collect();
         }
-        let known = self.ranks.remove(&state.rank).map(|rank| rank.experts);
-        let experts = if experts.is_empty() { known.unwrap_or_default() } else { experts };
+        let known = self.ranks.remove(&state.rank).and_then(|rank| rank.experts);
+        let is_listed = !experts.is_empty();
+        let experts = if is_listed { Some((state.map_version, experts)) } else { known };
         let seen_at = Instant::now();
         self.ranks.insert(state.rank, Rank { state, seen_at, engine, experts });
     }
@@ -468,10 +457,17 @@
         }
         let sets = self.shape()?.sets;
         let ranks: Vec<&Rank> = self.ranks.values().collect();
-        if ranks.iter().any(|rank| rank.experts.len() != sets) {
-            return None;
-        }
-        let set = |set: usize| ranks.iter().map(|rank| rank.experts[set].clone()).collect();
+        // A list can be older than the state beside it: put together from two maps, experts would
+        // be missing, and the engines would refuse the result.
+        let listed = |rank: &&Rank| match &rank.experts {
+            Some((listed, experts)) if *listed == version && experts.len() == sets => {
+                Some(experts.clone())
+            }
+            _ => None,
+        };
+        let ranks: Option<Vec<_>> = ranks.iter().map(listed).collect();
+        let ranks = ranks?;
+        let set = |set: usize| ranks.iter().map(|experts| experts[set].clone()).collect();
         Some((0..sets).map(set).collect())
     }
 }
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -1,9 +1,11 @@
 //! One rank's engine, seen from its own VM: polled for its state, and brought to a target.
 
+use crate::rescue;
 use flamingowheel_fleet::engine::{EngineReport, GroupState, MapOrder, OrderAnswer};
 use flamingowheel_platform::EngineClient;
 use flamingowheel_platform::engine::HeldExperts;
 use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{broadcast, watch};
 use tokio::time::{Instant, sleep};
@@ -36,6 +38,8 @@
     experts: Option<(u64, HeldExperts)>,
     /// The target that an order was given for, and when.
     ordered: Option<(RankTarget, Instant)>,
+    /// The pass after which the group stands still, and since when.
+    stalled: Option<(u64, Instant)>,
 }
 
 #[derive(Debug)]
@@ -60,6 +64,7 @@
             counted_at: None,
             experts: None,
             ordered: None,
+            stalled: None,
         }
     }
 
@@ -85,6 +90,7 @@
             let Some(state) = rank_state(&report) else {
                 continue;
             };
+            self.look_for_stall(&state);
             is_reached = self.approach(&state).await;
             let choices = self.choices(&report).await;
             let is_news = RankState { pass: last_state.pass, ..state.clone() } != last_state;
@@ -97,6 +103,36 @@
         }
     }
 
+    /// Has a change finished whose coordinator seems to be gone: the group waits, with requests
+    /// in its batch, and the coordinator would have let it go long before.
+    fn look_for_stall(&mut self, state: &RankState) {
+        let now = Instant::now();
+        let is_waiting = state.is_open && state.running + state.waiting > 0;
+        let moved = self.stalled.is_none_or(|(pass, _)| pass != state.pass);
+        if !is_waiting || moved {
+            self.stalled = is_waiting.then_some((state.pass, now));
+            return;
+        }
+        let Some((pass, since)) = self.stalled else {
+            return;
+        };
+        if now - since < rescue::patience(state.rank) {
+            return;
+        }
+        self.stalled = Some((pass, now));
+        let engines = match &*self.targets.borrow() {
+            RankTarget::Prepared { epoch, engines, .. }
+            | RankTarget::Armed { epoch, engines, .. }
+                if *epoch == state.epoch =>
+            {
+                Arc::clone(engines)
+            }
+            _ => return,
+        };
+        tracing::warn!(pass, rank = state.rank, "group stands still, looking for a hold");
+        tokio::spawn(rescue::finish(engines));
+    }
+
     /// Gives the order that the target needs, if one is needed now. Returns whether the target
     /// is reached or can't be reached any more.
     async fn approach(&mut self, state: &RankState) -> bool {
@@ -181,7 +217,8 @@
         .collect()
 }
 
-fn rank_state(report: &EngineReport) -> Option<RankState> {
+/// What the coordinator needs of a report; `None` for an engine that is part of no group.
+pub fn rank_state(report: &EngineReport) -> Option<RankState> {
     let group = report.group.as_ref()?;
     Some(RankState {
         group: group.name.clone(),
@@ -203,7 +240,7 @@
 fn missing_order(target: &RankTarget, state: &RankState) -> Option<(u64, MapOrder)> {
     match target {
         RankTarget::Idle => None,
-        RankTarget::Prepared { epoch, version, map } => {
+        RankTarget::Prepared { epoch, version, map, .. } => {
             let is_done = state.prepared_version == Some(*version) || state.map_version == *version;
             let is_void = state.epoch != *epoch;
             if is_done || is_void {
@@ -211,7 +248,7 @@
             }
             Some((*epoch, MapOrder::Prepare { version: *version, map: map.clone() }))
         }
-        RankTarget::Armed { epoch, version, pass } => {
+        RankTarget::Armed { epoch, version, pass, .. } => {
             let is_done = state.armed == Some((*version, *pass)) || state.map_version == *version;
             // After the pass has begun the engine would only refuse.
             let is_void = state.epoch != *epoch || state.pass >= *pass;
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod engine;
 pub mod peers;
 pub mod process;
+pub mod rescue;
 pub mod switch;
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -70,7 +70,7 @@
     let coordinator = Coordinator {
         store: StoreClient::new(settings.key_value)?,
         own,
-        own_ip: settings.ip,
+        own_engine: engine,
         service: settings.backend_service.clone().unwrap_or_default(),
         targets,
         own_updates,
--- a/crates/ranks/src/switch.rs
+++ b/crates/ranks/src/switch.rs
@@ -9,6 +9,7 @@
 //! disarmed, since an arming still on its way could then take effect alone.
 
 use flamingowheel_protocol::ranks::{Map, RankState, RankTarget};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Passes between the newest one known and the one at which maps change: the time for all ranks
@@ -25,6 +26,8 @@
     pub version: u64,
     /// The map.
     pub map: Arc<Map>,
+    /// The engines by rank.
+    pub engines: Arc<Vec<SocketAddr>>,
     state: S,
 }
 
@@ -58,14 +61,15 @@
 
 impl Switch<Preparing> {
     /// A change that has just been decided.
-    pub fn new(epoch: u64, version: u64, map: Map) -> Self {
-        Self { epoch, version, map: Arc::new(map), state: Preparing }
+    pub fn new(epoch: u64, version: u64, map: Map, engines: Vec<SocketAddr>) -> Self {
+        Self { epoch, version, map: Arc::new(map), engines: Arc::new(engines), state: Preparing }
     }
 
     /// What every rank is to be brought to.
     pub fn target(&self) -> RankTarget {
-        let (epoch, version, map) = (self.epoch, self.version, Arc::clone(&self.map));
-        RankTarget::Prepared { epoch, version, map }
+        let (epoch, version) = (self.epoch, self.version);
+        let (map, engines) = (Arc::clone(&self.map), Arc::clone(&self.engines));
+        RankTarget::Prepared { epoch, version, map, engines }
     }
 
     /// Goes on once all ranks have all experts.
@@ -102,13 +106,15 @@
 impl Switch<Arming> {
     /// What every rank is to be brought to.
     pub fn target(&self) -> RankTarget {
-        RankTarget::Armed { epoch: self.epoch, version: self.version, pass: self.state.pass }
+        let (epoch, version, pass) = (self.epoch, self.version, self.state.pass);
+        RankTarget::Armed { epoch, version, pass, engines: Arc::clone(&self.engines) }
     }
 
     /// Goes on once every rank was read back as armed.
     pub fn advance(self, ranks: &[RankState]) -> Result<Switch<Releasing>, Self> {
-        let armed = Some((self.version, self.state.pass));
-        if !ranks.iter().all(|rank| rank.armed == armed) {
+        // Somebody else may have let the pass go while this process was frozen.
+        let is_armed = |rank: &RankState| is_armed(rank, self.version, self.state.pass);
+        if !ranks.iter().all(is_armed) {
             return Err(self);
         }
         let pass = self.state.pass;
@@ -145,21 +151,68 @@
     /// A change that an earlier coordinator had begun: the group is held before `pass`, or a rank
     /// is armed for it.
     pub fn resume(epoch: u64, version: u64, pass: u64) -> Self {
-        Switch { epoch, version, map: Arc::default(), state: Arming { pass } }
+        let (map, engines) = (Arc::default(), Arc::default());
+        Switch { epoch, version, map, engines, state: Arming { pass } }
     }
 }
 
 impl Switch<Releasing> {
     /// A hold that an earlier coordinator left, with no rank armed or able to be.
     pub fn abandoned(epoch: u64, pass: u64) -> Self {
-        Switch { epoch, version: 0, map: Arc::default(), state: Releasing { pass } }
+        let (map, engines) = (Arc::default(), Arc::default());
+        Switch { epoch, version: 0, map, engines, state: Releasing { pass } }
     }
 }
 
 impl<S> Switch<S> {
     fn with<T>(self, state: T) -> Switch<T> {
-        let Self { epoch, version, map, .. } = self;
-        Switch { epoch, version, map, state }
+        let Self { epoch, version, map, engines, .. } = self;
+        Switch { epoch, version, map, engines, state }
+    }
+}
+
+/// Whether a rank uses the map from the pass on, or already does.
+pub fn is_armed(rank: &RankState, version: u64, pass: u64) -> bool {
+    rank.armed == Some((version, pass)) || rank.map_version == version
+}
+
+/// A change that somebody began and did not finish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leftover {
+    /// Ranks are armed, or may still become so: only arming all of them is safe.
+    Armed {
+        /// The group's epoch.
+        epoch: u64,
+        /// The map's version.
+        version: u64,
+        /// The first pass that uses it.
+        pass: u64,
+    },
+    /// The group is held, and no rank can have been armed.
+    Held {
+        /// The group's epoch.
+        epoch: u64,
+        /// The pass that is held.
+        pass: u64,
+    },
+}
+
+/// Finds an unfinished change in the states of all ranks.
+///
+/// Arming orders go out only after all ranks were seen prepared with one version. So if none is
+/// armed and their versions differ, none can be on its way.
+pub fn leftover(ranks: &[RankState]) -> Option<Leftover> {
+    let epoch = ranks.first()?.epoch;
+    if let Some((version, pass)) = ranks.iter().find_map(|rank| rank.armed) {
+        return Some(Leftover::Armed { epoch, version, pass });
+    }
+    let pass = ranks.iter().find_map(|rank| rank.held_pass)?;
+    let first = ranks.first()?.prepared_version;
+    match first {
+        Some(version) if ranks.iter().all(|rank| rank.prepared_version == first) => {
+            Some(Leftover::Armed { epoch, version, pass })
+        }
+        _ => Some(Leftover::Held { epoch, pass }),
     }
 }
 
