Ranks: prove the giver of a hold alive, copy experts as the load needs

Cause: a VM that stops right after it gave a hold can't be reached to be armed or released, and its group stood still for the 4 s of its freeze. Change: another rank's agent gives the hold, and nothing is armed before a word of it that was sent after the hold; otherwise the hold is lifted. Passes 3 ahead instead of 2. Least gains of copies and steps depend on the share of the pause goal that passes take.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -40,6 +40,15 @@
     }
 }
 
+impl Configuration {
+    /// The shortest pause goal of a service's streams, in milliseconds.
+    pub fn pause_goal_ms(&self, service: &str) -> Option<u64> {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        let serving = routes.filter(|route| route.splits.iter().any(|s| s.service == service));
+        serving.map(|route| route.pause_goal_ms).filter(|goal_ms| *goal_ms > 0).min()
+    }
+}
+
 /// Where requests of one path prefix go, and how long they may take.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Route {
--- a/crates/policy/src/experts.rs
+++ b/crates/policy/src/experts.rs
@@ -19,10 +19,6 @@
 /// ranks are equally loaded, so that no single move would seem to help.
 const NORM_EXPONENT: i32 = 12;
 
-/// What a copy must save at least, as a share of an even rank's load in one set. Below it, chance in the
-/// next passes outweighs the gain.
-const MIN_GAIN: f64 = 0.01;
-
 /// Experts by set and rank.
 pub type Map = Vec<Vec<Vec<u16>>>;
 
@@ -106,14 +102,58 @@
 }
 
 /// What one step may copy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StepLimits {
     /// Experts that are new to a rank, over all sets.
     pub copies_per_rank: usize,
     /// Experts that are new to a rank in one set.
     pub copies_per_rank_and_set: usize,
+    /// What a copy must save at least, as a share of an even rank's load in its set.
+    pub min_gain: f64,
+    /// What the step must save of the mean skew.
+    pub min_saving: f64,
 }
 
+impl StepLimits {
+    /// Limits for a group whose passes take `pressure` of the time that a stream's pause may take.
+    ///
+    /// A copy is paid for and makes passes 15 % longer while it lasts. While passes are short,
+    /// only what halves a shifted set's load is worth that; close to the goal every gain is.
+    ///
+    /// ```
+    /// use flamingowheel_policy::experts::StepLimits;
+    /// let (calm, full) = (StepLimits::for_pressure(0.3, 4), StepLimits::for_pressure(0.9, 4));
+    /// assert!(calm.min_saving > full.min_saving);
+    /// ```
+    pub fn for_pressure(pressure: f64, copies_per_rank_and_set: usize) -> Self {
+        let ease = ((FULL_PRESSURE - pressure) / (FULL_PRESSURE - CALM_PRESSURE)).clamp(0.0, 1.0);
+        Self {
+            copies_per_rank: COPIES_PER_RANK,
+            copies_per_rank_and_set,
+            min_gain: FULL_MIN_GAIN + ease * (CALM_MIN_GAIN - FULL_MIN_GAIN),
+            min_saving: FULL_MIN_SAVING + ease * (CALM_MIN_SAVING - FULL_MIN_SAVING),
+        }
+    }
+}
+
+/// Most experts that one step copies to a rank. Each takes some 150 ms, in which demand moves on
+/// and passes are 15 % longer.
+const COPIES_PER_RANK: usize = 2;
+
+/// Share of the pause goal that passes take when every gain counts, and when few do.
+const FULL_PRESSURE: f64 = 0.6;
+const CALM_PRESSURE: f64 = 0.35;
+
+/// What a copy must save in a full group: below it, chance in the next passes outweighs the gain.
+const FULL_MIN_GAIN: f64 = 0.01;
+
+/// The same in a calm group.
+const CALM_MIN_GAIN: f64 = 0.05;
+
+/// What a step must save of the mean skew, in a full and in a calm group.
+const FULL_MIN_SAVING: f64 = 0.04;
+const CALM_MIN_SAVING: f64 = 0.2;
+
 /// A better map.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
@@ -167,7 +207,8 @@
     let map: Map = placements.into_iter().map(|placement| placement.ranks).collect();
     let skew_after = skew(&map, demand);
     let copies = copied.into_iter().max().unwrap_or(0);
-    (copies > 0).then_some(Step { map, copies, skew_before, skew_after })
+    let is_worth_it = copies > 0 && skew_before - skew_after >= limits.min_saving;
+    is_worth_it.then_some(Step { map, copies, skew_before, skew_after })
 }
 
 /// One set's experts on the ranks, with their loads; 1 is an even rank's.
@@ -244,7 +285,7 @@
                     let change = Change { gain, ..change };
                     let is_better =
                         best.is_none_or(|best| change.gain_per_copy() > best.gain_per_copy());
-                    if change.gain_per_copy() > MIN_GAIN && is_better {
+                    if change.gain_per_copy() > limits.min_gain && is_better {
                         best = Some(change);
                     }
                 }
--- a/crates/protocol/src/ranks.rs
+++ b/crates/protocol/src/ranks.rs
@@ -22,6 +22,19 @@
         /// The engines by rank, for whoever must finish the change if its coordinator dies.
         engines: Arc<Vec<SocketAddr>>,
     },
+    /// One rank's agent holds the engine of rank 0 before a pass. The agent of rank 0 does not do
+    /// so itself: whoever gives the order may stop right after it, and then the agent beside the
+    /// held engine must be there to let it go.
+    Held {
+        /// The group's epoch.
+        epoch: u64,
+        /// The pass.
+        pass: u64,
+        /// The rank whose agent gives the order.
+        by: usize,
+        /// The engine of rank 0.
+        engine: SocketAddr,
+    },
     /// A prepared map will be used from a pass on.
     Armed {
         /// The group's epoch.
@@ -64,6 +77,8 @@
     pub armed: Option<(u64, u64)>,
     /// The pass that is held back.
     pub held_pass: Option<u64>,
+    /// The pass before which this rank's agent last held the engine of rank 0.
+    pub gave_hold: Option<u64>,
 }
 
 /// What a rank's agent sends to the coordinator.
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -6,7 +6,7 @@
 };
 use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_fleet::EngineParameters;
-use flamingowheel_fleet::engine::{MapOrder, OrderAnswer};
+use flamingowheel_fleet::engine::MapOrder;
 use flamingowheel_platform::{CONFIGURATION_KEY, EngineClient, operator};
 use flamingowheel_policy::experts::{self, Demand, Map, Shape, StepLimits};
 use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
@@ -26,13 +26,6 @@
 /// Time between readings of demand; the windows in which it is learnt.
 const WINDOW: Duration = Duration::from_millis(100);
 
-/// Most experts that one step copies to a rank. Each takes some 150 ms, in which demand moves on
-/// and passes are 15 % longer.
-const COPIES_PER_RANK: usize = 2;
-
-/// What a step must save of the skew to be worth a switch.
-const MIN_SAVING: f64 = 0.04;
-
 /// Time for copies before a change is given up: 2 copies of 0.15 s, and an order that is carried
 /// out only when it is given again.
 const PREPARE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -40,9 +33,22 @@
 /// Time after which ranks whose agents don't show them armed are armed from here.
 const DIRECT_AFTER: Duration = Duration::from_millis(300);
 
+/// Age of a hold at which its giver must have been heard from. A VM that stops as it gives the
+/// order can't be armed, and the group would wait for it as long as it is away: 4 s were seen.
+const HOLDER_PROOF: Duration = Duration::from_millis(15);
+
+/// Time to hear from the agent that gave the hold, after the hold was seen: several ways and polls.
+const HOLDER_LIMIT: Duration = Duration::from_millis(80);
+
+/// Time for a hold to show after it was asked for. Engines leave some orders unanswered.
+const ASK_LIMIT: Duration = Duration::from_millis(600);
+
 /// Pause between readings of the list of backend servers while ranks are missing.
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Weight of the newest pass time in their mean: some ten observations, a second.
+const PASS_TIME_WEIGHT: f64 = 0.1;
+
 /// Range of the random part of a version. Two coordinators of one group, one after the other,
 /// would otherwise give one version to two maps: a rank that holds the older one would pass for
 /// prepared.
@@ -67,6 +73,8 @@
     pub peers: Peers,
     /// Updates of the other ranks.
     pub peer_updates: mpsc::Receiver<PeerUpdate>,
+    /// Holds that were asked for and nothing was armed for, by epoch and pass.
+    pub asked_holds: HashSet<(u64, u64)>,
 }
 
 #[derive(Debug)]
@@ -83,13 +91,29 @@
     #[default]
     Watching,
     Preparing(Switch<Preparing>, Instant),
-    Holding(Switch<Holding>),
+    Holding(Switch<Holding>, Holder),
     /// The time is that at which ranks are armed from here.
     Arming(Switch<Arming>, Instant),
     Releasing(Switch<Releasing>),
     Released(Switch<Released>),
 }
 
+/// The agent that was asked for a hold.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    by: usize,
+    asked_at: Instant,
+    held_at: Option<Instant>,
+}
+
+/// What the configuration says of the engines' service.
+#[derive(Clone, Debug)]
+struct ServiceParameters {
+    engine: EngineParameters,
+    /// The shortest pause goal of its routes, in milliseconds.
+    pause_goal_ms: f64,
+}
+
 /// What is known of the group.
 #[derive(Debug)]
 struct Group {
@@ -99,7 +123,8 @@
     ranks: BTreeMap<usize, Rank>,
     demand: Option<Demand>,
     window: Vec<u64>,
-    parameters: Option<EngineParameters>,
+    pass_times: PassTimes,
+    parameters: Option<ServiceParameters>,
     connected: HashSet<SocketAddr>,
     listed_at: Option<Instant>,
     stop: CancellationToken,
@@ -189,7 +214,7 @@
         }
     }
 
-    async fn read_parameters(&self) -> Option<EngineParameters> {
+    async fn read_parameters(&self) -> Option<ServiceParameters> {
         let snapshot = match self.store.range(CONFIGURATION_KEY).await {
             Ok(snapshot) => snapshot,
             Err(error) => {
@@ -201,7 +226,9 @@
         let configuration = operator::decode(&entry.value)
             .inspect_err(|error| tracing::warn!(%error, "configuration can't be read"))
             .ok()?;
-        configuration.services.get(&self.service)?.engine.clone()
+        let engine = configuration.services.get(&self.service)?.engine.clone()?;
+        let pause_goal_ms = configuration.pause_goal_ms(&self.service).unwrap_or(0) as f64;
+        Some(ServiceParameters { engine, pause_goal_ms })
     }
 
     /// Decides whether to change the map, and takes up what an earlier coordinator left.
@@ -210,6 +237,10 @@
             return Phase::Watching;
         };
         let now = Instant::now();
+        if let Some(stray) = self.stray_hold(group) {
+            tracing::info!(group = group.name, pass = stray, "late hold lifted");
+            return Phase::Releasing(Switch::abandoned(group.epoch, stray));
+        }
         let Some(states) = group.fresh_states(now) else {
             return Phase::Watching;
         };
@@ -237,8 +268,16 @@
         Phase::Preparing(switch, now)
     }
 
-    async fn advance(&self, phase: Phase, group: &Group) -> Phase {
-        let states: Vec<RankState> = group.ranks.values().map(|rank| rank.state.clone()).collect();
+    /// A hold that this coordinator asked for, and that took effect only after it had given the
+    /// change up. Nothing was armed for it, so it can be lifted whoever else is away.
+    fn stray_hold(&self, group: &Group) -> Option<u64> {
+        let pass = group.ranks.get(&0)?.state.held_pass?;
+        let is_unarmed = self.asked_holds.contains(&(group.epoch, pass));
+        is_unarmed.then_some(pass)
+    }
+
+    async fn advance(&mut self, phase: Phase, group: &Group) -> Phase {
+        let states = group.states();
         if phase.epoch().is_some_and(|epoch| epoch != group.epoch) {
             tracing::info!(
                 group = group.name,
@@ -251,7 +290,7 @@
         match phase {
             Phase::Watching => Phase::Watching,
             Phase::Preparing(switch, since) => match switch.advance(&states) {
-                Ok(holding) if states.len() == group.size => self.hold(holding, &states).await,
+                Ok(holding) if states.len() == group.size => self.ask_for_hold(holding, group.size),
                 Ok(_) => Phase::Watching,
                 Err(switch) if since.elapsed() > PREPARE_LIMIT => {
                     tracing::warn!(
@@ -263,7 +302,7 @@
                 }
                 Err(switch) => Phase::Preparing(switch, since),
             },
-            Phase::Holding(switch) => self.hold(switch, &states).await,
+            Phase::Holding(switch, holder) => self.hold(switch, holder, group).await,
             Phase::Arming(switch, direct_at) => match switch.advance(&states) {
                 Ok(releasing) => self.release(releasing).await,
                 Err(switch) if Instant::now() >= direct_at => {
@@ -285,25 +324,56 @@
         }
     }
 
-    async fn hold(&self, switch: Switch<Holding>, states: &[RankState]) -> Phase {
-        if states.iter().all(|state| state.map_version == switch.version) {
+    /// Asks another rank's agent for the hold.
+    fn ask_for_hold(&mut self, switch: Switch<Holding>, size: usize) -> Phase {
+        let by = usize::from(size > 1);
+        if let Some(target) = switch.target(by) {
+            self.targets.send_replace(target);
+        }
+        self.asked_holds.retain(|(epoch, _)| *epoch == switch.epoch);
+        self.asked_holds.insert((switch.epoch, switch.pass()));
+        Phase::Holding(switch, Holder { by, asked_at: Instant::now(), held_at: None })
+    }
+
+    async fn hold(&mut self, switch: Switch<Holding>, mut holder: Holder, group: &Group) -> Phase {
+        let now = Instant::now();
+        let pass = switch.pass();
+        let Ok(report) = self.own.report().await else {
+            return Phase::Holding(switch, holder);
+        };
+        if report.map_version == switch.version {
             // Somebody else finished the change while this process was frozen.
             self.targets.send_replace(RankTarget::Idle);
             return Phase::Watching;
         }
-        let pass = switch.pass();
-        let answer = self.own.order(switch.epoch, &MapOrder::Hold { pass }).await;
-        let held = self.own.report().await.ok().and_then(|report| report.held_pass);
-        tracing::info!(pass, ?answer, ?held, "hold");
-        if held == Some(pass) {
-            let arming = switch.held();
-            self.targets.send_replace(arming.target());
-            return Phase::Arming(arming, Instant::now() + DIRECT_AFTER);
+        let states: Vec<RankState> = group.states();
+        if report.held_pass == Some(pass) {
+            let held_at = *holder.held_at.get_or_insert(now);
+            let is_alive = group.ranks.get(&holder.by).is_some_and(|rank| {
+                rank.state.gave_hold == Some(pass) && rank.seen_at >= held_at + HOLDER_PROOF
+            });
+            if is_alive {
+                self.asked_holds.remove(&(switch.epoch, pass));
+                let arming = switch.held();
+                self.targets.send_replace(arming.target());
+                return Phase::Arming(arming, now + DIRECT_AFTER);
+            }
+            if now - held_at > HOLDER_LIMIT {
+                tracing::warn!(pass, by = holder.by, "hold lifted: nothing heard from its giver");
+                self.targets.send_replace(RankTarget::Idle);
+                return self.release(switch.abandon()).await;
+            }
+            return Phase::Holding(switch, holder);
+        }
+        if report.pass >= pass {
+            return self.ask_for_hold(switch.too_late(&states, report.pass), group.size);
         }
-        if answer == OrderAnswer::Conflict {
-            return Phase::Holding(switch.too_late(states));
+        if now - holder.asked_at > ASK_LIMIT {
+            tracing::warn!(pass, by = holder.by, "change given up: no hold");
+            self.targets.send_replace(RankTarget::Idle);
+            return Phase::Watching;
         }
-        Phase::Holding(switch)
+        Phase::Holding(switch, holder)
     }
 
     async fn release(&self, switch: Switch<Releasing>) -> Phase {
@@ -312,8 +382,10 @@
         let report = self.own.report().await;
         tracing::info!(pass, ?answer, "release");
         match report {
-            Ok(report) if report.held_pass.is_none() => Phase::Released(switch.released()),
-            _ => Phase::Releasing(switch),
+            Ok(report) if report.held_pass.is_some() => Phase::Releasing(switch),
+            Ok(_) if switch.is_abandoned() => Phase::Watching,
+            Ok(_) => Phase::Released(switch.released()),
+            Err(_) => Phase::Releasing(switch),
         }
     }
 
@@ -340,7 +412,7 @@
         match self {
             Self::Watching => None,
             Self::Preparing(switch, _) => Some(switch.epoch),
-            Self::Holding(switch) => Some(switch.epoch),
+            Self::Holding(switch, _) => Some(switch.epoch),
             Self::Arming(switch, _) => Some(switch.epoch),
             Self::Releasing(switch) => Some(switch.epoch),
             Self::Released(switch) => Some(switch.epoch),
@@ -366,6 +438,7 @@
             ranks: BTreeMap::new(),
             demand: None,
             window: Vec::new(),
+            pass_times: PassTimes::default(),
             parameters: None,
             connected: HashSet::new(),
             listed_at: None,
@@ -395,6 +468,9 @@
         } else if !choices.is_empty() {
             self.window = choices.iter().map(|choices| u64::from(*choices)).collect();
         }
+        if state.rank == 0 {
+            self.pass_times.observe(&state, Instant::now());
+        }
         let known = self.ranks.remove(&state.rank).and_then(|rank| rank.experts);
         let is_listed = !experts.is_empty();
         let experts = if is_listed { Some((state.map_version, experts)) } else { known };
@@ -402,6 +478,10 @@
         self.ranks.insert(state.rank, Rank { state, seen_at, engine, experts });
     }
 
+    fn states(&self) -> Vec<RankState> {
+        self.ranks.values().map(|rank| rank.state.clone()).collect()
+    }
+
     fn close_window(&mut self) {
         let Some(shape) = self.shape() else {
             return;
@@ -418,7 +498,7 @@
     }
 
     fn shape(&self) -> Option<Shape> {
-        let engine = self.parameters.as_ref()?;
+        let engine = &self.parameters.as_ref()?.engine;
         Some(Shape {
             sets: engine.expert_sets,
             experts: engine.experts,
@@ -441,12 +521,10 @@
     fn next_step(&self, states: &[RankState]) -> Option<experts::Step> {
         let demand = self.demand.as_ref().filter(|demand| demand.is_known())?;
         let map = self.map_in_use(states)?;
-        let limits = StepLimits {
-            copies_per_rank: COPIES_PER_RANK,
-            copies_per_rank_and_set: self.parameters.as_ref()?.max_new_experts,
-        };
-        let step = experts::step(&map, demand, limits)?;
-        (step.skew_before - step.skew_after >= MIN_SAVING).then_some(step)
+        let service = self.parameters.as_ref()?;
+        let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
+        let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts);
+        experts::step(&map, demand, limits)
     }
 
     /// The map in use, put together from what the ranks hold.
@@ -472,6 +550,32 @@
     }
 }
 
+/// How long passes take, from the count of passes while requests are in the batch.
+#[derive(Debug, Default)]
+struct PassTimes {
+    last: Option<(u64, Instant)>,
+    mean_ms: f64,
+}
+
+impl PassTimes {
+    fn observe(&mut self, state: &RankState, now: Instant) {
+        let is_busy = state.running + state.waiting > 0;
+        let last = self.last.replace((state.pass, now));
+        let Some((pass, at)) = last.filter(|(pass, _)| is_busy && state.pass > *pass) else {
+            if state.pass == last.map_or(0, |(pass, _)| pass) && is_busy {
+                self.last = last.or(self.last);
+            }
+            return;
+        };
+        let each_ms = (now - at).as_secs_f64() * 1_000.0 / (state.pass - pass) as f64;
+        self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
+    }
+
+    fn mean_ms(&self) -> f64 {
+        self.mean_ms
+    }
+}
+
 impl Drop for Group {
     fn drop(&mut self) {
         self.stop.cancel();
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -5,6 +5,7 @@
 use flamingowheel_platform::EngineClient;
 use flamingowheel_platform::engine::HeldExperts;
 use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{broadcast, watch};
@@ -23,6 +24,10 @@
 /// answer an order and carry it out seconds later.
 const REPEAT_AFTER: Duration = Duration::from_millis(60);
 
+/// Longest wait for the engine of rank 0 to answer a hold, in milliseconds: a few ways between
+/// data centres of one region.
+const HOLD_LIMIT_MS: u64 = 30;
+
 /// Updates that a slow reader may lag behind.
 pub const UPDATE_CAPACITY: usize = 64;
 
@@ -40,6 +45,7 @@
     ordered: Option<(RankTarget, Instant)>,
     /// The pass after which the group stands still, and since when.
     stalled: Option<(u64, Instant)>,
+    gave_hold: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -65,6 +71,7 @@
             experts: None,
             ordered: None,
             stalled: None,
+            gave_hold: None,
         }
     }
 
@@ -87,11 +94,12 @@
                     continue;
                 }
             };
-            let Some(state) = rank_state(&report) else {
+            let Some(mut state) = rank_state(&report) else {
                 continue;
             };
             self.look_for_stall(&state);
             is_reached = self.approach(&state).await;
+            state.gave_hold = self.gave_hold;
             let choices = self.choices(&report).await;
             let is_news = RankState { pass: last_state.pass, ..state.clone() } != last_state;
             if is_news || !choices.is_empty() || !is_reached {
@@ -137,6 +145,9 @@
     /// is reached or can't be reached any more.
     async fn approach(&mut self, state: &RankState) -> bool {
         let target = self.targets.borrow_and_update().clone();
+        if let RankTarget::Held { epoch, pass, by, engine } = target {
+            return by != state.rank || self.hold(epoch, pass, engine).await;
+        }
         let Some((epoch, order)) = missing_order(&target, state) else {
             self.ordered = None;
             return true;
@@ -181,6 +192,27 @@
         current.map(|(_, held)| held.experts.clone()).unwrap_or_default()
     }
 
+    /// Holds the engine of rank 0. Whether it was too late for that shows there. The target is
+    /// never reached: the coordinator waits for words that were sent after the hold.
+    async fn hold(&mut self, epoch: u64, pass: u64, engine: SocketAddr) -> bool {
+        if self.gave_hold == Some(pass) {
+            return false;
+        }
+        let client = match EngineClient::new(engine, HOLD_LIMIT_MS) {
+            Ok(client) => client,
+            Err(error) => {
+                tracing::warn!(%engine, %error, "engine's address can't be used");
+                return false;
+            }
+        };
+        let answer = client.order(epoch, &MapOrder::Hold { pass }).await;
+        tracing::info!(order = "hold", epoch, pass, ?answer, "order given");
+        if matches!(answer, OrderAnswer::Taken | OrderAnswer::Conflict) {
+            self.gave_hold = Some(pass);
+        }
+        false
+    }
+
     /// The choices since the last time, when it is time for them.
     async fn choices(&mut self, report: &EngineReport) -> Vec<u32> {
         let now = Instant::now();
@@ -233,13 +265,14 @@
         prepared_version: report.prepared_version,
         armed: report.armed,
         held_pass: report.held_pass,
+        gave_hold: None,
     })
 }
 
 /// The order that brings a rank nearer to its target; `None` if there is nothing left to order.
 fn missing_order(target: &RankTarget, state: &RankState) -> Option<(u64, MapOrder)> {
     match target {
-        RankTarget::Idle => None,
+        RankTarget::Idle | RankTarget::Held { .. } => None,
         RankTarget::Prepared { epoch, version, map, .. } => {
             let is_done = state.prepared_version == Some(*version) || state.map_version == *version;
             let is_void = state.epoch != *epoch;
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -11,6 +11,7 @@
 use flamingowheel_protocol::message::{BackendProfile, Hello, Role, Serves};
 use flamingowheel_protocol::ranks::{RankTarget, RankUpdate};
 use flamingowheel_protocol::websocket::{Identity, accept_links};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,8 +20,9 @@
 use tokio_util::sync::CancellationToken;
 
 /// Longest wait for the own engine's answer, in milliseconds. It is on the same VM and answers
-/// within one; engines leave orders unanswered, and then the state is read back.
-const OWN_ENGINE_LIMIT_MS: u64 = 60;
+/// within one or two. Engines leave some orders unanswered; while the group is held, each
+/// millisecond of waiting for one delays its next pass.
+const OWN_ENGINE_LIMIT_MS: u64 = 40;
 
 /// How connections between agents are kept. Ranks report ten times a second, so a second without
 /// a word means a dead connection.
@@ -82,6 +84,7 @@
             updates: peer_sender,
         },
         peer_updates,
+        asked_holds: HashSet::new(),
     };
     tokio::spawn(coordinator.run());
     asked_to_stop.await;
--- a/crates/ranks/src/rescue.rs
+++ b/crates/ranks/src/rescue.rs
@@ -44,12 +44,19 @@
         return;
     };
     // Reads from afar are paid for: without a hold there is nothing to finish.
-    let is_held = holder.report().await.is_ok_and(|report| report.held_pass.is_some());
+    let is_held = match holder.report().await {
+        Ok(report) => report.held_pass.is_some(),
+        Err(error) => {
+            tracing::info!(%error, "no report from rank 0");
+            false
+        }
+    };
     if !is_held {
         return;
     }
     for _ in 0..ROUNDS {
         let Some(states) = read_all(&clients).await else {
+            tracing::info!("not all ranks can be read");
             continue;
         };
         let (epoch, pass) = match leftover(&states) {
--- a/crates/ranks/src/switch.rs
+++ b/crates/ranks/src/switch.rs
@@ -3,7 +3,9 @@
 //! Engines here take orders without fencing numbers and may carry one out seconds after it was
 //! given up. Two things stand in for the number. A hold at rank 0 keeps the whole group from
 //! beginning the pass at which maps change until every rank was read back as armed for it; so a
-//! coordinator that dies in between leaves a group that waits, never one with two maps. And every
+//! coordinator that dies in between leaves a group that waits, never one with two maps. Another
+//! rank's agent gives that hold: if it stops right after, the agent beside the held engine sees so
+//! and lets the group go before anything is armed. And every
 //! order names the group's epoch and a pass: an order that is carried out late, after its pass
 //! has begun or the group has formed again, is refused by the engine itself. Nothing is ever
 //! disarmed, since an arming still on its way could then take effect alone.
@@ -13,9 +15,12 @@
 use std::sync::Arc;
 
 /// Passes between the newest one known and the one at which maps change: the time for all ranks
-/// to be armed, so that the hold seldom makes a pass wait. An arming takes some 15 ms and a pass
-/// 40 ms or more.
-const PASSES_AHEAD: u64 = 2;
+/// to be armed, so that the hold seldom makes a pass wait. A hold that is proved and an arming take some
+/// 60 ms, a pass 40 ms or more. With 2, groups were held 1.3 s a day, with 3 0.1 s.
+const PASSES_AHEAD: u64 = 3;
+
+/// Stands for the version of a change that is not carried out; the first map has it.
+const ABANDONED: u64 = 0;
 
 /// A change in one state of its life cycle.
 #[derive(Clone, Debug, PartialEq)]
@@ -89,16 +94,27 @@
         self.state.pass
     }
 
+    /// What every rank is to be brought to: rank `by` is to hold the engine of rank 0.
+    pub fn target(&self, by: usize) -> Option<RankTarget> {
+        let engine = *self.engines.first()?;
+        Some(RankTarget::Held { epoch: self.epoch, pass: self.state.pass, by, engine })
+    }
+
     /// The hold has been read back.
     pub fn held(self) -> Switch<Arming> {
         let pass = self.state.pass;
         self.with(Arming { pass })
     }
 
+    /// Lets the group go without any rank armed.
+    pub fn abandon(self) -> Switch<Releasing> {
+        Switch::abandoned(self.epoch, self.state.pass)
+    }
+
     /// The pass had begun before the hold arrived; a later one is taken. A hold of the old pass
     /// that is still on its way will be refused.
-    pub fn too_late(self, ranks: &[RankState]) -> Self {
-        let pass = next_pass(ranks).max(self.state.pass + 1);
+    pub fn too_late(self, ranks: &[RankState], newest_pass: u64) -> Self {
+        let pass = next_pass(ranks).max(newest_pass + PASSES_AHEAD).max(self.state.pass + 1);
         self.with(Holding { pass })
     }
 }
@@ -157,10 +173,15 @@
 }
 
 impl Switch<Releasing> {
+    /// Whether nothing was armed, so that the pass begins with the old map.
+    pub fn is_abandoned(&self) -> bool {
+        self.version == ABANDONED
+    }
+
     /// A hold that an earlier coordinator left, with no rank armed or able to be.
     pub fn abandoned(epoch: u64, pass: u64) -> Self {
         let (map, engines) = (Arc::default(), Arc::default());
-        Switch { epoch, version: 0, map, engines, state: Releasing { pass } }
+        Switch { epoch, version: ABANDONED, map, engines, state: Releasing { pass } }
     }
 }
 
