Entries: room by the passes they see, slow ranks avoided, waiting while all refuse

Entries did not know which engines form a group nor which rank of it is slow, and let batches grow beyond the pause goal. Ruled out: asking engines from entries (each report is paid for); fixed shares of the slots. Change: rank 0 announces its group with the ranks' paces in the store; entries keep their requests in a group to what passes of 0.62 of the pause goal carry, choose the cheapest group and pass over slow ranks; while a service refuses in a row one request at a time tries it and others wait up to 1.5 s. The planner counts a slow rank's load by its pace.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,6 +1,9 @@
 //! Chooses a backend server for a request.
 
+use crate::group::GroupLoad;
 use crate::server::{Server, Standing};
+use crate::view::View;
+use std::cmp::Ordering;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -27,17 +30,96 @@
     latency_ms * (1.0 + 3.0 * fullness) * (1.0 + FAILURE_COST * standing.failure_ratio)
 }
 
-/// The cheapest server that was not tried yet; a paused one only if all are paused.
-pub fn choose(servers: &[Arc<Server>], tried: &[Arc<Server>], now: Instant) -> Option<Arc<Server>> {
-    let untried = servers.iter().filter(|server| !is_among(tried, server));
-    let ranked = untried.map(|server| {
+/// Pace from which a rank gets no requests while others can take them. All ranks of its group
+/// wait for it, so that its own work is what the whole group lacks.
+const SLOW_PACE: f64 = 1.3;
+
+/// A server to send to, or why there is none.
+#[derive(Clone, Debug)]
+pub enum Choice {
+    /// This one; with its group, if it is part of one.
+    Send(Arc<Server>, Option<Arc<GroupLoad>>),
+    /// All groups carry as much as keeps their streams in time.
+    NoRoom,
+    /// No server takes work.
+    Nobody,
+}
+
+/// What a server is wanted for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Servers to pass over.
+    pub tried: &'a [Arc<Server>],
+    /// Whether it is a stream that broke off midway. It goes on even where new ones would have to
+    /// wait: its caller has part of the answer.
+    pub is_under_way: bool,
+}
+
+/// The server for a request.
+///
+/// Servers in rank groups: the group with the cheapest passes that has room, then its rank with
+/// the fewest requests. Others: the cheapest one; a paused one only if all are paused.
+pub fn choose(view: &View, wanted: &Wanted<'_>, now: Instant) -> Choice {
+    let Wanted { service, tried, is_under_way } = *wanted;
+    let untried: Vec<&Arc<Server>> =
+        view.servers_of(service).iter().filter(|server| !is_among(tried, server)).collect();
+    if untried.is_empty() {
+        return Choice::Nobody;
+    }
+    let ranked = untried.iter().map(|server| Ranked::new(view, server, now));
+    let best = ranked.min_by(|a, b| a.order().partial_cmp(&b.order()).unwrap_or(Ordering::Equal));
+    match best {
+        None => Choice::Nobody,
+        Some(best) if best.is_full && !is_under_way => Choice::NoRoom,
+        Some(best) => Choice::Send(Arc::clone(best.server), best.group),
+    }
+}
+
+struct Ranked<'a> {
+    server: &'a Arc<Server>,
+    group: Option<Arc<GroupLoad>>,
+    is_paused: bool,
+    is_full: bool,
+    is_slow: bool,
+    group_cost: f64,
+    cost: f64,
+}
+
+impl<'a> Ranked<'a> {
+    fn new(view: &View, server: &'a Arc<Server>, now: Instant) -> Self {
         let standing = server.standing(now);
         // Entries that know the same would otherwise all choose the same server.
         let spread = rand::random_range(0.9..1.1);
-        (standing.is_paused, cost(&standing, server.listed.slots) * spread, server)
-    });
-    let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    best.map(|(_, _, server)| Arc::clone(server))
+        let is_paused = standing.is_paused;
+        match view.seats.get(&server.listed.address) {
+            Some(seat) => Self {
+                server,
+                group: Some(Arc::clone(&seat.group)),
+                is_paused,
+                is_full: !seat.group.has_room(),
+                is_slow: seat.pace >= SLOW_PACE,
+                group_cost: seat.group.cost(),
+                cost: (f64::from(standing.in_flight) + 0.5 + FAILURE_COST * standing.failure_ratio)
+                    * spread,
+            },
+            None => Self {
+                server,
+                group: None,
+                is_paused,
+                is_full: false,
+                is_slow: false,
+                group_cost: 0.0,
+                cost: cost(&standing, server.listed.slots) * spread,
+            },
+        }
+    }
+
+    /// Compared from left to right; the least is best.
+    fn order(&self) -> (bool, bool, f64, bool, f64) {
+        (self.is_paused, self.is_full, self.group_cost, self.is_slow, self.cost)
+    }
 }
 
 fn is_among(tried: &[Arc<Server>], server: &Arc<Server>) -> bool {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,11 +1,14 @@
 //! Follows the key-value store and publishes what it says as a view.
 
+use crate::group::{GroupLoad, Seat};
 use crate::server::Server;
 use crate::view::{EntryRecord, View, Views};
 use flamingowheel_backing::kv::{KeyValue, KeyValueEntry, KeyValueError, Revision, WatchEvent};
 use flamingowheel_fleet::Configuration;
 use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
+use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -35,6 +38,7 @@
     configuration: Option<Arc<Configuration>>,
     servers: HashMap<String, Arc<Server>>,
     entries: HashMap<String, EntryRecord>,
+    groups: HashMap<String, (GroupRecord, Arc<GroupLoad>)>,
     /// Keys that vanished around an outage, and when they cease to count.
     lapsed: HashMap<String, Instant>,
     last_outage: Option<Instant>,
@@ -52,6 +56,7 @@
             configuration: None,
             servers: HashMap::new(),
             entries: HashMap::new(),
+            groups: HashMap::new(),
             lapsed: HashMap::new(),
             last_outage: None,
         }
@@ -141,6 +146,8 @@
             self.put_configuration(&entry.value);
         } else if entry.key.starts_with(SERVERS_PREFIX) {
             self.put_server(&entry);
+        } else if let Some(name) = entry.key.strip_prefix(GROUPS_PREFIX) {
+            self.put_group(name, &entry.value);
         } else if let Some(vm) = entry.key.strip_prefix(ENTRIES_PREFIX) {
             match serde_json::from_slice(&entry.value) {
                 Ok(record) => {
@@ -169,6 +176,20 @@
         self.configuration = Some(Arc::new(configuration));
     }
 
+    fn put_group(&mut self, name: &str, value: &[u8]) {
+        let record: GroupRecord = match serde_json::from_slice(value) {
+            Ok(record) => record,
+            Err(error) => {
+                tracing::warn!(group = name, %error, "group's record can't be read");
+                return;
+            }
+        };
+        let paces: Vec<f64> = record.ranks.iter().map(|rank| rank.pace).collect();
+        tracing::info!(group = name, epoch = record.epoch, ?paces, "group announced");
+        let load = self.groups.remove(name).map(|(_, load)| load).unwrap_or_default();
+        self.groups.insert(name.to_owned(), (record, load));
+    }
+
     fn put_server(&mut self, entry: &KeyValueEntry) {
         let listed = match servers::decode(&entry.key, &entry.value) {
             Ok(listed) => listed,
@@ -222,6 +243,16 @@
         }
     }
 
+    fn seats(&self) -> HashMap<SocketAddr, Seat> {
+        let ranks = self.groups.values().flat_map(|(record, load)| {
+            record.ranks.iter().map(move |rank| (rank.engine, rank.pace, load))
+        });
+        let seat = |(engine, pace, load): (_, _, &Arc<GroupLoad>)| {
+            (engine, Seat { group: Arc::clone(load), pace })
+        };
+        ranks.map(seat).collect()
+    }
+
     fn publish(&mut self) {
         let now = Instant::now();
         let over: Vec<String> = self
@@ -241,6 +272,7 @@
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
             servers,
+            seats: self.seats(),
             entries: self.entries.clone(),
         }));
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,8 +1,10 @@
 //! Takes one request from a caller to a backend server and its answer back.
 
-use crate::balance;
+use crate::balance::{self, Choice, Wanted};
 use crate::budget::RetryBudget;
 use crate::connection::{Connection, SendError};
+use crate::gate::Gates;
+use crate::group::GroupLoad;
 use crate::metrics::Metrics;
 use crate::relay::{AnswerBody, Relay, Source, whole};
 use crate::server::{InFlight, Server};
@@ -15,7 +17,7 @@
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Time that a caller waits if it does not say so, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -23,6 +25,23 @@
 /// When a refused caller should come back, in milliseconds, if nothing better is known.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// When a caller should come back that found no room: after about as long as half of an answer
+/// takes, at different times, so that not all come at once.
+const NO_ROOM_RETRY_AFTER_MS: std::ops::Range<u64> = 600..1_400;
+
+/// Time between looks for a server that takes work.
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// Longest wait for servers that are away. A rank group forms again within 0.6 s of its last
+/// rank's return.
+const MAX_OUTAGE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Share of a request's time that it waits for servers at the most; the rest is for its answer.
+const OUTAGE_SHARE: f64 = 0.4;
+
+/// A request with less of its route's time than this has been here before.
+const FRESH_SHARE: f64 = 0.97;
+
 /// Largest answer that is collected before its head is passed on, in bytes. A broken answer of
 /// this size can be replaced by that of another server; larger ones are passed on as they come.
 const MAX_WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
@@ -48,6 +67,8 @@
     BodyLost,
     /// No backend server takes work, and none ran the request.
     Full,
+    /// Another stream would make those under way late.
+    NoRoom,
     /// The deadline passed before a backend server could run the request.
     TooLate,
     /// A backend server may have run the request; its answer was lost.
@@ -60,7 +81,9 @@
     /// The status. 429, 408 and 503 promise that the request did not and will not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::Full | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::Full | Self::NoRoom | Self::TooLate => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -79,6 +102,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLost => "body_lost",
             Self::Full => "full",
+            Self::NoRoom => "no_room",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
             Self::NoAnswerInTime => "no_answer_in_time",
@@ -118,6 +142,61 @@
     }
 }
 
+impl Exchange {
+    /// How long to wait for servers that all refuse or are not listed. They are back within about
+    /// a second; a plain call's goal has passed by then, but its deadline has not.
+    fn outage_patience(&self) -> Duration {
+        (self.deadline - self.arrived).mul_f64(OUTAGE_SHARE).min(MAX_OUTAGE_WAIT)
+    }
+
+    /// How long to wait for room in a group: an eighth of the goal, so that who is refused loses
+    /// nothing by it. A request that was refused before has less time than its route allows; it
+    /// would not come a third time, so it waits longer.
+    fn room_patience(&self) -> Duration {
+        let route_ms = self.route.timeout_ms as f64;
+        let has_come_back =
+            self.head.deadline_ms.is_some_and(|left_ms| (left_ms as f64) < route_ms * FRESH_SHARE);
+        if has_come_back {
+            return self.outage_patience();
+        }
+        Duration::from_millis(self.route.goal_ms / 8)
+    }
+}
+
+/// What has become of a request so far.
+#[derive(Debug, Default)]
+struct Course {
+    tried: Vec<Arc<Server>>,
+    /// Sends after which a server may have run it.
+    runs: u32,
+    /// A server's own failure, passed on if nothing better comes.
+    fallback: Option<Response<AnswerBody>>,
+}
+
+impl Course {
+    fn can_repeat(&self, exchange: &Exchange) -> bool {
+        exchange.route.repeat != Repeat::Never && self.runs < exchange.route.max_attempts
+    }
+
+    /// The final answer when no further send is possible.
+    fn end(
+        self,
+        exchange: &Exchange,
+        refusal: Option<Refusal>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if let Some(response) = self.fallback {
+            return Ok(response);
+        }
+        let is_late = Instant::now() >= exchange.deadline;
+        Err(match (self.runs > 0, is_late) {
+            (false, false) => refusal.unwrap_or(Refusal::Full),
+            (false, true) => Refusal::TooLate,
+            (true, false) => Refusal::AnswerLost,
+            (true, true) => Refusal::NoAnswerInTime,
+        })
+    }
+}
+
 /// One send to a backend server.
 #[derive(Debug)]
 pub struct Sent {
@@ -147,6 +226,7 @@
 pub struct Gateway {
     views: Views,
     budget: Mutex<RetryBudget>,
+    gates: Mutex<Gates>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
 }
@@ -154,7 +234,7 @@
 impl Gateway {
     /// A gateway that reads `views`.
     pub fn new(views: Views, budget: RetryBudget, metrics: Arc<Metrics>) -> Self {
-        Self { views, budget: Mutex::new(budget), metrics }
+        Self { views, budget: Mutex::new(budget), gates: Mutex::default(), metrics }
     }
 
     /// The newest view.
@@ -230,76 +310,79 @@
         self: &Arc<Self>,
         exchange: &Arc<Exchange>,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let mut tried = Vec::new();
-        let mut may_have_run = false;
-        let mut runs = 0;
-        let mut fallback = None;
-        while tried.len() < MAX_OFFERS {
-            let now = Instant::now();
-            if now >= exchange.deadline {
-                break;
-            }
-            let is_repeat = !tried.is_empty();
-            let Some(server) = self.choose(exchange, &tried, now) else {
-                break;
+        let mut course = Course::default();
+        while course.tried.len() < MAX_OFFERS {
+            let (server, group) = match self.next_server(exchange, &course.tried).await {
+                Ok(chosen) => chosen,
+                Err(refusal) => return course.end(exchange, Some(refusal)),
             };
-            if is_repeat && !self.may_repeat(exchange, now) {
+            if !course.tried.is_empty() && !self.may_repeat(exchange, Instant::now()) {
                 break;
             }
-            tried.push(Arc::clone(&server));
-            match self.send(exchange, &server, exchange.head.last_event_id).await {
+            course.tried.push(Arc::clone(&server));
+            let sending = self.send(exchange, &server, group.as_ref(), exchange.head.last_event_id);
+            match sending.await {
                 Ok(sent) if sent.answer.is_not_run => {
                     self.note_not_run(exchange, &sent);
                     continue;
                 }
                 Ok(sent) => {
-                    may_have_run = true;
-                    runs += 1;
-                    let can_repeat = exchange.route.repeat != Repeat::Never
-                        && runs < exchange.route.max_attempts;
-                    match self.finish(exchange, sent, &tried, runs).await {
+                    self.gates().note_answer(&exchange.service);
+                    course.runs += 1;
+                    let finished = self.finish(exchange, sent, &course.tried, course.runs).await;
+                    let can_repeat = course.can_repeat(exchange);
+                    match finished {
                         Ok(response) if response.status().is_server_error() && can_repeat => {
-                            fallback = Some(response);
+                            course.fallback = Some(response);
                         }
                         Ok(response) => return Ok(response),
-                        Err(Refusal::NoAnswerInTime) => return Err(Refusal::NoAnswerInTime),
-                        Err(_) if can_repeat => {}
-                        Err(refusal) => return Err(refusal),
+                        Err(refusal) if refusal == Refusal::NoAnswerInTime || !can_repeat => {
+                            return Err(refusal);
+                        }
+                        Err(_) => {}
                     }
                 }
-                Err(SendFailure::NotSent) => {}
+                Err(SendFailure::NotSent) => self.gates().note_refusal(&exchange.service),
                 Err(SendFailure::MayHaveRun) => {
-                    may_have_run = true;
-                    runs += 1;
-                    let can_repeat = exchange.route.repeat != Repeat::Never
-                        && runs < exchange.route.max_attempts;
-                    if !can_repeat {
+                    course.runs += 1;
+                    if !course.can_repeat(exchange) {
                         break;
                     }
                 }
             }
         }
-        if let Some(response) = fallback {
-            return Ok(response);
-        }
-        let is_late = Instant::now() >= exchange.deadline;
-        Err(match (may_have_run, is_late) {
-            (false, false) => Refusal::Full,
-            (false, true) => Refusal::TooLate,
-            (true, false) => Refusal::AnswerLost,
-            (true, true) => Refusal::NoAnswerInTime,
-        })
+        course.end(exchange, None)
     }
 
-    /// A backend server for the next try.
-    pub fn choose(
+    /// The server for the next send, waited for while it pays to.
+    async fn next_server(
         &self,
         exchange: &Exchange,
         tried: &[Arc<Server>],
-        now: Instant,
-    ) -> Option<Arc<Server>> {
-        let view = self.view();
-        balance::choose(view.servers_of(&exchange.service), tried, now)
+    ) -> Result<(Arc<Server>, Option<Arc<GroupLoad>>), Refusal> {
+        loop {
+            let now = Instant::now();
+            if now >= exchange.deadline {
+                return Err(Refusal::TooLate);
+            }
+            let wanted = Wanted { service: &exchange.service, tried, is_under_way: false };
+            let choice = balance::choose(&self.view(), &wanted, now);
+            let (patience, refusal) = match choice {
+                Choice::Send(server, group) => {
+                    if self.gates().try_pass(&exchange.service, now) {
+                        return Ok((server, group));
+                    }
+                    (exchange.outage_patience(), Refusal::Full)
+                }
+                Choice::NoRoom => (exchange.room_patience(), Refusal::NoRoom),
+                Choice::Nobody if tried.is_empty() => (exchange.outage_patience(), Refusal::Full),
+                Choice::Nobody => return Err(Refusal::Full),
+            };
+            if now - exchange.arrived >= patience {
+                return Err(refusal);
+            }
+            sleep_until(exchange.deadline.min(now + WAIT_STEP)).await;
+        }
     }
 
     /// Takes a repeated send out of the budget.
@@ -313,9 +396,10 @@
         &self,
         exchange: &Exchange,
         server: &Arc<Server>,
+        group: Option<&Arc<GroupLoad>>,
         last_event_id: Option<u64>,
     ) -> Result<Sent, SendFailure> {
-        let in_flight = server.begin();
+        let in_flight = server.begin(group);
         let sent_at = Instant::now();
         let sending = self.send_on_connection(exchange, server, last_event_id);
         let result = match timeout_at(exchange.deadline, sending).await {
@@ -419,6 +503,7 @@
             "backend server refused"
         );
         server.note_answer(sent.sent_at.elapsed(), true);
+        self.gates().note_refusal(&exchange.service);
     }
 
     /// Passes an answer on: streams as they come, others once they are whole.
@@ -491,11 +576,19 @@
         let mut response = Response::new(whole(Bytes::new()));
         *response.status_mut() = refusal.status();
         if refusal.status() == StatusCode::SERVICE_UNAVAILABLE {
-            headers::set_retry_after(response.headers_mut(), RETRY_AFTER_MS);
+            let wait_ms = match refusal {
+                Refusal::NoRoom => rand::random_range(NO_ROOM_RETRY_AFTER_MS),
+                _ => RETRY_AFTER_MS,
+            };
+            headers::set_retry_after(response.headers_mut(), wait_ms);
         }
         response
     }
 
+    fn gates(&self) -> std::sync::MutexGuard<'_, Gates> {
+        self.gates.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod follow;
 pub mod forward;
 pub mod front;
+pub mod gate;
+pub mod group;
 pub mod info;
 pub mod member;
 pub mod metrics;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Passes a stream's events on as they come, and goes on at another backend server if one breaks
 //! off.
 
+use crate::balance::{self, Choice, Wanted};
 use crate::connection::Connection;
 use crate::events::EventSplitter;
 use crate::forward::{Exchange, Gateway, SendFailure, keep_connection};
@@ -157,14 +158,18 @@
         let last_event_id = self.splitter.last_id().or(self.exchange.head.last_event_id);
         while self.runs < self.exchange.route.max_attempts {
             let now = Instant::now();
-            let Some(server) = self.gateway.choose(&self.exchange, &self.tried, now) else {
+            let view = self.gateway.view();
+            let service = &self.exchange.service;
+            let wanted = Wanted { service, tried: &self.tried, is_under_way: true };
+            let choice = balance::choose(&view, &wanted, now);
+            let Choice::Send(server, group) = choice else {
                 return false;
             };
             if !self.gateway.may_repeat(&self.exchange, now) {
                 return false;
             }
             self.tried.push(Arc::clone(&server));
-            match self.gateway.send(&self.exchange, &server, last_event_id).await {
+            match self.gateway.send(&self.exchange, &server, group.as_ref(), last_event_id).await {
                 Ok(sent) if sent.response.status().is_success() => {
                     tracing::info!(
                         request = self.exchange.head.attempt_id,
@@ -205,6 +210,10 @@
                 let pause = now - last;
                 self.longest_pause_ms = self.longest_pause_ms.max(pause.as_millis() as u64);
                 self.gateway.metrics.paused(pause);
+                if let Some(group) = self.in_flight.group() {
+                    let goal_ms = self.exchange.route.pause_goal_ms as f64;
+                    group.note_pause(pause.as_secs_f64() * 1_000.0, goal_ms, now);
+                }
             }
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of one backend server from its own requests.
 
 use crate::connection::Connection;
+use crate::group::{GroupLoad, InGroup};
 use flamingowheel_fleet::BackendServer;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -93,10 +94,10 @@
         }
     }
 
-    /// Counts a request at the server until the guard is dropped.
-    pub fn begin(self: &Arc<Self>) -> InFlight {
+    /// Counts a request at the server, and in its group, until the guard is dropped.
+    pub fn begin(self: &Arc<Self>, group: Option<&Arc<GroupLoad>>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight { server: Arc::clone(self) }
+        InFlight { server: Arc::clone(self), in_group: group.map(GroupLoad::begin) }
     }
 
     /// Takes an idle connection that can still be used.
@@ -160,9 +161,15 @@
 #[derive(Debug)]
 pub struct InFlight {
     server: Arc<Server>,
+    in_group: Option<InGroup>,
 }
 
 impl InFlight {
+    /// The server's rank group.
+    pub fn group(&self) -> Option<&Arc<GroupLoad>> {
+        self.in_group.as_ref().map(InGroup::group)
+    }
+
     /// The server.
     pub fn server(&self) -> &Arc<Server> {
         &self.server
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,5 +1,6 @@
 //! What the entry believes of the deployment, as one immutable value.
 
+use crate::group::Seat;
 use crate::server::Server;
 use arc_swap::ArcSwap;
 use flamingowheel_fleet::Configuration;
@@ -24,6 +25,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// Backend servers that take work, by service.
     pub servers: HashMap<String, Vec<Arc<Server>>>,
+    /// Ranks by their engines' addresses.
+    pub seats: HashMap<SocketAddr, Seat>,
     /// Live entries by VM, this one included once it has announced itself.
     pub entries: HashMap<String, EntryRecord>,
 }
--- a/crates/policy/src/experts.rs
+++ b/crates/policy/src/experts.rs
@@ -167,23 +167,24 @@
     pub skew_after: f64,
 }
 
-/// The most loaded rank against the mean, averaged over the sets.
-pub fn skew(map: &Map, demand: &Demand) -> f64 {
+/// The most loaded rank against the mean, averaged over the sets. A rank's load counts as often as it is
+/// slower than published.
+pub fn skew(map: &Map, demand: &Demand, paces: &[f64]) -> f64 {
     let skews = map.iter().enumerate().map(|(set, ranks)| {
-        let placement = Placement::new(ranks, demand.of_set(set));
+        let placement = Placement::new(ranks, demand.of_set(set), paces);
         placement.loads.iter().copied().fold(0.0, f64::max)
     });
     skews.sum::<f64>() / map.len().max(1) as f64
 }
 
 /// The next small step to an even map, if one is worth its copies.
-pub fn step(map: &Map, demand: &Demand, limits: StepLimits) -> Option<Step> {
+pub fn step(map: &Map, demand: &Demand, paces: &[f64], limits: StepLimits) -> Option<Step> {
     let shape = demand.shape;
-    let skew_before = skew(map, demand);
+    let skew_before = skew(map, demand, paces);
     let mut placements: Vec<Placement> = map
         .iter()
         .enumerate()
-        .map(|(set, ranks)| Placement::new(ranks, demand.of_set(set)))
+        .map(|(set, ranks)| Placement::new(ranks, demand.of_set(set), paces))
         .collect();
     let mut copied = vec![0_usize; shape.ranks];
     let mut best: Vec<Option<Change>> =
@@ -205,7 +206,7 @@
         best[set] = placements[set].best_change(&shape, &copied, limits);
     }
     let map: Map = placements.into_iter().map(|placement| placement.ranks).collect();
-    let skew_after = skew(&map, demand);
+    let skew_after = skew(&map, demand, paces);
     let copies = copied.into_iter().max().unwrap_or(0);
     let is_worth_it = copies > 0 && skew_before - skew_after >= limits.min_saving;
     is_worth_it.then_some(Step { map, copies, skew_before, skew_after })
@@ -217,7 +218,9 @@
     ranks: Vec<Vec<u16>>,
     shares: Vec<f64>,
     holders: Vec<u16>,
+    /// Loads as the ranks feel them: times their pace.
     loads: Vec<f64>,
+    paces: Vec<f64>,
     copies: Vec<usize>,
 }
 
@@ -246,22 +249,25 @@
 }
 
 impl Placement {
-    fn new(ranks: &[Vec<u16>], demand: &[f64]) -> Self {
+    fn new(ranks: &[Vec<u16>], demand: &[f64], paces: &[f64]) -> Self {
         let count = ranks.len() as f64;
         let shares: Vec<f64> = demand.iter().map(|share| share * count).collect();
         let mut holders = vec![0_u16; shares.len()];
         for expert in ranks.iter().flatten() {
             holders[usize::from(*expert)] += 1;
         }
-        let load = |experts: &Vec<u16>| {
-            experts
-                .iter()
-                .map(|e| shares[usize::from(*e)] / f64::from(holders[usize::from(*e)]))
-                .sum()
-        };
-        let loads = ranks.iter().map(load).collect();
-        let copies = vec![0; ranks.len()];
-        Self { ranks: ranks.to_vec(), shares, holders, loads, copies }
+        let paces = (0..ranks.len()).map(|rank| paces.get(rank).copied().unwrap_or(1.0)).collect();
+        let (loads, copies) = (Vec::new(), vec![0; ranks.len()]);
+        let mut placement = Self { ranks: ranks.to_vec(), shares, holders, loads, paces, copies };
+        placement.loads = placement.sum_loads();
+        placement
+    }
+
+    fn sum_loads(&self) -> Vec<f64> {
+        let part =
+            |e: &u16| self.shares[usize::from(*e)] / f64::from(self.holders[usize::from(*e)]);
+        let load = |held: &Vec<u16>| held.iter().map(part).sum::<f64>();
+        self.ranks.iter().zip(&self.paces).map(|(held, pace)| load(held) * pace).collect()
     }
 
     fn best_change(&self, shape: &Shape, copied: &[usize], limits: StepLimits) -> Option<Change> {
@@ -323,27 +329,28 @@
         let expert = usize::from(change.expert);
         let (share, holders) = (self.shares[expert], f64::from(self.holders[expert]));
         if change.is_exchange {
-            loads[change.from] -= share / holders;
-            loads[change.to] += share / holders;
+            loads[change.from] -= share / holders * self.paces[change.from];
+            loads[change.to] += share / holders * self.paces[change.to];
         } else {
             let after = share / (holders + 1.0);
-            self.on_holders(change.expert, |rank| loads[rank] += after - share / holders);
-            loads[change.to] += after;
+            let change_each = after - share / holders;
+            self.on_holders(change.expert, |rank| loads[rank] += change_each * self.paces[rank]);
+            loads[change.to] += after * self.paces[change.to];
         }
         let Some(victim) = change.victim else {
             return;
         };
         let share = self.shares[usize::from(victim)];
         let holders = f64::from(self.holders[usize::from(victim)]);
-        loads[change.to] -= share / holders;
+        loads[change.to] -= share / holders * self.paces[change.to];
         if change.is_exchange {
-            loads[change.from] += share / holders;
+            loads[change.from] += share / holders * self.paces[change.from];
             return;
         }
         let after = share / (holders - 1.0);
         self.on_holders(victim, |rank| {
             if rank != change.to {
-                loads[rank] += after - share / holders;
+                loads[rank] += (after - share / holders) * self.paces[rank];
             }
         });
     }
@@ -373,11 +380,7 @@
         for rank in change.copies() {
             self.copies[rank] += 1;
         }
-        for (rank, held) in self.ranks.iter().enumerate() {
-            let load =
-                |e: &u16| self.shares[usize::from(*e)] / f64::from(self.holders[usize::from(*e)]);
-            self.loads[rank] = held.iter().map(load).sum();
-        }
+        self.loads = self.sum_loads();
     }
 }
 
--- a/crates/protocol/src/ranks.rs
+++ b/crates/protocol/src/ranks.rs
@@ -69,6 +69,8 @@
     pub running: u32,
     /// Requests that wait for their first pass.
     pub waiting: u32,
+    /// Above 1 if the rank is slower than published.
+    pub pace: f64,
     /// Version of the map in use.
     pub map_version: u64,
     /// Version of the map whose experts have been copied.
@@ -92,3 +94,24 @@
     /// The experts that the rank holds, by set; sent with the counts.
     pub experts: Vec<Vec<u16>>,
 }
+
+/// What the coordinator of a group tells all entries, through the key-value store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupRecord {
+    /// Rises each time the group forms again.
+    pub epoch: u64,
+    /// The ranks in order.
+    pub ranks: Vec<RankRecord>,
+}
+
+/// One rank of a [`GroupRecord`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankRecord {
+    /// The engine's address.
+    pub engine: SocketAddr,
+    /// Above 1 if the rank is slower than published.
+    pub pace: f64,
+}
+
+/// Prefix of the groups' keys; the rest is the group's name.
+pub const GROUPS_PREFIX: &str = "flamingowheel/groups/";
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -4,12 +4,14 @@
 use crate::switch::{
     Arming, Holding, Leftover, Preparing, Released, Releasing, Switch, is_armed, leftover,
 };
-use flamingowheel_backing::kv::KeyValue;
+use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_fleet::EngineParameters;
 use flamingowheel_fleet::engine::MapOrder;
 use flamingowheel_platform::{CONFIGURATION_KEY, EngineClient, operator};
 use flamingowheel_policy::experts::{self, Demand, Map, Shape, StepLimits};
-use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
+use flamingowheel_protocol::ranks::{
+    GROUPS_PREFIX, GroupRecord, RankRecord, RankState, RankTarget, RankUpdate,
+};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +48,13 @@
 /// Pause between readings of the list of backend servers while ranks are missing.
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time between two announcements of a group at the least: each is a write, and a read for every
+/// entry.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Change of a rank's pace that entries are told of.
+const PACE_STEP: f64 = 0.25;
+
 /// Weight of the newest pass time in their mean: some ten observations, a second.
 const PASS_TIME_WEIGHT: f64 = 0.1;
 
@@ -127,6 +136,7 @@
     parameters: Option<ServiceParameters>,
     connected: HashSet<SocketAddr>,
     listed_at: Option<Instant>,
+    announced: Option<(GroupRecord, Instant)>,
     stop: CancellationToken,
 }
 
@@ -162,6 +172,7 @@
                     if let Some(group) = &mut group {
                         group.close_window();
                         self.find_ranks(group).await;
+                        self.announce(group).await;
                     }
                     if matches!(phase, Phase::Watching) {
                         phase = self.watch(&group);
@@ -214,6 +225,33 @@
         }
     }
 
+    /// Tells entries which engines form the group, and which of them are slow.
+    async fn announce(&self, group: &mut Group) {
+        let now = Instant::now();
+        let is_early = group.announced.as_ref().is_some_and(|(_, at)| now - *at < ANNOUNCE_PAUSE);
+        if is_early || group.ranks.len() != group.size {
+            return;
+        }
+        let record = group.record();
+        if group.announced.as_ref().is_some_and(|(last, _)| is_alike(last, &record)) {
+            return;
+        }
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => value.into(),
+            Err(error) => {
+                tracing::error!(%error, "group's record can't be written");
+                return;
+            }
+        };
+        let key = format!("{GROUPS_PREFIX}{}", group.name);
+        let put = Operation::Put { key, value, lease: None };
+        let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
+        if let Err(error) = self.store.transact(transaction).await {
+            tracing::debug!(%error, "group not announced");
+        }
+        group.announced = Some((record, now));
+    }
+
     async fn read_parameters(&self) -> Option<ServiceParameters> {
         let snapshot = match self.store.range(CONFIGURATION_KEY).await {
             Ok(snapshot) => snapshot,
@@ -442,6 +480,7 @@
             parameters: None,
             connected: HashSet::new(),
             listed_at: None,
+            announced: None,
             stop: CancellationToken::new(),
         }
     }
@@ -478,6 +517,12 @@
         self.ranks.insert(state.rank, Rank { state, seen_at, engine, experts });
     }
 
+    fn record(&self) -> GroupRecord {
+        let ranks = self.ranks.values();
+        let ranks = ranks.map(|rank| RankRecord { engine: rank.engine, pace: rank.state.pace });
+        GroupRecord { epoch: self.epoch, ranks: ranks.collect() }
+    }
+
     fn states(&self) -> Vec<RankState> {
         self.ranks.values().map(|rank| rank.state.clone()).collect()
     }
@@ -524,7 +569,8 @@
         let service = self.parameters.as_ref()?;
         let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
         let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts);
-        experts::step(&map, demand, limits)
+        let paces: Vec<f64> = states.iter().map(|state| state.pace.max(1.0)).collect();
+        experts::step(&map, demand, &paces, limits)
     }
 
     /// The map in use, put together from what the ranks hold.
@@ -550,6 +596,15 @@
     }
 }
 
+/// Whether entries would do the same with both records.
+fn is_alike(a: &GroupRecord, b: &GroupRecord) -> bool {
+    let pairs = a.ranks.iter().zip(&b.ranks);
+    a.ranks.len() == b.ranks.len()
+        && pairs.into_iter().all(|(a, b)| {
+            a.engine == b.engine && (a.pace - b.pace).abs() < PACE_STEP * a.pace.max(b.pace)
+        })
+}
+
 /// How long passes take, from the count of passes while requests are in the batch.
 #[derive(Debug, Default)]
 struct PassTimes {
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -100,9 +100,11 @@
             self.look_for_stall(&state);
             is_reached = self.approach(&state).await;
             state.gave_hold = self.gave_hold;
-            let choices = self.choices(&report).await;
-            let is_news = RankState { pass: last_state.pass, ..state.clone() } != last_state;
-            if is_news || !choices.is_empty() || !is_reached {
+            let counted_at = Instant::now();
+            let choices = self.choices(&report, counted_at).await;
+            let is_news = is_news(&last_state, &state);
+            let is_due = self.counted_at == Some(counted_at);
+            if is_news || is_due || !is_reached {
                 let experts = if choices.is_empty() { Vec::new() } else { self.held(&state).await };
                 // Nobody listens while no coordinator is connected.
                 let _ = self.updates.send(RankUpdate { state: state.clone(), choices, experts });
@@ -214,8 +216,7 @@
     }
 
     /// The choices since the last time, when it is time for them.
-    async fn choices(&mut self, report: &EngineReport) -> Vec<u32> {
-        let now = Instant::now();
+    async fn choices(&mut self, report: &EngineReport, now: Instant) -> Vec<u32> {
         if self.counted_at.is_some_and(|at| now - at < COUNTS_INTERVAL) {
             return Vec::new();
         }
@@ -235,6 +236,19 @@
     }
 }
 
+/// Whether a change should be told at once. Passes and loads change all the time; they go along
+/// with the counts.
+fn is_news(last: &RankState, now: &RankState) -> bool {
+    let alike = RankState {
+        pass: last.pass,
+        running: last.running,
+        waiting: last.waiting,
+        pace: last.pace,
+        ..now.clone()
+    };
+    alike != *last
+}
+
 /// `None` if the engine has begun anew, so that the counts don't belong together.
 fn difference(last: &Counted, now: &Counted) -> Option<Vec<u32>> {
     let is_same = last.started_ms == now.started_ms
@@ -261,6 +275,7 @@
         pass: report.pass,
         running: report.running,
         waiting: report.waiting,
+        pace: report.pace,
         map_version: report.map_version,
         prepared_version: report.prepared_version,
         armed: report.armed,
