Entries: no limit on requests in a group; plans may drop replicas for nothing

Change: the limit is gone; the gate of a service that refuses, the cost of a group by its passes and the paces stay. A plan can take a replica from a rank without a copy. Conclusion: admission by predicted passes is still open; it must refuse at once rather than let wait.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -39,30 +39,15 @@
 pub enum Choice {
     /// This one; with its group, if it is part of one.
     Send(Arc<Server>, Option<Arc<GroupLoad>>),
-    /// All groups carry as much as keeps their streams in time.
-    NoRoom,
     /// No server takes work.
     Nobody,
 }
 
-/// What a server is wanted for.
-#[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// Servers to pass over.
-    pub tried: &'a [Arc<Server>],
-    /// Whether it is a stream that broke off midway. It goes on even where new ones would have to
-    /// wait: its caller has part of the answer.
-    pub is_under_way: bool,
-}
-
 /// The server for a request.
 ///
-/// Servers in rank groups: the group with the cheapest passes that has room, then its rank with
+/// Servers in rank groups: the group with the cheapest passes, then its rank with
 /// the fewest requests. Others: the cheapest one; a paused one only if all are paused.
-pub fn choose(view: &View, wanted: &Wanted<'_>, now: Instant) -> Choice {
-    let Wanted { service, tried, is_under_way } = *wanted;
+pub fn choose(view: &View, service: &str, tried: &[Arc<Server>], now: Instant) -> Choice {
     let untried: Vec<&Arc<Server>> =
         view.servers_of(service).iter().filter(|server| !is_among(tried, server)).collect();
     if untried.is_empty() {
@@ -72,7 +57,6 @@
     let best = ranked.min_by(|a, b| a.order().partial_cmp(&b.order()).unwrap_or(Ordering::Equal));
     match best {
         None => Choice::Nobody,
-        Some(best) if best.is_full && !is_under_way => Choice::NoRoom,
         Some(best) => Choice::Send(Arc::clone(best.server), best.group),
     }
 }
@@ -81,7 +65,6 @@
     server: &'a Arc<Server>,
     group: Option<Arc<GroupLoad>>,
     is_paused: bool,
-    is_full: bool,
     is_slow: bool,
     group_cost: f64,
     cost: f64,
@@ -98,7 +81,6 @@
                 server,
                 group: Some(Arc::clone(&seat.group)),
                 is_paused,
-                is_full: !seat.group.has_room(),
                 is_slow: seat.pace >= SLOW_PACE,
                 group_cost: seat.group.cost(),
                 cost: (f64::from(standing.in_flight) + 0.5 + FAILURE_COST * standing.failure_ratio)
@@ -108,7 +90,6 @@
                 server,
                 group: None,
                 is_paused,
-                is_full: false,
                 is_slow: false,
                 group_cost: 0.0,
                 cost: cost(&standing, server.listed.slots) * spread,
@@ -117,8 +98,8 @@
     }
 
     /// Compared from left to right; the least is best.
-    fn order(&self) -> (bool, bool, f64, bool, f64) {
-        (self.is_paused, self.is_full, self.group_cost, self.is_slow, self.cost)
+    fn order(&self) -> (bool, f64, bool, f64) {
+        (self.is_paused, self.group_cost, self.is_slow, self.cost)
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -186,7 +186,12 @@
         };
         let paces: Vec<f64> = record.ranks.iter().map(|rank| rank.pace).collect();
         tracing::info!(group = name, epoch = record.epoch, ?paces, "group announced");
-        let load = self.groups.remove(name).map(|(_, load)| load).unwrap_or_default();
+        let known = self.groups.remove(name);
+        let is_new = known.as_ref().is_none_or(|(known, _)| known.epoch != record.epoch);
+        let load = known.map(|(_, load)| load).unwrap_or_default();
+        if is_new {
+            load.reset();
+        }
         self.groups.insert(name.to_owned(), (record, load));
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Takes one request from a caller to a backend server and its answer back.
 
-use crate::balance::{self, Choice, Wanted};
+use crate::balance::{self, Choice};
 use crate::budget::RetryBudget;
 use crate::connection::{Connection, SendError};
 use crate::gate::Gates;
@@ -25,10 +25,6 @@
 /// When a refused caller should come back, in milliseconds, if nothing better is known.
 const RETRY_AFTER_MS: u64 = 250;
 
-/// When a caller should come back that found no room: after about as long as half of an answer
-/// takes, at different times, so that not all come at once.
-const NO_ROOM_RETRY_AFTER_MS: std::ops::Range<u64> = 600..1_400;
-
 /// Time between looks for a server that takes work.
 const WAIT_STEP: Duration = Duration::from_millis(20);
 
@@ -39,9 +35,6 @@
 /// Share of a request's time that it waits for servers at the most; the rest is for its answer.
 const OUTAGE_SHARE: f64 = 0.4;
 
-/// A request with less of its route's time than this has been here before.
-const FRESH_SHARE: f64 = 0.97;
-
 /// Largest answer that is collected before its head is passed on, in bytes. A broken answer of
 /// this size can be replaced by that of another server; larger ones are passed on as they come.
 const MAX_WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
@@ -67,8 +60,6 @@
     BodyLost,
     /// No backend server takes work, and none ran the request.
     Full,
-    /// Another stream would make those under way late.
-    NoRoom,
     /// The deadline passed before a backend server could run the request.
     TooLate,
     /// A backend server may have run the request; its answer was lost.
@@ -81,9 +72,7 @@
     /// The status. 429, 408 and 503 promise that the request did not and will not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::Full | Self::NoRoom | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration | Self::Full | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -102,7 +91,6 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLost => "body_lost",
             Self::Full => "full",
-            Self::NoRoom => "no_room",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
             Self::NoAnswerInTime => "no_answer_in_time",
@@ -148,19 +136,6 @@
     fn outage_patience(&self) -> Duration {
         (self.deadline - self.arrived).mul_f64(OUTAGE_SHARE).min(MAX_OUTAGE_WAIT)
     }
-
-    /// How long to wait for room in a group: an eighth of the goal, so that who is refused loses
-    /// nothing by it. A request that was refused before has less time than its route allows; it
-    /// would not come a third time, so it waits longer.
-    fn room_patience(&self) -> Duration {
-        let route_ms = self.route.timeout_ms as f64;
-        let has_come_back =
-            self.head.deadline_ms.is_some_and(|left_ms| (left_ms as f64) < route_ms * FRESH_SHARE);
-        if has_come_back {
-            return self.outage_patience();
-        }
-        Duration::from_millis(self.route.goal_ms / 8)
-    }
 }
 
 /// What has become of a request so far.
@@ -365,21 +340,17 @@
             if now >= exchange.deadline {
                 return Err(Refusal::TooLate);
             }
-            let wanted = Wanted { service: &exchange.service, tried, is_under_way: false };
-            let choice = balance::choose(&self.view(), &wanted, now);
-            let (patience, refusal) = match choice {
+            match balance::choose(&self.view(), &exchange.service, tried, now) {
                 Choice::Send(server, group) => {
                     if self.gates().try_pass(&exchange.service, now) {
                         return Ok((server, group));
                     }
-                    (exchange.outage_patience(), Refusal::Full)
                 }
-                Choice::NoRoom => (exchange.room_patience(), Refusal::NoRoom),
-                Choice::Nobody if tried.is_empty() => (exchange.outage_patience(), Refusal::Full),
+                Choice::Nobody if tried.is_empty() => {}
                 Choice::Nobody => return Err(Refusal::Full),
-            };
-            if now - exchange.arrived >= patience {
-                return Err(refusal);
+            }
+            if now - exchange.arrived >= exchange.outage_patience() {
+                return Err(Refusal::Full);
             }
             sleep_until(exchange.deadline.min(now + WAIT_STEP)).await;
         }
@@ -576,11 +547,7 @@
         let mut response = Response::new(whole(Bytes::new()));
         *response.status_mut() = refusal.status();
         if refusal.status() == StatusCode::SERVICE_UNAVAILABLE {
-            let wait_ms = match refusal {
-                Refusal::NoRoom => rand::random_range(NO_ROOM_RETRY_AFTER_MS),
-                _ => RETRY_AFTER_MS,
-            };
-            headers::set_retry_after(response.headers_mut(), wait_ms);
+            headers::set_retry_after(response.headers_mut(), RETRY_AFTER_MS);
         }
         response
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Passes a stream's events on as they come, and goes on at another backend server if one breaks
 //! off.
 
-use crate::balance::{self, Choice, Wanted};
+use crate::balance::{self, Choice};
 use crate::connection::Connection;
 use crate::events::EventSplitter;
 use crate::forward::{Exchange, Gateway, SendFailure, keep_connection};
@@ -160,8 +160,7 @@
             let now = Instant::now();
             let view = self.gateway.view();
             let service = &self.exchange.service;
-            let wanted = Wanted { service, tried: &self.tried, is_under_way: true };
-            let choice = balance::choose(&view, &wanted, now);
+            let choice = balance::choose(&view, service, &self.tried, now);
             let Choice::Send(server, group) = choice else {
                 return false;
             };
@@ -211,8 +210,7 @@
                 self.longest_pause_ms = self.longest_pause_ms.max(pause.as_millis() as u64);
                 self.gateway.metrics.paused(pause);
                 if let Some(group) = self.in_flight.group() {
-                    let goal_ms = self.exchange.route.pause_goal_ms as f64;
-                    group.note_pause(pause.as_secs_f64() * 1_000.0, goal_ms, now);
+                    group.note_pause(pause.as_secs_f64() * 1_000.0);
                 }
             }
         }
--- a/crates/policy/src/experts.rs
+++ b/crates/policy/src/experts.rs
@@ -19,6 +19,9 @@
 /// ranks are equally loaded, so that no single move would seem to help.
 const NORM_EXPONENT: i32 = 12;
 
+/// Copies as which a change counts that copies nothing, when it is weighed against others.
+const FREE_COPIES: f64 = 0.25;
+
 /// Experts by set and rank.
 pub type Map = Vec<Vec<Vec<u16>>>;
 
@@ -208,7 +211,7 @@
     let map: Map = placements.into_iter().map(|placement| placement.ranks).collect();
     let skew_after = skew(&map, demand, paces);
     let copies = copied.into_iter().max().unwrap_or(0);
-    let is_worth_it = copies > 0 && skew_before - skew_after >= limits.min_saving;
+    let is_worth_it = skew_before - skew_after >= limits.min_saving;
     is_worth_it.then_some(Step { map, copies, skew_before, skew_after })
 }
 
@@ -224,27 +227,43 @@
     copies: Vec<usize>,
 }
 
-/// A replica of `expert` on `to`, in the place of `victim` if the rank is full; `returned` moves
-/// the victim to the rank that gives `expert` away, since it has no other holder.
+/// One change of a set's placement.
 #[derive(Clone, Copy, Debug)]
 struct Change {
     expert: u16,
     from: usize,
-    to: usize,
-    victim: Option<u16>,
-    is_exchange: bool,
+    kind: ChangeKind,
     gain: f64,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChangeKind {
+    /// Rank `to` gets a replica, in the place of `victim` if it is full.
+    Add { to: usize, victim: Option<u16> },
+    /// Rank `to` gets the expert and gives back `victim`, which nobody else holds.
+    Exchange { to: usize, victim: u16 },
+    /// The other holders carry the expert alone. Nothing is copied, which is the fastest way to relieve
+    /// a rank that has become slow.
+    Drop,
+}
+
 impl Change {
     fn gain_per_copy(&self) -> f64 {
-        self.gain / if self.is_exchange { 2.0 } else { 1.0 }
+        match self.kind {
+            ChangeKind::Add { .. } => self.gain,
+            ChangeKind::Exchange { .. } => self.gain / 2.0,
+            ChangeKind::Drop => self.gain / FREE_COPIES,
+        }
     }
 
     /// The ranks that copy an expert.
     fn copies(&self) -> impl Iterator<Item = usize> {
-        let back = self.is_exchange.then_some(self.from);
-        std::iter::once(self.to).chain(back)
+        let (to, back) = match self.kind {
+            ChangeKind::Add { to, .. } => (Some(to), None),
+            ChangeKind::Exchange { to, .. } => (Some(to), Some(self.from)),
+            ChangeKind::Drop => (None, None),
+        };
+        to.into_iter().chain(back)
     }
 }
 
@@ -280,77 +299,83 @@
         let mut best: Option<Change> = None;
         let mut scratch = self.loads.clone();
         for &expert in &self.ranks[from] {
-            for to in (0..self.ranks.len()).filter(|to| *to != from && may_copy(*to)) {
-                if self.ranks[to].contains(&expert) {
-                    continue;
-                }
-                for change in self.changes(shape, expert, from, to, may_copy(from)) {
-                    scratch.copy_from_slice(&self.loads);
-                    self.shift_loads(&change, &mut scratch);
-                    let gain = norm - self::norm(&scratch);
-                    let change = Change { gain, ..change };
-                    let is_better =
-                        best.is_none_or(|best| change.gain_per_copy() > best.gain_per_copy());
-                    if change.gain_per_copy() > limits.min_gain && is_better {
-                        best = Some(change);
-                    }
+            for kind in self.kinds(shape, expert, from, &may_copy) {
+                let mut change = Change { expert, from, kind, gain: 0.0 };
+                scratch.copy_from_slice(&self.loads);
+                self.shift_loads(&change, &mut scratch);
+                change.gain = norm - self::norm(&scratch);
+                let gain = change.gain_per_copy();
+                let is_better = best.is_none_or(|best| gain > best.gain_per_copy());
+                if gain > limits.min_gain && is_better {
+                    best = Some(change);
                 }
             }
         }
         best
     }
 
-    /// The ways to give `to` a replica.
-    fn changes(
-        &self,
-        shape: &Shape,
-        expert: u16,
-        from: usize,
-        to: usize,
-        may_copy_back: bool,
-    ) -> Vec<Change> {
-        let change =
-            |victim, is_exchange| Change { expert, from, to, victim, is_exchange, gain: 0.0 };
-        if self.ranks[to].len() < shape.replicas_per_rank {
-            return vec![change(None, false)];
+    /// The ways to take load of an expert from a rank.
+    fn kinds<F>(&self, shape: &Shape, expert: u16, from: usize, may_copy: &F) -> Vec<ChangeKind>
+    where
+        F: Fn(usize) -> bool,
+    {
+        let mut kinds = Vec::new();
+        if self.holders[usize::from(expert)] > 1 {
+            kinds.push(ChangeKind::Drop);
         }
-        let mut changes = Vec::with_capacity(self.ranks[to].len());
-        for &victim in &self.ranks[to] {
-            if self.holders[usize::from(victim)] > 1 {
-                changes.push(change(Some(victim), false));
-            } else if may_copy_back && !self.ranks[from].contains(&victim) {
-                changes.push(change(Some(victim), true));
+        for to in (0..self.ranks.len()).filter(|to| *to != from && may_copy(*to)) {
+            if self.ranks[to].contains(&expert) {
+                continue;
+            }
+            if self.ranks[to].len() < shape.replicas_per_rank {
+                kinds.push(ChangeKind::Add { to, victim: None });
+                continue;
+            }
+            for &victim in &self.ranks[to] {
+                if self.holders[usize::from(victim)] > 1 {
+                    kinds.push(ChangeKind::Add { to, victim: Some(victim) });
+                } else if may_copy(from) && !self.ranks[from].contains(&victim) {
+                    kinds.push(ChangeKind::Exchange { to, victim });
+                }
             }
         }
-        changes
+        kinds
+    }
+
+    /// The load that one holder of an expert has from it, with `more` holders than now.
+    fn part(&self, expert: u16, more: f64) -> f64 {
+        let expert = usize::from(expert);
+        self.shares[expert] / (f64::from(self.holders[expert]) + more)
     }
 
     fn shift_loads(&self, change: &Change, loads: &mut [f64]) {
-        let expert = usize::from(change.expert);
-        let (share, holders) = (self.shares[expert], f64::from(self.holders[expert]));
-        if change.is_exchange {
-            loads[change.from] -= share / holders * self.paces[change.from];
-            loads[change.to] += share / holders * self.paces[change.to];
-        } else {
-            let after = share / (holders + 1.0);
-            let change_each = after - share / holders;
-            self.on_holders(change.expert, |rank| loads[rank] += change_each * self.paces[rank]);
-            loads[change.to] += after * self.paces[change.to];
-        }
-        let Some(victim) = change.victim else {
-            return;
-        };
-        let share = self.shares[usize::from(victim)];
-        let holders = f64::from(self.holders[usize::from(victim)]);
-        loads[change.to] -= share / holders * self.paces[change.to];
-        if change.is_exchange {
-            loads[change.from] += share / holders * self.paces[change.from];
-            return;
+        let (expert, from) = (change.expert, change.from);
+        match change.kind {
+            ChangeKind::Drop => self.remove_replica(expert, from, loads),
+            ChangeKind::Exchange { to, victim } => {
+                let (given, back) = (self.part(expert, 0.0), self.part(victim, 0.0));
+                loads[from] += (back - given) * self.paces[from];
+                loads[to] += (given - back) * self.paces[to];
+            }
+            ChangeKind::Add { to, victim } => {
+                let after = self.part(expert, 1.0);
+                let change_each = after - self.part(expert, 0.0);
+                self.on_holders(expert, |rank| loads[rank] += change_each * self.paces[rank]);
+                loads[to] += after * self.paces[to];
+                if let Some(victim) = victim {
+                    self.remove_replica(victim, to, loads);
+                }
+            }
         }
-        let after = share / (holders - 1.0);
-        self.on_holders(victim, |rank| {
-            if rank != change.to {
-                loads[rank] += (after - share / holders) * self.paces[rank];
+    }
+
+    fn remove_replica(&self, expert: u16, of: usize, loads: &mut [f64]) {
+        let before = self.part(expert, 0.0);
+        let change_each = self.part(expert, -1.0) - before;
+        loads[of] -= before * self.paces[of];
+        self.on_holders(expert, |rank| {
+            if rank != of {
+                loads[rank] += change_each * self.paces[rank];
             }
         });
     }
@@ -364,24 +389,37 @@
     }
 
     fn apply(&mut self, change: &Change) {
-        if let Some(victim) = change.victim {
-            self.ranks[change.to].retain(|held| *held != victim);
-            if change.is_exchange {
-                self.ranks[change.from].retain(|held| *held != change.expert);
-                self.ranks[change.from].push(victim);
-            } else {
-                self.holders[usize::from(victim)] -= 1;
+        let (expert, from) = (change.expert, change.from);
+        match change.kind {
+            ChangeKind::Drop => self.release(expert, from),
+            ChangeKind::Exchange { to, victim } => {
+                self.release(expert, from);
+                self.release(victim, to);
+                self.hold(expert, to);
+                self.hold(victim, from);
+            }
+            ChangeKind::Add { to, victim } => {
+                if let Some(victim) = victim {
+                    self.release(victim, to);
+                }
+                self.hold(expert, to);
             }
-        }
-        self.ranks[change.to].push(change.expert);
-        if !change.is_exchange {
-            self.holders[usize::from(change.expert)] += 1;
         }
         for rank in change.copies() {
             self.copies[rank] += 1;
         }
         self.loads = self.sum_loads();
     }
+
+    fn hold(&mut self, expert: u16, rank: usize) {
+        self.ranks[rank].push(expert);
+        self.holders[usize::from(expert)] += 1;
+    }
+
+    fn release(&mut self, expert: u16, rank: usize) {
+        self.ranks[rank].retain(|held| *held != expert);
+        self.holders[usize::from(expert)] -= 1;
+    }
 }
 
 fn most_loaded(loads: &[f64]) -> Option<usize> {
