--- /dev/null
+++ b/crates/policy/tests/experts.rs
@@ -0,0 +1,129 @@
+//! Small steps to an even expert map.
+
+use flamingowheel_policy::experts::{Demand, Map, Shape, StepLimits, skew, step};
+
+const SHAPE: Shape = Shape { sets: 2, experts: 64, ranks: 8, replicas_per_rank: 11 };
+const EVEN_PACES: [f64; 8] = [1.0; 8];
+const WINDOW_CHOICES: f64 = 100_000.0;
+
+/// Choices of a window in which experts are liked in falling order from `favourite` on.
+fn window(favourite: usize) -> Vec<u64> {
+    let weight = |e: usize| 1.0 / ((e + SHAPE.experts - favourite) % SHAPE.experts + 1) as f64;
+    let total: f64 = (0..SHAPE.experts).map(weight).sum();
+    let count = |e: usize| (weight(e) / total * WINDOW_CHOICES) as u64;
+    (0..SHAPE.sets).flat_map(|_| (0..SHAPE.experts).map(count)).collect()
+}
+
+fn demand(favourite: usize) -> Demand {
+    let mut demand = Demand::new(SHAPE);
+    demand.observe(&window(favourite));
+    demand
+}
+
+fn full_limits() -> StepLimits {
+    StepLimits::for_pressure(1.0, 4)
+}
+
+fn steps(mut map: Map, demand: &Demand, paces: &[f64], count: usize) -> Map {
+    for _ in 0..count {
+        match step(&map, demand, paces, full_limits()) {
+            Some(step) => map = step.map,
+            None => break,
+        }
+    }
+    map
+}
+
+fn assert_is_valid(map: &Map) {
+    for ranks in map {
+        let held = |e: u16| ranks.iter().any(|rank| rank.contains(&e));
+        assert!((0..SHAPE.experts as u16).all(held), "an expert is held by no rank: {ranks:?}");
+        for rank in ranks {
+            let mut unique = rank.clone();
+            unique.sort_unstable();
+            unique.dedup();
+            assert_eq!(unique.len(), rank.len(), "an expert stands twice on a rank");
+            assert!(rank.len() <= SHAPE.replicas_per_rank);
+        }
+    }
+}
+
+/// Topics change and with them the experts that are liked: one rank carries most of a pass, and all
+/// streams of the group slow down to it. A few steps must bring the load back near to even.
+#[test]
+fn step_after_shift() {
+    let first = SHAPE.first_map();
+    let old = steps(first, &demand(0), &EVEN_PACES, 8);
+    let shifted = demand(27);
+    let before = skew(&old, &shifted, &EVEN_PACES);
+    let after = skew(&steps(old, &shifted, &EVEN_PACES, 8), &shifted, &EVEN_PACES);
+    assert!(before > 1.3, "the shift should be felt: {before}");
+    assert!(after < 1.1, "{before} became {after}");
+}
+
+#[test]
+fn step_keeps_every_expert() {
+    let mut map = SHAPE.first_map();
+    for favourite in [0, 25, 41, 3, 63] {
+        map = steps(map, &demand(favourite), &EVEN_PACES, 6);
+        assert_is_valid(&map);
+    }
+}
+
+#[test]
+fn step_copies_within_limits() {
+    let map = SHAPE.first_map();
+    let limits = full_limits();
+    let step = step(&map, &demand(2), &EVEN_PACES, limits).unwrap();
+    for rank in 0..SHAPE.ranks {
+        let new_in_set = |set: usize| {
+            let old = &map[set][rank];
+            step.map[set][rank].iter().filter(|expert| !old.contains(expert)).count()
+        };
+        let total: usize = (0..SHAPE.sets).map(new_in_set).sum();
+        assert!(total <= limits.copies_per_rank, "rank {rank} copies {total}");
+    }
+}
+
+/// A rank turns slow, and every pass of its group waits for it. What others hold as well can be taken
+/// from it at once, without a copy.
+#[test]
+fn step_relieves_slow_rank() {
+    let demand = demand(0);
+    let map = steps(SHAPE.first_map(), &demand, &EVEN_PACES, 8);
+    let paces = [1.0, 1.0, 5.0, 1.0, 1.0, 1.0, 1.0, 1.0];
+    let before = skew(&map, &demand, &paces);
+    let after = skew(&steps(map, &demand, &paces, 6), &demand, &paces);
+    assert!(after < before * 0.6, "{before} became {after}");
+}
+
+/// Copies are paid for and slow passes while they last: with short passes, a gain that no caller
+/// would notice must not be bought.
+#[test]
+fn step_calm_group_copies_less() {
+    let demand = demand(0);
+    let first = SHAPE.first_map();
+    let copies = |pressure: f64| {
+        let limits = StepLimits::for_pressure(pressure, 4);
+        let mut map = first.clone();
+        let mut copies = 0;
+        while let Some(next) = step(&map, &demand, &EVEN_PACES, limits) {
+            copies += new_experts(&map, &next.map);
+            map = next.map;
+        }
+        copies
+    };
+    assert!(copies(0.2) < copies(1.0), "{} and {}", copies(0.2), copies(1.0));
+}
+
+fn new_experts(old: &Map, new: &Map) -> usize {
+    let pairs = old.iter().flatten().zip(new.iter().flatten());
+    pairs.map(|(old, new)| new.iter().filter(|expert| !old.contains(expert)).count()).sum()
+}
+
+#[test]
+fn observe_shift_replaces_mean() {
+    let mut demand = demand(0);
+    assert_eq!(demand.observe(&window(0)), 0);
+    assert_eq!(demand.observe(&window(33)), SHAPE.sets);
+}
