Log lines of a process on the platform never block it

Cause: lines were written to standard output by the thread that made them; a reader that stops would stop callers' traffic, and nothing bounded their number. Change: observe::output queues whole lines to a thread of their own, bounded in number and rate; what is left out is counted and told; warnings keep a fifth of the rate.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod kv;
 pub mod logs;
 pub mod metrics;
+pub mod output;
 pub mod reason;
 pub mod recorder;
 mod repeats;
--- a/crates/observe/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -12,6 +12,7 @@
 use tracing_subscriber::registry::LookupSpan;
 
 use crate::api::ProcessInfo;
+use crate::output::{LINES_PER_S, Output};
 
 /// Field of a log line that carries a whole recorded event as JSON.
 const RECORD_FIELD: &str = "record";
@@ -22,6 +23,9 @@
     /// The filter's text is wrong.
     #[error("log filter not understood: {0}")]
     Filter(#[from] tracing_subscriber::filter::ParseError),
+    /// The thread that writes can't be started.
+    #[error("no thread for log lines: {0}")]
+    Thread(#[from] std::io::Error),
     /// Logging was set up before.
     #[error("logging is already set up: {0}")]
     AlreadySet(#[from] tracing::subscriber::SetGlobalDefaultError),
@@ -63,7 +67,8 @@
 /// Sends the logs of a process on a platform to standard output as JSON lines.
 pub fn init_plain(vm: &str, data_centre: &str) -> Result<(), LogError> {
     let process = ProcessInfo { name: vm.into(), vm: vm.into(), data_centre: data_centre.into() };
-    let subscriber = subscriber(process, "info", std::io::stdout)?;
+    let output = Output::start(std::io::stdout(), LINES_PER_S)?;
+    let subscriber = subscriber(process, "info", output)?;
     tracing::subscriber::set_global_default(subscriber)?;
     Ok(())
 }
--- /dev/null
+++ b/crates/observe/src/output.rs
@@ -0,0 +1,147 @@
+//! Log lines to standard output that never make their writer wait.
+//!
+//! A reader of the logs that stops reading would otherwise stop the process: its pipe fills, and
+//! the next line blocks the thread that serves callers. Lines go through a bounded queue to a thread of their
+//! own; what does not fit, or is above the rate, is counted and left out.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tracing::Level;
+use tracing_subscriber::fmt::MakeWriter;
+
+/// Lines that wait for the reader; some 300 bytes each, so about a megabyte at the most.
+const QUEUE_LINES: usize = 4_096;
+
+/// Lines in a second, of all levels. A busy entry of today writes some 60; the bound keeps a
+/// tenfold load with failures from costing a tenth of its core.
+pub const LINES_PER_S: u32 = 1_000;
+
+/// Share of the rate that plain messages may use; the rest is kept for warnings and errors, which
+/// matter most when much goes wrong at once.
+const INFO_SHARE: f64 = 0.8;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Makes writers that queue whole lines.
+#[derive(Clone, Debug)]
+pub struct Output {
+    queue: SyncSender<Vec<u8>>,
+    rate: Arc<Mutex<Rate>>,
+    left_out: Arc<AtomicU64>,
+}
+
+#[derive(Debug)]
+struct Rate {
+    second_began: Instant,
+    lines: u32,
+    limit: u32,
+}
+
+impl Output {
+    /// An output that `writer`, on a thread of its own, takes the lines of.
+    ///
+    /// ```
+    /// use flamingowheel_observe::output::{LINES_PER_S, Output};
+    /// assert!(Output::start(std::io::sink(), LINES_PER_S).is_ok());
+    /// ```
+    pub fn start<W>(writer: W, lines_per_s: u32) -> io::Result<Self>
+    where
+        W: Write + Send + 'static,
+    {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&left_out);
+        std::thread::Builder::new()
+            .name("logs".to_owned())
+            .stack_size(128 * 1024)
+            .spawn(move || write_lines(&lines, writer, &counter))?;
+        let rate = Rate { second_began: Instant::now(), lines: 0, limit: lines_per_s };
+        Ok(Self { queue, rate: Arc::new(Mutex::new(rate)), left_out })
+    }
+
+    /// Lines left out and not yet told of.
+    pub fn left_out(&self) -> u64 {
+        self.left_out.load(Ordering::Relaxed)
+    }
+
+    fn line(&self, level: Level) -> Line {
+        let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
+        if rate.second_began.elapsed() >= SECOND {
+            rate.second_began = Instant::now();
+            rate.lines = 0;
+        }
+        let share = if level <= Level::WARN { 1.0 } else { INFO_SHARE };
+        let is_allowed = f64::from(rate.lines) < f64::from(rate.limit) * share;
+        if is_allowed {
+            rate.lines += 1;
+        } else {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Line { bytes: Vec::new(), output: is_allowed.then(|| self.clone()) }
+    }
+}
+
+fn write_lines<W>(lines: &Receiver<Vec<u8>>, mut writer: W, left_out: &AtomicU64)
+where
+    W: Write,
+{
+    while let Ok(line) = lines.recv() {
+        let missing = left_out.swap(0, Ordering::Relaxed);
+        let told = match missing {
+            0 => Ok(()),
+            count => {
+                writeln!(writer, r#"{{"level":"WARN","message":"lines left out","count":{count}}}"#)
+            }
+        };
+        // Without a reader there is nobody left to tell.
+        if told.and_then(|()| writer.write_all(&line)).and_then(|()| writer.flush()).is_err() {
+            return;
+        }
+    }
+}
+
+/// One line; queued when it is dropped.
+#[derive(Debug)]
+pub struct Line {
+    bytes: Vec<u8>,
+    output: Option<Output>,
+}
+
+impl Write for Line {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.output.is_some() {
+            self.bytes.extend_from_slice(bytes);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        let Some(output) = self.output.take() else {
+            return;
+        };
+        if output.queue.try_send(std::mem::take(&mut self.bytes)).is_err() {
+            output.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl<'a> MakeWriter<'a> for Output {
+    type Writer = Line;
+
+    fn make_writer(&'a self) -> Line {
+        self.line(Level::INFO)
+    }
+
+    fn make_writer_for(&'a self, metadata: &tracing::Metadata<'_>) -> Line {
+        self.line(*metadata.level())
+    }
+}
