--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -50,10 +50,16 @@
 /// Runs on the platform: as entry where callers connect, as agent beside a backend server.
 pub fn on_platform() -> Result<Exit> {
     let settings = flamingowheel_platform::settings::load()?;
+    // Without a handler the signal that announces changed settings would end the process.
+    let reload = {
+        let settings = settings.clone();
+        move || reload(&settings)
+    };
     logs::init_plain(&settings.vm, &settings.data_centre)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut signals = Signals::new()?;
+        tokio::spawn(on_each_hangup(signal(SignalKind::hangup())?, reload));
         tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
         if settings.callers.is_some() {
             flamingowheel_gateway::process::run(&settings, signals.next()).await?;
@@ -65,6 +71,25 @@
     })
 }
 
+async fn on_each_hangup<F>(mut hangup: Signal, reload: F)
+where
+    F: Fn(),
+{
+    while hangup.recv().await.is_some() {
+        reload();
+    }
+}
+
+/// Reads the settings again and tells what became of it. Addresses and limits hold from a process's
+/// start to its end; the platform restarts a process whose addresses change.
+fn reload(in_force: &flamingowheel_fleet::ProcessSettings) {
+    match flamingowheel_platform::settings::load() {
+        Ok(settings) if settings == *in_force => tracing::info!("settings read again: unchanged"),
+        Ok(_) => tracing::warn!("settings read again: changes take hold at the next start"),
+        Err(error) => tracing::error!(%error, "settings can't be read; the last ones stay"),
+    }
+}
+
 /// Runs the demo.
 pub fn demo(once: bool, lose_agent: bool) -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
