--- a/crates/backing/src/client/backend.rs
+++ b/crates/backing/src/client/backend.rs
@@ -63,6 +63,7 @@
         let control = HttpLimits {
             head_ms: limits.head_ms.min(CONTROL_LIMIT_MS),
             silence_ms: limits.silence_ms.min(CONTROL_LIMIT_MS),
+            idle_ms: limits.idle_ms.min(CONTROL_LIMIT_MS),
             ..limits.clone()
         };
         Self {
--- a/crates/backing/src/client/etcd.rs
+++ b/crates/backing/src/client/etcd.rs
@@ -33,6 +33,7 @@
     HttpLimits {
         head_ms: 1_000,
         silence_ms: 1_000,
+        idle_ms: 1_000,
         max_body_bytes: 128 * 1024 * 1024,
         ..HttpLimits::default()
     }
--- a/crates/backing/src/client/http.rs
+++ b/crates/backing/src/client/http.rs
@@ -24,6 +24,8 @@
     pub head_ms: u64,
     /// Longest time without a byte within a body, in milliseconds.
     pub silence_ms: u64,
+    /// Longest time for which an unused connection is kept, in milliseconds.
+    pub idle_ms: u64,
     /// Most headers in an answer.
     pub max_headers: usize,
     /// Largest head, and largest piece read at once, in bytes.
@@ -38,6 +40,7 @@
             connect_ms: 1_000,
             head_ms: 10_000,
             silence_ms: 10_000,
+            idle_ms: 10_000,
             max_headers: 64,
             max_head_bytes: 64 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
@@ -235,7 +238,7 @@
         .http1_max_headers(limits.max_headers)
         .http1_max_buf_size(limits.max_head_bytes)
         .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(Duration::from_millis(limits.silence_ms));
+        .pool_idle_timeout(Duration::from_millis(limits.idle_ms));
     if !pool {
         builder.pool_max_idle_per_host(0);
     }
--- a/crates/flamingowheeld/src/agent.rs
+++ b/crates/flamingowheeld/src/agent.rs
@@ -193,6 +193,7 @@
     let limits = HttpLimits {
         head_ms: HEAD_LIMIT_MS,
         silence_ms: SILENCE_LIMIT_MS,
+        idle_ms: SILENCE_LIMIT_MS,
         ..HttpLimits::default()
     };
     HttpBackend::new(authority(own.backend_server), kind, limits)
--- a/crates/flamingowheeld/src/orders.rs
+++ b/crates/flamingowheeld/src/orders.rs
@@ -56,6 +56,7 @@
         let limits = HttpLimits {
             head_ms: STAGE_LIMIT_MS,
             silence_ms: ENGINE_LIMIT_MS,
+            idle_ms: ENGINE_LIMIT_MS,
             ..HttpLimits::default()
         };
         let engine = HttpOrders::new(authority(own.backend_server), limits);
--- a/crates/standin/tests/contract_engine.rs
+++ b/crates/standin/tests/contract_engine.rs
@@ -21,6 +21,7 @@
     connect_ms: 400,
     head_ms: 400,
     silence_ms: 400,
+    idle_ms: 400,
     max_headers: 64,
     max_head_bytes: 64 * 1024,
     max_body_bytes: 64 * 1024,
