--- /dev/null
+++ b/crates/soak/src/cli.rs
@@ -0,0 +1,70 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+/// How to call the program.
+pub const USAGE: &str = "\
+Usage: flamingowheel-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--entries N]
+                          [--servers N] [--callers N]
+
+Runs the daemon at PATH as separate processes under random faults and checks its promises.
+  --seed N      the first seed (1)
+  --seeds N     seeds to run, one after the other (1)
+  --seconds N   time under faults, for each seed (20)
+  --entries N   entry processes (4)
+  --servers N   backend servers (6)
+  --callers N   callers (12)";
+
+/// What was typed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// The daemon.
+    pub program: PathBuf,
+    /// The first seed.
+    pub seed: u64,
+    /// Seeds to run.
+    pub seeds: u64,
+    /// Time under faults, in seconds.
+    pub seconds: u64,
+    /// Entry processes.
+    pub entries: usize,
+    /// Backend servers.
+    pub servers: usize,
+    /// Callers.
+    pub callers: usize,
+}
+
+/// Why a command line can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum UsageError {
+    /// An option's value, or a missing option.
+    #[error(transparent)]
+    Arguments(#[from] pico_args::Error),
+    /// Something that is no option.
+    #[error("unknown: {0:?}")]
+    Unknown(Vec<std::ffi::OsString>),
+    /// A fleet without entries, backend servers or callers.
+    #[error("--entries, --servers and --callers take a number above 0")]
+    Empty,
+}
+
+/// Reads the command line.
+pub fn parse(mut arguments: pico_args::Arguments) -> Result<Options, UsageError> {
+    let options = Options {
+        program: arguments.value_from_str("--program")?,
+        seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
+        seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(1),
+        seconds: arguments.opt_value_from_str("--seconds")?.unwrap_or(20),
+        entries: arguments.opt_value_from_str("--entries")?.unwrap_or(4),
+        servers: arguments.opt_value_from_str("--servers")?.unwrap_or(6),
+        callers: arguments.opt_value_from_str("--callers")?.unwrap_or(12),
+    };
+    let rest = arguments.finish();
+    if !rest.is_empty() {
+        return Err(UsageError::Unknown(rest));
+    }
+    if options.entries == 0 || options.servers == 0 || options.callers == 0 {
+        return Err(UsageError::Empty);
+    }
+    Ok(options)
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,138 @@
+//! Faults drawn at random. Each lasts for a while of its own, so that they overlap.
+
+use crate::fleet::Fleet;
+use crate::proxy::Harm;
+use flamingowheel_backing::fake::LostAnswer;
+use rand::{Rng, RngExt};
+use rustix::process::Signal;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest time that a planned stop may take: the grace time of the settings.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// One fault.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// An entry is killed and starts again.
+    Kill(usize),
+    /// An entry stands still and goes on.
+    Pause(usize),
+    /// An entry is told to stop, has its grace time, and starts again.
+    Restart(usize),
+    /// An entry is told that its settings have changed.
+    Hangup(usize),
+    /// An entry's connections to the store are harmed.
+    StoreLink(usize, Harm),
+    /// The connections to a backend server are harmed.
+    ServerLink(usize, Harm),
+    /// The store refuses all calls.
+    StoreDown,
+    /// The store answers late.
+    StoreSlow,
+    /// The store loses answers to writes that it carried out.
+    StoreLosesAnswers,
+    /// The store forgets its history.
+    StoreCompacts,
+    /// A backend server reports that it leaves, and comes back.
+    Drain(usize),
+    /// Operators accept a new version of the configuration.
+    Configuration,
+}
+
+/// Draws the next fault.
+pub fn draw<R>(fleet: &Fleet, rng: &mut R) -> Fault
+where
+    R: Rng,
+{
+    let entry = rng.random_range(0..fleet.entries.len());
+    let server = rng.random_range(0..fleet.servers.len());
+    match rng.random_range(0..14) {
+        0 => Fault::Kill(entry),
+        1 => Fault::Pause(entry),
+        2 | 3 => Fault::Restart(entry),
+        4 => Fault::Hangup(entry),
+        5 => Fault::StoreLink(entry, harm(rng)),
+        6 | 7 => Fault::ServerLink(server, harm(rng)),
+        8 => Fault::StoreDown,
+        9 => Fault::StoreSlow,
+        10 => Fault::StoreLosesAnswers,
+        11 => Fault::StoreCompacts,
+        12 => Fault::Drain(server),
+        _ => Fault::Configuration,
+    }
+}
+
+fn harm<R>(rng: &mut R) -> Harm
+where
+    R: Rng,
+{
+    match rng.random_range(0..5) {
+        0 => Harm::Delay(rng.random_range(5..200)),
+        1 => Harm::Silence,
+        2 => Harm::CutRequests,
+        3 => Harm::CutAnswers,
+        _ => Harm::Reset,
+    }
+}
+
+/// Strikes, and mends what it did after `time`.
+pub async fn strike(fleet: Arc<Fleet>, fault: Fault, time: Duration) {
+    match fault {
+        Fault::Kill(entry) => {
+            fleet.entries[entry].daemon.signal(Signal::KILL);
+            sleep(time).await;
+            fleet.start(entry);
+        }
+        Fault::Pause(entry) => {
+            fleet.entries[entry].daemon.signal(Signal::STOP);
+            sleep(time).await;
+            fleet.entries[entry].daemon.signal(Signal::CONT);
+        }
+        Fault::Restart(entry) => {
+            fleet.entries[entry].daemon.signal(Signal::TERM);
+            let step = Duration::from_millis(100);
+            let mut waited = Duration::ZERO;
+            while fleet.entries[entry].daemon.is_running() && waited < GRACE {
+                sleep(step).await;
+                waited += step;
+            }
+            fleet.entries[entry].daemon.signal(Signal::KILL);
+            sleep(step).await;
+            fleet.start(entry);
+        }
+        Fault::Hangup(entry) => fleet.entries[entry].daemon.signal(Signal::HUP),
+        Fault::StoreLink(entry, harm) => {
+            fleet.entries[entry].store_link.set(harm);
+            sleep(time).await;
+            fleet.entries[entry].store_link.set(Harm::None);
+        }
+        Fault::ServerLink(server, harm) => {
+            fleet.servers[server].link.set(harm);
+            sleep(time).await;
+            fleet.servers[server].link.set(Harm::None);
+        }
+        Fault::StoreDown => {
+            fleet.kv.set_down(true);
+            sleep(time).await;
+            fleet.kv.set_down(false);
+        }
+        Fault::StoreSlow => {
+            fleet.kv.set_delay(Duration::from_millis(240));
+            sleep(time).await;
+            fleet.kv.set_delay(Duration::ZERO);
+        }
+        Fault::StoreLosesAnswers => fleet.kv.lose_write_answers(3, LostAnswer::AfterEffect),
+        Fault::StoreCompacts => {
+            let newest = fleet.kv.peek("").revision;
+            fleet.kv.compact(newest);
+        }
+        Fault::Drain(server) => {
+            fleet.list(server, "draining").await;
+            sleep(time).await;
+            fleet.list(server, "ready").await;
+        }
+        Fault::Configuration => fleet.configure().await,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,86 @@
+//! One daemon process that the soak started; only such processes are ever signalled.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// A daemon with its settings and its log.
+#[derive(Clone, Debug)]
+pub struct Daemon {
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Arc<Mutex<Option<Child>>>,
+}
+
+impl Daemon {
+    /// A daemon that is not running yet. Its settings file and its log lie in `folder`.
+    pub fn new(program: &Path, folder: &Path, name: &str, settings: &str) -> std::io::Result<Self> {
+        let file = folder.join(format!("{name}.conf"));
+        std::fs::write(&file, settings)?;
+        Ok(Self {
+            program: program.to_owned(),
+            settings: file,
+            log: folder.join(format!("{name}.log")),
+            child: Arc::default(),
+        })
+    }
+
+    /// Starts it, unless it runs.
+    pub fn start(&self) -> std::io::Result<()> {
+        let mut child = self.lock();
+        if child.as_mut().is_some_and(is_running) {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let started = Command::new(&self.program)
+            .arg("--platform")
+            .env("FLAMINGOWHEEL_SETTINGS", &self.settings)
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()?;
+        *child = Some(started);
+        Ok(())
+    }
+
+    /// Sends a signal, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = self.lock().as_mut()
+            && is_running(child)
+        {
+            // It may end at this moment; then there is nothing left to signal.
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    /// Whether it runs, stopped or not.
+    pub fn is_running(&self) -> bool {
+        self.lock().as_mut().is_some_and(is_running)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn is_running(child: &mut Child) -> bool {
+    matches!(child.try_wait(), Ok(None))
+}
+
+/// Ends the processes of a soak, whatever becomes of it.
+#[derive(Debug, Default)]
+pub struct Reaper(pub Vec<Daemon>);
+
+impl Drop for Reaper {
+    fn drop(&mut self) {
+        for daemon in &self.0 {
+            daemon.signal(Signal::KILL);
+            if let Some(child) = daemon.lock().as_mut() {
+                // A process that was killed has ended or will at once.
+                let _ = child.wait();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,138 @@
+//! The soak's checks, each against an entry that breaks just this promise.
+
+use axum::Router;
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use flamingowheel_backing::client::http::{HttpClient, HttpLimits, Reuse, WholeAnswer};
+use flamingowheel_soak::callers::Caller;
+use flamingowheel_soak::proxy::{Harm, Proxy};
+use flamingowheel_soak::report::{Shared, Tally, Violation};
+use flamingowheel_standin::platform::server::{Ledger, PlatformServer};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    SendsTwice,
+    RefusesAfterwards,
+    CutsShort,
+    Denies,
+}
+
+#[derive(Clone)]
+struct Entry {
+    server: HttpClient,
+    fault: Fault,
+}
+
+impl Entry {
+    async fn forward(&self, path: &str, headers: &HeaderMap) -> WholeAnswer {
+        let request = self.server.request(http::Method::POST, path);
+        let attempt = headers["flamingowheel-attempt-id"].clone();
+        let request = request.header("flamingowheel-attempt-id", attempt);
+        let request = request.body(Default::default()).unwrap();
+        self.server.fetch(request, Reuse::Allowed).await.unwrap()
+    }
+}
+
+async fn handle(State(entry): State<Entry>, request: Request) -> Response {
+    let (path, headers) = (request.uri().path().to_owned(), request.headers().clone());
+    if entry.fault == Fault::Denies {
+        return StatusCode::NOT_FOUND.into_response();
+    }
+    let mut answer = entry.forward(&path, &headers).await;
+    match entry.fault {
+        Fault::SendsTwice => answer = entry.forward(&path, &headers).await,
+        Fault::RefusesAfterwards => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Fault::CutsShort => answer.body.truncate(5),
+        Fault::None | Fault::Denies => {}
+    }
+    answer.headers.remove(http::header::TRANSFER_ENCODING);
+    answer.headers.remove(http::header::CONTENT_LENGTH);
+    (answer.status, answer.headers, answer.body).into_response()
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// One caller before one entry with this fault, until it was answered a few times.
+async fn play(fault: Fault) -> Tally {
+    let ledger = Ledger::default();
+    let (listener, address) = listen().await;
+    let server = PlatformServer::new("s", ledger.clone(), Duration::ZERO, 8);
+    tokio::spawn(server.serve(listener));
+    let server = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
+    let (listener, address) = listen().await;
+    let router = Router::new().fallback(handle).with_state(Entry { server, fault });
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let (tally, stop) = (Shared::default(), CancellationToken::new());
+    let caller = Caller { entries: vec![address], ledger, tally: tally.clone() };
+    let running = tokio::spawn(caller.run(7, stop.clone()));
+    while tally.read().asked < 8 {
+        tokio::task::yield_now().await;
+    }
+    stop.cancel();
+    running.await.unwrap();
+    tally.read()
+}
+
+#[tokio::test]
+async fn run_sound_entry() {
+    let tally = play(Fault::None).await;
+    assert!(tally.violations.is_empty(), "{tally}");
+    assert_eq!(tally.served, tally.asked);
+}
+
+#[tokio::test]
+async fn run_work_sent_twice() {
+    let tally = play(Fault::SendsTwice).await;
+    assert!(tally.violations.iter().any(|v| matches!(v, Violation::RanTwice { runs: 2, .. })));
+}
+
+#[tokio::test]
+async fn run_refused_though_it_ran() {
+    let tally = play(Fault::RefusesAfterwards).await;
+    assert!(tally.violations.iter().any(|v| matches!(v, Violation::FalseRefusal { .. })));
+}
+
+#[tokio::test]
+async fn run_part_passed_for_whole() {
+    let tally = play(Fault::CutsShort).await;
+    assert!(tally.violations.iter().any(|v| matches!(v, Violation::WrongAnswer { .. })));
+}
+
+#[tokio::test]
+async fn run_proper_request_denied() {
+    let tally = play(Fault::Denies).await;
+    assert!(tally.violations.iter().any(|v| matches!(v, Violation::Denied { status: 404, .. })));
+}
+
+/// A connection that is reset must end at once at the caller's side, and one that is silent must
+/// not.
+#[tokio::test]
+async fn set_harm_shows() {
+    let (listener, address) = listen().await;
+    let server = PlatformServer::new("s", Ledger::default(), Duration::ZERO, 8);
+    tokio::spawn(server.serve(listener));
+    let proxy = Proxy::start(address).await.unwrap();
+    let limits = HttpLimits { head_ms: 200, ..HttpLimits::default() };
+    let client = HttpClient::new(proxy.address.to_string().parse().unwrap(), limits);
+    let ask = || async {
+        let request = client.request(http::Method::POST, "/x");
+        client.fetch(request.body(Default::default()).unwrap(), Reuse::Never).await
+    };
+    assert!(ask().await.is_ok());
+    proxy.set(Harm::Silence);
+    let silent = ask().await.unwrap_err();
+    assert!(matches!(silent, flamingowheel_backing::client::http::HttpError::Silent { .. }));
+    proxy.set(Harm::Reset);
+    let reset = ask().await.unwrap_err();
+    assert!(matches!(reset, flamingowheel_backing::client::http::HttpError::Lost));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fast;
 pub mod host;
 pub mod kv;
+pub mod platform;
 pub mod service;
 pub mod vms;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins in the form that the users' platform speaks: its store and its backend servers.
+
+pub mod server;
+pub mod store;
