Ranks: files of their own for what is known of a group and for pass times

`group` holds what is known of the ranks and when a change is worth it, `pace` how long passes take. No behaviour changed; moved as it stood.

--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -1,30 +1,23 @@
 //! Keeps the expert map of one group even; runs beside rank 0.
 
+use crate::group::{Group, ServiceParameters, is_alike};
 use crate::peers::{PeerUpdate, Peers, engines_of};
 use crate::switch::{
     Arming, Holding, Leftover, Preparing, Released, Releasing, Switch, is_armed, leftover,
 };
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
-use flamingowheel_fleet::EngineParameters;
 use flamingowheel_fleet::engine::MapOrder;
 use flamingowheel_platform::{CONFIGURATION_KEY, EngineClient, operator};
-use flamingowheel_policy::experts::{self, Demand, Map, Shape, StepLimits};
-use flamingowheel_protocol::ranks::{
-    GROUPS_PREFIX, GroupRecord, RankRecord, RankState, RankTarget, RankUpdate,
-};
-use std::collections::{BTreeMap, HashSet};
+use flamingowheel_protocol::ranks::{GROUPS_PREFIX, RankState, RankTarget, RankUpdate};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{broadcast, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
-use tokio_util::sync::CancellationToken;
 
 /// Time between looks at a change under way: a fraction of a pass.
 const TICK: Duration = Duration::from_millis(10);
 
-/// A rank's state older than this is not acted on.
-const FRESH: Duration = Duration::from_millis(600);
-
 /// Time between readings of demand; the windows in which it is learnt.
 const WINDOW: Duration = Duration::from_millis(100);
 
@@ -45,10 +38,6 @@
 /// Time for a hold to show after it was asked for. Engines leave some orders unanswered.
 const ASK_LIMIT: Duration = Duration::from_millis(600);
 
-/// Skew by which a map under preparation must be worse than one planned now to be given up for it:
-/// a third of a pass, for the fifth of a second that is lost.
-const OUTDATED_SKEW: f64 = 0.35;
-
 /// Pause between readings of the list of backend servers while ranks are missing.
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 
@@ -56,12 +45,6 @@
 /// entry.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
 
-/// Change of a rank's pace that entries are told of.
-const PACE_STEP: f64 = 0.25;
-
-/// Weight of the newest pass time in their mean: some ten observations, a second.
-const PASS_TIME_WEIGHT: f64 = 0.1;
-
 /// Range of the random part of a version. Two coordinators of one group, one after the other,
 /// would otherwise give one version to two maps: a rank that holds the older one would pass for
 /// prepared.
@@ -90,15 +73,6 @@
     pub asked_holds: HashSet<(u64, u64)>,
 }
 
-#[derive(Debug)]
-struct Rank {
-    state: RankState,
-    seen_at: Instant,
-    engine: SocketAddr,
-    /// The experts held, by set, under the map of this version.
-    experts: Option<(u64, Vec<Vec<u16>>)>,
-}
-
 #[derive(Debug, Default)]
 enum Phase {
     #[default]
@@ -119,33 +93,6 @@
     held_at: Option<Instant>,
 }
 
-/// What the configuration says of the engines' service.
-#[derive(Clone, Debug)]
-struct ServiceParameters {
-    engine: EngineParameters,
-    /// The shortest pause goal of its routes, in milliseconds.
-    pause_goal_ms: f64,
-}
-
-/// What is known of the group.
-#[derive(Debug)]
-struct Group {
-    name: String,
-    epoch: u64,
-    size: usize,
-    ranks: BTreeMap<usize, Rank>,
-    demand: Option<Demand>,
-    window: Vec<u64>,
-    /// The last pass of the window before.
-    window_pass: Option<u64>,
-    pass_times: PassTimes,
-    parameters: Option<ServiceParameters>,
-    connected: HashSet<SocketAddr>,
-    listed_at: Option<Instant>,
-    announced: Option<(GroupRecord, Instant)>,
-    stop: CancellationToken,
-}
-
 impl<K> Coordinator<K>
 where
     K: KeyValue,
@@ -490,196 +437,3 @@
         Leftover::Held { epoch, pass } => Phase::Releasing(Switch::abandoned(epoch, pass)),
     }
 }
-
-impl Group {
-    fn new(state: &RankState) -> Self {
-        Self {
-            name: state.group.clone(),
-            epoch: state.epoch,
-            size: state.size,
-            ranks: BTreeMap::new(),
-            demand: None,
-            window: Vec::new(),
-            window_pass: None,
-            pass_times: PassTimes::default(),
-            parameters: None,
-            connected: HashSet::new(),
-            listed_at: None,
-            announced: None,
-            stop: CancellationToken::new(),
-        }
-    }
-
-    fn take(&mut self, update: RankUpdate, engine: SocketAddr) {
-        let RankUpdate { state, choices, experts } = update;
-        if state.epoch > self.epoch {
-            self.epoch = state.epoch;
-            self.size = state.size;
-            self.ranks.clear();
-            // A member may have been replaced by one that was taken for another group's before.
-            self.stop.cancel();
-            self.stop = CancellationToken::new();
-            self.connected.clear();
-            self.listed_at = None;
-        }
-        if state.epoch < self.epoch {
-            return;
-        }
-        let choices = choices.unpack();
-        if self.window.len() == choices.len() {
-            for (sum, choices) in self.window.iter_mut().zip(&choices) {
-                *sum += u64::from(*choices);
-            }
-        } else if !choices.is_empty() {
-            self.window = choices.iter().map(|choices| u64::from(*choices)).collect();
-        }
-        if state.rank == 0 {
-            self.pass_times.observe(&state, Instant::now());
-        }
-        let known = self.ranks.remove(&state.rank).and_then(|rank| rank.experts);
-        let is_listed = !experts.is_empty();
-        let experts = if is_listed { Some((state.map_version, experts)) } else { known };
-        let seen_at = Instant::now();
-        self.ranks.insert(state.rank, Rank { state, seen_at, engine, experts });
-    }
-
-    fn record(&self) -> GroupRecord {
-        let ranks = self.ranks.values();
-        let ranks = ranks.map(|rank| RankRecord { engine: rank.engine, pace: rank.state.pace });
-        GroupRecord { epoch: self.epoch, ranks: ranks.collect() }
-    }
-
-    fn states(&self) -> Vec<RankState> {
-        self.ranks.values().map(|rank| rank.state.clone()).collect()
-    }
-
-    /// Learns from the choices since the last call. Returns whether demand has shifted.
-    fn close_window(&mut self) -> bool {
-        let Some(shape) = self.shape() else {
-            return false;
-        };
-        if self.window.len() != shape.sets * shape.experts {
-            return false;
-        }
-        // A window shorter than a pass holds what some ranks have told of it, which looks like
-        // another demand each time.
-        let pass = self.ranks.get(&0).map(|rank| rank.state.pass);
-        if self.window_pass == pass {
-            return false;
-        }
-        self.window_pass = pass;
-        let demand = self.demand.get_or_insert_with(|| Demand::new(shape));
-        let has_shifted = demand.observe(&self.window);
-        if has_shifted {
-            tracing::info!(group = self.name, "demand shifted");
-        }
-        self.window.fill(0);
-        has_shifted
-    }
-
-    fn shape(&self) -> Option<Shape> {
-        let engine = &self.parameters.as_ref()?.engine;
-        Some(Shape {
-            sets: engine.expert_sets,
-            experts: engine.experts,
-            ranks: self.size,
-            replicas_per_rank: engine.replicas_per_rank,
-        })
-    }
-
-    /// All ranks' states, if all are known, fresh, and of one working group.
-    fn fresh_states(&self, now: Instant) -> Option<Vec<RankState>> {
-        let is_usable = |rank: &Rank| {
-            rank.state.is_open
-                && rank.state.epoch == self.epoch
-                && now.duration_since(rank.seen_at) < FRESH
-        };
-        let all = self.ranks.len() == self.size && self.ranks.values().all(is_usable);
-        all.then(|| self.ranks.values().map(|rank| rank.state.clone()).collect())
-    }
-
-    fn next_step(&self, states: &[RankState]) -> Option<experts::Step> {
-        let demand = self.demand.as_ref().filter(|demand| demand.is_known())?;
-        let map = self.map_in_use(states)?;
-        let service = self.parameters.as_ref()?;
-        let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
-        let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts);
-        let paces: Vec<f64> = states.iter().map(|state| state.pace.max(1.0)).collect();
-        experts::step(&map, demand, &paces, limits)
-    }
-
-    /// Whether a map that is being prepared would be left clearly behind by one planned now.
-    fn is_outdated(&self, map: &Map) -> bool {
-        let Some(demand) = &self.demand else {
-            return false;
-        };
-        let Some(step) = self.next_step(&self.states()) else {
-            return false;
-        };
-        let paces: Vec<f64> = self.states().iter().map(|state| state.pace.max(1.0)).collect();
-        experts::skew(map, demand, &paces) > step.skew_after + OUTDATED_SKEW
-    }
-
-    /// The map in use, put together from what the ranks hold.
-    fn map_in_use(&self, states: &[RankState]) -> Option<Map> {
-        let version = states.first()?.map_version;
-        if states.iter().any(|state| state.map_version != version) {
-            return None;
-        }
-        let sets = self.shape()?.sets;
-        let ranks: Vec<&Rank> = self.ranks.values().collect();
-        // A list can be older than the state beside it: put together from two maps, experts would
-        // be missing, and the engines would refuse the result.
-        let listed = |rank: &&Rank| match &rank.experts {
-            Some((listed, experts)) if *listed == version && experts.len() == sets => {
-                Some(experts.clone())
-            }
-            _ => None,
-        };
-        let ranks: Option<Vec<_>> = ranks.iter().map(listed).collect();
-        let ranks = ranks?;
-        let set = |set: usize| ranks.iter().map(|experts| experts[set].clone()).collect();
-        Some((0..sets).map(set).collect())
-    }
-}
-
-/// Whether entries would do the same with both records.
-fn is_alike(a: &GroupRecord, b: &GroupRecord) -> bool {
-    let pairs = a.ranks.iter().zip(&b.ranks);
-    a.ranks.len() == b.ranks.len()
-        && pairs.into_iter().all(|(a, b)| {
-            a.engine == b.engine && (a.pace - b.pace).abs() < PACE_STEP * a.pace.max(b.pace)
-        })
-}
-
-/// How long passes take, from the count of passes while requests are in the batch.
-#[derive(Debug, Default)]
-struct PassTimes {
-    last: Option<(u64, Instant)>,
-    mean_ms: f64,
-}
-
-impl PassTimes {
-    fn observe(&mut self, state: &RankState, now: Instant) {
-        let is_busy = state.running + state.waiting > 0;
-        let last = self.last.replace((state.pass, now));
-        let Some((pass, at)) = last.filter(|(pass, _)| is_busy && state.pass > *pass) else {
-            if state.pass == last.map_or(0, |(pass, _)| pass) && is_busy {
-                self.last = last.or(self.last);
-            }
-            return;
-        };
-        let each_ms = (now - at).as_secs_f64() * 1_000.0 / (state.pass - pass) as f64;
-        self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
-    }
-
-    fn mean_ms(&self) -> f64 {
-        self.mean_ms
-    }
-}
-
-impl Drop for Group {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
-}
--- /dev/null
+++ b/crates/ranks/src/pace.rs
@@ -0,0 +1,33 @@
+//! How long a group's passes take.
+
+use flamingowheel_protocol::ranks::RankState;
+use tokio::time::Instant;
+
+/// Weight of the newest pass time in their mean: some ten observations, a second.
+const PASS_TIME_WEIGHT: f64 = 0.1;
+
+/// How long passes take, from the count of passes while requests are in the batch.
+#[derive(Debug, Default)]
+pub struct PassTimes {
+    last: Option<(u64, Instant)>,
+    mean_ms: f64,
+}
+
+impl PassTimes {
+    pub fn observe(&mut self, state: &RankState, now: Instant) {
+        let is_busy = state.running + state.waiting > 0;
+        let last = self.last.replace((state.pass, now));
+        let Some((pass, at)) = last.filter(|(pass, _)| is_busy && state.pass > *pass) else {
+            if state.pass == last.map_or(0, |(pass, _)| pass) && is_busy {
+                self.last = last.or(self.last);
+            }
+            return;
+        };
+        let each_ms = (now - at).as_secs_f64() * 1_000.0 / (state.pass - pass) as f64;
+        self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
+    }
+
+    pub fn mean_ms(&self) -> f64 {
+        self.mean_ms
+    }
+}
