Tests of admission to groups and of the change that is dropped

Cause: the refusal of requests that would make streams late and the rule for dropping a change were tested in their pure parts only. Change: a request goes to the group within its limit, is refused with a time when none is, old passes count for nothing, a stream that goes on is not refused; a change is dropped after a shift and kept while it helps; a window lasts a pass. `ranks::group` and `ranks::pace` are public for that; no behaviour changed.

--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -1,8 +1,17 @@
 //! The parts of an entry that need no connection.
 
+use flamingowheel_fleet::BackendServer;
+use flamingowheel_gateway::balance::{self, Choice};
 use flamingowheel_gateway::budget::{Allowance, RetryBudget};
 use flamingowheel_gateway::events::EventSplitter;
 use flamingowheel_gateway::gate::Gates;
+use flamingowheel_gateway::group::{GroupLoad, Seat};
+use flamingowheel_gateway::refusal::Refusal;
+use flamingowheel_gateway::server::Server;
+use flamingowheel_gateway::view::View;
+use flamingowheel_policy::passes::{limit_ms, retry_after_ms};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -77,3 +86,80 @@
     assert!(gates.try_pass("s", now + Duration::from_millis(100)));
     assert!(gates.try_pass("other", now));
 }
+
+const GOAL_MS: f64 = 120.0;
+
+/// A view of two groups with a rank each.
+fn two_groups() -> (View, [Arc<GroupLoad>; 2]) {
+    let groups = [Arc::new(GroupLoad::default()), Arc::new(GroupLoad::default())];
+    let mut view = View::default();
+    for (port, group) in (9_000..).zip(&groups) {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let server = Server::new(BackendServer {
+            id: format!("s-{port}"),
+            service: "s".to_owned(),
+            address,
+            data_centre: "d".to_owned(),
+            slots: 12,
+            is_draining: false,
+            started_ms: 1,
+        });
+        view.servers.entry("s".to_owned()).or_default().push(Arc::new(server));
+        view.seats.insert(address, Seat { group: Arc::clone(group), pace: 1.0 });
+    }
+    (view, groups)
+}
+
+fn choose_within(view: &View, pass_limit_ms: f64, now: Instant) -> Choice {
+    balance::choose(view, "s", &[], Some(pass_limit_ms), now)
+}
+
+/// Streams of one group have long pauses. A new request must go to the other one, or those in progress
+/// become late with it.
+#[test]
+fn choose_group_within_limit() {
+    let (view, [full, calm]) = two_groups();
+    let now = Instant::now();
+    let limit_ms = limit_ms(GOAL_MS, false, 0.5);
+    full.note_pause(limit_ms + 10.0, now);
+    calm.note_pause(limit_ms - 10.0, now);
+    let Choice::Send(server, _) = choose_within(&view, limit_ms, now) else {
+        panic!("one group has room");
+    };
+    assert_eq!(server.listed.id, "s-9001");
+}
+
+/// Every group's streams have long pauses. Sent all the same, the request would make them late; its
+/// caller is told at once that it did not run, and when there should be room.
+#[test]
+fn choose_all_groups_over_limit() {
+    let (view, groups) = two_groups();
+    let now = Instant::now();
+    let limit_ms = limit_ms(GOAL_MS, false, 0.5);
+    groups.iter().for_each(|group| group.note_pause(limit_ms + 20.0, now));
+    let Choice::Busy { pass_ms, limit_ms } = choose_within(&view, limit_ms, now) else {
+        panic!("no group has room");
+    };
+    let refusal = Refusal::Busy { retry_after_ms: retry_after_ms(pass_ms, limit_ms, 0.5) };
+    assert_eq!(refusal.status(), http::StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refusal.retry_after_ms().is_some_and(|wait_ms| wait_ms >= 200));
+}
+
+/// Passes that were seen a second ago say nothing of the next one: the group may be empty by now.
+#[test]
+fn choose_old_passes_forgotten() {
+    let (view, groups) = two_groups();
+    let now = Instant::now();
+    groups.iter().for_each(|group| group.note_pause(GOAL_MS * 2.0, now));
+    let later = now + Duration::from_secs(1);
+    assert!(matches!(choose_within(&view, GOAL_MS, later), Choice::Send(..)));
+}
+
+/// A stream that goes on after its server broke off has been admitted before; it is not refused.
+#[test]
+fn choose_without_limit_never_busy() {
+    let (view, groups) = two_groups();
+    let now = Instant::now();
+    groups.iter().for_each(|group| group.note_pause(GOAL_MS * 2.0, now));
+    assert!(matches!(balance::choose(&view, "s", &[], None, now), Choice::Send(..)));
+}
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -20,10 +20,14 @@
 /// Change of a rank's pace that entries are told of.
 const PACE_STEP: f64 = 0.25;
 
+/// What is known of one rank.
 #[derive(Debug)]
 pub struct Rank {
+    /// As its agent told last.
     pub state: RankState,
+    /// When that was.
     pub seen_at: Instant,
+    /// Its engine's address.
     pub engine: SocketAddr,
     /// The experts held, by set, under the map of this version.
     pub experts: Option<(u64, Vec<Vec<u16>>)>,
@@ -32,6 +36,7 @@
 /// What the configuration says of the engines' service.
 #[derive(Clone, Debug)]
 pub struct ServiceParameters {
+    /// The engines' parameters.
     pub engine: EngineParameters,
     /// The shortest pause goal of its routes, in milliseconds.
     pub pause_goal_ms: f64,
@@ -40,23 +45,25 @@
 /// What is known of the group.
 #[derive(Debug)]
 pub struct Group {
-    pub name: String,
-    pub epoch: u64,
-    pub size: usize,
-    pub ranks: BTreeMap<usize, Rank>,
-    pub demand: Option<Demand>,
-    pub window: Vec<u64>,
+    pub(crate) name: String,
+    pub(crate) epoch: u64,
+    pub(crate) size: usize,
+    pub(crate) ranks: BTreeMap<usize, Rank>,
+    pub(crate) demand: Option<Demand>,
+    pub(crate) window: Vec<u64>,
     /// The last pass of the window before.
-    pub window_pass: Option<u64>,
-    pub pass_times: PassTimes,
+    pub(crate) window_pass: Option<u64>,
+    pub(crate) pass_times: PassTimes,
+    /// What the configuration says of its service; `None` until it was read.
     pub parameters: Option<ServiceParameters>,
-    pub connected: HashSet<SocketAddr>,
-    pub listed_at: Option<Instant>,
-    pub announced: Option<(GroupRecord, Instant)>,
-    pub stop: CancellationToken,
+    pub(crate) connected: HashSet<SocketAddr>,
+    pub(crate) listed_at: Option<Instant>,
+    pub(crate) announced: Option<(GroupRecord, Instant)>,
+    pub(crate) stop: CancellationToken,
 }
 
 impl Group {
+    /// The group of a rank, of which nothing else is known.
     pub fn new(state: &RankState) -> Self {
         Self {
             name: state.group.clone(),
@@ -75,6 +82,7 @@
         }
     }
 
+    /// Takes in what a rank's agent tells.
     pub fn take(&mut self, update: RankUpdate, engine: SocketAddr) {
         let RankUpdate { state, choices, experts } = update;
         if state.epoch > self.epoch {
@@ -108,12 +116,14 @@
         self.ranks.insert(state.rank, Rank { state, seen_at, engine, experts });
     }
 
+    /// What entries are told of the group.
     pub fn record(&self) -> GroupRecord {
         let ranks = self.ranks.values();
         let ranks = ranks.map(|rank| RankRecord { engine: rank.engine, pace: rank.state.pace });
         GroupRecord { epoch: self.epoch, ranks: ranks.collect() }
     }
 
+    /// The ranks' states, as told last.
     pub fn states(&self) -> Vec<RankState> {
         self.ranks.values().map(|rank| rank.state.clone()).collect()
     }
@@ -142,6 +152,7 @@
         has_shifted
     }
 
+    /// The sizes of the group's map; `None` until the parameters are known.
     pub fn shape(&self) -> Option<Shape> {
         let engine = &self.parameters.as_ref()?.engine;
         Some(Shape {
@@ -163,6 +174,7 @@
         all.then(|| self.ranks.values().map(|rank| rank.state.clone()).collect())
     }
 
+    /// The next step to an even map, if one is worth it.
     pub fn next_step(&self, states: &[RankState]) -> Option<experts::Step> {
         let demand = self.demand.as_ref().filter(|demand| demand.is_known())?;
         let map = self.map_in_use(states)?;
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod coordinator;
 pub mod engine;
-mod group;
-mod pace;
+pub mod group;
+pub mod pace;
 pub mod peers;
 pub mod process;
 pub mod rescue;
--- a/crates/ranks/src/pace.rs
+++ b/crates/ranks/src/pace.rs
@@ -14,6 +14,7 @@
 }
 
 impl PassTimes {
+    /// Takes in how far a rank has come.
     pub fn observe(&mut self, state: &RankState, now: Instant) {
         let is_busy = state.running + state.waiting > 0;
         let last = self.last.replace((state.pass, now));
@@ -27,6 +28,7 @@
         self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
     }
 
+    /// The mean pass, in milliseconds; 0 before the first.
     pub fn mean_ms(&self) -> f64 {
         self.mean_ms
     }
--- /dev/null
+++ b/crates/ranks/tests/group.rs
@@ -0,0 +1,92 @@
+//! What a coordinator learns of its group, and when it drops a change.
+
+use flamingowheel_fleet::EngineParameters;
+use flamingowheel_policy::experts::Shape;
+use flamingowheel_protocol::ranks::{Choices, Map, RankState, RankUpdate};
+use flamingowheel_ranks::group::{Group, ServiceParameters};
+use std::net::SocketAddr;
+
+const SHAPE: Shape = Shape { sets: 2, experts: 32, ranks: 4, replicas_per_rank: 12 };
+
+fn state(rank: usize, pass: u64) -> RankState {
+    RankState { rank, pass, size: SHAPE.ranks, is_open: true, running: 6, ..RankState::default() }
+}
+
+fn group() -> Group {
+    let mut group = Group::new(&state(0, 0));
+    let engine = EngineParameters {
+        expert_sets: SHAPE.sets,
+        experts: SHAPE.experts,
+        replicas_per_rank: SHAPE.replicas_per_rank,
+        max_new_experts: 4,
+        ..EngineParameters::default()
+    };
+    group.parameters = Some(ServiceParameters { engine, pause_goal_ms: 100.0 });
+    group
+}
+
+/// Experts that the first map puts on rank 0, on rank 1, and nearly the same as those.
+const ON_RANK_0: [usize; 4] = [0, 4, 8, 12];
+const ON_RANK_1: [usize; 4] = [1, 5, 9, 13];
+const MOSTLY_ON_RANK_1: [usize; 4] = [1, 5, 9, 2];
+
+/// Choices of one rank's requests, in which a few experts are liked most.
+fn choices(favourites: [usize; 4]) -> Choices {
+    let count = |e: usize| if favourites.contains(&e) { 200 } else { 20 };
+    let set: Vec<u32> = (0..SHAPE.experts).map(count).collect();
+    Choices::pack(&[set.clone(), set].concat())
+}
+
+/// All ranks tell of a pass under the first map.
+fn tell(group: &mut Group, ranks: std::ops::Range<usize>, pass: u64, favourites: [usize; 4]) {
+    let map = SHAPE.first_map();
+    for rank in ranks {
+        let experts = map.iter().map(|set| set[rank].clone()).collect();
+        let update = RankUpdate { state: state(rank, pass), choices: choices(favourites), experts };
+        group.take(update, SocketAddr::from(([127, 0, 0, 1], 9_000 + rank as u16)));
+    }
+}
+
+fn planned(group: &Group) -> Map {
+    group.next_step(&group.states()).expect("the first map is far from even").map
+}
+
+/// Demand shifts while ranks copy experts for what was liked before. Finished, that change would
+/// keep passes long for another half second.
+#[tokio::test(start_paused = true)]
+async fn is_outdated_after_shift() {
+    let mut group = group();
+    tell(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+    assert!(group.close_window(), "the first window is a shift");
+    let map = planned(&group);
+    assert!(!group.is_outdated(&map));
+    tell(&mut group, 0..SHAPE.ranks, 2, ON_RANK_1);
+    assert!(group.close_window());
+    assert!(group.is_outdated(&map));
+}
+
+/// A window looks like a shift once more while the right change is prepared already. Dropped each time,
+/// no change would ever be finished, and the group would stay slow for good.
+#[tokio::test(start_paused = true)]
+async fn is_outdated_not_while_it_helps() {
+    let mut group = group();
+    tell(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+    group.close_window();
+    tell(&mut group, 0..SHAPE.ranks, 2, ON_RANK_1);
+    group.close_window();
+    let map = planned(&group);
+    tell(&mut group, 0..SHAPE.ranks, 3, MOSTLY_ON_RANK_1);
+    group.close_window();
+    assert!(!group.is_outdated(&map));
+}
+
+/// Passes take longer than the pause between two looks. What some ranks have told by then is no
+/// window of its own: each would look like another demand.
+#[tokio::test(start_paused = true)]
+async fn close_window_not_within_pass() {
+    let mut group = group();
+    tell(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+    assert!(group.close_window());
+    tell(&mut group, 1..3, 1, ON_RANK_1);
+    assert!(!group.close_window(), "rank 0 has begun no pass since");
+}
