--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,6 +4,7 @@
 use crate::report::{Shared, Violation};
 use bytes::Bytes;
 use flamingowheel_backing::client::http::{HttpClient, HttpError, HttpLimits, Reuse, WholeAnswer};
+use flamingowheel_standin::platform::messages::{ROUTE_LIMIT_MS, caller_headers, is_signed};
 use flamingowheel_standin::platform::server::{EVENTS, Ledger, answer_to, event_of};
 use http::Method;
 use http_body_util::Full;
@@ -14,9 +15,6 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-/// Time that a caller gives a request, in milliseconds.
-const DEADLINE_MS: u64 = 2_000;
-
 /// Time after a caller's deadline until it gives up for good, in milliseconds.
 const SLACK_MS: u64 = 500;
 
@@ -124,18 +122,14 @@
 }
 
 fn client(entry: SocketAddr) -> Option<HttpClient> {
-    let head_ms = DEADLINE_MS + SLACK_MS;
+    let head_ms = ROUTE_LIMIT_MS + SLACK_MS;
     let limits = HttpLimits { head_ms, silence_ms: head_ms, ..HttpLimits::default() };
     Some(HttpClient::new(entry.to_string().parse().ok()?, limits))
 }
 
 async fn ask(client: &HttpClient, kind: Kind, attempt: &str) -> Result<WholeAnswer, HttpError> {
-    let request = client
-        .request(Method::POST, kind.path())
-        .header("host", "soak.example")
-        .header("authorization", format!("Token {API_KEY}"))
-        .header("flamingowheel-attempt-id", attempt)
-        .header("flamingowheel-deadline-ms", DEADLINE_MS)
+    let request = client.request(Method::POST, kind.path());
+    let request = caller_headers(request, attempt, API_KEY, ROUTE_LIMIT_MS)
         .body(Full::new(Bytes::from_static(b"{}")));
     client.fetch(request.map_err(|_| HttpError::Malformed)?, Reuse::Allowed).await
 }
@@ -145,8 +139,7 @@
         Kind::Stream => (1..=EVENTS).map(|id| event_of(attempt, id)).collect(),
         _ => answer_to(attempt),
     };
-    let is_signed = answer.headers.contains_key("flamingowheel-instance-signature");
-    if is_signed && answer.body == expected.as_bytes() {
+    if is_signed(&answer.headers) && answer.body == expected.as_bytes() {
         return None;
     }
     let body = String::from_utf8_lossy(&answer.body).into_owned();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -129,9 +129,9 @@
             fleet.kv.compact(newest);
         }
         Fault::Drain(server) => {
-            fleet.list(server, "draining").await;
+            fleet.list(server, true).await;
             sleep(time).await;
-            fleet.list(server, "ready").await;
+            fleet.list(server, false).await;
         }
         Fault::Configuration => fleet.configure().await,
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,6 +6,9 @@
 use crate::proxy::Proxy;
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_standin::platform::messages::{
+    CONFIGURATION_KEY, EntryPorts, configuration, entry_settings, server_entry, server_key,
+};
 use flamingowheel_standin::platform::server::{Ledger, PlatformServer};
 use flamingowheel_standin::platform::store;
 use std::net::SocketAddr;
@@ -21,6 +24,9 @@
 /// Requests that a backend server works on at once.
 const SLOTS: u32 = 16;
 
+/// Versions of the configuration rise in steps, as operators' do.
+const VERSION_STEP: u64 = 7;
+
 /// An entry, and the proxy between it and the store.
 #[derive(Debug)]
 pub struct Entry {
@@ -77,17 +83,17 @@
         for number in 0..options.entries {
             let store_link = Proxy::start(store_address).await?;
             let ports = free_ports().await?;
-            let settings = settings(number, store_link.address, ports);
             let name = format!("entry-{number}");
+            let settings = entry_settings(&name, store_link.address, ports);
             let daemon = Daemon::new(&options.program, folder, &name, &settings)?;
-            let callers = SocketAddr::from(([127, 0, 0, 1], ports[0]));
+            let callers = SocketAddr::from(([127, 0, 0, 1], ports.callers));
             entries.push(Entry { daemon, callers, store_link });
         }
         let reaper = Reaper(entries.iter().map(|entry| entry.daemon.clone()).collect());
         let version = AtomicU64::new(0);
         let fleet = Self { kv, entries, servers, ledger, version, _reaper: reaper };
         for server in 0..fleet.servers.len() {
-            fleet.list(server, "ready").await;
+            fleet.list(server, false).await;
         }
         fleet.configure().await;
         (0..fleet.entries.len()).for_each(|entry| fleet.start(entry));
@@ -100,41 +106,21 @@
         let _ = self.entries[entry].daemon.start();
     }
 
-    /// Lists a backend server in a state.
-    pub async fn list(&self, server: usize, state: &str) {
+    /// Lists a backend server as taking work or as leaving.
+    pub async fn list(&self, server: usize, is_draining: bool) {
         let Server { id, link } = &self.servers[server];
-        let value = serde_json::json!({
-            "service": "s", "addr": link.address.to_string(), "zone": "z", "version": "1",
-            "slots": SLOTS, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
-        });
-        self.write(&format!("servers/{id}"), &value).await;
+        self.write(&server_key(id), server_entry(link.address, SLOTS, is_draining)).await;
     }
 
     /// Accepts a new version of the configuration; its routes stay as they are.
     pub async fn configure(&self) {
-        let version = self.version.fetch_add(7, Ordering::SeqCst) + 7;
-        let route = |kind: &str, path: &str, attempts: u32| {
-            serde_json::json!({
-                "name": path, "host": "soak.example", "prefix": format!("/{path}/"),
-                "routeKind": kind, "service": "s", "maxAttempts": attempts, "timeoutMs": 2_000,
-                "goalMs": 100, "resumable": kind == "streaming", "gapGoalMs": 150,
-            })
-        };
-        let value = serde_json::json!({
-            "version": version,
-            "routes": [
-                route("unsafe", "once", 1), route("safe", "safe", 2), route("streaming", "stream", 2),
-            ],
-            "services": [{"name": "s", "maxConns": 400}],
-            "tenants": [{"name": "w", "apiKeys": [API_KEY]}],
-        });
-        self.write("op/config", &value).await;
+        let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
+        self.write(CONFIGURATION_KEY, configuration(version, API_KEY)).await;
     }
 
     /// Writes until the store has taken it, as operators and backend servers do.
-    async fn write(&self, key: &str, value: &serde_json::Value) {
-        let value = value.to_string().into();
-        let put = Operation::Put { key: key.to_owned(), value, lease: None };
+    async fn write(&self, key: &str, value: String) {
+        let put = Operation::Put { key: key.to_owned(), value: value.into(), lease: None };
         let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
         while self.kv.transact(transaction.clone()).await.is_err() {
             sleep(Duration::from_millis(100)).await;
@@ -142,25 +128,16 @@
     }
 }
 
-/// Ports that were free a moment ago: for callers, readiness, the directory and two inner ones.
-async fn free_ports() -> std::io::Result<[u16; 5]> {
+/// Ports that were free a moment ago.
+async fn free_ports() -> std::io::Result<EntryPorts> {
     let mut listeners = Vec::new();
-    for _ in 0..5 {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await?);
-    }
     let mut ports = [0; 5];
-    for (port, listener) in ports.iter_mut().zip(&listeners) {
+    for port in &mut ports {
+        // Kept open meanwhile, so that no port is given out twice.
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
         *port = listener.local_addr()?.port();
+        listeners.push(listener);
     }
-    Ok(ports)
-}
-
-fn settings(number: usize, store: SocketAddr, ports: [u16; 5]) -> String {
     let [callers, ready, directory, low, high] = ports;
-    format!(
-        "node=entry-{number}\nip=127.0.0.1\nzone=z\nregion=r\nlisten.front=127.0.0.1:{callers}\n\
-         listen.ready=127.0.0.1:{ready}\nlisten.directory=127.0.0.1:{directory}\n\
-         internalPortRange={low},{high}\nplatform.addr={store}\nbounds.graceS=8\n\
-         bounds.retryBudgetSlack=80\n"
-    )
+    Ok(EntryPorts { callers, ready, directory, internal: (low, high) })
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -8,6 +8,7 @@
 use flamingowheel_soak::callers::Caller;
 use flamingowheel_soak::proxy::{Harm, Proxy};
 use flamingowheel_soak::report::{Shared, Tally, Violation};
+use flamingowheel_standin::platform::messages::{ROUTE_LIMIT_MS, attempt_of, caller_headers};
 use flamingowheel_standin::platform::server::{Ledger, PlatformServer};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,8 +33,7 @@
 impl Entry {
     async fn forward(&self, path: &str, headers: &HeaderMap) -> WholeAnswer {
         let request = self.server.request(http::Method::POST, path);
-        let attempt = headers["flamingowheel-attempt-id"].clone();
-        let request = request.header("flamingowheel-attempt-id", attempt);
+        let request = caller_headers(request, attempt_of(headers), "k", ROUTE_LIMIT_MS);
         let request = request.body(Default::default()).unwrap();
         self.server.fetch(request, Reuse::Allowed).await.unwrap()
     }
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -1,5 +1,6 @@
 //! A backend server in the platform's form, and the ledger in which all of them note what they ran.
 
+use super::messages::{ATTEMPT, SIGNATURE, attempt_of};
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -17,9 +18,6 @@
 /// Events of every stream.
 pub const EVENTS: u64 = 8;
 
-/// Header of the attempt that a request belongs to.
-const ATTEMPT: &str = "flamingowheel-attempt-id";
-
 /// How often each attempt of a caller began to run, over all backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger(Arc<Mutex<HashMap<String, u32>>>);
@@ -101,7 +99,7 @@
 }
 
 async fn handle(State(server): State<PlatformServer>, request: Request) -> Response {
-    let attempt = text(request.headers(), ATTEMPT).to_owned();
+    let attempt = attempt_of(request.headers()).to_owned();
     let expected = text(request.headers(), "flamingowheel-expect-instance");
     if !expected.is_empty() && expected != server.id {
         return response(StatusCode::MISDIRECTED_REQUEST, &[(ATTEMPT, &attempt)], Body::empty());
@@ -111,8 +109,7 @@
         return response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
     };
     server.ledger.note(&attempt);
-    let headers =
-        [(ATTEMPT, attempt.as_str()), ("flamingowheel-instance-signature", server.id.as_str())];
+    let headers = [(ATTEMPT, attempt.as_str()), (SIGNATURE, server.id.as_str())];
     if !request.uri().path().starts_with("/stream/") {
         sleep(server.work).await;
         return response(StatusCode::OK, &headers, Body::from(answer_to(&attempt)));
