Entries on the platform end within their grace time

Cause: at the end of the grace time the main function returned, but dropping the runtime waited for the traffic threads, which end with their last request. Ruled out: the entry's own limit, which had run out as meant. Change: the runtime is shut down without waiting. The stand-ins' messages take time limit and grace time.

--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -57,7 +57,7 @@
     };
     logs::init_plain(&settings.vm, &settings.data_centre)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
+    let exit = runtime.block_on(async {
         let mut signals = Signals::new()?;
         tokio::spawn(on_each_hangup(signal(SignalKind::hangup())?, reload));
         tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
@@ -68,7 +68,11 @@
         }
         tracing::info!("stopped");
         Ok(Exit::Success)
-    })
+    });
+    // Dropped, the runtime would wait for the traffic threads, which end with their last request: the
+    // process would outlive its grace time, be killed, and leave no word of what it cut off.
+    runtime.shutdown_background();
+    exit
 }
 
 async fn on_each_hangup<F>(mut hangup: Signal, reload: F)
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,7 +4,7 @@
 use crate::report::{Shared, Violation};
 use bytes::Bytes;
 use flamingowheel_backing::client::http::{HttpClient, HttpError, HttpLimits, Reuse, WholeAnswer};
-use flamingowheel_standin::platform::messages::{ROUTE_LIMIT_MS, caller_headers, is_signed};
+use flamingowheel_standin::platform::messages::{caller_headers, is_signed};
 use flamingowheel_standin::platform::server::{EVENTS, Ledger, answer_to, event_of};
 use http::Method;
 use http_body_util::Full;
@@ -15,6 +15,9 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+/// Time limit of all routes, and the time that a caller gives a request, in milliseconds.
+pub const ROUTE_LIMIT_MS: u64 = 2_000;
+
 /// Time after a caller's deadline until it gives up for good, in milliseconds.
 const SLACK_MS: u64 = 500;
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Longest time that a planned stop may take: the grace time of the settings.
-const GRACE: Duration = Duration::from_secs(8);
+/// Time from the signal to stop to the forced end, in seconds, as the deployments at hand set it.
+pub const GRACE_S: u64 = 8;
 
 /// One fault.
 #[derive(Clone, Copy, Debug)]
@@ -94,7 +94,8 @@
             fleet.entries[entry].daemon.signal(Signal::TERM);
             let step = Duration::from_millis(100);
             let mut waited = Duration::ZERO;
-            while fleet.entries[entry].daemon.is_running() && waited < GRACE {
+            while fleet.entries[entry].daemon.is_running() && waited < Duration::from_secs(GRACE_S)
+            {
                 sleep(step).await;
                 waited += step;
             }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,7 +1,8 @@
 //! The processes, stand-ins and proxies of one soak.
 
-use crate::callers::API_KEY;
+use crate::callers::{API_KEY, ROUTE_LIMIT_MS};
 use crate::cli::Options;
+use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
 use crate::proxy::Proxy;
 use flamingowheel_backing::fake::FakeKeyValue;
@@ -84,7 +85,7 @@
             let store_link = Proxy::start(store_address).await?;
             let ports = free_ports().await?;
             let name = format!("entry-{number}");
-            let settings = entry_settings(&name, store_link.address, ports);
+            let settings = entry_settings(&name, store_link.address, ports, GRACE_S);
             let daemon = Daemon::new(&options.program, folder, &name, &settings)?;
             let callers = SocketAddr::from(([127, 0, 0, 1], ports.callers));
             entries.push(Entry { daemon, callers, store_link });
@@ -115,7 +116,7 @@
     /// Accepts a new version of the configuration; its routes stay as they are.
     pub async fn configure(&self) {
         let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
-        self.write(CONFIGURATION_KEY, configuration(version, API_KEY)).await;
+        self.write(CONFIGURATION_KEY, configuration(version, API_KEY, ROUTE_LIMIT_MS)).await;
     }
 
     /// Writes until the store has taken it, as operators and backend servers do.
@@ -129,7 +130,9 @@
 }
 
 /// Ports that were free a moment ago.
-async fn free_ports() -> std::io::Result<EntryPorts> {
+///
+/// Fails if loopback has none left.
+pub async fn free_ports() -> std::io::Result<EntryPorts> {
     let mut listeners = Vec::new();
     let mut ports = [0; 5];
     for port in &mut ports {
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -11,9 +11,6 @@
 /// The host of all routes.
 const HOST: &str = "soak.example";
 
-/// Time limit of all routes, in milliseconds.
-pub const ROUTE_LIMIT_MS: u64 = 2_000;
-
 /// Header of the attempt that a request belongs to.
 pub(super) const ATTEMPT: &str = "flamingowheel-attempt-id";
 
@@ -39,12 +36,13 @@
 }
 
 /// A configuration with a route each for work that runs once (`/once/`), calls that may be repeated
-/// (`/safe/`) and streams that may be resumed (`/stream/`), and one workspace with one key.
-pub fn configuration(version: u64, api_key: &str) -> String {
+/// (`/safe/`) and streams that may be resumed (`/stream/`), all with this time limit, and one workspace
+/// with one key.
+pub fn configuration(version: u64, api_key: &str, limit_ms: u64) -> String {
     let route = |kind: &str, path: &str, attempts: u32| {
         json!({
             "name": path, "host": HOST, "prefix": format!("/{path}/"), "routeKind": kind,
-            "service": SERVICE, "maxAttempts": attempts, "timeoutMs": ROUTE_LIMIT_MS, "goalMs": 100,
+            "service": SERVICE, "maxAttempts": attempts, "timeoutMs": limit_ms, "goalMs": 100,
             "resumable": kind == "streaming", "gapGoalMs": 150,
         })
     };
@@ -92,12 +90,12 @@
 }
 
 /// The settings file of an entry on loopback.
-pub fn entry_settings(name: &str, store: SocketAddr, ports: EntryPorts) -> String {
+pub fn entry_settings(name: &str, store: SocketAddr, ports: EntryPorts, grace_s: u64) -> String {
     let EntryPorts { callers, ready, directory, internal: (low, high) } = ports;
     format!(
         "node={name}\nip=127.0.0.1\nzone=z\nregion=r\nlisten.front=127.0.0.1:{callers}\n\
          listen.ready=127.0.0.1:{ready}\nlisten.directory=127.0.0.1:{directory}\n\
-         internalPortRange={low},{high}\nplatform.addr={store}\nbounds.graceS=8\n\
+         internalPortRange={low},{high}\nplatform.addr={store}\nbounds.graceS={grace_s}\n\
          bounds.retryBudgetSlack=80\n"
     )
 }
