--- a/crates/protocol/src/ranks.rs
+++ b/crates/protocol/src/ranks.rs
@@ -83,8 +83,8 @@
     pub gave_hold: Option<u64>,
 }
 
-/// Counts in a byte each, as multiples of a common scale. Told in full, ten times a second by 31 agents,
-/// they took 0.8 of a link of 8 Mbit/s, and came late.
+/// Counts in a byte each, as multiples of a common scale. In full, ten times a second from 31 agents, they
+/// need some 0.8 of a link of 8 Mbit/s by their size, and bursts of them come late.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choices {
     scale: u32,
--- a/crates/protocol/src/targets.rs
+++ b/crates/protocol/src/targets.rs
@@ -1,7 +1,7 @@
 //! How a group's coordinator tells targets to the other ranks' agents on one connection.
 //!
 //! A map of 32 ranks takes 4 KB and a step changes a few lists of it. Told whole to 31 agents, it
-//! kept a VM's link of 8 Mbit/s busy for 130 ms, in which the group went on with the old map. So a
+//! keeps a VM's link of 8 Mbit/s busy for 130 ms, in which the group goes on with the old map. So a
 //! connection tells a map once and then what changed.
 
 use crate::ranks::{Map, RankTarget};
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -216,8 +216,9 @@
     }
 
     /// Whether this rank's agent is to hold the group, so that the coordinator waits for its word. All
-    /// other news of a change show in the state; told at every poll by 31 ranks, they took all the processor
-    /// time of the coordinator's VM while it had a change to finish.
+    /// other news of a change show in the state. Told at every poll by 31 ranks, they were worked out at 2,500
+    /// messages a second while a change was under way; without, the coordinator's VM of 0.15 core was busy
+    /// 0.031 instead of 0.039 of a core at most.
     fn gives_hold(&self, rank: usize) -> bool {
         matches!(*self.targets.borrow(), RankTarget::Held { by, .. } if by == rank)
     }
