Test of a stopped log reader: wait until the writer is stuck

The writer's thread began after the queue had overflowed; it takes over the count of lines left out as it begins to tell them, so that the count read afterwards is lower. The output does as meant; the test assumed that the thread begins first. Ruled out: lost lines (the text was not reached; the count stands in the line that the stuck writer holds). Change: one line is written, the writer is seen stuck, then the others follow; the count is now exact, 5,903.

--- a/crates/observe/tests/output.rs
+++ b/crates/observe/tests/output.rs
@@ -8,6 +8,7 @@
 
 /// Takes nothing until it is told to.
 struct Stuck {
+    entered: Sender<()>,
     go: Receiver<()>,
     written: Arc<Mutex<Vec<u8>>>,
     done: Sender<()>,
@@ -15,6 +16,8 @@
 
 impl Write for Stuck {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Only the first entry is waited for.
+        let _ = self.entered.send(());
         // The sender's end lets everything through.
         let _ = self.go.recv();
         self.written.lock().unwrap().extend_from_slice(bytes);
@@ -39,13 +42,21 @@
 fn write_reader_stopped() {
     let (go, wait) = channel();
     let (done, ended) = channel();
+    let (entered, is_stuck) = channel();
     let written = Arc::new(Mutex::new(Vec::new()));
-    let stuck = Stuck { go: wait, written: Arc::clone(&written), done };
+    let stuck = Stuck { entered, go: wait, written: Arc::clone(&written), done };
     let output = Output::start(stuck, 1_000_000).unwrap();
-    for _ in 0..10_000 {
+    output.make_writer().write_all(b"line\n").unwrap();
+    // A writer that begins late would take over the count of the lines that were left out by then.
+    is_stuck.recv().unwrap();
+    for _ in 1..10_000 {
         output.make_writer().write_all(b"line\n").unwrap();
     }
-    assert!(output.left_out() > 5_000);
+    assert_eq!(
+        output.left_out(),
+        10_000 - 1 - 4_096,
+        "all but the queue and the line at the reader"
+    );
     drop(go);
     drop(output);
     ended.recv().unwrap();
