Take back the note of a load that can't take effect any more

Cause: found in reading the change. Ruled out: a lease on the notes (it could run out before the order takes effect). Change: the note goes once the load was answered, its effect was seen, or the engine's process is another. Before: 5 notes after four restarts and a lost answer; after: 1 while the last may take effect, then none. One more write a load, at engines that ignore fencing numbers only.

--- a/crates/group/src/gate.rs
+++ b/crates/group/src/gate.rs
@@ -171,8 +171,8 @@
         let over = |sent: &LoadNote| {
             sent.process_id != engine.process_id || is_reached(&sent.target, &engine)
         };
-        if sent.as_ref().is_some_and(over) {
-            *sent = None;
+        if let Some(resolved) = sent.take_if(|sent| over(sent)) {
+            self.forget(&resolved.target, resolved.process_id).await;
         }
         let (incarnation, work) = (self.incarnation, self.intake.work());
         Ok(RankState { incarnation, engine, unresolved: sent.is_some(), work })
@@ -204,13 +204,12 @@
         target: &OrderTarget,
         process_id: u64,
     ) -> Result<(), RankError> {
-        let is_noted = self.kind == EngineKind::IgnoresFence && is_load(target);
-        if is_noted {
+        if self.is_noted(target) {
             let note = LoadNote { target: target.clone(), process_id };
             self.notes.put(&note).await.map_err(|_| RankError::NotNoted)?;
             // That took a while: a newer coordinator may have come.
             if let Err(stale) = self.admit(fence) {
-                self.forget(process_id).await;
+                self.forget(target, process_id).await;
                 return Err(stale);
             }
         }
@@ -222,6 +221,7 @@
         let error = match result {
             Ok(()) => {
                 *sent = None;
+                self.forget(target, process_id).await;
                 return Ok(());
             }
             Err(OrderError::Backend(error)) if !error.proves_not_started() => {
@@ -234,15 +234,21 @@
             Err(OrderError::NotPossible { reason }) => RankError::NotPossible { reason },
         };
         *sent = None;
-        if is_noted {
-            self.forget(process_id).await;
-        }
+        self.forget(target, process_id).await;
         Err(error)
     }
 
-    /// Takes the note of a load back that was not carried out. Left there, it would keep a later
-    /// agent from ordering anything until the engine's process is another or the next load is noted.
-    async fn forget(&self, process_id: u64) {
+    /// Whether orders of this kind are noted for a successor.
+    fn is_noted(&self, target: &OrderTarget) -> bool {
+        self.kind == EngineKind::IgnoresFence && is_load(target)
+    }
+
+    /// Takes the note of an order back that can't take effect any more. Left there, it would keep a later
+    /// agent from ordering anything, and notes of engines' processes that are gone would pile up.
+    async fn forget(&self, target: &OrderTarget, process_id: u64) {
+        if !self.is_noted(target) {
+            return;
+        }
         if let Err(error) = self.notes.remove(process_id).await {
             tracing::warn!(%error, process_id, "note of a load not taken back");
         }
--- a/crates/group/tests/gate.rs
+++ b/crates/group/tests/gate.rs
@@ -248,3 +248,21 @@
     let successor = open(&engine, kind, &kv).await;
     assert_eq!(version(successor.handle(&order(6, serve("2"))).await), Ok("2".to_owned()));
 }
+
+/// Engines restart a few thousand times a day, each with a load. If their notes stayed, every fresh
+/// agent would read ever more of them.
+#[tokio::test(start_paused = true)]
+async fn handle_notes_do_not_pile_up() {
+    let kind = EngineKind::IgnoresFence;
+    let (engine, kv) = (engine(kind), FakeKeyValue::new());
+    let gate = open(&engine, kind, &kv).await;
+    for fence in 1..5 {
+        gate.handle(&order(fence, serve("1"))).await.unwrap();
+        engine.restart();
+    }
+    engine.lose_order(LostOrder::AfterEffect);
+    assert!(gate.handle(&order(6, serve("2"))).await.is_err());
+    assert_eq!(kv.peek("groups/g1/loads/").entries.len(), 1, "it may still take effect");
+    gate.handle(&RankRequest { target: None, ..order(6, serve("2")) }).await.unwrap();
+    assert!(kv.peek("groups/g1/loads/").entries.is_empty(), "its effect was seen");
+}
