Ranks: a change in place of a dropped one has a higher version, and is planned once

Cause: found in reading the change. A dropped change's version is above all that ranks have reported, since they still copy; the next one was drawn from the reported ones, so that in half of the cases ranks refuse it and the change runs into its limit of 1.5 s. And the step that showed a change to be outdated was thrown away and planned again, some 50 ms at rank 0. Ruled out: a higher step of versions without memory (the draws of two changes still cross). Change: the coordinator remembers the version planned last; the better step is the one that is begun.

--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -4,10 +4,12 @@
 use crate::peers::{PeerUpdate, Peers, engines_of};
 use crate::switch::{
     Arming, Holding, Leftover, Preparing, Released, Releasing, Switch, is_armed, leftover,
+    next_version,
 };
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_fleet::engine::MapOrder;
 use flamingowheel_platform::{CONFIGURATION_KEY, EngineClient, operator};
+use flamingowheel_policy::experts::Step;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, RankState, RankTarget, RankUpdate};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -69,6 +71,8 @@
     pub peers: Peers,
     /// Updates of the other ranks.
     pub peer_updates: mpsc::Receiver<PeerUpdate>,
+    /// The version planned last.
+    pub last_version: u64,
     /// Holds that were asked for and nothing was armed for, by epoch and pass.
     pub asked_holds: HashSet<(u64, u64)>,
 }
@@ -228,20 +232,20 @@
     /// Gives up a change that ranks are still preparing, if it was made for a demand that has gone.
     /// Finished, it would keep a better one waiting for half a second. One that still helps is
     /// finished: in long passes windows differ much, and a change dropped at each would never end.
-    fn drop_outdated(&self, phase: Phase, group: &Group) -> Phase {
+    fn drop_outdated(&mut self, phase: Phase, group: &Group) -> Phase {
         let Phase::Preparing(switch, since) = phase else {
             return phase;
         };
-        if !group.is_outdated(&switch.map) {
+        let better = group.step_instead_of(&switch.map);
+        let Some((step, states)) = better.zip(group.fresh_states(Instant::now())) else {
             return Phase::Preparing(switch, since);
-        }
+        };
         tracing::info!(version = switch.version, "change given up: demand shifted");
-        self.targets.send_replace(RankTarget::Idle);
-        Phase::Watching
+        self.begin(group, &states, step)
     }
 
     /// Decides whether to change the map, and takes up what an earlier coordinator left.
-    fn watch(&self, group: &Option<Group>) -> Phase {
+    fn watch(&mut self, group: &Option<Group>) -> Phase {
         let Some(group) = group else {
             return Phase::Watching;
         };
@@ -257,11 +261,17 @@
             tracing::info!(group = group.name, epoch = group.epoch, ?left, "change taken up");
             return into_phase(left, now);
         }
-        let Some(step) = group.next_step(&states) else {
-            return Phase::Watching;
-        };
-        let newest = states.iter().map(|s| s.map_version.max(s.prepared_version.unwrap_or(0)));
-        let version = newest.max().unwrap_or(0) + rand::random_range(1..VERSION_SPREAD);
+        match group.next_step(&states) {
+            Some(step) => self.begin(group, &states, step),
+            None => Phase::Watching,
+        }
+    }
+
+    /// Has all ranks prepare the map of a step.
+    fn begin(&mut self, group: &Group, states: &[RankState], step: Step) -> Phase {
+        let spread = rand::random_range(1..VERSION_SPREAD);
+        let version = next_version(states, self.last_version, spread);
+        self.last_version = version;
         tracing::info!(
             group = group.name,
             epoch = group.epoch,
@@ -274,7 +284,7 @@
         let engines = group.ranks.values().map(|rank| rank.engine).collect();
         let switch = Switch::new(group.epoch, version, step.map, engines);
         self.targets.send_replace(switch.target());
-        Phase::Preparing(switch, now)
+        Phase::Preparing(switch, Instant::now())
     }
 
     /// A hold that this coordinator asked for, and that took effect only after it had given the
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -185,16 +185,14 @@
         experts::step(&map, demand, &paces, limits)
     }
 
-    /// Whether a map that is being prepared would be left clearly behind by one planned now.
-    pub fn is_outdated(&self, map: &Map) -> bool {
-        let Some(demand) = &self.demand else {
-            return false;
-        };
-        let Some(step) = self.next_step(&self.states()) else {
-            return false;
-        };
-        let paces: Vec<f64> = self.states().iter().map(|state| state.pace.max(1.0)).collect();
-        experts::skew(map, demand, &paces) > step.skew_after + OUTDATED_SKEW
+    /// The step to take instead of a map that is being prepared, if that would be left clearly behind.
+    pub fn step_instead_of(&self, map: &Map) -> Option<experts::Step> {
+        let states = self.states();
+        let demand = self.demand.as_ref()?;
+        let step = self.next_step(&states)?;
+        let paces: Vec<f64> = states.iter().map(|state| state.pace.max(1.0)).collect();
+        let is_outdated = experts::skew(map, demand, &paces) > step.skew_after + OUTDATED_SKEW;
+        is_outdated.then_some(step)
     }
 
     /// The map in use, put together from what the ranks hold.
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -85,6 +85,7 @@
             updates: peer_sender,
         },
         peer_updates,
+        last_version: 0,
         asked_holds: HashSet::new(),
     };
     tokio::spawn(coordinator.run());
--- a/crates/ranks/src/switch.rs
+++ b/crates/ranks/src/switch.rs
@@ -198,6 +198,19 @@
     rank.armed == Some((version, pass)) || rank.map_version == version
 }
 
+/// The version of the next map: above all that a rank is known to have had, and above `last`, the one
+/// planned last. Ranks may be preparing that one though it was given up, and refuse a lower one; the
+/// next change would then wait in vain until its time is over. `spread` is drawn at random, above 0.
+///
+/// ```
+/// use flamingowheel_ranks::switch::next_version;
+/// assert!(next_version(&[], 70, 1) > 70);
+/// ```
+pub fn next_version(ranks: &[RankState], last: u64, spread: u64) -> u64 {
+    let known = ranks.iter().map(|rank| rank.map_version.max(rank.prepared_version.unwrap_or(0)));
+    known.max().unwrap_or(0).max(last) + spread
+}
+
 /// A change that somebody began and did not finish.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Leftover {
--- a/crates/ranks/tests/switch.rs
+++ b/crates/ranks/tests/switch.rs
@@ -1,7 +1,7 @@
 //! The life cycle of a change of map, and what is found of changes that others left unfinished.
 
 use flamingowheel_protocol::ranks::{RankState, RankTarget};
-use flamingowheel_ranks::switch::{Leftover, Preparing, Switch, leftover};
+use flamingowheel_ranks::switch::{Leftover, Preparing, Switch, leftover, next_version};
 use std::net::SocketAddr;
 
 const EPOCH: u64 = 3;
@@ -133,3 +133,16 @@
 fn leftover_nothing() {
     assert_eq!(leftover(&ranks(2)), None);
 }
+
+/// A change is given up while ranks copy its experts, and no rank has reported it yet. With a lower
+/// version the next change would be refused by all of them, and passes would stay long for another
+/// second and a half.
+#[test]
+fn next_version_above_dropped() {
+    let mut ranks = ranks(2);
+    ranks.iter_mut().for_each(|rank| rank.map_version = VERSION);
+    let dropped = next_version(&ranks, 0, 900);
+    assert!(next_version(&ranks, dropped, 1) > dropped);
+    ranks[1].prepared_version = Some(dropped + 500);
+    assert!(next_version(&ranks, dropped, 1) > dropped + 500);
+}
