Control: take a newer configuration from a process that polls this one

Cause: fuzz with 400 cases: process 0 at revision 1 lacked 2 for 11,001 ms. A process that watches nothing accepts a change, watches are deaf and the service goes. Its parents hear the newer revision with each of its polls, note it for the status page, and wait for the service; only a random probe every 5 s could bring it. Ruled out: a change known to nobody alive (process 2 lives and has it); isolation (peers of the same old revision confirm each other, so nobody counts as isolated). Change: who is polled by a process with a newer revision fetches it from there. Test: the steps of the finding, unchanged; fails without the change with the very violation.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -44,6 +44,7 @@
     state: Mutex<State>,
     effective: watch::Sender<Arc<Effective>>,
     progress: watch::Sender<Progress>,
+    ahead: watch::Sender<Option<Ahead>>,
     recorder: Recorder,
     lender: OnceLock<Arc<dyn Lender>>,
     binder: OnceLock<Arc<dyn KeyBinder>>,
@@ -102,6 +103,15 @@
     pub version: u64,
 }
 
+/// A process that asked this one and has a newer configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ahead {
+    /// Its name.
+    pub name: String,
+    /// The revision that it has in force.
+    pub revision: ConfigRevision,
+}
+
 /// What is shown of one process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberView {
@@ -157,6 +167,7 @@
             state: Mutex::new(state),
             effective: watch::Sender::new(Arc::default()),
             progress: watch::Sender::default(),
+            ahead: watch::Sender::default(),
             recorder,
             lender: OnceLock::new(),
             binder: OnceLock::new(),
@@ -185,6 +196,11 @@
         self.shared.progress.subscribe()
     }
 
+    /// The process that asked last and has a newer configuration, now and later.
+    pub fn ahead(&self) -> watch::Receiver<Option<Ahead>> {
+        self.shared.ahead.subscribe()
+    }
+
     /// Where events are recorded.
     pub fn recorder(&self) -> &Recorder {
         &self.shared.recorder
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -1,6 +1,6 @@
 //! Answers to peers.
 
-use super::{Node, Progress};
+use super::{Ahead, Node, Progress};
 use flamingowheel_config::bucket::{Bucket, BucketId, WORKSPACE_BUCKETS, encode};
 use flamingowheel_config::effective::ConfigRevision;
 use flamingowheel_policy::key::EntryKey;
@@ -51,6 +51,7 @@
             state.reported.insert(from.name.clone(), ConfigRevision(revision));
             state.take(&from.name, news)
         });
+        self.note_ahead(&from.name, ConfigRevision(revision));
         let hold = Duration::from_millis(u64::from(hold_ms)).min(MAX_HOLD);
         let mut progress = self.progress();
         let news = |own: &Progress| own.revision.0 > revision || own.version > after;
@@ -75,6 +76,15 @@
         }))
     }
 
+    /// A poller can be ahead of those it polls: it took an operator's change itself, and the
+    /// key-value service that would tell the watchers is away. Parents that waited for the service
+    /// would lack the change for as long as the outage lasts, though they were told of it.
+    fn note_ahead(&self, name: &str, revision: ConfigRevision) {
+        if revision > self.revision() {
+            self.shared.ahead.send_replace(Some(Ahead { name: name.to_owned(), revision }));
+        }
+    }
+
     fn answer_changes(&self, after: ConfigRevision) -> PeerAnswer {
         match self.state().replica.changes_after(after) {
             Some(changes) => {
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -121,6 +121,7 @@
                 self.tick(),
                 self.poll_neighbours(),
                 self.probe_members(),
+                self.fetch_from_pollers(),
                 self.probe_while_isolated(),
                 self.read_vm_list(),
                 seeds::stay_listed(&self),
@@ -362,6 +363,19 @@
         }
     }
 
+    /// Fetches from processes that poll this one and turn out to be ahead of it.
+    async fn fetch_from_pollers(&self) {
+        let mut ahead = self.node.ahead();
+        while ahead.changed().await.is_ok() {
+            let Some(offer) = ahead.borrow_and_update().clone() else { continue };
+            let Some(peer) = self.node.address(&offer.name) else { continue };
+            if let Err(error) = self.fetcher().fetch(peer, offer.revision).await {
+                // It offers again with its next poll.
+                tracing::debug!(peer = offer.name, %error, "newer configuration not fetched");
+            }
+        }
+    }
+
     /// Compares tables by their digest first: whole tables between random pairs would cost more
     /// than everything else together.
     async fn probe(&self, peer: SocketAddr) -> Result<Followup, PeerError> {
--- a/crates/proof/tests/fuzz_configuration.rs
+++ b/crates/proof/tests/fuzz_configuration.rs
@@ -25,6 +25,13 @@
     println!("OlderPeerTaken: found after {steps} steps: {violation}");
 }
 
+fn assert_steps_hold(steps: &[ConfigStep]) {
+    let mut driver = ConfigDriver::start(&(), None);
+    for step in steps {
+        assert_eq!(driver.step(step), Ok(()), "{step:?}");
+    }
+}
+
 // Right after a change three of five processes are lost at once, the key-value service gets slow
 // and a watch has missed the event. A process that can reach one with the change still lacks it
 // after 11 s. Found with seed 4.
@@ -43,8 +50,24 @@
         ConfigStep::KeyValueSlow(true),
         ConfigStep::Pass(12_000),
     ];
-    let mut driver = ConfigDriver::start(&(), None);
-    for step in &steps {
-        assert_eq!(driver.step(step), Ok(()), "{step:?}");
-    }
+    assert_steps_hold(&steps);
+}
+
+// An operator's change is accepted by a process that watches nothing, while all watches are deaf,
+// and the key-value service goes right after. The processes that it polls hear its newer revision with
+// each poll, yet wait for the service: callers there meet the old configuration for the whole
+// outage. Found with seed 771823.
+#[test]
+fn change_watches_silent_service_lost() {
+    let steps = [
+        ConfigStep::Pass(14_200),
+        ConfigStep::Pass(7_302),
+        ConfigStep::WatchesSilent,
+        ConfigStep::Pass(47),
+        ConfigStep::Change(2),
+        ConfigStep::KeyValueDown(true),
+        ConfigStep::Kill(1),
+        ConfigStep::Pass(10_999),
+    ];
+    assert_steps_hold(&steps);
 }
