Planner: as many copies a step as pay for the wait of the others

All other deployments copy in 76 to 150 ms, for which the fixed number was chosen. Ruled out: detection (0.2 to 0.33 s) and hold and arming (0.1 s), which are the same elsewhere. Change: the engines' published size and link give the time of a copy; a step begins with one copy a rank and goes on to a further one only while what that saves over the time of another change outweighs what waits for it, the 15 in 100 by which copying slows passes included. A step must pay that back within a second.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -141,6 +141,8 @@
     pub max_new_experts: usize,
     /// Share of a token's work that experts do.
     pub expert_share: f64,
+    /// Time to copy one expert to a rank, in milliseconds.
+    pub copy_ms: f64,
 }
 
 /// A workspace, as far as requests concern it.
--- a/crates/policy/src/experts.rs
+++ b/crates/policy/src/experts.rs
@@ -44,11 +44,20 @@
     }
 }
 
+/// How long the parts of a change of the map take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChangeTimes {
+    /// Copying one expert to a rank, in milliseconds.
+    pub copy_ms: f64,
+    /// From the last copy until the next change can begin, in milliseconds.
+    pub switch_ms: f64,
+}
+
 /// What one step may copy.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StepLimits {
-    /// Experts that are new to a rank, over all sets.
-    pub copies_per_rank: usize,
+    /// How long copies take, and what a change takes besides.
+    pub times: ChangeTimes,
     /// Experts that are new to a rank in one set.
     pub copies_per_rank_and_set: usize,
     /// What a copy must save at least, as a share of an even rank's load in its set.
@@ -64,14 +73,16 @@
     /// only what halves a shifted set's load is worth that; close to the goal every gain is.
     ///
     /// ```
-    /// use flamingowheel_policy::experts::StepLimits;
-    /// let (calm, full) = (StepLimits::for_pressure(0.3, 4), StepLimits::for_pressure(0.9, 4));
+    /// use flamingowheel_policy::experts::{ChangeTimes, StepLimits};
+    /// let times = ChangeTimes { copy_ms: 150.0, switch_ms: 350.0 };
+    /// let (calm, full) =
+    ///     (StepLimits::for_pressure(0.3, 4, times), StepLimits::for_pressure(0.9, 4, times));
     /// assert!(calm.min_saving > full.min_saving);
     /// ```
-    pub fn for_pressure(pressure: f64, copies_per_rank_and_set: usize) -> Self {
+    pub fn for_pressure(pressure: f64, copies_per_rank_and_set: usize, times: ChangeTimes) -> Self {
         let ease = ((FULL_PRESSURE - pressure) / (FULL_PRESSURE - CALM_PRESSURE)).clamp(0.0, 1.0);
         Self {
-            copies_per_rank: COPIES_PER_RANK,
+            times,
             copies_per_rank_and_set,
             min_gain: FULL_MIN_GAIN + ease * (CALM_MIN_GAIN - FULL_MIN_GAIN),
             min_saving: FULL_MIN_SAVING + ease * (CALM_MIN_SAVING - FULL_MIN_SAVING),
@@ -79,9 +90,15 @@
     }
 }
 
-/// Most experts that one step copies to a rank. Each takes some 150 ms, in which demand moves on
-/// and passes are 15 % longer.
-const COPIES_PER_RANK: usize = 2;
+/// Most experts that one step copies to a rank, however quick copies are.
+const MAX_COPIES_PER_RANK: usize = 4;
+
+/// Part by which passes take longer while a rank copies.
+const COPY_SLOWDOWN: f64 = 0.15;
+
+/// Time in which a step must pay back what its copies slow, in milliseconds. Demand that shifts every
+/// few seconds gives it no more.
+const PAYBACK_MS: f64 = 1_000.0;
 
 /// Share of the pause goal that passes take when every gain counts, and when few do.
 const FULL_PRESSURE: f64 = 0.6;
@@ -121,40 +138,87 @@
 }
 
 /// The next small step to an even map, if one is worth its copies.
+///
+/// All ranks copy at the same time, so that a step takes as long as the rank that copies most. The
+/// group keeps its old map all that while, and streams are late by its skew. So a step lets each rank
+/// copy one expert, and a further one only if what that saves, for the time that another change
+/// would take to bring it, outweighs the wait of what was already gained.
 pub fn step(map: &Map, demand: &Demand, paces: &[f64], limits: StepLimits) -> Option<Step> {
-    let shape = demand.shape();
     let skew_before = skew(map, demand, paces);
-    let mut placements: Vec<Placement> = map
-        .iter()
-        .enumerate()
-        .map(|(set, ranks)| Placement::new(ranks, demand.of_set(set), paces))
-        .collect();
-    let mut copied = vec![0_usize; shape.ranks];
-    let mut best: Vec<Option<Change>> =
-        placements.iter().map(|placement| placement.best_change(&shape, &copied, limits)).collect();
-    loop {
-        let chosen = best
-            .iter()
-            .enumerate()
-            .filter_map(|(set, change)| change.map(|change| (set, change)))
-            .max_by(|a, b| a.1.gain_per_copy().total_cmp(&b.1.gain_per_copy()));
-        let Some((set, change)) = chosen else {
+    let mut draft = Draft::new(map, demand, paces);
+    let mut skew_after = skew_before;
+    let mut chosen = None;
+    for copies_per_rank in 1..=MAX_COPIES_PER_RANK {
+        draft.fill(copies_per_rank, limits);
+        let next = draft.skew();
+        let slowed = COPY_SLOWDOWN * skew_before;
+        let waited = (skew_before - skew_after + slowed) * limits.times.copy_ms;
+        let spared = (skew_after - next) * limits.times.switch_ms;
+        if copies_per_rank > 1 && spared <= waited {
             break;
-        };
-        let still_fits = change.copies().all(|rank| copied[rank] < limits.copies_per_rank);
-        if still_fits {
-            placements[set].apply(&change);
-            change.copies().for_each(|rank| copied[rank] += 1);
         }
-        best[set] = placements[set].best_change(&shape, &copied, limits);
+        skew_after = next;
+        chosen = Some(draft.clone());
     }
-    let map: Map = placements.into_iter().map(|placement| placement.ranks).collect();
-    let skew_after = skew(&map, demand, paces);
-    let copies = copied.into_iter().max().unwrap_or(0);
-    let is_worth_it = skew_before - skew_after >= limits.min_saving;
+    let draft = chosen?;
+    let copies = draft.copied.iter().copied().max().unwrap_or(0);
+    let map: Map = draft.placements.into_iter().map(|placement| placement.ranks).collect();
+    let slowed_ms = COPY_SLOWDOWN * skew_before * copies as f64 * limits.times.copy_ms;
+    let least_saving = limits.min_saving.max(slowed_ms / PAYBACK_MS);
+    let is_worth_it = skew_before - skew_after >= least_saving;
     is_worth_it.then_some(Step { map, copies, skew_before, skew_after })
 }
 
+/// A map on the way to a better one.
+#[derive(Clone, Debug)]
+struct Draft {
+    shape: Shape,
+    placements: Vec<Placement>,
+    /// Copies by rank, over all sets.
+    copied: Vec<usize>,
+}
+
+impl Draft {
+    fn new(map: &Map, demand: &Demand, paces: &[f64]) -> Self {
+        let placement = |(set, ranks): (usize, &Vec<Vec<u16>>)| {
+            Placement::new(ranks, demand.of_set(set), paces)
+        };
+        let placements = map.iter().enumerate().map(placement).collect();
+        let shape = demand.shape();
+        Self { shape, placements, copied: vec![0; shape.ranks] }
+    }
+
+    /// Makes the changes that save most for each copy, until no rank may copy more.
+    fn fill(&mut self, copies_per_rank: usize, limits: StepLimits) {
+        let mut best: Vec<Option<Change>> =
+            (0..self.placements.len()).map(|s| self.best(s, copies_per_rank, limits)).collect();
+        loop {
+            let chosen = best
+                .iter()
+                .enumerate()
+                .filter_map(|(set, change)| change.map(|change| (set, change)))
+                .max_by(|a, b| a.1.gain_per_copy().total_cmp(&b.1.gain_per_copy()));
+            let Some((set, change)) = chosen else {
+                return;
+            };
+            if change.copies().all(|rank| self.copied[rank] < copies_per_rank) {
+                self.placements[set].apply(&change);
+                change.copies().for_each(|rank| self.copied[rank] += 1);
+            }
+            best[set] = self.best(set, copies_per_rank, limits);
+        }
+    }
+
+    fn best(&self, set: usize, copies_per_rank: usize, limits: StepLimits) -> Option<Change> {
+        self.placements[set].best_change(&self.shape, &self.copied, copies_per_rank, limits)
+    }
+
+    fn skew(&self) -> f64 {
+        let most = |placement: &Placement| placement.loads.iter().copied().fold(0.0, f64::max);
+        self.placements.iter().map(most).sum::<f64>() / self.placements.len().max(1) as f64
+    }
+}
+
 /// One set's experts on the ranks, with their loads; 1 is an even rank's.
 #[derive(Clone, Debug)]
 struct Placement {
@@ -229,12 +293,17 @@
         self.ranks.iter().zip(&self.paces).map(|(held, pace)| load(held) * pace).collect()
     }
 
-    fn best_change(&self, shape: &Shape, copied: &[usize], limits: StepLimits) -> Option<Change> {
+    fn best_change(
+        &self,
+        shape: &Shape,
+        copied: &[usize],
+        copies_per_rank: usize,
+        limits: StepLimits,
+    ) -> Option<Change> {
         let from = most_loaded(&self.loads)?;
         let norm = norm(&self.loads);
         let may_copy = |rank: usize| {
-            copied[rank] < limits.copies_per_rank
-                && self.copies[rank] < limits.copies_per_rank_and_set
+            copied[rank] < copies_per_rank && self.copies[rank] < limits.copies_per_rank_and_set
         };
         let mut best: Option<Change> = None;
         let mut scratch = self.loads.clone();
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -1,8 +1,9 @@
 //! What a coordinator knows of its group, and when it is worth to change the map.
 
 use crate::pace::PassTimes;
+use crate::switch::PASSES_AHEAD;
 use flamingowheel_fleet::EngineParameters;
-use flamingowheel_policy::experts::{self, Demand, Map, Shape, StepLimits};
+use flamingowheel_policy::experts::{self, ChangeTimes, Demand, Map, Shape, StepLimits};
 use flamingowheel_protocol::ranks::{GroupRecord, RankRecord, RankState, RankUpdate};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -20,6 +21,10 @@
 /// Change of a rank's pace that entries are told of.
 const PACE_STEP: f64 = 0.25;
 
+/// Time of a change besides copies and passes, in milliseconds: the hold and its proof, the arming,
+/// and the lists of experts from which the next change is planned.
+const SWITCH_MS: f64 = 200.0;
+
 /// What is known of one rank.
 #[derive(Debug)]
 pub struct Rank {
@@ -180,7 +185,11 @@
         let map = self.map_in_use(states)?;
         let service = self.parameters.as_ref()?;
         let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
-        let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts);
+        let times = ChangeTimes {
+            copy_ms: service.engine.copy_ms,
+            switch_ms: SWITCH_MS + PASSES_AHEAD as f64 * self.pass_times.mean_ms(),
+        };
+        let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts, times);
         let paces: Vec<f64> = states.iter().map(|state| state.pace.max(1.0)).collect();
         experts::step(&map, demand, &paces, limits)
     }
--- a/crates/ranks/src/switch.rs
+++ b/crates/ranks/src/switch.rs
@@ -18,7 +18,7 @@
 /// to be armed, so that the hold seldom makes a pass wait. A hold that is proved and an arming take some
 /// 60 ms, a pass 40 ms or more. With 2, groups were held 1.3 s a day, with 3 0.1 s; in groups of 32 ranks,
 /// with passes of 90 ms, 0.8 s and 0.1 s.
-const PASSES_AHEAD: u64 = 3;
+pub const PASSES_AHEAD: u64 = 3;
 
 /// Stands for the version of a change that is not carried out; the first map has it.
 const ABANDONED: u64 = 0;
