Entries: bound the requests in a group by what its longest passes allowed

Cause: a batch under shifts of demand has two states. Once it is so full that passes after a shift exceed the pause goal, every stream is late, streams leave more slowly, and it stays full until the shifts end. A limit on the mean pass as it is now can't leave that state: it fills the group again as soon as passes are short. Change: each entry works out how many of its own requests the longest mean passes of the last four seconds would have allowed, from the published step and cost of a request; only passes near the goal tell, a group's first four seconds don't, and half of what fits at a skew of 3 is always admitted. Around the bound requests are admitted by chance, so that entries with unlike numbers don't leave room unused. Who was refused before goes first. Refusals log the numbers.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,6 +1,6 @@
 //! Chooses a backend server for a request.
 
-use crate::group::GroupLoad;
+use crate::group::{Admission, Fullness, GroupLoad};
 use crate::server::{Server, Standing};
 use crate::view::View;
 use std::cmp::Ordering;
@@ -39,13 +39,8 @@
 pub enum Choice {
     /// This one; with its group, if it is part of one.
     Send(Arc<Server>, Option<Arc<GroupLoad>>),
-    /// The passes of every group take longer than the request's limit.
-    Busy {
-        /// Mean pass of the least loaded group, in milliseconds.
-        pass_ms: f64,
-        /// The limit, in milliseconds.
-        limit_ms: f64,
-    },
+    /// Every group is full; how full the best one is.
+    Busy(Fullness),
     /// No server takes work.
     Nobody,
 }
@@ -53,13 +48,13 @@
 /// The server for a request.
 ///
 /// Servers in rank groups: the group with the cheapest passes, then its rank with
-/// the fewest requests; no group whose passes exceed `pass_limit_ms`. Others: the cheapest one; a
-/// paused one only if all are paused.
+/// the fewest requests; none that is full, if the request asks for admission. Others: the cheapest
+/// one; a paused one only if all are paused.
 pub fn choose(
     view: &View,
     service: &str,
     tried: &[Arc<Server>],
-    pass_limit_ms: Option<f64>,
+    admission: Option<&Admission>,
     now: Instant,
 ) -> Choice {
     let untried: Vec<&Arc<Server>> =
@@ -67,14 +62,16 @@
     if untried.is_empty() {
         return Choice::Nobody;
     }
-    let limit_ms = pass_limit_ms.unwrap_or(f64::INFINITY);
-    let ranked = untried.iter().map(|server| Ranked::new(view, server, now));
-    let order = |ranked: &Ranked<'_>| ranked.order(limit_ms);
-    let best = ranked.min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal));
-    match best {
-        None => Choice::Nobody,
-        Some(best) if best.pass_ms > limit_ms => Choice::Busy { pass_ms: best.pass_ms, limit_ms },
-        Some(best) => Choice::Send(Arc::clone(best.server), best.group),
+    let ranked = untried.iter().map(|server| Ranked::new(view, server, admission, now));
+    let by_order = |a: &Ranked<'_>, b: &Ranked<'_>| {
+        a.order().partial_cmp(&b.order()).unwrap_or(Ordering::Equal)
+    };
+    let Some(best) = ranked.min_by(by_order) else {
+        return Choice::Nobody;
+    };
+    match best.fullness {
+        Some(fullness) if fullness.is_full() => Choice::Busy(fullness),
+        _ => Choice::Send(Arc::clone(best.server), best.group),
     }
 }
 
@@ -83,14 +80,19 @@
     group: Option<Arc<GroupLoad>>,
     is_paused: bool,
     is_slow: bool,
-    /// Mean pass of the group; 0 if none is known.
-    pass_ms: f64,
+    /// Of the group, if the request asks for admission.
+    fullness: Option<Fullness>,
     group_cost: f64,
     cost: f64,
 }
 
 impl<'a> Ranked<'a> {
-    fn new(view: &View, server: &'a Arc<Server>, now: Instant) -> Self {
+    fn new(
+        view: &View,
+        server: &'a Arc<Server>,
+        admission: Option<&Admission>,
+        now: Instant,
+    ) -> Self {
         let standing = server.standing(now);
         // Entries that know the same would otherwise all choose the same server.
         let spread = rand::random_range(0.9..1.1);
@@ -101,7 +103,7 @@
                 group: Some(Arc::clone(&seat.group)),
                 is_paused,
                 is_slow: seat.pace >= SLOW_PACE,
-                pass_ms: seat.group.pass_ms(now).unwrap_or(0.0),
+                fullness: admission.map(|admission| seat.group.fullness(admission, now)),
                 group_cost: seat.group.cost(now),
                 cost: (f64::from(standing.in_flight) + 0.5 + FAILURE_COST * standing.failure_ratio)
                     * spread,
@@ -111,7 +113,7 @@
                 group: None,
                 is_paused,
                 is_slow: false,
-                pass_ms: 0.0,
+                fullness: None,
                 group_cost: 0.0,
                 cost: cost(&standing, server.listed.slots) * spread,
             },
@@ -119,8 +121,9 @@
     }
 
     /// Compared from left to right; the least is best.
-    fn order(&self, limit_ms: f64) -> (bool, bool, f64, bool, f64) {
-        (self.is_paused, self.pass_ms > limit_ms, self.group_cost, self.is_slow, self.cost)
+    fn order(&self) -> (bool, bool, f64, bool, f64) {
+        let is_full = self.fullness.is_some_and(|fullness| fullness.is_full());
+        (self.is_paused, is_full, self.group_cost, self.is_slow, self.cost)
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,8 +4,9 @@
 use crate::server::Server;
 use crate::view::{EntryRecord, View, Views};
 use flamingowheel_backing::kv::{KeyValue, KeyValueEntry, KeyValueError, Revision, WatchEvent};
-use flamingowheel_fleet::Configuration;
+use flamingowheel_fleet::{Configuration, EngineParameters};
 use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
+use flamingowheel_policy::batch::PassModel;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -248,6 +249,23 @@
         }
     }
 
+    /// Tells the groups' loads how passes grow with this entry's requests, as published.
+    fn set_models(&self) {
+        for (record, load) in self.groups.values() {
+            if let Some(engine) = self.engine_of(record) {
+                load.set_model(pass_model(engine, record.ranks.len(), self.entries.len().max(1)));
+            }
+        }
+    }
+
+    /// The parameters of a group's engines.
+    fn engine_of(&self, record: &GroupRecord) -> Option<&EngineParameters> {
+        let address = record.ranks.first()?.engine;
+        let server = self.servers.values().find(|server| server.listed.address == address)?;
+        let services = &self.configuration.as_ref()?.services;
+        services.get(&server.listed.service)?.engine.as_ref()
+    }
+
     fn seats(&self) -> HashMap<SocketAddr, Seat> {
         let ranks = self.groups.values().flat_map(|(record, load)| {
             record.ranks.iter().map(move |rank| (rank.engine, rank.pace, load))
@@ -274,6 +292,7 @@
         for server in self.servers.values().filter(|server| !server.listed.is_draining) {
             servers.entry(server.listed.service.clone()).or_default().push(Arc::clone(server));
         }
+        self.set_models();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
             servers,
@@ -282,3 +301,14 @@
         }));
     }
 }
+
+/// How a group's passes grow with the requests of one of `entries` entries, if all have as many.
+fn pass_model(engine: &EngineParameters, ranks: usize, entries: usize) -> PassModel {
+    let steps = f64::from(engine.steps_per_pass);
+    let requests_per_rank = entries as f64 / ranks.max(1) as f64;
+    PassModel {
+        fixed_ms: steps * engine.step_ms,
+        per_request_ms: steps * engine.per_sequence_ms * requests_per_rank,
+        expert_share: engine.expert_share,
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 use crate::connection::{Connection, SendError};
 use crate::exchange::{Course, Exchange};
 use crate::gate::Gates;
-use crate::group::GroupLoad;
+use crate::group::{Admission, Fullness, GroupLoad};
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, Relay, Source, whole};
@@ -200,15 +200,26 @@
         tried: &[Arc<Server>],
     ) -> Result<(Arc<Server>, Option<Arc<GroupLoad>>), Refusal> {
         let draw = rand::random();
-        let limit_ms = self.pass_limit_ms(exchange, draw);
+        let admission = admission(exchange, draw);
         loop {
             let now = Instant::now();
             if now >= exchange.deadline {
                 return Err(Refusal::TooLate);
             }
-            match balance::choose(&self.view(), &exchange.service, tried, limit_ms, now) {
-                Choice::Busy { pass_ms, limit_ms } => {
-                    let retry_after_ms = passes::retry_after_ms(pass_ms, limit_ms, draw);
+            let admission = admission.as_ref();
+            match balance::choose(&self.view(), &exchange.service, tried, admission, now) {
+                Choice::Busy(fullness) => {
+                    let Fullness { crowding, own, bound, pass_ms } = fullness;
+                    let retry_after_ms = passes::retry_after_ms(crowding, pass_ms, draw);
+                    tracing::info!(
+                        request = exchange.head.attempt_id,
+                        crowding,
+                        own,
+                        bound,
+                        pass_ms,
+                        retry_after_ms,
+                        "every group is full"
+                    );
                     return Err(Refusal::Busy { retry_after_ms });
                 }
                 Choice::Send(server, group) => {
@@ -226,12 +237,6 @@
         }
     }
 
-    /// Longest pass of a group that a request is sent to.
-    fn pass_limit_ms(&self, exchange: &Exchange, draw: f64) -> Option<f64> {
-        let goal_ms = exchange.route.pause_goal_ms;
-        (goal_ms > 0).then(|| passes::limit_ms(goal_ms as f64, exchange.has_returned(), draw))
-    }
-
     /// Takes a repeated send out of the budget.
     pub fn may_repeat(&self, exchange: &Exchange, now: Instant) -> bool {
         let entries = self.view().entry_count();
@@ -432,6 +437,16 @@
     });
 }
 
+/// What the request asks of a rank group; `None` for routes without a goal for pauses.
+fn admission(exchange: &Exchange, draw: f64) -> Option<Admission> {
+    let pause_goal_ms = exchange.route.pause_goal_ms as f64;
+    let has_returned = exchange.has_returned();
+    let pass_limit_ms = passes::limit_ms(pause_goal_ms, has_returned, draw);
+    // Who was told to come back goes before who comes for the first time.
+    let draw = if has_returned { 1.0 } else { draw };
+    (pause_goal_ms > 0.0).then_some(Admission { pass_limit_ms, pause_goal_ms, draw })
+}
+
 fn choose_service(route: &Route) -> Option<String> {
     let total: u32 = route.splits.iter().map(|split| split.weight).sum();
     if total == 0 {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -5,10 +5,11 @@
 use flamingowheel_gateway::budget::{Allowance, RetryBudget};
 use flamingowheel_gateway::events::EventSplitter;
 use flamingowheel_gateway::gate::Gates;
-use flamingowheel_gateway::group::{GroupLoad, Seat};
+use flamingowheel_gateway::group::{Admission, GroupLoad, Seat};
 use flamingowheel_gateway::refusal::Refusal;
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::View;
+use flamingowheel_policy::batch::PassModel;
 use flamingowheel_policy::passes::{limit_ms, retry_after_ms};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -111,7 +112,8 @@
 }
 
 fn choose_within(view: &View, pass_limit_ms: f64, now: Instant) -> Choice {
-    balance::choose(view, "s", &[], Some(pass_limit_ms), now)
+    let admission = Admission { pass_limit_ms, pause_goal_ms: GOAL_MS, draw: 0.5 };
+    balance::choose(view, "s", &[], Some(&admission), now)
 }
 
 /// Streams of one group have long pauses. A new request must go to the other one, or those in progress
@@ -137,14 +139,33 @@
     let now = Instant::now();
     let limit_ms = limit_ms(GOAL_MS, false, 0.5);
     groups.iter().for_each(|group| group.note_pause(limit_ms + 20.0, now));
-    let Choice::Busy { pass_ms, limit_ms } = choose_within(&view, limit_ms, now) else {
+    let Choice::Busy(fullness) = choose_within(&view, limit_ms, now) else {
         panic!("no group has room");
     };
-    let refusal = Refusal::Busy { retry_after_ms: retry_after_ms(pass_ms, limit_ms, 0.5) };
+    let retry_after_ms = retry_after_ms(fullness.crowding, fullness.pass_ms, 0.5);
+    let refusal = Refusal::Busy { retry_after_ms };
     assert_eq!(refusal.status(), http::StatusCode::SERVICE_UNAVAILABLE);
     assert!(refusal.retry_after_ms().is_some_and(|wait_ms| wait_ms >= 200));
 }
 
+/// Passes were long while this entry had ten requests in the group, and are short now. A further request
+/// must be refused all the same: with the next shift of demand passes are as long again.
+#[test]
+fn choose_group_full_by_number() {
+    let (_, [group, _]) = two_groups();
+    let model = PassModel { fixed_ms: 18.0, per_request_ms: 2.0, expert_share: 0.85 };
+    let requests: Vec<_> = (0..10).map(|_| group.begin()).collect();
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    group.set_model(model);
+    (0..60).for_each(|pass| group.note_pause(100.0, at(pass * 100)));
+    (60..80).for_each(|pass| group.note_pause(40.0, at(pass * 100)));
+    let admission = Admission { pass_limit_ms: GOAL_MS, pause_goal_ms: GOAL_MS, draw: 0.0 };
+    assert!(group.fullness(&admission, at(8_000)).is_full());
+    drop(requests);
+    assert!(!group.fullness(&admission, at(8_000)).is_full());
+}
+
 /// Passes that were seen a second ago say nothing of the next one: the group may be empty by now.
 #[test]
 fn choose_old_passes_forgotten() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! clock and in the benches.
 
 pub mod admission;
+pub mod batch;
 pub mod demand;
 pub mod experts;
 pub mod key;
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -94,17 +94,16 @@
     pause_goal_ms * share * (1.0 + SPREAD * (2.0 * draw - 1.0))
 }
 
-/// When a refused caller should come back, in milliseconds: once the batch has shrunk enough for
-/// passes to be within the limit, if nobody else were admitted meanwhile. `draw` spreads callers
-/// that were refused together.
+/// When a refused caller should come back, in milliseconds: once the batch has shrunk by
+/// `crowding`, the ratio by which it is too large, if nobody else were admitted meanwhile. `draw`
+/// spreads callers that were refused together.
 ///
 /// ```
 /// use flamingowheel_policy::passes::retry_after_ms;
-/// assert!(retry_after_ms(100.0, 90.0, 0.5) < retry_after_ms(160.0, 90.0, 0.5));
+/// assert!(retry_after_ms(1.1, 100.0, 0.5) < retry_after_ms(1.8, 100.0, 0.5));
 /// ```
-pub fn retry_after_ms(pass_ms: f64, limit_ms: f64, draw: f64) -> u64 {
-    let excess = (pass_ms / limit_ms.max(1.0)).max(1.0).ln();
-    let wait_ms = excess * PASSES_OF_REQUEST * pass_ms * (0.75 + draw / 2.0);
+pub fn retry_after_ms(crowding: f64, pass_ms: f64, draw: f64) -> u64 {
+    let wait_ms = crowding.max(1.0).ln() * PASSES_OF_REQUEST * pass_ms * (0.75 + draw / 2.0);
     let (least, most) = RETRY_AFTER_MS;
     wait_ms.clamp(least * (0.75 + draw / 2.0), most) as u64
 }
--- a/crates/policy/tests/passes.rs
+++ b/crates/policy/tests/passes.rs
@@ -115,6 +115,8 @@
 /// Callers refused together must not come back together.
 #[test]
 fn retry_after_spread() {
-    let (early, late) = (retry_after_ms(150.0, 110.0, 0.0), retry_after_ms(150.0, 110.0, 1.0));
+    let crowding = 150.0 / 110.0;
+    let (early, late) =
+        (retry_after_ms(crowding, 150.0, 0.0), retry_after_ms(crowding, 150.0, 1.0));
     assert!(late - early > 200, "{early} to {late} ms");
 }
