--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -166,6 +166,26 @@
     assert!(!group.fullness(&admission, at(8_000)).is_full());
 }
 
+/// The VM beside an engine stands still: connections to it open, and nothing comes back. Every entry keeps
+/// sending it the next request, since it has the fewest in flight. Those callers wait until they give up,
+/// and the engine gets their requests seconds after they have left.
+#[tokio::test(start_paused = true)]
+async fn choose_silent_server_passed_over() {
+    let (mut view, [group, _]) = two_groups();
+    view.seats.values_mut().for_each(|seat| seat.group = Arc::clone(&group));
+    let servers = view.servers_of("s").to_vec();
+    let _unanswered = servers[0].begin(Some(&group));
+    let _answering: Vec<_> = (0..3).map(|_| servers[1].begin(Some(&group))).collect();
+    for _ in 0..3 {
+        tokio::time::advance(Duration::from_millis(500)).await;
+        servers[1].note_answer(Duration::from_millis(180), false);
+    }
+    let Choice::Send(server, _) = choose_within(&view, GOAL_MS, Instant::now()) else {
+        panic!("one server answers");
+    };
+    assert_eq!(server.listed.id, servers[1].listed.id);
+}
+
 /// Passes that were seen a second ago say nothing of the next one: the group may be empty by now.
 #[test]
 fn choose_old_passes_forgotten() {
