--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -1,7 +1,7 @@
 //! What one process has to do for the others, by its table.
 
 use crate::membership::Table;
-use crate::topology::{Place, Topology};
+use flamingowheel_policy::topology::{Place, Topology};
 use flamingowheel_protocol::peer::{MemberRecord, MemberState};
 
 /// The duties of one process. They change only with its table.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! * [`membership`]: what one process believes of the others, as a pure table.
 //! * [`directory`]: every agent, as entries tell each other of it.
-//! * [`topology`]: who watches whom, computed from the table.
+//! * [`flamingowheel_policy::topology`]: who watches whom, computed from the table.
 //! * [`duties`]: what that means for this process.
 //! * [`pause`]: noticing that this process itself stood still.
 //! * [`node`]: the state of one process, and its answers to peers.
@@ -23,6 +23,5 @@
 mod seeds;
 mod service;
 pub mod spread;
-pub mod topology;
 pub mod transport;
 pub mod websocket;
--- a/crates/policy/src/experts.rs
+++ b/crates/policy/src/experts.rs
@@ -13,6 +13,9 @@
 /// Copies as which a change counts that copies nothing, when it is weighed against others.
 const FREE_COPIES: f64 = 0.25;
 
+/// Ranks that are looked at as receivers of load at the least.
+const LEAST_RECEIVERS: usize = 16;
+
 /// Experts by set and rank.
 pub type Map = Vec<Vec<Vec<u16>>>;
 
@@ -145,6 +148,10 @@
 /// would take to bring it, outweighs the wait of what was already gained.
 pub fn step(map: &Map, demand: &Demand, paces: &[f64], limits: StepLimits) -> Option<Step> {
     let skew_before = skew(map, demand, paces);
+    // Not even a perfect map would save enough.
+    if skew_before - 1.0 < limits.min_saving {
+        return None;
+    }
     let mut draft = Draft::new(map, demand, paces);
     let mut skew_after = skew_before;
     let mut chosen = None;
@@ -224,13 +231,40 @@
 struct Placement {
     ranks: Vec<Vec<u16>>,
     shares: Vec<f64>,
-    holders: Vec<u16>,
+    /// Ranks by the expert that they hold.
+    holders: Vec<Vec<usize>>,
     /// Loads as the ranks feel them: times their pace.
     loads: Vec<f64>,
+    /// Powers of the loads, whose sum is that of the norm.
+    powers: Vec<f64>,
     paces: Vec<f64>,
     copies: Vec<usize>,
 }
 
+/// What a change does to the loads of a few ranks.
+#[derive(Debug, Default)]
+struct Deltas {
+    by_rank: Vec<f64>,
+    touched: Vec<usize>,
+}
+
+impl Deltas {
+    fn new(ranks: usize) -> Self {
+        Self { by_rank: vec![0.0; ranks], touched: Vec::new() }
+    }
+
+    fn add(&mut self, rank: usize, load: f64) {
+        self.touched.push(rank);
+        self.by_rank[rank] += load;
+    }
+
+    fn clear(&mut self) {
+        for rank in self.touched.drain(..) {
+            self.by_rank[rank] = 0.0;
+        }
+    }
+}
+
 /// One change of a set's placement.
 #[derive(Clone, Copy, Debug)]
 struct Change {
@@ -275,22 +309,23 @@
     fn new(ranks: &[Vec<u16>], demand: &[f64], paces: &[f64]) -> Self {
         let count = ranks.len() as f64;
         let shares: Vec<f64> = demand.iter().map(|share| share * count).collect();
-        let mut holders = vec![0_u16; shares.len()];
-        for expert in ranks.iter().flatten() {
-            holders[usize::from(*expert)] += 1;
+        let mut holders = vec![Vec::new(); shares.len()];
+        for (rank, held) in ranks.iter().enumerate() {
+            held.iter().for_each(|expert| holders[usize::from(*expert)].push(rank));
         }
         let paces = (0..ranks.len()).map(|rank| paces.get(rank).copied().unwrap_or(1.0)).collect();
-        let (loads, copies) = (Vec::new(), vec![0; ranks.len()]);
-        let mut placement = Self { ranks: ranks.to_vec(), shares, holders, loads, paces, copies };
-        placement.loads = placement.sum_loads();
+        let (loads, powers, copies) = (Vec::new(), Vec::new(), vec![0; ranks.len()]);
+        let ranks = ranks.to_vec();
+        let mut placement = Self { ranks, shares, holders, loads, powers, paces, copies };
+        placement.sum_loads();
         placement
     }
 
-    fn sum_loads(&self) -> Vec<f64> {
-        let part =
-            |e: &u16| self.shares[usize::from(*e)] / f64::from(self.holders[usize::from(*e)]);
-        let load = |held: &Vec<u16>| held.iter().map(part).sum::<f64>();
-        self.ranks.iter().zip(&self.paces).map(|(held, pace)| load(held) * pace).collect()
+    fn sum_loads(&mut self) {
+        let load = |held: &Vec<u16>| held.iter().map(|expert| self.part(*expert, 0.0)).sum::<f64>();
+        let loads = self.ranks.iter().zip(&self.paces).map(|(held, pace)| load(held) * pace);
+        self.loads = loads.collect();
+        self.powers = self.loads.iter().map(|load| power(*load)).collect();
     }
 
     fn best_change(
@@ -301,18 +336,21 @@
         limits: StepLimits,
     ) -> Option<Change> {
         let from = most_loaded(&self.loads)?;
-        let norm = norm(&self.loads);
+        let power_sum: f64 = self.powers.iter().sum();
+        let norm = root(power_sum);
         let may_copy = |rank: usize| {
             copied[rank] < copies_per_rank && self.copies[rank] < limits.copies_per_rank_and_set
         };
+        let receivers = self.receivers(from, &may_copy);
         let mut best: Option<Change> = None;
-        let mut scratch = self.loads.clone();
+        let mut deltas = Deltas::new(self.ranks.len());
         for &expert in &self.ranks[from] {
-            for kind in self.kinds(shape, expert, from, &may_copy) {
+            let may_give_back = may_copy(from);
+            for kind in self.kinds(shape, expert, from, &receivers, may_give_back) {
                 let mut change = Change { expert, from, kind, gain: 0.0 };
-                scratch.copy_from_slice(&self.loads);
-                self.shift_loads(&change, &mut scratch);
-                change.gain = norm - self::norm(&scratch);
+                self.shift_loads(&change, &mut deltas);
+                change.gain = norm - root(self.power_sum_after(power_sum, &deltas));
+                deltas.clear();
                 let gain = change.gain_per_copy();
                 let is_better = best.is_none_or(|best| gain > best.gain_per_copy());
                 if gain > limits.min_gain && is_better {
@@ -323,16 +361,43 @@
         best
     }
 
-    /// The ways to take load of an expert from a rank.
-    fn kinds<F>(&self, shape: &Shape, expert: u16, from: usize, may_copy: &F) -> Vec<ChangeKind>
+    /// The sum of the loads' powers after a change, from the ranks that it touches.
+    fn power_sum_after(&self, before: f64, deltas: &Deltas) -> f64 {
+        let mut sum = before;
+        for (index, &rank) in deltas.touched.iter().enumerate() {
+            if !deltas.touched[..index].contains(&rank) {
+                sum += power(self.loads[rank] + deltas.by_rank[rank]) - self.powers[rank];
+            }
+        }
+        sum.max(0.0)
+    }
+
+    /// Ranks that may take load: the less loaded half, since others would soon have to give it on.
+    fn receivers<F>(&self, from: usize, may_copy: &F) -> Vec<usize>
     where
         F: Fn(usize) -> bool,
     {
+        let mut ranks: Vec<usize> =
+            (0..self.ranks.len()).filter(|rank| *rank != from && may_copy(*rank)).collect();
+        ranks.sort_unstable_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
+        ranks.truncate(self.ranks.len().div_ceil(2).max(LEAST_RECEIVERS));
+        ranks
+    }
+
+    /// The ways to take load of an expert from a rank.
+    fn kinds(
+        &self,
+        shape: &Shape,
+        expert: u16,
+        from: usize,
+        receivers: &[usize],
+        may_give_back: bool,
+    ) -> Vec<ChangeKind> {
         let mut kinds = Vec::new();
-        if self.holders[usize::from(expert)] > 1 {
+        if self.holders[usize::from(expert)].len() > 1 {
             kinds.push(ChangeKind::Drop);
         }
-        for to in (0..self.ranks.len()).filter(|to| *to != from && may_copy(*to)) {
+        for &to in receivers {
             if self.ranks[to].contains(&expert) {
                 continue;
             }
@@ -341,9 +406,9 @@
                 continue;
             }
             for &victim in &self.ranks[to] {
-                if self.holders[usize::from(victim)] > 1 {
+                if self.holders[usize::from(victim)].len() > 1 {
                     kinds.push(ChangeKind::Add { to, victim: Some(victim) });
-                } else if may_copy(from) && !self.ranks[from].contains(&victim) {
+                } else if may_give_back && !self.ranks[from].contains(&victim) {
                     kinds.push(ChangeKind::Exchange { to, victim });
                 }
             }
@@ -354,47 +419,39 @@
     /// The load that one holder of an expert has from it, with `more` holders than now.
     fn part(&self, expert: u16, more: f64) -> f64 {
         let expert = usize::from(expert);
-        self.shares[expert] / (f64::from(self.holders[expert]) + more)
+        self.shares[expert] / (self.holders[expert].len() as f64 + more)
     }
 
-    fn shift_loads(&self, change: &Change, loads: &mut [f64]) {
+    fn shift_loads(&self, change: &Change, deltas: &mut Deltas) {
         let (expert, from) = (change.expert, change.from);
         match change.kind {
-            ChangeKind::Drop => self.remove_replica(expert, from, loads),
+            ChangeKind::Drop => self.remove_replica(expert, from, deltas),
             ChangeKind::Exchange { to, victim } => {
                 let (given, back) = (self.part(expert, 0.0), self.part(victim, 0.0));
-                loads[from] += (back - given) * self.paces[from];
-                loads[to] += (given - back) * self.paces[to];
+                deltas.add(from, (back - given) * self.paces[from]);
+                deltas.add(to, (given - back) * self.paces[to]);
             }
             ChangeKind::Add { to, victim } => {
                 let after = self.part(expert, 1.0);
                 let change_each = after - self.part(expert, 0.0);
-                self.on_holders(expert, |rank| loads[rank] += change_each * self.paces[rank]);
-                loads[to] += after * self.paces[to];
+                for &rank in &self.holders[usize::from(expert)] {
+                    deltas.add(rank, change_each * self.paces[rank]);
+                }
+                deltas.add(to, after * self.paces[to]);
                 if let Some(victim) = victim {
-                    self.remove_replica(victim, to, loads);
+                    self.remove_replica(victim, to, deltas);
                 }
             }
         }
     }
 
-    fn remove_replica(&self, expert: u16, of: usize, loads: &mut [f64]) {
+    fn remove_replica(&self, expert: u16, of: usize, deltas: &mut Deltas) {
         let before = self.part(expert, 0.0);
         let change_each = self.part(expert, -1.0) - before;
-        loads[of] -= before * self.paces[of];
-        self.on_holders(expert, |rank| {
-            if rank != of {
-                loads[rank] += change_each * self.paces[rank];
-            }
-        });
-    }
-
-    fn on_holders<F>(&self, expert: u16, mut visit: F)
-    where
-        F: FnMut(usize),
-    {
-        let holding = self.ranks.iter().enumerate().filter(|(_, held)| held.contains(&expert));
-        holding.for_each(|(rank, _)| visit(rank));
+        for &rank in &self.holders[usize::from(expert)] {
+            let change = if rank == of { -before } else { change_each };
+            deltas.add(rank, change * self.paces[rank]);
+        }
     }
 
     fn apply(&mut self, change: &Change) {
@@ -417,25 +474,28 @@
         for rank in change.copies() {
             self.copies[rank] += 1;
         }
-        self.loads = self.sum_loads();
+        self.sum_loads();
     }
 
     fn hold(&mut self, expert: u16, rank: usize) {
         self.ranks[rank].push(expert);
-        self.holders[usize::from(expert)] += 1;
+        self.holders[usize::from(expert)].push(rank);
     }
 
     fn release(&mut self, expert: u16, rank: usize) {
         self.ranks[rank].retain(|held| *held != expert);
-        self.holders[usize::from(expert)] -= 1;
+        self.holders[usize::from(expert)].retain(|holder| *holder != rank);
     }
 }
 
-fn most_loaded(loads: &[f64]) -> Option<usize> {
-    (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))
+fn power(load: f64) -> f64 {
+    load.max(0.0).powi(NORM_EXPONENT)
 }
 
-fn norm(loads: &[f64]) -> f64 {
-    let sum: f64 = loads.iter().map(|load| load.max(0.0).powi(NORM_EXPONENT)).sum();
-    sum.powf(1.0 / f64::from(NORM_EXPONENT))
+fn root(power_sum: f64) -> f64 {
+    power_sum.powf(1.0 / f64::from(NORM_EXPONENT))
+}
+
+fn most_loaded(loads: &[f64]) -> Option<usize> {
+    (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod routing;
 pub mod subset;
 pub mod suspicion;
+pub mod topology;
--- a/crates/control/src/topology.rs
+++ b/crates/policy/src/topology.rs
@@ -14,6 +14,10 @@
 /// Children of one parent, for each of its two ranks as parent.
 pub const FANOUT: usize = 4;
 
+/// Entries that follow the key-value service for the whole fleet, where each call to it is paid for:
+/// one may be cut off and another stand still.
+pub const FOLLOWERS: usize = 3;
+
 /// One entry as the topology sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Place<'a> {
@@ -33,7 +37,7 @@
     /// Orders the entries.
     ///
     /// ```
-    /// use flamingowheel_control::topology::{Place, Topology};
+    /// use flamingowheel_policy::topology::{Place, Topology};
     /// let names: Vec<String> = (0..9).map(|number| format!("e{number}")).collect();
     /// let places = names.iter().map(|name| Place { data_centre: "macon-1", name });
     /// let topology = Topology::new(places);
@@ -98,6 +102,40 @@
         polling
     }
 
+    /// The entries that follow the key-value service for all others: the first of as many data
+    /// centres, and further ones of each where there are few data centres.
+    ///
+    /// ```
+    /// use flamingowheel_policy::topology::{Place, Topology};
+    /// let place = |data_centre, name| Place { data_centre, name };
+    /// let topology = Topology::new([place("a", "x"), place("a", "y"), place("b", "z")]);
+    /// assert_eq!(topology.followers().len(), 3);
+    /// ```
+    pub fn followers(&self) -> Vec<&'a str> {
+        let mut centres: Vec<(&str, &Vec<&str>)> =
+            self.orders.iter().map(|(centre, order)| (*centre, order)).collect();
+        centres.sort_by_key(|(centre, _)| (xxh3_64(centre.as_bytes()), *centre));
+        let longest = centres.iter().map(|(_, order)| order.len()).max().unwrap_or(0);
+        let by_rank = (0..longest)
+            .flat_map(|rank| centres.iter().filter_map(move |(_, order)| order.get(rank)));
+        by_rank.take(FOLLOWERS).copied().collect()
+    }
+
+    /// The entries from which one learns what the service says, the nearest first: the first of its data
+    /// centre, so that most bytes stay there, and all followers.
+    pub fn sources(&self, data_centre: &str, name: &str) -> Vec<&'a str> {
+        let followers = self.followers();
+        // Followers only watch over each other.
+        let head = self.order(data_centre).first().filter(|_| !followers.contains(&name));
+        let mut sources: Vec<&str> = Vec::new();
+        for source in head.into_iter().chain(&followers) {
+            if *source != name && !sources.contains(source) {
+                sources.push(source);
+            }
+        }
+        sources
+    }
+
     fn order(&self, data_centre: &str) -> &[&'a str] {
         self.orders.get(data_centre).map_or(&[], Vec::as_slice)
     }
@@ -148,6 +186,25 @@
         }
     }
 
+    /// All entries learn from three, which must not stand in one data centre.
+    #[test]
+    fn followers_in_several_data_centres() {
+        let names: Vec<String> = (0..149).map(|number| format!("entry-{number}")).collect();
+        let centres: Vec<String> = (0..5).map(|number| format!("dc-{number}")).collect();
+        let place = |at: usize| Place { data_centre: &centres[at % 5], name: &names[at] };
+        let topology = Topology::new((0..149).map(place));
+        let followers = topology.followers();
+        let data_centre = |name: &&str| names.iter().position(|n| n == name).unwrap() % 5;
+        let distinct: std::collections::HashSet<usize> =
+            followers.iter().map(data_centre).collect();
+        assert_eq!((followers.len(), distinct.len()), (FOLLOWERS, FOLLOWERS));
+        for at in 0..149 {
+            let Place { data_centre, name } = place(at);
+            let sources = topology.sources(data_centre, name);
+            assert!(sources.len() >= 2 && !sources.contains(&name));
+        }
+    }
+
     #[test]
     fn watchers_change_little() {
         let names: Vec<String> = (0..20).map(|number| format!("e{number}")).collect();
