--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -37,6 +37,8 @@
     pub memory_bytes: u64,
     /// Descriptors that the process may have open.
     pub max_descriptors: u64,
+    /// What the VM's link carries in either direction, in bytes a second.
+    pub link_bytes_per_s: u64,
 }
 
 /// Time limits and budgets that the deployment sets.
--- /dev/null
+++ b/crates/protocol/src/lists.rs
@@ -0,0 +1,48 @@
+//! Lists of experts and of addresses, packed.
+
+use crate::packed::Packed;
+use flamingowheel_policy::experts::Map;
+use serde::{Deserialize, Serialize};
+
+/// The experts that one rank holds in one set.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Held {
+    set: u16,
+    rank: u16,
+    experts: Vec<u16>,
+}
+
+/// Packs the lists by which `new` differs from `old`; `None` for maps of different shapes.
+///
+/// ```
+/// use flamingowheel_protocol::lists::{apply_changes, pack_changes};
+/// let old = vec![vec![vec![0, 2], vec![1]]];
+/// let new = vec![vec![vec![0, 2], vec![1, 2]]];
+/// let changes = pack_changes(&old, &new).unwrap();
+/// assert_eq!(apply_changes(&old, &changes), Some(new));
+/// ```
+pub fn pack_changes(old: &Map, new: &Map) -> Option<Packed> {
+    let is_alike = old.len() == new.len() && old.iter().zip(new).all(|(a, b)| a.len() == b.len());
+    if !is_alike {
+        return None;
+    }
+    let mut changes = Vec::new();
+    for (set, (old, new)) in old.iter().zip(new).enumerate() {
+        let changed = old.iter().zip(new).enumerate().filter(|(_, (old, new))| old != new);
+        for (rank, (_, experts)) in changed {
+            let (set, rank) = (u16::try_from(set).ok()?, u16::try_from(rank).ok()?);
+            changes.push(Held { set, rank, experts: experts.clone() });
+        }
+    }
+    Packed::pack(&changes)
+}
+
+/// The map that differs from `old` by packed changes; `None` if they can't be read or don't fit it.
+pub fn apply_changes(old: &Map, changes: &Packed) -> Option<Map> {
+    let changes: Vec<Held> = changes.unpack()?;
+    let mut map = old.clone();
+    for Held { set, rank, experts } in changes {
+        *map.get_mut(usize::from(set))?.get_mut(usize::from(rank))? = experts;
+    }
+    Some(map)
+}
--- a/crates/protocol/tests/targets.rs
+++ b/crates/protocol/tests/targets.rs
@@ -2,15 +2,19 @@
 
 use flamingowheel_protocol::ranks::{Choices, Map, RankTarget};
 use flamingowheel_protocol::targets::{TargetDecoder, TargetEncoder, TargetMessage};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 const SETS: usize = 12;
 const RANKS: usize = 32;
 
+/// Lists without a pattern: regular ones would pack to nothing.
 fn map() -> Map {
-    let experts = |rank: usize| (0..5).map(|place| (rank * 4 + place) as u16 % 128).collect();
-    vec![(0..RANKS).map(experts).collect(); SETS]
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut experts = || (0..5).map(|_| rng.random_range(0..128)).collect();
+    (0..SETS).map(|_| (0..RANKS).map(|_| experts()).collect()).collect()
 }
 
 fn engines() -> Arc<Vec<SocketAddr>> {
@@ -40,7 +44,7 @@
     ];
     let (mut encoder, mut decoder) = (TargetEncoder::default(), TargetDecoder::default());
     for target in targets {
-        assert_eq!(decoder.decode(encoder.encode(&target)), Some(target));
+        assert_eq!(decoder.decode(encoder.encode(&target).unwrap()), Some(target));
     }
 }
 
@@ -50,7 +54,7 @@
 fn decode_change_without_map() {
     let mut encoder = TargetEncoder::default();
     encoder.encode(&prepared(5, map()));
-    let message = encoder.encode(&prepared(6, map()));
+    let message = encoder.encode(&prepared(6, map())).unwrap();
     assert_eq!(TargetDecoder::default().decode(message), None);
 }
 
@@ -59,24 +63,24 @@
 #[test]
 fn encode_step_small() {
     let mut encoder = TargetEncoder::default();
-    let whole = size_bytes(&encoder.encode(&prepared(5, map())));
+    let whole = size_bytes(&encoder.encode(&prepared(5, map())).unwrap());
     let mut next = map();
     (0..RANKS).for_each(|rank| next[rank % SETS][rank][0] = 127);
-    let step = size_bytes(&encoder.encode(&prepared(6, next)));
+    let step = size_bytes(&encoder.encode(&prepared(6, next)).unwrap());
     assert!(step * 3 < whole, "{step} of {whole} bytes");
 }
 
 #[test]
 fn unpack_small_counts_exact() {
     let counts = [0, 1, 17, 255];
-    assert_eq!(Choices::pack(&counts).unpack(), counts);
+    assert_eq!(Choices::pack(&counts).unpack(), Some(counts.to_vec()));
 }
 
 /// Counts of a busy window exceed a byte. What the planner needs are their shares.
 #[test]
 fn unpack_large_counts_close() {
     let counts = [0, 400, 10_000, 90_000];
-    for (count, unpacked) in counts.into_iter().zip(Choices::pack(&counts).unpack()) {
+    for (count, unpacked) in counts.into_iter().zip(Choices::pack(&counts).unpack().unwrap()) {
         assert!(count.abs_diff(unpacked) <= 90_000 / 255, "{count} became {unpacked}");
     }
 }
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -1,18 +1,23 @@
 //! Keeps the expert map of one group even; runs beside rank 0.
 
-use crate::group::{Group, ServiceParameters, is_alike};
-use crate::peers::{PeerUpdate, Peers, engines_of};
+use crate::collect::Assignment;
+use crate::far::FarRanks;
+use crate::group::Group;
+use crate::lookup::{Announcer, Found, Lookup};
+use crate::peers::{PeerUpdate, Peers};
 use crate::switch::{
     Arming, Holding, Leftover, Preparing, Released, Releasing, Switch, is_armed, leftover,
     next_version,
 };
-use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_fleet::engine::MapOrder;
-use flamingowheel_platform::{CONFIGURATION_KEY, EngineClient, operator};
+use flamingowheel_platform::EngineClient;
 use flamingowheel_policy::experts::Step;
-use flamingowheel_protocol::ranks::{GROUPS_PREFIX, RankState, RankTarget, RankUpdate};
+use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
+use futures_util::future::join_all;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{broadcast, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -23,6 +28,9 @@
 /// Time between readings of demand; the windows in which it is learnt.
 const WINDOW: Duration = Duration::from_millis(100);
 
+/// Time between two words on how the group stands, to entries.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time for copies before a change is given up: 2 copies of 0.15 s, and an order that is carried
 /// out only when it is given again.
 const PREPARE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -43,10 +51,6 @@
 /// Pause between readings of the list of backend servers while ranks are missing.
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time between two announcements of a group at the least: each is a write, and a read for every
-/// entry.
-const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
-
 /// Range of the random part of a version. Two coordinators of one group, one after the other,
 /// would otherwise give one version to two maps: a rank that holds the older one would pass for
 /// prepared.
@@ -55,20 +59,28 @@
 /// What the coordinator works with.
 #[derive(Debug)]
 pub struct Coordinator<K> {
-    /// The key-value store.
-    pub store: K,
+    /// Finds the engines of the group.
+    pub lookup: Lookup<K>,
+    /// Tells entries of the group.
+    pub announcer: Announcer<K>,
     /// The rank's own engine.
     pub own: EngineClient,
     /// The rank's own engine's address.
     pub own_engine: SocketAddr,
-    /// The service of the engines.
-    pub service: String,
     /// What all ranks are to be brought to.
     pub targets: watch::Sender<RankTarget>,
     /// Updates of the rank's own engine.
     pub own_updates: broadcast::Receiver<RankUpdate>,
+    /// Where the group's status goes.
+    pub status: broadcast::Sender<RankUpdate>,
     /// Connections to the other ranks' agents; the group is filled in.
     pub peers: Peers,
+    /// Who tells choices to whom.
+    pub assignment: watch::Sender<Arc<Assignment>>,
+    /// What the VM's link carries, in bytes a second.
+    pub link_bytes_per_s: u64,
+    /// Ranks that are seen to from here.
+    pub far: FarRanks,
     /// Updates of the other ranks.
     pub peer_updates: mpsc::Receiver<PeerUpdate>,
     /// The version planned last.
@@ -99,7 +111,7 @@
 
 impl<K> Coordinator<K>
 where
-    K: KeyValue,
+    K: KeyValue + Clone + Send + Sync + 'static,
 {
     /// Coordinates until dropped.
     pub async fn run(mut self) {
@@ -109,62 +121,93 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut windows = interval(WINDOW);
         windows.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut statuses = interval(STATUS_INTERVAL);
+        statuses.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let is_active = !matches!(phase, Phase::Watching);
-            tokio::select! {
+            let is_due = tokio::select! {
                 update = self.own_updates.recv() => match update {
                     Ok(update) => self.take_own(&mut group, update),
                     Err(broadcast::error::RecvError::Lagged(missed)) => {
                         tracing::debug!(missed, "updates of the own engine missed");
+                        false
                     }
                     Err(broadcast::error::RecvError::Closed) => return,
                 },
-                Some(update) = self.peer_updates.recv() => {
+                Some(told) = self.peer_updates.recv() => {
+                    let is_news = matches!(told.update, RankUpdate::State(_));
                     if let Some(group) = &mut group {
-                        group.take(update.update, update.engine);
+                        group.take(told);
                     }
+                    is_news
                 }
-                _ = ticks.tick(), if is_active => {}
-                _ = windows.tick() => {
+                Some(found) = self.lookup.next() => {
                     if let Some(group) = &mut group {
-                        let has_shifted = group.close_window();
-                        if has_shifted {
-                            phase = self.drop_outdated(phase, group);
-                        }
-                        self.find_ranks(group).await;
-                        self.announce(group).await;
+                        self.take_found(group, found);
                     }
-                    if matches!(phase, Phase::Watching) {
-                        phase = self.watch(&group);
+                    false
+                }
+                _ = ticks.tick(), if is_active => true,
+                _ = statuses.tick() => {
+                    if let Some(group) = &group {
+                        // Nobody listens while no entry is connected.
+                        let _ = self.status.send(RankUpdate::Group(group.status()));
                     }
+                    false
                 }
-            }
-            if let Some(known) = &group {
-                phase = self.advance(phase, known).await;
-                if is_active && matches!(phase, Phase::Watching) {
-                    phase = self.watch(&group);
+                _ = windows.tick() => {
+                    if let Some(group) = &mut group {
+                        phase = self.end_window(phase, group);
+                    }
+                    true
                 }
+            };
+            let Some(known) = group.as_mut().filter(|_| is_active && is_due) else {
+                continue;
+            };
+            phase = self.advance(phase, known).await;
+            if matches!(phase, Phase::Watching) {
+                phase = self.watch(known);
             }
         }
     }
 
-    fn take_own(&self, group: &mut Option<Group>, update: RankUpdate) {
-        if update.state.rank != 0 {
-            *group = None;
-            return;
-        }
-        let is_same = group.as_ref().is_some_and(|group| group.name == update.state.group);
-        if !is_same {
-            tracing::info!(group = update.state.group, "coordinating");
-            *group = Some(Group::new(&update.state));
+    /// Takes in what the own engine's poller tells. Returns whether more than progress has changed.
+    fn take_own(&self, group: &mut Option<Group>, update: RankUpdate) -> bool {
+        let is_news = matches!(update, RankUpdate::State(_));
+        if let RankUpdate::State(state) = &update {
+            if state.rank != 0 {
+                *group = None;
+                return true;
+            }
+            let is_same = group.as_ref().is_some_and(|group| group.name == state.group);
+            if !is_same {
+                tracing::info!(group = state.group, "coordinating");
+                *group = Some(Group::new(state));
+            }
         }
         if let Some(group) = group {
-            group.take(update, self.own_engine);
+            group.take(PeerUpdate { engine: self.own_engine, data_centre: None, update });
+        }
+        is_news
+    }
+
+    /// Learns from the window that ends, and sees to what has to be done from time to time.
+    fn end_window(&mut self, phase: Phase, group: &mut Group) -> Phase {
+        let has_shifted = group.close_window();
+        self.find_ranks(group);
+        self.announce(group);
+        self.assign(group);
+        self.far.poll(&group.unattended(self.own_engine));
+        match phase {
+            Phase::Watching => self.watch(group),
+            phase if has_shifted => self.drop_outdated(phase, group),
+            phase => phase,
         }
     }
 
-    /// Learns the engines' parameters and connects to agents while ranks are missing.
-    async fn find_ranks(&self, group: &mut Group) {
+    /// Has the engines' parameters and addresses read while ranks are missing.
+    fn find_ranks(&mut self, group: &mut Group) {
         let now = Instant::now();
         let is_complete = group.parameters.is_some() && group.fresh_states(now).is_some();
         let is_early = group.listed_at.is_some_and(|at| now - at < LIST_PAUSE);
@@ -172,61 +215,42 @@
             return;
         }
         group.listed_at = Some(now);
-        if group.parameters.is_none() {
-            group.parameters = self.read_parameters().await;
-        }
-        match engines_of(&self.store, &self.service).await {
-            Ok(engines) => {
-                let peers = Peers { group: group.name.clone(), ..self.peers.clone() };
-                let stop = group.stop.clone();
-                peers.connect_to(&engines, self.own_engine.ip(), &mut group.connected, &stop);
-            }
-            Err(error) => tracing::debug!(%error, "backend servers not listed"),
+        self.lookup.start(group.parameters.is_none());
+    }
+
+    fn take_found(&self, group: &mut Group, found: Found) {
+        if let Some(parameters) = found.parameters {
+            group.parameters = Some(parameters);
         }
+        let peers = Peers { group: group.name.clone(), ..self.peers.clone() };
+        let stop = group.stop.clone();
+        peers.connect_to(&found.engines, self.own_engine.ip(), &mut group.connected, &stop);
+        group.listed = found.engines;
     }
 
     /// Tells entries which engines form the group, and which of them are slow.
-    async fn announce(&self, group: &mut Group) {
-        let now = Instant::now();
-        let is_early = group.announced.as_ref().is_some_and(|(_, at)| now - *at < ANNOUNCE_PAUSE);
-        if is_early || group.ranks.len() != group.size {
-            return;
-        }
-        let record = group.record();
-        if group.announced.as_ref().is_some_and(|(last, _)| is_alike(last, &record)) {
-            return;
+    fn announce(&mut self, group: &mut Group) {
+        if group.ranks.len() == group.size {
+            self.announcer.announce(&group.name, group.record());
         }
-        let value = match serde_json::to_vec(&record) {
-            Ok(value) => value.into(),
-            Err(error) => {
-                tracing::error!(%error, "group's record can't be written");
-                return;
-            }
-        };
-        let key = format!("{GROUPS_PREFIX}{}", group.name);
-        let put = Operation::Put { key, value, lease: None };
-        let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
-        if let Err(error) = self.store.transact(transaction).await {
-            tracing::debug!(%error, "group not announced");
-        }
-        group.announced = Some((record, now));
     }
 
-    async fn read_parameters(&self) -> Option<ServiceParameters> {
-        let snapshot = match self.store.range(CONFIGURATION_KEY).await {
-            Ok(snapshot) => snapshot,
-            Err(error) => {
-                tracing::debug!(%error, "configuration not read");
-                return None;
+    /// Tells agents whose choices to sum up, when others are heard than before.
+    fn assign(&self, group: &Group) {
+        let assignment = group.assignment(self.own_engine, self.peers.port, self.link_bytes_per_s);
+        self.assignment.send_if_modified(|told| {
+            let is_other = **told != assignment;
+            if is_other {
+                tracing::info!(
+                    group = group.name,
+                    sources = assignment.sources(),
+                    most_members = assignment.most_members(),
+                    "choices assigned"
+                );
+                *told = Arc::new(assignment);
             }
-        };
-        let entry = snapshot.entries.iter().find(|entry| entry.key == CONFIGURATION_KEY)?;
-        let configuration = operator::decode(&entry.value)
-            .inspect_err(|error| tracing::warn!(%error, "configuration can't be read"))
-            .ok()?;
-        let engine = configuration.services.get(&self.service)?.engine.clone()?;
-        let pause_goal_ms = configuration.pause_goal_ms(&self.service).unwrap_or(0) as f64;
-        Some(ServiceParameters { engine, pause_goal_ms })
+            is_other
+        });
     }
 
     /// Gives up a change that ranks are still preparing, if it was made for a demand that has gone.
@@ -245,10 +269,7 @@
     }
 
     /// Decides whether to change the map, and takes up what an earlier coordinator left.
-    fn watch(&mut self, group: &Option<Group>) -> Phase {
-        let Some(group) = group else {
-            return Phase::Watching;
-        };
+    fn watch(&mut self, group: &Group) -> Phase {
         let now = Instant::now();
         if let Some(stray) = self.stray_hold(group) {
             tracing::info!(group = group.name, pass = stray, "late hold lifted");
@@ -295,7 +316,7 @@
         is_unarmed.then_some(pass)
     }
 
-    async fn advance(&mut self, phase: Phase, group: &Group) -> Phase {
+    async fn advance(&mut self, phase: Phase, group: &mut Group) -> Phase {
         let states = group.states();
         if phase.epoch().is_some_and(|epoch| epoch != group.epoch) {
             tracing::info!(
@@ -309,7 +330,7 @@
         match phase {
             Phase::Watching => Phase::Watching,
             Phase::Preparing(switch, since) => match switch.advance(&states) {
-                Ok(holding) if states.len() == group.size => self.ask_for_hold(holding, group.size),
+                Ok(holding) if states.len() == group.size => self.ask_for_hold(holding, group),
                 Ok(_) => Phase::Watching,
                 Err(switch) if since.elapsed() > PREPARE_LIMIT => {
                     tracing::warn!(
@@ -335,6 +356,7 @@
                 let has_begun = states.iter().all(|s| s.pass >= switch.pass());
                 if switch.is_done(&states) || (has_begun && switch.map.is_empty()) {
                     tracing::info!(group = group.name, version = switch.version, "map in use");
+                    group.note_switched(switch.version, &switch.map);
                     self.targets.send_replace(RankTarget::Idle);
                     return Phase::Watching;
                 }
@@ -344,8 +366,8 @@
     }
 
     /// Asks another rank's agent for the hold.
-    fn ask_for_hold(&mut self, switch: Switch<Holding>, size: usize) -> Phase {
-        let by = usize::from(size > 1);
+    fn ask_for_hold(&mut self, switch: Switch<Holding>, group: &Group) -> Phase {
+        let by = group.hold_giver();
         if let Some(target) = switch.target(by) {
             self.targets.send_replace(target);
         }
@@ -385,7 +407,7 @@
             return Phase::Holding(switch, holder);
         }
         if report.pass >= pass {
-            return self.ask_for_hold(switch.too_late(&states, report.pass), group.size);
+            return self.ask_for_hold(switch.too_late(&states, report.pass), group);
         }
         if now - holder.asked_at > ASK_LIMIT {
             tracing::warn!(pass, by = holder.by, "change given up: no hold");
@@ -414,7 +436,7 @@
             return;
         };
         let missing = group.ranks.values().filter(|r| !is_armed(&r.state, version, pass));
-        for engine in missing.map(|rank| rank.engine) {
+        let arm = |engine: SocketAddr| async move {
             match EngineClient::new(engine, DIRECT_AFTER.as_millis() as u64) {
                 Ok(client) => {
                     let answer = client.order(epoch, &MapOrder::Arm { version, pass }).await;
@@ -422,7 +444,8 @@
                 }
                 Err(error) => tracing::warn!(%engine, %error, "engine's address can't be used"),
             }
-        }
+        };
+        join_all(missing.map(|rank| arm(rank.engine))).await;
     }
 }
 
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -1,46 +1,76 @@
-//! One rank's engine, seen from its own VM: polled for its state, and brought to a target.
+//! One rank's engine: polled for its state, and brought to a target.
 
 use crate::rescue;
 use flamingowheel_fleet::engine::{EngineReport, GroupState, MapOrder, OrderAnswer};
 use flamingowheel_platform::EngineClient;
-use flamingowheel_platform::engine::HeldExperts;
-use flamingowheel_protocol::ranks::{Choices, RankState, RankTarget, RankUpdate};
+use flamingowheel_protocol::packed::Packed;
+use flamingowheel_protocol::ranks::{Choices, Progress, RankState, RankTarget, RankUpdate};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{broadcast, watch};
 use tokio::time::{Instant, sleep};
 
-/// Time between reads of the report while nothing is to be done: about one pass.
-const IDLE_POLL: Duration = Duration::from_millis(50);
-
-/// Time between reads while a target is not reached, a fraction of a pass.
-const BUSY_POLL: Duration = Duration::from_millis(12);
+/// Time between two words on a rank's progress; silence tells that its agent is gone.
+pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time between updates with counts: one or two passes, so that a shift of demand is seen soon.
-const COUNTS_INTERVAL: Duration = Duration::from_millis(100);
+pub const COUNTS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time after which an order that was taken but shows no effect is given again. Engines can
 /// answer an order and carry it out seconds later.
 const REPEAT_AFTER: Duration = Duration::from_millis(60);
 
-/// Longest wait for the engine of rank 0 to answer a hold, in milliseconds: a few ways between
+/// Longest wait for another rank's engine to answer a hold, in milliseconds: a few ways between
 /// data centres of one region.
 const HOLD_LIMIT_MS: u64 = 30;
 
 /// Updates that a slow reader may lag behind.
 pub const UPDATE_CAPACITY: usize = 64;
 
+/// How often an engine is asked, and for what.
+#[derive(Clone, Copy, Debug)]
+pub struct Polling {
+    /// Time between reads of the report while nothing is to be done.
+    idle: Duration,
+    /// Time between reads while a target is not reached, a fraction of a pass.
+    busy: Duration,
+    /// Whether this is the engine's own VM, where counts and lists of experts are read as well.
+    is_near: bool,
+}
+
+impl Polling {
+    /// From the engine's own VM, where calls cost nothing.
+    pub const NEAR: Self =
+        Self { idle: Duration::from_millis(50), busy: Duration::from_millis(12), is_near: true };
+
+    /// From another VM, in place of an agent that is not there.
+    pub const FAR: Self =
+        Self { idle: Duration::from_millis(400), busy: Duration::from_millis(60), is_near: false };
+}
+
+/// What is known of the rank, for whoever connects.
+#[derive(Clone, Debug, Default)]
+pub struct Latest {
+    /// How it stands; `None` until its engine answered.
+    pub state: Option<RankState>,
+    /// Version of the map whose experts it holds, and these.
+    pub experts: Option<(u64, Packed)>,
+}
+
 /// The engine's poller.
 #[derive(Debug)]
 pub struct Engine {
     client: EngineClient,
+    polling: Polling,
     targets: watch::Receiver<RankTarget>,
     updates: broadcast::Sender<RankUpdate>,
+    latest: watch::Sender<Latest>,
     last_counts: Option<Counted>,
     counted_at: Option<Instant>,
-    /// The experts held, and the epoch and map that they belong to.
-    experts: Option<(u64, HeldExperts)>,
+    told_at: Option<Instant>,
+    /// The epoch and map whose lists of experts were told.
+    listed: Option<(u64, u64)>,
     /// The target that an order was given for, and when.
     ordered: Option<(RankTarget, Instant)>,
     /// The pass after which the group stands still, and since when.
@@ -52,6 +82,7 @@
 struct Counted {
     epoch: u64,
     started_ms: u64,
+    pass: u64,
     counts: Vec<u64>,
 }
 
@@ -59,29 +90,38 @@
     /// A poller of the engine behind `client`.
     pub fn new(
         client: EngineClient,
+        polling: Polling,
         targets: watch::Receiver<RankTarget>,
         updates: broadcast::Sender<RankUpdate>,
     ) -> Self {
         Self {
             client,
+            polling,
             targets,
             updates,
+            latest: watch::Sender::new(Latest::default()),
             last_counts: None,
             counted_at: None,
-            experts: None,
+            told_at: None,
+            listed: None,
             ordered: None,
             stalled: None,
             gave_hold: None,
         }
     }
 
+    /// What is known of the rank, for whoever connects later.
+    pub fn latest(&self) -> watch::Receiver<Latest> {
+        self.latest.subscribe()
+    }
+
     /// Polls until dropped.
     pub async fn run(mut self) {
         let mut last_state = RankState::default();
         let mut is_reached = true;
         loop {
             let changed = self.targets.changed();
-            let pause = if is_reached { IDLE_POLL } else { BUSY_POLL };
+            let pause = if is_reached { self.polling.idle } else { self.polling.busy };
             tokio::select! {
                 () = sleep(pause) => {}
                 changed = changed => if changed.is_err() { return },
@@ -90,29 +130,77 @@
                 Ok(report) => report,
                 Err(error) => {
                     tracing::debug!(%error, "no report from the engine");
-                    sleep(IDLE_POLL).await;
+                    sleep(self.polling.idle).await;
                     continue;
                 }
             };
             let Some(mut state) = rank_state(&report) else {
                 continue;
             };
-            self.look_for_stall(&state);
+            if self.polling.is_near {
+                self.look_for_stall(&state);
+            }
             is_reached = self.approach(&state).await;
             state.gave_hold = self.gave_hold;
-            let counted_at = Instant::now();
-            let choices = self.choices(&report, counted_at).await;
-            let is_news = is_news(&last_state, &state);
-            let is_due = self.counted_at == Some(counted_at);
-            if is_news || is_due || self.gives_hold(state.rank) {
-                let experts = if choices.is_empty() { Vec::new() } else { self.held(&state).await };
-                // Nobody listens while no coordinator is connected.
-                let _ = self.updates.send(RankUpdate { state: state.clone(), choices, experts });
-                last_state = state;
+            self.tell_state(&last_state, &state);
+            last_state = state;
+            if self.polling.is_near {
+                self.tell_experts(&last_state).await;
+                self.tell_choices(&report).await;
             }
         }
     }
 
+    fn tell_state(&mut self, last: &RankState, state: &RankState) {
+        let now = Instant::now();
+        let is_due = self.told_at.is_none_or(|at| now - at >= PROGRESS_INTERVAL);
+        self.latest.send_if_modified(|latest| {
+            latest.state = Some(state.clone());
+            false
+        });
+        if is_news(last, state) {
+            self.tell(RankUpdate::State(state.clone()));
+        } else if is_due || self.gives_hold(state.rank) {
+            let RankState { pass, running, waiting, pace, .. } = *state;
+            self.tell(RankUpdate::Progress(Progress { pass, running, waiting, pace }));
+        } else {
+            return;
+        }
+        self.told_at = Some(now);
+    }
+
+    fn tell(&self, update: RankUpdate) {
+        // Nobody listens while no coordinator is connected.
+        let _ = self.updates.send(update);
+    }
+
+    /// Tells the lists of experts when the map in use has changed.
+    async fn tell_experts(&mut self, state: &RankState) {
+        let map = (state.epoch, state.map_version);
+        if self.listed == Some(map) {
+            return;
+        }
+        let held = match self.client.held_experts().await {
+            Ok(held) if held.map_version == state.map_version => held,
+            Ok(_) => return,
+            Err(error) => {
+                tracing::debug!(%error, "no list of experts from the engine");
+                return;
+            }
+        };
+        let (map_version, packed) = (held.map_version, Packed::pack(&held.experts));
+        let Some(experts) = packed else {
+            tracing::error!("list of experts can't be encoded");
+            return;
+        };
+        self.listed = Some(map);
+        self.latest.send_if_modified(|latest| {
+            latest.experts = Some((map_version, experts.clone()));
+            false
+        });
+        self.tell(RankUpdate::Experts { map_version, experts });
+    }
+
     /// Has a change finished whose coordinator seems to be gone: the group waits, with requests
     /// in its batch, and the coordinator would have let it go long before.
     fn look_for_stall(&mut self, state: &RankState) {
@@ -175,26 +263,7 @@
         false
     }
 
-    /// The experts held under the map in use; asked for when that has changed.
-    async fn held(&mut self, state: &RankState) -> Vec<Vec<u16>> {
-        let is_current = self.experts.as_ref().is_some_and(|(epoch, held)| {
-            *epoch == state.epoch && held.map_version == state.map_version
-        });
-        if !is_current {
-            self.experts = match self.client.held_experts().await {
-                Ok(held) => Some((state.epoch, held)),
-                Err(error) => {
-                    tracing::debug!(%error, "no list of experts from the engine");
-                    None
-                }
-            };
-        }
-        let current =
-            self.experts.as_ref().filter(|(_, held)| held.map_version == state.map_version);
-        current.map(|(_, held)| held.experts.clone()).unwrap_or_default()
-    }
-
-    /// Holds the engine of rank 0. Whether it was too late for that shows there. The target is
+    /// Holds another rank's engine. Whether it was too late for that shows there. The target is
     /// never reached: the coordinator waits for words that were sent after the hold.
     async fn hold(&mut self, epoch: u64, pass: u64, engine: SocketAddr) -> bool {
         if self.gave_hold == Some(pass) {
@@ -216,31 +285,42 @@
     }
 
     /// Whether this rank's agent is to hold the group, so that the coordinator waits for its word. All
-    /// other news of a change show in the state. Told at every poll by 31 ranks, they were worked out at 2,500
-    /// messages a second while a change was under way; without, the coordinator's VM of 0.15 core was busy
-    /// 0.031 instead of 0.039 of a core at most.
+    /// other news of a change show in the state.
     fn gives_hold(&self, rank: usize) -> bool {
         matches!(*self.targets.borrow(), RankTarget::Held { by, .. } if by == rank)
     }
 
-    /// The choices since the last time, when it is time for them.
-    async fn choices(&mut self, report: &EngineReport, now: Instant) -> Choices {
-        if self.counted_at.is_some_and(|at| now - at < COUNTS_INTERVAL) {
-            return Choices::default();
+    /// Tells the choices since the last time, when it is time for them. A group that does no passes has
+    /// none.
+    async fn tell_choices(&mut self, report: &EngineReport) {
+        let now = Instant::now();
+        let is_early = self.counted_at.is_some_and(|at| now - at < COUNTS_INTERVAL);
+        let is_idle = self
+            .last_counts
+            .as_ref()
+            .is_some_and(|last| last.pass == report.pass && last.started_ms == report.started_ms);
+        if is_early || is_idle {
+            return;
         }
         let counts = match self.client.counts().await {
             Ok(counts) => counts,
             Err(error) => {
                 tracing::debug!(%error, "no counts from the engine");
-                return Choices::default();
+                return;
             }
         };
         self.counted_at = Some(now);
-        let counted =
-            Counted { epoch: counts.epoch, started_ms: report.started_ms, counts: counts.counts };
+        let counted = Counted {
+            epoch: counts.epoch,
+            started_ms: report.started_ms,
+            pass: counts.pass,
+            counts: counts.counts,
+        };
         let choices = self.last_counts.as_ref().and_then(|last| difference(last, &counted));
         self.last_counts = Some(counted);
-        choices.map(|choices| Choices::pack(&choices)).unwrap_or_default()
+        if let Some(choices) = choices.filter(|choices| choices.iter().any(|count| *count > 0)) {
+            self.tell(RankUpdate::Choices(Choices::pack(&choices)));
+        }
     }
 }
 
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -1,12 +1,18 @@
 //! What a coordinator knows of its group, and when it is worth to change the map.
 
+use crate::collect::{Assignment, most_direct};
+use crate::far::MAX_FAR;
+use crate::lookup::ServiceParameters;
 use crate::pace::PassTimes;
+use crate::peers::PeerUpdate;
 use crate::switch::PASSES_AHEAD;
-use flamingowheel_fleet::EngineParameters;
 use flamingowheel_policy::experts::{self, ChangeTimes, Demand, Map, Shape, StepLimits};
-use flamingowheel_protocol::ranks::{GroupRecord, RankRecord, RankState, RankUpdate};
+use flamingowheel_protocol::ranks::{
+    Choices, GroupRecord, GroupStatus, Progress, RankRecord, RankState, RankUpdate,
+};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -14,13 +20,20 @@
 /// A rank's state older than this is not acted on.
 const FRESH: Duration = Duration::from_millis(600);
 
+/// An agent that tells nothing for this long tells no counts either: twice the time between two words on
+/// its rank's progress.
+const HEARD: Duration = Duration::from_millis(450);
+
+/// A rank of which neither was heard for this long is silent: longer than two words on its progress take.
+const SILENT: Duration = Duration::from_millis(500);
+
+/// A rank of which neither its agent nor its engine was heard for this long gets no requests.
+const AWAY: Duration = Duration::from_millis(1_000);
+
 /// Skew by which a map under preparation must be worse than one planned now to be given up for it:
 /// a third of a pass, for the fifth of a second that is lost.
 const OUTDATED_SKEW: f64 = 0.35;
 
-/// Change of a rank's pace that entries are told of.
-const PACE_STEP: f64 = 0.25;
-
 /// Time of a change besides copies and passes, in milliseconds: the hold and its proof, the arming,
 /// and the lists of experts from which the next change is planned.
 const SWITCH_MS: f64 = 200.0;
@@ -34,19 +47,12 @@
     pub seen_at: Instant,
     /// Its engine's address.
     pub engine: SocketAddr,
+    /// The data centre of the agent that told it; `None` if its engine was asked from here.
+    pub data_centre: Option<Arc<str>>,
     /// The experts held, by set, under the map of this version.
     pub experts: Option<(u64, Vec<Vec<u16>>)>,
 }
 
-/// What the configuration says of the engines' service.
-#[derive(Clone, Debug)]
-pub struct ServiceParameters {
-    /// The engines' parameters.
-    pub engine: EngineParameters,
-    /// The shortest pause goal of its routes, in milliseconds.
-    pub pause_goal_ms: f64,
-}
-
 /// What is known of the group.
 #[derive(Debug)]
 pub struct Group {
@@ -59,11 +65,16 @@
     /// The last pass of the window before.
     pub(crate) window_pass: Option<u64>,
     pub(crate) pass_times: PassTimes,
+    /// The map that this coordinator had all ranks switch to last, and its version.
+    pub(crate) switched: Option<(u64, Arc<Map>)>,
     /// What the configuration says of its service; `None` until it was read.
     pub parameters: Option<ServiceParameters>,
     pub(crate) connected: HashSet<SocketAddr>,
+    /// Engines of the service, as listed last.
+    pub(crate) listed: Vec<SocketAddr>,
+    /// Engines that belong to other groups.
+    foreign: HashSet<SocketAddr>,
     pub(crate) listed_at: Option<Instant>,
-    pub(crate) announced: Option<(GroupRecord, Instant)>,
     pub(crate) stop: CancellationToken,
 }
 
@@ -79,31 +90,90 @@
             window: Vec::new(),
             window_pass: None,
             pass_times: PassTimes::default(),
+            switched: None,
             parameters: None,
             connected: HashSet::new(),
+            listed: Vec::new(),
+            foreign: HashSet::new(),
             listed_at: None,
-            announced: None,
             stop: CancellationToken::new(),
         }
     }
 
-    /// Takes in what a rank's agent tells.
-    pub fn take(&mut self, update: RankUpdate, engine: SocketAddr) {
-        let RankUpdate { state, choices, experts } = update;
+    /// Takes in what is told of a rank.
+    pub fn take(&mut self, told: PeerUpdate) {
+        let PeerUpdate { engine, data_centre, update } = told;
+        match update {
+            RankUpdate::State(state) => self.take_state(state, engine, data_centre),
+            RankUpdate::Progress(progress) => self.take_progress(engine, progress, data_centre),
+            RankUpdate::Experts { map_version, experts } => {
+                let Some(experts) = experts.unpack() else {
+                    tracing::warn!(%engine, "list of experts can't be read");
+                    return;
+                };
+                if let Some(rank) = self.rank_of(engine) {
+                    rank.experts = Some((map_version, experts));
+                }
+            }
+            RankUpdate::Choices(choices) | RankUpdate::Sum(choices) => self.take_choices(&choices),
+            RankUpdate::Group(_) => {}
+        }
+    }
+
+    fn take_state(&mut self, state: RankState, engine: SocketAddr, data_centre: Option<Arc<str>>) {
+        if state.group != self.name {
+            self.foreign.insert(engine);
+            self.ranks.retain(|_, rank| rank.engine != engine);
+            return;
+        }
         if state.epoch > self.epoch {
             self.epoch = state.epoch;
             self.size = state.size;
             self.ranks.clear();
+            self.switched = None;
             // A member may have been replaced by one that was taken for another group's before.
             self.stop.cancel();
             self.stop = CancellationToken::new();
             self.connected.clear();
+            self.foreign.clear();
             self.listed_at = None;
         }
         if state.epoch < self.epoch {
             return;
         }
-        let choices = choices.unpack();
+        let now = Instant::now();
+        if state.rank == 0 {
+            self.pass_times.observe(state.pass, state.running + state.waiting > 0, now);
+        }
+        let experts = self.ranks.remove(&state.rank).and_then(|rank| rank.experts);
+        let rank = state.rank;
+        self.ranks.insert(rank, Rank { state, seen_at: now, engine, data_centre, experts });
+    }
+
+    fn take_progress(
+        &mut self,
+        engine: SocketAddr,
+        progress: Progress,
+        data_centre: Option<Arc<str>>,
+    ) {
+        let now = Instant::now();
+        let Some(rank) = self.rank_of(engine) else {
+            return;
+        };
+        let Progress { pass, running, waiting, pace } = progress;
+        rank.state = RankState { pass, running, waiting, pace, ..std::mem::take(&mut rank.state) };
+        rank.seen_at = now;
+        rank.data_centre = data_centre;
+        if rank.state.rank == 0 {
+            self.pass_times.observe(pass, running + waiting > 0, now);
+        }
+    }
+
+    fn take_choices(&mut self, choices: &Choices) {
+        let Some(choices) = choices.unpack() else {
+            tracing::warn!("choices can't be read");
+            return;
+        };
         if self.window.len() == choices.len() {
             for (sum, choices) in self.window.iter_mut().zip(&choices) {
                 *sum += u64::from(*choices);
@@ -111,23 +181,106 @@
         } else if !choices.is_empty() {
             self.window = choices.iter().map(|choices| u64::from(*choices)).collect();
         }
-        if state.rank == 0 {
-            self.pass_times.observe(&state, Instant::now());
-        }
-        let known = self.ranks.remove(&state.rank).and_then(|rank| rank.experts);
-        let is_listed = !experts.is_empty();
-        let experts = if is_listed { Some((state.map_version, experts)) } else { known };
-        let seen_at = Instant::now();
-        self.ranks.insert(state.rank, Rank { state, seen_at, engine, experts });
+    }
+
+    fn rank_of(&mut self, engine: SocketAddr) -> Option<&mut Rank> {
+        self.ranks.values_mut().find(|rank| rank.engine == engine)
+    }
+
+    /// Engines of the group, or of none that is known, whose agents are not heard. None, if those are more
+    /// than can be seen to from afar.
+    pub fn unattended(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let is_attended = |rank: &Rank| {
+            let is_heard = now.duration_since(rank.seen_at) < HEARD && rank.data_centre.is_some();
+            is_heard || rank.engine == own
+        };
+        let silent = self.ranks.values().filter(|rank| !is_attended(rank)).map(|rank| rank.engine);
+        let is_unknown = |engine: &&SocketAddr| {
+            let is_ranked = self.ranks.values().any(|rank| rank.engine == **engine);
+            !is_ranked && **engine != own && !self.foreign.contains(engine)
+        };
+        let is_complete = self.ranks.len() == self.size;
+        let unknown = self.listed.iter().filter(|_| !is_complete).filter(is_unknown).copied();
+        let unattended: Vec<SocketAddr> = silent.chain(unknown).collect();
+        if unattended.len() > MAX_FAR { Vec::new() } else { unattended }
+    }
+
+    /// The rank whose agent is to hold the group: one that is heard.
+    pub fn hold_giver(&self) -> usize {
+        let now = Instant::now();
+        let is_heard =
+            |rank: &&Rank| rank.data_centre.is_some() && now.duration_since(rank.seen_at) < HEARD;
+        let others = self.ranks.values().filter(|rank| rank.state.rank != 0);
+        let giver = others.filter(is_heard).map(|rank| rank.state.rank).next();
+        giver.unwrap_or(usize::from(self.size > 1))
+    }
+
+    /// Who should tell choices to whom, of the agents that are heard but the one beside `own`.
+    pub fn assignment(&self, own: SocketAddr, port: u16, link_bytes_per_s: u64) -> Assignment {
+        let now = Instant::now();
+        let agents = self.ranks.values().filter_map(|rank| {
+            let is_heard = rank.engine != own && now.duration_since(rank.seen_at) < HEARD;
+            let data_centre = rank.data_centre.as_ref().filter(|_| is_heard)?;
+            let agent = SocketAddr::new(rank.engine.ip(), port);
+            Some((Arc::clone(data_centre), rank.state.rank, agent))
+        });
+        let counts = self.shape().map_or(self.window.len(), |shape| shape.sets * shape.experts);
+        Assignment::deal(agents.collect(), most_direct(counts, link_bytes_per_s))
     }
 
     /// What entries are told of the group.
     pub fn record(&self) -> GroupRecord {
         let ranks = self.ranks.values();
-        let ranks = ranks.map(|rank| RankRecord { engine: rank.engine, pace: rank.state.pace });
+        let away: Vec<usize> = self.unheard(AWAY).collect();
+        let ranks = ranks.map(|rank| RankRecord {
+            engine: rank.engine,
+            pace: rank.state.pace,
+            is_away: away.contains(&rank.state.rank),
+        });
         GroupRecord { epoch: self.epoch, ranks: ranks.collect() }
     }
 
+    /// Ranks of which nothing was heard for so long; none if those are many, for then it is rather this VM
+    /// that is cut off.
+    fn unheard(&self, limit: Duration) -> impl Iterator<Item = usize> {
+        let now = Instant::now();
+        let is_unheard = |rank: &&Rank| now.duration_since(rank.seen_at) > limit;
+        let unheard = self.ranks.values().filter(is_unheard).map(|rank| rank.state.rank);
+        let unheard: Vec<usize> = unheard.collect();
+        let is_told = unheard.len() <= MAX_FAR && unheard.len() * 2 <= self.size;
+        unheard.into_iter().filter(move |_| is_told)
+    }
+
+    /// How the group stands.
+    pub fn status(&self) -> GroupStatus {
+        let now = Instant::now();
+        let mut requests = vec![0; self.size];
+        for rank in self.ranks.values() {
+            let count = rank.state.running + rank.state.waiting;
+            if let Some(requests) = requests.get_mut(rank.state.rank) {
+                *requests = u8::try_from(count).unwrap_or(u8::MAX);
+            }
+        }
+        let ages = self.ranks.values().map(|rank| now.duration_since(rank.seen_at).as_millis());
+        let (sum, count) = ages.fold((0, 0), |(sum, count), age| (sum + age, count + 1));
+        let silent = self.unheard(SILENT).filter_map(|rank| u16::try_from(rank).ok());
+        GroupStatus {
+            group: self.name.clone(),
+            epoch: self.epoch,
+            pass_ms: self.pass_times.mean_ms(),
+            requests,
+            silent: silent.collect(),
+            age_ms: (sum / u128::from(count.max(1_u32))) as u64,
+        }
+    }
+
+    /// Notes that all ranks use a map, so that the next step need not wait for their lists.
+    pub fn note_switched(&mut self, version: u64, map: &Arc<Map>) {
+        // A change that was taken up from another coordinator has no map here.
+        self.switched = (!map.is_empty()).then(|| (version, Arc::clone(map)));
+    }
+
     /// The ranks' states, as told last.
     pub fn states(&self) -> Vec<RankState> {
         self.ranks.values().map(|rank| rank.state.clone()).collect()
@@ -204,12 +357,15 @@
         is_outdated.then_some(step)
     }
 
-    /// The map in use, put together from what the ranks hold.
+    /// The map in use: the one that was switched to last, or put together from what the ranks hold.
     pub fn map_in_use(&self, states: &[RankState]) -> Option<Map> {
         let version = states.first()?.map_version;
         if states.iter().any(|state| state.map_version != version) {
             return None;
         }
+        if let Some((_, map)) = self.switched.as_ref().filter(|(known, _)| *known == version) {
+            return Some(Map::clone(map));
+        }
         let sets = self.shape()?.sets;
         let ranks: Vec<&Rank> = self.ranks.values().collect();
         // A list can be older than the state beside it: put together from two maps, experts would
@@ -227,15 +383,6 @@
     }
 }
 
-/// Whether entries would do the same with both records.
-pub fn is_alike(a: &GroupRecord, b: &GroupRecord) -> bool {
-    let pairs = a.ranks.iter().zip(&b.ranks);
-    a.ranks.len() == b.ranks.len()
-        && pairs.into_iter().all(|(a, b)| {
-            a.engine == b.engine && (a.pace - b.pace).abs() < PACE_STEP * a.pace.max(b.pace)
-        })
-}
-
 impl Drop for Group {
     fn drop(&mut self) {
         self.stop.cancel();
--- /dev/null
+++ b/crates/ranks/src/lookup.rs
@@ -0,0 +1,169 @@
+//! What a coordinator reads from the key-value store and writes there, beside its other work: while the
+//! store is slow or away, a change of map under way must not wait for it.
+
+use crate::peers::engines_of;
+use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_fleet::EngineParameters;
+use flamingowheel_platform::{CONFIGURATION_KEY, operator};
+use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Time between two announcements of a group at the least: each is a write, and news for every entry.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Change of a rank's pace that entries are told of.
+const PACE_STEP: f64 = 0.25;
+
+/// What the configuration says of the engines' service.
+#[derive(Clone, Debug)]
+pub struct ServiceParameters {
+    /// The engines' parameters.
+    pub engine: EngineParameters,
+    /// The shortest pause goal of its routes, in milliseconds.
+    pub pause_goal_ms: f64,
+}
+
+/// What was found in the store.
+#[derive(Clone, Debug)]
+pub struct Found {
+    /// The engines of the service.
+    pub engines: Vec<SocketAddr>,
+    /// Their parameters, if they were asked for and are there.
+    pub parameters: Option<ServiceParameters>,
+}
+
+/// Finds the engines of a service.
+#[derive(Debug)]
+pub struct Lookup<K> {
+    store: K,
+    service: String,
+    sender: mpsc::Sender<Found>,
+    found: mpsc::Receiver<Found>,
+    reading: Option<JoinHandle<()>>,
+}
+
+impl<K> Lookup<K>
+where
+    K: KeyValue + Clone + Send + Sync + 'static,
+{
+    /// A lookup of the engines of `service`.
+    pub fn new(store: K, service: String) -> Self {
+        let (sender, found) = mpsc::channel(1);
+        Self { store, service, sender, found, reading: None }
+    }
+
+    /// Begins to read, unless that is under way.
+    pub fn start(&mut self, with_parameters: bool) {
+        if self.reading.as_ref().is_some_and(|reading| !reading.is_finished()) {
+            return;
+        }
+        let (store, service) = (self.store.clone(), self.service.clone());
+        let sender = self.sender.clone();
+        self.reading = Some(tokio::spawn(async move {
+            let parameters =
+                if with_parameters { read_parameters(&store, &service).await } else { None };
+            match engines_of(&store, &service).await {
+                // Nobody receives once the process ends.
+                Ok(engines) => drop(sender.send(Found { engines, parameters }).await),
+                Err(error) => tracing::debug!(%error, "backend servers not listed"),
+            }
+        }));
+    }
+
+    /// What was found next.
+    pub async fn next(&mut self) -> Option<Found> {
+        self.found.recv().await
+    }
+}
+
+async fn read_parameters<K>(store: &K, service: &str) -> Option<ServiceParameters>
+where
+    K: KeyValue,
+{
+    let snapshot = match store.range(CONFIGURATION_KEY).await {
+        Ok(snapshot) => snapshot,
+        Err(error) => {
+            tracing::debug!(%error, "configuration not read");
+            return None;
+        }
+    };
+    let entry = snapshot.entries.iter().find(|entry| entry.key == CONFIGURATION_KEY)?;
+    let configuration = operator::decode(&entry.value)
+        .inspect_err(|error| tracing::warn!(%error, "configuration can't be read"))
+        .ok()?;
+    let engine = configuration.services.get(service)?.engine.clone()?;
+    let pause_goal_ms = configuration.pause_goal_ms(service).unwrap_or(0) as f64;
+    Some(ServiceParameters { engine, pause_goal_ms })
+}
+
+/// Tells entries of a group, through the store.
+#[derive(Debug)]
+pub struct Announcer<K> {
+    store: K,
+    /// What the store has taken last.
+    announced: Arc<Mutex<Option<(String, GroupRecord)>>>,
+    tried_at: Option<Instant>,
+    writing: Option<JoinHandle<()>>,
+}
+
+impl<K> Announcer<K>
+where
+    K: KeyValue + Clone + Send + Sync + 'static,
+{
+    /// An announcer that has announced nothing.
+    pub fn new(store: K) -> Self {
+        Self { store, announced: Arc::default(), tried_at: None, writing: None }
+    }
+
+    /// Writes the group's record, unless the store has one by which entries would do the same.
+    pub fn announce(&mut self, group: &str, record: GroupRecord) {
+        let now = Instant::now();
+        let is_early = self.tried_at.is_some_and(|at| now - at < ANNOUNCE_PAUSE);
+        let is_writing = self.writing.as_ref().is_some_and(|writing| !writing.is_finished());
+        if is_early || is_writing || self.is_announced(group, &record) {
+            return;
+        }
+        self.tried_at = Some(now);
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => value.into(),
+            Err(error) => {
+                tracing::error!(%error, "group's record can't be written");
+                return;
+            }
+        };
+        let put = Operation::Put { key: format!("{GROUPS_PREFIX}{group}"), value, lease: None };
+        let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
+        let (store, announced) = (self.store.clone(), Arc::clone(&self.announced));
+        let group = group.to_owned();
+        self.writing = Some(tokio::spawn(async move {
+            match store.transact(transaction).await {
+                Ok(_) => {
+                    let mut announced = announced.lock().unwrap_or_else(PoisonError::into_inner);
+                    *announced = Some((group, record));
+                }
+                Err(error) => tracing::debug!(%error, "group not announced"),
+            }
+        }));
+    }
+
+    fn is_announced(&self, group: &str, record: &GroupRecord) -> bool {
+        let announced = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
+        announced.as_ref().is_some_and(|(name, last)| name == group && is_alike(last, record))
+    }
+}
+
+/// Whether entries would do the same with both records.
+pub fn is_alike(a: &GroupRecord, b: &GroupRecord) -> bool {
+    let pairs = a.ranks.iter().zip(&b.ranks);
+    a.ranks.len() == b.ranks.len()
+        && pairs.into_iter().all(|(a, b)| {
+            a.engine == b.engine
+                && a.is_away == b.is_away
+                && (a.pace - b.pace).abs() < PACE_STEP * a.pace.max(b.pace)
+        })
+}
--- a/crates/ranks/src/pace.rs
+++ b/crates/ranks/src/pace.rs
@@ -1,6 +1,5 @@
 //! How long a group's passes take.
 
-use flamingowheel_protocol::ranks::RankState;
 use tokio::time::Instant;
 
 /// Weight of the newest pass time in their mean: some ten observations, a second.
@@ -14,17 +13,16 @@
 }
 
 impl PassTimes {
-    /// Takes in how far a rank has come.
-    pub fn observe(&mut self, state: &RankState, now: Instant) {
-        let is_busy = state.running + state.waiting > 0;
-        let last = self.last.replace((state.pass, now));
-        let Some((pass, at)) = last.filter(|(pass, _)| is_busy && state.pass > *pass) else {
-            if state.pass == last.map_or(0, |(pass, _)| pass) && is_busy {
+    /// Takes in the last pass that a rank has begun, and whether it has requests.
+    pub fn observe(&mut self, newest: u64, is_busy: bool, now: Instant) {
+        let last = self.last.replace((newest, now));
+        let Some((pass, at)) = last.filter(|(pass, _)| is_busy && newest > *pass) else {
+            if newest == last.map_or(0, |(pass, _)| pass) && is_busy {
                 self.last = last.or(self.last);
             }
             return;
         };
-        let each_ms = (now - at).as_secs_f64() * 1_000.0 / (state.pass - pass) as f64;
+        let each_ms = (now - at).as_secs_f64() * 1_000.0 / (newest - pass) as f64;
         self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
     }
 
--- a/crates/ranks/src/peers.rs
+++ b/crates/ranks/src/peers.rs
@@ -1,12 +1,15 @@
-//! Connections from the coordinator to the agents of the other ranks.
+//! Connections to the agents of other ranks.
 
+use crate::collect::Assignment;
 use flamingowheel_backing::kv::{KeyValue, KeyValueError};
 use flamingowheel_platform::{SERVERS_PREFIX, servers};
-use flamingowheel_protocol::ranks::{RankTarget, RankUpdate};
-use flamingowheel_protocol::targets::{TargetEncoder, TargetMessage};
+use flamingowheel_protocol::link::Link;
+use flamingowheel_protocol::ranks::{AgentRequest, RankTarget, RankUpdate, Telling};
+use flamingowheel_protocol::targets::{EncodingCache, TargetEncoder};
 use flamingowheel_protocol::websocket::{Identity, connect};
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
@@ -15,11 +18,16 @@
 /// Pause before an agent that could not be reached is tried again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 
+/// A connection to another rank's agent.
+pub type AgentLink = Link<AgentRequest, RankUpdate>;
+
 /// An update and where it came from.
 #[derive(Clone, Debug)]
 pub struct PeerUpdate {
     /// The engine's address.
     pub engine: SocketAddr,
+    /// The data centre of its VM; `None` if it was read without an agent.
+    pub data_centre: Option<Arc<str>>,
     /// The update.
     pub update: RankUpdate,
 }
@@ -35,8 +43,12 @@
     pub group: String,
     /// What ranks are to be brought to.
     pub targets: watch::Receiver<RankTarget>,
+    /// Who tells choices to whom.
+    pub assignment: watch::Receiver<Arc<Assignment>>,
     /// Where updates go.
     pub updates: mpsc::Sender<PeerUpdate>,
+    /// Encodings that the connections share.
+    pub encodings: Arc<EncodingCache>,
 }
 
 /// The engines of a service, as listed.
@@ -53,6 +65,37 @@
     Ok(listed.filter(|server| server.service == service).map(|server| server.address).collect())
 }
 
+/// Stays connected to an agent until `attend` says that it is not wanted any more.
+pub async fn keep_connected<Attend, Attending>(
+    agent: SocketAddr,
+    identity: &Identity,
+    mut attend: Attend,
+) where
+    Attend: FnMut(AgentLink) -> Attending,
+    Attending: Future<Output = Wanted>,
+{
+    loop {
+        match connect::<AgentRequest, RankUpdate>(agent, identity).await {
+            Ok(link) => {
+                if attend(link).await == Wanted::No {
+                    return;
+                }
+            }
+            Err(error) => tracing::debug!(%agent, %error, "agent not reached"),
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+/// Whether a connection that ended is to be opened again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// It broke off.
+    Yes,
+    /// The agent belongs to another group, or nobody listens.
+    No,
+}
+
 impl Peers {
     /// Connects to the agents beside `engines`, but not to those already in `connected`.
     pub fn connect_to(
@@ -68,57 +111,59 @@
             }
             let (peers, stop) = (self.clone(), stop.clone());
             tokio::spawn(async move {
-                stop.run_until_cancelled(peers.keep(engine)).await;
+                let agent = SocketAddr::new(engine.ip(), peers.port);
+                let attend = |link| peers.attend(engine, agent, link);
+                let keeping = keep_connected(agent, &peers.identity, attend);
+                stop.run_until_cancelled(keeping).await;
             });
         }
     }
 
-    /// Stays connected to one agent, unless it turns out to belong to another group.
-    async fn keep(self, engine: SocketAddr) {
-        let agent = SocketAddr::new(engine.ip(), self.port);
-        loop {
-            match connect::<TargetMessage, RankUpdate>(agent, &self.identity).await {
-                Ok(link) => {
-                    if self.attend(engine, link).await {
-                        return;
-                    }
-                }
-                Err(error) => tracing::debug!(%agent, %error, "agent not reached"),
-            }
-            sleep(RECONNECT_PAUSE).await;
-        }
-    }
-
-    /// Returns whether the agent belongs to another group.
-    async fn attend(
-        &self,
-        engine: SocketAddr,
-        mut link: flamingowheel_protocol::link::Link<TargetMessage, RankUpdate>,
-    ) -> bool {
+    async fn attend(&self, engine: SocketAddr, agent: SocketAddr, mut link: AgentLink) -> Wanted {
         let mut targets = self.targets.clone();
         targets.mark_changed();
-        let mut encoder = TargetEncoder::default();
+        let mut assignment = self.assignment.clone();
+        assignment.mark_changed();
+        let data_centre: Arc<str> = link.peer.data_centre.as_str().into();
+        let mut encoder = TargetEncoder::new(Arc::clone(&self.encodings));
+        let mut told = (Telling::State, Arc::default());
         let mut is_member = false;
         loop {
             tokio::select! {
                 update = link.receiver.recv() => {
-                    let Some(update) = update else { return false };
-                    if update.state.group != self.group {
-                        return true;
-                    }
-                    is_member = true;
-                    if self.updates.send(PeerUpdate { engine, update }).await.is_err() {
-                        return true;
+                    let Some(update) = update else { return Wanted::Yes };
+                    let is_foreign =
+                        matches!(&update, RankUpdate::State(state) if state.group != self.group);
+                    is_member |= !is_foreign && matches!(update, RankUpdate::State(_));
+                    let data_centre = Some(Arc::clone(&data_centre));
+                    let update = PeerUpdate { engine, data_centre, update };
+                    if self.updates.send(update).await.is_err() || is_foreign {
+                        return Wanted::No;
                     }
                 }
                 changed = targets.changed(), if is_member => {
                     if changed.is_err() {
-                        return true;
+                        return Wanted::No;
+                    }
+                    let Some(message) = encoder.encode(&targets.borrow_and_update()) else {
+                        tracing::error!("target can't be encoded");
+                        return Wanted::Yes;
+                    };
+                    if link.sender.send(AgentRequest::Target(message)).await.is_err() {
+                        return Wanted::Yes;
+                    }
+                }
+                changed = assignment.changed(), if is_member => {
+                    if changed.is_err() {
+                        return Wanted::No;
                     }
-                    let message = encoder.encode(&targets.borrow_and_update());
-                    if link.sender.send(message).await.is_err() {
-                        return false;
+                    let part = assignment.borrow_and_update().of(agent);
+                    for request in part.requests(&told) {
+                        if link.sender.send(request).await.is_err() {
+                            return Wanted::Yes;
+                        }
                     }
+                    told = (part.telling, part.members);
                 }
             }
         }
--- a/crates/ranks/src/rescue.rs
+++ b/crates/ranks/src/rescue.rs
@@ -28,7 +28,7 @@
 
 /// How long rank `rank` waits before it looks for a hold.
 pub fn patience(rank: usize) -> Duration {
-    BASE_PATIENCE + RANK_PATIENCE * u32::try_from(rank.min(16)).unwrap_or(16)
+    BASE_PATIENCE + RANK_PATIENCE * u32::try_from(rank).unwrap_or(u32::MAX)
 }
 
 /// Finishes the change of the group with these engines, if one holds it.
--- a/crates/ranks/tests/group.rs
+++ b/crates/ranks/tests/group.rs
@@ -2,8 +2,11 @@
 
 use flamingowheel_fleet::EngineParameters;
 use flamingowheel_policy::experts::Shape;
+use flamingowheel_protocol::packed::Packed;
 use flamingowheel_protocol::ranks::{Choices, Map, RankState, RankUpdate};
-use flamingowheel_ranks::group::{Group, ServiceParameters};
+use flamingowheel_ranks::group::Group;
+use flamingowheel_ranks::lookup::ServiceParameters;
+use flamingowheel_ranks::peers::PeerUpdate;
 use std::net::SocketAddr;
 
 const SHAPE: Shape = Shape { sets: 2, experts: 32, ranks: 4, replicas_per_rank: 12 };
@@ -41,9 +44,16 @@
 fn tell(group: &mut Group, ranks: std::ops::Range<usize>, pass: u64, favourites: [usize; 4]) {
     let map = SHAPE.first_map();
     for rank in ranks {
-        let experts = map.iter().map(|set| set[rank].clone()).collect();
-        let update = RankUpdate { state: state(rank, pass), choices: choices(favourites), experts };
-        group.take(update, SocketAddr::from(([127, 0, 0, 1], 9_000 + rank as u16)));
+        let experts: Vec<_> = map.iter().map(|set| set[rank].clone()).collect();
+        let updates = [
+            RankUpdate::State(state(rank, pass)),
+            RankUpdate::Experts { map_version: 0, experts: Packed::pack(&experts).unwrap() },
+            RankUpdate::Choices(choices(favourites)),
+        ];
+        let engine = SocketAddr::from(([127, 0, 0, 1], 9_000 + rank as u16));
+        for update in updates {
+            group.take(PeerUpdate { engine, data_centre: Some("d".into()), update });
+        }
     }
 }
 
