--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -20,7 +20,8 @@
 ///
 /// ```
 /// use flamingowheel_gateway::{balance::cost, server::Standing};
-/// let calm = Standing { in_flight: 0, failure_ratio: 0.0, latency_ms: Some(20.0), is_paused: false };
+/// let calm = Standing { in_flight: 0, failure_ratio: 0.0, latency_ms: Some(20.0),
+///     is_paused: false, is_silent: false };
 /// let busy = Standing { in_flight: 3, ..calm };
 /// assert!(cost(&busy, 6) > cost(&calm, 6));
 /// ```
@@ -34,6 +35,10 @@
 /// wait for it, so that its own work is what the whole group lacks.
 const SLOW_PACE: f64 = 1.3;
 
+/// Ranks of a group, on average, among which the one with the fewest requests is chosen by report. All
+/// entries hear the same, some tenths of a second late: of all ranks they would choose the same few.
+const SAMPLED_RANKS: f64 = 3.0;
+
 /// A server to send to, or why there is none.
 #[derive(Clone, Debug)]
 pub enum Choice {
@@ -49,7 +54,7 @@
 ///
 /// Servers in rank groups: the group with the cheapest passes, then its rank with
 /// the fewest requests; none that is full, if the request asks for admission. Others: the cheapest
-/// one; a paused one only if all are paused.
+/// one. A paused or silent one only if all are.
 pub fn choose(
     view: &View,
     service: &str,
@@ -79,10 +84,13 @@
     server: &'a Arc<Server>,
     group: Option<Arc<GroupLoad>>,
     is_paused: bool,
+    is_silent: bool,
     is_slow: bool,
     /// Of the group, if the request asks for admission.
     fullness: Option<Fullness>,
     group_cost: f64,
+    /// Whether it is not among those drawn to choose from.
+    is_left_out: bool,
     cost: f64,
 }
 
@@ -96,34 +104,53 @@
         let standing = server.standing(now);
         // Entries that know the same would otherwise all choose the same server.
         let spread = rand::random_range(0.9..1.1);
-        let is_paused = standing.is_paused;
+        let Standing { is_paused, is_silent, .. } = standing;
         match view.seats.get(&server.listed.address) {
-            Some(seat) => Self {
-                server,
-                group: Some(Arc::clone(&seat.group)),
-                is_paused,
-                is_slow: seat.pace >= SLOW_PACE,
-                fullness: admission.map(|admission| seat.group.fullness(admission, now)),
-                group_cost: seat.group.cost(now),
-                cost: (f64::from(standing.in_flight) + 0.5 + FAILURE_COST * standing.failure_ratio)
-                    * spread,
-            },
+            Some(seat) => {
+                let is_reported_silent = seat.group.is_reported_silent(seat.rank, now);
+                let report = seat.group.report_of(seat.rank, now);
+                let reported = report.map(|r| r.requests + server.sent_since(r.taken_at));
+                let requests = reported.unwrap_or(0).max(standing.in_flight);
+                let drawn_share = SAMPLED_RANKS / seat.group.size().max(1) as f64;
+                Self {
+                    server,
+                    group: Some(Arc::clone(&seat.group)),
+                    is_paused,
+                    is_silent: is_silent || seat.is_away || is_reported_silent == Some(true),
+                    is_slow: seat.pace >= SLOW_PACE,
+                    fullness: admission.map(|admission| seat.group.fullness(admission, now)),
+                    group_cost: seat.group.cost(now),
+                    is_left_out: report.is_some() && rand::random::<f64>() >= drawn_share,
+                    cost: (f64::from(requests) + 0.5 + FAILURE_COST * standing.failure_ratio)
+                        * spread,
+                }
+            }
             None => Self {
                 server,
                 group: None,
                 is_paused,
+                is_silent,
                 is_slow: false,
                 fullness: None,
                 group_cost: 0.0,
+                is_left_out: false,
                 cost: cost(&standing, server.listed.slots) * spread,
             },
         }
     }
 
     /// Compared from left to right; the least is best.
-    fn order(&self) -> (bool, bool, f64, bool, f64) {
+    fn order(&self) -> (bool, bool, bool, f64, bool, bool, f64) {
         let is_full = self.fullness.is_some_and(|fullness| fullness.is_full());
-        (self.is_paused, is_full, self.group_cost, self.is_slow, self.cost)
+        (
+            self.is_paused,
+            self.is_silent,
+            is_full,
+            self.group_cost,
+            self.is_slow,
+            self.is_left_out,
+            self.cost,
+        )
     }
 }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -52,8 +52,8 @@
     Lost(hyper::Error),
 }
 
-/// An open connection. Dropping it closes it at once, which tells the server to stop work on
-/// the request under way.
+/// An open connection. Dropping it resets it at once: the server stops work on the request under way, or
+/// never gets it.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -66,6 +66,7 @@
         let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
         watch_for_silence(&stream);
+        reset_on_close(&stream);
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await?;
@@ -111,6 +112,15 @@
     }
 }
 
+/// A request that is given up must not be delivered any more. Closed in the usual way, the connection would
+/// go on sending what a VM that stands still has not taken yet, and its server would get a request whose
+/// caller has long left.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::debug!(%error, "connection can't be reset on closing");
+    }
+}
+
 /// Something between the two ends can lose track of a connection: it stays open and nothing
 /// arrives any more. Only probes of our own and a bound on unacknowledged bytes show it.
 pub fn watch_for_silence(stream: &TcpStream) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, Relay, Source, whole};
 use crate::server::{InFlight, Server};
+use crate::silence::Watcher;
 use crate::view::{View, Views};
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{Repeat, Route};
@@ -237,6 +238,11 @@
         }
     }
 
+    /// A watcher of a server.
+    pub fn watcher(&self, server: Arc<Server>, group: Option<Arc<GroupLoad>>) -> Watcher {
+        Watcher::new(Arc::clone(&self.views), server, group)
+    }
+
     /// Takes a repeated send out of the budget.
     pub fn may_repeat(&self, exchange: &Exchange, now: Instant) -> bool {
         let entries = self.view().entry_count();
@@ -251,15 +257,20 @@
         group: Option<&Arc<GroupLoad>>,
         last_event_id: Option<u64>,
     ) -> Result<Sent, SendFailure> {
-        let in_flight = server.begin(group);
+        let mut in_flight = server.begin(group);
         let sent_at = Instant::now();
         let sending = self.send_on_connection(exchange, server, last_event_id);
-        let result = match timeout_at(exchange.deadline, sending).await {
-            Ok(result) => result,
-            Err(_) => Err(SendFailure::MayHaveRun),
+        let can_resume = exchange.route.repeat == Repeat::Resume;
+        let watcher = self.watcher(Arc::clone(server), group.cloned());
+        let result = tokio::select! {
+            result = timeout_at(exchange.deadline, sending) => {
+                result.unwrap_or(Err(SendFailure::MayHaveRun))
+            }
+            () = watcher.no_head(sent_at), if can_resume => Err(SendFailure::MayHaveRun),
         };
         match result {
             Ok((response, connection)) => {
+                in_flight.note_answered(Instant::now());
                 let id = &exchange.head.attempt_id;
                 let answer = headers::answer(response.headers(), response.status(), id);
                 if !answer.is_for_attempt {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod refusal;
 pub mod relay;
 pub mod server;
+pub mod silence;
 pub mod view;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,8 +118,25 @@
 
     /// Waits for whole events.
     async fn step(&mut self) -> Step {
+        let (server, group) = (self.in_flight.server(), self.in_flight.group());
+        let watcher = self.gateway.watcher(Arc::clone(server), group.cloned());
+        let can_resume = self.exchange.route.repeat == Repeat::Resume
+            && self.runs < self.exchange.route.max_attempts;
+        let last_at = self.last_event_at.unwrap_or_else(Instant::now);
         loop {
-            let frame = match timeout_at(self.exchange.deadline, self.body.frame()).await {
+            let waiting = timeout_at(self.exchange.deadline, self.body.frame());
+            let waited = tokio::select! {
+                frame = waiting => frame,
+                () = watcher.no_event(last_at), if can_resume => {
+                    tracing::info!(
+                        request = self.exchange.head.attempt_id,
+                        server = self.in_flight.server().listed.id,
+                        "server silent while its group goes on"
+                    );
+                    return Step::Broken;
+                }
+            };
+            let frame = match waited {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => {
                     tracing::info!(
@@ -193,6 +210,9 @@
 
     fn note_events(&mut self) {
         let now = Instant::now();
+        if let Some(group) = self.in_flight.group() {
+            group.note_life(self.in_flight.server().listed.address, now);
+        }
         match self.last_event_at.replace(now) {
             None => {
                 let after = now - self.exchange.arrived;
