Entries: a start reads the store each 350 ms, and says when to come back

Change: reads of a start are given up after 350 ms; a process that has run for 0.4 s without a configuration tells callers 1.5 to 2.5 s.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// One watch on everything: each waiting watch counts against the store's rate, and all keys that
 /// exist concern an entry.
@@ -20,8 +20,9 @@
 /// Time without an outage after which the next one is told again.
 const OUTAGE_END: Duration = Duration::from_millis(2_500);
 
-/// Time between reads of a process that has just started, until it hears from a source.
-const START_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between reads of a process that has just started, until it hears from a source; also the longest
+/// wait for one. A store that was silent is back from one moment to the next, and callers wait.
+const START_INTERVAL: Duration = Duration::from_millis(350);
 
 /// Follows the store while this entry is to.
 #[derive(Debug)]
@@ -67,11 +68,13 @@
     /// old tells whom to learn the rest from, for a tenth of the price.
     async fn read_first(&self) {
         while self.mirror.age(Instant::now()).is_none() && !*self.is_wanted.borrow() {
-            match self.store.range_stale(EVERYTHING).await {
-                Ok(snapshot) => self.mirror.take_snapshot(snapshot),
-                Err(error) => tracing::debug!(%error, "no answer from the key-value store"),
+            let next_at = Instant::now() + START_INTERVAL;
+            match timeout_at(next_at, self.store.range_stale(EVERYTHING)).await {
+                Ok(Ok(snapshot)) => self.mirror.take_snapshot(snapshot),
+                Ok(Err(error)) => tracing::debug!(%error, "no answer from the key-value store"),
+                Err(_) => tracing::debug!("no answer from the key-value store in time"),
             }
-            sleep(START_INTERVAL).await;
+            sleep_until(next_at).await;
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -66,6 +66,7 @@
     views: Views,
     budget: Mutex<RetryBudget>,
     gates: Mutex<Gates>,
+    started_at: Instant,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
 }
@@ -73,7 +74,13 @@
 impl Gateway {
     /// A gateway that reads `views`.
     pub fn new(views: Views, budget: RetryBudget, metrics: Arc<Metrics>) -> Self {
-        Self { views, budget: Mutex::new(budget), gates: Mutex::default(), metrics }
+        Self {
+            views,
+            budget: Mutex::new(budget),
+            gates: Mutex::default(),
+            started_at: Instant::now(),
+            metrics,
+        }
     }
 
     /// The newest view.
@@ -106,7 +113,8 @@
         let head = headers::request(&parts.headers);
         let view = self.view();
         let Some(configuration) = &view.configuration else {
-            return Err((Refusal::NoConfiguration, head));
+            let refusal = Refusal::no_configuration(self.started_at.elapsed(), rand::random());
+            return Err((refusal, head));
         };
         let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
