Ranks: change maps as soon as arming allows; read the store with patience

Change: 2 to 4 passes, from the time that arming takes in this group (mean of the last changes and a quarter) and the pass seen last. An agent that sums up tells as soon as its members have told, 40 ms after the first at the latest.

--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -2,8 +2,9 @@
 
 use crate::auth::{FleetKey, Opening, Proof, Reply, Side, Transcript, VERSION};
 use crate::codec::{MAX_BATCH_BYTES, decode, encode};
-use crate::link::{Keeping, Link};
-use crate::message::Hello;
+use crate::id::Incarnation;
+use crate::link::{Keeping, Link, NoStamps, Timing};
+use crate::message::{Hello, Role};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt, future};
 use serde::Serialize;
@@ -73,6 +74,29 @@
     pub keeping: Keeping,
 }
 
+impl Identity {
+    /// Who a process is in a deployment that gives its processes no secret. The key that all share proves no
+    /// more than that: the network is trusted as far as the platform keeps others out.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::{link::Timing, message::Role, websocket::Identity};
+    /// let identity = Identity::without_secret("vm-1", "dc-1", Role::Entry, Timing::default());
+    /// assert_eq!(identity.hello.name, "vm-1");
+    /// ```
+    pub fn without_secret(vm: &str, data_centre: &str, role: Role, timing: Timing) -> Self {
+        let hello = Hello {
+            name: vm.to_owned(),
+            incarnation: Incarnation::fresh(),
+            vm: vm.to_owned(),
+            data_centre: data_centre.to_owned(),
+            operators: None,
+            role,
+        };
+        let keeping = Keeping { timing, stamps: Arc::new(NoStamps) };
+        Self { hello, key: FleetKey::new([0; FleetKey::TAG_BYTES]), keeping }
+    }
+}
+
 /// Opens a connection.
 pub async fn connect<Out, In>(
     address: SocketAddr,
--- a/crates/ranks/src/collect.rs
+++ b/crates/ranks/src/collect.rs
@@ -13,8 +13,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{broadcast, mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 /// Part of a link that the counts of a group may take at its coordinator.
@@ -23,6 +24,10 @@
 /// Size of a count on its way, in bytes.
 const COUNT_BYTES: f64 = 0.6;
 
+/// Longest wait for the rest of a window's choices after the first of them. Ranks do each pass together, so
+/// that their agents tell of it at nearly the same time.
+pub const REST_LIMIT: Duration = Duration::from_millis(40);
+
 /// Sums that may wait for the collector.
 const CHOICES_CAPACITY: usize = 64;
 
@@ -152,9 +157,14 @@
         let mut own = self.updates.subscribe();
         let mut connected: HashMap<SocketAddr, CancellationToken> = HashMap::new();
         let mut sum = Sum::default();
-        let mut ticks = interval(COUNTS_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut flush_at = None;
         loop {
+            let flush = async {
+                match flush_at {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 changed = self.members.changed() => {
                     if changed.is_err() {
@@ -172,12 +182,18 @@
                     }
                     Err(broadcast::error::RecvError::Closed) => return,
                 },
-                _ = ticks.tick(), if !connected.is_empty() => {
-                    if let Some(choices) = sum.take() {
-                        // Nobody listens while no coordinator is connected.
-                        let _ = self.updates.send(RankUpdate::Sum(choices));
-                    }
+                () = flush => flush_at = Some(Instant::now()),
+            }
+            let is_due = flush_at.is_some_and(|at| at <= Instant::now());
+            let is_whole = usize::from(sum.ranks) > connected.len();
+            if is_due || is_whole {
+                flush_at = None;
+                if let Some(choices) = sum.take() {
+                    // Nobody listens while no coordinator is connected.
+                    let _ = self.updates.send(RankUpdate::Sum(choices));
                 }
+            } else if sum.ranks > 0 && flush_at.is_none() {
+                flush_at = Some(Instant::now() + REST_LIMIT);
             }
         }
     }
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -95,12 +95,18 @@
     Watching,
     Preparing(Switch<Preparing>, Instant),
     Holding(Switch<Holding>, Holder),
-    /// The time is that at which ranks are armed from here.
-    Arming(Switch<Arming>, Instant),
+    Arming(Switch<Arming>, Armer),
     Releasing(Switch<Releasing>),
     Released(Switch<Released>),
 }
 
+/// When the hold was asked for, if it was from here, and when ranks are armed from here.
+#[derive(Clone, Copy, Debug)]
+struct Armer {
+    asked_at: Option<Instant>,
+    direct_at: Instant,
+}
+
 /// The agent that was asked for a hold.
 #[derive(Clone, Copy, Debug)]
 struct Holder {
@@ -329,27 +335,35 @@
         }
         match phase {
             Phase::Watching => Phase::Watching,
-            Phase::Preparing(switch, since) => match switch.advance(&states) {
-                Ok(holding) if states.len() == group.size => self.ask_for_hold(holding, group),
-                Ok(_) => Phase::Watching,
-                Err(switch) if since.elapsed() > PREPARE_LIMIT => {
-                    tracing::warn!(
-                        version = switch.version,
-                        "change given up: not prepared in time"
-                    );
-                    self.targets.send_replace(RankTarget::Idle);
-                    Phase::Watching
+            Phase::Preparing(switch, since) => {
+                match switch.advance(&states, group.passes_ahead()) {
+                    Ok(holding) if states.len() == group.size => self.ask_for_hold(holding, group),
+                    Ok(_) => Phase::Watching,
+                    Err(switch) if since.elapsed() > PREPARE_LIMIT => {
+                        tracing::warn!(
+                            version = switch.version,
+                            "change given up: not prepared in time"
+                        );
+                        self.targets.send_replace(RankTarget::Idle);
+                        Phase::Watching
+                    }
+                    Err(switch) => Phase::Preparing(switch, since),
                 }
-                Err(switch) => Phase::Preparing(switch, since),
-            },
+            }
             Phase::Holding(switch, holder) => self.hold(switch, holder, group).await,
-            Phase::Arming(switch, direct_at) => match switch.advance(&states) {
-                Ok(releasing) => self.release(releasing).await,
-                Err(switch) if Instant::now() >= direct_at => {
+            Phase::Arming(switch, armer) => match switch.advance(&states) {
+                Ok(releasing) => {
+                    if let Some(asked_at) = armer.asked_at {
+                        group.note_arming(asked_at.elapsed());
+                    }
+                    self.release(releasing).await
+                }
+                Err(switch) if Instant::now() >= armer.direct_at => {
                     self.arm_directly(&switch, group).await;
-                    Phase::Arming(switch, Instant::now() + DIRECT_AFTER)
+                    let direct_at = Instant::now() + DIRECT_AFTER;
+                    Phase::Arming(switch, Armer { direct_at, ..armer })
                 }
-                Err(switch) => Phase::Arming(switch, direct_at),
+                Err(switch) => Phase::Arming(switch, armer),
             },
             Phase::Releasing(switch) => self.release(switch).await,
             Phase::Released(switch) => {
@@ -397,7 +411,8 @@
                 self.asked_holds.remove(&(switch.epoch, pass));
                 let arming = switch.held();
                 self.targets.send_replace(arming.target());
-                return Phase::Arming(arming, now + DIRECT_AFTER);
+                let asked_at = Some(holder.asked_at);
+                return Phase::Arming(arming, Armer { asked_at, direct_at: now + DIRECT_AFTER });
             }
             if now - held_at > HOLDER_LIMIT {
                 tracing::warn!(pass, by = holder.by, "hold lifted: nothing heard from its giver");
@@ -407,7 +422,8 @@
             return Phase::Holding(switch, holder);
         }
         if report.pass >= pass {
-            return self.ask_for_hold(switch.too_late(&states, report.pass), group);
+            return self
+                .ask_for_hold(switch.too_late(&states, report.pass, group.passes_ahead()), group);
         }
         if now - holder.asked_at > ASK_LIMIT {
             tracing::warn!(pass, by = holder.by, "change given up: no hold");
@@ -465,7 +481,8 @@
 fn into_phase(left: Leftover, now: Instant) -> Phase {
     match left {
         Leftover::Armed { epoch, version, pass } => {
-            Phase::Arming(Switch::resume(epoch, version, pass), now + DIRECT_AFTER)
+            let armer = Armer { asked_at: None, direct_at: now + DIRECT_AFTER };
+            Phase::Arming(Switch::resume(epoch, version, pass), armer)
         }
         Leftover::Held { epoch, pass } => Phase::Releasing(Switch::abandoned(epoch, pass)),
     }
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -5,7 +5,7 @@
 use crate::lookup::ServiceParameters;
 use crate::pace::PassTimes;
 use crate::peers::PeerUpdate;
-use crate::switch::PASSES_AHEAD;
+use crate::switch::{FIRST_PASSES_AHEAD, passes_ahead};
 use flamingowheel_policy::experts::{self, ChangeTimes, Demand, Map, Shape, StepLimits};
 use flamingowheel_protocol::ranks::{
     Choices, GroupRecord, GroupStatus, Progress, RankRecord, RankState, RankUpdate,
@@ -30,6 +30,9 @@
 /// A rank of which neither its agent nor its engine was heard for this long gets no requests.
 const AWAY: Duration = Duration::from_millis(1_000);
 
+/// Weight of the newest change in the mean time of arming.
+const ARMING_WEIGHT: f64 = 0.3;
+
 /// Skew by which a map under preparation must be worse than one planned now to be given up for it:
 /// a third of a pass, for the fifth of a second that is lost.
 const OUTDATED_SKEW: f64 = 0.35;
@@ -65,6 +68,8 @@
     /// The last pass of the window before.
     pub(crate) window_pass: Option<u64>,
     pub(crate) pass_times: PassTimes,
+    /// Mean time from the wish for a hold until all ranks are armed.
+    arming_ms: Option<f64>,
     /// The map that this coordinator had all ranks switch to last, and its version.
     pub(crate) switched: Option<(u64, Arc<Map>)>,
     /// What the configuration says of its service; `None` until it was read.
@@ -90,6 +95,7 @@
             window: Vec::new(),
             window_pass: None,
             pass_times: PassTimes::default(),
+            arming_ms: None,
             switched: None,
             parameters: None,
             connected: HashSet::new(),
@@ -340,13 +346,28 @@
         let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
         let times = ChangeTimes {
             copy_ms: service.engine.copy_ms,
-            switch_ms: SWITCH_MS + PASSES_AHEAD as f64 * self.pass_times.mean_ms(),
+            switch_ms: SWITCH_MS + self.passes_ahead() as f64 * self.pass_times.mean_ms(),
         };
         let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts, times);
         let paces: Vec<f64> = states.iter().map(|state| state.pace.max(1.0)).collect();
         experts::step(&map, demand, &paces, limits)
     }
 
+    /// Passes from a hold to the change of maps.
+    pub fn passes_ahead(&self) -> u64 {
+        match self.arming_ms {
+            Some(arming_ms) => passes_ahead(arming_ms, self.pass_times.newest_ms()),
+            None => FIRST_PASSES_AHEAD,
+        }
+    }
+
+    /// Notes the time from the wish for a hold until all ranks were armed.
+    pub fn note_arming(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let mean_ms = self.arming_ms.get_or_insert(took_ms);
+        *mean_ms += ARMING_WEIGHT * (took_ms - *mean_ms);
+    }
+
     /// The step to take instead of a map that is being prepared, if that would be left clearly behind.
     pub fn step_instead_of(&self, map: &Map) -> Option<experts::Step> {
         let states = self.states();
--- a/crates/ranks/src/lookup.rs
+++ b/crates/ranks/src/lookup.rs
@@ -2,7 +2,7 @@
 //! store is slow or away, a change of map under way must not wait for it.
 
 use crate::peers::engines_of;
-use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_backing::kv::{KeyValue, KeyValueError, Operation, Transaction};
 use flamingowheel_fleet::EngineParameters;
 use flamingowheel_platform::{CONFIGURATION_KEY, operator};
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord};
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Time between two announcements of a group at the least: each is a write, and news for every entry.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
@@ -28,6 +28,13 @@
     pub pause_goal_ms: f64,
 }
 
+/// First wait for the store, and the time between two tries at the least. A store that was silent is
+/// back from one moment to the next, and a group that has formed again waits for a better map.
+const FIRST_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest wait. It doubles up to this with each try: a large configuration takes a narrow link seconds.
+const LONGEST_LIMIT: Duration = Duration::from_secs(8);
+
 /// What was found in the store.
 #[derive(Clone, Debug)]
 pub struct Found {
@@ -57,7 +64,7 @@
         Self { store, service, sender, found, reading: None }
     }
 
-    /// Begins to read, unless that is under way.
+    /// Begins to read until the store answers, unless that is under way.
     pub fn start(&mut self, with_parameters: bool) {
         if self.reading.as_ref().is_some_and(|reading| !reading.is_finished()) {
             return;
@@ -65,12 +72,18 @@
         let (store, service) = (self.store.clone(), self.service.clone());
         let sender = self.sender.clone();
         self.reading = Some(tokio::spawn(async move {
-            let parameters =
-                if with_parameters { read_parameters(&store, &service).await } else { None };
-            match engines_of(&store, &service).await {
-                // Nobody receives once the process ends.
-                Ok(engines) => drop(sender.send(Found { engines, parameters }).await),
-                Err(error) => tracing::debug!(%error, "backend servers not listed"),
+            let mut limit = FIRST_LIMIT;
+            loop {
+                let next_at = Instant::now() + limit;
+                let reading = read(&store, &service, with_parameters);
+                match timeout_at(next_at, reading).await {
+                    // Nobody receives once the process ends.
+                    Ok(Ok(found)) => return drop(sender.send(found).await),
+                    Ok(Err(error)) => tracing::debug!(%error, "backend servers not listed"),
+                    Err(_) => tracing::debug!("no answer from the key-value store in time"),
+                }
+                sleep_until(next_at.min(Instant::now() + FIRST_LIMIT)).await;
+                limit = (limit * 2).min(LONGEST_LIMIT);
             }
         }));
     }
@@ -81,6 +94,16 @@
     }
 }
 
+async fn read<K>(store: &K, service: &str, with_parameters: bool) -> Result<Found, KeyValueError>
+where
+    K: KeyValue,
+{
+    let parameters =
+        async { if with_parameters { read_parameters(store, service).await } else { None } };
+    let (engines, parameters) = tokio::join!(engines_of(store, service), parameters);
+    Ok(Found { engines: engines?, parameters })
+}
+
 async fn read_parameters<K>(store: &K, service: &str) -> Option<ServiceParameters>
 where
     K: KeyValue,
--- a/crates/ranks/src/pace.rs
+++ b/crates/ranks/src/pace.rs
@@ -10,6 +10,7 @@
 pub struct PassTimes {
     last: Option<(u64, Instant)>,
     mean_ms: f64,
+    newest_ms: f64,
 }
 
 impl PassTimes {
@@ -23,9 +24,15 @@
             return;
         };
         let each_ms = (now - at).as_secs_f64() * 1_000.0 / (newest - pass) as f64;
+        self.newest_ms = each_ms;
         self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
     }
 
+    /// The pass seen last, in milliseconds; 0 before the first.
+    pub fn newest_ms(&self) -> f64 {
+        self.newest_ms
+    }
+
     /// The mean pass, in milliseconds; 0 before the first.
     pub fn mean_ms(&self) -> f64 {
         self.mean_ms
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -8,10 +8,8 @@
 use crate::peers::Peers;
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::{EngineClient, StoreClient};
-use flamingowheel_protocol::auth::FleetKey;
-use flamingowheel_protocol::id::Incarnation;
-use flamingowheel_protocol::link::{Keeping, Link, NoStamps, Timing};
-use flamingowheel_protocol::message::{BackendProfile, Hello, Role, Serves};
+use flamingowheel_protocol::link::{Link, Timing};
+use flamingowheel_protocol::message::{BackendProfile, Role, Serves};
 use flamingowheel_protocol::ranks::{AgentRequest, RankTarget, RankUpdate, Telling};
 use flamingowheel_protocol::targets::{EncodingCache, TargetDecoder};
 use flamingowheel_protocol::websocket::{Identity, accept_links};
@@ -196,24 +194,13 @@
     }
 }
 
-/// The platform gives processes no secret, so all of a deployment's processes share a key that
-/// proves no more than that: the network is trusted as far as the platform keeps others out.
 fn identity(settings: &ProcessSettings) -> Identity {
-    let hello = Hello {
-        name: settings.vm.clone(),
-        incarnation: Incarnation::fresh(),
-        vm: settings.vm.clone(),
-        data_centre: settings.data_centre.clone(),
-        operators: None,
-        role: Role::Agent(BackendProfile {
-            serves: Serves::Service {
-                service: settings.backend_service.clone().unwrap_or_default(),
-            },
-            places: 0,
-            can_resume: true,
-            experts: None,
-        }),
-    };
-    let keeping = Keeping { timing: TIMING, stamps: Arc::new(NoStamps) };
-    Identity { hello, key: FleetKey::new([0; 32]), keeping }
+    let service = settings.backend_service.clone().unwrap_or_default();
+    let role = Role::Agent(BackendProfile {
+        serves: Serves::Service { service },
+        places: 0,
+        can_resume: true,
+        experts: None,
+    });
+    Identity::without_secret(&settings.vm, &settings.data_centre, role, TIMING)
 }
--- a/crates/ranks/src/switch.rs
+++ b/crates/ranks/src/switch.rs
@@ -14,11 +14,29 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Passes between the newest one known and the one at which maps change: the time for all ranks
-/// to be armed, so that the hold seldom makes a pass wait. A hold that is proved and an arming take some
-/// 60 ms, a pass 40 ms or more. With 2, groups were held 1.3 s a day, with 3 0.1 s; in groups of 32 ranks,
-/// with passes of 90 ms, 0.8 s and 0.1 s.
-pub const PASSES_AHEAD: u64 = 3;
+/// Fewest and most passes between the newest one known and the one at which maps change.
+const PASSES_AHEAD: (u64, u64) = (2, 4);
+
+/// Passes ahead before it is known how long arming takes.
+pub const FIRST_PASSES_AHEAD: u64 = 3;
+
+/// Part by which arming may take longer than usual.
+const ARMING_RESERVE: f64 = 1.25;
+
+/// Passes between the newest one known and the one at which maps change: enough that all ranks are armed by
+/// then, so that the hold seldom makes a pass wait, and no more, since each is done with the old map.
+/// The newest pass may be nearly over when the hold is asked for.
+///
+/// ```
+/// use flamingowheel_ranks::switch::passes_ahead;
+/// assert_eq!(passes_ahead(100.0, 60.0), 4);
+/// assert_eq!(passes_ahead(100.0, 180.0), 2);
+/// ```
+pub fn passes_ahead(arming_ms: f64, pass_ms: f64) -> u64 {
+    let (least, most) = PASSES_AHEAD;
+    let passes = (arming_ms * ARMING_RESERVE / pass_ms.max(1.0)).ceil();
+    (1 + passes as u64).clamp(least, most)
+}
 
 /// Stands for the version of a change that is not carried out; the first map has it.
 const ABANDONED: u64 = 0;
@@ -78,13 +96,13 @@
         RankTarget::Prepared { epoch, version, map, engines }
     }
 
-    /// Goes on once all ranks have all experts.
-    pub fn advance(self, ranks: &[RankState]) -> Result<Switch<Holding>, Self> {
+    /// Goes on once all ranks have all experts; maps are to change `ahead` passes from now.
+    pub fn advance(self, ranks: &[RankState], ahead: u64) -> Result<Switch<Holding>, Self> {
         let is_ready = ranks.iter().all(|rank| rank.prepared_version == Some(self.version));
         if !is_ready {
             return Err(self);
         }
-        let pass = next_pass(ranks);
+        let pass = newest_pass(ranks) + ahead;
         Ok(self.with(Holding { pass }))
     }
 }
@@ -114,8 +132,8 @@
 
     /// The pass had begun before the hold arrived; a later one is taken. A hold of the old pass
     /// that is still on its way will be refused.
-    pub fn too_late(self, ranks: &[RankState], newest_pass: u64) -> Self {
-        let pass = next_pass(ranks).max(newest_pass + PASSES_AHEAD).max(self.state.pass + 1);
+    pub fn too_late(self, ranks: &[RankState], newest: u64, ahead: u64) -> Self {
+        let pass = (newest_pass(ranks).max(newest) + ahead).max(self.state.pass + 1);
         self.with(Holding { pass })
     }
 }
@@ -251,6 +269,6 @@
     }
 }
 
-fn next_pass(ranks: &[RankState]) -> u64 {
-    ranks.iter().map(|rank| rank.pass).max().unwrap_or(0) + PASSES_AHEAD
+fn newest_pass(ranks: &[RankState]) -> u64 {
+    ranks.iter().map(|rank| rank.pass).max().unwrap_or(0)
 }
--- a/crates/ranks/tests/switch.rs
+++ b/crates/ranks/tests/switch.rs
@@ -1,7 +1,9 @@
 //! The life cycle of a change of map, and what is found of changes that others left unfinished.
 
 use flamingowheel_protocol::ranks::{RankState, RankTarget};
-use flamingowheel_ranks::switch::{Leftover, Preparing, Switch, leftover, next_version};
+use flamingowheel_ranks::switch::{
+    FIRST_PASSES_AHEAD, Leftover, Preparing, Switch, leftover, next_version,
+};
 use std::net::SocketAddr;
 
 const EPOCH: u64 = 3;
@@ -29,7 +31,7 @@
 fn switch_whole_life() {
     let mut ranks = ranks(2);
     prepared(&mut ranks);
-    let holding = preparing().advance(&ranks).unwrap();
+    let holding = preparing().advance(&ranks, FIRST_PASSES_AHEAD).unwrap();
     let pass = holding.pass();
     assert!(pass > 10, "a pass that has not begun");
     let arming = holding.held();
@@ -50,7 +52,7 @@
 fn switch_unprepared_rank_waits() {
     let mut ranks = ranks(2);
     ranks[0].prepared_version = Some(VERSION);
-    assert!(preparing().advance(&ranks).is_err());
+    assert!(preparing().advance(&ranks, FIRST_PASSES_AHEAD).is_err());
 }
 
 /// One rank's arming is still on its way when all others are armed. Released now, the pass could
@@ -59,7 +61,7 @@
 fn switch_unarmed_rank_keeps_hold() {
     let mut ranks = ranks(3);
     prepared(&mut ranks);
-    let holding = preparing().advance(&ranks).unwrap();
+    let holding = preparing().advance(&ranks, FIRST_PASSES_AHEAD).unwrap();
     let pass = holding.pass();
     ranks[0].armed = Some((VERSION, pass));
     ranks[1].armed = Some((VERSION, pass));
@@ -73,9 +75,9 @@
 fn switch_late_hold_takes_later_pass() {
     let mut ranks = ranks(2);
     prepared(&mut ranks);
-    let holding = preparing().advance(&ranks).unwrap();
+    let holding = preparing().advance(&ranks, FIRST_PASSES_AHEAD).unwrap();
     let first = holding.pass();
-    let next = holding.too_late(&ranks, first + 4).pass();
+    let next = holding.too_late(&ranks, first + 4, FIRST_PASSES_AHEAD).pass();
     assert!(next > first + 4, "{next}");
 }
 
@@ -85,7 +87,7 @@
 fn switch_finished_by_others() {
     let mut ranks = ranks(2);
     prepared(&mut ranks);
-    let arming = preparing().advance(&ranks).unwrap().held();
+    let arming = preparing().advance(&ranks, FIRST_PASSES_AHEAD).unwrap().held();
     ranks.iter_mut().for_each(|rank| rank.map_version = VERSION);
     assert!(arming.advance(&ranks).is_ok());
 }
