--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// One watch on everything: each waiting watch counts against the store's rate, and all keys that
 /// exist concern an entry.
@@ -20,10 +20,13 @@
 /// Time without an outage after which the next one is told again.
 const OUTAGE_END: Duration = Duration::from_millis(2_500);
 
-/// Time between reads of a process that has just started, until it hears from a source; also the longest
-/// wait for one. A store that was silent is back from one moment to the next, and callers wait.
+/// Time between reads of a process that has just started, until it hears from a source; also the wait for the
+/// first one. A store that was silent is back from one moment to the next, and callers wait.
 const START_INTERVAL: Duration = Duration::from_millis(350);
 
+/// Longest wait for such a read. It doubles up to this with each: much may have to be read on a narrow link.
+const LONGEST_START_READ: Duration = Duration::from_secs(4);
+
 /// Follows the store while this entry is to.
 #[derive(Debug)]
 pub struct StoreFollower<K> {
@@ -67,13 +70,15 @@
     /// Reads the store as a process that has just started: all may start at once, and what is some seconds
     /// old tells whom to learn the rest from, for a tenth of the price.
     async fn read_first(&self) {
+        let mut limit = START_INTERVAL;
         while self.mirror.age(Instant::now()).is_none() && !*self.is_wanted.borrow() {
             let next_at = Instant::now() + START_INTERVAL;
-            match timeout_at(next_at, self.store.range_stale(EVERYTHING)).await {
+            match timeout(limit, self.store.range_stale(EVERYTHING)).await {
                 Ok(Ok(snapshot)) => self.mirror.take_snapshot(snapshot),
                 Ok(Err(error)) => tracing::debug!(%error, "no answer from the key-value store"),
                 Err(_) => tracing::debug!("no answer from the key-value store in time"),
             }
+            limit = (limit * 2).min(LONGEST_START_READ);
             sleep_until(next_at).await;
         }
     }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -7,15 +7,15 @@
 
 pub mod follower;
 pub mod groups;
+pub mod lone;
 pub mod mirror;
 pub mod reader;
 pub mod server;
 
-use flamingowheel_protocol::link::{Keeping, NoStamps, Timing};
+use flamingowheel_protocol::link::Timing;
 use flamingowheel_protocol::packed::Packed;
 use flamingowheel_protocol::ranks::GroupStatus;
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// How connections between entries are kept: a source that stands still is noticed within a second.
@@ -25,11 +25,6 @@
     stuck_limit: Duration::from_millis(1_000),
 };
 
-/// Keeping of connections between entries.
-pub fn keeping() -> Keeping {
-    Keeping { timing: TIMING, stamps: Arc::new(NoStamps) }
-}
-
 /// What an entry asks another for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Asked {
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -1,6 +1,7 @@
 //! Fills the mirror from other entries, and decides when this one has to follow the store itself.
 
 use crate::feed::groups::{Dated, Statuses, note_status};
+use crate::feed::lone::Lone;
 use crate::feed::mirror::Mirror;
 use crate::feed::{Asked, Head, Told};
 use flamingowheel_policy::topology::{Place, Topology};
@@ -37,20 +38,10 @@
 /// Time between two choices of such entries.
 const RANDOM_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time for a process that has just started to hear from a source.
-const START_PATIENCE: Duration = Duration::from_millis(2_000);
-
 /// Time after a start in which the list of entries is not acted on: all may have started together, and
 /// each of the first to be listed would take itself for a follower.
 const SETTLING: Duration = Duration::from_millis(1_000);
 
-/// Calls to the store a second, over all entries, by those that hear of no word from it. Each of them begins
-/// to follow it by itself after a time drawn at random.
-const LONE_FOLLOWERS_PER_S: f64 = 5.0;
-
-/// How long an entry that was left alone follows the store at the least.
-const LONE_TIME: Duration = Duration::from_secs(2);
-
 /// A source that tells nothing of groups for this long is left for another.
 const GROUPS_SILENCE: Duration = Duration::from_millis(800);
 
@@ -79,7 +70,7 @@
     randoms: (Vec<String>, Option<Instant>),
     fetching: Option<Instant>,
     behind_since: Option<Instant>,
-    alone: Alone,
+    lone: Lone,
     started_at: Instant,
     statuses: watch::Sender<Arc<Statuses>>,
     /// Sources in the order in which they are preferred.
@@ -109,14 +100,6 @@
     }
 }
 
-/// Since when no source is fresh, and when this entry follows the store because of that.
-#[derive(Clone, Copy, Debug)]
-enum Alone {
-    No,
-    Waits { until: Instant },
-    Follows { until: Instant },
-}
-
 impl Source {
     /// The age of the last word from the store that this source tells of.
     fn age(&self, now: Instant) -> Option<Duration> {
@@ -155,7 +138,7 @@
             randoms: (Vec::new(), None),
             fetching: None,
             behind_since: None,
-            alone: Alone::Waits { until: Instant::now() + START_PATIENCE },
+            lone: Lone::at_start(Instant::now()),
             started_at: Instant::now(),
             statuses,
             preferred: Vec::new(),
@@ -263,7 +246,7 @@
     /// Some entries at random while no source is fresh: one that is may be found among them.
     fn random_sources(&mut self, members: &Members) -> Vec<String> {
         let now = Instant::now();
-        if matches!(self.alone, Alone::No) {
+        if self.lone == Lone::No {
             self.randoms = (Vec::new(), None);
             return Vec::new();
         }
@@ -346,20 +329,8 @@
         let is_follower = is_settled && followers.contains(&own.vm.as_str());
         let is_fresh = |source: &Source| source.age(now).is_some_and(|age| age < FRESH);
         let has_fresh = self.sources.values().any(is_fresh);
-        self.alone = match self.alone {
-            Alone::Follows { until } if now < until => Alone::Follows { until },
-            _ if has_fresh => Alone::No,
-            Alone::Waits { until } if now < until => Alone::Waits { until },
-            Alone::Waits { .. } | Alone::Follows { .. } => {
-                Alone::Follows { until: now + LONE_TIME }
-            }
-            Alone::No => {
-                let spread_s = members.len() as f64 / LONE_FOLLOWERS_PER_S;
-                let wait = Duration::from_secs_f64(rand::random_range(0.0..=spread_s));
-                Alone::Waits { until: now + wait }
-            }
-        };
-        let follows = is_follower || matches!(self.alone, Alone::Follows { .. });
+        self.lone = self.lone.next(now, has_fresh, members.len(), rand::random());
+        let follows = is_follower || self.lone.follows();
         self.follows.send_if_modified(|told| std::mem::replace(told, follows) != follows);
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -4,20 +4,18 @@
 use crate::feed::follower::StoreFollower;
 use crate::feed::groups::GroupListener;
 use crate::feed::mirror::Mirror;
-use crate::feed::reader::{Members, Reader};
+use crate::feed::reader::Reader;
 use crate::feed::{self, server};
-use crate::follow::{Follower, Outputs};
 use crate::forward::Gateway;
 use crate::front::{self, Stop};
 use crate::info::{self, DIRECTORY_TTL_MS, Info};
 use crate::member::Announcement;
 use crate::metrics::Metrics;
+use crate::publish::{Outputs, Publisher};
 use crate::view::{EntryRecord, Views};
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::StoreClient;
-use flamingowheel_protocol::auth::FleetKey;
-use flamingowheel_protocol::id::Incarnation;
-use flamingowheel_protocol::message::{Hello, Role};
+use flamingowheel_protocol::message::Role;
 use flamingowheel_protocol::websocket::{Identity, accept_links};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -74,13 +72,12 @@
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
     let peers = SocketAddr::new(settings.ip, settings.internal_ports.0);
-    let members = start_feed(settings, peers, &store, views).await?;
+    start_feed(settings, peers, &store, views).await?;
     let data_centre = settings.data_centre.clone();
     let announcement = Announcement {
         store,
         vm: settings.vm.clone(),
         record: EntryRecord { callers, data_centre, peers: Some(peers) },
-        members,
         min_ttl: Duration::from_millis(settings.min_lease_ttl_ms),
     };
     let announced = tokio::spawn(announcement.run(stop.leaving.clone()));
@@ -109,13 +106,13 @@
     Ok(())
 }
 
-/// Starts what learns from the store and from other entries, and tells them. Returns the live entries.
+/// Starts what learns from the store and from other entries, and tells them.
 async fn start_feed(
     settings: &ProcessSettings,
     address: SocketAddr,
     store: &StoreClient,
     views: Views,
-) -> Result<watch::Receiver<Arc<Members>>, std::io::Error> {
+) -> Result<(), std::io::Error> {
     let mirror = Arc::new(Mirror::default());
     let (members, listed) = watch::channel(Arc::default());
     let (coordinators, coordinating) = watch::channel(Arc::default());
@@ -123,30 +120,18 @@
     let (follows, is_wanted) = watch::channel(false);
     let agent_port = settings.internal_ports.0;
     let outputs = Outputs { members, coordinators, statuses: status.clone(), agent_port };
-    let identity = identity(settings);
+    let (vm, data_centre) = (&settings.vm, &settings.data_centre);
+    let identity = Identity::without_secret(vm, data_centre, Role::Entry, feed::TIMING);
     let listener = TcpListener::bind(address).await?;
     let served = Arc::clone(&mirror);
     let attend = move |link| server::serve(link, Arc::clone(&served), status.clone());
     tokio::spawn(accept_links(listener, identity.clone(), CancellationToken::new(), attend));
-    tokio::spawn(Follower::new(Arc::clone(&mirror), views, outputs).run());
+    tokio::spawn(Publisher::new(Arc::clone(&mirror), views, outputs).run());
     tokio::spawn(StoreFollower::new(store.clone(), Arc::clone(&mirror), is_wanted.clone()).run());
     let groups = GroupListener::new(identity.clone(), coordinating, is_wanted, statuses.clone());
     tokio::spawn(groups.run());
-    tokio::spawn(Reader::new(identity, mirror, listed.clone(), follows, statuses).run());
-    Ok(listed)
-}
-
-/// The platform gives processes no secret: the key that all share proves nothing.
-fn identity(settings: &ProcessSettings) -> Identity {
-    let hello = Hello {
-        name: settings.vm.clone(),
-        incarnation: Incarnation::fresh(),
-        vm: settings.vm.clone(),
-        data_centre: settings.data_centre.clone(),
-        operators: None,
-        role: Role::Entry,
-    };
-    Identity { hello, key: FleetKey::new([0; 32]), keeping: feed::keeping() }
+    tokio::spawn(Reader::new(identity, mirror, listed, follows, statuses).run());
+    Ok(())
 }
 
 fn allowance(settings: &ProcessSettings) -> Allowance {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/publish.rs
@@ -30,7 +30,7 @@
 /// Time after the store's return during which vanished keys count as lapsed.
 const RETURN_WINDOW: Duration = Duration::from_millis(2_500);
 
-/// Where a follower tells what others of this process need, and where it hears how groups stand.
+/// Where a publisher tells what others of this process need, and where it hears how groups stand.
 #[derive(Debug)]
 pub struct Outputs {
     /// The live entries.
@@ -45,7 +45,7 @@
 
 /// The control thread's state, from which views are made.
 #[derive(Debug)]
-pub struct Follower {
+pub struct Publisher {
     mirror: Arc<Mirror>,
     views: Views,
     outputs: Outputs,
@@ -59,8 +59,8 @@
     lapsed: HashMap<String, Instant>,
 }
 
-impl Follower {
-    /// A follower that knows nothing yet.
+impl Publisher {
+    /// A publisher that knows nothing yet.
     pub fn new(mirror: Arc<Mirror>, views: Views, outputs: Outputs) -> Self {
         Self {
             mirror,
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Follows until dropped.
+    /// Publishes until dropped.
     pub async fn run(mut self) {
         let mut revisions = self.mirror.revisions();
         let mut checks = interval(LAPSE_CHECK);
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use flamingowheel_backing::kv::{KeyValueEntry, Revision, Snapshot, WatchEvent};
+use flamingowheel_gateway::feed::lone::Lone;
 use flamingowheel_gateway::feed::mirror::{Change, Mirror};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -149,3 +150,49 @@
     assert!(to.take_delta(from.delta(0, now), now));
     assert_eq!(to.last_outage(), Some(now - Duration::from_millis(300)));
 }
+
+/// When entries of a fleet are all cut off from their sources at one moment begin to follow the store.
+fn lone_starts(entries: usize) -> Vec<Duration> {
+    let begun = Instant::now();
+    let start = |entry: usize| {
+        let draw = (entry as f64 + 0.5) / entries as f64;
+        let mut lone = Lone::No;
+        let steps = (0..1_000).map(|step| begun + Duration::from_millis(100) * step);
+        for now in steps {
+            lone = lone.next(now, false, entries, draw);
+            if lone.follows() {
+                return now - begun;
+            }
+        }
+        panic!("never follows");
+    };
+    (0..entries).map(start).collect()
+}
+
+/// The followers have all died. Each entry that then followed the store at once would be one of 149 that
+/// read everything and watch, on a store that may itself be in trouble.
+#[test]
+fn next_all_alone_few_a_second() {
+    let starts = lone_starts(149);
+    for second in 0..20 {
+        let count = starts.iter().filter(|start| start.as_secs() == second).count();
+        assert!(count <= 6, "{count} in second {second}");
+    }
+}
+
+/// In a small fleet nobody else may be left to hear from.
+#[test]
+fn next_all_alone_small_fleet_soon() {
+    assert!(lone_starts(6).into_iter().all(|start| start <= Duration::from_millis(1_400)));
+}
+
+/// A source is fresh for a moment, then not: whoever follows goes on for a while, instead of reading the
+/// store anew each time.
+#[test]
+fn next_fresh_for_a_moment() {
+    let now = Instant::now();
+    let follows = Lone::Waits { until: now }.next(now, false, 9, 0.5);
+    let later = now + Duration::from_millis(500);
+    assert!(follows.next(later, true, 9, 0.5).follows());
+    assert!(!follows.next(now + Duration::from_secs(3), true, 9, 0.5).follows());
+}
