Ranks: files of their own for who is heard and for what an agent serves

group.rs held what is known, who is heard and what others are told; process.rs held the start and the serving of connections. Moved as they were.

--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -4,12 +4,14 @@
 //! orders on it. The agent of rank 0 coordinates: it collects the counts of all ranks, decides on
 //! small changes of the map and switches all ranks to them at one pass.
 
+pub mod agent;
 pub mod collect;
 pub mod coordinator;
 pub mod engine;
 pub mod far;
 pub mod group;
 pub mod lookup;
+pub mod members;
 pub mod pace;
 pub mod peers;
 pub mod process;
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -1,17 +1,18 @@
 //! Runs the agent.
 
+use crate::agent::Agent;
 use crate::collect::{Assignment, Collector};
 use crate::coordinator::Coordinator;
-use crate::engine::{Engine, Latest, Polling, UPDATE_CAPACITY};
+use crate::engine::{Engine, Polling, UPDATE_CAPACITY};
 use crate::far::FarRanks;
 use crate::lookup::{Announcer, Lookup};
 use crate::peers::Peers;
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::{EngineClient, StoreClient};
-use flamingowheel_protocol::link::{Link, Timing};
+use flamingowheel_protocol::link::Timing;
 use flamingowheel_protocol::message::{BackendProfile, Role, Serves};
-use flamingowheel_protocol::ranks::{AgentRequest, RankTarget, RankUpdate, Telling};
-use flamingowheel_protocol::targets::{EncodingCache, TargetDecoder};
+use flamingowheel_protocol::ranks::RankTarget;
+use flamingowheel_protocol::targets::EncodingCache;
 use flamingowheel_protocol::websocket::{Identity, accept_links};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -113,87 +114,6 @@
     Ok(())
 }
 
-/// What this agent has for others.
-#[derive(Clone, Debug)]
-struct Agent {
-    targets: watch::Sender<RankTarget>,
-    members: watch::Sender<Arc<Vec<SocketAddr>>>,
-    updates: broadcast::Sender<RankUpdate>,
-    latest: watch::Receiver<Latest>,
-}
-
-impl Agent {
-    /// Serves a coordinator or a collector: sends it this rank's updates and does what it asks for.
-    async fn attend(self, mut link: Link<RankUpdate, AgentRequest>) {
-        let mut updates = self.updates.subscribe();
-        for update in self.first_updates() {
-            if link.sender.send(update).await.is_err() {
-                return;
-            }
-        }
-        let mut decoder = TargetDecoder::default();
-        let mut telling = Telling::State;
-        let mut has_members = false;
-        loop {
-            tokio::select! {
-                request = link.receiver.recv() => match request {
-                    None => break,
-                    Some(AgentRequest::Tell(asked)) => telling = asked,
-                    Some(AgentRequest::Collect(addresses)) => {
-                        let Some(addresses) = addresses.unpack::<Vec<SocketAddr>>() else {
-                            tracing::warn!("addresses to collect from can't be read");
-                            break;
-                        };
-                        has_members = !addresses.is_empty();
-                        self.members.send_replace(Arc::new(addresses));
-                    }
-                    Some(AgentRequest::Target(message)) => {
-                        let Some(target) = decoder.decode(message) else {
-                            tracing::warn!("coordinator changes a map that it never told");
-                            break;
-                        };
-                        self.targets.send_replace(target);
-                    }
-                },
-                update = updates.recv() => match update {
-                    Ok(update) => {
-                        let is_wanted = is_wanted(&update, telling);
-                        if is_wanted && link.sender.send(update).await.is_err() {
-                            break;
-                        }
-                    }
-                    Err(broadcast::error::RecvError::Lagged(missed)) => {
-                        tracing::debug!(missed, "a connected agent is slow");
-                    }
-                    Err(broadcast::error::RecvError::Closed) => break,
-                },
-            }
-        }
-        if has_members {
-            self.members.send_replace(Arc::default());
-        }
-    }
-
-    /// What whoever connects is told at first.
-    fn first_updates(&self) -> Vec<RankUpdate> {
-        let Latest { state, experts } = self.latest.borrow().clone();
-        let experts =
-            experts.map(|(map_version, experts)| RankUpdate::Experts { map_version, experts });
-        state.map(RankUpdate::State).into_iter().chain(experts).collect()
-    }
-}
-
-fn is_wanted(update: &RankUpdate, telling: Telling) -> bool {
-    match update {
-        RankUpdate::Choices(_) => telling == Telling::Choices,
-        RankUpdate::Sum(_) => telling == Telling::Sums,
-        RankUpdate::Group(_) => telling == Telling::Group,
-        RankUpdate::State(_) | RankUpdate::Progress(_) | RankUpdate::Experts { .. } => {
-            telling != Telling::Group
-        }
-    }
-}
-
 fn identity(settings: &ProcessSettings) -> Identity {
     let service = settings.backend_service.clone().unwrap_or_default();
     let role = Role::Agent(BackendProfile {
