Entries: groups told of at a bounded rate, values packed once for all

The busiest entry sent 2.7 MB/s and used 0.6 of a core: with 230 groups it told every connected entry all groups' standing at each word of any coordinator, and packed every value for each of 190 entries that fetched it.

--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use flamingowheel_backing::kv::{KeyValueEntry, Snapshot, WatchEvent};
 use flamingowheel_protocol::packed::Packed;
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -25,7 +26,7 @@
 struct Known {
     revision: u64,
     /// `None` as value: deleted.
-    keys: BTreeMap<String, (u64, Option<Bytes>)>,
+    keys: BTreeMap<String, (u64, Option<Value>)>,
     deletions: usize,
     /// Deletions up to this revision are forgotten.
     forgotten: u64,
@@ -33,6 +34,23 @@
     outage_at: Option<Instant>,
 }
 
+/// A value, and the same as it is sent to others: a large one is packed once for all of them.
+#[derive(Clone, Debug)]
+struct Value {
+    bytes: Bytes,
+    packed: OnceCell<Packed>,
+}
+
+impl Value {
+    fn new(bytes: Bytes) -> Self {
+        Self { bytes, packed: OnceCell::new() }
+    }
+
+    fn packed(&self) -> Packed {
+        self.packed.get_or_init(|| Packed::deflate(&self.bytes).unwrap_or_default()).clone()
+    }
+}
+
 /// One change of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -167,10 +185,11 @@
         };
         for (key, (revision, value)) in known.keys.iter().filter(|(_, (r, _))| *r > after) {
             match value {
-                Some(value) => {
-                    let value = Packed::deflate(value).unwrap_or_default();
-                    delta.puts.push(Put { key: key.clone(), value, revision: *revision });
-                }
+                Some(value) => delta.puts.push(Put {
+                    key: key.clone(),
+                    value: value.packed(),
+                    revision: *revision,
+                }),
                 None if is_whole => {}
                 None => delta.deletes.push((key.clone(), *revision)),
             }
@@ -184,7 +203,7 @@
         let is_whole = after < known.forgotten || after == 0;
         let newer = known.keys.iter().filter(|(_, (revision, _))| *revision > after);
         let changes = newer.filter_map(|(key, (_, value))| match value {
-            Some(value) => Some(Change::Put(key.clone(), value.clone())),
+            Some(value) => Some(Change::Put(key.clone(), value.bytes.clone())),
             None => (!is_whole).then(|| Change::Delete(key.clone())),
         });
         Changes { revision: known.revision, is_whole, changes: changes.collect() }
@@ -216,7 +235,7 @@
             return;
         }
         let is_deletion = value.is_none();
-        let old = self.keys.insert(key, (revision, value));
+        let old = self.keys.insert(key, (revision, value.map(Value::new)));
         let was_deletion = matches!(old, Some((_, None)));
         self.deletions = self.deletions + usize::from(is_deletion) - usize::from(was_deletion);
     }
@@ -225,7 +244,7 @@
     fn take_whole(&mut self, revision: u64, puts: Vec<(String, Bytes, u64)>) {
         let listed: std::collections::HashSet<&str> =
             puts.iter().map(|(key, _, _)| key.as_str()).collect();
-        let is_gone = |(key, (known, value)): &(&String, &(u64, Option<Bytes>))| {
+        let is_gone = |(key, (known, value)): &(&String, &(u64, Option<Value>))| {
             value.is_some() && *known <= revision && !listed.contains(key.as_str())
         };
         let gone: Vec<String> =
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -75,6 +75,8 @@
     statuses: watch::Sender<Arc<Statuses>>,
     /// Sources in the order in which they are preferred.
     preferred: Vec<String>,
+    /// Whether this entry is one of those that follow the store for all.
+    is_among_followers: bool,
 }
 
 /// What a connection to a source tells the reader.
@@ -142,6 +144,7 @@
             started_at: Instant::now(),
             statuses,
             preferred: Vec::new(),
+            is_among_followers: false,
         }
     }
 
@@ -156,13 +159,16 @@
                     if changed.is_err() {
                         return;
                     }
+                    self.place();
+                    self.connect();
+                }
+                _ = ticks.tick() => {
+                    self.connect();
+                    self.ask_for_groups();
+                    self.decide();
                 }
-                _ = ticks.tick() => {}
             }
-            self.connect();
             self.fetch();
-            self.ask_for_groups();
-            self.decide();
         }
     }
 
@@ -197,16 +203,22 @@
         }
     }
 
-    /// Connects to the sources that are wanted now, and to no others.
-    fn connect(&mut self) {
+    /// Finds this entry's place among all.
+    fn place(&mut self) {
         let members = Arc::clone(&self.members.borrow_and_update());
         let own = &self.identity.hello;
         let places =
             members.iter().map(|(vm, peer)| Place { data_centre: &peer.data_centre, name: vm });
         let topology = Topology::new(places);
-        let mut wanted: Vec<String> =
-            topology.sources(&own.data_centre, &own.vm).into_iter().map(str::to_owned).collect();
-        self.preferred.clone_from(&wanted);
+        let sources = topology.sources(&own.data_centre, &own.vm);
+        self.preferred = sources.into_iter().map(str::to_owned).collect();
+        self.is_among_followers = topology.followers().contains(&own.vm.as_str());
+    }
+
+    /// Connects to the sources that are wanted now, and to no others.
+    fn connect(&mut self) {
+        let members = Arc::clone(&self.members.borrow());
+        let mut wanted = self.preferred.clone();
         wanted.extend(self.random_sources(&members));
         self.sources.retain(|vm, _| wanted.contains(vm) && members.contains_key(vm));
         for vm in wanted {
@@ -320,16 +332,12 @@
     /// no recent word from the store.
     fn decide(&mut self) {
         let now = Instant::now();
-        let members = self.members.borrow();
-        let own = &self.identity.hello;
-        let places =
-            members.iter().map(|(vm, peer)| Place { data_centre: &peer.data_centre, name: vm });
         let is_settled = now - self.started_at > SETTLING;
-        let followers = Topology::new(places).followers();
-        let is_follower = is_settled && followers.contains(&own.vm.as_str());
+        let is_follower = is_settled && self.is_among_followers;
         let is_fresh = |source: &Source| source.age(now).is_some_and(|age| age < FRESH);
         let has_fresh = self.sources.values().any(is_fresh);
-        self.lone = self.lone.next(now, has_fresh, members.len(), rand::random());
+        let entries = self.members.borrow().len();
+        self.lone = self.lone.next(now, has_fresh, entries, rand::random());
         let follows = is_follower || self.lone.follows();
         self.follows.send_if_modified(|told| std::mem::replace(told, follows) != follows);
     }
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -257,20 +257,20 @@
 
     /// Tells the groups' loads how passes grow with this entry's requests, as published.
     fn set_models(&self) {
+        let services: HashMap<SocketAddr, &str> = self
+            .servers
+            .values()
+            .map(|server| (server.listed.address, server.listed.service.as_str()))
+            .collect();
         for (record, load) in self.groups.values() {
-            if let Some(engine) = self.engine_of(record) {
+            let first = record.ranks.first();
+            let service = first.and_then(|rank| services.get(&rank.engine));
+            if let Some(engine) = service.and_then(|service| self.engine_of_service(service)) {
                 load.set_model(pass_model(engine, record.ranks.len(), self.entries.len().max(1)));
             }
         }
     }
 
-    /// The parameters of a group's engines.
-    fn engine_of(&self, record: &GroupRecord) -> Option<&EngineParameters> {
-        let address = record.ranks.first()?.engine;
-        let server = self.servers.values().find(|server| server.listed.address == address)?;
-        self.engine_of_service(&server.listed.service)
-    }
-
     fn engine_of_service(&self, service: &str) -> Option<&EngineParameters> {
         self.configuration.as_ref()?.services.get(service)?.engine.as_ref()
     }
