Gateway: of the listings of one address only the newest names a server

After a power failure each engine is listed twice: the old listing ends with its lease, some 3.5 s later, the new one is there at once. Entries sent half of the requests to ids that no longer exist, the engines at these addresses answered 421, and a request tried three servers and was refused.

Change: of several listings with one address the one written last in the store counts, in any service; servers renew their listings while they run, so the other is ignored, not removed, and counts again if it is renewed. A 421 no longer uses up one of the three tries and is no refusal for the circuit breaker. The start time in the listing was ruled out as the measure: it comes from a clock that can be stepped.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,7 +19,8 @@
 /// Largest share of a request's time that is spent waiting for servers; the rest is for its answer.
 const OUTAGE_SHARE: f64 = 0.4;
 
-/// Most backend servers to which one request is sent in a row, including those that refuse.
+/// Most backend servers to which one request is sent in a row, including those that refuse but not
+/// those that have ended.
 const MAX_SENDS_IN_ROW: usize = 3;
 
 /// Pause before a request that several servers refused is sent again.
@@ -103,6 +104,8 @@
 pub struct Attempts {
     /// Servers to exclude from the next choice.
     pub tried: Vec<Arc<Server>>,
+    /// Number of the tried servers that have ended. They say nothing about the others.
+    pub ended: usize,
     /// Number of sends, including those that a server refused.
     pub sends: u32,
     /// Number of sends after which a server may have run the request.
@@ -116,7 +119,7 @@
     /// outage: within the outage timeout this waits for a pause and then makes all servers eligible
     /// again.
     pub async fn may_send(&mut self, exchange: &Exchange) -> bool {
-        if self.tried.len() < MAX_SENDS_IN_ROW {
+        if self.tried.len() < MAX_SENDS_IN_ROW + self.ended {
             return true;
         }
         let resend_at = Instant::now() + RESEND_PAUSE;
@@ -126,6 +129,7 @@
         }
         sleep_until(resend_at).await;
         self.tried.clear();
+        self.ended = 0;
         true
     }
 
--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -55,7 +55,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     /// The key was written.
-    Put(String, Bytes),
+    Put {
+        /// The key.
+        key: String,
+        /// Its value.
+        value: Bytes,
+        /// The revision of the write.
+        revision: u64,
+    },
     /// The key was deleted.
     Delete(String),
 }
@@ -204,8 +211,12 @@
         let state = self.lock();
         let is_whole = after < state.pruned_revision || after == 0;
         let newer = state.keys.iter().filter(|(_, (revision, _))| *revision > after);
-        let changes = newer.filter_map(|(key, (_, value))| match value {
-            Some(value) => Some(Change::Put(key.clone(), value.bytes.clone())),
+        let changes = newer.filter_map(|(key, (revision, value))| match value {
+            Some(value) => Some(Change::Put {
+                key: key.clone(),
+                value: value.bytes.clone(),
+                revision: *revision,
+            }),
             None => (!is_whole).then(|| Change::Delete(key.clone())),
         });
         Changes { revision: state.revision, is_whole, changes: changes.collect() }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -51,6 +51,13 @@
     pub sent_at: Instant,
 }
 
+impl SentRequest {
+    /// Whether another server has taken over the address, so that the listing is outdated.
+    fn is_misdirected(&self) -> bool {
+        self.response.status() == StatusCode::MISDIRECTED_REQUEST
+    }
+}
+
 /// Why a request that was sent got no answer.
 #[derive(Debug)]
 pub enum SendFailure {
@@ -171,6 +178,7 @@
             let sending = self.send(exchange, &server, group.as_ref(), exchange.head.last_event_id);
             match sending.await {
                 Ok(sent) if sent.answer.is_not_run => {
+                    attempts.ended += usize::from(sent.is_misdirected());
                     self.record_not_run(exchange, &sent);
                     continue;
                 }
@@ -355,12 +363,11 @@
             status = sent.response.status().as_u16(),
             "backend server refused"
         );
-        if sent.response.status() == StatusCode::MISDIRECTED_REQUEST {
-            // Another server has taken over the address; the listing is outdated.
+        if sent.is_misdirected() {
             server.record_gone(Instant::now());
-        } else {
-            server.record_answer(sent.sent_at.elapsed(), true);
+            return;
         }
+        server.record_answer(sent.sent_at.elapsed(), true);
         self.breakers().record_refusal(&exchange.service);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod front;
 pub mod group;
 pub mod info;
+pub mod listings;
 pub mod member;
 pub mod metrics;
 pub mod process;
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -4,6 +4,7 @@
 use crate::feed::mirror::{Change, Changes, Mirror};
 use crate::feed::reader::{Members, Peer};
 use crate::group::{GroupLoad, GroupRank};
+use crate::listings::Listings;
 use crate::server::Server;
 use crate::view::{EntryRecord, View, Views};
 use flamingowheel_fleet::{BackendServer, Configuration, EngineParameters};
@@ -51,7 +52,7 @@
     views: Views,
     outputs: Outputs,
     configuration: Option<Arc<Configuration>>,
-    servers: HashMap<String, Arc<Server>>,
+    listings: Listings,
     entries: HashMap<String, EntryRecord>,
     groups: HashMap<String, (GroupRecord, Arc<GroupLoad>)>,
     /// Loads of the engines that belong to no announced group, one for all of a service.
@@ -68,7 +69,7 @@
             views,
             outputs,
             configuration: None,
-            servers: HashMap::new(),
+            listings: Listings::default(),
             entries: HashMap::new(),
             groups: HashMap::new(),
             ungrouped: HashMap::new(),
@@ -124,7 +125,7 @@
         }
         for change in changes.changes {
             match change {
-                Change::Put(key, value) => self.put(&key, &value),
+                Change::Put { key, value, revision } => self.put(&key, &value, revision),
                 Change::Delete(key) => self.delete(key),
             }
         }
@@ -134,11 +135,11 @@
         let listed: HashSet<&str> = changes
             .iter()
             .filter_map(|change| match change {
-                Change::Put(key, _) => Some(key.as_str()),
+                Change::Put { key, .. } => Some(key.as_str()),
                 Change::Delete(_) => None,
             })
             .collect();
-        let servers = self.servers.keys().map(|id| format!("{SERVERS_PREFIX}{id}"));
+        let servers = self.listings.ids().map(|id| format!("{SERVERS_PREFIX}{id}"));
         let entries = self.entries.keys().map(|vm| format!("{ENTRIES_PREFIX}{vm}"));
         let vanished: Vec<String> =
             servers.chain(entries).filter(|key| !listed.contains(key.as_str())).collect();
@@ -147,12 +148,12 @@
         }
     }
 
-    fn put(&mut self, key: &str, value: &[u8]) {
+    fn put(&mut self, key: &str, value: &[u8], revision: u64) {
         self.expired.remove(key);
         if key == CONFIGURATION_KEY {
             self.put_configuration(value);
         } else if key.starts_with(SERVERS_PREFIX) {
-            self.put_server(key, value);
+            self.put_server(key, value, revision);
         } else if let Some(name) = key.strip_prefix(GROUPS_PREFIX) {
             self.put_group(name, value);
         } else if let Some(vm) = key.strip_prefix(ENTRIES_PREFIX) {
@@ -203,19 +204,18 @@
         self.groups.insert(name.to_owned(), (record, load));
     }
 
-    fn put_server(&mut self, key: &str, value: &[u8]) {
+    fn put_server(&mut self, key: &str, value: &[u8], revision: u64) {
         let listed = match servers::decode(key, value) {
             Ok(listed) => listed,
             Err(error) => {
                 tracing::warn!(key, %error, "backend server's listing can't be read; ignored");
                 if let Some(id) = key.strip_prefix(SERVERS_PREFIX) {
-                    self.servers.remove(id);
+                    self.listings.remove(id);
                 }
                 return;
             }
         };
-        let current = self.servers.get(&listed.id);
-        if current.is_some_and(|current| current.listed == listed) {
+        if self.listings.renew(&listed, revision) {
             return;
         }
         tracing::info!(
@@ -226,11 +226,7 @@
             started_ms = listed.started_ms,
             "backend server listed"
         );
-        let server = match current {
-            Some(current) if current.is_same_start(&listed) => current.with_listing(listed),
-            _ => Server::new(listed),
-        };
-        self.servers.insert(server.listed.id.clone(), Arc::new(server));
+        self.listings.insert(listed, revision);
     }
 
     fn delete(&mut self, key: String) {
@@ -246,7 +242,7 @@
 
     fn remove(&mut self, key: &str) {
         if let Some(id) = key.strip_prefix(SERVERS_PREFIX)
-            && self.servers.remove(id).is_some()
+            && self.listings.remove(id)
         {
             tracing::info!(server = id, "backend server gone");
         }
@@ -261,8 +257,8 @@
     /// requests.
     fn set_models(&self) {
         let service_by_engine: HashMap<SocketAddr, &str> = self
-            .servers
-            .values()
+            .listings
+            .current()
             .map(|server| (server.listed.address, server.listed.service.as_str()))
             .collect();
         for (record, load) in self.groups.values() {
@@ -315,7 +311,7 @@
     /// requests all streams would be late, or be refused by full engines.
     fn add_ungrouped(&mut self, group_ranks: &mut HashMap<SocketAddr, GroupRank>) {
         let mut engines: HashMap<String, Vec<SocketAddr>> = HashMap::new();
-        for server in self.servers.values().filter(|server| !server.listed.is_draining) {
+        for server in self.listings.current().filter(|server| !server.listed.is_draining) {
             let BackendServer { service, address, .. } = &server.listed;
             let has_engine = self.engine_of_service(service).is_some();
             if has_engine && !group_ranks.contains_key(address) {
@@ -354,7 +350,7 @@
         self.publish_members();
         self.publish_coordinators();
         let mut servers: HashMap<String, Vec<Arc<Server>>> = HashMap::new();
-        for server in self.servers.values().filter(|server| !server.listed.is_draining) {
+        for server in self.listings.current().filter(|server| !server.listed.is_draining) {
             servers.entry(server.listed.service.clone()).or_default().push(Arc::clone(server));
         }
         self.set_models();
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -32,7 +32,7 @@
 fn values(mirror: &Mirror) -> Vec<(String, String)> {
     let changes = mirror.changes(0).changes;
     let values = changes.into_iter().filter_map(|change| match change {
-        Change::Put(key, value) => Some((key, String::from_utf8(value.to_vec()).unwrap())),
+        Change::Put { key, value, .. } => Some((key, String::from_utf8(value.to_vec()).unwrap())),
         Change::Delete(_) => None,
     });
     values.collect()
--- /dev/null
+++ b/crates/gateway/tests/publish.rs
@@ -0,0 +1,111 @@
+//! Which listed backend servers get requests.
+
+use flamingowheel_backing::kv::{KeyValueEntry, Revision, WatchEvent};
+use flamingowheel_gateway::feed::mirror::Mirror;
+use flamingowheel_gateway::publish::{Outputs, Publisher};
+use flamingowheel_gateway::view::Views;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+const ENGINES: u64 = 32;
+
+/// Longer than the publisher takes to apply a change, shorter than its grace period.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+
+struct Entry {
+    mirror: Arc<Mirror>,
+    views: Views,
+    revision: u64,
+}
+
+impl Entry {
+    async fn start() -> Self {
+        let (mirror, views) = (Arc::new(Mirror::default()), Views::default());
+        let (members, _) = watch::channel(Arc::default());
+        let (coordinators, _) = watch::channel(Arc::default());
+        let (statuses, received) = watch::channel(Arc::default());
+        let outputs = Outputs { members, coordinators, statuses: received, agent_port: 7_000 };
+        let publisher = Publisher::new(Arc::clone(&mirror), Arc::clone(&views), outputs);
+        tokio::spawn(async move {
+            // The publisher ends once nobody can send statuses.
+            let _statuses = statuses;
+            publisher.run().await;
+        });
+        sleep(SETTLE_TIME).await;
+        Self { mirror, views, revision: 0 }
+    }
+
+    /// A server writes its listing: at its start, and with a new sequence number at each heartbeat.
+    fn list(&mut self, id: &str, service: &str, engine: u64) {
+        self.revision += 1;
+        let value = format!(
+            r#"{{"service":"{service}","addr":"10.0.0.{engine}:80","zone":"z","slots":10,
+            "state":"ready","seq":{}}}"#,
+            self.revision
+        );
+        let revision = Revision(self.revision);
+        self.mirror.apply_event(WatchEvent::Put(KeyValueEntry {
+            key: format!("servers/{id}"),
+            value: value.into(),
+            create_revision: revision,
+            mod_revision: revision,
+            lease: None,
+        }));
+        self.mirror.apply_event(WatchEvent::Progress { revision });
+    }
+
+    async fn servers_of(&self, service: &str) -> Vec<String> {
+        sleep(SETTLE_TIME).await;
+        let view = self.views.load_full();
+        let servers = view.servers_of(service).iter();
+        let mut ids: Vec<String> = servers.map(|server| server.listed.id.clone()).collect();
+        ids.sort_unstable();
+        ids
+    }
+}
+
+/// All engines lose power and start again under new ids, while the leases of the old ones run for
+/// some seconds more. Requests to the old ids would be refused by the new engines.
+#[tokio::test(start_paused = true)]
+async fn run_all_engines_restarted() {
+    let mut entry = Entry::start().await;
+    (0..ENGINES).for_each(|engine| entry.list(&format!("old-{engine}"), "s", engine));
+    (0..ENGINES).for_each(|engine| entry.list(&format!("new-{engine}"), "s", engine));
+    let servers = entry.servers_of("s").await;
+    assert_eq!(servers.len() as u64, ENGINES);
+    assert!(servers.iter().all(|id| id.starts_with("new-")), "{servers:?}");
+}
+
+/// An engine lives while another record names its address. As long as the engine renews its own
+/// record, requests go to it.
+#[tokio::test(start_paused = true)]
+async fn run_record_renewed() {
+    let mut entry = Entry::start().await;
+    entry.list("live", "s", 1);
+    entry.list("other", "s", 1);
+    assert_eq!(entry.servers_of("s").await, ["other"]);
+    entry.list("live", "s", 1);
+    assert_eq!(entry.servers_of("s").await, ["live"]);
+}
+
+/// The address of an engine that has crashed goes to a server of another service.
+#[tokio::test(start_paused = true)]
+async fn run_address_reused() {
+    let mut entry = Entry::start().await;
+    entry.list("engine", "s", 1);
+    entry.list("application", "t", 1);
+    assert!(entry.servers_of("s").await.is_empty());
+    assert_eq!(entry.servers_of("t").await, ["application"]);
+}
+
+/// The store was away and has no newer record of an engine that runs.
+#[tokio::test(start_paused = true)]
+async fn run_old_record_kept() {
+    let mut entry = Entry::start().await;
+    entry.list("old", "s", 1);
+    entry.list("new", "s", 2);
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(entry.servers_of("s").await, ["new", "old"]);
+}
