Ranks: the first pass time counts in full

The coordinator's mean of pass times began at zero and took in a tenth of each pass. In the first second of a group the planner therefore took it for idle, asked for a large saving, and stopped at an uneven map while passes were near the goal.

Change: the first pass time is the mean. The test lets a group begin with three passes of 150 ms; by the formula the mean was 28.5 ms after them before.

--- a/crates/ranks/src/pass_times.rs
+++ b/crates/ranks/src/pass_times.rs
@@ -26,7 +26,8 @@
         };
         let each_ms = (now - at).as_secs_f64() * 1_000.0 / (newest - pass) as f64;
         self.newest_ms = each_ms;
-        self.mean_ms += PASS_TIME_WEIGHT * (each_ms - self.mean_ms);
+        let weight = if self.mean_ms > 0.0 { PASS_TIME_WEIGHT } else { 1.0 };
+        self.mean_ms += weight * (each_ms - self.mean_ms);
     }
 
     /// Latest pass time, in milliseconds; 0 before the first.
--- a/crates/ranks/tests/members.rs
+++ b/crates/ranks/tests/members.rs
@@ -95,6 +95,19 @@
     assert!(group.record().ranks.iter().all(|rank| !rank.is_away));
 }
 
+/// All processes were restarted, and the group opens with its first map. If its long passes counted
+/// only in part at first, the planner would take the group for idle and stop at an uneven map.
+#[tokio::test(start_paused = true)]
+async fn status_first_passes_count() {
+    let mut group = Group::new(&state(0));
+    for pass in 1..=3 {
+        let busy = RankState { pass, running: 8, ..state(0) };
+        update(&mut group, 0, RankUpdate::State(busy));
+        advance(Duration::from_millis(150)).await;
+    }
+    assert!((group.status().pass_ms - 150.0).abs() < 5.0, "{}", group.status().pass_ms);
+}
+
 /// Backend servers of a service form several groups, and an engine may come back as a rank of another
 /// group.
 #[tokio::test(start_paused = true)]
