Ranks: the size of a step follows from the measured time of a switch

A step copies more experts a rank only if that saves more than it makes the first copies wait. What a separate change would cost was a constant of 200 ms and the passes ahead; on the shifted deployment maps take 0.25 to 0.5 s from plan to use while a copy takes 36 ms.

Change: the coordinator measures the time from a plan to the map in use, without the copies, and the planner uses its mean. Where copies take 400 ms the first step still copies one expert a rank.

--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -86,10 +86,20 @@
     pub peer_updates: mpsc::Receiver<PeerUpdate>,
     /// Version of the map that was planned last; 0 before the first.
     pub last_version: u64,
+    /// The switch that was planned last.
+    pub planned: Option<PlannedSwitch>,
     /// Holds that were requested but for which no rank was armed, by epoch and pass.
     pub requested_holds: HashSet<(u64, u64)>,
 }
 
+/// When a switch was planned, and how many experts each rank copies at most.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedSwitch {
+    version: u64,
+    copies: usize,
+    planned_at: Instant,
+}
+
 #[derive(Debug, Default)]
 enum Phase {
     #[default]
@@ -312,6 +322,8 @@
         let spread = rand::random_range(1..VERSION_SPREAD);
         let version = next_version(states, self.last_version, spread);
         self.last_version = version;
+        let planned_at = Instant::now();
+        self.planned = Some(PlannedSwitch { version, copies: step.copies, planned_at });
         tracing::info!(
             group = group.name,
             epoch = group.epoch,
@@ -324,7 +336,7 @@
         let engines = group.ranks.values().map(|rank| rank.engine).collect();
         let switch = Switch::new(group.epoch, version, step.map, engines);
         self.targets.send_replace(switch.target());
-        Phase::Preparing(switch, Instant::now())
+        Phase::Preparing(switch, planned_at)
     }
 
     /// Returns a hold that this coordinator requested and that took effect only after the switch
@@ -384,6 +396,9 @@
                 if switch.is_done(&states) || (has_begun && switch.map.is_empty()) {
                     tracing::info!(group = group.name, version = switch.version, "map in use");
                     group.record_switch(switch.version, &switch.map);
+                    if let Some(planned) = self.planned.filter(|p| p.version == switch.version) {
+                        group.record_switch_time(planned.planned_at.elapsed(), planned.copies);
+                    }
                     self.targets.send_replace(RankTarget::Idle);
                     return Phase::Idle;
                 }
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -23,9 +23,11 @@
 /// this: a third of a pass, since replacing it costs a fifth of a second.
 const OUTDATED_SKEW: f64 = 0.35;
 
-/// Time of a switch besides copies and passes, in milliseconds: the hold and its confirmation, the
-/// arming, and reading the experts from which the next switch is planned.
-const SWITCH_MS: f64 = 200.0;
+/// Assumed time of a switch besides copies and passes, in milliseconds, until one was measured.
+const FIRST_SWITCH_MS: f64 = 200.0;
+
+/// Weight of the newest switch in the moving average of the switch time.
+const SWITCH_WEIGHT: f64 = 0.3;
 
 /// Latest data on one rank.
 #[derive(Debug)]
@@ -57,6 +59,8 @@
     pub(crate) pass_times: PassTimes,
     /// Mean time from requesting a hold until all ranks are armed.
     arming_ms: Option<f64>,
+    /// Mean time from planning a map until it is in use, without the copies.
+    switch_ms: Option<f64>,
     /// Version and map of the last switch that this coordinator completed.
     pub(crate) last_switch: Option<(u64, Arc<Map>)>,
     /// Configuration of its service; `None` until it was read.
@@ -84,6 +88,7 @@
             window_pass: None,
             pass_times: PassTimes::default(),
             arming_ms: None,
+            switch_ms: None,
             last_switch: None,
             parameters: None,
             connected: HashSet::new(),
@@ -245,10 +250,7 @@
         let map = self.map_in_use(states)?;
         let service = self.parameters.as_ref()?;
         let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
-        let times = ChangeTimes {
-            copy_ms: service.engine.copy_ms,
-            switch_ms: SWITCH_MS + self.passes_ahead() as f64 * self.pass_times.mean_ms(),
-        };
+        let times = ChangeTimes { copy_ms: service.engine.copy_ms, switch_ms: self.switch_ms() };
         let limits = StepLimits::for_pressure(pressure, service.engine.max_new_experts, times);
         let paces: Vec<f64> = states.iter().map(|state| state.pace.max(1.0)).collect();
         experts::step(&map, demand, &paces, limits)
@@ -269,6 +271,23 @@
         *mean_ms += ARMING_WEIGHT * (elapsed_ms - *mean_ms);
     }
 
+    /// Returns the time from planning a map until it is in use, without the copies, in milliseconds.
+    fn switch_ms(&self) -> f64 {
+        let passes_ms = self.passes_ahead() as f64 * self.pass_times.mean_ms();
+        self.switch_ms.unwrap_or(FIRST_SWITCH_MS + passes_ms)
+    }
+
+    /// Records the time from planning a map with `copies` copies on a rank until it was in use.
+    pub fn record_switch_time(&mut self, elapsed: Duration, copies: usize) {
+        let Some(service) = &self.parameters else {
+            return;
+        };
+        let copies_ms = copies as f64 * service.engine.copy_ms;
+        let switch_ms = (elapsed.as_secs_f64() * 1_000.0 - copies_ms).max(0.0);
+        let mean_ms = self.switch_ms.get_or_insert(switch_ms);
+        *mean_ms += SWITCH_WEIGHT * (switch_ms - *mean_ms);
+    }
+
     /// Returns a step to take instead of the map that is being prepared, if that map is clearly
     /// worse.
     pub fn replacement_step(&self, map: &Map) -> Option<experts::Step> {
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -113,6 +113,7 @@
         remote_pollers,
         peer_updates,
         last_version: 0,
+        planned: None,
         requested_holds: HashSet::new(),
     };
     tokio::spawn(coordinator.run());
--- a/crates/ranks/tests/group.rs
+++ b/crates/ranks/tests/group.rs
@@ -8,6 +8,7 @@
 use flamingowheel_ranks::lookup::ServiceParameters;
 use flamingowheel_ranks::peers::PeerUpdate;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 const SHAPE: Shape = Shape { sets: 2, experts: 32, ranks: 4, replicas_per_rank: 12 };
 
@@ -16,12 +17,17 @@
 }
 
 fn group() -> Group {
+    group_with_copies_of(0.0)
+}
+
+fn group_with_copies_of(copy_ms: f64) -> Group {
     let mut group = Group::new(&state(0, 0));
     let engine = EngineParameters {
         expert_sets: SHAPE.sets,
         experts: SHAPE.experts,
         replicas_per_rank: SHAPE.replicas_per_rank,
         max_new_experts: 4,
+        copy_ms,
         ..EngineParameters::default()
     };
     group.parameters = Some(ServiceParameters { engine, pause_goal_ms: 100.0 });
@@ -57,6 +63,29 @@
     }
 }
 
+/// Number of copies of the first step after a shift, once a switch took `switch_ms` besides copies.
+fn copies_of_step(copy_ms: f64, switch_ms: u64) -> usize {
+    let mut group = group_with_copies_of(copy_ms);
+    let elapsed = Duration::from_secs_f64(copy_ms / 1_000.0) + Duration::from_millis(switch_ms);
+    group.record_switch_time(elapsed, 1);
+    apply_pass(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+    group.close_window();
+    group.next_step(&group.states()).expect("the first map is unbalanced").copies
+}
+
+/// Copies take a fraction of a switch. Small steps would leave the group at an uneven map for
+/// several switches.
+#[tokio::test(start_paused = true)]
+async fn next_step_fast_copies() {
+    assert!(copies_of_step(36.0, 600) > copies_of_step(36.0, 60));
+}
+
+/// Copies take longer than a switch, and the group waits for all copies of a step.
+#[tokio::test(start_paused = true)]
+async fn next_step_slow_copies() {
+    assert_eq!(copies_of_step(400.0, 300), 1);
+}
+
 fn planned(group: &Group) -> Map {
     group.next_step(&group.states()).expect("the first map is unbalanced").map
 }
