Gateway: first attempts at streams are refused at once in an outage

While all engines of a service refused, an entry held each stream for up to 1.5 s. Every caller of an outage was therefore sent in the moment in which the groups opened, with their first map, at which no stream is in time; those callers are late whatever is done, and they made new ones late as well. Callers refused as full were told to come back after 250 ms, into the same moment.

Change: a first attempt at a stream is refused at once while its service has an outage; the delay it is told spreads over the time up to a third of what is left, which callers follow. A caller that comes back waits as before, since most callers come back once; so do calls without a stream, whose deadlines leave no useful delay. Worse off: a caller for whom the groups would have opened within its 400 ms.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{RetryPolicy, Route, Workspace};
 use flamingowheel_platform::headers::{self, ForwardHead, RequestHead};
+use flamingowheel_policy::outage;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -79,6 +80,20 @@
         (self.deadline - self.arrived).mul_f64(OUTAGE_SHARE).min(MAX_OUTAGE_WAIT)
     }
 
+    /// Whether the request is refused at once while its service has an outage. Such a stream would
+    /// be late even if it waited. A caller that was refused before waits instead: most callers retry
+    /// once.
+    pub fn is_refused_in_outage(&self) -> bool {
+        self.route.pause_goal_ms > 0 && !self.is_caller_retry()
+    }
+
+    /// The refusal during an outage. `draw`, a random number between 0 and 1, spreads the retries.
+    pub fn outage_refusal(&self, draw: f64) -> Refusal {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let retry_after_ms = outage::retry_after_ms(left.as_secs_f64() * 1_000.0, draw);
+        Refusal::Full { retry_after_ms }
+    }
+
     /// Builds the request to send to `server`.
     pub fn outgoing(&self, server: &Server, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
@@ -149,7 +164,7 @@
         }
         let is_late = Instant::now() >= exchange.deadline;
         Err(match (self.runs > 0, is_late) {
-            (false, false) => refusal.unwrap_or(Refusal::Full),
+            (false, false) => refusal.unwrap_or_else(|| exchange.outage_refusal(rand::random())),
             (false, true) => Refusal::TooLate,
             (true, false) => Refusal::AnswerLost,
             (true, true) => Refusal::NoAnswerInTime,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -246,10 +246,11 @@
                     }
                 }
                 Choice::NoServer if tried.is_empty() => {}
-                Choice::NoServer => return Err(Refusal::Full),
+                Choice::NoServer => return Err(exchange.outage_refusal(draw)),
             }
-            if now - exchange.arrived >= exchange.outage_timeout() {
-                return Err(Refusal::Full);
+            let is_over = now - exchange.arrived >= exchange.outage_timeout();
+            if is_over || exchange.is_refused_in_outage() {
+                return Err(exchange.outage_refusal(draw));
             }
             sleep_until(exchange.deadline.min(now + SERVER_POLL_INTERVAL)).await;
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -36,7 +36,10 @@
         retry_after_ms: u64,
     },
     /// No backend server accepts work; none ran the request.
-    Full,
+    Full {
+        /// When the caller should retry, in milliseconds from now.
+        retry_after_ms: u64,
+    },
     /// The deadline passed before a backend server could run the request.
     TooLate,
     /// A backend server may have run the request, but its answer was lost.
@@ -68,9 +71,10 @@
     /// The HTTP status. 408, 429 and 503 guarantee that the request did not and will not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration { .. } | Self::Busy { .. } | Self::Full | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration { .. }
+            | Self::Busy { .. }
+            | Self::Full { .. }
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -83,10 +87,10 @@
     /// When the caller should retry, in milliseconds from now; `None` if a retry would not help.
     pub fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::Busy { retry_after_ms } | Self::NoConfiguration { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
-            Self::Full | Self::TooLate => Some(RETRY_AFTER_MS),
+            Self::Busy { retry_after_ms }
+            | Self::Full { retry_after_ms }
+            | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
+            Self::TooLate => Some(RETRY_AFTER_MS),
             _ => None,
         }
     }
@@ -100,7 +104,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLost => "body_lost",
             Self::Busy { .. } => "busy",
-            Self::Full => "full",
+            Self::Full { .. } => "full",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
             Self::NoAnswerInTime => "no_answer_in_time",
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod key;
 pub mod limits;
 pub mod load;
+pub mod outage;
 pub mod passes;
 pub mod prefix;
 pub mod rebalance;
