--- a/crates/backing/src/backend.rs
+++ b/crates/backing/src/backend.rs
@@ -13,7 +13,7 @@
 )]
 pub struct Priority(pub u8);
 
-/// One call to the backend server.
+/// A request as an agent passes it on to its backend server.
 #[derive(Clone, Debug)]
 pub struct BackendCall {
     /// Identifies the call for [`BackendServer::cancel`]; unique in the fleet.
--- a/crates/flamingowheeld/src/demo/caller.rs
+++ b/crates/flamingowheeld/src/demo/caller.rs
@@ -27,7 +27,7 @@
 /// An answer whose body was read to its end.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    /// HTTP status code.
+    /// Status of the entry's answer; the outcome header says what became of the request.
     pub status: StatusCode,
     /// HTTP headers.
     pub headers: HeaderMap,
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -50,7 +50,7 @@
         self
     }
 
-    /// Adds the group.
+    /// Sets the rank group that the event concerns.
     pub fn group<N>(mut self, name: N) -> Self
     where
         N: Into<Name>,
--- a/crates/policy/benches/model/limits.rs
+++ b/crates/policy/benches/model/limits.rs
@@ -11,7 +11,7 @@
 const STEP: Duration = Duration::from_millis(10);
 const LIMITS: Limits = Limits { requests_per_s: 200.0, tokens_per_s: 1e9, in_flight: 10_000 };
 
-/// Parameters of a simulation.
+/// Load and network of a simulated fleet whose entries share one workspace's limit.
 pub struct LimitsConfig {
     pub seed: u64,
     pub members: u64,
--- a/crates/policy/src/rebalance/score.rs
+++ b/crates/policy/src/rebalance/score.rs
@@ -312,7 +312,7 @@
         let less = self.load_change_per_host(expert);
         let mut total = self.total;
         for &host in self.hosts_of(expert) {
-            self.shift(host, &less, &mut total);
+            self.add_load_effect(host, &less, &mut total);
         }
         total
     }
@@ -330,7 +330,7 @@
         let dropped = self.expert_in(slot);
         let (given, taken) = (self.share(dropped), self.share_with(expert, 1));
         let mut total = *partial;
-        self.shift(rank, &per_forecast(|index| taken[index] - given[index]), &mut total);
+        self.add_load_effect(rank, &per_forecast(|index| taken[index] - given[index]), &mut total);
         // The load of the other hosts of the dropped expert can only increase.
         if is_at_least(&total, limit) {
             return None;
@@ -340,9 +340,9 @@
         let less = self.load_change_per_host(expert);
         for &host in self.hosts_of(dropped).iter().filter(|host| **host != rank) {
             if self.is_placed_on(expert, host) {
-                self.shift_twice(host, &less, &more, &mut total);
+                self.add_load_effect_twice(host, &less, &more, &mut total);
             } else {
-                self.shift(host, &more, &mut total);
+                self.add_load_effect(host, &more, &mut total);
             }
         }
         (!is_at_least(&total, limit)).then(|| step_time(&total))
@@ -356,10 +356,16 @@
 
     /// Adds the effect of the load change `second` to the total, given that it already includes
     /// `first` on `rank`.
-    fn shift_twice(&self, rank: u16, first: &Values, second: &Values, total: &mut Values) {
+    fn add_load_effect_twice(
+        &self,
+        rank: u16,
+        first: &Values,
+        second: &Values,
+        total: &mut Values,
+    ) {
         let mut undone = [0.0; FORECASTS];
-        self.shift(rank, first, &mut undone);
-        self.shift(rank, &per_forecast(|index| first[index] + second[index]), total);
+        self.add_load_effect(rank, first, &mut undone);
+        self.add_load_effect(rank, &per_forecast(|index| first[index] + second[index]), total);
         for (total, undone) in total.iter_mut().zip(undone) {
             *total -= undone;
         }
@@ -369,7 +375,7 @@
     pub(super) fn partial_swap(&self, slot: Slot, resident: Expert) -> Values {
         let (given, taken) = (self.share(self.expert_in(slot)), self.share(resident));
         let mut total = self.total;
-        self.shift(
+        self.add_load_effect(
             self.rank_of(slot),
             &per_forecast(|index| taken[index] - given[index]),
             &mut total,
@@ -393,7 +399,7 @@
         }
         let (given, taken) = (self.share(self.expert_in(other)), self.share(expert));
         let mut total = *partial;
-        self.shift(rank, &per_forecast(|index| taken[index] - given[index]), &mut total);
+        self.add_load_effect(rank, &per_forecast(|index| taken[index] - given[index]), &mut total);
         (!is_at_least(&total, limit)).then(|| step_time(&total))
     }
 
@@ -406,26 +412,26 @@
         let more = per_forecast(|index| dropped_after[index] - dropped_share[index]);
         let less = per_forecast(|index| after[index] - share[index]);
         let load_change = per_forecast(|index| after[index] - dropped_share[index]);
-        self.shift(rank, &load_change, total);
+        self.add_load_effect(rank, &load_change, total);
         for &host in self.hosts_of(dropped) {
             if host == rank {
                 continue;
             }
             if self.is_placed_on(expert, host) {
-                self.shift(host, &per_forecast(|index| more[index] + less[index]), total);
+                self.add_load_effect(host, &per_forecast(|index| more[index] + less[index]), total);
             } else {
-                self.shift(host, &more, total);
+                self.add_load_effect(host, &more, total);
             }
         }
         for &host in self.hosts_of(expert) {
             if !self.is_placed_on(dropped, host) {
-                self.shift(host, &less, total);
+                self.add_load_effect(host, &less, total);
             }
         }
     }
 
     /// Adds the effect of additional `load` on `rank` to the total.
-    fn shift(&self, rank: u16, load: &Values, total: &mut Values) {
+    fn add_load_effect(&self, rank: u16, load: &Values, total: &mut Values) {
         let rank = usize::from(rank);
         let inverse_speed = self.inverse_speeds[rank];
         let times = per_forecast(|index| self.times[rank][index] + load[index] * inverse_speed);
--- a/crates/proof/src/matrix/run.rs
+++ b/crates/proof/src/matrix/run.rs
@@ -43,7 +43,7 @@
 /// A violation of an invariant that holds in every cell.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvariantViolation {
-    /// An invariant of requests.
+    /// A request broke one: for example, it ran twice or its answer was wrong.
     #[error(transparent)]
     Request(#[from] Violation),
     /// An invariant of the configuration.
@@ -54,7 +54,7 @@
     Group(#[from] GroupViolation),
 }
 
-/// How a cell failed.
+/// Why a cell of the matrix, one fault at one step, counts as failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CellFailure {
     /// An invariant that holds in every cell was violated.
--- a/crates/protocol/src/ranks.rs
+++ b/crates/protocol/src/ranks.rs
@@ -40,7 +40,7 @@
     },
     /// A prepared map comes into use with a given pass.
     Armed {
-        /// The group's epoch.
+        /// Epoch in which the pass is counted; in any other one the engine refuses the order.
         epoch: u64,
         /// The map's version.
         version: u64,
