--- a/crates/policy/src/batch.rs
+++ b/crates/policy/src/batch.rs
@@ -154,14 +154,13 @@
     /// The retained passes that came near `goal_ms`, with the lengths of their intervals.
     fn long_passes(&self, goal_ms: f64, now: Duration) -> Vec<(&CrowdedPass, Duration)> {
         let ends = self.slots.iter().skip(1).map(|next| next.started_at).chain([now]);
-        let lasted = |(pass, end): (_, Duration)| {
-            let pass: &CrowdedPass = pass;
-            (pass, end.saturating_sub(pass.started_at).min(2 * SLOT_LENGTH))
-        };
         let is_long = |(pass, _): &(&CrowdedPass, Duration)| {
             pass.is_retained(now) && pass.pass_ms >= INFORMATIVE_SHARE * goal_ms
         };
-        self.slots.iter().zip(ends).map(lasted).filter(is_long).collect()
+        let long_passes = self.slots.iter().zip(ends).filter(is_long);
+        let with_length = long_passes
+            .map(|(pass, end)| (pass, end.saturating_sub(pass.started_at).min(2 * SLOT_LENGTH)));
+        with_length.collect()
     }
 }
 
