Observe: the test of the rate of lines waits until the writer is blocked

The writer thread reports the dropped lines with the next line that it takes from the queue, and sets the count to 0. Where it ran late, after the first lines were dropped and before the test read the count, the test saw 0. Shown: with 20 ms between the lines and the reading the test as it was fails in 3 of 3 runs, with 0.

The writer is now blocked in its first line, as in the test of the stopped reader, so that nothing resets the count; the bound of 20 is as it was, for 100 lines after that one. 3 of 3 runs pass. Load was ruled out as the cause: it only decides when the thread runs.

--- a/crates/observe/tests/output.rs
+++ b/crates/observe/tests/output.rs
@@ -69,9 +69,18 @@
 /// Lines below warning beyond their share of the rate must be dropped and counted.
 #[test]
 fn write_above_rate() {
-    let output = NonBlockingOutput::start(io::sink(), 100).unwrap();
+    let (go, wait) = channel();
+    let (done, _) = channel();
+    let (write_began, is_blocked) = channel();
+    let blocked = BlockedWriter { write_began, go: wait, written: Arc::default(), done };
+    let output = NonBlockingOutput::start(blocked, 100).unwrap();
+    output.make_writer().write_all(b"line\n").unwrap();
+    // Waits until the writer thread is blocked. It would report and reset the count of lines dropped
+    // until then.
+    is_blocked.recv().unwrap();
     for _ in 0..100 {
         output.make_writer().write_all(b"line\n").unwrap();
     }
     assert!(output.dropped_lines() >= 20, "{}", output.dropped_lines());
+    drop(go);
 }
