Gateway: logs and counts what backend servers state as their limit

Nothing told whether an answer bore Server-Limit, so that an entry that never reads the header could not be told from one that forgets it. The header is decoded in the platform's package; a line and a counter (flamingowheel_server_signals_total) tell each change of what a server states: named, ended, or not a number. All answers to requests pass there, of every attempt and status, but for 421, which comes from another server. Requests go where they went before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use crate::view::{View, Views};
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{RetryPolicy, Route};
+use flamingowheel_platform::Stated;
 use flamingowheel_platform::headers::{self, AnswerHead, RequestHead};
 use flamingowheel_policy::passes;
 use http::{Request, Response, StatusCode};
@@ -306,7 +307,11 @@
                     self.metrics.record_send(exchange.kind(), "foreign_answer");
                     return Err(SendFailure::MayHaveRun);
                 }
-                Ok(SentRequest { response, answer, connection, in_flight, sent_at })
+                let sent = SentRequest { response, answer, connection, in_flight, sent_at };
+                if !sent.is_misdirected() {
+                    self.record_signals(id, server, &sent.answer);
+                }
+                Ok(sent)
             }
             Err(failure) => {
                 let result = match failure {
@@ -355,6 +360,29 @@
         }
     }
 
+    /// Records what the server asks for. Every answer to a request passes here, whatever its status
+    /// and whichever attempt it ends.
+    fn record_signals(&self, attempt_id: &str, server: &Server, answer: &AnswerHead) {
+        if !server.record_limit(&answer.limit_per_s) {
+            return;
+        }
+        let (request, server) = (attempt_id, server.listed.id.as_str());
+        match &answer.limit_per_s {
+            Stated::Value(limit_per_s) => {
+                self.metrics.record_signal("limit");
+                tracing::info!(request, server, limit_per_s, "backend server names a limit");
+            }
+            Stated::Absent => {
+                self.metrics.record_signal("limit_ended");
+                tracing::info!(request, server, "backend server names no limit any more");
+            }
+            Stated::Malformed(text) => {
+                self.metrics.record_signal("limit_malformed");
+                tracing::warn!(request, server, text, "backend server's limit can't be read");
+            }
+        }
+    }
+
     fn record_not_run(&self, exchange: &Exchange, sent: &SentRequest) {
         self.metrics.record_send(exchange.kind(), "not_run");
         let server = sent.in_flight.server();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     registry: Registry,
     requests: IntCounterVec,
     sends: IntCounterVec,
+    signals: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
     configuration_version: IntGauge,
@@ -35,6 +36,13 @@
             Opts::new("flamingowheel_tries_total", "Sends to backend servers and how they ended"),
             &["kind", "result"],
         )?;
+        let signals = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_server_signals_total",
+                "Changes of what backend servers ask for in their answers",
+            ),
+            &["signal"],
+        )?;
         let answer_times = HistogramVec::new(
             HistogramOpts::new(
                 "flamingowheel_answer_seconds",
@@ -53,10 +61,11 @@
         )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(sends.clone()))?;
+        registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
         registry.register(Box::new(configuration_version.clone()))?;
-        Ok(Self { registry, requests, sends, answer_times, pauses, configuration_version })
+        Ok(Self { registry, requests, sends, signals, answer_times, pauses, configuration_version })
     }
 
     /// Counts a request that ended.
@@ -69,6 +78,11 @@
         self.sends.with_label_values(&[kind, result]).inc();
     }
 
+    /// Counts a change of what a backend server asks for.
+    pub fn record_signal(&self, signal: &'static str) {
+        self.signals.with_label_values(&[signal]).inc();
+    }
+
     /// Records the time to an answer, or to the first event of a stream.
     pub fn observe_answer_time(&self, kind: &'static str, after: Duration) {
         self.answer_times.with_label_values(&[kind]).observe(after.as_secs_f64());
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use crate::group::{GroupInFlight, GroupLoad};
 use flamingowheel_fleet::BackendServer;
+use flamingowheel_platform::Stated;
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -57,6 +58,8 @@
     health: Health,
     /// When the newest requests were sent to the server.
     send_times: VecDeque<Instant>,
+    /// The limit as the newest answer states it, in requests per second.
+    stated_limit: Stated<f64>,
 }
 
 /// Moving averages and the backoff after failures.
@@ -226,6 +229,17 @@
         }
     }
 
+    /// Records the limit that an answer states, in requests per second. Returns whether the answer
+    /// before it stated another one.
+    pub fn record_limit(&self, stated: &Stated<f64>) -> bool {
+        let current = &mut self.lock().stated_limit;
+        let is_changed = current != stated;
+        if is_changed {
+            current.clone_from(stated);
+        }
+        is_changed
+    }
+
     /// Records that the server could not be reached or did not answer.
     pub fn record_unreachable(&self, now: Instant) {
         let mut state = self.lock();
