--- /dev/null
+++ b/crates/flamingowheeld/tests/limit.rs
@@ -0,0 +1,87 @@
+//! Entries as separate processes before backend servers that name a limit for all of them together.
+
+use flamingowheel_soak::callers::Caller;
+use flamingowheel_soak::cli::Options;
+use flamingowheel_soak::fleet::Fleet;
+use flamingowheel_soak::report::{SharedTally, Tally};
+use flamingowheel_soak::signals::{LimitSpan, Observed};
+use flamingowheel_standin::platform::server::Conditions;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Time for the processes to start and discover each other.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Time under the limit: it binds after 3 s, and its windows are 4 s long.
+const LIMITED_TIME: Duration = Duration::from_secs(9);
+
+const SEED: u64 = 11;
+
+/// What was seen of a fleet with limited servers.
+struct Run {
+    tally: Tally,
+    fleet: Fleet,
+    spans: Vec<LimitSpan>,
+}
+
+/// Runs `entries` processes before 4 servers, of which the first `limited` name a limit.
+async fn run_limited(entries: usize, limited: usize, limit_per_s: f64) -> Run {
+    let folder = std::env::temp_dir().join(format!("fw-limit-{}-{limited}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let options = Options {
+        program: env!("CARGO_BIN_EXE_flamingowheeld").into(),
+        seed: SEED,
+        seeds: 1,
+        seconds: 0,
+        entries,
+        servers: 4,
+        callers: 12,
+    };
+    let fleet = Fleet::start_all(&options, &folder).await.unwrap();
+    sleep(WARM_UP).await;
+    let from = Instant::now();
+    for server in &fleet.servers[..limited] {
+        server.standin.set_conditions(Conditions { limit_per_s: Some(limit_per_s) });
+    }
+    let (tally, stop, callers) =
+        (SharedTally::default(), CancellationToken::new(), TaskTracker::new());
+    let addresses: Vec<_> = fleet.entries.iter().map(|entry| entry.callers).collect();
+    for number in 0..options.callers as u64 {
+        let (entries, request_log) = (addresses.clone(), fleet.request_log.clone());
+        let caller = Caller { entries, request_log, tally: tally.clone() };
+        callers.spawn(caller.run(SEED + number, stop.clone()));
+    }
+    sleep(LIMITED_TIME).await;
+    let until = Instant::now();
+    stop.cancel();
+    callers.close();
+    callers.wait().await;
+    let spans = fleet.servers[..limited].iter().map(|server| LimitSpan {
+        server: server.id.clone(),
+        limit_per_s,
+        from,
+        until,
+    });
+    // The error is ignored: a leftover directory in the temporary directory is harmless.
+    let _ = std::fs::remove_dir_all(&folder);
+    Run { tally: tally.read(), spans: spans.collect(), fleet }
+}
+
+impl Run {
+    fn violations(&self) -> Vec<String> {
+        let arrivals = self.fleet.request_log.arrivals();
+        let observed = Observed { arrivals: &arrivals, calls: &self.tally.calls, faults: &[] };
+        let limits = observed.check_limits(&self.spans);
+        limits.iter().chain(&self.tally.violations).map(ToString::to_string).collect()
+    }
+}
+
+/// A backend server names a limit of one request a second, and each of six entries goes on sending
+/// to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn named_limit_one_server_kept() {
+    let run = run_limited(6, 1, 1.0).await;
+    assert_eq!(run.violations(), [""; 0], "{}", run.tally);
+}
--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -8,7 +8,7 @@
 use flamingowheel_standin::platform::messages::{
     CONFIGURATION_KEY, caller_headers, configuration, entry_settings, server_key, server_record,
 };
-use flamingowheel_standin::platform::server::{PlatformServer, RunCounter};
+use flamingowheel_standin::platform::server::{PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
 use http::Method;
 use rustix::process::Signal;
@@ -39,8 +39,8 @@
     tokio::spawn(store::serve(listener, kv.clone()));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let server_address = listener.local_addr().unwrap();
-    let run_counter = RunCounter::default();
-    tokio::spawn(PlatformServer::new("s-1", run_counter.clone(), WORK_DURATION, 4).serve(listener));
+    let request_log = RequestLog::default();
+    tokio::spawn(PlatformServer::new("s-1", request_log.clone(), WORK_DURATION, 4).serve(listener));
     write(&kv, &server_key("s-1"), server_record(server_address, 4, false)).await;
     write(&kv, CONFIGURATION_KEY, configuration(1, API_KEY, WORK_LIMIT_MS)).await;
 
@@ -67,7 +67,7 @@
             }
         }
     });
-    while run_counter.runs("a") == 0 {
+    while request_log.runs("a") == 0 {
         tokio::task::yield_now().await;
     }
     daemon.signal(Signal::TERM);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,13 +2,14 @@
 //! answers.
 
 use crate::report::{SharedTally, Violation};
+use crate::signals::{Call, PassedOn};
 use bytes::Bytes;
 use flamingowheel_backing::client::http::{
     BufferedResponse, HttpClient, HttpError, HttpLimits, Reuse,
 };
-use flamingowheel_standin::platform::messages::{caller_headers, is_signed};
+use flamingowheel_standin::platform::messages::{caller_headers, is_signed, signature};
 use flamingowheel_standin::platform::server::{
-    RunCounter, STREAM_EVENTS, answer_body, stream_event,
+    LIMIT_HEADER, RequestLog, STREAM_EVENTS, answer_body, stream_event,
 };
 use http::Method;
 use http_body_util::Full;
@@ -16,7 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Timeout of all routes, and the deadline that a caller sets for a request, in milliseconds.
@@ -63,8 +64,8 @@
 pub struct Caller {
     /// Addresses of the entries, chosen at random for each request.
     pub entries: Vec<SocketAddr>,
-    /// Runs counted by the backend servers.
-    pub run_counter: RunCounter,
+    /// Requests recorded by the backend servers.
+    pub request_log: RequestLog,
     /// Receives the counts and violations.
     pub tally: SharedTally,
 }
@@ -77,9 +78,13 @@
         let mut sent = Vec::new();
         while !stop.is_cancelled() {
             let kind = [Kind::Once, Kind::Safe, Kind::Stream][rng.random_range(0..3)];
-            let client = &clients[rng.random_range(0..clients.len())];
+            let entry = rng.random_range(0..clients.len());
             let attempt = format!("{:016x}", rng.random::<u64>());
-            let answer = send(client, kind, &attempt).await;
+            let sent_at = Instant::now();
+            let answer = send(&clients[entry], kind, &attempt).await;
+            let passed_on = answer.as_ref().ok().and_then(passed_on);
+            let call = Call { entry, attempt: attempt.clone(), sent_at, answer: passed_on };
+            self.tally.update(|tally| tally.calls.push(call));
             let refused_with = self.record_answer(kind, &attempt, &answer);
             sent.push(SentRequest { attempt, kind, refused_with });
             sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
@@ -117,7 +122,7 @@
     }
 
     fn check_runs(&self, sent: &SentRequest) {
-        let runs = self.run_counter.runs(&sent.attempt);
+        let runs = self.request_log.runs(&sent.attempt);
         let attempt = sent.attempt.clone();
         let violation = match sent.refused_with {
             Some(status) if runs > 0 => Some(Violation::FalseRefusal { attempt, status }),
@@ -146,6 +151,13 @@
     client.fetch(request.map_err(|_| HttpError::Malformed)?, Reuse::Allowed).await
 }
 
+/// The backend server's answer in an entry's; `None` for an answer of the entry's own.
+fn passed_on(answer: &BufferedResponse) -> Option<PassedOn> {
+    let server = signature(&answer.headers)?.to_owned();
+    let names_limit = answer.headers.contains_key(LIMIT_HEADER);
+    Some(PassedOn { server, at: Instant::now(), names_limit })
+}
+
 fn check_answer(kind: Kind, attempt: &str, answer: &BufferedResponse) -> Option<Violation> {
     let expected = match kind {
         Kind::Stream => (1..=STREAM_EVENTS).map(|id| stream_event(attempt, id)).collect(),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,7 +10,7 @@
 use flamingowheel_standin::platform::messages::{
     CONFIGURATION_KEY, EntryPorts, configuration, entry_settings, server_key, server_record,
 };
-use flamingowheel_standin::platform::server::{PlatformServer, RunCounter};
+use flamingowheel_standin::platform::server::{PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -46,6 +46,8 @@
     pub id: String,
     /// Proxy on all connections to it.
     pub proxy: Proxy,
+    /// The stand-in, to change what it asks for.
+    pub standin: PlatformServer,
 }
 
 /// All processes, stand-ins and proxies of one run.
@@ -57,8 +59,8 @@
     pub entries: Vec<Entry>,
     /// Backend servers, by the index that faults use.
     pub servers: Vec<Server>,
-    /// Counts the runs of all backend servers.
-    pub run_counter: RunCounter,
+    /// Records the requests of all backend servers.
+    pub request_log: RequestLog,
     version: AtomicU64,
     _reaper: Reaper,
 }
@@ -70,15 +72,15 @@
         let store = TcpListener::bind("127.0.0.1:0").await?;
         let store_address = store.local_addr()?;
         tokio::spawn(store::serve(store, kv.clone()));
-        let run_counter = RunCounter::default();
+        let request_log = RequestLog::default();
         let mut servers = Vec::new();
         for number in 0..options.servers {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let proxy = Proxy::start(listener.local_addr()?).await?;
             let id = format!("s-{number}");
-            let server = PlatformServer::new(&id, run_counter.clone(), PROCESSING_TIME, SLOTS);
-            tokio::spawn(server.serve(listener));
-            servers.push(Server { id, proxy });
+            let server = PlatformServer::new(&id, request_log.clone(), PROCESSING_TIME, SLOTS);
+            tokio::spawn(server.clone().serve(listener));
+            servers.push(Server { id, proxy, standin: server });
         }
         let mut entries = Vec::new();
         for number in 0..options.entries {
@@ -92,7 +94,7 @@
         }
         let reaper = Reaper(entries.iter().map(|entry| entry.daemon.clone()).collect());
         let version = AtomicU64::new(0);
-        let fleet = Self { kv, entries, servers, run_counter, version, _reaper: reaper };
+        let fleet = Self { kv, entries, servers, request_log, version, _reaper: reaper };
         for server in 0..fleet.servers.len() {
             fleet.publish_server(server, false).await;
         }
@@ -110,7 +112,7 @@
 
     /// Publishes the record of a backend server, as ready or as draining.
     pub async fn publish_server(&self, server: usize, is_draining: bool) {
-        let Server { id, proxy } = &self.servers[server];
+        let Server { id, proxy, .. } = &self.servers[server];
         self.write(&server_key(id), server_record(proxy.address, SLOTS, is_draining)).await;
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod proxy;
 pub mod report;
 pub mod run;
+pub mod signals;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,10 +1,11 @@
 //! Counts and violations of a run.
 
+use crate::signals::Call;
 use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// A violated guarantee.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Violation {
     /// Work that must not be repeated ran more than once.
     #[error("attempt {attempt} ran {runs} times")]
@@ -38,6 +39,21 @@
         /// HTTP status of the answer.
         status: u16,
     },
+    /// A backend server got more requests within 4 s than its limit allows, from entries that knew
+    /// it.
+    #[error(
+        "{server} with a limit of {limit_per_s}/s got {requests} requests in 4 s, not {allowed}"
+    )]
+    OverLimit {
+        /// Name of the server.
+        server: String,
+        /// Its limit, in requests per second.
+        limit_per_s: f64,
+        /// Number of requests.
+        requests: usize,
+        /// Most requests that are allowed.
+        allowed: usize,
+    },
     /// Too few requests were served after the last fault.
     #[error("{served} of {asked} requests were served after the last fault")]
     NotRecovered {
@@ -61,6 +77,8 @@
     pub unknown: u32,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
+    /// All requests.
+    pub calls: Vec<Call>,
 }
 
 /// Tally shared by all callers.
@@ -84,7 +102,7 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { asked, served, refused, unknown, violations } = self;
+        let Self { asked, served, refused, unknown, violations, .. } = self;
         write!(f, "{asked} asked, {served} served, {refused} refused, {unknown} unknown, ")?;
         write!(f, "{} violations", violations.len())?;
         violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -39,8 +39,8 @@
     let (tally, stop, callers) =
         (SharedTally::default(), CancellationToken::new(), TaskTracker::new());
     for _ in 0..options.callers {
-        let (entries, run_counter) = (entries.clone(), fleet.run_counter.clone());
-        let caller = Caller { entries, run_counter, tally: tally.clone() };
+        let (entries, request_log) = (entries.clone(), fleet.request_log.clone());
+        let caller = Caller { entries, request_log, tally: tally.clone() };
         callers.spawn(caller.run(rng.random(), stop.clone()));
     }
     let (injections, mut fault_log) = (TaskTracker::new(), String::new());
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -9,7 +9,7 @@
 use flamingowheel_soak::proxy::{LinkFault, Proxy};
 use flamingowheel_soak::report::{SharedTally, Tally, Violation};
 use flamingowheel_standin::platform::messages::{attempt_id, caller_headers};
-use flamingowheel_standin::platform::server::{PlatformServer, RunCounter};
+use flamingowheel_standin::platform::server::{PlatformServer, RequestLog};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -64,16 +64,16 @@
 
 /// Runs one caller against one entry with this fault until it has at least 8 answers.
 async fn run_caller(fault: Fault) -> Tally {
-    let run_counter = RunCounter::default();
+    let request_log = RequestLog::default();
     let (listener, address) = listen().await;
-    let server = PlatformServer::new("s", run_counter.clone(), Duration::ZERO, 8);
+    let server = PlatformServer::new("s", request_log.clone(), Duration::ZERO, 8);
     tokio::spawn(server.serve(listener));
     let server = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
     let (listener, address) = listen().await;
     let router = Router::new().fallback(handle).with_state(Entry { server, fault });
     tokio::spawn(async move { axum::serve(listener, router).await });
     let (tally, stop) = (SharedTally::default(), CancellationToken::new());
-    let caller = Caller { entries: vec![address], run_counter, tally: tally.clone() };
+    let caller = Caller { entries: vec![address], request_log, tally: tally.clone() };
     let running = tokio::spawn(caller.run(7, stop.clone()));
     while tally.read().asked < 8 {
         tokio::task::yield_now().await;
@@ -119,7 +119,7 @@
 #[tokio::test]
 async fn set_fault_reaches_caller() {
     let (listener, address) = listen().await;
-    let server = PlatformServer::new("s", RunCounter::default(), Duration::ZERO, 8);
+    let server = PlatformServer::new("s", RequestLog::default(), Duration::ZERO, 8);
     tokio::spawn(server.serve(listener));
     let proxy = Proxy::start(address).await.unwrap();
     let limits = HttpLimits { head_timeout_ms: 200, ..HttpLimits::default() };
--- /dev/null
+++ b/crates/soak/tests/signals.rs
@@ -0,0 +1,73 @@
+//! Tests of the checks of what backend servers ask for.
+
+use flamingowheel_soak::report::Violation;
+use flamingowheel_soak::signals::{Call, FaultSpan, LimitSpan, Observed, PassedOn};
+use flamingowheel_standin::platform::server::Arrival;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A run in which entry 0 was told a limit at 1 s and sent `count` requests to the server, 0.2 s
+/// apart from 4 s on.
+struct Seen {
+    start: Instant,
+    arrivals: Vec<Arrival>,
+    calls: Vec<Call>,
+}
+
+impl Seen {
+    fn new(count: u64) -> Self {
+        let start = Instant::now();
+        let mut seen = Self { start, arrivals: Vec::new(), calls: Vec::new() };
+        let at = seen.at(1_000);
+        let answer = PassedOn { server: "s".to_owned(), at, names_limit: true };
+        seen.calls.push(Call {
+            entry: 0,
+            attempt: "a".to_owned(),
+            sent_at: at,
+            answer: Some(answer),
+        });
+        for number in 0..count {
+            let (attempt, at) = (number.to_string(), seen.at(4_000 + 200 * number));
+            let arrival = Arrival { server: "s".to_owned(), attempt: attempt.clone(), at };
+            seen.arrivals.push(arrival);
+            seen.calls.push(Call { entry: 0, attempt, sent_at: at, answer: None });
+        }
+        seen
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    fn check(&self, faults: &[FaultSpan]) -> Vec<Violation> {
+        let (from, until) = (self.at(500), self.at(60_000));
+        let span = LimitSpan { server: "s".to_owned(), limit_per_s: 1.0, from, until };
+        let Self { arrivals, calls, .. } = self;
+        Observed { arrivals, calls, faults }.check_limits(&[span])
+    }
+}
+
+#[test]
+fn check_limits_at_bound() {
+    assert_eq!(Seen::new(11).check(&[]), []);
+}
+
+#[test]
+fn check_limits_over_bound() {
+    let violations = Seen::new(12).check(&[]);
+    assert!(matches!(violations[..], [Violation::OverLimit { requests: 12, allowed: 11, .. }]));
+}
+
+#[test]
+fn check_limits_entry_not_told() {
+    let mut seen = Seen::new(12);
+    seen.calls[0].entry = 1;
+    assert_eq!(seen.check(&[]), []);
+}
+
+#[test]
+fn check_limits_entry_with_fault_excused() {
+    let seen = Seen::new(12);
+    let fault = FaultSpan { entry: 0, from: seen.at(3_000), until: seen.at(5_000) };
+    assert_eq!(seen.check(&[fault]), []);
+}
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -77,6 +77,11 @@
     headers.contains_key(SIGNATURE_HEADER)
 }
 
+/// Name of the backend server that signed an answer.
+pub fn signature(headers: &HeaderMap) -> Option<&str> {
+    headers.get(SIGNATURE_HEADER)?.to_str().ok()
+}
+
 /// The ports of an entry on loopback.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryPorts {
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -1,5 +1,5 @@
-//! A backend server that speaks the platform's protocol, and the counter in which all of them
-//! record their runs.
+//! A backend server that speaks the platform's protocol, and the log in which all of them record
+//! their requests.
 
 use super::messages::{ATTEMPT_HEADER, SIGNATURE_HEADER, attempt_id};
 use axum::Router;
@@ -14,26 +14,64 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
+
+/// Header with the limit that a backend server names.
+pub const LIMIT_HEADER: &str = "server-limit";
 
 /// Number of events in every stream.
 pub const STREAM_EVENTS: u64 = 8;
 
-/// Counts how often each attempt of a caller began to run, over all backend servers.
+/// What a backend server asks for in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Conditions {
+    /// The limit that it names, in requests per second.
+    pub limit_per_s: Option<f64>,
+}
+
+/// A request that reached a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// The server's name.
+    pub server: String,
+    /// Id of the caller's attempt.
+    pub attempt: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// Records the requests that reach any of the backend servers, and how often each attempt of a
+/// caller began to run.
 #[derive(Clone, Debug, Default)]
-pub struct RunCounter(Arc<Mutex<HashMap<String, u32>>>);
+pub struct RequestLog(Arc<Mutex<Requests>>);
 
-impl RunCounter {
+#[derive(Debug, Default)]
+struct Requests {
+    runs: HashMap<String, u32>,
+    arrivals: Vec<Arrival>,
+}
+
+impl RequestLog {
     /// Number of runs of an attempt so far.
     pub fn runs(&self, attempt: &str) -> u32 {
-        self.lock().get(attempt).copied().unwrap_or(0)
+        self.lock().runs.get(attempt).copied().unwrap_or(0)
     }
 
-    fn increment(&self, attempt: &str) {
-        *self.lock().entry(attempt.to_owned()).or_default() += 1;
+    /// All arrivals so far, in their order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, u32>> {
+    fn record_run(&self, attempt: &str) {
+        *self.lock().runs.entry(attempt.to_owned()).or_default() += 1;
+    }
+
+    fn record_arrival(&self, server: &str, attempt: &str) {
+        let (server, attempt) = (server.to_owned(), attempt.to_owned());
+        self.lock().arrivals.push(Arrival { server, attempt, at: Instant::now() });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Requests> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -43,13 +81,14 @@
 pub struct PlatformServer {
     /// Name under which it is registered.
     pub id: String,
-    /// Counts its runs.
-    pub run_counter: RunCounter,
+    /// Records its requests.
+    pub request_log: RequestLog,
     /// Time before a plain answer, and before each event of a stream.
     pub delay: Duration,
     /// Most requests in progress at once; further ones are refused.
     pub slots: u32,
     used_slots: Arc<AtomicU32>,
+    conditions: Arc<Mutex<Conditions>>,
 }
 
 /// A slot of a server, released on drop.
@@ -73,8 +112,36 @@
 
 impl PlatformServer {
     /// Creates a server with all slots free.
-    pub fn new(id: &str, run_counter: RunCounter, delay: Duration, slots: u32) -> Self {
-        Self { id: id.to_owned(), run_counter, delay, slots, used_slots: Arc::default() }
+    pub fn new(id: &str, request_log: RequestLog, delay: Duration, slots: u32) -> Self {
+        Self {
+            id: id.to_owned(),
+            request_log,
+            delay,
+            slots,
+            used_slots: Arc::default(),
+            conditions: Arc::default(),
+        }
+    }
+
+    /// Sets what the server asks for from now on. Clones of a server share it.
+    pub fn set_conditions(&self, conditions: Conditions) {
+        *self.conditions.lock().unwrap_or_else(PoisonError::into_inner) = conditions;
+    }
+
+    /// What the server asks for.
+    pub fn conditions(&self) -> Conditions {
+        *self.conditions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A response with the headers of what the server asks for.
+    fn response(&self, status: StatusCode, headers: &[(&str, &str)], body: Body) -> Response {
+        let Conditions { limit_per_s } = self.conditions();
+        let limit = limit_per_s.map(|limit_per_s| limit_per_s.to_string());
+        let limit = limit.as_deref().map(|limit| (LIMIT_HEADER, limit));
+        let headers = headers.iter().copied().chain(limit);
+        let builder = Response::builder().status(status);
+        let builder = headers.fold(builder, |builder, (name, value)| builder.header(name, value));
+        builder.body(body).unwrap_or_default()
     }
 
     /// Serves until the future is dropped.
@@ -92,18 +159,12 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
-fn response(status: StatusCode, headers: &[(&str, &str)], body: Body) -> Response {
-    let builder = Response::builder().status(status);
-    let builder =
-        headers.iter().fold(builder, |builder, (name, value)| builder.header(*name, *value));
-    builder.body(body).unwrap_or_default()
-}
-
 async fn handle(State(server): State<PlatformServer>, request: Request) -> Response {
     let attempt = attempt_id(request.headers()).to_owned();
+    server.request_log.record_arrival(&server.id, &attempt);
     let expected = header_text(request.headers(), "flamingowheel-expect-instance");
     if !expected.is_empty() && expected != server.id {
-        return response(
+        return server.response(
             StatusCode::MISDIRECTED_REQUEST,
             &[(ATTEMPT_HEADER, &attempt)],
             Body::empty(),
@@ -111,13 +172,13 @@
     }
     let Some(slot) = server.acquire_slot() else {
         let headers = [(ATTEMPT_HEADER, attempt.as_str()), ("flamingowheel-not-executed", "1")];
-        return response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
+        return server.response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
     };
-    server.run_counter.increment(&attempt);
+    server.request_log.record_run(&attempt);
     let headers = [(ATTEMPT_HEADER, attempt.as_str()), (SIGNATURE_HEADER, server.id.as_str())];
     if !request.uri().path().starts_with("/stream/") {
         sleep(server.delay).await;
-        return response(StatusCode::OK, &headers, Body::from(answer_body(&attempt)));
+        return server.response(StatusCode::OK, &headers, Body::from(answer_body(&attempt)));
     }
     let last_id: u64 = header_text(request.headers(), "last-event-id").parse().unwrap_or(0);
     let delay = server.delay;
@@ -132,5 +193,5 @@
             Some((event, (id + 1, attempt, slot)))
         },
     );
-    response(StatusCode::OK, &headers, Body::from_stream(events))
+    server.response(StatusCode::OK, &headers, Body::from_stream(events))
 }
