Gateway: a backend server's limit is kept by permits of one meter entry

Class: a figure for all processes together, which each one would have to know its part of. No share by count of entries can be right: 1 a second among 6 is less than one request each.

Change: for each start of a server one entry, by rendezvous hashing over the announced entries, is its meter and grants permits at the rate of the limit. An entry that has been told sends only with a permit, which expires 1 s after it was asked for; ask and answer are a datagram each. Server::begin, where every request to a server passes (first attempts, retries, resumed streams, probes), uses the permit, so that no path can go past it. The choice takes a server with room and asks for a permit in passing; only if no other server takes the request does it wait for the answer, 50 ms at most, and is then refused with Retry-After (reason held). The end of a limit is told to the meter, which tells the others. A server that is not listed for a moment keeps its limit; another start of it has none.

Why it works: in any window w at most limit x (w + 1 s) and one bucket are granted, 5 x limit + 1 in 4 s for small limits, against 6 x limit + 5. Permits of a meter that freezes or is succeeded are over before they can be used besides those of the successor, which begins with an empty bucket.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -5,6 +5,7 @@
 use crate::view::View;
 use std::cmp::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Weight of a server's failure ratio in its cost: a server that fails half of its requests appears
@@ -21,7 +22,7 @@
 /// ```
 /// use flamingowheel_gateway::{balance::cost, server::ServerStatus};
 /// let idle = ServerStatus { in_flight: 0, failure_ratio: 0.0, latency_ms: Some(20.0),
-///     is_in_backoff: false, is_silent: false };
+///     is_in_backoff: false, is_silent: false, is_admitting: true, can_ask: false };
 /// let busy = ServerStatus { in_flight: 3, ..idle };
 /// assert!(cost(&busy, 6) > cost(&idle, 6));
 /// ```
@@ -47,38 +48,59 @@
     Send(Arc<Server>, Option<Arc<GroupLoad>>),
     /// Every group is full; the fullness of the best one.
     Busy(Fullness),
+    /// No untried server takes a request now; the shortest time after which one may.
+    Held(Duration),
     /// No untried server is listed.
     NoServer,
 }
 
+/// A choice, and the limited server that would have been chosen if there were a permit for it.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// The choice.
+    pub choice: Choice,
+    /// The server to ask a permit for.
+    pub wanted: Option<Arc<Server>>,
+}
+
 /// Chooses the server for a request.
 ///
 /// Servers in rank groups: the group with the lowest cost, then its rank with the fewest requests;
 /// no full group if the request has an admission condition. Other servers: the one with the lowest
-/// cost. Servers that are silent or in backoff are chosen only if all are.
+/// cost. Servers that are silent or in backoff are chosen only if all are. Limited servers are chosen
+/// only with a permit.
 pub fn choose(
     view: &View,
     service: &str,
     tried: &[Arc<Server>],
     admission: Option<&Admission>,
     now: Instant,
-) -> Choice {
+) -> Chosen {
     let untried: Vec<&Arc<Server>> =
         view.servers_of(service).iter().filter(|server| !is_among(tried, server)).collect();
-    if untried.is_empty() {
-        return Choice::NoServer;
-    }
     let candidates = untried.iter().map(|server| Candidate::new(view, server, admission, now));
-    let by_sort_key = |a: &Candidate<'_>, b: &Candidate<'_>| {
-        a.sort_key().partial_cmp(&b.sort_key()).unwrap_or(Ordering::Equal)
-    };
-    let Some(best) = candidates.min_by(by_sort_key) else {
-        return Choice::NoServer;
+    let (admitting, held): (Vec<Candidate<'_>>, Vec<Candidate<'_>>) =
+        candidates.partition(|candidate| candidate.is_admitting);
+    let wait = held.iter().map(|candidate| candidate.server.wait(now)).min();
+    let wanted = best(held.into_iter().filter(|candidate| candidate.can_ask));
+    let Some(best) = best(admitting) else {
+        let choice = wait.map_or(Choice::NoServer, Choice::Held);
+        return Chosen { choice, wanted: wanted.map(|wanted| Arc::clone(wanted.server)) };
     };
-    match best.fullness {
+    let wanted = wanted.filter(|wanted| wanted.compare(&best).is_lt());
+    let wanted = wanted.map(|wanted| Arc::clone(wanted.server));
+    let choice = match best.fullness {
         Some(fullness) if fullness.is_full() => Choice::Busy(fullness),
         _ => Choice::Send(Arc::clone(best.server), best.group),
-    }
+    };
+    Chosen { choice, wanted }
+}
+
+fn best<'a, Candidates>(candidates: Candidates) -> Option<Candidate<'a>>
+where
+    Candidates: IntoIterator<Item = Candidate<'a>>,
+{
+    candidates.into_iter().min_by(Candidate::compare)
 }
 
 struct Candidate<'a> {
@@ -87,6 +109,8 @@
     is_in_backoff: bool,
     is_silent: bool,
     is_slow: bool,
+    is_admitting: bool,
+    can_ask: bool,
     /// Fullness of the group, if the request has an admission condition.
     fullness: Option<Fullness>,
     group_cost: f64,
@@ -105,7 +129,7 @@
         let status = server.status(now);
         // Keeps entries with the same information from all choosing the same server.
         let spread = rand::random_range(0.9..1.1);
-        let ServerStatus { is_in_backoff, is_silent, .. } = status;
+        let ServerStatus { is_in_backoff, is_silent, is_admitting, can_ask, .. } = status;
         match view.group_ranks.get(&server.listed.address) {
             Some(group_rank) => {
                 let is_reported_silent = group_rank.group.is_reported_silent(group_rank.rank, now);
@@ -119,6 +143,8 @@
                     is_in_backoff,
                     is_silent: is_silent || group_rank.is_away || is_reported_silent == Some(true),
                     is_slow: group_rank.pace >= SLOW_PACE,
+                    is_admitting,
+                    can_ask,
                     fullness: admission.map(|admission| group_rank.group.fullness(admission, now)),
                     group_cost: group_rank.group.cost(now),
                     is_not_sampled: report.is_some() && rand::random::<f64>() >= sampled_share,
@@ -132,6 +158,8 @@
                 is_in_backoff,
                 is_silent,
                 is_slow: false,
+                is_admitting,
+                can_ask,
                 fullness: None,
                 group_cost: 0.0,
                 is_not_sampled: false,
@@ -140,6 +168,10 @@
         }
     }
 
+    fn compare(&self, other: &Self) -> Ordering {
+        self.sort_key().partial_cmp(&other.sort_key()).unwrap_or(Ordering::Equal)
+    }
+
     /// Sort key, compared from left to right; the lowest is best.
     fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, f64) {
         let is_full = self.fullness.is_some_and(|fullness| fullness.is_full());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{RetryPolicy, Route, Workspace};
 use flamingowheel_platform::headers::{self, ForwardHead, RequestHead};
-use flamingowheel_policy::outage;
+use flamingowheel_policy::{outage, permits};
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -94,6 +94,14 @@
         Refusal::Full { retry_after_ms }
     }
 
+    /// The refusal while no server takes a request for another `wait`. `draw`, a random number
+    /// between 0 and 1, spreads the retries.
+    pub fn held_refusal(&self, wait: Duration, draw: f64) -> Refusal {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let (wait_ms, left_ms) = (wait.as_secs_f64() * 1_000.0, left.as_secs_f64() * 1_000.0);
+        Refusal::Held { retry_after_ms: permits::retry_after_ms(wait_ms, left_ms, draw) }
+    }
+
     /// Builds the request to send to `server`.
     pub fn outgoing(&self, server: &Server, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
@@ -119,7 +127,8 @@
 pub struct Attempts {
     /// Servers to exclude from the next choice.
     pub tried: Vec<Arc<Server>>,
-    /// Number of the tried servers that have ended. They say nothing about the others.
+    /// Number of the tried servers that have ended, or took no request after all. They say nothing
+    /// about the others.
     pub ended: usize,
     /// Number of sends, including those that a server refused.
     pub sends: u32,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,15 +1,16 @@
 //! Forwards one caller's request to a backend server and relays the answer.
 
-use crate::balance::{self, Choice};
+use crate::balance::{self, Choice, Chosen};
 use crate::breaker::CircuitBreakers;
 use crate::budget::RetryBudget;
 use crate::connection::{Connection, SendError};
 use crate::exchange::{Attempts, Exchange};
 use crate::group::{Admission, Fullness, GroupLoad};
 use crate::metrics::Metrics;
+use crate::permits::PermitSender;
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, Relay, UpstreamBody, full_body};
-use crate::server::{InFlight, Server};
+use crate::server::{InFlight, LimitChange, Server};
 use crate::silence::SilenceDetector;
 use crate::view::{View, Views};
 use bytes::Bytes;
@@ -22,7 +23,7 @@
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Deadline of requests whose callers give none, in milliseconds after arrival.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -30,6 +31,12 @@
 /// Time between checks for a server that accepts work.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest wait for the answer to an ask for a permit: some round trips between data centres.
+const PERMIT_WAIT: Duration = Duration::from_millis(50);
+
+/// Time between checks for such an answer.
+const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(3);
+
 /// Largest answer that is buffered before its head is sent on, in bytes. If such an answer breaks
 /// off, it can be replaced by another server's; larger ones are relayed as they arrive.
 const MAX_BUFFERED_ANSWER_BYTES: u64 = 256 * 1024;
@@ -62,6 +69,8 @@
 /// Why a request that was sent got no answer.
 #[derive(Debug)]
 pub enum SendFailure {
+    /// The server took no request any more when it was to be sent.
+    NotAdmitted,
     /// The request was not sent; it did not run.
     NotSent,
     /// The request may have run.
@@ -74,6 +83,7 @@
     views: Views,
     budget: Mutex<RetryBudget>,
     breakers: Mutex<CircuitBreakers>,
+    permits: PermitSender,
     started_at: Instant,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
@@ -81,11 +91,17 @@
 
 impl Gateway {
     /// Creates a gateway that routes by the newest of `views`.
-    pub fn new(views: Views, budget: RetryBudget, metrics: Arc<Metrics>) -> Self {
+    pub fn new(
+        views: Views,
+        budget: RetryBudget,
+        permits: PermitSender,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             views,
             budget: Mutex::new(budget),
             breakers: Mutex::default(),
+            permits,
             started_at: Instant::now(),
             metrics,
         }
@@ -200,6 +216,7 @@
                         Err(_) => {}
                     }
                 }
+                Err(SendFailure::NotAdmitted) => attempts.ended += 1,
                 Err(SendFailure::NotSent) => self.breakers().record_refusal(&exchange.service),
                 Err(SendFailure::MayHaveRun) => {
                     attempts.runs += 1;
@@ -226,7 +243,8 @@
                 return Err(Refusal::TooLate);
             }
             let admission = admission.as_ref();
-            match balance::choose(&self.view(), &exchange.service, tried, admission, now) {
+            match self.choose(exchange, tried, admission).await {
+                Choice::Held(wait) => return Err(exchange.held_refusal(wait, draw)),
                 Choice::Busy(fullness) => {
                     let Fullness { crowding, own_requests, limit, pass_ms } = fullness;
                     let retry_after_ms = passes::retry_after_ms(crowding, pass_ms, draw);
@@ -257,6 +275,36 @@
         }
     }
 
+    /// Chooses a server, and asks for a permit if a limited one would have been better. Waits for the
+    /// answer only if no other server takes the request.
+    pub async fn choose(
+        &self,
+        exchange: &Exchange,
+        tried: &[Arc<Server>],
+        admission: Option<&Admission>,
+    ) -> Choice {
+        let wait_until = exchange.deadline.min(Instant::now() + PERMIT_WAIT);
+        loop {
+            let now = Instant::now();
+            let Chosen { choice, wanted } =
+                balance::choose(&self.view(), &exchange.service, tried, admission, now);
+            if let Some(server) = wanted {
+                self.permits.ask(&server, now);
+            }
+            let is_held = matches!(choice, Choice::Held(_));
+            if !is_held || now >= wait_until || !self.is_asking(exchange, now) {
+                return choice;
+            }
+            sleep(PERMIT_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Whether a permit for a server of the request's service may be granted soon.
+    fn is_asking(&self, exchange: &Exchange, now: Instant) -> bool {
+        let view = self.view();
+        view.servers_of(&exchange.service).iter().any(|server| server.is_asking(now))
+    }
+
     /// A silence detector for a server.
     pub fn silence_detector(
         &self,
@@ -280,7 +328,9 @@
         group: Option<&Arc<GroupLoad>>,
         last_event_id: Option<u64>,
     ) -> Result<SentRequest, SendFailure> {
-        let mut in_flight = server.begin(group);
+        let Some(mut in_flight) = server.begin(group) else {
+            return Err(SendFailure::NotAdmitted);
+        };
         let sent_at = Instant::now();
         let sending = self.send_on_connection(exchange, server, last_event_id);
         let can_resume = exchange.route.retry_policy == RetryPolicy::Resume;
@@ -315,7 +365,7 @@
             }
             Err(failure) => {
                 let result = match failure {
-                    SendFailure::NotSent => "not_sent",
+                    SendFailure::NotAdmitted | SendFailure::NotSent => "not_sent",
                     SendFailure::MayHaveRun => "lost",
                 };
                 self.metrics.record_send(exchange.kind(), result);
@@ -362,24 +412,29 @@
 
     /// Records what the server asks for. Every answer to a request passes here, whatever its status
     /// and whichever attempt it ends.
-    fn record_signals(&self, attempt_id: &str, server: &Server, answer: &AnswerHead) {
-        if !server.record_limit(&answer.limit_per_s) {
+    fn record_signals(&self, attempt_id: &str, server: &Arc<Server>, answer: &AnswerHead) {
+        // An answer that reports "not run" without a limit may come from a step before the server's
+        // own, so that it does not end the limit.
+        if answer.is_not_run && answer.limit_per_s == Stated::Absent {
             return;
         }
-        let (request, server) = (attempt_id, server.listed.id.as_str());
-        match &answer.limit_per_s {
-            Stated::Value(limit_per_s) => {
-                self.metrics.record_signal("limit");
-                tracing::info!(request, server, limit_per_s, "backend server names a limit");
-            }
-            Stated::Absent => {
+        let now = Instant::now();
+        let (request, id) = (attempt_id, server.listed.id.as_str());
+        match (server.record_limit(&answer.limit_per_s, now), &answer.limit_per_s) {
+            (LimitChange::Ended, _) => {
                 self.metrics.record_signal("limit_ended");
-                tracing::info!(request, server, "backend server names no limit any more");
+                tracing::info!(request, server = id, "backend server names no limit any more");
+                self.permits.tell_end(server, now);
+            }
+            (LimitChange::Stated, Stated::Value(limit_per_s)) => {
+                self.metrics.record_signal("limit");
+                tracing::info!(request, server = id, limit_per_s, "backend server names a limit");
             }
-            Stated::Malformed(text) => {
+            (LimitChange::Stated, Stated::Malformed(text)) => {
                 self.metrics.record_signal("limit_malformed");
-                tracing::warn!(request, server, text, "backend server's limit can't be read");
+                tracing::warn!(request, server = id, text, "backend server's limit can't be read");
             }
+            (LimitChange::Stated, Stated::Absent) | (LimitChange::None, _) => {}
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod listings;
 pub mod member;
 pub mod metrics;
+pub mod permits;
 pub mod process;
 pub mod publish;
 pub mod refusal;
--- a/crates/gateway/src/listings.rs
+++ b/crates/gateway/src/listings.rs
@@ -2,10 +2,14 @@
 
 use crate::server::Server;
 use flamingowheel_fleet::BackendServer;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Number of removed servers whose observations are kept. A listing may be absent for a moment, as
+/// after an outage of the store, while its server runs and keeps what it has asked for.
+const MAX_REMOVED: usize = 1_024;
+
 /// The listed backend servers.
 ///
 /// A server that has crashed stays listed until its lease ends, and meanwhile another one may be
@@ -16,6 +20,8 @@
     by_id: HashMap<String, Listing>,
     /// Ids of the servers that are listed with each address.
     by_address: HashMap<SocketAddr, Vec<String>>,
+    /// The servers that were removed last, the newest at the end.
+    removed: VecDeque<Arc<Server>>,
 }
 
 #[derive(Debug)]
@@ -55,6 +61,7 @@
     pub fn insert(&mut self, listed: BackendServer, revision: u64) {
         let (id, address) = (listed.id.clone(), listed.address);
         let previous = self.take(&id).map(|listing| listing.server);
+        let previous = previous.or_else(|| self.take_removed(&listed));
         let server = match previous {
             Some(previous) if previous.is_same_start(&listed) => previous.with_listing(listed),
             _ => Server::new(listed),
@@ -65,7 +72,15 @@
 
     /// Removes a listing. Returns whether there was one.
     pub fn remove(&mut self, id: &str) -> bool {
-        self.take(id).is_some()
+        let Some(listing) = self.take(id) else {
+            return false;
+        };
+        listing.server.close_idle();
+        self.removed.push_back(listing.server);
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.pop_front();
+        }
+        true
     }
 
     /// The ids of all listed servers.
@@ -81,6 +96,14 @@
         })
     }
 
+    /// Takes the same start of a server out of those that were removed.
+    fn take_removed(&mut self, listed: &BackendServer) -> Option<Arc<Server>> {
+        let is_same =
+            |server: &Arc<Server>| server.listed.id == listed.id && server.is_same_start(listed);
+        let index = self.removed.iter().rposition(is_same)?;
+        self.removed.remove(index)
+    }
+
     fn take(&mut self, id: &str) -> Option<Listing> {
         let listing = self.by_id.remove(id)?;
         let address = listing.server.listed.address;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     requests: IntCounterVec,
     sends: IntCounterVec,
     signals: IntCounterVec,
+    permits: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
     configuration_version: IntGauge,
@@ -43,6 +44,13 @@
             ),
             &["signal"],
         )?;
+        let permits = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_permits_total",
+                "Asks for permits of limited backend servers and how they were answered",
+            ),
+            &["answer"],
+        )?;
         let answer_times = HistogramVec::new(
             HistogramOpts::new(
                 "flamingowheel_answer_seconds",
@@ -62,10 +70,20 @@
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(signals.clone()))?;
+        registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
         registry.register(Box::new(configuration_version.clone()))?;
-        Ok(Self { registry, requests, sends, signals, answer_times, pauses, configuration_version })
+        Ok(Self {
+            registry,
+            requests,
+            sends,
+            signals,
+            permits,
+            answer_times,
+            pauses,
+            configuration_version,
+        })
     }
 
     /// Counts a request that ended.
@@ -83,6 +101,11 @@
         self.signals.with_label_values(&[signal]).inc();
     }
 
+    /// Counts an ask for a permit.
+    pub fn record_permit(&self, answer: &'static str) {
+        self.permits.with_label_values(&[answer]).inc();
+    }
+
     /// Records the time to an answer, or to the first event of a stream.
     pub fn observe_answer_time(&self, kind: &'static str, after: Duration) {
         self.answer_times.with_label_values(&[kind]).observe(after.as_secs_f64());
--- /dev/null
+++ b/crates/gateway/src/permits.rs
@@ -0,0 +1,261 @@
+//! Exchanges permits for limited backend servers with the other entries, by datagrams.
+
+use crate::metrics::Metrics;
+use crate::server::Server;
+use crate::view::Views;
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::permits::{Heard, Meter, Verdict, meter_of};
+use flamingowheel_protocol::permits::{MAX_DATAGRAM_BYTES, PermitMessage};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// Asks that wait for the exchange; further ones are dropped, and asked again later.
+const QUEUED_ASKS: usize = 256;
+
+/// Time between checks for asks without an answer.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which an answer is no longer expected: its permit would have expired.
+const ANSWER_TIMEOUT: Duration = flamingowheel_policy::permits::PERMIT_VALIDITY;
+
+/// Sends of the word that a limit has ended, until the meter answers. Without it, the meter goes on
+/// to grant permits at the rate of the limit.
+const MAX_END_SENDS: u32 = 5;
+
+/// What the traffic threads want of the exchange.
+#[derive(Clone, Debug)]
+pub struct PermitRequest {
+    server: Arc<Server>,
+    asked_at: Instant,
+    purpose: Purpose,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// A permit for the server is asked for.
+    Ask,
+    /// The server's limit has ended.
+    TellEnd,
+}
+
+/// Hands requests of the traffic threads to the exchange.
+#[derive(Clone, Debug)]
+pub struct PermitSender(mpsc::Sender<PermitRequest>);
+
+impl PermitSender {
+    /// Asks for a permit unless an ask is under way, or the meter has none for now.
+    pub fn ask(&self, server: &Arc<Server>, now: Instant) {
+        if server.begin_ask(now) {
+            self.send(server, now, Purpose::Ask);
+        }
+    }
+
+    /// Tells that a server's limit has ended.
+    pub fn tell_end(&self, server: &Arc<Server>, now: Instant) {
+        self.send(server, now, Purpose::TellEnd);
+    }
+
+    fn send(&self, server: &Arc<Server>, asked_at: Instant, purpose: Purpose) {
+        let request = PermitRequest { server: Arc::clone(server), asked_at, purpose };
+        if self.0.try_send(request).is_err() {
+            tracing::debug!("too many asks for permits, one dropped");
+        }
+    }
+}
+
+/// The end of [`PermitSender`]s at the exchange.
+pub type PermitRequests = mpsc::Receiver<PermitRequest>;
+
+/// Creates the connection between traffic threads and exchange.
+pub fn channel() -> (PermitSender, PermitRequests) {
+    let (sender, receiver) = mpsc::channel(QUEUED_ASKS);
+    (PermitSender(sender), receiver)
+}
+
+/// Asks the meters of limited servers for permits, and is the meter of some servers itself.
+#[derive(Debug)]
+pub struct PermitExchange {
+    vm: String,
+    views: Views,
+    socket: UdpSocket,
+    requests: PermitRequests,
+    metrics: Arc<Metrics>,
+    meter: Meter,
+    /// Asks without an answer, by their numbers.
+    pending: HashMap<u64, Pending>,
+    next_number: u64,
+    origin: Instant,
+}
+
+#[derive(Debug)]
+struct Pending {
+    request: PermitRequest,
+    sends: u32,
+}
+
+impl PermitExchange {
+    /// Creates the exchange of the entry on `vm`. Other entries reach it at `socket`.
+    pub fn new(
+        vm: String,
+        views: Views,
+        socket: UdpSocket,
+        requests: PermitRequests,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            vm,
+            views,
+            socket,
+            requests,
+            metrics,
+            meter: Meter::default(),
+            pending: HashMap::new(),
+            // Random, so that answers to the asks of a process before are not taken for answers to
+            // those of this one.
+            next_number: rand::random(),
+            origin: Instant::now(),
+        }
+    }
+
+    /// Runs until the traffic threads have ended.
+    pub async fn run(mut self) {
+        let mut datagram = [0; MAX_DATAGRAM_BYTES];
+        let mut checks = interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                request = self.requests.recv() => match request {
+                    Some(request) => self.begin(request).await,
+                    None => return,
+                },
+                received = self.socket.recv_from(&mut datagram) => match received {
+                    Ok((size, from)) => self.receive(&datagram[..size], from).await,
+                    // The error of an earlier send, such as to a process that has ended.
+                    Err(error) => tracing::debug!(%error, "permit socket"),
+                },
+                _ = checks.tick(), if !self.pending.is_empty() => self.check().await,
+            }
+        }
+    }
+
+    async fn begin(&mut self, request: PermitRequest) {
+        let number = self.next_number;
+        self.next_number = number.wrapping_add(1);
+        self.pending.insert(number, Pending { request, sends: 0 });
+        self.send_ask(number).await;
+    }
+
+    /// Sends an ask to the server's meter, or decides it if this entry is the meter.
+    async fn send_ask(&mut self, number: u64) {
+        let now = Instant::now();
+        let Some(pending) = self.pending.get_mut(&number) else {
+            return;
+        };
+        pending.sends += 1;
+        let PermitRequest { server, asked_at, purpose } = pending.request.clone();
+        let heard = match purpose {
+            Purpose::Ask => server.heard_limit(now),
+            Purpose::TellEnd => Some(Heard { limit_per_s: None, age: now - asked_at }),
+        };
+        let (Some(heard), Some(meter)) = (heard, self.meter_of(server.key())) else {
+            self.pending.remove(&number);
+            return;
+        };
+        match meter {
+            Some(address) => {
+                self.send(&PermitMessage::ask(number, server.key(), heard), address).await
+            }
+            None => {
+                let verdict = self.meter.ask(server.key(), heard, now - self.origin);
+                self.answer(number, verdict);
+            }
+        }
+    }
+
+    /// The address of a server's meter, `Some(None)` if it is this entry; `None` without one.
+    fn meter_of(&self, server: ServerKey) -> Option<Option<SocketAddr>> {
+        let view = self.views.load();
+        let meter = meter_of(server, view.entries.keys().map(String::as_str))?;
+        if meter == self.vm {
+            return Some(None);
+        }
+        view.entries.get(meter)?.peers.map(Some)
+    }
+
+    async fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
+        match PermitMessage::decode(datagram) {
+            Some(PermitMessage::Ask { number, server, limit_per_s, age_ms }) => {
+                // Of two entries with different lists of entries, only the one that takes itself
+                // for the meter grants permits.
+                if self.meter_of(server) != Some(None) {
+                    return;
+                }
+                let heard = Heard { limit_per_s, age: Duration::from_millis(age_ms) };
+                let verdict = self.meter.ask(server, heard, self.origin.elapsed());
+                let answer = PermitMessage::Answer { number, decision: verdict.into() };
+                self.send(&answer, from).await;
+            }
+            Some(PermitMessage::Answer { number, decision }) => {
+                self.answer(number, decision.into());
+            }
+            None => tracing::warn!(%from, "malformed datagram"),
+        }
+    }
+
+    fn answer(&mut self, number: u64, verdict: Verdict) {
+        let Some(pending) = self.pending.remove(&number) else {
+            return;
+        };
+        let PermitRequest { server, asked_at, purpose } = pending.request;
+        if purpose == Purpose::TellEnd {
+            return;
+        }
+        let name = match verdict {
+            Verdict::Granted => "granted",
+            Verdict::Wait(_) => "wait",
+            Verdict::Unlimited => "unlimited",
+        };
+        self.metrics.record_permit(name);
+        server.answer_ask(asked_at, verdict, Instant::now());
+    }
+
+    /// Repeats the word of ended limits, and forgets asks that have been answered too late.
+    async fn check(&mut self) {
+        let now = Instant::now();
+        let metrics = &self.metrics;
+        self.pending.retain(|_, pending| {
+            let is_kept = match pending.request.purpose {
+                Purpose::Ask => now - pending.request.asked_at < ANSWER_TIMEOUT,
+                Purpose::TellEnd => pending.sends < MAX_END_SENDS,
+            };
+            if !is_kept {
+                metrics.record_permit("unanswered");
+            }
+            is_kept
+        });
+        let is_end = |pending: &Pending| pending.request.purpose == Purpose::TellEnd;
+        let ends: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| is_end(pending))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in ends {
+            self.send_ask(number).await;
+        }
+    }
+
+    async fn send(&self, message: &PermitMessage, to: SocketAddr) {
+        let Some(bytes) = message.encode() else {
+            return;
+        };
+        if let Err(error) = self.socket.send_to(&bytes, to).await {
+            tracing::debug!(%to, %error, "datagram not sent");
+        }
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -11,6 +11,7 @@
 use crate::info::{self, DIRECTORY_TTL_MS, Info};
 use crate::member::Announcement;
 use crate::metrics::Metrics;
+use crate::permits::{self, PermitExchange};
 use crate::publish::{Outputs, Publisher};
 use crate::view::{EntryRecord, Views};
 use flamingowheel_fleet::ProcessSettings;
@@ -20,7 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -62,10 +63,21 @@
     let views = Views::default();
     let metrics = Arc::new(Metrics::new()?);
     let stop = Stop::default();
+    let peers = SocketAddr::new(settings.ip, settings.internal_ports.0);
+    let (permit_sender, permit_requests) = permits::channel();
+    let exchange = PermitExchange::new(
+        settings.vm.clone(),
+        Arc::clone(&views),
+        UdpSocket::bind(peers).await?,
+        permit_requests,
+        Arc::clone(&metrics),
+    );
+    tokio::spawn(exchange.run());
 
     let gateway = Arc::new(Gateway::new(
         Arc::clone(&views),
         RetryBudget::new(allowance(settings)),
+        permit_sender,
         Arc::clone(&metrics),
     ));
     let traffic = start_traffic(callers, &gateway, &stop)?;
@@ -73,7 +85,6 @@
     let info = Info { views: Arc::clone(&views), callers, leaving: stop.leaving.clone(), metrics };
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
-    let peers = SocketAddr::new(settings.ip, settings.internal_ports.0);
     start_feed(settings, peers, &store, views).await?;
     let data_centre = settings.data_centre.clone();
     let announcement = Announcement {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -35,6 +35,11 @@
         /// When there should be room, in milliseconds from now.
         retry_after_ms: u64,
     },
+    /// Every backend server has a limit that leaves no room for the request.
+    Held {
+        /// When there should be room, in milliseconds from now.
+        retry_after_ms: u64,
+    },
     /// No backend server accepts work; none ran the request.
     Full {
         /// When the caller should retry, in milliseconds from now.
@@ -73,6 +78,7 @@
         match self {
             Self::NoConfiguration { .. }
             | Self::Busy { .. }
+            | Self::Held { .. }
             | Self::Full { .. }
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -88,6 +94,7 @@
     pub fn retry_after_ms(self) -> Option<u64> {
         match self {
             Self::Busy { retry_after_ms }
+            | Self::Held { retry_after_ms }
             | Self::Full { retry_after_ms }
             | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
             Self::TooLate => Some(RETRY_AFTER_MS),
@@ -104,6 +111,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLost => "body_lost",
             Self::Busy { .. } => "busy",
+            Self::Held { .. } => "held",
             Self::Full { .. } => "full",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a stream's events to the caller as they arrive, and resumes the stream at another backend
 //! server if one fails.
 
-use crate::balance::{self, Choice};
+use crate::balance::Choice;
 use crate::connection::Connection;
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
@@ -175,14 +175,11 @@
         }
         let last_event_id = self.splitter.last_id().or(self.exchange.head.last_event_id);
         while self.runs < self.exchange.route.max_attempts {
-            let now = Instant::now();
-            let view = self.gateway.view();
-            let service = &self.exchange.service;
-            let choice = balance::choose(&view, service, &self.tried, None, now);
+            let choice = self.gateway.choose(&self.exchange, &self.tried, None).await;
             let Choice::Send(server, group) = choice else {
                 return false;
             };
-            if !self.gateway.try_acquire_retry(&self.exchange, now) {
+            if !self.gateway.try_acquire_retry(&self.exchange, Instant::now()) {
                 return false;
             }
             self.tried.push(Arc::clone(&server));
@@ -202,7 +199,7 @@
                 }
                 Ok(sent) if sent.answer.is_not_run => {}
                 Ok(_) | Err(SendFailure::MayHaveRun) => self.runs += 1,
-                Err(SendFailure::NotSent) => {}
+                Err(SendFailure::NotAdmitted | SendFailure::NotSent) => {}
             }
         }
         false
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,6 +4,8 @@
 use crate::group::{GroupInFlight, GroupLoad};
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_platform::Stated;
+use flamingowheel_policy::key::ServerKey;
+use flamingowheel_policy::permits::{Heard, Permits, Verdict};
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -50,6 +52,7 @@
     pub listed: BackendServer,
     in_flight: Arc<AtomicU32>,
     state: Arc<Mutex<State>>,
+    origin: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -60,6 +63,8 @@
     send_times: VecDeque<Instant>,
     /// The limit as the newest answer states it, in requests per second.
     stated_limit: Stated<f64>,
+    /// The server's limit for all entries, and this entry's permits.
+    permits: Permits,
 }
 
 /// Moving averages and the backoff after failures.
@@ -114,18 +119,33 @@
     /// Whether the server has unanswered requests and has sent no data for too long. Its VM may
     /// have stalled: connections still open, but nothing comes back.
     pub is_silent: bool,
+    /// Whether the server takes a request now: it has no limit, or this entry holds a permit.
+    pub is_admitting: bool,
+    /// Whether a permit can be asked for.
+    pub can_ask: bool,
+}
+
+/// What changed with an answer's word on the server's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// Nothing.
+    None,
+    /// The answer states another limit than the one before, or one that can't be read.
+    Stated,
+    /// The server names no limit any more.
+    Ended,
 }
 
 impl Server {
     /// Creates a server without observations.
     pub fn new(listed: BackendServer) -> Self {
-        Self { listed, in_flight: Arc::default(), state: Arc::default() }
+        Self { listed, in_flight: Arc::default(), state: Arc::default(), origin: Instant::now() }
     }
 
     /// The same start of the server with a changed listing; its observations are kept.
     pub fn with_listing(&self, listed: BackendServer) -> Self {
         let (in_flight, state) = (Arc::clone(&self.in_flight), Arc::clone(&self.state));
-        Self { listed, in_flight, state }
+        Self { listed, in_flight, state, origin: self.origin }
     }
 
     /// Whether a listing describes the same start of the same server.
@@ -135,6 +155,11 @@
             && self.listed.service == listed.service
     }
 
+    /// The key of this start of the server, the same at all entries.
+    pub fn key(&self) -> ServerKey {
+        ServerKey::from_name(&format!("{}@{}", self.listed.id, self.listed.started_ms))
+    }
+
     /// The server's state now.
     pub fn status(&self, now: Instant) -> ServerStatus {
         let state = self.lock();
@@ -144,14 +169,21 @@
             latency_ms: state.health.latency_ms,
             is_in_backoff: state.health.backoff_until.is_some_and(|until| now < until),
             is_silent: state.health.is_silent(now),
+            is_admitting: state.permits.admits(now - self.origin),
+            can_ask: state.permits.can_ask(now - self.origin),
         }
     }
 
-    /// Counts a request as in flight at the server and in its group until the guard is dropped.
-    pub fn begin(self: &Arc<Self>, group: Option<&Arc<GroupLoad>>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    /// Counts a request as in flight at the server and in its group until the guard is dropped, and
+    /// uses a permit if the server has a limit. Every request to a server passes here. `None` if the
+    /// server takes none now.
+    pub fn begin(self: &Arc<Self>, group: Option<&Arc<GroupLoad>>) -> Option<InFlight> {
         let now = Instant::now();
         let state = &mut *self.lock();
+        if !state.permits.take(now - self.origin) {
+            return None;
+        }
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
         state.health.unanswered += 1;
         state.health.waiting_since.get_or_insert(now);
         state.send_times.push_back(now);
@@ -159,7 +191,7 @@
             state.send_times.pop_front();
         }
         let in_group = group.map(GroupLoad::begin);
-        InFlight { server: Arc::clone(self), in_group, is_answered: false }
+        Some(InFlight { server: Arc::clone(self), in_group, is_answered: false })
     }
 
     /// Number of requests sent to the server after `moment`.
@@ -229,15 +261,48 @@
         }
     }
 
-    /// Records the limit that an answer states, in requests per second. Returns whether the answer
-    /// before it stated another one.
-    pub fn record_limit(&self, stated: &Stated<f64>) -> bool {
-        let current = &mut self.lock().stated_limit;
-        let is_changed = current != stated;
-        if is_changed {
-            current.clone_from(stated);
+    /// Records the limit that an answer states, in requests per second. One that can't be read
+    /// leaves the limit before in force.
+    pub fn record_limit(&self, stated: &Stated<f64>, now: Instant) -> LimitChange {
+        let state = &mut *self.lock();
+        let has_ended = match stated {
+            Stated::Value(limit_per_s) => state.permits.hear(Some(*limit_per_s), now - self.origin),
+            Stated::Absent => state.permits.hear(None, now - self.origin),
+            Stated::Malformed(_) => false,
+        };
+        let is_same = state.stated_limit == *stated;
+        state.stated_limit.clone_from(stated);
+        match (has_ended, is_same) {
+            (true, _) => LimitChange::Ended,
+            (false, true) => LimitChange::None,
+            (false, false) => LimitChange::Stated,
         }
-        is_changed
+    }
+
+    /// What was last heard of the server's limit; `None` while it has none.
+    pub fn heard_limit(&self, now: Instant) -> Option<Heard> {
+        self.lock().permits.heard(now - self.origin)
+    }
+
+    /// Records that a permit is asked for now. `false` if none can be asked for.
+    pub fn begin_ask(&self, now: Instant) -> bool {
+        self.lock().permits.begin_ask(now - self.origin)
+    }
+
+    /// Whether an ask for a permit may still be answered.
+    pub fn is_asking(&self, now: Instant) -> bool {
+        self.lock().permits.is_asking(now - self.origin)
+    }
+
+    /// Records the answer to the ask of `asked_at`.
+    pub fn answer_ask(&self, asked_at: Instant, verdict: Verdict, now: Instant) {
+        let asked_at = asked_at.saturating_duration_since(self.origin);
+        self.lock().permits.answer(asked_at, verdict, now - self.origin);
+    }
+
+    /// Time until the server may take a request; zero if it takes one now.
+    pub fn wait(&self, now: Instant) -> Duration {
+        self.lock().permits.wait(now - self.origin)
     }
 
     /// Records that the server could not be reached or did not answer.
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -116,7 +116,7 @@
 
 fn choose_within(view: &View, pass_limit_ms: f64, now: Instant) -> Choice {
     let admission = Admission { pass_limit_ms, pause_goal_ms: GOAL_MS, draw: 0.5 };
-    balance::choose(view, "s", &[], Some(&admission), now)
+    balance::choose(view, "s", &[], Some(&admission), now).choice
 }
 
 /// One group's streams have long pauses. A new request must go to the other group; otherwise the
@@ -205,5 +205,5 @@
     let (view, groups) = two_groups();
     let now = Instant::now();
     groups.iter().for_each(|group| group.record_pause(GOAL_MS * 2.0, now));
-    assert!(matches!(balance::choose(&view, "s", &[], None, now), Choice::Send(..)));
+    assert!(matches!(balance::choose(&view, "s", &[], None, now).choice, Choice::Send(..)));
 }
--- /dev/null
+++ b/crates/gateway/tests/permits.rs
@@ -0,0 +1,134 @@
+//! Permits for a limited server, exchanged between two entries by datagrams.
+
+use flamingowheel_fleet::BackendServer;
+use flamingowheel_gateway::metrics::Metrics;
+use flamingowheel_gateway::permits::{self, PermitExchange, PermitSender};
+use flamingowheel_gateway::server::Server;
+use flamingowheel_gateway::view::{EntryRecord, View, Views};
+use flamingowheel_platform::Stated;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::yield_now;
+use tokio::time::{Instant, timeout};
+
+/// Limit on the wait for datagrams on loopback.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn server() -> Arc<Server> {
+    Arc::new(Server::new(BackendServer {
+        id: "i-1".to_owned(),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "z".to_owned(),
+        slots: 4,
+        is_draining: false,
+        started_ms: 1,
+    }))
+}
+
+/// Two entries that know each other, with their views of the same server.
+struct Pair {
+    senders: Vec<PermitSender>,
+    servers: Vec<Arc<Server>>,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let (mut sockets, mut addresses) = (Vec::new(), Vec::new());
+        for _ in 0..2 {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            addresses.push(socket.local_addr().unwrap());
+            sockets.push(socket);
+        }
+        let record = |peers: &SocketAddr| EntryRecord {
+            callers: *peers,
+            data_centre: "z".to_owned(),
+            peers: Some(*peers),
+        };
+        let records = addresses.iter().enumerate();
+        let entries: HashMap<String, EntryRecord> =
+            records.map(|(number, peers)| (format!("e-{number}"), record(peers))).collect();
+        let views = Views::default();
+        views.store(Arc::new(View { entries, ..View::default() }));
+        let mut senders = Vec::new();
+        for (number, socket) in sockets.into_iter().enumerate() {
+            let (sender, requests) = permits::channel();
+            let (vm, metrics) = (format!("e-{number}"), Arc::new(Metrics::new().unwrap()));
+            let exchange = PermitExchange::new(vm, Arc::clone(&views), socket, requests, metrics);
+            tokio::spawn(exchange.run());
+            senders.push(sender);
+        }
+        Self { senders, servers: vec![server(), server()], addresses }
+    }
+
+    fn hear(&self, stated: Stated<f64>) {
+        for server in &self.servers {
+            server.record_limit(&stated, Instant::now());
+        }
+    }
+
+    /// Asks through an entry until it holds a permit, and uses it.
+    async fn acquire(&self, entry: usize) {
+        let asking = async {
+            while self.servers[entry].begin(None).is_none() {
+                self.senders[entry].ask(&self.servers[entry], Instant::now());
+                yield_now().await;
+            }
+        };
+        timeout(TIMEOUT, asking).await.unwrap();
+    }
+}
+
+/// One of the entries is the meter; both get permits from it.
+#[tokio::test]
+async fn ask_meter_and_other_entry() {
+    let pair = Pair::start().await;
+    pair.hear(Stated::Value(50.0));
+    for _ in 0..3 {
+        pair.acquire(0).await;
+        pair.acquire(1).await;
+    }
+}
+
+/// An entry learns the end of a limit from its own answer; the other one, which holds no permit,
+/// must be told.
+#[tokio::test]
+async fn tell_end_other_entry_unlimited() {
+    for (first, other) in [(0, 1), (1, 0)] {
+        let pair = Pair::start().await;
+        pair.hear(Stated::Value(0.1));
+        let heard_at = Instant::now();
+        // The word of the end has to be newer by more than a datagram's way.
+        while heard_at.elapsed() < Duration::from_millis(50) {
+            yield_now().await;
+        }
+        pair.servers[first].record_limit(&Stated::Absent, Instant::now());
+        pair.senders[first].tell_end(&pair.servers[first], Instant::now());
+        let ended = async {
+            while pair.servers[other].heard_limit(Instant::now()).is_some() {
+                pair.senders[other].ask(&pair.servers[other], Instant::now());
+                yield_now().await;
+            }
+        };
+        timeout(TIMEOUT, ended).await.unwrap();
+    }
+}
+
+/// Bytes that are no message, and answers that nobody asked for, must leave the exchange running.
+#[tokio::test]
+async fn receive_malformed_ignored() {
+    let pair = Pair::start().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for bytes in [&b""[..], b"\xff\xff\xff", &[1, 7, 0], &[0; 64]] {
+        for address in &pair.addresses {
+            socket.send_to(bytes, address).await.unwrap();
+        }
+    }
+    pair.hear(Stated::Value(50.0));
+    pair.acquire(0).await;
+    pair.acquire(1).await;
+}
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -3,11 +3,13 @@
 use flamingowheel_backing::kv::{KeyValueEntry, Revision, WatchEvent};
 use flamingowheel_gateway::feed::mirror::Mirror;
 use flamingowheel_gateway::publish::{Outputs, Publisher};
+use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::Views;
+use flamingowheel_platform::Stated;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const ENGINES: u64 = 32;
 
@@ -56,6 +58,19 @@
         self.mirror.apply_event(WatchEvent::Progress { revision });
     }
 
+    /// A server's listing disappears.
+    fn unlist(&mut self, id: &str) {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.mirror.apply_event(WatchEvent::Delete { key: format!("servers/{id}"), revision });
+        self.mirror.apply_event(WatchEvent::Progress { revision });
+    }
+
+    async fn server(&self, service: &str) -> Arc<Server> {
+        sleep(SETTLE_TIME).await;
+        Arc::clone(&self.views.load_full().servers_of(service)[0])
+    }
+
     async fn servers_of(&self, service: &str) -> Vec<String> {
         sleep(SETTLE_TIME).await;
         let view = self.views.load_full();
@@ -109,3 +124,26 @@
     sleep(Duration::from_secs(30)).await;
     assert_eq!(entry.servers_of("s").await, ["new", "old"]);
 }
+
+/// The store drops the listing of a limited server for a moment. Its limit must not be forgotten with
+/// it: the entry would send there again as if it had never been told.
+#[tokio::test(start_paused = true)]
+async fn run_listing_absent_limit_kept() {
+    let mut entry = Entry::start().await;
+    entry.list("a", "s", 1);
+    entry.server("s").await.record_limit(&Stated::Value(1.0), Instant::now());
+    entry.unlist("a");
+    assert!(entry.servers_of("s").await.is_empty());
+    entry.list("a", "s", 1);
+    assert!(entry.server("s").await.heard_limit(Instant::now()).is_some());
+}
+
+/// Another server starts at the address of a limited one. It has named no limit.
+#[tokio::test(start_paused = true)]
+async fn run_server_replaced_limit_gone() {
+    let mut entry = Entry::start().await;
+    entry.list("a", "s", 1);
+    entry.server("s").await.record_limit(&Stated::Value(1.0), Instant::now());
+    entry.list("b", "s", 1);
+    assert!(entry.server("s").await.heard_limit(Instant::now()).is_none());
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod outage;
 pub mod passes;
+pub mod permits;
 pub mod prefix;
 pub mod rebalance;
 pub mod retry;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod packed;
 pub mod peer;
+pub mod permits;
 pub mod ranks;
 pub mod targets;
 pub mod ticket;
--- /dev/null
+++ b/crates/protocol/src/permits.rs
@@ -0,0 +1,96 @@
+//! Datagrams with which an entry asks another one, the meter, for a permit to send a request to a
+//! backend server that has named a limit. A lost datagram is as good as a refusal.
+
+use flamingowheel_policy::key::ServerKey;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+pub use flamingowheel_policy::permits::{Heard, Verdict};
+
+/// Largest encoded datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 64;
+
+/// A datagram between entries.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PermitMessage {
+    /// Asks for a permit.
+    Ask {
+        /// Chosen by the asking entry, repeated in the answer.
+        number: u64,
+        /// The backend server.
+        server: ServerKey,
+        /// Requests per second; `None` if the server names no limit any more.
+        limit_per_s: Option<f64>,
+        /// Time since the server's answer that said so, in milliseconds.
+        age_ms: u64,
+    },
+    /// The meter's answer.
+    Answer {
+        /// The number of the ask.
+        number: u64,
+        /// What the meter decided.
+        decision: Decision,
+    },
+}
+
+/// A meter's decision.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Decision {
+    /// One request may be sent.
+    Granted,
+    /// None is left.
+    Wait {
+        /// Time after which there may be one, in milliseconds.
+        wait_ms: u64,
+    },
+    /// The server has no limit any more.
+    Unlimited,
+}
+
+impl PermitMessage {
+    /// The ask for a permit of a server.
+    pub fn ask(number: u64, server: ServerKey, heard: Heard) -> Self {
+        let age_ms = heard.age.as_millis() as u64;
+        Self::Ask { number, server, limit_per_s: heard.limit_per_s, age_ms }
+    }
+
+    /// The encoded datagram; `None` if it can't be encoded.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::permits::{Decision, MAX_DATAGRAM_BYTES, PermitMessage};
+    /// let answer = PermitMessage::Answer { number: u64::MAX, decision: Decision::Granted };
+    /// let bytes = answer.encode().unwrap();
+    /// assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+    /// assert_eq!(PermitMessage::decode(&bytes), Some(answer));
+    /// assert_eq!(PermitMessage::decode(b"\xff"), None);
+    /// ```
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        postcard::to_allocvec(self).ok()
+    }
+
+    /// Decodes a datagram; `None` if it is malformed.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
+impl From<Verdict> for Decision {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::Granted => Self::Granted,
+            // Rounded up, so that an entry does not ask just before there is a permit.
+            Verdict::Wait(wait) => Self::Wait { wait_ms: wait.as_millis() as u64 + 1 },
+            Verdict::Unlimited => Self::Unlimited,
+        }
+    }
+}
+
+impl From<Decision> for Verdict {
+    fn from(decision: Decision) -> Self {
+        match decision {
+            Decision::Granted => Self::Granted,
+            Decision::Wait { wait_ms } => Self::Wait(Duration::from_millis(wait_ms)),
+            Decision::Unlimited => Self::Unlimited,
+        }
+    }
+}
