Gateway: the meter tells all entries when a limit begins and ends

Each entry learned of the limit only from an answer of its own, so that first requests alone were more than the limit for minutes; and at the end of a limit each one waited for a permit of it. The rule counts only VMs that were told, the server counts all.

Change: an entry tells the meter when a server becomes limited or unlimited, up to five times until it answers; the meter tells all entries, a datagram each, and again every 30 s. The newest word counts, by the age that goes with it. An answer without a limit ends it only if its request was sent after the limit was heard, so that an answer that was overtaken does not end it for all.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 use crate::permits::PermitSender;
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, Relay, UpstreamBody, full_body};
-use crate::server::{InFlight, LimitChange, Server};
+use crate::server::{InFlight, Server};
 use crate::silence::SilenceDetector;
 use crate::view::{View, Views};
 use bytes::Bytes;
@@ -359,7 +359,7 @@
                 }
                 let sent = SentRequest { response, answer, connection, in_flight, sent_at };
                 if !sent.is_misdirected() {
-                    self.record_signals(id, server, &sent.answer);
+                    self.record_signals(id, server, &sent);
                 }
                 Ok(sent)
             }
@@ -412,29 +412,33 @@
 
     /// Records what the server asks for. Every answer to a request passes here, whatever its status
     /// and whichever attempt it ends.
-    fn record_signals(&self, attempt_id: &str, server: &Arc<Server>, answer: &AnswerHead) {
+    fn record_signals(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
+        let stated = &sent.answer.limit_per_s;
         // An answer that reports "not run" without a limit may come from a step before the server's
         // own, so that it does not end the limit.
-        if answer.is_not_run && answer.limit_per_s == Stated::Absent {
+        if sent.answer.is_not_run && *stated == Stated::Absent {
             return;
         }
         let now = Instant::now();
-        let (request, id) = (attempt_id, server.listed.id.as_str());
-        match (server.record_limit(&answer.limit_per_s, now), &answer.limit_per_s) {
-            (LimitChange::Ended, _) => {
+        let change = server.record_limit(stated, sent.sent_at, now);
+        if change.is_turned {
+            self.permits.tell(server, now);
+        }
+        let (request, server) = (attempt_id, server.listed.id.as_str());
+        match stated {
+            Stated::Absent if change.is_turned => {
                 self.metrics.record_signal("limit_ended");
-                tracing::info!(request, server = id, "backend server names no limit any more");
-                self.permits.tell_end(server, now);
+                tracing::info!(request, server, "backend server names no limit any more");
             }
-            (LimitChange::Stated, Stated::Value(limit_per_s)) => {
+            Stated::Value(limit_per_s) if change.is_stated_anew => {
                 self.metrics.record_signal("limit");
-                tracing::info!(request, server = id, limit_per_s, "backend server names a limit");
+                tracing::info!(request, server, limit_per_s, "backend server names a limit");
             }
-            (LimitChange::Stated, Stated::Malformed(text)) => {
+            Stated::Malformed(text) if change.is_stated_anew => {
                 self.metrics.record_signal("limit_malformed");
-                tracing::warn!(request, server = id, text, "backend server's limit can't be read");
+                tracing::warn!(request, server, text, "backend server's limit can't be read");
             }
-            (LimitChange::Stated, Stated::Absent) | (LimitChange::None, _) => {}
+            _ => {}
         }
     }
 
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -23,9 +23,8 @@
 /// Time after which an answer is no longer expected: its permit would have expired.
 const ANSWER_TIMEOUT: Duration = flamingowheel_policy::permits::PERMIT_VALIDITY;
 
-/// Sends of the word that a limit has ended, until the meter answers. Without it, the meter goes on
-/// to grant permits at the rate of the limit.
-const MAX_END_SENDS: u32 = 5;
+/// Sends of the word that a server has become limited or unlimited, until the meter answers.
+const MAX_TELL_SENDS: u32 = 5;
 
 /// What the traffic threads want of the exchange.
 #[derive(Clone, Debug)]
@@ -39,8 +38,8 @@
 enum Purpose {
     /// A permit for the server is asked for.
     Ask,
-    /// The server's limit has ended.
-    TellEnd,
+    /// The meter is told that the server has become limited or unlimited.
+    Tell,
 }
 
 /// Hands requests of the traffic threads to the exchange.
@@ -55,9 +54,9 @@
         }
     }
 
-    /// Tells that a server's limit has ended.
-    pub fn tell_end(&self, server: &Arc<Server>, now: Instant) {
-        self.send(server, now, Purpose::TellEnd);
+    /// Tells that a server has become limited or unlimited.
+    pub fn tell(&self, server: &Arc<Server>, now: Instant) {
+        self.send(server, now, Purpose::Tell);
     }
 
     fn send(&self, server: &Arc<Server>, asked_at: Instant, purpose: Purpose) {
@@ -157,26 +156,53 @@
             return;
         };
         pending.sends += 1;
-        let PermitRequest { server, asked_at, purpose } = pending.request.clone();
-        let heard = match purpose {
-            Purpose::Ask => server.heard_limit(now),
-            Purpose::TellEnd => Some(Heard { limit_per_s: None, age: now - asked_at }),
-        };
-        let (Some(heard), Some(meter)) = (heard, self.meter_of(server.key())) else {
+        let PermitRequest { server, purpose, .. } = pending.request.clone();
+        let (Some(heard), Some(meter)) = (server.heard_limit(now), self.meter_of(server.key))
+        else {
             self.pending.remove(&number);
             return;
         };
+        let wants_permit = purpose == Purpose::Ask;
         match meter {
             Some(address) => {
-                self.send(&PermitMessage::ask(number, server.key(), heard), address).await
+                let ask = PermitMessage::ask(number, server.key, heard, wants_permit);
+                self.send(&ask, address).await;
             }
             None => {
-                let verdict = self.meter.ask(server.key(), heard, now - self.origin);
+                let verdict = self.decide(server.key, heard, wants_permit).await;
                 self.answer(number, verdict);
             }
         }
     }
 
+    /// Decides an ask as the meter of a server.
+    async fn decide(&mut self, server: ServerKey, heard: Heard, wants_permit: bool) -> Verdict {
+        let now = self.origin.elapsed();
+        if self.meter.hear(server, heard, now) {
+            self.tell_all(server, heard).await;
+        }
+        if wants_permit { self.meter.ask(server, now) } else { Verdict::Wait(Duration::ZERO) }
+    }
+
+    /// Tells all entries, this one too, what was heard of a server's limit.
+    async fn tell_all(&self, server: ServerKey, heard: Heard) {
+        self.learn(server, heard);
+        let told = PermitMessage::told(server, heard);
+        let view = self.views.load_full();
+        let others = view.entries.iter().filter(|(vm, _)| **vm != self.vm);
+        for address in others.filter_map(|(_, record)| record.peers) {
+            self.send(&told, address).await;
+        }
+    }
+
+    fn learn(&self, key: ServerKey, heard: Heard) {
+        let view = self.views.load();
+        let mut servers = view.servers.values().flatten();
+        if let Some(server) = servers.find(|server| server.key == key) {
+            server.learn_limit(heard, Instant::now());
+        }
+    }
+
     /// The address of a server's meter, `Some(None)` if it is this entry; `None` without one.
     fn meter_of(&self, server: ServerKey) -> Option<Option<SocketAddr>> {
         let view = self.views.load();
@@ -189,17 +215,20 @@
 
     async fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
         match PermitMessage::decode(datagram) {
-            Some(PermitMessage::Ask { number, server, limit_per_s, age_ms }) => {
+            Some(PermitMessage::Ask { number, server, limit_per_s, age_ms, wants_permit }) => {
                 // Of two entries with different lists of entries, only the one that takes itself
                 // for the meter grants permits.
                 if self.meter_of(server) != Some(None) {
                     return;
                 }
                 let heard = Heard { limit_per_s, age: Duration::from_millis(age_ms) };
-                let verdict = self.meter.ask(server, heard, self.origin.elapsed());
+                let verdict = self.decide(server, heard, wants_permit).await;
                 let answer = PermitMessage::Answer { number, decision: verdict.into() };
                 self.send(&answer, from).await;
             }
+            Some(PermitMessage::Told { server, limit_per_s, age_ms }) => {
+                self.learn(server, Heard { limit_per_s, age: Duration::from_millis(age_ms) });
+            }
             Some(PermitMessage::Answer { number, decision }) => {
                 self.answer(number, decision.into());
             }
@@ -212,7 +241,7 @@
             return;
         };
         let PermitRequest { server, asked_at, purpose } = pending.request;
-        if purpose == Purpose::TellEnd {
+        if purpose == Purpose::Tell {
             return;
         }
         let name = match verdict {
@@ -224,28 +253,28 @@
         server.answer_ask(asked_at, verdict, Instant::now());
     }
 
-    /// Repeats the word of ended limits, and forgets asks that have been answered too late.
+    /// Repeats what the meter was told and has not answered, and forgets asks that have been answered too late.
     async fn check(&mut self) {
         let now = Instant::now();
         let metrics = &self.metrics;
         self.pending.retain(|_, pending| {
             let is_kept = match pending.request.purpose {
                 Purpose::Ask => now - pending.request.asked_at < ANSWER_TIMEOUT,
-                Purpose::TellEnd => pending.sends < MAX_END_SENDS,
+                Purpose::Tell => pending.sends < MAX_TELL_SENDS,
             };
             if !is_kept {
                 metrics.record_permit("unanswered");
             }
             is_kept
         });
-        let is_end = |pending: &Pending| pending.request.purpose == Purpose::TellEnd;
-        let ends: Vec<u64> = self
+        let is_told = |pending: &Pending| pending.request.purpose == Purpose::Tell;
+        let told: Vec<u64> = self
             .pending
             .iter()
-            .filter(|(_, pending)| is_end(pending))
+            .filter(|(_, pending)| is_told(pending))
             .map(|(number, _)| *number)
             .collect();
-        for number in ends {
+        for number in told {
             self.send_ask(number).await;
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -50,6 +50,8 @@
 pub struct Server {
     /// The server's listing in the key-value store.
     pub listed: BackendServer,
+    /// The key of this start of the server, the same at all entries.
+    pub key: ServerKey,
     in_flight: Arc<AtomicU32>,
     state: Arc<Mutex<State>>,
     origin: Instant,
@@ -126,26 +128,30 @@
 }
 
 /// What changed with an answer's word on the server's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitChange {
-    /// Nothing.
-    None,
-    /// The answer states another limit than the one before, or one that can't be read.
-    Stated,
-    /// The server names no limit any more.
-    Ended,
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitChange {
+    /// Whether the answer states another limit than the one before, or one that can't be read.
+    pub is_stated_anew: bool,
+    /// Whether the server has become limited or unlimited.
+    pub is_turned: bool,
 }
 
 impl Server {
     /// Creates a server without observations.
     pub fn new(listed: BackendServer) -> Self {
-        Self { listed, in_flight: Arc::default(), state: Arc::default(), origin: Instant::now() }
+        Self {
+            key: ServerKey::from_name(&format!("{}@{}", listed.id, listed.started_ms)),
+            listed,
+            in_flight: Arc::default(),
+            state: Arc::default(),
+            origin: Instant::now(),
+        }
     }
 
     /// The same start of the server with a changed listing; its observations are kept.
     pub fn with_listing(&self, listed: BackendServer) -> Self {
         let (in_flight, state) = (Arc::clone(&self.in_flight), Arc::clone(&self.state));
-        Self { listed, in_flight, state, origin: self.origin }
+        Self { listed, key: self.key, in_flight, state, origin: self.origin }
     }
 
     /// Whether a listing describes the same start of the same server.
@@ -155,11 +161,6 @@
             && self.listed.service == listed.service
     }
 
-    /// The key of this start of the server, the same at all entries.
-    pub fn key(&self) -> ServerKey {
-        ServerKey::from_name(&format!("{}@{}", self.listed.id, self.listed.started_ms))
-    }
-
     /// The server's state now.
     pub fn status(&self, now: Instant) -> ServerStatus {
         let state = self.lock();
@@ -261,29 +262,41 @@
         }
     }
 
-    /// Records the limit that an answer states, in requests per second. One that can't be read
-    /// leaves the limit before in force.
-    pub fn record_limit(&self, stated: &Stated<f64>, now: Instant) -> LimitChange {
+    /// Records the limit that the answer to a request of `sent_at` states, in requests per second. One
+    /// that can't be read leaves the limit before in force.
+    pub fn record_limit(
+        &self,
+        stated: &Stated<f64>,
+        sent_at: Instant,
+        now: Instant,
+    ) -> LimitChange {
         let state = &mut *self.lock();
-        let has_ended = match stated {
-            Stated::Value(limit_per_s) => state.permits.hear(Some(*limit_per_s), now - self.origin),
-            Stated::Absent => state.permits.hear(None, now - self.origin),
+        let (sent_at, now) = (sent_at.duration_since(self.origin), now - self.origin);
+        let is_turned = match stated {
+            Stated::Value(limit_per_s) => state.permits.hear(Some(*limit_per_s), sent_at, now),
+            Stated::Absent => state.permits.hear(None, sent_at, now),
             Stated::Malformed(_) => false,
         };
-        let is_same = state.stated_limit == *stated;
+        let is_stated_anew = state.stated_limit != *stated;
         state.stated_limit.clone_from(stated);
-        match (has_ended, is_same) {
-            (true, _) => LimitChange::Ended,
-            (false, true) => LimitChange::None,
-            (false, false) => LimitChange::Stated,
-        }
+        LimitChange { is_stated_anew, is_turned }
+    }
+
+    /// Records what the meter says of the server's limit.
+    pub fn learn_limit(&self, heard: Heard, now: Instant) {
+        self.lock().permits.learn(heard, now - self.origin);
     }
 
-    /// What was last heard of the server's limit; `None` while it has none.
+    /// What was last heard of the server's limit; `None` if nothing was.
     pub fn heard_limit(&self, now: Instant) -> Option<Heard> {
         self.lock().permits.heard(now - self.origin)
     }
 
+    /// Whether the server has a limit.
+    pub fn is_limited(&self) -> bool {
+        self.lock().permits.is_limited()
+    }
+
     /// Records that a permit is asked for now. `false` if none can be asked for.
     pub fn begin_ask(&self, now: Instant) -> bool {
         self.lock().permits.begin_ask(now - self.origin)
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -52,22 +52,24 @@
         let records = addresses.iter().enumerate();
         let entries: HashMap<String, EntryRecord> =
             records.map(|(number, peers)| (format!("e-{number}"), record(peers))).collect();
-        let views = Views::default();
-        views.store(Arc::new(View { entries, ..View::default() }));
-        let mut senders = Vec::new();
+        let (mut senders, mut servers) = (Vec::new(), Vec::new());
         for (number, socket) in sockets.into_iter().enumerate() {
+            let (server, views) = (server(), Views::default());
+            let listed = HashMap::from([("s".to_owned(), vec![Arc::clone(&server)])]);
+            let view = View { entries: entries.clone(), servers: listed, ..View::default() };
+            views.store(Arc::new(view));
             let (sender, requests) = permits::channel();
             let (vm, metrics) = (format!("e-{number}"), Arc::new(Metrics::new().unwrap()));
-            let exchange = PermitExchange::new(vm, Arc::clone(&views), socket, requests, metrics);
-            tokio::spawn(exchange.run());
+            tokio::spawn(PermitExchange::new(vm, views, socket, requests, metrics).run());
             senders.push(sender);
+            servers.push(server);
         }
-        Self { senders, servers: vec![server(), server()], addresses }
+        Self { senders, servers, addresses }
     }
 
     fn hear(&self, stated: Stated<f64>) {
         for server in &self.servers {
-            server.record_limit(&stated, Instant::now());
+            server.record_limit(&stated, Instant::now(), Instant::now());
         }
     }
 
@@ -94,27 +96,28 @@
     }
 }
 
-/// An entry learns the end of a limit from its own answer; the other one, which holds no permit,
-/// must be told.
+/// An entry learns from its own answers that a server has become limited, and that its limit has
+/// ended. The other one sends nothing there and must be told of both.
 #[tokio::test]
-async fn tell_end_other_entry_unlimited() {
+async fn tell_other_entry_knows() {
     for (first, other) in [(0, 1), (1, 0)] {
         let pair = Pair::start().await;
-        pair.hear(Stated::Value(0.1));
-        let heard_at = Instant::now();
-        // The word of the end has to be newer by more than a datagram's way.
-        while heard_at.elapsed() < Duration::from_millis(50) {
-            yield_now().await;
-        }
-        pair.servers[first].record_limit(&Stated::Absent, Instant::now());
-        pair.senders[first].tell_end(&pair.servers[first], Instant::now());
-        let ended = async {
-            while pair.servers[other].heard_limit(Instant::now()).is_some() {
-                pair.senders[other].ask(&pair.servers[other], Instant::now());
+        for (stated, is_limited) in [(Stated::Value(0.1), true), (Stated::Absent, false)] {
+            // The end has to be newer than the limit by more than a datagram's way.
+            let started_at = Instant::now();
+            while started_at.elapsed() < Duration::from_millis(50) {
                 yield_now().await;
             }
-        };
-        timeout(TIMEOUT, ended).await.unwrap();
+            let now = Instant::now();
+            assert!(pair.servers[first].record_limit(&stated, now, now).is_turned);
+            pair.senders[first].tell(&pair.servers[first], now);
+            let told = async {
+                while pair.servers[other].is_limited() != is_limited {
+                    yield_now().await;
+                }
+            };
+            timeout(TIMEOUT, told).await.unwrap();
+        }
     }
 }
 
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -131,11 +131,11 @@
 async fn run_listing_absent_limit_kept() {
     let mut entry = Entry::start().await;
     entry.list("a", "s", 1);
-    entry.server("s").await.record_limit(&Stated::Value(1.0), Instant::now());
+    entry.server("s").await.record_limit(&Stated::Value(1.0), Instant::now(), Instant::now());
     entry.unlist("a");
     assert!(entry.servers_of("s").await.is_empty());
     entry.list("a", "s", 1);
-    assert!(entry.server("s").await.heard_limit(Instant::now()).is_some());
+    assert!(entry.server("s").await.is_limited());
 }
 
 /// Another server starts at the address of a limited one. It has named no limit.
@@ -143,7 +143,7 @@
 async fn run_server_replaced_limit_gone() {
     let mut entry = Entry::start().await;
     entry.list("a", "s", 1);
-    entry.server("s").await.record_limit(&Stated::Value(1.0), Instant::now());
+    entry.server("s").await.record_limit(&Stated::Value(1.0), Instant::now(), Instant::now());
     entry.list("b", "s", 1);
-    assert!(entry.server("s").await.heard_limit(Instant::now()).is_none());
+    assert!(!entry.server("s").await.is_limited());
 }
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -6,6 +6,9 @@
 //! after it was asked for, so that one which is lost with its entry, or held by an entry that
 //! stands still, lowers the rate for a moment only.
 //!
+//! The meter also tells all entries when a server becomes limited and when its limit has ended, so
+//! that they need not learn it from answers of their own.
+//!
 //! In any window `w` the server gets at most `limit × (w + 1 s)` requests and one bucket more. When
 //! another entry becomes the meter, it starts with an empty bucket.
 
@@ -29,6 +32,9 @@
 /// Longest time for which an entry is told to wait.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// Time after which a meter tells all entries of a limit again, for those that have started since.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Time without asks after which a meter forgets a server.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -87,36 +93,61 @@
     refilled_at: Duration,
     /// Entries that were told to wait since the last permit.
     waiting: u32,
+    /// When all entries were told of the limit last.
+    told_at: Duration,
 }
 
 impl Meter {
-    /// Decides about an entry's ask, which tells what it last heard of the limit. The newest word
-    /// of all entries counts.
+    /// Records what an entry has heard of a server's limit; the newest word of all entries counts.
+    /// Returns whether all entries have to be told.
     ///
     /// ```
     /// use flamingowheel_policy::key::ServerKey;
-    /// use flamingowheel_policy::permits::{Heard, Meter, Verdict};
+    /// use flamingowheel_policy::permits::{Heard, Meter};
     /// use std::time::Duration;
     /// let (mut meter, server) = (Meter::default(), ServerKey::from_name("s"));
     /// let heard = Heard { limit_per_s: Some(2.0), age: Duration::ZERO };
-    /// let wait = Duration::from_millis(500);
-    /// assert_eq!(meter.ask(server, heard, Duration::ZERO), Verdict::Wait(wait));
-    /// assert_eq!(meter.ask(server, heard, wait), Verdict::Granted);
+    /// assert!(meter.hear(server, heard, Duration::ZERO));
+    /// assert!(!meter.hear(server, heard, Duration::from_secs(1)));
     /// ```
-    pub fn ask(&mut self, server: ServerKey, heard: Heard, now: Duration) -> Verdict {
+    pub fn hear(&mut self, server: ServerKey, heard: Heard, now: Duration) -> bool {
         self.forget_unused(now);
         let heard_at = now.saturating_sub(heard.age);
         let bucket = self.buckets.entry(server).or_insert(Bucket {
-            limit_per_s: heard.limit_per_s,
+            limit_per_s: None,
             heard_at,
             permits: 0.0,
             refilled_at: now,
             waiting: 0,
+            told_at: now,
         });
-        if heard_at >= bucket.heard_at {
-            (bucket.limit_per_s, bucket.heard_at) = (heard.limit_per_s, heard_at);
+        if heard_at < bucket.heard_at {
+            return false;
         }
-        bucket.take(now)
+        let is_changed = bucket.limit_per_s.is_some() != heard.limit_per_s.is_some();
+        let is_overdue = heard.limit_per_s.is_some() && now >= bucket.told_at + REPEAT_INTERVAL;
+        (bucket.limit_per_s, bucket.heard_at) = (heard.limit_per_s, heard_at);
+        if is_changed || is_overdue {
+            bucket.told_at = now;
+        }
+        is_changed || is_overdue
+    }
+
+    /// Decides about an entry's ask for a permit of a server of which it has heard before.
+    ///
+    /// ```
+    /// use flamingowheel_policy::key::ServerKey;
+    /// use flamingowheel_policy::permits::{Heard, Meter, Verdict};
+    /// use std::time::Duration;
+    /// let (mut meter, server) = (Meter::default(), ServerKey::from_name("s"));
+    /// assert_eq!(meter.ask(server, Duration::ZERO), Verdict::Unlimited);
+    /// meter.hear(server, Heard { limit_per_s: Some(2.0), age: Duration::ZERO }, Duration::ZERO);
+    /// let wait = Duration::from_millis(500);
+    /// assert_eq!(meter.ask(server, Duration::ZERO), Verdict::Wait(wait));
+    /// assert_eq!(meter.ask(server, wait), Verdict::Granted);
+    /// ```
+    pub fn ask(&mut self, server: ServerKey, now: Duration) -> Verdict {
+        self.buckets.get_mut(&server).map_or(Verdict::Unlimited, |bucket| bucket.take(now))
     }
 
     /// Number of servers with a bucket.
@@ -164,8 +195,10 @@
 /// A server's limit as one entry knows it, with the permits that it holds.
 #[derive(Debug, Default)]
 pub struct Permits {
-    /// The limit and when the server named it; `None` while the server has no limit.
-    limit: Option<(f64, Duration)>,
+    /// Requests per second for all entries together; `None` while the server has no limit.
+    limit_per_s: Option<f64>,
+    /// When the server named the limit, or named none any more.
+    heard_at: Option<Duration>,
     /// When each unused permit expires.
     expiries: VecDeque<Duration>,
     /// When the ask without an answer was sent.
@@ -175,25 +208,48 @@
 }
 
 impl Permits {
-    /// Records what an answer of the server says. Returns whether a limit has ended.
-    pub fn hear(&mut self, limit_per_s: Option<f64>, now: Duration) -> bool {
-        let had_limit = self.limit.is_some();
-        self.limit = limit_per_s.map(|limit_per_s| (limit_per_s, now));
-        if self.limit.is_none() {
+    /// Records what an answer of the server says, to a request that was sent at `sent_at`. An answer
+    /// without a limit ends it only if the request was sent after the limit was heard: answers may
+    /// overtake each other. Returns whether the server has become limited or unlimited.
+    pub fn hear(&mut self, limit_per_s: Option<f64>, sent_at: Duration, now: Duration) -> bool {
+        let is_old = self.heard_at.is_some_and(|heard_at| sent_at < heard_at);
+        if limit_per_s.is_none() && (is_old || self.limit_per_s.is_none()) {
+            return false;
+        }
+        self.set(limit_per_s, now)
+    }
+
+    /// Records what the meter says, unless this entry has heard something newer.
+    pub fn learn(&mut self, heard: Heard, now: Duration) {
+        let heard_at = now.saturating_sub(heard.age);
+        if self.heard_at.is_none_or(|newest| newest < heard_at) {
+            self.set(heard.limit_per_s, heard_at);
+        }
+    }
+
+    fn set(&mut self, limit_per_s: Option<f64>, heard_at: Duration) -> bool {
+        let is_changed = self.limit_per_s.is_some() != limit_per_s.is_some();
+        if limit_per_s.is_none() {
             *self = Self::default();
         }
-        had_limit && self.limit.is_none()
+        (self.limit_per_s, self.heard_at) = (limit_per_s, Some(heard_at));
+        is_changed
     }
 
-    /// What was last heard of the limit, to tell the meter; `None` while the server has no limit.
+    /// What was last heard of the limit, to tell the meter; `None` if nothing was.
     pub fn heard(&self, now: Duration) -> Option<Heard> {
-        let (limit_per_s, heard_at) = self.limit?;
-        Some(Heard { limit_per_s: Some(limit_per_s), age: now.saturating_sub(heard_at) })
+        let age = now.saturating_sub(self.heard_at?);
+        Some(Heard { limit_per_s: self.limit_per_s, age })
+    }
+
+    /// Whether the server has a limit.
+    pub fn is_limited(&self) -> bool {
+        self.limit_per_s.is_some()
     }
 
     /// Whether a request may be sent: the server has no limit, or there is a permit.
     pub fn admits(&self, now: Duration) -> bool {
-        self.limit.is_none() || self.expiries.iter().any(|expiry| now < *expiry)
+        self.limit_per_s.is_none() || self.expiries.iter().any(|expiry| now < *expiry)
     }
 
     /// Uses a permit, if the server has a limit. Returns whether a request may be sent.
@@ -203,7 +259,7 @@
     /// use std::time::Duration;
     /// let (mut permits, now) = (Permits::default(), Duration::ZERO);
     /// assert!(permits.take(now), "no limit");
-    /// permits.hear(Some(1.0), now);
+    /// permits.hear(Some(1.0), now, now);
     /// assert!(!permits.take(now));
     /// assert!(permits.begin_ask(now));
     /// permits.answer(now, Verdict::Granted, now);
@@ -211,7 +267,7 @@
     /// assert!(!permits.take(now));
     /// ```
     pub fn take(&mut self, now: Duration) -> bool {
-        if self.limit.is_none() {
+        if self.limit_per_s.is_none() {
             return true;
         }
         while let Some(expiry) = self.expiries.pop_front() {
@@ -224,7 +280,7 @@
 
     /// Whether the meter can be asked: it has answered the last ask, and had no permit until now.
     pub fn can_ask(&self, now: Duration) -> bool {
-        self.limit.is_some() && !self.is_asking(now) && now >= self.wait_until
+        self.limit_per_s.is_some() && !self.is_asking(now) && now >= self.wait_until
     }
 
     /// Whether an ask may still be answered.
@@ -251,8 +307,8 @@
             Verdict::Granted => self.expiries.push_back(asked_at + PERMIT_VALIDITY),
             Verdict::Wait(wait) => self.wait_until = now + wait.min(MAX_WAIT),
             // A limit that was heard after the ask is newer than the meter's word.
-            Verdict::Unlimited if self.limit.is_some_and(|(_, heard_at)| heard_at > asked_at) => {}
-            Verdict::Unlimited => *self = Self::default(),
+            Verdict::Unlimited if self.heard_at.is_some_and(|heard_at| heard_at > asked_at) => {}
+            Verdict::Unlimited => _ = self.set(None, asked_at),
         }
     }
 
--- a/crates/policy/tests/permits.rs
+++ b/crates/policy/tests/permits.rs
@@ -38,6 +38,14 @@
     to: usize,
     heard: Heard,
     asked_at: Duration,
+    wants_permit: bool,
+}
+
+/// The meter's word to an entry.
+struct Told {
+    to: usize,
+    heard: Heard,
+    at: Duration,
 }
 
 struct Answer {
@@ -54,6 +62,7 @@
     entries: Vec<Entry>,
     asks: VecDeque<Ask>,
     answers: VecDeque<Answer>,
+    told: VecDeque<Told>,
     limit_per_s: Option<f64>,
     /// Requests per second and entry that prefer the server.
     demand_per_s: f64,
@@ -76,6 +85,7 @@
             entries: (0..count).map(|_| Entry::default()).collect(),
             asks: VecDeque::new(),
             answers: VecDeque::new(),
+            told: VecDeque::new(),
             limit_per_s: Some(limit_per_s),
             demand_per_s: 5.0,
             loss: 0.01,
@@ -113,34 +123,39 @@
         if entry.permits.take(now) {
             let counts = entry.told_at.is_some_and(|told_at| told_at + REACTION_TIME <= now);
             self.arrivals.push((now, counts));
-            let had_limit = entry.permits.heard(now).is_some();
-            entry.permits.hear(self.limit_per_s, now);
-            match self.limit_per_s {
-                Some(_) => _ = entry.told_at.get_or_insert(now),
-                None if had_limit => {
-                    let heard = Heard { limit_per_s: None, age: Duration::ZERO };
-                    self.send_ask(index, heard, now);
-                }
-                None => {}
+            let is_turned = entry.permits.hear(self.limit_per_s, now, now);
+            if self.limit_per_s.is_some() {
+                entry.told_at.get_or_insert(now);
+            }
+            if is_turned {
+                self.send_ask(index, now, false);
             }
-        } else if entry.permits.begin_ask(now)
-            && let Some(heard) = entry.permits.heard(now)
-        {
-            self.send_ask(index, heard, now);
+        } else if entry.permits.begin_ask(now) {
+            self.send_ask(index, now, true);
         }
     }
 
-    fn send_ask(&mut self, from: usize, heard: Heard, asked_at: Duration) {
+    fn send_ask(&mut self, from: usize, asked_at: Duration, wants_permit: bool) {
+        let Some(heard) = self.entries[from].permits.heard(asked_at) else { return };
         let Some(to) = self.meter_seen_by(from) else { return };
         self.messages += 1;
         if from == to || !self.rng.random_bool(self.loss) {
-            self.asks.push_back(Ask { from, to, heard, asked_at });
+            self.asks.push_back(Ask { from, to, heard, asked_at, wants_permit });
         }
     }
 
     /// Delivers what was sent in the step before; what is for a frozen entry waits.
     fn deliver(&mut self) {
         let now = self.now;
+        for told in std::mem::take(&mut self.told) {
+            if self.entries[told.to].is_frozen {
+                self.told.push_back(told);
+            } else if !self.rng.random_bool(self.loss) {
+                let heard =
+                    Heard { age: told.heard.age + now.saturating_sub(told.at), ..told.heard };
+                self.entries[told.to].permits.learn(heard, now);
+            }
+        }
         for answer in std::mem::take(&mut self.answers) {
             let entry = &mut self.entries[answer.to];
             if entry.is_frozen {
@@ -157,8 +172,15 @@
             if self.entries[ask.to].is_dead || self.meter_seen_by(ask.to) != Some(ask.to) {
                 continue;
             }
-            let Ask { from, to, heard, asked_at } = ask;
-            let verdict = self.entries[to].meter.ask(server(), heard, now);
+            let Ask { from, to, heard, asked_at, wants_permit } = ask;
+            if self.entries[to].meter.hear(server(), heard, now) {
+                let told = (0..self.entries.len()).map(|to| Told { to, heard, at: now });
+                self.told.extend(told);
+            }
+            if !wants_permit {
+                continue;
+            }
+            let verdict = self.entries[to].meter.ask(server(), now);
             self.messages += 1;
             if from == to || !self.rng.random_bool(self.loss) {
                 self.answers.push_back(Answer { to: from, asked_at, verdict });
@@ -306,7 +328,7 @@
     fleet.run(s(10));
     fleet.limit_per_s = None;
     fleet.run(s(6));
-    let limited = fleet.entries.iter().filter(|entry| entry.permits.heard(fleet.now).is_some());
+    let limited = fleet.entries.iter().filter(|entry| entry.permits.is_limited());
     assert_eq!(limited.count(), 0);
 }
 
@@ -323,6 +345,40 @@
 fn ask_limit_huge_no_overflow() {
     let mut meter = Meter::default();
     let heard = Heard { limit_per_s: Some(f64::MAX), age: Duration::ZERO };
-    meter.ask(server(), heard, s(1));
-    assert_eq!(meter.ask(server(), heard, s(2)), Verdict::Granted);
+    meter.hear(server(), heard, s(1));
+    meter.ask(server(), s(1));
+    assert_eq!(meter.ask(server(), s(2)), Verdict::Granted);
+}
+
+/// Each of many entries learns of a limit only from an answer of its own. Together, their first
+/// requests are more than the limit allows for minutes.
+#[test]
+fn hear_first_answer_known_to_all() {
+    let mut fleet = Fleet::new(380, 1.0);
+    fleet.demand_per_s = 0.05;
+    fleet.run(s(8));
+    assert!(fleet.rate_since(s(4)) <= FACTOR * 1.0 + SLACK / 4.0, "{}", fleet.rate_since(s(4)));
+}
+
+/// The answer to a request from before the limit arrives after one that names it. It must not end
+/// the limit.
+#[test]
+fn hear_older_answer_last() {
+    let mut permits = Permits::default();
+    permits.hear(Some(1.0), s(2), s(3));
+    assert!(!permits.hear(None, s(1), s(4)));
+    assert!(permits.is_limited());
+    assert!(permits.hear(None, s(4), s(5)));
+    assert!(!permits.is_limited());
+}
+
+/// The meter's word arrives after the entry has heard of the server itself.
+#[test]
+fn learn_older_word_ignored() {
+    let mut permits = Permits::default();
+    permits.hear(Some(1.0), s(9), s(10));
+    permits.learn(Heard { limit_per_s: None, age: s(2) }, s(11));
+    assert!(permits.is_limited());
+    permits.learn(Heard { limit_per_s: None, age: s(0) }, s(11));
+    assert!(!permits.is_limited());
 }
--- a/crates/protocol/src/permits.rs
+++ b/crates/protocol/src/permits.rs
@@ -1,5 +1,5 @@
-//! Datagrams with which an entry asks another one, the meter, for a permit to send a request to a
-//! backend server that has named a limit. A lost datagram is as good as a refusal.
+//! Datagrams with which entries tell each other of backend servers' limits, and ask one of them, the
+//! meter, for a permit to send a request. A lost ask or answer is as good as a refusal.
 
 use flamingowheel_policy::key::ServerKey;
 use serde::{Deserialize, Serialize};
@@ -13,7 +13,7 @@
 /// A datagram between entries.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PermitMessage {
-    /// Asks for a permit.
+    /// Tells the meter of a server's limit, and asks for a permit.
     Ask {
         /// Chosen by the asking entry, repeated in the answer.
         number: u64,
@@ -23,6 +23,17 @@
         limit_per_s: Option<f64>,
         /// Time since the server's answer that said so, in milliseconds.
         age_ms: u64,
+        /// Whether a permit is asked for; otherwise the ask tells of the limit only.
+        wants_permit: bool,
+    },
+    /// What the meter tells all entries of a server's limit.
+    Told {
+        /// The backend server.
+        server: ServerKey,
+        /// Requests per second; `None` if the server names no limit any more.
+        limit_per_s: Option<f64>,
+        /// Time since the server's answer that said so, in milliseconds.
+        age_ms: u64,
     },
     /// The meter's answer.
     Answer {
@@ -49,9 +60,14 @@
 
 impl PermitMessage {
     /// The ask for a permit of a server.
-    pub fn ask(number: u64, server: ServerKey, heard: Heard) -> Self {
+    pub fn ask(number: u64, server: ServerKey, heard: Heard, wants_permit: bool) -> Self {
         let age_ms = heard.age.as_millis() as u64;
-        Self::Ask { number, server, limit_per_s: heard.limit_per_s, age_ms }
+        Self::Ask { number, server, limit_per_s: heard.limit_per_s, age_ms, wants_permit }
+    }
+
+    /// The word of a server's limit.
+    pub fn told(server: ServerKey, heard: Heard) -> Self {
+        Self::Told { server, limit_per_s: heard.limit_per_s, age_ms: heard.age.as_millis() as u64 }
     }
 
     /// The encoded datagram; `None` if it can't be encoded.
