Soak: backend servers name limits among the faults, and the rule is checked

The soak had no server in need, and no check looked at what one server gets from all entries together.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,8 +12,11 @@
 /// Grace period from the stop signal to the kill, in seconds, as set in the present deployments.
 pub const GRACE_S: u64 = 8;
 
+/// Limits that backend servers name, in requests per second: below the number of entries, and above.
+const LIMITS_PER_S: [f64; 4] = [0.0, 0.5, 1.0, 20.0];
+
 /// One fault; entries and backend servers are given by their index in the fleet.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
     /// An entry is killed, and started again after the fault's duration.
     Kill(usize),
@@ -39,6 +42,8 @@
     Drain(usize),
     /// A new version of the configuration is published.
     Configuration,
+    /// A backend server names a limit, in requests per second.
+    Limit(usize, f64),
 }
 
 /// Chooses the next fault at random.
@@ -48,7 +53,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..14) {
+    match rng.random_range(0..16) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -60,6 +65,7 @@
         10 => Fault::StoreLosesAnswers,
         11 => Fault::StoreCompacts,
         12 => Fault::Drain(server),
+        13 | 14 => Fault::Limit(server, LIMITS_PER_S[rng.random_range(0..LIMITS_PER_S.len())]),
         _ => Fault::Configuration,
     }
 }
@@ -135,5 +141,19 @@
             fleet.publish_server(server, false).await;
         }
         Fault::Configuration => fleet.publish_configuration().await,
+        Fault::Limit(server, limit_per_s) => {
+            fleet.limit_server(server, limit_per_s, duration).await
+        }
+    }
+}
+
+impl Fault {
+    /// The entry that has this fault, and is excused during it; `None` if no entry has it.
+    pub fn entry(self) -> Option<usize> {
+        match self {
+            Self::Kill(entry) | Self::Pause(entry) | Self::Restart(entry) => Some(entry),
+            Self::StoreLink(entry, _) => Some(entry),
+            _ => None,
+        }
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,19 +5,21 @@
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
 use crate::proxy::Proxy;
+use crate::signals::{LimitSpan, STABILITY_WINDOW};
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_standin::platform::messages::{
     CONFIGURATION_KEY, EntryPorts, configuration, entry_settings, server_key, server_record,
 };
-use flamingowheel_standin::platform::server::{PlatformServer, RequestLog};
+use flamingowheel_standin::platform::server::{Conditions, PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Processing time of a request, and time before each event of a stream.
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
@@ -61,6 +63,8 @@
     pub servers: Vec<Server>,
     /// Records the requests of all backend servers.
     pub request_log: RequestLog,
+    /// The limits that backend servers named.
+    pub limits: Mutex<Vec<LimitSpan>>,
     version: AtomicU64,
     _reaper: Reaper,
 }
@@ -94,7 +98,8 @@
         }
         let reaper = Reaper(entries.iter().map(|entry| entry.daemon.clone()).collect());
         let version = AtomicU64::new(0);
-        let fleet = Self { kv, entries, servers, request_log, version, _reaper: reaper };
+        let limits = Mutex::default();
+        let fleet = Self { kv, entries, servers, request_log, limits, version, _reaper: reaper };
         for server in 0..fleet.servers.len() {
             fleet.publish_server(server, false).await;
         }
@@ -116,6 +121,21 @@
         self.write(&server_key(id), server_record(proxy.address, SLOTS, is_draining)).await;
     }
 
+    /// Makes a backend server name a limit, unless it names one already.
+    pub async fn limit_server(&self, server: usize, limit_per_s: f64, duration: Duration) {
+        let Server { id, standin, .. } = &self.servers[server];
+        if standin.conditions().limit_per_s.is_some() {
+            return;
+        }
+        let from = Instant::now();
+        standin.set_conditions(Conditions { limit_per_s: Some(limit_per_s) });
+        // A limit binds some seconds after it was named first.
+        sleep(duration + STABILITY_WINDOW).await;
+        standin.set_conditions(Conditions { limit_per_s: None });
+        let span = LimitSpan { server: id.clone(), limit_per_s, from, until: Instant::now() };
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner).push(span);
+    }
+
     /// Publishes a new version of the configuration with unchanged routes.
     pub async fn publish_configuration(&self) {
         let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,11 +5,12 @@
 use crate::faults;
 use crate::fleet::Fleet;
 use crate::report::{SharedTally, Tally};
+use crate::signals::{FaultSpan, Observed};
 use eyre::{Context, Result};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -24,6 +25,10 @@
 /// How long a fault lasts, in milliseconds. The longest faults outlast a lease of 3 s.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..4_000;
 
+/// Time by which an entry's stop and start may outlast its fault: it serves requests up to its grace
+/// period.
+const RESTART_TIME: Duration = Duration::from_secs(faults::GRACE_S + 1);
+
 /// Time after the last fault within which the fleet must serve normally again.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
 
@@ -44,10 +49,15 @@
         callers.spawn(caller.run(rng.random(), stop.clone()));
     }
     let (injections, mut fault_log) = (TaskTracker::new(), String::new());
+    let mut fault_spans = Vec::new();
     let started = Instant::now();
     while started.elapsed() < Duration::from_secs(options.seconds) {
         let fault = faults::random_fault(&fleet, &mut rng);
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        if let Some(entry) = fault.entry() {
+            let from = Instant::now();
+            fault_spans.push(FaultSpan { entry, from, until: from + duration + RESTART_TIME });
+        }
         fault_log += &format!("{} ms: {fault:?} for {duration:?}\n", started.elapsed().as_millis());
         injections.spawn(faults::inject(Arc::clone(&fleet), fault, duration));
         sleep(Duration::from_millis(rng.random_range(FAULT_GAP_MS))).await;
@@ -64,5 +74,12 @@
     stop.cancel();
     callers.close();
     callers.wait().await;
+    let arrivals = fleet.request_log.arrivals();
+    tally.update(|tally| {
+        let observed = Observed { arrivals: &arrivals, calls: &tally.calls, faults: &fault_spans };
+        let limits = fleet.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let violations = observed.check_limits(&limits);
+        tally.violations.extend(violations);
+    });
     Ok(tally.read())
 }
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// Time from the first mention of a limit after which it binds.
-const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+pub const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
 /// Span in which the requests of a limited server are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
