Gateway: logs and counts the rest that backend servers ask for

Nothing told that a 503 bore Retry-After, nor for how long: an entry that reads it and loses it could not be told from one that never does. Requests go where they went before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -413,6 +413,11 @@
     /// Records what the server asks for. Every answer to a request passes here, whatever its status
     /// and whichever attempt it ends.
     fn record_signals(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
+        self.record_limit(attempt_id, server, sent);
+        self.record_rest(attempt_id, server, &sent.answer.rest);
+    }
+
+    fn record_limit(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
         let stated = &sent.answer.limit_per_s;
         // An answer that reports "not run" without a limit may come from a step before the server's
         // own, so that it does not end the limit.
@@ -442,6 +447,22 @@
         }
     }
 
+    fn record_rest(&self, request: &str, server: &Server, rest: &Stated<Duration>) {
+        let server = server.listed.id.as_str();
+        match rest {
+            Stated::Value(rest) => {
+                self.metrics.record_signal("rest");
+                let rest_ms = rest.as_millis() as u64;
+                tracing::info!(request, server, rest_ms, "backend server asks for rest");
+            }
+            Stated::Malformed(text) => {
+                self.metrics.record_signal("rest_malformed");
+                tracing::warn!(request, server, text, "backend server's rest can't be read");
+            }
+            Stated::Absent => {}
+        }
+    }
+
     fn record_not_run(&self, exchange: &Exchange, sent: &SentRequest) {
         self.metrics.record_send(exchange.kind(), "not_run");
         let server = sent.in_flight.server();
