--- a/crates/flamingowheeld/tests/limit.rs
+++ b/crates/flamingowheeld/tests/need.rs
@@ -1,4 +1,5 @@
-//! Entries as separate processes before backend servers that name a limit for all of them together.
+//! Entries as separate processes before backend servers in need: they name a limit for all entries
+//! together, or ask each one for rest.
 
 use flamingowheel_soak::callers::Caller;
 use flamingowheel_soak::cli::Options;
@@ -14,21 +15,22 @@
 /// Time for the processes to start and discover each other.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
-/// Time under the limit: it binds after 3 s, and its windows are 4 s long.
-const LIMITED_TIME: Duration = Duration::from_secs(9);
+/// Time during which the servers are in need: a limit binds after 3 s, and its windows are 4 s long.
+const NEED_TIME: Duration = Duration::from_secs(9);
 
 const SEED: u64 = 11;
 
-/// What was seen of a fleet with limited servers.
+/// What was seen of a fleet with servers in need.
 struct Run {
     tally: Tally,
     fleet: Fleet,
     spans: Vec<LimitSpan>,
 }
 
-/// Runs `entries` processes before 4 servers, of which the first `limited` name a limit.
-async fn run_limited(entries: usize, limited: usize, limit_per_s: f64) -> Run {
-    let folder = std::env::temp_dir().join(format!("fw-limit-{}-{limited}", std::process::id()));
+/// Runs `entries` processes before 4 servers, of which the first `count` are in need.
+async fn run_in_need(entries: usize, count: usize, need: Conditions) -> Run {
+    let name = format!("fw-need-{}-{}", std::process::id(), need.limit_per_s.is_some());
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).unwrap();
     let options = Options {
         program: env!("CARGO_BIN_EXE_flamingowheeld").into(),
@@ -42,9 +44,7 @@
     let fleet = Fleet::start_all(&options, &folder).await.unwrap();
     sleep(WARM_UP).await;
     let from = Instant::now();
-    for server in &fleet.servers[..limited] {
-        server.standin.set_conditions(Conditions { limit_per_s: Some(limit_per_s) });
-    }
+    fleet.servers[..count].iter().for_each(|server| server.standin.set_conditions(need));
     let (tally, stop, callers) =
         (SharedTally::default(), CancellationToken::new(), TaskTracker::new());
     let addresses: Vec<_> = fleet.entries.iter().map(|entry| entry.callers).collect();
@@ -53,16 +53,14 @@
         let caller = Caller { entries, request_log, tally: tally.clone() };
         callers.spawn(caller.run(SEED + number, stop.clone()));
     }
-    sleep(LIMITED_TIME).await;
+    sleep(NEED_TIME).await;
     let until = Instant::now();
     stop.cancel();
     callers.close();
     callers.wait().await;
-    let spans = fleet.servers[..limited].iter().map(|server| LimitSpan {
-        server: server.id.clone(),
-        limit_per_s,
-        from,
-        until,
+    let spans = fleet.servers[..count].iter().filter_map(|server| {
+        let (server, limit_per_s) = (server.id.clone(), need.limit_per_s?);
+        Some(LimitSpan { server, limit_per_s, from, until })
     });
     // The error is ignored: a leftover directory in the temporary directory is harmless.
     let _ = std::fs::remove_dir_all(&folder);
@@ -73,8 +71,9 @@
     fn violations(&self) -> Vec<String> {
         let arrivals = self.fleet.request_log.arrivals();
         let observed = Observed { arrivals: &arrivals, calls: &self.tally.calls, faults: &[] };
-        let limits = observed.check_limits(&self.spans);
-        limits.iter().chain(&self.tally.violations).map(ToString::to_string).collect()
+        let (limits, rests) = (observed.check_limits(&self.spans), observed.check_rests());
+        let violations = limits.iter().chain(&rests).chain(&self.tally.violations);
+        violations.map(ToString::to_string).collect()
     }
 }
 
@@ -82,6 +81,16 @@
 /// to it.
 #[tokio::test(flavor = "multi_thread")]
 async fn named_limit_one_server_kept() {
-    let run = run_limited(6, 1, 1.0).await;
+    let limit = Conditions { limit_per_s: Some(1.0), ..Conditions::default() };
+    let run = run_in_need(6, 1, limit).await;
+    assert_eq!(run.violations(), [""; 0], "{}", run.tally);
+}
+
+/// Two of four backend servers answer each request with 503 and ask for 3 s of rest, and each of six
+/// entries goes on sending to them.
+#[tokio::test(flavor = "multi_thread")]
+async fn asked_rest_two_servers_kept() {
+    let rest = Conditions { rest: Some(Duration::from_secs(3)), ..Conditions::default() };
+    let run = run_in_need(6, 2, rest).await;
     assert_eq!(run.violations(), [""; 0], "{}", run.tally);
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -121,17 +121,18 @@
         self.write(&server_key(id), server_record(proxy.address, SLOTS, is_draining)).await;
     }
 
-    /// Makes a backend server name a limit, unless it names one already.
+    /// Makes a backend server name a limit, unless it asks for something already.
     pub async fn limit_server(&self, server: usize, limit_per_s: f64, duration: Duration) {
         let Server { id, standin, .. } = &self.servers[server];
-        if standin.conditions().limit_per_s.is_some() {
+        if standin.conditions() != Conditions::default() {
             return;
         }
         let from = Instant::now();
-        standin.set_conditions(Conditions { limit_per_s: Some(limit_per_s) });
+        let limit = Conditions { limit_per_s: Some(limit_per_s), ..Conditions::default() };
+        standin.set_conditions(limit);
         // A limit binds some seconds after it was named first.
         sleep(duration + STABILITY_WINDOW).await;
-        standin.set_conditions(Conditions { limit_per_s: None });
+        standin.set_conditions(Conditions::default());
         let span = LimitSpan { server: id.clone(), limit_per_s, from, until: Instant::now() };
         self.limits.lock().unwrap_or_else(PoisonError::into_inner).push(span);
     }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -54,6 +54,17 @@
         /// Most requests that are allowed.
         allowed: usize,
     },
+    /// More than two requests of an entry reached a backend server within the rest that it had asked
+    /// that entry for.
+    #[error("{server} got {requests} requests of entry {entry} within the rest that it asked for")]
+    RestBroken {
+        /// Name of the server.
+        server: String,
+        /// The entry, by its index.
+        entry: usize,
+        /// Number of requests.
+        requests: usize,
+    },
     /// Too few requests were served after the last fault.
     #[error("{served} of {asked} requests were served after the last fault")]
     NotRecovered {
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -17,7 +17,10 @@
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 
-/// Time after which an entry that has passed on an answer acts on it.
+/// Requests of one entry that may reach a server within the rest that it asked that entry for.
+const REST_SLACK: usize = 2;
+
+/// Time after which an entry that has got an answer acts on it.
 const REACTION_TIME: Duration = Duration::from_millis(500);
 
 /// A request as its caller saw it.
@@ -83,8 +86,7 @@
     /// Windows in which a limited server got more than 1.5 times what its limit allows, and 5
     /// requests more, from entries that knew the limit; the first window of each span.
     pub fn check_limits(&self, spans: &[LimitSpan]) -> Vec<Violation> {
-        let entry_of: HashMap<&str, usize> =
-            self.calls.iter().map(|call| (call.attempt.as_str(), call.entry)).collect();
+        let entry_of = self.entry_of();
         let check = |span: &LimitSpan| {
             let told = self.told_limit(&span.server);
             let counted: Vec<Instant> = self
@@ -117,6 +119,44 @@
         spans.iter().filter_map(check).collect()
     }
 
+    /// Rests that a server asked an entry for, and within which more than two requests reached it from
+    /// there; the first of each server.
+    pub fn check_rests(&self) -> Vec<Violation> {
+        let entry_of = self.entry_of();
+        let entry_of = |arrival: &Arrival| entry_of.get(arrival.attempt.as_str()).copied();
+        let mut broken: HashMap<&str, Violation> = HashMap::new();
+        for (index, asking) in self.arrivals.iter().enumerate() {
+            let (Some(rest), Some(entry)) = (asking.rest, entry_of(asking)) else { continue };
+            let (from, until) = (asking.at + REACTION_TIME, asking.at + rest);
+            if self.is_excused(entry, asking.at, until) {
+                continue;
+            }
+            let later = self.arrivals[index..].iter().take_while(|arrival| arrival.at < until);
+            let within = later.filter(|arrival| {
+                arrival.at > from
+                    && arrival.server == asking.server
+                    && entry_of(arrival) == Some(entry)
+            });
+            let requests = within.count();
+            if requests > REST_SLACK {
+                let server = asking.server.clone();
+                let violation = Violation::RestBroken { server, entry, requests };
+                broken.entry(&asking.server).or_insert(violation);
+            }
+        }
+        broken.into_values().collect()
+    }
+
+    fn entry_of(&self) -> HashMap<&str, usize> {
+        self.calls.iter().map(|call| (call.attempt.as_str(), call.entry)).collect()
+    }
+
+    /// Whether an entry had a fault between two times, or shortly before.
+    fn is_excused(&self, entry: usize, from: Instant, until: Instant) -> bool {
+        let mut faults = self.faults.iter().filter(|fault| fault.entry == entry);
+        faults.any(|fault| fault.from <= until && from <= fault.until + STABILITY_WINDOW)
+    }
+
     /// When each entry passed on an answer in which the server named a limit.
     fn told_limit(&self, server: &str) -> Vec<(usize, Instant)> {
         let told = self.calls.iter().filter_map(|call| {
@@ -128,8 +168,7 @@
 
     /// Whether an entry had been told before `at`, long enough ago and since its last fault.
     fn knew(&self, entry: usize, told: &[(usize, Instant)], at: Instant) -> bool {
-        let mut faults = self.faults.iter().filter(|fault| fault.entry == entry);
-        if faults.any(|fault| fault.from <= at && at <= fault.until + STABILITY_WINDOW) {
+        if self.is_excused(entry, at, at) {
             return false;
         }
         let faults = self.faults.iter().filter(|fault| fault.entry == entry && fault.until <= at);
--- a/crates/soak/tests/signals.rs
+++ b/crates/soak/tests/signals.rs
@@ -28,7 +28,8 @@
         });
         for number in 0..count {
             let (attempt, at) = (number.to_string(), seen.at(4_000 + 200 * number));
-            let arrival = Arrival { server: "s".to_owned(), attempt: attempt.clone(), at };
+            let arrival =
+                Arrival { server: "s".to_owned(), attempt: attempt.clone(), at, rest: None };
             seen.arrivals.push(arrival);
             seen.calls.push(Call { entry: 0, attempt, sent_at: at, answer: None });
         }
@@ -71,3 +72,41 @@
     let fault = FaultSpan { entry: 0, from: seen.at(3_000), until: seen.at(5_000) };
     assert_eq!(seen.check(&[fault]), []);
 }
+
+/// A server asks entry 0 for 3 s of rest with the first request.
+fn resting(count: u64) -> Seen {
+    let mut seen = Seen::new(count);
+    seen.arrivals[0].rest = Some(Duration::from_secs(3));
+    seen
+}
+
+#[test]
+fn check_rests_at_bound() {
+    // The requests 0.2 and 0.4 s after the first are in time; two more are allowed.
+    assert_eq!(seen_rests(&resting(5), &[]), []);
+}
+
+#[test]
+fn check_rests_over_bound() {
+    let violations = seen_rests(&resting(6), &[]);
+    assert!(matches!(violations[..], [Violation::RestBroken { entry: 0, requests: 3, .. }]));
+}
+
+#[test]
+fn check_rests_other_entry_not_asked() {
+    let mut seen = resting(6);
+    seen.calls[1].entry = 1;
+    assert_eq!(seen_rests(&seen, &[]), []);
+}
+
+#[test]
+fn check_rests_entry_with_fault_excused() {
+    let seen = resting(6);
+    let fault = FaultSpan { entry: 0, from: seen.at(4_500), until: seen.at(4_600) };
+    assert_eq!(seen_rests(&seen, &[fault]), []);
+}
+
+fn seen_rests(seen: &Seen, faults: &[FaultSpan]) -> Vec<Violation> {
+    let Seen { arrivals, calls, .. } = seen;
+    Observed { arrivals, calls, faults }.check_rests()
+}
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -19,6 +19,9 @@
 /// Header with the limit that a backend server names.
 pub const LIMIT_HEADER: &str = "server-limit";
 
+/// Header that states that a request did not run.
+const NOT_EXECUTED_HEADER: &str = "flamingowheel-not-executed";
+
 /// Number of events in every stream.
 pub const STREAM_EVENTS: u64 = 8;
 
@@ -27,6 +30,8 @@
 pub struct Conditions {
     /// The limit that it names, in requests per second.
     pub limit_per_s: Option<f64>,
+    /// The rest that it asks for; it refuses all requests meanwhile.
+    pub rest: Option<Duration>,
 }
 
 /// A request that reached a backend server.
@@ -38,6 +43,8 @@
     pub attempt: String,
     /// When it arrived.
     pub at: Instant,
+    /// The rest that the server asked for in its answer.
+    pub rest: Option<Duration>,
 }
 
 /// Records the requests that reach any of the backend servers, and how often each attempt of a
@@ -66,9 +73,9 @@
         *self.lock().runs.entry(attempt.to_owned()).or_default() += 1;
     }
 
-    fn record_arrival(&self, server: &str, attempt: &str) {
+    fn record_arrival(&self, server: &str, attempt: &str, rest: Option<Duration>) {
         let (server, attempt) = (server.to_owned(), attempt.to_owned());
-        self.lock().arrivals.push(Arrival { server, attempt, at: Instant::now() });
+        self.lock().arrivals.push(Arrival { server, attempt, at: Instant::now(), rest });
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Requests> {
@@ -135,7 +142,7 @@
 
     /// A response with the headers of what the server asks for.
     fn response(&self, status: StatusCode, headers: &[(&str, &str)], body: Body) -> Response {
-        let Conditions { limit_per_s } = self.conditions();
+        let Conditions { limit_per_s, .. } = self.conditions();
         let limit = limit_per_s.map(|limit_per_s| limit_per_s.to_string());
         let limit = limit.as_deref().map(|limit| (LIMIT_HEADER, limit));
         let headers = headers.iter().copied().chain(limit);
@@ -161,7 +168,8 @@
 
 async fn handle(State(server): State<PlatformServer>, request: Request) -> Response {
     let attempt = attempt_id(request.headers()).to_owned();
-    server.request_log.record_arrival(&server.id, &attempt);
+    let rest = server.conditions().rest;
+    server.request_log.record_arrival(&server.id, &attempt, rest);
     let expected = header_text(request.headers(), "flamingowheel-expect-instance");
     if !expected.is_empty() && expected != server.id {
         return server.response(
@@ -170,8 +178,17 @@
             Body::empty(),
         );
     }
+    if let Some(rest) = rest {
+        let rest_s = rest.as_secs_f64().to_string();
+        let headers = [
+            (ATTEMPT_HEADER, attempt.as_str()),
+            (NOT_EXECUTED_HEADER, "1"),
+            ("retry-after", rest_s.as_str()),
+        ];
+        return server.response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
+    }
     let Some(slot) = server.acquire_slot() else {
-        let headers = [(ATTEMPT_HEADER, attempt.as_str()), ("flamingowheel-not-executed", "1")];
+        let headers = [(ATTEMPT_HEADER, attempt.as_str()), (NOT_EXECUTED_HEADER, "1")];
         return server.response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
     };
     server.request_log.record_run(&attempt);
