Gateway: a backend server that asks for rest gets none of this VM's requests

Seen: servers that had answered a VM 503 with Retry-After of 3 s got 3 requests from it within that time, and more, where 2 are allowed (BUDGET).

Cause: the header was not read. A 503 counted as a failed answer, whose weight fades, and it ended the backoff after failures. Class: a pause that a server asks for, kept by no path (and by none that would come later).

Change: the rest is kept with the start of the server. The choice leaves the server out, and Server::begin, where every request to a server passes, refuses it: first attempts, retries, resumed streams and probes of an open breaker alike, also as a last resort. The longest rest that was asked for holds; up to a fifth is added by chance, so that VMs that were asked together do not return together. A server at rest says nothing about others: its refusal opens no breaker of its service and uses up none of a request's three sends in a row. If all servers rest, a request is refused at once (reason held).

Ruled out: a backoff of the usual kind for the time asked: a later answer ends it, and it is passed over if all servers are in backoff.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -127,8 +127,8 @@
 pub struct Attempts {
     /// Servers to exclude from the next choice.
     pub tried: Vec<Arc<Server>>,
-    /// Number of the tried servers that have ended, or took no request after all. They say nothing
-    /// about the others.
+    /// Number of the tried servers that have ended, rest, or took no request after all. They say
+    /// nothing about the others.
     pub ended: usize,
     /// Number of sends, including those that a server refused.
     pub sends: u32,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -64,6 +64,11 @@
     fn is_misdirected(&self) -> bool {
         self.response.status() == StatusCode::MISDIRECTED_REQUEST
     }
+
+    /// Whether the server asks for rest, which says nothing about other servers.
+    fn asks_for_rest(&self) -> bool {
+        matches!(self.answer.rest, Stated::Value(rest) if !rest.is_zero())
+    }
 }
 
 /// Why a request that was sent got no answer.
@@ -195,7 +200,8 @@
             let sending = self.send(exchange, &server, group.as_ref(), exchange.head.last_event_id);
             match sending.await {
                 Ok(sent) if sent.answer.is_not_run => {
-                    attempts.ended += usize::from(sent.is_misdirected());
+                    let is_alone = sent.is_misdirected() || sent.asks_for_rest();
+                    attempts.ended += usize::from(is_alone);
                     self.record_not_run(exchange, &sent);
                     continue;
                 }
@@ -448,15 +454,17 @@
     }
 
     fn record_rest(&self, request: &str, server: &Server, rest: &Stated<Duration>) {
-        let server = server.listed.id.as_str();
         match rest {
             Stated::Value(rest) => {
+                server.record_rest(*rest, rand::random(), Instant::now());
                 self.metrics.record_signal("rest");
                 let rest_ms = rest.as_millis() as u64;
+                let server = server.listed.id.as_str();
                 tracing::info!(request, server, rest_ms, "backend server asks for rest");
             }
             Stated::Malformed(text) => {
                 self.metrics.record_signal("rest_malformed");
+                let server = server.listed.id.as_str();
                 tracing::warn!(request, server, text, "backend server's rest can't be read");
             }
             Stated::Absent => {}
@@ -477,7 +485,10 @@
             return;
         }
         server.record_answer(sent.sent_at.elapsed(), true);
-        self.breakers().record_refusal(&exchange.service);
+        // The breaker holds back all requests of the service; a server that rests is passed over.
+        if !sent.asks_for_rest() {
+            self.breakers().record_refusal(&exchange.service);
+        }
     }
 
     /// Relays an answer: streams as they arrive, others once they are complete.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -35,7 +35,7 @@
         /// When there should be room, in milliseconds from now.
         retry_after_ms: u64,
     },
-    /// Every backend server has a limit that leaves no room for the request.
+    /// Every backend server rests, or has a limit that leaves no room for the request.
     Held {
         /// When there should be room, in milliseconds from now.
         retry_after_ms: u64,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -41,6 +41,10 @@
 /// long.
 const SILENCE_LATENCY_FACTOR: f64 = 3.0;
 
+/// Largest extension of a rest, as a share of it. All entries may have been asked at the same time,
+/// and would return together.
+const REST_SPREAD: f64 = 0.2;
+
 /// Largest number of doublings: 150 ms grows to 2.4 s, well below the time for which a failed
 /// server is unavailable.
 const MAX_DOUBLINGS: u32 = 4;
@@ -67,6 +71,19 @@
     stated_limit: Stated<f64>,
     /// The server's limit for all entries, and this entry's permits.
     permits: Permits,
+    /// The end of the rest that the server asked this entry for.
+    rest_until: Option<Instant>,
+}
+
+impl State {
+    /// Time until the end of the rest that the server asked for.
+    fn rest(&self, now: Instant) -> Duration {
+        self.rest_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    fn is_resting(&self, now: Instant) -> bool {
+        !self.rest(now).is_zero()
+    }
 }
 
 /// Moving averages and the backoff after failures.
@@ -121,7 +138,8 @@
     /// Whether the server has unanswered requests and has sent no data for too long. Its VM may
     /// have stalled: connections still open, but nothing comes back.
     pub is_silent: bool,
-    /// Whether the server takes a request now: it has no limit, or this entry holds a permit.
+    /// Whether the server takes a request now: it does not rest, and has no limit unless this entry
+    /// holds a permit.
     pub is_admitting: bool,
     /// Whether a permit can be asked for.
     pub can_ask: bool,
@@ -170,8 +188,8 @@
             latency_ms: state.health.latency_ms,
             is_in_backoff: state.health.backoff_until.is_some_and(|until| now < until),
             is_silent: state.health.is_silent(now),
-            is_admitting: state.permits.admits(now - self.origin),
-            can_ask: state.permits.can_ask(now - self.origin),
+            is_admitting: !state.is_resting(now) && state.permits.admits(now - self.origin),
+            can_ask: !state.is_resting(now) && state.permits.can_ask(now - self.origin),
         }
     }
 
@@ -181,7 +199,7 @@
     pub fn begin(self: &Arc<Self>, group: Option<&Arc<GroupLoad>>) -> Option<InFlight> {
         let now = Instant::now();
         let state = &mut *self.lock();
-        if !state.permits.take(now - self.origin) {
+        if state.is_resting(now) || !state.permits.take(now - self.origin) {
             return None;
         }
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -315,7 +333,19 @@
 
     /// Time until the server may take a request; zero if it takes one now.
     pub fn wait(&self, now: Instant) -> Duration {
-        self.lock().permits.wait(now - self.origin)
+        let state = self.lock();
+        state.rest(now).max(state.permits.wait(now - self.origin))
+    }
+
+    /// Records that the server asks for `rest`. A rest that it asked for before and that ends later
+    /// goes on. `draw`, a random number between 0 and 1, spreads the entries that return.
+    pub fn record_rest(&self, rest: Duration, draw: f64, now: Instant) {
+        if rest.is_zero() {
+            return;
+        }
+        let until = now + rest.mul_f64(1.0 + REST_SPREAD * draw);
+        let state = &mut *self.lock();
+        state.rest_until = state.rest_until.max(Some(until));
     }
 
     /// Records that the server could not be reached or did not answer.
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -147,3 +147,31 @@
     entry.list("b", "s", 1);
     assert!(!entry.server("s").await.is_limited());
 }
+
+/// The store drops the listing of a server for a moment. The rest that it asked for goes on.
+#[tokio::test(start_paused = true)]
+async fn run_listing_absent_rest_kept() {
+    let mut entry = Entry::start().await;
+    entry.list("a", "s", 1);
+    entry.server("s").await.record_rest(Duration::from_secs(3), 0.0, Instant::now());
+    entry.unlist("a");
+    assert!(entry.servers_of("s").await.is_empty());
+    entry.list("a", "s", 1);
+    assert!(!entry.server("s").await.status(Instant::now()).is_admitting);
+    sleep(Duration::from_secs(3)).await;
+    assert!(entry.server("s").await.status(Instant::now()).is_admitting);
+}
+
+/// A server asks for 3 s, and in a later answer for 1 s. The longer rest holds.
+#[tokio::test(start_paused = true)]
+async fn record_rest_shorter_one_later() {
+    let mut entry = Entry::start().await;
+    entry.list("a", "s", 1);
+    let server = entry.server("s").await;
+    server.record_rest(Duration::from_secs(3), 0.0, Instant::now());
+    server.record_rest(Duration::from_secs(1), 0.0, Instant::now());
+    sleep(Duration::from_secs(2)).await;
+    assert!(server.begin(None).is_none());
+    sleep(Duration::from_secs(1)).await;
+    assert!(server.begin(None).is_some());
+}
