Gateway: a backend server that says it leaves gets no more requests

Rule: no request that a caller sent later than drainMs after a VM passed on an answer with Server-Leaving reaches that server from that VM, in touch or not (DRAIN).

Cause: an entry knew of leaving only from the server's listing, and an entry whose store is away, or a server that never reports draining, is told by answers alone. Class: as for the rest that servers ask for, a word of a server that no path read.

Change: the word is kept with this start of the server, also over moments without a listing; the choice passes the server over, and Server::begin refuses it for every path. Another start at the same address or under the same id is not bound. If all servers leave, requests wait for one to be listed as if none were (outage).

Evidence: told_leaving_server_listed_kept failed before (a request 2 s and more after the word, from an entry that had passed it on) and passes; requests over TCP of all kinds, a resumed stream, a value that can't be read. The check of the soak is tested by itself.

--- a/crates/flamingowheeld/tests/need.rs
+++ b/crates/flamingowheeld/tests/need.rs
@@ -1,5 +1,5 @@
 //! Entries as separate processes before backend servers in need: they name a limit for all entries
-//! together, or ask each one for rest.
+//! together, ask each one for rest, or say that they leave.
 
 use flamingowheel_soak::callers::Caller;
 use flamingowheel_soak::cli::Options;
@@ -29,7 +29,7 @@
 
 /// Runs `entries` processes before 4 servers, of which the first `count` are in need.
 async fn run_in_need(entries: usize, count: usize, need: Conditions) -> Run {
-    let name = format!("fw-need-{}-{}", std::process::id(), need.limit_per_s.is_some());
+    let name = format!("fw-need-{}-{:?}", std::process::id(), std::thread::current().id());
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).unwrap();
     let options = Options {
@@ -72,7 +72,8 @@
         let arrivals = self.fleet.request_log.arrivals();
         let observed = Observed { arrivals: &arrivals, calls: &self.tally.calls, faults: &[] };
         let (limits, rests) = (observed.check_limits(&self.spans), observed.check_rests());
-        let violations = limits.iter().chain(&rests).chain(&self.tally.violations);
+        let leaving = observed.check_leaving();
+        let violations = limits.iter().chain(&rests).chain(&leaving).chain(&self.tally.violations);
         violations.map(ToString::to_string).collect()
     }
 }
@@ -94,3 +95,12 @@
     let run = run_in_need(6, 2, rest).await;
     assert_eq!(run.violations(), [""; 0], "{}", run.tally);
 }
+
+/// A backend server says in its answers that it leaves, while it is still listed as ready, and each of
+/// six entries goes on sending to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn told_leaving_server_listed_kept() {
+    let leaving = Conditions { is_leaving: true, ..Conditions::default() };
+    let run = run_in_need(6, 1, leaving).await;
+    assert_eq!(run.violations(), [""; 0], "{}", run.tally);
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -22,7 +22,7 @@
 /// ```
 /// use flamingowheel_gateway::{balance::cost, server::ServerStatus};
 /// let idle = ServerStatus { in_flight: 0, failure_ratio: 0.0, latency_ms: Some(20.0),
-///     is_in_backoff: false, is_silent: false, is_admitting: true, can_ask: false };
+///     is_in_backoff: false, is_silent: false, is_leaving: false, is_admitting: true, can_ask: false };
 /// let busy = ServerStatus { in_flight: 3, ..idle };
 /// assert!(cost(&busy, 6) > cost(&idle, 6));
 /// ```
@@ -50,7 +50,7 @@
     Busy(Fullness),
     /// No untried server takes a request now; the shortest time after which one may.
     Held(Duration),
-    /// No untried server is listed.
+    /// No untried server is listed, or all that are leave.
     NoServer,
 }
 
@@ -79,6 +79,7 @@
     let untried: Vec<&Arc<Server>> =
         view.servers_of(service).iter().filter(|server| !is_among(tried, server)).collect();
     let candidates = untried.iter().map(|server| Candidate::new(view, server, admission, now));
+    let candidates = candidates.filter(|candidate| !candidate.is_leaving);
     let (admitting, held): (Vec<Candidate<'_>>, Vec<Candidate<'_>>) =
         candidates.partition(|candidate| candidate.is_admitting);
     let wait = held.iter().map(|candidate| candidate.server.wait(now)).min();
@@ -109,6 +110,7 @@
     is_in_backoff: bool,
     is_silent: bool,
     is_slow: bool,
+    is_leaving: bool,
     is_admitting: bool,
     can_ask: bool,
     /// Fullness of the group, if the request has an admission condition.
@@ -129,7 +131,8 @@
         let status = server.status(now);
         // Keeps entries with the same information from all choosing the same server.
         let spread = rand::random_range(0.9..1.1);
-        let ServerStatus { is_in_backoff, is_silent, is_admitting, can_ask, .. } = status;
+        let ServerStatus { is_in_backoff, is_silent, is_leaving, is_admitting, can_ask, .. } =
+            status;
         match view.group_ranks.get(&server.listed.address) {
             Some(group_rank) => {
                 let is_reported_silent = group_rank.group.is_reported_silent(group_rank.rank, now);
@@ -143,6 +146,7 @@
                     is_in_backoff,
                     is_silent: is_silent || group_rank.is_away || is_reported_silent == Some(true),
                     is_slow: group_rank.pace >= SLOW_PACE,
+                    is_leaving,
                     is_admitting,
                     can_ask,
                     fullness: admission.map(|admission| group_rank.group.fullness(admission, now)),
@@ -158,6 +162,7 @@
                 is_in_backoff,
                 is_silent,
                 is_slow: false,
+                is_leaving,
                 is_admitting,
                 can_ask,
                 fullness: None,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -421,6 +421,7 @@
     fn record_signals(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
         self.record_limit(attempt_id, server, sent);
         self.record_rest(attempt_id, server, &sent.answer.rest);
+        self.record_leaving(attempt_id, server, &sent.answer.leaving);
     }
 
     fn record_limit(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
@@ -471,6 +472,27 @@
         }
     }
 
+    fn record_leaving(&self, request: &str, server: &Server, leaving: &Stated<bool>) {
+        match leaving {
+            Stated::Value(true) if server.record_leaving() => {
+                self.metrics.record_signal("leaving");
+                let server = server.listed.id.as_str();
+                tracing::info!(request, server, "backend server leaves");
+            }
+            Stated::Malformed(text) => {
+                self.metrics.record_signal("leaving_malformed");
+                let server = server.listed.id.as_str();
+                tracing::warn!(
+                    request,
+                    server,
+                    text,
+                    "backend server's word on leaving can't be read"
+                );
+            }
+            Stated::Value(_) | Stated::Absent => {}
+        }
+    }
+
     fn record_not_run(&self, exchange: &Exchange, sent: &SentRequest) {
         self.metrics.record_send(exchange.kind(), "not_run");
         let server = sent.in_flight.server();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -73,6 +73,8 @@
     permits: Permits,
     /// The end of the rest that the server asked this entry for.
     rest_until: Option<Instant>,
+    /// Whether the server has said that it leaves.
+    is_leaving: bool,
 }
 
 impl State {
@@ -138,6 +140,8 @@
     /// Whether the server has unanswered requests and has sent no data for too long. Its VM may
     /// have stalled: connections still open, but nothing comes back.
     pub is_silent: bool,
+    /// Whether the server has said that it leaves; it takes no more requests.
+    pub is_leaving: bool,
     /// Whether the server takes a request now: it does not rest, and has no limit unless this entry
     /// holds a permit.
     pub is_admitting: bool,
@@ -188,6 +192,7 @@
             latency_ms: state.health.latency_ms,
             is_in_backoff: state.health.backoff_until.is_some_and(|until| now < until),
             is_silent: state.health.is_silent(now),
+            is_leaving: state.is_leaving,
             is_admitting: !state.is_resting(now) && state.permits.admits(now - self.origin),
             can_ask: !state.is_resting(now) && state.permits.can_ask(now - self.origin),
         }
@@ -199,7 +204,8 @@
     pub fn begin(self: &Arc<Self>, group: Option<&Arc<GroupLoad>>) -> Option<InFlight> {
         let now = Instant::now();
         let state = &mut *self.lock();
-        if state.is_resting(now) || !state.permits.take(now - self.origin) {
+        let is_held = state.is_leaving || state.is_resting(now);
+        if is_held || !state.permits.take(now - self.origin) {
             return None;
         }
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -337,6 +343,14 @@
         state.rest(now).max(state.permits.wait(now - self.origin))
     }
 
+    /// Records that the server leaves. This start of it gets no more requests. Returns whether this
+    /// was not known before.
+    pub fn record_leaving(&self) -> bool {
+        let state = &mut *self.lock();
+        state.idle.clear();
+        !std::mem::replace(&mut state.is_leaving, true)
+    }
+
     /// Records that the server asks for `rest`. A rest that it asked for before and that ends later
     /// goes on. `draw`, a random number between 0 and 1, spreads the entries that return.
     pub fn record_rest(&self, rest: Duration, draw: f64, now: Instant) {
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -175,3 +175,18 @@
     sleep(Duration::from_secs(1)).await;
     assert!(server.begin(None).is_some());
 }
+
+/// The store drops the listing of a server that has said that it leaves, and a new one starts at its
+/// address. Only the old one takes no requests.
+#[tokio::test(start_paused = true)]
+async fn run_listing_absent_leaving_kept() {
+    let mut entry = Entry::start().await;
+    entry.list("a", "s", 1);
+    assert!(entry.server("s").await.record_leaving());
+    entry.unlist("a");
+    assert!(entry.servers_of("s").await.is_empty());
+    entry.list("a", "s", 1);
+    assert!(entry.server("s").await.begin(None).is_none());
+    entry.list("b", "s", 1);
+    assert!(entry.server("s").await.begin(None).is_some());
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -9,7 +9,7 @@
 };
 use flamingowheel_standin::platform::messages::{caller_headers, is_signed, signature};
 use flamingowheel_standin::platform::server::{
-    LIMIT_HEADER, RequestLog, STREAM_EVENTS, answer_body, stream_event,
+    LEAVING_HEADER, LIMIT_HEADER, RequestLog, STREAM_EVENTS, answer_body, stream_event,
 };
 use http::Method;
 use http_body_util::Full;
@@ -155,7 +155,8 @@
 fn passed_on(answer: &BufferedResponse) -> Option<PassedOn> {
     let server = signature(&answer.headers)?.to_owned();
     let names_limit = answer.headers.contains_key(LIMIT_HEADER);
-    Some(PassedOn { server, at: Instant::now(), names_limit })
+    let says_leaving = answer.headers.contains_key(LEAVING_HEADER);
+    Some(PassedOn { server, at: Instant::now(), names_limit, says_leaving })
 }
 
 fn check_answer(kind: Kind, attempt: &str, answer: &BufferedResponse) -> Option<Violation> {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -65,6 +65,15 @@
         /// Number of requests.
         requests: usize,
     },
+    /// A request reached a backend server later than 2 s after its entry had passed on that the
+    /// server leaves.
+    #[error("{server}, which leaves, got a request of entry {entry}")]
+    SentToLeaving {
+        /// Name of the server.
+        server: String,
+        /// The entry, by its index.
+        entry: usize,
+    },
     /// Too few requests were served after the last fault.
     #[error("{served} of {asked} requests were served after the last fault")]
     NotRecovered {
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -20,6 +20,9 @@
 /// Requests of one entry that may reach a server within the rest that it asked that entry for.
 const REST_SLACK: usize = 2;
 
+/// Time after which an entry that has passed on that a server leaves sends it no more requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Time after which an entry that has got an answer acts on it.
 const REACTION_TIME: Duration = Duration::from_millis(500);
 
@@ -45,6 +48,8 @@
     pub at: Instant,
     /// Whether the server named a limit in it.
     pub names_limit: bool,
+    /// Whether the server said in it that it leaves.
+    pub says_leaving: bool,
 }
 
 /// A span during which an entry had a fault. It is excused during it and shortly after.
@@ -147,6 +152,32 @@
         broken.into_values().collect()
     }
 
+    /// Requests that an entry sent to a server later than 2 s after it had passed on that the server
+    /// leaves; the first of each server. A fault of the entry since then excuses it.
+    pub fn check_leaving(&self) -> Vec<Violation> {
+        let calls: HashMap<&str, &Call> =
+            self.calls.iter().map(|call| (call.attempt.as_str(), call)).collect();
+        let mut told: HashMap<(usize, &str), Instant> = HashMap::new();
+        for call in self.calls {
+            if let Some(answer) = call.answer.as_ref().filter(|answer| answer.says_leaving) {
+                let at = told.entry((call.entry, &answer.server)).or_insert(answer.at);
+                *at = answer.at.min(*at);
+            }
+        }
+        let mut broken: HashMap<&str, Violation> = HashMap::new();
+        for arrival in self.arrivals {
+            let Some(Call { entry, sent_at, .. }) = calls.get(arrival.attempt.as_str()) else {
+                continue;
+            };
+            let Some(told_at) = told.get(&(*entry, arrival.server.as_str())) else { continue };
+            if *sent_at > *told_at + DRAIN_TIME && !self.is_excused(*entry, *told_at, arrival.at) {
+                let (server, entry) = (arrival.server.clone(), *entry);
+                broken.entry(&arrival.server).or_insert(Violation::SentToLeaving { server, entry });
+            }
+        }
+        broken.into_values().collect()
+    }
+
     fn entry_of(&self) -> HashMap<&str, usize> {
         self.calls.iter().map(|call| (call.attempt.as_str(), call.entry)).collect()
     }
--- a/crates/soak/tests/signals.rs
+++ b/crates/soak/tests/signals.rs
@@ -19,7 +19,7 @@
         let start = Instant::now();
         let mut seen = Self { start, arrivals: Vec::new(), calls: Vec::new() };
         let at = seen.at(1_000);
-        let answer = PassedOn { server: "s".to_owned(), at, names_limit: true };
+        let answer = PassedOn { server: "s".to_owned(), at, names_limit: true, says_leaving: true };
         seen.calls.push(Call {
             entry: 0,
             attempt: "a".to_owned(),
@@ -110,3 +110,31 @@
     let Seen { arrivals, calls, .. } = seen;
     Observed { arrivals, calls, faults }.check_rests()
 }
+
+fn seen_leaving(seen: &Seen, faults: &[FaultSpan]) -> Vec<Violation> {
+    let Seen { arrivals, calls, .. } = seen;
+    Observed { arrivals, calls, faults }.check_leaving()
+}
+
+/// Entry 0 was told at 1 s that the server leaves, and sends there 3 s later.
+#[test]
+fn check_leaving_sent_later() {
+    let violations = seen_leaving(&Seen::new(1), &[]);
+    assert!(matches!(violations[..], [Violation::SentToLeaving { entry: 0, .. }]));
+}
+
+#[test]
+fn check_leaving_sent_in_time_or_excused() {
+    let mut seen = Seen::new(1);
+    let fault = FaultSpan { entry: 0, from: seen.at(2_000), until: seen.at(2_500) };
+    assert_eq!(seen_leaving(&seen, &[fault]), []);
+    seen.calls[1].sent_at = seen.at(2_900);
+    assert_eq!(seen_leaving(&seen, &[]), []);
+}
+
+#[test]
+fn check_leaving_other_entry_not_told() {
+    let mut seen = Seen::new(1);
+    seen.calls[0].entry = 1;
+    assert_eq!(seen_leaving(&seen, &[]), []);
+}
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -19,6 +19,9 @@
 /// Header with the limit that a backend server names.
 pub const LIMIT_HEADER: &str = "server-limit";
 
+/// Header with which a backend server says that it leaves.
+pub const LEAVING_HEADER: &str = "server-leaving";
+
 /// Header that states that a request did not run.
 const NOT_EXECUTED_HEADER: &str = "flamingowheel-not-executed";
 
@@ -32,6 +35,8 @@
     pub limit_per_s: Option<f64>,
     /// The rest that it asks for; it refuses all requests meanwhile.
     pub rest: Option<Duration>,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// A request that reached a backend server.
@@ -142,10 +147,11 @@
 
     /// A response with the headers of what the server asks for.
     fn response(&self, status: StatusCode, headers: &[(&str, &str)], body: Body) -> Response {
-        let Conditions { limit_per_s, .. } = self.conditions();
+        let Conditions { limit_per_s, is_leaving, .. } = self.conditions();
         let limit = limit_per_s.map(|limit_per_s| limit_per_s.to_string());
         let limit = limit.as_deref().map(|limit| (LIMIT_HEADER, limit));
-        let headers = headers.iter().copied().chain(limit);
+        let leaving = is_leaving.then_some((LEAVING_HEADER, "1"));
+        let headers = headers.iter().copied().chain(limit).chain(leaving);
         let builder = Response::builder().status(status);
         let builder = headers.fold(builder, |builder, (name, value)| builder.header(name, value));
         builder.body(body).unwrap_or_default()
