Soak: backend servers ask for rest, and say that they leave and start again

Among the faults, servers now refuse with a rest of 0.7 to 4 s, or say that they leave, and start again under their name. Both rules are checked after the run from what servers and callers saw, without entries that had a fault.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -41,7 +41,7 @@
     let server_address = listener.local_addr().unwrap();
     let request_log = RequestLog::default();
     tokio::spawn(PlatformServer::new("s-1", request_log.clone(), WORK_DURATION, 4).serve(listener));
-    write(&kv, &server_key("s-1"), server_record(server_address, 4, false)).await;
+    write(&kv, &server_key("s-1"), server_record(server_address, 4, 1, false)).await;
     write(&kv, CONFIGURATION_KEY, configuration(1, API_KEY, WORK_LIMIT_MS)).await;
 
     let ports = free_ports().await.unwrap();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,6 +15,9 @@
 /// Limits that backend servers name, in requests per second: below the number of entries, and above.
 const LIMITS_PER_S: [f64; 4] = [0.0, 0.5, 1.0, 20.0];
 
+/// Rests that backend servers ask for, in milliseconds.
+const REST_MS: std::ops::Range<u64> = 700..4_000;
+
 /// One fault; entries and backend servers are given by their index in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -44,6 +47,10 @@
     Configuration,
     /// A backend server names a limit, in requests per second.
     Limit(usize, f64),
+    /// A backend server refuses all requests and asks for rest of this time, in milliseconds.
+    Rest(usize, u64),
+    /// A backend server says that it leaves, and starts again.
+    Replace(usize),
 }
 
 /// Chooses the next fault at random.
@@ -53,7 +60,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..16) {
+    match rng.random_range(0..19) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -66,6 +73,8 @@
         11 => Fault::StoreCompacts,
         12 => Fault::Drain(server),
         13 | 14 => Fault::Limit(server, LIMITS_PER_S[rng.random_range(0..LIMITS_PER_S.len())]),
+        15 | 16 => Fault::Rest(server, rng.random_range(REST_MS)),
+        17 => Fault::Replace(server),
         _ => Fault::Configuration,
     }
 }
@@ -141,6 +150,10 @@
             fleet.publish_server(server, false).await;
         }
         Fault::Configuration => fleet.publish_configuration().await,
+        Fault::Rest(server, rest_ms) => {
+            fleet.rest_server(server, Duration::from_millis(rest_ms), duration).await;
+        }
+        Fault::Replace(server) => fleet.replace_server(server, duration).await,
         Fault::Limit(server, limit_per_s) => {
             fleet.limit_server(server, limit_per_s, duration).await
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -50,6 +50,8 @@
     pub proxy: Proxy,
     /// The stand-in, to change what it asks for.
     pub standin: PlatformServer,
+    /// Number of its starts so far.
+    pub starts: AtomicU64,
 }
 
 /// All processes, stand-ins and proxies of one run.
@@ -84,7 +86,7 @@
             let id = format!("s-{number}");
             let server = PlatformServer::new(&id, request_log.clone(), PROCESSING_TIME, SLOTS);
             tokio::spawn(server.clone().serve(listener));
-            servers.push(Server { id, proxy, standin: server });
+            servers.push(Server { id, proxy, standin: server, starts: AtomicU64::new(1) });
         }
         let mut entries = Vec::new();
         for number in 0..options.entries {
@@ -117,24 +119,53 @@
 
     /// Publishes the record of a backend server, as ready or as draining.
     pub async fn publish_server(&self, server: usize, is_draining: bool) {
-        let Server { id, proxy, .. } = &self.servers[server];
-        self.write(&server_key(id), server_record(proxy.address, SLOTS, is_draining)).await;
+        let Server { id, proxy, starts, .. } = &self.servers[server];
+        let start = starts.load(Ordering::SeqCst);
+        let record = server_record(proxy.address, SLOTS, start, is_draining);
+        self.write(&server_key(id), record).await;
     }
 
     /// Makes a backend server name a limit, unless it asks for something already.
     pub async fn limit_server(&self, server: usize, limit_per_s: f64, duration: Duration) {
-        let Server { id, standin, .. } = &self.servers[server];
-        if standin.conditions() != Conditions::default() {
-            return;
-        }
         let from = Instant::now();
         let limit = Conditions { limit_per_s: Some(limit_per_s), ..Conditions::default() };
-        standin.set_conditions(limit);
         // A limit binds some seconds after it was named first.
-        sleep(duration + STABILITY_WINDOW).await;
+        if self.set_conditions(server, limit, duration + STABILITY_WINDOW).await {
+            let server = self.servers[server].id.clone();
+            let span = LimitSpan { server, limit_per_s, from, until: Instant::now() };
+            self.limits.lock().unwrap_or_else(PoisonError::into_inner).push(span);
+        }
+    }
+
+    /// Makes a backend server refuse all requests and ask for rest.
+    pub async fn rest_server(&self, server: usize, rest: Duration, duration: Duration) {
+        let conditions = Conditions { rest: Some(rest), ..Conditions::default() };
+        self.set_conditions(server, conditions, duration).await;
+    }
+
+    /// Makes a backend server say that it leaves, and start again under the same name; once in a run,
+    /// as callers don't see which start answers.
+    pub async fn replace_server(&self, server: usize, duration: Duration) {
+        if self.servers[server].starts.load(Ordering::SeqCst) > 1 {
+            return;
+        }
+        let leaving = Conditions { is_leaving: true, ..Conditions::default() };
+        if self.set_conditions(server, leaving, duration).await {
+            self.servers[server].starts.fetch_add(1, Ordering::SeqCst);
+            self.publish_server(server, false).await;
+        }
+    }
+
+    /// Sets what a server asks for, for a time. `false` if it asks for something already.
+    async fn set_conditions(&self, server: usize, need: Conditions, duration: Duration) -> bool {
+        let standin = &self.servers[server].standin;
+        if standin.conditions() != Conditions::default() {
+            return false;
+        }
+        standin.set_conditions(need);
+        sleep(duration).await;
         standin.set_conditions(Conditions::default());
-        let span = LimitSpan { server: id.clone(), limit_per_s, from, until: Instant::now() };
-        self.limits.lock().unwrap_or_else(PoisonError::into_inner).push(span);
+        true
     }
 
     /// Publishes a new version of the configuration with unchanged routes.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,7 +78,9 @@
     tally.update(|tally| {
         let observed = Observed { arrivals: &arrivals, calls: &tally.calls, faults: &fault_spans };
         let limits = fleet.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        let violations = observed.check_limits(&limits);
+        let mut violations = observed.check_limits(&limits);
+        violations.extend(observed.check_rests());
+        violations.extend(observed.check_leaving());
         tally.violations.extend(violations);
     });
     Ok(tally.read())
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -131,7 +131,9 @@
         let entry_of = |arrival: &Arrival| entry_of.get(arrival.attempt.as_str()).copied();
         let mut broken: HashMap<&str, Violation> = HashMap::new();
         for (index, asking) in self.arrivals.iter().enumerate() {
-            let (Some(rest), Some(entry)) = (asking.rest, entry_of(asking)) else { continue };
+            let (Some(rest), Some(entry)) = (asking.conditions.rest, entry_of(asking)) else {
+                continue;
+            };
             let (from, until) = (asking.at + REACTION_TIME, asking.at + rest);
             if self.is_excused(entry, asking.at, until) {
                 continue;
@@ -165,7 +167,7 @@
             }
         }
         let mut broken: HashMap<&str, Violation> = HashMap::new();
-        for arrival in self.arrivals {
+        for arrival in self.arrivals.iter().filter(|arrival| arrival.conditions.is_leaving) {
             let Some(Call { entry, sent_at, .. }) = calls.get(arrival.attempt.as_str()) else {
                 continue;
             };
--- a/crates/soak/tests/signals.rs
+++ b/crates/soak/tests/signals.rs
@@ -2,7 +2,7 @@
 
 use flamingowheel_soak::report::Violation;
 use flamingowheel_soak::signals::{Call, FaultSpan, LimitSpan, Observed, PassedOn};
-use flamingowheel_standin::platform::server::Arrival;
+use flamingowheel_standin::platform::server::{Arrival, Conditions};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -28,8 +28,9 @@
         });
         for number in 0..count {
             let (attempt, at) = (number.to_string(), seen.at(4_000 + 200 * number));
+            let conditions = Conditions::default();
             let arrival =
-                Arrival { server: "s".to_owned(), attempt: attempt.clone(), at, rest: None };
+                Arrival { server: "s".to_owned(), attempt: attempt.clone(), at, conditions };
             seen.arrivals.push(arrival);
             seen.calls.push(Call { entry: 0, attempt, sent_at: at, answer: None });
         }
@@ -76,7 +77,7 @@
 /// A server asks entry 0 for 3 s of rest with the first request.
 fn resting(count: u64) -> Seen {
     let mut seen = Seen::new(count);
-    seen.arrivals[0].rest = Some(Duration::from_secs(3));
+    seen.arrivals[0].conditions.rest = Some(Duration::from_secs(3));
     seen
 }
 
@@ -116,25 +117,36 @@
     Observed { arrivals, calls, faults }.check_leaving()
 }
 
-/// Entry 0 was told at 1 s that the server leaves, and sends there 3 s later.
+/// A server of which entry 0 passed on at 1 s that it leaves gets a request 3 s later.
+fn leaving() -> Seen {
+    let mut seen = Seen::new(1);
+    seen.arrivals[0].conditions.is_leaving = true;
+    seen
+}
+
 #[test]
 fn check_leaving_sent_later() {
-    let violations = seen_leaving(&Seen::new(1), &[]);
+    let violations = seen_leaving(&leaving(), &[]);
     assert!(matches!(violations[..], [Violation::SentToLeaving { entry: 0, .. }]));
 }
 
 #[test]
 fn check_leaving_sent_in_time_or_excused() {
-    let mut seen = Seen::new(1);
+    let mut seen = leaving();
     let fault = FaultSpan { entry: 0, from: seen.at(2_000), until: seen.at(2_500) };
     assert_eq!(seen_leaving(&seen, &[fault]), []);
     seen.calls[1].sent_at = seen.at(2_900);
     assert_eq!(seen_leaving(&seen, &[]), []);
 }
 
+#[test]
+fn check_leaving_server_started_again() {
+    assert_eq!(seen_leaving(&Seen::new(1), &[]), []);
+}
+
 #[test]
 fn check_leaving_other_entry_not_told() {
-    let mut seen = Seen::new(1);
+    let mut seen = leaving();
     seen.calls[0].entry = 1;
     assert_eq!(seen_leaving(&seen, &[]), []);
 }
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -26,12 +26,12 @@
     format!("servers/{id}")
 }
 
-/// Record with which a backend server registers itself.
-pub fn server_record(address: SocketAddr, slots: u32, is_draining: bool) -> String {
+/// Record with which the `start`-th start of a backend server registers itself.
+pub fn server_record(address: SocketAddr, slots: u32, start: u64, is_draining: bool) -> String {
     let state = if is_draining { "draining" } else { "ready" };
     json!({
         "service": SERVICE, "addr": address.to_string(), "zone": "z", "version": "1",
-        "slots": slots, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
+        "slots": slots, "state": state, "coldLeftMs": 0, "seq": 1, "born": start,
     })
     .to_string()
 }
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -48,8 +48,8 @@
     pub attempt: String,
     /// When it arrived.
     pub at: Instant,
-    /// The rest that the server asked for in its answer.
-    pub rest: Option<Duration>,
+    /// What the server asked for in its answer.
+    pub conditions: Conditions,
 }
 
 /// Records the requests that reach any of the backend servers, and how often each attempt of a
@@ -78,9 +78,9 @@
         *self.lock().runs.entry(attempt.to_owned()).or_default() += 1;
     }
 
-    fn record_arrival(&self, server: &str, attempt: &str, rest: Option<Duration>) {
+    fn record_arrival(&self, server: &str, attempt: &str, conditions: Conditions) {
         let (server, attempt) = (server.to_owned(), attempt.to_owned());
-        self.lock().arrivals.push(Arrival { server, attempt, at: Instant::now(), rest });
+        self.lock().arrivals.push(Arrival { server, attempt, at: Instant::now(), conditions });
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Requests> {
@@ -174,8 +174,8 @@
 
 async fn handle(State(server): State<PlatformServer>, request: Request) -> Response {
     let attempt = attempt_id(request.headers()).to_owned();
-    let rest = server.conditions().rest;
-    server.request_log.record_arrival(&server.id, &attempt, rest);
+    let conditions = server.conditions();
+    server.request_log.record_arrival(&server.id, &attempt, conditions);
     let expected = header_text(request.headers(), "flamingowheel-expect-instance");
     if !expected.is_empty() && expected != server.id {
         return server.response(
@@ -184,7 +184,7 @@
             Body::empty(),
         );
     }
-    if let Some(rest) = rest {
+    if let Some(rest) = conditions.rest {
         let rest_s = rest.as_secs_f64().to_string();
         let headers = [
             (ATTEMPT_HEADER, attempt.as_str()),
