Gateway, policy, protocol: terms of reports, one pass to choose a server

Names only, but for one thing: 'heard', 'told' and 'turned' become report, broadcast and has_toggled, the usual terms. The choice of a server keeps the best candidate in one pass again instead of filling two lists on the path of each request; what it chooses is the same, and all its tests pass unchanged.

--- a/crates/gateway/benches/limits.rs
+++ b/crates/gateway/benches/limits.rs
@@ -10,7 +10,7 @@
 use flamingowheel_gateway::server::{InFlight, Server};
 use flamingowheel_gateway::view::View;
 use flamingowheel_platform::Stated;
-use flamingowheel_policy::permits::{Heard, Meter, Verdict, meter_of};
+use flamingowheel_policy::permits::{LimitReport, Meter, Verdict, meter_of};
 use flamingowheel_protocol::permits::{Decision, PermitMessage};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -149,7 +149,7 @@
                 self.running[number] -= 1;
                 let stated = self.stated(number);
                 let server = Arc::clone(in_flight.server());
-                if server.record_limit(&stated, now, now).is_turned {
+                if server.record_limit(&stated, now, now).has_toggled {
                     self.asks.push((entry, number, now, false));
                 }
                 server.record_answer(Duration::from_secs_f64(WORK_MS / 1_000.0), false);
@@ -215,22 +215,22 @@
         }
         for (entry, number, asked_at, wants_permit) in std::mem::take(&mut self.asks) {
             let server = Arc::clone(&self.entries[entry].view.servers_of("s")[number]);
-            let Some(heard) = server.heard_limit(now) else { continue };
+            let Some(report) = server.limit_report(now) else { continue };
             let started = std::time::Instant::now();
             let meter = meter_of(server.key, self.names.iter().map(String::as_str)).unwrap();
             let meter = self.names.iter().position(|name| name == meter).unwrap();
             let at = now - self.origin;
-            let is_news = self.entries[meter].meter.hear(server.key, heard, at);
+            let is_news = self.entries[meter].meter.record_report(server.key, report, at);
             let verdict = match wants_permit {
-                true => self.entries[meter].meter.ask(server.key, at),
+                true => self.entries[meter].meter.acquire(server.key, at),
                 false => Verdict::Wait(Duration::ZERO),
             };
             self.report.meter_s += started.elapsed().as_secs_f64();
             if meter != entry {
-                self.count_messages(&server, heard, verdict);
+                self.count_messages(&server, report, verdict);
             }
             if is_news {
-                self.tell_all(number, heard);
+                self.broadcast(number, report);
             }
             if wants_permit {
                 self.answers.push((entry, number, asked_at, verdict));
@@ -238,18 +238,18 @@
         }
     }
 
-    fn tell_all(&mut self, number: usize, heard: Heard) {
+    fn broadcast(&mut self, number: usize, report: LimitReport) {
         for entry in &self.entries {
             let server = &entry.view.servers_of("s")[number];
-            server.learn_limit(heard, Instant::now());
-            let told = PermitMessage::told(server.key, heard);
+            server.apply_limit_report(report, Instant::now());
+            let message = PermitMessage::broadcast(server.key, report);
             self.report.messages += 1;
-            self.report.bytes += told.encode().map_or(0, |bytes| bytes.len()) as u64;
+            self.report.bytes += message.encode().map_or(0, |bytes| bytes.len()) as u64;
         }
     }
 
-    fn count_messages(&mut self, server: &Server, heard: Heard, verdict: Verdict) {
-        let ask = PermitMessage::ask(u64::MAX, server.key, heard, true);
+    fn count_messages(&mut self, server: &Server, report: LimitReport, verdict: Verdict) {
+        let ask = PermitMessage::ask(u64::MAX, server.key, report, true);
         let answer = PermitMessage::Answer { number: u64::MAX, decision: Decision::from(verdict) };
         self.report.messages += 2;
         let sizes = [ask, answer].map(|message| message.encode().map_or(0, |bytes| bytes.len()));
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -76,32 +76,41 @@
     admission: Option<&Admission>,
     now: Instant,
 ) -> Chosen {
-    let untried: Vec<&Arc<Server>> =
-        view.servers_of(service).iter().filter(|server| !is_among(tried, server)).collect();
-    let candidates = untried.iter().map(|server| Candidate::new(view, server, admission, now));
-    let candidates = candidates.filter(|candidate| !candidate.is_leaving);
-    let (admitting, held): (Vec<Candidate<'_>>, Vec<Candidate<'_>>) =
-        candidates.partition(|candidate| candidate.is_admitting);
-    let wait = held.iter().map(|candidate| candidate.server.wait(now)).min();
-    let wanted = best(held.into_iter().filter(|candidate| candidate.can_ask));
-    let Some(best) = best(admitting) else {
-        let choice = wait.map_or(Choice::NoServer, Choice::Held);
-        return Chosen { choice, wanted: wanted.map(|wanted| Arc::clone(wanted.server)) };
+    let (mut best, mut wanted, mut wait) = (None, None, None);
+    for server in view.servers_of(service).iter().filter(|server| !is_among(tried, server)) {
+        let candidate = Candidate::new(view, server, admission, now);
+        if candidate.is_leaving {
+            continue;
+        }
+        if candidate.is_admitting {
+            keep_better(&mut best, candidate);
+            continue;
+        }
+        let server_wait = server.wait(now);
+        wait = Some(wait.map_or(server_wait, |wait: Duration| wait.min(server_wait)));
+        if candidate.can_ask {
+            keep_better(&mut wanted, candidate);
+        }
+    }
+    let is_wanted = |wanted: &Candidate<'_>| {
+        best.as_ref().is_none_or(|best: &Candidate<'_>| wanted.compare(best).is_lt())
     };
-    let wanted = wanted.filter(|wanted| wanted.compare(&best).is_lt());
-    let wanted = wanted.map(|wanted| Arc::clone(wanted.server));
-    let choice = match best.fullness {
-        Some(fullness) if fullness.is_full() => Choice::Busy(fullness),
-        _ => Choice::Send(Arc::clone(best.server), best.group),
+    let wanted = wanted.filter(is_wanted).map(|wanted| Arc::clone(wanted.server));
+    let choice = match (best, wait) {
+        (Some(Candidate { fullness: Some(fullness), .. }), _) if fullness.is_full() => {
+            Choice::Busy(fullness)
+        }
+        (Some(best), _) => Choice::Send(Arc::clone(best.server), best.group),
+        (None, Some(wait)) => Choice::Held(wait),
+        (None, None) => Choice::NoServer,
     };
     Chosen { choice, wanted }
 }
 
-fn best<'a, Candidates>(candidates: Candidates) -> Option<Candidate<'a>>
-where
-    Candidates: IntoIterator<Item = Candidate<'a>>,
-{
-    candidates.into_iter().min_by(Candidate::compare)
+fn keep_better<'a>(best: &mut Option<Candidate<'a>>, candidate: Candidate<'a>) {
+    if best.as_ref().is_none_or(|best| candidate.compare(best).is_lt()) {
+        *best = Some(candidate);
+    }
 }
 
 struct Candidate<'a> {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -433,20 +433,20 @@
         }
         let now = Instant::now();
         let change = server.record_limit(stated, sent.sent_at, now);
-        if change.is_turned {
-            self.permits.tell(server, now);
+        if change.has_toggled {
+            self.permits.report(server, now);
         }
         let (request, server) = (attempt_id, server.listed.id.as_str());
         match stated {
-            Stated::Absent if change.is_turned => {
+            Stated::Absent if change.has_toggled => {
                 self.metrics.record_signal("limit_ended");
                 tracing::info!(request, server, "backend server names no limit any more");
             }
-            Stated::Value(limit_per_s) if change.is_stated_anew => {
+            Stated::Value(limit_per_s) if change.has_new_value => {
                 self.metrics.record_signal("limit");
                 tracing::info!(request, server, limit_per_s, "backend server names a limit");
             }
-            Stated::Malformed(text) if change.is_stated_anew => {
+            Stated::Malformed(text) if change.has_new_value => {
                 self.metrics.record_signal("limit_malformed");
                 tracing::warn!(request, server, text, "backend server's limit can't be read");
             }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -4,7 +4,7 @@
 use crate::server::Server;
 use crate::view::Views;
 use flamingowheel_policy::key::ServerKey;
-use flamingowheel_policy::permits::{Heard, Meter, Verdict, meter_of};
+use flamingowheel_policy::permits::{LimitReport, Meter, Verdict, meter_of};
 use flamingowheel_protocol::permits::{MAX_DATAGRAM_BYTES, PermitMessage};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,8 +23,8 @@
 /// Time after which an answer is no longer expected: its permit would have expired.
 const ANSWER_TIMEOUT: Duration = flamingowheel_policy::permits::PERMIT_VALIDITY;
 
-/// Sends of the word that a server has become limited or unlimited, until the meter answers.
-const MAX_TELL_SENDS: u32 = 5;
+/// Sends of a report that a server has become limited or unlimited, until the meter answers.
+const MAX_REPORT_SENDS: u32 = 5;
 
 /// What the traffic threads want of the exchange.
 #[derive(Clone, Debug)]
@@ -38,8 +38,8 @@
 enum Purpose {
     /// A permit for the server is asked for.
     Ask,
-    /// The meter is told that the server has become limited or unlimited.
-    Tell,
+    /// The server has become limited or unlimited.
+    Report,
 }
 
 /// Hands requests of the traffic threads to the exchange.
@@ -54,9 +54,9 @@
         }
     }
 
-    /// Tells that a server has become limited or unlimited.
-    pub fn tell(&self, server: &Arc<Server>, now: Instant) {
-        self.send(server, now, Purpose::Tell);
+    /// Reports to the meter that a server has become limited or unlimited.
+    pub fn report(&self, server: &Arc<Server>, now: Instant) {
+        self.send(server, now, Purpose::Report);
     }
 
     fn send(&self, server: &Arc<Server>, asked_at: Instant, purpose: Purpose) {
@@ -157,7 +157,7 @@
         };
         pending.sends += 1;
         let PermitRequest { server, purpose, .. } = pending.request.clone();
-        let (Some(heard), Some(meter)) = (server.heard_limit(now), self.meter_of(server.key))
+        let (Some(report), Some(meter)) = (server.limit_report(now), self.meter_of(server.key))
         else {
             self.pending.remove(&number);
             return;
@@ -165,41 +165,46 @@
         let wants_permit = purpose == Purpose::Ask;
         match meter {
             Some(address) => {
-                let ask = PermitMessage::ask(number, server.key, heard, wants_permit);
+                let ask = PermitMessage::ask(number, server.key, report, wants_permit);
                 self.send(&ask, address).await;
             }
             None => {
-                let verdict = self.decide(server.key, heard, wants_permit).await;
+                let verdict = self.decide(server.key, report, wants_permit).await;
                 self.answer(number, verdict);
             }
         }
     }
 
     /// Decides an ask as the meter of a server.
-    async fn decide(&mut self, server: ServerKey, heard: Heard, wants_permit: bool) -> Verdict {
+    async fn decide(
+        &mut self,
+        server: ServerKey,
+        report: LimitReport,
+        wants_permit: bool,
+    ) -> Verdict {
         let now = self.origin.elapsed();
-        if self.meter.hear(server, heard, now) {
-            self.tell_all(server, heard).await;
+        if self.meter.record_report(server, report, now) {
+            self.broadcast(server, report).await;
         }
-        if wants_permit { self.meter.ask(server, now) } else { Verdict::Wait(Duration::ZERO) }
+        if wants_permit { self.meter.acquire(server, now) } else { Verdict::Wait(Duration::ZERO) }
     }
 
-    /// Tells all entries, this one too, what was heard of a server's limit.
-    async fn tell_all(&self, server: ServerKey, heard: Heard) {
-        self.learn(server, heard);
-        let told = PermitMessage::told(server, heard);
+    /// Sends a report to all entries and applies it here.
+    async fn broadcast(&self, server: ServerKey, report: LimitReport) {
+        self.apply_broadcast(server, report);
+        let message = PermitMessage::broadcast(server, report);
         let view = self.views.load_full();
         let others = view.entries.iter().filter(|(vm, _)| **vm != self.vm);
         for address in others.filter_map(|(_, record)| record.peers) {
-            self.send(&told, address).await;
+            self.send(&message, address).await;
         }
     }
 
-    fn learn(&self, key: ServerKey, heard: Heard) {
+    fn apply_broadcast(&self, key: ServerKey, report: LimitReport) {
         let view = self.views.load();
         let mut servers = view.servers.values().flatten();
         if let Some(server) = servers.find(|server| server.key == key) {
-            server.learn_limit(heard, Instant::now());
+            server.apply_limit_report(report, Instant::now());
         }
     }
 
@@ -221,13 +226,14 @@
                 if self.meter_of(server) != Some(None) {
                     return;
                 }
-                let heard = Heard { limit_per_s, age: Duration::from_millis(age_ms) };
-                let verdict = self.decide(server, heard, wants_permit).await;
+                let report = LimitReport { limit_per_s, age: Duration::from_millis(age_ms) };
+                let verdict = self.decide(server, report, wants_permit).await;
                 let answer = PermitMessage::Answer { number, decision: verdict.into() };
                 self.send(&answer, from).await;
             }
-            Some(PermitMessage::Told { server, limit_per_s, age_ms }) => {
-                self.learn(server, Heard { limit_per_s, age: Duration::from_millis(age_ms) });
+            Some(PermitMessage::Broadcast { server, limit_per_s, age_ms }) => {
+                let report = LimitReport { limit_per_s, age: Duration::from_millis(age_ms) };
+                self.apply_broadcast(server, report);
             }
             Some(PermitMessage::Answer { number, decision }) => {
                 self.answer(number, decision.into());
@@ -241,7 +247,7 @@
             return;
         };
         let PermitRequest { server, asked_at, purpose } = pending.request;
-        if purpose == Purpose::Tell {
+        if purpose == Purpose::Report {
             return;
         }
         let name = match verdict {
@@ -253,28 +259,28 @@
         server.answer_ask(asked_at, verdict, Instant::now());
     }
 
-    /// Repeats what the meter was told and has not answered, and forgets asks that have been answered too late.
+    /// Repeats reports that the meter has not answered, and forgets asks without an answer.
     async fn check(&mut self) {
         let now = Instant::now();
         let metrics = &self.metrics;
         self.pending.retain(|_, pending| {
             let is_kept = match pending.request.purpose {
                 Purpose::Ask => now - pending.request.asked_at < ANSWER_TIMEOUT,
-                Purpose::Tell => pending.sends < MAX_TELL_SENDS,
+                Purpose::Report => pending.sends < MAX_REPORT_SENDS,
             };
             if !is_kept {
                 metrics.record_permit("unanswered");
             }
             is_kept
         });
-        let is_told = |pending: &Pending| pending.request.purpose == Purpose::Tell;
-        let told: Vec<u64> = self
+        let is_report = |pending: &Pending| pending.request.purpose == Purpose::Report;
+        let reports: Vec<u64> = self
             .pending
             .iter()
-            .filter(|(_, pending)| is_told(pending))
+            .filter(|(_, pending)| is_report(pending))
             .map(|(number, _)| *number)
             .collect();
-        for number in told {
+        for number in reports {
             self.send_ask(number).await;
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,7 @@
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_platform::Stated;
 use flamingowheel_policy::key::ServerKey;
-use flamingowheel_policy::permits::{Heard, Permits, Verdict};
+use flamingowheel_policy::permits::{LimitReport, Permits, Verdict};
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -153,9 +153,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LimitChange {
     /// Whether the answer states another limit than the one before, or one that can't be read.
-    pub is_stated_anew: bool,
+    pub has_new_value: bool,
     /// Whether the server has become limited or unlimited.
-    pub is_turned: bool,
+    pub has_toggled: bool,
 }
 
 impl Server {
@@ -296,24 +296,26 @@
     ) -> LimitChange {
         let state = &mut *self.lock();
         let (sent_at, now) = (sent_at.duration_since(self.origin), now - self.origin);
-        let is_turned = match stated {
-            Stated::Value(limit_per_s) => state.permits.hear(Some(*limit_per_s), sent_at, now),
-            Stated::Absent => state.permits.hear(None, sent_at, now),
+        let has_toggled = match stated {
+            Stated::Value(limit_per_s) => {
+                state.permits.record_stated(Some(*limit_per_s), sent_at, now)
+            }
+            Stated::Absent => state.permits.record_stated(None, sent_at, now),
             Stated::Malformed(_) => false,
         };
-        let is_stated_anew = state.stated_limit != *stated;
+        let has_new_value = state.stated_limit != *stated;
         state.stated_limit.clone_from(stated);
-        LimitChange { is_stated_anew, is_turned }
+        LimitChange { has_new_value, has_toggled }
     }
 
     /// Records what the meter says of the server's limit.
-    pub fn learn_limit(&self, heard: Heard, now: Instant) {
-        self.lock().permits.learn(heard, now - self.origin);
+    pub fn apply_limit_report(&self, report: LimitReport, now: Instant) {
+        self.lock().permits.apply_report(report, now - self.origin);
     }
 
-    /// What was last heard of the server's limit; `None` if nothing was.
-    pub fn heard_limit(&self, now: Instant) -> Option<Heard> {
-        self.lock().permits.heard(now - self.origin)
+    /// What is known of the server's limit; `None` if nothing ever was.
+    pub fn limit_report(&self, now: Instant) -> Option<LimitReport> {
+        self.lock().permits.report(now - self.origin)
     }
 
     /// Whether the server has a limit.
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -67,7 +67,7 @@
         Self { senders, servers, addresses }
     }
 
-    fn hear(&self, stated: Stated<f64>) {
+    fn record_stated(&self, stated: Stated<f64>) {
         for server in &self.servers {
             server.record_limit(&stated, Instant::now(), Instant::now());
         }
@@ -89,7 +89,7 @@
 #[tokio::test]
 async fn ask_meter_and_other_entry() {
     let pair = Pair::start().await;
-    pair.hear(Stated::Value(50.0));
+    pair.record_stated(Stated::Value(50.0));
     for _ in 0..3 {
         pair.acquire(0).await;
         pair.acquire(1).await;
@@ -99,7 +99,7 @@
 /// An entry learns from its own answers that a server has become limited, and that its limit has
 /// ended. The other one sends nothing there and must be told of both.
 #[tokio::test]
-async fn tell_other_entry_knows() {
+async fn report_other_entry_knows() {
     for (first, other) in [(0, 1), (1, 0)] {
         let pair = Pair::start().await;
         for (stated, is_limited) in [(Stated::Value(0.1), true), (Stated::Absent, false)] {
@@ -109,8 +109,8 @@
                 yield_now().await;
             }
             let now = Instant::now();
-            assert!(pair.servers[first].record_limit(&stated, now, now).is_turned);
-            pair.senders[first].tell(&pair.servers[first], now);
+            assert!(pair.servers[first].record_limit(&stated, now, now).has_toggled);
+            pair.senders[first].report(&pair.servers[first], now);
             let told = async {
                 while pair.servers[other].is_limited() != is_limited {
                     yield_now().await;
@@ -131,7 +131,7 @@
             socket.send_to(bytes, address).await.unwrap();
         }
     }
-    pair.hear(Stated::Value(50.0));
+    pair.record_stated(Stated::Value(50.0));
     pair.acquire(0).await;
     pair.acquire(1).await;
 }
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -6,8 +6,8 @@
 //! after it was asked for, so that one which is lost with its entry, or held by an entry that
 //! stands still, lowers the rate for a moment only.
 //!
-//! The meter also tells all entries when a server becomes limited and when its limit has ended, so
-//! that they need not learn it from answers of their own.
+//! The meter also broadcasts when a server becomes limited and when its limit has ended, so that
+//! entries need not learn it from answers of their own.
 //!
 //! In any window `w` the server gets at most `limit × (w + 1 s)` requests and one bucket more. When
 //! another entry becomes the meter, it starts with an empty bucket.
@@ -32,7 +32,7 @@
 /// Longest time for which an entry is told to wait.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Time after which a meter tells all entries of a limit again, for those that have started since.
+/// Time after which a limit is broadcast again, for entries that have started since.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Time without asks after which a meter forgets a server.
@@ -57,9 +57,9 @@
     entries.into_iter().max_by_key(|entry| mix(server.0, EntryKey::from_name(entry).0))
 }
 
-/// What an entry last heard of a server's limit.
+/// What an entry knows of a server's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Heard {
+pub struct LimitReport {
     /// Requests per second for all entries together; `None` if the server names no limit any more.
     pub limit_per_s: Option<f64>,
     /// Time since the answer that named it.
@@ -88,65 +88,66 @@
 struct Bucket {
     limit_per_s: Option<f64>,
     /// When the server named the limit.
-    heard_at: Duration,
+    stated_at: Duration,
     permits: f64,
     refilled_at: Duration,
     /// Entries that were told to wait since the last permit.
     waiting: u32,
-    /// When all entries were told of the limit last.
-    told_at: Duration,
+    /// When the limit was last broadcast.
+    broadcast_at: Duration,
 }
 
 impl Meter {
-    /// Records what an entry has heard of a server's limit; the newest word of all entries counts.
-    /// Returns whether all entries have to be told.
+    /// Records an entry's report of a server's limit; the newest of all entries counts. Returns
+    /// whether it is to be broadcast to all entries.
     ///
     /// ```
     /// use flamingowheel_policy::key::ServerKey;
-    /// use flamingowheel_policy::permits::{Heard, Meter};
+    /// use flamingowheel_policy::permits::{LimitReport, Meter};
     /// use std::time::Duration;
     /// let (mut meter, server) = (Meter::default(), ServerKey::from_name("s"));
-    /// let heard = Heard { limit_per_s: Some(2.0), age: Duration::ZERO };
-    /// assert!(meter.hear(server, heard, Duration::ZERO));
-    /// assert!(!meter.hear(server, heard, Duration::from_secs(1)));
+    /// let report = LimitReport { limit_per_s: Some(2.0), age: Duration::ZERO };
+    /// assert!(meter.record_report(server, report, Duration::ZERO));
+    /// assert!(!meter.record_report(server, report, Duration::from_secs(1)));
     /// ```
-    pub fn hear(&mut self, server: ServerKey, heard: Heard, now: Duration) -> bool {
+    pub fn record_report(&mut self, server: ServerKey, report: LimitReport, now: Duration) -> bool {
         self.forget_unused(now);
-        let heard_at = now.saturating_sub(heard.age);
+        let stated_at = now.saturating_sub(report.age);
         let bucket = self.buckets.entry(server).or_insert(Bucket {
             limit_per_s: None,
-            heard_at,
+            stated_at,
             permits: 0.0,
             refilled_at: now,
             waiting: 0,
-            told_at: now,
+            broadcast_at: now,
         });
-        if heard_at < bucket.heard_at {
+        if stated_at < bucket.stated_at {
             return false;
         }
-        let is_changed = bucket.limit_per_s.is_some() != heard.limit_per_s.is_some();
-        let is_overdue = heard.limit_per_s.is_some() && now >= bucket.told_at + REPEAT_INTERVAL;
-        (bucket.limit_per_s, bucket.heard_at) = (heard.limit_per_s, heard_at);
+        let is_changed = bucket.limit_per_s.is_some() != report.limit_per_s.is_some();
+        let is_overdue =
+            report.limit_per_s.is_some() && now >= bucket.broadcast_at + REPEAT_INTERVAL;
+        (bucket.limit_per_s, bucket.stated_at) = (report.limit_per_s, stated_at);
         if is_changed || is_overdue {
-            bucket.told_at = now;
+            bucket.broadcast_at = now;
         }
         is_changed || is_overdue
     }
 
-    /// Decides about an entry's ask for a permit of a server of which it has heard before.
+    /// Grants a permit of a server, or tells when there may be one.
     ///
     /// ```
     /// use flamingowheel_policy::key::ServerKey;
-    /// use flamingowheel_policy::permits::{Heard, Meter, Verdict};
+    /// use flamingowheel_policy::permits::{LimitReport, Meter, Verdict};
     /// use std::time::Duration;
     /// let (mut meter, server) = (Meter::default(), ServerKey::from_name("s"));
-    /// assert_eq!(meter.ask(server, Duration::ZERO), Verdict::Unlimited);
-    /// meter.hear(server, Heard { limit_per_s: Some(2.0), age: Duration::ZERO }, Duration::ZERO);
+    /// assert_eq!(meter.acquire(server, Duration::ZERO), Verdict::Unlimited);
+    /// meter.record_report(server, LimitReport { limit_per_s: Some(2.0), age: Duration::ZERO }, Duration::ZERO);
     /// let wait = Duration::from_millis(500);
-    /// assert_eq!(meter.ask(server, Duration::ZERO), Verdict::Wait(wait));
-    /// assert_eq!(meter.ask(server, wait), Verdict::Granted);
+    /// assert_eq!(meter.acquire(server, Duration::ZERO), Verdict::Wait(wait));
+    /// assert_eq!(meter.acquire(server, wait), Verdict::Granted);
     /// ```
-    pub fn ask(&mut self, server: ServerKey, now: Duration) -> Verdict {
+    pub fn acquire(&mut self, server: ServerKey, now: Duration) -> Verdict {
         self.buckets.get_mut(&server).map_or(Verdict::Unlimited, |bucket| bucket.take(now))
     }
 
@@ -198,7 +199,7 @@
     /// Requests per second for all entries together; `None` while the server has no limit.
     limit_per_s: Option<f64>,
     /// When the server named the limit, or named none any more.
-    heard_at: Option<Duration>,
+    stated_at: Option<Duration>,
     /// When each unused permit expires.
     expiries: VecDeque<Duration>,
     /// When the ask without an answer was sent.
@@ -209,37 +210,42 @@
 
 impl Permits {
     /// Records what an answer of the server says, to a request that was sent at `sent_at`. An answer
-    /// without a limit ends it only if the request was sent after the limit was heard: answers may
+    /// without a limit ends it only if the request was sent after the limit was known: answers may
     /// overtake each other. Returns whether the server has become limited or unlimited.
-    pub fn hear(&mut self, limit_per_s: Option<f64>, sent_at: Duration, now: Duration) -> bool {
-        let is_old = self.heard_at.is_some_and(|heard_at| sent_at < heard_at);
+    pub fn record_stated(
+        &mut self,
+        limit_per_s: Option<f64>,
+        sent_at: Duration,
+        now: Duration,
+    ) -> bool {
+        let is_old = self.stated_at.is_some_and(|stated_at| sent_at < stated_at);
         if limit_per_s.is_none() && (is_old || self.limit_per_s.is_none()) {
             return false;
         }
         self.set(limit_per_s, now)
     }
 
-    /// Records what the meter says, unless this entry has heard something newer.
-    pub fn learn(&mut self, heard: Heard, now: Duration) {
-        let heard_at = now.saturating_sub(heard.age);
-        if self.heard_at.is_none_or(|newest| newest < heard_at) {
-            self.set(heard.limit_per_s, heard_at);
+    /// Applies a report that the meter broadcasts, unless this entry knows something newer.
+    pub fn apply_report(&mut self, report: LimitReport, now: Duration) {
+        let stated_at = now.saturating_sub(report.age);
+        if self.stated_at.is_none_or(|newest| newest < stated_at) {
+            self.set(report.limit_per_s, stated_at);
         }
     }
 
-    fn set(&mut self, limit_per_s: Option<f64>, heard_at: Duration) -> bool {
+    fn set(&mut self, limit_per_s: Option<f64>, stated_at: Duration) -> bool {
         let is_changed = self.limit_per_s.is_some() != limit_per_s.is_some();
         if limit_per_s.is_none() {
             *self = Self::default();
         }
-        (self.limit_per_s, self.heard_at) = (limit_per_s, Some(heard_at));
+        (self.limit_per_s, self.stated_at) = (limit_per_s, Some(stated_at));
         is_changed
     }
 
-    /// What was last heard of the limit, to tell the meter; `None` if nothing was.
-    pub fn heard(&self, now: Duration) -> Option<Heard> {
-        let age = now.saturating_sub(self.heard_at?);
-        Some(Heard { limit_per_s: self.limit_per_s, age })
+    /// What is known of the limit; `None` if nothing ever was.
+    pub fn report(&self, now: Duration) -> Option<LimitReport> {
+        let age = now.saturating_sub(self.stated_at?);
+        Some(LimitReport { limit_per_s: self.limit_per_s, age })
     }
 
     /// Whether the server has a limit.
@@ -259,7 +265,7 @@
     /// use std::time::Duration;
     /// let (mut permits, now) = (Permits::default(), Duration::ZERO);
     /// assert!(permits.take(now), "no limit");
-    /// permits.hear(Some(1.0), now, now);
+    /// permits.record_stated(Some(1.0), now, now);
     /// assert!(!permits.take(now));
     /// assert!(permits.begin_ask(now));
     /// permits.answer(now, Verdict::Granted, now);
@@ -306,8 +312,8 @@
         match verdict {
             Verdict::Granted => self.expiries.push_back(asked_at + PERMIT_VALIDITY),
             Verdict::Wait(wait) => self.wait_until = now + wait.min(MAX_WAIT),
-            // A limit that was heard after the ask is newer than the meter's word.
-            Verdict::Unlimited if self.heard_at.is_some_and(|heard_at| heard_at > asked_at) => {}
+            // A limit that was stated after the ask is newer than what the meter knew.
+            Verdict::Unlimited if self.stated_at.is_some_and(|stated_at| stated_at > asked_at) => {}
             Verdict::Unlimited => _ = self.set(None, asked_at),
         }
     }
--- a/crates/policy/tests/permits.rs
+++ b/crates/policy/tests/permits.rs
@@ -1,7 +1,7 @@
 //! A server's limit, kept by a fleet of entries that exchange permits over a lossy network.
 
 use flamingowheel_policy::key::ServerKey;
-use flamingowheel_policy::permits::{Heard, Meter, Permits, Verdict, meter_of};
+use flamingowheel_policy::permits::{LimitReport, Meter, Permits, Verdict, meter_of};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -36,15 +36,15 @@
 struct Ask {
     from: usize,
     to: usize,
-    heard: Heard,
+    report: LimitReport,
     asked_at: Duration,
     wants_permit: bool,
 }
 
 /// The meter's word to an entry.
-struct Told {
+struct Broadcast {
     to: usize,
-    heard: Heard,
+    report: LimitReport,
     at: Duration,
 }
 
@@ -62,7 +62,7 @@
     entries: Vec<Entry>,
     asks: VecDeque<Ask>,
     answers: VecDeque<Answer>,
-    told: VecDeque<Told>,
+    broadcasts: VecDeque<Broadcast>,
     limit_per_s: Option<f64>,
     /// Requests per second and entry that prefer the server.
     demand_per_s: f64,
@@ -85,7 +85,7 @@
             entries: (0..count).map(|_| Entry::default()).collect(),
             asks: VecDeque::new(),
             answers: VecDeque::new(),
-            told: VecDeque::new(),
+            broadcasts: VecDeque::new(),
             limit_per_s: Some(limit_per_s),
             demand_per_s: 5.0,
             loss: 0.01,
@@ -123,11 +123,11 @@
         if entry.permits.take(now) {
             let counts = entry.told_at.is_some_and(|told_at| told_at + REACTION_TIME <= now);
             self.arrivals.push((now, counts));
-            let is_turned = entry.permits.hear(self.limit_per_s, now, now);
+            let has_toggled = entry.permits.record_stated(self.limit_per_s, now, now);
             if self.limit_per_s.is_some() {
                 entry.told_at.get_or_insert(now);
             }
-            if is_turned {
+            if has_toggled {
                 self.send_ask(index, now, false);
             }
         } else if entry.permits.begin_ask(now) {
@@ -136,24 +136,26 @@
     }
 
     fn send_ask(&mut self, from: usize, asked_at: Duration, wants_permit: bool) {
-        let Some(heard) = self.entries[from].permits.heard(asked_at) else { return };
+        let Some(report) = self.entries[from].permits.report(asked_at) else { return };
         let Some(to) = self.meter_seen_by(from) else { return };
         self.messages += 1;
         if from == to || !self.rng.random_bool(self.loss) {
-            self.asks.push_back(Ask { from, to, heard, asked_at, wants_permit });
+            self.asks.push_back(Ask { from, to, report, asked_at, wants_permit });
         }
     }
 
     /// Delivers what was sent in the step before; what is for a frozen entry waits.
     fn deliver(&mut self) {
         let now = self.now;
-        for told in std::mem::take(&mut self.told) {
-            if self.entries[told.to].is_frozen {
-                self.told.push_back(told);
+        for broadcast in std::mem::take(&mut self.broadcasts) {
+            if self.entries[broadcast.to].is_frozen {
+                self.broadcasts.push_back(broadcast);
             } else if !self.rng.random_bool(self.loss) {
-                let heard =
-                    Heard { age: told.heard.age + now.saturating_sub(told.at), ..told.heard };
-                self.entries[told.to].permits.learn(heard, now);
+                let report = LimitReport {
+                    age: broadcast.report.age + now.saturating_sub(broadcast.at),
+                    ..broadcast.report
+                };
+                self.entries[broadcast.to].permits.apply_report(report, now);
             }
         }
         for answer in std::mem::take(&mut self.answers) {
@@ -172,15 +174,16 @@
             if self.entries[ask.to].is_dead || self.meter_seen_by(ask.to) != Some(ask.to) {
                 continue;
             }
-            let Ask { from, to, heard, asked_at, wants_permit } = ask;
-            if self.entries[to].meter.hear(server(), heard, now) {
-                let told = (0..self.entries.len()).map(|to| Told { to, heard, at: now });
-                self.told.extend(told);
+            let Ask { from, to, report, asked_at, wants_permit } = ask;
+            if self.entries[to].meter.record_report(server(), report, now) {
+                let broadcasts =
+                    (0..self.entries.len()).map(|to| Broadcast { to, report, at: now });
+                self.broadcasts.extend(broadcasts);
             }
             if !wants_permit {
                 continue;
             }
-            let verdict = self.entries[to].meter.ask(server(), now);
+            let verdict = self.entries[to].meter.acquire(server(), now);
             self.messages += 1;
             if from == to || !self.rng.random_bool(self.loss) {
                 self.answers.push_back(Answer { to: from, asked_at, verdict });
@@ -218,7 +221,7 @@
 
 /// Each of many entries takes one request at least for its share of a limit far below their number.
 #[test]
-fn ask_limit_below_entries_kept_and_used() {
+fn acquire_limit_below_entries_kept_and_used() {
     for (count, limit_per_s) in [(1, 1.0), (6, 1.0), (42, 1.0), (380, 1.0), (42, 30.0), (380, 0.5)]
     {
         let mut fleet = Fleet::new(count, limit_per_s);
@@ -233,7 +236,7 @@
 /// The meter dies. The entry that takes its place begins with a full bucket while permits of the old
 /// one are still used, or nobody grants permits any more.
 #[test]
-fn ask_meter_dies_kept_and_used_again() {
+fn acquire_meter_dies_kept_and_used_again() {
     let mut fleet = Fleet::new(12, 2.0);
     fleet.run(s(10));
     let meter = fleet.meter_seen_by(0).unwrap();
@@ -249,7 +252,7 @@
 /// The meter freezes with asks in its socket. On waking it grants permits whose time is over, besides
 /// those of its successor.
 #[test]
-fn ask_meter_frozen_late_permits_unused() {
+fn acquire_meter_frozen_late_permits_unused() {
     let mut fleet = Fleet::new(12, 2.0);
     fleet.run(s(8));
     let meter = fleet.meter_seen_by(0).unwrap();
@@ -268,7 +271,7 @@
 /// For a second, half of the entries know of an entry that the others don't, and both halves have a
 /// meter of their own.
 #[test]
-fn ask_entries_disagree_on_meter_kept() {
+fn acquire_entries_disagree_on_meter_kept() {
     for limit_per_s in [1.0, 10.0, 100.0] {
         let mut fleet = Fleet::new(12, limit_per_s);
         fleet.demand_per_s = 20.0;
@@ -286,7 +289,7 @@
 
 /// An entry restarts every second, without memory of the limit.
 #[test]
-fn ask_entries_restart_kept() {
+fn acquire_entries_restart_kept() {
     let mut fleet = Fleet::new(12, 1.0);
     for entry in 0..12 {
         fleet.run(s(1));
@@ -298,7 +301,7 @@
 
 /// A fifth of the datagrams are lost.
 #[test]
-fn ask_datagrams_lost_kept_and_used() {
+fn acquire_datagrams_lost_kept_and_used() {
     let mut fleet = Fleet::new(12, 2.0);
     fleet.loss = 0.2;
     fleet.run(s(30));
@@ -308,7 +311,7 @@
 
 /// An entry that has not met the server since its limit fell goes on to ask with the old one.
 #[test]
-fn ask_limit_falls_and_rises() {
+fn acquire_limit_falls_and_rises() {
     let mut fleet = Fleet::new(12, 20.0);
     fleet.run(s(10));
     fleet.limit_per_s = Some(1.0);
@@ -323,7 +326,7 @@
 /// A limit of 1 a second ends. Entries that learn it only from an answer of their own each wait for a
 /// permit of the old limit.
 #[test]
-fn ask_limit_ends_known_to_all() {
+fn acquire_limit_ends_known_to_all() {
     let mut fleet = Fleet::new(42, 1.0);
     fleet.run(s(10));
     fleet.limit_per_s = None;
@@ -334,7 +337,7 @@
 
 /// A limit of zero would never be known to have ended if nothing were sent.
 #[test]
-fn ask_limit_zero_probed() {
+fn acquire_limit_zero_probed() {
     let mut fleet = Fleet::new(6, 0.0);
     fleet.run(s(60));
     fleet.assert_kept(0.0, STABILITY_WINDOW);
@@ -342,18 +345,18 @@
 }
 
 #[test]
-fn ask_limit_huge_no_overflow() {
+fn acquire_limit_huge_no_overflow() {
     let mut meter = Meter::default();
-    let heard = Heard { limit_per_s: Some(f64::MAX), age: Duration::ZERO };
-    meter.hear(server(), heard, s(1));
-    meter.ask(server(), s(1));
-    assert_eq!(meter.ask(server(), s(2)), Verdict::Granted);
+    let report = LimitReport { limit_per_s: Some(f64::MAX), age: Duration::ZERO };
+    meter.record_report(server(), report, s(1));
+    meter.acquire(server(), s(1));
+    assert_eq!(meter.acquire(server(), s(2)), Verdict::Granted);
 }
 
 /// Each of many entries learns of a limit only from an answer of its own. Together, their first
 /// requests are more than the limit allows for minutes.
 #[test]
-fn hear_first_answer_known_to_all() {
+fn record_stated_first_answer_known_to_all() {
     let mut fleet = Fleet::new(380, 1.0);
     fleet.demand_per_s = 0.05;
     fleet.run(s(8));
@@ -363,22 +366,22 @@
 /// The answer to a request from before the limit arrives after one that names it. It must not end
 /// the limit.
 #[test]
-fn hear_older_answer_last() {
+fn record_stated_older_answer_last() {
     let mut permits = Permits::default();
-    permits.hear(Some(1.0), s(2), s(3));
-    assert!(!permits.hear(None, s(1), s(4)));
+    permits.record_stated(Some(1.0), s(2), s(3));
+    assert!(!permits.record_stated(None, s(1), s(4)));
     assert!(permits.is_limited());
-    assert!(permits.hear(None, s(4), s(5)));
+    assert!(permits.record_stated(None, s(4), s(5)));
     assert!(!permits.is_limited());
 }
 
-/// The meter's word arrives after the entry has heard of the server itself.
+/// The meter broadcasts what is older than an answer that this entry has got itself.
 #[test]
-fn learn_older_word_ignored() {
+fn apply_report_older_word_ignored() {
     let mut permits = Permits::default();
-    permits.hear(Some(1.0), s(9), s(10));
-    permits.learn(Heard { limit_per_s: None, age: s(2) }, s(11));
+    permits.record_stated(Some(1.0), s(9), s(10));
+    permits.apply_report(LimitReport { limit_per_s: None, age: s(2) }, s(11));
     assert!(permits.is_limited());
-    permits.learn(Heard { limit_per_s: None, age: s(0) }, s(11));
+    permits.apply_report(LimitReport { limit_per_s: None, age: s(0) }, s(11));
     assert!(!permits.is_limited());
 }
--- a/crates/protocol/src/permits.rs
+++ b/crates/protocol/src/permits.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-pub use flamingowheel_policy::permits::{Heard, Verdict};
+pub use flamingowheel_policy::permits::{LimitReport, Verdict};
 
 /// Largest encoded datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 64;
@@ -13,7 +13,7 @@
 /// A datagram between entries.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PermitMessage {
-    /// Tells the meter of a server's limit, and asks for a permit.
+    /// Reports a server's limit to its meter, and asks for a permit.
     Ask {
         /// Chosen by the asking entry, repeated in the answer.
         number: u64,
@@ -23,11 +23,11 @@
         limit_per_s: Option<f64>,
         /// Time since the server's answer that said so, in milliseconds.
         age_ms: u64,
-        /// Whether a permit is asked for; otherwise the ask tells of the limit only.
+        /// Whether a permit is asked for; otherwise this is a report only.
         wants_permit: bool,
     },
-    /// What the meter tells all entries of a server's limit.
-    Told {
+    /// The meter's report of a server's limit to all entries.
+    Broadcast {
         /// The backend server.
         server: ServerKey,
         /// Requests per second; `None` if the server names no limit any more.
@@ -60,14 +60,18 @@
 
 impl PermitMessage {
     /// The ask for a permit of a server.
-    pub fn ask(number: u64, server: ServerKey, heard: Heard, wants_permit: bool) -> Self {
-        let age_ms = heard.age.as_millis() as u64;
-        Self::Ask { number, server, limit_per_s: heard.limit_per_s, age_ms, wants_permit }
+    pub fn ask(number: u64, server: ServerKey, report: LimitReport, wants_permit: bool) -> Self {
+        let age_ms = report.age.as_millis() as u64;
+        Self::Ask { number, server, limit_per_s: report.limit_per_s, age_ms, wants_permit }
     }
 
-    /// The word of a server's limit.
-    pub fn told(server: ServerKey, heard: Heard) -> Self {
-        Self::Told { server, limit_per_s: heard.limit_per_s, age_ms: heard.age.as_millis() as u64 }
+    /// The broadcast of a server's limit.
+    pub fn broadcast(server: ServerKey, report: LimitReport) -> Self {
+        Self::Broadcast {
+            server,
+            limit_per_s: report.limit_per_s,
+            age_ms: report.age.as_millis() as u64,
+        }
     }
 
     /// The encoded datagram; `None` if it can't be encoded.
