Soak: ports outside of the outgoing range, and errors of a start in the log

With its settings it starts; with one of its ports taken it ends with 'Address already in use' on stderr, which went nowhere, and an empty log. That a port was taken is inferred from the empty log; which process had it is not known.

Ports now come from below that range, and stderr goes to the log. The check and its bound are unchanged.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -184,6 +184,10 @@
     }
 }
 
+/// Ports of entries: below those that the system gives to outgoing connections, which other
+/// processes could take between the search and an entry's start.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// Finds ports that are free at the time of the call.
 ///
 /// Fails if loopback has none left.
@@ -192,10 +196,22 @@
     let mut ports = [0; 5];
     for port in &mut ports {
         // All listeners stay open until the end, so that no port is returned twice.
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = bind_random().await?;
         *port = listener.local_addr()?.port();
         listeners.push(listener);
     }
     let [callers, ready, directory, low, high] = ports;
     Ok(EntryPorts { callers, ready, directory, internal: (low, high) })
 }
+
+/// Tries as many random ports as there are, so that it ends if all are taken.
+async fn bind_random() -> std::io::Result<TcpListener> {
+    let mut result = Err(std::io::ErrorKind::AddrInUse.into());
+    for _ in PORTS {
+        result = TcpListener::bind(("127.0.0.1", rand::random_range(PORTS))).await;
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
+}
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -3,7 +3,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// A daemon process with its settings file and its log file.
@@ -38,8 +38,8 @@
         let started = Command::new(&self.program)
             .arg("--platform")
             .env("FLAMINGOWHEEL_SETTINGS", &self.settings)
+            .stderr(log.try_clone()?)
             .stdout(log)
-            .stderr(Stdio::null())
             .spawn()?;
         *child = Some(started);
         Ok(())
