--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -29,6 +29,9 @@
 /// Largest number of unused permits at a meter, as the time in which they accumulate, in seconds.
 const BUCKET_S: f64 = 0.25;
 
+/// The least that this number is: entries with few requests come back late for a permit.
+const MIN_BUCKET: f64 = 2.0;
+
 /// Longest time for which an entry is told to wait.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -179,7 +182,7 @@
             return Verdict::Unlimited;
         };
         let rate_per_s = limit_per_s.max(MIN_RATE_PER_S);
-        let most = (rate_per_s * BUCKET_S).max(1.0);
+        let most = (rate_per_s * BUCKET_S).max(MIN_BUCKET);
         self.permits = (self.permits + elapsed.as_secs_f64() * rate_per_s).min(most);
         if self.permits >= 1.0 {
             self.permits -= 1.0;
--- a/crates/policy/tests/permits.rs
+++ b/crates/policy/tests/permits.rs
@@ -19,6 +19,9 @@
 const REACTION_TIME: Duration = Duration::from_millis(500);
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
+/// Longest wait of a request for a permit.
+const PERMIT_WAIT: Duration = Duration::from_millis(50);
+
 /// Time after which entries see that another one has died.
 const LEASE: Duration = Duration::from_millis(3_500);
 
@@ -67,6 +70,10 @@
     /// Requests per second and entry that prefer the server.
     demand_per_s: f64,
     loss: f64,
+    /// Whether requests wait for a permit, as they do if no other server takes them.
+    waits: bool,
+    /// Entries with a request that waits for a permit, and until when.
+    waiting: Vec<(usize, Duration)>,
     /// Arrivals of requests, and whether they count for the rule.
     arrivals: Vec<(Duration, bool)>,
     messages: u64,
@@ -89,6 +96,8 @@
             limit_per_s: Some(limit_per_s),
             demand_per_s: 5.0,
             loss: 0.01,
+            waits: false,
+            waiting: Vec::new(),
             arrivals: Vec::new(),
             messages: 0,
         }
@@ -106,6 +115,13 @@
         while self.now < until {
             self.now += STEP;
             self.deliver();
+            for (entry, until) in std::mem::take(&mut self.waiting) {
+                if self.entries[entry].permits.admits(self.now) {
+                    self.request(entry);
+                } else if self.now < until {
+                    self.waiting.push((entry, until));
+                }
+            }
             for entry in 0..self.entries.len() {
                 let is_running = !self.entries[entry].is_frozen && !self.entries[entry].is_dead;
                 let probability = self.demand_per_s * STEP.as_secs_f64();
@@ -132,6 +148,9 @@
             }
         } else if entry.permits.begin_ask(now) {
             self.send_ask(index, now, true);
+            if self.waits {
+                self.waiting.push((index, now + PERMIT_WAIT));
+            }
         }
     }
 
@@ -385,3 +404,21 @@
     permits.apply_report(LimitReport { limit_per_s: None, age: s(0) }, s(11));
     assert!(!permits.is_limited());
 }
+
+/// All servers are limited, and each entry has few requests. If a permit that nobody fetches at once
+/// were lost, a third of the limit would never be used.
+#[test]
+fn acquire_rare_requests_used() {
+    for (count, limit_per_s, demand_per_s) in
+        [(6, 1.0, 1.5), (6, 3.0, 1.5), (42, 1.0, 0.3), (6, 6.0, 1.5), (3, 1.0, 1.0)]
+    {
+        let mut fleet = Fleet::new(count, limit_per_s);
+        fleet.demand_per_s = demand_per_s;
+        fleet.waits = true;
+        fleet.run(s(60));
+        fleet.assert_kept(limit_per_s, STABILITY_WINDOW);
+        let most = (demand_per_s * count as f64).min(limit_per_s);
+        let used = fleet.rate_since(s(10)) / most;
+        assert!(used >= 0.8, "{count} entries with {demand_per_s}/s each use {used} of {most}/s");
+    }
+}
