Soak: all entries' ports are drawn together

Ports were found and let go entry by entry, and a proxy that was started for the next one was given one of them. All ports of a run are now held until all are found, below the range that proxies get theirs from.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -89,9 +89,8 @@
             servers.push(Server { id, proxy, standin: server, starts: AtomicU64::new(1) });
         }
         let mut entries = Vec::new();
-        for number in 0..options.entries {
+        for (number, ports) in free_ports(options.entries).await?.into_iter().enumerate() {
             let store_proxy = Proxy::start(store_address).await?;
-            let ports = free_ports().await?;
             let name = format!("entry-{number}");
             let settings = entry_settings(&name, store_proxy.address, ports, GRACE_S);
             let daemon = Daemon::new(&options.program, folder, &name, &settings)?;
@@ -188,20 +187,23 @@
 /// processes could take between the search and an entry's start.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
-/// Finds ports that are free at the time of the call.
+/// Finds ports for entries that are free at the time of the call.
 ///
-/// Fails if loopback has none left.
-pub async fn free_ports() -> std::io::Result<EntryPorts> {
-    let mut listeners = Vec::new();
-    let mut ports = [0; 5];
-    for port in &mut ports {
-        // All listeners stay open until the end, so that no port is returned twice.
-        let listener = bind_random().await?;
-        *port = listener.local_addr()?.port();
-        listeners.push(listener);
+/// Fails if loopback has too few left.
+pub async fn free_ports(entries: usize) -> std::io::Result<Vec<EntryPorts>> {
+    // All listeners stay open until the end, so that no port is returned twice.
+    let (mut listeners, mut found) = (Vec::new(), Vec::new());
+    for _ in 0..entries {
+        let mut ports = [0; 5];
+        for port in &mut ports {
+            let listener = bind_random().await?;
+            *port = listener.local_addr()?.port();
+            listeners.push(listener);
+        }
+        let [callers, ready, directory, low, high] = ports;
+        found.push(EntryPorts { callers, ready, directory, internal: (low, high) });
     }
-    let [callers, ready, directory, low, high] = ports;
-    Ok(EntryPorts { callers, ready, directory, internal: (low, high) })
+    Ok(found)
 }
 
 /// Tries as many random ports as there are, so that it ends if all are taken.
