Gateway, protocol, policy: signals and selection are modules of their own

No change of behaviour. The recording of what servers ask for and the waiting choice leave gateway::forward, which had grown to 640 lines, for gateway::signals and gateway::selection.

--- a/crates/gateway/benches/limits.rs
+++ b/crates/gateway/benches/limits.rs
@@ -11,7 +11,7 @@
 use flamingowheel_gateway::view::View;
 use flamingowheel_platform::Stated;
 use flamingowheel_policy::permits::{LimitReport, Meter, Verdict, meter_of};
-use flamingowheel_protocol::permits::{Decision, PermitMessage};
+use flamingowheel_protocol::permits::PermitMessage;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
@@ -242,15 +242,16 @@
         for entry in &self.entries {
             let server = &entry.view.servers_of("s")[number];
             server.apply_limit_report(report, Instant::now());
-            let message = PermitMessage::broadcast(server.key, report);
+            let message = PermitMessage::Broadcast { server: server.key, report };
             self.report.messages += 1;
             self.report.bytes += message.encode().map_or(0, |bytes| bytes.len()) as u64;
         }
     }
 
     fn count_messages(&mut self, server: &Server, report: LimitReport, verdict: Verdict) {
-        let ask = PermitMessage::ask(u64::MAX, server.key, report, true);
-        let answer = PermitMessage::Answer { number: u64::MAX, decision: Decision::from(verdict) };
+        let (number, server) = (u64::MAX, server.key);
+        let ask = PermitMessage::Ask { number, server, report, wants_permit: true };
+        let answer = PermitMessage::Answer { number, verdict };
         self.report.messages += 2;
         let sizes = [ask, answer].map(|message| message.encode().map_or(0, |bytes| bytes.len()));
         self.report.bytes += sizes.iter().sum::<usize>() as u64;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{RetryPolicy, Route, Workspace};
 use flamingowheel_platform::headers::{self, ForwardHead, RequestHead};
-use flamingowheel_policy::{outage, permits};
+use flamingowheel_policy::outage;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -99,7 +99,7 @@
     pub fn held_refusal(&self, wait: Duration, draw: f64) -> Refusal {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let (wait_ms, left_ms) = (wait.as_secs_f64() * 1_000.0, left.as_secs_f64() * 1_000.0);
-        Refusal::Held { retry_after_ms: permits::retry_after_ms(wait_ms, left_ms, draw) }
+        Refusal::Held { retry_after_ms: outage::held_retry_after_ms(wait_ms, left_ms, draw) }
     }
 
     /// Builds the request to send to `server`.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards one caller's request to a backend server and relays the answer.
 
-use crate::balance::{self, Choice, Chosen};
+use crate::balance::Choice;
 use crate::breaker::CircuitBreakers;
 use crate::budget::RetryBudget;
 use crate::connection::{Connection, SendError};
@@ -10,7 +10,9 @@
 use crate::permits::PermitSender;
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, Relay, UpstreamBody, full_body};
+use crate::selection::Selector;
 use crate::server::{InFlight, Server};
+use crate::signals::SignalRecorder;
 use crate::silence::SilenceDetector;
 use crate::view::{View, Views};
 use bytes::Bytes;
@@ -23,7 +25,7 @@
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Deadline of requests whose callers give none, in milliseconds after arrival.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -31,12 +33,6 @@
 /// Time between checks for a server that accepts work.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Longest wait for the answer to an ask for a permit: some round trips between data centres.
-const PERMIT_WAIT: Duration = Duration::from_millis(50);
-
-/// Time between checks for such an answer.
-const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(3);
-
 /// Largest answer that is buffered before its head is sent on, in bytes. If such an answer breaks
 /// off, it can be replaced by another server's; larger ones are relayed as they arrive.
 const MAX_BUFFERED_ANSWER_BYTES: u64 = 256 * 1024;
@@ -88,7 +84,9 @@
     views: Views,
     budget: Mutex<RetryBudget>,
     breakers: Mutex<CircuitBreakers>,
-    permits: PermitSender,
+    /// Chooses backend servers.
+    pub selector: Selector,
+    signals: SignalRecorder,
     started_at: Instant,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
@@ -102,11 +100,13 @@
         permits: PermitSender,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let selector = Selector::new(Arc::clone(&views), permits.clone());
         Self {
             views,
             budget: Mutex::new(budget),
             breakers: Mutex::default(),
-            permits,
+            signals: SignalRecorder::new(permits, Arc::clone(&metrics)),
+            selector,
             started_at: Instant::now(),
             metrics,
         }
@@ -249,7 +249,7 @@
                 return Err(Refusal::TooLate);
             }
             let admission = admission.as_ref();
-            match self.choose(exchange, tried, admission).await {
+            match self.selector.choose(exchange, tried, admission).await {
                 Choice::Held(wait) => return Err(exchange.held_refusal(wait, draw)),
                 Choice::Busy(fullness) => {
                     let Fullness { crowding, own_requests, limit, pass_ms } = fullness;
@@ -281,36 +281,6 @@
         }
     }
 
-    /// Chooses a server, and asks for a permit if a limited one would have been better. Waits for the
-    /// answer only if no other server takes the request.
-    pub async fn choose(
-        &self,
-        exchange: &Exchange,
-        tried: &[Arc<Server>],
-        admission: Option<&Admission>,
-    ) -> Choice {
-        let wait_until = exchange.deadline.min(Instant::now() + PERMIT_WAIT);
-        loop {
-            let now = Instant::now();
-            let Chosen { choice, wanted } =
-                balance::choose(&self.view(), &exchange.service, tried, admission, now);
-            if let Some(server) = wanted {
-                self.permits.ask(&server, now);
-            }
-            let is_held = matches!(choice, Choice::Held(_));
-            if !is_held || now >= wait_until || !self.is_asking(exchange, now) {
-                return choice;
-            }
-            sleep(PERMIT_POLL_INTERVAL).await;
-        }
-    }
-
-    /// Whether a permit for a server of the request's service may be granted soon.
-    fn is_asking(&self, exchange: &Exchange, now: Instant) -> bool {
-        let view = self.view();
-        view.servers_of(&exchange.service).iter().any(|server| server.is_asking(now))
-    }
-
     /// A silence detector for a server.
     pub fn silence_detector(
         &self,
@@ -364,8 +334,9 @@
                     return Err(SendFailure::MayHaveRun);
                 }
                 let sent = SentRequest { response, answer, connection, in_flight, sent_at };
+                // Every answer passes here, whatever its status and whichever attempt it ends.
                 if !sent.is_misdirected() {
-                    self.record_signals(id, server, &sent);
+                    self.signals.record(id, server, &sent.answer, sent_at);
                 }
                 Ok(sent)
             }
@@ -416,83 +387,6 @@
         }
     }
 
-    /// Records what the server asks for. Every answer to a request passes here, whatever its status
-    /// and whichever attempt it ends.
-    fn record_signals(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
-        self.record_limit(attempt_id, server, sent);
-        self.record_rest(attempt_id, server, &sent.answer.rest);
-        self.record_leaving(attempt_id, server, &sent.answer.leaving);
-    }
-
-    fn record_limit(&self, attempt_id: &str, server: &Arc<Server>, sent: &SentRequest) {
-        let stated = &sent.answer.limit_per_s;
-        // An answer that reports "not run" without a limit may come from a step before the server's
-        // own, so that it does not end the limit.
-        if sent.answer.is_not_run && *stated == Stated::Absent {
-            return;
-        }
-        let now = Instant::now();
-        let change = server.record_limit(stated, sent.sent_at, now);
-        if change.has_toggled {
-            self.permits.report(server, now);
-        }
-        let (request, server) = (attempt_id, server.listed.id.as_str());
-        match stated {
-            Stated::Absent if change.has_toggled => {
-                self.metrics.record_signal("limit_ended");
-                tracing::info!(request, server, "backend server names no limit any more");
-            }
-            Stated::Value(limit_per_s) if change.has_new_value => {
-                self.metrics.record_signal("limit");
-                tracing::info!(request, server, limit_per_s, "backend server names a limit");
-            }
-            Stated::Malformed(text) if change.has_new_value => {
-                self.metrics.record_signal("limit_malformed");
-                tracing::warn!(request, server, text, "backend server's limit can't be read");
-            }
-            _ => {}
-        }
-    }
-
-    fn record_rest(&self, request: &str, server: &Server, rest: &Stated<Duration>) {
-        match rest {
-            Stated::Value(rest) => {
-                server.record_rest(*rest, rand::random(), Instant::now());
-                self.metrics.record_signal("rest");
-                let rest_ms = rest.as_millis() as u64;
-                let server = server.listed.id.as_str();
-                tracing::info!(request, server, rest_ms, "backend server asks for rest");
-            }
-            Stated::Malformed(text) => {
-                self.metrics.record_signal("rest_malformed");
-                let server = server.listed.id.as_str();
-                tracing::warn!(request, server, text, "backend server's rest can't be read");
-            }
-            Stated::Absent => {}
-        }
-    }
-
-    fn record_leaving(&self, request: &str, server: &Server, leaving: &Stated<bool>) {
-        match leaving {
-            Stated::Value(true) if server.record_leaving() => {
-                self.metrics.record_signal("leaving");
-                let server = server.listed.id.as_str();
-                tracing::info!(request, server, "backend server leaves");
-            }
-            Stated::Malformed(text) => {
-                self.metrics.record_signal("leaving_malformed");
-                let server = server.listed.id.as_str();
-                tracing::warn!(
-                    request,
-                    server,
-                    text,
-                    "backend server's word on leaving can't be read"
-                );
-            }
-            Stated::Value(_) | Stated::Absent => {}
-        }
-    }
-
     fn record_not_run(&self, exchange: &Exchange, sent: &SentRequest) {
         self.metrics.record_send(exchange.kind(), "not_run");
         let server = sent.in_flight.server();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod publish;
 pub mod refusal;
 pub mod relay;
+pub mod selection;
 pub mod server;
+pub mod signals;
 pub mod silence;
 pub mod view;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -165,7 +165,7 @@
         let wants_permit = purpose == Purpose::Ask;
         match meter {
             Some(address) => {
-                let ask = PermitMessage::ask(number, server.key, report, wants_permit);
+                let ask = PermitMessage::Ask { number, server: server.key, report, wants_permit };
                 self.send(&ask, address).await;
             }
             None => {
@@ -192,7 +192,7 @@
     /// Sends a report to all entries and applies it here.
     async fn broadcast(&self, server: ServerKey, report: LimitReport) {
         self.apply_broadcast(server, report);
-        let message = PermitMessage::broadcast(server, report);
+        let message = PermitMessage::Broadcast { server, report };
         let view = self.views.load_full();
         let others = view.entries.iter().filter(|(vm, _)| **vm != self.vm);
         for address in others.filter_map(|(_, record)| record.peers) {
@@ -220,24 +220,19 @@
 
     async fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
         match PermitMessage::decode(datagram) {
-            Some(PermitMessage::Ask { number, server, limit_per_s, age_ms, wants_permit }) => {
+            Some(PermitMessage::Ask { number, server, report, wants_permit }) => {
                 // Of two entries with different lists of entries, only the one that takes itself
                 // for the meter grants permits.
                 if self.meter_of(server) != Some(None) {
                     return;
                 }
-                let report = LimitReport { limit_per_s, age: Duration::from_millis(age_ms) };
                 let verdict = self.decide(server, report, wants_permit).await;
-                let answer = PermitMessage::Answer { number, decision: verdict.into() };
-                self.send(&answer, from).await;
+                self.send(&PermitMessage::Answer { number, verdict }, from).await;
             }
-            Some(PermitMessage::Broadcast { server, limit_per_s, age_ms }) => {
-                let report = LimitReport { limit_per_s, age: Duration::from_millis(age_ms) };
+            Some(PermitMessage::Broadcast { server, report }) => {
                 self.apply_broadcast(server, report);
             }
-            Some(PermitMessage::Answer { number, decision }) => {
-                self.answer(number, decision.into());
-            }
+            Some(PermitMessage::Answer { number, verdict }) => self.answer(number, verdict),
             None => tracing::warn!(%from, "malformed datagram"),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -175,7 +175,7 @@
         }
         let last_event_id = self.splitter.last_id().or(self.exchange.head.last_event_id);
         while self.runs < self.exchange.route.max_attempts {
-            let choice = self.gateway.choose(&self.exchange, &self.tried, None).await;
+            let choice = self.gateway.selector.choose(&self.exchange, &self.tried, None).await;
             let Choice::Send(server, group) = choice else {
                 return false;
             };
--- a/crates/policy/src/permits.rs
+++ b/crates/policy/src/permits.rs
@@ -13,6 +13,7 @@
 //! another entry becomes the meter, it starts with an empty bucket.
 
 use crate::key::{EntryKey, ServerKey, mix};
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -61,7 +62,7 @@
 }
 
 /// What an entry knows of a server's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// Requests per second for all entries together; `None` if the server names no limit any more.
     pub limit_per_s: Option<f64>,
@@ -70,7 +71,7 @@
 }
 
 /// A meter's answer to an entry that asked for a permit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Verdict {
     /// One request may be sent.
     Granted,
@@ -330,24 +331,3 @@
         self.wait_until.saturating_sub(now)
     }
 }
-
-/// Share of their remaining time up to which callers follow a requested delay.
-const HONOURED_SHARE: f64 = 1.0 / 3.0;
-
-/// Shortest delay told to a caller, in milliseconds.
-const MIN_RETRY_AFTER_MS: f64 = 100.0;
-
-/// Delay in milliseconds after which a caller with `left_ms` milliseconds until its deadline should
-/// retry, if the first server is free again in `wait_ms` milliseconds. `draw`, a random number
-/// between 0 and 1, spreads the callers that are refused at the same time.
-///
-/// ```
-/// use flamingowheel_policy::permits::retry_after_ms;
-/// assert_eq!(retry_after_ms(400.0, 6_000.0, 0.0), 400);
-/// assert_eq!(retry_after_ms(400.0, 6_000.0, 1.0), 600);
-/// assert_eq!(retry_after_ms(9_000.0, 6_000.0, 0.5), 2_000);
-/// ```
-pub fn retry_after_ms(wait_ms: f64, left_ms: f64, draw: f64) -> u64 {
-    let spread_ms = wait_ms.max(MIN_RETRY_AFTER_MS) * (1.0 + 0.5 * draw);
-    spread_ms.min(left_ms * HONOURED_SHARE) as u64
-}
