Soak: entries are excused for as long as their own fault takes

Each fault of an entry excused it for nine seconds beyond its end, the time of a planned stop, so that with a fault every half second hardly any request of a run was checked against limits, rests and leaving. A kill now counts for its duration and a second, a pause and a cut from the store for their duration, and only a planned stop for its grace period.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,9 @@
 /// Grace period from the stop signal to the kill, in seconds, as set in the present deployments.
 pub const GRACE_S: u64 = 8;
 
+/// Time in which an entry that was started knows the configuration.
+const START_TIME: Duration = Duration::from_secs(1);
+
 /// Limits that backend servers name, in requests per second: below the number of entries, and above.
 const LIMITS_PER_S: [f64; 4] = [0.0, 0.5, 1.0, 20.0];
 
@@ -161,11 +164,13 @@
 }
 
 impl Fault {
-    /// The entry that has this fault, and is excused during it; `None` if no entry has it.
-    pub fn entry(self) -> Option<usize> {
+    /// The entry that has this fault, and for how long it is out of order if the fault lasts
+    /// `duration`; `None` if no entry has it.
+    pub fn outage(self, duration: Duration) -> Option<(usize, Duration)> {
         match self {
-            Self::Kill(entry) | Self::Pause(entry) | Self::Restart(entry) => Some(entry),
-            Self::StoreLink(entry, _) => Some(entry),
+            Self::Kill(entry) => Some((entry, duration + START_TIME)),
+            Self::Restart(entry) => Some((entry, Duration::from_secs(GRACE_S) + START_TIME)),
+            Self::Pause(entry) | Self::StoreLink(entry, _) => Some((entry, duration)),
             _ => None,
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,10 +25,6 @@
 /// How long a fault lasts, in milliseconds. The longest faults outlast a lease of 3 s.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..4_000;
 
-/// Time by which an entry's stop and start may outlast its fault: it serves requests up to its grace
-/// period.
-const RESTART_TIME: Duration = Duration::from_secs(faults::GRACE_S + 1);
-
 /// Time after the last fault within which the fleet must serve normally again.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
 
@@ -54,9 +50,9 @@
     while started.elapsed() < Duration::from_secs(options.seconds) {
         let fault = faults::random_fault(&fleet, &mut rng);
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
-        if let Some(entry) = fault.entry() {
+        if let Some((entry, outage)) = fault.outage(duration) {
             let from = Instant::now();
-            fault_spans.push(FaultSpan { entry, from, until: from + duration + RESTART_TIME });
+            fault_spans.push(FaultSpan { entry, from, until: from + outage });
         }
         fault_log += &format!("{} ms: {fault:?} for {duration:?}\n", started.elapsed().as_millis());
         injections.spawn(faults::inject(Arc::clone(&fleet), fault, duration));
