Gateway: a test that ranks in need get no requests

The choice among ranks of a group was not tested with one that rests, leaves or is limited, nor with all of them in need. It passes; the product is unchanged.

--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -9,6 +9,7 @@
 use flamingowheel_gateway::refusal::Refusal;
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::View;
+use flamingowheel_platform::Stated;
 use flamingowheel_policy::batch::PassModel;
 use flamingowheel_policy::passes::{limit_ms, retry_after_ms};
 use std::net::SocketAddr;
@@ -207,3 +208,29 @@
     groups.iter().for_each(|group| group.record_pause(GOAL_MS * 2.0, now));
     assert!(matches!(balance::choose(&view, "s", &[], None, now).choice, Choice::Send(..)));
 }
+
+/// A rank of a group rests, leaves, or is limited without a permit. Requests go to another rank, and
+/// once no rank takes any they are held back rather than sent as a last resort.
+#[test]
+fn choose_rank_in_need_passed_over() {
+    let need: [fn(&Server, Instant); 3] = [
+        |server, now| server.record_rest(Duration::from_secs(3), 0.0, now),
+        |server, _| _ = server.record_leaving(),
+        |server, now| _ = server.record_limit(&Stated::Value(1.0), now, now),
+    ];
+    for need in need {
+        let (view, _) = two_groups();
+        let servers = view.servers_of("s");
+        let now = Instant::now();
+        need(&servers[0], now);
+        for _ in 0..20 {
+            let Choice::Send(server, _) = choose_within(&view, GOAL_MS, now) else {
+                panic!("one rank takes requests");
+            };
+            assert_eq!(server.listed.id, servers[1].listed.id);
+        }
+        need(&servers[1], now);
+        let choice = choose_within(&view, GOAL_MS, now);
+        assert!(matches!(choice, Choice::Held(_) | Choice::NoServer), "{choice:?}");
+    }
+}
