Backing, platform: polls of a watch in the project's own code

The times of a watch's polls and its pauses are decisions; they moved out of platform/ into backing::poll, unchanged, so that tests can drive the same loop against a store of their own.

--- a/crates/backing/src/lib.rs
+++ b/crates/backing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fake;
 pub mod kv;
 pub mod orders;
+pub mod poll;
 pub mod vm;
 pub mod weights;
 
