Gateway: logs and metrics that tell how a configuration came into force

The record of the incident could not tell from whom and when an entry learnt of a version, nor how old it believed its copy to be. Now the line of a configuration names its source and the longest possible time since its acknowledgement; an entry logs its sources' ages when none is up to date; each request's last line has the version that applied. Metrics: time in force, source, age of the copy, histogram of that time. No decision changes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,6 +40,8 @@
     pub deadline: Instant,
     /// Fields parsed from the request's headers.
     pub head: RequestHead,
+    /// Version of the configuration that applies.
+    pub version: u64,
     /// The route that matched.
     pub route: Arc<Route>,
     /// The service chosen among the route's splits.
--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -94,6 +94,7 @@
                     self.failures = 0;
                     self.mirror.record_store_answer(Instant::now(), Duration::ZERO);
                     self.mirror.apply_snapshot(snapshot);
+                    self.mirror.confirm(revision.0, Instant::now());
                     self.watch_from(revision).await;
                 }
                 Err(error) => self.back_off(&error).await,
@@ -112,9 +113,11 @@
                 }
             };
             while let Some(event) = watch.recv().await {
+                let mut progress = None;
                 match &event {
                     WatchEvent::Progress { revision } => {
                         after = *revision;
+                        progress = Some(*revision);
                         self.failures = 0;
                         self.mirror.record_store_answer(Instant::now(), Duration::ZERO);
                     }
@@ -125,6 +128,9 @@
                     WatchEvent::Put(_) | WatchEvent::Delete { .. } => {}
                 }
                 self.mirror.apply_event(event);
+                if let Some(revision) = progress {
+                    self.mirror.confirm(revision.0, Instant::now());
+                }
             }
             self.back_off(&KeyValueError::Unreachable).await;
         }
--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -32,6 +32,49 @@
     pruned_revision: u64,
     answered_at: Option<Instant>,
     outage_at: Option<Instant>,
+    /// When the copy was last known to lack nothing that the store had acknowledged.
+    complete_at: Option<Instant>,
+    last_update: Option<Update>,
+}
+
+/// Where changes of a copy came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// Another entry, by its VM.
+    Entry(String),
+}
+
+impl Source {
+    /// The value of the `source` label in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Entry(_) => "entry",
+        }
+    }
+}
+
+impl std::fmt::Display for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Entry(vm) => f.write_str(vm),
+        }
+    }
+}
+
+/// The arrival of changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Update {
+    /// Where they came from.
+    pub source: Source,
+    /// When they arrived.
+    pub at: Instant,
+    /// Time since the copy was last known to be complete without them, which is the longest that
+    /// they can have been acknowledged; `None` for the first copy.
+    pub max_delay: Option<Duration>,
 }
 
 /// A value and its compressed form, which is computed once for all receivers.
@@ -107,6 +150,25 @@
         self.lock().outage_at
     }
 
+    /// Time since the copy was last known to lack nothing that the store had acknowledged.
+    pub fn completeness_age(&self, now: Instant) -> Option<Duration> {
+        self.lock().complete_at.map(|at| now - at)
+    }
+
+    /// The arrival of the newest changes; `None` as long as there is no copy.
+    pub fn last_update(&self) -> Option<Update> {
+        self.lock().last_update.clone()
+    }
+
+    /// Records that the store's revision was `revision` at a time. The copy was complete then if it
+    /// goes up to that revision.
+    pub fn confirm(&self, revision: u64, at: Instant) {
+        let mut state = self.lock();
+        if state.revision >= revision {
+            state.complete_at = state.complete_at.max(Some(at));
+        }
+    }
+
     /// Records that the store answered a follower `age` ago.
     pub fn record_store_answer(&self, now: Instant, age: Duration) {
         let answered_at = now.checked_sub(age);
@@ -126,14 +188,14 @@
             let KeyValueEntry { key, value, mod_revision, .. } = entry;
             (key, value, mod_revision.0)
         });
-        self.update(|state| state.apply_complete(revision, puts.collect()));
+        self.update(Source::Store, |state| state.apply_complete(revision, puts.collect()));
     }
 
     /// Applies an event of a watch. The copy's revision advances only with progress events: several
     /// keys may be written at one revision, and other entries fetch the changes after the revision
     /// that they were sent.
     pub fn apply_event(&self, event: WatchEvent) {
-        self.update(|state| match event {
+        self.update(Source::Store, |state| match event {
             WatchEvent::Put(entry) => {
                 state.set(entry.key, entry.mod_revision.0, Some(entry.value));
             }
@@ -143,8 +205,8 @@
         });
     }
 
-    /// Applies a delta from another entry. Returns `false` if it is malformed.
-    pub fn apply_delta(&self, delta: Delta, now: Instant) -> bool {
+    /// Applies a delta from the entry on `vm`. Returns `false` if it is malformed.
+    pub fn apply_delta(&self, vm: &str, delta: Delta, now: Instant) -> bool {
         let read = |put: Put| {
             let value = put.value.inflate()?;
             Some((put.key, Bytes::from(value), put.revision))
@@ -154,7 +216,7 @@
         };
         let outage_at =
             delta.outage_age_ms.and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)));
-        self.update(|state| {
+        self.update(Source::Entry(vm.to_owned()), |state| {
             state.outage_at = state.outage_at.max(outage_at);
             if delta.is_whole {
                 state.apply_complete(delta.revision, puts);
@@ -180,7 +242,7 @@
     /// from.apply_event(WatchEvent::Delete { key: "k".to_owned(), revision: Revision(7) });
     /// from.apply_event(WatchEvent::Progress { revision: Revision(7) });
     /// let now = tokio::time::Instant::now();
-    /// assert!(to.apply_delta(from.delta(3, now), now));
+    /// assert!(to.apply_delta("vm-1", from.delta(3, now), now));
     /// assert_eq!(to.head(now).revision, 7);
     /// ```
     pub fn delta(&self, after: u64, now: Instant) -> Delta {
@@ -222,14 +284,20 @@
         Changes { revision: state.revision, is_whole, changes: changes.collect() }
     }
 
-    fn update<F>(&self, update: F)
+    fn update<F>(&self, source: Source, update: F)
     where
         F: FnOnce(&mut State),
     {
         let revision = {
             let mut state = self.lock();
+            let previous = state.revision;
             update(&mut state);
             state.prune_deletions();
+            if state.revision > previous {
+                let at = Instant::now();
+                let max_delay = state.complete_at.map(|complete_at| at - complete_at);
+                state.last_update = Some(Update { source, at, max_delay });
+            }
             state.revision
         };
         self.revisions.send_if_modified(|current| std::mem::replace(current, revision) != revision);
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -185,6 +185,10 @@
             }
             Some(FeedMessage::Head(head)) => {
                 source.last_head = Some((head, now));
+                let age = head.age_ms.map(Duration::from_millis);
+                if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
+                    self.mirror.confirm(head.revision, at);
+                }
                 if let Some(age_ms) = head.age_ms.filter(|_| !*self.follows.borrow()) {
                     self.mirror.record_store_answer(now, Duration::from_millis(age_ms));
                 }
@@ -197,7 +201,7 @@
             }
             Some(FeedMessage::Delta(delta)) => {
                 self.fetching_since = None;
-                if !self.mirror.apply_delta(delta, now) {
+                if !self.mirror.apply_delta(&event.vm, delta, now) {
                     tracing::warn!(vm = event.vm, "malformed delta from another entry");
                 }
             }
@@ -339,6 +343,13 @@
         }
     }
 
+    fn log_isolation(&self, now: Instant) {
+        let sources: Vec<String> =
+            self.sources.iter().map(|(vm, source)| describe_source(vm, source, now)).collect();
+        let revision = self.mirror.head(now).revision;
+        tracing::warn!(revision, sources = sources.join("; "), "no source is up to date");
+    }
+
     /// Decides whether this entry follows the store itself: because it is one of the fleet's
     /// followers, or because it is isolated.
     fn update_follows(&mut self) {
@@ -349,12 +360,24 @@
             |source: &Source| source.store_answer_age(now).is_some_and(|age| age < MAX_SOURCE_AGE);
         let has_fresh = self.sources.values().any(is_fresh);
         let entries = self.members.borrow().len();
-        self.isolation = self.isolation.next(now, has_fresh, entries, rand::random());
+        let isolation = self.isolation.next(now, has_fresh, entries, rand::random());
+        if self.isolation == Isolation::Connected && isolation != Isolation::Connected {
+            self.log_isolation(now);
+        }
+        self.isolation = isolation;
         let follows = is_follower || self.isolation.follows();
         self.follows.send_if_modified(|current| std::mem::replace(current, follows) != follows);
     }
 }
 
+/// Time since the store answered, and the revision, of one source.
+fn describe_source(vm: &str, source: &Source, now: Instant) -> String {
+    match source.store_answer_age(now) {
+        Some(age) => format!("{vm}: {} ms, revision {}", age.as_millis(), source.revision()),
+        None => format!("{vm}: no answer"),
+    }
+}
+
 /// Maintains the connection to one source.
 struct SourceConnection {
     vm: String,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -171,6 +171,7 @@
         Ok(Exchange {
             arrived,
             deadline: arrived + Duration::from_millis(wait_ms),
+            version: configuration.version,
             route: Arc::clone(route),
             service,
             workspace: workspace.cloned(),
@@ -452,6 +453,7 @@
         tracing::info!(
             request = exchange.head.attempt_id,
             route = exchange.route.name,
+            version = exchange.version,
             server = server.listed.id,
             status = status.as_u16(),
             after_ms = after.as_millis() as u64,
@@ -470,6 +472,7 @@
         self.metrics.record_request(kind, refusal.name());
         tracing::info!(
             request = head.attempt_id,
+            version = self.view().version(),
             reason = refusal.name(),
             after_ms = arrived.elapsed().as_millis() as u64,
             "refused"
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -1,5 +1,6 @@
 //! HTTP endpoints of an entry besides callers' requests: the directory, readiness and metrics.
 
+use crate::feed::mirror::Mirror;
 use crate::metrics::Metrics;
 use crate::view::Views;
 use axum::Router;
@@ -10,6 +11,7 @@
 use flamingowheel_platform::{READY_PATH, RESOLVE_PATH, ResolveAnswer, directory};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// How long callers may cache an answer. An entry that leaves serves requests for this long.
@@ -24,6 +26,8 @@
     pub callers: SocketAddr,
     /// Cancelled when this entry starts to leave.
     pub leaving: CancellationToken,
+    /// This entry's copy of the key-value store.
+    pub mirror: Arc<Mirror>,
     /// This entry's metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -70,9 +74,11 @@
 }
 
 async fn metrics(State(info): State<Info>) -> Response {
-    if let Some(configuration) = &info.views.load().configuration {
-        info.metrics.set_configuration_version(configuration.version);
+    let view = info.views.load();
+    if let Some(configuration) = &view.configuration {
+        info.metrics.set_configuration(configuration.version, view.in_force.as_ref());
     }
+    info.metrics.set_store_age(info.mirror.completeness_age(Instant::now()));
     match info.metrics.text() {
         Ok(text) => text.into_response(),
         Err(error) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and latency histograms of an entry.
 
+use crate::view::InForce;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -12,6 +14,9 @@
 /// Buckets of pauses between events, in seconds, around the goals of 0.12 and 0.15 s.
 const PAUSE_BUCKETS_S: [f64; 9] = [0.02, 0.04, 0.06, 0.09, 0.12, 0.15, 0.25, 0.5, 1.5];
 
+/// Buckets of the time until a configuration is in force, in seconds; the limit is 2 s.
+const CONFIGURATION_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 1.6, 2.0, 4.0];
+
 /// Metrics of an entry. Labels come from small fixed sets, so that the number of series is bounded.
 #[derive(Debug)]
 pub struct Metrics {
@@ -22,7 +27,57 @@
     permits: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
-    configuration_version: IntGauge,
+    configuration: ConfigurationMetrics,
+}
+
+/// How recent the configuration is.
+#[derive(Debug)]
+struct ConfigurationMetrics {
+    version: IntGauge,
+    in_force_seconds: Gauge,
+    source: IntGaugeVec,
+    store_age_seconds: Gauge,
+    delay: Histogram,
+}
+
+impl ConfigurationMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            version: IntGauge::new(
+                "flamingowheel_configuration_version",
+                "Version of the configuration in force",
+            )?,
+            in_force_seconds: Gauge::new(
+                "flamingowheel_configuration_in_force_seconds",
+                "Time since the configuration came into force",
+            )?,
+            source: IntGaugeVec::new(
+                Opts::new(
+                    "flamingowheel_configuration_source",
+                    "1 for what the configuration in force came from",
+                ),
+                &["source"],
+            )?,
+            store_age_seconds: Gauge::new(
+                "flamingowheel_store_age_seconds",
+                "Time since the store confirmed this entry's copy of it",
+            )?,
+            delay: Histogram::with_opts(
+                HistogramOpts::new(
+                    "flamingowheel_configuration_delay_seconds",
+                    "Longest possible time from the acknowledgement of a configuration to its \
+                     coming into force",
+                )
+                .buckets(CONFIGURATION_BUCKETS_S.to_vec()),
+            )?,
+        };
+        registry.register(Box::new(metrics.version.clone()))?;
+        registry.register(Box::new(metrics.in_force_seconds.clone()))?;
+        registry.register(Box::new(metrics.source.clone()))?;
+        registry.register(Box::new(metrics.store_age_seconds.clone()))?;
+        registry.register(Box::new(metrics.delay.clone()))?;
+        Ok(metrics)
+    }
 }
 
 impl Metrics {
@@ -63,17 +118,13 @@
             HistogramOpts::new("flamingowheel_pause_seconds", "Pauses between events")
                 .buckets(PAUSE_BUCKETS_S.to_vec()),
         )?;
-        let configuration_version = IntGauge::new(
-            "flamingowheel_configuration_version",
-            "Version of the configuration in force",
-        )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
-        registry.register(Box::new(configuration_version.clone()))?;
+        let configuration = ConfigurationMetrics::register(&registry)?;
         Ok(Self {
             registry,
             requests,
@@ -82,7 +133,7 @@
             permits,
             answer_times,
             pauses,
-            configuration_version,
+            configuration,
         })
     }
 
@@ -116,9 +167,27 @@
         self.pauses.observe(pause.as_secs_f64());
     }
 
-    /// Sets the version of the configuration in force.
-    pub fn set_configuration_version(&self, version: u64) {
-        self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    /// Sets which configuration is in force, since when and where it came from.
+    pub fn set_configuration(&self, version: u64, in_force: Option<&InForce>) {
+        self.configuration.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.configuration.source.reset();
+        if let Some(in_force) = in_force {
+            self.configuration.in_force_seconds.set(in_force.since.elapsed().as_secs_f64());
+            self.configuration.source.with_label_values(&[in_force.source.kind()]).set(1);
+        }
+    }
+
+    /// Sets the time since the store confirmed this entry's copy of it; `None` if it never did.
+    pub fn set_store_age(&self, age: Option<Duration>) {
+        self.configuration
+            .store_age_seconds
+            .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+    }
+
+    /// Records the longest possible time from the acknowledgement of a configuration to its coming
+    /// into force.
+    pub fn observe_configuration_delay(&self, delay: Duration) {
+        self.configuration.delay.observe(delay.as_secs_f64());
     }
 
     /// All metrics in the Prometheus text format.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -82,10 +82,17 @@
     ));
     let traffic = start_traffic(callers, &gateway, &stop)?;
 
-    let info = Info { views: Arc::clone(&views), callers, leaving: stop.leaving.clone(), metrics };
+    let mirror = Arc::new(Mirror::default());
+    let info = Info {
+        views: Arc::clone(&views),
+        callers,
+        leaving: stop.leaving.clone(),
+        mirror: Arc::clone(&mirror),
+        metrics: Arc::clone(&metrics),
+    };
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
-    start_feed(settings, peers, &store, views).await?;
+    start_feed(settings, peers, &store, Feed { mirror, views, metrics }).await?;
     let data_centre = settings.data_centre.clone();
     let announcement = Announcement {
         store,
@@ -119,22 +126,29 @@
     Ok(())
 }
 
+/// What the feed updates.
+struct Feed {
+    mirror: Arc<Mirror>,
+    views: Views,
+    metrics: Arc<Metrics>,
+}
+
 /// Starts the tasks that update the mirror from the store and from other entries, publish views and
 /// serve the mirror to other entries.
 async fn start_feed(
     settings: &ProcessSettings,
     address: SocketAddr,
     store: &StoreClient,
-    views: Views,
+    feed: Feed,
 ) -> Result<(), std::io::Error> {
-    let mirror = Arc::new(Mirror::default());
+    let Feed { mirror, views, metrics } = feed;
     let (members, members_receiver) = watch::channel(Arc::default());
     let (coordinators, coordinators_receiver) = watch::channel(Arc::default());
     let (statuses, statuses_receiver) = watch::channel(Arc::default());
     let (follows, should_follow) = watch::channel(false);
     let agent_port = settings.internal_ports.0;
     let outputs =
-        Outputs { members, coordinators, statuses: statuses_receiver.clone(), agent_port };
+        Outputs { members, coordinators, statuses: statuses_receiver.clone(), agent_port, metrics };
     let (vm, data_centre) = (&settings.vm, &settings.data_centre);
     let identity = Identity::without_secret(vm, data_centre, Role::Entry, feed::TIMING);
     let listener = TcpListener::bind(address).await?;
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -5,8 +5,9 @@
 use crate::feed::reader::{Members, Peer};
 use crate::group::{GroupLoad, GroupRank};
 use crate::listings::Listings;
+use crate::metrics::Metrics;
 use crate::server::Server;
-use crate::view::{EntryRecord, View, Views};
+use crate::view::{EntryRecord, InForce, View, Views};
 use flamingowheel_fleet::{BackendServer, Configuration, EngineParameters};
 use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
 use flamingowheel_policy::batch::PassModel;
@@ -43,6 +44,8 @@
     pub statuses: watch::Receiver<Arc<Statuses>>,
     /// The agents' port, the same on all VMs of a deployment.
     pub agent_port: u16,
+    /// This entry's metrics.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The control thread's state, from which views are built.
@@ -52,6 +55,7 @@
     views: Views,
     outputs: Outputs,
     configuration: Option<Arc<Configuration>>,
+    in_force: Option<InForce>,
     listings: Listings,
     entries: HashMap<String, EntryRecord>,
     groups: HashMap<String, (GroupRecord, Arc<GroupLoad>)>,
@@ -69,6 +73,7 @@
             views,
             outputs,
             configuration: None,
+            in_force: None,
             listings: Listings::default(),
             entries: HashMap::new(),
             groups: HashMap::new(),
@@ -180,11 +185,32 @@
         if current.is_some_and(|current| configuration.version <= current) {
             return;
         }
-        let (version, routes) = (configuration.version, configuration.routes.len());
-        tracing::info!(version, hosts = routes, "configuration in force");
+        self.record_in_force(&configuration);
         self.configuration = Some(Arc::new(configuration));
     }
 
+    fn record_in_force(&mut self, configuration: &Configuration) {
+        let now = Instant::now();
+        let (version, hosts) = (configuration.version, configuration.routes.len());
+        let Some(update) = self.mirror.last_update() else {
+            tracing::info!(version, hosts, "configuration in force");
+            return;
+        };
+        let max_delay = update.max_delay.map(|delay| delay + (now - update.at));
+        if let Some(delay) = max_delay {
+            self.outputs.metrics.observe_configuration_delay(delay);
+        }
+        let max_delay_ms = max_delay.map(|delay| delay.as_millis() as u64);
+        tracing::info!(
+            version,
+            hosts,
+            source = %update.source,
+            max_delay_ms,
+            "configuration in force"
+        );
+        self.in_force = Some(InForce { since: now, source: update.source });
+    }
+
     fn put_group(&mut self, name: &str, value: &[u8]) {
         let record: GroupRecord = match serde_json::from_slice(value) {
             Ok(record) => record,
@@ -357,6 +383,7 @@
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
+            in_force: self.in_force.clone(),
             servers,
             group_ranks,
             entries: self.entries.clone(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -240,6 +240,7 @@
         tracing::info!(
             request = self.exchange.head.attempt_id,
             server = self.in_flight.server().listed.id,
+            version = self.exchange.version,
             outcome,
             last_event = self.splitter.last_id(),
             longest_pause_ms = self.longest_pause_ms,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,5 +1,6 @@
 //! The entry's view of the deployment as one immutable value.
 
+use crate::feed::mirror::Source;
 use crate::group::GroupRank;
 use crate::server::Server;
 use arc_swap::ArcSwap;
@@ -8,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// An entry as it announces itself in the key-value store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,12 +23,23 @@
     pub peers: Option<SocketAddr>,
 }
 
+/// How the configuration in force came into force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InForce {
+    /// Since when it is in force.
+    pub since: Instant,
+    /// Where it came from.
+    pub source: Source,
+}
+
 /// The deployment as of the newest data from the store. It is replaced as a whole, so that a
 /// request sees one consistent state.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// The configuration in force; `None` until the first one is known.
     pub configuration: Option<Arc<Configuration>>,
+    /// How that configuration came into force.
+    pub in_force: Option<InForce>,
     /// Backend servers that take work, by service.
     pub servers: HashMap<String, Vec<Arc<Server>>>,
     /// Ranks of groups by their engines' addresses.
@@ -44,6 +57,11 @@
         self.servers.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Version of the configuration in force; `None` until the first one is known.
+    pub fn version(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|configuration| configuration.version)
+    }
+
     /// Number of entries that share the backend servers, at least 1.
     pub fn entry_count(&self) -> usize {
         self.entries.len().max(1)
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -14,6 +14,7 @@
     let arrived = Instant::now();
     Exchange {
         arrived,
+        version: 1,
         deadline: arrived + Duration::from_millis(left_ms),
         head: RequestHead { deadline_ms: Some(left_ms), ..RequestHead::default() },
         route: Arc::new(Route { timeout_ms: TIMEOUT_MS, pause_goal_ms, ..Route::default() }),
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use flamingowheel_backing::kv::{KeyValueEntry, Revision, Snapshot, WatchEvent};
 use flamingowheel_gateway::feed::isolation::Isolation;
-use flamingowheel_gateway::feed::mirror::{Change, Mirror};
+use flamingowheel_gateway::feed::mirror::{Change, Mirror, Source};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -48,13 +48,13 @@
     for event in [put("a", "1", 3), put("b", "1", 4), progress(4)] {
         from.apply_event(event);
     }
-    assert!(to.apply_delta(from.delta(0, now), now));
+    assert!(to.apply_delta("vm-1", from.delta(0, now), now));
     for event in [put("a", "2", 6), delete("b", 7), progress(8)] {
         from.apply_event(event);
     }
     let delta = from.delta(to.head(now).revision, now);
     assert!(!delta.is_whole);
-    assert!(to.apply_delta(delta, now));
+    assert!(to.apply_delta("vm-1", delta, now));
     assert_eq!(values(&to), [pair("a", "2")]);
     assert_eq!(to.head(now).revision, 8);
 }
@@ -73,8 +73,8 @@
     for event in [put("a", "2", 5), delete("b", 6), progress(6)] {
         ahead.apply_event(event);
     }
-    assert!(to.apply_delta(ahead.delta(0, now), now));
-    assert!(to.apply_delta(behind.delta(0, now), now));
+    assert!(to.apply_delta("vm-1", ahead.delta(0, now), now));
+    assert!(to.apply_delta("vm-1", behind.delta(0, now), now));
     assert_eq!(values(&to), [pair("a", "2")]);
     assert_eq!(to.head(now).revision, 6);
 }
@@ -86,10 +86,10 @@
     let (from, to, now) = (Mirror::default(), Mirror::default(), Instant::now());
     from.apply_event(progress(9));
     from.apply_event(put("a", "1", 10));
-    assert!(to.apply_delta(from.delta(9, now), now));
+    assert!(to.apply_delta("vm-1", from.delta(9, now), now));
     from.apply_event(put("b", "1", 10));
     from.apply_event(progress(10));
-    assert!(to.apply_delta(from.delta(to.head(now).revision, now), now));
+    assert!(to.apply_delta("vm-1", from.delta(to.head(now).revision, now), now));
     assert_eq!(values(&to), [pair("a", "1"), pair("b", "1")]);
 }
 
@@ -129,7 +129,7 @@
     let (from, to, now) = (Mirror::default(), Mirror::default(), Instant::now());
     from.apply_event(put("first", "1", 1));
     from.apply_event(progress(1));
-    assert!(to.apply_delta(from.delta(0, now), now));
+    assert!(to.apply_delta("vm-1", from.delta(0, now), now));
     from.apply_event(delete("first", 2));
     for number in 0..5_000_u64 {
         from.apply_event(delete(&format!("key-{number}"), 3 + number));
@@ -137,7 +137,7 @@
     from.apply_event(progress(6_000));
     let delta = from.delta(to.head(now).revision, now);
     assert!(delta.is_whole);
-    assert!(to.apply_delta(delta, now));
+    assert!(to.apply_delta("vm-1", delta, now));
     assert!(values(&to).is_empty());
 }
 
@@ -150,7 +150,7 @@
     from.record_outage(Instant::now());
     tokio::time::advance(Duration::from_millis(300)).await;
     let now = Instant::now();
-    assert!(to.apply_delta(from.delta(0, now), now));
+    assert!(to.apply_delta("vm-1", from.delta(0, now), now));
     assert_eq!(to.last_outage(), Some(now - Duration::from_millis(300)));
 }
 
@@ -201,3 +201,23 @@
     assert!(follows.next(later, true, 9, 0.5).follows());
     assert!(!follows.next(now + Duration::from_secs(3), true, 9, 0.5).follows());
 }
+
+/// A change arrives late. The time it took must count from the last moment at which the copy was
+/// known to lack nothing, not from the arrival of the change at the source.
+#[tokio::test(start_paused = true)]
+async fn last_update_counts_since_confirmation() {
+    let (from, to) = (Mirror::default(), Mirror::default());
+    from.apply_event(progress(4));
+    assert!(to.apply_delta("vm-1", from.delta(0, Instant::now()), Instant::now()));
+    to.confirm(4, Instant::now());
+    tokio::time::advance(Duration::from_millis(700)).await;
+    from.apply_event(put("a", "1", 5));
+    from.apply_event(progress(5));
+    // The source knows of a newer revision than this copy, so its answer confirms nothing here.
+    to.confirm(5, Instant::now());
+    tokio::time::advance(Duration::from_millis(200)).await;
+    assert!(to.apply_delta("vm-1", from.delta(4, Instant::now()), Instant::now()));
+    let update = to.last_update().unwrap();
+    assert_eq!(update.source, Source::Entry("vm-1".to_owned()));
+    assert_eq!(update.max_delay, Some(Duration::from_millis(900)));
+}
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -2,6 +2,7 @@
 
 use flamingowheel_backing::kv::{KeyValueEntry, Revision, WatchEvent};
 use flamingowheel_gateway::feed::mirror::Mirror;
+use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::publish::{Outputs, Publisher};
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::Views;
@@ -28,7 +29,9 @@
         let (members, _) = watch::channel(Arc::default());
         let (coordinators, _) = watch::channel(Arc::default());
         let (statuses, received) = watch::channel(Arc::default());
-        let outputs = Outputs { members, coordinators, statuses: received, agent_port: 7_000 };
+        let metrics = Arc::new(Metrics::new().unwrap());
+        let outputs =
+            Outputs { members, coordinators, statuses: received, agent_port: 7_000, metrics };
         let publisher = Publisher::new(Arc::clone(&mirror), Arc::clone(&views), outputs);
         tokio::spawn(async move {
             // The publisher ends once nobody can send statuses.
