--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -12,6 +12,7 @@
 pub mod mirror;
 pub mod reader;
 pub mod server;
+pub mod transport;
 
 use flamingowheel_protocol::link::Timing;
 use flamingowheel_protocol::packed::Packed;
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -4,10 +4,10 @@
 use crate::feed::groups::{Statuses, TimedStatus, merge_status};
 use crate::feed::isolation::Isolation;
 use crate::feed::mirror::Mirror;
+use crate::feed::transport::{Connect, FeedLink};
 use crate::feed::{FeedMessage, FeedRequest, Head};
 use flamingowheel_policy::topology::{EntryRef, Topology};
-use flamingowheel_protocol::link::Link;
-use flamingowheel_protocol::websocket::{Identity, connect};
+use flamingowheel_protocol::message::Hello;
 use rand::seq::IndexedRandom;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -60,8 +60,9 @@
 
 /// Updates the mirror from other entries.
 #[derive(Debug)]
-pub struct Reader {
-    identity: Identity,
+pub struct Reader<C> {
+    hello: Hello,
+    connector: C,
     mirror: Arc<Mirror>,
     members: watch::Receiver<Arc<Members>>,
     /// Output: whether this entry is to follow the store.
@@ -121,18 +122,23 @@
     }
 }
 
-impl Reader {
-    /// Creates the reader of the entry with `identity`. It updates `mirror` and sets `follows`
+impl<C> Reader<C>
+where
+    C: Connect,
+{
+    /// Creates the reader of the entry that `hello` identifies. It updates `mirror` and sets `follows`
     /// while this entry has to follow the store itself.
     pub fn new(
-        identity: Identity,
+        hello: Hello,
+        connector: C,
         mirror: Arc<Mirror>,
         members: watch::Receiver<Arc<Members>>,
         follows: watch::Sender<bool>,
         statuses: watch::Sender<Arc<Statuses>>,
     ) -> Self {
         Self {
-            identity,
+            hello,
+            connector,
             mirror,
             members,
             follows,
@@ -211,7 +217,7 @@
     /// Computes this entry's sources and whether it is a follower.
     fn update_topology(&mut self) {
         let members = Arc::clone(&self.members.borrow_and_update());
-        let hello = &self.identity.hello;
+        let hello = &self.hello;
         let entry_refs =
             members.iter().map(|(vm, peer)| EntryRef { data_centre: &peer.data_centre, name: vm });
         let topology = Topology::new(entry_refs);
@@ -270,7 +276,7 @@
         }
         let (chosen, chosen_at) = &mut self.random_choice;
         if chosen_at.is_none_or(|at| now - at > RANDOM_SOURCES_INTERVAL) {
-            let own_vm = &self.identity.hello.vm;
+            let own_vm = &self.hello.vm;
             let others: Vec<&String> = members.keys().filter(|vm| *vm != own_vm).collect();
             let drawn = others.sample(&mut rand::rng(), RANDOM_SOURCES);
             *chosen = drawn.map(|vm| (*vm).clone()).collect();
@@ -285,7 +291,7 @@
         let connection = SourceConnection {
             vm: vm.to_owned(),
             address,
-            identity: self.identity.clone(),
+            connector: self.connector.clone(),
             events: self.events.0.clone(),
             requests: request_receiver,
         };
@@ -321,7 +327,7 @@
         if self.fetching_since.is_some_and(|at| now - at < FETCH_TIMEOUT) {
             return;
         }
-        let own_data_centre = &self.identity.hello.data_centre;
+        let own_data_centre = &self.hello.data_centre;
         let members = self.members.borrow();
         let is_near = |vm: &&&String| {
             members.get(**vm).is_some_and(|peer| peer.data_centre == *own_data_centre)
@@ -379,18 +385,21 @@
 }
 
 /// Maintains the connection to one source.
-struct SourceConnection {
+struct SourceConnection<C> {
     vm: String,
     address: SocketAddr,
-    identity: Identity,
+    connector: C,
     events: mpsc::Sender<Event>,
     requests: mpsc::Receiver<FeedRequest>,
 }
 
-impl SourceConnection {
+impl<C> SourceConnection<C>
+where
+    C: Connect,
+{
     async fn run(mut self) {
         loop {
-            match connect::<FeedRequest, FeedMessage>(self.address, &self.identity).await {
+            match self.connector.connect(self.address).await {
                 Ok(link) => self.forward_messages(link).await,
                 Err(error) => tracing::debug!(vm = self.vm, %error, "can't connect to entry"),
             }
@@ -401,7 +410,7 @@
         }
     }
 
-    async fn forward_messages(&mut self, mut link: Link<FeedRequest, FeedMessage>) {
+    async fn forward_messages(&mut self, mut link: FeedLink) {
         loop {
             tokio::select! {
                 message = link.receiver.recv() => {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -5,6 +5,7 @@
 use crate::feed::groups::GroupListener;
 use crate::feed::mirror::Mirror;
 use crate::feed::reader::Reader;
+use crate::feed::transport::WebSocketConnector;
 use crate::feed::{self, server};
 use crate::forward::Gateway;
 use crate::front::{self, Stop};
@@ -167,7 +168,10 @@
         statuses.clone(),
     );
     tokio::spawn(groups.run());
-    tokio::spawn(Reader::new(identity, mirror, members_receiver, follows, statuses).run());
+    let hello = identity.hello.clone();
+    let connector = WebSocketConnector { identity };
+    let reader = Reader::new(hello, connector, mirror, members_receiver, follows, statuses);
+    tokio::spawn(reader.run());
     Ok(())
 }
 
