Gateway: failing tests of a change while all followers lose the store

The tests run the real feed, publisher and announcement of nine entries on the paused clock. The three that follow the store lose it, with refusals or in silence, and the configuration changes.

--- /dev/null
+++ b/crates/gateway/tests/spread.rs
@@ -0,0 +1,78 @@
+//! How fast a configuration comes into force at all entries of a fleet.
+
+mod fleet;
+
+use fleet::Fleet;
+use fleet::store::Reach;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time within which a configuration is in force at every VM in touch.
+const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_000);
+
+fn without(vms: &[String], left_out: &[String]) -> Vec<String> {
+    vms.iter().filter(|vm| !left_out.contains(vm)).cloned().collect()
+}
+
+/// Guards against a change that no entry gets because all that follow the store lost it at that
+/// moment.
+#[tokio::test(start_paused = true)]
+async fn change_all_followers_refused_by_store() {
+    let mut fleet = Fleet::start(9, 3).await;
+    let followers = fleet.followers();
+    for vm in &followers {
+        fleet.set_reach(vm, Reach::Refused);
+    }
+    let in_touch = without(&fleet.vms(), &followers);
+    let mut version = 0;
+    for _ in 0..3 {
+        version = fleet.change().await;
+        sleep(Duration::from_millis(60)).await;
+    }
+    let limit = IN_FORCE_LIMIT - Duration::from_millis(60);
+    let in_force = fleet.in_force(version, &in_touch, limit).await;
+    assert!(in_force.is_ok(), "late: {in_force:?}");
+}
+
+/// Guards against the same loss without any sign of it: the store's answers stop.
+#[tokio::test(start_paused = true)]
+async fn change_all_followers_unanswered_by_store() {
+    let mut fleet = Fleet::start(9, 3).await;
+    let followers = fleet.followers();
+    for vm in &followers {
+        fleet.set_reach(vm, Reach::Silent);
+    }
+    let in_touch = without(&fleet.vms(), &followers);
+    let version = fleet.change().await;
+    let in_force = fleet.in_force(version, &in_touch, IN_FORCE_LIMIT).await;
+    assert!(in_force.is_ok(), "late: {in_force:?}");
+}
+
+/// Guards against delays of a change without any fault.
+#[tokio::test(start_paused = true)]
+async fn change_without_fault() {
+    let mut fleet = Fleet::start(9, 3).await;
+    for _ in 0..3 {
+        let version = fleet.change().await;
+        let in_force = fleet.in_force(version, &fleet.vms(), Duration::from_millis(300)).await;
+        assert!(in_force.is_ok(), "late: {in_force:?}");
+    }
+}
+
+/// Guards against an entry that keeps what it read at its start: the configuration changes between
+/// its first read and its first connections, and it is the time at which the followers change.
+#[tokio::test(start_paused = true)]
+async fn change_while_entries_start() {
+    for gap_ms in [0, 5, 20, 100, 300, 900, 1_100, 2_000] {
+        let mut fleet = Fleet::start(9, 3).await;
+        for vm in fleet.followers().into_iter().take(2) {
+            fleet.kill(&vm);
+            fleet.restart(&vm);
+        }
+        fleet.add();
+        sleep(Duration::from_millis(gap_ms)).await;
+        let version = fleet.change().await;
+        let in_force = fleet.in_force(version, &fleet.vms(), IN_FORCE_LIMIT).await;
+        assert!(in_force.is_ok(), "{gap_ms} ms: {in_force:?}");
+    }
+}
