Gateway: a copy is as recent as the revision that the store confirmed

So a copy that is behind looked recent to those that read from it, and to its own reader. Now an answer of the store counts only for a copy that goes up to the answer's revision. confirm_copy_behind_is_not_recent fails without that (None instead of 900 ms).

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -92,7 +92,6 @@
                 Ok(snapshot) => {
                     let revision = snapshot.revision;
                     self.failures = 0;
-                    self.mirror.record_store_answer(Instant::now(), Duration::ZERO);
                     self.mirror.apply_snapshot(snapshot);
                     self.mirror.confirm(revision.0, Instant::now());
                     self.watch_from(revision).await;
@@ -119,7 +118,6 @@
                         after = *revision;
                         progress = Some(*revision);
                         self.failures = 0;
-                        self.mirror.record_store_answer(Instant::now(), Duration::ZERO);
                     }
                     WatchEvent::Compacted { .. } => {
                         tracing::info!(revision = after.0, "history compacted; reading all keys");
--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -30,7 +30,6 @@
     deletions: usize,
     /// Deletions up to this revision may have been discarded.
     pruned_revision: u64,
-    answered_at: Option<Instant>,
     outage_at: Option<Instant>,
     /// When the copy was last known to lack nothing that the store had acknowledged.
     complete_at: Option<Instant>,
@@ -136,13 +135,7 @@
     /// How recent this copy is.
     pub fn head(&self, now: Instant) -> Head {
         let state = self.lock();
-        Head { revision: state.revision, age_ms: state.answered_at.map(|at| millis(now - at)) }
-    }
-
-    /// Time since the store last answered any follower that this copy comes from; `None` if it
-    /// never did.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.lock().answered_at.map(|at| now - at)
+        Head { revision: state.revision, age_ms: state.complete_at.map(|at| millis(now - at)) }
     }
 
     /// When the store was last unreachable for a follower that this copy comes from.
@@ -150,8 +143,9 @@
         self.lock().outage_at
     }
 
-    /// Time since the copy was last known to lack nothing that the store had acknowledged.
-    pub fn completeness_age(&self, now: Instant) -> Option<Duration> {
+    /// Time since the copy was last known to lack nothing that the store had acknowledged; `None`
+    /// if it never was.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
         self.lock().complete_at.map(|at| now - at)
     }
 
@@ -169,13 +163,6 @@
         }
     }
 
-    /// Records that the store answered a follower `age` ago.
-    pub fn record_store_answer(&self, now: Instant, age: Duration) {
-        let answered_at = now.checked_sub(age);
-        let mut state = self.lock();
-        state.answered_at = state.answered_at.max(answered_at);
-    }
-
     /// Records that the store can't be reached.
     pub fn record_outage(&self, now: Instant) {
         self.lock().outage_at = Some(now);
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -55,8 +55,8 @@
 pub struct Head {
     /// The newest revision of the copy.
     pub revision: u64,
-    /// Time since the store answered the follower that the copy comes from, in milliseconds; `None`
-    /// if it never did.
+    /// Time since the copy was last known to be complete, which is when the store told a follower of
+    /// this revision or an earlier one; in milliseconds, `None` if it never was.
     pub age_ms: Option<u64>,
 }
 
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -117,6 +117,17 @@
         self.statuses_requested_at.is_some() && last.is_some_and(|at| now - at < STATUSES_TIMEOUT)
     }
 
+    /// Passes on what the source told of the store. That says nothing about a copy that lacks some
+    /// of the source's changes.
+    fn confirm(&self, mirror: &Mirror) {
+        if let Some((head, received_at)) = &self.last_head
+            && let Some(age_ms) = head.age_ms
+            && let Some(at) = received_at.checked_sub(Duration::from_millis(age_ms))
+        {
+            mirror.confirm(head.revision, at);
+        }
+    }
+
     fn revision(&self) -> u64 {
         self.last_head.as_ref().map_or(0, |(head, _)| head.revision)
     }
@@ -191,13 +202,7 @@
             }
             Some(FeedMessage::Head(head)) => {
                 source.last_head = Some((head, now));
-                let age = head.age_ms.map(Duration::from_millis);
-                if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
-                    self.mirror.confirm(head.revision, at);
-                }
-                if let Some(age_ms) = head.age_ms.filter(|_| !*self.follows.borrow()) {
-                    self.mirror.record_store_answer(now, Duration::from_millis(age_ms));
-                }
+                source.confirm(&self.mirror);
             }
             Some(FeedMessage::Groups(statuses)) => {
                 source.statuses_received_at = Some(now);
@@ -210,6 +215,9 @@
                 if !self.mirror.apply_delta(&event.vm, delta, now) {
                     tracing::warn!(vm = event.vm, "malformed delta from another entry");
                 }
+                for source in self.sources.values() {
+                    source.confirm(&self.mirror);
+                }
             }
         }
     }
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -78,7 +78,7 @@
     if let Some(configuration) = &view.configuration {
         info.metrics.set_configuration(configuration.version, view.in_force.as_ref());
     }
-    info.metrics.set_store_age(info.mirror.completeness_age(Instant::now()));
+    info.metrics.set_store_age(info.mirror.age(Instant::now()));
     match info.metrics.text() {
         Ok(text) => text.into_response(),
         Err(error) => {
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -221,3 +221,18 @@
     assert_eq!(update.source, Source::Entry("vm-1".to_owned()));
     assert_eq!(update.max_delay, Some(Duration::from_millis(900)));
 }
+
+/// Guards against an entry that passes off its copy as recent because others told it that the store
+/// answers, while it lacks their changes.
+#[tokio::test(start_paused = true)]
+async fn confirm_copy_behind_is_not_recent() {
+    let mirror = Mirror::default();
+    mirror.apply_event(progress(4));
+    mirror.confirm(4, Instant::now());
+    tokio::time::advance(Duration::from_millis(900)).await;
+    mirror.confirm(5, Instant::now());
+    assert_eq!(mirror.head(Instant::now()).age_ms, Some(900));
+    mirror.apply_event(progress(5));
+    mirror.confirm(5, Instant::now());
+    assert_eq!(mirror.head(Instant::now()).age_ms, Some(0));
+}
