Gateway: entries take over from followers in order, by the age of their copy

Cause: three entries follow the store for all. The store turned these three away at the moment of three changes. They knew at once, but told nobody; the others took an answer of up to 3.2 s ago for fresh, and then waited for a drawn time of up to a fifth of a second for each entry of the fleet (76 s at 380).

Ruled out: the entry added at 7.0 s (sources did not change), something built from the version (no version arrived).

Change: a head tells how far its sender is from the store, counted in entries, so that a loss is passed on at once and a circle of entries that are cut off takes each other for a way to the store for three messages at most. A copy older than 0.9 s is not up to date; followers' polls wait for 0.5 s (2 s before), so that silence shows in time. Entries without a source take over in the order of the succession, in rounds of 9, 36, 144 and so on, 0.15 s apart: whatever befalls those before, each entry asks the store itself within 1.6 s. They ask for what changed since their copy, not for all keys. They keep the connections to those that took over as long as no preferred source is up to date, and the first in the succession goes on following. A poll's answer that lay in a process that stood still counts for nothing.

--- a/crates/backing/src/poll.rs
+++ b/crates/backing/src/poll.rs
@@ -4,15 +4,21 @@
 use crate::kv::{KeyValueError, Revision, Watch, WatchEvent};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Events buffered for a slow reader of a watch.
 const WATCH_CAPACITY: usize = 64;
 
+/// Time by which a task may run late in a process that doesn't stand still.
+const MAX_DELAY: Duration = Duration::from_millis(200);
+
 /// Times of a watch's polls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PollTiming {
-    /// How long the store may hold a poll before it answers that nothing changed.
+    /// The same as `wait` for the first poll, whose reader doesn't know yet whether it lacks changes.
+    pub first_wait: Duration,
+    /// How long the store may hold a poll before it answers that nothing changed. What depends on
+    /// the watch learns only after this time and the slack that the store has fallen silent.
     pub wait: Duration,
     /// Added to the wait before a poll times out: the store's time for an answer when it is slow,
     /// and the network latency.
@@ -33,8 +39,9 @@
 impl Default for PollTiming {
     fn default() -> Self {
         Self {
-            wait: Duration::from_millis(2_000),
-            slack: Duration::from_millis(500),
+            first_wait: Duration::from_millis(50),
+            wait: Duration::from_millis(500),
+            slack: Duration::from_millis(300),
             pause: Duration::from_millis(200),
         }
     }
@@ -103,16 +110,24 @@
     let prefix = prefix.to_owned();
     tokio::spawn(async move {
         let mut after = after;
+        let mut wait = timing.first_wait;
         loop {
+            let asked_at = Instant::now();
             // A pending call is dropped once the reader is gone, since every call is billed.
             let answer = tokio::select! {
-                answer = timeout(timing.limit(), store.poll(&prefix, after, timing.wait)) => answer,
+                answer = timeout(timing.limit(), store.poll(&prefix, after, wait)) => answer,
                 () = events.closed() => return,
             };
-            let answer = answer.unwrap_or_else(|_| {
-                let limit_ms = timing.limit().as_millis() as u64;
-                Err(PollError::Failed(KeyValueError::NoAnswer { limit_ms }))
-            });
+            // An answer may have lain here while this process stood still.
+            let is_late = asked_at.elapsed() > timing.limit() + MAX_DELAY;
+            let answer = match answer {
+                Ok(answer) if !is_late => answer,
+                _ => {
+                    let limit_ms = timing.limit().as_millis() as u64;
+                    Err(PollError::Failed(KeyValueError::NoAnswer { limit_ms }))
+                }
+            };
+            wait = timing.wait;
             let mut batch = match answer {
                 Ok(answer) => {
                     after = answer.revision;
--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -63,6 +63,7 @@
                     if stopped.is_err() {
                         return;
                     }
+                    self.mirror.end_following();
                     tracing::info!("the key-value store is followed by others");
                 }
             }
@@ -87,6 +88,10 @@
     }
 
     async fn follow(&mut self) {
+        // Changes since the copy's revision cost the store less than all keys.
+        if let Some(revision) = self.mirror.revision() {
+            self.watch_from(Revision(revision)).await;
+        }
         loop {
             match self.store.range(ALL_KEYS).await {
                 Ok(snapshot) => {
--- a/crates/gateway/src/feed/isolation.rs
+++ b/crates/gateway/src/feed/isolation.rs
@@ -1,4 +1,4 @@
-//! Decides when an entry without a fresh source follows the store itself.
+//! Decides when an entry that is not one of the followers follows the store itself.
 
 use std::time::Duration;
 use tokio::time::Instant;
@@ -6,25 +6,30 @@
 /// Time for a process that has just started to get data from a source.
 const START_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Isolated entries that start to follow the store per second, over the whole fleet.
-const ISOLATED_STARTS_PER_S: f64 = 5.0;
-
 /// Shortest time for which an isolated entry follows the store.
 const MIN_FOLLOW_TIME: Duration = Duration::from_secs(2);
 
-/// Whether an entry is isolated, that is without a fresh source, and whether it follows the store
-/// because of that.
+/// What an entry knows of its sources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sources {
+    /// At least one is up to date.
+    pub has_current: bool,
+    /// At least one is up to date by an entry that precedes this one in the succession.
+    pub has_predecessor: bool,
+}
+
+/// Whether an entry is isolated, that is without a source that is up to date, and whether it
+/// follows the store because of that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Isolation {
-    /// At least one source is fresh.
+    /// At least one source is up to date.
     Connected,
-    /// No source is fresh. The entry waits for a fresh one to be found, or for another entry to
-    /// follow the store.
+    /// No source is up to date. The entry waits for its turn to follow the store.
     Waiting {
         /// When this entry starts to follow the store.
         until: Instant,
     },
-    /// No source was fresh in time; the entry follows the store.
+    /// No source was up to date in time; the entry follows the store.
     Following {
         /// Earliest end of following.
         until: Instant,
@@ -37,28 +42,27 @@
         Self::Waiting { until: now + START_TIMEOUT }
     }
 
-    /// The next state, in a fleet of `entries` entries. `draw`, a random number between 0 and 1,
-    /// spreads entries that become isolated together: all of them at once would overload the store
-    /// when it is slow or has just come back.
+    /// The next state of an entry whose turn comes `turn` after its sources were lost. An entry
+    /// that follows the store ends that only for one that precedes it, so that one always remains.
     ///
     /// ```
-    /// use flamingowheel_gateway::feed::isolation::Isolation;
+    /// use flamingowheel_gateway::feed::isolation::{Isolation, Sources};
+    /// use std::time::Duration;
     /// let now = tokio::time::Instant::now();
-    /// assert_eq!(Isolation::Connected.next(now, true, 9, 0.5), Isolation::Connected);
-    /// assert!(matches!(Isolation::Connected.next(now, false, 9, 0.5), Isolation::Waiting { .. }));
+    /// let turn = Duration::from_millis(150);
+    /// let lost = Sources { has_current: false, has_predecessor: false };
+    /// let waiting = Isolation::Connected.next(now, lost, turn);
+    /// assert_eq!(waiting, Isolation::Waiting { until: now + turn });
+    /// assert!(waiting.next(now + turn, lost, turn).follows());
     /// ```
-    pub fn next(self, now: Instant, has_fresh: bool, entries: usize, draw: f64) -> Self {
+    pub fn next(self, now: Instant, sources: Sources, turn: Duration) -> Self {
         match self {
             Self::Following { until } if now < until => self,
-            _ if has_fresh => Self::Connected,
+            Self::Following { .. } if sources.has_predecessor => Self::Connected,
+            Self::Connected | Self::Waiting { .. } if sources.has_current => Self::Connected,
+            Self::Connected if !turn.is_zero() => Self::Waiting { until: now + turn },
             Self::Waiting { until } if now < until => self,
-            Self::Waiting { .. } | Self::Following { .. } => {
-                Self::Following { until: now + MIN_FOLLOW_TIME }
-            }
-            Self::Connected => {
-                let spread_s = entries as f64 / ISOLATED_STARTS_PER_S;
-                Self::Waiting { until: now + Duration::from_secs_f64(draw * spread_s) }
-            }
+            _ => Self::Following { until: now + MIN_FOLLOW_TIME },
         }
     }
 
--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -11,6 +11,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Least gain in age that is worth telling other entries at once.
+const MIN_AGE_GAIN: Duration = Duration::from_millis(250);
+
 /// Number of deletions that are kept; an entry that lacks an older one gets all keys.
 const MAX_DELETIONS: usize = 4_096;
 
@@ -20,6 +23,8 @@
 pub struct Mirror {
     state: Mutex<State>,
     revisions: watch::Sender<u64>,
+    /// Changed when there is something to tell of the contact with the store.
+    contacts: watch::Sender<()>,
 }
 
 #[derive(Debug, Default)]
@@ -33,6 +38,13 @@
     outage_at: Option<Instant>,
     /// When the copy was last known to lack nothing that the store had acknowledged.
     complete_at: Option<Instant>,
+    /// The follower that was told so; `None` if it is this entry.
+    complete_by: Option<String>,
+    /// `complete_at` when others were last told.
+    told_at: Option<Instant>,
+    /// Whether this entry follows the store and got no answer to its last call.
+    is_cut_off: bool,
+    distance: Option<u8>,
     last_update: Option<Update>,
 }
 
@@ -122,7 +134,8 @@
 
 impl Default for Mirror {
     fn default() -> Self {
-        Self { state: Mutex::default(), revisions: watch::Sender::new(0) }
+        let (revisions, contacts) = (watch::Sender::new(0), watch::Sender::new(()));
+        Self { state: Mutex::default(), revisions, contacts }
     }
 }
 
@@ -135,7 +148,40 @@
     /// How recent this copy is.
     pub fn head(&self, now: Instant) -> Head {
         let state = self.lock();
-        Head { revision: state.revision, age_ms: state.complete_at.map(|at| millis(now - at)) }
+        Head {
+            revision: state.revision,
+            age_ms: state.complete_at.map(|at| millis(now - at)),
+            follower: state.complete_by.clone(),
+            distance: state.distance,
+        }
+    }
+
+    /// A receiver that changes with the contact with the store.
+    pub fn contacts(&self) -> watch::Receiver<()> {
+        self.contacts.subscribe()
+    }
+
+    /// The newest revision up to which the copy lacks nothing; `None` if there is no copy.
+    pub fn revision(&self) -> Option<u64> {
+        Some(self.lock().revision).filter(|revision| *revision > 0)
+    }
+
+    /// Whether this entry follows the store and got no answer to its last call.
+    pub fn is_cut_off(&self) -> bool {
+        self.lock().is_cut_off
+    }
+
+    /// Records the number of entries between this one and the store; `None` if there is no way.
+    pub fn set_distance(&self, distance: Option<u8>) {
+        let previous = std::mem::replace(&mut self.lock().distance, distance);
+        if previous != distance {
+            self.contacts.send_replace(());
+        }
+    }
+
+    /// Records that this entry no longer follows the store.
+    pub fn end_following(&self) {
+        self.lock().is_cut_off = false;
     }
 
     /// When the store was last unreachable for a follower that this copy comes from.
@@ -154,18 +200,36 @@
         self.lock().last_update.clone()
     }
 
-    /// Records that the store's revision was `revision` at a time. The copy was complete then if it
-    /// goes up to that revision.
-    pub fn confirm(&self, revision: u64, at: Instant) {
+    /// Records that the store told this entry that its revision is `revision`.
+    pub fn confirm(&self, revision: u64, now: Instant) {
+        self.lock().is_cut_off = false;
+        self.confirm_by(None, revision, now);
+    }
+
+    /// Records that the store's revision was `revision` at a time, as it told `follower`, or this
+    /// entry. The copy was complete then if it goes up to that revision.
+    pub fn confirm_by(&self, follower: Option<&str>, revision: u64, at: Instant) {
         let mut state = self.lock();
-        if state.revision >= revision {
-            state.complete_at = state.complete_at.max(Some(at));
+        if state.revision < revision || state.complete_at.is_some_and(|known| known >= at) {
+            return;
+        }
+        state.complete_at = Some(at);
+        state.complete_by = follower.map(str::to_owned);
+        let is_worth_telling = state.told_at.is_none_or(|told_at| at - told_at >= MIN_AGE_GAIN);
+        if is_worth_telling {
+            state.told_at = Some(at);
+            drop(state);
+            self.contacts.send_replace(());
         }
     }
 
-    /// Records that the store can't be reached.
+    /// Records that the store did not answer this entry.
     pub fn record_outage(&self, now: Instant) {
-        self.lock().outage_at = Some(now);
+        let mut state = self.lock();
+        state.outage_at = Some(now);
+        state.is_cut_off = true;
+        drop(state);
+        self.contacts.send_replace(());
     }
 
     /// Applies a snapshot of all keys at one revision. It may be older than this copy.
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -3,8 +3,9 @@
 //! Each call to the store is charged, including a waiting watch, and calls by every entry for every
 //! change would grow with the square of the fleet. So only a few entries, the followers, watch the
 //! store. The others learn the newest revision from them, and fetch missing changes from the
-//! nearest entry that has them. An entry that is isolated, that is without any source with recent
-//! data from the store, watches the store itself until it has one.
+//! nearest entry that has them. Each entry knows how long ago its copy was complete. One that is
+//! isolated, that is without any source that is up to date, watches the store itself until it has
+//! one again; entries take over in the order of the succession.
 
 pub mod follower;
 pub mod groups;
@@ -51,13 +52,18 @@
 }
 
 /// How recent an entry's copy of the store is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
     /// The newest revision of the copy.
     pub revision: u64,
     /// Time since the copy was last known to be complete, which is when the store told a follower of
     /// this revision or an earlier one; in milliseconds, `None` if it never was.
     pub age_ms: Option<u64>,
+    /// VM of the follower that the store told so; `None` if it is the sender.
+    pub follower: Option<String>,
+    /// Number of entries between the sender and the store; `None` if it knows no way to the store.
+    /// Its copy may miss changes from then on, whatever its age.
+    pub distance: Option<u8>,
 }
 
 /// The changes between two revisions.
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -2,11 +2,11 @@
 //! itself.
 
 use crate::feed::groups::{Statuses, TimedStatus, merge_status};
-use crate::feed::isolation::Isolation;
+use crate::feed::isolation::{Isolation, Sources};
 use crate::feed::mirror::Mirror;
 use crate::feed::transport::{Connect, FeedLink};
 use crate::feed::{FeedMessage, FeedRequest, Head};
-use flamingowheel_policy::topology::{EntryRef, Topology};
+use flamingowheel_policy::topology::{EntryRef, FOLLOWERS, Topology, takeover_round};
 use flamingowheel_protocol::message::Hello;
 use rand::seq::IndexedRandom;
 use std::collections::{BTreeMap, HashMap};
@@ -23,9 +23,22 @@
 /// Pause before reconnecting to an entry.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
 
-/// Age of the store's last answer from which a source counts as cut off from the store. A watch
-/// without changes is answered more often than this.
-const MAX_SOURCE_AGE: Duration = Duration::from_millis(3_200);
+/// Age of a source's copy from which the source no longer counts as up to date. A follower's watch
+/// is answered more often than this.
+const MAX_SOURCE_AGE: Duration = Duration::from_millis(900);
+
+/// Largest number of entries between this one and the store: a follower, the first entry of a data
+/// centre, and one more while others take over. Without a bound, entries that are cut off could
+/// take each other for a way to the store.
+const MAX_DISTANCE: u8 = 3;
+
+/// Time between two rounds of entries that take over from the followers: for a call to the store
+/// and a connection to those that made it.
+pub const TAKEOVER_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Number of entries after the followers in the succession to which others connect while no
+/// preferred source is up to date.
+const STAND_INS: usize = 3;
 
 /// Time for the nearest source to catch up before a more distant one is asked.
 const NEAREST_SOURCE_WAIT: Duration = Duration::from_millis(150);
@@ -36,7 +49,7 @@
 /// Time limit for the answer to a fetch; the first one of all keys may take long.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Number of random entries to connect to while no source is fresh.
+/// Number of random entries to connect to while no preferred source is up to date.
 const RANDOM_SOURCES: usize = 2;
 
 /// Time between two choices of random entries.
@@ -80,8 +93,8 @@
     statuses: watch::Sender<Arc<Statuses>>,
     /// Sources in the order of preference.
     preferred: Vec<String>,
-    /// Whether this entry is one of those that follow the store for the whole fleet.
-    is_among_followers: bool,
+    /// All entries in the order in which they are to follow the store.
+    succession: Vec<String>,
 }
 
 /// A message from a source; `None` when its connection has ended or can't be opened.
@@ -110,12 +123,21 @@
 }
 
 impl Source {
-    /// Time since the store answered the follower that the source's copy comes from.
-    fn store_answer_age(&self, now: Instant) -> Option<Duration> {
+    /// Time since the source's copy was complete.
+    fn age(&self, now: Instant) -> Option<Duration> {
         let (head, received_at) = self.last_head.as_ref()?;
         Some(Duration::from_millis(head.age_ms?) + (now - *received_at))
     }
 
+    fn is_current(&self, now: Instant) -> bool {
+        let is_near = self.distance().is_some_and(|distance| distance < MAX_DISTANCE);
+        is_near && self.age(now).is_some_and(|age| age < MAX_SOURCE_AGE)
+    }
+
+    fn distance(&self) -> Option<u8> {
+        self.last_head.as_ref()?.0.distance
+    }
+
     /// Whether the source sends statuses of groups, or was asked recently.
     fn sends_statuses(&self, now: Instant) -> bool {
         let last = self.statuses_received_at.max(self.statuses_requested_at);
@@ -124,12 +146,12 @@
 
     /// Passes on what the source told of the store. That says nothing about a copy that lacks some
     /// of the source's changes.
-    fn confirm(&self, mirror: &Mirror) {
+    fn confirm(&self, vm: &str, mirror: &Mirror) {
         if let Some((head, received_at)) = &self.last_head
             && let Some(age_ms) = head.age_ms
             && let Some(at) = received_at.checked_sub(Duration::from_millis(age_ms))
         {
-            mirror.confirm(head.revision, at);
+            mirror.confirm_by(Some(head.follower.as_deref().unwrap_or(vm)), head.revision, at);
         }
     }
 
@@ -167,7 +189,7 @@
             started_at: Instant::now(),
             statuses,
             preferred: Vec::new(),
-            is_among_followers: false,
+            succession: Vec::new(),
         }
     }
 
@@ -175,6 +197,7 @@
     pub async fn run(mut self) {
         let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut contacts = self.mirror.contacts();
         loop {
             tokio::select! {
                 Some(event) = self.events.1.recv() => self.handle_event(event),
@@ -188,9 +211,10 @@
                 _ = ticks.tick() => {
                     self.connect();
                     self.request_statuses();
-                    self.update_follows();
                 }
+                _ = contacts.changed() => {}
             }
+            self.update_follows();
             self.fetch();
         }
     }
@@ -208,7 +232,7 @@
             }
             Some(FeedMessage::Head(head)) => {
                 source.last_head = Some((head, now));
-                source.confirm(&self.mirror);
+                source.confirm(&event.vm, &self.mirror);
             }
             Some(FeedMessage::Groups(statuses)) => {
                 source.statuses_received_at = Some(now);
@@ -222,8 +246,8 @@
                 if !self.mirror.apply_delta(&event.vm, delta, now) {
                     tracing::warn!(vm = event.vm, "malformed delta from another entry");
                 }
-                for source in self.sources.values() {
-                    source.confirm(&self.mirror);
+                for (vm, source) in &self.sources {
+                    source.confirm(vm, &self.mirror);
                 }
             }
         }
@@ -238,14 +262,14 @@
         let topology = Topology::new(entry_refs);
         let sources = topology.sources(&hello.data_centre, &hello.vm);
         self.preferred = sources.into_iter().map(str::to_owned).collect();
-        self.is_among_followers = topology.followers().contains(&hello.vm.as_str());
+        self.succession = topology.succession().into_iter().map(str::to_owned).collect();
     }
 
     /// Connects to the sources that are wanted now and closes all other connections.
     fn connect(&mut self) {
         let members = Arc::clone(&self.members.borrow());
         let mut wanted = self.preferred.clone();
-        wanted.extend(self.random_sources(&members));
+        wanted.extend(self.substitutes(&members));
         self.sources.retain(|vm, _| wanted.contains(vm) && members.contains_key(vm));
         for vm in wanted {
             let Some(peer) = members.get(&vm).filter(|_| !self.sources.contains_key(&vm)) else {
@@ -282,22 +306,25 @@
         }
     }
 
-    /// Chooses some entries at random while no source is fresh, to find one that is.
-    fn random_sources(&mut self, members: &Members) -> Vec<String> {
+    /// Entries to connect to besides the preferred sources while none of these is up to date: those
+    /// that take over first, and some at random, since these may be cut off as well.
+    fn substitutes(&mut self, members: &Members) -> Vec<String> {
         let now = Instant::now();
-        if self.isolation == Isolation::Connected {
-            self.random_choice = (Vec::new(), None);
+        let is_current = |vm: &String| self.sources.get(vm).is_some_and(|s| s.is_current(now));
+        let (chosen, chosen_at) = &mut self.random_choice;
+        if self.preferred.iter().any(is_current) {
+            *chosen_at = None;
             return Vec::new();
         }
-        let (chosen, chosen_at) = &mut self.random_choice;
+        let own_vm = &self.hello.vm;
         if chosen_at.is_none_or(|at| now - at > RANDOM_SOURCES_INTERVAL) {
-            let own_vm = &self.hello.vm;
             let others: Vec<&String> = members.keys().filter(|vm| *vm != own_vm).collect();
             let drawn = others.sample(&mut rand::rng(), RANDOM_SOURCES);
             *chosen = drawn.map(|vm| (*vm).clone()).collect();
             *chosen_at = Some(now);
         }
-        chosen.clone()
+        let successors = self.succession.iter().skip(FOLLOWERS).filter(|vm| *vm != own_vm);
+        successors.take(STAND_INS).chain(chosen.iter()).cloned().collect()
     }
 
     fn open(&self, vm: &str, address: SocketAddr) -> Source {
@@ -371,39 +398,69 @@
         (is_near(best) || may_be_distant).then(|| best.clone())
     }
 
-    fn log_isolation(&self, now: Instant) {
-        let sources: Vec<String> =
-            self.sources.iter().map(|(vm, source)| describe_source(vm, source, now)).collect();
-        let revision = self.mirror.head(now).revision;
-        tracing::warn!(revision, sources = sources.join("; "), "no source is up to date");
-    }
-
     /// Decides whether this entry follows the store itself: because it is one of the fleet's
     /// followers, or because it is isolated.
     fn update_follows(&mut self) {
         let now = Instant::now();
+        let position = self.position(&self.hello.vm);
+        let has_current = self.sources.values().any(|source| source.is_current(now));
+        let has_predecessor = self.sources.iter().any(|(vm, source)| {
+            source.is_current(now) && self.follower_position(vm, source) < position
+        });
+        let turn = TAKEOVER_INTERVAL * takeover_round(position);
+        let isolation = self.isolation.next(now, Sources { has_current, has_predecessor }, turn);
+        self.set_isolation(isolation, now);
         let is_settled = now - self.started_at > STARTUP_DELAY;
-        let is_follower = is_settled && self.is_among_followers;
-        let is_fresh =
-            |source: &Source| source.store_answer_age(now).is_some_and(|age| age < MAX_SOURCE_AGE);
-        let has_fresh = self.sources.values().any(is_fresh);
-        let entries = self.members.borrow().len();
-        let isolation = self.isolation.next(now, has_fresh, entries, rand::random());
-        if self.isolation == Isolation::Connected && isolation != Isolation::Connected {
-            self.log_isolation(now);
-        }
-        self.isolation = isolation;
-        let follows = is_follower || self.isolation.follows();
+        let is_follower = is_settled && position < FOLLOWERS && !self.succession.is_empty();
+        let follows = is_follower || isolation.follows();
         self.follows.send_if_modified(|current| std::mem::replace(current, follows) != follows);
+        self.mirror.set_distance(self.distance(follows, now));
+    }
+
+    /// Number of entries between this one and the store.
+    fn distance(&self, follows: bool, now: Instant) -> Option<u8> {
+        if follows && !self.mirror.is_cut_off() {
+            return Some(0);
+        }
+        let current = self.sources.values().filter(|source| source.is_current(now));
+        let nearest = current.filter_map(Source::distance).min()?;
+        Some(nearest + 1)
+    }
+
+    /// Position in the succession; entries that are not listed come last.
+    fn position(&self, vm: &str) -> usize {
+        let position = self.succession.iter().position(|other| other == vm);
+        position.unwrap_or(self.succession.len())
+    }
+
+    /// Position of the follower from which a source knows that its copy is complete.
+    fn follower_position(&self, vm: &str, source: &Source) -> usize {
+        let follower = source.last_head.as_ref().and_then(|(head, _)| head.follower.as_deref());
+        self.position(follower.unwrap_or(vm))
+    }
+
+    fn set_isolation(&mut self, isolation: Isolation, now: Instant) {
+        let previous = std::mem::replace(&mut self.isolation, isolation);
+        if previous == Isolation::Connected && isolation != Isolation::Connected {
+            let sources: Vec<String> =
+                self.sources.iter().map(|(vm, source)| describe_source(vm, source, now)).collect();
+            let revision = self.mirror.revision();
+            tracing::warn!(revision, sources = sources.join("; "), "no source is up to date");
+        }
+        if previous != Isolation::Connected && isolation == Isolation::Connected {
+            tracing::info!("a source is up to date");
+        }
     }
 }
 
-/// Time since the store answered, and the revision, of one source.
+/// How recent one source is.
 fn describe_source(vm: &str, source: &Source, now: Instant) -> String {
-    match source.store_answer_age(now) {
-        Some(age) => format!("{vm}: {} ms, revision {}", age.as_millis(), source.revision()),
-        None => format!("{vm}: no answer"),
-    }
+    let Some((head, _)) = &source.last_head else {
+        return format!("{vm}: not connected");
+    };
+    let age = source.age(now).map_or("no".to_owned(), |age| format!("{} ms", age.as_millis()));
+    let cut_off = if head.distance.is_some() { "" } else { ", cut off" };
+    format!("{vm}: {age} old, revision {}{cut_off}", head.revision)
 }
 
 /// Maintains the connection to one source.
--- a/crates/gateway/src/feed/server.rs
+++ b/crates/gateway/src/feed/server.rs
@@ -29,7 +29,7 @@
     mirror: Arc<Mirror>,
     mut statuses: watch::Receiver<Arc<Statuses>>,
 ) {
-    let mut revisions = mirror.revisions();
+    let (mut revisions, mut contacts) = (mirror.revisions(), mirror.contacts());
     let mut heads = interval(HEAD_INTERVAL);
     heads.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sends_statuses = false;
@@ -50,6 +50,14 @@
                 if changed.is_err() {
                     return;
                 }
+                heads.reset();
+                FeedMessage::Head(mirror.head(Instant::now()))
+            }
+            changed = contacts.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                heads.reset();
                 FeedMessage::Head(mirror.head(Instant::now()))
             }
             () = sleep_until(next_statuses_at), if sends_statuses => {
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -123,6 +123,15 @@
     }
 }
 
+/// Guards against a change that is lost with all entries that follow the store.
+#[tokio::test(start_paused = true)]
+async fn change_all_followers_struck() {
+    for fault in FAULTS.into_iter().filter(|fault| !matches!(fault, Fault::StoreStale)) {
+        let in_force = change_with_fault(fault, 3).await;
+        assert!(in_force.is_ok(), "{fault:?}: {in_force:?}");
+    }
+}
+
 /// Guards against an entry that keeps what it read at its start: the configuration changes between
 /// its first read and its first connections, and it is the time at which the followers change.
 #[tokio::test(start_paused = true)]
--- a/crates/policy/src/topology.rs
+++ b/crates/policy/src/topology.rs
@@ -18,6 +18,9 @@
 /// Two of them may fail, for example one partitioned and one stopped.
 pub const FOLLOWERS: usize = 3;
 
+/// Entries of the first round of a takeover, and the factor by which each further round is larger.
+const ROUND_GROWTH: usize = 4;
+
 /// Name and data centre of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EntryRef<'a> {
@@ -106,6 +109,18 @@
         pollers
     }
 
+    /// The order in which entries are to watch the key-value service for all others: the first
+    /// entries of the data centres, then the second ones, and so on.
+    pub fn succession(&self) -> Vec<&'a str> {
+        let mut centres: Vec<(&str, &Vec<&str>)> =
+            self.orders.iter().map(|(centre, order)| (*centre, order)).collect();
+        centres.sort_by_key(|(centre, _)| (xxh3_64(centre.as_bytes()), *centre));
+        let longest = centres.iter().map(|(_, order)| order.len()).max().unwrap_or(0);
+        let by_position = (0..longest)
+            .flat_map(|position| centres.iter().filter_map(move |(_, order)| order.get(position)));
+        by_position.copied().collect()
+    }
+
     /// The [`FOLLOWERS`] entries that watch the key-value service for all others: the first entries
     /// of different data centres, and further entries of each if there are fewer data centres than
     /// that.
@@ -117,13 +132,9 @@
     /// assert_eq!(topology.followers().len(), 3);
     /// ```
     pub fn followers(&self) -> Vec<&'a str> {
-        let mut centres: Vec<(&str, &Vec<&str>)> =
-            self.orders.iter().map(|(centre, order)| (*centre, order)).collect();
-        centres.sort_by_key(|(centre, _)| (xxh3_64(centre.as_bytes()), *centre));
-        let longest = centres.iter().map(|(_, order)| order.len()).max().unwrap_or(0);
-        let by_position = (0..longest)
-            .flat_map(|position| centres.iter().filter_map(move |(_, order)| order.get(position)));
-        by_position.take(FOLLOWERS).copied().collect()
+        let mut succession = self.succession();
+        succession.truncate(FOLLOWERS);
+        succession
     }
 
     /// The entries from which this one receives the service's contents, nearest first: the first
@@ -151,6 +162,24 @@
     }
 }
 
+/// The round in which the entry at a position of the succession takes over once no follower reaches
+/// the service. Rounds grow, so that few entries call the service if those before them succeed, and
+/// the last entry of any fleet has its turn soon if all before it are cut off.
+///
+/// ```
+/// use flamingowheel_policy::topology::takeover_round;
+/// assert_eq!([2, 3, 11, 12, 47, 48, 379].map(takeover_round), [0, 0, 0, 1, 1, 2, 3]);
+/// ```
+pub fn takeover_round(position: usize) -> u32 {
+    let mut round = 0;
+    let mut end = FOLLOWERS * ROUND_GROWTH;
+    while position >= end {
+        end *= ROUND_GROWTH;
+        round += 1;
+    }
+    round
+}
+
 /// Positions of the parents of a position. The two watchers are each other's parent.
 fn parents(position: usize, count: usize) -> impl Iterator<Item = usize> {
     let (first, second) = match position {
