Gateway: a source at a new address is connected to anew

Found with the model of the spreading: an entry that started again under its name at another address, before its lease had run out, kept its place among the sources, and the others went on calling its old address. They took over from it for good, at a cost of two calls a second each, and had one source less. Now a source is kept only at the address that its entry announces. change_followers_addressed_anew fails without that (more than three entries follow).

--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -106,6 +106,7 @@
 
 #[derive(Debug)]
 struct Source {
+    address: SocketAddr,
     stop: CancellationToken,
     requests: mpsc::Sender<FeedRequest>,
     last_head: Option<(Head, Instant)>,
@@ -270,7 +271,10 @@
         let members = Arc::clone(&self.members.borrow());
         let mut wanted = self.preferred.clone();
         wanted.extend(self.substitutes(&members));
-        self.sources.retain(|vm, _| wanted.contains(vm) && members.contains_key(vm));
+        self.sources.retain(|vm, source| {
+            let is_same = members.get(vm).is_some_and(|peer| peer.address == source.address);
+            is_same && wanted.contains(vm)
+        });
         for vm in wanted {
             let Some(peer) = members.get(&vm).filter(|_| !self.sources.contains_key(&vm)) else {
                 continue;
@@ -342,6 +346,7 @@
             stopped.run_until_cancelled(connection.run()).await;
         });
         Source {
+            address,
             stop,
             requests,
             last_head: None,
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -36,9 +36,36 @@
 /// Time between two looks at what is in force.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Added to the latency of a slow link, and to the store's answers to a VM that it serves slowly.
+const SLOW_DELAY: Duration = Duration::from_millis(700);
+
 /// Port for other entries.
 const PEER_PORT: u16 = 7_340;
 
+/// Faults of one entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Killed,
+    Frozen,
+    Mute,
+    Slow,
+    StoreRefuses,
+    StoreSilent,
+    StoreStale,
+    StoreSlow,
+}
+
+pub const FAULTS: [Fault; 8] = [
+    Fault::Killed,
+    Fault::Frozen,
+    Fault::Mute,
+    Fault::Slow,
+    Fault::StoreRefuses,
+    Fault::StoreSilent,
+    Fault::StoreStale,
+    Fault::StoreSlow,
+];
+
 struct Entry {
     views: Views,
     mirror: Arc<Mirror>,
@@ -160,6 +187,31 @@
         self.entries[vm].reach.send_replace(reach);
     }
 
+    pub fn strike(&mut self, vm: &str, fault: Fault) {
+        let slow = LinkFault { delay: SLOW_DELAY, ..LinkFault::default() };
+        let mute = LinkFault { mute: true, ..LinkFault::default() };
+        match fault {
+            Fault::Killed => self.kill(vm),
+            Fault::Frozen => self.freeze(vm, true),
+            Fault::Mute => self.network.set_fault(vm, mute),
+            Fault::Slow => self.network.set_fault(vm, slow),
+            Fault::StoreRefuses => self.set_reach(vm, Reach::Refused),
+            Fault::StoreSilent => self.set_reach(vm, Reach::Silent),
+            Fault::StoreStale => self.set_reach(vm, Reach::Stale),
+            Fault::StoreSlow => self.set_reach(vm, Reach::Slow(SLOW_DELAY)),
+        }
+    }
+
+    /// Ends the fault of an entry.
+    pub fn heal(&mut self, vm: &str, fault: Fault) {
+        if fault == Fault::Killed {
+            self.restart(vm);
+            return;
+        }
+        self.network.set_fault(vm, LinkFault::default());
+        self.set_reach(vm, Reach::Normal);
+    }
+
     /// Stops everything that an entry sends and receives, with its connections open.
     pub fn freeze(&self, vm: &str, frozen: bool) {
         self.set_reach(vm, if frozen { Reach::Silent } else { Reach::Normal });
--- a/crates/gateway/tests/fleet/network.rs
+++ b/crates/gateway/tests/fleet/network.rs
@@ -5,14 +5,14 @@
 use flamingowheel_gateway::feed::{FeedMessage, FeedRequest, TIMING};
 use flamingowheel_protocol::link::{Link, LinkOptions};
 use flamingowheel_protocol::message::{Hello, Role};
-use flamingowheel_protocol::websocket::{HandshakeError, Identity};
+use flamingowheel_protocol::websocket::{HandshakeError, Identity, MAX_ACCEPTED};
 use futures_util::{sink, stream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// One-way latency between two entries.
@@ -32,9 +32,16 @@
     pub delay: Duration,
 }
 
+#[derive(Clone, Debug)]
+struct Listener {
+    vm: String,
+    accepted: mpsc::UnboundedSender<ServedLink>,
+    permits: Arc<Semaphore>,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    listeners: HashMap<SocketAddr, (String, mpsc::UnboundedSender<ServedLink>)>,
+    listeners: HashMap<SocketAddr, Listener>,
     faults: HashMap<String, watch::Sender<LinkFault>>,
     links: HashMap<String, Vec<mpsc::Sender<()>>>,
 }
@@ -51,7 +58,8 @@
     pub fn listen(&self, vm: &str, address: SocketAddr) -> mpsc::UnboundedReceiver<ServedLink> {
         let (sender, receiver) = mpsc::unbounded_channel();
         let mut state = self.state.lock().unwrap();
-        state.listeners.insert(address, (vm.to_owned(), sender));
+        let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
+        state.listeners.insert(address, Listener { vm: vm.to_owned(), accepted: sender, permits });
         receiver
     }
 
@@ -63,7 +71,7 @@
     /// Closes all connections of an entry and refuses new ones to it.
     pub fn close(&self, vm: &str) {
         let mut state = self.state.lock().unwrap();
-        state.listeners.retain(|_, (listening, _)| listening != vm);
+        state.listeners.retain(|_, listener| listener.vm != vm);
         state.links.remove(vm);
     }
 
@@ -83,13 +91,19 @@
     }
 
     /// One direction of a connection. It ends when either entry's connections are closed.
-    fn direction(&self, from: &str, to: &str) -> (mpsc::UnboundedSender<Bytes>, Incoming) {
+    fn direction(
+        &self,
+        from: &str,
+        to: &str,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> (mpsc::UnboundedSender<Bytes>, Incoming) {
         let (sender, mut queued) = mpsc::unbounded_channel::<Bytes>();
         let (delivered, receiver) = mpsc::unbounded_channel();
         let (mut from_fault, mut to_fault) = (self.fault(from), self.fault(to));
         let (from_closed, to_closed) = (self.closing(from), self.closing(to));
         let network = self.clone();
         tokio::spawn(async move {
+            let _permit = permit;
             let deliver = async {
                 while let Some(bytes) = queued.recv().await {
                     let fault = *from_fault.borrow();
@@ -126,13 +140,11 @@
     }
 
     fn open(&self, from: &str, address: SocketAddr) -> Option<FeedLink> {
-        let (to, accepted) = {
-            let state = self.state.lock().unwrap();
-            let (vm, sender) = state.listeners.get(&address)?;
-            (vm.clone(), sender.clone())
-        };
-        let (request_sender, requests) = self.direction(from, &to);
-        let (answer_sender, answers) = self.direction(&to, from);
+        let Listener { vm: to, accepted, permits } =
+            self.state.lock().unwrap().listeners.get(&address)?.clone();
+        let permit = permits.try_acquire_owned().ok()?;
+        let (request_sender, requests) = self.direction(from, &to, Some(permit));
+        let (answer_sender, answers) = self.direction(&to, from, None);
         let served = start(from, answer_sender, requests);
         accepted.send(served).ok()?;
         Some(start(&to, request_sender, answers))
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -2,9 +2,8 @@
 
 mod fleet;
 
-use fleet::Fleet;
-use fleet::network::LinkFault;
 use fleet::store::Reach;
+use fleet::{FAULTS, Fault, Fleet};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -14,6 +13,9 @@
 /// The goal for a change with one fault in its way.
 const SINGLE_FAULT_GOAL: Duration = Duration::from_millis(1_200);
 
+/// Time between two polls of an entry that follows the store, while nothing changes.
+const POLL_WAIT: Duration = Duration::from_millis(500);
+
 fn without(vms: &[String], left_out: &[String]) -> Vec<String> {
     vms.iter().filter(|vm| !left_out.contains(vm)).cloned().collect()
 }
@@ -63,42 +65,6 @@
     }
 }
 
-/// Faults of one entry that others get changes from.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    Killed,
-    Frozen,
-    Mute,
-    Slow,
-    StoreRefuses,
-    StoreSilent,
-    StoreStale,
-}
-
-const FAULTS: [Fault; 7] = [
-    Fault::Killed,
-    Fault::Frozen,
-    Fault::Mute,
-    Fault::Slow,
-    Fault::StoreRefuses,
-    Fault::StoreSilent,
-    Fault::StoreStale,
-];
-
-fn strike(fleet: &mut Fleet, vm: &str, fault: Fault) {
-    let slow = LinkFault { delay: Duration::from_millis(700), ..LinkFault::default() };
-    let mute = LinkFault { mute: true, ..LinkFault::default() };
-    match fault {
-        Fault::Killed => fleet.kill(vm),
-        Fault::Frozen => fleet.freeze(vm, true),
-        Fault::Mute => fleet.network.set_fault(vm, mute),
-        Fault::Slow => fleet.network.set_fault(vm, slow),
-        Fault::StoreRefuses => fleet.set_reach(vm, Reach::Refused),
-        Fault::StoreSilent => fleet.set_reach(vm, Reach::Silent),
-        Fault::StoreStale => fleet.set_reach(vm, Reach::Stale),
-    }
-}
-
 /// Strikes `count` of the entries that follow the store and changes the configuration twice within
 /// a tenth of a second; returns how long the second change takes at the others.
 async fn change_with_fault(fault: Fault, count: usize) -> Result<Duration, Vec<String>> {
@@ -106,7 +72,7 @@
     let struck: Vec<String> = fleet.followers().into_iter().take(count).collect();
     fleet.change().await;
     for vm in &struck {
-        strike(&mut fleet, vm, fault);
+        fleet.strike(vm, fault);
     }
     let version = fleet.change().await;
     let in_touch = without(&fleet.vms(), &struck);
@@ -149,3 +115,19 @@
         assert!(in_force.is_ok(), "{gap_ms} ms: {in_force:?}");
     }
 }
+
+/// Guards against an entry that goes on calling the old address of a source that started again
+/// elsewhere under its name, before its lease had run out.
+#[tokio::test(start_paused = true)]
+async fn change_followers_addressed_anew() {
+    let mut fleet = Fleet::start(9, 3).await;
+    for vm in fleet.followers() {
+        fleet.kill(&vm);
+        fleet.restart(&vm);
+        sleep(Duration::from_secs(5)).await;
+    }
+    let calls = fleet.store.calls().watch;
+    sleep(POLL_WAIT * 20).await;
+    // Entries that don't reach the three followers follow the store as well.
+    assert!(fleet.store.calls().watch - calls <= 3 * 20, "more than three entries follow");
+}
--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -34,7 +34,7 @@
 /// Most concurrent connections of one listener. Few processes connect to any one; without a bound,
 /// an unauthenticated client that opens connections and sends nothing would exhaust this process's
 /// file descriptors.
-const MAX_ACCEPTED: usize = 256;
+pub const MAX_ACCEPTED: usize = 256;
 
 /// Pause after a failed accept, which most likely means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
