Gateway: an entry that waits for changes too long asks the store

Now sources don't count once an entry has known for 0.5 s of changes that none has sent; it takes over in its turn and asks the store.

--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -36,6 +36,10 @@
 /// and a connection to those that made it.
 pub const TAKEOVER_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time for which an entry may know of changes that no source has sent it. After that its sources
+/// don't count, since their answers would come too late.
+const BEHIND_LIMIT: Duration = Duration::from_millis(500);
+
 /// Number of entries after the followers in the succession to which others connect while no
 /// preferred source is up to date.
 const STAND_INS: usize = 3;
@@ -408,10 +412,12 @@
     fn update_follows(&mut self) {
         let now = Instant::now();
         let position = self.position(&self.hello.vm);
-        let has_current = self.sources.values().any(|source| source.is_current(now));
-        let has_predecessor = self.sources.iter().any(|(vm, source)| {
-            source.is_current(now) && self.follower_position(vm, source) < position
-        });
+        let serves = |source: &Source| source.is_current(now) && !self.is_left_behind(now);
+        let has_current = self.sources.values().any(serves);
+        let has_predecessor = self
+            .sources
+            .iter()
+            .any(|(vm, source)| serves(source) && self.follower_position(vm, source) < position);
         let turn = TAKEOVER_INTERVAL * takeover_round(position);
         let isolation = self.isolation.next(now, Sources { has_current, has_predecessor }, turn);
         self.set_isolation(isolation, now);
@@ -422,6 +428,12 @@
         self.mirror.set_distance(self.distance(follows, now));
     }
 
+    /// Whether sources have had changes for too long that they have not sent.
+    fn is_left_behind(&self, now: Instant) -> bool {
+        let has_copy = self.mirror.revision().is_some();
+        has_copy && self.behind_since.is_some_and(|since| now - since > BEHIND_LIMIT)
+    }
+
     /// Number of entries between this one and the store.
     fn distance(&self, follows: bool, now: Instant) -> Option<u8> {
         if follows && !self.mirror.is_cut_off() {
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -18,7 +18,7 @@
 use flamingowheel_gateway::publish::{Outputs, Publisher};
 use flamingowheel_gateway::view::{EntryRecord, Views};
 use flamingowheel_platform::CONFIGURATION_KEY;
-use flamingowheel_policy::topology::{EntryRef, Topology};
+use flamingowheel_policy::topology::{EntryRef, FOLLOWERS, Topology};
 use network::{LinkFault, Network, hello};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -177,10 +177,17 @@
 
     /// The entries that follow the store for all.
     pub fn followers(&self) -> Vec<String> {
+        let mut succession = self.succession();
+        succession.truncate(FOLLOWERS);
+        succession
+    }
+
+    /// All entries in the order in which they are to follow the store.
+    pub fn succession(&self) -> Vec<String> {
         let entries = self.entries.keys();
         let entry = |vm| EntryRef { data_centre: data_centre(vm), name: vm };
         let topology = Topology::new(entries.map(|vm| entry(vm)));
-        topology.followers().into_iter().map(str::to_owned).collect()
+        topology.succession().into_iter().map(str::to_owned).collect()
     }
 
     pub fn set_reach(&self, vm: &str, reach: Reach) {
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -131,3 +131,19 @@
     // Entries that don't reach the three followers follow the store as well.
     assert!(fleet.store.calls().watch - calls <= 3 * 20, "more than three entries follow");
 }
+
+/// Guards against an entry that knows of a change and waits for a slow source to send it, while the
+/// store would answer at once.
+#[tokio::test(start_paused = true)]
+async fn change_sources_slow() {
+    let mut fleet = Fleet::start(60, 3).await;
+    let slow = fleet.followers();
+    fleet.change().await;
+    for vm in &slow {
+        fleet.strike(vm, Fault::Slow);
+    }
+    let version = fleet.change().await;
+    let in_touch = without(&fleet.vms(), &slow);
+    let in_force = fleet.in_force(version, &in_touch, IN_FORCE_LIMIT).await;
+    assert!(in_force.is_ok(), "late: {in_force:?}");
+}
