Gateway: followers ask for the store's revision between polls

Now a follower reads the store's revision, under a prefix that no key has, when nothing has confirmed its copy for 0.5 s. A newer one that the watch does not bring within 0.6 s makes it read all keys; no answer within 0.35 s counts as a loss.

--- a/crates/backing/src/poll.rs
+++ b/crates/backing/src/poll.rs
@@ -15,10 +15,7 @@
 /// Times of a watch's polls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PollTiming {
-    /// The same as `wait` for the first poll, whose reader doesn't know yet whether it lacks changes.
-    pub first_wait: Duration,
-    /// How long the store may hold a poll before it answers that nothing changed. What depends on
-    /// the watch learns only after this time and the slack that the store has fallen silent.
+    /// How long the store may hold a poll before it answers that nothing changed.
     pub wait: Duration,
     /// Added to the wait before a poll times out: the store's time for an answer when it is slow,
     /// and the network latency.
@@ -39,8 +36,7 @@
 impl Default for PollTiming {
     fn default() -> Self {
         Self {
-            first_wait: Duration::from_millis(50),
-            wait: Duration::from_millis(500),
+            wait: Duration::from_millis(1_000),
             slack: Duration::from_millis(300),
             pause: Duration::from_millis(200),
         }
@@ -110,12 +106,11 @@
     let prefix = prefix.to_owned();
     tokio::spawn(async move {
         let mut after = after;
-        let mut wait = timing.first_wait;
         loop {
             let asked_at = Instant::now();
             // A pending call is dropped once the reader is gone, since every call is billed.
             let answer = tokio::select! {
-                answer = timeout(timing.limit(), store.poll(&prefix, after, wait)) => answer,
+                answer = timeout(timing.limit(), store.poll(&prefix, after, timing.wait)) => answer,
                 () = events.closed() => return,
             };
             // An answer may have lain here while this process stood still.
@@ -127,7 +122,6 @@
                     Err(PollError::Failed(KeyValueError::NoAnswer { limit_ms }))
                 }
             };
-            wait = timing.wait;
             let mut batch = match answer {
                 Ok(answer) => {
                     after = answer.revision;
--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -1,7 +1,7 @@
 //! Updates the mirror from the key-value store.
 
 use crate::feed::mirror::Mirror;
-use flamingowheel_backing::kv::{KeyValue, KeyValueError, Revision, WatchEvent};
+use flamingowheel_backing::kv::{KeyValue, KeyValueError, Revision, Watch, WatchEvent};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -11,6 +11,19 @@
 /// the store's rate limit and an entry needs all keys.
 const ALL_KEYS: &str = "";
 
+/// A prefix that no key has, to read only the store's revision.
+const NO_KEYS: &str = "flamingowheel/none/";
+
+/// Time without an answer of the store after which its revision is read.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time limit of such a read. The store answers within 0.25 s when it is slow.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Time for a watch to bring a change that the store's revision shows; its polls pause after
+/// changes.
+const DEAF_LIMIT: Duration = Duration::from_millis(600);
+
 /// Backoff after the first failure of the store; doubles with each consecutive one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
 
@@ -29,6 +42,16 @@
 /// have to come over a slow link.
 const MAX_START_READ_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Why a watch is no longer read.
+enum WatchEnd {
+    /// The store no longer has all changes since the copy's revision.
+    Compacted,
+    /// The store has changes that the watch does not bring.
+    Deaf,
+    /// The store doesn't answer.
+    Lost(KeyValueError),
+}
+
 /// Follows the store while `should_follow` is true.
 #[derive(Debug)]
 pub struct StoreFollower<K> {
@@ -93,12 +116,12 @@
             self.watch_from(Revision(revision)).await;
         }
         loop {
+            let asked_at = Instant::now();
             match self.store.range(ALL_KEYS).await {
                 Ok(snapshot) => {
                     let revision = snapshot.revision;
-                    self.failures = 0;
                     self.mirror.apply_snapshot(snapshot);
-                    self.mirror.confirm(revision.0, Instant::now());
+                    self.record_answer(revision, asked_at);
                     self.watch_from(revision).await;
                 }
                 Err(error) => self.back_off(&error).await,
@@ -106,39 +129,81 @@
         }
     }
 
-    /// Watches changes until the history is compacted; reopens a watch that ends.
+    /// Watches changes until all keys have to be read; reopens a watch that ends.
     async fn watch_from(&mut self, mut after: Revision) {
         loop {
-            let mut watch = match self.store.watch(ALL_KEYS, after).await {
-                Ok(watch) => watch,
-                Err(error) => {
-                    self.back_off(&error).await;
-                    continue;
+            let end = match self.store.watch(ALL_KEYS, after).await {
+                Ok(watch) => self.read_events(watch, &mut after).await,
+                Err(error) => WatchEnd::Lost(error),
+            };
+            match end {
+                WatchEnd::Compacted => {
+                    tracing::info!(revision = after.0, "history compacted; reading all keys");
+                    return;
+                }
+                WatchEnd::Deaf => {
+                    tracing::warn!(revision = after.0, "watch misses changes; reading all keys");
+                    return;
+                }
+                WatchEnd::Lost(error) => self.back_off(&error).await,
+            }
+        }
+    }
+
+    /// Applies a watch's events until it ends, and asks the store for its revision in between: a
+    /// watch without events may be deaf, and its store silent.
+    async fn read_events(&mut self, mut watch: Watch, after: &mut Revision) -> WatchEnd {
+        let mut check_at = Instant::now();
+        let mut missed_at: Option<Instant> = None;
+        loop {
+            let check = async {
+                sleep_until(check_at).await;
+                let asked_at = Instant::now();
+                (asked_at, timeout(CHECK_TIMEOUT, self.store.range(NO_KEYS)).await)
+            };
+            let overdue = async {
+                match missed_at {
+                    Some(missed_at) => sleep_until(missed_at + DEAF_LIMIT).await,
+                    None => std::future::pending().await,
                 }
             };
-            while let Some(event) = watch.recv().await {
-                let mut progress = None;
-                match &event {
-                    WatchEvent::Progress { revision } => {
-                        after = *revision;
-                        progress = Some(*revision);
-                        self.failures = 0;
+            tokio::select! {
+                event = watch.recv() => match event {
+                    None => return WatchEnd::Lost(KeyValueError::Unreachable),
+                    Some(WatchEvent::Compacted { .. }) => return WatchEnd::Compacted,
+                    Some(WatchEvent::Progress { revision }) => {
+                        *after = revision;
+                        missed_at = None;
+                        self.mirror.apply_event(WatchEvent::Progress { revision });
+                        self.record_answer(revision, Instant::now());
+                        check_at = Instant::now() + CHECK_INTERVAL;
                     }
-                    WatchEvent::Compacted { .. } => {
-                        tracing::info!(revision = after.0, "history compacted; reading all keys");
-                        return;
+                    Some(event) => self.mirror.apply_event(event),
+                },
+                (asked_at, answer) = check => {
+                    match answer {
+                        Ok(Ok(snapshot)) if snapshot.revision > *after => {
+                            missed_at = missed_at.or(Some(Instant::now()));
+                        }
+                        Ok(Ok(snapshot)) => self.record_answer(snapshot.revision, asked_at),
+                        Ok(Err(error)) => return WatchEnd::Lost(error),
+                        Err(_) => {
+                            let limit_ms = CHECK_TIMEOUT.as_millis() as u64;
+                            return WatchEnd::Lost(KeyValueError::NoAnswer { limit_ms });
+                        }
                     }
-                    WatchEvent::Put(_) | WatchEvent::Delete { .. } => {}
-                }
-                self.mirror.apply_event(event);
-                if let Some(revision) = progress {
-                    self.mirror.confirm(revision.0, Instant::now());
+                    check_at = Instant::now() + CHECK_INTERVAL;
                 }
+                () = overdue => return WatchEnd::Deaf,
             }
-            self.back_off(&KeyValueError::Unreachable).await;
         }
     }
 
+    fn record_answer(&mut self, revision: Revision, at: Instant) {
+        self.failures = 0;
+        self.mirror.confirm(revision.0, at);
+    }
+
     async fn back_off(&mut self, error: &KeyValueError) {
         let now = Instant::now();
         let is_new = self.mirror.last_outage().is_none_or(|outage_at| now - outage_at > OUTAGE_END);
