Protocol: a listener accepts the connections of a whole fleet

Found while sizing the way of the news: each entry that follows the store is read by all others, 379 at the planned size, but a listener accepted 256 connections and closed the rest at once. The bound is 1,024 now; an entry has 4,100 descriptors.

--- a/crates/gateway/benches/spread.rs
+++ b/crates/gateway/benches/spread.rs
@@ -80,6 +80,8 @@
         println!("{name}_batches_per_entry_per_s: {:.1}", batches / entry_seconds);
         let watches = (calls_after.watch - calls.watch) as f64;
         println!("{name}_watch_calls_per_s: {:.1}", watches / seconds);
+        let reads = (calls_after.range - calls.range) as f64;
+        println!("{name}_reads_per_s: {:.1}", reads / seconds);
         let renewals = (calls_after.keep_alive - calls.keep_alive) as f64;
         println!("{name}_renewals_per_s: {:.1}", renewals / seconds);
     }
--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -31,10 +31,10 @@
 /// connections; the library's default would cost 128 KiB each.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Most concurrent connections of one listener. Few processes connect to any one; without a bound,
-/// an unauthenticated client that opens connections and sends nothing would exhaust this process's
-/// file descriptors.
-pub const MAX_ACCEPTED: usize = 256;
+/// Most concurrent connections of one listener. All entries of a fleet may connect to one; without a
+/// bound, an unauthenticated client that opens connections and sends nothing would exhaust this
+/// process's file descriptors.
+pub const MAX_ACCEPTED: usize = 1_024;
 
 /// Pause after a failed accept, which most likely means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
