Soak: series of configurations amid entries that are added, killed and cut off

The soak published single versions that changed nothing a caller could see, and checked nothing about them; so it could not have found the incident. Now each version adds a key and revokes the one before, versions come in series less than 0.1 s apart, the store's links of all entries but one fail together, and one entry is added during the run. 2 s after the acknowledgement every entry is asked with the revoked key and the added one; entries without a fault of their own or of the store for 3 s must know.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -42,7 +42,7 @@
     let request_log = RequestLog::default();
     tokio::spawn(PlatformServer::new("s-1", request_log.clone(), WORK_DURATION, 4).serve(listener));
     write(&kv, &server_key("s-1"), server_record(server_address, 4, 1, false)).await;
-    write(&kv, CONFIGURATION_KEY, configuration(1, API_KEY, WORK_LIMIT_MS)).await;
+    write(&kv, CONFIGURATION_KEY, configuration(1, &[API_KEY], WORK_LIMIT_MS)).await;
 
     let ports = free_ports(1).await.unwrap().remove(0);
     let folder = std::env::temp_dir().join(format!("flamingowheel-stop-{}", std::process::id()));
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -35,11 +35,14 @@
 /// API key of all callers.
 pub const API_KEY: &str = "soak-key";
 
-/// Kind of a request: work that must run at most once, a call that may be retried, or a stream.
+/// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
+pub enum Kind {
+    /// Work that must run at most once.
     Once,
+    /// A call that may be retried.
     Safe,
+    /// A stream.
     Stream,
 }
 
@@ -133,7 +136,8 @@
     }
 }
 
-fn client(entry: SocketAddr) -> Option<HttpClient> {
+/// A client of an entry.
+pub fn client(entry: SocketAddr) -> Option<HttpClient> {
     let head_timeout_ms = ROUTE_TIMEOUT_MS + EXTRA_WAIT_MS;
     let limits =
         HttpLimits { head_timeout_ms, read_timeout_ms: head_timeout_ms, ..HttpLimits::default() };
@@ -144,9 +148,19 @@
     client: &HttpClient,
     kind: Kind,
     attempt: &str,
+) -> Result<BufferedResponse, HttpError> {
+    send_with_key(client, kind, attempt, API_KEY).await
+}
+
+/// Sends a request with an API key.
+pub async fn send_with_key(
+    client: &HttpClient,
+    kind: Kind,
+    attempt: &str,
+    api_key: &str,
 ) -> Result<BufferedResponse, HttpError> {
     let request = client.request(Method::POST, kind.path());
-    let request = caller_headers(request, attempt, API_KEY, ROUTE_TIMEOUT_MS)
+    let request = caller_headers(request, attempt, api_key, ROUTE_TIMEOUT_MS)
         .body(Full::new(Bytes::from_static(b"{}")));
     client.fetch(request.map_err(|_| HttpError::Malformed)?, Reuse::Allowed).await
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,6 @@
 //! Random faults. Each has a duration of its own, so that they overlap.
 
+use crate::changes;
 use crate::fleet::Fleet;
 use crate::proxy::LinkFault;
 use flamingowheel_backing::fake::LostAnswer;
@@ -21,6 +22,9 @@
 /// Rests that backend servers ask for, in milliseconds.
 const REST_MS: std::ops::Range<u64> = 700..4_000;
 
+/// Pauses between the versions of a series, in milliseconds.
+const SERIES_GAP_MS: std::ops::Range<u64> = 0..100;
+
 /// One fault; entries and backend servers are given by their index in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -46,8 +50,12 @@
     StoreCompacts,
     /// A backend server's record says draining, and later ready again.
     Drain(usize),
-    /// A new version of the configuration is published.
-    Configuration,
+    /// A series of versions of the configuration is published, with these pauses in milliseconds.
+    Configurations([u64; 3]),
+    /// The connections of all entries but one to the store have a fault.
+    StoreLinks(usize, LinkFault),
+    /// An entry that was left out at the start is added.
+    Add(usize),
     /// A backend server names a limit, in requests per second.
     Limit(usize, f64),
     /// A backend server refuses all requests and asks for rest of this time, in milliseconds.
@@ -63,7 +71,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..19) {
+    match rng.random_range(0..22) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -78,7 +86,33 @@
         13 | 14 => Fault::Limit(server, LIMITS_PER_S[rng.random_range(0..LIMITS_PER_S.len())]),
         15 | 16 => Fault::Rest(server, rng.random_range(REST_MS)),
         17 => Fault::Replace(server),
-        _ => Fault::Configuration,
+        18 => Fault::StoreLinks(entry, random_link_fault(rng)),
+        19 => Fault::Add(fleet.entries.len() - 1),
+        _ => random_series(rng),
+    }
+}
+
+fn random_series<R>(rng: &mut R) -> Fault
+where
+    R: Rng,
+{
+    Fault::Configurations(std::array::from_fn(|_| rng.random_range(SERIES_GAP_MS)))
+}
+
+/// Chooses the next fault of a run with changes only, which entries lose the store or are killed
+/// amid: with all kinds of faults few entries are in touch for long enough to be checked.
+pub fn random_fault_amid_changes<R>(fleet: &Fleet, rng: &mut R) -> Fault
+where
+    R: Rng,
+{
+    let entry = rng.random_range(0..fleet.entries.len());
+    match rng.random_range(0..10) {
+        0 => Fault::StoreLinks(entry, random_link_fault(rng)),
+        1 => Fault::Kill(entry),
+        2 => Fault::Pause(entry),
+        3 => Fault::StoreLink(entry, random_link_fault(rng)),
+        4 => Fault::Add(fleet.entries.len() - 1),
+        _ => random_series(rng),
     }
 }
 
@@ -152,7 +186,17 @@
             sleep(duration).await;
             fleet.publish_server(server, false).await;
         }
-        Fault::Configuration => fleet.publish_configuration().await,
+        Fault::Configurations(gaps_ms) => changes::publish_series(&fleet, &gaps_ms).await,
+        Fault::StoreLinks(spared, link_fault) => {
+            let struck = || {
+                let entries = fleet.entries.iter().enumerate();
+                entries.filter(move |(entry, _)| *entry != spared)
+            };
+            struck().for_each(|(_, entry)| entry.store_proxy.set_fault(link_fault));
+            sleep(duration).await;
+            struck().for_each(|(_, entry)| entry.store_proxy.set_fault(LinkFault::None));
+        }
+        Fault::Add(entry) => fleet.start_entry(entry),
         Fault::Rest(server, rest_ms) => {
             fleet.rest_server(server, Duration::from_millis(rest_ms), duration).await;
         }
@@ -164,14 +208,26 @@
 }
 
 impl Fault {
-    /// The entry that has this fault, and for how long it is out of order if the fault lasts
-    /// `duration`; `None` if no entry has it.
-    pub fn outage(self, duration: Duration) -> Option<(usize, Duration)> {
+    /// Which of `entries` entries have this fault, and for how long they are out of order if the
+    /// fault lasts `duration`.
+    pub fn outage(self, entries: usize, duration: Duration) -> (Vec<usize>, Duration) {
         match self {
-            Self::Kill(entry) => Some((entry, duration + START_TIME)),
-            Self::Restart(entry) => Some((entry, Duration::from_secs(GRACE_S) + START_TIME)),
-            Self::Pause(entry) | Self::StoreLink(entry, _) => Some((entry, duration)),
-            _ => None,
+            Self::Kill(entry) => (vec![entry], duration + START_TIME),
+            Self::Restart(entry) => (vec![entry], Duration::from_secs(GRACE_S) + START_TIME),
+            Self::Pause(entry) | Self::StoreLink(entry, _) => (vec![entry], duration),
+            Self::StoreLinks(spared, _) => {
+                ((0..entries).filter(|entry| *entry != spared).collect(), duration)
+            }
+            Self::Add(entry) => (vec![entry], START_TIME),
+            _ => (Vec::new(), Duration::ZERO),
         }
     }
+
+    /// Whether the store has this fault.
+    pub fn is_of_store(self) -> bool {
+        matches!(
+            self,
+            Self::StoreDown | Self::StoreSlow | Self::StoreLosesAnswers | Self::StoreCompacts
+        )
+    }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The processes, stand-ins and proxies of one run.
 
 use crate::callers::{API_KEY, ROUTE_TIMEOUT_MS};
+use crate::changes::{Probe, key_of};
 use crate::cli::Options;
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
@@ -67,7 +68,10 @@
     pub request_log: RequestLog,
     /// The limits that backend servers named.
     pub limits: Mutex<Vec<LimitSpan>>,
+    /// Requests that showed whether a configuration was in force.
+    pub probes: Mutex<Vec<Probe>>,
     version: AtomicU64,
+    publishing: tokio::sync::Mutex<()>,
     _reaper: Reaper,
 }
 
@@ -99,8 +103,19 @@
         }
         let reaper = Reaper(entries.iter().map(|entry| entry.daemon.clone()).collect());
         let version = AtomicU64::new(0);
-        let limits = Mutex::default();
-        let fleet = Self { kv, entries, servers, request_log, limits, version, _reaper: reaper };
+        let (limits, probes) = (Mutex::default(), Mutex::default());
+        let publishing = tokio::sync::Mutex::default();
+        let fleet = Self {
+            kv,
+            entries,
+            servers,
+            request_log,
+            limits,
+            probes,
+            version,
+            publishing,
+            _reaper: reaper,
+        };
         for server in 0..fleet.servers.len() {
             fleet.publish_server(server, false).await;
         }
@@ -167,10 +182,25 @@
         true
     }
 
-    /// Publishes a new version of the configuration with unchanged routes.
-    pub async fn publish_configuration(&self) {
+    /// Publishes a new version of the configuration with unchanged routes and a key of its own, and
+    /// returns it once it is acknowledged.
+    pub async fn publish_configuration(&self) -> u64 {
+        // One version at a time: an older one must not replace a newer one.
+        let _publishing = self.publishing.lock().await;
         let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
-        self.write(CONFIGURATION_KEY, configuration(version, API_KEY, ROUTE_TIMEOUT_MS)).await;
+        let keys = [API_KEY, &key_of(version)];
+        self.write(CONFIGURATION_KEY, configuration(version, &keys, ROUTE_TIMEOUT_MS)).await;
+        version
+    }
+
+    /// The newest version that was sent.
+    pub fn newest_version(&self) -> u64 {
+        self.version.load(Ordering::SeqCst)
+    }
+
+    /// Keeps probes for the checks at the end.
+    pub fn record_probes(&self, probes: Vec<Probe>) {
+        self.probes.lock().unwrap_or_else(PoisonError::into_inner).extend(probes);
     }
 
     /// Retries the write until it succeeds, as operators and backend servers do.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! checked from what callers and backend servers observe.
 
 pub mod callers;
+pub mod changes;
 pub mod cli;
 pub mod faults;
 pub mod fleet;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -74,6 +74,17 @@
         /// The entry, by its index.
         entry: usize,
     },
+    /// A request sent later than 2 s after the acknowledgement of a version was handled as only an
+    /// older one allows, by an entry in touch.
+    #[error("entry {entry} answered {status} as if version {version} were not in force")]
+    NotInForce {
+        /// The entry, by its index.
+        entry: usize,
+        /// The version.
+        version: u64,
+        /// HTTP status of the answer.
+        status: u16,
+    },
     /// Too few requests were served after the last fault.
     #[error("{served} of {asked} requests were served after the last fault")]
     NotRecovered {
@@ -95,6 +106,8 @@
     pub refused: u32,
     /// Unknown outcomes: other statuses, broken answers, no answer.
     pub unknown: u32,
+    /// Requests to entries in touch that showed whether a configuration was in force.
+    pub probes: usize,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// All requests.
@@ -122,9 +135,9 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { asked, served, refused, unknown, violations, .. } = self;
+        let Self { asked, served, refused, unknown, probes, violations, .. } = self;
         write!(f, "{asked} asked, {served} served, {refused} refused, {unknown} unknown, ")?;
-        write!(f, "{} violations", violations.len())?;
+        write!(f, "{probes} probes of configurations, {} violations", violations.len())?;
         violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs the soak test with one seed.
 
 use crate::callers::{Caller, probe};
+use crate::changes;
 use crate::cli::Options;
 use crate::faults;
 use crate::fleet::Fleet;
@@ -9,6 +10,7 @@
 use eyre::{Context, Result};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
 use std::path::Path;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -35,6 +37,10 @@
 pub async fn run_seed(options: &Options, seed: u64, folder: &Path) -> Result<Tally> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let fleet = Arc::new(Fleet::start_all(options, folder).await?);
+    // The last entry is added during the run.
+    if let Some(last) = fleet.entries.last().filter(|_| fleet.entries.len() > 2) {
+        last.daemon.signal(Signal::KILL);
+    }
     sleep(WARM_UP).await;
     let entries: Vec<_> = fleet.entries.iter().map(|entry| entry.callers).collect();
     let (tally, stop, callers) =
@@ -46,13 +52,21 @@
     }
     let (injections, mut fault_log) = (TaskTracker::new(), String::new());
     let mut fault_spans = Vec::new();
+    // Faults of entries, and of the store at all of them.
+    let mut unsettled = Vec::new();
+    let choose =
+        if rng.random() { faults::random_fault } else { faults::random_fault_amid_changes };
     let started = Instant::now();
     while started.elapsed() < Duration::from_secs(options.seconds) {
-        let fault = faults::random_fault(&fleet, &mut rng);
+        let fault = choose(&fleet, &mut rng);
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
-        if let Some((entry, outage)) = fault.outage(duration) {
-            let from = Instant::now();
-            fault_spans.push(FaultSpan { entry, from, until: from + outage });
+        let (struck, outage) = fault.outage(entries.len(), duration);
+        let from = Instant::now();
+        let span = |entry| FaultSpan { entry, from, until: from + outage };
+        fault_spans.extend(struck.into_iter().map(span));
+        if fault.is_of_store() {
+            let span = |entry| FaultSpan { entry, from, until: from + duration };
+            unsettled.extend((0..entries.len()).map(span));
         }
         fault_log += &format!("{} ms: {fault:?} for {duration:?}\n", started.elapsed().as_millis());
         injections.spawn(faults::inject(Arc::clone(&fleet), fault, duration));
@@ -77,6 +91,11 @@
         let mut violations = observed.check_limits(&limits);
         violations.extend(observed.check_rests());
         violations.extend(observed.check_leaving());
+        let probes = fleet.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        unsettled.extend(fault_spans.iter().copied());
+        let in_touch = probes.iter().filter(|probe| changes::is_in_touch(probe, &unsettled));
+        tally.probes = in_touch.clone().count();
+        violations.extend(in_touch.filter_map(changes::violation));
         tally.violations.extend(violations);
     });
     Ok(tally.read())
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -36,10 +36,10 @@
     .to_string()
 }
 
-/// A configuration with one workspace, one API key and three routes: `/once/` for work that runs
+/// A configuration with one workspace, its API keys and three routes: `/once/` for work that runs
 /// once, `/safe/` for calls that may be retried and `/stream/` for streams that may be resumed. All
 /// routes have the same timeout.
-pub fn configuration(version: u64, api_key: &str, timeout_ms: u64) -> String {
+pub fn configuration(version: u64, api_keys: &[&str], timeout_ms: u64) -> String {
     let route = |kind: &str, path: &str, attempts: u32| {
         json!({
             "name": path, "host": HOST, "prefix": format!("/{path}/"), "routeKind": kind,
@@ -53,7 +53,7 @@
             route("unsafe", "once", 1), route("safe", "safe", 2), route("streaming", "stream", 2),
         ],
         "services": [{"name": SERVICE, "maxConns": 400}],
-        "tenants": [{"name": "w", "apiKeys": [api_key]}],
+        "tenants": [{"name": "w", "apiKeys": api_keys}],
     })
     .to_string()
 }
