--- a/crates/gateway/src/feed/isolation.rs
+++ b/crates/gateway/src/feed/isolation.rs
@@ -10,7 +10,7 @@
 const MIN_FOLLOW_TIME: Duration = Duration::from_secs(2);
 
 /// What an entry knows of its sources.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sources {
     /// At least one is up to date.
     pub has_current: bool,
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -7,6 +7,7 @@
 //! isolated, that is without any source that is up to date, watches the store itself until it has
 //! one again; entries take over in the order of the succession.
 
+pub mod contact;
 pub mod follower;
 pub mod groups;
 pub mod isolation;
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -1,6 +1,7 @@
 //! Updates the mirror from other entries, and decides when this entry has to follow the store
 //! itself.
 
+use crate::feed::contact::{self, Contact};
 use crate::feed::groups::{Statuses, TimedStatus, merge_status};
 use crate::feed::isolation::{Isolation, Sources};
 use crate::feed::mirror::Mirror;
@@ -23,15 +24,6 @@
 /// Pause before reconnecting to an entry.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
 
-/// Age of a source's copy from which the source no longer counts as up to date. A follower's watch
-/// is answered more often than this.
-const MAX_SOURCE_AGE: Duration = Duration::from_millis(900);
-
-/// Largest number of entries between this one and the store: a follower, the first entry of a data
-/// centre, and one more while others take over. Without a bound, entries that are cut off could
-/// take each other for a way to the store.
-const MAX_DISTANCE: u8 = 3;
-
 /// Time between two rounds of entries that take over from the followers: for a call to the store
 /// and a connection to those that made it.
 pub const TAKEOVER_INTERVAL: Duration = Duration::from_millis(150);
@@ -134,15 +126,6 @@
         Some(Duration::from_millis(head.age_ms?) + (now - *received_at))
     }
 
-    fn is_current(&self, now: Instant) -> bool {
-        let is_near = self.distance().is_some_and(|distance| distance < MAX_DISTANCE);
-        is_near && self.age(now).is_some_and(|age| age < MAX_SOURCE_AGE)
-    }
-
-    fn distance(&self) -> Option<u8> {
-        self.last_head.as_ref()?.0.distance
-    }
-
     /// Whether the source sends statuses of groups, or was asked recently.
     fn sends_statuses(&self, now: Instant) -> bool {
         let last = self.statuses_received_at.max(self.statuses_requested_at);
@@ -318,9 +301,10 @@
     /// that take over first, and some at random, since these may be cut off as well.
     fn substitutes(&mut self, members: &Members) -> Vec<String> {
         let now = Instant::now();
-        let is_current = |vm: &String| self.sources.get(vm).is_some_and(|s| s.is_current(now));
+        let is_current = |vm: &String| self.contact(vm, now).is_some_and(|c| c.is_current());
+        let has_preferred = self.preferred.iter().any(is_current);
         let (chosen, chosen_at) = &mut self.random_choice;
-        if self.preferred.iter().any(is_current) {
+        if has_preferred {
             *chosen_at = None;
             return Vec::new();
         }
@@ -412,14 +396,13 @@
     fn update_follows(&mut self) {
         let now = Instant::now();
         let position = self.position(&self.hello.vm);
-        let serves = |source: &Source| source.is_current(now) && !self.is_left_behind(now);
-        let has_current = self.sources.values().any(serves);
-        let has_predecessor = self
-            .sources
-            .iter()
-            .any(|(vm, source)| serves(source) && self.follower_position(vm, source) < position);
+        let sources = if self.is_left_behind(now) {
+            Sources::default()
+        } else {
+            contact::summarize(self.contacts(now), position)
+        };
         let turn = TAKEOVER_INTERVAL * takeover_round(position);
-        let isolation = self.isolation.next(now, Sources { has_current, has_predecessor }, turn);
+        let isolation = self.isolation.next(now, sources, turn);
         self.set_isolation(isolation, now);
         let is_settled = now - self.started_at > STARTUP_DELAY;
         let is_follower = is_settled && position < FOLLOWERS && !self.succession.is_empty();
@@ -439,9 +422,19 @@
         if follows && !self.mirror.is_cut_off() {
             return Some(0);
         }
-        let current = self.sources.values().filter(|source| source.is_current(now));
-        let nearest = current.filter_map(Source::distance).min()?;
-        Some(nearest + 1)
+        contact::distance(self.contacts(now))
+    }
+
+    fn contacts(&self, now: Instant) -> impl Iterator<Item = Contact> {
+        self.sources.keys().filter_map(move |vm| self.contact(vm, now))
+    }
+
+    /// What a source last told.
+    fn contact(&self, vm: &str, now: Instant) -> Option<Contact> {
+        let source = self.sources.get(vm)?;
+        let (head, _) = source.last_head.as_ref()?;
+        let follower = self.position(head.follower.as_deref().unwrap_or(vm));
+        Some(Contact { age: source.age(now), distance: head.distance, follower })
     }
 
     /// Position in the succession; entries that are not listed come last.
@@ -450,12 +443,6 @@
         position.unwrap_or(self.succession.len())
     }
 
-    /// Position of the follower from which a source knows that its copy is complete.
-    fn follower_position(&self, vm: &str, source: &Source) -> usize {
-        let follower = source.last_head.as_ref().and_then(|(head, _)| head.follower.as_deref());
-        self.position(follower.unwrap_or(vm))
-    }
-
     fn set_isolation(&mut self, isolation: Isolation, now: Instant) {
         let previous = std::mem::replace(&mut self.isolation, isolation);
         if previous == Isolation::Connected && isolation != Isolation::Connected {
