--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -133,7 +133,7 @@
 pub async fn inject(fleet: Arc<Fleet>, fault: Fault, duration: Duration) {
     match fault {
         Fault::Kill(entry) => {
-            fleet.entries[entry].daemon.signal(Signal::KILL);
+            fleet.kill_entry(entry).await;
             sleep(duration).await;
             fleet.start_entry(entry);
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,12 +14,14 @@
 };
 use flamingowheel_standin::platform::server::{Conditions, PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
+use rustix::process::Signal;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, sleep};
 
 /// Processing time of a request, and time before each event of a stream.
@@ -28,6 +30,9 @@
 /// Most requests in progress at once on a backend server.
 const SLOTS: u32 = 16;
 
+/// Time between two looks whether a killed process has ended.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Increment between configuration versions; operators' versions aren't consecutive either.
 const VERSION_STEP: u64 = 7;
 
@@ -40,6 +45,7 @@
     pub callers: SocketAddr,
     /// Proxy on the entry's connections to the store.
     pub store_proxy: Proxy,
+    ports: EntryPorts,
 }
 
 /// A backend server, and the proxy before it.
@@ -72,6 +78,8 @@
     pub probes: Mutex<Vec<Probe>>,
     version: AtomicU64,
     publishing: tokio::sync::Mutex<()>,
+    /// Sockets that keep the ports of entries that don't run.
+    held_ports: Mutex<HashMap<usize, Vec<TcpSocket>>>,
     _reaper: Reaper,
 }
 
@@ -99,7 +107,7 @@
             let settings = entry_settings(&name, store_proxy.address, ports, GRACE_S);
             let daemon = Daemon::new(&options.program, folder, &name, &settings)?;
             let callers = SocketAddr::from(([127, 0, 0, 1], ports.callers));
-            entries.push(Entry { daemon, callers, store_proxy });
+            entries.push(Entry { daemon, callers, store_proxy, ports });
         }
         let reaper = Reaper(entries.iter().map(|entry| entry.daemon.clone()).collect());
         let version = AtomicU64::new(0);
@@ -114,6 +122,7 @@
             probes,
             version,
             publishing,
+            held_ports: Mutex::default(),
             _reaper: reaper,
         };
         for server in 0..fleet.servers.len() {
@@ -124,8 +133,25 @@
         Ok(fleet)
     }
 
+    /// Kills an entry and keeps its ports, which another process could take until it is started
+    /// again.
+    pub async fn kill_entry(&self, entry: usize) {
+        let Entry { daemon, ports, .. } = &self.entries[entry];
+        daemon.signal(Signal::KILL);
+        while daemon.is_running() {
+            sleep(EXIT_POLL_INTERVAL).await;
+        }
+        let held = ports.all().into_iter().filter_map(hold_port).collect();
+        self.held_ports().insert(entry, held);
+    }
+
+    fn held_ports(&self) -> MutexGuard<'_, HashMap<usize, Vec<TcpSocket>>> {
+        self.held_ports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Starts an entry unless it is running.
     pub fn start_entry(&self, entry: usize) {
+        self.held_ports().remove(&entry);
         // The error is ignored: an entry that fails to start serves no requests, which the checks
         // report.
         let _ = self.entries[entry].daemon.start();
@@ -213,6 +239,14 @@
     }
 }
 
+/// Binds a port without listening on it, so that connections are refused; `None` if it is taken.
+fn hold_port(port: u16) -> Option<TcpSocket> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_reuseaddr(true).ok()?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], port))).ok()?;
+    Some(socket)
+}
+
 /// Ports of entries: below those that the system gives to outgoing connections, which other
 /// processes could take between the search and an entry's start.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,6 @@
 use eyre::{Context, Result};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rustix::process::Signal;
 use std::path::Path;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -38,8 +37,8 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let fleet = Arc::new(Fleet::start_all(options, folder).await?);
     // The last entry is added during the run.
-    if let Some(last) = fleet.entries.last().filter(|_| fleet.entries.len() > 2) {
-        last.daemon.signal(Signal::KILL);
+    if fleet.entries.len() > 2 {
+        fleet.kill_entry(fleet.entries.len() - 1).await;
     }
     sleep(WARM_UP).await;
     let entries: Vec<_> = fleet.entries.iter().map(|entry| entry.callers).collect();
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -95,6 +95,14 @@
     pub internal: (u16, u16),
 }
 
+impl EntryPorts {
+    /// All ports.
+    pub fn all(&self) -> [u16; 5] {
+        let Self { callers, ready, directory, internal: (low, high) } = *self;
+        [callers, ready, directory, low, high]
+    }
+}
+
 /// The settings file of an entry on loopback.
 pub fn entry_settings(name: &str, store: SocketAddr, ports: EntryPorts, grace_s: u64) -> String {
     let EntryPorts { callers, ready, directory, internal: (low, high) } = ports;
