Gateway: tests of series, compaction, standing still and each kind of change

Series of seven changes within 0.15 s with all followers struck midway by each of eight faults: no entry in touch goes back, all end at the last. History dropped at a change; followers that stand still over a change; a route added and dropped, a key and all keys revoked, the idle limit; a configuration that can't be read, and an older one, amid others.

--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -6,7 +6,7 @@
 use flamingowheel_gateway::publish::{Outputs, Publisher};
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::Views;
-use flamingowheel_platform::Stated;
+use flamingowheel_platform::{CONFIGURATION_KEY, Stated};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -193,3 +193,76 @@
     entry.list("b", "s", 1);
     assert!(entry.server("s").await.begin(None).is_some());
 }
+
+/// Routes `a` and `b` unless they are left out, one workspace with the given keys, an idle limit.
+fn configuration(version: u64, routes: &[&str], keys: &[&str], idle_ms: u64) -> String {
+    let route = |name: &&str| {
+        format!(
+            r#"{{"name":"{name}","host":"h","prefix":"/{name}/","routeKind":"safe","service":"s"}}"#
+        )
+    };
+    let routes: Vec<String> = routes.iter().map(route).collect();
+    format!(
+        r#"{{"version":{version},"routes":[{}],"tenants":[{{"name":"w","apiKeys":{keys:?}}}],
+        "limits":{{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":{idle_ms}}}}}"#,
+        routes.join(",")
+    )
+}
+
+impl Entry {
+    async fn configure(&mut self, value: String) {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.mirror.apply_event(WatchEvent::Put(KeyValueEntry {
+            key: CONFIGURATION_KEY.to_owned(),
+            value: value.into(),
+            create_revision: revision,
+            mod_revision: revision,
+            lease: None,
+        }));
+        self.mirror.apply_event(WatchEvent::Progress { revision });
+        sleep(SETTLE_TIME).await;
+    }
+
+    /// Whether routes `a` and `b` exist, whether keys `k` and `l` are known, and the idle limit.
+    fn in_force(&self) -> (bool, bool, bool, bool, u64) {
+        let view = self.views.load();
+        let configuration = view.configuration.as_ref().unwrap();
+        let has_route = |path| configuration.route("h", path).is_some();
+        let workspaces = configuration.workspaces.as_ref().unwrap();
+        let has_key = |key: &str| workspaces.contains_key(key);
+        let idle_ms = configuration.limits.idle_timeout_ms;
+        (has_route("/a/x"), has_route("/b/x"), has_key("k"), has_key("l"), idle_ms)
+    }
+}
+
+/// Guards against a kind of change that does not come into force with its version.
+#[tokio::test(start_paused = true)]
+async fn publish_each_kind_of_change() {
+    let mut entry = Entry::start().await;
+    entry.configure(configuration(1, &["a"], &["k", "l"], 9)).await;
+    assert_eq!(entry.in_force(), (true, false, true, true, 9));
+    entry.configure(configuration(3, &["a", "b"], &["k", "l"], 9)).await;
+    assert_eq!(entry.in_force(), (true, true, true, true, 9), "a route is added");
+    entry.configure(configuration(4, &["b"], &["k", "l"], 9)).await;
+    assert_eq!(entry.in_force(), (false, true, true, true, 9), "a route is dropped");
+    entry.configure(configuration(6, &["b"], &["l"], 9)).await;
+    assert_eq!(entry.in_force(), (false, true, false, true, 9), "a key is revoked");
+    entry.configure(configuration(7, &["b"], &[], 9)).await;
+    assert_eq!(entry.in_force(), (false, true, false, false, 9), "all keys are revoked");
+    entry.configure(configuration(9, &["b"], &[], 5)).await;
+    assert_eq!(entry.in_force(), (false, true, false, false, 5), "the idle limit falls");
+}
+
+/// Guards against a configuration that can't be read, or an older one, that is taken or blocks those
+/// after it.
+#[tokio::test(start_paused = true)]
+async fn publish_unreadable_amid_others() {
+    let mut entry = Entry::start().await;
+    entry.configure(configuration(5, &["a"], &["k"], 9)).await;
+    entry.configure("{\"version\":6,\"routes\":[{}]}".to_owned()).await;
+    entry.configure(configuration(4, &["b"], &["l"], 9)).await;
+    assert_eq!(entry.in_force(), (true, false, true, false, 9));
+    entry.configure(configuration(7, &["b"], &["l"], 9)).await;
+    assert_eq!(entry.in_force(), (false, true, false, true, 9));
+}
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -2,10 +2,11 @@
 
 mod fleet;
 
+use flamingowheel_gateway::feed::contact::MAX_SOURCE_AGE;
 use fleet::store::Reach;
 use fleet::{FAULTS, Fault, Fleet};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Time within which a configuration is in force at every VM in touch.
 const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_000);
@@ -147,3 +148,62 @@
     let in_force = fleet.in_force(version, &in_touch, IN_FORCE_LIMIT).await;
     assert!(in_force.is_ok(), "late: {in_force:?}");
 }
+
+/// Guards against a series of changes of which the last one is taken for the one before, or an
+/// older one comes back, while the followers are lost in between.
+#[tokio::test(start_paused = true)]
+async fn change_series_never_goes_back() {
+    for fault in FAULTS {
+        let mut fleet = Fleet::start(9, 3).await;
+        let followers = fleet.followers();
+        let in_touch = without(&fleet.vms(), &followers);
+        let mut seen: Vec<u64> = in_touch.iter().map(|vm| fleet.version_at(vm)).collect();
+        for number in 0..6 {
+            if number == 3 {
+                followers.iter().for_each(|vm| fleet.strike(vm, fault));
+            }
+            fleet.change().await;
+            sleep(Duration::from_millis(20)).await;
+        }
+        let newest = fleet.change().await;
+        for _ in 0..400 {
+            sleep(Duration::from_millis(5)).await;
+            for (vm, seen) in in_touch.iter().zip(&mut seen) {
+                let version = fleet.version_at(vm);
+                assert!(version >= *seen, "{fault:?}: {vm} went back from {seen} to {version}");
+                *seen = version;
+            }
+        }
+        assert!(seen.iter().all(|seen| *seen == newest), "{fault:?}: {seen:?}, not {newest}");
+    }
+}
+
+/// Guards against a change that is lost with the store's history.
+#[tokio::test(start_paused = true)]
+async fn change_history_compacted() {
+    let mut fleet = Fleet::start(9, 3).await;
+    fleet.change().await;
+    let version = fleet.change().await;
+    fleet.store.compact(fleet.store.peek("").revision);
+    let in_force = fleet.in_force(version, &fleet.vms(), SINGLE_FAULT_GOAL).await;
+    assert!(in_force.is_ok(), "late: {in_force:?}");
+}
+
+/// Guards against a frozen entry that takes up again with an older version, or passes off its copy
+/// as recent.
+#[tokio::test(start_paused = true)]
+async fn change_while_entries_stand_still() {
+    let mut fleet = Fleet::start(9, 3).await;
+    let followers = fleet.followers();
+    followers.iter().for_each(|vm| fleet.freeze(vm, true));
+    sleep(Duration::from_secs(2)).await;
+    let version = fleet.change().await;
+    sleep(Duration::from_secs(2)).await;
+    followers.iter().for_each(|vm| fleet.freeze(vm, false));
+    let in_force = fleet.in_force(version, &fleet.vms(), IN_FORCE_LIMIT).await;
+    assert!(in_force.is_ok(), "late: {in_force:?}");
+    sleep(Duration::from_secs(2)).await;
+    let vms = fleet.vms();
+    let mut ages = vms.iter().map(|vm| fleet.mirror(vm).age(Instant::now()));
+    assert!(ages.all(|age| age.is_some_and(|age| age < MAX_SOURCE_AGE)));
+}
