Soak: series of changes while all entries but one lose the store

A run that mainly changes configurations now lets all connections to the store but those of one entry fail, publishes a series, and asks all entries once it has to be in force, with nothing else begun meanwhile; the key of before the series must be refused, and the newest taken.

--- a/crates/soak/src/changes.rs
+++ b/crates/soak/src/changes.rs
@@ -1,7 +1,8 @@
 //! Checks that a series of configurations is in force in time at all entries in touch, from what
 //! callers see.
 //!
-//! Each version revokes the key that the version before it added, and adds one of its own.
+//! Each version revokes the key that the version before it added, and adds one of its own. An entry
+//! that missed a whole series still takes the key of before.
 
 use crate::callers::{Kind, client, send_with_key};
 use crate::fleet::Fleet;
@@ -43,15 +44,13 @@
 /// Publishes a series of configurations, and probes all entries once the last one has to be in
 /// force.
 pub async fn publish_series(fleet: &Fleet, gaps_ms: &[u64]) {
-    let mut versions = Vec::new();
+    let revoked = fleet.newest_version();
+    let mut added = revoked;
     for gap_ms in gaps_ms {
         sleep(Duration::from_millis(*gap_ms)).await;
-        versions.push(fleet.publish_configuration().await);
+        added = fleet.publish_configuration().await;
     }
     let in_force_at = Instant::now() + IN_FORCE_LIMIT + ACKNOWLEDGE_TIME;
-    let [.., revoked, added] = versions[..] else {
-        return;
-    };
     sleep_until(in_force_at).await;
     let probes = (0..fleet.entries.len())
         .flat_map(|entry| [probe(fleet, entry, added, revoked), probe(fleet, entry, added, added)]);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -25,6 +25,9 @@
 /// Pauses between the versions of a series, in milliseconds.
 const SERIES_GAP_MS: std::ops::Range<u64> = 0..100;
 
+/// Longest time of a series with the requests that check it.
+const SERIES_TIME: Duration = Duration::from_secs(5);
+
 /// One fault; entries and backend servers are given by their index in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -54,6 +57,8 @@
     Configurations([u64; 3]),
     /// The connections of all entries but one to the store have a fault.
     StoreLinks(usize, LinkFault),
+    /// The same, with a series of versions right after it.
+    ConfigurationsAmidLoss(usize, LinkFault, [u64; 3]),
     /// An entry that was left out at the start is added.
     Add(usize),
     /// A backend server names a limit, in requests per second.
@@ -88,15 +93,15 @@
         17 => Fault::Replace(server),
         18 => Fault::StoreLinks(entry, random_link_fault(rng)),
         19 => Fault::Add(fleet.entries.len() - 1),
-        _ => random_series(rng),
+        _ => Fault::Configurations(random_gaps_ms(rng)),
     }
 }
 
-fn random_series<R>(rng: &mut R) -> Fault
+fn random_gaps_ms<R>(rng: &mut R) -> [u64; 3]
 where
     R: Rng,
 {
-    Fault::Configurations(std::array::from_fn(|_| rng.random_range(SERIES_GAP_MS)))
+    std::array::from_fn(|_| rng.random_range(SERIES_GAP_MS))
 }
 
 /// Chooses the next fault of a run with changes only, which entries lose the store or are killed
@@ -107,12 +112,15 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     match rng.random_range(0..10) {
-        0 => Fault::StoreLinks(entry, random_link_fault(rng)),
-        1 => Fault::Kill(entry),
-        2 => Fault::Pause(entry),
-        3 => Fault::StoreLink(entry, random_link_fault(rng)),
-        4 => Fault::Add(fleet.entries.len() - 1),
-        _ => random_series(rng),
+        0 => Fault::Kill(entry),
+        1 => Fault::Pause(entry),
+        2 => Fault::StoreLink(entry, random_link_fault(rng)),
+        3 => Fault::Add(fleet.entries.len() - 1),
+        4 | 5 => Fault::Configurations(random_gaps_ms(rng)),
+        _ => {
+            let link_fault = random_link_fault(rng);
+            Fault::ConfigurationsAmidLoss(entry, link_fault, random_gaps_ms(rng))
+        }
     }
 }
 
@@ -188,13 +196,14 @@
         }
         Fault::Configurations(gaps_ms) => changes::publish_series(&fleet, &gaps_ms).await,
         Fault::StoreLinks(spared, link_fault) => {
-            let struck = || {
-                let entries = fleet.entries.iter().enumerate();
-                entries.filter(move |(entry, _)| *entry != spared)
-            };
-            struck().for_each(|(_, entry)| entry.store_proxy.set_fault(link_fault));
+            set_store_links(&fleet, spared, link_fault);
             sleep(duration).await;
-            struck().for_each(|(_, entry)| entry.store_proxy.set_fault(LinkFault::None));
+            set_store_links(&fleet, spared, LinkFault::None);
+        }
+        Fault::ConfigurationsAmidLoss(spared, link_fault, gaps_ms) => {
+            set_store_links(&fleet, spared, link_fault);
+            changes::publish_series(&fleet, &gaps_ms).await;
+            set_store_links(&fleet, spared, LinkFault::None);
         }
         Fault::Add(entry) => fleet.start_entry(entry),
         Fault::Rest(server, rest_ms) => {
@@ -207,6 +216,15 @@
     }
 }
 
+/// Sets the fault of the connections of all entries but one to the store.
+fn set_store_links(fleet: &Fleet, spared: usize, link_fault: LinkFault) {
+    for (number, entry) in fleet.entries.iter().enumerate() {
+        if number != spared {
+            entry.store_proxy.set_fault(link_fault);
+        }
+    }
+}
+
 impl Fault {
     /// Which of `entries` entries have this fault, and for how long they are out of order if the
     /// fault lasts `duration`.
@@ -215,8 +233,9 @@
             Self::Kill(entry) => (vec![entry], duration + START_TIME),
             Self::Restart(entry) => (vec![entry], Duration::from_secs(GRACE_S) + START_TIME),
             Self::Pause(entry) | Self::StoreLink(entry, _) => (vec![entry], duration),
-            Self::StoreLinks(spared, _) => {
-                ((0..entries).filter(|entry| *entry != spared).collect(), duration)
+            Self::StoreLinks(spared, _) | Self::ConfigurationsAmidLoss(spared, ..) => {
+                let struck = (0..entries).filter(|entry| *entry != spared).collect();
+                (struck, duration.max(SERIES_TIME))
             }
             Self::Add(entry) => (vec![entry], START_TIME),
             _ => (Vec::new(), Duration::ZERO),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,7 +3,7 @@
 use crate::callers::{Caller, probe};
 use crate::changes;
 use crate::cli::Options;
-use crate::faults;
+use crate::faults::{self, Fault};
 use crate::fleet::Fleet;
 use crate::report::{SharedTally, Tally};
 use crate::signals::{FaultSpan, Observed};
@@ -23,6 +23,10 @@
 /// Time between the starts of two faults, in milliseconds. Most last longer than this and overlap.
 const FAULT_GAP_MS: std::ops::Range<u64> = 150..900;
 
+/// The same in a run that mainly changes configurations: entries have to be without a fault for 3 s
+/// to be checked.
+const CHANGE_GAP_MS: std::ops::Range<u64> = 600..2_400;
+
 /// How long a fault lasts, in milliseconds. The longest faults outlast a lease of 3 s.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..4_000;
 
@@ -53,11 +57,15 @@
     let mut fault_spans = Vec::new();
     // Faults of entries, and of the store at all of them.
     let mut unsettled = Vec::new();
-    let choose =
-        if rng.random() { faults::random_fault } else { faults::random_fault_amid_changes };
+    let is_amid_changes: bool = rng.random();
+    let gaps_ms = if is_amid_changes { CHANGE_GAP_MS } else { FAULT_GAP_MS };
     let started = Instant::now();
     while started.elapsed() < Duration::from_secs(options.seconds) {
-        let fault = choose(&fleet, &mut rng);
+        let fault = if is_amid_changes {
+            faults::random_fault_amid_changes(&fleet, &mut rng)
+        } else {
+            faults::random_fault(&fleet, &mut rng)
+        };
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
         let (struck, outage) = fault.outage(entries.len(), duration);
         let from = Instant::now();
@@ -68,8 +76,12 @@
             unsettled.extend((0..entries.len()).map(span));
         }
         fault_log += &format!("{} ms: {fault:?} for {duration:?}\n", started.elapsed().as_millis());
-        injections.spawn(faults::inject(Arc::clone(&fleet), fault, duration));
-        sleep(Duration::from_millis(rng.random_range(FAULT_GAP_MS))).await;
+        let injection = injections.spawn(faults::inject(Arc::clone(&fleet), fault, duration));
+        if matches!(fault, Fault::ConfigurationsAmidLoss(..)) {
+            // Further faults would leave no entry in touch to check.
+            injection.await.wrap_err("injection of a fault")?;
+        }
+        sleep(Duration::from_millis(rng.random_range(gaps_ms.clone()))).await;
     }
     std::fs::write(folder.join("faults.txt"), fault_log).wrap_err("list of faults")?;
     injections.close();
