Gateway: one head for a change and the news of its being complete

With each change every source sent two heads, one as the revision rose and one as the copy was known to be complete. The two are told at once now. The connection to a source is a module of its own, unchanged.

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -14,6 +14,7 @@
 pub mod mirror;
 pub mod reader;
 pub mod server;
+pub mod source;
 pub mod transport;
 
 use flamingowheel_protocol::link::Timing;
--- a/crates/gateway/src/feed/reader.rs
+++ b/crates/gateway/src/feed/reader.rs
@@ -5,8 +5,9 @@
 use crate::feed::groups::{Statuses, TimedStatus, merge_status};
 use crate::feed::isolation::{Isolation, Sources};
 use crate::feed::mirror::Mirror;
-use crate::feed::transport::{Connect, FeedLink};
-use crate::feed::{FeedMessage, FeedRequest, Head};
+use crate::feed::source::{Event, Source};
+use crate::feed::transport::Connect;
+use crate::feed::{FeedMessage, FeedRequest};
 use flamingowheel_policy::topology::{EntryRef, FOLLOWERS, Topology, takeover_round};
 use flamingowheel_protocol::message::Hello;
 use rand::seq::IndexedRandom;
@@ -15,15 +16,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
-use tokio_util::sync::CancellationToken;
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// Time between checks of the sources.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause before reconnecting to an entry.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
-
 /// Time between two rounds of entries that take over from the followers: for a call to the store
 /// and a connection to those that made it.
 pub const TAKEOVER_INTERVAL: Duration = Duration::from_millis(150);
@@ -55,9 +52,6 @@
 /// together, and each of the first to be listed would consider itself a follower.
 const STARTUP_DELAY: Duration = Duration::from_millis(1_000);
 
-/// Time without a status of groups after which another source is asked for it.
-const STATUSES_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// An entry that other entries can connect to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -93,61 +87,6 @@
     succession: Vec<String>,
 }
 
-/// A message from a source; `None` when its connection has ended or can't be opened.
-#[derive(Debug)]
-struct Event {
-    vm: String,
-    message: Option<FeedMessage>,
-}
-
-#[derive(Debug)]
-struct Source {
-    address: SocketAddr,
-    stop: CancellationToken,
-    requests: mpsc::Sender<FeedRequest>,
-    last_head: Option<(Head, Instant)>,
-    /// When it was asked for changes that it has not sent yet.
-    asked_at: Option<Instant>,
-    /// When the source was asked for statuses of groups; `None` if it is not to send any.
-    statuses_requested_at: Option<Instant>,
-    statuses_received_at: Option<Instant>,
-}
-
-impl Drop for Source {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
-}
-
-impl Source {
-    /// Time since the source's copy was complete.
-    fn age(&self, now: Instant) -> Option<Duration> {
-        let (head, received_at) = self.last_head.as_ref()?;
-        Some(Duration::from_millis(head.age_ms?) + (now - *received_at))
-    }
-
-    /// Whether the source sends statuses of groups, or was asked recently.
-    fn sends_statuses(&self, now: Instant) -> bool {
-        let last = self.statuses_received_at.max(self.statuses_requested_at);
-        self.statuses_requested_at.is_some() && last.is_some_and(|at| now - at < STATUSES_TIMEOUT)
-    }
-
-    /// Passes on what the source told of the store. That says nothing about a copy that lacks some
-    /// of the source's changes.
-    fn confirm(&self, vm: &str, mirror: &Mirror) {
-        if let Some((head, received_at)) = &self.last_head
-            && let Some(age_ms) = head.age_ms
-            && let Some(at) = received_at.checked_sub(Duration::from_millis(age_ms))
-        {
-            mirror.confirm_by(Some(head.follower.as_deref().unwrap_or(vm)), head.revision, at);
-        }
-    }
-
-    fn revision(&self) -> u64 {
-        self.last_head.as_ref().map_or(0, |(head, _)| head.revision)
-    }
-}
-
 impl<C> Reader<C>
 where
     C: Connect,
@@ -266,7 +205,8 @@
             let Some(peer) = members.get(&vm).filter(|_| !self.sources.contains_key(&vm)) else {
                 continue;
             };
-            let source = self.open(&vm, peer.address);
+            let (connector, events) = (self.connector.clone(), self.events.0.clone());
+            let source = Source::open(&vm, peer.address, connector, events);
             self.sources.insert(vm, source);
         }
     }
@@ -319,31 +259,6 @@
         successors.take(STAND_INS).chain(chosen.iter()).cloned().collect()
     }
 
-    fn open(&self, vm: &str, address: SocketAddr) -> Source {
-        let stop = CancellationToken::new();
-        let (requests, request_receiver) = mpsc::channel(4);
-        let connection = SourceConnection {
-            vm: vm.to_owned(),
-            address,
-            connector: self.connector.clone(),
-            events: self.events.0.clone(),
-            requests: request_receiver,
-        };
-        let stopped = stop.clone();
-        tokio::spawn(async move {
-            stopped.run_until_cancelled(connection.run()).await;
-        });
-        Source {
-            address,
-            stop,
-            requests,
-            last_head: None,
-            asked_at: None,
-            statuses_requested_at: None,
-            statuses_received_at: None,
-        }
-    }
-
     /// Fetches missing changes. Asks a further source if the last one doesn't answer soon, since one
     /// that has stalled is noticed only after some time.
     fn fetch(&mut self) {
@@ -447,7 +362,7 @@
         let previous = std::mem::replace(&mut self.isolation, isolation);
         if previous == Isolation::Connected && isolation != Isolation::Connected {
             let sources: Vec<String> =
-                self.sources.iter().map(|(vm, source)| describe_source(vm, source, now)).collect();
+                self.sources.iter().map(|(vm, source)| source.describe(vm, now)).collect();
             let revision = self.mirror.revision();
             tracing::warn!(revision, sources = sources.join("; "), "no source is up to date");
         }
@@ -456,62 +371,3 @@
         }
     }
 }
-
-/// How recent one source is.
-fn describe_source(vm: &str, source: &Source, now: Instant) -> String {
-    let Some((head, _)) = &source.last_head else {
-        return format!("{vm}: not connected");
-    };
-    let age = source.age(now).map_or("no".to_owned(), |age| format!("{} ms", age.as_millis()));
-    let cut_off = if head.distance.is_some() { "" } else { ", cut off" };
-    format!("{vm}: {age} old, revision {}{cut_off}", head.revision)
-}
-
-/// Maintains the connection to one source.
-struct SourceConnection<C> {
-    vm: String,
-    address: SocketAddr,
-    connector: C,
-    events: mpsc::Sender<Event>,
-    requests: mpsc::Receiver<FeedRequest>,
-}
-
-impl<C> SourceConnection<C>
-where
-    C: Connect,
-{
-    async fn run(mut self) {
-        loop {
-            match self.connector.connect(self.address).await {
-                Ok(link) => self.forward_messages(link).await,
-                Err(error) => tracing::debug!(vm = self.vm, %error, "can't connect to entry"),
-            }
-            if self.events.send(Event { vm: self.vm.clone(), message: None }).await.is_err() {
-                return;
-            }
-            sleep(RECONNECT_PAUSE).await;
-        }
-    }
-
-    async fn forward_messages(&mut self, mut link: FeedLink) {
-        loop {
-            tokio::select! {
-                message = link.receiver.recv() => {
-                    if message.is_none() {
-                        return;
-                    }
-                    let event = Event { vm: self.vm.clone(), message };
-                    if self.events.send(event).await.is_err() {
-                        return;
-                    }
-                }
-                request = self.requests.recv() => {
-                    let Some(request) = request else { return };
-                    if link.sender.send(request).await.is_err() {
-                        return;
-                    }
-                }
-            }
-        }
-    }
-}
--- a/crates/gateway/src/feed/server.rs
+++ b/crates/gateway/src/feed/server.rs
@@ -35,10 +35,11 @@
     let mut sends_statuses = false;
     let mut next_statuses_at = Instant::now();
     loop {
+        // A head, unless it is something else.
         let message = tokio::select! {
             request = link.receiver.recv() => match request {
                 Some(FeedRequest::Changes { after }) => {
-                    FeedMessage::Delta(mirror.delta(after, Instant::now()))
+                    Some(FeedMessage::Delta(mirror.delta(after, Instant::now())))
                 }
                 Some(FeedRequest::Groups(is_wanted)) => {
                     sends_statuses = is_wanted;
@@ -50,15 +51,13 @@
                 if changed.is_err() {
                     return;
                 }
-                heads.reset();
-                FeedMessage::Head(mirror.head(Instant::now()))
+                None
             }
             changed = contacts.changed() => {
                 if changed.is_err() {
                     return;
                 }
-                heads.reset();
-                FeedMessage::Head(mirror.head(Instant::now()))
+                None
             }
             () = sleep_until(next_statuses_at), if sends_statuses => {
                 if statuses.has_changed().is_err() {
@@ -69,10 +68,17 @@
                 if recent.is_empty() {
                     continue;
                 }
-                FeedMessage::Groups(recent)
+                Some(FeedMessage::Groups(recent))
             }
-            _ = heads.tick() => FeedMessage::Head(mirror.head(Instant::now())),
+            _ = heads.tick() => None,
         };
+        let message = message.unwrap_or_else(|| {
+            // A head tells of both.
+            revisions.mark_unchanged();
+            contacts.mark_unchanged();
+            heads.reset();
+            FeedMessage::Head(mirror.head(Instant::now()))
+        });
         if link.sender.send(message).await.is_err() {
             return;
         }
