Gateway: a follower's loss is no outage of the store

One follower that the store refused reported an outage, and the entries of its data centre took that over with the changes they fetched from it: two of eight entries in touch still sent to a backend server 2 s after its entry was removed (rule DRAIN), though the store had answered everybody else. remove_server_followers_struck fails without this change. 'key-value store lost' is logged once for each loss.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -30,9 +30,6 @@
 /// Longest backoff. The store also charges for failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Time without an outage after which the next one is logged again.
-const OUTAGE_END: Duration = Duration::from_millis(2_500);
-
 /// Time between reads of a process that has just started, until it gets data from a source; also
 /// the time limit of the first read. A store that was unreachable comes back at once, and callers
 /// wait for it.
@@ -206,11 +203,10 @@
 
     async fn back_off(&mut self, error: &KeyValueError) {
         let now = Instant::now();
-        let is_new = self.mirror.last_outage().is_none_or(|outage_at| now - outage_at > OUTAGE_END);
-        if is_new {
+        if !self.mirror.is_cut_off() {
             tracing::warn!(%error, "key-value store lost");
         }
-        self.mirror.record_outage(now);
+        self.mirror.record_failure(now);
         let backoff = (INITIAL_BACKOFF * 2_u32.pow(self.failures.min(8))).min(MAX_BACKOFF);
         self.failures += 1;
         sleep(backoff.mul_f64(rand::random_range(0.75..1.25))).await;
--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -1,5 +1,6 @@
 //! An entry's copy of the key-value store.
 
+use crate::feed::contact::MAX_SOURCE_AGE;
 use crate::feed::{Delta, Head, Put};
 use bytes::Bytes;
 use flamingowheel_backing::kv::{KeyValueEntry, Snapshot, WatchEvent};
@@ -184,7 +185,7 @@
         self.lock().is_cut_off = false;
     }
 
-    /// When the store was last unreachable for a follower that this copy comes from.
+    /// When the store last answered none of the followers that this copy comes from.
     pub fn last_outage(&self) -> Option<Instant> {
         self.lock().outage_at
     }
@@ -228,10 +229,14 @@
         }
     }
 
-    /// Records that the store did not answer this entry.
-    pub fn record_outage(&self, now: Instant) {
+    /// Records that the store did not answer this entry. As long as it answers another follower, the
+    /// store itself has no outage.
+    pub fn record_failure(&self, now: Instant) {
         let mut state = self.lock();
-        state.outage_at = Some(now);
+        let is_answered = state.complete_at.is_some_and(|at| now - at < MAX_SOURCE_AGE);
+        if !is_answered {
+            state.outage_at = Some(now);
+        }
         state.is_cut_off = true;
         drop(state);
         self.contacts.send_replace(());
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -79,8 +79,8 @@
     pub puts: Vec<Put>,
     /// Keys that were deleted, with the revisions of the deletions.
     pub deletes: Vec<(String, u64)>,
-    /// Time since the store was last unreachable for the follower that the copy comes from, in
-    /// milliseconds; `None` if it never was.
+    /// Time since the store last answered none of the followers that the copy comes from, in
+    /// milliseconds; `None` if it always did.
     pub outage_age_ms: Option<u64>,
 }
 
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -149,7 +149,7 @@
 #[tokio::test(start_paused = true)]
 async fn apply_delta_reports_outage() {
     let (from, to) = (Mirror::default(), Mirror::default());
-    from.record_outage(Instant::now());
+    from.record_failure(Instant::now());
     tokio::time::advance(Duration::from_millis(300)).await;
     let now = Instant::now();
     assert!(to.apply_delta("vm-1", from.delta(0, now), now));
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -241,6 +241,25 @@
         self.store.transact(transaction).await.unwrap();
     }
 
+    /// Lists a backend server of service `s` in the store, or removes it.
+    pub async fn list_server(&self, id: &str, is_listed: bool) {
+        let key = format!("servers/{id}");
+        if is_listed {
+            let value = r#"{"service":"s","addr":"10.1.0.1:80","zone":"z","slots":1,"state":"ready",
+                "seq":1}"#;
+            self.write(&key, value.to_owned()).await;
+            return;
+        }
+        let delete = Operation::Delete { key };
+        let transaction = Transaction { on_success: vec![delete], ..Transaction::default() };
+        self.store.transact(transaction).await.unwrap();
+    }
+
+    /// Whether an entry sends requests to backend servers of service `s`.
+    pub fn has_server(&self, vm: &str) -> bool {
+        !self.entries[vm].views.load().servers_of("s").is_empty()
+    }
+
     pub fn version_at(&self, vm: &str) -> u64 {
         self.entries[vm].views.load().version().unwrap_or(0)
     }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -11,6 +11,9 @@
 /// Time within which a configuration is in force at every VM in touch.
 const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// Time within which a backend server that is gone gets no requests any more.
+const DRAIN_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// The goal for a change with one fault in its way.
 const SINGLE_FAULT_GOAL: Duration = Duration::from_millis(1_200);
 
@@ -207,3 +210,23 @@
     let mut ages = vms.iter().map(|vm| fleet.mirror(vm).age(Instant::now()));
     assert!(ages.all(|age| age.is_some_and(|age| age < MAX_SOURCE_AGE)));
 }
+
+/// Guards against a backend server that is gone from the store and goes on getting requests, since
+/// entries take the loss of their followers for one of the store.
+#[tokio::test(start_paused = true)]
+async fn remove_server_followers_struck() {
+    for (fault, count) in FAULTS.into_iter().flat_map(|fault| [(fault, 1), (fault, 3)]) {
+        let mut fleet = Fleet::start(9, 3).await;
+        fleet.list_server("i-1", true).await;
+        sleep(Duration::from_secs(1)).await;
+        let struck: Vec<String> = fleet.followers().into_iter().take(count).collect();
+        struck.iter().for_each(|vm| fleet.strike(vm, fault));
+        sleep(Duration::from_millis(300)).await;
+        fleet.change().await;
+        fleet.list_server("i-1", false).await;
+        sleep(DRAIN_LIMIT).await;
+        let in_touch = without(&fleet.vms(), &struck);
+        let late: Vec<&String> = in_touch.iter().filter(|vm| fleet.has_server(vm)).collect();
+        assert!(late.is_empty(), "{fault:?} of {count}: {late:?}");
+    }
+}
