Gateway: logs and counts why a connection broke under a request, with the request's fingerprint

Our lines could not tell whether two ids are one request, nor whether a server had ended or only a connection had broken, so that two of the ends in the record could not be given to a request.

Nothing is decided by it yet.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{RetryPolicy, Route, Workspace};
 use flamingowheel_platform::headers::{self, ForwardHead, RequestHead};
+use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
 use flamingowheel_policy::outage;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
@@ -31,6 +32,9 @@
 /// probably been refused before: callers give a first attempt the full time limit.
 const CALLER_RETRY_SHORTFALL: f64 = 0.01;
 
+/// Seed of fingerprints, the same at all entries.
+const FINGERPRINT_SEED: u64 = 0;
+
 /// A caller's request with its complete body, and the configuration that applies to it.
 #[derive(Debug)]
 pub struct Exchange {
@@ -56,6 +60,8 @@
     pub headers: HeaderMap,
     /// The request body, resent with each attempt.
     pub body: Bytes,
+    /// Hash of the request's content; the same for all resends by its caller.
+    pub fingerprint: Fingerprint,
 }
 
 impl Exchange {
@@ -124,6 +130,20 @@
     }
 }
 
+/// The fingerprint of a request: its caller, method, host, path, query and body. Headers may differ
+/// between resends.
+pub fn fingerprint(
+    workspace: Option<&Workspace>,
+    method: &Method,
+    host: &str,
+    uri: &Uri,
+    body: &[u8],
+) -> Fingerprint {
+    let caller = WorkspaceKey::from_name(workspace.map_or("", |workspace| &workspace.name));
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    Fingerprint::of(FINGERPRINT_SEED, caller, &format!("{method} {host}{path}"), body)
+}
+
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub struct Attempts {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,8 +4,9 @@
 use crate::breaker::CircuitBreakers;
 use crate::budget::RetryBudget;
 use crate::connection::{Connection, SendError};
-use crate::exchange::{Attempts, Exchange};
+use crate::exchange::{self, Attempts, Exchange};
 use crate::group::{Admission, Fullness, GroupLoad};
+use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
 use crate::permits::PermitSender;
 use crate::refusal::Refusal;
@@ -87,6 +88,8 @@
     /// Chooses backend servers.
     pub selector: Selector,
     signals: SignalRecorder,
+    /// Records requests that were lost with a connection.
+    pub losses: LossRecorder,
     started_at: Instant,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
@@ -106,6 +109,7 @@
             budget: Mutex::new(budget),
             breakers: Mutex::default(),
             signals: SignalRecorder::new(permits, Arc::clone(&metrics)),
+            losses: LossRecorder::new(Arc::clone(&metrics)),
             selector,
             started_at: Instant::now(),
             metrics,
@@ -166,6 +170,13 @@
             Ok(body) => body,
             Err(refusal) => return Err((refusal, head)),
         };
+        let fingerprint = exchange::fingerprint(
+            workspace.map(Arc::as_ref),
+            &parts.method,
+            host,
+            &parts.uri,
+            &body,
+        );
         let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let wait_ms = if route.timeout_ms > 0 { wait_ms.min(route.timeout_ms) } else { wait_ms };
         Ok(Exchange {
@@ -180,6 +191,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body,
+            fingerprint,
         })
     }
 
@@ -374,7 +386,10 @@
             match connection.send(exchange.outgoing(server, last_event_id)).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::NeverSent) => {}
-                Err(SendError::Lost(_)) => return Err(SendFailure::MayHaveRun),
+                Err(SendError::Lost(error)) => {
+                    self.losses.record(exchange, server, &error);
+                    return Err(SendFailure::MayHaveRun);
+                }
             }
         }
         let mut connection = Connection::open(server.listed.address).await.map_err(|error| {
@@ -384,7 +399,10 @@
         match connection.send(exchange.outgoing(server, last_event_id)).await {
             Ok(response) => Ok((response, connection)),
             Err(SendError::NeverSent) => Err(SendFailure::NotSent),
-            Err(SendError::Lost(_)) => Err(SendFailure::MayHaveRun),
+            Err(SendError::Lost(error)) => {
+                self.losses.record(exchange, server, &error);
+                Err(SendFailure::MayHaveRun)
+            }
         }
     }
 
@@ -428,13 +446,14 @@
             let relay = Relay::new(gateway, exchange, upstream, tried.to_vec(), runs);
             return Ok(Response::from_parts(parts, relay.into_body()));
         }
+        let server = Arc::clone(in_flight.server());
         let collecting = collect(body);
         let collected = match timeout_at(exchange.deadline, collecting).await {
             Ok(collected) => collected,
             Err(_) => return Err(Refusal::NoAnswerInTime),
         };
-        let server = Arc::clone(in_flight.server());
         let Some(bytes) = collected else {
+            self.losses.record(exchange, &server, &"answer broken off");
             self.metrics.record_send(exchange.kind(), "broken");
             server.record_answer(sent_at.elapsed(), true);
             return Err(Refusal::AnswerLost);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     sends: IntCounterVec,
     signals: IntCounterVec,
     permits: IntCounterVec,
+    losses: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
     configuration: ConfigurationMetrics,
@@ -106,6 +107,13 @@
             ),
             &["answer"],
         )?;
+        let losses = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_lost_requests_total",
+                "Requests under which the connection to the backend server broke, by cause",
+            ),
+            &["cause"],
+        )?;
         let answer_times = HistogramVec::new(
             HistogramOpts::new(
                 "flamingowheel_answer_seconds",
@@ -122,6 +130,7 @@
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(losses.clone()))?;
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
         let configuration = ConfigurationMetrics::register(&registry)?;
@@ -131,6 +140,7 @@
             sends,
             signals,
             permits,
+            losses,
             answer_times,
             pauses,
             configuration,
@@ -157,6 +167,11 @@
         self.permits.with_label_values(&[answer]).inc();
     }
 
+    /// Counts a request that was lost with its connection.
+    pub fn record_loss(&self, cause: &'static str) {
+        self.losses.with_label_values(&[cause]).inc();
+    }
+
     /// Records the time to an answer, or to the first event of a stream.
     pub fn observe_answer_time(&self, kind: &'static str, after: Duration) {
         self.answer_times.with_label_values(&[kind]).observe(after.as_secs_f64());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,6 +145,7 @@
                         %error,
                         "stream broken"
                     );
+                    self.gateway.losses.record(&self.exchange, self.in_flight.server(), &error);
                     return Step::Broken;
                 }
                 Ok(None) => return Step::End,
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -3,6 +3,7 @@
 use flamingowheel_fleet::configuration::Route;
 use flamingowheel_gateway::exchange::Exchange;
 use flamingowheel_platform::headers::RequestHead;
+use flamingowheel_policy::key::Fingerprint;
 use http::{HeaderMap, Method, Uri};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
         uri: Uri::from_static("/"),
         headers: HeaderMap::new(),
         body: bytes::Bytes::new(),
+        fingerprint: Fingerprint(1),
     }
 }
 
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -3,6 +3,8 @@
 //! Decisions compare and hash keys far more often than they print them, so names are hashed once to
 //! 64 bits. The probability of any collision among 10,000 names is about 3 in 10^12.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -87,6 +89,12 @@
     }
 }
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// Hashes two 64-bit values into one.
 pub(crate) fn mix(left: u64, right: u64) -> u64 {
     let mut bytes = [0; 16];
