--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -159,7 +159,17 @@
     attempt: &str,
     api_key: &str,
 ) -> Result<BufferedResponse, HttpError> {
-    let request = client.request(Method::POST, kind.path());
+    send_to(client, kind.path(), attempt, api_key).await
+}
+
+/// Sends a request to a path.
+pub async fn send_to(
+    client: &HttpClient,
+    path: &str,
+    attempt: &str,
+    api_key: &str,
+) -> Result<BufferedResponse, HttpError> {
+    let request = client.request(Method::POST, path);
     let request = caller_headers(request, attempt, api_key, ROUTE_TIMEOUT_MS)
         .body(Full::new(Bytes::from_static(b"{}")));
     client.fetch(request.map_err(|_| HttpError::Malformed)?, Reuse::Allowed).await
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::cli::Options;
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
-use crate::proxy::Proxy;
+use crate::proxy::{LinkFault, Proxy};
 use crate::signals::{LimitSpan, STABILITY_WINDOW};
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, sleep};
@@ -30,6 +30,9 @@
 /// Most requests in progress at once on a backend server.
 const SLOTS: u32 = 16;
 
+/// Time from the end of a backend server under a request to its next start.
+pub const RESTART_TIME: Duration = Duration::from_millis(400);
+
 /// Time between two looks whether a killed process has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -49,7 +52,7 @@
 }
 
 /// A backend server, and the proxy before it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Server {
     /// Name under which it is registered.
     pub id: String,
@@ -58,7 +61,7 @@
     /// The stand-in, to change what it asks for.
     pub standin: PlatformServer,
     /// Number of its starts so far.
-    pub starts: AtomicU64,
+    pub starts: Arc<AtomicU64>,
 }
 
 /// All processes, stand-ins and proxies of one run.
@@ -98,7 +101,12 @@
             let id = format!("s-{number}");
             let server = PlatformServer::new(&id, request_log.clone(), PROCESSING_TIME, SLOTS);
             tokio::spawn(server.clone().serve(listener));
-            servers.push(Server { id, proxy, standin: server, starts: AtomicU64::new(1) });
+            servers.push(Server {
+                id,
+                proxy,
+                standin: server,
+                starts: Arc::new(AtomicU64::new(1)),
+            });
         }
         let mut entries = Vec::new();
         for (number, ports) in free_ports(options.entries).await?.into_iter().enumerate() {
@@ -127,6 +135,7 @@
         };
         for server in 0..fleet.servers.len() {
             fleet.publish_server(server, false).await;
+            tokio::spawn(restart_when_ended(fleet.kv.clone(), fleet.servers[server].clone()));
         }
         fleet.publish_configuration().await;
         (0..fleet.entries.len()).for_each(|entry| fleet.start_entry(entry));
@@ -159,10 +168,7 @@
 
     /// Publishes the record of a backend server, as ready or as draining.
     pub async fn publish_server(&self, server: usize, is_draining: bool) {
-        let Server { id, proxy, starts, .. } = &self.servers[server];
-        let start = starts.load(Ordering::SeqCst);
-        let record = server_record(proxy.address, SLOTS, start, is_draining);
-        self.write(&server_key(id), record).await;
+        publish(&self.kv, &self.servers[server], is_draining).await;
     }
 
     /// Makes a backend server name a limit, unless it asks for something already.
@@ -215,7 +221,8 @@
         let _publishing = self.publishing.lock().await;
         let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
         let keys = [API_KEY, &key_of(version)];
-        self.write(CONFIGURATION_KEY, configuration(version, &keys, ROUTE_TIMEOUT_MS)).await;
+        let configuration = configuration(version, &keys, ROUTE_TIMEOUT_MS);
+        write(&self.kv, CONFIGURATION_KEY, configuration).await;
         version
     }
 
@@ -228,14 +235,34 @@
     pub fn record_probes(&self, probes: Vec<Probe>) {
         self.probes.lock().unwrap_or_else(PoisonError::into_inner).extend(probes);
     }
+}
 
-    /// Retries the write until it succeeds, as operators and backend servers do.
-    async fn write(&self, key: &str, value: String) {
-        let put = Operation::Put { key: key.to_owned(), value: value.into(), lease: None };
-        let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
-        while self.kv.transact(transaction.clone()).await.is_err() {
-            sleep(Duration::from_millis(100)).await;
-        }
+async fn publish(kv: &FakeKeyValue, server: &Server, is_draining: bool) {
+    let start = server.starts.load(Ordering::SeqCst);
+    let record = server_record(server.proxy.address, SLOTS, start, is_draining);
+    write(kv, &server_key(&server.id), record).await;
+}
+
+/// Retries the write until it succeeds, as operators and backend servers do.
+async fn write(kv: &FakeKeyValue, key: &str, value: String) {
+    let put = Operation::Put { key: key.to_owned(), value: value.into(), lease: None };
+    let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
+    while kv.transact(transaction.clone()).await.is_err() {
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Closes the connections of a server that ended under a request, and starts it again. Its listing
+/// stays meanwhile.
+async fn restart_when_ended(kv: FakeKeyValue, server: Server) {
+    let mut ends = server.standin.ends();
+    // An error means that the server was dropped, at the end of the run.
+    while ends.changed().await.is_ok() {
+        server.proxy.set_fault(LinkFault::Ended);
+        sleep(RESTART_TIME).await;
+        server.starts.fetch_add(1, Ordering::SeqCst);
+        publish(&kv, &server, false).await;
+        server.proxy.set_fault(LinkFault::None);
     }
 }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// Size of the copy buffer, the most bytes forwarded at once.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Most connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Fault that the proxy injects into its connections, open and new ones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -26,6 +29,8 @@
     CutAnswers,
     /// Resets open connections, and new ones as soon as they are accepted.
     Reset,
+    /// Resets open connections and refuses new ones, as after the end of the process.
+    Ended,
 }
 
 /// A proxy in front of one listener; clones control the same proxy.
@@ -48,11 +53,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (sender, fault) = watch::channel(LinkFault::None);
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, target, fault.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, target, fault));
         Ok(Self { address, fault: Arc::new(sender) })
     }
 
@@ -62,6 +63,39 @@
     }
 }
 
+/// Accepts connections, except while the fault is [`LinkFault::Ended`].
+async fn accept(
+    mut listener: TcpListener,
+    target: SocketAddr,
+    mut fault: watch::Receiver<LinkFault>,
+) -> std::io::Result<()> {
+    let address = listener.local_addr()?;
+    loop {
+        let mut ends = fault.clone();
+        tokio::select! {
+            accepted = listener.accept() => {
+                let (stream, _) = accepted?;
+                tokio::spawn(forward(stream, target, fault.clone()));
+                continue;
+            }
+            ended = ends.wait_for(|fault| *fault == LinkFault::Ended) => {
+                if ended.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        drop(listener);
+        // Bound without listening: connections are refused, and the port stays this proxy's.
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        if fault.wait_for(|fault| *fault != LinkFault::Ended).await.is_err() {
+            return Ok(());
+        }
+        listener = socket.listen(BACKLOG)?;
+    }
+}
+
 async fn forward(caller: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
     if *fault.borrow() == LinkFault::Reset {
         reset(&caller);
@@ -72,9 +106,10 @@
         return;
     };
     let mut resets = fault.clone();
+    let is_reset = |fault: &LinkFault| matches!(fault, LinkFault::Reset | LinkFault::Ended);
     let reset_requested = async move {
         // An error means that the proxy was dropped, at the end of the run.
-        let _ = resets.wait_for(|fault| *fault == LinkFault::Reset).await.map(|_| ());
+        let _ = resets.wait_for(is_reset).await.map(|_| ());
     };
     let (caller, server) = (Arc::new(caller), Arc::new(server));
     let requests =
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -14,6 +14,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 /// Header with the limit that a backend server names.
@@ -25,6 +26,9 @@
 /// Header that states that a request did not run.
 const NOT_EXECUTED_HEADER: &str = "flamingowheel-not-executed";
 
+/// Part of the path of requests under which a backend server ends.
+pub const CRASH_PATH: &str = "/crash";
+
 /// Number of events in every stream.
 pub const STREAM_EVENTS: u64 = 8;
 
@@ -61,6 +65,7 @@
 struct Requests {
     runs: HashMap<String, u32>,
     arrivals: Vec<Arrival>,
+    ends: Vec<Instant>,
 }
 
 impl RequestLog {
@@ -74,6 +79,15 @@
         self.lock().arrivals.clone()
     }
 
+    /// When backend servers ended under a request, in their order.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.lock().ends.clone()
+    }
+
+    fn record_end(&self) {
+        self.lock().ends.push(Instant::now());
+    }
+
     fn record_run(&self, attempt: &str) {
         *self.lock().runs.entry(attempt.to_owned()).or_default() += 1;
     }
@@ -101,6 +115,7 @@
     pub slots: u32,
     used_slots: Arc<AtomicU32>,
     conditions: Arc<Mutex<Conditions>>,
+    ends: Arc<watch::Sender<u64>>,
 }
 
 /// A slot of a server, released on drop.
@@ -132,9 +147,22 @@
             slots,
             used_slots: Arc::default(),
             conditions: Arc::default(),
+            ends: Arc::default(),
         }
     }
 
+    /// The number of ends under a request so far. Whoever runs the server closes its connections and
+    /// its address then; the server itself leaves the request without an answer.
+    pub fn ends(&self) -> watch::Receiver<u64> {
+        self.ends.subscribe()
+    }
+
+    async fn end(&self) {
+        self.request_log.record_end();
+        self.ends.send_modify(|ends| *ends += 1);
+        std::future::pending().await
+    }
+
     /// Sets what the server asks for from now on. Clones of a server share it.
     pub fn set_conditions(&self, conditions: Conditions) {
         *self.conditions.lock().unwrap_or_else(PoisonError::into_inner) = conditions;
@@ -198,6 +226,10 @@
         return server.response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
     };
     server.request_log.record_run(&attempt);
+    if request.uri().path().contains(CRASH_PATH) {
+        sleep(server.delay).await;
+        server.end().await;
+    }
     let headers = [(ATTEMPT_HEADER, attempt.as_str()), (SIGNATURE_HEADER, server.id.as_str())];
     if !request.uri().path().starts_with("/stream/") {
         sleep(server.delay).await;
