Gateway: a request that crashes backend servers is refused by all entries

What callers saw: one request, resent through any entry, ended 16 servers of a service with three; its other callers were refused or lost their answers meanwhile.

Cause: the gateway remembered nothing of a request across its ids. The decisions of policy::suspicion served the project's own interface only; on the platform's path nobody asked them. Class: a promise kept on one of two paths.

Change: a server that refuses connections right after one broke has ended; the request it was running becomes a suspect under its fingerprint. Every send asks first, a resumed stream's and a retry's too. Entries tell eight others of a change, who tell as many if it is new to them, and compare all records with one other each second; a new one compares before it serves. Records are grow-only sets, so order, loss and repetition don't matter.

Other requests run beside a suspect here. So two crashes that another suspect shares, or amid crashes without it, only hold it back for 2 to 8 s; a finished run clears it, and requests that finish often are not suspected at all.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,6 +15,7 @@
 use crate::server::{InFlight, Server};
 use crate::signals::SignalRecorder;
 use crate::silence::SilenceDetector;
+use crate::suspects::{AloneGuard, Permission, Suspects};
 use crate::view::{View, Views};
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::{RetryPolicy, Route};
@@ -26,11 +27,16 @@
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Deadline of requests whose callers give none, in milliseconds after arrival.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 
+/// Time between checks whether a copy of the request still runs alone, and after which a caller may
+/// come back if it does.
+const ALONE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+const ALONE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Time between checks for a server that accepts work.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -75,6 +81,9 @@
     NotAdmitted,
     /// The request was not sent; it did not run.
     NotSent,
+    /// The request is suspected of crashing servers, and was not sent. The time after which it may be
+    /// at the earliest.
+    Suspect(Duration),
     /// The request may have run.
     MayHaveRun,
 }
@@ -90,6 +99,8 @@
     signals: SignalRecorder,
     /// Records requests that were lost with a connection.
     pub losses: LossRecorder,
+    /// Requests that crash backend servers.
+    pub suspects: Arc<Suspects>,
     started_at: Instant,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
@@ -101,15 +112,18 @@
         views: Views,
         budget: RetryBudget,
         permits: PermitSender,
+        suspects: Arc<Suspects>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let (loss_views, loss_suspects) = (Arc::clone(&views), Arc::clone(&suspects));
         let selector = Selector::new(Arc::clone(&views), permits.clone());
         Self {
             views,
             budget: Mutex::new(budget),
             breakers: Mutex::default(),
             signals: SignalRecorder::new(permits, Arc::clone(&metrics)),
-            losses: LossRecorder::new(Arc::clone(&metrics)),
+            losses: LossRecorder::new(loss_views, loss_suspects, Arc::clone(&metrics)),
+            suspects,
             selector,
             started_at: Instant::now(),
             metrics,
@@ -130,6 +144,7 @@
         };
         let exchange = Arc::new(exchange);
         self.budget().record_request(&exchange.service, arrived);
+        self.suspects.wait_until_synced().await;
         match self.serve(&exchange).await {
             Ok(response) => response,
             Err(refusal) => self.refuse(refusal, &exchange.head, exchange.kind(), arrived),
@@ -201,6 +216,9 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let mut attempts = Attempts::default();
         while attempts.may_send(exchange).await {
+            if let Some(wait) = self.suspects.refusal(exchange.fingerprint) {
+                return attempts.into_result(exchange, Some(Refusal::suspect(wait)));
+            }
             let (server, group) = match self.next_server(exchange, &attempts.tried).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return attempts.into_result(exchange, Some(refusal)),
@@ -236,6 +254,9 @@
                     }
                 }
                 Err(SendFailure::NotAdmitted) => attempts.ended += 1,
+                Err(SendFailure::Suspect(wait)) => {
+                    return attempts.into_result(exchange, Some(Refusal::suspect(wait)));
+                }
                 Err(SendFailure::NotSent) => self.breakers().record_refusal(&exchange.service),
                 Err(SendFailure::MayHaveRun) => {
                     attempts.runs += 1;
@@ -317,9 +338,11 @@
         group: Option<&Arc<GroupLoad>>,
         last_event_id: Option<u64>,
     ) -> Result<SentRequest, SendFailure> {
+        let alone = self.permission(exchange).await.map_err(SendFailure::Suspect)?;
         let Some(mut in_flight) = server.begin(group) else {
             return Err(SendFailure::NotAdmitted);
         };
+        in_flight.set_alone(alone);
         let sent_at = Instant::now();
         let sending = self.send_on_connection(exchange, server, last_event_id);
         let can_resume = exchange.route.retry_policy == RetryPolicy::Resume;
@@ -346,6 +369,9 @@
                     self.metrics.record_send(exchange.kind(), "foreign_answer");
                     return Err(SendFailure::MayHaveRun);
                 }
+                if server.refute_end() {
+                    self.suspects.record_alive(server.key);
+                }
                 let sent = SentRequest { response, answer, connection, in_flight, sent_at };
                 // Every answer passes here, whatever its status and whichever attempt it ends.
                 if !sent.is_misdirected() {
@@ -355,7 +381,9 @@
             }
             Err(failure) => {
                 let result = match failure {
-                    SendFailure::NotAdmitted | SendFailure::NotSent => "not_sent",
+                    SendFailure::NotAdmitted | SendFailure::NotSent | SendFailure::Suspect(_) => {
+                        "not_sent"
+                    }
                     SendFailure::MayHaveRun => "lost",
                 };
                 self.metrics.record_send(exchange.kind(), result);
@@ -372,6 +400,21 @@
         }
     }
 
+    /// Asks whether the request may be sent. Waits while a copy of it runs alone.
+    async fn permission(&self, exchange: &Exchange) -> Result<Option<AloneGuard>, Duration> {
+        loop {
+            match self.suspects.admit(exchange.fingerprint) {
+                Permission::Granted => return Ok(None),
+                Permission::Alone(guard) => return Ok(Some(guard)),
+                Permission::Refused(wait) => return Err(wait),
+                Permission::Wait if exchange.arrived.elapsed() >= exchange.outage_timeout() => {
+                    return Err(ALONE_RETRY_AFTER);
+                }
+                Permission::Wait => sleep(ALONE_POLL_INTERVAL).await,
+            }
+        }
+    }
+
     async fn send_on_connection(
         &self,
         exchange: &Exchange,
@@ -387,7 +430,7 @@
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::NeverSent) => {}
                 Err(SendError::Lost(error)) => {
-                    self.losses.record(exchange, server, &error);
+                    self.losses.record(exchange, server, &error).await;
                     return Err(SendFailure::MayHaveRun);
                 }
             }
@@ -400,7 +443,7 @@
             Ok(response) => Ok((response, connection)),
             Err(SendError::NeverSent) => Err(SendFailure::NotSent),
             Err(SendError::Lost(error)) => {
-                self.losses.record(exchange, server, &error);
+                self.losses.record(exchange, server, &error).await;
                 Err(SendFailure::MayHaveRun)
             }
         }
@@ -453,12 +496,13 @@
             Err(_) => return Err(Refusal::NoAnswerInTime),
         };
         let Some(bytes) = collected else {
-            self.losses.record(exchange, &server, &"answer broken off");
+            self.losses.record(exchange, &server, &"answer broken off").await;
             self.metrics.record_send(exchange.kind(), "broken");
             server.record_answer(sent_at.elapsed(), true);
             return Err(Refusal::AnswerLost);
         };
         server.record_answer(sent_at.elapsed(), status.is_server_error());
+        self.suspects.record_finished(exchange.fingerprint);
         keep_connection(connection, server);
         self.metrics.record_send(exchange.kind(), if is_success { "answered" } else { "failed" });
         self.record_answered(exchange, in_flight.server(), status, runs);
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -2,6 +2,7 @@
 
 use crate::feed::mirror::Mirror;
 use crate::metrics::Metrics;
+use crate::suspects::Suspects;
 use crate::view::Views;
 use axum::Router;
 use axum::extract::{RawQuery, State};
@@ -9,6 +10,8 @@
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::get;
 use flamingowheel_platform::{READY_PATH, RESOLVE_PATH, ResolveAnswer, directory};
+use flamingowheel_policy::suspicion::{CrashRecord, SuspectRecord, Verdict};
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -30,6 +33,8 @@
     pub mirror: Arc<Mirror>,
     /// This entry's metrics.
     pub metrics: Arc<Metrics>,
+    /// Requests that crash backend servers.
+    pub suspects: Arc<Suspects>,
 }
 
 /// Router of the directory, from which callers learn the entries' addresses.
@@ -37,9 +42,43 @@
     Router::new().route(RESOLVE_PATH, get(resolve)).with_state(info)
 }
 
-/// Router of the readiness check and the metrics.
+/// Router of the readiness check, the metrics and the list of suspect requests.
 pub fn readiness(info: Info) -> Router {
-    Router::new().route(READY_PATH, get(ready)).route("/metrics", get(metrics)).with_state(info)
+    let router = Router::new().route(READY_PATH, get(ready)).route("/metrics", get(metrics));
+    router.route("/suspects", get(suspects)).with_state(info)
+}
+
+/// A suspect request, as operators see it.
+#[derive(Debug, Serialize)]
+struct SuspectEntry {
+    fingerprint: String,
+    state: &'static str,
+    /// Time after which it may be sent again, in seconds.
+    retry_after_s: Option<u64>,
+    /// Keys of the backend servers that crashed under it.
+    crashed: Vec<String>,
+    /// Crashes of which a finished run has cleared it.
+    cleared: usize,
+}
+
+async fn suspects(State(info): State<Info>) -> Json<Vec<SuspectEntry>> {
+    let entry = |(record, verdict): (SuspectRecord, Verdict)| {
+        let (state, retry_after_s) = match verdict {
+            Verdict::Clear => ("cleared", None),
+            Verdict::Alone { .. } => ("suspect", None),
+            Verdict::Refused { retry_after } => ("refused", Some(retry_after.as_secs())),
+        };
+        let (cleared, open): (Vec<&CrashRecord>, Vec<&CrashRecord>) =
+            record.crashes.iter().partition(|crash| crash.cleared);
+        SuspectEntry {
+            fingerprint: record.fingerprint.to_string(),
+            state,
+            retry_after_s,
+            crashed: open.iter().map(|crash| format!("{:016x}", crash.crash.server.0)).collect(),
+            cleared: cleared.len(),
+        }
+    };
+    Json(info.suspects.records().into_iter().map(entry).collect())
 }
 
 async fn ready(State(info): State<Info>) -> StatusCode {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod server;
 pub mod signals;
 pub mod silence;
+pub mod suspects;
 pub mod view;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     signals: IntCounterVec,
     permits: IntCounterVec,
     losses: IntCounterVec,
+    suspicions: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
     configuration: ConfigurationMetrics,
@@ -114,6 +115,13 @@
             ),
             &["cause"],
         )?;
+        let suspicions = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_suspicions_total",
+                "Crashes of backend servers under requests, and what followed for the requests",
+            ),
+            &["event"],
+        )?;
         let answer_times = HistogramVec::new(
             HistogramOpts::new(
                 "flamingowheel_answer_seconds",
@@ -131,6 +139,7 @@
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(losses.clone()))?;
+        registry.register(Box::new(suspicions.clone()))?;
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
         let configuration = ConfigurationMetrics::register(&registry)?;
@@ -141,6 +150,7 @@
             signals,
             permits,
             losses,
+            suspicions,
             answer_times,
             pauses,
             configuration,
@@ -172,6 +182,11 @@
         self.losses.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a crash under a request, or what followed for a suspect request.
+    pub fn record_suspicion(&self, event: &'static str) {
+        self.suspicions.with_label_values(&[event]).inc();
+    }
+
     /// Records the time to an answer, or to the first event of a stream.
     pub fn observe_answer_time(&self, kind: &'static str, after: Duration) {
         self.answer_times.with_label_values(&[kind]).observe(after.as_secs_f64());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,6 +14,8 @@
 use crate::metrics::Metrics;
 use crate::permits::{self, PermitExchange};
 use crate::publish::{Outputs, Publisher};
+use crate::suspects::Suspects;
+use crate::suspects::exchange::SuspectExchange;
 use crate::view::{EntryRecord, Views};
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::StoreClient;
@@ -74,11 +76,21 @@
         Arc::clone(&metrics),
     );
     tokio::spawn(exchange.run());
+    let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
+    let suspects_address = SocketAddr::new(settings.ip, settings.internal_ports.1);
+    let exchange = SuspectExchange::new(
+        settings.vm.clone(),
+        Arc::clone(&views),
+        UdpSocket::bind(suspects_address).await?,
+        Arc::clone(&suspects),
+    );
+    tokio::spawn(exchange.run());
 
     let gateway = Arc::new(Gateway::new(
         Arc::clone(&views),
         RetryBudget::new(allowance(settings)),
         permit_sender,
+        Arc::clone(&suspects),
         Arc::clone(&metrics),
     ));
     let traffic = start_traffic(callers, &gateway, &stop)?;
@@ -90,6 +102,7 @@
         leaving: stop.leaving.clone(),
         mirror: Arc::clone(&mirror),
         metrics: Arc::clone(&metrics),
+        suspects,
     };
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
@@ -98,7 +111,12 @@
     let announcement = Announcement {
         store,
         vm: settings.vm.clone(),
-        record: EntryRecord { callers, data_centre, peers: Some(peers) },
+        record: EntryRecord {
+            callers,
+            data_centre,
+            peers: Some(peers),
+            suspects: Some(suspects_address),
+        },
         min_ttl: Duration::from_millis(settings.min_lease_ttl_ms),
     };
     let announced = tokio::spawn(announcement.run(stop.leaving.clone()));
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -40,6 +40,11 @@
         /// When there should be room, in milliseconds from now.
         retry_after_ms: u64,
     },
+    /// Backend servers crashed under requests with the same content.
+    Suspect {
+        /// When it may be sent again at the earliest, in milliseconds from now.
+        retry_after_ms: u64,
+    },
     /// No backend server accepts work; none ran the request.
     Full {
         /// When the caller should retry, in milliseconds from now.
@@ -73,12 +78,18 @@
         Self::NoConfiguration { retry_after_ms }
     }
 
+    /// The refusal of a request that crashes backend servers, for another `wait`.
+    pub fn suspect(wait: Duration) -> Self {
+        Self::Suspect { retry_after_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX) }
+    }
+
     /// The HTTP status. 408, 429 and 503 guarantee that the request did not and will not run.
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration { .. }
             | Self::Busy { .. }
             | Self::Held { .. }
+            | Self::Suspect { .. }
             | Self::Full { .. }
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -95,6 +106,7 @@
         match self {
             Self::Busy { retry_after_ms }
             | Self::Held { retry_after_ms }
+            | Self::Suspect { retry_after_ms }
             | Self::Full { retry_after_ms }
             | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
             Self::TooLate => Some(RETRY_AFTER_MS),
@@ -112,6 +124,7 @@
             Self::BodyLost => "body_lost",
             Self::Busy { .. } => "busy",
             Self::Held { .. } => "held",
+            Self::Suspect { .. } => "suspect",
             Self::Full { .. } => "full",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,7 +145,8 @@
                         %error,
                         "stream broken"
                     );
-                    self.gateway.losses.record(&self.exchange, self.in_flight.server(), &error);
+                    let server = self.in_flight.server();
+                    self.gateway.losses.record(&self.exchange, server, &error).await;
                     return Step::Broken;
                 }
                 Ok(None) => return Step::End,
@@ -168,6 +169,7 @@
     /// Resumes at another backend server after the last event that was relayed.
     async fn resume(&mut self) -> bool {
         self.connection = None;
+        self.in_flight.set_alone(None);
         self.splitter.discard_pending();
         let server = self.in_flight.server();
         server.record_answer(self.exchange.arrived.elapsed(), true);
@@ -200,6 +202,7 @@
                 }
                 Ok(sent) if sent.answer.is_not_run => {}
                 Ok(_) | Err(SendFailure::MayHaveRun) => self.runs += 1,
+                Err(SendFailure::Suspect(_)) => return false,
                 Err(SendFailure::NotAdmitted | SendFailure::NotSent) => {}
             }
         }
@@ -249,6 +252,9 @@
             runs = self.runs,
             "stream ended"
         );
+        if outcome == "complete" {
+            self.gateway.suspects.record_finished(self.exchange.fingerprint);
+        }
         match self.connection.take() {
             Some(connection) if outcome == "complete" => {
                 keep_connection(connection, Arc::clone(self.in_flight.server()));
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,12 +2,13 @@
 
 use crate::connection::Connection;
 use crate::group::{GroupInFlight, GroupLoad};
+use crate::suspects::AloneGuard;
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_platform::Stated;
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::permits::{LimitReport, Permits, Verdict};
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -57,6 +58,8 @@
     /// The key of this start of the server, the same at all entries.
     pub key: ServerKey,
     in_flight: Arc<AtomicU32>,
+    /// Whether this start of the server was found to have ended.
+    has_ended: Arc<AtomicBool>,
     state: Arc<Mutex<State>>,
     origin: Instant,
 }
@@ -165,6 +168,7 @@
             key: ServerKey::from_name(&format!("{}@{}", listed.id, listed.started_ms)),
             listed,
             in_flight: Arc::default(),
+            has_ended: Arc::default(),
             state: Arc::default(),
             origin: Instant::now(),
         }
@@ -172,8 +176,14 @@
 
     /// The same start of the server with a changed listing; its observations are kept.
     pub fn with_listing(&self, listed: BackendServer) -> Self {
-        let (in_flight, state) = (Arc::clone(&self.in_flight), Arc::clone(&self.state));
-        Self { listed, key: self.key, in_flight, state, origin: self.origin }
+        Self {
+            listed,
+            key: self.key,
+            in_flight: Arc::clone(&self.in_flight),
+            has_ended: Arc::clone(&self.has_ended),
+            state: Arc::clone(&self.state),
+            origin: self.origin,
+        }
     }
 
     /// Whether a listing describes the same start of the same server.
@@ -216,7 +226,7 @@
             state.send_times.pop_front();
         }
         let in_group = group.map(GroupLoad::begin);
-        Some(InFlight { server: Arc::clone(self), in_group, is_answered: false })
+        Some(InFlight { server: Arc::clone(self), in_group, is_answered: false, alone: None })
     }
 
     /// Number of requests sent to the server after `moment`.
@@ -374,6 +384,16 @@
         health.back_off(now);
     }
 
+    /// Records that this start of the server was found to have ended.
+    pub fn record_ended(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the server was taken for ended, which an answer of it refutes.
+    pub fn refute_end(&self) -> bool {
+        self.has_ended.load(Ordering::Relaxed) && self.has_ended.swap(false, Ordering::Relaxed)
+    }
+
     /// Records that another server has taken over the address: this one has ended, and its listing
     /// will be removed.
     pub fn record_gone(&self, now: Instant) {
@@ -393,9 +413,15 @@
     server: Arc<Server>,
     in_group: Option<GroupInFlight>,
     is_answered: bool,
+    alone: Option<AloneGuard>,
 }
 
 impl InFlight {
+    /// Keeps other copies of the request from being sent as long as this one is in flight.
+    pub fn set_alone(&mut self, alone: Option<AloneGuard>) {
+        self.alone = alone;
+    }
+
     /// The rank group in which the request is counted; `None` for a server without one.
     pub fn group(&self) -> Option<&Arc<GroupLoad>> {
         self.in_group.as_ref().map(GroupInFlight::group)
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -21,6 +21,9 @@
     /// Address for other entries.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
+    /// Address at which it learns of suspect requests from other entries.
+    #[serde(default)]
+    pub suspects: Option<SocketAddr>,
 }
 
 /// How the configuration in force came into force.
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -164,7 +164,12 @@
         let announcement = Announcement {
             store,
             vm: vm.to_owned(),
-            record: EntryRecord { callers: address, data_centre, peers: Some(address) },
+            record: EntryRecord {
+                callers: address,
+                data_centre,
+                peers: Some(address),
+                suspects: None,
+            },
             min_ttl: Duration::from_secs(1),
         };
         tasks.spawn(announcement.run(CancellationToken::new()));
--- a/crates/gateway/tests/member.rs
+++ b/crates/gateway/tests/member.rs
@@ -19,7 +19,7 @@
     Announcement {
         store: store.clone(),
         vm: "vm-1".to_owned(),
-        record: EntryRecord { callers, data_centre: "d".to_owned(), peers: None },
+        record: EntryRecord { callers, data_centre: "d".to_owned(), peers: None, suspects: None },
         min_ttl: Duration::from_secs(1),
     }
 }
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -48,6 +48,7 @@
             callers: *peers,
             data_centre: "z".to_owned(),
             peers: Some(*peers),
+            suspects: None,
         };
         let records = addresses.iter().enumerate();
         let entries: HashMap<String, EntryRecord> =
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod permits;
 pub mod ranks;
+pub mod suspects;
 pub mod targets;
 pub mod ticket;
 pub mod websocket;
