Gateway: requests that were running at one crash are sent again in turns

A harmless request that was lost with the crashing one was retried in the same moment, on the same server; then both shared two crashes, and the crashing one was tried once more.

Now the requests known to have run at a crash wait for their turn: 30 ms for the news, then 120 ms each in the order of their fingerprints, 600 ms at most.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -32,10 +32,12 @@
 /// Deadline of requests whose callers give none, in milliseconds after arrival.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 
-/// Time between checks whether a copy of the request still runs alone, and after which a caller may
-/// come back if it does.
-const ALONE_POLL_INTERVAL: Duration = Duration::from_millis(10);
-const ALONE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time between checks whether a suspect request may be sent, and the longest time for which it waits.
+const PERMISSION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+const MAX_PERMISSION_WAIT: Duration = Duration::from_millis(800);
+
+/// Time after which the caller may come back if it may not.
+const PERMISSION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time between checks for a server that accepts work.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -400,17 +402,18 @@
         }
     }
 
-    /// Asks whether the request may be sent. Waits while a copy of it runs alone.
+    /// Asks whether the request may be sent. Waits for its turn, and while a copy of it runs alone.
     async fn permission(&self, exchange: &Exchange) -> Result<Option<AloneGuard>, Duration> {
+        let wait_until = exchange.deadline.min(Instant::now() + MAX_PERMISSION_WAIT);
         loop {
             match self.suspects.admit(exchange.fingerprint) {
                 Permission::Granted => return Ok(None),
                 Permission::Alone(guard) => return Ok(Some(guard)),
                 Permission::Refused(wait) => return Err(wait),
-                Permission::Wait if exchange.arrived.elapsed() >= exchange.outage_timeout() => {
-                    return Err(ALONE_RETRY_AFTER);
+                Permission::Wait if Instant::now() >= wait_until => {
+                    return Err(PERMISSION_RETRY_AFTER);
                 }
-                Permission::Wait => sleep(ALONE_POLL_INTERVAL).await,
+                Permission::Wait => sleep(PERMISSION_POLL_INTERVAL).await,
             }
         }
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -11,6 +11,11 @@
 /// to the same state, and most callers retry once.
 const STORE_OUTAGE_RETRY_AFTER_MS: (u64, u64) = (1_500, 2_500);
 
+/// Shortest and longest time after which the caller of a suspect request should retry. An entry may
+/// see the request finish meanwhile.
+const SUSPECT_RETRY_AFTER: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(5));
+
 /// Time within which a new process usually learns the configuration if the store answers.
 const USUAL_START_TIME: Duration = Duration::from_millis(400);
 
@@ -79,8 +84,16 @@
     }
 
     /// The refusal of a request that crashes backend servers, for another `wait`.
+    ///
+    /// ```
+    /// use flamingowheel_gateway::refusal::Refusal;
+    /// use std::time::Duration;
+    /// let refusal = Refusal::suspect(Duration::from_secs(3_600));
+    /// assert_eq!(refusal.retry_after_ms(), Some(5_000));
+    /// ```
     pub fn suspect(wait: Duration) -> Self {
-        Self::Suspect { retry_after_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX) }
+        let (least, most) = SUSPECT_RETRY_AFTER;
+        Self::Suspect { retry_after_ms: wait.clamp(least, most).as_millis() as u64 }
     }
 
     /// The HTTP status. 408, 429 and 503 guarantee that the request did not and will not run.
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -32,7 +32,7 @@
     Granted,
     /// It may, and no copy of it until the guard is dropped.
     Alone(AloneGuard),
-    /// Another copy runs alone.
+    /// Another copy runs alone, or it is not the request's turn.
     Wait,
     /// It may not, for this time at least.
     Refused(Duration),
@@ -89,12 +89,16 @@
 
     /// Whether a request may be sent now. Every request to a backend server is asked for here.
     pub fn admit(&self, fingerprint: Fingerprint) -> Permission {
-        match self.tracker().verdict(fingerprint, self.now()) {
+        let mut tracker = self.tracker();
+        match tracker.verdict(fingerprint, self.now()) {
             Verdict::Clear => Permission::Granted,
             Verdict::Refused { retry_after } => {
                 self.metrics.record_suspicion("refused");
                 Permission::Refused(retry_after)
             }
+            Verdict::Alone { .. } if !tracker.turn(fingerprint, self.now()).is_zero() => {
+                Permission::Wait
+            }
             Verdict::Alone { .. } if lock(&self.alone).insert(fingerprint) => {
                 Permission::Alone(AloneGuard { alone: Arc::clone(&self.alone), fingerprint })
             }
@@ -117,7 +121,9 @@
     pub fn record_end(&self, server: ServerKey, fingerprint: Fingerprint) {
         // The key names one start of a server, which ends once.
         let crash = CrashId { server, number: 0 };
-        self.tracker().on_crash(crash, &[fingerprint], self.now());
+        let now = self.now();
+        let mut tracker = self.tracker();
+        tracker.on_crash(crash, &[fingerprint], now);
         self.metrics.record_suspicion("crash");
         self.changed.notify_one();
     }
@@ -176,7 +182,8 @@
         }
     }
 
-    fn merge(&self, records: &[SuspectRecord]) {
+    /// Adds what another entry knows.
+    pub fn merge(&self, records: &[SuspectRecord]) {
         let now = self.now();
         let mut tracker = self.tracker();
         for record in records {
--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -65,6 +65,14 @@
 /// Requests that crashed together are tried again at different times.
 const RECHECK_TIME: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(8));
 
+/// Time after a crash in which all processes learn which requests were running.
+const SETTLE_TIME: Duration = Duration::from_millis(30);
+
+/// Time between the turns of two requests that were running at the same crash, and the longest wait
+/// for a turn.
+const TURN_INTERVAL: Duration = Duration::from_millis(120);
+const MAX_TURN_WAIT: Duration = Duration::from_millis(600);
+
 /// Time around a crash in which crashes without the request point to another cause.
 const COINCIDENCE_WINDOW: Duration = Duration::from_secs(10);
 
@@ -137,7 +145,10 @@
 /// Finished runs of one request.
 #[derive(Clone, Copy, Debug)]
 struct Finishes {
+    /// In the window that began at `since`.
     count: u32,
+    /// In the window before.
+    previous: u32,
     since: Duration,
 }
 
@@ -237,6 +248,27 @@
         }
     }
 
+    /// Time until the turn of a suspect beside which others run. Requests that were running at the same
+    /// crash are sent again one after the other, so that few of them meet the one that caused it.
+    #[must_use]
+    pub fn turn(&self, fingerprint: Fingerprint, now: Duration) -> Duration {
+        let Some(crashes) = self.suspects.get(&fingerprint) else { return Duration::ZERO };
+        let suspicious = crashes.iter().filter(|(_, state)| !state.cleared);
+        let Some((crash, last)) = suspicious.max_by_key(|(_, state)| state.seen_at) else {
+            return Duration::ZERO;
+        };
+        if now >= last.seen_at + MAX_TURN_WAIT {
+            return Duration::ZERO;
+        }
+        let is_earlier = |(other, crashes): &(&Fingerprint, &Crashes)| {
+            **other < fingerprint && crashes.get(crash).is_some_and(|state| !state.cleared)
+        };
+        let earlier = self.suspects.iter().filter(is_earlier).count();
+        let wait =
+            SETTLE_TIME + TURN_INTERVAL.saturating_mul(u32::try_from(earlier).unwrap_or(u32::MAX));
+        (last.seen_at + wait.min(MAX_TURN_WAIT)).saturating_sub(now)
+    }
+
     /// The verdict on a request with two crashes or more, beside which others were running.
     fn shared_verdict(
         &self,
@@ -291,10 +323,12 @@
                 return;
             }
         }
-        let finishes =
-            self.finished.entry(fingerprint).or_insert(Finishes { count: 0, since: now });
-        if now.saturating_sub(finishes.since) >= FINISH_WINDOW {
-            *finishes = Finishes { count: 0, since: now };
+        let new = Finishes { count: 0, previous: 0, since: now };
+        let finishes = self.finished.entry(fingerprint).or_insert(new);
+        let elapsed = now.saturating_sub(finishes.since);
+        if elapsed >= FINISH_WINDOW {
+            let previous = if elapsed < 2 * FINISH_WINDOW { finishes.count } else { 0 };
+            *finishes = Finishes { previous, ..new };
         }
         finishes.count = finishes.count.saturating_add(1);
     }
@@ -303,9 +337,12 @@
     fn outweigh_crash(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
         let Some(finishes) = self.finished.get_mut(&fingerprint) else { return false };
         let is_recent = now.saturating_sub(finishes.since) < FINISH_WINDOW;
-        let left = finishes.count.checked_sub(FINISHES_PER_CRASH).filter(|_| is_recent);
-        finishes.count = left.unwrap_or(finishes.count);
-        left.is_some()
+        let total = finishes.count.saturating_add(finishes.previous);
+        let Some(left) = total.checked_sub(FINISHES_PER_CRASH).filter(|_| is_recent) else {
+            return false;
+        };
+        (finishes.count, finishes.previous) = (left, 0);
+        true
     }
 
     /// Returns the records that changed since the last call, to be sent to the other processes.
@@ -357,7 +394,9 @@
         self.suspects.is_empty()
     }
 
-    fn record(&self, fingerprint: Fingerprint, now: Duration) -> Option<SuspectRecord> {
+    /// The record of a request; `None` if it is no suspect.
+    #[must_use]
+    pub fn record(&self, fingerprint: Fingerprint, now: Duration) -> Option<SuspectRecord> {
         let crashes = self.suspects.get(&fingerprint)?.iter();
         let crashes = crashes.map(|(crash, state)| CrashRecord {
             crash: *crash,
