Gateway: the store keeps records of refused requests

It reaches all entries the way that all changes take, and those that start before they serve. Gossip stays the fast way, and the only one while the store is away.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -115,16 +115,16 @@
         budget: RetryBudget,
         permits: PermitSender,
         suspects: Arc<Suspects>,
+        losses: LossRecorder,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let (loss_views, loss_suspects) = (Arc::clone(&views), Arc::clone(&suspects));
         let selector = Selector::new(Arc::clone(&views), permits.clone());
         Self {
             views,
             budget: Mutex::new(budget),
             breakers: Mutex::default(),
             signals: SignalRecorder::new(permits, Arc::clone(&metrics)),
-            losses: LossRecorder::new(loss_views, loss_suspects, Arc::clone(&metrics)),
+            losses,
             suspects,
             selector,
             started_at: Instant::now(),
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -5,6 +5,7 @@
 use crate::metrics::Metrics;
 use crate::server::Server;
 use crate::suspects::Suspects;
+use crate::suspects::archive::ArchiveSender;
 use crate::view::Views;
 use std::fmt::Display;
 use std::sync::Arc;
@@ -15,13 +16,20 @@
 pub struct LossRecorder {
     views: Views,
     suspects: Arc<Suspects>,
+    archive: ArchiveSender,
     metrics: Arc<Metrics>,
 }
 
 impl LossRecorder {
-    /// Creates a recorder that reports requests under which servers end to `suspects`.
-    pub fn new(views: Views, suspects: Arc<Suspects>, metrics: Arc<Metrics>) -> Self {
-        Self { views, suspects, metrics }
+    /// Creates a recorder that reports requests under which servers end to `suspects`, and has those
+    /// that are refused written to the store by `archive`.
+    pub fn new(
+        views: Views,
+        suspects: Arc<Suspects>,
+        archive: ArchiveSender,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self { views, suspects, archive, metrics }
     }
 
     /// Records that the connection broke while the request was at the server. Returns once it is
@@ -39,7 +47,9 @@
             recorder.metrics.record_loss(cause.name());
             if cause == BreakCause::ServerEnded && was_taking_work {
                 server.record_ended();
-                recorder.suspects.record_end(server.key, fingerprint);
+                if let Some(record) = recorder.suspects.record_end(server.key, fingerprint) {
+                    recorder.archive.write(record);
+                }
             }
             tracing::info!(
                 request,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,12 +10,13 @@
 use crate::forward::Gateway;
 use crate::front::{self, Stop};
 use crate::info::{self, DIRECTORY_TTL_MS, Info};
+use crate::losses::LossRecorder;
 use crate::member::Announcement;
 use crate::metrics::Metrics;
 use crate::permits::{self, PermitExchange};
 use crate::publish::{Outputs, Publisher};
-use crate::suspects::Suspects;
 use crate::suspects::exchange::SuspectExchange;
+use crate::suspects::{Suspects, archive};
 use crate::view::{EntryRecord, Views};
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::StoreClient;
@@ -85,12 +86,17 @@
         Arc::clone(&suspects),
     );
     tokio::spawn(exchange.run());
+    let (archive, archived) = archive::channel();
+    tokio::spawn(archive::run(store.clone(), archived));
+    let (loss_views, loss_suspects) = (Arc::clone(&views), Arc::clone(&suspects));
+    let losses = LossRecorder::new(loss_views, loss_suspects, archive, Arc::clone(&metrics));
 
     let gateway = Arc::new(Gateway::new(
         Arc::clone(&views),
         RetryBudget::new(allowance(settings)),
         permit_sender,
         Arc::clone(&suspects),
+        losses,
         Arc::clone(&metrics),
     ));
     let traffic = start_traffic(callers, &gateway, &stop)?;
@@ -102,11 +108,11 @@
         leaving: stop.leaving.clone(),
         mirror: Arc::clone(&mirror),
         metrics: Arc::clone(&metrics),
-        suspects,
+        suspects: Arc::clone(&suspects),
     };
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
-    start_feed(settings, peers, &store, Feed { mirror, views, metrics }).await?;
+    start_feed(settings, peers, &store, Feed { mirror, views, suspects, metrics }).await?;
     let data_centre = settings.data_centre.clone();
     let announcement = Announcement {
         store,
@@ -149,6 +155,7 @@
 struct Feed {
     mirror: Arc<Mirror>,
     views: Views,
+    suspects: Arc<Suspects>,
     metrics: Arc<Metrics>,
 }
 
@@ -160,14 +167,20 @@
     store: &StoreClient,
     feed: Feed,
 ) -> Result<(), std::io::Error> {
-    let Feed { mirror, views, metrics } = feed;
+    let Feed { mirror, views, suspects, metrics } = feed;
     let (members, members_receiver) = watch::channel(Arc::default());
     let (coordinators, coordinators_receiver) = watch::channel(Arc::default());
     let (statuses, statuses_receiver) = watch::channel(Arc::default());
     let (follows, should_follow) = watch::channel(false);
     let agent_port = settings.internal_ports.0;
-    let outputs =
-        Outputs { members, coordinators, statuses: statuses_receiver.clone(), agent_port, metrics };
+    let outputs = Outputs {
+        members,
+        coordinators,
+        statuses: statuses_receiver.clone(),
+        agent_port,
+        suspects,
+        metrics,
+    };
     let (vm, data_centre) = (&settings.vm, &settings.data_centre);
     let identity = Identity::without_secret(vm, data_centre, Role::Entry, feed::TIMING);
     let listener = TcpListener::bind(address).await?;
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -7,10 +7,13 @@
 use crate::listings::Listings;
 use crate::metrics::Metrics;
 use crate::server::Server;
+use crate::suspects::Suspects;
+use crate::suspects::archive::SUSPECTS_PREFIX;
 use crate::view::{EntryRecord, InForce, View, Views};
 use flamingowheel_fleet::{BackendServer, Configuration, EngineParameters};
 use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
 use flamingowheel_policy::batch::PassModel;
+use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord, RankRecord};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -44,6 +47,8 @@
     pub statuses: watch::Receiver<Arc<Statuses>>,
     /// The agents' port, the same on all VMs of a deployment.
     pub agent_port: u16,
+    /// Requests that crash backend servers; records of refused ones come from the store.
+    pub suspects: Arc<Suspects>,
     /// This entry's metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -161,6 +166,11 @@
             self.put_server(key, value, revision);
         } else if let Some(name) = key.strip_prefix(GROUPS_PREFIX) {
             self.put_group(name, value);
+        } else if key.starts_with(SUSPECTS_PREFIX) {
+            match serde_json::from_slice::<SuspectRecord>(value) {
+                Ok(record) => self.outputs.suspects.merge(&[record]),
+                Err(error) => tracing::warn!(key, %error, "suspect's record can't be read"),
+            }
         } else if let Some(vm) = key.strip_prefix(ENTRIES_PREFIX) {
             match serde_json::from_slice(value) {
                 Ok(record) => {
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -3,6 +3,7 @@
 //! The entries share what they know: each tells a few others of every change, and compares all with
 //! one of them at intervals. The decisions are those of [`flamingowheel_policy::suspicion`].
 
+pub mod archive;
 pub mod exchange;
 
 use crate::metrics::Metrics;
@@ -117,8 +118,9 @@
         }
     }
 
-    /// Records that a backend server ended under a request.
-    pub fn record_end(&self, server: ServerKey, fingerprint: Fingerprint) {
+    /// Records that a backend server ended under a request. Returns the request's record if it is
+    /// refused from now on.
+    pub fn record_end(&self, server: ServerKey, fingerprint: Fingerprint) -> Option<SuspectRecord> {
         // The key names one start of a server, which ends once.
         let crash = CrashId { server, number: 0 };
         let now = self.now();
@@ -126,6 +128,8 @@
         tracker.on_crash(crash, &[fingerprint], now);
         self.metrics.record_suspicion("crash");
         self.changed.notify_one();
+        let is_refused = matches!(tracker.verdict(fingerprint, now), Verdict::Refused { .. });
+        is_refused.then(|| tracker.record(fingerprint, now)).flatten()
     }
 
     /// Records that a run of a request finished.
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -16,6 +16,7 @@
 use flamingowheel_gateway::member::Announcement;
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::publish::{Outputs, Publisher};
+use flamingowheel_gateway::suspects::Suspects;
 use flamingowheel_gateway::view::{EntryRecord, Views};
 use flamingowheel_platform::CONFIGURATION_KEY;
 use flamingowheel_policy::topology::{EntryRef, FOLLOWERS, Topology};
@@ -134,11 +135,13 @@
         let (statuses, statuses_receiver) = watch::channel(Arc::default());
         let (follows, should_follow) = watch::channel(false);
         let metrics = Arc::new(Metrics::new().unwrap());
+        let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
         let outputs = Outputs {
             members,
             coordinators,
             statuses: statuses_receiver.clone(),
             agent_port: PEER_PORT,
+            suspects,
             metrics,
         };
         let mut tasks = JoinSet::new();
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -5,6 +5,7 @@
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::publish::{Outputs, Publisher};
 use flamingowheel_gateway::server::Server;
+use flamingowheel_gateway::suspects::Suspects;
 use flamingowheel_gateway::view::Views;
 use flamingowheel_platform::{CONFIGURATION_KEY, Stated};
 use std::sync::Arc;
@@ -30,8 +31,15 @@
         let (coordinators, _) = watch::channel(Arc::default());
         let (statuses, received) = watch::channel(Arc::default());
         let metrics = Arc::new(Metrics::new().unwrap());
-        let outputs =
-            Outputs { members, coordinators, statuses: received, agent_port: 7_000, metrics };
+        let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
+        let outputs = Outputs {
+            members,
+            coordinators,
+            statuses: received,
+            agent_port: 7_000,
+            suspects,
+            metrics,
+        };
         let publisher = Publisher::new(Arc::clone(&mirror), Arc::clone(&views), outputs);
         tokio::spawn(async move {
             // The publisher ends once nobody can send statuses.
