--- /dev/null
+++ b/crates/gateway/benches/containment.rs
@@ -0,0 +1,119 @@
+//! How many backend servers one crashing request ends in a fleet, what it costs the other requests, and
+//! what the entries' messages cost, with the entries' own code under a simulated clock.
+//!
+//!     cargo bench -p flamingowheel-gateway --bench containment -- [--seed N] [--draws N]
+
+#![allow(clippy::print_stdout, reason = "the report is the output")]
+
+#[allow(dead_code, missing_docs, unreachable_pub, reason = "shared with the tests")]
+#[path = "../tests/containment/mod.rs"]
+mod containment;
+
+use containment::{Case, Fleet, Report, Resends, Trouble, Way};
+use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
+use std::time::Duration;
+
+const RUN_TIME: Duration = Duration::from_secs(40);
+const RULE_WINDOW: Duration = Duration::from_secs(3);
+const REACTION_TIME: Duration = Duration::from_millis(500);
+
+const TROUBLES: [Trouble; 9] = [
+    Trouble::None,
+    Trouble::Lossy,
+    Trouble::Late,
+    Trouble::WitnessKilled,
+    Trouble::AllKilled,
+    Trouble::Added,
+    Trouble::Frozen,
+    Trouble::OneWay,
+    Trouble::Kills,
+];
+
+async fn draw(case: Case, seed: u64, draws: u64) -> Vec<Report> {
+    let mut reports = Vec::new();
+    for draw in 0..draws {
+        reports.push(Fleet::run(case, seed + draw).await);
+    }
+    reports
+}
+
+/// The middle and the largest value.
+fn spread<F>(reports: &[Report], value: F) -> String
+where
+    F: Fn(&Report) -> usize,
+{
+    let mut values: Vec<usize> = reports.iter().map(value).collect();
+    values.sort_unstable();
+    let (middle, most) = (values[values.len() / 2], values[values.len() - 1]);
+    format!("{middle}/{most}")
+}
+
+async fn print_case(case: Case, seed: u64, draws: u64) {
+    let reports = draw(case, seed, draws).await;
+    let alone = draw(Case { resends: Resends::Never, ..case }, seed, draws).await;
+    let sum =
+        |reports: &[Report], value: fn(&Report) -> u64| reports.iter().map(value).sum::<u64>();
+    let served = |reports: &[Report]| {
+        sum(reports, |r| r.harmless_served) as f64 / sum(reports, |r| r.harmless_offered) as f64
+    };
+    let entry_seconds = (case.entries as u64 * draws) as f64 * RUN_TIME.as_secs_f64();
+    let Case { entries, way, resends, trouble, .. } = case;
+    let name = format!("{entries}.{way:?}.{resends:?}.{trouble:?}").to_lowercase();
+    println!("{name}.ends = {}", spread(&reports, |r| r.ends.len()));
+    println!("{name}.later_than_3s = {}", spread(&reports, |r| r.later_sends(RULE_WINDOW)));
+    println!("{name}.later_than_500ms = {}", spread(&reports, |r| r.later_sends(REACTION_TIME)));
+    let refused = sum(&reports, |r| r.harmless_refused);
+    println!("{name}.harmless_refused = {refused} of {}", sum(&reports, |r| r.harmless_offered));
+    let longest = reports.iter().map(|r| r.longest_refused).max().unwrap_or_default();
+    println!("{name}.longest_refused_s = {:.1}", longest.as_secs_f64());
+    println!("{name}.goodput = {:.3}", served(&reports) / served(&alone));
+    println!("{name}.bytes_entry_s = {:.1}", sum(&reports, |r| r.bytes) as f64 / entry_seconds);
+    let messages = sum(&reports, |r| r.messages) as f64 / entry_seconds;
+    println!("{name}.messages_entry_s = {messages:.2}");
+    println!("{name}.store_calls = {}", sum(&reports, |r| r.store_calls) as f64 / draws as f64);
+}
+
+fn print_fingerprint_cost() {
+    for size_bytes in [100, 4_096, 65_536] {
+        let body = vec![7_u8; size_bytes];
+        let started = std::time::Instant::now();
+        let rounds = 20_000;
+        for round in 0..rounds {
+            let caller = WorkspaceKey(round);
+            std::hint::black_box(Fingerprint::of(0, caller, "POST host/path", &body));
+        }
+        let cost_us = started.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+        println!("fingerprint.{size_bytes}_bytes_us = {cost_us:.2}");
+    }
+}
+
+fn main() {
+    let mut args = pico_args::Arguments::from_env();
+    let seed = args.opt_value_from_str("--seed").ok().flatten().unwrap_or(1);
+    let draws = args.opt_value_from_str("--draws").ok().flatten().unwrap_or(10);
+    print_fingerprint_cost();
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    let runtime = runtime.expect("a runtime without I/O can be built");
+    let case = |entries, way, resends, trouble| Case {
+        entries,
+        way,
+        resends,
+        trouble,
+        run_time: RUN_TIME,
+    };
+    runtime.block_on(async {
+        for entries in [6, 12, 42, 149, 380] {
+            let draws = if entries > 100 { draws.min(3) } else { draws };
+            for way in [Way::Nothing, Way::Broadcast, Way::Store, Way::Gossip] {
+                for resends in [Resends::ByTurns, Resends::AtOnce] {
+                    print_case(case(entries, way, resends, Trouble::None), seed, draws).await;
+                }
+            }
+            for trouble in TROUBLES.into_iter().skip(1) {
+                print_case(case(entries, Way::Gossip, Resends::ByTurns, trouble), seed, draws)
+                    .await;
+            }
+        }
+    });
+}
