Soak: requests under which backend servers end, resent through all entries amid all faults

Now plain ones, streams and work that runs once, one at a time or to all entries at once, together with entries that are added, stopped, frozen and killed; more than three sends later than 3 s after the third end, by entries without a fault, break the run.

--- a/crates/flamingowheeld/tests/crashes.rs
+++ b/crates/flamingowheeld/tests/crashes.rs
@@ -81,7 +81,7 @@
 
     /// Number of times that the crashing request reached a server later than `after` the third end.
     fn later_sends(&self, after: Duration) -> usize {
-        let Some(third) = self.fleet.request_log.ends().get(2).copied() else {
+        let Some(third) = self.fleet.request_log.ends().get(2).map(|end| end.at) else {
             return 0;
         };
         let arrivals = self.fleet.request_log.arrivals().into_iter();
--- /dev/null
+++ b/crates/soak/src/crashes.rs
@@ -0,0 +1,82 @@
+//! Requests under which backend servers end, and the check of how often they are sent on.
+
+use crate::callers::{API_KEY, client, send_to};
+use crate::fleet::Fleet;
+use crate::report::Violation;
+use crate::signals::{Call, Observed, STABILITY_WINDOW};
+use flamingowheel_standin::platform::server::{CRASH_PATH, End};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Most sends of a request, by entries without a fault, later than 3 s after three servers have ended
+/// under it.
+const MAX_LATER_SENDS: usize = 3;
+
+/// Ends after which the bound holds.
+const ENDS: usize = 3;
+
+/// Prefixes of the paths of crashing requests, by kind.
+const KINDS: [&str; 3] = ["/safe", "/once", "/stream"];
+
+/// Time for which the crashing request is sent, beyond which the bound has to hold for some seconds.
+const RESEND_TIME: Duration = Duration::from_secs(7);
+
+/// Sends a request that ends servers through entries, again and again with a pause in between: to
+/// `at_once` of them at a time, each time the next ones.
+pub async fn resend(fleet: &Fleet, kind: usize, number: u64, at_once: usize, pause: Duration) {
+    let path = format!("{}{CRASH_PATH}/{number}", KINDS[kind % KINDS.len()]);
+    let until = Instant::now() + RESEND_TIME;
+    let mut next = number as usize;
+    let mut sends = 0;
+    while Instant::now() < until {
+        let mut sending = Vec::new();
+        for _ in 0..at_once {
+            next += 1;
+            sends += 1;
+            let entry = next % fleet.entries.len();
+            let attempt = format!("c{number:x}-{sends}");
+            sending.push(send_one(fleet, entry, attempt, &path));
+        }
+        let calls = futures_util::future::join_all(sending).await;
+        fleet.record_crashing(&path, calls);
+        sleep(pause).await;
+    }
+}
+
+async fn send_one(fleet: &Fleet, entry: usize, attempt: String, path: &str) -> Call {
+    let sent_at = Instant::now();
+    if let Some(client) = client(fleet.entries[entry].callers) {
+        // Nobody misses the answer, which is mostly an error.
+        let _ = send_to(&client, path, &attempt, API_KEY).await;
+    }
+    Call { entry, attempt, sent_at, answer: None }
+}
+
+impl Observed<'_> {
+    /// Requests that reached a server more than three times later than 3 s after the third end under
+    /// them, by entries without a fault.
+    pub fn check_crashes(
+        &self,
+        ends: &[End],
+        crashing: &HashMap<String, Vec<Call>>,
+    ) -> Vec<Violation> {
+        let check = |(path, calls): (&String, &Vec<Call>)| {
+            let mut of_path = ends.iter().filter(|end| end.path == *path).map(|end| end.at);
+            let binds_from = of_path.nth(ENDS - 1)? + STABILITY_WINDOW;
+            let calls: HashMap<&str, &Call> =
+                calls.iter().map(|call| (call.attempt.as_str(), call)).collect();
+            let later = self.arrivals.iter().filter(|arrival| {
+                let call = calls.get(arrival.attempt.as_str());
+                arrival.at > binds_from
+                    && call
+                        .is_some_and(|call| !self.is_excused(call.entry, call.sent_at, arrival.at))
+            });
+            let sends = later.count();
+            let ended = ends.iter().filter(|end| end.path == *path).count();
+            let path = path.clone();
+            (sends > MAX_LATER_SENDS).then_some(Violation::SentOn { path, sends, ended })
+        };
+        crashing.iter().filter_map(check).collect()
+    }
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,8 +1,8 @@
 //! Random faults. Each has a duration of its own, so that they overlap.
 
-use crate::changes;
 use crate::fleet::Fleet;
 use crate::proxy::LinkFault;
+use crate::{changes, crashes};
 use flamingowheel_backing::fake::LostAnswer;
 use rand::{Rng, RngExt};
 use rustix::process::Signal;
@@ -25,6 +25,9 @@
 /// Pauses between the versions of a series, in milliseconds.
 const SERIES_GAP_MS: std::ops::Range<u64> = 0..100;
 
+/// Pauses between two sends of a request under which servers end, in milliseconds.
+const CRASH_PAUSE_MS: std::ops::Range<u64> = 50..700;
+
 /// Longest time of a series with the requests that check it.
 const SERIES_TIME: Duration = Duration::from_secs(5);
 
@@ -67,6 +70,9 @@
     Rest(usize, u64),
     /// A backend server says that it leaves, and starts again.
     Replace(usize),
+    /// A request under which servers end is sent again and again: its kind, its number, how many
+    /// entries get it at once, and the pause in milliseconds.
+    Crash(usize, u64, usize, u64),
 }
 
 /// Chooses the next fault at random.
@@ -76,7 +82,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..22) {
+    match rng.random_range(0..25) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -93,10 +99,19 @@
         17 => Fault::Replace(server),
         18 => Fault::StoreLinks(entry, random_link_fault(rng)),
         19 => Fault::Add(fleet.entries.len() - 1),
+        22..=24 => random_crash(fleet, rng),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
 }
 
+fn random_crash<R>(fleet: &Fleet, rng: &mut R) -> Fault
+where
+    R: Rng,
+{
+    let at_once = if rng.random_bool(0.7) { 1 } else { fleet.entries.len() };
+    Fault::Crash(rng.random_range(0..3), rng.random(), at_once, rng.random_range(CRASH_PAUSE_MS))
+}
+
 fn random_gaps_ms<R>(rng: &mut R) -> [u64; 3]
 where
     R: Rng,
@@ -210,6 +225,9 @@
             fleet.rest_server(server, Duration::from_millis(rest_ms), duration).await;
         }
         Fault::Replace(server) => fleet.replace_server(server, duration).await,
+        Fault::Crash(kind, number, at_once, pause_ms) => {
+            crashes::resend(&fleet, kind, number, at_once, Duration::from_millis(pause_ms)).await;
+        }
         Fault::Limit(server, limit_per_s) => {
             fleet.limit_server(server, limit_per_s, duration).await
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
 use crate::proxy::{LinkFault, Proxy};
-use crate::signals::{LimitSpan, STABILITY_WINDOW};
+use crate::signals::{Call, LimitSpan, STABILITY_WINDOW};
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_standin::platform::messages::{
@@ -79,6 +79,8 @@
     pub limits: Mutex<Vec<LimitSpan>>,
     /// Requests that showed whether a configuration was in force.
     pub probes: Mutex<Vec<Probe>>,
+    /// Sends of requests under which servers end, by path.
+    pub crashing: Mutex<HashMap<String, Vec<Call>>>,
     version: AtomicU64,
     publishing: tokio::sync::Mutex<()>,
     /// Sockets that keep the ports of entries that don't run.
@@ -128,6 +130,7 @@
             request_log,
             limits,
             probes,
+            crashing: Mutex::default(),
             version,
             publishing,
             held_ports: Mutex::default(),
@@ -231,6 +234,12 @@
         self.version.load(Ordering::SeqCst)
     }
 
+    /// Keeps sends of a request under which servers end for the checks at the end.
+    pub fn record_crashing(&self, path: &str, calls: Vec<Call>) {
+        let mut crashing = self.crashing.lock().unwrap_or_else(PoisonError::into_inner);
+        crashing.entry(path.to_owned()).or_default().extend(calls);
+    }
+
     /// Keeps probes for the checks at the end.
     pub fn record_probes(&self, probes: Vec<Probe>) {
         self.probes.lock().unwrap_or_else(PoisonError::into_inner).extend(probes);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -85,6 +85,16 @@
         /// HTTP status of the answer.
         status: u16,
     },
+    /// A request was sent on to servers although three had ended under it.
+    #[error("{path} was sent {sends} times later than 3 s after three servers; {ended} ended")]
+    SentOn {
+        /// Path of the request.
+        path: String,
+        /// Number of sends by entries without a fault.
+        sends: usize,
+        /// Number of servers that ended.
+        ended: usize,
+    },
     /// Too few requests were served after the last fault.
     #[error("{served} of {asked} requests were served after the last fault")]
     NotRecovered {
@@ -108,6 +118,8 @@
     pub unknown: u32,
     /// Requests to entries in touch that showed whether a configuration was in force.
     pub probes: usize,
+    /// Backend servers that ended under requests.
+    pub ends: usize,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// All requests.
@@ -135,9 +147,10 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { asked, served, refused, unknown, probes, violations, .. } = self;
+        let Self { asked, served, refused, unknown, probes, ends, violations, .. } = self;
         write!(f, "{asked} asked, {served} served, {refused} refused, {unknown} unknown, ")?;
-        write!(f, "{probes} probes of configurations, {} violations", violations.len())?;
+        write!(f, "{probes} probes of configurations, {ends} servers ended, ")?;
+        write!(f, "{} violations", violations.len())?;
         violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -96,12 +96,16 @@
     callers.close();
     callers.wait().await;
     let arrivals = fleet.request_log.arrivals();
+    let ends = fleet.request_log.ends();
     tally.update(|tally| {
         let observed = Observed { arrivals: &arrivals, calls: &tally.calls, faults: &fault_spans };
         let limits = fleet.limits.lock().unwrap_or_else(PoisonError::into_inner);
         let mut violations = observed.check_limits(&limits);
         violations.extend(observed.check_rests());
         violations.extend(observed.check_leaving());
+        let crashing = fleet.crashing.lock().unwrap_or_else(PoisonError::into_inner);
+        tally.ends = ends.len();
+        violations.extend(observed.check_crashes(&ends, &crashing));
         let probes = fleet.probes.lock().unwrap_or_else(PoisonError::into_inner);
         unsettled.extend(fault_spans.iter().copied());
         let in_touch = probes.iter().filter(|probe| changes::is_in_touch(probe, &unsettled));
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -185,7 +185,7 @@
     }
 
     /// Whether an entry had a fault between two times, or shortly before.
-    fn is_excused(&self, entry: usize, from: Instant, until: Instant) -> bool {
+    pub(crate) fn is_excused(&self, entry: usize, from: Instant, until: Instant) -> bool {
         let mut faults = self.faults.iter().filter(|fault| fault.entry == entry);
         faults.any(|fault| fault.from <= until && from <= fault.until + STABILITY_WINDOW)
     }
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -57,6 +57,15 @@
     pub conditions: Conditions,
 }
 
+/// The end of a backend server under a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Path of the request.
+    pub path: String,
+    /// When the server ended.
+    pub at: Instant,
+}
+
 /// Records the requests that reach any of the backend servers, and how often each attempt of a
 /// caller began to run.
 #[derive(Clone, Debug, Default)]
@@ -66,7 +75,7 @@
 struct Requests {
     runs: HashMap<String, u32>,
     arrivals: Vec<Arrival>,
-    ends: Vec<Instant>,
+    ends: Vec<End>,
 }
 
 impl RequestLog {
@@ -80,13 +89,13 @@
         self.lock().arrivals.clone()
     }
 
-    /// When backend servers ended under a request, in their order.
-    pub fn ends(&self) -> Vec<Instant> {
+    /// The ends of backend servers under requests, in their order.
+    pub fn ends(&self) -> Vec<End> {
         self.lock().ends.clone()
     }
 
-    fn record_end(&self) {
-        self.lock().ends.push(Instant::now());
+    fn record_end(&self, path: &str) {
+        self.lock().ends.push(End { path: path.to_owned(), at: Instant::now() });
     }
 
     fn record_run(&self, attempt: &str) {
@@ -158,8 +167,8 @@
         self.ends.subscribe()
     }
 
-    async fn end(&self) {
-        self.request_log.record_end();
+    async fn end(&self, path: &str) {
+        self.request_log.record_end(path);
         self.ends.send_modify(|ends| *ends += 1);
         std::future::pending().await
     }
@@ -228,28 +237,29 @@
     };
     server.request_log.record_run(&attempt);
     let headers = [(ATTEMPT_HEADER, attempt.as_str()), (SIGNATURE_HEADER, server.id.as_str())];
-    let is_crashing = request.uri().path().contains(CRASH_PATH);
-    if !request.uri().path().starts_with("/stream/") {
+    let path = request.uri().path().to_owned();
+    let is_crashing = path.contains(CRASH_PATH);
+    if !path.starts_with("/stream/") {
         sleep(server.delay).await;
         if is_crashing {
-            server.end().await;
+            server.end(&path).await;
         }
         return server.response(StatusCode::OK, &headers, Body::from(answer_body(&attempt)));
     }
     let last_id: u64 = header_text(request.headers(), "last-event-id").parse().unwrap_or(0);
     let stream_server = server.clone();
     let events = stream::unfold(
-        (last_id + 1, attempt.clone(), slot, stream_server),
-        move |(id, attempt, slot, server)| async move {
+        (last_id + 1, attempt.clone(), slot, stream_server, path),
+        move |(id, attempt, slot, server, path)| async move {
             if id > STREAM_EVENTS {
                 return None;
             }
             sleep(server.delay).await;
             if is_crashing && id > STREAM_EVENTS / 2 {
-                server.end().await;
+                server.end(&path).await;
             }
             let event = Ok::<_, std::io::Error>(Bytes::from(stream_event(&attempt, id)));
-            Some((event, (id + 1, attempt, slot, server)))
+            Some((event, (id + 1, attempt, slot, server, path)))
         },
     );
     server.response(StatusCode::OK, &headers, Body::from_stream(events))
