--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -142,14 +142,14 @@
         let arrived = Instant::now();
         let exchange = match self.admit(request, arrived).await {
             Ok(exchange) => exchange,
-            Err((refusal, head)) => return self.refuse(refusal, &head, "unknown", arrived),
+            Err((refusal, head)) => return self.refuse(refusal, &head, None, arrived),
         };
         let exchange = Arc::new(exchange);
         self.budget().record_request(&exchange.service, arrived);
         self.suspects.wait_until_synced().await;
         match self.serve(&exchange).await {
             Ok(response) => response,
-            Err(refusal) => self.refuse(refusal, &exchange.head, exchange.kind(), arrived),
+            Err(refusal) => self.refuse(refusal, &exchange.head, Some(&exchange), arrived),
         }
     }
 
@@ -532,14 +532,16 @@
         &self,
         refusal: Refusal,
         head: &RequestHead,
-        kind: &'static str,
+        exchange: Option<&Exchange>,
         arrived: Instant,
     ) -> Response<AnswerBody> {
+        let kind = exchange.map_or("unknown", Exchange::kind);
         self.metrics.record_request(kind, refusal.name());
         tracing::info!(
             request = head.attempt_id,
             version = self.view().version(),
             reason = refusal.name(),
+            fingerprint = exchange.map(|exchange| tracing::field::display(exchange.fingerprint)),
             after_ms = arrived.elapsed().as_millis() as u64,
             "refused"
         );
