--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -45,10 +45,11 @@
             let was_taking_work = recorder.is_taking_work(&server);
             let cause = ends::find_cause(&server).await;
             recorder.metrics.record_loss(cause.name());
-            if cause == BreakCause::ServerEnded && was_taking_work {
-                if let Some(record) = recorder.suspects.record_end(server.key, fingerprint) {
-                    recorder.archive.write(record);
-                }
+            if cause == BreakCause::ServerEnded
+                && was_taking_work
+                && let Some(record) = recorder.suspects.record_end(server.key, fingerprint)
+            {
+                recorder.archive.write(record);
             }
             tracing::info!(
                 request,
