--- a/crates/gateway/benches/containment.rs
+++ b/crates/gateway/benches/containment.rs
@@ -9,7 +9,7 @@
 #[path = "../tests/containment/mod.rs"]
 mod containment;
 
-use containment::{Case, Fleet, Report, Resends, Trouble, Way};
+use containment::{Case, Fleet, Report, Resends, TROUBLES, Trouble, Way};
 use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
 use std::time::Duration;
 
@@ -17,18 +17,6 @@
 const RULE_WINDOW: Duration = Duration::from_secs(3);
 const REACTION_TIME: Duration = Duration::from_millis(500);
 
-const TROUBLES: [Trouble; 9] = [
-    Trouble::None,
-    Trouble::Lossy,
-    Trouble::Late,
-    Trouble::WitnessKilled,
-    Trouble::AllKilled,
-    Trouble::Added,
-    Trouble::Frozen,
-    Trouble::OneWay,
-    Trouble::Kills,
-];
-
 async fn draw(case: Case, seed: u64, draws: u64) -> Vec<Report> {
     let mut reports = Vec::new();
     for draw in 0..draws {
--- /dev/null
+++ b/crates/gateway/tests/containment/case.rs
@@ -0,0 +1,104 @@
+//! What a simulated run is about, and what it showed.
+
+use std::time::Duration;
+
+/// How entries learn what others know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Not at all.
+    Nothing,
+    /// Each tells some others, who tell as many; with comparisons, and a record in the store of each
+    /// request that is refused.
+    Gossip,
+    /// Each tells all others.
+    Broadcast,
+    /// By a record in the store, which reaches all within 0.2 to 0.4 s.
+    Store,
+    /// As gossip, but one entry forgets what it hears.
+    Forgetful,
+}
+
+/// How the crashing request is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resends {
+    /// Never sent.
+    Never,
+    /// One at a time, through the entries by turns.
+    ByTurns,
+    /// One at a time, through entries at random.
+    Random,
+    /// Through all entries at once.
+    AtOnce,
+}
+
+/// What else goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// Three datagrams in ten are lost.
+    Lossy,
+    /// Datagrams arrive up to 0.5 s late, out of order and twice.
+    Late,
+    /// The entry that sees the first end is killed right then.
+    WitnessKilled,
+    /// All entries are killed at once after 15 s.
+    AllKilled,
+    /// A third of the entries is added after 9 s.
+    Added,
+    /// A third of the entries stands still from 6 to 11 s.
+    Frozen,
+    /// A third of the entries reaches no other for 10 s, though others reach it.
+    OneWay,
+    /// Each 4 s a server is killed for another reason.
+    Kills,
+}
+
+/// All troubles.
+pub const TROUBLES: [Trouble; 9] = [
+    Trouble::None,
+    Trouble::Lossy,
+    Trouble::Late,
+    Trouble::WitnessKilled,
+    Trouble::AllKilled,
+    Trouble::Added,
+    Trouble::Frozen,
+    Trouble::OneWay,
+    Trouble::Kills,
+];
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub entries: usize,
+    pub way: Way,
+    pub resends: Resends,
+    pub trouble: Trouble,
+    pub run_time: Duration,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Servers that ended under the crashing request, by time.
+    pub ends: Vec<Duration>,
+    /// Times at which it reached a server.
+    pub sends: Vec<Duration>,
+    pub harmless_offered: u64,
+    pub harmless_served: u64,
+    /// Harmless requests that were refused as suspects.
+    pub harmless_refused: u64,
+    /// Longest time for which a harmless request was refused.
+    pub longest_refused: Duration,
+    pub messages: u64,
+    pub bytes: u64,
+    pub store_calls: u64,
+}
+
+impl Report {
+    /// Sends later than `after` the third end.
+    pub fn later_sends(&self, after: Duration) -> usize {
+        let Some(third) = self.ends.get(2) else { return 0 };
+        self.sends.iter().filter(|at| **at > *third + after).count()
+    }
+}
--- a/crates/gateway/tests/suspects.rs
+++ b/crates/gateway/tests/suspects.rs
@@ -2,7 +2,7 @@
 
 #[allow(dead_code, unreachable_pub, missing_docs, reason = "shared with the bench")]
 mod containment;
-use containment::{CRASHER, Case, Fleet, Report, Resends, Trouble, Way};
+use containment::{CRASHER, Case, Fleet, Report, Resends, TROUBLES, Trouble, Way};
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::suspects::{Permission, Suspects};
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
@@ -12,18 +12,6 @@
 
 const SEEDS: u64 = 5;
 
-const TROUBLES: [Trouble; 9] = [
-    Trouble::None,
-    Trouble::Lossy,
-    Trouble::Late,
-    Trouble::WitnessKilled,
-    Trouble::AllKilled,
-    Trouble::Added,
-    Trouble::Frozen,
-    Trouble::OneWay,
-    Trouble::Kills,
-];
-
 async fn run(way: Way, resends: Resends, trouble: Trouble, seed: u64) -> Report {
     let case = Case { entries: 12, way, resends, trouble, run_time: Duration::from_secs(40) };
     Fleet::run(case, seed).await
