Soak: ports of fleets that start at the same time differ, for datagrams too

Ports were looked for by TCP only, while entries now use the last one for datagrams only; and fleets of one process that start together could draw the same ones. No check changed.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -15,13 +15,13 @@
 use flamingowheel_standin::platform::server::{Conditions, PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
 use rustix::process::Signal;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::time::{Instant, sleep};
 
 /// Processing time of a request, and time before each event of a stream.
@@ -287,6 +287,10 @@
 /// processes could take between the search and an entry's start.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
+/// Ports that were given to entries of this process. Fleets that start at the same time must not get
+/// the same ones, as entries bind them later.
+static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 /// Finds ports for entries that are free at the time of the call.
 ///
 /// Fails if loopback has too few left.
@@ -310,7 +314,14 @@
 async fn bind_random() -> std::io::Result<TcpListener> {
     let mut result = Err(std::io::ErrorKind::AddrInUse.into());
     for _ in PORTS {
-        result = TcpListener::bind(("127.0.0.1", rand::random_range(PORTS))).await;
+        let port = rand::random_range(PORTS);
+        // Entries use some of their ports for datagrams.
+        let is_free = UdpSocket::bind(("127.0.0.1", port)).await.is_ok();
+        let is_new = || GIVEN_PORTS.lock().unwrap_or_else(PoisonError::into_inner).insert(port);
+        if !is_free || !is_new() {
+            continue;
+        }
+        result = TcpListener::bind(("127.0.0.1", port)).await;
         if result.is_ok() {
             break;
         }
