Gateway: lines and a counter tell how an answer is framed and how reading it ended

'stream ended' was the same for a whole stream and for one that was cut inside an event: no line said how the server's answer states its end, how many bytes of an unfinished event were held, or how reading ended.

'stream ended', 'stream broken' and 'answered' have framing and bytes, the first two also the bytes of an unfinished event; flamingowheel_answers_total counts answers by framing and ending. Nothing is decided by it yet.

--- a/crates/backing/src/client/mod.rs
+++ b/crates/backing/src/client/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod etcd;
 pub mod failover;
+pub mod framing;
 pub mod http;
 pub mod orders;
 pub mod split;
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -7,7 +7,9 @@
 use crate::relay::{AnswerBody, Relay, UpstreamBody, full_body};
 use crate::server::Server;
 use bytes::Bytes;
+use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_platform::headers;
+use flamingowheel_policy::answers::{Ending, Framing};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -30,11 +32,12 @@
         let SentRequest { response, connection, in_flight, sent_at, .. } = sent;
         let status = response.status();
         let is_success = status.is_success();
+        let framing = framing_of(&response);
         let (mut parts, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
         if exchange.route.is_stream && is_success {
             parts.headers.remove(http::header::CONTENT_LENGTH);
-            let upstream = UpstreamBody { body, connection, in_flight };
+            let upstream = UpstreamBody { body, framing, connection, in_flight };
             let (gateway, exchange) = (Arc::clone(self), Arc::clone(exchange));
             let relay = Relay::new(gateway, exchange, upstream, tried.to_vec(), runs);
             return Ok(Response::from_parts(parts, relay.into_body()));
@@ -43,23 +46,35 @@
         let collecting = collect(body);
         let collected = match timeout_at(exchange.deadline, collecting).await {
             Ok(collected) => collected,
-            Err(_) => return Err(Refusal::NoAnswerInTime),
+            Err(_) => {
+                self.metrics.record_answer(framing, Ending::TimedOut);
+                return Err(Refusal::NoAnswerInTime);
+            }
         };
         let Some(bytes) = collected else {
+            self.metrics.record_answer(framing, Ending::Error);
             self.losses.record(exchange, &server, &"answer broken off").await;
             self.metrics.record_send(exchange.kind(), "broken");
             server.record_answer(sent_at.elapsed(), true);
             return Err(Refusal::AnswerLost);
         };
+        self.metrics.record_answer(framing, Ending::Regular);
         server.record_answer(sent_at.elapsed(), status.is_server_error());
         self.suspects.record_finished(exchange.fingerprint);
         keep_connection(connection, server);
         self.metrics.record_send(exchange.kind(), if is_success { "answered" } else { "failed" });
-        self.record_answered(exchange, in_flight.server(), status, runs);
+        self.record_answered(exchange, in_flight.server(), status, runs, (framing, bytes.len()));
         Ok(Response::from_parts(parts, full_body(bytes)))
     }
 
-    fn record_answered(&self, exchange: &Exchange, server: &Server, status: StatusCode, runs: u32) {
+    fn record_answered(
+        &self,
+        exchange: &Exchange,
+        server: &Server,
+        status: StatusCode,
+        runs: u32,
+        (framing, bytes): (Framing, usize),
+    ) {
         let after = exchange.arrived.elapsed();
         self.metrics.observe_answer_time(exchange.kind(), after);
         self.metrics.record_request(exchange.kind(), "answered");
@@ -69,6 +84,8 @@
             version = exchange.version,
             server = server.listed.id,
             status = status.as_u16(),
+            framing = framing.name(),
+            bytes,
             after_ms = after.as_millis() as u64,
             runs,
             "answered"
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms of an entry.
 
 use crate::view::InForce;
+use flamingowheel_policy::answers::{Ending, Framing};
 use prometheus::{
     Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -26,6 +27,7 @@
     signals: IntCounterVec,
     permits: IntCounterVec,
     losses: IntCounterVec,
+    answers: IntCounterVec,
     suspicions: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
@@ -115,6 +117,13 @@
             ),
             &["cause"],
         )?;
+        let answers = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_answers_total",
+                "Answers of backend servers by how they state their end and how reading them ended",
+            ),
+            &["framing", "ending"],
+        )?;
         let suspicions = IntCounterVec::new(
             Opts::new(
                 "flamingowheel_suspicions_total",
@@ -139,6 +148,7 @@
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(losses.clone()))?;
+        registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(suspicions.clone()))?;
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
@@ -150,6 +160,7 @@
             signals,
             permits,
             losses,
+            answers,
             suspicions,
             answer_times,
             pauses,
@@ -182,6 +193,11 @@
         self.losses.with_label_values(&[cause]).inc();
     }
 
+    /// Counts an answer whose body was read to its end, or as far as it came.
+    pub fn record_answer(&self, framing: Framing, ending: Ending) {
+        self.answers.with_label_values(&[framing.name(), ending.name()]).inc();
+    }
+
     /// Counts a crash under a request, or what followed for a suspect request.
     pub fn record_suspicion(&self, event: &'static str) {
         self.suspicions.with_label_values(&[event]).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,9 @@
 use crate::forward::{Gateway, SendFailure, keep_connection};
 use crate::server::{InFlight, Server};
 use bytes::Bytes;
+use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_fleet::configuration::RetryPolicy;
+use flamingowheel_policy::answers::{Ending, Framing};
 use futures_util::stream;
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -37,6 +39,8 @@
     gateway: Arc<Gateway>,
     exchange: Arc<Exchange>,
     body: Incoming,
+    framing: Framing,
+    received_bytes: u64,
     connection: Option<Connection>,
     in_flight: InFlight,
     tried: Vec<Arc<Server>>,
@@ -63,11 +67,13 @@
         tried: Vec<Arc<Server>>,
         runs: u32,
     ) -> Self {
-        let UpstreamBody { body, connection, in_flight } = upstream;
+        let UpstreamBody { body, framing, connection, in_flight } = upstream;
         Self {
             gateway,
             exchange,
             body,
+            framing,
+            received_bytes: 0,
             connection: Some(connection),
             in_flight,
             tried,
@@ -139,9 +145,13 @@
             let frame = match waited {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => {
+                    self.gateway.metrics.record_answer(self.framing, Ending::Error);
                     tracing::info!(
                         request = self.exchange.head.attempt_id,
                         server = self.in_flight.server().listed.id,
+                        framing = self.framing.name(),
+                        bytes = self.received_bytes,
+                        pending_bytes = self.splitter.pending().len(),
                         %error,
                         "stream broken"
                     );
@@ -149,12 +159,19 @@
                     self.gateway.losses.record(&self.exchange, server, &error).await;
                     return Step::Broken;
                 }
-                Ok(None) => return Step::End,
-                Err(_) => return Step::TooLate,
+                Ok(None) => {
+                    self.gateway.metrics.record_answer(self.framing, Ending::Regular);
+                    return Step::End;
+                }
+                Err(_) => {
+                    self.gateway.metrics.record_answer(self.framing, Ending::TimedOut);
+                    return Step::TooLate;
+                }
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            self.received_bytes += data.len() as u64;
             match self.splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Step::Events(events),
@@ -195,6 +212,8 @@
                         "stream resumed"
                     );
                     self.runs += 1;
+                    self.framing = framing_of(&sent.response);
+                    self.received_bytes = 0;
                     self.body = sent.response.into_body();
                     self.connection = Some(sent.connection);
                     self.in_flight = sent.in_flight;
@@ -246,6 +265,9 @@
             server = self.in_flight.server().listed.id,
             version = self.exchange.version,
             outcome,
+            framing = self.framing.name(),
+            bytes = self.received_bytes,
+            pending_bytes = self.splitter.pending().len(),
             last_event = self.splitter.last_id(),
             longest_pause_ms = self.longest_pause_ms,
             after_ms = self.exchange.arrived.elapsed().as_millis() as u64,
@@ -270,6 +292,8 @@
 pub struct UpstreamBody {
     /// The remaining body.
     pub body: Incoming,
+    /// How the answer states the end of its body.
+    pub framing: Framing,
     /// The connection that carries it.
     pub connection: Connection,
     /// Counts the request as in flight at the server.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! in the benches.
 
 pub mod admission;
+pub mod answers;
 pub mod batch;
 pub mod demand;
 pub mod experts;
