--- /dev/null
+++ b/crates/gateway/tests/framing/entry.rs
@@ -0,0 +1,88 @@
+//! An entry in this process, in front of given backend servers.
+
+use flamingowheel_backing::client::http::{HttpClient, HttpLimits};
+use flamingowheel_fleet::BackendServer;
+use flamingowheel_gateway::budget::{Allowance, RetryBudget};
+use flamingowheel_gateway::forward::Gateway;
+use flamingowheel_gateway::front::{self, Stop};
+use flamingowheel_gateway::losses::LossRecorder;
+use flamingowheel_gateway::metrics::Metrics;
+use flamingowheel_gateway::permits::{self, PermitExchange};
+use flamingowheel_gateway::server::Server;
+use flamingowheel_gateway::suspects::{Suspects, archive};
+use flamingowheel_gateway::view::{EntryRecord, View, Views};
+use flamingowheel_platform::operator;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+
+/// An entry in front of backend servers of the service `s`, which are tried in the given order.
+pub struct Entry {
+    pub address: SocketAddr,
+    pub client: HttpClient,
+    pub stop: Stop,
+    pub metrics: Arc<Metrics>,
+    pub suspects: Arc<Suspects>,
+}
+
+impl Entry {
+    pub async fn start(servers: &[SocketAddr], configuration: Option<&[u8]>) -> Self {
+        Self::start_with_retries(servers, configuration, 100.0).await
+    }
+
+    /// Starts an entry that may retry `slack` requests in 10 s besides a share of all.
+    pub async fn start_with_retries(
+        servers: &[SocketAddr],
+        configuration: Option<&[u8]>,
+        slack: f64,
+    ) -> Self {
+        let listed = |(index, address): (usize, &SocketAddr)| {
+            let server = Arc::new(Server::new(BackendServer {
+                id: format!("i-{index}"),
+                service: "s".to_owned(),
+                address: *address,
+                data_centre: "z".to_owned(),
+                slots: 4,
+                is_draining: false,
+                started_ms: 1,
+            }));
+            // Each further server has a higher latency, which fixes the order of attempts.
+            server.record_answer(Duration::from_millis(1 + 200 * index as u64), false);
+            server
+        };
+        let servers = servers.iter().enumerate().map(listed).collect();
+        let configuration = configuration.map(|value| Arc::new(operator::decode(value).unwrap()));
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let peers = Some(socket.local_addr().unwrap());
+        let callers = "127.0.0.1:1".parse().unwrap();
+        let record = EntryRecord { callers, data_centre: "z".to_owned(), peers, suspects: None };
+        let views = Views::default();
+        views.store(Arc::new(View {
+            configuration,
+            servers: HashMap::from([("s".to_owned(), servers)]),
+            entries: HashMap::from([("e".to_owned(), record)]),
+            ..View::default()
+        }));
+        let metrics = Arc::new(Metrics::new().unwrap());
+        let (permits, requests) = permits::channel();
+        let (vm, served) = ("e".to_owned(), Arc::clone(&metrics));
+        let exchange = PermitExchange::new(vm, Arc::clone(&views), socket, requests, served);
+        tokio::spawn(exchange.run());
+        let window = Duration::from_secs(10);
+        let budget = RetryBudget::new(Allowance { ratio: 0.2, slack, window });
+        let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
+        let (archive, _archived) = archive::channel();
+        let (seen, of_losses) = (Arc::clone(&views), Arc::clone(&suspects));
+        let losses = LossRecorder::new(seen, of_losses, archive, Arc::clone(&metrics));
+        let (kept, counted) = (Arc::clone(&suspects), Arc::clone(&metrics));
+        let gateway = Arc::new(Gateway::new(views, budget, permits, suspects, losses, metrics));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let stop = Stop::default();
+        tokio::spawn(front::serve(listener, gateway, stop.clone()));
+        let client = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
+        Self { address, client, stop, metrics: counted, suspects: kept }
+    }
+}
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -36,21 +36,22 @@
     .to_string()
 }
 
-/// A configuration with one workspace, its API keys and three routes: `/once/` for work that runs
-/// once, `/safe/` for calls that may be retried and `/stream/` for streams that may be resumed. All
-/// routes have the same timeout.
+/// A configuration with one workspace, its API keys and four routes: `/once/` for work that runs
+/// once, `/safe/` for calls that may be retried, `/stream/` for streams that may be resumed and
+/// `/live/` for streams that may not. All routes have the same timeout.
 pub fn configuration(version: u64, api_keys: &[&str], timeout_ms: u64) -> String {
     let route = |kind: &str, path: &str, attempts: u32| {
         json!({
             "name": path, "host": HOST, "prefix": format!("/{path}/"), "routeKind": kind,
             "service": SERVICE, "maxAttempts": attempts, "timeoutMs": timeout_ms, "goalMs": 100,
-            "resumable": kind == "streaming", "gapGoalMs": 150,
+            "resumable": path == "stream", "gapGoalMs": 150,
         })
     };
     json!({
         "version": version,
         "routes": [
             route("unsafe", "once", 1), route("safe", "safe", 2), route("streaming", "stream", 2),
+            route("streaming", "live", 1),
         ],
         "services": [{"name": SERVICE, "maxConns": 400}],
         "tenants": [{"name": "w", "apiKeys": api_keys}],
