Policy: ends of events are found once, for both paths, after any line ending

Callers of a stream whose lines end with a carriage return alone got nothing until the stream was over: both splitters (the gateway's and the one of the project's own interface) looked for LF or CR LF only, so that all events were one unfinished one. Had such a stream broken off, nothing could have been resumed.

One scanner finds the ends of events now; both splitters keep their buffers and ask it. A CR whose LF may follow is held back only in streams whose lines end with both.

push_carriage_returns_alone failed before: an event of 15 bytes gave none.

--- a/crates/backing/src/client/split.rs
+++ b/crates/backing/src/client/split.rs
@@ -2,9 +2,24 @@
 //! chunk.
 
 use bytes::{Bytes, BytesMut};
+use flamingowheel_policy::events::EventScanner;
 
-/// Finds the end of the first complete item in `bytes`, among boundaries that end after `from`.
-type FindEnd = fn(bytes: &[u8], from: usize) -> Option<usize>;
+/// Where items end.
+#[derive(Clone, Copy, Debug)]
+enum Boundary {
+    Event(EventScanner),
+    Line,
+}
+
+impl Boundary {
+    /// Scans bytes that were not scanned yet, up to the end of an item.
+    fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        match self {
+            Self::Event(scanner) => scanner.find_end(bytes),
+            Self::Line => memchr::memchr(b'\n', bytes).map(|found| found + 1),
+        }
+    }
+}
 
 /// An item exceeds the size limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -18,9 +33,9 @@
 /// chunks is copied, and each byte is scanned a bounded number of times.
 #[derive(Debug)]
 pub struct Splitter {
-    find_end: FindEnd,
+    boundary: Boundary,
     chunk: Bytes,
-    /// Start of an incomplete item; all of it has been searched for the end.
+    /// Start of an incomplete item, all of which has been scanned.
     carry: BytesMut,
     limit_bytes: usize,
 }
@@ -39,16 +54,16 @@
     /// assert_eq!(events.next_item().unwrap().unwrap(), "data: b\n\n");
     /// ```
     pub fn events(limit_bytes: usize) -> Self {
-        Self::new(event_end, limit_bytes)
+        Self::new(Boundary::Event(EventScanner::default()), limit_bytes)
     }
 
     /// Splits after each line feed.
     pub fn lines(limit_bytes: usize) -> Self {
-        Self::new(line_end, limit_bytes)
+        Self::new(Boundary::Line, limit_bytes)
     }
 
-    fn new(find_end: FindEnd, limit_bytes: usize) -> Self {
-        Self { find_end, chunk: Bytes::new(), carry: BytesMut::new(), limit_bytes }
+    fn new(boundary: Boundary, limit_bytes: usize) -> Self {
+        Self { boundary, chunk: Bytes::new(), carry: BytesMut::new(), limit_bytes }
     }
 
     /// Adds a chunk; all items of the previous one must have been read.
@@ -65,26 +80,22 @@
         if self.carry.is_empty() {
             return self.next_slice();
         }
-        let searched = self.carry.len();
-        let copied = (self.limit_bytes + 1).saturating_sub(searched).min(self.chunk.len());
-        self.carry.extend_from_slice(&self.chunk[..copied]);
-        match (self.find_end)(&self.carry, searched) {
+        let room = (self.limit_bytes + 1).saturating_sub(self.carry.len());
+        let scanned = room.min(self.chunk.len());
+        match self.boundary.find_end(&self.chunk[..scanned]) {
             Some(end) => {
-                let _ = self.chunk.split_to(end - searched);
-                let item = self.carry.split_to(end).freeze();
-                self.carry.clear();
-                Ok(Some(item))
+                self.carry.extend_from_slice(&self.chunk.split_to(end));
+                Ok(Some(self.carry.split().freeze()))
             }
-            None if self.carry.len() > self.limit_bytes => Err(self.too_large()),
             None => {
-                self.chunk.clear();
-                Ok(None)
+                self.carry.extend_from_slice(&self.chunk.split_to(scanned));
+                if self.carry.len() > self.limit_bytes { Err(self.too_large()) } else { Ok(None) }
             }
         }
     }
 
     fn next_slice(&mut self) -> Result<Option<Bytes>, ItemTooLarge> {
-        if let Some(end) = (self.find_end)(&self.chunk, 0) {
+        if let Some(end) = self.boundary.find_end(&self.chunk) {
             return Ok(Some(self.chunk.split_to(end)));
         }
         if self.chunk.len() > self.limit_bytes {
@@ -105,24 +116,6 @@
     }
 }
 
-/// Events end with a blank line; lines end with LF or CR LF.
-fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut start = from;
-    while let Some(feed) = memchr::memchr(b'\n', &bytes[start..]).map(|found| start + found) {
-        let line = &bytes[..feed];
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
-        if line.is_empty() || line.ends_with(b"\n") {
-            return Some(feed + 1);
-        }
-        start = feed + 1;
-    }
-    None
-}
-
-fn line_end(bytes: &[u8], from: usize) -> Option<usize> {
-    memchr::memchr(b'\n', &bytes[from..]).map(|found| from + found + 1)
-}
-
 /// Whether an event is the end marker of an OpenAI-style stream.
 ///
 /// ```
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits an event stream into complete events.
 
 use bytes::{Bytes, BytesMut};
+use flamingowheel_policy::events::{EventScanner, last_id};
 
 /// Largest event that is buffered until its end arrives, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -17,7 +18,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
-    scanned_bytes: usize,
+    scanner: EventScanner,
+    event_count: u64,
     last_id: Option<u64>,
 }
 
@@ -32,19 +34,21 @@
     /// assert_eq!(splitter.last_id(), Some(4));
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
+        let mut last_end = None;
+        while let Some(end) = self.scanner.find_end(&bytes[last_end.unwrap_or(0)..]) {
+            last_end = Some(last_end.unwrap_or(0) + end);
+            self.event_count += 1;
+        }
+        let buffered = self.pending.len();
         self.pending.extend_from_slice(bytes);
-        let start = self.scanned_bytes.saturating_sub(3);
-        let end = last_event_end(&self.pending, start);
-        let Some(end) = end else {
-            self.scanned_bytes = self.pending.len();
+        let Some(last_end) = last_end else {
             if self.pending.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLarge);
             }
             return Ok(Bytes::new());
         };
-        let complete = self.pending.split_to(end).freeze();
-        self.scanned_bytes = self.pending.len();
-        self.last_id = last_event_id(&complete).or(self.last_id);
+        let complete = self.pending.split_to(buffered + last_end).freeze();
+        self.last_id = last_id(&complete).or(self.last_id);
         Ok(complete)
     }
 
@@ -53,6 +57,11 @@
         self.last_id
     }
 
+    /// Number of complete events and groups of comments so far.
+    pub fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
     /// Bytes after the last complete event.
     pub fn pending(&self) -> &[u8] {
         &self.pending
@@ -61,23 +70,6 @@
     /// Discards the incomplete event of a server that died.
     pub fn discard_pending(&mut self) {
         self.pending.clear();
-        self.scanned_bytes = 0;
+        self.scanner.restart();
     }
 }
-
-fn last_event_end(bytes: &[u8], start: usize) -> Option<usize> {
-    let mut at = bytes.len();
-    while at >= start + 2 {
-        if &bytes[at - 2..at] == b"\n\n" || (at >= 4 && &bytes[at - 4..at] == b"\r\n\r\n") {
-            return Some(at);
-        }
-        at -= 1;
-    }
-    None
-}
-
-fn last_event_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let value = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -40,6 +40,15 @@
     assert_eq!(splitter.last_id(), Some(2));
 }
 
+// Lines may end with a carriage return alone. Such events were held back until the end of the stream.
+#[test]
+fn push_carriage_returns_alone() {
+    let mut splitter = EventSplitter::default();
+    let events = b"id: 7\rdata: a\r\r";
+    assert_eq!(&splitter.push(events).unwrap()[..], events);
+    assert_eq!(splitter.last_id(), Some(7));
+}
+
 #[test]
 fn push_carriage_returns() {
     let mut splitter = EventSplitter::default();
