Gateway: a stream that ends with its connection is whole only if its server lives

Cause: the relay took every end of a body that is no error for the end of the stream. Without length or chunks that is the regular close of the connection, which an ended process does as well; and an unfinished event was sent on at the end, whatever the framing.

One decision, policy::answers, judges framing, ending and content: a stream that ends inside an event has been broken off, with any framing; one that ends between events and with its connection is decided by the server. A new connection, which the next request uses, shows that it lives: at once if the close came with the last bytes, else by the check that losses already used (10 to 30 ms), now backing::client::liveness. A refused one is the end of a server, and counts for the suspects; a server that can't be reached, or a rank whose group was silent for 0.6 s before, proves nothing. Whatever is not whole is resumed or cut off. An error of the connection is broken as before.

Why it works: the listener of a process that has ended refuses, before or within milliseconds of its connections' close. Whole streams stay whole (relay_unframed_stream_whole).

'stream ended' has the evidence and the number of events.

--- /dev/null
+++ b/crates/backing/src/client/liveness.rs
@@ -0,0 +1,102 @@
+//! Finds out whether a server lives after a connection to it has ended.
+
+use flamingowheel_policy::answers::ServerState;
+use std::io::{self, ErrorKind};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// Time limit for one connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time between two connection attempts, and until an accepted connection is looked at again. A process
+/// that ends may close its connections a moment before its listener.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Connection attempts, the last of which decides.
+const MAX_CHECKS: u32 = 3;
+
+/// How much a first accepted connection proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// That the server lives: the connection before ended as an answer usually does.
+    Prompt,
+    /// Nothing before it has stayed open for a moment: the server may be about to end.
+    Thorough,
+}
+
+impl Trust {
+    /// Longest time between the last bytes of an answer and the close of its connection that is usual.
+    const USUAL_END: Duration = Duration::from_millis(5);
+
+    /// The trust in a server whose connection closed so long after the last bytes.
+    ///
+    /// ```
+    /// use flamingowheel_backing::client::liveness::Trust;
+    /// use std::time::Duration;
+    /// assert_eq!(Trust::after_silence(Duration::ZERO), Trust::Prompt);
+    /// assert_eq!(Trust::after_silence(Duration::from_millis(50)), Trust::Thorough);
+    /// ```
+    pub fn after_silence(silence: Duration) -> Self {
+        if silence <= Self::USUAL_END { Self::Prompt } else { Self::Thorough }
+    }
+}
+
+/// A connection that was opened to see whether the server accepts it.
+pub trait Probe {
+    /// Whether the connection is still open.
+    fn is_open(&self) -> bool;
+}
+
+impl Probe for TcpStream {
+    fn is_open(&self) -> bool {
+        matches!(self.try_read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// Finds out whether a server lives, and returns an open connection to it for further use.
+///
+/// Only a connection refused twice in a row shows the end of a server: whatever cuts links or resets
+/// connections does not refuse them. One that resets all connections lives, as its listener accepts them.
+pub async fn find_state<Connection, Open, Opening>(
+    open: Open,
+    trust: Trust,
+) -> (ServerState, Option<Connection>)
+where
+    Connection: Probe,
+    Open: Fn() -> Opening,
+    Opening: Future<Output = io::Result<Connection>>,
+{
+    let (mut refusals, mut resets) = (0, 0);
+    for check in 0..MAX_CHECKS {
+        if check > 0 {
+            sleep(CHECK_INTERVAL).await;
+        }
+        match timeout(CONNECT_TIMEOUT, open()).await {
+            // The refusal before shows that another start has the address now.
+            Ok(Ok(connection)) if refusals > 0 => return (ServerState::Unknown, Some(connection)),
+            Ok(Ok(connection)) => {
+                if trust == Trust::Thorough {
+                    sleep(CHECK_INTERVAL).await;
+                }
+                if connection.is_open() {
+                    return (ServerState::Lives, Some(connection));
+                }
+                resets += 1;
+            }
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                refusals += 1;
+                if refusals > 1 {
+                    return (ServerState::Ended, None);
+                }
+            }
+            Ok(Err(error)) => {
+                tracing::debug!(%error, "server can't be reached");
+                return (ServerState::Unknown, None);
+            }
+            Err(_) => return (ServerState::Unknown, None),
+        }
+    }
+    let accepts_all = resets == MAX_CHECKS;
+    (if accepts_all { ServerState::Lives } else { ServerState::Unknown }, None)
+}
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,12 +1,14 @@
 //! One connection to a backend server, on which one request is sent at a time.
 
 use bytes::Bytes;
+use flamingowheel_backing::client::liveness::Probe;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -42,6 +44,16 @@
     Closed(#[from] hyper::Error),
 }
 
+impl From<ConnectError> for std::io::Error {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Refused(error) => error,
+            ConnectError::TimedOut => ErrorKind::TimedOut.into(),
+            ConnectError::Closed(error) => Self::new(ErrorKind::ConnectionReset, error),
+        }
+    }
+}
+
 /// Why a request on an open connection got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -107,6 +119,12 @@
     }
 }
 
+impl Probe for Connection {
+    fn is_open(&self) -> bool {
+        self.is_usable()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits an event stream into complete events.
 
 use bytes::{Bytes, BytesMut};
+use flamingowheel_policy::answers::Content;
 use flamingowheel_policy::events::{EventScanner, last_id};
 
 /// Largest event that is buffered until its end arrives, in bytes.
@@ -62,6 +63,11 @@
         self.event_count
     }
 
+    /// What the bytes so far show of the stream's end.
+    pub fn content(&self) -> Content {
+        if self.scanner.is_between_events() { Content::BetweenEvents } else { Content::InsideEvent }
+    }
+
     /// Bytes after the last complete event.
     pub fn pending(&self) -> &[u8] {
         &self.pending
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -1,12 +1,15 @@
 //! Records requests that were lost because the connection to their backend server broke.
 
-use crate::ends::{self, BreakCause};
+use crate::ends;
 use crate::exchange::Exchange;
 use crate::metrics::Metrics;
 use crate::server::Server;
 use crate::suspects::Suspects;
 use crate::suspects::archive::ArchiveSender;
 use crate::view::Views;
+use flamingowheel_backing::client::liveness::Trust;
+use flamingowheel_policy::answers::ServerState;
+use flamingowheel_policy::key::Fingerprint;
 use std::fmt::Display;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -38,33 +41,61 @@
     where
         E: Display,
     {
-        let (server, recorder) = (Arc::clone(server), self.clone());
-        let (request, fingerprint) = (exchange.head.attempt_id.clone(), exchange.fingerprint);
-        let error = error.to_string();
+        let loss = Loss::new(exchange, server, error.to_string());
+        let recorder = self.clone();
         let recording = tokio::spawn(async move {
-            let was_taking_work = recorder.is_taking_work(&server);
-            let cause = ends::find_cause(&server).await;
-            recorder.metrics.record_loss(cause.name());
-            if cause == BreakCause::ServerEnded
-                && was_taking_work
-                && let Some(record) = recorder.suspects.record_end(server.key, fingerprint)
-            {
-                recorder.archive.write(record);
-            }
-            tracing::info!(
-                request,
-                %fingerprint,
-                server = server.listed.id,
-                cause = cause.name(),
-                error,
-                "request lost with its connection"
-            );
+            let was_taking_work = recorder.is_taking_work(&loss.server);
+            let state = ends::find_state(&loss.server, Trust::Thorough).await;
+            recorder.record_found(&loss, state, was_taking_work);
         });
         if let Err(error) = recording.await {
             tracing::error!(%error, "recording of a lost request");
         }
     }
 
+    /// Finds out whether the server lives after an answer has ended with its connection. If it has
+    /// ended, the request counts as lost. This goes on even if the request is given up meanwhile.
+    pub async fn check_end(
+        &self,
+        exchange: &Exchange,
+        server: &Arc<Server>,
+        trust: Trust,
+    ) -> ServerState {
+        let loss = Loss::new(exchange, server, "answer ended with its server".to_owned());
+        let recorder = self.clone();
+        let checking = tokio::spawn(async move {
+            let was_taking_work = recorder.is_taking_work(&loss.server);
+            let state = ends::find_state(&loss.server, trust).await;
+            if state != ServerState::Lives {
+                recorder.record_found(&loss, state, was_taking_work);
+            }
+            state
+        });
+        checking.await.unwrap_or_else(|error| {
+            tracing::error!(%error, "check of an answer's end");
+            ServerState::Unknown
+        })
+    }
+
+    fn record_found(&self, loss: &Loss, state: ServerState, was_taking_work: bool) {
+        let cause = cause_name(state);
+        self.metrics.record_loss(cause);
+        if state == ServerState::Ended
+            && was_taking_work
+            && let Some(record) = self.suspects.record_end(loss.server.key, loss.fingerprint)
+        {
+            self.archive.write(record);
+        }
+        tracing::info!(
+            request = loss.request,
+            fingerprint = %loss.fingerprint,
+            server = loss.server.listed.id,
+            cause,
+            error = loss.error,
+            "request lost with its connection"
+        );
+    }
+
     /// Whether a server takes work. One that does not ends as planned, with requests in progress.
     fn is_taking_work(&self, server: &Server) -> bool {
         let view = self.views.load();
@@ -72,3 +103,32 @@
         listed.any(|listed| listed.key == server.key) && !server.status(Instant::now()).is_leaving
     }
 }
+
+/// A request whose connection to a server ended.
+#[derive(Debug)]
+struct Loss {
+    request: String,
+    fingerprint: Fingerprint,
+    server: Arc<Server>,
+    error: String,
+}
+
+impl Loss {
+    fn new(exchange: &Exchange, server: &Arc<Server>, error: String) -> Self {
+        Self {
+            request: exchange.head.attempt_id.clone(),
+            fingerprint: exchange.fingerprint,
+            server: Arc::clone(server),
+            error,
+        }
+    }
+}
+
+/// Why a connection broke, as in logs and metrics.
+fn cause_name(state: ServerState) -> &'static str {
+    match state {
+        ServerState::Ended => "server_ended",
+        ServerState::Lives => "connection",
+        ServerState::Unknown => "unknown",
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,15 +7,18 @@
 use crate::exchange::Exchange;
 use crate::forward::{Gateway, SendFailure, keep_connection};
 use crate::server::{InFlight, Server};
+use crate::silence::EVENT_LIMIT;
 use bytes::Bytes;
 use flamingowheel_backing::client::framing::framing_of;
+use flamingowheel_backing::client::liveness::Trust;
 use flamingowheel_fleet::configuration::RetryPolicy;
-use flamingowheel_policy::answers::{Ending, Framing};
+use flamingowheel_policy::answers::{self, Ending, Evidence, Framing, Judgement};
 use futures_util::stream;
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
+use std::fmt::Display;
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
@@ -41,6 +44,7 @@
     body: Incoming,
     framing: Framing,
     received_bytes: u64,
+    last_data_at: Instant,
     connection: Option<Connection>,
     in_flight: InFlight,
     tried: Vec<Arc<Server>>,
@@ -53,8 +57,8 @@
 
 enum Step {
     Events(Bytes),
-    End,
-    Broken,
+    End(Evidence),
+    Broken(Evidence),
     TooLate,
 }
 
@@ -74,6 +78,7 @@
             body,
             framing,
             received_bytes: 0,
+            last_data_at: Instant::now(),
             connection: Some(connection),
             in_flight,
             tried,
@@ -104,18 +109,19 @@
                     self.record_events();
                     return Some(Ok(events));
                 }
-                Step::End => {
-                    self.end("complete");
+                Step::End(evidence) => {
+                    self.end("complete", evidence);
+                    // Comments may follow the last event.
                     let rest = Bytes::copy_from_slice(self.splitter.pending());
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
-                Step::Broken if self.resume().await => {}
-                Step::Broken => {
-                    self.end("broken_off");
+                Step::Broken(_) if self.resume().await => {}
+                Step::Broken(evidence) => {
+                    self.end("broken_off", evidence);
                     return Some(Err(Truncated));
                 }
                 Step::TooLate => {
-                    self.end("too_late");
+                    self.end("too_late", Evidence::Deadline);
                     return Some(Err(Truncated));
                 }
             }
@@ -139,29 +145,18 @@
                         server = self.in_flight.server().listed.id,
                         "backend server silent while its group goes on"
                     );
-                    return Step::Broken;
+                    return Step::Broken(Evidence::GroupStalled);
                 }
             };
             let frame = match waited {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => {
                     self.gateway.metrics.record_answer(self.framing, Ending::Error);
-                    tracing::info!(
-                        request = self.exchange.head.attempt_id,
-                        server = self.in_flight.server().listed.id,
-                        framing = self.framing.name(),
-                        bytes = self.received_bytes,
-                        pending_bytes = self.splitter.pending().len(),
-                        %error,
-                        "stream broken"
-                    );
-                    let server = self.in_flight.server();
-                    self.gateway.losses.record(&self.exchange, server, &error).await;
-                    return Step::Broken;
+                    return self.record_broken(Evidence::ConnectionError, &error).await;
                 }
                 Ok(None) => {
                     self.gateway.metrics.record_answer(self.framing, Ending::Regular);
-                    return Step::End;
+                    return self.judge_end().await;
                 }
                 Err(_) => {
                     self.gateway.metrics.record_answer(self.framing, Ending::TimedOut);
@@ -172,17 +167,67 @@
                 continue;
             };
             self.received_bytes += data.len() as u64;
+            self.last_data_at = Instant::now();
             match self.splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Step::Events(events),
                 Err(error) => {
                     tracing::warn!(request = self.exchange.head.attempt_id, %error, "stream broken");
-                    return Step::Broken;
+                    return Step::Broken(Evidence::InsideEvent);
                 }
             }
         }
     }
 
+    /// Decides whether a stream that has ended as its framing states is whole.
+    async fn judge_end(&self) -> Step {
+        let judgement = answers::judge(self.framing, Ending::Regular, self.splitter.content());
+        let evidence = match judgement {
+            Judgement::Decided(evidence) if evidence.is_whole() => evidence,
+            Judgement::Decided(evidence) => {
+                return self.record_broken(evidence, &evidence.name()).await;
+            }
+            Judgement::Undecided(answer) => {
+                let silence = self.last_data_at.elapsed();
+                let server = self.in_flight.server();
+                let trust = Trust::after_silence(silence);
+                let state = self.gateway.losses.check_end(&self.exchange, server, trust).await;
+                let has_stalled = self.in_flight.group().is_some() && silence >= EVENT_LIMIT;
+                answer.decide(state, has_stalled)
+            }
+        };
+        if evidence.is_whole() {
+            return Step::End(evidence);
+        }
+        self.log_broken(&evidence.name());
+        Step::Broken(evidence)
+    }
+
+    /// Records that the stream has broken off, and whether the server ended with it.
+    async fn record_broken<E>(&self, evidence: Evidence, error: &E) -> Step
+    where
+        E: Display,
+    {
+        self.log_broken(error);
+        self.gateway.losses.record(&self.exchange, self.in_flight.server(), error).await;
+        Step::Broken(evidence)
+    }
+
+    fn log_broken<E>(&self, error: &E)
+    where
+        E: Display,
+    {
+        tracing::info!(
+            request = self.exchange.head.attempt_id,
+            server = self.in_flight.server().listed.id,
+            framing = self.framing.name(),
+            bytes = self.received_bytes,
+            pending_bytes = self.splitter.pending().len(),
+            %error,
+            "stream broken"
+        );
+    }
+
     /// Resumes at another backend server after the last event that was relayed.
     async fn resume(&mut self) -> bool {
         self.connection = None;
@@ -214,6 +259,7 @@
                     self.runs += 1;
                     self.framing = framing_of(&sent.response);
                     self.received_bytes = 0;
+                    self.last_data_at = Instant::now();
                     self.body = sent.response.into_body();
                     self.connection = Some(sent.connection);
                     self.in_flight = sent.in_flight;
@@ -257,7 +303,7 @@
         }
     }
 
-    fn end(&mut self, outcome: &'static str) {
+    fn end(&mut self, outcome: &'static str, evidence: Evidence) {
         self.has_ended = true;
         self.gateway.metrics.record_request(self.exchange.kind(), outcome);
         tracing::info!(
@@ -266,6 +312,8 @@
             version = self.exchange.version,
             outcome,
             framing = self.framing.name(),
+            evidence = evidence.name(),
+            events = self.splitter.event_count(),
             bytes = self.received_bytes,
             pending_bytes = self.splitter.pending().len(),
             last_event = self.splitter.last_id(),
@@ -274,15 +322,12 @@
             runs = self.runs,
             "stream ended"
         );
-        if outcome == "complete" {
+        // Dropping the connection makes the server stop work on the request.
+        let connection = self.connection.take();
+        if evidence.is_whole() {
             self.gateway.suspects.record_finished(self.exchange.fingerprint);
-        }
-        match self.connection.take() {
-            Some(connection) if outcome == "complete" => {
-                keep_connection(connection, Arc::clone(self.in_flight.server()));
-            }
-            // Dropping the connection makes the server stop work on the request.
-            _ => {}
+            let server = self.in_flight.server();
+            connection.into_iter().for_each(|kept| keep_connection(kept, Arc::clone(server)));
         }
     }
 }
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -15,7 +15,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without an event of a stream in progress after which its server is checked: several passes.
-const EVENT_LIMIT: Duration = Duration::from_millis(600);
+pub const EVENT_LIMIT: Duration = Duration::from_millis(600);
 
 /// Time limit for the head of an answer if the coordinator reports the server as silent.
 const REPORTED_HEAD_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, missing_docs, unreachable_pub, reason = "shared with the bench")]
 mod framing;
 
-use flamingowheel_standin::platform::raw::{Answer, Framing, RawServer};
+use flamingowheel_standin::platform::raw::{Answer, Framing};
 use framing::caller::{Ask, call};
 use framing::{Bench, event, events_after};
 
@@ -62,11 +62,11 @@
 async fn resend_crashing_request_unframed() {
     let first = ended_after(&(event(1) + "id: 2\ndata: pie"));
     let bench = Bench::start(3, &first).await;
-    for turn in 0..6 {
+    for turn in 0..6_u64 {
         let attempt = format!("a{turn}");
         let ask = Ask { body: "crashing", ..Ask::new("/live/x", &attempt) };
         call(bench.entry.address, ask).await;
-        bench.servers.iter().for_each(RawServer::restart);
+        bench.restart_all(turn + 2);
     }
     assert!(bench.calls() <= 2, "{} servers ended", bench.calls());
 }
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -24,7 +24,26 @@
     pub client: HttpClient,
     pub stop: Stop,
     pub metrics: Arc<Metrics>,
-    pub suspects: Arc<Suspects>,
+    views: Views,
+}
+
+/// The servers as listed, each start of them with a time of its own.
+fn list(addresses: &[SocketAddr], started_ms: u64) -> HashMap<String, Vec<Arc<Server>>> {
+    let listed = |(index, address): (usize, &SocketAddr)| {
+        let server = Arc::new(Server::new(BackendServer {
+            id: format!("i-{index}"),
+            service: "s".to_owned(),
+            address: *address,
+            data_centre: "z".to_owned(),
+            slots: 4,
+            is_draining: false,
+            started_ms,
+        }));
+        // Each further server has a higher latency, which fixes the order of attempts.
+        server.record_answer(Duration::from_millis(1 + 200 * index as u64), false);
+        server
+    };
+    HashMap::from([("s".to_owned(), addresses.iter().enumerate().map(listed).collect())])
 }
 
 impl Entry {
@@ -38,21 +57,6 @@
         configuration: Option<&[u8]>,
         slack: f64,
     ) -> Self {
-        let listed = |(index, address): (usize, &SocketAddr)| {
-            let server = Arc::new(Server::new(BackendServer {
-                id: format!("i-{index}"),
-                service: "s".to_owned(),
-                address: *address,
-                data_centre: "z".to_owned(),
-                slots: 4,
-                is_draining: false,
-                started_ms: 1,
-            }));
-            // Each further server has a higher latency, which fixes the order of attempts.
-            server.record_answer(Duration::from_millis(1 + 200 * index as u64), false);
-            server
-        };
-        let servers = servers.iter().enumerate().map(listed).collect();
         let configuration = configuration.map(|value| Arc::new(operator::decode(value).unwrap()));
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let peers = Some(socket.local_addr().unwrap());
@@ -61,10 +65,11 @@
         let views = Views::default();
         views.store(Arc::new(View {
             configuration,
-            servers: HashMap::from([("s".to_owned(), servers)]),
+            servers: list(servers, 1),
             entries: HashMap::from([("e".to_owned(), record)]),
             ..View::default()
         }));
+        let seen = Arc::clone(&views);
         let metrics = Arc::new(Metrics::new().unwrap());
         let (permits, requests) = permits::channel();
         let (vm, served) = ("e".to_owned(), Arc::clone(&metrics));
@@ -74,15 +79,21 @@
         let budget = RetryBudget::new(Allowance { ratio: 0.2, slack, window });
         let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
         let (archive, _archived) = archive::channel();
-        let (seen, of_losses) = (Arc::clone(&views), Arc::clone(&suspects));
-        let losses = LossRecorder::new(seen, of_losses, archive, Arc::clone(&metrics));
-        let (kept, counted) = (Arc::clone(&suspects), Arc::clone(&metrics));
+        let (of_losses, known) = (Arc::clone(&views), Arc::clone(&suspects));
+        let losses = LossRecorder::new(of_losses, known, archive, Arc::clone(&metrics));
+        let counted = Arc::clone(&metrics);
         let gateway = Arc::new(Gateway::new(views, budget, permits, suspects, losses, metrics));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let stop = Stop::default();
         tokio::spawn(front::serve(listener, gateway, stop.clone()));
         let client = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
-        Self { address, client, stop, metrics: counted, suspects: kept }
+        Self { address, client, stop, metrics: counted, views: seen }
+    }
+
+    /// Lists servers as started at `started_ms`.
+    pub fn list_again(&self, servers: &[SocketAddr], started_ms: u64) {
+        let view = View::clone(&self.views.load());
+        self.views.store(Arc::new(View { servers: list(servers, started_ms), ..view }));
     }
 }
--- a/crates/gateway/tests/framing/mod.rs
+++ b/crates/gateway/tests/framing/mod.rs
@@ -77,6 +77,13 @@
         call(self.entry.address, Ask::new(path, "a1")).await
     }
 
+    /// Starts all servers again and lists their new starts.
+    pub fn restart_all(&self, started_ms: u64) {
+        self.servers.iter().for_each(RawServer::restart);
+        let addresses: Vec<_> = self.servers.iter().map(|server| server.address).collect();
+        self.entry.list_again(&addresses, started_ms);
+    }
+
     pub fn calls(&self) -> usize {
         self.servers.iter().map(|server| server.calls().len()).sum()
     }
