Gateway: plain answers without length or chunks are judged like streams

A plain answer that ends with its connection was a success of status 200 whenever that connection closed in order, whatever had become of the server: 11 bytes of an order's answer, and for work that runs once 'it ran, this is the answer'. The same for a cut failure, whose status was passed on.

Its end goes through the same decision as a stream's now (LossRecorder::judge). What is not whole is asked for again where that is allowed, else answered 502: nobody knows. Reading plain answers is a module of its own; its lines have framing, evidence, bytes.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod intake;
+mod plain;
 mod send;
 
 pub use answer::keep_connection;
--- /dev/null
+++ b/crates/gateway/src/forward/plain.rs
@@ -0,0 +1,168 @@
+//! Reads a plain answer, which is sent on once it is whole, so that another server's can replace it if
+//! it breaks off.
+
+use super::{Gateway, keep_connection};
+use crate::exchange::Exchange;
+use crate::losses::AnswerEnd;
+use crate::relay::UpstreamBody;
+use bytes::{Bytes, BytesMut};
+use flamingowheel_policy::answers::{Content, Ending, Evidence};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use tokio::time::{Instant, timeout_at};
+
+/// Largest answer that is buffered before its head is sent on, in bytes.
+const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+
+/// A plain answer whose head has arrived.
+pub(super) struct PlainAnswer {
+    gateway: Arc<Gateway>,
+    exchange: Arc<Exchange>,
+    upstream: UpstreamBody,
+    sent: Sent,
+    buffered: BytesMut,
+    received_bytes: usize,
+    last_data_at: Instant,
+}
+
+/// The send that a plain answer belongs to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    /// When the request was sent to the server.
+    pub(super) at: Instant,
+    /// Number of servers that have run it, with this one.
+    pub(super) runs: u32,
+    /// Status of the answer.
+    pub(super) status: StatusCode,
+}
+
+/// What a plain answer has come to after it was buffered.
+pub(super) enum Buffered {
+    /// It has ended and is whole.
+    Whole(Bytes),
+    /// It is larger than what is buffered.
+    TooLarge,
+    /// It is not whole.
+    Broken(Evidence),
+}
+
+impl PlainAnswer {
+    pub(super) fn new(
+        gateway: Arc<Gateway>,
+        exchange: Arc<Exchange>,
+        upstream: UpstreamBody,
+        sent: Sent,
+    ) -> Self {
+        Self {
+            gateway,
+            exchange,
+            upstream,
+            sent,
+            buffered: BytesMut::new(),
+            received_bytes: 0,
+            last_data_at: Instant::now(),
+        }
+    }
+
+    /// Reads the answer to its end, or until it is too large to be buffered.
+    pub(super) async fn buffer(mut self) -> Buffered {
+        loop {
+            match self.read().await {
+                Ok(Some(piece)) => self.buffered.extend_from_slice(&piece),
+                Ok(None) => return Buffered::Whole(self.buffered.freeze()),
+                Err(evidence) => return Buffered::Broken(evidence),
+            }
+            if self.buffered.len() > MAX_BUFFERED_BYTES {
+                return Buffered::TooLarge;
+            }
+        }
+    }
+
+    /// Reads the next bytes; `None` at the end of a whole answer.
+    async fn read(&mut self) -> Result<Option<Bytes>, Evidence> {
+        loop {
+            match timeout_at(self.exchange.deadline, self.upstream.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    self.received_bytes += data.len();
+                    self.last_data_at = Instant::now();
+                    return Ok(Some(data));
+                }
+                Ok(Some(Err(error))) => return self.judge(Ending::Error, Some(&error)).await,
+                Ok(None) => return self.judge(Ending::Regular, None).await,
+                Err(_) => return self.judge(Ending::TimedOut, None).await,
+            }
+        }
+    }
+
+    async fn judge(
+        &mut self,
+        ending: Ending,
+        error: Option<&hyper::Error>,
+    ) -> Result<Option<Bytes>, Evidence> {
+        let end = AnswerEnd {
+            framing: self.upstream.framing,
+            ending,
+            content: Content::Opaque,
+            silence: self.last_data_at.elapsed(),
+            error: error.map(|error| error as _),
+        };
+        let in_flight = &self.upstream.in_flight;
+        let evidence = self.gateway.losses.judge(&self.exchange, in_flight, &end).await;
+        if evidence.is_whole() {
+            self.record_whole(evidence);
+            return Ok(None);
+        }
+        self.record_broken(evidence, error);
+        Err(evidence)
+    }
+
+    fn record_whole(&mut self, evidence: Evidence) {
+        let Sent { at, runs, status } = self.sent;
+        let server = Arc::clone(self.upstream.in_flight.server());
+        server.record_answer(at.elapsed(), status.is_server_error());
+        self.gateway.suspects.record_finished(self.exchange.fingerprint);
+        let metrics = &self.gateway.metrics;
+        let after = self.exchange.arrived.elapsed();
+        let result = if status.is_success() { "answered" } else { "failed" };
+        metrics.record_send(self.exchange.kind(), result);
+        metrics.observe_answer_time(self.exchange.kind(), after);
+        metrics.record_request(self.exchange.kind(), "answered");
+        tracing::info!(
+            request = self.exchange.head.attempt_id,
+            route = self.exchange.route.name,
+            version = self.exchange.version,
+            server = server.listed.id,
+            status = status.as_u16(),
+            framing = self.upstream.framing.name(),
+            evidence = evidence.name(),
+            bytes = self.received_bytes,
+            after_ms = after.as_millis() as u64,
+            runs,
+            "answered"
+        );
+        if let Some(connection) = self.upstream.connection.take() {
+            keep_connection(connection, server);
+        }
+    }
+
+    fn record_broken(&self, evidence: Evidence, error: Option<&hyper::Error>) {
+        let server = self.upstream.in_flight.server();
+        if evidence != Evidence::Deadline {
+            self.gateway.metrics.record_send(self.exchange.kind(), "broken");
+            server.record_answer(self.sent.at.elapsed(), true);
+        }
+        tracing::info!(
+            request = self.exchange.head.attempt_id,
+            server = server.listed.id,
+            framing = self.upstream.framing.name(),
+            evidence = evidence.name(),
+            bytes = self.received_bytes,
+            error = error.map(tracing::field::display),
+            "answer broken off"
+        );
+    }
+}
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -3,15 +3,19 @@
 use crate::ends;
 use crate::exchange::Exchange;
 use crate::metrics::Metrics;
-use crate::server::Server;
+use crate::server::{InFlight, Server};
+use crate::silence::EVENT_LIMIT;
 use crate::suspects::Suspects;
 use crate::suspects::archive::ArchiveSender;
 use crate::view::Views;
 use flamingowheel_backing::client::liveness::Trust;
-use flamingowheel_policy::answers::ServerState;
+use flamingowheel_policy::answers::{
+    self, Content, Ending, Evidence, Framing, Judgement, ServerState,
+};
 use flamingowheel_policy::key::Fingerprint;
 use std::fmt::Display;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Finds out why a connection broke, logs it and counts it.
@@ -35,11 +39,36 @@
         Self { views, suspects, archive, metrics }
     }
 
+    /// Decides whether an answer that has ended is whole, and records the loss of one that is not.
+    pub async fn judge(
+        &self,
+        exchange: &Exchange,
+        in_flight: &InFlight,
+        end: &AnswerEnd<'_>,
+    ) -> Evidence {
+        let server = in_flight.server();
+        self.metrics.record_answer(end.framing, end.ending);
+        match answers::judge(end.framing, end.ending, end.content) {
+            Judgement::Decided(evidence) => {
+                if !evidence.is_whole() && evidence != Evidence::Deadline {
+                    self.record(exchange, server, &end.error.unwrap_or(&evidence.name())).await;
+                }
+                evidence
+            }
+            Judgement::Undecided(answer) => {
+                let trust = Trust::after_silence(end.silence);
+                let state = self.check_end(exchange, server, trust).await;
+                let has_stalled = in_flight.group().is_some() && end.silence >= EVENT_LIMIT;
+                answer.decide(state, has_stalled)
+            }
+        }
+    }
+
     /// Records that the connection broke while the request was at the server. Returns once it is
     /// known whether the server has ended; this goes on even if the request is given up meanwhile.
     pub async fn record<E>(&self, exchange: &Exchange, server: &Arc<Server>, error: &E)
     where
-        E: Display,
+        E: Display + ?Sized,
     {
         let loss = Loss::new(exchange, server, error.to_string());
         let recorder = self.clone();
@@ -55,7 +84,7 @@
 
     /// Finds out whether the server lives after an answer has ended with its connection. If it has
     /// ended, the request counts as lost. This goes on even if the request is given up meanwhile.
-    pub async fn check_end(
+    async fn check_end(
         &self,
         exchange: &Exchange,
         server: &Arc<Server>,
@@ -104,6 +133,20 @@
     }
 }
 
+/// How the body of an answer ended.
+pub struct AnswerEnd<'a> {
+    /// How the answer states the end of its body.
+    pub framing: Framing,
+    /// How reading it ended.
+    pub ending: Ending,
+    /// What its bytes show.
+    pub content: Content,
+    /// Time between the last bytes and the end.
+    pub silence: Duration,
+    /// The error of the connection, if there was one.
+    pub error: Option<&'a (dyn Display + Sync)>,
+}
+
 /// A request whose connection to a server ended.
 #[derive(Debug)]
 struct Loss {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,19 +6,17 @@
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
 use crate::forward::{Gateway, SendFailure, keep_connection};
+use crate::losses::AnswerEnd;
 use crate::server::{InFlight, Server};
-use crate::silence::EVENT_LIMIT;
 use bytes::Bytes;
 use flamingowheel_backing::client::framing::framing_of;
-use flamingowheel_backing::client::liveness::Trust;
 use flamingowheel_fleet::configuration::RetryPolicy;
-use flamingowheel_policy::answers::{self, Ending, Evidence, Framing, Judgement};
+use flamingowheel_policy::answers::{Ending, Evidence, Framing};
 use futures_util::stream;
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
-use std::fmt::Display;
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
@@ -79,7 +77,7 @@
             framing,
             received_bytes: 0,
             last_data_at: Instant::now(),
-            connection: Some(connection),
+            connection,
             in_flight,
             tried,
             runs,
@@ -150,18 +148,9 @@
             };
             let frame = match waited {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
-                    self.gateway.metrics.record_answer(self.framing, Ending::Error);
-                    return self.record_broken(Evidence::ConnectionError, &error).await;
-                }
-                Ok(None) => {
-                    self.gateway.metrics.record_answer(self.framing, Ending::Regular);
-                    return self.judge_end().await;
-                }
-                Err(_) => {
-                    self.gateway.metrics.record_answer(self.framing, Ending::TimedOut);
-                    return Step::TooLate;
-                }
+                Ok(Some(Err(error))) => return self.judge_end(Ending::Error, Some(&error)).await,
+                Ok(None) => return self.judge_end(Ending::Regular, None).await,
+                Err(_) => return self.judge_end(Ending::TimedOut, None).await,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -179,53 +168,32 @@
         }
     }
 
-    /// Decides whether a stream that has ended as its framing states is whole.
-    async fn judge_end(&self) -> Step {
-        let judgement = answers::judge(self.framing, Ending::Regular, self.splitter.content());
-        let evidence = match judgement {
-            Judgement::Decided(evidence) if evidence.is_whole() => evidence,
-            Judgement::Decided(evidence) => {
-                return self.record_broken(evidence, &evidence.name()).await;
-            }
-            Judgement::Undecided(answer) => {
-                let silence = self.last_data_at.elapsed();
-                let server = self.in_flight.server();
-                let trust = Trust::after_silence(silence);
-                let state = self.gateway.losses.check_end(&self.exchange, server, trust).await;
-                let has_stalled = self.in_flight.group().is_some() && silence >= EVENT_LIMIT;
-                answer.decide(state, has_stalled)
-            }
+    /// Decides whether a stream that has ended is whole.
+    async fn judge_end(&self, ending: Ending, error: Option<&hyper::Error>) -> Step {
+        let end = AnswerEnd {
+            framing: self.framing,
+            ending,
+            content: self.splitter.content(),
+            silence: self.last_data_at.elapsed(),
+            error: error.map(|error| error as _),
         };
-        if evidence.is_whole() {
-            return Step::End(evidence);
+        let evidence = self.gateway.losses.judge(&self.exchange, &self.in_flight, &end).await;
+        match evidence {
+            _ if evidence.is_whole() => return Step::End(evidence),
+            Evidence::Deadline => return Step::TooLate,
+            _ => {}
         }
-        self.log_broken(&evidence.name());
-        Step::Broken(evidence)
-    }
-
-    /// Records that the stream has broken off, and whether the server ended with it.
-    async fn record_broken<E>(&self, evidence: Evidence, error: &E) -> Step
-    where
-        E: Display,
-    {
-        self.log_broken(error);
-        self.gateway.losses.record(&self.exchange, self.in_flight.server(), error).await;
-        Step::Broken(evidence)
-    }
-
-    fn log_broken<E>(&self, error: &E)
-    where
-        E: Display,
-    {
         tracing::info!(
             request = self.exchange.head.attempt_id,
             server = self.in_flight.server().listed.id,
             framing = self.framing.name(),
+            evidence = evidence.name(),
             bytes = self.received_bytes,
             pending_bytes = self.splitter.pending().len(),
-            %error,
+            error = error.map(tracing::field::display),
             "stream broken"
         );
+        Step::Broken(evidence)
     }
 
     /// Resumes at another backend server after the last event that was relayed.
@@ -340,7 +308,7 @@
     /// How the answer states the end of its body.
     pub framing: Framing,
     /// The connection that carries it.
-    pub connection: Connection,
+    pub connection: Option<Connection>,
     /// Counts the request as in flight at the server.
     pub in_flight: InFlight,
 }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -70,3 +70,38 @@
     }
     assert!(bench.calls() <= 2, "{} servers ended", bench.calls());
 }
+
+/// A plain answer whose server ends after a part of it, closing the connection in order.
+fn ended_plain(status: u16) -> Answer {
+    Answer { status, ..ended_after("{\"order\":1,") }
+}
+
+// A plain answer without length or chunks that is cut by the end of its server must not pass for a
+// success: a read is asked for again, and of work that runs once nobody knows.
+#[tokio::test]
+async fn forward_unframed_plain_ended() {
+    for status in [200, 500] {
+        let bench = Bench::start(2, &ended_plain(status)).await;
+        let read = bench.ask("/safe/x").await;
+        assert!(read.status == 200 && read.body == events_after(0).as_bytes(), "{read:?}");
+        bench.restart_all(2);
+        let once = bench.ask_as("/once/x", "a2").await;
+        assert_eq!(once.status, 502, "{once:?}");
+        assert_eq!(bench.calls(), 3, "work that may have run must not run again");
+    }
+}
+
+// Whole plain answers of the same kind, an empty one among them, must stay what they are.
+#[tokio::test]
+async fn forward_unframed_plain_whole() {
+    for framing in [Framing::Connection, Framing::ConnectionUnsaid, Framing::ConnectionHttp10] {
+        for (status, body) in [(200, "whole"), (200, ""), (500, "failed"), (204, "")] {
+            let answer = Answer { status, ..Answer::whole(framing, body.as_bytes().to_vec()) };
+            let bench = Bench::start(1, &answer).await;
+            let received = bench.ask("/once/x").await;
+            let got = (received.status, received.is_complete, &received.body[..]);
+            assert_eq!(got, (status, true, body.as_bytes()), "{framing:?}");
+            assert_eq!(bench.calls(), 1);
+        }
+    }
+}
--- a/crates/gateway/tests/framing/mod.rs
+++ b/crates/gateway/tests/framing/mod.rs
@@ -74,7 +74,11 @@
     }
 
     pub async fn ask(&self, path: &str) -> Received {
-        call(self.entry.address, Ask::new(path, "a1")).await
+        self.ask_as(path, "a1").await
+    }
+
+    pub async fn ask_as(&self, path: &str, attempt: &str) -> Received {
+        call(self.entry.address, Ask::new(path, attempt)).await
     }
 
     /// Starts all servers again and lists their new starts.
