Gateway: answers to callers don't take over the server's HTTP version

A server that answers as HTTP/1.0 made the entry answer its own callers as HTTP/1.0 too. There are no chunks then: the answer ends with the caller's connection, and a stream that the entry breaks off on purpose ends with a regular close, which says complete.

The version of the server's answer is dropped; the HTTP library speaks the caller's. relay_http10_server_broken_off fails before (HTTP/1.0, complete), passes now.

--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -10,7 +10,7 @@
 use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_platform::headers;
 use flamingowheel_policy::answers::Evidence;
-use http::Response;
+use http::{Response, Version};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -28,6 +28,8 @@
         let framing = framing_of(&response);
         let (mut parts, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
+        // The connection to the caller has a version of its own.
+        parts.version = Version::HTTP_11;
         let upstream = UpstreamBody { body, framing, connection: Some(connection), in_flight };
         let (gateway, exchange) = (Arc::clone(self), Arc::clone(exchange));
         if exchange.route.is_stream && status.is_success() {
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -105,3 +105,14 @@
         }
     }
 }
+
+// A server that answers as HTTP/1.0 made the entry answer so too: without chunks, where the close of the
+// caller's connection after a broken stream says that it is complete.
+#[tokio::test]
+async fn relay_http10_server_broken_off() {
+    let mut first = ended_after(&event(1));
+    first.framing = Framing::ConnectionHttp10;
+    let alone = Bench::start(1, &first).await;
+    let received = alone.ask("/stream/x").await;
+    assert!(!received.is_complete && received.head.starts_with("http/1.1"), "{received:?}");
+}
