Gateway: broken answers to callers without chunks end with a reset

A caller on HTTP/1.0 has no chunks: an answer of unknown length ends with its connection. A stream that the entry broke off on purpose ended with a regular close, as dropping a connection does, so that it looked complete (relay_broken_off_http10_caller: one event of three, complete).

If the body of an answer ends with an error and the request was HTTP/1.0, the caller's connection is reset. With chunks the missing last one says so, and a regular close lets a slow reader still get the events that were sent.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,10 +2,12 @@
 
 use crate::connection::enable_dead_peer_detection;
 use crate::forward::Gateway;
+use http::Version;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -64,9 +66,11 @@
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     enable_dead_peer_detection(&stream);
     let last_used = Arc::new(Mutex::new(Instant::now()));
+    let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
         let (gateway, last_used) = (Arc::clone(&gateway), Arc::clone(&last_used));
         let is_leaving = stop.leaving.is_cancelled();
+        has_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move {
             record_use(&last_used);
             let mut response = gateway.handle(request).await;
@@ -78,39 +82,50 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .auto_date_header(false)
         .max_buf_size(64 * 1024)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let mut checks = interval(IDLE_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut is_closing = false;
     loop {
         tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    tracing::debug!(%error, "connection to caller ended");
+            ended = &mut connection => {
+                let Err(error) = ended else {
+                    return;
+                };
+                tracing::debug!(%error, "connection to caller ended");
+                if error.is_user() && !has_chunks.load(Ordering::Relaxed) {
+                    // Without chunks, a regular close says that the answer is complete.
+                    reset(&connection.into_parts().io.into_inner());
                 }
                 return;
             }
             () = stop.closing.cancelled(), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
             // A graceful shutdown waits for the request in progress, however long that takes.
             _ = checks.tick(), if !is_closing => {
                 is_closing = is_idle_too_long(&gateway, &last_used);
                 if is_closing {
-                    connection.as_mut().graceful_shutdown();
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
             }
         }
     }
 }
 
+/// Makes the connection send a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        tracing::warn!(%error, "broken answer may look complete to its caller");
+    }
+}
+
 fn record_use(last_used: &Mutex<Instant>) {
     *last_used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
 }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -4,7 +4,7 @@
 mod framing;
 
 use flamingowheel_standin::platform::raw::{Answer, Framing};
-use framing::caller::{Ask, call};
+use framing::caller::{Ask, Version, call};
 use framing::{Bench, event, events_after};
 
 /// An answer without length or chunks whose server ends after `body`, closing the connection in
@@ -116,3 +116,20 @@
     let received = alone.ask("/stream/x").await;
     assert!(!received.is_complete && received.head.starts_with("http/1.1"), "{received:?}");
 }
+
+// To a caller on HTTP/1.0 a regular close says that an answer of unknown length is complete, also of a
+// stream that was broken off.
+#[tokio::test]
+async fn relay_broken_off_http10_caller() {
+    let cases = [(ended_after(&event(1)), false), (whole_stream(), true)];
+    for (first, is_whole) in cases {
+        let bench = Bench::start(1, &first).await;
+        let ask = Ask { version: Version::Http10, ..Ask::new("/live/x", "a1") };
+        let received = call(bench.entry.address, ask).await;
+        assert_eq!((received.status, received.is_complete), (200, is_whole), "{received:?}");
+    }
+}
+
+fn whole_stream() -> Answer {
+    Answer::whole(Framing::ConnectionUnsaid, events_after(0).into_bytes())
+}
