Gateway: a length beside chunks is not passed on

A server's answer may have a length and chunks; chunks decide then. The entry read the body by its chunks and passed the length on: in a debug build the library ended the caller's connection, in a release build it writes the wrong length, and the caller waits for bytes that don't come or takes the next answer for them (read in the library's source; the test ran in a debug build).

forward_length_and_chunks: no answer before (length 64 stated for 63 bytes), whole now. The length in an answer to HEAD stays (forward_length_without_body, passed before).

--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -9,7 +9,7 @@
 use crate::server::Server;
 use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_platform::headers;
-use flamingowheel_policy::answers::Evidence;
+use flamingowheel_policy::answers::{Evidence, Framing};
 use http::{Response, Version};
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -32,8 +32,12 @@
         parts.version = Version::HTTP_11;
         let upstream = UpstreamBody { body, framing, connection: Some(connection), in_flight };
         let (gateway, exchange) = (Arc::clone(self), Arc::clone(exchange));
-        if exchange.route.is_stream && status.is_success() {
+        let is_stream = exchange.route.is_stream && status.is_success();
+        // A length beside chunks does not count, and that of a stream changes if it is resumed.
+        if is_stream || framing != Framing::Length {
             parts.headers.remove(http::header::CONTENT_LENGTH);
+        }
+        if is_stream {
             let relay = Relay::new(gateway, exchange, upstream, tried.to_vec(), runs);
             return Ok(Response::from_parts(parts, relay.into_body()));
         }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -133,3 +133,32 @@
 fn whole_stream() -> Answer {
     Answer::whole(Framing::ConnectionUnsaid, events_after(0).into_bytes())
 }
+
+// Chunks decide where an answer has a length too; passed on, the length would make the caller wait for
+// bytes that don't come, or take the next answer for the rest of this one.
+#[tokio::test]
+async fn forward_length_and_chunks() {
+    let answer = Answer::whole(Framing::LengthAndChunks, events_after(0).into_bytes());
+    for path in ["/once/x", "/stream/x"] {
+        let received = Bench::start(1, &answer).await.ask(path).await;
+        assert!(
+            received.is_complete && received.body == events_after(0).as_bytes(),
+            "{received:?}"
+        );
+    }
+}
+
+// The length in the answer to a HEAD request, or in a 304, is not that of its body, which is empty.
+#[tokio::test]
+async fn forward_length_without_body() {
+    let mut answer = Answer::whole(Framing::Length, b"whole".to_vec());
+    answer.cut_bytes = Some(answer.head_bytes("a1"));
+    let bench = Bench::start(1, &answer).await;
+    let ask = Ask { method: "HEAD", ..Ask::new("/safe/x", "a1") };
+    let received = call(bench.entry.address, ask).await;
+    assert_eq!((received.status, received.is_complete), (200, true), "{received:?}");
+    assert!(received.head.contains("content-length: 5"), "{received:?}");
+    let bench = Bench::start(1, &Answer { status: 304, ..answer }).await;
+    let received = bench.ask("/safe/x").await;
+    assert_eq!((received.status, received.is_complete), (304, true), "{received:?}");
+}
