Gateway: answers over 256 KB are relayed as they arrive

A comment said so, the code did not: it read up to 256 KB and then gave the answer up. The caller got 502, of work that ran once too, and a server that was well counted as failing. forward_large_plain (700 KB, six framings): 502 before, whole now.

What is buffered is sent on with the head, the rest follows; the end is judged like that of a small answer, and if it is not whole, the caller's answer breaks off (forward_large_plain_broken_off, six framings, close and reset).

--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 impl Gateway {
-    /// Relays an answer: streams as they arrive, others once they are complete.
+    /// Relays an answer: streams and large answers as they arrive, others once they are complete.
     pub(super) async fn forward_answer(
         self: &Arc<Self>,
         exchange: &Arc<Exchange>,
@@ -44,8 +44,9 @@
         let sent = Sent { at: sent_at, runs, status };
         let body = match PlainAnswer::new(gateway, exchange, upstream, sent).buffer().await {
             Buffered::Whole(bytes) => full_body(bytes),
+            Buffered::Large(answer) => answer.into_body(),
             Buffered::Broken(Evidence::Deadline) => return Err(Refusal::NoAnswerInTime),
-            Buffered::TooLarge | Buffered::Broken(_) => return Err(Refusal::AnswerLost),
+            Buffered::Broken(_) => return Err(Refusal::AnswerLost),
         };
         Ok(Response::from_parts(parts, body))
     }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -1,14 +1,16 @@
-//! Reads a plain answer, which is sent on once it is whole, so that another server's can replace it if
-//! it breaks off.
+//! Reads a plain answer. A small one is sent on once it is whole, so that another server's can replace
+//! it if it breaks off; a larger one is relayed as it arrives.
 
 use super::{Gateway, keep_connection};
 use crate::exchange::Exchange;
 use crate::losses::AnswerEnd;
-use crate::relay::UpstreamBody;
+use crate::relay::{AnswerBody, Truncated, UpstreamBody};
 use bytes::{Bytes, BytesMut};
 use flamingowheel_policy::answers::{Content, Ending, Evidence};
+use futures_util::stream;
 use http::StatusCode;
-use http_body_util::BodyExt;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
@@ -24,6 +26,7 @@
     buffered: BytesMut,
     received_bytes: usize,
     last_data_at: Instant,
+    has_ended: bool,
 }
 
 /// The send that a plain answer belongs to.
@@ -42,7 +45,7 @@
     /// It has ended and is whole.
     Whole(Bytes),
     /// It is larger than what is buffered.
-    TooLarge,
+    Large(Box<PlainAnswer>),
     /// It is not whole.
     Broken(Evidence),
 }
@@ -62,6 +65,7 @@
             buffered: BytesMut::new(),
             received_bytes: 0,
             last_data_at: Instant::now(),
+            has_ended: false,
         }
     }
 
@@ -74,7 +78,37 @@
                 Err(evidence) => return Buffered::Broken(evidence),
             }
             if self.buffered.len() > MAX_BUFFERED_BYTES {
-                return Buffered::TooLarge;
+                return Buffered::Large(Box::new(self));
+            }
+        }
+    }
+
+    /// The body of the answer to the caller: what is buffered, then the rest as it arrives. It ends
+    /// with an error if the answer turns out not to be whole.
+    pub(super) fn into_body(self) -> AnswerBody {
+        let frames = stream::unfold(self, |mut answer| async move {
+            let frame = answer.next().await?;
+            Some((frame.map(Frame::data), answer))
+        });
+        BodyExt::boxed_unsync(StreamBody::new(frames))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
+        if self.has_ended {
+            return None;
+        }
+        if !self.buffered.is_empty() {
+            return Some(Ok(self.buffered.split().freeze()));
+        }
+        match self.read().await {
+            Ok(Some(piece)) => Some(Ok(piece)),
+            Ok(None) => {
+                self.has_ended = true;
+                None
+            }
+            Err(_) => {
+                self.has_ended = true;
+                Some(Err(Truncated))
             }
         }
     }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, missing_docs, unreachable_pub, reason = "shared with the bench")]
 mod framing;
 
-use flamingowheel_standin::platform::raw::{Answer, Framing};
+use flamingowheel_standin::platform::raw::{Answer, Ending, Framing};
 use framing::caller::{Ask, Version, call};
 use framing::{Bench, event, events_after};
 
@@ -162,3 +162,33 @@
     let received = bench.ask("/safe/x").await;
     assert_eq!((received.status, received.is_complete), (304, true), "{received:?}");
 }
+
+/// Size of a body that entries don't buffer, in bytes.
+const LARGE_BYTES: usize = 700 * 1024;
+
+// An answer that is too large to be buffered was thrown away once it was, and reported as lost.
+#[tokio::test]
+async fn forward_large_plain() {
+    let body: Vec<u8> = (0..LARGE_BYTES).map(|index| index as u8).collect();
+    for framing in Framing::ALL {
+        let bench = Bench::start(1, &Answer::whole(framing, body.clone())).await;
+        let received = bench.ask("/once/x").await;
+        assert!(received.status == 200 && received.is_complete, "{framing:?}: {}", received.head);
+        assert!(received.body == body, "{framing:?}");
+    }
+}
+
+// A large answer that breaks off after its head was sent on must not look complete.
+#[tokio::test]
+async fn forward_large_plain_broken_off() {
+    for framing in Framing::ALL {
+        for ending in [Ending::Closed, Ending::Reset] {
+            let whole = Answer::whole(framing, vec![7; LARGE_BYTES]);
+            let cut_bytes = Some(whole.encoded_bytes("a1") - 100);
+            let first = Answer { cut_bytes, ending, ends_server: true, ..whole };
+            let received = Bench::start(1, &first).await.ask("/once/x").await;
+            let got = (received.status, received.is_complete);
+            assert_eq!(got, (200, false), "{framing:?}, {ending:?}");
+        }
+    }
+}
