Backing: answers that end with their connection are judged by all clients

The client that reads the store's answers, lists of VMs and servers, reports of engines and orders took the regular close of an unframed answer for its end.

HttpClient::fetch asks the same decision as the gateway (policy::answers) with the same check of the server (liveness::judge_end). Every cut of six framings is an error now, and the whole answer of each is whole.

--- a/crates/backing/src/client/http.rs
+++ b/crates/backing/src/client/http.rs
@@ -3,7 +3,10 @@
 //! It never sends a request twice, never follows a redirect, and distinguishes a request that was
 //! never sent from one that may have been carried out.
 
+use super::framing::framing_of;
+use super::liveness;
 use bytes::{Bytes, BytesMut};
+use flamingowheel_policy::answers::{Content, Framing};
 use http::uri::{Authority, Scheme};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body::Body;
@@ -13,7 +16,13 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::error::Error;
+use std::io;
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Port of a server whose authority has none.
+const DEFAULT_PORT: u16 = 80;
 
 /// Limits on how long the client waits for a peer and on how much it buffers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -164,24 +173,51 @@
         }
     }
 
-    /// Sends a request and reads the answer to its end.
+    /// Sends a request and reads the answer to its end. Only a whole answer is returned.
     pub async fn fetch(
         &self,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<BufferedResponse, HttpError> {
-        let (parts, mut body) = self.send(request, reuse).await?.into_parts();
+        let response = self.send(request, reuse).await?;
+        let framing = framing_of(&response);
+        let (parts, mut body) = response.into_parts();
         let limit_bytes = self.limits.max_body_bytes;
         let mut buffer = BytesMut::new();
+        let mut last_data_at = Instant::now();
         while let Some(chunk) = self.next_chunk(&mut body).await? {
+            last_data_at = Instant::now();
             if buffer.len() + chunk.len() > limit_bytes {
                 return Err(HttpError::TooLarge { limit_bytes });
             }
             buffer.extend_from_slice(&chunk);
         }
+        self.check_end(framing, Content::Opaque, last_data_at.elapsed()).await?;
         Ok(BufferedResponse { status: parts.status, headers: parts.headers, body: buffer.freeze() })
     }
 
+    /// Checks whether an answer whose body was read to its end is whole. `silence` is the time between
+    /// its last bytes and its end.
+    pub async fn check_end(
+        &self,
+        framing: Framing,
+        content: Content,
+        silence: Duration,
+    ) -> Result<(), HttpError> {
+        let evidence = liveness::judge_end(framing, content, silence, || self.connect()).await;
+        if evidence.is_whole() {
+            return Ok(());
+        }
+        let (server, evidence) = (&self.authority, evidence.name());
+        tracing::info!(%server, framing = framing.name(), evidence, "answer broken off");
+        Err(HttpError::Lost)
+    }
+
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let port = self.authority.port_u16().unwrap_or(DEFAULT_PORT);
+        TcpStream::connect((self.authority.host(), port)).await
+    }
+
     /// Reads the next bytes of a body; `None` is its end.
     pub async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, HttpError> {
         let limit_ms = self.limits.read_timeout_ms;
--- a/crates/backing/src/client/liveness.rs
+++ b/crates/backing/src/client/liveness.rs
@@ -1,6 +1,8 @@
 //! Finds out whether a server lives after a connection to it has ended.
 
-use flamingowheel_policy::answers::ServerState;
+use flamingowheel_policy::answers::{
+    self, Content, Ending, Evidence, Framing, Judgement, ServerState,
+};
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -100,3 +102,25 @@
     let accepts_all = resets == MAX_CHECKS;
     (if accepts_all { ServerState::Lives } else { ServerState::Unknown }, None)
 }
+
+/// Decides whether an answer that was read to its end is whole; where only the server can tell, by
+/// opening a connection to it. `silence` is the time between the last bytes and the end.
+pub async fn judge_end<Connection, Open, Opening>(
+    framing: Framing,
+    content: Content,
+    silence: Duration,
+    open: Open,
+) -> Evidence
+where
+    Connection: Probe,
+    Open: Fn() -> Opening,
+    Opening: Future<Output = io::Result<Connection>>,
+{
+    match answers::judge(framing, Ending::Regular, content) {
+        Judgement::Decided(evidence) => evidence,
+        Judgement::Undecided(answer) => {
+            let (state, _) = find_state(open, Trust::after_silence(silence)).await;
+            answer.decide(state, false)
+        }
+    }
+}
