Backing: a service's answer that ends with its connection may be whole

The project's own interface called every answer of a plain service without length or chunks malformed, so that a call that had run was unknown to its caller. It also took the first of several Transfer-Encoding lines, where the last one decides.

Its bodies go through the decision that the platform's path uses; the check of its own is gone.

--- a/crates/backing/src/client/backend.rs
+++ b/crates/backing/src/client/backend.rs
@@ -1,19 +1,22 @@
 //! Client of a backend server: a model engine with event streams, or a plain service.
 
 use super::encode_segment;
-use super::http::{HttpClient, HttpError, HttpLimits, Reuse, has_delimited_body};
+use super::framing::framing_of;
+use super::http::{HttpClient, HttpError, HttpLimits, Reuse};
 use super::split::{Splitter, is_done};
 use crate::BoxFuture;
 use crate::backend::{
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, CacheEvent, LoadReport,
 };
 use bytes::Bytes;
+use flamingowheel_policy::answers::{Content, Framing};
 use http::uri::Authority;
 use http::{HeaderValue, Method, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Header with the call's id, which is needed to cancel it.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -36,7 +39,8 @@
 pub enum BackendKind {
     /// A model engine: its event streams are complete only with their end marker.
     Engine,
-    /// A plain service: its bodies end as HTTP defines, by length or last chunk.
+    /// A plain service: its bodies end as HTTP defines, by length, last chunk, or the end of the
+    /// connection to a server that lives.
     Service,
 }
 
@@ -141,38 +145,51 @@
 
 impl BodyRelay {
     async fn run(self, response: Response<Incoming>, events: bool) {
+        let framing = framing_of(&response);
+        let body = response.into_body();
         let result = if events {
-            self.relay_events(response.into_body()).await
-        } else if has_delimited_body(&response) {
-            self.relay_bytes(response.into_body()).await
+            self.relay_events(body, framing).await
         } else {
-            Err(BackendError::Malformed)
+            self.relay_bytes(body, framing).await
         };
         let end = result.map(|()| BodyPiece::End);
         let _ = self.sender.send(end).await;
     }
 
-    async fn relay_bytes(&self, mut body: Incoming) -> Result<(), BackendError> {
+    async fn relay_bytes(&self, mut body: Incoming, framing: Framing) -> Result<(), BackendError> {
+        let mut last_data_at = Instant::now();
         while let Some(chunk) = self.next_chunk(&mut body).await? {
+            last_data_at = Instant::now();
             self.deliver(chunk).await?;
         }
-        Ok(())
+        self.check_end(framing, Content::Opaque, last_data_at).await
     }
 
-    async fn relay_events(&self, mut body: Incoming) -> Result<(), BackendError> {
+    async fn relay_events(&self, mut body: Incoming, framing: Framing) -> Result<(), BackendError> {
         let mut splitter = Splitter::events(MAX_EVENT_BYTES);
+        let mut last_data_at = Instant::now();
         while let Some(chunk) = self.next_chunk(&mut body).await? {
+            last_data_at = Instant::now();
             splitter.push(chunk);
             while let Some(event) = splitter.next_item().map_err(|_| BackendError::Malformed)? {
                 let done = is_done(&event);
                 self.deliver(event).await?;
                 if done {
-                    return Ok(());
+                    return self.check_end(framing, Content::EndMarker, last_data_at).await;
                 }
             }
         }
-        // The body ended cleanly but without its end marker, so it may be truncated.
-        Err(BackendError::Lost)
+        self.check_end(framing, Content::BeforeEndMarker, last_data_at).await
+    }
+
+    async fn check_end(
+        &self,
+        framing: Framing,
+        content: Content,
+        last_data_at: Instant,
+    ) -> Result<(), BackendError> {
+        let checked = self.http.check_end(framing, content, last_data_at.elapsed()).await;
+        checked.map_err(backend_error)
     }
 
     async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, BackendError> {
--- a/crates/backing/src/client/http.rs
+++ b/crates/backing/src/client/http.rs
@@ -9,7 +9,6 @@
 use flamingowheel_policy::answers::{Content, Framing};
 use http::uri::{Authority, Scheme};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
-use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -240,21 +239,6 @@
     Ok(None)
 }
 
-/// Whether the body has a length or is chunked, so that its end can be distinguished from a
-/// broken connection.
-///
-/// Any other body ends when the connection closes, so that a server that dies in the middle looks
-/// like one that finished.
-pub fn has_delimited_body(response: &Response<Incoming>) -> bool {
-    if response.body().size_hint().exact().is_some() {
-        return true;
-    }
-    let encoding = response.headers().get(http::header::TRANSFER_ENCODING);
-    encoding
-        .and_then(|value| value.to_str().ok())
-        .is_some_and(|value| value.to_ascii_lowercase().trim_end().ends_with("chunked"))
-}
-
 /// Idle time before the first TCP keepalive probe, and time between probes. With the retries a dead
 /// connection is detected within 3 s.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
