--- a/crates/flamingowheel/src/client.rs
+++ b/crates/flamingowheel/src/client.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flamingowheel_backing::client::framing::framing_of;
+use flamingowheel_backing::client::liveness;
 use flamingowheel_config::api::{ApiError, ErrorCode};
+use flamingowheel_policy::answers::Content;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -14,6 +17,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
 
 use crate::config::Token;
 use crate::error::Refusal;
@@ -91,6 +95,11 @@
 #[error("timed out after {} ms", .0.as_millis())]
 struct TimedOut(Duration);
 
+/// Cause of [`ClientError::NoAnswer`] after an answer that is not whole.
+#[derive(Debug, thiserror::Error)]
+#[error("answer broken off: {0}")]
+struct BrokenOff(&'static str);
+
 impl ClientError {
     /// Whether the change that the request carried may have been accepted.
     ///
@@ -242,7 +251,7 @@
             Err(error) => return Err(ClientError::NoAnswer { address, cause: error.into() }),
         };
         let status = response.status();
-        let body = read_body(response).await;
+        let body = read_body(address, response).await;
         let body = body.map_err(|cause| ClientError::NoAnswer { address, cause })?;
         Ok((status, body))
     }
@@ -254,8 +263,14 @@
     }
 }
 
-async fn read_body(response: Response<Incoming>) -> Result<Bytes, Cause> {
-    Ok(Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await?.to_bytes())
+async fn read_body(address: SocketAddr, response: Response<Incoming>) -> Result<Bytes, Cause> {
+    let framing = framing_of(&response);
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await?.to_bytes();
+    // When the last bytes arrived is not known, so nothing is said of their time.
+    let silence = Duration::MAX;
+    let open = || TcpStream::connect(address);
+    let evidence = liveness::judge_end(framing, Content::Opaque, silence, open).await;
+    if evidence.is_whole() { Ok(body) } else { Err(BrokenOff(evidence.name()).into()) }
 }
 
 fn parse<A>(address: SocketAddr, (status, body): (StatusCode, Bytes)) -> Result<A, ClientError>
--- a/crates/flamingowheel/tests/tool/main.rs
+++ b/crates/flamingowheel/tests/tool/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the tool's command line, output and documentation.
 
+mod answers;
 mod commands;
 mod contract;
 mod handbook;
--- a/crates/flamingowheel/tests/tool/session.rs
+++ b/crates/flamingowheel/tests/tool/session.rs
@@ -132,7 +132,7 @@
     format!("$ flamingowheel {line}\n{shown}[exit {}]", exit_text(exit))
 }
 
-fn environment(entries: &[SocketAddr]) -> Environment {
+pub fn environment(entries: &[SocketAddr]) -> Environment {
     let entries: Vec<String> = entries.iter().map(ToString::to_string).collect();
     Environment::default()
         .with("FLAMINGOWHEEL_ENTRIES", &entries.join(","))
