Gateway: a new connection counts as open before its task has run

The check of an answer's end asked whether the new connection could take a request at once, which a connection can't whose task has not run yet.

It asks whether the connection is open.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -121,7 +121,8 @@
 
 impl Probe for Connection {
     fn is_open(&self) -> bool {
-        self.is_usable()
+        // A new connection is not ready before its task has run.
+        !self.sender.is_closed()
     }
 }
 
