Gateway: streams are not resumed after events without an id

A stream whose events have no ids was resumed without Last-Event-Id, that is from its beginning: the caller got the events that it had once more, and both runs as one stream (relay_unnumbered_events_not_resumed: a, b, then 1, 2, 3).

It is cut off now, as a stream that may not be resumed. Comments and events without data need no id.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -58,6 +58,11 @@
         self.last_id
     }
 
+    /// Whether the last event with data had no id, so that the stream can't resume after it.
+    pub fn has_unnumbered_data(&self) -> bool {
+        self.scanner.has_unnumbered_data()
+    }
+
     /// Number of complete events and groups of comments so far.
     pub fn event_count(&self) -> u64 {
         self.event_count
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -203,7 +203,9 @@
         self.splitter.discard_pending();
         let server = self.in_flight.server();
         server.record_answer(self.exchange.arrived.elapsed(), true);
-        if self.exchange.route.retry_policy != RetryPolicy::Resume {
+        if self.exchange.route.retry_policy != RetryPolicy::Resume
+            || self.splitter.has_unnumbered_data()
+        {
             return false;
         }
         let last_event_id = self.splitter.last_id().or(self.exchange.head.last_event_id);
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -192,3 +192,13 @@
         }
     }
 }
+
+// Events without ids can't be told apart, so that a stream of them can't go on after the last one: the
+// next server would send them all again.
+#[tokio::test]
+async fn relay_unnumbered_events_not_resumed() {
+    let bench = Bench::start(2, &ended_after("data: a\n\ndata: b\n\ndat")).await;
+    let received = bench.ask("/stream/x").await;
+    assert!(!received.is_complete, "{received:?}");
+    assert_eq!(received.body, b"data: a\n\ndata: b\n\n");
+}
