Soak, stand-ins: answers without length or chunks, and their ends, amid all faults

Now a server answers everything without either for a while, and half of the requests under which servers end get part of such an answer and a connection that is closed in order, in a plain answer, between two events or inside one. Callers check that no part passes for an answer, and that whole ones are what the server made; the bound on ends is checked as before.

resend_crashing_request_unframed_answers drives real processes through it: plain, work that runs once, streams; at most two servers end.

--- a/crates/flamingowheeld/tests/crashes.rs
+++ b/crates/flamingowheeld/tests/crashes.rs
@@ -129,6 +129,19 @@
     }
 }
 
+// The same with answers that have neither length nor chunks and are closed in order by the server's end,
+// inside an event or between two: taken for finished runs, they would clear the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn resend_crashing_request_unframed_answers() {
+    for path in ["/safe/crash-unframed", "/stream/crash-unframed", "/once/crash-unframed"] {
+        let mut run = Run::start(&path.replace('/', "-"), 3, 3).await;
+        for turn in 0..6 {
+            run.send_both(&[turn % 3], path).await;
+        }
+        run.check(2);
+    }
+}
+
 // Copies reach all entries before any server has ended. What follows must be refused by all of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn resend_crashing_request_all_entries_at_once() {
--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -4,8 +4,9 @@
 use crate::fleet::Fleet;
 use crate::report::Violation;
 use crate::signals::{Call, Observed, STABILITY_WINDOW};
-use flamingowheel_standin::platform::server::{CRASH_PATH, End};
+use flamingowheel_standin::platform::server::{CRASH_PATH, End, UNFRAMED_CRASH_PATH};
 use std::collections::HashMap;
+use std::sync::PoisonError;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -16,8 +17,15 @@
 /// Ends after which the bound holds.
 const ENDS: usize = 3;
 
-/// Prefixes of the paths of crashing requests, by kind.
-const KINDS: [&str; 3] = ["/safe", "/once", "/stream"];
+/// Starts of the paths of crashing requests, by kind.
+const KINDS: [(&str, &str); 6] = [
+    ("/safe", CRASH_PATH),
+    ("/once", CRASH_PATH),
+    ("/stream", CRASH_PATH),
+    ("/safe", UNFRAMED_CRASH_PATH),
+    ("/once", UNFRAMED_CRASH_PATH),
+    ("/stream", UNFRAMED_CRASH_PATH),
+];
 
 /// Time for which the crashing request is sent, beyond which the bound has to hold for some seconds.
 const RESEND_TIME: Duration = Duration::from_secs(7);
@@ -25,7 +33,8 @@
 /// Sends a request that ends servers through entries, again and again with a pause in between: to
 /// `at_once` of them at a time, each time the next ones.
 pub async fn resend(fleet: &Fleet, kind: usize, number: u64, at_once: usize, pause: Duration) {
-    let path = format!("{}{CRASH_PATH}/{number}", KINDS[kind % KINDS.len()]);
+    let (route, crash) = KINDS[kind % KINDS.len()];
+    let path = format!("{route}{crash}/{number}");
     let until = Instant::now() + RESEND_TIME;
     let mut next = number as usize;
     let mut sends = 0;
@@ -47,8 +56,14 @@
 async fn send_one(fleet: &Fleet, entry: usize, attempt: String, path: &str) -> Call {
     let sent_at = Instant::now();
     if let Some(client) = client(fleet.entries[entry].callers) {
-        // Nobody misses the answer, which is mostly an error.
-        let _ = send_to(&client, path, &attempt, API_KEY).await;
+        // Nobody misses the answer, which is mostly an error. A whole one is not possible.
+        let answer = send_to(&client, path, &attempt, API_KEY).await;
+        let success = answer.ok().filter(|answer| answer.status.is_success());
+        let violation = success.map(|answer| Violation::WrongAnswer {
+            attempt: attempt.clone(),
+            body: String::from_utf8_lossy(&answer.body).into_owned(),
+        });
+        fleet.false_answers.lock().unwrap_or_else(PoisonError::into_inner).extend(violation);
     }
     Call { entry, attempt, sent_at, answer: None }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -70,6 +70,8 @@
     Rest(usize, u64),
     /// A backend server says that it leaves, and starts again.
     Replace(usize),
+    /// A backend server answers without length or chunks.
+    Unframed(usize),
     /// A request under which servers end is sent again and again: its kind, its number, how many
     /// entries get it at once, and the pause in milliseconds.
     Crash(usize, u64, usize, u64),
@@ -99,6 +101,7 @@
         17 => Fault::Replace(server),
         18 => Fault::StoreLinks(entry, random_link_fault(rng)),
         19 => Fault::Add(fleet.entries.len() - 1),
+        20 => Fault::Unframed(server),
         22..=24 => random_crash(fleet, rng),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
@@ -109,7 +112,7 @@
     R: Rng,
 {
     let at_once = if rng.random_bool(0.7) { 1 } else { fleet.entries.len() };
-    Fault::Crash(rng.random_range(0..3), rng.random(), at_once, rng.random_range(CRASH_PAUSE_MS))
+    Fault::Crash(rng.random_range(0..6), rng.random(), at_once, rng.random_range(CRASH_PAUSE_MS))
 }
 
 fn random_gaps_ms<R>(rng: &mut R) -> [u64; 3]
@@ -225,6 +228,7 @@
             fleet.rest_server(server, Duration::from_millis(rest_ms), duration).await;
         }
         Fault::Replace(server) => fleet.replace_server(server, duration).await,
+        Fault::Unframed(server) => fleet.unframe_server(server, duration).await,
         Fault::Crash(kind, number, at_once, pause_ms) => {
             crashes::resend(&fleet, kind, number, at_once, Duration::from_millis(pause_ms)).await;
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
 use crate::proxy::{LinkFault, Proxy};
+use crate::report::Violation;
 use crate::signals::{Call, LimitSpan, STABILITY_WINDOW};
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
@@ -81,6 +82,8 @@
     pub probes: Mutex<Vec<Probe>>,
     /// Sends of requests under which servers end, by path.
     pub crashing: Mutex<HashMap<String, Vec<Call>>>,
+    /// Answers to such requests that passed for whole ones.
+    pub false_answers: Mutex<Vec<Violation>>,
     version: AtomicU64,
     publishing: tokio::sync::Mutex<()>,
     /// Sockets that keep the ports of entries that don't run.
@@ -131,6 +134,7 @@
             limits,
             probes,
             crashing: Mutex::default(),
+            false_answers: Mutex::default(),
             version,
             publishing,
             held_ports: Mutex::default(),
@@ -192,6 +196,12 @@
         self.set_conditions(server, conditions, duration).await;
     }
 
+    /// Makes a backend server answer without length or chunks.
+    pub async fn unframe_server(&self, server: usize, duration: Duration) {
+        let conditions = Conditions { is_unframed: true, ..Conditions::default() };
+        self.set_conditions(server, conditions, duration).await;
+    }
+
     /// Makes a backend server say that it leaves, and start again under the same name; once in a run,
     /// as callers don't see which start answers.
     pub async fn replace_server(&self, server: usize, duration: Duration) {
@@ -267,7 +277,10 @@
     let mut ends = server.standin.ends();
     // An error means that the server was dropped, at the end of the run.
     while ends.changed().await.is_ok() {
-        server.proxy.set_fault(LinkFault::Ended);
+        let last = server.standin.request_log.ends().pop();
+        let is_orderly = last.is_some_and(|end| end.is_orderly);
+        let fault = if is_orderly { LinkFault::EndedOrderly } else { LinkFault::Ended };
+        server.proxy.set_fault(fault);
         sleep(RESTART_TIME).await;
         server.starts.fetch_add(1, Ordering::SeqCst);
         publish(&kv, &server, false).await;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -31,6 +31,15 @@
     Reset,
     /// Resets open connections and refuses new ones, as after the end of the process.
     Ended,
+    /// The same, but closes open connections in order.
+    EndedOrderly,
+}
+
+impl LinkFault {
+    /// Whether the process behind the proxy has ended.
+    fn is_ended(&self) -> bool {
+        matches!(self, Self::Ended | Self::EndedOrderly)
+    }
 }
 
 /// A proxy in front of one listener; clones control the same proxy.
@@ -63,7 +72,7 @@
     }
 }
 
-/// Accepts connections, except while the fault is [`LinkFault::Ended`].
+/// Accepts connections, except while the process has ended.
 async fn accept(
     mut listener: TcpListener,
     target: SocketAddr,
@@ -78,7 +87,7 @@
                 tokio::spawn(forward(stream, target, fault.clone()));
                 continue;
             }
-            ended = ends.wait_for(|fault| *fault == LinkFault::Ended) => {
+            ended = ends.wait_for(LinkFault::is_ended) => {
                 if ended.is_err() {
                     return Ok(());
                 }
@@ -89,7 +98,7 @@
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        if fault.wait_for(|fault| *fault != LinkFault::Ended).await.is_err() {
+        if fault.wait_for(|fault| !fault.is_ended()).await.is_err() {
             return Ok(());
         }
         listener = socket.listen(BACKLOG)?;
@@ -106,17 +115,22 @@
         return;
     };
     let mut resets = fault.clone();
-    let is_reset = |fault: &LinkFault| matches!(fault, LinkFault::Reset | LinkFault::Ended);
-    let reset_requested = async move {
+    let is_closing = |fault: &LinkFault| *fault == LinkFault::Reset || fault.is_ended();
+    let close_requested = async move {
         // An error means that the proxy was dropped, at the end of the run.
-        let _ = resets.wait_for(is_reset).await.map(|_| ());
+        let closing = resets.wait_for(is_closing).await;
+        closing.is_ok_and(|fault| *fault != LinkFault::EndedOrderly)
     };
     let (caller, server) = (Arc::new(caller), Arc::new(server));
     let requests =
         copy(Arc::clone(&caller), Arc::clone(&server), fault.clone(), Direction::Request);
     let answers = copy(Arc::clone(&server), Arc::clone(&caller), fault, Direction::Answer);
     tokio::select! {
-        () = reset_requested => reset(&caller),
+        has_reset = close_requested => {
+            if has_reset {
+                reset(&caller);
+            }
+        }
         () = requests => {}
         () = answers => {}
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -111,6 +111,8 @@
         let in_touch = probes.iter().filter(|probe| changes::is_in_touch(probe, &unsettled));
         tally.probes = in_touch.clone().count();
         violations.extend(in_touch.filter_map(changes::violation));
+        let false_answers = fleet.false_answers.lock().unwrap_or_else(PoisonError::into_inner);
+        violations.extend(false_answers.iter().cloned());
         tally.violations.extend(violations);
     });
     Ok(tally.read())
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -5,10 +5,10 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, StatusCode, Version};
 use axum::response::Response;
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,6 +30,10 @@
 /// in the middle of a stream.
 pub const CRASH_PATH: &str = "/crash";
 
+/// The same, with answers that have neither length nor chunks: some bytes arrive, and the connection is
+/// closed in order.
+pub const UNFRAMED_CRASH_PATH: &str = "/crash-unframed";
+
 /// Number of events in every stream.
 pub const STREAM_EVENTS: u64 = 8;
 
@@ -42,6 +46,8 @@
     pub rest: Option<Duration>,
     /// Whether it says that it leaves.
     pub is_leaving: bool,
+    /// Whether its answers have neither length nor chunks and end with their connections.
+    pub is_unframed: bool,
 }
 
 /// A request that reached a backend server.
@@ -64,6 +70,8 @@
     pub path: String,
     /// When the server ended.
     pub at: Instant,
+    /// Whether its connections are closed in order, and not reset.
+    pub is_orderly: bool,
 }
 
 /// Records the requests that reach any of the backend servers, and how often each attempt of a
@@ -95,7 +103,8 @@
     }
 
     fn record_end(&self, path: &str) {
-        self.lock().ends.push(End { path: path.to_owned(), at: Instant::now() });
+        let is_orderly = path.contains(UNFRAMED_CRASH_PATH);
+        self.lock().ends.push(End { path: path.to_owned(), at: Instant::now(), is_orderly });
     }
 
     fn record_run(&self, attempt: &str) {
@@ -239,12 +248,28 @@
     let headers = [(ATTEMPT_HEADER, attempt.as_str()), (SIGNATURE_HEADER, server.id.as_str())];
     let path = request.uri().path().to_owned();
     let is_crashing = path.contains(CRASH_PATH);
+    let ends_unframed = path.contains(UNFRAMED_CRASH_PATH);
+    let is_unframed = conditions.is_unframed || ends_unframed;
     if !path.starts_with("/stream/") {
         sleep(server.delay).await;
-        if is_crashing {
+        if is_crashing && !ends_unframed {
             server.end(&path).await;
         }
-        return server.response(StatusCode::OK, &headers, Body::from(answer_body(&attempt)));
+        let body = answer_body(&attempt);
+        if !is_unframed {
+            return server.response(StatusCode::OK, &headers, Body::from(body));
+        }
+        let sent_bytes = if ends_unframed { body.len() / 2 } else { body.len() };
+        let first = Bytes::copy_from_slice(&body.as_bytes()[..sent_bytes]);
+        let ending = server.clone();
+        let rest = stream::once(async move {
+            if ends_unframed {
+                ending.end(&path).await;
+            }
+            Ok::<_, std::io::Error>(Bytes::new())
+        });
+        let pieces = stream::iter([Ok(first)]).chain(rest);
+        return unframed(server.response(StatusCode::OK, &headers, Body::from_stream(pieces)));
     }
     let last_id: u64 = header_text(request.headers(), "last-event-id").parse().unwrap_or(0);
     let stream_server = server.clone();
@@ -255,12 +280,29 @@
                 return None;
             }
             sleep(server.delay).await;
+            let event = stream_event(&attempt, id);
             if is_crashing && id > STREAM_EVENTS / 2 {
-                server.end(&path).await;
+                // One more event may have been begun.
+                let is_begun =
+                    ends_unframed && id == STREAM_EVENTS / 2 + 1 && attempt.len() % 2 == 0;
+                if !is_begun {
+                    server.end(&path).await;
+                }
+                let part = Ok(Bytes::copy_from_slice(&event.as_bytes()[..event.len() / 2]));
+                return Some((part, (id + 1, attempt, slot, server, path)));
             }
-            let event = Ok::<_, std::io::Error>(Bytes::from(stream_event(&attempt, id)));
-            Some((event, (id + 1, attempt, slot, server, path)))
+            Some((
+                Ok::<_, std::io::Error>(Bytes::from(event)),
+                (id + 1, attempt, slot, server, path),
+            ))
         },
     );
-    server.response(StatusCode::OK, &headers, Body::from_stream(events))
+    let response = server.response(StatusCode::OK, &headers, Body::from_stream(events));
+    if is_unframed { unframed(response) } else { response }
+}
+
+/// Makes a body of unknown length end with its connection.
+fn unframed(mut response: Response) -> Response {
+    *response.version_mut() = Version::HTTP_10;
+    response
 }
