--- a/crates/gateway/benches/containment.rs
+++ b/crates/gateway/benches/containment.rs
@@ -10,6 +10,7 @@
 mod containment;
 
 use containment::{Case, Fleet, Report, Resends, TROUBLES, Trouble, Way};
+use flamingowheel_policy::answers::Framing;
 use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
 use std::time::Duration;
 
@@ -45,8 +46,9 @@
         sum(reports, |r| r.harmless_served) as f64 / sum(reports, |r| r.harmless_offered) as f64
     };
     let entry_seconds = (case.entries as u64 * draws) as f64 * RUN_TIME.as_secs_f64();
-    let Case { entries, way, resends, trouble, .. } = case;
-    let name = format!("{entries}.{way:?}.{resends:?}.{trouble:?}").to_lowercase();
+    let Case { entries, way, resends, trouble, framing, .. } = case;
+    let unframed = if framing == Framing::Connection { ".unframed" } else { "" };
+    let name = format!("{entries}.{way:?}.{resends:?}.{trouble:?}{unframed}").to_lowercase();
     println!("{name}.ends = {}", spread(&reports, |r| r.ends.len()));
     println!("{name}.later_than_3s = {}", spread(&reports, |r| r.later_sends(RULE_WINDOW)));
     println!("{name}.later_than_500ms = {}", spread(&reports, |r| r.later_sends(REACTION_TIME)));
@@ -88,6 +90,7 @@
         way,
         resends,
         trouble,
+        framing: Framing::Chunks,
         run_time: RUN_TIME,
     };
     runtime.block_on(async {
@@ -98,6 +101,15 @@
                     print_case(case(entries, way, resends, Trouble::None), seed, draws).await;
                 }
             }
+            for (resends, trouble) in [
+                (Resends::ByTurns, Trouble::None),
+                (Resends::AtOnce, Trouble::None),
+                (Resends::ByTurns, Trouble::WitnessKilled),
+            ] {
+                let framed = case(entries, Way::Gossip, resends, trouble);
+                let unframed = Case { framing: Framing::Connection, ..framed };
+                print_case(unframed, seed, draws).await;
+            }
             for trouble in TROUBLES.into_iter().skip(1) {
                 print_case(case(entries, Way::Gossip, Resends::ByTurns, trouble), seed, draws)
                     .await;
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -5,6 +5,7 @@
 
 use flamingowheel_standin::platform::raw::{Answer, Ending, Framing};
 use framing::caller::{Ask, Version, call};
+use framing::cells::{Lane, Truth};
 use framing::{Bench, event, events_after};
 
 /// An answer without length or chunks whose server ends after `body`, closing the connection in
@@ -202,3 +203,32 @@
     assert!(!received.is_complete, "{received:?}");
     assert_eq!(received.body, b"data: a\n\ndata: b\n\n");
 }
+
+/// Lanes and cells of the seeded run.
+const LANES: u64 = 8;
+const CELLS: u64 = 60;
+
+// Answers drawn over all framings, endings and cuts: what is broken must not look complete, what is whole
+// must arrive as such and be asked for once.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_any_cell() {
+    let lanes = (0..LANES).map(|name| {
+        tokio::spawn(async move {
+            let mut lane = Lane::start(1, name).await;
+            let mut outcomes = Vec::new();
+            for _ in 0..CELLS {
+                outcomes.push(lane.next().await);
+            }
+            outcomes
+        })
+    });
+    let mut broken = 0;
+    for lane in lanes.collect::<Vec<_>>() {
+        for outcome in lane.await.unwrap() {
+            assert!(!outcome.is_false_whole(), "looks complete: {outcome:?}");
+            assert!(!outcome.is_false_alarm(), "is whole: {outcome:?}");
+            broken += u32::from(outcome.truth == Truth::Broken);
+        }
+    }
+    assert!(broken > 100, "{broken}");
+}
--- a/crates/gateway/tests/containment/case.rs
+++ b/crates/gateway/tests/containment/case.rs
@@ -1,5 +1,6 @@
 //! What a simulated run is about, and what it showed.
 
+use flamingowheel_policy::answers::Framing;
 use std::time::Duration;
 
 /// How entries learn what others know.
@@ -74,6 +75,8 @@
     pub way: Way,
     pub resends: Resends,
     pub trouble: Trouble,
+    /// How answers state their end. Those without length or chunks end in order with their server.
+    pub framing: Framing,
     pub run_time: Duration,
 }
 
--- a/crates/gateway/tests/containment/mod.rs
+++ b/crates/gateway/tests/containment/mod.rs
@@ -9,6 +9,7 @@
 use flamingowheel_gateway::refusal::Refusal;
 use flamingowheel_gateway::suspects::exchange::{FANOUT, SYNC_INTERVAL};
 use flamingowheel_gateway::suspects::{AloneGuard, Permission, Suspects};
+use flamingowheel_policy::answers::{self, Content, Ending, Framing, Judgement, ServerState};
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::suspects::SuspectMessage;
@@ -330,7 +331,12 @@
         if !self.entries[request.entry].is_up {
             return;
         }
+        let is_whole = self.ends_whole();
         let suspects = &self.entries[request.entry].suspects;
+        if is_whole {
+            suspects.record_finished(request.fingerprint);
+            return self.flush_soon(request.entry);
+        }
         if let Some(record) = suspects.record_end(key, request.fingerprint)
             && matches!(self.case.way, Way::Gossip | Way::Forgetful)
         {
@@ -342,6 +348,19 @@
         }
     }
 
+    /// Whether the answer of a server that has ended is taken for a whole one.
+    fn ends_whole(&mut self) -> bool {
+        let contents = [Content::Opaque, Content::BetweenEvents, Content::InsideEvent];
+        let (ending, content) = match self.case.framing {
+            Framing::Connection => (Ending::Regular, contents[self.rng.random_range(0..3)]),
+            Framing::Length | Framing::Chunks => (Ending::Error, Content::Opaque),
+        };
+        match answers::judge(self.case.framing, ending, content) {
+            Judgement::Decided(evidence) => evidence.is_whole(),
+            Judgement::Undecided(answer) => answer.decide(ServerState::Ended, false).is_whole(),
+        }
+    }
+
     /// Writes a record to the store, from which all entries learn it.
     fn store(&mut self, record: SuspectRecord) {
         self.report.store_calls += CALLS_PER_RECORD;
--- a/crates/gateway/tests/framing/cells.rs
+++ b/crates/gateway/tests/framing/cells.rs
@@ -120,7 +120,7 @@
     /// Whether the first bytes of the body end between two events, by the lengths of the events.
     fn is_between_events(&self, body_bytes: usize) -> bool {
         let event_bytes = self.whole_body().len() / EVENTS as usize;
-        body_bytes % event_bytes == 0
+        body_bytes.is_multiple_of(event_bytes)
     }
 
     /// Whether the first answer never ends, so that only the deadline does.
--- a/crates/gateway/tests/suspects.rs
+++ b/crates/gateway/tests/suspects.rs
@@ -5,6 +5,7 @@
 use containment::{CRASHER, Case, Fleet, Report, Resends, TROUBLES, Trouble, Way};
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::suspects::{Permission, Suspects};
+use flamingowheel_policy::answers::Framing;
 use flamingowheel_policy::key::{Fingerprint, ServerKey};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +14,12 @@
 const SEEDS: u64 = 5;
 
 async fn run(way: Way, resends: Resends, trouble: Trouble, seed: u64) -> Report {
-    let case = Case { entries: 12, way, resends, trouble, run_time: Duration::from_secs(40) };
-    Fleet::run(case, seed).await
+    Fleet::run(case(way, resends, trouble), seed).await
+}
+
+fn case(way: Way, resends: Resends, trouble: Trouble) -> Case {
+    let run_time = Duration::from_secs(40);
+    Case { entries: 12, way, resends, trouble, framing: Framing::Chunks, run_time }
 }
 
 // The caller sends its request one at a time through any entries, while one entry has a fault.
@@ -39,6 +44,21 @@
     }
 }
 
+// The answers have neither length nor chunks and end in order with their server: taken for finished runs,
+// they clear the request each time.
+#[tokio::test(start_paused = true)]
+async fn resend_unframed_few_servers_end() {
+    for trouble in [Trouble::None, Trouble::WitnessKilled] {
+        for seed in 0..SEEDS {
+            let framed = case(Way::Gossip, Resends::ByTurns, trouble);
+            let unframed = Case { framing: Framing::Connection, ..framed };
+            let ends = Fleet::run(unframed, seed).await.ends.len();
+            let max_ends = if trouble == Trouble::None { 2 } else { 3 };
+            assert!((1..=max_ends).contains(&ends), "{trouble:?}, seed {seed}: {ends} ended");
+        }
+    }
+}
+
 // All entries get a copy at once, before any of them knows.
 #[tokio::test(start_paused = true)]
 async fn resend_at_once_none_later() {
