Backing: an accepted connection has to stay open for a moment to show a live server

Trace: the server of /once/crash-unframed ended; its connection closed 1 ms after the bytes, and the entry's new connection was accepted, since the proxy before the server closed its connections a moment before its listener. The check trusted a first accepted connection at once ('evidence':'server_lives', after 21 ms).

The connection has to be open 0.5 ms later (10 ms, as before, if the close came late): what waits to be accepted is reset with the listener. Real processes close the listener first, being the older descriptor; the soak's proxies do so now, too.

--- a/crates/backing/src/client/liveness.rs
+++ b/crates/backing/src/client/liveness.rs
@@ -11,19 +11,19 @@
 /// Time limit for one connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Time between two connection attempts, and until an accepted connection is looked at again. A process
-/// that ends may close its connections a moment before its listener.
+/// Time between two connection attempts.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Connection attempts, the last of which decides.
 const MAX_CHECKS: u32 = 3;
 
-/// How much a first accepted connection proves.
+/// How long an accepted connection has to stay open to show that a server lives. A process that ends may
+/// close its connections a moment before its listener, and with it those that wait to be accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trust {
-    /// That the server lives: the connection before ended as an answer usually does.
+    /// 0.5 ms: the connection before ended as an answer usually does.
     Prompt,
-    /// Nothing before it has stayed open for a moment: the server may be about to end.
+    /// 10 ms: the server may be about to end.
     Thorough,
 }
 
@@ -42,6 +42,13 @@
     pub fn after_silence(silence: Duration) -> Self {
         if silence <= Self::USUAL_END { Self::Prompt } else { Self::Thorough }
     }
+
+    fn open_time(self) -> Duration {
+        match self {
+            Self::Prompt => Duration::from_micros(500),
+            Self::Thorough => Duration::from_millis(10),
+        }
+    }
 }
 
 /// A connection that was opened to see whether the server accepts it.
@@ -78,9 +85,7 @@
             // The refusal before shows that another start has the address now.
             Ok(Ok(connection)) if refusals > 0 => return (ServerState::Unknown, Some(connection)),
             Ok(Ok(connection)) => {
-                if trust == Trust::Thorough {
-                    sleep(CHECK_INTERVAL).await;
-                }
+                sleep(trust.open_time()).await;
                 if connection.is_open() {
                     return (ServerState::Lives, Some(connection));
                 }
--- a/crates/gateway/benches/framing.rs
+++ b/crates/gateway/benches/framing.rs
@@ -57,6 +57,8 @@
         println!("share.{name} = {:.3}", share(&|outcome| outcome.cell.answer.ending == ending));
     }
     println!("share.server_ended = {:.3}", share(&|outcome| outcome.cell.answer.ends_server));
+    let outlives = |outcome: &Outcome| !outcome.cell.answer.listener_delay.is_zero();
+    println!("share.listener_outlives = {:.3}", share(&outlives));
     for truth in [Truth::Whole, Truth::Broken, Truth::Hidden] {
         let name = format!("{truth:?}").to_lowercase();
         println!("share.{name} = {:.3}", share(&|outcome| outcome.truth == truth));
@@ -64,6 +66,8 @@
     let false_whole: Vec<_> = outcomes.iter().filter(|outcome| outcome.is_false_whole()).collect();
     let false_alarm: Vec<_> = outcomes.iter().filter(|outcome| outcome.is_false_alarm()).collect();
     println!("broken.looks_complete = {}", false_whole.len());
+    let hidden_whole = outcomes.iter().filter(|outcome| outcome.is_part_taken_for_whole()).count();
+    println!("hidden.part_looks_complete = {hidden_whole}");
     println!("whole.reported_broken_or_asked_again = {}", false_alarm.len());
     for outcome in false_whole.iter().chain(&false_alarm).take(MAX_SHOWN) {
         println!("wrong: {outcome:?}");
--- a/crates/gateway/tests/framing/cells.rs
+++ b/crates/gateway/tests/framing/cells.rs
@@ -29,6 +29,13 @@
     Ending::Garbage,
 ];
 
+/// Longest time for which a listener outlives the connections of its process, in milliseconds.
+const MAX_LISTENER_DELAY_MS: u64 = 8;
+
+/// Silence before the end of a connection from which a live listener is not trusted at once: 5 ms in the
+/// code, and the time that a loaded machine takes.
+const SUSPICIOUS_SILENCE: Duration = Duration::from_millis(10);
+
 const PATHS: [&str; 4] = ["/once/x", "/safe/x", "/stream/x", "/live/x"];
 
 /// One request and the first answer to it.
@@ -80,6 +87,11 @@
         if rng.random_bool(0.2) {
             answer.end_delay = Duration::from_millis(rng.random_range(0..=MAX_END_DELAY_MS));
         }
+        let is_closed = matches!(answer.ending, Ending::Closed | Ending::Reset);
+        if answer.ends_server && is_closed && rng.random_bool(0.2) {
+            let delay_ms = rng.random_range(1..=MAX_LISTENER_DELAY_MS);
+            answer.listener_delay = Duration::from_millis(delay_ms);
+        }
         let version = [Version::Http10, Version::Http11, Version::Http11Closing];
         let version = version[rng.random_range(0..version.len())];
         let next_framing = Framing::ALL[rng.random_range(0..Framing::ALL.len())];
@@ -91,7 +103,7 @@
     }
 
     pub fn truth(&self, attempt: &str) -> Truth {
-        let Answer { framing, ending, ends_server, cut_bytes, .. } = self.answer;
+        let Answer { framing, ending, ends_server, cut_bytes, end_delay, .. } = self.answer;
         let head_bytes = self.answer.head_bytes(attempt);
         let cut = cut_bytes.unwrap_or(usize::MAX);
         let has_all = cut_bytes.is_none();
@@ -109,7 +121,10 @@
         }
         let is_inside_event =
             !has_all && is_stream(self.path) && !self.is_between_events(cut - head_bytes);
+        // A listener that outlives a connection looks like that of a server that lives.
+        let is_disguised = !self.answer.listener_delay.is_zero() && end_delay < SUSPICIOUS_SILENCE;
         match (has_all, ends_server) {
+            _ if is_disguised && !is_inside_event => Truth::Hidden,
             _ if is_inside_event => Truth::Broken,
             (true, false) => Truth::Whole,
             (false, true) => Truth::Broken,
@@ -170,13 +185,19 @@
         *status == 200 && *is_complete && *body == self.cell.whole_body()
     }
 
-    /// A part of an answer looks like all of it.
+    /// A part of an answer looks like all of it, though something shows that it is not.
     pub fn is_false_whole(&self) -> bool {
+        self.truth == Truth::Broken && self.looks_whole_and_is_not()
+    }
+
+    /// A part of an answer looks like all of it, and nothing shows that it is not.
+    pub fn is_part_taken_for_whole(&self) -> bool {
+        self.truth == Truth::Hidden && self.looks_whole_and_is_not()
+    }
+
+    fn looks_whole_and_is_not(&self) -> bool {
         let Received { status, is_complete, body, .. } = &self.received;
-        self.truth == Truth::Broken
-            && *status == 200
-            && *is_complete
-            && *body != self.cell.whole_body()
+        *status == 200 && *is_complete && *body != self.cell.whole_body()
     }
 
     /// A whole answer was reported broken, or asked for again.
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -79,12 +79,14 @@
     mut fault: watch::Receiver<LinkFault>,
 ) -> std::io::Result<()> {
     let address = listener.local_addr()?;
+    let has_listener = watch::Sender::new(true);
     loop {
         let mut ends = fault.clone();
         tokio::select! {
             accepted = listener.accept() => {
                 let (stream, _) = accepted?;
-                tokio::spawn(forward(stream, target, fault.clone()));
+                let has_listener = has_listener.subscribe();
+                tokio::spawn(forward(stream, target, fault.clone(), has_listener));
                 continue;
             }
             ended = ends.wait_for(LinkFault::is_ended) => {
@@ -94,6 +96,8 @@
             }
         }
         drop(listener);
+        // The process's listener goes before its connections, as at the end of a real one.
+        has_listener.send_replace(false);
         // Bound without listening: connections are refused, and the port stays this proxy's.
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
@@ -102,10 +106,16 @@
             return Ok(());
         }
         listener = socket.listen(BACKLOG)?;
+        has_listener.send_replace(true);
     }
 }
 
-async fn forward(caller: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
+async fn forward(
+    caller: TcpStream,
+    target: SocketAddr,
+    fault: watch::Receiver<LinkFault>,
+    mut has_listener: watch::Receiver<bool>,
+) {
     if *fault.borrow() == LinkFault::Reset {
         reset(&caller);
         return;
@@ -118,8 +128,13 @@
     let is_closing = |fault: &LinkFault| *fault == LinkFault::Reset || fault.is_ended();
     let close_requested = async move {
         // An error means that the proxy was dropped, at the end of the run.
-        let closing = resets.wait_for(is_closing).await;
-        closing.is_ok_and(|fault| *fault != LinkFault::EndedOrderly)
+        let Ok(fault) = resets.wait_for(is_closing).await.map(|fault| *fault) else {
+            return false;
+        };
+        if fault.is_ended() {
+            let _ = has_listener.wait_for(|has_listener| !has_listener).await.map(|_| ());
+        }
+        fault != LinkFault::EndedOrderly
     };
     let (caller, server) = (Arc::new(caller), Arc::new(server));
     let requests =
--- a/crates/standin/src/platform/raw.rs
+++ b/crates/standin/src/platform/raw.rs
@@ -91,6 +91,8 @@
     pub ending: Ending,
     /// Whether the server ends with the answer.
     pub ends_server: bool,
+    /// Time for which its listener outlives the connection.
+    pub listener_delay: Duration,
 }
 
 impl Answer {
@@ -112,6 +114,7 @@
             end_delay: Duration::ZERO,
             ending,
             ends_server: false,
+            listener_delay: Duration::ZERO,
         }
     }
 
@@ -308,7 +311,16 @@
             if write_answer(&mut stream, &answer, &call.attempt).await.is_err() {
                 return;
             }
-            sleep(answer.end_delay).await;
+            if !answer.end_delay.is_zero() {
+                sleep(answer.end_delay).await;
+            }
+            if answer.ends_server && !answer.listener_delay.is_zero() {
+                end_connection(&mut stream, answer.ending).await;
+                drop(stream);
+                sleep(answer.listener_delay).await;
+                self.end();
+                return;
+            }
             if answer.ends_server {
                 self.end();
                 // The listener is closed before the connection, as by the end of a process.
