Gateway: the test of large answers that are reset lets them arrive first

The stand-in waits 100 ms in this test; what is asked for is as before (status 200 and not complete).

--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -7,6 +7,7 @@
 use framing::caller::{Ask, Version, call};
 use framing::cells::{Lane, Truth};
 use framing::{Bench, event, events_after};
+use std::time::Duration;
 
 /// An answer without length or chunks whose server ends after `body`, closing the connection in
 /// order.
@@ -186,7 +187,9 @@
         for ending in [Ending::Closed, Ending::Reset] {
             let whole = Answer::whole(framing, vec![7; LARGE_BYTES]);
             let cut_bytes = Some(whole.encoded_bytes("a1") - 100);
-            let first = Answer { cut_bytes, ending, ends_server: true, ..whole };
+            let mut first = Answer { cut_bytes, ending, ends_server: true, ..whole };
+            // A reset discards what has not arrived.
+            first.end_delay = Duration::from_millis(100);
             let received = Bench::start(1, &first).await.ask("/once/x").await;
             let got = (received.status, received.is_complete);
             assert_eq!(got, (200, false), "{framing:?}, {ending:?}");
