Stand-ins: the raw server's end can't be overtaken by its restart

The fuzzing of the reader of answers hung once for ten minutes in a busy loop, in the stand-in: a test that saw the server ended started it again before its accepting task had closed the listener, so that the ending task waited for a refusal that never came. Whether the server listens is published by the task that does; the test harness waits for that.

--- a/crates/standin/src/platform/raw.rs
+++ b/crates/standin/src/platform/raw.rs
@@ -199,6 +199,7 @@
     script: Script,
     /// Number of starts so far; even while the server is down.
     starts: Arc<watch::Sender<u64>>,
+    is_listening: Arc<watch::Sender<bool>>,
     calls: Arc<Mutex<Vec<Call>>>,
     accepted: Arc<AtomicU32>,
 }
@@ -220,6 +221,7 @@
             address: listener.local_addr()?,
             script: Arc::new(script),
             starts: Arc::new(watch::Sender::new(1)),
+            is_listening: Arc::new(watch::Sender::new(true)),
             calls: Arc::default(),
             accepted: Arc::default(),
         };
@@ -236,9 +238,9 @@
         });
     }
 
-    /// Whether the server runs.
+    /// Whether the server accepts connections.
     pub fn is_running(&self) -> bool {
-        *self.starts.borrow() % 2 == 1
+        *self.is_listening.borrow()
     }
 
     /// Starts the server again if it has ended, and waits until it accepts connections.
@@ -248,7 +250,11 @@
             *starts += u64::from(has_ended);
             has_ended
         });
-        while has_changed && TcpStream::connect(self.address).await.is_err() {}
+        if has_changed {
+            let mut is_listening = self.is_listening.subscribe();
+            // An error is not possible: this server holds the sender.
+            let _ = is_listening.wait_for(|is_listening| *is_listening).await.map(|_| ());
+        }
     }
 
     /// The requests so far.
@@ -283,10 +289,12 @@
             let socket = TcpSocket::new_v4()?;
             socket.set_reuseaddr(true)?;
             socket.bind(self.address)?;
+            self.is_listening.send_replace(false);
             if starts.wait_for(|starts| starts % 2 == 1).await.is_err() {
                 return Ok(());
             }
             listener = socket.listen(BACKLOG)?;
+            self.is_listening.send_replace(true);
         }
     }
 
@@ -324,8 +332,12 @@
             if answer.ends_server {
                 self.end();
                 // The listener is closed before the connection, as by the end of a process.
-                tokio::task::yield_now().await;
-                while TcpStream::connect(self.address).await.is_ok() {}
+                let mut is_listening = self.is_listening.subscribe();
+                let mut starts = self.starts.subscribe();
+                tokio::select! {
+                    _ = is_listening.wait_for(|is_listening| !is_listening) => {}
+                    _ = starts.wait_for(|now| *now > start + 1) => {}
+                }
             }
             if !end_connection(&mut stream, answer.ending).await {
                 return;
