Gateway: a caller that reads slowly does not make the end of its answer look late

Silence before the end of an unframed answer was counted from the last bytes that the entry took, also while a slow caller kept it from taking more. A whole stream to such a caller, from a rank of a group, would have counted as cut by a stalled group, and any as one to be checked at length. It counts while the entry waits for bytes only.

Found by reading. call_slow_reader_of_whole_stream (18 MB, read after 1 s) passes on the code before, too: the wait has to fall on the last event. call_stalled_group_closes_stream is new; it passed at once. A server that is silent while its group goes on has evidence of its own in the lines.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -25,7 +25,8 @@
     sent: Sent,
     buffered: BytesMut,
     received_bytes: usize,
-    last_data_at: Instant,
+    /// Since when the next bytes have been waited for.
+    waiting_since: Instant,
     has_ended: bool,
 }
 
@@ -64,7 +65,7 @@
             sent,
             buffered: BytesMut::new(),
             received_bytes: 0,
-            last_data_at: Instant::now(),
+            waiting_since: Instant::now(),
             has_ended: false,
         }
     }
@@ -115,6 +116,7 @@
 
     /// Reads the next bytes; `None` at the end of a whole answer.
     async fn read(&mut self) -> Result<Option<Bytes>, Evidence> {
+        self.waiting_since = Instant::now();
         loop {
             match timeout_at(self.exchange.deadline, self.upstream.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
@@ -122,7 +124,6 @@
                         continue;
                     };
                     self.received_bytes += data.len();
-                    self.last_data_at = Instant::now();
                     return Ok(Some(data));
                 }
                 Ok(Some(Err(error))) => return self.judge(Ending::Error, Some(&error)).await,
@@ -141,7 +142,7 @@
             framing: self.upstream.framing,
             ending,
             content: Content::Opaque,
-            silence: self.last_data_at.elapsed(),
+            silence: self.waiting_since.elapsed(),
             error: error.map(|error| error as _),
         };
         let in_flight = &self.upstream.in_flight;
--- a/crates/gateway/src/losses.rs
+++ b/crates/gateway/src/losses.rs
@@ -1,4 +1,4 @@
-//! Records requests that were lost because the connection to their backend server broke.
+//! Decides whether answers that have ended are whole, and records the requests that were lost.
 
 use crate::ends;
 use crate::exchange::Exchange;
@@ -141,7 +141,7 @@
     pub ending: Ending,
     /// What its bytes show.
     pub content: Content,
-    /// Time between the last bytes and the end.
+    /// Time for which nothing arrived before the end, while it was waited for.
     pub silence: Duration,
     /// The error of the connection, if there was one.
     pub error: Option<&'a (dyn Display + Sync)>,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,7 +42,8 @@
     body: Incoming,
     framing: Framing,
     received_bytes: u64,
-    last_data_at: Instant,
+    /// Since when the next bytes have been waited for. A caller that reads slowly makes them wait.
+    waiting_since: Instant,
     connection: Option<Connection>,
     in_flight: InFlight,
     tried: Vec<Arc<Server>>,
@@ -76,7 +77,7 @@
             body,
             framing,
             received_bytes: 0,
-            last_data_at: Instant::now(),
+            waiting_since: Instant::now(),
             connection,
             in_flight,
             tried,
@@ -128,6 +129,7 @@
 
     /// Waits for complete events.
     async fn step(&mut self) -> Step {
+        self.waiting_since = Instant::now();
         let (server, group) = (self.in_flight.server(), self.in_flight.group());
         let detector = self.gateway.silence_detector(Arc::clone(server), group.cloned());
         let can_resume = self.exchange.route.retry_policy == RetryPolicy::Resume
@@ -143,7 +145,7 @@
                         server = self.in_flight.server().listed.id,
                         "backend server silent while its group goes on"
                     );
-                    return Step::Broken(Evidence::GroupStalled);
+                    return Step::Broken(Evidence::ServerSilent);
                 }
             };
             let frame = match waited {
@@ -156,7 +158,7 @@
                 continue;
             };
             self.received_bytes += data.len() as u64;
-            self.last_data_at = Instant::now();
+            self.waiting_since = Instant::now();
             match self.splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Step::Events(events),
@@ -174,7 +176,7 @@
             framing: self.framing,
             ending,
             content: self.splitter.content(),
-            silence: self.last_data_at.elapsed(),
+            silence: self.waiting_since.elapsed(),
             error: error.map(|error| error as _),
         };
         let evidence = self.gateway.losses.judge(&self.exchange, &self.in_flight, &end).await;
@@ -229,7 +231,6 @@
                     self.runs += 1;
                     self.framing = framing_of(&sent.response);
                     self.received_bytes = 0;
-                    self.last_data_at = Instant::now();
                     self.body = sent.response.into_body();
                     self.connection = Some(sent.connection);
                     self.in_flight = sent.in_flight;
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -77,6 +77,39 @@
     assert!(!received.is_complete && received.body == events_after(0).as_bytes(), "{received:?}");
 }
 
+// A caller reads so late that the entry waits for it longer than a stalled group would be silent. The
+// stream is whole all the same.
+#[tokio::test]
+async fn call_slow_reader_of_whole_stream() {
+    let event = |id: u32| format!("id: {id}\ndata: {}\n\n", "x".repeat(900_000));
+    let body: String = (1..=20).map(event).collect();
+    let bench = Bench::start(1, &Answer::whole(Framing::Connection, body.clone().into())).await;
+    bench.entry.form_group(&[bench.servers[0].address]);
+    let mut stream = TcpStream::connect(bench.entry.address).await.unwrap();
+    let request = head("/live/x", "a1", "content-length: 0\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(1_000)).await;
+    let mut bytes = Vec::new();
+    let ended = timeout(MAX_WAIT, stream.read_to_end(&mut bytes));
+    // The entry keeps the connection after a whole answer.
+    let _ = timeout(Duration::from_secs(1), ended).await;
+    let received = parse(&bytes, true, false);
+    assert!(received.is_complete && received.body == body.as_bytes(), "{}", received.body.len());
+}
+
+// A rank of a group goes silent, lives on, and closes a stream between two events: its group has stalled,
+// and what follows is missing.
+#[tokio::test]
+async fn call_stalled_group_closes_stream() {
+    for (delay_ms, is_whole) in [(0, true), (700, false)] {
+        let mut first = Answer::whole(Framing::Connection, events_after(1).into_bytes());
+        first.end_delay = Duration::from_millis(delay_ms);
+        let bench = Bench::start(1, &first).await;
+        bench.entry.form_group(&[bench.servers[0].address]);
+        assert_eq!(bench.ask("/live/x").await.is_complete, is_whole, "{delay_ms} ms");
+    }
+}
+
 // A caller leaves a stream that would end with its connection: the server's connection must end too, or
 // the server works on for nobody.
 #[tokio::test]
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -5,6 +5,7 @@
 use flamingowheel_gateway::budget::{Allowance, RetryBudget};
 use flamingowheel_gateway::forward::Gateway;
 use flamingowheel_gateway::front::{self, Stop};
+use flamingowheel_gateway::group::{GroupLoad, GroupRank};
 use flamingowheel_gateway::losses::LossRecorder;
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::permits::{self, PermitExchange};
@@ -91,6 +92,18 @@
         Self { address, client, stop, metrics: counted, views: seen }
     }
 
+    /// Makes all servers ranks of one group.
+    pub fn form_group(&self, servers: &[SocketAddr]) {
+        let view = View::clone(&self.views.load());
+        let group = Arc::new(GroupLoad::default());
+        let rank = |(rank, address): (usize, &SocketAddr)| {
+            let group = Arc::clone(&group);
+            (*address, GroupRank { group, rank, pace: 1.0, is_away: false })
+        };
+        let group_ranks = servers.iter().enumerate().map(rank).collect();
+        self.views.store(Arc::new(View { group_ranks, ..view }));
+    }
+
     /// Lists servers as started at `started_ms`.
     pub fn list_again(&self, servers: &[SocketAddr], started_ms: u64) {
         let view = View::clone(&self.views.load());
--- a/crates/policy/src/answers.rs
+++ b/crates/policy/src/answers.rs
@@ -94,6 +94,8 @@
     ConnectionError,
     /// Broken off: the deadline.
     Deadline,
+    /// Given up: the server sent nothing while its group went on.
+    ServerSilent,
     /// Broken off: inside an event.
     InsideEvent,
     /// Broken off: before the end marker.
@@ -120,6 +122,7 @@
             Self::ServerLives => "server_lives",
             Self::ConnectionError => "connection_error",
             Self::Deadline => "deadline",
+            Self::ServerSilent => "server_silent",
             Self::InsideEvent => "inside_event",
             Self::NoEndMarker => "no_end_marker",
             Self::ServerEnded => "server_ended",
