Gateway: each retry has a line with what its budget was computed from, and counters

A request that was not sent once more for want of budget simply ended. The line `retry` stands before each send after the first, sent or not: cause, requests and retries of the window, what was allowed, the entries that the constant was divided by, the age of the process. Counters by service, cause and outcome, a gauge of the room left. No decision changes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A caller's request and the attempts made for it.
 
+use crate::budget::RetryCause;
 use crate::refusal::Refusal;
 use crate::relay::AnswerBody;
 use crate::server::Server;
@@ -171,8 +172,8 @@
     /// Number of the tried servers that have ended, rest, or took no request after all. They say
     /// nothing about the others.
     pub ended: usize,
-    /// Number of sends, including those that a server refused.
-    pub sends: u32,
+    /// Why the next send is a retry; `None` before the first send.
+    pub retry_cause: Option<RetryCause>,
     /// Number of sends after which a server may have run the request.
     pub runs: u32,
     /// A server's error response, returned if no later attempt succeeds.
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::balance::Choice;
 use crate::breaker::CircuitBreakers;
-use crate::budget::RetryBudget;
+use crate::budget::{Account, RetryBudget, RetryCause};
 use crate::exchange::{Attempts, Exchange};
 use crate::group::{Admission, Fullness, GroupLoad};
 use crate::losses::LossRecorder;
@@ -113,10 +113,11 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return attempts.into_result(exchange, Some(refusal)),
             };
-            if attempts.sends > 0 && !self.try_acquire_retry(exchange, Instant::now()) {
+            if let Some(cause) = attempts.retry_cause
+                && !self.try_acquire_retry(exchange, cause, Instant::now())
+            {
                 break;
             }
-            attempts.sends += 1;
             attempts.tried.push(Arc::clone(&server));
             let sending = self.send(exchange, &server, group.as_ref(), exchange.head.last_event_id);
             match sending.await {
@@ -124,7 +125,7 @@
                     let is_alone = sent.is_misdirected() || sent.asks_for_rest();
                     attempts.ended += usize::from(is_alone);
                     self.record_not_run(exchange, &sent);
-                    continue;
+                    attempts.retry_cause = Some(RetryCause::Refused);
                 }
                 Ok(sent) => {
                     self.breakers().record_answer(&exchange.service);
@@ -135,21 +136,29 @@
                     match finished {
                         Ok(response) if response.status().is_server_error() && can_retry => {
                             attempts.fallback = Some(response);
+                            attempts.retry_cause = Some(RetryCause::ServerError);
                         }
                         Ok(response) => return Ok(response),
                         Err(refusal) if refusal == Refusal::NoAnswerInTime || !can_retry => {
                             return Err(refusal);
                         }
-                        Err(_) => {}
+                        Err(_) => attempts.retry_cause = Some(RetryCause::Lost),
                     }
                 }
-                Err(SendFailure::NotAdmitted) => attempts.ended += 1,
+                Err(SendFailure::NotAdmitted) => {
+                    attempts.ended += 1;
+                    attempts.retry_cause = Some(RetryCause::NotSent);
+                }
                 Err(SendFailure::Suspect(refusal)) => {
                     return attempts.into_result(exchange, Some(refusal));
                 }
-                Err(SendFailure::NotSent) => self.breakers().record_refusal(&exchange.service),
+                Err(SendFailure::NotSent) => {
+                    self.breakers().record_refusal(&exchange.service);
+                    attempts.retry_cause = Some(RetryCause::NotSent);
+                }
                 Err(SendFailure::MayHaveRun) => {
                     attempts.runs += 1;
+                    attempts.retry_cause = Some(RetryCause::Lost);
                     if !attempts.can_retry(exchange) {
                         break;
                     }
@@ -215,9 +224,34 @@
     }
 
     /// Takes a retry out of the budget; `false` if the budget is used up.
-    pub fn try_acquire_retry(&self, exchange: &Exchange, now: Instant) -> bool {
+    pub fn try_acquire_retry(&self, exchange: &Exchange, cause: RetryCause, now: Instant) -> bool {
         let entries = self.view().entry_count();
-        self.budget().try_acquire(&exchange.service, entries, now)
+        let decision = self.budget().try_acquire(&exchange.service, entries, now);
+        self.record_retry(exchange, cause, decision);
+        decision.is_ok()
+    }
+
+    fn record_retry(
+        &self,
+        exchange: &Exchange,
+        cause: RetryCause,
+        decision: Result<Account, Account>,
+    ) {
+        let (Ok(account) | Err(account)) = decision;
+        let outcome = if decision.is_ok() { "sent" } else { "no_budget" };
+        self.metrics.record_retry(&exchange.service, cause, outcome, account.room());
+        tracing::info!(
+            request = exchange.head.attempt_id,
+            service = exchange.service,
+            cause = cause.name(),
+            outcome,
+            requests = account.requests,
+            retries = account.retries,
+            allowed = account.allowed,
+            entries = account.entries,
+            up_ms = self.started_at.elapsed().as_millis() as u64,
+            "retry"
+        );
     }
 
     /// The refusal of a request with a suspect. Logs what it is refused for.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,11 +1,12 @@
 //! Counters and latency histograms of an entry.
 
+use crate::budget::RetryCause;
 use crate::view::InForce;
 use flamingowheel_policy::answers::{Ending, Framing};
 use flamingowheel_policy::suspicion::SubjectKind;
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
     sends: IntCounterVec,
     signals: IntCounterVec,
     permits: IntCounterVec,
+    retries: IntCounterVec,
+    retry_room: GaugeVec,
     losses: IntCounterVec,
     answers: IntCounterVec,
     suspicions: IntCounterVec,
@@ -111,6 +114,20 @@
             ),
             &["answer"],
         )?;
+        let retries = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_retries_total",
+                "Retries by service and cause, sent or not sent for want of budget",
+            ),
+            &["service", "cause", "outcome"],
+        )?;
+        let retry_room = GaugeVec::new(
+            Opts::new(
+                "flamingowheel_retry_room",
+                "Retries left to this entry in the window when it last decided on one",
+            ),
+            &["service"],
+        )?;
         let losses = IntCounterVec::new(
             Opts::new(
                 "flamingowheel_lost_requests_total",
@@ -148,6 +165,8 @@
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(retries.clone()))?;
+        registry.register(Box::new(retry_room.clone()))?;
         registry.register(Box::new(losses.clone()))?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(suspicions.clone()))?;
@@ -160,6 +179,8 @@
             sends,
             signals,
             permits,
+            retries,
+            retry_room,
             losses,
             answers,
             suspicions,
@@ -189,6 +210,12 @@
         self.permits.with_label_values(&[answer]).inc();
     }
 
+    /// Counts a decision on a retry, and sets the room that it left.
+    pub fn record_retry(&self, service: &str, cause: RetryCause, outcome: &'static str, room: f64) {
+        self.retries.with_label_values(&[service, cause.name(), outcome]).inc();
+        self.retry_room.with_label_values(&[service]).set(room);
+    }
+
     /// Counts a request that was lost with its connection.
     pub fn record_loss(&self, cause: &'static str) {
         self.losses.with_label_values(&[cause]).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 //! server if one fails.
 
 use crate::balance::Choice;
+use crate::budget::RetryCause;
 use crate::connection::Connection;
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
@@ -220,7 +221,8 @@
             let Choice::Send(server, group) = choice else {
                 return false;
             };
-            if !self.gateway.try_acquire_retry(&self.exchange, Instant::now()) {
+            let cause = RetryCause::Resumed;
+            if !self.gateway.try_acquire_retry(&self.exchange, cause, Instant::now()) {
                 return false;
             }
             self.tried.push(Arc::clone(&server));
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -70,7 +70,7 @@
     for _ in 0..ENTRIES {
         let mut budget = RetryBudget::new(ALLOWANCE);
         (0..REQUESTS).for_each(|_| budget.record_request("s", now));
-        acquired += (0..1_000).filter(|_| budget.try_acquire("s", ENTRIES, now)).count();
+        acquired += (0..1_000).filter(|_| budget.try_acquire("s", ENTRIES, now).is_ok()).count();
     }
     let allowed = ALLOWANCE.ratio * f64::from(REQUESTS) * ENTRIES as f64 + ALLOWANCE.slack;
     assert!(acquired > 0 && (acquired as f64) <= allowed, "{acquired} of {allowed}");
@@ -80,9 +80,9 @@
 fn try_acquire_after_window() {
     let mut budget = RetryBudget::new(ALLOWANCE);
     let now = Instant::now();
-    while budget.try_acquire("s", 1, now) {}
-    assert!(!budget.try_acquire("s", 1, now + Duration::from_secs(9)));
-    assert!(budget.try_acquire("s", 1, now + Duration::from_secs(11)));
+    while budget.try_acquire("s", 1, now).is_ok() {}
+    assert!(budget.try_acquire("s", 1, now + Duration::from_secs(9)).is_err());
+    assert!(budget.try_acquire("s", 1, now + Duration::from_secs(11)).is_ok());
 }
 
 /// After a power failure all servers refuse for a second. If every request tried them, the retry
