Tests: retries of a fleet counted at the servers, while entries restart or are killed, failing

A simulated fleet with the entries' own budget and choice of servers, paused clock, 6 entries, all servers refuse, judged by the users' rule.

--- /dev/null
+++ b/crates/gateway/benches/retries.rs
@@ -0,0 +1,53 @@
+//! Retries of a whole fleet, counted at the backend servers by the users' rule, with the entries' own
+//! budgets and choice of servers under a simulated clock.
+//!
+//!     cargo bench -p flamingowheel-gateway --bench retries -- [--seed N] [--entries N]
+
+#![allow(clippy::print_stdout, reason = "the report is the output")]
+
+#[allow(dead_code, unreachable_pub, missing_docs, reason = "shared with a test")]
+#[path = "../tests/retries/mod.rs"]
+mod retries;
+
+use retries::{Case, Fleet, TROUBLES};
+
+/// Sizes of the fleet.
+const ENTRIES: [usize; 6] = [6, 7, 12, 42, 149, 380];
+
+/// Requests a second and entry in fleets of this size and more.
+const LARGE: usize = 380;
+const LARGE_RATE_PER_S: f64 = 34.0;
+
+/// Shares of the backend servers that refuse.
+const SICK: [f64; 3] = [1.0 / 7.0, 1.0 / 3.0, 1.0];
+
+fn main() {
+    let mut arguments = pico_args::Arguments::from_env();
+    let seed = arguments.opt_value_from_str("--seed").unwrap_or_default().unwrap_or(1);
+    let only: Option<usize> = arguments.opt_value_from_str("--entries").unwrap_or_default();
+    for entries in ENTRIES.into_iter().filter(|entries| only.is_none_or(|only| only == *entries)) {
+        for trouble in TROUBLES {
+            for sick in SICK {
+                let mut case = Case::new(entries, sick, trouble);
+                if entries >= LARGE {
+                    case.rate_per_s = LARGE_RATE_PER_S;
+                }
+                report(case, seed);
+            }
+        }
+    }
+}
+
+fn report(case: Case, seed: u64) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    let report = runtime.block_on(Fleet::run(case, seed));
+    let name = format!("{}_{:?}_{:.2}", case.entries, case.trouble, case.sick_share);
+    println!("{name}_worst = {:.3}", report.worst);
+    println!("{name}_mean = {:.3}", report.mean);
+    println!("{name}_rescued = {:.3}", report.rescued_share());
+    println!("{name}_longest_gap_s = {:.2}", report.longest_gap.as_secs_f64());
+}
--- /dev/null
+++ b/crates/gateway/tests/retries/entry.rs
@@ -0,0 +1,117 @@
+//! A process of the simulated fleet.
+
+use super::case::{Case, Trouble};
+use super::{RATIO, SERVERS, WINDOW};
+use flamingowheel_fleet::BackendServer;
+use flamingowheel_gateway::budget::{Allowance, RetryBudget};
+use flamingowheel_gateway::server::Server;
+use flamingowheel_gateway::view::View;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A request at an entry.
+pub struct Attempt {
+    pub id: u64,
+    pub entry: usize,
+    pub begun_at: Duration,
+    pub sends: u32,
+    pub tried: Vec<Arc<Server>>,
+}
+
+impl Attempt {
+    pub fn new(id: u64, entry: usize, begun_at: Duration) -> Self {
+        Self { id, entry, begun_at, sends: 0, tried: Vec::new() }
+    }
+
+    /// Records that the present send was answered.
+    pub fn end_send(&mut self) {}
+}
+
+/// An entry's process.
+pub struct Entry {
+    pub vm: usize,
+    pub view: View,
+    pub is_up: bool,
+    pub is_leaving: bool,
+    pub started_at: Duration,
+    /// Until when callers connect to a process that leaves.
+    pub taken_until: Duration,
+    pub frozen_until: Duration,
+    pub last_retry_at: Option<Duration>,
+    budget: RetryBudget,
+    names: Vec<usize>,
+    /// Whether the store or another entry has answered since the start.
+    has_configuration: bool,
+}
+
+impl Entry {
+    pub fn new(vm: usize, case: &Case, now: Duration) -> Self {
+        let servers = HashMap::from([("s".to_owned(), (0..SERVERS).map(server).collect())]);
+        let allowance = Allowance { ratio: RATIO, slack: case.slack, window: WINDOW };
+        Self {
+            vm,
+            view: View { servers, ..View::default() },
+            is_up: true,
+            is_leaving: false,
+            started_at: now,
+            taken_until: Duration::MAX,
+            frozen_until: Duration::ZERO,
+            last_retry_at: None,
+            budget: RetryBudget::new(allowance),
+            names: Vec::new(),
+            has_configuration: false,
+        }
+    }
+
+    /// Takes the store's list of entries.
+    pub fn see(&mut self, names: &[usize], _now: Duration) {
+        self.names = names.to_vec();
+        self.has_configuration = true;
+    }
+
+    /// Uses what is known of the other entries.
+    pub fn observe(&mut self, _now: Duration, trouble: Trouble) {
+        if trouble == Trouble::ListsShort && self.vm.is_multiple_of(3) {
+            let half = self.names.len().div_ceil(2);
+            self.names.truncate(half);
+        }
+    }
+
+    pub fn record_request(&mut self) {
+        self.budget.record_request("s", Instant::now());
+    }
+
+    /// Takes a retry out of the budget for the next send.
+    pub fn try_acquire(&mut self, _attempt: &mut Attempt) -> bool {
+        let entries = self.names.len().max(1);
+        self.budget.try_acquire("s", entries, Instant::now()).is_ok()
+    }
+
+    pub fn leave(&mut self, taken_until: Duration) {
+        self.is_leaving = true;
+        self.taken_until = taken_until;
+    }
+
+    pub fn is_frozen(&self, now: Duration) -> bool {
+        now < self.frozen_until
+    }
+
+    /// Whether callers connect to it, and it serves them.
+    pub fn takes_callers(&self, now: Duration) -> bool {
+        self.is_up && self.has_configuration && now < self.taken_until && !self.is_frozen(now)
+    }
+}
+
+fn server(index: usize) -> Arc<Server> {
+    Arc::new(Server::new(BackendServer {
+        id: format!("i-{index}"),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], index as u16 + 1).into(),
+        data_centre: "z".to_owned(),
+        slots: 12,
+        is_draining: false,
+        started_ms: 1,
+    }))
+}
