Gateway: retries within the deployment's allowance while entries leave, drain, start and are killed

Cause: the constant was divided by the entries listed at the moment, by those that drain too, and a process began with a whole part, whatever the ones before it had spent. The class: a sum over the fleet, computed from what each process happens to know at the moment.

Now the parts can't add up to more than the whole: - policy::quota: in each span that ends now, up to a window, an entry's retries are at most a weighted mean of its requests in the window and in the one before it, times the ratio, plus its share of the constant. The same weights at all entries make the parts add up. A retry counts until a window after it is known to have arrived, so delays and frozen processes don't put two windows in one. - policy::roster: the part is a lease. An entry holds it while it is listed and for a window after; all others count it for three. - policy::claim: a process claims in the store what it may spend of its part. Its successor has the rest until a window has passed. Read and written at the start (3 calls), again only when retries are denied or stop. - When room is scarce, resumed streams go first, then second sends.

`try_acquire_after_window` and `try_acquire_all_entries_within_allowance` ask the same of the new budget. An entry of the framing tests retries by ratio instead of by the constant, which has to be claimed now.

--- a/crates/gateway/benches/retries.rs
+++ b/crates/gateway/benches/retries.rs
@@ -48,6 +48,6 @@
     let name = format!("{}_{:?}_{:.2}", case.entries, case.trouble, case.sick_share);
     println!("{name}_worst = {:.3}", report.worst);
     println!("{name}_mean = {:.3}", report.mean);
-    println!("{name}_rescued = {:.3}", report.rescued_share());
+    println!("{name}_rescued = {:.3} of {}", report.rescued_share(), report.failed_first);
     println!("{name}_longest_gap_s = {:.2}", report.longest_gap.as_secs_f64());
 }
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,31 +1,18 @@
 //! The retry budget.
 //!
-//! The deployment limits the retries of each service over all entries: to a share of the service's
-//! requests in a window, plus a constant. Each entry applies the share to its own requests and
-//! takes its part of the constant, so that the total holds without communication.
+//! The deployment limits the retries of each service over all entries. Each entry decides alone by
+//! [`flamingowheel_policy::quota`] from its own requests and its share of the constant: its part among
+//! the entries that it has seen listed, as far as it has claimed it in the key-value store.
 
-use std::collections::{HashMap, VecDeque};
+use flamingowheel_policy::claim::{Claim, StoredClaim};
+use flamingowheel_policy::quota::{Account, Quota, Urgency};
+use flamingowheel_policy::roster::Roster;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Buckets of a window; retries expire a bucket at a time.
-const BUCKETS: u32 = 20;
-
-/// Share of the allowance that is used. The rest covers an entry that died within the window and
-/// whose successor starts with a full allowance, and requests that are counted in the windows of
-/// two entries.
-const USED_SHARE: f64 = 0.6;
-
-/// The retries that the deployment allows for each service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Allowance {
-    /// Retries per request of the service.
-    pub ratio: f64,
-    /// Additional retries in each window, over all entries.
-    pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
-}
+pub use flamingowheel_policy::quota::Allowance;
 
 /// Why a request is sent once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,109 +42,171 @@
     }
 }
 
-/// What a retry was allowed or denied by.
+/// What a decision on a retry was made from.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Account {
-    /// Requests of the service at this entry in the window.
-    pub requests: u32,
-    /// Retries of this entry in the window, with the present one if it is allowed.
-    pub retries: u32,
-    /// The most retries that this entry may make in the window.
-    pub allowed: f64,
-    /// Number of entries that the constant is divided by.
+pub struct Decision {
+    /// The span of time that left the least room.
+    pub account: Account,
+    /// Number of entries that parts of the constant are computed for.
     pub entries: usize,
+    /// Share of its part that this process may use, between 0 and 1.
+    pub claimed: f64,
 }
 
-impl Account {
-    /// Retries that are left in the window.
-    pub fn room(&self) -> f64 {
-        (self.allowed - f64::from(self.retries)).max(0.0)
-    }
-}
-
-/// Requests and retries of this entry, by service.
+/// Retries that this entry may make, by service.
 #[derive(Debug)]
 pub struct RetryBudget {
     allowance: Allowance,
-    services: HashMap<String, Window>,
-}
-
-#[derive(Debug, Default)]
-struct Window {
-    buckets: VecDeque<Bucket>,
+    origin: Instant,
+    state: Mutex<State>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    start: Instant,
-    requests: u32,
-    retries: u32,
+#[derive(Debug)]
+struct State {
+    roster: Roster,
+    claim: Claim,
+    /// Whether a retry was denied since the claim was last looked at.
+    is_short: bool,
+    quotas: HashMap<String, Quota>,
 }
 
 impl RetryBudget {
-    /// Creates a budget without any requests or retries yet.
-    pub fn new(allowance: Allowance) -> Self {
-        Self { allowance, services: HashMap::new() }
+    /// Creates the budget of the entry on `vm`.
+    pub fn new(allowance: Allowance, vm: &str) -> Self {
+        let roster = Roster::new(vm, allowance.window);
+        let claim = Claim::new(allowance.window);
+        let state = State { roster, claim, is_short: false, quotas: HashMap::new() };
+        Self { allowance, origin: Instant::now(), state: Mutex::new(state) }
+    }
+
+    /// Takes a list of entries that was complete `age` ago; `None` if it never was.
+    pub fn observe_entries<'a, I>(&self, vms: I, age: Option<Duration>, now: Instant)
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        self.lock().roster.observe(vms, age, now - self.origin);
+    }
+
+    /// Gives up this entry's part of the constant, as it leaves.
+    pub fn leave(&self) {
+        self.lock().roster.leave();
+    }
+
+    /// The claim to write to the store at the start of this process, after `previous` was read there.
+    pub fn first_claim(&self, previous: Option<StoredClaim>, now: Instant) -> StoredClaim {
+        let mut state = self.lock();
+        if let Some(previous) = previous {
+            state.roster.inherit(previous.entries, now - self.origin);
+        }
+        Claim::first(previous, state.roster.count())
+    }
+
+    /// Records that the store has the first claim.
+    pub fn begin_claim(&self, previous: Option<StoredClaim>, first: StoredClaim, now: Instant) {
+        self.lock().claim.begin(previous, first, now - self.origin);
+    }
+
+    /// The change of the claim to write to the store next, if any.
+    pub fn next_claim(&self, now: Instant) -> Option<StoredClaim> {
+        let since_origin = now - self.origin;
+        let mut state = self.lock();
+        let is_short = std::mem::take(&mut state.is_short);
+        let is_idle = state.quotas.values().all(|quota| quota.is_idle(since_origin));
+        let claimed = state.claim.next(is_short, is_idle, since_origin)?;
+        Some(StoredClaim { claimed, entries: state.roster.count() })
+    }
+
+    /// Records that the store has a changed claim.
+    pub fn record_claim(&self, stored: StoredClaim) {
+        self.lock().claim.record_stored(stored.claimed);
+    }
+
+    /// Gives up the claim until the store has been read again.
+    pub fn lose_claim(&self) {
+        self.lock().claim.lose();
     }
 
     /// Counts a caller's request.
-    pub fn record_request(&mut self, service: &str, now: Instant) {
-        self.current_bucket(service, now).requests += 1;
+    pub fn record_request(&self, service: &str, now: Instant) {
+        with_quota(&mut self.lock().quotas, self.allowance, service, |quota| {
+            quota.record_request(now - self.origin);
+        });
     }
 
-    /// Takes a retry out of this entry's budget, if there is room. `entries` entries share the
-    /// constant.
-    ///
-    /// # Errors
-    ///
-    /// The unchanged account, if the budget is used up.
+    /// Takes a retry, if there is room.
     ///
     /// ```
-    /// use flamingowheel_gateway::budget::{Allowance, RetryBudget};
+    /// use flamingowheel_gateway::budget::RetryBudget;
+    /// use flamingowheel_policy::quota::{Allowance, Urgency};
+    /// use std::sync::Arc;
     /// let window = std::time::Duration::from_secs(10);
-    /// let mut budget = RetryBudget::new(Allowance { ratio: 0.2, slack: 10.0, window });
+    /// let allowance = Allowance { ratio: 0.2, slack: 10.0, window };
+    /// let budget = Arc::new(RetryBudget::new(allowance, "a"));
     /// let now = tokio::time::Instant::now();
-    /// let taken = (0..20).filter(|_| budget.try_acquire("s", 2, now).is_ok()).count();
-    /// assert_eq!(taken, 3);
+    /// assert!(budget.try_acquire("s", Urgency::Second, now).is_err());
+    /// (0..100).for_each(|_| budget.record_request("s", now));
+    /// assert!(budget.try_acquire("s", Urgency::Second, now).is_ok());
     /// ```
+    ///
+    /// # Errors
+    ///
+    /// What left no room.
     pub fn try_acquire(
-        &mut self,
+        self: &Arc<Self>,
         service: &str,
-        entries: usize,
+        urgency: Urgency,
         now: Instant,
-    ) -> Result<Account, Account> {
-        let Allowance { ratio, slack, .. } = self.allowance;
-        self.current_bucket(service, now);
-        let window = self.services.entry(service.to_owned()).or_default();
-        let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed = (f64::from(requests) * ratio + slack / entries as f64) * USED_SHARE;
-        let account = Account { requests, retries, allowed, entries };
-        if f64::from(retries + 1) > allowed {
-            return Err(account);
-        }
-        if let Some(bucket) = window.buckets.back_mut() {
-            bucket.retries += 1;
+    ) -> Result<(RetryPermit, Decision), Decision> {
+        let since_origin = now - self.origin;
+        let mut state = self.lock();
+        let State { roster, claim, quotas, .. } = &mut *state;
+        let (entries, claimed) = (roster.count(), claim.usable(since_origin));
+        let share = roster.part(since_origin) * claimed;
+        let taken = with_quota(quotas, self.allowance, service, |quota| {
+            quota.try_take(urgency, share, since_origin)
+        });
+        state.is_short |= taken.is_err();
+        let decision = |account| Decision { account, entries, claimed };
+        match taken {
+            Ok(account) => {
+                let (budget, service) = (Arc::clone(self), service.to_owned());
+                Ok((RetryPermit { budget, service }, decision(account)))
+            }
+            Err(account) => Err(decision(account)),
         }
-        Ok(Account { retries: retries + 1, ..account })
     }
 
-    fn current_bucket(&mut self, service: &str, now: Instant) -> &mut Bucket {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), Window::default());
-        }
-        let window = self.services.entry(service.to_owned()).or_default();
-        let length = self.allowance.window;
-        while window.buckets.front().is_some_and(|bucket| now.duration_since(bucket.start) > length)
-        {
-            window.buckets.pop_front();
-        }
-        let is_current =
-            window.buckets.back().is_some_and(|bucket| now < bucket.start + length / BUCKETS);
-        if !is_current {
-            window.buckets.push_back(Bucket { start: now, requests: 0, retries: 0 });
-        }
-        let last = window.buckets.len() - 1;
-        &mut window.buckets[last]
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A retry that was taken. While it is held the retry may arrive at any time, and counts for all windows.
+#[derive(Debug)]
+pub struct RetryPermit {
+    budget: Arc<RetryBudget>,
+    service: String,
+}
+
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        let (now, allowance) = (Instant::now() - self.budget.origin, self.budget.allowance);
+        let quotas = &mut self.budget.lock().quotas;
+        with_quota(quotas, allowance, &self.service, |quota| quota.finish(now));
+    }
+}
+
+fn with_quota<F, T>(
+    quotas: &mut HashMap<String, Quota>,
+    allowance: Allowance,
+    service: &str,
+    decide: F,
+) -> T
+where
+    F: FnOnce(&mut Quota) -> T,
+{
+    match quotas.get_mut(service) {
+        Some(quota) => decide(quota),
+        None => decide(quotas.entry(service.to_owned()).or_insert(Quota::new(allowance))),
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use flamingowheel_platform::headers::{self, ForwardHead, RequestHead};
 use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
 use flamingowheel_policy::outage;
+use flamingowheel_policy::quota::Urgency;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -172,6 +173,8 @@
     /// Number of the tried servers that have ended, rest, or took no request after all. They say
     /// nothing about the others.
     pub ended: usize,
+    /// Number of sends, including those that a server refused.
+    pub sends: u32,
     /// Why the next send is a retry; `None` before the first send.
     pub retry_cause: Option<RetryCause>,
     /// Number of sends after which a server may have run the request.
@@ -199,6 +202,11 @@
         true
     }
 
+    /// How urgently the next retry is needed.
+    pub fn urgency(&self) -> Urgency {
+        if self.sends > 1 { Urgency::Further } else { Urgency::Second }
+    }
+
     /// Whether the request may run again.
     pub fn can_retry(&self, exchange: &Exchange) -> bool {
         exchange.route.retry_policy != RetryPolicy::Never && self.runs < exchange.route.max_attempts
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::balance::Choice;
 use crate::breaker::CircuitBreakers;
-use crate::budget::{Account, RetryBudget, RetryCause};
+use crate::budget::{Decision, RetryBudget, RetryCause, RetryPermit};
 use crate::exchange::{Attempts, Exchange};
 use crate::group::{Admission, Fullness, GroupLoad};
 use crate::losses::LossRecorder;
@@ -27,6 +27,7 @@
 use bytes::Bytes;
 use flamingowheel_platform::headers::{self, RequestHead};
 use flamingowheel_policy::passes;
+use flamingowheel_policy::quota::Urgency;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -40,7 +41,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     views: Views,
-    budget: Mutex<RetryBudget>,
+    budget: Arc<RetryBudget>,
     breakers: Mutex<CircuitBreakers>,
     /// Chooses backend servers.
     pub selector: Selector,
@@ -58,7 +59,7 @@
     /// Creates a gateway that routes by the newest of `views`.
     pub fn new(
         views: Views,
-        budget: RetryBudget,
+        budget: Arc<RetryBudget>,
         permits: PermitSender,
         suspects: Arc<Suspects>,
         losses: LossRecorder,
@@ -67,7 +68,7 @@
         let selector = Selector::new(Arc::clone(&views), permits.clone());
         Self {
             views,
-            budget: Mutex::new(budget),
+            budget,
             breakers: Mutex::default(),
             signals: SignalRecorder::new(permits, Arc::clone(&metrics)),
             losses,
@@ -91,7 +92,7 @@
             Err((refusal, head)) => return self.refuse(refusal, &head, None, arrived),
         };
         let exchange = Arc::new(exchange);
-        self.budget().record_request(&exchange.service, arrived);
+        self.budget.record_request(&exchange.service, arrived);
         self.suspects.wait_until_synced().await;
         match self.serve(&exchange).await {
             Ok(response) => response,
@@ -113,14 +114,19 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return attempts.into_result(exchange, Some(refusal)),
             };
-            if let Some(cause) = attempts.retry_cause
-                && !self.try_acquire_retry(exchange, cause, Instant::now())
-            {
-                break;
-            }
+            let permit = match attempts.retry_cause {
+                Some(cause) => match self.try_acquire_retry(exchange, cause, attempts.urgency()) {
+                    Some(permit) => Some(permit),
+                    None => break,
+                },
+                None => None,
+            };
+            attempts.sends += 1;
             attempts.tried.push(Arc::clone(&server));
             let sending = self.send(exchange, &server, group.as_ref(), exchange.head.last_event_id);
-            match sending.await {
+            let sent = sending.await;
+            drop(permit);
+            match sent {
                 Ok(sent) if sent.answer.is_not_run => {
                     let is_alone = sent.is_misdirected() || sent.asks_for_rest();
                     attempts.ended += usize::from(is_alone);
@@ -223,32 +229,42 @@
         SilenceDetector::new(Arc::clone(&self.views), server, group)
     }
 
-    /// Takes a retry out of the budget; `false` if the budget is used up.
-    pub fn try_acquire_retry(&self, exchange: &Exchange, cause: RetryCause, now: Instant) -> bool {
-        let entries = self.view().entry_count();
-        let decision = self.budget().try_acquire(&exchange.service, entries, now);
-        self.record_retry(exchange, cause, decision);
-        decision.is_ok()
+    /// Takes a retry out of the budget; `None` if the budget is used up. The permit is held until the
+    /// retry is known to have arrived.
+    pub fn try_acquire_retry(
+        &self,
+        exchange: &Exchange,
+        cause: RetryCause,
+        urgency: Urgency,
+    ) -> Option<RetryPermit> {
+        let result = self.budget.try_acquire(&exchange.service, urgency, Instant::now());
+        let (Ok((_, decision)) | Err(decision)) = &result;
+        self.record_retry(exchange, cause, result.is_ok(), decision);
+        result.ok().map(|(permit, _)| permit)
     }
 
     fn record_retry(
         &self,
         exchange: &Exchange,
         cause: RetryCause,
-        decision: Result<Account, Account>,
+        is_allowed: bool,
+        decision: &Decision,
     ) {
-        let (Ok(account) | Err(account)) = decision;
-        let outcome = if decision.is_ok() { "sent" } else { "no_budget" };
+        let Decision { account, entries, claimed } = decision;
+        let outcome = if is_allowed { "sent" } else { "no_budget" };
         self.metrics.record_retry(&exchange.service, cause, outcome, account.room());
         tracing::info!(
             request = exchange.head.attempt_id,
             service = exchange.service,
             cause = cause.name(),
             outcome,
+            span_ms = account.span.as_millis() as u64,
             requests = account.requests,
             retries = account.retries,
+            pending = account.pending,
             allowed = account.allowed,
-            entries = account.entries,
+            entries,
+            claimed,
             up_ms = self.started_at.elapsed().as_millis() as u64,
             "retry"
         );
@@ -300,10 +316,6 @@
     fn breakers(&self) -> std::sync::MutexGuard<'_, CircuitBreakers> {
         self.breakers.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// The request's conditions for admission to a rank group; `None` for routes without a goal for
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod breaker;
 pub mod budget;
+pub mod claims;
 pub mod connection;
 pub mod ends;
 pub mod events;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,6 +1,7 @@
 //! Runs an entry: one control thread and one traffic thread per core.
 
-use crate::budget::{Allowance, RetryBudget};
+use crate::budget::RetryBudget;
+use crate::claims::ClaimKeeper;
 use crate::feed::follower::StoreFollower;
 use crate::feed::groups::GroupListener;
 use crate::feed::mirror::Mirror;
@@ -20,6 +21,7 @@
 use crate::view::{EntryRecord, Views};
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::StoreClient;
+use flamingowheel_policy::quota::Allowance;
 use flamingowheel_protocol::message::Role;
 use flamingowheel_protocol::websocket::{Identity, accept_links};
 use std::net::SocketAddr;
@@ -91,9 +93,10 @@
     let (loss_views, loss_suspects) = (Arc::clone(&views), Arc::clone(&suspects));
     let losses = LossRecorder::new(loss_views, loss_suspects, archive, Arc::clone(&metrics));
 
+    let budget = Arc::new(RetryBudget::new(allowance(settings), &settings.vm));
     let gateway = Arc::new(Gateway::new(
         Arc::clone(&views),
-        RetryBudget::new(allowance(settings)),
+        Arc::clone(&budget),
         permit_sender,
         Arc::clone(&suspects),
         losses,
@@ -112,8 +115,15 @@
     };
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
-    start_feed(settings, peers, &store, Feed { mirror, views, suspects, metrics }).await?;
+    start_feed(
+        settings,
+        peers,
+        &store,
+        Feed { mirror, views, suspects, budget: Arc::clone(&budget), metrics },
+    )
+    .await?;
     let data_centre = settings.data_centre.clone();
+    tokio::spawn(ClaimKeeper::new(store.clone(), &settings.vm, Arc::clone(&budget)).run());
     let announcement = Announcement {
         store,
         vm: settings.vm.clone(),
@@ -129,6 +139,7 @@
 
     shutdown.await;
     tracing::info!("leaving");
+    budget.leave();
     stop.leaving.cancel();
     let grace = Duration::from_millis(settings.bounds.grace_ms).saturating_sub(SHUTDOWN_RESERVE);
     let leaving = async {
@@ -156,6 +167,7 @@
     mirror: Arc<Mirror>,
     views: Views,
     suspects: Arc<Suspects>,
+    budget: Arc<RetryBudget>,
     metrics: Arc<Metrics>,
 }
 
@@ -167,7 +179,7 @@
     store: &StoreClient,
     feed: Feed,
 ) -> Result<(), std::io::Error> {
-    let Feed { mirror, views, suspects, metrics } = feed;
+    let Feed { mirror, views, suspects, budget, metrics } = feed;
     let (members, members_receiver) = watch::channel(Arc::default());
     let (coordinators, coordinators_receiver) = watch::channel(Arc::default());
     let (statuses, statuses_receiver) = watch::channel(Arc::default());
@@ -179,6 +191,7 @@
         statuses: statuses_receiver.clone(),
         agent_port,
         suspects,
+        budget,
         metrics,
     };
     let (vm, data_centre) = (&settings.vm, &settings.data_centre);
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -1,5 +1,6 @@
 //! Builds views from the contents of the key-value store and publishes them.
 
+use crate::budget::RetryBudget;
 use crate::feed::groups::Statuses;
 use crate::feed::mirror::{Change, Changes, Mirror};
 use crate::feed::reader::{Members, Peer};
@@ -49,6 +50,8 @@
     pub agent_port: u16,
     /// Requests that crash backend servers; records of refused ones come from the store.
     pub suspects: Arc<Suspects>,
+    /// The retry budget, which depends on the listed entries.
+    pub budget: Arc<RetryBudget>,
     /// This entry's metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -111,13 +114,23 @@
                     }
                     self.apply_statuses();
                 }
-                _ = checks.tick() => if self.remove_expired() {
-                    self.publish();
-                },
+                _ = checks.tick() => {
+                    if self.remove_expired() {
+                        self.publish();
+                    }
+                    self.observe_entries();
+                }
             }
         }
     }
 
+    /// Tells the retry budget which entries are listed, and how old the list is.
+    fn observe_entries(&self) {
+        let now = Instant::now();
+        let vms = self.entries.keys().map(String::as_str);
+        self.outputs.budget.observe_entries(vms, self.mirror.age(now), now);
+    }
+
     /// Updates the groups' loads with the newest statuses.
     fn apply_statuses(&mut self) {
         let statuses = Arc::clone(&self.outputs.statuses.borrow_and_update());
@@ -383,6 +396,7 @@
 
     fn publish(&mut self) {
         self.remove_expired();
+        self.observe_entries();
         self.publish_members();
         self.publish_coordinators();
         let mut servers: HashMap<String, Vec<Arc<Server>>> = HashMap::new();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_fleet::configuration::RetryPolicy;
 use flamingowheel_policy::answers::{Ending, Evidence, Framing};
+use flamingowheel_policy::quota::Urgency;
 use futures_util::stream;
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -221,12 +222,16 @@
             let Choice::Send(server, group) = choice else {
                 return false;
             };
-            let cause = RetryCause::Resumed;
-            if !self.gateway.try_acquire_retry(&self.exchange, cause, Instant::now()) {
+            let (cause, urgency) = (RetryCause::Resumed, Urgency::Begun);
+            let Some(permit) = self.gateway.try_acquire_retry(&self.exchange, cause, urgency)
+            else {
                 return false;
-            }
+            };
             self.tried.push(Arc::clone(&server));
-            match self.gateway.send(&self.exchange, &server, group.as_ref(), last_event_id).await {
+            let sent =
+                self.gateway.send(&self.exchange, &server, group.as_ref(), last_event_id).await;
+            drop(permit);
+            match sent {
                 Ok(sent) if sent.response.status().is_success() => {
                     tracing::info!(
                         request = self.exchange.head.attempt_id,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -64,9 +64,4 @@
     pub fn version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
-
-    /// Number of entries that share the backend servers, at least 1.
-    pub fn entry_count(&self) -> usize {
-        self.entries.len().max(1)
-    }
 }
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_gateway::budget::RetryBudget;
 use flamingowheel_gateway::feed::follower::StoreFollower;
 use flamingowheel_gateway::feed::mirror::Mirror;
 use flamingowheel_gateway::feed::reader::Reader;
@@ -19,6 +20,7 @@
 use flamingowheel_gateway::suspects::Suspects;
 use flamingowheel_gateway::view::{EntryRecord, Views};
 use flamingowheel_platform::CONFIGURATION_KEY;
+use flamingowheel_policy::quota::Allowance;
 use flamingowheel_policy::topology::{EntryRef, FOLLOWERS, Topology};
 use network::{LinkFault, Network, hello};
 use std::collections::BTreeMap;
@@ -136,12 +138,16 @@
         let (follows, should_follow) = watch::channel(false);
         let metrics = Arc::new(Metrics::new().unwrap());
         let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
+        let window = Duration::from_secs(10);
+        let allowance = Allowance { ratio: 0.2, slack: 0.0, window };
+        let budget = Arc::new(RetryBudget::new(allowance, vm));
         let outputs = Outputs {
             members,
             coordinators,
             statuses: statuses_receiver.clone(),
             agent_port: PEER_PORT,
             suspects,
+            budget,
             metrics,
         };
         let mut tasks = JoinSet::new();
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -52,11 +52,11 @@
         Self::start_with_retries(servers, configuration, 100.0).await
     }
 
-    /// Starts an entry that may retry `slack` requests in 10 s besides a share of all.
+    /// Starts an entry that may retry `ratio` times for each request.
     pub async fn start_with_retries(
         servers: &[SocketAddr],
         configuration: Option<&[u8]>,
-        slack: f64,
+        ratio: f64,
     ) -> Self {
         let configuration = configuration.map(|value| Arc::new(operator::decode(value).unwrap()));
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
@@ -77,7 +77,8 @@
         let exchange = PermitExchange::new(vm, Arc::clone(&views), socket, requests, served);
         tokio::spawn(exchange.run());
         let window = Duration::from_secs(10);
-        let budget = RetryBudget::new(Allowance { ratio: 0.2, slack, window });
+        let allowance = Allowance { ratio, slack: 0.0, window };
+        let budget = Arc::new(RetryBudget::new(allowance, "e"));
         let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
         let (archive, _archived) = archive::channel();
         let (of_losses, known) = (Arc::clone(&views), Arc::clone(&suspects));
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -3,7 +3,7 @@
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_gateway::balance::{self, Choice};
 use flamingowheel_gateway::breaker::CircuitBreakers;
-use flamingowheel_gateway::budget::{Allowance, RetryBudget};
+use flamingowheel_gateway::budget::RetryBudget;
 use flamingowheel_gateway::events::EventSplitter;
 use flamingowheel_gateway::group::{Admission, GroupLoad, GroupRank};
 use flamingowheel_gateway::refusal::Refusal;
@@ -11,11 +11,13 @@
 use flamingowheel_gateway::view::View;
 use flamingowheel_platform::Stated;
 use flamingowheel_policy::batch::PassModel;
+use flamingowheel_policy::claim::StoredClaim;
 use flamingowheel_policy::passes::{limit_ms, retry_after_ms};
+use flamingowheel_policy::quota::{Allowance, Urgency};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, advance};
 
 const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
 
@@ -59,30 +61,57 @@
     assert_eq!(splitter.last_id(), Some(7));
 }
 
+/// An entry that has been listed with others for a long time.
+fn listed_budget(entries: &[&str], own: &str, now: Instant) -> Arc<RetryBudget> {
+    let budget = Arc::new(RetryBudget::new(ALLOWANCE, own));
+    for at in [Duration::ZERO, LISTED_TIME] {
+        budget.observe_entries(entries.iter().copied(), Some(Duration::ZERO), now + at);
+    }
+    let all = StoredClaim { claimed: 1.0, entries: entries.len() };
+    budget.begin_claim(None, all, now);
+    budget
+}
+
+/// Time after which an entry may use its whole part of the constant.
+const LISTED_TIME: Duration = Duration::from_secs(30);
+
 /// Many entries retry refused requests at the same time. The total must stay within the
 /// deployment's allowance, without communication between them.
 #[test]
 fn try_acquire_all_entries_within_allowance() {
-    const ENTRIES: usize = 6;
+    const ENTRIES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
     const REQUESTS: u32 = 100;
-    let now = Instant::now();
-    let mut acquired = 0;
-    for _ in 0..ENTRIES {
-        let mut budget = RetryBudget::new(ALLOWANCE);
+    let start = Instant::now();
+    let now = start + LISTED_TIME;
+    let mut permits = Vec::new();
+    for own in ENTRIES {
+        let budget = listed_budget(&ENTRIES, own, start);
         (0..REQUESTS).for_each(|_| budget.record_request("s", now));
-        acquired += (0..1_000).filter(|_| budget.try_acquire("s", ENTRIES, now).is_ok()).count();
+        let tries = (0..1_000).map(|_| budget.try_acquire("s", Urgency::Second, now));
+        permits.extend(tries.filter_map(Result::ok));
     }
-    let allowed = ALLOWANCE.ratio * f64::from(REQUESTS) * ENTRIES as f64 + ALLOWANCE.slack;
+    let allowed = ALLOWANCE.ratio * f64::from(REQUESTS) * ENTRIES.len() as f64 + ALLOWANCE.slack;
+    let acquired = permits.len();
     assert!(acquired > 0 && (acquired as f64) <= allowed, "{acquired} of {allowed}");
 }
 
-#[test]
-fn try_acquire_after_window() {
-    let mut budget = RetryBudget::new(ALLOWANCE);
-    let now = Instant::now();
-    while budget.try_acquire("s", 1, now).is_ok() {}
-    assert!(budget.try_acquire("s", 1, now + Duration::from_secs(9)).is_err());
-    assert!(budget.try_acquire("s", 1, now + Duration::from_secs(11)).is_ok());
+/// What was spent in a window is not there a second time before the window ends, and is after it.
+#[tokio::test(start_paused = true)]
+async fn try_acquire_after_window() {
+    let budget = listed_budget(&["a"], "a", Instant::now());
+    advance(LISTED_TIME).await;
+    let spend = || {
+        let now = Instant::now();
+        budget.observe_entries(["a"], Some(Duration::ZERO), now);
+        let tries = (0..1_000).map(|_| budget.try_acquire("s", Urgency::Second, now));
+        tries.map_while(Result::ok).count()
+    };
+    let spent = spend();
+    assert!(spent > 0 && spent as f64 <= ALLOWANCE.slack, "{spent}");
+    advance(Duration::from_secs(9)).await;
+    assert_eq!(spend(), 0);
+    advance(Duration::from_secs(2)).await;
+    assert_eq!(spend(), spent);
 }
 
 /// After a power failure all servers refuse for a second. If every request tried them, the retry
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -1,6 +1,7 @@
 //! Which listed backend servers get requests.
 
 use flamingowheel_backing::kv::{KeyValueEntry, Revision, WatchEvent};
+use flamingowheel_gateway::budget::RetryBudget;
 use flamingowheel_gateway::feed::mirror::Mirror;
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::publish::{Outputs, Publisher};
@@ -8,6 +9,7 @@
 use flamingowheel_gateway::suspects::Suspects;
 use flamingowheel_gateway::view::Views;
 use flamingowheel_platform::{CONFIGURATION_KEY, Stated};
+use flamingowheel_policy::quota::Allowance;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -32,12 +34,16 @@
         let (statuses, received) = watch::channel(Arc::default());
         let metrics = Arc::new(Metrics::new().unwrap());
         let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
+        let window = Duration::from_secs(10);
+        let allowance = Allowance { ratio: 0.2, slack: 0.0, window };
+        let budget = Arc::new(RetryBudget::new(allowance, "e"));
         let outputs = Outputs {
             members,
             coordinators,
             statuses: received,
             agent_port: 7_000,
             suspects,
+            budget,
             metrics,
         };
         let publisher = Publisher::new(Arc::clone(&mirror), Arc::clone(&views), outputs);
--- a/crates/gateway/tests/retries/case.rs
+++ b/crates/gateway/tests/retries/case.rs
@@ -10,6 +10,8 @@
     RestartsByOne,
     RestartsByThree,
     RestartsAtOnce,
+    /// A third of them restarts at once.
+    ThirdRestarts,
     /// As by three, each successor ready while its predecessor drains.
     RestartsOverlapping,
     /// All entries are killed, once or four times two seconds apart.
@@ -41,11 +43,12 @@
 }
 
 /// All of them.
-pub const TROUBLES: [Trouble; 19] = [
+pub const TROUBLES: [Trouble; 20] = [
     Trouble::None,
     Trouble::RestartsByOne,
     Trouble::RestartsByThree,
     Trouble::RestartsAtOnce,
+    Trouble::ThirdRestarts,
     Trouble::RestartsOverlapping,
     Trouble::KilledOnce,
     Trouble::KilledEachTwoSeconds,
--- a/crates/gateway/tests/retries/entry.rs
+++ b/crates/gateway/tests/retries/entry.rs
@@ -3,9 +3,11 @@
 use super::case::{Case, Trouble};
 use super::{RATIO, SERVERS, WINDOW};
 use flamingowheel_fleet::BackendServer;
-use flamingowheel_gateway::budget::{Allowance, RetryBudget};
+use flamingowheel_gateway::budget::{RetryBudget, RetryPermit};
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::View;
+use flamingowheel_policy::claim::StoredClaim;
+use flamingowheel_policy::quota::{Allowance, Urgency};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,15 +20,18 @@
     pub begun_at: Duration,
     pub sends: u32,
     pub tried: Vec<Arc<Server>>,
+    permit: Option<RetryPermit>,
 }
 
 impl Attempt {
     pub fn new(id: u64, entry: usize, begun_at: Duration) -> Self {
-        Self { id, entry, begun_at, sends: 0, tried: Vec::new() }
+        Self { id, entry, begun_at, sends: 0, tried: Vec::new(), permit: None }
     }
 
     /// Records that the present send was answered.
-    pub fn end_send(&mut self) {}
+    pub fn end_send(&mut self) {
+        self.permit = None;
+    }
 }
 
 /// An entry's process.
@@ -40,8 +45,11 @@
     pub taken_until: Duration,
     pub frozen_until: Duration,
     pub last_retry_at: Option<Duration>,
-    budget: RetryBudget,
+    budget: Arc<RetryBudget>,
     names: Vec<usize>,
+    /// When the names were complete.
+    seen_at: Duration,
+    has_claimed: bool,
     /// Whether the store or another entry has answered since the start.
     has_configuration: bool,
 }
@@ -59,24 +67,45 @@
             taken_until: Duration::MAX,
             frozen_until: Duration::ZERO,
             last_retry_at: None,
-            budget: RetryBudget::new(allowance),
+            budget: Arc::new(RetryBudget::new(allowance, &name(vm))),
             names: Vec::new(),
+            seen_at: now,
+            has_claimed: false,
             has_configuration: false,
         }
     }
 
     /// Takes the store's list of entries.
-    pub fn see(&mut self, names: &[usize], _now: Duration) {
+    pub fn see(&mut self, names: &[usize], now: Duration) {
         self.names = names.to_vec();
+        self.seen_at = now;
         self.has_configuration = true;
     }
 
     /// Uses what is known of the other entries.
-    pub fn observe(&mut self, _now: Duration, trouble: Trouble) {
+    pub fn observe(&mut self, now: Duration, trouble: Trouble) {
         if trouble == Trouble::ListsShort && self.vm.is_multiple_of(3) {
             let half = self.names.len().div_ceil(2);
             self.names.truncate(half);
         }
+        let names: Vec<String> = self.names.iter().copied().map(name).collect();
+        let age = self.has_configuration.then(|| now - self.seen_at);
+        self.budget.observe_entries(names.iter().map(String::as_str), age, Instant::now());
+    }
+
+    /// Claims retries in the store.
+    pub fn claim(&mut self, store: &mut HashMap<usize, StoredClaim>) {
+        let now = Instant::now();
+        if !self.has_claimed {
+            let previous = store.get(&self.vm).copied();
+            let first = self.budget.first_claim(previous, now);
+            self.budget.begin_claim(previous, first, now);
+            self.has_claimed = true;
+            store.insert(self.vm, first);
+        } else if let Some(claim) = self.budget.next_claim(now) {
+            self.budget.record_claim(claim);
+            store.insert(self.vm, claim);
+        }
     }
 
     pub fn record_request(&mut self) {
@@ -84,13 +113,16 @@
     }
 
     /// Takes a retry out of the budget for the next send.
-    pub fn try_acquire(&mut self, _attempt: &mut Attempt) -> bool {
-        let entries = self.names.len().max(1);
-        self.budget.try_acquire("s", entries, Instant::now()).is_ok()
+    pub fn try_acquire(&mut self, attempt: &mut Attempt) -> bool {
+        let urgency = if attempt.sends > 1 { Urgency::Further } else { Urgency::Second };
+        attempt.permit =
+            self.budget.try_acquire("s", urgency, Instant::now()).ok().map(|(permit, _)| permit);
+        attempt.permit.is_some()
     }
 
     pub fn leave(&mut self, taken_until: Duration) {
         self.is_leaving = true;
+        self.budget.leave();
         self.taken_until = taken_until;
     }
 
@@ -104,6 +136,10 @@
     }
 }
 
+fn name(vm: usize) -> String {
+    format!("e-{vm}")
+}
+
 fn server(index: usize) -> Arc<Server> {
     Arc::new(Server::new(BackendServer {
         id: format!("i-{index}"),
--- a/crates/gateway/tests/retries/mod.rs
+++ b/crates/gateway/tests/retries/mod.rs
@@ -13,6 +13,7 @@
 use entry::{Attempt, Entry};
 use flamingowheel_gateway::balance::{self, Choice};
 use flamingowheel_gateway::server::Server;
+use flamingowheel_policy::claim::StoredClaim;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -66,6 +67,7 @@
     newest: Vec<usize>,
     /// VMs that the store lists, and when their leases end.
     listed: BTreeMap<usize, Duration>,
+    claims: HashMap<usize, StoredClaim>,
     store_away_until: Duration,
     /// VMs that reach neither the store nor the others.
     cut_off: HashSet<usize>,
@@ -87,6 +89,7 @@
             entries: Vec::new(),
             newest: Vec::new(),
             listed: BTreeMap::new(),
+            claims: HashMap::new(),
             store_away_until: Duration::ZERO,
             cut_off: HashSet::new(),
             arrivals: Arrivals::default(),
@@ -158,6 +161,9 @@
             self.entries[number].see(&names, now);
         }
         self.entries[number].observe(now, self.case.trouble);
+        if self.reaches_store(vm) && !self.entries[number].is_frozen(now) {
+            self.entries[number].claim(&mut self.claims);
+        }
         let jitter = POLL_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
         self.at(now + jitter, Event::Poll(number));
     }
--- a/crates/gateway/tests/retries/trouble.rs
+++ b/crates/gateway/tests/retries/trouble.rs
@@ -26,6 +26,7 @@
                 self.restart_some(first * 3, 3, STEP, step);
             }
             Trouble::RestartsAtOnce => (0..vms).for_each(|vm| self.restart(vm)),
+            Trouble::ThirdRestarts => (0..vms).step_by(3).for_each(|vm| self.restart(vm)),
             Trouble::KilledOnce => self.kill_all(RESTART_TIME),
             Trouble::KilledEachTwoSeconds => {
                 self.kill_all(RESTART_TIME);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod answers;
 pub mod batch;
+pub mod claim;
 pub mod demand;
 pub mod events;
 pub mod experts;
@@ -18,8 +19,10 @@
 pub mod passes;
 pub mod permits;
 pub mod prefix;
+pub mod quota;
 pub mod rebalance;
 pub mod retry;
+pub mod roster;
 pub mod routing;
 pub mod subset;
 pub mod suspicion;
