--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -8,7 +8,7 @@
 use rustix::process::Signal;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Grace period from the stop signal to the kill, in seconds, as set in the present deployments.
 pub const GRACE_S: u64 = 8;
@@ -22,6 +22,9 @@
 /// Rests that backend servers ask for, in milliseconds.
 const REST_MS: std::ops::Range<u64> = 700..4_000;
 
+/// Pauses between the kills of a series, in milliseconds.
+const SERIES_PAUSE_MS: std::ops::Range<u64> = 50..700;
+
 /// Pauses between the versions of a series, in milliseconds.
 const SERIES_GAP_MS: std::ops::Range<u64> = 0..100;
 
@@ -40,6 +43,9 @@
     Pause(usize),
     /// An entry gets a stop signal, is killed if it outlasts its grace period, and starts again.
     Restart(usize),
+    /// All entries are killed and started again, one after the other with this pause in
+    /// milliseconds, as often as it fits into the duration.
+    KillSeries(u64),
     /// An entry gets the signal to reload its settings.
     Hangup(usize),
     /// An entry's connections to the store have a fault.
@@ -102,6 +108,7 @@
         18 => Fault::StoreLinks(entry, random_link_fault(rng)),
         19 => Fault::Add(fleet.entries.len() - 1),
         20 => Fault::Unframed(server),
+        21 => Fault::KillSeries(rng.random_range(SERIES_PAUSE_MS)),
         22..=24 => random_crash(fleet, rng),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
@@ -182,6 +189,17 @@
             sleep(step).await;
             fleet.start_entry(entry);
         }
+        Fault::KillSeries(pause_ms) => {
+            let until = Instant::now() + duration;
+            for entry in (0..fleet.entries.len()).cycle() {
+                if Instant::now() >= until {
+                    break;
+                }
+                fleet.kill_entry(entry).await;
+                fleet.start_entry(entry);
+                sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
         Fault::Hangup(entry) => fleet.entries[entry].daemon.signal(Signal::HUP),
         Fault::StoreLink(entry, link_fault) => {
             fleet.entries[entry].store_proxy.set_fault(link_fault);
@@ -260,6 +278,7 @@
                 let struck = (0..entries).filter(|entry| *entry != spared).collect();
                 (struck, duration.max(SERIES_TIME))
             }
+            Self::KillSeries(_) => ((0..entries).collect(), duration + START_TIME),
             Self::Add(entry) => (vec![entry], START_TIME),
             _ => (Vec::new(), Duration::ZERO),
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod process;
 pub mod proxy;
 pub mod report;
+pub mod retries;
 pub mod run;
 pub mod signals;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -74,6 +74,16 @@
         /// The entry, by its index.
         entry: usize,
     },
+    /// More arrivals beyond the first of each attempt within 10 s than the deployment allows.
+    #[error(
+        "{retries} arrivals beyond the first of their attempts in 10 s, for {attempts} attempts"
+    )]
+    OverRetryBudget {
+        /// Arrivals beyond the first.
+        retries: usize,
+        /// Attempts that arrived.
+        attempts: usize,
+    },
     /// A request sent later than 2 s after the acknowledgement of a version was handled as only an
     /// older one allows, by an entry in touch.
     #[error("entry {entry} answered {status} as if version {version} were not in force")]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -103,6 +103,7 @@
         let mut violations = observed.check_limits(&limits);
         violations.extend(observed.check_rests());
         violations.extend(observed.check_leaving());
+        violations.extend(observed.check_retries());
         let crashing = fleet.crashing.lock().unwrap_or_else(PoisonError::into_inner);
         tally.ends = ends.len();
         violations.extend(observed.check_crashes(&ends, &crashing));
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -113,6 +113,12 @@
     }
 }
 
+/// Retries per request that the settings file of an entry allows.
+pub const RETRY_RATIO: f64 = 0.2;
+
+/// Additional retries in each window that it allows.
+pub const RETRY_SLACK: f64 = 80.0;
+
 /// The settings file of an entry on loopback.
 pub fn entry_settings(name: &str, store: SocketAddr, ports: EntryPorts, grace_s: u64) -> String {
     let EntryPorts { callers, ready, directory, internal: (low, high) } = ports;
@@ -120,6 +126,6 @@
         "node={name}\nip=127.0.0.1\nzone=z\nregion=r\nlisten.front=127.0.0.1:{callers}\n\
          listen.ready=127.0.0.1:{ready}\nlisten.directory=127.0.0.1:{directory}\n\
          internalPortRange={low},{high}\nplatform.addr={store}\nbounds.graceS={grace_s}\n\
-         bounds.retryBudgetSlack=80\n"
+         bounds.retryBudgetRatio={RETRY_RATIO}\nbounds.retryBudgetSlack={RETRY_SLACK}\n"
     )
 }
