--- a/crates/gateway/benches/retries.rs
+++ b/crates/gateway/benches/retries.rs
@@ -9,7 +9,11 @@
 #[path = "../tests/retries/mod.rs"]
 mod retries;
 
-use retries::{Case, Fleet, TROUBLES};
+use flamingowheel_gateway::budget::{Allowance, RetryBudget};
+use flamingowheel_policy::quota::Urgency;
+use retries::{Case, Fleet, RATIO, TROUBLES, WINDOW};
+use std::sync::Arc;
+use std::time::Instant;
 
 /// Sizes of the fleet.
 const ENTRIES: [usize; 6] = [6, 7, 12, 42, 149, 380];
@@ -21,10 +25,15 @@
 /// Shares of the backend servers that refuse.
 const SICK: [f64; 3] = [1.0 / 7.0, 1.0 / 3.0, 1.0];
 
+/// Threads that decide at once, and decisions of each.
+const THREADS: u32 = 5;
+const DECISIONS: u32 = 200_000;
+
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
     let seed = arguments.opt_value_from_str("--seed").unwrap_or_default().unwrap_or(1);
     let only: Option<usize> = arguments.opt_value_from_str("--entries").unwrap_or_default();
+    measure_cost();
     for entries in ENTRIES.into_iter().filter(|entries| only.is_none_or(|only| only == *entries)) {
         for trouble in TROUBLES {
             for sick in SICK {
@@ -51,3 +60,24 @@
     println!("{name}_rescued = {:.3} of {}", report.rescued_share(), report.failed_first);
     println!("{name}_longest_gap_s = {:.2}", report.longest_gap.as_secs_f64());
 }
+
+/// Prints the time of a request that is counted and a retry that is decided on, by several threads that
+/// share a budget.
+fn measure_cost() {
+    let allowance = Allowance { ratio: RATIO, slack: 78.0, window: WINDOW };
+    let budget = Arc::new(RetryBudget::new(allowance, "e"));
+    let begin = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                for _ in 0..DECISIONS {
+                    let now = tokio::time::Instant::now();
+                    budget.record_request("s", now);
+                    std::hint::black_box(budget.try_acquire("s", Urgency::Second, now).is_ok());
+                }
+            });
+        }
+    });
+    let decisions = f64::from(THREADS * DECISIONS);
+    println!("decision_us = {:.3}", begin.elapsed().as_secs_f64() * 1e6 / decisions);
+}
