Gateway: a retry goes to a server that is known to answer

A server that has not been tried counts as fast, so that new ones get work; a process that has just started takes its retries to one unknown server after the other, a third of which refuse too. A request that has failed once now prefers a server that has answered.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -16,6 +16,9 @@
 /// server is tried soon.
 const UNKNOWN_LATENCY_MS: f64 = 5.0;
 
+/// The same for a request that has failed at another server: it goes to one that is known to answer.
+const UNKNOWN_LATENCY_OF_RETRY_MS: f64 = 1_000.0;
+
 /// Cost of a request at a server: the expected time to its answer, in milliseconds, increased by
 /// the failure ratio.
 ///
@@ -27,7 +30,11 @@
 /// assert!(cost(&busy, 6) > cost(&idle, 6));
 /// ```
 pub fn cost(status: &ServerStatus, slots: u32) -> f64 {
-    let latency_ms = status.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS).max(1.0);
+    cost_with(status, slots, UNKNOWN_LATENCY_MS)
+}
+
+fn cost_with(status: &ServerStatus, slots: u32, unknown_latency_ms: f64) -> f64 {
+    let latency_ms = status.latency_ms.unwrap_or(unknown_latency_ms).max(1.0);
     let fullness = f64::from(status.in_flight) / f64::from(slots.max(1));
     latency_ms * (1.0 + 3.0 * fullness) * (1.0 + FAILURE_COST * status.failure_ratio)
 }
@@ -78,7 +85,7 @@
 ) -> Chosen {
     let (mut best, mut wanted, mut wait) = (None, None, None);
     for server in view.servers_of(service).iter().filter(|server| !is_among(tried, server)) {
-        let candidate = Candidate::new(view, server, admission, now);
+        let candidate = Candidate::new(view, server, admission, !tried.is_empty(), now);
         if candidate.is_leaving {
             continue;
         }
@@ -135,9 +142,12 @@
         view: &View,
         server: &'a Arc<Server>,
         admission: Option<&Admission>,
+        is_retry: bool,
         now: Instant,
     ) -> Self {
         let status = server.status(now);
+        let unknown_latency_ms =
+            if is_retry { UNKNOWN_LATENCY_OF_RETRY_MS } else { UNKNOWN_LATENCY_MS };
         // Keeps entries with the same information from all choosing the same server.
         let spread = rand::random_range(0.9..1.1);
         let ServerStatus { is_in_backoff, is_silent, is_leaving, is_admitting, can_ask, .. } =
@@ -177,7 +187,7 @@
                 fullness: None,
                 group_cost: 0.0,
                 is_not_sampled: false,
-                cost: cost(&status, server.listed.slots) * spread,
+                cost: cost_with(&status, server.listed.slots, unknown_latency_ms) * spread,
             },
         }
     }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -72,6 +72,36 @@
     budget
 }
 
+// Guards against retries that a process which has just started spends on one unknown server after the
+// other.
+#[test]
+fn choose_retry_known_server_preferred() {
+    let server = |port: u16| {
+        Arc::new(Server::new(BackendServer {
+            id: format!("s-{port}"),
+            service: "s".to_owned(),
+            address: ([127, 0, 0, 1], port).into(),
+            data_centre: "z".to_owned(),
+            slots: 4,
+            is_draining: false,
+            started_ms: 1,
+        }))
+    };
+    let servers: Vec<Arc<Server>> = (1..=8).map(server).collect();
+    servers[7].record_answer(Duration::from_millis(50), false);
+    let mut view = View::default();
+    view.servers.insert("s".to_owned(), servers.clone());
+    let chosen =
+        |tried: &[Arc<Server>]| match balance::choose(&view, "s", tried, None, Instant::now())
+            .choice
+        {
+            Choice::Send(server, _) => server.listed.id.clone(),
+            other => panic!("{other:?}"),
+        };
+    assert_ne!(chosen(&[]), "s-8");
+    assert_eq!(chosen(&servers[..1]), "s-8");
+}
+
 /// Time after which an entry may use its whole part of the constant.
 const LISTED_TIME: Duration = Duration::from_secs(30);
 
