--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -299,9 +299,8 @@
     pub fn apply_heartbeat_answer(&self, answer: HeartbeatAnswer, sent: SentHeartbeat) -> Followup {
         let offered = ConfigRevision(answer.revision);
         let (name, incarnation) = (answer.from.name.clone(), answer.from.incarnation);
-        // Measured from when the heartbeat was sent. If it were measured from the answer's arrival,
-        // each exchange of two peers that poll each other would subtract the travel time, and the
-        // age would never grow.
+        // The age counts from the sending of the heartbeat. From the answer's arrival, each exchange of
+        // two peers that poll each other would subtract the travel time, and the age would never grow.
         let answered_ago = answer.service_answered_ms_ago.map(Duration::from_millis);
         let service_answered = answered_ago.map(|ago| ago + sent.sent_at.elapsed());
         self.update(|state| {
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -10,6 +10,7 @@
 use flamingowheel_gateway::view::Views;
 use flamingowheel_platform::{CONFIGURATION_KEY, Stated};
 use flamingowheel_policy::quota::Allowance;
+use flamingowheel_standin::platform::messages::routes_configuration;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -208,21 +209,6 @@
     assert!(entry.server("s").await.begin(None).is_some());
 }
 
-/// Routes `a` and `b` unless they are left out, one workspace with the given keys, an idle limit.
-fn configuration(version: u64, routes: &[&str], keys: &[&str], idle_ms: u64) -> String {
-    let route = |name: &&str| {
-        format!(
-            r#"{{"name":"{name}","host":"h","prefix":"/{name}/","routeKind":"safe","service":"s"}}"#
-        )
-    };
-    let routes: Vec<String> = routes.iter().map(route).collect();
-    format!(
-        r#"{{"version":{version},"routes":[{}],"tenants":[{{"name":"w","apiKeys":{keys:?}}}],
-        "limits":{{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":{idle_ms}}}}}"#,
-        routes.join(",")
-    )
-}
-
 impl Entry {
     async fn configure(&mut self, value: String) {
         self.revision += 1;
@@ -254,17 +240,17 @@
 #[tokio::test(start_paused = true)]
 async fn publish_each_kind_of_change() {
     let mut entry = Entry::start().await;
-    entry.configure(configuration(1, &["a"], &["k", "l"], 9)).await;
+    entry.configure(routes_configuration(1, &["a"], &["k", "l"], 9)).await;
     assert_eq!(entry.in_force(), (true, false, true, true, 9));
-    entry.configure(configuration(3, &["a", "b"], &["k", "l"], 9)).await;
+    entry.configure(routes_configuration(3, &["a", "b"], &["k", "l"], 9)).await;
     assert_eq!(entry.in_force(), (true, true, true, true, 9), "a route is added");
-    entry.configure(configuration(4, &["b"], &["k", "l"], 9)).await;
+    entry.configure(routes_configuration(4, &["b"], &["k", "l"], 9)).await;
     assert_eq!(entry.in_force(), (false, true, true, true, 9), "a route is dropped");
-    entry.configure(configuration(6, &["b"], &["l"], 9)).await;
+    entry.configure(routes_configuration(6, &["b"], &["l"], 9)).await;
     assert_eq!(entry.in_force(), (false, true, false, true, 9), "a key is revoked");
-    entry.configure(configuration(7, &["b"], &[], 9)).await;
+    entry.configure(routes_configuration(7, &["b"], &[], 9)).await;
     assert_eq!(entry.in_force(), (false, true, false, false, 9), "all keys are revoked");
-    entry.configure(configuration(9, &["b"], &[], 5)).await;
+    entry.configure(routes_configuration(9, &["b"], &[], 5)).await;
     assert_eq!(entry.in_force(), (false, true, false, false, 5), "the idle limit falls");
 }
 
@@ -273,10 +259,10 @@
 #[tokio::test(start_paused = true)]
 async fn publish_unreadable_amid_others() {
     let mut entry = Entry::start().await;
-    entry.configure(configuration(5, &["a"], &["k"], 9)).await;
+    entry.configure(routes_configuration(5, &["a"], &["k"], 9)).await;
     entry.configure("{\"version\":6,\"routes\":[{}]}".to_owned()).await;
-    entry.configure(configuration(4, &["b"], &["l"], 9)).await;
+    entry.configure(routes_configuration(4, &["b"], &["l"], 9)).await;
     assert_eq!(entry.in_force(), (true, false, true, false, 9));
-    entry.configure(configuration(7, &["b"], &["l"], 9)).await;
+    entry.configure(routes_configuration(7, &["b"], &["l"], 9)).await;
     assert_eq!(entry.in_force(), (false, true, false, true, 9));
 }
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -23,7 +23,7 @@
 /// this: a third of a pass, since replacing it costs a fifth of a second.
 const OUTDATED_SKEW: f64 = 0.35;
 
-/// Assumed time of a switch besides copies and passes, in milliseconds, until one was measured.
+/// Time of the first switch besides copies and passes, in milliseconds; later ones take the mean.
 const FIRST_SWITCH_MS: f64 = 200.0;
 
 /// Weight of the newest switch in the moving average of the switch time.
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -113,6 +113,31 @@
     }
 }
 
+/// A configuration with these routes to the service `s`, a workspace with the given keys, and an idle
+/// limit.
+pub fn routes_configuration(
+    version: u64,
+    routes: &[&str],
+    api_keys: &[&str],
+    idle_ms: u64,
+) -> String {
+    let route = |name: &&str| {
+        serde_json::json!({
+            "name": name, "host": "h", "prefix": format!("/{name}/"), "routeKind": "safe",
+            "service": "s",
+        })
+    };
+    let routes: Vec<serde_json::Value> = routes.iter().map(route).collect();
+    let limits = serde_json::json!({
+        "maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1, "idleTimeoutMs": idle_ms,
+    });
+    serde_json::json!({
+        "version": version, "routes": routes, "limits": limits,
+        "tenants": [{ "name": "w", "apiKeys": api_keys }],
+    })
+    .to_string()
+}
+
 /// Retries per request that the settings file of an entry allows.
 pub const RETRY_RATIO: f64 = 0.2;
 
