--- a/crates/gateway/tests/retries/case.rs
+++ b/crates/gateway/tests/retries/case.rs
@@ -10,6 +10,8 @@
     RestartsByOne,
     RestartsByThree,
     RestartsAtOnce,
+    /// As by one, from the version before to the present one.
+    Upgraded,
     /// A third of them restarts at once.
     ThirdRestarts,
     /// As by three, each successor ready while its predecessor drains.
@@ -43,11 +45,12 @@
 }
 
 /// All of them.
-pub const TROUBLES: [Trouble; 20] = [
+pub const TROUBLES: [Trouble; 21] = [
     Trouble::None,
     Trouble::RestartsByOne,
     Trouble::RestartsByThree,
     Trouble::RestartsAtOnce,
+    Trouble::Upgraded,
     Trouble::ThirdRestarts,
     Trouble::RestartsOverlapping,
     Trouble::KilledOnce,
--- a/crates/gateway/tests/retries/entry.rs
+++ b/crates/gateway/tests/retries/entry.rs
@@ -1,6 +1,7 @@
 //! A process of the simulated fleet.
 
-use super::case::{Case, Trouble};
+use super::case::{Case, TROUBLE_AT, Trouble};
+use super::old::OldBudget;
 use super::{RATIO, SERVERS, WINDOW};
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_gateway::budget::{RetryBudget, RetryPermit};
@@ -46,6 +47,9 @@
     pub frozen_until: Duration,
     pub last_retry_at: Option<Duration>,
     budget: Arc<RetryBudget>,
+    /// The budget that counts, if the process is of the version before.
+    old_budget: Option<OldBudget>,
+    slack: f64,
     names: Vec<usize>,
     /// When the names were complete.
     seen_at: Duration,
@@ -57,6 +61,7 @@
 impl Entry {
     pub fn new(vm: usize, case: &Case, now: Duration) -> Self {
         let servers = HashMap::from([("s".to_owned(), (0..SERVERS).map(server).collect())]);
+        let is_old = case.trouble == Trouble::Upgraded && now < TROUBLE_AT;
         let allowance = Allowance { ratio: RATIO, slack: case.slack, window: WINDOW };
         Self {
             vm,
@@ -68,6 +73,8 @@
             frozen_until: Duration::ZERO,
             last_retry_at: None,
             budget: Arc::new(RetryBudget::new(allowance, &name(vm))),
+            old_budget: is_old.then(OldBudget::default),
+            slack: case.slack,
             names: Vec::new(),
             seen_at: now,
             has_claimed: false,
@@ -95,6 +102,9 @@
 
     /// Claims retries in the store.
     pub fn claim(&mut self, store: &mut HashMap<usize, StoredClaim>) {
+        if self.old_budget.is_some() {
+            return;
+        }
         let now = Instant::now();
         if !self.has_claimed {
             let previous = store.get(&self.vm).copied();
@@ -108,12 +118,18 @@
         }
     }
 
-    pub fn record_request(&mut self) {
+    pub fn record_request(&mut self, now: Duration) {
+        if let Some(old) = &mut self.old_budget {
+            old.record_request(now);
+        }
         self.budget.record_request("s", Instant::now());
     }
 
     /// Takes a retry out of the budget for the next send.
-    pub fn try_acquire(&mut self, attempt: &mut Attempt) -> bool {
+    pub fn try_acquire(&mut self, attempt: &mut Attempt, now: Duration) -> bool {
+        if let Some(old) = &mut self.old_budget {
+            return old.try_acquire(self.slack, self.names.len(), now);
+        }
         let urgency = if attempt.sends > 1 { Urgency::Further } else { Urgency::Second };
         attempt.permit =
             self.budget.try_acquire("s", urgency, Instant::now()).ok().map(|(permit, _)| permit);
--- a/crates/gateway/tests/retries/mod.rs
+++ b/crates/gateway/tests/retries/mod.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod case;
 mod entry;
+mod old;
 mod trouble;
 
 pub use arrivals::{RATIO, WINDOW};
@@ -181,7 +182,7 @@
         };
         let id = self.next_request;
         self.next_request += 1;
-        self.entries[entry].record_request();
+        self.entries[entry].record_request(self.now);
         self.send(Box::new(Attempt::new(id, entry, self.now)));
     }
 
@@ -223,7 +224,7 @@
             return;
         };
         if attempt.sends > 0 {
-            if !entry.try_acquire(&mut attempt) {
+            if !entry.try_acquire(&mut attempt, now) {
                 return;
             }
             if now > TROUBLE_AT && entry.started_at < TROUBLE_AT {
--- a/crates/gateway/tests/retries/trouble.rs
+++ b/crates/gateway/tests/retries/trouble.rs
@@ -21,7 +21,9 @@
         let vms = self.newest.len();
         let first = step as usize;
         match self.case.trouble {
-            Trouble::RestartsByOne => self.restart_some(first, 1, Duration::from_secs(2), step),
+            Trouble::RestartsByOne | Trouble::Upgraded => {
+                self.restart_some(first, 1, Duration::from_secs(2), step)
+            }
             Trouble::RestartsByThree | Trouble::RestartsOverlapping => {
                 self.restart_some(first * 3, 3, STEP, step);
             }
