--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod outage;
 pub mod passes;
 pub mod permits;
+mod placement;
 pub mod prefix;
 pub mod quota;
 pub mod rebalance;
--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -4,11 +4,9 @@
 use crate::group::Group;
 use crate::lookup::{GroupPublisher, Lookup, LookupResult};
 use crate::peers::{PeerConnector, PeerUpdate};
+use crate::phase::{ArmingTimes, DIRECT_ARM_DELAY, HoldRequest, Phase, resume_phase};
 use crate::remote::RemotePollers;
-use crate::switch::{
-    Arming, Holding, Preparing, Released, Releasing, Switch, UnfinishedSwitch, find_unfinished,
-    is_armed, next_version,
-};
+use crate::switch::{Arming, Holding, Releasing, Switch, find_unfinished, is_armed, next_version};
 use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_fleet::engine::MapOrder;
 use flamingowheel_platform::EngineClient;
@@ -35,9 +33,6 @@
 /// case the first has no effect.
 const PREPARE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time after which the coordinator arms ranks itself that are not reported as armed.
-const DIRECT_ARM_DELAY: Duration = Duration::from_millis(300);
-
 /// Minimum time between observing a hold and the report that shows that its issuer is still
 /// running. A VM that stops right after it sent the order can't be armed, and the group would wait
 /// until it is back, which can take 4 s.
@@ -100,33 +95,6 @@
     planned_at: Instant,
 }
 
-#[derive(Debug, Default)]
-enum Phase {
-    #[default]
-    Idle,
-    Preparing(Switch<Preparing>, Instant),
-    Holding(Switch<Holding>, HoldRequest),
-    Arming(Switch<Arming>, ArmingTimes),
-    Releasing(Switch<Releasing>),
-    Released(Switch<Released>),
-}
-
-/// Times of the arming phase. `requested_at` is absent if an earlier coordinator requested the
-/// hold; from `arm_directly_at` on, this coordinator arms the remaining ranks itself.
-#[derive(Clone, Copy, Debug)]
-struct ArmingTimes {
-    requested_at: Option<Instant>,
-    arm_directly_at: Instant,
-}
-
-/// A requested hold, and the rank whose agent is to issue it.
-#[derive(Clone, Copy, Debug)]
-struct HoldRequest {
-    issuer: usize,
-    requested_at: Instant,
-    held_at: Option<Instant>,
-}
-
 impl<K> Coordinator<K>
 where
     K: KeyValue + Clone + Send + Sync + 'static,
@@ -506,26 +474,3 @@
         join_all(missing.map(|rank| arm(rank.engine))).await;
     }
 }
-
-impl Phase {
-    fn epoch(&self) -> Option<u64> {
-        match self {
-            Self::Idle => None,
-            Self::Preparing(switch, _) => Some(switch.epoch),
-            Self::Holding(switch, _) => Some(switch.epoch),
-            Self::Arming(switch, _) => Some(switch.epoch),
-            Self::Releasing(switch) => Some(switch.epoch),
-            Self::Released(switch) => Some(switch.epoch),
-        }
-    }
-}
-
-fn resume_phase(unfinished: UnfinishedSwitch, now: Instant) -> Phase {
-    match unfinished {
-        UnfinishedSwitch::Armed { epoch, version, pass } => {
-            let times = ArmingTimes { requested_at: None, arm_directly_at: now + DIRECT_ARM_DELAY };
-            Phase::Arming(Switch::resume(epoch, version, pass), times)
-        }
-        UnfinishedSwitch::Held { epoch, pass } => Phase::Releasing(Switch::abandoned(epoch, pass)),
-    }
-}
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod pass_times;
 pub mod peers;
+mod phase;
 pub mod process;
 pub mod remote;
 pub mod rescue;
--- /dev/null
+++ b/crates/ranks/src/phase.rs
@@ -0,0 +1,61 @@
+//! How far the coordinator of a group is with a switch to another expert map.
+
+use crate::switch::{Arming, Holding, Preparing, Released, Releasing, Switch, UnfinishedSwitch};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time after which the coordinator arms ranks itself that are not reported as armed.
+pub(crate) const DIRECT_ARM_DELAY: Duration = Duration::from_millis(300);
+
+/// How far a coordinator is with a switch.
+#[derive(Debug, Default)]
+pub(crate) enum Phase {
+    #[default]
+    Idle,
+    Preparing(Switch<Preparing>, Instant),
+    Holding(Switch<Holding>, HoldRequest),
+    Arming(Switch<Arming>, ArmingTimes),
+    Releasing(Switch<Releasing>),
+    Released(Switch<Released>),
+}
+
+/// Times of the arming phase. `requested_at` is absent if an earlier coordinator requested the
+/// hold; from `arm_directly_at` on, this coordinator arms the remaining ranks itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ArmingTimes {
+    pub(crate) requested_at: Option<Instant>,
+    pub(crate) arm_directly_at: Instant,
+}
+
+/// A requested hold, and the rank whose agent is to issue it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HoldRequest {
+    pub(crate) issuer: usize,
+    pub(crate) requested_at: Instant,
+    pub(crate) held_at: Option<Instant>,
+}
+
+impl Phase {
+    /// The epoch of the group in which the switch runs.
+    pub(crate) fn epoch(&self) -> Option<u64> {
+        match self {
+            Self::Idle => None,
+            Self::Preparing(switch, _) => Some(switch.epoch),
+            Self::Holding(switch, _) => Some(switch.epoch),
+            Self::Arming(switch, _) => Some(switch.epoch),
+            Self::Releasing(switch) => Some(switch.epoch),
+            Self::Released(switch) => Some(switch.epoch),
+        }
+    }
+}
+
+/// The phase in which a switch goes on that an earlier coordinator began.
+pub(crate) fn resume_phase(unfinished: UnfinishedSwitch, now: Instant) -> Phase {
+    match unfinished {
+        UnfinishedSwitch::Armed { epoch, version, pass } => {
+            let times = ArmingTimes { requested_at: None, arm_directly_at: now + DIRECT_ARM_DELAY };
+            Phase::Arming(Switch::resume(epoch, version, pass), times)
+        }
+        UnfinishedSwitch::Held { epoch, pass } => Phase::Releasing(Switch::abandoned(epoch, pass)),
+    }
+}
