Gateway: a successor uses what its predecessor left of its part

Cause: a process kept half of its part claimed whatever it had spent, and its successor could use the other half only, for a window. A claim was also given up for a window when one write to the store failed.

Change: a process claims all that is left at its start, keeps what it has spent and a quarter beyond it, grows to the whole part when retries are denied, and leaves only what it has spent. A failed write keeps the claim: the store has at least what the process uses. Accounts convert times to buckets once.

Ruled out: one lock a service with the share published lock-free: 1.4 to 1.6 µs a decision instead of 1.2 to 1.4 with 5 threads, and more code.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -4,7 +4,7 @@
 //! [`flamingowheel_policy::quota`] from its own requests and its share of the constant: its part among
 //! the entries that it has seen listed, as far as it has claimed it in the key-value store.
 
-use flamingowheel_policy::claim::{Claim, StoredClaim};
+use flamingowheel_policy::claim::{Claim, StoredClaim, Usage};
 use flamingowheel_policy::quota::{Account, Quota, Urgency};
 use flamingowheel_policy::roster::Roster;
 use std::collections::HashMap;
@@ -98,7 +98,7 @@
         if let Some(previous) = previous {
             state.roster.inherit(previous.entries, now - self.origin);
         }
-        Claim::first(previous, state.roster.count())
+        Claim::first(state.roster.count())
     }
 
     /// Records that the store has the first claim.
@@ -108,12 +108,14 @@
 
     /// The change of the claim to write to the store next, if any.
     pub fn next_claim(&self, now: Instant) -> Option<StoredClaim> {
-        let since_origin = now - self.origin;
+        let now = now - self.origin;
         let mut state = self.lock();
-        let is_short = std::mem::take(&mut state.is_short);
-        let is_idle = state.quotas.values().all(|quota| quota.is_idle(since_origin));
-        let claimed = state.claim.next(is_short, is_idle, since_origin)?;
-        Some(StoredClaim { claimed, entries: state.roster.count() })
+        let State { roster, claim, is_short, quotas } = &mut *state;
+        let is_short = std::mem::take(is_short);
+        let spent = most_spent(quotas, roster.whole_part(), now);
+        let usage = Usage { spent, is_short, is_leaving: roster.is_leaving() };
+        let claimed = claim.next(usage, now)?;
+        Some(StoredClaim { claimed, entries: roster.count() })
     }
 
     /// Records that the store has a changed claim.
@@ -167,6 +169,7 @@
         });
         state.is_short |= taken.is_err();
         let decision = |account| Decision { account, entries, claimed };
+        drop(state);
         match taken {
             Ok(account) => {
                 let (budget, service) = (Arc::clone(self), service.to_owned());
@@ -196,6 +199,15 @@
     }
 }
 
+/// The largest share of a part that the retries of one service may take in a window.
+fn most_spent(quotas: &HashMap<String, Quota>, part: f64, now: Duration) -> f64 {
+    let spent = quotas.values().map(|quota| {
+        let allowed = quota.allowed_by_constant(part);
+        if allowed > 0.0 { f64::from(quota.spent(now)) / allowed } else { 0.0 }
+    });
+    spent.fold(0.0, f64::max).min(1.0)
+}
+
 fn with_quota<F, T>(
     quotas: &mut HashMap<String, Quota>,
     allowance: Allowance,
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -86,7 +86,7 @@
         Ok((lease, revision))
     }
 
-    /// Changes the claim as the budget asks for it, until that fails.
+    /// Changes the claim as the budget asks for it, until another process has changed it.
     async fn keep(&self, lease: LeaseId, mut revision: Revision) -> ClaimError {
         let mut checks = interval(CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -96,11 +96,26 @@
             let now = Instant::now();
             if let Some(claim) = self.budget.next_claim(now) {
                 match self.write(claim, lease, Some(revision)).await {
-                    Ok(written) => revision = written,
-                    Err(error) => return error,
+                    Ok(written) => {
+                        revision = written;
+                        self.budget.record_claim(claim);
+                        tracing::info!(
+                            claimed = claim.claimed,
+                            entries = claim.entries,
+                            "claim changed"
+                        );
+                    }
+                    // What is stored is at least what this process uses; the change may be too.
+                    Err(ClaimError::Store(error)) => {
+                        tracing::info!(%error, "claim not changed");
+                        match self.read().await {
+                            Ok(Some(found)) => revision = found.mod_revision,
+                            Ok(None) => return ClaimError::Conflict,
+                            Err(error) => tracing::debug!(%error, "claim not read"),
+                        }
+                    }
+                    Err(ClaimError::Conflict) => return ClaimError::Conflict,
                 }
-                self.budget.record_claim(claim);
-                tracing::info!(claimed = claim.claimed, entries = claim.entries, "claim changed");
             }
             if now - renewed_at >= RENEWAL_INTERVAL {
                 renewed_at = now;
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -1,22 +1,27 @@
 //! How much of its part of a constant a VM has claimed, so that a process knows what its predecessors
 //! may have spent.
 //!
-//! Before a process spends, it claims in the store what it may spend in a window. A successor adds its
-//! own claim to the one that it finds, and the whole is at most one part. Once a window has passed
-//! since its start, nothing of what its predecessors spent counts any more.
+//! Before a process spends, it claims in the store what it may spend in a window. A successor may spend
+//! what is left of the part. Once a window has passed since its start, nothing of what its predecessors
+//! spent counts any more.
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// By how much a claim grows at once, as a share of the part.
-const STEP: f64 = 0.5;
+/// What a process keeps claimed beyond what it has spent, as a share of the part.
+const RESERVE: f64 = 0.25;
 
 /// What predecessors may have spent of which the store has no word: there were none, or they ran a
 /// version that claims nothing.
 const UNKNOWN_CLAIM: f64 = 0.5;
 
-/// Shortest time between two changes of a claim, for the store's sake.
-const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time from a change of a claim until it grows to the whole part, or shrinks, for the store's
+/// sake.
+const GROWTH_INTERVAL: Duration = Duration::from_secs(1);
+const SHRINK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Smallest change of the claim of a process that leaves.
+const MIN_CHANGE: f64 = 0.05;
 
 /// A claim as the store keeps it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -27,6 +32,17 @@
     pub entries: usize,
 }
 
+/// What a process makes of its claim.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Share of the part that its retries of the last window take at most.
+    pub spent: f64,
+    /// Whether retries were denied.
+    pub is_short: bool,
+    /// Whether the process leaves, and spends nothing any more.
+    pub is_leaving: bool,
+}
+
 /// A process's claim.
 #[derive(Clone, Copy, Debug)]
 pub struct Claim {
@@ -44,26 +60,32 @@
     changed_at: Duration,
 }
 
+impl Held {
+    /// What predecessors may have spent in a window that ends now.
+    fn inherited(&self, window: Duration, now: Duration) -> f64 {
+        if now >= self.since + window { 0.0 } else { self.inherited }
+    }
+}
+
 impl Claim {
     /// Creates a claim of nothing. `window` is the one in which parts are spent.
     pub fn new(window: Duration) -> Self {
         Self { window, held: None }
     }
 
-    /// The first claim of a process, to be written to the store.
+    /// The first claim of a process, to be written to the store: all that is left.
     ///
     /// ```
     /// use flamingowheel_policy::claim::{Claim, StoredClaim};
     /// use std::time::Duration;
-    /// let previous = StoredClaim { claimed: 0.5, entries: 6 };
-    /// let first = Claim::first(Some(previous), 6);
+    /// let previous = StoredClaim { claimed: 0.25, entries: 6 };
     /// let mut claim = Claim::new(Duration::from_secs(10));
-    /// claim.begin(Some(previous), first, Duration::ZERO);
-    /// assert_eq!((first.claimed, claim.usable(Duration::ZERO)), (1.0, 0.5));
+    /// claim.begin(Some(previous), Claim::first(6), Duration::ZERO);
+    /// assert_eq!(claim.usable(Duration::ZERO), 0.75);
     /// assert_eq!(claim.usable(Duration::from_secs(10)), 1.0);
     /// ```
-    pub fn first(previous: Option<StoredClaim>, entries: usize) -> StoredClaim {
-        StoredClaim { claimed: (inherited(previous) + STEP).min(1.0), entries }
+    pub fn first(entries: usize) -> StoredClaim {
+        StoredClaim { claimed: 1.0, entries }
     }
 
     /// Records that the store has the first claim.
@@ -79,26 +101,28 @@
 
     /// The share of the part that this process may spend in a window.
     pub fn usable(&self, now: Duration) -> f64 {
-        let Some(held) = self.held else {
-            return 0.0;
-        };
-        let has_passed = now >= held.since + self.window;
-        let inherited = if has_passed { 0.0 } else { held.inherited };
-        held.claimed - inherited
+        self.held.map_or(0.0, |held| held.claimed - held.inherited(self.window, now))
     }
 
-    /// The change to write to the store next, if any: more if retries were denied, less if none was
-    /// made for a window. A smaller claim holds from now on, a larger one once it is stored.
-    pub fn next(&mut self, is_short: bool, is_idle: bool, now: Duration) -> Option<f64> {
+    /// The change to write to the store next, if any. A smaller claim holds from now on, a larger one
+    /// once it is stored.
+    pub fn next(&mut self, usage: Usage, now: Duration) -> Option<f64> {
+        let window = self.window;
         let held = self.held.as_mut()?;
-        if now < held.changed_at + CHANGE_INTERVAL {
-            return None;
-        }
-        let has_passed = now >= held.since + self.window;
-        let claimed = match (is_short, is_idle) {
-            (true, _) if held.claimed < 1.0 => (held.claimed + STEP).min(1.0),
-            (false, true) if has_passed && held.claimed > STEP => STEP,
-            _ => return None,
+        let since_change = now.saturating_sub(held.changed_at);
+        let reserve = if usage.is_leaving { 0.0 } else { RESERVE };
+        let least = (held.inherited(window, now) + usage.spent + reserve).min(1.0);
+        let grows = usage.is_short && !usage.is_leaving && held.claimed < 1.0;
+        let excess = held.claimed - least;
+        let shrinks = if usage.is_leaving {
+            excess >= MIN_CHANGE
+        } else {
+            !usage.is_short && excess >= RESERVE && since_change >= SHRINK_INTERVAL
+        };
+        let claimed = match (grows && since_change >= GROWTH_INTERVAL, shrinks) {
+            (true, _) => 1.0,
+            (false, true) => least,
+            (false, false) => return None,
         };
         held.changed_at = now;
         held.claimed = held.claimed.min(claimed);
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -91,13 +91,15 @@
     allowance: Allowance,
     /// The newest buckets, oldest first, without those in which nothing was recorded.
     buckets: VecDeque<Bucket>,
+    bucket_length: Duration,
     pending: u32,
 }
 
 impl Quota {
     /// Creates a quota without requests.
     pub fn new(allowance: Allowance) -> Self {
-        Self { allowance, buckets: VecDeque::new(), pending: 0 }
+        let bucket_length = allowance.window / WINDOW_BUCKETS as u32;
+        Self { allowance, buckets: VecDeque::new(), bucket_length, pending: 0 }
     }
 
     /// Counts a caller's request.
@@ -154,7 +156,8 @@
         for age in 0..AGES {
             requests_until[age + 1] += requests_until[age];
         }
-        let mut least = Account { allowed: f64::INFINITY, ..Account::default() };
+        let constant = self.allowance.slack * share;
+        let (mut least, mut least_room, mut least_age) = (Account::default(), f64::INFINITY, 0);
         let mut retries_in_span = 0;
         for age in 0..=WINDOW_BUCKETS {
             retries_in_span += retries[age];
@@ -164,30 +167,32 @@
             let before = requests_until[age + WINDOW_BUCKETS] - present;
             let requests =
                 PRESENT_WEIGHT * f64::from(present) + (1.0 - PRESENT_WEIGHT) * f64::from(before);
-            let span = self.bucket_length() * age as u32;
-            let allowed =
-                USED_PART * (self.allowance.ratio * requests + self.allowance.slack * share);
-            if allowed - f64::from(retries_in_span) < least.allowed - f64::from(least.retries) {
-                least = Account { span, requests, retries: retries_in_span, pending: 0, allowed };
+            let allowed = USED_PART * (self.allowance.ratio * requests + constant);
+            let room = allowed - f64::from(retries_in_span);
+            if room < least_room {
+                (least_room, least_age) = (room, age);
+                least = Account { requests, retries: retries_in_span, allowed, ..least };
             }
         }
-        Account { pending: self.pending, ..least }
+        let span = self.bucket_length * least_age as u32;
+        Account { span, pending: self.pending, ..least }
     }
 
-    /// Whether no retry was taken in the last window.
-    pub fn is_idle(&self, now: Duration) -> bool {
-        let oldest = now.saturating_sub(self.allowance.window + self.bucket_length());
-        let oldest = self.bucket_index(oldest);
-        let mut newer = self.buckets.iter().filter(|bucket| bucket.index >= oldest);
-        self.pending == 0 && newer.all(|bucket| bucket.retries == 0)
+    /// Retries that may arrive in a window that ends now or later.
+    pub fn spent(&self, now: Duration) -> u32 {
+        let oldest = self.bucket_index(now).saturating_sub(WINDOW_BUCKETS as u64 + 1);
+        let newer = self.buckets.iter().filter(|bucket| bucket.index >= oldest);
+        self.pending + newer.map(|bucket| bucket.retries).sum::<u32>()
     }
 
-    fn bucket_index(&self, at: Duration) -> u64 {
-        (at.as_nanos() / self.bucket_length().as_nanos().max(1)) as u64
+    /// The most retries for which a share of the constant alone leaves room.
+    pub fn allowed_by_constant(&self, share: f64) -> f64 {
+        USED_PART * self.allowance.slack * share
     }
 
-    fn bucket_length(&self) -> Duration {
-        self.allowance.window / WINDOW_BUCKETS as u32
+    fn bucket_index(&self, at: Duration) -> u64 {
+        // 64 bits of microseconds are enough, and divide faster than the 128 of nanoseconds.
+        at.as_micros() as u64 / (self.bucket_length.as_micros() as u64).max(1)
     }
 
     fn current_bucket(&mut self, now: Duration) -> &mut Bucket {
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -89,10 +89,27 @@
         self.count
     }
 
+    /// Whether this entry has given up its part.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Until when this entry holds its part, as far as is known.
+    pub fn held_until(&self) -> Duration {
+        match self.last_listed {
+            Some(last) if !self.is_leaving => last + self.window,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// This entry's part, between 0 and 1.
     pub fn part(&self, now: Duration) -> f64 {
-        let is_held = self.last_listed.is_some_and(|last| now < last + self.window);
-        if self.is_leaving || !is_held { 0.0 } else { 1.0 / self.count.max(1) as f64 }
+        if now < self.held_until() { self.whole_part() } else { 0.0 }
+    }
+
+    /// The part of each entry, whether this one holds it or not.
+    pub fn whole_part(&self) -> f64 {
+        1.0 / self.count.max(1) as f64
     }
 
     fn retention(&self) -> Duration {
