Platform, fleet: evacuations, homes, cold servers and the machine's share of a core are read

What was missing: the operators' evacuations, homeRegions of routes and tenants, coldS and coldPerS of services, coldLeftMs of listings, Flamingowheel-Cold-Ms of answers, the regions of data centres and the bounds that go with them were not decoded, so nothing could act on them.

Change: decoded into the project's own types; nothing acts on them yet.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -72,6 +72,8 @@
     pub priority: u32,
     /// Whether requests need no API key.
     pub is_public: bool,
+    /// Regions in which requests may be processed; empty means all.
+    pub home_regions: Vec<String>,
 }
 
 /// A service of a route and its weight.
@@ -104,6 +106,17 @@
     pub max_connections: u32,
     /// Parameters of its engines; only set for model services.
     pub engine: Option<EngineParameters>,
+    /// What its backend servers tolerate while cold; `None` if they need no time to warm up.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// What a backend server tolerates while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// Time after its start for which a server is cold, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests per second that a cold server takes from all callers together.
+    pub rate_per_s: f64,
 }
 
 /// Published speed and sizes of the engines of a model service.
@@ -152,6 +165,8 @@
     pub name: String,
     /// Overrides the priority of the route, if set.
     pub priority: Option<u32>,
+    /// Regions in which its requests may be processed; empty means all.
+    pub home_regions: Vec<String>,
 }
 
 /// Size and time limits of callers' requests.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -23,4 +23,6 @@
     /// Unix time of its start, in milliseconds; distinguishes restarts under the same id. 0 if
     /// unknown.
     pub started_ms: u64,
+    /// How long it remained cold when the registration was written, in milliseconds.
+    pub cold_left_ms: u64,
 }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings that a process reads at startup.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// Settings of one process.
@@ -11,6 +12,8 @@
     pub data_centre: String,
     /// Region of the VM.
     pub region: String,
+    /// Region of each data centre.
+    pub regions: HashMap<String, String>,
     /// Listen address for callers; only set on entry VMs.
     pub callers: Option<SocketAddr>,
     /// Listen address of the readiness check; only set on entry VMs.
@@ -40,6 +43,8 @@
     pub max_descriptors: u64,
     /// Bandwidth of the VM's link in each direction, in bytes per second.
     pub link_bytes_per_s: u64,
+    /// Processor time available to the process, in cores.
+    pub cpu_cores: f64,
 }
 
 /// Time limits and budgets that a deployment configures.
@@ -57,6 +62,12 @@
     pub retry_window_ms: u64,
     /// Maximum time for which callers cache a directory answer, in milliseconds.
     pub max_directory_ttl_ms: u64,
+    /// Time within which an evacuation of a data centre is in force, in milliseconds.
+    pub evacuate_ms: u64,
+    /// Requests per second that a cold server may get, relative to what it tolerates.
+    pub cold_ratio: f64,
+    /// Requests that a cold server may get in a second in addition to that.
+    pub cold_slack: f64,
 }
 
 impl Default for Bounds {
@@ -69,6 +80,9 @@
             retry_slack: 80.0,
             retry_window_ms: 10_000,
             max_directory_ttl_ms: 5_000,
+            evacuate_ms: 5_000,
+            cold_ratio: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
--- a/crates/gateway/benches/limits.rs
+++ b/crates/gateway/benches/limits.rs
@@ -93,6 +93,7 @@
             slots: SLOTS,
             is_draining: false,
             started_ms: 1,
+            cold_left_ms: 0,
         };
         let entry = |_| {
             let servers = (0..case.servers).map(|number| Arc::new(Server::new(listed(number))));
--- a/crates/gateway/src/listings.rs
+++ b/crates/gateway/src/listings.rs
@@ -51,7 +51,8 @@
     /// use flamingowheel_gateway::listings::Listings;
     /// let old = BackendServer {
     ///     id: "a".to_owned(), service: "s".to_owned(), address: "10.0.0.9:80".parse().unwrap(),
-    ///     data_centre: "d".to_owned(), slots: 6, is_draining: false, started_ms: 1 };
+    ///     data_centre: "d".to_owned(), slots: 6, is_draining: false, started_ms: 1,
+    ///     cold_left_ms: 0 };
     /// let new = BackendServer { id: "b".to_owned(), started_ms: 2, ..old.clone() };
     /// let mut listings = Listings::default();
     /// listings.insert(old, 5);
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -39,6 +39,7 @@
             slots: 4,
             is_draining: false,
             started_ms,
+            cold_left_ms: 0,
         }));
         // Each further server has a higher latency, which fixes the order of attempts.
         server.record_answer(Duration::from_millis(1 + 200 * index as u64), false);
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -85,6 +85,7 @@
             slots: 4,
             is_draining: false,
             started_ms: 1,
+            cold_left_ms: 0,
         }))
     };
     let servers: Vec<Arc<Server>> = (1..=8).map(server).collect();
@@ -173,6 +174,7 @@
             slots: 12,
             is_draining: false,
             started_ms: 1,
+            cold_left_ms: 0,
         });
         view.servers.entry("s".to_owned()).or_default().push(Arc::new(server));
         view.group_ranks.insert(
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -26,6 +26,7 @@
         slots: 4,
         is_draining: false,
         started_ms: 1,
+        cold_left_ms: 0,
     }))
 }
 
--- a/crates/gateway/tests/retries/entry.rs
+++ b/crates/gateway/tests/retries/entry.rs
@@ -165,5 +165,6 @@
         slots: 12,
         is_draining: false,
         started_ms: 1,
+        cold_left_ms: 0,
     }))
 }
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -43,6 +43,7 @@
         slots: 6,
         is_draining: false,
         started_ms: 1,
+        cold_left_ms: 0,
     }));
     let views = Views::default();
     views.store(Arc::new(view));
