Gateway: servers of evacuated data centres get no requests, and homes bind

Callers' requests went on to servers of a data centre that operators had ordered to be emptied: nobody read the store's keys for it. The keys now come with the copy of the store that all entries keep, and every send passes the same check, so first sends, retries, resumed streams and trials obey alike. The key alone counts, not its value, so that entries that start later obey like the others. Ranks of an emptied data centre stay in their group; the model of pass times counts those that may take requests. Requests whose servers are all evacuated, or which have no server in a region of theirs, are refused at once. The directory names entries at home for the host, or near the caller.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,6 +1,7 @@
 //! Chooses a backend server for a request.
 
 use crate::group::{Admission, Fullness, GroupLoad};
+use crate::homes::Homes;
 use crate::server::{Server, ServerStatus};
 use crate::view::View;
 use std::cmp::Ordering;
@@ -57,6 +58,10 @@
     Busy(Fullness),
     /// No untried server takes a request now; the shortest time after which one may.
     Held(Duration),
+    /// The data centres of all servers are evacuated.
+    Evacuated,
+    /// Servers are listed, but none in a region in which the request may be processed.
+    NoHome,
     /// No untried server is listed, or all that are leave.
     NoServer,
 }
@@ -82,9 +87,24 @@
     tried: &[Arc<Server>],
     admission: Option<&Admission>,
     now: Instant,
+) -> Chosen {
+    choose_at_home(view, service, tried, admission, Homes::default(), now)
+}
+
+/// Chooses the server for a request that may only be processed in some regions; see [`choose`].
+pub fn choose_at_home(
+    view: &View,
+    service: &str,
+    tried: &[Arc<Server>],
+    admission: Option<&Admission>,
+    homes: Homes<'_>,
+    now: Instant,
 ) -> Chosen {
     let (mut best, mut wanted, mut wait) = (None, None, None);
-    for server in view.servers_of(service).iter().filter(|server| !is_among(tried, server)) {
+    let is_eligible = |server: &&Arc<Server>| {
+        !is_among(tried, server) && !server.is_evacuated() && homes.admit(view.region_of(server))
+    };
+    for server in view.servers_of(service).iter().filter(is_eligible) {
         let candidate = Candidate::new(view, server, admission, !tried.is_empty(), now);
         if candidate.is_leaving {
             continue;
@@ -109,11 +129,24 @@
         }
         (Some(best), _) => Choice::Send(Arc::clone(best.server), best.group),
         (None, Some(wait)) => Choice::Held(wait),
-        (None, None) => Choice::NoServer,
+        (None, None) => without_candidate(view, service, homes, now),
     };
     Chosen { choice, wanted }
 }
 
+/// Why no server can be chosen.
+fn without_candidate(view: &View, service: &str, homes: Homes<'_>, now: Instant) -> Choice {
+    let servers = view.servers_of(service);
+    let is_home = |server: &&Arc<Server>| homes.admit(view.region_of(server));
+    if !servers.is_empty() && !servers.iter().any(|server| is_home(&server)) {
+        return Choice::NoHome;
+    }
+    let mut staying =
+        servers.iter().filter(is_home).filter(|server| !server.status(now).is_leaving).peekable();
+    let is_evacuated = staying.peek().is_some() && staying.all(|server| server.is_evacuated());
+    if is_evacuated { Choice::Evacuated } else { Choice::NoServer }
+}
+
 fn keep_better<'a>(best: &mut Option<Candidate<'a>>, candidate: Candidate<'a>) {
     if best.as_ref().is_none_or(|best| candidate.compare(best).is_lt()) {
         *best = Some(candidate);
@@ -158,7 +191,8 @@
                 let report = group_rank.group.rank_report(group_rank.rank, now);
                 let reported = report.map(|r| r.requests + server.sent_since(r.taken_at));
                 let requests = reported.unwrap_or(0).max(status.in_flight);
-                let sampled_share = SAMPLED_RANKS / group_rank.group.size().max(1) as f64;
+                let open_ranks = group_rank.group.size() as f64 * group_rank.group.open_share();
+                let sampled_share = SAMPLED_RANKS / open_ranks.max(1.0);
                 Self {
                     server,
                     group: Some(Arc::clone(&group_rank.group)),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! A caller's request and the attempts made for it.
 
 use crate::budget::RetryCause;
+use crate::homes::Homes;
 use crate::refusal::Refusal;
 use crate::relay::AnswerBody;
 use crate::server::Server;
@@ -102,9 +103,18 @@
 
     /// The refusal during an outage. `draw`, a random number between 0 and 1, spreads the retries.
     pub fn outage_refusal(&self, draw: f64) -> Refusal {
+        Refusal::Full { retry_after_ms: self.outage_retry_after_ms(draw) }
+    }
+
+    /// When the caller should retry if no server may take the request.
+    pub fn outage_retry_after_ms(&self, draw: f64) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let retry_after_ms = outage::retry_after_ms(left.as_secs_f64() * 1_000.0, draw);
-        Refusal::Full { retry_after_ms }
+        outage::retry_after_ms(left.as_secs_f64() * 1_000.0, draw)
+    }
+
+    /// The regions in which the request may be processed.
+    pub fn homes(&self) -> Homes<'_> {
+        Homes::new(&self.route, self.workspace.as_deref())
     }
 
     /// The refusal while no server takes a request for another `wait`. `draw`, a random number
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -209,6 +209,14 @@
                         return Ok((server, group));
                     }
                 }
+                Choice::Evacuated => {
+                    let retry_after_ms = exchange.outage_retry_after_ms(draw);
+                    return Err(Refusal::Evacuated { retry_after_ms });
+                }
+                Choice::NoHome => {
+                    let retry_after_ms = exchange.outage_retry_after_ms(draw);
+                    return Err(Refusal::NoHome { retry_after_ms });
+                }
                 Choice::NoServer if tried.is_empty() => {}
                 Choice::NoServer => return Err(exchange.outage_refusal(draw)),
             }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -29,6 +29,8 @@
     model: Option<PassModel>,
     /// The last report of the group's coordinator.
     report: Option<Report>,
+    /// Number of ranks that may take requests, and of all; `None` if all may.
+    open_ranks: Option<(usize, usize)>,
     /// The newest event, and the newest one from any other server.
     last_events: [Option<LastEvent>; 2],
 }
@@ -191,6 +193,23 @@
         self.lock().model = Some(model);
     }
 
+    /// Sets how many ranks may take requests, out of `all`. The others run passes as before.
+    pub fn set_open_ranks(&self, open: usize, all: usize) {
+        self.lock().open_ranks = (open < all).then_some((open, all));
+    }
+
+    /// Share of the group's ranks that may take requests.
+    ///
+    /// ```
+    /// let group = flamingowheel_gateway::group::GroupLoad::default();
+    /// assert_eq!(group.open_share(), 1.0);
+    /// group.set_open_ranks(8, 32);
+    /// assert_eq!(group.open_share(), 0.25);
+    /// ```
+    pub fn open_share(&self) -> f64 {
+        self.lock().open_ranks.map_or(1.0, |(open, all)| open as f64 / all as f64)
+    }
+
     /// How full the group is for a further request. All inputs are observed on this entry's own
     /// streams and at most about a pass old.
     pub fn fullness(&self, admission: &Admission, now: Instant) -> Fullness {
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints of an entry besides callers' requests: the directory, readiness and metrics.
 
 use crate::feed::mirror::Mirror;
+use crate::homes::entries_of_host;
 use crate::metrics::Metrics;
 use crate::suspects::Suspects;
 use crate::view::Views;
@@ -93,20 +94,25 @@
     StatusCode::OK
 }
 
-/// Returns the addresses of all live entries, those in the caller's data centre first.
+/// Returns the addresses of the live entries that may serve the host, those in the caller's data
+/// centre first.
 async fn resolve(State(info): State<Info>, RawQuery(query): RawQuery) -> Response {
     let question = directory::parse_query(query.as_deref().unwrap_or(""));
     let view = info.views.load();
-    let mut entries: Vec<_> = view
-        .entries
-        .values()
+    let zone_region = question.data_centre.as_ref().and_then(|zone| view.regions.get(zone));
+    let region = question.region.as_ref().or(zone_region).map(String::as_str);
+    let host = question.host.as_deref().unwrap_or("");
+    let configuration = view.configuration.as_deref();
+    let named = entries_of_host(configuration, host, region, &view.regions, view.entries.values());
+    let mut entries: Vec<_> = named
+        .into_iter()
         .map(|entry| (Some(&entry.data_centre) != question.data_centre.as_ref(), entry.callers))
         .collect();
     entries.sort();
     let mut addresses: Vec<SocketAddr> = entries.into_iter().map(|(_, callers)| callers).collect();
     if info.leaving.is_cancelled() {
         addresses.retain(|address| *address != info.callers);
-    } else if addresses.is_empty() {
+    } else if view.entries.is_empty() {
         // As long as the view has no entry, not even this one, this one is the only entry known to
         // be alive.
         addresses.push(info.callers);
@@ -122,6 +128,7 @@
     if let Some(configuration) = &view.configuration {
         info.metrics.set_configuration(configuration.version, view.in_force.as_ref());
     }
+    info.metrics.set_evacuations(&view.evacuations);
     info.metrics.set_store_age(info.mirror.age(Instant::now()));
     match info.metrics.text() {
         Ok(text) => text.into_response(),
--- a/crates/gateway/src/listings.rs
+++ b/crates/gateway/src/listings.rs
@@ -65,7 +65,11 @@
         let previous = previous.or_else(|| self.take_removed(&listed));
         let server = match previous {
             Some(previous) if previous.is_same_start(&listed) => previous.with_listing(listed),
-            _ => Server::new(listed),
+            Some(previous) => {
+                self.keep_removed(previous);
+                Server::new(listed)
+            }
+            None => Server::new(listed),
         };
         self.by_address.entry(address).or_default().push(id.clone());
         self.by_id.insert(id, Listing { server: Arc::new(server), revision });
@@ -77,10 +81,7 @@
             return false;
         };
         listing.server.close_idle();
-        self.removed.push_back(listing.server);
-        if self.removed.len() > MAX_REMOVED {
-            self.removed.pop_front();
-        }
+        self.keep_removed(listing.server);
         true
     }
 
@@ -97,6 +98,20 @@
         })
     }
 
+    /// All servers, also those whose listings are outdated or were removed: requests that have chosen
+    /// one may still be on their way to it.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
+        let listed = self.by_id.values().map(|listing| &listing.server);
+        listed.chain(&self.removed)
+    }
+
+    fn keep_removed(&mut self, server: Arc<Server>) {
+        self.removed.push_back(server);
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.pop_front();
+        }
+    }
+
     /// Takes the same start of a server out of those that were removed.
     fn take_removed(&mut self, listed: &BackendServer) -> Option<Arc<Server>> {
         let is_same =
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,12 +1,13 @@
 //! Counters and latency histograms of an entry.
 
 use crate::budget::RetryCause;
+use crate::evacuation::Evacuations;
 use crate::view::InForce;
 use flamingowheel_policy::answers::{Ending, Framing};
 use flamingowheel_policy::suspicion::SubjectKind;
 use prometheus::{
-    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
     answer_times: HistogramVec,
     pauses: Histogram,
     configuration: ConfigurationMetrics,
+    evacuations: EvacuationMetrics,
 }
 
 /// How recent the configuration is.
@@ -88,6 +90,34 @@
     }
 }
 
+/// Which data centres are evacuated.
+#[derive(Debug)]
+struct EvacuationMetrics {
+    in_force_seconds: GaugeVec,
+    malformed: IntCounter,
+}
+
+impl EvacuationMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            in_force_seconds: GaugeVec::new(
+                Opts::new(
+                    "flamingowheel_evacuation_in_force_seconds",
+                    "Time since the evacuation of a data centre came into force",
+                ),
+                &["data_centre"],
+            )?,
+            malformed: IntCounter::new(
+                "flamingowheel_evacuations_malformed_total",
+                "Evacuations whose value is no JSON object; they are in force all the same",
+            )?,
+        };
+        registry.register(Box::new(metrics.in_force_seconds.clone()))?;
+        registry.register(Box::new(metrics.malformed.clone()))?;
+        Ok(metrics)
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     pub fn new() -> Result<Self, prometheus::Error> {
@@ -173,6 +203,7 @@
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
         let configuration = ConfigurationMetrics::register(&registry)?;
+        let evacuations = EvacuationMetrics::register(&registry)?;
         Ok(Self {
             registry,
             requests,
@@ -187,6 +218,7 @@
             answer_times,
             pauses,
             configuration,
+            evacuations,
         })
     }
 
@@ -251,6 +283,20 @@
         }
     }
 
+    /// Sets which data centres are evacuated, and since when.
+    pub fn set_evacuations(&self, evacuations: &Evacuations) {
+        self.evacuations.in_force_seconds.reset();
+        for (data_centre, evacuation) in evacuations.iter() {
+            let in_force = evacuation.since.elapsed().as_secs_f64();
+            self.evacuations.in_force_seconds.with_label_values(&[data_centre]).set(in_force);
+        }
+    }
+
+    /// Counts an evacuation whose value can't be read.
+    pub fn record_malformed_evacuation(&self) {
+        self.evacuations.malformed.inc();
+    }
+
     /// Sets the time since the store confirmed this entry's copy of it; `None` if it never did.
     pub fn set_store_age(&self, age: Option<Duration>) {
         self.configuration
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -200,8 +200,10 @@
     let served_mirror = Arc::clone(&mirror);
     let serve_link =
         move |link| server::serve(link, Arc::clone(&served_mirror), statuses_receiver.clone());
+    let publisher = Publisher::new(Arc::clone(&mirror), views, outputs);
+    let publisher = publisher.with_regions(settings.regions.clone());
     tokio::spawn(accept_links(listener, identity.clone(), CancellationToken::new(), serve_link));
-    tokio::spawn(Publisher::new(Arc::clone(&mirror), views, outputs).run());
+    tokio::spawn(publisher.run());
     tokio::spawn(
         StoreFollower::new(store.clone(), Arc::clone(&mirror), should_follow.clone()).run(),
     );
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -1,10 +1,12 @@
 //! Builds views from the contents of the key-value store and publishes them.
 
 use crate::budget::RetryBudget;
+use crate::evacuation::Evacuations;
 use crate::feed::groups::Statuses;
 use crate::feed::mirror::{Change, Changes, Mirror};
 use crate::feed::reader::{Members, Peer};
 use crate::group::{GroupLoad, GroupRank};
+use crate::homes::Regions;
 use crate::listings::Listings;
 use crate::metrics::Metrics;
 use crate::server::Server;
@@ -12,7 +14,9 @@
 use crate::suspects::archive::SUSPECTS_PREFIX;
 use crate::view::{EntryRecord, InForce, View, Views};
 use flamingowheel_fleet::{BackendServer, Configuration, EngineParameters};
-use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
+use flamingowheel_platform::{
+    CONFIGURATION_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX, operator, servers,
+};
 use flamingowheel_policy::batch::PassModel;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord, RankRecord};
@@ -65,6 +69,8 @@
     configuration: Option<Arc<Configuration>>,
     in_force: Option<InForce>,
     listings: Listings,
+    evacuations: Evacuations,
+    regions: Arc<Regions>,
     entries: HashMap<String, EntryRecord>,
     groups: HashMap<String, (GroupRecord, Arc<GroupLoad>)>,
     /// Loads of the engines that belong to no announced group, one for all of a service.
@@ -83,6 +89,8 @@
             configuration: None,
             in_force: None,
             listings: Listings::default(),
+            evacuations: Evacuations::default(),
+            regions: Arc::default(),
             entries: HashMap::new(),
             groups: HashMap::new(),
             ungrouped: HashMap::new(),
@@ -90,6 +98,11 @@
         }
     }
 
+    /// Sets the region of each data centre.
+    pub fn with_regions(self, regions: Regions) -> Self {
+        Self { regions: Arc::new(regions), ..self }
+    }
+
     /// Publishes until dropped.
     pub async fn run(mut self) {
         let mut revisions = self.mirror.revisions();
@@ -164,8 +177,8 @@
             .collect();
         let servers = self.listings.ids().map(|id| format!("{SERVERS_PREFIX}{id}"));
         let entries = self.entries.keys().map(|vm| format!("{ENTRIES_PREFIX}{vm}"));
-        let vanished: Vec<String> =
-            servers.chain(entries).filter(|key| !listed.contains(key.as_str())).collect();
+        let keys = servers.chain(entries).chain(self.evacuations.keys());
+        let vanished: Vec<String> = keys.filter(|key| !listed.contains(key.as_str())).collect();
         for key in vanished {
             self.delete(key);
         }
@@ -179,6 +192,8 @@
             self.put_server(key, value, revision);
         } else if let Some(name) = key.strip_prefix(GROUPS_PREFIX) {
             self.put_group(name, value);
+        } else if let Some(data_centre) = key.strip_prefix(EVACUATIONS_PREFIX) {
+            self.put_evacuation(data_centre, value, revision);
         } else if key.starts_with(SUSPECTS_PREFIX) {
             match serde_json::from_slice::<SuspectRecord>(value) {
                 Ok(record) => self.outputs.suspects.merge(&[record]),
@@ -234,6 +249,15 @@
         self.in_force = Some(InForce { since: now, source: update.source });
     }
 
+    /// The key alone orders the evacuation, so that all entries obey alike whatever its value holds.
+    fn put_evacuation(&mut self, data_centre: &str, value: &[u8], revision: u64) {
+        if let Err(error) = operator::check_evacuation(value) {
+            tracing::warn!(data_centre, %error, "value of an evacuation can't be read");
+            self.outputs.metrics.record_malformed_evacuation();
+        }
+        self.evacuations.begin(data_centre, revision, self.mirror.last_update().as_ref());
+    }
+
     fn put_group(&mut self, name: &str, value: &[u8]) {
         let record: GroupRecord = match serde_json::from_slice(value) {
             Ok(record) => record,
@@ -279,6 +303,10 @@
     }
 
     fn delete(&mut self, key: String) {
+        if let Some(data_centre) = key.strip_prefix(EVACUATIONS_PREFIX) {
+            self.evacuations.end(data_centre, self.mirror.last_update().as_ref());
+            return;
+        }
         let now = Instant::now();
         let outage = self.mirror.last_outage();
         let had_outage = outage.is_some_and(|outage_at| now - outage_at < OUTAGE_WINDOW);
@@ -314,11 +342,23 @@
             let first = record.ranks.first();
             let service = first.and_then(|rank| service_by_engine.get(&rank.engine));
             if let Some(engine) = service.and_then(|service| self.engine_of_service(service)) {
-                load.set_model(pass_model(engine, record.ranks.len(), self.entries.len().max(1)));
+                let open_ranks = record.ranks.len() as f64 * load.open_share();
+                load.set_model(pass_model(engine, open_ranks, self.entries.len().max(1)));
             }
         }
     }
 
+    /// Updates the groups' loads with the number of ranks that may take requests.
+    fn set_open_ranks(&self) {
+        let evacuated = self.listings.current().filter(|server| server.is_evacuated());
+        let evacuated: HashSet<SocketAddr> =
+            evacuated.map(|server| server.listed.address).collect();
+        for (record, load) in self.groups.values() {
+            let is_open = |rank: &&RankRecord| !evacuated.contains(&rank.engine);
+            load.set_open_ranks(record.ranks.iter().filter(is_open).count(), record.ranks.len());
+        }
+    }
+
     fn engine_of_service(&self, service: &str) -> Option<&EngineParameters> {
         self.configuration.as_ref()?.services.get(service)?.engine.as_ref()
     }
@@ -359,21 +399,24 @@
     /// to announce a group, but the engines run passes all the same: without a limit on their
     /// requests all streams would be late, or be refused by full engines.
     fn add_ungrouped(&mut self, group_ranks: &mut HashMap<SocketAddr, GroupRank>) {
-        let mut engines: HashMap<String, Vec<SocketAddr>> = HashMap::new();
+        let mut engines: HashMap<String, Vec<(SocketAddr, bool)>> = HashMap::new();
         for server in self.listings.current().filter(|server| !server.listed.is_draining) {
             let BackendServer { service, address, .. } = &server.listed;
             let has_engine = self.engine_of_service(service).is_some();
             if has_engine && !group_ranks.contains_key(address) {
-                engines.entry(service.clone()).or_default().push(*address);
+                let is_open = !server.is_evacuated();
+                engines.entry(service.clone()).or_default().push((*address, is_open));
             }
         }
         self.ungrouped.retain(|service, _| engines.contains_key(service));
         for (service, addresses) in engines {
             let load = Arc::clone(self.ungrouped.entry(service.clone()).or_default());
             if let Some(engine) = self.engine_of_service(&service) {
-                load.set_model(pass_model(engine, addresses.len(), self.entries.len().max(1)));
+                let open_ranks = addresses.iter().filter(|(_, is_open)| *is_open).count();
+                load.set_open_ranks(open_ranks, addresses.len());
+                load.set_model(pass_model(engine, open_ranks as f64, self.entries.len().max(1)));
             }
-            for (rank, address) in addresses.into_iter().enumerate() {
+            for (rank, (address, _)) in addresses.into_iter().enumerate() {
                 let group_rank =
                     GroupRank { group: Arc::clone(&load), rank, pace: 1.0, is_away: false };
                 group_ranks.insert(address, group_rank);
@@ -403,6 +446,8 @@
         for server in self.listings.current().filter(|server| !server.listed.is_draining) {
             servers.entry(server.listed.service.clone()).or_default().push(Arc::clone(server));
         }
+        self.evacuations.apply(self.listings.all());
+        self.set_open_ranks();
         self.set_models();
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
@@ -411,6 +456,8 @@
             servers,
             group_ranks,
             entries: self.entries.clone(),
+            evacuations: self.evacuations.clone(),
+            regions: Arc::clone(&self.regions),
         }));
     }
 }
@@ -429,10 +476,10 @@
 }
 
 /// How a group's pass time grows with the requests of one of `entries` entries, if all have the
-/// same number.
-fn pass_model(engine: &EngineParameters, ranks: usize, entries: usize) -> PassModel {
+/// same number and send it to `open_ranks` ranks.
+fn pass_model(engine: &EngineParameters, open_ranks: f64, entries: usize) -> PassModel {
     let steps = f64::from(engine.steps_per_pass);
-    let requests_per_rank = entries as f64 / ranks.max(1) as f64;
+    let requests_per_rank = entries as f64 / open_ranks.max(1.0);
     PassModel {
         fixed_ms: steps * engine.step_ms,
         per_request_ms: steps * engine.per_sequence_ms * requests_per_rank,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -50,6 +50,16 @@
         /// When it may be sent again at the earliest, in milliseconds from now.
         retry_after_ms: u64,
     },
+    /// The data centres of all backend servers that could run the request are evacuated.
+    Evacuated {
+        /// When the caller should retry, in milliseconds from now.
+        retry_after_ms: u64,
+    },
+    /// No backend server is listed in a region in which the request may be processed.
+    NoHome {
+        /// When the caller should retry, in milliseconds from now.
+        retry_after_ms: u64,
+    },
     /// No backend server accepts work; none ran the request.
     Full {
         /// When the caller should retry, in milliseconds from now.
@@ -103,6 +113,8 @@
             | Self::Busy { .. }
             | Self::Held { .. }
             | Self::Suspect { .. }
+            | Self::Evacuated { .. }
+            | Self::NoHome { .. }
             | Self::Full { .. }
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -120,6 +132,8 @@
             Self::Busy { retry_after_ms }
             | Self::Held { retry_after_ms }
             | Self::Suspect { retry_after_ms }
+            | Self::Evacuated { retry_after_ms }
+            | Self::NoHome { retry_after_ms }
             | Self::Full { retry_after_ms }
             | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
             Self::TooLate => Some(RETRY_AFTER_MS),
@@ -138,6 +152,8 @@
             Self::Busy { .. } => "busy",
             Self::Held { .. } => "held",
             Self::Suspect { .. } => "suspect",
+            Self::Evacuated { .. } => "evacuated",
+            Self::NoHome { .. } => "no_home",
             Self::Full { .. } => "full",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -38,10 +38,11 @@
         admission: Option<&Admission>,
     ) -> Choice {
         let wait_until = exchange.deadline.min(Instant::now() + PERMIT_WAIT);
+        let homes = exchange.homes();
         loop {
             let (view, now) = (self.views.load_full(), Instant::now());
             let Chosen { choice, wanted } =
-                balance::choose(&view, &exchange.service, tried, admission, now);
+                balance::choose_at_home(&view, &exchange.service, tried, admission, homes, now);
             if let Some(server) = wanted {
                 self.permits.ask(&server, now);
             }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,7 +8,7 @@
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::permits::{LimitReport, Permits, Verdict};
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -58,6 +58,7 @@
     /// The key of this start of the server, the same at all entries.
     pub key: ServerKey,
     in_flight: Arc<AtomicU32>,
+    is_evacuated: Arc<AtomicBool>,
     state: Arc<Mutex<State>>,
     origin: Instant,
 }
@@ -166,6 +167,7 @@
             key: ServerKey::from_name(&format!("{}@{}", listed.id, listed.started_ms)),
             listed,
             in_flight: Arc::default(),
+            is_evacuated: Arc::default(),
             state: Arc::default(),
             origin: Instant::now(),
         }
@@ -177,6 +179,7 @@
             listed,
             key: self.key,
             in_flight: Arc::clone(&self.in_flight),
+            is_evacuated: Arc::clone(&self.is_evacuated),
             state: Arc::clone(&self.state),
             origin: self.origin,
         }
@@ -189,6 +192,16 @@
             && self.listed.service == listed.service
     }
 
+    /// Closes the server to requests while its data centre is evacuated, or opens it again.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::Release);
+    }
+
+    /// Whether the server's data centre is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated.load(Ordering::Acquire)
+    }
+
     /// The server's state now.
     pub fn status(&self, now: Instant) -> ServerStatus {
         let state = self.lock();
@@ -210,7 +223,7 @@
     pub fn begin(self: &Arc<Self>, group: Option<&Arc<GroupLoad>>) -> Option<InFlight> {
         let now = Instant::now();
         let state = &mut *self.lock();
-        let is_held = state.is_leaving || state.is_resting(now);
+        let is_held = state.is_leaving || state.is_resting(now) || self.is_evacuated();
         if is_held || !state.permits.take(now - self.origin) {
             return None;
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,7 +1,9 @@
 //! The entry's view of the deployment as one immutable value.
 
+use crate::evacuation::Evacuations;
 use crate::feed::mirror::Source;
 use crate::group::GroupRank;
+use crate::homes::Regions;
 use crate::server::Server;
 use arc_swap::ArcSwap;
 use flamingowheel_fleet::Configuration;
@@ -49,6 +51,10 @@
     pub group_ranks: HashMap<SocketAddr, GroupRank>,
     /// Live entries by VM, including this one once it has announced itself.
     pub entries: HashMap<String, EntryRecord>,
+    /// Data centres whose backend servers get no requests.
+    pub evacuations: Evacuations,
+    /// Region of each data centre.
+    pub regions: Arc<Regions>,
 }
 
 /// The newest view, published by the control thread and read by the traffic threads.
@@ -60,6 +66,11 @@
         self.servers.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Region of a backend server; `None` if that of its data centre is unknown.
+    pub fn region_of(&self, server: &Server) -> Option<&str> {
+        self.regions.get(&server.listed.data_centre).map(String::as_str)
+    }
+
     /// Version of the configuration in force; `None` until the first one is known.
     pub fn version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|configuration| configuration.version)
