--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -18,7 +18,7 @@
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::publish::{Outputs, Publisher};
 use flamingowheel_gateway::suspects::Suspects;
-use flamingowheel_gateway::view::{EntryRecord, Views};
+use flamingowheel_gateway::view::{EntryRecord, View, Views};
 use flamingowheel_platform::CONFIGURATION_KEY;
 use flamingowheel_policy::quota::Allowance;
 use flamingowheel_policy::topology::{EntryRef, FOLLOWERS, Topology};
@@ -264,11 +264,21 @@
             self.write(&key, value.to_owned()).await;
             return;
         }
-        let delete = Operation::Delete { key };
+        self.delete(&key).await;
+    }
+
+    /// Deletes a key.
+    pub async fn delete(&self, key: &str) {
+        let delete = Operation::Delete { key: key.to_owned() };
         let transaction = Transaction { on_success: vec![delete], ..Transaction::default() };
         self.store.transact(transaction).await.unwrap();
     }
 
+    /// What is in force at an entry.
+    pub fn view(&self, vm: &str) -> Arc<View> {
+        self.entries[vm].views.load_full()
+    }
+
     /// Whether an entry sends requests to backend servers of service `s`.
     pub fn has_server(&self, vm: &str) -> bool {
         !self.entries[vm].views.load().servers_of("s").is_empty()
