--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -106,6 +106,14 @@
         self.views.store(Arc::new(View { group_ranks, ..view }));
     }
 
+    /// Closes the server with this number to requests, as in an evacuation, or opens it again.
+    pub fn set_evacuated(&self, server: usize, is_evacuated: bool) {
+        let name = format!("i-{server}");
+        let view = self.views.load();
+        let named = view.servers_of("s").iter().find(|server| server.listed.id == name);
+        named.unwrap().set_evacuated(is_evacuated);
+    }
+
     /// Lists servers as started at `started_ms`.
     pub fn list_again(&self, servers: &[SocketAddr], started_ms: u64) {
         let view = View::clone(&self.views.load());
