Admission counts only the ranks that may take requests

While a data centre is evacuated, the ranks of the others get all requests of their group: an entry was seen with 28 requests of its own where its part of the open ranks' places is 10, and in those seconds a sixth of the streams came late. A request is now refused if its entry is above its part and the last report shows the open ranks above their places. Without an evacuation nothing changes.

--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -5,7 +5,7 @@
 use crate::feed::groups::Statuses;
 use crate::feed::mirror::{Change, Changes, Mirror};
 use crate::feed::reader::{Members, Peer};
-use crate::group::{GroupLoad, GroupRank};
+use crate::group::{GroupLoad, GroupRank, OpenRanks};
 use crate::homes::Regions;
 use crate::listings::Listings;
 use crate::metrics::Metrics;
@@ -18,6 +18,7 @@
     CONFIGURATION_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX, operator, servers,
 };
 use flamingowheel_policy::batch::PassModel;
+use flamingowheel_policy::room::Room;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord, RankRecord};
 use std::collections::{HashMap, HashSet};
@@ -348,14 +349,20 @@
         }
     }
 
-    /// Updates the groups' loads with the number of ranks that may take requests.
+    /// Updates the groups' loads with the ranks that may take requests.
     fn set_open_ranks(&self) {
-        let evacuated = self.listings.current().filter(|server| server.is_evacuated());
-        let evacuated: HashSet<SocketAddr> =
-            evacuated.map(|server| server.listed.address).collect();
+        let servers = self.listings.current().map(|server| (server.listed.address, server));
+        let by_address: HashMap<SocketAddr, &Arc<Server>> = servers.collect();
         for (record, load) in self.groups.values() {
-            let is_open = |rank: &&RankRecord| !evacuated.contains(&rank.engine);
-            load.set_open_ranks(record.ranks.iter().filter(is_open).count(), record.ranks.len());
+            let server = |rank: &RankRecord| by_address.get(&rank.engine);
+            let is_open = |rank| !server(rank).is_some_and(|server| server.is_evacuated());
+            let are_open: Vec<bool> = record.ranks.iter().map(is_open).collect();
+            let first = record.ranks.iter().find_map(server);
+            let engine = first.and_then(|server| self.engine_of_service(&server.listed.service));
+            let open_count = are_open.iter().filter(|is_open| **is_open).count();
+            let entries = self.entries.len();
+            let room = engine.map(|engine| Room::new(open_count, engine.slots, entries));
+            load.set_open_ranks(OpenRanks { are_open, room });
         }
     }
 
@@ -413,7 +420,8 @@
             let load = Arc::clone(self.ungrouped.entry(service.clone()).or_default());
             if let Some(engine) = self.engine_of_service(&service) {
                 let open_ranks = addresses.iter().filter(|(_, is_open)| *is_open).count();
-                load.set_open_ranks(open_ranks, addresses.len());
+                let are_open = addresses.iter().map(|(_, is_open)| *is_open).collect();
+                load.set_open_ranks(OpenRanks { are_open, room: None });
                 load.set_model(pass_model(engine, open_ranks as f64, self.entries.len().max(1)));
             }
             for (rank, (address, _)) in addresses.into_iter().enumerate() {
