Cold servers: one meter grants the requests of any second

Callers of a data centre that comes back whole reached cold backend servers with more requests than those tolerate: no entry knew that a server is cold, and each one preferred the empty servers.

What an entry knows of a server's warmth comes from its listing, from answers and from the server's meter. A cold server takes a request for a permit only; the meter counts its grants in any second, and a new meter or one with an old list grants what can't add up to more than the limit. A cold server shows its speed with one request before it gets more, and a cold rank gets a growing share.

Without warm_up in a service's configuration nothing changes.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -25,7 +25,7 @@
 /// ```
 /// use flamingowheel_gateway::{balance::cost, server::ServerStatus};
 /// let idle = ServerStatus { in_flight: 0, failure_ratio: 0.0, latency_ms: Some(20.0),
-///     is_in_backoff: false, is_silent: false, is_leaving: false, is_admitting: true, can_ask: false };
+///     is_in_backoff: false, is_silent: false, is_leaving: false, is_admitting: true, can_ask: false, share: 1.0 };
 /// let busy = ServerStatus { in_flight: 3, ..idle };
 /// assert!(cost(&busy, 6) > cost(&idle, 6));
 /// ```
@@ -34,6 +34,10 @@
 }
 
 fn cost_with(status: &ServerStatus, slots: u32, unknown_latency_ms: f64) -> f64 {
+    // A cold server shows its speed with one request before it gets more.
+    let is_tried = status.share < 1.0 && status.in_flight > 0;
+    let unknown_latency_ms =
+        if is_tried { UNKNOWN_LATENCY_OF_RETRY_MS } else { unknown_latency_ms };
     let latency_ms = status.latency_ms.unwrap_or(unknown_latency_ms).max(1.0);
     let fullness = f64::from(status.in_flight) / f64::from(slots.max(1));
     latency_ms * (1.0 + 3.0 * fullness) * (1.0 + FAILURE_COST * status.failure_ratio)
@@ -172,6 +176,7 @@
                     group_cost: group_rank.group.cost(now),
                     is_not_sampled: report.is_some() && rand::random::<f64>() >= sampled_share,
                     cost: (f64::from(requests) + 0.5 + FAILURE_COST * status.failure_ratio)
+                        / status.share
                         * spread,
                 }
             }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -3,6 +3,8 @@
 use crate::metrics::Metrics;
 use crate::server::Server;
 use crate::view::Views;
+use crate::warmth::EntryTenure;
+use flamingowheel_policy::cold::ColdMeter;
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::permits::{LimitReport, Meter, Verdict, meter_of};
 use flamingowheel_protocol::permits::{MAX_DATAGRAM_BYTES, PermitMessage};
@@ -40,6 +42,20 @@
     Ask,
     /// The server has become limited or unlimited.
     Report,
+    /// A permit for the cold server is asked for.
+    AskCold,
+    /// The server has become cold.
+    ReportCold,
+}
+
+impl Purpose {
+    fn is_cold(self) -> bool {
+        matches!(self, Self::AskCold | Self::ReportCold)
+    }
+
+    fn is_report(self) -> bool {
+        matches!(self, Self::Report | Self::ReportCold)
+    }
 }
 
 /// Hands requests of the traffic threads to the exchange.
@@ -52,6 +68,14 @@
         if server.begin_ask(now) {
             self.send(server, now, Purpose::Ask);
         }
+        if server.begin_cold_ask(now) {
+            self.send(server, now, Purpose::AskCold);
+        }
+    }
+
+    /// Reports to the meter that a server has become cold.
+    pub fn report_cold(&self, server: &Arc<Server>, now: Instant) {
+        self.send(server, now, Purpose::ReportCold);
     }
 
     /// Reports to the meter that a server has become limited or unlimited.
@@ -83,12 +107,14 @@
     views: Views,
     socket: UdpSocket,
     requests: PermitRequests,
-    metrics: Arc<Metrics>,
+    pub(crate) metrics: Arc<Metrics>,
     meter: Meter,
+    pub(crate) cold_meter: ColdMeter,
+    pub(crate) tenure: Arc<EntryTenure>,
     /// Asks without an answer, by their numbers.
     pending: HashMap<u64, Pending>,
     next_number: u64,
-    origin: Instant,
+    pub(crate) origin: Instant,
 }
 
 #[derive(Debug)]
@@ -107,12 +133,14 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            tenure: Arc::new(EntryTenure::new(&vm)),
             vm,
             views,
             socket,
             requests,
             metrics,
             meter: Meter::default(),
+            cold_meter: ColdMeter::default(),
             pending: HashMap::new(),
             // Random, so that answers to the asks of a process before are not taken for answers to
             // those of this one.
@@ -121,6 +149,11 @@
         }
     }
 
+    /// Grants permits for cold servers by `tenure`; without it, none.
+    pub fn with_tenure(self, tenure: Arc<EntryTenure>) -> Self {
+        Self { tenure, ..self }
+    }
+
     /// Runs until the traffic threads have ended.
     pub async fn run(mut self) {
         let mut datagram = [0; MAX_DATAGRAM_BYTES];
@@ -157,6 +190,10 @@
         };
         pending.sends += 1;
         let PermitRequest { server, purpose, .. } = pending.request.clone();
+        if purpose.is_cold() {
+            self.send_cold_ask(number, &server, purpose == Purpose::AskCold).await;
+            return;
+        }
         let (Some(report), Some(meter)) = (server.limit_report(now), self.meter_of(server.key))
         else {
             self.pending.remove(&number);
@@ -192,24 +229,32 @@
     /// Sends a report to all entries and applies it here.
     async fn broadcast(&self, server: ServerKey, report: LimitReport) {
         self.apply_broadcast(server, report);
-        let message = PermitMessage::Broadcast { server, report };
+        self.send_to_others(&PermitMessage::Broadcast { server, report }).await;
+    }
+
+    pub(crate) async fn send_to_others(&self, message: &PermitMessage) {
         let view = self.views.load_full();
         let others = view.entries.iter().filter(|(vm, _)| **vm != self.vm);
         for address in others.filter_map(|(_, record)| record.peers) {
-            self.send(&message, address).await;
+            self.send(message, address).await;
         }
     }
 
     fn apply_broadcast(&self, key: ServerKey, report: LimitReport) {
-        let view = self.views.load();
-        let mut servers = view.servers.values().flatten();
-        if let Some(server) = servers.find(|server| server.key == key) {
+        if let Some(server) = self.server(key) {
             server.apply_limit_report(report, Instant::now());
         }
     }
 
+    /// The listed server with a key.
+    pub(crate) fn server(&self, key: ServerKey) -> Option<Arc<Server>> {
+        let view = self.views.load();
+        let mut servers = view.servers.values().flatten();
+        servers.find(|server| server.key == key).cloned()
+    }
+
     /// The address of a server's meter, `Some(None)` if it is this entry; `None` without one.
-    fn meter_of(&self, server: ServerKey) -> Option<Option<SocketAddr>> {
+    pub(crate) fn meter_of(&self, server: ServerKey) -> Option<Option<SocketAddr>> {
         let view = self.views.load();
         let meter = meter_of(server, view.entries.keys().map(String::as_str))?;
         if meter == self.vm {
@@ -233,16 +278,32 @@
                 self.apply_broadcast(server, report);
             }
             Some(PermitMessage::Answer { number, verdict }) => self.answer(number, verdict),
+            Some(PermitMessage::AskCold { number, server, report, wants_permit }) => {
+                if self.meter_of(server) != Some(None) {
+                    return;
+                }
+                let verdict = self.decide_cold(server, report, wants_permit).await;
+                self.send(&PermitMessage::Answer { number, verdict }, from).await;
+            }
+            Some(PermitMessage::BroadcastCold { server, left }) => self.apply_cold(server, left),
             None => tracing::warn!(%from, "malformed datagram"),
         }
     }
 
-    fn answer(&mut self, number: u64, verdict: Verdict) {
+    pub(crate) fn forget(&mut self, number: u64) {
+        self.pending.remove(&number);
+    }
+
+    pub(crate) fn answer(&mut self, number: u64, verdict: Verdict) {
         let Some(pending) = self.pending.remove(&number) else {
             return;
         };
         let PermitRequest { server, asked_at, purpose } = pending.request;
-        if purpose == Purpose::Report {
+        if purpose.is_report() {
+            return;
+        }
+        if purpose == Purpose::AskCold {
+            self.answer_cold(&server, asked_at, verdict);
             return;
         }
         let name = match verdict {
@@ -260,15 +321,15 @@
         let metrics = &self.metrics;
         self.pending.retain(|_, pending| {
             let is_kept = match pending.request.purpose {
-                Purpose::Ask => now - pending.request.asked_at < ANSWER_TIMEOUT,
-                Purpose::Report => pending.sends < MAX_REPORT_SENDS,
+                Purpose::Ask | Purpose::AskCold => now - pending.request.asked_at < ANSWER_TIMEOUT,
+                Purpose::Report | Purpose::ReportCold => pending.sends < MAX_REPORT_SENDS,
             };
             if !is_kept {
                 metrics.record_permit("unanswered");
             }
             is_kept
         });
-        let is_report = |pending: &Pending| pending.request.purpose == Purpose::Report;
+        let is_report = |pending: &Pending| pending.request.purpose.is_report();
         let reports: Vec<u64> = self
             .pending
             .iter()
@@ -280,7 +341,7 @@
         }
     }
 
-    async fn send(&self, message: &PermitMessage, to: SocketAddr) {
+    pub(crate) async fn send(&self, message: &PermitMessage, to: SocketAddr) {
         let Some(bytes) = message.encode() else {
             return;
         };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -19,6 +19,7 @@
 use crate::suspects::exchange::SuspectExchange;
 use crate::suspects::{Suspects, archive};
 use crate::view::{EntryRecord, Views};
+use crate::warmth::{ColdBounds, EntryTenure};
 use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_platform::StoreClient;
 use flamingowheel_policy::quota::Allowance;
@@ -71,13 +72,15 @@
     let stop = Stop::default();
     let peers = SocketAddr::new(settings.ip, settings.internal_ports.0);
     let (permit_sender, permit_requests) = permits::channel();
+    let tenure = Arc::new(EntryTenure::new(&settings.vm));
     let exchange = PermitExchange::new(
         settings.vm.clone(),
         Arc::clone(&views),
         UdpSocket::bind(peers).await?,
         permit_requests,
         Arc::clone(&metrics),
-    );
+    )
+    .with_tenure(Arc::clone(&tenure));
     tokio::spawn(exchange.run());
     let suspects = Arc::new(Suspects::new(Arc::clone(&metrics)));
     let suspects_address = SocketAddr::new(settings.ip, settings.internal_ports.1);
@@ -119,7 +122,7 @@
         settings,
         peers,
         &store,
-        Feed { mirror, views, suspects, budget: Arc::clone(&budget), metrics },
+        Feed { mirror, views, suspects, budget: Arc::clone(&budget), metrics, tenure },
     )
     .await?;
     let data_centre = settings.data_centre.clone();
@@ -169,6 +172,7 @@
     suspects: Arc<Suspects>,
     budget: Arc<RetryBudget>,
     metrics: Arc<Metrics>,
+    tenure: Arc<EntryTenure>,
 }
 
 /// Starts the tasks that update the mirror from the store and from other entries, publish views and
@@ -179,7 +183,7 @@
     store: &StoreClient,
     feed: Feed,
 ) -> Result<(), std::io::Error> {
-    let Feed { mirror, views, suspects, budget, metrics } = feed;
+    let Feed { mirror, views, suspects, budget, metrics, tenure } = feed;
     let (members, members_receiver) = watch::channel(Arc::default());
     let (coordinators, coordinators_receiver) = watch::channel(Arc::default());
     let (statuses, statuses_receiver) = watch::channel(Arc::default());
@@ -201,7 +205,9 @@
     let serve_link =
         move |link| server::serve(link, Arc::clone(&served_mirror), statuses_receiver.clone());
     tokio::spawn(accept_links(listener, identity.clone(), CancellationToken::new(), serve_link));
-    tokio::spawn(Publisher::new(Arc::clone(&mirror), views, outputs).run());
+    let publisher = Publisher::new(Arc::clone(&mirror), views, outputs)
+        .with_cold(ColdBounds::from(&settings.bounds), tenure);
+    tokio::spawn(publisher.run());
     tokio::spawn(
         StoreFollower::new(store.clone(), Arc::clone(&mirror), should_follow.clone()).run(),
     );
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -11,6 +11,7 @@
 use crate::suspects::Suspects;
 use crate::suspects::archive::SUSPECTS_PREFIX;
 use crate::view::{EntryRecord, InForce, View, Views};
+use crate::warmth::{ColdBounds, EntryTenure};
 use flamingowheel_fleet::{BackendServer, Configuration, EngineParameters};
 use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
 use flamingowheel_policy::batch::PassModel;
@@ -71,6 +72,8 @@
     ungrouped: HashMap<String, Arc<GroupLoad>>,
     /// Keys that vanished around an outage, and when their grace period ends.
     expired: HashMap<String, Instant>,
+    /// What cold servers may get, and what is told of the entries that share it.
+    cold: Option<(ColdBounds, Arc<EntryTenure>)>,
 }
 
 impl Publisher {
@@ -87,9 +90,15 @@
             groups: HashMap::new(),
             ungrouped: HashMap::new(),
             expired: HashMap::new(),
+            cold: None,
         }
     }
 
+    /// Limits requests to cold servers by `bounds`, and tells `tenure` which entries are listed.
+    pub fn with_cold(self, bounds: ColdBounds, tenure: Arc<EntryTenure>) -> Self {
+        Self { cold: Some((bounds, tenure)), ..self }
+    }
+
     /// Publishes until dropped.
     pub async fn run(mut self) {
         let mut revisions = self.mirror.revisions();
@@ -127,8 +136,26 @@
     /// Tells the retry budget which entries are listed, and how old the list is.
     fn observe_entries(&self) {
         let now = Instant::now();
-        let vms = self.entries.keys().map(String::as_str);
-        self.outputs.budget.observe_entries(vms, self.mirror.age(now), now);
+        let vms = || self.entries.keys().map(String::as_str);
+        self.outputs.budget.observe_entries(vms(), self.mirror.age(now), now);
+        let mut services = self.configuration.iter().flat_map(|c| c.services.values());
+        let has_warm_up = services.any(|service| service.warm_up.is_some());
+        if let Some((_, tenure)) = self.cold.as_ref().filter(|_| has_warm_up) {
+            tenure.observe(vms(), self.mirror.age(now), now);
+        }
+    }
+
+    /// Tells each server what it may get while cold.
+    fn set_cold_allowances(&self) {
+        let (Some((bounds, _)), Some(configuration)) = (&self.cold, &self.configuration) else {
+            return;
+        };
+        let entries = self.outputs.budget.entries();
+        for server in self.listings.current() {
+            let service = configuration.services.get(&server.listed.service);
+            let warm_up = service.and_then(|service| service.warm_up.as_ref());
+            server.set_cold_allowance(warm_up.map(|w| bounds.allowance(w)), entries);
+        }
     }
 
     /// Updates the groups' loads with the newest statuses.
@@ -404,6 +431,7 @@
             servers.entry(server.listed.service.clone()).or_default().push(Arc::clone(server));
         }
         self.set_models();
+        self.set_cold_allowances();
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -13,6 +13,9 @@
 /// Longest wait for the answer to an ask for a permit: some round trips between data centres.
 const PERMIT_WAIT: Duration = Duration::from_millis(50);
 
+/// The same for a cold server, while another one would take the request.
+const COLD_PERMIT_WAIT: Duration = Duration::from_millis(10);
+
 /// Time between checks for such an answer.
 const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(3);
 
@@ -30,27 +33,35 @@
     }
 
     /// Chooses a server, and asks for a permit if a limited one would have been better. Waits for the
-    /// answer only if no other server takes the request.
+    /// answer only if no other server takes the request, or briefly for a cold one: another request
+    /// of this entry may come too late to use the permit.
     pub async fn choose(
         &self,
         exchange: &Exchange,
         tried: &[Arc<Server>],
         admission: Option<&Admission>,
     ) -> Choice {
-        let wait_until = exchange.deadline.min(Instant::now() + PERMIT_WAIT);
+        let begun_at = Instant::now();
         loop {
             let (view, now) = (self.views.load_full(), Instant::now());
             let Chosen { choice, wanted } =
                 balance::choose(&view, &exchange.service, tried, admission, now);
-            if let Some(server) = wanted {
-                self.permits.ask(&server, now);
+            if let Some(server) = &wanted {
+                self.permits.ask(server, now);
             }
-            let is_held = matches!(choice, Choice::Held(_));
-            let mut servers = view.servers_of(&exchange.service).iter();
-            if !is_held || now >= wait_until || !servers.any(|server| server.is_asking(now)) {
+            let servers = view.servers_of(&exchange.service);
+            let (is_awaited, max_wait) = match &choice {
+                Choice::Held(_) => (servers.iter().any(|s| is_asking(s, now)), PERMIT_WAIT),
+                _ => (wanted.is_some_and(|s| s.is_asking_cold(now)), COLD_PERMIT_WAIT),
+            };
+            if !is_awaited || now >= exchange.deadline.min(begun_at + max_wait) {
                 return choice;
             }
             sleep(PERMIT_POLL_INTERVAL).await;
         }
     }
 }
+
+fn is_asking(server: &Server, now: Instant) -> bool {
+    server.is_asking(now) || server.is_asking_cold(now)
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,6 +5,7 @@
 use crate::suspects::Trial;
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_platform::Stated;
+use flamingowheel_policy::cold::Warmth;
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::permits::{LimitReport, Permits, Verdict};
 use std::collections::VecDeque;
@@ -59,11 +60,11 @@
     pub key: ServerKey,
     in_flight: Arc<AtomicU32>,
     state: Arc<Mutex<State>>,
-    origin: Instant,
+    pub(crate) origin: Instant,
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(crate) struct State {
     idle: Vec<(Instant, Connection)>,
     health: Health,
     /// When the newest requests were sent to the server.
@@ -72,6 +73,8 @@
     stated_limit: Stated<f64>,
     /// The server's limit for all entries, and this entry's permits.
     permits: Permits,
+    /// Whether the server is cold, and this entry's permits for it until it is warm.
+    pub(crate) warmth: Warmth,
     /// The end of the rest that the server asked this entry for.
     rest_until: Option<Instant>,
     /// Whether the server has said that it leaves.
@@ -148,6 +151,8 @@
     pub is_admitting: bool,
     /// Whether a permit can be asked for.
     pub can_ask: bool,
+    /// Share of its usual requests that the server gets: below 1 while it is cold.
+    pub share: f64,
 }
 
 /// What changed with an answer's word on the server's limit.
@@ -162,24 +167,28 @@
 impl Server {
     /// Creates a server without observations.
     pub fn new(listed: BackendServer) -> Self {
-        Self {
+        let server = Self {
             key: ServerKey::from_name(&format!("{}@{}", listed.id, listed.started_ms)),
             listed,
             in_flight: Arc::default(),
             state: Arc::default(),
             origin: Instant::now(),
-        }
+        };
+        server.record_listed_cold();
+        server
     }
 
     /// The same start of the server with a changed listing; its observations are kept.
     pub fn with_listing(&self, listed: BackendServer) -> Self {
-        Self {
+        let server = Self {
             listed,
             key: self.key,
             in_flight: Arc::clone(&self.in_flight),
             state: Arc::clone(&self.state),
             origin: self.origin,
-        }
+        };
+        server.record_listed_cold();
+        server
     }
 
     /// Whether a listing describes the same start of the same server.
@@ -192,6 +201,9 @@
     /// The server's state now.
     pub fn status(&self, now: Instant) -> ServerStatus {
         let state = self.lock();
+        let at = now - self.origin;
+        let has_permit = state.permits.admits(at) && state.warmth.admits(at);
+        let can_ask = state.permits.can_ask(at) || state.warmth.can_ask(at);
         ServerStatus {
             in_flight: self.in_flight.load(Ordering::Relaxed),
             failure_ratio: state.health.failure_ratio,
@@ -199,8 +211,9 @@
             is_in_backoff: state.health.backoff_until.is_some_and(|until| now < until),
             is_silent: state.health.is_silent(now),
             is_leaving: state.is_leaving,
-            is_admitting: !state.is_resting(now) && state.permits.admits(now - self.origin),
-            can_ask: !state.is_resting(now) && state.permits.can_ask(now - self.origin),
+            is_admitting: !state.is_resting(now) && has_permit,
+            can_ask: !state.is_resting(now) && can_ask,
+            share: state.warmth.share(at),
         }
     }
 
@@ -211,7 +224,9 @@
         let now = Instant::now();
         let state = &mut *self.lock();
         let is_held = state.is_leaving || state.is_resting(now);
-        if is_held || !state.permits.take(now - self.origin) {
+        let at = now - self.origin;
+        if is_held || !state.warmth.admits(at) || !state.permits.take(at) || !state.warmth.take(at)
+        {
             return None;
         }
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -348,7 +363,8 @@
     /// Time until the server may take a request; zero if it takes one now.
     pub fn wait(&self, now: Instant) -> Duration {
         let state = self.lock();
-        state.rest(now).max(state.permits.wait(now - self.origin))
+        let at = now - self.origin;
+        state.rest(now).max(state.permits.wait(at)).max(state.warmth.wait(at))
     }
 
     /// Records that the server leaves. This start of it gets no more requests. Returns whether this
@@ -375,6 +391,7 @@
         let mut state = self.lock();
         // The idle connections are most likely dead as well.
         state.idle.clear();
+        state.warmth.record_unreachable();
         let health = &mut state.health;
         health.failure_ratio += EWMA_WEIGHT * (1.0 - health.failure_ratio);
         health.back_off(now);
@@ -388,7 +405,7 @@
         state.health.backoff_until = Some(now + GONE_BACKOFF);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -422,9 +439,10 @@
     pub fn record_first_byte(&mut self, now: Instant) {
         if !self.is_answered {
             self.is_answered = true;
-            let health = &mut self.server.lock().health;
-            health.unanswered = health.unanswered.saturating_sub(1);
-            health.record_activity(now);
+            let state = &mut *self.server.lock();
+            state.health.unanswered = state.health.unanswered.saturating_sub(1);
+            state.health.record_activity(now);
+            state.warmth.record_answered(now - self.server.origin);
         }
     }
 }
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -32,6 +32,27 @@
         self.record_limit(attempt_id, server, answer, sent_at);
         self.record_rest(attempt_id, server, &answer.rest);
         self.record_leaving(attempt_id, server, &answer.leaving);
+        self.record_cold(attempt_id, server, &answer.cold);
+    }
+
+    fn record_cold(&self, request: &str, server: &Arc<Server>, cold: &Stated<Duration>) {
+        let id = server.listed.id.as_str();
+        match cold {
+            Stated::Value(left) => {
+                let now = Instant::now();
+                if server.record_cold(*left, now) {
+                    self.permits.report_cold(server, now);
+                    self.metrics.record_signal("cold");
+                    let left_ms = left.as_millis() as u64;
+                    tracing::info!(request, server = id, left_ms, "backend server is cold");
+                }
+            }
+            Stated::Malformed(text) => {
+                self.metrics.record_signal("cold_malformed");
+                tracing::warn!(request, server = id, text, "backend server's warmth can't be read");
+            }
+            Stated::Absent => {}
+        }
     }
 
     fn record_limit(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answers;
 pub mod batch;
 pub mod claim;
+pub mod cold;
 pub mod demand;
 pub mod events;
 pub mod experts;
--- a/crates/protocol/src/permits.rs
+++ b/crates/protocol/src/permits.rs
@@ -3,7 +3,9 @@
 
 use flamingowheel_policy::key::ServerKey;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
+pub use flamingowheel_policy::cold::ColdAllowance;
 pub use flamingowheel_policy::permits::{LimitReport, Verdict};
 
 /// Largest encoded datagram, in bytes.
@@ -37,6 +39,33 @@
         /// What is known of its limit.
         report: LimitReport,
     },
+    /// Tells a server's meter that it is cold, and asks for a permit.
+    AskCold {
+        /// Chosen by the asking entry, repeated in the answer.
+        number: u64,
+        /// The backend server.
+        server: ServerKey,
+        /// What the asking entry knows.
+        report: ColdReport,
+        /// Whether a permit is asked for; otherwise this is a report only.
+        wants_permit: bool,
+    },
+    /// The meter's news to all entries that a server is cold.
+    BroadcastCold {
+        /// The backend server.
+        server: ServerKey,
+        /// Time for which it remains cold.
+        left: Duration,
+    },
+}
+
+/// What an entry knows of a cold server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdReport {
+    /// Time for which it remains cold.
+    pub left: Duration,
+    /// What it may get until then.
+    pub allowance: ColdAllowance,
 }
 
 impl PermitMessage {
