Cold servers: a permit is used by the request that asked for it

With 380 entries a cold server got 0.4 of what it tolerates: permits expired at entries without another request in time.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -118,6 +118,27 @@
     Chosen { choice, wanted }
 }
 
+/// The cold server that a permit was `asked` for, if there is one now and `choice` is another server:
+/// an unused permit is lost to all entries.
+pub fn prefer_permitted(
+    choice: Choice,
+    view: &View,
+    asked: Option<&Arc<Server>>,
+    now: Instant,
+) -> Choice {
+    let is_permitted = |server: &&Arc<Server>| {
+        let status = server.status(now);
+        status.share < 1.0 && status.is_admitting && !status.is_leaving && !status.is_in_backoff
+    };
+    match (choice, asked.filter(is_permitted)) {
+        (Choice::Send(..), Some(server)) => {
+            let group = view.group_ranks.get(&server.listed.address).map(|rank| &rank.group);
+            Choice::Send(Arc::clone(server), group.cloned())
+        }
+        (choice, _) => choice,
+    }
+}
+
 fn keep_better<'a>(best: &mut Option<Candidate<'a>>, candidate: Candidate<'a>) {
     if best.as_ref().is_none_or(|best| candidate.compare(best).is_lt()) {
         *best = Some(candidate);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -42,20 +42,24 @@
         admission: Option<&Admission>,
     ) -> Choice {
         let begun_at = Instant::now();
+        let mut asked = None;
         loop {
             let (view, now) = (self.views.load_full(), Instant::now());
             let Chosen { choice, wanted } =
                 balance::choose(&view, &exchange.service, tried, admission, now);
-            if let Some(server) = &wanted {
-                self.permits.ask(server, now);
+            let is_held = matches!(choice, Choice::Held(_));
+            if let Some(server) = wanted.filter(|_| is_held || asked.is_none()) {
+                self.permits.ask(&server, now);
+                asked = Some(server);
             }
             let servers = view.servers_of(&exchange.service);
-            let (is_awaited, max_wait) = match &choice {
-                Choice::Held(_) => (servers.iter().any(|s| is_asking(s, now)), PERMIT_WAIT),
-                _ => (wanted.is_some_and(|s| s.is_asking_cold(now)), COLD_PERMIT_WAIT),
+            let (is_awaited, max_wait) = if is_held {
+                (servers.iter().any(|server| is_asking(server, now)), PERMIT_WAIT)
+            } else {
+                (asked.as_ref().is_some_and(|s| s.is_asking_cold(now)), COLD_PERMIT_WAIT)
             };
             if !is_awaited || now >= exchange.deadline.min(begun_at + max_wait) {
-                return choice;
+                return balance::prefer_permitted(choice, &view, asked.as_ref(), now);
             }
             sleep(PERMIT_POLL_INTERVAL).await;
         }
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 /// Time after asking for which a permit can be used.
-pub const COLD_PERMIT_VALIDITY: Duration = Duration::from_millis(150);
+pub const COLD_PERMIT_VALIDITY: Duration = Duration::from_millis(200);
 
 /// Window of the limit.
 const SECOND: Duration = Duration::from_secs(1);
