Gateway, policy: urgent requests go first while a service is short of room

What callers saw: a burst of batch work makes urgent streams late, as admission knows neither a request's priority nor its workspace. Cause: one limit on the pass time for all requests; the header by which servers order their queue was never set. Change: requests are ranked by the workspace's priority, then the route's. The limit of a request is lowered for each more urgent rank that arrives at the entry, with credit for ranks that are served seldom; what a workspace sends above its max-min share gives way to the others; a request with a long goal may wait for a place; refused callers return in the order of their ranks. Servers get the level by the priority header. The parts of entries in the model of a pass count entries that have left until their requests have ended.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -168,7 +168,9 @@
                     is_leaving,
                     is_admitting,
                     can_ask,
-                    fullness: admission.map(|admission| group_rank.group.fullness(admission, now)),
+                    fullness: admission
+                        .filter(|admission| admission.pause_goal_ms > 0.0)
+                        .map(|admission| group_rank.group.fullness(admission, now)),
                     group_cost: group_rank.group.cost(now),
                     is_not_sampled: report.is_some() && rand::random::<f64>() >= sampled_share,
                     cost: (f64::from(requests) + 0.5 + FAILURE_COST * status.failure_ratio)
@@ -184,7 +186,9 @@
                 is_leaving,
                 is_admitting,
                 can_ask,
-                fullness: None,
+                fullness: admission
+                    .filter(|admission| admission.pause_goal_ms <= 0.0)
+                    .and_then(|admission| plain_fullness(&status, admission)),
                 group_cost: 0.0,
                 is_not_sampled: false,
                 cost: cost_with(&status, server.listed.slots, unknown_latency_ms) * spread,
@@ -211,6 +215,20 @@
     }
 }
 
+/// How full a server without a group is: its answers take long once requests queue there.
+fn plain_fullness(status: &ServerStatus, admission: &Admission) -> Option<Fullness> {
+    let latency_ms = status.latency_ms?;
+    let limit_ms = admission.pass_limit_ms * (1.0 - admission.cut);
+    Some(Fullness {
+        crowding: latency_ms / limit_ms.max(1.0),
+        own_requests: status.in_flight,
+        limit: None,
+        pass_ms: latency_ms,
+        occupancy: None,
+        report_age: None,
+    })
+}
+
 fn is_among(tried: &[Arc<Server>], server: &Arc<Server>) -> bool {
     tried.iter().any(|tried| tried.listed.id == server.listed.id)
 }
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -87,6 +87,11 @@
         self.lock().roster.observe(vms, age, now - self.origin);
     }
 
+    /// Number of entries among which the deployment's constants are divided.
+    pub fn entries(&self) -> usize {
+        self.lock().roster.count()
+    }
+
     /// Gives up this entry's part of the constant, as it leaves.
     pub fn leave(&self) {
         self.lock().roster.leave();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use flamingowheel_platform::headers::{self, ForwardHead, RequestHead};
 use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
 use flamingowheel_policy::outage;
+use flamingowheel_policy::priority::Rank;
 use flamingowheel_policy::quota::Urgency;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
@@ -54,6 +55,10 @@
     pub service: String,
     /// The workspace of the caller's API key; `None` if no key is required and none matched.
     pub workspace: Option<Arc<Workspace>>,
+    /// How urgent the request is.
+    pub rank: Rank,
+    /// Level of the rank among those of the service; `None` if all requests have the same.
+    pub level: Option<u8>,
     /// The request's HTTP method.
     pub method: Method,
     /// The path and query.
@@ -128,7 +133,7 @@
             remaining_ms: remaining.as_millis() as u64,
             server: &server.listed.id,
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.as_str()),
-            priority: None,
+            priority: self.level,
             last_event_id,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/gateway/src/forward/intake.rs
+++ b/crates/gateway/src/forward/intake.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use flamingowheel_fleet::configuration::Route;
 use flamingowheel_platform::headers::{self, RequestHead};
+use flamingowheel_policy::priority::Rank;
 use http::Request;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -62,6 +63,9 @@
             &body,
         );
         let subjects = exchange::subjects(fingerprint, &service, &head.shared_parts);
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        let rank = Rank::new(priority, route.priority);
+        let level = view.levels.get(&service).and_then(|levels| levels.level(rank));
         let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let wait_ms = if route.timeout_ms > 0 { wait_ms.min(route.timeout_ms) } else { wait_ms };
         Ok(Exchange {
@@ -71,6 +75,8 @@
             route: Arc::clone(route),
             service,
             workspace: workspace.cloned(),
+            rank,
+            level,
             head,
             method: parts.method,
             uri: parts.uri,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -16,6 +16,7 @@
 use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
 use crate::permits::PermitSender;
+use crate::priority::{Turns, Waiting};
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, full_body};
 use crate::selection::Selector;
@@ -28,6 +29,7 @@
 use flamingowheel_platform::headers::{self, RequestHead};
 use flamingowheel_policy::passes;
 use flamingowheel_policy::quota::Urgency;
+use flamingowheel_policy::urgency::{GivesWay, Standing};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -51,6 +53,7 @@
     /// Requests that crash backend servers.
     pub suspects: Arc<Suspects>,
     started_at: Instant,
+    turns: Arc<Turns>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
 }
@@ -75,6 +78,7 @@
             suspects,
             selector,
             started_at: Instant::now(),
+            turns: Arc::default(),
             metrics,
         }
     }
@@ -105,12 +109,15 @@
         exchange: &Arc<Exchange>,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let mut attempts = Attempts::default();
+        let draw = rand::random();
+        let standing = self.turns.arrive(exchange, draw, exchange.arrived);
+        let turn = Turn { draw, standing };
         while attempts.may_send(exchange).await {
             if let Some(suspicion) = self.suspects.refusal(&exchange.subjects) {
                 let refusal = self.refuse_suspect(exchange, suspicion);
                 return attempts.into_result(exchange, Some(refusal));
             }
-            let (server, group) = match self.next_server(exchange, &attempts.tried).await {
+            let (server, group) = match self.next_server(exchange, &attempts.tried, &turn).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return attempts.into_result(exchange, Some(refusal)),
             };
@@ -179,9 +186,11 @@
         &self,
         exchange: &Exchange,
         tried: &[Arc<Server>],
+        turn: &Turn,
     ) -> Result<(Arc<Server>, Option<Arc<GroupLoad>>), Refusal> {
-        let draw = rand::random();
-        let admission = admission(exchange, draw);
+        let draw = turn.draw;
+        let admission = admission(exchange, turn);
+        let mut waiting = None;
         loop {
             let now = Instant::now();
             if now >= exchange.deadline {
@@ -191,21 +200,18 @@
             match self.selector.choose(exchange, tried, admission).await {
                 Choice::Held(wait) => return Err(exchange.held_refusal(wait, draw)),
                 Choice::Busy(fullness) => {
-                    let Fullness { crowding, own_requests, limit, pass_ms } = fullness;
-                    let retry_after_ms = passes::retry_after_ms(crowding, pass_ms, draw);
-                    tracing::info!(
-                        request = exchange.head.attempt_id,
-                        crowding,
-                        own = own_requests,
-                        bound = limit,
-                        pass_ms,
-                        retry_after_ms,
-                        "every group is full"
-                    );
-                    return Err(Refusal::Busy { retry_after_ms });
+                    if self.waits_for_room(exchange, turn, &fullness, &mut waiting) {
+                        sleep_until(exchange.deadline.min(now + SERVER_POLL_INTERVAL)).await;
+                        continue;
+                    }
+                    return Err(self.refuse_full(exchange, turn, &fullness, waiting.is_some()));
                 }
                 Choice::Send(server, group) => {
                     if self.breakers().try_acquire(&exchange.service, now) {
+                        if tried.is_empty() {
+                            self.turns.admit(exchange, now);
+                            self.metrics.record_turn(exchange.level, waiting.is_some(), true);
+                        }
                         return Ok((server, group));
                     }
                 }
@@ -220,6 +226,62 @@
         }
     }
 
+    /// Whether a request that finds no room waits for it, and does not give up `waiting` yet.
+    fn waits_for_room(
+        &self,
+        exchange: &Exchange,
+        turn: &Turn,
+        fullness: &Fullness,
+        waiting: &mut Option<(Waiting, Duration)>,
+    ) -> bool {
+        if turn.standing.gives_way != GivesWay::ToUrgent {
+            return false;
+        }
+        if waiting.is_none() {
+            *waiting = self.turns.wait(exchange, fullness);
+        }
+        waiting.as_ref().is_some_and(|(_, max_wait)| exchange.arrived.elapsed() < *max_wait)
+    }
+
+    /// The refusal of a request for which there is no room, with what it gives way to.
+    fn refuse_full(
+        &self,
+        exchange: &Exchange,
+        turn: &Turn,
+        fullness: &Fullness,
+        has_waited: bool,
+    ) -> Refusal {
+        let Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age } = *fullness;
+        let Standing { cut, gives_way, is_on_credit, urgent_share, surplus, shares_age } =
+            turn.standing;
+        let now = Instant::now();
+        let retry_after_ms = self.turns.refuse(exchange, fullness, turn.draw, now);
+        let workspace = exchange.workspace.as_ref().map(|workspace| workspace.name.as_str());
+        self.metrics.record_turn(exchange.level, has_waited, false);
+        self.metrics.record_gave_way(workspace, gives_way);
+        tracing::info!(
+            request = exchange.head.attempt_id,
+            route = exchange.route.name,
+            urgency = exchange.level,
+            workspace,
+            gives_way = gives_way.name(),
+            cut,
+            is_on_credit,
+            urgent_share,
+            surplus,
+            shares_age_ms = shares_age.as_millis() as u64,
+            crowding,
+            own = own_requests,
+            bound = limit,
+            pass_ms,
+            occupancy,
+            report_age_ms = report_age.map(|age| age.as_millis() as u64),
+            retry_after_ms,
+            "every group is full"
+        );
+        Refusal::Busy { retry_after_ms }
+    }
+
     /// A silence detector for a server.
     pub fn silence_detector(
         &self,
@@ -318,13 +380,29 @@
     }
 }
 
-/// The request's conditions for admission to a rank group; `None` for routes without a goal for
-/// pauses.
-fn admission(exchange: &Exchange, draw: f64) -> Option<Admission> {
+/// What decides about a request while its service is short of room.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    /// Random number between 0 and 1, the same for all decisions on the request.
+    draw: f64,
+    standing: Standing,
+}
+
+/// The request's conditions for admission; `None` for routes without a goal for pauses, unless the
+/// request gives way to others.
+fn admission(exchange: &Exchange, turn: &Turn) -> Option<Admission> {
+    let Turn { draw, standing } = *turn;
+    let cut = standing.cut;
     let pause_goal_ms = exchange.route.pause_goal_ms as f64;
-    let is_caller_retry = exchange.is_caller_retry();
+    if pause_goal_ms <= 0.0 {
+        let goal_ms = exchange.route.goal_ms as f64;
+        let pass_limit_ms = passes::limit_ms(goal_ms, false, draw);
+        let has_limit = cut > 0.0 && goal_ms > 0.0;
+        return has_limit.then_some(Admission { pass_limit_ms, pause_goal_ms, draw, cut });
+    }
+    let is_caller_retry = exchange.is_caller_retry() && standing.gives_way != GivesWay::ToPatient;
     let pass_limit_ms = passes::limit_ms(pause_goal_ms, is_caller_retry, draw);
     // A caller's retry has priority over a first attempt.
     let draw = if is_caller_retry { 1.0 } else { draw };
-    (pause_goal_ms > 0.0).then_some(Admission { pass_limit_ms, pause_goal_ms, draw })
+    Some(Admission { pass_limit_ms, pause_goal_ms, draw, cut })
 }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -27,6 +27,8 @@
     batch_limit: BatchLimit,
     /// How pass time grows with requests; `None` until the engines' parameters are known.
     model: Option<PassModel>,
+    /// Requests that a rank runs at once; 0 until known.
+    slots: u32,
     /// The last report of the group's coordinator.
     report: Option<Report>,
     /// The newest event, and the newest one from any other server.
@@ -62,6 +64,16 @@
     pub taken_at: Instant,
 }
 
+impl Observed {
+    fn occupancy(&self, now: Instant) -> Option<f64> {
+        let report =
+            self.report.as_ref().filter(|report| now - report.taken_at < MAX_REPORT_AGE)?;
+        let slots = self.slots as usize * report.requests.len();
+        let requests: u32 = report.requests.iter().map(|requests| u32::from(*requests)).sum();
+        (slots > 0).then(|| f64::from(requests) / slots as f64)
+    }
+}
+
 impl Default for GroupLoad {
     fn default() -> Self {
         Self { in_flight: AtomicU32::new(0), observed: Mutex::default(), origin: Instant::now() }
@@ -78,6 +90,8 @@
     /// Random number between 0 and 1, so that requests of the same moment are not all refused at
     /// the same limit.
     pub draw: f64,
+    /// Share by which limits are lowered, as the request gives way to others.
+    pub cut: f64,
 }
 
 /// How full a group is, with the values that this was computed from.
@@ -92,6 +106,10 @@
     pub limit: Option<f64>,
     /// Mean pass time, in milliseconds; 0 if there was no recent pass.
     pub pass_ms: f64,
+    /// Requests at the group's ranks as a share of their slots; `None` without a recent report.
+    pub occupancy: Option<f64>,
+    /// Age of the last report; `None` if there was none.
+    pub report_age: Option<Duration>,
 }
 
 impl Fullness {
@@ -191,6 +209,11 @@
         self.lock().model = Some(model);
     }
 
+    /// Sets how many requests a rank runs at once.
+    pub fn set_slots(&self, slots: u32) {
+        self.lock().slots = slots;
+    }
+
     /// How full the group is for a further request. All inputs are observed on this entry's own
     /// streams and at most about a pass old.
     pub fn fullness(&self, admission: &Admission, now: Instant) -> Fullness {
@@ -201,10 +224,16 @@
         let model = observed.model.as_ref();
         let limit =
             model.and_then(|m| observed.batch_limit.max_requests(admission.pause_goal_ms, m, at));
+        let kept = (1.0 - admission.cut).max(f64::EPSILON);
         let by_number =
-            limit.map_or(0.0, |limit| batch::crowding(own_requests, limit, admission.draw));
-        let crowding = by_number.max(pass_ms / admission.pass_limit_ms.max(1.0));
-        Fullness { crowding, own_requests, limit, pass_ms }
+            limit.map_or(0.0, |limit| batch::crowding(own_requests, limit * kept, admission.draw));
+        let by_time = pass_ms / (admission.pass_limit_ms * kept).max(1.0);
+        let occupancy = observed.occupancy(now);
+        // Requests beyond the slots queue at the server, where urgent ones would wait as well.
+        let by_slots = occupancy.filter(|_| admission.cut > 0.0).unwrap_or(0.0) / kept;
+        let crowding = by_number.max(by_time).max(by_slots);
+        let report_age = observed.report.as_ref().map(|report| now - report.taken_at);
+        Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age }
     }
 
     /// Expected cost of a request in the group: grows with its pass time and this entry's requests
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod member;
 pub mod metrics;
 pub mod permits;
+pub mod priority;
 pub mod process;
 pub mod publish;
 pub mod refusal;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,12 +4,18 @@
 use crate::view::InForce;
 use flamingowheel_policy::answers::{Ending, Framing};
 use flamingowheel_policy::suspicion::SubjectKind;
+use flamingowheel_policy::urgency::GivesWay;
 use prometheus::{
     Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
 };
+use std::collections::HashSet;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+/// Most workspaces with a label of their own; the others are counted together.
+const MAX_WORKSPACE_LABELS: usize = 32;
+
 /// Buckets of the time to an answer, in seconds; they cover the routes' goals (0.1 to 0.5 s) and
 /// time limits (0.6 to 8 s).
 const ANSWER_BUCKETS_S: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
@@ -35,6 +41,7 @@
     suspicions: IntCounterVec,
     answer_times: HistogramVec,
     pauses: Histogram,
+    turns: TurnMetrics,
     configuration: ConfigurationMetrics,
 }
 
@@ -88,6 +95,53 @@
     }
 }
 
+/// Whose turn it was while services were short of room.
+#[derive(Debug)]
+struct TurnMetrics {
+    by_level: IntCounterVec,
+    gave_way: IntCounterVec,
+    workspaces: Mutex<HashSet<String>>,
+}
+
+impl TurnMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let by_level = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_turns_total",
+                "Requests by level of urgency, and whether they were sent on or refused, at once or \
+                 after a wait",
+            ),
+            &["level", "outcome"],
+        )?;
+        let gave_way = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_gave_way_total",
+                "Requests refused for want of room, by workspace and what they gave way to",
+            ),
+            &["workspace", "to"],
+        )?;
+        registry.register(Box::new(by_level.clone()))?;
+        registry.register(Box::new(gave_way.clone()))?;
+        Ok(Self { by_level, gave_way, workspaces: Mutex::default() })
+    }
+
+    /// The value of the label for a workspace, of which there are not too many.
+    fn label<'a>(&self, workspace: Option<&'a str>) -> &'a str {
+        let Some(name) = workspace else {
+            return "none";
+        };
+        let mut known = self.workspaces.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.contains(name) {
+            return name;
+        }
+        if known.len() >= MAX_WORKSPACE_LABELS {
+            return "other";
+        }
+        known.insert(name.to_owned());
+        name
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     pub fn new() -> Result<Self, prometheus::Error> {
@@ -161,6 +215,7 @@
             HistogramOpts::new("flamingowheel_pause_seconds", "Pauses between events")
                 .buckets(PAUSE_BUCKETS_S.to_vec()),
         )?;
+        let turns = TurnMetrics::register(&registry)?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(signals.clone()))?;
@@ -186,6 +241,7 @@
             suspicions,
             answer_times,
             pauses,
+            turns,
             configuration,
         })
     }
@@ -231,6 +287,24 @@
         self.suspicions.with_label_values(&[kind.name(), event]).inc();
     }
 
+    /// Counts a request whose turn was decided.
+    pub fn record_turn(&self, level: Option<u8>, has_waited: bool, is_sent: bool) {
+        let outcome = match (is_sent, has_waited) {
+            (true, false) => "sent",
+            (true, true) => "sent_after_wait",
+            (false, false) => "refused",
+            (false, true) => "refused_after_wait",
+        };
+        let level = level.map_or("none".to_owned(), |level| level.to_string());
+        self.turns.by_level.with_label_values(&[level.as_str(), outcome]).inc();
+    }
+
+    /// Counts a request that was refused for want of room, by what it gave way to.
+    pub fn record_gave_way(&self, workspace: Option<&str>, to: GivesWay) {
+        let workspace = self.turns.label(workspace);
+        self.turns.gave_way.with_label_values(&[workspace, to.name()]).inc();
+    }
+
     /// Records the time to an answer, or to the first event of a stream.
     pub fn observe_answer_time(&self, kind: &'static str, after: Duration) {
         self.answer_times.with_label_values(&[kind]).observe(after.as_secs_f64());
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -7,6 +7,7 @@
 use crate::group::{GroupLoad, GroupRank};
 use crate::listings::Listings;
 use crate::metrics::Metrics;
+use crate::priority::{self, LevelsByService};
 use crate::server::Server;
 use crate::suspects::Suspects;
 use crate::suspects::archive::SUSPECTS_PREFIX;
@@ -63,6 +64,7 @@
     views: Views,
     outputs: Outputs,
     configuration: Option<Arc<Configuration>>,
+    levels: Arc<LevelsByService>,
     in_force: Option<InForce>,
     listings: Listings,
     entries: HashMap<String, EntryRecord>,
@@ -81,6 +83,7 @@
             views,
             outputs,
             configuration: None,
+            levels: Arc::default(),
             in_force: None,
             listings: Listings::default(),
             entries: HashMap::new(),
@@ -209,6 +212,7 @@
             return;
         }
         self.record_in_force(&configuration);
+        self.levels = Arc::new(priority::levels(&configuration));
         self.configuration = Some(Arc::new(configuration));
     }
 
@@ -314,11 +318,18 @@
             let first = record.ranks.first();
             let service = first.and_then(|rank| service_by_engine.get(&rank.engine));
             if let Some(engine) = service.and_then(|service| self.engine_of_service(service)) {
-                load.set_model(pass_model(engine, record.ranks.len(), self.entries.len().max(1)));
+                load.set_model(pass_model(engine, record.ranks.len(), self.counted_entries()));
+                load.set_slots(engine.slots);
             }
         }
     }
 
+    /// Number of entries that may send requests: those that have left the list are counted until
+    /// their requests have ended, lest the parts of the others grow meanwhile.
+    fn counted_entries(&self) -> usize {
+        self.outputs.budget.entries().max(1)
+    }
+
     fn engine_of_service(&self, service: &str) -> Option<&EngineParameters> {
         self.configuration.as_ref()?.services.get(service)?.engine.as_ref()
     }
@@ -371,7 +382,8 @@
         for (service, addresses) in engines {
             let load = Arc::clone(self.ungrouped.entry(service.clone()).or_default());
             if let Some(engine) = self.engine_of_service(&service) {
-                load.set_model(pass_model(engine, addresses.len(), self.entries.len().max(1)));
+                load.set_model(pass_model(engine, addresses.len(), self.counted_entries()));
+                load.set_slots(engine.slots);
             }
             for (rank, address) in addresses.into_iter().enumerate() {
                 let group_rank =
@@ -407,6 +419,7 @@
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
+            levels: Arc::clone(&self.levels),
             in_force: self.in_force.clone(),
             servers,
             group_ranks,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,6 +2,7 @@
 
 use crate::feed::mirror::Source;
 use crate::group::GroupRank;
+use crate::priority::LevelsByService;
 use crate::server::Server;
 use arc_swap::ArcSwap;
 use flamingowheel_fleet::Configuration;
@@ -41,6 +42,8 @@
 pub struct View {
     /// The configuration in force; `None` until the first one is known.
     pub configuration: Option<Arc<Configuration>>,
+    /// Ranks of urgency that it knows, by service.
+    pub levels: Arc<LevelsByService>,
     /// How that configuration came into force.
     pub in_force: Option<InForce>,
     /// Backend servers that take work, by service.
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -4,6 +4,7 @@
 use flamingowheel_gateway::exchange::Exchange;
 use flamingowheel_platform::headers::RequestHead;
 use flamingowheel_policy::key::Fingerprint;
+use flamingowheel_policy::priority::Rank;
 use http::{HeaderMap, Method, Uri};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,8 @@
         route: Arc::new(Route { timeout_ms: TIMEOUT_MS, pause_goal_ms, ..Route::default() }),
         service: "s".to_owned(),
         workspace: None,
+        rank: Rank::default(),
+        level: None,
         method: Method::POST,
         uri: Uri::from_static("/"),
         headers: HeaderMap::new(),
