--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -87,7 +87,7 @@
         self.lock().roster.observe(vms, age, now - self.origin);
     }
 
-    /// Number of entries among which constants are divided.
+    /// Number of entries among which the deployment's constants are divided.
     pub fn entries(&self) -> usize {
         self.lock().roster.count()
     }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -28,6 +28,8 @@
     batch_limit: BatchLimit,
     /// How pass time grows with requests; `None` until the engines' parameters are known.
     model: Option<PassModel>,
+    /// Requests that a rank runs at once; 0 until known.
+    slots: u32,
     /// The last report of the group's coordinator.
     report: Option<Report>,
     /// Which ranks may take requests; `None` if all may.
@@ -39,18 +41,10 @@
 impl Observed {
     /// How crowded the open ranks are; 0 while all may take requests.
     fn room_crowding(&self, own_requests: u32, draw: f64, now: Instant) -> f64 {
-        let Some(OpenRanks { are_open, room: Some(room) }) = &self.open_ranks else {
+        let Some(OpenRanks { room: Some(room), .. }) = &self.open_ranks else {
             return 0.0;
         };
-        let report = self.report.as_ref();
-        let reported =
-            report.filter(|report| now - report.taken_at < MAX_REPORT_AGE).map(|report| {
-                let ranks = report.requests.iter().zip(are_open);
-                ranks
-                    .filter(|(_, is_open)| **is_open)
-                    .map(|(requests, _)| u32::from(*requests))
-                    .sum()
-            });
+        let reported = self.open_rank_requests(now).map(|requests| requests.iter().sum());
         room.crowding(own_requests, reported, draw)
     }
 }
@@ -104,6 +98,28 @@
     pub taken_at: Instant,
 }
 
+impl Observed {
+    /// Requests at the ranks that may take some, relative to what these run at once.
+    fn occupancy(&self, now: Instant) -> Option<f64> {
+        let requests = self.open_rank_requests(now)?;
+        let slots = self.slots as usize * requests.len();
+        let sum: u32 = requests.iter().sum();
+        (slots > 0).then(|| f64::from(sum) / slots as f64)
+    }
+
+    /// The reported requests of the ranks that may take some; `None` without a recent report.
+    fn open_rank_requests(&self, now: Instant) -> Option<Vec<u32>> {
+        let report =
+            self.report.as_ref().filter(|report| now - report.taken_at < MAX_REPORT_AGE)?;
+        let is_open = |rank: usize| {
+            let are_open = self.open_ranks.as_ref().map(|ranks| &ranks.are_open);
+            are_open.and_then(|are_open| are_open.get(rank)).is_none_or(|is_open| *is_open)
+        };
+        let ranks = report.requests.iter().enumerate().filter(|(rank, _)| is_open(*rank));
+        Some(ranks.map(|(_, requests)| u32::from(*requests)).collect())
+    }
+}
+
 impl Default for GroupLoad {
     fn default() -> Self {
         Self { in_flight: AtomicU32::new(0), observed: Mutex::default(), origin: Instant::now() }
@@ -120,6 +136,8 @@
     /// Random number between 0 and 1, so that requests of the same moment are not all refused at
     /// the same limit.
     pub draw: f64,
+    /// Share by which limits are lowered, as the request gives way to others.
+    pub cut: f64,
 }
 
 /// How full a group is, with the values that this was computed from.
@@ -134,6 +152,10 @@
     pub limit: Option<f64>,
     /// Mean pass time, in milliseconds; 0 if there was no recent pass.
     pub pass_ms: f64,
+    /// Requests at the group's ranks as a share of their slots; `None` without a recent report.
+    pub occupancy: Option<f64>,
+    /// Age of the last report; `None` if there was none.
+    pub report_age: Option<Duration>,
 }
 
 impl Fullness {
@@ -252,6 +274,11 @@
         self.lock().open_ranks.as_ref().map_or(1.0, OpenRanks::share)
     }
 
+    /// Sets how many requests a rank runs at once.
+    pub fn set_slots(&self, slots: u32) {
+        self.lock().slots = slots;
+    }
+
     /// How full the group is for a further request. All inputs are observed on this entry's own
     /// streams and at most about a pass old.
     pub fn fullness(&self, admission: &Admission, now: Instant) -> Fullness {
@@ -262,11 +289,17 @@
         let model = observed.model.as_ref();
         let limit =
             model.and_then(|m| observed.batch_limit.max_requests(admission.pause_goal_ms, m, at));
+        let kept = (1.0 - admission.cut).max(f64::EPSILON);
         let by_number =
-            limit.map_or(0.0, |limit| batch::crowding(own_requests, limit, admission.draw));
-        let by_room = observed.room_crowding(own_requests, admission.draw, now);
-        let crowding = by_number.max(by_room).max(pass_ms / admission.pass_limit_ms.max(1.0));
-        Fullness { crowding, own_requests, limit, pass_ms }
+            limit.map_or(0.0, |limit| batch::crowding(own_requests, limit * kept, admission.draw));
+        let by_time = pass_ms / (admission.pass_limit_ms * kept).max(1.0);
+        let occupancy = observed.occupancy(now);
+        // Requests beyond the slots queue at the server, where urgent ones would wait as well.
+        let by_slots = occupancy.filter(|_| admission.cut > 0.0).unwrap_or(0.0) / kept;
+        let by_room = observed.room_crowding(own_requests, admission.draw, now) / kept;
+        let crowding = by_number.max(by_room).max(by_time).max(by_slots);
+        let report_age = observed.report.as_ref().map(|report| now - report.taken_at);
+        Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age }
     }
 
     /// Expected cost of a request in the group: grows with its pass time and this entry's requests
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -9,6 +9,7 @@
 use crate::homes::Regions;
 use crate::listings::Listings;
 use crate::metrics::Metrics;
+use crate::priority::{self, LevelsByService};
 use crate::server::Server;
 use crate::suspects::Suspects;
 use crate::suspects::archive::SUSPECTS_PREFIX;
@@ -69,6 +70,7 @@
     views: Views,
     outputs: Outputs,
     configuration: Option<Arc<Configuration>>,
+    levels: Arc<LevelsByService>,
     in_force: Option<InForce>,
     listings: Listings,
     evacuations: Evacuations,
@@ -91,6 +93,7 @@
             views,
             outputs,
             configuration: None,
+            levels: Arc::default(),
             in_force: None,
             listings: Listings::default(),
             evacuations: Evacuations::default(),
@@ -252,6 +255,7 @@
             return;
         }
         self.record_in_force(&configuration);
+        self.levels = Arc::new(priority::levels(&configuration));
         self.configuration = Some(Arc::new(configuration));
     }
 
@@ -371,7 +375,8 @@
             let service = first.and_then(|rank| service_by_engine.get(&rank.engine));
             if let Some(engine) = service.and_then(|service| self.engine_of_service(service)) {
                 let open_ranks = record.ranks.len() as f64 * load.open_share();
-                load.set_model(pass_model(engine, open_ranks, self.entries.len().max(1)));
+                load.set_model(pass_model(engine, open_ranks, self.counted_entries()));
+                load.set_slots(engine.slots);
             }
         }
     }
@@ -387,12 +392,18 @@
             let first = record.ranks.iter().find_map(server);
             let engine = first.and_then(|server| self.engine_of_service(&server.listed.service));
             let open_count = are_open.iter().filter(|is_open| **is_open).count();
-            let entries = self.entries.len();
+            let entries = self.counted_entries();
             let room = engine.map(|engine| Room::new(open_count, engine.slots, entries));
             load.set_open_ranks(OpenRanks { are_open, room });
         }
     }
 
+    /// Number of entries that may send requests: those that have left the list are counted until
+    /// their requests have ended, lest the parts of the others grow meanwhile.
+    fn counted_entries(&self) -> usize {
+        self.outputs.budget.entries().max(1)
+    }
+
     fn engine_of_service(&self, service: &str) -> Option<&EngineParameters> {
         self.configuration.as_ref()?.services.get(service)?.engine.as_ref()
     }
@@ -449,7 +460,8 @@
                 let open_ranks = addresses.iter().filter(|(_, is_open)| *is_open).count();
                 let are_open = addresses.iter().map(|(_, is_open)| *is_open).collect();
                 load.set_open_ranks(OpenRanks { are_open, room: None });
-                load.set_model(pass_model(engine, open_ranks as f64, self.entries.len().max(1)));
+                load.set_model(pass_model(engine, open_ranks as f64, self.counted_entries()));
+                load.set_slots(engine.slots);
             }
             for (rank, (address, _)) in addresses.into_iter().enumerate() {
                 let group_rank =
@@ -488,6 +500,7 @@
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
+            levels: Arc::clone(&self.levels),
             in_force: self.in_force.clone(),
             servers,
             group_ranks,
