Gateway, policy: entries are named in proportion to what they can take

Callers saw: of unequal entries each got as many callers as the others, and of more than 64 the last by address were named to their own data centre alone. Cause: the directory gave every caller one sorted list, cut to 64. Ruled out: repeating addresses in an answer (callers may count each once). Change: an entry announces its machine's size, its speed and its room; answers are fixed-size samples whose probabilities follow these, stable for a caller, near ones first while they are as able as the others. Alike entries are named as before.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 use crate::budget::{Decision, RetryBudget, RetryCause, RetryPermit};
 use crate::exchange::{Attempts, Exchange};
 use crate::group::{Admission, Fullness, GroupLoad};
+use crate::held::Held;
 use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
 use crate::permits::PermitSender;
@@ -53,6 +54,8 @@
     started_at: Instant,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
+    /// What is held for callers.
+    pub held: Arc<Held>,
 }
 
 impl Gateway {
@@ -76,9 +79,16 @@
             selector,
             started_at: Instant::now(),
             metrics,
+            held: Held::unlimited(),
         }
     }
 
+    /// Bounds what is held for callers.
+    #[must_use]
+    pub fn with_held(self, held: Arc<Held>) -> Self {
+        Self { held, ..self }
+    }
+
     /// The newest view.
     pub fn view(&self) -> Arc<View> {
         self.views.load_full()
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -64,6 +64,7 @@
 }
 
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
+    let _counted = gateway.held.add_connection();
     enable_dead_peer_detection(&stream);
     let last_used = Arc::new(Mutex::new(Instant::now()));
     let has_chunks = AtomicBool::new(true);
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -1,15 +1,17 @@
 //! HTTP endpoints of an entry besides callers' requests: the directory, readiness and metrics.
 
+use crate::directory::{self, Asker};
 use crate::feed::mirror::Mirror;
 use crate::metrics::Metrics;
 use crate::suspects::Suspects;
 use crate::view::Views;
 use axum::Router;
-use axum::extract::{RawQuery, State};
+use axum::extract::{ConnectInfo, Request, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::get;
-use flamingowheel_platform::{READY_PATH, RESOLVE_PATH, ResolveAnswer, directory};
+use flamingowheel_platform::directory::{self as platform_directory, MAX_ADDRESSES};
+use flamingowheel_platform::{READY_PATH, RESOLVE_PATH, ResolveAnswer};
 use flamingowheel_policy::suspicion::{CrashRecord, SuspectRecord, Verdict};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -42,9 +44,11 @@
     Router::new().route(RESOLVE_PATH, get(resolve)).with_state(info)
 }
 
-/// Router of the readiness check, the metrics and the list of suspects.
+/// Router of the readiness check, the metrics, and the lists of entries
+/// and of suspects.
 pub fn readiness(info: Info) -> Router {
     let router = Router::new().route(READY_PATH, get(ready)).route("/metrics", get(metrics));
+    let router = router.route("/entries", get(entries));
     router.route("/suspects", get(suspects)).with_state(info)
 }
 
@@ -93,20 +97,20 @@
     StatusCode::OK
 }
 
-/// Returns the addresses of all live entries, those in the caller's data centre first.
-async fn resolve(State(info): State<Info>, RawQuery(query): RawQuery) -> Response {
-    let question = directory::parse_query(query.as_deref().unwrap_or(""));
+/// Returns the addresses of live entries, those in the caller's data centre first.
+async fn resolve(State(info): State<Info>, request: Request) -> Response {
+    let question = platform_directory::parse_query(request.uri().query().unwrap_or(""));
+    let peer = request.extensions().get::<ConnectInfo<SocketAddr>>();
+    let asker = Asker {
+        address: peer.map(|ConnectInfo(address)| address.ip()),
+        data_centre: question.data_centre.as_deref(),
+    };
     let view = info.views.load();
-    let mut entries: Vec<_> = view
-        .entries
-        .values()
-        .map(|entry| (Some(&entry.data_centre) != question.data_centre.as_ref(), entry.callers))
-        .collect();
-    entries.sort();
-    let mut addresses: Vec<SocketAddr> = entries.into_iter().map(|(_, callers)| callers).collect();
-    if info.leaving.is_cancelled() {
-        addresses.retain(|address| *address != info.callers);
-    } else if addresses.is_empty() {
+    let is_leaving = info.leaving.is_cancelled();
+    let eligible = view.entries.iter().map(|(vm, record)| (vm.as_str(), record));
+    let eligible = eligible.filter(|(_, record)| !is_leaving || record.callers != info.callers);
+    let mut addresses = directory::choose(eligible, asker, MAX_ADDRESSES);
+    if addresses.is_empty() && !is_leaving {
         // As long as the view has no entry, not even this one, this one is the only entry known to
         // be alive.
         addresses.push(info.callers);
@@ -117,6 +121,10 @@
     Json(ResolveAnswer::new(addresses, DIRECTORY_TTL_MS)).into_response()
 }
 
+async fn entries(State(info): State<Info>) -> Response {
+    Json(directory::listed(&info.views.load())).into_response()
+}
+
 async fn metrics(State(info): State<Info>) -> Response {
     let view = info.views.load();
     if let Some(configuration) = &view.configuration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod balance;
 pub mod breaker;
 pub mod budget;
+pub mod capacity;
 pub mod claims;
 pub mod connection;
+pub mod directory;
 pub mod ends;
 pub mod events;
 pub mod exchange;
@@ -17,6 +19,7 @@
 pub mod forward;
 pub mod front;
 pub mod group;
+pub mod held;
 pub mod info;
 pub mod listings;
 pub mod losses;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -1,9 +1,10 @@
 //! Announces this entry in the key-value store, under a lease.
 
 use crate::publish::ENTRIES_PREFIX;
-use crate::view::EntryRecord;
+use crate::view::{CapacityRecord, EntryRecord};
 use flamingowheel_backing::kv::{KeyValue, KeyValueError, LeaseId, Operation, Transaction};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +32,8 @@
     pub record: EntryRecord,
     /// Shortest lease that the store grants.
     pub min_ttl: Duration,
+    /// What the entry can take. The record is written again when it changes.
+    pub capacity: watch::Receiver<Option<CapacityRecord>>,
 }
 
 impl<K> Announcement<K>
@@ -38,7 +41,7 @@
     K: KeyValue,
 {
     /// Keeps the entry announced until `leaving`, then withdraws the announcement at once.
-    pub async fn run(self, leaving: CancellationToken) {
+    pub async fn run(mut self, leaving: CancellationToken) {
         let mut backoff = INITIAL_BACKOFF;
         while !leaving.is_cancelled() {
             match self.announce().await {
@@ -59,23 +62,38 @@
         }
     }
 
-    async fn announce(&self) -> Result<LeaseId, KeyValueError> {
+    async fn announce(&mut self) -> Result<LeaseId, KeyValueError> {
         let lease = self.store.grant_lease(LEASE_TTL.max(self.min_ttl)).await?;
+        self.write(lease).await?;
+        Ok(lease)
+    }
+
+    async fn write(&mut self, lease: LeaseId) -> Result<(), KeyValueError> {
+        self.record.capacity = *self.capacity.borrow_and_update();
         let value = serde_json::to_vec(&self.record)
             .map_err(|_| KeyValueError::Malformed { what: "own record" })?;
         let put = Operation::Put { key: self.key(), value: value.into(), lease: Some(lease) };
         let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
         self.store.transact(transaction).await?;
-        Ok(lease)
+        Ok(())
     }
 
-    async fn renew(&self, lease: LeaseId, leaving: &CancellationToken) {
+    /// Renews the lease until it is lost or the entry leaves, and writes changes of the record.
+    async fn renew(&mut self, lease: LeaseId, leaving: &CancellationToken) {
         let mut renewals = interval(RENEWAL_INTERVAL);
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         renewals.tick().await;
+        let mut is_written = true;
         loop {
             tokio::select! {
-                _ = renewals.tick() => {}
+                _ = renewals.tick() => {
+                    match self.store.keep_alive(lease).await {
+                        Ok(()) => {}
+                        Err(KeyValueError::LeaseNotFound) => return,
+                        Err(error) => tracing::debug!(%error, "lease not renewed"),
+                    }
+                }
+                () = changed(&mut self.capacity), if is_written => is_written = false,
                 () = leaving.cancelled() => {
                     if let Err(error) = self.store.revoke_lease(lease).await {
                         tracing::warn!(%error, "announcement not withdrawn; its lease will expire");
@@ -83,10 +101,12 @@
                     return;
                 }
             }
-            match self.store.keep_alive(lease).await {
-                Ok(()) => {}
-                Err(KeyValueError::LeaseNotFound) => return,
-                Err(error) => tracing::debug!(%error, "lease not renewed"),
+            if !is_written {
+                match self.write(lease).await {
+                    Ok(()) => is_written = true,
+                    // It is written again after the next renewal.
+                    Err(error) => tracing::debug!(%error, "capacity not announced"),
+                }
             }
         }
     }
@@ -95,3 +115,10 @@
         format!("{ENTRIES_PREFIX}{}", self.vm)
     }
 }
+
+/// Waits for a change; forever if there will be none.
+async fn changed(capacity: &mut watch::Receiver<Option<CapacityRecord>>) {
+    if capacity.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry.
 
 use crate::budget::RetryCause;
-use crate::view::InForce;
+use crate::view::{CapacityRecord, InForce};
 use flamingowheel_policy::answers::{Ending, Framing};
 use flamingowheel_policy::suspicion::SubjectKind;
 use prometheus::{
@@ -36,6 +36,36 @@
     answer_times: HistogramVec,
     pauses: Histogram,
     configuration: ConfigurationMetrics,
+    capacity: CapacityMetrics,
+}
+
+/// What the entry can take, and what it holds for callers.
+#[derive(Debug)]
+struct CapacityMetrics {
+    capacity: IntGaugeVec,
+    held: IntGaugeVec,
+}
+
+impl CapacityMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            capacity: IntGaugeVec::new(
+                Opts::new(
+                    "flamingowheel_capacity",
+                    "What this entry's share of new callers follows: requests_per_s of its \
+                     machine, its speed and its room in percent",
+                ),
+                &["part"],
+            )?,
+            held: IntGaugeVec::new(
+                Opts::new("flamingowheel_held", "Connections and bytes held for callers"),
+                &["what"],
+            )?,
+        };
+        registry.register(Box::new(metrics.capacity.clone()))?;
+        registry.register(Box::new(metrics.held.clone()))?;
+        Ok(metrics)
+    }
 }
 
 /// How recent the configuration is.
@@ -173,6 +203,7 @@
         registry.register(Box::new(answer_times.clone()))?;
         registry.register(Box::new(pauses.clone()))?;
         let configuration = ConfigurationMetrics::register(&registry)?;
+        let capacity = CapacityMetrics::register(&registry)?;
         Ok(Self {
             registry,
             requests,
@@ -187,6 +218,7 @@
             answer_times,
             pauses,
             configuration,
+            capacity,
         })
     }
 
@@ -251,6 +283,22 @@
         }
     }
 
+    /// Sets what this entry can take and what it holds for callers.
+    pub fn set_capacity(&self, capacity: CapacityRecord, held_bytes: usize, connections: usize) {
+        let parts = [
+            ("requests_per_s", i64::from(capacity.requests_per_s)),
+            ("speed_percent", i64::from(capacity.speed_percent)),
+            ("room_percent", i64::from(capacity.room_percent)),
+        ];
+        for (part, value) in parts {
+            self.capacity.capacity.with_label_values(&[part]).set(value);
+        }
+        for (what, value) in [("bytes", held_bytes), ("connections", connections)] {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.capacity.held.with_label_values(&[what]).set(value);
+        }
+    }
+
     /// Sets the time since the store confirmed this entry's copy of it; `None` if it never did.
     pub fn set_store_age(&self, age: Option<Duration>) {
         self.configuration
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,6 +1,7 @@
 //! Runs an entry: one control thread and one traffic thread per core.
 
 use crate::budget::RetryBudget;
+use crate::capacity::{self, CapacityMonitor};
 use crate::claims::ClaimKeeper;
 use crate::feed::follower::StoreFollower;
 use crate::feed::groups::GroupListener;
@@ -10,6 +11,7 @@
 use crate::feed::{self, server};
 use crate::forward::Gateway;
 use crate::front::{self, Stop};
+use crate::held::Held;
 use crate::info::{self, DIRECTORY_TTL_MS, Info};
 use crate::losses::LossRecorder;
 use crate::member::Announcement;
@@ -94,15 +96,17 @@
     let losses = LossRecorder::new(loss_views, loss_suspects, archive, Arc::clone(&metrics));
 
     let budget = Arc::new(RetryBudget::new(allowance(settings), &settings.vm));
-    let gateway = Arc::new(Gateway::new(
+    let gateway = Gateway::new(
         Arc::clone(&views),
         Arc::clone(&budget),
         permit_sender,
         Arc::clone(&suspects),
         losses,
         Arc::clone(&metrics),
-    ));
-    let traffic = start_traffic(callers, &gateway, &stop)?;
+    );
+    let held = Held::new(settings.memory_bytes, settings.max_descriptors);
+    let gateway = Arc::new(gateway.with_held(Arc::clone(&held)));
+    let (traffic, threads) = start_traffic(callers, &gateway, &stop)?;
 
     let mirror = Arc::new(Mirror::default());
     let info = Info {
@@ -115,6 +119,14 @@
     };
     serve_info(readiness, info::readiness(info.clone())).await?;
     serve_info(directory, info::directory(info)).await?;
+    let (monitor_views, monitor_metrics) = (Arc::clone(&views), Arc::clone(&metrics));
+    let monitor = move |threads, held, announced| CapacityMonitor {
+        threads,
+        held,
+        views: monitor_views,
+        announced,
+        metrics: monitor_metrics,
+    };
     start_feed(
         settings,
         peers,
@@ -123,6 +135,9 @@
     )
     .await?;
     let data_centre = settings.data_centre.clone();
+    let initial = capacity::initial(settings);
+    let (announced, capacity) = watch::channel(Some(initial));
+    tokio::spawn(monitor(threads, held, announced).run(initial));
     tokio::spawn(ClaimKeeper::new(store.clone(), &settings.vm, Arc::clone(&budget)).run());
     let announcement = Announcement {
         store,
@@ -132,8 +147,10 @@
             data_centre,
             peers: Some(peers),
             suspects: Some(suspects_address),
+            capacity: Some(initial),
         },
         min_ttl: Duration::from_millis(settings.min_lease_ttl_ms),
+        capacity,
     };
     let announced = tokio::spawn(announcement.run(stop.leaving.clone()));
 
@@ -230,6 +247,7 @@
 async fn serve_info(address: SocketAddr, router: axum::Router) -> Result<(), std::io::Error> {
     let listener = TcpListener::bind(address).await?;
     tokio::spawn(async move {
+        let router = router.into_make_service_with_connect_info::<SocketAddr>();
         if let Err(error) = axum::serve(listener, router).await {
             tracing::error!(%address, %error, "listener ended");
         }
@@ -237,7 +255,7 @@
     Ok(())
 }
 
-type Threads = Vec<std::thread::JoinHandle<()>>;
+type Threads = (Vec<std::thread::JoinHandle<()>>, Vec<tokio::runtime::Handle>);
 
 fn start_traffic(
     address: SocketAddr,
@@ -247,11 +265,12 @@
     let listener = std::net::TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
     let count = std::thread::available_parallelism().map_or(1, usize::from);
-    let mut threads = Vec::new();
+    let (mut threads, mut handles) = (Vec::new(), Vec::new());
     for _ in 0..count {
         let listener = listener.try_clone()?;
         let (gateway, stop) = (Arc::clone(gateway), stop.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        handles.push(runtime.handle().clone());
         let thread = std::thread::Builder::new()
             .name("traffic".to_owned())
             .stack_size(STACK_BYTES)
@@ -265,5 +284,5 @@
             })?;
         threads.push(thread);
     }
-    Ok(threads)
+    Ok((threads, handles))
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -24,6 +24,20 @@
     /// Address at which it learns of suspect requests from other entries.
     #[serde(default)]
     pub suspects: Option<SocketAddr>,
+    /// What it can take; `None` if its version does not say.
+    #[serde(default)]
+    pub capacity: Option<CapacityRecord>,
+}
+
+/// What an entry can take, as it announces it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CapacityRecord {
+    /// Usual requests per second that its machine can take.
+    pub requests_per_s: u32,
+    /// Its speed, in percent of its usual one.
+    pub speed_percent: u8,
+    /// 100 while it has room for more callers, less the more it is overrun.
+    pub room_percent: u8,
 }
 
 /// How the configuration in force came into force.
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -178,8 +178,10 @@
                 data_centre,
                 peers: Some(address),
                 suspects: None,
+                capacity: None,
             },
             min_ttl: Duration::from_secs(1),
+            capacity: watch::channel(None).1,
         };
         tasks.spawn(announcement.run(CancellationToken::new()));
         self.entries.insert(vm.to_owned(), Entry { views, mirror, reach, _tasks: tasks });
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -63,7 +63,13 @@
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let peers = Some(socket.local_addr().unwrap());
         let callers = "127.0.0.1:1".parse().unwrap();
-        let record = EntryRecord { callers, data_centre: "z".to_owned(), peers, suspects: None };
+        let record = EntryRecord {
+            callers,
+            data_centre: "z".to_owned(),
+            peers,
+            suspects: None,
+            capacity: None,
+        };
         let views = Views::default();
         views.store(Arc::new(View {
             configuration,
--- a/crates/gateway/tests/member.rs
+++ b/crates/gateway/tests/member.rs
@@ -7,6 +7,7 @@
 use flamingowheel_gateway::view::EntryRecord;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -19,8 +20,15 @@
     Announcement {
         store: store.clone(),
         vm: "vm-1".to_owned(),
-        record: EntryRecord { callers, data_centre: "d".to_owned(), peers: None, suspects: None },
+        record: EntryRecord {
+            callers,
+            data_centre: "d".to_owned(),
+            peers: None,
+            suspects: None,
+            capacity: None,
+        },
         min_ttl: Duration::from_secs(1),
+        capacity: watch::channel(None).1,
     }
 }
 
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -50,6 +50,7 @@
             data_centre: "z".to_owned(),
             peers: Some(*peers),
             suspects: None,
+            capacity: None,
         };
         let records = addresses.iter().enumerate();
         let entries: HashMap<String, EntryRecord> =
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod admission;
 pub mod answers;
 pub mod batch;
+pub mod capacity;
 pub mod claim;
 pub mod demand;
+pub mod directory;
 pub mod events;
 pub mod experts;
 pub mod key;
