--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 use crate::budget::{Decision, RetryBudget, RetryCause, RetryPermit};
 use crate::exchange::{Attempts, Exchange};
 use crate::group::{Admission, Fullness, GroupLoad};
+use crate::held::Held;
 use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
 use crate::permits::PermitSender;
@@ -56,6 +57,8 @@
     turns: Arc<Turns>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
+    /// What is held for callers.
+    pub held: Arc<Held>,
 }
 
 impl Gateway {
@@ -80,9 +83,16 @@
             started_at: Instant::now(),
             turns: Arc::default(),
             metrics,
+            held: Held::unlimited(),
         }
     }
 
+    /// Bounds what is held for callers.
+    #[must_use]
+    pub fn with_held(self, held: Arc<Held>) -> Self {
+        Self { held, ..self }
+    }
+
     /// The newest view.
     pub fn view(&self) -> Arc<View> {
         self.views.load_full()
--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -58,11 +58,11 @@
     own_region: Option<&str>,
     regions: &Regions,
     entries: I,
-) -> Vec<&'a EntryRecord>
+) -> Vec<(&'a str, &'a EntryRecord)>
 where
-    I: Iterator<Item = &'a EntryRecord>,
+    I: Iterator<Item = (&'a str, &'a EntryRecord)>,
 {
-    let entries: Vec<&EntryRecord> = entries.collect();
+    let entries: Vec<(&str, &EntryRecord)> = entries.collect();
     let routes = configuration.and_then(|configuration| configuration.routes.get(host));
     let routes = routes.into_iter().flat_map(HashMap::values);
     let homes: Vec<Homes<'_>> = routes
@@ -73,14 +73,14 @@
         return entries;
     }
     let region = |entry: &EntryRecord| regions.get(&entry.data_centre).map(String::as_str);
-    let is_near = |entry: &&EntryRecord| own_region.is_some() && region(entry) == own_region;
-    let is_home = |entry: &&EntryRecord| homes.iter().all(|homes| homes.admit(region(entry)));
-    let named: Vec<&EntryRecord> =
-        entries.iter().copied().filter(|entry| is_near(entry) || is_home(entry)).collect();
+    let is_near = |entry: &EntryRecord| own_region.is_some() && region(entry) == own_region;
+    let is_home = |entry: &EntryRecord| homes.iter().all(|homes| homes.admit(region(entry)));
+    let is_named = |(_, entry): &(&str, &EntryRecord)| is_near(entry) || is_home(entry);
+    let named: Vec<(&str, &EntryRecord)> = entries.iter().copied().filter(is_named).collect();
     if !named.is_empty() {
         return named;
     }
     let is_home_of_any =
-        |entry: &&EntryRecord| homes.iter().any(|homes| homes.admit(region(entry)));
-    entries.into_iter().filter(is_home_of_any).collect()
+        |entry: &EntryRecord| homes.iter().any(|homes| homes.admit(region(entry)));
+    entries.into_iter().filter(|(_, entry)| is_home_of_any(entry)).collect()
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod admission;
 pub mod answers;
 pub mod batch;
+pub mod capacity;
 pub mod claim;
 pub mod cold;
 pub mod demand;
+pub mod directory;
 pub mod events;
 pub mod experts;
 pub mod key;
