Gateway: idle connections live as long as the server states, and ranks with one are preferred

Callers: each request to an engine opened a connection, which costs it a millisecond and may be reset when the server has too many. Cause: an entry with a few requests a second spreads them over all ranks and returns to one long after its connection has been dropped (1.5 s, whatever the server states). Change: the server's Keep-Alive is read; connections are reused up to three quarters of it; among ranks that have about as many requests as the mean, one with an idle connection goes first; each entry keeps its part of a quarter of the service's connections. Without a stated time everything stays as before. Non-idempotent requests still get connections of their own.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -3,6 +3,7 @@
 use crate::group::{Admission, Fullness, GroupLoad};
 use crate::server::{Server, ServerStatus};
 use crate::view::View;
+use flamingowheel_policy::reuse;
 use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -132,6 +133,8 @@
     /// Fullness of the group, if the request has an admission condition.
     fullness: Option<Fullness>,
     group_cost: f64,
+    /// Whether no connection to the rank can be reused, or the rank has more requests than others.
+    needs_connection: bool,
     /// Whether the rank was not sampled.
     is_not_sampled: bool,
     cost: f64,
@@ -158,6 +161,10 @@
                 let report = group_rank.group.rank_report(group_rank.rank, now);
                 let reported = report.map(|r| r.requests + server.sent_since(r.taken_at));
                 let requests = reported.unwrap_or(0).max(status.in_flight);
+                let mean_requests = report.and_then(|_| group_rank.group.mean_requests());
+                let is_reused = mean_requests.is_some_and(|mean| {
+                    reuse::is_preferred(requests, mean) && server.has_idle(now)
+                });
                 let sampled_share = SAMPLED_RANKS / group_rank.group.size().max(1) as f64;
                 Self {
                     server,
@@ -170,6 +177,7 @@
                     can_ask,
                     fullness: admission.map(|admission| group_rank.group.fullness(admission, now)),
                     group_cost: group_rank.group.cost(now),
+                    needs_connection: !is_reused,
                     is_not_sampled: report.is_some() && rand::random::<f64>() >= sampled_share,
                     cost: (f64::from(requests) + 0.5 + FAILURE_COST * status.failure_ratio)
                         * spread,
@@ -186,6 +194,7 @@
                 can_ask,
                 fullness: None,
                 group_cost: 0.0,
+                needs_connection: true,
                 is_not_sampled: false,
                 cost: cost_with(&status, server.listed.slots, unknown_latency_ms) * spread,
             },
@@ -197,7 +206,7 @@
     }
 
     /// Sort key, compared from left to right; the lowest is best.
-    fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, f64) {
+    fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, bool, f64) {
         let is_full = self.fullness.is_some_and(|fullness| fullness.is_full());
         (
             self.is_in_backoff,
@@ -205,6 +214,7 @@
             is_full,
             self.group_cost,
             self.is_slow,
+            self.needs_connection,
             self.is_not_sampled,
             self.cost,
         )
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -110,6 +110,7 @@
                 // Every answer passes here, whatever its status and whichever attempt it ends.
                 if !sent.is_misdirected() {
                     self.signals.record(id, server, &sent.answer, sent_at);
+                    server.record_idle_limit(&sent.answer.idle_limit);
                 }
                 Ok(sent)
             }
@@ -177,14 +178,21 @@
         let idle = may_reuse.then(|| server.take_idle(Instant::now())).flatten();
         if let Some(mut connection) = idle {
             match connection.send(exchange.outgoing(server, last_event_id)).await {
-                Ok(response) => return Ok((response, connection)),
-                Err(SendError::NeverSent) => {}
+                Ok(response) => {
+                    self.metrics.record_connection(exchange.kind(), "reused");
+                    return Ok((response, connection));
+                }
+                Err(SendError::NeverSent) => {
+                    self.metrics.record_connection(exchange.kind(), "closed_before");
+                }
                 Err(SendError::Lost(error)) => {
+                    self.metrics.record_connection(exchange.kind(), "reused_lost");
                     self.record_unanswered(exchange, server, &error).await;
                     return Err(SendFailure::MayHaveRun);
                 }
             }
         }
+        self.metrics.record_connection(exchange.kind(), "new");
         let mut connection = Connection::open(server.listed.address).await.map_err(|error| {
             tracing::debug!(server = server.listed.id, %error, "can't connect to backend server");
             SendFailure::NotSent
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forward;
 pub mod front;
 pub mod group;
+pub mod idle;
 pub mod info;
 pub mod listings;
 pub mod losses;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     registry: Registry,
     requests: IntCounterVec,
     sends: IntCounterVec,
+    connections: IntCounterVec,
     signals: IntCounterVec,
     permits: IntCounterVec,
     retries: IntCounterVec,
@@ -100,6 +101,13 @@
             Opts::new("flamingowheel_tries_total", "Sends to backend servers and how they ended"),
             &["kind", "result"],
         )?;
+        let connections = IntCounterVec::new(
+            Opts::new(
+                "flamingowheel_server_connections_total",
+                "Sends to backend servers by the connection that they used",
+            ),
+            &["kind", "connection"],
+        )?;
         let signals = IntCounterVec::new(
             Opts::new(
                 "flamingowheel_server_signals_total",
@@ -163,6 +171,7 @@
         )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(sends.clone()))?;
+        registry.register(Box::new(connections.clone()))?;
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(retries.clone()))?;
@@ -177,6 +186,7 @@
             registry,
             requests,
             sends,
+            connections,
             signals,
             permits,
             retries,
@@ -200,6 +210,11 @@
         self.sends.with_label_values(&[kind, result]).inc();
     }
 
+    /// Counts a send by the connection that it used.
+    pub fn record_connection(&self, kind: &'static str, connection: &'static str) {
+        self.connections.with_label_values(&[kind, connection]).inc();
+    }
+
     /// Counts a change of what a backend server asks for.
     pub fn record_signal(&self, signal: &'static str) {
         self.signals.with_label_values(&[signal]).inc();
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -14,6 +14,7 @@
 use flamingowheel_fleet::{BackendServer, Configuration, EngineParameters};
 use flamingowheel_platform::{CONFIGURATION_KEY, SERVERS_PREFIX, operator, servers};
 use flamingowheel_policy::batch::PassModel;
+use flamingowheel_policy::reuse;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord, RankRecord};
 use std::collections::{HashMap, HashSet};
@@ -319,6 +320,18 @@
         }
     }
 
+    /// Divides the connections that may be idle among the listed entries.
+    fn set_idle_parts(&self) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        for server in self.listings.current() {
+            if let Some(service) = configuration.services.get(&server.listed.service) {
+                server.set_max_idle(reuse::idle_part(service.max_connections, self.entries.len()));
+            }
+        }
+    }
+
     fn engine_of_service(&self, service: &str) -> Option<&EngineParameters> {
         self.configuration.as_ref()?.services.get(service)?.engine.as_ref()
     }
@@ -404,6 +417,7 @@
             servers.entry(server.listed.service.clone()).or_default().push(Arc::clone(server));
         }
         self.set_models();
+        self.set_idle_parts();
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Connection;
 use crate::group::{GroupInFlight, GroupLoad};
+use crate::idle::IdleConnections;
 use crate::suspects::Trial;
 use flamingowheel_fleet::BackendServer;
 use flamingowheel_platform::Stated;
@@ -13,15 +14,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Largest number of idle connections kept to one backend server. An entry has about as many
-/// concurrent requests at one server; more connections would only hold file descriptors at the
-/// server.
-const MAX_IDLE: usize = 8;
-
-/// Longest idle time after which a connection is reused: servers close idle connections, and a
-/// request sent while that happens may be lost.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(1_500);
-
 /// Weight of a new observation in the exponential moving averages.
 const EWMA_WEIGHT: f64 = 0.2;
 
@@ -64,7 +56,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    idle: Vec<(Instant, Connection)>,
+    idle: IdleConnections<Connection>,
     health: Health,
     /// When the newest requests were sent to the server.
     send_times: VecDeque<Instant>,
@@ -233,22 +225,30 @@
 
     /// Takes an idle connection that is still usable.
     pub fn take_idle(&self, now: Instant) -> Option<Connection> {
-        let mut state = self.lock();
-        while let Some((since, connection)) = state.idle.pop() {
-            if now.duration_since(since) < MAX_IDLE_TIME && connection.is_usable() {
-                return Some(connection);
-            }
+        self.lock().idle.take(now)
+    }
+
+    /// Whether an idle connection is ready, to a server that states how long it keeps them.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        self.lock().idle.is_ready(now)
+    }
+
+    /// Sets the most idle connections that this entry keeps to the server.
+    pub fn set_max_idle(&self, max_idle: usize) {
+        self.lock().idle.set_max(max_idle);
+    }
+
+    /// Records how long the server keeps an idle connection open. A value that can't be read leaves
+    /// the one before in force.
+    pub fn record_idle_limit(&self, stated: &Stated<Duration>) {
+        if let Stated::Value(limit) = stated {
+            self.lock().idle.set_stated(*limit);
         }
-        None
     }
 
     /// Keeps a connection after the end of its answer for reuse.
     pub fn put_idle(&self, connection: Connection, now: Instant) {
-        let mut state = self.lock();
-        state.idle.retain(|(since, _)| now.duration_since(*since) < MAX_IDLE_TIME);
-        if state.idle.len() < MAX_IDLE {
-            state.idle.push((now, connection));
-        }
+        self.lock().idle.put(connection, now);
     }
 
     /// Closes the idle connections.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod quota;
 pub mod rebalance;
 pub mod retry;
+pub mod reuse;
 pub mod roster;
 pub mod routing;
 pub mod subset;
