--- a/crates/gateway/src/homes.rs
+++ b/crates/gateway/src/homes.rs
@@ -80,7 +80,6 @@
     if !named.is_empty() {
         return named;
     }
-    let is_home_of_any =
-        |entry: &EntryRecord| homes.iter().any(|homes| homes.admit(region(entry)));
+    let is_home_of_any = |entry: &EntryRecord| homes.iter().any(|homes| homes.admit(region(entry)));
     entries.into_iter().filter(|(_, entry)| is_home_of_any(entry)).collect()
 }
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -99,7 +99,10 @@
 }
 
 /// The live entries that may serve the host for a caller in its region.
-fn eligible_entries<'a>(view: &'a View, question: &ResolveQuery) -> Vec<(&'a str, &'a EntryRecord)> {
+fn eligible_entries<'a>(
+    view: &'a View,
+    question: &ResolveQuery,
+) -> Vec<(&'a str, &'a EntryRecord)> {
     let zone_region = question.data_centre.as_ref().and_then(|zone| view.regions.get(zone));
     let region = question.region.as_ref().or(zone_region).map(String::as_str);
     let host = question.host.as_deref().unwrap_or("");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod group;
 pub mod held;
 pub mod homes;
+pub mod idle;
 pub mod info;
 pub mod listings;
 pub mod losses;
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -20,6 +20,7 @@
     CONFIGURATION_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX, operator, servers,
 };
 use flamingowheel_policy::batch::PassModel;
+use flamingowheel_policy::reuse;
 use flamingowheel_policy::room::Room;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord, RankRecord};
@@ -404,6 +405,21 @@
         self.outputs.budget.entries().max(1)
     }
 
+    /// Divides the connections that may be idle among the entries.
+    fn set_idle_parts(&self) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        for server in self.listings.current() {
+            if let Some(service) = configuration.services.get(&server.listed.service) {
+                server.set_max_idle(reuse::idle_part(
+                    service.max_connections,
+                    self.counted_entries(),
+                ));
+            }
+        }
+    }
+
     fn engine_of_service(&self, service: &str) -> Option<&EngineParameters> {
         self.configuration.as_ref()?.services.get(service)?.engine.as_ref()
     }
@@ -497,6 +513,7 @@
         self.set_open_ranks();
         self.set_models();
         self.set_cold_allowances();
+        self.set_idle_parts();
         let group_ranks = self.group_ranks();
         self.views.store(Arc::new(View {
             configuration: self.configuration.clone(),
--- a/crates/gateway/tests/homes.rs
+++ b/crates/gateway/tests/homes.rs
@@ -132,10 +132,12 @@
             data_centre: (*data_centre).to_owned(),
             peers: None,
             suspects: None,
+            capacity: None,
         })
         .collect();
-    let named = entries_of_host(Some(&configuration), "h", own_region, &regions(), entries.iter());
-    named.into_iter().map(|entry| entry.data_centre.clone()).collect()
+    let entries = entries.iter().map(|entry| ("vm", entry));
+    let named = entries_of_host(Some(&configuration), "h", own_region, &regions(), entries);
+    named.into_iter().map(|(_, entry)| entry.data_centre.clone()).collect()
 }
 
 /// Guards against callers of routes with homes that are sent elsewhere, and against callers without
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod quota;
 pub mod rebalance;
 pub mod retry;
+pub mod reuse;
 pub mod room;
 pub mod roster;
 pub mod routing;
