Soak: data centres are evacuated and taken back; arrivals at their servers are checked

The soak knew nothing of evacuations. Servers are spread over three data centres, a fault evacuates one of them, and a request that reaches its servers later than 2 s after the acknowledgement is a violation, unless its entry or the store had a fault since.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -62,6 +62,8 @@
     StoreCompacts,
     /// A backend server's record says draining, and later ready again.
     Drain(usize),
+    /// The data centre of a backend server is evacuated, and later taken back.
+    Evacuate(usize),
     /// A series of versions of the configuration is published, with these pauses in milliseconds.
     Configurations([u64; 3]),
     /// The connections of all entries but one to the store have a fault.
@@ -90,7 +92,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..25) {
+    match rng.random_range(0..27) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -110,6 +112,7 @@
         20 => Fault::Unframed(server),
         21 => Fault::KillSeries(rng.random_range(SERIES_PAUSE_MS)),
         22..=24 => random_crash(fleet, rng),
+        25 | 26 => Fault::Evacuate(server),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
 }
@@ -137,12 +140,13 @@
     R: Rng,
 {
     let entry = rng.random_range(0..fleet.entries.len());
-    match rng.random_range(0..10) {
+    match rng.random_range(0..12) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 => Fault::StoreLink(entry, random_link_fault(rng)),
         3 => Fault::Add(fleet.entries.len() - 1),
         4 | 5 => Fault::Configurations(random_gaps_ms(rng)),
+        10 | 11 => Fault::Evacuate(rng.random_range(0..fleet.servers.len())),
         _ => {
             let link_fault = random_link_fault(rng);
             Fault::ConfigurationsAmidLoss(entry, link_fault, random_gaps_ms(rng))
@@ -231,6 +235,7 @@
             sleep(duration).await;
             fleet.publish_server(server, false).await;
         }
+        Fault::Evacuate(server) => fleet.evacuate(server, duration).await,
         Fault::Configurations(gaps_ms) => changes::publish_series(&fleet, &gaps_ms).await,
         Fault::StoreLinks(spared, link_fault) => {
             set_store_links(&fleet, spared, link_fault);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::callers::{API_KEY, ROUTE_TIMEOUT_MS};
 use crate::changes::{Probe, key_of};
 use crate::cli::Options;
+use crate::evacuations::{EvacuationSpan, data_centre_of, evacuation_key};
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
 use crate::proxy::{LinkFault, Proxy};
@@ -11,7 +12,7 @@
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_standin::platform::messages::{
-    CONFIGURATION_KEY, EntryPorts, configuration, entry_settings, server_key, server_record,
+    CONFIGURATION_KEY, EntryPorts, configuration, entry_settings, server_key, server_record_in,
 };
 use flamingowheel_standin::platform::server::{Conditions, PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
@@ -57,6 +58,8 @@
 pub struct Server {
     /// Name under which it is registered.
     pub id: String,
+    /// Its data centre.
+    pub data_centre: String,
     /// Proxy on all connections to it.
     pub proxy: Proxy,
     /// The stand-in, to change what it asks for.
@@ -78,6 +81,8 @@
     pub request_log: RequestLog,
     /// The limits that backend servers named.
     pub limits: Mutex<Vec<LimitSpan>>,
+    /// Evacuations of data centres.
+    pub evacuations: Mutex<Vec<EvacuationSpan>>,
     /// Requests that showed whether a configuration was in force.
     pub probes: Mutex<Vec<Probe>>,
     /// Sends of requests under which servers end, by path.
@@ -86,6 +91,7 @@
     pub false_answers: Mutex<Vec<Violation>>,
     version: AtomicU64,
     publishing: tokio::sync::Mutex<()>,
+    evacuating: tokio::sync::Mutex<()>,
     /// Sockets that keep the ports of entries that don't run.
     held_ports: Mutex<HashMap<usize, Vec<TcpSocket>>>,
     _reaper: Reaper,
@@ -108,6 +114,7 @@
             tokio::spawn(server.clone().serve(listener));
             servers.push(Server {
                 id,
+                data_centre: data_centre_of(number),
                 proxy,
                 standin: server,
                 starts: Arc::new(AtomicU64::new(1)),
@@ -133,6 +140,8 @@
             request_log,
             limits,
             probes,
+            evacuations: Mutex::default(),
+            evacuating: tokio::sync::Mutex::default(),
             crashing: Mutex::default(),
             false_answers: Mutex::default(),
             version,
@@ -215,6 +224,23 @@
         }
     }
 
+    /// Evacuates the data centre of a backend server, unless another one is evacuated: requests need
+    /// some servers.
+    pub async fn evacuate(&self, server: usize, duration: Duration) {
+        let Ok(_evacuating) = self.evacuating.try_lock() else { return };
+        let data_centre = &self.servers[server].data_centre;
+        let key = evacuation_key(data_centre);
+        write(&self.kv, &key, "{}".to_owned()).await;
+        let from = Instant::now();
+        sleep(duration).await;
+        let until = Instant::now();
+        apply(&self.kv, Operation::Delete { key }).await;
+        let of_data_centre = |server: &&Server| server.data_centre == *data_centre;
+        let servers = self.servers.iter().filter(of_data_centre).map(|server| server.id.clone());
+        let span = EvacuationSpan { servers: servers.collect(), from, until };
+        self.evacuations.lock().unwrap_or_else(PoisonError::into_inner).push(span);
+    }
+
     /// Sets what a server asks for, for a time. `false` if it asks for something already.
     async fn set_conditions(&self, server: usize, need: Conditions, duration: Duration) -> bool {
         let standin = &self.servers[server].standin;
@@ -258,14 +284,18 @@
 
 async fn publish(kv: &FakeKeyValue, server: &Server, is_draining: bool) {
     let start = server.starts.load(Ordering::SeqCst);
-    let record = server_record(server.proxy.address, SLOTS, start, is_draining);
+    let (data_centre, address) = (&server.data_centre, server.proxy.address);
+    let record = server_record_in(data_centre, address, SLOTS, start, is_draining);
     write(kv, &server_key(&server.id), record).await;
 }
 
-/// Retries the write until it succeeds, as operators and backend servers do.
 async fn write(kv: &FakeKeyValue, key: &str, value: String) {
-    let put = Operation::Put { key: key.to_owned(), value: value.into(), lease: None };
-    let transaction = Transaction { on_success: vec![put], ..Transaction::default() };
+    apply(kv, Operation::Put { key: key.to_owned(), value: value.into(), lease: None }).await;
+}
+
+/// Retries the write until it succeeds, as operators and backend servers do.
+async fn apply(kv: &FakeKeyValue, operation: Operation) {
+    let transaction = Transaction { on_success: vec![operation], ..Transaction::default() };
     while kv.transact(transaction.clone()).await.is_err() {
         sleep(Duration::from_millis(100)).await;
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod changes;
 pub mod cli;
 pub mod crashes;
+pub mod evacuations;
 pub mod faults;
 pub mod fleet;
 pub mod process;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -74,6 +74,14 @@
         /// The entry, by its index.
         entry: usize,
     },
+    /// A request reached a backend server later than 2 s after its data centre was evacuated.
+    #[error("{server}, which is evacuated, got a request of entry {entry}")]
+    SentToEvacuated {
+        /// Name of the server.
+        server: String,
+        /// The entry, by its index.
+        entry: usize,
+    },
     /// More arrivals beyond the first of each attempt within 10 s than the deployment allows.
     #[error(
         "{retries} arrivals beyond the first of their attempts in 10 s, for {attempts} attempts"
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -109,6 +109,9 @@
         violations.extend(observed.check_crashes(&ends, &crashing));
         let probes = fleet.probes.lock().unwrap_or_else(PoisonError::into_inner);
         unsettled.extend(fault_spans.iter().copied());
+        let evacuations = fleet.evacuations.lock().unwrap_or_else(PoisonError::into_inner);
+        let in_touch_check = Observed { faults: &unsettled, ..observed };
+        violations.extend(in_touch_check.check_evacuations(&evacuations));
         let in_touch = probes.iter().filter(|probe| changes::is_in_touch(probe, &unsettled));
         tally.probes = in_touch.clone().count();
         violations.extend(in_touch.filter_map(changes::violation));
--- a/crates/soak/tests/signals.rs
+++ b/crates/soak/tests/signals.rs
@@ -1,5 +1,6 @@
 //! Tests of the checks of what backend servers ask for.
 
+use flamingowheel_soak::evacuations::EvacuationSpan;
 use flamingowheel_soak::report::Violation;
 use flamingowheel_soak::signals::{Call, FaultSpan, LimitSpan, Observed, PassedOn};
 use flamingowheel_standin::platform::server::{Arrival, Conditions};
@@ -150,3 +151,27 @@
     seen.calls[0].entry = 1;
     assert_eq!(seen_leaving(&seen, &[]), []);
 }
+
+/// Server `s` is evacuated at `from_ms`; entry 0 sends it requests from 4 s to 6.4 s.
+fn seen_evacuated(from_ms: u64, until_ms: u64, fault_ms: Option<u64>) -> Vec<Violation> {
+    let seen = Seen::new(12);
+    let (from, until) = (seen.at(from_ms), seen.at(until_ms));
+    let span = EvacuationSpan { servers: vec!["s".to_owned()], from, until };
+    let fault = |ms| FaultSpan { entry: 0, from: seen.at(ms), until: seen.at(ms + 100) };
+    let faults: Vec<FaultSpan> = fault_ms.map(fault).into_iter().collect();
+    let Seen { arrivals, calls, .. } = &seen;
+    Observed { arrivals, calls, faults: &faults }.check_evacuations(&[span])
+}
+
+#[test]
+fn check_evacuations_sent_later() {
+    let violations = seen_evacuated(3_000, 9_000, None);
+    assert!(matches!(violations[..], [Violation::SentToEvacuated { entry: 0, .. }]));
+}
+
+#[test]
+fn check_evacuations_sent_in_time_or_excused() {
+    assert_eq!(seen_evacuated(5_000, 9_000, None), [], "within the limit");
+    assert_eq!(seen_evacuated(1_000, 3_900, None), [], "taken back before");
+    assert_eq!(seen_evacuated(3_000, 9_000, Some(3_500)), [], "the entry had a fault");
+}
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -28,9 +28,20 @@
 
 /// Record with which the `start`-th start of a backend server registers itself.
 pub fn server_record(address: SocketAddr, slots: u32, start: u64, is_draining: bool) -> String {
+    server_record_in("z", address, slots, start, is_draining)
+}
+
+/// The same for a backend server in a data centre.
+pub fn server_record_in(
+    data_centre: &str,
+    address: SocketAddr,
+    slots: u32,
+    start: u64,
+    is_draining: bool,
+) -> String {
     let state = if is_draining { "draining" } else { "ready" };
     json!({
-        "service": SERVICE, "addr": address.to_string(), "zone": "z", "version": "1",
+        "service": SERVICE, "addr": address.to_string(), "zone": data_centre, "version": "1",
         "slots": slots, "state": state, "coldLeftMs": 0, "seq": 1, "born": start,
     })
     .to_string()
