--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -1,7 +1,7 @@
 //! Builds views from the contents of the key-value store and publishes them.
 
 use crate::budget::RetryBudget;
-use crate::evacuation::Evacuations;
+use crate::evacuation::{self, Evacuations};
 use crate::feed::groups::Statuses;
 use crate::feed::mirror::{Change, Changes, Mirror};
 use crate::feed::reader::{Members, Peer};
@@ -18,7 +18,6 @@
     CONFIGURATION_KEY, EVACUATIONS_PREFIX, SERVERS_PREFIX, operator, servers,
 };
 use flamingowheel_policy::batch::PassModel;
-use flamingowheel_policy::room::Room;
 use flamingowheel_policy::suspicion::SuspectRecord;
 use flamingowheel_protocol::ranks::{GROUPS_PREFIX, GroupRecord, RankRecord};
 use std::collections::{HashMap, HashSet};
@@ -352,17 +351,12 @@
     /// Updates the groups' loads with the ranks that may take requests.
     fn set_open_ranks(&self) {
         let servers = self.listings.current().map(|server| (server.listed.address, server));
-        let by_address: HashMap<SocketAddr, &Arc<Server>> = servers.collect();
+        let servers: HashMap<SocketAddr, &Arc<Server>> = servers.collect();
         for (record, load) in self.groups.values() {
-            let server = |rank: &RankRecord| by_address.get(&rank.engine);
-            let is_open = |rank| !server(rank).is_some_and(|server| server.is_evacuated());
-            let are_open: Vec<bool> = record.ranks.iter().map(is_open).collect();
-            let first = record.ranks.iter().find_map(server);
+            let first = record.ranks.iter().find_map(|rank| servers.get(&rank.engine));
             let engine = first.and_then(|server| self.engine_of_service(&server.listed.service));
-            let open_count = are_open.iter().filter(|is_open| **is_open).count();
             let entries = self.entries.len();
-            let room = engine.map(|engine| Room::new(open_count, engine.slots, entries));
-            load.set_open_ranks(OpenRanks { are_open, room });
+            load.set_open_ranks(evacuation::open_ranks(&record.ranks, &servers, engine, entries));
         }
     }
 
