Admission: the limit by places of open ranks is taken out again

The entries' numbers of requests are unequal, and reports are missing at times. Refused callers come back late.

The model of pass times counts open ranks as before, and open_share() is there for the admission.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -4,14 +4,9 @@
 //! configuration does, and no lease ends it: a key that is gone was deleted by an operator.
 
 use crate::feed::mirror::Update;
-use crate::group::OpenRanks;
 use crate::server::Server;
-use flamingowheel_fleet::EngineParameters;
 use flamingowheel_platform::EVACUATIONS_PREFIX;
-use flamingowheel_policy::room::Room;
-use flamingowheel_protocol::ranks::RankRecord;
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -97,27 +92,6 @@
     }
 }
 
-/// Which ranks of a group may take requests, and the room that they have for those of `entries`
-/// entries. A rank without a listing counts as open: nothing is known against it.
-///
-/// ```
-/// use flamingowheel_gateway::evacuation::open_ranks;
-/// use std::collections::HashMap;
-/// assert_eq!(open_ranks(&[], &HashMap::new(), None, 6).count(), 0);
-/// ```
-pub fn open_ranks(
-    ranks: &[RankRecord],
-    servers: &HashMap<SocketAddr, &Arc<Server>>,
-    engine: Option<&EngineParameters>,
-    entries: usize,
-) -> OpenRanks {
-    let server = |rank: &RankRecord| servers.get(&rank.engine);
-    let is_open = |rank| !server(rank).is_some_and(|server| server.is_evacuated());
-    let open_ranks = OpenRanks { are_open: ranks.iter().map(is_open).collect(), room: None };
-    let room = engine.map(|engine| Room::new(open_ranks.count(), engine.slots, entries));
-    OpenRanks { room, ..open_ranks }
-}
-
 /// The longest time since the operator's write was acknowledged, in milliseconds; `None` if the
 /// process has just started.
 fn max_delay_ms(update: &Update) -> Option<u64> {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -6,7 +6,6 @@
 
 use flamingowheel_policy::batch::{self, BatchLimit, PassModel};
 use flamingowheel_policy::passes::PassTime;
-use flamingowheel_policy::room::Room;
 use flamingowheel_protocol::ranks::GroupStatus;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -30,51 +29,12 @@
     model: Option<PassModel>,
     /// The last report of the group's coordinator.
     report: Option<Report>,
-    /// Which ranks may take requests; `None` if all may.
-    open_ranks: Option<OpenRanks>,
+    /// Number of ranks that may take requests, and of all; `None` if all may.
+    open_ranks: Option<(usize, usize)>,
     /// The newest event, and the newest one from any other server.
     last_events: [Option<LastEvent>; 2],
 }
 
-impl Observed {
-    /// How crowded the open ranks are; 0 while all may take requests.
-    fn room_crowding(&self, own_requests: u32, draw: f64, now: Instant) -> f64 {
-        let Some(OpenRanks { are_open, room: Some(room) }) = &self.open_ranks else {
-            return 0.0;
-        };
-        let report = self.report.as_ref();
-        let reported =
-            report.filter(|report| now - report.taken_at < MAX_REPORT_AGE).map(|report| {
-                let ranks = report.requests.iter().zip(are_open);
-                ranks
-                    .filter(|(_, is_open)| **is_open)
-                    .map(|(requests, _)| u32::from(*requests))
-                    .sum()
-            });
-        room.crowding(own_requests, reported, draw)
-    }
-}
-
-/// The ranks that may take requests, while others may not.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OpenRanks {
-    /// Whether each rank may.
-    pub are_open: Vec<bool>,
-    /// What they run at once; `None` if their engines' parameters are unknown.
-    pub room: Option<Room>,
-}
-
-impl OpenRanks {
-    /// Number of ranks that may take requests.
-    pub fn count(&self) -> usize {
-        self.are_open.iter().filter(|is_open| **is_open).count()
-    }
-
-    fn share(&self) -> f64 {
-        self.count() as f64 / self.are_open.len().max(1) as f64
-    }
-}
-
 /// The newest event of a server.
 #[derive(Clone, Copy, Debug)]
 struct LastEvent {
@@ -233,23 +193,21 @@
         self.lock().model = Some(model);
     }
 
-    /// Sets which ranks may take requests. The others run passes as before.
-    pub fn set_open_ranks(&self, open_ranks: OpenRanks) {
-        let has_closed = open_ranks.count() < open_ranks.are_open.len();
-        self.lock().open_ranks = has_closed.then_some(open_ranks);
+    /// Sets how many ranks may take requests, out of `all`. The others run passes as before.
+    pub fn set_open_ranks(&self, open: usize, all: usize) {
+        self.lock().open_ranks = (open < all).then_some((open, all));
     }
 
     /// Share of the group's ranks that may take requests.
     ///
     /// ```
-    /// use flamingowheel_gateway::group::{GroupLoad, OpenRanks};
-    /// let group = GroupLoad::default();
+    /// let group = flamingowheel_gateway::group::GroupLoad::default();
     /// assert_eq!(group.open_share(), 1.0);
-    /// group.set_open_ranks(OpenRanks { are_open: vec![true, false, false, false], room: None });
+    /// group.set_open_ranks(8, 32);
     /// assert_eq!(group.open_share(), 0.25);
     /// ```
     pub fn open_share(&self) -> f64 {
-        self.lock().open_ranks.as_ref().map_or(1.0, OpenRanks::share)
+        self.lock().open_ranks.map_or(1.0, |(open, all)| open as f64 / all as f64)
     }
 
     /// How full the group is for a further request. All inputs are observed on this entry's own
@@ -264,8 +222,7 @@
             model.and_then(|m| observed.batch_limit.max_requests(admission.pause_goal_ms, m, at));
         let by_number =
             limit.map_or(0.0, |limit| batch::crowding(own_requests, limit, admission.draw));
-        let by_room = observed.room_crowding(own_requests, admission.draw, now);
-        let crowding = by_number.max(by_room).max(pass_ms / admission.pass_limit_ms.max(1.0));
+        let crowding = by_number.max(pass_ms / admission.pass_limit_ms.max(1.0));
         Fullness { crowding, own_requests, limit, pass_ms }
     }
 
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -1,11 +1,11 @@
 //! Builds views from the contents of the key-value store and publishes them.
 
 use crate::budget::RetryBudget;
-use crate::evacuation::{self, Evacuations};
+use crate::evacuation::Evacuations;
 use crate::feed::groups::Statuses;
 use crate::feed::mirror::{Change, Changes, Mirror};
 use crate::feed::reader::{Members, Peer};
-use crate::group::{GroupLoad, GroupRank, OpenRanks};
+use crate::group::{GroupLoad, GroupRank};
 use crate::homes::Regions;
 use crate::listings::Listings;
 use crate::metrics::Metrics;
@@ -348,15 +348,14 @@
         }
     }
 
-    /// Updates the groups' loads with the ranks that may take requests.
+    /// Updates the groups' loads with the number of ranks that may take requests.
     fn set_open_ranks(&self) {
-        let servers = self.listings.current().map(|server| (server.listed.address, server));
-        let servers: HashMap<SocketAddr, &Arc<Server>> = servers.collect();
+        let evacuated = self.listings.current().filter(|server| server.is_evacuated());
+        let evacuated: HashSet<SocketAddr> =
+            evacuated.map(|server| server.listed.address).collect();
         for (record, load) in self.groups.values() {
-            let first = record.ranks.iter().find_map(|rank| servers.get(&rank.engine));
-            let engine = first.and_then(|server| self.engine_of_service(&server.listed.service));
-            let entries = self.entries.len();
-            load.set_open_ranks(evacuation::open_ranks(&record.ranks, &servers, engine, entries));
+            let is_open = |rank: &&RankRecord| !evacuated.contains(&rank.engine);
+            load.set_open_ranks(record.ranks.iter().filter(is_open).count(), record.ranks.len());
         }
     }
 
@@ -414,8 +413,7 @@
             let load = Arc::clone(self.ungrouped.entry(service.clone()).or_default());
             if let Some(engine) = self.engine_of_service(&service) {
                 let open_ranks = addresses.iter().filter(|(_, is_open)| *is_open).count();
-                let are_open = addresses.iter().map(|(_, is_open)| *is_open).collect();
-                load.set_open_ranks(OpenRanks { are_open, room: None });
+                load.set_open_ranks(open_ranks, addresses.len());
                 load.set_model(pass_model(engine, open_ranks as f64, self.entries.len().max(1)));
             }
             for (rank, (address, _)) in addresses.into_iter().enumerate() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,7 +23,6 @@
 pub mod quota;
 pub mod rebalance;
 pub mod retry;
-pub mod room;
 pub mod roster;
 pub mod routing;
 pub mod subset;
