--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -6,7 +6,6 @@
 
 use flamingowheel_policy::batch::{self, BatchLimit, PassModel};
 use flamingowheel_policy::passes::PassTime;
-use flamingowheel_policy::room::Room;
 use flamingowheel_protocol::ranks::GroupStatus;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -32,43 +31,12 @@
     slots: u32,
     /// The last report of the group's coordinator.
     report: Option<Report>,
-    /// Which ranks may take requests; `None` if all may.
-    open_ranks: Option<OpenRanks>,
+    /// Number of ranks that may take requests, and of all; `None` if all may.
+    open_ranks: Option<(usize, usize)>,
     /// The newest event, and the newest one from any other server.
     last_events: [Option<LastEvent>; 2],
 }
 
-impl Observed {
-    /// How crowded the open ranks are; 0 while all may take requests.
-    fn room_crowding(&self, own_requests: u32, draw: f64, now: Instant) -> f64 {
-        let Some(OpenRanks { room: Some(room), .. }) = &self.open_ranks else {
-            return 0.0;
-        };
-        let reported = self.open_rank_requests(now).map(|requests| requests.iter().sum());
-        room.crowding(own_requests, reported, draw)
-    }
-}
-
-/// The ranks that may take requests, while others may not.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OpenRanks {
-    /// Whether each rank may.
-    pub are_open: Vec<bool>,
-    /// What they run at once; `None` if their engines' parameters are unknown.
-    pub room: Option<Room>,
-}
-
-impl OpenRanks {
-    /// Number of ranks that may take requests.
-    pub fn count(&self) -> usize {
-        self.are_open.iter().filter(|is_open| **is_open).count()
-    }
-
-    fn share(&self) -> f64 {
-        self.count() as f64 / self.are_open.len().max(1) as f64
-    }
-}
-
 /// The newest event of a server.
 #[derive(Clone, Copy, Debug)]
 struct LastEvent {
@@ -100,24 +68,14 @@
 }
 
 impl Observed {
-    /// Requests at the ranks that may take some, relative to what these run at once.
+    /// Requests in the group, relative to what the ranks that may take some run at once.
     fn occupancy(&self, now: Instant) -> Option<f64> {
-        let requests = self.open_rank_requests(now)?;
-        let slots = self.slots as usize * requests.len();
-        let sum: u32 = requests.iter().sum();
-        (slots > 0).then(|| f64::from(sum) / slots as f64)
-    }
-
-    /// The reported requests of the ranks that may take some; `None` without a recent report.
-    fn open_rank_requests(&self, now: Instant) -> Option<Vec<u32>> {
         let report =
             self.report.as_ref().filter(|report| now - report.taken_at < MAX_REPORT_AGE)?;
-        let is_open = |rank: usize| {
-            let are_open = self.open_ranks.as_ref().map(|ranks| &ranks.are_open);
-            are_open.and_then(|are_open| are_open.get(rank)).is_none_or(|is_open| *is_open)
-        };
-        let ranks = report.requests.iter().enumerate().filter(|(rank, _)| is_open(*rank));
-        Some(ranks.map(|(_, requests)| u32::from(*requests)).collect())
+        let open_ranks = self.open_ranks.map_or(report.requests.len(), |(open, _)| open);
+        let slots = self.slots as usize * open_ranks;
+        let requests: u32 = report.requests.iter().map(|requests| u32::from(*requests)).sum();
+        (slots > 0).then(|| f64::from(requests) / slots as f64)
     }
 }
 
@@ -263,23 +221,21 @@
         self.lock().model = Some(model);
     }
 
-    /// Sets which ranks may take requests. The others run passes as before.
-    pub fn set_open_ranks(&self, open_ranks: OpenRanks) {
-        let has_closed = open_ranks.count() < open_ranks.are_open.len();
-        self.lock().open_ranks = has_closed.then_some(open_ranks);
+    /// Sets how many ranks may take requests, out of `all`. The others run passes as before.
+    pub fn set_open_ranks(&self, open: usize, all: usize) {
+        self.lock().open_ranks = (open < all).then_some((open, all));
     }
 
     /// Share of the group's ranks that may take requests.
     ///
     /// ```
-    /// use flamingowheel_gateway::group::{GroupLoad, OpenRanks};
-    /// let group = GroupLoad::default();
+    /// let group = flamingowheel_gateway::group::GroupLoad::default();
     /// assert_eq!(group.open_share(), 1.0);
-    /// group.set_open_ranks(OpenRanks { are_open: vec![true, false, false, false], room: None });
+    /// group.set_open_ranks(8, 32);
     /// assert_eq!(group.open_share(), 0.25);
     /// ```
     pub fn open_share(&self) -> f64 {
-        self.lock().open_ranks.as_ref().map_or(1.0, OpenRanks::share)
+        self.lock().open_ranks.map_or(1.0, |(open, all)| open as f64 / all as f64)
     }
 
     /// Sets how many requests a rank runs at once.
@@ -304,8 +260,7 @@
         let occupancy = observed.occupancy(now);
         // Requests beyond the slots queue at the server, where urgent ones would wait as well.
         let by_slots = occupancy.filter(|_| admission.cut > 0.0).unwrap_or(0.0) / kept;
-        let by_room = observed.room_crowding(own_requests, admission.draw, now) / kept;
-        let crowding = by_number.max(by_room).max(by_time).max(by_slots);
+        let crowding = by_number.max(by_time).max(by_slots);
         let report_age = observed.report.as_ref().map(|report| now - report.taken_at);
         Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,7 +28,6 @@
 pub mod rebalance;
 pub mod retry;
 pub mod reuse;
-pub mod room;
 pub mod roster;
 pub mod routing;
 pub mod shares;
