Cold servers: lines and metrics, and the soak's servers turn cold

Operators could not see which servers are taken for cold, what their meters grant, and who is refused for it. An entry that has just started takes servers that are listed as warm for warm, as permits for them would be few until meters are settled; a server that may be cold, but is not known to be, needs the limit of any second, not the pace.

The soak's servers turn cold as a fault, and it counts what they get in any second, whatever faults entries have.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -2,6 +2,7 @@
 
 use crate::permits::PermitExchange;
 use crate::server::Server;
+use flamingowheel_policy::cold::Standing;
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::permits::Verdict;
 use flamingowheel_protocol::permits::{ColdReport, PermitMessage};
@@ -52,7 +53,26 @@
             return Verdict::Wait(Duration::ZERO);
         }
         let standing = self.tenure.standing(server, Instant::now());
-        self.cold_meter.acquire(server, report.allowance, standing, now)
+        let verdict = self.cold_meter.acquire(server, report.allowance, standing, now);
+        if verdict != Verdict::Granted {
+            self.report_room(server, report, standing);
+        }
+        verdict
+    }
+
+    fn report_room(&mut self, key: ServerKey, report: ColdReport, standing: Standing) {
+        let now = self.origin.elapsed();
+        let room = self.cold_meter.room_to_report(key, report.allowance, standing, now);
+        if let Some((room, server)) = room.zip(self.server(key)) {
+            tracing::info!(
+                server = server.listed.id,
+                granted = room.granted,
+                most = room.most,
+                standing = standing.name(),
+                left_ms = report.left.as_millis() as u64,
+                "no permit for a cold server"
+            );
+        }
     }
 
     /// Takes over that a server remains cold for `left`.
--- a/crates/gateway/src/info.rs
+++ b/crates/gateway/src/info.rs
@@ -122,7 +122,12 @@
     if let Some(configuration) = &view.configuration {
         info.metrics.set_configuration(configuration.version, view.in_force.as_ref());
     }
-    info.metrics.set_store_age(info.mirror.age(Instant::now()));
+    let now = Instant::now();
+    info.metrics.set_store_age(info.mirror.age(now));
+    for (service, servers) in &view.servers {
+        let cold = servers.iter().filter(|server| !server.cold_left(now).is_zero());
+        info.metrics.set_cold_servers(service, cold.count());
+    }
     match info.metrics.text() {
         Ok(text) => text.into_response(),
         Err(error) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     sends: IntCounterVec,
     signals: IntCounterVec,
     permits: IntCounterVec,
+    cold_servers: IntGaugeVec,
     retries: IntCounterVec,
     retry_room: GaugeVec,
     losses: IntCounterVec,
@@ -114,6 +115,10 @@
             ),
             &["answer"],
         )?;
+        let cold_servers = IntGaugeVec::new(
+            Opts::new("flamingowheel_cold_servers", "Backend servers taken for cold, by service"),
+            &["service"],
+        )?;
         let retries = IntCounterVec::new(
             Opts::new(
                 "flamingowheel_retries_total",
@@ -165,6 +170,7 @@
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(signals.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(cold_servers.clone()))?;
         registry.register(Box::new(retries.clone()))?;
         registry.register(Box::new(retry_room.clone()))?;
         registry.register(Box::new(losses.clone()))?;
@@ -179,6 +185,7 @@
             sends,
             signals,
             permits,
+            cold_servers,
             retries,
             retry_room,
             losses,
@@ -210,6 +217,11 @@
         self.permits.with_label_values(&[answer]).inc();
     }
 
+    /// Sets how many servers of a service are taken for cold.
+    pub fn set_cold_servers(&self, service: &str, count: usize) {
+        self.cold_servers.with_label_values(&[service]).set(count as i64);
+    }
+
     /// Counts a decision on a retry, and sets the room that it left.
     pub fn record_retry(&self, service: &str, cause: RetryCause, outcome: &'static str, room: f64) {
         self.retries.with_label_values(&[service, cause.name(), outcome]).inc();
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -325,7 +325,8 @@
                 Purpose::Report | Purpose::ReportCold => pending.sends < MAX_REPORT_SENDS,
             };
             if !is_kept {
-                metrics.record_permit("unanswered");
+                let is_cold = pending.request.purpose.is_cold();
+                metrics.record_permit(if is_cold { "cold_unanswered" } else { "unanswered" });
             }
             is_kept
         });
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -300,6 +300,7 @@
             address = %listed.address,
             draining = listed.is_draining,
             started_ms = listed.started_ms,
+            cold_left_ms = listed.cold_left_ms,
             "backend server listed"
         );
         self.listings.insert(listed, revision);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -59,6 +59,9 @@
                 (asked.as_ref().is_some_and(|s| s.is_asking_cold(now)), COLD_PERMIT_WAIT)
             };
             if !is_awaited || now >= exchange.deadline.min(begun_at + max_wait) {
+                if let Choice::Held(wait) = choice {
+                    log_held(exchange, servers, wait, now);
+                }
                 return balance::prefer_permitted(choice, &view, asked.as_ref(), now);
             }
             sleep(PERMIT_POLL_INTERVAL).await;
@@ -69,3 +72,15 @@
 fn is_asking(server: &Server, now: Instant) -> bool {
     server.is_asking(now) || server.is_asking_cold(now)
 }
+
+fn log_held(exchange: &Exchange, servers: &[Arc<Server>], wait: Duration, now: Instant) {
+    let cold = servers.iter().filter(|server| !server.cold_left(now).is_zero()).count();
+    tracing::info!(
+        request = exchange.head.attempt_id,
+        service = exchange.service,
+        cold,
+        servers = servers.len(),
+        wait_ms = wait.as_millis() as u64,
+        "every server is held"
+    );
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -175,6 +175,7 @@
             origin: Instant::now(),
         };
         server.record_listed_cold();
+        server.record_listed_warm();
         server
     }
 
--- a/crates/gateway/src/warmth.rs
+++ b/crates/gateway/src/warmth.rs
@@ -94,6 +94,14 @@
         self.record_cold(left, Instant::now());
     }
 
+    /// Takes a start that is listed as warm for one that has answered: requests to a fleet whose entries
+    /// have just started must not wait for permits.
+    pub(crate) fn record_listed_warm(&self) {
+        if self.listed.cold_left_ms == 0 {
+            self.lock().warmth.record_answered(Duration::ZERO);
+        }
+    }
+
     /// Time for which the server remains cold, as far as is known.
     pub fn cold_left(&self, now: Instant) -> Duration {
         self.lock().warmth.left(now - self.origin)
--- a/crates/gateway/tests/fleet_of_entries/mod.rs
+++ b/crates/gateway/tests/fleet_of_entries/mod.rs
@@ -130,10 +130,13 @@
     server.listed.id[2..].parse().unwrap()
 }
 
-fn entry(name: &str, list: Vec<usize>) -> Entry {
+/// An entry that starts now, and reads in the listings how long servers remain cold.
+fn entry(name: &str, list: Vec<usize>, cold_left: Duration) -> Entry {
     let entries = list.len();
     let server = |number| {
-        let server = Server::new(listed(number));
+        let left = if number < COLD_SERVERS { cold_left } else { Duration::ZERO };
+        let listed = BackendServer { cold_left_ms: left.as_millis() as u64, ..listed(number) };
+        let server = Server::new(listed);
         server.set_cold_allowance(Some(allowance()), entries);
         Arc::new(server)
     };
@@ -154,7 +157,7 @@
         let now = Instant::now();
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
-            entries: names.iter().map(|name| entry(name, (0..size).collect())).collect(),
+            entries: names.iter().map(|name| entry(name, (0..size).collect(), s(0))).collect(),
             names,
             messages: Vec::new(),
             waiting: Vec::new(),
@@ -224,8 +227,7 @@
     pub fn restart_meter(&mut self, number: usize) {
         let index = self.meter_of_cold(number);
         let list = self.entries[index].list.clone();
-        self.entries[index] = entry(&self.names[index], list);
-        self.news.entry(Instant::now()).or_default().push(index);
+        self.entries[index] = entry(&self.names[index], list, self.cold_left(0));
     }
 
     /// Every second entry learns that a meter has left, or is back; the others a moment later.
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -110,6 +110,17 @@
     OldList,
 }
 
+impl Standing {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Sole => "sole",
+            Self::New(_) => "new",
+            Self::OldList => "old_list",
+        }
+    }
+}
+
 /// The lists of entries of the last seconds, by which an entry judges whether it is a server's only
 /// meter.
 #[derive(Debug)]
@@ -197,6 +208,17 @@
     /// Entries that were told to wait since the last grant.
     waiting: u32,
     cold_until: Duration,
+    /// When the grants were last reported to operators.
+    reported_at: Duration,
+}
+
+/// The grants for one server, for operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Permits that count toward the limit now.
+    pub granted: usize,
+    /// Most of them.
+    pub most: usize,
 }
 
 impl ColdMeter {
@@ -238,6 +260,23 @@
         ledger.acquire(allowance, standing, now)
     }
 
+    /// The grants for a cold server, if they have not been reported for a second.
+    pub fn room_to_report(
+        &mut self,
+        server: ServerKey,
+        allowance: ColdAllowance,
+        standing: Standing,
+        now: Duration,
+    ) -> Option<Room> {
+        let ledger = self.ledgers.get_mut(&server)?;
+        if now < ledger.reported_at + SECOND {
+            return None;
+        }
+        ledger.reported_at = now;
+        let (granted, most) = (ledger.granted_at.len(), allowance.most_granted(standing));
+        Some(Room { granted, most })
+    }
+
     /// Number of servers with a ledger.
     pub fn len(&self) -> usize {
         self.ledgers.len()
@@ -268,8 +307,10 @@
             let wait = oldest.map_or(MAX_WAIT, |at| *at + GRANT_WINDOW - now);
             return Verdict::Wait(wait.min(MAX_WAIT));
         }
-        if self.permits >= 1.0 {
-            self.permits -= 1.0;
+        // A server that may be cold, but is not known to be, needs the limit only, not the pace.
+        let is_paced = now < self.cold_until;
+        if self.permits >= 1.0 || !is_paced {
+            self.permits = (self.permits - 1.0).max(0.0);
             self.waiting = 0;
             self.granted_at.push_back(now);
             return Verdict::Granted;
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -91,9 +91,8 @@
 #[test]
 fn standing_entry_joins_sum_kept() {
     let allowance = ColdAllowance::new(26.0, 1.5, 5.0);
-    let joined = ["a", "b", "c", "d"]
-        .into_iter()
-        .find(|new| meter_of(server(), ["e", new].into_iter()) == Some(*new));
+    let joined =
+        ["a", "b", "c", "d"].into_iter().find(|new| meter_of(server(), ["e", new]) == Some(*new));
     let new = joined.unwrap();
     let (mut meters, mut sent) = ([ColdMeter::default(), ColdMeter::default()], Vec::new());
     let mut tenures = [Tenure::new("e", Duration::ZERO), Tenure::new(new, s(10))];
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -72,6 +72,8 @@
     Add(usize),
     /// A backend server names a limit, in requests per second.
     Limit(usize, f64),
+    /// A backend server is cold.
+    Cold(usize),
     /// A backend server refuses all requests and asks for rest of this time, in milliseconds.
     Rest(usize, u64),
     /// A backend server says that it leaves, and starts again.
@@ -90,7 +92,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..25) {
+    match rng.random_range(0..26) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -110,6 +112,7 @@
         20 => Fault::Unframed(server),
         21 => Fault::KillSeries(rng.random_range(SERIES_PAUSE_MS)),
         22..=24 => random_crash(fleet, rng),
+        25 => Fault::Cold(server),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
 }
@@ -246,6 +249,7 @@
         Fault::Rest(server, rest_ms) => {
             fleet.rest_server(server, Duration::from_millis(rest_ms), duration).await;
         }
+        Fault::Cold(server) => fleet.cool_server(server, duration).await,
         Fault::Replace(server) => fleet.replace_server(server, duration).await,
         Fault::Unframed(server) => fleet.unframe_server(server, duration).await,
         Fault::Crash(kind, number, at_once, pause_ms) => {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::callers::{API_KEY, ROUTE_TIMEOUT_MS};
 use crate::changes::{Probe, key_of};
 use crate::cli::Options;
+use crate::cold::{COLD_RATE_PER_S, COLD_RATIO, COLD_S, COLD_SLACK, ColdSpan};
 use crate::faults::GRACE_S;
 use crate::process::{Daemon, Reaper};
 use crate::proxy::{LinkFault, Proxy};
@@ -11,7 +12,8 @@
 use flamingowheel_backing::fake::FakeKeyValue;
 use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
 use flamingowheel_standin::platform::messages::{
-    CONFIGURATION_KEY, EntryPorts, configuration, entry_settings, server_key, server_record,
+    CONFIGURATION_KEY, EntryPorts, cold_server_record, configuration, entry_settings, server_key,
+    server_record, with_warm_up,
 };
 use flamingowheel_standin::platform::server::{Conditions, PlatformServer, RequestLog};
 use flamingowheel_standin::platform::store;
@@ -23,7 +25,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Processing time of a request, and time before each event of a stream.
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
@@ -78,6 +80,8 @@
     pub request_log: RequestLog,
     /// The limits that backend servers named.
     pub limits: Mutex<Vec<LimitSpan>>,
+    /// The times in which backend servers were cold.
+    pub colds: Mutex<Vec<ColdSpan>>,
     /// Requests that showed whether a configuration was in force.
     pub probes: Mutex<Vec<Probe>>,
     /// Sends of requests under which servers end, by path.
@@ -118,6 +122,9 @@
             let store_proxy = Proxy::start(store_address).await?;
             let name = format!("entry-{number}");
             let settings = entry_settings(&name, store_proxy.address, ports, GRACE_S);
+            let settings = format!(
+                "{settings}bounds.coldOverage={COLD_RATIO}\nbounds.coldSlack={COLD_SLACK}\n"
+            );
             let daemon = Daemon::new(&options.program, folder, &name, &settings)?;
             let callers = SocketAddr::from(([127, 0, 0, 1], ports.callers));
             entries.push(Entry { daemon, callers, store_proxy, ports });
@@ -132,6 +139,7 @@
             servers,
             request_log,
             limits,
+            colds: Mutex::default(),
             probes,
             crashing: Mutex::default(),
             false_answers: Mutex::default(),
@@ -190,6 +198,23 @@
         }
     }
 
+    /// Makes a backend server cold, unless it asks for something already.
+    pub async fn cool_server(&self, server: usize, duration: Duration) {
+        let Server { id, standin, .. } = &self.servers[server];
+        if standin.conditions() != Conditions::default() {
+            return;
+        }
+        let from = Instant::now();
+        let until = from + duration;
+        standin.set_conditions(Conditions { cold_until: Some(until), ..Conditions::default() });
+        publish_cold(&self.kv, &self.servers[server], until).await;
+        sleep_until(until).await;
+        standin.set_conditions(Conditions::default());
+        self.publish_server(server, false).await;
+        let span = ColdSpan { server: id.clone(), from, until };
+        self.colds.lock().unwrap_or_else(PoisonError::into_inner).push(span);
+    }
+
     /// Makes a backend server refuse all requests and ask for rest.
     pub async fn rest_server(&self, server: usize, rest: Duration, duration: Duration) {
         let conditions = Conditions { rest: Some(rest), ..Conditions::default() };
@@ -235,6 +260,8 @@
         let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
         let keys = [API_KEY, &key_of(version)];
         let configuration = configuration(version, &keys, ROUTE_TIMEOUT_MS);
+        let configuration =
+            with_warm_up(&configuration, COLD_S, COLD_RATE_PER_S).unwrap_or(configuration);
         write(&self.kv, CONFIGURATION_KEY, configuration).await;
         version
     }
@@ -262,6 +289,14 @@
     write(kv, &server_key(&server.id), record).await;
 }
 
+async fn publish_cold(kv: &FakeKeyValue, server: &Server, until: Instant) {
+    let start = server.starts.load(Ordering::SeqCst);
+    let record = server_record(server.proxy.address, SLOTS, start, false);
+    let left = until.saturating_duration_since(Instant::now());
+    let cold = cold_server_record(&record, left.as_millis() as u64).unwrap_or(record);
+    write(kv, &server_key(&server.id), cold).await;
+}
+
 /// Retries the write until it succeeds, as operators and backend servers do.
 async fn write(kv: &FakeKeyValue, key: &str, value: String) {
     let put = Operation::Put { key: key.to_owned(), value: value.into(), lease: None };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod callers;
 pub mod changes;
 pub mod cli;
+pub mod cold;
 pub mod crashes;
 pub mod faults;
 pub mod fleet;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -54,6 +54,16 @@
         /// Most requests that are allowed.
         allowed: usize,
     },
+    /// A cold backend server got more requests within a second than it may, from all entries.
+    #[error("{server} got {requests} requests in a second while cold, not {allowed}")]
+    OverCold {
+        /// Name of the server.
+        server: String,
+        /// Number of requests.
+        requests: usize,
+        /// Most requests that are allowed.
+        allowed: usize,
+    },
     /// More than two requests of an entry reached a backend server within the rest that it had asked
     /// that entry for.
     #[error("{server} got {requests} requests of entry {entry} within the rest that it asked for")]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -101,6 +101,8 @@
         let observed = Observed { arrivals: &arrivals, calls: &tally.calls, faults: &fault_spans };
         let limits = fleet.limits.lock().unwrap_or_else(PoisonError::into_inner);
         let mut violations = observed.check_limits(&limits);
+        let colds = fleet.colds.lock().unwrap_or_else(PoisonError::into_inner);
+        violations.extend(observed.check_cold(&colds));
         violations.extend(observed.check_rests());
         violations.extend(observed.check_leaving());
         violations.extend(observed.check_retries());
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -36,6 +36,24 @@
     .to_string()
 }
 
+/// The record of a backend server that remains cold for a time.
+pub fn cold_server_record(record: &str, cold_left_ms: u64) -> Option<String> {
+    let mut record: serde_json::Value = serde_json::from_str(record).ok()?;
+    record["coldLeftMs"] = cold_left_ms.into();
+    Some(record.to_string())
+}
+
+/// A configuration whose backend servers need time to warm up, and tolerate `rate_per_s` requests
+/// per second until then.
+pub fn with_warm_up(configuration: &str, duration_s: f64, rate_per_s: f64) -> Option<String> {
+    let mut configuration: serde_json::Value = serde_json::from_str(configuration).ok()?;
+    for service in configuration["services"].as_array_mut()? {
+        service["coldS"] = duration_s.into();
+        service["coldPerS"] = rate_per_s.into();
+    }
+    Some(configuration.to_string())
+}
+
 /// A configuration with one workspace, its API keys and four routes: `/once/` for work that runs
 /// once, `/safe/` for calls that may be retried, `/stream/` for streams that may be resumed and
 /// `/live/` for streams that may not. All routes have the same timeout.
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -17,6 +17,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
+/// Header with the time for which a backend server remains cold.
+pub const COLD_HEADER: &str = "flamingowheel-cold-ms";
+
 /// Header with the limit that a backend server names.
 pub const LIMIT_HEADER: &str = "server-limit";
 
@@ -52,6 +55,8 @@
     pub is_leaving: bool,
     /// Whether its answers have neither length nor chunks and end with their connections.
     pub is_unframed: bool,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
 }
 
 /// A request that reached a backend server.
@@ -198,11 +203,14 @@
 
     /// A response with the headers of what the server asks for.
     fn response(&self, status: StatusCode, headers: &[(&str, &str)], body: Body) -> Response {
-        let Conditions { limit_per_s, is_leaving, .. } = self.conditions();
+        let Conditions { limit_per_s, is_leaving, cold_until, .. } = self.conditions();
         let limit = limit_per_s.map(|limit_per_s| limit_per_s.to_string());
         let limit = limit.as_deref().map(|limit| (LIMIT_HEADER, limit));
         let leaving = is_leaving.then_some((LEAVING_HEADER, "1"));
-        let headers = headers.iter().copied().chain(limit).chain(leaving);
+        let cold_left = cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        let cold_left_ms = cold_left.map(|left| left.as_millis().to_string());
+        let cold = cold_left_ms.as_deref().map(|left_ms| (COLD_HEADER, left_ms));
+        let headers = headers.iter().copied().chain(limit).chain(leaving).chain(cold);
         let builder = Response::builder().status(status);
         let builder = headers.fold(builder, |builder, (name, value)| builder.header(name, value));
         builder.body(body).unwrap_or_default()
