Cold servers: only a new start gets a smaller share

A rank that turned cold at the end of an evacuation counted up to four times in the choice, although it is as fast as before; in a full group its part of the requests went to ranks with no room.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -34,7 +34,7 @@
 }
 
 fn cost_with(status: &ServerStatus, slots: u32, unknown_latency_ms: f64) -> f64 {
-    // A cold server shows its speed with one request before it gets more.
+    // A new server shows its speed with one request before it gets more.
     let is_tried = status.share < 1.0 && status.in_flight > 0;
     let unknown_latency_ms =
         if is_tried { UNKNOWN_LATENCY_OF_RETRY_MS } else { unknown_latency_ms };
@@ -128,7 +128,8 @@
 ) -> Choice {
     let is_permitted = |server: &&Arc<Server>| {
         let status = server.status(now);
-        status.share < 1.0 && status.is_admitting && !status.is_leaving && !status.is_in_backoff
+        let is_cold = !server.cold_left(now).is_zero();
+        is_cold && status.is_admitting && !status.is_leaving && !status.is_in_backoff
     };
     match (choice, asked.filter(is_permitted)) {
         (Choice::Send(..), Some(server)) => {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -151,7 +151,7 @@
     pub is_admitting: bool,
     /// Whether a permit can be asked for.
     pub can_ask: bool,
-    /// Share of its usual requests that the server gets: below 1 while it is cold.
+    /// Share of its usual requests that the server gets: below 1 after its start.
     pub share: f64,
 }
 
@@ -175,7 +175,7 @@
             origin: Instant::now(),
         };
         server.record_listed_cold();
-        server.record_listed_warm();
+        server.record_listed_start();
         server
     }
 
--- a/crates/gateway/src/warmth.rs
+++ b/crates/gateway/src/warmth.rs
@@ -94,11 +94,13 @@
         self.record_cold(left, Instant::now());
     }
 
-    /// Takes a start that is listed as warm for one that has answered: requests to a fleet whose entries
-    /// have just started must not wait for permits.
-    pub(crate) fn record_listed_warm(&self) {
-        if self.listed.cold_left_ms == 0 {
-            self.lock().warmth.record_answered(Duration::ZERO);
+    /// Records how a start is listed first. One that is warm is taken for one that has answered:
+    /// requests to a fleet whose entries have just started must not wait for permits.
+    pub(crate) fn record_listed_start(&self) {
+        let warmth = &mut self.lock().warmth;
+        match self.listed.cold_left_ms {
+            0 => warmth.record_answered(Duration::ZERO),
+            _ => warmth.record_start(),
         }
     }
 
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -330,6 +330,8 @@
     allowance: Option<ColdAllowance>,
     /// Most requests in a second while nothing new is known of the server.
     most_untold: usize,
+    /// Whether it was cold when it was first listed.
+    is_new: bool,
     cold_since: Duration,
     cold_until: Duration,
     answered_at: Option<Duration>,
@@ -348,20 +350,26 @@
         self.most_untold = allowance.map_or(0, |allowance| allowance.most_untold(entries));
     }
 
-    /// Share of its usual requests that the server gets: grows while it warms up.
+    /// Records that the server has just started, and may be slow while it is cold.
+    pub fn record_start(&mut self) {
+        self.is_new = true;
+    }
+
+    /// Share of its usual requests that the server gets: grows from its start until it is warm.
     ///
     /// ```
     /// use flamingowheel_policy::cold::{ColdAllowance, Warmth};
     /// use std::time::Duration;
     /// let (mut warmth, now) = (Warmth::default(), Duration::ZERO);
     /// warmth.set_allowance(Some(ColdAllowance::new(2.0, 1.5, 0.0)), 1);
-    /// assert_eq!(warmth.share(now), 1.0);
     /// warmth.record_cold(Duration::from_secs(4), now);
+    /// assert_eq!(warmth.share(now), 1.0, "cold, but as fast as before");
+    /// warmth.record_start();
     /// assert_eq!(warmth.share(now), 0.25);
     /// assert_eq!(warmth.share(Duration::from_secs(2)), 0.5);
     /// ```
     pub fn share(&self, now: Duration) -> f64 {
-        if !self.is_cold(now) {
+        if !self.is_new || !self.is_cold(now) {
             return 1.0;
         }
         let whole = self.cold_until.saturating_sub(self.cold_since).as_secs_f64();
