--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -92,7 +92,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..26) {
+    match rng.random_range(0..27) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -112,7 +112,7 @@
         20 => Fault::Unframed(server),
         21 => Fault::KillSeries(rng.random_range(SERIES_PAUSE_MS)),
         22..=24 => random_crash(fleet, rng),
-        25 => Fault::Cold(server),
+        25 | 26 => Fault::Cold(server),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
 }
