--- a/crates/gateway/src/warmth.rs
+++ b/crates/gateway/src/warmth.rs
@@ -94,6 +94,16 @@
         self.record_cold(left, Instant::now());
     }
 
+    /// Records how a start is listed first. One that is warm is taken for one that has answered:
+    /// requests to a fleet whose entries have just started must not wait for permits.
+    pub(crate) fn record_listed_start(&self) {
+        let warmth = &mut self.lock().warmth;
+        match self.listed.cold_left_ms {
+            0 => warmth.record_answered(Duration::ZERO),
+            _ => warmth.record_start(),
+        }
+    }
+
     /// Time for which the server remains cold, as far as is known.
     pub fn cold_left(&self, now: Instant) -> Duration {
         self.lock().warmth.left(now - self.origin)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -74,6 +74,8 @@
     Add(usize),
     /// A backend server names a limit, in requests per second.
     Limit(usize, f64),
+    /// A backend server is cold.
+    Cold(usize),
     /// A backend server refuses all requests and asks for rest of this time, in milliseconds.
     Rest(usize, u64),
     /// A backend server says that it leaves, and starts again.
@@ -92,7 +94,7 @@
 {
     let entry = rng.random_range(0..fleet.entries.len());
     let server = rng.random_range(0..fleet.servers.len());
-    match rng.random_range(0..27) {
+    match rng.random_range(0..30) {
         0 => Fault::Kill(entry),
         1 => Fault::Pause(entry),
         2 | 3 => Fault::Restart(entry),
@@ -113,6 +115,7 @@
         21 => Fault::KillSeries(rng.random_range(SERIES_PAUSE_MS)),
         22..=24 => random_crash(fleet, rng),
         25 | 26 => Fault::Evacuate(server),
+        27 | 28 => Fault::Cold(server),
         _ => Fault::Configurations(random_gaps_ms(rng)),
     }
 }
@@ -251,6 +254,7 @@
         Fault::Rest(server, rest_ms) => {
             fleet.rest_server(server, Duration::from_millis(rest_ms), duration).await;
         }
+        Fault::Cold(server) => fleet.cool_server(server, duration).await,
         Fault::Replace(server) => fleet.replace_server(server, duration).await,
         Fault::Unframed(server) => fleet.unframe_server(server, duration).await,
         Fault::Crash(kind, number, at_once, pause_ms) => {
