--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -12,11 +12,11 @@
 use crate::breaker::CircuitBreakers;
 use crate::budget::{Decision, RetryBudget, RetryCause, RetryPermit};
 use crate::exchange::{Attempts, Exchange};
-use crate::group::{Admission, Fullness, GroupLoad};
+use crate::group::{Fullness, GroupLoad};
 use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
 use crate::permits::PermitSender;
-use crate::priority::{Turns, Waiting};
+use crate::priority::{Turn, Turns, Waiting};
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, full_body};
 use crate::selection::Selector;
@@ -27,9 +27,8 @@
 use crate::view::{View, Views};
 use bytes::Bytes;
 use flamingowheel_platform::headers::{self, RequestHead};
-use flamingowheel_policy::passes;
 use flamingowheel_policy::quota::Urgency;
-use flamingowheel_policy::urgency::{GivesWay, Standing};
+use flamingowheel_policy::urgency::Standing;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -189,7 +188,7 @@
         turn: &Turn,
     ) -> Result<(Arc<Server>, Option<Arc<GroupLoad>>), Refusal> {
         let draw = turn.draw;
-        let admission = admission(exchange, turn);
+        let admission = turn.admission(exchange);
         let mut waiting = None;
         loop {
             let now = Instant::now();
@@ -234,7 +233,7 @@
         fullness: &Fullness,
         waiting: &mut Option<(Waiting, Duration)>,
     ) -> bool {
-        if turn.standing.gives_way != GivesWay::ToUrgent {
+        if !turn.waits_for_room() {
             return false;
         }
         if waiting.is_none() {
@@ -252,7 +251,7 @@
         has_waited: bool,
     ) -> Refusal {
         let Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age } = *fullness;
-        let Standing { cut, gives_way, is_on_credit, urgent_share, surplus, shares_age } =
+        let Standing { cut, gives_way, is_on_credit, urgent_share, surplus, shares_age, .. } =
             turn.standing;
         let now = Instant::now();
         let retry_after_ms = self.turns.refuse(exchange, fullness, turn.draw, now);
@@ -379,30 +378,3 @@
         self.breakers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// What decides about a request while its service is short of room.
-#[derive(Clone, Copy, Debug)]
-struct Turn {
-    /// Random number between 0 and 1, the same for all decisions on the request.
-    draw: f64,
-    standing: Standing,
-}
-
-/// The request's conditions for admission; `None` for routes without a goal for pauses, unless the
-/// request gives way to others.
-fn admission(exchange: &Exchange, turn: &Turn) -> Option<Admission> {
-    let Turn { draw, standing } = *turn;
-    let cut = standing.cut;
-    let pause_goal_ms = exchange.route.pause_goal_ms as f64;
-    if pause_goal_ms <= 0.0 {
-        let goal_ms = exchange.route.goal_ms as f64;
-        let pass_limit_ms = passes::limit_ms(goal_ms, false, draw);
-        let has_limit = cut > 0.0 && goal_ms > 0.0;
-        return has_limit.then_some(Admission { pass_limit_ms, pause_goal_ms, draw, cut });
-    }
-    let is_caller_retry = exchange.is_caller_retry() && standing.gives_way != GivesWay::ToPatient;
-    let pass_limit_ms = passes::limit_ms(pause_goal_ms, is_caller_retry, draw);
-    // A caller's retry has priority over a first attempt.
-    let draw = if is_caller_retry { 1.0 } else { draw };
-    Some(Admission { pass_limit_ms, pause_goal_ms, draw, cut })
-}
--- a/crates/gateway/src/priority.rs
+++ b/crates/gateway/src/priority.rs
@@ -1,12 +1,12 @@
 //! Whose turn it is while a service is short of room, as far as this entry knows.
 
 use crate::exchange::Exchange;
-use crate::group::Fullness;
+use crate::group::{Admission, Fullness};
 use flamingowheel_fleet::Configuration;
 use flamingowheel_policy::key::{Fingerprint, WorkspaceKey};
 use flamingowheel_policy::passes;
 use flamingowheel_policy::priority::Levels;
-use flamingowheel_policy::urgency::{Arrival, Demand, Standing, Turnover};
+use flamingowheel_policy::urgency::{Arrival, Demand, GivesWay, Standing, Turnover};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,6 +49,42 @@
     services.iter().map(of_service).collect()
 }
 
+/// What decides about one request while its service is short of room.
+#[derive(Clone, Copy, Debug)]
+pub struct Turn {
+    /// Random number between 0 and 1, the same for all decisions on the request.
+    pub draw: f64,
+    /// Its conditions among the requests of this entry.
+    pub standing: Standing,
+}
+
+impl Turn {
+    /// The request's conditions for admission; `None` for routes without a goal for pauses, unless
+    /// the request gives way to others.
+    pub fn admission(&self, exchange: &Exchange) -> Option<Admission> {
+        let Self { draw, standing: Standing { cut, gives_way, precedes, .. } } = *self;
+        let pause_goal_ms = exchange.route.pause_goal_ms as f64;
+        if pause_goal_ms <= 0.0 {
+            let goal_ms = exchange.route.goal_ms as f64;
+            let pass_limit_ms = passes::limit_ms(goal_ms, false, draw);
+            let has_limit = cut > 0.0 && goal_ms > 0.0;
+            return has_limit.then_some(Admission { pass_limit_ms, pause_goal_ms, draw, cut });
+        }
+        // A caller's retry has priority over a first attempt, if it comes as told.
+        let is_caller_retry = exchange.is_caller_retry() && gives_way != GivesWay::ToPatient;
+        let pass_limit_ms = passes::limit_ms(pause_goal_ms, is_caller_retry, draw);
+        // Part of the entry's requests in the group are less urgent, and make room first.
+        let has_all_places = is_caller_retry || (precedes && gives_way == GivesWay::ToNone);
+        let draw = if has_all_places { 1.0 } else { draw };
+        Some(Admission { pass_limit_ms, pause_goal_ms, draw, cut })
+    }
+
+    /// Whether the request may wait for room that more urgent ones have taken.
+    pub fn waits_for_room(&self) -> bool {
+        self.standing.gives_way == GivesWay::ToUrgent
+    }
+}
+
 /// The requests of each service at this entry, and the callers that it has refused.
 #[derive(Debug)]
 pub struct Turns {
--- a/crates/policy/src/priority.rs
+++ b/crates/policy/src/priority.rs
@@ -16,6 +16,11 @@
 }
 
 impl Rank {
+    /// The rank of a request without a workspace.
+    pub const fn of_route(route: u32) -> Self {
+        Self { workspace: route, route }
+    }
+
     /// The rank of a request; the route's priority stands in for a workspace that has none.
     pub fn new(workspace: Option<u32>, route: u32) -> Self {
         Self { workspace: workspace.unwrap_or(route), route }
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -18,17 +18,17 @@
 
 /// Largest weight of a workspace, as a multiple of the mean: a rate that stays far above the others
 /// becomes usual, but not its claim to the room.
-const MAX_WEIGHT: f64 = 2.0;
+const MAX_WEIGHT: f64 = 8.0;
 
 /// Time for which all workspaces are taken to have sent equally much before the first request.
-const PRIOR: Duration = Duration::from_secs(20);
+const PRIOR: Duration = Duration::from_secs(5);
 
 /// Ratio of a workspace's present to its usual rate from which it presses.
 const PRESSING_RATIO: f64 = 2.5;
 
 /// Standard deviations, and requests, by which the present rate must exceed the usual one: an entry
 /// sees few requests of each workspace, and some more may be chance.
-const MARGIN: (f64, f64) = (3.0, 2.0);
+const MARGIN: (f64, f64) = (2.0, 1.5);
 
 /// Time between computations of the level of shares.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -13,22 +13,24 @@
 use crate::priority::Rank;
 use crate::shares::{Decayed, Shares};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Time constant of the arrivals by rank: longer than most gaps between the requests of one rank at
 /// an entry, shorter than a burst.
 const TIME_CONSTANT: Duration = Duration::from_secs(3);
 
-/// Share by which the limit of a request is lowered for each more urgent rank: the pass time that a
-/// tenth of the batch takes, which is what entries admit before the pass time shows it.
-const STEP: f64 = 0.1;
+/// Share by which the limit of a request is lowered for each more urgent rank: more than the spread of
+/// limits, so that one rank is refused before the next.
+const STEP: f64 = 0.125;
 
 /// Share of the arrivals from which a rank counts fully. The more urgent requests there are, the more
 /// room they need at once.
 const PRESENT_SHARE: f64 = 0.1;
 
-/// Largest share by which limits are lowered for more urgent requests.
-const MAX_RANK_CUT: f64 = 0.2;
+/// Largest share by which limits are lowered for more urgent requests: what they need when a shift of
+/// demand lengthens passes by half.
+const MAX_RANK_CUT: f64 = 0.25;
 
 /// Share by which the limit is lowered for what is above a workspace's share, more than for any rank:
 /// it gives way to all requests of the others.
@@ -104,6 +106,8 @@
     pub cut: f64,
     /// To whom it gives way.
     pub gives_way: GivesWay,
+    /// Whether less urgent requests that give way to it have come lately.
+    pub precedes: bool,
     /// Whether it has credit for being served less often than others.
     pub is_on_credit: bool,
     /// Share of more urgent requests among those of the last seconds at this entry.
@@ -158,6 +162,7 @@
         self.forget(now);
         let surplus = workspace.map_or(0.0, |key| self.shares.record(key, served, now));
         let (rank_cut, urgent_share) = self.rank_cut(rank, now);
+        let precedes = self.precedes(rank, now);
         let is_on_credit = has_credit && rank_cut > 0.0;
         let (cut, gives_way) = if draw < surplus {
             (SURPLUS_CUT, GivesWay::ToWorkspaces)
@@ -169,7 +174,7 @@
             (rank_cut, GivesWay::ToUrgent)
         };
         let shares_age = self.shares.age(now).unwrap_or_default();
-        Standing { cut, gives_way, is_on_credit, urgent_share, surplus, shares_age }
+        Standing { cut, gives_way, precedes, is_on_credit, urgent_share, surplus, shares_age }
     }
 
     /// Records whether a request was admitted.
@@ -228,6 +233,13 @@
         (cut, urgent_share)
     }
 
+    /// Whether some of the recent requests are less urgent.
+    fn precedes(&self, rank: Rank, now: Duration) -> bool {
+        let all = self.arrived.value(TIME_CONSTANT, now).max(1.0);
+        let mut less_urgent = self.kinds.range((Bound::Excluded(rank), Bound::Unbounded));
+        less_urgent.any(|(_, kind)| kind.arrived.value(TIME_CONSTANT, now) / all > PRESENT_SHARE)
+    }
+
     fn forget(&mut self, now: Duration) {
         if self.kinds.len() > MAX_RANKS {
             self.kinds.retain(|_, kind| kind.arrived.value(TIME_CONSTANT, now) > 0.05);
