Gateway, policy: what can wait leaves room for a rise of the pass time as high as the last ones

What callers saw: streams that began shortly before a shift of demand had a pause over the goal, urgent ones with the others. Cause: less urgent requests filled the batch up to a limit that holds only until the next shift. Change: the rise of the mean pass over the usual one is kept for 12 s, and what gives way is admitted only as far as passes stay within the goal after such a rise; the step by rank is 0.04.

--- a/crates/gateway/benches/urgency.rs
+++ b/crates/gateway/benches/urgency.rs
@@ -1,7 +1,7 @@
 //! Who is served while a group is short of room: the entries' own admission of requests, under a
 //! simulated clock and simulated passes.
 //!
-//!     cargo bench -p flamingowheel-gateway --bench urgency -- [--seed N]
+//!     cargo bench -p flamingowheel-gateway --bench urgency -- [--seed N] [--entries N]
 
 #![allow(clippy::print_stdout, reason = "the report is the output")]
 
@@ -36,7 +36,10 @@
 const PRESSED_S: f64 = 8.0;
 
 /// Requests per second and rank without a burst.
-const RATE_PER_RANK: f64 = 4.0;
+const RATE_PER_RANK: f64 = 5.0;
+
+/// Requests per second and rank that a group serves in its goal.
+const ROOM_PER_RANK: f64 = 8.0;
 
 /// Time between looks of a request that waits.
 const POLL_MS: f64 = 20.0;
@@ -83,6 +86,21 @@
     in_flight: GroupInFlight,
 }
 
+/// Places of one workspace at one entry, by a fixed rate.
+#[derive(Clone, Copy, Default)]
+struct Quota {
+    places: f64,
+    at_ms: f64,
+}
+
+impl Quota {
+    fn has_place(&mut self, per_s: f64, now_ms: f64) -> bool {
+        self.places = (self.places + (now_ms - self.at_ms) * per_s / 1_000.0).min(2.0);
+        self.at_ms = now_ms;
+        self.places >= 1.0
+    }
+}
+
 #[derive(Clone, Default)]
 struct Tally {
     asked: f64,
@@ -104,7 +122,7 @@
     load: Load,
     ranks: f64,
     rng: ChaCha8Rng,
-    entries: Vec<(Arc<Turns>, Arc<GroupLoad>, Vec<f64>)>,
+    entries: Vec<(Arc<Turns>, Arc<GroupLoad>, Vec<Quota>)>,
     routes: Vec<Arc<Route>>,
     workspaces: Vec<Arc<Workspace>>,
     origin: Instant,
@@ -134,7 +152,7 @@
             let group = GroupLoad::default();
             group.set_model(model);
             group.set_slots(SLOTS);
-            (Arc::default(), Arc::new(group), vec![0.0; WORKSPACES])
+            (Arc::default(), Arc::new(group), vec![Quota::default(); WORKSPACES])
         };
         let route = |(priority, _, goal_ms): &(u32, f64, u64)| {
             Arc::new(Route {
@@ -276,7 +294,7 @@
     fn decide_one(&mut self, mut pending: Pending, at_ms: f64) {
         let now = self.at(at_ms);
         let draw = self.rng.random();
-        let own_share = (self.ranks * RATE_PER_RANK / self.entries.len() as f64).max(1.0);
+        let per_entry = ROOM_PER_RANK * self.ranks / self.entries.len() as f64;
         let (turns, group, used) = &mut self.entries[pending.request.entry];
         let (turns, group) = (Arc::clone(turns), Arc::clone(group));
         let exchange = &pending.request.exchange;
@@ -288,13 +306,11 @@
             return;
         };
         let fullness = group.fullness(&admission, now);
-        let per_entry = &mut used[pending.request.workspace];
-        let is_over = self.rule == Rule::PerEntry && {
-            *per_entry = (*per_entry - own_share * 1e-4).max(0.0);
-            *per_entry >= (own_share / WORKSPACES as f64).max(1.0)
-        };
-        if !fullness.is_full() && !is_over {
-            *per_entry += 1.0;
+        let quota = &mut used[pending.request.workspace];
+        let has_quota =
+            self.rule != Rule::PerEntry || quota.has_place(per_entry / WORKSPACES as f64, at_ms);
+        if !fullness.is_full() && has_quota {
+            quota.places -= 1.0;
             turns.admit(exchange, now);
             let in_flight = group.begin();
             let left = pending.request.size;
@@ -394,7 +410,13 @@
 
 impl Rule {
     fn standing(self, standing: Standing, kind: usize) -> Standing {
-        let none = Standing { cut: 0.0, gives_way: GivesWay::ToNone, ..standing };
+        let none = Standing {
+            cut: 0.0,
+            caution: 0.0,
+            precedes: false,
+            gives_way: GivesWay::ToNone,
+            ..standing
+        };
         match self {
             Self::New => standing,
             Self::Today | Self::PerEntry => none,
@@ -490,7 +512,8 @@
     let mut arguments = pico_args::Arguments::from_env();
     let seed = arguments.opt_value_from_str("--seed").ok().flatten().unwrap_or(1);
     let mut is_good = true;
-    for entries in [6, 42, 380] {
+    let only: Option<usize> = arguments.opt_value_from_str("--entries").ok().flatten();
+    for entries in only.map_or(vec![6, 42, 380], |entries| vec![entries]) {
         for rule in [Rule::New, Rule::Today, Rule::Starving, Rule::PerEntry] {
             let rows = rows(rule, entries, seed);
             for row in &rows {
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -224,6 +224,7 @@
         own_requests: status.in_flight,
         limit: None,
         pass_ms: latency_ms,
+        rise: 1.0,
         occupancy: None,
         report_age: None,
     })
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -250,7 +250,8 @@
         fullness: &Fullness,
         has_waited: bool,
     ) -> Refusal {
-        let Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age } = *fullness;
+        let Fullness { crowding, own_requests, limit, pass_ms, rise, occupancy, report_age } =
+            *fullness;
         let Standing { cut, gives_way, is_on_credit, urgent_share, surplus, shares_age, .. } =
             turn.standing;
         let now = Instant::now();
@@ -273,6 +274,7 @@
             own = own_requests,
             bound = limit,
             pass_ms,
+            rise,
             occupancy,
             report_age_ms = report_age.map(|age| age.as_millis() as u64),
             retry_after_ms,
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -5,7 +5,7 @@
 //! new requests to the group with short passes.
 
 use flamingowheel_policy::batch::{self, BatchLimit, PassModel};
-use flamingowheel_policy::passes::PassTime;
+use flamingowheel_policy::passes::{PassRises, PassTime};
 use flamingowheel_protocol::ranks::GroupStatus;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 struct Observed {
     pass_times: PassTime,
+    pass_rises: PassRises,
     batch_limit: BatchLimit,
     /// How pass time grows with requests; `None` until the engines' parameters are known.
     model: Option<PassModel>,
@@ -92,6 +93,8 @@
     pub draw: f64,
     /// Share by which limits are lowered, as the request gives way to others.
     pub cut: f64,
+    /// Share of the room for a rise of the pass time that is kept from the request, from 0 to 1.
+    pub caution: f64,
 }
 
 /// How full a group is, with the values that this was computed from.
@@ -106,6 +109,8 @@
     pub limit: Option<f64>,
     /// Mean pass time, in milliseconds; 0 if there was no recent pass.
     pub pass_ms: f64,
+    /// The highest recent rise of the pass time, as a ratio.
+    pub rise: f64,
     /// Requests at the group's ranks as a share of their slots; `None` without a recent report.
     pub occupancy: Option<f64>,
     /// Age of the last report; `None` if there was none.
@@ -231,9 +236,12 @@
         let occupancy = observed.occupancy(now);
         // Requests beyond the slots queue at the server, where urgent ones would wait as well.
         let by_slots = occupancy.filter(|_| admission.cut > 0.0).unwrap_or(0.0) / kept;
-        let crowding = by_number.max(by_time).max(by_slots);
+        let by_rise =
+            admission.caution * observed.pass_rises.crowding(pass_ms, admission.pause_goal_ms, at);
+        let rise = observed.pass_rises.highest(at);
+        let crowding = by_number.max(by_time).max(by_slots).max(by_rise);
         let report_age = observed.report.as_ref().map(|report| now - report.taken_at);
-        Fullness { crowding, own_requests, limit, pass_ms, occupancy, report_age }
+        Fullness { crowding, own_requests, limit, pass_ms, rise, occupancy, report_age }
     }
 
     /// Expected cost of a request in the group: grows with its pass time and this entry's requests
@@ -256,7 +264,10 @@
         let at = now - self.origin;
         let mut observed = self.lock();
         observed.pass_times.observe(pause_ms, at);
-        let Observed { pass_times, batch_limit, model, .. } = &mut *observed;
+        let Observed { pass_times, pass_rises, batch_limit, model, .. } = &mut *observed;
+        if let Some(pass_ms) = pass_times.mean_ms(at) {
+            pass_rises.observe(pass_ms, at);
+        }
         if let Some((pass_ms, model)) = pass_times.mean_ms(at).zip(model.as_ref()) {
             batch_limit.observe(pass_ms, self.in_flight(), model, at);
         }
@@ -266,6 +277,7 @@
     pub fn reset(&self) {
         let mut observed = self.lock();
         observed.pass_times = PassTime::default();
+        observed.pass_rises = PassRises::default();
         observed.batch_limit = BatchLimit::default();
         observed.report = None;
     }
--- a/crates/gateway/src/priority.rs
+++ b/crates/gateway/src/priority.rs
@@ -62,13 +62,19 @@
     /// The request's conditions for admission; `None` for routes without a goal for pauses, unless
     /// the request gives way to others.
     pub fn admission(&self, exchange: &Exchange) -> Option<Admission> {
-        let Self { draw, standing: Standing { cut, gives_way, precedes, .. } } = *self;
+        let Self { draw, standing: Standing { cut, caution, gives_way, precedes, .. } } = *self;
         let pause_goal_ms = exchange.route.pause_goal_ms as f64;
         if pause_goal_ms <= 0.0 {
             let goal_ms = exchange.route.goal_ms as f64;
             let pass_limit_ms = passes::limit_ms(goal_ms, false, draw);
             let has_limit = cut > 0.0 && goal_ms > 0.0;
-            return has_limit.then_some(Admission { pass_limit_ms, pause_goal_ms, draw, cut });
+            return has_limit.then_some(Admission {
+                pass_limit_ms,
+                pause_goal_ms,
+                draw,
+                cut,
+                caution,
+            });
         }
         // A caller's retry has priority over a first attempt, if it comes as told.
         let is_caller_retry = exchange.is_caller_retry() && gives_way != GivesWay::ToPatient;
@@ -76,7 +82,7 @@
         // Part of the entry's requests in the group are less urgent, and make room first.
         let has_all_places = is_caller_retry || (precedes && gives_way == GivesWay::ToNone);
         let draw = if has_all_places { 1.0 } else { draw };
-        Some(Admission { pass_limit_ms, pause_goal_ms, draw, cut })
+        Some(Admission { pass_limit_ms, pause_goal_ms, draw, cut, caution })
     }
 
     /// Whether the request may wait for room that more urgent ones have taken.
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -186,7 +186,8 @@
 }
 
 fn choose_within(view: &View, pass_limit_ms: f64, now: Instant) -> Choice {
-    let admission = Admission { pass_limit_ms, pause_goal_ms: GOAL_MS, draw: 0.5, cut: 0.0 };
+    let admission =
+        Admission { pass_limit_ms, pause_goal_ms: GOAL_MS, draw: 0.5, cut: 0.0, caution: 0.0 };
     balance::choose(view, "s", &[], Some(&admission), now).choice
 }
 
@@ -234,8 +235,13 @@
     group.set_model(model);
     (0..60).for_each(|pass| group.record_pause(100.0, at(pass * 100)));
     (60..80).for_each(|pass| group.record_pause(40.0, at(pass * 100)));
-    let admission =
-        Admission { pass_limit_ms: GOAL_MS, pause_goal_ms: GOAL_MS, draw: 0.0, cut: 0.0 };
+    let admission = Admission {
+        pass_limit_ms: GOAL_MS,
+        pause_goal_ms: GOAL_MS,
+        draw: 0.0,
+        cut: 0.0,
+        caution: 0.0,
+    };
     assert!(group.fullness(&admission, at(8_000)).is_full());
     drop(requests);
     assert!(!group.fullness(&admission, at(8_000)).is_full());
--- a/crates/gateway/tests/turns.rs
+++ b/crates/gateway/tests/turns.rs
@@ -25,6 +25,7 @@
     own_requests: 10,
     limit: None,
     pass_ms: 90.0,
+    rise: 1.0,
     occupancy: None,
     report_age: None,
 };
@@ -112,7 +113,8 @@
     let start = Instant::now();
     group.set_status(&status, start);
     let full = |cut, now| {
-        let admission = Admission { pass_limit_ms: 90.0, pause_goal_ms: 120.0, draw: 0.5, cut };
+        let admission =
+            Admission { pass_limit_ms: 90.0, pause_goal_ms: 120.0, draw: 0.5, cut, caution: 0.0 };
         group.fullness(&admission, now).is_full()
     };
     assert!(full(0.2, start));
--- a/crates/policy/src/passes.rs
+++ b/crates/policy/src/passes.rs
@@ -7,6 +7,7 @@
 //! twentieth per pass while nothing is admitted. That is slow enough for all entries to act on the
 //! same pass time without coordination.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time constant of the mean pass time: one to two passes near the limit, so that admission reacts
@@ -106,3 +107,76 @@
     let (least, most) = RETRY_AFTER_MS;
     wait_ms.clamp(least * (0.75 + draw / 2.0), most) as u64
 }
+
+/// Time constant of the usual pass time: longer than a shift of demand.
+const USUAL_TIME_CONSTANT: Duration = Duration::from_secs(2);
+
+/// How long a rise of the pass time is kept: several shifts, where these recur within seconds.
+const RISE_RETENTION: Duration = Duration::from_secs(12);
+
+/// Length of the intervals of which only the highest rise is kept.
+const RISE_SLOT: Duration = Duration::from_millis(500);
+
+/// Highest rise that is reckoned with: beyond it no room would be left to what can wait.
+const MAX_RISE: f64 = 1.5;
+
+/// Share of the pause goal that passes may take after a rise as high as the last ones.
+const RAISED_SHARE: f64 = 0.85;
+
+/// The highest rise of a group's pass time in the last seconds. Demand shifts again and again, and
+/// what is admitted just before a shift is late with it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PassRises {
+    usual_ms: f64,
+    observed_at: Option<Duration>,
+    /// Start and highest rise of each interval, oldest first.
+    slots: VecDeque<(Duration, f64)>,
+}
+
+impl PassRises {
+    /// Records the mean pass time.
+    pub fn observe(&mut self, mean_ms: f64, now: Duration) {
+        let since = self.observed_at.replace(now).map(|last| now.saturating_sub(last));
+        let Some(since) = since.filter(|since| *since < MAX_AGE) else {
+            self.usual_ms = mean_ms;
+            return;
+        };
+        let weight = 1.0 - (-since.as_secs_f64() / USUAL_TIME_CONSTANT.as_secs_f64()).exp();
+        self.usual_ms += weight * (mean_ms - self.usual_ms);
+        let rise = (mean_ms / self.usual_ms.max(1.0)).min(MAX_RISE);
+        while self.slots.front().is_some_and(|(at, _)| now.saturating_sub(*at) > RISE_RETENTION) {
+            self.slots.pop_front();
+        }
+        match self.slots.back_mut() {
+            Some((at, highest)) if now.saturating_sub(*at) < RISE_SLOT => {
+                *highest = highest.max(rise);
+            }
+            _ => self.slots.push_back((now, rise)),
+        }
+    }
+
+    /// The ratio of the highest recent pass time to the one usual before it; 1 at the least.
+    pub fn highest(&self, now: Duration) -> f64 {
+        let is_kept = |(at, _): &&(Duration, f64)| now.saturating_sub(*at) <= RISE_RETENTION;
+        self.slots.iter().filter(is_kept).map(|(_, rise)| *rise).fold(1.0, f64::max)
+    }
+
+    /// Ratio of the pass time after such a rise to what the goal allows; above 1, what can wait
+    /// should.
+    ///
+    /// ```
+    /// use flamingowheel_policy::passes::PassRises;
+    /// use std::time::Duration;
+    /// let at = |tenth: u64| Duration::from_millis(tenth * 100);
+    /// let (mut calm, mut shifting) = (PassRises::default(), PassRises::default());
+    /// for tenth in 0..60 {
+    ///     calm.observe(70.0, at(tenth));
+    ///     shifting.observe(if tenth % 40 > 35 { 110.0 } else { 70.0 }, at(tenth));
+    /// }
+    /// assert!(calm.crowding(70.0, 120.0, at(60)) < 1.0);
+    /// assert!(shifting.crowding(70.0, 120.0, at(60)) > 0.98);
+    /// ```
+    pub fn crowding(&self, pass_ms: f64, pause_goal_ms: f64, now: Duration) -> f64 {
+        pass_ms * self.highest(now) / (RAISED_SHARE * pause_goal_ms).max(1.0)
+    }
+}
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -20,21 +20,21 @@
 /// an entry, shorter than a burst.
 const TIME_CONSTANT: Duration = Duration::from_secs(3);
 
-/// Share by which the limit of a request is lowered for each more urgent rank: more than the spread of
-/// limits, so that one rank is refused before the next.
-const STEP: f64 = 0.125;
+/// Share by which the limit of a request is lowered for each more urgent rank: about the spread of
+/// limits, so that one rank is refused before the next. A shorter pass costs room, as a large part of
+/// it is the same for few and many requests.
+const STEP: f64 = 0.04;
 
 /// Share of the arrivals from which a rank counts fully. The more urgent requests there are, the more
 /// room they need at once.
 const PRESENT_SHARE: f64 = 0.1;
 
-/// Largest share by which limits are lowered for more urgent requests: what they need when a shift of
-/// demand lengthens passes by half.
-const MAX_RANK_CUT: f64 = 0.25;
+/// Largest share by which limits are lowered for more urgent requests.
+const MAX_RANK_CUT: f64 = 0.08;
 
 /// Share by which the limit is lowered for what is above a workspace's share, more than for any rank:
 /// it gives way to all requests of the others.
-const SURPLUS_CUT: f64 = 0.3;
+const SURPLUS_CUT: f64 = 0.2;
 
 /// Share by which the limit is lowered for a caller that came back before the time it was told.
 const EARLY_CUT: f64 = 0.1;
@@ -104,6 +104,8 @@
 pub struct Standing {
     /// Share by which the limits of its service are lowered for the request.
     pub cut: f64,
+    /// Share of the room for a rise of the pass time that is kept from the request, from 0 to 1.
+    pub caution: f64,
     /// To whom it gives way.
     pub gives_way: GivesWay,
     /// Whether less urgent requests that give way to it have come lately.
@@ -174,7 +176,17 @@
             (rank_cut, GivesWay::ToUrgent)
         };
         let shares_age = self.shares.age(now).unwrap_or_default();
-        Standing { cut, gives_way, precedes, is_on_credit, urgent_share, surplus, shares_age }
+        let caution = if gives_way == GivesWay::ToNone { 0.0 } else { (cut / STEP).min(1.0) };
+        Standing {
+            cut,
+            caution,
+            gives_way,
+            precedes,
+            is_on_credit,
+            urgent_share,
+            surplus,
+            shares_age,
+        }
     }
 
     /// Records whether a request was admitted.
