Gateway: bodies and collected answers are counted before they are held

Callers saw: nothing yet; an entry of 112 MB could be made to hold any number of bodies of 4 MB and answers of 256 KB for callers that read or send slowly. Cause: each request was bounded, their sum was not. Ruled out: ending streams that are read slowly. Left open: buffers of the kernel and of connections are not counted. Change: an account of 0.3 of the VM's memory, a quarter of that for one request. A body is counted before it is read, or as it arrives without a length, and refused with 503 and when to return; the count ends with the last copy of its bytes. Without room an answer is relayed as it arrives instead of collected.

--- a/crates/gateway/src/forward/intake.rs
+++ b/crates/gateway/src/forward/intake.rs
@@ -2,11 +2,13 @@
 
 use super::Gateway;
 use crate::exchange::{self, Exchange};
+use crate::held::{Held, HeldBytes, HoldError};
 use crate::refusal::Refusal;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use flamingowheel_fleet::configuration::Route;
 use flamingowheel_platform::headers::{self, RequestHead};
 use http::Request;
+use http_body::Body;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -50,7 +52,7 @@
             return Err((Refusal::NoRoute, head));
         };
         let max_body_bytes = configuration.limits.max_body_bytes;
-        let body = match read_body(body, max_body_bytes).await {
+        let body = match read_body(body, max_body_bytes, &self.held).await {
             Ok(body) => body,
             Err(refusal) => return Err((refusal, head)),
         };
@@ -97,11 +99,47 @@
     None
 }
 
-async fn read_body(body: Incoming, max_body_bytes: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, max_body_bytes).collect();
+async fn read_body(
+    body: Incoming,
+    max_body_bytes: usize,
+    held: &Arc<Held>,
+) -> Result<Bytes, Refusal> {
+    let declared = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
+    let declared = declared.filter(|&bytes| bytes <= max_body_bytes);
+    let mut kept = held.try_hold(declared.unwrap_or(0)).map_err(refusal)?;
+    let reading = collect(Limited::new(body, max_body_bytes), declared, &mut kept);
     match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BodyLost),
+        Ok(Ok(bytes)) => Ok(kept.attach(bytes)),
+        Ok(Err(refusal)) => Err(refusal),
+        Err(_) => Err(Refusal::BodyLost),
+    }
+}
+
+/// Reads a body to its end. What goes beyond the declared length is held as it arrives.
+async fn collect(
+    mut body: Limited<Incoming>,
+    declared: Option<usize>,
+    kept: &mut HeldBytes,
+) -> Result<Bytes, Refusal> {
+    let mut collected = BytesMut::with_capacity(declared.unwrap_or(0));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() { Refusal::BodyTooLarge } else { Refusal::BodyLost }
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if declared.is_none() {
+            kept.try_grow(data.len()).map_err(refusal)?;
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
+fn refusal(error: HoldError) -> Refusal {
+    match error {
+        HoldError::TooLarge => Refusal::BodyTooLarge,
+        HoldError::Full => Refusal::memory_full(rand::random()),
     }
 }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -3,6 +3,7 @@
 
 use super::{Gateway, keep_connection};
 use crate::exchange::Exchange;
+use crate::held::HeldBytes;
 use crate::losses::{AnswerEnd, Progress};
 use crate::relay::{AnswerBody, Truncated, UpstreamBody};
 use bytes::{Bytes, BytesMut};
@@ -24,6 +25,7 @@
     upstream: UpstreamBody,
     sent: Sent,
     buffered: BytesMut,
+    held: Option<HeldBytes>,
     received_bytes: usize,
     /// Since when the next bytes have been waited for.
     waiting_since: Instant,
@@ -58,12 +60,14 @@
         upstream: UpstreamBody,
         sent: Sent,
     ) -> Self {
+        let held = gateway.held.try_hold(0).ok();
         Self {
             gateway,
             exchange,
             upstream,
             sent,
             buffered: BytesMut::new(),
+            held,
             received_bytes: 0,
             waiting_since: Instant::now(),
             has_ended: false,
@@ -74,16 +78,37 @@
     pub(super) async fn buffer(mut self) -> Buffered {
         loop {
             match self.read().await {
-                Ok(Some(piece)) => self.buffered.extend_from_slice(&piece),
-                Ok(None) => return Buffered::Whole(self.buffered.freeze()),
+                Ok(Some(piece)) => {
+                    self.hold(piece.len());
+                    self.buffered.extend_from_slice(&piece);
+                }
+                Ok(None) => return Buffered::Whole(self.into_whole()),
                 Err(evidence) => return Buffered::Broken(evidence),
             }
-            if self.buffered.len() > MAX_BUFFERED_BYTES {
+            if self.buffered.len() > MAX_BUFFERED_BYTES || self.held.is_none() {
                 return Buffered::Large(Box::new(self));
             }
         }
     }
 
+    /// Counts what is buffered. Without room the answer is relayed as it arrives from now on.
+    fn hold(&mut self, bytes: usize) {
+        if let Some(held) = &mut self.held
+            && let Err(error) = held.try_grow(bytes)
+        {
+            tracing::info!(request = self.exchange.head.attempt_id, %error, "answer not buffered");
+            self.held = None;
+        }
+    }
+
+    fn into_whole(self) -> Bytes {
+        let bytes = self.buffered.freeze();
+        match self.held {
+            Some(held) => held.attach(bytes),
+            None => bytes,
+        }
+    }
+
     /// The body of the answer to the caller: what is buffered, then the rest as it arrives. It ends
     /// with an error if the answer turns out not to be whole.
     pub(super) fn into_body(self) -> AnswerBody {
@@ -99,7 +124,11 @@
             return None;
         }
         if !self.buffered.is_empty() {
-            return Some(Ok(self.buffered.split().freeze()));
+            let bytes = self.buffered.split().freeze();
+            return Some(Ok(match self.held.take() {
+                Some(held) => held.attach(bytes),
+                None => bytes,
+            }));
         }
         match self.read().await {
             Ok(Some(piece)) => Some(Ok(piece)),
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -1,5 +1,9 @@
 //! What this entry holds for its callers: connections and bytes.
+//!
+//! Bodies of requests are counted before they are read, and answers that are collected while they
+//! are. Callers that read slowly keep both for longer.
 
+use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -12,6 +16,17 @@
 /// Descriptors of a connection to a caller, with the one to a backend server that it may use.
 const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
+/// Why bytes can't be held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HoldError {
+    /// They are more than one request may ever hold.
+    #[error("more than one request may hold")]
+    TooLarge,
+    /// Others hold too much at present.
+    #[error("callers hold too much at present")]
+    Full,
+}
+
 /// Counts what is held, and bounds it.
 #[derive(Debug)]
 pub struct Held {
@@ -56,24 +71,25 @@
         HeldConnection { held: Arc::clone(self) }
     }
 
-    /// Holds `bytes` more, unless they pass the share of one request or of all.
+    /// Holds `bytes` more for one request.
     ///
     /// ```
-    /// use flamingowheel_gateway::held::Held;
+    /// use flamingowheel_gateway::held::{Held, HoldError};
     /// let held = Held::new(100_000_000, 1_024);
-    /// assert!(held.try_hold(8_000_000).is_none());
-    /// let kept: Vec<_> = (0..6).filter_map(|_| held.try_hold(7_000_000)).collect();
-    /// assert_eq!(kept.len(), 4);
+    /// assert_eq!(held.try_hold(8_000_000).err(), Some(HoldError::TooLarge));
+    /// let kept: Vec<_> = (0..4).map(|_| held.try_hold(7_000_000).unwrap()).collect();
+    /// assert_eq!(held.try_hold(7_000_000).err(), Some(HoldError::Full));
     /// drop(kept);
     /// assert_eq!(held.bytes(), 0);
     /// ```
-    pub fn try_hold(self: &Arc<Self>, bytes: usize) -> Option<HeldBytes> {
-        if bytes as f64 > self.max_bytes as f64 * REQUEST_SHARE {
-            return None;
-        }
-        let add = |held: usize| held.checked_add(bytes).filter(|&held| held <= self.max_bytes);
-        self.bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok()?;
-        Some(HeldBytes { held: Arc::clone(self), bytes })
+    ///
+    /// # Errors
+    ///
+    /// If it would pass the share of one request or of all.
+    pub fn try_hold(self: &Arc<Self>, bytes: usize) -> Result<HeldBytes, HoldError> {
+        let mut held = HeldBytes { held: Arc::clone(self), bytes: 0 };
+        held.try_grow(bytes)?;
+        Ok(held)
     }
 
     /// Bytes held now.
@@ -94,6 +110,43 @@
     }
 }
 
+impl HeldBytes {
+    /// Holds `more` bytes for the same request.
+    ///
+    /// # Errors
+    ///
+    /// If it would pass the share of one request or of all; what was held before stays so.
+    pub fn try_grow(&mut self, more: usize) -> Result<(), HoldError> {
+        let max_bytes = self.held.max_bytes;
+        let own = self.bytes.saturating_add(more);
+        if own as f64 > max_bytes as f64 * REQUEST_SHARE {
+            return Err(HoldError::TooLarge);
+        }
+        let add = |all: usize| all.checked_add(more).filter(|&all| all <= max_bytes);
+        let all = &self.held.bytes;
+        all.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).map_err(|_| HoldError::Full)?;
+        self.bytes = own;
+        Ok(())
+    }
+
+    /// Attaches the count to the bytes: it ends when the last copy of them is dropped.
+    #[must_use]
+    pub fn attach(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(Counted { bytes, _held: self })
+    }
+}
+
+struct Counted {
+    bytes: Bytes,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for HeldBytes {
     fn drop(&mut self) {
         self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -16,6 +16,11 @@
 const SUSPECT_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(5));
 
+/// Shortest and longest time, in milliseconds, after which a caller should retry for whose body there
+/// was no memory. An answer that nobody reads is cut off after some seconds; another entry is likely
+/// to have room at once.
+const MEMORY_FULL_RETRY_AFTER_MS: (u64, u64) = (200, 1_000);
+
 /// Time within which a new process usually learns the configuration if the store answers.
 const USUAL_START_TIME: Duration = Duration::from_millis(400);
 
@@ -50,6 +55,11 @@
         /// When it may be sent again at the earliest, in milliseconds from now.
         retry_after_ms: u64,
     },
+    /// Callers that read slowly hold as much as this VM's memory allows.
+    MemoryFull {
+        /// When the caller should retry, in milliseconds from now.
+        retry_after_ms: u64,
+    },
     /// No backend server accepts work; none ran the request.
     Full {
         /// When the caller should retry, in milliseconds from now.
@@ -96,6 +106,19 @@
         Self::Suspect { retry_after_ms: wait.clamp(least, most).as_millis() as u64 }
     }
 
+    /// The refusal of a request whose body would pass what may be held for callers. `draw`, a random
+    /// number between 0 and 1, spreads callers that are refused at the same time.
+    ///
+    /// ```
+    /// use flamingowheel_gateway::refusal::Refusal;
+    /// let wait_ms = |draw| Refusal::memory_full(draw).retry_after_ms().unwrap();
+    /// assert!(wait_ms(0.0) < wait_ms(1.0));
+    /// ```
+    pub fn memory_full(draw: f64) -> Self {
+        let (least, most) = MEMORY_FULL_RETRY_AFTER_MS;
+        Self::MemoryFull { retry_after_ms: least + ((most - least) as f64 * draw) as u64 }
+    }
+
     /// The HTTP status. 408, 429 and 503 guarantee that the request did not and will not run.
     pub fn status(self) -> StatusCode {
         match self {
@@ -103,6 +126,7 @@
             | Self::Busy { .. }
             | Self::Held { .. }
             | Self::Suspect { .. }
+            | Self::MemoryFull { .. }
             | Self::Full { .. }
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -120,6 +144,7 @@
             Self::Busy { retry_after_ms }
             | Self::Held { retry_after_ms }
             | Self::Suspect { retry_after_ms }
+            | Self::MemoryFull { retry_after_ms }
             | Self::Full { retry_after_ms }
             | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
             Self::TooLate => Some(RETRY_AFTER_MS),
@@ -138,6 +163,7 @@
             Self::Busy { .. } => "busy",
             Self::Held { .. } => "held",
             Self::Suspect { .. } => "suspect",
+            Self::MemoryFull { .. } => "memory_full",
             Self::Full { .. } => "full",
             Self::TooLate => "too_late",
             Self::AnswerLost => "answer_lost",
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -6,6 +6,7 @@
 use flamingowheel_gateway::forward::Gateway;
 use flamingowheel_gateway::front::{self, Stop};
 use flamingowheel_gateway::group::{GroupLoad, GroupRank};
+use flamingowheel_gateway::held::Held;
 use flamingowheel_gateway::losses::LossRecorder;
 use flamingowheel_gateway::metrics::Metrics;
 use flamingowheel_gateway::permits::{self, PermitExchange};
@@ -19,12 +20,16 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 
+/// Memory of the entry's VM.
+const MEMORY_BYTES: u64 = 200_000_000;
+
 /// An entry in front of backend servers of the service `s`, which are tried in the given order.
 pub struct Entry {
     pub address: SocketAddr,
     pub client: HttpClient,
     pub stop: Stop,
     pub metrics: Arc<Metrics>,
+    pub held: Arc<Held>,
     views: Views,
 }
 
@@ -91,13 +96,15 @@
         let (of_losses, known) = (Arc::clone(&views), Arc::clone(&suspects));
         let losses = LossRecorder::new(of_losses, known, archive, Arc::clone(&metrics));
         let counted = Arc::clone(&metrics);
-        let gateway = Arc::new(Gateway::new(views, budget, permits, suspects, losses, metrics));
+        let held = Held::new(MEMORY_BYTES, 4_096);
+        let gateway = Gateway::new(views, budget, permits, suspects, losses, metrics);
+        let gateway = Arc::new(gateway.with_held(Arc::clone(&held)));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let stop = Stop::default();
         tokio::spawn(front::serve(listener, gateway, stop.clone()));
         let client = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
-        Self { address, client, stop, metrics: counted, views: seen }
+        Self { address, client, stop, metrics: counted, views: seen, held }
     }
 
     /// Makes all servers ranks of one group.
--- a/crates/gateway/tests/member.rs
+++ b/crates/gateway/tests/member.rs
@@ -4,7 +4,7 @@
 use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_gateway::member::Announcement;
 use flamingowheel_gateway::publish::ENTRIES_PREFIX;
-use flamingowheel_gateway::view::EntryRecord;
+use flamingowheel_gateway::view::{CapacityRecord, EntryRecord};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -59,3 +59,25 @@
     announcing.await.unwrap();
     assert!(!is_announced(&store).await);
 }
+
+/// Guards against callers who follow a capacity that is no longer so.
+#[tokio::test(start_paused = true)]
+async fn run_capacity_changed_record_written() {
+    let store = FakeKeyValue::default();
+    let (sender, capacity) = watch::channel(None);
+    let announcement = Announcement { capacity, ..announcement(&store) };
+    let announcing = tokio::spawn(announcement.run(CancellationToken::new()));
+    sleep(Duration::from_secs(2)).await;
+    let slow = CapacityRecord { requests_per_s: 40, speed_percent: 25, room_percent: 100 };
+    sender.send_replace(Some(slow));
+    sleep(Duration::from_millis(100)).await;
+    let entries = store.range(ENTRIES_PREFIX).await.unwrap().entries;
+    let record: EntryRecord = serde_json::from_slice(&entries[0].value).unwrap();
+    assert_eq!(record.capacity, Some(slow));
+    drop(sender);
+    sleep(Duration::from_secs(20)).await;
+    assert!(is_announced(&store).await);
+    announcing.abort();
+    sleep(MAX_LISTED_AFTER_END).await;
+    assert!(!is_announced(&store).await);
+}
