--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -31,7 +31,11 @@
 const RAISE_INTERVAL: Duration = Duration::from_millis(3_000);
 
 /// Slowdown that is taken for a difference between requests.
-const USUAL_SLOWDOWN: f64 = 1.5;
+const USUAL_SLOWDOWN: f64 = 2.0;
+
+/// Share of its processor time below which an entry's speed delays no caller, and is not judged: the
+/// few times that it runs differ much.
+const IDLE: f64 = 0.05;
 
 /// Time for which the usual cost is remembered.
 const USUAL_WINDOW: Duration = Duration::from_secs(120);
@@ -199,7 +203,9 @@
         let share = 1.0 - (-elapsed / SMOOTHING.as_secs_f64()).exp();
         self.busy += share * (reading.busy - self.busy);
         self.held += share * (reading.held - self.held);
-        if let Some(run_time) = reading.run_time.map(|run_time| run_time.as_secs_f64()) {
+        if self.busy < IDLE {
+            self.run_time_s = None;
+        } else if let Some(run_time) = reading.run_time.map(|run_time| run_time.as_secs_f64()) {
             let mean = self.run_time_s.unwrap_or(run_time);
             self.run_time_s = Some(mean + share * (run_time - mean));
         }
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -86,3 +86,14 @@
     machine.run(60, |_, _| Reading { run_time: None, busy: 0.0, held: 0.0 });
     assert_eq!(machine.announced, []);
 }
+
+/// Guards against an entry that is taken for slow when its first callers come.
+#[test]
+fn update_idle_then_callers_nothing_announced() {
+    let mut machine = Machine::new();
+    machine.run(20, |tick, _| reading(10 + u64::from(tick % 5), 0.001, 0.0));
+    machine.run(20, |tick, _| reading(60 + u64::from(tick * 7 % 40), 0.004, 0.0));
+    machine.run(20, |tick, _| reading(80 + u64::from(tick * 7 % 40), 0.3, 0.0));
+    machine.run(20, |tick, _| reading(10 + u64::from(tick % 5), 0.001, 0.0));
+    assert_eq!(machine.announced, []);
+}
