Policy: a claim shrinks once after a start, not twice

Cause: 2 s after a start the claim shrinks by a quarter of the part, the least that is written, and at the end of the window once more, when what predecessors may have spent counts no longer. Ruled out: claims that begin smaller (a new process would have fewer retries at once); claims without a lease (they would stay for VMs that are gone). Change: while predecessors count, a claim shrinks by half a part at least. What is stored is never less than before, so no window can hold more retries; a successor of a process that was killed within 10 s of its start finds a quarter more claimed. Tests of budget, claims and quota as before, unchanged.

--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -65,6 +65,12 @@
     fn inherited(&self, window: Duration, now: Duration) -> f64 {
         if now >= self.since + window { 0.0 } else { self.inherited }
     }
+
+    /// The smallest shrinking that is written. What predecessors may have spent will be given up at the
+    /// end of the window, so a smaller one before that would soon be followed by another.
+    fn least_shrink(&self, window: Duration, now: Duration) -> f64 {
+        if self.inherited(window, now) > 0.0 { 2.0 * RESERVE } else { RESERVE }
+    }
 }
 
 impl Claim {
@@ -117,7 +123,8 @@
         let shrinks = if usage.is_leaving {
             excess >= MIN_CHANGE
         } else {
-            !usage.is_short && excess >= RESERVE && since_change >= SHRINK_INTERVAL
+            let is_worth_a_write = excess >= held.least_shrink(window, now);
+            !usage.is_short && is_worth_a_write && since_change >= SHRINK_INTERVAL
         };
         let claimed = match (grows && since_change >= GROWTH_INTERVAL, shrinks) {
             (true, _) => 1.0,
