Gateway, policy: a slow server gets the share its speed allows, and its recovery is seen; near servers first

Callers: a server that had been slow once got nothing more from an entry, and the others were fuller for good. Cause: the choice is by lowest cost; a server a tenth slower than the others is never chosen while they have room, so its observed time never changes. Change: among servers without groups, one that takes r times the typical time (lower median) gets turns that make 1/r of a fair share; an observed excess halves in 10 s without an answer; differences under a fifth are ignored. Retries and full servers are left out. A server in the entry's own data centre is preferred while it has room: a far one costs a quarter more, a far rank counts one request more. Ruled out: weights on all choices (a fixed part of requests would leave the least loaded server), and a share for ranks: a slow rank's own part of each pass delays the whole group, so the cut stays.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -4,6 +4,7 @@
 use crate::server::{Server, ServerStatus};
 use crate::view::View;
 use flamingowheel_policy::reuse;
+use flamingowheel_policy::shares::{self, Typical};
 use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -84,9 +85,13 @@
     admission: Option<&Admission>,
     now: Instant,
 ) -> Chosen {
+    let typical = typical_time(view, service, now);
     let (mut best, mut wanted, mut wait) = (None, None, None);
     for server in view.servers_of(service).iter().filter(|server| !is_among(tried, server)) {
-        let candidate = Candidate::new(view, server, admission, !tried.is_empty(), now);
+        let mut candidate = Candidate::new(view, server, admission, !tried.is_empty(), now);
+        if let Some(typical) = &typical {
+            candidate.set_share(typical, tried.is_empty(), now);
+        }
         if candidate.is_leaving {
             continue;
         }
@@ -115,6 +120,17 @@
     Chosen { choice, wanted }
 }
 
+/// The typical time of a service's servers; `None` if they are ranks of groups, or too few are known.
+fn typical_time(view: &View, service: &str, now: Instant) -> Option<Typical> {
+    let servers = view.servers_of(service);
+    let is_rank = |server: &Arc<Server>| view.group_ranks.contains_key(&server.listed.address);
+    if servers.first().is_none_or(is_rank) {
+        return None;
+    }
+    let known_ms = servers.iter().filter_map(|server| server.latency(now)).map(|(ms, _)| ms);
+    Typical::new(known_ms.collect(), servers.len())
+}
+
 fn keep_better<'a>(best: &mut Option<Candidate<'a>>, candidate: Candidate<'a>) {
     if best.as_ref().is_none_or(|best| candidate.compare(best).is_lt()) {
         *best = Some(candidate);
@@ -133,6 +149,8 @@
     /// Fullness of the group, if the request has an admission condition.
     fullness: Option<Fullness>,
     group_cost: f64,
+    /// Whether it is not the turn of a slow server.
+    is_not_due: bool,
     /// Whether no connection to the rank can be reused, or the rank has more requests than others.
     needs_connection: bool,
     /// Whether the rank was not sampled.
@@ -155,6 +173,10 @@
         let spread = rand::random_range(0.9..1.1);
         let ServerStatus { is_in_backoff, is_silent, is_leaving, is_admitting, can_ask, .. } =
             status;
+        let is_far = view
+            .data_centre
+            .as_deref()
+            .is_some_and(|data_centre| data_centre != server.listed.data_centre);
         match view.group_ranks.get(&server.listed.address) {
             Some(group_rank) => {
                 let is_reported_silent = group_rank.group.is_reported_silent(group_rank.rank, now);
@@ -177,9 +199,13 @@
                     can_ask,
                     fullness: admission.map(|admission| group_rank.group.fullness(admission, now)),
                     group_cost: group_rank.group.cost(now),
+                    is_not_due: true,
                     needs_connection: !is_reused,
                     is_not_sampled: report.is_some() && rand::random::<f64>() >= sampled_share,
-                    cost: (f64::from(requests) + 0.5 + FAILURE_COST * status.failure_ratio)
+                    cost: (f64::from(requests)
+                        + 0.5
+                        + shares::distance_requests(is_far)
+                        + FAILURE_COST * status.failure_ratio)
                         * spread,
                 }
             }
@@ -194,19 +220,42 @@
                 can_ask,
                 fullness: None,
                 group_cost: 0.0,
+                is_not_due: true,
                 needs_connection: true,
                 is_not_sampled: false,
-                cost: cost_with(&status, server.listed.slots, unknown_latency_ms) * spread,
+                cost: cost_with(&status, server.listed.slots, unknown_latency_ms)
+                    * shares::distance_factor(is_far)
+                    * spread,
             },
         }
     }
 
+    /// Gives a slow server that is not full the share that its speed allows. Retries go to the others.
+    fn set_share(&mut self, typical: &Typical, is_first: bool, now: Instant) {
+        let Some((observed_ms, age)) = self.server.latency(now) else {
+            return;
+        };
+        let expected_ms = typical.expected_ms(observed_ms, age);
+        self.cost *= expected_ms.max(1.0) / observed_ms.max(1.0);
+        let has_room = self.server.status(now).in_flight < self.server.listed.slots;
+        let is_due = is_first && has_room && typical.is_due(expected_ms, rand::random());
+        self.is_not_due = !is_due;
+        if is_due {
+            tracing::debug!(
+                server = self.server.listed.id,
+                expected_ms,
+                typical_ms = typical.time_ms,
+                "share of a slow server"
+            );
+        }
+    }
+
     fn compare(&self, other: &Self) -> Ordering {
         self.sort_key().partial_cmp(&other.sort_key()).unwrap_or(Ordering::Equal)
     }
 
     /// Sort key, compared from left to right; the lowest is best.
-    fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, bool, f64) {
+    fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, bool, bool, f64) {
         let is_full = self.fullness.is_some_and(|fullness| fullness.is_full());
         (
             self.is_in_backoff,
@@ -214,6 +263,7 @@
             is_full,
             self.group_cost,
             self.is_slow,
+            self.is_not_due,
             self.needs_connection,
             self.is_not_sampled,
             self.cost,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -201,7 +201,11 @@
     let serve_link =
         move |link| server::serve(link, Arc::clone(&served_mirror), statuses_receiver.clone());
     tokio::spawn(accept_links(listener, identity.clone(), CancellationToken::new(), serve_link));
-    tokio::spawn(Publisher::new(Arc::clone(&mirror), views, outputs).run());
+    tokio::spawn(
+        Publisher::new(Arc::clone(&mirror), views, outputs)
+            .in_data_centre(&settings.data_centre)
+            .run(),
+    );
     tokio::spawn(
         StoreFollower::new(store.clone(), Arc::clone(&mirror), should_follow.clone()).run(),
     );
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -72,6 +72,7 @@
     ungrouped: HashMap<String, Arc<GroupLoad>>,
     /// Keys that vanished around an outage, and when their grace period ends.
     expired: HashMap<String, Instant>,
+    data_centre: Option<Arc<str>>,
 }
 
 impl Publisher {
@@ -88,9 +89,16 @@
             groups: HashMap::new(),
             ungrouped: HashMap::new(),
             expired: HashMap::new(),
+            data_centre: None,
         }
     }
 
+    /// Sets the data centre of this entry.
+    pub fn in_data_centre(mut self, data_centre: &str) -> Self {
+        self.data_centre = Some(data_centre.into());
+        self
+    }
+
     /// Publishes until dropped.
     pub async fn run(mut self) {
         let mut revisions = self.mirror.revisions();
@@ -424,6 +432,7 @@
             in_force: self.in_force.clone(),
             servers,
             group_ranks,
+            data_centre: self.data_centre.clone(),
             entries: self.entries.clone(),
         }));
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -88,6 +88,8 @@
     failure_ratio: f64,
     /// Mean time to an answer, in milliseconds; `None` before the first answer.
     latency_ms: Option<f64>,
+    /// When the newest answer in that mean arrived.
+    answered_at: Option<Instant>,
     consecutive_failures: u32,
     backoff_until: Option<Instant>,
     /// Requests for which nothing has arrived yet.
@@ -196,6 +198,12 @@
         }
     }
 
+    /// Mean time to an answer, in milliseconds, and its age; `None` before the first answer.
+    pub fn latency(&self, now: Instant) -> Option<(f64, Duration)> {
+        let health = &self.lock().health;
+        health.latency_ms.zip(health.answered_at.map(|at| now.saturating_duration_since(at)))
+    }
+
     /// Counts a request as in flight at the server and in its group until the guard is dropped, and
     /// uses a permit if the server has a limit. Every request to a server passes here. `None` if the
     /// server takes none now.
@@ -289,6 +297,7 @@
             let latency_ms = latency.as_secs_f64() * 1_000.0;
             let mean = health.latency_ms.get_or_insert(latency_ms);
             *mean += EWMA_WEIGHT * (latency_ms - *mean);
+            health.answered_at = Some(Instant::now());
         }
     }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -47,6 +47,8 @@
     pub servers: HashMap<String, Vec<Arc<Server>>>,
     /// Ranks of groups by their engines' addresses.
     pub group_ranks: HashMap<SocketAddr, GroupRank>,
+    /// The data centre of this entry; `None` if not known.
+    pub data_centre: Option<Arc<str>>,
     /// Live entries by VM, including this one once it has announced itself.
     pub entries: HashMap<String, EntryRecord>,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod reuse;
 pub mod roster;
 pub mod routing;
+pub mod shares;
 pub mod subset;
 pub mod suspicion;
 pub mod topology;
