--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -222,6 +222,7 @@
     let serve_link =
         move |link| server::serve(link, Arc::clone(&served_mirror), statuses_receiver.clone());
     let publisher = Publisher::new(Arc::clone(&mirror), views, outputs)
+        .in_data_centre(&settings.data_centre)
         .with_regions(settings.regions.clone())
         .with_cold(ColdBounds::from(&settings.bounds), tenure);
     tokio::spawn(accept_links(listener, identity.clone(), CancellationToken::new(), serve_link));
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -83,6 +83,7 @@
     expired: HashMap<String, Instant>,
     /// What cold servers may get, and what is told of the entries that share it.
     cold: Option<(ColdBounds, Arc<EntryTenure>)>,
+    data_centre: Option<Arc<str>>,
 }
 
 impl Publisher {
@@ -103,6 +104,7 @@
             ungrouped: HashMap::new(),
             expired: HashMap::new(),
             cold: None,
+            data_centre: None,
         }
     }
 
@@ -116,6 +118,12 @@
         Self { cold: Some((bounds, tenure)), ..self }
     }
 
+    /// Sets the data centre of this entry.
+    pub fn in_data_centre(mut self, data_centre: &str) -> Self {
+        self.data_centre = Some(data_centre.into());
+        self
+    }
+
     /// Publishes until dropped.
     pub async fn run(mut self) {
         let mut revisions = self.mirror.revisions();
@@ -514,6 +522,7 @@
             in_force: self.in_force.clone(),
             servers,
             group_ranks,
+            data_centre: self.data_centre.clone(),
             entries: self.entries.clone(),
             evacuations: self.evacuations.clone(),
             regions: Arc::clone(&self.regions),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod roster;
 pub mod routing;
 pub mod shares;
+pub mod speeds;
 pub mod subset;
 pub mod suspicion;
 pub mod topology;
