Need: two servers turn cold before six real entries

Guards against entries that go on sending to a server that turned cold while it serves; the warm servers of the same run get more than the limit, so that the check can fail. The harness of need.rs also checks cold servers; its other tests are unchanged.

--- a/crates/flamingowheeld/tests/need.rs
+++ b/crates/flamingowheeld/tests/need.rs
@@ -1,12 +1,13 @@
 //! Entries as separate processes before backend servers in need: they name a limit for all entries
-//! together, ask each one for rest, or say that they leave.
+//! together, ask each one for rest, say that they leave, or turn cold.
 
 use flamingowheel_soak::callers::Caller;
 use flamingowheel_soak::cli::Options;
-use flamingowheel_soak::fleet::Fleet;
+use flamingowheel_soak::cold::ColdSpan;
+use flamingowheel_soak::fleet::{Fleet, Server};
 use flamingowheel_soak::report::{SharedTally, Tally};
 use flamingowheel_soak::signals::{LimitSpan, Observed};
-use flamingowheel_standin::platform::server::Conditions;
+use flamingowheel_standin::platform::server::{Arrival, Conditions};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -20,11 +21,15 @@
 
 const SEED: u64 = 11;
 
+/// Time for which servers are cold: longer than the run.
+const COLD_TIME: Duration = Duration::from_secs(30);
+
 /// What was seen of a fleet with servers in need.
 struct Run {
     tally: Tally,
     fleet: Fleet,
     spans: Vec<LimitSpan>,
+    colds: Vec<ColdSpan>,
 }
 
 /// Runs `entries` processes before 4 servers, of which the first `count` are in need.
@@ -62,9 +67,12 @@
         let (server, limit_per_s) = (server.id.clone(), need.limit_per_s?);
         Some(LimitSpan { server, limit_per_s, from, until })
     });
+    let colds = fleet.servers[..count].iter().filter(|_| need.cold_until.is_some());
+    let cold = |server: &Server| ColdSpan { server: server.id.clone(), from, until };
+    let colds = colds.map(cold).collect();
     // The error is ignored: a leftover directory in the temporary directory is harmless.
     let _ = std::fs::remove_dir_all(&folder);
-    Run { tally: tally.read(), spans: spans.collect(), fleet }
+    Run { tally: tally.read(), spans: spans.collect(), colds, fleet }
 }
 
 impl Run {
@@ -72,8 +80,9 @@
         let arrivals = self.fleet.request_log.arrivals();
         let observed = Observed { arrivals: &arrivals, calls: &self.tally.calls, faults: &[] };
         let (limits, rests) = (observed.check_limits(&self.spans), observed.check_rests());
-        let leaving = observed.check_leaving();
-        let violations = limits.iter().chain(&rests).chain(&leaving).chain(&self.tally.violations);
+        let (leaving, colds) = (observed.check_leaving(), observed.check_cold(&self.colds));
+        let asked = limits.iter().chain(&rests).chain(&leaving).chain(&colds);
+        let violations = asked.chain(&self.tally.violations);
         violations.map(ToString::to_string).collect()
     }
 }
@@ -104,3 +113,19 @@
     let run = run_in_need(6, 1, leaving).await;
     assert_eq!(run.violations(), [""; 0], "{}", run.tally);
 }
+
+/// Two of four backend servers turn cold while they serve, and only their answers tell. Each of six
+/// entries goes on sending to them, and none stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn turned_cold_two_servers_kept() {
+    let cold = Conditions { cold_until: Some(Instant::now() + COLD_TIME), ..Conditions::default() };
+    let run = run_in_need(6, 2, cold).await;
+    assert_eq!(run.violations(), [""; 0], "{}", run.tally);
+    let arrivals = run.fleet.request_log.arrivals();
+    let late = |arrival: &&Arrival| arrival.at > run.colds[0].from + NEED_TIME / 2;
+    let count = |id: &str| arrivals.iter().filter(late).filter(|at| at.server == id).count();
+    let (cold, warm) = (count(&run.colds[0].server), count(&run.fleet.servers[3].id));
+    assert!(cold > 0);
+    // A server that is not held to the limit of 20 in a second gets more.
+    assert!(warm as f64 > 20.0 * (NEED_TIME / 2).as_secs_f64(), "{warm}");
+}
