--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod subset;
 pub mod suspicion;
 pub mod topology;
+pub mod warmth;
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -1,10 +1,11 @@
 //! The limit of cold servers in any second, against entries that ask and send as often as they can.
 
 use flamingowheel_policy::cold::{
-    COLD_PERMIT_VALIDITY, ColdAllowance, ColdMeter, MAX_LIST_AGE, Standing, Tenure, Warmth,
+    COLD_PERMIT_VALIDITY, ColdAllowance, ColdMeter, MAX_LIST_AGE, Standing, Tenure,
 };
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_policy::permits::{Verdict, meter_of};
+use flamingowheel_policy::warmth::Warmth;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
