--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod suspicion;
 pub mod topology;
 pub mod urgency;
+pub mod warmth;
