--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -80,10 +80,10 @@
     /// use std::time::Duration;
     /// let (mut shares, calm, loud) = (Shares::default(), WorkspaceKey(1), WorkspaceKey(2));
     /// let at = |request: u64| Duration::from_millis(request * 20);
-    /// (0..1_000).for_each(|r| _ = shares.record(WorkspaceKey(r % 4), 1.0, at(r)));
-    /// (1_000..1_300).for_each(|r| _ = shares.record(loud, 0.5, at(r)));
-    /// assert!(shares.record(loud, 0.5, at(1_301)) > 0.3);
-    /// assert_eq!(shares.record(calm, 0.5, at(1_301)), 0.0);
+    /// (0..1_000).for_each(|r| _ = shares.record(WorkspaceKey(r % 10), 1.0, at(r)));
+    /// (1_000..1_100).for_each(|r| _ = shares.record(loud, 0.5, at(r)));
+    /// assert!(shares.record(loud, 0.5, at(1_101)) > 0.3);
+    /// assert_eq!(shares.record(calm, 0.5, at(1_101)), 0.0);
     /// ```
     pub fn record(&mut self, workspace: WorkspaceKey, room: f64, now: Duration) -> f64 {
         self.since.get_or_insert(now);
