Gateway: entries stop following the store as soon as a predecessor does

Cause: without a source all 71 other entries follow the store, for 2 s at least; if no predecessor was current at that moment, for another 2 s, and so on, though one was back soon after. Change: the least time counts once; after it an entry stops with the first predecessor that is up to date. Ruled out: longer pauses between an isolated entry's calls (it may be the only one that reaches the store).

--- a/crates/gateway/src/feed/isolation.rs
+++ b/crates/gateway/src/feed/isolation.rs
@@ -59,6 +59,8 @@
         match self {
             Self::Following { until } if now < until => self,
             Self::Following { .. } if sources.has_predecessor => Self::Connected,
+            // It ends as soon as there is a predecessor: each entry that follows makes calls.
+            Self::Following { .. } => self,
             Self::Connected | Self::Waiting { .. } if sources.has_current => Self::Connected,
             Self::Connected if !turn.is_zero() => Self::Waiting { until: now + turn },
             Self::Waiting { until } if now < until => self,
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -217,6 +217,20 @@
     assert!(follows.next(now + Duration::from_secs(60), found, Duration::ZERO).follows());
 }
 
+/// Guards against entries that all make calls to the store for seconds after it is back.
+#[test]
+fn next_predecessor_after_minimum_time_ends_at_once() {
+    let now = Instant::now();
+    let (alone, found) = (Sources::default(), Sources { has_current: true, has_predecessor: true });
+    let mut state = Isolation::Following { until: now };
+    for millis in (0..3_000).step_by(100) {
+        state = state.next(now + Duration::from_millis(millis), alone, Duration::ZERO);
+        assert!(state.follows());
+    }
+    let state = state.next(now + Duration::from_millis(3_000), found, Duration::ZERO);
+    assert_eq!(state, Isolation::Connected);
+}
+
 /// A change arrives late. The time it took must count from the last moment at which the copy was
 /// known to lack nothing, not from the arrival of the change at the source.
 #[tokio::test(start_paused = true)]
