Gateway, policy: the typical time of servers costs one pass over them, and no second lock

What callers saw: nothing. Cause: each choice sorted the times of all plain servers and locked each server twice for its share. Change: the median is selected, and a slow server's room is looked at only when it is its turn. Evidence: the tests of shares, reuse, parts, silence, permits and publish pass; the cost of a choice was not measured.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -237,8 +237,8 @@
         };
         let expected_ms = typical.expected_ms(observed_ms, age);
         self.cost *= expected_ms.max(1.0) / observed_ms.max(1.0);
-        let has_room = self.server.status(now).in_flight < self.server.listed.slots;
-        let is_due = is_first && has_room && typical.is_due(expected_ms, rand::random());
+        let has_room = || self.server.status(now).in_flight < self.server.listed.slots;
+        let is_due = is_first && typical.is_due(expected_ms, rand::random()) && has_room();
         self.is_not_due = !is_due;
         if is_due {
             tracing::debug!(
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -41,9 +41,12 @@
     /// assert_eq!(Typical::new(vec![100.0], 5), None);
     /// ```
     pub fn new(mut known_ms: Vec<f64>, servers: usize) -> Option<Self> {
-        known_ms.sort_by(f64::total_cmp);
-        let middle = known_ms.len().checked_sub(1)? / 2;
-        (known_ms.len() > 1).then(|| Self { time_ms: known_ms[middle].max(1.0), servers })
+        if known_ms.len() < 2 {
+            return None;
+        }
+        let middle = (known_ms.len() - 1) / 2;
+        let (_, median_ms, _) = known_ms.select_nth_unstable_by(middle, f64::total_cmp);
+        Some(Self { time_ms: median_ms.max(1.0), servers })
     }
 
     /// Expected time to a server's answer, given the observed one and its age. That of a slow server
