Gateway: distance, speed and reuse choose servers only where machines differ

Change: the three act only while the machines of the listed entries differ by more than a tenth, the condition by which the directory names entries by what they can take. It is part of the view. Ruled out by reading, not by a run: urgency, as their streams have one rank; the directory, as it has the same condition already.

Tests: choose_alike_machines_distance_ignored; the others of the three set the condition. is_uneven takes the records instead of the view, with the same checks.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -181,6 +181,9 @@
 
 /// The typical time of a service's servers; `None` if they are ranks of groups, or too few are known.
 fn typical_time(view: &View, service: &str, now: Instant) -> Option<Typical> {
+    if !view.is_uneven {
+        return None;
+    }
     let servers = view.servers_of(service);
     let is_rank = |server: &Arc<Server>| view.group_ranks.contains_key(&server.listed.address);
     if servers.first().is_none_or(is_rank) {
@@ -232,10 +235,11 @@
         let spread = rand::random_range(0.9..1.1);
         let ServerStatus { is_in_backoff, is_silent, is_leaving, is_admitting, can_ask, .. } =
             status;
-        let is_far = view
+        let is_elsewhere = view
             .data_centre
             .as_deref()
             .is_some_and(|data_centre| data_centre != server.listed.data_centre);
+        let is_far = view.is_uneven && is_elsewhere;
         match view.group_ranks.get(&server.listed.address) {
             Some(group_rank) => {
                 let is_reported_silent = group_rank.group.is_reported_silent(group_rank.rank, now);
@@ -244,7 +248,7 @@
                 let requests = reported.unwrap_or(0).max(status.in_flight);
                 let mean_requests = report.and_then(|_| group_rank.group.mean_requests());
                 let is_reused = mean_requests.is_some_and(|mean| {
-                    reuse::is_preferred(requests, mean) && server.has_idle(now)
+                    view.is_uneven && reuse::is_preferred(requests, mean) && server.has_idle(now)
                 });
                 let open_ranks = group_rank.group.size() as f64 * group_rank.group.open_share();
                 let sampled_share = SAMPLED_RANKS / open_ranks.max(1.0);
--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -1,6 +1,5 @@
 //! Measures what this entry can take, and announces it.
 
-use crate::directory;
 use crate::held::Held;
 use crate::metrics::Metrics;
 use crate::view::{CapacityRecord, Views};
@@ -85,7 +84,7 @@
             let capacity = record(initial.requests_per_s, gauge.announced());
             self.metrics.set_capacity(capacity, self.held.bytes(), self.held.connections());
             let is_new = *self.announced.borrow() != Some(capacity);
-            if is_new && directory::is_uneven(&self.views.load()) {
+            if is_new && self.views.load().is_uneven {
                 self.announce(capacity, reading);
             }
         }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -67,9 +67,11 @@
 
 /// Whether the machines of the listed entries differ, so that callers are told of them by what each
 /// can take.
-pub fn is_uneven(view: &View) -> bool {
-    let sizes = view.entries.values().map(|record| record.capacity.map(size));
-    directory::is_uneven(sizes)
+pub fn is_uneven<'a, I>(records: I) -> bool
+where
+    I: IntoIterator<Item = &'a EntryRecord>,
+{
+    directory::is_uneven(records.into_iter().map(|record| record.capacity.map(size)))
 }
 
 /// A listed entry, as operators see it.
@@ -86,7 +88,7 @@
 
 /// The listed entries with what their shares of callers follow.
 pub fn listed(view: &View) -> Vec<ListedEntry<'_>> {
-    let is_uneven = is_uneven(view);
+    let is_uneven = view.is_uneven;
     let mut listed: Vec<_> = view
         .entries
         .iter()
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -4,6 +4,7 @@
 mod parts;
 
 use crate::budget::RetryBudget;
+use crate::directory;
 use crate::evacuation::Evacuations;
 use crate::feed::groups::Statuses;
 use crate::feed::mirror::{Change, Changes, Mirror};
@@ -413,6 +414,7 @@
             servers,
             group_ranks,
             data_centre: self.data_centre.clone(),
+            is_uneven: directory::is_uneven(self.entries.values()),
             entries: self.entries.clone(),
             evacuations: self.evacuations.clone(),
             regions: Arc::clone(&self.regions),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -74,6 +74,9 @@
     pub evacuations: Evacuations,
     /// Region of each data centre.
     pub regions: Arc<Regions>,
+    /// Whether the machines of the listed entries differ. Servers are then chosen also by distance,
+    /// by speed and by connections that can be reused.
+    pub is_uneven: bool,
 }
 
 /// The newest view, published by the control thread and read by the traffic threads.
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -73,7 +73,7 @@
             .collect(),
         ..View::default()
     };
-    assert!(!is_uneven(&view(&[])));
-    assert!(!is_uneven(&view(&[None, Some(100), Some(100)])));
-    assert!(is_uneven(&view(&[Some(100), Some(300)])));
+    assert!(!is_uneven(view(&[]).entries.values()));
+    assert!(!is_uneven(view(&[None, Some(100), Some(100)]).entries.values()));
+    assert!(is_uneven(view(&[Some(100), Some(300)]).entries.values()));
 }
--- a/crates/gateway/tests/reuse.rs
+++ b/crates/gateway/tests/reuse.rs
@@ -110,7 +110,7 @@
     let addresses = listeners.each_ref().map(|listener| listener.local_addr().unwrap());
     let servers = addresses.map(server);
     let group = Arc::new(GroupLoad::default());
-    let mut view = View::default();
+    let mut view = View { is_uneven: true, ..View::default() };
     for (rank, address) in addresses.into_iter().enumerate() {
         let group_rank = GroupRank { group: Arc::clone(&group), rank, pace: 1.0, is_away: false };
         view.group_ranks.insert(address, group_rank);
--- a/crates/gateway/tests/shares.rs
+++ b/crates/gateway/tests/shares.rs
@@ -38,7 +38,7 @@
                 cold_left_ms: 0,
             }))
         };
-        let mut view = View::default();
+        let mut view = View { is_uneven: true, ..View::default() };
         view.servers.insert("s".to_owned(), (0..SERVERS).map(server).collect());
         Self { view, running: Vec::new() }
     }
@@ -124,3 +124,13 @@
     assert!(share(&shares) < 0.1, "{shares:.2?}");
     drop(held);
 }
+
+/// Guards against fleets of alike machines that are served otherwise than before.
+#[tokio::test(start_paused = true)]
+async fn choose_alike_machines_distance_ignored() {
+    let mut entry = Entry::new(|number| if number < 4 { "a" } else { "b" });
+    (entry.view.is_uneven, entry.view.data_centre) = (false, Some("a".into()));
+    let shares = entry.run(Duration::from_secs(20), 1).await;
+    let near = shares[..4].iter().sum::<f64>() / SERVERS as f64;
+    assert!((0.4..0.6).contains(&near), "{shares:.2?}");
+}
