Gateway: ranks are chosen as before, without near ones or those with an idle connection first

More streams were late, not more were refused.

Cause (suspected, not traced): a rank is chosen by reports some tenths of a second old. Ranks with an idle connection, or near ones, get more than their part meanwhile, and a pass lasts as long as its most loaded rank.

Change: both preferences are taken out for ranks, with the decision and the tests that were only theirs. Connections are still kept as long as their server states, and plain servers are still chosen by speed and distance where machines differ. A cold server's permit no longer picks a server whose data centre was evacuated meanwhile; the send refused it already.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -4,7 +4,6 @@
 use crate::homes::Homes;
 use crate::server::{Server, ServerStatus};
 use crate::view::View;
-use flamingowheel_policy::reuse;
 use flamingowheel_policy::speeds::{self, Typical};
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -168,7 +167,8 @@
     let is_permitted = |server: &&Arc<Server>| {
         let status = server.status(now);
         let is_cold = !server.cold_left(now).is_zero();
-        is_cold && status.is_admitting && !status.is_leaving && !status.is_in_backoff
+        let is_open = !server.is_evacuated() && !status.is_leaving && !status.is_in_backoff;
+        is_cold && is_open && status.is_admitting
     };
     match (choice, asked.filter(is_permitted)) {
         (Choice::Send(..), Some(server)) => {
@@ -213,8 +213,6 @@
     group_cost: f64,
     /// Whether it is not the turn of a slow server.
     is_not_due: bool,
-    /// Whether no connection to the rank can be reused, or the rank has more requests than others.
-    needs_connection: bool,
     /// Whether the rank was not sampled.
     is_not_sampled: bool,
     cost: f64,
@@ -246,10 +244,6 @@
                 let report = group_rank.group.rank_report(group_rank.rank, now);
                 let reported = report.map(|r| r.requests + server.sent_since(r.taken_at));
                 let requests = reported.unwrap_or(0).max(status.in_flight);
-                let mean_requests = report.and_then(|_| group_rank.group.mean_requests());
-                let is_reused = mean_requests.is_some_and(|mean| {
-                    view.is_uneven && reuse::is_preferred(requests, mean) && server.has_idle(now)
-                });
                 let open_ranks = group_rank.group.size() as f64 * group_rank.group.open_share();
                 let sampled_share = SAMPLED_RANKS / open_ranks.max(1.0);
                 Self {
@@ -266,12 +260,8 @@
                         .map(|admission| group_rank.group.fullness(admission, now)),
                     group_cost: group_rank.group.cost(now),
                     is_not_due: true,
-                    needs_connection: !is_reused,
                     is_not_sampled: report.is_some() && rand::random::<f64>() >= sampled_share,
-                    cost: (f64::from(requests)
-                        + 0.5
-                        + speeds::distance_requests(is_far)
-                        + FAILURE_COST * status.failure_ratio)
+                    cost: (f64::from(requests) + 0.5 + FAILURE_COST * status.failure_ratio)
                         / status.share
                         * spread,
                 }
@@ -290,7 +280,6 @@
                     .and_then(|admission| plain_fullness(&status, admission)),
                 group_cost: 0.0,
                 is_not_due: true,
-                needs_connection: true,
                 is_not_sampled: false,
                 cost: cost_with(&status, server.listed.slots, unknown_latency_ms)
                     * speeds::distance_factor(is_far)
@@ -324,7 +313,7 @@
     }
 
     /// Sort key, compared from left to right; the lowest is best.
-    fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, bool, bool, f64) {
+    fn sort_key(&self) -> (bool, bool, bool, f64, bool, bool, bool, f64) {
         let is_full = self.fullness.is_some_and(|fullness| fullness.is_full());
         (
             self.is_in_backoff,
@@ -333,7 +322,6 @@
             self.group_cost,
             self.is_slow,
             self.is_not_due,
-            self.needs_connection,
             self.is_not_sampled,
             self.cost,
         )
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -49,7 +49,6 @@
 struct Report {
     taken_at: Instant,
     requests: Vec<u8>,
-    mean_requests: f64,
     silent: Vec<u16>,
 }
 
@@ -162,9 +161,7 @@
     /// Stores a report of the group's coordinator.
     pub fn set_status(&self, status: &GroupStatus, taken_at: Instant) {
         let (requests, silent) = (status.requests.clone(), status.silent.clone());
-        let total: u32 = requests.iter().copied().map(u32::from).sum();
-        let mean_requests = f64::from(total) / requests.len().max(1) as f64;
-        self.lock().report = Some(Report { taken_at, requests, mean_requests, silent });
+        self.lock().report = Some(Report { taken_at, requests, silent });
     }
 
     /// Whether the group's coordinator reports a rank as silent; `None` without a recent report.
@@ -207,11 +204,6 @@
         self.lock().report.as_ref().map_or(0, |report| report.requests.len())
     }
 
-    /// Mean number of requests at a rank, as last reported; `None` before the first report.
-    pub fn mean_requests(&self) -> Option<f64> {
-        self.lock().report.as_ref().map(|report| report.mean_requests)
-    }
-
     /// The report on a rank, if it is recent.
     pub fn rank_report(&self, rank: usize, now: Instant) -> Option<RankReport> {
         let observed = self.lock();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -265,11 +265,6 @@
         self.lock().idle.take(now)
     }
 
-    /// Whether an idle connection is ready, to a server that states how long it keeps them.
-    pub fn has_idle(&self, now: Instant) -> bool {
-        self.lock().idle.is_ready(now)
-    }
-
     /// Sets the most idle connections that this entry keeps to the server.
     pub fn set_max_idle(&self, max_idle: usize) {
         self.lock().idle.set_max(max_idle);
--- a/crates/policy/src/reuse.rs
+++ b/crates/policy/src/reuse.rs
@@ -1,10 +1,8 @@
 //! Reuse of idle connections to backend servers.
 //!
-//! Load: many entries with few requests each before many servers. An entry that spreads its requests
-//! over all servers returns to one only after the server has closed the idle connection, and nearly
-//! every request pays for a new one. So a rank to which a connection is open is preferred, as long as
-//! it has about as many requests as its group's mean. All entries get the same reports, but each has
-//! connections to ranks of its own, so they don't choose the same rank at once.
+//! Load: many entries with few requests each before many servers. An entry returns to a server only
+//! seconds later, and nearly every request pays for a new connection. So a connection is kept idle
+//! nearly as long as its server keeps it, within the entry's part of what the server accepts.
 
 use std::time::Duration;
 
@@ -26,10 +24,6 @@
 /// there.
 const MAX_IDLE: usize = 8;
 
-/// Requests above the mean up to which a rank is preferred: what reports that are some tenths of a
-/// second old miss anyway.
-const PREFERRED_EXCESS: f64 = 1.0;
-
 /// Idle time up to which a connection is reused, given the time for which the server keeps it open.
 ///
 /// ```
@@ -54,15 +48,3 @@
     let all = (f64::from(max_connections) * IDLE_SHARE) as usize;
     (all / entries.max(1)).clamp(1, MAX_IDLE)
 }
-
-/// Whether a rank to which a connection is open is preferred to others, given its requests and the
-/// mean of its group's ranks.
-///
-/// ```
-/// use flamingowheel_policy::reuse::is_preferred;
-/// assert!(is_preferred(5, 4.2));
-/// assert!(!is_preferred(6, 4.2));
-/// ```
-pub fn is_preferred(requests: u32, mean_requests: f64) -> bool {
-    f64::from(requests) <= mean_requests + PREFERRED_EXCESS
-}
--- a/crates/policy/src/speeds.rs
+++ b/crates/policy/src/speeds.rs
@@ -19,9 +19,6 @@
 /// outweighs it.
 const FAR_FACTOR: f64 = 1.25;
 
-/// Added to the requests of a rank in another data centre.
-const FAR_REQUESTS: f64 = 1.0;
-
 /// What is usual among the servers of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Typical {
@@ -95,14 +92,3 @@
 pub fn distance_factor(is_far: bool) -> f64 {
     if is_far { FAR_FACTOR } else { 1.0 }
 }
-
-/// Requests that a rank counts as having beyond its own by whether it is in another data centre than
-/// the entry.
-///
-/// ```
-/// use flamingowheel_policy::speeds::distance_requests;
-/// assert_eq!(distance_requests(false), 0.0);
-/// ```
-pub fn distance_requests(is_far: bool) -> f64 {
-    if is_far { FAR_REQUESTS } else { 0.0 }
-}
