Gateway: workspaces' shares bind only where requests differ in rank

Cause (suspected, not traced): the mark of what is above a workspace's usual rate acted in every deployment with workspaces, also where nothing asks for an order of urgency.

Change: without a level no workspace is told to the shares, so a service with one rank is admitted as it was. Measured: the six tests of turns pass.

--- a/crates/gateway/src/priority.rs
+++ b/crates/gateway/src/priority.rs
@@ -126,7 +126,8 @@
         let told = state.returns.remove(&exchange.fingerprint);
         let is_before_told = told.is_some_and(|told| at + RETURN_TOLERANCE < told);
         let is_early = exchange.level.is_some() && is_before_told;
-        let workspace = exchange.workspace.as_ref();
+        // Where all requests have one rank, room is shared as it was.
+        let workspace = exchange.workspace.as_ref().filter(|_| exchange.level.is_some());
         let workspace = workspace.map(|workspace| WorkspaceKey::from_name(&workspace.name));
         let arrival = Arrival { rank: exchange.rank, workspace, is_early, draw };
         let standing = state.service(&exchange.service).demand.arrive(&arrival, at);
