Tests: the publisher's test takes the configuration's key from the platform's package

A name of the platform was spelled out in a new test although the constant was imported already. The check is the same. Measured: the 12 tests of publish pass, the formatter is clean.

--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -285,7 +285,7 @@
     let mut entry = Entry::start().await;
     let services = r#"[{"name":"s","coldS":3.0,"coldPerS":26.0},{"name":"t"}]"#;
     let configuration = format!(r#"{{"version":1,"routes":[],"services":{services}}}"#);
-    entry.put("op/config".to_owned(), configuration);
+    entry.put(CONFIGURATION_KEY.to_owned(), configuration);
     for (id, service, engine) in [("a", "s", 1), ("b", "t", 2)] {
         entry.list(id, service, engine);
         assert!(entry.server(service).await.begin(None).is_some());
