review: case 1, two expert maps in one pass (MAP)

The rescue of a held group goes on into the next switch and judges it by reports of different age: rank 0's own is fresh, the others' are 200 ms old. It releases the pass while ranks are still being armed.

--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -74,15 +74,37 @@
     H: Fn(Request) -> Answer + Send + Sync + 'static,
 {
     let handle = Arc::new(handle);
+    serve_connections(listener, move |_| {
+        let handle = Arc::clone(&handle);
+        move |request| Some(handle(request))
+    });
+}
+
+/// Serves each connection with a handler of its own, made from the caller's address. A request that
+/// the handler leaves unanswered silences its connection for good.
+pub fn serve_connections<Make, H>(listener: TcpListener, make: Make)
+where
+    Make: Fn(SocketAddr) -> H + Send + Sync + 'static,
+    H: Fn(Request) -> Option<Answer>,
+{
+    let make = Arc::new(make);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handle = Arc::clone(&handle);
+            let make = Arc::clone(&make);
             std::thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else { return };
+                let (Ok(mut writer), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
+                    return;
+                };
+                let handle = make(peer);
                 let mut reader = BufReader::new(stream);
                 while let Some(request) = read_request(&mut reader) {
-                    if write_answer(&mut writer, &handle(request)).is_err() {
+                    let Some(answer) = handle(request) else {
+                        // Until the caller closes the connection.
+                        while read_request(&mut reader).is_some() {}
+                        return;
+                    };
+                    if write_answer(&mut writer, &answer).is_err() {
                         return;
                     }
                 }
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -1,8 +1,10 @@
 //! Runs a case of the review: starts the project's program as separate processes before stand-ins,
 //! plays the disruption, and judges what callers and runners saw.
 
+mod engines;
 mod http;
 mod json;
+mod mixed_maps;
 mod revoked_key;
 mod runner;
 mod store;
@@ -22,6 +24,7 @@
     let is_disrupted = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match name.as_str() {
         "revoked-key" => revoked_key::run(is_disrupted),
+        "mixed-maps" => mixed_maps::run(is_disrupted),
         _ => Err(format!("unknown case {name:?}").into()),
     };
     let verdict = result.unwrap_or_else(|error| {
