--- a/review/stand/src/engines.rs
+++ b/review/stand/src/engines.rs
@@ -118,8 +118,13 @@
         group
     }
 
+    /// Begins or ends an occurrence of the disruption; the share is kept in each one by itself.
     pub fn set_late_share(&self, share: f64) {
         *self.late_share.lock().expect("lock") = share;
+        let (all, unanswered) = std::mem::take(&mut *self.orders.lock().expect("lock"));
+        if unanswered > 0 {
+            self.note(format!("{unanswered} of {all} orders got no answer in 5 s"));
+        }
     }
 
     pub fn mixed(&self) -> Option<String> {
--- a/review/stand/src/mixed_maps.rs
+++ b/review/stand/src/mixed_maps.rs
@@ -223,7 +223,7 @@
     let switches = groups.iter().map(|group| group.switches()).sum();
     for (number, group) in groups.iter().enumerate() {
         let (all, unanswered) = group.orders();
-        writeln!(record, "group g0-{number}: {unanswered} of {all} orders got no answer")?;
+        writeln!(record, "group g0-{number}: at last {unanswered} of {all} orders got no answer")?;
     }
     let has_ended = |child: &mut Child| !matches!(child.try_wait(), Ok(None));
     let ended = agents.children.iter_mut().map(has_ended).filter(|ended| *ended).count();
--- a/review/stand/src/revoked_key.rs
+++ b/review/stand/src/revoked_key.rs
@@ -36,6 +36,7 @@
 const HOST: &str = "ficu95.example";
 const REVOKED_KEY: &str = "n2ctnfzs989anu6wsjnb";
 const KEPT_KEY: &str = "q7xw04mdrs1kz85tvbye";
+const ADDED_KEY: &str = "h3ja86pyc0uf29olgien";
 
 /// The entry that is killed.
 const KILLED: usize = 11;
@@ -250,10 +251,12 @@
         sleep(LAG);
     }
     store.take_stale_reads();
-    let acknowledged =
-        store.put("op/config", &configuration(8, &[("hule930", ""), ("mobi214", KEPT_KEY)]));
+    let changed = [("hule930", ""), ("mobi214", KEPT_KEY), ("raxo551", ADDED_KEY)];
+    let acknowledged = store.put("op/config", &configuration(8, &changed));
     let acknowledged_at = Instant::now();
-    record.line(&format!("version 8 without the key acknowledged at revision {acknowledged}"));
+    record.line(&format!(
+        "version 8 without the key, and with another one, acknowledged at revision {acknowledged}"
+    ));
     if is_disrupted {
         sleep(KILL_AFTER);
         fleet.kill(KILLED);
@@ -271,7 +274,7 @@
     }
     store.set_lag(Duration::ZERO);
 
-    let mut broken = 0;
+    let (mut broken, mut refused) = (0, 0);
     for round in 0..5 {
         for entry in [KILLED, KILLED + 1] {
             let attempt = format!("after-{entry}-{round}");
@@ -289,9 +292,16 @@
             ));
             broken += usize::from(ran.is_some());
         }
-        let control = fleet.ask(KILLED, KEPT_KEY, &format!("kept-{round}"));
-        let status = control.map(|answer| answer.status);
-        record.line(&format!("sent to entry {KILLED} with the key that was kept: {status:?}"));
+        for (key, name, entry) in [
+            (KEPT_KEY, "kept", KILLED),
+            (ADDED_KEY, "added", KILLED),
+            (ADDED_KEY, "added", KILLED + 1),
+        ] {
+            let answer = fleet.ask(entry, key, &format!("{name}-{entry}-{round}"));
+            let status = answer.map(|answer| answer.status);
+            record.line(&format!("sent to entry {entry} with the key that was {name}: {status:?}"));
+            refused += usize::from(name == "added" && status == Some(401));
+        }
         sleep(Duration::from_secs(3));
     }
     stop.store(true, Ordering::Relaxed);
@@ -305,6 +315,9 @@
             run.attempt, run.runner, run.tenant
         );
     }
-    record.line(&format!("{broken} requests ran with the key that was taken away"));
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+    record.line(&format!(
+        "{broken} requests ran with the key that was taken away, {refused} were refused with the \
+         key that was added"
+    ));
+    Ok(if broken + refused > 0 { Verdict::Broken } else { Verdict::Held })
 }
