Feed: log what a copy of the store is made of

The logs could not tell three explanations apart: the first listing claims more than it holds; another entry's changes lack the key; the change arrives and is not applied.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -1,7 +1,7 @@
 //! Updates the mirror from the key-value store.
 
 use crate::feed::mirror::Mirror;
-use flamingowheel_backing::kv::{KeyValue, KeyValueError, Revision, Watch, WatchEvent};
+use flamingowheel_backing::kv::{KeyValue, KeyValueError, Revision, Snapshot, Watch, WatchEvent};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -98,7 +98,10 @@
         while self.mirror.age(Instant::now()).is_none() && !*self.should_follow.borrow() {
             let next_at = Instant::now() + START_READ_INTERVAL;
             match timeout(limit, self.store.range_stale(ALL_KEYS)).await {
-                Ok(Ok(snapshot)) => self.mirror.apply_snapshot(snapshot),
+                Ok(Ok(snapshot)) => {
+                    log_all_keys(&snapshot, true);
+                    self.mirror.apply_snapshot(snapshot);
+                }
                 Ok(Err(error)) => tracing::debug!(%error, "no answer from the key-value store"),
                 Err(_) => tracing::debug!("no answer from the key-value store in time"),
             }
@@ -117,6 +120,7 @@
             match self.store.range(ALL_KEYS).await {
                 Ok(snapshot) => {
                     let revision = snapshot.revision;
+                    log_all_keys(&snapshot, false);
                     self.mirror.apply_snapshot(snapshot);
                     self.record_answer(revision, asked_at);
                     self.watch_from(revision).await;
@@ -212,3 +216,8 @@
         sleep(backoff.mul_f64(rand::random_range(0.75..1.25))).await;
     }
 }
+
+fn log_all_keys(snapshot: &Snapshot, is_stale: bool) {
+    let (revision, keys) = (snapshot.revision.0, snapshot.entries.len());
+    tracing::info!(revision, keys, is_stale, "all keys read from the key-value store");
+}
--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -214,6 +214,9 @@
         if state.revision < revision || state.complete_at.is_some_and(|known| known >= at) {
             return;
         }
+        if state.complete_at.is_none() {
+            tracing::info!(copy = state.revision, store = revision, follower, "copy complete");
+        }
         state.complete_at = Some(at);
         state.complete_by = follower.map(str::to_owned);
         // What a follower hears from another one, its readers hear as well.
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -272,6 +272,7 @@
             version,
             hosts,
             source = %update.source,
+            copy = self.mirror.revision(),
             max_delay_ms,
             "configuration in force"
         );
