Stand-in store: pages, stale pages, cut watches, leases that pause

Now the fake keeps its history with times, and reads return pages: of a set size, or of drawn sizes; each page of a stale read is as old as a test says, or as a seed draws; other calls may change the store between two pages. Open watches can be cut, and leases can pause while the store is down instead of expiring. The HTTP stand-in serves pages of at most 500 items by `after` and `hasMore`, and `allowStale`.

No change of behaviour: the revision is still that of the first page.

--- a/crates/backing/src/fake/kv.rs
+++ b/crates/backing/src/fake/kv.rs
@@ -1,12 +1,14 @@
 //! An in-memory key-value service with faults that tests inject.
 
 use super::lock;
+use super::reads::Reads;
 use super::store::{Store, matches_prefix};
 use crate::BoxFuture;
 use crate::kv::{
     KeyValue, KeyValueError, LeaseId, Operation, Revision, Snapshot, Transaction,
     TransactionAnswer, Watch, WatchEvent,
 };
+use crate::listing::{Listing, Page};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -19,6 +21,9 @@
 /// How often a watch gets [`WatchEvent::Progress`].
 const DEFAULT_PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often a paused lease is looked at.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Whether a call whose answer is lost takes effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LostAnswer {
@@ -78,6 +83,12 @@
     next_delay: Option<Duration>,
     events_to_drop: usize,
     rate_exceeded: bool,
+    reads: Reads,
+    /// Time between two pages of one listing.
+    page_gap: Duration,
+    /// Whether leases stop while the service is down, and since when they do.
+    pauses_leases: bool,
+    paused_at: Option<Instant>,
 }
 
 impl State {
@@ -103,7 +114,31 @@
         self.next_delay = self.write_delays.pop();
     }
 
+    fn set_leases_paused(&mut self, is_paused: bool) {
+        if is_paused {
+            self.paused_at = self.paused_at.or(Some(Instant::now()));
+        } else if let Some(paused_at) = self.paused_at.take() {
+            self.store.extend_leases(paused_at.elapsed());
+        }
+    }
+
+    /// When to look at a lease again; later than its deadline while leases pause.
+    fn lease_deadline(&self, lease: LeaseId) -> Option<Instant> {
+        let deadline = self.store.lease_deadline(lease)?;
+        let is_paused = self.paused_at.is_some();
+        Some(if is_paused { Instant::now() + PAUSE_CHECK_INTERVAL } else { deadline })
+    }
+
+    fn page(&mut self, prefix: &str, after: Option<&str>, is_stale: bool) -> Page {
+        let max_items = self.reads.next_max_items();
+        let age = if is_stale { self.reads.next_age() } else { Duration::ZERO };
+        self.store.page(prefix, after, max_items, age)
+    }
+
     fn expire_leases(&mut self) {
+        if self.paused_at.is_some() {
+            return;
+        }
         let events = self.store.expire_leases(Instant::now());
         self.publish(&events);
     }
@@ -149,18 +184,81 @@
             next_delay: None,
             events_to_drop: 0,
             rate_exceeded: false,
+            reads: Reads::default(),
+            page_gap: Duration::ZERO,
+            pauses_leases: false,
+            paused_at: None,
         };
         Self { state: Arc::new(Mutex::new(state)), up: watch::Sender::new(true) }
     }
 
-    /// Makes the service unreachable or reachable again. Open watches end; leases keep expiring.
+    /// Makes the service unreachable or reachable again. Open watches end; leases keep expiring,
+    /// unless they pause.
     pub fn set_down(&self, down: bool) {
+        let mut state = lock(&self.state);
         if down {
-            lock(&self.state).watchers.clear();
+            state.watchers.clear();
         }
+        let is_paused = down && state.pauses_leases;
+        state.set_leases_paused(is_paused);
+        drop(state);
         self.up.send_replace(!down);
     }
 
+    /// Sets whether leases pause while the service is down, instead of expiring.
+    pub fn set_pauses_leases(&self, pauses_leases: bool) {
+        lock(&self.state).pauses_leases = pauses_leases;
+    }
+
+    /// Sets the largest number of items in a page.
+    pub fn set_page_items(&self, max_items: usize) {
+        lock(&self.state).reads.set_max_items(max_items);
+    }
+
+    /// Sets the time between two pages of a listing, in which other calls may change the store.
+    pub fn set_page_gap(&self, gap: Duration) {
+        lock(&self.state).page_gap = gap;
+    }
+
+    /// Sets how old the next pages of stale reads are; later ones are up to date.
+    pub fn age_stale_pages(&self, ages: &[Duration]) {
+        lock(&self.state).reads.set_next_ages(ages);
+    }
+
+    /// Draws the size of each page, from 1 to `max_items`, and the age of each page of a stale read,
+    /// from zero to `max_age`.
+    pub fn draw_pages(&self, seed: u64, max_items: usize, max_age: Duration) {
+        lock(&self.state).reads.draw(seed, max_items, max_age);
+    }
+
+    /// Reads one page of the keys that start with `prefix`, after the key `after`.
+    pub async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        is_stale: bool,
+    ) -> Result<Page, KeyValueError> {
+        let (prefix, after) = (prefix.to_owned(), after.map(str::to_owned));
+        let read = move |state: &mut State| Ok(state.page(&prefix, after.as_deref(), is_stale));
+        self.serve(|calls| calls.range += 1, read).await
+    }
+
+    async fn list(&self, prefix: &str, is_stale: bool) -> Result<Snapshot, KeyValueError> {
+        let mut listing = Listing::default();
+        listing.add(self.page(prefix, None, is_stale).await?);
+        while !listing.is_whole() {
+            let page_gap = lock(&self.state).page_gap;
+            tokio::time::sleep(page_gap).await;
+            listing.add(self.page(prefix, listing.last_key(), is_stale).await?);
+        }
+        Ok(listing.into_snapshot())
+    }
+
+    /// Ends all open watches.
+    pub fn cut_watches(&self) {
+        lock(&self.state).watchers.clear();
+    }
+
     /// Subscribes to whether the service is up.
     pub fn subscribe_up(&self) -> watch::Receiver<bool> {
         self.up.subscribe()
@@ -360,7 +458,7 @@
 /// Expires the lease at its deadline, so that watches see its deletions without any further call.
 async fn expire_on_time(state: Weak<Mutex<State>>, lease: LeaseId) {
     loop {
-        let deadline = state.upgrade().and_then(|state| lock(&state).store.lease_deadline(lease));
+        let deadline = state.upgrade().and_then(|state| lock(&state).lease_deadline(lease));
         let Some(deadline) = deadline else { return };
         tokio::time::sleep_until(deadline).await;
         if let Some(state) = state.upgrade() {
@@ -371,8 +469,14 @@
 
 impl KeyValue for FakeKeyValue {
     fn range<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Snapshot, KeyValueError>> {
-        let prefix = prefix.to_owned();
-        Box::pin(self.serve(|calls| calls.range += 1, move |state| Ok(state.store.range(&prefix))))
+        Box::pin(self.list(prefix, false))
+    }
+
+    fn range_stale<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Snapshot, KeyValueError>> {
+        Box::pin(self.list(prefix, true))
     }
 
     fn transact(
--- a/crates/backing/src/fake/mod.rs
+++ b/crates/backing/src/fake/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod group;
 pub mod kv;
+mod reads;
 pub mod service;
 mod store;
 pub mod text;
--- a/crates/backing/src/fake/store.rs
+++ b/crates/backing/src/fake/store.rs
@@ -4,6 +4,7 @@
     Compare, KeyValueEntry, KeyValueError, LeaseId, MAX_VALUE_BYTES, Operation, Revision, Snapshot,
     Transaction, TransactionAnswer, WatchEvent,
 };
+use crate::listing::Page;
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,6 +25,8 @@
     compacted_revision: u64,
     entries: BTreeMap<String, KeyValueEntry>,
     history: Vec<WatchEvent>,
+    /// All changes with their times, compacted or not, for stale reads.
+    log: Vec<(Instant, WatchEvent)>,
     leases: BTreeMap<i64, Lease>,
     next_lease: i64,
 }
@@ -43,6 +46,40 @@
         Snapshot { revision: self.revision(), entries }
     }
 
+    /// The keys after `after`, at most `max_items`, as they were `age` ago.
+    pub(super) fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        max_items: usize,
+        age: Duration,
+    ) -> Page {
+        let (revision, entries) = self.as_of(age);
+        let mut rest = entries
+            .into_values()
+            .filter(|entry| entry.key.starts_with(prefix))
+            .filter(|entry| after.is_none_or(|after| entry.key.as_str() > after));
+        let entries = rest.by_ref().take(max_items).collect();
+        Page { entries, has_more: rest.next().is_some(), revision }
+    }
+
+    fn as_of(&self, age: Duration) -> (Revision, BTreeMap<String, KeyValueEntry>) {
+        if age.is_zero() {
+            return (self.revision(), self.entries.clone());
+        }
+        let now = Instant::now();
+        let (mut revision, mut entries) = (Revision::default(), BTreeMap::new());
+        for (_, event) in self.log.iter().take_while(|(at, _)| now.duration_since(*at) >= age) {
+            revision = event_revision(event);
+            match event {
+                WatchEvent::Put(entry) => drop(entries.insert(entry.key.clone(), entry.clone())),
+                WatchEvent::Delete { key, .. } => drop(entries.remove(key)),
+                WatchEvent::Progress { .. } | WatchEvent::Compacted { .. } => {}
+            }
+        }
+        (revision, entries)
+    }
+
     /// Runs the transaction and returns its answer with the events it caused.
     pub(super) fn transact(
         &mut self,
@@ -122,6 +159,8 @@
         }
         self.revision += 1;
         self.history.extend_from_slice(events);
+        let now = Instant::now();
+        self.log.extend(events.iter().map(|event| (now, event.clone())));
     }
 
     pub(super) fn grant_lease(&mut self, ttl: Duration) -> (LeaseId, Instant) {
@@ -158,6 +197,11 @@
         self.leases.get(&lease.0).map(|lease| lease.deadline)
     }
 
+    /// Gives all leases this much more time.
+    pub(super) fn extend_leases(&mut self, by: Duration) {
+        self.leases.values_mut().for_each(|lease| lease.deadline += by);
+    }
+
     /// Ends all leases past their deadline and returns the deletions.
     pub(super) fn expire_leases(&mut self, now: Instant) -> Vec<WatchEvent> {
         let expired: Vec<i64> = self
--- a/crates/backing/src/kv.rs
+++ b/crates/backing/src/kv.rs
@@ -40,7 +40,7 @@
 /// The answer to a range read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Snapshot {
-    /// The store's revision at the read.
+    /// The store's revision at the read. Entries may be newer, but none lacks a change up to it.
     pub revision: Revision,
     /// The entries, sorted by key.
     pub entries: Vec<KeyValueEntry>,
--- a/crates/backing/src/lib.rs
+++ b/crates/backing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod fake;
 pub mod kv;
+pub mod listing;
 pub mod orders;
 pub mod poll;
 pub mod vm;
--- /dev/null
+++ b/crates/backing/src/listing.rs
@@ -0,0 +1,63 @@
+//! Lists the keys of a store that returns them in pages.
+//!
+//! Pages are read one after the other, and each shows the store at a revision of its own. Those of
+//! a stale read may come from replicas that lag differently, so a later page may be the older one.
+
+use crate::kv::{KeyValueEntry, Revision, Snapshot};
+
+/// One page.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The entries, sorted by key.
+    pub entries: Vec<KeyValueEntry>,
+    /// Whether there are keys after the last one of this page.
+    pub has_more: bool,
+    /// The revision at which the page shows the store.
+    pub revision: Revision,
+}
+
+/// The pages read so far.
+///
+/// ```
+/// use flamingowheel_backing::kv::Revision;
+/// use flamingowheel_backing::listing::{Listing, Page};
+/// let mut listing = Listing::default();
+/// listing.add(Page { revision: Revision(7), ..Page::default() });
+/// assert!(listing.is_whole());
+/// assert_eq!(listing.into_snapshot().revision, Revision(7));
+/// ```
+#[derive(Debug, Default)]
+pub struct Listing {
+    entries: Vec<KeyValueEntry>,
+    page_revisions: Vec<Revision>,
+    is_whole: bool,
+}
+
+impl Listing {
+    /// The key after which the next page begins; `None` before the first page.
+    pub fn last_key(&self) -> Option<&str> {
+        self.entries.last().map(|entry| entry.key.as_str())
+    }
+
+    /// Whether the last page has been added.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
+    /// Adds the next page.
+    pub fn add(&mut self, page: Page) {
+        self.is_whole = !page.has_more || page.entries.is_empty();
+        self.entries.extend(page.entries);
+        self.page_revisions.push(page.revision);
+    }
+
+    /// All entries, at the revision of the first page.
+    pub fn into_snapshot(self) -> Snapshot {
+        let revision = self.page_revisions.first().copied().unwrap_or_default();
+        if self.page_revisions.iter().any(|page_revision| *page_revision != revision) {
+            let page_revisions: Vec<u64> = self.page_revisions.iter().map(|page| page.0).collect();
+            tracing::info!(?page_revisions, "pages differ in revision");
+        }
+        Snapshot { revision, entries: self.entries }
+    }
+}
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,5 +1,5 @@
 //! The API of the platform's store over the fake key-value service. Faults are injected through the
-//! fake.
+//! fake, as are the sizes of pages and the ages of stale reads.
 
 use axum::Router;
 use axum::extract::{Path, Query, State};
@@ -19,6 +19,9 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout_at};
 
+/// Most items in a page.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// Serves the store until the future is dropped.
 pub async fn serve(listener: TcpListener, kv: FakeKeyValue) -> std::io::Result<()> {
     let router = Router::new()
@@ -41,8 +44,12 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct RangeQuery {
     prefix: String,
+    after: Option<String>,
+    #[serde(default)]
+    allow_stale: u8,
 }
 
 /// Body of a transaction request.
@@ -98,11 +105,13 @@
 }
 
 async fn range(State(kv): State<FakeKeyValue>, Query(query): Query<RangeQuery>) -> Response {
-    match kv.range(&query.prefix).await {
-        Ok(snapshot) => {
-            let items: Vec<Value> = snapshot.entries.iter().map(item).collect();
-            let revision = snapshot.revision.0;
-            Json(json!({"items": items, "hasMore": false, "storeRevision": revision}))
+    let is_stale = query.allow_stale == 1;
+    match kv.page(&query.prefix, query.after.as_deref(), is_stale).await {
+        Ok(page) => {
+            let items: Vec<Value> = page.entries.iter().take(MAX_PAGE_ITEMS).map(item).collect();
+            let has_more = page.has_more || page.entries.len() > MAX_PAGE_ITEMS;
+            let revision = page.revision.0;
+            Json(json!({"items": items, "hasMore": has_more, "storeRevision": revision}))
                 .into_response()
         }
         Err(error) => failure(error).await,
