Listing: a listing has the lowest revision of its pages

Cause: a listing was given the revision of its first page. Pages of a stale read come from replicas that lag differently, so a later page may be older. The entry asked others only for changes after the first page's revision, and never got what the second page lacked.

Ruled out: changes of another entry without the key (none came below 1081), a change that is not applied (no second line, no error).

Why this works: no page lacks a change up to the lowest revision, so the changes after it, from the store or from another entry, complete the copy.

--- a/crates/backing/src/listing.rs
+++ b/crates/backing/src/listing.rs
@@ -51,9 +51,10 @@
         self.page_revisions.push(page.revision);
     }
 
-    /// All entries, at the revision of the first page.
+    /// All entries, at the lowest revision of the pages. Entries may be newer than that, but no
+    /// change up to it is missing, so reading the changes after it completes the listing.
     pub fn into_snapshot(self) -> Snapshot {
-        let revision = self.page_revisions.first().copied().unwrap_or_default();
+        let revision = self.page_revisions.iter().min().copied().unwrap_or_default();
         if self.page_revisions.iter().any(|page_revision| *page_revision != revision) {
             let page_revisions: Vec<u64> = self.page_revisions.iter().map(|page| page.0).collect();
             tracing::info!(?page_revisions, "pages differ in revision");
--- a/crates/backing/tests/listing.rs
+++ b/crates/backing/tests/listing.rs
@@ -57,6 +57,23 @@
     kv.peek("").entries.into_iter().map(|entry| (entry.key.clone(), entry)).collect()
 }
 
+/// Guards against a listing that claims a revision whose changes it lacks: of two pages, the later
+/// one came from a replica that lagged further behind.
+#[tokio::test(start_paused = true)]
+async fn range_stale_pages_of_drawn_ages() {
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let kv = FakeKeyValue::new();
+        for _ in 0..CHANGES {
+            change(&kv, &mut rng).await;
+            advance(Duration::from_millis(rng.random_range(1..200))).await;
+        }
+        kv.draw_pages(seed, PAGE_KEYS, MAX_AGE);
+        let listing = kv.range_stale("").await.unwrap();
+        assert_eq!(completed(&kv, listing).await, stored(&kv), "seed {seed}");
+    }
+}
+
 /// Guards against a listing that lacks a change which was made between two of its pages.
 #[tokio::test(start_paused = true)]
 async fn range_changes_between_pages() {
