Copies: an answer marked as all keys holds all keys

What callers would see: after more than 4,096 deletions, an entry (or the publisher of the same process) that lags behind them drops every key that has not changed since its own revision: routes and servers are gone at one entry.

Cause: deletions beyond 4,096 are dropped, and a receiver that lacks them gets all keys. The answer was marked as all keys, but held only those newer than the receiver's revision, and the receiver deletes what is not listed.

Before the change red: delta_after_pruned_deletions_keeps_old_keys (left [], right [(old, 1)]), changes_after_pruned_deletions_keep_old_keys (0 of 1). After: green. The test beside them, delta_after_pruned_deletions, has no key that should stay, so it could not show this.

--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -318,15 +318,15 @@
             outage_age_ms: state.outage_at.map(|at| millis(now - at)),
             ..Delta::default()
         };
-        for (key, (revision, value)) in state.keys.iter().filter(|(_, (r, _))| *r > after) {
+        for (key, revision, value) in state.keys_after(if is_whole { 0 } else { after }) {
             match value {
                 Some(value) => delta.puts.push(Put {
                     key: key.clone(),
                     value: value.packed(),
-                    revision: *revision,
+                    revision,
                 }),
                 None if is_whole => {}
-                None => delta.deletes.push((key.clone(), *revision)),
+                None => delta.deletes.push((key.clone(), revision)),
             }
         }
         delta
@@ -336,12 +336,12 @@
     pub fn changes(&self, after: u64) -> Changes {
         let state = self.lock();
         let is_whole = after < state.pruned_revision || after == 0;
-        let newer = state.keys.iter().filter(|(_, (revision, _))| *revision > after);
-        let changes = newer.filter_map(|(key, (revision, value))| match value {
+        let newer = state.keys_after(if is_whole { 0 } else { after });
+        let changes = newer.filter_map(|(key, revision, value)| match value {
             Some(value) => Some(Change::Put {
                 key: key.clone(),
                 value: value.bytes.clone(),
-                revision: *revision,
+                revision,
             }),
             None => (!is_whole).then(|| Change::Delete(key.clone())),
         });
@@ -373,6 +373,12 @@
 }
 
 impl State {
+    /// Keys that were written or deleted after a revision, with the value of those that exist.
+    fn keys_after(&self, after: u64) -> impl Iterator<Item = (&String, u64, Option<&Value>)> {
+        let all = self.keys.iter().map(|(key, (revision, value))| (key, *revision, value.as_ref()));
+        all.filter(move |(_, revision, _)| *revision > after)
+    }
+
     fn set(&mut self, key: String, revision: u64, value: Option<Bytes>) {
         // An absent key counts as deleted at the copy's revision.
         let known_revision =
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -265,3 +265,38 @@
     mirror.confirm(5, Instant::now());
     assert_eq!(mirror.head(Instant::now()).age_ms, Some(0));
 }
+
+/// Guards against an entry that loses keys which have not changed for long: what it lacked included
+/// deletions that are no longer kept, and only newer keys were sent as all there are.
+#[test]
+fn delta_after_pruned_deletions_keeps_old_keys() {
+    let (from, to, now) = (Mirror::default(), Mirror::default(), Instant::now());
+    from.apply_event(put("old", "1", 1));
+    from.apply_event(progress(1));
+    assert!(to.apply_delta("vm-1", from.delta(0, now), now));
+    delete_many(&from);
+    assert!(to.apply_delta("vm-1", from.delta(to.head(now).revision, now), now));
+    assert_eq!(values(&to), [pair("old", "1")]);
+}
+
+/// The same for the changes that the publisher of the same process gets.
+#[test]
+fn changes_after_pruned_deletions_keep_old_keys() {
+    let from = Mirror::default();
+    from.apply_event(put("old", "1", 1));
+    from.apply_event(progress(1));
+    let known_revision = from.changes(0).revision;
+    delete_many(&from);
+    let changes = from.changes(known_revision);
+    assert!(changes.is_whole);
+    let keys = changes.changes.iter().filter(|change| matches!(change, Change::Put { .. }));
+    assert_eq!(keys.count(), 1);
+}
+
+/// Deletes more keys than deletions are kept.
+fn delete_many(mirror: &Mirror) {
+    for number in 0..5_000_u64 {
+        mirror.apply_event(delete(&format!("key-{number}"), 3 + number));
+    }
+    mirror.apply_event(progress(6_000));
+}
