Copies: changes are sent as all keys to a receiver that may hold unknown deletions

What callers would see: an entry keeps a backend server that has left, or an evacuation that has ended, until that key is written again.

Cause: an entry answers "all changes after a revision" from a copy whose knowledge of deletions begins with its last listing. A listing does not tell of keys that were deleted before it, or that came and went between two listings, so the receiver kept them and asked only for newer changes from then on.

Change: a copy remembers the revision of its newest listing, and sends all keys to a receiver that is behind it. It costs each reader one whole copy after a follower has listed the store: at a start, after a compaction, after a deaf watch.

--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -36,6 +36,8 @@
     deletions: usize,
     /// Deletions up to this revision may have been discarded.
     pruned_revision: u64,
+    /// Revision of the newest listing. Keys that were deleted before it may be unknown here.
+    listed_revision: u64,
     outage_at: Option<Instant>,
     /// When the copy was last known to lack nothing that the store had acknowledged.
     complete_at: Option<Instant>,
@@ -311,7 +313,9 @@
     /// ```
     pub fn delta(&self, after: u64, now: Instant) -> Delta {
         let state = self.lock();
-        let is_whole = after < state.pruned_revision || after == 0;
+        // The receiver may hold keys whose deletion this copy never saw.
+        let has_all_deletions = after >= state.pruned_revision.max(state.listed_revision);
+        let is_whole = after == 0 || !has_all_deletions;
         let mut delta = Delta {
             revision: state.revision,
             is_whole,
@@ -320,11 +324,9 @@
         };
         for (key, revision, value) in state.keys_after(if is_whole { 0 } else { after }) {
             match value {
-                Some(value) => delta.puts.push(Put {
-                    key: key.clone(),
-                    value: value.packed(),
-                    revision,
-                }),
+                Some(value) => {
+                    delta.puts.push(Put { key: key.clone(), value: value.packed(), revision })
+                }
                 None if is_whole => {}
                 None => delta.deletes.push((key.clone(), revision)),
             }
@@ -338,11 +340,9 @@
         let is_whole = after < state.pruned_revision || after == 0;
         let newer = state.keys_after(if is_whole { 0 } else { after });
         let changes = newer.filter_map(|(key, revision, value)| match value {
-            Some(value) => Some(Change::Put {
-                key: key.clone(),
-                value: value.bytes.clone(),
-                revision,
-            }),
+            Some(value) => {
+                Some(Change::Put { key: key.clone(), value: value.bytes.clone(), revision })
+            }
             None => (!is_whole).then(|| Change::Delete(key.clone())),
         });
         Changes { revision: state.revision, is_whole, changes: changes.collect() }
@@ -412,6 +412,7 @@
             self.set(key, revision, Some(value));
         }
         self.revision = self.revision.max(revision);
+        self.listed_revision = self.listed_revision.max(revision);
     }
 
     fn prune_deletions(&mut self) {
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -1,14 +1,17 @@
 //! What copies of the key-value store hold after listings and exchanges of any age and order.
 
 use flamingowheel_backing::fake::FakeKeyValue;
-use flamingowheel_backing::kv::{KeyValue, Operation, Transaction};
+use flamingowheel_backing::kv::{KeyValue, Operation, Revision, Transaction};
 use flamingowheel_gateway::feed::follower::StoreFollower;
 use flamingowheel_gateway::feed::mirror::{Change, Mirror};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, advance, sleep};
 
 const CONFIGURATION: &str = "op/config";
 
@@ -23,6 +26,11 @@
     kv.transact(Transaction { on_success: vec![put], ..Transaction::default() }).await.unwrap();
 }
 
+async fn delete(kv: &FakeKeyValue, key: &str) {
+    let delete = Operation::Delete { key: key.to_owned() };
+    kv.transact(Transaction { on_success: vec![delete], ..Transaction::default() }).await.unwrap();
+}
+
 fn stored(kv: &FakeKeyValue) -> Contents {
     let entries = kv.peek("").entries.into_iter();
     entries.map(|entry| (entry.key, entry.value.to_vec())).collect()
@@ -45,6 +53,16 @@
     }
 }
 
+/// Brings a copy up to the store, as a watch does.
+async fn follow(kv: &FakeKeyValue, mirror: &Mirror) {
+    let mut watch = kv.watch("", Revision(mirror.revision().unwrap_or(0))).await.unwrap();
+    while let Ok(event) = watch.try_recv() {
+        mirror.apply_event(event);
+    }
+    let revision = kv.peek("").revision;
+    mirror.apply_event(flamingowheel_backing::kv::WatchEvent::Progress { revision });
+}
+
 /// Starts an entry whose first read has a page that is up to date and an older one, which holds the
 /// configuration.
 async fn start_after_change(kv: &FakeKeyValue) -> (Arc<Mirror>, watch::Sender<bool>) {
@@ -85,3 +103,75 @@
     sleep(Duration::from_secs(2)).await;
     assert_eq!(held(&mirror), stored(&kv));
 }
+
+async fn change<R>(kv: &FakeKeyValue, rng: &mut R)
+where
+    R: Rng,
+{
+    let key = format!("k/{:02}", rng.random_range(0..16));
+    if rng.random_bool(0.4) {
+        delete(kv, &key).await;
+    } else {
+        put(kv, &key, &rng.random::<u32>().to_string()).await;
+    }
+}
+
+/// Guards against copies that differ for good: whatever listings, watches and exchanges they are made
+/// of, what is up to date holds what the store holds.
+#[tokio::test(start_paused = true)]
+async fn copies_drawn_histories_converge() {
+    for seed in 0..300 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let kv = FakeKeyValue::new();
+        kv.draw_pages(seed, 6, Duration::from_secs(4));
+        let mut copies: Vec<Mirror> = (0..4).map(|_| Mirror::default()).collect();
+        for step in 0..120 {
+            advance(Duration::from_millis(rng.random_range(1..300))).await;
+            let copy = rng.random_range(0..copies.len());
+            match rng.random_range(0..10) {
+                0..5 => change(&kv, &mut rng).await,
+                5 => copies[copy].apply_snapshot(kv.range_stale("").await.unwrap()),
+                6 => follow(&kv, &copies[copy]).await,
+                7 => copies[copy] = Mirror::default(),
+                _ => {
+                    let other = copies.choose(&mut rng).unwrap();
+                    exchange(other, &copies[copy]);
+                }
+            }
+            let head = kv.peek("").revision.0;
+            for copy in copies.iter().filter(|copy| copy.revision() == Some(head)) {
+                assert_eq!(held(copy), stored(&kv), "seed {seed}, step {step}");
+            }
+        }
+    }
+}
+
+/// Guards against a deleted backend server that another entry keeps: the sender's copy began with a
+/// listing after the deletion, and knows nothing of it.
+#[tokio::test(start_paused = true)]
+async fn exchange_deletion_before_first_listing() {
+    let kv = FakeKeyValue::new();
+    put(&kv, "servers/1", "").await;
+    let (sender, receiver) = (Mirror::default(), Mirror::default());
+    receiver.apply_snapshot(kv.peek(""));
+    delete(&kv, "servers/1").await;
+    put(&kv, "servers/2", "").await;
+    sender.apply_snapshot(kv.peek(""));
+    exchange(&sender, &receiver);
+    assert_eq!(held(&receiver), stored(&kv));
+}
+
+/// The same for a key that was written and deleted between two listings of the sender.
+#[tokio::test(start_paused = true)]
+async fn exchange_deletion_between_listings() {
+    let kv = FakeKeyValue::new();
+    put(&kv, "servers/2", "").await;
+    let (sender, receiver) = (Mirror::default(), Mirror::default());
+    sender.apply_snapshot(kv.peek(""));
+    put(&kv, "servers/1", "").await;
+    receiver.apply_snapshot(kv.peek(""));
+    delete(&kv, "servers/1").await;
+    sender.apply_snapshot(kv.peek(""));
+    exchange(&sender, &receiver);
+    assert_eq!(held(&receiver), stored(&kv));
+}
