Clients: answers without end are given up by size and by time

Change: at most 16 heads of status 1xx before an answer; a time limit for the body of what is read whole (HttpError::Unfinished); 512 KB for an engine's answer, 8 MB for a page, 16 MB for a watch; a listing's keys have to grow, and it has bounds in bytes and time; a watch that can't be read has all keys read again, once a second at most; what an agent relays ends after 64 MB. The outcome stays the careful one: an order or a call that may have been carried out is unknown.

With each limit taken out red: fetch_endless_informational_heads ( bytes), fetch_endless_body, range_and_list_endless_body, report_endless_answer, send_order_endless_answer, store_call_endless_answer (all: not given up in 20 or 30 s), call_endless_body (Lost after 512 MB), range_endless_pages (not given up), watch_endless_answer_reads_all_again (None). Green before and after, as the limits were there: fetch_endless_head, find_state_endless_bytes_unasked, connect_endless_head.

--- a/crates/backing/src/client/backend.rs
+++ b/crates/backing/src/client/backend.rs
@@ -9,7 +9,7 @@
     BackendAnswer, BackendCall, BackendError, BackendServer, BodyPiece, CacheEvent, LoadReport,
 };
 use bytes::Bytes;
-use flamingowheel_policy::answers::{Content, Framing};
+use flamingowheel_policy::answers::{Content, Framing, MAX_ANSWER_BYTES};
 use http::uri::Authority;
 use http::{HeaderValue, Method, Request, Response};
 use http_body_util::Full;
@@ -67,6 +67,7 @@
         let control = HttpLimits {
             head_timeout_ms: limits.head_timeout_ms.min(CONTROL_TIMEOUT_MS),
             read_timeout_ms: limits.read_timeout_ms.min(CONTROL_TIMEOUT_MS),
+            body_timeout_ms: limits.body_timeout_ms.min(CONTROL_TIMEOUT_MS),
             idle_timeout_ms: limits.idle_timeout_ms.min(CONTROL_TIMEOUT_MS),
             ..limits.clone()
         };
@@ -131,7 +132,9 @@
     match error {
         HttpError::Refused => BackendError::Refused,
         HttpError::Lost => BackendError::Lost,
-        HttpError::Silent { limit_ms } => BackendError::Silent { limit_ms },
+        HttpError::Silent { limit_ms } | HttpError::Unfinished { limit_ms } => {
+            BackendError::Silent { limit_ms }
+        }
         HttpError::Malformed | HttpError::TooLarge { .. } => BackendError::Malformed,
     }
 }
@@ -158,8 +161,10 @@
 
     async fn relay_bytes(&self, mut body: Incoming, framing: Framing) -> Result<(), BackendError> {
         let mut last_data_at = Instant::now();
+        let mut received_bytes = 0;
         while let Some(chunk) = self.next_chunk(&mut body).await? {
             last_data_at = Instant::now();
+            count_bytes(&mut received_bytes, &chunk)?;
             self.deliver(chunk).await?;
         }
         self.check_end(framing, Content::Opaque, last_data_at).await
@@ -168,8 +173,10 @@
     async fn relay_events(&self, mut body: Incoming, framing: Framing) -> Result<(), BackendError> {
         let mut splitter = Splitter::events(MAX_EVENT_BYTES);
         let mut last_data_at = Instant::now();
+        let mut received_bytes = 0;
         while let Some(chunk) = self.next_chunk(&mut body).await? {
             last_data_at = Instant::now();
+            count_bytes(&mut received_bytes, &chunk)?;
             splitter.push(chunk);
             while let Some(event) = splitter.next_item().map_err(|_| BackendError::Malformed)? {
                 let done = is_done(&event);
@@ -205,6 +212,15 @@
     }
 }
 
+fn count_bytes(received_bytes: &mut u64, chunk: &[u8]) -> Result<(), BackendError> {
+    *received_bytes += chunk.len() as u64;
+    if *received_bytes > MAX_ANSWER_BYTES {
+        tracing::warn!(limit_bytes = MAX_ANSWER_BYTES, "answer without end given up");
+        return Err(BackendError::Malformed);
+    }
+    Ok(())
+}
+
 impl BackendServer for HttpBackend {
     fn call(&self, call: BackendCall) -> BoxFuture<'_, Result<BackendAnswer, BackendError>> {
         Box::pin(self.start(call))
--- a/crates/backing/src/client/etcd.rs
+++ b/crates/backing/src/client/etcd.rs
@@ -34,6 +34,7 @@
     HttpLimits {
         head_timeout_ms: 1_000,
         read_timeout_ms: 1_000,
+        body_timeout_ms: 30_000,
         idle_timeout_ms: 1_000,
         max_body_bytes: 128 * 1024 * 1024,
         ..HttpLimits::default()
@@ -243,7 +244,9 @@
 fn key_value_error(error: HttpError) -> KeyValueError {
     match error {
         HttpError::Refused => KeyValueError::Unreachable,
-        HttpError::Silent { limit_ms } => KeyValueError::NoAnswer { limit_ms },
+        HttpError::Silent { limit_ms } | HttpError::Unfinished { limit_ms } => {
+            KeyValueError::NoAnswer { limit_ms }
+        }
         HttpError::Lost => KeyValueError::NoAnswer { limit_ms: 0 },
         HttpError::Malformed => KeyValueError::Malformed { what: "HTTP" },
         HttpError::TooLarge { .. } => KeyValueError::Malformed { what: "size" },
--- a/crates/backing/src/client/http.rs
+++ b/crates/backing/src/client/http.rs
@@ -4,6 +4,7 @@
 //! never sent from one that may have been carried out.
 
 use super::framing::framing_of;
+use super::informational::InformationalHeads;
 use super::liveness;
 use bytes::{Bytes, BytesMut};
 use flamingowheel_policy::answers::{Content, Framing};
@@ -32,6 +33,9 @@
     pub head_timeout_ms: u64,
     /// Longest wait for the next bytes of a body, in milliseconds.
     pub read_timeout_ms: u64,
+    /// Longest time from the head of an answer to its end if [`HttpClient::fetch`] reads it, in
+    /// milliseconds.
+    pub body_timeout_ms: u64,
     /// Longest time for which an idle connection is kept, in milliseconds.
     pub idle_timeout_ms: u64,
     /// Largest number of headers in an answer.
@@ -48,6 +52,7 @@
             connect_timeout_ms: 1_000,
             head_timeout_ms: 10_000,
             read_timeout_ms: 10_000,
+            body_timeout_ms: 10_000,
             idle_timeout_ms: 10_000,
             max_headers: 64,
             max_head_bytes: 64 * 1024,
@@ -71,6 +76,12 @@
         /// The timeout, in milliseconds.
         limit_ms: u64,
     },
+    /// The answer did not end within the timeout, though bytes arrived.
+    #[error("answer not at its end after {limit_ms} ms")]
+    Unfinished {
+        /// The timeout, in milliseconds.
+        limit_ms: u64,
+    },
     /// The answer is not valid HTTP.
     #[error("malformed answer")]
     Malformed,
@@ -154,9 +165,10 @@
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<Response<Incoming>, HttpError> {
+        let informational = InformationalHeads::of(&mut request);
         let client = match reuse {
             Reuse::Allowed => &self.pooled,
             Reuse::Never => &self.unpooled,
@@ -164,7 +176,11 @@
         let limit_ms = self.limits.head_timeout_ms;
         // A timeout drops the exchange and closes its connection, so a silent one is not reused.
         let answer = tokio::time::timeout(Duration::from_millis(limit_ms), client.request(request));
-        match answer.await {
+        let answer = tokio::select! {
+            answer = answer => answer,
+            () = informational.exceeded() => return Err(HttpError::Malformed),
+        };
+        match answer {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(HttpError::Refused),
             Ok(Err(error)) => Err(classify(&error)),
@@ -172,13 +188,20 @@
         }
     }
 
-    /// Sends a request and reads the answer to its end. Only a whole answer is returned.
+    /// Sends a request and reads the answer to its end. Only a whole answer is returned; one without
+    /// end fails by its size or its time.
     pub async fn fetch(
         &self,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<BufferedResponse, HttpError> {
         let response = self.send(request, reuse).await?;
+        let limit_ms = self.limits.body_timeout_ms;
+        let reading = tokio::time::timeout(Duration::from_millis(limit_ms), self.read(response));
+        reading.await.unwrap_or(Err(HttpError::Unfinished { limit_ms }))
+    }
+
+    async fn read(&self, response: Response<Incoming>) -> Result<BufferedResponse, HttpError> {
         let framing = framing_of(&response);
         let (parts, mut body) = response.into_parts();
         let limit_bytes = self.limits.max_body_bytes;
--- a/crates/backing/src/client/mod.rs
+++ b/crates/backing/src/client/mod.rs
@@ -5,6 +5,7 @@
 pub mod failover;
 pub mod framing;
 pub mod http;
+pub mod informational;
 pub mod liveness;
 pub mod orders;
 pub mod split;
--- a/crates/backing/src/fake/kv.rs
+++ b/crates/backing/src/fake/kv.rs
@@ -245,11 +245,11 @@
 
     async fn list(&self, prefix: &str, is_stale: bool) -> Result<Snapshot, KeyValueError> {
         let mut listing = Listing::default();
-        listing.add(self.page(prefix, None, is_stale).await?);
+        listing.add(self.page(prefix, None, is_stale).await?)?;
         while !listing.is_whole() {
             let page_gap = lock(&self.state).page_gap;
             tokio::time::sleep(page_gap).await;
-            listing.add(self.page(prefix, listing.last_key(), is_stale).await?);
+            listing.add(self.page(prefix, listing.last_key(), is_stale).await?)?;
         }
         Ok(listing.into_snapshot())
     }
--- a/crates/backing/src/listing.rs
+++ b/crates/backing/src/listing.rs
@@ -3,7 +3,10 @@
 //! Pages are read one after the other, and each shows the store at a revision of its own. Those of
 //! a stale read may come from replicas that lag differently, so a later page may be the older one.
 
-use crate::kv::{KeyValueEntry, Revision, Snapshot};
+use crate::kv::{KeyValueEntry, KeyValueError, Revision, Snapshot};
+
+/// Largest size of a listing, in bytes of keys and values.
+const MAX_BYTES: usize = 48 * 1024 * 1024;
 
 /// One page.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,7 +25,7 @@
 /// use flamingowheel_backing::kv::Revision;
 /// use flamingowheel_backing::listing::{Listing, Page};
 /// let mut listing = Listing::default();
-/// listing.add(Page { revision: Revision(7), ..Page::default() });
+/// listing.add(Page { revision: Revision(7), ..Page::default() }).unwrap();
 /// assert!(listing.is_whole());
 /// assert_eq!(listing.into_snapshot().revision, Revision(7));
 /// ```
@@ -30,6 +33,7 @@
 pub struct Listing {
     entries: Vec<KeyValueEntry>,
     page_revisions: Vec<Revision>,
+    bytes: usize,
     is_whole: bool,
 }
 
@@ -45,10 +49,28 @@
     }
 
     /// Adds the next page.
-    pub fn add(&mut self, page: Page) {
-        self.is_whole = !page.has_more || page.entries.is_empty();
-        self.entries.extend(page.entries);
+    ///
+    /// # Errors
+    ///
+    /// If its keys do not follow those of the pages before, or if the listing gets too large. A
+    /// store that repeats itself would otherwise be read without end.
+    pub fn add(&mut self, page: Page) -> Result<(), KeyValueError> {
+        if page.has_more && page.entries.is_empty() {
+            return Err(KeyValueError::Malformed { what: "page without keys" });
+        }
+        for entry in page.entries {
+            if self.last_key().is_some_and(|last_key| entry.key.as_str() <= last_key) {
+                return Err(KeyValueError::Malformed { what: "order of keys" });
+            }
+            self.bytes += entry.key.len() + entry.value.len();
+            if self.bytes > MAX_BYTES {
+                return Err(KeyValueError::Malformed { what: "size of the listing" });
+            }
+            self.entries.push(entry);
+        }
         self.page_revisions.push(page.revision);
+        self.is_whole = !page.has_more;
+        Ok(())
     }
 
     /// All entries, at the lowest revision of the pages. Entries may be newer than that, but no
--- a/crates/backing/src/poll.rs
+++ b/crates/backing/src/poll.rs
@@ -132,6 +132,13 @@
                     let _ = events.send(WatchEvent::Compacted { oldest: after }).await;
                     return;
                 }
+                Err(PollError::Failed(error @ KeyValueError::Malformed { .. })) => {
+                    // The same changes would come again; the prefix may be readable.
+                    tracing::warn!(%error, "watch of the key-value store can't be read");
+                    sleep(timing.wait).await;
+                    let _ = events.send(WatchEvent::Compacted { oldest: after }).await;
+                    return;
+                }
                 Err(PollError::Failed(error)) => {
                     tracing::info!(%error, "watch of the key-value store ended");
                     return;
--- a/crates/policy/src/answers.rs
+++ b/crates/policy/src/answers.rs
@@ -1,6 +1,9 @@
 //! Whether a backend server's answer is whole: by its framing, by how reading it ended, by its
 //! content and, where these look the same, by whether the server lives.
 
+/// Largest answer that is relayed, in bytes. A server in trouble may send bytes without end.
+pub const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
 /// How an answer states the end of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Framing {
@@ -94,6 +97,8 @@
     ConnectionError,
     /// Broken off: the deadline.
     Deadline,
+    /// Given up: larger than [`MAX_ANSWER_BYTES`].
+    TooLarge,
     /// Given up: the server sent nothing while its group went on.
     ServerSilent,
     /// Broken off: inside an event.
@@ -122,6 +127,7 @@
             Self::ServerLives => "server_lives",
             Self::ConnectionError => "connection_error",
             Self::Deadline => "deadline",
+            Self::TooLarge => "too_large",
             Self::ServerSilent => "server_silent",
             Self::InsideEvent => "inside_event",
             Self::NoEndMarker => "no_end_marker",
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -144,8 +144,12 @@
 /// A client of an entry.
 pub fn client(entry: SocketAddr) -> Option<HttpClient> {
     let head_timeout_ms = ROUTE_TIMEOUT_MS + EXTRA_WAIT_MS;
-    let limits =
-        HttpLimits { head_timeout_ms, read_timeout_ms: head_timeout_ms, ..HttpLimits::default() };
+    let limits = HttpLimits {
+        head_timeout_ms,
+        read_timeout_ms: head_timeout_ms,
+        body_timeout_ms: head_timeout_ms,
+        ..HttpLimits::default()
+    };
     Some(HttpClient::new(entry.to_string().parse().ok()?, limits))
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! connections. Each serves on a listener until its cancellation token is cancelled. Faults of the
 //! service are injected through its fake, faults of its connections through [`Connections`].
 
+pub mod endless;
 pub mod engine;
 pub mod fast;
 pub mod host;
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -97,6 +97,14 @@
         .header("flamingowheel-deadline-ms", deadline_ms)
 }
 
+/// The first lines of a backend server's answer in chunks, to which headers may be added.
+pub fn answer_head(attempt: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\n{ATTEMPT_HEADER}: {attempt}\r\n{SIGNATURE_HEADER}: sig\r\n\
+         transfer-encoding: chunked\r\n"
+    )
+}
+
 /// Header with the parts of a request's prompt.
 pub(super) const PROMPT_HEADER: &str = "flamingowheel-prompt-prefix";
 
--- a/crates/standin/tests/contract_engine.rs
+++ b/crates/standin/tests/contract_engine.rs
@@ -21,6 +21,7 @@
     connect_timeout_ms: 400,
     head_timeout_ms: 400,
     read_timeout_ms: 400,
+    body_timeout_ms: 10_000,
     idle_timeout_ms: 400,
     max_headers: 64,
     max_head_bytes: 64 * 1024,
