Gateway: answers without end are given up by size and by time

What callers saw: a backend server that sends heads of status 1xx without end kept a request until its deadline (504), although another server was free; a plain answer without end was relayed for as long as the caller waited (537 MB in the test), at the cost of the processor of that entry.

Change: after 16 heads of status 1xx a request goes on as one without an answer, so one that may be repeated is sent elsewhere and another one ends as unknown. An answer that passes 64 MB is broken off (evidence too_large), and a stream that may be resumed goes on elsewhere. Endless events, a head that comes slowly and a slow body end by the limits that were there: 1 MB an event, and the route's time.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server, on which one request is sent at a time.
 
 use bytes::Bytes;
+use flamingowheel_backing::client::informational::InformationalHeads;
 use flamingowheel_backing::client::liveness::Probe;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -63,6 +64,9 @@
     /// No answer arrived; the request may have run.
     #[error("no answer: {0}")]
     Lost(hyper::Error),
+    /// Informational heads arrived without end; the request may have run.
+    #[error("too many informational heads before the answer")]
+    NoFinalHead,
 }
 
 /// An open connection. Dropping it resets it at once, so that the server stops work on the request
@@ -100,12 +104,17 @@
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::NeverSent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        let informational = InformationalHeads::of(&mut request);
+        let answer = tokio::select! {
+            answer = self.sender.try_send_request(request) => answer,
+            () = informational.exceeded() => return Err(SendError::NoFinalHead),
+        };
+        answer.map_err(|mut error| {
             if error.take_message().is_some() {
                 return SendError::NeverSent;
             }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -7,7 +7,7 @@
 use crate::losses::{AnswerEnd, Progress};
 use crate::relay::{AnswerBody, Truncated, UpstreamBody};
 use bytes::{Bytes, BytesMut};
-use flamingowheel_policy::answers::{Content, Ending, Evidence};
+use flamingowheel_policy::answers::{Content, Ending, Evidence, MAX_ANSWER_BYTES};
 use futures_util::stream;
 use http::StatusCode;
 use http_body::Frame;
@@ -153,6 +153,10 @@
                         continue;
                     };
                     self.received_bytes += data.len();
+                    if self.received_bytes as u64 > MAX_ANSWER_BYTES {
+                        self.record_broken(Evidence::TooLarge, None);
+                        return Err(Evidence::TooLarge);
+                    }
                     return Ok(Some(data));
                 }
                 Ok(Some(Err(error))) => return self.judge(Ending::Error, Some(&error)).await,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -185,7 +185,7 @@
                 Err(SendError::NeverSent) => {
                     self.metrics.record_connection(exchange.kind(), "closed_before");
                 }
-                Err(SendError::Lost(error)) => {
+                Err(error) => {
                     self.metrics.record_connection(exchange.kind(), "reused_lost");
                     self.record_unanswered(exchange, server, &error).await;
                     return Err(SendFailure::MayHaveRun);
@@ -200,7 +200,7 @@
         match connection.send(exchange.outgoing(server, last_event_id)).await {
             Ok(response) => Ok((response, connection)),
             Err(SendError::NeverSent) => Err(SendFailure::NotSent),
-            Err(SendError::Lost(error)) => {
+            Err(error) => {
                 self.record_unanswered(exchange, server, &error).await;
                 Err(SendFailure::MayHaveRun)
             }
@@ -211,7 +211,7 @@
         &self,
         exchange: &Exchange,
         server: &Arc<Server>,
-        error: &hyper::Error,
+        error: &SendError,
     ) {
         let loss = Loss::new(exchange, server, Progress::Sent, error.to_string());
         self.losses.record(loss).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_fleet::configuration::RetryPolicy;
-use flamingowheel_policy::answers::{Ending, Evidence, Framing};
+use flamingowheel_policy::answers::{Ending, Evidence, Framing, MAX_ANSWER_BYTES};
 use flamingowheel_policy::quota::Urgency;
 use futures_util::stream;
 use http_body::Frame;
@@ -163,6 +163,10 @@
                 continue;
             };
             self.received_bytes += data.len() as u64;
+            if self.received_bytes > MAX_ANSWER_BYTES {
+                self.log_broken(Evidence::TooLarge, None);
+                return Step::Broken(Evidence::TooLarge);
+            }
             self.waiting_since = Instant::now();
             match self.splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
@@ -191,6 +195,11 @@
             Evidence::Deadline => return Step::TooLate,
             _ => {}
         }
+        self.log_broken(evidence, error);
+        Step::Broken(evidence)
+    }
+
+    fn log_broken(&self, evidence: Evidence, error: Option<&hyper::Error>) {
         tracing::info!(
             request = self.exchange.head.attempt_id,
             server = self.in_flight.server().listed.id,
@@ -201,7 +210,6 @@
             error = error.map(tracing::field::display),
             "stream broken"
         );
-        Step::Broken(evidence)
     }
 
     /// Resumes at another backend server after the last event that was relayed.
