Peers: a peer that is not authenticated can't make the opener buffer 16 MB

A connection took messages of up to 16 MB from the start, and the size of a message of the handshake was checked after it had arrived whole. The opener now takes 16 KB until the handshake is through. A later message without end was bounded already, by 16 MB and by the limit on silence.

Before the change red: connect_endless_handshake_message (more than 16 MB written). Green before and after: receive_endless_message.

--- a/crates/protocol/src/websocket.rs
+++ b/crates/protocol/src/websocket.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role as SocketRole, WebSocketConfig};
 use tokio_util::sync::CancellationToken;
 
 /// Handshakes that take longer are aborted.
@@ -112,11 +112,19 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let uri = format!("ws://{address}/");
-        let (mut socket, _) =
-            tokio_tungstenite::client_async_with_config(uri, stream, Some(config()))
-                .await
-                .map_err(Box::new)?;
+        let (mut socket, _) = tokio_tungstenite::client_async_with_config(
+            uri,
+            stream,
+            Some(config(MAX_HANDSHAKE_BYTES)),
+        )
+        .await
+        .map_err(Box::new)?;
         let peer = open_handshake(&mut socket, identity).await?;
+        // The acceptor sends nothing before it has the proof, so no bytes are lost with the socket's
+        // buffer.
+        let stream = socket.into_inner();
+        let config = Some(config(MAX_BATCH_BYTES));
+        let socket = WebSocketStream::from_raw_socket(stream, SocketRole::Client, config).await;
         Ok(start(peer, socket, identity.link_options.clone()))
     };
     timeout(HANDSHAKE_LIMIT, opening).await.map_err(|_| HandshakeError::TimedOut)?
@@ -182,20 +190,21 @@
 {
     let accepting = async {
         stream.set_nodelay(true)?;
-        let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config()))
-            .await
-            .map_err(Box::new)?;
+        let mut socket =
+            tokio_tungstenite::accept_async_with_config(stream, Some(config(MAX_BATCH_BYTES)))
+                .await
+                .map_err(Box::new)?;
         let peer = accept_handshake(&mut socket, identity).await?;
         Ok(start(peer, socket, identity.link_options.clone()))
     };
     timeout(HANDSHAKE_LIMIT, accepting).await.map_err(|_| HandshakeError::TimedOut)?
 }
 
-fn config() -> WebSocketConfig {
+fn config(max_message_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
-        .max_message_size(Some(MAX_BATCH_BYTES))
-        .max_frame_size(Some(MAX_BATCH_BYTES))
+        .max_message_size(Some(max_message_bytes))
+        .max_frame_size(Some(max_message_bytes))
 }
 
 async fn open_handshake(
