--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,6 +20,12 @@
 /// Time for the processes to start and discover each other.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
+/// Most items in a page of the store, below the number of keys.
+const PAGE_ITEMS: usize = 8;
+
+/// Largest age of a page of a stale read.
+const MAX_STALE_AGE: Duration = Duration::from_secs(3);
+
 /// Time between the starts of two faults, in milliseconds. Most last longer than this and overlap.
 const FAULT_GAP_MS: std::ops::Range<u64> = 150..900;
 
@@ -40,6 +46,7 @@
 pub async fn run_seed(options: &Options, seed: u64, folder: &Path) -> Result<Tally> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let fleet = Arc::new(Fleet::start_all(options, folder).await?);
+    fleet.kv.draw_pages(seed, PAGE_ITEMS, MAX_STALE_AGE);
     // The last entry is added during the run.
     if fleet.entries.len() > 2 {
         fleet.kill_entry(fleet.entries.len() - 1).await;
