Copies: the publisher follows a copy by position, not by revision

What callers would see: an entry goes on sending to a backend server that has left, or keeps another deleted key, although its own copy no longer holds it. Not reported; found when the drawn histories also compared what the publisher was told.

Cause: the publisher asked its copy for what is newer than a revision. A listing shows that a key is gone, not when; the deletion is kept at the listing's revision, which the publisher may have passed already: pages of different revisions, or changes of another entry that came before the listing. A later copy of all keys does not mend it, as the key is held as deleted by then.

Change: each change of a copy gets a position, counted in this process, and the publisher asks for what comes after the last one. Revisions order keys, and are what entries tell each other, as before.

--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -31,9 +31,12 @@
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
-    /// Revision and value of each key; the value of a deleted key is `None`.
-    keys: BTreeMap<String, (u64, Option<Value>)>,
+    keys: BTreeMap<String, Held>,
     deletions: usize,
+    /// Number of changes of this copy so far.
+    position: u64,
+    /// Deletions up to this position may have been discarded.
+    pruned_position: u64,
     /// Deletions up to this revision may have been discarded.
     pruned_revision: u64,
     /// Revision of the newest listing. Keys that were deleted before it may be unknown here.
@@ -51,6 +54,17 @@
     last_update: Option<Update>,
 }
 
+/// What is held of a key.
+#[derive(Debug)]
+struct Held {
+    /// The revision of the newest change, or, of a deletion that a listing showed, of the listing.
+    revision: u64,
+    /// The position of that change among the changes of this copy.
+    position: u64,
+    /// `None` if the key was deleted.
+    value: Option<Value>,
+}
+
 /// Where changes of a copy came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -127,8 +141,9 @@
 /// Changes in the order of their keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
-    /// The revision up to which the changes go.
-    pub revision: u64,
+    /// The position up to which the changes go. Not a revision: a listing may show deletions whose
+    /// revisions it does not tell.
+    pub position: u64,
     /// Whether keys that are not among the changes don't exist.
     pub is_whole: bool,
     /// The changes.
@@ -322,8 +337,10 @@
             outage_age_ms: state.outage_at.map(|at| millis(now - at)),
             ..Delta::default()
         };
-        for (key, revision, value) in state.keys_after(if is_whole { 0 } else { after }) {
-            match value {
+        let after = if is_whole { 0 } else { after };
+        for (key, held) in state.keys.iter().filter(|(_, held)| held.revision > after) {
+            let revision = held.revision;
+            match &held.value {
                 Some(value) => {
                     delta.puts.push(Put { key: key.clone(), value: value.packed(), revision })
                 }
@@ -334,18 +351,21 @@
         delta
     }
 
-    /// The changes after a revision, for use in this process.
+    /// The changes after a position, for use in this process; 0 for all keys.
     pub fn changes(&self, after: u64) -> Changes {
         let state = self.lock();
-        let is_whole = after < state.pruned_revision || after == 0;
-        let newer = state.keys_after(if is_whole { 0 } else { after });
-        let changes = newer.filter_map(|(key, revision, value)| match value {
-            Some(value) => {
-                Some(Change::Put { key: key.clone(), value: value.bytes.clone(), revision })
-            }
+        let is_whole = after < state.pruned_position || after == 0;
+        let after = if is_whole { 0 } else { after };
+        let newer = state.keys.iter().filter(|(_, held)| held.position > after);
+        let changes = newer.filter_map(|(key, held)| match &held.value {
+            Some(value) => Some(Change::Put {
+                key: key.clone(),
+                value: value.bytes.clone(),
+                revision: held.revision,
+            }),
             None => (!is_whole).then(|| Change::Delete(key.clone())),
         });
-        Changes { revision: state.revision, is_whole, changes: changes.collect() }
+        Changes { position: state.position, is_whole, changes: changes.collect() }
     }
 
     fn update<F>(&self, source: Source, update: F)
@@ -373,22 +393,20 @@
 }
 
 impl State {
-    /// Keys that were written or deleted after a revision, with the value of those that exist.
-    fn keys_after(&self, after: u64) -> impl Iterator<Item = (&String, u64, Option<&Value>)> {
-        let all = self.keys.iter().map(|(key, (revision, value))| (key, *revision, value.as_ref()));
-        all.filter(move |(_, revision, _)| *revision > after)
-    }
-
     fn set(&mut self, key: String, revision: u64, value: Option<Bytes>) {
         // An absent key counts as deleted at the copy's revision.
-        let known_revision =
-            self.keys.get(&key).map_or(self.revision, |(known_revision, _)| *known_revision);
-        if revision <= known_revision {
-            return;
+        let known_revision = self.keys.get(&key).map_or(self.revision, |held| held.revision);
+        if revision > known_revision {
+            self.write(key, revision, value);
         }
+    }
+
+    fn write(&mut self, key: String, revision: u64, value: Option<Bytes>) {
+        self.position += 1;
         let is_deletion = value.is_none();
-        let old = self.keys.insert(key, (revision, value.map(Value::new)));
-        let was_deletion = matches!(old, Some((_, None)));
+        let held = Held { revision, position: self.position, value: value.map(Value::new) };
+        let old = self.keys.insert(key, held);
+        let was_deletion = old.is_some_and(|old| old.value.is_none());
         self.deletions = self.deletions + usize::from(is_deletion) - usize::from(was_deletion);
     }
 
@@ -397,16 +415,13 @@
     fn apply_complete(&mut self, revision: u64, puts: Vec<(String, Bytes, u64)>) {
         let listed: std::collections::HashSet<&str> =
             puts.iter().map(|(key, _, _)| key.as_str()).collect();
-        let is_deleted = |(key, (known_revision, value)): &(&String, &(u64, Option<Value>))| {
-            value.is_some() && *known_revision <= revision && !listed.contains(key.as_str())
+        let is_deleted = |(key, held): &(&String, &Held)| {
+            held.value.is_some() && held.revision <= revision && !listed.contains(key.as_str())
         };
         let deleted_keys: Vec<String> =
             self.keys.iter().filter(is_deleted).map(|(key, _)| key.clone()).collect();
         for key in deleted_keys {
-            if let Some((known_revision, value)) = self.keys.get_mut(&key) {
-                (*known_revision, *value) = (revision, None);
-                self.deletions += 1;
-            }
+            self.write(key, revision, None);
         }
         for (key, value, revision) in puts {
             self.set(key, revision, Some(value));
@@ -417,15 +432,13 @@
 
     fn prune_deletions(&mut self) {
         while self.deletions > MAX_DELETIONS {
-            let deleted = self.keys.iter().filter(|(_, (_, value))| value.is_none());
-            let Some((key, revision)) = deleted
-                .map(|(key, (revision, _))| (key.clone(), *revision))
-                .min_by_key(|(_, r)| *r)
-            else {
+            let deleted = self.keys.iter().filter(|(_, held)| held.value.is_none());
+            let oldest = deleted.min_by_key(|(_, held)| held.revision).map(|(key, _)| key.clone());
+            let Some(held) = oldest.and_then(|key| self.keys.remove(&key)) else {
                 return;
             };
-            self.keys.remove(&key);
-            self.pruned_revision = self.pruned_revision.max(revision);
+            self.pruned_revision = self.pruned_revision.max(held.revision);
+            self.pruned_position = self.pruned_position.max(held.position);
             self.deletions -= 1;
         }
     }
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -131,7 +131,7 @@
         let mut revisions = self.mirror.revisions();
         let mut checks = interval(EXPIRY_CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut revision = 0;
+        let mut position = 0;
         loop {
             tokio::select! {
                 changed = revisions.changed() => {
@@ -139,8 +139,8 @@
                         return;
                     }
                     revisions.mark_unchanged();
-                    let changes = self.mirror.changes(revision);
-                    revision = changes.revision;
+                    let changes = self.mirror.changes(position);
+                    position = changes.position;
                     self.apply(changes);
                     self.publish();
                 }
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -116,8 +116,33 @@
     }
 }
 
+/// What the publisher of an entry makes of the changes of its copy.
+#[derive(Default)]
+struct Published {
+    position: u64,
+    contents: Contents,
+}
+
+impl Published {
+    fn update(&mut self, mirror: &Mirror) {
+        let changes = mirror.changes(self.position);
+        if changes.is_whole {
+            self.contents.clear();
+        }
+        for change in changes.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    drop(self.contents.insert(key, value.to_vec()));
+                }
+                Change::Delete(key) => drop(self.contents.remove(&key)),
+            }
+        }
+        self.position = changes.position;
+    }
+}
+
 /// Guards against copies that differ for good: whatever listings, watches and exchanges they are made
-/// of, what is up to date holds what the store holds.
+/// of, what is up to date holds what the store holds, and its publisher knows it.
 #[tokio::test(start_paused = true)]
 async fn copies_drawn_histories_converge() {
     for seed in 0..300 {
@@ -125,6 +150,7 @@
         let kv = FakeKeyValue::new();
         kv.draw_pages(seed, 6, Duration::from_secs(4));
         let mut copies: Vec<Mirror> = (0..4).map(|_| Mirror::default()).collect();
+        let mut published: Vec<Published> = (0..4).map(|_| Published::default()).collect();
         for step in 0..120 {
             advance(Duration::from_millis(rng.random_range(1..300))).await;
             let copy = rng.random_range(0..copies.len());
@@ -132,15 +158,19 @@
                 0..5 => change(&kv, &mut rng).await,
                 5 => copies[copy].apply_snapshot(kv.range_stale("").await.unwrap()),
                 6 => follow(&kv, &copies[copy]).await,
-                7 => copies[copy] = Mirror::default(),
+                7 => (copies[copy], published[copy]) = Default::default(),
                 _ => {
                     let other = copies.choose(&mut rng).unwrap();
                     exchange(other, &copies[copy]);
                 }
             }
             let head = kv.peek("").revision.0;
-            for copy in copies.iter().filter(|copy| copy.revision() == Some(head)) {
-                assert_eq!(held(copy), stored(&kv), "seed {seed}, step {step}");
+            for (copy, published) in copies.iter().zip(&mut published) {
+                published.update(copy);
+                if copy.revision() == Some(head) {
+                    assert_eq!(held(copy), stored(&kv), "seed {seed}, step {step}");
+                    assert_eq!(published.contents, stored(&kv), "seed {seed}, step {step}");
+                }
             }
         }
     }
@@ -175,3 +205,27 @@
     exchange(&sender, &receiver);
     assert_eq!(held(&receiver), stored(&kv));
 }
+
+/// Guards against a publisher that keeps a deleted backend server: a listing showed the deletion at a
+/// revision that the publisher had passed already.
+#[tokio::test(start_paused = true)]
+async fn changes_deletion_shown_by_older_listing() {
+    let kv = FakeKeyValue::new();
+    put(&kv, "servers/1", "").await;
+    put(&kv, "servers/2", "").await;
+    put(&kv, "servers/3", "").await;
+    let copy = Mirror::default();
+    copy.apply_snapshot(kv.peek(""));
+    let mut published = Published::default();
+    published.update(&copy);
+    // The first page shows the deletion, the second one is as old as the copy.
+    sleep(LAG * 2).await;
+    delete(&kv, "servers/1").await;
+    kv.set_page_items(1);
+    kv.age_stale_pages(&[Duration::ZERO, LAG]);
+    copy.apply_snapshot(kv.range_stale("").await.unwrap());
+    put(&kv, "servers/4", "").await;
+    copy.apply_snapshot(kv.peek(""));
+    published.update(&copy);
+    assert_eq!(published.contents, stored(&kv));
+}
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -118,7 +118,7 @@
     for event in [put("a", "1", 3), put("b", "1", 4), progress(4)] {
         mirror.apply_event(event);
     }
-    let before = mirror.changes(0).revision;
+    let before = mirror.changes(0).position;
     mirror.apply_snapshot(Snapshot { revision: Revision(9), entries: vec![entry("a", "1", 3)] });
     assert_eq!(values(&mirror), [pair("a", "1")]);
     assert_eq!(mirror.changes(before).changes, [Change::Delete("b".to_owned())]);
@@ -285,9 +285,9 @@
     let from = Mirror::default();
     from.apply_event(put("old", "1", 1));
     from.apply_event(progress(1));
-    let known_revision = from.changes(0).revision;
+    let known = from.changes(0).position;
     delete_many(&from);
-    let changes = from.changes(known_revision);
+    let changes = from.changes(known);
     assert!(changes.is_whole);
     let keys = changes.changes.iter().filter(|change| matches!(change, Change::Put { .. }));
     assert_eq!(keys.count(), 1);
