Soak: no process is started while ports are searched

In the logs of its fleet five of six entries ended at once with "Address already in use", each on ports of its own that no other process of the fleet has; the sixth served all it was sent.

Cause, by reading: the search for ports keeps 30 listeners open. The tests of one binary start several fleets at once; a process that is being started by another one holds copies of these sockets until its program begins, which takes longer on a busy machine, and the ports stay taken after the search has closed them. Searching and starting now exclude each other. Not shown by a run that forces the order.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -44,7 +44,7 @@
     write(&kv, &server_key("s-1"), server_record(server_address, 4, 1, false)).await;
     write(&kv, CONFIGURATION_KEY, configuration(1, &[API_KEY], WORK_LIMIT_MS)).await;
 
-    let ports = free_ports(1).await.unwrap().remove(0);
+    let ports = free_ports(1).unwrap().remove(0);
     let folder = std::env::temp_dir().join(format!("flamingowheel-stop-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let settings = entry_settings("e-1", store_address, ports, GRACE_S);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::cold::{COLD_RATE_PER_S, COLD_RATIO, COLD_S, COLD_SLACK, ColdSpan};
 use crate::evacuations::{EvacuationSpan, data_centre_of, evacuation_key};
 use crate::faults::GRACE_S;
-use crate::process::{Daemon, Reaper};
+use crate::process::{Daemon, Reaper, STARTING};
 use crate::proxy::{LinkFault, Proxy};
 use crate::report::Violation;
 use crate::signals::{Call, LimitSpan, STABILITY_WINDOW};
@@ -25,7 +25,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Processing time of a request, and time before each event of a stream.
@@ -125,7 +125,7 @@
             });
         }
         let mut entries = Vec::new();
-        for (number, ports) in free_ports(options.entries).await?.into_iter().enumerate() {
+        for (number, ports) in free_ports(options.entries)?.into_iter().enumerate() {
             let store_proxy = Proxy::start(store_address).await?;
             let name = format!("entry-{number}");
             let settings = entry_settings(&name, store_proxy.address, ports, GRACE_S);
@@ -373,13 +373,14 @@
 /// Finds ports for entries that are free at the time of the call.
 ///
 /// Fails if loopback has too few left.
-pub async fn free_ports(entries: usize) -> std::io::Result<Vec<EntryPorts>> {
+pub fn free_ports(entries: usize) -> std::io::Result<Vec<EntryPorts>> {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     // All listeners stay open until the end, so that no port is returned twice.
     let (mut listeners, mut found) = (Vec::new(), Vec::new());
     for _ in 0..entries {
         let mut ports = [0; 5];
         for port in &mut ports {
-            let listener = bind_random().await?;
+            let listener = bind_random()?;
             *port = listener.local_addr()?.port();
             listeners.push(listener);
         }
@@ -390,17 +391,17 @@
 }
 
 /// Tries as many random ports as there are, so that it ends if all are taken.
-async fn bind_random() -> std::io::Result<TcpListener> {
+fn bind_random() -> std::io::Result<std::net::TcpListener> {
     let mut result = Err(std::io::ErrorKind::AddrInUse.into());
     for _ in PORTS {
         let port = rand::random_range(PORTS);
         // Entries use some of their ports for datagrams.
-        let is_free = UdpSocket::bind(("127.0.0.1", port)).await.is_ok();
+        let is_free = std::net::UdpSocket::bind(("127.0.0.1", port)).is_ok();
         let is_new = || GIVEN_PORTS.lock().unwrap_or_else(PoisonError::into_inner).insert(port);
         if !is_free || !is_new() {
             continue;
         }
-        result = TcpListener::bind(("127.0.0.1", port)).await;
+        result = std::net::TcpListener::bind(("127.0.0.1", port));
         if result.is_ok() {
             break;
         }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -6,6 +6,10 @@
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex, PoisonError};
 
+/// Held while a process is started and while ports are searched. A process that is being started has
+/// copies of all sockets of this one until its program begins, and would keep the ports taken.
+pub(crate) static STARTING: Mutex<()> = Mutex::new(());
+
 /// A daemon process with its settings file and its log file.
 #[derive(Clone, Debug)]
 pub struct Daemon {
@@ -34,6 +38,7 @@
         if child.as_mut().is_some_and(is_running) {
             return Ok(());
         }
+        let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         let log = File::options().create(true).append(true).open(&self.log)?;
         let started = Command::new(&self.program)
             .arg("--platform")
