--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -4,6 +4,7 @@
 use flamingowheel_backing::kv::{KeyValue, Operation, Revision, Transaction};
 use flamingowheel_gateway::feed::follower::StoreFollower;
 use flamingowheel_gateway::feed::mirror::{Change, Mirror};
+use flamingowheel_platform::CONFIGURATION_KEY;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -13,8 +14,6 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, advance, sleep};
 
-const CONFIGURATION: &str = "op/config";
-
 /// Age of the later page of the first read.
 const LAG: Duration = Duration::from_secs(3);
 
@@ -67,9 +66,9 @@
 /// configuration.
 async fn start_after_change(kv: &FakeKeyValue) -> (Arc<Mirror>, watch::Sender<bool>) {
     put(kv, "entries/1", "").await;
-    put(kv, CONFIGURATION, "old").await;
+    put(kv, CONFIGURATION_KEY, "old").await;
     sleep(LAG * 2).await;
-    put(kv, CONFIGURATION, "new").await;
+    put(kv, CONFIGURATION_KEY, "new").await;
     put(kv, "entries/1", "1").await;
     kv.set_page_items(1);
     kv.age_stale_pages(&[Duration::ZERO, LAG]);
@@ -78,7 +77,7 @@
     while mirror.revision().is_none() {
         sleep(Duration::from_millis(1)).await;
     }
-    assert_eq!(held(&mirror)[CONFIGURATION], b"old");
+    assert_eq!(held(&mirror)[CONFIGURATION_KEY], b"old");
     (mirror, follows)
 }
 
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -98,6 +98,11 @@
 }
 
 /// The first lines of a backend server's answer in chunks, to which headers may be added.
+///
+/// ```
+/// use flamingowheel_standin::platform::messages::answer_head;
+/// assert!(answer_head("a1").ends_with("transfer-encoding: chunked\r\n"));
+/// ```
 pub fn answer_head(attempt: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\n{ATTEMPT_HEADER}: {attempt}\r\n{SIGNATURE_HEADER}: sig\r\n\
