--- a/crates/gateway/src/feed/mirror.rs
+++ b/crates/gateway/src/feed/mirror.rs
@@ -262,7 +262,8 @@
         self.contacts.send_replace(());
     }
 
-    /// Applies a snapshot of all keys at one revision. It may be older than this copy.
+    /// Applies a snapshot of all keys. It may be older than this copy, and some of its entries newer
+    /// than its revision.
     pub fn apply_snapshot(&self, snapshot: Snapshot) {
         let revision = snapshot.revision.0;
         let puts = snapshot.entries.into_iter().map(|entry| {
