Reproduce LOST around a planned stop: streams over connections of a thread that ends

Idle connections to backend servers are shared by all traffic threads, but each is driven by the runtime of the thread that opened it.

Seen on the process (time after SIGTERM): 2.81 s, two streams end, and with them their threads; 2.82 s, 'request lost with its connection' (the server lives) and 'stream ended', 'broken_off', for two other streams, 7 of 8 events relayed. With one thread nothing can be cut so.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -1,4 +1,4 @@
-//! A planned stop of an entry on the platform while a request takes longer than the grace time.
+//! Planned stops of an entry on the platform, as a separate process.
 
 use flamingowheel_backing::client::http::{HttpClient, HttpLimits, Reuse};
 use flamingowheel_backing::fake::FakeKeyValue;
@@ -8,13 +8,18 @@
 use flamingowheel_standin::platform::messages::{
     CONFIGURATION_KEY, caller_headers, configuration, entry_settings, server_key, server_record,
 };
-use flamingowheel_standin::platform::server::{PlatformServer, RequestLog};
+use flamingowheel_standin::platform::server::{
+    PlatformServer, RequestLog, STREAM_EVENTS, stream_event,
+};
 use flamingowheel_standin::platform::store;
 use http::Method;
+use http_body_util::BodyExt;
 use rustix::process::Signal;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::Barrier;
 
 const API_KEY: &str = "k";
 const GRACE_S: u64 = 4;
@@ -28,34 +33,86 @@
     kv.transact(transaction).await.unwrap();
 }
 
+/// An entry process with its store and one backend server.
+struct Entry {
+    daemon: Daemon,
+    request_log: RequestLog,
+    address: String,
+    folder: PathBuf,
+    _reaper: Reaper,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // The error is ignored: a leftover directory in the temporary directory is harmless.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Entry {
+    /// Starts an entry before a server with `slots` slots that waits for `delay` before a plain
+    /// answer and before each event of a stream.
+    async fn start(name: &str, delay: Duration, slots: u32, limit_ms: u64) -> Self {
+        let kv = FakeKeyValue::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store_address = listener.local_addr().unwrap();
+        tokio::spawn(store::serve(listener, kv.clone()));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server_address = listener.local_addr().unwrap();
+        let request_log = RequestLog::default();
+        let server = PlatformServer::new("s-1", request_log.clone(), delay, slots);
+        tokio::spawn(server.serve(listener));
+        let record = server_record(server_address, slots, 1, false);
+        write(&kv, &server_key("s-1"), record).await;
+        write(&kv, CONFIGURATION_KEY, configuration(1, &[API_KEY], limit_ms)).await;
+
+        let ports = free_ports(1).unwrap().remove(0);
+        let folder = format!("flamingowheel-stop-{}-{name}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let settings = entry_settings("e-1", store_address, ports, GRACE_S);
+        let program = Path::new(env!("CARGO_BIN_EXE_flamingowheeld"));
+        let daemon = Daemon::new(program, &folder, "e-1", &settings).unwrap();
+        let reaper = Reaper(vec![daemon.clone()]);
+        daemon.start().unwrap();
+        let address = format!("127.0.0.1:{}", ports.callers);
+        Self { daemon, request_log, address, folder, _reaper: reaper }
+    }
+
+    fn client(&self, timeout_ms: u64) -> HttpClient {
+        let limits = HttpLimits {
+            head_timeout_ms: timeout_ms,
+            read_timeout_ms: timeout_ms,
+            body_timeout_ms: timeout_ms,
+            ..HttpLimits::default()
+        };
+        HttpClient::new(self.address.parse().unwrap(), limits)
+    }
+
+    /// Sends a request until the entry has started and read the configuration.
+    async fn wait_until_serving(&self) {
+        let client = self.client(WORK_LIMIT_MS);
+        loop {
+            let request = client.request(Method::POST, "/safe/x");
+            let request = caller_headers(request, "first", API_KEY, WORK_LIMIT_MS);
+            let request = request.body(Default::default()).unwrap();
+            let answer = client.fetch(request, Reuse::Never).await;
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
 /// A backend server still works on a request when the grace time is over. The process must exit by
 /// itself within the grace time: if the platform kills it, its last log lines are lost, and with
 /// them the reason why the request was cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_ends_within_grace() {
-    let kv = FakeKeyValue::new();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let store_address = listener.local_addr().unwrap();
-    tokio::spawn(store::serve(listener, kv.clone()));
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let server_address = listener.local_addr().unwrap();
-    let request_log = RequestLog::default();
-    tokio::spawn(PlatformServer::new("s-1", request_log.clone(), WORK_DURATION, 4).serve(listener));
-    write(&kv, &server_key("s-1"), server_record(server_address, 4, 1, false)).await;
-    write(&kv, CONFIGURATION_KEY, configuration(1, &[API_KEY], WORK_LIMIT_MS)).await;
-
-    let ports = free_ports(1).unwrap().remove(0);
-    let folder = std::env::temp_dir().join(format!("flamingowheel-stop-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let settings = entry_settings("e-1", store_address, ports, GRACE_S);
-    let program = Path::new(env!("CARGO_BIN_EXE_flamingowheeld"));
-    let daemon = Daemon::new(program, &folder, "e-1", &settings).unwrap();
-    let _reaper = Reaper(vec![daemon.clone()]);
-    daemon.start().unwrap();
-
-    let address = format!("127.0.0.1:{}", ports.callers);
-    let limits = HttpLimits { head_timeout_ms: WORK_LIMIT_MS, ..HttpLimits::default() };
-    let client = HttpClient::new(address.parse().unwrap(), limits);
+    let entry = Entry::start("grace", WORK_DURATION, 4, WORK_LIMIT_MS).await;
+    let Entry { daemon, request_log, .. } = &entry;
+    let client = entry.client(WORK_LIMIT_MS);
     let caller = tokio::spawn(async move {
         loop {
             let request = client.request(Method::POST, "/once/x");
@@ -78,6 +135,53 @@
     let took = signalled_at.elapsed();
     caller.abort();
     assert!(took < Duration::from_secs(GRACE_S), "the process ended after {took:?}");
-    // The error is ignored: a leftover directory in the temporary directory is harmless.
-    let _ = std::fs::remove_dir_all(&folder);
+}
+
+/// Number of calls that open connections to the backend server from many threads of the entry.
+const CALLS: usize = 32;
+
+/// Number of streams in progress at the stop.
+const STREAMS: usize = 4;
+
+/// A thread of the entry that has no callers left at a planned stop ends before the others. The
+/// connections to backend servers that it opened must outlive it: streams of other threads use them.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_streams_over_connections_of_ended_threads_whole() {
+    let delay = Duration::from_millis(400);
+    let entry = Entry::start("threads", delay, CALLS as u32, WORK_LIMIT_MS).await;
+    entry.wait_until_serving().await;
+    let calls = (0..CALLS).map(|number| {
+        let client = entry.client(WORK_LIMIT_MS);
+        let request = client.request(Method::POST, "/safe/x");
+        let request = caller_headers(request, &format!("c{number}"), API_KEY, WORK_LIMIT_MS);
+        let request = request.body(Default::default()).unwrap();
+        tokio::spawn(async move { client.fetch(request, Reuse::Never).await.unwrap().status })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        assert_eq!(call.await.unwrap(), 200);
+    }
+    let begun = Arc::new(Barrier::new(STREAMS + 1));
+    let streams = (0..STREAMS).map(|number| {
+        let attempt = format!("s{number}");
+        let client = entry.client(WORK_LIMIT_MS);
+        let request = client.request(Method::POST, "/stream/x");
+        let request = caller_headers(request, &attempt, API_KEY, WORK_LIMIT_MS);
+        let request = request.body(Default::default()).unwrap();
+        let begun = Arc::clone(&begun);
+        tokio::spawn(async move {
+            let mut answer = client.send(request, Reuse::Never).await.unwrap();
+            let first = answer.body_mut().frame().await.unwrap().unwrap();
+            begun.wait().await;
+            let rest = answer.into_body().collect().await.unwrap().to_bytes();
+            let received = [first.into_data().unwrap(), rest].concat();
+            let events = (1..=STREAM_EVENTS).map(|id| stream_event(&attempt, id));
+            assert_eq!(String::from_utf8(received).unwrap(), events.collect::<String>());
+        })
+    });
+    let streams: Vec<_> = streams.collect();
+    begun.wait().await;
+    entry.daemon.signal(Signal::TERM);
+    for stream in streams {
+        stream.await.unwrap();
+    }
 }
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -30,6 +30,7 @@
     pub stop: Stop,
     pub metrics: Arc<Metrics>,
     pub held: Arc<Held>,
+    pub gateway: Arc<Gateway>,
     views: Views,
 }
 
@@ -102,9 +103,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let stop = Stop::default();
-        tokio::spawn(front::serve(listener, gateway, stop.clone()));
+        tokio::spawn(front::serve(listener, Arc::clone(&gateway), stop.clone()));
         let client = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
-        Self { address, client, stop, metrics: counted, views: seen, held }
+        Self { address, client, stop, metrics: counted, views: seen, held, gateway }
     }
 
     /// Makes all servers ranks of one group.
