--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -273,8 +273,9 @@
     let listener = std::net::TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
     let count = std::thread::available_parallelism().map_or(1, usize::from);
+    tracing::info!(count, "traffic threads started");
     let (mut threads, mut handles) = (Vec::new(), Vec::new());
-    for _ in 0..count {
+    for number in 0..count {
         let listener = listener.try_clone()?;
         let (gateway, stop) = (Arc::clone(gateway), stop.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -289,6 +290,7 @@
                         Err(error) => tracing::error!(%error, "can't accept callers"),
                     }
                 });
+                tracing::info!(number, "traffic thread ended");
             })?;
         threads.push(thread);
     }
