Entry: traffic threads end together

Callers saw streams, and other requests over reused connections, end without a whole answer 2 s and more after SIGTERM to their entry, at machines with several cores.

Cause: each traffic thread has a runtime of its own. Idle connections to backend servers are shared by all threads, but a connection is driven by the runtime of the thread that opened it. After a stop a thread ended with its last caller, and its runtime took the connections that it drove with it, while requests of other threads used them. Evidence: 'request lost with its connection', server lives, within 20 ms of the end of another thread; a test with two threads and one with a process.

Ruled out for these cuts: silence of the server, the end of the grace period, a reset by the caller's side (the lines name the connection to the server, at 2.8 of 8 s).

Change: the threads share one tracker of callers' connections, and each ends when none is left. A thread holds a token until it has stopped accepting, so that no thread ends while another may still accept. Weighed: idle connections for each thread by itself, which would open up to as many connections as there are threads more.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -38,11 +38,14 @@
     pub leaving: CancellationToken,
     /// Cancelled later: no new connections are accepted, and idle ones are closed.
     pub closing: CancellationToken,
+    /// The connections of callers to all threads. A request may use a connection to a backend server
+    /// that another thread drives, so that threads end together.
+    connections: TaskTracker,
 }
 
-/// Serves callers until `stop.closing`, then waits for requests in progress.
+/// Serves callers until `stop.closing`, then waits until no thread has a connection left.
 pub async fn serve(listener: TcpListener, gateway: Arc<Gateway>, stop: Stop) {
-    let connections = TaskTracker::new();
+    let accepting = stop.connections.token();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -50,7 +53,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn(serve_connection(stream, Arc::clone(&gateway), stop.clone()));
+                let serving = serve_connection(stream, Arc::clone(&gateway), stop.clone());
+                stop.connections.spawn(serving);
             }
             Err(error) => {
                 tracing::warn!(%error, "can't accept a connection");
@@ -59,8 +63,9 @@
         }
     }
     drop(listener);
-    connections.close();
-    connections.wait().await;
+    drop(accepting);
+    stop.connections.close();
+    stop.connections.wait().await;
 }
 
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
