--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -3,11 +3,9 @@
 #[allow(dead_code, missing_docs, unreachable_pub, reason = "shared with the bench")]
 mod framing;
 
-use flamingowheel_standin::platform::messages::caller_headers;
 use flamingowheel_standin::platform::raw::{Answer, Call, Ending, Framing, RawServer};
-use framing::caller::{API_KEY, parse};
+use framing::caller::{head, parse, read_answers};
 use framing::{Bench, events_after};
-use http::Request;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -20,32 +18,6 @@
 /// The end of an answer in chunks.
 const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
 
-/// Head of a request with other lines before its end.
-fn head(path: &str, attempt: &str, lines: &str) -> String {
-    let request = caller_headers(Request::builder(), attempt, API_KEY, 4_000).body(()).unwrap();
-    let mut head = format!("POST {path} HTTP/1.1\r\n");
-    for (name, value) in request.headers() {
-        head += &format!("{name}: {}\r\n", value.to_str().unwrap());
-    }
-    head + lines + "\r\n"
-}
-
-/// The answers that arrive on a connection, as far as they are complete.
-async fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<Vec<u8>> {
-    let (mut bytes, mut bodies) = (Vec::new(), Vec::new());
-    while bodies.len() < count {
-        let read = timeout(MAX_WAIT, stream.read_buf(&mut bytes)).await.unwrap();
-        let complete = (0..=bytes.len()).find(|end| parse(&bytes[..*end], true, false).is_complete);
-        if let Some(end) = complete {
-            bodies.push(parse(&bytes[..end], true, false).body);
-            bytes.drain(..end);
-        } else if matches!(read, Ok(0) | Err(_)) {
-            break;
-        }
-    }
-    bodies
-}
-
 // Requests that follow each other on a connection without a wait, to servers whose answers end with their
 // connections: each gets its own answer, in order.
 #[tokio::test]
--- a/crates/gateway/tests/framing/caller.rs
+++ b/crates/gateway/tests/framing/caller.rs
@@ -80,7 +80,8 @@
     timeout(MAX_WAIT, read_answer(&mut stream, has_body)).await.unwrap_or_default()
 }
 
-async fn read_answer(stream: &mut TcpStream, has_body: bool) -> Received {
+/// Reads one answer, as far as it arrives.
+pub async fn read_answer(stream: &mut TcpStream, has_body: bool) -> Received {
     let mut bytes = Vec::new();
     loop {
         let ended = stream.read_buf(&mut bytes).await;
@@ -91,6 +92,37 @@
     }
 }
 
+/// Head of a request with other lines before its end.
+pub fn head(path: &str, attempt: &str, lines: &str) -> String {
+    head_of("POST", path, attempt, lines)
+}
+
+/// The same with a method.
+pub fn head_of(method: &str, path: &str, attempt: &str, lines: &str) -> String {
+    let request = caller_headers(Request::builder(), attempt, API_KEY, 4_000).body(()).unwrap();
+    let mut head = format!("{method} {path} HTTP/1.1\r\n");
+    for (name, value) in request.headers() {
+        head += &format!("{name}: {}\r\n", value.to_str().unwrap());
+    }
+    head + lines + "\r\n"
+}
+
+/// The answers that arrive on a connection, as far as they are complete.
+pub async fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<Vec<u8>> {
+    let (mut bytes, mut bodies) = (Vec::new(), Vec::new());
+    while bodies.len() < count {
+        let read = timeout(MAX_WAIT, stream.read_buf(&mut bytes)).await.unwrap();
+        let complete = (0..=bytes.len()).find(|end| parse(&bytes[..*end], true, false).is_complete);
+        if let Some(end) = complete {
+            bodies.push(parse(&bytes[..end], true, false).body);
+            bytes.drain(..end);
+        } else if matches!(read, Ok(0) | Err(_)) {
+            break;
+        }
+    }
+    bodies
+}
+
 /// What the bytes read so far are; `is_closed` if the connection was closed in order after them.
 pub fn parse(bytes: &[u8], has_body: bool, is_closed: bool) -> Received {
     let Some(head_end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
