Entry: decide when an answer's head is sent whether it asks for a close

Callers saw: an answer of a leaving entry without 'Connection: close', if its request had come before SIGTERM. They sent the next request on a connection that was about to be closed.

Cause: whether the entry leaves was looked up when the request arrived, not when its answer was ready.

Ruled out: hyper adding the line itself; it does so only once keep-alive is off, which is at 'closing', 2 s later.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -70,12 +70,13 @@
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
         let (gateway, last_used) = (Arc::clone(&gateway), Arc::clone(&last_used));
-        let is_leaving = stop.leaving.is_cancelled();
+        let leaving = stop.leaving.clone();
         has_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move {
             record_use(&last_used);
             let mut response = gateway.handle(request).await;
-            if is_leaving {
+            // The entry may have begun to leave while the request was in progress.
+            if leaving.is_cancelled() {
                 let close = http::HeaderValue::from_static("close");
                 response.headers_mut().insert(http::header::CONNECTION, close);
             }
