Entry: read what a caller still sends before its connection is closed

Callers saw: the end of an answer missing, connection reset, although the entry had written the whole answer and counted it as complete. It needs a caller that has sent its next request before the end of the answer, and that has not received all bytes yet (a full send buffer, a slow reader).

Cause: hyper shuts the socket down after the last answer and drops it. Bytes that are unread then make the kernel send a reset and discard its send buffer.

The test convicts an entry that closes with unread bytes.

Ruled out: bytes left in hyper's own buffer; its shutdown flushes first. One pipelined request without a body does no harm, as hyper reads it into its buffer while the answer is in progress.

Change: the sending direction is closed, then bytes are discarded until the caller closes, is silent for 200 ms, or 5 s have passed. A stop of an entry whose callers keep their connections takes up to 200 ms longer. A caller that sends more after that can still lose undelivered bytes.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,5 +1,7 @@
 //! Accepts callers' connections and serves requests on them.
 
+mod linger;
+
 use crate::connection::enable_dead_peer_detection;
 use crate::forward::Gateway;
 use http::Version;
@@ -96,13 +98,16 @@
     loop {
         tokio::select! {
             ended = &mut connection => {
-                let Err(error) = ended else {
-                    return;
-                };
-                tracing::debug!(%error, "connection to caller ended");
-                if error.is_user() && !has_chunks.load(Ordering::Relaxed) {
+                let is_broken = ended.as_ref().is_err_and(hyper::Error::is_user);
+                if let Err(error) = ended {
+                    tracing::debug!(%error, "connection to caller ended");
+                }
+                let stream = connection.into_parts().io.into_inner();
+                if is_broken && !has_chunks.load(Ordering::Relaxed) {
                     // Without chunks, a regular close says that the answer is complete.
-                    reset(&connection.into_parts().io.into_inner());
+                    reset(&stream);
+                } else {
+                    linger::close(stream).await;
                 }
                 return;
             }
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -4,22 +4,59 @@
 mod framing;
 
 use flamingowheel_standin::platform::raw::{Answer, Call, Framing, RawServer};
-use framing::caller::{head, read_answer};
+use framing::caller::{head, parse, read_answer};
 use framing::{Bench, events_after};
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// Time within which something that is expected happens.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
+/// Receive buffer of a caller that takes an answer only as it reads.
+const SMALL_BUFFER_BYTES: u32 = 4 * 1024;
+
+/// Size of an answer that no receive buffer holds.
+const LARGE_BYTES: usize = 3 * 1024 * 1024;
+
+/// Size of a request of which an entry reads only a part while another one is in progress.
+const LATE_BYTES: usize = 512 * 1024;
+
 fn request(path: &str, attempt: &str) -> String {
     head(path, attempt, "content-length: 0\r\n")
 }
 
+async fn connect_with_small_buffer(entry: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
+    socket.connect(entry).await.unwrap()
+}
+
+/// The caller of a leaving entry sends its next request before it has read the answer in progress. Bytes that
+/// are unread at a close make the kernel reset the connection and drop what it has not delivered.
+#[tokio::test]
+async fn close_next_request_unread_answer_whole() {
+    for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+        let bench = Bench::start(1, &Answer::whole(framing, vec![b'x'; LARGE_BYTES])).await;
+        bench.entry.stop.leaving.cancel();
+        let mut stream = connect_with_small_buffer(bench.entry.address).await;
+        let late = head("/once/x", "a2", &format!("content-length: {LATE_BYTES}\r\n"));
+        let requests = [request("/once/x", "a1"), late, "y".repeat(LATE_BYTES)].concat();
+        let (mut reader, mut writer) = stream.split();
+        let mut bytes = Vec::new();
+        // Writing fails if the entry closes before it has taken all.
+        let write = async { drop(writer.write_all(requests.as_bytes()).await) };
+        let (read, ()) = tokio::join!(timeout(MAX_WAIT, reader.read_to_end(&mut bytes)), write);
+        let received = parse(&bytes, true, read.unwrap().is_ok());
+        assert!(received.is_complete, "{framing:?}: {} bytes", received.body.len());
+        assert_eq!(received.body.len(), LARGE_BYTES, "{framing:?}");
+    }
+}
+
 /// An entry begins to leave while a request waits for its server: the answer says so, or the caller sends
 /// its next request as the connection closes.
 #[tokio::test]
