Entry: count idle time of callers' connections from the end of the last answer

Callers saw: after a stream that lasted longer than the idle limit, their next request on the connection got no answer: the entry closed the connection at the stream's end without having said so.

Cause: the idle time counted from the head of the last answer, also while its body was in progress.

Ruled out: cutting the stream itself; hyper's graceful shutdown waits for the body's end.

Change: a request is in progress until its answer's body has been passed on, and a connection with one is not idle.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves requests on them.
 
 mod linger;
+mod usage;
 
 use crate::connection::enable_dead_peer_detection;
 use crate::forward::Gateway;
@@ -9,13 +10,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use usage::{TrackedBody, Usage};
 
 /// Time limit for a request's head. Callers that keep to the operator's limit stay well below; the
 /// operator's own limit is applied to idle connections.
@@ -68,22 +70,21 @@
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     let _counted = gateway.held.add_connection();
     enable_dead_peer_detection(&stream);
-    let last_used = Arc::new(Mutex::new(Instant::now()));
+    let usage = Usage::new();
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
-        let (gateway, last_used) = (Arc::clone(&gateway), Arc::clone(&last_used));
+        let gateway = Arc::clone(&gateway);
+        let in_progress = usage.begin_request();
         let leaving = stop.leaving.clone();
         has_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move {
-            record_use(&last_used);
             let mut response = gateway.handle(request).await;
             // The entry may have begun to leave while the request was in progress.
             if leaving.is_cancelled() {
                 let close = http::HeaderValue::from_static("close");
                 response.headers_mut().insert(http::header::CONNECTION, close);
             }
-            record_use(&last_used);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, in_progress)))
         }
     });
     let mut connection = http1::Builder::new()
@@ -117,7 +118,7 @@
             }
             // A graceful shutdown waits for the request in progress, however long that takes.
             _ = checks.tick(), if !is_closing => {
-                is_closing = is_idle_too_long(&gateway, &last_used);
+                is_closing = is_idle_too_long(&gateway, &usage);
                 if is_closing {
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
@@ -133,17 +134,12 @@
     }
 }
 
-fn record_use(last_used: &Mutex<Instant>) {
-    *last_used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
-}
-
-fn is_idle_too_long(gateway: &Gateway, last_used: &Mutex<Instant>) -> bool {
+fn is_idle_too_long(gateway: &Gateway, usage: &Usage) -> bool {
     let view = gateway.view();
     let Some(configuration) = &view.configuration else {
         return false;
     };
     let limit =
         Duration::from_millis(configuration.limits.idle_timeout_ms).mul_f64(IDLE_TIMEOUT_FACTOR);
-    let since = *last_used.lock().unwrap_or_else(PoisonError::into_inner);
-    since.elapsed() > limit
+    usage.idle_time() > limit
 }
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -3,8 +3,10 @@
 #[allow(dead_code, missing_docs, unreachable_pub, reason = "shared with other tests")]
 mod framing;
 
+use flamingowheel_standin::platform::messages::configuration;
 use flamingowheel_standin::platform::raw::{Answer, Call, Framing, RawServer};
-use framing::caller::{head, parse, read_answer};
+use framing::caller::{API_KEY, head, parse, read_answer, read_answers};
+use framing::entry::Entry;
 use framing::{Bench, events_after};
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
@@ -77,3 +79,26 @@
         assert!(received.head.contains("\r\nconnection: close"), "{path}: {received:?}");
     }
 }
+
+/// A stream lasts longer than connections may be idle. Its caller may use the connection right after it.
+#[tokio::test]
+async fn idle_after_long_stream_served() {
+    const IDLE_TIMEOUT_MS: u64 = 1_000;
+    let mut stream_answer = Answer::whole(Framing::Connection, events_after(0).into_bytes());
+    stream_answer.end_delay = Duration::from_millis(3 * IDLE_TIMEOUT_MS);
+    let server = RawServer::start(move |_: &Call| stream_answer.clone()).await.unwrap();
+    let mut configuration: serde_json::Value =
+        serde_json::from_str(&configuration(1, &[API_KEY], 8 * IDLE_TIMEOUT_MS)).unwrap();
+    configuration["limits"] = serde_json::json!({
+        "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 1_000,
+        "idleTimeoutMs": IDLE_TIMEOUT_MS,
+    });
+    let configuration = configuration.to_string();
+    let entry = Entry::start(&[server.address], Some(configuration.as_bytes())).await;
+    let mut stream = TcpStream::connect(entry.address).await.unwrap();
+    for attempt in ["a1", "a2"] {
+        stream.write_all(request("/live/x", attempt).as_bytes()).await.unwrap();
+        let answers = read_answers(&mut stream, 1).await;
+        assert_eq!(answers, [events_after(0).as_bytes()], "{attempt}");
+    }
+}
