Entry: serve the first request of a connection that is new when idle ones are closed

Callers saw: a connection that was opened right before 'closing' was reset, together with the request that they had sent on it. No answer could have told them that the entry leaves.

Cause: hyper's graceful shutdown closes a connection at once if no byte of it has been read, also if a request waits in the socket.

Change: a connection without a request yet is shut down 200 ms after 'closing'.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -31,6 +31,10 @@
 /// connection closes.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
 
+/// Time for which a new connection's first request is awaited when idle connections are closed. Its
+/// caller could not learn from an answer that the entry is leaving.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Pause after a failed accept; without it, the loop would spin when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -95,6 +99,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut checks = interval(IDLE_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let must_close = wait_until_closing(&stop, &usage);
+    tokio::pin!(must_close);
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -112,7 +118,7 @@
                 }
                 return;
             }
-            () = stop.closing.cancelled(), if !is_closing => {
+            () = &mut must_close, if !is_closing => {
                 is_closing = true;
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
@@ -127,6 +133,14 @@
     }
 }
 
+/// Waits until a connection has to be closed if no request is in progress on it.
+async fn wait_until_closing(stop: &Stop, usage: &Usage) {
+    stop.closing.cancelled().await;
+    if !usage.has_begun() {
+        sleep(FIRST_REQUEST_TIMEOUT).await;
+    }
+}
+
 /// Makes the connection send a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
--- a/crates/gateway/src/front/usage.rs
+++ b/crates/gateway/src/front/usage.rs
@@ -15,6 +15,7 @@
 
 #[derive(Debug)]
 struct State {
+    has_begun: bool,
     requests_in_progress: u32,
     last_used: Instant,
 }
@@ -26,15 +27,24 @@
 impl Usage {
     /// The use of a connection that was accepted now.
     pub(super) fn new() -> Self {
-        Self(Arc::new(Mutex::new(State { requests_in_progress: 0, last_used: Instant::now() })))
+        let (has_begun, last_used) = (false, Instant::now());
+        Self(Arc::new(Mutex::new(State { has_begun, requests_in_progress: 0, last_used })))
     }
 
     /// Counts a request as in progress.
     pub(super) fn begin_request(&self) -> RequestInProgress {
-        self.lock().requests_in_progress += 1;
+        let mut state = self.lock();
+        state.has_begun = true;
+        state.requests_in_progress += 1;
+        drop(state);
         RequestInProgress(self.clone())
     }
 
+    /// Whether there has been a request.
+    pub(super) fn has_begun(&self) -> bool {
+        self.lock().has_begun
+    }
+
     /// How long no request has been in progress.
     pub(super) fn idle_time(&self) -> Duration {
         let state = self.lock();
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -5,7 +5,7 @@
 
 use flamingowheel_standin::platform::messages::configuration;
 use flamingowheel_standin::platform::raw::{Answer, Call, Framing, RawServer};
-use framing::caller::{API_KEY, head, parse, read_answer, read_answers};
+use framing::caller::{API_KEY, Received, head, parse, read_answer, read_answers};
 use framing::entry::Entry;
 use framing::{Bench, events_after};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Time within which something that is expected happens.
@@ -32,12 +32,41 @@
     head(path, attempt, "content-length: 0\r\n")
 }
 
+async fn wait_until(mut is_met: impl FnMut() -> bool) {
+    let met = async {
+        while !is_met() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(MAX_WAIT, met).await.unwrap();
+}
+
+/// Everything that arrives until the entry closes the connection.
+async fn read_all(stream: &mut TcpStream) -> Received {
+    let mut bytes = Vec::new();
+    let ended = timeout(MAX_WAIT, stream.read_to_end(&mut bytes)).await.unwrap();
+    parse(&bytes, true, ended.is_ok())
+}
+
 async fn connect_with_small_buffer(entry: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
     socket.connect(entry).await.unwrap()
 }
 
+/// A connection is accepted, and its first request comes as the entry closes idle connections: a new
+/// connection is not idle, and its caller can't know that the entry is leaving.
+#[tokio::test]
+async fn close_new_connection_served() {
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, b"whole".to_vec())).await;
+    let mut stream = TcpStream::connect(bench.entry.address).await.unwrap();
+    wait_until(|| bench.entry.held.connections() == 1).await;
+    bench.entry.stop.closing.cancel();
+    let request = request("/once/x", "a1");
+    assert_eq!(stream.try_write(request.as_bytes()).unwrap(), request.len());
+    assert_eq!(read_all(&mut stream).await.body, b"whole");
+}
+
 /// The caller of a leaving entry sends its next request before it has read the answer in progress. Bytes that
 /// are unread at a close make the kernel reset the connection and drop what it has not delivered.
 #[tokio::test]
