Entry: serve a request that has arrived when its idle connection is closed

Callers saw: a reset in place of an answer on a kept connection, although the entry had the request in its socket before 'closing'. The request had not been read, so it was safe to send it again.

Cause: a task that is woken by 'closing' runs before the runtime has asked the kernel which sockets can be read, and hyper then closes a connection on which it has seen nothing.

Change: the task yields once after 'closing', after which the runtime has polled the sockets, and the connection is polled before it is shut down.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -104,6 +105,7 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
+            biased;
             ended = &mut connection => {
                 let is_broken = ended.as_ref().is_err_and(hyper::Error::is_user);
                 if let Err(error) = ended {
@@ -136,7 +138,10 @@
 /// Waits until a connection has to be closed if no request is in progress on it.
 async fn wait_until_closing(stop: &Stop, usage: &Usage) {
     stop.closing.cancelled().await;
-    if !usage.has_begun() {
+    if usage.has_begun() {
+        // Lets the runtime report a request that has arrived.
+        yield_now().await;
+    } else {
         sleep(FIRST_REQUEST_TIMEOUT).await;
     }
 }
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -67,6 +67,20 @@
     assert_eq!(read_all(&mut stream).await.body, b"whole");
 }
 
+/// The next request on a kept connection has arrived, unread, as the entry closes idle connections.
+#[tokio::test]
+async fn close_kept_connection_waiting_request_served() {
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, b"whole".to_vec())).await;
+    let mut stream = TcpStream::connect(bench.entry.address).await.unwrap();
+    stream.write_all(request("/once/x", "a1").as_bytes()).await.unwrap();
+    assert_eq!(read_answers(&mut stream, 1).await, [b"whole"]);
+    // Without an await, the entry does not run in between.
+    let request = request("/once/x", "a2");
+    assert_eq!(stream.try_write(request.as_bytes()).unwrap(), request.len());
+    bench.entry.stop.closing.cancel();
+    assert_eq!(read_all(&mut stream).await.body, b"whole");
+}
+
 /// The caller of a leaving entry sends its next request before it has read the answer in progress. Bytes that
 /// are unread at a close make the kernel reset the connection and drop what it has not delivered.
 #[tokio::test]
