Tests: wait until a request has arrived before the entry closes its connection

The test took a written request for one that has arrived, but the kernel may deliver later, also on loopback, and then the request crosses the close. The test now waits until the entry's socket holds the bytes, as /proc/net/tcp shows.

--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -41,6 +41,26 @@
     timeout(MAX_WAIT, met).await.unwrap();
 }
 
+/// Blocks this thread, and so the entry, until the kernel holds `count` bytes, or connections of a listener, on
+/// the socket from `local` to the port `remote`.
+fn block_until_waiting(local: SocketAddr, remote: u16, count: usize) {
+    let end = std::time::Instant::now() + MAX_WAIT;
+    let is_waiting = |line: &str| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        let has_port = |field: usize, port: u16| {
+            fields[field].split(':').nth(1) == Some(format!("{port:04X}").as_str())
+        };
+        let waiting = fields[4].split(':').nth(1).unwrap_or_default();
+        has_port(1, local.port())
+            && has_port(2, remote)
+            && usize::from_str_radix(waiting, 16).is_ok_and(|waiting| waiting >= count)
+    };
+    while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().skip(1).any(is_waiting) {
+        assert!(std::time::Instant::now() < end, "nothing has arrived");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Everything that arrives until the entry closes the connection.
 async fn read_all(stream: &mut TcpStream) -> Received {
     let mut bytes = Vec::new();
@@ -74,9 +94,10 @@
     let mut stream = TcpStream::connect(bench.entry.address).await.unwrap();
     stream.write_all(request("/once/x", "a1").as_bytes()).await.unwrap();
     assert_eq!(read_answers(&mut stream, 1).await, [b"whole"]);
-    // Without an await, the entry does not run in between.
     let request = request("/once/x", "a2");
     assert_eq!(stream.try_write(request.as_bytes()).unwrap(), request.len());
+    let remote = stream.local_addr().unwrap().port();
+    block_until_waiting(bench.entry.address, remote, request.len());
     bench.entry.stop.closing.cancel();
     assert_eq!(read_all(&mut stream).await.body, b"whole");
 }
