Entry: accept the connections that wait in the listener's queue before it is closed

Callers saw: a reset of a connection that the kernel had established for them right before 'closing', and with it of the request that they had sent.

Cause: closing a listener resets all connections in its accept queue.

Change: after 'closing', connections are accepted from the socket itself until none waits, as the runtime may not have seen the last ones. What is left is the moment between the last accept and the close, and handshakes that have not ended: such a caller is refused or reset before a byte of its request was read.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -67,11 +68,42 @@
             }
         }
     }
-    drop(listener);
+    for stream in accept_waiting(listener) {
+        connections.spawn(serve_connection(stream, Arc::clone(&gateway), stop.clone()));
+    }
     connections.close();
     connections.wait().await;
 }
 
+/// Accepts the connections that wait in the listener's queue, which are reset when it is closed, and
+/// closes it.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut accepted = Vec::new();
+    // The runtime may not have seen them yet, so that the socket itself is asked.
+    let closed = listener.into_std().and_then(|listener| {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    accepted.push(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                // The caller has left, or a signal has arrived.
+                Err(error) if is_passing(error.kind()) => {}
+                Err(error) => return Err(error),
+            }
+        }
+    });
+    if let Err(error) = closed {
+        tracing::warn!(%error, "connections that waited at the close are lost");
+    }
+    accepted
+}
+
+fn is_passing(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
+}
+
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     let _counted = gateway.held.add_connection();
     enable_dead_peer_detection(&stream);
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -8,6 +8,7 @@
 use framing::caller::{API_KEY, Received, head, parse, read_answer, read_answers};
 use framing::entry::Entry;
 use framing::{Bench, events_after};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -74,6 +75,28 @@
     socket.connect(entry).await.unwrap()
 }
 
+/// A caller connects right before the listener closes and sends its request at once: it must get its answer,
+/// and not a reset, although the entry has not accepted it yet.
+#[tokio::test]
+async fn close_accept_queue_served() {
+    const CALLERS: usize = 16;
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, b"whole".to_vec())).await;
+    let connect = |number| {
+        let mut stream = std::net::TcpStream::connect(bench.entry.address).unwrap();
+        stream.write_all(request("/once/x", &format!("a{number}")).as_bytes()).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        stream
+    };
+    let streams: Vec<_> = (0..CALLERS).map(connect).collect();
+    block_until_waiting(bench.entry.address, 0, CALLERS);
+    bench.entry.stop.closing.cancel();
+    let mut bodies = Vec::new();
+    for stream in streams {
+        bodies.push(read_all(&mut TcpStream::from_std(stream).unwrap()).await.body);
+    }
+    assert_eq!(bodies, vec![b"whole"; CALLERS]);
+}
+
 /// A connection is accepted, and its first request comes as the entry closes idle connections: a new
 /// connection is not idle, and its caller can't know that the entry is leaving.
 #[tokio::test]
