Entry: before it stops, wait longer for callers to close

Callers saw: most of an answer missing, connection reset, if they read late and send their next request more than 200 ms after the entry has written the end.

Cause: the entry dropped the socket after 200 ms without a byte; bytes that arrive at a dropped socket make the kernel reset the connection with all that is undelivered.

Change: the entry waits up to 5 s for the caller's close; only after 'closing' does 200 ms of silence end the wait, so that a stop takes as long as before.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -148,7 +148,7 @@
                     // Without chunks, a regular close says that the answer is complete.
                     reset(&stream);
                 } else {
-                    linger::close(stream).await;
+                    linger::close(stream, &stop.closing).await;
                 }
                 return;
             }
--- a/crates/gateway/src/front/linger.rs
+++ b/crates/gateway/src/front/linger.rs
@@ -6,36 +6,52 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
-/// Time without a byte after which the caller is taken to send nothing more. An entry that stops
-/// waits for it.
-const QUIET_TIME: Duration = Duration::from_millis(200);
-
-/// Longest time for which a caller's bytes are discarded.
+/// Longest time for which a caller's bytes are discarded. Most callers close as soon as they see the
+/// end.
 const MAX_LINGER: Duration = Duration::from_secs(5);
 
+/// Time without a byte after which the caller is taken to send nothing more, once the entry waits for
+/// its last connections.
+const QUIET_TIME: Duration = Duration::from_millis(200);
+
 /// Size of the buffer for discarded bytes.
 const BUFFER_BYTES: usize = 4 * 1024;
 
-/// Closes the sending direction, and discards what the caller still sends until it closes or falls
-/// silent.
-pub(super) async fn close(mut stream: TcpStream) {
+/// Closes the sending direction, and discards what the caller still sends until it closes, or is
+/// silent after `closing`.
+pub(super) async fn close(mut stream: TcpStream, closing: &CancellationToken) {
     if let Err(error) = stream.shutdown().await {
         tracing::debug!(%error, "connection to caller had closed already");
         return;
     }
+    tokio::select! {
+        ended = discard(&mut stream, closing) => {
+            if let Err(error) = ended {
+                tracing::debug!(%error, "connection to caller ended");
+            }
+        }
+        () = sleep(MAX_LINGER) => tracing::debug!("caller keeps a closed connection"),
+    }
+}
+
+async fn discard(stream: &mut TcpStream, closing: &CancellationToken) -> std::io::Result<()> {
     let mut buffer = [0; BUFFER_BYTES];
-    let end = Instant::now() + MAX_LINGER;
     loop {
-        let quiet_at = end.min(Instant::now() + QUIET_TIME);
-        match timeout_at(quiet_at, stream.read(&mut buffer)).await {
-            Ok(Ok(1..)) if Instant::now() < end => {}
-            Ok(Err(error)) => {
-                tracing::debug!(%error, "connection to caller ended");
-                return;
+        let quiet = async {
+            closing.cancelled().await;
+            sleep(QUIET_TIME).await;
+        };
+        tokio::select! {
+            biased;
+            read = stream.read(&mut buffer) => {
+                if read? == 0 {
+                    return Ok(());
+                }
             }
-            Ok(Ok(_)) | Err(_) => return,
+            () = quiet => return Ok(()),
         }
     }
 }
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -146,6 +146,22 @@
     }
 }
 
+/// A caller that reads late sends its next request after the entry has written the whole answer and closed its
+/// sending direction: the bytes that are still on their way must not be lost.
+#[tokio::test]
+async fn leave_next_request_late_answer_whole() {
+    const BYTES: usize = 200 * 1024;
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, vec![b'x'; BYTES])).await;
+    bench.entry.stop.leaving.cancel();
+    let mut stream = connect_with_small_buffer(bench.entry.address).await;
+    stream.write_all(request("/once/x", "a1").as_bytes()).await.unwrap();
+    wait_until(|| bench.calls() == 1).await;
+    sleep(Duration::from_millis(500)).await;
+    stream.write_all(request("/once/x", "a2").as_bytes()).await.unwrap();
+    let received = read_all(&mut stream).await;
+    assert!(received.is_complete, "{} bytes", received.body.len());
+}
+
 /// An entry begins to leave while a request waits for its server: the answer says so, or the caller sends
 /// its next request as the connection closes.
 #[tokio::test]
