--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,5 +1,8 @@
 //! Accepts callers' connections and serves requests on them.
 
+mod linger;
+mod usage;
+
 use crate::connection::enable_dead_peer_detection;
 use crate::forward::Gateway;
 use http::Version;
@@ -7,13 +10,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::io::ErrorKind;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::task::yield_now;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use usage::{TrackedBody, Usage};
 
 /// Time limit for a request's head. Callers that keep to the operator's limit stay well below; the
 /// operator's own limit is applied to idle connections.
@@ -27,6 +33,10 @@
 /// connection closes.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
 
+/// Time for which a new connection's first request is awaited when idle connections are closed. Its
+/// caller could not learn from an answer that the entry is leaving.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Pause after a failed accept; without it, the loop would spin when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -62,30 +72,61 @@
             }
         }
     }
-    drop(listener);
+    for stream in accept_waiting(listener) {
+        stop.connections.spawn(serve_connection(stream, Arc::clone(&gateway), stop.clone()));
+    }
     drop(accepting);
     stop.connections.close();
     stop.connections.wait().await;
 }
 
+/// Accepts the connections that wait in the listener's queue, which are reset when it is closed, and
+/// closes it.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut accepted = Vec::new();
+    // The runtime may not have seen them yet, so that the socket itself is asked.
+    let closed = listener.into_std().and_then(|listener| {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    accepted.push(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                // The caller has left, or a signal has arrived.
+                Err(error) if is_passing(error.kind()) => {}
+                Err(error) => return Err(error),
+            }
+        }
+    });
+    if let Err(error) = closed {
+        tracing::warn!(%error, "connections that waited at the close are lost");
+    }
+    accepted
+}
+
+fn is_passing(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
+}
+
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     let _counted = gateway.held.add_connection();
     enable_dead_peer_detection(&stream);
-    let last_used = Arc::new(Mutex::new(Instant::now()));
+    let usage = Usage::new();
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
-        let (gateway, last_used) = (Arc::clone(&gateway), Arc::clone(&last_used));
-        let is_leaving = stop.leaving.is_cancelled();
+        let gateway = Arc::clone(&gateway);
+        let in_progress = usage.begin_request();
+        let leaving = stop.leaving.clone();
         has_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move {
-            record_use(&last_used);
             let mut response = gateway.handle(request).await;
-            if is_leaving {
+            // The entry may have begun to leave while the request was in progress.
+            if leaving.is_cancelled() {
                 let close = http::HeaderValue::from_static("close");
                 response.headers_mut().insert(http::header::CONNECTION, close);
             }
-            record_use(&last_used);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, in_progress)))
         }
     });
     let mut connection = http1::Builder::new()
@@ -96,27 +137,33 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut checks = interval(IDLE_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let must_close = wait_until_closing(&stop, &usage);
+    tokio::pin!(must_close);
     let mut is_closing = false;
     loop {
         tokio::select! {
+            biased;
             ended = &mut connection => {
-                let Err(error) = ended else {
-                    return;
-                };
-                tracing::debug!(%error, "connection to caller ended");
-                if error.is_user() && !has_chunks.load(Ordering::Relaxed) {
+                let is_broken = ended.as_ref().is_err_and(hyper::Error::is_user);
+                if let Err(error) = ended {
+                    tracing::debug!(%error, "connection to caller ended");
+                }
+                let stream = connection.into_parts().io.into_inner();
+                if is_broken && !has_chunks.load(Ordering::Relaxed) {
                     // Without chunks, a regular close says that the answer is complete.
-                    reset(&connection.into_parts().io.into_inner());
+                    reset(&stream);
+                } else {
+                    linger::close(stream, &stop.closing).await;
                 }
                 return;
             }
-            () = stop.closing.cancelled(), if !is_closing => {
+            () = &mut must_close, if !is_closing => {
                 is_closing = true;
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
             // A graceful shutdown waits for the request in progress, however long that takes.
             _ = checks.tick(), if !is_closing => {
-                is_closing = is_idle_too_long(&gateway, &last_used);
+                is_closing = is_idle_too_long(&gateway, &usage);
                 if is_closing {
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
@@ -125,6 +172,17 @@
     }
 }
 
+/// Waits until a connection has to be closed if no request is in progress on it.
+async fn wait_until_closing(stop: &Stop, usage: &Usage) {
+    stop.closing.cancelled().await;
+    if usage.has_begun() {
+        // Lets the runtime report a request that has arrived.
+        yield_now().await;
+    } else {
+        sleep(FIRST_REQUEST_TIMEOUT).await;
+    }
+}
+
 /// Makes the connection send a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
@@ -132,17 +190,12 @@
     }
 }
 
-fn record_use(last_used: &Mutex<Instant>) {
-    *last_used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
-}
-
-fn is_idle_too_long(gateway: &Gateway, last_used: &Mutex<Instant>) -> bool {
+fn is_idle_too_long(gateway: &Gateway, usage: &Usage) -> bool {
     let view = gateway.view();
     let Some(configuration) = &view.configuration else {
         return false;
     };
     let limit =
         Duration::from_millis(configuration.limits.idle_timeout_ms).mul_f64(IDLE_TIMEOUT_FACTOR);
-    let since = *last_used.lock().unwrap_or_else(PoisonError::into_inner);
-    since.elapsed() > limit
+    usage.idle_time() > limit
 }
