Own path: read the settings again at SIGHUP instead of ending

Change: both paths share one loop that reads the settings again and logs whether they changed. Settings can be compared for that.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -17,7 +17,7 @@
 pub const MIN_SECRET_BYTES: usize = 16;
 
 /// All settings of a daemon; read once at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this process in logs, status and addresses; must be unique in the fleet.
     pub name: String,
@@ -48,7 +48,7 @@
 }
 
 /// The role of a process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Role {
     /// Accepts callers' requests and operators' changes.
     Entry(EntrySettings),
@@ -57,7 +57,7 @@
 }
 
 /// Addresses that a process listens on.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Address for callers; set on entries only.
@@ -69,7 +69,7 @@
 }
 
 /// Connection to the key-value service.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeyValueSettings {
     /// Addresses of the service, tried in order.
@@ -80,7 +80,7 @@
 }
 
 /// Polling of the VM list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmListSettings {
     /// Address of the service that provides the list.
@@ -91,7 +91,7 @@
 }
 
 /// Settings of the entry role.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EntrySettings {
     /// Time to live of an address answer at callers.
@@ -144,7 +144,7 @@
 }
 
 /// Settings of the agent role.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AgentSettings {
     /// Address of the backend server that the agent forwards to.
     pub backend_server: SocketAddr,
--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -23,12 +23,14 @@
 /// Runs the entry or agent that a settings file describes until a termination signal arrives, then
 /// drains it.
 pub fn role(file: &Path) -> Result<Exit> {
-    let settings = Settings::load(file)?;
-    let recorder = recorder(&settings)?;
-    logs::init(recorder.process().clone(), settings.log_level.as_str())?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let mut signals = Signals::new()?;
+        let settings = Settings::load(file)?;
+        let (mut signals, hangup) = (Signals::new()?, signal(SignalKind::hangup())?);
+        let recorder = recorder(&settings)?;
+        logs::init(recorder.process().clone(), settings.log_level.as_str())?;
+        let (current, file) = (settings.clone(), file.to_owned());
+        tokio::spawn(reload_on_hangup(hangup, current, move || Settings::load(&file)));
         let deadline = drain_deadline(&settings);
         match settings.role {
             Role::Entry(_) => {
@@ -51,17 +53,13 @@
 /// Runs with the platform's settings: as entry if they have an address for callers, otherwise as
 /// agent beside a backend server.
 pub fn on_platform() -> Result<Exit> {
-    let settings = flamingowheel_platform::settings::load()?;
-    // The platform announces changed settings by SIGHUP, which ends a process without a handler.
-    let reload = {
-        let settings = settings.clone();
-        move || reload(&settings)
-    };
-    logs::init_stdout(&settings.vm, &settings.data_centre)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let exit = runtime.block_on(async {
-        let mut signals = Signals::new()?;
-        tokio::spawn(on_each_hangup(signal(SignalKind::hangup())?, reload));
+        let settings = flamingowheel_platform::settings::load()?;
+        let (mut signals, hangup) = (Signals::new()?, signal(SignalKind::hangup())?);
+        logs::init_stdout(&settings.vm, &settings.data_centre)?;
+        let reload = flamingowheel_platform::settings::load;
+        tokio::spawn(reload_on_hangup(hangup, settings.clone(), reload));
         tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
         if settings.callers.is_some() {
             flamingowheel_gateway::process::run(&settings, signals.next()).await?;
@@ -77,24 +75,21 @@
     exit
 }
 
-async fn on_each_hangup<F>(mut hangup: Signal, reload: F)
+/// Reads the settings again at each hangup signal and logs whether they changed. Changes apply at
+/// the next start only: addresses and limits are fixed for a process's lifetime.
+async fn reload_on_hangup<Loaded, Load, Error>(mut hangup: Signal, current: Loaded, load: Load)
 where
-    F: Fn(),
+    Loaded: PartialEq,
+    Load: Fn() -> Result<Loaded, Error>,
+    Error: std::fmt::Display,
 {
     while hangup.recv().await.is_some() {
-        reload();
-    }
-}
-
-/// Reads the settings again and logs whether they changed. Changes apply at the next start only:
-/// addresses and limits are fixed for a process's lifetime, and the platform restarts a process
-/// whose addresses change.
-fn reload(current: &flamingowheel_fleet::ProcessSettings) {
-    match flamingowheel_platform::settings::load() {
-        Ok(settings) if settings == *current => tracing::info!("settings read again: unchanged"),
-        Ok(_) => tracing::warn!("settings read again: changes apply at the next start"),
-        Err(error) => {
-            tracing::error!(%error, "settings can't be read; the current ones stay in force")
+        match load() {
+            Ok(settings) if settings == current => tracing::info!("settings read again: unchanged"),
+            Ok(_) => tracing::warn!("settings read again: changes apply at the next start"),
+            Err(error) => {
+                tracing::error!(%error, "settings can't be read; the current ones stay in force")
+            }
         }
     }
 }
--- a/crates/flamingowheeld/tests/processes/main.rs
+++ b/crates/flamingowheeld/tests/processes/main.rs
@@ -145,6 +145,24 @@
     assert!(fleet.entries[0].wait_for_exit().await.success());
 }
 
+// Operators ask an entry and an agent to read their settings again while a stream runs through both.
+// Without a handler the signal would end the processes and cut the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_hangup_completes() {
+    let fleet = Fleet::start(6).await;
+    let body = prompt(100);
+    let response = open(&fleet, 0, &body).await;
+    let (mut stream, mut answer) = (response.into_body(), BytesMut::new());
+    read(&mut stream, &mut answer, 500).await.unwrap();
+    fleet
+        .entries
+        .iter()
+        .chain(&fleet.engine_agents)
+        .for_each(|process| process.signal(Signal::HUP));
+    read(&mut stream, &mut answer, usize::MAX).await.unwrap();
+    assert_eq!(events(&answer).0, complete_answer(&body));
+}
+
 // An agent is suspended while its service executes a work order. The caller must get the outcome
 // unknown, not "not run". When the agent continues, the same ticket must get the answer of that one
 // run.
