Register signal handlers before the settings are read

A SIGHUP or SIGTERM between a process's start and the end of reading its settings and setting up its log ended it by the signal's default, on both paths: no drain, no log line, exit by signal. Evidence before the change: start_early_signal_does_not_kill holds a process in the read of its settings, a pipe, and sends the signal there; the exit had no code. Change: the runtime and the handlers come first. What is left is the time from the program's start to its first lines, which only the parent can cover.

--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -25,8 +25,8 @@
 pub fn role(file: &Path) -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let settings = Settings::load(file)?;
         let (mut signals, hangup) = (Signals::new()?, signal(SignalKind::hangup())?);
+        let settings = Settings::load(file)?;
         let recorder = recorder(&settings)?;
         logs::init(recorder.process().clone(), settings.log_level.as_str())?;
         let (current, file) = (settings.clone(), file.to_owned());
@@ -55,8 +55,8 @@
 pub fn on_platform() -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let exit = runtime.block_on(async {
-        let settings = flamingowheel_platform::settings::load()?;
         let (mut signals, hangup) = (Signals::new()?, signal(SignalKind::hangup())?);
+        let settings = flamingowheel_platform::settings::load()?;
         logs::init_stdout(&settings.vm, &settings.data_centre)?;
         let reload = flamingowheel_platform::settings::load;
         tokio::spawn(reload_on_hangup(hangup, settings.clone(), reload));
@@ -142,7 +142,8 @@
     (settings.drain_deadline_ms > 0).then(|| Duration::from_millis(settings.drain_deadline_ms))
 }
 
-/// Receives SIGTERM and SIGINT.
+/// Receives SIGTERM and SIGINT. Created before the settings are read: until then these signals end
+/// the process.
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
--- a/crates/flamingowheeld/tests/signals.rs
+++ b/crates/flamingowheeld/tests/signals.rs
@@ -1,10 +1,14 @@
-//! Signals to a daemon process.
+//! Signals that reach a daemon process early, or that ask it to read its settings again.
 
 use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader};
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 
+/// The exit code for settings that are refused.
+const EXIT_SETTINGS: i32 = 3;
+
 /// Settings of an agent whose key-value service and VM list are down.
 const AGENT: &str = "name: orders-1\nvm: vm-1\ndata_centre: a\nregion: r\nrole: agent\n\
     listen: {inner: \"127.0.0.1:0\", operators: \"127.0.0.1:0\"}\n\
@@ -52,6 +56,35 @@
     }
 }
 
+/// Returns the exit code of a daemon that gets a signal while it reads its settings, which are
+/// refused afterwards; `None` if the signal ended it.
+fn exit_code_after_early(signal: Signal, name: &str, arguments: &[&str]) -> Option<i32> {
+    let folder = Folder::new(name);
+    let pipe = folder.0.join("settings");
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flamingowheeld"));
+    command.args(arguments).env("FLAMINGOWHEEL_SETTINGS", &pipe).current_dir(&folder.0);
+    let mut daemon = Daemon::start(&mut command);
+    // Waits until the process has opened the pipe to read its settings.
+    let mut settings: File = OpenOptions::new().write(true).open(&pipe).unwrap();
+    daemon.signal(signal);
+    // Fails if the process has ended, as nobody reads the pipe then.
+    let _ = settings.write_all(b"no settings\n");
+    drop(settings);
+    daemon.0.wait().unwrap().code()
+}
+
+/// The platform announces changed settings while a process still starts. Without a handler the
+/// signal would end the process, and its VM would be without one until the next restart.
+#[test]
+fn start_early_signal_does_not_kill() {
+    for signal in [Signal::HUP, Signal::TERM] {
+        let platform = exit_code_after_early(signal, "platform", &["--platform"]);
+        let own = exit_code_after_early(signal, "own", &["--settings", "settings"]);
+        assert_eq!([platform, own], [Some(EXIT_SETTINGS); 2], "{signal:?}");
+    }
+}
+
 fn wait_for(lines: &mut BufReader<ChildStderr>, message: &str) {
     let mut line = String::new();
     while !line.contains(message) {
