Own path: close connections without a reset

A caller that had sent its next request while its answer was still on the way lost the end of the answer: connection reset. It happens where a listener closes a connection behind an answer, as at a stop. Cause: a socket that is dropped with unread bytes is reset by the kernel, and what is still in its send buffer is thrown away. Evidence before the change: serve_stop_next_request_unread_keeps_answer, a caller with a small receive buffer and 100 kB of a next request, got ECONNRESET in place of the end of its answer.

--- a/crates/flamingowheeld/src/listen.rs
+++ b/crates/flamingowheeld/src/listen.rs
@@ -1,5 +1,6 @@
 //! Binds listeners and serves HTTP on them, within limits and with a graceful stop.
 
+use crate::linger::Lingering;
 use axum::Router;
 use flamingowheel_config::settings::Listen as ListenSettings;
 use hyper::server::conn::http1;
@@ -127,7 +128,8 @@
         };
         let _ = stream.set_nodelay(true);
         let service = TowerToHyperService::new(router.clone());
-        let connection = builder(&limits).serve_connection(TokioIo::new(stream), service);
+        let connection =
+            builder(&limits).serve_connection(TokioIo::new(Lingering::new(stream)), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // The error is ignored: usually the client closed the connection.
--- /dev/null
+++ b/crates/flamingowheeld/tests/listen.rs
@@ -0,0 +1,68 @@
+//! A stop of a listener with requests in progress, over loopback connections.
+
+use axum::Router;
+use axum::routing::post;
+use flamingowheel_daemon::listen::{ListenLimits, serve};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+
+/// Larger than the receive buffer of a slow caller.
+const ANSWER_BYTES: usize = 200_000;
+
+/// Larger than the listener's read buffer.
+const NEXT_REQUEST_BYTES: usize = 100_000;
+
+/// A listener whose answers wait for `answer`; `begun` is notified of each request.
+struct Served {
+    address: SocketAddr,
+    begun: Arc<Notify>,
+    answer: CancellationToken,
+    stop: CancellationToken,
+}
+
+impl Served {
+    async fn start(max_connections: usize) -> Self {
+        let (begun, answer) = (Arc::new(Notify::new()), CancellationToken::new());
+        let (in_handler, answered) = (Arc::clone(&begun), answer.clone());
+        let handler = post(async move || {
+            in_handler.notify_one();
+            answered.cancelled().await;
+            vec![b'a'; ANSWER_BYTES]
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (address, stop) = (listener.local_addr().unwrap(), CancellationToken::new());
+        let limits = ListenLimits { max_connections, ..ListenLimits::default() };
+        tokio::spawn(serve(listener, Router::new().route("/", handler), limits, stop.clone()));
+        Self { address, begun, answer, stop }
+    }
+}
+
+/// Reads an answer to the end of its connection, and checks that it is whole.
+async fn read_whole(connection: &mut TcpStream) {
+    let mut answer = Vec::new();
+    connection.read_to_end(&mut answer).await.expect("an answer without a reset");
+    let head_bytes = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n").expect("a head") + 4;
+    assert_eq!(answer.len() - head_bytes, ANSWER_BYTES);
+}
+
+/// A caller has sent its next request when the connection is closed behind an answer. Closing a
+/// socket with unread bytes resets the connection, and a slow caller would lose the answer's end.
+#[tokio::test]
+async fn serve_stop_next_request_unread_keeps_answer() {
+    let served = Served::start(1).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut caller = socket.connect(served.address).await.unwrap();
+    caller.write_all(REQUEST).await.unwrap();
+    caller.write_all(&vec![b'x'; NEXT_REQUEST_BYTES]).await.unwrap();
+    served.begun.notified().await;
+    served.stop.cancel();
+    served.answer.cancel();
+    read_whole(&mut caller).await;
+}
