Own path: serve what waits in the accept queue at a stop

Callers whose connection waited in the kernel's accept queue when an entry stopped accepting, with a request on it, got a reset. The same for connections accepted so shortly before that nothing had been read from them. Cause: serve dropped its listener with the queue, and the graceful shutdown of the HTTP library closes a connection from which nothing was read. Evidence before the change: serve_stop_answers_accept_queue got ECONNRESET. Ruled out: the callers' task ends before the last bytes are written; it waits for every connection. Change: a stop takes all connections out of the queue before it closes the listener, reads from each connection for 0.1 s more, and asks for a new connection in every answer from then on. Left: connections that complete between the last look at the queue and the listener's close.

--- a/crates/flamingowheeld/src/listen.rs
+++ b/crates/flamingowheeld/src/listen.rs
@@ -2,11 +2,16 @@
 
 use crate::linger::Lingering;
 use axum::Router;
+use axum::extract::State;
+use axum::middleware::map_response_with_state;
+use axum::response::Response;
 use flamingowheel_config::settings::Listen as ListenSettings;
+use http::HeaderValue;
+use http::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,10 +19,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Delay after a failed accept, whose most likely cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// How long a connection is read from once the listener stops: bytes that have arrived are seen only
+/// at the next turn of the event loop.
+const LAST_READ_DURATION: Duration = Duration::from_millis(100);
+
 /// Why a process did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -108,15 +118,17 @@
     }
 }
 
-/// Serves until `stop` is cancelled, then waits until open requests have finished.
+/// Serves until `stop` is cancelled, then waits until all requests that have arrived have finished,
+/// also those on connections that wait in the kernel's accept queue.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
     limits: ListenLimits,
     stop: CancellationToken,
 ) {
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
     let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let router = router.layer(map_response_with_state(stop.clone(), announce_close));
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener, &permits) => accepted,
@@ -126,19 +138,75 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(router.clone());
-        let connection =
-            builder(&limits).serve_connection(TokioIo::new(Lingering::new(stream)), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // The error is ignored: usually the client closed the connection.
-            let _ = connection.await;
+        let serving = serve_connection(stream, router.clone(), limits.clone(), stop.clone());
+        connections.spawn(async move {
+            serving.await;
             drop(permit);
         });
     }
-    drop(listener);
-    graceful.shutdown().await;
+    for stream in take_accept_queue(listener) {
+        let serving = serve_connection(stream, router.clone(), limits.clone(), stop.clone());
+        let permits = Arc::clone(&permits);
+        connections.spawn(async move {
+            let _permit = permits.acquire_owned().await;
+            serving.await;
+        });
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+/// Asks the caller to open a new connection for its next request once `stop` is cancelled.
+async fn announce_close(State(stop): State<CancellationToken>, mut response: Response) -> Response {
+    if stop.is_cancelled() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    limits: ListenLimits,
+    stop: CancellationToken,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = TowerToHyperService::new(router);
+    let stream = TokioIo::new(Lingering::new(stream));
+    let connection = builder(&limits).serve_connection(stream, service);
+    tokio::pin!(connection);
+    let closing = async {
+        stop.cancelled().await;
+        tokio::time::sleep(LAST_READ_DURATION).await;
+    };
+    tokio::select! {
+        // Polled first, so that bytes that have arrived are read before the connection is closed.
+        biased;
+        // The error is ignored: usually the client closed the connection.
+        _ = &mut connection => return,
+        () = closing => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Closes a listener and returns the connections that waited in the kernel's accept queue. Their
+/// callers count as connected and may have sent requests; closing the listener would reset them.
+fn take_accept_queue(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    // The calls of the standard library show the queue as it is; tokio's may show it later.
+    let listener = listener.into_std();
+    let accepted = listener.and_then(|listener| {
+        loop {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            streams.push(TcpStream::from_std(stream)?);
+        }
+    });
+    let Err::<Infallible, _>(error) = accepted;
+    if error.kind() != io::ErrorKind::WouldBlock {
+        tracing::warn!(%error, "waiting connections are reset: can't accept");
+    }
+    streams
 }
 
 async fn accept(
--- a/crates/flamingowheeld/tests/listen.rs
+++ b/crates/flamingowheeld/tests/listen.rs
@@ -51,6 +51,23 @@
     assert_eq!(answer.len() - head_bytes, ANSWER_BYTES);
 }
 
+/// A stop comes while a caller's connection waits in the kernel's accept queue with a request on it.
+/// Closing the listener would reset the connection, and the caller could not tell whether its
+/// request ran.
+#[tokio::test]
+async fn serve_stop_answers_accept_queue() {
+    let served = Served::start(1).await;
+    let mut first = TcpStream::connect(served.address).await.unwrap();
+    first.write_all(REQUEST).await.unwrap();
+    served.begun.notified().await;
+    let mut queued = TcpStream::connect(served.address).await.unwrap();
+    queued.write_all(REQUEST).await.unwrap();
+    served.stop.cancel();
+    served.answer.cancel();
+    read_whole(&mut first).await;
+    read_whole(&mut queued).await;
+}
+
 /// A caller has sent its next request when the connection is closed behind an answer. Closing a
 /// socket with unread bytes resets the connection, and a slow caller would lose the answer's end.
 #[tokio::test]
