Ranks: an agent ends only when its group is not held

Streams of a rank group stalled when the agent of rank 0 got SIGTERM within a switch of the expert map: a hold does not expire, so the group stood still until its next agent, or another rank's, released it. Cause: the agent's process returned at once at SIGTERM, whatever its coordinator had asked for. Ruled out by reading: a hold's issuer or a rank that is to be armed stops; the coordinator lifts the hold after 80 ms, or arms the rank itself after 300 ms. Change: once leaving, the coordinator begins nothing and goes on until no hold can be in force, within the grace period. Not done: how long a group stands still, on a paused clock; the engine's client needs real sockets. Left: an agent of rank 0 that is killed after it asked for a hold and before it armed a rank; the other agents must not release then, as a frozen coordinator could release half armed ranks.

--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::sync::{broadcast, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
 
 /// Interval at which a map switch in progress is advanced: a fraction of a pass.
 const TICK: Duration = Duration::from_millis(10);
@@ -85,6 +86,8 @@
     pub planned: Option<PlannedSwitch>,
     /// Holds that were requested but for which no rank was armed, by epoch and pass.
     pub requested_holds: HashSet<(u64, u64)>,
+    /// Cancelled when the process is to end: no switch begins any more.
+    pub leaving: CancellationToken,
 }
 
 /// When a switch was planned, and how many experts each rank copies at most.
@@ -99,7 +102,8 @@
 where
     K: KeyValue + Clone + Send + Sync + 'static,
 {
-    /// Coordinates until dropped.
+    /// Coordinates until `leaving` is cancelled and no hold of the group is left: a hold does not
+    /// expire, and the group would stand still.
     pub async fn run(mut self) {
         let mut group: Option<Group> = None;
         let mut phase = Phase::Idle;
@@ -109,7 +113,8 @@
         windows.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut statuses = interval(STATUS_INTERVAL);
         statuses.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
+        let leaving = self.leaving.clone();
+        while group.is_some() && phase.may_hold_group() || !leaving.is_cancelled() {
             let is_active = !matches!(phase, Phase::Idle);
             let is_due = tokio::select! {
                 update = self.local_updates.recv() => match update {
@@ -133,6 +138,7 @@
                     }
                     false
                 }
+                () = leaving.cancelled(), if !leaving.is_cancelled() => false,
                 _ = ticks.tick(), if is_active => true,
                 _ = statuses.tick() => {
                     if let Some(group) = &group {
@@ -262,6 +268,9 @@
 
     /// Starts a switch if the map should change, or resumes one that an earlier coordinator left.
     fn plan(&mut self, group: &Group) -> Phase {
+        if self.leaving.is_cancelled() {
+            return Phase::Idle;
+        }
         let now = Instant::now();
         if let Some(stray) = self.stray_hold(group) {
             tracing::info!(group = group.name, pass = stray, "late hold lifted");
--- a/crates/ranks/src/phase.rs
+++ b/crates/ranks/src/phase.rs
@@ -36,6 +36,11 @@
 }
 
 impl Phase {
+    /// Whether a hold of the group may be in force or in flight.
+    pub(crate) fn may_hold_group(&self) -> bool {
+        matches!(self, Self::Holding(..) | Self::Arming(..) | Self::Releasing(_))
+    }
+
     /// The epoch of the group in which the switch runs.
     pub(crate) fn epoch(&self) -> Option<u64> {
         match self {
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, mpsc, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// Timeout of calls to the local engine. It is on the same VM and answers within 1 or 2 ms, but
@@ -37,6 +38,9 @@
 /// Number of peer updates buffered for the coordinator.
 const PEER_UPDATE_CAPACITY: usize = 256;
 
+/// Part of the grace period that is reserved for the process to exit by itself before it is killed.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
+
 /// Why an agent can't start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -51,7 +55,8 @@
     Io(#[from] std::io::Error),
 }
 
-/// Runs an agent until `stop_signal` resolves.
+/// Runs an agent until `stop_signal` resolves, then waits up to the grace period until no hold of
+/// its group is left.
 pub async fn run<F>(settings: &ProcessSettings, stop_signal: F) -> Result<(), StartError>
 where
     F: Future<Output = ()>,
@@ -80,7 +85,7 @@
     tokio::spawn(collector.run());
 
     let listener = TcpListener::bind(SocketAddr::new(settings.ip, port)).await?;
-    let stop = CancellationToken::new();
+    let (stop, leaving) = (CancellationToken::new(), CancellationToken::new());
     let status = updates.clone();
     let agent = Agent { targets: targets.clone(), members, updates, snapshot };
     let serve = move |link| agent.clone().serve(link);
@@ -115,9 +120,15 @@
         last_version: 0,
         planned: None,
         requested_holds: HashSet::new(),
+        leaving: leaving.clone(),
     };
-    tokio::spawn(coordinator.run());
+    let coordinator = tokio::spawn(coordinator.run());
     stop_signal.await;
+    leaving.cancel();
+    let grace = Duration::from_millis(settings.bounds.grace_ms).saturating_sub(EXIT_RESERVE);
+    if timeout(grace, coordinator).await.is_err() {
+        tracing::warn!("grace period is over; the group may still be held");
+    }
     stop.cancel();
     Ok(())
 }
