Tests: requests in progress keep the configuration that admitted them

A route that is removed or made slower, a key that is taken away or an idle limit that is lowered could cut requests in progress; no test looked at that.

--- a/crates/flamingowheeld/tests/processes/fleet.rs
+++ b/crates/flamingowheeld/tests/processes/fleet.rs
@@ -125,7 +125,8 @@
         let (fake, list) = (fleet.key_value.clone(), FakeVmList::new(fleet.vms()));
         tokio::spawn(kv::serve(key_value, fake, Connections::default(), stop.clone()));
         tokio::spawn(vms::serve(vm_list, list, Connections::default(), stop.clone()));
-        demo::apply(fleet.key_value_address, &documents(), Default::default()).await.unwrap();
+        let documents = documents(TOKEN);
+        demo::apply(fleet.key_value_address, &documents, Default::default()).await.unwrap();
         fleet.start_agents(&stop).await;
         for number in 0..ENTRIES {
             let entry = fleet.start_entry(number);
@@ -137,6 +138,12 @@
         fleet
     }
 
+    /// Takes the callers' token away.
+    pub async fn withdraw_token(&self) {
+        let seen = self.wait_ready(0).await.revision;
+        demo::apply(self.key_value_address, &documents("another-token"), seen).await.unwrap();
+    }
+
     async fn start_agents(&mut self, stop: &CancellationToken) {
         for number in 0..SERVERS {
             let settings = EngineSettings { token_delay: TOKEN_DELAY, ..EngineSettings::default() };
@@ -293,12 +300,12 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap()
 }
 
-fn documents() -> String {
+fn documents(token: &str) -> String {
     format!(
         "kind: template\nname: callbox\nparameters:\n  models:\n    {MODEL}: {{}}\n  services:\n    \
          {SERVICE}:\n      routes:\n        - {{method: POST, path_prefix: /orders, \
          idempotent: false}}\n---\nkind: workspace\nname: {WORKSPACE}\ntemplate: callbox\n\
          token_sha256: [{}]\n",
-        TokenHash::of(TOKEN.as_bytes())
+        TokenHash::of(token.as_bytes())
     )
 }
--- a/crates/flamingowheeld/tests/processes/main.rs
+++ b/crates/flamingowheeld/tests/processes/main.rs
@@ -9,7 +9,7 @@
     LAST_EVENT_HEADER, RESUMABLE_HEADER, STREAM_HEADER, TICKET_HEADER, TIMEOUT_HEADER,
 };
 use fleet::{Fleet, MODEL, SERVERS, TIMEOUT, wait_until};
-use http::{Method, Response};
+use http::{Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rustix::process::Signal;
@@ -163,6 +163,29 @@
     assert_eq!(events(&answer).0, complete_answer(&body));
 }
 
+// An operator takes a workspace's token away while a stream and a work order of it are in progress.
+// Both were admitted before; they must get their whole answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_token_withdrawn_complete() {
+    let fleet = Fleet::start(7).await;
+    fleet.services.iter().for_each(|service| service.set_delay(Duration::from_millis(1_000)));
+    let body = prompt(100);
+    let (mut stream, mut answer) = (open(&fleet, 0, &body).await.into_body(), BytesMut::new());
+    let submission = fleet.submit_order(0, ORDER, &[]);
+    let withdrawn = async {
+        wait_until("it is carried out", async || fleet.executions(ORDER) == 1).await;
+        fleet.withdraw_token().await;
+        wait_until("the token is refused", async || {
+            fleet.submit_order(0, "too late", &[]).await.status == StatusCode::UNAUTHORIZED
+        })
+        .await;
+    };
+    let (reply, ()) = tokio::join!(submission, withdrawn);
+    assert_eq!(reply.outcome(), "complete", "{}", reply.text());
+    read(&mut stream, &mut answer, usize::MAX).await.unwrap();
+    assert_eq!(events(&answer).0, complete_answer(&body));
+}
+
 // An agent is suspended while its service executes a work order. The caller must get the outcome
 // unknown, not "not run". When the agent continues, the same ticket must get the answer of that one
 // run.
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -128,6 +128,13 @@
         named.unwrap().set_evacuated(is_evacuated);
     }
 
+    /// Puts a new configuration in force.
+    pub fn configure(&self, configuration: &[u8]) {
+        let configuration = Some(Arc::new(operator::decode(configuration).unwrap()));
+        let view = View::clone(&self.views.load());
+        self.views.store(Arc::new(View { configuration, ..view }));
+    }
+
     /// Lists servers as started at `started_ms`.
     pub fn list_again(&self, servers: &[SocketAddr], started_ms: u64) {
         let view = View::clone(&self.views.load());
