Test: a stream cut off at the end of a drain ends in the log

Guards the lines of requests that the process's end cuts off: the processes of the fleet write their logs to files, and the test reads them after the exit.

--- a/crates/flamingowheeld/tests/processes/fleet.rs
+++ b/crates/flamingowheeld/tests/processes/fleet.rs
@@ -38,16 +38,26 @@
 const CALLERS_PORT: u16 = 17_401;
 const OPERATORS_PORT: u16 = 17_402;
 
-/// One daemon process; killed when dropped.
+/// One daemon process, with its log; killed when dropped.
 pub struct Process {
     child: Child,
+    log: PathBuf,
 }
 
 impl Process {
     fn start(settings: &PathBuf) -> Self {
+        let log = settings.with_extension("log");
         let mut command = Command::new(env!("CARGO_BIN_EXE_flamingowheeld"));
-        command.arg("--settings").arg(settings).stdout(Stdio::null()).stderr(Stdio::null());
-        Self { child: command.spawn().unwrap() }
+        command.arg("--settings").arg(settings).stdout(Stdio::null());
+        command.stderr(fs::File::create(&log).unwrap());
+        Self { child: command.spawn().unwrap(), log }
+    }
+
+    /// The lines that the process has logged so far about an event.
+    pub fn logged(&self, event: &str) -> Vec<String> {
+        let log = fs::read_to_string(&self.log).unwrap();
+        let event = format!("\"event\":\"{event}\"");
+        log.lines().filter(|line| line.contains(&event)).map(str::to_owned).collect()
     }
 
     /// Kills the process, which loses all its state.
@@ -226,6 +236,13 @@
         self.entries[usize::from(number)] = self.start_entry(number);
     }
 
+    /// Replaces an entry by one that waits for its last requests for a short time only.
+    pub fn replace_entry_impatient(&mut self, number: u8) {
+        self.entries[usize::from(number)].kill();
+        let settings = "drain_deadline_ms: 1\nentry: {address_ttl_s: 1}";
+        self.entries[usize::from(number)] = self.start_process(number, "entry", settings);
+    }
+
     /// Waits until an entry has a configuration in force and reports every process as live.
     pub async fn wait_ready(&self, number: u8) -> StatusAnswer {
         let mut found = None;
--- a/crates/flamingowheeld/tests/processes/main.rs
+++ b/crates/flamingowheeld/tests/processes/main.rs
@@ -186,6 +186,28 @@
     assert_eq!(events(&answer).0, complete_answer(&body));
 }
 
+// An entry's time to drain ends while a stream runs. The stream is cut off, and the log must say so
+// before the process is gone: otherwise operators see a request that never ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_off_at_drain_deadline_logged() {
+    let mut fleet = Fleet::start(8).await;
+    fleet.replace_entry_impatient(0);
+    fleet.wait_ready(0).await;
+    let body = prompt(2_000);
+    let (mut stream, mut answer) = (open(&fleet, 0, &body).await.into_body(), BytesMut::new());
+    read(&mut stream, &mut answer, 500).await.unwrap();
+    let entry = &mut fleet.entries[0];
+    entry.signal(Signal::TERM);
+    wait_until("it leaves", async || !entry.logged("leave_began").is_empty()).await;
+    // The second signal ends the wait for callers' addresses to expire.
+    entry.signal(Signal::TERM);
+    assert!(entry.wait_for_exit().await.success());
+    let [finished] = &entry.logged("leave_finished")[..] else { panic!("one end of the leave") };
+    assert!(finished.contains("\"cut_off\":1"), "{finished}");
+    let [ended] = &entry.logged("outcome_unknown")[..] else { panic!("one end of the request") };
+    assert!(ended.contains("\"reason\":\"leaving\""), "{ended}");
+}
+
 // An agent is suspended while its service executes a work order. The caller must get the outcome
 // unknown, not "not run". When the agent continues, the same ticket must get the answer of that one
 // run.
