--- a/crates/flamingowheeld/tests/processes/fleet.rs
+++ b/crates/flamingowheeld/tests/processes/fleet.rs
@@ -38,16 +38,26 @@
 const CALLERS_PORT: u16 = 17_401;
 const OPERATORS_PORT: u16 = 17_402;
 
-/// One daemon process; killed when dropped.
+/// One daemon process, with its log; killed when dropped.
 pub struct Process {
     child: Child,
+    log: PathBuf,
 }
 
 impl Process {
     fn start(settings: &PathBuf) -> Self {
+        let log = settings.with_extension("log");
         let mut command = Command::new(env!("CARGO_BIN_EXE_flamingowheeld"));
-        command.arg("--settings").arg(settings).stdout(Stdio::null()).stderr(Stdio::null());
-        Self { child: command.spawn().unwrap() }
+        command.arg("--settings").arg(settings).stdout(Stdio::null());
+        command.stderr(fs::File::create(&log).unwrap());
+        Self { child: command.spawn().unwrap(), log }
+    }
+
+    /// The lines that the process has logged so far about an event.
+    pub fn logged(&self, event: &str) -> Vec<String> {
+        let log = fs::read_to_string(&self.log).unwrap();
+        let event = format!("\"event\":\"{event}\"");
+        log.lines().filter(|line| line.contains(&event)).map(str::to_owned).collect()
     }
 
     /// Kills the process, which loses all its state.
@@ -125,7 +135,8 @@
         let (fake, list) = (fleet.key_value.clone(), FakeVmList::new(fleet.vms()));
         tokio::spawn(kv::serve(key_value, fake, Connections::default(), stop.clone()));
         tokio::spawn(vms::serve(vm_list, list, Connections::default(), stop.clone()));
-        demo::apply(fleet.key_value_address, &documents(), Default::default()).await.unwrap();
+        let documents = documents(TOKEN);
+        demo::apply(fleet.key_value_address, &documents, Default::default()).await.unwrap();
         fleet.start_agents(&stop).await;
         for number in 0..ENTRIES {
             let entry = fleet.start_entry(number);
@@ -137,6 +148,12 @@
         fleet
     }
 
+    /// Takes the callers' token away.
+    pub async fn withdraw_token(&self) {
+        let seen = self.wait_ready(0).await.revision;
+        demo::apply(self.key_value_address, &documents("another-token"), seen).await.unwrap();
+    }
+
     async fn start_agents(&mut self, stop: &CancellationToken) {
         for number in 0..SERVERS {
             let settings = EngineSettings { token_delay: TOKEN_DELAY, ..EngineSettings::default() };
@@ -219,6 +236,13 @@
         self.entries[usize::from(number)] = self.start_entry(number);
     }
 
+    /// Replaces an entry by one that waits for its last requests for a short time only.
+    pub fn replace_entry_impatient(&mut self, number: u8) {
+        self.entries[usize::from(number)].kill();
+        let settings = "drain_deadline_ms: 1\nentry: {address_ttl_s: 1}";
+        self.entries[usize::from(number)] = self.start_process(number, "entry", settings);
+    }
+
     /// Waits until an entry has a configuration in force and reports every process as live.
     pub async fn wait_ready(&self, number: u8) -> StatusAnswer {
         let mut found = None;
@@ -293,12 +317,12 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap()
 }
 
-fn documents() -> String {
+fn documents(token: &str) -> String {
     format!(
         "kind: template\nname: callbox\nparameters:\n  models:\n    {MODEL}: {{}}\n  services:\n    \
          {SERVICE}:\n      routes:\n        - {{method: POST, path_prefix: /orders, \
          idempotent: false}}\n---\nkind: workspace\nname: {WORKSPACE}\ntemplate: callbox\n\
          token_sha256: [{}]\n",
-        TokenHash::of(TOKEN.as_bytes())
+        TokenHash::of(token.as_bytes())
     )
 }
--- a/crates/flamingowheeld/tests/processes/main.rs
+++ b/crates/flamingowheeld/tests/processes/main.rs
@@ -9,7 +9,7 @@
     LAST_EVENT_HEADER, RESUMABLE_HEADER, STREAM_HEADER, TICKET_HEADER, TIMEOUT_HEADER,
 };
 use fleet::{Fleet, MODEL, SERVERS, TIMEOUT, wait_until};
-use http::{Method, Response};
+use http::{Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rustix::process::Signal;
@@ -145,6 +145,69 @@
     assert!(fleet.entries[0].wait_for_exit().await.success());
 }
 
+// Operators ask an entry and an agent to read their settings again while a stream runs through both.
+// Without a handler the signal would end the processes and cut the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_hangup_completes() {
+    let fleet = Fleet::start(6).await;
+    let body = prompt(100);
+    let response = open(&fleet, 0, &body).await;
+    let (mut stream, mut answer) = (response.into_body(), BytesMut::new());
+    read(&mut stream, &mut answer, 500).await.unwrap();
+    fleet
+        .entries
+        .iter()
+        .chain(&fleet.engine_agents)
+        .for_each(|process| process.signal(Signal::HUP));
+    read(&mut stream, &mut answer, usize::MAX).await.unwrap();
+    assert_eq!(events(&answer).0, complete_answer(&body));
+}
+
+// An operator takes a workspace's token away while a stream and a work order of it are in progress.
+// Both were admitted before; they must get their whole answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_token_withdrawn_complete() {
+    let fleet = Fleet::start(7).await;
+    fleet.services.iter().for_each(|service| service.set_delay(Duration::from_millis(1_000)));
+    let body = prompt(100);
+    let (mut stream, mut answer) = (open(&fleet, 0, &body).await.into_body(), BytesMut::new());
+    let submission = fleet.submit_order(0, ORDER, &[]);
+    let withdrawn = async {
+        wait_until("it is carried out", async || fleet.executions(ORDER) == 1).await;
+        fleet.withdraw_token().await;
+        wait_until("the token is refused", async || {
+            fleet.submit_order(0, "too late", &[]).await.status == StatusCode::UNAUTHORIZED
+        })
+        .await;
+    };
+    let (reply, ()) = tokio::join!(submission, withdrawn);
+    assert_eq!(reply.outcome(), "complete", "{}", reply.text());
+    read(&mut stream, &mut answer, usize::MAX).await.unwrap();
+    assert_eq!(events(&answer).0, complete_answer(&body));
+}
+
+// An entry's time to drain ends while a stream runs. The stream is cut off, and the log must say so
+// before the process is gone: otherwise operators see a request that never ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_off_at_drain_deadline_logged() {
+    let mut fleet = Fleet::start(8).await;
+    fleet.replace_entry_impatient(0);
+    fleet.wait_ready(0).await;
+    let body = prompt(2_000);
+    let (mut stream, mut answer) = (open(&fleet, 0, &body).await.into_body(), BytesMut::new());
+    read(&mut stream, &mut answer, 500).await.unwrap();
+    let entry = &mut fleet.entries[0];
+    entry.signal(Signal::TERM);
+    wait_until("it leaves", async || !entry.logged("leave_began").is_empty()).await;
+    // The second signal ends the wait for callers' addresses to expire.
+    entry.signal(Signal::TERM);
+    assert!(entry.wait_for_exit().await.success());
+    let [finished] = &entry.logged("leave_finished")[..] else { panic!("one end of the leave") };
+    assert!(finished.contains("\"cut_off\":1"), "{finished}");
+    let [ended] = &entry.logged("outcome_unknown")[..] else { panic!("one end of the request") };
+    assert!(ended.contains("\"reason\":\"leaving\""), "{ended}");
+}
+
 // An agent is suspended while its service executes a work order. The caller must get the outcome
 // unknown, not "not run". When the agent continues, the same ticket must get the answer of that one
 // run.
