Silence: a group must have gone on for several passes without a server

Callers saw: streams of several servers given up at the same moment after their whole group had paused.

Cause: `is_active_without` took one event of any other server in the last 350 ms for a group that goes on. After a pause of the whole group of over 0.6 s all its servers are overdue, and the first event of one of them convicted all the others.

Evidence: `event_overdue_group_goes_on_after_pause` (paused clock) failed before the change: the server was called silent after a single event of another.

Ruled out: to wait for a span of one other server alone. Short streams that take turns show the passes just as well (`event_overdue_others_take_turns`, green before and after).

Change: the group keeps for each server since when it has sent events without a long pause. Others count as going on once the joined span of their events reaches 300 ms. A server that stops in a group that runs is found as early as before. The example of `is_active_without` stated the fault, that one event is enough; it now states both sides, one event and a span.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -7,6 +7,8 @@
 use flamingowheel_policy::batch::{self, BatchLimit, PassModel};
 use flamingowheel_policy::passes::{PassRises, PassTime};
 use flamingowheel_protocol::ranks::GroupStatus;
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -34,15 +36,21 @@
     report: Option<Report>,
     /// Number of ranks that may take requests, and of all; `None` if all may.
     open_ranks: Option<(usize, usize)>,
-    /// The newest event, and the newest one from any other server.
-    last_events: [Option<LastEvent>; 2],
+    /// The servers that sent events recently.
+    activity: HashMap<SocketAddr, Activity>,
 }
 
-/// The newest event of a server.
+/// A span of time in which a server sent events without a long pause.
 #[derive(Clone, Copy, Debug)]
-struct LastEvent {
-    server: SocketAddr,
-    at: Instant,
+struct Activity {
+    since: Instant,
+    last: Instant,
+}
+
+impl Activity {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last) < EVENT_FRESHNESS
+    }
 }
 
 #[derive(Debug)]
@@ -55,6 +63,10 @@
 /// Age up to which an event shows that its group is running passes.
 const EVENT_FRESHNESS: Duration = Duration::from_millis(350);
 
+/// Time for which a group runs passes without a server before the server counts as silent: several
+/// passes. After a pause of the whole group, its servers' first events arrive one after the other.
+const ACTIVE_SPAN: Duration = Duration::from_millis(300);
+
 /// Age from which reports are too old to use.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -175,28 +187,46 @@
     /// Records an event from a server of the group.
     pub fn record_event(&self, server: SocketAddr, now: Instant) {
         let mut observed = self.lock();
-        let newest = Some(LastEvent { server, at: now });
-        match observed.last_events[0] {
-            Some(last) if last.server != server => observed.last_events = [newest, Some(last)],
-            _ => observed.last_events[0] = newest,
+        match observed.activity.get_mut(&server) {
+            Some(activity) if activity.is_recent(now) => activity.last = now,
+            _ => {
+                observed.activity.retain(|_, activity| activity.is_recent(now));
+                observed.activity.insert(server, Activity { since: now, last: now });
+            }
         }
     }
 
-    /// Whether other servers of the group sent events recently. All ranks run each pass together,
-    /// so a server that sends nothing meanwhile is partitioned or stalled.
+    /// Whether other servers of the group have have just sent events for several passes. All ranks
+    /// run each pass together, so a server that sends nothing meanwhile is partitioned or stalled.
     ///
     /// ```
     /// use flamingowheel_gateway::group::GroupLoad;
-    /// let (group, now) = (GroupLoad::default(), tokio::time::Instant::now());
+    /// use std::time::Duration;
+    /// let (group, begun_at) = (GroupLoad::default(), tokio::time::Instant::now());
     /// let (a, b) = ("10.0.0.1:80".parse().unwrap(), "10.0.0.2:80".parse().unwrap());
+    /// group.record_event(a, begun_at);
+    /// assert!(!group.is_active_without(b, begun_at));
+    /// let now = begun_at + Duration::from_millis(300);
     /// group.record_event(a, now);
     /// assert!(group.is_active_without(b, now));
     /// assert!(!group.is_active_without(a, now));
     /// ```
     pub fn is_active_without(&self, server: SocketAddr, now: Instant) -> bool {
-        let last_events = self.lock().last_events;
-        let mut others = last_events.iter().flatten().filter(|event| event.server != server);
-        others.any(|event| now - event.at < EVENT_FRESHNESS)
+        let observed = self.lock();
+        let others = observed.activity.iter().filter(|(other, _)| **other != server);
+        let mut others: Vec<Activity> = others.map(|(_, activity)| *activity).collect();
+        others.sort_unstable_by_key(|activity| Reverse(activity.last));
+        let Some(newest) = others.first().filter(|newest| newest.is_recent(now)) else {
+            return false;
+        };
+        // The start of the passes, which several servers may show in turn.
+        let mut active_since = newest.since;
+        for activity in &others {
+            if activity.is_recent(active_since) {
+                active_since = active_since.min(activity.since);
+            }
+        }
+        newest.last - active_since >= ACTIVE_SPAN
     }
 
     /// Number of ranks in the group; 0 before the first report.
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -4,7 +4,7 @@
 use flamingowheel_gateway::connection::Connection;
 use flamingowheel_gateway::group::{GroupLoad, GroupRank};
 use flamingowheel_gateway::server::Server;
-use flamingowheel_gateway::silence::SilenceDetector;
+use flamingowheel_gateway::silence::{EVENT_LIMIT, SilenceDetector};
 use flamingowheel_gateway::view::{View, Views};
 use flamingowheel_protocol::ranks::GroupStatus;
 use http::Request;
@@ -19,6 +19,9 @@
 /// Callers give up after this long without an event.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time between the events of a stream.
+const ONE_PASS: Duration = Duration::from_millis(100);
+
 struct Setup {
     group: Arc<GroupLoad>,
     silent: Arc<Server>,
@@ -59,7 +62,7 @@
 async fn record_events(group: Arc<GroupLoad>, server: SocketAddr) {
     loop {
         group.record_event(server, Instant::now());
-        sleep(Duration::from_millis(100)).await;
+        sleep(ONE_PASS).await;
     }
 }
 
@@ -122,6 +125,39 @@
     assert!(timeout(CALLER_TIMEOUT, detector.event_overdue(Instant::now())).await.is_err());
 }
 
+/// A whole group pauses and goes on. The first event of a server must not convict the others, whose
+/// events come a moment later.
+#[tokio::test(start_paused = true)]
+async fn event_overdue_group_goes_on_after_pause() {
+    let Setup { group, silent, other, detector } = setup();
+    let begun_at = Instant::now();
+    for server in [silent.listed.address, other] {
+        group.record_event(server, begun_at);
+    }
+    let waiting = tokio::spawn(async move { detector.event_overdue(begun_at).await });
+    sleep(EVENT_LIMIT * 2).await;
+    group.record_event(other, Instant::now());
+    sleep(EVENT_LIMIT).await;
+    let events = tokio::spawn(record_events(Arc::clone(&group), other));
+    sleep(ONE_PASS * 2).await;
+    assert!(!waiting.is_finished(), "called silent before the group went on");
+    // Passes that go on without the server show that it is silent.
+    assert!(timeout(CALLER_TIMEOUT / 4, waiting).await.is_ok());
+    events.abort();
+}
+
+/// Many servers of a group have short streams, none of which shows alone that the group goes on.
+#[tokio::test(start_paused = true)]
+async fn event_overdue_others_take_turns() {
+    let Setup { group, detector, .. } = setup();
+    let waiting = tokio::spawn(async move { detector.event_overdue(Instant::now()).await });
+    for port in 9_100..9_112 {
+        group.record_event(SocketAddr::from(([127, 0, 0, 1], port)), Instant::now());
+        sleep(ONE_PASS).await;
+    }
+    assert!(waiting.is_finished());
+}
+
 /// A caller leaves before its request has reached the server. After a regular close, the connection
 /// would still deliver it, seconds later.
 #[tokio::test]
