Streams: keep a silent server's connection until another server has answered

Callers saw: streams cut short, or 502 before the head, though the connection to their server was open. Seen where no retry was left, no other server was there, or the other one refused, failed or broke.

Cause: `Relay::step` took a silent server for a broken one and gave up its connection before another server was looked for. `Gateway::send` gave up the wait for a head in the same way, on resumable routes even with one attempt only.

Evidence: nine tests in tests/stalled.rs failed on the code before, each with "given up too soon" (the server's connection was closed when the other one got the request) or a reset of the connection that the server writes on. Each is played before the head and between events, with and without a stop of the entry (one attempt: without). A tenth one, that a dropped attempt counts as a run, was written after the change and not run on the code before.

Ruled out: a longer limit for silence. It makes cut streams rarer, not impossible.

Change: `forward::Hedge` asks another server beside the silent one, for streams and for heads. The first success wins, and the loser's connection is dropped. With no room, budget, server or success the request waits on and looks again after 250 ms; one refusal ends a look, so that stalled streams leave retries to lost ones. If the silent server breaks during an attempt, the attempt is awaited. A run counts from the moment at which it is sent, also if its wait is dropped. Silence is counted from when the entry waits for bytes, so that a slow caller, or a stream that has just been resumed, doesn't make a server look silent.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,11 +1,13 @@
 //! Forwards one caller's request to a backend server and relays the answer.
 
 mod answer;
+mod hedge;
 mod intake;
 mod plain;
 mod send;
 
 pub use answer::keep_connection;
+pub use hedge::{Awaited, Hedge, Raced, Silence};
 pub use send::{SendFailure, SentRequest};
 
 use crate::balance::Choice;
@@ -139,8 +141,17 @@
             };
             attempts.sends += 1;
             attempts.tried.push(Arc::clone(&server));
-            let sending = self.send(exchange, &server, group.as_ref(), exchange.head.last_event_id);
-            let sent = sending.await;
+            let mut hedge = Hedge {
+                gateway: self,
+                exchange,
+                cause: RetryCause::Lost,
+                urgency: attempts.urgency(),
+                admission: turn.admission(exchange),
+                last_event_id: exchange.head.last_event_id,
+                tried: &mut attempts.tried,
+                runs: &mut attempts.runs,
+            };
+            let sent = hedge.send(&server, group.as_ref()).await;
             drop(permit);
             match sent {
                 Ok(sent) if sent.answer.is_not_run => {
@@ -151,7 +162,6 @@
                 }
                 Ok(sent) => {
                     self.breakers().record_answer(&exchange.service);
-                    attempts.runs += 1;
                     let finished =
                         self.forward_answer(exchange, sent, &attempts.tried, attempts.runs).await;
                     let can_retry = attempts.can_retry(exchange);
@@ -179,7 +189,6 @@
                     attempts.retry_cause = Some(RetryCause::NotSent);
                 }
                 Err(SendFailure::MayHaveRun) => {
-                    attempts.runs += 1;
                     attempts.retry_cause = Some(RetryCause::Lost);
                     if !attempts.can_retry(exchange) {
                         break;
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -41,6 +41,15 @@
     pub sent_at: Instant,
 }
 
+/// A request that may be sent to a server.
+#[derive(Debug)]
+pub(super) struct BegunSend {
+    /// Counts the request as in flight at the server.
+    pub in_flight: InFlight,
+    /// When sending began.
+    pub sent_at: Instant,
+}
+
 impl SentRequest {
     /// Whether another server has taken over the address, so that the listing is outdated.
     pub(super) fn is_misdirected(&self) -> bool {
@@ -67,30 +76,33 @@
 }
 
 impl Gateway {
-    /// Sends the request to a server and waits for the head of the answer.
-    pub async fn send(
+    /// Waits until the request may be sent to a server, and counts it as in flight there.
+    pub(super) async fn begin_send(
         &self,
         exchange: &Exchange,
         server: &Arc<Server>,
         group: Option<&Arc<GroupLoad>>,
-        last_event_id: Option<u64>,
-    ) -> Result<SentRequest, SendFailure> {
+    ) -> Result<BegunSend, SendFailure> {
         let trial = self.permission(exchange, server).await.map_err(SendFailure::Suspect)?;
         let Some(mut in_flight) = server.begin(group) else {
             return Err(SendFailure::NotAdmitted);
         };
         in_flight.set_trial(trial);
-        let sent_at = Instant::now();
+        Ok(BegunSend { in_flight, sent_at: Instant::now() })
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    pub(super) async fn finish_send(
+        &self,
+        exchange: &Exchange,
+        begun: BegunSend,
+        last_event_id: Option<u64>,
+    ) -> Result<SentRequest, SendFailure> {
+        let BegunSend { mut in_flight, sent_at } = begun;
+        let server = &Arc::clone(in_flight.server());
         let sending = self.send_on_connection(exchange, server, last_event_id);
-        let can_resume = exchange.route.retry_policy == RetryPolicy::Resume;
-        let detector = self.silence_detector(Arc::clone(server), group.cloned());
-        let result = tokio::select! {
-            result = timeout_at(exchange.deadline, sending) => {
-                result.unwrap_or(Err(SendFailure::MayHaveRun))
-            }
-            () = detector.head_overdue(sent_at), if can_resume => Err(SendFailure::MayHaveRun),
-        };
-        match result {
+        let result = timeout_at(exchange.deadline, sending).await;
+        match result.unwrap_or(Err(SendFailure::MayHaveRun)) {
             Ok((response, connection)) => {
                 in_flight.record_first_byte(Instant::now());
                 let id = &exchange.head.attempt_id;
@@ -121,20 +133,31 @@
                     }
                     SendFailure::MayHaveRun => "lost",
                 };
-                self.metrics.record_send(exchange.kind(), result);
-                tracing::info!(
-                    request = exchange.head.attempt_id,
-                    server = server.listed.id,
-                    result,
-                    after_ms = sent_at.elapsed().as_millis() as u64,
-                    "no answer from backend server"
-                );
+                self.record_no_answer(exchange, server, result, sent_at);
                 server.record_unreachable(Instant::now());
                 Err(failure)
             }
         }
     }
 
+    /// Records that a server was sent a request, or was to be, and no answer is waited for any more.
+    pub(super) fn record_no_answer(
+        &self,
+        exchange: &Exchange,
+        server: &Server,
+        result: &'static str,
+        sent_at: Instant,
+    ) {
+        self.metrics.record_send(exchange.kind(), result);
+        tracing::info!(
+            request = exchange.head.attempt_id,
+            server = server.listed.id,
+            result,
+            after_ms = sent_at.elapsed().as_millis() as u64,
+            "no answer from backend server"
+        );
+    }
+
     /// Asks whether the request may be sent. Waits for its turn, and while a suspect of it runs.
     async fn permission(
         &self,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,12 +1,11 @@
 //! Relays a stream's events to the caller as they arrive, and resumes the stream at another backend
-//! server if one fails.
+//! server if one fails, or is silent until the other one has answered.
 
-use crate::balance::Choice;
 use crate::budget::RetryCause;
 use crate::connection::Connection;
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
-use crate::forward::{Gateway, SendFailure, keep_connection};
+use crate::forward::{Awaited, Gateway, Hedge, Raced, SentRequest, Silence, keep_connection};
 use crate::losses::{AnswerEnd, Progress};
 use crate::server::{InFlight, Server};
 use bytes::Bytes;
@@ -39,23 +38,24 @@
 /// Relays a stream from a backend server to a caller.
 #[derive(Debug)]
 pub struct Relay {
+    source: Source,
+    tried: Vec<Arc<Server>>,
+    runs: u32,
+    last_event_at: Option<Instant>,
+    longest_pause_ms: u64,
+    has_ended: bool,
+}
+
+/// A stream as read from its present server, after the events of those before.
+#[derive(Debug)]
+struct Source {
     gateway: Arc<Gateway>,
     exchange: Arc<Exchange>,
-    body: Incoming,
-    framing: Framing,
+    upstream: UpstreamBody,
     received_bytes: u64,
     /// Since when the next bytes have been waited for. A caller that reads slowly makes them wait.
     waiting_since: Instant,
-    connection: Option<Connection>,
-    in_flight: InFlight,
-    /// When the request was sent to the present server.
-    sent_at: Instant,
-    tried: Vec<Arc<Server>>,
-    runs: u32,
     splitter: EventSplitter,
-    last_event_at: Option<Instant>,
-    longest_pause_ms: u64,
-    has_ended: bool,
 }
 
 enum Step {
@@ -65,6 +65,12 @@
     TooLate,
 }
 
+impl Step {
+    fn is_lost(&self) -> bool {
+        matches!(self, Self::Broken(_))
+    }
+}
+
 impl Relay {
     /// Starts with a stream whose head has arrived.
     pub fn new(
@@ -74,24 +80,15 @@
         tried: Vec<Arc<Server>>,
         runs: u32,
     ) -> Self {
-        let UpstreamBody { body, framing, connection, in_flight, sent_at } = upstream;
-        Self {
+        let source = Source {
             gateway,
             exchange,
-            body,
-            framing,
+            upstream,
             received_bytes: 0,
             waiting_since: Instant::now(),
-            connection,
-            in_flight,
-            sent_at,
-            tried,
-            runs,
             splitter: EventSplitter::default(),
-            last_event_at: None,
-            longest_pause_ms: 0,
-            has_ended: false,
-        }
+        };
+        Self { source, tried, runs, last_event_at: None, longest_pause_ms: 0, has_ended: false }
     }
 
     /// The body of the answer to the caller.
@@ -108,7 +105,14 @@
             return None;
         }
         loop {
-            match self.step().await {
+            let step = match self.next_step().await {
+                Raced::First(step) => step,
+                Raced::Other(sent) => {
+                    self.resume_at(*sent);
+                    continue;
+                }
+            };
+            match step {
                 Step::Events(events) => {
                     self.record_events();
                     return Some(Ok(events));
@@ -116,7 +120,7 @@
                 Step::End(evidence) => {
                     self.end("complete", evidence);
                     // Comments may follow the last event.
-                    let rest = Bytes::copy_from_slice(self.splitter.pending());
+                    let rest = Bytes::copy_from_slice(self.source.splitter.pending());
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
                 Step::Broken(_) if self.resume().await => {}
@@ -132,27 +136,140 @@
         }
     }
 
+    /// Waits for the next events; a silent server's also from another one.
+    async fn next_step(&mut self) -> Raced<Step> {
+        let Self { source, tried, runs, .. } = self;
+        if !source.can_resume() {
+            return Raced::First(source.step().await);
+        }
+        let (gateway, exchange) = (Arc::clone(&source.gateway), Arc::clone(&source.exchange));
+        // Events that arrived while the caller did not read are no silence of the server.
+        let awaited = Awaited::Event { since: Instant::now() };
+        let silence = Silence::new(&gateway, &source.upstream.in_flight, awaited);
+        let last_event_id = source.last_event_id();
+        let mut hedge = resumption(&gateway, &exchange, last_event_id, tried, runs);
+        hedge.race(source.step(), &silence, Step::is_lost).await
+    }
+
+    /// Looks for another backend server after the present one has broken off.
+    async fn resume(&mut self) -> bool {
+        let Self { source, tried, runs, .. } = self;
+        source.upstream.connection = None;
+        source.upstream.in_flight.set_trial(None);
+        source.splitter.discard_pending();
+        let server = source.upstream.in_flight.server();
+        server.record_answer(source.exchange.arrived.elapsed(), true);
+        if !source.can_resume() {
+            return false;
+        }
+        let (gateway, exchange) = (Arc::clone(&source.gateway), Arc::clone(&source.exchange));
+        let last_event_id = source.last_event_id();
+        let mut hedge = resumption(&gateway, &exchange, last_event_id, tried, runs);
+        let Some(sent) = hedge.find(usize::MAX).await else {
+            return false;
+        };
+        self.resume_at(sent);
+        true
+    }
+
+    /// Goes on at another backend server after the last event that was relayed. The connection to the
+    /// one before is given up.
+    fn resume_at(&mut self, sent: SentRequest) {
+        tracing::info!(
+            request = self.source.exchange.head.attempt_id,
+            server = sent.in_flight.server().listed.id,
+            after_event = self.source.last_event_id(),
+            "stream resumed"
+        );
+        self.source.splitter.discard_pending();
+        self.source.received_bytes = 0;
+        self.source.upstream = UpstreamBody {
+            framing: framing_of(&sent.response),
+            body: sent.response.into_body(),
+            connection: Some(sent.connection),
+            in_flight: sent.in_flight,
+            sent_at: sent.sent_at,
+        };
+    }
+
+    fn record_events(&mut self) {
+        let now = Instant::now();
+        if let Some(group) = self.source.upstream.in_flight.group() {
+            group.record_event(self.source.upstream.in_flight.server().listed.address, now);
+        }
+        match self.last_event_at.replace(now) {
+            None => {
+                let after = now - self.source.exchange.arrived;
+                self.source.gateway.metrics.observe_answer_time(self.source.exchange.kind(), after);
+                self.source.upstream.in_flight.server().record_answer(after, false);
+                tracing::info!(
+                    request = self.source.exchange.head.attempt_id,
+                    route = self.source.exchange.route.name,
+                    server = self.source.upstream.in_flight.server().listed.id,
+                    after_ms = after.as_millis() as u64,
+                    "first event"
+                );
+            }
+            Some(last) => {
+                let pause = now - last;
+                self.longest_pause_ms = self.longest_pause_ms.max(pause.as_millis() as u64);
+                self.source.gateway.metrics.observe_pause(pause);
+                if let Some(group) = self.source.upstream.in_flight.group() {
+                    group.record_pause(pause.as_secs_f64() * 1_000.0, now);
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, outcome: &'static str, evidence: Evidence) {
+        self.has_ended = true;
+        self.source.gateway.metrics.record_request(self.source.exchange.kind(), outcome);
+        tracing::info!(
+            request = self.source.exchange.head.attempt_id,
+            server = self.source.upstream.in_flight.server().listed.id,
+            version = self.source.exchange.version,
+            outcome,
+            framing = self.source.upstream.framing.name(),
+            evidence = evidence.name(),
+            events = self.source.splitter.event_count(),
+            bytes = self.source.received_bytes,
+            pending_bytes = self.source.splitter.pending().len(),
+            last_event = self.source.splitter.last_id(),
+            longest_pause_ms = self.longest_pause_ms,
+            after_ms = self.source.exchange.arrived.elapsed().as_millis() as u64,
+            runs = self.runs,
+            "stream ended"
+        );
+        // Dropping the connection makes the server stop work on the request.
+        let connection = self.source.upstream.connection.take();
+        if evidence.is_whole() {
+            self.source
+                .gateway
+                .suspects
+                .record_finished(&self.source.exchange.subjects, self.source.upstream.sent_at);
+            let server = self.source.upstream.in_flight.server();
+            connection.into_iter().for_each(|kept| keep_connection(kept, Arc::clone(server)));
+        }
+    }
+}
+
+impl Source {
+    /// Whether another server can go on after the last event.
+    fn can_resume(&self) -> bool {
+        self.exchange.route.retry_policy == RetryPolicy::Resume
+            && !self.splitter.has_unnumbered_data()
+    }
+
+    /// The last event that was relayed, or that the caller had before.
+    fn last_event_id(&self) -> Option<u64> {
+        self.splitter.last_id().or(self.exchange.head.last_event_id)
+    }
+
     /// Waits for complete events.
     async fn step(&mut self) -> Step {
         self.waiting_since = Instant::now();
-        let (server, group) = (self.in_flight.server(), self.in_flight.group());
-        let detector = self.gateway.silence_detector(Arc::clone(server), group.cloned());
-        let can_resume = self.exchange.route.retry_policy == RetryPolicy::Resume
-            && self.runs < self.exchange.route.max_attempts;
-        let last_at = self.last_event_at.unwrap_or_else(Instant::now);
         loop {
-            let waiting = timeout_at(self.exchange.deadline, self.body.frame());
-            let waited = tokio::select! {
-                frame = waiting => frame,
-                () = detector.event_overdue(last_at), if can_resume => {
-                    tracing::info!(
-                        request = self.exchange.head.attempt_id,
-                        server = self.in_flight.server().listed.id,
-                        "backend server silent while its group goes on"
-                    );
-                    return Step::Broken(Evidence::ServerSilent);
-                }
-            };
+            let waited = timeout_at(self.exchange.deadline, self.upstream.body.frame()).await;
             let frame = match waited {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => return self.judge_end(Ending::Error, Some(&error)).await,
@@ -182,14 +299,15 @@
     /// Decides whether a stream that has ended is whole.
     async fn judge_end(&self, ending: Ending, error: Option<&hyper::Error>) -> Step {
         let end = AnswerEnd {
-            framing: self.framing,
+            framing: self.upstream.framing,
             ending,
             content: self.splitter.content(),
             silence: self.waiting_since.elapsed(),
             error: error.map(|error| error as _),
             progress: Progress::of_answer(self.received_bytes > 0),
         };
-        let evidence = self.gateway.losses.judge(&self.exchange, &self.in_flight, &end).await;
+        let evidence =
+            self.gateway.losses.judge(&self.exchange, &self.upstream.in_flight, &end).await;
         match evidence {
             _ if evidence.is_whole() => return Step::End(evidence),
             Evidence::Deadline => return Step::TooLate,
@@ -202,8 +320,8 @@
     fn log_broken(&self, evidence: Evidence, error: Option<&hyper::Error>) {
         tracing::info!(
             request = self.exchange.head.attempt_id,
-            server = self.in_flight.server().listed.id,
-            framing = self.framing.name(),
+            server = self.upstream.in_flight.server().listed.id,
+            framing = self.upstream.framing.name(),
             evidence = evidence.name(),
             bytes = self.received_bytes,
             pending_bytes = self.splitter.pending().len(),
@@ -211,116 +329,17 @@
             "stream broken"
         );
     }
+}
 
-    /// Resumes at another backend server after the last event that was relayed.
-    async fn resume(&mut self) -> bool {
-        self.connection = None;
-        self.in_flight.set_trial(None);
-        self.splitter.discard_pending();
-        let server = self.in_flight.server();
-        server.record_answer(self.exchange.arrived.elapsed(), true);
-        if self.exchange.route.retry_policy != RetryPolicy::Resume
-            || self.splitter.has_unnumbered_data()
-        {
-            return false;
-        }
-        let last_event_id = self.splitter.last_id().or(self.exchange.head.last_event_id);
-        while self.runs < self.exchange.route.max_attempts {
-            let choice = self.gateway.selector.choose(&self.exchange, &self.tried, None).await;
-            let Choice::Send(server, group) = choice else {
-                return false;
-            };
-            let (cause, urgency) = (RetryCause::Resumed, Urgency::Begun);
-            let Some(permit) = self.gateway.try_acquire_retry(&self.exchange, cause, urgency)
-            else {
-                return false;
-            };
-            self.tried.push(Arc::clone(&server));
-            let sent =
-                self.gateway.send(&self.exchange, &server, group.as_ref(), last_event_id).await;
-            drop(permit);
-            match sent {
-                Ok(sent) if sent.response.status().is_success() => {
-                    tracing::info!(
-                        request = self.exchange.head.attempt_id,
-                        server = server.listed.id,
-                        after_event = last_event_id,
-                        "stream resumed"
-                    );
-                    self.runs += 1;
-                    self.framing = framing_of(&sent.response);
-                    self.received_bytes = 0;
-                    self.body = sent.response.into_body();
-                    self.connection = Some(sent.connection);
-                    self.in_flight = sent.in_flight;
-                    self.sent_at = sent.sent_at;
-                    return true;
-                }
-                Ok(sent) if sent.answer.is_not_run => {}
-                Ok(_) | Err(SendFailure::MayHaveRun) => self.runs += 1,
-                Err(SendFailure::Suspect(_)) => return false,
-                Err(SendFailure::NotAdmitted | SendFailure::NotSent) => {}
-            }
-        }
-        false
-    }
-
-    fn record_events(&mut self) {
-        let now = Instant::now();
-        if let Some(group) = self.in_flight.group() {
-            group.record_event(self.in_flight.server().listed.address, now);
-        }
-        match self.last_event_at.replace(now) {
-            None => {
-                let after = now - self.exchange.arrived;
-                self.gateway.metrics.observe_answer_time(self.exchange.kind(), after);
-                self.in_flight.server().record_answer(after, false);
-                tracing::info!(
-                    request = self.exchange.head.attempt_id,
-                    route = self.exchange.route.name,
-                    server = self.in_flight.server().listed.id,
-                    after_ms = after.as_millis() as u64,
-                    "first event"
-                );
-            }
-            Some(last) => {
-                let pause = now - last;
-                self.longest_pause_ms = self.longest_pause_ms.max(pause.as_millis() as u64);
-                self.gateway.metrics.observe_pause(pause);
-                if let Some(group) = self.in_flight.group() {
-                    group.record_pause(pause.as_secs_f64() * 1_000.0, now);
-                }
-            }
-        }
-    }
-
-    fn end(&mut self, outcome: &'static str, evidence: Evidence) {
-        self.has_ended = true;
-        self.gateway.metrics.record_request(self.exchange.kind(), outcome);
-        tracing::info!(
-            request = self.exchange.head.attempt_id,
-            server = self.in_flight.server().listed.id,
-            version = self.exchange.version,
-            outcome,
-            framing = self.framing.name(),
-            evidence = evidence.name(),
-            events = self.splitter.event_count(),
-            bytes = self.received_bytes,
-            pending_bytes = self.splitter.pending().len(),
-            last_event = self.splitter.last_id(),
-            longest_pause_ms = self.longest_pause_ms,
-            after_ms = self.exchange.arrived.elapsed().as_millis() as u64,
-            runs = self.runs,
-            "stream ended"
-        );
-        // Dropping the connection makes the server stop work on the request.
-        let connection = self.connection.take();
-        if evidence.is_whole() {
-            self.gateway.suspects.record_finished(&self.exchange.subjects, self.sent_at);
-            let server = self.in_flight.server();
-            connection.into_iter().for_each(|kept| keep_connection(kept, Arc::clone(server)));
-        }
-    }
+fn resumption<'a>(
+    gateway: &'a Gateway,
+    exchange: &'a Exchange,
+    last_event_id: Option<u64>,
+    tried: &'a mut Vec<Arc<Server>>,
+    runs: &'a mut u32,
+) -> Hedge<'a> {
+    let (cause, urgency) = (RetryCause::Resumed, Urgency::Begun);
+    Hedge { gateway, exchange, tried, runs, cause, urgency, admission: None, last_event_id }
 }
 
 /// The body of a backend server's answer, with its connection.
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -108,8 +108,8 @@
         Self { address, client, stop, metrics: counted, views: seen, held, gateway }
     }
 
-    /// Makes all servers ranks of one group.
-    pub fn form_group(&self, servers: &[SocketAddr]) {
+    /// Makes all servers ranks of one group, and returns it.
+    pub fn form_group(&self, servers: &[SocketAddr]) -> Arc<GroupLoad> {
         let view = View::clone(&self.views.load());
         let group = Arc::new(GroupLoad::default());
         let rank = |(rank, address): (usize, &SocketAddr)| {
@@ -118,6 +118,7 @@
         };
         let group_ranks = servers.iter().enumerate().map(rank).collect();
         self.views.store(Arc::new(View { group_ranks, ..view }));
+        group
     }
 
     /// Closes the server with this number to requests, as in an evacuation, or opens it again.
