Log output: flush at the end of the process

What was seen: the last lines of a process on the platform could be missing, also `stopped`.

Cause: lines go through a queue to a thread of their own, and nothing waited for it before the process exited. The count of lines left out was written with the next line only, so it was lost after the last.

Ruled out: the own path (`run::role`) writes to standard error without a queue or a buffer and needs none.

Change: `NonBlockingOutput::flush`, bounded by 0.1 s at exit so that a reader that has stopped can't keep the process alive; also after an error that ends the run, which is logged first.

--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -7,12 +7,16 @@
 use flamingowheel_daemon::demo;
 use flamingowheel_daemon::entry::EntryProcess;
 use flamingowheel_daemon::listen::StartError;
+use flamingowheel_fleet::ProcessSettings;
 use flamingowheel_observe::logs;
 use std::path::Path;
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+/// Longest wait at exit for the reader of the logs; the grace period must not end meanwhile.
+const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
 /// Validates a settings file.
 pub fn check(file: &Path) -> Result<Exit> {
     Settings::load(file)?;
@@ -57,16 +61,30 @@
         let settings = settings.clone();
         move || reload(&settings)
     };
-    logs::init_stdout(&settings.vm, &settings.data_centre)?;
+    let output = logs::init_stdout(&settings.vm, &settings.data_centre)?;
+    let exit = run_on_platform(&settings, reload);
+    if let Err(error) = &exit {
+        tracing::error!(error = format!("{error:#}"), "ended by an error");
+    }
+    if let Err(error) = output.flush(LOG_FLUSH_LIMIT) {
+        eprintln!("flamingowheeld: last log lines are missing: {error}");
+    }
+    exit
+}
+
+fn run_on_platform<F>(settings: &ProcessSettings, reload: F) -> Result<Exit>
+where
+    F: Fn() + Send + 'static,
+{
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let exit = runtime.block_on(async {
         let mut signals = Signals::new()?;
         tokio::spawn(on_each_hangup(signal(SignalKind::hangup())?, reload));
         tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
         if settings.callers.is_some() {
-            flamingowheel_gateway::process::run(&settings, signals.next()).await?;
+            flamingowheel_gateway::process::run(settings, signals.next()).await?;
         } else {
-            flamingowheel_ranks::process::run(&settings, signals.next()).await?;
+            flamingowheel_ranks::process::run(settings, signals.next()).await?;
         }
         tracing::info!("stopped");
         Ok(Exit::Success)
@@ -89,7 +107,7 @@
 /// Reads the settings again and logs whether they changed. Changes apply at the next start only:
 /// addresses and limits are fixed for a process's lifetime, and the platform restarts a process
 /// whose addresses change.
-fn reload(current: &flamingowheel_fleet::ProcessSettings) {
+fn reload(current: &ProcessSettings) {
     match flamingowheel_platform::settings::load() {
         Ok(settings) if settings == *current => tracing::info!("settings read again: unchanged"),
         Ok(_) => tracing::warn!("settings read again: changes apply at the next start"),
--- a/crates/flamingowheeld/tests/platform.rs
+++ b/crates/flamingowheeld/tests/platform.rs
@@ -100,12 +100,13 @@
 }
 
 /// The store is unreachable when an entry gets SIGTERM. The entry must still exit by itself in
-/// time.
+/// time, with its last line written.
 #[tokio::test]
 async fn terminate_store_unreachable() {
     let mut entry = Entry::start(3);
     entry.readiness().await;
     entry.signal(Signal::TERM);
     entry.wait_for("leaving");
+    entry.wait_for("stopped");
     assert!(entry.child.wait().unwrap().success());
 }
--- a/crates/observe/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -64,13 +64,14 @@
         .finish())
 }
 
-/// Sends the logs of a process on a platform to standard output as JSON lines.
-pub fn init_stdout(vm: &str, data_centre: &str) -> Result<(), LogError> {
+/// Sends the logs of a process on a platform to standard output as JSON lines. The output is to be
+/// flushed before the process exits.
+pub fn init_stdout(vm: &str, data_centre: &str) -> Result<NonBlockingOutput, LogError> {
     let process = ProcessInfo { name: vm.into(), vm: vm.into(), data_centre: data_centre.into() };
     let output = NonBlockingOutput::start(std::io::stdout(), MAX_LINES_PER_S)?;
-    let subscriber = subscriber(process, "info", output)?;
+    let subscriber = subscriber(process, "info", output.clone())?;
     tracing::subscriber::set_global_default(subscriber)?;
-    Ok(())
+    Ok(output)
 }
 
 struct JsonLines {
--- a/crates/observe/src/output.rs
+++ b/crates/observe/src/output.rs
@@ -6,7 +6,9 @@
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{
+    Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError, channel, sync_channel,
+};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tracing::Level;
@@ -25,10 +27,32 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Pause before a flush looks again for room in a full queue.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Why queued lines may be missing in the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FlushError {
+    /// The reader did not take all lines in time.
+    #[error("the reader of the logs takes no lines")]
+    TimedOut,
+    /// The reader has closed its end.
+    #[error("the reader of the logs is gone")]
+    ReaderGone,
+}
+
+/// What the thread that writes lines is asked to do.
+#[derive(Debug)]
+enum Message {
+    Line(Vec<u8>),
+    /// Answered once all earlier lines and the count of dropped ones are written.
+    Flush(Sender<()>),
+}
+
 /// Creates writers that each queue one complete line.
 #[derive(Clone, Debug)]
 pub struct NonBlockingOutput {
-    queue: SyncSender<Vec<u8>>,
+    queue: SyncSender<Message>,
     rate: Arc<Mutex<Rate>>,
     dropped_lines: Arc<AtomicU64>,
 }
@@ -67,6 +91,35 @@
         self.dropped_lines.load(Ordering::Relaxed)
     }
 
+    /// Waits, for at most `limit`, until all queued lines and the count of dropped ones are written.
+    ///
+    /// ```
+    /// use flamingowheel_observe::output::{MAX_LINES_PER_S, NonBlockingOutput};
+    /// use std::time::Duration;
+    /// let output = NonBlockingOutput::start(std::io::sink(), MAX_LINES_PER_S).unwrap();
+    /// assert!(output.flush(Duration::from_secs(10)).is_ok());
+    /// ```
+    pub fn flush(&self, limit: Duration) -> Result<(), FlushError> {
+        let deadline = Instant::now() + limit;
+        let (written, wait) = channel();
+        let mut message = Message::Flush(written);
+        while let Err(error) = self.queue.try_send(message) {
+            message = match error {
+                TrySendError::Full(_) if Instant::now() >= deadline => {
+                    return Err(FlushError::TimedOut);
+                }
+                TrySendError::Full(message) => message,
+                TrySendError::Disconnected(_) => return Err(FlushError::ReaderGone),
+            };
+            std::thread::sleep(FLUSH_POLL_INTERVAL);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        wait.recv_timeout(left).map_err(|error| match error {
+            RecvTimeoutError::Timeout => FlushError::TimedOut,
+            RecvTimeoutError::Disconnected => FlushError::ReaderGone,
+        })
+    }
+
     fn line(&self, level: Level) -> LineWriter {
         let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
         if rate.window_start.elapsed() >= SECOND {
@@ -84,22 +137,36 @@
     }
 }
 
-fn write_lines<W>(lines: &Receiver<Vec<u8>>, mut writer: W, dropped_lines: &AtomicU64)
+fn write_lines<W>(messages: &Receiver<Message>, mut writer: W, dropped_lines: &AtomicU64)
 where
     W: Write,
 {
-    while let Ok(line) = lines.recv() {
-        let unreported = dropped_lines.swap(0, Ordering::Relaxed);
-        let reported = match unreported {
-            0 => Ok(()),
-            count => {
-                writeln!(writer, r#"{{"level":"WARN","message":"lines left out","count":{count}}}"#)
-            }
-        };
+    while let Ok(message) = messages.recv() {
+        let reported = report_dropped(&mut writer, dropped_lines);
+        let written = reported.and_then(|()| match &message {
+            Message::Line(line) => writer.write_all(line),
+            Message::Flush(_) => Ok(()),
+        });
         // A failed write means that the reader is gone, so no further line can be delivered.
-        if reported.and_then(|()| writer.write_all(&line)).and_then(|()| writer.flush()).is_err() {
+        if written.and_then(|()| writer.flush()).is_err() {
             return;
         }
+        if let Message::Flush(written) = message {
+            // The error is ignored: a flush that timed out waits no more.
+            let _ = written.send(());
+        }
+    }
+}
+
+fn report_dropped<W>(writer: &mut W, dropped_lines: &AtomicU64) -> io::Result<()>
+where
+    W: Write,
+{
+    match dropped_lines.swap(0, Ordering::Relaxed) {
+        0 => Ok(()),
+        count => {
+            writeln!(writer, r#"{{"level":"WARN","message":"lines left out","count":{count}}}"#)
+        }
     }
 }
 
@@ -128,7 +195,7 @@
         let Some(output) = self.output.take() else {
             return;
         };
-        if output.queue.try_send(std::mem::take(&mut self.bytes)).is_err() {
+        if output.queue.try_send(Message::Line(std::mem::take(&mut self.bytes))).is_err() {
             output.dropped_lines.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/observe/tests/output.rs
+++ b/crates/observe/tests/output.rs
@@ -1,9 +1,10 @@
 //! Tests of log output whose reader stops, and of the bound on the rate of lines.
 
-use flamingowheel_observe::output::NonBlockingOutput;
+use flamingowheel_observe::output::{FlushError, NonBlockingOutput};
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Blocks each write until `go` receives a message or its sender is dropped.
@@ -84,3 +85,63 @@
     assert!(output.dropped_lines() >= 20, "{}", output.dropped_lines());
     drop(go);
 }
+
+/// More than any test run takes.
+const LONG: Duration = Duration::from_secs(60);
+
+/// A reader that is slower than the lines arrive.
+#[derive(Clone, Default)]
+struct SlowWriter(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SlowWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(1));
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl SlowWriter {
+    /// Number of lines that were written, or counted as left out.
+    fn accounted(&self) -> u64 {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        let count = |line: &str| match line.split_once("\"count\":") {
+            Some((_, count)) => count.trim_end_matches('}').parse().unwrap(),
+            None => 1,
+        };
+        text.lines().map(count).sum()
+    }
+}
+
+/// A process exits right after its last line. Lines that are still queued, and the count of those
+/// left out after them, would be lost with it.
+#[test]
+fn flush_queued_lines_and_count_written() {
+    let reader = SlowWriter::default();
+    let output = NonBlockingOutput::start(reader.clone(), 100).unwrap();
+    (0..100).for_each(|_| output.make_writer().write_all(b"line\n").unwrap());
+    assert_eq!(output.flush(LONG), Ok(()));
+    assert_eq!(reader.accounted(), 100);
+    output.make_writer().write_all(b"line\n").unwrap();
+    assert_eq!(output.flush(LONG), Ok(()));
+    assert_eq!(reader.accounted(), 101);
+}
+
+/// A reader that has stopped must not keep a process alive that wants to exit.
+#[test]
+fn flush_reader_stopped_gives_up() {
+    let (_go, wait) = channel();
+    let (done, _ended) = channel();
+    let (write_began, is_blocked) = channel();
+    let blocked = BlockedWriter { write_began, go: wait, written: Arc::default(), done };
+    let output = NonBlockingOutput::start(blocked, 5_000).unwrap();
+    output.make_writer().write_all(b"line\n").unwrap();
+    is_blocked.recv().unwrap();
+    assert_eq!(output.flush(Duration::from_millis(1)), Err(FlushError::TimedOut));
+    (0..5_000).for_each(|_| output.make_writer().write_all(b"line\n").unwrap());
+    assert_eq!(output.flush(Duration::from_millis(1)), Err(FlushError::TimedOut), "queue full");
+}
