Entry: every request that was read ends once in the counters

What was seen: requests with neither a line nor a count of their end. A caller that left before the head, inside a stream or inside a large plain answer: no end after 20 s. A large plain answer that its server broke off: a line, no count. A failure that another server's answer replaced: two ends for one request.

Cause: ends were recorded by the code that works on a request, which hyper drops when the caller is gone; `record_broken` counted none; each whole plain answer counted one, also those that are retried.

Ruled out: a count by `PlainAnswer` for answers that are whole: only the one that the caller gets ends the request, so it is counted when it is handed on.

Change: `OpenRequest` is created when the head has been read, is shared by the exchange, and counts one end. Dropped without one, it counts `abandoned` and writes the line `request abandoned`. New counter `flamingowheel_requests_read_total`. Names of lines, kinds and outcomes are kept.

--- a/crates/gateway/benches/urgency.rs
+++ b/crates/gateway/benches/urgency.rs
@@ -9,7 +9,10 @@
 
 use flamingowheel_fleet::configuration::{Route, Workspace};
 use flamingowheel_gateway::exchange::Exchange;
+use flamingowheel_gateway::front::Stop;
 use flamingowheel_gateway::group::{Fullness, GroupInFlight, GroupLoad};
+use flamingowheel_gateway::metrics::Metrics;
+use flamingowheel_gateway::open::OpenRequest;
 use flamingowheel_gateway::priority::{Turn, Turns, Waiting};
 use flamingowheel_platform::headers::RequestHead;
 use flamingowheel_policy::batch::PassModel;
@@ -113,6 +116,7 @@
     batch: Vec<Stream>,
     report: Report,
     number: u64,
+    metrics: Arc<Metrics>,
 }
 
 struct Pending {
@@ -164,6 +168,7 @@
             batch: Vec::new(),
             report: Report::default(),
             number: 0,
+            metrics: Arc::new(Metrics::new().unwrap()),
         }
     }
 
@@ -236,6 +241,7 @@
     fn exchange(&self, kind: usize, workspace: usize, at_ms: f64, left_ms: u64) -> Exchange {
         let arrived = self.at(at_ms);
         let priority = self.workspaces[workspace].priority;
+        let metrics = Arc::clone(&self.metrics);
         Exchange {
             arrived,
             version: 1,
@@ -252,6 +258,7 @@
             body: bytes::Bytes::new(),
             fingerprint: Fingerprint(u128::from(self.number)),
             subjects: Vec::new(),
+            open: Arc::new(OpenRequest::new("", arrived, metrics, Stop::default())),
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::RetryCause;
 use crate::homes::Homes;
+use crate::open::OpenRequest;
 use crate::refusal::Refusal;
 use crate::relay::AnswerBody;
 use crate::server::Server;
@@ -73,16 +74,23 @@
     /// What a crash under the request can be attributed to: its content, then the parts of its
     /// prompt that others may share, in the order of `head.shared_parts`.
     pub subjects: Vec<Fingerprint>,
+    /// Counts the end of the request.
+    pub open: Arc<OpenRequest>,
+}
+
+/// The value of the `kind` label in metrics for requests of a route.
+pub fn kind(route: &Route) -> &'static str {
+    match (route.is_stream, route.retry_policy) {
+        (true, _) => "stream",
+        (false, RetryPolicy::Never) => "once",
+        (false, _) => "idempotent",
+    }
 }
 
 impl Exchange {
     /// The value of the `kind` label in metrics.
     pub fn kind(&self) -> &'static str {
-        match (self.route.is_stream, self.route.retry_policy) {
-            (true, _) => "stream",
-            (false, RetryPolicy::Never) => "once",
-            (false, _) => "idempotent",
-        }
+        kind(&self.route)
     }
 
     /// Whether this seems to be a caller's retry after a refusal: its remaining time is below the
@@ -136,8 +144,9 @@
         self.subjects.iter().skip(1).copied().zip(ids)
     }
 
-    /// Builds the request to send to `server`.
+    /// Builds the request to send to `server`, which counts as sent from now on.
     pub fn outgoing(&self, server: &Server, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
+        self.open.begin_send(server);
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let head = ForwardHead {
             remaining_ms: remaining.as_millis() as u64,
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -4,6 +4,7 @@
 use super::{Gateway, SentRequest};
 use crate::connection::Connection;
 use crate::exchange::Exchange;
+use crate::losses::Progress;
 use crate::refusal::Refusal;
 use crate::relay::{AnswerBody, Relay, UpstreamBody, full_body};
 use crate::server::Server;
@@ -14,6 +15,10 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Marks a response that holds a server's whole answer. Others end when their bodies do.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WholeAnswer;
+
 impl Gateway {
     /// Relays an answer: streams and large answers as they arrive, others once they are complete.
     pub(super) async fn forward_answer(
@@ -24,6 +29,7 @@
         runs: u32,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let SentRequest { response, connection, in_flight, sent_at, .. } = sent;
+        exchange.open.record_progress(Progress::Head);
         let status = response.status();
         let framing = framing_of(&response);
         let (mut parts, body) = response.into_parts();
@@ -44,7 +50,10 @@
         }
         let sent = Sent { at: sent_at, runs, status };
         let body = match PlainAnswer::new(gateway, exchange, upstream, sent).buffer().await {
-            Buffered::Whole(bytes) => full_body(bytes),
+            Buffered::Whole(bytes) => {
+                parts.extensions.insert(WholeAnswer);
+                full_body(bytes)
+            }
             Buffered::Large(answer) => answer.into_body(),
             Buffered::Broken(Evidence::Deadline) => return Err(Refusal::NoAnswerInTime),
             Buffered::Broken(_) => return Err(Refusal::AnswerLost),
--- a/crates/gateway/src/forward/intake.rs
+++ b/crates/gateway/src/forward/intake.rs
@@ -3,10 +3,11 @@
 use super::Gateway;
 use crate::exchange::{self, Exchange};
 use crate::held::{Held, HeldBytes, HoldError};
+use crate::open::OpenRequest;
 use crate::refusal::Refusal;
 use bytes::{Bytes, BytesMut};
 use flamingowheel_fleet::configuration::Route;
-use flamingowheel_platform::headers::{self, RequestHead};
+use flamingowheel_platform::headers::RequestHead;
 use flamingowheel_policy::priority::Rank;
 use http::Request;
 use http_body::Body;
@@ -14,7 +15,6 @@
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Deadline of requests whose callers give none, in milliseconds after arrival.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
@@ -27,36 +27,33 @@
     pub(super) async fn admit(
         &self,
         request: Request<Incoming>,
-        arrived: Instant,
-    ) -> Result<Exchange, (Refusal, RequestHead)> {
+        head: RequestHead,
+        open: &Arc<OpenRequest>,
+    ) -> Result<Exchange, Refusal> {
         let (parts, body) = request.into_parts();
-        let head = headers::parse_request(&parts.headers);
         let view = self.view();
         let Some(configuration) = &view.configuration else {
-            let refusal = Refusal::no_configuration(self.started_at.elapsed(), rand::random());
-            return Err((refusal, head));
+            return Err(Refusal::no_configuration(self.started_at.elapsed(), rand::random()));
         };
         let host = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
         let Some(route) = configuration.route(host, parts.uri.path()) else {
-            return Err((Refusal::NoRoute, head));
+            return Err(Refusal::NoRoute);
         };
+        open.set_route(&route.name);
         let workspace = match &configuration.workspaces {
             Some(workspaces) => head.api_key.as_ref().and_then(|key| workspaces.get(key)),
             None => None,
         };
         let is_open = route.is_public || configuration.workspaces.is_none();
         if workspace.is_none() && !is_open {
-            return Err((Refusal::UnknownKey, head));
+            return Err(Refusal::UnknownKey);
         }
         let Some(service) = choose_service(route) else {
-            return Err((Refusal::NoRoute, head));
+            return Err(Refusal::NoRoute);
         };
         let max_body_bytes = configuration.limits.max_body_bytes;
-        let body = match read_body(body, max_body_bytes, &self.held).await {
-            Ok(body) => body,
-            Err(refusal) => return Err((refusal, head)),
-        };
+        let body = read_body(body, max_body_bytes, &self.held).await?;
         let fingerprint = exchange::fingerprint(
             workspace.map(Arc::as_ref),
             &parts.method,
@@ -64,6 +61,7 @@
             &parts.uri,
             &body,
         );
+        open.admit(exchange::kind(route), fingerprint);
         let subjects = exchange::subjects(fingerprint, &service, &head.shared_parts);
         let priority = workspace.and_then(|workspace| workspace.priority);
         let rank = Rank::new(priority, route.priority);
@@ -71,8 +69,8 @@
         let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let wait_ms = if route.timeout_ms > 0 { wait_ms.min(route.timeout_ms) } else { wait_ms };
         Ok(Exchange {
-            arrived,
-            deadline: arrived + Duration::from_millis(wait_ms),
+            arrived: open.arrived,
+            deadline: open.arrived + Duration::from_millis(wait_ms),
             version: configuration.version,
             route: Arc::clone(route),
             service,
@@ -86,6 +84,7 @@
             body,
             fingerprint,
             subjects,
+            open: Arc::clone(open),
         })
     }
 }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod plain;
 mod send;
 
+use answer::WholeAnswer;
 pub use answer::keep_connection;
 pub use send::{SendFailure, SentRequest};
 
@@ -12,10 +13,12 @@
 use crate::breaker::CircuitBreakers;
 use crate::budget::{Decision, RetryBudget, RetryCause, RetryPermit};
 use crate::exchange::{Attempts, Exchange};
+use crate::front::Stop;
 use crate::group::{Fullness, GroupLoad};
 use crate::held::Held;
 use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
+use crate::open::OpenRequest;
 use crate::permits::PermitSender;
 use crate::priority::{Turn, Turns, Waiting};
 use crate::refusal::Refusal;
@@ -58,6 +61,7 @@
     pub metrics: Arc<Metrics>,
     /// What is held for callers.
     pub held: Arc<Held>,
+    stop: Stop,
 }
 
 impl Gateway {
@@ -83,6 +87,7 @@
             turns: Arc::default(),
             metrics,
             held: Held::unlimited(),
+            stop: Stop::default(),
         }
     }
 
@@ -92,6 +97,12 @@
         Self { held, ..self }
     }
 
+    /// Follows the steps of the process's stop.
+    #[must_use]
+    pub fn with_stop(self, stop: Stop) -> Self {
+        Self { stop, ..self }
+    }
+
     /// The newest view.
     pub fn view(&self) -> Arc<View> {
         self.views.load_full()
@@ -99,20 +110,33 @@
 
     /// Handles one request of a caller.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let arrived = Instant::now();
-        let exchange = match self.admit(request, arrived).await {
-            Ok(exchange) => exchange,
-            Err((refusal, head)) => return self.refuse(refusal, &head, None, arrived),
-        };
-        let exchange = Arc::new(exchange);
-        self.budget.record_request(&exchange.service, arrived);
-        self.suspects.wait_until_synced().await;
-        match self.serve(&exchange).await {
-            Ok(response) => response,
-            Err(refusal) => self.refuse(refusal, &exchange.head, Some(&exchange), arrived),
+        let head = headers::parse_request(request.headers());
+        let (metrics, stop) = (Arc::clone(&self.metrics), self.stop.clone());
+        let open = OpenRequest::new(&head.attempt_id, Instant::now(), metrics, stop);
+        let open = Arc::new(open);
+        match self.answer(request, head, &open).await {
+            Ok(mut response) => {
+                if let Some(WholeAnswer) = response.extensions_mut().remove() {
+                    open.end("answered");
+                }
+                response
+            }
+            Err(refusal) => self.refuse(refusal, &open),
         }
     }
 
+    async fn answer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        head: RequestHead,
+        open: &Arc<OpenRequest>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let exchange = Arc::new(self.admit(request, head, open).await?);
+        self.budget.record_request(&exchange.service, exchange.arrived);
+        self.suspects.wait_until_synced().await;
+        self.serve(&exchange).await
+    }
+
     async fn serve(
         self: &Arc<Self>,
         exchange: &Arc<Exchange>,
@@ -369,21 +393,14 @@
         Refusal::suspect(retry_after)
     }
 
-    fn refuse(
-        &self,
-        refusal: Refusal,
-        head: &RequestHead,
-        exchange: Option<&Exchange>,
-        arrived: Instant,
-    ) -> Response<AnswerBody> {
-        let kind = exchange.map_or("unknown", Exchange::kind);
-        self.metrics.record_request(kind, refusal.name());
+    fn refuse(&self, refusal: Refusal, open: &OpenRequest) -> Response<AnswerBody> {
+        open.end(refusal.name());
         tracing::info!(
-            request = head.attempt_id,
+            request = open.attempt_id,
             version = self.view().version(),
             reason = refusal.name(),
-            fingerprint = exchange.map(|exchange| tracing::field::display(exchange.fingerprint)),
-            after_ms = arrived.elapsed().as_millis() as u64,
+            fingerprint = open.fingerprint().map(tracing::field::display),
+            after_ms = open.arrived.elapsed().as_millis() as u64,
             "refused"
         );
         let mut response = Response::new(full_body(Bytes::new()));
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -134,10 +134,13 @@
             Ok(Some(piece)) => Some(Ok(piece)),
             Ok(None) => {
                 self.has_ended = true;
+                self.exchange.open.end("answered");
                 None
             }
-            Err(_) => {
+            Err(evidence) => {
                 self.has_ended = true;
+                let is_late = evidence == Evidence::Deadline;
+                self.exchange.open.end(if is_late { "too_late" } else { "broken_off" });
                 Some(Err(Truncated))
             }
         }
@@ -153,6 +156,7 @@
                         continue;
                     };
                     self.received_bytes += data.len();
+                    self.exchange.open.record_progress(Progress::Body);
                     if self.received_bytes as u64 > MAX_ANSWER_BYTES {
                         self.record_broken(Evidence::TooLarge, None);
                         return Err(Evidence::TooLarge);
@@ -199,7 +203,6 @@
         let result = if status.is_success() { "answered" } else { "failed" };
         metrics.record_send(self.exchange.kind(), result);
         metrics.observe_answer_time(self.exchange.kind(), after);
-        metrics.record_request(self.exchange.kind(), "answered");
         tracing::info!(
             request = self.exchange.head.attempt_id,
             route = self.exchange.route.name,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod losses;
 pub mod member;
 pub mod metrics;
+pub mod open;
 pub mod permits;
 pub mod priority;
 pub mod process;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use flamingowheel_policy::answers::{Ending, Framing};
 use flamingowheel_policy::suspicion::SubjectKind;
 use flamingowheel_policy::urgency::GivesWay;
+use prometheus::core::Collector;
 use prometheus::{
     Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -31,6 +32,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    requests_read: IntCounter,
     requests: IntCounterVec,
     sends: IntCounterVec,
     connections: IntCounterVec,
@@ -208,6 +210,10 @@
     /// Creates and registers the metrics.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
+        let requests_read = IntCounter::new(
+            "flamingowheel_requests_read_total",
+            "Requests whose head has been read",
+        )?;
         let requests = IntCounterVec::new(
             Opts::new("flamingowheel_requests_total", "Requests by kind and how they ended"),
             &["kind", "outcome"],
@@ -289,6 +295,7 @@
                 .buckets(PAUSE_BUCKETS_S.to_vec()),
         )?;
         let turns = TurnMetrics::register(&registry)?;
+        registry.register(Box::new(requests_read.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(sends.clone()))?;
         registry.register(Box::new(connections.clone()))?;
@@ -307,6 +314,7 @@
         let capacity = CapacityMetrics::register(&registry)?;
         Ok(Self {
             registry,
+            requests_read,
             requests,
             sends,
             connections,
@@ -327,6 +335,23 @@
         })
     }
 
+    /// Counts a request whose head has been read.
+    pub fn record_read(&self) {
+        self.requests_read.inc();
+    }
+
+    /// Number of requests whose head has been read.
+    pub fn requests_read(&self) -> u64 {
+        self.requests_read.get()
+    }
+
+    /// Number of requests that ended, in whichever way.
+    pub fn requests_ended(&self) -> u64 {
+        let families = self.requests.collect();
+        let counts = families.iter().flat_map(|family| family.get_metric());
+        counts.map(|count| count.get_counter().get_value() as u64).sum()
+    }
+
     /// Counts a request that ended.
     pub fn record_request(&self, kind: &'static str, outcome: &'static str) {
         self.requests.with_label_values(&[kind, outcome]).inc();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -108,7 +108,7 @@
         Arc::clone(&metrics),
     );
     let held = Held::new(settings.memory_bytes, settings.max_descriptors);
-    let gateway = Arc::new(gateway.with_held(Arc::clone(&held)));
+    let gateway = Arc::new(gateway.with_held(Arc::clone(&held)).with_stop(stop.clone()));
     let (traffic, threads) = start_traffic(callers, &gateway, &stop)?;
 
     let mirror = Arc::new(Mirror::default());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -296,7 +296,7 @@
 
     fn end(&mut self, outcome: &'static str, evidence: Evidence) {
         self.has_ended = true;
-        self.gateway.metrics.record_request(self.exchange.kind(), outcome);
+        self.exchange.open.end(outcome);
         tracing::info!(
             request = self.exchange.head.attempt_id,
             server = self.in_flight.server().listed.id,
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -2,6 +2,9 @@
 
 use flamingowheel_fleet::configuration::Route;
 use flamingowheel_gateway::exchange::Exchange;
+use flamingowheel_gateway::front::Stop;
+use flamingowheel_gateway::metrics::Metrics;
+use flamingowheel_gateway::open::OpenRequest;
 use flamingowheel_platform::headers::RequestHead;
 use flamingowheel_policy::key::Fingerprint;
 use flamingowheel_policy::priority::Rank;
@@ -14,6 +17,7 @@
 
 fn exchange(left_ms: u64, pause_goal_ms: u64) -> Exchange {
     let arrived = Instant::now();
+    let metrics = Arc::new(Metrics::new().unwrap());
     Exchange {
         arrived,
         version: 1,
@@ -30,6 +34,7 @@
         body: bytes::Bytes::new(),
         fingerprint: Fingerprint(1),
         subjects: Vec::new(),
+        open: Arc::new(OpenRequest::new("", arrived, metrics, Stop::default())),
     }
 }
 
--- a/crates/gateway/tests/framing/entry.rs
+++ b/crates/gateway/tests/framing/entry.rs
@@ -99,10 +99,11 @@
         let counted = Arc::clone(&metrics);
         let held = Held::new(MEMORY_BYTES, 4_096);
         let gateway = Gateway::new(views, budget, permits, suspects, losses, metrics);
-        let gateway = Arc::new(gateway.with_held(Arc::clone(&held)));
+        let stop = Stop::default();
+        let gateway = gateway.with_held(Arc::clone(&held)).with_stop(stop.clone());
+        let gateway = Arc::new(gateway);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let stop = Stop::default();
         tokio::spawn(front::serve(listener, Arc::clone(&gateway), stop.clone()));
         let client = HttpClient::new(address.to_string().parse().unwrap(), HttpLimits::default());
         Self { address, client, stop, metrics: counted, views: seen, held, gateway }
--- a/crates/gateway/tests/turns.rs
+++ b/crates/gateway/tests/turns.rs
@@ -5,7 +5,10 @@
 use flamingowheel_gateway::balance::{self, Choice};
 use flamingowheel_gateway::budget::{Allowance, RetryBudget};
 use flamingowheel_gateway::exchange::Exchange;
+use flamingowheel_gateway::front::Stop;
 use flamingowheel_gateway::group::{Admission, Fullness, GroupLoad};
+use flamingowheel_gateway::metrics::Metrics;
+use flamingowheel_gateway::open::OpenRequest;
 use flamingowheel_gateway::priority::{Turn, Turns, levels};
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::View;
@@ -33,6 +36,7 @@
 
 fn exchange(priority: u32, left_ms: u64, pause_goal_ms: u64) -> Exchange {
     let arrived = Instant::now();
+    let metrics = Arc::new(Metrics::new().unwrap());
     let goal_ms = if priority == 0 { 400 } else { 1_000 };
     let route =
         Route { priority, goal_ms, timeout_ms: TIMEOUT_MS, pause_goal_ms, ..Route::default() };
@@ -52,6 +56,7 @@
         body: bytes::Bytes::new(),
         fingerprint: Fingerprint(u128::from(priority)),
         subjects: Vec::new(),
+        open: Arc::new(OpenRequest::new("", arrived, metrics, Stop::default())),
     }
 }
 
