--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -8,11 +8,15 @@
 use flamingowheel_daemon::entry::EntryProcess;
 use flamingowheel_daemon::listen::StartError;
 use flamingowheel_observe::logs;
+use flamingowheel_observe::output::NonBlockingOutput;
 use std::path::Path;
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+/// Longest wait at exit for the reader of the logs; the grace period must not end meanwhile.
+const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
 /// Validates a settings file.
 pub fn check(file: &Path) -> Result<Exit> {
     Settings::load(file)?;
@@ -54,27 +58,37 @@
 /// agent beside a backend server.
 pub fn on_platform() -> Result<Exit> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let exit = runtime.block_on(async {
-        let (mut signals, hangup) = (Signals::new()?, signal(SignalKind::hangup())?);
-        let settings = flamingowheel_platform::settings::load()?;
-        logs::init_stdout(&settings.vm, &settings.data_centre)?;
-        let reload = flamingowheel_platform::settings::load;
-        tokio::spawn(reload_on_hangup(hangup, settings.clone(), reload));
-        tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
-        if settings.callers.is_some() {
-            flamingowheel_gateway::process::run(&settings, signals.next()).await?;
-        } else {
-            flamingowheel_ranks::process::run(&settings, signals.next()).await?;
-        }
-        tracing::info!("stopped");
-        Ok(Exit::Success)
-    });
+    let mut output = None;
+    let exit = runtime.block_on(run_on_platform(&mut output));
     // Dropping the runtime would wait for the traffic threads, which end with their last request.
-    // The process would exceed its grace time, be killed, and not log which requests it cut off.
+    // The process would exceed its grace time and be killed.
     runtime.shutdown_background();
+    if let Err(error) = &exit {
+        tracing::error!(error = format!("{error:#}"), "ended by an error");
+    }
+    if let Some(Err(error)) = output.map(|output| output.flush(LOG_FLUSH_LIMIT)) {
+        eprintln!("flamingowheeld: last log lines are missing: {error}");
+    }
     exit
 }
 
+/// Runs until a termination signal arrives. `output` is set to that of the logs once there is one.
+async fn run_on_platform(output: &mut Option<NonBlockingOutput>) -> Result<Exit> {
+    let (mut signals, hangup) = (Signals::new()?, signal(SignalKind::hangup())?);
+    let settings = flamingowheel_platform::settings::load()?;
+    *output = Some(logs::init_stdout(&settings.vm, &settings.data_centre)?);
+    let reload = flamingowheel_platform::settings::load;
+    tokio::spawn(reload_on_hangup(hangup, settings.clone(), reload));
+    tracing::info!(version = env!("CARGO_PKG_VERSION"), "started");
+    if settings.callers.is_some() {
+        flamingowheel_gateway::process::run(&settings, signals.next()).await?;
+    } else {
+        flamingowheel_ranks::process::run(&settings, signals.next()).await?;
+    }
+    tracing::info!("stopped");
+    Ok(Exit::Success)
+}
+
 /// Reads the settings again at each hangup signal and logs whether they changed. Changes apply at
 /// the next start only: addresses and limits are fixed for a process's lifetime.
 async fn reload_on_hangup<Loaded, Load, Error>(mut hangup: Signal, current: Loaded, load: Load)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -223,7 +223,7 @@
 
     fn end(&mut self, outcome: &'static str, evidence: Evidence) {
         self.has_ended = true;
-        self.source.gateway.metrics.record_request(self.source.exchange.kind(), outcome);
+        self.source.exchange.open.end(outcome);
         tracing::info!(
             request = self.source.exchange.head.attempt_id,
             server = self.source.upstream.in_flight.server().listed.id,
