Tests: every stage of a request at each step of a planned stop, over real sockets

243 cases: nine stages, from the accept queue to a next request that is already sent; leaving, closing, and both; GET, POST and a stream; answers with a length, in chunks, and with neither. A request that was passed on gets its whole answer, and none is left out but one that follows another on its connection.

--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -4,16 +4,17 @@
 mod framing;
 
 use flamingowheel_standin::platform::messages::configuration;
-use flamingowheel_standin::platform::raw::{Answer, Call, Framing, RawServer};
-use framing::caller::{API_KEY, Received, head, parse, read_answer, read_answers};
+use flamingowheel_standin::platform::raw::{Answer, Call, Ending, Framing, RawServer};
+use framing::caller::{API_KEY, Received, head, head_of, parse, read_answer, read_answers};
 use framing::entry::Entry;
-use framing::{Bench, events_after};
+use framing::{Bench, event, events_after};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -42,21 +43,23 @@
     timeout(MAX_WAIT, met).await.unwrap();
 }
 
-/// Blocks this thread, and so the entry, until the kernel holds `count` bytes, or connections of a listener, on
-/// the socket from `local` to the port `remote`.
+/// What the kernel holds on the socket from `local` to the port `remote`: unread bytes, or connections of a
+/// listener that wait to be accepted.
+fn waiting(local: SocketAddr, remote: u16) -> usize {
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let hex = |text: &str| usize::from_str_radix(text, 16).unwrap();
+    let counts = sockets.lines().skip(1).filter_map(|line| {
+        let fields: Vec<_> = line.split([' ', ':']).filter(|field| !field.is_empty()).collect();
+        let ports = (hex(fields[2]), hex(fields[4]));
+        (ports == (usize::from(local.port()), usize::from(remote))).then(|| hex(fields[7]))
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// Blocks this thread, and so the entry, until so much has arrived.
 fn block_until_waiting(local: SocketAddr, remote: u16, count: usize) {
     let end = std::time::Instant::now() + MAX_WAIT;
-    let is_waiting = |line: &str| {
-        let fields: Vec<_> = line.split_whitespace().collect();
-        let has_port = |field: usize, port: u16| {
-            fields[field].split(':').nth(1) == Some(format!("{port:04X}").as_str())
-        };
-        let waiting = fields[4].split(':').nth(1).unwrap_or_default();
-        has_port(1, local.port())
-            && has_port(2, remote)
-            && usize::from_str_radix(waiting, 16).is_ok_and(|waiting| waiting >= count)
-    };
-    while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().skip(1).any(is_waiting) {
+    while waiting(local, remote) < count {
         assert!(std::time::Instant::now() < end, "nothing has arrived");
         std::thread::sleep(Duration::from_millis(1));
     }
@@ -205,3 +208,164 @@
         assert_eq!(answers, [events_after(0).as_bytes()], "{attempt}");
     }
 }
+
+/// How far a request has come when the event happens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    InAcceptQueue,
+    Unread,
+    HeadHalfRead,
+    BodyHalfRead,
+    WaitingForServer,
+    HeadSent,
+    BetweenEvents,
+    AnswerWritten,
+    NextRequestSent,
+}
+
+const STAGES: [Stage; 9] = [
+    Stage::InAcceptQueue,
+    Stage::Unread,
+    Stage::HeadHalfRead,
+    Stage::BodyHalfRead,
+    Stage::WaitingForServer,
+    Stage::HeadSent,
+    Stage::BetweenEvents,
+    Stage::AnswerWritten,
+    Stage::NextRequestSent,
+];
+
+/// `leaving` and `closing`, alone and together.
+const EVENTS: [(bool, bool); 3] = [(true, false), (false, true), (true, true)];
+
+/// One combination, with the server's answer.
+#[derive(Clone, Debug)]
+struct Case {
+    stage: Stage,
+    method: &'static str,
+    path: &'static str,
+    answer: Answer,
+}
+
+impl Case {
+    /// Bytes of the answer that the server writes before the event. An event may follow the size of its chunk.
+    fn early_bytes(&self) -> usize {
+        match self.stage {
+            Stage::HeadSent => self.answer.head_bytes("a1"),
+            Stage::BetweenEvents => self.answer.head_bytes("a1") + event(1).len() + 4,
+            Stage::AnswerWritten => usize::MAX,
+            _ => 0,
+        }
+    }
+
+    /// Bytes of the first request that the caller writes before the event.
+    fn sent_bytes(&self, request: &str) -> usize {
+        match self.stage {
+            Stage::HeadHalfRead => request.len() / 2,
+            Stage::BodyHalfRead => request.len() - 1,
+            _ => request.len(),
+        }
+    }
+
+    fn request(&self, attempt: &str) -> String {
+        head_of(self.method, self.path, attempt, "content-length: 4\r\n") + "body"
+    }
+}
+
+/// A server that holds the rest of each answer back until `go`, and counts its calls.
+async fn serve_held(
+    listener: TcpListener,
+    case: Case,
+    calls: Arc<AtomicUsize>,
+    go: CancellationToken,
+) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let (case, calls, go) = (case.clone(), Arc::clone(&calls), go.clone());
+        tokio::spawn(async move {
+            loop {
+                let mut bytes = Vec::new();
+                while !bytes.ends_with(b"\r\n\r\nbody") {
+                    if !matches!(stream.read_buf(&mut bytes).await, Ok(1..)) {
+                        return;
+                    }
+                }
+                calls.fetch_add(1, Ordering::Relaxed);
+                let is_next = bytes.windows(6).any(|line| line == b": a2\r\n");
+                let answer = case.answer.encode(if is_next { "a2" } else { "a1" });
+                let (early, rest) = answer.split_at(answer.len().min(case.early_bytes()));
+                stream.write_all(early).await.unwrap();
+                go.cancelled().await;
+                // The entry may have given the request up.
+                if stream.write_all(rest).await.is_err() || case.answer.ending == Ending::Closed {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+async fn play(case: &Case, is_leaving: bool, is_closing: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server = listener.local_addr().unwrap();
+    let (calls, go) = (Arc::<AtomicUsize>::default(), CancellationToken::new());
+    tokio::spawn(serve_held(listener, case.clone(), Arc::clone(&calls), go.clone()));
+    let configuration = configuration(1, &[API_KEY], 4_000);
+    let entry = Entry::start(&[server], Some(configuration.as_bytes())).await;
+    let first = case.request("a1");
+    let (sent, unsent) = first.as_bytes().split_at(case.sent_bytes(&first));
+
+    let mut caller = std::net::TcpStream::connect(entry.address).unwrap();
+    let port = caller.local_addr().unwrap().port();
+    if case.stage != Stage::InAcceptQueue {
+        wait_until(|| entry.held.connections() == 1).await;
+    }
+    caller.write_all(sent).unwrap();
+    match case.stage {
+        Stage::InAcceptQueue => block_until_waiting(entry.address, 0, 1),
+        Stage::Unread => block_until_waiting(entry.address, port, sent.len()),
+        Stage::HeadHalfRead | Stage::BodyHalfRead => {
+            block_until_waiting(entry.address, port, sent.len());
+            wait_until(|| waiting(entry.address, port) == 0).await;
+        }
+        _ => wait_until(|| calls.load(Ordering::Relaxed) == 1).await,
+    }
+    caller.set_nonblocking(true).unwrap();
+    let mut caller = TcpStream::from_std(caller).unwrap();
+    if case.stage == Stage::BetweenEvents && case.path == "/live/x" {
+        caller.readable().await.unwrap();
+    }
+    if case.stage == Stage::NextRequestSent {
+        caller.write_all(case.request("a2").as_bytes()).await.unwrap();
+    }
+    if is_leaving {
+        entry.stop.leaving.cancel();
+    }
+    if is_closing {
+        entry.stop.closing.cancel();
+    }
+    caller.write_all(unsent).await.unwrap();
+    go.cancel();
+    let count = 1 + usize::from(case.stage == Stage::NextRequestSent);
+    let answers = read_answers(&mut caller, count).await;
+    let passed_on = calls.load(Ordering::Relaxed);
+    let expected = vec![case.answer.pieces.concat(); passed_on];
+    assert!(passed_on > 0, "{case:?} {is_leaving} {is_closing}");
+    assert_eq!(answers, expected, "{case:?} {is_leaving} {is_closing}");
+}
+
+/// A request has come so far when its entry begins to leave, or closes connections. If it was passed on, it
+/// gets its whole answer, and no request is left out but one that follows another on its connection.
+#[tokio::test]
+async fn close_request_at_each_stage_whole_answer() {
+    for stage in STAGES {
+        for (method, path) in [("GET", "/safe/x"), ("POST", "/once/x"), ("POST", "/live/x")] {
+            for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+                let answer = Answer::whole(framing, events_after(0).into_bytes());
+                let case = Case { stage, method, path, answer };
+                for (is_leaving, is_closing) in EVENTS {
+                    play(&case, is_leaving, is_closing).await;
+                }
+            }
+        }
+    }
+}
