Entry: close a connection that never had a request without a wait

An entry that stops waited 200 ms for the first request of such a connection, and another 200 ms for what its caller might still send, although no answer can be lost on it.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -139,18 +139,9 @@
         tokio::select! {
             biased;
             ended = &mut connection => {
-                let is_broken = ended.as_ref().is_err_and(hyper::Error::is_user);
-                if let Err(error) = ended {
-                    tracing::debug!(%error, "connection to caller ended");
-                }
                 let stream = connection.into_parts().io.into_inner();
-                if is_broken && !has_chunks.load(Ordering::Relaxed) {
-                    // Without chunks, a regular close says that the answer is complete.
-                    reset(&stream);
-                } else {
-                    linger::close(stream, &stop.closing).await;
-                }
-                return;
+                let is_unframed = !has_chunks.load(Ordering::Relaxed);
+                return close(stream, ended, is_unframed, &usage, &stop).await;
             }
             () = &mut must_close, if !is_closing => {
                 is_closing = true;
@@ -178,6 +169,29 @@
     }
 }
 
+/// Closes a connection on which no more requests are served.
+async fn close(
+    stream: TcpStream,
+    ended: hyper::Result<()>,
+    is_unframed: bool,
+    usage: &Usage,
+    stop: &Stop,
+) {
+    match ended {
+        // Nothing was sent, so that nothing can be lost.
+        Ok(()) if !usage.has_begun() => return,
+        Ok(()) => {}
+        Err(error) => {
+            tracing::debug!(%error, "connection to caller ended");
+            if error.is_user() && is_unframed {
+                // Without chunks, a regular close says that the answer is complete.
+                return reset(&stream);
+            }
+        }
+    }
+    linger::close(stream, &stop.closing).await;
+}
+
 /// Makes the connection send a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
