Entry: let callers take nothing for up to 10 s

Callers saw: a reset in the middle of an answer, if they took nothing for over 2 s while more was to be sent than their receive buffer holds. The kernel's limit on unacknowledged data also counts while a live peer's window is closed.

Ruled out: the route's time and the caller's deadline, both 4 s.

Change: the limit is 10 s for callers, as long as for sending a body; 2 s for servers as before. The price: a caller whose machine is lost without a word is noticed after 10 s in place of 2 to 3 s (with this option set, the kernel uses it for keepalive probes too), and its request holds a server for as long.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -25,7 +25,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Time for which sent bytes may stay unacknowledged before the connection is closed.
+/// Time for which bytes sent to a server may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Largest head of an answer, in bytes.
@@ -82,7 +82,7 @@
     pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
-        enable_dead_peer_detection(&stream);
+        enable_dead_peer_detection(&stream, UNACKNOWLEDGED_TIMEOUT);
         enable_reset_on_close(&stream);
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
@@ -152,8 +152,8 @@
 
 /// Sets the socket options that detect a dead peer. A device between the two ends can lose track of
 /// a connection, which then stays open but delivers nothing; only keepalive probes and a limit on
-/// unacknowledged data reveal it.
-pub fn enable_dead_peer_detection(stream: &TcpStream) {
+/// unacknowledged data reveal it. A live peer that takes no more data counts as dead after that limit.
+pub fn enable_dead_peer_detection(stream: &TcpStream, unacknowledged_timeout: Duration) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -162,7 +162,7 @@
     let set = stream
         .set_nodelay(true)
         .and_then(|()| socket.set_tcp_keepalive(&probes))
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)));
+        .and_then(|()| socket.set_tcp_user_timeout(Some(unacknowledged_timeout)));
     if let Err(error) = set {
         tracing::debug!(%error, "socket options can't be set; the peer may have closed already");
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -25,6 +25,10 @@
 /// operator's own limit is applied to idle connections.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time for which a caller may take nothing of an answer: as long as for sending a body. The kernel
+/// does not tell a caller that reads nothing from a dead one.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time between checks whether a connection has been idle for too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -106,7 +110,7 @@
 
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     let _counted = gateway.held.add_connection();
-    enable_dead_peer_detection(&stream);
+    enable_dead_peer_detection(&stream, UNREAD_TIMEOUT);
     let usage = Usage::new();
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -166,6 +166,20 @@
     assert!(received.is_complete, "{} bytes", received.body.len());
 }
 
+/// A caller takes nothing for a while, although its machine acknowledges: it is slow, and not dead.
+#[tokio::test]
+async fn call_paused_reader_gets_whole_answer() {
+    const PAUSE: Duration = Duration::from_secs(3);
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, vec![b'x'; LARGE_BYTES])).await;
+    let mut stream = connect_with_small_buffer(bench.entry.address).await;
+    let request = head("/once/x", "a1", "connection: close\r\ncontent-length: 0\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    wait_until(|| bench.calls() == 1).await;
+    sleep(PAUSE).await;
+    let received = read_all(&mut stream).await;
+    assert!(received.is_complete, "{} bytes", received.body.len());
+}
+
 /// An entry begins to leave while a request waits for its server: the answer says so, or the caller sends
 /// its next request as the connection closes.
 #[tokio::test]
