--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -25,6 +25,10 @@
 /// operator's own limit is applied to idle connections.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time for which a caller may take nothing of an answer: as long as for sending a body. The kernel
+/// does not tell a caller that reads nothing from a dead one.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time between checks whether a connection has been idle for too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -111,7 +115,7 @@
 
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     let _counted = gateway.held.add_connection();
-    enable_dead_peer_detection(&stream);
+    enable_dead_peer_detection(&stream, UNREAD_TIMEOUT);
     let usage = Usage::new();
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
@@ -144,18 +148,9 @@
         tokio::select! {
             biased;
             ended = &mut connection => {
-                let is_broken = ended.as_ref().is_err_and(hyper::Error::is_user);
-                if let Err(error) = ended {
-                    tracing::debug!(%error, "connection to caller ended");
-                }
                 let stream = connection.into_parts().io.into_inner();
-                if is_broken && !has_chunks.load(Ordering::Relaxed) {
-                    // Without chunks, a regular close says that the answer is complete.
-                    reset(&stream);
-                } else {
-                    linger::close(stream, &stop.closing).await;
-                }
-                return;
+                let is_unframed = !has_chunks.load(Ordering::Relaxed);
+                return close(stream, ended, is_unframed, &usage, &stop).await;
             }
             () = &mut must_close, if !is_closing => {
                 is_closing = true;
@@ -183,6 +178,29 @@
     }
 }
 
+/// Closes a connection on which no more requests are served.
+async fn close(
+    stream: TcpStream,
+    ended: hyper::Result<()>,
+    is_unframed: bool,
+    usage: &Usage,
+    stop: &Stop,
+) {
+    match ended {
+        // Nothing was sent, so that nothing can be lost.
+        Ok(()) if !usage.has_begun() => return,
+        Ok(()) => {}
+        Err(error) => {
+            tracing::debug!(%error, "connection to caller ended");
+            if error.is_user() && is_unframed {
+                // Without chunks, a regular close says that the answer is complete.
+                return reset(&stream);
+            }
+        }
+    }
+    linger::close(stream, &stop.closing).await;
+}
+
 /// Makes the connection send a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
