--- a/crates/gateway/tests/stalled.rs
+++ b/crates/gateway/tests/stalled.rs
@@ -17,11 +17,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Deadline of requests, which no case reaches.
 const DEADLINE_MS: u64 = 60_000;
 
+/// Time after which something that is waited for counts as missing.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
 /// Time between the passes of a group.
 const ONE_PASS: Duration = Duration::from_millis(50);
 
@@ -76,7 +79,8 @@
     }
 
     async fn wait_until_given_up(&mut self) {
-        while matches!(self.stream.read(&mut [0; 64]).await, Ok(1..)) {}
+        let ended = async { while matches!(self.stream.read(&mut [0; 64]).await, Ok(1..)) {} };
+        timeout(MAX_WAIT, ended).await.expect("the connection stays open");
     }
 }
 
@@ -108,7 +112,7 @@
     }
 
     async fn next_call(&mut self) -> Call {
-        self.calls.recv().await.unwrap()
+        timeout(MAX_WAIT, self.calls.recv()).await.expect("no request at any server").unwrap()
     }
 
     /// Waits until the entry avoids a server.
@@ -116,17 +120,26 @@
         let name = format!("i-{server}");
         let view = self.entry.gateway.view();
         let named = view.servers_of("s").iter().find(|server| server.listed.id == name).unwrap();
-        while named.status(Instant::now()).failure_ratio == 0.0 {
-            sleep(POLL_INTERVAL).await;
-        }
+        wait_until(|| named.status(Instant::now()).failure_ratio > 0.0).await;
     }
 
     /// Waits until the entry's metrics have a label of this value.
     async fn wait_until_counted(&self, label: &str) {
-        while !self.entry.metrics.text().unwrap().contains(&format!("=\"{label}\"")) {
+        let label = format!("=\"{label}\"");
+        wait_until(|| self.entry.metrics.text().unwrap().contains(&label)).await;
+    }
+}
+
+async fn wait_until<F>(is_shown: F)
+where
+    F: Fn() -> bool,
+{
+    let shown = async {
+        while !is_shown() {
             sleep(POLL_INTERVAL).await;
         }
-    }
+    };
+    timeout(MAX_WAIT, shown).await.expect("not shown");
 }
 
 async fn accept_calls(listener: TcpListener, server: usize, calls: mpsc::UnboundedSender<Call>) {
