Groups: a planned stop does not leave a switch half done

Streams of a rank group stalled when the entry that coordinates it was stopped between the hold and the resumption of a switch of the expert map. Cause: the coordinator dropped what it was doing as soon as it was told to stop; another entry took over and aligned the group. Evidence, on a paused clock: a stop at each of the 70 first messages of a switch, engines of both kinds. Change: once all ranks have loaded the map, a stop takes effect after the switch. While they load, it takes effect at once as before. Left: a change of the model version holds the group too and is not covered; a second signal that ends the wait for callers' addresses can end the process before the coordinator is done.

--- a/crates/group/src/coordinator.rs
+++ b/crates/group/src/coordinator.rs
@@ -39,6 +39,8 @@
     /// Backoff of loads of a version that an engine could not load.
     load_backoff: Backoff,
     rollout: Option<Rollout>,
+    /// Whether the group is held for a switch in progress.
+    is_switching: watch::Sender<bool>,
 }
 
 impl<Transport> Coordinator<Transport>
@@ -68,6 +70,7 @@
             switch_retries: SwitchRetries::default(),
             load_backoff: Backoff::default(),
             rollout: None,
+            is_switching: watch::Sender::default(),
         }
     }
 
@@ -120,17 +123,26 @@
     }
 
     async fn coordinate(&mut self, lease: &Lease, stop: &CancellationToken) {
+        // A switch may have been cancelled when the lease was lost.
+        self.is_switching.send_replace(false);
+        let mut is_switching = self.is_switching.subscribe();
+        let stopped = async {
+            stop.cancelled().await;
+            // A group that is held would stand still until the next coordinator acts. Fails only
+            // if this coordinator is dropped.
+            let _ = is_switching.wait_for(|is_switching| !is_switching).await;
+        };
         let load_limiter = self.load_limiter.clone();
         // Only the acting coordinator needs a share; it expires when this process stops acting.
         let keep_share = async {
             match &load_limiter {
-                Some(load_limiter) => load_limiter.budget.run(stop.clone()).await,
+                Some(load_limiter) => load_limiter.budget.run(CancellationToken::new()).await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
             biased;
-            () = stop.cancelled() => {}
+            () = stopped => {}
             () = keep_share => {}
             () = lease.keep_alive() => tracing::warn!(group = self.group, "lease to coordinate lost"),
             error = self.poll_until_error(lease) => tracing::warn!(group = self.group, %error, "coordination ended"),
@@ -240,7 +252,7 @@
             return keep_record(stored, result.map(drop));
         };
         self.report_activity(&stored, Activity::Staging, Vec::new());
-        match switch_map(&session, stored, map).await {
+        match switch_map(&session, stored, map, &self.is_switching).await {
             Ok(stored) => {
                 self.report(&stored, &Ok(Alignment::Running));
                 Ok(stored)
@@ -328,12 +340,19 @@
     session: &Session<'_, Transport>,
     stored: StoredRecord,
     map: ExpertMap,
+    is_switching: &watch::Sender<bool>,
 ) -> Result<StoredRecord, Box<Failure>>
 where
     Transport: Ranks,
 {
     let begun = Switch::begin(session, stored, map).await?;
-    let held = begun.stage().await?.hold().await?;
-    let committed = held.commit().await?;
-    committed.switch().await?.read_back().await?.resume().await
+    let staged = begun.stage().await?;
+    is_switching.send_replace(true);
+    let resumed = async {
+        let committed = staged.hold().await?.commit().await?;
+        committed.switch().await?.read_back().await?.resume().await
+    };
+    let resumed = resumed.await;
+    is_switching.send_replace(false);
+    resumed
 }
--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -27,7 +27,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 use traffic::Traffic;
 
@@ -60,6 +60,8 @@
     LoseServiceAnswers(LostAnswer),
     PauseCoordinator,
     KillCoordinator,
+    /// A planned stop.
+    StopCoordinator,
     ExpireLease,
 }
 
@@ -79,6 +81,7 @@
 
 struct Process {
     abort_handle: AbortHandle,
+    stop: CancellationToken,
     paused: watch::Sender<bool>,
     status: watch::Receiver<GroupStatus>,
 }
@@ -218,10 +221,11 @@
         let status = coordinator.status();
         let paused = watch::Sender::new(false);
         let leases = Leases::new(Arc::new(self.kv.clone()), Timing::default().lease_ttl);
-        let run = coordinator.with_leases(leases.clone()).run(CancellationToken::new());
+        let stop = CancellationToken::new();
+        let run = coordinator.with_leases(leases.clone()).run(stop.clone());
         let run = async { tokio::join!(run, hold_other_group(leases)).0 };
         let abort_handle = tokio::spawn(pausable(run, paused.subscribe())).abort_handle();
-        self.processes.lock().unwrap().push(Process { abort_handle, paused, status });
+        self.processes.lock().unwrap().push(Process { abort_handle, stop, paused, status });
     }
 
     /// Starts an agent; it answers once it has read the group's record.
@@ -272,6 +276,20 @@
         self.schedule.lock().unwrap().is_empty()
     }
 
+    /// The longest time without a step within `time`.
+    pub async fn longest_stall(&self, time: Duration) -> Duration {
+        let until = Instant::now() + time;
+        let (mut step, mut stepped_at, mut longest) = (0, Instant::now(), Duration::ZERO);
+        while Instant::now() < until {
+            if self.group.step() > step {
+                (step, stepped_at) = (self.group.step(), Instant::now());
+            }
+            longest = longest.max(stepped_at.elapsed());
+            sleep(STEP).await;
+        }
+        longest
+    }
+
     /// Whether the group runs a step within this time.
     pub async fn runs_within(&self, time: Duration) -> bool {
         let before = self.group.step();
@@ -349,6 +367,12 @@
                     process.abort_handle.abort();
                 }
             }
+            Fault::StopCoordinator => {
+                let all = self.processes.lock().unwrap();
+                if let Some(process) = all.iter().find(|process| is_acting(process)) {
+                    process.stop.cancel();
+                }
+            }
             Fault::ExpireLease => (1..100).for_each(|id| self.kv.expire_lease(LeaseId(id))),
             _ => {}
         }
--- a/crates/group/tests/switch.rs
+++ b/crates/group/tests/switch.rs
@@ -138,6 +138,27 @@
     inject_at_every_message(Fault::KillCoordinator, Duration::ZERO).await;
 }
 
+/// The process that coordinates stops as planned, at any message of a switch. The group must not
+/// stand still any longer than in a switch without a stop: all its streams stall meanwhile.
+#[tokio::test(start_paused = true)]
+async fn switch_coordinator_stopped_no_longer_stall() {
+    for kind in KINDS {
+        let world = World::start(kind).await;
+        world.set_desired_map(2);
+        let usual = world.longest_stall(RECOVERY).await;
+        world.shutdown();
+        for message in 0..MESSAGES {
+            let case = format!("stopped at message {message}, {kind:?}");
+            let world = World::start(kind).await;
+            world.schedule(message, Fault::StopCoordinator);
+            world.set_desired_map(2);
+            let stall = world.longest_stall(RECOVERY).await;
+            assert!(stall <= usual, "{case}: {stall:?}, usually {usual:?}");
+            check_runs_or_reported(&world, &case).await;
+        }
+    }
+}
+
 /// The coordinator is paused until its lease expires, and continues with the switch after another
 /// has taken over.
 #[tokio::test(start_paused = true)]
