Entry: requests in progress at the end of the grace period get an end

What callers saw: the connection closed without an answer when the process exited; the record had neither a line nor a count of these requests.

Cause: the control thread returned at the end of the grace period and the process exited under the traffic threads.

Ruled out: ending requests by the token alone. A body is polled only while its caller reads, so the rest is counted and logged by `OpenRequests::end_all` before the exit (`end_all_caller_reads_nothing_counted`).

Change: `Stop::aborting`, cancelled 0.3 s before the end of the grace period or in its last sixth, whichever is later. Without an answer's head a request gets 502 if a server may have run it and 503 otherwise (`cut_by_stop`); streams and large answers are broken off with outcome `cut_by_stop`. Callers' connections have half of the rest. The line `requests at exit` tells how many were read and ended.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -185,3 +185,44 @@
         stream.await.unwrap();
     }
 }
+
+/// Reads the last log line with this message.
+fn last_line(entry: &Entry, message: &str) -> serde_json::Value {
+    let log = std::fs::read_to_string(entry.folder.join("e-1.log")).unwrap();
+    let lines = log.lines().map(|line| serde_json::from_str(line).unwrap());
+    let mut named = lines.filter(|line: &serde_json::Value| line["message"] == message);
+    named.next_back().unwrap_or_else(|| panic!("no line says {message}"))
+}
+
+/// Requests are in progress when the grace time is over. Each must have an end: its caller is told that
+/// the outcome is unknown, and all that was read has been counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_requests_in_progress_ended() {
+    let entry = Entry::start("ended", WORK_DURATION, 4, WORK_LIMIT_MS).await;
+    let client = entry.client(WORK_LIMIT_MS);
+    let caller = tokio::spawn(async move {
+        loop {
+            let request = client.request(Method::POST, "/once/x");
+            let request = caller_headers(request, "a", API_KEY, WORK_LIMIT_MS);
+            let request = request.body(Default::default()).unwrap();
+            // Refused until the entry has started and read the configuration.
+            match client.send(request, Reuse::Never).await {
+                Ok(answer) if answer.status() == 502 => return,
+                _ => tokio::task::yield_now().await,
+            }
+        }
+    });
+    while entry.request_log.runs("a") == 0 {
+        tokio::task::yield_now().await;
+    }
+    entry.daemon.signal(Signal::TERM);
+    while entry.daemon.is_running() {
+        tokio::task::yield_now().await;
+    }
+    let counted = last_line(&entry, "requests at exit");
+    assert_eq!(counted["read"], counted["ended"]);
+    assert_eq!(last_line(&entry, "refused")["reason"], "answer_lost");
+    last_line(&entry, "stopped");
+    let told = tokio::time::timeout(Duration::from_secs(GRACE_S), caller).await;
+    told.expect("the caller has an answer").unwrap();
+}
--- a/crates/gateway/benches/urgency.rs
+++ b/crates/gateway/benches/urgency.rs
@@ -12,7 +12,7 @@
 use flamingowheel_gateway::front::Stop;
 use flamingowheel_gateway::group::{Fullness, GroupInFlight, GroupLoad};
 use flamingowheel_gateway::metrics::Metrics;
-use flamingowheel_gateway::open::OpenRequest;
+use flamingowheel_gateway::open::OpenRequests;
 use flamingowheel_gateway::priority::{Turn, Turns, Waiting};
 use flamingowheel_platform::headers::RequestHead;
 use flamingowheel_policy::batch::PassModel;
@@ -258,7 +258,7 @@
             body: bytes::Bytes::new(),
             fingerprint: Fingerprint(u128::from(self.number)),
             subjects: Vec::new(),
-            open: Arc::new(OpenRequest::new("", arrived, metrics, Stop::default())),
+            open: OpenRequests::new(metrics, Stop::default()).read("", arrived),
         }
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -18,7 +18,7 @@
 use crate::held::Held;
 use crate::losses::LossRecorder;
 use crate::metrics::Metrics;
-use crate::open::OpenRequest;
+use crate::open::{OpenRequest, OpenRequests};
 use crate::permits::PermitSender;
 use crate::priority::{Turn, Turns, Waiting};
 use crate::refusal::Refusal;
@@ -61,7 +61,8 @@
     pub metrics: Arc<Metrics>,
     /// What is held for callers.
     pub held: Arc<Held>,
-    stop: Stop,
+    /// Requests that have not ended.
+    pub open: Arc<OpenRequests>,
 }
 
 impl Gateway {
@@ -85,9 +86,9 @@
             selector,
             started_at: Instant::now(),
             turns: Arc::default(),
+            open: OpenRequests::new(Arc::clone(&metrics), Stop::default()),
             metrics,
             held: Held::unlimited(),
-            stop: Stop::default(),
         }
     }
 
@@ -100,7 +101,7 @@
     /// Follows the steps of the process's stop.
     #[must_use]
     pub fn with_stop(self, stop: Stop) -> Self {
-        Self { stop, ..self }
+        Self { open: OpenRequests::new(Arc::clone(&self.metrics), stop), ..self }
     }
 
     /// The newest view.
@@ -111,10 +112,10 @@
     /// Handles one request of a caller.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let head = headers::parse_request(request.headers());
-        let (metrics, stop) = (Arc::clone(&self.metrics), self.stop.clone());
-        let open = OpenRequest::new(&head.attempt_id, Instant::now(), metrics, stop);
-        let open = Arc::new(open);
-        match self.answer(request, head, &open).await {
+        let open = self.open.read(&head.attempt_id, Instant::now());
+        let answering = self.answer(request, head, &open);
+        let answered = open.aborting().run_until_cancelled(answering).await;
+        match answered.unwrap_or_else(|| Err(open.cut_refusal())) {
             Ok(mut response) => {
                 if let Some(WholeAnswer) = response.extensions_mut().remove() {
                     open.end("answered");
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -5,6 +5,7 @@
 use crate::exchange::Exchange;
 use crate::held::HeldBytes;
 use crate::losses::{AnswerEnd, Progress};
+use crate::open::CUT_BY_STOP;
 use crate::relay::{AnswerBody, Truncated, UpstreamBody};
 use bytes::{Bytes, BytesMut};
 use flamingowheel_policy::answers::{Content, Ending, Evidence, MAX_ANSWER_BYTES};
@@ -113,12 +114,26 @@
     /// with an error if the answer turns out not to be whole.
     pub(super) fn into_body(self) -> AnswerBody {
         let frames = stream::unfold(self, |mut answer| async move {
-            let frame = answer.next().await?;
+            let aborting = answer.exchange.open.aborting().clone();
+            let frame = match aborting.run_until_cancelled(answer.next()).await {
+                Some(frame) => frame?,
+                None => answer.cut()?,
+            };
             Some((frame.map(Frame::data), answer))
         });
         BodyExt::boxed_unsync(StreamBody::new(frames))
     }
 
+    fn cut(&mut self) -> Option<Result<Bytes, Truncated>> {
+        if self.has_ended {
+            return None;
+        }
+        self.has_ended = true;
+        self.record_broken(Evidence::ProcessStops, None);
+        self.exchange.open.end(CUT_BY_STOP);
+        Some(Err(Truncated))
+    }
+
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
         if self.has_ended {
             return None;
@@ -223,7 +238,7 @@
 
     fn record_broken(&self, evidence: Evidence, error: Option<&hyper::Error>) {
         let server = self.upstream.in_flight.server();
-        if evidence != Evidence::Deadline {
+        if !matches!(evidence, Evidence::Deadline | Evidence::ProcessStops) {
             self.gateway.metrics.record_send(self.exchange.kind(), "broken");
             server.record_answer(self.sent.at.elapsed(), true);
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -38,6 +38,8 @@
     pub leaving: CancellationToken,
     /// Cancelled later: no new connections are accepted, and idle ones are closed.
     pub closing: CancellationToken,
+    /// Cancelled last: requests in progress are ended, as the process is about to exit.
+    pub aborting: CancellationToken,
 }
 
 /// Serves callers until `stop.closing`, then waits for requests in progress.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -32,12 +32,19 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Part of the grace period that is reserved for the process to exit by itself before it is killed.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(300);
 
+/// Requests in progress are ended no earlier than in this last share of the grace period.
+const CUT_SHARE: f64 = 1.0 / 6.0;
+
+/// Share of the time after that within which callers' connections are to end. The rest is for the last
+/// log lines.
+const CALLERS_SHARE: f64 = 0.5;
+
 /// Stack size of a traffic thread, in bytes. Futures are on the heap; the stack holds a single
 /// poll.
 const STACK_BYTES: usize = 512 * 1024;
@@ -161,7 +168,8 @@
     tracing::info!("leaving");
     budget.leave();
     stop.leaving.cancel();
-    let grace = Duration::from_millis(settings.bounds.grace_ms).saturating_sub(SHUTDOWN_RESERVE);
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
+    let reserve = grace.mul_f64(CUT_SHARE).min(SHUTDOWN_RESERVE);
     let leaving = async {
         // Callers may cache the directory's answers this long and still connect until then.
         sleep(Duration::from_millis(DIRECTORY_TTL_MS)).await;
@@ -176,9 +184,16 @@
             tracing::error!(%error, "announcement task failed");
         }
     };
-    if tokio::time::timeout(grace, leaving).await.is_err() {
+    tokio::pin!(leaving);
+    if timeout(grace - reserve, &mut leaving).await.is_err() {
         tracing::warn!("grace period is over; requests in progress are aborted");
+        stop.closing.cancel();
+        stop.aborting.cancel();
+        if timeout(reserve.mul_f64(CALLERS_SHARE), &mut leaving).await.is_err() {
+            tracing::warn!("connections to callers are still open");
+        }
     }
+    gateway.open.end_all();
     Ok(())
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,5 +1,6 @@
 //! Responses that an entry gives without a backend server's answer.
 
+use crate::open::CUT_BY_STOP;
 use http::StatusCode;
 use std::time::Duration;
 
@@ -77,6 +78,8 @@
     },
     /// The deadline passed before a backend server could run the request.
     TooLate,
+    /// The process stops before the request was sent to a backend server.
+    CutByStop,
     /// A backend server may have run the request, but its answer was lost.
     AnswerLost,
     /// The deadline passed while a backend server may be running the request.
@@ -140,7 +143,8 @@
             | Self::NoHome { .. }
             | Self::MemoryFull { .. }
             | Self::Full { .. }
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TooLate
+            | Self::CutByStop => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -161,7 +165,7 @@
             | Self::MemoryFull { retry_after_ms }
             | Self::Full { retry_after_ms }
             | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
-            Self::TooLate => Some(RETRY_AFTER_MS),
+            Self::TooLate | Self::CutByStop => Some(RETRY_AFTER_MS),
             _ => None,
         }
     }
@@ -182,6 +186,7 @@
             Self::MemoryFull { .. } => "memory_full",
             Self::Full { .. } => "full",
             Self::TooLate => "too_late",
+            Self::CutByStop => CUT_BY_STOP,
             Self::AnswerLost => "answer_lost",
             Self::NoAnswerInTime => "no_answer_in_time",
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::exchange::Exchange;
 use crate::forward::{Gateway, SendFailure, keep_connection};
 use crate::losses::{AnswerEnd, Progress};
+use crate::open::CUT_BY_STOP;
 use crate::server::{InFlight, Server};
 use bytes::Bytes;
 use flamingowheel_backing::client::framing::framing_of;
@@ -97,12 +98,25 @@
     /// The body of the answer to the caller.
     pub fn into_body(self) -> AnswerBody {
         let frames = stream::unfold(self, |mut relay| async move {
-            let frame = relay.next().await?;
+            let aborting = relay.exchange.open.aborting().clone();
+            let frame = match aborting.run_until_cancelled(relay.next()).await {
+                Some(frame) => frame?,
+                None => relay.cut()?,
+            };
+            relay.exchange.open.record_progress(Progress::Body);
             Some((frame.map(Frame::data), relay))
         });
         BodyExt::boxed_unsync(StreamBody::new(frames))
     }
 
+    fn cut(&mut self) -> Option<Result<Bytes, Truncated>> {
+        if self.has_ended {
+            return None;
+        }
+        self.end(CUT_BY_STOP, Evidence::ProcessStops);
+        Some(Err(Truncated))
+    }
+
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
         if self.has_ended {
             return None;
--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -5,7 +5,7 @@
 
 use flamingowheel_standin::platform::messages::caller_headers;
 use flamingowheel_standin::platform::raw::{Answer, Ending, Framing, RawServer};
-use framing::caller::API_KEY;
+use framing::caller::{API_KEY, parse};
 use framing::{Bench, events_after};
 use http::Request;
 use std::time::Duration;
@@ -135,3 +135,52 @@
     assert_eq!(bench.ask("/safe/x").await.status, 200);
     assert_eq!(outcomes(&bench), once("answered"));
 }
+
+// The process is about to exit: what may have run ends as unknown, what was never sent as not run, and an
+// answer that has begun is broken off.
+#[tokio::test]
+async fn handle_aborting_ended() {
+    let silent = Ending::Silent;
+    let cases = [
+        ("/once/x", 0, broken(Vec::new(), None, silent), 502, "answer_lost"),
+        ("/once/x", 4, broken(Vec::new(), None, silent), 503, "cut_by_stop"),
+        ("/live/x", 0, stream(silent), 200, "cut_by_stop"),
+        ("/safe/x", 0, large(silent), 200, "cut_by_stop"),
+    ];
+    for (path, missing_bytes, answer, status, outcome) in cases {
+        let bench = bench(answer).await;
+        let mut caller = send(&bench, path, missing_bytes).await;
+        let mut received = Vec::new();
+        if status == 200 {
+            caller.read_buf(&mut received).await.unwrap();
+        }
+        let is_sent = missing_bytes == 0;
+        wait_until(|| bench.entry.metrics.requests_read() == 1).await;
+        wait_until(|| !is_sent || bench.calls() > 0).await;
+        bench.entry.stop.aborting.cancel();
+        let reading = async {
+            // An error is as good as the end here: a reset breaks off an answer too.
+            while !parse(&received, true, false).is_complete
+                && matches!(caller.read_buf(&mut received).await, Ok(1..))
+            {}
+        };
+        timeout(MAX_WAIT, reading).await.expect("the answer ends or is broken off");
+        let received = parse(&received, true, false);
+        assert_eq!((received.status, received.is_complete), (status, status != 200), "{path}");
+        wait_until(|| !outcomes(&bench).is_empty()).await;
+        assert_eq!(outcomes(&bench), once(outcome), "{path}");
+    }
+}
+
+// A caller reads no more, so that its answer can't be broken off before the process exits: the request
+// must be counted all the same.
+#[tokio::test]
+async fn end_all_caller_reads_nothing_counted() {
+    let bench = bench(large(Ending::Silent)).await;
+    let _caller = send(&bench, "/safe/x", 0).await;
+    wait_until(|| bench.entry.metrics.requests_read() == 1).await;
+    bench.entry.gateway.open.end_all();
+    assert_eq!(outcomes(&bench), once("cut_by_stop"));
+    bench.entry.gateway.open.end_all();
+    assert_eq!(outcomes(&bench), once("cut_by_stop"), "counted once");
+}
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -4,7 +4,7 @@
 use flamingowheel_gateway::exchange::Exchange;
 use flamingowheel_gateway::front::Stop;
 use flamingowheel_gateway::metrics::Metrics;
-use flamingowheel_gateway::open::OpenRequest;
+use flamingowheel_gateway::open::OpenRequests;
 use flamingowheel_platform::headers::RequestHead;
 use flamingowheel_policy::key::Fingerprint;
 use flamingowheel_policy::priority::Rank;
@@ -34,7 +34,7 @@
         body: bytes::Bytes::new(),
         fingerprint: Fingerprint(1),
         subjects: Vec::new(),
-        open: Arc::new(OpenRequest::new("", arrived, metrics, Stop::default())),
+        open: OpenRequests::new(metrics, Stop::default()).read("", arrived),
     }
 }
 
--- a/crates/gateway/tests/turns.rs
+++ b/crates/gateway/tests/turns.rs
@@ -8,7 +8,7 @@
 use flamingowheel_gateway::front::Stop;
 use flamingowheel_gateway::group::{Admission, Fullness, GroupLoad};
 use flamingowheel_gateway::metrics::Metrics;
-use flamingowheel_gateway::open::OpenRequest;
+use flamingowheel_gateway::open::OpenRequests;
 use flamingowheel_gateway::priority::{Turn, Turns, levels};
 use flamingowheel_gateway::server::Server;
 use flamingowheel_gateway::view::View;
@@ -56,7 +56,7 @@
         body: bytes::Bytes::new(),
         fingerprint: Fingerprint(u128::from(priority)),
         subjects: Vec::new(),
-        open: Arc::new(OpenRequest::new("", arrived, metrics, Stop::default())),
+        open: OpenRequests::new(metrics, Stop::default()).read("", arrived),
     }
 }
 
--- a/crates/policy/src/answers.rs
+++ b/crates/policy/src/answers.rs
@@ -111,6 +111,8 @@
     ServerUnknown,
     /// Not known to be whole: the group had stalled before the connection closed.
     GroupStalled,
+    /// Given up: the process stops.
+    ProcessStops,
 }
 
 impl Evidence {
@@ -134,6 +136,7 @@
             Self::ServerEnded => "server_ended",
             Self::ServerUnknown => "server_unknown",
             Self::GroupStalled => "group_stalled",
+            Self::ProcessStops => "process_stops",
         }
     }
 }
