Tests: the line of a request whose caller left names what was lost

A real entry process, a caller that leaves while its request is at a backend server: `request abandoned` with request, route, server, progress and outcome.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -186,12 +186,50 @@
     }
 }
 
-/// Reads the last log line with this message.
-fn last_line(entry: &Entry, message: &str) -> serde_json::Value {
-    let log = std::fs::read_to_string(entry.folder.join("e-1.log")).unwrap();
-    let lines = log.lines().map(|line| serde_json::from_str(line).unwrap());
-    let mut named = lines.filter(|line: &serde_json::Value| line["message"] == message);
-    named.next_back().unwrap_or_else(|| panic!("no line says {message}"))
+/// Far longer than a line takes to be written.
+const LOG_LIMIT: Duration = Duration::from_secs(20);
+
+/// Waits for a log line with this message, and reads the last one.
+async fn last_line(entry: &Entry, message: &str) -> serde_json::Value {
+    loop {
+        let log = std::fs::read_to_string(entry.folder.join("e-1.log")).unwrap();
+        // The end of the file may be half of a line that is being written.
+        let lines = log.lines().filter_map(|line| serde_json::from_str(line).ok());
+        let mut named = lines.filter(|line: &serde_json::Value| line["message"] == message);
+        if let Some(line) = named.next_back() {
+            return line;
+        }
+        assert!(entry.daemon.is_running(), "no line says {message}");
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A caller leaves while its request is at a backend server: the line of its end must tell what was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn leave_request_in_progress_logged() {
+    let entry = Entry::start("left", WORK_DURATION, 4, WORK_LIMIT_MS).await;
+    let client = entry.client(WORK_LIMIT_MS);
+    let caller = tokio::spawn(async move {
+        loop {
+            let request = client.request(Method::POST, "/once/x");
+            let request = caller_headers(request, "a", API_KEY, WORK_LIMIT_MS);
+            let request = request.body(Default::default()).unwrap();
+            // Refused until the entry has started and read the configuration.
+            let _ = client.send(request, Reuse::Never).await;
+            tokio::task::yield_now().await;
+        }
+    });
+    while entry.request_log.runs("a") == 0 {
+        tokio::task::yield_now().await;
+    }
+    caller.abort();
+    let ended = tokio::time::timeout(LOG_LIMIT, last_line(&entry, "request abandoned"));
+    let line = ended.await.expect("a line says it");
+    let field = |name: &str| line[name].as_str().unwrap_or_default().to_owned();
+    let fields = ["request", "route", "server", "outcome", "progress"].map(field);
+    assert_eq!(fields, ["a", "once", "s-1", "abandoned", "sent"]);
+    assert_eq!(line["is_leaving"], false);
+    assert!(line["after_ms"].is_u64());
 }
 
 /// Requests are in progress when the grace time is over. Each must have an end: its caller is told that
@@ -219,10 +257,10 @@
     while entry.daemon.is_running() {
         tokio::task::yield_now().await;
     }
-    let counted = last_line(&entry, "requests at exit");
+    let counted = last_line(&entry, "requests at exit").await;
     assert_eq!(counted["read"], counted["ended"]);
-    assert_eq!(last_line(&entry, "refused")["reason"], "answer_lost");
-    last_line(&entry, "stopped");
+    assert_eq!(last_line(&entry, "refused").await["reason"], "answer_lost");
+    last_line(&entry, "stopped").await;
     let told = tokio::time::timeout(Duration::from_secs(GRACE_S), caller).await;
     told.expect("the caller has an answer").unwrap();
 }
