--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -52,6 +52,8 @@
     pub leaving: CancellationToken,
     /// Cancelled later: no new connections are accepted, and idle ones are closed.
     pub closing: CancellationToken,
+    /// Cancelled last: requests in progress are ended, as the process is about to exit.
+    pub aborting: CancellationToken,
     /// The connections of callers to all threads. A request may use a connection to a backend server
     /// that another thread drives, so that threads end together.
     connections: TaskTracker,
