Soak: a run with planned work only, which checks that it cuts nothing

Callers hold their connections themselves.

The stand-in is silent itself now, as a server that stands still.

--- a/crates/flamingowheeld/tests/crashes.rs
+++ b/crates/flamingowheeld/tests/crashes.rs
@@ -52,6 +52,7 @@
             entries,
             servers,
             callers: 0,
+            is_planned: false,
         };
         let fleet = Fleet::start_all(&options, &folder).await.unwrap();
         sleep(WARM_UP).await;
--- a/crates/flamingowheeld/tests/need.rs
+++ b/crates/flamingowheeld/tests/need.rs
@@ -45,6 +45,7 @@
         entries,
         servers: 4,
         callers: 12,
+        is_planned: false,
     };
     let fleet = Fleet::start_all(&options, &folder).await.unwrap();
     sleep(WARM_UP).await;
--- a/crates/flamingowheeld/tests/soak.rs
+++ b/crates/flamingowheeld/tests/soak.rs
@@ -16,6 +16,7 @@
         entries: 3,
         servers: 4,
         callers: 6,
+        is_planned: false,
     };
     let folder = std::env::temp_dir().join(format!("flamingowheel-soak-ci-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -47,8 +47,10 @@
     Once,
     /// A call that may be retried.
     Safe,
-    /// A stream.
+    /// A stream that may be resumed.
     Stream,
+    /// A stream that may not.
+    Live,
 }
 
 impl Kind {
@@ -57,8 +59,19 @@
             Self::Once => "/once/x",
             Self::Safe => "/safe/x",
             Self::Stream => "/stream/x",
+            Self::Live => "/live/x",
         }
     }
+
+    /// Whether the answer is a stream.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Live)
+    }
+
+    /// First part of the paths of its route.
+    pub fn route(self) -> &'static str {
+        self.path().trim_end_matches("/x")
+    }
 }
 
 /// A request whose runs are checked once no copy of it can be in flight any more.
@@ -159,7 +172,9 @@
     attempt: &str,
 ) -> Result<BufferedResponse, HttpError> {
     match kind {
-        Kind::Stream => send_prompt(client, kind.path(), attempt, &[SOUND_PART, attempt]).await,
+        Kind::Stream | Kind::Live => {
+            send_prompt(client, kind.path(), attempt, &[SOUND_PART, attempt]).await
+        }
         Kind::Once | Kind::Safe => send_with_key(client, kind, attempt, API_KEY).await,
     }
 }
@@ -210,9 +225,10 @@
 }
 
 fn check_answer(kind: Kind, attempt: &str, answer: &BufferedResponse) -> Option<Violation> {
-    let expected = match kind {
-        Kind::Stream => (1..=STREAM_EVENTS).map(|id| stream_event(attempt, id)).collect(),
-        _ => answer_body(attempt),
+    let expected = if kind.is_stream() {
+        (1..=STREAM_EVENTS).map(|id| stream_event(attempt, id)).collect()
+    } else {
+        answer_body(attempt)
     };
     if is_signed(&answer.headers) && answer.body == expected.as_bytes() {
         return None;
--- a/crates/soak/src/changes.rs
+++ b/crates/soak/src/changes.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time after its acknowledgement within which a configuration is in force.
-const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+pub const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Time for a call to its acknowledgement, for which the moment of the store's own is not known.
 const ACKNOWLEDGE_TIME: Duration = Duration::from_millis(20);
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -5,7 +5,7 @@
 /// Help text.
 pub const USAGE: &str = "\
 Usage: flamingowheel-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--entries N]
-                          [--servers N] [--callers N]
+                          [--servers N] [--callers N] [--planned]
 
 Runs the daemon at PATH as separate processes under random faults and checks its promises.
   --seed N      the first seed (1)
@@ -13,7 +13,8 @@
   --seconds N   time under faults, for each seed (20)
   --entries N   entry processes (4)
   --servers N   backend servers (6)
-  --callers N   callers (12)";
+  --callers N   callers (12)
+  --planned     only planned work: stops, reloads of settings, configurations";
 
 /// Parsed command line options.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +33,8 @@
     pub servers: usize,
     /// Number of concurrent callers, above 0.
     pub callers: usize,
+    /// Whether only planned work happens, in place of random faults.
+    pub is_planned: bool,
 }
 
 /// Why a command line was rejected.
@@ -51,6 +54,7 @@
 /// Reads the command line.
 pub fn parse(mut arguments: pico_args::Arguments) -> Result<Options, UsageError> {
     let options = Options {
+        is_planned: arguments.contains("--planned"),
         program: arguments.value_from_str("--program")?,
         seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
         seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(1),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -37,9 +37,6 @@
 /// Time from the end of a backend server under a request to its next start.
 pub const RESTART_TIME: Duration = Duration::from_millis(400);
 
-/// Time between two looks whether a killed process has ended.
-const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Increment between configuration versions; operators' versions aren't consecutive either.
 const VERSION_STEP: u64 = 7;
 
@@ -104,6 +101,18 @@
 impl Fleet {
     /// Starts everything. Settings and logs are written to `folder`.
     pub async fn start_all(options: &Options, folder: &Path) -> eyre::Result<Self> {
+        let fleet = Self::prepare(options, options.entries, GRACE_S, folder).await?;
+        (0..fleet.entries.len()).for_each(|entry| fleet.start_entry(entry));
+        Ok(fleet)
+    }
+
+    /// Starts everything but the entries, of which there are `entry_count`.
+    pub async fn prepare(
+        options: &Options,
+        entry_count: usize,
+        grace_s: u64,
+        folder: &Path,
+    ) -> eyre::Result<Self> {
         let kv = FakeKeyValue::new();
         let store = TcpListener::bind("127.0.0.1:0").await?;
         let store_address = store.local_addr()?;
@@ -125,10 +134,10 @@
             });
         }
         let mut entries = Vec::new();
-        for (number, ports) in free_ports(options.entries)?.into_iter().enumerate() {
+        for (number, ports) in free_ports(entry_count)?.into_iter().enumerate() {
             let store_proxy = Proxy::start(store_address).await?;
             let name = format!("entry-{number}");
-            let settings = entry_settings(&name, store_proxy.address, ports, GRACE_S);
+            let settings = entry_settings(&name, store_proxy.address, ports, grace_s);
             let settings = format!(
                 "{settings}bounds.coldOverage={COLD_RATIO}\nbounds.coldSlack={COLD_SLACK}\n"
             );
@@ -162,19 +171,22 @@
             tokio::spawn(restart_when_ended(fleet.kv.clone(), fleet.servers[server].clone()));
         }
         fleet.publish_configuration().await;
-        (0..fleet.entries.len()).for_each(|entry| fleet.start_entry(entry));
         Ok(fleet)
     }
 
     /// Kills an entry and keeps its ports, which another process could take until it is started
     /// again.
     pub async fn kill_entry(&self, entry: usize) {
-        let Entry { daemon, ports, .. } = &self.entries[entry];
+        let Entry { daemon, .. } = &self.entries[entry];
         daemon.signal(Signal::KILL);
-        while daemon.is_running() {
-            sleep(EXIT_POLL_INTERVAL).await;
-        }
-        let held = ports.all().into_iter().filter_map(hold_port).collect();
+        daemon.ended().await;
+        self.hold_ports(entry);
+    }
+
+    /// Keeps the ports of an entry that doesn't run until it is started.
+    pub fn hold_ports(&self, entry: usize) {
+        let ports = self.entries[entry].ports.all();
+        let held = ports.into_iter().filter_map(hold_port).collect();
         self.held_ports().insert(entry, held);
     }
 
@@ -281,11 +293,16 @@
     /// Publishes a new version of the configuration with unchanged routes and a key of its own, and
     /// returns it once it is acknowledged.
     pub async fn publish_configuration(&self) -> u64 {
+        self.publish_with_timeout(ROUTE_TIMEOUT_MS).await
+    }
+
+    /// The same with another timeout of all routes.
+    pub async fn publish_with_timeout(&self, timeout_ms: u64) -> u64 {
         // One version at a time: an older one must not replace a newer one.
         let _publishing = self.publishing.lock().await;
         let version = self.version.fetch_add(VERSION_STEP, Ordering::SeqCst) + VERSION_STEP;
         let keys = [API_KEY, &key_of(version)];
-        let configuration = configuration(version, &keys, ROUTE_TIMEOUT_MS);
+        let configuration = configuration(version, &keys, timeout_ms);
         let configuration =
             with_warm_up(&configuration, COLD_S, COLD_RATE_PER_S).unwrap_or(configuration);
         write(&self.kv, CONFIGURATION_KEY, configuration).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod evacuations;
 pub mod faults;
 pub mod fleet;
+pub mod planned;
 pub mod process;
 pub mod proxy;
 pub mod report;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,9 @@
 #![allow(clippy::print_stdout, clippy::print_stderr, reason = "the report is the output")]
 
 use eyre::Result;
-use flamingowheel_soak::{cli, run};
+use flamingowheel_soak::cli::{self, Options};
+use flamingowheel_soak::{planned, run};
+use std::path::Path;
 use std::process::ExitCode;
 
 fn main() -> Result<ExitCode> {
@@ -20,9 +22,9 @@
         let name = format!("flamingowheel-soak-{}-{seed}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder)?;
-        let tally = runtime.block_on(run::run_seed(&options, seed, &folder))?;
-        println!("seed {seed}: {tally}");
-        if tally.violations.is_empty() {
+        let (report, is_sound) = runtime.block_on(run_seed(&options, seed, &folder))?;
+        println!("seed {seed}: {report}");
+        if is_sound {
             std::fs::remove_dir_all(&folder)?;
             continue;
         }
@@ -32,3 +34,13 @@
     println!("{} seeds, {failed} with a promise broken", options.seeds);
     Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
+
+/// The report of a seed, and whether no promise was broken.
+async fn run_seed(options: &Options, seed: u64, folder: &Path) -> Result<(String, bool)> {
+    if options.is_planned {
+        let tally = planned::run::run_seed(options, seed, folder).await?;
+        return Ok((tally.to_string(), tally.violations.is_empty()));
+    }
+    let tally = run::run_seed(options, seed, folder).await?;
+    Ok((tally.to_string(), tally.violations.is_empty()))
+}
--- /dev/null
+++ b/crates/soak/src/planned/mod.rs
@@ -0,0 +1,10 @@
+//! Runs in which only planned work happens: stops, reloads of settings and configurations. No
+//! request that an entry has read may remain without a whole answer or a proper refusal.
+
+pub mod callers;
+pub mod check;
+pub mod connection;
+pub mod events;
+pub mod logs;
+pub mod report;
+pub mod run;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -5,6 +5,11 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time between two looks whether a process has ended.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Held while a process is started and while ports are searched. A process that is being started has
 /// copies of all sockets of this one until its program begins, and would keep the ports taken.
@@ -65,6 +70,18 @@
         self.lock().as_mut().is_some_and(is_running)
     }
 
+    /// Waits until the process has exited.
+    pub async fn ended(&self) {
+        while self.is_running() {
+            sleep(EXIT_POLL_INTERVAL).await;
+        }
+    }
+
+    /// The file with the process's output.
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
         self.child.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -125,6 +125,31 @@
         /// Number of servers that ended.
         ended: usize,
     },
+    /// A request that an entry had read got neither a whole answer nor a proper refusal.
+    #[error(
+        "entry {entry} cut {attempt}{}: {seen}",
+        .after_stop_ms.map(|ms| format!(" {ms} ms after its stop signal")).unwrap_or_default()
+    )]
+    Cut {
+        /// Id of the attempt.
+        attempt: String,
+        /// The entry, by its index.
+        entry: usize,
+        /// Time from the stop signal to the end, in milliseconds; `None` if it got none.
+        after_stop_ms: Option<u128>,
+        /// What the caller saw.
+        seen: String,
+    },
+    /// A stopped entry ended too late.
+    #[error("entry {entry} ended {took_ms} ms after its stop signal, not {allowed_ms} ms")]
+    SlowStop {
+        /// The entry, by its index.
+        entry: usize,
+        /// Time to its end, in milliseconds.
+        took_ms: u128,
+        /// Longest time that is allowed, in milliseconds.
+        allowed_ms: u128,
+    },
     /// Too few requests were served after the last fault.
     #[error("{served} of {asked} requests were served after the last fault")]
     NotRecovered {
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -2,6 +2,7 @@
 //! their requests.
 
 use super::messages::{ATTEMPT_HEADER, PROMPT_HEADER, SIGNATURE_HEADER, attempt_id};
+use super::pace::Pace;
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Header with the time for which a backend server remains cold.
 pub const COLD_HEADER: &str = "flamingowheel-cold-ms";
@@ -83,6 +84,19 @@
     pub is_orderly: bool,
 }
 
+/// A request at work on a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Name of the server.
+    pub server: String,
+    /// Id of the caller's attempt.
+    pub attempt: String,
+    /// When the work began.
+    pub from: Instant,
+    /// When the answer was complete or given up; `None` while the server is at work.
+    pub until: Option<Instant>,
+}
+
 /// Records the requests that reach any of the backend servers, and how often each attempt of a
 /// caller began to run.
 #[derive(Clone, Debug, Default)]
@@ -90,7 +104,8 @@
 
 #[derive(Debug, Default)]
 struct Requests {
-    runs: HashMap<String, u32>,
+    runs: Vec<Run>,
+    run_counts: HashMap<String, u32>,
     arrivals: Vec<Arrival>,
     ends: Vec<End>,
 }
@@ -98,7 +113,12 @@
 impl RequestLog {
     /// Number of runs of an attempt so far.
     pub fn runs(&self, attempt: &str) -> u32 {
-        self.lock().runs.get(attempt).copied().unwrap_or(0)
+        self.lock().run_counts.get(attempt).copied().unwrap_or(0)
+    }
+
+    /// The runs of all attempts, in the order of their beginnings.
+    pub fn all_runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
     }
 
     /// All arrivals so far, in their order.
@@ -116,8 +136,12 @@
         self.lock().ends.push(End { cause: cause.to_owned(), at: Instant::now(), is_orderly });
     }
 
-    fn record_run(&self, attempt: &str) {
-        *self.lock().runs.entry(attempt.to_owned()).or_default() += 1;
+    fn begin_run(&self, server: &str, attempt: &str) -> RunGuard {
+        let mut requests = self.lock();
+        *requests.run_counts.entry(attempt.to_owned()).or_default() += 1;
+        let (server, attempt) = (server.to_owned(), attempt.to_owned());
+        requests.runs.push(Run { server, attempt, from: Instant::now(), until: None });
+        RunGuard { request_log: self.clone(), index: requests.runs.len() - 1 }
     }
 
     fn record_arrival(&self, server: &str, attempt: &str, conditions: Conditions) {
@@ -130,19 +154,33 @@
     }
 }
 
-/// A backend server. Paths under `/stream/` get an event stream, all others a plain answer.
+/// A run in progress, which ends on drop.
+struct RunGuard {
+    request_log: RequestLog,
+    index: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.request_log.lock().runs[self.index].until = Some(Instant::now());
+    }
+}
+
+/// A backend server. Paths under `/stream/` and `/live/` get an event stream, all others a plain
+/// answer; a path may ask for a [`Pace`].
 #[derive(Clone, Debug)]
 pub struct PlatformServer {
     /// Name under which it is registered.
     pub id: String,
     /// Records its requests.
     pub request_log: RequestLog,
-    /// Time before a plain answer, and before each event of a stream.
+    /// Time before a plain answer, and before each event of a stream, unless the path asks for others.
     pub delay: Duration,
     /// Most requests in progress at once; further ones are refused.
     pub slots: u32,
     used_slots: Arc<AtomicU32>,
     conditions: Arc<Mutex<Conditions>>,
+    silent_until: Arc<Mutex<Option<Instant>>>,
     ends: Arc<watch::Sender<u64>>,
 }
 
@@ -175,6 +213,7 @@
             slots,
             used_slots: Arc::default(),
             conditions: Arc::default(),
+            silent_until: Arc::default(),
             ends: Arc::default(),
         }
     }
@@ -201,6 +240,25 @@
         *self.conditions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Makes the server write nothing for a time. Its connections stay open, and all work goes on
+    /// after it.
+    pub fn silence(&self, duration: Duration) {
+        let until = Instant::now() + duration;
+        *self.silent_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    /// Waits for `time`, and for the end of a silence after it.
+    async fn work(&self, time: Duration) {
+        sleep(time).await;
+        loop {
+            let until = *self.silent_until.lock().unwrap_or_else(PoisonError::into_inner);
+            match until {
+                Some(until) if until > Instant::now() => sleep_until(until).await,
+                _ => return,
+            }
+        }
+    }
+
     /// A response with the headers of what the server asks for.
     fn response(&self, status: StatusCode, headers: &[(&str, &str)], body: Body) -> Response {
         let Conditions { limit_per_s, is_leaving, cold_until, .. } = self.conditions();
@@ -256,22 +314,24 @@
         let headers = [(ATTEMPT_HEADER, attempt.as_str()), (NOT_EXECUTED_HEADER, "1")];
         return server.response(StatusCode::SERVICE_UNAVAILABLE, &headers, Body::empty());
     };
-    server.request_log.record_run(&attempt);
+    let run = server.request_log.begin_run(&server.id, &attempt);
     let headers = [(ATTEMPT_HEADER, attempt.as_str()), (SIGNATURE_HEADER, server.id.as_str())];
     let path = request.uri().path().to_owned();
+    let steady = Pace { delay_ms: server.delay.as_millis() as u64, ..Pace::default() };
+    let pace = Pace::of_path(&path).unwrap_or(steady);
     let is_crashing = path.contains(CRASH_PATH);
     let crash_part = crash_part(request.headers());
     let ends_unframed = path.contains(UNFRAMED_CRASH_PATH);
     let is_unframed = conditions.is_unframed || ends_unframed;
-    if !path.starts_with("/stream/") {
-        sleep(server.delay).await;
+    if !["/stream/", "/live/"].iter().any(|route| path.starts_with(route)) {
+        server.work(Duration::from_millis(pace.delay_ms)).await;
         if is_crashing && !ends_unframed {
             server.end(&path).await;
         }
         if let Some(part) = &crash_part {
             server.end(part).await;
         }
-        let body = answer_body(&attempt);
+        let body = pace.answer_body(&attempt);
         if !is_unframed {
             return server.response(StatusCode::OK, &headers, Body::from(body));
         }
@@ -290,18 +350,18 @@
     let last_id: u64 = header_text(request.headers(), "last-event-id").parse().unwrap_or(0);
     let stream_server = server.clone();
     let events = stream::unfold(
-        (last_id + 1, attempt.clone(), slot, stream_server, path),
-        move |(id, attempt, slot, server, path)| {
+        (last_id + 1, attempt.clone(), (slot, run), stream_server, path),
+        move |(id, attempt, held, server, path)| {
             let crash_part = crash_part.clone();
             async move {
                 if id > STREAM_EVENTS {
                     return None;
                 }
-                sleep(server.delay).await;
+                server.work(pace.time_before(id)).await;
                 if let Some(part) = &crash_part {
                     server.end(part).await;
                 }
-                let event = stream_event(&attempt, id);
+                let event = pace.stream_event(&attempt, id);
                 if is_crashing && id > STREAM_EVENTS / 2 {
                     // One more event may have been begun.
                     let is_begun =
@@ -310,11 +370,11 @@
                         server.end(&path).await;
                     }
                     let part = Ok(Bytes::copy_from_slice(&event.as_bytes()[..event.len() / 2]));
-                    return Some((part, (id + 1, attempt, slot, server, path)));
+                    return Some((part, (id + 1, attempt, held, server, path)));
                 }
                 Some((
                     Ok::<_, std::io::Error>(Bytes::from(event)),
-                    (id + 1, attempt, slot, server, path),
+                    (id + 1, attempt, held, server, path),
                 ))
             }
         },
