Soak: callers that send the begin of the next request ahead

What callers saw: the end of a plain answer was missing, the connection was reset, while the entry had counted the answer as complete. No caller of the planned run sent ahead, so the run could not show it.

Streams that may be resumed are drawn twice as often. "request abandoned" counts as an end in the log.

--- a/crates/soak/src/planned/callers.rs
+++ b/crates/soak/src/planned/callers.rs
@@ -3,6 +3,7 @@
 use super::check::Call;
 use super::connection::{Connection, Received};
 use super::events::Places;
+use super::habits::Habit;
 use crate::callers::{API_KEY, Kind};
 use bytes::Bytes;
 use flamingowheel_standin::platform::messages::caller_headers;
@@ -42,23 +43,7 @@
 /// Pause before the next try after a refused connection.
 const REFUSED_PAUSE: Duration = Duration::from_millis(20);
 
-/// How a caller behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Habit {
-    /// Sends the next request at once on the same connection.
-    Keeps,
-    /// The same after a pause.
-    Pauses,
-    /// Opens a connection for each request.
-    Opens,
-    /// Keeps the connection, and reads slowly.
-    ReadsSlowly,
-}
-
-const HABITS: [Habit; 5] =
-    [Habit::Keeps, Habit::Keeps, Habit::Pauses, Habit::Opens, Habit::ReadsSlowly];
-
-const KINDS: [Kind; 4] = [Kind::Once, Kind::Safe, Kind::Stream, Kind::Live];
+const KINDS: [Kind; 5] = [Kind::Once, Kind::Safe, Kind::Stream, Kind::Stream, Kind::Live];
 
 /// One caller.
 #[derive(Debug)]
@@ -72,7 +57,7 @@
 }
 
 impl Caller {
-    /// Sends requests until `stop`. The one in progress then is given up and not recorded. Its
+    /// Sends requests until `stop`. The one in progress then is given up and not recorded. An idle
     /// connection is returned.
     pub async fn run(self, seed: u64, stop: CancellationToken) -> Option<Connection> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -85,7 +70,7 @@
     where
         R: Rng,
     {
-        let habit = HABITS[self.number % HABITS.len()];
+        let habit = Habit::of_caller(self.number);
         loop {
             let is_kept = match connection.as_mut() {
                 Some(kept) => habit != Habit::Opens && kept.is_ready().await,
@@ -97,17 +82,17 @@
                 if !running.is_empty() {
                     let entry = running[rng.random_range(0..running.len())];
                     let address = self.places.address(entry);
-                    *connection =
-                        Connection::open(entry, address, habit == Habit::ReadsSlowly).await;
+                    *connection = Connection::open(entry, address, habit).await;
                 }
             }
-            let Some(open) = connection.as_mut() else {
+            // Dropped with a request that is given up, so that its entry is told.
+            let Some(mut open) = connection.take() else {
                 sleep(REFUSED_PAUSE).await;
                 continue;
             };
-            let call = send(open, habit, rng).await;
-            if call.as_ref().is_none_or(|call| call.received.error.is_some()) {
-                *connection = None;
+            let call = send(&mut open, habit, rng).await;
+            if call.as_ref().is_some_and(|call| call.received.error.is_none()) {
+                *connection = Some(open);
             }
             self.calls.lock().unwrap_or_else(PoisonError::into_inner).extend(call);
             if habit == Habit::Pauses {
@@ -153,6 +138,6 @@
     let delay_ms = rng.random_range(if is_slow { SLOW_DELAY_MS } else { DELAY_MS });
     let is_silent = kind.is_stream() && rng.random_bool(SILENT_RATIO);
     let silence_ms = if is_silent { rng.random_range(SILENCE_MS) } else { 0 };
-    let padding_bytes = if habit == Habit::ReadsSlowly { SLOW_READER_BYTES } else { 0 };
+    let padding_bytes = if habit.is_slow() { SLOW_READER_BYTES } else { 0 };
     Pace { delay_ms, silence_ms, padding_bytes }
 }
--- a/crates/soak/src/planned/connection.rs
+++ b/crates/soak/src/planned/connection.rs
@@ -1,6 +1,8 @@
 //! A connection to an entry that its caller holds itself. Nothing is sent a second time without the
 //! caller's knowledge, and the way in which an answer ends is known.
 
+use super::ahead::AheadStream;
+use super::habits::Habit;
 use bytes::Bytes;
 use flamingowheel_standin::platform::messages::is_signed;
 use http::{Request, Response};
@@ -12,6 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 /// Time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -42,21 +45,24 @@
     pub entry: usize,
     sender: SendRequest<Full<Bytes>>,
     is_slow: bool,
+    /// Drives the connection, which is closed at once on drop.
+    _task: AbortOnDropHandle<hyper::Result<()>>,
 }
 
 impl Connection {
     /// Connects to an entry; `None` if it refuses.
-    pub async fn open(entry: usize, address: SocketAddr, is_slow: bool) -> Option<Self> {
+    pub async fn open(entry: usize, address: SocketAddr, habit: Habit) -> Option<Self> {
         let socket = TcpSocket::new_v4().ok()?;
-        if is_slow {
+        if habit.is_slow() {
             socket.set_recv_buffer_size(SLOW_BUFFER_BYTES).ok()?;
         }
         let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
+        let stream = AheadStream::new(stream, habit == Habit::SendsAhead);
         let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
         // Its error is the one of the request that it carries.
-        tokio::spawn(connection);
-        Some(Self { entry, sender, is_slow })
+        let task = AbortOnDropHandle::new(tokio::spawn(connection));
+        Some(Self { entry, sender, is_slow: habit.is_slow(), _task: task })
     }
 
     /// Waits until a request can be sent; `false` if the connection has ended.
--- a/crates/soak/src/planned/logs.rs
+++ b/crates/soak/src/planned/logs.rs
@@ -7,7 +7,8 @@
 use std::path::Path;
 
 /// Log lines that tell the end of a request.
-const END_MESSAGES: [&str; 4] = ["answered", "answer broken off", "refused", "stream ended"];
+const END_MESSAGES: [&str; 5] =
+    ["answered", "answer broken off", "refused", "request abandoned", "stream ended"];
 
 /// Most requests that are named.
 const MAX_NAMED: usize = 5;
--- a/crates/soak/src/planned/run.rs
+++ b/crates/soak/src/planned/run.rs
@@ -21,6 +21,9 @@
 /// Time for the processes to start and discover each other.
 const WARM_UP: Duration = Duration::from_millis(1_000);
 
+/// Time for callers to see the end of a process.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
 /// Time between the starts of two events, in milliseconds. Most last longer than this and overlap.
 const EVENT_GAP_MS: std::ops::Range<u64> = 100..1_200;
 
@@ -49,6 +52,8 @@
     std::fs::write(folder.join("events.txt"), event_log).wrap_err("list of events")?;
     work.close();
     work.wait().await;
+    // Callers have to see how the last stop ends their requests.
+    sleep(SETTLE_TIME).await;
     stop.cancel();
     // Callers keep their connections until the processes are gone.
     let kept = join_all(callers).await;
