--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -95,12 +95,12 @@
     /// The body of the answer to the caller.
     pub fn into_body(self) -> AnswerBody {
         let frames = stream::unfold(self, |mut relay| async move {
-            let aborting = relay.exchange.open.aborting().clone();
+            let aborting = relay.source.exchange.open.aborting().clone();
             let frame = match aborting.run_until_cancelled(relay.next()).await {
                 Some(frame) => frame?,
                 None => relay.cut()?,
             };
-            relay.exchange.open.record_progress(Progress::Body);
+            relay.source.exchange.open.record_progress(Progress::Body);
             Some((frame.map(Frame::data), relay))
         });
         BodyExt::boxed_unsync(StreamBody::new(frames))
