Entry: wait 100 ms for requests on their way before idle connections are closed

Callers saw: in about 1 of 100 trials beside other load, still no answer to a request that was in the entry's socket before 'closing'. One turn of the runtime isn't always enough; why is not known.

Evidence: close_kept_connection_waiting_request_served failed in 1 of 8 runs of the whole file, and in 5 of 449 runs beside the table of stages; alone, in 0 of 60.

Change: kept and new connections are treated alike: both are shut down 100 ms after 'closing'. Before it was one turn, or 200 ms. The test shows the whole answer when it fails; what it asks for is the same, and that the answer is complete.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,7 +15,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::yield_now;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -37,9 +36,9 @@
 /// connection closes.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
 
-/// Time for which a new connection's first request is awaited when idle connections are closed. Its
-/// caller could not learn from an answer that the entry is leaving.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time between `closing` and the close of idle connections, for requests that are on their way. The
+/// callers of new connections could not learn from an answer that the entry is leaving.
+const LAST_REQUESTS_TIME: Duration = Duration::from_millis(100);
 
 /// Pause after a failed accept; without it, the loop would spin when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -136,7 +135,10 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut checks = interval(IDLE_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let must_close = wait_until_closing(&stop, &usage);
+    let must_close = async {
+        stop.closing.cancelled().await;
+        sleep(LAST_REQUESTS_TIME).await;
+    };
     tokio::pin!(must_close);
     let mut is_closing = false;
     loop {
@@ -162,17 +164,6 @@
     }
 }
 
-/// Waits until a connection has to be closed if no request is in progress on it.
-async fn wait_until_closing(stop: &Stop, usage: &Usage) {
-    stop.closing.cancelled().await;
-    if usage.has_begun() {
-        // Lets the runtime report a request that has arrived.
-        yield_now().await;
-    } else {
-        sleep(FIRST_REQUEST_TIMEOUT).await;
-    }
-}
-
 /// Closes a connection on which no more requests are served.
 async fn close(
     stream: TcpStream,
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -126,7 +126,8 @@
     let remote = stream.local_addr().unwrap().port();
     block_until_waiting(bench.entry.address, remote, request.len());
     bench.entry.stop.closing.cancel();
-    assert_eq!(read_all(&mut stream).await.body, b"whole");
+    let received = read_all(&mut stream).await;
+    assert!(received.is_complete && received.body == b"whole", "{received:?}");
 }
 
 /// The caller of a leaving entry sends its next request before it has read the answer in progress. Bytes that
