Tests: a large whole answer with a length is counted as abandoned (red)

Seen: hyper drops a body with a length once its last byte is written, before `PlainAnswer` reads the end of the server's answer. So no request with a large plain answer of stated length ends as answered: it counts and is logged as abandoned, there is no line `answered`, and its connection to the server is dropped.

Evidence: `handle_large_answer_whole_counted_as_answered`: red for a length, green for chunks.

--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -184,3 +184,16 @@
     bench.entry.gateway.open.end_all();
     assert_eq!(outcomes(&bench), once("cut_by_stop"), "counted once");
 }
+
+// A caller gets the whole of a plain answer that is relayed as it arrives: that is no request that was
+// abandoned.
+#[tokio::test]
+async fn handle_large_answer_whole_counted_as_answered() {
+    for framing in [Framing::Chunks, Framing::Length] {
+        let bench = bench(Answer::whole(framing, vec![b'x'; LARGE_BYTES])).await;
+        let received = bench.ask("/safe/x").await;
+        assert_eq!((received.is_complete, received.body.len()), (true, LARGE_BYTES), "{framing:?}");
+        wait_until(|| !outcomes(&bench).is_empty()).await;
+        assert_eq!(outcomes(&bench), once("answered"), "{framing:?}");
+    }
+}
