Tests: a HEAD request to a stream's route is abandoned, a server is asked after the deadline (both red)

Seen: a stream's answer to HEAD is whole at its head; hyper drops the body unread, and the request counts as abandoned. `handle_head_of_stream_counted_as_ended`: red.

Seen: the deadline ends the waits for a silent server and for the one beside it; `Hedge::find` then chooses a third one, takes a retry, and records it as unreachable after no time. `stalled_stream_deadline_no_further_server`: red; the server that was not asked is avoided.

--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -5,7 +5,7 @@
 
 use flamingowheel_standin::platform::messages::caller_headers;
 use flamingowheel_standin::platform::raw::{Answer, Ending, Framing, RawServer};
-use framing::caller::{API_KEY, parse};
+use framing::caller::{API_KEY, Ask, call, parse};
 use framing::{Bench, events_after};
 use http::Request;
 use std::time::Duration;
@@ -197,3 +197,13 @@
         assert_eq!(outcomes(&bench), once("answered"), "{framing:?}");
     }
 }
+
+// The answer to a HEAD request on a route of streams has no body that would be read to its end.
+#[tokio::test]
+async fn handle_head_of_stream_counted_as_ended() {
+    let bench = bench(Answer::whole(Framing::Length, Vec::new())).await;
+    let ask = Ask { method: "HEAD", ..Ask::new("/live/x", "a1") };
+    assert!(call(bench.entry.address, ask).await.is_complete);
+    wait_until(|| !outcomes(&bench).is_empty()).await;
+    assert_eq!(outcomes(&bench), once("complete"));
+}
--- a/crates/gateway/tests/stalled.rs
+++ b/crates/gateway/tests/stalled.rs
@@ -356,3 +356,32 @@
     assert!(!received.is_complete && received.body == (event(1) + &event(2)).as_bytes());
     assert!(fleet.calls.try_recv().is_err(), "sent a third time");
 }
+
+// The deadline ends the waits for the silent server and for the one that was asked beside it. A third one must
+// not be asked after that: it would be avoided by others for an answer that it had no time to give.
+#[tokio::test]
+async fn stalled_stream_deadline_no_further_server() {
+    const SHORT_DEADLINE_MS: u64 = 500;
+    let (sender, mut calls) = mpsc::unbounded_channel();
+    let mut addresses = Vec::new();
+    for server in 0..3 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+        tokio::spawn(accept_calls(listener, server, sender.clone()));
+    }
+    let configuration = configuration(1, &[API_KEY], SHORT_DEADLINE_MS)
+        .replace("\"maxAttempts\":2", "\"maxAttempts\":3");
+    let entry = Entry::start_with_retries(&addresses, Some(configuration.as_bytes()), 100.0).await;
+    tokio::spawn(run_passes(entry.form_group(&addresses), 3));
+    assert_eq!(ask(entry.address).await.status, 504);
+    let mut asked = [false; 3];
+    while let Ok(call) = calls.try_recv() {
+        asked[call.server] = true;
+    }
+    let view = entry.gateway.view();
+    for server in view.servers_of("s") {
+        let number: usize = server.listed.id[2..].parse().unwrap();
+        let is_avoided = server.status(Instant::now()).failure_ratio > 0.0;
+        assert!(asked[number] || !is_avoided, "server {number} is avoided; asked: {asked:?}");
+    }
+}
