Tests: an answer without chunks that the process's exit cuts looks complete (red)

Seen: a caller of HTTP/1.0 reads slowly; at the end of the grace period its body is not polled, so that neither `Truncated` nor the reset after it comes about.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -8,6 +8,7 @@
 use flamingowheel_standin::platform::messages::{
     CONFIGURATION_KEY, caller_headers, configuration, entry_settings, server_key, server_record,
 };
+use flamingowheel_standin::platform::raw::{Answer, Call, Ending, Framing, RawServer};
 use flamingowheel_standin::platform::server::{
     PlatformServer, RequestLog, STREAM_EVENTS, stream_event,
 };
@@ -15,10 +16,13 @@
 use http::Method;
 use http_body_util::BodyExt;
 use rustix::process::Signal;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Barrier;
 
 const API_KEY: &str = "k";
@@ -53,15 +57,25 @@
     /// Starts an entry before a server with `slots` slots that waits for `delay` before a plain
     /// answer and before each event of a stream.
     async fn start(name: &str, delay: Duration, slots: u32, limit_ms: u64) -> Self {
-        let kv = FakeKeyValue::new();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let store_address = listener.local_addr().unwrap();
-        tokio::spawn(store::serve(listener, kv.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server_address = listener.local_addr().unwrap();
         let request_log = RequestLog::default();
         let server = PlatformServer::new("s-1", request_log.clone(), delay, slots);
         tokio::spawn(server.serve(listener));
+        Self::start_before(name, server_address, request_log, slots, limit_ms).await
+    }
+
+    async fn start_before(
+        name: &str,
+        server_address: SocketAddr,
+        request_log: RequestLog,
+        slots: u32,
+        limit_ms: u64,
+    ) -> Self {
+        let kv = FakeKeyValue::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store_address = listener.local_addr().unwrap();
+        tokio::spawn(store::serve(listener, kv.clone()));
         let record = server_record(server_address, slots, 1, false);
         write(&kv, &server_key("s-1"), record).await;
         write(&kv, CONFIGURATION_KEY, configuration(1, &[API_KEY], limit_ms)).await;
@@ -264,3 +278,39 @@
     let told = tokio::time::timeout(Duration::from_secs(GRACE_S), caller).await;
     told.expect("the caller has an answer").unwrap();
 }
+
+/// More than the buffers between a backend server and a caller hold.
+const LARGE_BYTES: usize = 32 * 1024 * 1024;
+
+/// A caller without chunks reads nothing until the process has exited: an answer that the exit cuts must end
+/// with a reset, as a regular end would say that it is complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_unread_answer_without_chunks_not_complete() {
+    let answer = Answer::whole(Framing::Chunks, vec![b'x'; LARGE_BYTES]);
+    let script = move |call: &Call| match call.attempt.as_str() {
+        "first" => Answer::whole(Framing::Length, Vec::new()),
+        _ => Answer { ending: Ending::Silent, ..answer.clone() },
+    };
+    let server = RawServer::start(script).await.unwrap();
+    let log = RequestLog::default();
+    let entry = Entry::start_before("unread", server.address, log, 4, WORK_LIMIT_MS).await;
+    entry.wait_until_serving().await;
+    let request = caller_headers(http::Request::builder(), "a", API_KEY, WORK_LIMIT_MS);
+    let mut head = "GET /safe/x HTTP/1.0\r\n".to_owned();
+    for (name, value) in request.body(()).unwrap().headers() {
+        head += &format!("{name}: {}\r\n", value.to_str().unwrap());
+    }
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    let mut caller = socket.connect(entry.address.parse().unwrap()).await.unwrap();
+    caller.write_all((head + "\r\n").as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    caller.read_buf(&mut bytes).await.unwrap();
+    entry.daemon.signal(Signal::TERM);
+    while entry.daemon.is_running() {
+        tokio::task::yield_now().await;
+    }
+    let ended = caller.read_to_end(&mut bytes).await.map_err(|error| error.kind());
+    assert!(bytes.len() < LARGE_BYTES);
+    assert_eq!(ended, Err(ErrorKind::ConnectionReset), "{} bytes look complete", bytes.len());
+}
