--- a/crates/flamingowheeld/tests/listen.rs
+++ b/crates/flamingowheeld/tests/listen.rs
@@ -1,8 +1,11 @@
 //! A stop of a listener with requests in progress, over loopback connections.
 
 use axum::Router;
-use axum::routing::post;
+use axum::body::Body;
+use axum::routing::{get, post};
 use flamingowheel_daemon::listen::{ListenLimits, serve};
+use futures_util::{StreamExt, stream};
+use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -83,3 +86,31 @@
     served.answer.cancel();
     read_whole(&mut caller).await;
 }
+
+/// An answer breaks off whose caller knows no chunks: closing its connection in order would say that it is
+/// complete.
+#[tokio::test]
+async fn serve_broken_answer_without_chunks_reset() {
+    let has_arrived = Arc::new(Notify::new());
+    let breaking = Arc::clone(&has_arrived);
+    let broken = async move || {
+        let end = async move {
+            breaking.notified().await;
+            Err(Error::from(ErrorKind::ConnectionReset))
+        };
+        Body::from_stream(stream::iter([Ok("part")]).chain(stream::once(end)))
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = Router::new().route("/", get(broken));
+    tokio::spawn(serve(listener, router, ListenLimits::default(), CancellationToken::new()));
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n").await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"part") {
+        assert!(caller.read_buf(&mut answer).await.unwrap() > 0);
+    }
+    has_arrived.notify_one();
+    let ended = caller.read_to_end(&mut answer).await.map_err(|error| error.kind());
+    assert_eq!(ended, Err(ErrorKind::ConnectionReset), "{}", String::from_utf8_lossy(&answer));
+}
