--- a/crates/gateway/tests/stalled.rs
+++ b/crates/gateway/tests/stalled.rs
@@ -3,7 +3,9 @@
 #[allow(dead_code, missing_docs, unreachable_pub, reason = "shared with the bench")]
 mod framing;
 
+use flamingowheel_gateway::exchange::fingerprint;
 use flamingowheel_gateway::group::GroupLoad;
+use flamingowheel_policy::key::ServerKey;
 use flamingowheel_protocol::ranks::GroupStatus;
 use flamingowheel_standin::platform::messages::{caller_headers, configuration};
 use flamingowheel_standin::platform::raw::{Answer, Framing};
@@ -385,3 +387,29 @@
         assert!(asked[number] || !is_avoided, "server {number} is avoided; asked: {asked:?}");
     }
 }
+
+// A stream that may crash servers runs at one of them at a time, so that no other gets it while its server is
+// silent. One that was chosen in vain must still be asked after the silent server is lost.
+#[tokio::test]
+async fn stalled_suspect_stream_lost_goes_on_elsewhere() {
+    let mut fleet = Fleet::start(Elsewhere::First).await;
+    let view = fleet.entry.gateway.view();
+    let configuration = view.configuration.as_ref().unwrap();
+    let workspace = configuration.workspaces.as_ref().unwrap().get(API_KEY).unwrap();
+    let (method, uri) = (http::Method::GET, "/stream/x".parse().unwrap());
+    let fingerprint = fingerprint(Some(workspace), &method, "soak.example", &uri, b"");
+    fleet.entry.gateway.suspects.record_end(ServerKey(9), &[fingerprint]);
+
+    let mut caller = tokio::spawn(ask(fleet.entry.address));
+    let own = fleet.next_call().await;
+    fleet.wait_until_counted("lost").await;
+    // Longer than the request waits for its turn at the other server.
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(fleet.calls.try_recv().is_err(), "runs at two servers");
+    drop(own);
+    tokio::select! {
+        mut other = fleet.next_call() => other.write(&rest_after(None)).await,
+        received = &mut caller => panic!("not sent again: {:?}", received.unwrap()),
+    }
+    assert!(caller.await.unwrap().is_complete);
+}
