--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -5,7 +5,7 @@
 
 use flamingowheel_standin::platform::messages::caller_headers;
 use flamingowheel_standin::platform::raw::{Answer, Ending, Framing, RawServer};
-use framing::caller::{API_KEY, parse};
+use framing::caller::{API_KEY, Ask, call, parse};
 use framing::{Bench, events_after};
 use http::Request;
 use std::time::Duration;
@@ -184,3 +184,26 @@
     bench.entry.gateway.open.end_all();
     assert_eq!(outcomes(&bench), once("cut_by_stop"), "counted once");
 }
+
+// A caller gets the whole of a plain answer that is relayed as it arrives: that is no request that was
+// abandoned.
+#[tokio::test]
+async fn handle_large_answer_whole_counted_as_answered() {
+    for framing in [Framing::Chunks, Framing::Length] {
+        let bench = bench(Answer::whole(framing, vec![b'x'; LARGE_BYTES])).await;
+        let received = bench.ask("/safe/x").await;
+        assert_eq!((received.is_complete, received.body.len()), (true, LARGE_BYTES), "{framing:?}");
+        wait_until(|| !outcomes(&bench).is_empty()).await;
+        assert_eq!(outcomes(&bench), once("answered"), "{framing:?}");
+    }
+}
+
+// The answer to a HEAD request on a route of streams has no body that would be read to its end.
+#[tokio::test]
+async fn handle_head_of_stream_counted_as_ended() {
+    let bench = bench(Answer::whole(Framing::Length, Vec::new())).await;
+    let ask = Ask { method: "HEAD", ..Ask::new("/live/x", "a1") };
+    assert!(call(bench.entry.address, ask).await.is_complete);
+    wait_until(|| !outcomes(&bench).is_empty()).await;
+    assert_eq!(outcomes(&bench), once("complete"));
+}
