--- a/crates/flamingowheeld/src/linger.rs
+++ b/crates/flamingowheeld/src/linger.rs
@@ -31,6 +31,13 @@
         Self { stream, linger: None }
     }
 
+    /// Resets the connection.
+    pub(crate) fn reset(self) {
+        if let Err(error) = self.stream.set_zero_linger() {
+            tracing::warn!(%error, "broken answer may look complete to its caller");
+        }
+    }
+
     /// Reads and discards what has arrived; ready once the peer has closed or reset the connection.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DISCARD_BYTES];
--- a/crates/flamingowheeld/src/listen.rs
+++ b/crates/flamingowheeld/src/listen.rs
@@ -6,15 +6,18 @@
 use axum::middleware::map_response_with_state;
 use axum::response::Response;
 use flamingowheel_config::settings::Listen as ListenSettings;
-use http::HeaderValue;
 use http::header::CONNECTION;
+use http::{HeaderValue, Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -171,22 +174,32 @@
     stop: CancellationToken,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = TowerToHyperService::new(router);
+    let has_chunks = AtomicBool::new(true);
+    let routes = TowerToHyperService::new(router);
+    let service = service_fn(|request: Request<Incoming>| {
+        has_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
+        routes.call(request)
+    });
     let stream = TokioIo::new(Lingering::new(stream));
-    let connection = builder(&limits).serve_connection(stream, service);
-    tokio::pin!(connection);
+    let mut connection = builder(&limits).serve_connection(stream, service);
     let closing = async {
         stop.cancelled().await;
         tokio::time::sleep(LAST_READ_DURATION).await;
     };
-    tokio::select! {
+    let ended = tokio::select! {
         // Polled first, so that bytes that have arrived are read before the connection is closed.
         biased;
-        // The error is ignored: usually the client closed the connection.
-        _ = &mut connection => return,
-        () = closing => connection.as_mut().graceful_shutdown(),
+        ended = &mut connection => ended,
+        () = closing => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    // Other errors are ignored: usually the client closed the connection.
+    if ended.is_err_and(|error| error.is_user()) && !has_chunks.load(Ordering::Relaxed) {
+        // Without chunks, a regular close says that the answer is complete.
+        connection.into_parts().io.into_inner().reset();
     }
-    let _ = connection.await;
 }
 
 /// Closes a listener and returns the connections that waited in the kernel's accept queue. Their
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -11,7 +11,7 @@
 use flamingowheel_backing::client::framing::framing_of;
 use flamingowheel_platform::headers;
 use flamingowheel_policy::answers::{Evidence, Framing};
-use http::{Response, Version};
+use http::{Method, Response, StatusCode, Version};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -39,7 +39,8 @@
         let connection = Some(connection);
         let upstream = UpstreamBody { body, framing, connection, in_flight, sent_at };
         let (gateway, exchange) = (Arc::clone(self), Arc::clone(exchange));
-        let is_stream = exchange.route.is_stream && status.is_success();
+        let has_body = exchange.method != Method::HEAD && status != StatusCode::NO_CONTENT;
+        let is_stream = exchange.route.is_stream && status.is_success() && has_body;
         // A length beside chunks does not count, and that of a stream changes if it is resumed.
         if is_stream || framing != Framing::Length {
             parts.headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, sleep};
 
 /// Pause before another server is looked for again while the first one stays silent.
-const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of servers that may refuse in one look while the first one stays silent. The request is not
 /// lost, and leaves retries to others that are.
@@ -106,7 +106,7 @@
         Box::pin(async move {
             // They may take the request at the next look.
             let mut refused = Vec::new();
-            while self.may_run() && refused.len() < max_refused {
+            while self.may_run() && refused.len() < max_refused && self.has_time() {
                 let excluded = [&self.tried[..], &refused[..]].concat();
                 let admission = self.admission.as_ref();
                 let choice =
@@ -126,10 +126,13 @@
                         self.gateway.record_not_run(self.exchange, &sent);
                     }
                     Ok(_) | Err(SendFailure::MayHaveRun) => continue,
-                    Err(SendFailure::Suspect(_)) => return None,
+                    Err(SendFailure::Suspect(_)) => {
+                        self.forget(&server);
+                        return None;
+                    }
                     Err(SendFailure::NotAdmitted | SendFailure::NotSent) => {}
                 }
-                self.tried.retain(|tried| !Arc::ptr_eq(tried, &server));
+                self.forget(&server);
                 refused.push(server);
             }
             None
@@ -161,6 +164,15 @@
         }
     }
 
+    /// Makes a server that has not run the request eligible again.
+    fn forget(&mut self, server: &Arc<Server>) {
+        self.tried.retain(|tried| !Arc::ptr_eq(tried, server));
+    }
+
+    fn has_time(&self) -> bool {
+        Instant::now() < self.exchange.deadline
+    }
+
     fn may_run(&self) -> bool {
         *self.runs < self.exchange.route.max_attempts
     }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -11,7 +11,7 @@
 use flamingowheel_policy::answers::{Content, Ending, Evidence, MAX_ANSWER_BYTES};
 use futures_util::stream;
 use http::StatusCode;
-use http_body::Frame;
+use http_body::{Body, Frame};
 use http_body_util::{BodyExt, StreamBody};
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
@@ -86,7 +86,8 @@
                 Ok(None) => return Buffered::Whole(self.into_whole()),
                 Err(evidence) => return Buffered::Broken(evidence),
             }
-            if self.buffered.len() > MAX_BUFFERED_BYTES || self.held.is_none() {
+            let is_large = self.buffered.len() > MAX_BUFFERED_BYTES || self.held.is_none();
+            if is_large && !self.upstream.body.is_end_stream() {
                 return Buffered::Large(Box::new(self));
             }
         }
@@ -145,12 +146,21 @@
                 None => bytes,
             }));
         }
-        match self.read().await {
+        let mut read = self.read().await;
+        let last = match &mut read {
+            // The caller's side reads a body with a length up to its last byte only.
+            Ok(piece) if self.upstream.body.is_end_stream() => piece.take(),
+            _ => None,
+        };
+        if last.is_some() {
+            read = self.judge(Ending::Regular, None).await;
+        }
+        match read {
             Ok(Some(piece)) => Some(Ok(piece)),
             Ok(None) => {
                 self.has_ended = true;
                 self.exchange.open.end("answered");
-                None
+                last.map(Ok)
             }
             Err(evidence) => {
                 self.has_ended = true;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -40,6 +40,12 @@
 /// callers of new connections could not learn from an answer that the entry is leaving.
 const LAST_REQUESTS_TIME: Duration = Duration::from_millis(100);
 
+/// Time after `closing` within which the head of a new connection's first request has to arrive.
+const FIRST_HEAD_TIME: Duration = Duration::from_millis(400);
+
+/// Time that callers have to read what is left of their answers before the process exits.
+const LAST_WRITES_TIME: Duration = Duration::from_millis(50);
+
 /// Pause after a failed accept; without it, the loop would spin when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -99,7 +105,7 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 // The caller has left, or a signal has arrived.
-                Err(error) if is_passing(error.kind()) => {}
+                Err(error) if is_transient(error.kind()) => {}
                 Err(error) => return Err(error),
             }
         }
@@ -110,7 +116,7 @@
     accepted
 }
 
-fn is_passing(kind: ErrorKind) -> bool {
+fn is_transient(kind: ErrorKind) -> bool {
     matches!(kind, ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
 }
 
@@ -146,20 +152,32 @@
         stop.closing.cancelled().await;
         sleep(LAST_REQUESTS_TIME).await;
     };
-    tokio::pin!(must_close);
+    let must_drop = async {
+        stop.closing.cancelled().await;
+        sleep(FIRST_HEAD_TIME).await;
+    };
+    let must_reset = async {
+        stop.aborting.cancelled().await;
+        sleep(LAST_WRITES_TIME).await;
+    };
+    tokio::pin!(must_close, must_drop, must_reset);
     let mut is_closing = false;
     loop {
         tokio::select! {
             biased;
             ended = &mut connection => {
                 let stream = connection.into_parts().io.into_inner();
-                let is_unframed = !has_chunks.load(Ordering::Relaxed);
-                return close(stream, ended, is_unframed, &usage, &stop).await;
+                return close(stream, ended, is_unframed(&has_chunks), &usage, &stop).await;
             }
             () = &mut must_close, if !is_closing => {
                 is_closing = true;
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
+            () = &mut must_drop, if !usage.has_begun() => return,
+            // The body of an answer is not asked for its end while the caller reads nothing.
+            () = &mut must_reset, if is_unframed(&has_chunks) && usage.is_in_progress() => {
+                return reset(&connection.into_parts().io.into_inner());
+            }
             // A graceful shutdown waits for the request in progress, however long that takes.
             _ = checks.tick(), if !is_closing => {
                 is_closing = is_idle_too_long(&gateway, &usage);
@@ -171,6 +189,11 @@
     }
 }
 
+/// Whether the end of the connection is the end of an answer without length.
+fn is_unframed(has_chunks: &AtomicBool) -> bool {
+    !has_chunks.load(Ordering::Relaxed)
+}
+
 /// Closes a connection on which no more requests are served.
 async fn close(
     stream: TcpStream,
--- a/crates/gateway/src/front/linger.rs
+++ b/crates/gateway/src/front/linger.rs
@@ -17,6 +17,9 @@
 /// its last connections.
 const QUIET_TIME: Duration = Duration::from_millis(200);
 
+/// Longest time for which bytes are discarded then.
+const MAX_LINGER_AT_STOP: Duration = Duration::from_secs(1);
+
 /// Size of the buffer for discarded bytes.
 const BUFFER_BYTES: usize = 4 * 1024;
 
@@ -33,7 +36,18 @@
                 tracing::debug!(%error, "connection to caller ended");
             }
         }
-        () = sleep(MAX_LINGER) => tracing::debug!("caller keeps a closed connection"),
+        () = linger_limit(closing) => tracing::debug!("caller keeps a closed connection"),
+    }
+}
+
+async fn linger_limit(closing: &CancellationToken) {
+    let at_stop = async {
+        closing.cancelled().await;
+        sleep(MAX_LINGER_AT_STOP).await;
+    };
+    tokio::select! {
+        () = at_stop => {}
+        () = sleep(MAX_LINGER) => {}
     }
 }
 
--- a/crates/gateway/src/front/usage.rs
+++ b/crates/gateway/src/front/usage.rs
@@ -45,6 +45,11 @@
         self.lock().has_begun
     }
 
+    /// Whether a request is in progress.
+    pub(super) fn is_in_progress(&self) -> bool {
+        self.lock().requests_in_progress > 0
+    }
+
     /// How long no request has been in progress.
     pub(super) fn idle_time(&self) -> Duration {
         let state = self.lock();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -175,9 +175,9 @@
         sleep(Duration::from_millis(DIRECTORY_TTL_MS)).await;
         stop.closing.cancel();
         let joined = tokio::task::spawn_blocking(move || {
-            traffic.into_iter().all(|thread| thread.join().is_ok())
+            traffic.into_iter().filter_map(|thread| thread.join().err()).count()
         });
-        if !matches!(joined.await, Ok(true)) {
+        if !matches!(joined.await, Ok(0)) {
             tracing::error!("a traffic thread panicked");
         }
         if let Err(error) = announced.await {
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -126,8 +126,10 @@
     stop_signal.await;
     leaving.cancel();
     let grace = Duration::from_millis(settings.bounds.grace_ms).saturating_sub(EXIT_RESERVE);
-    if timeout(grace, coordinator).await.is_err() {
-        tracing::warn!("grace period is over; the group may still be held");
+    match timeout(grace, coordinator).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => tracing::error!(%error, "coordinator failed"),
+        Err(_) => tracing::warn!("grace period is over; the group may still be held"),
     }
     stop.cancel();
     Ok(())
