--- a/crates/flamingowheeld/src/run.rs
+++ b/crates/flamingowheeld/src/run.rs
@@ -60,7 +60,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let mut output = None;
     let exit = runtime.block_on(run_on_platform(&mut output));
-    // Dropping the runtime would wait for the traffic threads, which end with their last request.
+    // Dropping the runtime would wait for the traffic threads, which end with the last request.
     // The process would exceed its grace time and be killed.
     runtime.shutdown_background();
     if let Err(error) = &exit {
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -60,21 +60,21 @@
             requests: Arc::clone(self),
             state: Mutex::default(),
         });
-        self.open().insert(number, Arc::downgrade(&request));
+        self.lock().insert(number, Arc::downgrade(&request));
         request
     }
 
     /// Ends all requests that are still open, and logs how many were read and ended in all.
     pub fn end_all(&self) {
         // Dropping a request removes it from the map, so the lock is released before.
-        let left: Vec<_> = self.open().values().filter_map(Weak::upgrade).collect();
+        let left: Vec<_> = self.lock().values().filter_map(Weak::upgrade).collect();
         left.iter().for_each(|request| request.end_early(CUT_BY_STOP));
         let read = self.metrics.requests_read();
         let ended = self.metrics.requests_ended();
         tracing::info!(read, ended, "requests at exit");
     }
 
-    fn open(&self) -> MutexGuard<'_, HashMap<u64, Weak<OpenRequest>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Weak<OpenRequest>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -191,7 +191,7 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.requests.open().remove(&self.number);
+        self.requests.lock().remove(&self.number);
         self.end_early(ABANDONED);
     }
 }
--- a/crates/soak/src/planned/report.rs
+++ b/crates/soak/src/planned/report.rs
@@ -25,7 +25,9 @@
     /// Judges what was seen.
     pub fn of(seen: &Seen<'_>, without_end: WithoutEnd) -> Self {
         let verdicts = seen.verdicts();
-        let violations = seen.violations(&verdicts);
+        let mut violations = seen.violations(&verdicts);
+        let count = without_end.attempts.len();
+        violations.extend((count > 0).then_some(Violation::WithoutEnd { count }));
         let mut tally =
             Self { stops: seen.stops.len(), without_end, violations, ..Self::default() };
         for (call, verdict) in seen.calls.iter().zip(verdicts) {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -140,6 +140,12 @@
         /// What the caller saw.
         seen: String,
     },
+    /// Requests that servers got have no line on their end in the log of their entry.
+    #[error("{count} requests have no end in the log")]
+    WithoutEnd {
+        /// Their number.
+        count: usize,
+    },
     /// A stopped entry ended too late.
     #[error("entry {entry} ended {took_ms} ms after its stop signal, not {allowed_ms} ms")]
     SlowStop {
