Tests: the platform's names come from the stand-in; one caller for the tests of a stop

No check is changed but one, which is stricter: the caller of stop_requests_in_progress_ended must get 502, not any answer before it. Measured: the tests of publish, stalled and stop pass.

--- a/crates/flamingowheeld/tests/stop.rs
+++ b/crates/flamingowheeld/tests/stop.rs
@@ -13,7 +13,7 @@
     PlatformServer, RequestLog, STREAM_EVENTS, stream_event,
 };
 use flamingowheel_standin::platform::store;
-use http::Method;
+use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use rustix::process::Signal;
 use std::io::ErrorKind;
@@ -24,6 +24,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Barrier;
+use tokio::task::JoinHandle;
 
 const API_KEY: &str = "k";
 const GRACE_S: u64 = 4;
@@ -103,6 +104,30 @@
         HttpClient::new(self.address.parse().unwrap(), limits)
     }
 
+    /// Starts a caller of a request that runs once, and waits until the backend server has it. The
+    /// caller ends with the status of its answer.
+    async fn begin_request(&self) -> JoinHandle<StatusCode> {
+        let client = self.client(WORK_LIMIT_MS);
+        let caller = tokio::spawn(async move {
+            loop {
+                let request = client.request(Method::POST, "/once/x");
+                let request = caller_headers(request, "a", API_KEY, WORK_LIMIT_MS);
+                let request = request.body(Default::default()).unwrap();
+                // Refused until the entry has started and read the configuration.
+                match client.send(request, Reuse::Never).await {
+                    Ok(answer) if answer.status() != StatusCode::SERVICE_UNAVAILABLE => {
+                        return answer.status();
+                    }
+                    _ => tokio::task::yield_now().await,
+                }
+            }
+        });
+        while self.request_log.runs("a") == 0 {
+            tokio::task::yield_now().await;
+        }
+        caller
+    }
+
     /// Sends a request until the entry has started and read the configuration.
     async fn wait_until_serving(&self) {
         let client = self.client(WORK_LIMIT_MS);
@@ -125,22 +150,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_ends_within_grace() {
     let entry = Entry::start("grace", WORK_DURATION, 4, WORK_LIMIT_MS).await;
-    let Entry { daemon, request_log, .. } = &entry;
-    let client = entry.client(WORK_LIMIT_MS);
-    let caller = tokio::spawn(async move {
-        loop {
-            let request = client.request(Method::POST, "/once/x");
-            let request = caller_headers(request, "a", API_KEY, WORK_LIMIT_MS);
-            let request = request.body(Default::default()).unwrap();
-            // Refused until the entry has started and read the configuration.
-            if client.send(request, Reuse::Never).await.is_err() {
-                tokio::task::yield_now().await;
-            }
-        }
-    });
-    while request_log.runs("a") == 0 {
-        tokio::task::yield_now().await;
-    }
+    let daemon = &entry.daemon;
+    let caller = entry.begin_request().await;
     daemon.signal(Signal::TERM);
     let signalled_at = Instant::now();
     while daemon.is_running() && signalled_at.elapsed() < Duration::from_secs(GRACE_S + 2) {
@@ -222,20 +233,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leave_request_in_progress_logged() {
     let entry = Entry::start("left", WORK_DURATION, 4, WORK_LIMIT_MS).await;
-    let client = entry.client(WORK_LIMIT_MS);
-    let caller = tokio::spawn(async move {
-        loop {
-            let request = client.request(Method::POST, "/once/x");
-            let request = caller_headers(request, "a", API_KEY, WORK_LIMIT_MS);
-            let request = request.body(Default::default()).unwrap();
-            // Refused until the entry has started and read the configuration.
-            let _ = client.send(request, Reuse::Never).await;
-            tokio::task::yield_now().await;
-        }
-    });
-    while entry.request_log.runs("a") == 0 {
-        tokio::task::yield_now().await;
-    }
+    let caller = entry.begin_request().await;
     caller.abort();
     let ended = tokio::time::timeout(LOG_LIMIT, last_line(&entry, "request abandoned"));
     let line = ended.await.expect("a line says it");
@@ -251,22 +249,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_requests_in_progress_ended() {
     let entry = Entry::start("ended", WORK_DURATION, 4, WORK_LIMIT_MS).await;
-    let client = entry.client(WORK_LIMIT_MS);
-    let caller = tokio::spawn(async move {
-        loop {
-            let request = client.request(Method::POST, "/once/x");
-            let request = caller_headers(request, "a", API_KEY, WORK_LIMIT_MS);
-            let request = request.body(Default::default()).unwrap();
-            // Refused until the entry has started and read the configuration.
-            match client.send(request, Reuse::Never).await {
-                Ok(answer) if answer.status() == 502 => return,
-                _ => tokio::task::yield_now().await,
-            }
-        }
-    });
-    while entry.request_log.runs("a") == 0 {
-        tokio::task::yield_now().await;
-    }
+    let caller = entry.begin_request().await;
     entry.daemon.signal(Signal::TERM);
     while entry.daemon.is_running() {
         tokio::task::yield_now().await;
@@ -276,7 +259,7 @@
     assert_eq!(last_line(&entry, "refused").await["reason"], "answer_lost");
     last_line(&entry, "stopped").await;
     let told = tokio::time::timeout(Duration::from_secs(GRACE_S), caller).await;
-    told.expect("the caller has an answer").unwrap();
+    assert_eq!(told.expect("the caller has an answer").unwrap(), StatusCode::BAD_GATEWAY);
 }
 
 /// More than the buffers between a backend server and a caller hold.
--- a/crates/gateway/tests/publish.rs
+++ b/crates/gateway/tests/publish.rs
@@ -11,7 +11,7 @@
 use flamingowheel_gateway::warmth::{ColdBounds, EntryTenure};
 use flamingowheel_platform::{CONFIGURATION_KEY, Stated};
 use flamingowheel_policy::quota::Allowance;
-use flamingowheel_standin::platform::messages::routes_configuration;
+use flamingowheel_standin::platform::messages::{record_without_start, routes_configuration};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -67,10 +67,8 @@
     /// The same with the time for which it remains cold.
     fn list_cold(&mut self, id: &str, service: &str, engine: u64, cold_left_ms: u64) {
         let seq = self.revision + 1;
-        let value = format!(
-            r#"{{"service":"{service}","addr":"10.0.0.{engine}:80","zone":"z","slots":10,
-            "state":"ready","seq":{seq},"coldLeftMs":{cold_left_ms}}}"#,
-        );
+        let address = format!("10.0.0.{engine}:80");
+        let value = record_without_start(service, &address, seq, cold_left_ms);
         self.put(format!("servers/{id}"), value);
     }
 
--- a/crates/gateway/tests/stalled.rs
+++ b/crates/gateway/tests/stalled.rs
@@ -7,7 +7,9 @@
 use flamingowheel_gateway::group::GroupLoad;
 use flamingowheel_policy::key::ServerKey;
 use flamingowheel_protocol::ranks::GroupStatus;
-use flamingowheel_standin::platform::messages::{caller_headers, configuration};
+use flamingowheel_standin::platform::messages::{
+    NOT_EXECUTED_HEADER, caller_headers, configuration, with_max_attempts,
+};
 use flamingowheel_standin::platform::raw::{Answer, Framing};
 use framing::caller::{API_KEY, Received, parse};
 use framing::entry::Entry;
@@ -103,7 +105,7 @@
         }
         let mut configuration = configuration(1, &[API_KEY], DEADLINE_MS);
         if elsewhere == Elsewhere::OneAttempt {
-            configuration = configuration.replace("\"maxAttempts\":2", "\"maxAttempts\":1");
+            configuration = with_max_attempts(&configuration, 1).unwrap();
         }
         let ratio = if elsewhere == Elsewhere::NoBudget { 0.0 } else { 100.0 };
         let configuration = Some(configuration.as_bytes());
@@ -204,7 +206,7 @@
 fn error_answer(is_run: bool) -> Vec<u8> {
     let answer = Answer { status: 503, ..Answer::whole(Framing::Length, Vec::new()) };
     let bytes = String::from_utf8(answer.encode("a1")).unwrap();
-    let line = if is_run { "" } else { "flamingowheel-not-executed: 1\r\n" };
+    let line = if is_run { String::new() } else { format!("{NOT_EXECUTED_HEADER}: 1\r\n") };
     bytes.replacen("content-length", &format!("{line}content-length"), 1).into_bytes()
 }
 
@@ -371,8 +373,8 @@
         addresses.push(listener.local_addr().unwrap());
         tokio::spawn(accept_calls(listener, server, sender.clone()));
     }
-    let configuration = configuration(1, &[API_KEY], SHORT_DEADLINE_MS)
-        .replace("\"maxAttempts\":2", "\"maxAttempts\":3");
+    let configuration = configuration(1, &[API_KEY], SHORT_DEADLINE_MS);
+    let configuration = with_max_attempts(&configuration, 3).unwrap();
     let entry = Entry::start_with_retries(&addresses, Some(configuration.as_bytes()), 100.0).await;
     tokio::spawn(run_passes(entry.form_group(&addresses), 3));
     assert_eq!(ask(entry.address).await.status, 504);
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -18,6 +18,9 @@
 /// Header with which a backend server signs its answer.
 pub(super) const SIGNATURE_HEADER: &str = "flamingowheel-instance-signature";
 
+/// Header that states that a request did not run.
+pub const NOT_EXECUTED_HEADER: &str = "flamingowheel-not-executed";
+
 /// Store key of the newest configuration.
 pub const CONFIGURATION_KEY: &str = "op/config";
 
@@ -47,6 +50,15 @@
     .to_string()
 }
 
+/// Record of a backend server of `service` that does not tell when it started.
+pub fn record_without_start(service: &str, address: &str, seq: u64, cold_left_ms: u64) -> String {
+    json!({
+        "service": service, "addr": address, "zone": "z", "slots": 10, "state": "ready",
+        "seq": seq, "coldLeftMs": cold_left_ms,
+    })
+    .to_string()
+}
+
 /// The record of a backend server that remains cold for a time.
 pub fn cold_server_record(record: &str, cold_left_ms: u64) -> Option<String> {
     let mut record: serde_json::Value = serde_json::from_str(record).ok()?;
@@ -54,6 +66,15 @@
     Some(record.to_string())
 }
 
+/// A configuration whose routes send a request to at most `count` backend servers.
+pub fn with_max_attempts(configuration: &str, count: u32) -> Option<String> {
+    let mut configuration: serde_json::Value = serde_json::from_str(configuration).ok()?;
+    for route in configuration["routes"].as_array_mut()? {
+        route["maxAttempts"] = count.into();
+    }
+    Some(configuration.to_string())
+}
+
 /// A configuration whose backend servers need time to warm up, and tolerate `rate_per_s` requests
 /// per second until then.
 pub fn with_warm_up(configuration: &str, duration_s: f64, rate_per_s: f64) -> Option<String> {
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -1,7 +1,9 @@
 //! A backend server that speaks the platform's protocol, and the log in which all of them record
 //! their requests.
 
-use super::messages::{ATTEMPT_HEADER, PROMPT_HEADER, SIGNATURE_HEADER, attempt_id};
+use super::messages::{
+    ATTEMPT_HEADER, NOT_EXECUTED_HEADER, PROMPT_HEADER, SIGNATURE_HEADER, attempt_id,
+};
 use super::pace::Pace;
 use axum::Router;
 use axum::body::Body;
@@ -27,9 +29,6 @@
 /// Header with which a backend server says that it leaves.
 pub const LEAVING_HEADER: &str = "server-leaving";
 
-/// Header that states that a request did not run.
-const NOT_EXECUTED_HEADER: &str = "flamingowheel-not-executed";
-
 /// Part of the path of requests under which a backend server ends: before the head of a plain answer,
 /// in the middle of a stream.
 pub const CRASH_PATH: &str = "/crash";
