Tests of groups: faults are in a module of their own

The support of these tests had grown to 509 lines with two jobs: the world, and the faults that are injected into it. No check is changed.

--- a/crates/group/tests/support/mod.rs
+++ b/crates/group/tests/support/mod.rs
@@ -2,13 +2,16 @@
 //! at a chosen message.
 #![allow(dead_code)]
 
+pub mod faults;
 pub mod traffic;
 
+pub use faults::Fault;
+
 use flamingowheel_backing::BoxFuture;
 use flamingowheel_backing::fake::{
-    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, LostAnswer, OrderFault, RankGroup,
+    EngineSettings, FakeEngine, FakeKeyValue, FencePolicy, RankGroup,
 };
-use flamingowheel_backing::kv::{KeyValue, LeaseId};
+use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_backing::orders::{ExpertMap, OrderTarget};
 use flamingowheel_group::budget::{Budget, StoreLimits};
 use flamingowheel_group::coordinator::Coordinator;
@@ -44,27 +47,6 @@
 const LOAD_SPREAD: Duration = Duration::from_millis(40);
 const STEP: Duration = Duration::from_millis(25);
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Fault {
-    LoseRequest,
-    LoseAnswer,
-    Duplicate,
-    Delay(Duration),
-    KillAgent,
-    PauseAgent,
-    CrashEngine,
-    FreezeEngine,
-    LoseOrder(OrderFault),
-    ServiceDown,
-    ServiceSlow,
-    LoseServiceAnswers(LostAnswer),
-    PauseCoordinator,
-    KillCoordinator,
-    /// A planned stop.
-    StopCoordinator,
-    ExpireLease,
-}
-
 /// A map that differs for each number.
 pub fn map(number: u16) -> ExpertMap {
     ExpertMap { layers: vec![vec![vec![number], vec![number + 1], vec![number + 2]]] }
@@ -246,11 +228,6 @@
         }
     }
 
-    /// Injects a fault now.
-    pub fn inject_now(self: &Arc<Self>, rank: usize, fault: Fault) {
-        self.inject(rank, fault);
-    }
-
     /// Makes a rank refuse to load maps and model versions.
     pub fn refuse_loads(&self, rank: usize, refuses: bool) {
         self.slots[rank].refuses_loads.store(refuses, Ordering::SeqCst);
@@ -265,17 +242,6 @@
         self.desired_map.send_replace(Some(map(number)));
     }
 
-    /// Injects `fault` at the `message`-th message from now.
-    pub fn schedule(&self, message: u64, fault: Fault) {
-        let at = self.messages.load(Ordering::SeqCst) + message;
-        self.schedule.lock().unwrap().push((at, fault));
-    }
-
-    /// Whether all scheduled faults have been injected.
-    pub fn all_injected(&self) -> bool {
-        self.schedule.lock().unwrap().is_empty()
-    }
-
     /// The longest time without a step within `time`.
     pub async fn longest_stall(&self, time: Duration) -> Duration {
         let until = Instant::now() + time;
@@ -323,95 +289,6 @@
         assert!(self.group.version_mismatches().is_empty(), "{case}: steps with two versions");
     }
 
-    fn inject(self: &Arc<Self>, rank: usize, fault: Fault) {
-        match fault {
-            Fault::KillAgent => self.kill_agent(rank),
-            Fault::PauseAgent => {
-                self.slots[rank].paused.send_replace(true);
-                self.after_outage(move |world| {
-                    world.slots[rank].paused.send_replace(false);
-                });
-            }
-            Fault::CrashEngine => self.engine(rank).crash(),
-            Fault::FreezeEngine => {
-                self.engine(rank).set_frozen(true);
-                self.after_outage(move |world| world.engine(rank).set_frozen(false));
-            }
-            Fault::LoseOrder(lost) => self.engine(rank).inject_order_fault(lost),
-            Fault::ServiceDown => {
-                self.kv.set_down(true);
-                self.after_outage(|world| world.kv.set_down(false));
-            }
-            Fault::ServiceSlow => {
-                self.kv.set_delay(Duration::from_millis(800));
-                self.after_outage(|world| world.kv.set_delay(Duration::ZERO));
-            }
-            Fault::LoseServiceAnswers(lost) => self.kv.lose_answers(1, lost),
-            Fault::PauseCoordinator => {
-                let all = self.processes.lock().unwrap();
-                let index = all.iter().position(is_acting);
-                drop(all);
-                let Some(index) = index else { return };
-                self.pause(index, true);
-                let world = Arc::clone(self);
-                // Long enough for the lease to expire and another process to take over.
-                let pause = OUTAGE * 3;
-                tokio::spawn(async move {
-                    sleep(pause).await;
-                    world.pause(index, false);
-                });
-            }
-            Fault::KillCoordinator => {
-                let all = self.processes.lock().unwrap();
-                if let Some(process) = all.iter().find(|process| is_acting(process)) {
-                    process.abort_handle.abort();
-                }
-            }
-            Fault::StopCoordinator => {
-                let all = self.processes.lock().unwrap();
-                if let Some(process) = all.iter().find(|process| is_acting(process)) {
-                    process.stop.cancel();
-                }
-            }
-            Fault::ExpireLease => (1..100).for_each(|id| self.kv.expire_lease(LeaseId(id))),
-            _ => {}
-        }
-    }
-
-    fn pause(&self, index: usize, paused: bool) {
-        if let Some(process) = self.processes.lock().unwrap().get(index) {
-            process.paused.send_replace(paused);
-        }
-    }
-
-    fn kill_agent(self: &Arc<Self>, rank: usize) {
-        *self.slots[rank].gate.lock().unwrap() = None;
-        self.slots[rank].calls.lock().unwrap().drain(..).for_each(|call| call.abort());
-        let world = Arc::clone(self);
-        tokio::spawn(async move {
-            sleep(RESTART).await;
-            world.start_agent(rank).await;
-        });
-    }
-
-    fn after_outage<F>(self: &Arc<Self>, action: F)
-    where
-        F: FnOnce(&World) + Send + 'static,
-    {
-        let world = Arc::clone(self);
-        tokio::spawn(async move {
-            sleep(OUTAGE).await;
-            action(&world);
-        });
-    }
-
-    fn due_fault(&self) -> Option<Fault> {
-        let number = self.messages.fetch_add(1, Ordering::SeqCst);
-        let mut schedule = self.schedule.lock().unwrap();
-        let index = schedule.iter().position(|(at, _)| *at <= number)?;
-        Some(schedule.remove(index).1)
-    }
-
     async fn deliver(&self, rank: usize, request: RankRequest) -> Result<RankState, RankError> {
         let gate = self.slots[rank].gate.lock().unwrap().clone();
         let Some(gate) = gate else { return Err(RankError::NoAnswer) };
