Callers' connections: one package for both paths

Cause: the platform's entry and the own path each had the accept queue at a close and the lingering close, in two ways. Change: package serving with the accept queue, the close, the use of a connection, and a stream that can be watched while it is read elsewhere; both paths use it. Ruled out: the own path using the platform's entry, which it has nothing to do with otherwise.

--- a/crates/flamingowheeld/src/lib.rs
+++ b/crates/flamingowheeld/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod entry;
 pub mod groups;
 pub mod keys;
-mod linger;
 pub mod listen;
 pub mod loans;
 pub mod membership;
--- a/crates/flamingowheeld/src/listen.rs
+++ b/crates/flamingowheeld/src/listen.rs
@@ -1,11 +1,14 @@
 //! Binds listeners and serves HTTP on them, within limits and with a graceful stop.
 
-use crate::linger::Lingering;
 use axum::Router;
 use axum::extract::State;
 use axum::middleware::map_response_with_state;
 use axum::response::Response;
 use flamingowheel_config::settings::Listen as ListenSettings;
+use flamingowheel_serving::linger;
+use flamingowheel_serving::queue::accept_waiting;
+use flamingowheel_serving::stream::CallerStream;
+use flamingowheel_serving::usage::{TrackedBody, Usage};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Version};
 use hyper::body::Incoming;
@@ -147,7 +150,7 @@
             drop(permit);
         });
     }
-    for stream in take_accept_queue(listener) {
+    for stream in accept_waiting(listener) {
         let serving = serve_connection(stream, router.clone(), limits.clone(), stop.clone());
         let permits = Arc::clone(&permits);
         connections.spawn(async move {
@@ -176,50 +179,40 @@
     let _ = stream.set_nodelay(true);
     let has_chunks = AtomicBool::new(true);
     let routes = TowerToHyperService::new(router);
+    let (caller, usage) = (CallerStream::new(stream), Usage::default());
     let service = service_fn(|request: Request<Incoming>| {
+        let in_progress = usage.begin_request();
         has_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
-        routes.call(request)
+        let answering = routes.call(request);
+        async move {
+            Ok::<_, Infallible>(answering.await?.map(|body| TrackedBody::new(body, in_progress)))
+        }
     });
-    let stream = TokioIo::new(Lingering::new(stream));
-    let mut connection = builder(&limits).serve_connection(stream, service);
+    let mut connection = builder(&limits).serve_connection(TokioIo::new(caller.clone()), service);
     let closing = async {
         stop.cancelled().await;
         tokio::time::sleep(LAST_READ_DURATION).await;
     };
-    let ended = tokio::select! {
-        // Polled first, so that bytes that have arrived are read before the connection is closed.
-        biased;
-        ended = &mut connection => ended,
-        () = closing => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    tokio::pin!(closing);
+    let mut is_closing = false;
+    let ended = loop {
+        tokio::select! {
+            // Polled first, so that bytes that have arrived are read before the connection is closed.
+            biased;
+            ended = &mut connection => break ended,
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
         }
     };
     // Other errors are ignored: usually the client closed the connection.
     if ended.is_err_and(|error| error.is_user()) && !has_chunks.load(Ordering::Relaxed) {
         // Without chunks, a regular close says that the answer is complete.
-        connection.into_parts().io.into_inner().reset();
-    }
-}
-
-/// Closes a listener and returns the connections that waited in the kernel's accept queue. Their
-/// callers count as connected and may have sent requests; closing the listener would reset them.
-fn take_accept_queue(listener: TcpListener) -> Vec<TcpStream> {
-    let mut streams = Vec::new();
-    // The calls of the standard library show the queue as it is; tokio's may show it later.
-    let listener = listener.into_std();
-    let accepted = listener.and_then(|listener| {
-        loop {
-            let (stream, _) = listener.accept()?;
-            stream.set_nonblocking(true)?;
-            streams.push(TcpStream::from_std(stream)?);
-        }
-    });
-    let Err::<Infallible, _>(error) = accepted;
-    if error.kind() != io::ErrorKind::WouldBlock {
-        tracing::warn!(%error, "waiting connections are reset: can't accept");
+        return caller.reset_on_drop();
     }
-    streams
+    drop(connection);
+    linger::close(caller.clone(), &stop).await;
 }
 
 async fn accept(
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,16 +1,16 @@
 //! Accepts callers' connections and serves requests on them.
 
-mod linger;
-mod usage;
-
 use crate::connection::enable_dead_peer_detection;
 use crate::forward::Gateway;
+use flamingowheel_serving::linger;
+use flamingowheel_serving::queue::accept_waiting;
+use flamingowheel_serving::stream::CallerStream;
+use flamingowheel_serving::usage::{TrackedBody, Usage};
 use http::Version;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -18,7 +18,6 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use usage::{TrackedBody, Usage};
 
 /// Time limit for a request's head. Callers that keep to the operator's limit stay well below; the
 /// operator's own limit is applied to idle connections.
@@ -91,39 +90,11 @@
     stop.connections.wait().await;
 }
 
-/// Accepts the connections that wait in the listener's queue, which are reset when it is closed, and
-/// closes it.
-fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
-    let mut accepted = Vec::new();
-    // The runtime may not have seen them yet, so that the socket itself is asked.
-    let closed = listener.into_std().and_then(|listener| {
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    accepted.push(TcpStream::from_std(stream)?);
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-                // The caller has left, or a signal has arrived.
-                Err(error) if is_transient(error.kind()) => {}
-                Err(error) => return Err(error),
-            }
-        }
-    });
-    if let Err(error) = closed {
-        tracing::warn!(%error, "connections that waited at the close are lost");
-    }
-    accepted
-}
-
-fn is_transient(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
-}
-
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>, stop: Stop) {
     let _counted = gateway.held.add_connection();
     enable_dead_peer_detection(&stream, UNREAD_TIMEOUT);
-    let usage = Usage::new();
+    let caller = CallerStream::new(stream);
+    let usage = Usage::default();
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request| {
         let gateway = Arc::clone(&gateway);
@@ -145,7 +116,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .auto_date_header(false)
         .max_buf_size(64 * 1024)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(caller.clone()), service);
     let mut checks = interval(IDLE_CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let must_close = async {
@@ -166,8 +137,7 @@
         tokio::select! {
             biased;
             ended = &mut connection => {
-                let stream = connection.into_parts().io.into_inner();
-                return close(stream, ended, is_unframed(&has_chunks), &usage, &stop).await;
+                return close(caller.clone(), ended, is_unframed(&has_chunks), &usage, &stop).await;
             }
             () = &mut must_close, if !is_closing => {
                 is_closing = true;
@@ -176,7 +146,7 @@
             () = &mut must_drop, if !usage.has_begun() => return,
             // The body of an answer is not asked for its end while the caller reads nothing.
             () = &mut must_reset, if is_unframed(&has_chunks) && usage.is_in_progress() => {
-                return reset(&connection.into_parts().io.into_inner());
+                return caller.reset_on_drop();
             }
             // A graceful shutdown waits for the request in progress, however long that takes.
             _ = checks.tick(), if !is_closing => {
@@ -196,7 +166,7 @@
 
 /// Closes a connection on which no more requests are served.
 async fn close(
-    stream: TcpStream,
+    stream: CallerStream,
     ended: hyper::Result<()>,
     is_unframed: bool,
     usage: &Usage,
@@ -210,20 +180,13 @@
             tracing::debug!(%error, "connection to caller ended");
             if error.is_user() && is_unframed {
                 // Without chunks, a regular close says that the answer is complete.
-                return reset(&stream);
+                return stream.reset_on_drop();
             }
         }
     }
     linger::close(stream, &stop.closing).await;
 }
 
-/// Makes the connection send a reset when it is dropped.
-fn reset(stream: &TcpStream) {
-    if let Err(error) = stream.set_zero_linger() {
-        tracing::warn!(%error, "broken answer may look complete to its caller");
-    }
-}
-
 fn is_idle_too_long(gateway: &Gateway, usage: &Usage) -> bool {
     let view = gateway.view();
     let Some(configuration) = &view.configuration else {
