Callers that have sent the begin of their next request are noticed when they leave

What callers and servers saw: a caller closed its connection in the middle of an answer after it had sent the begin of its next request; its server worked on until the entry next wrote to the caller, and a stop of the entry took up to 3.7 s. Cause: the HTTP server looks for the end of a connection only while it holds none of its bytes. Ruled out: a stop that closes such connections, which would mend the stop only. Change: the connection is watched apart from being read, on both paths.

--- a/crates/flamingowheeld/src/listen.rs
+++ b/crates/flamingowheeld/src/listen.rs
@@ -193,13 +193,15 @@
         stop.cancelled().await;
         tokio::time::sleep(LAST_READ_DURATION).await;
     };
-    tokio::pin!(closing);
+    let left = usage.left(&caller);
+    tokio::pin!(closing, left);
     let mut is_closing = false;
     let ended = loop {
         tokio::select! {
             // Polled first, so that bytes that have arrived are read before the connection is closed.
             biased;
             ended = &mut connection => break ended,
+            () = &mut left => return,
             () = &mut closing, if !is_closing => {
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
--- a/crates/flamingowheeld/tests/listen.rs
+++ b/crates/flamingowheeld/tests/listen.rs
@@ -8,13 +8,18 @@
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
 
+/// Time within which something that is expected happens.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
 /// Larger than the receive buffer of a slow caller.
 const ANSWER_BYTES: usize = 200_000;
 
@@ -114,3 +119,25 @@
     let ended = caller.read_to_end(&mut answer).await.map_err(|error| error.kind());
     assert_eq!(ended, Err(ErrorKind::ConnectionReset), "{}", String::from_utf8_lossy(&answer));
 }
+
+/// A caller leaves after it has sent the begin of its next request: what works for it must end, also if
+/// nothing is written to it for long.
+#[tokio::test]
+async fn serve_caller_left_after_begin_of_next_request_cancelled() {
+    let (begun, cancelled) = (Arc::new(Notify::new()), CancellationToken::new());
+    let (in_handler, on_drop) = (Arc::clone(&begun), cancelled.clone());
+    let handler = post(async move || {
+        let _cancelled = on_drop.drop_guard_ref();
+        in_handler.notify_one();
+        std::future::pending::<()>().await;
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = Router::new().route("/", handler);
+    tokio::spawn(serve(listener, router, ListenLimits::default(), CancellationToken::new()));
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(&[REQUEST, b"POST /"].concat()).await.unwrap();
+    begun.notified().await;
+    drop(caller);
+    assert!(timeout(MAX_WAIT, cancelled.cancelled()).await.is_ok(), "works on for nobody");
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -131,7 +131,8 @@
         stop.aborting.cancelled().await;
         sleep(LAST_WRITES_TIME).await;
     };
-    tokio::pin!(must_close, must_drop, must_reset);
+    let left = usage.left(&caller);
+    tokio::pin!(must_close, must_drop, must_reset, left);
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -139,6 +140,10 @@
             ended = &mut connection => {
                 return close(caller.clone(), ended, is_unframed(&has_chunks), &usage, &stop).await;
             }
+            () = &mut left => {
+                tracing::debug!("caller has left");
+                return;
+            }
             () = &mut must_close, if !is_closing => {
                 is_closing = true;
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -15,6 +15,9 @@
 /// Time within which something that is expected happens.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// Time within which a server is told that its caller has left, far below the request's deadline.
+const LEFT_LIMIT: Duration = Duration::from_secs(2);
+
 /// The end of an answer in chunks.
 const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
 
@@ -108,6 +111,27 @@
     assert!(ended.is_ok(), "the server's connection stays open");
 }
 
+// A caller leaves after it has sent the begin of its next request. A server that writes nothing must be told
+// all the same, or it works on for nobody.
+#[tokio::test]
+async fn call_left_after_begin_of_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, Vec::new())).await;
+    bench.entry.list_again(&[address], 2);
+    for (path, answer) in [("/safe/x", ""), ("/stream/x", "HTTP/1.1 200 OK\r\n\r\nid: 1\n")] {
+        let mut caller = TcpStream::connect(bench.entry.address).await.unwrap();
+        let request = head(path, "a1", "content-length: 0\r\n") + "POST /";
+        caller.write_all(request.as_bytes()).await.unwrap();
+        let (mut server, _) = listener.accept().await.unwrap();
+        server.write_all(answer.as_bytes()).await.unwrap();
+        drop(caller);
+        let mut rest = Vec::new();
+        let ended = timeout(LEFT_LIMIT, server.read_to_end(&mut rest)).await;
+        assert!(ended.is_ok(), "{path}: the server's connection stays open");
+    }
+}
+
 // A body that holds another request, in a request with a length and chunks: servers must get the one
 // request, and never what it holds as one of its own.
 #[tokio::test]
