--- a/review/stand-2/src/engine.rs
+++ b/review/stand-2/src/engine.rs
@@ -44,7 +44,7 @@
 /// Events of a stream. The first comes a pass after the request.
 pub const EVENTS: u64 = 4;
 
-/// How often a request chooses each expert of a set in a pass, from a first expert on that changes.
+/// How often a request chooses each expert of a set in a pass. Rank 0 has the most work.
 const CHOICES: [u64; EXPERTS] = [900, 300, 40, 40, 700, 60, 40, 40];
 
 /// An order as it arrived.
@@ -55,8 +55,6 @@
     pub epoch: u64,
     pub version: u64,
     pub step: u64,
-    /// How long the group has stood still although it has requests.
-    pub stalled: Duration,
     map: Option<Vec<Vec<Vec<u64>>>>,
 }
 
@@ -125,8 +123,6 @@
     mixed_passes: Vec<u64>,
     /// Since when a pass has been held although there are requests.
     stalled_since: Option<Instant>,
-    /// The expert that is chosen most.
-    first_expert: usize,
     /// What has been shown since a while ago, the newest last.
     history: VecDeque<(Instant, Shown)>,
     /// The processes of the agents, by rank.
@@ -259,12 +255,6 @@
         self.shared.0.lock().unwrap().agents[rank] = pid;
     }
 
-    /// Makes other experts be in demand.
-    pub fn shift_demand(&self) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.first_expert = (state.first_expert + 1) % EXPERTS;
-    }
-
     /// Carries out the orders that are kept and that `which` selects.
     pub fn carry_out_kept<F>(&self, which: F)
     where
@@ -372,10 +362,8 @@
         let numbers = |list: &Json| list.list().iter().map(Json::number).collect::<Vec<_>>();
         let sets = body.get("map").list().iter();
         let map = sets.map(|set| set.list().iter().map(numbers).collect()).collect::<Vec<_>>();
-        let stalled = self.view().stalled.unwrap_or_default();
         let order = Order {
             rank,
-            stalled,
             op: body.get("op").text().to_owned(),
             epoch: body.get("epoch").number(),
             version: body.get("version").number(),
@@ -452,12 +440,11 @@
                 state.mixed_passes.push(next);
                 self.record.line(&format!("pass {next} begins with maps {maps:?}"));
             }
-            let first = state.first_expert;
             let busy: Vec<usize> = state.requests.iter().map(|request| request.rank).collect();
             for rank in busy {
                 let counts = &mut state.ranks[rank].counts;
                 for (at, count) in counts.iter_mut().enumerate() {
-                    *count += CHOICES[(at + first) % EXPERTS];
+                    *count += CHOICES[at % EXPERTS];
                 }
             }
             state.keep();
