Ranks: engines are reached through a trait

The coordinator, the pollers and the rescue created HTTP clients of engines by themselves, so a group of real agents could only be tested over sockets and in real time. They now get their engines through the traits Engines and Engine; the platform's client is their one implementation. No change of behaviour.

--- a/crates/ranks/src/coordinator.rs
+++ b/crates/ranks/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! Keeps the expert map of one group balanced; runs in the agent of rank 0.
 
 use crate::collect::Assignment;
+use crate::engines::{Engine, Engines};
 use crate::group::Group;
 use crate::lookup::{GroupPublisher, Lookup, LookupResult};
 use crate::peers::{PeerConnector, PeerUpdate};
@@ -9,7 +10,6 @@
 use crate::switch::{Arming, Holding, Releasing, Switch, find_unfinished, is_armed, next_version};
 use flamingowheel_backing::kv::KeyValue;
 use flamingowheel_fleet::engine::MapOrder;
-use flamingowheel_platform::EngineClient;
 use flamingowheel_policy::experts::Step;
 use flamingowheel_protocol::ranks::{RankState, RankTarget, RankUpdate};
 use futures_util::future::join_all;
@@ -55,13 +55,18 @@
 
 /// The coordinator of one group. It does nothing until the local engine reports that it is rank 0.
 #[derive(Debug)]
-pub struct Coordinator<K> {
+pub struct Coordinator<K, E>
+where
+    E: Engines,
+{
     /// Finds the engines of the group.
     pub lookup: Lookup<K>,
     /// Publishes the group's record to entries.
     pub publisher: GroupPublisher<K>,
+    /// The engines of the group.
+    pub engines: E,
     /// Client of the engine on this VM.
-    pub local_engine: EngineClient,
+    pub local_engine: E::Engine,
     /// Address of the engine on this VM.
     pub local_address: SocketAddr,
     /// Target state of all ranks.
@@ -77,7 +82,7 @@
     /// Bandwidth of the VM's link, in bytes per second.
     pub link_bytes_per_s: u64,
     /// Pollers for ranks without a live agent.
-    pub remote_pollers: RemotePollers,
+    pub remote_pollers: RemotePollers<E>,
     /// Updates from the other ranks' agents and from the remote pollers.
     pub peer_updates: mpsc::Receiver<PeerUpdate>,
     /// Version of the map that was planned last; 0 before the first.
@@ -98,9 +103,10 @@
     planned_at: Instant,
 }
 
-impl<K> Coordinator<K>
+impl<K, E> Coordinator<K, E>
 where
     K: KeyValue + Clone + Send + Sync + 'static,
+    E: Engines,
 {
     /// Coordinates until `leaving` is cancelled and no hold of the group is left: a hold does not
     /// expire, and the group would stand still.
@@ -472,7 +478,7 @@
         };
         let missing = group.ranks.values().filter(|r| !is_armed(&r.state, version, pass));
         let arm = |engine: SocketAddr| async move {
-            match EngineClient::new(engine, DIRECT_ARM_DELAY.as_millis() as u64) {
+            match self.engines.engine(engine, DIRECT_ARM_DELAY.as_millis() as u64) {
                 Ok(client) => {
                     let answer = client.send_order(epoch, &MapOrder::Arm { version, pass }).await;
                     tracing::info!(%engine, version, pass, ?answer, "armed from rank 0");
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -1,8 +1,8 @@
 //! Polls one rank's engine and sends it the orders that bring it to the current target.
 
+use crate::engines::{Engine, Engines};
 use crate::rescue;
 use flamingowheel_fleet::engine::{EngineReport, GroupState, MapOrder, OrderAnswer};
-use flamingowheel_platform::EngineClient;
 use flamingowheel_protocol::packed::Packed;
 use flamingowheel_protocol::ranks::{ExpertCounts, Progress, RankState, RankTarget, RankUpdate};
 use std::net::SocketAddr;
@@ -61,8 +61,12 @@
 
 /// Polls an engine, publishes updates and brings the engine to the target.
 #[derive(Debug)]
-pub struct EnginePoller {
-    client: EngineClient,
+pub struct EnginePoller<E>
+where
+    E: Engines,
+{
+    engines: E,
+    client: E::Engine,
     polling: Polling,
     targets: watch::Receiver<RankTarget>,
     updates: broadcast::Sender<RankUpdate>,
@@ -87,15 +91,20 @@
     counts: Vec<u64>,
 }
 
-impl EnginePoller {
-    /// Creates a poller of the engine behind `client`.
+impl<E> EnginePoller<E>
+where
+    E: Engines,
+{
+    /// Creates a poller of the engine behind `client`; `engines` are those of its group.
     pub fn new(
-        client: EngineClient,
+        engines: E,
+        client: E::Engine,
         polling: Polling,
         targets: watch::Receiver<RankTarget>,
         updates: broadcast::Sender<RankUpdate>,
     ) -> Self {
         Self {
+            engines,
             client,
             polling,
             targets,
@@ -229,7 +238,7 @@
             _ => return,
         };
         tracing::warn!(pass, rank = state.rank, "group has stalled, checking for a hold");
-        tokio::spawn(rescue::finish_switch(engines));
+        tokio::spawn(rescue::finish_switch(self.engines.clone(), engines));
     }
 
     /// Sends the next order towards the target, if one is due. Returns whether the target is
@@ -271,7 +280,7 @@
         if self.gave_hold == Some(pass) {
             return false;
         }
-        let client = match EngineClient::new(engine, HOLD_TIMEOUT_MS) {
+        let client = match self.engines.engine(engine, HOLD_TIMEOUT_MS) {
             Ok(client) => client,
             Err(error) => {
                 tracing::warn!(%engine, %error, "invalid engine address");
--- a/crates/ranks/src/lib.rs
+++ b/crates/ranks/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod collect;
 pub mod coordinator;
 pub mod engine;
+pub mod engines;
 pub mod group;
 pub mod lookup;
 pub mod members;
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -4,6 +4,7 @@
 use crate::collect::{Assignment, Collector};
 use crate::coordinator::Coordinator;
 use crate::engine::{EnginePoller, Polling, UPDATE_CAPACITY};
+use crate::engines::PlatformEngines;
 use crate::lookup::{GroupPublisher, Lookup};
 use crate::peers::PeerConnector;
 use crate::remote::RemotePollers;
@@ -66,6 +67,7 @@
     let (targets, watched_targets) = watch::channel(RankTarget::Idle);
     let (updates, local_updates) = broadcast::channel(UPDATE_CAPACITY);
     let poller = EnginePoller::new(
+        PlatformEngines,
         local_engine.clone(),
         Polling::LOCAL,
         watched_targets.clone(),
@@ -95,8 +97,10 @@
     let (assignment, watched_assignment) = watch::channel(Arc::new(Assignment::default()));
     let store = StoreClient::new(settings.key_value)?;
     let service = settings.backend_service.clone().unwrap_or_default();
-    let remote_pollers = RemotePollers::new(watched_targets.clone(), peer_sender.clone());
+    let remote_pollers =
+        RemotePollers::new(PlatformEngines, watched_targets.clone(), peer_sender.clone());
     let coordinator = Coordinator {
+        engines: PlatformEngines,
         lookup: Lookup::new(store.clone(), service),
         publisher: GroupPublisher::new(store),
         local_engine,
--- a/crates/ranks/src/remote.rs
+++ b/crates/ranks/src/remote.rs
@@ -4,9 +4,9 @@
 //! this way. The map of a group that lacks more agents is left unchanged.
 
 use crate::engine::{EnginePoller, Polling, UPDATE_CAPACITY};
+use crate::engines::Engines;
 use crate::peers::PeerUpdate;
-use flamingowheel_platform::EngineClient;
-use flamingowheel_protocol::ranks::RankTarget;
+use flamingowheel_protocol::ranks::{RankTarget, RankUpdate};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::sync::{broadcast, mpsc, watch};
@@ -20,33 +20,41 @@
 
 /// The running pollers, by engine.
 #[derive(Debug)]
-pub struct RemotePollers {
+pub struct RemotePollers<E> {
+    engines: E,
     targets: watch::Receiver<RankTarget>,
     updates: mpsc::Sender<PeerUpdate>,
     pollers: HashMap<SocketAddr, CancellationToken>,
 }
 
-impl RemotePollers {
+impl<E> RemotePollers<E>
+where
+    E: Engines,
+{
     /// Creates an empty set. Pollers bring their ranks to `targets` and send their state to
     /// `updates`.
-    pub fn new(targets: watch::Receiver<RankTarget>, updates: mpsc::Sender<PeerUpdate>) -> Self {
-        Self { targets, updates, pollers: HashMap::new() }
+    pub fn new(
+        engines: E,
+        targets: watch::Receiver<RankTarget>,
+        updates: mpsc::Sender<PeerUpdate>,
+    ) -> Self {
+        Self { engines, targets, updates, pollers: HashMap::new() }
     }
 
     /// Starts polling the engines at these addresses and stops polling all others.
-    pub fn poll(&mut self, engines: &[SocketAddr]) {
+    pub fn poll(&mut self, addresses: &[SocketAddr]) {
         self.pollers.retain(|engine, stop| {
-            let is_listed = engines.contains(engine);
+            let is_listed = addresses.contains(engine);
             if !is_listed {
                 stop.cancel();
             }
             is_listed
         });
-        for &engine in engines {
+        for &engine in addresses {
             if self.pollers.contains_key(&engine) {
                 continue;
             }
-            let client = match EngineClient::new(engine, ENGINE_TIMEOUT_MS) {
+            let client = match self.engines.engine(engine, ENGINE_TIMEOUT_MS) {
                 Ok(client) => client,
                 Err(error) => {
                     tracing::warn!(%engine, %error, "invalid engine address");
@@ -57,27 +65,31 @@
             let stop = CancellationToken::new();
             self.pollers.insert(engine, stop.clone());
             let (targets, updates) = (self.targets.clone(), self.updates.clone());
+            let (sender, received) = broadcast::channel(UPDATE_CAPACITY);
+            let poller =
+                EnginePoller::new(self.engines.clone(), client, Polling::REMOTE, targets, sender);
+            let polling = poll(engine, poller, received, updates);
             tokio::spawn(async move {
-                stop.run_until_cancelled(poll(engine, client, targets, updates)).await;
+                stop.run_until_cancelled(polling).await;
             });
         }
     }
 }
 
-impl Drop for RemotePollers {
+impl<E> Drop for RemotePollers<E> {
     fn drop(&mut self) {
         self.pollers.values().for_each(CancellationToken::cancel);
     }
 }
 
-async fn poll(
+async fn poll<E>(
     engine: SocketAddr,
-    client: EngineClient,
-    targets: watch::Receiver<RankTarget>,
+    poller: EnginePoller<E>,
+    mut received: broadcast::Receiver<RankUpdate>,
     updates: mpsc::Sender<PeerUpdate>,
-) {
-    let (sender, mut received) = broadcast::channel(UPDATE_CAPACITY);
-    let poller = EnginePoller::new(client, Polling::REMOTE, targets, sender);
+) where
+    E: Engines,
+{
     let forwarding = async {
         loop {
             match received.recv().await {
--- a/crates/ranks/src/rescue.rs
+++ b/crates/ranks/src/rescue.rs
@@ -5,9 +5,9 @@
 //! releases the pass. Doing so is idempotent, so two agents may do it concurrently.
 
 use crate::engine::rank_state;
+use crate::engines::{Engine, Engines};
 use crate::switch::{UnfinishedSwitch, find_unfinished, is_armed};
 use flamingowheel_fleet::engine::MapOrder;
-use flamingowheel_platform::EngineClient;
 use flamingowheel_protocol::ranks::RankState;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,12 +31,15 @@
     BASE_STALL_TIMEOUT + STALL_TIMEOUT_PER_RANK * u32::try_from(rank).unwrap_or(u32::MAX)
 }
 
-/// Finishes the switch for which a group is held, if it is held. `engines` are those of all its
-/// ranks, by rank.
-pub async fn finish_switch(engines: Arc<Vec<SocketAddr>>) {
-    let Ok(clients) = engines
+/// Finishes the switch for which a group is held, if it is held. `addresses` are those of all
+/// its engines, by rank.
+pub async fn finish_switch<E>(engines: E, addresses: Arc<Vec<SocketAddr>>)
+where
+    E: Engines,
+{
+    let Ok(clients) = addresses
         .iter()
-        .map(|engine| EngineClient::new(*engine, ENGINE_TIMEOUT_MS))
+        .map(|address| engines.engine(*address, ENGINE_TIMEOUT_MS))
         .collect::<Result<Vec<_>, _>>()
     else {
         return;
@@ -84,7 +87,10 @@
 }
 
 /// Reads the states of all ranks, by rank; `None` unless all answer and have the same epoch.
-async fn read_all(clients: &[EngineClient]) -> Option<Vec<RankState>> {
+async fn read_all<E>(clients: &[E]) -> Option<Vec<RankState>>
+where
+    E: Engine,
+{
     let mut states = Vec::with_capacity(clients.len());
     for client in clients {
         let report = client.report().await.ok()?;
