Answers: a status outside 200 to 599 is no answer

Cause: the HTTP library takes any three digits from 100 on and hands 101 on as a final answer; we took what it handed on.

Ruled out by tests that stay: interim heads at the end, late answers on a reused connection, resumed streams.

Change: one place decides which statuses an answer may have; connections to backend servers, the client of all other calls, agents' answers and stored answers ask it. Such an answer counts as lost: repeated elsewhere if it may be, else unknown.

--- a/crates/backing/src/client/http.rs
+++ b/crates/backing/src/client/http.rs
@@ -6,6 +6,7 @@
 use super::framing::framing_of;
 use super::informational::InformationalHeads;
 use super::liveness;
+use super::status::is_final;
 use bytes::{Bytes, BytesMut};
 use flamingowheel_policy::answers::{Content, Framing};
 use http::uri::{Authority, Scheme};
@@ -181,7 +182,12 @@
             () = informational.exceeded() => return Err(HttpError::Malformed),
         };
         match answer {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final(response.status().as_u16()) => Ok(response),
+            Ok(Ok(response)) => {
+                let (server, status) = (&self.authority, response.status().as_u16());
+                tracing::info!(%server, status, "answer without a valid status");
+                Err(HttpError::Malformed)
+            }
             Ok(Err(error)) if error.is_connect() => Err(HttpError::Refused),
             Ok(Err(error)) => Err(classify(&error)),
             Err(_) => Err(HttpError::Silent { limit_ms }),
--- a/crates/backing/src/client/mod.rs
+++ b/crates/backing/src/client/mod.rs
@@ -9,6 +9,7 @@
 pub mod liveness;
 pub mod orders;
 pub mod split;
+pub mod status;
 pub mod vm;
 pub mod weights;
 pub mod wire;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use crate::agents::{Agent, Connected, StreamEvent, StreamListener, is_incarnation};
 use bytes::Bytes;
+use flamingowheel_backing::client::status::is_final;
 use flamingowheel_protocol::id::{AttemptId, ExecutionKey, Incarnation, Window};
 use flamingowheel_protocol::message::{AgentMessage, Dispatch, EntryMessage, Failure, Refusal};
 use std::sync::Arc;
@@ -187,6 +188,10 @@
                 Ok(AgentMessage::Failed { failure, .. }) => {
                     return Err((AttemptEnd::Failed(failure), self));
                 }
+                Ok(AgentMessage::Head { status, .. }) if !is_final(status) => {
+                    tracing::warn!(status, "answer without a valid status");
+                    return Err((AttemptEnd::Failed(Failure::Malformed), self));
+                }
                 Ok(AgentMessage::Head { status, content_type, .. }) => {
                     let stage = Streaming {
                         channel: self.stage.channel,
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -12,10 +12,11 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use bytes::{Bytes, BytesMut};
+use flamingowheel_backing::client::status::is_final;
 use flamingowheel_observe::metrics::StreamTimer;
 use flamingowheel_protocol::archive::ArchivedAnswer;
 use flamingowheel_protocol::id::RequestId;
-use flamingowheel_protocol::message::Refusal;
+use flamingowheel_protocol::message::{Failure, Refusal};
 use http_body::Frame;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -134,6 +135,11 @@
 
 /// The response with an answer that an agent process archived when it shut down.
 pub fn archived_response(answer: ArchivedAnswer, meta: &ResponseMeta) -> Response {
+    if !is_final(answer.status) {
+        tracing::warn!(status = answer.status, "stored answer without a valid status");
+        let verdict = Unknown::Failed(Failure::Malformed).into();
+        return verdict_response(&verdict, Some(meta.request), meta.ticket.as_deref());
+    }
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use flamingowheel_backing::client::informational::InformationalHeads;
 use flamingowheel_backing::client::liveness::Probe;
-use http::{Request, Response};
+use flamingowheel_backing::client::status::is_final;
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -67,6 +68,9 @@
     /// Informational heads arrived without end; the request may have run.
     #[error("too many informational heads before the answer")]
     NoFinalHead,
+    /// What arrived has the form of an answer, but no valid status; the request may have run.
+    #[error("no valid status: {0}")]
+    InvalidStatus(StatusCode),
 }
 
 /// An open connection. Dropping it resets it at once, so that the server stops work on the request
@@ -114,12 +118,14 @@
             answer = self.sender.try_send_request(request) => answer,
             () = informational.exceeded() => return Err(SendError::NoFinalHead),
         };
-        answer.map_err(|mut error| {
-            if error.take_message().is_some() {
-                return SendError::NeverSent;
-            }
-            SendError::Lost(error.into_error())
-        })
+        match answer {
+            Ok(response) if is_final(response.status().as_u16()) => Ok(response),
+            Ok(response) => Err(SendError::InvalidStatus(response.status())),
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => SendError::NeverSent,
+                None => SendError::Lost(error.into_error()),
+            }),
+        }
     }
 
     /// Waits until the connection has finished the last exchange; `false` if it has closed.
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -13,10 +13,10 @@
 const HOST: &str = "soak.example";
 
 /// Header with the id of the attempt that a request belongs to.
-pub(super) const ATTEMPT_HEADER: &str = "flamingowheel-attempt-id";
+pub const ATTEMPT_HEADER: &str = "flamingowheel-attempt-id";
 
 /// Header with which a backend server signs its answer.
-pub(super) const SIGNATURE_HEADER: &str = "flamingowheel-instance-signature";
+pub const SIGNATURE_HEADER: &str = "flamingowheel-instance-signature";
 
 /// Header that states that a request did not run.
 pub const NOT_EXECUTED_HEADER: &str = "flamingowheel-not-executed";
--- a/crates/standin/tests/answers.rs
+++ b/crates/standin/tests/answers.rs
@@ -1,7 +1,9 @@
 //! Clients of external systems, and answers that are whole or break off.
 
 use bytes::Bytes;
-use flamingowheel_backing::backend::{BackendCall, BackendServer, BodyPiece, Priority};
+use flamingowheel_backing::backend::{
+    BackendCall, BackendError, BackendServer, BodyPiece, Priority,
+};
 use flamingowheel_backing::client::http::{HttpClient, HttpError, HttpLimits, Reuse};
 use flamingowheel_backing::client::{BackendKind, HttpBackend};
 use flamingowheel_standin::platform::raw::{Answer, Ending, Framing, RawServer};
@@ -44,11 +46,8 @@
     }
 }
 
-/// The bytes of a plain service's answer, and whether it is whole.
-async fn call(server: &RawServer) -> (Vec<u8>, bool) {
-    let authority = server.address.to_string().parse().unwrap();
-    let service = HttpBackend::new(authority, BackendKind::Service, HttpLimits::default());
-    let call = BackendCall {
+fn backend_call() -> BackendCall {
+    BackendCall {
         id: "a".to_owned(),
         method: Method::POST,
         path: "/orders".to_owned(),
@@ -56,8 +55,14 @@
         body: Bytes::new(),
         priority: Priority::default(),
         resume_after_events: 0,
-    };
-    let mut answer = service.call(call).await.unwrap();
+    }
+}
+
+/// The bytes of a plain service's answer, and whether it is whole.
+async fn call(server: &RawServer) -> (Vec<u8>, bool) {
+    let authority = server.address.to_string().parse().unwrap();
+    let service = HttpBackend::new(authority, BackendKind::Service, HttpLimits::default());
+    let mut answer = service.call(backend_call()).await.unwrap();
     let mut bytes = Vec::new();
     while let Some(piece) = answer.body.recv().await {
         match piece {
@@ -81,3 +86,30 @@
         assert!(!call(&serve(&broken).await).await.1, "{framing:?}");
     }
 }
+
+/// What stands in the place of a status: none of three digits, below 100, interim where the final one
+/// is due, and above 599.
+const NO_STATUSES: [&str; 11] =
+    ["000", "099", "42", "2000", "", "abc", "-20", "101", "600", "999", "0x1"];
+
+/// A server in trouble answers with a status that is none. Neither the reader of an answer as a whole
+/// nor the agent, which passes it on to the caller, may take it for an answer.
+#[tokio::test]
+async fn call_answer_without_status() {
+    for status in NO_STATUSES {
+        let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: 4\r\n\r\nnone");
+        for ending in [Ending::Kept, Ending::Closed] {
+            let other_bytes = Some(head.clone().into_bytes());
+            let answer =
+                Answer { other_bytes, ending, ..Answer::whole(Framing::Length, Vec::new()) };
+            let server = serve(&answer).await;
+            assert_eq!(fetch(&server).await, Err(HttpError::Malformed), "{status:?}");
+            for kind in [BackendKind::Engine, BackendKind::Service] {
+                let authority = server.address.to_string().parse().unwrap();
+                let backend = HttpBackend::new(authority, kind, HttpLimits::default());
+                let called = backend.call(backend_call()).await;
+                assert!(matches!(called, Err(BackendError::Malformed)), "{status:?} {kind:?}");
+            }
+        }
+    }
+}
