Stop: late requests are passed on only if they end before the grace period

What callers would see: a request whose last byte comes after an entry has closed connections for its stop was passed on whatever time it had left.

Cause: the end of the grace period was not known where requests are passed on.

Evidence: stop_late_request_beyond_end_refused, red without the check (passed on, 200 from a server that answers at once). Ruled out, by tests that stay: requests after an answer of a leaving entry are not read; new connections are refused.

Change: after the close a request is passed on only if its deadline is before the end; otherwise it gets 503 at once, with Retry-After 0, and its caller goes to another entry. Why this works: then it has its answer, or its time is over, before anything is cut. Before the close nothing changes.

Measured: the test red before, green after; tests of closing and ends pass.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -135,6 +135,9 @@
         open: &Arc<OpenRequest>,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let exchange = Arc::new(self.admit(request, head, open).await?);
+        if open.may_be_cut(exchange.deadline) {
+            return Err(Refusal::Leaving);
+        }
         self.budget.record_request(&exchange.service, exchange.arrived);
         self.suspects.wait_until_synced().await;
         self.serve(&exchange).await
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -11,11 +11,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -58,11 +58,40 @@
     pub closing: CancellationToken,
     /// Cancelled last: requests in progress are ended, as the process is about to exit.
     pub aborting: CancellationToken,
+    /// When requests in progress are ended; empty before `leaving`.
+    ends_at: Arc<OnceLock<Instant>>,
     /// The connections of callers to all threads. A request may use a connection to a backend server
     /// that another thread drives, so that threads end together.
     connections: TaskTracker,
 }
 
+impl Stop {
+    /// Begins the stop: the entry leaves, and requests in progress are ended at `ends_at`.
+    pub fn begin(&self, ends_at: Instant) {
+        self.ends_at.get_or_init(|| ends_at);
+        self.leaving.cancel();
+    }
+
+    /// Whether a request that has been read now, and has until `deadline`, might be ended by the stop.
+    /// Before `closing`, callers may not know yet that the entry is leaving.
+    ///
+    /// ```
+    /// use flamingowheel_gateway::front::Stop;
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// let (stop, ends_at) = (Stop::default(), Instant::now() + Duration::from_secs(6));
+    /// stop.begin(ends_at);
+    /// let late = ends_at + Duration::from_millis(1);
+    /// assert!(!stop.may_cut(late));
+    /// stop.closing.cancel();
+    /// assert!(stop.may_cut(late) && !stop.may_cut(ends_at));
+    /// ```
+    pub fn may_cut(&self, deadline: Instant) -> bool {
+        let ends_at = self.ends_at.get().filter(|_| self.closing.is_cancelled());
+        ends_at.is_some_and(|ends_at| deadline > *ends_at)
+    }
+}
+
 /// Serves callers until `stop.closing`, then waits until no thread has a connection left.
 pub async fn serve(listener: TcpListener, gateway: Arc<Gateway>, stop: Stop) {
     let accepting = stop.connections.token();
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -110,6 +110,11 @@
         &self.requests.stop.aborting
     }
 
+    /// Whether the stop of the process might end the request before its deadline.
+    pub fn may_be_cut(&self, deadline: Instant) -> bool {
+        self.requests.stop.may_cut(deadline)
+    }
+
     /// The refusal of the request while it has no answer and the process is about to exit.
     pub fn cut_refusal(&self) -> Refusal {
         match self.state().progress {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -32,7 +32,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 /// Part of the grace period that is reserved for the process to exit by itself before it is killed.
@@ -167,9 +167,10 @@
     shutdown.await;
     tracing::info!("leaving");
     budget.leave();
-    stop.leaving.cancel();
     let grace = Duration::from_millis(settings.bounds.grace_ms);
     let reserve = grace.mul_f64(CUT_SHARE).min(SHUTDOWN_RESERVE);
+    let ends_at = Instant::now() + (grace - reserve);
+    stop.begin(ends_at);
     let leaving = async {
         // Callers may cache the directory's answers this long and still connect until then.
         sleep(Duration::from_millis(DIRECTORY_TTL_MS)).await;
@@ -185,7 +186,7 @@
         }
     };
     tokio::pin!(leaving);
-    if timeout(grace - reserve, &mut leaving).await.is_err() {
+    if timeout_at(ends_at, &mut leaving).await.is_err() {
         tracing::warn!("grace period is over; requests in progress are aborted");
         stop.closing.cancel();
         stop.aborting.cancel();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -78,6 +78,8 @@
     },
     /// The deadline passed before a backend server could run the request.
     TooLate,
+    /// The process stops, and would have to end the request before its deadline.
+    Leaving,
     /// The process stops before the request was sent to a backend server.
     CutByStop,
     /// A backend server may have run the request, but its answer was lost.
@@ -144,6 +146,7 @@
             | Self::MemoryFull { .. }
             | Self::Full { .. }
             | Self::TooLate
+            | Self::Leaving
             | Self::CutByStop => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -165,6 +168,8 @@
             | Self::MemoryFull { retry_after_ms }
             | Self::Full { retry_after_ms }
             | Self::NoConfiguration { retry_after_ms } => Some(retry_after_ms),
+            // Other entries take the request at once.
+            Self::Leaving => Some(0),
             Self::TooLate | Self::CutByStop => Some(RETRY_AFTER_MS),
             _ => None,
         }
@@ -186,6 +191,7 @@
             Self::MemoryFull { .. } => "memory_full",
             Self::Full { .. } => "full",
             Self::TooLate => "too_late",
+            Self::Leaving => "leaving",
             Self::CutByStop => CUT_BY_STOP,
             Self::AnswerLost => "answer_lost",
             Self::NoAnswerInTime => "no_answer_in_time",
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Time within which something that is expected happens.
@@ -385,3 +385,41 @@
         }
     }
 }
+
+/// The body of a request arrives late in the grace period, after connections are closed. Its server
+/// would still be at work at the end, when the request is cut: nobody could know whether it ran.
+#[tokio::test]
+async fn stop_late_request_beyond_end_refused() {
+    for path in ["/once/x", "/safe/x", "/live/x", "/stream/x"] {
+        let bench = Bench::start(1, &Answer::whole(Framing::Length, b"whole".to_vec())).await;
+        let request = head(path, "a1", "content-length: 1\r\n") + "x";
+        let (begin, rest) = request.as_bytes().split_at(request.len() - 1);
+        let mut stream = TcpStream::connect(bench.entry.address).await.unwrap();
+        stream.write_all(begin).await.unwrap();
+        wait_until(|| bench.entry.metrics.requests_read() == 1).await;
+        // Requests have 4 s.
+        bench.entry.stop.begin(Instant::now() + Duration::from_secs(1));
+        bench.entry.stop.closing.cancel();
+        stream.write_all(rest).await.unwrap();
+        let received = read_all(&mut stream).await;
+        assert_eq!((received.status, bench.calls()), (503, 0), "{path}: {received:?}");
+        assert!(received.head.contains("retry-after"), "{path}: {received:?}");
+        assert!(received.head.contains("connection: close"), "{path}: {received:?}");
+    }
+}
+
+/// The same request is served if its deadline passes before the end: nothing would cut it.
+#[tokio::test]
+async fn stop_late_request_before_end_served() {
+    let bench = Bench::start(1, &Answer::whole(Framing::Length, b"whole".to_vec())).await;
+    let request = head("/once/x", "a1", "content-length: 1\r\n") + "x";
+    let (begin, rest) = request.as_bytes().split_at(request.len() - 1);
+    let mut stream = TcpStream::connect(bench.entry.address).await.unwrap();
+    stream.write_all(begin).await.unwrap();
+    wait_until(|| bench.entry.metrics.requests_read() == 1).await;
+    bench.entry.stop.begin(Instant::now() + Duration::from_secs(60));
+    bench.entry.stop.closing.cancel();
+    stream.write_all(rest).await.unwrap();
+    let received = read_all(&mut stream).await;
+    assert_eq!((received.status, received.body.as_slice()), (200, b"whole".as_slice()));
+}
