Streams: incomplete events are counted as held for callers

What callers would see: a server in trouble that sends events without end on many streams at once fills the entry's memory; the process is killed, and the requests of all other callers end with it (LOST, as reported of other systems).

Cause: an event is kept until its end, up to 1 MB each, and was not counted in what is held for callers.

Change: incomplete events of more than 8 KB are counted as held; when that is full the stream is given up and goes on elsewhere if it may.

--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -129,6 +129,15 @@
         Ok(())
     }
 
+    /// Holds `bytes` for the request, if that is more than before.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::try_grow`].
+    pub fn try_grow_to(&mut self, bytes: usize) -> Result<(), HoldError> {
+        self.try_grow(bytes.saturating_sub(self.bytes))
+    }
+
     /// Attaches the count to the bytes: it ends when the last copy of them is dropped.
     #[must_use]
     pub fn attach(self, bytes: Bytes) -> Bytes {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
 use crate::forward::{Awaited, Gateway, Hedge, Raced, SentRequest, Silence, keep_connection};
+use crate::held::{HeldBytes, HoldError};
 use crate::losses::{AnswerEnd, Progress};
 use crate::open::CUT_BY_STOP;
 use crate::server::{InFlight, Server};
@@ -22,6 +23,9 @@
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
+/// Bytes of an incomplete event that are not counted as held for callers. Sound events are smaller.
+const UNCOUNTED_EVENT_BYTES: usize = 8 * 1024;
+
 /// A stream that can't be completed. The connection to the caller is closed, so that the caller
 /// does not take a truncated answer for a complete one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -57,6 +61,8 @@
     /// Since when the next bytes have been waited for. A caller that reads slowly makes them wait.
     waiting_since: Instant,
     splitter: EventSplitter,
+    /// Counts a large incomplete event.
+    held: Option<HeldBytes>,
 }
 
 enum Step {
@@ -88,6 +94,7 @@
             received_bytes: 0,
             waiting_since: Instant::now(),
             splitter: EventSplitter::default(),
+            held: None,
         };
         Self { source, tried, runs, last_event_at: None, longest_pause_ms: 0, has_ended: false }
     }
@@ -171,6 +178,7 @@
         source.upstream.connection = None;
         source.upstream.in_flight.set_trial(None);
         source.splitter.discard_pending();
+        source.held = None;
         let server = source.upstream.in_flight.server();
         server.record_answer(source.exchange.arrived.elapsed(), true);
         if !source.can_resume() {
@@ -196,6 +204,7 @@
             "stream resumed"
         );
         self.source.splitter.discard_pending();
+        self.source.held = None;
         self.source.received_bytes = 0;
         self.source.upstream = UpstreamBody {
             framing: framing_of(&sent.response),
@@ -300,8 +309,17 @@
             }
             self.waiting_since = Instant::now();
             match self.splitter.push(&data) {
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => return Step::Events(events),
+                Ok(events) if events.is_empty() => {
+                    if let Err(error) = self.hold_pending() {
+                        tracing::info!(request = self.exchange.head.attempt_id, %error, "event given up");
+                        self.log_broken(Evidence::MemoryFull, None);
+                        return Step::Broken(Evidence::MemoryFull);
+                    }
+                }
+                Ok(events) => {
+                    self.held = None;
+                    return Step::Events(events);
+                }
                 Err(error) => {
                     tracing::warn!(request = self.exchange.head.attempt_id, %error, "stream broken");
                     return Step::Broken(Evidence::InsideEvent);
@@ -310,6 +328,22 @@
         }
     }
 
+    /// Counts the incomplete event, if it is large. Servers in trouble send events without end, and
+    /// all streams together must not fill the memory.
+    fn hold_pending(&mut self) -> Result<(), HoldError> {
+        let bytes = self.splitter.pending().len();
+        if bytes <= UNCOUNTED_EVENT_BYTES {
+            return Ok(());
+        }
+        match &mut self.held {
+            Some(held) => held.try_grow_to(bytes),
+            None => {
+                self.held = Some(self.gateway.held.try_hold(bytes)?);
+                Ok(())
+            }
+        }
+    }
+
     /// Decides whether a stream that has ended is whole.
     async fn judge_end(&self, ending: Ending, error: Option<&hyper::Error>) -> Step {
         let end = AnswerEnd {
--- a/crates/policy/src/answers.rs
+++ b/crates/policy/src/answers.rs
@@ -99,6 +99,8 @@
     Deadline,
     /// Given up: larger than [`MAX_ANSWER_BYTES`].
     TooLarge,
+    /// Given up: an event without end, while callers hold as much as the VM's memory allows.
+    MemoryFull,
     /// Given up: the server sent nothing while its group went on.
     ServerSilent,
     /// Broken off: inside an event.
@@ -130,6 +132,7 @@
             Self::ConnectionError => "connection_error",
             Self::Deadline => "deadline",
             Self::TooLarge => "too_large",
+            Self::MemoryFull => "memory_full",
             Self::ServerSilent => "server_silent",
             Self::InsideEvent => "inside_event",
             Self::NoEndMarker => "no_end_marker",
--- a/crates/ranks/src/engines.rs
+++ b/crates/ranks/src/engines.rs
@@ -10,8 +10,8 @@
     /// A client of one engine.
     type Engine: Engine;
 
-    /// Creates a client of the engine at `address` that gives up after `timeout_ms` without an
-    /// answer.
+    /// Creates a client of another VM's engine at `address` that gives up after `timeout_ms` without
+    /// an answer.
     fn engine(
         &self,
         address: SocketAddr,
@@ -47,7 +47,7 @@
         address: SocketAddr,
         timeout_ms: u64,
     ) -> Result<Self::Engine, http::uri::InvalidUri> {
-        EngineClient::new(address, timeout_ms)
+        EngineClient::remote(address, timeout_ms)
     }
 }
 
--- a/crates/ranks/src/process.rs
+++ b/crates/ranks/src/process.rs
@@ -62,7 +62,7 @@
     F: Future<Output = ()>,
 {
     let engine = settings.backend_server.ok_or(StartError::NoBackendServer)?;
-    let local_engine = EngineClient::new(engine, LOCAL_ENGINE_TIMEOUT_MS)?;
+    let local_engine = EngineClient::local(engine, LOCAL_ENGINE_TIMEOUT_MS)?;
     let (targets, watched_targets) = watch::channel(RankTarget::Idle);
     let (updates, local_updates) = broadcast::channel(UPDATE_CAPACITY);
     let poller = EnginePoller::new(
--- a/crates/ranks/src/rescue.rs
+++ b/crates/ranks/src/rescue.rs
@@ -11,7 +11,7 @@
 use crate::switch::is_armed;
 use flamingowheel_fleet::engine::MapOrder;
 use flamingowheel_protocol::ranks::RankState;
-use futures_util::future::join_all;
+use futures_util::{StreamExt, stream};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +31,9 @@
 /// their reports are some hundred milliseconds old.
 const MAX_ROUNDS: usize = 16;
 
+/// Calls to engines at the same time. Their answers are held in memory.
+const MAX_CALLS: usize = 16;
+
 /// Pause between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(40);
 
@@ -124,7 +127,7 @@
 
     /// Whether all other ranks have prepared a version.
     async fn is_prepared(&self, version: u64) -> bool {
-        let others = join_all((1..self.clients.len()).map(|rank| self.read(rank))).await;
+        let others = self.read_all((1..self.clients.len()).collect()).await;
         let mut versions = others.iter().map(|state| state.as_ref()?.prepared_version);
         versions.all(|prepared| prepared == Some(version))
     }
@@ -133,12 +136,13 @@
     async fn arm_others(&mut self, version: u64) {
         self.armed[0] = true;
         let unknown: Vec<usize> = (0..self.armed.len()).filter(|rank| !self.armed[*rank]).collect();
-        let states = join_all(unknown.iter().map(|rank| self.read(*rank))).await;
+        let states = self.read_all(unknown.clone()).await;
         for (rank, state) in unknown.iter().zip(states) {
             self.armed[*rank] = state.is_some_and(|state| is_armed(&state, version, self.pass));
         }
         let unarmed = unknown.into_iter().filter(|rank| !self.armed[*rank]);
-        join_all(unarmed.map(|rank| self.arm(rank, version))).await;
+        let arming = stream::iter(unarmed).map(|rank| self.arm(rank, version));
+        arming.buffer_unordered(MAX_CALLS).for_each(|()| std::future::ready(())).await;
     }
 
     async fn arm(&self, rank: usize, version: u64) {
@@ -153,6 +157,11 @@
         tracing::info!(epoch, pass, ?answer, "released by another rank");
     }
 
+    /// Reads the states of ranks, in their order.
+    async fn read_all(&self, ranks: Vec<usize>) -> Vec<Option<RankState>> {
+        stream::iter(ranks).map(|rank| self.read(rank)).buffered(MAX_CALLS).collect().await
+    }
+
     /// Reads a rank's state in the rescue's epoch.
     async fn read(&self, rank: usize) -> Option<RankState> {
         let report = match self.clients[rank].report().await {
--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -61,10 +61,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let server = Self { address, written: Arc::default(), open: Arc::default() };
-        let serving = server.clone();
+        let (serving, bytes) = (server.clone(), Arc::new(bytes));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (server, bytes) = (serving.clone(), bytes.clone());
+                let (server, bytes) = (serving.clone(), Arc::clone(&bytes));
                 tokio::spawn(async move {
                     server.open.fetch_add(1, Ordering::Relaxed);
                     // The caller's close ends the writes.
