Ranks: a peer's odd numbers and lists don't end the coordinator

What operators would see: a group that keeps its map for good. The coordinator's task ended at an expert that no map has, at a group that formed again with more ranks, at numbers at the end of their range (processes that stop following a list, as reported of other systems).

Cause: numbers of peers were used as indexes and sizes without a look at them, and what was known of demand outlived the group's dimensions.

Evidence, red before: apply_update_odd_lists_others_followed (index out of bounds: the len is 32 but the index is 65535), next_step_group_grown (index out of bounds: the len is 4), apply_update_odd_state_others_followed.

Change: states, progress, choices and experts are used only if the numbers can be those of a rank and the lists make up a map of the group's dimensions; demand is dropped with those dimensions.

Measured: the three red before, green after; tests of the package pass.

--- a/crates/policy/src/experts.rs
+++ b/crates/policy/src/experts.rs
@@ -38,6 +38,29 @@
         let set: Vec<Vec<u16>> = (0..self.ranks).map(|r| rank(r).collect()).collect();
         vec![set; self.sets]
     }
+
+    /// Whether a map has these dimensions, and each expert a place.
+    ///
+    /// ```
+    /// use flamingowheel_policy::experts::Shape;
+    /// let shape = Shape { sets: 1, experts: 4, ranks: 2, replicas_per_rank: 3 };
+    /// assert!(shape.fits(&shape.first_map()));
+    /// assert!(!shape.fits(&vec![vec![vec![0, 1], vec![2, 9]]]));
+    /// ```
+    pub fn fits(&self, map: &Map) -> bool {
+        map.len() == self.sets && map.iter().all(|ranks| self.fits_set(ranks))
+    }
+
+    fn fits_set(&self, ranks: &[Vec<u16>]) -> bool {
+        let mut has_place = vec![false; self.experts];
+        for expert in ranks.iter().flatten() {
+            let Some(has_place) = has_place.get_mut(usize::from(*expert)) else {
+                return false;
+            };
+            *has_place = true;
+        }
+        ranks.len() == self.ranks && has_place.iter().all(|has_place| *has_place)
+    }
 }
 
 /// Durations of the parts of a map change.
--- a/crates/protocol/src/ranks.rs
+++ b/crates/protocol/src/ranks.rs
@@ -86,6 +86,46 @@
     pub gave_hold: Option<u64>,
 }
 
+/// Largest number of ranks that a report is believed to state, far above that of any group.
+const MAX_RANKS: usize = 4_096;
+
+/// Largest pass or version that a report is believed to state: JSON holds larger ones inexactly.
+const MAX_NUMBER: u64 = 1 << 53;
+
+/// Largest number of requests of a rank that a report is believed to state.
+const MAX_REQUESTS: u32 = 1_000_000;
+
+/// Largest pace that a report is believed to state.
+const MAX_PACE: f64 = 1e6;
+
+impl RankState {
+    /// Whether the numbers can be those of a rank. Engines in trouble report others.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::ranks::RankState;
+    /// let sound = RankState { rank: 1, size: 8, pass: 70, ..RankState::default() };
+    /// assert!(sound.is_plausible());
+    /// assert!(!RankState { size: usize::MAX, ..sound }.is_plausible());
+    /// ```
+    pub fn is_plausible(&self) -> bool {
+        let Self { pass, running, waiting, pace, .. } = *self;
+        let (armed_version, armed_pass) = self.armed.unwrap_or_default();
+        let numbers = [
+            self.epoch,
+            self.map_version,
+            self.prepared_version.unwrap_or(0),
+            armed_version,
+            armed_pass,
+            self.held_pass.unwrap_or(0),
+            self.gave_hold.unwrap_or(0),
+        ];
+        self.rank < self.size
+            && self.size <= MAX_RANKS
+            && numbers.iter().all(|number| *number <= MAX_NUMBER)
+            && Progress { pass, running, waiting, pace }.is_plausible()
+    }
+}
+
 /// Quantisation steps for the counts of one rank.
 const STEPS: u32 = 255;
 
@@ -163,6 +203,15 @@
     pub pace: f64,
 }
 
+impl Progress {
+    /// Whether the numbers can be those of a rank.
+    pub fn is_plausible(&self) -> bool {
+        self.pass <= MAX_NUMBER
+            && self.running.max(self.waiting) <= MAX_REQUESTS
+            && (0.0..=MAX_PACE).contains(&self.pace)
+    }
+}
+
 /// An update from a rank's agent to its subscribers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RankUpdate {
--- a/crates/ranks/src/engine.rs
+++ b/crates/ranks/src/engine.rs
@@ -371,10 +371,11 @@
         .collect()
 }
 
-/// Converts a report to the state sent to the coordinator; `None` for an engine without a group.
+/// Converts a report to the state sent to the coordinator; `None` for an engine without a group, or
+/// whose numbers can't be those of a rank.
 pub fn rank_state(report: &EngineReport) -> Option<RankState> {
     let group = report.group.as_ref()?;
-    Some(RankState {
+    let state = RankState {
         group: group.name.clone(),
         epoch: group.epoch,
         rank: group.rank,
@@ -389,7 +390,12 @@
         armed: report.armed,
         held_pass: report.held_pass,
         gave_hold: None,
-    })
+    };
+    if !state.is_plausible() {
+        tracing::debug!(?state, "engine's report is implausible");
+        return None;
+    }
+    Some(state)
 }
 
 /// Returns the order that brings a rank closer to its target; `None` if none is needed.
--- a/crates/ranks/src/group.rs
+++ b/crates/ranks/src/group.rs
@@ -123,6 +123,10 @@
     }
 
     fn apply_state(&mut self, state: RankState, engine: SocketAddr, data_centre: Option<Arc<str>>) {
+        if !state.is_plausible() {
+            tracing::warn!(%engine, ?state, "rank's state is implausible");
+            return;
+        }
         if state.group != self.name {
             self.foreign.insert(engine);
             self.ranks.retain(|_, rank| rank.engine != engine);
@@ -160,6 +164,10 @@
         progress: Progress,
         data_centre: Option<Arc<str>>,
     ) {
+        if !progress.is_plausible() {
+            tracing::warn!(%engine, ?progress, "rank's progress is implausible");
+            return;
+        }
         let now = Instant::now();
         let Some(rank) = self.rank_by_engine(engine) else {
             return;
@@ -178,9 +186,14 @@
             tracing::warn!("can't decode choices");
             return;
         };
+        let counts = self.shape().map(|shape| shape.sets * shape.experts);
+        if counts.is_some_and(|counts| counts != choices.len()) {
+            tracing::warn!(choices = choices.len(), "choices are of another map");
+            return;
+        }
         if self.window.len() == choices.len() {
             for (sum, count) in self.window.iter_mut().zip(&choices) {
-                *sum += u64::from(*count);
+                *sum = sum.saturating_add(u64::from(*count));
             }
         } else if !choices.is_empty() {
             self.window = choices.iter().map(|count| u64::from(*count)).collect();
@@ -235,7 +248,9 @@
             return false;
         }
         self.window_pass = pass;
-        let demand = self.demand.get_or_insert_with(|| Demand::new(shape));
+        // A group that forms again may have another number of ranks.
+        let known = self.demand.take().filter(|demand| demand.shape() == shape);
+        let demand = self.demand.insert(known.unwrap_or_else(|| Demand::new(shape)));
         let has_shifted = demand.observe(&self.window);
         if has_shifted {
             tracing::info!(group = self.name, "demand shifted");
@@ -268,7 +283,9 @@
 
     /// Returns the next step towards a balanced map, if one is worthwhile.
     pub fn next_step(&self, states: &[RankState]) -> Option<experts::Step> {
-        let demand = self.demand.as_ref().filter(|demand| demand.is_known())?;
+        let shape = self.shape()?;
+        let is_usable = |demand: &&Demand| demand.is_known() && demand.shape() == shape;
+        let demand = self.demand.as_ref().filter(is_usable)?;
         let map = self.map_in_use(states)?;
         let service = self.parameters.as_ref()?;
         let pressure = self.pass_times.mean_ms() / service.pause_goal_ms.max(1.0);
@@ -345,7 +362,12 @@
         let ranks: Option<Vec<_>> = ranks.iter().map(listed).collect();
         let ranks = ranks?;
         let set = |set: usize| ranks.iter().map(|experts| experts[set].clone()).collect();
-        Some((0..sets).map(set).collect())
+        let map: Map = (0..sets).map(set).collect();
+        if !self.shape()?.fits(&map) {
+            tracing::warn!(group = self.name, version, "lists of experts make up no map");
+            return None;
+        }
+        Some(map)
     }
 }
 
--- a/crates/ranks/tests/group.rs
+++ b/crates/ranks/tests/group.rs
@@ -3,11 +3,11 @@
 use flamingowheel_fleet::EngineParameters;
 use flamingowheel_policy::experts::Shape;
 use flamingowheel_protocol::packed::Packed;
-use flamingowheel_protocol::ranks::{ExpertCounts, Map, RankState, RankUpdate};
+use flamingowheel_protocol::ranks::{ExpertCounts, Map, Progress, RankState, RankUpdate};
 use flamingowheel_ranks::group::Group;
 use flamingowheel_ranks::lookup::ServiceParameters;
 use flamingowheel_ranks::peers::PeerUpdate;
-use flamingowheel_ranks::switch::MAX_PASSES_AHEAD;
+use flamingowheel_ranks::switch::{MAX_PASSES_AHEAD, next_version};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -165,3 +165,111 @@
     group.apply_update(PeerUpdate { engine, data_centre: Some("d".into()), update });
     assert!(group.has_started_named_passes());
 }
+
+/// Reports that another rank's agent passes on from an engine in trouble.
+fn odd_states() -> Vec<RankState> {
+    let sound = state(3, 1);
+    let with = |change: &dyn Fn(&mut RankState)| {
+        let mut odd = sound.clone();
+        change(&mut odd);
+        odd
+    };
+    vec![
+        with(&|odd| odd.size = usize::MAX),
+        with(&|odd| odd.size = 0),
+        with(&|odd| odd.rank = usize::MAX),
+        with(&|odd| odd.pass = u64::MAX),
+        with(&|odd| odd.map_version = u64::MAX),
+        with(&|odd| odd.prepared_version = Some(u64::MAX)),
+        with(&|odd| odd.armed = Some((u64::MAX, u64::MAX))),
+        with(&|odd| odd.held_pass = Some(u64::MAX)),
+        with(&|odd| (odd.running, odd.waiting) = (u32::MAX, u32::MAX)),
+        with(&|odd| odd.pace = f64::NAN),
+        with(&|odd| odd.pace = f64::INFINITY),
+        with(&|odd| odd.pace = -1.0),
+        with(&|odd| odd.pace = 1e308),
+    ]
+}
+
+/// Everything that a coordinator computes from its group.
+fn compute_all(group: &mut Group) {
+    let states = group.states();
+    group.close_window();
+    drop(group.next_step(&states));
+    drop(group.map_in_use(&states));
+    drop(group.fresh_states(tokio::time::Instant::now()));
+    drop(group.record());
+    drop(group.status());
+    drop(group.engines_without_agent(SocketAddr::from(([127, 0, 0, 1], 9_000))));
+    drop(group.assignment(SocketAddr::from(([127, 0, 0, 1], 9_000)), 1, 1_000_000));
+    assert!(next_version(&states, 0, 1) < u64::MAX / 2);
+    assert!(group.passes_ahead() <= MAX_PASSES_AHEAD);
+}
+
+fn apply(group: &mut Group, rank: usize, update: RankUpdate) {
+    let engine = SocketAddr::from(([127, 0, 0, 1], 9_000 + rank as u16));
+    group.apply_update(PeerUpdate { engine, data_centre: Some("d".into()), update });
+}
+
+/// One agent's report holds a number that is too large. The coordinator must not end, and goes on once
+/// the report is sound.
+#[tokio::test(start_paused = true)]
+async fn apply_update_odd_state_others_followed() {
+    for odd in odd_states() {
+        let mut group = group();
+        apply_pass(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+        let shown = format!("{odd:?}");
+        apply(&mut group, 3, RankUpdate::State(odd.clone()));
+        let RankState { pass, running, waiting, pace, .. } = odd;
+        apply(&mut group, 3, RankUpdate::Progress(Progress { pass, running, waiting, pace }));
+        compute_all(&mut group);
+        apply_pass(&mut group, 0..SHAPE.ranks, 2, ON_RANK_0);
+        group.close_window();
+        assert!(group.next_step(&group.states()).is_some(), "{shown}");
+    }
+}
+
+/// A list of experts, or of choices, has an entry that no map has.
+#[tokio::test(start_paused = true)]
+async fn apply_update_odd_lists_others_followed() {
+    let lists: [Vec<Vec<u16>>; 4] =
+        [vec![vec![u16::MAX]; 2], vec![vec![32]; 2], vec![Vec::new(); 2], vec![vec![0]; 9]];
+    for list in lists {
+        let mut group = group();
+        apply_pass(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+        let experts = Packed::pack(&list).unwrap();
+        apply(&mut group, 3, RankUpdate::Experts { map_version: 0, experts });
+        compute_all(&mut group);
+        for choices in [ExpertCounts::pack(&[u32::MAX; 7]), ExpertCounts::pack(&[u32::MAX; 64])] {
+            apply(&mut group, 3, RankUpdate::Choices(choices));
+            compute_all(&mut group);
+        }
+        // The mean of demand follows the sound choices.
+        for pass in 2..10 {
+            apply_pass(&mut group, 0..SHAPE.ranks, pass, ON_RANK_0);
+            group.close_window();
+        }
+        assert!(group.next_step(&group.states()).is_some(), "{list:?}");
+    }
+}
+
+/// The group forms again with more ranks than before. What is known of its demand is for other
+/// dimensions.
+#[tokio::test(start_paused = true)]
+async fn next_step_group_grown() {
+    let mut group = group();
+    apply_pass(&mut group, 0..SHAPE.ranks, 1, ON_RANK_0);
+    group.close_window();
+    let size = SHAPE.ranks + 2;
+    let map = Shape { ranks: size, ..SHAPE }.first_map();
+    for rank in 0..size {
+        let formed = RankState { epoch: 1, size, ..state(rank, 2) };
+        apply(&mut group, rank, RankUpdate::State(formed));
+        let experts: Vec<_> = map.iter().map(|set| set[rank].clone()).collect();
+        let experts = Packed::pack(&experts).unwrap();
+        apply(&mut group, rank, RankUpdate::Experts { map_version: 0, experts });
+        apply(&mut group, rank, RankUpdate::Choices(choices(ON_RANK_0)));
+    }
+    compute_all(&mut group);
+    assert!(group.next_step(&group.states()).is_some());
+}
