Permits: a datagram with a time or rate that can't be is malformed

What callers would see: limited and cold servers get no permits from an entry any more. A peer's datagram with a time without end was added to a clock, which ends the task that exchanges permits.

Cause: times and rates of peers were used as they came.

--- a/crates/protocol/src/permits.rs
+++ b/crates/protocol/src/permits.rs
@@ -11,6 +11,9 @@
 /// Largest encoded datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 64;
 
+/// Longest time that a datagram is believed to state.
+const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// A datagram between entries.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PermitMessage {
@@ -83,8 +86,35 @@
         postcard::to_allocvec(self).ok()
     }
 
-    /// Decodes a datagram; `None` if it is malformed.
+    /// Decodes a datagram; `None` if it is malformed, or holds a number that can't be.
+    ///
+    /// ```
+    /// use flamingowheel_protocol::permits::{PermitMessage, Verdict};
+    /// use std::time::Duration;
+    /// let odd = PermitMessage::Answer { number: 1, verdict: Verdict::Wait(Duration::MAX) };
+    /// assert_eq!(PermitMessage::decode(&odd.encode().unwrap()), None);
+    /// ```
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        postcard::from_bytes(bytes).ok().filter(Self::is_plausible)
+    }
+
+    fn is_plausible(&self) -> bool {
+        match self {
+            Self::Ask { report, .. } | Self::Broadcast { report, .. } => is_limit(report),
+            Self::Answer { verdict: Verdict::Wait(wait), .. } => *wait <= MAX_TIME,
+            Self::Answer { .. } => true,
+            Self::AskCold { report: ColdReport { left, allowance }, .. } => {
+                *left <= MAX_TIME && is_rate(allowance.rate_per_s)
+            }
+            Self::BroadcastCold { left, .. } => *left <= MAX_TIME,
+        }
     }
 }
+
+fn is_limit(report: &LimitReport) -> bool {
+    report.age <= MAX_TIME && report.limit_per_s.is_none_or(is_rate)
+}
+
+fn is_rate(rate: f64) -> bool {
+    rate.is_finite() && rate >= 0.0
+}
