Lists: VMs and keys that can't be read don't hide the others

What operators would see, own interface: no change of the VM list is followed while one VM in it can't be read; no listing of a prefix, and no watch, while one key under it is no text.

Cause: both lists were read as a whole.

Evidence: list_odd_vm_others_listed and range_odd_key_others_read, red before (the list was malformed as a whole).

Change: they are read one by one; what can't be read is left out with a warning.

Measured: red before, green after; contract_kv passes.

--- a/crates/backing/src/client/etcd.rs
+++ b/crates/backing/src/client/etcd.rs
@@ -5,8 +5,8 @@
 use super::wire::{
     Base64, CODE_NOT_FOUND, CODE_RESOURCE_EXHAUSTED, CompareResult, CompareTarget, ErrorBody,
     EventKind, Int64, LeaseMessage, PutRequest, RangeRequest, RangeResponse, RequestOp, Streamed,
-    TxnRequest, TxnResponse, WatchCreate, WatchRequest, WatchResponse, WireCompare, WireEvent,
-    key_text,
+    TxnRequest, TxnResponse, WatchCreate, WatchRequest, WatchResponse, WireCompare, WireEntry,
+    WireEvent, key_text,
 };
 use crate::BoxFuture;
 use crate::kv::{
@@ -95,7 +95,8 @@
     async fn read_range(&self, prefix: &str) -> Result<Snapshot, KeyValueError> {
         let request = RangeRequest::prefix(prefix);
         let answer: RangeResponse = self.post("/v3/kv/range", &request, Reuse::Allowed).await?;
-        let entries = answer.kvs.into_iter().map(KeyValueEntry::try_from).collect::<Result<_, _>>();
+        let entries = answer.kvs.into_iter().filter_map(readable).map(KeyValueEntry::try_from);
+        let entries = entries.collect::<Result<_, _>>();
         Ok(Snapshot { revision: answer.header.revision.revision(), entries: entries? })
     }
 
@@ -179,7 +180,9 @@
         return answer.created || sender.send(WatchEvent::Progress { revision }).await.is_ok();
     }
     for wire_event in answer.events {
-        let Ok(event) = watch_event(wire_event) else { return false };
+        let WireEvent { kind, kv } = wire_event;
+        let Some(kv) = readable(kv) else { continue };
+        let Ok(event) = watch_event(WireEvent { kind, kv }) else { return false };
         if sender.send(event).await.is_err() {
             return false;
         }
@@ -187,6 +190,17 @@
     true
 }
 
+/// Leaves out an entry of another writer whose key is no text, so that it doesn't hide the others.
+fn readable(wire: WireEntry) -> Option<WireEntry> {
+    match key_text(&wire.key) {
+        Ok(_) => Some(wire),
+        Err(error) => {
+            tracing::warn!(key = ?wire.key.0, %error, "stored entry ignored");
+            None
+        }
+    }
+}
+
 fn watch_event(wire: WireEvent) -> Result<WatchEvent, KeyValueError> {
     match wire.kind {
         EventKind::Put => wire.kv.try_into().map(WatchEvent::Put),
--- a/crates/backing/src/client/vm.rs
+++ b/crates/backing/src/client/vm.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use http::uri::Authority;
 use http_body_util::Full;
+use serde_json::value::RawValue;
 
 /// HTTP client of the VM list.
 #[derive(Clone, Debug)]
@@ -43,7 +44,18 @@
             if !answer.status.is_success() {
                 return Err(VmListError::Unreachable);
             }
-            serde_json::from_slice(&answer.body).map_err(|_| VmListError::Malformed)
+            parse(&answer.body)
         })
     }
 }
+
+/// Reads the list. VMs that can't be read are left out, so that one doesn't hide the others.
+fn parse(body: &[u8]) -> Result<Vec<Vm>, VmListError> {
+    let listed: Vec<&RawValue> =
+        serde_json::from_slice(body).map_err(|_| VmListError::Malformed)?;
+    let vm = |text: &&RawValue| {
+        let vm = serde_json::from_str(text.get());
+        vm.inspect_err(|error| tracing::warn!(%error, "listed VM can't be read")).ok()
+    };
+    Ok(listed.iter().filter_map(vm).collect())
+}
--- a/crates/standin/tests/answers.rs
+++ b/crates/standin/tests/answers.rs
@@ -4,8 +4,11 @@
 use flamingowheel_backing::backend::{
     BackendCall, BackendError, BackendServer, BodyPiece, Priority,
 };
+use flamingowheel_backing::client::etcd::default_limits;
 use flamingowheel_backing::client::http::{HttpClient, HttpError, HttpLimits, Reuse};
-use flamingowheel_backing::client::{BackendKind, HttpBackend};
+use flamingowheel_backing::client::{BackendKind, EtcdClient, HttpBackend, HttpVmList};
+use flamingowheel_backing::kv::KeyValue;
+use flamingowheel_backing::vm::VmList;
 use flamingowheel_standin::platform::raw::{Answer, Ending, Framing, RawServer};
 use http::Method;
 use http_body_util::Full;
@@ -113,3 +116,43 @@
         }
     }
 }
+
+/// One VM of the list is nested very deeply, has an address that is none or a state that is not known.
+/// The others must still be followed.
+#[tokio::test]
+async fn list_odd_vm_others_listed() {
+    let sound = r#"{"name":"a","ip":"10.0.0.1","data_centre":"d","state":"live"}"#;
+    let nested = ["[".repeat(100_000), "]".repeat(100_000)].concat();
+    let odd = [
+        nested.as_str(),
+        "1e400",
+        "null",
+        "{}",
+        r#"{"name":"b","ip":"10.0.0.1:70000","data_centre":"d","state":"live"}"#,
+        r#"{"name":"b","ip":"10.0.0.999","data_centre":"d","state":"live"}"#,
+        r#"{"name":"b","ip":"10.0.0.2","data_centre":"d","state":"other"}"#,
+        r#"{"name":18446744073709551616,"ip":"10.0.0.2","data_centre":"d","state":"live"}"#,
+    ];
+    for odd in odd {
+        let body = format!("[{sound},{odd},{sound}]").into_bytes();
+        let server = serve(&Answer::whole(Framing::Length, body)).await;
+        let authority = server.address.to_string().parse().unwrap();
+        let vms = HttpVmList::new(authority, HttpLimits::default()).list().await;
+        let names = vms.map(|vms| vms.into_iter().map(|vm| vm.name).collect::<Vec<_>>());
+        assert_eq!(names, Ok(vec!["a".to_owned(); 2]), "{}", &odd[..odd.len().min(80)]);
+    }
+}
+
+/// A key of another writer is no text. The other entries of the prefix must still be read.
+#[tokio::test]
+async fn range_odd_key_others_read() {
+    let body = br#"{"header":{"revision":"7"},"kvs":[
+        {"key":"cC8x","mod_revision":"5","value":"eA=="},
+        {"key":"cC//","mod_revision":"6","value":"eQ=="},
+        {"key":"cC8y","mod_revision":"7","value":"eg=="}]}"#;
+    let server = serve(&Answer::whole(Framing::Length, body.to_vec())).await;
+    let authority = server.address.to_string().parse().unwrap();
+    let found = EtcdClient::new(authority, default_limits()).range("p/").await.unwrap();
+    let keys: Vec<&str> = found.entries.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(keys, ["p/1", "p/2"]);
+}
