Answers: a success needs the server's signature and the attempt's id

Cause: an answer that named no attempt counted as one to the attempt that was sent; the signature was read and not asked for.

Evidence: send_answer_without_proof, red without the check (id only, signature only, neither, a refusal; after a whole answer and alone).

Change: a success has to be signed and to name its attempt; on a connection used before every answer has to name it. What does not counts as lost. Failures on a new connection are passed on as before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -79,6 +79,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    sends: u32,
 }
 
 impl Connection {
@@ -97,7 +98,12 @@
                 tracing::debug!(%error, "connection to backend server ended");
             }
         });
-        Ok(Self { sender, task })
+        Ok(Self { sender, task, sends: 0 })
+    }
+
+    /// Whether more than one request has been sent. Bytes may follow the answer to an earlier one.
+    pub fn is_reused(&self) -> bool {
+        self.sends > 1
     }
 
     /// Whether another request can be sent now.
@@ -113,6 +119,7 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NeverSent);
         }
+        self.sends += 1;
         let informational = InformationalHeads::of(&mut request);
         let answer = tokio::select! {
             answer = self.sender.try_send_request(request) => answer,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -107,9 +107,8 @@
                 in_flight.record_first_byte(Instant::now());
                 let id = &exchange.head.attempt_id;
                 let answer = headers::parse_answer(response.headers(), response.status(), id);
-                if !answer.is_for_attempt {
-                    // A second answer to an earlier request; later answers on this connection can't
-                    // be matched to requests either.
+                if !is_proven(&answer, response.status(), connection.is_reused()) {
+                    // Later answers on this connection can't be matched to requests either.
                     tracing::warn!(
                         request = id,
                         server = server.listed.id,
@@ -261,6 +260,14 @@
     }
 }
 
+/// Whether an answer belongs to the attempt that was sent. Servers name it in their answers and sign
+/// them; bytes without that may follow an earlier answer, or be no answer of the server at all.
+fn is_proven(answer: &AnswerHead, status: StatusCode, is_reused: bool) -> bool {
+    let is_named = answer.names_attempt || !(is_reused || status.is_success());
+    let is_signed = answer.is_signed || !status.is_success();
+    is_named && is_signed && !answer.is_foreign
+}
+
 fn log_trial(exchange: &Exchange, server: &Server, trial: &Trial) {
     let suspects: Vec<String> = trial.suspects().iter().map(ToString::to_string).collect();
     tracing::info!(
--- a/crates/gateway/tests/statuses.rs
+++ b/crates/gateway/tests/statuses.rs
@@ -134,3 +134,42 @@
         assert!(received.status == 200 && (is_whole || is_cut), "{status:?}: {received:?}");
     }
 }
+
+/// Bytes of a server in trouble have the form of an answer, but bear no id or no signature. They
+/// belong to no request, whether they follow a whole answer or come alone.
+#[tokio::test]
+async fn send_answer_without_proof() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n";
+    let unsigned = format!("{head}{ATTEMPT_HEADER}: a2\r\n\r\nother");
+    let unnamed = format!("{head}{SIGNATURE_HEADER}: sig\r\n\r\nother");
+    let neither = format!("{head}\r\nother");
+    let refusal = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_owned();
+    for other in [unsigned, unnamed, neither, refusal] {
+        let is_success = other.contains("200 OK");
+        let late = other.clone();
+        let follows = move |call: &Call| {
+            let whole = Answer::whole(Framing::Length, events_after(0).into_bytes());
+            if call.attempt != "a1" {
+                return whole;
+            }
+            let other_bytes = Some([whole.encode("a1"), late.clone().into_bytes()].concat());
+            Answer { other_bytes, ..whole }
+        };
+        let sound = |_: &Call| Answer::whole(Framing::Length, events_after(0).into_bytes());
+        let servers =
+            vec![RawServer::start(follows).await.unwrap(), RawServer::start(sound).await.unwrap()];
+        let bench = Bench::with_servers(servers).await;
+        for attempt in ["a1", "a2", "a3"] {
+            let received = bench.ask_as("/safe/x", attempt).await;
+            assert!(is_from_sound_server(&received), "{other:?} {attempt}: {received:?}");
+        }
+        if is_success {
+            let other_bytes = Some(other.clone().into_bytes());
+            let first = Answer { other_bytes, ..Answer::whole(Framing::Length, Vec::new()) };
+            let received = Bench::start(2, &first).await.ask_as("/safe/x", "a2").await;
+            assert!(is_from_sound_server(&received), "{other:?}: {received:?}");
+            let received = Bench::start(2, &first).await.ask_as("/once/x", "a2").await;
+            assert!(is_unknown(&received), "{other:?}: {received:?}");
+        }
+    }
+}
